--- /dev/null
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -0,0 +1,26 @@
+//! Decisions without input or output: permits, adapter slots, loads and power.
+//!
+//! Every part is a state machine that takes an event and the present time and gives back actions;
+//! sockets and timers are the daemon's. The policy bench drives the same code in virtual time. See
+//! `docs/ARCHITECTURE.md` and `docs/design/`.
+
+mod allocator;
+mod decision;
+mod owner;
+mod permit;
+mod rank;
+mod scheduler;
+mod weights;
+
+pub use allocator::{PowerAction, PowerAllocator, PowerEvent};
+pub use decision::{Decision, DecisionKind};
+pub use owner::{
+    EngineOrder, EngineReport, LoadUrgency, OrderFailure, OrderId, OrderKind, Owner, OwnerAction,
+    OwnerConfig, OwnerEvent,
+};
+pub use permit::{
+    Permit, PermitAnswer, PermitRequest, RefusalReason, ReleaseOutcome, ReleasedPermit,
+};
+pub use rank::rank_targets;
+pub use scheduler::{LoadScheduler, SchedulerAction, SchedulerConfig, SchedulerEvent, TurnResult};
+pub use weights::PolicyWeights;
--- /dev/null
+++ b/crates/chervilshunt_core/src/permit.rs
@@ -0,0 +1,145 @@
+//! What an entry instance asks of a target's owner, and what it is told.
+
+use chervilshunt_model::{
+    AdapterVersion, AttemptId, CallerName, Class, Epoch, InstanceId, TargetName,
+};
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+/// Asks the owner of `target` for leave to send one attempt of a request there.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PermitRequest {
+    /// The try; asking twice with the same id gives one permit.
+    pub attempt: AttemptId,
+    /// The instance that the caller is connected to.
+    pub entry: InstanceId,
+    /// The target that the entry instance ranked first, or was redirected to.
+    pub target: TargetName,
+    /// The adapter version; none for a plain service or for the base model alone.
+    pub model: Option<AdapterVersion>,
+    /// Whether the request has to be prompt.
+    pub class: Class,
+    /// The weight of its priority within the class, at least 1.
+    pub weight: u32,
+    /// The unit of fairness.
+    pub caller: CallerName,
+    /// Time left until the caller's deadline, in milliseconds.
+    pub deadline_ms: u64,
+    /// Estimated length of the prompt, in tokens.
+    pub prompt_tokens: u32,
+    /// The most tokens that may be generated.
+    pub max_tokens: u32,
+    /// A hash of the start of the prompt, for prefix-cache affinity.
+    pub prefix: u64,
+    /// How often the request has been redirected; an owner doesn't redirect beyond its bound.
+    pub hops: u8,
+}
+
+/// Leave to send one attempt to one target.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Permit {
+    /// The try that it is for.
+    pub attempt: AttemptId,
+    /// The instance that may use it.
+    pub entry: InstanceId,
+    /// The target that the attempt may go to.
+    pub target: TargetName,
+    /// The adapter version, pinned in its slot until the permit is released.
+    pub model: Option<AdapterVersion>,
+    /// The class it was granted for.
+    pub class: Class,
+    /// The fencing number of the owner that issued it.
+    pub epoch: Epoch,
+    /// The time after its arrival within which the call has to be opened, in milliseconds.
+    pub window_ms: u64,
+}
+
+/// What the owner answers to a [`PermitRequest`].
+///
+/// There is no "queued" answer: while the owner queues a request it stays silent, and a lost
+/// connection tells the entry instance to ask again. That keeps it at one message pair a request.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PermitAnswer {
+    /// Go ahead.
+    Granted {
+        /// The permit.
+        permit: Permit,
+        /// Targets, best first, over which the adapter is spread now; a hint for later requests.
+        spread: SmallVec<[TargetName; 4]>,
+    },
+    /// Ask the owner of another target.
+    Redirect {
+        /// The targets to ask, best first.
+        targets: SmallVec<[TargetName; 4]>,
+    },
+    /// Nothing ran and nothing will.
+    Refused {
+        /// Why.
+        reason: RefusalReason,
+        /// When asking again is worth it, in milliseconds.
+        retry_after_ms: u64,
+    },
+}
+
+/// Why an owner refuses a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalReason {
+    /// The queue is at its bound.
+    QueueFull,
+    /// The deadline can't be kept or has passed.
+    Deadline,
+    /// The adapter could not be loaded, after its bounded number of tries.
+    LoadFailed,
+    /// The target takes no new work.
+    Draining,
+    /// The instance asked does not own the target, or may not decide for it now.
+    NotOwner,
+    /// The target is down.
+    TargetDown,
+}
+
+impl RefusalReason {
+    /// Returns the name that problem documents and logs use.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::QueueFull => "queue_full",
+            Self::Deadline => "deadline",
+            Self::LoadFailed => "load_failed",
+            Self::Draining => "draining",
+            Self::NotOwner => "not_owner",
+            Self::TargetDown => "target_down",
+        }
+    }
+}
+
+/// Gives a permit back, or withdraws a request that is still queued.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ReleasedPermit {
+    /// The try.
+    pub attempt: AttemptId,
+    /// The target whose owner issued it.
+    pub target: TargetName,
+    /// What became of the call.
+    pub outcome: ReleaseOutcome,
+}
+
+/// What became of a call that a permit was used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ReleaseOutcome {
+    /// The whole answer arrived.
+    Finished {
+        /// Tokens generated.
+        tokens: u32,
+        /// Time from opening the call to the first byte of the answer, in milliseconds.
+        first_byte_ms: u32,
+        /// Time from opening the call to its end, in milliseconds.
+        total_ms: u32,
+    },
+    /// The caller went away, or the request was withdrawn before it was granted.
+    Cancelled,
+    /// The target could not be reached, failed, or broke off.
+    TargetFailed,
+    /// The target said that it does not hold the adapter.
+    AdapterMissing,
+}
--- /dev/null
+++ b/crates/chervilshunt_mesh/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
