--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod allocator;
 mod decision;
+mod mechanisms;
 mod owner;
 mod permit;
 mod rank;
@@ -14,6 +15,7 @@
 
 pub use allocator::{PowerAction, PowerAllocator, PowerEvent};
 pub use decision::{Decision, DecisionKind};
+pub use mechanisms::Mechanisms;
 pub use owner::{
     EngineOrder, EngineReport, LoadUrgency, OrderFailure, OrderId, OrderKind, Owner, OwnerAction,
     OwnerConfig, OwnerEvent,
--- a/crates/chervilshunt_core/src/owner.rs
+++ b/crates/chervilshunt_core/src/owner.rs
@@ -8,7 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Decision, Permit, PermitAnswer, PermitRequest, PolicyWeights, RefusalReason, ReleasedPermit,
+    Decision, Mechanisms, Permit, PermitAnswer, PermitRequest, PolicyWeights, RefusalReason,
+    ReleasedPermit,
 };
 
 /// What an owner has to know of its target and deployment.
@@ -38,6 +39,8 @@
     pub peers: Vec<TargetName>,
     /// What the deployment minds most.
     pub weights: PolicyWeights,
+    /// The mechanisms that are on; all of them outside the bench.
+    pub mechanisms: Mechanisms,
 }
 
 /// The id of an order to the engine, or of the wait for a turn to load.
--- a/crates/chervilshunt_core/src/scheduler.rs
+++ b/crates/chervilshunt_core/src/scheduler.rs
@@ -4,7 +4,7 @@
 
 use chervilshunt_model::{AdapterVersion, Moment, TargetName};
 
-use crate::{LoadUrgency, OrderId};
+use crate::{LoadUrgency, Mechanisms, OrderId};
 
 /// What a load scheduler has to know of its weight store.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -15,6 +15,8 @@
     pub loads_per_second: f64,
     /// The time after which a turn whose end was not reported is taken to be over.
     pub turn_timeout: Duration,
+    /// The mechanisms that are on; all of them outside the bench.
+    pub mechanisms: Mechanisms,
 }
 
 /// How a turn ended.
