Let an owner report its demand for power

The power allocator takes an event with the power that a target's live and deferrable work could use, but no action of the owner carried it. The owner is the only part that knows its queue, so it says so itself; a report computed by the holder from the queue would have made a second place that decides.

--- a/crates/chervilshunt_core/src/owner.rs
+++ b/crates/chervilshunt_core/src/owner.rs
@@ -191,6 +191,13 @@
         /// The most power that the target can draw from now on, in watts.
         watts: f64,
     },
+    /// Tell the power allocator how much power the work at hand could use.
+    ReportDemand {
+        /// Power for live work, in watts.
+        live_watts: f64,
+        /// Power for deferrable work beside it, in watts.
+        deferrable_watts: f64,
+    },
     /// Write a decision to the log.
     Log(Decision),
 }
