Read the daemon's settings: JSON with comments, all errors at once

One table of keys drives the checks, the error texts and the file of defaults, so that they can't disagree.

--- /dev/null
+++ b/crates/chervilshunt_config/tests/settings.rs
@@ -0,0 +1,86 @@
+//! What a settings file gives, and how errors in it read.
+
+use std::time::Duration;
+
+use chervilshunt_config::{KeyedDuringOutage, LogLevel, Settings, SettingsError, print_defaults};
+use rstest::rstest;
+
+const SMALLEST: &str = r#"{
+  "instance": {"id": "entry-1", "zone": "herning", "region": "jutland"},
+  "addresses": {
+    "callers": "127.0.0.1:0",
+    "peers": "127.0.0.1:0",
+    "operators": "127.0.0.1:0",
+  },
+  "platform": {"address": "127.0.0.1:6443"},
+}"#;
+
+fn errors(text: &str) -> String {
+    Settings::parse(text, "entry.jsonc")
+        .expect_err("the text has faults")
+        .to_string()
+}
+
+#[test]
+fn smallest_file_takes_defaults() {
+    let settings = Settings::parse(SMALLEST, "entry.jsonc").expect("the file is whole");
+    assert_eq!(settings.instance.zone.as_str(), "herning");
+    assert_eq!(settings.lease.duration, Duration::from_secs(15));
+    assert_eq!(settings.lease.renew_every, Duration::from_secs(5));
+    assert_eq!(settings.outage.keyed_requests, KeyedDuringOutage::Refuse);
+    assert_eq!(settings.log.level, LogLevel::Info);
+    assert!(settings.runtime.traffic_threads > 0);
+}
+
+#[test]
+fn printed_defaults_are_the_defaults() {
+    let printed = print_defaults();
+    insta::assert_snapshot!(printed);
+    let from_printed = Settings::parse(&printed, "defaults").expect("defaults are accepted");
+    let from_smallest = Settings::parse(SMALLEST, "entry.jsonc").expect("the file is whole");
+    assert_eq!(
+        Settings {
+            instance: from_smallest.instance.clone(),
+            addresses: from_smallest.addresses,
+            ..from_printed
+        },
+        from_smallest
+    );
+}
+
+#[rstest]
+#[case::empty("empty", "")]
+#[case::syntax("syntax", "{\n  \"instance\": {\"id\": \"a\" \"zone\": \"b\"}\n}")]
+#[case::not_an_object("not_an_object", "[1, 2]")]
+#[case::section_not_an_object("section_not_an_object", &SMALLEST.replace(r#"{"address": "127.0.0.1:6443"}"#, "7"))]
+#[case::section_an_array("section_an_array", &SMALLEST.replace(r#"{"address": "127.0.0.1:6443"}"#, r#"["127.0.0.1:6443"]"#))]
+#[case::dotted_key("dotted_key", &SMALLEST.replace(r#""platform""#, r#""log.level": "info", "platform""#))]
+#[case::all_missing("all_missing", "{}")]
+#[case::unknown_keys("unknown_keys", &SMALLEST.replace(r#""id""#, r#""name": 1, "id""#).replace(r#""platform""#, r#""plattform": {}, "platform""#))]
+#[case::clash("clash", &SMALLEST.replace("127.0.0.1:0", "127.0.0.1:8080"))]
+#[case::clash_unspecified("clash_unspecified", &SMALLEST.replace(r#""peers": "127.0.0.1:0""#, r#""peers": "0.0.0.0:6000""#).replace(r#""operators": "127.0.0.1:0""#, r#""operators": "10.0.0.1:6000""#))]
+#[case::twice("twice", &SMALLEST.replace(r#""id""#, r#""id": "x", "id""#))]
+#[case::many_at_once(
+    "many_at_once",
+    r#"{
+  "instance": {"id": "no spaces", "zone": "ærø", "region": 7},
+  "addresses": {"callers": "localhost:80", "peers": "127.0.0.1:1", "operators": "127.0.0.1:2"},
+  "platform": {"address": "127.0.0.1:6443", "timeout_ms": -1, "calls_per_second": 1e9},
+  "limits": {"body_bytes": 1.5, "open_requests": 0},
+  "lease": {"duration_ms": 9000},
+  "policy": {"load_stalls": 0, "batch_efficiency": 0},
+  "outage": {"keyed_requests": "run"},
+  "log": {"level": "loud"},
+}"#
+)]
+fn errors_name_place_key_and_what_is_allowed(#[case] name: &str, #[case] text: &str) {
+    insta::assert_snapshot!(name, errors(text));
+}
+
+#[test]
+fn unreadable_file_is_named() {
+    let missing = std::path::Path::new("no/such/settings.jsonc");
+    let error = Settings::load(missing).expect_err("there is no such file");
+    assert!(matches!(error, SettingsError::Read { .. }));
+    assert!(error.to_string().contains("no/such/settings.jsonc"));
+}
