Tell owners of the load queue and of a lost load scheduler

An owner weighs an eviction by the time that a load takes at the present length of the load queue, so each granted turn now carries it. A scheduler that comes back knows of no turn: owners tell it of those under way. The power allocator numbers its shares from its epoch upwards, as an owner that had a share of an earlier allocator would otherwise ignore the new one's.

--- a/crates/chervilshunt_core/src/allocator.rs
+++ b/crates/chervilshunt_core/src/allocator.rs
@@ -1,6 +1,22 @@
 //! The power allocator of one site: each target's share of the cap.
 
-use chervilshunt_model::{Moment, TargetName};
+use chervilshunt_model::{Epoch, Moment, TargetName};
+
+use crate::{Mechanisms, PolicyWeights};
+
+/// What a power allocator has to know of its site and deployment.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PowerConfig {
+    /// The power that all targets of the site together may draw, in watts.
+    pub cap_watts: f64,
+    /// The fencing number under which the role is held; shares are numbered from it upwards, so
+    /// that an owner never takes a share of an earlier allocator for a newer one.
+    pub epoch: Epoch,
+    /// What the deployment minds most.
+    pub weights: PolicyWeights,
+    /// The mechanisms that are on; all of them outside the bench.
+    pub mechanisms: Mechanisms,
+}
 
 /// What a power allocator has to react to.
 #[derive(Clone, Debug, PartialEq)]
@@ -59,19 +75,19 @@
 /// The power allocator of one site.
 #[derive(Debug)]
 pub struct PowerAllocator {
-    cap_watts: f64,
+    cfg: PowerConfig,
 }
 
 impl PowerAllocator {
-    /// Starts with a cap and no target.
-    pub fn new(cap_watts: f64, _now: Moment) -> Self {
-        Self { cap_watts }
+    /// Starts with no target.
+    pub fn new(cfg: PowerConfig, _now: Moment) -> Self {
+        Self { cfg }
     }
 
     /// Takes one event and says what is to be done.
     pub fn handle(&mut self, event: PowerEvent, _now: Moment) -> Vec<PowerAction> {
         if let PowerEvent::CapChanged(watts) = event {
-            self.cap_watts = watts;
+            self.cfg.cap_watts = watts;
         }
         Vec::new()
     }
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -13,7 +13,7 @@
 mod scheduler;
 mod weights;
 
-pub use allocator::{PowerAction, PowerAllocator, PowerEvent};
+pub use allocator::{PowerAction, PowerAllocator, PowerConfig, PowerEvent};
 pub use decision::{Decision, DecisionKind};
 pub use mechanisms::Mechanisms;
 pub use owner::{
--- a/crates/chervilshunt_core/src/mechanisms.rs
+++ b/crates/chervilshunt_core/src/mechanisms.rs
@@ -22,6 +22,8 @@
     pub prefix: bool,
     /// Load adapters ahead of demand while the weight store is idle.
     pub ahead: bool,
+    /// Give spare power to few targets with full batches, rather than evenly to all.
+    pub packing: bool,
 }
 
 impl Default for Mechanisms {
@@ -34,6 +36,7 @@
             fill: true,
             prefix: true,
             ahead: true,
+            packing: true,
         }
     }
 }
--- a/crates/chervilshunt_core/src/owner.rs
+++ b/crates/chervilshunt_core/src/owner.rs
@@ -35,6 +35,11 @@
     pub queue_bound: usize,
     /// The time within which a permit has to be used.
     pub permit_window: Duration,
+    /// The time between two loads begun while the load scheduler can't be reached.
+    ///
+    /// Targets of the store times the seconds between loads of the store keeps them all together
+    /// within the store's rate.
+    pub unscheduled_load_interval: Duration,
     /// Other targets of the service, over which an adapter may be spread.
     pub peers: Vec<TargetName>,
     /// What the deployment minds most.
@@ -112,7 +117,16 @@
     /// An instance has left: its queued requests go, its permits end with their window.
     EntryLeft(InstanceId),
     /// The load scheduler gives the turn that was asked for.
-    TurnGranted(OrderId),
+    TurnGranted {
+        /// The order that the turn is for.
+        order: OrderId,
+        /// How long a load asked for now would wait for its turn.
+        queue_wait: Duration,
+    },
+    /// The load scheduler can't be reached or is back; a new one knows of no turn.
+    ///
+    /// An owner starts with a scheduler that it takes to be reachable.
+    SchedulerReachable(bool),
     /// An order came to its end.
     OrderEnded {
         /// The order.
@@ -180,6 +194,13 @@
         /// Whether the load succeeded; none if it was not begun.
         loaded: Option<bool>,
     },
+    /// Tell a load scheduler that has just come back of a turn that an earlier one granted.
+    HoldTurn {
+        /// The order that the turn is for.
+        order: OrderId,
+        /// The adapter version that is being loaded.
+        model: AdapterVersion,
+    },
     /// Give the engine an order. The holder checks its lease again right before it goes out.
     Order(EngineOrder),
     /// Ask the engine which adapters it holds.
--- a/crates/chervilshunt_core/src/scheduler.rs
+++ b/crates/chervilshunt_core/src/scheduler.rs
@@ -44,6 +44,15 @@
         /// How badly it is needed.
         urgency: LoadUrgency,
     },
+    /// An owner holds a turn that an earlier scheduler granted.
+    TurnHeld {
+        /// The target that loads.
+        target: TargetName,
+        /// The owner's id for the turn.
+        order: OrderId,
+        /// The adapter version.
+        model: AdapterVersion,
+    },
     /// A turn is over, or is no longer wanted.
     TurnEnded {
         /// The target that loaded.
@@ -70,6 +79,8 @@
         target: TargetName,
         /// The owner's id for the turn.
         order: OrderId,
+        /// How long a load asked for now would wait for its turn.
+        queue_wait: Duration,
     },
 }
 
@@ -89,13 +100,18 @@
     pub fn handle(&mut self, event: SchedulerEvent, _now: Moment) -> Vec<SchedulerAction> {
         match event {
             SchedulerEvent::TurnAsked { target, order, .. } => {
-                vec![SchedulerAction::Grant { target, order }]
+                vec![SchedulerAction::Grant {
+                    target,
+                    order,
+                    queue_wait: Duration::ZERO,
+                }]
             }
             SchedulerEvent::Reconfigured(cfg) => {
                 self.cfg = cfg;
                 Vec::new()
             }
             SchedulerEvent::TurnEnded { .. }
+            | SchedulerEvent::TurnHeld { .. }
             | SchedulerEvent::OwnerChanged(_)
             | SchedulerEvent::Tick => Vec::new(),
         }
