Add the platform's stand-in

It serves the object API over any group, version, namespace and plural from memory, with conditional updates, lists at a past version, watches with bookmarks, and switches for faults that hit all clients or some.

--- a/crates/chervilshunt_standin/src/lib.rs
+++ b/crates/chervilshunt_standin/src/lib.rs
@@ -1,1 +1,6 @@
-//! Placeholder.
+//! Small fakes of what stands round the system, with switches for their faults.
+//!
+//! Each runs as a process of its own (`chervilshunt_standin platform|…`) or inside a test. See
+//! `docs/INTERFACES.md` for what they speak.
+
+pub mod platform;
--- /dev/null
+++ b/crates/chervilshunt_standin/src/main.rs
@@ -0,0 +1,29 @@
+//! Starts one stand-in as a process of its own.
+
+use std::process::ExitCode;
+
+use lexopt::{Arg, Parser};
+
+const USAGE: &str = "usage: chervilshunt_standin platform [OPTIONS]; see --help of each";
+
+fn main() -> ExitCode {
+    let mut parser = Parser::from_env();
+    let name = match parser.next() {
+        Ok(Some(Arg::Value(name))) => name,
+        Ok(Some(Arg::Long("help"))) => {
+            println!("{USAGE}");
+            return ExitCode::SUCCESS;
+        }
+        Ok(_) => return usage("name a stand-in"),
+        Err(err) => return usage(&err.to_string()),
+    };
+    match name.to_str() {
+        Some("platform") => chervilshunt_standin::platform::run(parser),
+        _ => usage("there is no such stand-in"),
+    }
+}
+
+fn usage(problem: &str) -> ExitCode {
+    eprintln!("chervilshunt_standin: {problem}\n{USAGE}");
+    ExitCode::from(2)
+}
--- /dev/null
+++ b/crates/chervilshunt_standin/src/platform/watch.rs
@@ -0,0 +1,248 @@
+//! Watches: changes as JSON lines, with bookmarks, until the client or a fault ends them.
+
+use std::collections::VecDeque;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::{Response, StatusCode, header};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use serde_json::json;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until};
+
+use super::answer::{AnswerBody, status_json};
+use super::handler::Api;
+use super::path::{Collection, Selector};
+use super::stats::OpenWatch;
+use super::store::{Change, StoreError, Stored};
+
+/// Events that wait for a client which reads slowly.
+const BUFFERED_EVENTS: usize = 64;
+
+/// One client's watch of one collection.
+pub(crate) struct WatchSession {
+    pub(crate) api: Arc<Api>,
+    pub(crate) collection: Collection,
+    pub(crate) selector: Selector,
+    pub(crate) instance: String,
+    pub(crate) bookmarks: bool,
+    pub(crate) from: u64,
+    pub(crate) ends_at: Option<Instant>,
+}
+
+/// Why a watch ends.
+enum End {
+    /// The client went away, or the time that it asked for is over.
+    Closed,
+    /// The connection breaks.
+    Broken,
+    /// The version that the watch stands at is no longer in the history.
+    Expired,
+}
+
+impl WatchSession {
+    /// Starts the watch and returns the answer that carries it.
+    pub(crate) fn start(self) -> Response<AnswerBody> {
+        let (tx, rx) = mpsc::channel(BUFFERED_EVENTS);
+        let guard = self.api.counters.open_watch();
+        tokio::spawn(self.run(tx, guard));
+        let frames = stream::unfold(rx, async |mut rx| Some((rx.recv().await?, rx)));
+        let mut answer = Response::new(BodyExt::boxed(StreamBody::new(frames)));
+        answer.headers_mut().insert(
+            header::CONTENT_TYPE,
+            header::HeaderValue::from_static("application/json"),
+        );
+        answer
+    }
+
+    async fn run(self, tx: mpsc::Sender<io::Result<Frame<Bytes>>>, _guard: OpenWatch) {
+        let lines = Lines { tx };
+        match self.follow(&lines).await {
+            End::Closed => {}
+            End::Broken => lines.break_off().await,
+            End::Expired => {
+                let gone = status_json(StatusCode::GONE, "Expired", "too old resource version");
+                let _sent = lines.send("ERROR", &gone).await;
+            }
+        }
+    }
+
+    async fn follow(&self, lines: &Lines) -> End {
+        let mut faults = self.api.faults.subscribe();
+        let mut written = self.api.written.subscribe();
+        let mut at = self.from;
+        let mut next_bookmark = Instant::now() + self.api.bookmark_interval;
+        loop {
+            let state = faults.borrow_and_update().clone();
+            let hit = state.hits(&self.instance);
+            if state.cuts(&self.instance) {
+                return End::Broken;
+            }
+            if hit && state.expire_watches {
+                return End::Expired;
+            }
+            if hit && state.freeze {
+                if tokio::select! {
+                    changed = faults.changed() => changed.is_err(),
+                    () = lines.closed() => true,
+                } {
+                    return End::Closed;
+                }
+                continue;
+            }
+            written.borrow_and_update();
+            let lag = self.api.lag(&self.collection, &state, &self.instance);
+            let step = match self.read(at, lag, hit) {
+                Ok(step) => step,
+                Err(_expired) => return End::Expired,
+            };
+            for event in &step.events {
+                if !lines.send(event.kind, &event.object.json).await {
+                    return End::Closed;
+                }
+            }
+            at = step.upto;
+            let now = Instant::now();
+            if self.bookmarks && now >= next_bookmark {
+                if !lines.send("BOOKMARK", &self.bookmark(at)).await {
+                    return End::Closed;
+                }
+                next_bookmark = now + self.api.bookmark_interval;
+            }
+            let wake_at = [Some(next_bookmark), step.next_visible, self.ends_at]
+                .into_iter()
+                .flatten()
+                .min()
+                .unwrap_or(next_bookmark);
+            tokio::select! {
+                changed = written.changed() => if changed.is_err() { return End::Closed },
+                changed = faults.changed() => if changed.is_err() { return End::Closed },
+                () = lines.closed() => return End::Closed,
+                () = sleep_until(wake_at) => {}
+            }
+            if self.ends_at.is_some_and(|end| Instant::now() >= end) {
+                return End::Closed;
+            }
+        }
+    }
+
+    /// Reads the events that have become visible after revision `at`.
+    fn read(&self, at: u64, lag: Duration, hit: bool) -> Result<Step, StoreError> {
+        let store = self.api.store();
+        let now = Instant::now();
+        let upto = match lag {
+            Duration::ZERO => store.revision(),
+            lag => now
+                .checked_sub(lag)
+                .map_or(at, |seen| store.revision_at(seen))
+                .max(at),
+        };
+        let changes = store.changes_after(&self.collection, at)?;
+        let events = changes
+            .take_while(|change| change.revision <= upto)
+            .filter(|change| !(hit && change.hidden))
+            .filter_map(|change| self.event(change))
+            .collect();
+        let next_visible = store
+            .next_write_after(upto)
+            .map(|write| write + lag)
+            .filter(|_| lag > Duration::ZERO);
+        Ok(Step {
+            events,
+            upto,
+            next_visible,
+        })
+    }
+
+    /// Returns the event that a change is to a watch with this selector.
+    fn event(&self, change: &Change) -> Option<Event> {
+        let matching = |object: &Option<Arc<Stored>>| {
+            let object = object.as_ref()?;
+            self.selector
+                .matches(&object.labels)
+                .then(|| Arc::clone(object))
+        };
+        let (kind, object) = match (matching(&change.before), matching(&change.after)) {
+            (None, None) => return None,
+            (None, Some(after)) => ("ADDED", after),
+            (Some(_), Some(after)) => ("MODIFIED", after),
+            (Some(before), None) => {
+                let last = change.deleted.as_ref().or(change.after.as_ref());
+                ("DELETED", last.map_or(before, Arc::clone))
+            }
+        };
+        Some(Event { kind, object })
+    }
+
+    fn bookmark(&self, revision: u64) -> String {
+        json!({
+            "apiVersion": self.collection.api_version(),
+            "metadata": { "resourceVersion": revision.to_string() },
+        })
+        .to_string()
+    }
+}
+
+/// What a look at the store gave.
+struct Step {
+    events: Vec<Event>,
+    upto: u64,
+    /// When the next write that lags becomes visible.
+    next_visible: Option<Instant>,
+}
+
+struct Event {
+    kind: &'static str,
+    object: Arc<Stored>,
+}
+
+/// The stream of lines to the client.
+struct Lines {
+    tx: mpsc::Sender<io::Result<Frame<Bytes>>>,
+}
+
+impl Lines {
+    /// Sends an event; says whether the client is still there.
+    async fn send(&self, kind: &str, object: &str) -> bool {
+        let line = format!("{{\"type\":\"{kind}\",\"object\":{object}}}\n");
+        self.tx.send(Ok(Frame::data(line.into()))).await.is_ok()
+    }
+
+    async fn break_off(&self) {
+        let broken = io::Error::from(io::ErrorKind::ConnectionReset);
+        let _sent = self.tx.send(Err(broken)).await;
+    }
+
+    async fn closed(&self) {
+        self.tx.closed().await;
+    }
+}
+
+/// Keeps a bound on how far a queue of times reaches back.
+#[derive(Debug, Default)]
+pub(crate) struct RateWindow(VecDeque<Instant>);
+
+impl RateWindow {
+    /// Says whether one more call fits under `per_second`; 0 is no bound.
+    pub(crate) fn admits(&mut self, per_second: u32, now: Instant) -> bool {
+        if per_second == 0 {
+            return true;
+        }
+        while self
+            .0
+            .front()
+            .is_some_and(|at| now.duration_since(*at) >= Duration::from_secs(1))
+        {
+            self.0.pop_front();
+        }
+        let admitted = self.0.len() < usize::try_from(per_second).unwrap_or(usize::MAX);
+        if admitted {
+            self.0.push_back(now);
+        }
+        admitted
+    }
+}
