Change a deployment by typed changes and hold its adapters in shared pages

A change set takes effect as a whole or not at all; references are checked at its end, so that the order of objects that refer to each other does not matter. Adapters are in 256 pages by hash of their name, which copies of a deployment share and which the platform stores.

A plain B-tree of all adapters and persistent maps were weighed in docs/design/configuration-pages.md.

--- a/crates/chervilshunt_model/src/deployment.rs
+++ b/crates/chervilshunt_model/src/deployment.rs
@@ -7,8 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    AdapterName, AdapterVersion, Class, PriorityName, Revision, ServiceName, SiteName, StoreName,
-    TargetName, VersionName, ZoneName,
+    AdapterMap, AdapterVersion, Class, PriorityName, Revision, ServiceName, SiteName, StoreName,
+    TargetName, VersionMap, ZoneName,
 };
 
 /// Everything that is in force at one revision.
@@ -21,7 +21,7 @@
     /// Targets by name.
     pub targets: BTreeMap<TargetName, Target>,
     /// Adapters by name.
-    pub adapters: BTreeMap<AdapterName, Adapter>,
+    pub adapters: AdapterMap,
     /// Priorities by name.
     pub priorities: BTreeMap<PriorityName, Priority>,
     /// Sites, each with its cap on power.
@@ -134,9 +134,11 @@
     /// The service whose engines serve it.
     pub service: ServiceName,
     /// The priority of its requests, in place of the service's.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub priority: Option<PriorityName>,
     /// Its versions by name.
-    pub versions: BTreeMap<VersionName, Version>,
+    #[serde(default, skip_serializing_if = "VersionMap::is_empty")]
+    pub versions: VersionMap,
 }
 
 /// One version of an adapter.
--- a/crates/chervilshunt_model/src/lib.rs
+++ b/crates/chervilshunt_model/src/lib.rs
@@ -4,11 +4,23 @@
 //! that every deciding function takes as an argument. Nothing here does input or output, so that
 //! the decision crates can be tested without sockets. See `docs/ARCHITECTURE.md`.
 
+mod adapter_map;
+mod apply;
+mod change_error;
+mod changes;
 mod class;
 mod deployment;
 mod ids;
 mod moment;
+mod object;
+mod pages;
+mod patches;
+mod references;
+mod version_map;
 
+pub use adapter_map::AdapterMap;
+pub use change_error::ChangeError;
+pub use changes::{Change, ChangeSet, Edit, NoPatch};
 pub use class::Class;
 pub use deployment::{
     Adapter, Deployment, Fencing, Lifecycle, Priority, Service, ServiceKind, Site, Target, Version,
@@ -20,3 +32,10 @@
     StoreName, TargetName, VersionName, ZoneName,
 };
 pub use moment::Moment;
+pub use object::{ObjectKind, ObjectRef};
+pub use pages::{AdapterPage, CommonPage, Page, PageError, PageId};
+pub use patches::{
+    AdapterPatch, PriorityChoice, PriorityPatch, ServicePatch, SitePatch, TargetPatch,
+    WeightStorePatch,
+};
+pub use version_map::VersionMap;
--- /dev/null
+++ b/crates/chervilshunt_model/src/version_map.rs
@@ -0,0 +1,87 @@
+//! The versions of an adapter by name.
+
+use litemap::LiteMap;
+use serde::{Deserialize, Serialize, Serializer};
+
+use crate::{Version, VersionName};
+
+/// The versions of an adapter by name, in name order.
+///
+/// Most adapters have one or two: a sorted vector takes a fifth of a B-tree's node, and there is
+/// one for each of 170,000 adapters.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(transparent)]
+pub struct VersionMap(LiteMap<VersionName, Version>);
+
+impl VersionMap {
+    /// Makes a map without versions.
+    pub fn new() -> Self {
+        Self(LiteMap::new())
+    }
+
+    /// Returns the version of that name.
+    pub fn get(&self, name: &VersionName) -> Option<&Version> {
+        self.0.get(name)
+    }
+
+    /// Returns whether there is a version of that name.
+    pub fn contains_key(&self, name: &VersionName) -> bool {
+        self.0.contains_key(name)
+    }
+
+    /// Puts a version in and returns the one that it replaces.
+    pub fn insert(&mut self, name: VersionName, version: Version) -> Option<Version> {
+        self.0.insert(name, version)
+    }
+
+    /// Takes a version out.
+    pub fn remove(&mut self, name: &VersionName) -> Option<Version> {
+        self.0.remove(name)
+    }
+
+    /// Returns the number of versions.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Returns whether there is no version.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Returns all versions in name order.
+    pub fn iter(&self) -> impl Iterator<Item = (&VersionName, &Version)> {
+        self.0.iter()
+    }
+
+    /// Returns all names in order.
+    pub fn keys(&self) -> impl Iterator<Item = &VersionName> {
+        self.0.keys()
+    }
+
+    /// Gives back the room that growing left over.
+    #[must_use]
+    pub(crate) fn compact(self) -> Self {
+        let mut versions = self.0.into_tuple_vec();
+        versions.shrink_to_fit();
+        Self(LiteMap::from_sorted_store_unchecked(versions))
+    }
+}
+
+impl FromIterator<(VersionName, Version)> for VersionMap {
+    fn from_iter<I: IntoIterator<Item = (VersionName, Version)>>(iter: I) -> Self {
+        Self(iter.into_iter().collect())
+    }
+}
+
+impl<const N: usize> From<[(VersionName, Version); N]> for VersionMap {
+    fn from(versions: [(VersionName, Version); N]) -> Self {
+        versions.into_iter().collect()
+    }
+}
+
+impl Serialize for VersionMap {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_map(self.iter())
+    }
+}
