Add a process harness that can kill, freeze and cut apart

Cause: the failures that the promises must survive happen to separate processes, and nothing could bring them about. The harness starts stand-ins and instances, keeps the instance list as the platform would (also over an outage of the platform), and puts a forwarder before each instance's peers' port.

Ruled out for the links: one forwarder for each pair of instances, since all instances share one instance list and so see one address for each peer; and telling peers apart by source address, as Linux gives every loopback connection 127.0.0.1. The forwarder asks the kernel's socket table which child holds the other end.

--- /dev/null
+++ b/crates/chervilshunt_standin/src/fleet/binaries.rs
@@ -0,0 +1,107 @@
+//! Where the programs of the workspace are.
+
+use std::env;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use std::sync::OnceLock;
+
+use snafu::{ResultExt as _, ensure};
+
+use super::error::{BuildSnafu, FileSnafu, FleetError, MissingProgramSnafu};
+
+const DAEMON: &str = "chervilshuntd";
+const CTL: &str = "chervilshuntctl";
+const STANDIN: &str = "chervilshunt_standin";
+const PACKAGES: [&str; 3] = [
+    "chervilshunt_daemon",
+    "chervilshunt_ctl",
+    "chervilshunt_standin",
+];
+
+/// The folder of test binaries below the folder of programs.
+const TEST_FOLDER: &str = "deps";
+
+/// The programs that a fleet starts.
+#[derive(Clone, Debug)]
+pub struct Binaries {
+    /// `chervilshuntd`.
+    pub daemon: PathBuf,
+    /// `chervilshuntctl`.
+    pub ctl: PathBuf,
+    /// `chervilshunt_standin`.
+    pub standin: PathBuf,
+}
+
+impl Binaries {
+    /// Finds the programs beside the running one, after cargo has brought them up to date.
+    ///
+    /// `cargo run -p chervilshunt_standin` builds the stand-ins alone, and `cargo test` of one
+    /// crate no program of another. Run by cargo, this therefore has cargo build them with the
+    /// running program's profile, once a process; else they have to be there.
+    ///
+    /// # Errors
+    /// Fails if the build fails or a program is missing.
+    pub fn locate() -> Result<Self, FleetError> {
+        static BUILT: OnceLock<bool> = OnceLock::new();
+
+        let folder = program_folder()?;
+        if let Some(cargo) = env::var_os("CARGO") {
+            let mut status = None;
+            let built = *BUILT.get_or_init(|| {
+                status = build(Path::new(&cargo), &folder).ok();
+                status.is_some_and(|status| status.success())
+            });
+            if !built {
+                return match status {
+                    Some(status) => BuildSnafu { status }.fail(),
+                    None => MissingProgramSnafu {
+                        program: DAEMON,
+                        folder,
+                    }
+                    .fail(),
+                };
+            }
+        }
+        Ok(Self {
+            daemon: program(&folder, DAEMON)?,
+            ctl: program(&folder, CTL)?,
+            standin: program(&folder, STANDIN)?,
+        })
+    }
+}
+
+fn program_folder() -> Result<PathBuf, FleetError> {
+    let exe = env::current_exe().context(FileSnafu {
+        path: "the running program",
+    })?;
+    let mut folder = exe.parent().unwrap_or(Path::new(".")).to_owned();
+    if folder.ends_with(TEST_FOLDER) {
+        folder.pop();
+    }
+    Ok(folder)
+}
+
+fn build(cargo: &Path, folder: &Path) -> std::io::Result<std::process::ExitStatus> {
+    let profile = match folder.file_name().and_then(|name| name.to_str()) {
+        Some("debug") | None => "dev",
+        Some(profile) => profile,
+    };
+    let mut command = Command::new(cargo);
+    command
+        .arg("build")
+        .args(["--quiet", "--bins", "--profile", profile])
+        .args(PACKAGES.iter().flat_map(|package| ["-p", package]))
+        .current_dir(env!("CARGO_MANIFEST_DIR"))
+        .stdin(Stdio::null())
+        .stdout(Stdio::null());
+    if let Some(target) = folder.parent() {
+        command.arg("--target-dir").arg(target);
+    }
+    command.status()
+}
+
+fn program(folder: &Path, program: &'static str) -> Result<PathBuf, FleetError> {
+    let path = folder.join(program);
+    ensure!(path.is_file(), MissingProgramSnafu { program, folder });
+    Ok(path)
+}
--- /dev/null
+++ b/crates/chervilshunt_standin/src/fleet/registry.rs
@@ -0,0 +1,195 @@
+//! The platform's own job: to keep the list of instances and targets.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use serde_json::{Value, json};
+use tokio::sync::Notify;
+use tokio_util::task::AbortOnDropHandle;
+
+use super::error::FleetError;
+use super::http::HttpClient;
+use super::wait::wait_until;
+
+/// How long a write to the platform may take.
+const WRITE_BOUND: Duration = Duration::from_secs(2);
+
+/// How long to wait before a failed write is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Whether an endpoint takes work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Condition {
+    /// It takes work.
+    Ready,
+    /// It answers, but its readiness probe fails.
+    Unready,
+    /// It leaves: it finishes what it has and takes nothing new.
+    Leaving,
+}
+
+/// An instance or a target in the list.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// Its name.
+    pub name: String,
+    /// The service whose list it is in.
+    pub service: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Its ports by name; all have one IP address.
+    pub ports: BTreeMap<&'static str, SocketAddr>,
+    /// Whether it takes work.
+    pub condition: Condition,
+}
+
+impl Endpoint {
+    /// Writes the slice that holds this endpoint alone.
+    ///
+    /// Ports belong to the slice, so that endpoints with ports of their own can't share one.
+    fn slice(&self) -> Value {
+        let ip = self
+            .ports
+            .values()
+            .next()
+            .map(|address| address.ip().to_string());
+        let ports: Vec<_> = self
+            .ports
+            .iter()
+            .map(|(name, address)| json!({"name": name, "port": address.port()}))
+            .collect();
+        json!({
+            "apiVersion": "discovery.k8s.io/v1",
+            "kind": "EndpointSlice",
+            "metadata": {
+                "name": self.slice_name(),
+                "labels": {"kubernetes.io/service-name": self.service},
+            },
+            "addressType": "IPv4",
+            "endpoints": [{
+                "addresses": [ip],
+                "conditions": {
+                    "ready": self.condition == Condition::Ready,
+                    "serving": self.condition != Condition::Unready,
+                    "terminating": self.condition == Condition::Leaving,
+                },
+                "targetRef": {"kind": "Pod", "name": self.name},
+                "zone": self.zone,
+            }],
+            "ports": ports,
+        })
+    }
+
+    fn slice_name(&self) -> String {
+        format!("{}-{}", self.service, self.name)
+    }
+}
+
+/// Keeps the list as it should be, and writes what changes until the platform has taken it.
+#[derive(Debug)]
+pub struct Registry {
+    state: Arc<State>,
+    _task: AbortOnDropHandle<()>,
+}
+
+#[derive(Debug)]
+struct State {
+    http: HttpClient,
+    collection: String,
+    platform: SocketAddr,
+    /// Slices that the platform has not taken yet; none where the slice has to go.
+    pending: Mutex<BTreeMap<String, Option<Value>>>,
+    changed: Notify,
+}
+
+impl Registry {
+    /// Starts to keep the list at a platform.
+    pub fn start(platform: SocketAddr, namespace: &str) -> Self {
+        let state = Arc::new(State {
+            http: HttpClient::new(WRITE_BOUND),
+            collection: format!("/apis/discovery.k8s.io/v1/namespaces/{namespace}/endpointslices"),
+            platform,
+            pending: Mutex::default(),
+            changed: Notify::new(),
+        });
+        let task = AbortOnDropHandle::new(tokio::spawn(keep(Arc::clone(&state))));
+        Self { state, _task: task }
+    }
+
+    /// Puts an endpoint into the list as it is now.
+    pub fn set(&self, endpoint: &Endpoint) {
+        self.change(endpoint.slice_name(), Some(endpoint.slice()));
+    }
+
+    /// Takes an endpoint off the list.
+    pub fn remove(&self, endpoint: &Endpoint) {
+        self.change(endpoint.slice_name(), None);
+    }
+
+    /// Waits until the platform has taken every change; says whether it has within `bound`.
+    pub async fn settled(&self, bound: Duration) -> bool {
+        let look = || async { self.state.pending().is_empty().then_some(()) };
+        wait_until(bound, look).await.is_some()
+    }
+
+    fn change(&self, name: String, slice: Option<Value>) {
+        self.state.pending().insert(name, slice);
+        self.state.changed.notify_one();
+    }
+}
+
+impl State {
+    fn pending(&self) -> MutexGuard<'_, BTreeMap<String, Option<Value>>> {
+        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn write(&self, name: &str, slice: Option<&Value>) -> Result<bool, FleetError> {
+        let path = format!("{}/{name}", self.collection);
+        let Some(slice) = slice else {
+            let reply = self
+                .http
+                .call(Method::DELETE, self.platform, &path, None)
+                .await?;
+            return Ok(reply.status.is_success() || reply.status == StatusCode::NOT_FOUND);
+        };
+        let reply = self
+            .http
+            .call(Method::PUT, self.platform, &path, Some(slice))
+            .await?;
+        if reply.status != StatusCode::NOT_FOUND {
+            return Ok(reply.status.is_success());
+        }
+        let collection = &self.collection;
+        let reply = self
+            .http
+            .call(Method::POST, self.platform, collection, Some(slice))
+            .await?;
+        Ok(reply.status.is_success())
+    }
+}
+
+async fn keep(state: Arc<State>) {
+    loop {
+        let next = state
+            .pending()
+            .first_key_value()
+            .map(|(k, v)| (k.clone(), v.clone()));
+        let Some((name, slice)) = next else {
+            state.changed.notified().await;
+            continue;
+        };
+        let written = state.write(&name, slice.as_ref()).await;
+        if !written.unwrap_or(false) {
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
+        }
+        let mut pending = state.pending();
+        // It may have changed again while it was being written.
+        if pending.get(&name) == Some(&slice) {
+            pending.remove(&name);
+        }
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_standin/src/fleet/settings.rs
@@ -0,0 +1,62 @@
+//! Settings files of instances.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use serde_json::{Map, Value, json};
+use snafu::ResultExt as _;
+
+use super::error::{FileSnafu, FleetError};
+
+/// What differs between the instances of a fleet.
+#[derive(Debug)]
+pub(crate) struct InstanceSettings<'a> {
+    pub(crate) id: &'a str,
+    pub(crate) zone: &'a str,
+    pub(crate) region: &'a str,
+    pub(crate) platform: SocketAddr,
+    pub(crate) namespace: &'a str,
+    /// The address for peers, where it isn't the one that the instance listens on.
+    pub(crate) advertise: Option<SocketAddr>,
+    /// Keys that the fleet's owner sets, in the shape of the file.
+    pub(crate) extra: &'a Value,
+}
+
+impl InstanceSettings<'_> {
+    /// Writes the settings file and returns its path.
+    pub(crate) fn write(&self, folder: &Path) -> Result<PathBuf, FleetError> {
+        let path = folder.join(format!("{}.json", self.id));
+        std::fs::write(&path, format!("{:#}\n", self.json())).context(FileSnafu { path: &path })?;
+        Ok(path)
+    }
+
+    fn json(&self) -> Value {
+        let any_port = "127.0.0.1:0";
+        let mut settings = json!({
+            "instance": {"id": self.id, "zone": self.zone, "region": self.region},
+            "addresses": {"callers": any_port, "peers": any_port, "operators": any_port},
+            "platform": {"address": self.platform, "namespace": self.namespace},
+        });
+        if let Some(peers) = self.advertise {
+            merge(&mut settings, &json!({"advertise": {"peers": peers}}));
+        }
+        merge(&mut settings, self.extra);
+        settings
+    }
+}
+
+/// Lays `patch` over `value`, object by object.
+fn merge(value: &mut Value, patch: &Value) {
+    let Value::Object(patch) = patch else {
+        *value = patch.clone();
+        return;
+    };
+    if !value.is_object() {
+        *value = Value::Object(Map::new());
+    }
+    if let Value::Object(fields) = value {
+        for (key, patch) in patch {
+            merge(fields.entry(key.clone()).or_insert(Value::Null), patch);
+        }
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_standin/src/fleet/tests.rs
@@ -0,0 +1,149 @@
+//! Tests of the harness itself: a harness that can't cut a link proves nothing.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::time::Duration;
+
+use rstest::rstest;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::error::FleetError;
+use super::link::{Forwarder, Link, LinkMode, Links};
+use super::process::{Process, Signal};
+
+/// How long a byte that has to arrive may take.
+const ARRIVES: Duration = Duration::from_secs(10);
+
+/// How long is waited for a byte that must not arrive.
+const STAYS_AWAY: Duration = Duration::from_millis(200);
+
+/// Starts a server that sends back what it gets.
+async fn echo() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let (mut rx, mut tx) = stream.split();
+                tokio::io::copy(&mut rx, &mut tx).await
+            });
+        }
+    });
+    address
+}
+
+/// Opens links in which this process is instance `a`, with a forwarder for instance `b`.
+async fn links() -> (Links, Forwarder) {
+    let links = Links::new();
+    links.set_pid("a", std::process::id());
+    let forwarder = links.open("b").await.unwrap();
+    forwarder.lead_to(echo().await);
+    (links, forwarder)
+}
+
+/// Sends a byte and says whether it comes back within `bound`.
+async fn echoes(stream: &mut TcpStream, bound: Duration) -> bool {
+    let exchange = async {
+        stream.write_all(b"x").await?;
+        stream.read_u8().await
+    };
+    matches!(tokio::time::timeout(bound, exchange).await, Ok(Ok(b'x')))
+}
+
+#[rstest]
+#[case::same_pair(Link::between("a", "b"), true)]
+#[case::same_pair_turned(Link::between("b", "a"), true)]
+#[case::all_of_the_receiver(Link::all_of("b"), true)]
+#[case::all_of_the_sender(Link::all_of("a"), true)]
+#[case::another_pair(Link::between("c", "b"), false)]
+#[case::all_of_another(Link::all_of("c"), false)]
+#[tokio::test]
+async fn a_cut_breaks_old_and_new_connections_of_its_link_alone(
+    #[case] link: Link,
+    #[case] broken: bool,
+) {
+    let (links, forwarder) = links().await;
+    let mut old = TcpStream::connect(forwarder.address()).await.unwrap();
+    assert!(echoes(&mut old, ARRIVES).await);
+
+    links.set(link, LinkMode::Cut);
+    // The cut is a message to the forwarder: wait until it has come through.
+    if broken {
+        let end = tokio::time::timeout(ARRIVES, old.read_u8()).await;
+        assert!(end.expect("the connection stays open").is_err());
+    }
+    let mut new = TcpStream::connect(forwarder.address()).await.unwrap();
+    assert_eq!(echoes(&mut new, ARRIVES).await, !broken);
+
+    links.heal();
+    let mut healed = TcpStream::connect(forwarder.address()).await.unwrap();
+    assert!(echoes(&mut healed, ARRIVES).await);
+}
+
+#[tokio::test]
+async fn a_black_hole_keeps_bytes_until_it_is_healed() {
+    let (links, forwarder) = links().await;
+    links.set(Link::between("a", "b"), LinkMode::BlackHole);
+    let mut stream = TcpStream::connect(forwarder.address()).await.unwrap();
+    assert!(!echoes(&mut stream, STAYS_AWAY).await);
+
+    links.heal();
+    let arrived = tokio::time::timeout(ARRIVES, stream.read_u8()).await;
+    assert_eq!(arrived.unwrap().unwrap(), b'x');
+}
+
+#[tokio::test]
+async fn a_delay_holds_bytes_up() {
+    let (links, forwarder) = links().await;
+    links.set(Link::all_of("b"), LinkMode::Delay(STAYS_AWAY * 2));
+    let mut stream = TcpStream::connect(forwarder.address()).await.unwrap();
+    assert!(!echoes(&mut stream, STAYS_AWAY).await);
+    assert!(echoes(&mut stream, ARRIVES).await);
+}
+
+/// Starts a shell in place of a program, which is enough to see how its end is reported.
+async fn shell(script: &str, folder: &Path) -> Result<Process, FleetError> {
+    let args = ["-c".into(), script.into()];
+    Process::start("shell", Path::new("/bin/sh"), &args, folder).await
+}
+
+#[tokio::test]
+async fn a_process_that_ends_early_is_reported_with_its_last_words() {
+    let folder = tempfile::tempdir().unwrap();
+    let err = shell("echo out of paper >&2; exit 3", folder.path())
+        .await
+        .unwrap_err();
+    let text = err.to_string();
+    assert!(
+        text.contains("shell") && text.contains("exit status: 3"),
+        "{text}"
+    );
+    assert!(text.contains("out of paper"), "{text}");
+}
+
+#[rstest]
+#[case::stand_in(r#"{"listening":"127.0.0.1:5"}"#, "listening")]
+#[case::daemon(
+    r#"{"msg":"listening","callers":"127.0.0.1:5","level":"INFO"}"#,
+    "callers"
+)]
+#[tokio::test]
+async fn addresses_are_read_from_the_line_that_announces_them(
+    #[case] line: &str,
+    #[case] key: &str,
+) {
+    let folder = tempfile::tempdir().unwrap();
+    let script = format!("echo noise; echo '{line}'; exec sleep 60");
+    let mut process = shell(&script, folder.path()).await.unwrap();
+    assert_eq!(
+        process.address(key).unwrap(),
+        SocketAddr::from(([127, 0, 0, 1], 5))
+    );
+    assert!(process.address("other").is_err());
+
+    process.signal(Signal::Kill).unwrap();
+    process.wait_end(ARRIVES).await.unwrap();
+    assert_eq!(process.id(), None);
+    process.signal(Signal::Kill).unwrap();
+}
--- a/crates/chervilshunt_standin/src/lib.rs
+++ b/crates/chervilshunt_standin/src/lib.rs
@@ -3,4 +3,5 @@
 //! Each runs as a process of its own (`chervilshunt_standin platform|…`) or inside a test. See
 //! `docs/INTERFACES.md` for what they speak.
 
+pub mod fleet;
 pub mod platform;
