Carry messages between instances over WebSocket with CBOR

One connection serves both directions and many requests at a time; it is opened at need, closed when idle and bounded in number. A broken connection fails its waiting requests at once and tells the application, before anything of the next connection is delivered. Who is at each end is agreed in the upgrade request, so that a message for an instance whose address was reused is refused. Bytes are counted by purpose.

--- /dev/null
+++ b/crates/chervilshunt_mesh/src/connection/read.rs
@@ -0,0 +1,156 @@
+//! Takes in what a peer sends.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::{Stream, StreamExt};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use slog::warn;
+use tokio::time::Instant;
+use tokio_tungstenite::tungstenite::protocol::CloseFrame;
+use tokio_tungstenite::tungstenite::protocol::frame::coding::CloseCode;
+use tokio_tungstenite::tungstenite::{Error as WsError, Message as WsMessage};
+
+use super::run::End;
+use super::state::{Admission, Connection};
+use crate::error::RequestError;
+use crate::frame::{Head, decode_message, split, wire_bytes};
+use crate::message::{Inbound, InboundMessage, Purpose, Reply};
+use crate::outgoing::REFUSAL;
+use crate::shared::Shared;
+
+/// Reads until the connection ends, and says how it did.
+pub(crate) async fn read_loop<M, S>(
+    shared: &Arc<Shared<M>>,
+    connection: &Arc<Connection<M>>,
+    mut stream: S,
+) -> End
+where
+    M: Serialize + DeserializeOwned + Purpose + Send + 'static,
+    S: Stream<Item = Result<WsMessage, WsError>> + Unpin,
+{
+    let mut end = End::Broken;
+    while let Some(received) = stream.next().await {
+        match received {
+            Ok(WsMessage::Binary(frame)) => {
+                connection.heard(true, Instant::now());
+                deliver(shared, connection, &frame).await;
+            }
+            Ok(WsMessage::Close(close)) => {
+                connection.mark_closing();
+                connection.stop.cancel();
+                end = End::of_close(close.as_ref());
+            }
+            Ok(_) => connection.heard(false, Instant::now()),
+            Err(error) => {
+                if end == End::Broken {
+                    warn!(shared.log, "connection broke";
+                        "peer" => %connection.identity.peer, "error" => %error);
+                }
+                break;
+            }
+        }
+    }
+    end
+}
+
+impl End {
+    fn of_close(close: Option<&CloseFrame>) -> Self {
+        match close {
+            Some(frame) if frame.code == CloseCode::Normal => Self::Idle,
+            _ => Self::Broken,
+        }
+    }
+}
+
+async fn deliver<M>(shared: &Arc<Shared<M>>, connection: &Arc<Connection<M>>, frame: &Bytes)
+where
+    M: Serialize + DeserializeOwned + Purpose + Send + 'static,
+{
+    let (head, body) = match split(frame) {
+        Ok(parts) => parts,
+        Err(error) => {
+            shared.unreadable(&connection.identity.peer, &error);
+            return;
+        }
+    };
+    let bytes = wire_bytes(frame.len(), !connection.identity.dialled);
+    match head {
+        Head::OneWay => {
+            if let Some(message) = decode(shared, connection, body, bytes) {
+                let inbound = inbound(connection, message, None);
+                drop(shared.inbound.send(inbound).await);
+            }
+        }
+        Head::Request(id) => take_request(shared, connection, id, body, bytes),
+        Head::Answer(id) => {
+            let answer = decode(shared, connection, body, bytes);
+            connection.end(id, answer.ok_or(RequestError::Unanswered));
+        }
+        Head::Busy(id) => {
+            shared.counters.message_in(REFUSAL, bytes);
+            connection.end(id, Err(RequestError::Busy));
+        }
+        Head::Dropped(id) => {
+            shared.counters.message_in(REFUSAL, bytes);
+            connection.end(id, Err(RequestError::Unanswered));
+        }
+    }
+}
+
+/// Hands a request to the application, or turns it away at once.
+///
+/// It never waits for room: a full queue would keep this connection's answers and pongs from being
+/// read, and peers would take an overloaded instance for a dead one.
+fn take_request<M>(
+    shared: &Arc<Shared<M>>,
+    connection: &Arc<Connection<M>>,
+    id: u64,
+    body: &[u8],
+    bytes: u64,
+) where
+    M: Serialize + DeserializeOwned + Purpose + Send + 'static,
+{
+    let admission = connection.admit(shared.cfg.max_unanswered);
+    let message = decode(shared, connection, body, bytes);
+    if admission == Admission::Ignored {
+        return;
+    }
+    let Some(message) = message else {
+        connection.give_up(Head::Dropped(id));
+        return;
+    };
+    let room = shared.inbound.try_reserve();
+    let (Admission::Accepted, Ok(room)) = (admission, room) else {
+        shared.counters.busy.add(1);
+        connection.give_up(Head::Busy(id));
+        return;
+    };
+    let reply = Reply::remote(Arc::clone(shared), Arc::clone(connection), id);
+    room.send(inbound(connection, message, Some(reply)));
+}
+
+fn decode<M>(shared: &Shared<M>, connection: &Connection<M>, body: &[u8], bytes: u64) -> Option<M>
+where
+    M: DeserializeOwned + Purpose,
+{
+    match decode_message::<M>(body) {
+        Ok(message) => {
+            shared.counters.message_in(message.purpose(), bytes);
+            Some(message)
+        }
+        Err(error) => {
+            shared.unreadable(&connection.identity.peer, &error);
+            None
+        }
+    }
+}
+
+fn inbound<M>(connection: &Connection<M>, message: M, reply: Option<Reply<M>>) -> Inbound<M> {
+    Inbound::Message(InboundMessage {
+        from: connection.identity.peer.clone(),
+        message,
+        reply,
+    })
+}
--- /dev/null
+++ b/crates/chervilshunt_mesh/src/connection/run.rs
@@ -0,0 +1,104 @@
+//! The life of one connection from its handshake to its end.
+
+use std::sync::Arc;
+
+use futures_util::StreamExt;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use slog::{info, warn};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep};
+use tokio_tungstenite::WebSocketStream;
+use tokio_util::sync::CancellationToken;
+
+use super::read::read_loop;
+use super::state::Connection;
+use super::write::{WriteError, write_loop};
+use crate::message::{Inbound, Purpose};
+use crate::outgoing::Outgoing;
+use crate::shared::Shared;
+use crate::socket::CountedStream;
+
+/// How a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum End {
+    /// It was closed because it was idle: whatever is unanswered was not handled.
+    Idle,
+    /// It was never open on our side: nothing was written or read.
+    Unopened,
+    /// It broke, or one side shut down: whatever is unanswered may have been handled.
+    Broken,
+}
+
+/// Serves a connection until it ends.
+///
+/// `stale` are the earlier connections with the peer: nothing is delivered before they are done,
+/// so that the loss of one never comes after the first messages of the next. An owner would
+/// drop the new requests of an instance with the lost ones otherwise.
+pub(crate) async fn run<M>(
+    shared: Arc<Shared<M>>,
+    connection: Arc<Connection<M>>,
+    mut rx: mpsc::UnboundedReceiver<Outgoing<M>>,
+    socket: WebSocketStream<CountedStream>,
+    stale: Vec<CancellationToken>,
+) where
+    M: Serialize + DeserializeOwned + Purpose + Send + 'static,
+{
+    for earlier in stale {
+        earlier.cancelled().await;
+    }
+    info!(shared.log, "connection open";
+        "peer" => %connection.identity.peer, "dialled" => connection.identity.dialled);
+    let end = tokio::select! {
+        biased;
+        () = connection.kill.cancelled() => End::Broken,
+        end = drive(&shared, &connection, &mut rx, socket) => end,
+    };
+    finish(&shared, &connection, rx, end).await;
+}
+
+async fn drive<M>(
+    shared: &Arc<Shared<M>>,
+    connection: &Arc<Connection<M>>,
+    rx: &mut mpsc::UnboundedReceiver<Outgoing<M>>,
+    socket: WebSocketStream<CountedStream>,
+) -> End
+where
+    M: Serialize + DeserializeOwned + Purpose + Send + 'static,
+{
+    let (sink, stream) = socket.split();
+    let writer = async {
+        match write_loop(shared, connection, rx, sink).await {
+            // The reader sees how the connection ends, but not for ever.
+            Ok(()) | Err(WriteError::Socket) => sleep(shared.cfg.connect_timeout).await,
+            Err(error) => {
+                warn!(shared.log, "connection given up";
+                    "peer" => %connection.identity.peer, "reason" => ?error);
+            }
+        }
+    };
+    tokio::select! {
+        biased;
+        end = read_loop(shared, connection, stream) => end,
+        () = writer => End::Broken,
+    }
+}
+
+/// Takes the connection out of the table and settles what was under way on it.
+pub(crate) async fn finish<M>(
+    shared: &Arc<Shared<M>>,
+    connection: &Arc<Connection<M>>,
+    rx: mpsc::UnboundedReceiver<Outgoing<M>>,
+    end: End,
+) where
+    M: Serialize + DeserializeOwned + Purpose + Send + 'static,
+{
+    let lost = shared.deregister(connection, rx, end, Instant::now());
+    info!(shared.log, "connection ended";
+        "peer" => %connection.identity.peer, "end" => ?end, "lost" => lost);
+    if lost {
+        let event = Inbound::Lost(connection.identity.peer.clone());
+        drop(shared.inbound.send(event).await);
+    }
+    connection.done.cancel();
+}
--- /dev/null
+++ b/crates/chervilshunt_mesh/src/connection/write.rs
@@ -0,0 +1,159 @@
+//! Writes what waits for a peer, and watches over the connection's life.
+
+use std::pin::pin;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::{Sink, SinkExt};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until, timeout};
+use tokio_tungstenite::tungstenite::protocol::CloseFrame;
+use tokio_tungstenite::tungstenite::protocol::frame::coding::CloseCode;
+use tokio_tungstenite::tungstenite::{Error as WsError, Message as WsMessage};
+
+use super::state::Connection;
+use crate::frame::{Head, assemble, wire_bytes};
+use crate::liveness::Step;
+use crate::outgoing::Outgoing;
+use crate::shared::Shared;
+
+/// The most messages written before they are flushed.
+const BATCH: usize = 64;
+
+/// Why a message could not be written.
+#[derive(Debug)]
+pub(crate) enum WriteError {
+    /// The closing handshake has begun, or the socket failed: the reader will see which.
+    Socket,
+    /// The peer takes nothing in.
+    Stalled,
+    /// The peer gave no sign of life when asked for one.
+    Silent,
+}
+
+impl From<WsError> for WriteError {
+    fn from(_: WsError) -> Self {
+        Self::Socket
+    }
+}
+
+/// Writes until the connection is closed, by us or by the peer.
+pub(crate) async fn write_loop<M, S>(
+    shared: &Arc<Shared<M>>,
+    connection: &Arc<Connection<M>>,
+    rx: &mut mpsc::UnboundedReceiver<Outgoing<M>>,
+    mut sink: S,
+) -> Result<(), WriteError>
+where
+    M: Send + 'static,
+    S: Sink<WsMessage, Error = WsError> + Unpin,
+{
+    let mut timer = pin!(sleep_until(Instant::now() + shared.liveness.ping_after));
+    loop {
+        tokio::select! {
+            biased;
+            () = connection.stop.cancelled() => return Ok(()),
+            () = shared.shutdown.cancelled() => {
+                connection.mark_closing();
+                while let Ok(first) = rx.try_recv() {
+                    write_batch(shared, connection, first, rx, &mut sink).await?;
+                }
+                return close(&mut sink, CloseCode::Away).await;
+            }
+            () = connection.close_begun.notified() => {
+                return close(&mut sink, CloseCode::Normal).await;
+            }
+            Some(first) = rx.recv() => {
+                write_batch(shared, connection, first, rx, &mut sink).await?;
+                let watch_from = Instant::now() + shared.liveness.ping_after;
+                if watch_from < timer.deadline() {
+                    timer.as_mut().reset(watch_from);
+                }
+            }
+            () = &mut timer => match connection.step(&shared.liveness, Instant::now()) {
+                Step::Wait(until) => timer.as_mut().reset(until),
+                Step::Ping => {
+                    let now = Instant::now();
+                    connection.pinged(now);
+                    timer.as_mut().reset(now + shared.liveness.ping_timeout);
+                    write_in_time(shared, sink.send(WsMessage::Ping(Bytes::new()))).await?;
+                }
+                Step::GiveUp => return Err(WriteError::Silent),
+                Step::CloseIdle => {
+                    // Unless something came up meanwhile, the branch above is next.
+                    connection.close_if_idle();
+                    timer.as_mut().reset(Instant::now() + shared.liveness.idle_timeout);
+                }
+            },
+        }
+    }
+}
+
+async fn write_batch<M, S>(
+    shared: &Shared<M>,
+    connection: &Connection<M>,
+    first: Outgoing<M>,
+    rx: &mut mpsc::UnboundedReceiver<Outgoing<M>>,
+    sink: &mut S,
+) -> Result<(), WriteError>
+where
+    S: Sink<WsMessage, Error = WsError> + Unpin,
+{
+    let mut next = Some(first);
+    let mut count = 0;
+    while let Some(out) = next {
+        count += 1;
+        if let Some((frame, purpose)) = prepare(connection, out) {
+            let bytes = wire_bytes(frame.len(), connection.identity.dialled);
+            write_in_time(shared, sink.feed(WsMessage::Binary(frame))).await?;
+            shared.counters.message_out(purpose, bytes);
+        }
+        next = if count < BATCH {
+            rx.try_recv().ok()
+        } else {
+            None
+        };
+    }
+    write_in_time(shared, sink.flush()).await?;
+    connection.wrote(count, Instant::now());
+    Ok(())
+}
+
+/// Bounds the time for which a peer may refuse to take anything in.
+async fn write_in_time<M>(
+    shared: &Shared<M>,
+    write: impl Future<Output = Result<(), WsError>>,
+) -> Result<(), WriteError> {
+    match timeout(shared.liveness.ping_timeout, write).await {
+        Ok(result) => Ok(result?),
+        Err(_) => Err(WriteError::Stalled),
+    }
+}
+
+fn prepare<M>(connection: &Connection<M>, out: Outgoing<M>) -> Option<(Bytes, &'static str)> {
+    match out {
+        Outgoing::OneWay { body, purpose } => Some((assemble(Head::OneWay, Some(&body)), purpose)),
+        Outgoing::Answer {
+            head,
+            body,
+            purpose,
+        } => Some((assemble(head, body.as_ref()), purpose)),
+        Outgoing::Request(req) => {
+            let body = req.body.clone();
+            let purpose = req.purpose;
+            let id = connection.begin(req, Instant::now())?;
+            Some((assemble(Head::Request(id), Some(&body)), purpose))
+        }
+    }
+}
+
+async fn close<S>(sink: &mut S, code: CloseCode) -> Result<(), WriteError>
+where
+    S: Sink<WsMessage, Error = WsError> + Unpin,
+{
+    let frame = CloseFrame {
+        code,
+        reason: "".into(),
+    };
+    Ok(sink.send(WsMessage::Close(Some(frame))).await?)
+}
--- /dev/null
+++ b/crates/chervilshunt_mesh/src/mesh.rs
@@ -0,0 +1,197 @@
+//! The entry point: starts a mesh, sends messages and requests.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use slog::Logger;
+use snafu::{ResultExt, ensure};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+use tokio_util::sync::DropGuard;
+
+use crate::config::{MeshConfig, Peer};
+use crate::counters::MeshCounters;
+use crate::dial::accept_loop;
+use crate::error::{BadInstanceSnafu, BindSnafu, MeshError, RequestError, SendError};
+use crate::handshake::is_header_safe;
+use crate::message::{Inbound, InboundMessage, Purpose, Reply};
+use crate::outgoing::{Outgoing, OutgoingRequest, Stage};
+use crate::shared::Shared;
+
+/// Sends messages to peers and takes theirs in.
+///
+/// Clones share one mesh; it ends when the last one is dropped.
+#[derive(Debug)]
+pub struct Mesh<M> {
+    shared: Arc<Shared<M>>,
+    address: SocketAddr,
+    _guard: Arc<DropGuard>,
+}
+
+impl<M> Clone for Mesh<M> {
+    fn clone(&self) -> Self {
+        Self {
+            shared: Arc::clone(&self.shared),
+            address: self.address,
+            _guard: Arc::clone(&self._guard),
+        }
+    }
+}
+
+impl<M> Mesh<M>
+where
+    M: Serialize + DeserializeOwned + Purpose + Send + 'static,
+{
+    /// Listens for peers.
+    ///
+    /// Whoever takes the inbound messages must not wait for requests of its own in between: a full
+    /// inbound queue turns requests of peers away and holds back their one-way messages.
+    ///
+    /// # Errors
+    /// Fails if the address can't be listened on or the instance id can't stand in a header.
+    pub async fn bind(
+        cfg: MeshConfig,
+        log: Logger,
+    ) -> Result<(Self, mpsc::Receiver<Inbound<M>>), MeshError> {
+        ensure!(
+            is_header_safe(&cfg.instance),
+            BadInstanceSnafu {
+                instance: cfg.instance.clone()
+            }
+        );
+        let context = BindSnafu {
+            address: cfg.listen,
+        };
+        let listener = TcpListener::bind(cfg.listen).await.context(context)?;
+        let address = listener.local_addr().context(context)?;
+        let (tx, rx) = mpsc::channel(cfg.queue_messages);
+        let shared = Arc::new(Shared::new(cfg, log, tx));
+        shared
+            .tasks
+            .spawn(accept_loop(Arc::clone(&shared), listener));
+        let mesh = Self {
+            address,
+            _guard: Arc::new(shared.shutdown.clone().drop_guard()),
+            shared,
+        };
+        Ok((mesh, rx))
+    }
+
+    /// Returns where peers find us.
+    pub const fn local_addr(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns what has been counted so far.
+    pub fn counters(&self) -> MeshCounters {
+        self.shared.counters.snapshot()
+    }
+
+    /// Queues a message that has no answer; it never blocks.
+    ///
+    /// `Ok` says only that it was queued. If it gets lost with its connection, the application
+    /// sees [`Inbound::Lost`] for the peer; if no connection can be opened, it is dropped and
+    /// the next call fails.
+    ///
+    /// # Errors
+    /// Fails if the message is too long, too many wait already, or the peer was found unreachable
+    /// so lately that it is not tried again yet.
+    pub fn send(&self, peer: &Peer, message: M) -> Result<(), SendError> {
+        if peer.instance == self.shared.cfg.instance {
+            return self
+                .deliver_locally(message, None)
+                .map_err(|_full| self.own_queue_full());
+        }
+        let body = self.shared.encode(&message)?;
+        let purpose = message.purpose();
+        self.shared.post(peer, Outgoing::OneWay { body, purpose })
+    }
+
+    /// Sends a message and waits for its answer.
+    ///
+    /// It fails as soon as the connection breaks, without waiting for the timeout. Dropping the
+    /// future withdraws the request if it was not written yet.
+    ///
+    /// # Errors
+    /// See [`RequestError`], which tells whether the peer may have handled the request.
+    pub async fn request(
+        &self,
+        peer: &Peer,
+        message: M,
+        within: Duration,
+    ) -> Result<M, RequestError> {
+        if peer.instance == self.shared.cfg.instance {
+            return self.request_locally(message, within).await;
+        }
+        let not_sent = |source| RequestError::NotSent { source };
+        let body = self.shared.encode(&message).map_err(not_sent)?;
+        let (req, answer) = OutgoingRequest::new(body, message.purpose());
+        let withdrawal = Withdrawal(Arc::clone(&req.stage));
+        self.shared
+            .post(peer, Outgoing::Request(req))
+            .map_err(not_sent)?;
+        match timeout(within, answer).await {
+            Ok(Ok(result)) => result,
+            Ok(Err(_)) => Err(RequestError::Lost),
+            Err(_) if withdrawal.0.abandon() => Err(not_sent(SendError::Late {
+                instance: peer.instance.clone(),
+            })),
+            Err(_) => Err(RequestError::Timeout),
+        }
+    }
+
+    /// Stops taking connections, writes what is queued, closes all connections and waits for
+    /// their end, at most for the time that closing a connection may take.
+    pub async fn shutdown(&self) {
+        self.shared.shutdown.cancel();
+        self.shared.tasks.close();
+        let waiting = self.shared.table().take_all_waiting();
+        self.shared.fail(waiting, &SendError::ShutDown);
+        drop(timeout(self.shared.cfg.connect_timeout, self.shared.tasks.wait()).await);
+    }
+
+    async fn request_locally(&self, message: M, within: Duration) -> Result<M, RequestError> {
+        let (tx, rx) = oneshot::channel();
+        self.deliver_locally(message, Some(Reply::local(tx)))
+            .map_err(|_full| RequestError::Busy)?;
+        match timeout(within, rx).await {
+            Ok(result) => result.unwrap_or(Err(RequestError::Unanswered)),
+            Err(_) => Err(RequestError::Timeout),
+        }
+    }
+
+    /// Hands a message to ourselves, without a connection.
+    fn deliver_locally(
+        &self,
+        message: M,
+        reply: Option<Reply<M>>,
+    ) -> Result<(), mpsc::error::TrySendError<Inbound<M>>> {
+        self.shared
+            .inbound
+            .try_send(Inbound::Message(InboundMessage {
+                from: self.shared.cfg.instance.clone(),
+                message,
+                reply,
+            }))
+    }
+
+    fn own_queue_full(&self) -> SendError {
+        SendError::QueueFull {
+            instance: self.shared.cfg.instance.clone(),
+            limit: self.shared.cfg.queue_messages,
+        }
+    }
+}
+
+/// Withdraws a request whose sender stops to wait.
+struct Withdrawal(Arc<Stage>);
+
+impl Drop for Withdrawal {
+    fn drop(&mut self) {
+        self.0.abandon();
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_mesh/src/outgoing.rs
@@ -0,0 +1,114 @@
+//! What waits to be written to a peer.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering::SeqCst};
+
+use bytes::Bytes;
+use tokio::sync::oneshot;
+
+use crate::error::{RequestError, SendError};
+use crate::frame::Head;
+
+/// Purpose under which refusals of requests are counted.
+pub(crate) const REFUSAL: &str = "refusal";
+
+/// A message that waits to be written.
+#[derive(Debug)]
+pub(crate) enum Outgoing<M> {
+    /// A message without an answer.
+    OneWay { body: Bytes, purpose: &'static str },
+    /// A message whose sender waits for an answer.
+    Request(OutgoingRequest<M>),
+    /// An answer to a peer's request, or the refusal of one.
+    Answer {
+        head: Head,
+        body: Option<Bytes>,
+        purpose: &'static str,
+    },
+}
+
+impl<M> Outgoing<M> {
+    /// Ends it for a reason that rules out that it was ever written.
+    ///
+    /// Returns whether a message was dropped without anybody being told.
+    pub(crate) fn fail(self, source: SendError) -> bool {
+        match self {
+            Self::OneWay { .. } | Self::Answer { .. } => true,
+            Self::Request(req) => {
+                req.end(Err(RequestError::NotSent { source }));
+                false
+            }
+        }
+    }
+}
+
+/// A request that waits to be written, or for its answer.
+#[derive(Debug)]
+pub(crate) struct OutgoingRequest<M> {
+    pub(crate) body: Bytes,
+    pub(crate) purpose: &'static str,
+    pub(crate) stage: Arc<Stage>,
+    answer: oneshot::Sender<Result<M, RequestError>>,
+}
+
+impl<M> OutgoingRequest<M> {
+    pub(crate) fn new(
+        body: Bytes,
+        purpose: &'static str,
+    ) -> (Self, oneshot::Receiver<Result<M, RequestError>>) {
+        let (tx, rx) = oneshot::channel();
+        let req = Self {
+            body,
+            purpose,
+            stage: Arc::new(Stage::new()),
+            answer: tx,
+        };
+        (req, rx)
+    }
+
+    /// Hands the result to whoever waits; if nobody does any more, it is not wanted.
+    pub(crate) fn end(self, result: Result<M, RequestError>) {
+        drop(self.answer.send(result));
+    }
+
+    pub(crate) fn is_abandoned(&self) -> bool {
+        self.answer.is_closed()
+    }
+}
+
+const QUEUED: u8 = 0;
+const WRITTEN: u8 = 1;
+const ABANDONED: u8 = 2;
+
+/// Whether a request may have left this process, agreed between its sender and the writer.
+///
+/// Without one place for both to agree on, a sender whose time ran out could call a request
+/// unsent in the moment in which the writer sends it, and the caller would be told a "not run"
+/// that is false.
+#[derive(Debug)]
+pub(crate) struct Stage(AtomicU8);
+
+impl Stage {
+    const fn new() -> Self {
+        Self(AtomicU8::new(QUEUED))
+    }
+
+    /// Claims the request for writing; fails if its sender has given up on it.
+    pub(crate) fn claim(&self) -> bool {
+        self.0
+            .compare_exchange(QUEUED, WRITTEN, SeqCst, SeqCst)
+            .is_ok()
+    }
+
+    /// Takes it back into the queue, as the peer has certainly not handled it.
+    pub(crate) fn requeue(&self) {
+        let _ = self.0.compare_exchange(WRITTEN, QUEUED, SeqCst, SeqCst);
+    }
+
+    /// Gives up on the request; returns whether it has not been written and never will be.
+    pub(crate) fn abandon(&self) -> bool {
+        self.0
+            .compare_exchange(QUEUED, ABANDONED, SeqCst, SeqCst)
+            .is_ok()
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_mesh/src/table.rs
@@ -0,0 +1,222 @@
+//! The connections with every peer, and what waits for one.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilshunt_model::InstanceId;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::connection::{Connection, Identity};
+use crate::error::SendError;
+use crate::handshake::ProcessId;
+use crate::outgoing::Outgoing;
+
+/// All that is open, being opened or waiting.
+#[derive(Debug)]
+pub(crate) struct Table<M> {
+    links: HashMap<InstanceId, Link<M>>,
+    last_serial: u64,
+    dialling: usize,
+}
+
+/// What there is with one peer.
+#[derive(Debug)]
+pub(crate) struct Link<M> {
+    pub(crate) address: Option<SocketAddr>,
+    pub(crate) connections: Vec<Arc<Connection<M>>>,
+    pub(crate) dial: Dial,
+    pub(crate) waiting: VecDeque<Outgoing<M>>,
+}
+
+/// Whether a connection is being opened.
+#[derive(Clone, Debug)]
+pub(crate) enum Dial {
+    /// None is, and the last try, if any, succeeded.
+    Idle,
+    /// One is being opened.
+    Dialling { failures: u32 },
+    /// The last tries failed; there is no other one before `until`.
+    Backoff {
+        until: Instant,
+        failures: u32,
+        error: SendError,
+    },
+}
+
+/// A connection that was just entered into the table.
+#[derive(Debug)]
+pub(crate) struct Registered<M> {
+    pub(crate) connection: Arc<Connection<M>>,
+    pub(crate) rx: mpsc::UnboundedReceiver<Outgoing<M>>,
+    /// The connections that it replaces; they have to be done before it delivers anything.
+    pub(crate) stale: Vec<CancellationToken>,
+}
+
+/// What a peer said when it opened a connection, or answered to ours.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerHello {
+    pub(crate) instance: InstanceId,
+    pub(crate) process: ProcessId,
+    /// For a connection that the peer opened: all connections up to this number of its own
+    /// have ended. For one of ours: the peer's number for it.
+    pub(crate) serial: u64,
+}
+
+impl<M> Table<M> {
+    pub(crate) fn new() -> Self {
+        Self {
+            links: HashMap::new(),
+            last_serial: 0,
+            dialling: 0,
+        }
+    }
+
+    pub(crate) fn link(&mut self, instance: &InstanceId) -> &mut Link<M> {
+        self.links.entry(instance.clone()).or_insert_with(|| Link {
+            address: None,
+            connections: Vec::new(),
+            dial: Dial::Idle,
+            waiting: VecDeque::new(),
+        })
+    }
+
+    /// Returns the number of the last connection that was entered.
+    pub(crate) const fn last_serial(&self) -> u64 {
+        self.last_serial
+    }
+
+    /// Makes room for one more connection; the least recently used idle one goes first.
+    pub(crate) fn make_room(&self, limit: usize) -> bool {
+        let usable: Vec<_> = self
+            .links
+            .values()
+            .flat_map(|link| &link.connections)
+            .filter(|connection| connection.is_usable())
+            .collect();
+        if usable.len() + self.dialling < limit {
+            return true;
+        }
+        usable
+            .into_iter()
+            .filter_map(|connection| Some((connection.idle_since()?, connection)))
+            .min_by_key(|(since, _)| *since)
+            .is_some_and(|(_, connection)| connection.close_if_idle())
+    }
+
+    pub(crate) fn begin_dial(&mut self, instance: &InstanceId) {
+        self.dialling += 1;
+        let link = self.link(instance);
+        let failures = match link.dial {
+            Dial::Backoff { failures, .. } => failures,
+            Dial::Idle | Dial::Dialling { .. } => 0,
+        };
+        link.dial = Dial::Dialling { failures };
+    }
+
+    /// Ends a try to open a connection; returns how many have now failed in a row.
+    pub(crate) fn end_dial(&mut self, instance: &InstanceId, succeeded: bool) -> u32 {
+        self.dialling -= 1;
+        let link = self.link(instance);
+        let failures = match link.dial {
+            Dial::Dialling { failures } if !succeeded => failures + 1,
+            Dial::Dialling { .. } | Dial::Idle | Dial::Backoff { .. } => 0,
+        };
+        link.dial = Dial::Idle;
+        failures
+    }
+
+    /// Enters a connection, and breaks off those that it shows to be over.
+    pub(crate) fn register(
+        &mut self,
+        hello: &PeerHello,
+        dialled: bool,
+        now: Instant,
+    ) -> Registered<M> {
+        self.last_serial += 1;
+        let serial = self.last_serial;
+        let link = self.link(&hello.instance);
+        let mut stale = Vec::new();
+        for earlier in &link.connections {
+            if is_over(&earlier.identity, hello, dialled) {
+                earlier.kill.cancel();
+                stale.push(earlier.done.clone());
+            }
+        }
+        let session = link
+            .connections
+            .iter()
+            .find(|connection| connection.is_usable())
+            .map(|twin| Arc::clone(&twin.session))
+            .unwrap_or_default();
+        let identity = Identity {
+            serial,
+            peer: hello.instance.clone(),
+            peer_process: hello.process,
+            peer_serial: if dialled { hello.serial } else { 0 },
+            dialled,
+        };
+        let (connection, rx) = Connection::new(identity, session, now);
+        link.connections.push(Arc::clone(&connection));
+        Registered {
+            connection,
+            rx,
+            stale,
+        }
+    }
+
+    /// Drops what is known of peers that nothing is under way with.
+    pub(crate) fn prune(&mut self, now: Instant, keep: Duration) {
+        self.links.retain(|_, link| {
+            let forgotten = match &link.dial {
+                Dial::Idle => true,
+                Dial::Dialling { .. } => false,
+                Dial::Backoff { until, .. } => *until + keep < now,
+            };
+            !(forgotten && link.connections.is_empty() && link.waiting.is_empty())
+        });
+    }
+
+    pub(crate) fn links(&self) -> usize {
+        self.links.len()
+    }
+
+    /// Takes out everything that waits for a connection.
+    pub(crate) fn take_all_waiting(&mut self) -> Vec<Outgoing<M>> {
+        self.links
+            .values_mut()
+            .flat_map(|link| std::mem::take(&mut link.waiting))
+            .collect()
+    }
+}
+
+/// Returns whether a new connection with a peer shows an earlier one to be over.
+///
+/// A peer opens a connection only when it has none with us. So those that it opened before are
+/// over, and those of ours that it had entered before it began; one of ours that it did not know
+/// of yet when it began lives on beside the new one.
+fn is_over(earlier: &Identity, hello: &PeerHello, dialled: bool) -> bool {
+    let restarted = earlier.peer_process != hello.process;
+    let ended_by_peer = !dialled && (!earlier.dialled || earlier.peer_serial <= hello.serial);
+    restarted || ended_by_peer
+}
+
+impl<M> Link<M> {
+    /// Returns the connection to write to.
+    ///
+    /// After both sides have opened one, both take the one that the instance with the smaller id
+    /// opened, and the other one is closed when it is idle.
+    pub(crate) fn preferred(&self, us: &InstanceId) -> Option<&Arc<Connection<M>>> {
+        self.connections
+            .iter()
+            .filter(|connection| connection.is_usable())
+            .min_by_key(|connection| {
+                let identity = &connection.identity;
+                let opener = if identity.dialled { us } else { &identity.peer };
+                (opener.clone(), identity.serial)
+            })
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_mesh/tests/mesh/main.rs
@@ -0,0 +1,6 @@
+//! Meshes that talk over loopback.
+
+mod common;
+mod idle;
+mod loss;
+mod messages;
