Add stand-ins for engines, plain services and weight stores

They speak what docs/INTERFACES.md says of engines and plain services, with fault switches, counters and runs per request id, as processes or in-process. The hash of a prompt's start moves to chervilshunt_model, since permits carry it and cache events name it.

--- a/crates/chervilshunt_model/src/lib.rs
+++ b/crates/chervilshunt_model/src/lib.rs
@@ -15,6 +15,7 @@
 mod object;
 mod pages;
 mod patches;
+mod prefix;
 mod references;
 mod version_map;
 
@@ -38,4 +39,5 @@
     AdapterPatch, PriorityChoice, PriorityPatch, ServicePatch, SitePatch, TargetPatch,
     WeightStorePatch,
 };
+pub use prefix::prefix_hash;
 pub use version_map::VersionMap;
--- /dev/null
+++ b/crates/chervilshunt_standin/src/engine/batch.rs
@@ -0,0 +1,234 @@
+//! Continuous batching: which sequences run, and what each step does to them.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+
+/// A completion on its way through the engine.
+#[derive(Debug)]
+pub(crate) struct Sequence {
+    pub(crate) request_id: Arc<str>,
+    /// The model that the request named.
+    pub(crate) asked: Arc<str>,
+    /// The model that is to serve it; another one than `asked` only by a fault.
+    pub(crate) chosen: Arc<str>,
+    pub(crate) max_tokens: u32,
+    progress: Mutex<Progress>,
+}
+
+/// How far a sequence has come.
+#[derive(Debug, Default)]
+struct Progress {
+    produced: u32,
+    /// The model that served from each of these tokens on.
+    served: Vec<Served>,
+    /// The client went away, or the engine restarted.
+    abandoned: bool,
+    waker: Option<Waker>,
+}
+
+/// From which token on a model served a sequence.
+#[derive(Clone, Debug)]
+pub(crate) struct Served {
+    pub(crate) from_token: u32,
+    pub(crate) model: Arc<str>,
+}
+
+impl Sequence {
+    pub(crate) fn new(request_id: Arc<str>, asked: Arc<str>, max_tokens: u32) -> Self {
+        Self {
+            request_id,
+            chosen: Arc::clone(&asked),
+            asked,
+            max_tokens: max_tokens.max(1),
+            progress: Mutex::default(),
+        }
+    }
+
+    /// Ends the sequence early; the next step takes it out of the batch.
+    pub(crate) fn abandon(&self) {
+        let waker = {
+            let mut progress = self.lock();
+            progress.abandoned = true;
+            progress.waker.take()
+        };
+        if let Some(waker) = waker {
+            waker.wake();
+        }
+    }
+
+    /// Waits until more than `taken` tokens are there; none once the sequence was abandoned.
+    pub(crate) fn poll_tokens(&self, taken: u32, cx: &mut Context<'_>) -> Poll<Option<u32>> {
+        let mut progress = self.lock();
+        if progress.produced > taken {
+            return Poll::Ready(Some(progress.produced));
+        }
+        if progress.abandoned {
+            return Poll::Ready(None);
+        }
+        progress.waker = Some(cx.waker().clone());
+        Poll::Pending
+    }
+
+    /// Produces every token at once, without the batch, so that a relay can be measured.
+    pub(crate) fn finish_at_once(&self) {
+        let mut progress = self.lock();
+        progress.produced = self.max_tokens;
+        progress.served.push(Served {
+            from_token: 0,
+            model: Arc::clone(&self.chosen),
+        });
+    }
+
+    /// Returns the model that served the token with this number, and since when.
+    pub(crate) fn server_of(&self, token: u32) -> Option<Served> {
+        let progress = self.lock();
+        let mut latest_first = progress.served.iter().rev();
+        latest_first
+            .find(|served| served.from_token <= token)
+            .cloned()
+    }
+
+    /// Returns the models that served it so far.
+    pub(crate) fn servers(&self) -> Vec<Arc<str>> {
+        let progress = self.lock();
+        let served = progress.served.iter();
+        served.map(|served| Arc::clone(&served.model)).collect()
+    }
+
+    fn is_abandoned(&self) -> bool {
+        self.lock().abandoned
+    }
+
+    /// Adds a token served by `model` and says whether the sequence is complete.
+    fn advance(&self, model: &Arc<str>) -> Advance {
+        let mut progress = self.lock();
+        let changed = progress
+            .served
+            .last()
+            .is_none_or(|last| last.model != *model);
+        if changed {
+            let from_token = progress.produced;
+            progress.served.push(Served {
+                from_token,
+                model: Arc::clone(model),
+            });
+        }
+        progress.produced += 1;
+        let finished = progress.produced >= self.max_tokens;
+        let waker = progress.waker.take();
+        drop(progress);
+        if let Some(waker) = waker {
+            waker.wake();
+        }
+        Advance { changed, finished }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Progress> {
+        self.progress.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// What a step did to a sequence.
+#[derive(Clone, Copy, Debug)]
+struct Advance {
+    /// Another model served this token than the one before.
+    changed: bool,
+    finished: bool,
+}
+
+/// The place of a waiting sequence: lower priority numbers first, then in order of arrival.
+type QueuePlace = (i64, u64);
+
+/// The sequences that run and wait.
+#[derive(Debug)]
+pub(crate) struct Batch {
+    limit: usize,
+    waiting: BTreeMap<QueuePlace, Arc<Sequence>>,
+    running: Vec<Arc<Sequence>>,
+    arrivals: u64,
+}
+
+/// What happened to a sequence in a step, for the record of runs.
+#[derive(Clone, Debug)]
+pub(crate) enum BatchNote {
+    /// It began to run.
+    Began(Arc<Sequence>),
+    /// This model serves it from here on.
+    ServedBy(Arc<Sequence>, Arc<str>),
+}
+
+impl Batch {
+    pub(crate) fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            waiting: BTreeMap::new(),
+            running: Vec::new(),
+            arrivals: 0,
+        }
+    }
+
+    pub(crate) fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    pub(crate) fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    pub(crate) fn running_models(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.running.iter().map(|sequence| &sequence.chosen)
+    }
+
+    pub(crate) fn push(&mut self, priority: i64, sequence: Arc<Sequence>) {
+        self.arrivals += 1;
+        self.waiting.insert((priority, self.arrivals), sequence);
+    }
+
+    /// Takes out what was abandoned and fills the batch from those that wait.
+    pub(crate) fn admit(&mut self, notes: &mut Vec<BatchNote>) {
+        self.running.retain(|sequence| !sequence.is_abandoned());
+        self.waiting.retain(|_, sequence| !sequence.is_abandoned());
+        while self.running.len() < self.limit {
+            let Some((_, sequence)) = self.waiting.pop_first() else {
+                return;
+            };
+            notes.push(BatchNote::Began(Arc::clone(&sequence)));
+            self.running.push(sequence);
+        }
+    }
+
+    /// Advances each running sequence by one token and returns the number of tokens.
+    pub(crate) fn step(
+        &mut self,
+        serving: impl Fn(&Sequence) -> Arc<str>,
+        notes: &mut Vec<BatchNote>,
+    ) -> usize {
+        let tokens = self.running.len();
+        self.running.retain(|sequence| {
+            let model = serving(sequence);
+            let advance = sequence.advance(&model);
+            if advance.changed {
+                notes.push(BatchNote::ServedBy(Arc::clone(sequence), model));
+            }
+            !advance.finished
+        });
+        tokens
+    }
+
+    /// Abandons everything, as a restart does.
+    pub(crate) fn clear(&mut self) {
+        for sequence in self.running.drain(..) {
+            sequence.abandon();
+        }
+        while let Some((_, sequence)) = self.waiting.pop_first() {
+            sequence.abandon();
+        }
+    }
+}
+
+/// How long a step with `running` sequences takes.
+pub(crate) fn step_time(fixed: Duration, per_sequence: Duration, running: usize) -> Duration {
+    fixed + per_sequence * u32::try_from(running).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/chervilshunt_standin/src/engine/stream.rs
@@ -0,0 +1,128 @@
+//! The bodies of the engine's answers, token by token.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use bytes::{Bytes, BytesMut};
+use http_body::{Body, Frame};
+use serde_json::Value;
+
+use super::batch::Sequence;
+use super::completion::{Call, Style};
+use crate::serve::Cut;
+
+/// What ends an SSE stream of OpenAI's API.
+const DONE: &[u8] = b"data: [DONE]\n\n";
+
+/// An SSE stream with one event for each token.
+#[derive(Debug)]
+pub(crate) struct TokenStream {
+    call: Call,
+    /// What each event begins with, up to the model's name.
+    head: String,
+    taken: u32,
+    /// The cut waits for one poll, so that what went before it is flushed.
+    flushed: bool,
+    done: bool,
+}
+
+impl TokenStream {
+    pub(crate) fn new(call: Call) -> Self {
+        let object = match call.style {
+            Style::Text => "text_completion",
+            Style::Chat => "chat.completion.chunk",
+        };
+        let id = Value::from(call.id.as_str());
+        let head = format!("data: {{\"id\":{id},\"object\":\"{object}\",\"created\":0,\"model\":");
+        Self {
+            call,
+            head,
+            taken: 0,
+            flushed: false,
+            done: false,
+        }
+    }
+
+    fn event(&self, token: u32) -> Bytes {
+        let sequence = &self.call.running.0;
+        let last = token + 1 == sequence.max_tokens;
+        let model = sequence.server_of(token).map_or_else(
+            || Value::from(&*sequence.asked),
+            |served| Value::from(&*served.model),
+        );
+        let text = Value::from(token_text(sequence, token));
+        let finish = if last { "\"length\"" } else { "null" };
+        let mut buf = BytesMut::with_capacity(self.head.len() + 192);
+        buf.extend_from_slice(self.head.as_bytes());
+        let choice = match self.call.style {
+            Style::Text => format!("\"text\":{text}"),
+            Style::Chat => format!("\"delta\":{{\"content\":{text}}}"),
+        };
+        let rest =
+            format!("{model},\"choices\":[{{\"index\":0,{choice},\"finish_reason\":{finish}}}]");
+        buf.extend_from_slice(rest.as_bytes());
+        if last {
+            buf.extend_from_slice(format!(",\"usage\":{}", self.call.usage()).as_bytes());
+        }
+        buf.extend_from_slice(b"}\n\n");
+        buf.freeze()
+    }
+
+    fn poll_cut(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        if std::mem::replace(&mut self.flushed, true) {
+            return Poll::Ready(Some(Err(Cut)));
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    }
+}
+
+impl Body for TokenStream {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        if self.done {
+            return Poll::Ready(None);
+        }
+        if self
+            .call
+            .cut_after
+            .is_some_and(|tokens| self.taken >= tokens)
+        {
+            return self.poll_cut(cx);
+        }
+        if self.taken == self.call.running.0.max_tokens {
+            self.done = true;
+            return Poll::Ready(Some(Ok(Frame::data(Bytes::from_static(DONE)))));
+        }
+        let produced = ready!(self.call.running.0.poll_tokens(self.taken, cx));
+        if produced.is_none() {
+            return Poll::Ready(Some(Err(Cut)));
+        }
+        let event = self.event(self.taken);
+        self.taken += 1;
+        Poll::Ready(Some(Ok(Frame::data(event))))
+    }
+}
+
+/// Returns the text of a token: numbered, and with the model named wherever it changes.
+pub(crate) fn token_text(sequence: &Sequence, token: u32) -> String {
+    let begun = sequence
+        .server_of(token)
+        .filter(|served| served.from_token == token);
+    match (begun, token) {
+        (Some(served), 0) => head_text(&served.model, &sequence.request_id),
+        (Some(served), _) => format!(" served={} TOKEN_{}", served.model, token - 1),
+        (None, 0) => head_text(&sequence.asked, &sequence.request_id),
+        (None, _) => format!(" TOKEN_{}", token - 1),
+    }
+}
+
+fn head_text(model: &Arc<str>, request_id: &Arc<str>) -> String {
+    format!("served={model} request={request_id}")
+}
--- a/crates/chervilshunt_standin/src/main.rs
+++ b/crates/chervilshunt_standin/src/main.rs
@@ -4,7 +4,8 @@
 
 use lexopt::{Arg, Parser};
 
-const USAGE: &str = "usage: chervilshunt_standin platform [OPTIONS]; see --help of each";
+const USAGE: &str =
+    "usage: chervilshunt_standin platform|engine|plain|weights [OPTIONS]; see --help of each";
 
 fn main() -> ExitCode {
     let mut parser = Parser::from_env();
@@ -19,6 +20,9 @@
     };
     match name.to_str() {
         Some("platform") => chervilshunt_standin::platform::run(parser),
+        Some("engine") => chervilshunt_standin::engine::run(parser),
+        Some("plain") => chervilshunt_standin::plain::run(parser),
+        Some("weights") => chervilshunt_standin::weights::run(parser),
         _ => usage("there is no such stand-in"),
     }
 }
--- /dev/null
+++ b/crates/chervilshunt_standin/src/serve.rs
@@ -0,0 +1,348 @@
+//! The HTTP server under each stand-in, with the faults that concern connections.
+
+use std::convert::Infallible;
+use std::fmt;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header};
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::command::Addresses;
+
+/// Paths below this are the stand-in's own; faults leave them alone.
+pub(crate) const OWN_PATHS: &str = "/standin/";
+
+/// How long to wait before trying to open a port again that something else holds.
+const REBIND_PAUSE: Duration = Duration::from_millis(10);
+
+/// The header with the id of a request.
+pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+/// The header with the id of one try of a request.
+pub(crate) const ATTEMPT_ID: HeaderName = HeaderName::from_static("x-attempt-id");
+
+/// The body of a stand-in's answers.
+pub(crate) type AnswerBody = UnsyncBoxBody<Bytes, Cut>;
+
+/// An answer, or the wish to cut the connection without one.
+pub(crate) type Answer = Result<Response<AnswerBody>, Cut>;
+
+/// Makes the server close the connection where it stands.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Cut;
+
+impl fmt::Display for Cut {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the stand-in cuts the connection")
+    }
+}
+
+impl std::error::Error for Cut {}
+
+impl From<Infallible> for Cut {
+    fn from(never: Infallible) -> Self {
+        match never {}
+    }
+}
+
+/// The state of a stand-in's port.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct PortState {
+    /// Whether connections are taken.
+    open: bool,
+    /// Raised to cut every connection that was there before.
+    generation: u64,
+    /// Whether calls hang without an answer.
+    frozen: bool,
+}
+
+/// Opens, closes and freezes a stand-in's port.
+#[derive(Clone, Debug)]
+pub(crate) struct Port {
+    state: watch::Sender<PortState>,
+}
+
+impl Port {
+    pub(crate) fn new() -> Self {
+        let state = PortState {
+            open: true,
+            generation: 0,
+            frozen: false,
+        };
+        Self {
+            state: watch::Sender::new(state),
+        }
+    }
+
+    /// Closes the port, so that connecting is refused, or opens it again.
+    pub(crate) fn set_open(&self, open: bool) {
+        self.state.send_if_modified(|state| {
+            let changed = state.open != open;
+            state.open = open;
+            state.generation += u64::from(changed && !open);
+            changed
+        });
+    }
+
+    /// Cuts every connection.
+    pub(crate) fn cut_connections(&self) {
+        self.state.send_modify(|state| state.generation += 1);
+    }
+
+    /// Changes what the fault switches of all stand-ins have in common.
+    pub(crate) fn change(&self, freeze: Option<bool>, down: Option<bool>, down_ms: Option<u64>) {
+        if let Some(frozen) = freeze {
+            self.state.send_modify(|state| state.frozen = frozen);
+        }
+        if let Some(down) = down {
+            self.set_open(!down);
+        }
+        if let Some(millis) = down_ms {
+            self.set_open(false);
+            let port = self.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(Duration::from_millis(millis)).await;
+                port.set_open(true);
+            });
+        }
+    }
+
+    /// Waits until the stand-in isn't frozen.
+    pub(crate) async fn thawed(&self) {
+        let mut rx = self.state.subscribe();
+        // The sender lives in `self`, so that the wait can't fail.
+        let _state = rx.wait_for(|state| !state.frozen).await;
+    }
+}
+
+/// Listens on `address` and serves each call with `handler` until the runtime ends.
+///
+/// A second port at `control` stays open through every fault; whoever knows it calls the stand-in's
+/// own paths there.
+pub(crate) async fn listen<H, F>(
+    address: SocketAddr,
+    control: SocketAddr,
+    port: Port,
+    handler: H,
+) -> io::Result<Addresses>
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    let listener = TcpListener::bind(address).await?;
+    let control = TcpListener::bind(control).await?;
+    let opened = Addresses {
+        main: listener.local_addr()?,
+        control: control.local_addr()?,
+    };
+    tokio::spawn(accept_calls(
+        control,
+        opened.control,
+        Port::new(),
+        handler.clone(),
+    ));
+    tokio::spawn(accept_calls(listener, opened.main, port, handler));
+    Ok(opened)
+}
+
+/// Takes connections for as long as `port` lives in a handler or handle.
+async fn accept_calls<H, F>(listener: TcpListener, address: SocketAddr, port: Port, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    let mut state = port.state.subscribe();
+    let mut listener = Some(listener);
+    loop {
+        if !state.borrow_and_update().open {
+            listener = None;
+            if state.changed().await.is_err() {
+                return;
+            }
+            continue;
+        }
+        let Some(open) = &listener else {
+            listener = bind_again(address).await;
+            continue;
+        };
+        tokio::select! {
+            accepted = open.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    tokio::spawn(serve_connection(stream, port.state.subscribe(), handler.clone()));
+                }
+            }
+            changed = state.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+async fn bind_again(address: SocketAddr) -> Option<TcpListener> {
+    let bound: io::Result<TcpListener> = TcpListener::bind(address).await;
+    if bound.is_err() {
+        tokio::time::sleep(REBIND_PAUSE).await;
+    }
+    bound.ok()
+}
+
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    mut state: watch::Receiver<PortState>,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    let _best_effort = stream.set_nodelay(true);
+    let born = state.borrow().generation;
+    // The answer to the call that set a fault would otherwise be cut by that very fault.
+    let own_call = Arc::new(AtomicBool::new(false));
+    let seen = Arc::clone(&own_call);
+    let service = service_fn(move |req: Request<Incoming>| {
+        seen.store(req.uri().path().starts_with(OWN_PATHS), Ordering::Relaxed);
+        handler(req)
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .half_close(false)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        _ended = &mut connection => return,
+        () = generation_after(&mut state, born) => {}
+    }
+    if own_call.load(Ordering::Relaxed) {
+        connection.as_mut().graceful_shutdown();
+        let _ended = connection.await;
+    }
+}
+
+async fn generation_after(state: &mut watch::Receiver<PortState>, born: u64) {
+    // Without a sender nothing cuts the connection any more.
+    if state
+        .wait_for(|state| state.generation != born)
+        .await
+        .is_err()
+    {
+        std::future::pending().await
+    }
+}
+
+/// Returns a whole JSON answer.
+pub(crate) fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<AnswerBody> {
+    let text = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(full(text));
+    *response.status_mut() = status;
+    response.headers_mut().insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    response
+}
+
+/// Returns a whole text answer.
+pub(crate) fn text(status: StatusCode, text: impl Into<Bytes>) -> Response<AnswerBody> {
+    let mut response = Response::new(full(text));
+    *response.status_mut() = status;
+    response
+}
+
+/// Returns a body that holds `data`.
+pub(crate) fn full(data: impl Into<Bytes>) -> AnswerBody {
+    Full::new(data.into()).map_err(Cut::from).boxed_unsync()
+}
+
+/// Returns an answer that promises its whole length and is cut half-way.
+pub(crate) fn cut_halfway(whole: &str) -> Response<AnswerBody> {
+    let part = whole.as_bytes()[..whole.len() / 2].to_vec();
+    let body = CutBody {
+        part: Some(part.into()),
+        promised: whole.len() as u64,
+        flushed: false,
+    };
+    let mut response = Response::new(body.boxed_unsync());
+    let kind = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
+/// Copies the ids of a call to its answer.
+pub(crate) fn echo_ids(
+    asked: &HeaderMap,
+    mut response: Response<AnswerBody>,
+) -> Response<AnswerBody> {
+    for name in [REQUEST_ID, ATTEMPT_ID] {
+        if let Some(value) = asked.get(&name) {
+            response.headers_mut().insert(name, value.clone());
+        }
+    }
+    response
+}
+
+/// Returns a header as text, or nothing.
+pub(crate) fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> &'a str {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default()
+}
+
+/// Reads a change of fault switches; one that can't be read is answered with 400.
+pub(crate) async fn read_faults<T: DeserializeOwned>(
+    req: Request<Incoming>,
+) -> Result<Result<T, Response<AnswerBody>>, Cut> {
+    let Ok(body) = req.into_body().collect().await else {
+        return Err(Cut);
+    };
+    Ok(serde_json::from_slice(&body.to_bytes())
+        .map_err(|err| text(StatusCode::BAD_REQUEST, err.to_string())))
+}
+
+/// A body that promises its whole length and is cut before it.
+#[derive(Debug)]
+struct CutBody {
+    part: Option<Bytes>,
+    promised: u64,
+    flushed: bool,
+}
+
+impl Body for CutBody {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        if let Some(part) = self.part.take() {
+            return Poll::Ready(Some(Ok(Frame::data(part))));
+        }
+        if std::mem::replace(&mut self.flushed, true) {
+            return Poll::Ready(Some(Err(Cut)));
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.promised)
+    }
+}
