Add the client of the platform

Every call goes through one client that bounds its rate, gives it a time limit, counts it by purpose and verb, and repeats it under a retry budget only where it was provably not applied. A write whose answer was lost, or that was answered with 5xx, is reported as of unknown outcome: taking 503 for not applied was ruled out, as a balancer answers it also after it lost the connection on which the write was sent. Watches list first, resume, and find missed events by listing metadata. Retry budget, backoff, token bucket and circuit breaker are state machines of the core, for calls to targets too.

--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -10,6 +10,7 @@
 mod owner;
 mod permit;
 mod rank;
+mod retry;
 mod scheduler;
 mod weights;
 
@@ -24,5 +25,9 @@
     Permit, PermitAnswer, PermitRequest, RefusalReason, ReleaseOutcome, ReleasedPermit,
 };
 pub use rank::rank_targets;
+pub use retry::{
+    Admission, Backoff, BackoffConfig, Breaker, BreakerConfig, BreakerState, BreakerTicket,
+    BreakerTransition, CallOutcome, RetryBudget, RetryBudgetConfig, TokenBucket,
+};
 pub use scheduler::{LoadScheduler, SchedulerAction, SchedulerConfig, SchedulerEvent, TurnResult};
 pub use weights::PolicyWeights;
--- /dev/null
+++ b/crates/chervilshunt_core/src/retry/token_bucket.rs
@@ -0,0 +1,67 @@
+//! A token bucket.
+
+use std::time::Duration;
+
+use chervilshunt_model::Moment;
+
+/// Bounds a rate, with a burst.
+///
+/// In any span of time no more is taken than the burst plus the rate times the span.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TokenBucket {
+    per_second: f64,
+    burst: f64,
+    level: f64,
+    filled_at: Moment,
+}
+
+impl TokenBucket {
+    /// Starts with a full bucket of `burst` tokens, which refills with `per_second`.
+    pub const fn new(per_second: f64, burst: f64, now: Moment) -> Self {
+        Self {
+            per_second,
+            burst,
+            level: burst,
+            filled_at: now,
+        }
+    }
+
+    /// Takes one token if that leaves at least `reserve` in the bucket.
+    ///
+    /// A caller that leaves a reserve can't starve one that leaves none.
+    ///
+    /// # Errors
+    /// Says when to try again, if nobody else takes a token until then; none if never.
+    pub fn try_take(&mut self, reserve: f64, now: Moment) -> Result<(), Option<Moment>> {
+        self.refill(now);
+        let missing = reserve + 1.0 - self.level;
+        if missing <= 0.0 {
+            self.level -= 1.0;
+            return Ok(());
+        }
+        let reachable = self.per_second > 0.0 && reserve + 1.0 <= self.burst;
+        let wait = Duration::try_from_secs_f64(missing / self.per_second).ok();
+        // Rounded up to a whole microsecond, so that the token is there at that time.
+        Err(wait
+            .filter(|_| reachable)
+            .map(|wait| now + wait + Duration::from_micros(1)))
+    }
+
+    /// Adds tokens beside the refill, up to the burst.
+    pub fn deposit(&mut self, tokens: f64, now: Moment) {
+        self.refill(now);
+        self.level = (self.level + tokens).min(self.burst);
+    }
+
+    /// Returns how many tokens are left.
+    pub fn level(&mut self, now: Moment) -> f64 {
+        self.refill(now);
+        self.level
+    }
+
+    fn refill(&mut self, now: Moment) {
+        let elapsed = now.since(self.filled_at).as_secs_f64();
+        self.level = elapsed.mul_add(self.per_second, self.level).min(self.burst);
+        self.filled_at = self.filled_at.max(now);
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_platform/src/client.rs
@@ -0,0 +1,283 @@
+//! The client: every call with its rate limit, time limits, retries and accounts.
+
+use std::sync::Arc;
+
+use hyper::body::Incoming;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use slog::{Logger, o};
+use tokio::sync::mpsc;
+
+use crate::accounting::Verb;
+use crate::answer::lost;
+use crate::call::{Call, delete_body, list_query, watch_query};
+use crate::exchange::Exchange;
+use crate::watch::{Reconnects, WatchEvent, start_watch};
+use crate::wire::{MetadataOnly, RawList, decode, encode};
+use crate::{
+    Object, ObjectList, PlatformConfig, PlatformError, Resource, ResourceVersion, Selector,
+    Timeouts, WatchTiming,
+};
+
+/// How often a list is begun anew when the platform forgets the version of its pages.
+const MAX_LIST_RESTARTS: u32 = 2;
+
+/// The client of the platform; clones share one account, rate limit and retry budget.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    shared: Arc<Shared>,
+    timeouts: Timeouts,
+}
+
+#[derive(Debug)]
+struct Shared {
+    exchange: Exchange,
+    reconnects: Reconnects,
+    log: Logger,
+}
+
+impl Platform {
+    /// Makes a client; it connects at the first call.
+    pub fn new(cfg: PlatformConfig, log: Logger) -> Self {
+        Self {
+            timeouts: cfg.timeouts,
+            shared: Arc::new(Shared {
+                reconnects: Reconnects::new(cfg.watch.backoff),
+                log: log.new(o!("part" => "platform")),
+                exchange: Exchange::new(cfg),
+            }),
+        }
+    }
+
+    /// Returns a client with other time limits that shares everything else.
+    #[must_use]
+    pub fn with_timeouts(&self, timeouts: Timeouts) -> Self {
+        Self {
+            shared: Arc::clone(&self.shared),
+            timeouts,
+        }
+    }
+
+    /// Returns what the client was told.
+    pub fn config(&self) -> &PlatformConfig {
+        self.shared.exchange.config()
+    }
+
+    /// Reads one object.
+    ///
+    /// # Errors
+    /// `NotFound`, or as every read: `Unavailable`, `Timeout`, `RateLimited`, `Denied`, `Invalid`.
+    pub async fn get<S: DeserializeOwned>(
+        &self,
+        resource: Resource,
+        name: &str,
+    ) -> Result<Object<S>, PlatformError> {
+        let call = Call::of_object(Verb::Get, resource, self.namespace(), name);
+        let body = self.shared.exchange.call(&call, self.timeouts).await?;
+        let object = decode(resource, &body);
+        object.map_err(|err| call.malformed(&err))
+    }
+
+    /// Reads all objects that a selector takes, page by page, as they stood together.
+    ///
+    /// # Errors
+    /// `Expired` if the platform forgets the version too fast to page through it, or as every
+    /// read.
+    pub async fn list<S: DeserializeOwned>(
+        &self,
+        resource: Resource,
+        selector: &Selector,
+    ) -> Result<ObjectList<S>, PlatformError> {
+        let call = Call::of_kind(Verb::List, resource, self.namespace(), "");
+        let read =
+            |item: &str| decode(resource, item.as_bytes()).map_err(|err| call.malformed(&err));
+        let (resource_version, objects) = self
+            .list_items(resource, selector, ListedPart::Whole, read)
+            .await?;
+        Ok(ObjectList {
+            resource_version,
+            objects,
+        })
+    }
+
+    /// Creates an object and returns its version.
+    ///
+    /// # Errors
+    /// `AlreadyExists`, or as every write: `OutcomeUnknown` if its answer was lost, and where
+    /// nothing was written `Unavailable`, `RateLimited`, `Denied`, `Invalid`.
+    pub async fn create<S: Serialize>(
+        &self,
+        resource: Resource,
+        object: &Object<S>,
+    ) -> Result<ResourceVersion, PlatformError> {
+        let call = Call::of_kind(Verb::Create, resource, self.namespace(), "");
+        self.write(call, resource, object).await
+    }
+
+    /// Replaces an object if it still has the version that was read, and returns its new one.
+    ///
+    /// # Errors
+    /// `Conflict` if it has another version by now, `NotFound`, or as every write.
+    pub async fn update<S: Serialize>(
+        &self,
+        resource: Resource,
+        object: &Object<S>,
+    ) -> Result<ResourceVersion, PlatformError> {
+        let call = Call::of_object(Verb::Update, resource, self.namespace(), &object.name);
+        if object.resource_version.is_none() {
+            return Err(call.invalid("an update needs the version that was read"));
+        }
+        self.write(call, resource, object).await
+    }
+
+    /// Deletes an object, only at a version if one is given.
+    ///
+    /// # Errors
+    /// `Conflict` if it has another version, `NotFound`, or as every write.
+    pub async fn delete(
+        &self,
+        resource: Resource,
+        name: &str,
+        version: Option<ResourceVersion>,
+    ) -> Result<(), PlatformError> {
+        let mut call = Call::of_object(Verb::Delete, resource, self.namespace(), name);
+        if let Some(version) = version {
+            call = call.with_body(delete_body(version))?;
+        }
+        self.shared.exchange.call(&call, self.timeouts).await?;
+        Ok(())
+    }
+
+    /// Follows all objects that a selector takes, through every loss of the connection.
+    ///
+    /// It ends when the receiver is dropped. See [`WatchEvent`] for what comes in which order.
+    pub fn watch<S>(&self, resource: Resource, selector: Selector) -> mpsc::Receiver<WatchEvent<S>>
+    where
+        S: DeserializeOwned + Send + 'static,
+    {
+        self.watch_with(resource, selector, self.config().watch)
+    }
+
+    /// Follows objects as [`Platform::watch`] does, with a timing of its own.
+    pub fn watch_with<S>(
+        &self,
+        resource: Resource,
+        selector: Selector,
+        timing: WatchTiming,
+    ) -> mpsc::Receiver<WatchEvent<S>>
+    where
+        S: DeserializeOwned + Send + 'static,
+    {
+        // A watch has a way of its own to try again, which is shared with the other watches.
+        let once = self.with_timeouts(Timeouts {
+            max_attempts: 1,
+            ..self.timeouts
+        });
+        start_watch(once, resource, selector, timing)
+    }
+
+    pub(crate) fn log(&self) -> &Logger {
+        &self.shared.log
+    }
+
+    pub(crate) fn reconnects(&self) -> &Reconnects {
+        &self.shared.reconnects
+    }
+
+    fn namespace(&self) -> &str {
+        &self.config().namespace
+    }
+
+    /// Lists the names and versions of objects, without their content.
+    pub(crate) async fn list_versions(
+        &self,
+        resource: Resource,
+        selector: &Selector,
+    ) -> Result<(ResourceVersion, Vec<(Arc<str>, ResourceVersion)>), PlatformError> {
+        let call = Call::of_kind(Verb::List, resource, self.namespace(), "");
+        let read = |item: &str| {
+            let item = serde_json::from_str(item);
+            let item: MetadataOnly = item.map_err(|err| call.malformed(&err))?;
+            let version = ResourceVersion::parse(&item.metadata.resource_version)
+                .ok_or_else(|| call.invalid("an object has no version"))?;
+            Ok((item.metadata.name, version))
+        };
+        self.list_items(resource, selector, ListedPart::Metadata, read)
+            .await
+    }
+
+    /// Opens a watch from a version on.
+    pub(crate) async fn open_watch(
+        &self,
+        resource: Resource,
+        selector: &Selector,
+        from: ResourceVersion,
+        lifetime_seconds: u64,
+    ) -> Result<Incoming, PlatformError> {
+        let query = watch_query(selector, from, lifetime_seconds);
+        let call = Call::of_kind(Verb::Watch, resource, self.namespace(), &query);
+        self.shared.exchange.open(&call, self.timeouts).await
+    }
+
+    /// Lists objects page by page, each read from its JSON by `read`.
+    pub(crate) async fn list_items<T>(
+        &self,
+        resource: Resource,
+        selector: &Selector,
+        part: ListedPart,
+        read: impl Fn(&str) -> Result<T, PlatformError>,
+    ) -> Result<(ResourceVersion, Vec<T>), PlatformError> {
+        let mut restarts = 0;
+        let mut next = String::new();
+        let mut items = Vec::new();
+        loop {
+            let query = list_query(resource, selector, &next);
+            let call = Call::of_kind(Verb::List, resource, self.namespace(), &query);
+            let call = match part {
+                ListedPart::Whole => call,
+                ListedPart::Metadata => call.metadata_only(),
+            };
+            let body = match self.shared.exchange.call(&call, self.timeouts).await {
+                Err(PlatformError::Expired { .. }) if restarts < MAX_LIST_RESTARTS => {
+                    restarts += 1;
+                    next.clear();
+                    items.clear();
+                    continue;
+                }
+                answered => answered?,
+            };
+            let page: RawList<'_> =
+                serde_json::from_slice(&body).map_err(|err| call.malformed(&err))?;
+            for item in page.items {
+                items.push(read(item.get())?);
+            }
+            if page.metadata.next.is_empty() {
+                let version = ResourceVersion::parse(&page.metadata.resource_version);
+                let version = version.ok_or_else(|| call.invalid("the list has no version"))?;
+                return Ok((version, items));
+            }
+            next = page.metadata.next;
+        }
+    }
+
+    async fn write<S: Serialize>(
+        &self,
+        call: Call,
+        resource: Resource,
+        object: &Object<S>,
+    ) -> Result<ResourceVersion, PlatformError> {
+        let call = call.with_body(encode(resource, object))?;
+        let body = self.shared.exchange.call(&call, self.timeouts).await?;
+        // The write took effect, but at which version can't be told: the caller has to read.
+        let unreadable = || lost(&call.label, call.verb, "its answer is malformed");
+        let written: MetadataOnly = serde_json::from_slice(&body).map_err(|_err| unreadable())?;
+        ResourceVersion::parse(&written.metadata.resource_version).ok_or_else(unreadable)
+    }
+}
+
+/// How much of each object a list gives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ListedPart {
+    Whole,
+    Metadata,
+}
--- a/crates/chervilshunt_platform/src/lib.rs
+++ b/crates/chervilshunt_platform/src/lib.rs
@@ -1,1 +1,37 @@
-//! Placeholder.
+//! Client of the platform: its object API and its instance list.
+//!
+//! Every call of a process goes through one [`Platform`], which counts it, bounds its rate, gives
+//! it a time limit and repeats it only where that can't do harm. What must last lives in objects
+//! behind it; this crate decides nothing about their meaning. See `docs/design/platform-client.md`
+//! and `docs/operators/platform.md`.
+
+mod accounting;
+mod answer;
+mod call;
+mod client;
+mod clock;
+mod config;
+mod error;
+mod exchange;
+mod instance_list;
+mod object;
+mod pacer;
+mod resource;
+mod selector;
+mod transport;
+mod watch;
+mod wire;
+
+pub use client::Platform;
+pub use config::{PlatformConfig, RateLimit, Timeouts, WatchTiming};
+pub use error::PlatformError;
+pub use instance_list::{
+    Endpoint, EndpointConditions, EndpointPort, EndpointProblem, EndpointSlice, InstanceChange,
+    InstanceList, ListedInstance, SERVICE_LABEL, TargetRef,
+};
+pub use object::{Object, ObjectList, ResourceVersion};
+pub use resource::{
+    ASSIGNMENTS, CLAIM_PAGES, CONFIG_HEADS, CONFIG_PAGES, ENDPOINT_SLICES, LEASES, Layout, Resource,
+};
+pub use selector::Selector;
+pub use watch::{StallReason, WatchEvent};
--- /dev/null
+++ b/crates/chervilshunt_platform/src/selector.rs
@@ -0,0 +1,41 @@
+//! Selection of objects by their labels.
+
+use std::fmt;
+
+/// A selector of labels by equality, all of which have to hold; the default selects everything.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Selector(Vec<(String, String)>);
+
+impl Selector {
+    /// Selects every object.
+    pub const fn all() -> Self {
+        Self(Vec::new())
+    }
+
+    /// Selects objects whose label `key` is `value`.
+    pub fn label(key: impl Into<String>, value: impl Into<String>) -> Self {
+        Self::all().and(key, value)
+    }
+
+    /// Narrows the selection to objects whose label `key` is `value`.
+    #[must_use]
+    pub fn and(mut self, key: impl Into<String>, value: impl Into<String>) -> Self {
+        self.0.push((key.into(), value.into()));
+        self
+    }
+
+    /// Says whether it selects every object.
+    pub const fn is_all(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+impl fmt::Display for Selector {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, (key, value)) in self.0.iter().enumerate() {
+            let comma = if index == 0 { "" } else { "," };
+            write!(f, "{comma}{key}={value}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_platform/src/wire.rs
@@ -0,0 +1,156 @@
+//! Objects and lists as the object API writes them.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+
+use crate::{Layout, Object, Resource, ResourceVersion};
+
+/// What every object says of itself.
+#[derive(Debug, Default, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub(crate) struct Metadata {
+    pub(crate) name: Arc<str>,
+    #[serde(skip_serializing_if = "String::is_empty")]
+    pub(crate) resource_version: String,
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub(crate) labels: BTreeMap<String, String>,
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub(crate) annotations: BTreeMap<String, String>,
+}
+
+/// An object of which only the metadata matters.
+#[derive(Debug, Deserialize)]
+pub(crate) struct MetadataOnly {
+    pub(crate) metadata: Metadata,
+}
+
+/// A list whose items are read one by one, so that a malformed one spoils no other.
+#[derive(Debug, Deserialize)]
+pub(crate) struct RawList<'a> {
+    pub(crate) metadata: ListMetadata,
+    #[serde(borrow)]
+    pub(crate) items: Vec<&'a RawValue>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub(crate) struct ListMetadata {
+    pub(crate) resource_version: String,
+    #[serde(default, rename = "continue")]
+    pub(crate) next: String,
+}
+
+/// One line of a watch.
+#[derive(Debug, Deserialize)]
+pub(crate) struct RawEvent<'a> {
+    #[serde(rename = "type")]
+    pub(crate) kind: EventKind,
+    #[serde(borrow)]
+    pub(crate) object: &'a RawValue,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub(crate) enum EventKind {
+    Added,
+    Modified,
+    Deleted,
+    Bookmark,
+    Error,
+}
+
+/// What the object API says of a failure.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct Status {
+    pub(crate) reason: String,
+    pub(crate) message: String,
+    pub(crate) code: u16,
+}
+
+#[derive(Serialize)]
+struct SpecOut<'a, S> {
+    #[serde(flatten)]
+    head: Head<'a>,
+    spec: &'a S,
+}
+
+#[derive(Serialize)]
+struct FlatOut<'a, S> {
+    #[serde(flatten)]
+    head: Head<'a>,
+    #[serde(flatten)]
+    spec: &'a S,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct Head<'a> {
+    api_version: String,
+    kind: &'a str,
+    metadata: Metadata,
+}
+
+#[derive(Deserialize)]
+struct SpecIn<S> {
+    metadata: Metadata,
+    spec: S,
+}
+
+#[derive(Deserialize)]
+struct FlatIn<S> {
+    metadata: Metadata,
+    #[serde(flatten)]
+    spec: S,
+}
+
+/// Writes an object.
+pub(crate) fn encode<S: Serialize>(
+    resource: Resource,
+    object: &Object<S>,
+) -> serde_json::Result<Vec<u8>> {
+    let version = object.resource_version;
+    let head = Head {
+        api_version: format!("{}/{}", resource.group, resource.version),
+        kind: resource.kind,
+        metadata: Metadata {
+            name: Arc::clone(&object.name),
+            resource_version: version.map_or_else(String::new, |version| version.to_string()),
+            labels: object.labels.clone(),
+            annotations: object.annotations.clone(),
+        },
+    };
+    let spec = &object.spec;
+    match resource.layout {
+        Layout::Spec => serde_json::to_vec(&SpecOut { head, spec }),
+        Layout::Flat => serde_json::to_vec(&FlatOut { head, spec }),
+    }
+}
+
+/// Reads an object.
+pub(crate) fn decode<S: DeserializeOwned>(
+    resource: Resource,
+    text: &[u8],
+) -> serde_json::Result<Object<S>> {
+    let (metadata, spec) = match resource.layout {
+        Layout::Spec => {
+            let object: SpecIn<S> = serde_json::from_slice(text)?;
+            (object.metadata, object.spec)
+        }
+        Layout::Flat => {
+            let object: FlatIn<S> = serde_json::from_slice(text)?;
+            (object.metadata, object.spec)
+        }
+    };
+    Ok(Object {
+        resource_version: ResourceVersion::parse(&metadata.resource_version),
+        name: metadata.name,
+        labels: metadata.labels,
+        annotations: metadata.annotations,
+        spec,
+    })
+}
--- a/crates/chervilshunt_standin/src/platform/handler.rs
+++ b/crates/chervilshunt_standin/src/platform/handler.rs
@@ -31,7 +31,7 @@
 const INSTANCE_LIST: &str = "endpointslices";
 
 /// How a client asks for metadata alone, as Kubernetes has it.
-const METADATA_ONLY: &str = "as=PartialObjectMetadataList";
+const METADATA_ONLY: &str = "as=PartialObjectMetadata";
 
 /// The state behind every connection.
 #[derive(Debug)]
@@ -160,7 +160,7 @@
         let name = call.name();
         let at = self.read_revision(call, &faults, faults.stale_gets);
         match self.store().get(&call.path.collection, name, at) {
-            Ok(object) => json_answer(StatusCode::OK, object.json.clone()),
+            Ok(object) => json_answer(StatusCode::OK, call.shown(&object)),
             Err(err) => refusal(&call.path.collection, name, &err),
         }
     }
@@ -230,7 +230,7 @@
             Verb::Create => StatusCode::CREATED,
             Verb::Get | Verb::List | Verb::Watch | Verb::Update | Verb::Delete => StatusCode::OK,
         };
-        Ok(json_answer(status, object.json.clone()))
+        Ok(json_answer(status, call.shown(&object)))
     }
 
     fn apply(&self, call: &Call, body: Value) -> Result<Arc<Stored>, StoreError> {
@@ -339,6 +339,15 @@
     fn name(&self) -> &str {
         self.path.name.as_deref().unwrap_or_default()
     }
+
+    /// Returns as much of an object as the client wants to see.
+    fn shown(&self, object: &Stored) -> String {
+        if self.metadata_only {
+            object.metadata_json.clone()
+        } else {
+            object.json.clone()
+        }
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
