Read the operators' language and print it back

Statements are read by chumsky in two steps, tokens and syntax, and resolved to the typed changes of the model. All errors of a script come at once, each with line, column, what was found, what is expected and a hint. One table of fields drives reading, printing, errors and defaults.

--- /dev/null
+++ b/crates/chervilshunt_query/src/fields/mod.rs
@@ -0,0 +1,16 @@
+//! The fields of each kind of object: how they are read, printed and shown.
+
+mod read;
+mod specs;
+mod write;
+
+use chervilshunt_model::ObjectKind;
+
+pub(crate) use read::Reader;
+pub use specs::FieldSpec;
+pub use write::{FieldText, FieldTexts};
+
+/// Returns the fields of a kind of object, in the order in which they are printed.
+pub const fn fields_of(kind: ObjectKind) -> &'static [FieldSpec] {
+    specs::of(kind)
+}
--- /dev/null
+++ b/crates/chervilshunt_query/src/resolve.rs
@@ -0,0 +1,314 @@
+//! From syntax to typed statements.
+
+use chervilshunt_model::{
+    AdapterVersion, Change, Edit, Lifecycle, ObjectKind, Revision, TargetName,
+};
+use chumsky::Parser as _;
+use chumsky::error::{Rich, RichPattern};
+use chumsky::span::{SimpleSpan, Span as _};
+
+use crate::error::QueryError;
+use crate::fields::Reader;
+use crate::print::to_lifecycle;
+use crate::syntax::{self, Assignment, RawChange, RawCondition, Syntax, Verb};
+use crate::table::{AGE_COLUMN, FROM_COLUMN};
+use crate::token::{self, Spanned, Token};
+use crate::{ChangeGroup, Condition, Show, Statement, Table};
+
+/// Reads a script.
+pub(crate) fn parse(text: &str) -> Result<Vec<Statement>, Vec<QueryError>> {
+    let (tokens, char_errors) = token::lexer().parse(text).into_output_errors();
+    if !char_errors.is_empty() {
+        return Err(char_errors
+            .iter()
+            .map(|error| unreadable_text(text, error))
+            .collect());
+    }
+    let tokens = tokens.unwrap_or_default();
+    let (statements, token_errors) = syntax::parse(&tokens, text.len());
+    let mut resolver = Resolver {
+        text,
+        errors: token_errors
+            .iter()
+            .map(|error| unexpected_token(text, error))
+            .collect(),
+    };
+    let statements: Vec<_> = statements
+        .into_iter()
+        .filter_map(|statement| resolver.statement(statement))
+        .collect();
+    if resolver.errors.is_empty() {
+        return Ok(statements);
+    }
+    resolver
+        .errors
+        .sort_by_key(|error| (error.line, error.column));
+    Err(resolver.errors)
+}
+
+fn unreadable_text(text: &str, error: &Rich<'_, char>) -> QueryError {
+    let span = error.span();
+    let quoted = text[..span.start()].matches('"').count() % 2 == 1;
+    let (expected, hint) = if quoted {
+        (
+            "\" at the end of the text in quotes",
+            "a text in quotes ends on its line; in it, write \\\" \\\\ \\n \\r \\t for \
+             quote, backslash, newline, return and tab",
+        )
+    } else {
+        (
+            "a word, a text in quotes, ; { } = != or ~",
+            "put a name or value that holds other characters in quotes",
+        )
+    };
+    QueryError::at(
+        text,
+        span.start()..span.end(),
+        vec![expected.to_owned()],
+        Some(hint.to_owned()),
+    )
+}
+
+fn unexpected_token(text: &str, error: &Rich<'_, Token<'_>>) -> QueryError {
+    let span = error.span();
+    let mut expected: Vec<_> = error.expected().filter_map(pattern_text).collect();
+    expected.sort();
+    expected.dedup();
+    // Where a statement may start, another semicolon is allowed, but helps nobody.
+    let starts = expected.iter().any(|word| word == "drain");
+    let semicolon = Token::Semicolon.to_string();
+    if starts {
+        expected.retain(|word| *word != semicolon);
+    }
+    let hint = (expected.contains(&semicolon) && error.found().is_some())
+        .then(|| "statements need a ; between them".to_owned());
+    QueryError::at(text, span.start()..span.end(), expected, hint)
+}
+
+fn pattern_text(pattern: &RichPattern<'_, Token<'_>>) -> Option<String> {
+    match pattern {
+        RichPattern::Token(token) => Some(token.to_string()),
+        RichPattern::Label(label) => Some(label.to_string()),
+        RichPattern::Identifier(word) => Some(word.clone()),
+        RichPattern::EndOfInput => Some("the end of the text".to_owned()),
+        _ => None,
+    }
+}
+
+struct Resolver<'a> {
+    text: &'a str,
+    errors: Vec<QueryError>,
+}
+
+impl Resolver<'_> {
+    fn statement(&mut self, statement: Syntax) -> Option<Statement> {
+        match statement {
+            Syntax::Show { table, conditions } => {
+                let conditions: Vec<_> = conditions
+                    .into_iter()
+                    .map(|condition| self.condition(table, condition))
+                    .collect();
+                Some(Statement::Show(Show { table, conditions }))
+            }
+            Syntax::Changes { expected, changes } => {
+                let expected = expected.and_then(|text| self.revision(&text));
+                let changes = changes
+                    .into_iter()
+                    .filter_map(|change| self.change(change))
+                    .collect();
+                Some(Statement::Change(ChangeGroup { expected, changes }))
+            }
+            Syntax::Unreadable => None,
+        }
+    }
+
+    fn condition(&mut self, table: Table, condition: RawCondition) -> Condition {
+        let (column, span) = condition.column;
+        if !table.has_column(&column) {
+            let own = table.columns().iter().copied();
+            let columns = own.chain([FROM_COLUMN, AGE_COLUMN]);
+            let expected = columns.map(ToOwned::to_owned).collect();
+            self.error(span, expected, format!("{table} has no column {column}"));
+        }
+        Condition {
+            column,
+            op: condition.op,
+            value: condition.value.0,
+        }
+    }
+
+    fn revision(&mut self, (text, span): &Spanned<String>) -> Option<Revision> {
+        let revision = text.parse().ok().map(Revision::new);
+        if revision.is_none() {
+            let expected = vec!["a revision, which is a whole number".to_owned()];
+            let hint = "show changes gives the revision in force".to_owned();
+            self.error(*span, expected, hint);
+        }
+        revision
+    }
+
+    fn change(&mut self, change: RawChange) -> Option<Change> {
+        match change.verb {
+            Verb::Create => self.create(change),
+            Verb::Set => self.set(change),
+            Verb::Delete => self.delete(change),
+            Verb::Drain => Some(lifecycle(&change, Lifecycle::Draining)),
+            Verb::Resume => Some(lifecycle(&change, Lifecycle::Active)),
+        }
+    }
+
+    fn create(&mut self, change: RawChange) -> Option<Change> {
+        let kind = change.kind;
+        let version = self.version_name(&change);
+        let name = change.name.0.as_str();
+        let mut reader = self.reader(kind, change.assignments, change.end);
+        reader.check_names(false);
+        Some(match kind {
+            ObjectKind::Adapter => Change::Adapter {
+                name: name.into(),
+                edit: Edit::Create(reader.adapter()?),
+            },
+            ObjectKind::Version => {
+                let created = reader.version();
+                Change::Version {
+                    name: version?,
+                    edit: Edit::Create(created?),
+                }
+            }
+            ObjectKind::Service => Change::Service {
+                name: name.into(),
+                edit: Edit::Create(reader.service()?),
+            },
+            ObjectKind::Target => Change::Target {
+                name: name.into(),
+                edit: Edit::Create(reader.target()?),
+            },
+            ObjectKind::Priority => Change::Priority {
+                name: name.into(),
+                edit: Edit::Create(reader.priority()?),
+            },
+            ObjectKind::Site => Change::Site {
+                name: name.into(),
+                edit: Edit::Create(reader.site()?),
+            },
+            ObjectKind::Store => Change::Store {
+                name: name.into(),
+                edit: Edit::Create(reader.store()?),
+            },
+        })
+    }
+
+    fn set(&mut self, change: RawChange) -> Option<Change> {
+        let kind = change.kind;
+        let name = change.name.0.as_str();
+        if kind == ObjectKind::Version {
+            let hint = "a version never changes, so that its name always means the same weights; \
+                        create another version";
+            let expected = vec!["create version or delete version".to_owned()];
+            self.error(change.name.1, expected, hint.to_owned());
+            return None;
+        }
+        if change.assignments.is_empty() {
+            let end = SimpleSpan::from(change.end..change.end);
+            let hint = "give at least one field to set".to_owned();
+            self.error(end, vec!["FIELD=VALUE".to_owned()], hint);
+            return None;
+        }
+        let mut reader = self.reader(kind, change.assignments, change.end);
+        reader.check_names(true);
+        Some(match kind {
+            ObjectKind::Adapter => Change::Adapter {
+                name: name.into(),
+                edit: Edit::Set(reader.adapter_patch()),
+            },
+            ObjectKind::Version => return None,
+            ObjectKind::Service => Change::Service {
+                name: name.into(),
+                edit: Edit::Set(reader.service_patch()),
+            },
+            ObjectKind::Target => Change::Target {
+                name: name.into(),
+                edit: Edit::Set(reader.target_patch()),
+            },
+            ObjectKind::Priority => Change::Priority {
+                name: name.into(),
+                edit: Edit::Set(reader.priority_patch()),
+            },
+            ObjectKind::Site => Change::Site {
+                name: name.into(),
+                edit: Edit::Set(reader.site_patch()),
+            },
+            ObjectKind::Store => Change::Store {
+                name: name.into(),
+                edit: Edit::Set(reader.store_patch()),
+            },
+        })
+    }
+
+    fn delete(&mut self, change: RawChange) -> Option<Change> {
+        let version = self.version_name(&change);
+        let name = change.name.0.as_str();
+        Some(match change.kind {
+            ObjectKind::Adapter => Change::Adapter {
+                name: name.into(),
+                edit: Edit::Delete,
+            },
+            ObjectKind::Version => Change::Version {
+                name: version?,
+                edit: Edit::Delete,
+            },
+            ObjectKind::Service => Change::Service {
+                name: name.into(),
+                edit: Edit::Delete,
+            },
+            ObjectKind::Target => Change::Target {
+                name: name.into(),
+                edit: Edit::Delete,
+            },
+            ObjectKind::Priority => Change::Priority {
+                name: name.into(),
+                edit: Edit::Delete,
+            },
+            ObjectKind::Site => Change::Site {
+                name: name.into(),
+                edit: Edit::Delete,
+            },
+            ObjectKind::Store => Change::Store {
+                name: name.into(),
+                edit: Edit::Delete,
+            },
+        })
+    }
+
+    /// Reads the name of a version; other kinds have none.
+    fn version_name(&mut self, change: &RawChange) -> Option<AdapterVersion> {
+        if change.kind != ObjectKind::Version {
+            return None;
+        }
+        let (name, span) = &change.name;
+        let parsed = AdapterVersion::parse(name);
+        if parsed.is_err() {
+            let expected = vec!["ADAPTER@VERSION".to_owned()];
+            let hint = "a version is named by its adapter, @ and its own name".to_owned();
+            self.error(*span, expected, hint);
+        }
+        parsed.ok()
+    }
+
+    fn reader(&mut self, kind: ObjectKind, assignments: Vec<Assignment>, end: usize) -> Reader<'_> {
+        Reader::new(self.text, kind, assignments, end, &mut self.errors)
+    }
+
+    fn error(&mut self, span: SimpleSpan, expected: Vec<String>, hint: String) {
+        let span = span.start()..span.end();
+        let error = QueryError::at(self.text, span, expected, Some(hint));
+        self.errors.push(error);
+    }
+}
+
+fn lifecycle(change: &RawChange, lifecycle: Lifecycle) -> Change {
+    Change::Target {
+        name: TargetName::from(change.name.0.as_str()),
+        edit: Edit::Set(to_lifecycle(lifecycle)),
+    }
+}
