--- /dev/null
+++ b/crates/chervilshunt_core/src/allocator/shares.rs
@@ -0,0 +1,72 @@
+//! The division of a site's power between its targets.
+
+use std::collections::BTreeMap;
+
+use chervilshunt_model::TargetName;
+
+use super::PowerConfig;
+use super::target::TargetPower;
+
+/// Part of a target's range of power that it always has, so that live work is served at once.
+const ALWAYS: f64 = 1.0 / 16.0;
+
+/// Works out the share that each target is to have.
+///
+/// Each gets what it draws idle and a little more, then what its live work could use, then what
+/// its deferrable work could use. What is left goes to all, so that a burst finds power at hand.
+/// Where deferrable work has to be cut short, the part that batch efficiency has in the weights
+/// goes to few targets in full: the same sequences then take fewer steps.
+pub(super) fn work_out(cfg: &PowerConfig, targets: &mut BTreeMap<TargetName, TargetPower>) {
+    let mut spare = cfg.cap_watts;
+    for power in targets.values_mut() {
+        power.wanted = power.idle_watts;
+        spare -= power.idle_watts;
+    }
+    let mut spare = spare.max(0.0);
+    give_evenly(targets, &mut spare, |it| {
+        it.idle_watts + it.range() * ALWAYS
+    });
+    give_evenly(targets, &mut spare, |it| it.live_watts);
+    let weights = cfg.weights;
+    let sum = weights.load_stalls + weights.batch_efficiency;
+    if cfg.mechanisms.packing && sum > 0.0 {
+        let mut packed = spare * weights.batch_efficiency / sum;
+        let kept = spare - packed;
+        give_to_few(targets, &mut packed);
+        spare = kept + packed;
+    }
+    give_evenly(targets, &mut spare, |it| {
+        it.live_watts + it.deferrable_watts
+    });
+    give_evenly(targets, &mut spare, |it| it.full_watts);
+}
+
+/// Raises every target towards a goal, by the same part of what it lacks.
+fn give_evenly(
+    targets: &mut BTreeMap<TargetName, TargetPower>,
+    spare: &mut f64,
+    goal: impl Fn(&TargetPower) -> f64,
+) {
+    let lacks = |it: &TargetPower| (goal(it).min(it.full_watts) - it.wanted).max(0.0);
+    let lacking: f64 = targets.values().map(lacks).sum();
+    if lacking <= 0.0 || *spare <= 0.0 {
+        return;
+    }
+    let part = (*spare / lacking).min(1.0);
+    for power in targets.values_mut() {
+        power.wanted += part * lacks(power);
+    }
+    *spare = (*spare - lacking * part).max(0.0);
+}
+
+/// Gives the targets with the largest shares all that their deferrable work could use.
+fn give_to_few(targets: &mut BTreeMap<TargetName, TargetPower>, spare: &mut f64) {
+    let mut order: Vec<&mut TargetPower> = targets.values_mut().collect();
+    order.sort_by(|left, right| right.share().total_cmp(&left.share()));
+    for power in order {
+        let goal = (power.live_watts + power.deferrable_watts).min(power.full_watts);
+        let given = (goal - power.wanted).clamp(0.0, *spare);
+        power.wanted += given;
+        *spare -= given;
+    }
+}
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -5,6 +5,7 @@
 //! `docs/ARCHITECTURE.md` and `docs/design/`.
 
 mod allocator;
+mod decay;
 mod decision;
 mod mechanisms;
 mod owner;
@@ -18,13 +19,13 @@
 pub use decision::{Decision, DecisionKind};
 pub use mechanisms::Mechanisms;
 pub use owner::{
-    EngineOrder, EngineReport, LoadUrgency, OrderFailure, OrderId, OrderKind, Owner, OwnerAction,
-    OwnerConfig, OwnerEvent,
+    AdapterState, AdapterView, EngineOrder, EngineReport, LoadUrgency, OrderFailure, OrderId,
+    OrderKind, Owner, OwnerAction, OwnerConfig, OwnerEvent, OwnerView,
 };
 pub use permit::{
     Permit, PermitAnswer, PermitRequest, RefusalReason, ReleaseOutcome, ReleasedPermit,
 };
-pub use rank::rank_targets;
+pub use rank::{TargetTable, rank_targets};
 pub use retry::{
     Admission, Backoff, BackoffConfig, Breaker, BreakerConfig, BreakerState, BreakerTicket,
     BreakerTransition, CallOutcome, RetryBudget, RetryBudgetConfig, TokenBucket,
--- a/crates/chervilshunt_core/src/owner.rs
+++ b/crates/chervilshunt_core/src/owner.rs
@@ -1,284 +1,315 @@
 //! The owner of one target: permits, queue, adapter slots, loads and orders to the engine.
+//!
+//! An owner is a state machine without a clock or a socket. Each event first changes its state,
+//! and then everything that has come due or become possible is done: deadlines, loads, permits.
+//! See `docs/design/placement.md` and `docs/design/admission.md`.
 
-use std::time::Duration;
+mod action;
+mod admit;
+mod config;
+mod demand;
+mod engine;
+mod event;
+mod evict;
+mod loading;
+mod loads;
+mod order;
+mod orders;
+mod permits;
+mod power;
+mod queue;
+mod release;
+mod settled;
+mod slots;
+mod spread;
+mod takeover;
+mod tuning;
+mod view;
 
-use chervilshunt_model::{
-    AdapterVersion, AttemptId, Class, Epoch, Fencing, InstanceId, Moment, TargetName,
-};
-use serde::{Deserialize, Serialize};
+use chervilshunt_model::{AdapterVersion, Class, Moment};
+use indexmap::{IndexMap, IndexSet};
+use smallvec::SmallVec;
 
-use crate::{
-    Decision, Mechanisms, Permit, PermitAnswer, PermitRequest, PolicyWeights, RefusalReason,
-    ReleasedPermit,
-};
+pub use action::OwnerAction;
+pub use config::OwnerConfig;
+pub use event::{EngineReport, OwnerEvent};
+pub use order::{EngineOrder, LoadUrgency, OrderFailure, OrderId, OrderKind};
+pub use view::{AdapterState, AdapterView, OwnerView};
 
-/// What an owner has to know of its target and deployment.
-#[derive(Clone, Debug, PartialEq)]
-pub struct OwnerConfig {
-    /// The target.
-    pub target: TargetName,
-    /// The fencing number under which this owner holds the role.
-    pub epoch: Epoch,
-    /// Whether the target refuses old fencing numbers.
-    pub fencing: Fencing,
-    /// Adapters that the target can hold; 0 for a plain service.
-    pub slots: u32,
-    /// Sequences that the target can run at a time.
-    pub max_batch: u32,
-    /// Power of a step that runs no sequence, in watts.
-    pub idle_watts: f64,
-    /// Power that each running sequence adds, in watts.
-    pub watts_per_sequence: f64,
-    /// Share of the site's power at the start, in watts.
-    pub share_watts: f64,
-    /// The most requests that may wait, for each class.
-    pub queue_bound: usize,
-    /// The time within which a permit has to be used.
-    pub permit_window: Duration,
-    /// The time between two loads begun while the load scheduler can't be reached.
-    ///
-    /// Targets of the store times the seconds between loads of the store keeps them all together
-    /// within the store's rate.
-    pub unscheduled_load_interval: Duration,
-    /// Other targets of the service, over which an adapter may be spread.
-    pub peers: Vec<TargetName>,
-    /// What the deployment minds most.
-    pub weights: PolicyWeights,
-    /// The mechanisms that are on; all of them outside the bench.
-    pub mechanisms: Mechanisms,
-}
-
-/// The id of an order to the engine, or of the wait for a turn to load.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct OrderId(pub u64);
-
-/// An order to the engine.
-#[derive(Clone, Debug, PartialEq)]
-pub struct EngineOrder {
-    /// The id under which its result comes back.
-    pub id: OrderId,
-    /// The fencing number that it carries.
-    pub epoch: Epoch,
-    /// What is to be done.
-    pub kind: OrderKind,
-    /// The adapter version that it concerns.
-    pub model: AdapterVersion,
-}
-
-/// What an order asks of the engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OrderKind {
-    /// Load the adapter version into a free slot.
-    Load,
-    /// Unload the adapter version.
-    Unload,
-}
-
-/// Why an order was not carried out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OrderFailure {
-    /// The engine refused the fencing number: somebody else owns the target now.
-    Fenced,
-    /// The engine or the weight store said no.
-    Refused,
-    /// The order went unanswered: it may have been carried out.
-    Unknown,
-}
-
-/// How badly a load is needed; the load scheduler orders by it.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct LoadUrgency {
-    /// The class of the most urgent request that waits; none for a load ahead of demand.
-    pub class: Option<Class>,
-    /// Requests that wait for the adapter.
-    pub waiters: u32,
-    /// How long the oldest of them has waited, in milliseconds.
-    pub oldest_ms: u64,
-}
-
-/// What an engine said of itself; it lags.
-#[derive(Clone, Debug, PartialEq)]
-pub struct EngineReport {
-    /// Sequences running.
-    pub running: u32,
-    /// Sequences waiting inside the engine.
-    pub waiting: u32,
-    /// How old the report was when it arrived.
-    pub age: Duration,
-}
-
-/// What an owner has to react to.
-#[derive(Clone, Debug, PartialEq)]
-pub enum OwnerEvent {
-    /// An entry instance asks for a permit.
-    PermitRequested(PermitRequest),
-    /// An entry instance gives a permit back, or withdraws its request.
-    PermitReleased(ReleasedPermit),
-    /// An instance has left: its queued requests go, its permits end with their window.
-    EntryLeft(InstanceId),
-    /// The load scheduler gives the turn that was asked for.
-    TurnGranted {
-        /// The order that the turn is for.
-        order: OrderId,
-        /// How long a load asked for now would wait for its turn.
-        queue_wait: Duration,
-    },
-    /// The load scheduler can't be reached or is back; a new one knows of no turn.
-    ///
-    /// An owner starts with a scheduler that it takes to be reachable.
-    SchedulerReachable(bool),
-    /// An order came to its end.
-    OrderEnded {
-        /// The order.
-        order: OrderId,
-        /// How it ended.
-        result: Result<(), OrderFailure>,
-    },
-    /// The engine reported its load.
-    Reported(EngineReport),
-    /// The engine listed the adapters that it holds, as asked with [`OwnerAction::AskInventory`].
-    Inventory(Vec<AdapterVersion>),
-    /// An instance listed the permits that it holds for the target, after a takeover.
-    PermitsHeld {
-        /// The instance.
-        entry: InstanceId,
-        /// Its permits.
-        permits: Vec<Permit>,
-    },
-    /// Every live instance has listed its permits, or has left: evictions are safe from now on.
-    TakeoverComplete,
-    /// The engine can't be reached or is back; after a restart it is empty.
-    Reachable(bool),
-    /// The power allocator set the share, in watts.
-    ShareSet {
-        /// The number of the share, to confirm it.
-        sequence: u64,
-        /// The share.
-        watts: f64,
-    },
-    /// The prefixes that the engine holds cached, as late and gappy events tell.
-    Cached(Vec<u64>),
-    /// The target starts or stops taking new work.
-    Draining(bool),
-    /// The other targets of the service have changed.
-    PeersChanged(Vec<TargetName>),
-    /// Time has passed.
-    Tick,
-}
+use crate::decay::{DecayedLevel, DurationAverage};
+use crate::{Decision, DecisionKind, PermitRequest, RefusalReason};
+use engine::EngineView;
+use loads::Loads;
+use permits::Permits;
+use power::PowerShare;
+use queue::Queue;
+use settled::SettledAttempts;
+use slots::Slots;
+use spread::Spread;
+use takeover::Takeover;
 
-/// What an owner wants done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum OwnerAction {
-    /// Answer a request for a permit.
-    Answer {
-        /// The instance that asked.
-        entry: InstanceId,
-        /// The try that it asked for.
-        attempt: AttemptId,
-        /// The answer.
-        answer: PermitAnswer,
-    },
-    /// Ask the load scheduler for a turn, or renew the urgency of a turn asked for before.
-    AskTurn {
-        /// The order that the turn is for.
-        order: OrderId,
-        /// The adapter version to be loaded.
-        model: AdapterVersion,
-        /// How badly it is needed.
-        urgency: LoadUrgency,
-    },
-    /// Tell the load scheduler that a turn is over or no longer wanted.
-    EndTurn {
-        /// The order that the turn was for.
-        order: OrderId,
-        /// Whether the load succeeded; none if it was not begun.
-        loaded: Option<bool>,
-    },
-    /// Tell a load scheduler that has just come back of a turn that an earlier one granted.
-    HoldTurn {
-        /// The order that the turn is for.
-        order: OrderId,
-        /// The adapter version that is being loaded.
-        model: AdapterVersion,
-    },
-    /// Give the engine an order. The holder checks its lease again right before it goes out.
-    Order(EngineOrder),
-    /// Ask the engine which adapters it holds.
-    AskInventory,
-    /// Confirm to the power allocator that the share is kept.
-    ConfirmShare {
-        /// The number of the share.
-        sequence: u64,
-        /// The most power that the target can draw from now on, in watts.
-        watts: f64,
-    },
-    /// Tell the power allocator how much power the work at hand could use.
-    ReportDemand {
-        /// Power for live work, in watts.
-        live_watts: f64,
-        /// Power for deferrable work beside it, in watts.
-        deferrable_watts: f64,
-    },
-    /// Write a decision to the log.
-    Log(Decision),
-}
+/// Bits of an order's id that count within one epoch.
+///
+/// A late end of an earlier owner's order can't be taken for the end of one's own.
+const ORDER_BITS: u32 = 40;
 
 /// The owner of one target.
 #[derive(Debug)]
 pub struct Owner {
     cfg: OwnerConfig,
-    running: u32,
+    takeover: Takeover,
+    permits: Permits,
+    queue: Queue,
+    settled: SettledAttempts,
+    slots: Slots,
+    loads: Loads,
+    /// Orders that the engine has not answered.
+    orders: IndexMap<OrderId, (OrderKind, AdapterVersion)>,
+    demand: demand::DemandTable,
+    /// Adapters that lost their slots of late, as candidates for a load ahead of demand.
+    evicted: IndexSet<AdapterVersion>,
+    spread: Spread,
+    engine: EngineView,
+    power: PowerShare,
+    service_time: DurationAverage,
+    live_load: DecayedLevel,
+    live_since_aged: u32,
+    last_loaded: Option<Moment>,
+    looked_ahead: Moment,
+    /// When the last event was handled.
+    handled: Moment,
+    draining: bool,
+    /// Whether the engine has told that somebody else owns the target.
+    fenced: bool,
 }
 
 impl Owner {
-    /// Starts to own a target.
-    pub fn new(cfg: OwnerConfig, _now: Moment) -> Self {
-        Self { cfg, running: 0 }
+    /// Starts to own a target, of which nothing is known yet.
+    ///
+    /// The first event, or the [`OwnerEvent::Tick`] that [`Self::next_wakeup`] asks for, brings
+    /// the question for the engine's adapters.
+    pub fn new(cfg: OwnerConfig, now: Moment) -> Self {
+        let first_order = cfg.epoch.get() << ORDER_BITS;
+        Self {
+            takeover: Takeover::new(now),
+            permits: Permits::default(),
+            queue: Queue::default(),
+            settled: SettledAttempts::default(),
+            slots: Slots::new(cfg.slots),
+            loads: Loads::new(first_order, now),
+            orders: IndexMap::new(),
+            demand: demand::DemandTable::default(),
+            evicted: IndexSet::new(),
+            spread: Spread::new(&cfg.target, &cfg.peers),
+            engine: EngineView::new(cfg.slots > 0),
+            power: PowerShare::new(&cfg),
+            service_time: DurationAverage::new(tuning::SERVICE_TIME_GUESS),
+            live_load: DecayedLevel::default(),
+            live_since_aged: 0,
+            last_loaded: None,
+            looked_ahead: now,
+            handled: now,
+            draining: false,
+            fenced: false,
+            cfg,
+        }
     }
 
     /// Takes one event and says what is to be done.
-    pub fn handle(&mut self, event: OwnerEvent, _now: Moment) -> Vec<OwnerAction> {
-        match event {
-            OwnerEvent::PermitRequested(req) => vec![self.answer(&req)],
-            OwnerEvent::PermitReleased(_) => {
-                self.running = self.running.saturating_sub(1);
-                Vec::new()
-            }
-            _ => Vec::new(),
-        }
+    pub fn handle(&mut self, event: OwnerEvent, now: Moment) -> Vec<OwnerAction> {
+        let mut out = Vec::new();
+        self.handled = now;
+        self.take(event, now, &mut out);
+        self.expire(now, &mut out);
+        self.look_ahead(now);
+        self.advance_loads(now, &mut out);
+        self.dispatch(now, &mut out);
+        self.ask_inventory(now, &mut out);
+        self.report_power(now, &mut out);
+        out
     }
 
     /// Returns when [`OwnerEvent::Tick`] is next wanted.
     pub fn next_wakeup(&self) -> Option<Moment> {
-        None
+        let renewal = (!self.loads.is_empty()).then(|| self.loads.reviewed + tuning::PARKED_REVIEW);
+        let ahead = !self.evicted.is_empty() && self.loads.is_empty();
+        let due = [
+            self.queue.next_deadline(),
+            self.permits.next_end(),
+            self.loads.next_backoff(),
+            renewal,
+            ahead.then(|| self.looked_ahead + tuning::AHEAD_PAUSE),
+            self.engine.next_ask(),
+            self.next_age(self.handled),
+            Some(self.power.next_report().unwrap_or(self.handled)),
+        ];
+        due.into_iter().flatten().min()
     }
 
-    fn answer(&mut self, req: &PermitRequest) -> OwnerAction {
-        let answer = if self.running < self.cfg.max_batch {
-            self.running += 1;
-            let permit = Permit {
-                attempt: req.attempt,
-                entry: req.entry.clone(),
-                target: self.cfg.target.clone(),
-                model: req.model.clone(),
-                class: req.class,
-                epoch: self.cfg.epoch,
-                window_ms: u64::try_from(self.cfg.permit_window.as_millis()).unwrap_or(u64::MAX),
-            };
-            PermitAnswer::Granted {
-                permit,
-                spread: std::iter::once(self.cfg.target.clone()).collect(),
+    fn take(&mut self, event: OwnerEvent, now: Moment, out: &mut Vec<OwnerAction>) {
+        match event {
+            OwnerEvent::PermitRequested(req) => self.request(req, now, out),
+            OwnerEvent::PermitReleased(released) => self.release(&released, now),
+            OwnerEvent::EntryLeft(entry) => self.entry_left(&entry, now),
+            OwnerEvent::TurnGranted { order, queue_wait } => {
+                self.loads.queue_told(queue_wait, now);
+                self.turn_granted(order, out);
+            }
+            OwnerEvent::SchedulerReachable(yes) => self.scheduler_reachable(yes, now, out),
+            OwnerEvent::OrderEnded { order, result } => self.order_ended(order, result, now, out),
+            OwnerEvent::Reported(report) => {
+                self.report_in_takeover(&report, now);
+                self.engine.reported(&report, now);
             }
-        } else {
-            PermitAnswer::Refused {
-                reason: RefusalReason::QueueFull,
-                retry_after_ms: 100,
+            OwnerEvent::Inventory(listed) => self.inventory(&listed, now, out),
+            OwnerEvent::PermitsHeld { permits, .. } => self.permits_held(permits, now),
+            OwnerEvent::TakeoverComplete => self.takeover_complete(),
+            OwnerEvent::Reachable(reachable) => self.reachable(reachable, now, out),
+            OwnerEvent::ShareSet { sequence, watts } => self.share_set(sequence, watts, out),
+            OwnerEvent::Cached(prefixes) => self.engine.set_cached(prefixes),
+            OwnerEvent::Draining(draining) => {
+                self.draining = draining;
+                if draining {
+                    self.turn_all_away(RefusalReason::Draining, now, out);
+                }
             }
+            OwnerEvent::PeersChanged(peers) => self.spread.set_peers(&self.cfg.target, &peers),
+            OwnerEvent::Tick => {}
+        }
+    }
+
+    /// Ends what has come due: waiting requests at their deadlines, permits of entry instances
+    /// that have left.
+    fn expire(&mut self, now: Moment, out: &mut Vec<OwnerAction>) {
+        while let Some(attempt) = self.queue.expired(now) {
+            self.refuse_queued(attempt, RefusalReason::Deadline, now, out);
+        }
+        while let Some(attempt) = self.permits.ended(now) {
+            self.free(attempt, now);
+        }
+    }
+
+    fn reachable(&mut self, reachable: bool, now: Moment, out: &mut Vec<OwnerAction>) {
+        if self.engine.reachable == reachable {
+            return;
+        }
+        self.engine.reachable = reachable;
+        if !reachable {
+            self.engine.forget_work();
+            self.turn_all_away(RefusalReason::TargetDown, now, out);
+            return;
+        }
+        if self.slots.exist() {
+            // It may have restarted empty: nothing is granted for an adapter until it has listed
+            // what it holds.
+            self.engine.doubt_inventory();
+        }
+    }
+
+    fn share_set(&mut self, sequence: u64, watts: f64, out: &mut Vec<OwnerAction>) {
+        let before = self.power.share_watts();
+        let Some(confirmation) = self.power.set(sequence, watts, self.drawing_sequences()) else {
+            return;
         };
-        OwnerAction::Answer {
-            entry: req.entry.clone(),
-            attempt: req.attempt,
-            answer,
+        out.push(OwnerAction::ConfirmShare {
+            sequence: confirmation.sequence,
+            watts: confirmation.watts,
+        });
+        if before != watts {
+            let reason = if watts < before {
+                "share lowered"
+            } else {
+                "share raised"
+            };
+            self.log(DecisionKind::Power, None, None, reason, None, out);
+        }
+    }
+
+    /// Tells the power allocator what the work at hand could use, and of power given back.
+    fn report_power(&mut self, now: Moment, out: &mut Vec<OwnerAction>) {
+        if let Some(less) = self.power.confirm_less(self.drawing_sequences()) {
+            out.push(OwnerAction::ConfirmShare {
+                sequence: less.sequence,
+                watts: less.watts,
+            });
+        }
+        let live = self.permits.live() + self.queue.len(Class::Live) + self.reserved_seats(now);
+        let deferrable = self.permits.deferrable() + self.queue.len(Class::Deferrable);
+        if let Some((live_watts, deferrable_watts)) = self.power.report(live, deferrable, now) {
+            out.push(OwnerAction::ReportDemand {
+                live_watts,
+                deferrable_watts,
+            });
         }
     }
+
+    /// Returns the sequences that may draw power, known or not.
+    fn drawing_sequences(&self) -> usize {
+        let known = self.permits.len() + self.engine.foreign();
+        let drawing = known.saturating_add(self.unknown_sequences());
+        drawing.min(self.cfg.max_batch as usize)
+    }
+
+    /// Notes that permits were granted, learnt or released.
+    fn permits_changed(&mut self, now: Moment) {
+        let live = self.permits.live() as f64;
+        self.live_load.set(live, tuning::LIVE_LOAD_HALF_LIFE, now);
+        self.engine.count_permits(self.permits.len(), now);
+    }
+
+    fn remember_evicted(&mut self, model: &AdapterVersion) {
+        let bound = 2 * self.cfg.slots as usize;
+        if self.evicted.len() >= bound {
+            self.evicted.shift_remove_index(0);
+        }
+        self.evicted.insert(model.clone());
+    }
+
+    fn log_request(
+        &self,
+        kind: DecisionKind,
+        req: &PermitRequest,
+        reason: &'static str,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let decision = Decision {
+            kind,
+            target: self.cfg.target.clone(),
+            model: req.model.clone(),
+            attempt: Some(req.attempt),
+            reason,
+            alternatives: SmallVec::new(),
+        };
+        out.push(OwnerAction::Log(decision));
+    }
+
+    fn log_model(
+        &self,
+        kind: DecisionKind,
+        model: &AdapterVersion,
+        reason: &'static str,
+        alternative: Option<AdapterVersion>,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        self.log(kind, Some(model.clone()), None, reason, alternative, out);
+    }
+
+    fn log(
+        &self,
+        kind: DecisionKind,
+        model: Option<AdapterVersion>,
+        attempt: Option<chervilshunt_model::AttemptId>,
+        reason: &'static str,
+        alternative: Option<AdapterVersion>,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        out.push(OwnerAction::Log(Decision {
+            kind,
+            target: self.cfg.target.clone(),
+            model,
+            attempt,
+            reason,
+            alternatives: alternative.into_iter().collect(),
+        }));
+    }
 }
--- /dev/null
+++ b/crates/chervilshunt_core/src/owner/admit.rs
@@ -0,0 +1,503 @@
+//! Who gets the next permit.
+
+use std::time::Duration;
+
+use chervilshunt_model::{AttemptId, Class, Moment, TargetName};
+use smallvec::SmallVec;
+
+use super::Owner;
+use super::action::OwnerAction;
+use super::loads::Phase;
+use super::orders::load_tries;
+use super::queue::Waiting;
+use super::settled::Settlement;
+use super::tuning::{
+    DEFERRABLE_AGE, FILL_HOLD, LIVE_LOAD_HALF_LIFE, LIVE_PER_AGED, MAX_HOPS, PREFIX_LOOKAHEAD,
+    RETRY_AFTER,
+};
+use crate::{DecisionKind, Permit, PermitAnswer, PermitRequest, RefusalReason};
+
+/// Standard deviations of the live load for which seats are kept free.
+const HEAD_ROOM: f64 = 2.0;
+
+/// Part of its time to the deadline after which a deferrable request competes with live ones.
+const AGED_PART: u32 = 2;
+
+/// Part of a batch that deferrable requests have to fill to start an idle engine.
+const FILL_PART: f64 = 0.5;
+
+impl Owner {
+    /// Takes a request for a permit: grants, queues, redirects or refuses it.
+    pub(super) fn request(&mut self, req: PermitRequest, now: Moment, out: &mut Vec<OwnerAction>) {
+        if self.answered_before(&req, out) {
+            return;
+        }
+        if let Some(model) = &req.model {
+            self.demand.count(model, req.class, now);
+            if self.is_wide(model) {
+                self.update_spread(model, now);
+            }
+        }
+        if let Some(reason) = self.closed() {
+            self.turn_away(req, reason, now, out);
+            return;
+        }
+        let lane = self.lane(req.class);
+        let waits_for_load = self.waits_for_load(&req);
+        if !waits_for_load && self.queue.ready(lane) == 0 && self.admits(lane, now) {
+            self.queue.pass(&req, lane, self.cfg.mechanisms.fairness);
+            self.grant(req, "room in the batch", now, out);
+            return;
+        }
+        if let Some((targets, reason)) = self.better_elsewhere(&req, waits_for_load, now) {
+            self.redirect(req, targets, reason, now, out);
+            return;
+        }
+        if let Some((reason, retry_after)) = self.hopeless(&req, waits_for_load, now) {
+            self.refuse(req, reason, retry_after, now, out);
+            return;
+        }
+        self.enqueue(req, lane, waits_for_load, now, out);
+    }
+
+    /// Grants permits to waiting requests while there is room.
+    pub(super) fn dispatch(&mut self, now: Moment, out: &mut Vec<OwnerAction>) {
+        while let Some((attempt, reason)) = self.next_admissible(now) {
+            let Some(waiting) = self.queue.take(attempt) else {
+                return;
+            };
+            self.grant(waiting.req, reason, now, out);
+        }
+    }
+
+    /// Turns every waiting request away, as the target takes no new work.
+    pub(super) fn turn_all_away(
+        &mut self,
+        reason: RefusalReason,
+        now: Moment,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let waiting: Vec<AttemptId> = self.queue.iter().map(|it| it.req.attempt).collect();
+        for attempt in waiting {
+            let Some(waiting) = self.queue.get(attempt) else {
+                continue;
+            };
+            if reason == RefusalReason::TargetDown && self.stays_while_down(&waiting.req) {
+                continue;
+            }
+            self.turn_queued_away(attempt, reason, now, out);
+        }
+    }
+
+    /// Sends a request that waits to another target, or refuses it.
+    pub(super) fn turn_queued_away(
+        &mut self,
+        attempt: AttemptId,
+        reason: RefusalReason,
+        now: Moment,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        if let Some(waiting) = self.queue.remove(attempt) {
+            self.turn_away(waiting.req, reason, now, out);
+        }
+    }
+
+    /// Refuses a request that waits.
+    pub(super) fn refuse_queued(
+        &mut self,
+        attempt: AttemptId,
+        reason: RefusalReason,
+        now: Moment,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let Some(waiting) = self.queue.remove(attempt) else {
+            return;
+        };
+        let retry_after = self.retry_after(&waiting.req, reason, now);
+        self.refuse(waiting.req, reason, retry_after, now, out);
+    }
+
+    /// Returns the class under which a request is treated.
+    fn lane(&self, class: Class) -> Class {
+        if self.cfg.mechanisms.fill {
+            class
+        } else {
+            Class::Live
+        }
+    }
+
+    /// Returns the seats in the batch that are free, within the share of power.
+    pub(super) fn free_seats(&self) -> usize {
+        let taken = self.permits.len() + self.engine.foreign();
+        let taken = taken.saturating_add(self.unknown_sequences());
+        self.power.batch_bound().saturating_sub(taken)
+    }
+
+    /// Returns the seats that live work is likely to need beyond those that it holds.
+    pub(super) fn reserved_seats(&self, now: Moment) -> usize {
+        let average = self.live_load.average(LIVE_LOAD_HALF_LIFE, now);
+        let wanted = average + HEAD_ROOM * self.stall_weight().sqrt() * average.max(0.25).sqrt();
+        (wanted.ceil() as usize).saturating_sub(self.permits.live())
+    }
+
+    /// Returns when a waiting deferrable request is next to be looked at because of its age.
+    pub(super) fn next_age(&self, now: Moment) -> Option<Moment> {
+        let oldest = self.queue.oldest_ready(Class::Deferrable)?;
+        let aged = oldest.arrived + age_limit(&oldest.req);
+        let held = oldest.arrived + self.fill_hold();
+        [aged, held].into_iter().filter(|at| *at > now).min()
+    }
+
+    /// Returns the time that a request of a class that arrives now would wait for room.
+    pub(super) fn expected_wait(&self, lane: Class) -> Duration {
+        let mut ahead = self.queue.ready(Class::Live);
+        if lane == Class::Deferrable {
+            ahead += self.queue.ready(Class::Deferrable);
+        }
+        let free = self.free_seats();
+        if ahead < free {
+            return Duration::ZERO;
+        }
+        let seats = self.power.batch_bound().max(1) as f64;
+        self.service_time
+            .get()
+            .mul_f64((ahead - free + 1) as f64 / seats)
+    }
+
+    fn answered_before(&self, req: &PermitRequest, out: &mut Vec<OwnerAction>) -> bool {
+        if let Some(held) = self.permits.get(req.attempt) {
+            let answer = PermitAnswer::Granted {
+                permit: held.permit.clone(),
+                spread: self.spread_of(req.model.as_ref()),
+            };
+            out.push(answer_to(req, answer));
+            return true;
+        }
+        if self.queue.get(req.attempt).is_some() {
+            return true;
+        }
+        match self.settled.get(req.attempt, req.hops) {
+            None => false,
+            Some(Settlement::Released) => true,
+            Some(Settlement::Answered(answer)) => {
+                out.push(answer_to(req, answer.clone()));
+                true
+            }
+        }
+    }
+
+    fn closed(&self) -> Option<RefusalReason> {
+        if self.fenced {
+            return Some(RefusalReason::NotOwner);
+        }
+        if self.draining {
+            return Some(RefusalReason::Draining);
+        }
+        (!self.engine.reachable).then_some(RefusalReason::TargetDown)
+    }
+
+    fn turn_away(
+        &mut self,
+        req: PermitRequest,
+        reason: RefusalReason,
+        now: Moment,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let targets = self.next_ranked(&req);
+        if !targets.is_empty() && reason != RefusalReason::NotOwner {
+            self.redirect(req, targets, reason.as_str(), now, out);
+            return;
+        }
+        if reason == RefusalReason::TargetDown && self.stays_while_down(&req) {
+            let lane = self.lane(req.class);
+            let waits_for_load = self.waits_for_load(&req);
+            self.enqueue(req, lane, waits_for_load, now, out);
+            return;
+        }
+        let retry_after = self.retry_after(&req, reason, now);
+        self.refuse(req, reason, retry_after, now, out);
+    }
+
+    /// Whether a request waits until the target is back, rather than fail.
+    fn stays_while_down(&self, req: &PermitRequest) -> bool {
+        req.class == Class::Deferrable && self.next_ranked(req).is_empty()
+    }
+
+    fn waits_for_load(&self, req: &PermitRequest) -> bool {
+        let model = req.model.as_ref();
+        self.slots.exist() && model.is_some_and(|model| !self.slots.serves(model))
+    }
+
+    /// Returns where a request is better off that can't be granted at once, with the reason.
+    fn better_elsewhere(
+        &mut self,
+        req: &PermitRequest,
+        waits_for_load: bool,
+        now: Moment,
+    ) -> Option<(SmallVec<[TargetName; 4]>, &'static str)> {
+        if req.hops >= MAX_HOPS || !self.cfg.mechanisms.spread {
+            return None;
+        }
+        let model = req.model.clone()?;
+        self.update_spread(&model, now);
+        if waits_for_load {
+            let full = self.slots.exist() && self.slots.free() == 0;
+            let stuck = full && self.slots.idle().next().is_none() && self.may_evict();
+            let wanted = self.loads.get(&model).is_some();
+            if !stuck || wanted {
+                return None;
+            }
+            let next = self.next_ranked(req);
+            return (!next.is_empty()).then_some((next, "all slots are pinned"));
+        }
+        let wait = self.expected_wait(self.lane(req.class)).as_secs_f64();
+        self.widen_for_wait(&model, wait, now);
+        if self.cfg.mechanisms.prefix && self.engine.is_cached(req.prefix) && self.free_seats() > 0
+        {
+            return None;
+        }
+        let others = self.other_targets(req);
+        (!others.is_empty()).then_some((others, "spread over several targets"))
+    }
+
+    /// Returns why a request would be held for nothing, and when to ask again.
+    fn hopeless(
+        &self,
+        req: &PermitRequest,
+        waits_for_load: bool,
+        now: Moment,
+    ) -> Option<(RefusalReason, Duration)> {
+        let lane = self.lane(req.class);
+        let left = Duration::from_millis(req.deadline_ms);
+        if left.is_zero() {
+            return Some((RefusalReason::Deadline, RETRY_AFTER.0));
+        }
+        if let Some(until) = self.load_given_up(req, now) {
+            return Some((RefusalReason::LoadFailed, now.until(until)));
+        }
+        if self.queue.len(lane) >= self.cfg.queue_bound {
+            return Some((RefusalReason::QueueFull, self.expected_wait(lane)));
+        }
+        if req.class == Class::Deferrable {
+            return None;
+        }
+        let mut wait = self.expected_wait(lane);
+        if waits_for_load {
+            wait = wait.max(self.expected_load(req, now));
+        }
+        (wait > left).then_some((RefusalReason::Deadline, wait))
+    }
+
+    fn expected_load(&self, req: &PermitRequest, now: Moment) -> Duration {
+        let load = req.model.as_ref().and_then(|model| self.loads.get(model));
+        match load.map(|load| load.phase) {
+            Some(Phase::Ordered { at }) => self.loads.load_time().saturating_sub(now.since(at)),
+            Some(Phase::HasTurn) => self.loads.load_time(),
+            Some(Phase::Asked { .. } | Phase::Parked | Phase::Backoff { .. }) | None => {
+                self.loads.expected_time(now)
+            }
+        }
+    }
+
+    /// Returns until when an adapter isn't tried again whose tries are used up.
+    fn load_given_up(&self, req: &PermitRequest, now: Moment) -> Option<Moment> {
+        let load = self.loads.get(req.model.as_ref()?)?;
+        let Phase::Backoff { until } = load.phase else {
+            return None;
+        };
+        (load.tries >= load_tries(req.class) && until > now).then_some(until)
+    }
+
+    fn enqueue(
+        &mut self,
+        req: PermitRequest,
+        lane: Class,
+        waits_for_load: bool,
+        now: Moment,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let reason = if waits_for_load {
+            "the adapter is not loaded"
+        } else {
+            "no room in the batch"
+        };
+        self.log_request(DecisionKind::Queue, &req, reason, out);
+        let model = req.model.clone();
+        let fair = self.cfg.mechanisms.fairness;
+        self.queue.push(req, lane, fair, waits_for_load, now);
+        if let (true, Some(model)) = (waits_for_load, model) {
+            self.want_load(&model, now, out);
+        }
+    }
+
+    /// Whether a request of a class may have a seat now.
+    fn admits(&self, lane: Class, now: Moment) -> bool {
+        if self.closed().is_some() || !self.engine.inventory_known {
+            return false;
+        }
+        let free = self.free_seats();
+        match lane {
+            Class::Live => free > 0,
+            Class::Deferrable => free > self.reserved_seats(now) && self.fills(now),
+        }
+    }
+
+    /// Whether deferrable work would fill steps that run anyway, or a batch of its own.
+    fn fills(&self, now: Moment) -> bool {
+        if self.permits.len() > 0 {
+            return true;
+        }
+        let wanted = (self.power.batch_bound() as f64 * FILL_PART).ceil() as usize;
+        let oldest = self.queue.oldest_ready(Class::Deferrable);
+        let held = oldest.is_some_and(|it| now.since(it.arrived) >= self.fill_hold());
+        held || self.queue.ready(Class::Deferrable) >= wanted
+    }
+
+    fn fill_hold(&self) -> Duration {
+        FILL_HOLD.div_f64(self.stall_weight())
+    }
+
+    fn next_admissible(&self, now: Moment) -> Option<(AttemptId, &'static str)> {
+        if let Some(aged) = self.aged(now) {
+            return Some((
+                aged.req.attempt,
+                "waited long enough to compete with live work",
+            ));
+        }
+        for (lane, reason) in [
+            (Class::Live, "first in fair order"),
+            (Class::Deferrable, "fills the batch"),
+        ] {
+            if self.queue.ready(lane) > 0 && self.admits(lane, now) {
+                let next = self.first_in_order(lane)?;
+                return Some((next.req.attempt, reason));
+            }
+        }
+        None
+    }
+
+    /// Returns a deferrable request that has waited long enough to compete with live ones, if it
+    /// is its turn.
+    fn aged(&self, now: Moment) -> Option<&Waiting> {
+        let oldest = self.queue.oldest_ready(Class::Deferrable)?;
+        let aged = now.since(oldest.arrived) >= age_limit(&oldest.req);
+        let turn = self.queue.ready(Class::Live) == 0 || self.live_since_aged >= LIVE_PER_AGED;
+        (aged && turn && self.admits(Class::Live, now)).then_some(oldest)
+    }
+
+    /// Returns the first request in fair order, or one close to it whose prefix is cached.
+    fn first_in_order(&self, lane: Class) -> Option<&Waiting> {
+        let first = self.queue.in_order(lane).next()?;
+        if !self.cfg.mechanisms.prefix {
+            return Some(first);
+        }
+        let mut near = self.queue.in_order(lane).take(PREFIX_LOOKAHEAD);
+        let cached = near
+            .find(|it| it.req.caller == first.req.caller && self.engine.is_cached(it.req.prefix));
+        cached.or(Some(first))
+    }
+
+    fn grant(
+        &mut self,
+        req: PermitRequest,
+        reason: &'static str,
+        now: Moment,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        if let (true, Some(model)) = (self.slots.exist(), &req.model) {
+            self.slots.pin(model, now);
+        }
+        match req.class {
+            Class::Live => self.live_since_aged = self.live_since_aged.saturating_add(1),
+            Class::Deferrable => self.live_since_aged = 0,
+        }
+        let permit = Permit {
+            attempt: req.attempt,
+            entry: req.entry.clone(),
+            target: self.cfg.target.clone(),
+            model: req.model.clone(),
+            class: req.class,
+            epoch: self.cfg.epoch,
+            window_ms: u64::try_from(self.cfg.permit_window.as_millis()).unwrap_or(u64::MAX),
+        };
+        self.permits.insert(permit.clone(), now);
+        self.permits_changed(now);
+        self.log_request(DecisionKind::Grant, &req, reason, out);
+        let spread = self.spread_of(req.model.as_ref());
+        out.push(answer_to(&req, PermitAnswer::Granted { permit, spread }));
+    }
+
+    fn redirect(
+        &mut self,
+        req: PermitRequest,
+        targets: SmallVec<[TargetName; 4]>,
+        reason: &'static str,
+        now: Moment,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        self.log_request(DecisionKind::Redirect, &req, reason, out);
+        self.settle(&req, PermitAnswer::Redirect { targets }, now, out);
+    }
+
+    fn refuse(
+        &mut self,
+        req: PermitRequest,
+        reason: RefusalReason,
+        retry_after: Duration,
+        now: Moment,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        self.log_request(DecisionKind::Refuse, &req, reason.as_str(), out);
+        let retry_after = retry_after.clamp(RETRY_AFTER.0, RETRY_AFTER.1);
+        let answer = PermitAnswer::Refused {
+            reason,
+            retry_after_ms: u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
+        };
+        self.settle(&req, answer, now, out);
+    }
+
+    fn settle(
+        &mut self,
+        req: &PermitRequest,
+        answer: PermitAnswer,
+        now: Moment,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let settlement = Settlement::Answered(answer.clone());
+        self.settled.insert(req.attempt, req.hops, settlement, now);
+        out.push(answer_to(req, answer));
+    }
+
+    fn retry_after(&self, req: &PermitRequest, reason: RefusalReason, now: Moment) -> Duration {
+        match reason {
+            RefusalReason::LoadFailed => {
+                let until = self.load_given_up(req, now);
+                until.map_or(RETRY_AFTER.0, |until| now.until(until))
+            }
+            RefusalReason::QueueFull => self.expected_wait(self.lane(req.class)),
+            RefusalReason::Deadline => {
+                let load = self
+                    .waits_for_load(req)
+                    .then(|| self.expected_load(req, now));
+                load.unwrap_or_default()
+                    .max(self.expected_wait(self.lane(req.class)))
+            }
+            RefusalReason::Draining | RefusalReason::NotOwner => RETRY_AFTER.0,
+            RefusalReason::TargetDown => Duration::from_secs(2),
+        }
+    }
+}
+
+/// Returns the wait after which a deferrable request competes with live ones.
+fn age_limit(req: &PermitRequest) -> Duration {
+    let part = Duration::from_millis(req.deadline_ms) / AGED_PART;
+    part.min(DEFERRABLE_AGE)
+}
+
+fn answer_to(req: &PermitRequest, answer: PermitAnswer) -> OwnerAction {
+    OwnerAction::Answer {
+        entry: req.entry.clone(),
+        attempt: req.attempt,
+        answer,
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_core/src/owner/demand.rs
@@ -0,0 +1,82 @@
+//! What is remembered of each adapter's demand.
+
+use chervilshunt_model::{AdapterVersion, Class, Moment};
+use indexmap::IndexMap;
+
+use super::tuning::{DEFERRABLE_DEMAND, DEMAND_HALF_LIFE, KNOWN_ADAPTERS, SURGE_HALF_LIFE};
+use crate::decay::DecayedRate;
+
+/// Entries looked at for one to forget when the table is full.
+const FORGET_SAMPLE: usize = 8;
+
+/// Demand for one adapter.
+#[derive(Clone, Copy, Debug, Default)]
+struct Demand {
+    lasting: DecayedRate,
+    surge: DecayedRate,
+}
+
+/// The demand for each adapter that was asked for of late, bounded in number.
+///
+/// The counters fade when they are looked at and at no other time. A full table forgets the
+/// adapter in least demand of a few at a moving hand, as a clock cache does, so that a request
+/// costs the same however many adapters are known.
+#[derive(Debug, Default)]
+pub(super) struct DemandTable {
+    known: IndexMap<AdapterVersion, Demand>,
+    hand: usize,
+}
+
+impl DemandTable {
+    /// Counts a request.
+    pub(super) fn count(&mut self, model: &AdapterVersion, class: Class, now: Moment) {
+        if !self.known.contains_key(model) {
+            self.make_room(now);
+            self.known.insert(model.clone(), Demand::default());
+        }
+        let Some(demand) = self.known.get_mut(model) else {
+            return;
+        };
+        let weight = match class {
+            Class::Live => 1.0,
+            Class::Deferrable => DEFERRABLE_DEMAND,
+        };
+        demand.lasting.add(weight, DEMAND_HALF_LIFE, now);
+        demand.surge.add(1.0, SURGE_HALF_LIFE, now);
+    }
+
+    /// Returns the demand that makes the adapter worth its slot: requests a second, deferrable
+    /// ones counted in part.
+    pub(super) fn lasting(&self, model: &AdapterVersion, now: Moment) -> f64 {
+        let demand = self.known.get(model);
+        demand.map_or(0.0, |it| it.lasting.per_second(DEMAND_HALF_LIFE, now))
+    }
+
+    /// Returns the requests a second of the last seconds.
+    pub(super) fn surge(&self, model: &AdapterVersion, now: Moment) -> f64 {
+        let demand = self.known.get(model);
+        demand.map_or(0.0, |it| it.surge.per_second(SURGE_HALF_LIFE, now))
+    }
+
+    /// Returns the number of adapters remembered.
+    pub(super) fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    fn make_room(&mut self, now: Moment) {
+        if self.known.len() < KNOWN_ADAPTERS {
+            return;
+        }
+        let len = self.known.len();
+        let sample = (0..FORGET_SAMPLE).map(|offset| (self.hand + offset) % len);
+        let demand = |index: &usize| {
+            let demand = self.known.get_index(*index).map(|(_, demand)| demand);
+            demand.map_or(0.0, |it| it.lasting.per_second(DEMAND_HALF_LIFE, now))
+        };
+        let faded = sample.min_by(|left, right| demand(left).total_cmp(&demand(right)));
+        if let Some(index) = faded {
+            self.known.swap_remove_index(index);
+        }
+        self.hand = (self.hand + FORGET_SAMPLE) % len;
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_core/src/owner/evict.rs
@@ -0,0 +1,136 @@
+//! Which adapter makes room for another, and whether any should.
+
+use chervilshunt_model::{AdapterVersion, Class, Moment};
+
+use super::Owner;
+use super::tuning::{AHEAD_GAIN, RETIRE_AFTER_DEFERRABLE, RETIRE_AFTER_LIVE};
+use crate::LoadUrgency;
+
+/// Worth of a request that waits for nothing but room, in requests a second of lasting demand.
+const READY_WORTH: f64 = 1.0;
+
+/// Time over which a request for an evicted adapter would be missed, in seconds.
+const MISSED_WITHIN: f64 = 60.0;
+
+/// Waiting time of deferrable requests, summed, that makes up for a second of expected stall.
+const PATIENCE: f64 = 30.0;
+
+/// The adapter that makes room most cheaply.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Victim {
+    /// The adapter.
+    pub(super) model: AdapterVersion,
+    /// Its worth, by [`Owner::worth`].
+    pub(super) worth: f64,
+    /// The adapter that would have been next.
+    pub(super) runner_up: Option<AdapterVersion>,
+}
+
+impl Owner {
+    /// Returns what an adapter's slot is worth: the rate at which giving it up would make
+    /// requests wait.
+    ///
+    /// The cost of loading again is this rate times the time that a load takes at the present
+    /// length of the load queue. That time is the same for all slots of a target, so it counts
+    /// only where worth is set against waiting.
+    pub(super) fn worth(&self, model: &AdapterVersion, now: Moment) -> f64 {
+        self.demand.lasting(model, now) + READY_WORTH * f64::from(self.queue.ready_for(model))
+    }
+
+    /// Returns the idle adapter that makes room most cheaply.
+    pub(super) fn victim(&self, now: Moment) -> Option<Victim> {
+        if !self.may_evict() {
+            return None;
+        }
+        let mut best: Option<(f64, &AdapterVersion)> = None;
+        let mut second: Option<(f64, &AdapterVersion)> = None;
+        for (model, slot) in self.slots.idle() {
+            let cost = if slot.retiring {
+                -1.0
+            } else if self.cfg.mechanisms.cost_eviction {
+                self.worth(model, now)
+            } else {
+                slot.last_used.as_micros() as f64
+            };
+            if best.is_none_or(|(least, _)| cost < least) {
+                second = best.replace((cost, model));
+            } else if second.is_none_or(|(least, _)| cost < least) {
+                second = Some((cost, model));
+            }
+        }
+        best.map(|(cost, model)| Victim {
+            model: model.clone(),
+            worth: if cost < 0.0 {
+                0.0
+            } else {
+                self.worth(model, now)
+            },
+            runner_up: second.map(|(_, model)| model.clone()),
+        })
+    }
+
+    /// Whether an adapter is waited for badly enough to give up a slot of this worth.
+    ///
+    /// Live requests always are. Deferrable ones gather until their waiting makes up for the
+    /// stall that is to be expected, so that many of them share a load; as they wait longer, they
+    /// get their slot in any case.
+    pub(super) fn worth_evicting(&self, urgency: &LoadUrgency, worth: f64, now: Moment) -> bool {
+        match urgency.class {
+            Some(Class::Live) => true,
+            Some(Class::Deferrable) => {
+                let missed = 1.0 - (-worth * MISSED_WITHIN).exp();
+                let stall = missed * self.loads.expected_time(now).as_secs_f64();
+                let waited = f64::from(urgency.waiters) * urgency.oldest_ms as f64 / 1_000.0;
+                waited >= stall * PATIENCE * self.stall_weight()
+            }
+            None => false,
+        }
+    }
+
+    /// Whether an adapter's lasting demand pays for loading it ahead of the next request, in
+    /// place of a slot of this worth.
+    pub(super) fn worth_ahead(&self, model: &AdapterVersion, worth: f64, now: Moment) -> bool {
+        self.demand.lasting(model, now) > AHEAD_GAIN * worth
+    }
+
+    /// Stops granting permits for the pinned adapter of least worth, when a load has waited too
+    /// long for any slot to become idle.
+    ///
+    /// Without it a target whose slots are all in steady use would never load another adapter.
+    pub(super) fn retire_one(&mut self, urgency: &LoadUrgency, now: Moment) -> bool {
+        let patience = match urgency.class {
+            Some(Class::Live) => RETIRE_AFTER_LIVE,
+            Some(Class::Deferrable) => RETIRE_AFTER_DEFERRABLE,
+            None => return false,
+        };
+        let patient = u128::from(urgency.oldest_ms) < patience.as_millis();
+        if patient || !self.may_evict() {
+            return false;
+        }
+        let serving = self.slots.pinned().filter(|(_, slot)| !slot.retiring);
+        let worth = |model: &AdapterVersion| self.worth(model, now);
+        let least = serving.min_by(|left, right| worth(left.0).total_cmp(&worth(right.0)));
+        let Some(model) = least.map(|(model, _)| model.clone()) else {
+            return false;
+        };
+        self.slots.retire(&model);
+        self.model_unavailable(&model, now);
+        true
+    }
+
+    /// Whether adapters may be unloaded at all.
+    pub(super) fn may_evict(&self) -> bool {
+        self.takeover.complete()
+            && self.engine.inventory_known
+            && self.engine.reachable
+            && !self.fenced
+    }
+
+    /// Returns how much stalls are minded, against full batches.
+    pub(super) fn stall_weight(&self) -> f64 {
+        let weights = self.cfg.weights;
+        let ratio = weights.load_stalls.max(f64::MIN_POSITIVE)
+            / weights.batch_efficiency.max(f64::MIN_POSITIVE);
+        ratio.clamp(0.1, 10.0)
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_core/src/owner/loading.rs
@@ -0,0 +1,425 @@
+//! Loads, from the first request that waits to the order that goes out.
+
+use chervilshunt_model::{AdapterVersion, Class, Moment};
+
+use super::Owner;
+use super::action::OwnerAction;
+use super::loads::Phase;
+use super::order::{LoadUrgency, OrderId, OrderKind};
+use super::slots::Moving;
+use super::tuning::{AHEAD_PAUSE, MAX_ASKED_TURNS, PARKED_REVIEW, TURN_RENEWAL};
+use crate::DecisionKind;
+
+/// The urgency of a load that nobody waits for.
+const AHEAD: LoadUrgency = LoadUrgency {
+    class: None,
+    waiters: 0,
+    oldest_ms: 0,
+};
+
+impl Owner {
+    /// Wants the adapter of a waiting request loaded, and tells the scheduler if that makes a
+    /// turn asked for before more urgent.
+    pub(super) fn want_load(
+        &mut self,
+        model: &AdapterVersion,
+        now: Moment,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        self.loads.want(model, false, now);
+        let Some(load) = self.loads.get(model) else {
+            return;
+        };
+        let Phase::Asked { .. } = load.phase else {
+            return;
+        };
+        let first_live = self
+            .queue
+            .urgency(model, now)
+            .is_some_and(|it| it.class == Some(Class::Live) && it.waiters == 1);
+        if first_live {
+            self.ask_turn(model, now, out);
+        }
+    }
+
+    /// Moves every load on as far as it can go.
+    pub(super) fn advance_loads(&mut self, now: Moment, out: &mut Vec<OwnerAction>) {
+        if self.loads.is_empty() || self.fenced {
+            return;
+        }
+        self.drop_unwanted(out);
+        self.end_backoffs(now);
+        self.place_loads(now, out);
+        self.renew_turns(now, out);
+        if self.loads.review_due || now.since(self.loads.reviewed) >= PARKED_REVIEW {
+            self.loads.review_due = false;
+            self.loads.reviewed = now;
+            self.review_parked(now, out);
+        }
+        self.begin_unscheduled(now, out);
+    }
+
+    /// Takes the turn that the scheduler gave.
+    pub(super) fn turn_granted(&mut self, order: OrderId, out: &mut Vec<OwnerAction>) {
+        let model = self.loads.model_of(order).cloned();
+        let load = model.as_ref().and_then(|model| self.loads.get_mut(model));
+        let Some(load) = load else {
+            // The turn is of a load withdrawn meanwhile, or the grant is late: give it back, or
+            // the store would idle until the turn times out.
+            out.push(OwnerAction::EndTurn {
+                order,
+                loaded: None,
+            });
+            return;
+        };
+        if let Phase::Asked { .. } = load.phase {
+            load.phase = Phase::HasTurn;
+        }
+    }
+
+    /// Tells a scheduler that has come back of all turns, as it may be a new one.
+    pub(super) fn scheduler_reachable(
+        &mut self,
+        reachable: bool,
+        now: Moment,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        self.loads.scheduler_reachable = reachable;
+        if !reachable {
+            self.loads.unscheduled = Some(now);
+            return;
+        }
+        for model in self
+            .loads
+            .at_phase(|phase| matches!(phase, Phase::Asked { .. }))
+        {
+            self.ask_turn(&model, now, out);
+        }
+        let holding = |phase| matches!(phase, Phase::HasTurn | Phase::Ordered { .. });
+        for model in self.loads.at_phase(holding) {
+            let Some(load) = self.loads.get(&model) else {
+                continue;
+            };
+            let order = load.order;
+            out.push(OwnerAction::HoldTurn { order, model });
+        }
+    }
+
+    /// Looks for an adapter whose lasting demand pays for a load ahead of the next request.
+    pub(super) fn look_ahead(&mut self, now: Moment) {
+        let pause_over = now.since(self.looked_ahead) >= AHEAD_PAUSE;
+        let idle_store = self.loads.scheduler_reachable
+            && self.loads.is_empty()
+            && self.loads.queue_wait(now) <= self.loads.load_time();
+        let wanted = self.cfg.mechanisms.ahead && pause_over && self.may_load() && !self.draining;
+        if !wanted || !idle_store {
+            return;
+        }
+        self.looked_ahead = now;
+        let demand = |model: &AdapterVersion| self.demand.lasting(model, now);
+        let best = self
+            .evicted
+            .iter()
+            .max_by(|a, b| demand(a).total_cmp(&demand(b)));
+        let Some(best) = best.cloned() else {
+            return;
+        };
+        let worth = if self.slots.free() > 0 {
+            0.0
+        } else {
+            let Some(victim) = self.victim(now) else {
+                return;
+            };
+            victim.worth
+        };
+        if self.worth_ahead(&best, worth, now) {
+            self.loads.want(&best, true, now);
+        }
+    }
+
+    /// Whether adapters may be loaded at all.
+    pub(super) fn may_load(&self) -> bool {
+        self.engine.inventory_known && self.engine.reachable && !self.fenced
+    }
+
+    fn drop_unwanted(&mut self, out: &mut Vec<OwnerAction>) {
+        let unwanted: Vec<AdapterVersion> = self
+            .loads
+            .iter()
+            .filter(|(model, load)| {
+                !load.ahead
+                    && self.queue.blocked_on(model).is_empty()
+                    && !matches!(load.phase, Phase::Ordered { .. } | Phase::Backoff { .. })
+            })
+            .map(|(model, _)| model.clone())
+            .collect();
+        for model in unwanted {
+            self.withdraw(&model, out);
+        }
+        self.unretire_if_unneeded(out);
+    }
+
+    fn withdraw(&mut self, model: &AdapterVersion, out: &mut Vec<OwnerAction>) {
+        let Some(load) = self.loads.remove(model) else {
+            return;
+        };
+        if matches!(load.phase, Phase::Asked { .. } | Phase::HasTurn) {
+            out.push(OwnerAction::EndTurn {
+                order: load.order,
+                loaded: None,
+            });
+        }
+    }
+
+    /// Lets retiring adapters serve again once nothing else needs their slots.
+    fn unretire_if_unneeded(&mut self, out: &mut Vec<OwnerAction>) {
+        if !self.slots.any_retiring() {
+            return;
+        }
+        let needed = self.loads.iter().any(|(model, _)| !self.slots.holds(model));
+        if needed {
+            return;
+        }
+        for model in self.slots.unretire_all() {
+            self.model_available(&model, out);
+        }
+    }
+
+    fn end_backoffs(&mut self, now: Moment) {
+        let over = |phase| matches!(phase, Phase::Backoff { until } if until <= now);
+        for model in self.loads.at_phase(over) {
+            if self.queue.blocked_on(&model).is_empty() {
+                self.loads.remove(&model);
+            } else {
+                self.loads.park(&model, now);
+                self.loads.review_due = true;
+            }
+        }
+    }
+
+    fn place_loads(&mut self, now: Moment, out: &mut Vec<OwnerAction>) {
+        for model in self.loads.at_phase(|phase| phase == Phase::HasTurn) {
+            self.place_load(&model, now, out);
+        }
+    }
+
+    /// Uses a turn: orders the load if a slot is free, an unload if one has to be freed.
+    fn place_load(&mut self, model: &AdapterVersion, now: Moment, out: &mut Vec<OwnerAction>) {
+        if !self.may_load() {
+            self.give_turn_back(model, None, now, out);
+            return;
+        }
+        if let Some(until) = self.slots.barred_until(model, now) {
+            self.give_turn_back(model, Some(until), now, out);
+            return;
+        }
+        match self.slots.moving(model) {
+            None => {}
+            Some(Moving::Unloading(_)) => return,
+            Some(Moving::Loading(_) | Moving::MaybeLoaded | Moving::MaybeUnloaded) => {
+                self.give_turn_back(model, None, now, out);
+                return;
+            }
+        }
+        if self.slots.free() > 0 {
+            self.order_load(model, now, out);
+            return;
+        }
+        let waiting = self.loads.count(|phase| phase == Phase::HasTurn);
+        if self.slots.unloading() >= waiting {
+            return;
+        }
+        if !self.evict_for(model, now, out) {
+            self.give_turn_back(model, None, now, out);
+        }
+    }
+
+    fn order_load(&mut self, model: &AdapterVersion, now: Moment, out: &mut Vec<OwnerAction>) {
+        let Some(load) = self.loads.get_mut(model) else {
+            return;
+        };
+        load.phase = Phase::Ordered { at: now };
+        let (order, ahead) = (load.order, load.ahead);
+        self.slots.load(model.clone(), order, now);
+        self.evicted.swap_remove(model);
+        let reason = if ahead {
+            "ahead of demand"
+        } else {
+            "requests wait for it"
+        };
+        self.log_model(DecisionKind::Load, model, reason, None, out);
+        self.give_order(order, OrderKind::Load, model, out);
+    }
+
+    /// Orders the unload of the adapter of least worth.
+    ///
+    /// Returns whether there is one that may go for the sake of `model`.
+    fn evict_for(
+        &mut self,
+        model: &AdapterVersion,
+        now: Moment,
+        out: &mut Vec<OwnerAction>,
+    ) -> bool {
+        let Some(victim) = self.victim(now) else {
+            return false;
+        };
+        let ahead = self.loads.get(model).is_some_and(|load| load.ahead);
+        if ahead && !self.worth_ahead(model, victim.worth, now) {
+            return false;
+        }
+        let Some(evictable) = self.slots.take_evictable(&victim.model) else {
+            return false;
+        };
+        let order = self.loads.new_order();
+        self.slots.unload(evictable, order, now);
+        self.model_unavailable(&victim.model, now);
+        self.remember_evicted(&victim.model);
+        let reason = "least expected cost of loading again";
+        self.log_model(
+            DecisionKind::Evict,
+            &victim.model,
+            reason,
+            victim.runner_up,
+            out,
+        );
+        self.give_order(order, OrderKind::Unload, &victim.model, out);
+        true
+    }
+
+    /// Ends a turn that can't be used now, so that the store does not idle meanwhile.
+    fn give_turn_back(
+        &mut self,
+        model: &AdapterVersion,
+        until: Option<Moment>,
+        now: Moment,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let Some(load) = self.loads.get(model) else {
+            return;
+        };
+        out.push(OwnerAction::EndTurn {
+            order: load.order,
+            loaded: None,
+        });
+        match until {
+            Some(until) => self.loads.hold_back(model, until, now),
+            None => self.loads.park(model, now),
+        }
+    }
+
+    fn renew_turns(&mut self, now: Moment, out: &mut Vec<OwnerAction>) {
+        let due =
+            |phase| matches!(phase, Phase::Asked { renewed } if now.since(renewed) >= TURN_RENEWAL);
+        for model in self.loads.at_phase(due) {
+            self.ask_turn(&model, now, out);
+        }
+    }
+
+    /// Asks for turns for the parked loads that are worth a slot, the most urgent first.
+    fn review_parked(&mut self, now: Moment, out: &mut Vec<OwnerAction>) {
+        let mut parked: Vec<(LoadUrgency, AdapterVersion)> = self
+            .loads
+            .at_phase(|phase| phase == Phase::Parked)
+            .into_iter()
+            .filter(|model| !self.slots.holds(model))
+            .map(|model| (self.urgency(&model, now), model))
+            .collect();
+        if parked.is_empty() || !self.may_load() {
+            return;
+        }
+        parked.sort_by_key(|(urgency, _)| {
+            let rank = urgency.class.map_or(2, |class| class as u8);
+            let waited = u64::from(urgency.waiters) * (urgency.oldest_ms + 1);
+            (rank, std::cmp::Reverse(waited))
+        });
+        let under_way = |phase| matches!(phase, Phase::Asked { .. } | Phase::HasTurn);
+        let mut asked = self.loads.count(under_way);
+        let free = self.slots.free() + self.slots.unloading();
+        let idle = if self.may_evict() {
+            self.slots.idle().count()
+        } else {
+            0
+        };
+        let victim = self.victim(now);
+        for (urgency, model) in parked {
+            if asked >= MAX_ASKED_TURNS {
+                return;
+            }
+            if asked < free {
+                asked += 1;
+                self.ask_turn(&model, now, out);
+                continue;
+            }
+            let worth = victim.as_ref().map_or(f64::INFINITY, |it| it.worth);
+            if asked >= free + idle {
+                self.make_room_in_time(&urgency, asked - free, now);
+                return;
+            }
+            let ahead = urgency.class.is_none() && self.worth_ahead(&model, worth, now);
+            if ahead || self.worth_evicting(&urgency, worth, now) {
+                asked += 1;
+                self.ask_turn(&model, now, out);
+            }
+        }
+    }
+
+    /// Retires one adapter for loads that find all slots pinned, unless enough are retiring.
+    fn make_room_in_time(&mut self, urgency: &LoadUrgency, wanted: usize, now: Moment) {
+        let retiring = self
+            .slots
+            .pinned()
+            .filter(|(_, slot)| slot.retiring)
+            .count();
+        if retiring <= wanted {
+            self.retire_one(urgency, now);
+        }
+    }
+
+    fn begin_unscheduled(&mut self, now: Moment, out: &mut Vec<OwnerAction>) {
+        if self.loads.scheduler_reachable {
+            return;
+        }
+        let interval = self.cfg.unscheduled_load_interval;
+        let due = self
+            .loads
+            .unscheduled
+            .is_none_or(|last| now.since(last) >= interval);
+        let under_way = |phase| matches!(phase, Phase::HasTurn | Phase::Ordered { .. });
+        if !due || self.loads.count(under_way) > 0 {
+            return;
+        }
+        let asked = self
+            .loads
+            .at_phase(|phase| matches!(phase, Phase::Asked { .. }));
+        let urgent = |model: &AdapterVersion| {
+            let urgency = self.urgency(model, now);
+            let rank = urgency.class.map_or(2, |class| class as u8);
+            (rank, std::cmp::Reverse(urgency.waiters))
+        };
+        let Some(model) = asked.into_iter().min_by_key(|model| urgent(model)) else {
+            return;
+        };
+        self.loads.unscheduled = Some(now);
+        if let Some(load) = self.loads.get_mut(&model) {
+            load.phase = Phase::HasTurn;
+        }
+        self.place_load(&model, now, out);
+    }
+
+    fn ask_turn(&mut self, model: &AdapterVersion, now: Moment, out: &mut Vec<OwnerAction>) {
+        let urgency = self.urgency(model, now);
+        let Some(load) = self.loads.get_mut(model) else {
+            return;
+        };
+        load.phase = Phase::Asked { renewed: now };
+        out.push(OwnerAction::AskTurn {
+            order: load.order,
+            model: model.clone(),
+            urgency,
+        });
+    }
+
+    fn urgency(&self, model: &AdapterVersion, now: Moment) -> LoadUrgency {
+        self.queue.urgency(model, now).unwrap_or(AHEAD)
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_core/src/owner/orders.rs
@@ -0,0 +1,221 @@
+//! Orders to the engine and what became of them.
+
+use chervilshunt_model::{AdapterVersion, AttemptId, Class, Moment};
+
+use super::Owner;
+use super::action::OwnerAction;
+use super::loads::Phase;
+use super::order::{EngineOrder, OrderFailure, OrderId, OrderKind};
+use super::slots::Moving;
+use super::tuning::{DEFERRABLE_LOAD_TRIES, LIVE_LOAD_TRIES};
+use crate::RefusalReason;
+
+impl Owner {
+    /// Gives the engine an order.
+    pub(super) fn give_order(
+        &mut self,
+        id: OrderId,
+        kind: OrderKind,
+        model: &AdapterVersion,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        self.orders.insert(id, (kind, model.clone()));
+        out.push(OwnerAction::Order(EngineOrder {
+            id,
+            epoch: self.cfg.epoch,
+            kind,
+            model: model.clone(),
+        }));
+    }
+
+    /// Takes the end of an order; one that has ended before counts for nothing.
+    pub(super) fn order_ended(
+        &mut self,
+        order: OrderId,
+        result: Result<(), OrderFailure>,
+        now: Moment,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let Some((kind, model)) = self.orders.swap_remove(&order) else {
+            return;
+        };
+        if result == Err(OrderFailure::Fenced) {
+            self.superseded(now, out);
+            return;
+        }
+        match kind {
+            OrderKind::Load => self.load_ended(order, &model, result, now, out),
+            OrderKind::Unload => self.unload_ended(order, &model, result, now),
+        }
+        self.loads.review_due = true;
+    }
+
+    /// Brings the slots in line with the engine's listing.
+    pub(super) fn inventory(
+        &mut self,
+        listed: &[AdapterVersion],
+        now: Moment,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let Some(asked) = self.engine.inventory_answered() else {
+            return;
+        };
+        let change = self.slots.reconcile(listed, asked, now);
+        for model in &change.lost {
+            self.model_unavailable(model, now);
+            self.remember_evicted(model);
+        }
+        for model in &change.found {
+            self.model_available(model, out);
+        }
+        for model in &change.still_there {
+            let order = self.loads.new_order();
+            self.slots.unload_again(model, order, now);
+            self.give_order(order, OrderKind::Unload, model, out);
+        }
+        if change.undecided {
+            self.engine.want_inventory();
+        }
+        self.slots.forget_unloaded(asked, now);
+        self.loads.review_due = true;
+    }
+
+    /// Takes a call's word that the engine does not hold the adapter of its permit.
+    ///
+    /// An adapter that was loaded after the permit was granted stays: the call was then answered
+    /// before that load.
+    pub(super) fn adapter_missing(&mut self, model: &AdapterVersion, granted: Moment, now: Moment) {
+        if self.slots.lose(model, granted) {
+            self.model_unavailable(model, now);
+            self.remember_evicted(model);
+        }
+        self.engine.want_inventory();
+    }
+
+    /// Lets the requests for an adapter that is loaded from now on wait for room alone.
+    pub(super) fn model_available(&mut self, model: &AdapterVersion, out: &mut Vec<OwnerAction>) {
+        self.queue.unblock(model);
+        self.evicted.swap_remove(model);
+        let Some(load) = self.loads.remove(model) else {
+            return;
+        };
+        if matches!(load.phase, Phase::Asked { .. } | Phase::HasTurn) {
+            out.push(OwnerAction::EndTurn {
+                order: load.order,
+                loaded: None,
+            });
+        }
+    }
+
+    /// Lets the requests for an adapter that takes no permits any more wait for its load.
+    pub(super) fn model_unavailable(&mut self, model: &AdapterVersion, now: Moment) {
+        if self.queue.block(model) {
+            self.loads.want(model, false, now);
+        }
+    }
+
+    fn load_ended(
+        &mut self,
+        order: OrderId,
+        model: &AdapterVersion,
+        result: Result<(), OrderFailure>,
+        now: Moment,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        out.push(OwnerAction::EndTurn {
+            order,
+            loaded: Some(result.is_ok()),
+        });
+        let phase = self.loads.get(model).map(|load| load.phase);
+        if let (Some(Phase::Ordered { at }), Ok(())) = (phase, result) {
+            self.loads.took(now.since(at));
+        }
+        match result {
+            Ok(()) => {
+                self.slots.loaded(model, now);
+                self.last_loaded = Some(now);
+                self.model_available(model, out);
+                return;
+            }
+            Err(OrderFailure::Unknown) => self.slots.unanswered(model, Moving::MaybeLoaded, now),
+            Err(OrderFailure::Refused | OrderFailure::Fenced) => self.slots.load_failed(model),
+        }
+        // The engine may refuse because it holds the adapter already, or other adapters than it
+        // was thought to hold: its listing tells.
+        self.engine.want_inventory();
+        let tries = self.loads.fail(model, now);
+        self.refuse_after_failure(model, tries, now, out);
+    }
+
+    fn unload_ended(
+        &mut self,
+        order: OrderId,
+        model: &AdapterVersion,
+        result: Result<(), OrderFailure>,
+        now: Moment,
+    ) {
+        if self.slots.moving(model) != Some(Moving::Unloading(order)) {
+            return;
+        }
+        match result {
+            Ok(()) => self.slots.unloaded(model, now, now),
+            Err(OrderFailure::Unknown) => {
+                self.slots.unanswered(model, Moving::MaybeUnloaded, now);
+                self.engine.want_inventory();
+            }
+            Err(OrderFailure::Refused | OrderFailure::Fenced) => {
+                // Either the engine does not hold it, or it would not let go: the listing tells.
+                self.slots.unanswered(model, Moving::MaybeUnloaded, now);
+                self.engine.want_inventory();
+            }
+        }
+    }
+
+    /// Refuses the requests whose tries are used up, at once.
+    fn refuse_after_failure(
+        &mut self,
+        model: &AdapterVersion,
+        tries: u32,
+        now: Moment,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        // An engine that has loaded nothing since this load was first wanted may be at fault, and
+        // the next-ranked one may do better; otherwise the weights are.
+        let wanted = self.loads.get(model).map_or(now, |load| load.wanted);
+        let engine_at_fault = self.last_loaded.is_none_or(|last| last < wanted);
+        let given_up: Vec<AttemptId> = self
+            .queue
+            .blocked_on(model)
+            .iter()
+            .copied()
+            .filter(|attempt| {
+                let lane = self.queue.get(*attempt).map(|it| it.req.class);
+                lane.is_some_and(|class| tries >= load_tries(class))
+            })
+            .collect();
+        for attempt in given_up {
+            if engine_at_fault {
+                self.turn_queued_away(attempt, RefusalReason::LoadFailed, now, out);
+            } else {
+                self.refuse_queued(attempt, RefusalReason::LoadFailed, now, out);
+            }
+        }
+    }
+
+    /// Stops all work: somebody else owns the target.
+    fn superseded(&mut self, now: Moment, out: &mut Vec<OwnerAction>) {
+        self.fenced = true;
+        let waiting: Vec<AttemptId> = self.queue.iter().map(|it| it.req.attempt).collect();
+        for attempt in waiting {
+            self.refuse_queued(attempt, RefusalReason::NotOwner, now, out);
+        }
+    }
+}
+
+/// Returns the tries to load an adapter before requests of a class are refused.
+pub(super) fn load_tries(class: Class) -> u32 {
+    match class {
+        Class::Live => LIVE_LOAD_TRIES,
+        Class::Deferrable => DEFERRABLE_LOAD_TRIES,
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_core/src/owner/queue.rs
@@ -0,0 +1,300 @@
+//! Requests that wait for a permit, each class in fair order.
+//!
+//! Fairness between callers is start-time fair queueing: a request's tag is the point in the
+//! class's virtual time at which its caller's earlier work ends. A caller that floods the queue
+//! pushes its own tags ahead and nobody else's.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use chervilshunt_model::{AdapterVersion, AttemptId, CallerName, Class, InstanceId, Moment};
+use indexmap::IndexMap;
+
+use crate::{LoadUrgency, PermitRequest};
+
+/// Prompt tokens that cost an engine as much as one generated token: a prompt is worked through
+/// in parallel, an answer token by token.
+const PROMPT_TOKENS_PER_TOKEN: u64 = 16;
+
+/// Virtual time of one token at weight 1; it leaves room to divide by weights.
+const TOKEN_SCALE: u64 = 1_024;
+
+/// Callers remembered for each class before those without a lead are forgotten.
+const CALLERS_KEPT: usize = 1_024;
+
+/// Place in the fair order of a class.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Tag {
+    start: u64,
+    arrival: u64,
+}
+
+/// A request that waits.
+#[derive(Clone, Debug)]
+pub(super) struct Waiting {
+    /// The request.
+    pub(super) req: PermitRequest,
+    /// When it arrived.
+    pub(super) arrived: Moment,
+    /// When the caller gives up.
+    pub(super) deadline: Moment,
+    tag: Tag,
+    lane: Class,
+    blocked: bool,
+}
+
+#[derive(Debug, Default)]
+struct Lane {
+    ready: BTreeMap<Tag, AttemptId>,
+    len: usize,
+    virtual_time: u64,
+    finish: IndexMap<CallerName, u64>,
+}
+
+/// Requests that wait at one owner.
+#[derive(Debug, Default)]
+pub(super) struct Queue {
+    waiting: IndexMap<AttemptId, Waiting>,
+    lanes: [Lane; 2],
+    blocked: IndexMap<AdapterVersion, Vec<AttemptId>>,
+    ready_by_model: IndexMap<AdapterVersion, u32>,
+    ready_by_age: [BTreeSet<(Moment, AttemptId)>; 2],
+    deadlines: BTreeSet<(Moment, AttemptId)>,
+    arrivals: u64,
+}
+
+impl Queue {
+    /// Returns the requests of a class that wait.
+    pub(super) fn len(&self, lane: Class) -> usize {
+        self.lanes[lane as usize].len
+    }
+
+    /// Returns the requests of a class that wait for nothing but room.
+    pub(super) fn ready(&self, lane: Class) -> usize {
+        self.lanes[lane as usize].ready.len()
+    }
+
+    /// Returns the request of an attempt, if it waits.
+    pub(super) fn get(&self, attempt: AttemptId) -> Option<&Waiting> {
+        self.waiting.get(&attempt)
+    }
+
+    /// Returns the requests for an adapter that wait for nothing but room.
+    pub(super) fn ready_for(&self, model: &AdapterVersion) -> u32 {
+        self.ready_by_model.get(model).copied().unwrap_or(0)
+    }
+
+    /// Adds a request; `fair` orders it between callers, otherwise it goes to the end.
+    pub(super) fn push(
+        &mut self,
+        req: PermitRequest,
+        lane: Class,
+        fair: bool,
+        blocked: bool,
+        now: Moment,
+    ) {
+        let attempt = req.attempt;
+        let tag = self.tag(&req, lane, fair);
+        let deadline = now + std::time::Duration::from_millis(req.deadline_ms);
+        let waiting = Waiting {
+            req,
+            arrived: now,
+            deadline,
+            tag,
+            lane,
+            blocked,
+        };
+        self.deadlines.insert((deadline, attempt));
+        self.lanes[lane as usize].len += 1;
+        self.link(attempt, &waiting);
+        self.waiting.insert(attempt, waiting);
+    }
+
+    /// Takes a request out, whatever it waits for.
+    pub(super) fn remove(&mut self, attempt: AttemptId) -> Option<Waiting> {
+        let waiting = self.waiting.swap_remove(&attempt)?;
+        self.deadlines.remove(&(waiting.deadline, attempt));
+        self.lanes[waiting.lane as usize].len -= 1;
+        self.unlink(attempt, &waiting);
+        Some(waiting)
+    }
+
+    /// Takes a request out that gets its permit now, which moves its class's virtual time on.
+    pub(super) fn take(&mut self, attempt: AttemptId) -> Option<Waiting> {
+        let waiting = self.remove(attempt)?;
+        let lane = &mut self.lanes[waiting.lane as usize];
+        lane.virtual_time = lane.virtual_time.max(waiting.tag.start);
+        Some(waiting)
+    }
+
+    /// Counts a request that got its permit without waiting.
+    pub(super) fn pass(&mut self, req: &PermitRequest, lane: Class, fair: bool) {
+        let tag = self.tag(req, lane, fair);
+        let lane = &mut self.lanes[lane as usize];
+        lane.virtual_time = lane.virtual_time.max(tag.start);
+    }
+
+    /// Returns the requests of a class that wait for nothing but room, in fair order.
+    pub(super) fn in_order(&self, lane: Class) -> impl Iterator<Item = &Waiting> {
+        let ready = self.lanes[lane as usize].ready.values();
+        ready.filter_map(|attempt| self.waiting.get(attempt))
+    }
+
+    /// Returns the request of a class that has waited longest for nothing but room.
+    pub(super) fn oldest_ready(&self, lane: Class) -> Option<&Waiting> {
+        let (_, attempt) = self.ready_by_age[lane as usize].first()?;
+        self.waiting.get(attempt)
+    }
+
+    /// Returns all requests that wait.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Waiting> {
+        self.waiting.values()
+    }
+
+    /// Returns the attempts of an instance.
+    pub(super) fn of_entry(&self, entry: &InstanceId) -> Vec<AttemptId> {
+        let of_entry = self.waiting.values().filter(|it| it.req.entry == *entry);
+        of_entry.map(|it| it.req.attempt).collect()
+    }
+
+    /// Returns a request whose deadline has passed.
+    pub(super) fn expired(&self, now: Moment) -> Option<AttemptId> {
+        let (deadline, attempt) = self.deadlines.first()?;
+        (*deadline <= now).then_some(*attempt)
+    }
+
+    /// Returns when the next deadline passes.
+    pub(super) fn next_deadline(&self) -> Option<Moment> {
+        self.deadlines.first().map(|(deadline, _)| *deadline)
+    }
+
+    /// Returns the attempts that wait for an adapter to be loaded, in order of arrival.
+    pub(super) fn blocked_on(&self, model: &AdapterVersion) -> &[AttemptId] {
+        self.blocked.get(model).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns how badly an adapter is waited for, if it is.
+    pub(super) fn urgency(&self, model: &AdapterVersion, now: Moment) -> Option<LoadUrgency> {
+        let waiting = self.blocked_on(model).iter();
+        let mut waiting = waiting
+            .filter_map(|attempt| self.waiting.get(attempt))
+            .peekable();
+        let first = waiting.peek()?;
+        let mut urgency = LoadUrgency {
+            class: Some(first.lane),
+            waiters: 0,
+            oldest_ms: 0,
+        };
+        let mut oldest = now;
+        for it in waiting {
+            urgency.class = urgency.class.min(Some(it.lane));
+            urgency.waiters += 1;
+            oldest = oldest.min(it.arrived);
+        }
+        urgency.oldest_ms = u64::try_from(now.since(oldest).as_millis()).unwrap_or(u64::MAX);
+        Some(urgency)
+    }
+
+    /// Lets the requests for an adapter that has been loaded wait for nothing but room.
+    pub(super) fn unblock(&mut self, model: &AdapterVersion) {
+        for attempt in self.blocked.swap_remove(model).unwrap_or_default() {
+            self.relink(attempt, false);
+        }
+    }
+
+    /// Lets the requests for an adapter that is no longer loaded wait for it.
+    ///
+    /// Returns whether there are any.
+    pub(super) fn block(&mut self, model: &AdapterVersion) -> bool {
+        if self.ready_for(model) == 0 {
+            return false;
+        }
+        let of_model = |it: &&Waiting| !it.blocked && it.req.model.as_ref() == Some(model);
+        let mut of_model: Vec<(Tag, AttemptId)> = self
+            .waiting
+            .values()
+            .filter(of_model)
+            .map(|it| (it.tag, it.req.attempt))
+            .collect();
+        of_model.sort_unstable();
+        for (_, attempt) in of_model {
+            self.relink(attempt, true);
+        }
+        true
+    }
+
+    fn relink(&mut self, attempt: AttemptId, blocked: bool) {
+        let Some(mut waiting) = self.waiting.get(&attempt).cloned() else {
+            return;
+        };
+        self.unlink(attempt, &waiting);
+        waiting.blocked = blocked;
+        self.link(attempt, &waiting);
+        self.waiting.insert(attempt, waiting);
+    }
+
+    fn link(&mut self, attempt: AttemptId, waiting: &Waiting) {
+        if let (true, Some(model)) = (waiting.blocked, &waiting.req.model) {
+            self.blocked.entry(model.clone()).or_default().push(attempt);
+            return;
+        }
+        self.lanes[waiting.lane as usize]
+            .ready
+            .insert(waiting.tag, attempt);
+        self.ready_by_age[waiting.lane as usize].insert((waiting.arrived, attempt));
+        if let Some(model) = &waiting.req.model {
+            *self.ready_by_model.entry(model.clone()).or_insert(0) += 1;
+        }
+    }
+
+    fn unlink(&mut self, attempt: AttemptId, waiting: &Waiting) {
+        if let (true, Some(model)) = (waiting.blocked, &waiting.req.model) {
+            let Some(blocked) = self.blocked.get_mut(model) else {
+                return;
+            };
+            blocked.retain(|it| *it != attempt);
+            if blocked.is_empty() {
+                self.blocked.swap_remove(model);
+            }
+            return;
+        }
+        self.lanes[waiting.lane as usize].ready.remove(&waiting.tag);
+        self.ready_by_age[waiting.lane as usize].remove(&(waiting.arrived, attempt));
+        let Some(model) = &waiting.req.model else {
+            return;
+        };
+        if let Some(ready) = self.ready_by_model.get_mut(model) {
+            *ready -= 1;
+            if *ready == 0 {
+                self.ready_by_model.swap_remove(model);
+            }
+        }
+    }
+
+    fn tag(&mut self, req: &PermitRequest, lane: Class, fair: bool) -> Tag {
+        self.arrivals += 1;
+        let arrival = self.arrivals;
+        if !fair {
+            return Tag { start: 0, arrival };
+        }
+        let lane = &mut self.lanes[lane as usize];
+        let cost =
+            u64::from(req.prompt_tokens) / PROMPT_TOKENS_PER_TOKEN + u64::from(req.max_tokens);
+        let cost = cost.max(1) * TOKEN_SCALE / u64::from(req.weight.max(1));
+        lane.forget_callers();
+        let finish = lane.finish.entry(req.caller.clone()).or_insert(0);
+        let start = (*finish).max(lane.virtual_time);
+        *finish = start + cost;
+        Tag { start, arrival }
+    }
+}
+
+impl Lane {
+    /// Forgets callers whose work ended before the virtual time: they start level with newcomers.
+    fn forget_callers(&mut self) {
+        if self.finish.len() < CALLERS_KEPT.max(2 * self.len) {
+            return;
+        }
+        let now = self.virtual_time;
+        self.finish.retain(|_, finish| *finish > now);
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_core/src/owner/release.rs
@@ -0,0 +1,62 @@
+//! Permits that come back.
+
+use chervilshunt_model::{AttemptId, InstanceId, Moment};
+
+use super::Owner;
+use super::settled::Settlement;
+use super::tuning::ENTRY_GONE_BOUND;
+use crate::{ReleaseOutcome, ReleasedPermit};
+
+impl Owner {
+    /// Takes a permit back, or a request that is withdrawn while it waits.
+    pub(super) fn release(&mut self, released: &ReleasedPermit, now: Moment) {
+        if released.target != self.cfg.target {
+            return;
+        }
+        let attempt = released.attempt;
+        self.queue.remove(attempt);
+        if let Some(held) = self.permits.get(attempt) {
+            let (model, since) = (held.permit.model.clone(), held.since);
+            match released.outcome {
+                ReleaseOutcome::Finished { .. } => self.service_time.add(now.since(since)),
+                ReleaseOutcome::AdapterMissing => {
+                    if let Some(model) = model {
+                        self.adapter_missing(&model, since, now);
+                    }
+                }
+                ReleaseOutcome::Cancelled | ReleaseOutcome::TargetFailed => {}
+            }
+        }
+        self.free(attempt, now);
+    }
+
+    /// Drops the requests of an instance that has left, and lets its permits end by themselves.
+    ///
+    /// Its calls are not known to have ended: they do once the engine notices that nobody reads.
+    /// Until then they take seats, and their adapters stay pinned.
+    pub(super) fn entry_left(&mut self, entry: &InstanceId, now: Moment) {
+        for attempt in self.queue.of_entry(entry) {
+            self.queue.remove(attempt);
+            self.settled
+                .insert(attempt, u8::MAX, Settlement::Released, now);
+        }
+        let ends = now + self.cfg.permit_window + ENTRY_GONE_BOUND;
+        self.permits.end_of_entry(entry, ends);
+    }
+
+    /// Frees the seat and the pin of an attempt; a second time does nothing.
+    pub(super) fn free(&mut self, attempt: AttemptId, now: Moment) {
+        self.settled
+            .insert(attempt, u8::MAX, Settlement::Released, now);
+        let Some(held) = self.permits.remove(attempt) else {
+            return;
+        };
+        if let Some(model) = held.permit.model.filter(|_| self.slots.exist()) {
+            let idle = self.slots.unpin(&model, now);
+            if idle && !self.loads.is_empty() {
+                self.loads.review_due = true;
+            }
+        }
+        self.permits_changed(now);
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_core/src/owner/spread.rs
@@ -0,0 +1,193 @@
+//! How many targets hold an adapter, and which of them a request goes to.
+
+use chervilshunt_model::{AdapterVersion, Moment, TargetName};
+use indexmap::IndexMap;
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::Owner;
+use super::tuning::{MAX_HOPS, MAX_SPREAD, SPREAD_FILL, SPREAD_HOLD};
+use crate::PermitRequest;
+use crate::rank::TargetTable;
+
+/// Time over which a wider spread has to save the waiting that its load costs, in seconds.
+const PAYBACK: f64 = 60.0;
+
+/// The targets of the service, and the adapters spread over several of them.
+#[derive(Debug)]
+pub(super) struct Spread {
+    table: TargetTable,
+    wide: IndexMap<AdapterVersion, Wide>,
+    turn: usize,
+}
+
+/// An adapter that is spread over several targets.
+#[derive(Clone, Debug)]
+struct Wide {
+    /// The targets, first-ranked first.
+    targets: SmallVec<[TargetName; 4]>,
+    /// Since when a narrower spread would do.
+    unneeded_since: Option<Moment>,
+}
+
+impl Spread {
+    /// Starts with no adapter spread.
+    pub(super) fn new(target: &TargetName, peers: &[TargetName]) -> Self {
+        Self {
+            table: table(target, peers),
+            wide: IndexMap::new(),
+            turn: 0,
+        }
+    }
+
+    /// Takes the changed targets of the service; spreads are worked out anew as demand shows.
+    pub(super) fn set_peers(&mut self, target: &TargetName, peers: &[TargetName]) {
+        self.table = table(target, peers);
+        for (model, wide) in &mut self.wide {
+            let width = wide.targets.len();
+            wide.targets = ranked(&self.table, model, width);
+        }
+    }
+}
+
+impl Owner {
+    /// Whether an adapter is spread over several targets.
+    pub(super) fn is_wide(&self, model: &AdapterVersion) -> bool {
+        self.spread.wide.contains_key(model)
+    }
+
+    /// Returns the targets over which an adapter is spread, as far as this owner decides it.
+    pub(super) fn spread_of(&self, model: Option<&AdapterVersion>) -> SmallVec<[TargetName; 4]> {
+        let wide = model.and_then(|model| self.spread.wide.get(model));
+        match wide {
+            Some(wide) => wide.targets.clone(),
+            None => std::iter::once(self.cfg.target.clone()).collect(),
+        }
+    }
+
+    /// Follows the demand for an adapter with its spread.
+    ///
+    /// Only the owner of the first-ranked target does so, as it sees all the demand. The width
+    /// that is needed is the number of sequences that run at a time, by Little's law, over the
+    /// part of a batch that one adapter may fill. It grows at once, and shrinks by one after it
+    /// has been too wide for a while, so that a demand that swings does not load and evict.
+    pub(super) fn update_spread(&mut self, model: &AdapterVersion, now: Moment) {
+        if !self.cfg.mechanisms.spread {
+            return;
+        }
+        let width = self.spread.wide.get(model).map_or(1, |it| it.targets.len());
+        let needed = self.needed_width(model, now);
+        if needed > width {
+            self.widen(model, needed);
+            return;
+        }
+        let Some(wide) = self.spread.wide.get_mut(model) else {
+            return;
+        };
+        if needed == width {
+            wide.unneeded_since = None;
+            return;
+        }
+        let since = *wide.unneeded_since.get_or_insert(now);
+        if now.since(since) < SPREAD_HOLD {
+            return;
+        }
+        wide.unneeded_since = Some(now);
+        wide.targets.pop();
+        if wide.targets.len() == 1 {
+            self.spread.wide.swap_remove(model);
+        }
+    }
+
+    /// Spreads an adapter further when requests wait here so long that another load pays.
+    pub(super) fn widen_for_wait(&mut self, model: &AdapterVersion, wait: f64, now: Moment) {
+        if !self.cfg.mechanisms.spread || self.spread.wide.contains_key(model) {
+            return;
+        }
+        let saved = self.demand.surge(model, now) * PAYBACK * wait;
+        let load = self.loads.expected_time(now).as_secs_f64() * self.stall_weight();
+        if saved > load && wait > load {
+            self.widen(model, 2);
+        }
+    }
+
+    /// Returns the targets to which a request goes that finds no room here, best first.
+    ///
+    /// Requests with the same prefix go to the same target; without prefix affinity they take
+    /// turns.
+    pub(super) fn other_targets(&mut self, req: &PermitRequest) -> SmallVec<[TargetName; 4]> {
+        let Some(model) = &req.model else {
+            return SmallVec::new();
+        };
+        let Some(wide) = self.spread.wide.get(model) else {
+            return SmallVec::new();
+        };
+        let own = &self.cfg.target;
+        let mut others: SmallVec<[TargetName; 4]> = wide
+            .targets
+            .iter()
+            .filter(|it| *it != own)
+            .cloned()
+            .collect();
+        if others.is_empty() {
+            return others;
+        }
+        if self.cfg.mechanisms.prefix {
+            let by_prefix = |it: &TargetName| xxh3_64_with_seed(it.as_str().as_bytes(), req.prefix);
+            others.sort_by_key(by_prefix);
+        } else {
+            self.spread.turn += 1;
+            let turn = self.spread.turn % others.len();
+            others.rotate_left(turn);
+        }
+        others
+    }
+
+    /// Returns the targets ranked next after this one, for a request that can't stay here.
+    pub(super) fn next_ranked(&self, req: &PermitRequest) -> SmallVec<[TargetName; 4]> {
+        if req.hops >= MAX_HOPS {
+            return SmallVec::new();
+        }
+        let Some(model) = &req.model else {
+            return SmallVec::new();
+        };
+        let ranked = self.spread.table.rank(model, MAX_SPREAD);
+        let own = ranked.iter().position(|it| **it == self.cfg.target);
+        let after = own.map_or(0, |own| own + 1);
+        let (before, after) = ranked.split_at(after);
+        let next = after.iter().chain(before);
+        let next = next.filter(|it| ***it != self.cfg.target);
+        next.take(MAX_HOPS as usize + 1)
+            .map(|it| (*it).clone())
+            .collect()
+    }
+
+    fn needed_width(&self, model: &AdapterVersion, now: Moment) -> usize {
+        let running = self.demand.surge(model, now) * self.service_time.get().as_secs_f64();
+        let seats = self.power.batch_bound().max(1) as f64 * SPREAD_FILL;
+        let needed = (running / seats).ceil() as usize;
+        needed.clamp(1, MAX_SPREAD)
+    }
+
+    fn widen(&mut self, model: &AdapterVersion, width: usize) {
+        let targets = ranked(&self.spread.table, model, width);
+        let home = targets.first() == Some(&self.cfg.target);
+        if !home || targets.len() < 2 {
+            return;
+        }
+        let wide = Wide {
+            targets,
+            unneeded_since: None,
+        };
+        self.spread.wide.insert(model.clone(), wide);
+    }
+}
+
+fn table(target: &TargetName, peers: &[TargetName]) -> TargetTable {
+    let others = peers.iter().filter(|it| *it != target);
+    TargetTable::new(std::iter::once(target).chain(others).cloned())
+}
+
+fn ranked(table: &TargetTable, model: &AdapterVersion, count: usize) -> SmallVec<[TargetName; 4]> {
+    table.rank(model, count).into_iter().cloned().collect()
+}
--- /dev/null
+++ b/crates/chervilshunt_core/src/owner/view.rs
@@ -0,0 +1,133 @@
+//! What an owner shows of itself to operators and metrics.
+
+use std::time::Duration;
+
+use chervilshunt_model::{AdapterVersion, Class, Moment};
+use serde::{Deserialize, Serialize};
+
+use super::Owner;
+use super::loads::Phase;
+use super::slots::Moving;
+use crate::Permit;
+
+/// The state of an owner at one moment.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OwnerView {
+    /// Permits that are out, by class.
+    pub live_permits: usize,
+    /// Deferrable permits that are out.
+    pub deferrable_permits: usize,
+    /// Live requests that wait.
+    pub live_waiting: usize,
+    /// Deferrable requests that wait.
+    pub deferrable_waiting: usize,
+    /// Sequences that may run at a time within the share of power.
+    pub batch_bound: usize,
+    /// The share of power, in watts.
+    pub share_watts: f64,
+    /// Adapters in slots, on their way, or waited for.
+    pub adapters: Vec<AdapterView>,
+    /// Adapters whose demand is remembered.
+    pub known_adapters: usize,
+    /// Whether evictions are safe: the permits of earlier owners are known or have ended.
+    pub takeover_complete: bool,
+}
+
+/// One adapter version at a target.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AdapterView {
+    /// The adapter version.
+    pub model: AdapterVersion,
+    /// Its state.
+    pub state: AdapterState,
+    /// Permits that pin it.
+    pub pins: u32,
+    /// Requests that wait for it to be loaded.
+    pub waiters: usize,
+    /// Loads that failed in a row.
+    pub failed_loads: u32,
+}
+
+/// The state of an adapter version at a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AdapterState {
+    /// It is loaded and serves permits.
+    Serving,
+    /// It is loaded and serves no permit.
+    Idle,
+    /// It is loaded, and makes room once its permits are released.
+    Draining,
+    /// It waits for a slot, for its turn, or for a pause after a failure to end.
+    Pending,
+    /// The engine is loading it.
+    Loading,
+    /// The engine is unloading it.
+    Unloading,
+    /// An order went unanswered, and the engine has been asked.
+    Unknown,
+}
+
+impl Owner {
+    /// Returns the state for operators and metrics; not for every request.
+    pub fn view(&self, _now: Moment) -> OwnerView {
+        OwnerView {
+            live_permits: self.permits.live(),
+            deferrable_permits: self.permits.deferrable(),
+            live_waiting: self.queue.len(Class::Live),
+            deferrable_waiting: self.queue.len(Class::Deferrable),
+            batch_bound: self.power.batch_bound(),
+            share_watts: self.power.share_watts(),
+            adapters: self.adapter_views(),
+            known_adapters: self.demand.len(),
+            takeover_complete: self.takeover.complete(),
+        }
+    }
+
+    /// Returns the permits that are out, for operators.
+    pub fn permits(&self) -> impl Iterator<Item = &Permit> {
+        self.permits.iter().map(|held| &held.permit)
+    }
+
+    /// Returns the time that a load asked for now is expected to take, with its wait for a turn.
+    pub fn expected_load_time(&self, now: Moment) -> Duration {
+        self.loads.expected_time(now)
+    }
+
+    fn adapter_views(&self) -> Vec<AdapterView> {
+        let pinned = self.slots.pinned().map(|(model, slot)| {
+            let state = if slot.retiring {
+                AdapterState::Draining
+            } else {
+                AdapterState::Serving
+            };
+            self.adapter_view(model, state, slot.pins())
+        });
+        let idle = self.slots.idle();
+        let idle = idle.map(|(model, _)| self.adapter_view(model, AdapterState::Idle, 0));
+        let moving = self.slots.all_moving().map(|(model, what)| {
+            let state = match what {
+                Moving::Loading(_) => AdapterState::Loading,
+                Moving::Unloading(_) => AdapterState::Unloading,
+                Moving::MaybeLoaded | Moving::MaybeUnloaded => AdapterState::Unknown,
+            };
+            self.adapter_view(model, state, 0)
+        });
+        let pending = self.loads.iter().filter(|(model, load)| {
+            let in_slot = self.slots.holds(model) || self.slots.moving(model).is_some();
+            !in_slot && !matches!(load.phase, Phase::Ordered { .. })
+        });
+        let pending = pending.map(|(model, _)| self.adapter_view(model, AdapterState::Pending, 0));
+        pinned.chain(idle).chain(moving).chain(pending).collect()
+    }
+
+    fn adapter_view(&self, model: &AdapterVersion, state: AdapterState, pins: u32) -> AdapterView {
+        AdapterView {
+            model: model.clone(),
+            state,
+            pins,
+            waiters: self.queue.blocked_on(model).len(),
+            failed_loads: self.loads.get(model).map_or(0, |load| load.tries),
+        }
+    }
+}
--- a/crates/chervilshunt_core/src/scheduler.rs
+++ b/crates/chervilshunt_core/src/scheduler.rs
@@ -2,10 +2,24 @@
 
 use std::time::Duration;
 
-use chervilshunt_model::{AdapterVersion, Moment, TargetName};
+use chervilshunt_model::{AdapterVersion, Class, Moment, TargetName};
+use indexmap::IndexMap;
 
+use crate::decay::DurationAverage;
 use crate::{LoadUrgency, Mechanisms, OrderId};
 
+/// Urgency of each live waiter, and of each second that the oldest has waited.
+const LIVE_URGENCY: (f64, f64) = (10.0, 10.0);
+
+/// The same for deferrable waiters.
+const DEFERRABLE_URGENCY: (f64, f64) = (1.0, 0.5);
+
+/// Load times for which the load of an owner that lost its role is taken to go on.
+const ORPHAN_LOAD_TIMES: u32 = 3;
+
+/// Bound on waits worked out from a rate that may be close to zero.
+const LONGEST_WAIT: Duration = Duration::from_secs(60);
+
 /// What a load scheduler has to know of its weight store.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SchedulerConfig {
@@ -85,40 +99,255 @@
 }
 
 /// The load scheduler of one weight store.
+///
+/// It gives turns by urgency, never more at a time than the store bears at full speed, and never
+/// faster than its rate. A turn ends when the owner says so or when its time is up, so that a lost
+/// message or a dead owner holds the store up for a bounded time only.
 #[derive(Debug)]
 pub struct LoadScheduler {
     cfg: SchedulerConfig,
+    waiting: IndexMap<Turn, Waiting>,
+    running: IndexMap<Turn, Running>,
+    load_time: DurationAverage,
+    tokens: Tokens,
+    asked: u64,
+}
+
+/// A turn: the target that loads, and its owner's id.
+type Turn = (TargetName, OrderId);
+
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    urgency: LoadUrgency,
+    told: Moment,
+    arrival: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    since: Moment,
+    until: Moment,
 }
 
 impl LoadScheduler {
     /// Starts with no load in progress.
-    pub fn new(cfg: SchedulerConfig, _now: Moment) -> Self {
-        Self { cfg }
+    pub fn new(cfg: SchedulerConfig, now: Moment) -> Self {
+        Self {
+            waiting: IndexMap::new(),
+            running: IndexMap::new(),
+            load_time: DurationAverage::new(load_time_at(&cfg)),
+            tokens: Tokens::full(&cfg, now),
+            asked: 0,
+            cfg,
+        }
     }
 
     /// Takes one event and says what is to be done.
-    pub fn handle(&mut self, event: SchedulerEvent, _now: Moment) -> Vec<SchedulerAction> {
+    pub fn handle(&mut self, event: SchedulerEvent, now: Moment) -> Vec<SchedulerAction> {
+        let mut out = Vec::new();
         match event {
-            SchedulerEvent::TurnAsked { target, order, .. } => {
-                vec![SchedulerAction::Grant {
-                    target,
-                    order,
-                    queue_wait: Duration::ZERO,
-                }]
-            }
+            SchedulerEvent::TurnAsked {
+                target,
+                order,
+                urgency,
+                ..
+            } => self.asked((target, order), urgency, now, &mut out),
+            SchedulerEvent::TurnHeld { target, order, .. } => self.held((target, order), now),
+            SchedulerEvent::TurnEnded {
+                target,
+                order,
+                result,
+            } => self.ended(&(target, order), result, now),
+            SchedulerEvent::OwnerChanged(target) => self.owner_changed(&target, now),
             SchedulerEvent::Reconfigured(cfg) => {
+                self.tokens.refill(&self.cfg, now);
                 self.cfg = cfg;
-                Vec::new()
             }
-            SchedulerEvent::TurnEnded { .. }
-            | SchedulerEvent::TurnHeld { .. }
-            | SchedulerEvent::OwnerChanged(_)
-            | SchedulerEvent::Tick => Vec::new(),
+            SchedulerEvent::Tick => {}
         }
+        self.running.retain(|_, turn| turn.until > now);
+        self.grant(now, &mut out);
+        out
     }
 
     /// Returns when [`SchedulerEvent::Tick`] is next wanted.
     pub fn next_wakeup(&self) -> Option<Moment> {
-        None
+        let timeout = self.running.values().map(|turn| turn.until).min();
+        let room = self.running.len() < self.cfg.concurrency as usize;
+        let token = (room && !self.waiting.is_empty()).then(|| self.tokens.next(&self.cfg));
+        [timeout, token].into_iter().flatten().min()
+    }
+
+    /// Returns how long a live load asked for now would wait for its turn.
+    pub fn queue_wait(&self) -> Duration {
+        let live = |it: &&Waiting| it.urgency.class == Some(Class::Live);
+        let ahead = self.running.len() + self.waiting.values().filter(live).count();
+        let side_by_side = self.cfg.concurrency.max(1) as usize;
+        let rounds = (ahead + 1).saturating_sub(side_by_side) as f64 / side_by_side as f64;
+        self.load_time.get().mul_f64(rounds)
+    }
+
+    fn asked(
+        &mut self,
+        turn: Turn,
+        urgency: LoadUrgency,
+        now: Moment,
+        out: &mut Vec<SchedulerAction>,
+    ) {
+        if self.running.contains_key(&turn) {
+            // The owner asks again for a turn that it has: the grant was lost, or crossed this.
+            out.push(self.grant_action(turn));
+            return;
+        }
+        self.asked += 1;
+        let arrival = self.waiting.get(&turn).map_or(self.asked, |it| it.arrival);
+        let waiting = Waiting {
+            urgency,
+            told: now,
+            arrival,
+        };
+        self.waiting.insert(turn, waiting);
+    }
+
+    fn held(&mut self, turn: Turn, now: Moment) {
+        self.waiting.swap_remove(&turn);
+        let running = self.new_running(now);
+        self.running.entry(turn).or_insert(running);
     }
+
+    fn ended(&mut self, turn: &Turn, result: TurnResult, now: Moment) {
+        self.waiting.swap_remove(turn);
+        let Some(running) = self.running.swap_remove(turn) else {
+            return;
+        };
+        match result {
+            TurnResult::Loaded => self.load_time.add(now.since(running.since)),
+            TurnResult::Failed => {}
+            TurnResult::Withdrawn => self.tokens.give_back(&self.cfg),
+        }
+    }
+
+    /// Forgets what an earlier owner asked for.
+    ///
+    /// A load that it has under way may still be drawing on the store, so its turn goes on for as
+    /// long as loads take.
+    fn owner_changed(&mut self, target: &TargetName, now: Moment) {
+        self.waiting.retain(|(of, _), _| of != target);
+        let until = now + self.load_time.get() * ORPHAN_LOAD_TIMES;
+        let of_target = self.running.iter_mut().filter(|((of, _), _)| of == target);
+        for (_, running) in of_target {
+            running.until = running.until.min(until);
+        }
+    }
+
+    fn grant(&mut self, now: Moment, out: &mut Vec<SchedulerAction>) {
+        while self.running.len() < self.cfg.concurrency as usize {
+            let Some(turn) = self.most_urgent(now) else {
+                return;
+            };
+            if !self.tokens.take(&self.cfg, now) {
+                return;
+            }
+            self.waiting.swap_remove(&turn);
+            let running = self.new_running(now);
+            self.running.insert(turn.clone(), running);
+            out.push(self.grant_action(turn));
+        }
+    }
+
+    fn most_urgent(&self, now: Moment) -> Option<Turn> {
+        let best = self.waiting.iter().max_by(|(_, left), (_, right)| {
+            let by_score = self.score(left, now).total_cmp(&self.score(right, now));
+            by_score.then(right.arrival.cmp(&left.arrival))
+        });
+        best.map(|(turn, _)| turn.clone())
+    }
+
+    /// Returns how urgent a turn is: the waiting that it ends, with an allowance for age.
+    ///
+    /// All loads take alike, so the sum of waiting is least when the load with most waiters goes
+    /// first. Age keeps a load with one waiter from being overtaken for ever, and lifts deferrable
+    /// ones over live ones in the end.
+    fn score(&self, waiting: &Waiting, now: Moment) -> f64 {
+        if !self.cfg.mechanisms.urgency {
+            return 0.0;
+        }
+        let told = &waiting.urgency;
+        let age = Duration::from_millis(told.oldest_ms) + now.since(waiting.told);
+        let (waiter, second) = match told.class {
+            Some(Class::Live) => LIVE_URGENCY,
+            Some(Class::Deferrable) => DEFERRABLE_URGENCY,
+            None => return -1.0,
+        };
+        waiter * f64::from(told.waiters) + second * age.as_secs_f64()
+    }
+
+    fn new_running(&self, now: Moment) -> Running {
+        Running {
+            since: now,
+            until: now + self.cfg.turn_timeout,
+        }
+    }
+
+    fn grant_action(&self, (target, order): Turn) -> SchedulerAction {
+        SchedulerAction::Grant {
+            target,
+            order,
+            queue_wait: self.queue_wait(),
+        }
+    }
+}
+
+/// Tokens for beginning loads at the store's rate.
+#[derive(Clone, Copy, Debug)]
+struct Tokens {
+    count: f64,
+    updated: Moment,
+}
+
+impl Tokens {
+    fn full(cfg: &SchedulerConfig, now: Moment) -> Self {
+        Self {
+            count: bucket_size(cfg),
+            updated: now,
+        }
+    }
+
+    fn refill(&mut self, cfg: &SchedulerConfig, now: Moment) {
+        let elapsed = now.since(self.updated).as_secs_f64();
+        self.count = (self.count + elapsed * cfg.loads_per_second).min(bucket_size(cfg));
+        self.updated = now.max(self.updated);
+    }
+
+    fn take(&mut self, cfg: &SchedulerConfig, now: Moment) -> bool {
+        self.refill(cfg, now);
+        let enough = self.count >= 1.0;
+        if enough {
+            self.count -= 1.0;
+        }
+        enough
+    }
+
+    fn give_back(&mut self, cfg: &SchedulerConfig) {
+        self.count = (self.count + 1.0).min(bucket_size(cfg));
+    }
+
+    /// Returns when a load may next begin, rounded up so that it may by then.
+    fn next(&self, cfg: &SchedulerConfig) -> Moment {
+        let missing = (1.0 - self.count).max(0.0);
+        let wait = missing / cfg.loads_per_second.max(f64::MIN_POSITIVE);
+        let wait = Duration::try_from_secs_f64(wait).unwrap_or(LONGEST_WAIT);
+        self.updated + wait.min(LONGEST_WAIT) + Duration::from_micros(1)
+    }
+}
+
+/// Returns how many loads may begin at once after a pause: a round, and one more, so that the
+/// store never idles for want of a token when loads take a little less than they should.
+fn bucket_size(cfg: &SchedulerConfig) -> f64 {
+    f64::from(cfg.concurrency) + 1.0
+}
+
+fn load_time_at(cfg: &SchedulerConfig) -> Duration {
+    let seconds = f64::from(cfg.concurrency) / cfg.loads_per_second.max(f64::MIN_POSITIVE);
+    Duration::try_from_secs_f64(seconds).map_or(LONGEST_WAIT, |it| it.min(LONGEST_WAIT))
 }
--- /dev/null
+++ b/crates/chervilshunt_core/tests/owner.rs
@@ -0,0 +1,189 @@
+//! The owner's answers, event by event.
+
+mod support;
+
+use chervilshunt_core::{
+    OrderFailure, OrderKind, OwnerAction, OwnerEvent, PermitAnswer, RefusalReason, ReleaseOutcome,
+};
+use chervilshunt_model::{AttemptId, Class};
+use rstest::rstest;
+use support::{answers, at, config, finished, granted, model, owner_with, release, request};
+
+fn ask(attempt: u128, number: u32) -> OwnerEvent {
+    OwnerEvent::PermitRequested(request(attempt, Some(model(number)), Class::Live))
+}
+
+#[test]
+fn grants_at_once_what_is_loaded() {
+    let mut owner = owner_with(config(2, 4), &[model(1)]);
+    let actions = owner.handle(ask(1, 1), at(10));
+    assert_eq!(granted(&actions)[0].attempt, AttemptId::from_u128(1));
+}
+
+#[test]
+fn loads_what_is_not_loaded_once_for_all_that_wait() {
+    let mut owner = owner_with(config(2, 4), &[]);
+    let asked = owner.handle(ask(1, 1), at(10));
+    let again = owner.handle(ask(2, 1), at(11));
+    let turns = |actions: &[OwnerAction]| {
+        let turns = actions.iter().filter_map(|action| match action {
+            OwnerAction::AskTurn { order, .. } => Some(*order),
+            _ => None,
+        });
+        turns.collect::<Vec<_>>()
+    };
+    let [order] = turns(&asked)[..] else {
+        panic!("one turn is asked for: {asked:?}");
+    };
+    assert!(turns(&again).is_empty(), "the load is shared: {again:?}");
+    let turn = OwnerEvent::TurnGranted {
+        order,
+        queue_wait: std::time::Duration::ZERO,
+    };
+    let ordered = owner.handle(turn, at(20));
+    assert!(ordered.iter().any(|action| matches!(
+        action,
+        OwnerAction::Order(order) if order.kind == OrderKind::Load && order.model == model(1)
+    )));
+    let result = Ok(());
+    let loaded = owner.handle(OwnerEvent::OrderEnded { order, result }, at(300));
+    assert_eq!(granted(&loaded).len(), 2);
+}
+
+#[test]
+fn asking_twice_gives_one_permit() {
+    let mut owner = owner_with(config(2, 4), &[model(1)]);
+    let first = owner.handle(ask(1, 1), at(10));
+    let second = owner.handle(ask(1, 1), at(11));
+    assert_eq!(granted(&first), granted(&second));
+    assert_eq!(owner.view(at(11)).live_permits, 1);
+    owner.handle(release(1, finished()), at(20));
+    owner.handle(release(1, finished()), at(21));
+    assert_eq!(owner.view(at(21)).live_permits, 0);
+    let late = owner.handle(ask(1, 1), at(22));
+    assert!(
+        granted(&late).is_empty(),
+        "a late double is granted nothing"
+    );
+}
+
+/// What the caller sees: an answer from an adapter that was loaded before its request.
+/// The only slot's adapter serves a request while another is asked for. The load has to wait for
+/// the release, however long it takes.
+#[test]
+fn never_evicts_a_pinned_adapter() {
+    let mut owner = owner_with(config(1, 4), &[model(1)]);
+    owner.handle(ask(1, 1), at(10));
+    let mut actions = owner.handle(ask(2, 2), at(20));
+    for second in 1..30 {
+        actions.extend(owner.handle(OwnerEvent::Tick, at(1_000 * second)));
+    }
+    assert!(
+        !actions
+            .iter()
+            .any(|action| matches!(action, OwnerAction::Order(_)))
+    );
+    let mut actions = owner.handle(release(1, finished()), at(31_000));
+    let turn = actions.iter().find_map(|action| match action {
+        OwnerAction::AskTurn { order, .. } => Some(*order),
+        _ => None,
+    });
+    let turn = OwnerEvent::TurnGranted {
+        order: turn.expect("a turn is asked for"),
+        queue_wait: std::time::Duration::ZERO,
+    };
+    actions = owner.handle(turn, at(31_100));
+    assert!(actions.iter().any(|action| matches!(
+        action,
+        OwnerAction::Order(order) if order.kind == OrderKind::Unload && order.model == model(1)
+    )));
+}
+
+#[rstest]
+#[case::draining(OwnerEvent::Draining(true), RefusalReason::Draining)]
+#[case::down(OwnerEvent::Reachable(false), RefusalReason::TargetDown)]
+fn refuses_what_waits_when_closed(#[case] event: OwnerEvent, #[case] expected: RefusalReason) {
+    let mut owner = owner_with(config(2, 4), &[]);
+    owner.handle(ask(1, 1), at(10));
+    let actions = owner.handle(event, at(20));
+    let answers = answers(&actions);
+    let [(_, PermitAnswer::Refused { reason, .. })] = &*answers else {
+        panic!("one refusal: {answers:?}");
+    };
+    assert_eq!(*reason, expected);
+}
+
+#[test]
+fn refuses_at_the_deadline() {
+    let mut owner = owner_with(config(2, 4), &[]);
+    let mut req = request(1, Some(model(1)), Class::Live);
+    req.deadline_ms = 5_000;
+    owner.handle(OwnerEvent::PermitRequested(req), at(10));
+    let wakeup = owner.next_wakeup().expect("there is work");
+    assert!(wakeup <= at(5_010));
+    let actions = owner.handle(OwnerEvent::Tick, at(5_010));
+    let answers = answers(&actions);
+    let [
+        (
+            _,
+            PermitAnswer::Refused {
+                reason,
+                retry_after_ms,
+            },
+        ),
+    ] = &*answers
+    else {
+        panic!("one refusal: {answers:?}");
+    };
+    assert_eq!(*reason, RefusalReason::Deadline);
+    assert!(*retry_after_ms > 0);
+}
+
+/// What the caller sees: a request that waits is served after the engine restarted empty.
+/// The engine answers a call that it does not hold the adapter; the owner asks what it holds,
+/// and loads again before it grants the next permit.
+#[test]
+fn loads_again_after_the_engine_restarted_empty() {
+    let mut owner = owner_with(config(2, 4), &[model(1)]);
+    owner.handle(ask(1, 1), at(10));
+    let missing = owner.handle(release(1, ReleaseOutcome::AdapterMissing), at(20));
+    assert!(missing.contains(&OwnerAction::AskInventory));
+    let actions = owner.handle(ask(2, 1), at(30));
+    assert!(granted(&actions).is_empty());
+    assert!(
+        actions
+            .iter()
+            .any(|action| matches!(action, OwnerAction::AskTurn { .. }))
+    );
+}
+
+#[test]
+fn a_fenced_order_ends_all_work() {
+    let mut owner = owner_with(config(2, 4), &[]);
+    let asked = owner.handle(ask(1, 1), at(10));
+    let order = asked.iter().find_map(|action| match action {
+        OwnerAction::AskTurn { order, .. } => Some(*order),
+        _ => None,
+    });
+    let order = order.expect("a turn is asked for");
+    let turn = OwnerEvent::TurnGranted {
+        order,
+        queue_wait: std::time::Duration::ZERO,
+    };
+    owner.handle(turn, at(20));
+    let result = Err(OrderFailure::Fenced);
+    let ended = owner.handle(OwnerEvent::OrderEnded { order, result }, at(30));
+    let answers = answers(&ended);
+    assert!(matches!(
+        answers[..],
+        [(
+            _,
+            PermitAnswer::Refused {
+                reason: RefusalReason::NotOwner,
+                ..
+            }
+        )]
+    ));
+    let next = owner.handle(ask(2, 1), at(40));
+    assert!(granted(&next).is_empty());
+}
--- /dev/null
+++ b/crates/chervilshunt_core/tests/support/mod.rs
@@ -0,0 +1,102 @@
+//! Builders that the core's tests share.
+#![allow(dead_code, reason = "each test binary uses a part of these")]
+
+use std::time::Duration;
+
+use chervilshunt_core::{
+    Mechanisms, Owner, OwnerAction, OwnerConfig, OwnerEvent, Permit, PermitAnswer, PermitRequest,
+    PolicyWeights, ReleaseOutcome, ReleasedPermit,
+};
+use chervilshunt_model::{AdapterVersion, AttemptId, Class, Epoch, Fencing, Moment, TargetName};
+
+pub(crate) fn target() -> TargetName {
+    TargetName::from("t0")
+}
+
+pub(crate) fn model(number: u32) -> AdapterVersion {
+    AdapterVersion::new(format!("a{number}").as_str(), "v1")
+}
+
+pub(crate) fn at(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
+
+pub(crate) fn config(slots: u32, max_batch: u32) -> OwnerConfig {
+    OwnerConfig {
+        target: target(),
+        epoch: Epoch::new(7),
+        fencing: Fencing::Checks,
+        slots,
+        max_batch,
+        idle_watts: 100.0,
+        watts_per_sequence: 10.0,
+        share_watts: 100.0 + 10.0 * f64::from(max_batch),
+        queue_bound: 8,
+        permit_window: Duration::from_secs(2),
+        unscheduled_load_interval: Duration::from_secs(2),
+        peers: vec![],
+        weights: PolicyWeights::default(),
+        mechanisms: Mechanisms::default(),
+    }
+}
+
+pub(crate) fn request(attempt: u128, model: Option<AdapterVersion>, class: Class) -> PermitRequest {
+    PermitRequest {
+        attempt: AttemptId::from_u128(attempt),
+        entry: "e0".into(),
+        target: target(),
+        model,
+        class,
+        weight: 1,
+        caller: "c0".into(),
+        deadline_ms: 60_000,
+        prompt_tokens: 100,
+        max_tokens: 100,
+        prefix: 0,
+        hops: 0,
+    }
+}
+
+pub(crate) fn release(attempt: u128, outcome: ReleaseOutcome) -> OwnerEvent {
+    OwnerEvent::PermitReleased(ReleasedPermit {
+        attempt: AttemptId::from_u128(attempt),
+        target: target(),
+        outcome,
+    })
+}
+
+pub(crate) fn finished() -> ReleaseOutcome {
+    ReleaseOutcome::Finished {
+        tokens: 10,
+        first_byte_ms: 10,
+        total_ms: 100,
+    }
+}
+
+/// An owner whose engine has answered that it holds `loaded`, with its takeover complete.
+pub(crate) fn owner_with(cfg: OwnerConfig, loaded: &[AdapterVersion]) -> Owner {
+    let mut owner = Owner::new(cfg, at(0));
+    owner.handle(OwnerEvent::Tick, at(0));
+    owner.handle(OwnerEvent::Inventory(loaded.to_vec()), at(1));
+    owner.handle(OwnerEvent::TakeoverComplete, at(1));
+    owner
+}
+
+pub(crate) fn answers(actions: &[OwnerAction]) -> Vec<(AttemptId, PermitAnswer)> {
+    let answers = actions.iter().filter_map(|action| match action {
+        OwnerAction::Answer {
+            attempt, answer, ..
+        } => Some((*attempt, answer.clone())),
+        _ => None,
+    });
+    answers.collect()
+}
+
+pub(crate) fn granted(actions: &[OwnerAction]) -> Vec<Permit> {
+    let answers = answers(actions).into_iter();
+    let granted = answers.filter_map(|(_, answer)| match answer {
+        PermitAnswer::Granted { permit, .. } => Some(permit),
+        PermitAnswer::Redirect { .. } | PermitAnswer::Refused { .. } => None,
+    });
+    granted.collect()
+}
