Add a caller that checks every answer

The quickstart, the load tool and the fault tool each need the same judgement: is the answer whole, by the adapter version that was named, for this request, with true usage; is a refusal of the published form; and, from the stand-ins' counts at the end, was "not run" true and did nothing that may run at most once run twice. It stands once, in chervilshunt_standin::check.

--- /dev/null
+++ b/crates/chervilshunt_standin/src/check/client.rs
@@ -0,0 +1,143 @@
+//! The client that sends requests.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use chervilshunt_model::Class;
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http::{Method, Request};
+use http_body_util::Full;
+use hyper_util::client::legacy::Client as HyperClient;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde_json::{Value, json};
+
+use super::exchange::{Exchange, Failure};
+use super::verdict::{Record, Timing, Verdict, Violation, ViolationKind};
+use super::{Api, Call, CompletionCall, RequestPlan, Route};
+
+/// The time that opening a connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Urgencies (RFC 9218) that stand for the two classes.
+const LIVE_PRIORITY: &str = "u=2";
+const DEFERRABLE_PRIORITY: &str = "u=6";
+
+/// How a client speaks to instances.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClientOptions {
+    /// Whether it speaks HTTP/2 in place of HTTP/1.1.
+    pub http2: bool,
+    /// Whether each request gets a connection of its own.
+    pub fresh_connections: bool,
+}
+
+/// A caller that checks its answers.
+#[derive(Clone, Debug)]
+pub struct Client {
+    inner: HyperClient<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::new(ClientOptions::default())
+    }
+}
+
+impl Client {
+    /// Makes a client; clones share its connections.
+    pub fn new(options: ClientOptions) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let mut builder = HyperClient::builder(TokioExecutor::new());
+        builder
+            .pool_timer(TokioTimer::new())
+            .http2_only(options.http2);
+        if options.fresh_connections {
+            builder.pool_max_idle_per_host(0);
+        }
+        Self {
+            inner: builder.build(connector),
+        }
+    }
+
+    /// Sends one request and checks what comes back.
+    pub async fn send(&self, plan: RequestPlan) -> Record {
+        let start = Instant::now();
+        let mut timing = Timing::default();
+        let exchange = Exchange {
+            plan: &plan,
+            start,
+            timing: &mut timing,
+        };
+        let checked = exchange.run(&self.inner, request(&plan));
+        let verdict = match tokio::time::timeout(plan.patience, checked).await {
+            Ok(Ok(verdict)) => verdict,
+            Ok(Err(Failure::Violation(violation))) => Verdict::Violated(violation),
+            Ok(Err(Failure::Disconnected { sent, detail })) => {
+                Verdict::Disconnected { sent, detail }
+            }
+            Err(_) => Verdict::Violated(Violation::new(
+                ViolationKind::Overdue,
+                format!("no end within {:?}", plan.patience),
+            )),
+        };
+        timing.total = start.elapsed();
+        Record {
+            plan,
+            verdict,
+            timing,
+        }
+    }
+}
+
+fn request(plan: &RequestPlan) -> Request<Full<Bytes>> {
+    let (path, body) = match &plan.call {
+        Call::Completion(call) => completion(call),
+        Call::Plain(call) => (
+            format!("/services/{}{}", call.service, call.path),
+            Bytes::copy_from_slice(call.body.as_bytes()),
+        ),
+    };
+    let mut builder = Request::builder()
+        .method(Method::POST)
+        .uri(format!("http://{}{path}", plan.to))
+        .header(CONTENT_TYPE, HeaderValue::from_static("application/json"))
+        .header("x-request-id", &*plan.request_id);
+    if plan.route == Route::System {
+        let priority = match plan.class {
+            Class::Live => LIVE_PRIORITY,
+            Class::Deferrable => DEFERRABLE_PRIORITY,
+        };
+        builder = builder.header("priority", priority);
+        if let Some(key) = &plan.key {
+            builder = builder.header("idempotency-key", format!("\"{key}\""));
+        }
+        if let Some(deadline) = plan.deadline {
+            builder = builder.header("prefer", format!("wait={}", deadline.as_secs()));
+        }
+    }
+    builder
+        .body(Full::new(body))
+        .expect("plans hold only what can stand in a request")
+}
+
+fn completion(call: &CompletionCall) -> (String, Bytes) {
+    let mut body = json!({
+        "model": &*call.model,
+        "max_tokens": call.max_tokens,
+        "stream": call.stream,
+    });
+    let path = match call.api {
+        Api::Text => {
+            body["prompt"] = Value::from(&*call.prompt);
+            "/v1/completions"
+        }
+        Api::Chat => {
+            body["messages"] = json!([{"role": "user", "content": &*call.prompt}]);
+            "/v1/chat/completions"
+        }
+    };
+    (path.to_owned(), body.to_string().into())
+}
--- a/crates/chervilshunt_standin/src/lib.rs
+++ b/crates/chervilshunt_standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each runs as a process of its own (`chervilshunt_standin platform|…`) or inside a test. See
 //! `docs/INTERFACES.md` for what they speak.
 
+pub mod check;
 pub mod engine;
 pub mod fleet;
 pub mod plain;
