Add the client of engines and plain services

Each call is sent at most once: the connection pool is the client's own, and a request goes out again only if the HTTP library gives it back unwritten. Errors say whether the call can have run. Streams are checked event by event for the model that served them and for their end; only whole, checked events are handed on.

--- /dev/null
+++ b/crates/chervilshunt_engine/src/answer/body.rs
@@ -0,0 +1,235 @@
+//! The body of an answer, handed on only as far as it has been checked.
+
+use std::collections::VecDeque;
+use std::fmt;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+
+use super::reader::BodyReader;
+use super::{AnswerSummary, SseScanner};
+use crate::error::{BrokenOffSnafu, EngineError, MalformedSnafu};
+
+/// The largest event of a stream, in bytes: it is held back until it has been checked.
+const MAX_EVENT: usize = 1024 * 1024;
+
+/// The body of an answer. Dropping it cancels the call.
+///
+/// Of a stream it hands on whole events only, each after its check, so that what is added after a
+/// broken stream stands on a line of its own.
+pub struct AnswerBody {
+    source: Source,
+    /// Pieces that have been checked.
+    ready: VecDeque<Bytes>,
+    summary: AnswerSummary,
+}
+
+enum Source {
+    /// All of it is in `ready`.
+    Whole,
+    Plain(Box<BodyReader>),
+    Stream(Box<CheckedStream>),
+}
+
+struct CheckedStream {
+    reader: BodyReader,
+    scanner: SseScanner,
+    /// The start of an event that is not whole so far.
+    held: VecDeque<Bytes>,
+    held_bytes: usize,
+    /// What is wrong with the event after those that have passed.
+    failure: Option<EngineError>,
+}
+
+impl fmt::Debug for AnswerBody {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("AnswerBody")
+            .field("summary", &self.summary())
+            .finish_non_exhaustive()
+    }
+}
+
+impl AnswerBody {
+    pub(crate) fn whole(body: Bytes, summary: AnswerSummary) -> Self {
+        Self {
+            source: Source::Whole,
+            ready: VecDeque::from([body]),
+            summary,
+        }
+    }
+
+    pub(crate) fn plain(reader: BodyReader) -> Self {
+        Self {
+            source: Source::Plain(Box::new(reader)),
+            ready: VecDeque::new(),
+            summary: AnswerSummary::default(),
+        }
+    }
+
+    pub(crate) fn stream(reader: BodyReader, scanner: SseScanner) -> Self {
+        let stream = CheckedStream {
+            reader,
+            scanner,
+            held: VecDeque::new(),
+            held_bytes: 0,
+            failure: None,
+        };
+        Self {
+            source: Source::Stream(Box::new(stream)),
+            ready: VecDeque::new(),
+            summary: AnswerSummary::default(),
+        }
+    }
+
+    /// Returns what is known of the answer so far.
+    pub fn summary(&self) -> AnswerSummary {
+        match &self.source {
+            Source::Whole => self.summary,
+            Source::Plain(reader) => {
+                let complete = self.summary.complete || reader.is_finished();
+                AnswerSummary {
+                    complete,
+                    ..self.summary
+                }
+            }
+            Source::Stream(stream) => AnswerSummary {
+                complete: self.summary.complete,
+                events: stream.scanner.events(),
+                usage: stream.scanner.usage(),
+            },
+        }
+    }
+
+    /// Waits until the first piece has been checked, and keeps it to be read.
+    ///
+    /// Until then nothing has been handed on, so that a failure can still be an answer of its own,
+    /// or an idempotent call be tried elsewhere.
+    ///
+    /// # Errors
+    /// Fails as reading the body would.
+    pub async fn first_piece(&mut self) -> Result<(), EngineError> {
+        if !self.ready.is_empty() {
+            return Ok(());
+        }
+        let polled = std::future::poll_fn(|cx| self.poll_checked(cx)).await;
+        if let Some(frame) = polled.transpose()?
+            && let Ok(data) = frame.into_data()
+        {
+            self.ready.push_front(data);
+        }
+        Ok(())
+    }
+
+    fn poll_checked(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, EngineError>>> {
+        if let Some(piece) = self.ready.pop_front() {
+            return Poll::Ready(Some(Ok(Frame::data(piece))));
+        }
+        let polled = match &mut self.source {
+            Source::Whole => Poll::Ready(None),
+            Source::Plain(reader) => reader.poll_piece(cx),
+            Source::Stream(stream) => stream.poll_events(&mut self.ready, cx),
+        };
+        if matches!(polled, Poll::Ready(None)) {
+            self.summary.complete = true;
+        }
+        polled
+    }
+}
+
+impl CheckedStream {
+    fn poll_events(
+        &mut self,
+        ready: &mut VecDeque<Bytes>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, EngineError>>> {
+        loop {
+            if let Some(piece) = ready.pop_front() {
+                return Poll::Ready(Some(Ok(Frame::data(piece))));
+            }
+            if let Some(err) = self.failure.take() {
+                return Poll::Ready(Some(Err(err)));
+            }
+            match self.reader.poll_piece(cx) {
+                Poll::Ready(Some(Ok(frame))) => match frame.into_data() {
+                    Ok(piece) => self.take(piece, ready),
+                    Err(trailers) => return Poll::Ready(Some(Ok(trailers))),
+                },
+                Poll::Ready(None) => return Poll::Ready(self.end(ready)),
+                other => return other,
+            }
+        }
+    }
+
+    /// Checks a piece, and moves what belongs to whole events to `ready`.
+    fn take(&mut self, mut piece: Bytes, ready: &mut VecDeque<Bytes>) {
+        let scanned = self.scanner.scan(&piece);
+        self.failure = scanned.failure;
+        if scanned.checked > 0 {
+            ready.append(&mut self.held);
+            self.held_bytes = 0;
+            ready.push_back(piece.split_to(scanned.checked));
+        }
+        if !piece.is_empty() {
+            self.held_bytes += piece.len();
+            self.held.push_back(piece);
+        }
+        if self.held_bytes > MAX_EVENT && self.failure.is_none() {
+            self.failure = Some(
+                MalformedSnafu {
+                    problem: "an event is too long",
+                }
+                .build(),
+            );
+        }
+    }
+
+    fn end(&mut self, ready: &mut VecDeque<Bytes>) -> Option<Result<Frame<Bytes>, EngineError>> {
+        if !self.scanner.is_done() {
+            return Some(
+                BrokenOffSnafu {
+                    problem: "the stream ended without [DONE]",
+                }
+                .fail(),
+            );
+        }
+        ready.append(&mut self.held);
+        ready.pop_front().map(|piece| Ok(Frame::data(piece)))
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = EngineError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, EngineError>>> {
+        self.poll_checked(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.ready.is_empty()
+            && match &self.source {
+                Source::Whole => true,
+                Source::Plain(reader) => reader.is_end_stream(),
+                Source::Stream(_) => false,
+            }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.source {
+            Source::Whole => {
+                let left: usize = self.ready.iter().map(Bytes::len).sum();
+                SizeHint::with_exact(left as u64)
+            }
+            Source::Plain(reader) => reader.size_hint(),
+            Source::Stream(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_engine/src/answer/json_watch.rs
@@ -0,0 +1,306 @@
+//! Watches the JSON of one stream event go by for the few members that are checked.
+//!
+//! A parser would need the whole event in one piece and read members that nobody asks for. This
+//! reads bytes as they come, split anywhere, and forwards none: it tracks strings and nesting, so
+//! that a `"model"` inside a prompt, a tool call or another member is not taken for the event's.
+
+use std::sync::Arc;
+
+use memchr::memchr2;
+
+use super::Usage;
+
+/// The longest key or value that is kept, in bytes.
+const MAX_KEPT: usize = 1024;
+
+/// Watches one JSON object.
+#[derive(Debug, Default)]
+pub(crate) struct JsonWatch {
+    depth: u32,
+    lex: Lex,
+    /// The next string at a watched depth is a key.
+    at_key: bool,
+    /// The member of the outer object that is being read.
+    member: Member,
+    /// The member of `usage` or `error` that is being read.
+    inner: InnerMember,
+    kept: Vec<u8>,
+    overflown: bool,
+    escaped: bool,
+    number: Option<u32>,
+    pub(crate) found: Found,
+}
+
+/// What the object said.
+#[derive(Debug, Default)]
+pub(crate) struct Found {
+    /// The value of `model`.
+    pub(crate) model: Option<ModelSeen>,
+    pub(crate) usage: Option<Usage>,
+    /// Whether there is an `error` that isn't null.
+    pub(crate) has_error: bool,
+    pub(crate) error_message: String,
+    /// Whether the object has ended.
+    pub(crate) ended: bool,
+    /// Whether there is something else than one object.
+    pub(crate) malformed: bool,
+}
+
+/// The model that an event names.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum ModelSeen {
+    Named,
+    Other(Arc<str>),
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Lex {
+    #[default]
+    Between,
+    /// In a string of which nothing is kept.
+    Skipped,
+    SkippedEscape,
+    /// In a string that is kept.
+    Kept,
+    KeptEscape,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Member {
+    #[default]
+    Other,
+    Model,
+    Usage,
+    Error,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum InnerMember {
+    #[default]
+    Other,
+    PromptTokens,
+    CompletionTokens,
+    Message,
+}
+
+impl JsonWatch {
+    /// Makes it ready for the next object.
+    pub(crate) fn reset(&mut self) {
+        let kept = std::mem::take(&mut self.kept);
+        *self = Self {
+            kept,
+            ..Self::default()
+        };
+        self.kept.clear();
+    }
+
+    /// Reads the next bytes; `named` is the model that the call named.
+    pub(crate) fn feed(&mut self, mut bytes: &[u8], named: &str) {
+        while let Some((&byte, rest)) = bytes.split_first() {
+            match self.lex {
+                Lex::Between => {
+                    self.between(byte);
+                    bytes = rest;
+                }
+                Lex::Skipped => bytes = self.skip_string(bytes),
+                Lex::SkippedEscape => {
+                    self.lex = Lex::Skipped;
+                    bytes = rest;
+                }
+                Lex::Kept => bytes = self.keep_string(bytes, named),
+                Lex::KeptEscape => {
+                    self.keep(&[byte]);
+                    self.lex = Lex::Kept;
+                    bytes = rest;
+                }
+            }
+        }
+    }
+
+    fn between(&mut self, byte: u8) {
+        match byte {
+            b' ' | b'\t' | b'\r' | b'\n' => return,
+            b'0'..=b'9' if self.in_watched_section() && !self.at_key => {
+                self.digit(byte);
+                return;
+            }
+            _ => {}
+        }
+        if self.found.ended || (self.depth == 0 && byte != b'{') {
+            self.found.malformed = true;
+            return;
+        }
+        match byte {
+            b'"' => self.begin_string(),
+            b'{' | b'[' => self.open(byte),
+            b'}' | b']' => self.close(),
+            b',' => {
+                self.end_number();
+                self.at_key = self.depth == 1 || self.in_watched_section();
+            }
+            b':' => self.at_key = false,
+            // A number or a literal; only that of `error` matters.
+            _ => self.note_error(byte != b'n'),
+        }
+    }
+
+    fn begin_string(&mut self) {
+        let wanted = match (self.depth, self.at_key) {
+            (1, true) => true,
+            (1, false) => self.member == Member::Model,
+            (2, true) => self.in_watched_section(),
+            (2, false) => self.in_watched_section() && self.inner == InnerMember::Message,
+            _ => false,
+        };
+        self.note_error(true);
+        self.lex = if wanted { Lex::Kept } else { Lex::Skipped };
+        self.kept.clear();
+        self.overflown = false;
+        self.escaped = false;
+    }
+
+    fn open(&mut self, byte: u8) {
+        self.note_error(true);
+        self.depth += 1;
+        self.inner = InnerMember::Other;
+        let object = byte == b'{';
+        if self.depth == 2 && !object {
+            // An array in the place of `usage` or `error` has no members to be read.
+            self.member = Member::Other;
+        }
+        self.at_key = object && (self.depth == 1 || self.in_watched_section());
+        if self.depth == 2 && self.member == Member::Usage {
+            self.found.usage = Some(Usage::default());
+        }
+    }
+
+    fn close(&mut self) {
+        self.end_number();
+        self.depth -= 1;
+        self.at_key = false;
+        self.found.ended = self.depth == 0;
+    }
+
+    fn in_watched_section(&self) -> bool {
+        self.depth == 2 && matches!(self.member, Member::Usage | Member::Error)
+    }
+
+    fn note_error(&mut self, there: bool) {
+        if self.depth == 1 && !self.at_key && self.member == Member::Error && there {
+            self.found.has_error = true;
+        }
+    }
+
+    fn skip_string<'a>(&mut self, bytes: &'a [u8]) -> &'a [u8] {
+        let Some(end) = memchr2(b'"', b'\\', bytes) else {
+            return &[];
+        };
+        self.lex = if bytes[end] == b'"' {
+            Lex::Between
+        } else {
+            Lex::SkippedEscape
+        };
+        &bytes[end + 1..]
+    }
+
+    fn keep_string<'a>(&mut self, bytes: &'a [u8], named: &str) -> &'a [u8] {
+        let Some(end) = memchr2(b'"', b'\\', bytes) else {
+            self.keep(bytes);
+            return &[];
+        };
+        self.keep(&bytes[..end]);
+        if bytes[end] == b'"' {
+            self.lex = Lex::Between;
+            self.end_kept(named);
+        } else {
+            self.escaped = true;
+            self.keep(b"\\");
+            self.lex = Lex::KeptEscape;
+        }
+        &bytes[end + 1..]
+    }
+
+    fn keep(&mut self, bytes: &[u8]) {
+        if self.kept.len() + bytes.len() > MAX_KEPT {
+            self.overflown = true;
+            return;
+        }
+        self.kept.extend_from_slice(bytes);
+    }
+
+    fn end_kept(&mut self, named: &str) {
+        match (self.depth, self.at_key) {
+            (1, true) => self.member = self.outer_member(),
+            (1, false) => self.end_model(named),
+            (_, true) => self.inner = self.inner_member(),
+            (_, false) => self.found.error_message = self.unescaped(),
+        }
+    }
+
+    fn outer_member(&self) -> Member {
+        match self.key().as_ref() {
+            b"model" => Member::Model,
+            b"usage" => Member::Usage,
+            b"error" => Member::Error,
+            _ => Member::Other,
+        }
+    }
+
+    fn inner_member(&self) -> InnerMember {
+        match (self.member, self.key().as_ref()) {
+            (Member::Usage, b"prompt_tokens") => InnerMember::PromptTokens,
+            (Member::Usage, b"completion_tokens") => InnerMember::CompletionTokens,
+            (Member::Error, b"message") => InnerMember::Message,
+            _ => InnerMember::Other,
+        }
+    }
+
+    fn key(&self) -> std::borrow::Cow<'_, [u8]> {
+        if self.escaped {
+            self.unescaped().into_bytes().into()
+        } else {
+            self.kept.as_slice().into()
+        }
+    }
+
+    /// A second `model` can't undo a first one that was wrong.
+    fn end_model(&mut self, named: &str) {
+        let same = !self.overflown && !self.escaped && self.kept == named.as_bytes();
+        if same || (self.escaped && !self.overflown && self.unescaped() == named) {
+            self.found.model.get_or_insert(ModelSeen::Named);
+        } else if !matches!(self.found.model, Some(ModelSeen::Other(_))) {
+            self.found.model = Some(ModelSeen::Other(self.unescaped().into()));
+        }
+    }
+
+    fn unescaped(&self) -> String {
+        let text = String::from_utf8_lossy(&self.kept);
+        if !self.escaped {
+            return text.into_owned();
+        }
+        serde_json::from_str(&format!("\"{text}\"")).unwrap_or_default()
+    }
+
+    fn digit(&mut self, digit: u8) {
+        let number = self.number.unwrap_or(0);
+        self.number = Some(
+            number
+                .saturating_mul(10)
+                .saturating_add(u32::from(digit - b'0')),
+        );
+    }
+
+    fn end_number(&mut self) {
+        let Some(number) = self.number.take() else {
+            return;
+        };
+        let Some(usage) = &mut self.found.usage else {
+            return;
+        };
+        match self.inner {
+            InnerMember::PromptTokens => usage.prompt_tokens = number,
+            InnerMember::CompletionTokens => usage.completion_tokens = number,
+            InnerMember::Other | InnerMember::Message => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_engine/src/answer/sse.rs
@@ -0,0 +1,256 @@
+//! Checks an engine's SSE stream as it passes, however its bytes are split.
+
+use std::sync::Arc;
+
+use memchr::memchr2;
+
+use super::Usage;
+use super::json_watch::{JsonWatch, ModelSeen};
+use crate::error::{EngineError, FailedMidwaySnafu, MalformedSnafu, WrongModelSnafu};
+
+/// The field of an event that carries its data.
+const DATA_FIELD: &[u8] = b"data:";
+/// The data of the last event.
+const DONE: &[u8] = b"[DONE]";
+
+/// Checks that every event of a stream names one model, and that the stream ends as it should.
+#[derive(Debug)]
+pub struct SseScanner {
+    named: Arc<str>,
+    line: Line,
+    /// The last byte was a CR that ended a line; an LF belongs to it.
+    after_cr: bool,
+    data: Data,
+    json: JsonWatch,
+    events: u32,
+    usage: Option<Usage>,
+    done: bool,
+    failed: bool,
+}
+
+/// What came of a piece of a stream.
+#[derive(Debug, Default)]
+pub struct Scanned {
+    /// The bytes of the piece, counted from its start, that belong to events that are whole and
+    /// have passed.
+    pub checked: usize,
+    /// What is wrong with the event that follows them.
+    pub failure: Option<EngineError>,
+}
+
+/// Where in a line the next byte stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Line {
+    /// So many bytes of [`DATA_FIELD`] have matched.
+    Start(usize),
+    /// Right after the field's colon, where one space doesn't count.
+    DataStart,
+    Data,
+    /// In a field or comment that is of no interest.
+    Other,
+}
+
+/// What the data of the present event looks like so far.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Data {
+    None,
+    Json,
+    /// So many bytes of [`DONE`] have matched.
+    Done(usize),
+    Neither,
+}
+
+impl SseScanner {
+    /// Makes a scanner for the stream of a call that named this model.
+    pub fn new(named: Arc<str>) -> Self {
+        Self {
+            named,
+            line: Line::Start(0),
+            after_cr: false,
+            data: Data::None,
+            json: JsonWatch::default(),
+            events: 0,
+            usage: None,
+            done: false,
+            failed: false,
+        }
+    }
+
+    /// Returns the number of events with content so far.
+    pub const fn events(&self) -> u32 {
+        self.events
+    }
+
+    /// Returns the last usage that an event told.
+    pub const fn usage(&self) -> Option<Usage> {
+        self.usage
+    }
+
+    /// Returns whether the event that ends the stream has come.
+    pub const fn is_done(&self) -> bool {
+        self.done
+    }
+
+    /// Reads the next piece of the stream. After a failure nothing passes any more.
+    pub fn scan(&mut self, piece: &[u8]) -> Scanned {
+        let mut scanned = Scanned::default();
+        let mut at = 0;
+        while at < piece.len() && !self.failed {
+            if self.swallow_lf(piece[at]) {
+                // The second half of a line end belongs to the event that the first half ended.
+                scanned.checked += usize::from(scanned.checked == at && self.is_between_events());
+                at += 1;
+                continue;
+            }
+            let (next, event_ended) = self.step(piece, at);
+            at = next;
+            if !event_ended {
+                continue;
+            }
+            match self.end_event() {
+                Ok(()) => scanned.checked = at,
+                Err(err) => {
+                    self.failed = true;
+                    scanned.failure = Some(err);
+                }
+            }
+        }
+        scanned
+    }
+
+    fn swallow_lf(&mut self, byte: u8) -> bool {
+        std::mem::take(&mut self.after_cr) && byte == b'\n'
+    }
+
+    fn is_between_events(&self) -> bool {
+        self.line == Line::Start(0) && self.data == Data::None
+    }
+
+    /// Reads from `at` on; returns where to go on, and whether a blank line ended an event.
+    fn step(&mut self, piece: &[u8], at: usize) -> (usize, bool) {
+        let byte = piece[at];
+        match self.line {
+            Line::Start(matched) if matches!(byte, b'\n' | b'\r') => {
+                self.end_line(byte);
+                (at + 1, matched == 0)
+            }
+            Line::Start(matched) if byte == DATA_FIELD[matched] => {
+                let whole = matched + 1 == DATA_FIELD.len();
+                self.line = if whole {
+                    Line::DataStart
+                } else {
+                    Line::Start(matched + 1)
+                };
+                (at + 1, false)
+            }
+            Line::Start(_) => {
+                self.line = Line::Other;
+                (at, false)
+            }
+            Line::DataStart => {
+                self.line = Line::Data;
+                (at + usize::from(byte == b' '), false)
+            }
+            Line::Data | Line::Other => {
+                let rest = &piece[at..];
+                let length = memchr2(b'\n', b'\r', rest).unwrap_or(rest.len());
+                if self.line == Line::Data {
+                    self.take_data(&rest[..length]);
+                }
+                let Some(end) = rest.get(length) else {
+                    return (piece.len(), false);
+                };
+                self.end_line(*end);
+                (at + length + 1, false)
+            }
+        }
+    }
+
+    fn end_line(&mut self, byte: u8) {
+        self.after_cr = byte == b'\r';
+        self.line = Line::Start(0);
+    }
+
+    fn take_data(&mut self, bytes: &[u8]) {
+        if self.data == Data::None {
+            let Some(first) = bytes.first() else {
+                return;
+            };
+            self.data = if *first == DONE[0] {
+                Data::Done(0)
+            } else {
+                Data::Json
+            };
+        }
+        match self.data {
+            Data::Json => self.json.feed(bytes, &self.named),
+            Data::Done(matched) => {
+                let goes_on = DONE[matched..].starts_with(bytes);
+                self.data = if goes_on {
+                    Data::Done(matched + bytes.len())
+                } else {
+                    Data::Neither
+                };
+            }
+            Data::None | Data::Neither => {}
+        }
+    }
+
+    fn end_event(&mut self) -> Result<(), EngineError> {
+        let data = std::mem::replace(&mut self.data, Data::None);
+        if data == Data::None {
+            return Ok(());
+        }
+        if self.done {
+            return MalformedSnafu {
+                problem: "an event follows [DONE]",
+            }
+            .fail();
+        }
+        match data {
+            Data::Done(matched) if matched == DONE.len() => {
+                self.done = true;
+                Ok(())
+            }
+            Data::Json => {
+                let checked = self.check_json();
+                self.json.reset();
+                checked
+            }
+            Data::None | Data::Done(_) | Data::Neither => MalformedSnafu {
+                problem: "an event is neither JSON nor [DONE]",
+            }
+            .fail(),
+        }
+    }
+
+    fn check_json(&mut self) -> Result<(), EngineError> {
+        let found = &mut self.json.found;
+        if found.malformed || !found.ended {
+            return MalformedSnafu {
+                problem: "an event is no JSON object",
+            }
+            .fail();
+        }
+        if found.has_error {
+            let message = std::mem::take(&mut found.error_message);
+            return FailedMidwaySnafu { message }.fail();
+        }
+        match found.model.take() {
+            Some(ModelSeen::Named) => {
+                self.events += 1;
+                self.usage = found.usage.or(self.usage);
+                Ok(())
+            }
+            Some(ModelSeen::Other(served)) => WrongModelSnafu {
+                named: Arc::clone(&self.named),
+                served,
+            }
+            .fail(),
+            None => MalformedSnafu {
+                problem: "an event names no model",
+            }
+            .fail(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_engine/src/connection.rs
@@ -0,0 +1,109 @@
+//! One HTTP/1.1 connection, driven by whoever waits for its answer.
+//!
+//! The usual way is a task for each connection that passes each piece of a body to the reader.
+//! Here the reader polls the connection itself: a piece of a stream then costs one wake-up in place
+//! of two, and dropping the reader closes the connection and so cancels the call.
+
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// The most that is read ahead of a reader, in bytes; also the most that an answer's head takes.
+const READ_BUFFER: usize = 32 * 1024;
+
+/// A connection to a target.
+pub(crate) struct Connection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    /// None once it has ended.
+    driver: Option<http1::Connection<TokioIo<TcpStream>, Full<Bytes>>>,
+    /// When it was last put aside for reuse.
+    pub(crate) idle_since: Instant,
+}
+
+/// Why a request got no answer.
+#[derive(Debug)]
+pub(crate) enum SendError {
+    /// The connection had ended before it took the request, which comes back.
+    NotSent(Box<Request<Full<Bytes>>>),
+    /// The request, or a part of it, may have left.
+    MaySent(hyper::Error),
+}
+
+impl Connection {
+    /// Connects within `limit`; the outer error is the timeout.
+    pub(crate) async fn open(
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<io::Result<Self>, tokio::time::error::Elapsed> {
+        tokio::time::timeout(limit, Self::connect(address)).await
+    }
+
+    async fn connect(address: SocketAddr) -> io::Result<Self> {
+        let stream = TcpStream::connect(address).await?;
+        // Tokens are small; with Nagle's algorithm each would wait for the one before.
+        stream.set_nodelay(true)?;
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
+        Ok(Self {
+            sender,
+            driver: Some(driver),
+            idle_since: Instant::now(),
+        })
+    }
+
+    /// Says whether an idle connection can take a request, as far as can be known.
+    pub(crate) fn is_usable(&mut self) -> bool {
+        // Nothing polls an idle connection; this reads whether the target has closed it.
+        let mut cx = Context::from_waker(Waker::noop());
+        self.drive(&mut cx);
+        self.driver.is_some() && self.sender.is_ready()
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// Dropping the future closes the connection.
+    pub(crate) async fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        let response = self.sender.try_send_request(req);
+        tokio::pin!(response);
+        let answered = std::future::poll_fn(|cx| {
+            self.drive(cx);
+            response.as_mut().poll(cx)
+        });
+        answered.await.map_err(|mut err| match err.take_message() {
+            // The library gives the request back only if it never began to write it.
+            Some(req) => SendError::NotSent(Box::new(req)),
+            None => SendError::MaySent(err.into_error()),
+        })
+    }
+
+    /// Lets the connection read and write. Its own errors reach the reader through the answer.
+    pub(crate) fn drive(&mut self, cx: &mut Context<'_>) {
+        let Some(driver) = &mut self.driver else {
+            return;
+        };
+        if let Poll::Ready(_ended) = Pin::new(driver).poll(cx) {
+            self.driver = None;
+        }
+    }
+
+    pub(crate) fn has_ended(&self) -> bool {
+        self.driver.is_none()
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_engine/src/headers.rs
@@ -0,0 +1,47 @@
+//! Headers that concern one connection only, and those that the client adds.
+
+use std::time::Duration;
+
+use http::header::{self, HeaderMap, HeaderName};
+
+/// Carries the id of a request.
+pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+/// Carries the id of one try of a request.
+pub(crate) const ATTEMPT_ID: HeaderName = HeaderName::from_static("x-attempt-id");
+/// Carries the epoch of whoever gives an order.
+pub(crate) const FENCING_TOKEN: HeaderName = HeaderName::from_static("x-fencing-token");
+
+/// Headers that RFC 9110 (7.6.1) binds to one connection, and the framing of a body.
+const HOP_BY_HOP: [HeaderName; 9] = [
+    header::CONNECTION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+];
+
+/// Removes the headers that concern one connection only, those that `Connection` names included.
+///
+/// A header left in would be a request of the caller to this system's own connections.
+pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+}
+
+/// Returns the seconds of a `Retry-After`; a date is left aside.
+pub(crate) fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
+    text.trim().parse().ok().map(Duration::from_secs)
+}
--- a/crates/chervilshunt_engine/src/lib.rs
+++ b/crates/chervilshunt_engine/src/lib.rs
@@ -1,1 +1,22 @@
-//! Placeholder.
+//! Clients of model engines and plain services.
+//!
+//! Each call is sent at most once, and each failure says whether the call can have run. Answers of
+//! engines are checked for the model that served them before a caller sees them. See
+//! `docs/design/engine-client.md` and `docs/operators/targets.md`.
+
+mod answer;
+mod call;
+mod client;
+mod connection;
+mod error;
+mod headers;
+mod orders;
+mod pool;
+mod reports;
+
+pub use answer::{Answer, AnswerBody, AnswerSummary, Scanned, SseScanner, Usage};
+pub use call::{Call, Expect, Limits};
+pub use client::EngineClient;
+pub use error::{EngineError, Outcome, Stage};
+pub use headers::strip_hop_by_hop;
+pub use reports::{CacheEvent, CacheEventKind, LoadReport};
--- /dev/null
+++ b/crates/chervilshunt_engine/src/orders.rs
@@ -0,0 +1,190 @@
+//! Orders to an engine, and the question what it holds.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use chervilshunt_model::{AdapterVersion, Epoch};
+use http::header::{CONTENT_TYPE, HOST, HeaderValue};
+use http::{Method, Request, Response, StatusCode, Uri};
+use http_body_util::Full;
+use serde::{Deserialize, Serialize};
+
+use crate::EngineClient;
+use crate::answer::refusal;
+use crate::call::Limits;
+use crate::error::{EngineError, FencedSnafu, MalformedSnafu};
+use crate::headers::FENCING_TOKEN;
+
+/// How long an order or a question may take.
+///
+/// A load waits for the weight store, and an order that is given up on may still be carried out.
+const ORDER_LIMITS: Limits = Limits {
+    connect: Duration::from_secs(1),
+    head: Duration::from_secs(60),
+    idle: Duration::from_secs(5),
+};
+/// How long a question may take.
+const QUESTION_LIMITS: Limits = Limits {
+    connect: Duration::from_secs(1),
+    head: Duration::from_secs(2),
+    idle: Duration::from_secs(2),
+};
+/// The largest answer to an order or a question, in bytes.
+const MAX_ANSWER: usize = 4 * 1024 * 1024;
+
+/// What vLLM says to a load of an adapter that it holds.
+const ALREADY_LOADED: &str = "already been loaded";
+
+#[derive(Serialize)]
+struct LoadBody<'a> {
+    lora_name: &'a str,
+    lora_path: &'a str,
+}
+
+#[derive(Serialize)]
+struct UnloadBody<'a> {
+    lora_name: &'a str,
+}
+
+#[derive(Deserialize)]
+struct ModelList {
+    data: Vec<ModelEntry>,
+}
+
+#[derive(Deserialize)]
+struct ModelEntry {
+    id: String,
+    /// The base model; adapters have one.
+    parent: Option<String>,
+}
+
+impl EngineClient {
+    /// Orders the engine to load an adapter version.
+    ///
+    /// An adapter that is there already counts as loaded, so that an order whose answer was lost
+    /// can be given again.
+    ///
+    /// # Errors
+    /// [`EngineError::Fenced`] if a higher epoch has given orders; see [`EngineError::outcome`].
+    pub async fn load(
+        &self,
+        model: &AdapterVersion,
+        source: &str,
+        epoch: Epoch,
+    ) -> Result<(), EngineError> {
+        let name = model.to_string();
+        let body = LoadBody {
+            lora_name: &name,
+            lora_path: source,
+        };
+        let answer = self.order("/v1/load_lora_adapter", &body, epoch).await?;
+        match check_order(&answer) {
+            Err(EngineError::Refused {
+                status: StatusCode::BAD_REQUEST,
+                message,
+                ..
+            }) if message.contains(ALREADY_LOADED) => Ok(()),
+            result => result,
+        }
+    }
+
+    /// Orders the engine to unload an adapter version.
+    ///
+    /// An adapter that isn't there counts as unloaded, so that an order whose answer was lost can
+    /// be given again.
+    ///
+    /// # Errors
+    /// [`EngineError::Fenced`] if a higher epoch has given orders; see [`EngineError::outcome`].
+    pub async fn unload(&self, model: &AdapterVersion, epoch: Epoch) -> Result<(), EngineError> {
+        let name = model.to_string();
+        let answer = self
+            .order(
+                "/v1/unload_lora_adapter",
+                &UnloadBody { lora_name: &name },
+                epoch,
+            )
+            .await?;
+        match check_order(&answer) {
+            Err(EngineError::AdapterMissing { .. }) => Ok(()),
+            result => result,
+        }
+    }
+
+    /// Asks the engine which adapter versions it holds.
+    ///
+    /// # Errors
+    /// Fails if it can't be reached or its answer can't be read.
+    pub async fn inventory(&self) -> Result<Vec<AdapterVersion>, EngineError> {
+        let body = self.question("/v1/models").await?;
+        let list: ModelList = match serde_json::from_slice(&body) {
+            Ok(list) => list,
+            Err(err) => {
+                return MalformedSnafu {
+                    problem: err.to_string(),
+                }
+                .fail();
+            }
+        };
+        let adapters = list.data.into_iter().filter(|entry| entry.parent.is_some());
+        // A name without a version is no adapter of this system; it can't be asked for.
+        Ok(adapters
+            .filter_map(|entry| AdapterVersion::parse(&entry.id).ok())
+            .collect())
+    }
+
+    async fn order<T: Serialize>(
+        &self,
+        path: &'static str,
+        body: &T,
+        epoch: Epoch,
+    ) -> Result<Response<Bytes>, EngineError> {
+        let text = match serde_json::to_vec(body) {
+            Ok(text) => text,
+            Err(err) => {
+                return MalformedSnafu {
+                    problem: err.to_string(),
+                }
+                .fail();
+            }
+        };
+        let mut req = self.request(Method::POST, path, text.into());
+        let json = HeaderValue::from_static("application/json");
+        req.headers_mut().insert(CONTENT_TYPE, json);
+        req.headers_mut()
+            .insert(FENCING_TOKEN, HeaderValue::from(epoch.get()));
+        self.fetch(req, ORDER_LIMITS, MAX_ANSWER).await
+    }
+
+    /// Asks for a page that only reads.
+    pub(crate) async fn question(&self, path: &str) -> Result<Bytes, EngineError> {
+        let req = self.request(Method::GET, path, Bytes::new());
+        let answer = self.fetch(req, QUESTION_LIMITS, MAX_ANSWER).await?;
+        check_order(&answer)?;
+        Ok(answer.into_body())
+    }
+
+    fn request(&self, method: Method, path: &str, body: Bytes) -> Request<Full<Bytes>> {
+        let mut req = Request::new(Full::new(body));
+        *req.method_mut() = method;
+        *req.uri_mut() = path.parse().unwrap_or_else(|_| Uri::from_static("/"));
+        if let Ok(host) = HeaderValue::from_str(&self.address().to_string()) {
+            req.headers_mut().insert(HOST, host);
+        }
+        req
+    }
+}
+
+fn check_order(answer: &Response<Bytes>) -> Result<(), EngineError> {
+    if answer.status().is_success() {
+        return Ok(());
+    }
+    let err = refusal(answer.status(), answer.headers(), answer.body());
+    match err {
+        EngineError::Refused {
+            status: StatusCode::PRECONDITION_FAILED,
+            message,
+            ..
+        } => FencedSnafu { message }.fail(),
+        err => Err(err),
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_engine/src/pool.rs
@@ -0,0 +1,90 @@
+//! Idle connections to one target, for reuse.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::connection::Connection;
+
+/// How long a connection stays for reuse. Uvicorn, which vLLM runs on, closes idle connections
+/// after 5 s; a call that leaves just then fails with its outcome unknown.
+const IDLE_LIMIT: Duration = Duration::from_secs(4);
+/// The most idle connections to one target.
+const MAX_IDLE: usize = 64;
+
+/// Idle connections to one target.
+#[derive(Clone)]
+pub(crate) struct Pool {
+    pub(crate) address: SocketAddr,
+    idle: Arc<Mutex<Idle>>,
+}
+
+#[derive(Default)]
+struct Idle {
+    /// The one used last comes last, so that the others grow old and go.
+    connections: Vec<Connection>,
+    sweeping: bool,
+}
+
+impl Pool {
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            idle: Arc::default(),
+        }
+    }
+
+    /// Returns an idle connection that the target has not closed so far.
+    pub(crate) fn take(&self) -> Option<Connection> {
+        loop {
+            let mut connection = self.lock().connections.pop()?;
+            let fresh = connection.idle_since.elapsed() < IDLE_LIMIT;
+            if fresh && connection.is_usable() {
+                return Some(connection);
+            }
+        }
+    }
+
+    /// Puts a connection aside whose answer has been read to its end.
+    pub(crate) fn put(&self, mut connection: Connection) {
+        if !connection.is_usable() {
+            return;
+        }
+        connection.idle_since = Instant::now();
+        let mut idle = self.lock();
+        if idle.connections.len() >= MAX_IDLE {
+            return;
+        }
+        idle.connections.push(connection);
+        let start_sweeping = !std::mem::replace(&mut idle.sweeping, true);
+        drop(idle);
+        if start_sweeping {
+            tokio::spawn(sweep(Arc::downgrade(&self.idle)));
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Idle> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Closes connections that have been idle for too long, until none is left.
+///
+/// Without it, an instance that once called each of many targets would keep their sockets.
+async fn sweep(idle: std::sync::Weak<Mutex<Idle>>) {
+    loop {
+        tokio::time::sleep(IDLE_LIMIT).await;
+        let Some(idle) = idle.upgrade() else {
+            return;
+        };
+        let mut idle = idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.connections
+            .retain(|connection| connection.idle_since.elapsed() < IDLE_LIMIT);
+        if idle.connections.is_empty() {
+            idle.sweeping = false;
+            return;
+        }
+    }
+}
