Add the quickstart's script, mixed load and the list of promises

Cause: nobody could yet see a whole deployment at work. The quickstart starts a fleet, sends mixed load with every answer checked, adds a version and uses it at once at each instance, drains a target and shuts an instance down with streams open, asks each instance for its revision every second, and holds what callers were told against what targets ran.

Not run yet: the script itself, as it needs chervilshuntd.

--- a/crates/chervilshunt_standin/src/fleet/binaries.rs
+++ b/crates/chervilshunt_standin/src/fleet/binaries.rs
@@ -24,12 +24,7 @@
 /// The programs that a fleet starts.
 #[derive(Clone, Debug)]
 pub struct Binaries {
-    /// `chervilshuntd`.
-    pub daemon: PathBuf,
-    /// `chervilshuntctl`.
-    pub ctl: PathBuf,
-    /// `chervilshunt_standin`.
-    pub standin: PathBuf,
+    folder: PathBuf,
 }
 
 impl Binaries {
@@ -40,7 +35,7 @@
     /// running program's profile, once a process; else they have to be there.
     ///
     /// # Errors
-    /// Fails if the build fails or a program is missing.
+    /// Fails if the build fails.
     pub fn locate() -> Result<Self, FleetError> {
         static BUILT: OnceLock<bool> = OnceLock::new();
 
@@ -62,11 +57,43 @@
                 };
             }
         }
-        Ok(Self {
-            daemon: program(&folder, DAEMON)?,
-            ctl: program(&folder, CTL)?,
-            standin: program(&folder, STANDIN)?,
-        })
+        Ok(Self { folder })
+    }
+
+    /// Returns the path of `chervilshuntd`.
+    ///
+    /// # Errors
+    /// Fails if it isn't there.
+    pub fn daemon(&self) -> Result<PathBuf, FleetError> {
+        self.program(DAEMON)
+    }
+
+    /// Returns the path of `chervilshuntctl`.
+    ///
+    /// # Errors
+    /// Fails if it isn't there.
+    pub fn ctl(&self) -> Result<PathBuf, FleetError> {
+        self.program(CTL)
+    }
+
+    /// Returns the path of `chervilshunt_standin`.
+    ///
+    /// # Errors
+    /// Fails if it isn't there.
+    pub fn standin(&self) -> Result<PathBuf, FleetError> {
+        self.program(STANDIN)
+    }
+
+    fn program(&self, program: &'static str) -> Result<PathBuf, FleetError> {
+        let path = self.folder.join(program);
+        ensure!(
+            path.is_file(),
+            MissingProgramSnafu {
+                program,
+                folder: &self.folder
+            }
+        );
+        Ok(path)
     }
 }
 
@@ -99,9 +126,3 @@
     }
     command.status()
 }
-
-fn program(folder: &Path, program: &'static str) -> Result<PathBuf, FleetError> {
-    let path = folder.join(program);
-    ensure!(path.is_file(), MissingProgramSnafu { program, folder });
-    Ok(path)
-}
--- a/crates/chervilshunt_standin/src/fleet/deployment.rs
+++ b/crates/chervilshunt_standin/src/fleet/deployment.rs
@@ -11,11 +11,14 @@
 const ENGINE_SERVICE: &str = "assistant";
 
 /// The service of the plain targets.
-const PLAIN_SERVICE: &str = "desk";
+pub(crate) const PLAIN_SERVICE: &str = "desk";
 
 /// The base model of the engines.
 const BASE_MODEL: &str = "base";
 
+const SITE: &str = "hall";
+const STORE: &str = "shelf";
+const DEADLINE_MS: u64 = 20_000;
 const IDLE_WATTS: f64 = 100.0;
 const WATTS_PER_SEQUENCE: f64 = 25.0;
 
@@ -62,41 +65,53 @@
     targets: impl Iterator<Item = &'a Target>,
 ) -> String {
     let mut text = format!(
-        "create priority live class = live, weight = 1;\n\
-         create priority later class = deferrable, weight = 1;\n\
-         create site main cap_watts = 100000;\n\
-         create store weights concurrency = 2, loads_per_second = 50;\n\
-         create service {ENGINE_SERVICE} kind = engine, base_model = {BASE_MODEL}, \
-         priority = live, idempotent = true, deadline_ms = 20000;\n\
-         create service {PLAIN_SERVICE} kind = plain, priority = live, idempotent = false, \
-         deadline_ms = 20000;\n"
+        "{{\n\
+         create priority prompt class=live;\n\
+         create priority overnight class=deferrable;\n\
+         create site {SITE} cap_watts={};\n\
+         create store {STORE} concurrency=2 loads_per_second=50;\n\
+         create service {ENGINE_SERVICE} kind=engine base_model={BASE_MODEL} priority=prompt \
+         idempotent=true deadline_ms={DEADLINE_MS};\n\
+         create service {PLAIN_SERVICE} kind=plain priority=prompt deadline_ms={DEADLINE_MS};\n",
+        options.cap_watts,
     );
     for target in targets {
-        let endpoint = &target.endpoint;
-        let address = endpoint.ports["http"];
-        let slots = match target.kind {
-            TargetKind::Engine => options.slots,
-            TargetKind::Plain => 0,
-        };
-        let fencing = match options.engines_check_fencing && target.kind == TargetKind::Engine {
-            true => "checks",
-            false => "ignores",
-        };
-        let _infallible = writeln!(
-            text,
-            "create target {} service = {}, address = '{address}', zone = '{}', site = main, \
-             store = weights, slots = {slots}, max_batch = {}, fencing = {fencing}, \
-             idle_watts = {IDLE_WATTS}, watts_per_sequence = {WATTS_PER_SEQUENCE};",
-            endpoint.name, endpoint.service, endpoint.zone, options.max_batch,
-        );
+        text.push_str(&create_target(options, target));
     }
     for number in 0..options.adapters {
         let adapter = adapter_name(number);
-        let _infallible = writeln!(
+        text.push_str(&format!(
+            "create adapter {adapter} service={ENGINE_SERVICE};\n"
+        ));
+        text.push_str(&create_version(&model_name(number)));
+    }
+    text.push('}');
+    text
+}
+
+/// Writes the statement that creates an adapter version.
+pub fn create_version(model: &str) -> String {
+    format!("create version {model} source=store/{model};\n")
+}
+
+fn create_target(options: &FleetOptions, target: &Target) -> String {
+    let endpoint = &target.endpoint;
+    let mut text = format!(
+        "create target {} service={} address={} zone={} site={SITE} max_batch={}",
+        endpoint.name, endpoint.service, endpoint.ports["http"], endpoint.zone, options.max_batch,
+    );
+    if target.kind == TargetKind::Engine {
+        let fencing = match options.engines_check_fencing {
+            true => "checks",
+            false => "ignores",
+        };
+        let _infallible = write!(
             text,
-            "create adapter {adapter} service = {ENGINE_SERVICE};\n\
-             create version {adapter}@v1 source = 'store/{adapter}/v1';"
+            " store={STORE} slots={} fencing={fencing} idle_watts={IDLE_WATTS} \
+             watts_per_sequence={WATTS_PER_SEQUENCE}",
+            options.slots,
         );
     }
+    text.push_str(";\n");
     text
 }
--- a/crates/chervilshunt_standin/src/fleet/error.rs
+++ b/crates/chervilshunt_standin/src/fleet/error.rs
@@ -117,6 +117,13 @@
         name: String,
     },
 
+    /// A target doesn't tell what it ran, so that nothing can be settled.
+    #[snafu(display("{problem}"))]
+    Runs {
+        /// What happened.
+        problem: String,
+    },
+
     /// A socket of the harness itself can't be opened.
     #[snafu(display("can't listen on loopback: {source}"))]
     Listen {
@@ -124,3 +131,9 @@
         source: io::Error,
     },
 }
+
+impl FleetError {
+    pub(crate) fn runs(problem: String) -> Self {
+        Self::Runs { problem }
+    }
+}
--- a/crates/chervilshunt_standin/src/fleet/operators.rs
+++ b/crates/chervilshunt_standin/src/fleet/operators.rs
@@ -34,6 +34,17 @@
             .await
     }
 
+    /// Runs statements that this instance answers from what it knows itself.
+    ///
+    /// # Errors
+    /// Fails if no whole answer comes, or a refusal.
+    pub async fn run_local(&self, text: &str) -> Result<Value, FleetError> {
+        let body = json!({"text": text, "local": true});
+        self.http
+            .json(Method::POST, self.address, PATH, Some(&body))
+            .await
+    }
+
     /// Runs statements and returns the answer whatever it is.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/chervilshunt_standin/src/fleet/promise.rs
@@ -0,0 +1,228 @@
+//! The promises, and what was found out about each.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use chervilshunt_model::Class;
+use serde::Serialize;
+use serde_json::Value;
+
+use super::error::FleetError;
+use super::load::Try;
+use super::start::{Fleet, TargetKind};
+use crate::check::{Call, Finding, Outcome, Record, Verdict, ViolationKind, fetch_runs, settle};
+
+/// What must always hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Promise {
+    /// Every answer comes from the adapter and version that the request named.
+    RightVersion,
+    /// An adapter that serves a request is never evicted.
+    NoEvictionInUse,
+    /// A caller gets the whole answer to its own request.
+    WholeOwnAnswer,
+    /// A refusal says what became of the request, and `not_run` is true.
+    TrueRefusals,
+    /// A non-idempotent request runs at most once.
+    AtMostOnce,
+    /// A leaving target gets no new work after a few seconds.
+    NoWorkForLeaving,
+    /// A graceful shutdown cuts off no request.
+    GracefulShutdown,
+    /// An accepted configuration is in force everywhere within seconds and never reverts.
+    ConfigurationHolds,
+    /// The power drawn stays under the site's cap.
+    PowerCap,
+    /// Deferrable work waits rather than fails.
+    DeferrableWaits,
+}
+
+impl Promise {
+    /// All promises, in the order of reports.
+    pub const ALL: [Self; 10] = [
+        Self::RightVersion,
+        Self::NoEvictionInUse,
+        Self::WholeOwnAnswer,
+        Self::TrueRefusals,
+        Self::AtMostOnce,
+        Self::NoWorkForLeaving,
+        Self::GracefulShutdown,
+        Self::ConfigurationHolds,
+        Self::PowerCap,
+        Self::DeferrableWaits,
+    ];
+
+    /// Returns the text that reports show.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::RightVersion => "answers come from the adapter and version named",
+            Self::NoEvictionInUse => "no adapter is evicted while it serves",
+            Self::WholeOwnAnswer => "callers get the whole answer to their own request",
+            Self::TrueRefusals => "refusals say what happened, and \"not run\" is true",
+            Self::AtMostOnce => "non-idempotent requests run at most once",
+            Self::NoWorkForLeaving => "a leaving target gets no new work after 3 s",
+            Self::GracefulShutdown => "a graceful shutdown cuts off no request",
+            Self::ConfigurationHolds => "accepted configuration is in force and never reverts",
+            Self::PowerCap => "power stays under the site's cap",
+            Self::DeferrableWaits => "deferrable work waits and does not fail",
+        }
+    }
+
+    /// Returns the promise that a violation breaks.
+    pub const fn broken_by(kind: ViolationKind) -> Self {
+        match kind {
+            ViolationKind::WrongModel => Self::RightVersion,
+            ViolationKind::WrongRequest
+            | ViolationKind::WrongTokens
+            | ViolationKind::WrongUsage
+            | ViolationKind::WrongHeader
+            | ViolationKind::Overdue
+            | ViolationKind::AnswerWithoutRun => Self::WholeOwnAnswer,
+            ViolationKind::Malformed | ViolationKind::FalseNotRun => Self::TrueRefusals,
+            ViolationKind::DoubleRun => Self::AtMostOnce,
+        }
+    }
+}
+
+impl fmt::Display for Promise {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
+
+/// How often each promise was checked, and what broke it.
+#[derive(Clone, Debug, Default)]
+pub struct Evidence {
+    checks: BTreeMap<Promise, u64>,
+    violations: Vec<(Promise, String)>,
+}
+
+impl Evidence {
+    /// Counts checks of a promise that found nothing wrong yet.
+    pub fn checked(&mut self, promise: Promise, times: u64) {
+        *self.checks.entry(promise).or_default() += times;
+    }
+
+    /// Counts one check, and its finding if it didn't hold.
+    pub fn check(&mut self, promise: Promise, held: bool, finding: impl FnOnce() -> String) {
+        self.checked(promise, 1);
+        if !held {
+            self.broken(promise, finding());
+        }
+    }
+
+    /// Notes that a promise was broken.
+    pub fn broken(&mut self, promise: Promise, finding: String) {
+        self.violations.push((promise, finding));
+    }
+
+    /// Returns how often a promise was checked.
+    pub fn checks(&self, promise: Promise) -> u64 {
+        self.checks.get(&promise).copied().unwrap_or_default()
+    }
+
+    /// Returns what broke a promise.
+    pub fn findings(&self, promise: Promise) -> impl Iterator<Item = &str> {
+        let of_promise = self
+            .violations
+            .iter()
+            .filter(move |(broken, _)| *broken == promise);
+        of_promise.map(|(_, finding)| finding.as_str())
+    }
+
+    /// Returns everything that was broken.
+    pub fn violations(&self) -> &[(Promise, String)] {
+        &self.violations
+    }
+
+    /// Holds what callers were told against what the targets ran.
+    ///
+    /// # Errors
+    /// Fails if a target doesn't tell its runs.
+    pub async fn gather(&mut self, fleet: &Fleet, tries: &[Try]) -> Result<(), FleetError> {
+        let controls = fleet.target_controls()?;
+        let runs = fetch_runs(&controls).await.map_err(FleetError::runs)?;
+        let records: Vec<_> = tries.iter().map(|one| one.record.clone()).collect();
+        self.count(&records);
+        for Finding {
+            request_id,
+            violation,
+        } in settle(&records, &runs)
+        {
+            let promise = Promise::broken_by(violation.kind);
+            self.broken(promise, format!("{request_id}: {violation}"));
+        }
+        for (name, target) in fleet.targets() {
+            if target.kind == TargetKind::Engine {
+                let stats = fleet.stats(name).await?;
+                self.count_evictions(name, &stats);
+            }
+        }
+        Ok(())
+    }
+
+    fn count(&mut self, records: &[Record]) {
+        for record in records {
+            match &record.verdict {
+                Verdict::Answered(_) => {
+                    self.checked(Promise::WholeOwnAnswer, 1);
+                    let served = matches!(record.plan.call, Call::Completion(_));
+                    self.checked(Promise::RightVersion, u64::from(served));
+                }
+                Verdict::Refused(_) => self.checked(Promise::TrueRefusals, 1),
+                Verdict::Disconnected { .. } | Verdict::Violated(_) => {}
+            }
+            let once = record.plan.runs_at_most_once();
+            self.checked(Promise::AtMostOnce, u64::from(once));
+        }
+    }
+
+    fn count_evictions(&mut self, target: &str, stats: &Value) {
+        let unloads = stats["unloads"].as_u64().unwrap_or_default();
+        self.checked(Promise::NoEvictionInUse, unloads);
+        let while_serving = stats["unloads_while_serving"].as_u64().unwrap_or_default();
+        if while_serving > 0 {
+            let finding = format!("{target} unloaded {while_serving} adapters while they served");
+            self.broken(Promise::NoEvictionInUse, finding);
+        }
+    }
+
+    /// Checks that each deferrable request got its answer in the end.
+    pub fn check_deferrable(&mut self, tries: &[Try]) {
+        let deferrable = tries
+            .iter()
+            .filter(|one| one.last && one.record.plan.class == Class::Deferrable);
+        for one in deferrable {
+            let answered = matches!(one.record.verdict, Verdict::Answered(_));
+            self.check(Promise::DeferrableWaits, answered, || {
+                format!(
+                    "{}: {}",
+                    one.record.plan.request_id,
+                    describe(&one.record.verdict)
+                )
+            });
+        }
+    }
+}
+
+/// Writes what became of a request in one line.
+pub fn describe(verdict: &Verdict) -> String {
+    match verdict {
+        Verdict::Answered(_) => "answered".to_owned(),
+        Verdict::Refused(refusal) => {
+            let outcome = match refusal.outcome {
+                Outcome::NotRun => "not run",
+                Outcome::Unknown => "outcome unknown",
+                Outcome::CutShort => "cut short",
+            };
+            format!(
+                "{outcome} ({} {}: {})",
+                refusal.status, refusal.reason, refusal.detail
+            )
+        }
+        Verdict::Disconnected { sent: false, .. } => "not connected".to_owned(),
+        Verdict::Disconnected { detail, .. } => format!("disconnected ({detail})"),
+        Verdict::Violated(violation) => violation.to_string(),
+    }
+}
--- a/crates/chervilshunt_standin/src/fleet/start.rs
+++ b/crates/chervilshunt_standin/src/fleet/start.rs
@@ -1,7 +1,6 @@
 //! The fleet itself: what it consists of and what can be done to it.
 
 use std::collections::BTreeMap;
-use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitStatus;
@@ -58,6 +57,8 @@
     pub max_batch: u32,
     /// The time of an engine's step.
     pub step: Duration,
+    /// The site's cap on power, in watts.
+    pub cap_watts: f64,
     /// Whether engines refuse old fencing numbers.
     pub engines_check_fencing: bool,
     /// Whether links between instances can be cut.
@@ -78,6 +79,7 @@
             slots: 4,
             max_batch: 16,
             step: Duration::from_millis(5),
+            cap_watts: 100_000.0,
             engines_check_fencing: true,
             links: false,
             zones: ["zone-a", "zone-b", "zone-c"].map(str::to_owned).to_vec(),
@@ -177,9 +179,8 @@
                 path: std::env::temp_dir(),
             })?;
         let path = folder.path();
-        let standin = &binaries.standin;
-        let control: [OsString; 3] = ["platform", "--control", "127.0.0.1:0"].map(OsString::from);
-        let platform = Process::start("platform", standin, &control, path).await?;
+        let standin = &binaries.standin()?;
+        let platform = Process::start("platform", standin, &["platform".into()], path).await?;
         let weights = Process::start("weights", standin, &["weights".into()], path).await?;
         let registry = Registry::start(platform.address("listening")?, NAMESPACE);
         let mut fleet = Self {
@@ -241,7 +242,7 @@
         };
         let file = settings.write(self.folder())?;
         let args = ["--settings".into(), file.into_os_string()];
-        let process = Process::start(id, &self.binaries.daemon, &args, self.folder()).await?;
+        let process = Process::start(id, &self.binaries.daemon()?, &args, self.folder()).await?;
         let mut ports = BTreeMap::new();
         for name in ["callers", "peers", "operators"] {
             ports.insert(name, process.address(name)?);
@@ -275,7 +276,7 @@
             TargetKind::Engine => deployment::engine_args(&self.options, &self.weights)?,
             TargetKind::Plain => vec!["plain".into()],
         };
-        let process = Process::start(name, &self.binaries.standin, &args, self.folder()).await?;
+        let process = Process::start(name, &self.binaries.standin()?, &args, self.folder()).await?;
         let number = self.targets.len();
         let endpoint = Endpoint {
             name: name.to_owned(),
@@ -375,6 +376,11 @@
         Ok(())
     }
 
+    /// Waits until the platform has the list as it should be; says whether it has within `bound`.
+    pub async fn listed(&self, bound: Duration) -> bool {
+        self.registry.settled(bound).await
+    }
+
     /// Waits until one instance says that it is ready.
     ///
     /// # Errors
@@ -526,21 +532,12 @@
             .await
     }
 
-    /// Returns what each target has run, by target and request id.
+    /// Returns the addresses at which targets tell what they ran.
     ///
     /// # Errors
-    /// Fails if a target doesn't answer.
-    pub async fn runs(&self) -> Result<BTreeMap<String, Value>, FleetError> {
-        let mut runs = BTreeMap::new();
-        for name in self.targets.keys() {
-            let address = self.control(name)?;
-            let of_target = self
-                .http
-                .json(Method::GET, address, "/standin/runs", None)
-                .await?;
-            runs.insert(name.clone(), of_target);
-        }
-        Ok(runs)
+    /// Fails if a target announced none.
+    pub fn target_controls(&self) -> Result<Vec<SocketAddr>, FleetError> {
+        self.targets.keys().map(|name| self.control(name)).collect()
     }
 
     /// Keeps logs and settings after the fleet has ended, and returns their folder.
--- a/crates/chervilshunt_standin/src/lib.rs
+++ b/crates/chervilshunt_standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 pub mod plain;
 pub mod platform;
+pub mod quickstart;
 pub mod weights;
 
 mod command;
--- a/crates/chervilshunt_standin/src/main.rs
+++ b/crates/chervilshunt_standin/src/main.rs
@@ -4,8 +4,7 @@
 
 use lexopt::{Arg, Parser};
 
-const USAGE: &str =
-    "usage: chervilshunt_standin platform|engine|plain|weights [OPTIONS]; see --help of each";
+const USAGE: &str = "usage: chervilshunt_standin platform|engine|plain|weights|quickstart [OPTIONS]; see --help of each";
 
 fn main() -> ExitCode {
     let mut parser = Parser::from_env();
@@ -23,6 +22,7 @@
         Some("engine") => chervilshunt_standin::engine::run(parser),
         Some("plain") => chervilshunt_standin::plain::run(parser),
         Some("weights") => chervilshunt_standin::weights::run(parser),
+        Some("quickstart") => chervilshunt_standin::quickstart::run(parser),
         _ => usage("there is no such stand-in"),
     }
 }
