Add chervilshuntctl: statements from arguments, scripts or a prompt

Scripts are checked without a server and sent statement by statement; the first that is not accepted ends the script. Exit codes tell a refusal, an unreachable server and an unknown outcome apart, and silent instances are named on standard error.

--- /dev/null
+++ b/crates/chervilshunt_ctl/src/main.rs
@@ -0,0 +1,9 @@
+//! The command-line tool: reads its arguments and standard input, and leaves the rest to the library.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments = std::env::args_os().skip(1);
+    let server = std::env::var_os(chervilshunt_ctl::SERVER_VARIABLE);
+    chervilshunt_ctl::run(arguments, server).into()
+}
--- /dev/null
+++ b/crates/chervilshunt_ctl/src/options.rs
@@ -0,0 +1,152 @@
+//! The command line, resolved in one step from raw to checked.
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lexopt::prelude::{Long, Short, Value, ValueExt as _};
+use snafu::{OptionExt as _, ResultExt as _, Snafu};
+
+use crate::SERVER_VARIABLE;
+
+/// What `--help` shows.
+pub(crate) const HELP: &str = "\
+chervilshuntctl [OPTIONS] [STATEMENTS]
+
+Asks and changes a deployment. Statements come from the arguments, from a script on
+standard input, or from a prompt if standard input is a terminal. The language:
+docs/LANGUAGE.md. Examples:
+
+  chervilshuntctl --server 10.0.0.7:8082 show targets where zone = herning
+  chervilshuntctl 'drain target lm-1; show loads where target = lm-1'
+  chervilshuntctl < new-tenant.script
+
+Options:
+  --server IP:PORT   the operators' address of any instance
+                     (default: CHERVILSHUNT_SERVER from the environment)
+  --json             write each answer as one line of JSON
+  --local            ask only the server itself, not the whole deployment
+  --check            only check the statements; needs no server
+  --timeout SECONDS  how long to wait for an answer (default 30)
+  -h, --help         show this text
+  -V, --version      show the version
+
+Exit codes:
+  0  everything was answered and accepted
+  1  a statement was refused and has not taken effect
+  2  the command line or a statement can't be read; nothing was sent
+  3  the server can't be reached, or did not answer a question; nothing has changed
+  4  a change was sent, but its answer did not come: it may have taken effect
+  5  the server answered something that this tool does not understand
+";
+
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// What the command line asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Command {
+    Help,
+    Version,
+    Run(Options),
+}
+
+/// Checked options.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Options {
+    /// None only if nothing is to be sent.
+    pub(crate) server: Option<SocketAddr>,
+    pub(crate) json: bool,
+    pub(crate) local: bool,
+    pub(crate) check: bool,
+    pub(crate) timeout: Duration,
+    /// The statements among the arguments.
+    pub(crate) statements: Option<String>,
+}
+
+/// Why a command line can't be taken.
+#[derive(Debug, Snafu)]
+pub(crate) enum OptionsError {
+    #[snafu(display("{source}"))]
+    Arguments { source: lexopt::Error },
+    #[snafu(display("{origin} is {value:?}, which is no IP:PORT such as 10.0.0.7:8082"))]
+    Server { origin: &'static str, value: String },
+    #[snafu(display(
+        "there is no server; give the operators' address of any instance with --server IP:PORT or \
+         in {SERVER_VARIABLE}"
+    ))]
+    NoServer,
+    #[snafu(display("--timeout is {value:?}, which is no number of seconds above 0"))]
+    Timeout { value: String },
+}
+
+/// Options as written.
+#[derive(Default)]
+struct RawOptions {
+    server: Option<String>,
+    json: bool,
+    local: bool,
+    check: bool,
+    timeout: Option<String>,
+    words: Vec<String>,
+}
+
+/// Reads a command line; `server` is the value of [`SERVER_VARIABLE`].
+pub(crate) fn parse(
+    arguments: impl Iterator<Item = OsString>,
+    server: Option<OsString>,
+) -> Result<Command, OptionsError> {
+    let mut parser = lexopt::Parser::from_args(arguments);
+    let mut raw = RawOptions::default();
+    while let Some(argument) = parser.next().context(ArgumentsSnafu)? {
+        match argument {
+            Short('h') | Long("help") => return Ok(Command::Help),
+            Short('V') | Long("version") => return Ok(Command::Version),
+            Long("server") => raw.server = Some(value(&mut parser)?),
+            Long("timeout") => raw.timeout = Some(value(&mut parser)?),
+            Long("json") => raw.json = true,
+            Long("local") => raw.local = true,
+            Long("check") => raw.check = true,
+            Value(word) => raw.words.push(word.string().context(ArgumentsSnafu)?),
+            other => return Err(other.unexpected()).context(ArgumentsSnafu),
+        }
+    }
+    resolve(raw, server).map(Command::Run)
+}
+
+fn value(parser: &mut lexopt::Parser) -> Result<String, OptionsError> {
+    parser
+        .value()
+        .and_then(|value| value.string())
+        .context(ArgumentsSnafu)
+}
+
+fn resolve(raw: RawOptions, variable: Option<OsString>) -> Result<Options, OptionsError> {
+    let variable = variable.map(|value| value.to_string_lossy().into_owned());
+    let server = match (raw.server, variable) {
+        (Some(value), _) => Some(address("--server", value)?),
+        (None, Some(value)) => Some(address(SERVER_VARIABLE, value)?),
+        (None, None) => None,
+    };
+    if !raw.check {
+        server.context(NoServerSnafu)?;
+    }
+    Ok(Options {
+        server,
+        json: raw.json,
+        local: raw.local,
+        check: raw.check,
+        timeout: raw.timeout.map_or(Ok(DEFAULT_TIMEOUT), timeout)?,
+        statements: (!raw.words.is_empty()).then(|| raw.words.join(" ")),
+    })
+}
+
+fn address(origin: &'static str, value: String) -> Result<SocketAddr, OptionsError> {
+    value.parse().ok().context(ServerSnafu { origin, value })
+}
+
+fn timeout(value: String) -> Result<Duration, OptionsError> {
+    let seconds = value.parse().ok().filter(|seconds| *seconds > 0.0);
+    seconds
+        .and_then(|seconds| Duration::try_from_secs_f64(seconds).ok())
+        .context(TimeoutSnafu { value })
+}
--- /dev/null
+++ b/crates/chervilshunt_ctl/src/session.rs
@@ -0,0 +1,173 @@
+//! Running scripts: check first, then send statement by statement.
+
+use std::io::Write as _;
+
+use bytes::Bytes;
+use chervilshunt_query::{Statement, parse, render_errors};
+use tokio::runtime::Runtime;
+
+use crate::answer::{Answer, Outcome, Problem, Question};
+use crate::client::{self, CallError, Reply};
+use crate::exit::Exit;
+use crate::options::Options;
+use crate::show::{printable, result_text};
+
+/// Runs scripts against one server.
+pub(crate) struct Session {
+    options: Options,
+    runtime: Runtime,
+}
+
+impl Session {
+    pub(crate) fn new(options: Options) -> Self {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .expect("the process may open its timers and sockets");
+        Self { options, runtime }
+    }
+
+    /// Checks a script and sends its statements; stops at the first that is not accepted.
+    pub(crate) fn run_script(&self, text: &str, origin: &str) -> Exit {
+        let statements = match parse(text) {
+            Ok(statements) => statements,
+            Err(errors) => {
+                eprint!("{}", render_errors(text, origin, &errors));
+                return Exit::Usage;
+            }
+        };
+        if self.options.check {
+            return Exit::Done;
+        }
+        let count = statements.len();
+        for (index, statement) in statements.iter().enumerate() {
+            let exit = self.run_statement(statement);
+            if exit != Exit::Done {
+                let left = count - index - 1;
+                if left > 0 {
+                    eprintln!("chervilshuntctl: {left} more statements were not sent");
+                }
+                return exit;
+            }
+        }
+        Exit::Done
+    }
+
+    fn run_statement(&self, statement: &Statement) -> Exit {
+        let text = statement.to_string();
+        let question = Question {
+            text: &text,
+            local: self.options.local,
+        };
+        let body = serde_json::to_vec(&question).expect("a question is text and a flag");
+        let server = self
+            .options
+            .server
+            .expect("options have a server unless they only check");
+        let call = client::call(server, Bytes::from(body), self.options.timeout);
+        match self.runtime.block_on(call) {
+            Ok(reply) if reply.status.is_success() => self.show_answer(&reply),
+            Ok(reply) => show_refusal(statement, &reply),
+            Err(error) => self.show_no_answer(statement, &error),
+        }
+    }
+
+    fn show_answer(&self, reply: &Reply) -> Exit {
+        let answer: Answer = match serde_json::from_slice(&reply.body) {
+            Ok(answer) => answer,
+            Err(error) => {
+                eprintln!(
+                    "chervilshuntctl: the server's answer can't be read ({error}); it may be of \
+                     another version, or --server is not an instance's operators' address"
+                );
+                return Exit::BadAnswer;
+            }
+        };
+        if self.options.json {
+            let line = serde_json::to_string(&answer).expect("an answer that was read is JSON");
+            write_out(&(line + "\n"));
+        } else {
+            for result in &answer.results {
+                write_out(&result_text(result));
+            }
+        }
+        if !answer.silent.is_empty() {
+            let names: Vec<_> = answer.silent.iter().map(|name| printable(name)).collect();
+            eprintln!(
+                "chervilshuntctl: no answer from {}; what they alone know is missing above",
+                names.join(", ")
+            );
+        }
+        Exit::Done
+    }
+
+    fn show_no_answer(&self, statement: &Statement, error: &CallError) -> Exit {
+        let server = self.options.server.map(|server| server.to_string());
+        let server = server.unwrap_or_default();
+        if !error.may_have_run() {
+            eprintln!(
+                "chervilshuntctl: {server} can't be reached: {error}; nothing was sent. Check that \
+                 an instance runs there, or give the operators' address of another with --server"
+            );
+            return Exit::Unreachable;
+        }
+        match statement {
+            Statement::Show(_) => {
+                eprintln!(
+                    "chervilshuntctl: {server} did not answer: {error}; ask again, or ask another \
+                     instance with --server"
+                );
+                Exit::Unreachable
+            }
+            Statement::Change(_) => {
+                eprintln!(
+                    "chervilshuntctl: {server} did not answer: {error}; the change may have taken \
+                     effect. Look with 'show changes' before you send it again\n  {statement}"
+                );
+                Exit::Unknown
+            }
+        }
+    }
+}
+
+/// Writes to standard output; a reader that has gone, such as `head`, is no failure.
+fn write_out(text: &str) {
+    let mut stdout = std::io::stdout().lock();
+    let _written = stdout
+        .write_all(text.as_bytes())
+        .and_then(|()| stdout.flush());
+}
+
+fn show_refusal(statement: &Statement, reply: &Reply) -> Exit {
+    let problem: Problem = serde_json::from_slice(&reply.body).unwrap_or_default();
+    let reason = [problem.detail, problem.title, reply.status.to_string()]
+        .into_iter()
+        .find(|text| !text.is_empty())
+        .unwrap_or_default();
+    let is_change = matches!(statement, Statement::Change(_));
+    let unknown = match problem.outcome {
+        Some(Outcome::Unknown | Outcome::CutShort) => is_change,
+        Some(Outcome::NotRun) => false,
+        // A gateway in between that fails says nothing of what happened behind it.
+        None => is_change && reply.status.is_server_error(),
+    };
+    let verdict = if unknown {
+        "may have taken effect; look with 'show changes'"
+    } else {
+        "refused"
+    };
+    eprintln!(
+        "chervilshuntctl: {verdict} ({}): {}\n  {}",
+        reply.status.as_u16(),
+        printable(&reason),
+        printable(&statement.to_string())
+    );
+    if let Some(seconds) = &reply.retry_after {
+        eprintln!("chervilshuntctl: try again in {} s", printable(seconds));
+    }
+    if unknown {
+        Exit::Unknown
+    } else {
+        Exit::Refused
+    }
+}
