Add the load tool

Arrivals are drawn before the run and sent at their moments whatever the answers do; latencies count from the scheduled moment. Each completion can also go straight to an engine in the same run, so that the time the system adds to the first token is a difference within one run. At the end the stand-ins' counts show whether "not run" was true and nothing ran twice that may not.

--- /dev/null
+++ b/crates/chervilshunt_bench/src/load/engines.rs
@@ -0,0 +1,95 @@
+//! The engines to which the load is also sent directly.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use chervilshunt_standin::check::{Call, RequestPlan, Route};
+use chervilshunt_standin::fleet::HttpClient;
+use http::Method;
+use serde::Deserialize;
+
+use super::error::{EngineModelsSnafu, LoadError};
+
+/// Engines with the models that they hold.
+#[derive(Debug)]
+pub(crate) struct Engines(Vec<Engine>);
+
+#[derive(Debug)]
+struct Engine {
+    address: SocketAddr,
+    base_model: Arc<str>,
+    loaded: HashSet<Arc<str>>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ModelList {
+    data: Vec<Model>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Model {
+    id: Arc<str>,
+    parent: Option<Arc<str>>,
+}
+
+impl Engines {
+    /// Asks each engine which models it holds.
+    pub(crate) async fn ask(addresses: &[SocketAddr]) -> Result<Self, LoadError> {
+        let client = HttpClient::default();
+        let mut engines = Vec::new();
+        for address in addresses {
+            let failed = |problem: String| {
+                EngineModelsSnafu {
+                    engine: *address,
+                    problem,
+                }
+                .build()
+            };
+            let reply = client
+                .call(Method::GET, *address, "/v1/models", None)
+                .await
+                .map_err(|error| failed(error.to_string()))?;
+            let list: ModelList =
+                serde_json::from_str(&reply.text).map_err(|error| failed(error.to_string()))?;
+            let base = list.data.iter().find(|model| model.parent.is_none());
+            let base = base.ok_or_else(|| failed("it names no base model".to_owned()))?;
+            engines.push(Engine {
+                address: *address,
+                base_model: Arc::clone(&base.id),
+                loaded: list
+                    .data
+                    .iter()
+                    .map(|model| Arc::clone(&model.id))
+                    .collect(),
+            });
+        }
+        Ok(Self(engines))
+    }
+
+    /// Returns the same request, sent straight to an engine, if it is a completion.
+    ///
+    /// It goes to an engine that holds the model; if none does, the base model stands in, which
+    /// costs a stand-in the same.
+    pub(crate) fn direct(&self, request: &RequestPlan, number: usize) -> Option<RequestPlan> {
+        let Call::Completion(call) = &request.call else {
+            return None;
+        };
+        let from = number % self.0.len().max(1);
+        let in_turn = || self.0[from..].iter().chain(&self.0[..from]);
+        let holder = in_turn().find(|engine| engine.loaded.contains(&call.model));
+        let engine = holder.or_else(|| in_turn().next())?;
+        let mut call = call.clone();
+        if holder.is_none() {
+            call.model = Arc::clone(&engine.base_model);
+        }
+        Some(RequestPlan {
+            to: engine.address,
+            route: Route::Direct,
+            request_id: format!("{}-direct", request.request_id).into(),
+            call: Call::Completion(call),
+            key: None,
+            ..request.clone()
+        })
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_bench/src/load/mod.rs
@@ -0,0 +1,22 @@
+//! Open-loop load with a check of every answer.
+//!
+//! Arrivals follow a schedule that is fixed before the run and does not wait for answers, and
+//! latencies are counted from the scheduled moment. So a system that stalls can't hide the
+//! requests that would have been sent meanwhile (coordinated omission).
+
+mod engines;
+mod error;
+mod mix;
+mod options;
+mod plan;
+mod report;
+mod run;
+mod schedule;
+mod summary;
+mod table;
+
+pub use error::LoadError;
+pub use options::command;
+pub use plan::{LoadPlan, PlainShare};
+pub use report::{AddedTime, Latency, LoadReport, Path, RefusalCount, ViolationCount};
+pub use run::run;
--- /dev/null
+++ b/crates/chervilshunt_bench/src/main.rs
@@ -0,0 +1,28 @@
+//! The bench of chervilshunt; each subcommand is a module of the library.
+
+use std::process::ExitCode;
+
+use lexopt::prelude::*;
+
+fn main() -> ExitCode {
+    let mut args = lexopt::Parser::from_env();
+    let command = match args.next() {
+        Ok(Some(Value(command))) => command.to_string_lossy().into_owned(),
+        Ok(_) => return usage(),
+        Err(error) => return fail(&error.to_string()),
+    };
+    let outcome = match command.as_str() {
+        "load" => chervilshunt_bench::load::command(args).map_err(|e| e.to_string()),
+        _ => return usage(),
+    };
+    outcome.map_or_else(|message| fail(&message), |()| ExitCode::SUCCESS)
+}
+
+fn usage() -> ExitCode {
+    fail("usage: chervilshunt_bench load OPTIONS")
+}
+
+fn fail(message: &str) -> ExitCode {
+    eprintln!("{message}");
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/crates/chervilshunt_bench/tests/load/main.rs
@@ -0,0 +1,4 @@
+//! The load tool against an engine stand-in behind a minimal instance.
+
+mod instance;
+mod runs;
--- a/crates/chervilshunt_standin/src/check/verdict.rs
+++ b/crates/chervilshunt_standin/src/check/verdict.rs
@@ -64,7 +64,7 @@
 }
 
 /// What a refusal says of the request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Outcome {
     /// Nothing ran and nothing will.
