--- a/crates/chervilshunt_config/src/check.rs
+++ b/crates/chervilshunt_config/src/check.rs
@@ -17,8 +17,8 @@
 use crate::locate::{Place, duplicates, place_at, place_of};
 use crate::raw::{RawLease, RawLimits, RawPlatform, RawSettings};
 use crate::settings::{
-    Addresses, InstanceSettings, KeyedDuringOutage, LeaseSettings, Limits, LogLevel, LogSettings,
-    OutageSettings, PlatformSettings, QueueBounds, RuntimeSettings, Settings,
+    Addresses, Advertise, InstanceSettings, KeyedDuringOutage, LeaseSettings, Limits, LogLevel,
+    LogSettings, OutageSettings, PlatformSettings, QueueBounds, RuntimeSettings, Settings,
 };
 
 /// Comments and trailing commas are all that goes beyond JSON, so that editors' JSONC modes agree.
@@ -139,6 +139,9 @@
                 ),
             },
             addresses: self.addresses(raw),
+            advertise: Advertise {
+                peers: self.advertised("advertise.peers", raw.advertise.peers),
+            },
             platform: self.platform(&raw.platform),
             limits: self.limits(&raw.limits),
             lease: self.lease(&raw.lease),
@@ -266,6 +269,13 @@
         })
     }
 
+    fn advertised(&mut self, path: &str, raw: Option<SocketAddr>) -> Option<SocketAddr> {
+        if let Some(address) = raw.filter(|address| address.port() == 0) {
+            self.problem(path, &format!("nobody can connect to {address}"));
+        }
+        raw
+    }
+
     /// Notes that a required key is absent, and returns the default of one that isn't required.
     fn absent(&mut self, path: &str) -> &'static str {
         match find_key(path).map(|key| key.shape) {
@@ -316,8 +326,11 @@
     }
 
     fn problem_at(&mut self, place: Place, path: &str, message: &str) {
-        // What could not be read counts as absent later on; the first finding tells more.
-        if self.problems.iter().any(|problem| problem.key == path) {
+        // What could not be read counts as absent later on; the first finding tells more, and so
+        // does one on the whole section.
+        let section = path.split('.').next().unwrap_or(path);
+        let known = |problem: &Problem| problem.key == path || problem.key == section;
+        if self.problems.iter().any(known) {
             return;
         }
         self.problems.push(Problem {
--- a/crates/chervilshunt_config/src/keys.rs
+++ b/crates/chervilshunt_config/src/keys.rs
@@ -27,6 +27,8 @@
     Name { default: &'static str },
     /// An `IP:PORT` that has to be given.
     RequiredAddress { example: &'static str },
+    /// An `IP:PORT` that may be left out.
+    OptionalAddress,
     /// A whole number.
     Whole {
         default: u64,
@@ -53,6 +55,9 @@
             Self::RequiredAddress { .. } => {
                 "a text \"IP:PORT\" or \"[IPv6]:PORT\", such as \"10.0.0.7:8080\"".to_owned()
             }
+            Self::OptionalAddress => {
+                "null, or a text \"IP:PORT\" or \"[IPv6]:PORT\" with a port above 0".to_owned()
+            }
             Self::Whole { min, max, unit, .. } => {
                 format!("a whole number from {min} to {max}{unit}")
             }
@@ -71,6 +76,7 @@
             | Self::RequiredAddress { example: text }
             | Self::Name { default: text }
             | Self::Word { default: text, .. } => format!("\"{text}\""),
+            Self::OptionalAddress => "null".to_owned(),
             Self::Whole { default, .. } => default.to_string(),
             Self::Number { default, .. } => format!("{default:?}"),
         }
@@ -165,6 +171,15 @@
             ),
         ],
     },
+    Section {
+        name: "advertise",
+        comment: "What others are told instead, where they can't use the addresses above.",
+        keys: &[key(
+            "peers",
+            "Where other instances connect; null is addresses.peers.",
+            Shape::OptionalAddress,
+        )],
+    },
     Section {
         name: "platform",
         comment: "The platform's object service, which holds all that has to last.",
--- a/crates/chervilshunt_config/src/lib.rs
+++ b/crates/chervilshunt_config/src/lib.rs
@@ -15,6 +15,6 @@
 pub use defaults::print_defaults;
 pub use error::{Problem, SettingsError};
 pub use settings::{
-    Addresses, InstanceSettings, KeyedDuringOutage, LeaseSettings, Limits, LogLevel, LogSettings,
-    OutageSettings, PlatformSettings, QueueBounds, RuntimeSettings, Settings,
+    Addresses, Advertise, InstanceSettings, KeyedDuringOutage, LeaseSettings, Limits, LogLevel,
+    LogSettings, OutageSettings, PlatformSettings, QueueBounds, RuntimeSettings, Settings,
 };
--- a/crates/chervilshunt_config/src/raw.rs
+++ b/crates/chervilshunt_config/src/raw.rs
@@ -6,6 +6,9 @@
 
 use crate::settings::{KeyedDuringOutage, LogLevel};
 
+#[cfg(test)]
+mod tests;
+
 /// A settings file as written.
 ///
 /// `Serialize` is there for a test: each field here has to have its entry in the table of keys.
@@ -14,6 +17,7 @@
 pub(crate) struct RawSettings {
     pub(crate) instance: RawInstance,
     pub(crate) addresses: RawAddresses,
+    pub(crate) advertise: RawAdvertise,
     pub(crate) platform: RawPlatform,
     pub(crate) limits: RawLimits,
     pub(crate) lease: RawLease,
@@ -39,6 +43,12 @@
     pub(crate) operators: Option<SocketAddr>,
 }
 
+#[derive(Debug, Default, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub(crate) struct RawAdvertise {
+    pub(crate) peers: Option<SocketAddr>,
+}
+
 #[derive(Debug, Default, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub(crate) struct RawPlatform {
--- a/crates/chervilshunt_config/src/settings.rs
+++ b/crates/chervilshunt_config/src/settings.rs
@@ -20,6 +20,8 @@
     pub instance: InstanceSettings,
     /// Where it listens.
     pub addresses: Addresses,
+    /// What others are told of where it listens.
+    pub advertise: Advertise,
     /// How it reaches the platform's object service.
     pub platform: PlatformSettings,
     /// Bounds on what callers may use.
@@ -78,6 +80,13 @@
     pub operators: SocketAddr,
 }
 
+/// What others are told of where an instance listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Advertise {
+    /// Where other instances connect, if it is not the address that the instance listens on.
+    pub peers: Option<SocketAddr>,
+}
+
 /// How the platform's object service is reached.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlatformSettings {
--- a/crates/chervilshunt_config/tests/settings.rs
+++ b/crates/chervilshunt_config/tests/settings.rs
@@ -48,6 +48,31 @@
     );
 }
 
+#[test]
+fn every_value_of_the_file_is_used() {
+    let text = r#"{
+      "instance": {"id": "entry-1", "zone": "herning", "region": "jutland"},
+      "addresses": {"callers": "0.0.0.0:1", "peers": "0.0.0.0:2", "operators": "0.0.0.0:3"},
+      "advertise": {"peers": "10.0.0.1:12"},
+      "platform": {
+        "address": "[::1]:4", "namespace": "races", "timeout_ms": 105, "calls_per_second": 6.5,
+      },
+      "limits": {
+        "body_bytes": 10007, "header_bytes": 10008, "header_timeout_ms": 109,
+        "body_timeout_ms": 110, "open_requests": 11, "queue_live": 12, "queue_deferrable": 13,
+        "stream_buffer_bytes": 10014, "shutdown_ms": 15, "retry_budget_ratio": 0.16,
+        "permit_window_ms": 117,
+      },
+      "lease": {"duration_ms": 1800, "renew_ms": 190, "margin_ms": 20},
+      "policy": {"load_stalls": 21, "batch_efficiency": 22},
+      "outage": {"keyed_requests": "queue"},
+      "runtime": {"traffic_threads": 23},
+      "log": {"level": "trace"},
+    }"#;
+    let settings = Settings::parse(text, "entry.jsonc").expect("the file is whole");
+    insta::assert_debug_snapshot!(settings);
+}
+
 #[rstest]
 #[case::empty("empty", "")]
 #[case::syntax("syntax", "{\n  \"instance\": {\"id\": \"a\" \"zone\": \"b\"}\n}")]
@@ -59,6 +84,7 @@
 #[case::unknown_keys("unknown_keys", &SMALLEST.replace(r#""id""#, r#""name": 1, "id""#).replace(r#""platform""#, r#""plattform": {}, "platform""#))]
 #[case::clash("clash", &SMALLEST.replace("127.0.0.1:0", "127.0.0.1:8080"))]
 #[case::clash_unspecified("clash_unspecified", &SMALLEST.replace(r#""peers": "127.0.0.1:0""#, r#""peers": "0.0.0.0:6000""#).replace(r#""operators": "127.0.0.1:0""#, r#""operators": "10.0.0.1:6000""#))]
+#[case::advertise_port_zero("advertise_port_zero", &SMALLEST.replace(r#""platform""#, r#""advertise": {"peers": "10.0.0.1:0"}, "platform""#))]
 #[case::twice("twice", &SMALLEST.replace(r#""id""#, r#""id": "x", "id""#))]
 #[case::many_at_once(
     "many_at_once",
