--- /dev/null
+++ b/crates/chervilshunt_coord/src/config/follower.rs
@@ -0,0 +1,387 @@
+//! Holds the configuration in force, acknowledges changes and learns how they end.
+
+mod load;
+mod prepared;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilshunt_model::{InstanceId, Moment, Revision};
+
+use self::load::Loading;
+use self::prepared::Prepared;
+use super::head::{Elector, HeadRecord, PageStamp};
+use super::message::ConfigMessage;
+use super::model::{ConfigModel, PageKey};
+use crate::bugs::{Bug, Bugs};
+use crate::hashing::jittered;
+use crate::holder::Holder;
+use crate::platform::{
+    CallId, Calls, Object, ObjectName, ObjectVersion, PlatformCall, PlatformOp, PlatformResult,
+    Purpose, Stored,
+};
+
+/// How a follower behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct FollowerConfig {
+    /// How long after a failed call the next try follows.
+    pub retry_every: Duration,
+    /// How long after an acknowledgement a missing decision is asked for.
+    pub ask_after: Duration,
+    /// How long after an acknowledgement, or after learning of a newer revision that isn't loaded
+    /// yet, new work is no longer taken.
+    pub stop_after: Duration,
+    /// How long a change may stay under way in the head before its proposer is taken for dead.
+    pub abandon_after: Duration,
+    /// How long after seeing a change in the head it is acknowledged by the lease, as nobody asked.
+    pub acknowledge_unasked_after: Duration,
+    /// The most pages that are read at a time.
+    pub reads_at_a_time: usize,
+}
+
+impl Default for FollowerConfig {
+    fn default() -> Self {
+        Self {
+            retry_every: Duration::from_millis(500),
+            ask_after: Duration::from_secs(1),
+            stop_after: Duration::from_secs(3),
+            abandon_after: Duration::from_secs(8),
+            acknowledge_unasked_after: Duration::from_millis(700),
+            reads_at_a_time: 8,
+        }
+    }
+}
+
+/// What a follower has to react to.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FollowerEvent<C> {
+    /// The own lease exists, so that whoever proposes a change from now on counts this run: the
+    /// head may be read.
+    Start,
+    /// The head was seen; it may be stale.
+    Seen(Box<HeadRecord>, ObjectVersion),
+    /// An instance said something.
+    Message(InstanceId, ConfigMessage<C>),
+    /// A call to the platform has ended.
+    Reply(CallId, PlatformResult),
+    /// Time has passed.
+    Tick,
+}
+
+/// What a follower wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FollowerAction<S, C> {
+    /// Call the platform.
+    Call(PlatformCall),
+    /// Send a message to an instance.
+    Send(InstanceId, ConfigMessage<C>),
+    /// Ask a few instances how a change ended.
+    AskAround(ConfigMessage<C>),
+    /// Say in the lease that the change written at this generation is acknowledged.
+    AcknowledgeByLease(u64),
+    /// This configuration is in force from now on.
+    InForce(InForce<S>),
+}
+
+/// A configuration that is in force.
+#[derive(Clone, Debug, PartialEq)]
+pub struct InForce<S> {
+    /// The configuration.
+    pub state: Arc<S>,
+    /// Its revision.
+    pub revision: Revision,
+    /// Which contents of which pages make it up.
+    pub pages: Arc<BTreeMap<PageKey, PageStamp>>,
+}
+
+/// Holds the configuration in force, acknowledges changes and learns how they end.
+///
+/// Having acknowledged a change, it relies on being told the end. If it hears nothing it stops
+/// taking new work after a bound, as others may be working by the new configuration already; only
+/// a decision written into the head lets it go on.
+#[derive(Debug)]
+pub struct Follower<S, C> {
+    cfg: FollowerConfig,
+    model: ConfigModel<S, C>,
+    me: Holder,
+    elector: Elector,
+    calls: Calls,
+    started: bool,
+    /// Whether the head was read since the lease exists.
+    has_read: bool,
+    reading: Option<CallId>,
+    read_at: Option<Moment>,
+    creating: Option<CallId>,
+    head: Option<(HeadRecord, ObjectVersion)>,
+    in_force: Option<InForce<S>>,
+    loading: Option<Loading<S>>,
+    load_retry_at: Moment,
+    prepared: Option<Prepared<S>>,
+    /// The generation of the latest decision that is known, from the head or from a peer.
+    decided: u64,
+    behind_since: Option<Moment>,
+    pending_since: Option<(u64, Moment)>,
+    clearing: Option<CallId>,
+    asks: u64,
+    bugs: Bugs,
+}
+
+impl<S: Clone, C: Clone> Follower<S, C> {
+    /// Starts to follow; nothing is read before [`FollowerEvent::Start`].
+    pub fn new(
+        cfg: FollowerConfig,
+        model: ConfigModel<S, C>,
+        me: Holder,
+        elector: Elector,
+    ) -> Self {
+        Self::with_machine(cfg, model, me, elector, 0)
+    }
+
+    /// Does as [`Self::new`] and numbers the calls as those of `machine`.
+    pub(crate) fn with_machine(
+        cfg: FollowerConfig,
+        model: ConfigModel<S, C>,
+        me: Holder,
+        elector: Elector,
+        machine: u32,
+    ) -> Self {
+        Self {
+            cfg,
+            model,
+            me,
+            elector,
+            calls: Calls::new(machine, Purpose::Configuration),
+            started: false,
+            has_read: false,
+            reading: None,
+            read_at: None,
+            creating: None,
+            head: None,
+            in_force: None,
+            loading: None,
+            load_retry_at: Moment::ZERO,
+            prepared: None,
+            decided: 0,
+            behind_since: None,
+            pending_since: None,
+            clearing: None,
+            asks: 0,
+            bugs: Bugs::default(),
+        }
+    }
+
+    /// Seeds a bug.
+    #[cfg(test)]
+    pub(crate) fn seed(&mut self, bugs: Bugs) {
+        self.bugs = bugs;
+    }
+
+    /// Begins anew under another incarnation, as the lease was lost.
+    ///
+    /// What is in force stays, but isn't known to be the latest before the head was read again.
+    pub(crate) fn begin_anew(&mut self, me: Holder) {
+        self.me = me;
+        self.started = false;
+        self.has_read = false;
+        self.reading = None;
+        self.read_at = None;
+    }
+
+    /// Returns the configuration in force, if one is loaded.
+    pub const fn in_force(&self) -> Option<&InForce<S>> {
+        self.in_force.as_ref()
+    }
+
+    /// Returns the latest head that was seen.
+    pub fn head(&self) -> Option<&HeadRecord> {
+        self.head.as_ref().map(|(head, _)| head)
+    }
+
+    /// Returns whether a configuration is in force and known to be the latest one.
+    pub fn is_settled(&self) -> bool {
+        self.in_force.is_some()
+            && self.has_read
+            && self.prepared.is_none()
+            && self.behind_since.is_none()
+            && self.pending_since.is_none()
+    }
+
+    /// Returns whether new work may be taken by the configuration in force.
+    pub fn may_take_work(&self, now: Moment) -> bool {
+        self.in_force.is_some() && self.stops_at().is_none_or(|at| now < at)
+    }
+
+    /// Returns when new work may no longer be taken unless something is learnt before.
+    pub fn stops_at(&self) -> Option<Moment> {
+        let undecided = self.prepared.as_ref().map(|prepared| prepared.since);
+        let undecided = undecided.filter(|_| !self.bugs.has(Bug::UndecidedTakesWork));
+        let since = undecided.into_iter().chain(self.behind_since).min()?;
+        Some(since + self.cfg.stop_after)
+    }
+
+    /// Returns when [`FollowerEvent::Tick`] is next wanted.
+    pub fn next_wakeup(&self) -> Option<Moment> {
+        let read = self.read_at.filter(|_| self.reading.is_none());
+        let load = self
+            .loading
+            .as_ref()
+            .filter(|loading| !loading.is_reading())
+            .map(|_| self.load_retry_at);
+        let ask = self.prepared.as_ref().map(|prepared| prepared.ask_at);
+        let clear = self.clear_at().filter(|_| self.clearing.is_none());
+        let unasked = self.acknowledge_unasked_at();
+        let times = [read, load, ask, clear, unasked, self.stops_at()];
+        times.into_iter().flatten().min()
+    }
+
+    /// Takes one event and says what is to be done.
+    pub fn handle(&mut self, event: FollowerEvent<C>, now: Moment) -> Vec<FollowerAction<S, C>> {
+        let mut actions = Vec::new();
+        match event {
+            FollowerEvent::Start => {
+                self.started = true;
+                self.read_at = Some(now);
+            }
+            FollowerEvent::Seen(head, version) => self.on_head(*head, version, now, &mut actions),
+            FollowerEvent::Message(from, message) => {
+                self.on_message(&from, message, now, &mut actions);
+            }
+            FollowerEvent::Reply(call, result) => self.on_reply(call, result, now, &mut actions),
+            FollowerEvent::Tick => {}
+        }
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    fn on_reply(
+        &mut self,
+        call: CallId,
+        result: PlatformResult,
+        now: Moment,
+        actions: &mut Vec<FollowerAction<S, C>>,
+    ) {
+        if self.reading == Some(call) {
+            self.reading = None;
+            self.on_head_read(result, now, actions);
+        } else if self.creating == Some(call) || self.clearing == Some(call) {
+            self.creating = self.creating.filter(|id| *id != call);
+            self.clearing = self.clearing.filter(|id| *id != call);
+            self.read_at = Some(now);
+        } else {
+            self.on_page(call, result, now, actions);
+        }
+    }
+
+    fn on_head_read(
+        &mut self,
+        result: PlatformResult,
+        now: Moment,
+        actions: &mut Vec<FollowerAction<S, C>>,
+    ) {
+        match result {
+            PlatformResult::Found(Stored {
+                object: Object::Head(head),
+                version,
+            }) => {
+                self.read_at = None;
+                self.has_read = true;
+                self.on_head(*head, version, now, actions);
+            }
+            PlatformResult::NotFound if self.head.is_none() => {
+                let head = HeadRecord::first(vec![self.elector.clone()]);
+                let call = self
+                    .calls
+                    .call(PlatformOp::Create(Object::Head(Box::new(head))));
+                self.creating = Some(call.id);
+                self.read_at = None;
+                actions.push(FollowerAction::Call(call));
+            }
+            PlatformResult::Found(_)
+            | PlatformResult::NotFound
+            | PlatformResult::Listed(_)
+            | PlatformResult::Written(_)
+            | PlatformResult::Conflict
+            | PlatformResult::AlreadyExists
+            | PlatformResult::Unavailable
+            | PlatformResult::Unknown => {
+                self.asks += 1;
+                let seed = self.me.incarnation.get();
+                self.read_at = Some(now + jittered(self.cfg.retry_every, seed, self.asks));
+            }
+        }
+    }
+
+    /// Takes a head over if it is newer than the one that is known.
+    fn on_head(
+        &mut self,
+        head: HeadRecord,
+        version: ObjectVersion,
+        now: Moment,
+        actions: &mut Vec<FollowerAction<S, C>>,
+    ) {
+        let known = self.head.as_ref().map_or(0, |(head, _)| head.generation);
+        // Reads and watches may be served late. Taking an old head would put an old configuration
+        // back in force.
+        let stale = head.generation <= known;
+        if stale && !self.bugs.has(Bug::StaleHeadAccepted) {
+            return;
+        }
+        if !self.started {
+            return;
+        }
+        let same_pending = head.pending.as_ref().map(|pending| pending.change)
+            == self
+                .head()
+                .and_then(|head| head.pending.as_ref())
+                .map(|pending| pending.change);
+        if head.pending.is_none() {
+            self.pending_since = None;
+        } else if !same_pending || self.pending_since.is_none() {
+            self.pending_since = Some((head.generation, now));
+        }
+        self.head = Some((head, version));
+        self.settle_prepared(now, actions);
+        self.load_if_behind(now, actions);
+    }
+
+    fn advance(&mut self, now: Moment, actions: &mut Vec<FollowerAction<S, C>>) {
+        if !self.started {
+            return;
+        }
+        self.ask_for_decision(now, actions);
+        self.acknowledge_unasked(now, actions);
+        self.read_pages(now, actions);
+        if self.reading.is_none() && self.read_at.is_some_and(|at| now >= at) {
+            let call = self.calls.call(PlatformOp::Read(ObjectName::Head));
+            self.reading = Some(call.id);
+            actions.push(FollowerAction::Call(call));
+        }
+        if self.clearing.is_none() && self.clear_at().is_some_and(|at| now >= at) {
+            self.clear_abandoned(now, actions);
+        }
+    }
+
+    /// Returns when a change that stays under way is to be given up in its proposer's place.
+    fn clear_at(&self) -> Option<Moment> {
+        let (generation, since) = self.pending_since?;
+        // Spread by instance, so that the first one to do it spares the others the call.
+        let spread = jittered(
+            self.cfg.abandon_after,
+            self.me.incarnation.get(),
+            generation,
+        );
+        Some(since + spread)
+    }
+
+    fn clear_abandoned(&mut self, now: Moment, actions: &mut Vec<FollowerAction<S, C>>) {
+        let Some((head, version)) = &self.head else {
+            return;
+        };
+        let object = Object::Head(Box::new(head.given_up()));
+        let call = self.calls.call(PlatformOp::Update(object, version.clone()));
+        self.clearing = Some(call.id);
+        self.pending_since = self.pending_since.map(|(generation, _)| (generation, now));
+        actions.push(FollowerAction::Call(call));
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_coord/src/config/follower/prepared.rs
@@ -0,0 +1,295 @@
+//! Changes that were acknowledged and whose end is not known yet.
+
+use std::sync::Arc;
+
+use chervilshunt_model::{ChangeId, InstanceId, Moment, Revision};
+
+use super::{Follower, FollowerAction, InForce};
+use crate::config::head::PageStamp;
+use crate::config::message::{ConfigMessage, Prepare};
+use crate::config::model::PageKey;
+
+/// A change that was acknowledged.
+#[derive(Clone, Debug)]
+pub(super) struct Prepared<S> {
+    pub(super) change: ChangeId,
+    pub(super) generation: u64,
+    pub(super) base: Revision,
+    /// The configuration after the change; none if it is to be loaded once the change is accepted.
+    pub(super) after: Option<After<S>>,
+    pub(super) proposer: Option<InstanceId>,
+    pub(super) since: Moment,
+    pub(super) ask_at: Moment,
+}
+
+/// The configuration after a change.
+#[derive(Clone, Debug)]
+pub(super) struct After<S> {
+    state: Arc<S>,
+    /// The pages that differ.
+    stamps: Vec<(PageKey, PageStamp)>,
+}
+
+impl<S: Clone, C: Clone> Follower<S, C> {
+    pub(super) fn on_message(
+        &mut self,
+        from: &InstanceId,
+        message: ConfigMessage<C>,
+        now: Moment,
+        actions: &mut Vec<FollowerAction<S, C>>,
+    ) {
+        match message {
+            ConfigMessage::Prepare(prepare) => self.on_prepare(from, &prepare, now, actions),
+            ConfigMessage::Decided {
+                change,
+                generation,
+                accepted,
+            } => self.on_decided(change, generation, accepted, now, actions),
+            ConfigMessage::AskDecision { change } => self.on_ask(from, change, actions),
+            ConfigMessage::Forward { to, message } => {
+                let sends = to
+                    .into_iter()
+                    .map(|to| FollowerAction::Send(to, (*message).clone()));
+                actions.extend(sends);
+            }
+            ConfigMessage::Acknowledge { .. } => {}
+        }
+    }
+
+    fn on_prepare(
+        &mut self,
+        from: &InstanceId,
+        prepare: &Prepare<C>,
+        now: Moment,
+        actions: &mut Vec<FollowerAction<S, C>>,
+    ) {
+        let decided_since = self.head().is_some_and(|head| {
+            let pending = head.pending.as_ref().map(|pending| pending.change);
+            head.generation > prepare.generation && pending != Some(prepare.change)
+        });
+        if !self.started || prepare.generation <= self.decided || decided_since {
+            return;
+        }
+        let is_known = self.prepared.as_ref().is_some_and(|prepared| {
+            prepared.change == prepare.change && prepared.generation == prepare.generation
+        });
+        let refusal = if is_known {
+            None
+        } else {
+            self.prepare(prepare, now).err()
+        };
+        let message = ConfigMessage::Acknowledge {
+            change: prepare.change,
+            generation: prepare.generation,
+            holder: self.me.clone(),
+            proposer: prepare.proposer.clone(),
+            refusal,
+        };
+        actions.push(FollowerAction::Send(from.clone(), message));
+    }
+
+    /// Computes the configuration after a change and holds it ready.
+    fn prepare(&mut self, prepare: &Prepare<C>, now: Moment) -> Result<(), String> {
+        let base = self
+            .in_force
+            .as_ref()
+            .filter(|in_force| in_force.revision == prepare.base);
+        let after = match base {
+            None => {
+                // The base isn't loaded. Acknowledging is right all the same: what counts is that
+                // no work is taken by an older configuration once the change is accepted.
+                self.behind_since.get_or_insert(now);
+                self.read_at.get_or_insert(now);
+                None
+            }
+            Some(in_force) => {
+                let (after, keys) = (self.model.apply)(&in_force.state, &prepare.body)?;
+                let stamps = keys.into_iter().map(|key| {
+                    let body = (self.model.page)(&after, &key);
+                    let stamp = PageStamp::of(&body, prepare.change);
+                    (key, stamp)
+                });
+                let stamps: Vec<_> = stamps.collect();
+                let same = stamps == prepare.pages;
+                same.then(|| After {
+                    state: Arc::new(after),
+                    stamps,
+                })
+            }
+        };
+        self.hold(Prepared {
+            change: prepare.change,
+            generation: prepare.generation,
+            base: prepare.base,
+            after,
+            proposer: Some(prepare.proposer.clone()),
+            since: now,
+            ask_at: now + self.cfg.ask_after,
+        });
+        Ok(())
+    }
+
+    fn hold(&mut self, prepared: Prepared<S>) {
+        // A change prepared before has been decided, as only one is under way at a time. What
+        // came of it shows in the head, which is read because the base doesn't fit then.
+        self.prepared = Some(prepared);
+    }
+
+    fn on_decided(
+        &mut self,
+        change: ChangeId,
+        generation: u64,
+        accepted: Option<Revision>,
+        now: Moment,
+        actions: &mut Vec<FollowerAction<S, C>>,
+    ) {
+        if generation <= self.decided {
+            return;
+        }
+        self.decided = generation;
+        self.pending_since = self.pending_since.filter(|(since, _)| *since >= generation);
+        let is_mine = self
+            .prepared
+            .as_ref()
+            .is_some_and(|prepared| prepared.change == change && prepared.generation < generation);
+        if is_mine {
+            self.finish_prepared(accepted, now, actions);
+        } else if accepted.is_some_and(|revision| self.is_behind(revision)) {
+            self.behind_since.get_or_insert(now);
+            self.read_at.get_or_insert(now);
+        }
+    }
+
+    /// Lets go of the prepared change if the head shows its end.
+    pub(super) fn settle_prepared(&mut self, now: Moment, actions: &mut Vec<FollowerAction<S, C>>) {
+        let Some((head, _)) = &self.head else {
+            return;
+        };
+        if head.pending.is_none() {
+            self.decided = self.decided.max(head.generation);
+        }
+        let Some(prepared) = &self.prepared else {
+            return;
+        };
+        let still_pending = head
+            .pending
+            .as_ref()
+            .is_some_and(|pending| pending.change == prepared.change);
+        if head.generation <= prepared.generation || still_pending {
+            return;
+        }
+        let accepted = head.outcome(prepared.change).flatten();
+        self.finish_prepared(accepted, now, actions);
+    }
+
+    fn finish_prepared(
+        &mut self,
+        accepted: Option<Revision>,
+        now: Moment,
+        actions: &mut Vec<FollowerAction<S, C>>,
+    ) {
+        let Some(prepared) = self.prepared.take() else {
+            return;
+        };
+        let Some(revision) = accepted else {
+            return;
+        };
+        let base = self
+            .in_force
+            .as_ref()
+            .filter(|in_force| in_force.revision == prepared.base);
+        match (base, prepared.after) {
+            (Some(in_force), Some(After { state, stamps })) => {
+                let mut pages = (*in_force.pages).clone();
+                pages.extend(stamps);
+                let next = InForce {
+                    state,
+                    revision,
+                    pages: Arc::new(pages),
+                };
+                self.put_in_force(next, actions);
+            }
+            _ if self.is_behind(revision) => {
+                self.behind_since.get_or_insert(now);
+                self.read_at.get_or_insert(now);
+            }
+            _ => {}
+        }
+    }
+
+    fn on_ask(&self, from: &InstanceId, change: ChangeId, actions: &mut Vec<FollowerAction<S, C>>) {
+        let Some((head, _)) = &self.head else {
+            return;
+        };
+        let Some(accepted) = head.outcome(change) else {
+            return;
+        };
+        let message = ConfigMessage::Decided {
+            change,
+            generation: head.generation,
+            accepted,
+        };
+        actions.push(FollowerAction::Send(from.clone(), message));
+    }
+
+    /// Asks the platform and a few peers for a decision that doesn't come.
+    pub(super) fn ask_for_decision(
+        &mut self,
+        now: Moment,
+        actions: &mut Vec<FollowerAction<S, C>>,
+    ) {
+        let ask_after = self.cfg.ask_after;
+        let Some(prepared) = self.prepared.as_mut().filter(|held| now >= held.ask_at) else {
+            return;
+        };
+        prepared.ask_at = now + ask_after;
+        self.read_at.get_or_insert(now);
+        let message = ConfigMessage::AskDecision {
+            change: prepared.change,
+        };
+        if let Some(proposer) = &prepared.proposer {
+            actions.push(FollowerAction::Send(proposer.clone(), message.clone()));
+        }
+        actions.push(FollowerAction::AskAround(message));
+    }
+
+    /// Returns when a change that nobody asked about is acknowledged by the lease.
+    pub(super) fn acknowledge_unasked_at(&self) -> Option<Moment> {
+        let (generation, since) = self.pending_since?;
+        let asked = self
+            .prepared
+            .as_ref()
+            .is_some_and(|prepared| prepared.generation >= generation);
+        (!asked && generation > self.decided).then(|| since + self.cfg.acknowledge_unasked_after)
+    }
+
+    /// Acknowledges by the lease what the head shows and nobody asked about: a cut link between
+    /// two instances that both reach the platform need not hold up a change.
+    pub(super) fn acknowledge_unasked(
+        &mut self,
+        now: Moment,
+        actions: &mut Vec<FollowerAction<S, C>>,
+    ) {
+        if self.acknowledge_unasked_at().is_none_or(|at| now < at) {
+            return;
+        }
+        let Some((head, _)) = &self.head else {
+            return;
+        };
+        let Some(pending) = &head.pending else {
+            return;
+        };
+        let generation = head.generation;
+        let prepared = Prepared {
+            change: pending.change,
+            generation,
+            base: head.revision,
+            after: None,
+            proposer: Some(pending.proposer.instance.clone()),
+            since: now,
+            ask_at: now + self.cfg.ask_after,
+        };
+        self.hold(prepared);
+        actions.push(FollowerAction::AcknowledgeByLease(generation));
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_coord/src/config/proposer/steps.rs
@@ -0,0 +1,645 @@
+//! The steps of a proposal.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use chervilshunt_model::{InstanceId, Moment, Revision};
+
+use super::collect::fan_out;
+use super::{ChangeRefusal, Proposal, Proposer, ProposerAction, Verdict};
+use crate::bugs::Bug;
+use crate::config::follower::InForce;
+use crate::config::head::{HeadRecord, PageStamp, PendingChange};
+use crate::config::message::{ConfigMessage, Prepare};
+use crate::config::model::PageKey;
+use crate::lease::LeaseRecord;
+use crate::platform::{
+    CallId, Object, ObjectKind, ObjectName, ObjectVersion, PlatformOp, PlatformResult, Stored,
+};
+
+/// A page that a proposal writes.
+#[derive(Clone, Debug)]
+pub(super) struct PageWrite {
+    pub(super) key: PageKey,
+    pub(super) stamp: PageStamp,
+    pub(super) body: Arc<str>,
+    pub(super) written: bool,
+}
+
+/// How far a proposal has come.
+#[derive(Clone, Debug)]
+pub(super) enum Stage {
+    /// The head has to be read.
+    Begin,
+    /// The head is being read.
+    ReadingHead(CallId),
+    /// The pages are being written, one after the other; none is under way while one is retried.
+    WritingPages(Option<CallId>, Box<HeadRecord>, ObjectVersion),
+    /// The change is being written into the head.
+    WritingPending(CallId, Box<HeadRecord>),
+    /// The change stands in the head; the live instances have to be listed.
+    Pending(Box<HeadRecord>, ObjectVersion),
+    /// The live instances are being listed.
+    Listing(CallId, Box<HeadRecord>, ObjectVersion),
+    /// Acknowledgements come in.
+    Collecting {
+        head: Box<HeadRecord>,
+        version: ObjectVersion,
+        until: Moment,
+        ask_again_at: Option<Moment>,
+        listing: Option<CallId>,
+    },
+    /// The decision has to be written into the head.
+    Decided(Box<HeadRecord>, ObjectVersion),
+    /// The decision is being written into the head.
+    WritingDecision(CallId, Box<HeadRecord>),
+}
+
+impl<C> Proposal<C> {
+    pub(super) fn next_wakeup(&self) -> Option<Moment> {
+        let stage = match &self.stage {
+            Stage::Begin | Stage::Pending(..) | Stage::Decided(..) => Some(self.retry_at),
+            Stage::WritingPages(call, ..) => call.is_none().then_some(self.retry_at),
+            Stage::Collecting {
+                until,
+                ask_again_at,
+                ..
+            } => Some(ask_again_at.map_or(*until, |at| at.min(*until))),
+            Stage::ReadingHead(_)
+            | Stage::WritingPending(..)
+            | Stage::Listing(..)
+            | Stage::WritingDecision(..) => None,
+        };
+        let settle_by = self.settle_by.filter(|_| self.ticket.is_some());
+        stage.into_iter().chain(settle_by).min()
+    }
+
+    fn stamps(&self) -> BTreeMap<PageKey, PageStamp> {
+        self.pages
+            .iter()
+            .map(|page| (page.key.clone(), page.stamp))
+            .collect()
+    }
+}
+
+impl<S: Clone, C: Clone> Proposer<S, C> {
+    /// Takes whatever steps are due.
+    pub(super) fn advance(
+        &mut self,
+        base: Option<&InForce<S>>,
+        now: Moment,
+        actions: &mut Vec<ProposerAction<C>>,
+    ) {
+        self.refuse_overdue(now, actions);
+        if self.proposal.is_none() {
+            self.begin_next(now, actions);
+        }
+        self.call_unknown(now, actions);
+        let Some(proposal) = &mut self.proposal else {
+            return;
+        };
+        match &proposal.stage {
+            Stage::Begin if now >= proposal.retry_at => {
+                let call = self.calls.call(PlatformOp::Read(ObjectName::Head));
+                proposal.stage = Stage::ReadingHead(call.id);
+                actions.push(ProposerAction::Call(call));
+            }
+            Stage::WritingPages(None, ..) if now >= proposal.retry_at => {
+                self.write_next_page(actions);
+            }
+            Stage::Pending(..) if now >= proposal.retry_at => self.list_live(actions),
+            Stage::Collecting { .. } => self.collect(base, now, actions),
+            Stage::Decided(..) if now >= proposal.retry_at => self.write_decision(actions),
+            Stage::Begin
+            | Stage::ReadingHead(_)
+            | Stage::WritingPages(..)
+            | Stage::WritingPending(..)
+            | Stage::Pending(..)
+            | Stage::Listing(..)
+            | Stage::Decided(..)
+            | Stage::WritingDecision(..) => {}
+        }
+    }
+
+    /// Tells the operator that the outcome is unknown, once it has been so for long.
+    fn call_unknown(&mut self, now: Moment, actions: &mut Vec<ProposerAction<C>>) {
+        let Some(proposal) = &mut self.proposal else {
+            return;
+        };
+        if proposal.settle_by.is_some_and(|by| now >= by) {
+            proposal.settle_by = None;
+            if let Some(ticket) = proposal.ticket.take() {
+                actions.push(ProposerAction::Refused(ticket, ChangeRefusal::Unknown));
+            }
+        }
+    }
+
+    pub(super) fn on_reply(
+        &mut self,
+        call: CallId,
+        result: PlatformResult,
+        base: Option<&InForce<S>>,
+        now: Moment,
+        actions: &mut Vec<ProposerAction<C>>,
+    ) {
+        let Some(proposal) = &mut self.proposal else {
+            return;
+        };
+        match &mut proposal.stage {
+            Stage::ReadingHead(id) if *id == call => self.on_head_read(result, base, now, actions),
+            Stage::WritingPages(id, ..) if *id == Some(call) => {
+                self.on_page_written(&result, now, actions);
+            }
+            Stage::WritingPending(id, head) if *id == call => {
+                let head = head.clone();
+                self.on_pending_written(head, result, now, actions);
+            }
+            Stage::Listing(id, head, version) if *id == call => {
+                let (head, version) = (head.clone(), version.clone());
+                self.on_listed(head, version, result, base, now, actions);
+            }
+            Stage::Collecting { listing, head, .. } if *listing == Some(call) => {
+                *listing = None;
+                let generation = head.generation;
+                if let PlatformResult::Listed(objects) = result {
+                    proposal.collecting.set_live(&leases(objects), generation);
+                }
+            }
+            Stage::WritingDecision(id, head) if *id == call => {
+                let head = head.clone();
+                self.on_decision_written(head, result, now, actions);
+            }
+            Stage::Begin
+            | Stage::ReadingHead(_)
+            | Stage::WritingPages(..)
+            | Stage::WritingPending(..)
+            | Stage::Pending(..)
+            | Stage::Listing(..)
+            | Stage::Collecting { .. }
+            | Stage::Decided(..)
+            | Stage::WritingDecision(..) => {}
+        }
+    }
+
+    fn on_head_read(
+        &mut self,
+        result: PlatformResult,
+        base: Option<&InForce<S>>,
+        now: Moment,
+        actions: &mut Vec<ProposerAction<C>>,
+    ) {
+        let (head, version) = match result {
+            PlatformResult::Found(Stored {
+                object: Object::Head(head),
+                version,
+            }) => (head, version),
+            PlatformResult::NotFound => return self.retry(ChangeRefusal::NotReady, now, actions),
+            _ => return self.retry(ChangeRefusal::PlatformUnavailable, now, actions),
+        };
+        actions.push(ProposerAction::Seen(head.clone(), version.clone()));
+        let Some(proposal) = &mut self.proposal else {
+            return;
+        };
+        if let Some(outcome) = head.outcome(proposal.id) {
+            return self.end(&head, outcome, actions);
+        }
+        let pending = head.pending.as_ref().map(|pending| pending.change);
+        if pending == Some(proposal.id) {
+            // The write whose answer was lost was carried out, or the decision was not yet.
+            proposal.stage = if proposal.verdict.is_some() {
+                Stage::Decided(head, version)
+            } else {
+                Stage::Pending(head, version)
+            };
+            proposal.retry_at = now;
+            return;
+        }
+        if pending.is_some() {
+            return self.retry(ChangeRefusal::Busy, now, actions);
+        }
+        if proposal.verdict.is_some() {
+            // The head no longer remembers the outcome; far more changes have followed.
+            return self.finish(ChangeRefusal::Unknown, actions);
+        }
+        if proposal.ticket.is_none() {
+            // The operator was told that the outcome is unknown, and now it is known to be no.
+            return self.finish(ChangeRefusal::Unknown, actions);
+        }
+        proposal.settle_by = None;
+        let Some(base) = base.filter(|base| base.revision == head.revision) else {
+            return self.retry(ChangeRefusal::NotReady, now, actions);
+        };
+        match (self.model.apply)(&base.state, &proposal.change) {
+            Err(reason) => self.finish(ChangeRefusal::Invalid(reason), actions),
+            Ok((after, keys)) => {
+                self.plan_pages(&after, keys, &head);
+                let Some(proposal) = &mut self.proposal else {
+                    return;
+                };
+                proposal.stage = Stage::WritingPages(None, head, version);
+                proposal.retry_at = now;
+            }
+        }
+    }
+
+    fn plan_pages(&mut self, after: &S, keys: Vec<PageKey>, head: &HeadRecord) {
+        let model = self.model;
+        let Some(proposal) = &mut self.proposal else {
+            return;
+        };
+        let id = proposal.id;
+        let pages = keys.into_iter().map(|key| {
+            let body: Arc<str> = (model.page)(after, &key).into();
+            PageWrite {
+                stamp: PageStamp::of(&body, id),
+                key,
+                body,
+                written: false,
+            }
+        });
+        let pages: Vec<_> = pages.collect();
+        let dropped = std::mem::replace(&mut proposal.pages, pages);
+        let dropped = dropped
+            .iter()
+            .filter(|old| proposal.pages.iter().all(|new| new.stamp != old.stamp));
+        proposal
+            .unused
+            .extend(dropped.map(|old| old.stamp.page_name(&old.key)));
+        proposal.garbage.clone_from(&head.garbage);
+    }
+
+    fn write_next_page(&mut self, actions: &mut Vec<ProposerAction<C>>) {
+        let Some(proposal) = &mut self.proposal else {
+            return;
+        };
+        let Stage::WritingPages(None, head, version) = &proposal.stage else {
+            return;
+        };
+        if let Some(page) = proposal.pages.iter().find(|page| !page.written) {
+            let object = Object::Page {
+                name: page.stamp.page_name(&page.key),
+                body: Arc::clone(&page.body),
+            };
+            let call = self.calls.call(PlatformOp::Create(object));
+            proposal.stage = Stage::WritingPages(Some(call.id), head.clone(), version.clone());
+            actions.push(ProposerAction::Call(call));
+            return;
+        }
+        let pending = PendingChange {
+            change: proposal.id,
+            proposer: self.me.clone(),
+            pages: proposal.stamps(),
+        };
+        let next = Box::new(head.with_pending(pending));
+        let op = PlatformOp::Update(Object::Head(next.clone()), version.clone());
+        let call = self.calls.call(op);
+        proposal.stage = Stage::WritingPending(call.id, next);
+        actions.push(ProposerAction::Call(call));
+    }
+
+    fn on_page_written(
+        &mut self,
+        result: &PlatformResult,
+        now: Moment,
+        actions: &mut Vec<ProposerAction<C>>,
+    ) {
+        let retry_every = self.cfg.retry_every;
+        let Some(proposal) = &mut self.proposal else {
+            return;
+        };
+        if let Stage::WritingPages(call, ..) = &mut proposal.stage {
+            *call = None;
+        }
+        match result {
+            // Only this change writes pages of these names, so one that exists is its own.
+            PlatformResult::Written(_) | PlatformResult::AlreadyExists => {
+                if let Some(page) = proposal.pages.iter_mut().find(|page| !page.written) {
+                    page.written = true;
+                }
+                self.write_next_page(actions);
+            }
+            _ if now >= proposal.begin_by => {
+                self.finish(ChangeRefusal::PlatformUnavailable, actions);
+            }
+            _ => proposal.retry_at = now + retry_every,
+        }
+    }
+
+    fn on_pending_written(
+        &mut self,
+        head: Box<HeadRecord>,
+        result: PlatformResult,
+        now: Moment,
+        actions: &mut Vec<ProposerAction<C>>,
+    ) {
+        let settle_within = self.cfg.settle_within;
+        let retry_every = self.cfg.retry_every;
+        let Some(proposal) = &mut self.proposal else {
+            return;
+        };
+        if let PlatformResult::Written(version) = result {
+            actions.push(ProposerAction::Seen(head.clone(), version.clone()));
+            proposal.stage = Stage::Pending(head, version);
+            proposal.retry_at = now;
+            return;
+        }
+        // A conflict may be the work of an earlier try whose answer was lost: the head tells.
+        proposal.stage = Stage::Begin;
+        proposal.retry_at = if result.is_answer() {
+            now
+        } else {
+            now + retry_every
+        };
+        if result == PlatformResult::Unknown {
+            proposal.settle_by = Some(now + settle_within);
+        }
+    }
+
+    fn list_live(&mut self, actions: &mut Vec<ProposerAction<C>>) {
+        let Some(proposal) = &mut self.proposal else {
+            return;
+        };
+        let Stage::Pending(head, version) = &proposal.stage else {
+            return;
+        };
+        let call = self.calls.call(PlatformOp::List(ObjectKind::Lease));
+        proposal.stage = Stage::Listing(call.id, head.clone(), version.clone());
+        actions.push(ProposerAction::Call(call));
+    }
+
+    fn on_listed(
+        &mut self,
+        head: Box<HeadRecord>,
+        version: ObjectVersion,
+        result: PlatformResult,
+        base: Option<&InForce<S>>,
+        now: Moment,
+        actions: &mut Vec<ProposerAction<C>>,
+    ) {
+        let Some(proposal) = &mut self.proposal else {
+            return;
+        };
+        let PlatformResult::Listed(objects) = result else {
+            proposal.verdict = Some(Verdict::GiveUp(ChangeRefusal::PlatformUnavailable));
+            proposal.settle_by = Some(now + self.cfg.settle_within);
+            proposal.stage = Stage::Decided(head, version);
+            proposal.retry_at = now;
+            return;
+        };
+        proposal
+            .collecting
+            .set_live(&leases(objects), head.generation);
+        let to: Vec<_> = proposal
+            .collecting
+            .missing()
+            .map(|holder| holder.instance.clone())
+            .collect();
+        proposal.stage = Stage::Collecting {
+            head,
+            version,
+            until: now + self.cfg.collect_within,
+            ask_again_at: Some(now + self.cfg.ask_again_after),
+            listing: None,
+        };
+        self.ask(base, &to, true, actions);
+    }
+
+    /// Asks instances for their acknowledgement.
+    fn ask(
+        &self,
+        base: Option<&InForce<S>>,
+        to: &[InstanceId],
+        by_way_of_others: bool,
+        actions: &mut Vec<ProposerAction<C>>,
+    ) {
+        let Some(proposal) = &self.proposal else {
+            return;
+        };
+        let Stage::Collecting { head, .. } = &proposal.stage else {
+            return;
+        };
+        let revision = base.map_or(head.revision, |base| base.revision);
+        let message = ConfigMessage::Prepare(Box::new(Prepare {
+            change: proposal.id,
+            generation: head.generation,
+            base: revision,
+            body: proposal.change.clone(),
+            pages: proposal
+                .pages
+                .iter()
+                .map(|page| (page.key.clone(), page.stamp))
+                .collect(),
+            proposer: self.me.instance.clone(),
+        }));
+        let direct_at_most = if by_way_of_others {
+            self.cfg.direct_at_most
+        } else {
+            usize::MAX
+        };
+        let sends = fan_out(&message, to, direct_at_most);
+        actions.extend(
+            sends
+                .into_iter()
+                .map(|(to, message)| ProposerAction::Send(to, message)),
+        );
+    }
+
+    fn collect(
+        &mut self,
+        base: Option<&InForce<S>>,
+        now: Moment,
+        actions: &mut Vec<ProposerAction<C>>,
+    ) {
+        let complete = self.bugs.has(Bug::HeadMovedBeforeAcks);
+        let Some(proposal) = &mut self.proposal else {
+            return;
+        };
+        let Stage::Collecting {
+            head,
+            version,
+            until,
+            ask_again_at,
+            listing,
+        } = &mut proposal.stage
+        else {
+            return;
+        };
+        let verdict = if complete || proposal.collecting.is_complete() {
+            Some(Verdict::Accept)
+        } else if let Some((holder, reason)) = proposal.collecting.refusal() {
+            let refusal = ChangeRefusal::NotAcknowledged(holder.instance.clone(), reason.clone());
+            Some(Verdict::GiveUp(refusal))
+        } else if now >= *until {
+            let missing: Vec<_> = proposal.collecting.missing().cloned().collect();
+            actions.extend(missing.iter().cloned().map(ProposerAction::Watch));
+            let missing = missing.into_iter().map(|holder| holder.instance);
+            Some(Verdict::GiveUp(ChangeRefusal::Unreachable(
+                missing.collect(),
+            )))
+        } else {
+            None
+        };
+        if verdict.is_some() {
+            proposal.stage = Stage::Decided(head.clone(), version.clone());
+            proposal.verdict = verdict;
+            proposal.settle_by = Some(now + self.cfg.settle_within);
+            proposal.retry_at = now;
+            return self.write_decision(actions);
+        }
+        if ask_again_at.is_some_and(|at| now >= at) {
+            *ask_again_at = None;
+            let call = self.calls.call(PlatformOp::List(ObjectKind::Lease));
+            *listing = Some(call.id);
+            actions.push(ProposerAction::Call(call));
+            let to: Vec<_> = proposal
+                .collecting
+                .missing()
+                .map(|holder| holder.instance.clone())
+                .collect();
+            self.ask(base, &to, false, actions);
+        }
+    }
+
+    fn write_decision(&mut self, actions: &mut Vec<ProposerAction<C>>) {
+        let Some(proposal) = &mut self.proposal else {
+            return;
+        };
+        let Stage::Decided(head, version) = &proposal.stage else {
+            return;
+        };
+        let next = match &proposal.verdict {
+            Some(Verdict::Accept) => head.accepted(),
+            Some(Verdict::GiveUp(_)) | None => head.given_up(),
+        };
+        let op = PlatformOp::Update(Object::Head(Box::new(next.clone())), version.clone());
+        let call = self.calls.call(op);
+        proposal.stage = Stage::WritingDecision(call.id, Box::new(next));
+        actions.push(ProposerAction::Call(call));
+    }
+
+    fn on_decision_written(
+        &mut self,
+        head: Box<HeadRecord>,
+        result: PlatformResult,
+        now: Moment,
+        actions: &mut Vec<ProposerAction<C>>,
+    ) {
+        let retry_every = self.cfg.retry_every;
+        let Some(proposal) = &mut self.proposal else {
+            return;
+        };
+        if let PlatformResult::Written(version) = result {
+            let outcome = head.outcome(proposal.id).flatten();
+            actions.push(ProposerAction::Seen(head.clone(), version));
+            return self.end(&head, outcome, actions);
+        }
+        if self.bugs.has(Bug::LostAnswerIsFailure) {
+            return self.finish(ChangeRefusal::PlatformUnavailable, actions);
+        }
+        // Whether it was carried out, and if not what came before it, shows in the head.
+        proposal.stage = Stage::Begin;
+        proposal.retry_at = if result.is_answer() {
+            now
+        } else {
+            now + retry_every
+        };
+    }
+
+    /// Ends the proposal as the head says, and tells everyone.
+    fn end(
+        &mut self,
+        head: &HeadRecord,
+        accepted: Option<Revision>,
+        actions: &mut Vec<ProposerAction<C>>,
+    ) {
+        let Some(proposal) = &self.proposal else {
+            return;
+        };
+        let message = ConfigMessage::Decided {
+            change: proposal.id,
+            generation: head.generation,
+            accepted,
+        };
+        let to: Vec<_> = proposal
+            .collecting
+            .live()
+            .map(|holder| holder.instance.clone())
+            .collect();
+        let sends = fan_out(&message, &to, self.cfg.direct_at_most);
+        actions.extend(
+            sends
+                .into_iter()
+                .map(|(to, message)| ProposerAction::Send(to, message)),
+        );
+        self.delete_unused_pages(accepted.is_some(), actions);
+        let Some(proposal) = &self.proposal else {
+            return;
+        };
+        let refusal = match (accepted, &proposal.verdict) {
+            (Some(revision), _) => {
+                if let Some(ticket) = self.proposal.take().and_then(|proposal| proposal.ticket) {
+                    actions.push(ProposerAction::Accepted(ticket, revision));
+                }
+                return;
+            }
+            (None, Some(Verdict::GiveUp(refusal))) => refusal.clone(),
+            (None, Some(Verdict::Accept) | None) => ChangeRefusal::GivenUp,
+        };
+        self.finish(refusal, actions);
+    }
+
+    /// Deletes the pages that nobody can come to need any more.
+    ///
+    /// What this change replaces stays until the next one: an instance that read the head just
+    /// before may be loading it.
+    fn delete_unused_pages(&mut self, accepted: bool, actions: &mut Vec<ProposerAction<C>>) {
+        let Some(proposal) = &mut self.proposal else {
+            return;
+        };
+        let mut names = std::mem::take(&mut proposal.unused);
+        if accepted {
+            names.append(&mut proposal.garbage);
+        } else {
+            let own = proposal.pages.iter();
+            names.extend(own.map(|page| page.stamp.page_name(&page.key)));
+        }
+        for name in names {
+            let call = self
+                .calls
+                .call(PlatformOp::Delete(ObjectName::Page(name), None));
+            actions.push(ProposerAction::Call(call));
+        }
+    }
+
+    /// Tries again later, or refuses the change if it has waited for long.
+    fn retry(&mut self, refusal: ChangeRefusal, now: Moment, actions: &mut Vec<ProposerAction<C>>) {
+        let retry_every = self.cfg.retry_every;
+        let Some(proposal) = &mut self.proposal else {
+            return;
+        };
+        let unsettled = proposal.settle_by.is_some() || proposal.ticket.is_none();
+        if now >= proposal.begin_by && !unsettled && proposal.verdict.is_none() {
+            return self.finish(refusal, actions);
+        }
+        proposal.stage = Stage::Begin;
+        proposal.retry_at = now + retry_every;
+    }
+
+    fn finish(&mut self, refusal: ChangeRefusal, actions: &mut Vec<ProposerAction<C>>) {
+        if let Some(ticket) = self.proposal.take().and_then(|proposal| proposal.ticket) {
+            actions.push(ProposerAction::Refused(ticket, refusal));
+        }
+    }
+}
+
+fn leases(objects: Vec<Stored>) -> Vec<LeaseRecord> {
+    let leases = objects
+        .into_iter()
+        .filter_map(|stored| match stored.object {
+            Object::Lease(lease) => Some(*lease),
+            Object::Assignment(_) | Object::Head(_) | Object::Claims(_) | Object::Page { .. } => {
+                None
+            }
+        });
+    leases.collect()
+}
--- /dev/null
+++ b/crates/chervilshunt_coord/src/lease/keeper.rs
@@ -0,0 +1,377 @@
+//! Renews the lease of this run of the instance.
+
+use std::time::Duration;
+
+use chervilshunt_model::Moment;
+
+use super::record::{LeaseRecord, LeaseState};
+use crate::bugs::{Bug, Bugs};
+use crate::hashing::jittered;
+use crate::platform::{
+    CallId, Calls, Object, ObjectName, ObjectVersion, PlatformCall, PlatformOp, PlatformResult,
+    Purpose, Stored,
+};
+
+/// How a lease is kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct LeaseConfig {
+    /// How long a renewal counts.
+    pub duration: Duration,
+    /// How often it is renewed.
+    pub renew_every: Duration,
+    /// How long after a failure the next try follows.
+    pub retry_every: Duration,
+    /// What is taken off the duration, for clocks that run at different speeds and for the time
+    /// between the last look at the lease and the order leaving the process.
+    pub margin: Duration,
+}
+
+impl Default for LeaseConfig {
+    fn default() -> Self {
+        Self {
+            duration: Duration::from_secs(15),
+            renew_every: Duration::from_secs(5),
+            retry_every: Duration::from_secs(1),
+            margin: Duration::from_secs(1),
+        }
+    }
+}
+
+/// What a lease keeper has to react to.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum LeaseEvent {
+    /// A call to the platform has ended.
+    Reply(CallId, PlatformResult),
+    /// The state is to be another from now on; the lease is renewed at once to say so.
+    SetState(LeaseState),
+    /// The electorate is to be another from now on; the next renewal says so.
+    SetElectorate(u64),
+    /// The change that was written into the head at this generation is acknowledged; the lease is
+    /// renewed at once to say so.
+    Acknowledge(u64),
+    /// Time has passed.
+    Tick,
+}
+
+/// What a lease keeper wants done.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum LeaseAction {
+    /// Call the platform.
+    Call(PlatformCall),
+    /// The lease object is there: whoever lists leases from now on finds this one.
+    Created,
+    /// The lease was renewed and the platform holds this state.
+    Renewed(LeaseState),
+    /// Somebody found the lease lapsed, or it is gone: all that was held under it is lost.
+    Lost,
+}
+
+/// A renewal that was sent and may have been carried out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Sent {
+    renewals: u64,
+    at: Moment,
+    state: LeaseState,
+    electorate: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum InFlight {
+    Write { call: CallId, sent: Sent },
+    Read { call: CallId },
+}
+
+/// Renews the lease of this run and says until when it counts.
+///
+/// The time counts from before a renewal was sent: the platform may have carried it out at once
+/// and the answer may have taken long, while observers count from the moment at which they see the
+/// renewal, which is later. Counting from the answer, the holder would believe in its lease after
+/// observers have given it away.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct LeaseKeeper {
+    cfg: LeaseConfig,
+    record: LeaseRecord,
+    calls: Calls,
+    version: Option<ObjectVersion>,
+    in_flight: Option<InFlight>,
+    /// Renewals whose outcome is unknown; each may take effect late.
+    unsettled: Vec<Sent>,
+    must_read: bool,
+    next_at: Moment,
+    valid_until: Moment,
+    confirmed_electorate: u64,
+    written_state: Option<LeaseState>,
+    written_acknowledged: Option<u64>,
+    lost: bool,
+    bugs: Bugs,
+}
+
+impl LeaseKeeper {
+    /// Starts to keep the lease that `record` describes; the first tick creates it.
+    pub fn new(cfg: LeaseConfig, record: LeaseRecord, now: Moment) -> Self {
+        Self::with_machine(cfg, record, 0, now)
+    }
+
+    /// Does as [`Self::new`] and numbers the calls as those of `machine`.
+    pub(crate) fn with_machine(
+        cfg: LeaseConfig,
+        record: LeaseRecord,
+        machine: u32,
+        now: Moment,
+    ) -> Self {
+        Self {
+            cfg,
+            confirmed_electorate: record.electorate,
+            record,
+            calls: Calls::new(machine, Purpose::Lease),
+            version: None,
+            in_flight: None,
+            unsettled: Vec::new(),
+            must_read: false,
+            next_at: now,
+            valid_until: Moment::ZERO,
+            written_state: None,
+            written_acknowledged: None,
+            lost: false,
+            bugs: Bugs::default(),
+        }
+    }
+
+    /// Seeds a bug.
+    #[cfg(test)]
+    pub(crate) fn seed(&mut self, bugs: Bugs) {
+        self.bugs = bugs;
+    }
+
+    /// Returns until when the lease counts; a moment that has passed if it does not.
+    pub fn valid_until(&self) -> Moment {
+        if self.lost {
+            return Moment::ZERO;
+        }
+        self.valid_until
+    }
+
+    /// Returns whether the lease counts now.
+    pub fn is_valid(&self, now: Moment) -> bool {
+        now < self.valid_until()
+    }
+
+    /// Returns what the lease says, or will say with its next renewal.
+    pub const fn record(&self) -> &LeaseRecord {
+        &self.record
+    }
+
+    /// Returns the electorate of the last renewal that is known to have been carried out.
+    pub const fn confirmed_electorate(&self) -> u64 {
+        self.confirmed_electorate
+    }
+
+    /// Returns when [`LeaseEvent::Tick`] is next wanted.
+    pub fn next_wakeup(&self) -> Option<Moment> {
+        (self.in_flight.is_none() && !self.lost && !self.has_left()).then_some(self.next_at)
+    }
+
+    /// Takes one event and says what is to be done.
+    pub fn handle(&mut self, event: LeaseEvent, now: Moment) -> Vec<LeaseAction> {
+        let mut actions = Vec::new();
+        match event {
+            LeaseEvent::Reply(call, result) => self.on_reply(call, result, now, &mut actions),
+            LeaseEvent::SetState(state) => {
+                self.record.state = state;
+                self.hurry(now);
+            }
+            LeaseEvent::SetElectorate(electorate) => self.record.electorate = electorate,
+            LeaseEvent::Acknowledge(generation) => {
+                self.record.acknowledged = Some(generation);
+                self.hurry(now);
+            }
+            LeaseEvent::Tick => {}
+        }
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    fn has_left(&self) -> bool {
+        self.written_state == Some(LeaseState::Left)
+    }
+
+    fn hurry(&mut self, now: Moment) {
+        self.next_at = self.next_at.min(now);
+    }
+
+    /// Sends the next call if it is due and none is under way.
+    fn advance(&mut self, now: Moment, actions: &mut Vec<LeaseAction>) {
+        if self.lost || self.has_left() || self.in_flight.is_some() || now < self.next_at {
+            return;
+        }
+        let call = if self.must_read {
+            let name = ObjectName::Lease(self.record.holder.clone());
+            let call = self.calls.call(PlatformOp::Read(name));
+            self.in_flight = Some(InFlight::Read { call: call.id });
+            call
+        } else {
+            self.renewal(now)
+        };
+        actions.push(LeaseAction::Call(call));
+    }
+
+    fn renewal(&mut self, now: Moment) -> PlatformCall {
+        self.record.renewals += 1;
+        self.record.electorate_before = self.confirmed_electorate;
+        let object = Object::Lease(Box::new(self.record.clone()));
+        let op = match &self.version {
+            Some(version) => PlatformOp::Update(object, version.clone()),
+            None => PlatformOp::Create(object),
+        };
+        let call = self.calls.call(op);
+        let sent = Sent {
+            renewals: self.record.renewals,
+            at: now,
+            state: self.record.state,
+            electorate: self.record.electorate,
+        };
+        self.in_flight = Some(InFlight::Write {
+            call: call.id,
+            sent,
+        });
+        call
+    }
+
+    fn on_reply(
+        &mut self,
+        call: CallId,
+        result: PlatformResult,
+        now: Moment,
+        actions: &mut Vec<LeaseAction>,
+    ) {
+        match self.in_flight {
+            Some(InFlight::Write {
+                call: expected,
+                sent,
+            }) if expected == call => {
+                self.in_flight = None;
+                self.on_written(sent, result, now, actions);
+            }
+            Some(InFlight::Read { call: expected }) if expected == call => {
+                self.in_flight = None;
+                self.on_read(result, now, actions);
+            }
+            Some(InFlight::Write { .. } | InFlight::Read { .. }) | None => {}
+        }
+    }
+
+    fn on_written(
+        &mut self,
+        sent: Sent,
+        result: PlatformResult,
+        now: Moment,
+        actions: &mut Vec<LeaseAction>,
+    ) {
+        match result {
+            PlatformResult::Written(version) => {
+                self.unsettled.clear();
+                self.settle(sent, version, now, actions);
+            }
+            PlatformResult::Conflict | PlatformResult::AlreadyExists | PlatformResult::NotFound => {
+                self.must_read = true;
+                self.next_at = now;
+            }
+            PlatformResult::Unavailable => self.retry_later(now),
+            PlatformResult::Unknown | PlatformResult::Found(_) | PlatformResult::Listed(_) => {
+                self.unsettled.push(sent);
+                self.must_read = true;
+                self.retry_later(now);
+            }
+        }
+    }
+
+    fn on_read(&mut self, result: PlatformResult, now: Moment, actions: &mut Vec<LeaseAction>) {
+        match result {
+            PlatformResult::Found(Stored {
+                object: Object::Lease(record),
+                version,
+            }) => {
+                self.must_read = false;
+                self.on_found(&record, version, now, actions);
+            }
+            PlatformResult::NotFound if self.version.is_none() => {
+                self.must_read = false;
+                self.next_at = now;
+            }
+            PlatformResult::NotFound => self.lose(actions),
+            PlatformResult::Found(_)
+            | PlatformResult::Listed(_)
+            | PlatformResult::Written(_)
+            | PlatformResult::Conflict
+            | PlatformResult::AlreadyExists
+            | PlatformResult::Unavailable
+            | PlatformResult::Unknown => self.retry_later(now),
+        }
+    }
+
+    fn on_found(
+        &mut self,
+        record: &LeaseRecord,
+        version: ObjectVersion,
+        now: Moment,
+        actions: &mut Vec<LeaseAction>,
+    ) {
+        if record.state == LeaseState::Lapsed {
+            self.lose(actions);
+            return;
+        }
+        let sent = self
+            .unsettled
+            .iter()
+            .find(|sent| sent.renewals == record.renewals)
+            .copied();
+        match sent {
+            Some(sent) => self.settle(sent, version, now, actions),
+            None => self.version = Some(version),
+        }
+        self.next_at = now;
+    }
+
+    /// Takes note that a renewal was carried out.
+    fn settle(
+        &mut self,
+        sent: Sent,
+        version: ObjectVersion,
+        now: Moment,
+        actions: &mut Vec<LeaseAction>,
+    ) {
+        if self.version.replace(version).is_none() {
+            actions.push(LeaseAction::Created);
+        }
+        let counted_from = if self.bugs.has(Bug::LeaseFromReply) {
+            now
+        } else {
+            sent.at
+        };
+        let until = counted_from + self.cfg.duration.saturating_sub(self.cfg.margin);
+        self.valid_until = self.valid_until.max(until);
+        self.confirmed_electorate = sent.electorate;
+        self.written_state = Some(sent.state);
+        if sent.renewals == self.record.renewals {
+            self.written_acknowledged = self.record.acknowledged;
+        }
+        actions.push(LeaseAction::Renewed(sent.state));
+        let says_all = self.written_state == Some(self.record.state)
+            && self.written_acknowledged == self.record.acknowledged;
+        self.next_at = if says_all {
+            sent.at + self.cfg.renew_every
+        } else {
+            now
+        };
+    }
+
+    fn retry_later(&mut self, now: Moment) {
+        let seed = self.record.holder.incarnation.get();
+        self.next_at = now + jittered(self.cfg.retry_every, seed, self.record.renewals);
+    }
+
+    fn lose(&mut self, actions: &mut Vec<LeaseAction>) {
+        self.lost = true;
+        actions.push(LeaseAction::Lost);
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_coord/src/platform/object.rs
@@ -0,0 +1,172 @@
+//! The objects that the machines keep in the platform's object API.
+
+use std::fmt;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::claims::{ClaimPage, ClaimPageName};
+use crate::config::HeadRecord;
+use crate::holder::Holder;
+use crate::lease::LeaseRecord;
+use crate::roles::{AssignmentRecord, AssignmentShard};
+
+/// The platform's version of an object, opaque but for equality; `metadata.resourceVersion`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ObjectVersion(Arc<str>);
+
+impl ObjectVersion {
+    /// Wraps a version.
+    pub fn new(version: impl Into<Arc<str>>) -> Self {
+        Self(version.into())
+    }
+
+    /// Returns the version as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+/// The name of a page of configuration; it contains the hash of the page's content.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct PageName(Arc<str>);
+
+impl PageName {
+    /// Wraps a name.
+    pub fn new(name: impl Into<Arc<str>>) -> Self {
+        Self(name.into())
+    }
+
+    /// Returns the name as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for PageName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// The kinds of objects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum ObjectKind {
+    /// Kubernetes' Lease, one for each run of an instance.
+    Lease,
+    /// Who holds which roles, one for each shard of the roles.
+    Assignment,
+    /// The configuration's head; there is one.
+    Head,
+    /// A page of configuration.
+    Page,
+    /// A page of claims.
+    Claims,
+}
+
+/// The name of an object with its kind.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum ObjectName {
+    /// The lease of one run of an instance.
+    Lease(Holder),
+    /// One shard of the roles.
+    Assignment(AssignmentShard),
+    /// The configuration's head.
+    Head,
+    /// A page of configuration.
+    Page(PageName),
+    /// A page of claims.
+    Claims(ClaimPageName),
+}
+
+impl ObjectName {
+    /// Returns the kind.
+    pub const fn kind(&self) -> ObjectKind {
+        match self {
+            Self::Lease(_) => ObjectKind::Lease,
+            Self::Assignment(_) => ObjectKind::Assignment,
+            Self::Head => ObjectKind::Head,
+            Self::Page(_) => ObjectKind::Page,
+            Self::Claims(_) => ObjectKind::Claims,
+        }
+    }
+
+    /// Returns `metadata.name`, unique within the kind and made of characters that Kubernetes
+    /// takes, provided that instance ids are.
+    pub fn object_name(&self) -> String {
+        match self {
+            Self::Lease(holder) => holder.to_string(),
+            Self::Assignment(shard) => shard.to_string(),
+            Self::Head => "head".to_owned(),
+            Self::Page(page) => page.to_string(),
+            Self::Claims(page) => page.to_string(),
+        }
+    }
+}
+
+/// The content of an object: what stands under `spec`.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Object {
+    /// A lease.
+    Lease(Box<LeaseRecord>),
+    /// One shard of the roles.
+    Assignment(AssignmentRecord),
+    /// The configuration's head.
+    Head(Box<HeadRecord>),
+    /// A page of claims.
+    Claims(ClaimPage),
+    /// A page of configuration.
+    Page {
+        /// Its name.
+        name: PageName,
+        /// Its content, as JSON text.
+        body: Arc<str>,
+    },
+}
+
+impl Object {
+    /// Returns the name.
+    pub fn name(&self) -> ObjectName {
+        match self {
+            Self::Lease(lease) => ObjectName::Lease(lease.holder.clone()),
+            Self::Assignment(assignment) => ObjectName::Assignment(assignment.shard),
+            Self::Head(_) => ObjectName::Head,
+            Self::Claims(page) => ObjectName::Claims(page.name),
+            Self::Page { name, .. } => ObjectName::Page(name.clone()),
+        }
+    }
+
+    /// Reads the content of an object of `kind` from `spec`.
+    ///
+    /// # Errors
+    /// Fails if the value does not have the shape of that kind.
+    pub fn from_spec(kind: ObjectKind, spec: serde_json::Value) -> Result<Self, serde_json::Error> {
+        #[derive(Deserialize)]
+        struct PageSpec {
+            name: PageName,
+            body: Arc<str>,
+        }
+        Ok(match kind {
+            ObjectKind::Lease => Self::Lease(serde_json::from_value(spec)?),
+            ObjectKind::Assignment => Self::Assignment(serde_json::from_value(spec)?),
+            ObjectKind::Head => Self::Head(serde_json::from_value(spec)?),
+            ObjectKind::Claims => Self::Claims(serde_json::from_value(spec)?),
+            ObjectKind::Page => {
+                let PageSpec { name, body } = serde_json::from_value(spec)?;
+                Self::Page { name, body }
+            }
+        })
+    }
+}
+
+/// An object as the platform holds it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Stored {
+    /// The content.
+    pub object: Object,
+    /// The version that a conditional update has to name.
+    pub version: ObjectVersion,
+}
--- /dev/null
+++ b/crates/chervilshunt_coord/src/roles/choose.rs
@@ -0,0 +1,69 @@
+//! Which run of an instance a role goes to.
+
+use std::cmp::Reverse;
+
+use chervilshunt_model::{RegionName, ZoneName};
+
+use super::role::Role;
+use crate::hashing::rendezvous_weight;
+use crate::holder::Holder;
+
+/// A run of an instance that can take roles.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Candidate {
+    /// The run.
+    pub holder: Holder,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Its region.
+    pub region: RegionName,
+    /// The roles that it holds or is about to.
+    pub load: usize,
+}
+
+/// Chooses the holder of `role`: near to `zone`, not overloaded, and else by rendezvous hashing.
+///
+/// `region` is the region of the zone. Candidates outside the nearest group that has any are not
+/// considered. Within it the load is bounded to a quarter above the average, so that the holders
+/// of a failed instance's roles are spread, and rendezvous hashing makes two instances that
+/// choose at once choose alike. Returns `None` if there is no candidate.
+pub fn choose_holder<'a>(
+    role: &Role,
+    zone: Option<&ZoneName>,
+    region: Option<&RegionName>,
+    candidates: &'a [Candidate],
+) -> Option<&'a Candidate> {
+    let in_zone: Vec<_> = candidates
+        .iter()
+        .filter(|candidate| zone == Some(&candidate.zone))
+        .collect();
+    if !in_zone.is_empty() {
+        return choose_among(role, &in_zone);
+    }
+    let in_region: Vec<_> = candidates
+        .iter()
+        .filter(|candidate| region == Some(&candidate.region))
+        .collect();
+    if !in_region.is_empty() {
+        return choose_among(role, &in_region);
+    }
+    choose_among(role, &candidates.iter().collect::<Vec<_>>())
+}
+
+fn choose_among<'a>(role: &Role, group: &[&'a Candidate]) -> Option<&'a Candidate> {
+    let total: usize = group.iter().map(|candidate| candidate.load).sum();
+    let bound = ((total + 1) * 5).div_ceil(group.len().max(1) * 4);
+    let key = role.to_string();
+    let weight =
+        |candidate: &Candidate| rendezvous_weight(&key, candidate.holder.instance.as_str());
+    let within_bound = group
+        .iter()
+        .filter(|candidate| candidate.load < bound)
+        .max_by_key(|candidate| weight(candidate));
+    let least_loaded = || {
+        group
+            .iter()
+            .min_by_key(|candidate| (candidate.load, Reverse(weight(candidate))))
+    };
+    within_bound.or_else(least_loaded).copied()
+}
--- /dev/null
+++ b/crates/chervilshunt_coord/src/roles/rebalance.rs
@@ -0,0 +1,106 @@
+//! Which roles a run with too few of them asks others for.
+
+use std::collections::BTreeMap;
+
+use chervilshunt_model::ZoneName;
+
+use super::assignment::RoleEntry;
+use super::role::{Role, WantedRole};
+use crate::holder::Holder;
+
+/// What a run sees of the fleet when it looks for roles to ask for.
+#[derive(Debug)]
+pub(crate) struct Fleet<'a> {
+    pub(crate) me: &'a Holder,
+    pub(crate) zone: &'a ZoneName,
+    /// Live instances in the zone, this one included.
+    pub(crate) in_zone: usize,
+    /// Live instances in all.
+    pub(crate) in_all: usize,
+    /// The availability zone of each holder that is known.
+    pub(crate) zones: &'a BTreeMap<Holder, ZoneName>,
+    pub(crate) wanted: &'a BTreeMap<Role, WantedRole>,
+}
+
+/// Returns the roles to ask for, at most `limit`, the best first.
+///
+/// A run asks only up to its fair share, so that an instance that comes back moves no more roles
+/// than it had. Asked for are, first, roles that prefer its zone and are held outside, and then
+/// roles of holders that have at least two more than it has: with a difference of one, roles would
+/// go to and fro for ever.
+pub(crate) fn roles_to_ask_for<'a>(
+    fleet: &Fleet<'_>,
+    entries: impl Iterator<Item = (&'a Role, &'a RoleEntry)>,
+    limit: usize,
+) -> Vec<Role> {
+    let entries: Vec<_> = entries.collect();
+    let mut chosen = Vec::new();
+    let near: Vec<_> = entries
+        .iter()
+        .copied()
+        .filter(|(role, _)| fleet.prefers(role) == Some(fleet.zone))
+        .collect();
+    ask_within(fleet, &near, fleet.in_zone, limit, &mut chosen);
+    let anywhere: Vec<_> = entries
+        .iter()
+        .copied()
+        .filter(|(role, _)| fleet.prefers(role).is_none_or(|zone| !fleet.has_zone(zone)))
+        .collect();
+    ask_within(fleet, &anywhere, fleet.in_all, limit, &mut chosen);
+    chosen
+}
+
+fn ask_within(
+    fleet: &Fleet<'_>,
+    entries: &[(&Role, &RoleEntry)],
+    sharers: usize,
+    limit: usize,
+    chosen: &mut Vec<Role>,
+) {
+    let fair = entries.len().div_ceil(sharers.max(1));
+    let mut loads: BTreeMap<&Holder, usize> = BTreeMap::new();
+    for (_, entry) in entries {
+        *loads
+            .entry(entry.next.as_ref().unwrap_or(&entry.holder))
+            .or_default() += 1;
+    }
+    let mut mine = loads.get(fleet.me).copied().unwrap_or(0);
+    let abroad = |entry: &RoleEntry| {
+        fleet
+            .zones
+            .get(&entry.holder)
+            .is_some_and(|zone| zone != fleet.zone)
+    };
+    let mut free: Vec<_> = entries
+        .iter()
+        .filter(|(_, entry)| entry.next.is_none() && entry.holder != *fleet.me)
+        .collect();
+    let near = |role: &Role| fleet.prefers(role) == Some(fleet.zone);
+    free.sort_by_key(|(role, entry)| {
+        let load = loads.get(&entry.holder).copied().unwrap_or(0);
+        (!(near(role) && abroad(entry)), std::cmp::Reverse(load))
+    });
+    for (role, entry) in free {
+        if mine >= fair || chosen.len() >= limit {
+            return;
+        }
+        let load = loads.get(&entry.holder).copied().unwrap_or(0);
+        if (near(role) && abroad(entry)) || load >= mine + 2 {
+            chosen.push((*role).clone());
+            mine += 1;
+            if let Some(load) = loads.get_mut(&entry.holder) {
+                *load -= 1;
+            }
+        }
+    }
+}
+
+impl Fleet<'_> {
+    fn prefers(&self, role: &Role) -> Option<&ZoneName> {
+        self.wanted.get(role)?.zone.as_ref()
+    }
+
+    fn has_zone(&self, zone: &ZoneName) -> bool {
+        self.zones.values().any(|known| known == zone)
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_coord/src/roles/table/edit.rs
@@ -0,0 +1,361 @@
+//! What this run has to change in the assignments.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use chervilshunt_model::Moment;
+
+use super::held::Stage;
+use super::{Doing, RoleTable, Shard};
+use crate::hashing::jittered;
+use crate::holder::Holder;
+use crate::roles::assignment::{AssignmentRecord, AssignmentShard, RoleEntry};
+use crate::roles::choose::{Candidate, choose_holder};
+use crate::roles::rebalance::{Fleet, roles_to_ask_for};
+use crate::roles::role::Role;
+
+/// A change that is due.
+#[derive(Debug)]
+pub(super) enum Edit {
+    /// A holder has to be chosen, and the list of leases is too old for it.
+    NeedsMembers,
+    /// The shard is to be written like this.
+    Write(AssignmentRecord),
+}
+
+/// Chooses holders while edits are made, counting the roles it has given out.
+struct Chooser<'a> {
+    table: &'a RoleTable,
+    candidates: Vec<Candidate>,
+}
+
+impl Chooser<'_> {
+    fn choose(&mut self, role: &Role, but: Option<&Holder>) -> Option<Holder> {
+        let zone = self
+            .table
+            .wanted
+            .get(role)
+            .and_then(|wanted| wanted.zone.as_ref());
+        let region = zone.and_then(|zone| self.table.zone_regions.get(zone));
+        let choice = if let Some(but) = but {
+            let others: Vec<_> = self
+                .candidates
+                .iter()
+                .filter(|candidate| candidate.holder != *but)
+                .cloned()
+                .collect();
+            choose_holder(role, zone, region, &others)?.holder.clone()
+        } else {
+            choose_holder(role, zone, region, &self.candidates)?
+                .holder
+                .clone()
+        };
+        if let Some(chosen) = self
+            .candidates
+            .iter_mut()
+            .find(|candidate| candidate.holder == choice)
+        {
+            chosen.load += 1;
+        }
+        Some(choice)
+    }
+}
+
+impl RoleTable {
+    /// Returns the changes that are due now.
+    pub(super) fn edits(&mut self, now: Moment) -> Vec<Edit> {
+        self.note_lacking(now);
+        self.forget_ended();
+        let asked = self.roles_to_ask_for_now(now);
+        let shards = self.shards_with_work(now, &asked);
+        if shards.is_empty() {
+            return Vec::new();
+        }
+        let fresh = self.has_fresh_members(now);
+        let mut chooser = Chooser {
+            table: self,
+            candidates: self.candidates(),
+        };
+        let mut edits = Vec::new();
+        for name in shards {
+            let edit = self.edit(name, fresh, &asked, now, &mut chooser);
+            edits.extend(edit);
+        }
+        edits
+    }
+
+    /// Notes since when each shard lacks wanted roles.
+    fn note_lacking(&mut self, now: Moment) {
+        let mut lacking = BTreeSet::new();
+        if self.may_hold {
+            for role in self.wanted.keys() {
+                let name = AssignmentShard::of(role);
+                let has = self
+                    .shards
+                    .get(&name)
+                    .is_some_and(|shard| shard.record.roles.contains_key(role));
+                if !has {
+                    lacking.insert(name);
+                }
+            }
+        }
+        for name in &lacking {
+            let shard = self.shards.entry(*name).or_insert_with(|| Shard {
+                record: AssignmentRecord::empty(*name),
+                version: None,
+                doing: Doing::Nothing,
+                retry_at: Moment::ZERO,
+                lacking_since: None,
+            });
+            shard.lacking_since.get_or_insert(now);
+        }
+        for (name, shard) in &mut self.shards {
+            if !lacking.contains(name) {
+                shard.lacking_since = None;
+            }
+            if shard.retry_at <= now {
+                shard.retry_at = Moment::ZERO;
+            }
+        }
+    }
+
+    fn forget_ended(&mut self) {
+        let with_roles: BTreeSet<_> = self
+            .entries()
+            .flat_map(|(_, entry)| std::iter::once(&entry.holder).chain(&entry.next))
+            .cloned()
+            .collect();
+        self.ended.retain(|holder, _| with_roles.contains(holder));
+    }
+
+    fn roles_to_ask_for_now(&mut self, now: Moment) -> BTreeSet<Role> {
+        if !self.may_hold || self.leaving || now < self.ask_at {
+            return BTreeSet::new();
+        }
+        self.asks += 1;
+        let seed = self.me.incarnation.get();
+        self.ask_at = now + jittered(self.cfg.ask_every, seed, self.asks);
+        let under_way = self
+            .entries()
+            .filter(|(_, entry)| entry.next.as_ref() == Some(&self.me))
+            .count();
+        let zones = self.holder_zones();
+        let fleet = Fleet {
+            me: &self.me,
+            zone: &self.zone,
+            in_zone: self
+                .instances
+                .values()
+                .filter(|zone| **zone == self.zone)
+                .count(),
+            in_all: self.instances.len(),
+            zones: &zones,
+            wanted: &self.wanted,
+        };
+        let limit = self.cfg.ask_at_most.saturating_sub(under_way);
+        let live = self
+            .entries()
+            .filter(|(_, entry)| !self.ended.contains_key(&entry.holder));
+        roles_to_ask_for(&fleet, live, limit).into_iter().collect()
+    }
+
+    fn holder_zones(&self) -> BTreeMap<Holder, chervilshunt_model::ZoneName> {
+        let mut zones: BTreeMap<_, _> = self
+            .entries()
+            .filter_map(|(_, entry)| {
+                let zone = self.instances.get(&entry.holder.instance)?;
+                Some((entry.holder.clone(), zone.clone()))
+            })
+            .collect();
+        zones.insert(self.me.clone(), self.zone.clone());
+        zones
+    }
+
+    fn shards_with_work(&self, now: Moment, asked: &BTreeSet<Role>) -> Vec<AssignmentShard> {
+        let due = |name: &AssignmentShard, shard: &Shard| {
+            let lacking = shard
+                .lacking_since
+                .is_some_and(|since| now >= since + self.turn(&name.to_string()));
+            lacking
+                || shard
+                    .record
+                    .roles
+                    .iter()
+                    .any(|(role, entry)| self.needs_edit(role, entry, now, asked))
+        };
+        self.shards
+            .iter()
+            .filter(|(_, shard)| shard.doing == Doing::Nothing && now >= shard.retry_at)
+            .filter(|(name, shard)| due(name, shard))
+            .map(|(name, _)| *name)
+            .collect()
+    }
+
+    fn needs_edit(
+        &self,
+        role: &Role,
+        entry: &RoleEntry,
+        now: Moment,
+        asked: &BTreeSet<Role>,
+    ) -> bool {
+        let ended = |holder: &Holder| self.ended.get(holder).is_some_and(|at| now >= *at);
+        ended(&entry.holder)
+            || entry.next.as_ref().is_some_and(ended)
+            || asked.contains(role)
+            || self.is_mine_to_pass(role, entry)
+            || self.is_mine_to_offer(entry)
+    }
+
+    fn is_mine_to_pass(&self, role: &Role, entry: &RoleEntry) -> bool {
+        let held = self.held.get(role);
+        entry.holder == self.me && held.is_some_and(|held| held.stage == Stage::Released)
+    }
+
+    fn is_mine_to_offer(&self, entry: &RoleEntry) -> bool {
+        self.leaving && entry.holder == self.me && entry.next.is_none()
+    }
+
+    pub(super) fn candidates(&self) -> Vec<Candidate> {
+        let mut loads: BTreeMap<&Holder, usize> = BTreeMap::new();
+        for (_, entry) in self.entries() {
+            *loads
+                .entry(entry.next.as_ref().unwrap_or(&entry.holder))
+                .or_default() += 1;
+        }
+        let live = self.live_members();
+        live.into_iter()
+            .filter(|holder| !(self.leaving && **holder == self.me))
+            .filter_map(|holder| {
+                let member = self.members.get(holder)?;
+                Some(Candidate {
+                    holder: holder.clone(),
+                    zone: member.zone.clone(),
+                    region: member.region.clone(),
+                    load: loads.get(holder).copied().unwrap_or(0),
+                })
+            })
+            .collect()
+    }
+
+    /// Returns the change of one shard.
+    fn edit(
+        &self,
+        name: AssignmentShard,
+        fresh: bool,
+        asked: &BTreeSet<Role>,
+        now: Moment,
+        chooser: &mut Chooser<'_>,
+    ) -> Option<Edit> {
+        let shard = self.shards.get(&name)?;
+        let mut record = shard.record.clone();
+        for (role, entry) in &shard.record.roles {
+            if !self.needs_edit(role, entry, now, asked) {
+                continue;
+            }
+            match self.edit_entry(role, entry, fresh, asked, now, chooser) {
+                EntryEdit::Keep => {}
+                EntryEdit::NeedsMembers => return Some(Edit::NeedsMembers),
+                EntryEdit::Set(entry) => {
+                    record.roles.insert(role.clone(), entry);
+                }
+                EntryEdit::Remove => {
+                    record.roles.remove(role);
+                }
+            }
+        }
+        let turn_has_come = shard
+            .lacking_since
+            .is_some_and(|since| now >= since + self.turn(&name.to_string()));
+        let revision = self.wanted_revision.unwrap_or_default();
+        if turn_has_come && revision >= record.revision {
+            if !fresh {
+                return Some(Edit::NeedsMembers);
+            }
+            self.add_lacking(&mut record, chooser);
+        }
+        if record.roles == shard.record.roles {
+            return None;
+        }
+        record.revision = record.revision.max(revision);
+        Some(Edit::Write(record))
+    }
+
+    fn add_lacking(&self, record: &mut AssignmentRecord, chooser: &mut Chooser<'_>) {
+        let revision = self.wanted_revision.unwrap_or_default();
+        let roles = self.wanted.keys();
+        for role in roles.filter(|role| AssignmentShard::of(role) == record.shard) {
+            if record.roles.contains_key(role) {
+                continue;
+            }
+            if let Some(holder) = chooser.choose(role, None) {
+                record
+                    .roles
+                    .insert(role.clone(), RoleEntry::first(holder, revision));
+            }
+        }
+    }
+
+    fn edit_entry(
+        &self,
+        role: &Role,
+        entry: &RoleEntry,
+        fresh: bool,
+        asked: &BTreeSet<Role>,
+        now: Moment,
+        chooser: &mut Chooser<'_>,
+    ) -> EntryEdit {
+        let ended = |holder: &Holder| self.ended.get(holder).is_some_and(|at| now >= *at);
+        let known_revision = self.wanted_revision.is_some();
+        let wanted = self.wanted.contains_key(role) || !known_revision;
+        let next = entry.next.as_ref().filter(|next| !ended(next));
+        if ended(&entry.holder) || self.is_mine_to_pass(role, entry) {
+            let handed_over = entry.holder == self.me;
+            if !wanted {
+                return EntryEdit::Remove;
+            }
+            if let Some(next) = next {
+                return EntryEdit::Set(self.pass(entry, next.clone(), handed_over));
+            }
+            if !fresh {
+                return EntryEdit::NeedsMembers;
+            }
+            let but = (self.leaving && handed_over).then_some(&self.me);
+            return match chooser.choose(role, but) {
+                Some(choice) => EntryEdit::Set(self.pass(entry, choice, handed_over)),
+                None if self.leaving && handed_over => EntryEdit::Remove,
+                None => EntryEdit::Keep,
+            };
+        }
+        if self.is_mine_to_offer(entry) && wanted {
+            if !fresh {
+                return EntryEdit::NeedsMembers;
+            }
+            return match chooser.choose(role, Some(&self.me)) {
+                Some(choice) => EntryEdit::Set(RoleEntry {
+                    next: Some(choice),
+                    ..entry.clone()
+                }),
+                None => EntryEdit::Keep,
+            };
+        }
+        if next.is_none() && entry.next.is_some() {
+            return EntryEdit::Set(RoleEntry {
+                next: None,
+                ..entry.clone()
+            });
+        }
+        if asked.contains(role) && entry.next.is_none() {
+            return EntryEdit::Set(RoleEntry {
+                next: Some(self.me.clone()),
+                ..entry.clone()
+            });
+        }
+        EntryEdit::Keep
+    }
+}
+
+enum EntryEdit {
+    Keep,
+    NeedsMembers,
+    Set(RoleEntry),
+    Remove,
+}
--- /dev/null
+++ b/crates/chervilshunt_coord/src/roles/table/held.rs
@@ -0,0 +1,152 @@
+//! The roles that this run holds.
+
+use chervilshunt_model::{Epoch, InstanceId, Moment};
+
+use super::{RoleAction, RoleTable};
+use crate::roles::assignment::{AssignmentRecord, RoleEntry};
+use crate::roles::role::Role;
+
+/// How far the end of a held role has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) enum Stage {
+    /// Nothing ends it.
+    Held,
+    /// The program was told to hand it over.
+    Ending,
+    /// The program has handed it over; the assignment doesn't say so yet.
+    Released,
+}
+
+/// A role that this run holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) struct Held {
+    pub(super) epoch: Epoch,
+    pub(super) stage: Stage,
+    /// When orders may begin.
+    pub(super) orders_from: Moment,
+}
+
+impl RoleTable {
+    /// Tells what has changed between two records of a shard.
+    pub(super) fn compare(
+        &mut self,
+        before: &AssignmentRecord,
+        after: &AssignmentRecord,
+        now: Moment,
+        actions: &mut Vec<RoleAction>,
+    ) {
+        for (role, old) in &before.roles {
+            if !after.roles.contains_key(role) {
+                self.on_entry(role, Some(old), None, now, actions);
+            }
+        }
+        for (role, entry) in &after.roles {
+            self.on_entry(role, before.roles.get(role), Some(entry), now, actions);
+        }
+    }
+
+    fn on_entry(
+        &mut self,
+        role: &Role,
+        before: Option<&RoleEntry>,
+        after: Option<&RoleEntry>,
+        now: Moment,
+        actions: &mut Vec<RoleAction>,
+    ) {
+        let holder = |entry: &RoleEntry| (entry.holder.instance.clone(), entry.epoch);
+        if before.map(holder) != after.map(holder) {
+            actions.push(RoleAction::HolderChanged {
+                role: role.clone(),
+                holder: after.map(holder),
+            });
+        }
+        let mine = after.filter(|entry| entry.holder == self.me);
+        let known = self.held.get(role).map(|held| held.epoch);
+        if known.is_some() && known != mine.map(|entry| entry.epoch) {
+            self.held.remove(role);
+            actions.push(RoleAction::Lost(role.clone()));
+        }
+        let Some(entry) = mine else {
+            return;
+        };
+        if !self.held.contains_key(role) {
+            self.gain(role, entry, now, actions);
+        }
+        self.end_if_asked(role, entry, actions);
+    }
+
+    fn gain(&mut self, role: &Role, entry: &RoleEntry, now: Moment, actions: &mut Vec<RoleAction>) {
+        let fenced = self.wanted.get(role).is_some_and(|wanted| wanted.fenced);
+        let was_mine = entry.previous.as_ref() == Some(&self.me);
+        let waits = !fenced && !entry.handed_over && !was_mine && entry.previous.is_some();
+        let orders_from = if waits {
+            now + self.cfg.order_flight
+        } else {
+            now
+        };
+        let held = Held {
+            epoch: entry.epoch,
+            stage: Stage::Held,
+            orders_from,
+        };
+        self.held.insert(role.clone(), held);
+        actions.push(RoleAction::Gained {
+            role: role.clone(),
+            epoch: entry.epoch,
+            previous: entry.previous.clone(),
+            handed_over: entry.handed_over,
+        });
+    }
+
+    fn end_if_asked(&mut self, role: &Role, entry: &RoleEntry, actions: &mut Vec<RoleAction>) {
+        let unwanted = self.is_unwanted(role);
+        if entry.next.is_none() && !unwanted {
+            return;
+        }
+        let to = entry.next.as_ref().filter(|_| !unwanted);
+        let to = to.map(|next| next.instance.clone());
+        self.begin_end(role, to, actions);
+    }
+
+    fn begin_end(&mut self, role: &Role, to: Option<InstanceId>, actions: &mut Vec<RoleAction>) {
+        let Some(held) = self.held.get_mut(role) else {
+            return;
+        };
+        if held.stage == Stage::Held {
+            held.stage = Stage::Ending;
+            let role = role.clone();
+            actions.push(RoleAction::Ending { role, to });
+        }
+    }
+
+    /// Ends the held roles that nobody needs any more.
+    pub(super) fn end_unwanted(&mut self, actions: &mut Vec<RoleAction>) {
+        let unwanted: Vec<_> = self
+            .held
+            .keys()
+            .filter(|role| self.is_unwanted(role))
+            .cloned()
+            .collect();
+        for role in unwanted {
+            self.begin_end(&role, None, actions);
+        }
+    }
+
+    /// Ends the held roles for which nobody is there to take them.
+    pub(super) fn end_without_taker(&mut self, actions: &mut Vec<RoleAction>) {
+        let roles: Vec<_> = self.held.keys().cloned().collect();
+        for role in roles {
+            self.begin_end(&role, None, actions);
+        }
+    }
+
+    pub(super) fn on_released(&mut self, role: &Role) {
+        if let Some(held) = self.held.get_mut(role) {
+            held.stage = Stage::Released;
+        }
+    }
+
+    fn is_unwanted(&self, role: &Role) -> bool {
+        self.wanted_revision.is_some() && !self.wanted.contains_key(role)
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_coord/src/tests.rs
@@ -0,0 +1,6 @@
+//! Tests of the machines together.
+
+mod fleet;
+mod platform;
+mod smoke;
+mod table;
--- /dev/null
+++ b/crates/chervilshunt_coord/src/tests/smoke.rs
@@ -0,0 +1,94 @@
+//! A fleet without faults does what it is for.
+
+use std::time::Duration;
+
+use chervilshunt_model::{ChangeId, Revision};
+
+use super::fleet::Fleet;
+use super::table::SetCell;
+use crate::{ChangeTicket, Role, WantedRole};
+
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+pub(super) fn some_roles(count: usize) -> Vec<WantedRole> {
+    (0..count)
+        .map(|number| WantedRole {
+            role: Role::Target(format!("t{number}").as_str().into()),
+            zone: Some(ZONES[number % 3].into()),
+            fenced: number % 2 == 0,
+        })
+        .collect()
+}
+
+pub(super) fn fleet_of(count: usize, roles: usize) -> Fleet {
+    let mut fleet = Fleet::new(7, some_roles(roles));
+    for number in 0..count {
+        fleet.start(&format!("i{number}"), ZONES[number % 3]);
+    }
+    fleet
+}
+
+pub(super) fn set_cell(id: u128, page: &str, value: u64) -> SetCell {
+    SetCell {
+        id: ChangeId::from_u128(id),
+        page: page.to_owned(),
+        value,
+    }
+}
+
+#[test]
+fn all_instances_take_work_and_share_the_roles() {
+    let mut fleet = fleet_of(7, 35);
+    fleet.run(Duration::from_secs(40));
+    for (id, node, now) in fleet.awake() {
+        assert!(node.coordinator.may_take_work(now), "{id} takes no work");
+        let held = node.epochs.len();
+        assert!((3..=7).contains(&held), "{id} holds {held} roles");
+    }
+}
+
+#[test]
+fn a_change_comes_into_force_everywhere() {
+    let mut fleet = fleet_of(7, 5);
+    fleet.run(Duration::from_secs(20));
+    fleet.propose("i3", 1, set_cell(1, "x", 42));
+    fleet.run(Duration::from_millis(500));
+    let revision = fleet.accepted.get(&ChangeTicket(1));
+    assert_eq!(revision, Some(&Revision::new(1)), "{:?}", fleet.refused);
+    for (id, node, _) in fleet.awake() {
+        let cell = node
+            .in_force
+            .as_ref()
+            .and_then(|table| table.cells.get("x"));
+        assert_eq!(cell, Some(&42), "at {id}");
+    }
+}
+
+#[test]
+fn the_roles_of_a_crashed_instance_go_to_others() {
+    let mut fleet = fleet_of(3, 6);
+    fleet.run(Duration::from_secs(20));
+    let lost: Vec<_> = fleet.nodes["i1"].epochs.clone().into_iter().collect();
+    assert!(!lost.is_empty(), "i1 holds no roles");
+    fleet.crash("i1");
+    fleet.run(Duration::from_secs(30));
+    for (role, epoch) in lost {
+        let holder = fleet.awake().find(|(_, node, now)| {
+            node.coordinator
+                .may_order(&role, *now)
+                .is_some_and(|new| new > epoch)
+        });
+        assert!(holder.is_some(), "{role} has no holder");
+    }
+}
+
+#[test]
+fn a_graceful_shutdown_hands_all_roles_over_at_once() {
+    let mut fleet = fleet_of(3, 6);
+    fleet.run(Duration::from_secs(20));
+    fleet.shut_down("i1");
+    fleet.run(Duration::from_secs(2));
+    assert!(fleet.nodes["i1"].left, "i1 has not left");
+    let held: usize = fleet.awake().map(|(_, node, _)| node.epochs.len()).sum();
+    assert_eq!(held, 6);
+}
