Test the client's errors by failure and stage, and the scanner by splits

The property test found two faults of the scanner before it passed: an error member that is null counted as an error, and an LF alone in a piece counted as checked after a line that ended no event.

--- a/crates/chervilshunt_engine/src/answer/json_watch.rs
+++ b/crates/chervilshunt_engine/src/answer/json_watch.rs
@@ -20,6 +20,8 @@
     lex: Lex,
     /// The next string at a watched depth is a key.
     at_key: bool,
+    /// The next byte is the first one of a value.
+    at_value: bool,
     /// The member of the outer object that is being read.
     member: Member,
     /// The member of `usage` or `error` that is being read.
@@ -130,6 +132,10 @@
             self.found.malformed = true;
             return;
         }
+        let begins_value = std::mem::take(&mut self.at_value);
+        if begins_value && self.depth == 1 && self.member == Member::Error && byte != b'n' {
+            self.found.has_error = true;
+        }
         match byte {
             b'"' => self.begin_string(),
             b'{' | b'[' => self.open(byte),
@@ -138,9 +144,12 @@
                 self.end_number();
                 self.at_key = self.depth == 1 || self.in_watched_section();
             }
-            b':' => self.at_key = false,
-            // A number or a literal; only that of `error` matters.
-            _ => self.note_error(byte != b'n'),
+            b':' => {
+                self.at_key = false;
+                self.at_value = true;
+            }
+            // A number or a literal.
+            _ => {}
         }
     }
 
@@ -152,7 +161,6 @@
             (2, false) => self.in_watched_section() && self.inner == InnerMember::Message,
             _ => false,
         };
-        self.note_error(true);
         self.lex = if wanted { Lex::Kept } else { Lex::Skipped };
         self.kept.clear();
         self.overflown = false;
@@ -160,7 +168,6 @@
     }
 
     fn open(&mut self, byte: u8) {
-        self.note_error(true);
         self.depth += 1;
         self.inner = InnerMember::Other;
         let object = byte == b'{';
@@ -185,12 +192,6 @@
         self.depth == 2 && matches!(self.member, Member::Usage | Member::Error)
     }
 
-    fn note_error(&mut self, there: bool) {
-        if self.depth == 1 && !self.at_key && self.member == Member::Error && there {
-            self.found.has_error = true;
-        }
-    }
-
     fn skip_string<'a>(&mut self, bytes: &'a [u8]) -> &'a [u8] {
         let Some(end) = memchr2(b'"', b'\\', bytes) else {
             return &[];
--- a/crates/chervilshunt_engine/src/answer/sse.rs
+++ b/crates/chervilshunt_engine/src/answer/sse.rs
@@ -20,6 +20,8 @@
     line: Line,
     /// The last byte was a CR that ended a line; an LF belongs to it.
     after_cr: bool,
+    /// The last byte ended an event.
+    after_event: bool,
     data: Data,
     json: JsonWatch,
     events: u32,
@@ -67,6 +69,7 @@
             named,
             line: Line::Start(0),
             after_cr: false,
+            after_event: false,
             data: Data::None,
             json: JsonWatch::default(),
             events: 0,
@@ -98,12 +101,13 @@
         while at < piece.len() && !self.failed {
             if self.swallow_lf(piece[at]) {
                 // The second half of a line end belongs to the event that the first half ended.
-                scanned.checked += usize::from(scanned.checked == at && self.is_between_events());
+                scanned.checked += usize::from(self.after_event);
                 at += 1;
                 continue;
             }
             let (next, event_ended) = self.step(piece, at);
             at = next;
+            self.after_event = event_ended;
             if !event_ended {
                 continue;
             }
@@ -122,10 +126,6 @@
         std::mem::take(&mut self.after_cr) && byte == b'\n'
     }
 
-    fn is_between_events(&self) -> bool {
-        self.line == Line::Start(0) && self.data == Data::None
-    }
-
     /// Reads from `at` on; returns where to go on, and whether a blank line ended an event.
     fn step(&mut self, piece: &[u8], at: usize) -> (usize, bool) {
         let byte = piece[at];
--- /dev/null
+++ b/crates/chervilshunt_engine/tests/common/mod.rs
@@ -0,0 +1,215 @@
+//! What the tests of the client have in common: calls, and a target that follows a script.
+
+#![allow(dead_code, reason = "each test uses a part")]
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use chervilshunt_engine::{Answer, AnswerSummary, Call, EngineClient, EngineError, Expect, Limits};
+use chervilshunt_model::{AttemptId, RequestId};
+use http::{HeaderMap, Method};
+use http_body_util::BodyExt as _;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
+
+/// The model that calls name unless a test says otherwise.
+pub(crate) const MODEL: &str = "a@1";
+
+/// Short limits, so that a test of a timeout is short.
+pub(crate) const LIMITS: Limits = Limits {
+    connect: Duration::from_millis(500),
+    head: Duration::from_millis(500),
+    idle: Duration::from_millis(500),
+};
+
+/// A completion for [`MODEL`].
+pub(crate) fn completion(request: &str, tokens: u32, stream: bool) -> Call {
+    completion_for(MODEL, request, tokens, stream)
+}
+
+/// A completion for any model.
+pub(crate) fn completion_for(model: &str, request: &str, tokens: u32, stream: bool) -> Call {
+    let body = format!(
+        r#"{{"model":"{model}","prompt":"one two","max_tokens":{tokens},"stream":{stream}}}"#
+    );
+    Call {
+        path: "/v1/completions".parse().expect("path"),
+        body: body.into(),
+        expect: Expect::Model(model.into()),
+        ..plain(request, true)
+    }
+}
+
+/// A call of a plain service.
+pub(crate) fn plain(request: &str, idempotent: bool) -> Call {
+    Call {
+        method: Method::POST,
+        path: "/finish".parse().expect("path"),
+        headers: HeaderMap::new(),
+        body: Bytes::from_static(b"entry"),
+        request: RequestId::new(request),
+        attempt: AttemptId::random(),
+        expect: Expect::Anything,
+        idempotent,
+        limits: LIMITS,
+    }
+}
+
+/// Reads an answer to its end.
+pub(crate) async fn read(mut answer: Answer) -> Result<(String, AnswerSummary), Failed> {
+    let mut text = Vec::new();
+    while let Some(frame) = answer.body.frame().await {
+        match frame {
+            Ok(frame) => text.extend_from_slice(&frame.into_data().unwrap_or_default()),
+            Err(error) => {
+                return Err(Failed {
+                    error,
+                    read: into_text(text),
+                });
+            }
+        }
+    }
+    Ok((into_text(text), answer.body.summary()))
+}
+
+/// A body that failed, and what was read of it before.
+#[derive(Debug)]
+pub(crate) struct Failed {
+    pub(crate) error: EngineError,
+    pub(crate) read: String,
+}
+
+fn into_text(bytes: Vec<u8>) -> String {
+    String::from_utf8(bytes).expect("UTF-8")
+}
+
+/// Opens a call and reads its answer to the end.
+pub(crate) async fn run(client: &EngineClient, call: Call) -> Result<String, EngineError> {
+    let answer = client.open(call).await?;
+    read(answer)
+        .await
+        .map(|(text, _)| text)
+        .map_err(|failed| failed.error)
+}
+
+/// What a scripted target does once it has read a request.
+#[derive(Clone, Debug)]
+pub(crate) enum Step {
+    /// Closes the connection before it reads.
+    CloseUnread,
+    /// Reads a request, writes this, and goes on.
+    Answer(String),
+    /// Reads a request, writes this, and closes.
+    AnswerAndClose(String),
+    /// Reads a request and says nothing.
+    Hang,
+}
+
+/// A target that follows a script, one step for each request, over all connections.
+#[derive(Clone, Debug)]
+pub(crate) struct ScriptedTarget {
+    pub(crate) address: SocketAddr,
+    seen: Arc<Mutex<Seen>>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Seen {
+    pub(crate) connections: usize,
+    pub(crate) requests: Vec<String>,
+}
+
+impl ScriptedTarget {
+    pub(crate) async fn start(steps: Vec<Step>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let seen = Arc::new(Mutex::new(Seen::default()));
+        let steps = Arc::new(Mutex::new(steps.into_iter()));
+        let target = Self {
+            address,
+            seen: Arc::clone(&seen),
+        };
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                seen.lock().expect("lock").connections += 1;
+                tokio::spawn(follow(stream, Arc::clone(&steps), Arc::clone(&seen)));
+            }
+        });
+        target
+    }
+
+    pub(crate) fn seen(&self) -> Seen {
+        self.seen.lock().expect("lock").clone()
+    }
+}
+
+async fn follow(
+    mut stream: TcpStream,
+    steps: Arc<Mutex<std::vec::IntoIter<Step>>>,
+    seen: Arc<Mutex<Seen>>,
+) {
+    loop {
+        let next = steps.lock().expect("lock").next();
+        if matches!(next, None | Some(Step::CloseUnread)) {
+            return;
+        }
+        let Some(request) = read_request(&mut stream).await else {
+            return;
+        };
+        seen.lock().expect("lock").requests.push(request);
+        match next {
+            None | Some(Step::CloseUnread) => return,
+            Some(Step::Answer(text)) => drop(stream.write_all(text.as_bytes()).await),
+            Some(Step::AnswerAndClose(text)) => {
+                drop(stream.write_all(text.as_bytes()).await);
+                return;
+            }
+            Some(Step::Hang) => std::future::pending().await,
+        }
+    }
+}
+
+/// Reads a request with a `Content-Length`; none if the connection ends before it.
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut buf = Vec::new();
+    loop {
+        let text = String::from_utf8_lossy(&buf).into_owned();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head
+                .lines()
+                .find_map(|line| line.strip_prefix("content-length: ")?.parse::<usize>().ok());
+            if body.len() >= length.unwrap_or(0) {
+                return Some(text);
+            }
+        }
+        if stream.read_buf(&mut buf).await.ok()? == 0 {
+            return None;
+        }
+    }
+}
+
+/// A response with a length.
+pub(crate) fn response(status: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\n{headers}\r\n{body}")
+}
+
+/// A stream of events in chunks, each chunk as given; ended only if `ended`.
+pub(crate) fn chunked(chunks: &[&str], ended: bool) -> String {
+    let mut text =
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+            .to_owned();
+    for chunk in chunks {
+        text.push_str(&format!("{:x}\r\n{chunk}\r\n", chunk.len()));
+    }
+    if ended {
+        text.push_str("0\r\n\r\n");
+    }
+    text
+}
+
+/// An event of a stream served by `model`.
+pub(crate) fn event(model: &str, text: &str) -> String {
+    format!("data: {{\"choices\":[{{\"text\":\"{text}\"}}],\"model\":\"{model}\"}}\n\n")
+}
--- /dev/null
+++ b/crates/chervilshunt_engine/tests/failures.rs
@@ -0,0 +1,398 @@
+//! Which error each failure at each stage gives, and what it says of whether the call ran.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chervilshunt_engine::{EngineClient, EngineError, Outcome, Stage};
+use chervilshunt_standin::engine::{EngineFaultChange, EngineStandinConfig, start_engine};
+use chervilshunt_standin::plain::{PlainFaultChange, PlainStandinConfig, start_plain};
+use common::{
+    LIMITS, MODEL, ScriptedTarget, Step, chunked, completion, event, plain, read, response, run,
+};
+use rstest::rstest;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+/// Names the variant, so that a table can hold it.
+fn kind(error: &EngineError) -> &'static str {
+    match error {
+        EngineError::NotSent { .. } => "not sent",
+        EngineError::OutcomeUnknown { .. } => "outcome unknown",
+        EngineError::Timeout {
+            stage: Stage::Connect,
+            ..
+        } => "timeout connecting",
+        EngineError::Timeout {
+            stage: Stage::Head, ..
+        } => "timeout at head",
+        EngineError::Timeout {
+            stage: Stage::Body, ..
+        } => "timeout in body",
+        EngineError::Refused { .. } => "refused",
+        EngineError::Fenced { .. } => "fenced",
+        EngineError::AdapterMissing { .. } => "adapter missing",
+        EngineError::WrongModel { .. } => "wrong model",
+        EngineError::Crossed { .. } => "crossed",
+        EngineError::Malformed { .. } => "malformed",
+        EngineError::FailedMidway { .. } => "failed midway",
+        EngineError::BrokenOff { .. } => "broken off",
+        _ => "unheard of",
+    }
+}
+
+/// The caller is told "not run" only if no byte of the call can have been read. The target closes,
+/// hangs or answers at each stage in turn; what it does next decides what can be known.
+#[rstest]
+#[case::closed_before_reading(Step::CloseUnread, "outcome unknown", Outcome::Unknown)]
+#[case::closed_after_reading(
+    Step::AnswerAndClose(String::new()),
+    "outcome unknown",
+    Outcome::Unknown
+)]
+#[case::closed_inside_head(
+    Step::AnswerAndClose("HTTP/1.1 200 O".into()), "outcome unknown", Outcome::Unknown
+)]
+#[case::no_http(
+    Step::AnswerAndClose("SSH-2.0-x\r\n".into()), "outcome unknown", Outcome::Unknown
+)]
+#[case::hangs(Step::Hang, "timeout at head", Outcome::Unknown)]
+#[case::bad_request(
+    Step::Answer(response("400 Bad Request", "", "temperature")),
+    "refused",
+    Outcome::NotRun
+)]
+#[case::too_many(
+    Step::Answer(response("429 Too Many Requests", "retry-after: 3\r\n", "")),
+    "refused",
+    Outcome::NotRun
+)]
+#[case::overloaded(
+    Step::Answer(response("503 Service Unavailable", "retry-after: 3\r\n", "")),
+    "refused",
+    Outcome::NotRun
+)]
+#[case::engine_dead(
+    Step::Answer(response("503 Service Unavailable", "", "")),
+    "refused",
+    Outcome::Unknown
+)]
+#[case::internal_error(
+    Step::Answer(response("500 Internal Server Error", "", "")),
+    "refused",
+    Outcome::Unknown
+)]
+#[case::path_missing(
+    Step::Answer(response("404 Not Found", "", r#"{"detail":"Not Found"}"#)),
+    "refused",
+    Outcome::NotRun
+)]
+#[case::model_missing(
+    Step::Answer(response("404 Not Found", "", r#"{"error":{"type":"NotFoundError"}}"#)),
+    "adapter missing",
+    Outcome::NotRun
+)]
+#[case::model_missing_in_older_form(
+    Step::Answer(response("404 Not Found", "", r#"{"object":"error","type":"NotFoundError"}"#)),
+    "adapter missing",
+    Outcome::NotRun
+)]
+#[case::another_attempts_answer(
+    Step::Answer(response("200 OK", "x-attempt-id: 7\r\n", "{}")),
+    "crossed",
+    Outcome::Unknown
+)]
+#[case::neither_length_nor_chunks(
+    Step::AnswerAndClose("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n{}".into()),
+    "malformed", Outcome::CutShort
+)]
+#[case::no_json(
+    Step::Answer(response("200 OK", "content-type: text/html\r\n", "<p>")),
+    "malformed",
+    Outcome::CutShort
+)]
+#[case::compressed(
+    Step::Answer(response(
+        "200 OK",
+        "content-type: application/json\r\ncontent-encoding: gzip\r\n",
+        "x"
+    )),
+    "malformed",
+    Outcome::CutShort
+)]
+#[case::whole_by_other_model(
+    Step::Answer(response("200 OK", "content-type: application/json\r\n", r#"{"model":"b@1"}"#)),
+    "wrong model",
+    Outcome::CutShort
+)]
+#[case::whole_without_model(
+    Step::Answer(response("200 OK", "content-type: application/json\r\n", "{}")),
+    "malformed",
+    Outcome::CutShort
+)]
+#[case::whole_cut(
+    Step::AnswerAndClose(
+        "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 99\r\n\r\n{".into()
+    ),
+    "broken off", Outcome::CutShort
+)]
+#[case::stream_by_other_model(
+    Step::Answer(chunked(&[&event("b@1", "x")], true)), "wrong model", Outcome::CutShort
+)]
+#[case::stream_cut(
+    Step::AnswerAndClose(chunked(&[&event(MODEL, "x")], false)), "broken off", Outcome::CutShort
+)]
+#[case::stream_ended_without_done(
+    Step::Answer(chunked(&[&event(MODEL, "x")], true)), "broken off", Outcome::CutShort
+)]
+#[case::stream_stalls(
+    Step::Answer(chunked(&[&event(MODEL, "x")], false)), "timeout in body", Outcome::CutShort
+)]
+#[case::error_event(
+    Step::Answer(chunked(&[&event(MODEL, "x"), "data: {\"error\":{\"message\":\"m\"}}\n\n"], true)),
+    "failed midway", Outcome::CutShort
+)]
+#[tokio::test]
+async fn failure_of_a_completion(
+    #[case] step: Step,
+    #[case] expected: &str,
+    #[case] outcome: Outcome,
+) {
+    let target = ScriptedTarget::start(vec![step, Step::Hang]).await;
+    let client = EngineClient::new(target.address);
+
+    let error = run(&client, completion("r", 4, true))
+        .await
+        .expect_err("fails");
+
+    assert_eq!(
+        (kind(&error), error.outcome()),
+        (expected, outcome),
+        "{error}"
+    );
+    assert!(target.seen().requests.len() <= 1, "the call was sent twice");
+}
+
+/// Nothing listens: connecting is refused, so that "not run" is true.
+#[tokio::test]
+async fn refused_connection_is_not_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    drop(listener);
+
+    let error = run(&EngineClient::new(address), plain("r", false))
+        .await
+        .expect_err("fails");
+
+    assert_eq!(
+        (kind(&error), error.outcome()),
+        ("not sent", Outcome::NotRun)
+    );
+}
+
+/// The target's machine does not answer the handshake: no byte of the call has left.
+#[tokio::test]
+async fn handshake_timeout_is_not_run() {
+    let socket = TcpSocket::new_v4().expect("socket");
+    socket
+        .bind(SocketAddr::from(([127, 0, 0, 1], 0)))
+        .expect("bind");
+    let listener = socket.listen(1).expect("listen");
+    let address = listener.local_addr().expect("address");
+    // Nobody accepts; once the queue is full the kernel drops further handshakes.
+    let mut queued = Vec::new();
+    for _ in 0..8 {
+        let connecting = TcpStream::connect(address);
+        match tokio::time::timeout(Duration::from_millis(100), connecting).await {
+            Ok(stream) => queued.push(stream),
+            Err(_full) => break,
+        }
+    }
+
+    let error = run(&EngineClient::new(address), plain("r", false))
+        .await
+        .expect_err("fails");
+
+    assert_eq!(
+        (kind(&error), error.outcome()),
+        ("timeout connecting", Outcome::NotRun)
+    );
+}
+
+/// A plain service runs the call and its answer is lost. The caller must not be told "not run", and
+/// the call must not be sent again.
+#[rstest]
+#[case::answer_lost(PlainFaultChange { lose_answers: Some(1), ..PlainFaultChange::default() }, 1)]
+#[case::cut_before_run(
+    PlainFaultChange { cut_before_run: Some(1), ..PlainFaultChange::default() }, 0
+)]
+#[tokio::test]
+async fn lost_answer_of_plain_service_is_unknown(
+    #[case] faults: PlainFaultChange,
+    #[case] runs: u32,
+    #[values(false, true)] idempotent: bool,
+) {
+    let service = start_plain(PlainStandinConfig::default())
+        .await
+        .expect("start");
+    let client = EngineClient::new(service.address);
+    run(&client, plain("before", true))
+        .await
+        .expect("an idle connection is there");
+    service.set_faults(&faults);
+
+    let error = run(&client, plain("r", idempotent))
+        .await
+        .expect_err("fails");
+
+    assert_eq!(
+        (kind(&error), error.outcome()),
+        ("outcome unknown", Outcome::Unknown)
+    );
+    assert_eq!((service.runs("r").runs, service.stats().calls), (runs, 2));
+}
+
+/// A plain service's refusals are its own answers, whatever their status.
+#[tokio::test]
+async fn plain_service_answers_with_any_status() {
+    let service = start_plain(PlainStandinConfig::default())
+        .await
+        .expect("start");
+    service.set_faults(&PlainFaultChange {
+        refuse: Some(1),
+        ..PlainFaultChange::default()
+    });
+    let client = EngineClient::new(service.address);
+
+    let answer = client.open(plain("r", false)).await.expect("answers");
+
+    assert_eq!(answer.status, 503);
+    assert_eq!(answer.headers["retry-after"], "1");
+    assert_eq!(read(answer).await.expect("whole").0, "busy");
+}
+
+/// The answer of a plain service ends before its length: a cut one is told from a whole one.
+#[tokio::test]
+async fn short_answer_of_plain_service_is_broken_off() {
+    let service = start_plain(PlainStandinConfig::default())
+        .await
+        .expect("start");
+    service.set_faults(&PlainFaultChange {
+        cut_answers: Some(1),
+        ..PlainFaultChange::default()
+    });
+    let answer = EngineClient::new(service.address)
+        .open(plain("r", false))
+        .await
+        .expect("head");
+
+    let failed = read(answer).await.expect_err("fails");
+
+    assert_eq!(kind(&failed.error), "broken off");
+    assert!(!failed.read.is_empty());
+}
+
+/// The engine dies after three tokens. The caller keeps three whole events and no part of a fourth,
+/// so that the problem document that follows stands on a line of its own.
+#[rstest]
+#[case::between_events(vec![event(MODEL, "x"), event(MODEL, "y"), event(MODEL, "z")])]
+#[case::inside_an_event(vec![
+    event(MODEL, "x"), event(MODEL, "y"), event(MODEL, "z"), "data: {\"choi".to_owned(),
+])]
+#[case::events_split_over_chunks(vec![
+    event(MODEL, "x")[..9].to_owned(),
+    format!("{}{}{}data", &event(MODEL, "x")[9..], event(MODEL, "y"), event(MODEL, "z")),
+    ": {\"choi".to_owned(),
+])]
+#[tokio::test]
+async fn cut_stream_gives_whole_events_only(#[case] chunks: Vec<String>) {
+    let chunks: Vec<&str> = chunks.iter().map(String::as_str).collect();
+    let target = ScriptedTarget::start(vec![Step::AnswerAndClose(chunked(&chunks, false))]).await;
+    let client = EngineClient::new(target.address);
+    let answer = client.open(completion("r", 4, true)).await.expect("head");
+
+    let failed = read(answer).await.expect_err("fails");
+
+    assert_eq!(kind(&failed.error), "broken off");
+    let whole = event(MODEL, "x") + &event(MODEL, "y") + &event(MODEL, "z");
+    assert_eq!(failed.read, whole);
+}
+
+/// Another adapter takes over in the middle of a stream: its first event is not handed on, not even
+/// the part of it that precedes the model's name.
+#[tokio::test]
+async fn event_of_other_model_is_not_handed_on() {
+    let wrong = event("b@1", "secret");
+    let (start, rest) = wrong.split_at(30);
+    let chunks = [&*event(MODEL, "x"), start, rest];
+    let target = ScriptedTarget::start(vec![Step::Answer(chunked(&chunks, true))]).await;
+    let client = EngineClient::new(target.address);
+    let answer = client.open(completion("r", 4, true)).await.expect("head");
+
+    let failed = read(answer).await.expect_err("fails");
+
+    assert_eq!(kind(&failed.error), "wrong model");
+    assert_eq!(failed.read, event(MODEL, "x"));
+}
+
+/// Faults of an engine stand-in, each with the error that the caller's side sees.
+#[rstest]
+#[case::down(EngineFaultChange { down: Some(true), ..EngineFaultChange::default() }, "not sent")]
+#[case::frozen(
+    EngineFaultChange { freeze: Some(true), ..EngineFaultChange::default() }, "timeout at head"
+)]
+#[case::cut_before_head(
+    EngineFaultChange { cut_after_tokens: Some(0), ..EngineFaultChange::default() },
+    "outcome unknown"
+)]
+#[case::cut_midway(
+    EngineFaultChange { cut_after_tokens: Some(2), ..EngineFaultChange::default() },
+    "broken off"
+)]
+#[case::wrong_model(
+    EngineFaultChange { wrong_model: Some(true), ..EngineFaultChange::default() }, "wrong model"
+)]
+#[case::restarted_empty(
+    EngineFaultChange { restart: Some(true), ..EngineFaultChange::default() }, "adapter missing"
+)]
+#[tokio::test]
+async fn engine_fault_gives_its_error(
+    #[case] faults: EngineFaultChange,
+    #[case] expected: &str,
+    #[values(false, true)] stream: bool,
+) {
+    let engine = start_engine(EngineStandinConfig::default())
+        .await
+        .expect("start");
+    let client = EngineClient::new(engine.address);
+    let model = chervilshunt_model::AdapterVersion::parse(MODEL).expect("model");
+    client
+        .load(&model, "s", chervilshunt_model::Epoch::new(1))
+        .await
+        .expect("loads");
+    engine.set_faults(&faults);
+    if faults.down == Some(true) {
+        while TcpStream::connect(engine.address).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
+    // A new client has no connection that the fault may be cutting just now.
+    let client = EngineClient::new(engine.address);
+    let error = run(&client, completion("r", 4, stream))
+        .await
+        .expect_err("fails");
+
+    assert_eq!(kind(&error), expected, "{error}");
+    assert!(engine.runs("r").runs <= 1);
+}
+
+/// The limits that the table above waits for are the ones that were asked for.
+#[tokio::test]
+async fn timeout_says_its_limit() {
+    let target = ScriptedTarget::start(vec![Step::Hang]).await;
+    let error = run(&EngineClient::new(target.address), plain("r", false))
+        .await
+        .expect_err("hangs");
+    assert!(matches!(error, EngineError::Timeout { limit, .. } if limit == LIMITS.head));
+}
--- a/crates/chervilshunt_standin/src/engine/routes.rs
+++ b/crates/chervilshunt_standin/src/engine/routes.rs
@@ -247,10 +247,9 @@
         (&Method::GET, "/metrics") => Ok(reports::metrics(&engine)),
         (&Method::GET, "/v1/cache_events") => Ok(reports::cache_events(&engine, req.uri())),
         (&Method::GET, "/health") => Ok(serve::text(StatusCode::OK, "")),
-        _ => Ok(error(
+        _ => Ok(serve::json(
             StatusCode::NOT_FOUND,
-            "NotFoundError",
-            "no such path",
+            &json!({"detail": "Not Found"}),
         )),
     }
 }
