Add random faults over a whole deployment, with every request checked

Cause: promises had no test in which failures meet: kills, freezes, cut links, faults of the platform and of targets, and operators who race, together and twice.

Ruled out: overlapping faults without episodes, as no recovery could then be told from the next fault; and faults inside the daemon, as the processes are what is tested.

--- /dev/null
+++ b/crates/chervilshunt_bench/src/faults/change.rs
@@ -0,0 +1,261 @@
+//! Operators who change the configuration and race each other, and what must hold of it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use chervilshunt_standin::check::{Api, RequestPlan, Verdict};
+use chervilshunt_standin::fleet::{
+    Evidence, Fleet, Load, Promise, Statements, adapter_name, completion, create_version, describe,
+    wait_until,
+};
+use http::StatusCode;
+use rand::seq::IndexedRandom as _;
+use rand_chacha::ChaCha8Rng;
+
+/// How long an accepted revision may take to be known at every instance of a healed deployment.
+const IN_FORCE_BOUND: Duration = Duration::from_secs(15);
+
+/// The site whose cap operators race for.
+const SITE: &str = "hall";
+
+/// A query whose answer's revision is all that matters.
+const REVISION_QUERY: &str = "show sites";
+
+/// Statuses by which a change is refused for good, so that it must not be in force.
+const REFUSALS: [StatusCode; 3] = [
+    StatusCode::BAD_REQUEST,
+    StatusCode::CONFLICT,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
+/// What came of a change.
+#[derive(Clone, Debug, PartialEq)]
+enum Answer {
+    Accepted(u64),
+    Refused,
+    Unknown,
+}
+
+/// What operators were told, as an oracle of the configuration.
+#[derive(Debug, Default)]
+pub(crate) struct Operators {
+    next: usize,
+    /// Versions by what was said of their creation.
+    versions: BTreeMap<String, Answer>,
+    /// Accepted caps by revision.
+    caps: BTreeMap<u64, f64>,
+    /// Caps whose outcome is unknown, or were set at a revision not told.
+    unknown_caps: Vec<f64>,
+    /// The highest revision that was accepted.
+    accepted: u64,
+    /// The highest revision that each instance has reported.
+    seen: BTreeMap<String, u64>,
+    pub(crate) changes: u64,
+    pub(crate) refused: u64,
+}
+
+impl Operators {
+    /// Creates a version at one instance, and asks every instance for it if that is accepted.
+    pub(crate) async fn create(
+        &mut self,
+        fleet: &Fleet,
+        load: &Load,
+        evidence: &mut Evidence,
+        rng: &mut ChaCha8Rng,
+    ) {
+        let Some(statements) = any(fleet, rng) else {
+            return;
+        };
+        self.next += 1;
+        let model = format!("{}@r{}", adapter_name(0), self.next);
+        let answer = self.send(&statements, &create_version(&model)).await;
+        self.versions.insert(model.clone(), answer.clone());
+        if let Answer::Accepted(revision) = answer {
+            ask_everywhere(fleet, load, evidence, &model, revision).await;
+        }
+    }
+
+    /// Has two operators set a cap and create the same version at once, at two instances, each
+    /// only if the revision that both have seen is still in force.
+    pub(crate) async fn race(
+        &mut self,
+        fleet: &Fleet,
+        evidence: &mut Evidence,
+        rng: &mut ChaCha8Rng,
+    ) {
+        let (Some(a), Some(b)) = (any(fleet, rng), any(fleet, rng)) else {
+            return;
+        };
+        let Ok(shown) = a.run_local(REVISION_QUERY).await else {
+            return;
+        };
+        let revision = shown["revision"].as_u64().unwrap_or_default();
+        self.next += 1;
+        let caps = [self.next as f64 * 2.0, self.next as f64 * 2.0 + 1.0].map(|cap| cap + 50_000.0);
+        let text = |cap: f64| format!("if revision = {revision} set site {SITE} cap_watts={cap}");
+        let (texts, senders) = (caps.map(text), [&a, &b]);
+        let (first, second) =
+            tokio::join!(tell(senders[0], &texts[0]), tell(senders[1], &texts[1]),);
+        let both = matches!(
+            (&first, &second),
+            (Answer::Accepted(_), Answer::Accepted(_))
+        );
+        let finding = || format!("two changes that need revision {revision} were accepted");
+        evidence.check(Promise::ConfigurationHolds, !both, finding);
+        for (cap, answer) in caps.into_iter().zip([first, second]) {
+            self.note(&answer);
+            match answer {
+                Answer::Accepted(revision) => drop(self.caps.insert(revision, cap)),
+                Answer::Unknown => self.unknown_caps.push(cap),
+                Answer::Refused => {}
+            }
+        }
+    }
+
+    async fn send(&mut self, statements: &Statements, text: &str) -> Answer {
+        let answer = tell(statements, text).await;
+        self.note(&answer);
+        answer
+    }
+
+    fn note(&mut self, answer: &Answer) {
+        self.changes += 1;
+        match answer {
+            Answer::Accepted(revision) => self.accepted = self.accepted.max(*revision),
+            Answer::Refused => self.refused += 1,
+            Answer::Unknown => {}
+        }
+    }
+
+    /// Asks each instance for its revision, which must never go back.
+    pub(crate) async fn watch_revisions(&mut self, fleet: &Fleet, evidence: &mut Evidence) {
+        for (id, _) in fleet.balanced() {
+            let Ok(statements) = fleet.statements_at(&id) else {
+                continue;
+            };
+            let Ok(shown) = statements.run_local(REVISION_QUERY).await else {
+                continue;
+            };
+            let revision = shown["revision"].as_u64().unwrap_or_default();
+            let seen = self.seen.entry(id.clone()).or_default();
+            let back = || format!("{id} went from revision {seen} back to {revision}");
+            evidence.check(Promise::ConfigurationHolds, revision >= *seen, back);
+            *seen = revision.max(*seen);
+        }
+    }
+
+    /// Forgets what an instance reported that starts anew under its own id.
+    pub(crate) fn forget(&mut self, id: &str) {
+        self.seen.remove(id);
+    }
+
+    /// Checks a healed deployment: what was accepted is in force everywhere, and what was refused
+    /// nowhere.
+    pub(crate) async fn check(&mut self, fleet: &Fleet, evidence: &mut Evidence) {
+        for (id, _) in fleet.balanced() {
+            let Ok(statements) = fleet.statements_at(&id) else {
+                continue;
+            };
+            let accepted = self.accepted;
+            let look = || async {
+                let shown = statements.run_local(REVISION_QUERY).await.ok()?;
+                (shown["revision"].as_u64()? >= accepted).then_some(())
+            };
+            let known = wait_until(IN_FORCE_BOUND, look).await.is_some();
+            let behind = || format!("{id} doesn't know revision {accepted} after healing");
+            evidence.check(Promise::ConfigurationHolds, known, behind);
+            if known {
+                self.check_versions(&id, &statements, evidence).await;
+                self.check_cap(&id, &statements, evidence).await;
+            }
+        }
+    }
+
+    async fn check_versions(&self, id: &str, statements: &Statements, evidence: &mut Evidence) {
+        let query = format!("show versions where name ~ {}@r", adapter_name(0));
+        let Some(shown) = column(statements, &query, "name").await else {
+            return;
+        };
+        for (model, answer) in &self.versions {
+            let there = shown.contains(model);
+            let held = match answer {
+                Answer::Accepted(_) => there,
+                Answer::Refused => !there,
+                Answer::Unknown => true,
+            };
+            let finding = || format!("{id}: {model} was {answer:?}, in force there: {there}");
+            evidence.check(Promise::ConfigurationHolds, held, finding);
+        }
+    }
+
+    /// The cap is the last accepted one, unless one whose outcome is unknown came after it.
+    async fn check_cap(&self, id: &str, statements: &Statements, evidence: &mut Evidence) {
+        let Some((_, accepted)) = self.caps.last_key_value() else {
+            return;
+        };
+        let query = format!("show sites where name = {SITE}");
+        let Some(shown) = column(statements, &query, "cap_watts").await else {
+            return;
+        };
+        let cap = shown
+            .first()
+            .and_then(|cap| cap.parse::<f64>().ok())
+            .unwrap_or_default();
+        let held = cap == *accepted || self.unknown_caps.contains(&cap);
+        let finding = || format!("{id}: the cap is {cap}, {accepted} was accepted last");
+        evidence.check(Promise::ConfigurationHolds, held, finding);
+    }
+}
+
+/// Asks every instance for a version that was just accepted: none may say that there is none.
+async fn ask_everywhere(
+    fleet: &Fleet,
+    load: &Load,
+    evidence: &mut Evidence,
+    model: &str,
+    revision: u64,
+) {
+    let requests = fleet.balanced().into_iter().map(|(id, address)| {
+        let req = completion(&format!("new-{model}-{id}"), model, 2, Api::Text, true);
+        let sent = load.spawn(&id, RequestPlan { to: address, ..req });
+        (id, sent)
+    });
+    // Collected first, so that all are on their way before the first is waited for.
+    for (id, sent) in requests.collect::<Vec<_>>() {
+        let Ok(verdict) = sent.await else {
+            continue;
+        };
+        let unknown = matches!(&verdict, Verdict::Refused(refusal) if refusal.status == 404);
+        let finding = || format!("{id} after revision {revision}: {}", describe(&verdict));
+        evidence.check(Promise::ConfigurationHolds, !unknown, finding);
+    }
+}
+
+async fn tell(statements: &Statements, text: &str) -> Answer {
+    let Ok(reply) = statements.try_run(text).await else {
+        return Answer::Unknown;
+    };
+    if REFUSALS.contains(&reply.status) {
+        return Answer::Refused;
+    }
+    let accepted = reply.json()["results"][0]["accepted"].as_u64();
+    accepted.map_or(Answer::Unknown, Answer::Accepted)
+}
+
+async fn column(statements: &Statements, query: &str, name: &str) -> Option<Vec<String>> {
+    let answer = statements.run_local(query).await.ok()?;
+    let result = &answer["results"][0];
+    let columns = result["columns"].as_array()?;
+    let index = columns.iter().position(|column| column == name)?;
+    let rows = result["rows"].as_array()?.iter();
+    Some(
+        rows.filter_map(|row| row[index].as_str().map(str::to_owned))
+            .collect(),
+    )
+}
+
+fn any(fleet: &Fleet, rng: &mut ChaCha8Rng) -> Option<Statements> {
+    let instances = fleet.balanced();
+    let (id, _) = instances.choose(rng)?;
+    fleet.statements_at(id).ok()
+}
--- /dev/null
+++ b/crates/chervilshunt_bench/src/faults/command.rs
@@ -0,0 +1,109 @@
+//! The command line of a run.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use chervilshunt_standin::fleet::FleetError;
+use lexopt::{Arg, Parser, ValueExt as _};
+
+use super::fault::Kind;
+use super::report::Report;
+use super::run::{Options, Run};
+
+const USAGE: &str = "\
+usage: chervilshunt_bench faults [OPTIONS]
+
+  --seed N       seed of faults and load (1)
+  --minutes M    length; the last episode is finished (2)
+  --rate N       requests a second (40)
+  --only KINDS   kinds of faults, separated by commas (all)
+  --json         print the report as JSON
+  --keep-logs    keep the processes' logs also if all is well
+
+Exits with 0 only if every promise held and each recovery was inside its bound.";
+
+/// The exit code after Ctrl-C, as shells have it.
+const INTERRUPTED: u8 = 130;
+
+/// Runs the tool.
+pub fn run(parser: Parser) -> ExitCode {
+    let options = match parse(parser) {
+        Ok(Some(options)) => options,
+        Ok(None) => {
+            println!("{USAGE}");
+            return ExitCode::SUCCESS;
+        }
+        Err(err) => {
+            eprintln!("chervilshunt_bench: {err}\n{USAGE}");
+            return ExitCode::from(2);
+        }
+    };
+    match complete(&options) {
+        Ok(Some(report)) => show(&report, options.json),
+        Ok(None) => ExitCode::from(INTERRUPTED),
+        Err(err) => {
+            eprintln!("chervilshunt_bench: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+#[tokio::main]
+async fn complete(options: &Options) -> Result<Option<Report>, FleetError> {
+    // Dropping the run on Ctrl-C ends every process that it started.
+    tokio::select! {
+        report = Run::complete(options) => report.map(Some),
+        _interrupt = tokio::signal::ctrl_c() => Ok(None),
+    }
+}
+
+fn show(report: &Report, json: bool) -> ExitCode {
+    if json {
+        println!(
+            "{}",
+            serde_json::to_string_pretty(report).unwrap_or_default()
+        );
+    } else {
+        report.print();
+    }
+    if report.held {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+fn parse(mut parser: Parser) -> Result<Option<Options>, lexopt::Error> {
+    let mut options = Options {
+        seed: 1,
+        length: Duration::from_secs(120),
+        rate: 40.0,
+        kinds: Kind::ALL.to_vec(),
+        json: false,
+        keep_logs: false,
+    };
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Long("seed") => options.seed = parser.value()?.parse()?,
+            Arg::Long("minutes") => {
+                options.length = Duration::from_secs_f64(parser.value()?.parse::<f64>()? * 60.0);
+            }
+            Arg::Long("rate") => options.rate = parser.value()?.parse()?,
+            Arg::Long("only") => options.kinds = kinds(&parser.value()?.string()?)?,
+            Arg::Long("json") => options.json = true,
+            Arg::Long("keep-logs") => options.keep_logs = true,
+            Arg::Long("help") => return Ok(None),
+            _ => return Err(arg.unexpected()),
+        }
+    }
+    Ok(Some(options))
+}
+
+fn kinds(names: &str) -> Result<Vec<Kind>, lexopt::Error> {
+    let kind = |name: &str| {
+        let known = || Kind::ALL.map(Kind::name).join(", ");
+        Kind::parse(name)
+            .ok_or_else(|| format!("no fault is called {name}; there are {}", known()).into())
+    };
+    names.split(',').map(kind).collect()
+}
--- /dev/null
+++ b/crates/chervilshunt_bench/src/faults/episode.rs
@@ -0,0 +1,154 @@
+//! One episode: some faults at once, held, healed and recovered from.
+
+use std::time::Duration;
+
+use chervilshunt_standin::check::{Outcome, Verdict};
+use chervilshunt_standin::fleet::{FleetError, Promise, describe};
+use rand::Rng as _;
+use rand::seq::IndexedRandom as _;
+use tokio::time::Instant;
+
+use super::fault::{Fault, Kind, heal};
+use super::probe::until_recovered;
+use super::run::Run;
+
+/// How long faults may take to be recovered from after they were healed.
+pub(crate) const RECOVERY_BOUND: Duration = Duration::from_secs(20);
+
+/// How long a graceful shutdown may take while other faults are in force.
+const SHUTDOWN_BOUND: Duration = Duration::from_secs(60);
+
+/// How long faults are held, in milliseconds.
+const HOLD_MS: std::ops::Range<u64> = 1_000..12_000;
+
+/// How often operators act while faults are held.
+const OPERATORS_EVERY: Duration = Duration::from_secs(2);
+
+/// What an episode did and how long it took to recover.
+#[derive(Debug)]
+pub(crate) struct Episode {
+    pub(crate) kinds: Vec<Kind>,
+    pub(crate) recovery: Result<Duration, String>,
+}
+
+impl Run {
+    /// Injects one to three faults, holds and heals them, and waits until all is well.
+    pub(crate) async fn episode(&mut self, number: usize) -> Result<Episode, FleetError> {
+        let faults = self.draw();
+        let began = Instant::now();
+        for fault in &faults {
+            self.note(number, &format!("{:?} {}", fault.kind, fault.on.join(" ")));
+            self.begin(fault).await?;
+        }
+        let hold = Duration::from_millis(self.rng.random_range(HOLD_MS));
+        while began.elapsed() < hold {
+            let left = hold.saturating_sub(began.elapsed());
+            tokio::time::sleep(left.min(OPERATORS_EVERY)).await;
+            self.operators
+                .watch_revisions(&self.fleet, &mut self.evidence)
+                .await;
+            self.operators
+                .create(&self.fleet, &self.load, &mut self.evidence, &mut self.rng)
+                .await;
+        }
+        heal(&self.fleet).await?;
+        let healed = Instant::now();
+        self.note(number, "healed");
+        for fault in &faults {
+            self.finish(fault).await?;
+        }
+        let recovery =
+            until_recovered(&self.fleet, &self.load, number, healed, RECOVERY_BOUND).await;
+        self.note(number, &format!("recovered: {recovery:?}"));
+        self.operators.check(&self.fleet, &mut self.evidence).await;
+        let kinds = faults.iter().map(|fault| fault.kind).collect();
+        Ok(Episode { kinds, recovery })
+    }
+
+    fn draw(&mut self) -> Vec<Fault> {
+        let count = match self.rng.random_range(0..100) {
+            0..50 => 1,
+            50..85 => 2,
+            _ => 3,
+        };
+        let mut faults = Vec::<Fault>::new();
+        while faults.len() < count {
+            let Some(kind) = self.kinds.choose(&mut self.rng).copied() else {
+                return faults;
+            };
+            let held = faults.iter().filter(|fault| fault.holds_instances());
+            let taken: Vec<_> = held.flat_map(|fault| fault.on.clone()).collect();
+            match Fault::draw(kind, &self.fleet, &taken, &mut self.rng) {
+                Some(fault) => faults.push(fault),
+                None => return faults,
+            }
+        }
+        faults
+    }
+
+    async fn begin(&mut self, fault: &Fault) -> Result<(), FleetError> {
+        fault.inject(&self.fleet, &mut self.rng).await?;
+        match (fault.kind, fault.on.first()) {
+            (Kind::Kill, Some(id)) => self.fleet.kill(id).await?,
+            (Kind::Restart, Some(id)) => {
+                self.fleet.restart(id).await?;
+                self.operators.forget(id);
+            }
+            (Kind::Terminate, Some(id)) => self.fleet.terminate(id)?,
+            (Kind::PopularityShift, _) => self.load.shift_popularity(),
+            (Kind::OperatorRace, _) => {
+                self.operators
+                    .race(&self.fleet, &mut self.evidence, &mut self.rng)
+                    .await;
+            }
+            _ => {}
+        }
+        self.load.set_instances(self.fleet.balanced());
+        Ok(())
+    }
+
+    /// Puts new instances in the place of those that are gone.
+    async fn finish(&mut self, fault: &Fault) -> Result<(), FleetError> {
+        match (fault.kind, fault.on.first()) {
+            (Kind::Kill, _) => drop(self.fleet.add_instance().await?),
+            (Kind::Terminate, Some(id)) => {
+                let ended = self.fleet.wait_terminated(id, SHUTDOWN_BOUND).await;
+                let clean = ended.as_ref().is_ok_and(std::process::ExitStatus::success);
+                let finding = || format!("{id}: {ended:?}");
+                self.evidence
+                    .check(Promise::GracefulShutdown, clean, finding);
+                if ended.is_err() {
+                    self.fleet.kill(id).await?;
+                }
+                self.check_not_cut(id);
+                self.fleet.add_instance().await?;
+            }
+            _ => return Ok(()),
+        }
+        self.fleet.wait_ready().await?;
+        self.load.set_instances(self.fleet.balanced());
+        Ok(())
+    }
+
+    /// Checks that a graceful shutdown broke off no connection.
+    ///
+    /// What a target broke off, or what ran into another fault, is told in a problem document; a
+    /// connection without an end is the instance's own doing.
+    fn check_not_cut(&mut self, id: &str) {
+        for one in self.load.tries().iter().filter(|one| one.instance == id) {
+            let cut = match &one.record.verdict {
+                Verdict::Disconnected { sent, .. } => *sent,
+                Verdict::Refused(refusal) => {
+                    refusal.outcome != Outcome::NotRun && &*refusal.reason == "shutdown"
+                }
+                Verdict::Answered(_) | Verdict::Violated(_) => false,
+            };
+            let finding = || {
+                let id_of_request = &one.record.plan.request_id;
+                format!("{id}: {id_of_request}: {}", describe(&one.record.verdict))
+            };
+            self.evidence
+                .check(Promise::GracefulShutdown, !cut, finding);
+        }
+    }
+}
--- a/crates/chervilshunt_bench/src/lib.rs
+++ b/crates/chervilshunt_bench/src/lib.rs
@@ -1,6 +1,8 @@
 //! Benches of chervilshunt.
 //!
 //! [`load`] sends requests to running instances and checks every answer; see
-//! `docs/operators/load-tool.md`.
+//! `docs/operators/load-tool.md`. [`faults`] starts a whole deployment and checks every promise while
+//! it injects faults at random.
 
+pub mod faults;
 pub mod load;
