Keep claims of idempotency keys in a log that one keeper at a time can write

A keyed, non-idempotent request must run at most once although the keeper of its key can crash, be paused and be replaced, and answers of the platform get lost. A claim is granted only once it is recorded. Pages of claims are created and never changed, under numbers without gaps, and a new keeper begins with a page of its own: whatever an earlier one still tries to record then fails. This does not rest on the lease. Updating one page in place was ruled out, as every claim would write all of them again.

A property test of keepers that overlap, with late, lost and doubled calls, holds in 1,000 cases; granting before recording, and not reading what was recorded, are each caught by it.

--- a/crates/chervilshunt_coord/src/bugs.rs
+++ b/crates/chervilshunt_coord/src/bugs.rs
@@ -52,7 +52,6 @@
 
     /// Seeds a bug.
     #[cfg(test)]
-    #[allow(dead_code, reason = "the table of seeded bugs is to come")]
     pub(crate) const fn seeded(bug: Bug) -> Self {
         Self { seeded: Some(bug) }
     }
--- /dev/null
+++ b/crates/chervilshunt_coord/src/claims/keeper.rs
@@ -0,0 +1,599 @@
+//! Decides, for one shard of the idempotency keys, whether a keyed request may run.
+
+mod claim;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use chervilshunt_model::{AttemptId, Epoch, Moment};
+use serde::{Deserialize, Serialize};
+
+use self::claim::{Claim, ClaimState};
+use super::log::{ClaimLog, LogNews};
+use super::record::{ClaimEntry, ClaimKey, ClaimOutcome, ClaimPage};
+use crate::bugs::{Bug, Bugs};
+use crate::holder::Holder;
+use crate::platform::{
+    CallId, Calls, Object, ObjectName, PlatformCall, PlatformOp, PlatformResult, Purpose, Stored,
+};
+
+/// The machines of claim keepers number their calls from here on, by shard.
+const FIRST_LOG_MACHINE: u32 = 1_000;
+
+/// The machines of claim keepers number their reads of leases from here on, by shard.
+const FIRST_LEASE_MACHINE: u32 = 1_000_000;
+
+/// How a claim keeper behaves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClaimConfig {
+    /// The shard of the keys.
+    pub shard: u32,
+    /// This run of this instance.
+    pub me: Holder,
+    /// The epoch under which it holds the role.
+    pub epoch: Epoch,
+    /// The least time between two pages; claims that come meanwhile share a page.
+    pub commit_every: Duration,
+    /// The most records of a page, which bounds it far below the platform's megabyte.
+    pub page_at_most: usize,
+    /// How long a request waits for its claim to be recorded.
+    pub wait_at_most: Duration,
+    /// How long claims and outcomes are remembered.
+    pub keep_for: Duration,
+    /// The most claims that are remembered; more are refused.
+    pub remember_at_most: usize,
+    /// How long after a failed call the next try follows.
+    pub retry_every: Duration,
+    /// How often, at the most, it is looked after the instance that runs a claimed request.
+    pub check_every: Duration,
+    /// When a caller who is told to come back should do so.
+    pub retry_after: Duration,
+    /// What keyed requests get while the platform can't be asked.
+    pub in_outage: ClaimsInOutage,
+}
+
+impl ClaimConfig {
+    /// Takes the defaults for all that need not be said.
+    pub const fn new(shard: u32, me: Holder, epoch: Epoch) -> Self {
+        Self {
+            shard,
+            me,
+            epoch,
+            commit_every: Duration::from_millis(100),
+            page_at_most: 1_000,
+            wait_at_most: Duration::from_secs(2),
+            keep_for: Duration::from_secs(3_600),
+            remember_at_most: 200_000,
+            retry_every: Duration::from_millis(300),
+            check_every: Duration::from_secs(2),
+            retry_after: Duration::from_secs(2),
+            in_outage: ClaimsInOutage::Refuse,
+        }
+    }
+}
+
+/// What keyed requests get while the platform can't be asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ClaimsInOutage {
+    /// They are refused, as not run, and told when to come back.
+    Refuse,
+    /// They run, and their claims are kept in memory until they can be recorded.
+    ///
+    /// If their keeper crashes during the outage a retry may run once more.
+    RunUnrecorded,
+}
+
+/// A request for a claim.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ClaimRequest {
+    /// The key.
+    pub key: ClaimKey,
+    /// A hash of the request, to tell a retry from another request under the same key.
+    pub fingerprint: u64,
+    /// The try that the claim is for.
+    pub attempt: AttemptId,
+    /// The run of the instance that would carry it out.
+    pub entry: Holder,
+}
+
+/// The answer to a request for a claim.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum ClaimAnswer {
+    /// The request may be sent, by this try alone.
+    Granted,
+    /// Another try is running.
+    InProgress {
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// The request has run, with this outcome.
+    Ended {
+        /// The status of the answer.
+        status: u16,
+        /// What the answer said, if that was kept.
+        body: Option<std::sync::Arc<str>>,
+    },
+    /// The request may have run; nobody knows.
+    Unknown,
+    /// Another request has used the key.
+    OtherRequest,
+    /// It can't be said now; this try did not and will not run.
+    NotNow {
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+    },
+}
+
+/// What a claim keeper has to react to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClaimEvent {
+    /// An instance asks for a claim.
+    Asked(ClaimRequest),
+    /// The try that a claim was granted to, or asked for, has ended.
+    Ended {
+        /// The key.
+        key: ClaimKey,
+        /// The try.
+        attempt: AttemptId,
+        /// How.
+        outcome: ClaimOutcome,
+    },
+    /// A call to the platform has ended.
+    Reply(CallId, PlatformResult),
+    /// Time has passed.
+    Tick,
+}
+
+/// What a claim keeper wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClaimAction {
+    /// Call the platform.
+    Call(PlatformCall),
+    /// Answer a request for a claim.
+    Answer {
+        /// Who asked.
+        entry: Holder,
+        /// For which try.
+        attempt: AttemptId,
+        /// The answer.
+        answer: ClaimAnswer,
+    },
+    /// Ask an instance after a try: if it no longer runs, how did it end?
+    ///
+    /// An instance that doesn't know the try has not sent it and never will, and says
+    /// [`ClaimOutcome::NotRun`] only if it has kept all its tries since it started.
+    AskEntry {
+        /// The run of the instance.
+        entry: Holder,
+        /// The key.
+        key: ClaimKey,
+        /// The try.
+        attempt: AttemptId,
+    },
+    /// Another instance keeps the shard's claims now; this keeper grants nothing more.
+    Superseded,
+}
+
+/// Decides, for one shard of the idempotency keys, whether a keyed request may run.
+///
+/// A claim is granted only once it is recorded in the platform, so that whoever keeps the claims
+/// next knows of it. Many claims share one write. What became of a claimed request is recorded
+/// too, but nobody waits for that: if it is lost, a retry is told that the outcome is unknown.
+#[derive(Debug)]
+pub struct ClaimKeeper {
+    cfg: ClaimConfig,
+    log: ClaimLog,
+    leases: Calls,
+    ready: bool,
+    superseded: bool,
+    claims: BTreeMap<ClaimKey, Claim>,
+    /// Requests that came before the log was read, with when they are given up.
+    early: VecDeque<(ClaimRequest, Moment)>,
+    /// What is to be recorded with the next pages.
+    unrecorded: VecDeque<ClaimEntry>,
+    commit_at: Moment,
+    /// Since when the platform has not answered.
+    failing_since: Option<Moment>,
+    /// Leases that are being read, for the instances that run claimed requests.
+    lease_reads: BTreeMap<CallId, ClaimKey>,
+    bugs: Bugs,
+}
+
+impl ClaimKeeper {
+    /// Begins to keep a shard's claims: the first tick reads what was recorded.
+    pub fn new(cfg: ClaimConfig, now: Moment) -> Self {
+        let log = ClaimLog::new(
+            cfg.shard,
+            cfg.me.clone(),
+            cfg.epoch,
+            FIRST_LOG_MACHINE + cfg.shard,
+            cfg.retry_every,
+            now,
+        );
+        Self {
+            leases: Calls::new(FIRST_LEASE_MACHINE + cfg.shard, Purpose::Claims),
+            cfg,
+            log,
+            ready: false,
+            superseded: false,
+            claims: BTreeMap::new(),
+            early: VecDeque::new(),
+            unrecorded: VecDeque::new(),
+            commit_at: now,
+            failing_since: None,
+            lease_reads: BTreeMap::new(),
+            bugs: Bugs::default(),
+        }
+    }
+
+    /// Returns the shard whose keeper made a call, if a keeper made it.
+    pub const fn shard_of_call(call: CallId) -> Option<u32> {
+        let machine = call.machine();
+        if machine >= FIRST_LEASE_MACHINE {
+            Some(machine - FIRST_LEASE_MACHINE)
+        } else if machine >= FIRST_LOG_MACHINE {
+            Some(machine - FIRST_LOG_MACHINE)
+        } else {
+            None
+        }
+    }
+
+    /// Seeds a bug.
+    #[cfg(test)]
+    pub(crate) fn seed(&mut self, bugs: Bugs) {
+        self.bugs = bugs;
+    }
+
+    /// Returns the number of claims that are remembered.
+    pub fn len(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Returns whether no claim is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.claims.is_empty()
+    }
+
+    /// Returns when [`ClaimEvent::Tick`] is next wanted.
+    pub fn next_wakeup(&self) -> Option<Moment> {
+        if self.superseded {
+            return None;
+        }
+        let log = self.log.next_wakeup();
+        let commit = (self.log.is_idle() && !self.unrecorded.is_empty()).then_some(self.commit_at);
+        let early = self.early.front().map(|(_, give_up_at)| *give_up_at);
+        let waiting = self.claims.values().filter_map(Claim::gives_up_at).min();
+        [log, commit, early, waiting].into_iter().flatten().min()
+    }
+
+    /// Takes one event and says what is to be done.
+    ///
+    /// [`ClaimEvent::Asked`] may be handed in only while the role may be acted under.
+    pub fn handle(&mut self, event: ClaimEvent, now: Moment) -> Vec<ClaimAction> {
+        let mut actions = Vec::new();
+        match event {
+            ClaimEvent::Asked(req) => self.on_asked(req, now, &mut actions),
+            ClaimEvent::Ended {
+                key,
+                attempt,
+                outcome,
+            } => self.on_ended(key, attempt, outcome),
+            ClaimEvent::Reply(call, result) => self.on_reply(call, result, now, &mut actions),
+            ClaimEvent::Tick => {}
+        }
+        self.give_up(now, &mut actions);
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    fn on_asked(&mut self, req: ClaimRequest, now: Moment, actions: &mut Vec<ClaimAction>) {
+        if self.superseded {
+            actions.push(self.not_now(&req));
+        } else if !self.ready {
+            if self.early.len() >= self.cfg.page_at_most {
+                actions.push(self.not_now(&req));
+            } else {
+                self.early.push_back((req, now + self.cfg.wait_at_most));
+            }
+        } else if let Some(claim) = self.claims.get(&req.key) {
+            let answer = self.answer_known(claim, &req);
+            self.look_after(req.key, &req, now, actions);
+            actions.extend(answer.map(|answer| answer_to(&req, answer)));
+        } else if self.claims.len() >= self.cfg.remember_at_most {
+            actions.push(self.not_now(&req));
+        } else {
+            self.claim(req, now, actions);
+        }
+    }
+
+    /// Answers a request whose key is claimed; none if its claim is being recorded.
+    fn answer_known(&self, claim: &Claim, req: &ClaimRequest) -> Option<ClaimAnswer> {
+        if claim.fingerprint != req.fingerprint {
+            return Some(ClaimAnswer::OtherRequest);
+        }
+        let is_same_try = claim.attempt == req.attempt;
+        Some(match &claim.state {
+            // The same try asks once more, as the answer was lost or the question doubled.
+            ClaimState::Recording { .. } if is_same_try => return None,
+            ClaimState::Running if is_same_try => ClaimAnswer::Granted,
+            ClaimState::Recording { .. } | ClaimState::Running => ClaimAnswer::InProgress {
+                retry_after_ms: self.retry_after_ms(),
+            },
+            ClaimState::Ended(ClaimOutcome::Done { status, body }) => ClaimAnswer::Ended {
+                status: *status,
+                body: body.clone(),
+            },
+            ClaimState::Ended(ClaimOutcome::Unknown | ClaimOutcome::NotRun) => ClaimAnswer::Unknown,
+        })
+    }
+
+    fn claim(&mut self, req: ClaimRequest, now: Moment, actions: &mut Vec<ClaimAction>) {
+        let grant_now = self.bugs.has(Bug::ClaimBeforeRecord) || self.runs_unrecorded(now);
+        let state = if grant_now {
+            actions.push(answer_to(&req, ClaimAnswer::Granted));
+            ClaimState::Running
+        } else {
+            ClaimState::Recording {
+                give_up_at: now + self.cfg.wait_at_most,
+            }
+        };
+        self.unrecorded.push_back(ClaimEntry::Claimed {
+            key: req.key,
+            fingerprint: req.fingerprint,
+            attempt: req.attempt,
+            entry: req.entry.clone(),
+        });
+        let claim = Claim {
+            fingerprint: req.fingerprint,
+            attempt: req.attempt,
+            entry: req.entry,
+            state,
+            last_page: None,
+            check_at: now + self.cfg.check_every,
+        };
+        self.claims.insert(req.key, claim);
+    }
+
+    fn runs_unrecorded(&self, now: Moment) -> bool {
+        let failing = self
+            .failing_since
+            .is_some_and(|since| now.since(since) >= self.cfg.wait_at_most);
+        failing && self.cfg.in_outage == ClaimsInOutage::RunUnrecorded
+    }
+
+    fn on_ended(&mut self, key: ClaimKey, attempt: AttemptId, outcome: ClaimOutcome) {
+        let Some(claim) = self.claims.get_mut(&key) else {
+            return;
+        };
+        if claim.attempt != attempt || !claim.may_become(&outcome) {
+            return;
+        }
+        self.unrecorded.push_back(ClaimEntry::Ended {
+            key,
+            outcome: outcome.clone(),
+        });
+        if outcome == ClaimOutcome::NotRun {
+            self.claims.remove(&key);
+        } else {
+            claim.state = ClaimState::Ended(outcome);
+        }
+    }
+
+    /// Finds out whether the instance that runs a claimed request still does.
+    fn look_after(
+        &mut self,
+        key: ClaimKey,
+        req: &ClaimRequest,
+        now: Moment,
+        actions: &mut Vec<ClaimAction>,
+    ) {
+        let check_every = self.cfg.check_every;
+        let Some(claim) = self.claims.get_mut(&key) else {
+            return;
+        };
+        let (entry, attempt) = (&claim.entry, claim.attempt);
+        let runs = claim.state == ClaimState::Running && attempt != req.attempt;
+        if !runs || now < claim.check_at {
+            return;
+        }
+        claim.check_at = now + check_every;
+        actions.push(ClaimAction::AskEntry {
+            entry: entry.clone(),
+            key,
+            attempt,
+        });
+        let name = ObjectName::Lease(entry.clone());
+        let call = self.leases.call(PlatformOp::Read(name));
+        self.lease_reads.insert(call.id, key);
+        actions.push(ClaimAction::Call(call));
+    }
+
+    fn on_reply(
+        &mut self,
+        call: CallId,
+        result: PlatformResult,
+        now: Moment,
+        actions: &mut Vec<ClaimAction>,
+    ) {
+        if let Some(key) = self.lease_reads.remove(&call) {
+            self.on_lease(key, result);
+            return;
+        }
+        let (news, next) = self.log.on_reply(call, result, now);
+        actions.extend(next.map(ClaimAction::Call));
+        match news {
+            None => {}
+            Some(LogNews::Loaded(pages)) => self.on_loaded(pages, now, actions),
+            Some(LogNews::Recorded(page)) => self.on_recorded(&page, actions),
+            Some(LogNews::Failed) => {
+                self.failing_since.get_or_insert(now);
+            }
+            Some(LogNews::Superseded) => self.on_superseded(actions),
+        }
+    }
+
+    /// Ends a claim whose entry instance is gone: nobody will ever know what became of it.
+    fn on_lease(&mut self, key: ClaimKey, result: PlatformResult) {
+        let gone = match result {
+            PlatformResult::Found(Stored {
+                object: Object::Lease(lease),
+                ..
+            }) => !lease.state.is_live(),
+            PlatformResult::NotFound => true,
+            _ => false,
+        };
+        let Some(claim) = self.claims.get(&key).filter(|_| gone) else {
+            return;
+        };
+        if claim.state == ClaimState::Running {
+            self.on_ended(key, claim.attempt, ClaimOutcome::Unknown);
+        }
+    }
+
+    fn on_loaded(&mut self, pages: Vec<ClaimPage>, now: Moment, actions: &mut Vec<ClaimAction>) {
+        self.failing_since = None;
+        self.ready = true;
+        if !self.bugs.has(Bug::ClaimsNotRead) {
+            for page in pages {
+                self.load(page, now);
+            }
+        }
+        for (req, _) in std::mem::take(&mut self.early) {
+            self.on_asked(req, now, actions);
+        }
+    }
+
+    fn load(&mut self, page: ClaimPage, now: Moment) {
+        for entry in page.entries {
+            match entry {
+                ClaimEntry::Claimed {
+                    key,
+                    fingerprint,
+                    attempt,
+                    entry,
+                } => {
+                    let claim = Claim {
+                        fingerprint,
+                        attempt,
+                        entry,
+                        state: ClaimState::Running,
+                        last_page: Some(page.name.sequence),
+                        check_at: now,
+                    };
+                    self.claims.insert(key, claim);
+                }
+                ClaimEntry::Ended { key, outcome } => {
+                    if outcome == ClaimOutcome::NotRun {
+                        self.claims.remove(&key);
+                    } else if let Some(claim) = self.claims.get_mut(&key) {
+                        claim.state = ClaimState::Ended(outcome);
+                        claim.last_page = Some(page.name.sequence);
+                    }
+                }
+            }
+        }
+    }
+
+    fn on_recorded(&mut self, page: &ClaimPage, actions: &mut Vec<ClaimAction>) {
+        self.failing_since = None;
+        for entry in &page.entries {
+            let (ClaimEntry::Claimed { key, .. } | ClaimEntry::Ended { key, .. }) = entry;
+            let Some(claim) = self.claims.get_mut(key) else {
+                continue;
+            };
+            claim.last_page = Some(page.name.sequence);
+            let (ClaimEntry::Claimed { attempt, entry, .. }, ClaimState::Recording { .. }) =
+                (entry, &claim.state)
+            else {
+                continue;
+            };
+            if claim.attempt == *attempt {
+                claim.state = ClaimState::Running;
+                actions.push(ClaimAction::Answer {
+                    entry: entry.clone(),
+                    attempt: *attempt,
+                    answer: ClaimAnswer::Granted,
+                });
+            }
+        }
+    }
+
+    fn on_superseded(&mut self, actions: &mut Vec<ClaimAction>) {
+        self.superseded = true;
+        for (key, claim) in std::mem::take(&mut self.claims) {
+            if claim.gives_up_at().is_some() {
+                actions.push(self.not_now(&claim.request(key)));
+            }
+        }
+        actions.push(ClaimAction::Superseded);
+    }
+
+    /// Refuses the requests that have waited for long; it's their final answer.
+    fn give_up(&mut self, now: Moment, actions: &mut Vec<ClaimAction>) {
+        while let Some((req, _)) = self.early.pop_front_if(|(_, at)| now >= *at) {
+            actions.push(self.not_now(&req));
+        }
+        let overdue: Vec<_> = self
+            .claims
+            .iter()
+            .filter(|(_, claim)| claim.gives_up_at().is_some_and(|at| now >= at))
+            .map(|(key, claim)| (*key, claim.clone()))
+            .collect();
+        for (key, claim) in overdue {
+            // The claim may be recorded all the same, so it is recorded that it did not run.
+            self.on_ended(key, claim.attempt, ClaimOutcome::NotRun);
+            actions.push(self.not_now(&claim.request(key)));
+        }
+    }
+
+    fn advance(&mut self, now: Moment, actions: &mut Vec<ClaimAction>) {
+        if self.superseded || self.log.is_superseded() {
+            return;
+        }
+        actions.extend(self.log.advance(now).map(ClaimAction::Call));
+        if !self.log.is_idle() {
+            return;
+        }
+        self.forget_old(now, actions);
+        if !self.unrecorded.is_empty() && now >= self.commit_at {
+            let count = self.unrecorded.len().min(self.cfg.page_at_most);
+            let entries = self.unrecorded.drain(..count).collect();
+            self.commit_at = now + self.cfg.commit_every;
+            actions.push(ClaimAction::Call(self.log.append(entries)));
+        }
+    }
+
+    /// Deletes the pages whose claims have all been kept for long enough.
+    fn forget_old(&mut self, now: Moment, actions: &mut Vec<ClaimAction>) {
+        let old: Vec<_> = self.log.pages_before(now - self.cfg.keep_for).collect();
+        for sequence in old {
+            let running = self.claims.values().any(|claim| {
+                claim.last_page == Some(sequence) && claim.state == ClaimState::Running
+            });
+            if running {
+                return;
+            }
+            self.claims
+                .retain(|_, claim| claim.last_page != Some(sequence));
+            actions.extend(self.log.delete_oldest().map(ClaimAction::Call));
+        }
+    }
+
+    fn retry_after_ms(&self) -> u64 {
+        u64::try_from(self.cfg.retry_after.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn not_now(&self, req: &ClaimRequest) -> ClaimAction {
+        let retry_after_ms = self.retry_after_ms();
+        answer_to(req, ClaimAnswer::NotNow { retry_after_ms })
+    }
+}
+
+fn answer_to(req: &ClaimRequest, answer: ClaimAnswer) -> ClaimAction {
+    ClaimAction::Answer {
+        entry: req.entry.clone(),
+        attempt: req.attempt,
+        answer,
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_coord/src/claims/log.rs
@@ -0,0 +1,305 @@
+//! The log of one shard's claims in the platform.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use chervilshunt_model::{Epoch, Moment};
+
+use super::record::{ClaimEntry, ClaimPage, ClaimPageName};
+use crate::holder::Holder;
+use crate::platform::{
+    CallId, Calls, Object, ObjectName, PlatformCall, PlatformOp, PlatformResult, Purpose, Stored,
+};
+
+/// What came of the log's calls.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum LogNews {
+    /// The pages that earlier keepers wrote, oldest first; the log is ready.
+    Loaded(Vec<ClaimPage>),
+    /// The page that was being written is recorded.
+    Recorded(ClaimPage),
+    /// The platform does not answer; the page is still to be recorded.
+    Failed,
+    /// Another keeper writes the log; this one may not any more.
+    Superseded,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Doing {
+    /// The pages have to be listed.
+    Begin,
+    Listing(CallId),
+    /// The first page of this keeper is being written; with what was listed before.
+    Sealing(CallId, Vec<ClaimPage>),
+    Idle,
+    Writing(CallId, ClaimPage),
+    /// The page may be recorded: it has to be read back.
+    Unsettled(ClaimPage),
+    Settling(CallId, ClaimPage),
+    Superseded,
+}
+
+/// Appends pages to the log, each under the number after the last.
+///
+/// A page is created and never changed, so two keepers can't both write under a number. A keeper
+/// starts by writing a page of its own: from then on whatever an earlier keeper, woken from a
+/// pause, still tries to record fails, and that claim is not granted. This holds whatever the
+/// leases say.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct ClaimLog {
+    shard: u32,
+    me: Holder,
+    epoch: Epoch,
+    calls: Calls,
+    retry_every: Duration,
+    next: u64,
+    doing: Doing,
+    retry_at: Moment,
+    /// The pages in the platform with when they were recorded or read, oldest first.
+    pages: VecDeque<(u64, Moment)>,
+}
+
+impl ClaimLog {
+    pub(super) const fn new(
+        shard: u32,
+        me: Holder,
+        epoch: Epoch,
+        machine: u32,
+        retry_every: Duration,
+        now: Moment,
+    ) -> Self {
+        Self {
+            shard,
+            me,
+            epoch,
+            calls: Calls::new(machine, Purpose::Claims),
+            retry_every,
+            next: 0,
+            doing: Doing::Begin,
+            retry_at: now,
+            pages: VecDeque::new(),
+        }
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.doing == Doing::Idle
+    }
+
+    pub(super) fn is_superseded(&self) -> bool {
+        self.doing == Doing::Superseded
+    }
+
+    /// Returns when [`Self::advance`] has something to do.
+    pub(super) fn next_wakeup(&self) -> Option<Moment> {
+        matches!(self.doing, Doing::Begin | Doing::Unsettled(_)).then_some(self.retry_at)
+    }
+
+    /// Calls what is due.
+    pub(super) fn advance(&mut self, now: Moment) -> Option<PlatformCall> {
+        if now < self.retry_at {
+            return None;
+        }
+        let call = match &self.doing {
+            Doing::Begin => {
+                let call = self.calls.call(PlatformOp::ListClaims(self.shard));
+                self.doing = Doing::Listing(call.id);
+                call
+            }
+            Doing::Unsettled(page) => {
+                let page = page.clone();
+                let call = self
+                    .calls
+                    .call(PlatformOp::Read(ObjectName::Claims(page.name)));
+                self.doing = Doing::Settling(call.id, page);
+                call
+            }
+            Doing::Listing(_)
+            | Doing::Sealing(..)
+            | Doing::Idle
+            | Doing::Writing(..)
+            | Doing::Settling(..)
+            | Doing::Superseded => return None,
+        };
+        Some(call)
+    }
+
+    /// Begins to record a page; only when idle.
+    pub(super) fn append(&mut self, entries: Vec<ClaimEntry>) -> PlatformCall {
+        let page = self.page(entries);
+        let object = Object::Claims(page.clone());
+        let call = self.calls.call(PlatformOp::Create(object));
+        self.doing = Doing::Writing(call.id, page);
+        call
+    }
+
+    /// Returns the pages recorded or read before `before`, oldest first, but never the last one:
+    /// without it the next keeper would begin to count anew.
+    pub(super) fn pages_before(&self, before: Moment) -> impl Iterator<Item = u64> {
+        let all_but_last = self.pages.len().saturating_sub(1);
+        self.pages
+            .iter()
+            .take(all_but_last)
+            .take_while(move |(_, at)| *at < before)
+            .map(|(sequence, _)| *sequence)
+    }
+
+    /// Deletes the oldest page.
+    pub(super) fn delete_oldest(&mut self) -> Option<PlatformCall> {
+        let (sequence, _) = self.pages.pop_front()?;
+        let name = ClaimPageName {
+            shard: self.shard,
+            sequence,
+        };
+        Some(
+            self.calls
+                .call(PlatformOp::Delete(ObjectName::Claims(name), None)),
+        )
+    }
+
+    /// Takes the result of a call; returns what came of it, and the next call.
+    pub(super) fn on_reply(
+        &mut self,
+        call: CallId,
+        result: PlatformResult,
+        now: Moment,
+    ) -> (Option<LogNews>, Option<PlatformCall>) {
+        let doing = std::mem::replace(&mut self.doing, Doing::Superseded);
+        match doing {
+            Doing::Listing(id) if id == call => self.on_listed(result, now),
+            Doing::Sealing(id, pages) if id == call => (self.on_sealed(pages, &result, now), None),
+            Doing::Writing(id, page) if id == call => (self.on_written(page, &result, now), None),
+            Doing::Settling(id, page) if id == call => self.on_settled(page, result, now),
+            other => {
+                self.doing = other;
+                (None, None)
+            }
+        }
+    }
+
+    fn page(&self, entries: Vec<ClaimEntry>) -> ClaimPage {
+        ClaimPage {
+            name: ClaimPageName {
+                shard: self.shard,
+                sequence: self.next,
+            },
+            writer: self.me.clone(),
+            epoch: self.epoch,
+            entries,
+        }
+    }
+
+    fn on_listed(
+        &mut self,
+        result: PlatformResult,
+        now: Moment,
+    ) -> (Option<LogNews>, Option<PlatformCall>) {
+        let PlatformResult::Listed(objects) = result else {
+            self.begin_again(now);
+            return (Some(LogNews::Failed), None);
+        };
+        let mut pages: Vec<_> = objects.into_iter().filter_map(claim_page).collect();
+        pages.sort_by_key(|page| page.name.sequence);
+        if pages.last().is_some_and(|last| last.epoch > self.epoch) {
+            return (Some(LogNews::Superseded), None);
+        }
+        self.next = pages.last().map_or(0, |last| last.name.sequence + 1);
+        let seal = Object::Claims(self.page(Vec::new()));
+        let call = self.calls.call(PlatformOp::Create(seal));
+        self.doing = Doing::Sealing(call.id, pages);
+        (None, Some(call))
+    }
+
+    fn on_sealed(
+        &mut self,
+        pages: Vec<ClaimPage>,
+        result: &PlatformResult,
+        now: Moment,
+    ) -> Option<LogNews> {
+        if let PlatformResult::Written(_) = result {
+            return Some(self.loaded(pages, now));
+        }
+        // Another page may have come first: an earlier keeper's last one, or this seal, whose
+        // answer was lost. The list tells.
+        self.begin_again(now);
+        (!result.is_answer()).then_some(LogNews::Failed)
+    }
+
+    fn loaded(&mut self, pages: Vec<ClaimPage>, now: Moment) -> LogNews {
+        self.pages = pages.iter().map(|page| (page.name.sequence, now)).collect();
+        self.pages.push_back((self.next, now));
+        self.next += 1;
+        self.doing = Doing::Idle;
+        LogNews::Loaded(pages)
+    }
+
+    fn on_written(
+        &mut self,
+        page: ClaimPage,
+        result: &PlatformResult,
+        now: Moment,
+    ) -> Option<LogNews> {
+        if let PlatformResult::Written(_) = result {
+            return Some(self.recorded(page, now));
+        }
+        let answered = result.is_answer();
+        self.doing = Doing::Unsettled(page);
+        self.retry_at = if answered {
+            now
+        } else {
+            now + self.retry_every
+        };
+        (!answered).then_some(LogNews::Failed)
+    }
+
+    fn on_settled(
+        &mut self,
+        page: ClaimPage,
+        result: PlatformResult,
+        now: Moment,
+    ) -> (Option<LogNews>, Option<PlatformCall>) {
+        match result {
+            PlatformResult::Found(stored) => match claim_page(stored) {
+                Some(found) if found.writer == self.me && found.epoch == self.epoch => {
+                    (Some(self.recorded(found, now)), None)
+                }
+                _ => (Some(LogNews::Superseded), None),
+            },
+            PlatformResult::NotFound => {
+                let call = self
+                    .calls
+                    .call(PlatformOp::Create(Object::Claims(page.clone())));
+                self.doing = Doing::Writing(call.id, page);
+                (None, Some(call))
+            }
+            PlatformResult::Listed(_)
+            | PlatformResult::Written(_)
+            | PlatformResult::Conflict
+            | PlatformResult::AlreadyExists
+            | PlatformResult::Unavailable
+            | PlatformResult::Unknown => {
+                self.doing = Doing::Unsettled(page);
+                self.retry_at = now + self.retry_every;
+                (Some(LogNews::Failed), None)
+            }
+        }
+    }
+
+    fn recorded(&mut self, page: ClaimPage, now: Moment) -> LogNews {
+        self.pages.push_back((self.next, now));
+        self.next += 1;
+        self.doing = Doing::Idle;
+        LogNews::Recorded(page)
+    }
+
+    fn begin_again(&mut self, now: Moment) {
+        self.doing = Doing::Begin;
+        self.retry_at = now + self.retry_every;
+    }
+}
+
+fn claim_page(stored: Stored) -> Option<ClaimPage> {
+    match stored.object {
+        Object::Claims(page) => Some(page),
+        Object::Lease(_) | Object::Assignment(_) | Object::Head(_) | Object::Page { .. } => None,
+    }
+}
--- a/crates/chervilshunt_coord/src/lib.rs
+++ b/crates/chervilshunt_coord/src/lib.rs
@@ -19,7 +19,10 @@
 #[cfg(test)]
 mod tests;
 
-pub use claims::{ClaimEntry, ClaimKey, ClaimOutcome, ClaimPage, ClaimPageName};
+pub use claims::{
+    ClaimAction, ClaimAnswer, ClaimConfig, ClaimEntry, ClaimEvent, ClaimKeeper, ClaimKey,
+    ClaimOutcome, ClaimPage, ClaimPageName, ClaimRequest, ClaimsInOutage,
+};
 pub use config::{
     Applied, ChangeRefusal, ChangeTicket, ConfigMessage, ConfigModel, Elector, Electorate,
     Follower, FollowerAction, FollowerConfig, FollowerEvent, HeadRecord, InForce, PageKey,
--- a/crates/chervilshunt_coord/src/tests.rs
+++ b/crates/chervilshunt_coord/src/tests.rs
@@ -1,6 +1,8 @@
 //! Tests of the machines together.
 
+mod claims;
 mod fleet;
 mod platform;
+mod runs;
 mod smoke;
 mod table;
--- /dev/null
+++ b/crates/chervilshunt_coord/src/tests/claims.rs
@@ -0,0 +1,294 @@
+//! A key's request is sent at most once, whatever happens to keepers, entries and the platform.
+//!
+//! Callers try again under the same key at any instance. Calls to the platform are carried out in
+//! any order, late, or never, and answers get lost; keepers are replaced while they still run and
+//! still hear of what they had asked. Whoever is granted a claim sends the request; a second send
+//! under one key is the failure, and so is a send after the try was told that it did not run.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use chervilshunt_model::{AttemptId, Epoch, Moment};
+use proptest::prelude::*;
+use rstest::rstest;
+
+use super::platform::FakePlatform;
+use super::runs::{holds, is_caught};
+use crate::bugs::{Bug, Bugs};
+use crate::{
+    ClaimAction, ClaimAnswer, ClaimConfig, ClaimEvent, ClaimKeeper, ClaimKey, ClaimOutcome,
+    ClaimRequest, Holder, Incarnation, PlatformCall, PlatformResult,
+};
+
+const ENTRIES: usize = 3;
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// An entry asks a keeper for a key; both are counted from the newest.
+    Ask {
+        keeper: usize,
+        entry: usize,
+        key: u8,
+    },
+    /// The last question is asked once more, of any keeper.
+    AskAgain { keeper: usize },
+    /// The platform carries a call out, and its answer arrives or not.
+    Carry { call: usize, answered: bool },
+    /// A call that was or wasn't carried out times out.
+    TimeOut { call: usize },
+    /// An answer of a keeper arrives.
+    Arrive { answer: usize },
+    /// A request that was sent is answered, and the keeper learns of it.
+    Finish { sent: usize, keeper: usize },
+    /// Another keeper takes over; the old one does not know.
+    TakeOver,
+    /// An entry crashes and is started anew.
+    Crash { entry: usize },
+    /// Time passes.
+    Pass { millis: u64 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..3_usize, 0..ENTRIES, 0..3_u8)
+            .prop_map(|(keeper, entry, key)| Step::Ask { keeper, entry, key }),
+        1 => (0..3_usize).prop_map(|keeper| Step::AskAgain { keeper }),
+        6 => (0..4_usize, prop::bool::weighted(0.8))
+            .prop_map(|(call, answered)| Step::Carry { call, answered }),
+        2 => (0..4_usize).prop_map(|call| Step::TimeOut { call }),
+        5 => (0..4_usize).prop_map(|answer| Step::Arrive { answer }),
+        2 => (0..4_usize, 0..3_usize).prop_map(|(sent, keeper)| Step::Finish { sent, keeper }),
+        1 => Just(Step::TakeOver),
+        1 => (0..ENTRIES).prop_map(|entry| Step::Crash { entry }),
+        3 => (1..3_000_u64).prop_map(|millis| Step::Pass { millis }),
+    ]
+}
+
+/// A call that was made, and its result once it was carried out.
+struct Pending {
+    keeper: usize,
+    call: PlatformCall,
+    carried_out: bool,
+}
+
+struct World {
+    now: Moment,
+    platform: FakePlatform,
+    keepers: Vec<ClaimKeeper>,
+    calls: Vec<Pending>,
+    answers: Vec<(Holder, ClaimKey, AttemptId, ClaimAnswer)>,
+    keys: BTreeMap<AttemptId, ClaimKey>,
+    last: Option<ClaimRequest>,
+    attempts: u128,
+    incarnations: [u64; ENTRIES],
+    /// Tries that were sent, by key; each counts, also those of entries that crashed.
+    sent: BTreeMap<ClaimKey, BTreeSet<AttemptId>>,
+    told_not_run: BTreeSet<AttemptId>,
+    bugs: Bugs,
+}
+
+impl World {
+    fn new(bugs: Bugs) -> Self {
+        let mut world = Self {
+            now: Moment::from_millis(1_000),
+            platform: FakePlatform::default(),
+            keepers: Vec::new(),
+            calls: Vec::new(),
+            answers: Vec::new(),
+            keys: BTreeMap::new(),
+            last: None,
+            attempts: 0,
+            incarnations: [0; ENTRIES],
+            sent: BTreeMap::new(),
+            told_not_run: BTreeSet::new(),
+            bugs,
+        };
+        world.take_over();
+        world
+    }
+
+    fn take_over(&mut self) {
+        let number = self.keepers.len();
+        let me = Holder::new(format!("k{number}").as_str(), Incarnation::new(1));
+        let epoch = Epoch::new(number as u64 + 1);
+        let mut keeper = ClaimKeeper::new(ClaimConfig::new(0, me, epoch), self.now);
+        keeper.seed(self.bugs);
+        self.keepers.push(keeper);
+        self.hand(number, ClaimEvent::Tick);
+    }
+
+    fn newest(&self, back: usize) -> usize {
+        self.keepers.len().saturating_sub(1 + back)
+    }
+
+    fn hand(&mut self, keeper: usize, event: ClaimEvent) {
+        for action in self.keepers[keeper].handle(event, self.now) {
+            match action {
+                ClaimAction::Call(call) => self.calls.push(Pending {
+                    keeper,
+                    call,
+                    carried_out: false,
+                }),
+                ClaimAction::Answer {
+                    entry,
+                    attempt,
+                    answer,
+                } => {
+                    let key = self.keys[&attempt];
+                    self.answers.push((entry, key, attempt, answer));
+                }
+                ClaimAction::AskEntry { .. } | ClaimAction::Superseded => {}
+            }
+        }
+    }
+
+    fn entry(&self, entry: usize) -> Holder {
+        let incarnation = Incarnation::new(self.incarnations[entry]);
+        Holder::new(format!("e{entry}").as_str(), incarnation)
+    }
+
+    fn take(&mut self, step: &Step) -> Result<(), TestCaseError> {
+        match *step {
+            Step::Ask { keeper, entry, key } => {
+                self.attempts += 1;
+                let req = ClaimRequest {
+                    key: ClaimKey::new("caller", "service", &key.to_string()),
+                    fingerprint: 7,
+                    attempt: AttemptId::from_u128(self.attempts),
+                    entry: self.entry(entry),
+                };
+                self.keys.insert(req.attempt, req.key);
+                self.last = Some(req.clone());
+                let keeper = self.newest(keeper);
+                self.hand(keeper, ClaimEvent::Asked(req));
+            }
+            Step::AskAgain { keeper } => {
+                let keeper = self.newest(keeper);
+                if let Some(req) = self.last.clone() {
+                    self.hand(keeper, ClaimEvent::Asked(req));
+                }
+            }
+            Step::Carry { call, answered } => self.carry(call, answered),
+            Step::TimeOut { call } => {
+                if call < self.calls.len() {
+                    let pending = self.calls.remove(call);
+                    let event = ClaimEvent::Reply(pending.call.id, PlatformResult::Unknown);
+                    if !pending.carried_out {
+                        // It may yet be carried out, long after the keeper gave it up.
+                        self.calls.push(pending);
+                    } else {
+                        self.hand(pending.keeper, event);
+                    }
+                }
+            }
+            Step::Arrive { answer } => {
+                if answer < self.answers.len() {
+                    let (entry, key, attempt, answer) = self.answers.remove(answer);
+                    self.arrive(&entry, key, attempt, &answer);
+                }
+            }
+            Step::Finish { sent, keeper } => {
+                let all: Vec<_> = self
+                    .sent
+                    .iter()
+                    .flat_map(|(key, tries)| tries.iter().map(|attempt| (*key, *attempt)))
+                    .collect();
+                if let Some((key, attempt)) = all.get(sent).copied() {
+                    let outcome = ClaimOutcome::Done {
+                        status: 201,
+                        body: None,
+                    };
+                    let keeper = self.newest(keeper);
+                    self.hand(
+                        keeper,
+                        ClaimEvent::Ended {
+                            key,
+                            attempt,
+                            outcome,
+                        },
+                    );
+                }
+            }
+            Step::TakeOver => self.take_over(),
+            Step::Crash { entry } => self.incarnations[entry] += 1,
+            Step::Pass { millis } => {
+                self.now = self.now + Duration::from_millis(millis);
+                for keeper in 0..self.keepers.len() {
+                    self.hand(keeper, ClaimEvent::Tick);
+                }
+            }
+        }
+        self.check()
+    }
+
+    fn carry(&mut self, call: usize, answered: bool) {
+        if call >= self.calls.len() {
+            return;
+        }
+        let (result, _) = self.platform.carry_out(&self.calls[call].call.op);
+        self.calls[call].carried_out = true;
+        if answered {
+            let pending = self.calls.remove(call);
+            self.hand(pending.keeper, ClaimEvent::Reply(pending.call.id, result));
+        }
+    }
+
+    fn arrive(&mut self, entry: &Holder, key: ClaimKey, attempt: AttemptId, answer: &ClaimAnswer) {
+        let alive = (0..ENTRIES).any(|number| self.entry(number) == *entry);
+        if !alive {
+            return;
+        }
+        match answer {
+            ClaimAnswer::Granted => {
+                // The try's final answer came first; an entry acts on that alone.
+                if !self.told_not_run.contains(&attempt) {
+                    self.sent.entry(key).or_default().insert(attempt);
+                }
+            }
+            ClaimAnswer::NotNow { .. } => {
+                let was_sent = self
+                    .sent
+                    .get(&key)
+                    .is_some_and(|tries| tries.contains(&attempt));
+                if !was_sent {
+                    self.told_not_run.insert(attempt);
+                }
+            }
+            ClaimAnswer::InProgress { .. }
+            | ClaimAnswer::Ended { .. }
+            | ClaimAnswer::Unknown
+            | ClaimAnswer::OtherRequest => {}
+        }
+    }
+
+    fn check(&self) -> Result<(), TestCaseError> {
+        for (key, tries) in &self.sent {
+            prop_assert!(tries.len() <= 1, "{key} was sent {} times", tries.len());
+        }
+        Ok(())
+    }
+}
+
+fn run(steps: &[Step], bugs: Bugs) -> Result<(), TestCaseError> {
+    let mut world = World::new(bugs);
+    for step in steps {
+        world.take(step)?;
+    }
+    Ok(())
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    prop::collection::vec(step(), 1..120)
+}
+
+#[test]
+fn a_request_is_sent_at_most_once_for_its_key() {
+    holds(1_000, &steps(), |steps| run(&steps, Bugs::NONE));
+}
+
+#[rstest]
+#[case::granted_before_it_is_recorded(Bug::ClaimBeforeRecord)]
+#[case::what_was_recorded_is_not_read(Bug::ClaimsNotRead)]
+fn a_seeded_bug_is_caught(#[case] bug: Bug) {
+    is_caught(1_000, &steps(), |steps| run(&steps, Bugs::seeded(bug)));
+}
--- /dev/null
+++ b/crates/chervilshunt_coord/src/tests/runs.rs
@@ -0,0 +1,38 @@
+//! Runs properties with fixed seeds.
+
+use proptest::strategy::Strategy;
+use proptest::test_runner::{Config, RngAlgorithm, TestCaseResult, TestError, TestRng, TestRunner};
+
+fn runner(cases: u32) -> TestRunner {
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        max_shrink_iters: 2_000,
+        ..Config::default()
+    };
+    TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
+}
+
+/// Fails the test, with the smallest input found, if the property doesn't hold.
+pub(super) fn holds<S: Strategy>(
+    cases: u32,
+    strategy: &S,
+    property: impl Fn(S::Value) -> TestCaseResult,
+) {
+    if let Err(error) = runner(cases).run(strategy, property) {
+        panic!("{error}");
+    }
+}
+
+/// Fails the test if the property holds in all cases: then the check would find no bug.
+pub(super) fn is_caught<S: Strategy>(
+    cases: u32,
+    strategy: &S,
+    property: impl Fn(S::Value) -> TestCaseResult,
+) {
+    match runner(cases).run(strategy, property) {
+        Err(TestError::Fail(..)) => {}
+        Ok(()) => panic!("the seeded bug was not caught in {cases} cases"),
+        Err(TestError::Abort(reason)) => panic!("the run was aborted: {reason}"),
+    }
+}
