Check the harness's settings and first deployment against their readers

Cause: both are written by hand and were first read by a running daemon, where a mistake shows as a process that ends. The tests read the settings with chervilshunt_config and apply the deployment with chervilshunt_query and chervilshunt_model.

--- a/crates/chervilshunt_standin/src/fleet/deployment.rs
+++ b/crates/chervilshunt_standin/src/fleet/deployment.rs
@@ -5,7 +5,8 @@
 
 use super::error::FleetError;
 use super::process::Process;
-use super::start::{FleetOptions, Target, TargetKind};
+use super::registry::Endpoint;
+use super::start::{FleetOptions, TargetKind};
 
 /// The service of the engines.
 const ENGINE_SERVICE: &str = "assistant";
@@ -62,7 +63,7 @@
 /// Writes the statements that create everything in one atomic change.
 pub(crate) fn statements<'a>(
     options: &FleetOptions,
-    targets: impl Iterator<Item = &'a Target>,
+    targets: impl Iterator<Item = (TargetKind, &'a Endpoint)>,
 ) -> String {
     let mut text = format!(
         "{{\n\
@@ -75,8 +76,8 @@
          create service {PLAIN_SERVICE} kind=plain priority=prompt deadline_ms={DEADLINE_MS};\n",
         options.cap_watts,
     );
-    for target in targets {
-        text.push_str(&create_target(options, target));
+    for (kind, endpoint) in targets {
+        text.push_str(&create_target(options, kind, endpoint));
     }
     for number in 0..options.adapters {
         let adapter = adapter_name(number);
@@ -94,13 +95,12 @@
     format!("create version {model} source=store/{model};\n")
 }
 
-fn create_target(options: &FleetOptions, target: &Target) -> String {
-    let endpoint = &target.endpoint;
+fn create_target(options: &FleetOptions, kind: TargetKind, endpoint: &Endpoint) -> String {
     let mut text = format!(
         "create target {} service={} address={} zone={} site={SITE} max_batch={}",
         endpoint.name, endpoint.service, endpoint.ports["http"], endpoint.zone, options.max_batch,
     );
-    if target.kind == TargetKind::Engine {
+    if kind == TargetKind::Engine {
         let fencing = match options.engines_check_fencing {
             true => "checks",
             false => "ignores",
--- a/crates/chervilshunt_standin/src/fleet/start.rs
+++ b/crates/chervilshunt_standin/src/fleet/start.rs
@@ -211,7 +211,11 @@
 
     /// Returns the statements that create the fleet's services, targets and adapters.
     pub fn deployment_text(&self) -> String {
-        deployment::statements(&self.options, self.targets.values())
+        let targets = self
+            .targets
+            .values()
+            .map(|target| (target.kind, &target.endpoint));
+        deployment::statements(&self.options, targets)
     }
 
     /// Starts one more instance, puts it into the list and returns its id.
--- a/crates/chervilshunt_standin/src/fleet/tests.rs
+++ b/crates/chervilshunt_standin/src/fleet/tests.rs
@@ -1,16 +1,25 @@
 //! Tests of the harness itself: a harness that can't cut a link proves nothing.
 
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::time::Duration;
 
+use chervilshunt_config::Settings;
+use chervilshunt_model::{ChangeId, Deployment, ServiceKind};
+use chervilshunt_query::Statement;
 use rstest::rstest;
+use serde_json::json;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 
+use super::deployment::{model_name, service_of, statements};
 use super::error::FleetError;
 use super::link::{Forwarder, Link, LinkMode, Links};
 use super::process::{Process, Signal};
+use super::registry::{Condition, Endpoint};
+use super::settings::InstanceSettings;
+use super::start::{FleetOptions, TargetKind};
 
 /// How long a byte that has to arrive may take.
 const ARRIVES: Duration = Duration::from_secs(10);
@@ -147,3 +156,54 @@
     assert_eq!(process.id(), None);
     process.signal(Signal::Kill).unwrap();
 }
+
+#[tokio::test]
+async fn settings_of_instances_are_accepted_with_what_is_laid_over_them() {
+    let folder = tempfile::tempdir().unwrap();
+    let peers = SocketAddr::from(([127, 0, 0, 1], 7));
+    let settings = InstanceSettings {
+        id: "i1",
+        zone: "zone-a",
+        region: "region-1",
+        platform: SocketAddr::from(([127, 0, 0, 1], 6)),
+        namespace: "chervilshunt",
+        advertise: Some(peers),
+        extra: &json!({"limits": {"open_requests": 77}}),
+    };
+    let checked = Settings::load(&settings.write(folder.path()).unwrap()).unwrap();
+    assert_eq!(checked.instance.id.as_str(), "i1");
+    assert_eq!(checked.advertise.peers, Some(peers));
+    assert_eq!(checked.limits.open_requests, 77);
+}
+
+#[test]
+fn the_first_deployment_is_one_change_that_can_be_applied() {
+    let options = FleetOptions {
+        adapters: 3,
+        ..FleetOptions::default()
+    };
+    let endpoint = |name: &str, kind, port| Endpoint {
+        name: name.to_owned(),
+        service: service_of(kind).to_owned(),
+        zone: "zone-a".to_owned(),
+        ports: BTreeMap::from([("http", SocketAddr::from(([127, 0, 0, 1], port)))]),
+        condition: Condition::Ready,
+    };
+    let engine = endpoint("engine-1", TargetKind::Engine, 8);
+    let desk = endpoint("desk-1", TargetKind::Plain, 9);
+    let targets = [(TargetKind::Engine, &engine), (TargetKind::Plain, &desk)];
+    let text = statements(&options, targets.into_iter());
+
+    let script = chervilshunt_query::parse(&text).unwrap();
+    let [Statement::Change(group)] = script.as_slice() else {
+        panic!("not one change: {script:?}");
+    };
+    let set = group.clone().into_change_set(ChangeId::from_u128(1));
+    let deployment = Deployment::default().apply(&set).unwrap();
+    assert_eq!(deployment.targets.len(), 2);
+    assert!(matches!(
+        deployment.services["assistant"].kind,
+        ServiceKind::Engine { .. }
+    ));
+    assert!(text.contains(&model_name(2)));
+}
