--- a/crates/chervilshunt_query/src/fields/read.rs
+++ b/crates/chervilshunt_query/src/fields/read.rs
@@ -86,10 +86,10 @@
         })
     }
 
-    pub(crate) fn adapter_patch(&mut self) -> AdapterPatch {
-        AdapterPatch {
+    pub(crate) fn adapter_patch(&mut self) -> Option<AdapterPatch> {
+        Some(AdapterPatch {
             priority: self.given("priority", priority_choice),
-        }
+        })
     }
 
     pub(crate) fn version(&mut self) -> Option<Version> {
@@ -134,12 +134,12 @@
         Some("".into())
     }
 
-    pub(crate) fn service_patch(&mut self) -> ServicePatch {
-        ServicePatch {
+    pub(crate) fn service_patch(&mut self) -> Option<ServicePatch> {
+        Some(ServicePatch {
             priority: self.given("priority", name),
             idempotent: self.given("idempotent", number),
             deadline_ms: self.given("deadline_ms", number),
-        }
+        })
     }
 
     pub(crate) fn target(&mut self) -> Option<Target> {
@@ -169,8 +169,8 @@
         })
     }
 
-    pub(crate) fn target_patch(&mut self) -> TargetPatch {
-        TargetPatch {
+    pub(crate) fn target_patch(&mut self) -> Option<TargetPatch> {
+        Some(TargetPatch {
             address: self.given("address", number),
             zone: self.given("zone", name),
             site: self.given("site", name),
@@ -181,7 +181,7 @@
             lifecycle: self.given("lifecycle", lifecycle),
             idle_watts: self.given("idle_watts", finite),
             watts_per_sequence: self.given("watts_per_sequence", finite),
-        }
+        })
     }
 
     pub(crate) fn priority(&mut self) -> Option<Priority> {
@@ -193,11 +193,11 @@
         })
     }
 
-    pub(crate) fn priority_patch(&mut self) -> PriorityPatch {
-        PriorityPatch {
+    pub(crate) fn priority_patch(&mut self) -> Option<PriorityPatch> {
+        Some(PriorityPatch {
             class: self.given("class", class),
             weight: self.given("weight", number),
-        }
+        })
     }
 
     pub(crate) fn site(&mut self) -> Option<Site> {
@@ -207,10 +207,10 @@
         })
     }
 
-    pub(crate) fn site_patch(&mut self) -> SitePatch {
-        SitePatch {
+    pub(crate) fn site_patch(&mut self) -> Option<SitePatch> {
+        Some(SitePatch {
             cap_watts: self.given("cap_watts", finite),
-        }
+        })
     }
 
     pub(crate) fn store(&mut self) -> Option<WeightStore> {
@@ -222,11 +222,11 @@
         })
     }
 
-    pub(crate) fn store_patch(&mut self) -> WeightStorePatch {
-        WeightStorePatch {
+    pub(crate) fn store_patch(&mut self) -> Option<WeightStorePatch> {
+        Some(WeightStorePatch {
             concurrency: self.given("concurrency", number),
             loads_per_second: self.given("loads_per_second", finite),
-        }
+        })
     }
 
     /// Reads a field that is given or has a default; notes it if it is missing or bad.
--- a/crates/chervilshunt_query/src/resolve.rs
+++ b/crates/chervilshunt_query/src/resolve.rs
@@ -1,7 +1,7 @@
 //! From syntax to typed statements.
 
 use chervilshunt_model::{
-    AdapterVersion, Change, Edit, Lifecycle, ObjectKind, Revision, TargetName,
+    AdapterVersion, Change, Edit, Lifecycle, ObjectKind, Revision, Target, TargetPatch,
 };
 use chumsky::Parser as _;
 use chumsky::error::{Rich, RichPattern};
@@ -10,7 +10,7 @@
 use crate::error::QueryError;
 use crate::fields::Reader;
 use crate::print::to_lifecycle;
-use crate::syntax::{self, Assignment, RawChange, RawCondition, Syntax, Verb};
+use crate::syntax::{self, RawChange, RawCondition, Syntax, Verb};
 use crate::table::{AGE_COLUMN, FROM_COLUMN};
 use crate::token::{self, Spanned, Token};
 use crate::{ChangeGroup, Condition, Show, Statement, Table};
@@ -148,136 +148,74 @@
     }
 
     fn change(&mut self, change: RawChange) -> Option<Change> {
-        match change.verb {
-            Verb::Create => self.create(change),
-            Verb::Set => self.set(change),
-            Verb::Delete => self.delete(change),
-            Verb::Drain => Some(lifecycle(&change, Lifecycle::Draining)),
-            Verb::Resume => Some(lifecycle(&change, Lifecycle::Active)),
-        }
-    }
-
-    fn create(&mut self, change: RawChange) -> Option<Change> {
-        let kind = change.kind;
         let version = self.version_name(&change);
-        let name = change.name.0.as_str();
-        let mut reader = self.reader(kind, change.assignments, change.end);
-        reader.check_names(false);
+        if !self.may_set(&change) {
+            return None;
+        }
+        let RawChange {
+            verb,
+            kind,
+            name: (name, _),
+            assignments,
+            end,
+        } = change;
+        let reader = &mut Reader::new(self.text, kind, assignments, end, &mut self.errors);
+        reader.check_names(verb == Verb::Set);
+        let name = name.as_str();
         Some(match kind {
             ObjectKind::Adapter => Change::Adapter {
                 name: name.into(),
-                edit: Edit::Create(reader.adapter()?),
+                edit: edit(verb, reader, Reader::adapter, Reader::adapter_patch)?,
             },
             ObjectKind::Version => {
-                let created = reader.version();
+                let edit = edit(verb, reader, Reader::version, |_| None);
                 Change::Version {
                     name: version?,
-                    edit: Edit::Create(created?),
+                    edit: edit?,
                 }
             }
             ObjectKind::Service => Change::Service {
                 name: name.into(),
-                edit: Edit::Create(reader.service()?),
+                edit: edit(verb, reader, Reader::service, Reader::service_patch)?,
             },
             ObjectKind::Target => Change::Target {
                 name: name.into(),
-                edit: Edit::Create(reader.target()?),
+                edit: target_edit(verb, reader)?,
             },
             ObjectKind::Priority => Change::Priority {
                 name: name.into(),
-                edit: Edit::Create(reader.priority()?),
+                edit: edit(verb, reader, Reader::priority, Reader::priority_patch)?,
             },
             ObjectKind::Site => Change::Site {
                 name: name.into(),
-                edit: Edit::Create(reader.site()?),
+                edit: edit(verb, reader, Reader::site, Reader::site_patch)?,
             },
             ObjectKind::Store => Change::Store {
                 name: name.into(),
-                edit: Edit::Create(reader.store()?),
+                edit: edit(verb, reader, Reader::store, Reader::store_patch)?,
             },
         })
     }
 
-    fn set(&mut self, change: RawChange) -> Option<Change> {
-        let kind = change.kind;
-        let name = change.name.0.as_str();
-        if kind == ObjectKind::Version {
+    /// Notes a `set` that can't mean anything; returns whether the change can be read on.
+    fn may_set(&mut self, change: &RawChange) -> bool {
+        if change.verb != Verb::Set {
+            return true;
+        }
+        if change.kind == ObjectKind::Version {
             let hint = "a version never changes, so that its name always means the same weights; \
                         create another version";
             let expected = vec!["create version or delete version".to_owned()];
             self.error(change.name.1, expected, hint.to_owned());
-            return None;
+            return false;
         }
         if change.assignments.is_empty() {
             let end = SimpleSpan::from(change.end..change.end);
             let hint = "give at least one field to set".to_owned();
             self.error(end, vec!["FIELD=VALUE".to_owned()], hint);
-            return None;
+            return false;
         }
-        let mut reader = self.reader(kind, change.assignments, change.end);
-        reader.check_names(true);
-        Some(match kind {
-            ObjectKind::Adapter => Change::Adapter {
-                name: name.into(),
-                edit: Edit::Set(reader.adapter_patch()),
-            },
-            ObjectKind::Version => return None,
-            ObjectKind::Service => Change::Service {
-                name: name.into(),
-                edit: Edit::Set(reader.service_patch()),
-            },
-            ObjectKind::Target => Change::Target {
-                name: name.into(),
-                edit: Edit::Set(reader.target_patch()),
-            },
-            ObjectKind::Priority => Change::Priority {
-                name: name.into(),
-                edit: Edit::Set(reader.priority_patch()),
-            },
-            ObjectKind::Site => Change::Site {
-                name: name.into(),
-                edit: Edit::Set(reader.site_patch()),
-            },
-            ObjectKind::Store => Change::Store {
-                name: name.into(),
-                edit: Edit::Set(reader.store_patch()),
-            },
-        })
-    }
-
-    fn delete(&mut self, change: RawChange) -> Option<Change> {
-        let version = self.version_name(&change);
-        let name = change.name.0.as_str();
-        Some(match change.kind {
-            ObjectKind::Adapter => Change::Adapter {
-                name: name.into(),
-                edit: Edit::Delete,
-            },
-            ObjectKind::Version => Change::Version {
-                name: version?,
-                edit: Edit::Delete,
-            },
-            ObjectKind::Service => Change::Service {
-                name: name.into(),
-                edit: Edit::Delete,
-            },
-            ObjectKind::Target => Change::Target {
-                name: name.into(),
-                edit: Edit::Delete,
-            },
-            ObjectKind::Priority => Change::Priority {
-                name: name.into(),
-                edit: Edit::Delete,
-            },
-            ObjectKind::Site => Change::Site {
-                name: name.into(),
-                edit: Edit::Delete,
-            },
-            ObjectKind::Store => Change::Store {
-                name: name.into(),
-                edit: Edit::Delete,
-            },
-        })
+        true
     }
 
     /// Reads the name of a version; other kinds have none.
@@ -295,10 +233,6 @@
         parsed.ok()
     }
 
-    fn reader(&mut self, kind: ObjectKind, assignments: Vec<Assignment>, end: usize) -> Reader<'_> {
-        Reader::new(self.text, kind, assignments, end, &mut self.errors)
-    }
-
     fn error(&mut self, span: SimpleSpan, expected: Vec<String>, hint: String) {
         let span = span.start()..span.end();
         let error = QueryError::at(self.text, span, expected, Some(hint));
@@ -306,9 +240,27 @@
     }
 }
 
-fn lifecycle(change: &RawChange, lifecycle: Lifecycle) -> Change {
-    Change::Target {
-        name: TargetName::from(change.name.0.as_str()),
-        edit: Edit::Set(to_lifecycle(lifecycle)),
+/// Reads what happens to an object; draining and resuming are a target's own.
+fn edit<'a, O, P>(
+    verb: Verb,
+    reader: &mut Reader<'a>,
+    create: fn(&mut Reader<'a>) -> Option<O>,
+    set: fn(&mut Reader<'a>) -> Option<P>,
+) -> Option<Edit<O, P>> {
+    match verb {
+        Verb::Create => create(reader).map(Edit::Create),
+        Verb::Set => set(reader).map(Edit::Set),
+        Verb::Delete => Some(Edit::Delete),
+        Verb::Drain | Verb::Resume => None,
+    }
+}
+
+fn target_edit(verb: Verb, reader: &mut Reader<'_>) -> Option<Edit<Target, TargetPatch>> {
+    match verb {
+        Verb::Drain => Some(Edit::Set(to_lifecycle(Lifecycle::Draining))),
+        Verb::Resume => Some(Edit::Set(to_lifecycle(Lifecycle::Active))),
+        Verb::Create | Verb::Set | Verb::Delete => {
+            edit(verb, reader, Reader::target, Reader::target_patch)
+        }
     }
 }
--- a/crates/chervilshunt_query/tests/language_page.rs
+++ b/crates/chervilshunt_query/tests/language_page.rs
@@ -4,10 +4,11 @@
 use chervilshunt_query::{FieldSpec, Statement, Table, fields_of, parse, render_errors};
 
 const PAGE: &str = include_str!("../../../docs/LANGUAGE.md");
+const CHANGES_PAGE: &str = include_str!("../../../docs/operators/changes.md");
 const FENCE: &str = "```";
 
-fn examples() -> Vec<&'static str> {
-    PAGE.split("```chervilshunt\n")
+fn examples(page: &'static str) -> Vec<&'static str> {
+    page.split("```chervilshunt\n")
         .skip(1)
         .map(|rest| rest.split(FENCE).next().expect("split gives a part"))
         .collect()
@@ -17,8 +18,8 @@
 #[test]
 fn examples_apply_in_order() {
     let mut deployment = Deployment::default();
-    assert!(examples().len() >= 4);
-    for example in examples() {
+    assert!(examples(PAGE).len() >= 4);
+    for example in examples(PAGE) {
         let statements = parse(example)
             .unwrap_or_else(|errors| panic!("{}", render_errors(example, "page", &errors)));
         for statement in statements {
@@ -34,6 +35,15 @@
     assert_eq!(deployment.revision, Revision::new(10));
 }
 
+#[test]
+fn recipes_of_the_page_of_changes_parse() {
+    assert!(examples(CHANGES_PAGE).len() >= 7);
+    for example in examples(CHANGES_PAGE) {
+        let parsed = parse(example);
+        parsed.unwrap_or_else(|errors| panic!("{}", render_errors(example, "page", &errors)));
+    }
+}
+
 #[test]
 fn page_lists_each_field_of_each_kind() {
     for kind in ObjectKind::ALL {
