--- a/crates/chervilshunt_platform/tests/watch.rs
+++ b/crates/chervilshunt_platform/tests/watch.rs
@@ -3,10 +3,11 @@
 mod support;
 
 use chervilshunt_platform::{
-    CONFIG_HEADS, LEASES, Object, Platform, ResourceVersion, Selector, StallReason, WatchEvent,
+    CONFIG_HEADS, Object, Platform, ResourceVersion, Selector, StallReason, WatchEvent,
 };
-use chervilshunt_standin::platform::{Down, FaultPatch};
-use support::{Spec, client, standin, wait_for};
+use chervilshunt_standin::platform::{Down, FaultPatch, PlatformOptions, start_platform};
+use rstest::rstest;
+use support::{Spec, client, standin, wait_for, within};
 use tokio::sync::mpsc;
 
 type Events = mpsc::Receiver<WatchEvent<Spec>>;
@@ -60,6 +61,17 @@
     .await
 }
 
+/// Instance whose watch the faults hit; another one goes on writing.
+const WATCHER: &str = "i-1";
+const WRITER: &str = "i-2";
+
+fn only_watcher(patch: FaultPatch) -> FaultPatch {
+    FaultPatch {
+        only: Some(vec![WATCHER.into()]),
+        ..patch
+    }
+}
+
 #[tokio::test]
 async fn tells_what_is_there_then_the_changes() {
     let standin = standin().await;
@@ -76,3 +88,225 @@
         .expect("it is there");
     assert_eq!(deleted(&mut rx).await, "a");
 }
+
+/// The watcher sees `Stalled`, and after the fault all that was written meanwhile, the deletion
+/// included. Its connection breaks or falls silent first; then others write; then the fault is
+/// lifted. It resumes from the version up to which it was told, so nothing is skipped.
+#[rstest]
+#[case::cut(FaultPatch { cut: Some(vec![WATCHER.into()]), ..FaultPatch::default() }, StallReason::Outage)]
+#[case::refused(FaultPatch { down: Some(Down::Refuse), ..FaultPatch::default() }, StallReason::Outage)]
+#[case::unavailable(FaultPatch { down: Some(Down::Unavailable), ..FaultPatch::default() }, StallReason::Outage)]
+#[case::frozen(FaultPatch { freeze: Some(true), ..FaultPatch::default() }, StallReason::Silence)]
+#[tokio::test]
+async fn resumes_after(#[case] fault: FaultPatch, #[case] reason: StallReason) {
+    let standin = standin().await;
+    let (watcher, writer) = (client(&standin, WATCHER), client(&standin, WRITER));
+    let mut a = create(&writer, "a", 1).await;
+    create(&writer, "b", 1).await;
+    let mut rx = watch(&watcher);
+    synced(&mut rx).await;
+
+    standin.set_faults(only_watcher(fault));
+    assert_eq!(stalled(&mut rx).await, reason);
+    update(&writer, &mut a, 2).await;
+    writer
+        .delete(CONFIG_HEADS, "b", None)
+        .await
+        .expect("it is there");
+    standin.lift_faults();
+
+    assert_eq!(applied(&mut rx).await, ("a".into(), 2));
+    assert_eq!(deleted(&mut rx).await, "b");
+}
+
+/// The watch loses a change without any sign of it, and later events arrive as usual. Listing
+/// metadata shows a version that was never told, and a full list brings the object.
+#[tokio::test]
+async fn finds_a_change_that_was_never_told() {
+    let standin = standin().await;
+    let platform = client(&standin, WATCHER);
+    let mut a = create(&platform, "a", 1).await;
+    let mut rx = watch(&platform);
+    synced(&mut rx).await;
+
+    let gap = FaultPatch {
+        watch_gap: Some(1),
+        ..FaultPatch::default()
+    };
+    standin.set_faults(gap);
+    update(&platform, &mut a, 2).await;
+    create(&platform, "b", 7).await;
+    assert_eq!(applied(&mut rx).await, ("b".into(), 7));
+    assert_eq!(applied(&mut rx).await, ("a".into(), 2));
+}
+
+/// As above, with a deletion: nothing else would ever take the object out of the view.
+#[tokio::test]
+async fn finds_a_deletion_that_was_never_told() {
+    let standin = standin().await;
+    let platform = client(&standin, WATCHER);
+    create(&platform, "a", 1).await;
+    let mut rx = watch(&platform);
+    synced(&mut rx).await;
+
+    let gap = FaultPatch {
+        watch_gap: Some(1),
+        ..FaultPatch::default()
+    };
+    standin.set_faults(gap);
+    let gone = platform.delete(CONFIG_HEADS, "a", None).await;
+    gone.expect("it is there");
+    assert_eq!(deleted(&mut rx).await, "a");
+}
+
+/// The platform ends the watch with `Expired` in its stream and refuses to start one from the
+/// known version. Only the difference between the lists is told, not everything once more.
+#[tokio::test]
+async fn lists_the_difference_after_the_version_expired() {
+    let standin = standin().await;
+    let (watcher, writer) = (client(&standin, WATCHER), client(&standin, WRITER));
+    let mut a = create(&writer, "a", 1).await;
+    create(&writer, "b", 1).await;
+    create(&writer, "c", 1).await;
+    let mut rx = watch(&watcher);
+    synced(&mut rx).await;
+
+    let expired = FaultPatch {
+        expire_watches: Some(true),
+        cut: Some(vec![WATCHER.into()]),
+        ..FaultPatch::default()
+    };
+    standin.set_faults(only_watcher(expired));
+    stalled(&mut rx).await;
+    update(&writer, &mut a, 2).await;
+    let gone = writer.delete(CONFIG_HEADS, "b", None).await;
+    gone.expect("it is there");
+    let reachable = FaultPatch {
+        cut: Some(Vec::new()),
+        ..FaultPatch::default()
+    };
+    standin.set_faults(reachable);
+
+    let mut told = Vec::new();
+    loop {
+        match within(rx.recv()).await.expect("the watch goes on") {
+            WatchEvent::Applied(object) => {
+                told.push(format!("{}={}", object.name, object.spec.value));
+            }
+            WatchEvent::Deleted { name } => {
+                told.push(format!("{name} deleted"));
+                standin.lift_faults();
+            }
+            WatchEvent::Synced { .. } => break,
+            WatchEvent::Stalled { .. } => {}
+            WatchEvent::Malformed { name, problem } => panic!("{name}: {problem}"),
+        }
+    }
+    assert_eq!(told, ["b deleted", "a=2"]);
+}
+
+/// The platform has forgotten the versions in between while the watcher was cut off.
+#[tokio::test]
+async fn lists_again_when_the_history_is_too_short() {
+    let options = PlatformOptions {
+        history: 2,
+        ..PlatformOptions::default()
+    };
+    let standin = start_platform(options).await.expect("loopback is there");
+    let (watcher, writer) = (client(&standin, WATCHER), client(&standin, WRITER));
+    let mut a = create(&writer, "a", 1).await;
+    let mut rx = watch(&watcher);
+    synced(&mut rx).await;
+    let cut = FaultPatch {
+        cut: Some(vec![WATCHER.into()]),
+        ..FaultPatch::default()
+    };
+    standin.set_faults(cut);
+    stalled(&mut rx).await;
+    for value in 2..=9 {
+        update(&writer, &mut a, value).await;
+    }
+    standin.lift_faults();
+    assert_eq!(applied(&mut rx).await, ("a".into(), 9));
+}
+
+/// The watcher has been told of a deletion and then has to list again, from a cache that still
+/// has the object. It must not bring it back: an older configuration would come into force. It
+/// says that it is stalled, and goes on once the platform shows the present again.
+#[tokio::test]
+async fn never_goes_back_to_an_older_list() {
+    let standin = standin().await;
+    let (watcher, writer) = (client(&standin, WATCHER), client(&standin, WRITER));
+    create(&writer, "a", 1).await;
+    let mut rx = watch(&watcher);
+    synced(&mut rx).await;
+    let gone = writer.delete(CONFIG_HEADS, "a", None).await;
+    gone.expect("it is there");
+    assert_eq!(deleted(&mut rx).await, "a");
+
+    let old = FaultPatch {
+        stale_reads: Some(1),
+        expire_watches: Some(true),
+        ..FaultPatch::default()
+    };
+    standin.set_faults(only_watcher(old));
+    assert_eq!(stalled(&mut rx).await, StallReason::OldList);
+    standin.lift_faults();
+    match within(rx.recv()).await.expect("the watch goes on") {
+        WatchEvent::Synced { .. } => {}
+        event => panic!("told {event:?} though nothing has changed"),
+    }
+}
+
+/// An object that somebody else wrote can't be read. The watch says so and goes on.
+#[tokio::test]
+async fn goes_on_after_a_malformed_object() {
+    let standin = standin().await;
+    let platform = client(&standin, WATCHER);
+    let bad = Object::new("bad", "no number".to_owned());
+    let written = platform.create(CONFIG_HEADS, &bad).await;
+    written.expect("the platform takes any content");
+    create(&platform, "good", 1).await;
+    let mut rx = watch(&platform);
+    let name = wait_for(&mut rx, |event| match event {
+        WatchEvent::Malformed { name, .. } => Some(name),
+        _ => None,
+    })
+    .await;
+    assert_eq!(&*name, "bad");
+    assert_eq!(applied(&mut rx).await, ("good".into(), 1));
+    synced(&mut rx).await;
+}
+
+#[tokio::test]
+async fn tells_of_objects_that_enter_and_leave_the_selection() {
+    let standin = standin().await;
+    let platform = client(&standin, WATCHER);
+    let mut rx = platform.watch::<Spec>(CONFIG_HEADS, Selector::label("zone", "esbjerg-a"));
+    synced(&mut rx).await;
+    create(&platform, "elsewhere", 1).await;
+    let mut object = Object::new("here", Spec { value: 2 }).with_label("zone", "esbjerg-a");
+    let version = platform.create(CONFIG_HEADS, &object).await;
+    object.resource_version = Some(version.expect("the platform is up"));
+    assert_eq!(applied(&mut rx).await, ("here".into(), 2));
+    object.labels.clear();
+    let moved = platform.update(CONFIG_HEADS, &object).await;
+    moved.expect("the platform is up");
+    assert_eq!(deleted(&mut rx).await, "here");
+}
+
+#[tokio::test]
+async fn closes_the_call_when_the_receiver_is_dropped() {
+    let standin = standin().await;
+    let platform = client(&standin, WATCHER);
+    let mut rx = watch(&platform);
+    synced(&mut rx).await;
+    assert_eq!(standin.stats().open_watches, 1);
+    drop(rx);
+    within(async {
+        while standin.stats().open_watches > 0 {
+            tokio::task::yield_now().await;
+        }
+    })
+    .await;
+}
--- a/crates/chervilshunt_standin/src/platform/faults.rs
+++ b/crates/chervilshunt_standin/src/platform/faults.rs
@@ -13,7 +13,7 @@
     ///
     /// Where [`Faults::only`] names instances, their connections are accepted and closed instead.
     Refuse,
-    /// Every call is answered with 503.
+    /// Every call is answered with 503, and open watches break.
     Unavailable,
 }
 
--- a/crates/chervilshunt_standin/src/platform/watch.rs
+++ b/crates/chervilshunt_standin/src/platform/watch.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::answer::{AnswerBody, status_json};
+use super::faults::Down;
 use super::handler::Api;
 use super::path::{Collection, Selector};
 use super::stats::OpenWatch;
@@ -79,7 +80,7 @@
         loop {
             let state = faults.borrow_and_update().clone();
             let hit = state.hits(&self.instance);
-            if state.cuts(&self.instance) {
+            if state.cuts(&self.instance) || (hit && state.down == Down::Unavailable) {
                 return End::Broken;
             }
             if hit && state.expire_watches {
