Test that no call is sent twice, against a target that closes connections at random

Two parser crates for Prometheus' text format were tried and don't fit what vLLM writes; a reader of single lines takes their place.

--- a/crates/chervilshunt_engine/src/connection.rs
+++ b/crates/chervilshunt_engine/src/connection.rs
@@ -7,7 +7,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::task::{Context, Poll, Waker};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -65,11 +65,11 @@
         })
     }
 
-    /// Says whether an idle connection can take a request, as far as can be known.
-    pub(crate) fn is_usable(&mut self) -> bool {
-        // Nothing polls an idle connection; this reads whether the target has closed it.
-        let mut cx = Context::from_waker(Waker::noop());
-        self.drive(&mut cx);
+    /// Says whether a connection can take a request, as far as was known when it was last polled.
+    ///
+    /// Nothing polls an idle one: that the target has closed it shows at the next request, which
+    /// then comes back unwritten.
+    pub(crate) fn is_usable(&self) -> bool {
         self.driver.is_some() && self.sender.is_ready()
     }
 
--- a/crates/chervilshunt_engine/src/lib.rs
+++ b/crates/chervilshunt_engine/src/lib.rs
@@ -12,6 +12,7 @@
 mod headers;
 mod orders;
 mod pool;
+mod prometheus;
 mod reports;
 
 pub use answer::{Answer, AnswerBody, AnswerSummary, Scanned, SseScanner, Usage};
--- a/crates/chervilshunt_engine/src/pool.rs
+++ b/crates/chervilshunt_engine/src/pool.rs
@@ -36,12 +36,11 @@
         }
     }
 
-    /// Returns an idle connection that the target has not closed so far.
+    /// Returns an idle connection; the target may have closed it.
     pub(crate) fn take(&self) -> Option<Connection> {
         loop {
-            let mut connection = self.lock().connections.pop()?;
-            let fresh = connection.idle_since.elapsed() < IDLE_LIMIT;
-            if fresh && connection.is_usable() {
+            let connection = self.lock().connections.pop()?;
+            if connection.idle_since.elapsed() < IDLE_LIMIT {
                 return Some(connection);
             }
         }
--- a/crates/chervilshunt_engine/src/reports.rs
+++ b/crates/chervilshunt_engine/src/reports.rs
@@ -2,11 +2,11 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use prometheus_parse::{Sample, Scrape, Value};
 use serde::Deserialize;
 
 use crate::EngineClient;
 use crate::error::{EngineError, MalformedSnafu};
+use crate::prometheus::{self, Sample};
 
 const RUNNING: &str = "vllm:num_requests_running";
 const WAITING: &str = "vllm:num_requests_waiting";
@@ -64,14 +64,7 @@
     pub async fn report(&self) -> Result<LoadReport, EngineError> {
         let body = self.question("/metrics").await?;
         let text = String::from_utf8_lossy(&body);
-        let scrape = Scrape::parse(text.lines().map(|line| Ok(line.to_owned())));
-        match scrape {
-            Ok(scrape) => read_report(&scrape.samples, SystemTime::now()),
-            Err(err) => MalformedSnafu {
-                problem: err.to_string(),
-            }
-            .fail(),
-        }
+        read_report(&prometheus::samples(&text), SystemTime::now())
     }
 
     /// Asks the engine for the changes of its prefix cache after number `after`.
@@ -94,7 +87,7 @@
     }
 }
 
-fn read_report(samples: &[Sample], now: SystemTime) -> Result<LoadReport, EngineError> {
+fn read_report(samples: &[Sample<'_>], now: SystemTime) -> Result<LoadReport, EngineError> {
     let Some(running) = sum(samples, RUNNING) else {
         return MalformedSnafu {
             problem: format!("{RUNNING} is missing"),
@@ -104,41 +97,28 @@
     // vLLM leaves a sample behind for each set of labels; the newest one is in force.
     let adapters = samples
         .iter()
-        .filter(|sample| sample.metric == ADAPTERS)
-        .max_by(|a, b| number(a).total_cmp(&number(b)));
+        .filter(|sample| sample.name == ADAPTERS)
+        .max_by(|a, b| a.value.total_cmp(&b.value));
     Ok(LoadReport {
         running: running as u32,
         waiting: sum(samples, WAITING).unwrap_or(0.0) as u32,
         cache_usage: sum(samples, CACHE_USAGE).unwrap_or(0.0),
         running_adapters: adapters.map(running_adapters).unwrap_or_default(),
-        age: adapters.map(|sample| age(number(sample), now)),
+        age: adapters.map(|sample| age(sample.value, now)),
     })
 }
 
 /// Adds up a metric over the engine's ranks; none if it isn't there.
-fn sum(samples: &[Sample], name: &str) -> Option<f64> {
-    let mut values = samples
-        .iter()
-        .filter(|sample| sample.metric == name)
-        .map(number);
-    let first = values.next()?;
-    Some(values.fold(first, |sum, value| sum + value))
-}
-
-fn number(sample: &Sample) -> f64 {
-    match &sample.value {
-        Value::Counter(value) | Value::Gauge(value) | Value::Untyped(value) => *value,
-        Value::Histogram(_) | Value::Summary(_) => 0.0,
-    }
+fn sum(samples: &[Sample<'_>], name: &str) -> Option<f64> {
+    let mut values = samples.iter().filter(|sample| sample.name == name);
+    let first = values.next()?.value;
+    Some(values.fold(first, |sum, sample| sum + sample.value))
 }
 
-fn running_adapters(sample: &Sample) -> Vec<String> {
-    let names = sample
-        .labels
-        .get(RUNNING_ADAPTERS)
-        .unwrap_or_default()
-        .split(',');
+fn running_adapters(sample: &Sample<'_>) -> Vec<String> {
+    let names = sample.label(RUNNING_ADAPTERS).unwrap_or_default();
     names
+        .split(',')
         .filter(|name| !name.is_empty())
         .map(str::to_owned)
         .collect()
--- /dev/null
+++ b/crates/chervilshunt_engine/tests/answers.rs
@@ -0,0 +1,320 @@
+//! Answers that go well: checked, counted, passed on at the caller's pace, and cancelled with it.
+
+mod common;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use chervilshunt_engine::{EngineClient, Expect, Usage};
+use chervilshunt_model::{AdapterVersion, Epoch};
+use chervilshunt_standin::engine::{EngineStandin, EngineStandinConfig, start_engine};
+use chervilshunt_standin::plain::{PlainStandinConfig, start_plain};
+use common::{LIMITS, MODEL, completion, completion_for, plain, read};
+use http_body_util::BodyExt as _;
+use rstest::rstest;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpListener;
+
+async fn engine_with_adapter(step_ms: u64) -> (EngineStandin, EngineClient) {
+    let cfg = EngineStandinConfig {
+        step: Duration::from_millis(step_ms),
+        ..EngineStandinConfig::default()
+    };
+    let engine = start_engine(cfg).await.expect("start");
+    let client = EngineClient::new(engine.address);
+    let model = AdapterVersion::parse(MODEL).expect("model");
+    client
+        .load(&model, "s", Epoch::new(1))
+        .await
+        .expect("loads");
+    (engine, client)
+}
+
+#[rstest]
+#[tokio::test]
+async fn answer_is_whole_and_counted(#[values(false, true)] stream: bool) {
+    let (engine, client) = engine_with_adapter(1).await;
+
+    let answer = client
+        .open(completion("r", 5, stream))
+        .await
+        .expect("opens");
+    assert_eq!(answer.headers["x-request-id"], "r");
+    let (text, summary) = read(answer).await.expect("whole");
+
+    assert!(
+        text.contains("served=a@1 request=r") && text.contains("TOKEN_3"),
+        "{text}"
+    );
+    assert!(summary.complete);
+    assert_eq!(
+        summary.usage,
+        Some(Usage {
+            prompt_tokens: 2,
+            completion_tokens: 5
+        })
+    );
+    assert_eq!(engine.runs("r").runs, 1);
+}
+
+#[tokio::test]
+async fn base_model_answers_too() {
+    let (_engine, client) = engine_with_adapter(1).await;
+    let answer = client
+        .open(completion_for("base", "r", 3, true))
+        .await
+        .expect("opens");
+    assert_eq!(read(answer).await.expect("whole").1.tokens(), 3);
+}
+
+/// The first piece may be awaited before the caller gets a head; nothing of the stream is lost.
+#[tokio::test]
+async fn first_piece_is_kept() {
+    let (_engine, client) = engine_with_adapter(1).await;
+    let mut answer = client.open(completion("r", 3, true)).await.expect("opens");
+
+    answer.body.first_piece().await.expect("comes");
+    answer.body.first_piece().await.expect("is still there");
+
+    let (text, summary) = read(answer).await.expect("whole");
+    assert!(
+        text.starts_with("data: {") && text.contains("served=a@1"),
+        "{text}"
+    );
+    assert_eq!((summary.events, text.matches("data:").count()), (3, 4));
+}
+
+/// The caller goes away in the middle of a stream: its sequence leaves the engine's batch.
+#[tokio::test]
+async fn dropped_answer_cancels_the_call() {
+    let (engine, client) = engine_with_adapter(2).await;
+    let mut answer = client
+        .open(completion("r", 1_000_000, true))
+        .await
+        .expect("opens");
+    answer.body.frame().await.expect("comes").expect("is right");
+    assert_eq!(engine.stats().running, 1);
+
+    drop(answer);
+
+    while engine.stats().running > 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// The call is dropped while it waits for its head, as when the caller goes away early.
+#[tokio::test]
+async fn dropped_call_leaves_the_engines_queue() {
+    let (engine, client) = engine_with_adapter(2).await;
+    let call = client.open(completion("r", 1_000_000, false));
+    assert!(
+        tokio::time::timeout(Duration::from_millis(50), call)
+            .await
+            .is_err()
+    );
+
+    while engine.stats().running + engine.stats().waiting > 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// The caller stops reading: the target can send only what the sockets between them hold.
+#[tokio::test]
+async fn slow_caller_holds_back_the_target() {
+    const TOTAL: usize = 64 * 1024 * 1024;
+    const PIECE: usize = 64 * 1024;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    let written = Arc::new(AtomicUsize::new(0));
+    let counter = Arc::clone(&written);
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("accept");
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {TOTAL}\r\n\r\n");
+        stream.write_all(head.as_bytes()).await.expect("head");
+        for _ in 0..TOTAL / PIECE {
+            stream.write_all(&[b'x'; PIECE]).await.expect("piece");
+            counter.fetch_add(PIECE, Ordering::Relaxed);
+        }
+        std::future::pending::<()>().await;
+    });
+    let client = EngineClient::new(address);
+    let answer = client.open(plain("r", false)).await.expect("opens");
+
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let held_back = written.load(Ordering::Relaxed);
+    assert!(
+        held_back < TOTAL / 2,
+        "{held_back} bytes were taken for a caller that reads none"
+    );
+
+    let (text, summary) = read(answer).await.expect("whole");
+    assert_eq!((text.len(), summary.complete), (TOTAL, true));
+}
+
+/// Headers that concern the caller's own connection don't reach the target.
+#[tokio::test]
+async fn plain_call_passes_on_what_is_the_callers() {
+    let service = start_plain(PlainStandinConfig::default())
+        .await
+        .expect("start");
+    let client = EngineClient::new(service.address);
+    let mut call = plain("r", false);
+    call.path = "/finish?boat=7".parse().expect("path");
+    for (name, value) in [
+        ("connection", "x-hop"),
+        ("x-hop", "1"),
+        ("content-length", "99"),
+        ("expect", "100-continue"),
+    ] {
+        call.headers.insert(name, value.parse().expect("value"));
+    }
+
+    let answer = client.open(call).await.expect("opens");
+    let (text, summary) = read(answer).await.expect("whole");
+
+    assert!(text.contains("\"path\":\"/finish?boat=7\"") && text.contains("\"body\":\"entry\""));
+    assert!(summary.complete);
+    assert_eq!(service.runs("r").runs, 1);
+}
+
+/// A connection is back for reuse by the time that an answer of known length has been read, even
+/// if nobody asks for its end.
+#[tokio::test]
+async fn answer_of_known_length_is_complete_at_its_last_byte() {
+    let service = start_plain(PlainStandinConfig::default())
+        .await
+        .expect("start");
+    let client = EngineClient::new(service.address);
+    let mut answer = client.open(plain("r", false)).await.expect("opens");
+    answer.body.frame().await.expect("comes").expect("is right");
+    assert!(answer.body.summary().complete);
+}
+
+#[tokio::test]
+async fn orders_can_be_given_again() {
+    let (engine, client) = engine_with_adapter(1).await;
+    let model = AdapterVersion::parse(MODEL).expect("model");
+    let epoch = Epoch::new(1);
+
+    client
+        .load(&model, "s", epoch)
+        .await
+        .expect("is there already");
+    assert_eq!(
+        client.inventory().await.expect("lists"),
+        std::slice::from_ref(&model)
+    );
+    client.unload(&model, epoch).await.expect("unloads");
+    client.unload(&model, epoch).await.expect("is gone already");
+
+    assert_eq!(client.inventory().await.expect("lists"), []);
+    assert_eq!(
+        (engine.stats().count.loads, engine.stats().count.unloads),
+        (1, 1)
+    );
+}
+
+/// Two owners give orders: the engine refuses the one whose epoch is older, whatever the order.
+#[tokio::test]
+async fn old_epoch_is_fenced() {
+    let (engine, client) = engine_with_adapter(1).await;
+    let model = AdapterVersion::parse("b@1").expect("model");
+    client
+        .load(&model, "s", Epoch::new(7))
+        .await
+        .expect("loads");
+
+    let error = client
+        .unload(&model, Epoch::new(6))
+        .await
+        .expect_err("is fenced");
+
+    assert!(
+        matches!(error, chervilshunt_engine::EngineError::Fenced { .. }),
+        "{error}"
+    );
+    assert_eq!(engine.stats().loaded.len(), 2);
+}
+
+/// Reports and cache events come late; by then they say what happened.
+#[tokio::test]
+async fn reports_tell_the_load_late() {
+    let (_engine, client) = engine_with_adapter(2).await;
+    let answer = client
+        .open(completion("r", 1_000_000, true))
+        .await
+        .expect("opens");
+    assert_eq!(client.report().await.expect("reports").running, 0);
+    assert_eq!(client.cache_events(0).await.expect("lists"), []);
+
+    let report = loop {
+        let report = client.report().await.expect("reports");
+        if report.running > 0 {
+            break report;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    };
+    let prefix = chervilshunt_model::prefix_hash(MODEL, b"one two");
+    let events = client.cache_events(0).await.expect("lists");
+    drop(answer);
+
+    assert_eq!((report.running, report.waiting), (1, 0));
+    assert_eq!(report.running_adapters, [MODEL]);
+    assert!(
+        report
+            .age
+            .is_some_and(|age| age >= Duration::from_millis(200))
+    );
+    assert_eq!(
+        events.iter().map(|event| event.prefix).collect::<Vec<_>>(),
+        [prefix]
+    );
+    assert_eq!(
+        client
+            .cache_events(events[0].sequence)
+            .await
+            .expect("lists"),
+        []
+    );
+}
+
+/// Many streams at once over one client: no answer reaches another call.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_do_not_cross() {
+    let (engine, client) = engine_with_adapter(1).await;
+    let calls = (0..60u32).map(|number| {
+        let client = client.clone();
+        tokio::spawn(async move {
+            let id = format!("r{number}");
+            let call = completion(&id, 2 + number % 7, number % 2 == 0);
+            assert_eq!(call.expect, Expect::Model(MODEL.into()));
+            let call = chervilshunt_engine::Call {
+                limits: chervilshunt_engine::Limits {
+                    head: LIMITS.head * 20,
+                    ..LIMITS
+                },
+                ..call
+            };
+            let answer = client.open(call).await.expect("opens");
+            let (text, summary) = read(answer).await.expect("whole");
+            assert!(
+                text.contains(&format!("request={id}\""))
+                    || text.contains(&format!("request={id} "))
+            );
+            assert_eq!(summary.tokens(), 2 + number % 7);
+        })
+    });
+    for call in calls.collect::<Vec<_>>() {
+        call.await.expect("call");
+    }
+    assert_eq!(
+        engine
+            .all_runs()
+            .all()
+            .values()
+            .map(|record| record.runs)
+            .sum::<u32>(),
+        60
+    );
+}
--- /dev/null
+++ b/crates/chervilshunt_engine/tests/at_most_once.rs
@@ -0,0 +1,228 @@
+//! No call is sent twice, and "not run" is said only of a call that no target has seen.
+
+mod common;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use chervilshunt_engine::{EngineClient, Outcome};
+use common::{ScriptedTarget, Step, plain, response, run};
+use rand::{Rng as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
+
+const ID_HEADER: &str = "x-request-id: ";
+
+/// Requests by id, with how often any byte of them was read.
+type Sightings = Arc<Mutex<HashMap<String, u32>>>;
+
+/// The target closes connections between calls, in the middle of a request and after it, at random
+/// and with random delays, so that it often closes one just as the client reuses it. Whatever the
+/// client then says of a call, the target's own record has to bear it out.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn not_run_is_true_and_nothing_runs_twice(#[values(1, 2, 3, 4)] seed: u64) {
+    const CALLERS: u64 = 6;
+    const CALLS: u64 = 120;
+    let sightings = Sightings::default();
+    let address = start_unreliable(seed, Arc::clone(&sightings)).await;
+    let client = EngineClient::new(address);
+
+    let callers =
+        (0..CALLERS).map(|caller| tokio::spawn(call_often(client.clone(), caller, CALLS)));
+    let mut outcomes = HashMap::new();
+    for caller in callers {
+        outcomes.extend(caller.await.expect("caller"));
+    }
+
+    let sightings = sightings.lock().expect("lock").clone();
+    for (id, outcome) in &outcomes {
+        let seen = sightings.get(id).copied().unwrap_or(0);
+        assert!(seen <= 1, "{id} was sent {seen} times");
+        match outcome {
+            None => assert_eq!(seen, 1, "{id} was answered but not seen"),
+            Some(Outcome::NotRun) => assert_eq!(seen, 0, "{id} is said not to have run"),
+            Some(Outcome::Unknown | Outcome::CutShort) => {}
+        }
+    }
+    let answered = outcomes
+        .values()
+        .filter(|outcome| outcome.is_none())
+        .count();
+    let unknown = outcomes
+        .values()
+        .flatten()
+        .filter(|outcome| **outcome == Outcome::Unknown);
+    assert!(
+        answered > 100 && unknown.count() > 20,
+        "the target was not unreliable enough"
+    );
+}
+
+/// Returns what the client said of each call; none if it was answered.
+async fn call_often(
+    client: EngineClient,
+    caller: u64,
+    calls: u64,
+) -> Vec<(String, Option<Outcome>)> {
+    let mut rng = ChaCha8Rng::seed_from_u64(caller);
+    let mut outcomes = Vec::new();
+    for call in 0..calls {
+        let id = format!("r{caller}-{call}");
+        let answer = run(&client, plain(&id, rng.random_bool(0.7))).await;
+        outcomes.push((id, answer.err().map(|error| error.outcome())));
+        tokio::time::sleep(Duration::from_micros(rng.random_range(0..600))).await;
+    }
+    outcomes
+}
+
+async fn start_unreliable(seed: u64, sightings: Sightings) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    tokio::spawn(async move {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        while let Ok((stream, _)) = listener.accept().await {
+            let rng = ChaCha8Rng::seed_from_u64(rng.random());
+            tokio::spawn(serve_unreliably(stream, rng, Arc::clone(&sightings)));
+        }
+    });
+    address
+}
+
+/// Serves a connection until it is closed on purpose at one of the stages.
+async fn serve_unreliably(mut stream: TcpStream, mut rng: ChaCha8Rng, sightings: Sightings) {
+    loop {
+        let close_before = rng.random_bool(0.2);
+        let wait = Duration::from_micros(rng.random_range(0..800));
+        if close_before && tokio::time::timeout(wait, stream.readable()).await.is_err() {
+            return;
+        }
+        let Some(()) = read_one(&mut stream, &sightings).await else {
+            return;
+        };
+        if rng.random_bool(0.1) {
+            return;
+        }
+        if stream
+            .write_all(response("200 OK", "", "done").as_bytes())
+            .await
+            .is_err()
+        {
+            return;
+        }
+        if rng.random_bool(0.1) {
+            return;
+        }
+    }
+}
+
+/// Reads a request, and notes its id as soon as it has come.
+async fn read_one(stream: &mut TcpStream, sightings: &Sightings) -> Option<()> {
+    let mut buf = Vec::new();
+    let mut noted = false;
+    loop {
+        if stream.read_buf(&mut buf).await.ok()? == 0 {
+            return None;
+        }
+        let text = String::from_utf8_lossy(&buf);
+        if !noted && let Some((_, rest)) = text.split_once(ID_HEADER) {
+            let id = rest.split_once("\r\n")?.0.to_owned();
+            *sightings.lock().expect("lock").entry(id).or_default() += 1;
+            noted = true;
+        }
+        if text.ends_with("entry") {
+            return Some(());
+        }
+    }
+}
+
+/// The target closes an idle connection between two calls. The second call goes out on a new one:
+/// no byte of it went to the closed one, so that this is no second sending.
+#[tokio::test]
+async fn closed_idle_connection_is_not_used() {
+    let done = response("200 OK", "", "done");
+    let target =
+        ScriptedTarget::start(vec![Step::AnswerAndClose(done.clone()), Step::Answer(done)]).await;
+    let client = EngineClient::new(target.address);
+
+    run(&client, plain("first", true)).await.expect("answers");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    run(&client, plain("second", true)).await.expect("answers");
+
+    assert_eq!(
+        (target.seen().connections, target.seen().requests.len()),
+        (2, 2)
+    );
+}
+
+/// The target closes the reused connection once it has read the second call. Whether that ran is
+/// unknown; it must not go out again, idempotent or not, since only the caller may decide that.
+#[tokio::test]
+async fn call_lost_on_reused_connection_is_not_sent_again() {
+    let done = response("200 OK", "", "done");
+    let steps = vec![
+        Step::Answer(done.clone()),
+        Step::AnswerAndClose(String::new()),
+        Step::Answer(done),
+    ];
+    let target = ScriptedTarget::start(steps).await;
+    let client = EngineClient::new(target.address);
+
+    run(&client, plain("first", true)).await.expect("answers");
+    let error = run(&client, plain("second", true))
+        .await
+        .expect_err("fails");
+
+    assert_eq!(error.outcome(), Outcome::Unknown);
+    assert_eq!(
+        (target.seen().connections, target.seen().requests.len()),
+        (1, 2)
+    );
+}
+
+/// Idempotent calls share a connection; each other call has one that no call used before.
+#[rstest]
+#[case::idempotent(true, 1)]
+#[case::not_idempotent(false, 3)]
+#[tokio::test]
+async fn only_idempotent_calls_reuse_connections(
+    #[case] idempotent: bool,
+    #[case] connections: usize,
+) {
+    let done = response("200 OK", "", "done");
+    let target = ScriptedTarget::start(vec![Step::Answer(done); 3]).await;
+    let client = EngineClient::new(target.address);
+
+    for id in ["1", "2", "3"] {
+        run(&client, plain(id, idempotent)).await.expect("answers");
+    }
+
+    assert_eq!(target.seen().connections, connections);
+}
+
+/// A target that sends more than one answer spoils its connection: the surplus one must not become
+/// the answer to the next call.
+#[tokio::test]
+async fn surplus_answer_is_not_given_to_the_next_call() {
+    let two = response("200 OK", "", "own") + &response("200 OK", "", "stray");
+    let target = ScriptedTarget::start(vec![
+        Step::Answer(two),
+        Step::Answer(response("200 OK", "", "own")),
+    ])
+    .await;
+    let client = EngineClient::new(target.address);
+
+    assert_eq!(
+        run(&client, plain("first", true)).await.expect("answers"),
+        "own"
+    );
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert_eq!(
+        run(&client, plain("second", true)).await.expect("answers"),
+        "own"
+    );
+}
--- a/crates/chervilshunt_engine/tests/common/mod.rs
+++ b/crates/chervilshunt_engine/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test uses a part")]
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -125,7 +126,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
         let address = listener.local_addr().expect("address");
         let seen = Arc::new(Mutex::new(Seen::default()));
-        let steps = Arc::new(Mutex::new(steps.into_iter()));
+        let steps = Arc::new(Mutex::new(VecDeque::from(steps)));
         let target = Self {
             address,
             seen: Arc::clone(&seen),
@@ -144,20 +145,16 @@
     }
 }
 
-async fn follow(
-    mut stream: TcpStream,
-    steps: Arc<Mutex<std::vec::IntoIter<Step>>>,
-    seen: Arc<Mutex<Seen>>,
-) {
+async fn follow(mut stream: TcpStream, steps: Arc<Mutex<VecDeque<Step>>>, seen: Arc<Mutex<Seen>>) {
     loop {
-        let next = steps.lock().expect("lock").next();
-        if matches!(next, None | Some(Step::CloseUnread)) {
+        if take_close(&steps) {
             return;
         }
         let Some(request) = read_request(&mut stream).await else {
             return;
         };
         seen.lock().expect("lock").requests.push(request);
+        let next = steps.lock().expect("lock").pop_front();
         match next {
             None | Some(Step::CloseUnread) => return,
             Some(Step::Answer(text)) => drop(stream.write_all(text.as_bytes()).await),
@@ -170,6 +167,15 @@
     }
 }
 
+fn take_close(steps: &Mutex<VecDeque<Step>>) -> bool {
+    let mut steps = steps.lock().expect("lock");
+    let close = matches!(steps.front(), Some(Step::CloseUnread));
+    if close {
+        steps.pop_front();
+    }
+    close
+}
+
 /// Reads a request with a `Content-Length`; none if the connection ends before it.
 async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut buf = Vec::new();
