--- a/crates/chervilshunt_coord/src/config/follower.rs
+++ b/crates/chervilshunt_coord/src/config/follower.rs
@@ -59,6 +59,8 @@
     /// The own lease exists, so that whoever proposes a change from now on counts this run: the
     /// head may be read.
     Start,
+    /// The head has changed in a way that was not seen: it has to be read.
+    Recheck,
     /// The head was seen; it may be stale.
     Seen(Box<HeadRecord>, ObjectVersion),
     /// An instance said something.
@@ -198,6 +200,11 @@
         self.head.as_ref().map(|(head, _)| head)
     }
 
+    /// Returns the latest head with its version.
+    pub(crate) const fn stored_head(&self) -> Option<&(HeadRecord, ObjectVersion)> {
+        self.head.as_ref()
+    }
+
     /// Returns whether a configuration is in force and known to be the latest one.
     pub fn is_settled(&self) -> bool {
         self.in_force.is_some()
@@ -243,6 +250,9 @@
                 self.started = true;
                 self.read_at = Some(now);
             }
+            FollowerEvent::Recheck => {
+                self.read_at.get_or_insert(now);
+            }
             FollowerEvent::Seen(head, version) => self.on_head(*head, version, now, &mut actions),
             FollowerEvent::Message(from, message) => {
                 self.on_message(&from, message, now, &mut actions);
--- a/crates/chervilshunt_coord/src/config/head.rs
+++ b/crates/chervilshunt_coord/src/config/head.rs
@@ -18,7 +18,6 @@
 const REMEMBERED_OUTCOMES: usize = 32;
 
 /// Electorates that the head remembers.
-#[allow(dead_code, reason = "the upkeep of the electorate is to come")]
 const REMEMBERED_ELECTORATES: usize = 8;
 
 /// Which content of a page: the hash of its text, and the change that wrote it.
@@ -229,7 +228,6 @@
     }
 
     /// Returns the head with other electors.
-    #[allow(dead_code, reason = "the upkeep of the electorate is to come")]
     pub(crate) fn with_electors(&self, electors: Vec<Elector>) -> Self {
         let mut next = self.clone();
         next.generation += 1;
--- a/crates/chervilshunt_coord/src/config/proposer/collect.rs
+++ b/crates/chervilshunt_coord/src/config/proposer/collect.rs
@@ -22,7 +22,7 @@
     pub(super) fn set_live(&mut self, leases: &[LeaseRecord], generation: u64) {
         let live = leases.iter().filter(|lease| lease.state.is_live());
         self.live = Some(live.clone().map(|lease| lease.holder.clone()).collect());
-        let by_lease = live.filter(|lease| lease.acknowledged == Some(generation));
+        let by_lease = live.filter(|lease| lease.acknowledged >= Some(generation));
         self.acknowledged
             .extend(by_lease.map(|lease| lease.holder.clone()));
     }
--- a/crates/chervilshunt_coord/src/coordinator.rs
+++ b/crates/chervilshunt_coord/src/coordinator.rs
@@ -1,6 +1,8 @@
 //! Puts the machines together for a daemon.
 
 mod drive;
+mod electors;
+mod outage;
 mod types;
 mod watch;
 
@@ -9,6 +11,7 @@
 
 use chervilshunt_model::{Epoch, InstanceId, Moment, RegionName, ZoneName};
 
+use self::electors::Upkeep;
 pub use self::types::{CoordAction, CoordDecision, CoordEvent, CoordMessage, DecisionKind};
 use crate::config::{
     ConfigModel, Elector, Follower, FollowerConfig, FollowerEvent, HeadRecord, InForce, Proposer,
@@ -20,6 +23,7 @@
     ObserverEvent,
 };
 use crate::membership::{InstanceEntry, PeerView};
+use crate::outage::{ElectorConfig, ElectorDesk, Hold, HoldConfig, Vouching};
 use crate::platform::{CallId, Object, PlatformResult, Stored};
 use crate::roles::{Role, RoleConfig, RoleEntry, RoleEvent, RoleTable};
 use crate::takeover::Takeovers;
@@ -29,6 +33,7 @@
 const ROLES: u32 = 3;
 const FOLLOWER: u32 = 4;
 const PROPOSER: u32 = 5;
+const ELECTORS: u32 = 6;
 
 /// What a coordinator has to know at the start.
 #[derive(Clone, Debug)]
@@ -55,6 +60,10 @@
     pub follower: FollowerConfig,
     /// How changes are brought through.
     pub proposer: ProposerConfig,
+    /// How electors give their word.
+    pub elector: ElectorConfig,
+    /// How the lease is extended while the platform fails.
+    pub hold: HoldConfig,
     /// How many instances watch each lease.
     pub watchers: usize,
 }
@@ -81,6 +90,8 @@
             roles: RoleConfig::default(),
             follower: FollowerConfig::default(),
             proposer: ProposerConfig::default(),
+            elector: ElectorConfig::default(),
+            hold: HoldConfig::default(),
             watchers: 3,
         }
     }
@@ -126,6 +137,14 @@
     follower: Follower<S, C>,
     proposer: Proposer<S, C>,
     takeovers: Takeovers,
+    desk: ElectorDesk,
+    hold: Hold,
+    holding: bool,
+    vouching: Vouching,
+    upkeep: Upkeep,
+    /// Since when the instance list has been followed, and no longer shows an instance.
+    list_since: Option<Moment>,
+    gone_since: BTreeMap<InstanceId, Moment>,
     list: BTreeMap<InstanceId, InstanceEntry>,
     lost_peers: BTreeSet<InstanceId>,
     suspects: BTreeSet<InstanceId>,
@@ -133,6 +152,10 @@
     extra_watches: BTreeSet<Holder>,
     ended: BTreeSet<Holder>,
     view: PeerView,
+    /// Whether it has to be found out anew which leases are to be watched.
+    rewatch: bool,
+    /// Whether the view has to be put together anew.
+    review: bool,
     takes_work: bool,
     shutting_down: bool,
     drained: bool,
@@ -143,6 +166,7 @@
     /// Starts a coordinator; nothing is asked before the first [`CoordEvent::Tick`].
     pub fn new(cfg: CoordinatorConfig<S, C>, now: Moment) -> Self {
         let me = cfg.me.clone();
+        let nonce = me.incarnation.get();
         Self {
             lease: LeaseKeeper::with_machine(cfg.lease, cfg.lease_record(), LEASE, now),
             lease_state: None,
@@ -157,12 +181,21 @@
             ),
             proposer: Proposer::with_machine(cfg.proposer, cfg.model, me, PROPOSER),
             takeovers: Takeovers::default(),
+            desk: ElectorDesk::new(cfg.elector, now),
+            hold: Hold::new(cfg.hold, nonce),
+            holding: false,
+            vouching: Vouching::new(nonce),
+            upkeep: Upkeep::new(ELECTORS),
+            list_since: None,
+            gone_since: BTreeMap::new(),
             list: BTreeMap::new(),
             lost_peers: BTreeSet::new(),
             suspects: BTreeSet::new(),
             extra_watches: BTreeSet::new(),
             ended: BTreeSet::new(),
             view: PeerView::default(),
+            rewatch: true,
+            review: true,
             takes_work: false,
             shutting_down: false,
             drained: false,
@@ -179,6 +212,8 @@
         self.roles.seed(bugs);
         self.follower.seed(bugs);
         self.proposer.seed(bugs);
+        self.desk.seed(bugs);
+        self.hold.seed(bugs);
     }
 
     /// Returns this run of this instance; it changes when the lease was lost and is begun anew.
@@ -188,15 +223,28 @@
 
     /// Returns the epoch for an order under `role`, if one may be given right now.
     pub fn may_order(&self, role: &Role, now: Moment) -> Option<Epoch> {
-        if !self.lease.is_valid(now) {
+        let by_lease = self.lease.is_valid(now);
+        // An extended lease is as good as the lease by all that is known, but for whom nothing else
+        // protects it has to be the lease.
+        let by_hold = self.is_held(now) && self.roles.is_fenced(role);
+        if !by_lease && !by_hold {
             return None;
         }
         self.roles.may_order(role, now)
     }
 
+    /// Returns whether the lease, or its extension while the platform fails, counts now.
+    pub fn is_valid(&self, now: Moment) -> bool {
+        self.lease.is_valid(now) || self.is_held(now)
+    }
+
+    fn is_held(&self, now: Moment) -> bool {
+        self.lease_state.is_some() && now < self.hold.valid_until()
+    }
+
     /// Returns whether new work may be taken right now.
     pub fn may_take_work(&self, now: Moment) -> bool {
-        self.lease.is_valid(now)
+        self.is_valid(now)
             && self.lease_state == Some(LeaseState::Active)
             && !self.shutting_down
             && self.follower.may_take_work(now)
@@ -234,13 +282,17 @@
 
     /// Returns when [`CoordEvent::Tick`] is next wanted.
     pub fn next_wakeup(&self) -> Option<Moment> {
-        let takes_work_until = self.takes_work.then(|| self.lease.valid_until());
+        let valid_until = self.lease.valid_until().max(self.hold.valid_until());
+        let takes_work_until = self.takes_work.then_some(valid_until);
         [
             self.lease.next_wakeup(),
             self.observer.next_wakeup(),
             self.roles.next_wakeup(),
             self.follower.next_wakeup(),
             self.proposer.next_wakeup(),
+            self.hold_wakeup(),
+            self.vouching.next_wakeup(),
+            self.upkeep.next_wakeup(),
             takes_work_until,
         ]
         .into_iter()
@@ -262,6 +314,7 @@
             }
             CoordEvent::PeerLost(instance) => {
                 self.lost_peers.insert(instance);
+                self.review = true;
             }
             CoordEvent::RolesWanted { revision, roles } => {
                 self.drive_roles(RoleEvent::Wanted(revision, roles), now, &mut actions);
@@ -302,12 +355,14 @@
         now: Moment,
         actions: &mut Vec<CoordAction<S, C>>,
     ) {
+        self.desk.note_call(result.is_answer(), now);
         match call.machine() {
             LEASE => self.drive_lease(LeaseEvent::Reply(call, result), now, actions),
             OBSERVER => self.drive_observer(ObserverEvent::Reply(call, result), now, actions),
             ROLES => self.drive_roles(RoleEvent::Reply(call, result), now, actions),
             FOLLOWER => self.drive_follower(FollowerEvent::Reply(call, result), now, actions),
             PROPOSER => self.drive_proposer(ProposerEvent::Reply(call, result), now, actions),
+            ELECTORS => self.on_electors_written(call, result, now, actions),
             _ => {}
         }
     }
@@ -333,9 +388,10 @@
         now: Moment,
         actions: &mut Vec<CoordAction<S, C>>,
     ) {
-        self.lost_peers.remove(from);
+        self.review |= self.lost_peers.remove(from);
         match message {
             CoordMessage::Config(message) => self.on_config_message(from, message, now, actions),
+            CoordMessage::Hold(message) => self.on_hold_message(from, &message, now, actions),
         }
     }
 
@@ -365,6 +421,9 @@
         }
         self.update_watches(now, actions);
         self.update_view(actions);
+        self.keep_up_electors(now, actions);
+        self.extend_lease(now, actions);
+        self.collect_vouches(now, actions);
         let takes_work = self.may_take_work(now);
         if takes_work != self.takes_work {
             self.takes_work = takes_work;
--- a/crates/chervilshunt_coord/src/coordinator/drive.rs
+++ b/crates/chervilshunt_coord/src/coordinator/drive.rs
@@ -8,6 +8,7 @@
 use crate::lease::{
     LeaseAction, LeaseEvent, LeaseKeeper, LeaseState, ObserverAction, ObserverEvent,
 };
+use crate::outage::Hold;
 use crate::roles::{Role, RoleAction, RoleEvent};
 
 impl<S: Clone, C: Clone> Coordinator<S, C> {
@@ -57,6 +58,7 @@
         self.lease_state = None;
         let record = self.cfg.lease_record();
         self.lease = LeaseKeeper::with_machine(self.cfg.lease, record, LEASE, now);
+        self.hold = Hold::new(self.cfg.hold, self.cfg.me.incarnation.get());
         let event = RoleEvent::BeginAnew(self.cfg.me.clone());
         self.drive_roles(event, now, actions);
         self.follower.begin_anew(self.cfg.me.clone());
@@ -79,15 +81,16 @@
             match action {
                 ObserverAction::Call(call) => actions.push(CoordAction::Platform(call)),
                 ObserverAction::Seen(lease) => {
-                    self.suspects.remove(&lease.holder.instance);
-                    self.extra_watches.remove(&lease.holder);
+                    self.review |= self.suspects.remove(&lease.holder.instance);
+                    self.rewatch |= self.extra_watches.remove(&lease.holder);
+                    self.vouching.end(&lease.holder);
                 }
                 ObserverAction::Expired(holder) => {
                     let instance = Some(holder.instance.clone());
                     let reason = "the lease stayed unchanged for its full time";
                     log(actions, DecisionKind::LeaseExpired, None, instance, reason);
-                    self.suspects.insert(holder.instance.clone());
-                    self.drive_observer(ObserverEvent::Mark(holder), now, actions);
+                    self.review |= self.suspects.insert(holder.instance.clone());
+                    self.on_expired(holder, now, actions);
                 }
                 ObserverAction::Ended(holder, by_me) => {
                     let instance = Some(holder.instance.clone());
@@ -97,8 +100,10 @@
                         "the lease was found ended"
                     };
                     log(actions, DecisionKind::LeaseEnded, None, instance, reason);
+                    self.vouching.end(&holder);
                     self.ended.insert(holder.clone());
                     self.extra_watches.remove(&holder);
+                    self.rewatch = true;
                     self.drive_roles(RoleEvent::Ended(holder, by_me), now, actions);
                 }
             }
@@ -156,6 +161,7 @@
                     actions.push(CoordAction::RoleLost { role });
                 }
                 RoleAction::HolderChanged { role, holder } => {
+                    self.rewatch = true;
                     actions.push(CoordAction::HolderChanged { role, holder });
                 }
             }
@@ -221,7 +227,7 @@
                         instance,
                         reason,
                     );
-                    self.extra_watches.insert(holder);
+                    self.rewatch |= self.extra_watches.insert(holder);
                 }
                 ProposerAction::Accepted(ticket, revision) => {
                     let reason = "all live instances acknowledged it";
@@ -305,7 +311,7 @@
 /// How many instances are asked for a decision beside the proposer.
 const ASKED_AROUND: usize = 3;
 
-fn log<S, C>(
+pub(super) fn log<S, C>(
     actions: &mut Vec<CoordAction<S, C>>,
     kind: DecisionKind,
     role: Option<Role>,
--- /dev/null
+++ b/crates/chervilshunt_coord/src/coordinator/outage.rs
@@ -0,0 +1,219 @@
+//! Extends the own lease while the platform fails, and makes sure that others' are not extended
+//! before they are marked lapsed.
+
+use std::collections::BTreeSet;
+
+use chervilshunt_model::{InstanceId, Moment};
+
+use super::Coordinator;
+use super::drive::log;
+use super::types::{CoordAction, CoordMessage, DecisionKind};
+use crate::config::Electorate;
+use crate::hashing::text_hash;
+use crate::holder::Holder;
+use crate::lease::ObserverEvent;
+use crate::outage::{HoldAction, HoldMessage, VouchAction};
+
+impl<S: Clone, C: Clone> Coordinator<S, C> {
+    /// Returns the electors that the own lease names, by the last renewal known to be carried out.
+    fn own_electorate(&self) -> Option<&Electorate> {
+        self.follower
+            .head()?
+            .electorate(self.lease.confirmed_electorate())
+    }
+
+    pub(super) fn hold_wakeup(&self) -> Option<Moment> {
+        self.lease_state?;
+        let until = self.lease.valid_until();
+        let wakeup = self.hold.next_wakeup(until);
+        (wakeup < until.max(self.hold.valid_until())).then_some(wakeup)
+    }
+
+    pub(super) fn extend_lease(&mut self, now: Moment, actions: &mut Vec<CoordAction<S, C>>) {
+        let until = self.lease.valid_until();
+        if self.lease_state.is_none() || now < self.hold.next_wakeup(until) {
+            return self.note_hold(now, actions);
+        }
+        let Some(electorate) = self.own_electorate().cloned() else {
+            return;
+        };
+        let relays = self.relays(&electorate);
+        for action in self.hold.ask(until, &electorate, &relays, now) {
+            let HoldAction::Send(to, message) = action;
+            self.send_hold(to, message, now, actions);
+        }
+        self.note_hold(now, actions);
+    }
+
+    fn note_hold(&mut self, now: Moment, actions: &mut Vec<CoordAction<S, C>>) {
+        let holding = !self.lease.is_valid(now) && self.is_held(now);
+        if holding == self.holding {
+            return;
+        }
+        self.holding = holding;
+        let reason = if holding {
+            "the platform fails, and a majority of the electors has promised to supersede nobody"
+        } else {
+            "the lease was renewed, or the electors promise no longer"
+        };
+        log(actions, DecisionKind::HoldChanged, None, None, reason);
+    }
+
+    /// Returns the instances that ask the electors for this one, in their order.
+    fn relays(&self, electorate: &Electorate) -> Vec<InstanceId> {
+        let instances = self.instances();
+        let me = &self.cfg.me.instance;
+        let is_elector = electorate
+            .electors
+            .iter()
+            .any(|elector| elector.instance == *me);
+        if is_elector || instances.len() <= self.cfg.hold.direct_at_most {
+            return Vec::new();
+        }
+        let in_zone = instances.iter().filter(|(_, zone)| **zone == self.cfg.zone);
+        let mut in_zone: Vec<_> = in_zone.map(|(instance, _)| instance.clone()).collect();
+        in_zone.sort_by_key(|instance| text_hash(instance.as_str()));
+        in_zone.truncate(RELAYS);
+        if in_zone.contains(me) {
+            return Vec::new();
+        }
+        in_zone
+    }
+
+    /// Decides what becomes of a lease that has stayed unchanged for its full time.
+    pub(super) fn on_expired(
+        &mut self,
+        holder: Holder,
+        now: Moment,
+        actions: &mut Vec<CoordAction<S, C>>,
+    ) {
+        if self.is_dead(&holder.instance, now) {
+            return self.drive_observer(ObserverEvent::Mark(holder), now, actions);
+        }
+        let Some(lease) = self.observer.seen(&holder) else {
+            return;
+        };
+        let versions = BTreeSet::from([lease.electorate, lease.electorate_before]);
+        let named: Vec<_> = versions
+            .into_iter()
+            .filter(|version| *version > 0)
+            .collect();
+        if named.is_empty() {
+            // It has never known electors, so nobody can have extended its lease.
+            return self.drive_observer(ObserverEvent::Mark(holder), now, actions);
+        }
+        let head = self.follower.head();
+        let known = named
+            .iter()
+            .filter_map(|version| head?.electorate(*version).cloned());
+        let known: Vec<_> = known.collect();
+        if known.len() == named.len() {
+            self.vouching.begin(holder, known, now);
+        }
+    }
+
+    /// Returns whether the platform's list has ceased to show an instance for so long that
+    /// whatever it promised has run out.
+    fn is_dead(&self, instance: &InstanceId, now: Moment) -> bool {
+        if self.list.contains_key(instance) {
+            return false;
+        }
+        let since = self.gone_since.get(instance).copied().or(self.list_since);
+        since.is_some_and(|since| now.since(since) >= self.cfg.elector.promise_for)
+    }
+
+    pub(super) fn collect_vouches(&mut self, now: Moment, actions: &mut Vec<CoordAction<S, C>>) {
+        for action in self.vouching.ask(now) {
+            let VouchAction::Send(to, message) = action;
+            self.send_hold(to, message, now, actions);
+        }
+    }
+
+    fn send_hold(
+        &mut self,
+        to: InstanceId,
+        message: HoldMessage,
+        now: Moment,
+        actions: &mut Vec<CoordAction<S, C>>,
+    ) {
+        if to == self.cfg.me.instance {
+            return self.on_hold_message(&to, &message, now, actions);
+        }
+        let message = CoordMessage::Hold(message);
+        actions.push(CoordAction::Send { to, message });
+    }
+
+    pub(super) fn on_hold_message(
+        &mut self,
+        from: &InstanceId,
+        message: &HoldMessage,
+        now: Moment,
+        actions: &mut Vec<CoordAction<S, C>>,
+    ) {
+        match message {
+            HoldMessage::AskPromise { number, address } => {
+                let is_me = *address == self.cfg.peer_address;
+                let promise = is_me.then(|| self.desk.promise(now)).flatten();
+                let answer = HoldMessage::Promise {
+                    number: *number,
+                    for_ms: promise.map_or(0, millis),
+                };
+                self.send_hold(from.clone(), answer, now, actions);
+            }
+            HoldMessage::AskVouch {
+                number,
+                address,
+                about,
+            } => {
+                let is_me = *address == self.cfg.peer_address;
+                let vouch = is_me.then(|| self.desk.vouch(now)).flatten();
+                let answer = HoldMessage::Vouch {
+                    number: *number,
+                    about: about.clone(),
+                    for_ms: vouch.map_or(0, millis),
+                };
+                self.send_hold(from.clone(), answer, now, actions);
+            }
+            HoldMessage::AskHold { number, electorate } => {
+                let electorate = self
+                    .follower
+                    .head()
+                    .and_then(|head| head.electorate(*electorate));
+                let until = electorate.map(|electorate| self.hold.promised_by_majority(electorate));
+                let answer = HoldMessage::HoldFor {
+                    number: *number,
+                    for_ms: until.map_or(0, |until| millis(now.until(until))),
+                };
+                self.send_hold(from.clone(), answer, now, actions);
+            }
+            HoldMessage::Promise { number, for_ms } | HoldMessage::HoldFor { number, for_ms } => {
+                let until = self.lease.valid_until();
+                if let Some(electorate) = self.own_electorate().cloned() {
+                    self.hold
+                        .answered(*number, *for_ms, until, &electorate, now);
+                }
+            }
+            HoldMessage::Vouch {
+                number,
+                about,
+                for_ms,
+            } => {
+                let mut vouching = std::mem::take(&mut self.vouching);
+                let dead = |instance: &InstanceId| self.is_dead(instance, now);
+                let enough = vouching.answered(about, *number, *for_ms, dead, now);
+                self.vouching = vouching;
+                if enough {
+                    let event = ObserverEvent::Mark(about.clone());
+                    self.drive_observer(event, now, actions);
+                }
+            }
+        }
+    }
+}
+
+/// How many instances of a zone ask the electors for the others, one after the other's failure.
+const RELAYS: usize = 2;
+
+fn millis(duration: std::time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/chervilshunt_coord/src/coordinator/types.rs
+++ b/crates/chervilshunt_coord/src/coordinator/types.rs
@@ -8,6 +8,7 @@
 
 use crate::config::{ChangeRefusal, ChangeTicket, ConfigMessage};
 use crate::membership::{InstanceEntry, PeerView};
+use crate::outage::HoldMessage;
 use crate::platform::{CallId, PlatformCall, PlatformResult, Stored};
 use crate::roles::{Role, WantedRole};
 
@@ -157,6 +158,9 @@
     /// About a change of configuration.
     #[serde(rename = "c")]
     Config(ConfigMessage<C>),
+    /// About the platform's failure.
+    #[serde(rename = "h")]
+    Hold(HoldMessage),
 }
 
 /// A decision with its reason.
@@ -180,6 +184,10 @@
     LeaseCreated,
     /// The lease was lost; the run begins anew.
     LeaseLost,
+    /// The lease is extended by promises of the electors, or no longer.
+    HoldChanged,
+    /// Other electors were chosen.
+    ElectorsChanged,
     /// The lease of another was found to have run out.
     LeaseExpired,
     /// The lease of another has ended.
--- a/crates/chervilshunt_coord/src/coordinator/watch.rs
+++ b/crates/chervilshunt_coord/src/coordinator/watch.rs
@@ -21,7 +21,15 @@
         let entries = entries
             .into_iter()
             .map(|entry| (entry.instance.clone(), entry));
-        self.list = entries.collect();
+        let before = std::mem::replace(&mut self.list, entries.collect());
+        self.list_since.get_or_insert(now);
+        self.gone_since
+            .retain(|instance, _| !self.list.contains_key(instance));
+        for instance in before.into_keys() {
+            if !self.list.contains_key(&instance) {
+                self.gone_since.entry(instance).or_insert(now);
+            }
+        }
         let gone = self
             .takeovers
             .keep_only(&self.list.keys().cloned().collect());
@@ -34,7 +42,7 @@
     }
 
     /// Returns the instances that are believed to be live.
-    fn instances(&self) -> BTreeMap<InstanceId, ZoneName> {
+    pub(super) fn instances(&self) -> BTreeMap<InstanceId, ZoneName> {
         let listed = self.list.values().filter(|entry| !entry.terminating);
         let mut instances: BTreeMap<_, _> = listed
             .map(|entry| (entry.instance.clone(), entry.zone.clone()))
@@ -45,6 +53,9 @@
 
     /// Watches the leases of the holders whose turn falls on this instance.
     pub(super) fn update_watches(&mut self, now: Moment, actions: &mut Vec<CoordAction<S, C>>) {
+        if !std::mem::take(&mut self.rewatch) {
+            return;
+        }
         let me = self.cfg.me.clone();
         let holders: BTreeSet<Holder> = self
             .roles
@@ -84,6 +95,9 @@
 
     /// Tells of the instances that are known, if that has changed.
     pub(super) fn update_view(&mut self, actions: &mut Vec<CoordAction<S, C>>) {
+        if !std::mem::take(&mut self.review) {
+            return;
+        }
         let peers = self.list.values().map(|entry| {
             let state = if entry.terminating {
                 PeerState::Leaving
--- a/crates/chervilshunt_coord/src/lease/observer.rs
+++ b/crates/chervilshunt_coord/src/lease/observer.rs
@@ -130,6 +130,12 @@
         self.watched.keys()
     }
 
+    /// Returns what the lease of `holder` said when it was last read.
+    pub fn seen(&self, holder: &Holder) -> Option<&LeaseRecord> {
+        let (record, _) = self.watched.get(holder)?.seen.as_ref()?;
+        Some(record)
+    }
+
     /// Returns whether the lease of `holder` is watched.
     pub fn is_watching(&self, holder: &Holder) -> bool {
         self.watched.contains_key(holder)
--- a/crates/chervilshunt_coord/src/lib.rs
+++ b/crates/chervilshunt_coord/src/lib.rs
@@ -13,6 +13,7 @@
 mod holder;
 mod lease;
 mod membership;
+mod outage;
 mod platform;
 mod roles;
 mod takeover;
@@ -39,6 +40,9 @@
     ObserverAction, ObserverConfig, ObserverEvent,
 };
 pub use membership::{InstanceEntry, Peer, PeerState, PeerView};
+pub use outage::{
+    ElectorConfig, ElectorDesk, Hold, HoldAction, HoldConfig, HoldMessage, VouchAction, Vouching,
+};
 pub use platform::{
     CallId, Object, ObjectKind, ObjectName, ObjectVersion, PageName, PlatformCall, PlatformOp,
     PlatformResult, Purpose, Stored,
--- a/crates/chervilshunt_coord/src/roles/table.rs
+++ b/crates/chervilshunt_coord/src/roles/table.rs
@@ -134,6 +134,19 @@
     lacking_since: Option<Moment>,
 }
 
+impl Shard {
+    /// Makes the shard of an object that does not exist.
+    const fn absent(name: AssignmentShard) -> Self {
+        Self {
+            record: AssignmentRecord::empty(name),
+            version: None,
+            doing: Doing::Nothing,
+            retry_at: Moment::ZERO,
+            lacking_since: None,
+        }
+    }
+}
+
 /// A run that can take roles, as the last list of leases showed it.
 #[derive(Clone, Debug)]
 struct Member {
@@ -168,6 +181,8 @@
     leaving: bool,
     ask_at: Moment,
     asks: u64,
+    /// Whether it has to be found out anew which shards lack wanted roles.
+    recheck: bool,
     bugs: Bugs,
 }
 
@@ -208,6 +223,7 @@
             leaving: false,
             ask_at: now,
             asks: 0,
+            recheck: true,
             bugs: Bugs::default(),
         }
     }
@@ -248,6 +264,11 @@
             .map(|held| held.epoch)
     }
 
+    /// Returns whether whoever takes the orders under `role` refuses old epochs.
+    pub fn is_fenced(&self, role: &Role) -> bool {
+        self.wanted.get(role).is_some_and(|wanted| wanted.fenced)
+    }
+
     /// Returns whether this run holds no role any more, or was never going to.
     pub fn holds_nothing(&self) -> bool {
         self.held.is_empty()
@@ -280,7 +301,10 @@
             RoleEvent::Reply(call, result) => self.on_reply(call, result, now, &mut actions),
             RoleEvent::Wanted(revision, roles) => self.on_wanted(revision, roles, &mut actions),
             RoleEvent::Instances(instances) => self.instances = instances,
-            RoleEvent::MayHold(may_hold) => self.may_hold = may_hold,
+            RoleEvent::MayHold(may_hold) => {
+                self.may_hold = may_hold;
+                self.recheck = true;
+            }
             RoleEvent::Leave => self.leaving = true,
             RoleEvent::Released(role) => self.on_released(&role),
             RoleEvent::Ended(holder, by_me) => self.on_ended(holder, by_me, now),
@@ -294,6 +318,7 @@
     fn begin_anew(&mut self, me: Holder, actions: &mut Vec<RoleAction>) {
         self.me = me;
         self.may_hold = false;
+        self.recheck = true;
         let lost = std::mem::take(&mut self.held);
         actions.extend(lost.into_keys().map(RoleAction::Lost));
     }
@@ -308,6 +333,7 @@
             return;
         }
         self.wanted_revision = Some(revision);
+        self.recheck = true;
         self.wanted = roles
             .into_iter()
             .map(|wanted| (wanted.role.clone(), wanted))
@@ -469,19 +495,14 @@
         now: Moment,
         actions: &mut Vec<RoleAction>,
     ) {
-        let shard = self.shards.entry(record.shard).or_insert_with(|| Shard {
-            record: AssignmentRecord::empty(record.shard),
-            version: None,
-            doing: Doing::Nothing,
-            retry_at: Moment::ZERO,
-            lacking_since: None,
-        });
+        let shard = self.shards.entry(record.shard);
+        let shard = shard.or_insert_with(|| Shard::absent(record.shard));
         if record.generation <= shard.record.generation && shard.version.is_some() {
             return;
         }
         let before = std::mem::replace(&mut shard.record, record.clone());
         shard.version = Some(version);
-        shard.lacking_since = None;
+        self.recheck = true;
         self.compare(&before, &record, now, actions);
     }
 
@@ -495,6 +516,13 @@
             }
             return;
         }
+        for shard in self
+            .shards
+            .values_mut()
+            .filter(|shard| shard.retry_at <= now)
+        {
+            shard.retry_at = Moment::ZERO;
+        }
         let edits = self.edits(now);
         let mut needs_members = false;
         for edit in edits {
@@ -517,13 +545,10 @@
     fn write(&mut self, mut record: AssignmentRecord, actions: &mut Vec<RoleAction>) {
         record.generation += 1;
         let name = record.shard;
-        let shard = self.shards.entry(name).or_insert_with(|| Shard {
-            record: AssignmentRecord::empty(name),
-            version: None,
-            doing: Doing::Nothing,
-            retry_at: Moment::ZERO,
-            lacking_since: None,
-        });
+        let shard = self
+            .shards
+            .entry(name)
+            .or_insert_with(|| Shard::absent(name));
         let object = Object::Assignment(record.clone());
         let op = match &shard.version {
             Some(version) => PlatformOp::Update(object, version.clone()),
--- a/crates/chervilshunt_coord/src/roles/table/edit.rs
+++ b/crates/chervilshunt_coord/src/roles/table/edit.rs
@@ -66,6 +66,9 @@
         self.note_lacking(now);
         self.forget_ended();
         let asked = self.roles_to_ask_for_now(now);
+        if asked.is_empty() && !self.may_have_work() {
+            return Vec::new();
+        }
         let shards = self.shards_with_work(now, &asked);
         if shards.is_empty() {
             return Vec::new();
@@ -85,40 +88,30 @@
 
     /// Notes since when each shard lacks wanted roles.
     fn note_lacking(&mut self, now: Moment) {
-        let mut lacking = BTreeSet::new();
-        if self.may_hold {
-            for role in self.wanted.keys() {
-                let name = AssignmentShard::of(role);
-                let has = self
-                    .shards
-                    .get(&name)
-                    .is_some_and(|shard| shard.record.roles.contains_key(role));
-                if !has {
-                    lacking.insert(name);
-                }
-            }
-        }
-        for name in &lacking {
-            let shard = self.shards.entry(*name).or_insert_with(|| Shard {
-                record: AssignmentRecord::empty(*name),
-                version: None,
-                doing: Doing::Nothing,
-                retry_at: Moment::ZERO,
-                lacking_since: None,
-            });
-            shard.lacking_since.get_or_insert(now);
+        if !std::mem::take(&mut self.recheck) {
+            return;
         }
+        let lacks = |role: &&Role| self.may_hold && self.entry(role).is_none();
+        let lacking = self.wanted.keys().filter(lacks);
+        let lacking: BTreeSet<_> = lacking.map(AssignmentShard::of).collect();
         for (name, shard) in &mut self.shards {
             if !lacking.contains(name) {
                 shard.lacking_since = None;
             }
-            if shard.retry_at <= now {
-                shard.retry_at = Moment::ZERO;
-            }
+        }
+        for name in lacking {
+            let shard = self
+                .shards
+                .entry(name)
+                .or_insert_with(|| Shard::absent(name));
+            shard.lacking_since.get_or_insert(now);
         }
     }
 
     fn forget_ended(&mut self) {
+        if self.ended.is_empty() {
+            return;
+        }
         let with_roles: BTreeSet<_> = self
             .entries()
             .flat_map(|(_, entry)| std::iter::once(&entry.holder).chain(&entry.next))
@@ -170,6 +163,17 @@
         zones
     }
 
+    /// Returns whether it is worth while to look through all roles.
+    fn may_have_work(&self) -> bool {
+        self.leaving
+            || !self.ended.is_empty()
+            || self
+                .shards
+                .values()
+                .any(|shard| shard.lacking_since.is_some())
+            || self.held.values().any(|held| held.stage == Stage::Released)
+    }
+
     fn shards_with_work(&self, now: Moment, asked: &BTreeSet<Role>) -> Vec<AssignmentShard> {
         let due = |name: &AssignmentShard, shard: &Shard| {
             let lacking = shard
--- a/crates/chervilshunt_coord/src/roles/table/held.rs
+++ b/crates/chervilshunt_coord/src/roles/table/held.rs
@@ -76,7 +76,7 @@
     }
 
     fn gain(&mut self, role: &Role, entry: &RoleEntry, now: Moment, actions: &mut Vec<RoleAction>) {
-        let fenced = self.wanted.get(role).is_some_and(|wanted| wanted.fenced);
+        let fenced = self.is_fenced(role);
         let was_mine = entry.previous.as_ref() == Some(&self.me);
         let waits = !fenced && !entry.handed_over && !was_mine && entry.previous.is_some();
         let orders_from = if waits {
--- a/crates/chervilshunt_coord/src/tests.rs
+++ b/crates/chervilshunt_coord/src/tests.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod fleet;
+mod outage;
 mod platform;
 mod runs;
 mod smoke;
--- /dev/null
+++ b/crates/chervilshunt_coord/src/tests/outage.rs
@@ -0,0 +1,174 @@
+//! What instances may do while the platform fails for all of them, or for some.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use chervilshunt_model::Epoch;
+use rstest::rstest;
+
+use super::fleet::Fleet;
+use super::smoke::fleet_of;
+use crate::Role;
+
+const SETTLED: Duration = Duration::from_secs(40);
+
+/// Longer than a lease and than any promise.
+const LONG: Duration = Duration::from_secs(300);
+
+fn cut_from_platform(fleet: &mut Fleet, ids: &[&str]) {
+    let ids = ids.iter().map(|id| (*id).into());
+    fleet.faults.cut_from_platform.extend(ids);
+}
+
+fn cut_from_peers(fleet: &mut Fleet, id: &str) {
+    let others: Vec<_> = fleet.nodes.keys().cloned().collect();
+    for other in others.iter().filter(|other| other.as_str() != id) {
+        let (one, two) = (id.into(), other.clone());
+        let link = if one < two { (one, two) } else { (two, one) };
+        fleet.faults.cut_links.insert(link);
+    }
+}
+
+fn orders(fleet: &Fleet, id: &str) -> BTreeMap<Role, Epoch> {
+    let node = &fleet.nodes[id];
+    let now = fleet.clock_of(node);
+    let held = node.epochs.keys();
+    held.filter_map(|role| Some((role.clone(), node.coordinator.may_order(role, now)?)))
+        .collect()
+}
+
+fn takes_work(fleet: &Fleet, id: &str) -> bool {
+    let node = &fleet.nodes[id];
+    node.coordinator.may_take_work(fleet.clock_of(node))
+}
+
+/// The platform fails for everyone, for longer than any lease. Callers go on being served: every
+/// instance hears from the electors that they can't reach the platform either, so nobody can have
+/// been superseded, and holders of fenced targets go on under the epochs that they have. When the
+/// platform is back everyone renews its lease and nothing has moved.
+#[rstest]
+#[case::seven(7)]
+#[case::three(3)]
+#[case::many_by_way_of_others(27)]
+fn all_go_on_in_a_total_outage(#[case] count: usize) {
+    let mut fleet = fleet_of(count, 3 * count);
+    fleet.run(SETTLED);
+    let ids: Vec<_> = fleet.nodes.keys().cloned().collect();
+    let before: Vec<_> = ids.iter().map(|id| orders(&fleet, id.as_str())).collect();
+    cut_from_platform(
+        &mut fleet,
+        &ids.iter().map(|id| id.as_str()).collect::<Vec<_>>(),
+    );
+    let stopped = std::cell::Cell::new(0);
+    fleet.run_checked(LONG, |fleet| {
+        let stops = fleet
+            .awake()
+            .filter(|(_, node, now)| !node.coordinator.may_take_work(*now));
+        stopped.set(stopped.get().max(stops.count()));
+    });
+    assert_eq!(stopped.get(), 0, "some instances stopped taking work");
+    for (id, before) in ids.iter().zip(&before) {
+        let fenced = before.keys().filter(|role| {
+            let number = role.to_string();
+            let number: usize = number["target/t".len()..].parse().expect("a number");
+            number.is_multiple_of(2)
+        });
+        let now = orders(&fleet, id.as_str());
+        assert!(now.keys().eq(fenced), "{id}: {now:?} of {before:?}");
+    }
+    fleet.faults.cut_from_platform.clear();
+    fleet.run(Duration::from_secs(30));
+    let after: Vec<_> = ids.iter().map(|id| orders(&fleet, id.as_str())).collect();
+    assert_eq!(before, after, "roles moved although nobody had failed");
+}
+
+/// In a total outage some instances crash as well, an elector among them. The rest go on: a
+/// majority of the electors still gives its word.
+#[test]
+fn the_others_go_on_if_some_crash_in_a_total_outage() {
+    let mut fleet = fleet_of(7, 21);
+    fleet.run(SETTLED);
+    let ids: Vec<_> = fleet.nodes.keys().cloned().collect();
+    cut_from_platform(
+        &mut fleet,
+        &ids.iter().map(|id| id.as_str()).collect::<Vec<_>>(),
+    );
+    fleet.run(Duration::from_secs(60));
+    for crashed in ["i1", "i2", "i3"] {
+        fleet.crash(crashed);
+    }
+    fleet.run(LONG);
+    let working = fleet
+        .awake()
+        .filter(|(_, node, now)| node.coordinator.may_take_work(*now));
+    assert_eq!(working.count(), 4);
+}
+
+/// One instance loses the platform, or the platform and its peers. Its callers are told to go
+/// elsewhere before its lease is over, as the electors still reach the platform; its roles are
+/// taken over, and when it is back it joins anew.
+#[rstest]
+#[case::platform_only(false)]
+#[case::platform_and_peers(true)]
+fn one_that_is_cut_off_stops_and_is_superseded(#[case] from_peers: bool) {
+    let mut fleet = fleet_of(7, 21);
+    fleet.run(SETTLED);
+    let lost: Vec<_> = orders(&fleet, "i2").into_iter().collect();
+    assert!(!lost.is_empty(), "i2 holds no roles");
+    cut_from_platform(&mut fleet, &["i2"]);
+    if from_peers {
+        cut_from_peers(&mut fleet, "i2");
+    }
+    fleet.run(Duration::from_secs(16));
+    assert!(!takes_work(&fleet, "i2"), "i2 still takes work");
+    assert_eq!(orders(&fleet, "i2"), BTreeMap::new());
+    fleet.run(Duration::from_secs(24));
+    for (role, epoch) in lost {
+        let taken = fleet
+            .awake()
+            .any(|(_, node, now)| node.coordinator.may_order(&role, now) > Some(epoch));
+        assert!(taken, "{role} has no holder");
+    }
+    fleet.faults.cut_from_platform.clear();
+    fleet.faults.cut_links.clear();
+    fleet.run(Duration::from_secs(30));
+    assert!(takes_work(&fleet, "i2"), "i2 has not come back");
+}
+
+/// One instance loses its peers but not the platform: it goes on, and changes of configuration
+/// reach it by way of the platform.
+#[test]
+fn one_that_is_cut_off_from_its_peers_goes_on() {
+    let mut fleet = fleet_of(7, 21);
+    fleet.run(SETTLED);
+    let before = orders(&fleet, "i2");
+    cut_from_peers(&mut fleet, "i2");
+    fleet.run(Duration::from_secs(60));
+    assert!(takes_work(&fleet, "i2"), "i2 takes no work");
+    fleet.propose("i0", 1, super::smoke::set_cell(1, "x", 42));
+    fleet.run(Duration::from_secs(4));
+    assert_eq!(fleet.accepted.len(), 1, "{:?}", fleet.refused);
+    let in_force = fleet.nodes["i2"].in_force.as_ref();
+    assert_eq!(in_force.and_then(|table| table.cells.get("x")), Some(&42));
+    assert_eq!(before, orders(&fleet, "i2"));
+}
+
+/// All lose the platform but one. That one may not supersede the others, which is most of the
+/// fleet: the others go on, and it goes on as well.
+#[test]
+fn one_that_alone_reaches_the_platform_supersedes_nobody() {
+    let mut fleet = fleet_of(7, 21);
+    fleet.run(SETTLED);
+    let ids: Vec<_> = fleet.nodes.keys().cloned().collect();
+    let before: Vec<_> = ids.iter().map(|id| orders(&fleet, id.as_str())).collect();
+    let others = ids.iter().map(|id| id.as_str()).filter(|id| *id != "i4");
+    cut_from_platform(&mut fleet, &others.collect::<Vec<_>>());
+    fleet.run(LONG);
+    for id in &ids {
+        assert!(takes_work(&fleet, id.as_str()), "{id} takes no work");
+    }
+    fleet.faults.cut_from_platform.clear();
+    fleet.run(Duration::from_secs(30));
+    let after: Vec<_> = ids.iter().map(|id| orders(&fleet, id.as_str())).collect();
+    assert_eq!(before, after);
+}
