--- a/crates/chervilshunt_core/src/allocator/target.rs
+++ b/crates/chervilshunt_core/src/allocator/target.rs
@@ -93,7 +93,8 @@
     /// Takes a confirmation: the owner holds this share and none sent before it.
     ///
     /// While sequences run beyond the share, the confirmation names more than the share, and the
-    /// share stays pending until a later one no longer does.
+    /// share stays pending until a later one no longer does. Of two for the same share the lesser
+    /// holds, in whichever order they come: what is drawn beyond a share only falls.
     pub(super) fn confirm(&mut self, sequence: u64, watts: f64) {
         let Some(index) = self.pending.iter().position(|(sent, _)| *sent == sequence) else {
             return;
@@ -103,6 +104,11 @@
         if watts <= share {
             self.pending.remove(0);
         }
-        self.confirmed = (sequence, watts);
+        let least = if self.confirmed.0 == sequence {
+            watts.min(self.confirmed.1)
+        } else {
+            watts
+        };
+        self.confirmed = (sequence, least);
     }
 }
--- a/crates/chervilshunt_core/src/retry/token_bucket.rs
+++ b/crates/chervilshunt_core/src/retry/token_bucket.rs
@@ -47,6 +47,14 @@
             .map(|wait| now + wait + Duration::from_micros(1)))
     }
 
+    /// Changes rate and burst; what has been taken stays taken.
+    pub fn reconfigure(&mut self, per_second: f64, burst: f64, now: Moment) {
+        self.refill(now);
+        self.per_second = per_second;
+        self.burst = burst;
+        self.level = self.level.min(burst);
+    }
+
     /// Adds tokens beside the refill, up to the burst.
     pub fn deposit(&mut self, tokens: f64, now: Moment) {
         self.refill(now);
--- a/crates/chervilshunt_core/src/scheduler.rs
+++ b/crates/chervilshunt_core/src/scheduler.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 
 use crate::decay::DurationAverage;
-use crate::{LoadUrgency, Mechanisms, OrderId};
+use crate::{LoadUrgency, Mechanisms, OrderId, TokenBucket};
 
 /// Urgency of each live waiter, and of each second that the oldest has waited.
 const LIVE_URGENCY: (f64, f64) = (10.0, 10.0);
@@ -109,7 +109,9 @@
     waiting: IndexMap<Turn, Waiting>,
     running: IndexMap<Turn, Running>,
     load_time: DurationAverage,
-    tokens: Tokens,
+    tokens: TokenBucket,
+    /// When a load that waits may begin for the store's rate.
+    next_token: Option<Moment>,
     asked: u64,
 }
 
@@ -136,7 +138,8 @@
             waiting: IndexMap::new(),
             running: IndexMap::new(),
             load_time: DurationAverage::new(load_time_at(&cfg)),
-            tokens: Tokens::full(&cfg, now),
+            tokens: TokenBucket::new(cfg.loads_per_second, bucket_size(&cfg), now),
+            next_token: None,
             asked: 0,
             cfg,
         }
@@ -160,7 +163,8 @@
             } => self.ended(&(target, order), result, now),
             SchedulerEvent::OwnerChanged(target) => self.owner_changed(&target, now),
             SchedulerEvent::Reconfigured(cfg) => {
-                self.tokens.refill(&self.cfg, now);
+                self.tokens
+                    .reconfigure(cfg.loads_per_second, bucket_size(&cfg), now);
                 self.cfg = cfg;
             }
             SchedulerEvent::Tick => {}
@@ -173,9 +177,7 @@
     /// Returns when [`SchedulerEvent::Tick`] is next wanted.
     pub fn next_wakeup(&self) -> Option<Moment> {
         let timeout = self.running.values().map(|turn| turn.until).min();
-        let room = self.running.len() < self.cfg.concurrency as usize;
-        let token = (room && !self.waiting.is_empty()).then(|| self.tokens.next(&self.cfg));
-        [timeout, token].into_iter().flatten().min()
+        [timeout, self.next_token].into_iter().flatten().min()
     }
 
     /// Returns how long a live load asked for now would wait for its turn.
@@ -223,7 +225,7 @@
         match result {
             TurnResult::Loaded => self.load_time.add(now.since(running.since)),
             TurnResult::Failed => {}
-            TurnResult::Withdrawn => self.tokens.give_back(&self.cfg),
+            TurnResult::Withdrawn => self.tokens.deposit(1.0, now),
         }
     }
 
@@ -241,11 +243,13 @@
     }
 
     fn grant(&mut self, now: Moment, out: &mut Vec<SchedulerAction>) {
+        self.next_token = None;
         while self.running.len() < self.cfg.concurrency as usize {
             let Some(turn) = self.most_urgent(now) else {
                 return;
             };
-            if !self.tokens.take(&self.cfg, now) {
+            if let Err(next) = self.tokens.try_take(0.0, now) {
+                self.next_token = next;
                 return;
             }
             self.waiting.swap_remove(&turn);
@@ -298,49 +302,6 @@
     }
 }
 
-/// Tokens for beginning loads at the store's rate.
-#[derive(Clone, Copy, Debug)]
-struct Tokens {
-    count: f64,
-    updated: Moment,
-}
-
-impl Tokens {
-    fn full(cfg: &SchedulerConfig, now: Moment) -> Self {
-        Self {
-            count: bucket_size(cfg),
-            updated: now,
-        }
-    }
-
-    fn refill(&mut self, cfg: &SchedulerConfig, now: Moment) {
-        let elapsed = now.since(self.updated).as_secs_f64();
-        self.count = (self.count + elapsed * cfg.loads_per_second).min(bucket_size(cfg));
-        self.updated = now.max(self.updated);
-    }
-
-    fn take(&mut self, cfg: &SchedulerConfig, now: Moment) -> bool {
-        self.refill(cfg, now);
-        let enough = self.count >= 1.0;
-        if enough {
-            self.count -= 1.0;
-        }
-        enough
-    }
-
-    fn give_back(&mut self, cfg: &SchedulerConfig) {
-        self.count = (self.count + 1.0).min(bucket_size(cfg));
-    }
-
-    /// Returns when a load may next begin, rounded up so that it may by then.
-    fn next(&self, cfg: &SchedulerConfig) -> Moment {
-        let missing = (1.0 - self.count).max(0.0);
-        let wait = missing / cfg.loads_per_second.max(f64::MIN_POSITIVE);
-        let wait = Duration::try_from_secs_f64(wait).unwrap_or(LONGEST_WAIT);
-        self.updated + wait.min(LONGEST_WAIT) + Duration::from_micros(1)
-    }
-}
-
 /// Returns how many loads may begin at once after a pause: a round, and one more, so that the
 /// store never idles for want of a token when loads take a little less than they should.
 fn bucket_size(cfg: &SchedulerConfig) -> f64 {
