Look at watches, view and electors again when the instance list changes

Since they are looked at only when something has changed, a change of the instance list was not noticed at all. Found by the linter, as the function that should have been called was unused.

--- a/crates/chervilshunt_coord/src/coordinator/watch.rs
+++ b/crates/chervilshunt_coord/src/coordinator/watch.rs
@@ -30,6 +30,9 @@
                 self.gone_since.entry(instance).or_insert(now);
             }
         }
+        self.rewatch = true;
+        self.review = true;
+        self.upkeep.recheck();
         let gone = self
             .takeovers
             .keep_only(&self.list.keys().cloned().collect());
