--- a/crates/chervilshunt_engine/tests/answers.rs
+++ b/crates/chervilshunt_engine/tests/answers.rs
@@ -10,7 +10,9 @@
 use chervilshunt_model::{AdapterVersion, Epoch};
 use chervilshunt_standin::engine::{EngineStandin, EngineStandinConfig, start_engine};
 use chervilshunt_standin::plain::{PlainStandinConfig, start_plain};
-use common::{LIMITS, MODEL, completion, completion_for, plain, read};
+use common::{
+    LIMITS, MODEL, ScriptedTarget, Step, completion, completion_for, plain, read, response,
+};
 use http_body_util::BodyExt as _;
 use rstest::rstest;
 use tokio::io::AsyncWriteExt as _;
@@ -152,13 +154,10 @@
     assert_eq!((text.len(), summary.complete), (TOTAL, true));
 }
 
-/// Headers that concern the caller's own connection don't reach the target.
+/// Headers that concern the caller's own connection don't reach the target; the others do.
 #[tokio::test]
 async fn plain_call_passes_on_what_is_the_callers() {
-    let service = start_plain(PlainStandinConfig::default())
-        .await
-        .expect("start");
-    let client = EngineClient::new(service.address);
+    let target = ScriptedTarget::start(vec![Step::Answer(response("200 OK", "", "done"))]).await;
     let mut call = plain("r", false);
     call.path = "/finish?boat=7".parse().expect("path");
     for (name, value) in [
@@ -166,16 +165,32 @@
         ("x-hop", "1"),
         ("content-length", "99"),
         ("expect", "100-continue"),
+        ("x-club", "7"),
     ] {
         call.headers.insert(name, value.parse().expect("value"));
     }
+    let attempt = call.attempt;
 
-    let answer = client.open(call).await.expect("opens");
-    let (text, summary) = read(answer).await.expect("whole");
-
-    assert!(text.contains("\"path\":\"/finish?boat=7\"") && text.contains("\"body\":\"entry\""));
-    assert!(summary.complete);
-    assert_eq!(service.runs("r").runs, 1);
+    let answer = EngineClient::new(target.address)
+        .open(call)
+        .await
+        .expect("opens");
+    read(answer).await.expect("whole");
+
+    let request = &target.seen().requests[0];
+    let mut lines: Vec<&str> = request.lines().collect();
+    lines.sort_unstable();
+    let expected = [
+        "".to_owned(),
+        "POST /finish?boat=7 HTTP/1.1".to_owned(),
+        "content-length: 5".to_owned(),
+        "entry".to_owned(),
+        format!("host: {}", target.address),
+        format!("x-attempt-id: {attempt}"),
+        "x-club: 7".to_owned(),
+        "x-request-id: r".to_owned(),
+    ];
+    assert_eq!(lines, expected);
 }
 
 /// A connection is back for reuse by the time that an answer of known length has been read, even
--- a/crates/chervilshunt_engine/tests/at_most_once.rs
+++ b/crates/chervilshunt_engine/tests/at_most_once.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use chervilshunt_engine::{EngineClient, Outcome};
-use common::{ScriptedTarget, Step, plain, response, run};
+use common::{GO_ON_AFTER, ScriptedTarget, Step, plain, response, run};
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -142,15 +142,17 @@
 
 /// The target closes an idle connection between two calls. The second call goes out on a new one:
 /// no byte of it went to the closed one, so that this is no second sending.
+#[rstest]
+#[case::at_once(Step::AnswerAndClose(response("200 OK", "", "own")))]
+#[case::later(Step::AnswerAndGoOn(response("200 OK", "", "own"), String::new()))]
 #[tokio::test]
-async fn closed_idle_connection_is_not_used() {
-    let done = response("200 OK", "", "done");
-    let target =
-        ScriptedTarget::start(vec![Step::AnswerAndClose(done.clone()), Step::Answer(done)]).await;
+async fn closed_idle_connection_is_not_used(#[case] first: Step) {
+    let second = Step::Answer(response("200 OK", "", "own"));
+    let target = ScriptedTarget::start(vec![first, second]).await;
     let client = EngineClient::new(target.address);
 
     run(&client, plain("first", true)).await.expect("answers");
-    tokio::time::sleep(Duration::from_millis(50)).await;
+    tokio::time::sleep(GO_ON_AFTER * 3).await;
     run(&client, plain("second", true)).await.expect("answers");
 
     assert_eq!(
@@ -206,21 +208,22 @@
 
 /// A target that sends more than one answer spoils its connection: the surplus one must not become
 /// the answer to the next call.
+#[rstest]
+#[case::at_once(Step::Answer(
+    response("200 OK", "", "own") + &response("200 OK", "", "stray")
+))]
+#[case::later(Step::AnswerAndGoOn(response("200 OK", "", "own"), response("200 OK", "", "stray")))]
 #[tokio::test]
-async fn surplus_answer_is_not_given_to_the_next_call() {
-    let two = response("200 OK", "", "own") + &response("200 OK", "", "stray");
-    let target = ScriptedTarget::start(vec![
-        Step::Answer(two),
-        Step::Answer(response("200 OK", "", "own")),
-    ])
-    .await;
+async fn surplus_answer_is_not_given_to_the_next_call(#[case] first: Step) {
+    let second = Step::Answer(response("200 OK", "", "own"));
+    let target = ScriptedTarget::start(vec![first, second]).await;
     let client = EngineClient::new(target.address);
 
     assert_eq!(
         run(&client, plain("first", true)).await.expect("answers"),
         "own"
     );
-    tokio::time::sleep(Duration::from_millis(50)).await;
+    tokio::time::sleep(GO_ON_AFTER * 3).await;
     assert_eq!(
         run(&client, plain("second", true)).await.expect("answers"),
         "own"
--- a/crates/chervilshunt_engine/tests/common/mod.rs
+++ b/crates/chervilshunt_engine/tests/common/mod.rs
@@ -25,6 +25,9 @@
     idle: Duration::from_millis(500),
 };
 
+/// When a target goes on that has answered.
+pub(crate) const GO_ON_AFTER: Duration = Duration::from_millis(20);
+
 /// A completion for [`MODEL`].
 pub(crate) fn completion(request: &str, tokens: u32, stream: bool) -> Call {
     completion_for(MODEL, request, tokens, stream)
@@ -104,6 +107,8 @@
     Answer(String),
     /// Reads a request, writes this, and closes.
     AnswerAndClose(String),
+    /// Reads a request, writes the first, and a little later the second, and closes.
+    AnswerAndGoOn(String, String),
     /// Reads a request and says nothing.
     Hang,
 }
@@ -162,6 +167,12 @@
                 drop(stream.write_all(text.as_bytes()).await);
                 return;
             }
+            Some(Step::AnswerAndGoOn(text, later)) => {
+                drop(stream.write_all(text.as_bytes()).await);
+                tokio::time::sleep(GO_ON_AFTER).await;
+                drop(stream.write_all(later.as_bytes()).await);
+                return;
+            }
             Some(Step::Hang) => std::future::pending().await,
         }
     }
