--- /dev/null
+++ b/crates/chervilshunt_engine/examples/read_streams.rs
@@ -0,0 +1,81 @@
+//! Reads many streams of an engine stand-in at once and prints how many events a second came.
+//!
+//! `cargo run --release -p chervilshunt_standin -- engine --step-ms 0 --max-batch 1000` prints an
+//! address; then `cargo run --release -p chervilshunt_engine --example read_streams -- IP:PORT`.
+//! With `batch` as a second argument the events come in steps of the batch, one event of each
+//! stream at a time; otherwise each stream comes as fast as it is read.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use chervilshunt_engine::{Call, EngineClient, Expect, Limits};
+use chervilshunt_model::{AttemptId, RequestId};
+use http::{HeaderMap, HeaderValue, Method};
+use http_body_util::BodyExt as _;
+use serde_json::json;
+
+const STREAMS: usize = 500;
+const TOKENS: usize = 2_000;
+
+#[tokio::main]
+async fn main() {
+    let mut args = std::env::args().skip(1);
+    let address = args
+        .next()
+        .and_then(|text| text.parse().ok())
+        .expect("an IP:PORT");
+    let batch = args.next().as_deref() == Some("batch");
+    let client = EngineClient::new(address);
+    let begun = Instant::now();
+    let streams: Vec<_> = (0..STREAMS)
+        .map(|number| tokio::spawn(read(client.clone(), number, batch)))
+        .collect();
+    let mut events = 0;
+    let mut pieces = 0;
+    for stream in streams {
+        let (read_events, read_pieces) = stream.await.expect("stream");
+        events += read_events;
+        pieces += read_pieces;
+    }
+    let took = begun.elapsed().as_secs_f64();
+    let rate = (f64::from(events) / took).round();
+    let result = json!({
+        "streams": STREAMS, "events": events, "pieces": pieces, "seconds": took,
+        "events_per_s": rate,
+    });
+    println!("{result}");
+}
+
+/// Returns the events and the pieces of one stream.
+async fn read(client: EngineClient, number: usize, batch: bool) -> (u32, u32) {
+    let body = json!({
+        "model": "base", "prompt": "one two", "max_tokens": TOKENS, "stream": true,
+    });
+    let mut headers = HeaderMap::new();
+    if !batch {
+        headers.insert("x-step-ms", HeaderValue::from_static("0"));
+    }
+    let call = Call {
+        method: Method::POST,
+        path: http::uri::PathAndQuery::from_static("/v1/completions"),
+        headers,
+        body: Bytes::from(body.to_string()),
+        request: RequestId::new(format!("r{number}")),
+        attempt: AttemptId::random(),
+        expect: Expect::Model("base".into()),
+        idempotent: true,
+        limits: Limits {
+            connect: Duration::from_secs(5),
+            ..Limits::default()
+        },
+    };
+    let mut answer = client.open(call).await.expect("opens");
+    let mut pieces = 0;
+    while let Some(frame) = answer.body.frame().await {
+        frame.expect("is right");
+        pieces += 1;
+    }
+    let summary = answer.body.summary();
+    assert!(summary.complete && summary.tokens() as usize == TOKENS);
+    (summary.events, pieces)
+}
