--- a/crates/chervilshunt_mesh/src/liveness.rs
+++ b/crates/chervilshunt_mesh/src/liveness.rs
@@ -79,3 +79,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/chervilshunt_mesh/src/liveness/tests.rs
@@ -0,0 +1,60 @@
+//! When a connection is pinged, given up or closed.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use tokio::time::Instant;
+
+use super::{Activity, Liveness, Step};
+
+const LIVENESS: Liveness = Liveness {
+    ping_after: Duration::from_secs(2),
+    ping_timeout: Duration::from_secs(3),
+    idle_timeout: Duration::from_secs(60),
+};
+
+/// What is to be done, with the moment to wait for in seconds.
+#[derive(Debug, PartialEq)]
+enum Told {
+    Wait(u64),
+    Ping,
+    GiveUp,
+    CloseIdle,
+}
+
+#[rstest]
+#[case::quiet_with_nothing_waiting(0, None, None, false, 59, Told::Wait(60))]
+#[case::idle(0, None, None, false, 60, Told::CloseIdle)]
+#[case::idle_but_busy(0, None, None, true, 100, Told::Wait(160))]
+#[case::waits_briefly(0, Some(10), None, false, 11, Told::Wait(12))]
+#[case::waits_long(0, Some(10), None, false, 12, Told::Ping)]
+#[case::heard_meanwhile(11, Some(10), None, false, 12, Told::Wait(13))]
+#[case::pinged(0, Some(10), Some(12), false, 14, Told::Wait(15))]
+#[case::ping_unanswered(0, Some(10), Some(12), false, 15, Told::GiveUp)]
+#[case::ping_answered(13, Some(10), Some(12), false, 15, Told::Ping)]
+#[case::an_old_ping_is_no_matter(13, None, Some(12), false, 20, Told::Wait(73))]
+fn steps(
+    #[case] heard: u64,
+    #[case] waiting_since: Option<u64>,
+    #[case] pinged: Option<u64>,
+    #[case] busy: bool,
+    #[case] now: u64,
+    #[case] told: Told,
+) {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let activity = Activity {
+        heard: at(heard),
+        used: at(heard),
+        pinged: pinged.map(at),
+        waiting_since: waiting_since.map(at),
+        busy,
+    };
+    let step = match LIVENESS.step(&activity, at(now)) {
+        Step::Wait(until) => Told::Wait((until - start).as_secs()),
+        Step::Ping => Told::Ping,
+        Step::GiveUp => Told::GiveUp,
+        Step::CloseIdle => Told::CloseIdle,
+    };
+    assert_eq!(step, told);
+}
--- a/crates/chervilshunt_mesh/src/shared.rs
+++ b/crates/chervilshunt_mesh/src/shared.rs
@@ -257,3 +257,6 @@
             .any(|other| Arc::ptr_eq(&other.session, session))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/chervilshunt_mesh/src/shared/tests.rs
@@ -0,0 +1,169 @@
+//! What becomes of messages under way when their connection ends.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, timeout};
+
+use super::Shared;
+use crate::config::{MeshConfig, Peer};
+use crate::connection::{Connection, End};
+use crate::error::{RequestError, SendError};
+use crate::frame::encode_message;
+use crate::handshake::ProcessId;
+use crate::mesh::Mesh;
+use crate::message::{Inbound, Purpose};
+use crate::outgoing::{Outgoing, OutgoingRequest};
+use crate::table::PeerHello;
+
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct Number(u32);
+
+impl Purpose for Number {
+    fn purpose(&self) -> &'static str {
+        "number"
+    }
+}
+
+/// No test waits longer than this for anything that has to happen.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+type Answer = oneshot::Receiver<Result<Number, RequestError>>;
+
+/// A connection on which 1 is written and unanswered, and 2 and 3 wait to be written.
+struct Scene {
+    shared: Arc<Shared<Number>>,
+    connection: Arc<Connection<Number>>,
+    rx: mpsc::UnboundedReceiver<Outgoing<Number>>,
+    written: Answer,
+    unwritten: Answer,
+    _inbound: mpsc::Receiver<Inbound<Number>>,
+}
+
+fn scene(peer: &Peer) -> Scene {
+    let (tx, inbound) = mpsc::channel(16);
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let shared = Arc::new(Shared::new(cfg("a"), log, tx));
+    let hello = PeerHello {
+        instance: peer.instance.clone(),
+        process: ProcessId::random(),
+        serial: 1,
+    };
+    let mut table = shared.table();
+    let registered = table.register(&hello, true, Instant::now());
+    table.link(&peer.instance).address = Some(peer.address);
+    drop(table);
+    let connection = registered.connection;
+    let (first, written) = request(1);
+    assert_eq!(connection.begin(first, Instant::now()), Some(0));
+    let (second, unwritten) = request(2);
+    connection
+        .enqueue(Outgoing::Request(second), 10)
+        .expect("there is room");
+    let note = Outgoing::OneWay {
+        body: body(3),
+        purpose: "number",
+    };
+    connection.enqueue(note, 10).expect("there is room");
+    Scene {
+        shared,
+        connection,
+        rx: registered.rx,
+        written,
+        unwritten,
+        _inbound: inbound,
+    }
+}
+
+fn cfg(name: &str) -> MeshConfig {
+    MeshConfig::new(name.into(), ([127, 0, 0, 1], 0).into())
+}
+
+fn body(number: u32) -> bytes::Bytes {
+    encode_message(&Number(number), 100).expect("it is short")
+}
+
+fn request(number: u32) -> (OutgoingRequest<Number>, Answer) {
+    OutgoingRequest::new(body(number), "number")
+}
+
+async fn peer() -> (Mesh<Number>, mpsc::Receiver<Inbound<Number>>, Peer) {
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let (mesh, inbound) = Mesh::bind(cfg("b"), log).await.expect("a free port");
+    let peer = Peer {
+        instance: "b".into(),
+        address: mesh.local_addr(),
+    };
+    (mesh, inbound, peer)
+}
+
+/// The peer closes an idle connection while messages are on their way to it. It has ignored what
+/// arrived after it began to close, so all of it goes over a new connection, in order.
+#[tokio::test]
+async fn what_crosses_an_idle_close_is_sent_again() {
+    let (_mesh, mut inbound, peer) = peer().await;
+    let Scene {
+        shared,
+        connection,
+        rx,
+        written,
+        unwritten,
+        ..
+    } = scene(&peer);
+    assert!(!shared.deregister(&connection, rx, End::Idle, Instant::now()));
+    for number in 1..=3 {
+        let next = timeout(PATIENCE, inbound.recv()).await;
+        let Ok(Some(Inbound::Message(got))) = next else {
+            panic!("{number} was lost");
+        };
+        assert_eq!(got.message, Number(number));
+        if let Some(reply) = got.reply {
+            reply
+                .send(Number(10 * number))
+                .expect("the connection is up");
+        }
+    }
+    assert_eq!(written.await, Ok(Ok(Number(10))));
+    assert_eq!(unwritten.await, Ok(Ok(Number(20))));
+}
+
+/// The connection breaks. What was written may have been handled, what was not can't have been.
+#[tokio::test]
+async fn a_break_tells_written_requests_from_unwritten_ones() {
+    let (_mesh, _inbound, peer) = peer().await;
+    let Scene {
+        shared,
+        connection,
+        rx,
+        written,
+        unwritten,
+        ..
+    } = scene(&peer);
+    assert!(shared.deregister(&connection, rx, End::Broken, Instant::now()));
+    assert_eq!(written.await, Ok(Err(RequestError::Lost)));
+    let ended = SendError::ConnectionEnded {
+        instance: peer.instance,
+    };
+    assert_eq!(
+        unwritten.await,
+        Ok(Err(RequestError::NotSent { source: ended }))
+    );
+    assert_eq!(shared.counters.snapshot().dropped, 1);
+}
+
+/// The sender gives up in the moment in which the connection takes its request. Only one of both
+/// gets it: a request called unsent is never written.
+#[tokio::test]
+async fn a_request_that_was_given_up_is_not_written() {
+    let (_mesh, _inbound, peer) = peer().await;
+    let scene = scene(&peer);
+    let (late, _answer) = request(4);
+    assert!(late.stage.abandon());
+    assert_eq!(scene.connection.begin(late, Instant::now()), None);
+    let (claimed, _answer) = request(5);
+    let stage = Arc::clone(&claimed.stage);
+    assert!(scene.connection.begin(claimed, Instant::now()).is_some());
+    assert!(!stage.abandon());
+}
--- a/crates/chervilshunt_mesh/src/table.rs
+++ b/crates/chervilshunt_mesh/src/table.rs
@@ -220,3 +220,6 @@
             })
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/chervilshunt_mesh/tests/mesh/frozen.rs
@@ -0,0 +1,100 @@
+//! Peers whose connection stays up while nobody is there.
+
+use std::time::Duration;
+
+use chervilshunt_mesh::{Peer, RequestError};
+use tokio::net::TcpListener;
+use tokio_tungstenite::accept_hdr_async;
+use tokio_tungstenite::tungstenite::handshake::server::{Request, Response};
+use tokio_tungstenite::tungstenite::http::HeaderValue;
+
+use crate::common::{PATIENCE, answer, config, node, node_with, note, question};
+
+const HEADERS: [(&str, &str); 3] = [
+    ("sec-websocket-protocol", "chervilshunt-mesh.1"),
+    ("x-mesh-process", "67e5504410b1426f9247bb680e5fe0c8"),
+    ("x-mesh-serial", "1"),
+];
+
+/// Accepts connections as `name` and does nothing more with them, as a stopped process does.
+pub(crate) async fn frozen_peer(name: &str) -> Peer {
+    let listener = TcpListener::bind(("127.0.0.1", 0))
+        .await
+        .expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    tokio::spawn(async move {
+        let mut held = Vec::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            #[expect(
+                clippy::result_large_err,
+                reason = "the callback's type is the library's"
+            )]
+            let agree = |_: &Request, mut response: Response| {
+                for (name, value) in HEADERS {
+                    response
+                        .headers_mut()
+                        .insert(name, HeaderValue::from_static(value));
+                }
+                Ok(response)
+            };
+            held.push(accept_hdr_async(stream, agree).await);
+        }
+    });
+    Peer {
+        instance: name.into(),
+        address,
+    }
+}
+
+fn watchful(name: &str) -> chervilshunt_mesh::MeshConfig {
+    let mut cfg = config(name);
+    cfg.ping_after = Duration::from_millis(20);
+    cfg.ping_timeout = Duration::from_millis(200);
+    cfg
+}
+
+/// An owner's process is stopped (SIGSTOP) while a request waits for it. Its kernel keeps the
+/// connection up, so only the unanswered ping shows it. The request is given up long before its
+/// own timeout.
+#[tokio::test]
+async fn a_frozen_owner_is_noticed_while_a_request_waits() {
+    let mut a = node_with(watchful("a")).await;
+    let peer = frozen_peer("b").await;
+    let hour = Duration::from_secs(3_600);
+    let asked = a.mesh.request(&peer, question("?"), hour);
+    let result = tokio::time::timeout(PATIENCE, asked)
+        .await
+        .expect("it is given up");
+    assert_eq!(result, Err(RequestError::Lost));
+    assert_eq!(a.lost().await, "b");
+}
+
+/// A request waits long in the queue of an owner that is well: pings are answered, so it is not
+/// given up.
+#[tokio::test]
+async fn a_slow_owner_is_not_taken_for_a_frozen_one() {
+    let a = node_with(watchful("a")).await;
+    let mut b = node("b").await;
+    let (mesh, peer) = (a.mesh.clone(), b.peer.clone());
+    let asked = tokio::spawn(async move { mesh.request(&peer, question("?"), PATIENCE).await });
+    let reply = b.message().await.reply.unwrap();
+    let before = a.mesh.counters().socket_bytes_in;
+    a.until(|counters| counters.socket_bytes_in > before + 8)
+        .await;
+    reply.send(answer("!")).unwrap();
+    assert_eq!(asked.await.unwrap(), Ok(answer("!")));
+    assert_eq!(a.mesh.counters().lost, 0);
+}
+
+/// Nothing waits for an answer: no ping goes out, as a timer towards everyone would cost each node
+/// its budget of control traffic.
+#[tokio::test]
+async fn a_peer_that_owes_nothing_is_not_pinged() {
+    let a = node_with(watchful("a")).await;
+    let mut b = node("b").await;
+    a.mesh.send(&b.peer, note("hello")).unwrap();
+    b.message().await;
+    let before = a.mesh.counters();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(a.mesh.counters(), before);
+}
--- a/crates/chervilshunt_mesh/tests/mesh/loss.rs
+++ b/crates/chervilshunt_mesh/tests/mesh/loss.rs
@@ -121,6 +121,7 @@
 /// was given to.
 #[tokio::test]
 async fn a_doubled_connection_loses_nothing() {
+    let mut doubled = 0;
     for _ in 0..50 {
         let mut a = node("a").await;
         let mut b = node("b").await;
@@ -146,5 +147,7 @@
             .unwrap();
         let answers = asked.await.unwrap();
         assert_eq!(answers, (Ok(answer("from b")), Ok(answer("from a"))));
+        doubled += usize::from(a.mesh.counters().dialled + b.mesh.counters().dialled == 2);
     }
+    assert!(doubled > 0, "no connection was doubled");
 }
--- a/crates/chervilshunt_mesh/tests/mesh/main.rs
+++ b/crates/chervilshunt_mesh/tests/mesh/main.rs
@@ -1,6 +1,9 @@
 //! Meshes that talk over loopback.
 
+mod bounds;
 mod common;
+mod cut;
+mod frozen;
 mod idle;
 mod loss;
 mod messages;
