--- a/crates/chervilshunt_bench/src/policy/args.rs
+++ b/crates/chervilshunt_bench/src/policy/args.rs
@@ -1,11 +1,19 @@
 //! The command line of the policy bench.
 
+use std::error::Error;
+use std::fs;
+use std::ops::RangeInclusive;
+use std::path::PathBuf;
+use std::str::FromStr;
+
 use lexopt::prelude::*;
 use snafu::{OptionExt, ResultExt, Snafu};
 
 use super::deployment::DeploymentKind;
 use super::run::{Policy, RunSpec, run_policy};
 use super::scenario::Scenario;
+use super::summary::Matrix;
+use super::table::render;
 
 /// Why the policy bench did not run.
 #[derive(Debug, Snafu)]
@@ -27,6 +35,14 @@
         /// What may be given.
         allowed: String,
     },
+    /// The summary can't be written.
+    #[snafu(display("can't write {}: {source}", path.display()))]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
     /// A report can't be written.
     #[snafu(display("can't write the report: {source}"))]
     Write {
@@ -35,35 +51,108 @@
     },
 }
 
+/// Seeds of the tables: other ones than those that the policy was tuned on, which are 1 to 20.
+const TABLE_SEEDS: RangeInclusive<u64> = 101..=110;
+/// Runs side by side unless the command line says otherwise.
+const THREADS: usize = 4;
+
+/// What the command line asks for; an option that may be given again adds to the matrix.
+#[derive(Debug, Default)]
+struct Options {
+    deployments: Vec<DeploymentKind>,
+    policies: Vec<Policy>,
+    scenarios: Vec<Scenario>,
+    seeds: Vec<u64>,
+    seconds: Option<u64>,
+    threads: Option<usize>,
+    table: bool,
+    summary: Option<PathBuf>,
+}
+
 /// Runs `policy` with the rest of the command line.
 ///
 /// # Errors
 /// Fails if an option is unknown or a report can't be written.
-pub fn run(mut args: lexopt::Parser) -> Result<(), PolicyError> {
-    let mut spec = RunSpec {
-        deployment: DeploymentKind::Kolvand,
-        policy: Policy::Chervilshunt,
-        scenario: Scenario::Steady,
-        seed: 1,
-        seconds: None,
-    };
-    while let Some(arg) = args.next().context(ArgsSnafu)? {
-        match arg {
-            Long("deployment") => spec.deployment = name(&mut args, "deployment", &DEPLOYMENTS)?,
-            Long("policy") => spec.policy = name(&mut args, "policy", &POLICIES)?,
-            Long("scenario") => spec.scenario = name(&mut args, "scenario", &SCENARIOS)?,
-            Long("seed") => spec.seed = number(&mut args)?,
-            Long("seconds") => spec.seconds = Some(number(&mut args)?),
-            // The report has no other form; the option is there for the caller's clearness.
-            Long("json") => {}
-            _ => return Err(arg.unexpected()).context(ArgsSnafu),
-        }
+pub fn run(args: lexopt::Parser) -> Result<(), PolicyError> {
+    let options = Options::parse(args)?;
+    if options.table {
+        return options.run_table();
     }
-    let report = run_policy(spec);
+    let report = run_policy(options.single());
     println!("{}", serde_json::to_string(&report).context(WriteSnafu)?);
     Ok(())
 }
 
+impl Options {
+    fn parse(mut args: lexopt::Parser) -> Result<Self, PolicyError> {
+        let mut options = Self::default();
+        while let Some(arg) = args.next().context(ArgsSnafu)? {
+            match arg {
+                Long("deployment") => {
+                    let value = name(&mut args, "deployment", &DEPLOYMENTS)?;
+                    options.deployments.push(value);
+                }
+                Long("policy") => {
+                    let value = name(&mut args, "policy", &POLICIES)?;
+                    options.policies.push(value);
+                }
+                Long("scenario") => {
+                    let value = name(&mut args, "scenario", &SCENARIOS)?;
+                    options.scenarios.push(value);
+                }
+                Long("seed") => options.seeds.push(number(&mut args)?),
+                Long("seconds") => options.seconds = Some(number(&mut args)?),
+                Long("threads") => options.threads = Some(number(&mut args)?),
+                Long("table") => options.table = true,
+                Long("summary") => {
+                    let path = args.value().context(ArgsSnafu)?;
+                    options.summary = Some(path.into());
+                }
+                // A single report has no other form; the option is for the caller's clearness.
+                Long("json") => {}
+                _ => return Err(arg.unexpected()).context(ArgsSnafu),
+            }
+        }
+        Ok(options)
+    }
+
+    fn single(&self) -> RunSpec {
+        RunSpec {
+            deployment: *self.deployments.last().unwrap_or(&DeploymentKind::Kolvand),
+            policy: *self.policies.last().unwrap_or(&Policy::Chervilshunt),
+            scenario: *self.scenarios.last().unwrap_or(&Scenario::Steady),
+            seed: *self.seeds.last().unwrap_or(&1),
+            seconds: self.seconds,
+        }
+    }
+
+    fn run_table(self) -> Result<(), PolicyError> {
+        let matrix = Matrix {
+            deployments: or_all(self.deployments, &DeploymentKind::ALL),
+            scenarios: or_all(self.scenarios, &Scenario::ALL),
+            policies: or_all(self.policies, &Policy::ALL),
+            seeds: or_all(self.seeds, &TABLE_SEEDS.collect::<Vec<_>>()),
+            seconds: self.seconds,
+            threads: self.threads.unwrap_or(THREADS),
+        };
+        let rows = matrix.run();
+        if let Some(path) = self.summary {
+            let text = serde_json::to_string_pretty(&rows).context(WriteSnafu)?;
+            fs::write(&path, text).context(FileSnafu { path })?;
+        }
+        print!("{}", render(&rows));
+        Ok(())
+    }
+}
+
+fn or_all<T: Copy>(chosen: Vec<T>, all: &[T]) -> Vec<T> {
+    if chosen.is_empty() {
+        all.to_vec()
+    } else {
+        chosen
+    }
+}
+
 /// How the names of an option are read and listed.
 struct Names<T> {
     parse: fn(&str) -> Option<T>,
@@ -96,6 +185,8 @@
     })
 }
 
-fn number(args: &mut lexopt::Parser) -> Result<u64, PolicyError> {
+fn number<T: FromStr<Err: Error + Send + Sync + 'static>>(
+    args: &mut lexopt::Parser,
+) -> Result<T, PolicyError> {
     args.value().and_then(|v| v.parse()).context(ArgsSnafu)
 }
--- a/crates/chervilshunt_bench/src/policy/mod.rs
+++ b/crates/chervilshunt_bench/src/policy/mod.rs
@@ -17,6 +17,8 @@
 mod run;
 mod scenario;
 mod store;
+mod summary;
+mod table;
 mod workload;
 mod world;
 
@@ -25,3 +27,5 @@
 pub use metrics::Report;
 pub use run::{Policy, RunSpec, run_policy};
 pub use scenario::Scenario;
+pub use summary::{Matrix, Row};
+pub use table::render;
