Count pieces that were looked at ahead as left in an answer's body

Cause: after first_piece() the hint of a plain answer's body left out the piece it keeps; hyper then took the body for an empty one and wrote the head alone. Ruled out: the target (whole answers straight from it) and the daemon's relay (error is the caller's 'end of file before message length reached'). Before: 162 of 862 answered calls of the quickstart were cut; the new test fails. After: the test passes.

--- a/crates/chervilshunt_engine/src/answer/body.rs
+++ b/crates/chervilshunt_engine/src/answer/body.rs
@@ -223,12 +223,21 @@
     }
 
     fn size_hint(&self) -> SizeHint {
+        // Pieces that were looked at ahead count as left: a hint without them makes hyper take the
+        // body for an empty one, and the caller gets a head with a length and nothing after it.
+        let ready: usize = self.ready.iter().map(Bytes::len).sum();
+        let ready = ready as u64;
         match &self.source {
-            Source::Whole => {
-                let left: usize = self.ready.iter().map(Bytes::len).sum();
-                SizeHint::with_exact(left as u64)
+            Source::Whole => SizeHint::with_exact(ready),
+            Source::Plain(reader) => {
+                let rest = reader.size_hint();
+                let mut hint = SizeHint::new();
+                hint.set_lower(rest.lower() + ready);
+                if let Some(upper) = rest.upper() {
+                    hint.set_upper(upper + ready);
+                }
+                hint
             }
-            Source::Plain(reader) => reader.size_hint(),
             Source::Stream(_) => SizeHint::default(),
         }
     }
--- a/crates/chervilshunt_engine/tests/answers.rs
+++ b/crates/chervilshunt_engine/tests/answers.rs
@@ -333,3 +333,22 @@
         60
     );
 }
+
+/// A caller of a plain service gets a head that announces a length and no body after it. The
+/// daemon looks at the first piece before it answers, hyper then asks how much is left, and a body
+/// that forgets the piece it keeps says "nothing", so that nothing is written.
+#[tokio::test]
+async fn piece_that_was_looked_at_still_counts_as_left() {
+    let target = start_plain(PlainStandinConfig::default())
+        .await
+        .expect("start");
+    let client = EngineClient::new(target.address);
+
+    let mut answer = client.open(plain("r", true)).await.expect("opens");
+    answer.body.first_piece().await.expect("first piece");
+    let announced = http_body::Body::size_hint(&answer.body).exact();
+    let body = answer.body.collect().await.expect("whole").to_bytes();
+
+    assert!(!body.is_empty());
+    assert_eq!(announced, Some(body.len() as u64));
+}
