--- a/crates/chervilshunt_core/src/scheduler.rs
+++ b/crates/chervilshunt_core/src/scheduler.rs
@@ -4,6 +4,7 @@
 
 use chervilshunt_model::{AdapterVersion, Class, Moment, TargetName};
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 use crate::decay::DurationAverage;
 use crate::{LoadUrgency, Mechanisms, OrderId, TokenBucket};
@@ -34,7 +35,7 @@
 }
 
 /// How a turn ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TurnResult {
     /// The adapter was loaded.
     Loaded,
--- /dev/null
+++ b/crates/chervilshunt_daemon/src/control/coordination.rs
@@ -0,0 +1,314 @@
+//! Carrying out what the coordinator wants done, and telling it what has happened.
+
+use chervilshunt_coord::{
+    ChangeRefusal, ChangeTicket, CoordAction, CoordDecision, CoordEvent, CoordMessage, Role,
+    WantedRole,
+};
+use chervilshunt_core::{OwnerEvent, PowerEvent, SchedulerEvent};
+use chervilshunt_model::{ChangeSet, Deployment, Fencing, InstanceId, Revision, TargetName};
+use tokio::sync::oneshot;
+use xtra::prelude::*;
+
+use super::actor::Control;
+use super::messages::PlatformAnswered;
+use super::platform_calls::carry_out;
+use super::steps::Step;
+use super::watches::{Listed, ObjectSeen};
+use crate::wire::PeerMessage;
+
+/// An operator wants a change of configuration; the receiver gets its outcome.
+#[derive(Debug)]
+pub(crate) struct Propose(pub(crate) ChangeSet);
+
+/// The outcome of a proposed change.
+#[derive(Debug)]
+pub(crate) enum Proposed {
+    /// It is in force everywhere at this revision.
+    Accepted(Revision),
+    /// It can't be carried out; nothing has changed.
+    Conflict(String),
+    /// It could not be accepted now, or its outcome is not known, as the text says.
+    NotNow(String),
+}
+
+pub(super) type CoordActionOf = CoordAction<Deployment, ChangeSet>;
+
+impl Control {
+    /// Tells the coordinator what has happened and carries out what it wants done.
+    pub(super) fn coordinate(&mut self, event: CoordEvent<ChangeSet>) {
+        let now = self.cx.now();
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            for action in self.coordinator.handle(event, now) {
+                events.extend(self.carry_out_coord(action));
+            }
+        }
+    }
+
+    fn carry_out_coord(&mut self, action: CoordActionOf) -> Option<CoordEvent<ChangeSet>> {
+        match action {
+            CoordAction::Platform(call) => self.call_platform(call),
+            CoordAction::Send { to, message } => {
+                self.cx.send(&to, PeerMessage::Coord(message));
+            }
+            CoordAction::RoleGained {
+                role,
+                epoch,
+                previous,
+                handed_over,
+                ask,
+            } => {
+                self.gain_role(role, epoch, previous, handed_over, &ask);
+            }
+            CoordAction::RoleEnding { role, .. } => {
+                self.end_role(&role);
+                return self.released(role);
+            }
+            CoordAction::RoleLost { role } => self.end_role(&role),
+            CoordAction::TakeoverComplete { role } => self.complete_takeover(&role),
+            CoordAction::HolderChanged { role, holder } => self.change_holder(&role, holder),
+            CoordAction::PeersChanged(view) => self.change_peers(&view),
+            CoordAction::ConfigInForce { revision, state } => {
+                return Some(self.put_in_force(revision, state));
+            }
+            CoordAction::ChangeAccepted { ticket, revision } => {
+                self.end_proposal(ticket, Proposed::Accepted(revision));
+            }
+            CoordAction::ChangeRefused {
+                ticket, refusal, ..
+            } => {
+                self.end_proposal(ticket, refused(&refusal));
+            }
+            CoordAction::TakeWork(_) => self.publish(),
+            CoordAction::RolesGivenAway => self.roles_given_away(),
+            CoordAction::Left => self.left(),
+            CoordAction::Log(decision) => self.log_coord(&decision),
+        }
+        None
+    }
+
+    /// Says that a role has been handed over, at once or when no order is on its way any more.
+    ///
+    /// The next owner begins with the engine's inventory: an order of ours that arrived after it
+    /// would fill or empty a slot behind its back.
+    fn released(&mut self, role: Role) -> Option<CoordEvent<ChangeSet>> {
+        if let Role::Target(target) = &role
+            && self.orders.contains_key(target)
+        {
+            self.ending.insert(target.clone());
+            return None;
+        }
+        Some(CoordEvent::RoleReleased(role))
+    }
+
+    /// Counts an order that came to its end, and hands the role over if it waited for that.
+    pub(super) fn order_ended(&mut self, target: &TargetName) {
+        if let Some(count) = self.orders.get_mut(target) {
+            *count -= 1;
+            if *count == 0 {
+                self.orders.remove(target);
+            }
+        }
+        if !self.orders.contains_key(target) && self.ending.remove(target) {
+            self.coordinate(CoordEvent::RoleReleased(Role::Target(target.clone())));
+        }
+    }
+
+    fn call_platform(&self, call: chervilshunt_coord::PlatformCall) {
+        let Some(address) = self.address.clone() else {
+            return;
+        };
+        let platform = self.cx.platform.clone();
+        tokio::spawn(async move {
+            let id = call.id;
+            let result = carry_out(&platform, call).await;
+            drop(
+                address
+                    .send(PlatformAnswered { call: id, result })
+                    .detach()
+                    .await,
+            );
+        });
+    }
+
+    /// Puts a configuration in force and says which roles it asks for.
+    fn put_in_force(
+        &mut self,
+        revision: Revision,
+        state: std::sync::Arc<Deployment>,
+    ) -> CoordEvent<ChangeSet> {
+        slog::info!(self.cx.log, "configuration in force"; "revision" => revision.get());
+        let roles = wanted_roles(&state);
+        self.deployment = state;
+        self.publish();
+        self.reconfigure_roles();
+        CoordEvent::RolesWanted { revision, roles }
+    }
+
+    fn end_proposal(&mut self, ticket: ChangeTicket, outcome: Proposed) {
+        if let Some(tx) = self.proposals.remove(&ticket) {
+            drop(tx.send(outcome));
+        }
+    }
+
+    fn log_coord(&self, decision: &CoordDecision) {
+        slog::info!(self.cx.log, "coordination";
+            "kind" => ?decision.kind,
+            "role" => decision.role.as_ref().map(Role::to_string),
+            "about" => decision.instance.as_ref().map(InstanceId::to_string),
+            "reason" => decision.reason,
+        );
+    }
+}
+
+impl Handler<Propose> for Control {
+    type Return = oneshot::Receiver<Proposed>;
+
+    async fn handle(
+        &mut self,
+        message: Propose,
+        _cx: &mut xtra::Context<Self>,
+    ) -> oneshot::Receiver<Proposed> {
+        let (tx, rx) = oneshot::channel();
+        let ticket = ChangeTicket(self.next_ticket);
+        self.next_ticket += 1;
+        self.proposals.insert(ticket, tx);
+        self.coordinate(CoordEvent::ProposeChange {
+            ticket,
+            change: message.0,
+        });
+        rx
+    }
+}
+
+impl Handler<PlatformAnswered> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, message: PlatformAnswered, _cx: &mut xtra::Context<Self>) {
+        let PlatformAnswered { call, result } = message;
+        self.coordinate(CoordEvent::PlatformReply { call, result });
+    }
+}
+
+impl Handler<ObjectSeen> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, message: ObjectSeen, _cx: &mut xtra::Context<Self>) {
+        self.coordinate(CoordEvent::ObjectSeen(message.0));
+    }
+}
+
+impl Handler<Listed> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, message: Listed, _cx: &mut xtra::Context<Self>) {
+        self.leaving = std::sync::Arc::new(message.leaving.into_iter().collect());
+        self.coordinate(CoordEvent::InstanceListChanged(message.instances));
+        self.publish();
+        let draining: Vec<Step> = self
+            .targets
+            .keys()
+            .map(|target| {
+                let event = OwnerEvent::Draining(self.is_draining(target));
+                Step::Owner(target.clone(), event)
+            })
+            .collect();
+        self.work_off(draining);
+    }
+}
+
+impl Control {
+    pub(super) fn coord_message(&mut self, from: InstanceId, message: CoordMessage<ChangeSet>) {
+        self.coordinate(CoordEvent::PeerMessage { from, message });
+    }
+
+    /// Tells the roles of this instance of a new configuration.
+    fn reconfigure_roles(&mut self) {
+        let mut steps = Vec::new();
+        for name in self.targets.keys() {
+            let draining = OwnerEvent::Draining(self.is_draining(name));
+            let peers = OwnerEvent::PeersChanged(self.peers_of(name));
+            steps.push(Step::Owner(name.clone(), draining));
+            steps.push(Step::Owner(name.clone(), peers));
+        }
+        for name in self.schedulers.keys() {
+            if let Some(cfg) = self.scheduler_config(name) {
+                steps.push(Step::Scheduler(
+                    name.clone(),
+                    SchedulerEvent::Reconfigured(cfg),
+                ));
+            }
+        }
+        for name in self.allocators.keys() {
+            if let Some(site) = self.deployment.sites.get(name) {
+                steps.push(Step::Power(
+                    name.clone(),
+                    PowerEvent::CapChanged(site.cap_watts),
+                ));
+            }
+        }
+        steps.extend(self.power_membership());
+        self.work_off(steps);
+    }
+}
+
+/// Returns the roles that a configuration asks for.
+fn wanted_roles(deployment: &Deployment) -> Vec<WantedRole> {
+    let targets = deployment.targets.iter().map(|(name, target)| WantedRole {
+        role: Role::Target(name.clone()),
+        zone: Some(target.zone.clone()),
+        fenced: match target.fencing {
+            Fencing::Checks => true,
+            Fencing::Ignores => false,
+        },
+    });
+    // Schedulers and allocators give no order to a target: a late message of an old one is a turn
+    // or a share that the owner checks by its number.
+    let unzoned = |role| WantedRole {
+        role,
+        zone: None,
+        fenced: true,
+    };
+    let stores = deployment
+        .stores
+        .keys()
+        .cloned()
+        .map(Role::LoadScheduler)
+        .map(unzoned);
+    let sites = deployment
+        .sites
+        .keys()
+        .cloned()
+        .map(Role::PowerAllocator)
+        .map(unzoned);
+    targets.chain(stores).chain(sites).collect()
+}
+
+fn refused(refusal: &ChangeRefusal) -> Proposed {
+    match refusal {
+        ChangeRefusal::Invalid(detail) => Proposed::Conflict(detail.clone()),
+        ChangeRefusal::NotReady => {
+            Proposed::NotNow("this instance has no configuration yet; ask another one".to_owned())
+        }
+        ChangeRefusal::Busy => Proposed::NotNow("other changes are under way".to_owned()),
+        ChangeRefusal::PlatformUnavailable => {
+            Proposed::NotNow("the platform can't be reached; nothing has changed".to_owned())
+        }
+        ChangeRefusal::Unreachable(instances) => {
+            let names: Vec<&str> = instances.iter().map(InstanceId::as_str).collect();
+            Proposed::NotNow(format!(
+                "nothing has changed: {} did not acknowledge; see docs/operators/changes.md",
+                names.join(", ")
+            ))
+        }
+        ChangeRefusal::NotAcknowledged(instance, why) => Proposed::NotNow(format!(
+            "nothing has changed: {instance} can't carry it out: {why}"
+        )),
+        ChangeRefusal::GivenUp => {
+            Proposed::NotNow("another instance gave the change up; nothing has changed".to_owned())
+        }
+        ChangeRefusal::Unknown => Proposed::NotNow(
+            "the outcome is unknown: look with `show changes` before trying again".to_owned(),
+        ),
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_daemon/src/control/mod.rs
@@ -0,0 +1,27 @@
+//! The control thread: one actor that holds every role of this instance.
+//!
+//! All decisions are taken here, one message at a time, so that no two of them race; the traffic
+//! threads see the result through [`SharedRouting`](crate::routing::SharedRouting) and ask for
+//! permits by message. See `docs/ARCHITECTURE.md`.
+
+mod actor;
+mod carry_out;
+mod context;
+mod coordination;
+mod messages;
+mod owned;
+mod peers;
+mod platform_calls;
+mod probe;
+mod roles;
+mod steps;
+mod tell;
+mod timer;
+mod watches;
+
+pub(crate) use actor::Control;
+pub(crate) use context::Context;
+pub(crate) use coordination::{Propose, Proposed};
+pub(crate) use messages::{
+    AskFacts, AskPermit, Begin, FromPeer, Leave, Left, PermitReply, ReleasePermit,
+};
--- /dev/null
+++ b/crates/chervilshunt_daemon/src/control/peers.rs
@@ -0,0 +1,109 @@
+//! Messages from other instances.
+
+use chervilshunt_coord::CoordEvent;
+use chervilshunt_core::{OwnerEvent, ReleaseOutcome, ReleasedPermit};
+use chervilshunt_mesh::{Inbound, InboundMessage, Reply};
+use chervilshunt_model::InstanceId;
+use xtra::prelude::*;
+
+use super::actor::Control;
+use super::carry_out::addressed;
+use super::messages::{AskPermit, FromPeer, PermitReply, ReleasePermit};
+use super::steps::Step;
+use crate::wire::PeerMessage;
+
+impl Handler<FromPeer> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, message: FromPeer, _cx: &mut xtra::Context<Self>) {
+        match message.0 {
+            Inbound::Message(message) => self.take_message(message),
+            Inbound::Lost(from) => self.lost_connection(from),
+        }
+    }
+}
+
+impl Control {
+    fn take_message(&mut self, message: InboundMessage<PeerMessage>) {
+        let InboundMessage {
+            from,
+            message,
+            reply,
+        } = message;
+        match message {
+            PeerMessage::PermitAsked(req) => {
+                if let Some(reply) = reply {
+                    self.ask_permit(AskPermit {
+                        req,
+                        reply: PermitReply::Peer(reply),
+                    });
+                }
+            }
+            PeerMessage::PermitReleased(released) => {
+                let taken = self.release_permit(ReleasePermit(released));
+                respond(
+                    reply,
+                    if taken {
+                        PeerMessage::Done
+                    } else {
+                        PeerMessage::NotHolder
+                    },
+                );
+            }
+            PeerMessage::PermitsAsked(target) => {
+                let permits = self.cx.held.of_target(&target);
+                respond(reply, PeerMessage::PermitsHeld(permits));
+            }
+            PeerMessage::FactsAsked => {
+                respond(reply, PeerMessage::Facts(Box::new(self.facts())));
+            }
+            PeerMessage::Coord(message) => self.coord_message(from, message),
+            PeerMessage::PermitAnswered(_)
+            | PeerMessage::PermitsHeld(_)
+            | PeerMessage::Facts(_)
+            | PeerMessage::Done
+            | PeerMessage::NotHolder => {
+                slog::debug!(self.cx.log, "answer without question"; "from" => %from);
+            }
+            message @ (PeerMessage::TurnAsked(_)
+            | PeerMessage::TurnHeld(_)
+            | PeerMessage::TurnEnded(_)
+            | PeerMessage::TurnGranted(_)
+            | PeerMessage::Demanded(_)
+            | PeerMessage::ShareSet(_)
+            | PeerMessage::ShareConfirmed(_)) => {
+                let step = addressed(message).map(|(_, step)| step);
+                self.work_off(step);
+            }
+        }
+    }
+
+    /// Withdraws what a peer waits for, and compares the permits that it holds with ours.
+    ///
+    /// The peer's requests have failed with the connection, and it asks again. A grant or a release
+    /// that was under way is lost: without the comparison its slot would stay pinned.
+    fn lost_connection(&mut self, from: InstanceId) {
+        let mut steps = Vec::new();
+        for (name, owned) in &mut self.targets {
+            let gone = owned.waiting.extract_if(|_, reply| reply.is_gone());
+            steps.extend(gone.map(|(attempt, _)| {
+                let released = ReleasedPermit {
+                    attempt,
+                    target: name.clone(),
+                    outcome: ReleaseOutcome::Cancelled,
+                };
+                Step::Owner(name.clone(), OwnerEvent::PermitReleased(released))
+            }));
+        }
+        self.work_off(steps);
+        self.compare_permits(&from);
+        self.coordinate(CoordEvent::PeerLost(from));
+    }
+}
+
+fn respond(reply: Option<Reply<PeerMessage>>, answer: PeerMessage) {
+    if let Some(reply) = reply {
+        // A peer that can't get its answer any more has learnt so by itself.
+        drop(reply.send(answer));
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_daemon/src/control/tell.rs
@@ -0,0 +1,68 @@
+//! What this instance tells operators of its roles.
+
+use super::actor::Control;
+use crate::facts::{
+    AdapterFacts, AllocatorFacts, InstanceFacts, PermitFacts, SchedulerFacts, TargetFacts,
+};
+
+impl Control {
+    pub(super) fn facts(&self) -> InstanceFacts {
+        let instance = &self.cx.settings.instance;
+        let now = self.cx.now();
+        let roles = self
+            .holders
+            .iter()
+            .filter(|(_, (holder, _))| holder == self.cx.me());
+        let mut roles: Vec<String> = roles.map(|(role, _)| role.to_string()).collect();
+        roles.sort();
+        InstanceFacts {
+            instance: instance.id.clone(),
+            zone: instance.zone.clone(),
+            region: instance.region.clone(),
+            takes_work: self.coordinator.may_take_work(now),
+            stopping: self.leaving_steps.is_some(),
+            revision: self.deployment.revision,
+            roles,
+            targets: self.target_facts(),
+            schedulers: self
+                .schedulers
+                .iter()
+                .map(|(store, scheduler)| SchedulerFacts {
+                    store: store.clone(),
+                    queue_wait_ms: millis(scheduler.queue_wait()),
+                })
+                .collect(),
+            allocators: self
+                .allocators
+                .iter()
+                .map(|(site, allocator)| AllocatorFacts {
+                    site: site.clone(),
+                    committed_watts: allocator.committed_watts(),
+                })
+                .collect(),
+        }
+    }
+
+    fn target_facts(&self) -> Vec<TargetFacts> {
+        let now = self.cx.now();
+        let facts = self.targets.iter().map(|(name, owned)| {
+            let view = owned.owner.view(now);
+            TargetFacts {
+                target: name.clone(),
+                epoch: owned.epoch,
+                reachable: owned.reachable,
+                running: view.live_permits + view.deferrable_permits,
+                waiting: view.live_waiting + view.deferrable_waiting,
+                share_watts: view.share_watts,
+                adapters: view.adapters.into_iter().map(AdapterFacts::from).collect(),
+                permits: owned.owner.permits().map(PermitFacts::from).collect(),
+            }
+        });
+        facts.collect()
+    }
+}
+
+/// Returns whole milliseconds, for the wire.
+pub(super) fn millis(duration: std::time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/chervilshunt_daemon/src/control/watches.rs
@@ -0,0 +1,104 @@
+//! Following the platform: configuration head, assignments and instance list.
+
+use std::net::SocketAddr;
+
+use chervilshunt_coord::{InstanceEntry, ObjectKind, Stored};
+use chervilshunt_model::{InstanceId, ServiceName, TargetName, ZoneName};
+use chervilshunt_platform::{
+    ASSIGNMENTS, CONFIG_HEADS, ENDPOINT_SLICES, InstanceList, Platform, Resource, Selector,
+    WatchEvent,
+};
+use serde_json::Value;
+use xtra::prelude::*;
+
+use super::actor::Control;
+use super::platform_calls::to_stored;
+
+/// The service under which the instance list shows this system's own instances.
+const OWN_SERVICE: &str = "chervilshunt";
+/// The port names of an instance in the list.
+const PEERS_PORT: &str = "peers";
+const OPERATORS_PORT: &str = "operators";
+
+/// A watch showed an object.
+#[derive(Debug)]
+pub(super) struct ObjectSeen(pub(super) Stored);
+
+/// The instance list has changed.
+#[derive(Debug)]
+pub(super) struct Listed {
+    /// This system's own instances.
+    pub(super) instances: Vec<InstanceEntry>,
+    /// Targets that are leaving or don't serve.
+    pub(super) leaving: Vec<TargetName>,
+}
+
+/// Starts to follow the platform, until the actor is gone.
+pub(super) fn start(platform: &Platform, control: &Address<Control>) {
+    follow(platform, CONFIG_HEADS, ObjectKind::Head, control.clone());
+    follow(
+        platform,
+        ASSIGNMENTS,
+        ObjectKind::Assignment,
+        control.clone(),
+    );
+    follow_list(platform, control.clone());
+}
+
+fn follow(platform: &Platform, resource: Resource, kind: ObjectKind, control: Address<Control>) {
+    let mut events = platform.watch::<Value>(resource, Selector::all());
+    tokio::spawn(async move {
+        while let Some(event) = events.recv().await {
+            let WatchEvent::Applied(object) = event else {
+                continue;
+            };
+            let Some(stored) = to_stored(kind, object) else {
+                continue;
+            };
+            if control.send(ObjectSeen(stored)).await.is_err() {
+                return;
+            }
+        }
+    });
+}
+
+fn follow_list(platform: &Platform, control: Address<Control>) {
+    let mut events = platform.watch(ENDPOINT_SLICES, Selector::all());
+    tokio::spawn(async move {
+        let mut list = InstanceList::default();
+        while let Some(event) = events.recv().await {
+            if list.apply(event).is_empty() {
+                continue;
+            }
+            if control.send(listed(&list)).await.is_err() {
+                return;
+            }
+        }
+    });
+}
+
+fn listed(list: &InstanceList) -> Listed {
+    let own = ServiceName::from(OWN_SERVICE);
+    let instances = list.of_service(&own).filter_map(|instance| {
+        let port = |name: &str| {
+            let port = *instance.ports.get(name)?;
+            Some(SocketAddr::new(instance.address, port))
+        };
+        Some(InstanceEntry {
+            instance: InstanceId::new(std::sync::Arc::clone(&instance.name)),
+            zone: instance.zone.clone().unwrap_or_else(|| ZoneName::from("")),
+            peer_address: port(PEERS_PORT)?,
+            operators_address: port(OPERATORS_PORT)?,
+            serving: instance.serving,
+            terminating: instance.terminating,
+        })
+    });
+    let leaving = list
+        .iter()
+        .filter(|listed| listed.service != own && !listed.takes_new_work())
+        .map(|target| TargetName::new(std::sync::Arc::clone(&target.name)));
+    Listed {
+        instances: instances.collect(),
+        leaving: leaving.collect(),
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_daemon/src/facts.rs
@@ -0,0 +1,117 @@
+//! What one instance knows of its own roles, for operators' questions about the whole deployment.
+
+use chervilshunt_core::{AdapterState, AdapterView, Permit};
+use chervilshunt_model::{
+    AdapterVersion, AttemptId, Class, Epoch, InstanceId, RegionName, Revision, SiteName, StoreName,
+    TargetName, ZoneName,
+};
+use serde::{Deserialize, Serialize};
+
+/// One instance's state at one moment.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct InstanceFacts {
+    /// The instance.
+    pub(crate) instance: InstanceId,
+    /// Its availability zone.
+    pub(crate) zone: ZoneName,
+    /// Its region.
+    pub(crate) region: RegionName,
+    /// Whether it takes new work.
+    pub(crate) takes_work: bool,
+    /// Whether it is shutting down.
+    pub(crate) stopping: bool,
+    /// The revision of the configuration that it has in force.
+    pub(crate) revision: Revision,
+    /// The roles that it holds, as text.
+    pub(crate) roles: Vec<String>,
+    /// The targets that it owns.
+    pub(crate) targets: Vec<TargetFacts>,
+    /// The load schedulers that it runs.
+    pub(crate) schedulers: Vec<SchedulerFacts>,
+    /// The power allocators that it runs.
+    pub(crate) allocators: Vec<AllocatorFacts>,
+}
+
+/// One target as its owner sees it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct TargetFacts {
+    /// The target.
+    pub(crate) target: TargetName,
+    /// The fencing number under which it is owned.
+    pub(crate) epoch: Epoch,
+    /// Whether it answered last time.
+    pub(crate) reachable: bool,
+    /// Permits that are out.
+    pub(crate) running: usize,
+    /// Requests that wait.
+    pub(crate) waiting: usize,
+    /// Its share of power, in watts.
+    pub(crate) share_watts: f64,
+    /// Adapter versions in its slots, on their way, or waited for.
+    pub(crate) adapters: Vec<AdapterFacts>,
+    /// Permits that are out, one by one.
+    pub(crate) permits: Vec<PermitFacts>,
+}
+
+/// One adapter version at a target.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct AdapterFacts {
+    /// The adapter version.
+    pub(crate) model: AdapterVersion,
+    /// Its state there.
+    pub(crate) state: AdapterState,
+    /// Requests that wait for it.
+    pub(crate) waiters: usize,
+}
+
+/// One permit that is out.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct PermitFacts {
+    /// The try.
+    pub(crate) attempt: AttemptId,
+    /// The adapter version.
+    pub(crate) model: Option<AdapterVersion>,
+    /// The class.
+    pub(crate) class: Class,
+    /// The instance that uses it.
+    pub(crate) entry: InstanceId,
+}
+
+/// One load scheduler.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct SchedulerFacts {
+    /// The weight store.
+    pub(crate) store: StoreName,
+    /// How long a live load asked for now would wait for its turn, in milliseconds.
+    pub(crate) queue_wait_ms: u64,
+}
+
+/// One power allocator.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct AllocatorFacts {
+    /// The site.
+    pub(crate) site: SiteName,
+    /// The sum of shares that are kept or may still be drawn, in watts.
+    pub(crate) committed_watts: f64,
+}
+
+impl From<AdapterView> for AdapterFacts {
+    fn from(view: AdapterView) -> Self {
+        Self {
+            model: view.model,
+            state: view.state,
+            waiters: view.waiters,
+        }
+    }
+}
+
+impl From<&Permit> for PermitFacts {
+    fn from(permit: &Permit) -> Self {
+        Self {
+            attempt: permit.attempt,
+            model: permit.model.clone(),
+            class: permit.class,
+            entry: permit.entry.clone(),
+        }
+    }
+}
--- a/crates/chervilshunt_daemon/src/lib.rs
+++ b/crates/chervilshunt_daemon/src/lib.rs
@@ -1,1 +1,21 @@
-//! Placeholder.
+//! The daemon chervilshuntd: actors and servers round the decisions.
+//!
+//! One thread holds the control state ([`control`]), others carry traffic ([`traffic`]); operators
+//! have a port of their own ([`operators`]). The decisions themselves are in `chervilshunt_core`
+//! and `chervilshunt_coord`. See `docs/ARCHITECTURE.md`.
+
+mod args;
+mod clock;
+mod control;
+mod engines;
+mod facts;
+mod logging;
+mod operators;
+mod routing;
+mod run;
+mod shutdown;
+mod traffic;
+mod wire;
+
+pub use args::{Args, ArgsError, USAGE};
+pub use run::{RunError, run};
--- /dev/null
+++ b/crates/chervilshunt_daemon/src/logging.rs
@@ -0,0 +1,52 @@
+//! The log: JSON lines on standard output.
+
+use std::sync::Mutex;
+
+use chervilshunt_config::{InstanceSettings, LogLevel};
+use slog::{Drain, FnValue, Level, Logger, PushFnValue, Record, o};
+use slog_async::OverflowStrategy;
+
+/// Lines that may wait to be written; beyond it lines are dropped and counted, so that a slow
+/// reader of the log never holds up a request.
+const QUEUED_LINES: usize = 16_384;
+
+/// Makes the log, and a guard that writes out what waits when it is dropped.
+pub(crate) fn start(
+    instance: &InstanceSettings,
+    level: LogLevel,
+) -> (Logger, slog_async::AsyncGuard) {
+    let json = slog_json::Json::new(std::io::stdout())
+        .add_key_value(o!(
+            "ts" => FnValue(|_: &Record<'_>| timestamp()),
+            "level" => FnValue(|record: &Record<'_>| record.level().as_str().to_lowercase()),
+            "msg" => PushFnValue(|record: &Record<'_>, ser| ser.emit(record.msg())),
+        ))
+        .build();
+    let lines = Mutex::new(json).ignore_res();
+    let (queue, guard) = slog_async::Async::new(lines)
+        .chan_size(QUEUED_LINES)
+        .overflow_strategy(OverflowStrategy::DropAndReport)
+        .build_with_guard();
+    let drain = queue.filter_level(slog_level(level)).ignore_res();
+    let log = Logger::root(
+        drain,
+        o!("instance" => instance.id.as_str().to_owned(), "zone" => instance.zone.as_str().to_owned()),
+    );
+    (log, guard)
+}
+
+fn slog_level(level: LogLevel) -> Level {
+    match level {
+        LogLevel::Error => Level::Error,
+        LogLevel::Warning => Level::Warning,
+        LogLevel::Info => Level::Info,
+        LogLevel::Debug => Level::Debug,
+        LogLevel::Trace => Level::Trace,
+    }
+}
+
+/// Seconds since 1970 with milliseconds; log readers merge the lines of several instances by it.
+fn timestamp() -> f64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0.0, |since| (since.as_secs_f64() * 1e3).round() / 1e3)
+}
--- /dev/null
+++ b/crates/chervilshunt_daemon/src/operators/server.rs
@@ -0,0 +1,135 @@
+//! The operators' HTTP server.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chervilshunt_model::RequestId;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use uuid::Uuid;
+
+use super::health::Health;
+use super::statements::Statements;
+
+/// The longest body of a statement request, in bytes: a script that creates 3,000 adapters fits.
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// The time in which a request's head has to arrive.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// The time in which a request's body has to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// What the operators' port answers from.
+#[derive(Clone, Debug)]
+pub(crate) struct Operators {
+    /// Whether the process is ready.
+    pub(crate) health: Health,
+    /// The statements' part.
+    pub(crate) statements: Statements,
+    /// The metrics.
+    pub(crate) metrics: PrometheusHandle,
+    /// The log.
+    pub(crate) log: slog::Logger,
+}
+
+/// Serves operators until `stop` is cancelled.
+pub(crate) async fn serve_operators(
+    listener: TcpListener,
+    operators: Operators,
+    stop: CancellationToken,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let operators = operators.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |req| {
+                let operators = operators.clone();
+                async move { Ok::<_, Infallible>(operators.serve(req).await) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), service);
+            drop(connection.await);
+        });
+    }
+}
+
+impl Operators {
+    async fn serve(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
+        let path = req.uri().path().to_owned();
+        match (req.method(), path.as_str()) {
+            (&Method::GET, "/healthz") => text(StatusCode::OK, "ok\n"),
+            (&Method::GET, "/readyz") if self.health.is_ready() => text(StatusCode::OK, "ready\n"),
+            (&Method::GET, "/readyz") => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            (&Method::GET, "/metrics") => text(StatusCode::OK, self.metrics.render()),
+            (&Method::POST, "/v1/statements") => self.statements(req).await,
+            _ => text(
+                StatusCode::NOT_FOUND,
+                "there are POST /v1/statements and GET /metrics, /healthz, /readyz\n",
+            ),
+        }
+    }
+
+    async fn statements(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
+        let body = Limited::new(req.into_body(), MAX_BODY_BYTES).collect();
+        let body = match tokio::time::timeout(BODY_TIMEOUT, body).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(_)) | Err(_) => {
+                return text(
+                    StatusCode::BAD_REQUEST,
+                    "the body broke off, came too slowly, or is longer than 8 MiB\n",
+                );
+            }
+        };
+        let request = RequestId::new(Uuid::new_v4().simple().to_string());
+        match self.statements.run(&body).await {
+            Ok(answer) => json(StatusCode::OK, "application/json", &answer),
+            Err(refusal) => {
+                slog::info!(self.log, "statements refused";
+                    "request" => %request, "status" => refusal.status, "detail" => &refusal.detail);
+                let status = StatusCode::from_u16(refusal.status);
+                let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+                json(status, "application/problem+json", &refusal)
+            }
+        }
+    }
+}
+
+fn text(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    respond(status, "text/plain; charset=utf-8", body.into())
+}
+
+fn json(
+    status: StatusCode,
+    media_type: &'static str,
+    body: &impl serde::Serialize,
+) -> Response<Full<Bytes>> {
+    respond(
+        status,
+        media_type,
+        serde_json::to_vec(body).unwrap_or_default().into(),
+    )
+}
+
+fn respond(status: StatusCode, media_type: &'static str, body: Bytes) -> Response<Full<Bytes>> {
+    let mut res = Response::new(Full::new(body));
+    *res.status_mut() = status;
+    res.headers_mut()
+        .insert(header::CONTENT_TYPE, HeaderValue::from_static(media_type));
+    res
+}
--- /dev/null
+++ b/crates/chervilshunt_daemon/src/run.rs
@@ -0,0 +1,281 @@
+//! Starting the daemon: ports, threads, actors, and their end.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use chervilshunt_config::Settings;
+use chervilshunt_coord::{
+    Coordinator, CoordinatorConfig, Holder, Incarnation, LeaseConfig, deployment_model,
+};
+use chervilshunt_core::{RetryBudget, RetryBudgetConfig};
+use chervilshunt_mesh::{Inbound, Mesh, MeshConfig, MeshError};
+use chervilshunt_platform::{Platform, PlatformConfig};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use slog::Logger;
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+use xtra::prelude::*;
+
+use crate::clock::Clock;
+use crate::control::{Begin, Context, Control, FromPeer};
+use crate::engines::Engines;
+use crate::logging;
+use crate::operators::{Health, Operators, Statements, serve_operators};
+use crate::routing::SharedRouting;
+use crate::shutdown::{Shutdown, ShutdownError, Signals};
+use crate::traffic::{HeldPermits, Permits, Traffic, serve_callers};
+use crate::wire::PeerMessage;
+
+/// Messages that may wait for the control actor before senders wait too.
+const CONTROL_MAILBOX: usize = 8_192;
+/// Upper bounds of the buckets of latency histograms, in seconds.
+const LATENCY_BUCKETS: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
+];
+
+/// Why the daemon could not run, or did not end as it should.
+#[derive(Debug, Snafu)]
+#[non_exhaustive]
+pub enum RunError {
+    /// A port can't be opened.
+    #[snafu(display("can't listen on {address} (addresses.{key}): {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The key in the settings.
+        key: &'static str,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The port for other instances can't be opened.
+    #[snafu(display("addresses.peers: {source}"))]
+    Peers {
+        /// What the transport said.
+        source: MeshError,
+    },
+    /// The threads can't be started.
+    #[snafu(display("can't start threads: {source}"))]
+    Threads {
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The metrics can't be set up.
+    #[snafu(display("can't set up metrics: {reason}"))]
+    Metrics {
+        /// What the library said.
+        reason: String,
+    },
+    /// The shutdown was not graceful.
+    #[snafu(display("{source}"))]
+    Stopped {
+        /// Why not.
+        source: ShutdownError,
+    },
+}
+
+/// Runs an instance until it has been told to shut down and has done so.
+///
+/// # Errors
+/// Fails if a port or thread can't be had, or if open requests had to be cut off at the end.
+pub fn run(settings: Settings) -> Result<(), RunError> {
+    let (log, _flushed_on_drop) = logging::start(&settings.instance, settings.log.level);
+    let metrics = install_metrics()?;
+    let traffic = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.runtime.traffic_threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()
+        .context(ThreadsSnafu)?;
+    let result = traffic.block_on(serve(Arc::new(settings), log, metrics));
+    traffic.shutdown_background();
+    result
+}
+
+async fn serve(
+    settings: Arc<Settings>,
+    log: Logger,
+    metrics: PrometheusHandle,
+) -> Result<(), RunError> {
+    let mut signals = Signals::listen().context(StoppedSnafu)?;
+    let clock = Clock::start();
+    let callers = listen(settings.addresses.callers, "callers").await?;
+    let operators = listen(settings.addresses.operators, "operators").await?;
+    let mesh_cfg = MeshConfig::new(settings.instance.id.clone(), settings.addresses.peers);
+    let (mesh, inbound) = Mesh::<PeerMessage>::bind(mesh_cfg, log.clone())
+        .await
+        .context(PeersSnafu)?;
+    let callers_address = address_of(&callers, settings.addresses.callers);
+    let operators_address = address_of(&operators, settings.addresses.operators);
+
+    let routing = SharedRouting::default();
+    let held = HeldPermits::default();
+    let cx = Context {
+        settings: Arc::clone(&settings),
+        log: log.clone(),
+        clock,
+        mesh: mesh.clone(),
+        engines: Engines::default(),
+        platform: Platform::new(platform_config(&settings), log.clone()),
+        routing: routing.clone(),
+        held: held.clone(),
+    };
+    let advertised = settings
+        .advertise
+        .peers
+        .unwrap_or_else(|| mesh.local_addr());
+    let coordinator = coordinator(&cx, advertised, operators_address);
+    let control = start_control(Control::new(cx, coordinator))?;
+    forward(inbound, control.clone());
+
+    let health = Health::new(routing.clone());
+    let permits = Permits::new(
+        settings.instance.id.clone(),
+        control.clone(),
+        mesh.clone(),
+        routing.clone(),
+        held,
+    );
+    let retries = RetryBudgetConfig {
+        ratio: settings.limits.retry_budget_ratio,
+        ..RetryBudgetConfig::default()
+    };
+    let traffic = Traffic::new(
+        Arc::clone(&settings),
+        log.clone(),
+        clock,
+        routing.clone(),
+        permits,
+        RetryBudget::new(retries, clock.now()),
+    );
+    let stop_callers = CancellationToken::new();
+    let stop_operators = CancellationToken::new();
+    let open_requests = tokio::spawn(serve_callers(callers, traffic, stop_callers.clone()));
+    let statements = Statements {
+        me: settings.instance.id.clone(),
+        control: control.clone(),
+        mesh: mesh.clone(),
+        routing,
+    };
+    let answering = Operators {
+        health: health.clone(),
+        statements,
+        metrics,
+        log: log.clone(),
+    };
+    tokio::spawn(serve_operators(
+        operators,
+        answering,
+        stop_operators.clone(),
+    ));
+    slog::info!(log, "listening";
+        "callers" => callers_address.to_string(),
+        "peers" => mesh.local_addr().to_string(),
+        "operators" => operators_address.to_string(),
+    );
+
+    signals.next().await;
+    let shutdown = Shutdown {
+        log,
+        health,
+        control,
+        stop_callers,
+        callers: open_requests,
+        bound: settings.limits.shutdown,
+    };
+    let result = shutdown.run(&mut signals).await.context(StoppedSnafu);
+    stop_operators.cancel();
+    mesh.shutdown().await;
+    result
+}
+
+async fn listen(address: SocketAddr, key: &'static str) -> Result<TcpListener, RunError> {
+    TcpListener::bind(address)
+        .await
+        .context(ListenSnafu { address, key })
+}
+
+fn address_of(listener: &TcpListener, configured: SocketAddr) -> SocketAddr {
+    listener.local_addr().unwrap_or(configured)
+}
+
+fn install_metrics() -> Result<PrometheusHandle, RunError> {
+    let builder = PrometheusBuilder::new().set_buckets(&LATENCY_BUCKETS);
+    let installed = builder.and_then(PrometheusBuilder::install_recorder);
+    installed.map_err(|error| {
+        MetricsSnafu {
+            reason: error.to_string(),
+        }
+        .build()
+    })
+}
+
+fn platform_config(settings: &Settings) -> PlatformConfig {
+    let platform = &settings.platform;
+    let mut cfg = PlatformConfig::new(
+        platform.address,
+        Arc::clone(&platform.namespace),
+        settings.instance.id.clone(),
+    );
+    cfg.timeouts.attempt = platform.timeout;
+    cfg.rate.per_second = platform.calls_per_second;
+    cfg
+}
+
+fn coordinator(
+    cx: &Context,
+    peers: SocketAddr,
+    operators: SocketAddr,
+) -> Coordinator<chervilshunt_model::Deployment, chervilshunt_model::ChangeSet> {
+    let settings = &cx.settings;
+    let incarnation = Incarnation::new(rand::random());
+    let me = Holder::new(settings.instance.id.clone(), incarnation);
+    let mut cfg = CoordinatorConfig::new(
+        me,
+        settings.instance.zone.clone(),
+        settings.instance.region.clone(),
+        peers,
+        operators,
+        deployment_model(),
+    );
+    cfg.lease = LeaseConfig {
+        duration: settings.lease.duration,
+        renew_every: settings.lease.renew_every,
+        margin: settings.lease.margin,
+        ..LeaseConfig::default()
+    };
+    Coordinator::new(cfg, cx.now())
+}
+
+/// Starts the control thread with its actor.
+fn start_control(control: Control) -> Result<Address<Control>, RunError> {
+    let (address, mailbox) = Mailbox::bounded(CONTROL_MAILBOX);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(ThreadsSnafu)?;
+    let begin = address.clone();
+    std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            runtime.block_on(async move {
+                let own = begin.clone();
+                tokio::spawn(async move { drop(begin.send(Begin(own)).await) });
+                xtra::run(mailbox, control).await;
+            });
+        })
+        .context(ThreadsSnafu)?;
+    Ok(address)
+}
+
+/// Hands what peers send to the control actor, in its order.
+fn forward(mut inbound: mpsc::Receiver<Inbound<PeerMessage>>, control: Address<Control>) {
+    tokio::spawn(async move {
+        while let Some(message) = inbound.recv().await {
+            if control.send(FromPeer(message)).await.is_err() {
+                return;
+            }
+        }
+    });
+}
--- /dev/null
+++ b/crates/chervilshunt_daemon/src/traffic/completion.rs
@@ -0,0 +1,99 @@
+//! The part of a completion's body that routing needs.
+
+use bytes::Bytes;
+use chervilshunt_model::Class;
+use serde_json::{Map, Value};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::problem::{Problem, Reason};
+
+/// Tokens that a completion may generate when it does not say.
+const DEFAULT_MAX_TOKENS: u32 = 256;
+/// Bytes of text that one token stands for, roughly, in English.
+const BYTES_PER_TOKEN: usize = 4;
+/// Bytes at the start of a prompt that decide about prefix-cache affinity.
+const PREFIX_BYTES: usize = 512;
+/// Engine priority of deferrable work; live work has 0, and lower is sooner.
+const DEFERRABLE_ENGINE_PRIORITY: u32 = 10;
+
+/// A completion's body, parsed once and written anew for the engine.
+#[derive(Debug)]
+pub(crate) struct Completion {
+    body: Map<String, Value>,
+    /// The model as the caller wrote it.
+    pub(crate) model: String,
+    /// Estimated length of the prompt, in tokens.
+    pub(crate) prompt_tokens: u32,
+    /// The most tokens that may be generated.
+    pub(crate) max_tokens: u32,
+    /// A hash of the start of the prompt.
+    pub(crate) prefix: u64,
+    /// Whether the answer is to be a stream of events.
+    pub(crate) stream: bool,
+}
+
+impl Completion {
+    /// Reads a body.
+    ///
+    /// # Errors
+    /// Fails if the body is no JSON object, or a member that routing needs has another type.
+    pub(crate) fn parse(body: &[u8]) -> Result<Self, Problem> {
+        let body: Map<String, Value> = serde_json::from_slice(body)
+            .map_err(|error| bad(format!("the body must be a JSON object: {error}")))?;
+        let Some(model) = body.get("model").and_then(Value::as_str).map(str::to_owned) else {
+            return Err(bad(
+                "name the model as a string, \"model\": \"ADAPTER@VERSION\"".to_owned(),
+            ));
+        };
+        let stream = match body.get("stream") {
+            None | Some(Value::Null) => false,
+            Some(Value::Bool(stream)) => *stream,
+            Some(_) => return Err(bad("\"stream\" takes true or false".to_owned())),
+        };
+        let max_tokens = match body
+            .get("max_tokens")
+            .or_else(|| body.get("max_completion_tokens"))
+        {
+            None | Some(Value::Null) => DEFAULT_MAX_TOKENS,
+            Some(value) => value
+                .as_u64()
+                .and_then(|value| u32::try_from(value).ok())
+                .filter(|value| *value > 0)
+                .ok_or_else(|| bad("\"max_tokens\" takes a whole number from 1".to_owned()))?,
+        };
+        let prompt = match body.get("messages").or_else(|| body.get("prompt")) {
+            Some(Value::String(prompt)) => prompt.as_bytes().to_vec(),
+            Some(prompt @ Value::Array(_)) => serde_json::to_vec(prompt).unwrap_or_default(),
+            _ => {
+                return Err(bad(
+                    "give \"messages\" as a list or \"prompt\" as a string or list".to_owned(),
+                ));
+            }
+        };
+        let prefix = xxh3_64(&prompt[..prompt.len().min(PREFIX_BYTES)]);
+        let prompt_tokens =
+            u32::try_from(prompt.len().div_ceil(BYTES_PER_TOKEN)).unwrap_or(u32::MAX);
+        Ok(Self {
+            body,
+            model,
+            prompt_tokens,
+            max_tokens,
+            prefix,
+            stream,
+        })
+    }
+
+    /// Writes the body for the engine, with its priority set by the class.
+    pub(crate) fn into_engine_body(mut self, class: Class) -> Bytes {
+        let priority = match class {
+            Class::Live => 0,
+            Class::Deferrable => DEFERRABLE_ENGINE_PRIORITY,
+        };
+        self.body.insert("priority".to_owned(), priority.into());
+        serde_json::to_vec(&self.body).unwrap_or_default().into()
+    }
+}
+
+fn bad(detail: String) -> Problem {
+    Problem::not_run(Reason::BadRequest, detail)
+}
--- /dev/null
+++ b/crates/chervilshunt_daemon/src/traffic/intake.rs
@@ -0,0 +1,53 @@
+//! Taking in a request's body within its limits of length and time.
+
+use bytes::Bytes;
+use chervilshunt_config::Limits;
+use http::header;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+
+use super::problem::{Problem, Reason};
+
+/// Reads the whole body.
+///
+/// # Errors
+/// Fails if the body is longer than the limit, arrives too slowly, or breaks off; no target has
+/// been touched then.
+pub(crate) async fn read_body(
+    headers: &http::HeaderMap,
+    body: Incoming,
+    limits: &Limits,
+) -> Result<Bytes, Problem> {
+    let announced = headers
+        .get(header::CONTENT_LENGTH)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.parse::<u64>().ok())
+        .or_else(|| body.size_hint().exact());
+    let limit = limits.body_bytes;
+    if announced.is_some_and(|length| length > limit as u64) {
+        return Err(too_large(limit));
+    }
+    let collected = Limited::new(body, limit).collect();
+    match tokio::time::timeout(limits.body_timeout, collected).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large(limit)),
+        Ok(Err(error)) => Err(Problem::not_run(
+            Reason::BadRequest,
+            format!("the body broke off: {error}"),
+        )),
+        Err(_elapsed) => Err(Problem::not_run(
+            Reason::BodyTooSlow,
+            format!(
+                "the body has to arrive within {} s",
+                limits.body_timeout.as_secs_f64()
+            ),
+        )),
+    }
+}
+
+fn too_large(limit: usize) -> Problem {
+    Problem::not_run(
+        Reason::BodyTooLarge,
+        format!("the body may have at most {limit} bytes"),
+    )
+}
--- /dev/null
+++ b/crates/chervilshunt_daemon/src/traffic/mod.rs
@@ -0,0 +1,24 @@
+//! The traffic threads: callers' requests, from the first byte to the last.
+//!
+//! Nothing here decides about targets: a request asks the owner for a permit and then opens the
+//! call itself, so that the answer never crosses another instance. See
+//! `docs/design/request-path.md`.
+
+mod attempt;
+mod body;
+mod caller;
+mod completion;
+mod front;
+mod headers;
+mod held;
+mod intake;
+mod metrics;
+mod permits;
+mod problem;
+mod relay;
+mod serve;
+
+pub(crate) use front::serve_callers;
+pub(crate) use held::HeldPermits;
+pub(crate) use permits::Permits;
+pub(crate) use serve::Traffic;
--- /dev/null
+++ b/crates/chervilshunt_daemon/src/traffic/relay.rs
@@ -0,0 +1,147 @@
+//! Passing an answer on to the caller, and giving the permit back at its end.
+
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Instant;
+
+use bytes::{BufMut, Bytes, BytesMut};
+use chervilshunt_core::ReleaseOutcome;
+use chervilshunt_engine::{Answer, AnswerBody, EngineError};
+use chervilshunt_model::{Class, RequestId};
+use http::Response;
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::BodyExt;
+use snafu::Snafu;
+
+use super::body::ResponseBody;
+use super::metrics;
+use super::permits::HeldPermit;
+use super::problem::{Problem, Reason};
+use super::serve::{OpenSlot, Traffic, answer_head, set_header};
+
+/// The header that names the target in an answer.
+const TARGET: &str = "x-target";
+/// The header that names the adapter version in an answer.
+const ADAPTER_VERSION: &str = "x-adapter-version";
+
+/// Why the answer to a caller had to be broken off, so that it sees a failed connection rather than
+/// an answer that looks whole.
+#[derive(Debug, Snafu)]
+#[snafu(display("the answer broke off: {source}"))]
+pub(crate) struct RelayError {
+    source: EngineError,
+}
+
+/// What is kept until the last byte of an answer.
+#[derive(Debug)]
+pub(super) struct Relay {
+    pub(super) traffic: Traffic,
+    pub(super) permit: HeldPermit,
+    /// Kept for its drop: the request counts as open until then.
+    pub(super) _slot: OpenSlot,
+    pub(super) request: RequestId,
+    pub(super) class: Class,
+    pub(super) stream: bool,
+    pub(super) opened: Instant,
+}
+
+/// Makes the answer to the caller from that of the target.
+pub(super) fn relayed(relay: Relay, answer: Answer, model: Option<&str>) -> Response<ResponseBody> {
+    metrics::first_byte(relay.class, relay.opened.elapsed());
+    let mut res = answer_head(answer.status, &answer.headers);
+    set_header(&mut res, TARGET, relay.permit.target().as_str());
+    if let Some(model) = model {
+        set_header(&mut res, ADAPTER_VERSION, model);
+    }
+    let body = RelayBody {
+        relay: Some(relay),
+        body: answer.body,
+        appended: None,
+    };
+    res.map(|()| body.boxed_unsync())
+}
+
+/// A target's answer on its way to the caller.
+///
+/// It is polled only as fast as the caller reads, so that back pressure reaches the target; when
+/// the caller goes away it is dropped, which cancels the call and gives the permit back.
+#[derive(Debug)]
+struct RelayBody {
+    /// None once the answer has ended.
+    relay: Option<Relay>,
+    body: AnswerBody,
+    /// The event that says that a stream was cut short.
+    appended: Option<Bytes>,
+}
+
+impl Body for RelayBody {
+    type Data = Bytes;
+    type Error = RelayError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
+        if self.relay.is_none() {
+            return Poll::Ready(self.appended.take().map(|event| Ok(Frame::data(event))));
+        }
+        match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
+            Some(Ok(frame)) => {
+                if self.body.is_end_stream() {
+                    self.finish();
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Some(Err(error)) => Poll::Ready(self.broken_off(error)),
+            None => {
+                self.finish();
+                Poll::Ready(None)
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.relay.is_none() && self.appended.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl RelayBody {
+    /// Gives the permit back after the whole answer.
+    fn finish(&mut self) {
+        let Some(mut relay) = self.relay.take() else {
+            return;
+        };
+        let total = relay.opened.elapsed();
+        relay.permit.ended(ReleaseOutcome::Finished {
+            tokens: self.body.summary().tokens(),
+            first_byte_ms: 0,
+            total_ms: u32::try_from(total.as_millis()).unwrap_or(u32::MAX),
+        });
+    }
+
+    /// Ends an answer that broke off so that the caller can tell it from a whole one.
+    fn broken_off(&mut self, error: EngineError) -> Option<Result<Frame<Bytes>, RelayError>> {
+        let mut relay = self.relay.take()?;
+        relay.permit.ended(ReleaseOutcome::TargetFailed);
+        let problem = Problem::cut_short(Reason::BrokenOff, error.to_string());
+        relay.traffic.report(&problem, &relay.request);
+        if relay.stream {
+            return Some(Ok(Frame::data(error_event(
+                &problem.to_json(&relay.request),
+            ))));
+        }
+        Some(Err(RelayError { source: error }))
+    }
+}
+
+fn error_event(document: &Bytes) -> Bytes {
+    let mut event = BytesMut::with_capacity(document.len() + 32);
+    event.put_slice(b"event: error\ndata: ");
+    event.put_slice(document);
+    event.put_slice(b"\n\n");
+    event.freeze()
+}
