--- a/crates/chervilshunt_platform/src/client.rs
+++ b/crates/chervilshunt_platform/src/client.rs
@@ -16,7 +16,7 @@
 use crate::wire::{MetadataOnly, RawList, decode, encode};
 use crate::{
     Object, ObjectList, PlatformConfig, PlatformError, Resource, ResourceVersion, Selector,
-    Timeouts, WatchTiming,
+    Timeouts, VersionList, WatchTiming,
 };
 
 /// How often a list is begun anew when the platform forgets the version of its pages.
@@ -100,6 +100,34 @@
         })
     }
 
+    /// Reads the names and versions of all objects that a selector takes, without their content.
+    ///
+    /// It tells at a fraction of the bytes of a list what has changed since it was last read.
+    ///
+    /// # Errors
+    /// As [`Platform::list`].
+    pub async fn list_versions(
+        &self,
+        resource: Resource,
+        selector: &Selector,
+    ) -> Result<VersionList, PlatformError> {
+        let call = Call::of_kind(Verb::List, resource, self.namespace(), "");
+        let read = |item: &str| {
+            let item = serde_json::from_str(item);
+            let item: MetadataOnly = item.map_err(|err| call.malformed(&err))?;
+            let version = ResourceVersion::parse(&item.metadata.resource_version)
+                .ok_or_else(|| call.invalid("an object has no version"))?;
+            Ok((item.metadata.name, version))
+        };
+        let (resource_version, items) = self
+            .list_items(resource, selector, ListedPart::Metadata, read)
+            .await?;
+        Ok(VersionList {
+            resource_version,
+            items,
+        })
+    }
+
     /// Creates an object and returns its version.
     ///
     /// # Errors
@@ -111,7 +139,8 @@
         object: &Object<S>,
     ) -> Result<ResourceVersion, PlatformError> {
         let call = Call::of_kind(Verb::Create, resource, self.namespace(), "");
-        self.write(call, resource, object).await
+        let call = call.with_body(encode(resource, object, None))?;
+        self.write(&call).await
     }
 
     /// Replaces an object if it still has the version that was read, and returns its new one.
@@ -124,10 +153,12 @@
         object: &Object<S>,
     ) -> Result<ResourceVersion, PlatformError> {
         let call = Call::of_object(Verb::Update, resource, self.namespace(), &object.name);
-        if object.resource_version.is_none() {
+        let version = object.resource_version;
+        if version.is_none() {
             return Err(call.invalid("an update needs the version that was read"));
         }
-        self.write(call, resource, object).await
+        let call = call.with_body(encode(resource, object, version))?;
+        self.write(&call).await
     }
 
     /// Deletes an object, only at a version if one is given.
@@ -188,24 +219,6 @@
         &self.config().namespace
     }
 
-    /// Lists the names and versions of objects, without their content.
-    pub(crate) async fn list_versions(
-        &self,
-        resource: Resource,
-        selector: &Selector,
-    ) -> Result<(ResourceVersion, Vec<(Arc<str>, ResourceVersion)>), PlatformError> {
-        let call = Call::of_kind(Verb::List, resource, self.namespace(), "");
-        let read = |item: &str| {
-            let item = serde_json::from_str(item);
-            let item: MetadataOnly = item.map_err(|err| call.malformed(&err))?;
-            let version = ResourceVersion::parse(&item.metadata.resource_version)
-                .ok_or_else(|| call.invalid("an object has no version"))?;
-            Ok((item.metadata.name, version))
-        };
-        self.list_items(resource, selector, ListedPart::Metadata, read)
-            .await
-    }
-
     /// Opens a watch from a version on.
     pub(crate) async fn open_watch(
         &self,
@@ -260,14 +273,8 @@
         }
     }
 
-    async fn write<S: Serialize>(
-        &self,
-        call: Call,
-        resource: Resource,
-        object: &Object<S>,
-    ) -> Result<ResourceVersion, PlatformError> {
-        let call = call.with_body(encode(resource, object))?;
-        let body = self.shared.exchange.call(&call, self.timeouts).await?;
+    async fn write(&self, call: &Call) -> Result<ResourceVersion, PlatformError> {
+        let body = self.shared.exchange.call(call, self.timeouts).await?;
         // The write took effect, but at which version can't be told: the caller has to read.
         let unreadable = || lost(&call.label, call.verb, "its answer is malformed");
         let written: MetadataOnly = serde_json::from_slice(&body).map_err(|_err| unreadable())?;
--- a/crates/chervilshunt_platform/src/lib.rs
+++ b/crates/chervilshunt_platform/src/lib.rs
@@ -29,7 +29,7 @@
     Endpoint, EndpointConditions, EndpointPort, EndpointProblem, EndpointSlice, InstanceChange,
     InstanceList, ListedInstance, SERVICE_LABEL, TargetRef,
 };
-pub use object::{Object, ObjectList, ResourceVersion};
+pub use object::{Object, ObjectList, ResourceVersion, VersionList};
 pub use resource::{
     ASSIGNMENTS, CLAIM_PAGES, CONFIG_HEADS, CONFIG_PAGES, ENDPOINT_SLICES, LEASES, Layout, Resource,
 };
--- a/crates/chervilshunt_platform/src/object.rs
+++ b/crates/chervilshunt_platform/src/object.rs
@@ -77,3 +77,12 @@
     /// The objects, in name order.
     pub objects: Vec<Object<S>>,
 }
+
+/// Names and versions of objects as they stood together at one version, without their content.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VersionList {
+    /// The version of the collection that they show.
+    pub resource_version: ResourceVersion,
+    /// Name and version of each object, in name order.
+    pub items: Vec<(Arc<str>, ResourceVersion)>,
+}
--- a/crates/chervilshunt_platform/src/watch/follow.rs
+++ b/crates/chervilshunt_platform/src/watch/follow.rs
@@ -12,13 +12,15 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use super::known::{Known, Listed, OldList};
+use super::known::{Known, OldList};
 use super::lines::Lines;
 use super::{StallReason, WatchEvent};
 use crate::accounting::{OpenWatch, count_missed_events};
 use crate::client::ListedPart;
 use crate::wire::{EventKind, MetadataOnly, RawEvent, Status, decode};
-use crate::{Platform, PlatformError, Resource, ResourceVersion, Selector, WatchTiming};
+use crate::{
+    Platform, PlatformError, Resource, ResourceVersion, Selector, VersionList, WatchTiming,
+};
 
 /// How much of an interval is added or taken off at random.
 const JITTER: f64 = 0.2;
@@ -140,8 +142,11 @@
                 }
             };
             self.relist_at = Instant::now() + jittered(self.timing.relist_interval);
-            let items = objects.iter().filter_map(Item::version).collect();
-            match self.known.relist(&Listed { version, items }) {
+            let listed = VersionList {
+                resource_version: version,
+                items: objects.iter().filter_map(Item::version).collect(),
+            };
+            match self.known.relist(&listed) {
                 Ok(difference) => {
                     let versioned = objects.into_iter().filter(|item| item.version().is_some());
                     let mut versioned: Vec<_> = versioned.map(Some).collect();
@@ -333,22 +338,22 @@
 /// How far a check has come.
 enum Checked {
     /// The list was made; events that were on their way may still arrive.
-    Listed(Listed),
+    Listed(VersionList),
     Failed,
-    Settled(Listed),
+    Settled(VersionList),
 }
 
 fn check_at(platform: Platform, resource: Resource, selector: Selector, at: Instant) -> Check {
     Box::pin(async move {
         sleep_until(at).await;
         match platform.list_versions(resource, &selector).await {
-            Ok((version, items)) => Checked::Listed(Listed { version, items }),
+            Ok(listed) => Checked::Listed(listed),
             Err(_outage) => Checked::Failed,
         }
     })
 }
 
-fn settle(listed: Listed, settle: Duration) -> Check {
+fn settle(listed: VersionList, settle: Duration) -> Check {
     Box::pin(async move {
         sleep(settle).await;
         Checked::Settled(listed)
--- a/crates/chervilshunt_platform/src/watch/known.rs
+++ b/crates/chervilshunt_platform/src/watch/known.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
-use crate::ResourceVersion;
+use crate::{ResourceVersion, VersionList};
 
 /// The versions that a watch has told, and the one that it goes on from.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -25,13 +25,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct OldList;
 
-/// Names and versions as listed at a version of the collection.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Listed {
-    pub(crate) version: ResourceVersion,
-    pub(crate) items: Vec<(Arc<str>, ResourceVersion)>,
-}
-
 impl Known {
     /// Returns the version to go on from; none before the first list.
     pub(crate) const fn resume(&self) -> Option<ResourceVersion> {
@@ -44,8 +37,11 @@
     /// Fails, and changes nothing, if the list is older than what was told. A cache of the
     /// platform that lags would otherwise bring back what has been deleted since, or an older
     /// configuration.
-    pub(crate) fn relist(&mut self, listed: &Listed) -> Result<Difference, OldList> {
-        if self.resume.is_some_and(|resume| listed.version < resume) {
+    pub(crate) fn relist(&mut self, listed: &VersionList) -> Result<Difference, OldList> {
+        if self
+            .resume
+            .is_some_and(|resume| listed.resource_version < resume)
+        {
             return Err(OldList);
         }
         let mut difference = Difference::default();
@@ -64,7 +60,7 @@
             kept
         });
         difference.deleted.sort();
-        self.resume = Some(listed.version);
+        self.resume = Some(listed.resource_version);
         Ok(difference)
     }
 
@@ -93,13 +89,14 @@
     /// Counts the objects whose last event was never told.
     ///
     /// `listed` may be of some time ago: what was told since then lies above its version.
-    pub(crate) fn missed(&self, listed: &Listed) -> usize {
+    pub(crate) fn missed(&self, listed: &VersionList) -> usize {
         let names: HashSet<&Arc<str>> = listed.items.iter().map(|(name, _)| name).collect();
         let changes = listed.items.iter();
         let changes = changes.filter(|(name, version)| self.is_news(name, *version));
         let deletions = self.versions.iter();
-        let deletions = deletions
-            .filter(|(name, version)| **version <= listed.version && !names.contains(name));
+        let deletions = deletions.filter(|(name, version)| {
+            **version <= listed.resource_version && !names.contains(name)
+        });
         changes.count() + deletions.count()
     }
 
--- a/crates/chervilshunt_platform/src/watch/mod.rs
+++ b/crates/chervilshunt_platform/src/watch/mod.rs
@@ -4,6 +4,8 @@
 mod known;
 mod lines;
 mod reconnects;
+#[cfg(test)]
+mod tests;
 
 use std::sync::Arc;
 
--- /dev/null
+++ b/crates/chervilshunt_platform/src/watch/tests.rs
@@ -0,0 +1,185 @@
+//! What a watch has told, against a collection that is the oracle, and the cutting of lines.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use rstest::rstest;
+
+use super::known::Known;
+use super::lines::LineBuffer;
+use crate::{ResourceVersion, VersionList};
+
+const NAMES: [&str; 4] = ["a", "b", "c", "d"];
+
+/// What befalls the collection and the watch.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Put {
+        name: usize,
+        told: bool,
+    },
+    Delete {
+        name: usize,
+        told: bool,
+    },
+    Bookmark,
+    /// A list as of so many versions ago.
+    Relist {
+        age: u64,
+    },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..NAMES.len(), any::<bool>()).prop_map(|(name, told)| Step::Put { name, told }),
+        2 => (0..NAMES.len(), any::<bool>()).prop_map(|(name, told)| Step::Delete { name, told }),
+        1 => Just(Step::Bookmark),
+        1 => (0_u64..3).prop_map(|age| Step::Relist { age }),
+    ]
+}
+
+/// The collection with its past.
+#[derive(Default)]
+struct Collection {
+    states: Vec<BTreeMap<Arc<str>, u64>>,
+}
+
+impl Collection {
+    fn version(&self) -> u64 {
+        self.states.len() as u64
+    }
+
+    fn state(&self, version: u64) -> BTreeMap<Arc<str>, u64> {
+        let index = usize::try_from(version).ok().and_then(|v| v.checked_sub(1));
+        let state = index.and_then(|index| self.states.get(index));
+        state.cloned().unwrap_or_default()
+    }
+
+    fn listed(&self, version: u64) -> VersionList {
+        let state = self.state(version).into_iter();
+        VersionList {
+            resource_version: ResourceVersion::new(version),
+            items: state
+                .map(|(name, version)| (name, ResourceVersion::new(version)))
+                .collect(),
+        }
+    }
+}
+
+/// The receiver of a watch, which checks that no object goes back.
+#[derive(Default)]
+struct Receiver {
+    view: BTreeMap<Arc<str>, u64>,
+    highest: HashMap<Arc<str>, u64>,
+}
+
+impl Receiver {
+    fn applied(&mut self, name: &Arc<str>, version: u64) {
+        let highest = self.highest.entry(Arc::clone(name)).or_default();
+        assert!(*highest < version, "{name} went back to version {version}");
+        *highest = version;
+        self.view.insert(Arc::clone(name), version);
+    }
+
+    fn relisted(&mut self, known: &mut Known, listed: &VersionList) -> bool {
+        let Ok(difference) = known.relist(listed) else {
+            return false;
+        };
+        for name in difference.deleted {
+            assert!(self.view.remove(&name).is_some(), "{name} was not there");
+        }
+        for place in difference.applied {
+            let (name, version) = &listed.items[place];
+            self.applied(name, version.get());
+        }
+        true
+    }
+}
+
+proptest! {
+    /// Events go missing, and lists are old. No object ever goes back to an older version, what
+    /// was missed is found if and only if the view is wrong, and a list sets it right.
+    #[test]
+    fn a_watch_never_goes_back_and_is_healed(steps in prop::collection::vec(step(), 1..60)) {
+        let mut collection = Collection::default();
+        let mut known = Known::default();
+        let mut receiver = Receiver::default();
+        receiver.relisted(&mut known, &collection.listed(0));
+        for step in steps {
+            let version = collection.version();
+            let next = ResourceVersion::new(version + 1);
+            let mut state = collection.state(version);
+            match step {
+                Step::Put { name, told } => {
+                    let name: Arc<str> = NAMES[name].into();
+                    state.insert(Arc::clone(&name), next.get());
+                    collection.states.push(state);
+                    if told && known.apply(&name, next) {
+                        receiver.applied(&name, next.get());
+                    }
+                }
+                Step::Delete { name, told } => {
+                    if state.remove(NAMES[name]).is_none() {
+                        continue;
+                    }
+                    collection.states.push(state);
+                    if told && known.delete(NAMES[name], next) {
+                        receiver.view.remove(NAMES[name]);
+                    }
+                }
+                Step::Bookmark => known.advance(ResourceVersion::new(version)),
+                Step::Relist { age } => {
+                    let listed = collection.listed(version.saturating_sub(age));
+                    receiver.relisted(&mut known, &listed);
+                }
+            }
+            let listed = collection.listed(collection.version());
+            let is_right = receiver.view == collection.state(collection.version());
+            prop_assert_eq!(known.missed(&listed) == 0, is_right);
+        }
+        let listed = collection.listed(collection.version());
+        prop_assert!(receiver.relisted(&mut known, &listed));
+        prop_assert_eq!(receiver.view, collection.state(collection.version()));
+    }
+}
+
+/// An event that was on its way while a list was made arrives after it, and is no news.
+#[test]
+fn an_event_that_a_list_has_overtaken_is_no_news() {
+    let name: Arc<str> = "a".into();
+    let mut known = Known::default();
+    let listed = VersionList {
+        resource_version: ResourceVersion::new(9),
+        items: Vec::new(),
+    };
+    assert!(known.relist(&listed).is_ok());
+    assert!(!known.apply(&name, ResourceVersion::new(5)));
+    assert_eq!(known.resume(), Some(ResourceVersion::new(9)));
+}
+
+#[rstest]
+#[case::one(&["{}\n"], &["{}"])]
+#[case::cut_anywhere(&["{\"a\"", ":1", "}", "\n{", "}\n"], &["{\"a\":1}", "{}"])]
+#[case::many_in_a_frame(&["1\n2\n3\n4"], &["1", "2", "3"])]
+#[case::empty_line(&["\n", "1\n"], &["", "1"])]
+fn lines_are_cut_where_they_end(#[case] frames: &[&str], #[case] lines: &[&str]) {
+    let mut buf = LineBuffer::default();
+    let mut read = Vec::new();
+    for frame in frames {
+        assert!(buf.push(frame.as_bytes()));
+        while let Some(line) = buf.next_line() {
+            read.push(String::from_utf8(line.to_vec()).expect("it is text"));
+        }
+    }
+    assert_eq!(read, lines);
+}
+
+/// A platform that never ends its line can't use up the memory.
+#[test]
+fn an_endless_line_is_refused() {
+    let mut buf = LineBuffer::default();
+    let frame = vec![b'x'; 1024 * 1024];
+    let taken = (0..10).take_while(|_| buf.push(&frame)).count();
+    assert_eq!(taken, 4);
+}
--- a/crates/chervilshunt_platform/src/wire.rs
+++ b/crates/chervilshunt_platform/src/wire.rs
@@ -108,12 +108,12 @@
     spec: S,
 }
 
-/// Writes an object.
+/// Writes an object, with the version that it has to have.
 pub(crate) fn encode<S: Serialize>(
     resource: Resource,
     object: &Object<S>,
+    version: Option<ResourceVersion>,
 ) -> serde_json::Result<Vec<u8>> {
-    let version = object.resource_version;
     let head = Head {
         api_version: format!("{}/{}", resource.group, resource.version),
         kind: resource.kind,
--- a/crates/chervilshunt_standin/src/platform/store.rs
+++ b/crates/chervilshunt_standin/src/platform/store.rs
@@ -192,6 +192,10 @@
         write: Write,
     ) -> Result<Arc<Stored>, StoreError> {
         let draft = Draft::parse(object)?;
+        if draft.revision.is_some() {
+            let problem = "resourceVersion should not be set on objects to be created";
+            return Err(StoreError::Invalid(problem.to_owned()));
+        }
         if self.current(collection, &draft.name).is_some() {
             return Err(StoreError::AlreadyExists);
         }
