--- a/crates/chervilshunt_bench/src/load/options.rs
+++ b/crates/chervilshunt_bench/src/load/options.rs
@@ -8,10 +8,13 @@
 
 use chervilshunt_standin::fleet::model_name;
 use lexopt::{Arg, Parser, ValueExt as _};
-use snafu::ResultExt;
+use serde::Serialize;
+use snafu::{OptionExt, ResultExt};
 
 use super::error::{BadOptionSnafu, LoadError, ModelsSnafu, RuntimeSnafu, UsageSnafu};
 use super::plan::{LoadPlan, PlainShare};
+use super::relay::RelayPlan;
+use super::streams::OpenStreamsPlan;
 use super::table;
 
 pub(crate) const USAGE: &str = "\
@@ -38,15 +41,44 @@
   --standins IP:PORT[,…]   stand-ins to ask at the end what they ran
   --json                   print JSON in place of tables
 
-Exits with a failure if a promise was broken.";
+Measurements in place of checked load:
+
+  --relay-events           read streams as fast as they come and count their events
+  --open-streams           hold streams open and read the memory of --pid
+  --streams N              streams at a time (64; 1000 to hold open)
+  --stream-tokens N        tokens of each of these streams (20000)
+  --stalled                leave the streams that are held open unread
+  --pid PID                process of the instance
+
+Exits with a failure if a promise was broken or a stream did not come through whole.";
+
+/// Streams at a time unless the command line says otherwise.
+const RELAYED_STREAMS: usize = 64;
+const HELD_STREAMS: usize = 1_000;
+
+/// Tokens of a measured stream unless the command line says otherwise.
+const STREAM_TOKENS: u32 = 20_000;
 
 /// What the command line asks for.
 #[derive(Debug)]
 struct Options {
+    mode: Mode,
     plan: LoadPlan,
+    streams: Option<usize>,
+    stream_tokens: u32,
+    stalled: bool,
+    pid: Option<u32>,
     json: bool,
 }
 
+/// What is to be done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Mode {
+    Load,
+    Relay,
+    OpenStreams,
+}
+
 /// Runs the load tool with the rest of the command line.
 ///
 /// # Errors
@@ -57,10 +89,25 @@
         return Ok(());
     };
     let runtime = tokio::runtime::Runtime::new().context(RuntimeSnafu)?;
-    let report = runtime.block_on(super::run(options.plan))?;
+    match options.mode {
+        Mode::Load => runtime.block_on(load(options)),
+        Mode::Relay => {
+            let report = runtime.block_on(super::relay(relay_plan(&options)))?;
+            print_json(&report);
+            Ok(())
+        }
+        Mode::OpenStreams => {
+            let report = runtime.block_on(super::open_streams(open_streams_plan(&options)?))?;
+            print_json(&report);
+            Ok(())
+        }
+    }
+}
+
+async fn load(options: Options) -> Result<(), LoadError> {
+    let report = super::run(options.plan).await?;
     if options.json {
-        let text = serde_json::to_string_pretty(&report).expect("a report has only plain members");
-        println!("{text}");
+        print_json(&report);
     } else {
         print!("{}", table::render(&report));
     }
@@ -71,20 +118,54 @@
     Err(LoadError::Violations { count })
 }
 
+fn print_json(report: &impl Serialize) {
+    let text = serde_json::to_string_pretty(report).expect("a report has only plain members");
+    println!("{text}");
+}
+
+fn relay_plan(options: &Options) -> RelayPlan {
+    RelayPlan {
+        entry: options.plan.entries[0],
+        models: options.plan.models.clone(),
+        streams: options.streams.unwrap_or(RELAYED_STREAMS),
+        tokens: options.stream_tokens,
+        pid: options.pid,
+        patience: options.plan.patience,
+    }
+}
+
+fn open_streams_plan(options: &Options) -> Result<OpenStreamsPlan, LoadError> {
+    let problem = "--open-streams: --pid says whose memory is to be read";
+    Ok(OpenStreamsPlan {
+        entry: options.plan.entries[0],
+        pid: options.pid.context(BadOptionSnafu { problem })?,
+        models: options.plan.models.clone(),
+        streams: options.streams.unwrap_or(HELD_STREAMS),
+        tokens: options.stream_tokens,
+        hold: options.plan.duration,
+        stalled: options.stalled,
+        patience: options.plan.patience,
+    })
+}
+
 fn parse(mut parser: Parser) -> Result<Option<Options>, LoadError> {
     let mut options = Options {
+        mode: Mode::Load,
         plan: LoadPlan::default(),
+        streams: None,
+        stream_tokens: STREAM_TOKENS,
+        stalled: false,
+        pid: None,
         json: false,
     };
     let mut adapters = OsString::from("100");
     while let Some(arg) = parser.next().context(UsageSnafu)? {
         match arg {
             Arg::Long("help") => return Ok(None),
-            Arg::Long("json") => options.json = true,
             Arg::Long("adapters") => adapters = parser.value().context(UsageSnafu)?,
             Arg::Long(name) => {
                 let name = name.to_owned();
-                take(&mut options.plan, &name, &mut parser).context(UsageSnafu)?;
+                take_option(&mut options, &name, &mut parser).context(UsageSnafu)?;
             }
             Arg::Short(_) | Arg::Value(_) => return Err(arg.unexpected()).context(UsageSnafu),
         }
@@ -94,6 +175,24 @@
     Ok(Some(options))
 }
 
+fn take_option(
+    options: &mut Options,
+    name: &str,
+    parser: &mut Parser,
+) -> Result<(), lexopt::Error> {
+    match name {
+        "json" => options.json = true,
+        "relay-events" => options.mode = Mode::Relay,
+        "open-streams" => options.mode = Mode::OpenStreams,
+        "stalled" => options.stalled = true,
+        "streams" => options.streams = Some(parser.value()?.parse()?),
+        "stream-tokens" => options.stream_tokens = parser.value()?.parse()?,
+        "pid" => options.pid = Some(parser.value()?.parse()?),
+        _ => take(&mut options.plan, name, parser)?,
+    }
+    Ok(())
+}
+
 fn take(plan: &mut LoadPlan, name: &str, parser: &mut Parser) -> Result<(), lexopt::Error> {
     match name {
         "entry" => plan.entries.extend(addresses(parser)?),
@@ -136,6 +235,10 @@
             return BadOptionSnafu { problem }.fail();
         }
     }
+    if plan.entries.is_empty() || plan.models.is_empty() {
+        let problem = "--entry names at least one instance, --adapters at least one model";
+        return BadOptionSnafu { problem }.fail();
+    }
     if !(plan.rate > 0.0 && plan.rate.is_finite()) {
         let problem = format!("--rate: a rate is above 0, not {}", plan.rate);
         return BadOptionSnafu { problem }.fail();
--- a/crates/chervilshunt_bench/tests/load/main.rs
+++ b/crates/chervilshunt_bench/tests/load/main.rs
@@ -2,3 +2,4 @@
 
 mod instance;
 mod runs;
+mod streams;
--- a/crates/chervilshunt_standin/src/check/client.rs
+++ b/crates/chervilshunt_standin/src/check/client.rs
@@ -5,14 +5,15 @@
 use bytes::Bytes;
 use chervilshunt_model::Class;
 use http::header::{CONTENT_TYPE, HeaderValue};
-use http::{Method, Request};
+use http::{Method, Request, Response};
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper_util::client::legacy::Client as HyperClient;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde_json::{Value, json};
 
-use super::exchange::{Exchange, Failure};
+use super::exchange::{Exchange, Failure, with_sources};
 use super::verdict::{Record, Timing, Verdict, Violation, ViolationKind};
 use super::{Api, Call, CompletionCall, RequestPlan, Route};
 
@@ -62,6 +63,15 @@
         }
     }
 
+    /// Sends one request and hands out its answer unread, to measure rather than to check.
+    ///
+    /// # Errors
+    /// Says what happened if no head of an answer came.
+    pub async fn open(&self, plan: &RequestPlan) -> Result<Response<Incoming>, String> {
+        let response = self.inner.request(request(plan)).await;
+        response.map_err(|error| with_sources(&error))
+    }
+
     /// Sends one request and checks what comes back.
     pub async fn send(&self, plan: RequestPlan) -> Record {
         let start = Instant::now();
--- a/crates/chervilshunt_standin/src/check/exchange.rs
+++ b/crates/chervilshunt_standin/src/check/exchange.rs
@@ -308,7 +308,8 @@
     Violation::new(ViolationKind::Malformed, detail)
 }
 
-fn with_sources(error: &dyn StdError) -> String {
+/// Writes an error with what caused it.
+pub(crate) fn with_sources(error: &dyn StdError) -> String {
     let mut text = error.to_string();
     let mut source = error.source();
     while let Some(error) = source {
