--- a/crates/chervilshunt_daemon/src/control/actor.rs
+++ b/crates/chervilshunt_daemon/src/control/actor.rs
@@ -4,17 +4,18 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use chervilshunt_coord::{ChangeTicket, CoordEvent, Coordinator, Role};
+use chervilshunt_coord::{ChangeTicket, ClaimEvent, ClaimKeeper, CoordEvent, Coordinator, Role};
 use chervilshunt_core::{
     LoadScheduler, OwnerEvent, PermitAnswer, PowerAllocator, PowerEvent, RefusalReason,
     SchedulerEvent,
 };
 use chervilshunt_model::{
-    ChangeSet, Deployment, Epoch, InstanceId, Moment, SiteName, StoreName, TargetName,
+    AttemptId, ChangeSet, Deployment, Epoch, InstanceId, Moment, SiteName, StoreName, TargetName,
 };
 use tokio::sync::oneshot;
 use xtra::prelude::*;
 
+use super::claims::ClaimReply;
 use super::context::Context;
 use super::coordination::Proposed;
 use super::messages::{
@@ -36,6 +37,9 @@
     pub(super) targets: BTreeMap<TargetName, OwnedTarget>,
     pub(super) schedulers: HashMap<StoreName, LoadScheduler>,
     pub(super) allocators: HashMap<SiteName, PowerAllocator>,
+    pub(super) keepers: HashMap<u32, ClaimKeeper>,
+    /// Requests for claims that wait for an answer.
+    pub(super) claimants: HashMap<AttemptId, ClaimReply>,
     /// The targets that the allocators of this instance know, with their sites.
     pub(super) powered: HashMap<TargetName, SiteName>,
     pub(super) holders: HashMap<Role, (InstanceId, Epoch)>,
@@ -71,6 +75,8 @@
             targets: BTreeMap::new(),
             schedulers: HashMap::new(),
             allocators: HashMap::new(),
+            keepers: HashMap::new(),
+            claimants: HashMap::new(),
             powered: HashMap::new(),
             holders: HashMap::new(),
             peers: HashMap::new(),
@@ -110,6 +116,7 @@
                     self.carry_out_scheduler(action, steps);
                 }
             }
+            Step::Claims(shard, event) => self.step_claims(shard, event, steps),
             Step::Power(site, event) => {
                 let Some(allocator) = self.allocators.get_mut(&site) else {
                     return;
@@ -162,9 +169,14 @@
             .allocators
             .iter()
             .filter(|(_, role)| is_due(role.next_wakeup()));
+        let keepers = self
+            .keepers
+            .iter()
+            .filter(|(_, role)| is_due(role.next_wakeup()));
         owners
             .map(|(name, _)| Step::Owner(name.clone(), OwnerEvent::Tick))
             .chain(schedulers.map(|(name, _)| Step::Scheduler(name.clone(), SchedulerEvent::Tick)))
+            .chain(keepers.map(|(shard, _)| Step::Claims(*shard, ClaimEvent::Tick)))
             .chain(allocators.map(|(name, _)| Step::Power(name.clone(), PowerEvent::Tick)))
             .collect()
     }
--- a/crates/chervilshunt_daemon/src/control/carry_out.rs
+++ b/crates/chervilshunt_daemon/src/control/carry_out.rs
@@ -396,6 +396,10 @@
         | PeerMessage::FactsAsked
         | PeerMessage::Facts(_)
         | PeerMessage::Coord(_)
+        | PeerMessage::ClaimAsked(_)
+        | PeerMessage::ClaimAnswered(_)
+        | PeerMessage::ClaimEnded(_)
+        | PeerMessage::TryAsked(..)
         | PeerMessage::Done
         | PeerMessage::NotHolder => return None,
     };
--- a/crates/chervilshunt_daemon/src/control/context.rs
+++ b/crates/chervilshunt_daemon/src/control/context.rs
@@ -9,6 +9,7 @@
 
 use crate::clock::Clock;
 use crate::engines::Engines;
+use crate::keyed::KeyedTries;
 use crate::routing::SharedRouting;
 use crate::traffic::HeldPermits;
 use crate::wire::PeerMessage;
@@ -32,6 +33,8 @@
     pub(crate) routing: SharedRouting,
     /// Permits that the traffic threads hold.
     pub(crate) held: HeldPermits,
+    /// Keyed tries that the traffic threads run or have run.
+    pub(crate) tries: KeyedTries,
 }
 
 impl Context {
--- a/crates/chervilshunt_daemon/src/control/coordination.rs
+++ b/crates/chervilshunt_daemon/src/control/coordination.rs
@@ -1,8 +1,8 @@
 //! Carrying out what the coordinator wants done, and telling it what has happened.
 
 use chervilshunt_coord::{
-    ChangeRefusal, ChangeTicket, CoordAction, CoordDecision, CoordEvent, CoordMessage, Role,
-    WantedRole,
+    ChangeRefusal, ChangeTicket, ClaimEvent, ClaimKeeper, CoordAction, CoordDecision, CoordEvent,
+    CoordMessage, Role, WantedRole,
 };
 use chervilshunt_core::{OwnerEvent, PowerEvent, SchedulerEvent};
 use chervilshunt_model::{ChangeSet, Deployment, Fencing, InstanceId, Revision, TargetName};
@@ -10,6 +10,7 @@
 use xtra::prelude::*;
 
 use super::actor::Control;
+use super::claims::CLAIM_SHARDS;
 use super::messages::PlatformAnswered;
 use super::platform_calls::carry_out;
 use super::steps::Step;
@@ -114,7 +115,7 @@
         }
     }
 
-    fn call_platform(&self, call: chervilshunt_coord::PlatformCall) {
+    pub(super) fn call_platform(&self, call: chervilshunt_coord::PlatformCall) {
         let Some(address) = self.address.clone() else {
             return;
         };
@@ -186,6 +187,10 @@
 
     async fn handle(&mut self, message: PlatformAnswered, _cx: &mut xtra::Context<Self>) {
         let PlatformAnswered { call, result } = message;
+        if let Some(shard) = ClaimKeeper::shard_of_call(call) {
+            self.work_off([Step::Claims(shard, ClaimEvent::Reply(call, result))]);
+            return;
+        }
         self.coordinate(CoordEvent::PlatformReply { call, result });
     }
 }
@@ -281,7 +286,8 @@
         .cloned()
         .map(Role::PowerAllocator)
         .map(unzoned);
-    targets.chain(stores).chain(sites).collect()
+    let claims = (0..CLAIM_SHARDS).map(Role::ClaimKeeper).map(unzoned);
+    targets.chain(stores).chain(sites).chain(claims).collect()
 }
 
 fn refused(refusal: &ChangeRefusal) -> Proposed {
--- a/crates/chervilshunt_daemon/src/control/mod.rs
+++ b/crates/chervilshunt_daemon/src/control/mod.rs
@@ -6,6 +6,7 @@
 
 mod actor;
 mod carry_out;
+mod claims;
 mod context;
 mod coordination;
 mod messages;
@@ -20,6 +21,7 @@
 mod watches;
 
 pub(crate) use actor::Control;
+pub(crate) use claims::{AskClaim, CLAIM_SHARDS, ClaimReply, EndClaim};
 pub(crate) use context::Context;
 pub(crate) use coordination::{Propose, Proposed};
 pub(crate) use messages::{
--- a/crates/chervilshunt_daemon/src/control/peers.rs
+++ b/crates/chervilshunt_daemon/src/control/peers.rs
@@ -8,6 +8,7 @@
 
 use super::actor::Control;
 use super::carry_out::addressed;
+use super::claims::{AskClaim, ClaimReply};
 use super::messages::{AskPermit, FromPeer, PermitReply, ReleasePermit};
 use super::steps::Step;
 use crate::wire::PeerMessage;
@@ -57,9 +58,37 @@
             PeerMessage::FactsAsked => {
                 respond(reply, PeerMessage::Facts(Box::new(self.facts())));
             }
+            PeerMessage::ClaimAsked(req) => {
+                if let Some(reply) = reply {
+                    self.ask_claim(AskClaim {
+                        req,
+                        reply: ClaimReply::Peer(reply),
+                    });
+                }
+            }
+            PeerMessage::ClaimEnded(ended) => {
+                let taken = self.end_claim(ended);
+                respond(
+                    reply,
+                    if taken {
+                        PeerMessage::Done
+                    } else {
+                        PeerMessage::NotHolder
+                    },
+                );
+            }
+            PeerMessage::TryAsked(incarnation, asked) => {
+                // Another run of this instance knows nothing of the try.
+                if self.coordinator.me().incarnation == incarnation
+                    && let Some(ended) = self.try_ended(&asked)
+                {
+                    self.cx.send(&from, PeerMessage::ClaimEnded(ended));
+                }
+            }
             PeerMessage::Coord(message) => self.coord_message(from, message),
             PeerMessage::PermitAnswered(_)
             | PeerMessage::PermitsHeld(_)
+            | PeerMessage::ClaimAnswered(_)
             | PeerMessage::Facts(_)
             | PeerMessage::Done
             | PeerMessage::NotHolder => {
--- a/crates/chervilshunt_daemon/src/control/roles.rs
+++ b/crates/chervilshunt_daemon/src/control/roles.rs
@@ -84,7 +84,8 @@
                 let steps = self.power_membership();
                 self.work_off(steps);
             }
-            Role::ClaimKeeper(_) | Role::Other(_) => {}
+            Role::ClaimKeeper(shard) => self.keep_claims(shard, epoch),
+            Role::Other(_) => {}
         }
     }
 
@@ -96,7 +97,8 @@
             Role::Target(name) => drop(self.targets.remove(name)),
             Role::LoadScheduler(name) => drop(self.schedulers.remove(name)),
             Role::PowerAllocator(name) => drop(self.allocators.remove(name)),
-            Role::ClaimKeeper(_) | Role::Other(_) => {}
+            Role::ClaimKeeper(shard) => drop(self.keepers.remove(shard)),
+            Role::Other(_) => {}
         }
     }
 
@@ -275,6 +277,16 @@
 
     /// Shows the traffic threads the control state as it is now.
     pub(super) fn publish(&self) {
+        let claim_keepers = self
+            .holders
+            .iter()
+            .filter_map(|(role, (instance, _))| match role {
+                Role::ClaimKeeper(shard) => Some((*shard, instance.clone())),
+                Role::Target(_)
+                | Role::LoadScheduler(_)
+                | Role::PowerAllocator(_)
+                | Role::Other(_) => None,
+            });
         let owners = self
             .holders
             .iter()
@@ -288,6 +300,8 @@
         self.cx.routing.set(Routing {
             deployment: std::sync::Arc::clone(&self.deployment),
             owners: owners.collect(),
+            claim_keepers: claim_keepers.collect(),
+            incarnation: Some(self.coordinator.me().incarnation),
             peers: self.peers.clone(),
             leaving: std::sync::Arc::clone(&self.leaving),
             takes_work: self.coordinator.may_take_work(self.cx.now()),
--- a/crates/chervilshunt_daemon/src/control/steps.rs
+++ b/crates/chervilshunt_daemon/src/control/steps.rs
@@ -5,6 +5,7 @@
 
 use std::collections::VecDeque;
 
+use chervilshunt_coord::ClaimEvent;
 use chervilshunt_core::{OwnerEvent, PowerEvent, SchedulerEvent};
 use chervilshunt_model::{SiteName, StoreName, TargetName};
 
@@ -15,6 +16,8 @@
     Owner(TargetName, OwnerEvent),
     /// For the load scheduler of a weight store.
     Scheduler(StoreName, SchedulerEvent),
+    /// For the claim keeper of a shard.
+    Claims(u32, ClaimEvent),
     /// For the power allocator of a site.
     Power(SiteName, PowerEvent),
 }
--- a/crates/chervilshunt_daemon/src/lib.rs
+++ b/crates/chervilshunt_daemon/src/lib.rs
@@ -9,6 +9,7 @@
 mod control;
 mod engines;
 mod facts;
+mod keyed;
 mod logging;
 mod operators;
 mod routing;
--- a/crates/chervilshunt_daemon/src/routing.rs
+++ b/crates/chervilshunt_daemon/src/routing.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
+use chervilshunt_coord::Incarnation;
 use chervilshunt_mesh::Peer;
 use chervilshunt_model::{Deployment, InstanceId, TargetName};
 
@@ -15,6 +16,10 @@
     pub(crate) deployment: Arc<Deployment>,
     /// The instance that owns each target.
     pub(crate) owners: HashMap<TargetName, InstanceId>,
+    /// The instance that keeps the claims of each shard.
+    pub(crate) claim_keepers: HashMap<u32, InstanceId>,
+    /// This run of this instance; none before it has begun.
+    pub(crate) incarnation: Option<Incarnation>,
     /// Where each live instance listens for peers.
     pub(crate) peers: HashMap<InstanceId, SocketAddr>,
     /// Targets that the instance list shows as leaving.
--- a/crates/chervilshunt_daemon/src/run.rs
+++ b/crates/chervilshunt_daemon/src/run.rs
@@ -21,11 +21,12 @@
 use crate::clock::Clock;
 use crate::control::{Begin, Context, Control, FromPeer};
 use crate::engines::Engines;
+use crate::keyed::KeyedTries;
 use crate::logging;
 use crate::operators::{Health, Operators, Statements, serve_operators};
 use crate::routing::SharedRouting;
 use crate::shutdown::{Shutdown, ShutdownError, Signals};
-use crate::traffic::{HeldPermits, Permits, Traffic, serve_callers};
+use crate::traffic::{Claims, HeldPermits, Permits, Traffic, serve_callers};
 use crate::wire::PeerMessage;
 
 /// Messages that may wait for the control actor before senders wait too.
@@ -111,6 +112,7 @@
 
     let routing = SharedRouting::default();
     let held = HeldPermits::default();
+    let tries = KeyedTries::default();
     let cx = Context {
         settings: Arc::clone(&settings),
         log: log.clone(),
@@ -120,6 +122,7 @@
         platform: Platform::new(platform_config(&settings), log.clone()),
         routing: routing.clone(),
         held: held.clone(),
+        tries: tries.clone(),
     };
     let advertised = settings
         .advertise
@@ -137,6 +140,14 @@
         routing.clone(),
         held,
     );
+    let claims = Claims::new(
+        settings.instance.id.clone(),
+        control.clone(),
+        mesh.clone(),
+        routing.clone(),
+        tries,
+        settings.outage.keyed_requests,
+    );
     let retries = RetryBudgetConfig {
         ratio: settings.limits.retry_budget_ratio,
         ..RetryBudgetConfig::default()
@@ -147,6 +158,7 @@
         clock,
         routing.clone(),
         permits,
+        claims,
         RetryBudget::new(retries, clock.now()),
     );
     let stop_callers = CancellationToken::new();
--- a/crates/chervilshunt_daemon/src/traffic/attempt.rs
+++ b/crates/chervilshunt_daemon/src/traffic/attempt.rs
@@ -11,6 +11,7 @@
 
 use super::body::ResponseBody;
 use super::caller::CallerRequest;
+use super::claims::{Claim, KeptAnswer};
 use super::metrics;
 use super::permits::{Asked, HeldPermit};
 use super::problem::{Outcome, Problem, Reason};
@@ -59,6 +60,8 @@
 struct Run<'a> {
     traffic: &'a Traffic,
     req: CallerRequest,
+    /// Its claim, if it is keyed and may run only once.
+    claim: Option<Claim>,
     /// Targets that have failed the request.
     avoid: Vec<TargetName>,
 }
@@ -69,11 +72,13 @@
         &self,
         req: CallerRequest,
         slot: OpenSlot,
+        claim: Option<Claim>,
     ) -> Result<Response<ResponseBody>, Problem> {
         self.record_first_try();
         let mut run = Run {
             traffic: self,
             req,
+            claim,
             avoid: Vec::new(),
         };
         let mut tries = 1;
@@ -141,6 +146,9 @@
             "avoided" => self.avoid.iter().map(TargetName::as_str).collect::<Vec<_>>().join(","),
         );
         let client = self.traffic.parts.engines.client(address);
+        if let Some(claim) = &mut self.claim {
+            claim.may_run();
+        }
         let opened = match client.open(self.call(&permit)).await {
             Ok(mut answer) => answer.body.first_piece().await.map(|()| answer),
             Err(error) => Err(error),
@@ -149,6 +157,11 @@
             Ok(answer) => Ok((permit, answer)),
             Err(error) => {
                 let failed = failed_call(&error);
+                if failed.problem.outcome == Outcome::NotRun
+                    && let Some(claim) = &mut self.claim
+                {
+                    claim.did_not_run();
+                }
                 if failed.again != Again::Anywhere {
                     self.avoid.push(target);
                 }
@@ -309,7 +322,13 @@
         answer: Answer,
         slot: OpenSlot,
     ) -> Response<ResponseBody> {
+        let mut claim = self.claim;
+        if let Some(claim) = &mut claim {
+            claim.answered(answer.status.as_u16(), None);
+        }
         let relay = Relay {
+            claim: claim.map(|claim| (claim, KeptAnswer::default())),
+            status: answer.status.as_u16(),
             traffic: self.traffic.clone(),
             permit,
             _slot: slot,
--- /dev/null
+++ b/crates/chervilshunt_daemon/src/traffic/claims.rs
@@ -0,0 +1,318 @@
+//! Claims of idempotency keys on behalf of callers' requests.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use chervilshunt_config::KeyedDuringOutage;
+use chervilshunt_coord::{ClaimAnswer, ClaimKey, ClaimOutcome, ClaimRequest, Holder};
+use chervilshunt_mesh::{Mesh, Peer};
+use chervilshunt_model::{AttemptId, InstanceId};
+use tokio::sync::oneshot;
+use xtra::prelude::*;
+use xxhash_rust::xxh3::Xxh3;
+
+use super::caller::CallerRequest;
+use super::problem::{Problem, Reason};
+use crate::control::{AskClaim, CLAIM_SHARDS, ClaimReply, Control, EndClaim};
+use crate::keyed::KeyedTries;
+use crate::routing::SharedRouting;
+use crate::wire::{ClaimEnded, PeerMessage};
+
+/// How long a keeper may take to answer; it answers by itself in less.
+const KEEPER_TIMEOUT: Duration = Duration::from_secs(4);
+/// When a caller should come back if its key's keeper can't be reached.
+const KEEPER_RETRY: Duration = Duration::from_secs(2);
+/// Tries to tell a keeper how a request ended; a retry is told "unknown" if all of them fail.
+const END_TRIES: u32 = 3;
+/// The pause between tries to tell a keeper how a request ended.
+const END_PAUSE: Duration = Duration::from_millis(300);
+/// The longest answer that is kept for a retry of its caller, in bytes: a thousand of them have to
+/// fit into one page of claims.
+const KEPT_ANSWER_BYTES: usize = 512;
+
+/// Asks claim keepers.
+#[derive(Clone, Debug)]
+pub(crate) struct Claims {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    me: InstanceId,
+    control: Address<Control>,
+    mesh: Mesh<PeerMessage>,
+    routing: SharedRouting,
+    tries: KeyedTries,
+    in_outage: KeyedDuringOutage,
+    runtime: tokio::runtime::Handle,
+}
+
+impl Claims {
+    /// Makes the handle that all requests share; claims end on the present runtime.
+    pub(crate) fn new(
+        me: InstanceId,
+        control: Address<Control>,
+        mesh: Mesh<PeerMessage>,
+        routing: SharedRouting,
+        tries: KeyedTries,
+        in_outage: KeyedDuringOutage,
+    ) -> Self {
+        let runtime = tokio::runtime::Handle::current();
+        Self {
+            inner: Arc::new(Inner {
+                me,
+                control,
+                mesh,
+                routing,
+                tries,
+                in_outage,
+                runtime,
+            }),
+        }
+    }
+
+    /// Claims a request's key, so that the request may be sent.
+    ///
+    /// # Errors
+    /// Refuses the request if it has run or runs, if the key was used for another, or if that can't
+    /// be told now.
+    pub(crate) async fn claim(
+        &self,
+        req: &CallerRequest,
+        idempotency_key: &str,
+    ) -> Result<Claim, Problem> {
+        let key = ClaimKey::new(req.caller.as_str(), req.service.as_str(), idempotency_key);
+        let fingerprint = fingerprint(req);
+        loop {
+            let attempt = AttemptId::random();
+            let claim = Claim::begin(self.clone(), key, attempt);
+            let problem = match self.ask(key, fingerprint, attempt).await {
+                Some(ClaimAnswer::Granted) => return Ok(claim),
+                Some(answer) => refusal(answer),
+                None => unreachable_keeper(),
+            };
+            let waits = match self.inner.in_outage {
+                KeyedDuringOutage::Refuse => false,
+                KeyedDuringOutage::Queue => problem.reason == Reason::ClaimUnavailable,
+            };
+            let pause = problem.retry_after.unwrap_or(KEEPER_RETRY);
+            if !waits || Instant::now() + pause >= req.deadline {
+                return Err(problem);
+            }
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    async fn ask(
+        &self,
+        key: ClaimKey,
+        fingerprint: u64,
+        attempt: AttemptId,
+    ) -> Option<ClaimAnswer> {
+        let routing = self.inner.routing.get();
+        let incarnation = routing.incarnation?;
+        let entry = Holder::new(self.inner.me.clone(), incarnation);
+        let req = ClaimRequest {
+            key,
+            fingerprint,
+            attempt,
+            entry,
+        };
+        let keeper = routing.claim_keepers.get(&key.shard(CLAIM_SHARDS))?;
+        if *keeper == self.inner.me {
+            let (tx, rx) = oneshot::channel();
+            let ask = AskClaim {
+                req,
+                reply: ClaimReply::Local(tx),
+            };
+            self.inner.control.send(ask).await.ok()?;
+            return tokio::time::timeout(KEEPER_TIMEOUT, rx).await.ok()?.ok();
+        }
+        let peer = self.peer(keeper)?;
+        let asked = PeerMessage::ClaimAsked(req);
+        match self.inner.mesh.request(&peer, asked, KEEPER_TIMEOUT).await {
+            Ok(PeerMessage::ClaimAnswered(answer)) => Some(answer),
+            Ok(_) | Err(_) => None,
+        }
+    }
+
+    fn peer(&self, instance: &InstanceId) -> Option<Peer> {
+        let address = *self.inner.routing.get().peers.get(instance)?;
+        Some(Peer {
+            instance: instance.clone(),
+            address,
+        })
+    }
+
+    /// Tells the keeper how a claimed try ended.
+    async fn end(&self, ended: ClaimEnded) {
+        for _ in 0..END_TRIES {
+            if self.try_end(&ended).await {
+                return;
+            }
+            tokio::time::sleep(END_PAUSE).await;
+        }
+    }
+
+    async fn try_end(&self, ended: &ClaimEnded) -> bool {
+        let routing = self.inner.routing.get();
+        let Some(keeper) = routing.claim_keepers.get(&ended.key.shard(CLAIM_SHARDS)) else {
+            return false;
+        };
+        if *keeper == self.inner.me {
+            return self
+                .inner
+                .control
+                .send(EndClaim(ended.clone()))
+                .await
+                .unwrap_or(false);
+        }
+        let Some(peer) = self.peer(keeper) else {
+            return false;
+        };
+        let message = PeerMessage::ClaimEnded(ended.clone());
+        let answer = self
+            .inner
+            .mesh
+            .request(&peer, message, KEEPER_TIMEOUT)
+            .await;
+        matches!(answer, Ok(PeerMessage::Done))
+    }
+}
+
+/// A claimed key, or one being claimed; dropping it tells the keeper how the try ended.
+///
+/// It starts as "not run" and turns to "unknown" right before the call goes out, so that an entry
+/// instance that drops the request at any point tells the truth.
+#[derive(Debug)]
+pub(crate) struct Claim {
+    claims: Claims,
+    key: ClaimKey,
+    attempt: AttemptId,
+    outcome: ClaimOutcome,
+}
+
+impl Claim {
+    fn begin(claims: Claims, key: ClaimKey, attempt: AttemptId) -> Self {
+        claims.inner.tries.begin(attempt);
+        Self {
+            claims,
+            key,
+            attempt,
+            outcome: ClaimOutcome::NotRun,
+        }
+    }
+
+    /// Says that the call may leave from now on.
+    pub(crate) fn may_run(&mut self) {
+        self.outcome = ClaimOutcome::Unknown;
+    }
+
+    /// Says that the call has provably not run.
+    pub(crate) fn did_not_run(&mut self) {
+        self.outcome = ClaimOutcome::NotRun;
+    }
+
+    /// Says that the call has run and was answered.
+    pub(crate) fn answered(&mut self, status: u16, body: Option<&[u8]>) {
+        let kept = body.filter(|body| body.len() <= KEPT_ANSWER_BYTES);
+        let text = kept.and_then(|body| std::str::from_utf8(body).ok());
+        self.outcome = ClaimOutcome::Done {
+            status,
+            body: text.map(Arc::from),
+        };
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        let ended = ClaimEnded {
+            key: self.key,
+            attempt: self.attempt,
+            outcome: self.outcome.clone(),
+        };
+        self.claims
+            .inner
+            .tries
+            .end(self.attempt, self.outcome.clone());
+        let claims = self.claims.clone();
+        self.claims
+            .inner
+            .runtime
+            .spawn(async move { claims.end(ended).await });
+    }
+}
+
+/// The start of an answer, kept for the retry of a caller that did not get it.
+#[derive(Debug, Default)]
+pub(crate) struct KeptAnswer {
+    bytes: Vec<u8>,
+    too_long: bool,
+}
+
+impl KeptAnswer {
+    /// Adds a piece.
+    pub(crate) fn push(&mut self, piece: &Bytes) {
+        if self.too_long || self.bytes.len() + piece.len() > KEPT_ANSWER_BYTES {
+            self.too_long = true;
+            self.bytes = Vec::new();
+            return;
+        }
+        self.bytes.extend_from_slice(piece);
+    }
+
+    /// Returns the whole answer, if it was short enough.
+    pub(crate) fn whole(&self) -> Option<&[u8]> {
+        (!self.too_long).then_some(self.bytes.as_slice())
+    }
+}
+
+/// Tells a retry of a request from another request under the same key.
+fn fingerprint(req: &CallerRequest) -> u64 {
+    let mut hash = Xxh3::new();
+    hash.update(req.method.as_str().as_bytes());
+    hash.update(&[0]);
+    hash.update(req.path.as_str().as_bytes());
+    hash.update(&[0]);
+    hash.update(&req.body);
+    hash.digest()
+}
+
+fn refusal(answer: ClaimAnswer) -> Problem {
+    match answer {
+        ClaimAnswer::Granted | ClaimAnswer::NotNow { .. } => {
+            let detail = "the claim can't be recorded now; this try did not and will not run";
+            let after = match answer {
+                ClaimAnswer::NotNow { retry_after_ms } => Duration::from_millis(retry_after_ms),
+                _ => KEEPER_RETRY,
+            };
+            Problem::not_run(Reason::ClaimUnavailable, detail).retry_after(after)
+        }
+        ClaimAnswer::InProgress { retry_after_ms } => Problem::unknown(
+            Reason::KeyInProgress,
+            "a request with this idempotency key is running; come back for its outcome",
+        )
+        .retry_after(Duration::from_millis(retry_after_ms)),
+        ClaimAnswer::Ended { status, body } => Problem::unknown(
+            Reason::KeyUsed,
+            match body {
+                Some(body) => format!("the request has run once, with status {status}: {body}"),
+                None => format!("the request has run once, with status {status}"),
+            },
+        ),
+        ClaimAnswer::Unknown => Problem::unknown(
+            Reason::KeyUsed,
+            "a request with this idempotency key may have run; it will not be run again",
+        ),
+        ClaimAnswer::OtherRequest => Problem::not_run(
+            Reason::KeyMismatch,
+            "this idempotency key was used for another request; take a new key",
+        ),
+    }
+}
+
+fn unreachable_keeper() -> Problem {
+    let detail = "the keeper of the idempotency key can't be reached; this try did not run";
+    Problem::not_run(Reason::ClaimUnavailable, detail).retry_after(KEEPER_RETRY)
+}
--- a/crates/chervilshunt_daemon/src/traffic/mod.rs
+++ b/crates/chervilshunt_daemon/src/traffic/mod.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod body;
 mod caller;
+mod claims;
 mod completion;
 mod front;
 mod headers;
@@ -18,6 +19,7 @@
 mod relay;
 mod serve;
 
+pub(crate) use claims::Claims;
 pub(crate) use front::serve_callers;
 pub(crate) use held::HeldPermits;
 pub(crate) use permits::Permits;
--- a/crates/chervilshunt_daemon/src/traffic/problem.rs
+++ b/crates/chervilshunt_daemon/src/traffic/problem.rs
@@ -71,6 +71,12 @@
     WrongModel,
     /// The answer broke off.
     BrokenOff,
+    /// A request with this idempotency key runs.
+    KeyInProgress,
+    /// A request with this idempotency key has run, or may have.
+    KeyUsed,
+    /// The idempotency key was used for another request.
+    KeyMismatch,
     /// Claims can't be recorded now.
     ClaimUnavailable,
 }
@@ -95,6 +101,9 @@
             Self::TargetRefused => "target_refused",
             Self::WrongModel => "wrong_model",
             Self::BrokenOff => "broken_off",
+            Self::KeyInProgress => "key_in_progress",
+            Self::KeyUsed => "key_used",
+            Self::KeyMismatch => "key_mismatch",
             Self::ClaimUnavailable => "claim_unavailable",
         }
     }
@@ -118,6 +127,9 @@
                 | RefusalReason::NotOwner
                 | RefusalReason::TargetDown => StatusCode::SERVICE_UNAVAILABLE,
             },
+            // draft-ietf-httpapi-idempotency-key-header, section 2.7.
+            Self::KeyInProgress | Self::KeyUsed => StatusCode::CONFLICT,
+            Self::KeyMismatch => StatusCode::UNPROCESSABLE_ENTITY,
             Self::TargetFailed | Self::TargetRefused | Self::WrongModel | Self::BrokenOff => {
                 StatusCode::BAD_GATEWAY
             }
--- a/crates/chervilshunt_daemon/src/traffic/relay.rs
+++ b/crates/chervilshunt_daemon/src/traffic/relay.rs
@@ -14,6 +14,7 @@
 use snafu::Snafu;
 
 use super::body::ResponseBody;
+use super::claims::{Claim, KeptAnswer};
 use super::metrics;
 use super::permits::HeldPermit;
 use super::problem::{Problem, Reason};
@@ -37,6 +38,9 @@
 pub(super) struct Relay {
     pub(super) traffic: Traffic,
     pub(super) permit: HeldPermit,
+    /// The claim of a keyed request, with what is kept of its answer.
+    pub(super) claim: Option<(Claim, KeptAnswer)>,
+    pub(super) status: u16,
     /// Kept for its drop: the request counts as open until then.
     pub(super) _slot: OpenSlot,
     pub(super) request: RequestId,
@@ -87,6 +91,7 @@
         }
         match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
             Some(Ok(frame)) => {
+                self.keep(&frame);
                 if self.body.is_end_stream() {
                     self.finish();
                 }
@@ -110,11 +115,22 @@
 }
 
 impl RelayBody {
+    /// Keeps a short answer of a keyed request for its caller's retry.
+    fn keep(&mut self, frame: &Frame<Bytes>) {
+        let claim = self.relay.as_mut().and_then(|relay| relay.claim.as_mut());
+        if let (Some((_, kept)), Some(piece)) = (claim, frame.data_ref()) {
+            kept.push(piece);
+        }
+    }
+
     /// Gives the permit back after the whole answer.
     fn finish(&mut self) {
         let Some(mut relay) = self.relay.take() else {
             return;
         };
+        if let Some((claim, kept)) = &mut relay.claim {
+            claim.answered(relay.status, kept.whole());
+        }
         let total = relay.opened.elapsed();
         relay.permit.ended(ReleaseOutcome::Finished {
             tokens: self.body.summary().tokens(),
--- a/crates/chervilshunt_daemon/src/traffic/serve.rs
+++ b/crates/chervilshunt_daemon/src/traffic/serve.rs
@@ -15,6 +15,7 @@
 
 use super::body::{ResponseBody, whole};
 use super::caller::{CallerRequest, Head};
+use super::claims::Claims;
 use super::headers::{REQUEST_ID, RequestHeaders, request_id};
 use super::intake::read_body;
 use super::metrics::{self, OpenRequest};
@@ -60,6 +61,7 @@
     pub(super) clock: Clock,
     pub(super) routing: SharedRouting,
     pub(super) permits: Permits,
+    pub(super) claims: Claims,
     pub(super) engines: Engines,
     pub(super) open: Arc<Semaphore>,
     pub(super) retries: Mutex<RetryBudget>,
@@ -80,6 +82,7 @@
         clock: Clock,
         routing: SharedRouting,
         permits: Permits,
+        claims: Claims,
         retries: RetryBudget,
     ) -> Self {
         let open = Arc::new(Semaphore::new(settings.limits.open_requests));
@@ -92,6 +95,7 @@
                 clock,
                 routing,
                 permits,
+                claims,
                 engines,
                 open,
                 retries,
@@ -169,14 +173,11 @@
             None => CallerRequest::completion(head, &body, &routing.deployment)?,
         };
         metrics::request(req.class);
-        if req.key.is_some() && !req.idempotent {
-            // Without a claim a caller's retry at another instance could run a second time.
-            let detail = "claims of idempotency keys can't be recorded yet";
-            return Err(
-                Problem::not_run(Reason::ClaimUnavailable, detail).retry_after(NOT_READY_RETRY)
-            );
-        }
-        self.run(req, slot).await
+        let claim = match &req.key {
+            Some(key) if !req.idempotent => Some(self.parts.claims.claim(&req, key).await?),
+            Some(_) | None => None,
+        };
+        self.run(req, slot, claim).await
     }
 
     fn open_slot(&self) -> Result<OpenSlot, Problem> {
--- a/crates/chervilshunt_daemon/src/wire.rs
+++ b/crates/chervilshunt_daemon/src/wire.rs
@@ -3,12 +3,14 @@
 //! Variants and members have short names on the wire, as the control path has a byte budget; see
 //! `docs/CAPACITY.md`.
 
-use chervilshunt_coord::CoordMessage;
+use chervilshunt_coord::{
+    ClaimAnswer, ClaimKey, ClaimOutcome, ClaimRequest, CoordMessage, Incarnation,
+};
 use chervilshunt_core::{
     LoadUrgency, OrderId, Permit, PermitAnswer, PermitRequest, ReleasedPermit, TurnResult,
 };
 use chervilshunt_mesh::Purpose;
-use chervilshunt_model::{AdapterVersion, ChangeSet, SiteName, StoreName, TargetName};
+use chervilshunt_model::{AdapterVersion, AttemptId, ChangeSet, SiteName, StoreName, TargetName};
 use serde::{Deserialize, Serialize};
 
 use crate::facts::InstanceFacts;
@@ -58,6 +60,18 @@
     /// What an instance knows of its roles.
     #[serde(rename = "f")]
     Facts(Box<InstanceFacts>),
+    /// Asks a claim keeper for a claim; answered by `ClaimAnswered`.
+    #[serde(rename = "m")]
+    ClaimAsked(ClaimRequest),
+    /// Answers a request for a claim.
+    #[serde(rename = "w")]
+    ClaimAnswered(ClaimAnswer),
+    /// To a claim keeper: how a claimed try ended; answered by `Done`.
+    #[serde(rename = "x")]
+    ClaimEnded(ClaimEnded),
+    /// To the run of an instance that a claimed try was granted to: what became of it?
+    #[serde(rename = "y")]
+    TryAsked(Incarnation, TryAsked),
     /// Between the coordinators of two instances.
     #[serde(rename = "o")]
     Coord(CoordMessage<ChangeSet>),
@@ -79,12 +93,36 @@
             }
             Self::Demanded(_) | Self::ShareSet(_) | Self::ShareConfirmed(_) => "power",
             Self::FactsAsked | Self::Facts(_) => "operators",
+            Self::ClaimAsked(_)
+            | Self::ClaimAnswered(_)
+            | Self::ClaimEnded(_)
+            | Self::TryAsked(..) => "claims",
             Self::Coord(_) => "coordination",
             Self::Done | Self::NotHolder => "acknowledgements",
         }
     }
 }
 
+/// How a claimed try ended.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct ClaimEnded {
+    /// The key.
+    pub(crate) key: ClaimKey,
+    /// The try.
+    pub(crate) attempt: AttemptId,
+    /// How it ended.
+    pub(crate) outcome: ClaimOutcome,
+}
+
+/// A claimed try that its keeper asks after.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct TryAsked {
+    /// The key.
+    pub(crate) key: ClaimKey,
+    /// The try.
+    pub(crate) attempt: AttemptId,
+}
+
 /// An owner's wish to load.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct TurnAsked {
