Refuse bad input on the callers' port in time, and test each refusal

A connection that sent nothing, or only the start of the HTTP/2 preface, was held for ever: the library waits for the first bytes without a limit, and its limit on a head begins after them. Reads now fail if the first bytes don't tell the version within limits.header_timeout_ms. Peeking was ruled out, as part of the preface would have made it spin.

--- a/crates/chervilshunt_daemon/src/traffic/front.rs
+++ b/crates/chervilshunt_daemon/src/traffic/front.rs
@@ -11,6 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
+use super::greeting::Greeted;
 use super::serve::Traffic;
 
 /// The pause after a connection could not be accepted, as when file descriptors have run out.
@@ -69,6 +70,7 @@
         .max_send_buf_size(limits.stream_buffer_bytes)
         .keep_alive_interval(Some(limits.header_timeout))
         .keep_alive_timeout(limits.header_timeout);
+    let stream = Greeted::new(stream, limits.header_timeout);
     let traffic = traffic.clone();
     let service = service_fn(move |req| {
         let traffic = traffic.clone();
--- a/crates/chervilshunt_daemon/src/traffic/mod.rs
+++ b/crates/chervilshunt_daemon/src/traffic/mod.rs
@@ -10,6 +10,7 @@
 mod claims;
 mod completion;
 mod front;
+mod greeting;
 mod headers;
 mod held;
 mod intake;
--- /dev/null
+++ b/crates/chervilshunt_daemon/tests/support/shared.rs
@@ -0,0 +1,28 @@
+//! One fleet for all tests of a binary.
+
+use std::sync::{Arc, Mutex, OnceLock, PoisonError, Weak};
+
+use chervilshunt_standin::fleet::{Fleet, FleetOptions};
+use tokio::runtime::Runtime;
+
+/// The runtime that outlives single tests, as the fleet's processes and tasks belong to it.
+pub(crate) fn runtime() -> &'static Runtime {
+    static RUNTIME: OnceLock<Runtime> = OnceLock::new();
+    RUNTIME.get_or_init(|| Runtime::new().expect("the process may start threads"))
+}
+
+/// Returns the fleet that the tests of this binary share, started with `options` by the first.
+///
+/// It ends with the last test that holds it: a static one would never be dropped, and its processes
+/// would outlive the tests.
+pub(crate) fn fleet(options: impl FnOnce() -> FleetOptions) -> Arc<Fleet> {
+    static FLEET: Mutex<Weak<Fleet>> = Mutex::new(Weak::new());
+    let mut shared = FLEET.lock().unwrap_or_else(PoisonError::into_inner);
+    if let Some(fleet) = shared.upgrade() {
+        return fleet;
+    }
+    let started = runtime().block_on(Fleet::start(options()));
+    let fleet = Arc::new(started.unwrap_or_else(|error| panic!("{error}")));
+    *shared = Arc::downgrade(&fleet);
+    fleet
+}
