Check watches at a rate that does not grow with the fleet

A check every 60 s found a drain whose event went missing far too late, and one every 2 s at 370 instances would be 555 lists a second for three kinds. Now all instances together make 20 checks a second for each kind, and at most one each 1.5 s for an instance. The checks also notice a platform that freezes, which bookmarks a minute apart do only after the bound on silence.

--- a/crates/chervilshunt_platform/src/client.rs
+++ b/crates/chervilshunt_platform/src/client.rs
@@ -1,6 +1,7 @@
 //! The client: every call with its rate limit, time limits, retries and accounts.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use hyper::body::Incoming;
 use serde::Serialize;
@@ -33,6 +34,7 @@
 struct Shared {
     exchange: Exchange,
     reconnects: Reconnects,
+    fleet_size: AtomicUsize,
     log: Logger,
 }
 
@@ -43,6 +45,7 @@
             timeouts: cfg.timeouts,
             shared: Arc::new(Shared {
                 reconnects: Reconnects::new(cfg.watch.backoff),
+                fleet_size: AtomicUsize::new(cfg.fleet_size),
                 log: log.new(o!("part" => "platform")),
                 exchange: Exchange::new(cfg),
             }),
@@ -63,6 +66,12 @@
         self.shared.exchange.config()
     }
 
+    /// Tells how many instances share the platform; checks of watches get rarer with it.
+    pub fn set_fleet_size(&self, instances: usize) {
+        let fleet_size = &self.shared.fleet_size;
+        fleet_size.store(instances, Ordering::Relaxed);
+    }
+
     /// Reads one object.
     ///
     /// # Errors
@@ -211,6 +220,10 @@
         &self.shared.log
     }
 
+    pub(crate) fn fleet_size(&self) -> usize {
+        self.shared.fleet_size.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn reconnects(&self) -> &Reconnects {
         &self.shared.reconnects
     }
--- a/crates/chervilshunt_platform/src/config.rs
+++ b/crates/chervilshunt_platform/src/config.rs
@@ -26,8 +26,13 @@
     pub backoff: BackoffConfig,
     /// How watches are kept up.
     pub watch: WatchTiming,
+    /// The number of instances, until [`crate::Platform::set_fleet_size`] tells it.
+    pub fleet_size: usize,
 }
 
+/// What the number of instances is taken to be before it is known.
+const FLEET_SIZE: usize = 100;
+
 impl PlatformConfig {
     /// Returns the usual values.
     pub fn new(address: SocketAddr, namespace: impl Into<Arc<str>>, instance: InstanceId) -> Self {
@@ -40,6 +45,7 @@
             retries: RetryBudgetConfig::default(),
             backoff: BackoffConfig::default(),
             watch: WatchTiming::default(),
+            fleet_size: FLEET_SIZE,
         }
     }
 }
@@ -90,16 +96,18 @@
 }
 
 /// How watches are kept up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WatchTiming {
     /// The wait between tries to reconnect.
     pub backoff: BackoffConfig,
     /// The silence, bookmarks included, after which a watch is taken to be stalled and opened
     /// anew. It has to lie well above the platform's interval between bookmarks.
     pub silence: Duration,
-    /// How often the collection's metadata is listed to find events that the watch never told.
-    /// Up to a fifth is added or taken off at random.
-    pub relist_interval: Duration,
+    /// The shortest time between two checks for events that the watch never told. Up to a fifth
+    /// is added or taken off at random.
+    pub check_min: Duration,
+    /// The checks a second that all instances together make for one kind of objects.
+    pub checks_per_second: f64,
     /// How long events may take to arrive after a list has shown what they tell.
     pub settle: Duration,
     /// The time after which the platform is asked to end a watch, so that it is spread anew.
@@ -108,6 +116,18 @@
     pub buffer: usize,
 }
 
+impl WatchTiming {
+    /// Returns the time between two checks of one instance among `fleet_size`, before jitter.
+    ///
+    /// It grows with the fleet, so that the calls of all instances together don't: the platform's
+    /// rates grow more slowly than the fleet does.
+    pub fn check_interval(&self, fleet_size: usize) -> Duration {
+        let spread = fleet_size as f64 / self.checks_per_second;
+        let spread = Duration::try_from_secs_f64(spread).unwrap_or(Duration::MAX);
+        spread.max(self.check_min)
+    }
+}
+
 impl Default for WatchTiming {
     fn default() -> Self {
         Self {
@@ -116,8 +136,9 @@
                 cap: Duration::from_secs(10),
             },
             silence: Duration::from_secs(150),
-            relist_interval: Duration::from_secs(60),
-            settle: Duration::from_secs(3),
+            check_min: Duration::from_millis(1500),
+            checks_per_second: 20.0,
+            settle: Duration::from_millis(500),
             lifetime: Duration::from_secs(300),
             buffer: 256,
         }
--- a/crates/chervilshunt_platform/src/watch/follow.rs
+++ b/crates/chervilshunt_platform/src/watch/follow.rs
@@ -14,6 +14,7 @@
 
 use super::known::{Known, OldList};
 use super::lines::Lines;
+use super::reconnects::is_outage;
 use super::{StallReason, WatchEvent};
 use crate::accounting::{OpenWatch, count_missed_events};
 use crate::client::ListedPart;
@@ -36,7 +37,7 @@
     let gone = tx.clone();
     let mut follower = Follower {
         backoff: Backoff::new(timing.backoff),
-        relist_at: Instant::now() + jittered(timing.relist_interval),
+        check_at: Instant::now() + jittered(timing.check_interval(platform.fleet_size())),
         platform,
         resource,
         selector,
@@ -78,7 +79,7 @@
     tx: mpsc::Sender<WatchEvent<S>>,
     known: Known,
     backoff: Backoff,
-    relist_at: Instant,
+    check_at: Instant,
     stalled: bool,
 }
 
@@ -141,7 +142,7 @@
                     continue;
                 }
             };
-            self.relist_at = Instant::now() + jittered(self.timing.relist_interval);
+            self.plan_check();
             let listed = VersionList {
                 resource_version: version,
                 items: objects.iter().filter_map(Item::version).collect(),
@@ -191,8 +192,8 @@
             let line = tokio::select! {
                 line = timeout(self.timing.silence, lines.next()) => line,
                 checked = &mut check => {
-                    if self.is_missing(checked, &mut check) {
-                        return Ok(End::Missed);
+                    if let Some(end) = self.checked(checked, &mut check).await? {
+                        return Ok(end);
                     }
                     continue;
                 }
@@ -210,29 +211,47 @@
         }
     }
 
-    /// Moves a check of the watch on; says whether it found something that was never told.
-    fn is_missing(&mut self, checked: Checked, check: &mut Check) -> bool {
+    /// Moves a check of the watch on; says if the watch ends with it.
+    async fn checked(&mut self, checked: Checked, check: &mut Check) -> Result<Option<End>, Gone> {
         let missed = match checked {
             Checked::Listed(listed) => {
                 *check = settle(listed, self.timing.settle);
-                return false;
+                return Ok(None);
             }
-            Checked::Failed => 0,
             Checked::Settled(listed) => self.known.missed(&listed),
+            Checked::Failed(err) => {
+                if is_outage(&err) {
+                    self.stall(StallReason::Outage).await?;
+                }
+                self.plan_check();
+                *check = self.next_check();
+                return Ok(None);
+            }
         };
-        self.relist_at = Instant::now() + jittered(self.timing.relist_interval);
+        self.plan_check();
         *check = self.next_check();
         if missed > 0 {
             count_missed_events(self.resource.purpose, missed);
             warn!(self.platform.log(), "watch missed events";
                 "resource" => self.resource.plural, "objects" => missed);
+            return Ok(Some(End::Missed));
+        }
+        if self.stalled
+            && let Some(version) = self.known.resume()
+        {
+            self.synced(version).await?;
         }
-        missed > 0
+        Ok(None)
+    }
+
+    fn plan_check(&mut self) {
+        let interval = self.timing.check_interval(self.platform.fleet_size());
+        self.check_at = Instant::now() + jittered(interval);
     }
 
     fn next_check(&self) -> Check {
         let (platform, selector) = (self.platform.clone(), self.selector.clone());
-        check_at(platform, self.resource, selector, self.relist_at)
+        check_at(platform, self.resource, selector, self.check_at)
     }
 
     /// Takes one line; says if the watch ends with it.
@@ -293,10 +312,7 @@
                 "resource" => self.resource.plural, "error" => %err);
             self.stall(StallReason::Refused).await?;
         }
-        if !matches!(
-            err,
-            PlatformError::Unavailable { .. } | PlatformError::Timeout { .. }
-        ) {
+        if !is_outage(err) {
             self.wait().await;
         }
         Ok(())
@@ -339,16 +355,20 @@
 enum Checked {
     /// The list was made; events that were on their way may still arrive.
     Listed(VersionList),
-    Failed,
+    Failed(PlatformError),
     Settled(VersionList),
 }
 
 fn check_at(platform: Platform, resource: Resource, selector: Selector, at: Instant) -> Check {
     Box::pin(async move {
         sleep_until(at).await;
-        match platform.list_versions(resource, &selector).await {
+        let listed = platform.reconnects().call(
+            async || platform.list_versions(resource, &selector).await,
+            async |_outage| {},
+        );
+        match listed.await {
             Ok(listed) => Checked::Listed(listed),
-            Err(_outage) => Checked::Failed,
+            Err(err) => Checked::Failed(err),
         }
     })
 }
--- a/crates/chervilshunt_platform/src/watch/reconnects.rs
+++ b/crates/chervilshunt_platform/src/watch/reconnects.rs
@@ -66,7 +66,8 @@
     }
 }
 
-const fn is_outage(err: &PlatformError) -> bool {
+/// Says whether the platform can't be reached or does not serve.
+pub(crate) const fn is_outage(err: &PlatformError) -> bool {
     matches!(
         err,
         PlatformError::Unavailable { .. } | PlatformError::Timeout { .. }
