--- a/crates/chervilshunt_platform/src/watch/follow.rs
+++ b/crates/chervilshunt_platform/src/watch/follow.rs
@@ -1,7 +1,5 @@
 //! The task behind a watch: list, watch, and again from where it stood.
 
-use std::pin::Pin;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,15 +8,17 @@
 use serde::de::DeserializeOwned;
 use slog::{info, warn};
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
-use super::known::{Known, OldList};
+use super::check::{Check, Checked, check_at, settle};
+use super::item::{Item, metadata};
+use super::known::{Difference, Known, OldList};
 use super::lines::Lines;
 use super::reconnects::is_outage;
 use super::{StallReason, WatchEvent};
 use crate::accounting::{OpenWatch, count_missed_events};
 use crate::client::ListedPart;
-use crate::wire::{EventKind, MetadataOnly, RawEvent, Status, decode};
+use crate::wire::{EventKind, RawEvent, Status};
 use crate::{
     Platform, PlatformError, Resource, ResourceVersion, Selector, VersionList, WatchTiming,
 };
@@ -149,16 +149,7 @@
             };
             match self.known.relist(&listed) {
                 Ok(difference) => {
-                    let versioned = objects.into_iter().filter(|item| item.version().is_some());
-                    let mut versioned: Vec<_> = versioned.map(Some).collect();
-                    for name in difference.deleted {
-                        self.tell(WatchEvent::Deleted { name }).await?;
-                    }
-                    for place in difference.applied {
-                        if let Some(item) = versioned.get_mut(place).and_then(Option::take) {
-                            self.tell(item.event()).await?;
-                        }
-                    }
+                    self.tell_difference(objects, difference).await?;
                     return Ok(version);
                 }
                 Err(OldList) => {
@@ -169,6 +160,25 @@
         }
     }
 
+    async fn tell_difference(
+        &self,
+        objects: Vec<Item<S>>,
+        difference: Difference,
+    ) -> Result<(), Gone> {
+        for name in difference.deleted {
+            self.tell(WatchEvent::Deleted { name }).await?;
+        }
+        // Places count the objects that have a version, as the list of versions did.
+        let versioned = objects.into_iter().filter(|item| item.version().is_some());
+        let mut versioned: Vec<_> = versioned.map(Some).collect();
+        for place in difference.applied {
+            if let Some(item) = versioned.get_mut(place).and_then(Option::take) {
+                self.tell(item.event()).await?;
+            }
+        }
+        Ok(())
+    }
+
     async fn open(&mut self, from: ResourceVersion) -> Result<Result<Lines, PlatformError>, Gone> {
         let lifetime = jittered(self.timing.lifetime).as_secs().max(1);
         let (platform, resource) = (self.platform.clone(), self.resource);
@@ -346,84 +356,6 @@
     }
 }
 
-/// The look for events that a watch never told, as far as it has come.
-///
-/// It lives beside the watch: begun anew with each line, it would never end on a busy one.
-type Check = Pin<Box<dyn Future<Output = Checked> + Send>>;
-
-/// How far a check has come.
-enum Checked {
-    /// The list was made; events that were on their way may still arrive.
-    Listed(VersionList),
-    Failed(PlatformError),
-    Settled(VersionList),
-}
-
-fn check_at(platform: Platform, resource: Resource, selector: Selector, at: Instant) -> Check {
-    Box::pin(async move {
-        sleep_until(at).await;
-        let listed = platform.reconnects().call(
-            async || platform.list_versions(resource, &selector).await,
-            async |_outage| {},
-        );
-        match listed.await {
-            Ok(listed) => Checked::Listed(listed),
-            Err(err) => Checked::Failed(err),
-        }
-    })
-}
-
-fn settle(listed: VersionList, settle: Duration) -> Check {
-    Box::pin(async move {
-        sleep(settle).await;
-        Checked::Settled(listed)
-    })
-}
-
-/// An object as it was listed or told.
-enum Item<S> {
-    Object(crate::Object<S>),
-    Malformed {
-        metadata: Option<(Arc<str>, ResourceVersion)>,
-        problem: Arc<str>,
-    },
-}
-
-impl<S: DeserializeOwned> Item<S> {
-    fn read(resource: Resource, text: &str) -> Self {
-        match decode(resource, text.as_bytes()) {
-            Ok(object) => Self::Object(object),
-            Err(err) => Self::Malformed {
-                metadata: metadata(text),
-                problem: err.to_string().into(),
-            },
-        }
-    }
-
-    fn version(&self) -> Option<(Arc<str>, ResourceVersion)> {
-        match self {
-            Self::Object(object) => Some((Arc::clone(&object.name), object.resource_version?)),
-            Self::Malformed { metadata, .. } => metadata.clone(),
-        }
-    }
-
-    fn event(self) -> WatchEvent<S> {
-        match self {
-            Self::Object(object) => WatchEvent::Applied(object),
-            Self::Malformed { metadata, problem } => WatchEvent::Malformed {
-                name: metadata.map_or_else(|| "".into(), |(name, _)| name),
-                problem,
-            },
-        }
-    }
-}
-
-fn metadata(object: &str) -> Option<(Arc<str>, ResourceVersion)> {
-    let object: MetadataOnly = serde_json::from_str(object).ok()?;
-    let version = ResourceVersion::parse(&object.metadata.resource_version)?;
-    Some((object.metadata.name, version))
-}
-
 fn end_of_error(status: &str) -> End {
     let status: Status = serde_json::from_str(status).unwrap_or_default();
     if status.code == StatusCode::GONE.as_u16() || status.reason == "Expired" {
--- a/crates/chervilshunt_platform/src/watch/mod.rs
+++ b/crates/chervilshunt_platform/src/watch/mod.rs
@@ -1,6 +1,8 @@
 //! Watches that go on through lost connections, gaps and versions that are too old.
 
+mod check;
 mod follow;
+mod item;
 mod known;
 mod lines;
 mod reconnects;
