List readable objects beside malformed ones, and refuse names that are none

One lease that somebody else wrote badly made every list of leases fail, and with it membership. An empty name turned the deletion of an object into the deletion of all of its kind. The daemon tells its client how many instances there are: with the default of 100 a check came every 5 s, later than the 3 s within which a leaving target gets no new work.

--- a/crates/chervilshunt_daemon/src/control/watches.rs
+++ b/crates/chervilshunt_daemon/src/control/watches.rs
@@ -64,12 +64,15 @@
 
 fn follow_list(platform: &Platform, control: Address<Control>) {
     let mut events = platform.watch(ENDPOINT_SLICES, Selector::all());
+    let platform = platform.clone();
     tokio::spawn(async move {
+        let own = ServiceName::from(OWN_SERVICE);
         let mut list = InstanceList::default();
         while let Some(event) = events.recv().await {
             if list.apply(event).is_empty() {
                 continue;
             }
+            platform.set_fleet_size(list.of_service(&own).count());
             if control.send(listed(&list)).await.is_err() {
                 return;
             }
--- a/crates/chervilshunt_platform/src/call.rs
+++ b/crates/chervilshunt_platform/src/call.rs
@@ -30,8 +30,17 @@
 
 impl Call {
     /// Makes a call about one object.
-    pub(crate) fn of_object(verb: Verb, resource: Resource, namespace: &str, name: &str) -> Self {
-        Self {
+    ///
+    /// # Errors
+    /// Fails if the name is none that an object can have. In a path it would name something else:
+    /// to delete the object of an empty name is to delete them all.
+    pub(crate) fn of_object(
+        verb: Verb,
+        resource: Resource,
+        namespace: &str,
+        name: &str,
+    ) -> Result<Self, PlatformError> {
+        let call = Self {
             verb,
             resource,
             label: format!("{} {}/{name}", verb.as_str(), resource.plural).into(),
@@ -42,6 +51,11 @@
                 ACCEPT_OBJECTS
             },
             body: Bytes::new(),
+        };
+        if is_name(name) {
+            Ok(call)
+        } else {
+            Err(call.invalid("an object's name has letters, digits, `-`, `.` and `_` only"))
         }
     }
 
@@ -171,3 +185,8 @@
         query.append_pair("labelSelector", &selector.to_string());
     }
 }
+
+fn is_name(name: &str) -> bool {
+    let fits = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'.' | b'_');
+    !matches!(name, "" | "." | "..") && name.bytes().all(fits)
+}
--- a/crates/chervilshunt_platform/src/client.rs
+++ b/crates/chervilshunt_platform/src/client.rs
@@ -13,6 +13,7 @@
 use crate::answer::lost;
 use crate::call::{Call, delete_body, list_query, watch_query};
 use crate::exchange::Exchange;
+use crate::item::Item;
 use crate::watch::{Reconnects, WatchEvent, start_watch};
 use crate::wire::{MetadataOnly, RawList, decode, encode};
 use crate::{
@@ -81,7 +82,7 @@
         resource: Resource,
         name: &str,
     ) -> Result<Object<S>, PlatformError> {
-        let call = Call::of_object(Verb::Get, resource, self.namespace(), name);
+        let call = Call::of_object(Verb::Get, resource, self.namespace(), name)?;
         let body = self.shared.exchange.call(&call, self.timeouts).await?;
         let object = decode(resource, &body);
         object.map_err(|err| call.malformed(&err))
@@ -97,16 +98,22 @@
         resource: Resource,
         selector: &Selector,
     ) -> Result<ObjectList<S>, PlatformError> {
-        let call = Call::of_kind(Verb::List, resource, self.namespace(), "");
-        let read =
-            |item: &str| decode(resource, item.as_bytes()).map_err(|err| call.malformed(&err));
-        let (resource_version, objects) = self
+        let read = |item: &str| Ok(Item::read(resource, item));
+        let (resource_version, items) = self
             .list_items(resource, selector, ListedPart::Whole, read)
             .await?;
-        Ok(ObjectList {
+        let mut list = ObjectList {
             resource_version,
-            objects,
-        })
+            objects: Vec::with_capacity(items.len()),
+            malformed: Vec::new(),
+        };
+        for item in items {
+            match item {
+                Item::Object(object) => list.objects.push(object),
+                Item::Malformed { object, .. } => list.malformed.push(object),
+            }
+        }
+        Ok(list)
     }
 
     /// Reads the names and versions of all objects that a selector takes, without their content.
@@ -161,7 +168,7 @@
         resource: Resource,
         object: &Object<S>,
     ) -> Result<ResourceVersion, PlatformError> {
-        let call = Call::of_object(Verb::Update, resource, self.namespace(), &object.name);
+        let call = Call::of_object(Verb::Update, resource, self.namespace(), &object.name)?;
         let version = object.resource_version;
         if version.is_none() {
             return Err(call.invalid("an update needs the version that was read"));
@@ -180,7 +187,7 @@
         name: &str,
         version: Option<ResourceVersion>,
     ) -> Result<(), PlatformError> {
-        let mut call = Call::of_object(Verb::Delete, resource, self.namespace(), name);
+        let mut call = Call::of_object(Verb::Delete, resource, self.namespace(), name)?;
         if let Some(version) = version {
             call = call.with_body(delete_body(version))?;
         }
--- a/crates/chervilshunt_platform/src/lib.rs
+++ b/crates/chervilshunt_platform/src/lib.rs
@@ -14,6 +14,7 @@
 mod error;
 mod exchange;
 mod instance_list;
+mod item;
 mod object;
 mod pacer;
 mod resource;
@@ -29,7 +30,7 @@
     Endpoint, EndpointConditions, EndpointPort, EndpointProblem, EndpointSlice, InstanceChange,
     InstanceList, ListedInstance, SERVICE_LABEL, TargetRef,
 };
-pub use object::{Object, ObjectList, ResourceVersion, VersionList};
+pub use object::{MalformedObject, Object, ObjectList, ResourceVersion, VersionList};
 pub use resource::{
     ASSIGNMENTS, CLAIM_PAGES, CONFIG_HEADS, CONFIG_PAGES, ENDPOINT_SLICES, LEASES, Layout, Resource,
 };
--- a/crates/chervilshunt_platform/src/object.rs
+++ b/crates/chervilshunt_platform/src/object.rs
@@ -76,6 +76,17 @@
     pub resource_version: ResourceVersion,
     /// The objects, in name order.
     pub objects: Vec<Object<S>>,
+    /// Objects whose content can't be read; somebody else may have written them.
+    pub malformed: Vec<MalformedObject>,
+}
+
+/// An object whose content can't be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MalformedObject {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Why it can't be read.
+    pub problem: Arc<str>,
 }
 
 /// Names and versions of objects as they stood together at one version, without their content.
--- a/crates/chervilshunt_platform/src/watch/follow.rs
+++ b/crates/chervilshunt_platform/src/watch/follow.rs
@@ -11,13 +11,13 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::check::{Check, Checked, check_at, settle};
-use super::item::{Item, metadata};
 use super::known::{Difference, Known, OldList};
 use super::lines::Lines;
 use super::reconnects::is_outage;
 use super::{StallReason, WatchEvent};
 use crate::accounting::{OpenWatch, count_missed_events};
 use crate::client::ListedPart;
+use crate::item::{Item, metadata};
 use crate::wire::{EventKind, RawEvent, Status};
 use crate::{
     Platform, PlatformError, Resource, ResourceVersion, Selector, VersionList, WatchTiming,
--- a/crates/chervilshunt_platform/src/watch/mod.rs
+++ b/crates/chervilshunt_platform/src/watch/mod.rs
@@ -2,7 +2,6 @@
 
 mod check;
 mod follow;
-mod item;
 mod known;
 mod lines;
 mod reconnects;
--- a/crates/chervilshunt_platform/src/wire.rs
+++ b/crates/chervilshunt_platform/src/wire.rs
@@ -96,9 +96,12 @@
 }
 
 #[derive(Deserialize)]
+#[serde(bound = "S: DeserializeOwned")]
 struct SpecIn<S> {
     metadata: Metadata,
-    spec: S,
+    /// Kubernetes leaves out an empty one.
+    #[serde(default = "Option::default")]
+    spec: Option<S>,
 }
 
 #[derive(Deserialize)]
@@ -139,7 +142,11 @@
     let (metadata, spec) = match resource.layout {
         Layout::Spec => {
             let object: SpecIn<S> = serde_json::from_slice(text)?;
-            (object.metadata, object.spec)
+            let spec = match object.spec {
+                Some(spec) => spec,
+                None => S::deserialize(serde_json::Value::Null)?,
+            };
+            (object.metadata, spec)
         }
         Layout::Flat => {
             let object: FlatIn<S> = serde_json::from_slice(text)?;
--- a/crates/chervilshunt_platform/tests/calls.rs
+++ b/crates/chervilshunt_platform/tests/calls.rs
@@ -172,6 +172,41 @@
     assert_eq!(kind(&unreadable), "invalid");
 }
 
+/// A name that is empty or not plain names something else in a path: all objects, or others.
+#[rstest]
+#[case("")]
+#[case("..")]
+#[case("a/b")]
+#[case("a?x=1")]
+#[tokio::test]
+async fn refuses_names_that_are_none(#[case] name: &str) {
+    let standin = standin().await;
+    let platform = client(&standin, INSTANCE);
+    let deleted = platform.delete(CONFIG_HEADS, name, None).await;
+    assert_eq!(kind(&deleted), "invalid");
+    let got = platform.get::<Spec>(CONFIG_HEADS, name).await;
+    assert_eq!(kind(&got), "invalid");
+    assert_eq!(standin.stats().total_calls(), 0);
+}
+
+/// Somebody else has written an object that can't be read. The others are listed all the same:
+/// one bad lease must not keep everybody from seeing all leases.
+#[tokio::test]
+async fn lists_the_readable_objects_beside_a_malformed_one() {
+    let standin = standin().await;
+    let platform = client(&standin, INSTANCE);
+    let good = Object::new("good", Spec { value: 1 });
+    assert_eq!(kind(&platform.create(CONFIG_HEADS, &good).await), "ok");
+    let bad = Object::new("bad", "no number");
+    assert_eq!(kind(&platform.create(CONFIG_HEADS, &bad).await), "ok");
+    let list = platform.list::<Spec>(CONFIG_HEADS, &Selector::all()).await;
+    let list = list.expect("the platform is up");
+    let names: Vec<_> = list.objects.iter().map(|object| &*object.name).collect();
+    assert_eq!(names, ["good"]);
+    let malformed: Vec<_> = list.malformed.iter().map(|object| &*object.name).collect();
+    assert_eq!(malformed, ["bad"]);
+}
+
 /// More objects than fit one page are listed as they stood together: what is written between the
 /// pages does not show.
 #[tokio::test]
@@ -224,3 +259,18 @@
     let lease = Object::new("i-1", Spec { value: 1 });
     assert_eq!(kind(&within(platform.create(LEASES, &lease)).await), "ok");
 }
+
+/// Kubernetes leaves out a `spec` that is empty.
+#[tokio::test]
+async fn reads_an_object_without_a_spec() {
+    let standin = standin().await;
+    let platform = client(&standin, INSTANCE);
+    let empty = Object::new("a", ());
+    assert_eq!(kind(&platform.create(CONFIG_HEADS, &empty).await), "ok");
+    let got = platform.get::<Option<Spec>>(CONFIG_HEADS, "a").await;
+    assert_eq!(got.expect("it was created").spec, None);
+    assert_eq!(
+        kind(&platform.get::<Spec>(CONFIG_HEADS, "a").await),
+        "invalid"
+    );
+}
