--- a/crates/chervilshunt_bench/src/load/table.rs
+++ b/crates/chervilshunt_bench/src/load/table.rs
@@ -1,7 +1,7 @@
 //! Shows a report as tables.
 
 use comfy_table::Table;
-use comfy_table::presets::UTF8_HORIZONTAL_ONLY;
+use comfy_table::presets::NOTHING;
 
 use super::report::{Latency, LoadReport, Path};
 
@@ -39,7 +39,7 @@
 
 fn counts(report: &LoadReport) -> Table {
     let mut table = Table::new();
-    table.load_preset(UTF8_HORIZONTAL_ONLY).set_header([
+    table.load_preset(NOTHING).set_header([
         "path",
         "sent",
         "retries",
@@ -76,7 +76,7 @@
 
 fn times(report: &LoadReport) -> Table {
     let mut table = Table::new();
-    table.load_preset(UTF8_HORIZONTAL_ONLY).set_header([
+    table.load_preset(NOTHING).set_header([
         "time in ms",
         "count",
         "mean",
--- a/crates/chervilshunt_mesh/src/config.rs
+++ b/crates/chervilshunt_mesh/src/config.rs
@@ -26,6 +26,9 @@
     /// The time that opening or closing a connection may take, handshake included.
     pub connect_timeout: Duration,
     /// The time after which a connection that carries nothing is closed.
+    ///
+    /// An idle connection costs memory only, and opening one as much as two requests; see
+    /// `docs/design/mesh.md`.
     pub idle_timeout: Duration,
     /// The most connections that may be open at a time, in both directions together.
     pub max_connections: usize,
@@ -53,8 +56,8 @@
             listen,
             max_message_bytes: 1 << 20,
             connect_timeout: Duration::from_secs(1),
-            idle_timeout: Duration::from_secs(60),
-            max_connections: 1_024,
+            idle_timeout: Duration::from_secs(300),
+            max_connections: 512,
             queue_messages: 4_096,
             max_unanswered: 65_536,
             ping_after: Duration::from_secs(1),
