--- a/crates/chervilshunt_standin/src/platform/handler.rs
+++ b/crates/chervilshunt_standin/src/platform/handler.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use http::{HeaderMap, Method, Request, Response, StatusCode, header};
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use rand::{Rng, SeedableRng};
@@ -15,24 +15,20 @@
 use tokio::time::{Instant, sleep};
 
 use super::answer::{AnswerBody, failure, json_answer, list_json, refusal};
+use super::call::{Call, Verb, instance_of, wants_metadata_only};
 use super::faults::{Down, FaultPatch, Faults};
 use super::path::{Collection, ObjectPath, Query};
+use super::rate::RateWindow;
 use super::stats::Counters;
 use super::store::{Store, StoreError, Stored, Write};
-use super::watch::{RateWindow, WatchSession};
+use super::watch::WatchSession;
 
 /// The largest object that the platform takes, in bytes.
 const MAX_OBJECT_BYTES: usize = 1024 * 1024;
 
-/// The header by which a client says which instance it is, so that a fault can hit it alone.
-pub(crate) const INSTANCE_HEADER: &str = "x-instance";
-
 /// The plural of the resource that lags.
 const INSTANCE_LIST: &str = "endpointslices";
 
-/// How a client asks for metadata alone, as Kubernetes has it.
-const METADATA_ONLY: &str = "as=PartialObjectMetadata";
-
 /// The state behind every connection.
 #[derive(Debug)]
 pub(crate) struct Api {
@@ -326,69 +322,6 @@
     }
 }
 
-/// A call as its head says it.
-struct Call {
-    verb: Verb,
-    path: ObjectPath,
-    query: Query,
-    instance: String,
-    metadata_only: bool,
-}
-
-impl Call {
-    fn name(&self) -> &str {
-        self.path.name.as_deref().unwrap_or_default()
-    }
-
-    /// Returns as much of an object as the client wants to see.
-    fn shown(&self, object: &Stored) -> String {
-        if self.metadata_only {
-            object.metadata_json.clone()
-        } else {
-            object.json.clone()
-        }
-    }
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Verb {
-    Get,
-    List,
-    Watch,
-    Create,
-    Update,
-    Delete,
-}
-
-impl Verb {
-    fn of(method: &Method, path: &ObjectPath, query: &Query) -> Option<Self> {
-        match (method, path.name.is_some()) {
-            (&Method::GET, true) => Some(Self::Get),
-            (&Method::GET, false) if query.watch => Some(Self::Watch),
-            (&Method::GET, false) => Some(Self::List),
-            (&Method::POST, false) => Some(Self::Create),
-            (&Method::PUT, true) => Some(Self::Update),
-            (&Method::DELETE, true) => Some(Self::Delete),
-            _ => None,
-        }
-    }
-
-    const fn writes(self) -> bool {
-        matches!(self, Self::Create | Self::Update | Self::Delete)
-    }
-
-    const fn as_str(self) -> &'static str {
-        match self {
-            Self::Get => "get",
-            Self::List => "list",
-            Self::Watch => "watch",
-            Self::Create => "create",
-            Self::Update => "update",
-            Self::Delete => "delete",
-        }
-    }
-}
-
 /// Reads a JSON body; none is null. The inner error is the answer to a bad one.
 async fn read_body(req: Request<Incoming>) -> io::Result<Result<Value, Box<Response<AnswerBody>>>> {
     let bytes = match Limited::new(req.into_body(), MAX_OBJECT_BYTES)
@@ -413,20 +346,6 @@
     }))
 }
 
-fn instance_of(headers: &HeaderMap) -> String {
-    let value = headers
-        .get(INSTANCE_HEADER)
-        .and_then(|value| value.to_str().ok());
-    value.unwrap_or_default().to_owned()
-}
-
-fn wants_metadata_only(headers: &HeaderMap) -> bool {
-    let accept = headers
-        .get(header::ACCEPT)
-        .and_then(|value| value.to_str().ok());
-    accept.is_some_and(|accept| accept.contains(METADATA_ONLY))
-}
-
 fn as_json(value: &impl serde::Serialize) -> Response<AnswerBody> {
     let text = serde_json::to_string(value).unwrap_or_default();
     json_answer(StatusCode::OK, text)
--- a/crates/chervilshunt_standin/src/platform/mod.rs
+++ b/crates/chervilshunt_standin/src/platform/mod.rs
@@ -6,10 +6,12 @@
 //! or for some.
 
 mod answer;
+mod call;
 mod command;
 mod faults;
 mod handler;
 mod path;
+mod rate;
 mod server;
 mod stats;
 mod store;
--- a/crates/chervilshunt_standin/src/platform/watch.rs
+++ b/crates/chervilshunt_standin/src/platform/watch.rs
@@ -1,6 +1,5 @@
 //! Watches: changes as JSON lines, with bookmarks, until the client or a fault ends them.
 
-use std::collections::VecDeque;
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,11 +10,11 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use serde_json::json;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
 
 use super::answer::{AnswerBody, status_json};
-use super::faults::Down;
+use super::faults::{Down, Faults};
 use super::handler::Api;
 use super::path::{Collection, Selector};
 use super::stats::OpenWatch;
@@ -79,46 +78,29 @@
         let mut next_bookmark = Instant::now() + self.api.bookmark_interval;
         loop {
             let state = faults.borrow_and_update().clone();
-            let hit = state.hits(&self.instance);
-            if state.cuts(&self.instance) || (hit && state.down == Down::Unavailable) {
-                return End::Broken;
+            if let Some(end) = self.end_by(&state) {
+                return end;
             }
-            if hit && state.expire_watches {
-                return End::Expired;
-            }
-            if hit && state.freeze {
-                if tokio::select! {
-                    changed = faults.changed() => changed.is_err(),
-                    () = lines.closed() => true,
-                } {
+            if state.freeze && state.hits(&self.instance) {
+                if !lines.wait_for_change(&mut faults).await {
                     return End::Closed;
                 }
                 continue;
             }
             written.borrow_and_update();
-            let lag = self.api.lag(&self.collection, &state, &self.instance);
-            let step = match self.read(at, lag, hit) {
-                Ok(step) => step,
-                Err(_expired) => return End::Expired,
+            let Ok(step) = self.read(at, &state) else {
+                return End::Expired;
             };
-            for event in &step.events {
-                if !lines.send(event.kind, &event.object.json).await {
-                    return End::Closed;
-                }
-            }
             at = step.upto;
-            let now = Instant::now();
-            if self.bookmarks && now >= next_bookmark {
-                if !lines.send("BOOKMARK", &self.bookmark(at)).await {
-                    return End::Closed;
-                }
-                next_bookmark = now + self.api.bookmark_interval;
+            let bookmark_due = self.bookmarks && Instant::now() >= next_bookmark;
+            if !self.tell(lines, &step, bookmark_due).await {
+                return End::Closed;
             }
-            let wake_at = [Some(next_bookmark), step.next_visible, self.ends_at]
-                .into_iter()
-                .flatten()
-                .min()
-                .unwrap_or(next_bookmark);
+            if Instant::now() >= next_bookmark {
+                next_bookmark = Instant::now() + self.api.bookmark_interval;
+            }
+            let wake_at = [step.next_visible, self.ends_at].into_iter().flatten();
+            let wake_at = wake_at.fold(next_bookmark, Instant::min);
             tokio::select! {
                 changed = written.changed() => if changed.is_err() { return End::Closed },
                 changed = faults.changed() => if changed.is_err() { return End::Closed },
@@ -131,8 +113,29 @@
         }
     }
 
+    /// Returns the end that a fault brings about.
+    fn end_by(&self, faults: &Faults) -> Option<End> {
+        let hit = faults.hits(&self.instance);
+        if faults.cuts(&self.instance) || (hit && faults.down == Down::Unavailable) {
+            return Some(End::Broken);
+        }
+        (hit && faults.expire_watches).then_some(End::Expired)
+    }
+
+    /// Sends what a look at the store gave; says whether the client is still there.
+    async fn tell(&self, lines: &Lines, step: &Step, bookmark: bool) -> bool {
+        for event in &step.events {
+            if !lines.send(event.kind, &event.object.json).await {
+                return false;
+            }
+        }
+        !bookmark || lines.send("BOOKMARK", &self.bookmark(step.upto)).await
+    }
+
     /// Reads the events that have become visible after revision `at`.
-    fn read(&self, at: u64, lag: Duration, hit: bool) -> Result<Step, StoreError> {
+    fn read(&self, at: u64, faults: &Faults) -> Result<Step, StoreError> {
+        let lag = self.api.lag(&self.collection, faults, &self.instance);
+        let hit = faults.hits(&self.instance);
         let store = self.api.store();
         let now = Instant::now();
         let upto = match lag {
@@ -218,32 +221,15 @@
         let _sent = self.tx.send(Err(broken)).await;
     }
 
-    async fn closed(&self) {
-        self.tx.closed().await;
+    /// Waits for other faults; says whether the client is still there.
+    async fn wait_for_change(&self, faults: &mut watch::Receiver<Faults>) -> bool {
+        tokio::select! {
+            changed = faults.changed() => changed.is_ok(),
+            () = self.closed() => false,
+        }
     }
-}
 
-/// Keeps a bound on how far a queue of times reaches back.
-#[derive(Debug, Default)]
-pub(crate) struct RateWindow(VecDeque<Instant>);
-
-impl RateWindow {
-    /// Says whether one more call fits under `per_second`; 0 is no bound.
-    pub(crate) fn admits(&mut self, per_second: u32, now: Instant) -> bool {
-        if per_second == 0 {
-            return true;
-        }
-        while self
-            .0
-            .front()
-            .is_some_and(|at| now.duration_since(*at) >= Duration::from_secs(1))
-        {
-            self.0.pop_front();
-        }
-        let admitted = self.0.len() < usize::try_from(per_second).unwrap_or(usize::MAX);
-        if admitted {
-            self.0.push_back(now);
-        }
-        admitted
+    async fn closed(&self) {
+        self.tx.closed().await;
     }
 }
