--- /dev/null
+++ b/crates/chervilshunt_standin/src/engine/cache.rs
@@ -0,0 +1,116 @@
+//! The prefix cache of an engine and its events, which come late and with gaps.
+
+use std::collections::{HashMap, VecDeque};
+
+use http::{Response, StatusCode, Uri};
+use serde::Serialize;
+use serde_json::json;
+use tokio::time::Instant;
+
+use super::state::Engine;
+use crate::serve::{self, AnswerBody};
+
+/// Cache events that are kept; who asks later than that sees a gap.
+const KEPT_CACHE_EVENTS: usize = 4_096;
+/// Cache events that one answer gives.
+const CACHE_EVENTS_PER_ANSWER: usize = 512;
+
+/// A change of the prefix cache.
+#[derive(Clone, Copy, Debug, Serialize)]
+struct CacheEvent {
+    sequence: u64,
+    kind: CacheEventKind,
+    prefix: u64,
+}
+
+/// What happened to a prefix.
+#[derive(Clone, Copy, Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum CacheEventKind {
+    Stored,
+    Removed,
+}
+
+/// The prefix cache and its events.
+#[derive(Debug)]
+pub(crate) struct CacheLog {
+    limit: usize,
+    next_sequence: u64,
+    uses: u64,
+    /// Cached prefixes with the number of their last use.
+    cached: HashMap<u64, u64>,
+    events: VecDeque<(Instant, CacheEvent)>,
+}
+
+impl CacheLog {
+    pub(crate) fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            next_sequence: 1,
+            uses: 0,
+            cached: HashMap::new(),
+            events: VecDeque::new(),
+        }
+    }
+
+    /// Notes the use of a prefix; an event that isn't told leaves a gap in the numbers.
+    pub(crate) fn store(&mut self, prefix: u64, told: bool, now: Instant) {
+        self.uses += 1;
+        if self.cached.insert(prefix, self.uses).is_some() {
+            return;
+        }
+        self.push(CacheEventKind::Stored, prefix, told, now);
+        if self.cached.len() <= self.limit {
+            return;
+        }
+        let oldest = self.cached.iter().min_by_key(|(_, used)| **used);
+        if let Some(oldest) = oldest.map(|(prefix, _)| *prefix) {
+            self.cached.remove(&oldest);
+            self.push(CacheEventKind::Removed, oldest, told, now);
+        }
+    }
+
+    pub(crate) fn clear(&mut self) {
+        self.cached.clear();
+        self.events.clear();
+        self.next_sequence = 1;
+    }
+
+    fn push(&mut self, kind: CacheEventKind, prefix: u64, told: bool, now: Instant) {
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        if !told {
+            return;
+        }
+        if self.events.len() == KEPT_CACHE_EVENTS {
+            self.events.pop_front();
+        }
+        let event = CacheEvent {
+            sequence,
+            kind,
+            prefix,
+        };
+        self.events.push_back((now, event));
+    }
+}
+
+/// Gives the cache events after a number, late.
+pub(crate) fn cache_events(engine: &Engine, uri: &Uri) -> Response<AnswerBody> {
+    let query = uri.query().unwrap_or_default();
+    let after = query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix("after=")?.parse::<u64>().ok())
+        .unwrap_or(0);
+    let state = engine.lock();
+    let lag = state.faults.report_lag.unwrap_or(engine.cfg.report_lag);
+    let now = Instant::now();
+    let events: Vec<CacheEvent> = state
+        .cache
+        .events
+        .iter()
+        .filter(|(at, event)| event.sequence > after && now - *at >= lag)
+        .map(|(_, event)| *event)
+        .take(CACHE_EVENTS_PER_ANSWER)
+        .collect();
+    serve::json(StatusCode::OK, &json!({"events": events}))
+}
--- a/crates/chervilshunt_standin/src/engine/completion.rs
+++ b/crates/chervilshunt_standin/src/engine/completion.rs
@@ -11,7 +11,8 @@
 use serde_json::{Value, json};
 
 use super::batch::Sequence;
-use super::routes::{Engine, error, read_json};
+use super::routes::{error, read_json};
+use super::state::Engine;
 use super::stream::{TokenStream, token_text};
 use crate::serve::{self, ATTEMPT_ID, Answer, Cut, REQUEST_ID, header_text};
 
--- a/crates/chervilshunt_standin/src/engine/mod.rs
+++ b/crates/chervilshunt_standin/src/engine/mod.rs
@@ -5,14 +5,17 @@
 //! truthfully which adapter served each token.
 
 mod batch;
+mod cache;
 mod command;
 mod completion;
 mod config;
 mod faults;
+mod meter;
 mod orders;
 mod reports;
 mod routes;
 mod slots;
+mod state;
 mod stream;
 
 use std::io;
@@ -22,7 +25,7 @@
 pub use command::run;
 pub use config::EngineStandinConfig;
 pub use faults::EngineFaultChange;
-pub use reports::{EngineCounts, EngineStats};
+pub use meter::{EngineCounts, EngineStats, PowerChange, highest_power_together};
 
 use crate::RunRecord;
 use crate::command::Addresses;
@@ -36,7 +39,7 @@
     pub address: SocketAddr,
     /// Where its own paths are answered also while connections to the other are refused.
     pub control: SocketAddr,
-    engine: Arc<routes::Engine>,
+    engine: Arc<state::Engine>,
 }
 
 impl EngineStandin {
@@ -66,6 +69,11 @@
     pub fn stats(&self) -> EngineStats {
         self.engine.stats()
     }
+
+    /// Returns the changes of its power, oldest first, as `GET /standin/power` does.
+    pub fn power_changes(&self) -> Vec<PowerChange> {
+        self.engine.power_changes()
+    }
 }
 
 /// Starts an engine stand-in on the present runtime.
@@ -75,7 +83,7 @@
 pub async fn start_engine(cfg: EngineStandinConfig) -> io::Result<EngineStandin> {
     let (listen, control) = (cfg.listen, cfg.control);
     let port = Port::new();
-    let engine = routes::Engine::new(cfg, port.clone());
+    let engine = state::Engine::new(cfg, port.clone());
     engine.start_background();
     let shared = Arc::clone(&engine);
     let opened = serve::listen(listen, control, port, move |req| {
--- a/crates/chervilshunt_standin/src/engine/orders.rs
+++ b/crates/chervilshunt_standin/src/engine/orders.rs
@@ -8,8 +8,9 @@
 use serde::Deserialize;
 use serde_json::json;
 
-use super::routes::{Engine, error, read_json};
+use super::routes::{error, read_json};
 use super::slots::{LoadTicket, SlotRefusal};
+use super::state::Engine;
 use crate::serve::{self, Answer, AnswerBody, Cut};
 use crate::weights;
 
--- a/crates/chervilshunt_standin/src/weights/mod.rs
+++ b/crates/chervilshunt_standin/src/weights/mod.rs
@@ -4,6 +4,8 @@
 //! that more of them at once gain nothing and each takes longer.
 
 mod command;
+#[cfg(test)]
+mod tests;
 
 use std::io;
 use std::net::SocketAddr;
