Repeat the end of a turn to load until its scheduler has taken it

The end of a turn was sent once, one-way; lost with the connection, it held the store's only turn until the scheduler's timeout of 30 s. Ruled out: lost wishes to load (renewed each second), power (grants went on), a stuck engine.

--- a/crates/chervilshunt_daemon/src/control/carry_out.rs
+++ b/crates/chervilshunt_daemon/src/control/carry_out.rs
@@ -138,6 +138,10 @@
         };
         match self.holder(&role) {
             Some(holder) if holder == *self.cx.me() => steps.push_back(step),
+            // Nobody renews it: a lost end would hold up the store until the turn's timeout.
+            Some(holder) if matches!(message, PeerMessage::TurnEnded(_)) => {
+                self.cx.send_until_taken(holder, message);
+            }
             Some(holder) => self.cx.send(&holder, message),
             None => slog::debug!(self.cx.log, "message dropped"; "reason" => "role without holder"),
         }
--- a/crates/chervilshunt_daemon/src/control/context.rs
+++ b/crates/chervilshunt_daemon/src/control/context.rs
@@ -1,6 +1,7 @@
 //! What the control actor needs of the rest of the process.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use chervilshunt_config::Settings;
 use chervilshunt_mesh::{Mesh, Peer};
@@ -14,6 +15,14 @@
 use crate::traffic::HeldPermits;
 use crate::wire::PeerMessage;
 
+/// Tries to have a message taken; together they last longer than a lease, so that the receiver is
+/// either back or no longer live.
+const TAKEN_TRIES: u32 = 60;
+/// The time that a receiver has to say that it took a message.
+const TAKEN_TIMEOUT: Duration = Duration::from_secs(2);
+/// The pause between tries to have a message taken.
+const TAKEN_PAUSE: Duration = Duration::from_millis(500);
+
 /// Handles to the parts round the control actor.
 #[derive(Clone, Debug)]
 pub(crate) struct Context {
@@ -57,6 +66,24 @@
         })
     }
 
+    /// Sends a message until the receiver says that it took it, or is no longer live.
+    pub(crate) fn send_until_taken(&self, to: InstanceId, message: PeerMessage) {
+        let cx = self.clone();
+        tokio::spawn(async move {
+            for _ in 0..TAKEN_TRIES {
+                let Some(peer) = cx.peer(&to) else {
+                    return;
+                };
+                let answer = cx.mesh.request(&peer, message.clone(), TAKEN_TIMEOUT).await;
+                if answer.is_ok() {
+                    return;
+                }
+                tokio::time::sleep(TAKEN_PAUSE).await;
+            }
+            slog::warn!(cx.log, "message not taken"; "to" => %to);
+        });
+    }
+
     /// Sends a message that needs no answer; a lost one is made good by the sender's next.
     pub(crate) fn send(&self, to: &InstanceId, message: PeerMessage) {
         let Some(peer) = self.peer(to) else {
--- a/crates/chervilshunt_daemon/src/control/peers.rs
+++ b/crates/chervilshunt_daemon/src/control/peers.rs
@@ -94,9 +94,13 @@
             | PeerMessage::NotHolder => {
                 slog::debug!(self.cx.log, "answer without question"; "from" => %from);
             }
+            message @ PeerMessage::TurnEnded(_) => {
+                let step = addressed(message).map(|(_, step)| step);
+                self.work_off(step);
+                respond(reply, PeerMessage::Done);
+            }
             message @ (PeerMessage::TurnAsked(_)
             | PeerMessage::TurnHeld(_)
-            | PeerMessage::TurnEnded(_)
             | PeerMessage::TurnGranted(_)
             | PeerMessage::Demanded(_)
             | PeerMessage::ShareSet(_)
