Tell traffic threads until when work may be taken, rather than whether

Cause: a process that was stopped and goes on wakes up with the flag that it took work by; until the control thread has run, it would take a request under a configuration replaced meanwhile. Ruled out: the lease check before orders (holds for orders only). Conclusion: the time limit follows the lease and the acknowledged changes that are undecided.

--- a/crates/chervilshunt_coord/src/coordinator.rs
+++ b/crates/chervilshunt_coord/src/coordinator.rs
@@ -250,6 +250,22 @@
             && self.follower.may_take_work(now)
     }
 
+    /// Returns until when new work may be taken unless something is learnt before, if it may be now.
+    ///
+    /// For threads that take work without asking the coordinator: what they were told may be older
+    /// than they know, when the whole process was paused meanwhile.
+    pub fn takes_work_until(&self, now: Moment) -> Option<Moment> {
+        if !self.may_take_work(now) {
+            return None;
+        }
+        let valid_until = self.lease.valid_until().max(self.hold.valid_until());
+        Some(
+            self.follower
+                .stops_at()
+                .map_or(valid_until, |at| at.min(valid_until)),
+        )
+    }
+
     /// Returns the configuration in force here, if one is loaded.
     pub const fn in_force(&self) -> Option<&InForce<S>> {
         self.follower.in_force()
--- a/crates/chervilshunt_daemon/src/control/coordination.rs
+++ b/crates/chervilshunt_daemon/src/control/coordination.rs
@@ -44,6 +44,8 @@
                 events.extend(self.carry_out_coord(action));
             }
         }
+        let until = self.coordinator.takes_work_until(now);
+        self.cx.routing.set_takes_work_until(until);
     }
 
     fn carry_out_coord(&mut self, action: CoordActionOf) -> Option<CoordEvent<ChangeSet>> {
@@ -80,7 +82,9 @@
             } => {
                 self.end_proposal(ticket, refused(&refusal));
             }
-            CoordAction::TakeWork(_) => self.publish(),
+            CoordAction::TakeWork(takes_work) => {
+                slog::info!(self.cx.log, "new work"; "taken" => takes_work);
+            }
             CoordAction::RolesGivenAway => self.roles_given_away(),
             CoordAction::Left => self.left(),
             CoordAction::Log(decision) => self.log_coord(&decision),
--- a/crates/chervilshunt_daemon/src/control/roles.rs
+++ b/crates/chervilshunt_daemon/src/control/roles.rs
@@ -304,7 +304,6 @@
             incarnation: Some(self.coordinator.me().incarnation),
             peers: self.peers.clone(),
             leaving: std::sync::Arc::clone(&self.leaving),
-            takes_work: self.coordinator.may_take_work(self.cx.now()),
         });
     }
 }
--- a/crates/chervilshunt_daemon/src/operators/health.rs
+++ b/crates/chervilshunt_daemon/src/operators/health.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use crate::clock::Clock;
 use crate::routing::SharedRouting;
 
 /// What `/healthz` and `/readyz` answer from.
@@ -10,14 +11,16 @@
 pub(crate) struct Health {
     stopping: Arc<AtomicBool>,
     routing: SharedRouting,
+    clock: Clock,
 }
 
 impl Health {
     /// Starts out of work: the instance is ready once its routing says so.
-    pub(crate) fn new(routing: SharedRouting) -> Self {
+    pub(crate) fn new(routing: SharedRouting, clock: Clock) -> Self {
         Self {
             stopping: Arc::default(),
             routing,
+            clock,
         }
     }
 
@@ -33,6 +36,6 @@
 
     /// Returns whether the balancer should send callers here.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.routing.get().takes_work
+        !self.is_stopping() && self.routing.takes_work(self.clock.now())
     }
 }
--- a/crates/chervilshunt_daemon/src/run.rs
+++ b/crates/chervilshunt_daemon/src/run.rs
@@ -132,7 +132,7 @@
     let control = start_control(Control::new(cx, coordinator))?;
     forward(inbound, control.clone());
 
-    let health = Health::new(routing.clone());
+    let health = Health::new(routing.clone(), clock);
     let permits = Permits::new(
         settings.instance.id.clone(),
         control.clone(),
--- a/crates/chervilshunt_daemon/src/traffic/serve.rs
+++ b/crates/chervilshunt_daemon/src/traffic/serve.rs
@@ -151,7 +151,7 @@
         let slot = self.open_slot()?;
         let body = read_body(&parts.headers, body, self.limits()).await?;
         let routing = self.parts.routing.get();
-        if !routing.takes_work {
+        if !self.parts.routing.takes_work(self.parts.clock.now()) {
             return Err(Problem::not_run(
                 Reason::NotReady,
                 "the instance can't tell yet whether its configuration is in force",
