--- a/crates/chervilshunt_engine/tests/answers.rs
+++ b/crates/chervilshunt_engine/tests/answers.rs
@@ -11,7 +11,7 @@
 use chervilshunt_standin::engine::{EngineStandin, EngineStandinConfig, start_engine};
 use chervilshunt_standin::plain::{PlainStandinConfig, start_plain};
 use common::{
-    LIMITS, MODEL, ScriptedTarget, Step, completion, completion_for, plain, read, response,
+    LIMITS, MODEL, ScriptedTarget, Step, completion, completion_for, plain, read, response, until,
 };
 use http_body_util::BodyExt as _;
 use rstest::rstest;
@@ -100,9 +100,7 @@
 
     drop(answer);
 
-    while engine.stats().running > 0 {
-        tokio::time::sleep(Duration::from_millis(1)).await;
-    }
+    until(async || engine.stats().running == 0).await;
 }
 
 /// The call is dropped while it waits for its head, as when the caller goes away early.
@@ -116,9 +114,7 @@
             .is_err()
     );
 
-    while engine.stats().running + engine.stats().waiting > 0 {
-        tokio::time::sleep(Duration::from_millis(1)).await;
-    }
+    until(async || engine.stats().running + engine.stats().waiting == 0).await;
 }
 
 /// The caller stops reading: the target can send only what the sockets between them hold.
@@ -263,13 +259,8 @@
     assert_eq!(client.report().await.expect("reports").running, 0);
     assert_eq!(client.cache_events(0).await.expect("lists"), []);
 
-    let report = loop {
-        let report = client.report().await.expect("reports");
-        if report.running > 0 {
-            break report;
-        }
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    };
+    until(async || client.report().await.expect("reports").running > 0).await;
+    let report = client.report().await.expect("reports");
     let prefix = chervilshunt_model::prefix_hash(MODEL, b"one two");
     let events = client.cache_events(0).await.expect("lists");
     drop(answer);
--- a/crates/chervilshunt_engine/tests/common/mod.rs
+++ b/crates/chervilshunt_engine/tests/common/mod.rs
@@ -89,6 +89,19 @@
     String::from_utf8(bytes).expect("UTF-8")
 }
 
+/// Waits until something holds; the limit only keeps a test that fails from hanging.
+pub(crate) async fn until(mut holds: impl AsyncFnMut() -> bool) {
+    let waited = async {
+        while !holds().await {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    let limit = Duration::from_secs(20);
+    tokio::time::timeout(limit, waited)
+        .await
+        .expect("it comes to hold in time");
+}
+
 /// Opens a call and reads its answer to the end.
 pub(crate) async fn run(client: &EngineClient, call: Call) -> Result<String, EngineError> {
     let answer = client.open(call).await?;
--- a/crates/chervilshunt_engine/tests/failures.rs
+++ b/crates/chervilshunt_engine/tests/failures.rs
@@ -10,6 +10,7 @@
 use chervilshunt_standin::plain::{PlainFaultChange, PlainStandinConfig, start_plain};
 use common::{
     LIMITS, MODEL, ScriptedTarget, Step, chunked, completion, event, plain, read, response, run,
+    until,
 };
 use rstest::rstest;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -372,9 +373,7 @@
         .expect("loads");
     engine.set_faults(&faults);
     if faults.down == Some(true) {
-        while TcpStream::connect(engine.address).await.is_ok() {
-            tokio::time::sleep(Duration::from_millis(1)).await;
-        }
+        until(async || TcpStream::connect(engine.address).await.is_err()).await;
     }
 
     // A new client has no connection that the fault may be cutting just now.
