--- a/crates/chervilshunt_core/src/owner/evict.rs
+++ b/crates/chervilshunt_core/src/owner/evict.rs
@@ -3,7 +3,7 @@
 use chervilshunt_model::{AdapterVersion, Class, Moment};
 
 use super::Owner;
-use super::tuning::{AHEAD_GAIN, RETIRE_AFTER_DEFERRABLE, RETIRE_AFTER_LIVE};
+use super::tuning::{RETIRE_AFTER_DEFERRABLE, RETIRE_AFTER_LIVE};
 use crate::LoadUrgency;
 
 /// Worth of a request that waits for nothing but room, in requests a second of lasting demand.
@@ -87,12 +87,6 @@
         }
     }
 
-    /// Whether an adapter's lasting demand pays for loading it ahead of the next request, in
-    /// place of a slot of this worth.
-    pub(super) fn worth_ahead(&self, model: &AdapterVersion, worth: f64, now: Moment) -> bool {
-        self.demand.lasting(model, now) > AHEAD_GAIN * worth
-    }
-
     /// Stops granting permits for the pinned adapter of least worth, when a load has waited too
     /// long for any slot to become idle.
     ///
