--- a/crates/chervilshunt_core/src/owner/tuning.rs
+++ b/crates/chervilshunt_core/src/owner/tuning.rs
@@ -7,7 +7,10 @@
 
 /// Memory of an adapter's demand for evictions: long enough to tell adapters asked for every few
 /// minutes apart, short enough to forget yesterday's popularity within the hour.
-pub(super) const DEMAND_HALF_LIFE: Duration = Duration::from_secs(1_800);
+pub(super) const DEMAND_HALF_LIFE: Duration = Duration::from_secs(600);
+
+/// Rate at which busy adapters fall asleep, a second: once in half an hour.
+pub(super) const SLEEP_RATE: f64 = 1.0 / 3_600.0;
 
 /// Memory of an adapter's demand for its spread, which has to follow a flood within seconds.
 pub(super) const SURGE_HALF_LIFE: Duration = Duration::from_secs(10);
