Bound the queues of live and deferrable requests each by its own setting

Cause: the owner had one bound for both classes, and the daemon gave it the larger of limits.queue_live and limits.queue_deferrable. With 1 and 3, a second live request waited in place of getting 429 (callers_limits, a_full_queue_refuses_at_once::case_1_live, failed before and passes now).

A target that took a call and does not answer by the deadline is now 504 target_timeout in place of 502 target_failed, and one that can't be connected to in time is 503 no_target.

--- a/crates/chervilshunt_config/src/keys.rs
+++ b/crates/chervilshunt_config/src/keys.rs
@@ -236,7 +236,7 @@
             ),
             key(
                 "open_requests",
-                "The most requests open at a time; one more gets 503 and Retry-After.",
+                "The most requests open at a time; one more gets 429 and Retry-After.",
                 whole(2_000, 1, 1_000_000, COUNT),
             ),
             key(
--- a/crates/chervilshunt_core/src/owner/config.rs
+++ b/crates/chervilshunt_core/src/owner/config.rs
@@ -25,8 +25,10 @@
     pub watts_per_sequence: f64,
     /// Share of the site's power at the start, in watts.
     pub share_watts: f64,
-    /// The most requests that may wait, for each class.
-    pub queue_bound: usize,
+    /// The most live requests that may wait.
+    pub live_queue_bound: usize,
+    /// The most deferrable requests that may wait.
+    pub deferrable_queue_bound: usize,
     /// The time within which a permit has to be used.
     pub permit_window: Duration,
     /// The time between two loads begun while the load scheduler can't be reached.
--- a/crates/chervilshunt_core/src/owner/loading.rs
+++ b/crates/chervilshunt_core/src/owner/loading.rs
@@ -7,7 +7,7 @@
 use super::loads::Phase;
 use super::order::{LoadUrgency, OrderId, OrderKind};
 use super::slots::Moving;
-use super::tuning::{AHEAD_DEMAND, AHEAD_PAUSE, MAX_ASKED_TURNS, PARKED_REVIEW, TURN_RENEWAL};
+use super::tuning::{AHEAD_PAUSE, MAX_ASKED_TURNS, PARKED_REVIEW, TURN_RENEWAL};
 use crate::DecisionKind;
 
 /// The urgency of a load that nobody waits for.
@@ -124,7 +124,15 @@
         let Some(best) = best.cloned() else {
             return;
         };
-        if self.slots.free() > 0 && demand(&best) > AHEAD_DEMAND {
+        let worth = if self.slots.free() > 0 {
+            0.0
+        } else {
+            let Some(victim) = self.victim(now) else {
+                return;
+            };
+            victim.worth
+        };
+        if self.worth_ahead(&best, worth, now) {
             self.loads.want(&best, true, now);
         }
     }
@@ -261,7 +269,8 @@
         let Some(victim) = self.victim(now) else {
             return false;
         };
-        if self.loads.get(model).is_some_and(|load| load.ahead) {
+        let ahead = self.loads.get(model).is_some_and(|load| load.ahead);
+        if ahead && !self.worth_ahead(model, victim.worth, now) {
             return false;
         }
         let Some(evictable) = self.slots.take_evictable(&victim.model) else {
@@ -352,7 +361,8 @@
                 self.make_room_in_time(&urgency, asked - free, now);
                 return;
             }
-            if self.worth_evicting(&urgency, worth, now) {
+            let ahead = urgency.class.is_none() && self.worth_ahead(&model, worth, now);
+            if ahead || self.worth_evicting(&urgency, worth, now) {
                 asked += 1;
                 self.ask_turn(&model, now, out);
             }
--- a/crates/chervilshunt_core/tests/owner_machine.rs
+++ b/crates/chervilshunt_core/tests/owner_machine.rs
@@ -215,7 +215,8 @@
 impl World {
     fn new(start: &Start) -> Self {
         let mut cfg = config(SLOTS, MAX_BATCH);
-        cfg.queue_bound = QUEUE_BOUND;
+        cfg.live_queue_bound = QUEUE_BOUND;
+        cfg.deferrable_queue_bound = QUEUE_BOUND;
         cfg.fencing = start.fencing;
         cfg.peers = (1..=start.peers)
             .map(|n| format!("t{n}").as_str().into())
--- a/crates/chervilshunt_daemon/src/control/owned.rs
+++ b/crates/chervilshunt_daemon/src/control/owned.rs
@@ -93,12 +93,8 @@
         // time: any other start could pass the cap together with shares that were raised before.
         share_watts: 0.0,
         unscheduled_load_interval: unscheduled_load_interval(deployment, target),
-        queue_bound: cx
-            .settings
-            .limits
-            .queue
-            .live
-            .max(cx.settings.limits.queue.deferrable),
+        live_queue_bound: cx.settings.limits.queue.live,
+        deferrable_queue_bound: cx.settings.limits.queue.deferrable,
         permit_window: cx.settings.limits.permit_window,
         peers,
         weights: cx.settings.policy,
--- a/crates/chervilshunt_daemon/src/traffic/attempt.rs
+++ b/crates/chervilshunt_daemon/src/traffic/attempt.rs
@@ -4,7 +4,7 @@
 
 use chervilshunt_core::{PermitRequest, RefusalReason, ReleaseOutcome, rank_targets};
 use chervilshunt_engine::{
-    Answer, Call, EngineError, Expect, Limits as CallLimits, Outcome as Ran,
+    Answer, Call, EngineError, Expect, Limits as CallLimits, Outcome as Ran, Stage,
 };
 use chervilshunt_model::{AdapterVersion, AttemptId, Class, TargetName};
 use http::Response;
@@ -380,7 +380,12 @@
 fn failed_call(error: &EngineError) -> Failed {
     let detail = error.to_string();
     let reason = match error {
-        EngineError::NotSent { .. } => Reason::NoTarget,
+        EngineError::NotSent { .. }
+        | EngineError::Timeout {
+            stage: Stage::Connect,
+            ..
+        } => Reason::NoTarget,
+        EngineError::Timeout { .. } => Reason::TargetTimeout,
         EngineError::Refused { .. } | EngineError::Fenced { .. } => Reason::TargetRefused,
         EngineError::WrongModel { .. } => Reason::WrongModel,
         EngineError::BrokenOff { .. } | EngineError::FailedMidway { .. } => Reason::BrokenOff,
--- a/crates/chervilshunt_daemon/src/traffic/problem.rs
+++ b/crates/chervilshunt_daemon/src/traffic/problem.rs
@@ -65,6 +65,8 @@
     NoTarget,
     /// The target failed when the call may have reached it.
     TargetFailed,
+    /// The target took the call and did not answer in time.
+    TargetTimeout,
     /// The target said no.
     TargetRefused,
     /// The answer named another model.
@@ -98,6 +100,7 @@
             Self::NoOwner => "no_owner",
             Self::NoTarget => "no_target",
             Self::TargetFailed => "target_failed",
+            Self::TargetTimeout => "target_timeout",
             Self::TargetRefused => "target_refused",
             Self::WrongModel => "wrong_model",
             Self::BrokenOff => "broken_off",
@@ -130,6 +133,7 @@
             // draft-ietf-httpapi-idempotency-key-header, section 2.7.
             Self::KeyInProgress | Self::KeyUsed => StatusCode::CONFLICT,
             Self::KeyMismatch => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::TargetTimeout => StatusCode::GATEWAY_TIMEOUT,
             Self::TargetFailed | Self::TargetRefused | Self::WrongModel | Self::BrokenOff => {
                 StatusCode::BAD_GATEWAY
             }
--- a/crates/chervilshunt_daemon/tests/support/http.rs
+++ b/crates/chervilshunt_daemon/tests/support/http.rs
@@ -16,6 +16,9 @@
 /// Bounds every wait, so that a fault fails a test in place of hanging it.
 pub(crate) const BOUND: Duration = Duration::from_secs(20);
 
+/// What a caller that speaks HTTP/2 takes without having read it, in bytes.
+const WINDOW: u32 = 64 * 1024;
+
 /// How a caller speaks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Speaks {
@@ -112,7 +115,11 @@
             (sender.send_request(req).await?, connection)
         }
         Speaks::Http2 => {
-            let (mut sender, connection) = http2::handshake(TokioExecutor::new(), io).await?;
+            let mut builder = http2::Builder::new(TokioExecutor::new());
+            builder
+                .initial_stream_window_size(WINDOW)
+                .initial_connection_window_size(WINDOW);
+            let (mut sender, connection) = builder.handshake(io).await?;
             let connection = tokio::spawn(async move { drop(connection.await) });
             (sender.send_request(req).await?, connection)
         }
--- a/crates/chervilshunt_daemon/tests/support/mod.rs
+++ b/crates/chervilshunt_daemon/tests/support/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code, reason = "each test binary uses a part")]
 
+pub(crate) mod endless;
 pub(crate) mod http;
 pub(crate) mod raw;
+pub(crate) mod serial;
 pub(crate) mod shared;
