--- a/crates/chervilshunt_daemon/src/control/carry_out.rs
+++ b/crates/chervilshunt_daemon/src/control/carry_out.rs
@@ -400,6 +400,7 @@
         | PeerMessage::FactsAsked
         | PeerMessage::Facts(_)
         | PeerMessage::Coord(_)
+        | PeerMessage::InForceAsked(_)
         | PeerMessage::ClaimAsked(_)
         | PeerMessage::ClaimAnswered(_)
         | PeerMessage::ClaimEnded(_)
--- a/crates/chervilshunt_daemon/src/control/coordination.rs
+++ b/crates/chervilshunt_daemon/src/control/coordination.rs
@@ -75,7 +75,7 @@
                 return Some(self.put_in_force(revision, state));
             }
             CoordAction::ChangeAccepted { ticket, revision } => {
-                self.end_proposal(ticket, Proposed::Accepted(revision));
+                self.end_accepted(ticket, revision);
             }
             CoordAction::ChangeRefused {
                 ticket, refusal, ..
@@ -150,6 +150,18 @@
         CoordEvent::RolesWanted { revision, roles }
     }
 
+    /// Answers an accepted change once it is in force everywhere, without holding up the actor.
+    fn end_accepted(&mut self, ticket: ChangeTicket, revision: Revision) {
+        let Some(tx) = self.proposals.remove(&ticket) else {
+            return;
+        };
+        let cx = self.cx.clone();
+        tokio::spawn(async move {
+            cx.confirm_in_force(revision).await;
+            drop(tx.send(Proposed::Accepted(revision)));
+        });
+    }
+
     fn end_proposal(&mut self, ticket: ChangeTicket, outcome: Proposed) {
         if let Some(tx) = self.proposals.remove(&ticket) {
             drop(tx.send(outcome));
--- a/crates/chervilshunt_daemon/src/control/mod.rs
+++ b/crates/chervilshunt_daemon/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod actor;
 mod carry_out;
 mod claims;
+mod confirm;
 mod context;
 mod coordination;
 mod messages;
--- a/crates/chervilshunt_daemon/src/control/peers.rs
+++ b/crates/chervilshunt_daemon/src/control/peers.rs
@@ -85,6 +85,17 @@
                     self.cx.send(&from, PeerMessage::ClaimEnded(ended));
                 }
             }
+            PeerMessage::InForceAsked(revision) => {
+                let has = self.deployment.revision >= revision;
+                respond(
+                    reply,
+                    if has {
+                        PeerMessage::Done
+                    } else {
+                        PeerMessage::NotHolder
+                    },
+                );
+            }
             PeerMessage::Coord(message) => self.coord_message(from, message),
             PeerMessage::PermitAnswered(_)
             | PeerMessage::PermitsHeld(_)
--- a/crates/chervilshunt_daemon/src/wire.rs
+++ b/crates/chervilshunt_daemon/src/wire.rs
@@ -10,7 +10,9 @@
     LoadUrgency, OrderId, Permit, PermitAnswer, PermitRequest, ReleasedPermit, TurnResult,
 };
 use chervilshunt_mesh::Purpose;
-use chervilshunt_model::{AdapterVersion, AttemptId, ChangeSet, SiteName, StoreName, TargetName};
+use chervilshunt_model::{
+    AdapterVersion, AttemptId, ChangeSet, Revision, SiteName, StoreName, TargetName,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::facts::InstanceFacts;
@@ -72,6 +74,10 @@
     /// To the run of an instance that a claimed try was granted to: what became of it?
     #[serde(rename = "y")]
     TryAsked(Incarnation, TryAsked),
+    /// Asks whether the receiver has this revision, or a later one, in force; answered by `Done` or
+    /// `NotHolder`.
+    #[serde(rename = "v")]
+    InForceAsked(Revision),
     /// Between the coordinators of two instances.
     #[serde(rename = "o")]
     Coord(CoordMessage<ChangeSet>),
@@ -97,7 +103,7 @@
             | Self::ClaimAnswered(_)
             | Self::ClaimEnded(_)
             | Self::TryAsked(..) => "claims",
-            Self::Coord(_) => "coordination",
+            Self::InForceAsked(_) | Self::Coord(_) => "coordination",
             Self::Done | Self::NotHolder => "acknowledgements",
         }
     }
