Test the take-over from an instance that lost the platform in a fleet of three too

Cause: a focused test with real processes found no take-over in a fleet of three; the machine alone, with the usual times, takes over in all four cases, which rules the vouching itself out. Conclusion: two more cases; the cause is still looked for among the shortened times.

--- a/crates/chervilshunt_coord/src/tests/outage.rs
+++ b/crates/chervilshunt_coord/src/tests/outage.rs
@@ -108,10 +108,12 @@
 /// elsewhere before its lease is over, as the electors still reach the platform; its roles are
 /// taken over, and when it is back it joins anew.
 #[rstest]
-#[case::platform_only(false)]
-#[case::platform_and_peers(true)]
-fn one_that_is_cut_off_stops_and_is_superseded(#[case] from_peers: bool) {
-    let mut fleet = fleet_of(7, 21);
+#[case::platform_only(7, false)]
+#[case::one_of_three(3, false)]
+#[case::platform_and_peers(7, true)]
+#[case::one_of_three_and_peers(3, true)]
+fn one_that_is_cut_off_stops_and_is_superseded(#[case] count: usize, #[case] from_peers: bool) {
+    let mut fleet = fleet_of(count, 21);
     fleet.run(SETTLED);
     let lost: Vec<_> = orders(&fleet, "i2").into_iter().collect();
     assert!(!lost.is_empty(), "i2 holds no roles");
