Measure the promised figures with one command each

`chervilshunt_bench figures [first-token] [relay] [streams]` starts a deployment of separate processes for each figure, sets it against its bound and fails if one is missed.

--- /dev/null
+++ b/crates/chervilshunt_bench/src/figures/mod.rs
@@ -0,0 +1,17 @@
+//! The figures that the project promises, each measured on a deployment started for it.
+//!
+//! `docs/PERFORMANCE.md` records them. Each run starts stand-ins and instances as separate processes
+//! on loopback, and ends them.
+
+mod command;
+mod deployment;
+mod error;
+mod figure;
+mod first_token;
+mod relayed;
+mod scrape;
+mod streams;
+
+pub use command::run;
+pub use error::FiguresError;
+pub use figure::{Bound, Figure};
--- a/crates/chervilshunt_bench/src/lib.rs
+++ b/crates/chervilshunt_bench/src/lib.rs
@@ -1,10 +1,12 @@
 //! Benches of chervilshunt.
 //!
 //! [`load`] sends requests to running instances and checks every answer; see
-//! `docs/operators/load-tool.md`. [`faults`] starts a whole deployment and checks every promise while
+//! `docs/operators/load-tool.md`. [`figures`] starts deployments and measures what
+//! `docs/PERFORMANCE.md` records. [`faults`] starts a whole deployment and checks every promise while
 //! it injects faults at random. [`policy`] drives the decisions of `chervilshunt_core` alone, in
 //! virtual time; see `docs/design/bench.md`.
 
 pub mod faults;
+pub mod figures;
 pub mod load;
 pub mod policy;
--- a/crates/chervilshunt_bench/src/load/streams.rs
+++ b/crates/chervilshunt_bench/src/load/streams.rs
@@ -9,7 +9,7 @@
 use chervilshunt_standin::check::{
     Api, Call, Client, ClientOptions, CompletionCall, RequestPlan, Route,
 };
-use futures_util::future::join_all;
+use futures_util::{StreamExt as _, stream};
 use http::StatusCode;
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
@@ -20,6 +20,9 @@
 use super::process::Watched;
 use super::relay::refusal;
 
+/// Streams that are being opened at a time; a burst of all would measure the burst.
+const OPENING: usize = 32;
+
 /// How often memory is read.
 const SAMPLE_PERIOD: Duration = Duration::from_millis(100);
 
@@ -70,7 +73,10 @@
     let before_kib = watched.resident_kib()?;
     let client = Client::new(ClientOptions::default());
     let opening = (0..plan.streams).map(|number| open(client.clone(), plan.clone(), number));
-    let opened = join_all(opening).await;
+    let opened: Vec<_> = stream::iter(opening)
+        .buffer_unordered(OPENING)
+        .collect()
+        .await;
     let mut bodies = Vec::new();
     let mut failures = Vec::new();
     for result in opened {
--- a/crates/chervilshunt_bench/src/main.rs
+++ b/crates/chervilshunt_bench/src/main.rs
@@ -14,6 +14,7 @@
     let outcome = match command.as_str() {
         "load" => chervilshunt_bench::load::command(args).map_err(|e| e.to_string()),
         "faults" => return chervilshunt_bench::faults::run(args),
+        "figures" => chervilshunt_bench::figures::run(args).map_err(|e| e.to_string()),
         "policy" => chervilshunt_bench::policy::run(args).map_err(|e| e.to_string()),
         _ => return usage(),
     };
@@ -21,7 +22,7 @@
 }
 
 fn usage() -> ExitCode {
-    fail("usage: chervilshunt_bench load|faults|policy OPTIONS")
+    fail("usage: chervilshunt_bench load|faults|figures|policy OPTIONS")
 }
 
 fn fail(message: &str) -> ExitCode {
