--- a/crates/chervilshunt_daemon/tests/support/serial.rs
+++ b/crates/chervilshunt_daemon/tests/support/serial.rs
@@ -35,6 +35,14 @@
     });
 }
 
+impl Drop for Alone {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            shared::keep_logs(&self.fleet);
+        }
+    }
+}
+
 impl Alone {
     /// Takes all faults back, also those that a failed test has left.
     async fn heal(&self) {
--- a/crates/chervilshunt_daemon/tests/support/shared.rs
+++ b/crates/chervilshunt_daemon/tests/support/shared.rs
@@ -26,3 +26,18 @@
     *shared = Arc::downgrade(&fleet);
     fleet
 }
+
+/// Copies the logs as they are when a test fails: other tests go on with the fleet.
+pub(crate) fn keep_logs(fleet: &Fleet) {
+    let kept = tempfile::Builder::new()
+        .prefix("chervilshunt-failed-")
+        .tempdir();
+    let (Ok(kept), Ok(files)) = (kept, std::fs::read_dir(fleet.folder())) else {
+        return;
+    };
+    let kept = kept.keep();
+    for file in files.flatten() {
+        drop(std::fs::copy(file.path(), kept.join(file.file_name())));
+    }
+    eprintln!("logs are kept in {}", kept.display());
+}
