--- a/crates/chervilshunt_daemon/src/traffic/completion.rs
+++ b/crates/chervilshunt_daemon/src/traffic/completion.rs
@@ -1,5 +1,8 @@
 //! The part of a completion's body that routing needs.
 
+#[cfg(test)]
+mod tests;
+
 use bytes::Bytes;
 use chervilshunt_model::Class;
 use serde_json::{Map, Value};
@@ -45,23 +48,21 @@
                 "name the model as a string, \"model\": \"ADAPTER@VERSION\"".to_owned(),
             ));
         };
-        let stream = match body.get("stream") {
-            None | Some(Value::Null) => false,
+        let given = |name: &str| body.get(name).filter(|value| !value.is_null());
+        let stream = match given("stream") {
+            None => false,
             Some(Value::Bool(stream)) => *stream,
             Some(_) => return Err(bad("\"stream\" takes true or false".to_owned())),
         };
-        let max_tokens = match body
-            .get("max_tokens")
-            .or_else(|| body.get("max_completion_tokens"))
-        {
-            None | Some(Value::Null) => DEFAULT_MAX_TOKENS,
+        let max_tokens = match given("max_tokens").or_else(|| given("max_completion_tokens")) {
+            None => DEFAULT_MAX_TOKENS,
             Some(value) => value
                 .as_u64()
                 .and_then(|value| u32::try_from(value).ok())
                 .filter(|value| *value > 0)
                 .ok_or_else(|| bad("\"max_tokens\" takes a whole number from 1".to_owned()))?,
         };
-        let prompt = match body.get("messages").or_else(|| body.get("prompt")) {
+        let prompt = match given("messages").or_else(|| given("prompt")) {
             Some(Value::String(prompt)) => prompt.as_bytes().to_vec(),
             Some(prompt @ Value::Array(_)) => serde_json::to_vec(prompt).unwrap_or_default(),
             _ => {
--- a/crates/chervilshunt_daemon/src/traffic/headers.rs
+++ b/crates/chervilshunt_daemon/src/traffic/headers.rs
@@ -1,5 +1,8 @@
 //! The published request headers: priority, deadline, idempotency key, ids.
 
+#[cfg(test)]
+mod tests;
+
 use std::time::Duration;
 
 use chervilshunt_model::{CallerName, Class, RequestId};
@@ -101,7 +104,7 @@
     let urgency = integer(members.get("u")?)?;
     match urgency {
         0..=LAST_LIVE_URGENCY => Some(Class::Live),
-        urgency if urgency <= LAST_URGENCY => Some(Class::Deferrable),
+        urgency if (0..=LAST_URGENCY).contains(&urgency) => Some(Class::Deferrable),
         _ => None,
     }
 }
--- a/crates/chervilshunt_daemon/src/traffic/problem.rs
+++ b/crates/chervilshunt_daemon/src/traffic/problem.rs
@@ -1,5 +1,8 @@
 //! Refusals as problem documents (RFC 9457), each of which says whether the request ran.
 
+#[cfg(test)]
+mod tests;
+
 use std::fmt;
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/chervilshunt_daemon/src/traffic/problem/tests.rs
@@ -0,0 +1,74 @@
+//! Every refusal as its caller gets it.
+
+use std::time::Duration;
+
+use chervilshunt_core::RefusalReason;
+use chervilshunt_model::RequestId;
+use rstest::rstest;
+use serde_json::Value;
+
+use super::{Problem, Reason};
+
+#[rstest]
+#[case(Reason::BadRequest, 400, "bad_request")]
+#[case(Reason::UnknownModel, 404, "unknown_model")]
+#[case(Reason::UnknownService, 404, "unknown_service")]
+#[case(Reason::UnknownPath, 404, "unknown_path")]
+#[case(Reason::BadMethod, 405, "bad_method")]
+#[case(Reason::BodyTooSlow, 408, "body_too_slow")]
+#[case(Reason::BodyTooLarge, 413, "body_too_large")]
+#[case(Reason::TooManyRequests, 429, "too_many_requests")]
+#[case(Reason::Owner(RefusalReason::QueueFull), 429, "queue_full")]
+#[case(Reason::TargetFailed, 502, "target_failed")]
+#[case(Reason::TargetRefused, 502, "target_refused")]
+#[case(Reason::WrongModel, 502, "wrong_model")]
+#[case(Reason::BrokenOff, 502, "broken_off")]
+#[case(Reason::NotReady, 503, "not_ready")]
+#[case(Reason::NoOwner, 503, "no_owner")]
+#[case(Reason::NoTarget, 503, "no_target")]
+#[case(Reason::ClaimUnavailable, 503, "claim_unavailable")]
+#[case(Reason::Owner(RefusalReason::LoadFailed), 503, "load_failed")]
+#[case(Reason::Owner(RefusalReason::Draining), 503, "draining")]
+#[case(Reason::Owner(RefusalReason::NotOwner), 503, "not_owner")]
+#[case(Reason::Owner(RefusalReason::TargetDown), 503, "target_down")]
+#[case(Reason::Owner(RefusalReason::Deadline), 504, "deadline")]
+#[case(Reason::TargetTimeout, 504, "target_timeout")]
+fn a_reason_has_a_status_and_a_name(
+    #[case] reason: Reason,
+    #[case] status: u16,
+    #[case] name: &str,
+) {
+    let made = [
+        (Problem::not_run(reason, "why"), "not_run"),
+        (Problem::unknown(reason, "why"), "unknown"),
+        (Problem::cut_short(reason, "why"), "cut_short"),
+    ];
+    for (problem, outcome) in made {
+        let res = problem.to_response(&RequestId::new("slip-7"));
+        assert_eq!(res.status(), status);
+        assert_eq!(res.headers()["content-type"], "application/problem+json");
+        assert!(!res.headers().contains_key("retry-after"));
+        let document: Value = serde_json::from_slice(res.body()).unwrap();
+        assert_eq!(document["type"], format!("/problems/{name}"));
+        assert_eq!(document["title"].as_str(), res.status().canonical_reason());
+        assert_eq!(document["status"], status);
+        assert_eq!(document["detail"], "why");
+        assert_eq!(document["outcome"], outcome);
+        assert_eq!(document["reason"], name);
+        assert_eq!(document["request_id"], "slip-7");
+    }
+}
+
+// Whole seconds, and never too early: who comes back before meets the same refusal.
+#[rstest]
+#[case(0, "1")]
+#[case(1, "1")]
+#[case(1_000, "1")]
+#[case(1_001, "2")]
+#[case(59_500, "60")]
+fn retry_after_is_rounded_up(#[case] millis: u64, #[case] seconds: &str) {
+    let problem =
+        Problem::not_run(Reason::NotReady, "why").retry_after(Duration::from_millis(millis));
+    let res = problem.to_response(&RequestId::new("r"));
+    assert_eq!(res.headers()["retry-after"], seconds);
+}
