--- a/crates/chervilshunt_daemon/src/lib.rs
+++ b/crates/chervilshunt_daemon/src/lib.rs
@@ -1,7 +1,7 @@
 //! The daemon chervilshuntd: actors and servers round the decisions.
 //!
-//! One thread holds the control state ([`control`]), others carry traffic ([`traffic`]); operators
-//! have a port of their own ([`operators`]). The decisions themselves are in `chervilshunt_core`
+//! One thread holds the control state (`control`), others carry traffic (`traffic`); operators
+//! have a port of their own (`operators`). The decisions themselves are in `chervilshunt_core`
 //! and `chervilshunt_coord`. See `docs/ARCHITECTURE.md`.
 
 mod args;
