--- a/crates/chervilshunt_core/src/decay.rs
+++ b/crates/chervilshunt_core/src/decay.rs
@@ -26,6 +26,12 @@
         self.count_at(half_life, now) * std::f64::consts::LN_2 / half_life.as_secs_f64()
     }
 
+    /// Returns the events a second as of the last event, and the time since then.
+    pub(crate) fn last(&self, half_life: Duration, now: Moment) -> (f64, Duration) {
+        let rate = self.count * std::f64::consts::LN_2 / half_life.as_secs_f64();
+        (rate, now.since(self.updated))
+    }
+
     fn count_at(&self, half_life: Duration, now: Moment) -> f64 {
         let elapsed = now.since(self.updated).as_secs_f64();
         self.count * (-elapsed / half_life.as_secs_f64()).exp2()
--- a/crates/chervilshunt_core/src/owner.rs
+++ b/crates/chervilshunt_core/src/owner.rs
@@ -240,8 +240,10 @@
                 watts: less.watts,
             });
         }
-        let live = self.permits.live() + self.queue.len(Class::Live) + self.reserved_seats(now);
-        let deferrable = self.permits.deferrable() + self.queue.len(Class::Deferrable);
+        // Requests that wait for a load can't use power yet: counted, they would have targets
+        // parked, and their slots lost, just when slots and loads are short.
+        let live = self.permits.live() + self.queue.ready(Class::Live) + self.reserved_seats(now);
+        let deferrable = self.permits.deferrable() + self.queue.ready(Class::Deferrable);
         if let Some((live_watts, deferrable_watts)) = self.power.report(live, deferrable, now) {
             out.push(OwnerAction::ReportDemand {
                 live_watts,
--- a/crates/chervilshunt_core/src/owner/admit.rs
+++ b/crates/chervilshunt_core/src/owner/admit.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use chervilshunt_model::{AttemptId, Class, Moment, TargetName};
+use chervilshunt_model::{AdapterVersion, AttemptId, Class, Moment, TargetName};
 use smallvec::SmallVec;
 
 use super::Owner;
@@ -326,11 +326,22 @@
             Some(Phase::Ordered { at }) => self.loads.load_time().saturating_sub(now.since(at)),
             Some(Phase::HasTurn) => self.loads.load_time(),
             Some(Phase::Asked { .. } | Phase::Parked | Phase::Backoff { .. }) | None => {
-                self.loads.expected_time(now)
+                self.loads.load_time() + self.expected_turn(req.model.as_ref(), now)
             }
         }
     }
 
+    /// Returns the time until the turn of an adapter: the more wait for it, the sooner it comes.
+    fn expected_turn(&self, model: Option<&AdapterVersion>, now: Moment) -> Duration {
+        let queue_wait = self.loads.queue_wait(now);
+        let Some(model) = model else {
+            return queue_wait;
+        };
+        let waiting = self.queue.blocked_on(model).len() as f64;
+        let coming = self.demand.surge(model, now) * queue_wait.as_secs_f64();
+        queue_wait.div_f64(1.0 + waiting + coming)
+    }
+
     /// Returns until when an adapter isn't tried again whose tries are used up.
     fn load_given_up(&self, req: &PermitRequest, now: Moment) -> Option<Moment> {
         let load = self.loads.get(req.model.as_ref()?)?;
--- a/crates/chervilshunt_core/src/owner/demand.rs
+++ b/crates/chervilshunt_core/src/owner/demand.rs
@@ -3,7 +3,9 @@
 use chervilshunt_model::{AdapterVersion, Class, Moment};
 use indexmap::IndexMap;
 
-use super::tuning::{DEFERRABLE_DEMAND, DEMAND_HALF_LIFE, KNOWN_ADAPTERS, SURGE_HALF_LIFE};
+use super::tuning::{
+    DEFERRABLE_DEMAND, DEMAND_HALF_LIFE, KNOWN_ADAPTERS, SLEEP_RATE, SURGE_HALF_LIFE,
+};
 use crate::decay::DecayedRate;
 
 /// Entries looked at for one to forget when the table is full.
@@ -16,6 +18,21 @@
     surge: DecayedRate,
 }
 
+impl Demand {
+    /// Returns the rate of requests as of the last one, times the chance that there will be more.
+    ///
+    /// A rate that merely fades keeps an adapter that was busy until a moment ago above one that
+    /// has just become busy. If requests come at rate `r` and an adapter falls asleep at rate `s`,
+    /// then after `t` without a request the odds that it sleeps are `s / (r + s) * (e^((r + s) t)
+    /// - 1)`: a busy adapter gives itself away within a few of its usual gaps.
+    fn lasting_rate(&self, now: Moment) -> f64 {
+        let (rate, idle) = self.lasting.last(DEMAND_HALF_LIFE, now);
+        let ends = rate + SLEEP_RATE;
+        let awake = (-ends * idle.as_secs_f64()).exp();
+        rate * awake / (awake + SLEEP_RATE / ends * (1.0 - awake))
+    }
+}
+
 /// The demand for each adapter that was asked for of late, bounded in number.
 ///
 /// The counters fade when they are looked at and at no other time. A full table forgets the
@@ -49,7 +66,7 @@
     /// ones counted in part.
     pub(super) fn lasting(&self, model: &AdapterVersion, now: Moment) -> f64 {
         let demand = self.known.get(model);
-        demand.map_or(0.0, |it| it.lasting.per_second(DEMAND_HALF_LIFE, now))
+        demand.map_or(0.0, |it| it.lasting_rate(now))
     }
 
     /// Returns the requests a second of the last seconds.
@@ -71,7 +88,7 @@
         let sample = (0..FORGET_SAMPLE).map(|offset| (self.hand + offset) % len);
         let demand = |index: &usize| {
             let demand = self.known.get_index(*index).map(|(_, demand)| demand);
-            demand.map_or(0.0, |it| it.lasting.per_second(DEMAND_HALF_LIFE, now))
+            demand.map_or(0.0, |it| it.lasting_rate(now))
         };
         let faded = sample.min_by(|left, right| demand(left).total_cmp(&demand(right)));
         if let Some(index) = faded {
--- a/crates/chervilshunt_core/src/owner/evict.rs
+++ b/crates/chervilshunt_core/src/owner/evict.rs
@@ -3,7 +3,8 @@
 use chervilshunt_model::{AdapterVersion, Class, Moment};
 
 use super::Owner;
-use super::tuning::{AHEAD_GAIN, RETIRE_AFTER_DEFERRABLE, RETIRE_AFTER_LIVE};
+use super::slots::IdleSlot;
+use super::tuning::{RETIRE_AFTER_DEFERRABLE, RETIRE_AFTER_LIVE};
 use crate::LoadUrgency;
 
 /// Worth of a request that waits for nothing but room, in requests a second of lasting demand.
@@ -15,6 +16,12 @@
 /// Waiting time of deferrable requests, summed, that makes up for a second of expected stall.
 const PATIENCE: f64 = 30.0;
 
+/// Wait for a turn to load at which all slots would be protected for their recent use, in seconds.
+const PROTECT_WAIT: f64 = 1.5;
+
+/// Part of the slots that is protected at most.
+const PROTECT_MOST: f64 = 0.9;
+
 /// The adapter that makes room most cheaply.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct Victim {
@@ -42,33 +49,59 @@
         if !self.may_evict() {
             return None;
         }
-        let mut best: Option<(f64, &AdapterVersion)> = None;
-        let mut second: Option<(f64, &AdapterVersion)> = None;
-        for (model, slot) in self.slots.idle() {
-            let cost = if slot.retiring {
-                -1.0
-            } else if self.cfg.mechanisms.cost_eviction {
-                self.worth(model, now)
-            } else {
-                slot.last_used.as_micros() as f64
-            };
-            if best.is_none_or(|(least, _)| cost < least) {
-                second = best.replace((cost, model));
-            } else if second.is_none_or(|(least, _)| cost < least) {
-                second = Some((cost, model));
-            }
-        }
-        best.map(|(cost, model)| Victim {
+        let mut candidates: Vec<(f64, &AdapterVersion)> = self
+            .candidates(now)
+            .map(|(model, slot)| (self.cost(model, slot, now), model))
+            .collect();
+        let best = take_least(&mut candidates)?;
+        let (cost, model) = best;
+        Some(Victim {
             model: model.clone(),
             worth: if cost < 0.0 {
                 0.0
             } else {
                 self.worth(model, now)
             },
-            runner_up: second.map(|(_, model)| model.clone()),
+            runner_up: take_least(&mut candidates).map(|(_, model)| model.clone()),
         })
     }
 
+    /// Returns the idle adapters without those used most recently, as many as are protected.
+    ///
+    /// The longer loads wait for their turn, the more are protected. When popularity moves, an
+    /// adapter that has just been loaded has shown little demand yet, and
+    /// would be the next to go; its next request would find it gone, and the same adapters would
+    /// be loaded again and again just when loads are short.
+    fn candidates(&self, now: Moment) -> impl Iterator<Item = (&AdapterVersion, &IdleSlot)> {
+        let mut idle: Vec<(&AdapterVersion, &IdleSlot)> = self.slots.idle().collect();
+        let protected = self.protected_part(now) * f64::from(self.cfg.slots);
+        let protected = (protected as usize).saturating_sub(self.slots.pinned().count());
+        let kept = idle.len().saturating_sub(protected).max(1);
+        if kept < idle.len() {
+            idle.select_nth_unstable_by_key(kept, |(_, slot)| slot.last_used);
+            idle.truncate(kept);
+        }
+        idle.into_iter()
+    }
+
+    fn protected_part(&self, now: Moment) -> f64 {
+        if !self.cfg.mechanisms.cost_eviction {
+            return 0.0;
+        }
+        let wait = self.loads.queue_wait(now).as_secs_f64();
+        (wait / PROTECT_WAIT).min(PROTECT_MOST)
+    }
+
+    fn cost(&self, model: &AdapterVersion, slot: &IdleSlot, now: Moment) -> f64 {
+        if slot.retiring {
+            -1.0
+        } else if self.cfg.mechanisms.cost_eviction {
+            self.worth(model, now)
+        } else {
+            slot.last_used.as_micros() as f64
+        }
+    }
+
     /// Whether an adapter is waited for badly enough to give up a slot of this worth.
     ///
     /// Live requests always are. Deferrable ones gather until their waiting makes up for the
@@ -87,12 +120,6 @@
         }
     }
 
-    /// Whether an adapter's lasting demand pays for loading it ahead of the next request, in
-    /// place of a slot of this worth.
-    pub(super) fn worth_ahead(&self, model: &AdapterVersion, worth: f64, now: Moment) -> bool {
-        self.demand.lasting(model, now) > AHEAD_GAIN * worth
-    }
-
     /// Stops granting permits for the pinned adapter of least worth, when a load has waited too
     /// long for any slot to become idle.
     ///
@@ -131,3 +158,12 @@
         ratio.clamp(0.1, 10.0)
     }
 }
+
+/// Takes the candidate of least cost out.
+fn take_least<'a>(
+    candidates: &mut Vec<(f64, &'a AdapterVersion)>,
+) -> Option<(f64, &'a AdapterVersion)> {
+    let costs = candidates.iter().enumerate();
+    let (least, _) = costs.min_by(|(_, left), (_, right)| left.0.total_cmp(&right.0))?;
+    Some(candidates.swap_remove(least))
+}
--- a/crates/chervilshunt_core/src/owner/loading.rs
+++ b/crates/chervilshunt_core/src/owner/loading.rs
@@ -7,7 +7,7 @@
 use super::loads::Phase;
 use super::order::{LoadUrgency, OrderId, OrderKind};
 use super::slots::Moving;
-use super::tuning::{AHEAD_PAUSE, MAX_ASKED_TURNS, PARKED_REVIEW, TURN_RENEWAL};
+use super::tuning::{AHEAD_DEMAND, AHEAD_PAUSE, MAX_ASKED_TURNS, PARKED_REVIEW, TURN_RENEWAL};
 use crate::DecisionKind;
 
 /// The urgency of a load that nobody waits for.
@@ -124,15 +124,7 @@
         let Some(best) = best.cloned() else {
             return;
         };
-        let worth = if self.slots.free() > 0 {
-            0.0
-        } else {
-            let Some(victim) = self.victim(now) else {
-                return;
-            };
-            victim.worth
-        };
-        if self.worth_ahead(&best, worth, now) {
+        if self.slots.free() > 0 && demand(&best) > AHEAD_DEMAND {
             self.loads.want(&best, true, now);
         }
     }
@@ -269,8 +261,7 @@
         let Some(victim) = self.victim(now) else {
             return false;
         };
-        let ahead = self.loads.get(model).is_some_and(|load| load.ahead);
-        if ahead && !self.worth_ahead(model, victim.worth, now) {
+        if self.loads.get(model).is_some_and(|load| load.ahead) {
             return false;
         }
         let Some(evictable) = self.slots.take_evictable(&victim.model) else {
@@ -361,8 +352,7 @@
                 self.make_room_in_time(&urgency, asked - free, now);
                 return;
             }
-            let ahead = urgency.class.is_none() && self.worth_ahead(&model, worth, now);
-            if ahead || self.worth_evicting(&urgency, worth, now) {
+            if self.worth_evicting(&urgency, worth, now) {
                 asked += 1;
                 self.ask_turn(&model, now, out);
             }
--- a/crates/chervilshunt_core/src/owner/tuning.rs
+++ b/crates/chervilshunt_core/src/owner/tuning.rs
@@ -9,6 +9,9 @@
 /// minutes apart, short enough to forget yesterday's popularity within the hour.
 pub(super) const DEMAND_HALF_LIFE: Duration = Duration::from_secs(600);
 
+/// Rate at which busy adapters fall asleep, a second: once in half an hour.
+pub(super) const SLEEP_RATE: f64 = 1.0 / 3_600.0;
+
 /// Memory of an adapter's demand for its spread, which has to follow a flood within seconds.
 pub(super) const SURGE_HALF_LIFE: Duration = Duration::from_secs(10);
 
@@ -17,7 +20,7 @@
 
 /// Weight of a deferrable request in the demand for an adapter: it can wait for a load together
 /// with others, so it makes holding the adapter less worth while.
-pub(super) const DEFERRABLE_DEMAND: f64 = 0.2;
+pub(super) const DEFERRABLE_DEMAND: f64 = 0.02;
 
 /// Adapters whose demand is remembered, beyond which the faded ones are forgotten.
 pub(super) const KNOWN_ADAPTERS: usize = 20_000;
@@ -112,9 +115,9 @@
 /// Shortest time between two loads ahead of demand.
 pub(super) const AHEAD_PAUSE: Duration = Duration::from_millis(500);
 
-/// How much more an adapter has to be in demand than the one that makes room for it ahead of
-/// demand.
-pub(super) const AHEAD_GAIN: f64 = 2.0;
+/// Requests a second for which an adapter is loaded ahead of the next one, into a free slot: one
+/// in five minutes.
+pub(super) const AHEAD_DEMAND: f64 = 1.0 / 300.0;
 
 /// Part of a target's batch that one adapter's sequences fill before it is spread further.
 pub(super) const SPREAD_FILL: f64 = 0.7;
--- a/crates/chervilshunt_core/src/scheduler.rs
+++ b/crates/chervilshunt_core/src/scheduler.rs
@@ -10,10 +10,10 @@
 use crate::{LoadUrgency, Mechanisms, OrderId, TokenBucket};
 
 /// Urgency of each live waiter, and of each second that the oldest has waited.
-const LIVE_URGENCY: (f64, f64) = (10.0, 10.0);
+const LIVE_URGENCY: (f64, f64) = (10.0, 1.0);
 
 /// The same for deferrable waiters.
-const DEFERRABLE_URGENCY: (f64, f64) = (1.0, 0.5);
+const DEFERRABLE_URGENCY: (f64, f64) = (0.1, 0.1);
 
 /// Load times for which the load of an owner that lost its role is taken to go on.
 const ORPHAN_LOAD_TIMES: u32 = 3;
