--- a/crates/chervilshunt_engine/src/answer/reader.rs
+++ b/crates/chervilshunt_engine/src/answer/reader.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, Sleep};
 
+use crate::call::Limits;
 use crate::connection::Connection;
 use crate::error::{BrokenOffSnafu, EngineError, MalformedSnafu, Stage, TimeoutSnafu};
 use crate::pool::Pool;
@@ -29,13 +30,13 @@
         incoming: Incoming,
         connection: Connection,
         pool: Pool,
-        idle_limit: Duration,
+        limits: Limits,
     ) -> Self {
         let mut reader = Self {
             incoming,
             connection: Some(connection),
             pool,
-            idle: IdleTimer::new(idle_limit),
+            idle: IdleTimer::new(limits),
         };
         reader.finish_if_ended();
         reader
@@ -153,15 +154,19 @@
 /// The timer is not moved at each piece, which would cost more than reading it; when it fires it is
 /// set anew for what is left since the last piece.
 struct IdleTimer {
+    /// The limit in force: until the first piece that of the head, since an engine may send the
+    /// head of a stream at once and let the sequence wait.
     limit: Duration,
+    later_limit: Duration,
     last: Instant,
     sleep: Option<Pin<Box<Sleep>>>,
 }
 
 impl IdleTimer {
-    fn new(limit: Duration) -> Self {
+    fn new(limits: Limits) -> Self {
         Self {
-            limit,
+            limit: limits.head.max(limits.idle),
+            later_limit: limits.idle,
             last: Instant::now(),
             sleep: None,
         }
@@ -169,6 +174,10 @@
 
     fn reset(&mut self) {
         self.last = Instant::now();
+        if self.limit != self.later_limit {
+            self.limit = self.later_limit;
+            self.sleep = None;
+        }
     }
 
     fn poll_expired(&mut self, cx: &mut Context<'_>) -> bool {
--- a/crates/chervilshunt_engine/src/call.rs
+++ b/crates/chervilshunt_engine/src/call.rs
@@ -49,7 +49,7 @@
 pub struct Limits {
     /// Until the connection stands.
     pub connect: Duration,
-    /// From then until the answer's head has come.
+    /// From then until the answer's head has come, and from there until its first piece.
     pub head: Duration,
     /// Between any two pieces of the answer's body.
     pub idle: Duration,
--- a/crates/chervilshunt_engine/src/client.rs
+++ b/crates/chervilshunt_engine/src/client.rs
@@ -59,17 +59,12 @@
     /// # Errors
     /// [`EngineError::outcome`] says of each error whether the call can have run.
     pub async fn open(&self, call: Call) -> Result<Answer, EngineError> {
-        let Call {
-            expect,
-            idempotent,
-            limits,
-            attempt,
-            ..
-        } = call.clone();
+        let (idempotent, limits, attempt) = (call.idempotent, call.limits, call.attempt);
+        let expect = call.expect.clone();
         let req = into_request(call, self.address())?;
         let (response, connection) = self.exchange(req, idempotent, limits).await?;
         let (mut head, incoming) = response.into_parts();
-        let reader = BodyReader::new(incoming, connection, self.pool.clone(), limits.idle);
+        let reader = BodyReader::new(incoming, connection, self.pool.clone(), limits);
         if let Some(received) = head.headers.get(ATTEMPT_ID)
             && received.as_bytes() != attempt.to_string().as_bytes()
         {
@@ -94,7 +89,7 @@
         let (response, connection) = self.exchange(req, true, limits).await?;
         let (head, incoming) = response.into_parts();
         answer::require_delimited(&head)?;
-        let reader = BodyReader::new(incoming, connection, self.pool.clone(), limits.idle);
+        let reader = BodyReader::new(incoming, connection, self.pool.clone(), limits);
         let body = reader.read_whole(max_body).await?;
         Ok(Response::from_parts(head, body))
     }
--- a/crates/chervilshunt_engine/src/connection.rs
+++ b/crates/chervilshunt_engine/src/connection.rs
@@ -17,6 +17,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpSocket, TcpStream};
+use tokio::runtime::{self, Handle};
 use tokio::time::Instant;
 
 /// The most that is read ahead of a reader, in bytes; also the most that an answer's head takes.
@@ -33,6 +34,8 @@
     sender: http1::SendRequest<Full<Bytes>>,
     /// None once it has ended.
     driver: Option<http1::Connection<TokioIo<TcpStream>, Full<Bytes>>>,
+    /// The runtime whose thread learns of what the socket can do.
+    pub(crate) runtime: runtime::Id,
     /// When it was last put aside for reuse.
     pub(crate) idle_since: Instant,
 }
@@ -72,6 +75,7 @@
         Ok(Self {
             sender,
             driver: Some(driver),
+            runtime: Handle::current().id(),
             idle_since: Instant::now(),
         })
     }
--- a/crates/chervilshunt_engine/src/pool.rs
+++ b/crates/chervilshunt_engine/src/pool.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use tokio::runtime::Handle;
 use tokio::time::Instant;
 
 use crate::connection::Connection;
@@ -37,13 +38,18 @@
     }
 
     /// Returns an idle connection; the target may have closed it.
+    ///
+    /// It was made on the present runtime: on another one a stream would get its wake-ups from that
+    /// one's thread, and those of callers would wait behind the control state's work.
     pub(crate) fn take(&self) -> Option<Connection> {
-        loop {
-            let connection = self.lock().connections.pop()?;
-            if connection.idle_since.elapsed() < IDLE_LIMIT {
-                return Some(connection);
-            }
-        }
+        let here = Handle::current().id();
+        let mut idle = self.lock();
+        let connections = &mut idle.connections;
+        connections.retain(|connection| connection.idle_since.elapsed() < IDLE_LIMIT);
+        let last = connections
+            .iter()
+            .rposition(|connection| connection.runtime == here)?;
+        Some(connections.remove(last))
     }
 
     /// Puts a connection aside whose answer has been read to its end.
--- a/crates/chervilshunt_engine/tests/answers.rs
+++ b/crates/chervilshunt_engine/tests/answers.rs
@@ -11,7 +11,8 @@
 use chervilshunt_standin::engine::{EngineStandin, EngineStandinConfig, start_engine};
 use chervilshunt_standin::plain::{PlainStandinConfig, start_plain};
 use common::{
-    LIMITS, MODEL, ScriptedTarget, Step, completion, completion_for, plain, read, response, until,
+    GO_ON_AFTER, LIMITS, MODEL, ScriptedTarget, Step, chunked, completion, completion_for, event,
+    plain, read, response, run, until,
 };
 use http_body_util::BodyExt as _;
 use rstest::rstest;
@@ -87,6 +88,25 @@
     assert_eq!((summary.events, text.matches("data:").count()), (3, 4));
 }
 
+/// The engine sends the head at once and lets the sequence wait: until the first token the call has
+/// as long as for its head, and from then on the shorter time between two pieces.
+#[tokio::test]
+async fn first_token_may_take_as_long_as_the_head() {
+    let pieces = chunked(&[&event(MODEL, "x"), "data: [DONE]\n\n"], true);
+    let (head, events) = pieces.split_at(pieces.find("\r\n\r\n").expect("head") + 4);
+    let step = Step::AnswerAndGoOn(head.to_owned(), events.to_owned());
+    let target = ScriptedTarget::start(vec![step]).await;
+    let mut call = completion("r", 1, true);
+    call.limits.idle = GO_ON_AFTER / 4;
+
+    let answer = EngineClient::new(target.address)
+        .open(call)
+        .await
+        .expect("opens");
+
+    assert!(read(answer).await.expect("whole").1.complete);
+}
+
 /// The caller goes away in the middle of a stream: its sequence leaves the engine's batch.
 #[tokio::test]
 async fn dropped_answer_cancels_the_call() {
@@ -203,6 +223,34 @@
     assert!(answer.body.summary().complete);
 }
 
+/// Control state and traffic have a runtime each and share a client. A stream must not depend on
+/// the control thread for its wake-ups, so that neither uses the other's connections.
+#[test]
+fn runtimes_do_not_share_connections() {
+    let runtime = || {
+        let mut builder = tokio::runtime::Builder::new_multi_thread();
+        builder
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .expect("runtime")
+    };
+    let (targets, control, traffic) = (runtime(), runtime(), runtime());
+    let done = Step::Answer(response("200 OK", "", "done"));
+    let target = targets.block_on(ScriptedTarget::start(vec![done; 4]));
+    let client = EngineClient::new(target.address);
+    for runtime in [&control, &traffic, &control, &traffic] {
+        runtime
+            .block_on(run(&client, plain("r", true)))
+            .expect("answers");
+    }
+
+    assert_eq!(
+        (target.seen().connections, target.seen().requests.len()),
+        (2, 4)
+    );
+}
+
 #[tokio::test]
 async fn orders_can_be_given_again() {
     let (engine, client) = engine_with_adapter(1).await;
