--- a/crates/chervilshunt_daemon/src/control/roles.rs
+++ b/crates/chervilshunt_daemon/src/control/roles.rs
@@ -53,7 +53,15 @@
                 let reachable = OwnerEvent::SchedulerReachable(
                     self.has_holder(&Role::LoadScheduler(target.store.clone())),
                 );
+                // `ask` names the others only. A permit that the previous owner granted to this
+                // instance pins its adapter all the same: without it the new owner would unload
+                // the adapter under a stream that its own instance relays.
+                let own = OwnerEvent::PermitsHeld {
+                    entry: self.cx.me().clone(),
+                    permits: self.cx.held.of_target(&name),
+                };
                 self.work_off([
+                    Step::Owner(name.clone(), own),
                     Step::Owner(name.clone(), reachable),
                     Step::Owner(name.clone(), draining),
                     Step::Owner(name.clone(), OwnerEvent::Tick),
--- a/crates/chervilshunt_daemon/src/lib.rs
+++ b/crates/chervilshunt_daemon/src/lib.rs
@@ -10,6 +10,7 @@
 mod engines;
 mod facts;
 mod keyed;
+mod lease_timing;
 mod logging;
 mod operators;
 mod routing;
--- a/crates/chervilshunt_daemon/src/run.rs
+++ b/crates/chervilshunt_daemon/src/run.rs
@@ -4,9 +4,7 @@
 use std::sync::Arc;
 
 use chervilshunt_config::Settings;
-use chervilshunt_coord::{
-    Coordinator, CoordinatorConfig, Holder, Incarnation, LeaseConfig, deployment_model,
-};
+use chervilshunt_coord::{Coordinator, CoordinatorConfig, Holder, Incarnation, deployment_model};
 use chervilshunt_core::{RetryBudget, RetryBudgetConfig};
 use chervilshunt_mesh::{Inbound, Mesh, MeshConfig, MeshError};
 use chervilshunt_platform::{Platform, PlatformConfig};
@@ -22,6 +20,7 @@
 use crate::control::{Begin, Context, Control, FromPeer};
 use crate::engines::Engines;
 use crate::keyed::KeyedTries;
+use crate::lease_timing::LeaseTiming;
 use crate::logging;
 use crate::operators::{Health, Operators, Statements, serve_operators};
 use crate::routing::SharedRouting;
@@ -273,12 +272,11 @@
         operators,
         deployment_model(),
     );
-    cfg.lease = LeaseConfig {
-        duration: settings.lease.duration,
-        renew_every: settings.lease.renew_every,
-        margin: settings.lease.margin,
-        ..LeaseConfig::default()
-    };
+    let timing = LeaseTiming::new(&settings.lease);
+    cfg.lease = timing.lease;
+    cfg.observer = timing.observer;
+    cfg.elector = timing.elector;
+    cfg.hold = timing.hold;
     Coordinator::new(cfg, cx.now())
 }
 
