Park targets for deferrable work only where batches outweigh stalls

A backlog of deferrable work made the allocator find the cap short and park targets at Kølvand, which minds stalls most: their slots were lost and their adapters loaded again elsewhere.

--- a/crates/chervilshunt_core/src/allocator/parking.rs
+++ b/crates/chervilshunt_core/src/allocator/parking.rs
@@ -53,10 +53,15 @@
         targets: &mut BTreeMap<TargetName, TargetPower>,
         now: Moment,
     ) {
-        let demand: f64 = targets.values().map(TargetPower::demand).sum();
+        let fill = batch_fill(cfg);
+        let demand = |it: &TargetPower| {
+            let deferrable = if fill > 0.0 { it.deferrable_watts } else { 0.0 };
+            it.live_demand() + deferrable
+        };
+        let demand: f64 = targets.values().map(demand).sum();
         self.demand.set(demand, DEMAND_HALF_LIFE, now);
         let lasting = self.demand.average(DEMAND_HALF_LIFE, now);
-        let wanted = wanted_targets(cfg, targets, lasting);
+        let wanted = wanted_targets(cfg, targets, lasting, fill);
         let in_use = targets.values().filter(|it| !it.parked).count();
         if wanted >= in_use {
             self.fewer_since = None;
@@ -79,6 +84,7 @@
     cfg: &PowerConfig,
     targets: &BTreeMap<TargetName, TargetPower>,
     demand: f64,
+    fill: f64,
 ) -> usize {
     let count = targets.len().max(1);
     let fixed = targets.values().map(|it| it.idle_watts).sum::<f64>() / count as f64;
@@ -94,8 +100,7 @@
     }
     let largest = (1..=count).rev().find(enough).unwrap_or(count);
     let smallest = (1..=count).find(enough).unwrap_or(count);
-    let fill = batch_fill(cfg);
-    if !cfg.mechanisms.packing || fill <= 0.0 {
+    if fill <= 0.0 {
         return largest;
     }
     let filled = (demand / (fill * range.max(f64::MIN_POSITIVE))).ceil() as usize;
@@ -107,7 +112,7 @@
 fn batch_fill(cfg: &PowerConfig) -> f64 {
     let weights = cfg.weights;
     let sum = weights.batch_efficiency + weights.load_stalls;
-    if sum <= 0.0 {
+    if sum <= 0.0 || !cfg.mechanisms.packing {
         return 0.0;
     }
     (weights.batch_efficiency - weights.load_stalls) / sum
--- a/crates/chervilshunt_core/src/allocator/target.rs
+++ b/crates/chervilshunt_core/src/allocator/target.rs
@@ -63,9 +63,14 @@
         self.full_watts - self.idle_watts
     }
 
+    /// Returns the power that the sequences of its live work could use, beside the fixed part.
+    pub(super) fn live_demand(&self) -> f64 {
+        (self.live_watts - self.idle_watts).max(0.0)
+    }
+
     /// Returns the power that the sequences of all its work could use, beside the fixed part.
     pub(super) fn demand(&self) -> f64 {
-        (self.live_watts - self.idle_watts).max(0.0) + self.deferrable_watts
+        self.live_demand() + self.deferrable_watts
     }
 
     /// Returns the change of share that is not worth a message.
