Leave reserves for bursts out of the demand for power, and fill batches less

Each target's own reserve of seats counted as live demand: 18 reserves that are never used together parked targets of Kolvand under a cut cap.

--- a/crates/chervilshunt_core/src/allocator/parking.rs
+++ b/crates/chervilshunt_core/src/allocator/parking.rs
@@ -19,6 +19,10 @@
 /// Part by which the power for sequences has to exceed the demand for it.
 const HEAD_ROOM: f64 = 1.2;
 
+/// Part of each batch that is to be filled before another target is used, where batches alone
+/// count; in proportion where they outweigh stalls by less, and none where they don't.
+const FULL_ENOUGH: f64 = 0.85;
+
 /// Time for which fewer targets have to do before one is parked, and between two.
 const PARK_PAUSE: Duration = Duration::from_secs(20);
 
@@ -115,7 +119,7 @@
     if sum <= 0.0 || !cfg.mechanisms.packing {
         return 0.0;
     }
-    (weights.batch_efficiency - weights.load_stalls) / sum
+    (weights.batch_efficiency - weights.load_stalls) / sum * FULL_ENOUGH
 }
 
 fn park_one(targets: &mut BTreeMap<TargetName, TargetPower>) {
--- a/crates/chervilshunt_core/src/owner.rs
+++ b/crates/chervilshunt_core/src/owner.rs
@@ -242,7 +242,8 @@
         }
         // Requests that wait for a load can't use power yet: counted, they would have targets
         // parked, and their slots lost, just when slots and loads are short.
-        let live = self.permits.live() + self.queue.ready(Class::Live) + self.reserved_seats(now);
+        // Seats reserved for bursts don't count either: all targets' are never in use at once.
+        let live = self.permits.live() + self.queue.ready(Class::Live);
         let deferrable = self.permits.deferrable() + self.queue.ready(Class::Deferrable);
         if let Some((live_watts, deferrable_watts)) = self.power.report(live, deferrable, now) {
             out.push(OwnerAction::ReportDemand {
