Feed owners with what engines report of their load and prefix cache

Cause: the daemon dropped both: an owner took over without reports that end its wait for unknown permits, and prefix affinity had nothing to go by. The entry's prefix hash also differed from that of cache events (512 bytes without the model against 256 with it).

--- a/crates/chervilshunt_daemon/src/control/actor.rs
+++ b/crates/chervilshunt_daemon/src/control/actor.rs
@@ -199,35 +199,56 @@
 }
 
 impl Handler<FromEngine> for Control {
-    type Return = ();
+    /// Whether this instance still owns the target.
+    type Return = bool;
 
-    async fn handle(&mut self, message: FromEngine, _cx: &mut xtra::Context<Self>) {
+    async fn handle(&mut self, message: FromEngine, _cx: &mut xtra::Context<Self>) -> bool {
         let FromEngine { target, news } = message;
         if let EngineNews::OrderEnded(..) = news {
             self.order_ended(&target);
         }
-        let Some(owned) = self.targets.get_mut(&target) else {
-            return;
+        let Some(owned) = self.targets.get(&target) else {
+            return false;
         };
-        let first_failure = owned.reachable && matches!(news, EngineNews::Unreachable);
-        let was_reachable = owned.reachable;
-        owned.reachable = !matches!(news, EngineNews::Unreachable);
-        let mut steps = Vec::new();
-        if was_reachable != owned.reachable {
-            steps.push(Step::Owner(
-                target.clone(),
-                OwnerEvent::Reachable(owned.reachable),
-            ));
+        match news {
+            EngineNews::OrderEnded(order, result) => {
+                self.heard(target, OwnerEvent::OrderEnded { order, result });
+            }
+            EngineNews::Inventory(loaded) => self.heard(target, OwnerEvent::Inventory(loaded)),
+            EngineNews::Looked { epoch, .. } if epoch != owned.epoch => return false,
+            EngineNews::Looked { report, cached, .. } => {
+                let cached = cached.map(OwnerEvent::Cached);
+                let events = std::iter::once(OwnerEvent::Reported(report)).chain(cached);
+                let steps: Vec<Step> = events
+                    .map(|event| Step::Owner(target.clone(), event))
+                    .collect();
+                self.work_off(steps);
+            }
+            EngineNews::Unreachable => self.lost_target(target),
         }
-        let event = match news {
-            EngineNews::OrderEnded(order, result) => Some(OwnerEvent::OrderEnded { order, result }),
-            EngineNews::Inventory(loaded) => Some(OwnerEvent::Inventory(loaded)),
-            EngineNews::Unreachable => None,
-        };
-        steps.extend(event.map(|event| Step::Owner(target.clone(), event)));
+        true
+    }
+}
+
+impl Control {
+    /// A target answered: it can be reached.
+    fn heard(&mut self, target: TargetName, event: OwnerEvent) {
+        let owned = self.targets.get_mut(&target);
+        let is_back = owned.is_some_and(|owned| !std::mem::replace(&mut owned.reachable, true));
+        let back = is_back.then(|| Step::Owner(target.clone(), OwnerEvent::Reachable(true)));
+        let steps: Vec<Step> = back
+            .into_iter()
+            .chain([Step::Owner(target, event)])
+            .collect();
         self.work_off(steps);
-        if first_failure {
+    }
+
+    /// A target can't be reached: it is asked again and again until it answers.
+    fn lost_target(&mut self, target: TargetName) {
+        let owned = self.targets.get_mut(&target);
+        if owned.is_some_and(|owned| std::mem::replace(&mut owned.reachable, false)) {
             self.probe(&target);
+            self.work_off([Step::Owner(target, OwnerEvent::Reachable(false))]);
         }
     }
 }
--- a/crates/chervilshunt_daemon/src/control/messages.rs
+++ b/crates/chervilshunt_daemon/src/control/messages.rs
@@ -2,10 +2,10 @@
 
 use chervilshunt_coord::{CallId, PlatformResult};
 use chervilshunt_core::{
-    OrderFailure, OrderId, Permit, PermitAnswer, PermitRequest, ReleasedPermit,
+    EngineReport, OrderFailure, OrderId, Permit, PermitAnswer, PermitRequest, ReleasedPermit,
 };
 use chervilshunt_mesh::{Inbound, Reply};
-use chervilshunt_model::{AdapterVersion, InstanceId, TargetName};
+use chervilshunt_model::{AdapterVersion, Epoch, InstanceId, TargetName};
 use tokio::sync::oneshot;
 use xtra::Address;
 
@@ -72,6 +72,15 @@
     OrderEnded(OrderId, Result<(), OrderFailure>),
     /// The adapters that the engine holds.
     Inventory(Vec<AdapterVersion>),
+    /// What it reports of itself.
+    Looked {
+        /// The epoch under which it was looked at.
+        epoch: Epoch,
+        /// Its load.
+        report: EngineReport,
+        /// The prefixes that it seems to hold, if it could be asked.
+        cached: Option<Vec<u64>>,
+    },
     /// It can't be reached.
     Unreachable,
 }
--- a/crates/chervilshunt_daemon/src/control/mod.rs
+++ b/crates/chervilshunt_daemon/src/control/mod.rs
@@ -19,6 +19,7 @@
 mod steps;
 mod tell;
 mod timer;
+mod watch_engine;
 mod watches;
 
 pub(crate) use actor::Control;
--- a/crates/chervilshunt_daemon/src/control/roles.rs
+++ b/crates/chervilshunt_daemon/src/control/roles.rs
@@ -68,6 +68,7 @@
                 ]);
                 self.ask_inventory(&name);
                 self.ask_held(&name, ask);
+                self.watch_engine(&name, epoch);
             }
             Role::LoadScheduler(store) => {
                 if let Some(cfg) = self.scheduler_config(&store) {
--- a/crates/chervilshunt_daemon/src/traffic/completion.rs
+++ b/crates/chervilshunt_daemon/src/traffic/completion.rs
@@ -4,9 +4,8 @@
 mod tests;
 
 use bytes::Bytes;
-use chervilshunt_model::Class;
+use chervilshunt_model::{Class, prefix_hash};
 use serde_json::{Map, Value};
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::problem::{Problem, Reason};
 
@@ -14,8 +13,6 @@
 const DEFAULT_MAX_TOKENS: u32 = 256;
 /// Bytes of text that one token stands for, roughly, in English.
 const BYTES_PER_TOKEN: usize = 4;
-/// Bytes at the start of a prompt that decide about prefix-cache affinity.
-const PREFIX_BYTES: usize = 512;
 /// Engine priority of deferrable work; live work has 0, and lower is sooner.
 const DEFERRABLE_ENGINE_PRIORITY: u32 = 10;
 
@@ -71,7 +68,7 @@
                 ));
             }
         };
-        let prefix = xxh3_64(&prompt[..prompt.len().min(PREFIX_BYTES)]);
+        let prefix = prefix_hash(&model, &prompt);
         let prompt_tokens =
             u32::try_from(prompt.len().div_ceil(BYTES_PER_TOKEN)).unwrap_or(u32::MAX);
         Ok(Self {
