Serve the newest loads first while the weight store is overloaded

With more misses than loads, first come first served lets every request wait close to its deadline. Protection of recent use fed the overload, as it evicts by recency: it ends at 0.7 of the slots.

--- a/crates/chervilshunt_core/src/owner/evict.rs
+++ b/crates/chervilshunt_core/src/owner/evict.rs
@@ -20,7 +20,7 @@
 const PROTECT_WAIT: f64 = 1.5;
 
 /// Part of the slots that is protected at most.
-const PROTECT_MOST: f64 = 0.9;
+const PROTECT_MOST: f64 = 0.7;
 
 /// The adapter that makes room most cheaply.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/chervilshunt_core/src/scheduler.rs
+++ b/crates/chervilshunt_core/src/scheduler.rs
@@ -12,6 +12,12 @@
 /// Urgency of each live waiter, and of each second that the oldest has waited.
 const LIVE_URGENCY: (f64, f64) = (10.0, 1.0);
 
+/// Wait for a turn beyond which the store is overloaded.
+const OVERLOAD: Duration = Duration::from_secs(3);
+
+/// Urgency of live waiters and their seconds while the store is overloaded.
+const OVERLOAD_URGENCY: (f64, f64) = (10.0, -0.3);
+
 /// The same for deferrable waiters.
 const DEFERRABLE_URGENCY: (f64, f64) = (0.1, 0.1);
 
@@ -261,8 +267,10 @@
     }
 
     fn most_urgent(&self, now: Moment) -> Option<Turn> {
+        let overload = self.queue_wait() >= OVERLOAD;
+        let score = |waiting: &Waiting| self.score(waiting, overload, now);
         let best = self.waiting.iter().max_by(|(_, left), (_, right)| {
-            let by_score = self.score(left, now).total_cmp(&self.score(right, now));
+            let by_score = score(left).total_cmp(&score(right));
             by_score.then(right.arrival.cmp(&left.arrival))
         });
         best.map(|(turn, _)| turn.clone())
@@ -273,13 +281,14 @@
     /// All loads take alike, so the sum of waiting is least when the load with most waiters goes
     /// first. Age keeps a load with one waiter from being overtaken for ever, and lifts deferrable
     /// ones over live ones in the end.
-    fn score(&self, waiting: &Waiting, now: Moment) -> f64 {
+    fn score(&self, waiting: &Waiting, overload: bool, now: Moment) -> f64 {
         if !self.cfg.mechanisms.urgency {
             return 0.0;
         }
         let told = &waiting.urgency;
         let age = Duration::from_millis(told.oldest_ms) + now.since(waiting.told);
         let (waiter, second) = match told.class {
+            Some(Class::Live) if overload => OVERLOAD_URGENCY,
             Some(Class::Live) => LIVE_URGENCY,
             Some(Class::Deferrable) => DEFERRABLE_URGENCY,
             None => return -1.0,
