Share the ways to the holders of roles between permits and claims

Cause: both looked up a holder's address, and carried the same five handles, each in its own words. Behaviour is as before; the tests are untouched.

--- a/crates/chervilshunt_daemon/src/run.rs
+++ b/crates/chervilshunt_daemon/src/run.rs
@@ -25,7 +25,7 @@
 use crate::operators::{Health, Operators, Statements, serve_operators};
 use crate::routing::SharedRouting;
 use crate::shutdown::{Shutdown, ShutdownError, Signals};
-use crate::traffic::{Claims, HeldPermits, Permits, Traffic, serve_callers};
+use crate::traffic::{Claims, HeldPermits, Links, Permits, Traffic, serve_callers};
 use crate::wire::PeerMessage;
 
 /// Messages that may wait for the control actor before senders wait too.
@@ -137,21 +137,15 @@
     forward(inbound, control.clone());
 
     let health = Health::new(routing.clone(), clock);
-    let permits = Permits::new(
-        settings.instance.id.clone(),
-        control.clone(),
-        mesh.clone(),
-        routing.clone(),
-        held,
-    );
-    let claims = Claims::new(
-        settings.instance.id.clone(),
-        control.clone(),
-        mesh.clone(),
-        routing.clone(),
-        tries,
-        settings.outage.keyed_requests,
-    );
+    let links = Links {
+        me: settings.instance.id.clone(),
+        control: control.clone(),
+        mesh: mesh.clone(),
+        routing: routing.clone(),
+        runtime: tokio::runtime::Handle::current(),
+    };
+    let permits = Permits::new(links.clone(), held);
+    let claims = Claims::new(links, tries, settings.outage.keyed_requests);
     let retries = RetryBudgetConfig {
         ratio: settings.limits.retry_budget_ratio,
         ..RetryBudgetConfig::default()
--- a/crates/chervilshunt_daemon/src/traffic/claims.rs
+++ b/crates/chervilshunt_daemon/src/traffic/claims.rs
@@ -6,17 +6,15 @@
 use bytes::Bytes;
 use chervilshunt_config::KeyedDuringOutage;
 use chervilshunt_coord::{ClaimAnswer, ClaimKey, ClaimOutcome, ClaimRequest, Holder};
-use chervilshunt_mesh::{Mesh, Peer};
-use chervilshunt_model::{AttemptId, InstanceId};
+use chervilshunt_model::AttemptId;
 use tokio::sync::oneshot;
-use xtra::prelude::*;
 use xxhash_rust::xxh3::Xxh3;
 
 use super::caller::CallerRequest;
+use super::links::Links;
 use super::problem::{Problem, Reason};
-use crate::control::{AskClaim, CLAIM_SHARDS, ClaimReply, Control, EndClaim};
+use crate::control::{AskClaim, CLAIM_SHARDS, ClaimReply, EndClaim};
 use crate::keyed::KeyedTries;
-use crate::routing::SharedRouting;
 use crate::wire::{ClaimEnded, PeerMessage};
 
 /// How long a keeper may take to answer; it answers by itself in less.
@@ -39,36 +37,21 @@
 
 #[derive(Debug)]
 struct Inner {
-    me: InstanceId,
-    control: Address<Control>,
-    mesh: Mesh<PeerMessage>,
-    routing: SharedRouting,
+    links: Links,
     tries: KeyedTries,
     in_outage: KeyedDuringOutage,
-    runtime: tokio::runtime::Handle,
 }
 
 impl Claims {
-    /// Makes the handle that all requests share; claims end on the present runtime.
-    pub(crate) fn new(
-        me: InstanceId,
-        control: Address<Control>,
-        mesh: Mesh<PeerMessage>,
-        routing: SharedRouting,
-        tries: KeyedTries,
-        in_outage: KeyedDuringOutage,
-    ) -> Self {
-        let runtime = tokio::runtime::Handle::current();
+    /// Makes the handle that all requests share.
+    pub(crate) fn new(links: Links, tries: KeyedTries, in_outage: KeyedDuringOutage) -> Self {
+        let inner = Inner {
+            links,
+            tries,
+            in_outage,
+        };
         Self {
-            inner: Arc::new(Inner {
-                me,
-                control,
-                mesh,
-                routing,
-                tries,
-                in_outage,
-                runtime,
-            }),
+            inner: Arc::new(inner),
         }
     }
 
@@ -110,9 +93,9 @@
         fingerprint: u64,
         attempt: AttemptId,
     ) -> Option<ClaimAnswer> {
-        let routing = self.inner.routing.get();
+        let routing = self.inner.links.routing.get();
         let incarnation = routing.incarnation?;
-        let entry = Holder::new(self.inner.me.clone(), incarnation);
+        let entry = Holder::new(self.inner.links.me.clone(), incarnation);
         let req = ClaimRequest {
             key,
             fingerprint,
@@ -120,31 +103,29 @@
             entry,
         };
         let keeper = routing.claim_keepers.get(&key.shard(CLAIM_SHARDS))?;
-        if *keeper == self.inner.me {
+        if *keeper == self.inner.links.me {
             let (tx, rx) = oneshot::channel();
             let ask = AskClaim {
                 req,
                 reply: ClaimReply::Local(tx),
             };
-            self.inner.control.send(ask).await.ok()?;
+            self.inner.links.control.send(ask).await.ok()?;
             return tokio::time::timeout(KEEPER_TIMEOUT, rx).await.ok()?.ok();
         }
-        let peer = self.peer(keeper)?;
+        let peer = self.inner.links.peer(keeper)?;
         let asked = PeerMessage::ClaimAsked(req);
-        match self.inner.mesh.request(&peer, asked, KEEPER_TIMEOUT).await {
+        match self
+            .inner
+            .links
+            .mesh
+            .request(&peer, asked, KEEPER_TIMEOUT)
+            .await
+        {
             Ok(PeerMessage::ClaimAnswered(answer)) => Some(answer),
             Ok(_) | Err(_) => None,
         }
     }
 
-    fn peer(&self, instance: &InstanceId) -> Option<Peer> {
-        let address = *self.inner.routing.get().peers.get(instance)?;
-        Some(Peer {
-            instance: instance.clone(),
-            address,
-        })
-    }
-
     /// Tells the keeper how a claimed try ended.
     async fn end(&self, ended: ClaimEnded) {
         for _ in 0..END_TRIES {
@@ -156,24 +137,26 @@
     }
 
     async fn try_end(&self, ended: &ClaimEnded) -> bool {
-        let routing = self.inner.routing.get();
+        let routing = self.inner.links.routing.get();
         let Some(keeper) = routing.claim_keepers.get(&ended.key.shard(CLAIM_SHARDS)) else {
             return false;
         };
-        if *keeper == self.inner.me {
+        if *keeper == self.inner.links.me {
             return self
                 .inner
+                .links
                 .control
                 .send(EndClaim(ended.clone()))
                 .await
                 .unwrap_or(false);
         }
-        let Some(peer) = self.peer(keeper) else {
+        let Some(peer) = self.inner.links.peer(keeper) else {
             return false;
         };
         let message = PeerMessage::ClaimEnded(ended.clone());
         let answer = self
             .inner
+            .links
             .mesh
             .request(&peer, message, KEEPER_TIMEOUT)
             .await;
@@ -239,6 +222,7 @@
         let claims = self.claims.clone();
         self.claims
             .inner
+            .links
             .runtime
             .spawn(async move { claims.end(ended).await });
     }
--- a/crates/chervilshunt_daemon/src/traffic/permits.rs
+++ b/crates/chervilshunt_daemon/src/traffic/permits.rs
@@ -6,14 +6,13 @@
 use chervilshunt_core::{
     Permit, PermitAnswer, PermitRequest, RefusalReason, ReleaseOutcome, ReleasedPermit,
 };
-use chervilshunt_mesh::{Mesh, Peer, RequestError};
-use chervilshunt_model::{AttemptId, InstanceId, TargetName};
+use chervilshunt_mesh::RequestError;
+use chervilshunt_model::{AttemptId, TargetName};
 use tokio::sync::oneshot;
-use xtra::prelude::*;
 
 use super::held::HeldPermits;
-use crate::control::{AskPermit, Control, PermitReply, ReleasePermit};
-use crate::routing::SharedRouting;
+use super::links::Links;
+use crate::control::{AskPermit, PermitReply, ReleasePermit};
 use crate::wire::PeerMessage;
 
 /// Tries to give a permit back before leaving it to the owner to ask.
@@ -46,33 +45,15 @@
 
 #[derive(Debug)]
 struct Inner {
-    me: InstanceId,
-    control: Address<Control>,
-    mesh: Mesh<PeerMessage>,
-    routing: SharedRouting,
+    links: Links,
     held: HeldPermits,
-    runtime: tokio::runtime::Handle,
 }
 
 impl Permits {
-    /// Makes the handle that all requests share; releases run on the present runtime.
-    pub(crate) fn new(
-        me: InstanceId,
-        control: Address<Control>,
-        mesh: Mesh<PeerMessage>,
-        routing: SharedRouting,
-        held: HeldPermits,
-    ) -> Self {
-        let runtime = tokio::runtime::Handle::current();
+    /// Makes the handle that all requests share.
+    pub(crate) fn new(links: Links, held: HeldPermits) -> Self {
         Self {
-            inner: Arc::new(Inner {
-                me,
-                control,
-                mesh,
-                routing,
-                held,
-                runtime,
-            }),
+            inner: Arc::new(Inner { links, held }),
         }
     }
 
@@ -111,32 +92,30 @@
         req: PermitRequest,
         deadline: Instant,
     ) -> Result<PermitAnswer, Unreached> {
-        let routing = self.inner.routing.get();
+        let routing = self.inner.links.routing.get();
         let owner = routing
             .owners
             .get(&req.target)
             .ok_or(Unreached::NeverSeen)?;
-        if *owner == self.inner.me {
+        if *owner == self.inner.links.me {
             let (tx, rx) = oneshot::channel();
             let ask = AskPermit {
                 req,
                 reply: PermitReply::Local(tx),
             };
             self.inner
+                .links
                 .control
                 .send(ask)
                 .await
                 .map_err(|_closed| Unreached::NeverSeen)?;
             return rx.await.map_err(|_dropped| Unreached::MaybeSeen);
         }
-        let address = *routing.peers.get(owner).ok_or(Unreached::NeverSeen)?;
-        let peer = Peer {
-            instance: owner.clone(),
-            address,
-        };
+        let peer = self.inner.links.peer(owner).ok_or(Unreached::NeverSeen)?;
         let timeout = deadline.saturating_duration_since(Instant::now());
         match self
             .inner
+            .links
             .mesh
             .request(&peer, PeerMessage::PermitAsked(req), timeout)
             .await
@@ -152,6 +131,7 @@
     fn release(&self, released: ReleasedPermit) {
         let permits = self.clone();
         self.inner
+            .links
             .runtime
             .spawn(async move { permits.release_now(released).await });
     }
@@ -172,28 +152,26 @@
     }
 
     async fn try_release(&self, released: &ReleasedPermit) -> bool {
-        let routing = self.inner.routing.get();
+        let routing = self.inner.links.routing.get();
         let Some(owner) = routing.owners.get(&released.target) else {
             return false;
         };
-        if *owner == self.inner.me {
+        if *owner == self.inner.links.me {
             let sent = self
                 .inner
+                .links
                 .control
                 .send(ReleasePermit(released.clone()))
                 .await;
             return sent.unwrap_or(false);
         }
-        let Some(address) = routing.peers.get(owner) else {
+        let Some(peer) = self.inner.links.peer(owner) else {
             return false;
         };
-        let peer = Peer {
-            instance: owner.clone(),
-            address: *address,
-        };
         let message = PeerMessage::PermitReleased(released.clone());
         let answer: Result<PeerMessage, RequestError> = self
             .inner
+            .links
             .mesh
             .request(&peer, message, RELEASE_TIMEOUT)
             .await;
