Bound what deferrable work takes from live work: slots, turns and reserved seats

In a flood all deferrable requests were old, so they competed with live ones for turns and seats, and pinned slot after slot for as long as their answers took. They now take a quarter of the slots at most, and beside waiting live work one turn in ten and one seat in sixteen.

--- a/crates/chervilshunt_core/src/owner/loading.rs
+++ b/crates/chervilshunt_core/src/owner/loading.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use chervilshunt_model::{AdapterVersion, AttemptId, Class, Moment};
+use indexmap::IndexMap;
 
 use super::Owner;
 use super::action::OwnerAction;
@@ -10,8 +11,8 @@
 use super::order::{LoadUrgency, OrderId, OrderKind};
 use super::slots::Moving;
 use super::tuning::{
-    AHEAD_DEMAND, AHEAD_PAUSE, MAX_ASKED_TURNS, OVERTAKEN_PART, OVERTAKEN_WAIT, PARKED_REVIEW,
-    TURN_RENEWAL,
+    AHEAD_DEMAND, AHEAD_PAUSE, DEFERRABLE_SLOT_PART, MAX_ASKED_TURNS, OVERTAKEN_PART,
+    OVERTAKEN_WAIT, PARKED_REVIEW, TURN_RENEWAL,
 };
 use crate::{DecisionKind, RefusalReason};
 
@@ -344,10 +345,17 @@
             0
         };
         let victim = self.victim(now);
+        let mut deferrable = self.deferrable_slots();
         for (urgency, model) in parked {
             if asked >= MAX_ASKED_TURNS {
                 return;
             }
+            if urgency.class == Some(Class::Deferrable) {
+                if deferrable >= self.most_deferrable_slots() {
+                    continue;
+                }
+                deferrable += 1;
+            }
             if asked < free {
                 asked += 1;
                 self.ask_turn(&model, now, out);
@@ -365,6 +373,29 @@
         }
     }
 
+    /// Returns the slots that serve deferrable work alone, or are about to.
+    ///
+    /// A flood of deferrable work over many adapters would otherwise pin slot after slot for as
+    /// long as its answers take, and live requests would wait for a slot to be let go.
+    fn deferrable_slots(&self) -> usize {
+        let mut live: IndexMap<&AdapterVersion, bool> = IndexMap::new();
+        for permit in self.permits.iter().map(|held| &held.permit) {
+            if let Some(model) = &permit.model {
+                *live.entry(model).or_insert(false) |= permit.class == Class::Live;
+            }
+        }
+        let pinned = live.values().filter(|live| !**live).count();
+        let loads = self.loads.iter().filter(|(model, load)| {
+            let under_way = !matches!(load.phase, Phase::Parked | Phase::Backoff { .. });
+            under_way && self.queue.lane_blocked_on(model) == Some(Class::Deferrable)
+        });
+        pinned + loads.count()
+    }
+
+    fn most_deferrable_slots(&self) -> usize {
+        (self.cfg.slots as usize / DEFERRABLE_SLOT_PART).max(1)
+    }
+
     /// Retires one adapter for loads that find all slots pinned, unless enough are retiring.
     fn make_room_in_time(&mut self, urgency: &LoadUrgency, wanted: usize, now: Moment) {
         let retiring = self
--- a/crates/chervilshunt_core/src/owner/queue.rs
+++ b/crates/chervilshunt_core/src/owner/queue.rs
@@ -194,6 +194,15 @@
         Some(urgency)
     }
 
+    /// Returns the most urgent class of the requests that wait for an adapter to be loaded.
+    pub(super) fn lane_blocked_on(&self, model: &AdapterVersion) -> Option<Class> {
+        let waiting = self.blocked_on(model).iter();
+        waiting
+            .filter_map(|attempt| self.waiting.get(attempt))
+            .map(|it| it.lane)
+            .min()
+    }
+
     /// Lets the requests for an adapter that has been loaded wait for nothing but room.
     pub(super) fn unblock(&mut self, model: &AdapterVersion) {
         for attempt in self.blocked.swap_remove(model).unwrap_or_default() {
--- a/crates/chervilshunt_core/src/owner/tuning.rs
+++ b/crates/chervilshunt_core/src/owner/tuning.rs
@@ -64,6 +64,9 @@
 /// newer ones overtake.
 pub(super) const OVERTAKEN_PART: u64 = 4;
 
+/// Part of the slots, one in so many, that deferrable work alone may take.
+pub(super) const DEFERRABLE_SLOT_PART: usize = 4;
+
 /// Time between two looks at the loads that wait for a slot worth giving up.
 pub(super) const PARKED_REVIEW: Duration = Duration::from_millis(500);
 
@@ -102,7 +105,7 @@
 pub(super) const DEFERRABLE_AGE: Duration = Duration::from_secs(120);
 
 /// Live permits granted between two for deferrable requests of that age.
-pub(super) const LIVE_PER_AGED: u32 = 3;
+pub(super) const LIVE_PER_AGED: u32 = 15;
 
 /// Longest time that deferrable requests are held back from an idle engine to fill a batch.
 pub(super) const FILL_HOLD: Duration = Duration::from_secs(5);
--- a/crates/chervilshunt_core/src/scheduler.rs
+++ b/crates/chervilshunt_core/src/scheduler.rs
@@ -18,8 +18,14 @@
 /// Urgency of live waiters and their seconds while the store is overloaded.
 const OVERLOAD_URGENCY: (f64, f64) = (10.0, -0.3);
 
-/// The same for deferrable waiters.
-const DEFERRABLE_URGENCY: (f64, f64) = (0.1, 0.1);
+/// Urgency of each deferrable waiter, and of each second that the oldest has waited.
+const DEFERRABLE_URGENCY: (f64, f64) = (1.0, 1.0);
+
+/// Age from which deferrable loads get a share of the turns while live ones wait.
+const DEFERRABLE_AGE: Duration = Duration::from_secs(60);
+
+/// That share, as one turn in so many.
+const DEFERRABLE_SHARE: u32 = 10;
 
 /// Load times for which the load of an owner that lost its role is taken to go on.
 const ORPHAN_LOAD_TIMES: u32 = 3;
@@ -120,6 +126,7 @@
     /// When a load that waits may begin for the store's rate.
     next_token: Option<Moment>,
     asked: u64,
+    live_in_a_row: u32,
 }
 
 /// A turn: the target that loads, and its owner's id.
@@ -138,6 +145,13 @@
     until: Moment,
 }
 
+impl Waiting {
+    /// Returns how long the oldest request has waited.
+    fn age(&self, now: Moment) -> Duration {
+        Duration::from_millis(self.urgency.oldest_ms) + now.since(self.told)
+    }
+}
+
 impl LoadScheduler {
     /// Starts with no load in progress.
     pub fn new(cfg: SchedulerConfig, now: Moment) -> Self {
@@ -148,6 +162,7 @@
             tokens: TokenBucket::new(cfg.loads_per_second, bucket_size(&cfg), now),
             next_token: None,
             asked: 0,
+            live_in_a_row: 0,
             cfg,
         }
     }
@@ -259,41 +274,64 @@
                 self.next_token = next;
                 return;
             }
-            self.waiting.swap_remove(&turn);
+            let waiting = self.waiting.swap_remove(&turn);
+            self.count_turn(waiting.and_then(|it| it.urgency.class));
             let running = self.new_running(now);
             self.running.insert(turn.clone(), running);
             out.push(self.grant_action(turn));
         }
     }
 
+    fn count_turn(&mut self, class: Option<Class>) {
+        match class {
+            Some(Class::Live) => self.live_in_a_row = self.live_in_a_row.saturating_add(1),
+            Some(Class::Deferrable) => self.live_in_a_row = 0,
+            None => {}
+        }
+    }
+
     fn most_urgent(&self, now: Moment) -> Option<Turn> {
         let overload = self.queue_wait() >= OVERLOAD;
         let score = |waiting: &Waiting| self.score(waiting, overload, now);
         let best = self.waiting.iter().max_by(|(_, left), (_, right)| {
-            let by_score = score(left).total_cmp(&score(right));
+            let by_rank = self.rank(left, now).cmp(&self.rank(right, now));
+            let by_score = by_rank.then(score(left).total_cmp(&score(right)));
             by_score.then(right.arrival.cmp(&left.arrival))
         });
         best.map(|(turn, _)| turn.clone())
     }
 
+    /// Returns whose turn it is: live loads go first, but deferrable ones get a small share of the
+    /// turns, so that they wait long rather than for ever.
+    fn rank(&self, waiting: &Waiting, now: Moment) -> u8 {
+        if !self.cfg.mechanisms.urgency {
+            return 0;
+        }
+        let due = self.live_in_a_row >= DEFERRABLE_SHARE && waiting.age(now) >= DEFERRABLE_AGE;
+        match waiting.urgency.class {
+            Some(Class::Live) => 2,
+            Some(Class::Deferrable) if due => 3,
+            Some(Class::Deferrable) => 1,
+            None => 0,
+        }
+    }
+
     /// Returns how urgent a turn is: the waiting that it ends, with an allowance for age.
     ///
     /// All loads take alike, so the sum of waiting is least when the load with most waiters goes
-    /// first. Age keeps a load with one waiter from being overtaken for ever, and lifts deferrable
-    /// ones over live ones in the end.
+    /// first. Age keeps a load with one waiter from being overtaken for ever.
     fn score(&self, waiting: &Waiting, overload: bool, now: Moment) -> f64 {
         if !self.cfg.mechanisms.urgency {
             return 0.0;
         }
         let told = &waiting.urgency;
-        let age = Duration::from_millis(told.oldest_ms) + now.since(waiting.told);
         let (waiter, second) = match told.class {
             Some(Class::Live) if overload => OVERLOAD_URGENCY,
             Some(Class::Live) => LIVE_URGENCY,
             Some(Class::Deferrable) => DEFERRABLE_URGENCY,
-            None => return -1.0,
+            None => return 0.0,
         };
-        waiter * f64::from(told.waiters) + second * age.as_secs_f64()
+        waiter * f64::from(told.waiters) + second * waiting.age(now).as_secs_f64()
     }
 
     fn new_running(&self, now: Moment) -> Running {
