Charge a failed load for what it drew from the store

A load that fails halfway took a whole token of the store's rate, so that with half of the loads failing the store idled a quarter of the time.

--- a/crates/chervilshunt_core/src/permit.rs
+++ b/crates/chervilshunt_core/src/permit.rs
@@ -72,7 +72,11 @@
         /// The permit.
         #[serde(rename = "p")]
         permit: Permit,
-        /// Targets, best first, over which the adapter is spread now; a hint for later requests.
+        /// Targets over which the adapter is spread now; a hint for later requests.
+        ///
+        /// The first is the one to ask next time, for a few seconds: the first-ranked target, or
+        /// the one that stands in for it. Asking the others directly would hide demand from the
+        /// owner that decides how far the adapter is spread.
         #[serde(rename = "s")]
         spread: SmallVec<[TargetName; 4]>,
     },
--- a/crates/chervilshunt_core/src/scheduler.rs
+++ b/crates/chervilshunt_core/src/scheduler.rs
@@ -246,11 +246,18 @@
         };
         match result {
             TurnResult::Loaded => self.load_time.add(now.since(running.since)),
-            TurnResult::Failed => {}
+            TurnResult::Failed => self.tokens.deposit(self.unused(running, now), now),
             TurnResult::Withdrawn => self.tokens.deposit(1.0, now),
         }
     }
 
+    /// Returns the part of a load that one which failed early did not draw from the store.
+    fn unused(&self, running: Running, now: Moment) -> f64 {
+        let whole = load_time_at(&self.cfg).as_secs_f64();
+        let used = now.since(running.since).as_secs_f64() / whole.max(f64::MIN_POSITIVE);
+        (1.0 - used).max(0.0)
+    }
+
     /// Forgets what an earlier owner asked for.
     ///
     /// A load that it has under way may still be drawing on the store, so its turn goes on for as
