Search all interleavings of a change with a newcomer, and of a role that changes hands

Two seeded bugs were caught by no check: work taken while a change is undecided, and a newcomer that reads the head before its lease exists. Both need several things to coincide, which random steps seldom do. A small world of a proposer, a worker and a newcomer is searched whole instead: 106,445 states within 16 steps, 490,660 within 18. It catches both, and two that random steps catch as well. A second world, in which a role is handed over while its holder's lease ends, has 114,392 states within 23 steps and catches orders given after the role was released.

--- a/crates/chervilshunt_coord/src/bugs.rs
+++ b/crates/chervilshunt_coord/src/bugs.rs
@@ -16,6 +16,8 @@
     LapseNotMarked,
     /// A role changes hands without a higher epoch.
     EpochNotRaised,
+    /// A holder that has handed a role over gives orders until the assignment says so.
+    OrdersAfterRelease,
     /// The head moves before all live instances have acknowledged.
     HeadMovedBeforeAcks,
     /// A head with a lower generation than one seen before is taken.
--- a/crates/chervilshunt_coord/src/roles/table.rs
+++ b/crates/chervilshunt_coord/src/roles/table.rs
@@ -270,9 +270,11 @@
     ///
     /// The caller has to look at its lease as well: this says only who holds the role.
     pub fn may_order(&self, role: &Role, now: Moment) -> Option<Epoch> {
+        let released =
+            |held: &Held| held.stage == Stage::Released && !self.bugs.has(Bug::OrdersAfterRelease);
         self.held
             .get(role)
-            .filter(|held| held.stage != Stage::Released && now >= held.orders_from)
+            .filter(|held| !released(held) && now >= held.orders_from)
             .map(|held| held.epoch)
     }
 
--- a/crates/chervilshunt_coord/src/tests.rs
+++ b/crates/chervilshunt_coord/src/tests.rs
@@ -2,8 +2,10 @@
 
 mod claims;
 mod explore;
+mod explore_config;
 mod explore_hold;
 mod explore_lease;
+mod explore_roles;
 mod fleet;
 mod outage;
 mod platform;
