Protect recently used adapters only while popularity moves

A queue of loads alone made evictions go by recency. Recency evicts worse where popularity stays, so a store that was merely short got a longer queue from it. The owner now compares the requests that find their adapter loaded with what the rates of the loaded adapters promised; the queue protects only as far as that promise is broken.

--- a/crates/chervilshunt_bench/src/policy/entry.rs
+++ b/crates/chervilshunt_bench/src/policy/entry.rs
@@ -8,7 +8,6 @@
     rank_targets,
 };
 use chervilshunt_model::{AttemptId, CallerName, Class, Moment, TargetName};
-use smallvec::SmallVec;
 
 use super::core_policy::{CoreEvent, Names};
 use super::deployment::Sizes;
@@ -51,7 +50,8 @@
 
 struct Hint {
     at: Moment,
-    spread: SmallVec<[usize; 4]>,
+    /// The first target of the spread, whose owner is to see all demand for the adapter.
+    home: usize,
 }
 
 /// The try of a request that is under way.
@@ -231,12 +231,8 @@
             return world.sizes.engines + request as usize % world.sizes.plain_targets;
         };
         let hint = self.hints.get(&(req.entry, adapter));
-        match hint {
-            Some(hint) if world.now.since(hint.at) < HINT_LIFETIME && hint.spread.len() > 1 => {
-                hint.spread[req.prefix as usize % hint.spread.len()]
-            }
-            _ => self.ranks[adapter as usize][0],
-        }
+        let fresh = hint.filter(|hint| world.now.since(hint.at) < HINT_LIFETIME);
+        fresh.map_or(self.ranks[adapter as usize][0], |hint| hint.home)
     }
 
     fn ask(&self, world: &mut World<CoreEvent>, names: &Names, request: u32) {
@@ -297,10 +293,10 @@
         spread: &[TargetName],
     ) {
         let req = world.req(request);
-        if let Some(adapter) = req.adapter {
+        if let (Some(adapter), Some(home)) = (req.adapter, spread.first()) {
             let hint = Hint {
                 at: world.now,
-                spread: spread.iter().map(|name| names.target(name)).collect(),
+                home: names.target(home),
             };
             self.hints.insert((req.entry, adapter), hint);
         }
--- a/crates/chervilshunt_core/src/owner.rs
+++ b/crates/chervilshunt_core/src/owner.rs
@@ -101,7 +101,7 @@
             slots: Slots::new(cfg.slots),
             loads: Loads::new(first_order, now),
             orders: IndexMap::new(),
-            demand: demand::DemandTable::default(),
+            demand: demand::DemandTable::new(now),
             evicted: IndexSet::new(),
             spread: Spread::new(&cfg.target, &cfg.peers),
             engine: EngineView::new(cfg.slots > 0),
--- a/crates/chervilshunt_core/src/owner/admit.rs
+++ b/crates/chervilshunt_core/src/owner/admit.rs
@@ -33,7 +33,8 @@
             return;
         }
         if let Some(model) = &req.model {
-            self.demand.count(model, req.class, now);
+            let loaded = self.slots.serves(model);
+            self.demand.count(model, req.class, loaded, now);
             if self.is_wide(model) {
                 self.update_spread(model, now);
             }
--- a/crates/chervilshunt_core/src/owner/demand.rs
+++ b/crates/chervilshunt_core/src/owner/demand.rs
@@ -4,7 +4,8 @@
 use indexmap::IndexMap;
 
 use super::tuning::{
-    DEFERRABLE_DEMAND, DEMAND_HALF_LIFE, KNOWN_ADAPTERS, SLEEP_RATE, SURGE_HALF_LIFE,
+    DEFERRABLE_DEMAND, DEMAND_HALF_LIFE, FOUND_HALF_LIFE, KNOWN_ADAPTERS, SLEEP_RATE,
+    SURGE_HALF_LIFE,
 };
 use crate::decay::DecayedRate;
 
@@ -41,12 +42,30 @@
 #[derive(Debug, Default)]
 pub(super) struct DemandTable {
     known: IndexMap<AdapterVersion, Demand>,
+    /// Since when requests have been counted.
+    since: Moment,
+    /// Requests of late that found their adapter loaded, weighted as in the demand.
+    found: DecayedRate,
     hand: usize,
 }
 
 impl DemandTable {
+    /// Starts to count.
+    pub(super) fn new(now: Moment) -> Self {
+        Self {
+            since: now,
+            ..Self::default()
+        }
+    }
+
     /// Counts a request.
-    pub(super) fn count(&mut self, model: &AdapterVersion, class: Class, now: Moment) {
+    pub(super) fn count(
+        &mut self,
+        model: &AdapterVersion,
+        class: Class,
+        loaded: bool,
+        now: Moment,
+    ) {
         if !self.known.contains_key(model) {
             self.make_room(now);
             self.known.insert(model.clone(), Demand::default());
@@ -59,6 +78,9 @@
             Class::Deferrable => DEFERRABLE_DEMAND,
         };
         demand.lasting.add(weight, DEMAND_HALF_LIFE, now);
+        if loaded {
+            self.found.add(weight, FOUND_HALF_LIFE, now);
+        }
         demand.surge.add(1.0, SURGE_HALF_LIFE, now);
     }
 
@@ -69,6 +91,25 @@
         demand.map_or(0.0, |it| it.lasting_rate(now))
     }
 
+    /// Returns the part of the demand promised by `loaded` adapters that came true of late.
+    pub(super) fn kept_promise<'a>(
+        &self,
+        loaded: impl Iterator<Item = &'a AdapterVersion>,
+        now: Moment,
+    ) -> f64 {
+        let rates = loaded.filter_map(|model| self.known.get(model));
+        let promised: f64 = rates
+            .map(|it| it.lasting.per_second(DEMAND_HALF_LIFE, now))
+            .sum();
+        // Rates counted for less than their memory are too low by what lies before the count.
+        let counted = now.since(self.since).as_secs_f64() / DEMAND_HALF_LIFE.as_secs_f64();
+        let promised = promised / (1.0 - (-counted).exp2()).max(f64::MIN_POSITIVE);
+        if promised <= 0.0 {
+            return 1.0;
+        }
+        self.found.per_second(FOUND_HALF_LIFE, now) / promised
+    }
+
     /// Returns the requests a second of the last seconds.
     pub(super) fn surge(&self, model: &AdapterVersion, now: Moment) -> f64 {
         let demand = self.known.get(model);
--- a/crates/chervilshunt_core/src/owner/evict.rs
+++ b/crates/chervilshunt_core/src/owner/evict.rs
@@ -16,11 +16,17 @@
 /// Waiting time of deferrable requests, summed, that makes up for a second of expected stall.
 const PATIENCE: f64 = 30.0;
 
-/// Wait for a turn to load at which all slots would be protected for their recent use, in seconds.
-const PROTECT_WAIT: f64 = 1.5;
+/// Part of the demand promised by the loaded adapters below which popularity may have moved.
+const USUAL_PROMISE: f64 = 1.05;
+
+/// How fast that becomes certain as the part that comes true falls: at 0.88 it is.
+const MOVED_GAIN: f64 = 6.0;
+
+/// Wait for a turn to load at which as many slots are protected as ever, in seconds.
+const PROTECT_WAIT: f64 = 1.0;
 
 /// Part of the slots that is protected at most.
-const PROTECT_MOST: f64 = 0.7;
+const PROTECT_MOST: f64 = 0.9;
 
 /// The adapter that makes room most cheaply.
 #[derive(Clone, Debug, PartialEq)]
@@ -68,10 +74,12 @@
 
     /// Returns the idle adapters without those used most recently, as many as are protected.
     ///
-    /// The longer loads wait for their turn, the more are protected. When popularity moves, an
-    /// adapter that has just been loaded has shown little demand yet, and
+    /// When popularity moves, an adapter that has just been loaded has shown little demand yet, and
     /// would be the next to go; its next request would find it gone, and the same adapters would
-    /// be loaded again and again just when loads are short.
+    /// be loaded again and again just when loads are short. So the longer loads wait for their
+    /// turn, the more are protected, but only while the loaded adapters are asked for less than
+    /// their past promised: recency evicts worse than demand where popularity stays, and a queue
+    /// of loads that made evictions worse would feed itself.
     fn candidates(&self, now: Moment) -> impl Iterator<Item = (&AdapterVersion, &IdleSlot)> {
         let mut idle: Vec<(&AdapterVersion, &IdleSlot)> = self.slots.idle().collect();
         let protected = self.protected_part(now) * f64::from(self.cfg.slots);
@@ -88,8 +96,12 @@
         if !self.cfg.mechanisms.cost_eviction {
             return 0.0;
         }
+        let pinned = self.slots.pinned().map(|(model, _)| model);
+        let loaded = self.slots.idle().map(|(model, _)| model).chain(pinned);
+        let short = USUAL_PROMISE - self.demand.kept_promise(loaded, now);
+        let moved = (short * MOVED_GAIN).clamp(0.0, 1.0);
         let wait = self.loads.queue_wait(now).as_secs_f64();
-        (wait / PROTECT_WAIT).min(PROTECT_MOST)
+        moved * (wait / PROTECT_WAIT).min(PROTECT_MOST)
     }
 
     fn cost(&self, model: &AdapterVersion, slot: &IdleSlot, now: Moment) -> f64 {
--- a/crates/chervilshunt_core/src/owner/tuning.rs
+++ b/crates/chervilshunt_core/src/owner/tuning.rs
@@ -12,6 +12,9 @@
 /// Rate at which busy adapters fall asleep, a second: once in half an hour.
 pub(super) const SLEEP_RATE: f64 = 1.0 / 3_600.0;
 
+/// Memory of the requests that found their adapter loaded: long enough for some dozens of them.
+pub(super) const FOUND_HALF_LIFE: Duration = Duration::from_secs(30);
+
 /// Memory of an adapter's demand for its spread, which has to follow a flood within seconds.
 pub(super) const SURGE_HALF_LIFE: Duration = Duration::from_secs(10);
 
