Let a young fleet take over from any instance, and notice a platform that hangs

Known since the tests with whole processes: a target stayed without an owner while its holder was paused or cut off, and instances stopped taking work when the platform hung and leases were short.

Causes, each shown first by a test of the state machines that failed: - The head's first elector is the instance that made it. Others were added only after 10 s, and a lease named the lone elector for two renewals more. With that one away nobody could vouch. Electors that are lacking are added at once now, only replacing one waits; a lease that names fewer than three is renewed at once until it names the new ones alone. - An elector promised nothing before a call had timed out, after a lease of 3 s was over. A call that has waited for as long as calls must have failed counts as failing now.

Ruled out: the vouching itself (the same cases pass when the fleet is 40 s old), and the shortened times (the first fault shows with the usual ones as well).

--- a/crates/chervilshunt_coord/src/coordinator.rs
+++ b/crates/chervilshunt_coord/src/coordinator.rs
@@ -362,6 +362,12 @@
             }
         }
         self.conclude(now, &mut actions);
+        if actions
+            .iter()
+            .any(|action| matches!(action, CoordAction::Platform(_)))
+        {
+            self.desk.note_begun(now);
+        }
         actions
     }
 
--- a/crates/chervilshunt_coord/src/coordinator/electors.rs
+++ b/crates/chervilshunt_coord/src/coordinator/electors.rs
@@ -13,12 +13,20 @@
 use crate::outage::choose_electors;
 use crate::platform::{CallId, Calls, Object, PlatformOp, PlatformResult, Purpose};
 
-/// How long other electors must have been wanted before they are written.
+/// How long an elector must have been gone before it is replaced.
 ///
 /// The instance list lags, and differently for each instance: without the wait, two that see
-/// different lists would undo each other's choice until all see the same.
+/// different lists would undo each other's choice until all see the same. Electors that are only
+/// lacking are added without the wait: a fleet that has just begun has one, and as long as that
+/// one alone can vouch, nobody can take over from it.
 const SETTLE: Duration = Duration::from_secs(10);
 
+/// With fewer electors than this, none may fail.
+///
+/// A lease that names them, as all do in a fleet that has just begun, is renewed at once when there
+/// are more; else it is left to the next renewals, as the whole fleet learns of it at once.
+const FEW_ELECTORS: usize = 3;
+
 /// How long an instance waits for each that comes before it to write the electors.
 const TURN: Duration = Duration::from_millis(500);
 
@@ -66,7 +74,11 @@
             return;
         };
         if self.lease.record().electorate != current.version {
-            let event = LeaseEvent::SetElectorate(current.version);
+            let named = head.electorate(self.lease.record().electorate);
+            let event = LeaseEvent::SetElectorate {
+                version: current.version,
+                at_once: named.is_some_and(|named| named.electors.len() < FEW_ELECTORS),
+            };
             return self.drive_lease(event, now, actions);
         }
         let may_write = self.lease_state == Some(LeaseState::Active)
@@ -93,7 +105,11 @@
         }
         let due = match &self.upkeep.wanted {
             Some((wanted, due)) if *wanted == electors => *due,
-            _ => now + SETTLE + self.turn_to_elect(),
+            _ => {
+                let only_added = present.iter().all(|elector| electors.contains(elector));
+                let settle = if only_added { Duration::ZERO } else { SETTLE };
+                now + settle + self.turn_to_elect()
+            }
         };
         if now < due {
             self.upkeep.wanted = Some((electors, due));
--- a/crates/chervilshunt_coord/src/lease/keeper.rs
+++ b/crates/chervilshunt_coord/src/lease/keeper.rs
@@ -44,8 +44,13 @@
     Reply(CallId, PlatformResult),
     /// The state is to be another from now on; the lease is renewed at once to say so.
     SetState(LeaseState),
-    /// The electorate is to be another from now on; the next renewal says so.
-    SetElectorate(u64),
+    /// The electorate is to be another from now on; the next renewals say so.
+    SetElectorate {
+        /// Its version.
+        version: u64,
+        /// Whether the lease is renewed at once, until it names no other electorate.
+        at_once: bool,
+    },
     /// The change that was written into the head at this generation is acknowledged; the lease is
     /// renewed at once to say so.
     Acknowledge(u64),
@@ -73,6 +78,7 @@
     at: Moment,
     state: LeaseState,
     electorate: u64,
+    electorate_before: u64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -100,6 +106,8 @@
     next_at: Moment,
     valid_until: Moment,
     confirmed_electorate: u64,
+    /// Whether the lease is renewed at once until it names one electorate alone.
+    hurries_electorate: bool,
     written_state: Option<LeaseState>,
     written_acknowledged: Option<u64>,
     lost: bool,
@@ -127,6 +135,7 @@
             version: None,
             in_flight: None,
             unsettled: Vec::new(),
+            hurries_electorate: false,
             must_read: false,
             next_at: now,
             valid_until: Moment::ZERO,
@@ -180,7 +189,13 @@
                 self.record.state = state;
                 self.hurry(now);
             }
-            LeaseEvent::SetElectorate(electorate) => self.record.electorate = electorate,
+            LeaseEvent::SetElectorate { version, at_once } => {
+                self.record.electorate = version;
+                if at_once {
+                    self.hurries_electorate = true;
+                    self.hurry(now);
+                }
+            }
             LeaseEvent::Acknowledge(generation) => {
                 self.record.acknowledged = Some(generation);
                 self.hurry(now);
@@ -229,6 +244,7 @@
             at: now,
             state: self.record.state,
             electorate: self.record.electorate,
+            electorate_before: self.record.electorate_before,
         };
         self.in_flight = Some(InFlight::Write {
             call: call.id,
@@ -356,7 +372,11 @@
             self.written_acknowledged = self.record.acknowledged;
         }
         actions.push(LeaseAction::Renewed(sent.state));
-        let says_all = self.written_state == Some(self.record.state)
+        let names_one = sent.electorate == self.record.electorate
+            && sent.electorate_before == self.record.electorate;
+        self.hurries_electorate &= !names_one;
+        let says_all = !self.hurries_electorate
+            && self.written_state == Some(self.record.state)
             && self.written_acknowledged == self.record.acknowledged;
         self.next_at = if says_all {
             sent.at + self.cfg.renew_every
--- a/crates/chervilshunt_coord/src/outage/elector.rs
+++ b/crates/chervilshunt_coord/src/outage/elector.rs
@@ -43,6 +43,8 @@
     promised_until: Moment,
     vouched_until: Moment,
     last_answer: Option<Moment>,
+    /// When the oldest call was made that has waited for an answer since the last one came.
+    waiting_since: Option<Moment>,
     failing_since: Option<Moment>,
     bugs: Bugs,
 }
@@ -56,6 +58,7 @@
             promised_until: Moment::ZERO,
             vouched_until: Moment::ZERO,
             last_answer: None,
+            waiting_since: None,
             failing_since: None,
             bugs: Bugs::NONE,
         }
@@ -67,20 +70,30 @@
         self.bugs = bugs;
     }
 
+    /// Takes note of a call to the platform that was made.
+    ///
+    /// A platform that hangs shows by calls that wait. Were it found out only when they time out,
+    /// that could come after a lease is over, and no promise could extend it any more.
+    pub fn note_begun(&mut self, now: Moment) {
+        self.waiting_since.get_or_insert(now);
+    }
+
     /// Takes note of a call to the platform that has ended.
     pub fn note_call(&mut self, answered: bool, now: Moment) {
         if answered {
             self.last_answer = Some(now);
+            self.waiting_since = None;
             self.failing_since = None;
         } else {
-            self.failing_since.get_or_insert(now);
+            let since = self.waiting_since.take().unwrap_or(now);
+            self.failing_since.get_or_insert(since);
         }
     }
 
     /// Returns whether the platform seems to have failed.
     pub fn is_failing(&self, now: Moment) -> bool {
-        self.failing_since
-            .is_some_and(|since| now.since(since) >= self.cfg.failing_for)
+        let since = self.failing_since.or(self.waiting_since);
+        since.is_some_and(|since| now.since(since) >= self.cfg.failing_for)
     }
 
     /// Promises not to vouch for a while; `None` if it can't.
@@ -98,6 +111,7 @@
     pub fn vouch(&mut self, now: Moment) -> Option<Duration> {
         let settled = now >= self.started_at + self.cfg.promise_for;
         let answered = self.failing_since.is_none()
+            && !self.is_failing(now)
             && self
                 .last_answer
                 .is_some_and(|at| now.since(at) <= self.cfg.answered_within);
--- a/crates/chervilshunt_coord/src/tests/outage.rs
+++ b/crates/chervilshunt_coord/src/tests/outage.rs
@@ -174,3 +174,51 @@
     let after: Vec<_> = ids.iter().map(|id| orders(&fleet, id.as_str())).collect();
     assert_eq!(before, after);
 }
+
+/// A fleet has just begun when one of its instances is paused, or loses the platform, for longer
+/// than its lease. Whichever it is, the other two are enough to take its roles over: were the
+/// instance that made the head still the only elector, nobody could vouch while that one is away.
+#[rstest]
+fn a_young_fleet_takes_over_from_any_of_three(
+    #[values("i0", "i1", "i2")] away: &str,
+    #[values(true, false)] paused: bool,
+) {
+    let mut fleet = fleet_of(3, 6);
+    fleet.run(Duration::from_secs(10));
+    let lost: Vec<_> = orders(&fleet, away).into_iter().collect();
+    assert!(!lost.is_empty(), "{away} holds no roles");
+    if paused {
+        fleet.pause(away);
+    } else {
+        cut_from_platform(&mut fleet, &[away]);
+    }
+    fleet.run(Duration::from_secs(35));
+    for (role, epoch) in lost {
+        let taken = fleet
+            .awake()
+            .any(|(_, node, now)| node.coordinator.may_order(&role, now) > Some(epoch));
+        assert!(taken, "{role} has no holder");
+    }
+}
+
+/// The platform hangs: calls get no answer, and time out only when a short lease has almost run
+/// out. Callers go on being served, as a call that has waited for long already tells that the
+/// platform fails.
+#[test]
+fn all_go_on_when_calls_time_out_later_than_the_lease() {
+    let mut fleet = Fleet::new(7, super::smoke::some_roles(9));
+    fleet.set_lease(Duration::from_secs(3));
+    for (number, zone) in super::smoke::ZONES.into_iter().enumerate() {
+        fleet.start(&format!("i{number}"), zone);
+    }
+    fleet.run(SETTLED);
+    cut_from_platform(&mut fleet, &["i0", "i1", "i2"]);
+    let stopped = std::cell::Cell::new(0);
+    fleet.run_checked(LONG, |fleet| {
+        let stops = fleet
+            .awake()
+            .filter(|(_, node, now)| !node.coordinator.may_take_work(*now));
+        stopped.set(stopped.get().max(stops.count()));
+    });
+    assert_eq!(stopped.get(), 0, "some instances stopped taking work");
+}
