--- a/crates/chervilshunt_core/src/decision.rs
+++ b/crates/chervilshunt_core/src/decision.rs
@@ -1,6 +1,8 @@
 //! Decisions as data, which the daemon renders as log lines.
 
-use chervilshunt_model::{AdapterVersion, AttemptId, TargetName};
+use std::time::Duration;
+
+use chervilshunt_model::{AdapterVersion, AttemptId, Class, TargetName};
 use serde::Serialize;
 use smallvec::SmallVec;
 
@@ -15,10 +17,25 @@
     pub model: Option<AdapterVersion>,
     /// The try that it was taken for.
     pub attempt: Option<AttemptId>,
+    /// The class of the request that it was taken for.
+    pub class: Option<Class>,
     /// Why, as a short fixed text.
     pub reason: &'static str,
     /// The other adapter versions that were weighed, best first, cut to a few.
     pub alternatives: SmallVec<[AdapterVersion; 2]>,
+    /// The targets that a request was sent on to, best first.
+    pub sent_on: SmallVec<[TargetName; 4]>,
+    /// How long the request had waited here.
+    pub waited: Waited,
+}
+
+/// How long a request waited at an owner, and for what.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Waited {
+    /// In all.
+    pub total: Duration,
+    /// For its adapter to be loaded: the load stall.
+    pub for_load: Duration,
 }
 
 /// What was decided.
@@ -40,3 +57,18 @@
     /// The share of power changed.
     Power,
 }
+
+impl DecisionKind {
+    /// Returns the name that logs and metrics use.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Grant => "grant",
+            Self::Queue => "queue",
+            Self::Redirect => "redirect",
+            Self::Refuse => "refuse",
+            Self::Load => "load",
+            Self::Evict => "evict",
+            Self::Power => "power",
+        }
+    }
+}
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -16,7 +16,7 @@
 mod weights;
 
 pub use allocator::{PowerAction, PowerAllocator, PowerConfig, PowerEvent};
-pub use decision::{Decision, DecisionKind};
+pub use decision::{Decision, DecisionKind, Waited};
 pub use mechanisms::Mechanisms;
 pub use owner::{
     AdapterState, AdapterView, EngineOrder, EngineReport, LoadUrgency, OrderFailure, OrderId,
--- a/crates/chervilshunt_core/src/owner.rs
+++ b/crates/chervilshunt_core/src/owner.rs
@@ -37,12 +37,12 @@
 pub use view::{AdapterState, AdapterView, OwnerView};
 
 use crate::decay::{DecayedLevel, DurationAverage};
-use crate::{Decision, DecisionKind, PermitRequest, RefusalReason};
+use crate::{Decision, DecisionKind, RefusalReason, Waited};
 use engine::EngineView;
 use loads::Loads;
 use permits::Permits;
 use power::PowerShare;
-use queue::Queue;
+use queue::{Asked, Queue};
 use settled::SettledAttempts;
 use slots::Slots;
 use spread::Spread;
@@ -275,22 +275,29 @@
         self.evicted.insert(model.clone());
     }
 
-    fn log_request(
+    /// Puts a decision about a request into words.
+    fn decision(&self, kind: DecisionKind, asked: &Asked, reason: &'static str) -> Decision {
+        Decision {
+            kind,
+            target: self.cfg.target.clone(),
+            model: asked.req.model.clone(),
+            attempt: Some(asked.req.attempt),
+            class: Some(asked.req.class),
+            reason,
+            alternatives: SmallVec::new(),
+            sent_on: SmallVec::new(),
+            waited: asked.waited,
+        }
+    }
+
+    fn log_asked(
         &self,
         kind: DecisionKind,
-        req: &PermitRequest,
+        asked: &Asked,
         reason: &'static str,
         out: &mut Vec<OwnerAction>,
     ) {
-        let decision = Decision {
-            kind,
-            target: self.cfg.target.clone(),
-            model: req.model.clone(),
-            attempt: Some(req.attempt),
-            reason,
-            alternatives: SmallVec::new(),
-        };
-        out.push(OwnerAction::Log(decision));
+        out.push(OwnerAction::Log(self.decision(kind, asked, reason)));
     }
 
     fn log_model(
@@ -318,8 +325,11 @@
             target: self.cfg.target.clone(),
             model,
             attempt,
+            class: None,
             reason,
             alternatives: alternative.into_iter().collect(),
+            sent_on: SmallVec::new(),
+            waited: Waited::default(),
         }));
     }
 }
--- a/crates/chervilshunt_core/src/owner/admit.rs
+++ b/crates/chervilshunt_core/src/owner/admit.rs
@@ -9,7 +9,7 @@
 use super::action::OwnerAction;
 use super::loads::Phase;
 use super::orders::load_tries;
-use super::queue::Waiting;
+use super::queue::{Asked, Waiting};
 use super::settled::Settlement;
 use super::tuning::{
     DEFERRABLE_AGE, FILL_HOLD, LIVE_LOAD_HALF_LIFE, LIVE_PER_AGED, MAX_CLOSED_HOPS, MAX_HOPS,
@@ -78,7 +78,7 @@
             let Some(waiting) = self.queue.take(attempt) else {
                 return;
             };
-            self.grant(waiting.req, reason, now, out);
+            self.grant(waiting.end(now), reason, now, out);
         }
     }
 
@@ -113,7 +113,7 @@
                 continue;
             }
             if let Some(waiting) = self.queue.remove(attempt) {
-                self.redirect(waiting.req, targets, "parked to save power", now, out);
+                self.redirect(waiting.end(now), targets, "parked to save power", now, out);
             }
         }
     }
@@ -127,7 +127,7 @@
         out: &mut Vec<OwnerAction>,
     ) {
         if let Some(waiting) = self.queue.remove(attempt) {
-            self.turn_away(waiting.req, reason, now, out);
+            self.turn_away(waiting.end(now), reason, now, out);
         }
     }
 
@@ -143,7 +143,7 @@
             return;
         };
         let retry_after = self.retry_after(&waiting.req, reason, now);
-        self.refuse(waiting.req, reason, retry_after, now, out);
+        self.refuse(waiting.end(now), reason, retry_after, now, out);
     }
 
     /// Returns the class under which a request is treated.
@@ -227,24 +227,26 @@
 
     fn turn_away(
         &mut self,
-        req: PermitRequest,
+        asked: impl Into<Asked>,
         reason: RefusalReason,
         now: Moment,
         out: &mut Vec<OwnerAction>,
     ) {
-        let targets = self.next_ranked(&req, MAX_CLOSED_HOPS);
+        let asked = asked.into();
+        let req = &asked.req;
+        let targets = self.next_ranked(req, MAX_CLOSED_HOPS);
         if !targets.is_empty() && reason != RefusalReason::NotOwner {
-            self.redirect(req, targets, reason.as_str(), now, out);
+            self.redirect(asked, targets, reason.as_str(), now, out);
             return;
         }
-        if reason == RefusalReason::TargetDown && self.stays_while_down(&req) {
+        if reason == RefusalReason::TargetDown && self.stays_while_down(req) {
             let lane = self.lane(req.class);
-            let waits_for_load = self.waits_for_load(&req);
-            self.enqueue(req, lane, waits_for_load, now, out);
+            let waits_for_load = self.waits_for_load(req);
+            self.enqueue(asked.req, lane, waits_for_load, now, out);
             return;
         }
-        let retry_after = self.retry_after(&req, reason, now);
-        self.refuse(req, reason, retry_after, now, out);
+        let retry_after = self.retry_after(req, reason, now);
+        self.refuse(asked, reason, retry_after, now, out);
     }
 
     /// Whether a request waits until the target is back, rather than fail.
@@ -365,7 +367,9 @@
         } else {
             "no room in the batch"
         };
-        self.log_request(DecisionKind::Queue, &req, reason, out);
+        let asked = Asked::from(req);
+        self.log_asked(DecisionKind::Queue, &asked, reason, out);
+        let req = asked.req;
         let model = req.model.clone();
         let fair = self.cfg.mechanisms.fairness;
         self.queue.push(req, lane, fair, waits_for_load, now);
@@ -443,11 +447,13 @@
 
     fn grant(
         &mut self,
-        req: PermitRequest,
+        asked: impl Into<Asked>,
         reason: &'static str,
         now: Moment,
         out: &mut Vec<OwnerAction>,
     ) {
+        let asked = asked.into();
+        let req = &asked.req;
         if let (true, Some(model)) = (self.slots.exist(), &req.model) {
             self.slots.pin(model, now);
         }
@@ -466,38 +472,43 @@
         };
         self.permits.insert(permit.clone(), now);
         self.permits_changed(now);
-        self.log_request(DecisionKind::Grant, &req, reason, out);
         let spread = self.spread_of(req.model.as_ref());
-        out.push(answer_to(&req, PermitAnswer::Granted { permit, spread }));
+        let answer = answer_to(req, PermitAnswer::Granted { permit, spread });
+        self.log_asked(DecisionKind::Grant, &asked, reason, out);
+        out.push(answer);
     }
 
     fn redirect(
         &mut self,
-        req: PermitRequest,
+        asked: impl Into<Asked>,
         targets: SmallVec<[TargetName; 4]>,
         reason: &'static str,
         now: Moment,
         out: &mut Vec<OwnerAction>,
     ) {
-        self.log_request(DecisionKind::Redirect, &req, reason, out);
-        self.settle(&req, PermitAnswer::Redirect { targets }, now, out);
+        let asked = asked.into();
+        let mut decision = self.decision(DecisionKind::Redirect, &asked, reason);
+        decision.sent_on.clone_from(&targets);
+        out.push(OwnerAction::Log(decision));
+        self.settle(&asked.req, PermitAnswer::Redirect { targets }, now, out);
     }
 
     fn refuse(
         &mut self,
-        req: PermitRequest,
+        asked: impl Into<Asked>,
         reason: RefusalReason,
         retry_after: Duration,
         now: Moment,
         out: &mut Vec<OwnerAction>,
     ) {
-        self.log_request(DecisionKind::Refuse, &req, reason.as_str(), out);
+        let asked = asked.into();
+        self.log_asked(DecisionKind::Refuse, &asked, reason.as_str(), out);
         let retry_after = retry_after.clamp(RETRY_AFTER.0, RETRY_AFTER.1);
         let answer = PermitAnswer::Refused {
             reason,
             retry_after_ms: u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
         };
-        self.settle(&req, answer, now, out);
+        self.settle(&asked.req, answer, now, out);
     }
 
     fn settle(
--- a/crates/chervilshunt_core/src/owner/loading.rs
+++ b/crates/chervilshunt_core/src/owner/loading.rs
@@ -53,7 +53,7 @@
         if self.loads.is_empty() || self.fenced {
             return;
         }
-        self.drop_unwanted(out);
+        self.drop_unwanted(now, out);
         self.end_backoffs(now);
         self.place_loads(now, out);
         self.renew_turns(now, out);
@@ -147,7 +147,7 @@
         self.engine.inventory_known && settled
     }
 
-    fn drop_unwanted(&mut self, out: &mut Vec<OwnerAction>) {
+    fn drop_unwanted(&mut self, now: Moment, out: &mut Vec<OwnerAction>) {
         let unwanted: Vec<AdapterVersion> = self
             .loads
             .iter()
@@ -161,7 +161,7 @@
         for model in unwanted {
             self.withdraw(&model, out);
         }
-        self.unretire_if_unneeded(out);
+        self.unretire_if_unneeded(now, out);
     }
 
     fn withdraw(&mut self, model: &AdapterVersion, out: &mut Vec<OwnerAction>) {
@@ -177,7 +177,7 @@
     }
 
     /// Lets retiring adapters serve again once nothing else needs their slots.
-    fn unretire_if_unneeded(&mut self, out: &mut Vec<OwnerAction>) {
+    fn unretire_if_unneeded(&mut self, now: Moment, out: &mut Vec<OwnerAction>) {
         if !self.slots.any_retiring() {
             return;
         }
@@ -186,7 +186,7 @@
             return;
         }
         for model in self.slots.unretire_all() {
-            self.model_available(&model, out);
+            self.model_available(&model, now, out);
         }
     }
 
--- a/crates/chervilshunt_core/src/owner/orders.rs
+++ b/crates/chervilshunt_core/src/owner/orders.rs
@@ -88,7 +88,7 @@
             self.remember_evicted(model);
         }
         for model in &change.found {
-            self.model_available(model, out);
+            self.model_available(model, now, out);
         }
         for model in &change.still_there {
             let order = self.loads.new_order();
@@ -115,8 +115,13 @@
     }
 
     /// Lets the requests for an adapter that is loaded from now on wait for room alone.
-    pub(super) fn model_available(&mut self, model: &AdapterVersion, out: &mut Vec<OwnerAction>) {
-        self.queue.unblock(model);
+    pub(super) fn model_available(
+        &mut self,
+        model: &AdapterVersion,
+        now: Moment,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        self.queue.unblock(model, now);
         self.evicted.swap_remove(model);
         let Some(load) = self.loads.remove(model) else {
             return;
@@ -131,7 +136,7 @@
 
     /// Lets the requests for an adapter that takes no permits any more wait for its load.
     pub(super) fn model_unavailable(&mut self, model: &AdapterVersion, now: Moment) {
-        if self.queue.block(model) {
+        if self.queue.block(model, now) {
             self.loads.want(model, false, now);
         }
     }
@@ -156,7 +161,7 @@
             Ok(()) => {
                 self.slots.loaded(model, now);
                 self.last_loaded = Some(now);
-                self.model_available(model, out);
+                self.model_available(model, now, out);
                 return;
             }
             Err(OrderFailure::Unknown) => self.slots.unanswered(model, Moving::MaybeLoaded, now),
--- a/crates/chervilshunt_core/src/owner/queue.rs
+++ b/crates/chervilshunt_core/src/owner/queue.rs
@@ -5,11 +5,12 @@
 //! pushes its own tags ahead and nobody else's.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use chervilshunt_model::{AdapterVersion, AttemptId, CallerName, Class, InstanceId, Moment};
 use indexmap::IndexMap;
 
-use crate::{LoadUrgency, PermitRequest};
+use crate::{LoadUrgency, PermitRequest, Waited};
 
 /// Prompt tokens that cost an engine as much as one generated token: a prompt is worked through
 /// in parallel, an answer token by token.
@@ -40,6 +41,50 @@
     tag: Tag,
     lane: Class,
     blocked: bool,
+    /// Since when it has been blocked or not.
+    relinked: Moment,
+    /// How long it was blocked before that.
+    was_blocked: Duration,
+}
+
+/// A request that is decided about, fresh or out of the queue.
+#[derive(Clone, Debug)]
+pub(super) struct Asked {
+    /// The request.
+    pub(super) req: PermitRequest,
+    /// How long it has waited.
+    pub(super) waited: Waited,
+}
+
+impl From<PermitRequest> for Asked {
+    fn from(req: PermitRequest) -> Self {
+        Self {
+            req,
+            waited: Waited::default(),
+        }
+    }
+}
+
+impl Waiting {
+    /// Ends the wait.
+    pub(super) fn end(self, now: Moment) -> Asked {
+        Asked {
+            waited: Waited {
+                total: now.since(self.arrived),
+                for_load: self.blocked_for(now),
+            },
+            req: self.req,
+        }
+    }
+
+    fn blocked_for(&self, now: Moment) -> Duration {
+        let since = if self.blocked {
+            now.since(self.relinked)
+        } else {
+            Duration::ZERO
+        };
+        self.was_blocked + since
+    }
 }
 
 #[derive(Debug, Default)]
@@ -94,7 +139,7 @@
     ) {
         let attempt = req.attempt;
         let tag = self.tag(&req, lane, fair);
-        let deadline = now + std::time::Duration::from_millis(req.deadline_ms);
+        let deadline = now + Duration::from_millis(req.deadline_ms);
         let waiting = Waiting {
             req,
             arrived: now,
@@ -102,6 +147,8 @@
             tag,
             lane,
             blocked,
+            relinked: now,
+            was_blocked: Duration::ZERO,
         };
         self.deadlines.insert((deadline, attempt));
         self.lanes[lane as usize].len += 1;
@@ -204,16 +251,16 @@
     }
 
     /// Lets the requests for an adapter that has been loaded wait for nothing but room.
-    pub(super) fn unblock(&mut self, model: &AdapterVersion) {
+    pub(super) fn unblock(&mut self, model: &AdapterVersion, now: Moment) {
         for attempt in self.blocked.swap_remove(model).unwrap_or_default() {
-            self.relink(attempt, false);
+            self.relink(attempt, false, now);
         }
     }
 
     /// Lets the requests for an adapter that is no longer loaded wait for it.
     ///
     /// Returns whether there are any.
-    pub(super) fn block(&mut self, model: &AdapterVersion) -> bool {
+    pub(super) fn block(&mut self, model: &AdapterVersion, now: Moment) -> bool {
         if self.ready_for(model) == 0 {
             return false;
         }
@@ -226,16 +273,18 @@
             .collect();
         of_model.sort_unstable();
         for (_, attempt) in of_model {
-            self.relink(attempt, true);
+            self.relink(attempt, true, now);
         }
         true
     }
 
-    fn relink(&mut self, attempt: AttemptId, blocked: bool) {
+    fn relink(&mut self, attempt: AttemptId, blocked: bool, now: Moment) {
         let Some(mut waiting) = self.waiting.get(&attempt).cloned() else {
             return;
         };
         self.unlink(attempt, &waiting);
+        waiting.was_blocked = waiting.blocked_for(now);
+        waiting.relinked = now;
         waiting.blocked = blocked;
         self.link(attempt, &waiting);
         self.waiting.insert(attempt, waiting);
--- a/crates/chervilshunt_daemon/src/control/actor.rs
+++ b/crates/chervilshunt_daemon/src/control/actor.rs
@@ -19,6 +19,7 @@
 use super::claims::ClaimReply;
 use super::context::Context;
 use super::coordination::Proposed;
+use super::measure::Measured;
 use super::messages::{
     AskFacts, AskPermit, Begin, EngineNews, FromEngine, HeldBy, Leave, Left, ReleasePermit, Tick,
 };
@@ -50,6 +51,7 @@
     /// Operators that wait for the outcome of a change.
     pub(super) proposals: HashMap<ChangeTicket, oneshot::Sender<Proposed>>,
     pub(super) next_ticket: u64,
+    pub(super) measured: Measured,
     /// The latest changes that were proposed here, with the number of objects that they change.
     pub(super) proposed: VecDeque<(ChangeId, usize)>,
     /// Orders on their way to targets, owned still or not.
@@ -86,6 +88,7 @@
             leaving: Arc::default(),
             proposals: HashMap::new(),
             next_ticket: 0,
+            measured: Measured::default(),
             proposed: VecDeque::new(),
             orders: HashMap::new(),
             ending: HashSet::new(),
@@ -271,6 +274,7 @@
         }
         let due = self.due(now);
         self.work_off(due);
+        self.measure(now);
     }
 }
 
--- a/crates/chervilshunt_daemon/src/control/carry_out.rs
+++ b/crates/chervilshunt_daemon/src/control/carry_out.rs
@@ -1,16 +1,17 @@
 //! Carrying out what the state machines want done.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use chervilshunt_coord::Role;
 use chervilshunt_core::{
-    DecisionKind, EngineOrder, OrderFailure, OrderKind, OwnerAction, OwnerEvent, PowerAction,
+    Decision, EngineOrder, OrderFailure, OrderKind, OwnerAction, OwnerEvent, PowerAction,
     PowerEvent, SchedulerAction, SchedulerEvent, TurnResult,
 };
 use chervilshunt_engine::EngineClient;
-use chervilshunt_model::{InstanceId, SiteName, TargetName};
+use chervilshunt_model::{Class, InstanceId, SiteName, TargetName};
 
 use super::actor::Control;
+use super::measure;
 use super::messages::{EngineNews, FromEngine};
 use super::steps::{Step, Steps};
 use crate::facts::millis;
@@ -223,6 +224,7 @@
         let client = owned.client.clone();
         *self.orders.entry(target.clone()).or_default() += 1;
         self.spawn_call(target, async move {
+            let begun = Instant::now();
             let result = match (order.kind, source) {
                 (OrderKind::Load, Some(source)) => {
                     client.load(&order.model, &source, order.epoch).await
@@ -231,7 +233,9 @@
                     client.unload(&order.model, order.epoch).await
                 }
             };
-            EngineNews::OrderEnded(order.id, result.map_err(|error| order_failure(&error)))
+            let result = result.map_err(|error| order_failure(&error));
+            measure::order(order.kind, result, begun.elapsed());
+            EngineNews::OrderEnded(order.id, result)
         });
     }
 
@@ -268,32 +272,28 @@
         });
     }
 
-    fn log_decision(&self, decision: &chervilshunt_core::Decision) {
-        let alternatives: Vec<String> = decision
-            .alternatives
-            .iter()
-            .map(ToString::to_string)
-            .collect();
-        let kind = match decision.kind {
-            DecisionKind::Grant => "grant",
-            DecisionKind::Queue => "queue",
-            DecisionKind::Redirect => "redirect",
-            DecisionKind::Refuse => "refuse",
-            DecisionKind::Load => "load",
-            DecisionKind::Evict => "evict",
-            DecisionKind::Power => "power",
-        };
+    fn log_decision(&self, decision: &Decision) {
+        measure::decision(decision);
         slog::info!(self.cx.log, "decision";
-            "kind" => kind,
+            "kind" => decision.kind.as_str(),
             "target" => %decision.target,
             "model" => decision.model.as_ref().map(ToString::to_string),
+            "class" => decision.class.map(Class::as_str),
             "attempt" => decision.attempt.map(|attempt| attempt.to_string()),
             "reason" => decision.reason,
-            "alternatives" => alternatives.join(","),
+            "alternatives" => joined(&decision.alternatives),
+            "sent_on" => joined(&decision.sent_on),
+            "waited_ms" => millis(decision.waited.total),
+            "stalled_ms" => millis(decision.waited.for_load),
         );
     }
 }
 
+fn joined(names: &[impl ToString]) -> String {
+    let names: Vec<String> = names.iter().map(ToString::to_string).collect();
+    names.join(",")
+}
+
 /// Returns the role that a message is for, with the event that it is there.
 pub(super) fn addressed(message: PeerMessage) -> Option<(Role, Step)> {
     let addressed = match message {
--- a/crates/chervilshunt_daemon/src/control/mod.rs
+++ b/crates/chervilshunt_daemon/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod confirm;
 mod context;
 mod coordination;
+mod measure;
 mod messages;
 mod owned;
 mod peers;
--- a/crates/chervilshunt_daemon/src/traffic/caller.rs
+++ b/crates/chervilshunt_daemon/src/traffic/caller.rs
@@ -26,6 +26,8 @@
     pub(crate) class: Class,
     /// The weight of its priority.
     pub(crate) weight: u32,
+    /// When it arrived.
+    pub(crate) arrived: Instant,
     /// When it has failed.
     pub(crate) deadline: Instant,
     /// Its idempotency key.
@@ -100,6 +102,7 @@
             class,
             weight,
             caller: caller_name(&head),
+            arrived: head.arrived,
             deadline: deadline(&head, service),
             idempotent: service.idempotent,
             service: named.service,
@@ -147,6 +150,7 @@
             class,
             weight,
             caller: caller_name(&head),
+            arrived: head.arrived,
             deadline: deadline(&head, service),
             idempotent: by_method || service.idempotent,
             service: name.clone(),
--- a/crates/chervilshunt_daemon/src/traffic/metrics.rs
+++ b/crates/chervilshunt_daemon/src/traffic/metrics.rs
@@ -32,6 +32,13 @@
     histogram!("chervilshunt_first_byte_seconds", "class" => class.as_str()).record(time);
 }
 
+/// Counts a whole answer, its tokens and its time from the request's arrival.
+pub(crate) fn answered(class: Class, tokens: u32, time: Duration) {
+    let class = class.as_str();
+    counter!("chervilshunt_tokens_total", "class" => class).increment(u64::from(tokens));
+    histogram!("chervilshunt_answer_seconds", "class" => class).record(time);
+}
+
 /// Counts a try that was repeated, by the reason.
 pub(crate) fn retry(reason: &'static str) {
     counter!("chervilshunt_retries_total", "reason" => reason).increment(1);
--- a/crates/chervilshunt_daemon/src/traffic/mod.rs
+++ b/crates/chervilshunt_daemon/src/traffic/mod.rs
@@ -17,6 +17,7 @@
 mod links;
 mod metrics;
 mod permits;
+mod place;
 mod problem;
 mod relay;
 mod serve;
--- /dev/null
+++ b/crates/chervilshunt_daemon/src/traffic/place.rs
@@ -0,0 +1,221 @@
+//! Where a request is sent: ranking targets and asking their owners for a permit.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use chervilshunt_core::{PermitRequest, RefusalReason, rank_targets};
+use chervilshunt_model::{AdapterVersion, AttemptId, Class, TargetName};
+
+use super::attempt::{Run, UNREACHED_RETRY};
+use super::permits::{Asked, HeldPermit};
+use super::problem::{Problem, Reason};
+use crate::routing::Routing;
+
+/// Targets whose owners are asked in one round.
+const TARGETS_A_ROUND: usize = 4;
+/// Redirects that one request follows in one round.
+const MAX_HOPS: u8 = 3;
+/// The pause before owners are asked again when none of them could be.
+const ROUND_PAUSE: Duration = Duration::from_millis(100);
+/// How long a live request looks for an owner. An owner that died takes the length of a lease to
+/// replace; asking the caller to come back is better than to keep it waiting for that.
+const LIVE_PATIENCE: Duration = Duration::from_secs(2);
+/// When a caller should come back after its deadline has passed in a queue.
+const LATE_RETRY: Duration = Duration::from_secs(5);
+
+impl Run<'_> {
+    /// Asks owners until one grants a permit or the request has to be given up on.
+    pub(super) async fn permit(&self) -> Result<HeldPermit, Problem> {
+        let give_up = match self.req.class {
+            Class::Live => self.req.deadline.min(Instant::now() + LIVE_PATIENCE),
+            Class::Deferrable => self.req.deadline,
+        };
+        loop {
+            let (problem, pause) = match self.round().await {
+                Round::Granted(permit) => return Ok(permit),
+                Round::Refused(problem) => return Err(problem),
+                Round::NotNow(problem, pause) => (problem, pause),
+            };
+            if Instant::now() + pause >= give_up {
+                return Err(problem);
+            }
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    /// Asks the owners of the best targets, one after the other.
+    async fn round(&self) -> Round {
+        let routing = self.traffic.parts.routing.get();
+        let mut targets: VecDeque<TargetName> = self.ranked(&routing).into();
+        if targets.is_empty() {
+            let detail = format!("no target of {} takes new work", self.req.service);
+            return Round::not_now(Reason::NoTarget, detail);
+        }
+        let mut hops = 0;
+        let mut last = None;
+        while let Some(target) = targets.pop_front() {
+            let ask = self.permit_request(target.clone(), hops);
+            let attempt = ask.attempt;
+            let asked = self.traffic.parts.permits.ask(ask, self.req.deadline).await;
+            self.log_asked(attempt, &target, &asked, targets.make_contiguous());
+            match asked {
+                Asked::Granted(permit) => return Round::Granted(permit),
+                Asked::Redirect(to) => {
+                    hops += 1;
+                    if hops <= MAX_HOPS {
+                        targets.retain(|other| !to.contains(other));
+                        to.into_iter()
+                            .rev()
+                            .for_each(|target| targets.push_front(target));
+                    }
+                }
+                Asked::Refused(reason, after) => match reason {
+                    RefusalReason::NotOwner
+                    | RefusalReason::Draining
+                    | RefusalReason::TargetDown => last = Some((reason, after)),
+                    RefusalReason::QueueFull => return self.queue_full(&target, after),
+                    RefusalReason::Deadline | RefusalReason::LoadFailed => {
+                        return Round::Refused(refused(reason, &target, after));
+                    }
+                },
+                Asked::NoOwner => {}
+                Asked::Late => {
+                    return Round::Refused(refused(RefusalReason::Deadline, &target, LATE_RETRY));
+                }
+            }
+        }
+        match last {
+            Some((reason, after)) => Round::NotNow(
+                Problem::not_run(
+                    Reason::Owner(reason),
+                    format!("no target of {} can take the request now", self.req.service),
+                )
+                .retry_after(after.max(UNREACHED_RETRY)),
+                ROUND_PAUSE,
+            ),
+            None => Round::not_now(Reason::NoOwner, "no owner of a target could be reached"),
+        }
+    }
+
+    /// Writes what an owner said; the line joins the request's id to the try's.
+    fn log_asked(
+        &self,
+        attempt: AttemptId,
+        target: &TargetName,
+        asked: &Asked,
+        alternatives: &[TargetName],
+    ) {
+        let (answer, reason) = match asked {
+            Asked::Granted(_) => ("granted", None),
+            Asked::Redirect(_) => ("redirected", None),
+            Asked::Refused(reason, _) => ("refused", Some(reason.as_str())),
+            Asked::NoOwner => (
+                "no_owner",
+                Some("the owner is not known or can't be reached"),
+            ),
+            Asked::Late => ("late", Some("the deadline passed during the wait")),
+        };
+        let sent_on = match asked {
+            Asked::Redirect(to) => joined(to),
+            Asked::Granted(_) | Asked::Refused(..) | Asked::NoOwner | Asked::Late => String::new(),
+        };
+        slog::info!(self.traffic.parts.log, "routing";
+            "request" => %self.req.id,
+            "attempt" => %attempt,
+            "target" => %target,
+            "answer" => answer,
+            "reason" => reason,
+            "sent_on" => sent_on,
+            "alternatives" => joined(alternatives),
+            "avoided" => joined(&self.avoid),
+            "model" => self.req.engine_model.as_deref(),
+            "class" => self.req.class.as_str(),
+        );
+    }
+
+    /// Deferrable work waits for room rather than fail; live work is told at once.
+    fn queue_full(&self, target: &TargetName, after: Duration) -> Round {
+        let problem = refused(RefusalReason::QueueFull, target, after);
+        match self.req.class {
+            Class::Live => Round::Refused(problem),
+            Class::Deferrable => Round::NotNow(problem, after.max(ROUND_PAUSE)),
+        }
+    }
+
+    fn ranked(&self, routing: &Routing) -> Vec<TargetName> {
+        let takes_work = |name: &TargetName| !routing.leaving.contains(name);
+        let active = || {
+            let targets = routing.deployment.active_targets(&self.req.service);
+            targets
+                .map(|(name, _)| name)
+                .filter(|name| takes_work(name))
+        };
+        let key = self.req.model.clone().unwrap_or_else(|| self.spread_key());
+        let fresh = active().filter(|name| !self.avoid.contains(name));
+        let ranked = rank_targets(&key, fresh, TARGETS_A_ROUND);
+        if ranked.is_empty() {
+            // Each of them has failed the request once; one may be back by now.
+            return rank_targets(&key, active(), TARGETS_A_ROUND)
+                .into_iter()
+                .cloned()
+                .collect();
+        }
+        ranked.into_iter().cloned().collect()
+    }
+
+    /// Work without an adapter has no home: it is spread evenly by request.
+    fn spread_key(&self) -> AdapterVersion {
+        AdapterVersion::new(self.req.service.as_str(), self.req.id.as_str())
+    }
+
+    fn permit_request(&self, target: TargetName, hops: u8) -> PermitRequest {
+        let left = self.req.left(Instant::now());
+        PermitRequest {
+            attempt: AttemptId::random(),
+            entry: self.traffic.parts.settings.instance.id.clone(),
+            target,
+            model: self.req.model.clone(),
+            class: self.req.class,
+            weight: self.req.weight,
+            caller: self.req.caller.clone(),
+            deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            prompt_tokens: self.req.prompt_tokens,
+            max_tokens: self.req.max_tokens,
+            prefix: self.req.prefix,
+            hops,
+        }
+    }
+}
+
+/// What one round of asking owners brought.
+enum Round {
+    Granted(HeldPermit),
+    /// The request is given up on.
+    Refused(Problem),
+    /// It is worth asking again after the pause; the problem is what to say if time has run out.
+    NotNow(Problem, Duration),
+}
+
+impl Round {
+    fn not_now(reason: Reason, detail: impl Into<String>) -> Self {
+        let problem = Problem::not_run(reason, detail).retry_after(UNREACHED_RETRY);
+        Self::NotNow(problem, ROUND_PAUSE)
+    }
+}
+
+fn refused(reason: RefusalReason, target: &TargetName, after: Duration) -> Problem {
+    let detail = match reason {
+        RefusalReason::QueueFull => format!("the queue of {target} is full"),
+        RefusalReason::Deadline => format!("the deadline can't be kept at {target}"),
+        RefusalReason::LoadFailed => format!("{target} could not load the adapter"),
+        RefusalReason::Draining | RefusalReason::NotOwner | RefusalReason::TargetDown => {
+            format!("{target} takes no new work now")
+        }
+    };
+    Problem::not_run(Reason::Owner(reason), detail).retry_after(after)
+}
+
+fn joined(names: &[TargetName]) -> String {
+    let names: Vec<&str> = names.iter().map(TargetName::as_str).collect();
+    names.join(",")
+}
--- a/crates/chervilshunt_daemon/src/traffic/relay.rs
+++ b/crates/chervilshunt_daemon/src/traffic/relay.rs
@@ -2,7 +2,7 @@
 
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::{BufMut, Bytes, BytesMut};
 use chervilshunt_core::ReleaseOutcome;
@@ -46,12 +46,17 @@
     pub(super) request: RequestId,
     pub(super) class: Class,
     pub(super) stream: bool,
+    /// When the request arrived.
+    pub(super) arrived: Instant,
+    /// When the call to the target was opened.
     pub(super) opened: Instant,
+    /// The time from there to the first piece of the answer.
+    pub(super) first_byte: Duration,
 }
 
 /// Makes the answer to the caller from that of the target.
 pub(super) fn relayed(relay: Relay, answer: Answer, model: Option<&str>) -> Response<ResponseBody> {
-    metrics::first_byte(relay.class, relay.opened.elapsed());
+    metrics::first_byte(relay.class, relay.arrived.elapsed());
     let mut res = answer_head(answer.status, &answer.headers);
     set_header(&mut res, TARGET, relay.permit.target().as_str());
     if let Some(model) = model {
@@ -131,11 +136,12 @@
         if let Some((claim, kept)) = &mut relay.claim {
             claim.answered(relay.status, kept.whole());
         }
-        let total = relay.opened.elapsed();
+        let tokens = self.body.summary().tokens();
+        metrics::answered(relay.class, tokens, relay.arrived.elapsed());
         relay.permit.ended(ReleaseOutcome::Finished {
-            tokens: self.body.summary().tokens(),
-            first_byte_ms: 0,
-            total_ms: u32::try_from(total.as_millis()).unwrap_or(u32::MAX),
+            tokens,
+            first_byte_ms: millis(relay.first_byte),
+            total_ms: millis(relay.opened.elapsed()),
         });
     }
 
@@ -154,6 +160,10 @@
     }
 }
 
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 fn error_event(document: &Bytes) -> Bytes {
     let mut event = BytesMut::with_capacity(document.len() + 32);
     event.put_slice(b"event: error\ndata: ");
