Keep an order that may not go out yet instead of calling it fenced

After an unplanned takeover of a target that ignores fencing numbers the new owner waits until no order of the old one can be on its way. Its own first order was withheld in that time and reported to the owner as refused for its fencing number, upon which the owner took itself for superseded and turned everything away for as long as it held the target. The same happened to a holder whose lease was over for a moment. Seen in leases::the_holder_is_cut_off, platform only: 121,431 refusals as not_owner in 43 s at the instance that owned the target, and 828 requests failed.

Such an order is kept as long as the role is this run's under its epoch, and goes out with the first tick at which it may.

--- a/crates/chervilshunt_coord/src/coordinator.rs
+++ b/crates/chervilshunt_coord/src/coordinator.rs
@@ -237,6 +237,13 @@
         self.roles.may_order(role, now)
     }
 
+    /// Returns whether `role` is this run's under `epoch`, whether or not an order may be given now.
+    pub fn holds(&self, role: &Role, epoch: Epoch) -> bool {
+        self.roles
+            .entry(role)
+            .is_some_and(|entry| entry.holder == self.cfg.me && entry.epoch == epoch)
+    }
+
     /// Returns whether the lease, or its extension while the platform fails, counts now.
     pub fn is_valid(&self, now: Moment) -> bool {
         self.lease.is_valid(now) || self.is_held(now)
--- a/crates/chervilshunt_daemon/src/control/actor.rs
+++ b/crates/chervilshunt_daemon/src/control/actor.rs
@@ -274,6 +274,7 @@
         }
         let due = self.due(now);
         self.work_off(due);
+        self.give_withheld();
         self.measure(now);
     }
 }
--- a/crates/chervilshunt_daemon/src/control/carry_out.rs
+++ b/crates/chervilshunt_daemon/src/control/carry_out.rs
@@ -194,13 +194,18 @@
     /// A process that was paused wakes up with orders at hand whose role another instance may hold
     /// by now: the lease is looked at once more right before an order goes out.
     fn give_order(&mut self, target: &TargetName, order: EngineOrder, steps: &mut Steps) {
-        let Some(owned) = self.targets.get(target) else {
+        let Some(owned) = self.targets.get_mut(target) else {
             return;
         };
         let role = Role::Target(target.clone());
         if self.coordinator.may_order(&role, self.cx.now()) != Some(order.epoch) {
             slog::warn!(self.cx.log, "order withheld";
-                "target" => %target, "model" => %order.model, "reason" => "the lease has run out");
+                "target" => %target, "model" => %order.model,
+                "reason" => "the lease has run out, or an order of the owner before may be on its way");
+            if self.coordinator.holds(&role, order.epoch) {
+                owned.withheld.push(order);
+                return;
+            }
             let result = Err(OrderFailure::Fenced);
             let event = OwnerEvent::OrderEnded {
                 order: order.id,
@@ -239,6 +244,31 @@
         });
     }
 
+    /// Gives the orders that were withheld and may go out by now.
+    ///
+    /// An order that may not go out yet has not failed. Were it reported as refused for its fencing
+    /// number, the owner would take itself for superseded and turn everything away for as long as
+    /// it holds the target.
+    pub(super) fn give_withheld(&mut self) {
+        let now = self.cx.now();
+        let due = self.targets.iter().filter(|(target, owned)| {
+            let role = Role::Target((*target).clone());
+            let may_order = self.coordinator.may_order(&role, now) == Some(owned.epoch);
+            let holds = self.coordinator.holds(&role, owned.epoch);
+            !owned.withheld.is_empty() && (may_order || !holds)
+        });
+        let due: Vec<_> = due.map(|(target, _)| target.clone()).collect();
+        let mut steps = Steps::new();
+        for target in due {
+            let owned = self.targets.get_mut(&target);
+            let orders = owned.map(|owned| std::mem::take(&mut owned.withheld));
+            for order in orders.unwrap_or_default() {
+                self.give_order(&target, order, &mut steps);
+            }
+        }
+        self.work_off(steps);
+    }
+
     pub(super) fn ask_inventory(&self, target: &TargetName) {
         let Some(owned) = self.targets.get(target) else {
             return;
--- a/crates/chervilshunt_daemon/src/control/owned.rs
+++ b/crates/chervilshunt_daemon/src/control/owned.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use chervilshunt_core::{Owner, OwnerConfig, PermitAnswer};
+use chervilshunt_core::{EngineOrder, Owner, OwnerConfig, PermitAnswer};
 use chervilshunt_engine::EngineClient;
 use chervilshunt_model::{AttemptId, Deployment, Epoch, Lifecycle, Moment, Target, TargetName};
 
@@ -29,6 +29,8 @@
     pub(super) takeover_complete: bool,
     /// The share confirmed last, with its number.
     pub(super) confirmed: Option<(u64, f64)>,
+    /// Orders that may not go out yet.
+    pub(super) withheld: Vec<EngineOrder>,
 }
 
 impl OwnedTarget {
@@ -51,6 +53,7 @@
             reachable: true,
             takeover_complete: false,
             confirmed: None,
+            withheld: Vec::new(),
         }
     }
 
