Show the owner of the higher epoch when two instances say that they own a target

An instance that has lost the platform, but not its peers, can't know that it was superseded, and says to operators that it owns the target.

--- a/crates/chervilshunt_daemon/src/operators/tables.rs
+++ b/crates/chervilshunt_daemon/src/operators/tables.rs
@@ -125,10 +125,21 @@
     }
 
     /// Returns each owned target with the instance that told of it.
+    /// Returns what owners said of their targets.
+    ///
+    /// Of two that both say that they own one, the first has lost the platform and does not know yet
+    /// that it was superseded; the other has the higher epoch.
     fn owned(&self) -> impl Iterator<Item = (&Told, &TargetFacts)> {
-        self.told
-            .iter()
-            .flat_map(|told| told.facts.targets.iter().map(move |facts| (told, facts)))
+        let said = || {
+            let told = self.told.iter();
+            told.flat_map(|told| told.facts.targets.iter().map(move |facts| (told, facts)))
+        };
+        let mut epochs = HashMap::new();
+        for (_, facts) in said() {
+            let highest = epochs.entry(&facts.target).or_insert(facts.epoch);
+            *highest = facts.epoch.max(*highest);
+        }
+        said().filter(move |(_, facts)| epochs.get(&facts.target) == Some(&facts.epoch))
     }
 
     /// Returns where each adapter version is present.
--- a/crates/chervilshunt_daemon/src/operators/tables/tests.rs
+++ b/crates/chervilshunt_daemon/src/operators/tables/tests.rs
@@ -169,3 +169,40 @@
     let first = |row: &Vec<Option<String>>| row[0].clone().unwrap();
     assert_eq!(rows.rows.iter().map(first).collect::<Vec<_>>(), names);
 }
+
+/// An instance that has lost the platform still says that it owns a target which another has taken
+/// over. Operators see the owner of the higher epoch, whichever answered first.
+#[rstest]
+#[case::superseded_first(["entry-1", "entry-2"])]
+#[case::superseded_last(["entry-2", "entry-1"])]
+fn of_two_that_say_they_own_a_target_the_later_epoch_is_shown(#[case] order: [&str; 2]) {
+    let now = Instant::now();
+    let told = order.map(|instance| {
+        let mut facts = entry_2();
+        facts["instance"] = instance.into();
+        facts["targets"][0]["epoch"] = if instance == "entry-1" { 3 } else { 4 }.into();
+        Told {
+            facts: serde_json::from_value(facts).unwrap(),
+            asked_at: now,
+        }
+    });
+    let sources = Sources {
+        here: &InstanceId::new("entry-1"),
+        deployment: &deployment(),
+        owners: &HashMap::new(),
+        told: &told,
+        now,
+    };
+    let statements = parse("show targets where name = lm-2").unwrap();
+    let Some(Statement::Show(show)) = statements.first() else {
+        panic!("the question is a show");
+    };
+    let rows = sources.show(show);
+    let owner = rows.columns.iter().position(|column| *column == "owner");
+    let owners: Vec<_> = rows
+        .rows
+        .iter()
+        .map(|row| row[owner.unwrap()].as_deref())
+        .collect();
+    assert_eq!(owners, [Some("entry-2")]);
+}
