Let checked load come back when a refusal says, and not before

Cause: engines::half_of_the_loads_fail ended with three requests not answered. A target that could not load an adapter names when to come back; callers of the load came back after 2 s at most whatever it said, and spent their ten tries on refusals they had been told of. They wait for up to 20 s now, so that the test holds the system to its word in both directions.

Ruled out: more tries, which would hide a target that always says 'later'.

--- a/crates/chervilshunt_standin/src/fleet/load.rs
+++ b/crates/chervilshunt_standin/src/fleet/load.rs
@@ -28,8 +28,9 @@
 /// How uneven the popularity of adapters is.
 const SKEW: f64 = 1.1;
 
-/// The longest wait before a refused request comes back.
-const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+/// The longest wait before a refused request comes back: whoever comes back before the time that
+/// the refusal names is refused again.
+const LONGEST_PAUSE: Duration = Duration::from_secs(20);
 
 /// The wait before a caller tries another instance.
 const NEXT_INSTANCE_PAUSE: Duration = Duration::from_millis(50);
