Never send a retry back to the target that failed it

Cause: a request that failed at one engine was retried at the owner of another, and that owner, which had just taken over and had no share of power yet, sent it on: 'spread over several targets', to the engine that had failed it. Four tries ended at the same engine and the caller got 502 although the other engine was sound.

The request for a permit names the targets that have failed the request, and owners leave them out of what they send it on to. The entry instance no longer lists one target twice.

Ruled out: the retry budget, which was not spent (three retries were made); filtering at the entry instance only, as the owner would go on refusing what it could queue.

--- a/crates/chervilshunt_bench/src/policy/entry.rs
+++ b/crates/chervilshunt_bench/src/policy/entry.rs
@@ -257,6 +257,7 @@
             max_tokens: most_tokens(req.class),
             prefix: req.prefix,
             hops: current.hops,
+            avoid: Default::default(),
         };
         let event = OwnerEvent::PermitRequested(permit_request);
         world.plan_policy(world.now + DELAY, CoreEvent::Owner(current.target, event));
--- a/crates/chervilshunt_core/examples/role_costs.rs
+++ b/crates/chervilshunt_core/examples/role_costs.rs
@@ -91,6 +91,7 @@
         max_tokens: 400,
         prefix: 0,
         hops: 0,
+        avoid: Default::default(),
     };
     settle(owner, OwnerEvent::PermitRequested(req), now);
     let outcome = ReleaseOutcome::Finished {
--- a/crates/chervilshunt_core/src/owner/spread.rs
+++ b/crates/chervilshunt_core/src/owner/spread.rs
@@ -126,7 +126,7 @@
         let mut others: SmallVec<[TargetName; 4]> = wide
             .targets
             .iter()
-            .filter(|it| *it != own)
+            .filter(|it| *it != own && !req.avoid.contains(it))
             .cloned()
             .collect();
         if others.is_empty() {
@@ -146,7 +146,9 @@
     /// Returns the targets ranked next after this one, for a request that can't stay here.
     ///
     /// Each target sends on to the next in the adapter's ranking, so a request that meets several
-    /// closed ones visits each at most once.
+    /// closed ones visits each at most once. Those that have failed it are left out: an owner that
+    /// is short of power would send a retry back to the target that it comes from, until its tries
+    /// are used up, and the caller would see the failure of a target though another one is sound.
     pub(super) fn next_ranked(
         &self,
         req: &PermitRequest,
@@ -158,8 +160,12 @@
         let Some(model) = &req.model else {
             return SmallVec::new();
         };
-        let ranked = self.ranked_from_here(model, SENT_ON + 1);
-        ranked.into_iter().skip(1).collect()
+        let ranked = self.ranked_from_here(model, SENT_ON + 1 + req.avoid.len());
+        let others = ranked.into_iter().skip(1);
+        others
+            .filter(|it| !req.avoid.contains(it))
+            .take(SENT_ON)
+            .collect()
     }
 
     fn needed_width(&self, model: &AdapterVersion, now: Moment) -> usize {
--- a/crates/chervilshunt_core/src/permit.rs
+++ b/crates/chervilshunt_core/src/permit.rs
@@ -39,6 +39,8 @@
     pub prefix: u64,
     /// How often the request has been redirected; an owner doesn't redirect beyond its bound.
     pub hops: u8,
+    /// Targets that have failed this request; an owner never sends it on to one of them.
+    pub avoid: SmallVec<[TargetName; 4]>,
 }
 
 /// Leave to send one attempt to one target.
--- a/crates/chervilshunt_core/tests/owner.rs
+++ b/crates/chervilshunt_core/tests/owner.rs
@@ -6,7 +6,7 @@
     OrderFailure, OrderKind, Owner, OwnerAction, OwnerEvent, PermitAnswer, RefusalReason,
     ReleaseOutcome,
 };
-use chervilshunt_model::{AttemptId, Class};
+use chervilshunt_model::{AttemptId, Class, TargetName};
 use rstest::rstest;
 use support::{
     answers, at, config, finished, granted, model, orders, owner_with, release, request,
@@ -212,3 +212,33 @@
     let listed = owner.handle(OwnerEvent::Inventory(vec![model(1)]), at(30));
     assert_eq!(granted(&listed).len(), 1);
 }
+
+/// What the caller sees: the failure of one target, though another one is sound.
+/// A target fails a request, which comes to this one as a retry. This one has no power, and so sends
+/// what it can on to the next in the ranking. Sent back, the request would fail at the first target
+/// again, until its tries are used up. It has to stay, and its demand brings the power.
+#[rstest]
+#[case::first_try(&[], &["t1"])]
+#[case::after_a_failure(&["t1"], &[])]
+#[case::after_a_failure_elsewhere(&["t9"], &["t1"])]
+fn sends_no_retry_back_to_a_target_that_failed_it(
+    #[case] avoid: &[&str],
+    #[case] sent_on: &[&str],
+) {
+    let mut cfg = config(2, 4);
+    cfg.peers = vec!["t1".into()];
+    cfg.share_watts = 0.0;
+    let mut owner = owner_with(cfg, &[model(1)]);
+    let mut req = request(1, Some(model(1)), Class::Live);
+    req.avoid = avoid.iter().map(|it| TargetName::from(*it)).collect();
+    let actions = owner.handle(OwnerEvent::PermitRequested(req), at(10));
+    let redirects: Vec<TargetName> = answers(&actions)
+        .into_iter()
+        .flat_map(|(_, answer)| match answer {
+            PermitAnswer::Redirect { targets } => targets.into_vec(),
+            PermitAnswer::Granted { .. } | PermitAnswer::Refused { .. } => Vec::new(),
+        })
+        .collect();
+    let expected: Vec<TargetName> = sent_on.iter().map(|it| TargetName::from(*it)).collect();
+    assert_eq!(redirects, expected);
+}
--- a/crates/chervilshunt_core/tests/support/mod.rs
+++ b/crates/chervilshunt_core/tests/support/mod.rs
@@ -55,6 +55,7 @@
         max_tokens: 100,
         prefix: 0,
         hops: 0,
+        avoid: Default::default(),
     }
 }
 
--- a/crates/chervilshunt_daemon/src/traffic/attempt.rs
+++ b/crates/chervilshunt_daemon/src/traffic/attempt.rs
@@ -158,7 +158,7 @@
                 {
                     claim.did_not_run();
                 }
-                if failed.again != Again::Anywhere {
+                if failed.again != Again::Anywhere && !self.avoid.contains(&target) {
                     self.avoid.push(target);
                 }
                 permit.ended(release_outcome(&error));
--- a/crates/chervilshunt_daemon/src/traffic/place.rs
+++ b/crates/chervilshunt_daemon/src/traffic/place.rs
@@ -183,6 +183,7 @@
             max_tokens: self.req.max_tokens,
             prefix: self.req.prefix,
             hops,
+            avoid: self.avoid.iter().cloned().collect(),
         }
     }
 }
--- a/crates/chervilshunt_mesh/examples/rounds/encodings.rs
+++ b/crates/chervilshunt_mesh/examples/rounds/encodings.rs
@@ -164,6 +164,7 @@
         max_tokens: 400,
         prefix: PREFIX,
         hops: 0,
+        avoid: Default::default(),
     };
     let permit = Permit {
         attempt,
--- a/crates/chervilshunt_mesh/tests/mesh/permits.rs
+++ b/crates/chervilshunt_mesh/tests/mesh/permits.rs
@@ -27,6 +27,7 @@
         max_tokens: 400,
         prefix: u64::MAX / 3,
         hops: 0,
+        avoid: Default::default(),
     }
 }
 
