Lose the answer of the very write that a test is about

Cause: operators::the_outcome_of_a_change_is_learnt_after_an_outage counted writes of any kind and had the answers of the next two lost. Instances renew their leases all the time, so that a renewal could take the place of the write that begins the change; the change then went through, the tool had nothing to settle, and the test missed its words. It also threw the outage by a call of its own, which raced the instance's next read.

The platform's stand-in can lose the answers of one resource's writes, and be down from the moment at which the last of them is lost. The test asserts what it did before.

--- a/crates/chervilshunt_daemon/tests/operators.rs
+++ b/crates/chervilshunt_daemon/tests/operators.rs
@@ -377,25 +377,21 @@
 #[test]
 fn the_outcome_of_a_change_is_learnt_after_an_outage() {
     alone(options, async |test| {
-        let writes = || async { test.stat("platform", "writes").await };
-        let before = writes().await;
-        set_platform(&test, json!({"slow_ms": 300, "lose_answer_after_write": 2})).await;
+        let begun = json!({
+            "lose_answer_after_write": 1, "lose_answers_of": ["configheads"], "down_after_lost": true,
+        });
+        set_platform(&test, begun).await;
         let arguments = ["--settle", "60", "create", "site", "annex", "cap_watts=10"];
         let change = ctl(&test, "i1", &arguments);
         let outage = async {
-            // One write for the page, and one for the head.
-            let begun = || async { (writes().await >= before + 2).then_some(()) };
-            wait_until(BOUND, begun)
+            let down = || async { (platform_faults(&test).await["down"] != "no").then_some(()) };
+            wait_until(BOUND, down)
                 .await
                 .expect("the change is not begun");
-            set_platform(&test, json!({"down": "unavailable"})).await;
             // Longer than the instance keeps the operator waiting before it calls the outcome unknown.
             tokio::time::sleep(Duration::from_secs(12)).await;
-            set_platform(
-                &test,
-                json!({"down": "no", "slow_ms": 0, "lose_answer_after_write": 0}),
-            )
-            .await;
+            let healed = json!({"down": "no", "lose_answers_of": [], "down_after_lost": false});
+            set_platform(&test, healed).await;
         };
         let (run, ()) = tokio::join!(change, outage);
         assert!(
@@ -422,3 +418,8 @@
     let set = test.fleet.set_faults("platform", faults).await;
     set.unwrap_or_else(|error| panic!("{error}"));
 }
+
+async fn platform_faults(test: &Alone) -> Value {
+    let faults = test.fleet.faults("platform").await;
+    faults.unwrap_or_else(|error| panic!("{error}"))
+}
--- a/crates/chervilshunt_standin/src/fleet/start.rs
+++ b/crates/chervilshunt_standin/src/fleet/start.rs
@@ -525,6 +525,17 @@
         Ok(())
     }
 
+    /// Returns the faults of a stand-in that are in force.
+    ///
+    /// # Errors
+    /// Fails if there is no such stand-in or it doesn't answer.
+    pub async fn faults(&self, name: &str) -> Result<Value, FleetError> {
+        let address = self.control(name)?;
+        self.http
+            .json(Method::GET, address, "/standin/faults", None)
+            .await
+    }
+
     /// Returns a stand-in's counters.
     ///
     /// # Errors
--- a/crates/chervilshunt_standin/src/platform/faults.rs
+++ b/crates/chervilshunt_standin/src/platform/faults.rs
@@ -26,6 +26,14 @@
     pub slow_ms: u64,
     /// So many of the next writes take effect and then close the connection without an answer.
     pub lose_answer_after_write: u64,
+    /// The resources, by plural, whose writes lose their answers; all if it is empty.
+    ///
+    /// Instances renew leases all the time: without it, which write loses its answer is chance.
+    pub lose_answers_of: Vec<String>,
+    /// Whether the platform answers 503 from the moment at which the last of those answers is lost.
+    ///
+    /// Whoever threw [`Faults::down`] by a call of its own would race the client's next call.
+    pub down_after_lost: bool,
     /// So many of the next changes are never told by a watch.
     pub watch_gap: u64,
     /// Open watches end with `Expired`, and no version is recent enough to start one from.
@@ -63,6 +71,20 @@
         self.only.is_empty() || self.only.iter().any(|only| only == instance)
     }
 
+    /// Uses up one lost answer if a write of the resource by the instance loses its answer.
+    pub(crate) fn loses_answer(&mut self, instance: &str, resource: &str) -> bool {
+        let of = &self.lose_answers_of;
+        let named = of.is_empty() || of.iter().any(|plural| plural == resource);
+        if !named || !self.hits(instance) || self.lose_answer_after_write == 0 {
+            return false;
+        }
+        self.lose_answer_after_write -= 1;
+        if self.down_after_lost && self.lose_answer_after_write == 0 {
+            self.down = Down::Unavailable;
+        }
+        true
+    }
+
     /// Says whether the platform refuses every connection.
     pub(crate) fn refuses_all(&self) -> bool {
         self.down == Down::Refuse && self.only.is_empty()
@@ -81,6 +103,8 @@
             &mut self.lose_answer_after_write,
             patch.lose_answer_after_write,
         );
+        set(&mut self.lose_answers_of, patch.lose_answers_of);
+        set(&mut self.down_after_lost, patch.down_after_lost);
         set(&mut self.watch_gap, patch.watch_gap);
         set(&mut self.expire_watches, patch.expire_watches);
         set(&mut self.stale_reads, patch.stale_reads);
@@ -105,6 +129,10 @@
     pub slow_ms: Option<u64>,
     /// See [`Faults::lose_answer_after_write`].
     pub lose_answer_after_write: Option<u64>,
+    /// See [`Faults::lose_answers_of`].
+    pub lose_answers_of: Option<Vec<String>>,
+    /// See [`Faults::down_after_lost`].
+    pub down_after_lost: Option<bool>,
     /// See [`Faults::watch_gap`].
     pub watch_gap: Option<u64>,
     /// See [`Faults::expire_watches`].
--- a/crates/chervilshunt_standin/src/platform/handler.rs
+++ b/crates/chervilshunt_standin/src/platform/handler.rs
@@ -219,7 +219,7 @@
         self.counters.writes.fetch_add(1, Ordering::Relaxed);
         let revision = self.store().revision();
         self.written.send_replace(revision);
-        if self.take(call, |faults| &mut faults.lose_answer_after_write) {
+        if self.loses_answer(call) {
             return Err(broken());
         }
         let status = match call.verb {
@@ -253,17 +253,13 @@
         written
     }
 
-    /// Uses up one of a counted fault; says whether there was one.
-    fn take(&self, call: &Call, counter: impl Fn(&mut Faults) -> &mut u64) -> bool {
-        let mut taken = false;
+    fn loses_answer(&self, call: &Call) -> bool {
+        let mut lost = false;
         self.faults.send_if_modified(|faults| {
-            taken = faults.hits(&call.instance) && *counter(faults) > 0;
-            if taken {
-                *counter(faults) -= 1;
-            }
-            taken
+            lost = faults.loses_answer(&call.instance, &call.path.collection.plural);
+            lost
         });
-        taken
+        lost
     }
 
     /// Returns the revision that a read shows, which lies back where it lags or is stale.
