Count what was refused or expired by class in the policy bench

The bench counted refusals by reason only, and gave no sum of waits: a policy that turned work away could not be told from one that served it.

--- a/crates/chervilshunt_bench/src/policy/entry.rs
+++ b/crates/chervilshunt_bench/src/policy/entry.rs
@@ -194,9 +194,7 @@
         reason: RefusalReason,
         retry_after_ms: u64,
     ) {
-        if world.measuring() {
-            *world.counters.refused.entry(reason.as_str()).or_default() += 1;
-        }
+        world.refuse(request, reason.as_str());
         let current = self.tries.get_mut(&request).expect("the try is current");
         current.refusals += 1;
         if current.refusals > MOST_RETRIES {
--- a/crates/chervilshunt_bench/src/policy/metrics.rs
+++ b/crates/chervilshunt_bench/src/policy/metrics.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 
 use super::power::PowerMeter;
-use super::requests::{Phase, Requests};
+use super::requests::{Phase, RequestState, Requests};
 use super::workload::{FLOOD_CALLER, Trace};
 
 /// Significant digits of the histograms.
@@ -88,10 +88,43 @@
     pub prefix_hit_part: Option<f64>,
     /// Refusals by reason.
     pub refused: BTreeMap<&'static str, u64>,
+    /// What became of the live requests.
+    pub live: Option<ClassReport>,
+    /// What became of the deferrable requests.
+    pub deferrable: Option<ClassReport>,
     /// The quantity that this run bounds, if it is a bound.
     pub bound_of: Option<&'static str>,
 }
 
+/// What became of the requests of one class that arrived in the measured time.
+///
+/// A policy that refuses requests, or lets them expire, takes no time off `wait_ms_total` and none
+/// off the stalled time: both run on from arrival to the first step, to the end of the caller's
+/// patience or to the end of the run. What was refused and what expired stands beside them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct ClassReport {
+    /// Requests.
+    pub requests: u64,
+    /// Requests that were refused at least once.
+    pub refused: u64,
+    /// Refusals; a caller that comes back may be refused again.
+    pub refusals: u64,
+    /// Requests whose callers gave up, or that ended without an answer.
+    pub expired: u64,
+    /// Requests that had not begun when the run ended.
+    pub unserved: u64,
+    /// Sum of all waits.
+    pub wait_ms_total: f64,
+    /// The part of it spent outside every queue, between a refusal and the next question.
+    pub refused_wait_ms_total: f64,
+    /// The part of it that requests waited which then expired.
+    pub expired_wait_ms_total: f64,
+    /// Sum of the stalled time of all requests.
+    pub stalled_ms_total: f64,
+    /// The part of it that belongs to requests which then expired.
+    pub expired_stalled_ms_total: f64,
+}
+
 /// Counts during a run.
 #[derive(Debug, Default)]
 pub(crate) struct Counters {
@@ -142,6 +175,8 @@
         let mut plain = Sample::new();
         let mut deferrable = Sample::new();
         let mut deferrable_waiting = 0;
+        let mut live_outcome = Outcome::default();
+        let mut deferrable_outcome = Outcome::default();
         for (req, state) in trace.requests.iter().zip(requests.iter()) {
             if req.at < time.start {
                 continue;
@@ -155,6 +190,7 @@
             self.requests += 1;
             match req.class {
                 Class::Live => {
+                    live_outcome.add(state, wait);
                     live.add(wait);
                     stalls.add_if_any(state.stalled);
                     if req.caller != FLOOD_CALLER {
@@ -162,12 +198,15 @@
                     }
                 }
                 Class::Deferrable => {
+                    deferrable_outcome.add(state, wait);
                     deferrable.add(wait);
                     deferrable_stalls.add_if_any(state.stalled);
                     deferrable_waiting += u64::from(state.phase == Phase::Waiting);
                 }
             }
         }
+        self.live = Some(live_outcome.report());
+        self.deferrable = Some(deferrable_outcome.report());
         self.stalls = stalls.count();
         self.stall_ms_p50 = stalls.quantile(0.5);
         self.stall_ms_p99 = stalls.quantile(0.99);
@@ -184,6 +223,47 @@
     }
 }
 
+/// Counts and sums of one class.
+#[derive(Default)]
+struct Outcome {
+    counts: ClassReport,
+    wait: Duration,
+    refused_wait: Duration,
+    expired_wait: Duration,
+    stalled: Duration,
+    expired_stalled: Duration,
+}
+
+impl Outcome {
+    fn add(&mut self, state: &RequestState, wait: Duration) {
+        let counts = &mut self.counts;
+        counts.requests += 1;
+        counts.refused += u64::from(state.refusals > 0);
+        counts.refusals += u64::from(state.refusals);
+        self.wait += wait;
+        self.refused_wait += state.refused;
+        self.stalled += state.stalled;
+        if state.failed.is_some() {
+            counts.expired += 1;
+            self.expired_wait += wait;
+            self.expired_stalled += state.stalled;
+        } else if state.started.is_none() {
+            counts.unserved += 1;
+        }
+    }
+
+    fn report(self) -> ClassReport {
+        ClassReport {
+            wait_ms_total: millis(self.wait),
+            refused_wait_ms_total: millis(self.refused_wait),
+            expired_wait_ms_total: millis(self.expired_wait),
+            stalled_ms_total: millis(self.stalled),
+            expired_stalled_ms_total: millis(self.expired_stalled),
+            ..self.counts
+        }
+    }
+}
+
 /// Durations with their sum and quantiles.
 struct Sample {
     histogram: Histogram<u64>,
--- a/crates/chervilshunt_bench/src/policy/mod.rs
+++ b/crates/chervilshunt_bench/src/policy/mod.rs
@@ -26,7 +26,7 @@
 
 pub use args::{PolicyError, run};
 pub use deployment::DeploymentKind;
-pub use metrics::Report;
+pub use metrics::{ClassReport, Report};
 pub use run::{Policy, RunSpec, run_policy, run_timeline};
 pub use scenario::Scenario;
 pub use summary::{Matrix, Row};
--- a/crates/chervilshunt_bench/src/policy/requests.rs
+++ b/crates/chervilshunt_bench/src/policy/requests.rs
@@ -35,7 +35,12 @@
     pub(crate) failed: Option<Moment>,
     /// How long it was stalled, up to `stalled_since`.
     pub(crate) stalled: Duration,
+    /// How often it was refused.
+    pub(crate) refusals: u32,
+    /// How long it waited outside every queue after refusals, up to `refused_since`.
+    pub(crate) refused: Duration,
     stalled_since: Option<Moment>,
+    refused_since: Option<Moment>,
 }
 
 /// All requests of a run, and what each of them waits for.
@@ -64,7 +69,10 @@
             started: None,
             failed: None,
             stalled: Duration::ZERO,
+            refusals: 0,
+            refused: Duration::ZERO,
             stalled_since: None,
+            refused_since: None,
         };
         Self {
             states: vec![state; trace.requests.len()],
@@ -99,6 +107,14 @@
         }
     }
 
+    /// Notes that a request was refused: it goes on counting as waiting at the target that refused
+    /// it until it asks again, so that a refusal ends no stall.
+    pub(crate) fn refuse(&mut self, request: u32, now: Moment) {
+        let state = &mut self.states[request as usize];
+        state.refusals += 1;
+        state.refused_since.get_or_insert(now);
+    }
+
     /// Notes the target that a request waits at.
     pub(crate) fn assign(&mut self, request: u32, req: &TraceRequest, target: usize, now: Moment) {
         self.unassign(request, req, now);
@@ -160,6 +176,7 @@
     pub(crate) fn close(&mut self, now: Moment) {
         for state in &mut self.states {
             state.end_stall(now);
+            state.end_refusal(now);
         }
     }
 
@@ -191,6 +208,7 @@
     fn unassign(&mut self, request: u32, req: &TraceRequest, now: Moment) {
         let state = &mut self.states[request as usize];
         state.end_stall(now);
+        state.end_refusal(now);
         let (Some(target), Some(adapter)) = (state.target.take(), req.adapter) else {
             return;
         };
@@ -209,4 +227,10 @@
             self.stalled += now.since(since);
         }
     }
+
+    fn end_refusal(&mut self, now: Moment) {
+        if let Some(since) = self.refused_since.take() {
+            self.refused += now.since(since);
+        }
+    }
 }
--- a/crates/chervilshunt_bench/src/policy/summary.rs
+++ b/crates/chervilshunt_bench/src/policy/summary.rs
@@ -31,6 +31,15 @@
     pub other_callers_live_wait_ms_p99: Option<f64>,
     /// Median of the live requests whose callers gave up.
     pub live_failed: Option<f64>,
+    /// Median of the live requests that were refused at least once.
+    pub live_refused: Option<f64>,
+    /// Median of the time that live requests waited in all, in seconds, those included that were
+    /// refused or gave up.
+    pub live_wait_s: Option<f64>,
+    /// Median of the deferrable requests that were refused at least once.
+    pub deferrable_refused: Option<f64>,
+    /// Median of the deferrable requests that had not begun when the run ended.
+    pub deferrable_unserved: Option<f64>,
     /// Median of the deferrable requests' stalled time, in seconds.
     pub deferrable_stalled_s: Option<f64>,
     /// Median of the longest wait of a deferrable request, in seconds.
@@ -145,6 +154,10 @@
             live_wait_ms_p99: maybe(|r| r.live_wait_ms_p99),
             other_callers_live_wait_ms_p99: maybe(|r| r.other_callers_live_wait_ms_p99),
             live_failed: maybe(|r| r.live_failed.map(|n| n as f64)),
+            live_refused: maybe(|r| r.live.map(|it| it.refused as f64)),
+            live_wait_s: maybe(|r| r.live.map(|it| it.wait_ms_total / 1e3)),
+            deferrable_refused: maybe(|r| r.deferrable.map(|it| it.refused as f64)),
+            deferrable_unserved: maybe(|r| r.deferrable.map(|it| it.unserved as f64)),
             deferrable_stalled_s: maybe(|r| r.deferrable_stalled_ms_total.map(|ms| ms / 1e3)),
             deferrable_oldest_s: maybe(|r| r.deferrable_oldest_ms.map(|ms| ms / 1e3)),
             deferrable_done: maybe(|r| r.deferrable_done.map(|n| n as f64)),
--- a/crates/chervilshunt_bench/src/policy/world.rs
+++ b/crates/chervilshunt_bench/src/policy/world.rs
@@ -211,6 +211,14 @@
         }
     }
 
+    /// Notes that an owner refused a request.
+    pub(crate) fn refuse(&mut self, request: u32, reason: &'static str) {
+        self.requests.refuse(request, self.now);
+        if self.measuring() {
+            *self.counters.refused.entry(reason).or_default() += 1;
+        }
+    }
+
     /// Notes whether a target loads an adapter or has asked to.
     pub(crate) fn set_asked(&mut self, target: usize, adapter: u32, asked: bool) {
         self.requests
--- a/crates/chervilshunt_bench/tests/policy/main.rs
+++ b/crates/chervilshunt_bench/tests/policy/main.rs
@@ -51,3 +51,30 @@
     assert_eq!(report.cap_exceeded_steps, Some(0));
     assert_eq!(report.deferrable_failed, Some(0));
 }
+
+/// The caller of a request that an owner refuses, or lets wait until it gives up, has waited like
+/// any other: a policy must not look better by turning work away.
+#[rstest]
+#[case::product(Policy::Chervilshunt)]
+#[case::lru(Policy::Lru)]
+fn refused_and_expired_requests_count(#[case] policy: Policy) {
+    let report = run(DeploymentKind::Kolvand, policy, Scenario::Restart, 5);
+    let live = report.live.expect("a run has live requests");
+    let deferrable = report.deferrable.expect("a run has deferrable requests");
+
+    assert_eq!(live.requests + deferrable.requests, report.requests);
+    assert_eq!(Some(live.expired), report.live_failed);
+    assert_eq!(Some(deferrable.expired), report.deferrable_failed);
+    assert!(
+        live.expired > 0,
+        "a restart at this load lets callers give up"
+    );
+    assert!(live.expired_wait_ms_total >= live.expired as f64 * 30_000.0);
+    assert!(live.wait_ms_total >= live.expired_wait_ms_total);
+    assert!(live.wait_ms_total >= live.refused_wait_ms_total);
+    assert!(live.expired_stalled_ms_total > 0.0);
+    assert!((live.stalled_ms_total - report.stalled_ms_total).abs() < 1.0);
+    assert_eq!(live.refused > 0, policy == Policy::Chervilshunt);
+    assert_eq!(live.refused > 0, live.refused_wait_ms_total > 0.0);
+    assert!(live.refusals >= live.refused);
+}
