Run whole tables of the policy bench, and draw them

policy-table runs a matrix of deployments, scenarios, policies and seeds on a bounded number of threads and gives medians, quotients against the baseline and the bound, and each aim with met, missed or not run, as JSON or Markdown. Tests show that the number of threads changes no byte, that an aim whose baseline was not run isn't called met, and that a plot names each policy, scenario, quantity and scale.

--- a/crates/chervilshunt_bench/src/main.rs
+++ b/crates/chervilshunt_bench/src/main.rs
@@ -16,13 +16,15 @@
         "faults" => return chervilshunt_bench::faults::run(args),
         "figures" => chervilshunt_bench::figures::run(args).map_err(|e| e.to_string()),
         "policy" => chervilshunt_bench::policy::run(args).map_err(|e| e.to_string()),
+        "policy-table" => chervilshunt_bench::policy::run_table(args).map_err(|e| e.to_string()),
+        "plot" => chervilshunt_bench::plot::run(args).map_err(|e| e.to_string()),
         _ => return usage(),
     };
     outcome.map_or_else(|message| fail(&message), |()| ExitCode::SUCCESS)
 }
 
 fn usage() -> ExitCode {
-    fail("usage: chervilshunt_bench load|faults|figures|policy OPTIONS")
+    fail("usage: chervilshunt_bench load|faults|figures|policy|policy-table|plot OPTIONS")
 }
 
 fn fail(message: &str) -> ExitCode {
--- a/crates/chervilshunt_bench/src/policy/args.rs
+++ b/crates/chervilshunt_bench/src/policy/args.rs
@@ -1,9 +1,6 @@
-//! The command line of the policy bench.
+//! The command line of a single run, and how its names and numbers are read.
 
 use std::error::Error;
-use std::fs;
-use std::ops::RangeInclusive;
-use std::path::PathBuf;
 use std::str::FromStr;
 
 use lexopt::prelude::*;
@@ -12,15 +9,13 @@
 use super::deployment::DeploymentKind;
 use super::run::{Policy, RunSpec, run_timeline};
 use super::scenario::Scenario;
-use super::summary::Matrix;
-use super::table::render;
 
 /// Why the policy bench did not run.
 #[derive(Debug, Snafu)]
 #[non_exhaustive]
 pub enum PolicyError {
     /// The command line can't be read.
-    #[snafu(display("{source}"))]
+    #[snafu(display("{source}"), visibility(pub(super)))]
     Args {
         /// What lexopt said.
         source: lexopt::Error,
@@ -35,40 +30,25 @@
         /// What may be given.
         allowed: String,
     },
-    /// The summary can't be written.
-    #[snafu(display("can't write {}: {source}", path.display()))]
-    File {
-        /// The file.
-        path: PathBuf,
-        /// Why.
-        source: std::io::Error,
+    /// A list of seeds can't be read.
+    #[snafu(display("--seeds {value}: give numbers and ranges, such as 101-110 or 1,2,7"))]
+    Seeds {
+        /// What was given.
+        value: String,
     },
     /// A report can't be written.
-    #[snafu(display("can't write the report: {source}"))]
+    #[snafu(display("can't write the report: {source}"), visibility(pub(super)))]
     Write {
         /// What serde_json said.
         source: serde_json::Error,
     },
 }
 
-/// Seeds of the tables: other ones than those that the policy was tuned on, which are 1 to 20.
-const TABLE_SEEDS: RangeInclusive<u64> = 101..=110;
-/// Runs side by side unless the command line says otherwise.
-const THREADS: usize = 4;
-
-/// What the command line asks for; an option that may be given again adds to the matrix.
-#[derive(Debug, Default)]
+/// What the command line asks for; the last of an option given twice counts.
+#[derive(Debug)]
 struct Options {
-    deployments: Vec<DeploymentKind>,
-    policies: Vec<Policy>,
-    scenarios: Vec<Scenario>,
-    seeds: Vec<u64>,
-    seconds: Option<u64>,
-    load: Option<f64>,
-    threads: Option<usize>,
-    table: bool,
+    spec: RunSpec,
     timeline: bool,
-    summary: Option<PathBuf>,
 }
 
 /// Runs `policy` with the rest of the command line.
@@ -77,10 +57,7 @@
 /// Fails if an option is unknown or a report can't be written.
 pub fn run(args: lexopt::Parser) -> Result<(), PolicyError> {
     let options = Options::parse(args)?;
-    if options.table {
-        return options.run_table();
-    }
-    let (report, timeline) = run_timeline(options.single());
+    let (report, timeline) = run_timeline(options.spec);
     if options.timeline {
         print!("{timeline}");
         return Ok(());
@@ -91,93 +68,50 @@
 
 impl Options {
     fn parse(mut args: lexopt::Parser) -> Result<Self, PolicyError> {
-        let mut options = Self::default();
+        let mut spec = RunSpec {
+            deployment: DeploymentKind::Kolvand,
+            policy: Policy::Chervilshunt,
+            scenario: Scenario::Steady,
+            seed: 1,
+            seconds: None,
+            load: 1.0,
+        };
+        let mut timeline = false;
         while let Some(arg) = args.next().context(ArgsSnafu)? {
             match arg {
                 Long("deployment") => {
-                    let value = name(&mut args, "deployment", &DEPLOYMENTS)?;
-                    options.deployments.push(value);
-                }
-                Long("policy") => {
-                    let value = name(&mut args, "policy", &POLICIES)?;
-                    options.policies.push(value);
-                }
-                Long("scenario") => {
-                    let value = name(&mut args, "scenario", &SCENARIOS)?;
-                    options.scenarios.push(value);
-                }
-                Long("seed") => options.seeds.push(number(&mut args)?),
-                Long("seconds") => options.seconds = Some(number(&mut args)?),
-                Long("load") => options.load = Some(number(&mut args)?),
-                Long("threads") => options.threads = Some(number(&mut args)?),
-                Long("timeline") => options.timeline = true,
-                Long("table") => options.table = true,
-                Long("summary") => {
-                    let path = args.value().context(ArgsSnafu)?;
-                    options.summary = Some(path.into());
+                    spec.deployment = name(&mut args, "deployment", &DEPLOYMENTS)?;
                 }
+                Long("policy") => spec.policy = name(&mut args, "policy", &POLICIES)?,
+                Long("scenario") => spec.scenario = name(&mut args, "scenario", &SCENARIOS)?,
+                Long("seed") => spec.seed = number(&mut args)?,
+                Long("seconds") => spec.seconds = Some(number(&mut args)?),
+                Long("load") => spec.load = number(&mut args)?,
+                Long("timeline") => timeline = true,
                 // A single report has no other form; the option is for the caller's clearness.
                 Long("json") => {}
                 _ => return Err(arg.unexpected()).context(ArgsSnafu),
             }
         }
-        Ok(options)
-    }
-
-    fn single(&self) -> RunSpec {
-        RunSpec {
-            deployment: *self.deployments.last().unwrap_or(&DeploymentKind::Kolvand),
-            policy: *self.policies.last().unwrap_or(&Policy::Chervilshunt),
-            scenario: *self.scenarios.last().unwrap_or(&Scenario::Steady),
-            seed: *self.seeds.last().unwrap_or(&1),
-            seconds: self.seconds,
-            load: self.load.unwrap_or(1.0),
-        }
-    }
-
-    fn run_table(self) -> Result<(), PolicyError> {
-        let matrix = Matrix {
-            deployments: or_all(self.deployments, &DeploymentKind::ALL),
-            scenarios: or_all(self.scenarios, &Scenario::ALL),
-            policies: or_all(self.policies, &Policy::ALL),
-            seeds: or_all(self.seeds, &TABLE_SEEDS.collect::<Vec<_>>()),
-            seconds: self.seconds,
-            load: self.load.unwrap_or(1.0),
-            threads: self.threads.unwrap_or(THREADS),
-        };
-        let rows = matrix.run();
-        if let Some(path) = self.summary {
-            let text = serde_json::to_string_pretty(&rows).context(WriteSnafu)?;
-            fs::write(&path, text).context(FileSnafu { path })?;
-        }
-        print!("{}", render(&rows));
-        Ok(())
-    }
-}
-
-fn or_all<T: Copy>(chosen: Vec<T>, all: &[T]) -> Vec<T> {
-    if chosen.is_empty() {
-        all.to_vec()
-    } else {
-        chosen
+        Ok(Self { spec, timeline })
     }
 }
 
 /// How the names of an option are read and listed.
-struct Names<T> {
+pub(crate) struct Names<T> {
     parse: fn(&str) -> Option<T>,
     list: fn() -> Vec<&'static str>,
 }
 
-const DEPLOYMENTS: Names<DeploymentKind> = Names {
+pub(crate) const DEPLOYMENTS: Names<DeploymentKind> = Names {
     parse: DeploymentKind::parse,
     list: || DeploymentKind::ALL.map(DeploymentKind::as_str).to_vec(),
 };
-const POLICIES: Names<Policy> = Names {
+pub(crate) const POLICIES: Names<Policy> = Names {
     parse: Policy::parse,
     list: || Policy::ALL.map(Policy::as_str).to_vec(),
 };
-const SCENARIOS: Names<Scenario> = Names {
+pub(crate) const SCENARIOS: Names<Scenario> = Names {
     parse: Scenario::parse,
     list: || Scenario::ALL.map(Scenario::as_str).to_vec(),
 };
@@ -187,16 +121,58 @@
     option: &'static str,
     names: &Names<T>,
 ) -> Result<T, PolicyError> {
-    let value = args.value().and_then(|v| v.string()).context(ArgsSnafu)?;
-    (names.parse)(&value).context(UnknownSnafu {
-        option,
-        value,
-        allowed: (names.list)().join(", "),
-    })
+    let value = text(args)?;
+    names.find(option, &value)
+}
+
+/// Reads names that are divided by commas.
+pub(crate) fn names<T>(
+    args: &mut lexopt::Parser,
+    option: &'static str,
+    names: &Names<T>,
+) -> Result<Vec<T>, PolicyError> {
+    let value = text(args)?;
+    value
+        .split(',')
+        .map(|name| names.find(option, name))
+        .collect()
+}
+
+/// Reads numbers and ranges of numbers that are divided by commas.
+pub(crate) fn seeds(args: &mut lexopt::Parser) -> Result<Vec<u64>, PolicyError> {
+    let value = text(args)?;
+    let mut seeds = Vec::new();
+    for part in value.split(',') {
+        let (first, last) = part.split_once('-').unwrap_or((part, part));
+        let bounds = (first.parse::<u64>(), last.parse::<u64>());
+        let (Ok(first), Ok(last)) = bounds else {
+            return SeedsSnafu { value }.fail();
+        };
+        seeds.extend(first..=last);
+    }
+    if seeds.is_empty() {
+        return SeedsSnafu { value }.fail();
+    }
+    Ok(seeds)
 }
 
-fn number<T: FromStr<Err: Error + Send + Sync + 'static>>(
+/// Reads a number.
+pub(crate) fn number<T: FromStr<Err: Error + Send + Sync + 'static>>(
     args: &mut lexopt::Parser,
 ) -> Result<T, PolicyError> {
     args.value().and_then(|v| v.parse()).context(ArgsSnafu)
 }
+
+fn text(args: &mut lexopt::Parser) -> Result<String, PolicyError> {
+    args.value().and_then(|v| v.string()).context(ArgsSnafu)
+}
+
+impl<T> Names<T> {
+    fn find(&self, option: &'static str, value: &str) -> Result<T, PolicyError> {
+        (self.parse)(value).context(UnknownSnafu {
+            option,
+            value,
+            allowed: (self.list)().join(", "),
+        })
+    }
+}
--- a/crates/chervilshunt_bench/src/policy/mod.rs
+++ b/crates/chervilshunt_bench/src/policy/mod.rs
@@ -3,9 +3,11 @@
 //! A fake engine and a fake weight store stand round it. No instances and no network are modelled,
 //! but for a short fixed delay of each message; see `docs/design/bench.md`.
 
+mod aims;
 mod args;
 mod baseline;
 mod clairvoyant;
+mod comparison;
 mod core_policy;
 mod deployment;
 mod engine;
@@ -20,14 +22,18 @@
 mod store;
 mod summary;
 mod table;
+mod table_args;
 mod timeline;
 mod workload;
 mod world;
 
+pub use aims::{Aim, Limit};
 pub use args::{PolicyError, run};
+pub use comparison::{Comparison, Table};
 pub use deployment::DeploymentKind;
 pub use metrics::{ClassReport, Report};
 pub use run::{Policy, RunSpec, run_policy, run_timeline};
 pub use scenario::Scenario;
 pub use summary::{Matrix, Row};
 pub use table::render;
+pub use table_args::run_table;
--- a/crates/chervilshunt_bench/src/policy/summary.rs
+++ b/crates/chervilshunt_bench/src/policy/summary.rs
@@ -78,7 +78,7 @@
     /// By how much the rates of all requests are multiplied.
     pub load: f64,
     /// Runs side by side.
-    pub threads: usize,
+    pub jobs: usize,
 }
 
 impl Matrix {
@@ -117,7 +117,7 @@
         let next = Mutex::new(specs.iter().enumerate());
         let done = Mutex::new(Vec::with_capacity(specs.len()));
         thread::scope(|scope| {
-            for _ in 0..self.threads {
+            for _ in 0..self.jobs.clamp(1, specs.len().max(1)) {
                 scope.spawn(|| {
                     loop {
                         let job = next.lock().expect("no run panicked").next();
--- a/crates/chervilshunt_bench/tests/policy/main.rs
+++ b/crates/chervilshunt_bench/tests/policy/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the policy bench as a whole, on short runs with fixed seeds.
 
+mod table;
+
 use chervilshunt_bench::policy::{DeploymentKind, Policy, Report, RunSpec, Scenario, run_policy};
 use rstest::rstest;
 
--- /dev/null
+++ b/crates/chervilshunt_bench/tests/policy/table.rs
@@ -0,0 +1,107 @@
+//! Tests of whole tables and of what is drawn from them.
+
+use chervilshunt_bench::plot::{Figure, draw};
+use chervilshunt_bench::policy::{DeploymentKind, Matrix, Policy, Scenario, Table, render};
+
+const POLICIES: [Policy; 4] = [
+    Policy::Chervilshunt,
+    Policy::Lru,
+    Policy::Static,
+    Policy::Clairvoyant,
+];
+
+fn matrix(jobs: usize) -> Matrix {
+    Matrix {
+        deployments: DeploymentKind::ALL.to_vec(),
+        scenarios: vec![Scenario::Steady, Scenario::DeferrableFlood],
+        policies: POLICIES.to_vec(),
+        seeds: vec![3, 4],
+        seconds: Some(30),
+        load: 1.0,
+        jobs,
+    }
+}
+
+#[test]
+fn the_number_of_threads_does_not_matter() {
+    let text = |jobs| {
+        let table = Table::new(&matrix(jobs));
+        let json = serde_json::to_string(&table).expect("a table is plain data");
+        (json, render(&table))
+    };
+    assert_eq!(text(1), text(4));
+}
+
+#[test]
+fn a_table_says_which_aims_were_reached() {
+    let table = Table::new(&matrix(4));
+
+    assert_eq!(table.rows.len(), 16);
+    let flood = table
+        .aims
+        .iter()
+        .find(|aim| aim.deployment == "kolvand" && aim.figure == "live wait p99 over steady");
+    let flood = flood.expect("the flood has an aim");
+    let wait = |scenario: &str| {
+        let row = table.rows.iter().find(|row| {
+            (row.deployment.as_str(), row.policy.as_str()) == ("kolvand", "chervilshunt")
+                && row.scenario == scenario
+        });
+        row.and_then(|row| row.live_wait_ms_p99).expect("it ran")
+    };
+    let measured = flood.measured.expect("both scenarios ran");
+    assert!((measured - wait("deferrable-flood") / wait("steady")).abs() < 1e-3);
+    assert_eq!(flood.met, Some(measured <= flood.bound));
+    assert!(render(&table).contains("| kolvand | deferrable-flood | live wait p99 over steady |"));
+}
+
+#[test]
+fn an_aim_whose_baseline_is_missing_is_not_called_met() {
+    let mut matrix = matrix(4);
+    matrix.policies = vec![Policy::Chervilshunt];
+    let table = Table::new(&matrix);
+
+    let over_lru = table
+        .aims
+        .iter()
+        .filter(|aim| aim.figure.ends_with("over lru"));
+    let met: Vec<Option<bool>> = over_lru.map(|aim| aim.met).collect();
+    assert!(
+        !met.is_empty() && met.iter().all(Option::is_none),
+        "{met:?}"
+    );
+    assert!(render(&table).contains("| not run |"));
+}
+
+/// A plot names each policy that has the figure, each scenario, the quantity and the values of its axis.
+#[test]
+fn plots_hold_each_policy_and_scale() {
+    let table = Table::new(&matrix(4));
+
+    for deployment in ["hollowell", "kolvand"] {
+        for figure in Figure::ALL {
+            let svg = draw(&table, deployment, figure).expect("it can be drawn");
+            let of_figure = table
+                .rows
+                .iter()
+                .filter(|row| row.deployment == deployment && figure.value(row).is_some());
+            let mut bars = 0;
+            for row in of_figure {
+                assert!(svg.contains(&row.policy), "{} is missing", row.policy);
+                assert!(svg.contains(&row.scenario), "{} is missing", row.scenario);
+                bars += 1;
+            }
+            assert!(bars >= 6);
+            assert!(svg.matches("<rect").count() > bars, "a bar is missing");
+            assert!(svg.contains(figure.label()));
+            let value = |text: &str| text.trim().parse::<f64>().is_ok();
+            let scale = svg.split('>').filter_map(|part| part.split('<').next());
+            assert!(scale.filter(|text| value(text)).count() >= 2, "no scale");
+        }
+    }
+    let efficiency = draw(&table, "kolvand", Figure::Efficiency).expect("it can be drawn");
+    assert!(
+        !efficiency.contains("clairvoyant"),
+        "a bound on stalls has no efficiency"
+    );
+}
