Let other programs embed leases, roles and configuration, with an example of each

Cause: the coordination crate was used by the daemon alone. What stood in the way of another program, found by writing one for each part: the identifiers in its public functions came from chervilshunt_model, PageStampError could not be named, a LeaseRecord had eleven members to fill in, roles without a configuration needed a model of six functions that do nothing, and the object store in memory was the tests' own.

Change: the identifiers are re-exported; LeaseRecord::joining, no_configuration and MemoryPlatform are public; the crate's page says how a coordinator is driven. The examples lease, roles and configuration are whole programs in virtual time, which check their invariants after every step.

A library that runs tasks, async traits and a process beside the program were weighed and ruled out, see docs/design/embedding.md.

Tests changed: the fake platform of the unit tests is MemoryPlatform now, with the same behaviour; no assertion was touched.

--- /dev/null
+++ b/crates/chervilshunt_coord/examples/configuration.rs
@@ -0,0 +1,206 @@
+//! Three instances and a configuration of rate limits, changed three times.
+//!
+//! Run it with `cargo run -p chervilshunt_coord --example configuration`. Time is virtual. The first
+//! change is accepted by all. The second is refused, as an instance is cut off that could not know
+//! of it, and accepted once it is back. The third is written, but the answer to the write is lost:
+//! the proposer settles it by reading. After each step it is checked that no instance goes back to
+//! an older revision, and that the limits at a revision are the same everywhere. See
+//! `docs/design/configuration.md`.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use chervilshunt_coord::{
+    Applied, ChangeId, ChangeRefusal, ChangeTicket, ConfigModel, CoordAction, CoordEvent,
+    InstanceId, Object, PageKey, PlatformOp, Revision,
+};
+
+use self::support::{Fleet, Reaction};
+
+/// The configuration: how many requests a second each caller may make.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Limits {
+    revision: Revision,
+    by_caller: BTreeMap<String, u64>,
+}
+
+/// A change of it.
+#[derive(Clone, Debug)]
+pub(crate) struct SetLimit {
+    id: ChangeId,
+    caller: String,
+    limit: u64,
+}
+
+type Limited = Fleet<Limits, SetLimit>;
+
+/// What the instances were seen with.
+#[derive(Default)]
+struct Seen {
+    /// The limits at each revision, as the first instance had them that came to it.
+    limits: BTreeMap<Revision, Limits>,
+    latest: BTreeMap<InstanceId, Revision>,
+}
+
+fn main() {
+    print!("{}", run());
+}
+
+/// Plays the story, checks it, and returns what happened.
+pub(crate) fn run() -> String {
+    let mut fleet = Fleet::new(model(), program);
+    let mut seen = Seen::default();
+    for id in ["a", "b", "c"] {
+        fleet.start(id);
+    }
+    pass(&mut fleet, 20, &mut seen);
+
+    fleet.tell("operator at a: limit(depot) = 40");
+    propose(&mut fleet, "a", 1, "depot", 40);
+    pass(&mut fleet, 1, &mut seen);
+    assert_in_force(&fleet, "depot", Some(40));
+
+    fleet.tell("c is cut off; operator at a: limit(depot) = 60");
+    fleet.cut_off.insert("c".into());
+    propose(&mut fleet, "a", 2, "depot", 60);
+    pass(&mut fleet, 4, &mut seen);
+    assert_in_force(&fleet, "depot", Some(40));
+
+    fleet.tell("c is back; operator at a: limit(depot) = 60");
+    fleet.cut_off.clear();
+    pass(&mut fleet, 4, &mut seen);
+    propose(&mut fleet, "a", 3, "depot", 60);
+    pass(&mut fleet, 1, &mut seen);
+    assert_in_force(&fleet, "depot", Some(60));
+
+    fleet.tell("operator at b: limit(office) = 5");
+    fleet.lose_answer = Some(moves_head);
+    propose(&mut fleet, "b", 4, "office", 5);
+    pass(&mut fleet, 5, &mut seen);
+    assert_in_force(&fleet, "office", Some(5));
+    fleet.told
+}
+
+/// Says how limits are changed and cut into pages: one for each caller.
+fn model() -> ConfigModel<Limits, SetLimit> {
+    ConfigModel {
+        empty: Limits::default,
+        change_id: |change| change.id,
+        apply: set_limit,
+        page: |limits, key| {
+            let limit = limits.by_caller.get(key.as_str());
+            limit.map_or_else(String::new, u64::to_string)
+        },
+        with_page: with_limit,
+        at_revision: |limits, revision| Limits {
+            revision,
+            ..limits.clone()
+        },
+    }
+}
+
+fn set_limit(limits: &Limits, change: &SetLimit) -> Result<Applied<Limits>, String> {
+    let mut next = limits.clone();
+    next.revision = limits.revision.next();
+    next.by_caller.insert(change.caller.clone(), change.limit);
+    Ok((next, vec![PageKey::new(change.caller.as_str())]))
+}
+
+fn with_limit(limits: &Limits, key: &PageKey, body: &str) -> Result<Limits, String> {
+    let limit = body.parse().map_err(|error| format!("{body}: {error}"))?;
+    let mut next = limits.clone();
+    next.by_caller.insert(key.as_str().to_owned(), limit);
+    Ok(next)
+}
+
+/// What the program does when its coordinator tells it something.
+fn program(action: &CoordAction<Limits, SetLimit>) -> Reaction<SetLimit> {
+    let line = match action {
+        CoordAction::ConfigInForce { revision, state } => Some(format!(
+            "revision {revision} in force: {:?}",
+            state.by_caller
+        )),
+        CoordAction::ChangeAccepted { revision, .. } => {
+            Some(format!("accepted as revision {revision}"))
+        }
+        CoordAction::ChangeRefused {
+            refusal: ChangeRefusal::Unreachable(instances),
+            retry_after,
+            ..
+        } => {
+            let instances: Vec<_> = instances.iter().map(|id| id.as_str()).collect();
+            let secs = retry_after.map_or(0, |after| after.as_secs());
+            let instances = instances.join(", ");
+            Some(format!(
+                "refused: {instances} can't be reached; come back in {secs} s"
+            ))
+        }
+        CoordAction::ChangeRefused { refusal, .. } => Some(format!("refused: {refusal:?}")),
+        CoordAction::TakeWork(takes) => Some(
+            if *takes {
+                "takes work"
+            } else {
+                "takes no work"
+            }
+            .to_owned(),
+        ),
+        _ => None,
+    };
+    Reaction {
+        line,
+        events: Vec::new(),
+    }
+}
+
+fn propose(fleet: &mut Limited, at: &str, number: u64, caller: &str, limit: u64) {
+    let change = SetLimit {
+        id: ChangeId::from_u128(number.into()),
+        caller: caller.to_owned(),
+        limit,
+    };
+    let ticket = ChangeTicket(number);
+    fleet.deliver(&at.into(), CoordEvent::ProposeChange { ticket, change });
+}
+
+/// Returns whether a call is the one that puts a change in force.
+fn moves_head(op: &PlatformOp) -> bool {
+    matches!(op, PlatformOp::Update(Object::Head(head), _)
+        if head.pending.is_none() && head.revision > Revision::new(0))
+}
+
+/// Lets time pass and checks what must always hold.
+fn pass(fleet: &mut Limited, seconds: u64, seen: &mut Seen) {
+    fleet.run(Duration::from_secs(seconds), |fleet| {
+        for (id, node) in &fleet.nodes {
+            let Some(in_force) = node.in_force() else {
+                continue;
+            };
+            let before = seen.latest.insert(id.clone(), in_force.revision);
+            assert!(
+                before <= Some(in_force.revision),
+                "{id} went back from {before:?}"
+            );
+            let limits = seen
+                .limits
+                .entry(in_force.revision)
+                .or_insert_with(|| (*in_force.state).clone());
+            assert_eq!(*limits, *in_force.state, "{id} differs from another");
+        }
+    });
+}
+
+/// Checks that all instances that take work have this limit.
+fn assert_in_force(fleet: &Limited, caller: &str, limit: Option<u64>) {
+    for (id, node) in &fleet.nodes {
+        let in_force = node
+            .in_force()
+            .expect("each instance has loaded a configuration");
+        let here = in_force.state.by_caller.get(caller).copied();
+        assert!(
+            here == limit || !node.may_take_work(fleet.now),
+            "{id} has {here:?}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_coord/examples/lease.rs
@@ -0,0 +1,206 @@
+//! Two processes, one valve: a lease decides who may turn it, and a paused holder gives no order
+//! after it wakes.
+//!
+//! Run it with `cargo run -p chervilshunt_coord --example lease`. Time is virtual. `first` holds
+//! the lease and is paused for longer than the lease counts. `second` watches the lease, marks it
+//! lapsed, and goes on under the next epoch. Two things keep `first` from interfering: it looks at
+//! its lease right before each order, and an order that was on its way all the while is refused by
+//! the valve for its old epoch. See `docs/design/leases.md`.
+
+use std::ops::Range;
+
+use chervilshunt_coord::{
+    Epoch, Holder, Incarnation, LeaseAction, LeaseConfig, LeaseEvent, LeaseKeeper, LeaseObserver,
+    LeaseRecord, MemoryPlatform, Moment, ObserverAction, ObserverConfig, ObserverEvent,
+};
+
+/// When `first` stops.
+const PAUSED_AT: u64 = 12;
+/// When it wakes.
+const WOKEN_AT: u64 = 42;
+const PAUSE: Range<u64> = PAUSED_AT..WOKEN_AT;
+/// When the story ends.
+const END: u64 = 60;
+
+const FIRST_EPOCH: Epoch = Epoch::new(1);
+const SECOND_EPOCH: Epoch = Epoch::new(2);
+
+/// Takes orders, and refuses those with an epoch older than the highest that it has seen.
+#[derive(Debug, Default)]
+struct Valve {
+    highest: Epoch,
+    orders: Vec<(u64, &'static str)>,
+}
+
+impl Valve {
+    fn take(&mut self, second: u64, from: &'static str, epoch: Epoch) -> bool {
+        if epoch < self.highest {
+            return false;
+        }
+        self.highest = epoch;
+        self.orders.push((second, from));
+        true
+    }
+}
+
+fn main() {
+    print!("{}", run());
+}
+
+/// Plays the story, checks that nobody ordered out of turn, and returns what happened.
+pub(crate) fn run() -> String {
+    let mut story = Story::begin();
+    for second in 0..END {
+        story.second = second;
+        if !PAUSE.contains(&second) {
+            story.first_acts();
+        }
+        story.second_acts();
+        match second {
+            PAUSED_AT => story.tell("first is paused, with an order on its way"),
+            WOKEN_AT => story.late_order_arrives(),
+            _ => {}
+        }
+    }
+    story.check();
+    story.told
+}
+
+/// Both processes, what is between them, and what has happened.
+struct Story {
+    second: u64,
+    told: String,
+    platform: MemoryPlatform,
+    valve: Valve,
+    lease: LeaseKeeper,
+    observer: LeaseObserver,
+    first_orders: bool,
+    taken_over: Option<u64>,
+}
+
+impl Story {
+    fn begin() -> Self {
+        let address = ([127, 0, 0, 1], 1).into();
+        let cfg = LeaseConfig::default();
+        let record = LeaseRecord::joining(
+            first(),
+            cfg.duration,
+            "zone".into(),
+            "region".into(),
+            address,
+            address,
+        );
+        Self {
+            second: 0,
+            told: String::new(),
+            platform: MemoryPlatform::default(),
+            valve: Valve::default(),
+            lease: LeaseKeeper::new(cfg, record, Moment::ZERO),
+            observer: LeaseObserver::new(ObserverConfig::default()),
+            first_orders: false,
+            taken_over: None,
+        }
+    }
+
+    fn now(&self) -> Moment {
+        Moment::from_millis(self.second * 1_000)
+    }
+
+    fn tell(&mut self, what: &str) {
+        self.told += &format!("{:3} s  {what}\n", self.second);
+    }
+
+    /// Orders if the lease counts at this very moment, then renews it if that is due.
+    fn first_acts(&mut self) {
+        let may_order = self.lease.is_valid(self.now());
+        if may_order {
+            assert!(self.valve.take(self.second, "first", FIRST_EPOCH));
+        }
+        if self.first_orders != may_order {
+            self.first_orders = may_order;
+            self.tell(if may_order {
+                "first orders"
+            } else {
+                "first sees that its lease has run out, and does not order"
+            });
+        }
+        self.drive_lease(LeaseEvent::Tick);
+    }
+
+    /// Watches the lease of the other, and orders once that has ended.
+    fn second_acts(&mut self) {
+        self.drive_observer(ObserverEvent::Tick);
+        if self.taken_over.is_some() {
+            assert!(self.valve.take(self.second, "second", SECOND_EPOCH));
+        }
+    }
+
+    fn late_order_arrives(&mut self) {
+        assert!(!self.valve.take(self.second, "first", FIRST_EPOCH));
+        self.tell("the order from before the pause arrives; the valve refuses its epoch");
+    }
+
+    /// Carries out the calls of the lease keeper until it has no more.
+    fn drive_lease(&mut self, event: LeaseEvent) {
+        for action in self.lease.handle(event, self.now()) {
+            match action {
+                LeaseAction::Call(call) => {
+                    let result = self.platform.carry_out(&call.op).result;
+                    self.drive_lease(LeaseEvent::Reply(call.id, result));
+                }
+                LeaseAction::Created => {
+                    self.tell("first has the lease; second watches it");
+                    self.drive_observer(ObserverEvent::Watch(first()));
+                }
+                LeaseAction::Lost => self.tell("first learns that the lease was marked lapsed"),
+                LeaseAction::Renewed(_) => {}
+            }
+        }
+    }
+
+    /// Carries out the calls of the observer until it has no more, and lets it mark what expired.
+    fn drive_observer(&mut self, event: ObserverEvent) {
+        for action in self.observer.handle(event, self.now()) {
+            match action {
+                ObserverAction::Call(call) => {
+                    let result = self.platform.carry_out(&call.op).result;
+                    self.drive_observer(ObserverEvent::Reply(call.id, result));
+                }
+                ObserverAction::Expired(holder) => {
+                    self.drive_observer(ObserverEvent::Mark(holder));
+                }
+                ObserverAction::Ended(holder, by_us) => {
+                    assert!(by_us && holder == first());
+                    self.taken_over = Some(self.second);
+                    self.tell("second has marked the lease lapsed, and takes over");
+                }
+                ObserverAction::Seen(_) => {}
+            }
+        }
+    }
+
+    fn check(&mut self) {
+        let taken_over = self.taken_over.expect("second takes over");
+        let of_first = self.valve.orders.iter().filter(|(_, by)| *by == "first");
+        let last_of_first = of_first.clone().map(|(at, _)| *at).max();
+        assert!(
+            last_of_first < Some(PAUSED_AT),
+            "first ordered after its pause"
+        );
+        assert!(
+            PAUSE.contains(&taken_over),
+            "second took over at {taken_over} s"
+        );
+        let (first, all) = (of_first.count(), self.valve.orders.len());
+        self.second = END;
+        self.tell(&format!(
+            "carried out: {first} of first, {} of second",
+            all - first
+        ));
+    }
+}
+
+/// The run of the process that has the lease; a real one draws its incarnation at random.
+fn first() -> Holder {
+    Holder::new("first", Incarnation::new(1))
+}
--- a/crates/chervilshunt_coord/src/config.rs
+++ b/crates/chervilshunt_coord/src/config.rs
@@ -12,9 +12,9 @@
 mod proposer;
 
 pub use follower::{Follower, FollowerAction, FollowerConfig, FollowerEvent, InForce};
-pub use head::{Elector, Electorate, HeadRecord, PageStamp, PendingChange};
+pub use head::{Elector, Electorate, HeadRecord, PageStamp, PageStampError, PendingChange};
 pub use message::{ConfigMessage, Prepare};
-pub use model::{Applied, ConfigModel, PageKey, deployment_model};
+pub use model::{Applied, ConfigModel, PageKey, deployment_model, no_configuration};
 pub use proposer::{
     ChangeRefusal, ChangeTicket, Proposer, ProposerAction, ProposerConfig, ProposerEvent,
 };
--- a/crates/chervilshunt_coord/src/config/model.rs
+++ b/crates/chervilshunt_coord/src/config/model.rs
@@ -65,6 +65,18 @@
     fn hash<H: Hasher>(&self, _state: &mut H) {}
 }
 
+/// Returns the model for a program that uses roles and leases and has no configuration.
+pub fn no_configuration() -> ConfigModel<(), ()> {
+    ConfigModel {
+        empty: || (),
+        change_id: |()| ChangeId::from_u128(0),
+        apply: |(), ()| Err("there is no configuration".to_owned()),
+        page: |(), _key| String::new(),
+        with_page: |(), _key, _body| Ok(()),
+        at_revision: |(), _revision| (),
+    }
+}
+
 /// Returns the model of a [`Deployment`] that is changed by [`ChangeSet`]s.
 pub fn deployment_model() -> ConfigModel<Deployment, ChangeSet> {
     ConfigModel {
--- a/crates/chervilshunt_coord/src/coordinator.rs
+++ b/crates/chervilshunt_coord/src/coordinator.rs
@@ -98,19 +98,14 @@
     }
 
     fn lease_record(&self) -> LeaseRecord {
-        LeaseRecord {
-            holder: self.me.clone(),
-            state: LeaseState::Joining,
-            renewals: 0,
-            duration_ms: u64::try_from(self.lease.duration.as_millis()).unwrap_or(u64::MAX),
-            zone: self.zone.clone(),
-            region: self.region.clone(),
-            peer_address: self.peer_address,
-            operators_address: self.operators_address,
-            electorate: 0,
-            electorate_before: 0,
-            acknowledged: None,
-        }
+        LeaseRecord::joining(
+            self.me.clone(),
+            self.lease.duration,
+            self.zone.clone(),
+            self.region.clone(),
+            self.peer_address,
+            self.operators_address,
+        )
     }
 
     fn elector(&self) -> Elector {
--- a/crates/chervilshunt_coord/src/lease/observer.rs
+++ b/crates/chervilshunt_coord/src/lease/observer.rs
@@ -42,7 +42,7 @@
 /// What an observer has to react to.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum ObserverEvent {
-    /// Watch this lease from now on.
+    /// Watch this lease from now on. It has been created: one that is not found has ended.
     Watch(Holder),
     /// Watch it no longer.
     Unwatch(Holder),
--- a/crates/chervilshunt_coord/src/lease/record.rs
+++ b/crates/chervilshunt_coord/src/lease/record.rs
@@ -1,6 +1,7 @@
 //! The content of a Lease object.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use chervilshunt_model::{RegionName, ZoneName};
 use serde::{Deserialize, Serialize};
@@ -39,6 +40,32 @@
     pub acknowledged: Option<u64>,
 }
 
+impl LeaseRecord {
+    /// Makes what a run says of itself when it joins.
+    pub fn joining(
+        holder: Holder,
+        duration: Duration,
+        zone: ZoneName,
+        region: RegionName,
+        peer_address: SocketAddr,
+        operators_address: SocketAddr,
+    ) -> Self {
+        Self {
+            holder,
+            state: LeaseState::Joining,
+            renewals: 0,
+            duration_ms: u64::try_from(duration.as_millis()).unwrap_or(u64::MAX),
+            zone,
+            region,
+            peer_address,
+            operators_address,
+            electorate: 0,
+            electorate_before: 0,
+            acknowledged: None,
+        }
+    }
+}
+
 /// The stage of life of a run of an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/chervilshunt_coord/src/platform.rs
+++ b/crates/chervilshunt_coord/src/platform.rs
@@ -5,8 +5,10 @@
 //! if need be [`PlatformResult::Unknown`] after a timeout.
 
 mod call;
+mod memory;
 mod object;
 
 pub(crate) use call::Calls;
 pub use call::{CallId, PlatformCall, PlatformOp, PlatformResult, Purpose};
+pub use memory::{CarriedOut, MemoryPlatform};
 pub use object::{Object, ObjectKind, ObjectName, ObjectVersion, PageName, Stored};
--- a/crates/chervilshunt_coord/src/tests.rs
+++ b/crates/chervilshunt_coord/src/tests.rs
@@ -8,7 +8,6 @@
 mod explore_roles;
 mod fleet;
 mod outage;
-mod platform;
 mod promises;
 mod runs;
 mod smoke;
--- a/crates/chervilshunt_coord/src/tests/claims.rs
+++ b/crates/chervilshunt_coord/src/tests/claims.rs
@@ -12,12 +12,11 @@
 use proptest::prelude::*;
 use rstest::rstest;
 
-use super::platform::FakePlatform;
 use super::runs::{holds, is_caught};
 use crate::bugs::{Bug, Bugs};
 use crate::{
     ClaimAction, ClaimAnswer, ClaimConfig, ClaimEvent, ClaimKeeper, ClaimKey, ClaimOutcome,
-    ClaimRequest, Holder, Incarnation, PlatformCall, PlatformResult,
+    ClaimRequest, Holder, Incarnation, MemoryPlatform, PlatformCall, PlatformResult,
 };
 
 const ENTRIES: usize = 3;
@@ -73,7 +72,7 @@
 
 struct World {
     now: Moment,
-    platform: FakePlatform,
+    platform: MemoryPlatform,
     keepers: Vec<ClaimKeeper>,
     calls: Vec<Pending>,
     answers: Vec<(Holder, ClaimKey, AttemptId, ClaimAnswer)>,
@@ -91,7 +90,7 @@
     fn new(bugs: Bugs) -> Self {
         let mut world = Self {
             now: Moment::from_millis(1_000),
-            platform: FakePlatform::default(),
+            platform: MemoryPlatform::default(),
             keepers: Vec::new(),
             calls: Vec::new(),
             answers: Vec::new(),
@@ -225,7 +224,7 @@
         if call >= self.calls.len() {
             return;
         }
-        let (result, _) = self.platform.carry_out(&self.calls[call].call.op);
+        let result = self.platform.carry_out(&self.calls[call].call.op).result;
         self.calls[call].carried_out = true;
         if answered {
             let pending = self.calls.remove(call);
--- a/crates/chervilshunt_coord/src/tests/explore_config.rs
+++ b/crates/chervilshunt_coord/src/tests/explore_config.rs
@@ -12,15 +12,14 @@
 use rstest::rstest;
 
 use super::explore::{Explored, depth, explore};
-use super::platform::FakePlatform;
 use super::smoke::set_cell;
 use super::table::{SetCell, Table, table_model};
 use crate::bugs::{Bug, Bugs};
 use crate::{
     CallId, ChangeRefusal, ChangeTicket, ConfigMessage, Elector, Follower, FollowerAction,
     FollowerConfig, FollowerEvent, HeadRecord, Holder, Incarnation, LeaseRecord, LeaseState,
-    Object, ObjectName, PlatformCall, PlatformOp, PlatformResult, Proposer, ProposerAction,
-    ProposerConfig, ProposerEvent,
+    MemoryPlatform, Object, ObjectName, PlatformCall, PlatformOp, PlatformResult, Proposer,
+    ProposerAction, ProposerConfig, ProposerEvent,
 };
 
 const DEPTH: usize = 16;
@@ -53,7 +52,7 @@
 #[derive(Clone, Debug, Hash)]
 struct World {
     now: Moment,
-    platform: FakePlatform,
+    platform: MemoryPlatform,
     followers: Vec<Follower<Table, SetCell>>,
     /// Whether each has begun to take work; the newcomer does once it is settled.
     works: Vec<bool>,
@@ -88,7 +87,7 @@
 
 impl World {
     fn new(bugs: Bugs) -> Self {
-        let mut platform = FakePlatform::default();
+        let mut platform = MemoryPlatform::default();
         let head = HeadRecord::first(Vec::new());
         platform.carry_out(&PlatformOp::Create(Object::Head(Box::new(head))));
         let followers = (0..NAMES.len()).map(|number| {
@@ -210,7 +209,10 @@
     }
 
     fn carry_out(&mut self, number: usize) {
-        let (result, _) = self.platform.carry_out(&self.pending[number].call.op);
+        let result = self
+            .platform
+            .carry_out(&self.pending[number].call.op)
+            .result;
         self.pending[number].result = Some(result);
         let head = self
             .platform
--- a/crates/chervilshunt_coord/src/tests/explore_lease.rs
+++ b/crates/chervilshunt_coord/src/tests/explore_lease.rs
@@ -11,12 +11,11 @@
 use rstest::rstest;
 
 use super::explore::{Explored, depth, explore};
-use super::platform::FakePlatform;
 use crate::bugs::{Bug, Bugs};
 use crate::{
     Holder, Incarnation, LeaseAction, LeaseConfig, LeaseEvent, LeaseKeeper, LeaseObserver,
-    LeaseRecord, LeaseState, ObserverAction, ObserverConfig, ObserverEvent, PlatformCall,
-    PlatformResult,
+    LeaseRecord, LeaseState, MemoryPlatform, ObserverAction, ObserverConfig, ObserverEvent,
+    PlatformCall, PlatformResult,
 };
 
 /// The steps of the search.
@@ -48,7 +47,7 @@
 #[derive(Clone, Debug, Hash)]
 struct World {
     now: Moment,
-    platform: FakePlatform,
+    platform: MemoryPlatform,
     holder: LeaseKeeper,
     observer: LeaseObserver,
     pending: Vec<Pending>,
@@ -89,7 +88,7 @@
         observer.seed(bugs);
         let mut world = Self {
             now,
-            platform: FakePlatform::default(),
+            platform: MemoryPlatform::default(),
             holder,
             observer,
             pending: Vec::new(),
@@ -133,7 +132,10 @@
     }
 
     fn carry_out(&mut self, number: usize) {
-        let (result, _) = self.platform.carry_out(&self.pending[number].call.op);
+        let result = self
+            .platform
+            .carry_out(&self.pending[number].call.op)
+            .result;
         if self.pending[number].given_up {
             self.pending.remove(number);
         } else {
--- a/crates/chervilshunt_coord/src/tests/explore_roles.rs
+++ b/crates/chervilshunt_coord/src/tests/explore_roles.rs
@@ -13,12 +13,11 @@
 use rstest::rstest;
 
 use super::explore::{Explored, depth, explore};
-use super::platform::FakePlatform;
 use crate::bugs::{Bug, Bugs};
 use crate::{
-    AssignmentRecord, AssignmentShard, Holder, Incarnation, LeaseRecord, LeaseState, Object,
-    ObjectName, PlatformCall, PlatformOp, PlatformResult, Role, RoleAction, RoleConfig, RoleEntry,
-    RoleEvent, RoleTable, WantedRole,
+    AssignmentRecord, AssignmentShard, Holder, Incarnation, LeaseRecord, LeaseState,
+    MemoryPlatform, Object, ObjectName, PlatformCall, PlatformOp, PlatformResult, Role, RoleAction,
+    RoleConfig, RoleEntry, RoleEvent, RoleTable, WantedRole,
 };
 
 const DEPTH: usize = 23;
@@ -38,7 +37,7 @@
 #[derive(Clone, Debug, Hash)]
 struct World {
     now: Moment,
-    platform: FakePlatform,
+    platform: MemoryPlatform,
     tables: Vec<RoleTable>,
     pending: Vec<Pending>,
     told: Vec<(usize, AssignmentShard, u64)>,
@@ -78,7 +77,7 @@
 
 impl World {
     fn new(bugs: Bugs) -> Self {
-        let mut platform = FakePlatform::default();
+        let mut platform = MemoryPlatform::default();
         let shard = AssignmentShard::of(&role());
         let entry = RoleEntry::first(run_of(HOLDER, 1), Revision::new(0));
         let record = AssignmentRecord {
@@ -165,7 +164,10 @@
     }
 
     fn carry_out(&mut self, number: usize) {
-        let (result, _) = self.platform.carry_out(&self.pending[number].call.op);
+        let result = self
+            .platform
+            .carry_out(&self.pending[number].call.op)
+            .result;
         self.pending[number].result = Some(result);
     }
 
--- a/crates/chervilshunt_coord/src/tests/fleet.rs
+++ b/crates/chervilshunt_coord/src/tests/fleet.rs
@@ -6,14 +6,13 @@
 
 use chervilshunt_model::{Epoch, InstanceId, Moment, Revision};
 
-use super::platform::FakePlatform;
 use super::table::{SetCell, Table, table_model};
 use crate::bugs::Bugs;
 use crate::hashing::jittered;
 use crate::{
-    CallId, ChangeRefusal, ChangeTicket, CoordAction, CoordEvent, CoordMessage, Coordinator,
-    CoordinatorConfig, Holder, Incarnation, InstanceEntry, LeaseConfig, PlatformCall,
-    PlatformResult, Role, Stored, WantedRole,
+    CallId, CarriedOut, ChangeRefusal, ChangeTicket, CoordAction, CoordEvent, CoordMessage,
+    Coordinator, CoordinatorConfig, Holder, Incarnation, InstanceEntry, LeaseConfig,
+    MemoryPlatform, PlatformCall, PlatformResult, Role, Stored, WantedRole,
 };
 
 /// How long a call to the platform or a message takes at the least.
@@ -122,7 +121,7 @@
 /// Some coordinators with what is between them.
 pub(super) struct Fleet {
     pub(super) now: Moment,
-    pub(super) platform: FakePlatform,
+    pub(super) platform: MemoryPlatform,
     pub(super) nodes: BTreeMap<InstanceId, Node>,
     pub(super) faults: Faults,
     pub(super) accepted: BTreeMap<ChangeTicket, Revision>,
@@ -143,7 +142,7 @@
     pub(super) fn new(seed: u64, wanted: Vec<WantedRole>) -> Self {
         Self {
             now: Moment::from_millis(1_000_000),
-            platform: FakePlatform::default(),
+            platform: MemoryPlatform::default(),
             nodes: BTreeMap::new(),
             faults: Faults::default(),
             accepted: BTreeMap::new(),
@@ -377,7 +376,7 @@
 
     /// Carries a call out at the platform, even if the caller has died since.
     fn carry_out(&mut self, id: &InstanceId, process: u64, call: &PlatformCall) {
-        let (result, written) = self.platform.carry_out(&call.op);
+        let CarriedOut { result, written } = self.platform.carry_out(&call.op);
         if let Some(stored) = written {
             self.tell_watchers(&stored);
         }
