Tell a caller that its request may have run, also when the retry was refused

Cause: of several tries the last one's problem was told. An engine ran a request and its answer broke off; the retry found no owner, or a load that failed, and the caller was told 'not run' of a request that had run. Found by reading the retry loop.

The first problem of unknown outcome is kept, and told in place of a later refusal, with the time to come back that the later one names.

Process test a_refused_retry_does_not_hide_that_the_first_try_ran: before, 503 no_owner with outcome not_run and one run at the engine; after, outcome unknown. The table test holds the three cases.

--- a/crates/chervilshunt_daemon/src/traffic/attempt.rs
+++ b/crates/chervilshunt_daemon/src/traffic/attempt.rs
@@ -80,6 +80,7 @@
             avoid: Vec::new(),
         };
         let mut tries = 1;
+        let mut may_have_run = None;
         loop {
             let failed = match run.once().await {
                 Ok(answered) => return Ok(run.answered(answered, slot)),
@@ -91,10 +92,10 @@
                 Again::Never => false,
             };
             if !harmless || tries >= MAX_TRIES || run.req.left(Instant::now()).is_zero() {
-                return Err(failed.problem);
+                return Err(failed.problem.after(may_have_run));
             }
             if !self.try_retry(failed.problem.reason.as_str()) {
-                return Err(failed.problem.retry_after(BUDGET_RETRY));
+                return Err(failed.problem.retry_after(BUDGET_RETRY).after(may_have_run));
             }
             slog::info!(self.parts.log, "trying again";
                 "request" => %run.req.id,
@@ -103,6 +104,9 @@
                 "detail" => &failed.problem.detail,
             );
             tries += 1;
+            if failed.problem.outcome != Outcome::NotRun {
+                may_have_run = Some(failed.problem);
+            }
         }
     }
 }
--- a/crates/chervilshunt_daemon/src/traffic/problem.rs
+++ b/crates/chervilshunt_daemon/src/traffic/problem.rs
@@ -206,6 +206,22 @@
         self
     }
 
+    /// Returns what the caller is told when the last of several tries ends with this.
+    ///
+    /// A try that may have run stays true whatever became of those after it: when a retry was
+    /// refused, the caller was told "not run" of a request that a target had run. So the earlier
+    /// problem is told, with the time that the later one names for coming back.
+    #[must_use]
+    pub(crate) fn after(self, earlier: Option<Self>) -> Self {
+        match (self.outcome, earlier) {
+            (Outcome::NotRun, Some(earlier)) => Self {
+                retry_after: self.retry_after.or(earlier.retry_after),
+                ..earlier
+            },
+            (Outcome::NotRun | Outcome::Unknown | Outcome::CutShort, _) => self,
+        }
+    }
+
     /// Renders the document's JSON.
     pub(crate) fn to_json(&self, request: &RequestId) -> Bytes {
         let reason = self.reason.as_str();
--- a/crates/chervilshunt_daemon/src/traffic/problem/tests.rs
+++ b/crates/chervilshunt_daemon/src/traffic/problem/tests.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 use serde_json::Value;
 
-use super::{Problem, Reason};
+use super::{Outcome, Problem, Reason};
 
 #[rstest]
 #[case(Reason::BadRequest, 400, "bad_request")]
@@ -72,3 +72,33 @@
     let res = problem.to_response(&RequestId::new("r"));
     assert_eq!(res.headers()["retry-after"], seconds);
 }
+
+// A first try's answer breaks off, and a retry is refused. The request ran, whatever the last try says.
+#[rstest]
+#[case::refused_after_it_may_have_run(true, false, Outcome::Unknown, Reason::BrokenOff, Some(7))]
+#[case::refused_each_time(
+    false,
+    false,
+    Outcome::NotRun,
+    Reason::Owner(RefusalReason::LoadFailed),
+    Some(7)
+)]
+#[case::broken_off_each_time(true, true, Outcome::Unknown, Reason::TargetFailed, Some(2))]
+fn the_last_of_several_tries_does_not_hide_that_an_earlier_one_ran(
+    #[case] earlier_ran: bool,
+    #[case] last_ran: bool,
+    #[case] outcome: Outcome,
+    #[case] reason: Reason,
+    #[case] retry_after: Option<u64>,
+) {
+    let earlier = earlier_ran.then(|| Problem::unknown(Reason::BrokenOff, "the answer broke off"));
+    let last = if last_ran {
+        Problem::unknown(Reason::TargetFailed, "").retry_after(Duration::from_secs(2))
+    } else {
+        let reason = Reason::Owner(RefusalReason::LoadFailed);
+        Problem::not_run(reason, "").retry_after(Duration::from_secs(7))
+    };
+    let told = last.after(earlier);
+    assert_eq!((told.outcome, told.reason), (outcome, reason));
+    assert_eq!(told.retry_after, retry_after.map(Duration::from_secs));
+}
--- a/crates/chervilshunt_daemon/tests/callers_answers.rs
+++ b/crates/chervilshunt_daemon/tests/callers_answers.rs
@@ -208,6 +208,41 @@
     });
 }
 
+// One engine cuts whole answers. The other has restarted empty and fails its loads, so that it refuses
+// the retry before anything runs there. The caller may not be told "not run": the first engine ran it.
+#[test]
+fn a_refused_retry_does_not_hide_that_the_first_try_ran() {
+    alone(options, async |test| {
+        test.fault("engine-1", json!({"cut_after_tokens": 2})).await;
+        let broken = json!({"restart": true, "load_fails": 1.0});
+        test.fault("engine-2", broken).await;
+        let to = test.fleet.instances()["i1"].callers();
+        let mut ran_and_failed = 0;
+        for number in 0..4 {
+            let id = format!("hidden-{number}");
+            let body = completion(&model_name(number), 4, false);
+            let headers = [("x-request-id", id.as_str()), ("prefer", "wait=8")];
+            let req = post(to, "/v1/completions", &headers, &body);
+            let answer = send(to, Speaks::Http1, req).await;
+            let runs = test.runs(&id).await;
+            if answer.status == StatusCode::OK {
+                continue;
+            }
+            if runs > 0 {
+                ran_and_failed += 1;
+                assert_eq!(
+                    answer.json()["outcome"],
+                    "unknown",
+                    "{runs} runs: {}",
+                    answer.text
+                );
+            }
+            assert!(answer.header("retry-after").is_some(), "{}", answer.text);
+        }
+        assert!(ran_and_failed > 0, "no request was cut at the first engine");
+    });
+}
+
 // An engine serves a request by another adapter, as after an eviction that it did not report. The
 // instance compares the name in the answer before it hands anything on.
 #[rstest]
