Give waiting deferrable loads a hundredth of the turns in place of a tenth

Live loads alone take about nine tenths of the turns; deferrable loads over a minute old took every tenth, so the live queue grew for as long as the flood lasted, and the scheduler fell into serving the newest first.

--- a/crates/chervilshunt_core/src/scheduler.rs
+++ b/crates/chervilshunt_core/src/scheduler.rs
@@ -22,10 +22,14 @@
 const DEFERRABLE_URGENCY: (f64, f64) = (1.0, 1.0);
 
 /// Age from which deferrable loads get a share of the turns while live ones wait.
-const DEFERRABLE_AGE: Duration = Duration::from_secs(60);
+const DEFERRABLE_AGE: Duration = Duration::from_secs(300);
 
 /// That share, as one turn in so many.
-const DEFERRABLE_SHARE: u32 = 10;
+///
+/// It only has to keep deferrable loads from waiting for ever. Live loads alone take most of a
+/// store's turns, so a tenth for deferrable ones makes the live queue grow without end for as long
+/// as a flood lasts.
+const DEFERRABLE_SHARE: u32 = 100;
 
 /// Load times for which the load of an owner that lost its role is taken to go on.
 const ORPHAN_LOAD_TIMES: u32 = 3;
