Find a process that starts again under its name at its new address

Cause: an instance that is killed and starts again under its own id appends to the log of the run before, and the harness read the addresses from the first line that announces some. Ruled out: the instance itself; its log shows that it listens, takes roles and grants permits. The harness now reads only what the process itself wrote. The new test starts a process twice.

--- a/crates/chervilshunt_standin/src/fleet/process.rs
+++ b/crates/chervilshunt_standin/src/fleet/process.rs
@@ -57,6 +57,8 @@
     name: String,
     child: Child,
     log: PathBuf,
+    /// Where in the log this process begins: one that starts again under its name appends to it.
+    log_from: usize,
     addresses: BTreeMap<String, SocketAddr>,
 }
 
@@ -75,6 +77,7 @@
         folder: &Path,
     ) -> Result<Self, FleetError> {
         let log = folder.join(format!("{name}.log"));
+        let log_from = read_log(&log).len();
         let child = Command::new(program)
             .args(args)
             .stdin(Stdio::null())
@@ -87,6 +90,7 @@
             name: name.to_owned(),
             child,
             log,
+            log_from,
             addresses: BTreeMap::new(),
         };
         let found = process
@@ -202,7 +206,7 @@
         }
     }
 
-    /// Returns the lines of the log that are JSON.
+    /// Returns the lines that this process wrote to its log and that are JSON.
     pub fn log_lines(&self) -> Vec<Value> {
         self.log_text()
             .lines()
@@ -210,7 +214,7 @@
             .collect()
     }
 
-    /// Returns the last lines of the log.
+    /// Returns the last lines that this process wrote to its log.
     pub fn tail(&self) -> String {
         let text = self.log_text();
         let lines: Vec<_> = text.lines().collect();
@@ -221,11 +225,16 @@
     }
 
     fn log_text(&self) -> String {
-        let bytes = std::fs::read(&self.log).unwrap_or_default();
-        String::from_utf8_lossy(&bytes).into_owned()
+        let bytes = read_log(&self.log);
+        String::from_utf8_lossy(bytes.get(self.log_from..).unwrap_or_default()).into_owned()
     }
 }
 
+/// Reads a log; one that isn't there yet is empty.
+fn read_log(path: &Path) -> Vec<u8> {
+    std::fs::read(path).unwrap_or_default()
+}
+
 /// Opens a log to append to, so that output and errors don't write over each other.
 fn open_log(path: &Path) -> Result<File, FleetError> {
     OpenOptions::new()
--- a/crates/chervilshunt_standin/src/fleet/tests.rs
+++ b/crates/chervilshunt_standin/src/fleet/tests.rs
@@ -157,6 +157,22 @@
     process.signal(Signal::Kill).unwrap();
 }
 
+// What the harness sees: an instance that starts again under its name seems to refuse connections.
+// Its log goes on in the file of the run before, whose first line announces ports that are closed.
+#[tokio::test]
+async fn a_process_that_starts_again_is_found_at_its_new_address() {
+    let folder = tempfile::tempdir().unwrap();
+    for port in [5, 6] {
+        let line = format!(r#"{{"listening":"127.0.0.1:{port}"}}"#);
+        let script = format!("echo '{line}'; exec sleep 60");
+        let mut process = shell(&script, folder.path()).await.unwrap();
+        let address = process.address("listening").unwrap();
+        assert_eq!(address, SocketAddr::from(([127, 0, 0, 1], port)));
+        process.signal(Signal::Kill).unwrap();
+        process.wait_end(ARRIVES).await.unwrap();
+    }
+}
+
 #[tokio::test]
 async fn settings_of_instances_are_accepted_with_what_is_laid_over_them() {
     let folder = tempfile::tempdir().unwrap();
