Keep operators' actions from stretching the pauses of a random run

Cause: while faults are held, operators ask every instance, also one that is paused, and waited 10 s for its revision and 30 s for its answer to a new version. Revisions are now asked of all instances side by side with a bound of 2 s, and the answers to new versions are looked at after healing. Every one of them is still checked, and overdue after 60 s as other requests are; instances that are leaving are asked for their revision too, which is stricter.

--- a/crates/chervilshunt_bench/src/faults/change.rs
+++ b/crates/chervilshunt_bench/src/faults/change.rs
@@ -5,16 +5,24 @@
 
 use chervilshunt_standin::check::{Api, RequestPlan, Verdict};
 use chervilshunt_standin::fleet::{
-    Evidence, Fleet, Load, Promise, Statements, adapter_name, completion, create_version, describe,
-    wait_until,
+    Evidence, Fleet, HttpClient, Load, Promise, Statements, adapter_name, completion,
+    create_version, describe, wait_until,
 };
+use futures_util::future::join_all;
 use http::StatusCode;
 use rand::seq::IndexedRandom as _;
 use rand_chacha::ChaCha8Rng;
+use tokio::task::JoinHandle;
+
+use super::run::PATIENCE;
 
 /// How long an accepted revision may take to be known at every instance of a healed deployment.
 const IN_FORCE_BOUND: Duration = Duration::from_secs(15);
 
+/// How long an instance may take to say its revision. While faults are held, waiting longer for one
+/// that is paused would stretch the pause beyond the patience of those who wait for their answers.
+const LOOK_BOUND: Duration = Duration::from_secs(2);
+
 /// The site whose cap operators race for.
 const SITE: &str = "hall";
 
@@ -50,19 +58,23 @@
     accepted: u64,
     /// The highest revision that each instance has reported.
     seen: BTreeMap<String, u64>,
+    /// Requests for new versions whose answers are yet to be looked at.
+    asked: Vec<Asked>,
     pub(crate) changes: u64,
     pub(crate) refused: u64,
 }
 
+/// A request for a version that an operator was just told to be in force.
+#[derive(Debug)]
+struct Asked {
+    id: String,
+    revision: u64,
+    sent: JoinHandle<Verdict>,
+}
+
 impl Operators {
     /// Creates a version at one instance, and asks every instance for it if that is accepted.
-    pub(crate) async fn create(
-        &mut self,
-        fleet: &Fleet,
-        load: &Load,
-        evidence: &mut Evidence,
-        rng: &mut ChaCha8Rng,
-    ) {
+    pub(crate) async fn create(&mut self, fleet: &Fleet, load: &Load, rng: &mut ChaCha8Rng) {
         let Some(statements) = any(fleet, rng) else {
             return;
         };
@@ -71,7 +83,7 @@
         let answer = self.send(&statements, &create_version(&model)).await;
         self.versions.insert(model.clone(), answer.clone());
         if let Answer::Accepted(revision) = answer {
-            ask_everywhere(fleet, load, evidence, &model, revision).await;
+            self.ask_everywhere(fleet, load, &model, revision);
         }
     }
 
@@ -129,13 +141,12 @@
 
     /// Asks each instance for its revision, which must never go back.
     pub(crate) async fn watch_revisions(&mut self, fleet: &Fleet, evidence: &mut Evidence) {
-        for (id, _) in fleet.balanced() {
-            let Ok(statements) = fleet.statements_at(&id) else {
-                continue;
-            };
-            let Ok(shown) = statements.run_local(REVISION_QUERY).await else {
-                continue;
-            };
+        let http = HttpClient::new(LOOK_BOUND);
+        let asked = fleet.instances().iter().map(|(id, instance)| {
+            let statements = Statements::new(http.clone(), instance.operators());
+            async move { Some((id, statements.run_local(REVISION_QUERY).await.ok()?)) }
+        });
+        for (id, shown) in join_all(asked).await.into_iter().flatten() {
             let revision = shown["revision"].as_u64().unwrap_or_default();
             let seen = self.seen.entry(id.clone()).or_default();
             let back = || format!("{id} went from revision {seen} back to {revision}");
@@ -144,6 +155,34 @@
         }
     }
 
+    /// Asks every instance for a version that was just accepted.
+    ///
+    /// The answers are looked at when faults are healed: one that is paused answers only then.
+    fn ask_everywhere(&mut self, fleet: &Fleet, load: &Load, model: &str, revision: u64) {
+        for (id, address) in fleet.balanced() {
+            let req = completion(&format!("new-{model}-{id}"), model, 2, Api::Text, true);
+            let req = RequestPlan {
+                to: address,
+                patience: PATIENCE,
+                ..req
+            };
+            let sent = load.spawn(&id, req);
+            self.asked.push(Asked { id, revision, sent });
+        }
+    }
+
+    /// Looks at the answers to [`Self::ask_everywhere`]: none may say that there is no such version.
+    async fn check_asked(&mut self, evidence: &mut Evidence) {
+        for Asked { id, revision, sent } in std::mem::take(&mut self.asked) {
+            let Ok(verdict) = sent.await else {
+                continue;
+            };
+            let unknown = matches!(&verdict, Verdict::Refused(refusal) if refusal.status == 404);
+            let finding = || format!("{id} after revision {revision}: {}", describe(&verdict));
+            evidence.check(Promise::ConfigurationHolds, !unknown, finding);
+        }
+    }
+
     /// Forgets what an instance reported that starts anew under its own id.
     pub(crate) fn forget(&mut self, id: &str) {
         self.seen.remove(id);
@@ -152,6 +191,7 @@
     /// Checks a healed deployment: what was accepted is in force everywhere, and what was refused
     /// nowhere.
     pub(crate) async fn check(&mut self, fleet: &Fleet, evidence: &mut Evidence) {
+        self.check_asked(evidence).await;
         for (id, _) in fleet.balanced() {
             let Ok(statements) = fleet.statements_at(&id) else {
                 continue;
@@ -207,30 +247,6 @@
     }
 }
 
-/// Asks every instance for a version that was just accepted: none may say that there is none.
-async fn ask_everywhere(
-    fleet: &Fleet,
-    load: &Load,
-    evidence: &mut Evidence,
-    model: &str,
-    revision: u64,
-) {
-    let requests = fleet.balanced().into_iter().map(|(id, address)| {
-        let req = completion(&format!("new-{model}-{id}"), model, 2, Api::Text, true);
-        let sent = load.spawn(&id, RequestPlan { to: address, ..req });
-        (id, sent)
-    });
-    // Collected first, so that all are on their way before the first is waited for.
-    for (id, sent) in requests.collect::<Vec<_>>() {
-        let Ok(verdict) = sent.await else {
-            continue;
-        };
-        let unknown = matches!(&verdict, Verdict::Refused(refusal) if refusal.status == 404);
-        let finding = || format!("{id} after revision {revision}: {}", describe(&verdict));
-        evidence.check(Promise::ConfigurationHolds, !unknown, finding);
-    }
-}
-
 async fn tell(statements: &Statements, text: &str) -> Answer {
     let Ok(reply) = statements.try_run(text).await else {
         return Answer::Unknown;
--- a/crates/chervilshunt_bench/src/faults/episode.rs
+++ b/crates/chervilshunt_bench/src/faults/episode.rs
@@ -48,7 +48,7 @@
                 .watch_revisions(&self.fleet, &mut self.evidence)
                 .await;
             self.operators
-                .create(&self.fleet, &self.load, &mut self.evidence, &mut self.rng)
+                .create(&self.fleet, &self.load, &mut self.rng)
                 .await;
         }
         heal(&self.fleet).await?;
--- a/crates/chervilshunt_bench/src/faults/run.rs
+++ b/crates/chervilshunt_bench/src/faults/run.rs
@@ -28,7 +28,7 @@
 const TRIES: u32 = 6;
 
 /// How long a caller waits for the end of one answer: longer than any fault is held.
-const PATIENCE: Duration = Duration::from_secs(60);
+pub(crate) const PATIENCE: Duration = Duration::from_secs(60);
 
 /// How long requests may take to end after the last episode.
 const END_BOUND: Duration = Duration::from_secs(90);
