Free a request's room when the head of its answer is there

hyper keeps the room of a request's future for as long as its connection lasts: 7.4 KiB a stream, as a profile of the heap with 985 open streams shows. Boxed inside, it is freed when the answer's head is there.

The rest of the profile, by stream: 21 KiB pieces of the target's read buffer, most of them pinned by small pieces in the caller's write queue; 16 KiB the caller's read buffer; 9 KiB the channel in the client's connection; twice 8 KiB write buffers.

--- a/crates/chervilshunt_daemon/src/traffic/front.rs
+++ b/crates/chervilshunt_daemon/src/traffic/front.rs
@@ -74,7 +74,9 @@
     let traffic = traffic.clone();
     let service = service_fn(move |req| {
         let traffic = traffic.clone();
-        async move { Ok::<_, Infallible>(traffic.serve(req, peer).await) }
+        // hyper keeps the room of this future for as long as the connection lasts. On the heap the
+        // inner one is freed when the head of the answer is there, which for a stream is early.
+        async move { Ok::<_, Infallible>(Box::pin(traffic.serve(req, peer)).await) }
     });
     let connection = builder
         .serve_connection(TokioIo::new(stream), service)
