Copy events into the caller's write buffer in place of queueing them

A profile of the heap showed 2.3 read buffers of the target's connection for each stream, of 9 KiB each: events waiting in the caller's write queue were slices of them, so that 100 bytes kept 8 KiB.

--- a/crates/chervilshunt_daemon/src/traffic/front.rs
+++ b/crates/chervilshunt_daemon/src/traffic/front.rs
@@ -57,6 +57,10 @@
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
+        // Queued for a vectored write, each small event would pin the whole buffer of 8 KiB or more
+        // that it was read into, 16 of them for a caller that does not read. Copied, events take
+        // their own length.
+        .writev(false)
         .max_buf_size(
             limits
                 .stream_buffer_bytes
