--- a/crates/chervilshunt_daemon/src/traffic/front.rs
+++ b/crates/chervilshunt_daemon/src/traffic/front.rs
@@ -57,6 +57,10 @@
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
+        // Queued for a vectored write, each small event would pin the whole buffer of 8 KiB or more
+        // that it was read into, 16 of them for a caller that does not read. Copied, events take
+        // their own length.
+        .writev(false)
         .max_buf_size(
             limits
                 .stream_buffer_bytes
@@ -74,7 +78,9 @@
     let traffic = traffic.clone();
     let service = service_fn(move |req| {
         let traffic = traffic.clone();
-        async move { Ok::<_, Infallible>(traffic.serve(req, peer).await) }
+        // hyper keeps the room of this future for as long as the connection lasts. On the heap the
+        // inner one is freed when the head of the answer is there, which for a stream is early.
+        async move { Ok::<_, Infallible>(Box::pin(traffic.serve(req, peer)).await) }
     });
     let connection = builder
         .serve_connection(TokioIo::new(stream), service)
