Stop calls to a target that fails them, at its owner

Cause: the circuit breaker of the core was written and tested, and used by nobody. An engine that passed its health checks and failed its calls got every request that ranked it first, each of which was then sent again elsewhere.

The owner of a target hears how each call ended and issues every permit, so that one breaker there serves the whole fleet without a message more (docs/design/retries.md has the ways weighed). Calls given up at the caller's deadline are told apart from failures on the wire, and count only if they had long enough. Requests for a permit also name the targets that sent them on: two owners that took nothing sent requests to and fro, and callers were told no_owner.

Ruled out: five calls as enough to tell; the two engines of a test that name a wrong model once each were closed by it.

Core tests in tests/breaker.rs; the owner's oracle knows the new refusal, and the fuzzing makes more calls fail.

--- a/crates/chervilshunt_bench/src/policy/core_policy.rs
+++ b/crates/chervilshunt_bench/src/policy/core_policy.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use chervilshunt_core::{
-    EngineOrder, EngineReport, LoadScheduler, LoadUrgency, Mechanisms, OrderFailure, OrderId,
-    OrderKind, Owner, OwnerAction, OwnerConfig, OwnerEvent, PowerAction, PowerAllocator,
+    BreakerConfig, EngineOrder, EngineReport, LoadScheduler, LoadUrgency, Mechanisms, OrderFailure,
+    OrderId, OrderKind, Owner, OwnerAction, OwnerConfig, OwnerEvent, PowerAction, PowerAllocator,
     PowerConfig, PowerEvent, SchedulerAction, SchedulerConfig, SchedulerEvent, TurnResult,
 };
 use chervilshunt_model::{AdapterVersion, Epoch, Fencing, InstanceId, Moment, TargetName};
@@ -463,6 +463,7 @@
         permit_window: PERMIT_WINDOW,
         unscheduled_load_interval: Duration::from_secs_f64(seconds_a_load),
         peers: peers.map(|peer| names.targets[peer].clone()).collect(),
+        breaker: BreakerConfig::of_target(),
         weights: sizes.weights,
         mechanisms,
     }
--- a/crates/chervilshunt_core/examples/role_costs.rs
+++ b/crates/chervilshunt_core/examples/role_costs.rs
@@ -6,9 +6,10 @@
 use std::time::{Duration, Instant};
 
 use chervilshunt_core::{
-    LoadScheduler, LoadUrgency, Mechanisms, OrderId, Owner, OwnerAction, OwnerConfig, OwnerEvent,
-    PermitAnswer, PermitRequest, PolicyWeights, PowerAction, PowerAllocator, PowerConfig,
-    PowerEvent, ReleaseOutcome, ReleasedPermit, SchedulerConfig, SchedulerEvent, TurnResult,
+    BreakerConfig, LoadScheduler, LoadUrgency, Mechanisms, OrderId, Owner, OwnerAction,
+    OwnerConfig, OwnerEvent, PermitAnswer, PermitRequest, PolicyWeights, PowerAction,
+    PowerAllocator, PowerConfig, PowerEvent, ReleaseOutcome, ReleasedPermit, SchedulerConfig,
+    SchedulerEvent, TurnResult,
 };
 use chervilshunt_model::{
     AdapterName, AdapterVersion, AttemptId, CallerName, Class, Epoch, Fencing, InstanceId, Moment,
@@ -151,6 +152,7 @@
         permit_window: Duration::from_secs(5),
         unscheduled_load_interval: Duration::from_secs(10),
         peers: Vec::new(),
+        breaker: BreakerConfig::of_target(),
         weights: PolicyWeights::default(),
         mechanisms: Mechanisms::default(),
     }
--- a/crates/chervilshunt_core/src/decision.rs
+++ b/crates/chervilshunt_core/src/decision.rs
@@ -56,6 +56,8 @@
     Evict,
     /// The share of power changed.
     Power,
+    /// Calls to the target were stopped or let through again, by how earlier ones ended.
+    Breaker,
 }
 
 impl DecisionKind {
@@ -69,6 +71,7 @@
             Self::Load => "load",
             Self::Evict => "evict",
             Self::Power => "power",
+            Self::Breaker => "breaker",
         }
     }
 }
--- a/crates/chervilshunt_core/src/owner.rs
+++ b/crates/chervilshunt_core/src/owner.rs
@@ -11,6 +11,7 @@
 mod engine;
 mod event;
 mod evict;
+mod health;
 mod loading;
 mod loads;
 mod order;
@@ -39,6 +40,7 @@
 use crate::decay::{DecayedLevel, DurationAverage};
 use crate::{Decision, DecisionKind, RefusalReason, Waited};
 use engine::EngineView;
+use health::Health;
 use loads::Loads;
 use permits::Permits;
 use power::PowerShare;
@@ -72,6 +74,7 @@
     evicted: IndexSet<AdapterVersion>,
     spread: Spread,
     engine: EngineView,
+    health: Health,
     power: PowerShare,
     service_time: DurationAverage,
     live_load: DecayedLevel,
@@ -105,6 +108,7 @@
             evicted: IndexSet::new(),
             spread: Spread::new(&cfg.target, &cfg.peers),
             engine: EngineView::new(cfg.slots > 0),
+            health: Health::new(cfg.breaker, now),
             power: PowerShare::new(&cfg),
             service_time: DurationAverage::new(tuning::SERVICE_TIME_GUESS),
             live_load: DecayedLevel::default(),
@@ -124,6 +128,7 @@
         self.handled = now;
         self.take(event, now, &mut out);
         self.expire(now, &mut out);
+        self.pass_probe(now, &mut out);
         self.look_ahead(now);
         self.advance_loads(now, &mut out);
         self.dispatch(now, &mut out);
@@ -144,6 +149,7 @@
             ahead.then(|| self.looked_ahead + tuning::AHEAD_PAUSE),
             self.engine.next_ask(),
             self.next_age(self.handled),
+            self.next_health(),
             Some(self.power.next_report().unwrap_or(self.handled)),
         ];
         due.into_iter().flatten().min()
@@ -152,7 +158,7 @@
     fn take(&mut self, event: OwnerEvent, now: Moment, out: &mut Vec<OwnerAction>) {
         match event {
             OwnerEvent::PermitRequested(req) => self.request(req, now, out),
-            OwnerEvent::PermitReleased(released) => self.release(&released, now),
+            OwnerEvent::PermitReleased(released) => self.release(&released, now, out),
             OwnerEvent::EntryLeft(entry) => self.entry_left(&entry, now),
             OwnerEvent::TurnGranted { order, queue_wait } => {
                 self.loads.queue_told(queue_wait, now);
@@ -188,7 +194,7 @@
             self.refuse_queued(attempt, RefusalReason::Deadline, now, out);
         }
         while let Some(attempt) = self.permits.ended(now) {
-            self.free(attempt, now);
+            self.free(attempt, now, out);
         }
     }
 
--- a/crates/chervilshunt_core/src/owner/admit.rs
+++ b/crates/chervilshunt_core/src/owner/admit.rs
@@ -39,7 +39,7 @@
                 self.update_spread(model, now);
             }
         }
-        if let Some(reason) = self.closed() {
+        if let Some(reason) = self.closed(now) {
             self.turn_away(req, reason, now, out);
             return;
         }
@@ -94,7 +94,7 @@
             let Some(waiting) = self.queue.get(attempt) else {
                 continue;
             };
-            if reason == RefusalReason::TargetDown && self.stays_while_down(&waiting.req) {
+            if may_come_back(reason) && self.stays_while_down(&waiting.req) {
                 continue;
             }
             self.turn_queued_away(attempt, reason, now, out);
@@ -215,14 +215,18 @@
         }
     }
 
-    fn closed(&self) -> Option<RefusalReason> {
+    fn closed(&self, now: Moment) -> Option<RefusalReason> {
         if self.fenced {
             return Some(RefusalReason::NotOwner);
         }
         if self.draining {
             return Some(RefusalReason::Draining);
         }
-        (!self.engine.reachable).then_some(RefusalReason::TargetDown)
+        if !self.engine.reachable {
+            return Some(RefusalReason::TargetDown);
+        }
+        let failing = self.health.refused_until(now);
+        failing.map(|_| RefusalReason::TargetFailing)
     }
 
     fn turn_away(
@@ -239,7 +243,7 @@
             self.redirect(asked, targets, reason.as_str(), now, out);
             return;
         }
-        if reason == RefusalReason::TargetDown && self.stays_while_down(req) {
+        if may_come_back(reason) && self.stays_while_down(req) {
             let lane = self.lane(req.class);
             let waits_for_load = self.waits_for_load(req);
             self.enqueue(asked.req, lane, waits_for_load, now, out);
@@ -380,7 +384,7 @@
 
     /// Whether a request of a class may have a seat now.
     fn admits(&self, lane: Class, now: Moment) -> bool {
-        if self.closed().is_some() || !self.knows_adapters() {
+        if self.closed(now).is_some() || !self.knows_adapters() {
             return false;
         }
         let free = self.free_seats();
@@ -470,7 +474,8 @@
             epoch: self.cfg.epoch,
             window_ms: u64::try_from(self.cfg.permit_window.as_millis()).unwrap_or(u64::MAX),
         };
-        self.permits.insert(permit.clone(), now);
+        let ticket = self.health.admit(permit.attempt, now);
+        self.permits.insert(permit.clone(), ticket, now);
         self.permits_changed(now);
         let spread = self.spread_of(req.model.as_ref());
         let answer = answer_to(req, PermitAnswer::Granted { permit, spread });
@@ -539,10 +544,26 @@
             }
             RefusalReason::Draining | RefusalReason::NotOwner => RETRY_AFTER.0,
             RefusalReason::TargetDown => Duration::from_secs(2),
+            RefusalReason::TargetFailing => {
+                let until = self.health.refused_until(now);
+                until.map_or(RETRY_AFTER.0, |until| now.until(until))
+            }
         }
     }
 }
 
+/// Whether a target that takes nothing for this reason is likely to be back before long.
+fn may_come_back(reason: RefusalReason) -> bool {
+    match reason {
+        RefusalReason::TargetDown | RefusalReason::TargetFailing => true,
+        RefusalReason::QueueFull
+        | RefusalReason::Deadline
+        | RefusalReason::LoadFailed
+        | RefusalReason::Draining
+        | RefusalReason::NotOwner => false,
+    }
+}
+
 /// Returns the wait after which a deferrable request competes with live ones.
 fn age_limit(req: &PermitRequest) -> Duration {
     let part = Duration::from_millis(req.deadline_ms) / AGED_PART;
--- a/crates/chervilshunt_core/src/owner/config.rs
+++ b/crates/chervilshunt_core/src/owner/config.rs
@@ -4,7 +4,7 @@
 
 use chervilshunt_model::{Epoch, Fencing, TargetName};
 
-use crate::{Mechanisms, PolicyWeights};
+use crate::{BreakerConfig, Mechanisms, PolicyWeights};
 
 /// What an owner has to know of its target and deployment.
 #[derive(Clone, Debug, PartialEq)]
@@ -38,6 +38,8 @@
     pub unscheduled_load_interval: Duration,
     /// Other targets of the service, over which an adapter may be spread.
     pub peers: Vec<TargetName>,
+    /// When calls to the target are stopped because they fail.
+    pub breaker: BreakerConfig,
     /// What the deployment minds most.
     pub weights: PolicyWeights,
     /// The mechanisms that are on; all of them outside the bench.
--- a/crates/chervilshunt_core/src/owner/permits.rs
+++ b/crates/chervilshunt_core/src/owner/permits.rs
@@ -5,7 +5,7 @@
 use chervilshunt_model::{AttemptId, Class, InstanceId, Moment};
 use indexmap::IndexMap;
 
-use crate::Permit;
+use crate::{BreakerTicket, Permit};
 
 /// A permit that has not been released.
 #[derive(Clone, Debug)]
@@ -14,6 +14,8 @@
     pub(super) permit: Permit,
     /// When it was granted, or learnt of after a takeover.
     pub(super) since: Moment,
+    /// What the call's end has to be counted with; none for a call that was learnt of.
+    pub(super) ticket: Option<BreakerTicket>,
     /// When it ends by itself, as its entry instance has left.
     ends: Option<Moment>,
 }
@@ -53,7 +55,12 @@
     }
 
     /// Takes in a permit; one that is known already stays as it is.
-    pub(super) fn insert(&mut self, permit: Permit, now: Moment) -> bool {
+    pub(super) fn insert(
+        &mut self,
+        permit: Permit,
+        ticket: Option<BreakerTicket>,
+        now: Moment,
+    ) -> bool {
         if self.by_attempt.contains_key(&permit.attempt) {
             return false;
         }
@@ -63,6 +70,7 @@
         let held = HeldPermit {
             permit,
             since: now,
+            ticket,
             ends: None,
         };
         self.by_attempt.insert(held.permit.attempt, held);
--- a/crates/chervilshunt_core/src/owner/release.rs
+++ b/crates/chervilshunt_core/src/owner/release.rs
@@ -3,13 +3,19 @@
 use chervilshunt_model::{AttemptId, InstanceId, Moment};
 
 use super::Owner;
+use super::action::OwnerAction;
 use super::settled::Settlement;
 use super::tuning::{ENTRY_GONE_BOUND, SETTLED_MEMORY};
 use crate::{ReleaseOutcome, ReleasedPermit};
 
 impl Owner {
     /// Takes a permit back, or a request that is withdrawn while it waits.
-    pub(super) fn release(&mut self, released: &ReleasedPermit, now: Moment) {
+    pub(super) fn release(
+        &mut self,
+        released: &ReleasedPermit,
+        now: Moment,
+        out: &mut Vec<OwnerAction>,
+    ) {
         if released.target != self.cfg.target {
             return;
         }
@@ -24,10 +30,12 @@
                         self.adapter_missing(&model, since, now);
                     }
                 }
-                ReleaseOutcome::Cancelled | ReleaseOutcome::TargetFailed => {}
+                ReleaseOutcome::Cancelled
+                | ReleaseOutcome::TargetFailed
+                | ReleaseOutcome::TimedOut => {}
             }
         }
-        self.free(attempt, now);
+        self.end(attempt, Some(released.outcome), now, out);
     }
 
     /// Drops the requests of an instance that has left, and lets its permits end by themselves.
@@ -51,13 +59,25 @@
         self.permits.end_of_entry(entry, ends);
     }
 
+    /// Frees the seat and the pin of an attempt whose end nobody has told.
+    pub(super) fn free(&mut self, attempt: AttemptId, now: Moment, out: &mut Vec<OwnerAction>) {
+        self.end(attempt, None, now, out);
+    }
+
     /// Frees the seat and the pin of an attempt; a second time does nothing.
-    pub(super) fn free(&mut self, attempt: AttemptId, now: Moment) {
+    fn end(
+        &mut self,
+        attempt: AttemptId,
+        outcome: Option<ReleaseOutcome>,
+        now: Moment,
+        out: &mut Vec<OwnerAction>,
+    ) {
         self.settled
             .insert(attempt, u8::MAX, Settlement::Released, now);
         let Some(held) = self.permits.remove(attempt) else {
             return;
         };
+        self.call_ended(&held, outcome, now, out);
         if let Some(model) = held.permit.model.filter(|_| self.slots.exist()) {
             let idle = self.slots.unpin(&model, now);
             if idle && !self.loads.is_empty() {
--- a/crates/chervilshunt_core/src/owner/takeover.rs
+++ b/crates/chervilshunt_core/src/owner/takeover.rs
@@ -67,7 +67,7 @@
                 continue;
             }
             let model = permit.model.clone();
-            if !self.permits.insert(permit, now) {
+            if !self.permits.insert(permit, None, now) {
                 continue;
             }
             if let (true, Some(model)) = (self.slots.exist(), model) {
--- a/crates/chervilshunt_core/src/owner/tuning.rs
+++ b/crates/chervilshunt_core/src/owner/tuning.rs
@@ -141,3 +141,15 @@
 /// Shortest and longest time that a refusal names for asking again.
 pub(super) const RETRY_AFTER: (Duration, Duration) =
     (Duration::from_millis(200), Duration::from_secs(60));
+
+/// First guess of the time to the first piece of an answer.
+pub(super) const FIRST_BYTE_GUESS: Duration = Duration::from_millis(500);
+
+/// Multiple of the usual time to the first piece after which a probe of a target that failed
+/// counts as a success while it still runs, and the bounds of that time.
+pub(super) const PROBE_PATIENCE_FACTOR: u32 = 4;
+pub(super) const PROBE_PATIENCE: (Duration, Duration) =
+    (Duration::from_secs(1), Duration::from_secs(10));
+
+/// Multiple of the usual time of a call after which one that has no answer speaks against the target.
+pub(super) const TIMED_OUT_FACTOR: u32 = 2;
--- a/crates/chervilshunt_core/src/permit.rs
+++ b/crates/chervilshunt_core/src/permit.rs
@@ -39,7 +39,7 @@
     pub prefix: u64,
     /// How often the request has been redirected; an owner doesn't redirect beyond its bound.
     pub hops: u8,
-    /// Targets that have failed this request; an owner never sends it on to one of them.
+    /// Targets that have failed this request or sent it on; an owner never sends it to one of them.
     pub avoid: SmallVec<[TargetName; 4]>,
 }
 
@@ -117,6 +117,8 @@
     NotOwner,
     /// The target is down.
     TargetDown,
+    /// The target fails what it is sent, so that nothing more goes there for now.
+    TargetFailing,
 }
 
 impl RefusalReason {
@@ -129,6 +131,7 @@
             Self::Draining => "draining",
             Self::NotOwner => "not_owner",
             Self::TargetDown => "target_down",
+            Self::TargetFailing => "target_failing",
         }
     }
 }
@@ -166,6 +169,9 @@
     /// The target could not be reached, failed, or broke off.
     #[serde(rename = "t")]
     TargetFailed,
+    /// The target had not answered at the caller's deadline.
+    #[serde(rename = "o")]
+    TimedOut,
     /// The target said that it does not hold the adapter.
     #[serde(rename = "m")]
     AdapterMissing,
--- a/crates/chervilshunt_core/src/retry/breaker.rs
+++ b/crates/chervilshunt_core/src/retry/breaker.rs
@@ -24,6 +24,19 @@
     pub probe_timeout: Duration,
 }
 
+impl BreakerConfig {
+    /// Returns when the owner of a target stops calls to it.
+    ///
+    /// With fewer calls than these a few failures in a row are no evidence, and retries at other
+    /// targets cost less than a sound target that takes nothing.
+    pub fn of_target() -> Self {
+        Self {
+            min_calls: 20,
+            ..Self::default()
+        }
+    }
+}
+
 impl Default for BreakerConfig {
     fn default() -> Self {
         Self {
@@ -133,6 +146,16 @@
         }
     }
 
+    /// Returns until when [`Breaker::admit`] refuses calls; none if it admits one now.
+    pub fn refused_until(&self, now: Moment) -> Option<Moment> {
+        let until = match self.state {
+            State::Closed(_) => None,
+            State::Open { until } => Some(until),
+            State::HalfOpen { probe_until, .. } => probe_until,
+        };
+        until.filter(|until| now < *until)
+    }
+
     /// Says whether a call may be made now.
     ///
     /// Whoever is admitted owes an outcome to [`Breaker::record`].
--- a/crates/chervilshunt_core/tests/owner_machine.rs
+++ b/crates/chervilshunt_core/tests/owner_machine.rs
@@ -95,7 +95,8 @@
     let outcome = prop_oneof![
         6 => Just(finished()),
         1 => Just(ReleaseOutcome::Cancelled),
-        1 => Just(ReleaseOutcome::TargetFailed),
+        4 => Just(ReleaseOutcome::TargetFailed),
+        1 => Just(ReleaseOutcome::TimedOut),
         1 => Just(ReleaseOutcome::AdapterMissing),
     ];
     let engine = (
--- a/crates/chervilshunt_core/tests/support/mod.rs
+++ b/crates/chervilshunt_core/tests/support/mod.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use chervilshunt_core::{
-    EngineOrder, Mechanisms, OrderFailure, Owner, OwnerAction, OwnerConfig, OwnerEvent, Permit,
-    PermitAnswer, PermitRequest, PolicyWeights, ReleaseOutcome, ReleasedPermit,
+    BreakerConfig, EngineOrder, Mechanisms, OrderFailure, Owner, OwnerAction, OwnerConfig,
+    OwnerEvent, Permit, PermitAnswer, PermitRequest, PolicyWeights, ReleaseOutcome, ReleasedPermit,
 };
 use chervilshunt_model::{AdapterVersion, AttemptId, Class, Epoch, Fencing, Moment, TargetName};
 
@@ -36,6 +36,7 @@
         permit_window: Duration::from_secs(2),
         unscheduled_load_interval: Duration::from_secs(2),
         peers: vec![],
+        breaker: BreakerConfig::default(),
         weights: PolicyWeights::default(),
         mechanisms: Mechanisms::default(),
     }
--- a/crates/chervilshunt_core/tests/support/owner_oracle.rs
+++ b/crates/chervilshunt_core/tests/support/owner_oracle.rs
@@ -8,13 +8,16 @@
 
 use chervilshunt_core::{
     Decision, DecisionKind, OrderKind, Owner, OwnerAction, OwnerEvent, PermitAnswer, PermitRequest,
-    RefusalReason,
+    RefusalReason, ReleaseOutcome,
 };
 use chervilshunt_model::{AdapterVersion, AttemptId, Class, InstanceId, Moment};
 
 /// Time after which the permits of an instance that left have surely ended.
 pub(crate) const GONE: Duration = Duration::from_secs(12);
 
+/// Failed calls below which an owner may not close its target: half of the five that it looks at.
+const FAILED_CALLS_TO_CLOSE: u32 = 3;
+
 #[derive(Debug)]
 struct Open {
     model: Option<AdapterVersion>,
@@ -40,6 +43,8 @@
     draining: bool,
     down: bool,
     fenced: bool,
+    /// Calls that were told to have failed.
+    failed_calls: u32,
 }
 
 impl Oracle {
@@ -94,7 +99,12 @@
             }
             OwnerEvent::PermitReleased(released) => {
                 self.waiting.remove(&released.attempt);
-                self.open.remove(&released.attempt);
+                let ended = self.open.remove(&released.attempt);
+                let failed = matches!(
+                    released.outcome,
+                    ReleaseOutcome::TargetFailed | ReleaseOutcome::TimedOut
+                );
+                self.failed_calls += u32::from(failed && ended.is_some());
                 self.released.insert(released.attempt);
             }
             OwnerEvent::EntryLeft(entry) => {
@@ -219,6 +229,9 @@
             RefusalReason::Draining => self.draining,
             RefusalReason::NotOwner => self.fenced,
             RefusalReason::TargetDown => self.down && req.class == Class::Live,
+            RefusalReason::TargetFailing => {
+                self.failed_calls >= FAILED_CALLS_TO_CLOSE && req.class == Class::Live
+            }
         };
         assert!(allowed, "refused with {reason:?}: {req:?}, {waiting} wait");
     }
--- a/crates/chervilshunt_daemon/src/control/owned.rs
+++ b/crates/chervilshunt_daemon/src/control/owned.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use chervilshunt_core::{EngineOrder, Owner, OwnerConfig, PermitAnswer};
+use chervilshunt_core::{BreakerConfig, EngineOrder, Owner, OwnerConfig, PermitAnswer};
 use chervilshunt_engine::EngineClient;
 use chervilshunt_model::{AttemptId, Deployment, Epoch, Lifecycle, Moment, Target, TargetName};
 
@@ -100,6 +100,7 @@
         deferrable_queue_bound: cx.settings.limits.queue.deferrable,
         permit_window: cx.settings.limits.permit_window,
         peers,
+        breaker: BreakerConfig::of_target(),
         weights: cx.settings.policy,
         mechanisms: chervilshunt_core::Mechanisms::default(),
     }
--- a/crates/chervilshunt_daemon/src/traffic/attempt.rs
+++ b/crates/chervilshunt_daemon/src/traffic/attempt.rs
@@ -278,6 +278,11 @@
         EngineError::Refused { status, .. } if status.is_client_error() => {
             ReleaseOutcome::Cancelled
         }
+        EngineError::Timeout {
+            stage: Stage::Connect,
+            ..
+        } => ReleaseOutcome::TargetFailed,
+        EngineError::Timeout { .. } => ReleaseOutcome::TimedOut,
         _ => ReleaseOutcome::TargetFailed,
     }
 }
--- a/crates/chervilshunt_daemon/src/traffic/place.rs
+++ b/crates/chervilshunt_daemon/src/traffic/place.rs
@@ -5,6 +5,7 @@
 
 use chervilshunt_core::{PermitRequest, RefusalReason, rank_targets};
 use chervilshunt_model::{AdapterVersion, AttemptId, Class, TargetName};
+use smallvec::SmallVec;
 
 use super::attempt::{Run, UNREACHED_RETRY};
 use super::permits::{Asked, HeldPermit};
@@ -53,14 +54,18 @@
         }
         let mut hops = 0;
         let mut last = None;
+        let mut avoid: SmallVec<[TargetName; 4]> = self.avoid.iter().cloned().collect();
         while let Some(target) = targets.pop_front() {
-            let ask = self.permit_request(target.clone(), hops);
+            let ask = self.permit_request(target.clone(), hops, avoid.clone());
             let attempt = ask.attempt;
             let asked = self.traffic.parts.permits.ask(ask, self.req.deadline).await;
             self.log_asked(attempt, &target, &asked, targets.make_contiguous());
             match asked {
                 Asked::Granted(permit) => return Round::Granted(permit),
                 Asked::Redirect(to) => {
+                    // Two owners that take nothing now would send the request to and fro until its
+                    // hops are used up, and neither would say why.
+                    avoid.push(target);
                     hops += 1;
                     if hops <= MAX_HOPS {
                         targets.retain(|other| !to.contains(other));
@@ -72,7 +77,8 @@
                 Asked::Refused(reason, after) => match reason {
                     RefusalReason::NotOwner
                     | RefusalReason::Draining
-                    | RefusalReason::TargetDown => last = Some((reason, after)),
+                    | RefusalReason::TargetDown
+                    | RefusalReason::TargetFailing => last = Some((reason, after)),
                     RefusalReason::QueueFull => return self.queue_full(&target, after),
                     RefusalReason::Deadline | RefusalReason::LoadFailed => {
                         return Round::Refused(refused(reason, &target, after));
@@ -91,7 +97,7 @@
                     format!("no target of {} can take the request now", self.req.service),
                 )
                 .retry_after(after.max(UNREACHED_RETRY)),
-                ROUND_PAUSE,
+                pause_after(reason, after),
             ),
             None => Round::not_now(Reason::NoOwner, "no owner of a target could be reached"),
         }
@@ -168,7 +174,12 @@
         AdapterVersion::new(self.req.service.as_str(), self.req.id.as_str())
     }
 
-    fn permit_request(&self, target: TargetName, hops: u8) -> PermitRequest {
+    fn permit_request(
+        &self,
+        target: TargetName,
+        hops: u8,
+        avoid: SmallVec<[TargetName; 4]>,
+    ) -> PermitRequest {
         let left = self.req.left(Instant::now());
         PermitRequest {
             attempt: AttemptId::random(),
@@ -183,7 +194,7 @@
             max_tokens: self.req.max_tokens,
             prefix: self.req.prefix,
             hops,
-            avoid: self.avoid.iter().cloned().collect(),
+            avoid,
         }
     }
 }
@@ -209,13 +220,30 @@
         RefusalReason::QueueFull => format!("the queue of {target} is full"),
         RefusalReason::Deadline => format!("the deadline can't be kept at {target}"),
         RefusalReason::LoadFailed => format!("{target} could not load the adapter"),
-        RefusalReason::Draining | RefusalReason::NotOwner | RefusalReason::TargetDown => {
-            format!("{target} takes no new work now")
-        }
+        RefusalReason::Draining
+        | RefusalReason::NotOwner
+        | RefusalReason::TargetDown
+        | RefusalReason::TargetFailing => format!("{target} takes no new work now"),
     };
     Problem::not_run(Reason::Owner(reason), detail).retry_after(after)
 }
 
+/// Returns the pause before owners are asked again.
+///
+/// An owner whose target fails what it is sent knows when it lets the next call through. Asked
+/// again each 100 ms meanwhile, it would get many times the messages that sound targets get.
+fn pause_after(reason: RefusalReason, after: Duration) -> Duration {
+    match reason {
+        RefusalReason::TargetFailing => after.max(ROUND_PAUSE),
+        RefusalReason::QueueFull
+        | RefusalReason::Deadline
+        | RefusalReason::LoadFailed
+        | RefusalReason::Draining
+        | RefusalReason::NotOwner
+        | RefusalReason::TargetDown => ROUND_PAUSE,
+    }
+}
+
 fn joined(names: &[TargetName]) -> String {
     let names: Vec<&str> = names.iter().map(TargetName::as_str).collect();
     names.join(",")
--- a/crates/chervilshunt_daemon/src/traffic/problem.rs
+++ b/crates/chervilshunt_daemon/src/traffic/problem.rs
@@ -131,7 +131,8 @@
                 RefusalReason::LoadFailed
                 | RefusalReason::Draining
                 | RefusalReason::NotOwner
-                | RefusalReason::TargetDown => StatusCode::SERVICE_UNAVAILABLE,
+                | RefusalReason::TargetDown
+                | RefusalReason::TargetFailing => StatusCode::SERVICE_UNAVAILABLE,
             },
             // draft-ietf-httpapi-idempotency-key-header, section 2.7.
             Self::KeyInProgress | Self::KeyUsed => StatusCode::CONFLICT,
--- a/crates/chervilshunt_daemon/src/traffic/problem/tests.rs
+++ b/crates/chervilshunt_daemon/src/traffic/problem/tests.rs
@@ -31,6 +31,7 @@
 #[case(Reason::Owner(RefusalReason::Draining), 503, "draining")]
 #[case(Reason::Owner(RefusalReason::NotOwner), 503, "not_owner")]
 #[case(Reason::Owner(RefusalReason::TargetDown), 503, "target_down")]
+#[case(Reason::Owner(RefusalReason::TargetFailing), 503, "target_failing")]
 #[case(Reason::Owner(RefusalReason::Deadline), 504, "deadline")]
 #[case(Reason::TargetTimeout, 504, "target_timeout")]
 fn a_reason_has_a_status_and_a_name(
--- a/crates/chervilshunt_daemon/tests/callers_answers.rs
+++ b/crates/chervilshunt_daemon/tests/callers_answers.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use chervilshunt_standin::fleet::{FleetOptions, model_name, wait_until};
+use futures_util::future::join_all;
 use http::StatusCode;
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -243,6 +244,39 @@
     });
 }
 
+// One engine cuts every answer half-way, and passes its health checks. Callers get their answers from
+// the other one. The failing one gets calls until its owner sees that they fail, then single ones:
+// without that, each request that ranks it first fails there, and is sent twice.
+#[test]
+fn an_engine_that_fails_its_calls_gets_few_more() {
+    const ROUNDS: u32 = 12;
+    const AT_A_TIME: usize = 10;
+    /// Calls that it takes to tell, those under way meanwhile, and single ones after that.
+    const MOST_FAILED: f64 = 40.0;
+    alone(options, async |test| {
+        test.fault("engine-1", json!({"cut_after_tokens": 2})).await;
+        let to = test.fleet.instances()["i1"].callers();
+        let failed = "chervilshunt_retries_total{reason=\"broken_off\"}";
+        let before = test.metric("i1", failed).await;
+        for round in 0..ROUNDS {
+            let calls = (0..AT_A_TIME).map(async |call| {
+                let model = model_name(call % 4);
+                let id = format!("grey-{round}-{call}");
+                let body = completion(&model, 4, false);
+                let headers = [("x-request-id", id.as_str())];
+                let req = post(to, "/v1/completions", &headers, &body);
+                let answer = send(to, Speaks::Http1, req).await;
+                assert_eq!(answer.status, StatusCode::OK, "{}", answer.text);
+                assert_eq!(text_of(&answer), tokens(&model, &id, 4));
+            });
+            join_all(calls).await;
+        }
+        let retried = test.metric("i1", failed).await - before;
+        assert!(retried > 0.0, "the engine got no call");
+        assert!(retried <= MOST_FAILED, "{retried} calls failed");
+    });
+}
+
 // An engine serves a request by another adapter, as after an eviction that it did not report. The
 // instance compares the name in the answer before it hands anything on.
 #[rstest]
--- a/crates/chervilshunt_mesh/tests/mesh/permits.rs
+++ b/crates/chervilshunt_mesh/tests/mesh/permits.rs
@@ -80,6 +80,7 @@
 #[case::finished(released(finished()))]
 #[case::cancelled(released(ReleaseOutcome::Cancelled))]
 #[case::failed(released(ReleaseOutcome::TargetFailed))]
+#[case::timed_out(released(ReleaseOutcome::TimedOut))]
 #[case::missing(released(ReleaseOutcome::AdapterMissing))]
 fn messages_come_through<M>(#[case] message: M)
 where
