--- a/crates/chervilshunt_core/tests/scheduler.rs
+++ b/crates/chervilshunt_core/tests/scheduler.rs
@@ -8,7 +8,7 @@
     LoadScheduler, LoadUrgency, Mechanisms, OrderId, SchedulerAction, SchedulerConfig,
     SchedulerEvent, TurnResult,
 };
-use chervilshunt_model::{Class, Moment};
+use chervilshunt_model::Class;
 use rstest::rstest;
 use support::{at, model, target};
 
@@ -47,7 +47,7 @@
 fn live_turns_before_deferrable(oldest_ms: u64, at_most: u64) -> Option<u64> {
     let deferrable = OrderId(1_000_000);
     let mut scheduler = scheduler();
-    let mut now: Moment = at(0);
+    let mut now = at(0);
     let mut running = granted(&scheduler.handle(asked(0, Class::Live, 0), now));
     scheduler.handle(asked(deferrable.0, Class::Deferrable, oldest_ms), now);
     for turn in 1..=at_most {
