Load no further deferrable work while enough of it waits for room alone

Cause: under a flood the deferrable adapters that are loaded already have more requests than the batch has room for, and still another one was loaded for each burst.

Now an adapter is loaded for deferrable work alone while fewer than four deferrable requests wait for nothing but room, or once its oldest request has waited five minutes; and deferrable work alone takes a sixteenth of the slots in place of a quarter.

--- a/crates/chervilshunt_core/src/owner/loading.rs
+++ b/crates/chervilshunt_core/src/owner/loading.rs
@@ -11,8 +11,8 @@
 use super::order::{LoadUrgency, OrderId, OrderKind};
 use super::slots::Moving;
 use super::tuning::{
-    AHEAD_DEMAND, AHEAD_PAUSE, DEFERRABLE_SLOT_PART, MAX_ASKED_TURNS, OVERTAKEN_PART,
-    OVERTAKEN_WAIT, PARKED_REVIEW, TURN_RENEWAL,
+    AHEAD_DEMAND, AHEAD_PAUSE, DEFERRABLE_LOAD_AGE, DEFERRABLE_SLOT_PART, ENOUGH_DEFERRABLE,
+    MAX_ASKED_TURNS, OVERTAKEN_PART, OVERTAKEN_WAIT, PARKED_REVIEW, TURN_RENEWAL,
 };
 use crate::{DecisionKind, RefusalReason};
 
@@ -351,7 +351,8 @@
                 return;
             }
             if urgency.class == Some(Class::Deferrable) {
-                if deferrable >= self.most_deferrable_slots() {
+                let full = deferrable >= self.most_deferrable_slots();
+                if full || self.has_enough_deferrable(&urgency) {
                     continue;
                 }
                 deferrable += 1;
@@ -396,6 +397,12 @@
         (self.cfg.slots as usize / DEFERRABLE_SLOT_PART).max(1)
     }
 
+    /// Whether deferrable work that needs no load fills the batch for now.
+    fn has_enough_deferrable(&self, urgency: &LoadUrgency) -> bool {
+        let young = u128::from(urgency.oldest_ms) < DEFERRABLE_LOAD_AGE.as_millis();
+        young && self.queue.ready(Class::Deferrable) >= ENOUGH_DEFERRABLE
+    }
+
     /// Retires one adapter for loads that find all slots pinned, unless enough are retiring.
     fn make_room_in_time(&mut self, urgency: &LoadUrgency, wanted: usize, now: Moment) {
         let retiring = self
--- a/crates/chervilshunt_core/src/owner/tuning.rs
+++ b/crates/chervilshunt_core/src/owner/tuning.rs
@@ -68,7 +68,14 @@
 pub(super) const OVERTAKEN_PART: u64 = 4;
 
 /// Part of the slots, one in so many, that deferrable work alone may take.
-pub(super) const DEFERRABLE_SLOT_PART: usize = 4;
+pub(super) const DEFERRABLE_SLOT_PART: usize = 16;
+
+/// Deferrable requests that wait for nothing but room, from which on no further adapter is loaded
+/// for deferrable work: it would take a slot and a turn from live work to lengthen the queue.
+pub(super) const ENOUGH_DEFERRABLE: usize = 4;
+
+/// Wait after which an adapter is loaded for deferrable work in any case.
+pub(super) const DEFERRABLE_LOAD_AGE: Duration = Duration::from_secs(300);
 
 /// Time between two looks at the loads that wait for a slot worth giving up.
 pub(super) const PARKED_REVIEW: Duration = Duration::from_millis(500);
--- /dev/null
+++ b/crates/chervilshunt_core/tests/owner_flood.rs
@@ -0,0 +1,79 @@
+//! The owner's loads under a flood of deferrable work.
+
+mod support;
+
+use std::time::Duration;
+
+use chervilshunt_core::{Owner, OwnerAction, OwnerEvent};
+use chervilshunt_model::{AdapterVersion, Class, Moment};
+use rstest::rstest;
+use support::{at, config, model, owner_with, request};
+
+fn ask(owner: &mut Owner, attempt: u128, number: u32, class: Class, now: Moment) {
+    let mut req = request(attempt, Some(model(number)), class);
+    req.deadline_ms = 3_600_000;
+    owner.handle(OwnerEvent::PermitRequested(req), now);
+}
+
+/// Returns the adapters for which a turn is asked for until a time.
+fn asked_until(owner: &mut Owner, from: Moment, until: Moment) -> Vec<AdapterVersion> {
+    let mut asked = Vec::new();
+    let mut now = from;
+    while now < until {
+        for action in owner.handle(OwnerEvent::Tick, now) {
+            if let OwnerAction::AskTurn { model, .. } = action {
+                asked.push(model);
+            }
+        }
+        now = now + Duration::from_millis(500);
+    }
+    asked.sort();
+    asked.dedup();
+    asked
+}
+
+/// What the caller sees: live requests wait for loads while deferrable work is queued in plenty.
+/// The batch is full, and deferrable requests for a loaded adapter wait for room. A load for
+/// further deferrable work would take a slot and a turn from live work and gain nothing; but what
+/// has waited for minutes gets its load, as other deferrable work may never run dry.
+#[rstest]
+#[case::none_is_ready(0, 60, true)]
+#[case::few_are_ready(3, 60, true)]
+#[case::enough_are_ready(4, 60, false)]
+#[case::enough_are_ready_but_it_is_old(4, 330, true)]
+fn loads_no_more_deferrable_work_than_it_has_room_for(
+    #[case] ready: u32,
+    #[case] seconds: u64,
+    #[case] loads: bool,
+) {
+    let mut cfg = config(32, 1);
+    cfg.deferrable_queue_bound = 100;
+    let mut owner = owner_with(cfg, &[model(1)]);
+    ask(&mut owner, 1, 1, Class::Live, at(10));
+    for number in 0..ready {
+        let attempt = u128::from(number) + 10;
+        ask(&mut owner, attempt, 1, Class::Deferrable, at(20));
+    }
+    ask(&mut owner, 100, 2, Class::Deferrable, at(30));
+    let asked = asked_until(&mut owner, at(500), at(seconds * 1_000));
+    assert_eq!(asked, Vec::from_iter(loads.then(|| model(2))));
+}
+
+/// What the caller sees: live requests wait for a slot while deferrable work holds them.
+/// Deferrable requests for many adapters arrive at an empty engine. Each load that is under way for
+/// them alone counts against a sixteenth of the slots, so that the rest stay for live work.
+#[rstest]
+#[case::small(8, 1)]
+#[case::usual(32, 2)]
+#[case::large(64, 4)]
+fn deferrable_work_alone_takes_few_slots(#[case] slots: u32, #[case] most: usize) {
+    let mut cfg = config(slots, 64);
+    cfg.deferrable_queue_bound = 100;
+    let mut owner = owner_with(cfg, &[]);
+    for number in 0..20 {
+        let attempt = u128::from(number) + 10;
+        ask(&mut owner, attempt, number, Class::Deferrable, at(20));
+    }
+    let asked = asked_until(&mut owner, at(500), at(60_000));
+    assert_eq!(asked.len(), most);
+}
