Keep the seats of live work free of old deferrable work

Cause: in a flood every deferrable request has waited longer than two minutes, and one that old took any free seat as soon as no live request waited.

Now an old request gets such a seat after fifteen live permits, or when no deferrable permit was granted for fifteen seconds, so it still never waits for ever.

--- a/crates/chervilshunt_core/src/owner.rs
+++ b/crates/chervilshunt_core/src/owner.rs
@@ -76,6 +76,8 @@
     service_time: DurationAverage,
     live_load: DecayedLevel,
     live_since_aged: u32,
+    /// When a deferrable request last got its permit.
+    deferrable_granted: Moment,
     last_loaded: Option<Moment>,
     looked_ahead: Moment,
     /// When the last event was handled.
@@ -109,6 +111,7 @@
             service_time: DurationAverage::new(tuning::SERVICE_TIME_GUESS),
             live_load: DecayedLevel::default(),
             live_since_aged: 0,
+            deferrable_granted: now,
             last_loaded: None,
             looked_ahead: now,
             handled: now,
--- a/crates/chervilshunt_core/src/owner/admit.rs
+++ b/crates/chervilshunt_core/src/owner/admit.rs
@@ -12,8 +12,8 @@
 use super::queue::{Asked, Waiting};
 use super::settled::Settlement;
 use super::tuning::{
-    DEFERRABLE_AGE, FILL_HOLD, LIVE_LOAD_HALF_LIFE, LIVE_PER_AGED, MAX_CLOSED_HOPS, MAX_HOPS,
-    PREFIX_LOOKAHEAD, RETRY_AFTER,
+    AGED_PAUSE, DEFERRABLE_AGE, FILL_HOLD, LIVE_LOAD_HALF_LIFE, LIVE_PER_AGED, MAX_CLOSED_HOPS,
+    MAX_HOPS, PREFIX_LOOKAHEAD, RETRY_AFTER,
 };
 use crate::{DecisionKind, Permit, PermitAnswer, PermitRequest, RefusalReason};
 
@@ -174,7 +174,8 @@
         let oldest = self.queue.oldest_ready(Class::Deferrable)?;
         let aged = oldest.arrived + age_limit(&oldest.req);
         let held = oldest.arrived + self.fill_hold();
-        [aged, held].into_iter().filter(|at| *at > now).min()
+        let turn = aged.max(self.deferrable_granted + AGED_PAUSE);
+        [aged, held, turn].into_iter().filter(|at| *at > now).min()
     }
 
     /// Returns the time that a request of a class that arrives now would wait for room.
@@ -426,10 +427,15 @@
 
     /// Returns a deferrable request that has waited long enough to compete with live ones, if it
     /// is its turn.
+    ///
+    /// Its turn comes after so many live permits or after a pause, also while no live request
+    /// waits: in a flood all deferrable requests are old, and would otherwise take every seat that
+    /// is kept for live work as soon as it is free.
     fn aged(&self, now: Moment) -> Option<&Waiting> {
         let oldest = self.queue.oldest_ready(Class::Deferrable)?;
         let aged = now.since(oldest.arrived) >= age_limit(&oldest.req);
-        let turn = self.queue.ready(Class::Live) == 0 || self.live_since_aged >= LIVE_PER_AGED;
+        let paused = now.since(self.deferrable_granted) >= AGED_PAUSE;
+        let turn = self.live_since_aged >= LIVE_PER_AGED || paused;
         (aged && turn && self.admits(Class::Live, now)).then_some(oldest)
     }
 
@@ -459,7 +465,10 @@
         }
         match req.class {
             Class::Live => self.live_since_aged = self.live_since_aged.saturating_add(1),
-            Class::Deferrable => self.live_since_aged = 0,
+            Class::Deferrable => {
+                self.live_since_aged = 0;
+                self.deferrable_granted = now;
+            }
         }
         let permit = Permit {
             attempt: req.attempt,
--- a/crates/chervilshunt_core/src/owner/tuning.rs
+++ b/crates/chervilshunt_core/src/owner/tuning.rs
@@ -117,6 +117,10 @@
 /// Live permits granted between two for deferrable requests of that age.
 pub(super) const LIVE_PER_AGED: u32 = 15;
 
+/// Time without a deferrable permit after which one of that age gets a seat kept for live work.
+/// Answers take about as long, so at most a seat or two are taken so.
+pub(super) const AGED_PAUSE: Duration = Duration::from_secs(15);
+
 /// Longest time that deferrable requests are held back from an idle engine to fill a batch.
 pub(super) const FILL_HOLD: Duration = Duration::from_secs(5);
 
--- a/crates/chervilshunt_core/tests/owner_flood.rs
+++ b/crates/chervilshunt_core/tests/owner_flood.rs
@@ -77,3 +77,28 @@
     let asked = asked_until(&mut owner, at(500), at(60_000));
     assert_eq!(asked.len(), most);
 }
+
+/// What the caller sees: live requests wait for seconds until a deferrable answer ends.
+/// In a flood all deferrable requests have waited for minutes. Each that took a free seat as soon
+/// as no live request waited would fill the seats kept for live work, so they get one of these
+/// now and then only: enough that they never wait for ever.
+#[rstest]
+#[case::young(60, 0)]
+#[case::at_once(121, 1)]
+#[case::after_a_pause(137, 2)]
+#[case::after_two_pauses(153, 3)]
+fn old_deferrable_work_leaves_seats_for_live_work(#[case] seconds: u64, #[case] taken: usize) {
+    let mut cfg = config(4, 4);
+    cfg.deferrable_queue_bound = 100;
+    cfg.weights.load_stalls = 10.0;
+    let mut owner = owner_with(cfg, &[model(1)]);
+    ask(&mut owner, 1, 1, Class::Live, at(10));
+    for number in 0..8 {
+        ask(&mut owner, 10 + number, 1, Class::Deferrable, at(20));
+    }
+    for half in 1..=seconds * 2 {
+        owner.handle(OwnerEvent::Tick, at(half * 500));
+    }
+    let view = owner.view(at(seconds * 1_000));
+    assert_eq!(view.deferrable_permits, taken);
+}
