--- a/crates/chervilshunt_core/src/owner/tuning.rs
+++ b/crates/chervilshunt_core/src/owner/tuning.rs
@@ -68,7 +68,14 @@
 pub(super) const OVERTAKEN_PART: u64 = 4;
 
 /// Part of the slots, one in so many, that deferrable work alone may take.
-pub(super) const DEFERRABLE_SLOT_PART: usize = 4;
+pub(super) const DEFERRABLE_SLOT_PART: usize = 16;
+
+/// Deferrable requests that wait for nothing but room, from which on no further adapter is loaded
+/// for deferrable work: it would take a slot and a turn from live work to lengthen the queue.
+pub(super) const ENOUGH_DEFERRABLE: usize = 4;
+
+/// Wait after which an adapter is loaded for deferrable work in any case.
+pub(super) const DEFERRABLE_LOAD_AGE: Duration = Duration::from_secs(300);
 
 /// Time between two looks at the loads that wait for a slot worth giving up.
 pub(super) const PARKED_REVIEW: Duration = Duration::from_millis(500);
@@ -110,6 +117,10 @@
 /// Live permits granted between two for deferrable requests of that age.
 pub(super) const LIVE_PER_AGED: u32 = 15;
 
+/// Time without a deferrable permit after which one of that age gets a seat kept for live work.
+/// Answers take about as long, so at most a seat or two are taken so.
+pub(super) const AGED_PAUSE: Duration = Duration::from_secs(15);
+
 /// Longest time that deferrable requests are held back from an idle engine to fill a batch.
 pub(super) const FILL_HOLD: Duration = Duration::from_secs(5);
 
