Rank targets in one pass that keeps the best few

Ranking 1,600 targets collected all scores, 25.6 KB a request, and selected from the list; an owner that sent a request on, or spread an adapter, sorted all 1,600. Now one pass keeps the best few in a heap, and a spread asks for the few that follow its own target.

--- a/crates/chervilshunt_core/examples/role_costs.rs
+++ b/crates/chervilshunt_core/examples/role_costs.rs
@@ -3,12 +3,14 @@
 //! Run it with `cargo run --release -p chervilshunt_core --example role_costs`. The figures are in
 //! `docs/CAPACITY.md`.
 
+use std::hint::black_box;
 use std::time::{Duration, Instant};
 
 use chervilshunt_core::{
     LoadScheduler, LoadUrgency, Mechanisms, OrderId, Owner, OwnerAction, OwnerConfig, OwnerEvent,
     PermitAnswer, PermitRequest, PolicyWeights, PowerAction, PowerAllocator, PowerConfig,
-    PowerEvent, ReleaseOutcome, ReleasedPermit, SchedulerConfig, SchedulerEvent, TurnResult,
+    PowerEvent, ReleaseOutcome, ReleasedPermit, SchedulerConfig, SchedulerEvent, TargetTable,
+    TurnResult,
 };
 use chervilshunt_model::{
     AdapterName, AdapterVersion, AttemptId, CallerName, Class, Epoch, Fencing, InstanceId, Moment,
@@ -25,6 +27,8 @@
 const TURNS: [usize; 4] = [16, 256, 1_024, 4_096];
 /// Targets of one site.
 const TARGETS: [usize; 5] = [25, 100, 123, 400, 1_600];
+/// Targets that a ranking is asked for.
+const BEST: [usize; 4] = [1, 2, 8, 1_600];
 /// Slots and sequences of the engine that is measured.
 const SLOTS: u32 = 64;
 const BATCH: u32 = 256;
@@ -37,6 +41,10 @@
         let (heap, micros) = owner(adapters);
         println!("{adapters:21}  {:7.1}  {micros:17.2}", heap as f64 / 1e3);
     }
+    println!("ranking 1,600 targets: best  us");
+    for count in BEST {
+        println!("{count:27}  {:5.2}", ranking(count));
+    }
     println!("load scheduler: turns waiting  heap B a turn  us to ask  us to end and grant");
     for turns in TURNS {
         let (heap, ask, grant) = scheduler(turns);
@@ -52,6 +60,18 @@
     }
 }
 
+/// Returns the time of ranking 1,600 targets for the best `count`.
+fn ranking(count: usize) -> f64 {
+    const ROUNDS: usize = 20_000;
+    let table = TargetTable::new((0..1_600).map(target));
+    let models: Vec<AdapterVersion> = (0..ROUNDS).map(model).collect();
+    let begun = Instant::now();
+    for model in &models {
+        black_box(table.rank(model, count));
+    }
+    micros(begun.elapsed(), ROUNDS)
+}
+
 /// Returns the heap of an owner at which so many adapters have asked, and the time of a round.
 fn owner(adapters: usize) -> (usize, f64) {
     const ROUNDS: usize = 20_000;
--- a/crates/chervilshunt_core/src/owner/spread.rs
+++ b/crates/chervilshunt_core/src/owner/spread.rs
@@ -177,11 +177,8 @@
 
     /// Returns this target and those ranked after it, going round.
     fn ranked_from_here(&self, model: &AdapterVersion, count: usize) -> SmallVec<[TargetName; 4]> {
-        let all = self.spread.table.rank(model, usize::MAX);
-        let own = all.iter().position(|it| **it == self.cfg.target);
-        let (before, from_here) = all.split_at(own.unwrap_or_default());
-        let going_round = from_here.iter().chain(before);
-        going_round.take(count).map(|it| (*it).clone()).collect()
+        let ranked = self.spread.table.rank_from(model, &self.cfg.target, count);
+        ranked.into_iter().cloned().collect()
     }
 
     fn widen(&mut self, model: &AdapterVersion, width: usize) {
--- a/crates/chervilshunt_core/src/rank.rs
+++ b/crates/chervilshunt_core/src/rank.rs
@@ -1,5 +1,8 @@
 //! Ranking of targets by rendezvous hashing: no table and no messages.
 
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
 use chervilshunt_model::{AdapterVersion, TargetName};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -17,11 +20,13 @@
     let seed = adapter_seed(model);
     let scored = targets
         .into_iter()
-        .map(|target| (score(name_hash(target), seed), target))
-        .collect();
+        .map(|target| (score(name_hash(target), seed), target));
     best_first(scored, count)
 }
 
+/// A target with its score; the greatest is the best.
+type Scored<'a> = (u64, &'a TargetName);
+
 /// The targets of a service with their hashes, for ranking them again and again.
 ///
 /// Hashing 1,600 names for each request would take most of the time that a permit may cost.
@@ -42,13 +47,32 @@
 
     /// Returns the best `count` targets for `model`, best first, as [`rank_targets`] does.
     pub fn rank(&self, model: &AdapterVersion, count: usize) -> Vec<&TargetName> {
+        best_first(self.scored(model), count)
+    }
+
+    /// Returns the best `count` targets for `model` from `own` on: `own`, those ranked after it,
+    /// and then, going round, the best of all.
+    pub fn rank_from(
+        &self,
+        model: &AdapterVersion,
+        own: &TargetName,
+        count: usize,
+    ) -> Vec<&TargetName> {
+        let place = (score(name_hash(own), adapter_seed(model)), own);
+        let from_own = self.scored(model).filter(|it| *it <= place);
+        let mut ranked = best_first(from_own, count);
+        let left = count - ranked.len();
+        if left > 0 {
+            let before_own = self.scored(model).filter(|it| *it > place);
+            ranked.extend(best_first(before_own, left));
+        }
+        ranked
+    }
+
+    fn scored(&self, model: &AdapterVersion) -> impl Iterator<Item = Scored<'_>> {
         let seed = adapter_seed(model);
-        let scored = self
-            .targets
-            .iter()
-            .map(|(hash, target)| (score(*hash, seed), target))
-            .collect();
-        best_first(scored, count)
+        let scored = self.targets.iter();
+        scored.map(move |(hash, target)| (score(*hash, seed), target))
     }
 }
 
@@ -64,12 +88,21 @@
     xxh3_64_with_seed(&name_hash.to_le_bytes(), seed)
 }
 
-fn best_first(mut scored: Vec<(u64, &TargetName)>, count: usize) -> Vec<&TargetName> {
-    let best_first = |left: &(u64, &TargetName), right: &(u64, &TargetName)| right.cmp(left);
-    if count < scored.len() {
-        scored.select_nth_unstable_by(count, best_first);
-        scored.truncate(count);
+/// Returns the `count` best, best first.
+///
+/// One pass with the best so far in a heap, the least of them on top: nearly every target is done
+/// with after one comparison, and no list of all scores is made.
+fn best_first<'a>(scored: impl Iterator<Item = Scored<'a>>, count: usize) -> Vec<&'a TargetName> {
+    let mut best = BinaryHeap::new();
+    for it in scored {
+        if best.len() < count {
+            best.push(Reverse(it));
+        } else if let Some(mut least) = best.peek_mut()
+            && it > least.0
+        {
+            *least = Reverse(it);
+        }
     }
-    scored.sort_unstable_by(best_first);
-    scored.into_iter().map(|(_, target)| target).collect()
+    let best = best.into_sorted_vec().into_iter();
+    best.map(|Reverse((_, target))| target).collect()
 }
