Keep no place for an answer beside each released permit

An owner remembers how 8,192 attempts were settled. Each entry had room for a whole answer, though most are releases, which have none. Answers now stand in boxes of their own.

--- a/crates/chervilshunt_core/src/owner/admit.rs
+++ b/crates/chervilshunt_core/src/owner/admit.rs
@@ -209,7 +209,7 @@
             None => false,
             Some(Settlement::Released) => true,
             Some(Settlement::Answered(answer)) => {
-                out.push(answer_to(req, answer.clone()));
+                out.push(answer_to(req, PermitAnswer::clone(answer)));
                 true
             }
         }
@@ -518,7 +518,7 @@
         now: Moment,
         out: &mut Vec<OwnerAction>,
     ) {
-        let settlement = Settlement::Answered(answer.clone());
+        let settlement = Settlement::Answered(Box::new(answer.clone()));
         self.settled.insert(req.attempt, req.hops, settlement, now);
         out.push(answer_to(req, answer));
     }
--- a/crates/chervilshunt_core/src/owner/settled.rs
+++ b/crates/chervilshunt_core/src/owner/settled.rs
@@ -13,8 +13,9 @@
 pub(super) enum Settlement {
     /// Its permit was released, or it was withdrawn: nobody waits for an answer.
     Released,
-    /// It was refused or redirected with this answer.
-    Answered(PermitAnswer),
+    /// It was refused or redirected with this answer; in a box, as a place for an answer beside each
+    /// released permit would take most of an owner's memory.
+    Answered(Box<PermitAnswer>),
 }
 
 #[derive(Clone, Debug)]
