--- a/crates/chervilshunt_bench/src/policy/args.rs
+++ b/crates/chervilshunt_bench/src/policy/args.rs
@@ -3,6 +3,7 @@
 use std::error::Error;
 use std::str::FromStr;
 
+use chervilshunt_core::PolicyWeights;
 use lexopt::prelude::*;
 use snafu::{OptionExt, ResultExt, Snafu};
 
@@ -36,6 +37,14 @@
         /// What was given.
         value: String,
     },
+    /// Weights can't be read.
+    #[snafu(display(
+        "--weights {value}: give those of load stalls and batch efficiency, such as 1,3"
+    ))]
+    Weights {
+        /// What was given.
+        value: String,
+    },
     /// A report can't be written.
     #[snafu(display("can't write the report: {source}"), visibility(pub(super)))]
     Write {
@@ -75,6 +84,7 @@
             seed: 1,
             seconds: None,
             load: 1.0,
+            weights: None,
         };
         let mut timeline = false;
         while let Some(arg) = args.next().context(ArgsSnafu)? {
@@ -87,6 +97,7 @@
                 Long("seed") => spec.seed = number(&mut args)?,
                 Long("seconds") => spec.seconds = Some(number(&mut args)?),
                 Long("load") => spec.load = number(&mut args)?,
+                Long("weights") => spec.weights = Some(weights(&mut args)?),
                 Long("timeline") => timeline = true,
                 // A single report has no other form; the option is for the caller's clearness.
                 Long("json") => {}
@@ -125,6 +136,19 @@
     names.find(option, &value)
 }
 
+/// Reads the weights of load stalls and batch efficiency, divided by a comma.
+fn weights(args: &mut lexopt::Parser) -> Result<PolicyWeights, PolicyError> {
+    let value = text(args)?;
+    let read = |text: &str| text.parse().ok();
+    let both = value.split_once(',');
+    let both = both.and_then(|(stalls, batches)| Some((read(stalls)?, read(batches)?)));
+    let (load_stalls, batch_efficiency) = both.context(WeightsSnafu { value })?;
+    Ok(PolicyWeights {
+        load_stalls,
+        batch_efficiency,
+    })
+}
+
 /// Reads names that are divided by commas.
 pub(crate) fn names<T>(
     args: &mut lexopt::Parser,
--- a/crates/chervilshunt_bench/src/policy/mod.rs
+++ b/crates/chervilshunt_bench/src/policy/mod.rs
@@ -32,7 +32,7 @@
 pub use comparison::{Comparison, Table};
 pub use deployment::DeploymentKind;
 pub use metrics::{ClassReport, Report};
-pub use run::{Policy, RunSpec, run_policy, run_timeline};
+pub use run::{Mechanism, Policy, RunSpec, run_policy, run_timeline};
 pub use scenario::Scenario;
 pub use summary::{Matrix, Row};
 pub use table::render;
--- a/crates/chervilshunt_bench/src/policy/run.rs
+++ b/crates/chervilshunt_bench/src/policy/run.rs
@@ -1,6 +1,6 @@
 //! One run of one policy.
 
-use chervilshunt_core::Mechanisms;
+use chervilshunt_core::{Mechanisms, PolicyWeights};
 
 use super::baseline::{Baseline, Choice};
 use super::core_policy::CorePolicy;
@@ -111,6 +111,8 @@
     pub seconds: Option<u64>,
     /// By how much the rates of all requests are multiplied.
     pub load: f64,
+    /// What is minded most; the deployment's own weights if none.
+    pub weights: Option<PolicyWeights>,
 }
 
 impl RunSpec {
@@ -119,6 +121,7 @@
         sizes.live_per_second *= self.load;
         sizes.deferrable_per_second *= self.load;
         sizes.plain_per_second *= self.load;
+        sizes.weights = self.weights.unwrap_or(sizes.weights);
         sizes
     }
 }
--- a/crates/chervilshunt_bench/src/policy/summary.rs
+++ b/crates/chervilshunt_bench/src/policy/summary.rs
@@ -111,6 +111,7 @@
                     seed: *seed,
                     seconds: self.seconds,
                     load: self.load,
+                    weights: None,
                 })
             })
             .collect();
--- a/crates/chervilshunt_bench/tests/policy/main.rs
+++ b/crates/chervilshunt_bench/tests/policy/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the policy bench as a whole, on short runs with fixed seeds.
 
+mod ratios;
 mod table;
 
 use chervilshunt_bench::policy::{DeploymentKind, Policy, Report, RunSpec, Scenario, run_policy};
@@ -16,6 +17,7 @@
         seed,
         seconds: Some(SHORT_SECONDS),
         load: 1.0,
+        weights: None,
     })
 }
 
