Seed bugs into owner, scheduler and allocator, and require that the oracles find them

Nothing showed that the fuzz tests of the core can fail. Fourteen bugs of the kinds that a change could bring in are now seeded one at a time by a feature that only this crate's tests switch on, as chervilshunt_coord has it, and each has to be found by the check that is meant for it. The owner's world now also checks that a load goes out in its turn; before, no check would have found one without.

--- a/crates/chervilshunt_core/src/allocator.rs
+++ b/crates/chervilshunt_core/src/allocator.rs
@@ -9,6 +9,7 @@
 
 use chervilshunt_model::{Epoch, Moment, TargetName};
 
+use crate::bugs::{Bug, Bugs};
 use crate::{Mechanisms, PolicyWeights};
 use parking::Parking;
 use target::TargetPower;
@@ -106,6 +107,7 @@
     worked_out: Moment,
     /// Whether demand has changed since.
     changed: bool,
+    bugs: Bugs,
 }
 
 impl PowerAllocator {
@@ -121,6 +123,7 @@
             sequence: cfg.epoch.get() << SEQUENCE_BITS,
             worked_out: now,
             changed: false,
+            bugs: Bugs::default(),
         }
     }
 
@@ -164,6 +167,12 @@
         out
     }
 
+    /// Seeds a bug, to show that a test finds it.
+    #[cfg(feature = "seeded-bugs")]
+    pub const fn seed(&mut self, bug: crate::Bug) {
+        self.bugs = Bugs::seeded(bug);
+    }
+
     /// Returns when [`PowerEvent::Tick`] is next wanted.
     pub fn next_wakeup(&self) -> Option<Moment> {
         let changed = self.changed.then(|| self.worked_out + WORK_OUT_PAUSE);
@@ -182,6 +191,8 @@
     }
 
     fn joined(&mut self, target: TargetName, idle_watts: f64, full_watts: f64, drawing: f64) {
+        let forgets = self.bugs.has(Bug::ForgetsDrawAtTakeover);
+        let drawing = if forgets { 0.0 } else { drawing };
         let power = TargetPower {
             idle_watts,
             full_watts: full_watts.max(idle_watts),
@@ -207,6 +218,11 @@
 
     fn confirmed(&mut self, target: &TargetName, sequence: u64, watts: f64) {
         if let Some(power) = self.targets.get_mut(target) {
+            if self.bugs.has(Bug::TakesCrossedConfirmation) {
+                power.pending.clear();
+                power.confirmed = (sequence, watts);
+                return;
+            }
             power.confirm(sequence, watts);
         }
     }
@@ -245,6 +261,10 @@
             return;
         }
         let mut room = self.cfg.cap_watts - self.committed_watts();
+        if self.bugs.has(Bug::RaisesBeforeConfirmed) {
+            let shares: f64 = self.targets.values().map(TargetPower::share).sum();
+            room = self.cfg.cap_watts - shares;
+        }
         let mut rising: Vec<(&TargetName, &mut TargetPower)> = self
             .targets
             .iter_mut()
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -5,6 +5,7 @@
 //! `docs/ARCHITECTURE.md` and `docs/design/`.
 
 mod allocator;
+mod bugs;
 mod decay;
 mod decision;
 mod mechanisms;
@@ -16,6 +17,8 @@
 mod weights;
 
 pub use allocator::{PowerAction, PowerAllocator, PowerConfig, PowerEvent};
+#[cfg(feature = "seeded-bugs")]
+pub use bugs::Bug;
 pub use decision::{Decision, DecisionKind, Waited};
 pub use mechanisms::Mechanisms;
 pub use owner::{
--- a/crates/chervilshunt_core/src/owner.rs
+++ b/crates/chervilshunt_core/src/owner.rs
@@ -36,6 +36,7 @@
 pub use order::{EngineOrder, LoadUrgency, OrderFailure, OrderId, OrderKind};
 pub use view::{AdapterState, AdapterView, OwnerView};
 
+use crate::bugs::Bugs;
 use crate::decay::{DecayedLevel, DurationAverage};
 use crate::{Decision, DecisionKind, RefusalReason, Waited};
 use engine::EngineView;
@@ -83,6 +84,7 @@
     draining: bool,
     /// Whether the engine has told that somebody else owns the target.
     fenced: bool,
+    bugs: Bugs,
 }
 
 impl Owner {
@@ -114,6 +116,7 @@
             handled: now,
             draining: false,
             fenced: false,
+            bugs: Bugs::default(),
             cfg,
         }
     }
@@ -132,6 +135,12 @@
         out
     }
 
+    /// Seeds a bug, to show that a test finds it.
+    #[cfg(feature = "seeded-bugs")]
+    pub const fn seed(&mut self, bug: crate::Bug) {
+        self.bugs = Bugs::seeded(bug);
+    }
+
     /// Returns when [`OwnerEvent::Tick`] is next wanted.
     pub fn next_wakeup(&self) -> Option<Moment> {
         let renewal = (!self.loads.is_empty()).then(|| self.loads.reviewed + tuning::PARKED_REVIEW);
--- a/crates/chervilshunt_core/src/owner/admit.rs
+++ b/crates/chervilshunt_core/src/owner/admit.rs
@@ -15,6 +15,7 @@
     DEFERRABLE_AGE, FILL_HOLD, LIVE_LOAD_HALF_LIFE, LIVE_PER_AGED, MAX_CLOSED_HOPS, MAX_HOPS,
     PREFIX_LOOKAHEAD, RETRY_AFTER,
 };
+use crate::bugs::Bug;
 use crate::{DecisionKind, Permit, PermitAnswer, PermitRequest, RefusalReason};
 
 /// Standard deviations of the live load for which seats are kept free.
@@ -159,7 +160,8 @@
     pub(super) fn free_seats(&self) -> usize {
         let taken = self.permits.len() + self.engine.foreign();
         let taken = taken.saturating_add(self.unknown_sequences());
-        self.power.batch_bound().saturating_sub(taken)
+        let more = usize::from(self.bugs.has(Bug::GrantsBeyondBatch));
+        (self.power.batch_bound() + more).saturating_sub(taken)
     }
 
     /// Returns the seats that live work is likely to need beyond those that it holds.
@@ -205,7 +207,8 @@
         if self.queue.get(req.attempt).is_some() {
             return true;
         }
-        match self.settled.get(req.attempt, req.hops) {
+        let settled = self.settled.get(req.attempt, req.hops);
+        match settled.filter(|_| !self.bugs.has(Bug::ForgetsSettledAttempts)) {
             None => false,
             Some(Settlement::Released) => true,
             Some(Settlement::Answered(answer)) => {
--- a/crates/chervilshunt_core/src/owner/evict.rs
+++ b/crates/chervilshunt_core/src/owner/evict.rs
@@ -6,6 +6,7 @@
 use super::slots::IdleSlot;
 use super::tuning::{RETIRE_AFTER_DEFERRABLE, RETIRE_AFTER_LIVE};
 use crate::LoadUrgency;
+use crate::bugs::Bug;
 
 /// Worth of a request that waits for nothing but room, in requests a second of lasting demand.
 const READY_WORTH: f64 = 1.0;
@@ -159,7 +160,8 @@
 
     /// Whether adapters may be unloaded at all.
     pub(super) fn may_evict(&self) -> bool {
-        self.takeover.complete() && self.knows_adapters() && self.engine.reachable && !self.fenced
+        let complete = self.takeover.complete() || self.bugs.has(Bug::EvictsInTakeover);
+        complete && self.knows_adapters() && self.engine.reachable && !self.fenced
     }
 
     /// Returns how much stalls are minded, against full batches.
--- a/crates/chervilshunt_core/src/owner/loading.rs
+++ b/crates/chervilshunt_core/src/owner/loading.rs
@@ -14,6 +14,7 @@
     AHEAD_DEMAND, AHEAD_PAUSE, DEFERRABLE_SLOT_PART, MAX_ASKED_TURNS, OVERTAKEN_PART,
     OVERTAKEN_WAIT, PARKED_REVIEW, TURN_RENEWAL,
 };
+use crate::bugs::Bug;
 use crate::{DecisionKind, RefusalReason};
 
 /// The urgency of a load that nobody waits for.
@@ -474,6 +475,9 @@
             return;
         };
         load.phase = Phase::Asked { renewed: now };
+        if self.bugs.has(Bug::LoadsWithoutTurn) {
+            load.phase = Phase::HasTurn;
+        }
         out.push(OwnerAction::AskTurn {
             order: load.order,
             model: model.clone(),
--- a/crates/chervilshunt_core/src/owner/orders.rs
+++ b/crates/chervilshunt_core/src/owner/orders.rs
@@ -9,6 +9,7 @@
 use super::tuning::{DEFERRABLE_LOAD_TRIES, LIVE_LOAD_TRIES};
 use super::{ORDER_BITS, Owner};
 use crate::RefusalReason;
+use crate::bugs::Bug;
 
 impl Owner {
     /// Gives the engine an order.
@@ -38,9 +39,12 @@
         now: Moment,
         out: &mut Vec<OwnerAction>,
     ) {
-        let known = self.orders.swap_remove(&order);
+        let again = self.bugs.has(Bug::TakesAnswerTwice);
+        let again = again.then(|| self.orders.get(&order).cloned()).flatten();
+        let known = again.or_else(|| self.orders.swap_remove(&order));
         let own = order.0 >> ORDER_BITS == self.cfg.epoch.get();
-        if own && result == Err(OrderFailure::Fenced) {
+        let ignored = self.bugs.has(Bug::IgnoresFencedAnswer);
+        if own && result == Err(OrderFailure::Fenced) && !ignored {
             self.superseded(now, out);
             return;
         }
--- a/crates/chervilshunt_core/src/owner/release.rs
+++ b/crates/chervilshunt_core/src/owner/release.rs
@@ -5,6 +5,7 @@
 use super::Owner;
 use super::settled::Settlement;
 use super::tuning::{ENTRY_GONE_BOUND, SETTLED_MEMORY};
+use crate::bugs::Bug;
 use crate::{ReleaseOutcome, ReleasedPermit};
 
 impl Owner {
@@ -59,7 +60,10 @@
             return;
         };
         if let Some(model) = held.permit.model.filter(|_| self.slots.exist()) {
-            let idle = self.slots.unpin(&model, now);
+            let mut idle = self.slots.unpin(&model, now);
+            while self.bugs.has(Bug::ReleaseFreesAllPins) && self.slots.is_pinned(&model) {
+                idle = self.slots.unpin(&model, now);
+            }
             if idle && !self.loads.is_empty() {
                 self.loads.review_due = true;
             }
--- a/crates/chervilshunt_core/src/owner/slots.rs
+++ b/crates/chervilshunt_core/src/owner/slots.rs
@@ -209,6 +209,11 @@
         self.pinned.iter()
     }
 
+    /// Whether an adapter serves permits.
+    pub(super) fn is_pinned(&self, model: &AdapterVersion) -> bool {
+        self.pinned.contains_key(model)
+    }
+
     /// Returns the adapters on their way in or out.
     pub(super) fn all_moving(&self) -> impl Iterator<Item = (&AdapterVersion, Moving)> {
         self.moving.iter().map(|(model, slot)| (model, slot.what))
--- a/crates/chervilshunt_core/src/owner/takeover.rs
+++ b/crates/chervilshunt_core/src/owner/takeover.rs
@@ -7,6 +7,7 @@
 use super::event::EngineReport;
 use super::order::{OrderFailure, OrderId, OrderKind};
 use crate::Permit;
+use crate::bugs::Bug;
 
 /// What is known of the permits that an earlier owner granted.
 #[derive(Debug)]
@@ -63,7 +64,8 @@
     pub(super) fn permits_held(&mut self, entry: &InstanceId, permits: Vec<Permit>, now: Moment) {
         for permit in permits {
             let ours = permit.target == self.cfg.target && permit.epoch <= self.cfg.epoch;
-            if !ours || self.settled.released(permit.attempt) {
+            let left_out = self.bugs.has(Bug::TakeoverForgetsPermits);
+            if !ours || left_out || self.settled.released(permit.attempt) {
                 continue;
             }
             let model = permit.model.clone();
--- a/crates/chervilshunt_core/src/scheduler.rs
+++ b/crates/chervilshunt_core/src/scheduler.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use crate::bugs::{Bug, Bugs};
 use crate::decay::DurationAverage;
 use crate::{LoadUrgency, Mechanisms, OrderId, TokenBucket};
 
@@ -131,6 +132,7 @@
     next_token: Option<Moment>,
     asked: u64,
     live_in_a_row: u32,
+    bugs: Bugs,
 }
 
 /// A turn: the target that loads, and its owner's id.
@@ -167,6 +169,7 @@
             next_token: None,
             asked: 0,
             live_in_a_row: 0,
+            bugs: Bugs::default(),
             cfg,
         }
     }
@@ -195,11 +198,19 @@
             }
             SchedulerEvent::Tick => {}
         }
-        self.running.retain(|_, turn| turn.until > now);
+        if !self.bugs.has(Bug::NeverTimesOut) {
+            self.running.retain(|_, turn| turn.until > now);
+        }
         self.grant(now, &mut out);
         out
     }
 
+    /// Seeds a bug, to show that a test finds it.
+    #[cfg(feature = "seeded-bugs")]
+    pub const fn seed(&mut self, bug: crate::Bug) {
+        self.bugs = Bugs::seeded(bug);
+    }
+
     /// Returns when [`SchedulerEvent::Tick`] is next wanted.
     pub fn next_wakeup(&self) -> Option<Moment> {
         let timeout = self.running.values().map(|turn| turn.until).min();
@@ -256,6 +267,9 @@
     fn ended(&mut self, turn: &Turn, result: TurnResult, now: Moment) {
         self.waiting.swap_remove(turn);
         let Some(running) = self.running.swap_remove(turn) else {
+            if self.bugs.has(Bug::CountsEndTwice) {
+                self.tokens.deposit(1.0, now);
+            }
             return;
         };
         match result {
@@ -287,7 +301,8 @@
 
     fn grant(&mut self, now: Moment, out: &mut Vec<SchedulerAction>) {
         self.next_token = None;
-        while self.running.len() < self.cfg.concurrency as usize {
+        let more = usize::from(self.bugs.has(Bug::GrantsBeyondConcurrency));
+        while self.running.len() < self.cfg.concurrency as usize + more {
             let Some(turn) = self.most_urgent(now) else {
                 return;
             };
--- a/crates/chervilshunt_core/tests/allocator_machine.rs
+++ b/crates/chervilshunt_core/tests/allocator_machine.rs
@@ -10,11 +10,12 @@
 use std::time::Duration;
 
 use chervilshunt_core::{
-    Mechanisms, PolicyWeights, PowerAction, PowerAllocator, PowerConfig, PowerEvent,
+    Bug, Mechanisms, PolicyWeights, PowerAction, PowerAllocator, PowerConfig, PowerEvent,
 };
 use chervilshunt_model::{Epoch, Moment, TargetName};
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use rstest::rstest;
 
 const IDLE: f64 = 100.0;
 const PER_SEQUENCE: f64 = 10.0;
@@ -120,6 +121,7 @@
 
 struct World {
     allocator: PowerAllocator,
+    bug: Option<Bug>,
     weight: f64,
     epoch: u64,
     cap: f64,
@@ -132,7 +134,7 @@
 }
 
 impl World {
-    fn new(weight: f64) -> Self {
+    fn new(weight: f64, bug: Option<Bug>) -> Self {
         let now = Moment::from_millis(500_000);
         let targets = (0..TARGETS).map(|n| {
             let (share, sequence, running) = (CAP / f64::from(TARGETS), 0, 0);
@@ -150,6 +152,7 @@
         });
         let mut world = Self {
             allocator: PowerAllocator::new(config(CAP, 1, weight), now),
+            bug,
             weight,
             epoch: 1,
             cap: CAP,
@@ -302,6 +305,9 @@
     /// Joins all targets before anything is checked: what the new allocator is about to be told
     /// of, it can't know.
     fn join_all_quietly(&mut self) {
+        if let Some(bug) = self.bug {
+            self.allocator.seed(bug);
+        }
         for (target, it) in &self.targets {
             let joined = PowerEvent::TargetJoined {
                 target: target.clone(),
@@ -389,7 +395,7 @@
     type Reference = Chance;
 
     fn init_test(weight: &f64) -> World {
-        World::new(*weight)
+        World::new(*weight, None)
     }
 
     fn apply(mut world: World, _: &f64, step: Step) -> World {
@@ -408,3 +414,17 @@
     #[test]
     fn the_power_of_a_site_stays_within_its_cap(sequential 1..120 => AllocatorTest);
 }
+
+/// Each bug of a kind that a change could bring in is found, and by the check that is meant for it.
+#[rstest]
+#[case::raises_before_confirmed(Bug::RaisesBeforeConfirmed, "W committed under")]
+#[case::takes_crossed_confirmation(Bug::TakesCrossedConfirmation, "W can be drawn")]
+#[case::forgets_draw_at_takeover(Bug::ForgetsDrawAtTakeover, "W can be drawn")]
+fn the_oracle_finds_a_seeded_bug(#[case] bug: Bug, #[case] check: &str) {
+    let complaint = support::first_complaint(Chance::init_state(), step(), |weight, steps| {
+        let mut world = World::new(weight, Some(bug));
+        steps.into_iter().for_each(|step| world.step(step));
+        world.settle();
+    });
+    assert!(complaint.contains(check), "{complaint}");
+}
--- a/crates/chervilshunt_core/tests/owner_machine.rs
+++ b/crates/chervilshunt_core/tests/owner_machine.rs
@@ -13,13 +13,14 @@
 use std::time::Duration;
 
 use chervilshunt_core::{
-    EngineOrder, EngineReport, OrderFailure, OrderId, OrderKind, Owner, OwnerAction, OwnerEvent,
-    Permit, PermitAnswer, PermitRequest, ReleaseOutcome, ReleasedPermit,
+    Bug, EngineOrder, EngineReport, OrderFailure, OrderId, OrderKind, Owner, OwnerAction,
+    OwnerEvent, Permit, PermitAnswer, PermitRequest, ReleaseOutcome, ReleasedPermit,
 };
 use chervilshunt_model::{AdapterVersion, AttemptId, Class, Epoch, Fencing, InstanceId, Moment};
 use oracle::Oracle;
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use rstest::rstest;
 use support::{config, finished, model, request, target};
 
 const SLOTS: u32 = 3;
@@ -198,6 +199,10 @@
     old: Vec<Permit>,
     boxed: Vec<OwnerEvent>,
     turns: Vec<OrderId>,
+    /// Turns asked for, and those of them that the owner holds.
+    asked: BTreeSet<OrderId>,
+    granted: BTreeSet<OrderId>,
+    scheduler_up: bool,
     orders: Vec<PendingOrder>,
     requests: Vec<(PermitRequest, Moment)>,
     releases: Vec<ReleasedPermit>,
@@ -231,6 +236,9 @@
             old: Vec::new(),
             boxed: Vec::new(),
             turns: Vec::new(),
+            asked: BTreeSet::new(),
+            granted: BTreeSet::new(),
+            scheduler_up: true,
             orders: Vec::new(),
             requests: Vec::new(),
             releases: Vec::new(),
@@ -301,6 +309,9 @@
             }
         };
         self.oracle.before(&event, sequences, self.now);
+        if let OwnerEvent::TurnGranted { order, .. } = event {
+            self.granted.insert(order);
+        }
         let fenced = matches!(
             event,
             OwnerEvent::OrderEnded {
@@ -331,11 +342,21 @@
                     "a permit for an adapter that is not loaded"
                 );
             }
-            OwnerAction::AskTurn { order, .. } if !self.turns.contains(&order) => {
-                self.turns.push(order)
+            OwnerAction::AskTurn { order, .. } => {
+                self.asked.insert(order);
+                if !self.turns.contains(&order) {
+                    self.turns.push(order);
+                }
+            }
+            OwnerAction::EndTurn { order, .. } => {
+                self.granted.remove(&order);
+                self.turns.retain(|it| *it != order);
+            }
+            OwnerAction::HoldTurn { order, .. } => {
+                self.granted.insert(order);
             }
-            OwnerAction::EndTurn { order, .. } => self.turns.retain(|it| *it != order),
             OwnerAction::Order(order) => {
+                self.check_turn(&order);
                 let (given, answered) = (self.now, false);
                 self.orders.push(PendingOrder {
                     order,
@@ -354,6 +375,12 @@
         }
     }
 
+    /// A load that was asked for goes out in its turn, but while there is no scheduler.
+    fn check_turn(&self, order: &EngineOrder) {
+        let in_turn = self.granted.contains(&order.id) || !self.asked.contains(&order.id);
+        assert!(in_turn || !self.scheduler_up, "a load without a turn");
+    }
+
     fn step(&mut self, step: Step) {
         match step {
             Step::Ask {
@@ -454,7 +481,10 @@
                 self.boxed.push(OwnerEvent::ShareSet { sequence, watts });
             }
             Step::Draining(draining) => self.handle(OwnerEvent::Draining(draining)),
-            Step::Scheduler(up) => self.handle(OwnerEvent::SchedulerReachable(up)),
+            Step::Scheduler(up) => {
+                self.scheduler_up = up;
+                self.handle(OwnerEvent::SchedulerReachable(up));
+            }
             Step::Cached => self.handle(OwnerEvent::Cached(vec![0])),
             Step::Advance(millis) => {
                 self.deliver_held_in_time(millis);
@@ -571,6 +601,7 @@
         ] {
             self.handle(event);
         }
+        self.scheduler_up = true;
         self.step(Step::Share(MAX_BATCH));
         for _ in 0..600 {
             while !self.boxed.is_empty() {
@@ -634,3 +665,23 @@
     #[test]
     fn an_owner_keeps_its_promises(sequential 1..120 => OwnerTest);
 }
+
+/// Each bug of a kind that a change could bring in is found, and by the check that is meant for it.
+#[rstest]
+#[case::evicts_in_takeover(Bug::EvictsInTakeover, "an eviction before the takeover is complete")]
+#[case::release_frees_all_pins(Bug::ReleaseFreesAllPins, "a pinned adapter is unloaded")]
+#[case::takeover_forgets_permits(Bug::TakeoverForgetsPermits, "permits out")]
+#[case::grants_beyond_batch(Bug::GrantsBeyondBatch, "more than the")]
+#[case::forgets_settled_attempts(Bug::ForgetsSettledAttempts, "requests waiting")]
+#[case::ignores_fenced_answer(Bug::IgnoresFencedAnswer, "after it was fenced off")]
+#[case::takes_answer_twice(Bug::TakesAnswerTwice, "a permit for an adapter that is not loaded")]
+#[case::loads_without_turn(Bug::LoadsWithoutTurn, "a load without a turn")]
+fn the_oracle_finds_a_seeded_bug(#[case] bug: Bug, #[case] check: &str) {
+    let complaint = support::first_complaint(Chance::init_state(), step(), |start, steps| {
+        let mut world = World::new(&start);
+        world.owner.seed(bug);
+        steps.into_iter().for_each(|step| world.step(step));
+        world.settle();
+    });
+    assert!(complaint.contains(check), "{complaint}");
+}
--- a/crates/chervilshunt_core/tests/scheduler_machine.rs
+++ b/crates/chervilshunt_core/tests/scheduler_machine.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use chervilshunt_core::{
-    LoadScheduler, LoadUrgency, Mechanisms, OrderId, SchedulerAction, SchedulerConfig,
+    Bug, LoadScheduler, LoadUrgency, Mechanisms, OrderId, SchedulerAction, SchedulerConfig,
     SchedulerEvent, TurnResult,
 };
 use chervilshunt_model::{Class, Moment, TargetName};
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use rstest::rstest;
 use support::model;
 
 const TURN_TIMEOUT: Duration = Duration::from_secs(10);
@@ -326,3 +327,18 @@
     #[test]
     fn a_load_scheduler_keeps_the_stores_bounds(sequential 1..120 => SchedulerTest);
 }
+
+/// Each bug of a kind that a change could bring in is found, and by the check that is meant for it.
+#[rstest]
+#[case::grants_beyond_concurrency(Bug::GrantsBeyondConcurrency, "more loads than the store bears")]
+#[case::counts_end_twice(Bug::CountsEndTwice, "loads drawn in a second")]
+#[case::never_times_out(Bug::NeverTimesOut, "turns never come")]
+fn the_oracle_finds_a_seeded_bug(#[case] bug: Bug, #[case] check: &str) {
+    let complaint = support::first_complaint(Chance::init_state(), step(), |(), steps| {
+        let mut world = World::new();
+        world.scheduler.seed(bug);
+        steps.into_iter().for_each(|step| world.step(step));
+        world.settle();
+    });
+    assert!(complaint.contains(check), "{complaint}");
+}
--- a/crates/chervilshunt_core/tests/support/mod.rs
+++ b/crates/chervilshunt_core/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Builders that the core's tests share.
 #![allow(dead_code, reason = "each test binary uses a part of these")]
 
+use std::fmt::Debug;
 use std::time::Duration;
 
 use chervilshunt_core::{
@@ -8,6 +9,7 @@
     PermitAnswer, PermitRequest, PolicyWeights, ReleaseOutcome, ReleasedPermit,
 };
 use chervilshunt_model::{AdapterVersion, AttemptId, Class, Epoch, Fencing, Moment, TargetName};
+use proptest::strategy::Strategy;
 
 pub(crate) fn target() -> TargetName {
     TargetName::from("t0")
@@ -117,6 +119,28 @@
     granted.collect()
 }
 
+/// Runs random steps until something complains, and returns what it said.
+pub(crate) fn first_complaint<S: Debug, T: Debug>(
+    start: impl Strategy<Value = S>,
+    step: impl Strategy<Value = T>,
+    run: impl Fn(S, Vec<T>),
+) -> String {
+    use proptest::test_runner::{Config, TestError, TestRunner};
+    let cfg = Config {
+        max_shrink_iters: 0,
+        ..fuzz(3_000)
+    };
+    let steps = proptest::collection::vec(step, 1..120);
+    let outcome = TestRunner::new(cfg).run(&(start, steps), |(start, steps)| {
+        run(start, steps);
+        Ok(())
+    });
+    match outcome {
+        Ok(()) => "nothing".to_owned(),
+        Err(TestError::Fail(reason, _) | TestError::Abort(reason)) => reason.to_string(),
+    }
+}
+
 /// The same cases on every run: a failure in CI is one that anybody can repeat. `PROPTEST_RNG_SEED`
 /// and `PROPTEST_CASES` widen the search by hand.
 pub(crate) fn fuzz(cases: u32) -> proptest::test_runner::Config {
