Leave out of permit messages what the other side knows

Cause: 95 of a permit round's 356 bytes repeated in the answer what the asker still has, and the request named the entry instance, which is whoever sent it.

Requests and answers now go between instances in compact forms, and are joined at the receiver: the owner takes the entry instance from the connection, the asker takes attempt, target, version and class from its request. Each answer carries 32 bits of a hash of what it is for; a permit that of what it was granted for.

What could newly fail: a late or crossed answer joined with another request, which would pin one adapter while the call runs with another. Answers are paired by number on their connection as before, and one whose check differs is not taken: the wait is withdrawn as after a lost connection, so that a permit that was granted after all is given back. Before, a crossed answer would have been taken. Ruled out: the attempt id as the check, which is the same at the next target after a redirect. The daemon's own request keeps the whole types.

The protocol's version rises to chervilshunt-mesh.2, so that instances of the two kinds refuse each other in place of failing to read messages; the test that speaks the protocol by hand names the new one. The tests of messages coming through now go by the compact forms, and the bound of a round falls from 340 bytes to 230.

--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -23,7 +23,8 @@
     OrderKind, Owner, OwnerAction, OwnerConfig, OwnerEvent, OwnerView,
 };
 pub use permit::{
-    Permit, PermitAnswer, PermitRequest, RefusalReason, ReleaseOutcome, ReleasedPermit,
+    AnswerCheck, CompactAnswer, CompactRequest, CrossedAnswer, Permit, PermitAnswer, PermitRequest,
+    RefusalReason, ReleaseOutcome, ReleasedPermit,
 };
 pub use rank::{TargetTable, rank_targets};
 pub use retry::{
--- a/crates/chervilshunt_core/src/permit.rs
+++ b/crates/chervilshunt_core/src/permit.rs
@@ -2,8 +2,10 @@
 //!
 //! These messages are most of the control traffic, which has a budget of bytes a request. So they
 //! are written as their members' positions or one-letter names: field names would take more
-//! than the values. A change of members is a change of the protocol between instances;
-//! `docs/design/mesh.md` has the bytes.
+//! than the values; and requests and answers go between instances in the forms of `compact`. A
+//! change of members is a change of the protocol; `docs/design/mesh.md` has the bytes.
+
+mod compact;
 
 use chervilshunt_model::{
     AdapterVersion, AttemptId, CallerName, Class, Epoch, InstanceId, TargetName,
@@ -12,8 +14,10 @@
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 use smallvec::SmallVec;
 
+pub use compact::{AnswerCheck, CompactAnswer, CompactRequest, CrossedAnswer};
+
 /// Asks the owner of `target` for leave to send one attempt of a request there.
-#[derive(Clone, Debug, PartialEq, Serialize_tuple, Deserialize_tuple)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct PermitRequest {
     /// The try; asking twice with the same id gives one permit.
     pub attempt: AttemptId,
@@ -66,37 +70,29 @@
 ///
 /// There is no "queued" answer: while the owner queues a request it stays silent, and a lost
 /// connection tells the entry instance to ask again. That keeps it at one message pair a request.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum PermitAnswer {
     /// Go ahead.
-    #[serde(rename = "g")]
     Granted {
         /// The permit.
-        #[serde(rename = "p")]
         permit: Permit,
         /// Targets over which the adapter is spread now; a hint for later requests.
         ///
         /// The first is the one to ask next time, for a few seconds: the first-ranked target, or
         /// the one that stands in for it. Asking the others directly would hide demand from the
         /// owner that decides how far the adapter is spread.
-        #[serde(rename = "s")]
         spread: SmallVec<[TargetName; 4]>,
     },
     /// Ask the owner of another target.
-    #[serde(rename = "r")]
     Redirect {
         /// The targets to ask, best first.
-        #[serde(rename = "t")]
         targets: SmallVec<[TargetName; 4]>,
     },
     /// Nothing ran and nothing will.
-    #[serde(rename = "n")]
     Refused {
         /// Why.
-        #[serde(rename = "w")]
         reason: RefusalReason,
         /// When asking again is worth it, in milliseconds.
-        #[serde(rename = "a")]
         retry_after_ms: u64,
     },
 }
--- a/crates/chervilshunt_daemon/src/control/messages.rs
+++ b/crates/chervilshunt_daemon/src/control/messages.rs
@@ -2,7 +2,8 @@
 
 use chervilshunt_coord::{CallId, PlatformResult};
 use chervilshunt_core::{
-    EngineReport, OrderFailure, OrderId, Permit, PermitAnswer, PermitRequest, ReleasedPermit,
+    AnswerCheck, CompactAnswer, EngineReport, OrderFailure, OrderId, Permit, PermitAnswer,
+    PermitRequest, ReleasedPermit,
 };
 use chervilshunt_mesh::{Inbound, Reply};
 use chervilshunt_model::{AdapterVersion, Epoch, InstanceId, TargetName};
@@ -26,8 +27,8 @@
 pub(crate) enum PermitReply {
     /// To a traffic thread of this process.
     Local(oneshot::Sender<PermitAnswer>),
-    /// To a peer.
-    Peer(Reply<PeerMessage>),
+    /// To a peer, with the check of its request.
+    Peer(Reply<PeerMessage>, AnswerCheck),
 }
 
 impl PermitReply {
@@ -35,7 +36,7 @@
     pub(super) fn is_gone(&self) -> bool {
         match self {
             Self::Local(tx) => tx.is_closed(),
-            Self::Peer(reply) => reply.is_closed(),
+            Self::Peer(reply, _) => reply.is_closed(),
         }
     }
 
@@ -43,7 +44,10 @@
     pub(crate) fn send(self, answer: PermitAnswer) {
         match self {
             Self::Local(tx) => drop(tx.send(answer)),
-            Self::Peer(reply) => drop(reply.send(PeerMessage::PermitAnswered(answer))),
+            Self::Peer(reply, check) => {
+                let answer = CompactAnswer::of(answer, check);
+                drop(reply.send(PeerMessage::PermitAnswered(answer)));
+            }
         }
     }
 }
--- a/crates/chervilshunt_daemon/src/control/peers.rs
+++ b/crates/chervilshunt_daemon/src/control/peers.rs
@@ -1,7 +1,7 @@
 //! Messages from other instances.
 
 use chervilshunt_coord::CoordEvent;
-use chervilshunt_core::{OwnerEvent, ReleaseOutcome, ReleasedPermit};
+use chervilshunt_core::{AnswerCheck, OwnerEvent, ReleaseOutcome, ReleasedPermit};
 use chervilshunt_mesh::{Inbound, InboundMessage, Reply};
 use chervilshunt_model::InstanceId;
 use xtra::prelude::*;
@@ -34,10 +34,9 @@
         match message {
             PeerMessage::PermitAsked(req) => {
                 if let Some(reply) = reply {
-                    self.ask_permit(AskPermit {
-                        req,
-                        reply: PermitReply::Peer(reply),
-                    });
+                    let req = req.sent_by(from);
+                    let reply = PermitReply::Peer(reply, AnswerCheck::of_request(&req));
+                    self.ask_permit(AskPermit { req, reply });
                 }
             }
             PeerMessage::PermitReleased(released) => {
--- a/crates/chervilshunt_daemon/src/traffic/permits.rs
+++ b/crates/chervilshunt_daemon/src/traffic/permits.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use chervilshunt_core::{
-    Permit, PermitAnswer, PermitRequest, RefusalReason, ReleaseOutcome, ReleasedPermit,
+    CompactRequest, Permit, PermitAnswer, PermitRequest, RefusalReason, ReleaseOutcome,
+    ReleasedPermit,
 };
 use chervilshunt_mesh::RequestError;
 use chervilshunt_model::{AttemptId, TargetName};
@@ -117,10 +118,17 @@
             .inner
             .links
             .mesh
-            .request(&peer, PeerMessage::PermitAsked(req), timeout)
+            .request(
+                &peer,
+                PeerMessage::PermitAsked(CompactRequest::of(&req)),
+                timeout,
+            )
             .await
         {
-            Ok(PeerMessage::PermitAnswered(answer)) => Ok(answer),
+            // An answer to another request says nothing of what the owner made of this one.
+            Ok(PeerMessage::PermitAnswered(answer)) => {
+                answer.join(&req).map_err(|_crossed| Unreached::MaybeSeen)
+            }
             Ok(_other) => Err(Unreached::MaybeSeen),
             Err(error) if error.is_unhandled() => Err(Unreached::NeverSeen),
             Err(_error) => Err(Unreached::MaybeSeen),
--- a/crates/chervilshunt_daemon/src/wire.rs
+++ b/crates/chervilshunt_daemon/src/wire.rs
@@ -7,7 +7,7 @@
     ClaimAnswer, ClaimKey, ClaimOutcome, ClaimRequest, CoordMessage, Incarnation,
 };
 use chervilshunt_core::{
-    LoadUrgency, OrderId, Permit, PermitAnswer, PermitRequest, ReleasedPermit, TurnResult,
+    CompactAnswer, CompactRequest, LoadUrgency, OrderId, Permit, ReleasedPermit, TurnResult,
 };
 use chervilshunt_mesh::Purpose;
 use chervilshunt_model::{
@@ -22,10 +22,10 @@
 pub(crate) enum PeerMessage {
     /// Asks a target's owner for a permit; answered by `PermitAnswered`.
     #[serde(rename = "p")]
-    PermitAsked(PermitRequest),
+    PermitAsked(CompactRequest),
     /// Answers a request for a permit.
     #[serde(rename = "a")]
-    PermitAnswered(PermitAnswer),
+    PermitAnswered(CompactAnswer),
     /// Gives a permit back; answered by `Done`.
     #[serde(rename = "r")]
     PermitReleased(ReleasedPermit),
--- a/crates/chervilshunt_mesh/examples/rounds/encodings.rs
+++ b/crates/chervilshunt_mesh/examples/rounds/encodings.rs
@@ -1,6 +1,9 @@
 //! The same permit round in the ways that CBOR can write it.
 
-use chervilshunt_core::{Permit, PermitAnswer, PermitRequest, ReleaseOutcome, ReleasedPermit};
+use chervilshunt_core::{
+    AnswerCheck, CompactAnswer, CompactRequest, Permit, PermitAnswer, PermitRequest,
+    ReleaseOutcome, ReleasedPermit,
+};
 use chervilshunt_model::{AdapterVersion, AttemptId, Class, Epoch, TargetName};
 use ciborium::{Value, cbor};
 use serde::Serialize;
@@ -46,7 +49,7 @@
     row("field names", &named);
     row("one-letter names", &named.map(one_letter));
     row("positions", &named.map(positions));
-    row("as chervilshunt_core derives it", &derived());
+    row("in the compact form, as instances send it", &sent());
 }
 
 fn row(label: &str, round: &Round) {
@@ -148,7 +151,7 @@
 }
 
 /// The round in the types that instances truly send.
-fn derived() -> Round {
+fn sent() -> Round {
     let attempt = AttemptId::from_u128(ATTEMPT);
     let model = Some(AdapterVersion::new(ADAPTER, VERSION));
     let request = PermitRequest {
@@ -180,6 +183,7 @@
         permit,
         spread: spread.into_iter().collect(),
     };
+    let compact = CompactAnswer::of(answer, AnswerCheck::of_request(&request));
     let release = ReleasedPermit {
         attempt,
         target: TARGET.into(),
@@ -190,8 +194,8 @@
         },
     };
     Round {
-        request: variant("p", &request),
-        answer: variant("a", &answer),
+        request: variant("p", &CompactRequest::of(&request)),
+        answer: variant("a", &compact),
         release: variant("r", &release),
     }
 }
--- a/crates/chervilshunt_mesh/src/handshake.rs
+++ b/crates/chervilshunt_mesh/src/handshake.rs
@@ -15,8 +15,9 @@
 use crate::frame::MAX_FRAME_OVERHEAD;
 use crate::table::PeerHello;
 
-/// Names the protocol and its version; it changes with the layout of frames.
-const PROTOCOL: &str = "chervilshunt-mesh.1";
+/// Names the protocol and its version; it changes with the layout of frames, and with messages that
+/// an earlier version could not read.
+const PROTOCOL: &str = "chervilshunt-mesh.2";
 
 /// The standard header in which the protocol is agreed.
 const PROTOCOL_HEADER: &str = "sec-websocket-protocol";
--- a/crates/chervilshunt_mesh/tests/mesh/frozen.rs
+++ b/crates/chervilshunt_mesh/tests/mesh/frozen.rs
@@ -11,7 +11,7 @@
 use crate::common::{PATIENCE, answer, config, node, node_with, note, question};
 
 const HEADERS: [(&str, &str); 3] = [
-    ("sec-websocket-protocol", "chervilshunt-mesh.1"),
+    ("sec-websocket-protocol", "chervilshunt-mesh.2"),
     ("x-mesh-process", "67e5504410b1426f9247bb680e5fe0c8"),
     ("x-mesh-serial", "1"),
 ];
--- a/crates/chervilshunt_mesh/tests/mesh/permits.rs
+++ b/crates/chervilshunt_mesh/tests/mesh/permits.rs
@@ -1,7 +1,8 @@
 //! The messages of a permit round come through unchanged, and stay within their budget of bytes.
 
 use chervilshunt_core::{
-    Permit, PermitAnswer, PermitRequest, RefusalReason, ReleaseOutcome, ReleasedPermit,
+    AnswerCheck, CompactAnswer, CompactRequest, CrossedAnswer, Permit, PermitAnswer, PermitRequest,
+    RefusalReason, ReleaseOutcome, ReleasedPermit,
 };
 use chervilshunt_model::{AdapterVersion, AttemptId, Class, Epoch};
 use rstest::rstest;
@@ -11,7 +12,7 @@
 /// Bytes of the three messages of a round with names of usual length, with their variant in the
 /// daemon's enum but without frames. The bound of 600 bytes a request also has to carry the frames
 /// (about 25), the acknowledgement of the release and a share of all other control traffic.
-const ROUND_BYTES: usize = 340;
+const ROUND_BYTES: usize = 230;
 
 fn request() -> PermitRequest {
     PermitRequest {
@@ -72,11 +73,6 @@
 }
 
 #[rstest]
-#[case::request(request())]
-#[case::plain_request(PermitRequest { model: None, ..request() })]
-#[case::granted(granted())]
-#[case::redirect(PermitAnswer::Redirect { targets: ["t1".into()].into_iter().collect() })]
-#[case::refused(PermitAnswer::Refused { reason: RefusalReason::QueueFull, retry_after_ms: 9 })]
 #[case::finished(released(finished()))]
 #[case::cancelled(released(ReleaseOutcome::Cancelled))]
 #[case::failed(released(ReleaseOutcome::TargetFailed))]
@@ -89,10 +85,91 @@
     assert_eq!(read, message);
 }
 
+#[rstest]
+#[case::named(request())]
+#[case::plain(PermitRequest { model: None, ..request() })]
+fn a_request_comes_through(#[case] request: PermitRequest) {
+    let sent = encode(&CompactRequest::of(&request));
+    let read: CompactRequest = ciborium::from_reader(&*sent).expect("it was written so");
+    assert_eq!(read.sent_by(request.entry.clone()), request);
+}
+
+fn redirect() -> PermitAnswer {
+    PermitAnswer::Redirect {
+        targets: ["t1".into()].into_iter().collect(),
+    }
+}
+
+fn refused() -> PermitAnswer {
+    PermitAnswer::Refused {
+        reason: RefusalReason::QueueFull,
+        retry_after_ms: 9,
+    }
+}
+
+/// Sends an answer to `asked` and joins it with `req`.
+fn joined(
+    answer: PermitAnswer,
+    asked: &PermitRequest,
+    req: &PermitRequest,
+) -> Result<PermitAnswer, CrossedAnswer> {
+    let sent = encode(&CompactAnswer::of(answer, AnswerCheck::of_request(asked)));
+    let read: CompactAnswer = ciborium::from_reader(&*sent).expect("it was written so");
+    read.join(req)
+}
+
+#[rstest]
+#[case::granted(granted())]
+#[case::redirect(redirect())]
+#[case::refused(refused())]
+fn an_answer_comes_through(#[case] answer: PermitAnswer) {
+    let request = request();
+    assert_eq!(joined(answer.clone(), &request, &request), Ok(answer));
+}
+
+/// The caller would get an answer from an adapter that another request has pinned, or its adapter
+/// would be evicted under it. An answer comes late or crossed, after its request was withdrawn and
+/// another one sent: of another attempt, to the next target, or with another version or class. The
+/// check in the answer is that of what it was given for, so that it is not taken.
+#[rstest]
+fn an_answer_to_another_request_is_not_taken(
+    #[values(granted(), redirect(), refused())] answer: PermitAnswer,
+    #[values(
+        PermitRequest { attempt: AttemptId::from_u128(7), ..request() },
+        PermitRequest { target: "regatta-lm-03".into(), ..request() },
+        PermitRequest {
+            model: Some(AdapterVersion::new("aarhus-sejlklub-handicap", "v13")),
+            ..request()
+        },
+        PermitRequest {
+            model: Some(AdapterVersion::new("aarhus-sejlklub-handica", "pv12")),
+            ..request()
+        },
+        PermitRequest { model: None, ..request() },
+        PermitRequest { class: Class::Deferrable, ..request() }
+    )]
+    other: PermitRequest,
+) {
+    assert_eq!(joined(answer, &request(), &other), Err(CrossedAnswer));
+}
+
+/// An owner that granted something else than was asked for is found out as well.
+#[test]
+fn a_permit_for_something_else_is_not_taken() {
+    let asked = PermitRequest {
+        attempt: AttemptId::from_u128(7),
+        ..request()
+    };
+    assert_eq!(joined(granted(), &asked, &asked), Err(CrossedAnswer));
+}
+
 #[test]
 fn a_round_stays_within_its_budget() {
-    let round =
-        encode(&request()).len() + encode(&granted()).len() + encode(&released(finished())).len();
+    let request = request();
+    let answer = CompactAnswer::of(granted(), AnswerCheck::of_request(&request));
+    let round = encode(&CompactRequest::of(&request)).len()
+        + encode(&answer).len()
+        + encode(&released(finished())).len();
     let variants = 3 * encode(&[("p", 0)]).len() - 3 * encode(&[0]).len();
     assert!(round + variants <= ROUND_BYTES, "{round} + {variants}");
 }
