Write the head's pages short: keys in groups, stamps as Base64

Cause: every instance gets the head twice with each change, and a page took 42.0 bytes in it: its key in full, and a stamp of 25 hexadecimal digits.

In the head pages are grouped by what their keys begin with, and stamps are Base64; names of page objects stay as they are, since they may have small letters only. Heads of earlier versions are still read.

What could newly fail: after an upgrade the fleet could read no configuration, as the stored head is of the old form; a test reads one. Tests: keys of every shape come through, malformed stamps are refused, the pages of a full head stay under 6,300 bytes (10,795 before); with the group left off the keys and the old form dropped three of them fail.

--- a/crates/chervilshunt_coord/src/config.rs
+++ b/crates/chervilshunt_coord/src/config.rs
@@ -9,12 +9,15 @@
 mod head;
 mod message;
 mod model;
+mod page_map;
 mod proposer;
+mod stamp;
 
 pub use follower::{Follower, FollowerAction, FollowerConfig, FollowerEvent, InForce};
-pub use head::{Elector, Electorate, HeadRecord, PageStamp, PageStampError, PendingChange};
+pub use head::{Elector, Electorate, HeadRecord, PendingChange};
 pub use message::{ConfigMessage, Prepare};
 pub use model::{Applied, ConfigModel, PageKey, deployment_model, no_configuration};
 pub use proposer::{
     ChangeRefusal, ChangeTicket, Proposer, ProposerAction, ProposerConfig, ProposerEvent,
 };
+pub use stamp::{PageStamp, PageStampError};
--- a/crates/chervilshunt_coord/src/config/follower.rs
+++ b/crates/chervilshunt_coord/src/config/follower.rs
@@ -11,9 +11,10 @@
 
 use self::load::Loading;
 use self::prepared::Prepared;
-use super::head::{Elector, HeadRecord, PageStamp};
+use super::head::{Elector, HeadRecord};
 use super::message::ConfigMessage;
 use super::model::{ConfigModel, PageKey};
+use super::stamp::PageStamp;
 use crate::bugs::{Bug, Bugs};
 use crate::hashing::jittered;
 use crate::holder::Holder;
--- a/crates/chervilshunt_coord/src/config/follower/load.rs
+++ b/crates/chervilshunt_coord/src/config/follower/load.rs
@@ -6,8 +6,8 @@
 use chervilshunt_model::{Moment, Revision};
 
 use super::{Follower, FollowerAction, InForce};
-use crate::config::head::PageStamp;
 use crate::config::model::PageKey;
+use crate::config::stamp::PageStamp;
 use crate::platform::{CallId, Object, ObjectName, PlatformOp, PlatformResult, Stored};
 
 /// A configuration that is being put together.
--- a/crates/chervilshunt_coord/src/config/follower/prepared.rs
+++ b/crates/chervilshunt_coord/src/config/follower/prepared.rs
@@ -5,9 +5,9 @@
 use chervilshunt_model::{ChangeId, InstanceId, Moment, Revision};
 
 use super::{Follower, FollowerAction, InForce};
-use crate::config::head::PageStamp;
 use crate::config::message::{ConfigMessage, Prepare};
 use crate::config::model::PageKey;
+use crate::config::stamp::PageStamp;
 
 /// A change that was acknowledged.
 #[derive(Clone, Debug, Hash)]
--- a/crates/chervilshunt_coord/src/config/head.rs
+++ b/crates/chervilshunt_coord/src/config/head.rs
@@ -1,16 +1,14 @@
 //! The configuration's head object: which pages are in force, and which change is under way.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::fmt;
 use std::net::SocketAddr;
-use std::str::FromStr;
 
 use chervilshunt_model::{ChangeId, InstanceId, Revision};
 use serde::{Deserialize, Serialize};
-use snafu::{OptionExt, ResultExt, Snafu};
 
 use super::model::PageKey;
-use crate::hashing::text_hash;
+use super::page_map;
+use super::stamp::PageStamp;
 use crate::holder::Holder;
 use crate::platform::PageName;
 
@@ -20,85 +18,6 @@
 /// Electorates that the head remembers.
 const REMEMBERED_ELECTORATES: usize = 8;
 
-/// Which content of a page: the hash of its text, and the change that wrote it.
-///
-/// The change is part of it so that no two changes write the same page object; else one could
-/// delete, as no longer needed, what another has just come to rely on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(into = "String", try_from = "String")]
-pub struct PageStamp {
-    hash: u64,
-    change: u32,
-}
-
-impl PageStamp {
-    /// Stamps the text of a page that `change` writes.
-    pub(crate) fn of(body: &str, change: ChangeId) -> Self {
-        let change = text_hash(&change.to_string()) >> 32;
-        Self {
-            hash: text_hash(body),
-            change: u32::try_from(change).unwrap_or(0),
-        }
-    }
-
-    /// Returns whether `body` is the text that was stamped.
-    pub(crate) fn fits(self, body: &str) -> bool {
-        self.hash == text_hash(body)
-    }
-
-    /// Returns the name of the page's object.
-    pub(crate) fn page_name(self, key: &PageKey) -> PageName {
-        PageName::new(format!("{key}-{self}"))
-    }
-}
-
-impl fmt::Display for PageStamp {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:016x}.{:08x}", self.hash, self.change)
-    }
-}
-
-impl FromStr for PageStamp {
-    type Err = PageStampError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let (hash, change) = text.split_once('.').context(NoChangeSnafu)?;
-        Ok(Self {
-            hash: u64::from_str_radix(hash, 16).context(BadNumberSnafu)?,
-            change: u32::from_str_radix(change, 16).context(BadNumberSnafu)?,
-        })
-    }
-}
-
-impl From<PageStamp> for String {
-    fn from(stamp: PageStamp) -> Self {
-        stamp.to_string()
-    }
-}
-
-impl TryFrom<String> for PageStamp {
-    type Error = PageStampError;
-
-    fn try_from(text: String) -> Result<Self, Self::Error> {
-        text.parse()
-    }
-}
-
-/// Why a text is no stamp of a page.
-#[derive(Debug, PartialEq, Eq, Snafu)]
-#[non_exhaustive]
-pub enum PageStampError {
-    /// The text has no separator.
-    #[snafu(display("a page's stamp must be written as HASH.CHANGE"))]
-    NoChange,
-    /// A part is no hexadecimal number.
-    #[snafu(display("hash and change of a page's stamp must be hexadecimal: {source}"))]
-    BadNumber {
-        /// What the number parser said.
-        source: std::num::ParseIntError,
-    },
-}
-
 /// The configuration's head; there is one.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct HeadRecord {
@@ -107,6 +26,7 @@
     /// The revision in force.
     pub revision: Revision,
     /// Which contents of which pages make up the configuration in force.
+    #[serde(with = "page_map")]
     pub pages: BTreeMap<PageKey, PageStamp>,
     /// The change under way.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/crates/chervilshunt_coord/src/config/message.rs
+++ b/crates/chervilshunt_coord/src/config/message.rs
@@ -3,8 +3,8 @@
 use chervilshunt_model::{ChangeId, InstanceId, Revision};
 use serde::{Deserialize, Serialize};
 
-use super::head::PageStamp;
 use super::model::PageKey;
+use super::stamp::PageStamp;
 use crate::holder::Holder;
 
 /// A message about a change of configuration.
--- a/crates/chervilshunt_coord/src/config/proposer/steps.rs
+++ b/crates/chervilshunt_coord/src/config/proposer/steps.rs
@@ -9,9 +9,10 @@
 use super::{ChangeRefusal, Proposal, Proposer, ProposerAction, Verdict};
 use crate::bugs::Bug;
 use crate::config::follower::InForce;
-use crate::config::head::{HeadRecord, PageStamp, PendingChange};
+use crate::config::head::{HeadRecord, PendingChange};
 use crate::config::message::{ConfigMessage, Prepare};
 use crate::config::model::PageKey;
+use crate::config::stamp::PageStamp;
 use crate::lease::LeaseRecord;
 use crate::platform::{
     CallId, Object, ObjectKind, ObjectName, ObjectVersion, PlatformOp, PlatformResult, Stored,
