Mark the lease of a crashed instance that holds no role

Cause: an instance without roles is watched by nobody until it fails to acknowledge a change; the proposer then watches its lease. The first read of that watch was told as "seen, and has changed", which the coordinator took for a sign of life and ended the watch. The lease was never marked, so that every change of configuration was refused for good. The observer now tells of a lease only if it has changed since an earlier read. The new test fails without it, with both changes refused as Unreachable(i1).

--- a/crates/chervilshunt_coord/src/coordinator/drive.rs
+++ b/crates/chervilshunt_coord/src/coordinator/drive.rs
@@ -80,7 +80,7 @@
         for action in self.observer.handle(event, now) {
             match action {
                 ObserverAction::Call(call) => actions.push(CoordAction::Platform(call)),
-                ObserverAction::Seen(lease) => {
+                ObserverAction::Renewed(lease) => {
                     self.review |= self.suspects.remove(&lease.holder.instance);
                     self.rewatch |= self.extra_watches.remove(&lease.holder);
                     self.vouching.end(&lease.holder);
--- a/crates/chervilshunt_coord/src/lease/observer.rs
+++ b/crates/chervilshunt_coord/src/lease/observer.rs
@@ -61,8 +61,11 @@
 pub enum ObserverAction {
     /// Call the platform.
     Call(PlatformCall),
-    /// The lease was read and has changed.
-    Seen(Box<LeaseRecord>),
+    /// The lease has changed since it was read before: its holder is alive.
+    ///
+    /// The first read says nothing of that. Taken for a sign of life, it would end the watch of a
+    /// crashed instance at once, and its lease would never be marked.
+    Renewed(Box<LeaseRecord>),
     /// The lease was seen unchanged for its full time; the observer waits for
     /// [`ObserverEvent::Mark`] to mark it lapsed. Told again as long as it stays so.
     Expired(Holder),
@@ -290,8 +293,10 @@
                 }
                 let is_live = record.state.is_live();
                 if changed {
-                    actions.push(ObserverAction::Seen(record.clone()));
-                    watched.seen = Some((*record, version));
+                    let before = watched.seen.replace(((*record).clone(), version));
+                    if before.is_some() {
+                        actions.push(ObserverAction::Renewed(record));
+                    }
                 }
                 if !is_live {
                     watched.ended = true;
--- a/crates/chervilshunt_coord/src/tests/explore_lease.rs
+++ b/crates/chervilshunt_coord/src/tests/explore_lease.rs
@@ -117,7 +117,7 @@
                 ObserverAction::Call(call) => self.begin(Caller::Observer, call),
                 ObserverAction::Expired(holder) => self.hand_observer(ObserverEvent::Mark(holder)),
                 ObserverAction::Ended(..) => self.ended = true,
-                ObserverAction::Seen(_) => {}
+                ObserverAction::Renewed(_) => {}
             }
         }
     }
--- a/crates/chervilshunt_coord/src/tests/smoke.rs
+++ b/crates/chervilshunt_coord/src/tests/smoke.rs
@@ -82,6 +82,30 @@
     }
 }
 
+/// What the operator sees: no change of configuration is accepted any more.
+/// An instance that holds no role crashes. Nobody watches its lease, as nothing has to be taken
+/// over, until it doesn't acknowledge a change: the proposer then watches the lease until it can be
+/// marked lapsed, and the next change is accepted without the instance.
+#[test]
+fn changes_are_accepted_again_after_an_instance_without_roles_crashed() {
+    let mut fleet = fleet_of(4, 1);
+    fleet.run(Duration::from_secs(20));
+    let idle = |fleet: &Fleet| {
+        let idle = fleet.nodes.iter().find(|(_, node)| node.epochs.is_empty());
+        idle.map(|(id, _)| id.to_string())
+    };
+    let crashed = idle(&fleet).expect("one role leaves three instances without any");
+    let proposer = if crashed == "i0" { "i1" } else { "i0" };
+    fleet.crash(&crashed);
+    fleet.run(Duration::from_secs(1));
+    fleet.propose(proposer, 1, set_cell(1, "x", 1));
+    fleet.run(Duration::from_secs(45));
+    fleet.propose(proposer, 2, set_cell(2, "x", 2));
+    fleet.run(Duration::from_secs(10));
+    let accepted = fleet.accepted.contains_key(&ChangeTicket(2));
+    assert!(accepted, "{:?}", fleet.refused);
+}
+
 #[test]
 fn a_graceful_shutdown_hands_all_roles_over_at_once() {
     let mut fleet = fleet_of(3, 6);
