--- a/crates/chervilshunt_coord/src/tests/smoke.rs
+++ b/crates/chervilshunt_coord/src/tests/smoke.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use chervilshunt_model::{ChangeId, Revision};
+use rstest::rstest;
 
 use super::fleet::Fleet;
 use super::table::SetCell;
@@ -64,9 +65,15 @@
     }
 }
 
-#[test]
-fn the_roles_of_a_crashed_instance_go_to_others() {
-    let mut fleet = fleet_of(3, 6);
+/// What callers see: requests to the targets of a crashed instance are served again.
+/// The instance leaves the list long before its lease has run out. Those that watch the lease have
+/// to go on, although the list no longer says in which zone it was, or its roles rest for good.
+#[rstest]
+#[case::fewer_others_than_watchers(3, 6)]
+#[case::more_others_in_each_zone_than_watchers(12, 24)]
+#[case::as_many_as_run_today(7, 15)]
+fn the_roles_of_a_crashed_instance_go_to_others(#[case] instances: usize, #[case] roles: usize) {
+    let mut fleet = fleet_of(instances, roles);
     fleet.run(Duration::from_secs(20));
     let lost: Vec<_> = fleet.nodes["i1"].epochs.clone().into_iter().collect();
     assert!(!lost.is_empty(), "i1 holds no roles");
@@ -82,6 +89,30 @@
     }
 }
 
+/// What the operator sees: no change of configuration is accepted any more.
+/// An instance that holds no role crashes. Nobody watches its lease, as nothing has to be taken
+/// over, until it doesn't acknowledge a change: the proposer then watches the lease until it can be
+/// marked lapsed, and the next change is accepted without the instance.
+#[test]
+fn changes_are_accepted_again_after_an_instance_without_roles_crashed() {
+    let mut fleet = fleet_of(4, 1);
+    fleet.run(Duration::from_secs(20));
+    let idle = |fleet: &Fleet| {
+        let idle = fleet.nodes.iter().find(|(_, node)| node.epochs.is_empty());
+        idle.map(|(id, _)| id.to_string())
+    };
+    let crashed = idle(&fleet).expect("one role leaves three instances without any");
+    let proposer = if crashed == "i0" { "i1" } else { "i0" };
+    fleet.crash(&crashed);
+    fleet.run(Duration::from_secs(1));
+    fleet.propose(proposer, 1, set_cell(1, "x", 1));
+    fleet.run(Duration::from_secs(45));
+    fleet.propose(proposer, 2, set_cell(2, "x", 2));
+    fleet.run(Duration::from_secs(10));
+    let accepted = fleet.accepted.contains_key(&ChangeTicket(2));
+    assert!(accepted, "{:?}", fleet.refused);
+}
+
 #[test]
 fn a_graceful_shutdown_hands_all_roles_over_at_once() {
     let mut fleet = fleet_of(3, 6);
