Load without the scheduler as soon as its instance seems to be gone

Seen in a new test of two failures at once (the owner of an engine is killed while the platform hangs): the killed instance was also the load scheduler. Its role moves only when its lease is marked lapsed, which needs the platform.

An owner now counts the scheduler as reachable if the role has a holder that isn't suspected, and loads at its part of the store's rate otherwise, as it did already for a role without a holder. A peer that was suspected for a broken connection is heard again with any message, not only with one of the coordination, so that a scheduler that comes back is used again.

Ruled out: a queue or a deadline worked out wrongly; no load was ordered at all. Not covered: a scheduler that dies in an outage before this instance ever had a connection to it is not suspected.

--- a/crates/chervilshunt_bench/tests/failures/main.rs
+++ b/crates/chervilshunt_bench/tests/failures/main.rs
@@ -10,5 +10,6 @@
 mod leases;
 mod leaving;
 mod operators;
+mod pairs;
 mod platform;
 mod popularity;
--- /dev/null
+++ b/crates/chervilshunt_bench/tests/failures/pairs.rs
@@ -0,0 +1,196 @@
+//! Two failures at once.
+
+use std::time::Duration;
+
+use chervilshunt_standin::check::{Call, Verdict};
+use chervilshunt_standin::fleet::{
+    FleetOptions, Statements, Try, create_version, describe, model_name, wait_until,
+};
+use rstest::rstest;
+use serde_json::json;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::case::{BOUND, Case, PAST_LEASE, answered};
+
+const ENGINES: [&str; 2] = ["engine-1", "engine-2"];
+
+/// How long operators wait between two changes of their own.
+const OPERATORS_PAUSE: Duration = Duration::from_millis(100);
+
+/// One of the failures that are brought about together.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    /// The instance that owns the first engine is killed.
+    OwnerKilled,
+    /// Calls to the platform get no answer.
+    PlatformHangs,
+    /// The next writes take effect and their answers are lost.
+    AnswersLost,
+    /// The engines lose their adapters and their running work.
+    EnginesRestart,
+    /// Half of all loads fail.
+    LoadsFail,
+    /// The coldest adapters turn into the busiest.
+    PopularityShifts,
+    /// Operators at every instance create and delete the same versions.
+    OperatorsRace,
+}
+
+/// Two failures hit at once, under load, and last for longer than a lease. Each safeguard leans on
+/// something that the other failure takes away: a takeover on the platform, a load that is tried
+/// again on an engine that keeps what it has loaded, a change of configuration on its proposer.
+/// Whoever asks an instance that is left is answered meanwhile. Once the faults are over the engine
+/// has an owner that lives, every instance serves, an operator's change is accepted and in force
+/// everywhere, and no caller of the whole time was told anything false.
+#[rstest]
+#[case::owner_killed_in_an_outage([Fault::PlatformHangs, Fault::OwnerKilled])]
+#[case::owner_killed_while_answers_are_lost([Fault::AnswersLost, Fault::OwnerKilled])]
+#[case::owner_killed_while_operators_race([Fault::OperatorsRace, Fault::OwnerKilled])]
+#[case::engines_restart_and_loads_fail([Fault::EnginesRestart, Fault::LoadsFail])]
+#[case::engines_restart_as_popularity_shifts([Fault::PopularityShifts, Fault::EnginesRestart])]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn two_at_once(#[case] faults: [Fault; 2]) {
+    let options = FleetOptions {
+        adapters: 16,
+        slots: 3,
+        ..FleetOptions::default()
+    };
+    let mut case = Case::start(options, 10.0).await;
+    case.run_for(Duration::from_secs(2)).await;
+    let owner = case.owner("i1", ENGINES[0], None).await;
+    // The other engine has to go on serving while nobody can take the first one over.
+    case.owner("i1", ENGINES[1], Some(&owner)).await;
+    let witness = case.another(&[&owner]);
+    let entries = open_entries(&mut case, &owner);
+    let mut racing = Vec::new();
+    for fault in faults {
+        racing.extend(begin(&mut case, fault, &owner).await);
+    }
+    case.until_answered(&witness, &model_name(0)).await;
+    case.run_for(PAST_LEASE).await;
+    case.until_answered(&witness, &model_name(1)).await;
+
+    drop(racing);
+    heal(&case).await;
+    let left = case.fleet.balanced().into_iter().map(|(id, _)| id);
+    let left: Vec<_> = left.collect();
+    let dead = (!left.contains(&owner)).then_some(owner.as_str());
+    case.owner(&witness, ENGINES[0], dead).await;
+    for entry in entries {
+        case.load.send(&witness, case.at(&witness, entry)).await;
+    }
+    check_configuration(&mut case, &left).await;
+    let tries = case.finish().await;
+    assert_eq!(completions_given_up(&tries), [""; 0]);
+}
+
+/// Sends keyed calls at the instance that may be lost, to be sent again elsewhere at the end.
+fn open_entries(case: &mut Case, at: &str) -> Vec<chervilshunt_standin::check::RequestPlan> {
+    let entries = (0..4).map(|_| case.plan_entry(at, true));
+    let entries: Vec<_> = entries.collect();
+    for entry in &entries {
+        drop(case.load.spawn(at, entry.clone()));
+    }
+    entries
+}
+
+/// Brings a failure about; returns what goes on until it is dropped.
+async fn begin(case: &mut Case, fault: Fault, owner: &str) -> Vec<AbortOnDropHandle<()>> {
+    match fault {
+        Fault::OwnerKilled => {
+            case.fleet.kill(owner).await.unwrap();
+            case.load.set_instances(case.fleet.balanced());
+        }
+        Fault::PlatformHangs => case.fault("platform", json!({"freeze": true})).await,
+        Fault::AnswersLost => {
+            let lost = json!({"lose_answer_after_write": 12});
+            case.fault("platform", lost).await;
+        }
+        Fault::EnginesRestart => {
+            for engine in ENGINES {
+                case.fault(engine, json!({"restart": true})).await;
+            }
+        }
+        Fault::LoadsFail => {
+            for engine in ENGINES {
+                case.fault(engine, json!({"load_fails": 0.5})).await;
+            }
+        }
+        Fault::PopularityShifts => case.load.shift_popularity(),
+        Fault::OperatorsRace => {
+            let ids = case.fleet.balanced().into_iter().map(|(id, _)| id);
+            let statements = ids.map(|id| case.fleet.statements_at(&id).unwrap());
+            let races = statements.map(|it| AbortOnDropHandle::new(tokio::spawn(race(it))));
+            let races = races.collect();
+            // The owner is killed in the middle of a change of its own.
+            case.run_for(OPERATORS_PAUSE * 3).await;
+            return races;
+        }
+    }
+    Vec::new()
+}
+
+/// Creates and deletes the same versions as the operators at the other instances.
+async fn race(statements: Statements) {
+    for round in 0.. {
+        let model = format!("adapter-0003@race{}", round % 3);
+        let delete = format!("delete version {model}");
+        for text in [create_version(&model), delete] {
+            // Any answer is true or the last check finds it; a killed instance gives none.
+            drop(statements.try_run(&text).await);
+            tokio::time::sleep(OPERATORS_PAUSE).await;
+        }
+    }
+}
+
+async fn heal(case: &Case) {
+    let up = json!({"freeze": false, "lose_answer_after_write": 0});
+    case.fault("platform", up).await;
+    for engine in ENGINES {
+        case.fault(engine, json!({"load_fails": 0.0})).await;
+    }
+}
+
+/// Checks that a change is accepted, and that all instances have the same versions in force.
+async fn check_configuration(case: &mut Case, ids: &[String]) {
+    let statements = case.fleet.statements_at(&ids[0]).unwrap();
+    let model = "adapter-0004@after";
+    let create = create_version(model);
+    let change = || async {
+        let change = statements.try_run(&create).await.ok()?;
+        change.status.is_success().then_some(())
+    };
+    let accepted = wait_until(BOUND, change).await;
+    accepted.expect("no change is accepted after the faults");
+    for id in ids {
+        case.until_answered(id, model).await;
+    }
+    // A change that an operator gave up waiting for may come into force between two looks.
+    let query = "show versions where name ~ adapter-000";
+    let agree = || async {
+        let versions = case.column(&ids[0], query, "name").await;
+        for id in ids {
+            if case.column(id, query, "name").await != versions {
+                return None;
+            }
+        }
+        Some(())
+    };
+    let agreed = wait_until(BOUND, agree).await;
+    agreed.expect("instances disagree on the versions");
+}
+
+/// Returns the completions of the load that were not answered in the end, in words.
+fn completions_given_up(tries: &[Try]) -> Vec<String> {
+    let of_load = tries
+        .iter()
+        .filter(|one| one.last && one.record.plan.request_id.starts_with('q'));
+    let completions = of_load.filter(|one| matches!(one.record.plan.call, Call::Completion(_)));
+    let given_up = completions.filter(|one| !answered(&one.record.verdict));
+    given_up
+        .map(|one| {
+            let told: &Verdict = &one.record.verdict;
+            format!("{}: {}", one.record.plan.request_id, describe(told))
+        })
+        .collect()
+}
--- a/crates/chervilshunt_coord/src/coordinator.rs
+++ b/crates/chervilshunt_coord/src/coordinator.rs
@@ -338,6 +338,9 @@
                 self.lost_peers.insert(instance);
                 self.review = true;
             }
+            CoordEvent::PeerHeard(instance) => {
+                self.review |= self.lost_peers.remove(&instance);
+            }
             CoordEvent::RolesWanted { revision, roles } => {
                 self.drive_roles(RoleEvent::Wanted(revision, roles), now, &mut actions);
             }
--- a/crates/chervilshunt_coord/src/coordinator/types.rs
+++ b/crates/chervilshunt_coord/src/coordinator/types.rs
@@ -35,6 +35,8 @@
     },
     /// The connection to another instance broke and can't be made again.
     PeerLost(InstanceId),
+    /// An instance whose connection was lost has sent something again.
+    PeerHeard(InstanceId),
     /// These roles need holders by the configuration of this revision.
     RolesWanted {
         /// The revision.
--- a/crates/chervilshunt_coord/src/tests/outage.rs
+++ b/crates/chervilshunt_coord/src/tests/outage.rs
@@ -8,7 +8,7 @@
 
 use super::fleet::Fleet;
 use super::smoke::fleet_of;
-use crate::Role;
+use crate::{CoordEvent, PeerState, Role};
 
 const SETTLED: Duration = Duration::from_secs(40);
 
@@ -222,3 +222,21 @@
     });
     assert_eq!(stopped.get(), 0, "some instances stopped taking work");
 }
+
+/// A connection breaks, so that a peer is suspected, and the peer sends something over a new one.
+/// Who asked around it meanwhile has to know that it is back, though it says nothing of leases.
+#[test]
+fn a_peer_that_is_heard_again_is_no_suspect() {
+    let mut fleet = fleet_of(3, 6);
+    fleet.run(SETTLED);
+    let now = fleet.clock_of(&fleet.nodes["i1"]);
+    let node = fleet.nodes.get_mut("i1").expect("it runs");
+    let mut state_after = |event| {
+        node.coordinator.handle(event, now);
+        node.coordinator.view().peers["i0"].state
+    };
+    let lost = state_after(CoordEvent::PeerLost("i0".into()));
+    assert_eq!(lost, PeerState::Suspect);
+    let heard = state_after(CoordEvent::PeerHeard("i0".into()));
+    assert_eq!(heard, PeerState::Live);
+}
--- a/crates/chervilshunt_daemon/src/control/actor.rs
+++ b/crates/chervilshunt_daemon/src/control/actor.rs
@@ -46,6 +46,8 @@
     pub(super) powered: HashMap<TargetName, SiteName>,
     pub(super) holders: HashMap<Role, (InstanceId, Epoch)>,
     pub(super) peers: HashMap<InstanceId, SocketAddr>,
+    /// Those of the peers that don't seem to be there.
+    pub(super) suspects: HashSet<InstanceId>,
     /// Targets that the instance list shows as leaving.
     pub(super) leaving: Arc<HashSet<TargetName>>,
     /// Operators that wait for the outcome of a change.
@@ -85,6 +87,7 @@
             powered: HashMap::new(),
             holders: HashMap::new(),
             peers: HashMap::new(),
+            suspects: HashSet::new(),
             leaving: Arc::default(),
             proposals: HashMap::new(),
             next_ticket: 0,
--- a/crates/chervilshunt_daemon/src/control/owned.rs
+++ b/crates/chervilshunt_daemon/src/control/owned.rs
@@ -25,6 +25,8 @@
     pub(super) client: EngineClient,
     /// Whether the target answered last time.
     pub(super) reachable: bool,
+    /// Whether its owner was told that the load scheduler can be reached.
+    pub(super) scheduler_up: bool,
     /// Whether the permits of earlier owners are known.
     pub(super) takeover_complete: bool,
     /// The share confirmed last, with its number.
@@ -51,6 +53,7 @@
             waiting: HashMap::new(),
             client: cx.engines.client(target.address),
             reachable: true,
+            scheduler_up: true,
             takeover_complete: false,
             confirmed: None,
             withheld: Vec::new(),
--- a/crates/chervilshunt_daemon/src/control/peers.rs
+++ b/crates/chervilshunt_daemon/src/control/peers.rs
@@ -31,6 +31,9 @@
             message,
             reply,
         } = message;
+        if self.suspects.contains(&from) {
+            self.coordinate(CoordEvent::PeerHeard(from.clone()));
+        }
         match message {
             PeerMessage::PermitAsked(req) => {
                 if let Some(reply) = reply {
--- a/crates/chervilshunt_daemon/src/control/roles.rs
+++ b/crates/chervilshunt_daemon/src/control/roles.rs
@@ -46,13 +46,12 @@
                 let Some(target) = self.deployment.targets.get(&name).cloned() else {
                     return;
                 };
-                let owned =
+                let mut owned =
                     OwnedTarget::new(&self.cx, &self.deployment, &name, &target, epoch, now);
+                owned.scheduler_up = self.is_reachable(&Role::LoadScheduler(target.store.clone()));
+                let reachable = OwnerEvent::SchedulerReachable(owned.scheduler_up);
                 self.targets.insert(name.clone(), owned);
                 let draining = OwnerEvent::Draining(self.is_draining(&name));
-                let reachable = OwnerEvent::SchedulerReachable(
-                    self.has_holder(&Role::LoadScheduler(target.store.clone())),
-                );
                 // `ask` names the others only. A permit that the previous owner granted to this
                 // instance pins its adapter all the same: without it the new owner would unload
                 // the adapter under a stream that its own instance relays.
@@ -121,7 +120,6 @@
     }
 
     pub(super) fn change_holder(&mut self, role: &Role, holder: Option<(InstanceId, Epoch)>) {
-        let reachable = holder.is_some();
         match holder {
             Some((instance, epoch)) => {
                 self.holders.insert(role.clone(), (instance, epoch));
@@ -130,22 +128,11 @@
         }
         let steps: Vec<Step> = match role {
             Role::Target(name) => self.owner_changed(name),
+            // A new scheduler knows of no turn: owners ask anew once it is back.
             Role::LoadScheduler(store) => {
-                let loading = self
-                    .targets
-                    .iter()
-                    .filter(|(_, owned)| owned.target.store == *store);
-                let event = |name: &TargetName, up| {
-                    Step::Owner(name.clone(), OwnerEvent::SchedulerReachable(up))
-                };
-                // A new scheduler knows of no turn: owners ask anew once it is back.
-                let names: Vec<&TargetName> = loading.map(|(name, _)| name).collect();
-                let down = names.iter().map(|name| event(name, false));
-                let up = names
-                    .iter()
-                    .filter(|_| reachable)
-                    .map(|name| event(name, true));
-                down.chain(up).collect()
+                let mut steps = self.scheduler_lost(store);
+                steps.extend(self.review_schedulers());
+                steps
             }
             Role::PowerAllocator(_) | Role::ClaimKeeper(_) | Role::Other(_) => Vec::new(),
         };
@@ -153,6 +140,46 @@
         self.publish();
     }
 
+    /// Has owners of a store's targets load without its scheduler.
+    fn scheduler_lost(&mut self, store: &StoreName) -> Vec<Step> {
+        let up = self
+            .targets
+            .iter_mut()
+            .filter(|(_, owned)| owned.target.store == *store && owned.scheduler_up);
+        up.map(|(name, owned)| {
+            owned.scheduler_up = false;
+            Step::Owner(name.clone(), OwnerEvent::SchedulerReachable(false))
+        })
+        .collect()
+    }
+
+    /// Tells owners whose load scheduler can be reached again, or can't any more.
+    ///
+    /// A scheduler whose instance has died still holds its role until its lease has lapsed, and
+    /// throughout an outage of the platform. Owners that went on asking it for turns would load
+    /// nothing for as long, and requests for adapters that aren't loaded would run into their
+    /// deadlines. Loads without a scheduler stay within the store's rate, so a suspicion that turns
+    /// out to be wrong does no harm.
+    fn review_schedulers(&mut self) -> Vec<Step> {
+        let reachable = |owned: &OwnedTarget| {
+            let role = Role::LoadScheduler(owned.target.store.clone());
+            self.is_reachable(&role)
+        };
+        let changed = self
+            .targets
+            .iter()
+            .map(|(name, owned)| (name.clone(), owned.scheduler_up, reachable(owned)))
+            .filter(|(_, before, now)| before != now);
+        let changed: Vec<_> = changed.collect();
+        let steps = changed.into_iter().map(|(name, _, up)| {
+            if let Some(owned) = self.targets.get_mut(&name) {
+                owned.scheduler_up = up;
+            }
+            Step::Owner(name, OwnerEvent::SchedulerReachable(up))
+        });
+        steps.collect()
+    }
+
     /// A target's new owner starts with no share and no turn: both roles start over with it.
     fn owner_changed(&mut self, name: &TargetName) -> Vec<Step> {
         let Some(target) = self.deployment.targets.get(name) else {
@@ -206,12 +233,14 @@
             .iter()
             .map(|(name, peer)| (name.clone(), peer.peer_address))
             .collect();
-        let suspects = view
+        self.suspects = view
             .peers
-            .values()
-            .filter(|peer| peer.state == PeerState::Suspect);
+            .iter()
+            .filter(|(_, peer)| peer.state == PeerState::Suspect)
+            .map(|(name, _)| name.clone())
+            .collect();
         slog::info!(self.cx.log, "instances changed";
-            "known" => view.peers.len(), "suspect" => suspects.count());
+            "known" => view.peers.len(), "suspect" => self.suspects.len());
         self.publish();
         let targets: Vec<TargetName> = self.targets.keys().cloned().collect();
         let steps = left.iter().flat_map(|instance| {
@@ -220,7 +249,9 @@
                 .iter()
                 .map(move |target| Step::Owner(target.clone(), event()))
         });
-        self.work_off(steps.collect::<Vec<_>>());
+        let mut steps: Vec<Step> = steps.collect();
+        steps.extend(self.review_schedulers());
+        self.work_off(steps);
     }
 
     /// Asks instances for the permits that they hold for a target, until each has answered or the
@@ -280,8 +311,10 @@
             .collect()
     }
 
-    pub(super) fn has_holder(&self, role: &Role) -> bool {
-        self.holders.contains_key(role)
+    /// Returns whether a role has a holder that seems to be there.
+    fn is_reachable(&self, role: &Role) -> bool {
+        let holder = self.holders.get(role);
+        holder.is_some_and(|(instance, _)| !self.suspects.contains(instance))
     }
 
     /// Shows the traffic threads the control state as it is now.
