Send requests on that would wait for an eviction that is not safe yet

Cause of leases::the_holder_is_cut_off, platform and peers, which was red now and then (a target refused one adapter with 504 for 40 s): the new owner of the engine can't ask the instance that is cut off for its permits and, rightly, evicts nothing for as long as that is listed. Requests for an adapter that was not among the three loaded ones waited for a slot until their deadline, though the other engine could have loaded it; whether the test saw it depended on which adapters happened to be loaded at the takeover. In the kept logs the owner of engine-1 evicted and loaded nothing in 40 s and refused 18 requests for their deadlines, while engine-2 loaded 23 to 30 adapters in each 10 s.

The owner sends such requests on to the next targets in rank. Ruled out: evicting earlier, which is what the wait is for.

--- a/crates/chervilshunt_core/src/owner/admit.rs
+++ b/crates/chervilshunt_core/src/owner/admit.rs
@@ -273,6 +273,12 @@
         self.update_spread(&model, now);
         if waits_for_load {
             let full = self.slots.exist() && self.slots.free() == 0;
+            // An instance that can't be asked for its permits holds up evictions for as long as it
+            // is listed: a request that waited here for a slot would run into its deadline.
+            if full && self.knows_adapters() && !self.takeover.complete() {
+                let next = self.next_ranked(req, MAX_HOPS);
+                return (!next.is_empty()).then_some((next, "nothing may be evicted yet"));
+            }
             let stuck = full && self.slots.idle().next().is_none() && self.may_evict();
             let wanted = self.loads.get(&model).is_some();
             if !stuck || wanted {
--- a/crates/chervilshunt_core/tests/owner.rs
+++ b/crates/chervilshunt_core/tests/owner.rs
@@ -242,3 +242,35 @@
     let expected: Vec<TargetName> = sent_on.iter().map(|it| TargetName::from(*it)).collect();
     assert_eq!(redirects, expected);
 }
+
+/// A new owner can't hear of all permits of the one before, as an instance is cut off, and may evict
+/// nothing for as long. Its slots are full: a caller of another adapter would wait for one of them
+/// until its deadline, while another target may load the adapter at once.
+#[rstest]
+#[case::takeover_incomplete(false)]
+#[case::takeover_complete(true)]
+fn sends_on_what_would_wait_for_an_eviction_that_is_not_safe_yet(#[case] complete: bool) {
+    let mut cfg = config(1, 4);
+    cfg.peers = vec![TargetName::from("t1")];
+    let mut owner = Owner::new(cfg, at(0));
+    owner.handle(OwnerEvent::Tick, at(0));
+    for (when, listed) in [(1, vec![model(1)]), (2, vec![model(1)])] {
+        let listed = owner.handle(OwnerEvent::Inventory(listed), at(when));
+        for order in orders(&listed) {
+            let (order, result) = (order.id, Err(OrderFailure::Refused));
+            owner.handle(OwnerEvent::OrderEnded { order, result }, at(when));
+        }
+    }
+    if complete {
+        owner.handle(OwnerEvent::TakeoverComplete, at(3));
+    }
+    let answers = answers(&owner.handle(ask(1, 2), at(4)));
+    if complete {
+        assert_eq!(answers, []);
+    } else {
+        let redirect = PermitAnswer::Redirect {
+            targets: [TargetName::from("t1")].into_iter().collect(),
+        };
+        assert_eq!(answers, [(AttemptId::from_u128(1), redirect)]);
+    }
+}
