--- a/crates/chervilshunt_coord/examples/lease.rs
+++ b/crates/chervilshunt_coord/examples/lease.rs
@@ -174,7 +174,7 @@
                     self.taken_over = Some(self.second);
                     self.tell("second has marked the lease lapsed, and takes over");
                 }
-                ObserverAction::Seen(_) => {}
+                ObserverAction::Renewed(_) => {}
             }
         }
     }
--- a/crates/chervilshunt_core/src/permit/compact.rs
+++ b/crates/chervilshunt_core/src/permit/compact.rs
@@ -30,6 +30,7 @@
     max_tokens: u32,
     prefix: u64,
     hops: u8,
+    avoid: SmallVec<[TargetName; 4]>,
 }
 
 impl CompactRequest {
@@ -47,6 +48,7 @@
             max_tokens: req.max_tokens,
             prefix: req.prefix,
             hops: req.hops,
+            avoid: req.avoid.clone(),
         }
     }
 
@@ -65,6 +67,7 @@
             max_tokens: self.max_tokens,
             prefix: self.prefix,
             hops: self.hops,
+            avoid: self.avoid,
         }
     }
 }
--- a/crates/chervilshunt_mesh/tests/mesh/permits.rs
+++ b/crates/chervilshunt_mesh/tests/mesh/permits.rs
@@ -89,6 +89,7 @@
 #[rstest]
 #[case::named(request())]
 #[case::plain(PermitRequest { model: None, ..request() })]
+#[case::retried(PermitRequest { avoid: ["t1".into()].into_iter().collect(), ..request() })]
 fn a_request_comes_through(#[case] request: PermitRequest) {
     let sent = encode(&CompactRequest::of(&request));
     let read: CompactRequest = ciborium::from_reader(&*sent).expect("it was written so");
