Read no more than 8 KiB ahead from a target

A stream whose caller does not read always has more to take, so that its read buffers, of which there are up to three, grew to their bound of 32 KiB. The bound is now the library's smallest. It also bounds the head of a target's answer.

Tried before: reads of at most 8 KiB less a byte, and of 4 KiB, with the bound left at 32 KiB, so that the buffer never fills and never grows.

--- a/crates/chervilshunt_engine/src/connection.rs
+++ b/crates/chervilshunt_engine/src/connection.rs
@@ -21,7 +21,10 @@
 use tokio::time::Instant;
 
 /// The most that is read ahead of a reader, in bytes; also the most that an answer's head takes.
-const READ_BUFFER: usize = 32 * 1024;
+///
+/// It is the library's smallest. A larger one is reached by each stream whose caller does not read,
+/// since there is always more to take, and a stream has up to three of them.
+const READ_BUFFER: usize = 8 * 1024;
 
 /// The most that the system holds of an answer that is not read, in bytes.
 ///
