Answer a head that is too slow with 408

The library closes the connection without a word, so that the caller could not tell a slow line from a crash, and did not know that nothing had run. A connection on which no head has begun is still closed silently: its caller could take the answer for that to its next request.

--- a/crates/chervilshunt_daemon/src/traffic/front.rs
+++ b/crates/chervilshunt_daemon/src/traffic/front.rs
@@ -13,6 +13,7 @@
 
 use super::greeting::{Version, version};
 use super::serve::Traffic;
+use super::slow_head;
 
 /// The pause after a connection could not be accepted, as when file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -64,7 +65,7 @@
     };
     // A failed connection is the caller's affair: each of its requests has cleaned up by drop.
     match spoken {
-        Some(Version::Http1) => drop(serve_http1(stream, peer, traffic, stop).await),
+        Some(Version::Http1) => serve_http1(stream, peer, traffic, stop).await,
         // On the heap, as it is larger, and most connections are not of its kind.
         Some(Version::Http2) => drop(Box::pin(serve_http2(stream, peer, traffic, stop)).await),
         None => {}
@@ -76,13 +77,13 @@
     peer: SocketAddr,
     traffic: Traffic,
     stop: CancellationToken,
-) -> hyper::Result<()> {
+) {
     let limits = traffic.limits();
     let buffer = limits
         .stream_buffer_bytes
         .max(limits.header_bytes)
         .max(MIN_BUFFER_BYTES);
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
         // Queued for a vectored write, each small event would pin the whole buffer of 8 KiB or more
@@ -100,12 +101,17 @@
                 async move { Ok::<_, Infallible>(answer.await) }
             }),
         );
-    let mut connection = std::pin::pin!(connection);
-    tokio::select! {
-        ended = connection.as_mut() => return ended,
-        () = stop.cancelled() => connection.as_mut().graceful_shutdown(),
+    let ended = tokio::select! {
+        ended = &mut connection => ended,
+        () = stop.cancelled() => {
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
+        }
+    };
+    let parts = connection.into_parts();
+    if ended.is_err_and(|error| error.is_timeout()) && !parts.read_buf.is_empty() {
+        slow_head::refuse(&parts.io.into_inner(), &traffic);
     }
-    connection.await
 }
 
 async fn serve_http2(
--- a/crates/chervilshunt_daemon/src/traffic/mod.rs
+++ b/crates/chervilshunt_daemon/src/traffic/mod.rs
@@ -21,6 +21,7 @@
 mod problem;
 mod relay;
 mod serve;
+mod slow_head;
 
 pub(crate) use claims::Claims;
 pub(crate) use front::serve_callers;
--- a/crates/chervilshunt_daemon/src/traffic/problem.rs
+++ b/crates/chervilshunt_daemon/src/traffic/problem.rs
@@ -51,6 +51,8 @@
     UnknownPath,
     /// The path does not take the method.
     BadMethod,
+    /// The head did not arrive in time.
+    HeadTooSlow,
     /// The body is over its limit.
     BodyTooLarge,
     /// The body did not arrive in time.
@@ -95,6 +97,7 @@
             Self::UnknownService => "unknown_service",
             Self::UnknownPath => "unknown_path",
             Self::BadMethod => "bad_method",
+            Self::HeadTooSlow => "head_too_slow",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyTooSlow => "body_too_slow",
             Self::NotReady => "not_ready",
@@ -120,7 +123,7 @@
             Self::UnknownModel | Self::UnknownService | Self::UnknownPath => StatusCode::NOT_FOUND,
             Self::BadMethod => StatusCode::METHOD_NOT_ALLOWED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
+            Self::HeadTooSlow | Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::TooManyRequests => StatusCode::TOO_MANY_REQUESTS,
             Self::NotReady | Self::NoOwner | Self::NoTarget | Self::ClaimUnavailable => {
                 StatusCode::SERVICE_UNAVAILABLE
--- a/crates/chervilshunt_daemon/src/traffic/problem/tests.rs
+++ b/crates/chervilshunt_daemon/src/traffic/problem/tests.rs
@@ -15,6 +15,7 @@
 #[case(Reason::UnknownService, 404, "unknown_service")]
 #[case(Reason::UnknownPath, 404, "unknown_path")]
 #[case(Reason::BadMethod, 405, "bad_method")]
+#[case(Reason::HeadTooSlow, 408, "head_too_slow")]
 #[case(Reason::BodyTooSlow, 408, "body_too_slow")]
 #[case(Reason::BodyTooLarge, 413, "body_too_large")]
 #[case(Reason::TooManyRequests, 429, "too_many_requests")]
--- a/crates/chervilshunt_daemon/src/traffic/serve.rs
+++ b/crates/chervilshunt_daemon/src/traffic/serve.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use chervilshunt_config::{Limits, Settings};
 use chervilshunt_core::RetryBudget;
 use chervilshunt_model::RequestId;
@@ -120,20 +121,29 @@
         peer: SocketAddr,
     ) -> Response<ResponseBody> {
         let id = request_id(req.headers());
-        let answer = self.answer(req, peer, &id).await;
-        let mut res = answer.unwrap_or_else(|problem| {
-            self.report(&problem, &id);
-            whole(problem.to_response(&id))
-        });
-        set_header(&mut res, REQUEST_ID, id.as_str());
-        set_header(
-            &mut res,
-            SERVED_BY,
-            self.parts.settings.instance.id.as_str(),
-        );
+        match self.answer(req, peer, &id).await {
+            Ok(mut res) => {
+                self.sign(&mut res, &id);
+                res
+            }
+            Err(problem) => whole(self.refuse(&problem, &id)),
+        }
+    }
+
+    /// Reports a refusal and makes its answer.
+    pub(super) fn refuse(&self, problem: &Problem, id: &RequestId) -> Response<Bytes> {
+        self.report(problem, id);
+        let mut res = problem.to_response(id);
+        self.sign(&mut res, id);
         res
     }
 
+    /// Says which request an answer belongs to, and which instance gave it.
+    fn sign<B>(&self, res: &mut Response<B>, id: &RequestId) {
+        set_header(res, REQUEST_ID, id.as_str());
+        set_header(res, SERVED_BY, self.parts.settings.instance.id.as_str());
+    }
+
     async fn answer(
         &self,
         req: Request<Incoming>,
--- /dev/null
+++ b/crates/chervilshunt_daemon/src/traffic/slow_head.rs
@@ -0,0 +1,43 @@
+//! The answer to a head that does not come in time.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Response, header};
+use tokio::net::TcpStream;
+
+use super::headers::request_id;
+use super::problem::{Problem, Reason};
+use super::serve::Traffic;
+
+/// When a caller should come back whose head was too slow.
+const SLOW_RETRY: Duration = Duration::from_secs(1);
+
+/// Answers a caller whose head has begun and did not come in time, before its connection is closed.
+///
+/// The library closes such a connection without a word, so that a caller behind a slow line could
+/// not tell it from a crash and would not know that its request has not run. A connection on which
+/// no head has begun gets nothing: its caller might take the answer for that to its next request.
+pub(super) fn refuse(stream: &TcpStream, traffic: &Traffic) {
+    let limit = traffic.limits().header_timeout;
+    let detail = format!("the head has to arrive within {} s", limit.as_secs_f64());
+    let problem = Problem::not_run(Reason::HeadTooSlow, detail).retry_after(SLOW_RETRY);
+    let mut res = traffic.refuse(&problem, &request_id(&HeaderMap::new()));
+    res.headers_mut()
+        .insert(header::CONNECTION, HeaderValue::from_static("close"));
+    // Nothing waits in the socket's buffer, so that it takes this whole or is gone.
+    drop(stream.try_write(&encoded(&res)));
+}
+
+fn encoded(res: &Response<Bytes>) -> Vec<u8> {
+    let mut bytes = format!("HTTP/1.1 {}\r\n", res.status()).into_bytes();
+    for (name, value) in res.headers() {
+        bytes.extend_from_slice(name.as_str().as_bytes());
+        bytes.extend_from_slice(b": ");
+        bytes.extend_from_slice(value.as_bytes());
+        bytes.extend_from_slice(b"\r\n");
+    }
+    bytes.extend_from_slice(format!("content-length: {}\r\n\r\n", res.body().len()).as_bytes());
+    bytes.extend_from_slice(res.body());
+    bytes
+}
--- a/crates/chervilshunt_daemon/tests/callers_refusals.rs
+++ b/crates/chervilshunt_daemon/tests/callers_refusals.rs
@@ -274,6 +274,30 @@
     });
 }
 
+// The caller begins a head and stays. After its settings' time the instance says that nothing ran,
+// and closes the connection: else a caller behind a slow line could not tell that from a crash.
+#[rstest]
+#[case::the_start_of_a_method("PO")]
+#[case::part_of_a_head("POST /v1/completions HTTP/1.1\r\nhost: x\r\nx-slow: ")]
+fn a_head_that_does_not_come_is_refused_in_time(#[case] head: &str) {
+    let fleet = fleet();
+    shared::runtime().block_on(async {
+        let mut raw = Raw::connect(fleet.instances()["i1"].callers()).await;
+        raw.write(head.as_bytes()).await;
+        let answer = raw.read_to_end().await;
+        assert!(
+            answer.starts_with("HTTP/1.1 408 Request Timeout\r\n"),
+            "{answer}"
+        );
+        assert!(answer.contains("\r\nretry-after: 1\r\n"), "{answer}");
+        let (_, document) = answer.split_once("\r\n\r\n").expect("a whole head");
+        let document: Value = serde_json::from_str(document).expect("a whole document");
+        assert_eq!(document["reason"], "head_too_slow");
+        assert_eq!(document["outcome"], "not_run");
+        assert_targets_untouched(&fleet).await;
+    });
+}
+
 // The caller sends part of a head, or nothing at all, and stays. The instance closes the
 // connection after its settings' time: else such callers would use up its sockets.
 #[rstest]
