Take heads of 8 KiB and keep 8 KiB for a slow caller, unless set otherwise

For a caller of HTTP/1.1 that does not read, the library fills a buffer up to the larger of limits.header_bytes and limits.stream_buffer_bytes before it stops reading from the target. Both were 16 KiB by default and are now 8 KiB, the library's least.

--- a/crates/chervilshunt_config/src/keys.rs
+++ b/crates/chervilshunt_config/src/keys.rs
@@ -222,7 +222,7 @@
             key(
                 "header_bytes",
                 "The longest head of a request; a longer one gets 431.",
-                whole(16_384, 8_192, 1_048_576, BYTES),
+                whole(8_192, 8_192, 1_048_576, BYTES),
             ),
             key(
                 "header_timeout_ms",
@@ -252,7 +252,7 @@
             key(
                 "stream_buffer_bytes",
                 "The most of an answer that is held for a slow caller; then the target waits.",
-                whole(16_384, 1_024, 1_048_576, BYTES),
+                whole(8_192, 1_024, 1_048_576, BYTES),
             ),
             key(
                 "shutdown_ms",
