Say when to come back also with a slow body and two rare refusals

A body that is too slow, a target deleted while its permit was under way and a permit that came too late were refused without Retry-After, though asking again may help.

--- a/crates/chervilshunt_daemon/src/traffic/attempt.rs
+++ b/crates/chervilshunt_daemon/src/traffic/attempt.rs
@@ -126,14 +126,15 @@
             .map(|target| target.address)
         else {
             let detail = format!("the target {target} has been deleted");
-            let problem = Problem::not_run(Reason::NoTarget, detail);
+            let problem = Problem::not_run(Reason::NoTarget, detail).retry_after(UNREACHED_RETRY);
             return Err(Failed {
                 problem,
                 again: Again::Elsewhere,
             });
         };
         if !permit.is_usable(Instant::now()) {
-            let problem = Problem::not_run(Reason::NoTarget, "the permit came too late to be used");
+            let problem = Problem::not_run(Reason::NoTarget, "the permit came too late to be used")
+                .retry_after(UNREACHED_RETRY);
             return Err(Failed {
                 problem,
                 again: Again::Anywhere,
--- a/crates/chervilshunt_daemon/src/traffic/intake.rs
+++ b/crates/chervilshunt_daemon/src/traffic/intake.rs
@@ -1,5 +1,7 @@
 //! Taking in a request's body within its limits of length and time.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use chervilshunt_config::Limits;
 use http::header;
@@ -8,6 +10,9 @@
 
 use super::problem::{Problem, Reason};
 
+/// When a caller should come back whose request arrived too slowly.
+pub(super) const SLOW_RETRY: Duration = Duration::from_secs(1);
+
 /// Reads the whole body.
 ///
 /// # Errors
@@ -41,7 +46,8 @@
                 "the body has to arrive within {} s",
                 limits.body_timeout.as_secs_f64()
             ),
-        )),
+        )
+        .retry_after(SLOW_RETRY)),
     }
 }
 
--- a/crates/chervilshunt_daemon/src/traffic/slow_head.rs
+++ b/crates/chervilshunt_daemon/src/traffic/slow_head.rs
@@ -1,18 +1,14 @@
 //! The answer to a head that does not come in time.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Response, header};
 use tokio::net::TcpStream;
 
 use super::headers::request_id;
+use super::intake::SLOW_RETRY;
 use super::problem::{Problem, Reason};
 use super::serve::Traffic;
 
-/// When a caller should come back whose head was too slow.
-const SLOW_RETRY: Duration = Duration::from_secs(1);
-
 /// Answers a caller whose head has begun and did not come in time, before its connection is closed.
 ///
 /// The library closes such a connection without a word, so that a caller behind a slow line could
--- a/crates/chervilshunt_daemon/tests/callers_refusals.rs
+++ b/crates/chervilshunt_daemon/tests/callers_refusals.rs
@@ -226,6 +226,7 @@
         let answer = raw.read_to_end().await;
         assert!(answer.starts_with("HTTP/1.1 408 "), "{answer}");
         assert!(answer.contains(r#""reason":"body_too_slow""#), "{answer}");
+        assert!(answer.contains("\r\nretry-after: 1\r\n"), "{answer}");
         assert_targets_untouched(&fleet).await;
     });
 }
