Keep power from deferrable work for bursts of live work

Cause: under a flood deferrable work held all the power that live work left. Power that it uses comes back only as its answers end, after half a minute, so live work that grew at one target found no seat there (shares of 2 to 9 sequences beside others of 32 at Kolvand, by a count each minute) and was spread to further targets, which loaded its adapters again: live loads rose from 250 to 330 a minute and saturated the weight store.

Now a part that grows with the square root of live work stays out of deferrable work's reach and is at hand everywhere.

--- a/crates/chervilshunt_core/src/allocator/shares.rs
+++ b/crates/chervilshunt_core/src/allocator/shares.rs
@@ -10,6 +10,14 @@
 /// Part of a target's range of power that it always has, so that live work is served at once.
 const ALWAYS: f64 = 1.0 / 16.0;
 
+/// Power kept from deferrable work for bursts of live work, in square roots of the power of all
+/// live sequences times the range of one target.
+///
+/// Bursts grow with the square root of the work. Power that deferrable sequences use comes back
+/// only as their answers end, after half a minute; without this part live work that grows at one
+/// target waits for a seat that long, or moves to another target, which has to load its adapter.
+const BURST_POOL: f64 = 1.5;
+
 /// Works out the share that each target is to have.
 ///
 /// A parked target gets none. Each other gets the fixed part and a little more, then what its live work could use, then what
@@ -30,6 +38,8 @@
         it.idle_watts + it.range() * ALWAYS
     });
     give_evenly(targets, &mut spare, |it| it.live_watts);
+    let pool = burst_pool(targets).min(spare);
+    spare -= pool;
     let weights = cfg.weights;
     let sum = weights.load_stalls + weights.batch_efficiency;
     if cfg.mechanisms.packing && sum > 0.0 {
@@ -41,9 +51,16 @@
     give_evenly(targets, &mut spare, |it| {
         it.live_watts + it.deferrable_watts
     });
+    spare += pool;
     give_evenly(targets, &mut spare, |it| it.full_watts);
 }
 
+fn burst_pool(targets: &BTreeMap<TargetName, TargetPower>) -> f64 {
+    let live: f64 = targets.values().map(TargetPower::live_demand).sum();
+    let range = targets.values().map(TargetPower::range).fold(0.0, f64::max);
+    BURST_POOL * (live * range).sqrt()
+}
+
 /// Divides a cap that does not even cover the fixed parts of the targets in use.
 ///
 /// It can't run a step on each of them, so it goes to as many as it covers, by name.
