Let requests that newer ones overtake wait for their load until the deadline

Cause: while the store was overloaded, the owner refused a live request that had waited a quarter of its time, with when to come back. A request that is not refused has its load when the queue falls, and if it is not it is refused at its deadline at once, as before.

--- a/crates/chervilshunt_core/src/owner/loading.rs
+++ b/crates/chervilshunt_core/src/owner/loading.rs
@@ -1,8 +1,6 @@
 //! Loads, from the first request that waits to the order that goes out.
 
-use std::time::Duration;
-
-use chervilshunt_model::{AdapterVersion, AttemptId, Class, Moment};
+use chervilshunt_model::{AdapterVersion, Class, Moment};
 use indexmap::IndexMap;
 
 use super::Owner;
@@ -12,10 +10,10 @@
 use super::slots::Moving;
 use super::tuning::{
     AHEAD_DEMAND, AHEAD_PAUSE, DEFERRABLE_LOAD_AGE, DEFERRABLE_SLOT_PART, ENOUGH_DEFERRABLE,
-    MAX_ASKED_TURNS, OVERTAKEN_PART, OVERTAKEN_WAIT, PARKED_REVIEW, TURN_RENEWAL,
+    MAX_ASKED_TURNS, PARKED_REVIEW, TURN_RENEWAL,
 };
+use crate::DecisionKind;
 use crate::bugs::Bug;
-use crate::{DecisionKind, RefusalReason};
 
 /// The urgency of a load that nobody waits for.
 const AHEAD: LoadUrgency = LoadUrgency {
@@ -61,7 +59,6 @@
         if self.loads.review_due || now.since(self.loads.reviewed) >= PARKED_REVIEW {
             self.loads.review_due = false;
             self.loads.reviewed = now;
-            self.give_up_overtaken(now, out);
             self.review_parked(now, out);
         }
         self.begin_unscheduled(now, out);
@@ -416,35 +413,6 @@
         }
     }
 
-    /// Refuses live requests that others overtake for as long as the store is overloaded.
-    ///
-    /// The load scheduler then serves the newest first, as otherwise all would wait until their
-    /// deadlines. One that has waited this long has little hope left; it is told to come back
-    /// instead of being held.
-    fn give_up_overtaken(&mut self, now: Moment, out: &mut Vec<OwnerAction>) {
-        if self.loads.queue_wait(now) < OVERTAKEN_WAIT {
-            return;
-        }
-        let waits = |phase| matches!(phase, Phase::Asked { .. } | Phase::Parked);
-        let overtaken: Vec<AttemptId> = self
-            .loads
-            .at_phase(waits)
-            .iter()
-            .flat_map(|model| self.queue.blocked_on(model))
-            .copied()
-            .filter(|attempt| {
-                let waiting = self.queue.get(*attempt);
-                waiting.is_some_and(|it| {
-                    let patience = Duration::from_millis(it.req.deadline_ms / OVERTAKEN_PART);
-                    it.req.class == Class::Live && now.since(it.arrived) >= patience
-                })
-            })
-            .collect();
-        for attempt in overtaken {
-            self.refuse_queued(attempt, RefusalReason::Deadline, now, out);
-        }
-    }
-
     fn begin_unscheduled(&mut self, now: Moment, out: &mut Vec<OwnerAction>) {
         if self.loads.scheduler_reachable {
             return;
--- a/crates/chervilshunt_core/src/owner/tuning.rs
+++ b/crates/chervilshunt_core/src/owner/tuning.rs
@@ -60,13 +60,6 @@
 /// message.
 pub(super) const TURN_RENEWAL: Duration = Duration::from_secs(1);
 
-/// Wait for a turn beyond which the load scheduler serves the newest first.
-pub(super) const OVERTAKEN_WAIT: Duration = Duration::from_secs(3);
-
-/// Part of its time to the deadline, one in so many, after which a live request is given up that
-/// newer ones overtake.
-pub(super) const OVERTAKEN_PART: u64 = 4;
-
 /// Part of the slots, one in so many, that deferrable work alone may take.
 pub(super) const DEFERRABLE_SLOT_PART: usize = 16;
 
--- a/crates/chervilshunt_core/tests/owner_flood.rs
+++ b/crates/chervilshunt_core/tests/owner_flood.rs
@@ -4,10 +4,10 @@
 
 use std::time::Duration;
 
-use chervilshunt_core::{Owner, OwnerAction, OwnerEvent};
-use chervilshunt_model::{AdapterVersion, Class, Moment};
+use chervilshunt_core::{Owner, OwnerAction, OwnerEvent, PermitAnswer, RefusalReason};
+use chervilshunt_model::{AdapterVersion, AttemptId, Class, Moment};
 use rstest::rstest;
-use support::{at, config, model, owner_with, request};
+use support::{answers, at, config, model, owner_with, request};
 
 fn ask(owner: &mut Owner, attempt: u128, number: u32, class: Class, now: Moment) {
     let mut req = request(attempt, Some(model(number)), class);
@@ -102,3 +102,42 @@
     let view = owner.view(at(seconds * 1_000));
     assert_eq!(view.deferrable_permits, taken);
 }
+
+/// What the caller sees: a refusal in the middle of its deadline, though its load was still to come.
+/// The weight store is overloaded, and newer requests get their loads first. Refusing the overtaken
+/// ones early does not lessen the work: their callers come back as the newest and overtake the
+/// rest. So a request waits until its load comes, or its deadline, and is then refused at once.
+#[rstest]
+#[case::a_quarter_of_its_time(16_000, None)]
+#[case::nearly_all_of_its_time(59_500, None)]
+#[case::all_of_its_time(60_100, Some(RefusalReason::Deadline))]
+fn overtaken_requests_wait_until_their_deadline(
+    #[case] millis: u64,
+    #[case] expected: Option<RefusalReason>,
+) {
+    let mut owner = owner_with(config(2, 4), &[]);
+    let first = request(1, Some(model(1)), Class::Live);
+    let asked = owner.handle(OwnerEvent::PermitRequested(first), at(10));
+    let order = asked.iter().find_map(|action| match action {
+        OwnerAction::AskTurn { order, .. } => Some(*order),
+        _ => None,
+    });
+    let second = request(2, Some(model(2)), Class::Live);
+    owner.handle(OwnerEvent::PermitRequested(second), at(20));
+    let turn = OwnerEvent::TurnGranted {
+        order: order.expect("a turn is asked for"),
+        queue_wait: Duration::from_secs(120),
+    };
+    owner.handle(turn, at(30));
+    let mut refused = None;
+    for tick in 1..=millis / 100 {
+        for (attempt, answer) in answers(&owner.handle(OwnerEvent::Tick, at(tick * 100))) {
+            if let PermitAnswer::Refused { reason, .. } = answer
+                && attempt == AttemptId::from_u128(2)
+            {
+                refused = Some(reason);
+            }
+        }
+    }
+    assert_eq!(refused, expected);
+}
