Measure control bytes and platform calls of whole daemons, by size of the fleet

chervilshunt_bench capacity starts fleets of 3, 6, 12 and 24 daemons with as many engines, reads the daemons' own metrics at rest and through one graceful restart, and prints each value with its line through the sizes.

Not measured: load, crashes, more than 25 targets, platform bytes by purpose.

--- /dev/null
+++ b/crates/chervilshunt_bench/src/capacity/measure/tests.rs
@@ -0,0 +1,58 @@
+//! What counters add up to.
+
+use rstest::rstest;
+
+use super::{Counters, beyond, meaning, values};
+
+#[rstest]
+#[case(
+    r#"mesh_message_bytes_total{purpose="permits",direction="out"}"#,
+    Some("bytes, mesh permits")
+)]
+#[case(r#"mesh_message_bytes_total{purpose="permits",direction="in"}"#, None)]
+#[case(
+    r#"mesh_socket_bytes_total{direction="out"}"#,
+    Some("bytes, mesh in all")
+)]
+#[case(
+    r#"chervilshunt_platform_bytes_total{direction="received"}"#,
+    Some("bytes, platform in all")
+)]
+#[case(
+    r#"chervilshunt_platform_calls_total{purpose="leases",verb="get",result="ok"}"#,
+    Some("calls, leases get")
+)]
+#[case("mesh_connections", None)]
+fn counters_have_a_meaning(#[case] name: &str, #[case] what: Option<&str>) {
+    assert_eq!(meaning(name).as_deref(), what);
+}
+
+/// Both directions of the platform's bytes and all results of a call come together; what the same
+/// time at rest costs is taken off.
+#[test]
+fn sums_and_takes_off_the_rest() {
+    let counters = Counters::from(
+        [
+            (
+                r#"chervilshunt_platform_bytes_total{direction="sent"}"#,
+                300.0,
+            ),
+            (
+                r#"chervilshunt_platform_bytes_total{direction="received"}"#,
+                100.0,
+            ),
+            (
+                r#"chervilshunt_platform_calls_total{purpose="leases",verb="get",result="ok"}"#,
+                6.0,
+            ),
+        ]
+        .map(|(name, value)| (name.to_owned(), value)),
+    );
+    let moved = values(&counters, 2.0);
+    assert_eq!(moved["bytes, platform in all"], 200.0);
+    assert_eq!(moved["calls, leases get"], 3.0);
+    let rest = values(&counters, 20.0);
+    let beyond = beyond(&moved, &rest, 5.0);
+    assert_eq!(beyond["bytes, platform in all"], 100.0);
+    assert_eq!(beyond["calls, leases get"], 1.5);
+}
--- a/crates/chervilshunt_bench/src/figures/command.rs
+++ b/crates/chervilshunt_bench/src/figures/command.rs
@@ -9,7 +9,7 @@
 use super::figure::{Figure, render};
 use super::{first_token, relayed, streams};
 
-pub(crate) const USAGE: &str = "\
+const USAGE: &str = "\
 usage: chervilshunt_bench figures [first-token] [relay] [streams] [OPTIONS]
 
   first-token   time added to the first token, and control bytes, at 300 requests/s
@@ -35,7 +35,7 @@
 /// # Errors
 /// Fails if the command line is wrong, a figure can't be measured, or one is out of its bound.
 pub fn run(parser: Parser) -> Result<(), FiguresError> {
-    let Some(options) = parse(parser).context(UsageSnafu)? else {
+    let Some(options) = parse(parser).context(UsageSnafu { usage: USAGE })? else {
         println!("{USAGE}");
         return Ok(());
     };
--- a/crates/chervilshunt_bench/src/figures/error.rs
+++ b/crates/chervilshunt_bench/src/figures/error.rs
@@ -11,8 +11,10 @@
 #[non_exhaustive]
 pub enum FiguresError {
     /// The command line does not parse.
-    #[snafu(display("{source}\n{}", super::command::USAGE))]
+    #[snafu(display("{source}\n{usage}"))]
     Usage {
+        /// What may stand in it.
+        usage: &'static str,
         /// What is wrong with it.
         source: lexopt::Error,
     },
--- a/crates/chervilshunt_bench/src/figures/mod.rs
+++ b/crates/chervilshunt_bench/src/figures/mod.rs
@@ -5,11 +5,11 @@
 
 mod command;
 mod deployment;
-mod error;
+pub(crate) mod error;
 mod figure;
 mod first_token;
 mod relayed;
-mod scrape;
+pub(crate) mod scrape;
 mod streams;
 
 pub use command::run;
--- a/crates/chervilshunt_bench/src/main.rs
+++ b/crates/chervilshunt_bench/src/main.rs
@@ -12,6 +12,7 @@
         Err(error) => return fail(&error.to_string()),
     };
     let outcome = match command.as_str() {
+        "capacity" => chervilshunt_bench::capacity::run(args).map_err(|e| e.to_string()),
         "load" => chervilshunt_bench::load::command(args).map_err(|e| e.to_string()),
         "faults" => return chervilshunt_bench::faults::run(args),
         "figures" => chervilshunt_bench::figures::run(args).map_err(|e| e.to_string()),
@@ -24,7 +25,7 @@
 }
 
 fn usage() -> ExitCode {
-    fail("usage: chervilshunt_bench load|faults|figures|policy|policy-table|plot OPTIONS")
+    fail("usage: chervilshunt_bench capacity|load|faults|figures|policy|policy-table|plot OPTIONS")
 }
 
 fn fail(message: &str) -> ExitCode {
