List all assignments more rarely where watches look for lost events

Cause: the coordinator lists all assignments in case a watch has missed something, each 30 s and 0.35 s more a role: at 1,630 roles 218 KB each 600 s, 372 B/s. The daemon's watches look for lost events themselves, by names and versions, each 19 s at that size; the list is a second net under them.

Who embeds the coordinator without such watches keeps 0.35 s.

What could newly fail: an instance that goes by an old assignment for longer. The check of versions, which finds a lost event, is as frequent as before, and tests of the watch lose changes and deletions. What only the list would mend is an assignment that a watch told and this process then lost; no such fault is known, and it would last 38 minutes in place of 10.

--- a/crates/chervilshunt_daemon/src/run.rs
+++ b/crates/chervilshunt_daemon/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use chervilshunt_config::Settings;
 use chervilshunt_coord::{Coordinator, CoordinatorConfig, Holder, Incarnation, deployment_model};
@@ -32,6 +33,13 @@
 const CONTROL_MAILBOX: usize = 8_192;
 /// Connections that may wait to be accepted.
 const ACCEPT_BACKLOG: u32 = 1_024;
+/// How much rarer each role makes the list of all assignments: at 1,630 roles one in 38 minutes.
+///
+/// It is there for events that a watch never told. The daemon's watches look for those themselves,
+/// by names and versions and every 19 s at 370 instances, so that the list is a second net under
+/// the first; at 218 KB a list it would take an eighth of an instance's bytes, were it as frequent
+/// as for those who embed the coordinator without such watches. See `docs/CAPACITY.md`.
+const ASSIGNMENT_LIST_LATER_BY_ROLE: Duration = Duration::from_millis(1_400);
 /// Upper bounds of the buckets of latency histograms, in seconds.
 const LATENCY_BUCKETS: [f64; 14] = [
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
@@ -271,6 +279,7 @@
     cfg.observer = timing.observer;
     cfg.elector = timing.elector;
     cfg.hold = timing.hold;
+    cfg.roles.list_later_by_role = ASSIGNMENT_LIST_LATER_BY_ROLE;
     Coordinator::new(cfg, cx.now())
 }
 
