Free the turns of an owner that is cut off from the load scheduler after 4 s

Cause: a turn to load whose end was not reported was taken to be over after 30 s, and its owner said nothing of it meanwhile. Ruled out: the scheduler itself, whose instance was reachable, and power. Owners now say each second that they use a turn, for at most 10 s, and the scheduler takes one of which it has heard nothing for 4 s to be over. A load of less than a second costs no message more. The new test of the owner fails without it (it is never said); the scheduler's random machine says of any running turn again that it is in use.

--- a/crates/chervilshunt_core/src/owner.rs
+++ b/crates/chervilshunt_core/src/owner.rs
@@ -174,7 +174,7 @@
             OwnerEvent::EntryLeft(entry) => self.entry_left(&entry, now),
             OwnerEvent::TurnGranted { order, queue_wait } => {
                 self.loads.queue_told(queue_wait, now);
-                self.turn_granted(order, out);
+                self.turn_granted(order, now, out);
             }
             OwnerEvent::SchedulerReachable(yes) => self.scheduler_reachable(yes, now, out),
             OwnerEvent::OrderEnded { order, result } => self.order_ended(order, result, now, out),
--- a/crates/chervilshunt_core/src/owner/action.rs
+++ b/crates/chervilshunt_core/src/owner/action.rs
@@ -33,7 +33,8 @@
         /// Whether the load succeeded; none if it was not begun.
         loaded: Option<bool>,
     },
-    /// Tell a load scheduler that has just come back of a turn that an earlier one granted.
+    /// Tell the load scheduler that a turn is still in use, or one that has just come back of a
+    /// turn that an earlier one granted.
     HoldTurn {
         /// The order that the turn is for.
         order: OrderId,
--- a/crates/chervilshunt_core/src/owner/loading.rs
+++ b/crates/chervilshunt_core/src/owner/loading.rs
@@ -58,6 +58,7 @@
         self.end_backoffs(now);
         self.place_loads(now, out);
         self.renew_turns(now, out);
+        self.hold_turns(now, out);
         if self.loads.review_due || now.since(self.loads.reviewed) >= PARKED_REVIEW {
             self.loads.review_due = false;
             self.loads.reviewed = now;
@@ -68,7 +69,7 @@
     }
 
     /// Takes the turn that the scheduler gave.
-    pub(super) fn turn_granted(&mut self, order: OrderId, out: &mut Vec<OwnerAction>) {
+    pub(super) fn turn_granted(&mut self, order: OrderId, now: Moment, out: &mut Vec<OwnerAction>) {
         let model = self.loads.model_of(order).cloned();
         let load = model.as_ref().and_then(|model| self.loads.get_mut(model));
         let Some(load) = load else {
@@ -81,7 +82,7 @@
             return;
         };
         if let Phase::Asked { .. } = load.phase {
-            load.phase = Phase::HasTurn;
+            load.begin_turn(now);
         }
     }
 
@@ -320,6 +321,22 @@
         }
     }
 
+    /// Tells the load scheduler of turns that are in use for long.
+    ///
+    /// Without word of a turn the scheduler soon takes it to be over: an owner that is cut off from
+    /// it can't report the end, and would hold up every other load of the store.
+    fn hold_turns(&mut self, now: Moment, out: &mut Vec<OwnerAction>) {
+        let due = self.loads.iter().filter(|(_, load)| load.turn_is_due(now));
+        let due: Vec<AdapterVersion> = due.map(|(model, _)| model.clone()).collect();
+        for model in due {
+            if let Some(load) = self.loads.get_mut(&model) {
+                load.told = now;
+                let order = load.order;
+                out.push(OwnerAction::HoldTurn { order, model });
+            }
+        }
+    }
+
     /// Asks for turns for the parked loads that are worth a slot, the most urgent first.
     fn review_parked(&mut self, now: Moment, out: &mut Vec<OwnerAction>) {
         let mut parked: Vec<(LoadUrgency, AdapterVersion)> = self
@@ -471,7 +488,7 @@
         };
         self.loads.unscheduled = Some(now);
         if let Some(load) = self.loads.get_mut(&model) {
-            load.phase = Phase::HasTurn;
+            load.begin_turn(now);
         }
         self.place_load(&model, now, out);
     }
--- a/crates/chervilshunt_core/src/owner/loads.rs
+++ b/crates/chervilshunt_core/src/owner/loads.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 
 use super::order::OrderId;
-use super::tuning::{LOAD_BACKOFF, LOAD_TIME_GUESS, MAX_LOAD_BACKOFF};
+use super::tuning::{LOAD_BACKOFF, LOAD_TIME_GUESS, LONGEST_TURN, MAX_LOAD_BACKOFF, TURN_RENEWAL};
 use crate::decay::DurationAverage;
 
 /// How far a load has come.
@@ -48,6 +48,26 @@
     pub(super) wanted: Moment,
     /// Whether it is wanted without a request that waits for it.
     pub(super) ahead: bool,
+    /// When it was given its turn, if it has one.
+    pub(super) granted: Option<Moment>,
+    /// When the load scheduler was last told that the turn is in use.
+    pub(super) told: Moment,
+}
+
+impl Load {
+    /// Takes the turn.
+    pub(super) fn begin_turn(&mut self, now: Moment) {
+        self.phase = Phase::HasTurn;
+        self.granted = Some(now);
+        self.told = now;
+    }
+
+    /// Whether the load scheduler is to be told again that the turn is in use.
+    pub(super) fn turn_is_due(&self, now: Moment) -> bool {
+        let in_use = matches!(self.phase, Phase::HasTurn | Phase::Ordered { .. });
+        let young = |granted| now.since(granted) < LONGEST_TURN;
+        in_use && self.granted.is_some_and(young) && now.since(self.told) >= TURN_RENEWAL
+    }
 }
 
 /// All loads of one owner, and how long loads take.
@@ -142,6 +162,8 @@
             since: now,
             wanted: now,
             ahead,
+            granted: None,
+            told: now,
         };
         self.by_model.insert(model.clone(), load);
         self.by_order.insert(order, model.clone());
--- a/crates/chervilshunt_core/src/owner/tuning.rs
+++ b/crates/chervilshunt_core/src/owner/tuning.rs
@@ -60,6 +60,10 @@
 /// message.
 pub(super) const TURN_RENEWAL: Duration = Duration::from_secs(1);
 
+/// Time from which a load that has its turn no longer says so: one that takes this long waits for
+/// something else than the weight store, which others may use meanwhile.
+pub(super) const LONGEST_TURN: Duration = Duration::from_secs(10);
+
 /// Wait for a turn beyond which the load scheduler serves the newest first.
 pub(super) const OVERTAKEN_WAIT: Duration = Duration::from_secs(3);
 
--- a/crates/chervilshunt_core/src/scheduler.rs
+++ b/crates/chervilshunt_core/src/scheduler.rs
@@ -45,7 +45,8 @@
     pub concurrency: u32,
     /// Loads a second that the store gives in all.
     pub loads_per_second: f64,
-    /// The time after which a turn whose end was not reported is taken to be over.
+    /// The time after which a turn of which nothing was heard is taken to be over: a few times as
+    /// long as owners take to say again that they use one.
     pub turn_timeout: Duration,
     /// The mechanisms that are on; all of them outside the bench.
     pub mechanisms: Mechanisms,
@@ -76,7 +77,7 @@
         /// How badly it is needed.
         urgency: LoadUrgency,
     },
-    /// An owner holds a turn that an earlier scheduler granted.
+    /// An owner uses a turn, which an earlier scheduler may have granted.
     TurnHeld {
         /// The target that loads.
         target: TargetName,
@@ -119,8 +120,9 @@
 /// The load scheduler of one weight store.
 ///
 /// It gives turns by urgency, never more at a time than the store bears at full speed, and never
-/// faster than its rate. A turn ends when the owner says so or when its time is up, so that a lost
-/// message or a dead owner holds the store up for a bounded time only.
+/// faster than its rate. A turn ends when the owner says so or has not been heard of for a short
+/// time, so that a lost message, or an owner that is dead or cut off, holds the store up for that
+/// time only.
 #[derive(Debug)]
 pub struct LoadScheduler {
     cfg: SchedulerConfig,
@@ -260,8 +262,9 @@
 
     fn held(&mut self, turn: Turn, now: Moment) {
         self.waiting.swap_remove(&turn);
-        let running = self.new_running(now);
-        self.running.entry(turn).or_insert(running);
+        let new = self.new_running(now);
+        let running = self.running.entry(turn).or_insert(new);
+        running.until = new.until;
     }
 
     fn ended(&mut self, turn: &Turn, result: TurnResult, now: Moment) {
--- a/crates/chervilshunt_core/tests/owner.rs
+++ b/crates/chervilshunt_core/tests/owner.rs
@@ -53,6 +53,41 @@
     assert_eq!(granted(&loaded).len(), 2);
 }
 
+/// What callers see: requests for adapters that are not loaded wait, at every target of the store.
+/// An owner that uses turns to load is cut off from the load scheduler and can't report their end.
+/// It therefore says all along that it uses them, so that the scheduler need not wait long without
+/// word; and it stops saying so of a load that is stuck.
+#[test]
+fn says_each_second_that_a_turn_is_in_use_until_the_load_is_stuck() {
+    let mut owner = owner_with(config(2, 4), &[]);
+    let asked = owner.handle(ask(1, 1), at(0));
+    let order = asked.iter().find_map(|action| match action {
+        OwnerAction::AskTurn { order, .. } => Some(*order),
+        _ => None,
+    });
+    let order = order.expect("a turn is asked for");
+    let queue_wait = std::time::Duration::ZERO;
+    owner.handle(OwnerEvent::TurnGranted { order, queue_wait }, at(0));
+    let mut told = Vec::new();
+    while told.last().is_none_or(|last| *last < 15_000) {
+        let now = owner.next_wakeup().expect("a load is under way");
+        let actions = owner.handle(OwnerEvent::Tick, now);
+        let holds = actions.iter().any(
+            |action| matches!(action, OwnerAction::HoldTurn { order: held, .. } if *held == order),
+        );
+        if holds {
+            told.push(now.since(at(0)).as_millis());
+        }
+        if now > at(15_000) {
+            break;
+        }
+    }
+    let gaps = told.windows(2).map(|pair| pair[1] - pair[0]);
+    assert!(gaps.max().is_some_and(|gap| gap < 2_000), "{told:?}");
+    assert!((8..=10).contains(&told.len()), "{told:?}");
+    assert!(*told.last().unwrap() < 10_000, "{told:?}");
+}
+
 #[test]
 fn asking_twice_gives_one_permit() {
     let mut owner = owner_with(config(2, 4), &[model(1)]);
--- a/crates/chervilshunt_core/tests/scheduler_machine.rs
+++ b/crates/chervilshunt_core/tests/scheduler_machine.rs
@@ -26,6 +26,8 @@
     End(usize, TurnResult),
     EndAgain(usize),
     Held(u8),
+    /// An owner says once more that it uses its turn.
+    HeldAgain(usize),
     OwnerChanged(u8),
     Concurrency(u32),
     Advance(u64),
@@ -54,6 +56,7 @@
         8 => (any::<usize>(), result).prop_map(|(n, result)| Step::End(n, result)),
         2 => any::<usize>().prop_map(Step::EndAgain),
         1 => (0..4_u8).prop_map(Step::Held),
+        2 => any::<usize>().prop_map(Step::HeldAgain),
         1 => (0..4_u8).prop_map(Step::OwnerChanged),
         1 => (1..4_u32).prop_map(Step::Concurrency),
         8 => prop_oneof![Just(1), Just(100), Just(260), Just(2_000), Just(11_000)].prop_map(Step::Advance),
@@ -208,6 +211,17 @@
         });
     }
 
+    /// Tells the scheduler of a turn, which goes on from then for as long as one that begins.
+    fn hold(&mut self, turn: Turn) {
+        self.running.insert(turn.clone(), self.now + TURN_TIMEOUT);
+        let (target, order) = turn;
+        self.handle(SchedulerEvent::TurnHeld {
+            target,
+            order,
+            model: model(0),
+        });
+    }
+
     fn step(&mut self, step: Step) {
         match step {
             Step::Ask(target, urgency) => {
@@ -240,16 +254,15 @@
             }
             Step::Held(target) => {
                 self.next_order += 1;
-                let (target, order) = (name(target), OrderId(self.next_order));
-                let turn = (target.clone(), order);
+                let turn = (name(target), OrderId(self.next_order));
                 self.held.insert(turn.clone());
-                self.running.insert(turn, self.now + TURN_TIMEOUT);
-                let model = model(0);
-                self.handle(SchedulerEvent::TurnHeld {
-                    target,
-                    order,
-                    model,
-                });
+                self.hold(turn);
+            }
+            Step::HeldAgain(n) => {
+                let known: Vec<Turn> = self.running.keys().cloned().collect();
+                if let Some(turn) = pick(&known, n) {
+                    self.hold(turn.clone());
+                }
             }
             Step::OwnerChanged(target) => {
                 let target = name(target);
--- a/crates/chervilshunt_daemon/src/control/roles.rs
+++ b/crates/chervilshunt_daemon/src/control/roles.rs
@@ -18,8 +18,9 @@
 use crate::routing::Routing;
 use crate::wire::PeerMessage;
 
-/// The time after which a turn to load whose end was not reported is taken to be over.
-const TURN_TIMEOUT: Duration = Duration::from_secs(30);
+/// The time after which a turn to load of which nothing was heard is taken to be over; owners say
+/// each second that they use one.
+const TURN_TIMEOUT: Duration = Duration::from_secs(4);
 /// The time that an instance has to list the permits it holds.
 const HELD_TIMEOUT: Duration = Duration::from_secs(2);
 /// The pause before an instance is asked again for the permits it holds.
