Choose the owner to be killed when each engine has its own

It waits until the two owners differ and takes the first engine's owner of that moment. What is checked afterwards is unchanged.

--- a/crates/chervilshunt_bench/tests/failures/pairs.rs
+++ b/crates/chervilshunt_bench/tests/failures/pairs.rs
@@ -57,9 +57,14 @@
     };
     let mut case = Case::start(options, 10.0).await;
     case.run_for(Duration::from_secs(2)).await;
-    let owner = case.owner("i1", ENGINES[0], None).await;
-    // The other engine has to go on serving while nobody can take the first one over.
-    case.owner("i1", ENGINES[1], Some(&owner)).await;
+    // The other engine has to go on serving while nobody can take the first one over; roles may
+    // still be on their way between instances that have just joined.
+    let apart = || async {
+        let owner = case.owner("i1", ENGINES[0], None).await;
+        (case.owner("i1", ENGINES[1], None).await != owner).then_some(owner)
+    };
+    let owner = wait_until(BOUND, apart).await;
+    let owner = owner.expect("one instance owns both engines");
     let witness = case.another(&[&owner]);
     let entries = open_entries(&mut case, &owner);
     let mut racing = Vec::new();
