Let owners notice an engine that is lost although nobody asks it for anything

Cause: an owner learnt that its engine was gone only when an order came to an unknown end. A failed call ends a permit and no more, and a failed look, each 5 s, was passed over. With few adapters no order is given for long, so show targets said reachable=true of an engine that refused connections, seen for over a minute on the quickstart, and every caller paid a try, or its whole deadline where the engine hung.

Change: an engine that answers neither a look nor the question for its adapters is lost, and is asked each second until it answers, as after a failed order. One that only gives no report is not: its page of metrics may be missing or malformed. Marking it lost at a failed call was ruled out: one caller's call may fail for reasons of its own, and it needs a call to fail.

The bound is 5 s for an engine that refuses connections and 9 s for one that hangs, by the times in the code.

The tests' support takes the fault "down" back between tests as well, as it does with the others.

--- a/crates/chervilshunt_daemon/src/control/watch_engine.rs
+++ b/crates/chervilshunt_daemon/src/control/watch_engine.rs
@@ -59,20 +59,9 @@
             let mut prefixes = SeenPrefixes::default();
             loop {
                 tokio::time::sleep(LOOK_EVERY).await;
-                let Ok(report) = client.report().await else {
+                let Some(news) = look(&client, epoch, &mut prefixes).await else {
                     continue;
                 };
-                let report = EngineReport {
-                    running: report.running,
-                    waiting: report.waiting,
-                    age: report.age.unwrap_or(LOOK_EVERY),
-                };
-                let cached = prefixes.look(&client).await;
-                let news = EngineNews::Looked {
-                    epoch,
-                    report,
-                    cached,
-                };
                 let looked = FromEngine {
                     target: target.clone(),
                     news,
@@ -84,3 +73,30 @@
         });
     }
 }
+
+/// Looks at an engine once; returns nothing if it answers but gives no report.
+///
+/// An engine that is gone or hangs fails no order as long as none is given, so that its owner would
+/// go on granting permits for it, each of which costs a caller a try or its whole deadline. Only
+/// one that answers neither question is lost: a page of metrics may be missing or malformed.
+async fn look(
+    client: &EngineClient,
+    epoch: Epoch,
+    prefixes: &mut SeenPrefixes,
+) -> Option<EngineNews> {
+    let Ok(report) = client.report().await else {
+        let answers = client.inventory().await.is_ok();
+        return (!answers).then_some(EngineNews::Unreachable);
+    };
+    let report = EngineReport {
+        running: report.running,
+        waiting: report.waiting,
+        age: report.age.unwrap_or(LOOK_EVERY),
+    };
+    let cached = prefixes.look(client).await;
+    Some(EngineNews::Looked {
+        epoch,
+        report,
+        cached,
+    })
+}
--- a/crates/chervilshunt_daemon/tests/support/serial.rs
+++ b/crates/chervilshunt_daemon/tests/support/serial.rs
@@ -47,7 +47,7 @@
     /// Takes all faults back, also those that a failed test has left.
     async fn heal(&self) {
         let engine = json!({
-            "slow_ms": 0, "freeze": false, "cut_after_tokens": -1, "wrong_model": false,
+            "down": false, "slow_ms": 0, "freeze": false, "cut_after_tokens": -1, "wrong_model": false,
             "answer_late_ms": 0, "load_fails": 0.0, "load_slow_ms": 0,
         });
         let plain = json!({
