Don't tell callers that no owner can be reached when owners answered

Cause: owners that know that their own engines are lost redirect to each other's. A request that has no hops left then had no refusal to report, and was told no_owner, "no owner of a target could be reached", so that an operator looked for a fault of the instances. Seen on the quickstart with all engines down, and with all loads failing.

Change: after a redirect the reason is no_target. Status, outcome and Retry-After are as before.

--- a/crates/chervilshunt_daemon/src/traffic/place.rs
+++ b/crates/chervilshunt_daemon/src/traffic/place.rs
@@ -99,6 +99,11 @@
                 .retry_after(after.max(UNREACHED_RETRY)),
                 pause_after(reason, after),
             ),
+            // Owners answered, and each sent the request on to a target whose owner does the same.
+            None if hops > 0 => {
+                let detail = format!("no target of {} can take the request now", self.req.service);
+                Round::not_now(Reason::NoTarget, detail)
+            }
             None => Round::not_now(Reason::NoOwner, "no owner of a target could be reached"),
         }
     }
