--- a/crates/chervilshunt_coord/src/roles/table.rs
+++ b/crates/chervilshunt_coord/src/roles/table.rs
@@ -2,6 +2,8 @@
 
 mod edit;
 mod held;
+mod replies;
+mod types;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -10,123 +12,17 @@
 
 use self::edit::Edit;
 use self::held::{Held, Stage};
+pub use self::types::{RoleAction, RoleConfig, RoleEvent};
 use super::assignment::{AssignmentRecord, AssignmentShard, RoleEntry};
 use super::role::{Role, WantedRole};
 use crate::bugs::{Bug, Bugs};
-use crate::hashing::{jittered, rendezvous_weight};
+use crate::hashing::rendezvous_weight;
 use crate::holder::Holder;
-use crate::lease::{LeaseRecord, LeaseState};
-use crate::platform::{
-    CallId, Calls, Object, ObjectKind, ObjectName, ObjectVersion, PlatformCall, PlatformOp,
-    PlatformResult, Purpose, Stored,
-};
+use crate::platform::{CallId, Calls, Object, ObjectKind, ObjectVersion, PlatformOp, Purpose};
 
 /// The most ranks that are told apart when instances take turns to write.
 const MAX_RANK: usize = 15;
 
-/// How roles are assigned.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct RoleConfig {
-    /// How much later each further instance steps in, when several could write a change.
-    pub rank_delay: Duration,
-    /// How long after a failed call the next try follows.
-    pub retry_every: Duration,
-    /// How often a run with too few roles asks for more.
-    pub ask_every: Duration,
-    /// The most roles that a run asks for at a time.
-    pub ask_at_most: usize,
-    /// How often all assignments are listed anew, in case a watch has missed something.
-    pub list_every: Duration,
-    /// How much later that is for each role, to bound the bytes a second.
-    pub list_later_by_role: Duration,
-    /// How long a list of leases serves to choose holders.
-    pub list_counts_for: Duration,
-    /// The longest time that an order can be on its way to a target.
-    ///
-    /// Who takes a role over from a holder that did not hand it over itself waits this long before
-    /// its first order, if those who take the orders don't refuse old epochs.
-    pub order_flight: Duration,
-}
-
-impl Default for RoleConfig {
-    fn default() -> Self {
-        Self {
-            rank_delay: Duration::from_millis(400),
-            retry_every: Duration::from_secs(1),
-            ask_every: Duration::from_secs(2),
-            ask_at_most: 4,
-            list_every: Duration::from_secs(30),
-            list_later_by_role: Duration::from_millis(350),
-            list_counts_for: Duration::from_secs(2),
-            order_flight: Duration::from_secs(5),
-        }
-    }
-}
-
-/// What a role table has to react to.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum RoleEvent {
-    /// A watch showed an assignment; it may be stale.
-    Seen(AssignmentRecord, ObjectVersion),
-    /// Another instance says that it wrote this generation of an assignment.
-    Told(AssignmentShard, u64),
-    /// A call to the platform has ended.
-    Reply(CallId, PlatformResult),
-    /// These roles need holders at this revision of the configuration.
-    Wanted(Revision, Vec<WantedRole>),
-    /// These instances are believed to be live, this one included.
-    Instances(BTreeMap<InstanceId, ZoneName>),
-    /// Whether this run's lease says that it holds roles.
-    MayHold(bool),
-    /// This run gives all its roles away.
-    Leave,
-    /// The program has handed the role over: it gives no order under it any more, none is on its
-    /// way, and whoever is next knows what it has to.
-    Released(Role),
-    /// The lease of this holder has ended, and whether this instance was the one to mark it.
-    Ended(Holder, bool),
-    /// The lease was lost: what was held is lost, and this is the run from now on.
-    BeginAnew(Holder),
-    /// Time has passed.
-    Tick,
-}
-
-/// What a role table wants done.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum RoleAction {
-    /// Call the platform.
-    Call(PlatformCall),
-    /// Tell an instance that this generation of an assignment concerns it: a watch may be late.
-    Tell(InstanceId, AssignmentShard, u64),
-    /// This run holds the role from now on.
-    Gained {
-        /// The role.
-        role: Role,
-        /// The fencing number for its orders.
-        epoch: Epoch,
-        /// Who held it before.
-        previous: Option<Holder>,
-        /// Whether that one handed it over itself.
-        handed_over: bool,
-    },
-    /// This run is to hand the role over, and to say so with [`RoleEvent::Released`].
-    Ending {
-        /// The role.
-        role: Role,
-        /// To whom; `None` if nobody needs it any more or nobody is there to take it.
-        to: Option<InstanceId>,
-    },
-    /// This run holds the role no longer.
-    Lost(Role),
-    /// The role has another holder, or none.
-    HolderChanged {
-        /// The role.
-        role: Role,
-        /// Its holder with the epoch.
-        holder: Option<(InstanceId, Epoch)>,
-    },
-}
-
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Doing {
     Nothing,
@@ -385,188 +281,6 @@
         self.cfg.rank_delay * u32::try_from(before.min(MAX_RANK)).unwrap_or(0)
     }
 
-    fn on_reply(
-        &mut self,
-        call: CallId,
-        result: PlatformResult,
-        now: Moment,
-        actions: &mut Vec<RoleAction>,
-    ) {
-        if self.listing == Some(call) {
-            self.listing = None;
-            self.on_listed(result, now, actions);
-            return;
-        }
-        if self.members_listing == Some(call) {
-            self.members_listing = None;
-            self.on_members(result, now);
-            return;
-        }
-        let shard = self.shards.iter().find_map(|(name, shard)| {
-            let expected = match &shard.doing {
-                Doing::Nothing | Doing::Unsettled => return None,
-                Doing::Reading(id) | Doing::Writing(id, _) => *id,
-            };
-            (expected == call).then_some(*name)
-        });
-        if let Some(shard) = shard {
-            self.on_shard_reply(shard, result, now, actions);
-        }
-    }
-
-    fn on_told(&mut self, name: AssignmentShard, generation: u64, actions: &mut Vec<RoleAction>) {
-        let shard = self
-            .shards
-            .entry(name)
-            .or_insert_with(|| Shard::absent(name));
-        if self.listed && shard.record.generation < generation && shard.doing == Doing::Nothing {
-            self.read(name, actions);
-        }
-    }
-
-    fn read(&mut self, name: AssignmentShard, actions: &mut Vec<RoleAction>) {
-        let call = self
-            .calls
-            .call(PlatformOp::Read(ObjectName::Assignment(name)));
-        if let Some(shard) = self.shards.get_mut(&name) {
-            shard.doing = Doing::Reading(call.id);
-        }
-        actions.push(RoleAction::Call(call));
-    }
-
-    fn read_unsettled(&mut self, now: Moment, actions: &mut Vec<RoleAction>) {
-        let due = self
-            .shards
-            .iter()
-            .filter(|(_, shard)| shard.doing == Doing::Unsettled && now >= shard.retry_at);
-        let due: Vec<_> = due.map(|(name, _)| *name).collect();
-        for name in due {
-            self.read(name, actions);
-        }
-    }
-
-    fn on_listed(&mut self, result: PlatformResult, now: Moment, actions: &mut Vec<RoleAction>) {
-        let PlatformResult::Listed(objects) = result else {
-            let seed = self.me.incarnation.get();
-            self.list_at = now + jittered(self.cfg.retry_every, seed, now.as_micros());
-            return;
-        };
-        self.listed = true;
-        let entries = u32::try_from(self.wanted.len()).unwrap_or(u32::MAX);
-        let every = self.cfg.list_every + self.cfg.list_later_by_role * entries;
-        self.list_at = now + jittered(every, self.me.incarnation.get(), now.as_micros());
-        for Stored { object, version } in objects {
-            if let Object::Assignment(record) = object {
-                self.adopt(record, version, now, actions);
-            }
-        }
-    }
-
-    fn on_members(&mut self, result: PlatformResult, now: Moment) {
-        let PlatformResult::Listed(objects) = result else {
-            self.members_retry_at = now + self.cfg.retry_every;
-            return;
-        };
-        let leases = objects
-            .into_iter()
-            .filter_map(|stored| match stored.object {
-                Object::Lease(lease) => Some(*lease),
-                Object::Assignment(_)
-                | Object::Head(_)
-                | Object::Claims(_)
-                | Object::Page { .. } => None,
-            });
-        self.members.clear();
-        for lease in leases {
-            self.note_lease(lease);
-        }
-        self.members_at = Some(now);
-    }
-
-    fn note_lease(&mut self, lease: LeaseRecord) {
-        self.zone_regions
-            .insert(lease.zone.clone(), lease.region.clone());
-        if lease.state == LeaseState::Active {
-            let member = Member {
-                zone: lease.zone,
-                region: lease.region,
-            };
-            self.members.insert(lease.holder, member);
-        }
-    }
-
-    fn on_shard_reply(
-        &mut self,
-        name: AssignmentShard,
-        result: PlatformResult,
-        now: Moment,
-        actions: &mut Vec<RoleAction>,
-    ) {
-        let retry_every = self.cfg.retry_every;
-        let Some(shard) = self.shards.get_mut(&name) else {
-            return;
-        };
-        let doing = std::mem::replace(&mut shard.doing, Doing::Nothing);
-        match (doing, result) {
-            (Doing::Writing(_, record), PlatformResult::Written(version)) => {
-                self.tell_concerned(&record, actions);
-                self.adopt(*record, version, now, actions);
-            }
-            (Doing::Reading(_), PlatformResult::Found(stored)) => {
-                if let Object::Assignment(record) = stored.object {
-                    self.adopt(record, stored.version, now, actions);
-                }
-            }
-            (Doing::Reading(_), PlatformResult::NotFound) => {}
-            (Doing::Writing(..), PlatformResult::Unavailable) => {
-                shard.retry_at = now + retry_every;
-            }
-            // The write may have been carried out, or another came before it: the object shows.
-            (Doing::Writing(..), _) => self.read(name, actions),
-            (Doing::Reading(_), _) => {
-                shard.doing = Doing::Unsettled;
-                shard.retry_at = now + retry_every;
-            }
-            (Doing::Nothing | Doing::Unsettled, _) => {}
-        }
-    }
-
-    /// Tells those whom a change concerns.
-    fn tell_concerned(&self, after: &AssignmentRecord, actions: &mut Vec<RoleAction>) {
-        let before = self.shards.get(&after.shard).map(|shard| &shard.record);
-        let changed = after.roles.iter().filter(|(role, entry)| {
-            before.and_then(|record| record.roles.get(*role)) != Some(*entry)
-        });
-        let concerned: BTreeSet<_> = changed
-            .flat_map(|(_, entry)| std::iter::once(&entry.holder).chain(&entry.next))
-            .filter(|holder| **holder != self.me)
-            .map(|holder| &holder.instance)
-            .collect();
-        let tells = concerned
-            .into_iter()
-            .map(|instance| RoleAction::Tell(instance.clone(), after.shard, after.generation));
-        actions.extend(tells);
-    }
-
-    /// Takes an assignment over if it is newer than the one that is known.
-    fn adopt(
-        &mut self,
-        record: AssignmentRecord,
-        version: ObjectVersion,
-        now: Moment,
-        actions: &mut Vec<RoleAction>,
-    ) {
-        let shard = self.shards.entry(record.shard);
-        let shard = shard.or_insert_with(|| Shard::absent(record.shard));
-        if record.generation <= shard.record.generation && shard.version.is_some() {
-            return;
-        }
-        let before = std::mem::replace(&mut shard.record, record.clone());
-        shard.version = Some(version);
-        self.recheck = true;
-        self.compare(&before, &record, now, actions);
-    }
-
     /// Starts whatever calls are due.
     fn advance(&mut self, now: Moment, actions: &mut Vec<RoleAction>) {
         if self.listing.is_none() && now >= self.list_at {
