--- a/crates/chervilshunt_coord/src/config/proposer.rs
+++ b/crates/chervilshunt_coord/src/config/proposer.rs
@@ -1,6 +1,8 @@
 //! Brings changes of configuration through, one at a time.
 
 mod collect;
+mod decision;
+mod pages;
 mod steps;
 
 use std::collections::VecDeque;
@@ -9,7 +11,8 @@
 use chervilshunt_model::{ChangeId, InstanceId, Moment, Revision};
 
 use self::collect::Collecting;
-use self::steps::{PageWrite, Stage};
+use self::pages::PageWrite;
+use self::steps::Stage;
 use super::follower::InForce;
 use super::head::HeadRecord;
 use super::message::ConfigMessage;
--- a/crates/chervilshunt_coord/src/config/proposer/steps.rs
+++ b/crates/chervilshunt_coord/src/config/proposer/steps.rs
@@ -1,15 +1,14 @@
 //! The steps of a proposal.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
-use chervilshunt_model::{InstanceId, Moment, Revision};
+use chervilshunt_model::{InstanceId, Moment};
 
 use super::collect::fan_out;
 use super::{ChangeRefusal, Proposal, Proposer, ProposerAction, Verdict};
 use crate::bugs::Bug;
 use crate::config::follower::InForce;
-use crate::config::head::{HeadRecord, PendingChange};
+use crate::config::head::HeadRecord;
 use crate::config::message::{ConfigMessage, Prepare};
 use crate::config::model::PageKey;
 use crate::config::stamp::PageStamp;
@@ -18,15 +17,6 @@
     CallId, Object, ObjectKind, ObjectName, ObjectVersion, PlatformOp, PlatformResult, Stored,
 };
 
-/// A page that a proposal writes.
-#[derive(Clone, Debug, Hash)]
-pub(super) struct PageWrite {
-    pub(super) key: PageKey,
-    pub(super) stamp: PageStamp,
-    pub(super) body: Arc<str>,
-    pub(super) written: bool,
-}
-
 /// How far a proposal has come.
 #[derive(Clone, Debug, Hash)]
 pub(super) enum Stage {
@@ -75,7 +65,7 @@
         stage.into_iter().chain(settle_by).min()
     }
 
-    fn stamps(&self) -> BTreeMap<PageKey, PageStamp> {
+    pub(super) fn stamps(&self) -> BTreeMap<PageKey, PageStamp> {
         self.pages
             .iter()
             .map(|page| (page.key.clone(), page.stamp))
@@ -243,89 +233,6 @@
         }
     }
 
-    fn plan_pages(&mut self, after: &S, keys: Vec<PageKey>, head: &HeadRecord) {
-        let model = self.model;
-        let Some(proposal) = &mut self.proposal else {
-            return;
-        };
-        let id = proposal.id;
-        let pages = keys.into_iter().map(|key| {
-            let body: Arc<str> = (model.page)(after, &key).into();
-            PageWrite {
-                stamp: PageStamp::of(&body, id),
-                key,
-                body,
-                written: false,
-            }
-        });
-        let pages: Vec<_> = pages.collect();
-        let dropped = std::mem::replace(&mut proposal.pages, pages);
-        let dropped = dropped
-            .iter()
-            .filter(|old| proposal.pages.iter().all(|new| new.stamp != old.stamp));
-        proposal
-            .unused
-            .extend(dropped.map(|old| old.stamp.page_name(&old.key)));
-        proposal.garbage.clone_from(&head.garbage);
-    }
-
-    fn write_next_page(&mut self, actions: &mut Vec<ProposerAction<C>>) {
-        let Some(proposal) = &mut self.proposal else {
-            return;
-        };
-        let Stage::WritingPages(None, head, version) = &proposal.stage else {
-            return;
-        };
-        if let Some(page) = proposal.pages.iter().find(|page| !page.written) {
-            let object = Object::Page {
-                name: page.stamp.page_name(&page.key),
-                body: Arc::clone(&page.body),
-            };
-            let call = self.calls.call(PlatformOp::Create(object));
-            proposal.stage = Stage::WritingPages(Some(call.id), head.clone(), version.clone());
-            actions.push(ProposerAction::Call(call));
-            return;
-        }
-        let pending = PendingChange {
-            change: proposal.id,
-            proposer: self.me.clone(),
-            pages: proposal.stamps(),
-        };
-        let next = Box::new(head.with_pending(pending));
-        let op = PlatformOp::Update(Object::Head(next.clone()), version.clone());
-        let call = self.calls.call(op);
-        proposal.stage = Stage::WritingPending(call.id, next);
-        actions.push(ProposerAction::Call(call));
-    }
-
-    fn on_page_written(
-        &mut self,
-        result: &PlatformResult,
-        now: Moment,
-        actions: &mut Vec<ProposerAction<C>>,
-    ) {
-        let retry_every = self.cfg.retry_every;
-        let Some(proposal) = &mut self.proposal else {
-            return;
-        };
-        if let Stage::WritingPages(call, ..) = &mut proposal.stage {
-            *call = None;
-        }
-        match result {
-            // Only this change writes pages of these names, so one that exists is its own.
-            PlatformResult::Written(_) | PlatformResult::AlreadyExists => {
-                if let Some(page) = proposal.pages.iter_mut().find(|page| !page.written) {
-                    page.written = true;
-                }
-                self.write_next_page(actions);
-            }
-            _ if now >= proposal.begin_by => {
-                self.finish(ChangeRefusal::PlatformUnavailable, actions);
-            }
-            _ => proposal.retry_at = now + retry_every,
-        }
-    }
-
     fn on_pending_written(
         &mut self,
         head: Box<HeadRecord>,
@@ -501,117 +408,6 @@
         }
     }
 
-    fn write_decision(&mut self, actions: &mut Vec<ProposerAction<C>>) {
-        let Some(proposal) = &mut self.proposal else {
-            return;
-        };
-        let Stage::Decided(head, version) = &proposal.stage else {
-            return;
-        };
-        let next = match &proposal.verdict {
-            Some(Verdict::Accept) => head.accepted(),
-            Some(Verdict::GiveUp(_)) | None => head.given_up(),
-        };
-        let op = PlatformOp::Update(Object::Head(Box::new(next.clone())), version.clone());
-        let call = self.calls.call(op);
-        proposal.stage = Stage::WritingDecision(call.id, Box::new(next));
-        actions.push(ProposerAction::Call(call));
-    }
-
-    fn on_decision_written(
-        &mut self,
-        head: Box<HeadRecord>,
-        result: PlatformResult,
-        now: Moment,
-        actions: &mut Vec<ProposerAction<C>>,
-    ) {
-        let retry_every = self.cfg.retry_every;
-        let Some(proposal) = &mut self.proposal else {
-            return;
-        };
-        if let PlatformResult::Written(version) = result {
-            let outcome = head.outcome(proposal.id).flatten();
-            actions.push(ProposerAction::Seen(head.clone(), version));
-            return self.end(&head, outcome, actions);
-        }
-        if self.bugs.has(Bug::LostAnswerIsFailure) {
-            return self.finish(ChangeRefusal::PlatformUnavailable, actions);
-        }
-        // Whether it was carried out, and if not what came before it, shows in the head.
-        proposal.stage = Stage::Begin;
-        proposal.retry_at = if result.is_answer() {
-            now
-        } else {
-            now + retry_every
-        };
-    }
-
-    /// Ends the proposal as the head says, and tells everyone.
-    fn end(
-        &mut self,
-        head: &HeadRecord,
-        accepted: Option<Revision>,
-        actions: &mut Vec<ProposerAction<C>>,
-    ) {
-        let Some(proposal) = &self.proposal else {
-            return;
-        };
-        let message = ConfigMessage::Decided {
-            change: proposal.id,
-            generation: head.generation,
-            accepted,
-        };
-        let to: Vec<_> = proposal
-            .collecting
-            .live()
-            .map(|holder| holder.instance.clone())
-            .collect();
-        let sends = fan_out(&message, &to, self.cfg.direct_at_most);
-        actions.extend(
-            sends
-                .into_iter()
-                .map(|(to, message)| ProposerAction::Send(to, message)),
-        );
-        self.delete_unused_pages(accepted.is_some(), actions);
-        let Some(proposal) = &self.proposal else {
-            return;
-        };
-        let refusal = match (accepted, &proposal.verdict) {
-            (Some(revision), _) => {
-                if let Some(ticket) = self.proposal.take().and_then(|proposal| proposal.ticket) {
-                    actions.push(ProposerAction::Accepted(ticket, revision));
-                }
-                return;
-            }
-            (None, Some(Verdict::GiveUp(refusal))) => refusal.clone(),
-            (None, Some(Verdict::Accept) | None) => ChangeRefusal::GivenUp,
-        };
-        self.finish(refusal, actions);
-    }
-
-    /// Deletes the pages that nobody can come to need any more.
-    ///
-    /// What this change replaces stays until the next one: an instance that read the head just
-    /// before may be loading it.
-    fn delete_unused_pages(&mut self, accepted: bool, actions: &mut Vec<ProposerAction<C>>) {
-        let Some(proposal) = &mut self.proposal else {
-            return;
-        };
-        let mut names = std::mem::take(&mut proposal.unused);
-        if accepted {
-            names.append(&mut proposal.garbage);
-        } else {
-            let own = proposal.pages.iter();
-            names.extend(own.map(|page| page.stamp.page_name(&page.key)));
-        }
-        for name in names {
-            let call = self
-                .calls
-                .call(PlatformOp::Delete(ObjectName::Page(name), None));
-            actions.push(ProposerAction::Call(call));
-        }
-    }
-
     /// Tries again later, or refuses the change if it has waited for long.
     fn retry(&mut self, refusal: ChangeRefusal, now: Moment, actions: &mut Vec<ProposerAction<C>>) {
         let retry_every = self.cfg.retry_every;
@@ -625,12 +421,6 @@
         proposal.stage = Stage::Begin;
         proposal.retry_at = now + retry_every;
     }
-
-    fn finish(&mut self, refusal: ChangeRefusal, actions: &mut Vec<ProposerAction<C>>) {
-        if let Some(ticket) = self.proposal.take().and_then(|proposal| proposal.ticket) {
-            actions.push(ProposerAction::Refused(ticket, refusal));
-        }
-    }
 }
 
 fn leases(objects: Vec<Stored>) -> Vec<LeaseRecord> {
