--- a/crates/chervilshunt_daemon/tests/callers_answers.rs
+++ b/crates/chervilshunt_daemon/tests/callers_answers.rs
@@ -214,6 +214,7 @@
 #[test]
 fn a_refused_retry_does_not_hide_that_the_first_try_ran() {
     alone(options, async |test| {
+        until_sound(&test).await;
         test.fault("engine-1", json!({"cut_after_tokens": 2})).await;
         let broken = json!({"restart": true, "load_fails": 1.0});
         test.fault("engine-2", broken).await;
@@ -250,31 +251,70 @@
 #[test]
 fn an_engine_that_fails_its_calls_gets_few_more() {
     const ROUNDS: u32 = 12;
-    const AT_A_TIME: usize = 10;
     /// Calls that it takes to tell, those under way meanwhile, and single ones after that.
     const MOST_FAILED: f64 = 40.0;
     alone(options, async |test| {
+        until_sound(&test).await;
         test.fault("engine-1", json!({"cut_after_tokens": 2})).await;
-        let to = test.fleet.instances()["i1"].callers();
         let failed = "chervilshunt_retries_total{reason=\"broken_off\"}";
         let before = test.metric("i1", failed).await;
         for round in 0..ROUNDS {
-            let calls = (0..AT_A_TIME).map(async |call| {
-                let model = model_name(call % 4);
-                let id = format!("grey-{round}-{call}");
-                let body = completion(&model, 4, false);
-                let headers = [("x-request-id", id.as_str())];
-                let req = post(to, "/v1/completions", &headers, &body);
-                let answer = send(to, Speaks::Http1, req).await;
+            for (id, model, answer) in together(&test, &format!("grey-{round}")).await {
                 assert_eq!(answer.status, StatusCode::OK, "{}", answer.text);
                 assert_eq!(text_of(&answer), tokens(&model, &id, 4));
-            });
-            join_all(calls).await;
+            }
         }
         let retried = test.metric("i1", failed).await - before;
         assert!(retried > 0.0, "the engine got no call");
         assert!(retried <= MOST_FAILED, "{retried} calls failed");
+        test.fault("engine-1", json!({"cut_after_tokens": -1}))
+            .await;
+        until_sound(&test).await;
+    });
+}
+
+/// Waits until both engines get and answer calls again: earlier tests may have made enough of them
+/// fail for their owners to stop calls.
+async fn until_sound(test: &Alone) {
+    /// As many calls to each engine as a breaker looks at before it opens.
+    const SOUND_ROUNDS: u32 = 4;
+    const ENGINES: [&str; 2] = ["engine-1", "engine-2"];
+    let mut sound = 0;
+    let mut round = 0;
+    for _ in 0..200 {
+        round += 1;
+        let answers = together(test, &format!("sound-{round}")).await;
+        let from = |engine: &str| {
+            let served = |answer: &Answered| {
+                answer.status == StatusCode::OK && answer.header("x-target") == Some(engine)
+            };
+            answers.iter().filter(|(.., it)| served(it)).count()
+        };
+        let all = ENGINES.iter().map(|engine| from(engine)).sum::<usize>() == answers.len();
+        let both = ENGINES.iter().all(|engine| from(engine) > 0);
+        sound = if all && both { sound + 1 } else { 0 };
+        if sound == SOUND_ROUNDS {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("an engine gets no calls any more");
+}
+
+/// Sends ten requests over all models at the same time; returns each id and model with its answer.
+async fn together(test: &Alone, name: &str) -> Vec<(String, String, Answered)> {
+    const AT_A_TIME: usize = 10;
+    let to = test.fleet.instances()["i1"].callers();
+    let calls = (0..AT_A_TIME).map(async |call| {
+        let model = model_name(call % 4);
+        let id = format!("{name}-{call}");
+        let body = completion(&model, 4, false);
+        let headers = [("x-request-id", id.as_str())];
+        let req = post(to, "/v1/completions", &headers, &body);
+        let answer = send(to, Speaks::Http1, req).await;
+        (id, model, answer)
     });
+    join_all(calls).await
 }
 
 // An engine serves a request by another adapter, as after an eviction that it did not report. The
