Move what a message between instances is addressed to into a file of its own

Cause: control/carry_out.rs had 452 lines, a quarter of them the table of messages to roles, in which three ways to make an answer stood seven times.

--- /dev/null
+++ b/crates/chervilshunt_daemon/src/control/address.rs
@@ -0,0 +1,133 @@
+//! Which role a message between instances is for, and what it means there.
+
+use std::time::Duration;
+
+use chervilshunt_coord::Role;
+use chervilshunt_core::{OwnerEvent, PowerEvent, SchedulerEvent};
+use chervilshunt_model::{SiteName, StoreName, TargetName};
+
+use super::steps::Step;
+use crate::wire::{Demanded, PeerMessage, Share, TurnAsked, TurnEnded, TurnGranted, TurnHeld};
+
+/// Returns the role that a message is for, with the event that it is there.
+pub(super) fn addressed(message: PeerMessage) -> Option<(Role, Step)> {
+    let addressed = match message {
+        PeerMessage::TurnAsked(TurnAsked {
+            store,
+            target,
+            order,
+            model,
+            urgency,
+        }) => {
+            let event = SchedulerEvent::TurnAsked {
+                target,
+                order,
+                model,
+                urgency,
+            };
+            to_scheduler(store, event)
+        }
+        PeerMessage::TurnEnded(TurnEnded {
+            store,
+            target,
+            order,
+            result,
+        }) => {
+            let event = SchedulerEvent::TurnEnded {
+                target,
+                order,
+                result,
+            };
+            to_scheduler(store, event)
+        }
+        PeerMessage::TurnHeld(TurnHeld {
+            store,
+            target,
+            order,
+            model,
+        }) => {
+            let event = SchedulerEvent::TurnHeld {
+                target,
+                order,
+                model,
+            };
+            to_scheduler(store, event)
+        }
+        PeerMessage::TurnGranted(TurnGranted {
+            target,
+            order,
+            queue_wait_ms,
+        }) => {
+            let queue_wait = Duration::from_millis(queue_wait_ms);
+            let event = OwnerEvent::TurnGranted { order, queue_wait };
+            to_owner(target, event)
+        }
+        PeerMessage::Demanded(Demanded {
+            site,
+            target,
+            live_watts,
+            deferrable_watts,
+            ..
+        }) => {
+            let event = PowerEvent::Demanded {
+                target,
+                live_watts,
+                deferrable_watts,
+            };
+            to_allocator(site, event)
+        }
+        PeerMessage::ShareSet(Share {
+            target,
+            sequence,
+            watts,
+            ..
+        }) => {
+            let event = OwnerEvent::ShareSet { sequence, watts };
+            to_owner(target, event)
+        }
+        PeerMessage::ShareConfirmed(Share {
+            site,
+            target,
+            sequence,
+            watts,
+        }) => {
+            let event = PowerEvent::ShareConfirmed {
+                target,
+                sequence,
+                watts,
+            };
+            to_allocator(site, event)
+        }
+        PeerMessage::PermitAsked(_)
+        | PeerMessage::PermitAnswered(_)
+        | PeerMessage::PermitReleased(_)
+        | PeerMessage::PermitsAsked(_)
+        | PeerMessage::PermitsHeld(_)
+        | PeerMessage::FactsAsked
+        | PeerMessage::Facts(_)
+        | PeerMessage::Coord(_)
+        | PeerMessage::InForceAsked(_)
+        | PeerMessage::ClaimAsked(_)
+        | PeerMessage::ClaimAnswered(_)
+        | PeerMessage::ClaimEnded(_)
+        | PeerMessage::TryAsked(..)
+        | PeerMessage::Done
+        | PeerMessage::NotHolder => return None,
+    };
+    Some(addressed)
+}
+
+fn to_scheduler(store: StoreName, event: SchedulerEvent) -> (Role, Step) {
+    (
+        Role::LoadScheduler(store.clone()),
+        Step::Scheduler(store, event),
+    )
+}
+
+fn to_owner(target: TargetName, event: OwnerEvent) -> (Role, Step) {
+    (Role::Target(target.clone()), Step::Owner(target, event))
+}
+
+fn to_allocator(site: SiteName, event: PowerEvent) -> (Role, Step) {
+    (Role::PowerAllocator(site.clone()), Step::Power(site, event))
+}
--- a/crates/chervilshunt_daemon/src/control/carry_out.rs
+++ b/crates/chervilshunt_daemon/src/control/carry_out.rs
@@ -1,16 +1,17 @@
 //! Carrying out what the state machines want done.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use chervilshunt_coord::Role;
 use chervilshunt_core::{
     Decision, EngineOrder, OrderFailure, OrderKind, OwnerAction, OwnerEvent, PowerAction,
-    PowerEvent, SchedulerAction, SchedulerEvent, TurnResult,
+    SchedulerAction, TurnResult,
 };
 use chervilshunt_engine::EngineClient;
 use chervilshunt_model::{Class, InstanceId, SiteName, TargetName};
 
 use super::actor::Control;
+use super::address::addressed;
 use super::measure;
 use super::messages::{EngineNews, FromEngine};
 use super::steps::{Step, Steps};
@@ -324,123 +325,6 @@
     names.join(",")
 }
 
-/// Returns the role that a message is for, with the event that it is there.
-pub(super) fn addressed(message: PeerMessage) -> Option<(Role, Step)> {
-    let addressed = match message {
-        PeerMessage::TurnAsked(TurnAsked {
-            store,
-            target,
-            order,
-            model,
-            urgency,
-        }) => {
-            let event = SchedulerEvent::TurnAsked {
-                target,
-                order,
-                model,
-                urgency,
-            };
-            (
-                Role::LoadScheduler(store.clone()),
-                Step::Scheduler(store, event),
-            )
-        }
-        PeerMessage::TurnEnded(TurnEnded {
-            store,
-            target,
-            order,
-            result,
-        }) => {
-            let event = SchedulerEvent::TurnEnded {
-                target,
-                order,
-                result,
-            };
-            (
-                Role::LoadScheduler(store.clone()),
-                Step::Scheduler(store, event),
-            )
-        }
-        PeerMessage::TurnHeld(TurnHeld {
-            store,
-            target,
-            order,
-            model,
-        }) => {
-            let event = SchedulerEvent::TurnHeld {
-                target,
-                order,
-                model,
-            };
-            (
-                Role::LoadScheduler(store.clone()),
-                Step::Scheduler(store, event),
-            )
-        }
-        PeerMessage::TurnGranted(TurnGranted {
-            target,
-            order,
-            queue_wait_ms,
-        }) => {
-            let queue_wait = Duration::from_millis(queue_wait_ms);
-            let event = OwnerEvent::TurnGranted { order, queue_wait };
-            (Role::Target(target.clone()), Step::Owner(target, event))
-        }
-        PeerMessage::Demanded(Demanded {
-            site,
-            target,
-            live_watts,
-            deferrable_watts,
-            ..
-        }) => {
-            let event = PowerEvent::Demanded {
-                target,
-                live_watts,
-                deferrable_watts,
-            };
-            (Role::PowerAllocator(site.clone()), Step::Power(site, event))
-        }
-        PeerMessage::ShareSet(Share {
-            target,
-            sequence,
-            watts,
-            ..
-        }) => {
-            let event = OwnerEvent::ShareSet { sequence, watts };
-            (Role::Target(target.clone()), Step::Owner(target, event))
-        }
-        PeerMessage::ShareConfirmed(Share {
-            site,
-            target,
-            sequence,
-            watts,
-        }) => {
-            let event = PowerEvent::ShareConfirmed {
-                target,
-                sequence,
-                watts,
-            };
-            (Role::PowerAllocator(site.clone()), Step::Power(site, event))
-        }
-        PeerMessage::PermitAsked(_)
-        | PeerMessage::PermitAnswered(_)
-        | PeerMessage::PermitReleased(_)
-        | PeerMessage::PermitsAsked(_)
-        | PeerMessage::PermitsHeld(_)
-        | PeerMessage::FactsAsked
-        | PeerMessage::Facts(_)
-        | PeerMessage::Coord(_)
-        | PeerMessage::InForceAsked(_)
-        | PeerMessage::ClaimAsked(_)
-        | PeerMessage::ClaimAnswered(_)
-        | PeerMessage::ClaimEnded(_)
-        | PeerMessage::TryAsked(..)
-        | PeerMessage::Done
-        | PeerMessage::NotHolder => return None,
-    };
-    Some(addressed)
-}
-
 /// Turns a failed call into what it means for the order.
 fn order_failure(error: &chervilshunt_engine::EngineError) -> OrderFailure {
     use chervilshunt_engine::EngineError;
--- a/crates/chervilshunt_daemon/src/control/mod.rs
+++ b/crates/chervilshunt_daemon/src/control/mod.rs
@@ -5,6 +5,7 @@
 //! permits by message. See `docs/ARCHITECTURE.md`.
 
 mod actor;
+mod address;
 mod carry_out;
 mod claims;
 mod confirm;
--- a/crates/chervilshunt_daemon/src/control/peers.rs
+++ b/crates/chervilshunt_daemon/src/control/peers.rs
@@ -7,7 +7,7 @@
 use xtra::prelude::*;
 
 use super::actor::Control;
-use super::carry_out::addressed;
+use super::address::addressed;
 use super::claims::{AskClaim, ClaimReply};
 use super::messages::{AskPermit, FromPeer, PermitReply, ReleasePermit};
 use super::steps::Step;
