--- a/crates/chervilshunt_daemon/tests/callers_answers.rs
+++ b/crates/chervilshunt_daemon/tests/callers_answers.rs
@@ -258,8 +258,11 @@
     const ROUNDS: u32 = 12;
     /// Calls that it takes to tell, those under way meanwhile, and single ones after that.
     const MOST_FAILED: f64 = 40.0;
+    /// Time after which earlier calls no longer count for a breaker.
+    const WINDOW: Duration = Duration::from_secs(11);
     alone(options, async |test| {
         until_sound(&test).await;
+        tokio::time::sleep(WINDOW).await;
         test.fault("engine-1", json!({"cut_after_tokens": 2})).await;
         let failed = "chervilshunt_retries_total{reason=\"broken_off\"}";
         let before = test.metric("i1", failed).await;
