Split admission into requests, seats and answers

What becomes of a request stays; who gets the next seat, and the answers with their log lines, have files of their own. Functions are moved as they were.

--- a/crates/chervilshunt_core/src/owner.rs
+++ b/crates/chervilshunt_core/src/owner.rs
@@ -6,6 +6,7 @@
 
 mod action;
 mod admit;
+mod answer;
 mod config;
 mod demand;
 mod engine;
@@ -20,6 +21,7 @@
 mod power;
 mod queue;
 mod release;
+mod seats;
 mod settled;
 mod slots;
 mod spread;
--- a/crates/chervilshunt_core/src/owner/admit.rs
+++ b/crates/chervilshunt_core/src/owner/admit.rs
@@ -1,4 +1,4 @@
-//! Who gets the next permit.
+//! What becomes of a request for a permit.
 
 use std::time::Duration;
 
@@ -7,25 +7,14 @@
 
 use super::Owner;
 use super::action::OwnerAction;
+use super::answer::answer_to;
 use super::loads::Phase;
 use super::orders::load_tries;
-use super::queue::{Asked, Waiting};
+use super::queue::Asked;
 use super::settled::Settlement;
-use super::tuning::{
-    AGED_PAUSE, DEFERRABLE_AGE, FILL_HOLD, LIVE_LOAD_HALF_LIFE, LIVE_PER_AGED, MAX_CLOSED_HOPS,
-    MAX_HOPS, PREFIX_LOOKAHEAD, RETRY_AFTER,
-};
+use super::tuning::{MAX_CLOSED_HOPS, MAX_HOPS, RETRY_AFTER};
 use crate::bugs::Bug;
-use crate::{DecisionKind, Permit, PermitAnswer, PermitRequest, RefusalReason};
-
-/// Standard deviations of the live load for which seats are kept free.
-const HEAD_ROOM: f64 = 2.0;
-
-/// Part of its time to the deadline after which a deferrable request competes with live ones.
-const AGED_PART: u32 = 2;
-
-/// Part of a batch that deferrable requests have to fill to start an idle engine.
-const FILL_PART: f64 = 0.5;
+use crate::{DecisionKind, PermitAnswer, PermitRequest, RefusalReason};
 
 impl Owner {
     /// Takes a request for a permit: grants, queues, redirects or refuses it.
@@ -73,16 +62,6 @@
         self.enqueue(req, lane, waits_for_load, now, out);
     }
 
-    /// Grants permits to waiting requests while there is room.
-    pub(super) fn dispatch(&mut self, now: Moment, out: &mut Vec<OwnerAction>) {
-        while let Some((attempt, reason)) = self.next_admissible(now) {
-            let Some(waiting) = self.queue.take(attempt) else {
-                return;
-            };
-            self.grant(waiting.end(now), reason, now, out);
-        }
-    }
-
     /// Turns every waiting request away, as the target takes no new work.
     pub(super) fn turn_all_away(
         &mut self,
@@ -148,7 +127,7 @@
     }
 
     /// Returns the class under which a request is treated.
-    fn lane(&self, class: Class) -> Class {
+    pub(super) fn lane(&self, class: Class) -> Class {
         if self.cfg.mechanisms.fill {
             class
         } else {
@@ -156,46 +135,6 @@
         }
     }
 
-    /// Returns the seats in the batch that are free, within the share of power.
-    pub(super) fn free_seats(&self) -> usize {
-        let taken = self.permits.len() + self.engine.foreign();
-        let taken = taken.saturating_add(self.unknown_sequences());
-        let more = usize::from(self.bugs.has(Bug::GrantsBeyondBatch));
-        (self.power.batch_bound() + more).saturating_sub(taken)
-    }
-
-    /// Returns the seats that live work is likely to need beyond those that it holds.
-    pub(super) fn reserved_seats(&self, now: Moment) -> usize {
-        let average = self.live_load.average(LIVE_LOAD_HALF_LIFE, now);
-        let wanted = average + HEAD_ROOM * self.stall_weight().sqrt() * average.max(0.25).sqrt();
-        (wanted.ceil() as usize).saturating_sub(self.permits.live())
-    }
-
-    /// Returns when a waiting deferrable request is next to be looked at because of its age.
-    pub(super) fn next_age(&self, now: Moment) -> Option<Moment> {
-        let oldest = self.queue.oldest_ready(Class::Deferrable)?;
-        let aged = oldest.arrived + age_limit(&oldest.req);
-        let held = oldest.arrived + self.fill_hold();
-        let turn = aged.max(self.deferrable_granted + AGED_PAUSE);
-        [aged, held, turn].into_iter().filter(|at| *at > now).min()
-    }
-
-    /// Returns the time that a request of a class that arrives now would wait for room.
-    pub(super) fn expected_wait(&self, lane: Class) -> Duration {
-        let mut ahead = self.queue.ready(Class::Live);
-        if lane == Class::Deferrable {
-            ahead += self.queue.ready(Class::Deferrable);
-        }
-        let free = self.free_seats();
-        if ahead < free {
-            return Duration::ZERO;
-        }
-        let seats = self.power.batch_bound().max(1) as f64;
-        self.service_time
-            .get()
-            .mul_f64((ahead - free + 1) as f64 / seats)
-    }
-
     fn answered_before(&self, req: &PermitRequest, out: &mut Vec<OwnerAction>) -> bool {
         if let Some(held) = self.permits.get(req.attempt) {
             let answer = PermitAnswer::Granted {
@@ -219,7 +158,7 @@
         }
     }
 
-    fn closed(&self, now: Moment) -> Option<RefusalReason> {
+    pub(super) fn closed(&self, now: Moment) -> Option<RefusalReason> {
         if self.fenced {
             return Some(RefusalReason::NotOwner);
         }
@@ -262,7 +201,7 @@
         req.class == Class::Deferrable && self.next_ranked(req, MAX_CLOSED_HOPS).is_empty()
     }
 
-    fn waits_for_load(&self, req: &PermitRequest) -> bool {
+    pub(super) fn waits_for_load(&self, req: &PermitRequest) -> bool {
         let model = req.model.as_ref();
         self.slots.exist() && model.is_some_and(|model| !self.slots.serves(model))
     }
@@ -337,7 +276,7 @@
         }
     }
 
-    fn expected_load(&self, req: &PermitRequest, now: Moment) -> Duration {
+    pub(super) fn expected_load(&self, req: &PermitRequest, now: Moment) -> Duration {
         let load = req.model.as_ref().and_then(|model| self.loads.get(model));
         match load.map(|load| load.phase) {
             Some(Phase::Ordered { at }) => self.loads.load_time().saturating_sub(now.since(at)),
@@ -360,7 +299,7 @@
     }
 
     /// Returns until when an adapter isn't tried again whose tries are used up.
-    fn load_given_up(&self, req: &PermitRequest, now: Moment) -> Option<Moment> {
+    pub(super) fn load_given_up(&self, req: &PermitRequest, now: Moment) -> Option<Moment> {
         let load = self.loads.get(req.model.as_ref()?)?;
         let Phase::Backoff { until } = load.phase else {
             return None;
@@ -391,183 +330,6 @@
             self.want_load(&model, now, out);
         }
     }
-
-    /// Whether a request of a class may have a seat now.
-    fn admits(&self, lane: Class, now: Moment) -> bool {
-        if self.closed(now).is_some() || !self.knows_adapters() {
-            return false;
-        }
-        let free = self.free_seats();
-        match lane {
-            Class::Live => free > 0,
-            Class::Deferrable => free > self.reserved_seats(now) && self.fills(now),
-        }
-    }
-
-    /// Whether deferrable work would fill steps that run anyway, or a batch of its own.
-    fn fills(&self, now: Moment) -> bool {
-        if self.permits.len() > 0 {
-            return true;
-        }
-        let wanted = (self.power.batch_bound() as f64 * FILL_PART).ceil() as usize;
-        let oldest = self.queue.oldest_ready(Class::Deferrable);
-        let held = oldest.is_some_and(|it| now.since(it.arrived) >= self.fill_hold());
-        held || self.queue.ready(Class::Deferrable) >= wanted
-    }
-
-    fn fill_hold(&self) -> Duration {
-        FILL_HOLD.div_f64(self.stall_weight())
-    }
-
-    fn next_admissible(&self, now: Moment) -> Option<(AttemptId, &'static str)> {
-        if let Some(aged) = self.aged(now) {
-            return Some((
-                aged.req.attempt,
-                "waited long enough to compete with live work",
-            ));
-        }
-        for (lane, reason) in [
-            (Class::Live, "first in fair order"),
-            (Class::Deferrable, "fills the batch"),
-        ] {
-            if self.queue.ready(lane) > 0 && self.admits(lane, now) {
-                let next = self.first_in_order(lane)?;
-                return Some((next.req.attempt, reason));
-            }
-        }
-        None
-    }
-
-    /// Returns a deferrable request that has waited long enough to compete with live ones, if it
-    /// is its turn.
-    ///
-    /// Its turn comes after so many live permits or after a pause, also while no live request
-    /// waits: in a flood all deferrable requests are old, and would otherwise take every seat that
-    /// is kept for live work as soon as it is free.
-    fn aged(&self, now: Moment) -> Option<&Waiting> {
-        let oldest = self.queue.oldest_ready(Class::Deferrable)?;
-        let aged = now.since(oldest.arrived) >= age_limit(&oldest.req);
-        let paused = now.since(self.deferrable_granted) >= AGED_PAUSE;
-        let turn = self.live_since_aged >= LIVE_PER_AGED || paused;
-        (aged && turn && self.admits(Class::Live, now)).then_some(oldest)
-    }
-
-    /// Returns the first request in fair order, or one close to it whose prefix is cached.
-    fn first_in_order(&self, lane: Class) -> Option<&Waiting> {
-        let first = self.queue.in_order(lane).next()?;
-        if !self.cfg.mechanisms.prefix {
-            return Some(first);
-        }
-        let mut near = self.queue.in_order(lane).take(PREFIX_LOOKAHEAD);
-        let cached = near
-            .find(|it| it.req.caller == first.req.caller && self.engine.is_cached(it.req.prefix));
-        cached.or(Some(first))
-    }
-
-    fn grant(
-        &mut self,
-        asked: impl Into<Asked>,
-        reason: &'static str,
-        now: Moment,
-        out: &mut Vec<OwnerAction>,
-    ) {
-        let asked = asked.into();
-        let req = &asked.req;
-        if let (true, Some(model)) = (self.slots.exist(), &req.model) {
-            self.slots.pin(model, now);
-        }
-        match req.class {
-            Class::Live => self.live_since_aged = self.live_since_aged.saturating_add(1),
-            Class::Deferrable => {
-                self.live_since_aged = 0;
-                self.deferrable_granted = now;
-            }
-        }
-        let permit = Permit {
-            attempt: req.attempt,
-            entry: req.entry.clone(),
-            target: self.cfg.target.clone(),
-            model: req.model.clone(),
-            class: req.class,
-            epoch: self.cfg.epoch,
-            window_ms: u64::try_from(self.cfg.permit_window.as_millis()).unwrap_or(u64::MAX),
-        };
-        let ticket = self.health.admit(permit.attempt, now);
-        self.permits.insert(permit.clone(), ticket, now);
-        self.permits_changed(now);
-        let spread = self.spread_of(req.model.as_ref());
-        let answer = answer_to(req, PermitAnswer::Granted { permit, spread });
-        self.log_asked(DecisionKind::Grant, &asked, reason, out);
-        out.push(answer);
-    }
-
-    fn redirect(
-        &mut self,
-        asked: impl Into<Asked>,
-        targets: SmallVec<[TargetName; 4]>,
-        reason: &'static str,
-        now: Moment,
-        out: &mut Vec<OwnerAction>,
-    ) {
-        let asked = asked.into();
-        let mut decision = self.decision(DecisionKind::Redirect, &asked, reason);
-        decision.sent_on.clone_from(&targets);
-        out.push(OwnerAction::Log(decision));
-        self.settle(&asked.req, PermitAnswer::Redirect { targets }, now, out);
-    }
-
-    fn refuse(
-        &mut self,
-        asked: impl Into<Asked>,
-        reason: RefusalReason,
-        retry_after: Duration,
-        now: Moment,
-        out: &mut Vec<OwnerAction>,
-    ) {
-        let asked = asked.into();
-        self.log_asked(DecisionKind::Refuse, &asked, reason.as_str(), out);
-        let retry_after = retry_after.clamp(RETRY_AFTER.0, RETRY_AFTER.1);
-        let answer = PermitAnswer::Refused {
-            reason,
-            retry_after_ms: u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
-        };
-        self.settle(&asked.req, answer, now, out);
-    }
-
-    fn settle(
-        &mut self,
-        req: &PermitRequest,
-        answer: PermitAnswer,
-        now: Moment,
-        out: &mut Vec<OwnerAction>,
-    ) {
-        let settlement = Settlement::Answered(Box::new(answer.clone()));
-        self.settled.insert(req.attempt, req.hops, settlement, now);
-        out.push(answer_to(req, answer));
-    }
-
-    fn retry_after(&self, req: &PermitRequest, reason: RefusalReason, now: Moment) -> Duration {
-        match reason {
-            RefusalReason::LoadFailed => {
-                let until = self.load_given_up(req, now);
-                until.map_or(RETRY_AFTER.0, |until| now.until(until))
-            }
-            RefusalReason::QueueFull => self.expected_wait(self.lane(req.class)),
-            RefusalReason::Deadline => {
-                let load = self
-                    .waits_for_load(req)
-                    .then(|| self.expected_load(req, now));
-                load.unwrap_or_default()
-                    .max(self.expected_wait(self.lane(req.class)))
-            }
-            RefusalReason::Draining | RefusalReason::NotOwner => RETRY_AFTER.0,
-            RefusalReason::TargetDown => Duration::from_secs(2),
-            RefusalReason::TargetFailing => {
-                let until = self.health.refused_until(now);
-                until.map_or(RETRY_AFTER.0, |until| now.until(until))
-            }
-        }
-    }
 }
 
 /// Whether a target that takes nothing for this reason is likely to be back before long.
@@ -581,17 +343,3 @@
         | RefusalReason::NotOwner => false,
     }
 }
-
-/// Returns the wait after which a deferrable request competes with live ones.
-fn age_limit(req: &PermitRequest) -> Duration {
-    let part = Duration::from_millis(req.deadline_ms) / AGED_PART;
-    part.min(DEFERRABLE_AGE)
-}
-
-fn answer_to(req: &PermitRequest, answer: PermitAnswer) -> OwnerAction {
-    OwnerAction::Answer {
-        entry: req.entry.clone(),
-        attempt: req.attempt,
-        answer,
-    }
-}
--- /dev/null
+++ b/crates/chervilshunt_core/src/owner/seats.rs
@@ -0,0 +1,153 @@
+//! Which waiting request gets the next seat in the batch.
+
+use std::time::Duration;
+
+use chervilshunt_model::{AttemptId, Class, Moment};
+
+use super::Owner;
+use super::action::OwnerAction;
+use super::queue::Waiting;
+use super::tuning::{
+    AGED_PAUSE, DEFERRABLE_AGE, FILL_HOLD, LIVE_LOAD_HALF_LIFE, LIVE_PER_AGED, PREFIX_LOOKAHEAD,
+};
+use crate::PermitRequest;
+use crate::bugs::Bug;
+
+/// Standard deviations of the live load for which seats are kept free.
+const HEAD_ROOM: f64 = 2.0;
+
+/// Part of its time to the deadline after which a deferrable request competes with live ones.
+const AGED_PART: u32 = 2;
+
+/// Part of a batch that deferrable requests have to fill to start an idle engine.
+const FILL_PART: f64 = 0.5;
+
+impl Owner {
+    /// Grants permits to waiting requests while there is room.
+    pub(super) fn dispatch(&mut self, now: Moment, out: &mut Vec<OwnerAction>) {
+        while let Some((attempt, reason)) = self.next_admissible(now) {
+            let Some(waiting) = self.queue.take(attempt) else {
+                return;
+            };
+            self.grant(waiting.end(now), reason, now, out);
+        }
+    }
+
+    /// Returns the seats in the batch that are free, within the share of power.
+    pub(super) fn free_seats(&self) -> usize {
+        let taken = self.permits.len() + self.engine.foreign();
+        let taken = taken.saturating_add(self.unknown_sequences());
+        let more = usize::from(self.bugs.has(Bug::GrantsBeyondBatch));
+        (self.power.batch_bound() + more).saturating_sub(taken)
+    }
+
+    /// Returns the seats that live work is likely to need beyond those that it holds.
+    pub(super) fn reserved_seats(&self, now: Moment) -> usize {
+        let average = self.live_load.average(LIVE_LOAD_HALF_LIFE, now);
+        let wanted = average + HEAD_ROOM * self.stall_weight().sqrt() * average.max(0.25).sqrt();
+        (wanted.ceil() as usize).saturating_sub(self.permits.live())
+    }
+
+    /// Returns when a waiting deferrable request is next to be looked at because of its age.
+    pub(super) fn next_age(&self, now: Moment) -> Option<Moment> {
+        let oldest = self.queue.oldest_ready(Class::Deferrable)?;
+        let aged = oldest.arrived + age_limit(&oldest.req);
+        let held = oldest.arrived + self.fill_hold();
+        let turn = aged.max(self.deferrable_granted + AGED_PAUSE);
+        [aged, held, turn].into_iter().filter(|at| *at > now).min()
+    }
+
+    /// Returns the time that a request of a class that arrives now would wait for room.
+    pub(super) fn expected_wait(&self, lane: Class) -> Duration {
+        let mut ahead = self.queue.ready(Class::Live);
+        if lane == Class::Deferrable {
+            ahead += self.queue.ready(Class::Deferrable);
+        }
+        let free = self.free_seats();
+        if ahead < free {
+            return Duration::ZERO;
+        }
+        let seats = self.power.batch_bound().max(1) as f64;
+        self.service_time
+            .get()
+            .mul_f64((ahead - free + 1) as f64 / seats)
+    }
+
+    /// Whether a request of a class may have a seat now.
+    pub(super) fn admits(&self, lane: Class, now: Moment) -> bool {
+        if self.closed(now).is_some() || !self.knows_adapters() {
+            return false;
+        }
+        let free = self.free_seats();
+        match lane {
+            Class::Live => free > 0,
+            Class::Deferrable => free > self.reserved_seats(now) && self.fills(now),
+        }
+    }
+
+    /// Whether deferrable work would fill steps that run anyway, or a batch of its own.
+    fn fills(&self, now: Moment) -> bool {
+        if self.permits.len() > 0 {
+            return true;
+        }
+        let wanted = (self.power.batch_bound() as f64 * FILL_PART).ceil() as usize;
+        let oldest = self.queue.oldest_ready(Class::Deferrable);
+        let held = oldest.is_some_and(|it| now.since(it.arrived) >= self.fill_hold());
+        held || self.queue.ready(Class::Deferrable) >= wanted
+    }
+
+    fn fill_hold(&self) -> Duration {
+        FILL_HOLD.div_f64(self.stall_weight())
+    }
+
+    fn next_admissible(&self, now: Moment) -> Option<(AttemptId, &'static str)> {
+        if let Some(aged) = self.aged(now) {
+            return Some((
+                aged.req.attempt,
+                "waited long enough to compete with live work",
+            ));
+        }
+        for (lane, reason) in [
+            (Class::Live, "first in fair order"),
+            (Class::Deferrable, "fills the batch"),
+        ] {
+            if self.queue.ready(lane) > 0 && self.admits(lane, now) {
+                let next = self.first_in_order(lane)?;
+                return Some((next.req.attempt, reason));
+            }
+        }
+        None
+    }
+
+    /// Returns a deferrable request that has waited long enough to compete with live ones, if it
+    /// is its turn.
+    ///
+    /// Its turn comes after so many live permits or after a pause, also while no live request
+    /// waits: in a flood all deferrable requests are old, and would otherwise take every seat that
+    /// is kept for live work as soon as it is free.
+    fn aged(&self, now: Moment) -> Option<&Waiting> {
+        let oldest = self.queue.oldest_ready(Class::Deferrable)?;
+        let aged = now.since(oldest.arrived) >= age_limit(&oldest.req);
+        let paused = now.since(self.deferrable_granted) >= AGED_PAUSE;
+        let turn = self.live_since_aged >= LIVE_PER_AGED || paused;
+        (aged && turn && self.admits(Class::Live, now)).then_some(oldest)
+    }
+
+    /// Returns the first request in fair order, or one close to it whose prefix is cached.
+    fn first_in_order(&self, lane: Class) -> Option<&Waiting> {
+        let first = self.queue.in_order(lane).next()?;
+        if !self.cfg.mechanisms.prefix {
+            return Some(first);
+        }
+        let mut near = self.queue.in_order(lane).take(PREFIX_LOOKAHEAD);
+        let cached = near
+            .find(|it| it.req.caller == first.req.caller && self.engine.is_cached(it.req.prefix));
+        cached.or(Some(first))
+    }
+}
+
+/// Returns the wait after which a deferrable request competes with live ones.
+fn age_limit(req: &PermitRequest) -> Duration {
+    let part = Duration::from_millis(req.deadline_ms) / AGED_PART;
+    part.min(DEFERRABLE_AGE)
+}
