--- a/crates/chervilshunt_core/src/owner/view.rs
+++ b/crates/chervilshunt_core/src/owner/view.rs
@@ -46,6 +46,10 @@
     pub waiters: usize,
     /// Loads that failed in a row.
     pub failed_loads: u32,
+    /// The class of the most urgent request that waits for the load; none without one.
+    pub class: Option<Class>,
+    /// How long its load has been wanted; none where no load is.
+    pub wanted_for: Option<Duration>,
 }
 
 /// The state of an adapter version at a target.
@@ -70,7 +74,7 @@
 
 impl Owner {
     /// Returns the state for operators and metrics; not for every request.
-    pub fn view(&self, _now: Moment) -> OwnerView {
+    pub fn view(&self, now: Moment) -> OwnerView {
         OwnerView {
             live_permits: self.permits.live(),
             deferrable_permits: self.permits.deferrable(),
@@ -78,7 +82,7 @@
             deferrable_waiting: self.queue.len(Class::Deferrable),
             batch_bound: self.power.batch_bound(),
             share_watts: self.power.share_watts(),
-            adapters: self.adapter_views(),
+            adapters: self.adapter_views(now),
             known_adapters: self.demand.len(),
             takeover_complete: self.takeover.complete(),
         }
@@ -89,45 +93,63 @@
         self.permits.iter().map(|held| &held.permit)
     }
 
+    /// Returns the permits that are out with the time since each was granted, or learnt of after a
+    /// takeover.
+    pub fn held_permits(&self, now: Moment) -> impl Iterator<Item = (&Permit, Duration)> {
+        let held = self.permits.iter();
+        held.map(move |held| (&held.permit, now.since(held.since)))
+    }
+
     /// Returns the time that a load asked for now is expected to take, with its wait for a turn.
     pub fn expected_load_time(&self, now: Moment) -> Duration {
         self.loads.expected_time(now)
     }
 
-    fn adapter_views(&self) -> Vec<AdapterView> {
+    fn adapter_views(&self, now: Moment) -> Vec<AdapterView> {
         let pinned = self.slots.pinned().map(|(model, slot)| {
             let state = if slot.retiring {
                 AdapterState::Draining
             } else {
                 AdapterState::Serving
             };
-            self.adapter_view(model, state, slot.pins())
+            self.adapter_view(model, state, slot.pins(), now)
         });
         let idle = self.slots.idle();
-        let idle = idle.map(|(model, _)| self.adapter_view(model, AdapterState::Idle, 0));
+        let idle = idle.map(|(model, _)| self.adapter_view(model, AdapterState::Idle, 0, now));
         let moving = self.slots.all_moving().map(|(model, what)| {
             let state = match what {
                 Moving::Loading(_) => AdapterState::Loading,
                 Moving::Unloading(_) => AdapterState::Unloading,
                 Moving::MaybeLoaded | Moving::MaybeUnloaded => AdapterState::Unknown,
             };
-            self.adapter_view(model, state, 0)
+            self.adapter_view(model, state, 0, now)
         });
         let pending = self.loads.iter().filter(|(model, load)| {
             let in_slot = self.slots.holds(model) || self.slots.moving(model).is_some();
             !in_slot && !matches!(load.phase, Phase::Ordered { .. })
         });
-        let pending = pending.map(|(model, _)| self.adapter_view(model, AdapterState::Pending, 0));
+        let pending =
+            pending.map(|(model, _)| self.adapter_view(model, AdapterState::Pending, 0, now));
         pinned.chain(idle).chain(moving).chain(pending).collect()
     }
 
-    fn adapter_view(&self, model: &AdapterVersion, state: AdapterState, pins: u32) -> AdapterView {
+    fn adapter_view(
+        &self,
+        model: &AdapterVersion,
+        state: AdapterState,
+        pins: u32,
+        now: Moment,
+    ) -> AdapterView {
+        let load = self.loads.get(model);
+        let urgency = self.queue.urgency(model, now);
         AdapterView {
             model: model.clone(),
             state,
             pins,
             waiters: self.queue.blocked_on(model).len(),
-            failed_loads: self.loads.get(model).map_or(0, |load| load.tries),
+            failed_loads: load.map_or(0, |load| load.tries),
+            class: urgency.and_then(|urgency| urgency.class),
+            wanted_for: load.map(|load| now.since(load.wanted)),
         }
     }
 }
--- a/crates/chervilshunt_core/src/scheduler.rs
+++ b/crates/chervilshunt_core/src/scheduler.rs
@@ -211,6 +211,16 @@
         self.load_time.get().mul_f64(rounds)
     }
 
+    /// Returns the number of loads that have their turn.
+    pub fn in_progress(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns the number of loads that wait for their turn.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
     fn asked(
         &mut self,
         turn: Turn,
--- a/crates/chervilshunt_ctl/src/client.rs
+++ b/crates/chervilshunt_ctl/src/client.rs
@@ -29,6 +29,14 @@
     pub(crate) body: Bytes,
 }
 
+impl Reply {
+    /// Returns when the server wants to be asked again.
+    pub(crate) fn retry_after(&self) -> Option<Duration> {
+        let seconds = self.retry_after.as_ref()?.parse().ok()?;
+        Some(Duration::from_secs(seconds))
+    }
+}
+
 /// Why nothing came back.
 #[derive(Debug, Snafu)]
 pub(crate) enum CallError {
--- a/crates/chervilshunt_ctl/src/lib.rs
+++ b/crates/chervilshunt_ctl/src/lib.rs
@@ -10,6 +10,7 @@
 mod options;
 mod prompt;
 mod session;
+mod settle;
 mod show;
 
 use std::ffi::OsString;
--- a/crates/chervilshunt_ctl/src/options.rs
+++ b/crates/chervilshunt_ctl/src/options.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use chervilshunt_model::ChangeId;
 use lexopt::prelude::{Long, Short, Value, ValueExt as _};
 use snafu::{OptionExt as _, ResultExt as _, Snafu};
 
@@ -28,6 +29,9 @@
   --local            ask only the server itself, not the whole deployment
   --check            only check the statements; needs no server
   --timeout SECONDS  how long to wait for an answer (default 30)
+  --settle SECONDS   how long to ask for the outcome of a change whose answer did not come
+                     (default 60)
+  --id UUID          the id of the change, to ask for the outcome of one sent before
   -h, --help         show this text
   -V, --version      show the version
 
@@ -36,11 +40,12 @@
   1  a statement was refused and has not taken effect
   2  the command line or a statement can't be read; nothing was sent
   3  the server can't be reached, or did not answer a question; nothing has changed
-  4  a change was sent, but its answer did not come: it may have taken effect
+  4  a change was sent, and its outcome could not be learnt: it may have taken effect
   5  the server answered something that this tool does not understand
 ";
 
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+const DEFAULT_SETTLE: Duration = Duration::from_secs(60);
 
 /// What the command line asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -59,6 +64,10 @@
     pub(crate) local: bool,
     pub(crate) check: bool,
     pub(crate) timeout: Duration,
+    /// How long a change whose outcome is not known is sent again.
+    pub(crate) settle: Duration,
+    /// The id of the change; a new one unless it was sent before.
+    pub(crate) id: Option<ChangeId>,
     /// The statements among the arguments.
     pub(crate) statements: Option<String>,
 }
@@ -77,6 +86,10 @@
     NoServer,
     #[snafu(display("--timeout is {value:?}, which is no number of seconds above 0"))]
     Timeout { value: String },
+    #[snafu(display("--settle is {value:?}, which is no number of seconds from 0"))]
+    Settle { value: String },
+    #[snafu(display("--id is {value:?}, which is no UUID"))]
+    Id { value: String },
 }
 
 /// Options as written.
@@ -87,6 +100,8 @@
     local: bool,
     check: bool,
     timeout: Option<String>,
+    settle: Option<String>,
+    id: Option<String>,
     words: Vec<String>,
 }
 
@@ -103,6 +118,8 @@
             Short('V') | Long("version") => return Ok(Command::Version),
             Long("server") => raw.server = Some(value(&mut parser)?),
             Long("timeout") => raw.timeout = Some(value(&mut parser)?),
+            Long("settle") => raw.settle = Some(value(&mut parser)?),
+            Long("id") => raw.id = Some(value(&mut parser)?),
             Long("json") => raw.json = true,
             Long("local") => raw.local = true,
             Long("check") => raw.check = true,
@@ -136,6 +153,8 @@
         local: raw.local,
         check: raw.check,
         timeout: raw.timeout.map_or(Ok(DEFAULT_TIMEOUT), timeout)?,
+        settle: raw.settle.map_or(Ok(DEFAULT_SETTLE), settle)?,
+        id: raw.id.map(id).transpose()?,
         statements: (!raw.words.is_empty()).then(|| raw.words.join(" ")),
     })
 }
@@ -150,3 +169,14 @@
         .and_then(|seconds| Duration::try_from_secs_f64(seconds).ok())
         .context(TimeoutSnafu { value })
 }
+
+fn settle(value: String) -> Result<Duration, OptionsError> {
+    let seconds = value.parse().ok();
+    seconds
+        .and_then(|seconds| Duration::try_from_secs_f64(seconds).ok())
+        .context(SettleSnafu { value })
+}
+
+fn id(value: String) -> Result<ChangeId, OptionsError> {
+    ChangeId::parse(&value).context(IdSnafu { value })
+}
--- a/crates/chervilshunt_ctl/src/session.rs
+++ b/crates/chervilshunt_ctl/src/session.rs
@@ -3,10 +3,11 @@
 use std::io::Write as _;
 
 use bytes::Bytes;
+use chervilshunt_model::ChangeId;
 use chervilshunt_query::{Statement, parse, render_errors};
 use tokio::runtime::Runtime;
 
-use crate::answer::{Answer, Outcome, Problem, Question};
+use crate::answer::{Answer, Problem, Question};
 use crate::client::{self, CallError, Reply};
 use crate::exit::Exit;
 use crate::options::Options;
@@ -14,7 +15,7 @@
 
 /// Runs scripts against one server.
 pub(crate) struct Session {
-    options: Options,
+    pub(crate) options: Options,
     runtime: Runtime,
 }
 
@@ -40,6 +41,10 @@
             return Exit::Done;
         }
         let count = statements.len();
+        if self.options.id.is_some() && count != 1 {
+            eprintln!("chervilshuntctl: --id names one change, but there are {count} statements");
+            return Exit::Usage;
+        }
         for (index, statement) in statements.iter().enumerate() {
             let exit = self.run_statement(statement);
             if exit != Exit::Done {
@@ -54,10 +59,23 @@
     }
 
     fn run_statement(&self, statement: &Statement) -> Exit {
+        match statement {
+            Statement::Show(_) => self.show(statement, &self.call(statement, None)),
+            Statement::Change(_) => self.settle(statement),
+        }
+    }
+
+    /// Sends a statement once.
+    pub(crate) fn call(
+        &self,
+        statement: &Statement,
+        id: Option<ChangeId>,
+    ) -> Result<Reply, CallError> {
         let text = statement.to_string();
         let question = Question {
             text: &text,
             local: self.options.local,
+            id,
         };
         let body = serde_json::to_vec(&question).expect("a question is text and a flag");
         let server = self
@@ -65,10 +83,15 @@
             .server
             .expect("options have a server unless they only check");
         let call = client::call(server, Bytes::from(body), self.options.timeout);
-        match self.runtime.block_on(call) {
-            Ok(reply) if reply.status.is_success() => self.show_answer(&reply),
-            Ok(reply) => show_refusal(statement, &reply),
-            Err(error) => self.show_no_answer(statement, &error),
+        self.runtime.block_on(call)
+    }
+
+    /// Shows what came back of a statement whose outcome is known.
+    pub(crate) fn show(&self, statement: &Statement, result: &Result<Reply, CallError>) -> Exit {
+        match result {
+            Ok(reply) if reply.status.is_success() => self.show_answer(reply),
+            Ok(reply) => show_refusal(statement, reply),
+            Err(error) => self.show_no_answer(error),
         }
     }
 
@@ -101,32 +124,21 @@
         Exit::Done
     }
 
-    fn show_no_answer(&self, statement: &Statement, error: &CallError) -> Exit {
+    fn show_no_answer(&self, error: &CallError) -> Exit {
         let server = self.options.server.map(|server| server.to_string());
         let server = server.unwrap_or_default();
-        if !error.may_have_run() {
+        if error.may_have_run() {
+            eprintln!(
+                "chervilshuntctl: {server} did not answer: {error}; ask again, or ask another \
+                 instance with --server"
+            );
+        } else {
             eprintln!(
                 "chervilshuntctl: {server} can't be reached: {error}; nothing was sent. Check that \
                  an instance runs there, or give the operators' address of another with --server"
             );
-            return Exit::Unreachable;
-        }
-        match statement {
-            Statement::Show(_) => {
-                eprintln!(
-                    "chervilshuntctl: {server} did not answer: {error}; ask again, or ask another \
-                     instance with --server"
-                );
-                Exit::Unreachable
-            }
-            Statement::Change(_) => {
-                eprintln!(
-                    "chervilshuntctl: {server} did not answer: {error}; the change may have taken \
-                     effect. Look with 'show changes' before you send it again\n  {statement}"
-                );
-                Exit::Unknown
-            }
         }
+        Exit::Unreachable
     }
 }
 
@@ -139,35 +151,14 @@
 }
 
 fn show_refusal(statement: &Statement, reply: &Reply) -> Exit {
-    let problem: Problem = serde_json::from_slice(&reply.body).unwrap_or_default();
-    let reason = [problem.detail, problem.title, reply.status.to_string()]
-        .into_iter()
-        .find(|text| !text.is_empty())
-        .unwrap_or_default();
-    let is_change = matches!(statement, Statement::Change(_));
-    let unknown = match problem.outcome {
-        Some(Outcome::Unknown | Outcome::CutShort) => is_change,
-        Some(Outcome::NotRun) => false,
-        // A gateway in between that fails says nothing of what happened behind it.
-        None => is_change && reply.status.is_server_error(),
-    };
-    let verdict = if unknown {
-        "may have taken effect; look with 'show changes'"
-    } else {
-        "refused"
-    };
     eprintln!(
-        "chervilshuntctl: {verdict} ({}): {}\n  {}",
+        "chervilshuntctl: refused ({}): {}\n  {}",
         reply.status.as_u16(),
-        printable(&reason),
+        printable(&Problem::of(reply).reason(reply)),
         printable(&statement.to_string())
     );
     if let Some(seconds) = &reply.retry_after {
         eprintln!("chervilshuntctl: try again in {} s", printable(seconds));
     }
-    if unknown {
-        Exit::Unknown
-    } else {
-        Exit::Refused
-    }
+    Exit::Refused
 }
--- a/crates/chervilshunt_daemon/src/control/actor.rs
+++ b/crates/chervilshunt_daemon/src/control/actor.rs
@@ -1,6 +1,6 @@
 //! The control actor: its state and its message handlers.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -10,7 +10,8 @@
     SchedulerEvent,
 };
 use chervilshunt_model::{
-    AttemptId, ChangeSet, Deployment, Epoch, InstanceId, Moment, SiteName, StoreName, TargetName,
+    AttemptId, ChangeId, ChangeSet, Deployment, Epoch, InstanceId, Moment, SiteName, StoreName,
+    TargetName,
 };
 use tokio::sync::oneshot;
 use xtra::prelude::*;
@@ -49,6 +50,8 @@
     /// Operators that wait for the outcome of a change.
     pub(super) proposals: HashMap<ChangeTicket, oneshot::Sender<Proposed>>,
     pub(super) next_ticket: u64,
+    /// The latest changes that were proposed here, with the number of objects that they change.
+    pub(super) proposed: VecDeque<(ChangeId, usize)>,
     /// Orders on their way to targets, owned still or not.
     pub(super) orders: HashMap<TargetName, u32>,
     /// Roles that are handed over once no order is on its way any more.
@@ -83,6 +86,7 @@
             leaving: Arc::default(),
             proposals: HashMap::new(),
             next_ticket: 0,
+            proposed: VecDeque::new(),
             orders: HashMap::new(),
             ending: HashSet::new(),
             leaving_steps: None,
--- a/crates/chervilshunt_daemon/src/control/carry_out.rs
+++ b/crates/chervilshunt_daemon/src/control/carry_out.rs
@@ -13,7 +13,7 @@
 use super::actor::Control;
 use super::messages::{EngineNews, FromEngine};
 use super::steps::{Step, Steps};
-use super::tell::millis;
+use crate::facts::millis;
 use crate::wire::{Demanded, PeerMessage, Share, TurnAsked, TurnEnded, TurnGranted, TurnHeld};
 
 impl Control {
--- a/crates/chervilshunt_daemon/src/control/coordination.rs
+++ b/crates/chervilshunt_daemon/src/control/coordination.rs
@@ -1,8 +1,10 @@
 //! Carrying out what the coordinator wants done, and telling it what has happened.
 
+use std::time::Duration;
+
 use chervilshunt_coord::{
     ChangeRefusal, ChangeTicket, ClaimEvent, ClaimKeeper, CoordAction, CoordDecision, CoordEvent,
-    CoordMessage, Role, WantedRole,
+    CoordMessage, ProposerConfig, Role, WantedRole,
 };
 use chervilshunt_core::{OwnerEvent, PowerEvent, SchedulerEvent};
 use chervilshunt_model::{ChangeSet, Deployment, Fencing, InstanceId, Revision, TargetName};
@@ -26,12 +28,38 @@
 pub(crate) enum Proposed {
     /// It is in force everywhere at this revision.
     Accepted(Revision),
-    /// It can't be carried out; nothing has changed.
-    Conflict(String),
-    /// It could not be accepted now, or its outcome is not known, as the text says.
-    NotNow(String),
+    /// It was not accepted, as far as is known.
+    Refused(Refused),
+}
+
+/// Why a proposed change was not accepted.
+#[derive(Debug)]
+pub(crate) struct Refused {
+    /// What that says of the change.
+    pub(crate) kind: RefusedKind,
+    /// What stands in the way and what to do, in a sentence.
+    pub(crate) detail: String,
+    /// When trying again is worth it.
+    pub(crate) retry_after: Option<Duration>,
+}
+
+/// What a refusal says of a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RefusedKind {
+    /// It can't be carried out, now or later; nothing has changed.
+    Conflict,
+    /// This try did not begin. If an earlier one under the same id has an unknown outcome, that
+    /// is still unknown.
+    NotBegun,
+    /// It was begun and given up; under its id it never takes effect.
+    GivenUp,
+    /// It may have taken effect, or may yet.
+    Unknown,
 }
 
+/// Changes proposed here that are remembered with their sizes; as many as the head remembers.
+const REMEMBERED_PROPOSALS: usize = 32;
+
 pub(super) type CoordActionOf = CoordAction<Deployment, ChangeSet>;
 
 impl Control {
@@ -168,6 +196,14 @@
         }
     }
 
+    fn remember_proposal(&mut self, set: &ChangeSet) {
+        self.proposed.retain(|(id, _)| *id != set.id);
+        if self.proposed.len() == REMEMBERED_PROPOSALS {
+            self.proposed.pop_front();
+        }
+        self.proposed.push_back((set.id, set.changes.len()));
+    }
+
     fn log_coord(&self, decision: &CoordDecision) {
         slog::info!(self.cx.log, "coordination";
             "kind" => ?decision.kind,
@@ -190,6 +226,7 @@
         let ticket = ChangeTicket(self.next_ticket);
         self.next_ticket += 1;
         self.proposals.insert(ticket, tx);
+        self.remember_proposal(&message.0);
         self.coordinate(CoordEvent::ProposeChange {
             ticket,
             change: message.0,
@@ -307,30 +344,48 @@
 }
 
 fn refused(refusal: &ChangeRefusal) -> Proposed {
-    match refusal {
-        ChangeRefusal::Invalid(detail) => Proposed::Conflict(detail.clone()),
-        ChangeRefusal::NotReady => {
-            Proposed::NotNow("this instance has no configuration yet; ask another one".to_owned())
-        }
-        ChangeRefusal::Busy => Proposed::NotNow("other changes are under way".to_owned()),
-        ChangeRefusal::PlatformUnavailable => {
-            Proposed::NotNow("the platform can't be reached; nothing has changed".to_owned())
-        }
+    let (kind, detail) = match refusal {
+        ChangeRefusal::Invalid(detail) => (RefusedKind::Conflict, detail.clone()),
+        ChangeRefusal::NotReady => (
+            RefusedKind::NotBegun,
+            "this instance does not have the latest configuration yet; ask another one".to_owned(),
+        ),
+        ChangeRefusal::Busy => (
+            RefusedKind::NotBegun,
+            "other changes are under way".to_owned(),
+        ),
+        ChangeRefusal::PlatformUnavailable => (
+            RefusedKind::NotBegun,
+            "the platform can't be reached; nothing has changed".to_owned(),
+        ),
         ChangeRefusal::Unreachable(instances) => {
             let names: Vec<&str> = instances.iter().map(InstanceId::as_str).collect();
-            Proposed::NotNow(format!(
-                "nothing has changed: {} did not acknowledge; see docs/operators/changes.md",
-                names.join(", ")
-            ))
+            let names = names.join(", ");
+            let detail = format!(
+                "nothing has changed: {names} did not acknowledge; see docs/operators/changes.md"
+            );
+            (RefusedKind::GivenUp, detail)
         }
-        ChangeRefusal::NotAcknowledged(instance, why) => Proposed::NotNow(format!(
-            "nothing has changed: {instance} can't carry it out: {why}"
-        )),
-        ChangeRefusal::GivenUp => {
-            Proposed::NotNow("another instance gave the change up; nothing has changed".to_owned())
+        ChangeRefusal::NotAcknowledged(instance, why) => {
+            let detail = format!("nothing has changed: {instance} can't carry it out: {why}");
+            (RefusedKind::GivenUp, detail)
         }
-        ChangeRefusal::Unknown => Proposed::NotNow(
-            "the outcome is unknown: look with `show changes` before trying again".to_owned(),
+        ChangeRefusal::GivenUp => (
+            RefusedKind::GivenUp,
+            "another instance gave the change up; nothing has changed".to_owned(),
         ),
-    }
+        ChangeRefusal::Unknown => (
+            RefusedKind::Unknown,
+            "the change may have taken effect, or may yet; send it again under the same id to \
+             learn its outcome"
+                .to_owned(),
+        ),
+    };
+    // The coordinator's own proposer runs with the defaults too.
+    let retry_after = refusal.retry_after(&ProposerConfig::default());
+    Proposed::Refused(Refused {
+        kind,
+        detail,
+        retry_after,
+    })
 }
--- a/crates/chervilshunt_daemon/src/control/tell.rs
+++ b/crates/chervilshunt_daemon/src/control/tell.rs
@@ -2,7 +2,8 @@
 
 use super::actor::Control;
 use crate::facts::{
-    AdapterFacts, AllocatorFacts, InstanceFacts, PermitFacts, SchedulerFacts, TargetFacts,
+    AdapterFacts, AllocatorFacts, ChangesFacts, InstanceFacts, PermitFacts, SchedulerFacts,
+    TargetFacts,
 };
 
 impl Control {
@@ -29,7 +30,8 @@
                 .iter()
                 .map(|(store, scheduler)| SchedulerFacts {
                     store: store.clone(),
-                    queue_wait_ms: millis(scheduler.queue_wait()),
+                    in_progress: scheduler.in_progress(),
+                    waiting: scheduler.waiting(),
                 })
                 .collect(),
             allocators: self
@@ -40,6 +42,23 @@
                     committed_watts: allocator.committed_watts(),
                 })
                 .collect(),
+            changes: self.changes_facts(),
+        }
+    }
+
+    fn changes_facts(&self) -> ChangesFacts {
+        let changed = self.proposed.iter().copied().collect();
+        let Some(head) = self.coordinator.head() else {
+            return ChangesFacts {
+                changed,
+                ..ChangesFacts::default()
+            };
+        };
+        ChangesFacts {
+            generation: head.generation,
+            pending: head.pending.as_ref().map(|pending| pending.change),
+            outcomes: head.outcomes.iter().copied().collect(),
+            changed,
         }
     }
 
@@ -55,14 +74,13 @@
                 waiting: view.live_waiting + view.deferrable_waiting,
                 share_watts: view.share_watts,
                 adapters: view.adapters.into_iter().map(AdapterFacts::from).collect(),
-                permits: owned.owner.permits().map(PermitFacts::from).collect(),
+                permits: owned
+                    .owner
+                    .held_permits(now)
+                    .map(PermitFacts::from)
+                    .collect(),
             }
         });
         facts.collect()
     }
 }
-
-/// Returns whole milliseconds, for the wire.
-pub(super) fn millis(duration: std::time::Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/chervilshunt_daemon/src/facts.rs
+++ b/crates/chervilshunt_daemon/src/facts.rs
@@ -1,9 +1,11 @@
 //! What one instance knows of its own roles, for operators' questions about the whole deployment.
 
+use std::time::Duration;
+
 use chervilshunt_core::{AdapterState, AdapterView, Permit};
 use chervilshunt_model::{
-    AdapterVersion, AttemptId, Class, Epoch, InstanceId, RegionName, Revision, SiteName, StoreName,
-    TargetName, ZoneName,
+    AdapterVersion, AttemptId, ChangeId, Class, Epoch, InstanceId, RegionName, Revision, SiteName,
+    StoreName, TargetName, ZoneName,
 };
 use serde::{Deserialize, Serialize};
 
@@ -30,6 +32,21 @@
     pub(crate) schedulers: Vec<SchedulerFacts>,
     /// The power allocators that it runs.
     pub(crate) allocators: Vec<AllocatorFacts>,
+    /// The changes of configuration of late.
+    pub(crate) changes: ChangesFacts,
+}
+
+/// The changes of configuration that one instance knows of.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct ChangesFacts {
+    /// The generation of the configuration's head that it has seen; a higher one is newer.
+    pub(crate) generation: u64,
+    /// The change under way.
+    pub(crate) pending: Option<ChangeId>,
+    /// The outcomes of the latest changes, oldest first: none for one that was given up.
+    pub(crate) outcomes: Vec<(ChangeId, Option<Revision>)>,
+    /// The objects changed by the latest changes that were proposed at the instance.
+    pub(crate) changed: Vec<(ChangeId, usize)>,
 }
 
 /// One target as its owner sees it.
@@ -62,6 +79,10 @@
     pub(crate) state: AdapterState,
     /// Requests that wait for it.
     pub(crate) waiters: usize,
+    /// The class of the most urgent of them.
+    pub(crate) class: Option<Class>,
+    /// How long its load has been wanted, in milliseconds.
+    pub(crate) waited_ms: Option<u64>,
 }
 
 /// One permit that is out.
@@ -75,6 +96,8 @@
     pub(crate) class: Class,
     /// The instance that uses it.
     pub(crate) entry: InstanceId,
+    /// The time since its grant, in milliseconds.
+    pub(crate) held_ms: u64,
 }
 
 /// One load scheduler.
@@ -82,8 +105,10 @@
 pub(crate) struct SchedulerFacts {
     /// The weight store.
     pub(crate) store: StoreName,
-    /// How long a live load asked for now would wait for its turn, in milliseconds.
-    pub(crate) queue_wait_ms: u64,
+    /// Loads that have their turn.
+    pub(crate) in_progress: usize,
+    /// Loads that wait for their turn.
+    pub(crate) waiting: usize,
 }
 
 /// One power allocator.
@@ -101,17 +126,25 @@
             model: view.model,
             state: view.state,
             waiters: view.waiters,
+            class: view.class,
+            waited_ms: view.wanted_for.map(millis),
         }
     }
 }
 
-impl From<&Permit> for PermitFacts {
-    fn from(permit: &Permit) -> Self {
+impl From<(&Permit, Duration)> for PermitFacts {
+    fn from((permit, held): (&Permit, Duration)) -> Self {
         Self {
             attempt: permit.attempt,
             model: permit.model.clone(),
             class: permit.class,
             entry: permit.entry.clone(),
+            held_ms: millis(held),
         }
     }
 }
+
+/// Returns whole milliseconds, for the wire.
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/chervilshunt_daemon/src/operators/server.rs
+++ b/crates/chervilshunt_daemon/src/operators/server.rs
@@ -17,7 +17,7 @@
 use uuid::Uuid;
 
 use super::health::Health;
-use super::statements::Statements;
+use super::statements::{Refusal, Statements};
 
 /// The longest body of a statement request, in bytes: a script that creates 3,000 adapters fits.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
@@ -90,10 +90,8 @@
         let body = match tokio::time::timeout(BODY_TIMEOUT, body).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(_)) | Err(_) => {
-                return text(
-                    StatusCode::BAD_REQUEST,
-                    "the body broke off, came too slowly, or is longer than 8 MiB\n",
-                );
+                let detail = "the body broke off, came too slowly, or is longer than 8 MiB";
+                return refused(&Refusal::malformed(detail.to_owned()));
             }
         };
         let request = RequestId::new(Uuid::new_v4().simple().to_string());
@@ -102,14 +100,25 @@
             Err(refusal) => {
                 slog::info!(self.log, "statements refused";
                     "request" => %request, "status" => refusal.status, "detail" => &refusal.detail);
-                let status = StatusCode::from_u16(refusal.status);
-                let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-                json(status, "application/problem+json", &refusal)
+                refused(&refusal)
             }
         }
     }
 }
 
+fn refused(refusal: &Refusal) -> Response<Full<Bytes>> {
+    let status = StatusCode::from_u16(refusal.status);
+    let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut res = json(status, "application/problem+json", refusal);
+    if let Some(after) = refusal.retry_after {
+        // Whole seconds, rounded up: coming back earlier would meet the same refusal.
+        let seconds = after.as_secs() + u64::from(after.subsec_nanos() > 0);
+        res.headers_mut()
+            .insert(header::RETRY_AFTER, HeaderValue::from(seconds.max(1)));
+    }
+    res
+}
+
 fn text(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
     respond(status, "text/plain; charset=utf-8", body.into())
 }
--- a/crates/chervilshunt_daemon/src/operators/statements.rs
+++ b/crates/chervilshunt_daemon/src/operators/statements.rs
@@ -10,12 +10,14 @@
 use xtra::prelude::*;
 
 use super::tables::{Rows, Sources, Told};
-use crate::control::{AskFacts, Control, Propose, Proposed};
+use crate::control::{AskFacts, Control, Propose, Proposed, Refused, RefusedKind};
 use crate::routing::SharedRouting;
 use crate::wire::PeerMessage;
 
 /// The time that an instance has to answer a question.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+/// When to ask another instance about a change that this one can't end.
+const STOPPED_RETRY: Duration = Duration::from_secs(1);
 /// Instances that are asked at a time, so that a question does not open 370 connections at once.
 const ASKED_AT_A_TIME: usize = 32;
 
@@ -38,6 +40,21 @@
     text: String,
     #[serde(default)]
     local: bool,
+    /// The id of the script's first change group, by which a change whose outcome is unknown is
+    /// sent again without taking effect twice.
+    #[serde(default)]
+    id: Option<String>,
+}
+
+impl Request {
+    /// Returns the id for the script's first change group: the client's, or a new one; none if the
+    /// client's can't be read.
+    fn change_id(&self) -> Option<ChangeId> {
+        match &self.id {
+            Some(text) => ChangeId::parse(text),
+            None => Some(ChangeId::random()),
+        }
+    }
 }
 
 /// The answer to a script.
@@ -68,12 +85,28 @@
     column: Option<usize>,
     #[serde(skip_serializing_if = "Vec::is_empty")]
     expected: Vec<String>,
+    /// What is known of the refused statement.
+    outcome: StatementOutcome,
     /// Statements before the refused one, which have taken effect.
     done: usize,
+    /// When trying again is worth it.
+    #[serde(skip)]
+    pub(crate) retry_after: Option<Duration>,
+}
+
+/// What is known of a statement that was refused.
+#[derive(Clone, Copy, Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum StatementOutcome {
+    /// It has not taken effect, and won't by this try.
+    NotRun,
+    /// It may have taken effect, or may yet.
+    Unknown,
 }
 
 impl Refusal {
-    fn malformed(detail: String) -> Self {
+    /// Makes the refusal of a request that can't be read.
+    pub(crate) fn malformed(detail: String) -> Self {
         Self {
             r#type: "/problems/bad_statement",
             title: "Bad Request",
@@ -82,22 +115,33 @@
             line: None,
             column: None,
             expected: Vec::new(),
+            outcome: StatementOutcome::NotRun,
             done: 0,
+            retry_after: None,
         }
     }
 
-    fn of_change(refused: Proposed, done: usize) -> Self {
-        let (status, title, detail) = match refused {
-            Proposed::Accepted(_) => (500, "Internal Server Error", String::new()),
-            Proposed::Conflict(detail) => (409, "Conflict", detail),
-            Proposed::NotNow(detail) => (503, "Service Unavailable", detail),
+    fn of_change(refused: Refused, done: usize) -> Self {
+        let (r#type, status, outcome) = match refused.kind {
+            RefusedKind::Conflict => ("/problems/change_conflict", 409, StatementOutcome::NotRun),
+            RefusedKind::NotBegun => ("/problems/change_not_begun", 503, StatementOutcome::NotRun),
+            RefusedKind::GivenUp => ("/problems/change_given_up", 503, StatementOutcome::NotRun),
+            RefusedKind::Unknown => ("/problems/change_unknown", 503, StatementOutcome::Unknown),
+        };
+        let title = match refused.kind {
+            RefusedKind::Conflict => "Conflict",
+            RefusedKind::NotBegun | RefusedKind::GivenUp | RefusedKind::Unknown => {
+                "Service Unavailable"
+            }
         };
         Self {
-            r#type: "/problems/change_refused",
+            r#type,
             title,
             status,
+            outcome,
             done,
-            ..Self::malformed(detail)
+            retry_after: refused.retry_after,
+            ..Self::malformed(refused.detail)
         }
     }
 }
@@ -126,6 +170,10 @@
                 ))
             }
         })?;
+        let Some(id) = req.change_id() else {
+            return Err(Refusal::malformed("\"id\" takes a UUID".to_owned()));
+        };
+        let mut groups = 0;
         let mut results = Vec::new();
         let mut silent = Vec::new();
         for (done, statement) in statements.into_iter().enumerate() {
@@ -137,12 +185,15 @@
                 }
                 Statement::Change(group) => {
                     let changed = group.changes.len();
-                    let set = group.into_change_set(ChangeId::random());
+                    let set = group.into_change_set(id.of_group(groups));
+                    groups += 1;
                     match self.propose(set).await {
                         Proposed::Accepted(accepted) => {
                             StatementResult::Accepted { accepted, changed }
                         }
-                        refused => return Err(Refusal::of_change(refused, done)),
+                        Proposed::Refused(refused) => {
+                            return Err(Refusal::of_change(refused, done));
+                        }
                     }
                 }
             };
@@ -158,9 +209,15 @@
     }
 
     async fn propose(&self, set: chervilshunt_model::ChangeSet) -> Proposed {
-        let answer = self.control.send(Propose(set)).await;
-        let stopped = || Proposed::NotNow("the instance is shutting down".to_owned());
-        match answer {
+        // An instance that ends may have begun the change, and another then ends it.
+        let stopped = || {
+            Proposed::Refused(Refused {
+                kind: RefusedKind::Unknown,
+                detail: "the instance ended; ask another one, under the same id".to_owned(),
+                retry_after: Some(STOPPED_RETRY),
+            })
+        };
+        match self.control.send(Propose(set)).await {
             Ok(rx) => rx.await.unwrap_or_else(|_dropped| stopped()),
             Err(_stopped) => stopped(),
         }
@@ -172,7 +229,9 @@
         let sources = Sources {
             here: &self.me,
             deployment: &routing.deployment,
+            owners: &routing.owners,
             told: &told,
+            now: Instant::now(),
         };
         (sources.show(show), silent)
     }
@@ -180,11 +239,9 @@
     /// Asks all live instances for what they know.
     async fn ask_all(&self, local: bool) -> (Vec<Told>, Vec<InstanceId>) {
         let mut told = Vec::new();
+        let asked_at = Instant::now();
         if let Ok(facts) = self.control.send(AskFacts).await {
-            told.push(Told {
-                facts,
-                age: Duration::ZERO,
-            });
+            told.push(Told { facts, asked_at });
         }
         if local {
             return (told, Vec::new());
@@ -196,14 +253,14 @@
             let (mesh, limit) = (self.mesh.clone(), Arc::clone(&limit));
             asked.spawn(async move {
                 let _turn = limit.acquire_owned().await;
-                let sent = Instant::now();
+                let asked_at = Instant::now();
                 let answer = mesh
                     .request(&peer, PeerMessage::FactsAsked, ANSWER_TIMEOUT)
                     .await;
                 match answer {
                     Ok(PeerMessage::Facts(facts)) => Ok(Told {
                         facts: *facts,
-                        age: sent.elapsed(),
+                        asked_at,
                     }),
                     Ok(_) | Err(_) => Err(peer.instance),
                 }
--- a/crates/chervilshunt_daemon/src/operators/tables.rs
+++ b/crates/chervilshunt_daemon/src/operators/tables.rs
@@ -1,16 +1,20 @@
 //! Rows for operators: objects of the configuration joined with what instances know of them.
 
-use std::collections::BTreeMap;
-use std::time::Duration;
+mod row;
+#[cfg(test)]
+mod tests;
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
 
-use chervilshunt_core::AdapterState;
 use chervilshunt_model::{
-    AdapterVersion, Deployment, InstanceId, Site, SiteName, StoreName, Target, TargetName,
-    WeightStore,
+    AdapterVersion, ChangeId, Deployment, InstanceId, Revision, Site, SiteName, StoreName, Target,
+    TargetName, WeightStore,
 };
-use chervilshunt_query::{AGE_COLUMN, FROM_COLUMN, FieldTexts, Show, Table};
+use chervilshunt_query::{AGE_COLUMN, FROM_COLUMN, Show, Table};
 use serde::Serialize;
 
+use self::row::{Origin, Presence, Row, by_name};
 use crate::facts::{AdapterFacts, InstanceFacts, TargetFacts};
 
 /// The answer to one question.
@@ -25,8 +29,8 @@
 pub(crate) struct Told {
     /// What it said.
     pub(crate) facts: InstanceFacts,
-    /// How old that is.
-    pub(crate) age: Duration,
+    /// When it was asked: what it said may be that old.
+    pub(crate) asked_at: Instant,
 }
 
 /// What is shown of a question: the configuration in force here and what the instances told.
@@ -36,73 +40,12 @@
     pub(crate) here: &'a InstanceId,
     /// The configuration in force here.
     pub(crate) deployment: &'a Deployment,
+    /// The instance that owns each target, as far as it is known here.
+    pub(crate) owners: &'a HashMap<TargetName, InstanceId>,
     /// What the instances told, this one among them.
     pub(crate) told: &'a [Told],
-}
-
-/// The state of an adapter version over all targets, best first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Presence {
-    Loaded,
-    Pending,
-    Draining,
-    Idle,
-}
-
-impl Presence {
-    const fn as_str(self) -> &'static str {
-        match self {
-            Self::Loaded => "loaded",
-            Self::Pending => "pending",
-            Self::Draining => "draining",
-            Self::Idle => "idle",
-        }
-    }
-
-    const fn of(state: AdapterState) -> Self {
-        match state {
-            AdapterState::Serving | AdapterState::Idle => Self::Loaded,
-            AdapterState::Pending | AdapterState::Loading | AdapterState::Unknown => Self::Pending,
-            AdapterState::Draining | AdapterState::Unloading => Self::Draining,
-        }
-    }
-}
-
-/// Where a row's live cells come from.
-struct Origin {
-    from: String,
-    age: Duration,
-}
-
-/// One row: cells by column, with where it comes from.
-struct Row {
-    cells: Vec<(&'static str, Option<String>)>,
-    origin: Origin,
-}
-
-impl Row {
-    fn new(origin: Origin) -> Self {
-        Self {
-            cells: Vec::new(),
-            origin,
-        }
-    }
-
-    fn cell(mut self, column: &'static str, value: impl ToString) -> Self {
-        self.cells.push((column, Some(value.to_string())));
-        self
-    }
-
-    fn fields(mut self, object: &impl FieldTexts) -> Self {
-        let texts = object.field_texts().into_iter();
-        self.cells.extend(texts.map(|text| (text.field, text.text)));
-        self
-    }
-
-    fn get(&self, column: &str) -> Option<&str> {
-        let found = self.cells.iter().find(|(name, _)| *name == column)?;
-        found.1.as_deref()
-    }
+    /// The present time.
+    pub(crate) now: Instant,
 }
 
 impl Sources<'_> {
@@ -136,8 +79,8 @@
 
     fn rows(&self, table: Table) -> Vec<Row> {
         match table {
-            Table::Adapters => self.adapters(),
-            Table::Versions => self.versions(),
+            Table::Adapters => by_name(self.adapters()),
+            Table::Versions => by_name(self.versions()),
             Table::Services => {
                 let services = self.deployment.services.iter();
                 services
@@ -151,7 +94,11 @@
                     .collect()
             }
             Table::Targets => self.targets(),
-            Table::Instances => self.told.iter().map(instance_row).collect(),
+            Table::Instances => self
+                .told
+                .iter()
+                .map(|told| self.instance_row(told))
+                .collect(),
             Table::Permits => self.permits(),
             Table::Loads => self.loads(),
             Table::Changes => self.changes(),
@@ -169,6 +116,14 @@
         Row::new(origin).cell("name", name)
     }
 
+    /// Starts a row from what an instance told.
+    fn origin_of(&self, told: &Told) -> Origin {
+        Origin {
+            from: told.facts.instance.to_string(),
+            age: self.now.saturating_duration_since(told.asked_at),
+        }
+    }
+
     /// Returns each owned target with the instance that told of it.
     fn owned(&self) -> impl Iterator<Item = (&Told, &TargetFacts)> {
         self.told
@@ -256,11 +211,13 @@
         let row = |(name, target): (&TargetName, &Target)| {
             let owner = self.owned().find(|(_, facts)| facts.target == *name);
             let Some((told, facts)) = owner else {
-                return self.configured(name).fields(target);
+                // Who owns it is known here also while the owner does not answer.
+                let row = self.configured(name).fields(target);
+                return row.optional("owner", self.owners.get(name));
             };
             let adapters = facts.adapters.iter();
             let loaded = adapters.filter(|held| Presence::of(held.state) == Presence::Loaded);
-            Row::new(origin_of(told))
+            Row::new(self.origin_of(told))
                 .cell("name", name)
                 .fields(target)
                 .cell("owner", &told.facts.instance)
@@ -283,15 +240,13 @@
         });
         permits
             .map(|(told, target, permit)| {
-                let row = Row::new(origin_of(told))
+                let row = Row::new(self.origin_of(told))
                     .cell("attempt", permit.attempt)
                     .cell("target", target)
                     .cell("class", permit.class)
-                    .cell("entry", &permit.entry);
-                match &permit.model {
-                    Some(model) => row.cell("version", model),
-                    None => row,
-                }
+                    .cell("entry", &permit.entry)
+                    .cell("held_ms", permit.held_ms);
+                row.optional("version", permit.model.as_ref())
             })
             .collect()
     }
@@ -304,22 +259,58 @@
                 .map(move |held| (told, &facts.target, held))
         });
         held.map(|(told, target, held)| {
-            Row::new(origin_of(told))
+            Row::new(self.origin_of(told))
                 .cell("target", target)
                 .cell("version", &held.model)
                 .cell("state", Presence::of(held.state).as_str())
+                .optional("class", held.class)
                 .cell("waiters", held.waiters)
+                .optional("waited_ms", held.waited_ms)
         })
         .collect()
     }
 
+    /// Tells of the changes as the instance does that has seen the newest head.
     fn changes(&self) -> Vec<Row> {
-        let row = |told: &Told| {
-            Row::new(origin_of(told))
-                .cell("revision", told.facts.revision)
-                .cell("state", "in_force")
+        let newest = self
+            .told
+            .iter()
+            .max_by_key(|told| told.facts.changes.generation);
+        let Some(told) = newest else {
+            return Vec::new();
         };
-        self.told.iter().map(row).collect()
+        let changes = &told.facts.changes;
+        let over = changes.outcomes.iter().map(|(id, revision)| {
+            let state = revision.map_or("given_up", |revision| self.spread_of(revision));
+            (*id, *revision, state)
+        });
+        let pending = changes.pending.map(|id| (id, None, "pending"));
+        let row = |(id, revision, state): (ChangeId, Option<Revision>, &'static str)| {
+            Row::new(self.origin_of(told))
+                .cell("id", id)
+                .optional("revision", revision)
+                .cell("state", state)
+                .optional("changed", self.changed_by(id))
+        };
+        over.chain(pending).map(row).collect()
+    }
+
+    /// Says how far an accepted change has come.
+    fn spread_of(&self, revision: Revision) -> &'static str {
+        let in_force = self.told.iter().all(|told| told.facts.revision >= revision);
+        if in_force { "in_force" } else { "accepted" }
+    }
+
+    /// Returns the objects that a change concerns, if the instance remembers that proposed it.
+    fn changed_by(&self, id: ChangeId) -> Option<usize> {
+        let proposed = self
+            .told
+            .iter()
+            .flat_map(|told| &told.facts.changes.changed);
+        proposed
+            .into_iter()
+            .find(|(proposed, _)| *proposed == id)
+            .map(|(_, changed)| *changed)
     }
 
     fn sites(&self) -> Vec<Row> {
@@ -334,7 +325,7 @@
             let Some((told, facts)) = allocator else {
                 return self.configured(name).fields(site);
             };
-            Row::new(origin_of(told))
+            Row::new(self.origin_of(told))
                 .cell("name", name)
                 .fields(site)
                 .cell("granted_watts", format!("{:.0}", facts.committed_watts))
@@ -345,43 +336,39 @@
 
     fn stores(&self) -> Vec<Row> {
         let row = |(name, store): (&StoreName, &WeightStore)| {
-            let scheduler = self.told.iter().find(|told| {
-                told.facts
-                    .schedulers
-                    .iter()
-                    .any(|facts| facts.store == *name)
-            });
-            let Some(told) = scheduler else {
+            let schedulers = self
+                .told
+                .iter()
+                .flat_map(|told| told.facts.schedulers.iter().map(move |facts| (told, facts)));
+            let scheduler = schedulers
+                .into_iter()
+                .find(|(_, facts)| facts.store == *name);
+            let Some((told, facts)) = scheduler else {
                 return self.configured(name).fields(store);
             };
-            Row::new(origin_of(told))
+            Row::new(self.origin_of(told))
                 .cell("name", name)
                 .fields(store)
                 .cell("scheduler", &told.facts.instance)
+                .cell("in_progress", facts.in_progress)
+                .cell("waiting", facts.waiting)
         };
         self.deployment.stores.iter().map(row).collect()
     }
-}
 
-fn origin_of(told: &Told) -> Origin {
-    Origin {
-        from: told.facts.instance.to_string(),
-        age: told.age,
+    fn instance_row(&self, told: &Told) -> Row {
+        let facts = &told.facts;
+        let state = match (facts.stopping, facts.takes_work) {
+            (true, _) => "draining",
+            (false, true) => "ready",
+            (false, false) => "pending",
+        };
+        Row::new(self.origin_of(told))
+            .cell("name", &facts.instance)
+            .cell("zone", &facts.zone)
+            .cell("region", &facts.region)
+            .cell("state", state)
+            .cell("revision", facts.revision)
+            .cell("roles", facts.roles.join(","))
     }
 }
-
-fn instance_row(told: &Told) -> Row {
-    let facts = &told.facts;
-    let state = match (facts.stopping, facts.takes_work) {
-        (true, _) => "draining",
-        (false, true) => "ready",
-        (false, false) => "pending",
-    };
-    Row::new(origin_of(told))
-        .cell("name", &facts.instance)
-        .cell("zone", &facts.zone)
-        .cell("region", &facts.region)
-        .cell("state", state)
-        .cell("revision", facts.revision)
-        .cell("roles", facts.roles.join(","))
-}
--- /dev/null
+++ b/crates/chervilshunt_daemon/src/operators/tables/tests.rs
@@ -0,0 +1,171 @@
+//! Every table as it is shown of a made-up deployment.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use chervilshunt_model::{ChangeId, Deployment, InstanceId};
+use chervilshunt_query::{Show, Statement, Table, parse};
+use rstest::rstest;
+use serde_json::{Value, json};
+
+use super::{Rows, Sources, Told};
+
+const DEPLOYMENT: &str = "{
+    create priority prompt class=live weight=4;
+    create priority overnight class=deferrable;
+    create site mill cap_watts=4000;
+    create site quay cap_watts=900;
+    create store weights concurrency=2 loads_per_second=3.5;
+    create store spare concurrency=1 loads_per_second=1;
+    create service pack-assistant base_model=base-8b priority=prompt idempotent=true;
+    create service depot-desk kind=plain priority=prompt;
+    create target lm-1 service=pack-assistant address=10.0.0.11:8000 zone=worcester site=mill
+      store=weights slots=8 max_batch=16 fencing=checks idle_watts=90 watts_per_sequence=12.5;
+    create target lm-2 service=pack-assistant address=10.0.0.12:8000 zone=portland site=mill
+      store=weights slots=8 max_batch=16;
+    create target desk-1 service=depot-desk address=10.0.0.21:8000 zone=worcester site=mill
+      max_batch=32 lifecycle=draining;
+    create adapter flat-1 service=pack-assistant priority=overnight;
+    create version flat-1@v1 source=\"s3://weights/flat-1/v1\";
+    create version flat-1@v2 source=\"s3://weights/flat-1/v2\";
+    create adapter flat-2 service=pack-assistant;
+    create version flat-2@v1 source=\"s3://weights/flat-2/v1\";
+    create adapter flat-3 service=pack-assistant
+}";
+
+fn deployment() -> Deployment {
+    let statements = parse(DEPLOYMENT).unwrap();
+    let Some(Statement::Change(group)) = statements.into_iter().next() else {
+        panic!("the script is one group of changes");
+    };
+    let set = group.into_change_set(ChangeId::from_u128(1));
+    Deployment::default().apply(&set).unwrap()
+}
+
+fn id(number: u128) -> String {
+    ChangeId::from_u128(number).to_string()
+}
+
+fn entry_1() -> Value {
+    json!({
+        "instance": "entry-1", "zone": "worcester", "region": "new-england",
+        "takes_work": true, "stopping": false, "revision": 3,
+        "roles": ["allocator/mill", "target/lm-1"],
+        "targets": [{
+            "target": "lm-1", "epoch": 7, "reachable": true, "running": 2, "waiting": 3,
+            "share_watts": 1999.6,
+            "adapters": [
+                {"model": "flat-1@v1", "state": "serving", "waiters": 0,
+                 "class": null, "waited_ms": null},
+                {"model": "flat-1@v2", "state": "loading", "waiters": 2,
+                 "class": "live", "waited_ms": 140},
+                {"model": "flat-2@v1", "state": "pending", "waiters": 1,
+                 "class": "deferrable", "waited_ms": 9000},
+            ],
+            "permits": [
+                {"attempt": id(0xa), "model": "flat-1@v1", "class": "live",
+                 "entry": "entry-2", "held_ms": 812},
+                {"attempt": id(0xb), "model": null, "class": "deferrable",
+                 "entry": "entry-1", "held_ms": 0},
+            ],
+        }],
+        "schedulers": [],
+        "allocators": [{"site": "mill", "committed_watts": 3800.4}],
+        "changes": {
+            "generation": 8, "pending": null,
+            "outcomes": [[id(1), 1], [id(2), null]],
+            "changed": [[id(1), 17]],
+        },
+    })
+}
+
+fn entry_2() -> Value {
+    json!({
+        "instance": "entry-2", "zone": "portland", "region": "new-england",
+        "takes_work": false, "stopping": false, "revision": 2,
+        "roles": ["scheduler/weights", "target/lm-2"],
+        "targets": [{
+            "target": "lm-2", "epoch": 4, "reachable": false, "running": 0, "waiting": 0,
+            "share_watts": 0.0,
+            "adapters": [
+                {"model": "flat-2@v1", "state": "draining", "waiters": 0,
+                 "class": null, "waited_ms": null},
+            ],
+            "permits": [],
+        }],
+        "schedulers": [{"store": "weights", "in_progress": 2, "waiting": 5}],
+        "allocators": [],
+        "changes": {
+            "generation": 9, "pending": id(4),
+            "outcomes": [[id(1), 1], [id(2), null], [id(3), 3]],
+            "changed": [[id(3), 2], [id(4), 1]],
+        },
+    })
+}
+
+/// Shows a table as an instance would that asked one other a while ago.
+fn shown(question: &str) -> Rows {
+    let statements = parse(question).unwrap();
+    let Some(Statement::Show(show)) = statements.first() else {
+        panic!("the question is a show");
+    };
+    rows_of(show)
+}
+
+fn rows_of(show: &Show) -> Rows {
+    let asked_at = Instant::now();
+    let told = |facts: Value, age: u64| Told {
+        facts: serde_json::from_value(facts).unwrap(),
+        asked_at: asked_at + Duration::from_millis(100 - age),
+    };
+    let told = [told(entry_1(), 0), told(entry_2(), 34)];
+    let sources = Sources {
+        here: &InstanceId::new("entry-1"),
+        deployment: &deployment(),
+        owners: &HashMap::from([("desk-1".into(), InstanceId::new("entry-3"))]),
+        told: &told,
+        now: asked_at + Duration::from_millis(100),
+    };
+    sources.show(show)
+}
+
+fn text(rows: &Rows) -> String {
+    let lines = std::iter::once(rows.columns.join(" | ")).chain(rows.rows.iter().map(|row| {
+        let cells: Vec<&str> = row
+            .iter()
+            .map(|cell| cell.as_deref().unwrap_or("-"))
+            .collect();
+        cells.join(" | ")
+    }));
+    lines.collect::<Vec<_>>().join("\n")
+}
+
+#[test]
+fn every_table_is_shown_with_all_its_columns() {
+    let mut shown_tables = String::new();
+    for table in Table::ALL {
+        let rows = shown(&format!("show {table}"));
+        let (columns, tail) = rows.columns.split_at(rows.columns.len() - 2);
+        assert_eq!(columns, table.columns());
+        assert_eq!(tail, ["from", "age_ms"]);
+        shown_tables += &format!("{table}\n{}\n\n", text(&rows));
+    }
+    insta::assert_snapshot!(shown_tables);
+}
+
+// Conditions see what is shown, also of the columns that each table ends with.
+#[rstest]
+#[case("show targets where owner = entry-2", &["lm-2"])]
+#[case("show targets where reachable = none", &["desk-1"])]
+#[case("show targets where owner = entry-3", &["desk-1"])]
+#[case("show targets where lifecycle != draining and zone = worcester", &["lm-1"])]
+#[case("show versions where state = pending", &["flat-1@v2", "flat-2@v1"])]
+#[case("show versions where name ~ flat-1@ and state = loaded", &["flat-1@v1"])]
+#[case("show adapters where state = idle", &["flat-3"])]
+#[case("show instances where from = entry-2", &["entry-2"])]
+#[case("show instances where age_ms = 34", &["entry-2"])]
+fn conditions_choose_rows(#[case] question: &str, #[case] names: &[&str]) {
+    let rows = shown(question);
+    let first = |row: &Vec<Option<String>>| row[0].clone().unwrap();
+    assert_eq!(rows.rows.iter().map(first).collect::<Vec<_>>(), names);
+}
--- a/crates/chervilshunt_model/src/ids.rs
+++ b/crates/chervilshunt_model/src/ids.rs
@@ -222,6 +222,21 @@
     pub const fn from_u128(value: u128) -> Self {
         Self(Uuid::from_u128(value))
     }
+
+    /// Reads an id that a client has made: a UUID in any of its usual forms.
+    pub fn parse(text: &str) -> Option<Self> {
+        Uuid::parse_str(text).ok().map(Self)
+    }
+
+    /// Returns the id of the change group with this number, from 0, in a script that was sent under
+    /// this id: the id itself for the first, and a name-based UUID (RFC 9562, version 5) for others.
+    #[must_use]
+    pub fn of_group(self, number: u64) -> Self {
+        match number {
+            0 => self,
+            _ => Self(Uuid::new_v5(&self.0, &number.to_be_bytes())),
+        }
+    }
 }
 
 impl fmt::Display for ChangeId {
