--- a/crates/chervilshunt_coord/src/lease.rs
+++ b/crates/chervilshunt_coord/src/lease.rs
@@ -7,7 +7,11 @@
 mod keeper;
 mod observer;
 mod record;
+mod sole;
 
 pub use keeper::{LeaseAction, LeaseConfig, LeaseEvent, LeaseKeeper};
 pub use observer::{LeaseObserver, ObserverAction, ObserverConfig, ObserverEvent};
 pub use record::{LeaseRecord, LeaseState};
+pub use sole::{
+    SeenRecord, SoleAction, SoleConfig, SoleEvent, SoleKeeper, SoleRecord, SoleWritten,
+};
--- /dev/null
+++ b/crates/chervilshunt_coord/src/lease/sole.rs
@@ -0,0 +1,354 @@
+//! One lease for the whole deployment, for a duty that has exactly one holder at a time.
+//!
+//! Targets that don't check fencing tokens carry out the order of whoever gives it. So a holder
+//! stops by itself before its lease can be taken, and a taker waits until nothing of the holder
+//! before it can still be on its way. See `docs/design/on-the-platform.md`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chervilshunt_model::{InstanceId, Moment};
+
+/// How the sole lease is kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SoleConfig {
+    /// How long a renewal counts.
+    pub duration: Duration,
+    /// How often the holder renews it.
+    pub renew_every: Duration,
+    /// How long after a failed call the next one follows.
+    pub retry_every: Duration,
+    /// What the holder takes off the duration, for clocks that run at different speeds and for the
+    /// time between its last look at the lease and the order leaving the process.
+    pub margin: Duration,
+    /// How long nobody acts between two holders, so that no order of the one is on its way when
+    /// the other gives its first.
+    pub rest: Duration,
+}
+
+impl Default for SoleConfig {
+    fn default() -> Self {
+        Self {
+            duration: Duration::from_millis(2_600),
+            renew_every: Duration::from_millis(900),
+            retry_every: Duration::from_millis(250),
+            margin: Duration::from_millis(200),
+            rest: Duration::from_millis(3_300),
+        }
+    }
+}
+
+/// Who holds the lease, as the platform stores it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SoleRecord {
+    /// The instance that holds it; none if it was given up.
+    pub holder: Option<InstanceId>,
+    /// The process of that instance, unlike that of any other start of it.
+    pub process: u64,
+    /// Where the holder takes messages.
+    pub address: SocketAddr,
+    /// The fencing token of the holder's orders; it rises with each holder.
+    pub term: u64,
+    /// How often it has been renewed; observers see by it that the holder lives.
+    pub renewals: u64,
+}
+
+/// The record at one version of the platform's object.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SeenRecord {
+    /// The record.
+    pub record: SoleRecord,
+    /// The version of the object that holds it.
+    pub version: u64,
+}
+
+/// How a write of the record ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SoleWritten {
+    /// It was carried out; this is the object's version now.
+    Done(u64),
+    /// The object had another version, and nothing was written.
+    Conflict,
+    /// Nothing was written.
+    Failed,
+    /// It may have been carried out, or may be carried out later if its condition still holds.
+    Unknown,
+}
+
+/// What a keeper has to react to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SoleEvent {
+    /// The platform shows the record; none if there is no object yet.
+    Seen(Option<SeenRecord>),
+    /// A write has ended.
+    Written(SoleWritten),
+    /// A read has failed.
+    ReadFailed,
+    /// The instance stops: the lease is given up, and not taken again.
+    Release,
+    /// Time has passed.
+    Tick,
+}
+
+/// What a keeper wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SoleAction {
+    /// Write the record, if the object still has this version; create it if there is none.
+    Write(SoleRecord, Option<u64>),
+    /// Read the record, linearizably.
+    Read,
+    /// The lease is held from now on, with this term.
+    Gained(u64),
+    /// It is held no longer.
+    Lost,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Call {
+    None,
+    Writing { record: SoleRecord, sent: Moment },
+    Reading,
+}
+
+/// Keeps the sole lease if this instance holds it, and takes it when its holder is gone.
+#[derive(Clone, Debug)]
+pub struct SoleKeeper {
+    cfg: SoleConfig,
+    me: InstanceId,
+    process: u64,
+    address: SocketAddr,
+    /// A part of the wait for a lapsed lease, so that instances don't all write at once.
+    stagger: Duration,
+    seen: Option<SeenRecord>,
+    /// When the record last changed, on this instance's clock.
+    changed_at: Moment,
+    looked: bool,
+    call: Call,
+    next_at: Moment,
+    valid_until: Moment,
+    holds: bool,
+    leaving: bool,
+}
+
+impl SoleKeeper {
+    /// Starts as an observer; `stagger` lies between zero and some hundred milliseconds.
+    pub fn new(
+        cfg: SoleConfig,
+        me: InstanceId,
+        process: u64,
+        address: SocketAddr,
+        stagger: Duration,
+        now: Moment,
+    ) -> Self {
+        Self {
+            cfg,
+            me,
+            process,
+            address,
+            stagger,
+            seen: None,
+            changed_at: now,
+            looked: false,
+            call: Call::None,
+            next_at: now,
+            valid_until: Moment::ZERO,
+            holds: false,
+            leaving: false,
+        }
+    }
+
+    /// Returns the term under which orders may be given at this moment.
+    ///
+    /// It is to be asked right before each order leaves: a process may have been paused since it
+    /// was last told that it holds the lease.
+    pub fn may_order(&self, now: Moment) -> Option<u64> {
+        let term = self.seen.as_ref()?.record.term;
+        (self.holds && now < self.valid_until).then_some(term)
+    }
+
+    /// Returns the term of the last holder, as far as is known.
+    pub fn term(&self) -> Option<u64> {
+        self.seen.as_ref().map(|it| it.record.term)
+    }
+
+    /// Returns who holds the lease, as far as is known, and where it takes messages.
+    pub fn holder(&self) -> Option<(&InstanceId, SocketAddr)> {
+        let record = &self.seen.as_ref()?.record;
+        record.holder.as_ref().map(|holder| (holder, record.address))
+    }
+
+    /// Returns when [`SoleEvent::Tick`] is next wanted; none while a call or its look is awaited.
+    pub fn next_wakeup(&self) -> Option<Moment> {
+        let idle = self.call == Call::None;
+        match (self.holds, idle) {
+            (true, true) => Some(self.next_at.min(self.valid_until)),
+            (true, false) => Some(self.valid_until),
+            (false, true) if self.looked && !self.leaving => {
+                Some(self.next_at.max(self.next_chance()))
+            }
+            (false, _) => None,
+        }
+    }
+
+    /// Takes one event and says what is to be done.
+    pub fn handle(&mut self, event: SoleEvent, now: Moment) -> Vec<SoleAction> {
+        let mut out = Vec::new();
+        match event {
+            SoleEvent::Seen(seen) => self.on_seen(seen, now),
+            SoleEvent::Written(written) => self.on_written(written, now, &mut out),
+            SoleEvent::ReadFailed => {
+                self.call = Call::None;
+                self.next_at = now + self.cfg.retry_every;
+            }
+            SoleEvent::Release => self.on_release(&mut out),
+            SoleEvent::Tick => {}
+        }
+        self.settle(now, &mut out);
+        self.act(now, &mut out);
+        out
+    }
+
+    fn on_seen(&mut self, seen: Option<SeenRecord>, now: Moment) {
+        if self.call == Call::Reading {
+            self.call = Call::None;
+        }
+        let first = !std::mem::replace(&mut self.looked, true);
+        let known = self.seen.as_ref().map_or(0, |it| it.version);
+        let Some(seen) = seen else {
+            return;
+        };
+        if seen.version > known || first {
+            self.changed_at = now;
+            self.seen = Some(seen);
+        }
+    }
+
+    fn on_written(&mut self, written: SoleWritten, now: Moment, out: &mut Vec<SoleAction>) {
+        let Call::Writing { record, sent } = std::mem::replace(&mut self.call, Call::None) else {
+            return;
+        };
+        match written {
+            SoleWritten::Done(version) => {
+                self.seen = Some(SeenRecord { record, version });
+                self.changed_at = now;
+                if self.leaving {
+                    return;
+                }
+                self.valid_until = sent + self.cfg.duration.saturating_sub(self.cfg.margin);
+                self.next_at = sent + self.cfg.renew_every;
+                self.gain(out);
+            }
+            SoleWritten::Failed => self.next_at = now + self.cfg.retry_every,
+            // What the platform holds decides: if the write took effect it will be seen as ours,
+            // and renewing it makes it count from then on.
+            SoleWritten::Conflict | SoleWritten::Unknown => {
+                self.next_at = now + self.cfg.retry_every;
+                self.call = Call::Reading;
+                out.push(SoleAction::Read);
+            }
+        }
+    }
+
+    fn on_release(&mut self, out: &mut Vec<SoleAction>) {
+        self.leaving = true;
+        self.valid_until = Moment::ZERO;
+        if std::mem::replace(&mut self.holds, false) {
+            out.push(SoleAction::Lost);
+        }
+        let Some(seen) = self.seen.as_ref().filter(|seen| self.is_ours(&seen.record)) else {
+            return;
+        };
+        let record = SoleRecord {
+            holder: None,
+            ..seen.record.clone()
+        };
+        out.push(SoleAction::Write(record, Some(seen.version)));
+    }
+
+    fn gain(&mut self, out: &mut Vec<SoleAction>) {
+        if !std::mem::replace(&mut self.holds, true)
+            && let Some(seen) = &self.seen
+        {
+            out.push(SoleAction::Gained(seen.record.term));
+        }
+    }
+
+    /// Ends what this instance believes to hold once it is past, or held by another.
+    fn settle(&mut self, now: Moment, out: &mut Vec<SoleAction>) {
+        let ours = self.seen.as_ref().is_some_and(|it| self.is_ours(&it.record));
+        if self.holds && (now >= self.valid_until || !ours) {
+            self.holds = false;
+            self.valid_until = Moment::ZERO;
+            out.push(SoleAction::Lost);
+        }
+    }
+
+    fn act(&mut self, now: Moment, out: &mut Vec<SoleAction>) {
+        if self.call != Call::None || self.leaving || !self.looked || now < self.next_at {
+            return;
+        }
+        let Some((record, version)) = self.next_write(now) else {
+            return;
+        };
+        let sent = now;
+        self.call = Call::Writing {
+            record: record.clone(),
+            sent,
+        };
+        out.push(SoleAction::Write(record, version));
+    }
+
+    fn next_write(&self, now: Moment) -> Option<(SoleRecord, Option<u64>)> {
+        let Some(seen) = &self.seen else {
+            return Some((self.record(FIRST_TERM, 0), None));
+        };
+        let version = Some(seen.version);
+        if self.is_ours(&seen.record) {
+            let renewals = seen.record.renewals + 1;
+            return Some((self.record(seen.record.term, renewals), version));
+        }
+        let lapsed = now >= self.lapses_at();
+        lapsed.then(|| (self.record(seen.record.term + 1, 0), version))
+    }
+
+    /// Returns when there is something to write for an instance that does not hold the lease.
+    fn next_chance(&self) -> Moment {
+        match &self.seen {
+            Some(seen) if self.is_ours(&seen.record) => self.next_at,
+            Some(_) | None => self.lapses_at(),
+        }
+    }
+
+    /// Returns when the lease that another holds may be taken.
+    fn lapses_at(&self) -> Moment {
+        let Some(seen) = &self.seen else {
+            return self.changed_at;
+        };
+        match &seen.record.holder {
+            None => self.changed_at + self.cfg.rest + self.stagger,
+            // The process before this one on the same instance: it is gone, and its orders were
+            // those of the same holder.
+            Some(holder) if *holder == self.me && seen.record.address == self.address => {
+                self.changed_at
+            }
+            Some(_) => self.changed_at + self.cfg.duration + self.cfg.rest + self.stagger,
+        }
+    }
+
+    fn is_ours(&self, record: &SoleRecord) -> bool {
+        record.holder.as_ref() == Some(&self.me) && record.process == self.process
+    }
+
+    fn record(&self, term: u64, renewals: u64) -> SoleRecord {
+        SoleRecord {
+            holder: Some(self.me.clone()),
+            process: self.process,
+            address: self.address,
+            term,
+            renewals,
+        }
+    }
+}
+
+/// The term of the first holder.
+const FIRST_TERM: u64 = 1;
--- /dev/null
+++ b/crates/chervilshunt_core/src/dispatch/choose.rs
@@ -0,0 +1,211 @@
+//! The choice of a target for one request.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chervilshunt_model::{Moment, ServiceName, TargetName};
+
+use super::facts::Weights;
+use super::health::HealthConfig;
+use super::state::{Dispatch, Target};
+
+/// How targets are weighed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DispatchConfig {
+    /// What another zone counts, as a share of a target's slots: a request crosses zones only where
+    /// that saves it more waiting than the bytes between zones cost.
+    pub zone_penalty: f64,
+    /// What a target counts more than it has, at random, as a share of its slots. Instances that
+    /// see the same loads would otherwise all send to the same target.
+    pub jitter: f64,
+    /// What a faulty target counts more.
+    pub failing_penalty: f64,
+    /// Requests beyond its slots that a target is given, as a share of its slots. A target admits
+    /// by urgency, which an instance that holds requests back can't; and a slot that falls free is
+    /// taken without a round trip.
+    pub queue_share: f64,
+    /// How long a version that is no longer the newest still serves: the placer needs about half a
+    /// second to have the newest one loaded, and the operators' bound is several seconds.
+    pub old_version_grace: Duration,
+    /// How failing targets are passed over.
+    pub health: HealthConfig,
+}
+
+impl Default for DispatchConfig {
+    fn default() -> Self {
+        Self {
+            zone_penalty: 0.04,
+            jitter: 0.02,
+            failing_penalty: 2.0,
+            queue_share: 0.5,
+            old_version_grace: Duration::from_millis(2_500),
+            health: HealthConfig::default(),
+        }
+    }
+}
+
+/// What a request asks of a target.
+#[derive(Clone, Debug)]
+pub struct Ask<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// The weights that it names, if it names any.
+    pub weights: Option<&'a Weights>,
+    /// Targets that it has been at already.
+    pub avoid: &'a [TargetName],
+}
+
+/// Why a request has no target yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wait {
+    /// No target of the service is known that can take it.
+    NoTarget,
+    /// No usable target holds the adapter.
+    NotHeld,
+    /// All targets that could take it are full.
+    Full,
+}
+
+/// What comes of choosing.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Choice {
+    /// The request goes to a target.
+    Send {
+        /// The target.
+        target: TargetName,
+        /// Where it is called.
+        address: SocketAddr,
+        /// Requests at the target, as estimated.
+        load: f64,
+        /// Requests that it works on at a time.
+        slots: u32,
+        /// How old the others' part of the estimate is.
+        load_age: Duration,
+        /// The version that the target has to hold; none if any does.
+        expect_version: Option<u64>,
+        /// How long ago the target last showed that it lives.
+        heard_before: Duration,
+    },
+    /// The request has no target now.
+    Wait(Wait),
+}
+
+impl Dispatch {
+    /// Chooses a target for a request; `draw` gives random numbers from 0 to 1.
+    pub fn choose(&self, ask: &Ask<'_>, mut draw: impl FnMut() -> f64, now: Moment) -> Choice {
+        let serving: Vec<&Target> = self.serving(ask, now).collect();
+        if serving.is_empty() {
+            return Choice::Wait(Wait::NoTarget);
+        }
+        let holding: Vec<&Target> = serving
+            .into_iter()
+            .filter(|target| self.holds(target, ask.weights, now))
+            .collect();
+        if holding.is_empty() {
+            return Choice::Wait(Wait::NotHeld);
+        }
+        let answering: Vec<&Target> = holding
+            .iter()
+            .filter(|target| !target.health.is_silent(now))
+            .copied()
+            .collect();
+        // If all are silent, the fault may be this instance's: one of them is tried all the same.
+        let candidates = if answering.is_empty() {
+            holding
+        } else {
+            answering
+        };
+        let open = candidates.into_iter().filter(|it| self.has_room(it));
+        let scored = open.map(|target| (self.score(target) + draw() * self.cfg.jitter, target));
+        let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
+        match best {
+            Some((_, target)) => self.send(target, ask.weights, now),
+            None => Choice::Wait(Wait::Full),
+        }
+    }
+
+    /// Returns targets of the service that may take new work.
+    fn serving<'a>(
+        &'a self,
+        ask: &'a Ask<'_>,
+        now: Moment,
+    ) -> impl Iterator<Item = &'a Target> + 'a {
+        self.targets.values().filter(move |target| {
+            target.facts.service == *ask.service
+                && target.facts.leaving.is_none()
+                && !ask.avoid.contains(&target.facts.name)
+                && self.holds_model(target, ask.weights, now)
+        })
+    }
+
+    fn holds_model(&self, target: &Target, weights: Option<&Weights>, now: Moment) -> bool {
+        let Some(weights) = weights else {
+            return true;
+        };
+        let mut models = target.facts.models.iter();
+        let Some(model) = models.find(|model| model.name == weights.model) else {
+            return false;
+        };
+        let base = Weights {
+            model: weights.model.clone(),
+            adapter: None,
+        };
+        self.is_current(&base, model.version, now)
+    }
+
+    fn holds(&self, target: &Target, weights: Option<&Weights>, now: Moment) -> bool {
+        let Some(weights) = weights.filter(|weights| weights.adapter.is_some()) else {
+            return true;
+        };
+        let held = self.holders.of(weights);
+        let mut held = held.iter().filter(|(name, _)| *name == target.facts.name);
+        held.any(|(_, version)| self.is_current(weights, *version, now))
+    }
+
+    /// Says whether a version may still serve.
+    fn is_current(&self, weights: &Weights, version: u64, now: Moment) -> bool {
+        let Some(newest) = self.newest.get(weights) else {
+            return true;
+        };
+        version >= newest.version || now.since(newest.known_since) < self.cfg.old_version_grace
+    }
+
+    fn has_room(&self, target: &Target) -> bool {
+        let slots = f64::from(target.facts.slots);
+        target.load.total() < slots * (1.0 + self.cfg.queue_share)
+    }
+
+    fn score(&self, target: &Target) -> f64 {
+        let slots = f64::from(target.facts.slots.max(1));
+        let mut score = target.load.total() / slots;
+        if target.facts.zone != self.zone {
+            score += self.cfg.zone_penalty;
+        }
+        if target.health.failing_share() > self.cfg.health.failing_share {
+            score += self.cfg.failing_penalty;
+        }
+        score
+    }
+
+    fn send(&self, target: &Target, weights: Option<&Weights>, now: Moment) -> Choice {
+        Choice::Send {
+            target: target.facts.name.clone(),
+            address: target.facts.address,
+            load: target.load.total(),
+            slots: target.facts.slots,
+            load_age: now.since(target.load.reported_at()),
+            expect_version: self.expected_version(weights, now),
+            heard_before: now.since(target.health.heard_at()),
+        }
+    }
+
+    /// Returns the version that a target has to confirm.
+    ///
+    /// What is known of its versions may be a moment old, and a request that begins on an older one
+    /// is a wrong answer; a target that is asked for a version refuses if it holds another.
+    fn expected_version(&self, weights: Option<&Weights>, now: Moment) -> Option<u64> {
+        let newest = self.newest.get(weights?)?;
+        let due = now.since(newest.known_since) >= self.cfg.old_version_grace;
+        due.then_some(newest.version)
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_core/src/dispatch/facts.rs
@@ -0,0 +1,126 @@
+//! What is known of a target from outside.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilshunt_model::{ServiceName, TargetName, ZoneName};
+use serde::{Deserialize, Serialize};
+
+/// The weights that a request names: a base model, or an adapter of it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Weights {
+    /// The base model.
+    #[serde(rename = "m")]
+    pub model: Arc<str>,
+    /// The adapter; none for the base model itself.
+    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+    pub adapter: Option<Arc<str>>,
+}
+
+impl fmt::Display for Weights {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.adapter {
+            Some(adapter) => write!(f, "{}/{adapter}", self.model),
+            None => f.write_str(&self.model),
+        }
+    }
+}
+
+/// An adapter that a target holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoadedAdapter {
+    /// Its name.
+    pub name: Arc<str>,
+    /// The version of its weights.
+    pub version: u64,
+}
+
+/// A base model that a target holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoadedModel {
+    /// Its name.
+    pub name: Arc<str>,
+    /// The version of its weights.
+    pub version: u64,
+    /// Its adapters at the target.
+    pub adapters: Vec<LoadedAdapter>,
+}
+
+/// How a target leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Leaving {
+    /// The time after which it is gone whatever it is doing, if it says so.
+    pub gone_after: Option<Duration>,
+}
+
+/// What the platform lists of one target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetFacts {
+    /// Its name, which it never shares with another start of it.
+    pub name: TargetName,
+    /// The service that it belongs to.
+    pub service: ServiceName,
+    /// Where it is called.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub zone: ZoneName,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+    /// Whether and how it leaves.
+    pub leaving: Option<Leaving>,
+    /// The models that it holds; empty for a target of a plain service.
+    pub models: Vec<LoadedModel>,
+}
+
+/// What a target says of its load with an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests being worked on.
+    pub running: u32,
+    /// Requests that wait at the target.
+    pub waiting: u32,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+}
+
+/// A base model as the configuration describes it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ModelSpec {
+    /// Its name.
+    pub name: Arc<str>,
+    /// The size of its weights, in megabytes.
+    pub megabytes: f64,
+    /// How long a load from the weight store takes when no other is under way.
+    pub load_time: Duration,
+    /// The size of each of its adapters, in megabytes.
+    pub adapter_megabytes: f64,
+}
+
+/// How much the targets of a service may be ordered to hold.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlacementLimits {
+    /// The models of the service.
+    pub models: Vec<ModelSpec>,
+    /// Room for weights in one target, in megabytes, adapters included.
+    pub megabytes: f64,
+    /// Adapters that one target may hold, those being loaded included.
+    pub adapter_slots: usize,
+    /// Loads of base models that the weight store allows in a second, over all targets.
+    pub loads_per_second: f64,
+}
+
+impl PlacementLimits {
+    /// Returns how many adapters a target may hold beside the base model.
+    pub fn adapters_beside(&self, model: &str) -> usize {
+        let Some(spec) = self.models.iter().find(|spec| &*spec.name == model) else {
+            return 0;
+        };
+        if spec.adapter_megabytes <= 0.0 {
+            return self.adapter_slots;
+        }
+        let room = (self.megabytes - spec.megabytes).max(0.0) / spec.adapter_megabytes;
+        self.adapter_slots.min(room as usize)
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_core/src/dispatch/uses.rs
@@ -0,0 +1,45 @@
+//! What this instance has under way, by target and adapter.
+
+use std::collections::HashMap;
+
+use chervilshunt_model::TargetName;
+
+use super::facts::Weights;
+use crate::residency::Use;
+
+/// Requests under way by target and weights, and what was used since it was last told.
+#[derive(Debug, Default)]
+pub(crate) struct UseTable {
+    in_flight: HashMap<(TargetName, Option<Weights>), u32>,
+}
+
+impl UseTable {
+    /// Counts a request that was sent.
+    pub(crate) fn sent(&mut self, target: &TargetName, weights: Option<&Weights>) {
+        let key = (target.clone(), weights.cloned());
+        *self.in_flight.entry(key).or_default() += 1;
+    }
+
+    /// Counts a request that ended.
+    ///
+    /// Its line stays until it has been told, so that the placer learns of uses shorter than the
+    /// time between two tellings.
+    pub(crate) fn ended(&mut self, target: &TargetName, weights: Option<&Weights>) {
+        let key = (target.clone(), weights.cloned());
+        if let Some(count) = self.in_flight.get_mut(&key) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    /// Returns everything that was used since the last call, and forgets what no longer is.
+    pub(crate) fn tell(&mut self) -> Vec<Use> {
+        let uses = self.in_flight.iter().map(|((target, weights), count)| Use {
+            target: target.clone(),
+            weights: weights.clone(),
+            in_flight: *count,
+        });
+        let uses = uses.collect();
+        self.in_flight.retain(|_, count| *count > 0);
+        uses
+    }
+}
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -8,10 +8,12 @@
 mod bugs;
 mod decay;
 mod decision;
+mod dispatch;
 mod mechanisms;
 mod owner;
 mod permit;
 mod rank;
+mod residency;
 mod retry;
 mod scheduler;
 mod weights;
@@ -20,6 +22,12 @@
 #[cfg(feature = "seeded-bugs")]
 pub use bugs::Bug;
 pub use decision::{Decision, DecisionKind, Waited};
+pub use dispatch::{
+    Ask, CallerBounds, Choice, Dispatch, DispatchConfig, HealthConfig, Holding, Leaving, LoadReport,
+    LoadedAdapter, LoadedModel, ModelSpec, PlacementLimits, Repeat, Route, RouteTable,
+    ServiceBudgets, ServiceSpec, Sign, TargetFacts, Wait, Weights, WindowBudget,
+    WindowBudgetConfig,
+};
 pub use mechanisms::Mechanisms;
 pub use owner::{
     AdapterState, AdapterView, EngineOrder, EngineReport, LoadUrgency, OrderFailure, OrderId,
@@ -30,6 +38,10 @@
     RefusalReason, ReleaseOutcome, ReleasedPermit,
 };
 pub use rank::{TargetTable, rank_targets};
+pub use residency::{
+    Order, OrderAnswer, OrderNumber, Placed, Residency, ResidencyAction, ResidencyConfig,
+    ResidencyEvent, TargetReport, Use,
+};
 pub use retry::{
     Admission, Backoff, BackoffConfig, Breaker, BreakerConfig, BreakerState, BreakerTicket,
     BreakerTransition, CallOutcome, RetryBudget, RetryBudgetConfig, TokenBucket,
--- /dev/null
+++ b/crates/chervilshunt_core/src/residency/config.rs
@@ -0,0 +1,68 @@
+//! Bounds of placing.
+
+use std::time::Duration;
+
+/// How weights are placed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ResidencyConfig {
+    /// How long a load of an adapter takes that comes from the weight store, while few are loaded.
+    pub cold_load: Duration,
+    /// How long a load takes at a target that held the adapter of late and has it in memory.
+    pub warm_load: Duration,
+    /// What is added to the time that a load is expected to take. A request that comes too early
+    /// is refused and has to be sent again, which a budget bounds.
+    pub load_margin: Duration,
+    /// Adapters that one target loads at a time.
+    pub loads_a_target: usize,
+    /// Adapter loads over all targets beyond which each takes longer in proportion.
+    pub loads_at_full_speed: usize,
+    /// Adapters that a target is taken to have in memory still after it gave up their slots.
+    pub remembered_adapters: usize,
+    /// Requests under way with an adapter, as a share of a target's slots, for which it gets one
+    /// more target.
+    pub spread_share: f64,
+    /// What a cold load counts against a target, as a share of its slots: a load from memory is
+    /// worth a busier target, and its room in the weight store's pace.
+    pub cold_penalty: f64,
+    /// What each load under way counts against a target, as a share of its slots.
+    pub loading_penalty: f64,
+    /// How long an adapter that was used is kept before others.
+    pub keep_used: Duration,
+    /// How long an older version is told of as held while the newest one is loaded elsewhere.
+    pub old_version_grace: Duration,
+    /// How long a target's report lags behind what it has accepted.
+    pub report_lag: Duration,
+    /// The pause before a request whose adapter could not be placed may ask again.
+    pub retry_in: Duration,
+    /// The span over which loads of base models from the weight store are counted.
+    pub store_window: Duration,
+    /// The share of the weight store's rate that is used, so that loads whose start the store sees
+    /// later than they were ordered stay within it.
+    pub store_share: f64,
+    /// Loads of base models at a time. The store gives one or two of them its full speed; more at a
+    /// time would all end late instead of the first ones early.
+    pub model_loads_at_once: usize,
+}
+
+impl Default for ResidencyConfig {
+    fn default() -> Self {
+        Self {
+            cold_load: Duration::from_millis(250),
+            warm_load: Duration::from_millis(25),
+            load_margin: Duration::from_millis(8),
+            loads_a_target: 4,
+            loads_at_full_speed: 8,
+            remembered_adapters: 120,
+            spread_share: 0.3,
+            cold_penalty: 0.25,
+            loading_penalty: 0.05,
+            keep_used: Duration::from_millis(1_000),
+            old_version_grace: Duration::from_millis(2_000),
+            report_lag: Duration::from_millis(450),
+            retry_in: Duration::from_millis(400),
+            store_window: Duration::from_secs(5),
+            store_share: 0.9,
+            model_loads_at_once: 2,
+        }
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_core/src/residency/loads.rs
@@ -0,0 +1,194 @@
+//! Giving orders: at most one on its way to a target, and within the weight store's pace.
+
+use chervilshunt_model::{Moment, TargetName};
+
+use super::hold::HoldState;
+use super::order::{Order, ResidencyAction};
+use super::planner::Residency;
+use super::target::Turn;
+use super::wants::tell;
+use crate::dispatch::Weights;
+use crate::owner::OrderKind;
+
+impl Residency {
+    /// Does whatever has become due or possible at any target.
+    pub(super) fn advance(&mut self, now: Moment, out: &mut Vec<ResidencyAction>) {
+        let names: Vec<TargetName> = self.targets.keys().cloned().collect();
+        for name in names {
+            self.finish_loads(&name, now, out);
+            self.retire_outdated(&name, now, out);
+            self.ask_if_due(&name, now, out);
+            self.next_order(&name, now, out);
+        }
+    }
+
+    fn finish_loads(&mut self, name: &TargetName, now: Moment, out: &mut Vec<ResidencyAction>) {
+        let Some(target) = self.targets.get_mut(name) else {
+            return;
+        };
+        for (weights, hold) in &mut target.holds {
+            if matches!(hold.state, HoldState::Loading(at) if at <= now) {
+                hold.state = HoldState::Ready;
+                hold.since = now;
+                out.push(tell(name, weights, Some(hold.version)));
+            }
+        }
+    }
+
+    fn ask_if_due(&mut self, name: &TargetName, now: Moment, out: &mut Vec<ResidencyAction>) {
+        let Some(target) = self.targets.get_mut(name) else {
+            return;
+        };
+        if matches!(target.turn, Turn::Unknown(at) if at <= now) {
+            target.turn = Turn::Asked;
+            out.push(ResidencyAction::Ask(name.clone()));
+        }
+    }
+
+    /// Gives a target its next order, if it can take one.
+    fn next_order(&mut self, name: &TargetName, now: Moment, out: &mut Vec<ResidencyAction>) {
+        let Some(Turn::Free(accepted)) = self.targets.get(name).map(|it| it.turn.clone()) else {
+            return;
+        };
+        let next = self
+            .next_model_load(name, now)
+            .or_else(|| self.next_load(name, now))
+            .or_else(|| self.next_unload(name));
+        let Some((kind, weights, version)) = next else {
+            return;
+        };
+        let order = Order {
+            number: self.next_number(),
+            target: name.clone(),
+            kind,
+            version,
+            accepted_before: accepted,
+            weights: weights.clone(),
+        };
+        if kind == OrderKind::Unload {
+            out.push(tell(name, &weights, None));
+        }
+        if let Some(target) = self.targets.get_mut(name) {
+            if let Some(hold) = target.holds.get_mut(&weights) {
+                hold.state = match kind {
+                    OrderKind::Load => HoldState::Ordered,
+                    OrderKind::Unload => HoldState::Unloading,
+                };
+            }
+            target.turn = Turn::Out(order.clone());
+        }
+        out.push(ResidencyAction::Order(order));
+    }
+
+    /// Returns the planned load that is next, or the unload that makes room for it.
+    fn next_load(
+        &self,
+        name: &TargetName,
+        now: Moment,
+    ) -> Option<(OrderKind, Weights, Option<u64>)> {
+        let target = self.targets.get(name)?;
+        let mut planned = target.holds.iter();
+        let (weights, hold) = planned.find(|(_, hold)| hold.state == HoldState::Planned)?;
+        if target.loading() >= self.cfg.loads_a_target || target.model_load.is_some() {
+            return None;
+        }
+        let limits = self.limits.get(&target.facts.service)?;
+        if target.slots_taken() < limits.adapters_beside(&weights.model) {
+            let named = self.newest.contains_key(weights);
+            return Some((
+                OrderKind::Load,
+                weights.clone(),
+                named.then_some(hold.version),
+            ));
+        }
+        let victim = target.victim(&self.cfg, now)?.clone();
+        Some((OrderKind::Unload, victim, None))
+    }
+
+    /// Returns the next adapter that is to be given up.
+    fn next_unload(&self, name: &TargetName) -> Option<(OrderKind, Weights, Option<u64>)> {
+        let target = self.targets.get(name)?;
+        let mut ending = target.holds.iter();
+        let ending = ending.find(|(_, hold)| hold.state == HoldState::Ending && hold.is_idle());
+        ending.map(|(weights, _)| (OrderKind::Unload, weights.clone(), None))
+    }
+
+    /// Returns the base model that a target lacks, if the weight store's pace allows its load.
+    fn next_model_load(
+        &mut self,
+        name: &TargetName,
+        now: Moment,
+    ) -> Option<(OrderKind, Weights, Option<u64>)> {
+        let weights = self.missing_model(name)?;
+        let at_once = self.targets.values().filter(|it| it.model_load.is_some());
+        if at_once.count() >= self.cfg.model_loads_at_once || !self.store_allows(name, now) {
+            return None;
+        }
+        let target = self.targets.get_mut(name)?;
+        // Whatever the target held of the model is gone with it.
+        target.holds.clear();
+        target.model_load = Some((weights.clone(), now));
+        self.store_loads.push_back(now);
+        Some((OrderKind::Load, weights, None))
+    }
+
+    /// Returns the model that a target has to load: the one that it lacks, or has an old version of.
+    fn missing_model(&self, name: &TargetName) -> Option<Weights> {
+        let target = self.targets.get(name)?;
+        if target.model_load.is_some() || !target.takes_work() {
+            return None;
+        }
+        let limits = self.limits.get(&target.facts.service)?;
+        let outdated = target.facts.models.iter().find_map(|held| {
+            let weights = Weights {
+                model: held.name.clone(),
+                adapter: None,
+            };
+            let newest = self.newest.get(&weights).copied()?;
+            (newest > held.version).then_some(weights)
+        });
+        if outdated.is_some() || !target.facts.models.is_empty() {
+            return outdated;
+        }
+        let held_at = |model: &str| {
+            let targets = self.targets.values();
+            targets.filter(|it| it.lists_model(model)).count()
+        };
+        let rarest = limits.models.iter().min_by_key(|spec| held_at(&spec.name))?;
+        Some(Weights {
+            model: rarest.name.clone(),
+            adapter: None,
+        })
+    }
+
+    fn store_allows(&mut self, name: &TargetName, now: Moment) -> bool {
+        let window = self.cfg.store_window;
+        while self
+            .store_loads
+            .front()
+            .is_some_and(|at| now.since(*at) > window)
+        {
+            self.store_loads.pop_front();
+        }
+        let service = self.targets.get(name).map(|it| &it.facts.service);
+        let limits = service.and_then(|service| self.limits.get(service));
+        limits.is_some_and(|limits| {
+            let most = limits.loads_per_second * window.as_secs_f64() * self.cfg.store_share;
+            (self.store_loads.len() as f64) < most
+        })
+    }
+
+    /// Returns when a load of an adapter that is accepted now will be ready.
+    pub(super) fn ready_at(&self, name: &TargetName, weights: &Weights, now: Moment) -> Moment {
+        let remembered = self
+            .targets
+            .get(name)
+            .is_some_and(|it| it.remembers(weights));
+        if remembered {
+            return now + self.cfg.warm_load + self.cfg.load_margin;
+        }
+        let under_way: usize = self.targets.values().map(|it| it.loading()).sum();
+        let crowd = under_way as f64 / self.cfg.loads_at_full_speed as f64;
+        now + self.cfg.cold_load.mul_f64(crowd.max(1.0)) + self.cfg.load_margin
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_core/src/residency/mod.rs
@@ -0,0 +1,23 @@
+//! Which target is ordered to hold which weights, decided by the one placer of the deployment.
+//!
+//! The machine takes what instances want and use, what targets answer to orders and what the
+//! platform lists, and gives back orders and tellings. It never has two orders on their way to one
+//! target, so that each order can name the number of orders that the target has accepted before it:
+//! one that is carried out late, after newer ones, then fails by itself. See
+//! `docs/design/on-the-platform.md`.
+
+mod answers;
+mod config;
+mod hold;
+mod loads;
+mod order;
+mod planner;
+mod target;
+mod versions;
+mod wants;
+
+pub use config::ResidencyConfig;
+pub use order::{
+    Order, OrderAnswer, OrderNumber, Placed, ResidencyAction, ResidencyEvent, TargetReport, Use,
+};
+pub use planner::Residency;
--- /dev/null
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -0,0 +1,193 @@
+//! The planner: its state and the way of an event through it.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use chervilshunt_model::{InstanceId, Moment, ServiceName, TargetName};
+use indexmap::IndexMap;
+
+use super::config::ResidencyConfig;
+use super::hold::HoldState;
+use super::order::{OrderNumber, Placed, ResidencyAction, ResidencyEvent, Use};
+use super::target::{TargetState, Turn};
+use crate::dispatch::{Holding, PlacementLimits, TargetFacts, Weights};
+
+/// Decides which target holds which weights. `handle` takes an event and gives back what to do.
+#[derive(Debug)]
+pub struct Residency {
+    pub(super) cfg: ResidencyConfig,
+    pub(super) targets: IndexMap<TargetName, TargetState>,
+    pub(super) limits: HashMap<ServiceName, PlacementLimits>,
+    pub(super) newest: HashMap<Weights, u64>,
+    /// When loads of base models from the weight store were ordered, the last one at the end.
+    pub(super) store_loads: VecDeque<Moment>,
+    next_order: u64,
+}
+
+impl Residency {
+    /// Starts without knowing any target; each one is asked what it holds when it is first seen.
+    pub fn new(cfg: ResidencyConfig) -> Self {
+        Self {
+            cfg,
+            targets: IndexMap::new(),
+            limits: HashMap::new(),
+            newest: HashMap::new(),
+            store_loads: VecDeque::new(),
+            next_order: 0,
+        }
+    }
+
+    /// Takes one event and says what is to be done.
+    pub fn handle(&mut self, event: ResidencyEvent, now: Moment) -> Vec<ResidencyAction> {
+        let mut out = Vec::new();
+        match event {
+            ResidencyEvent::TargetSeen(facts) => self.target_seen(facts, now),
+            ResidencyEvent::TargetGone(name) => self.target_gone(&name, &mut out),
+            ResidencyEvent::Limits(service, limits) => drop(self.limits.insert(service, limits)),
+            ResidencyEvent::Wanted {
+                question,
+                service,
+                weights,
+                avoid,
+            } => self.wanted(question, &service, &weights, &avoid, now, &mut out),
+            ResidencyEvent::Used(from, uses) => self.used(&from, &uses, now),
+            ResidencyEvent::InstanceGone(from) => self.used(&from, &[], now),
+            ResidencyEvent::NotHeld(target, weights) => {
+                self.not_held(&target, &weights, now, &mut out);
+            }
+            ResidencyEvent::Answered(number, answer) => {
+                self.answered(number, answer, now, &mut out);
+            }
+            ResidencyEvent::Reported(target, report) => {
+                self.reported(&target, &report, now, &mut out);
+            }
+            ResidencyEvent::NotReported(target) => self.not_reported(&target, now),
+            ResidencyEvent::VersionNamed(weights, version) => {
+                self.version_named(weights, version, now, &mut out);
+            }
+            ResidencyEvent::Tick => {}
+        }
+        self.advance(now, &mut out);
+        out
+    }
+
+    /// Returns when [`ResidencyEvent::Tick`] is next wanted.
+    pub fn next_wakeup(&self, now: Moment) -> Option<Moment> {
+        let targets = self.targets.values();
+        targets.filter_map(|it| self.target_wakeup(it, now)).min()
+    }
+
+    /// Returns all that requests can use, for an instance that knows nothing yet.
+    pub fn holdings(&self) -> Vec<Holding> {
+        let mut all = Vec::new();
+        for (name, target) in &self.targets {
+            let serving = target.holds.iter().filter(|(_, hold)| hold.serves());
+            all.extend(serving.map(|(weights, hold)| Holding {
+                target: name.clone(),
+                weights: weights.clone(),
+                version: Some(hold.version),
+            }));
+        }
+        all
+    }
+
+    /// Returns the requests that instances other than `from` have under way at each target.
+    pub fn load_beside(&self, from: &InstanceId) -> Vec<(TargetName, u32)> {
+        let targets = self.targets.iter();
+        targets
+            .map(|(name, target)| (name.clone(), target.in_flight_beside(from)))
+            .collect()
+    }
+
+    fn target_wakeup(&self, target: &TargetState, now: Moment) -> Option<Moment> {
+        let ask_at = match &target.turn {
+            Turn::Unknown(at) => Some(*at),
+            Turn::Asked | Turn::Free(_) | Turn::Out(_) => None,
+        };
+        let holds = target.holds.values();
+        let due = holds.filter_map(|hold| match hold.state {
+            HoldState::Loading(at) => Some(at),
+            HoldState::Ready if hold.outdated => Some(hold.since + self.cfg.old_version_grace),
+            // A load that waits for a slot or for its turn is looked at again soon.
+            HoldState::Planned | HoldState::Ending => Some(now + LOOK_AGAIN),
+            HoldState::Ordered | HoldState::Ready | HoldState::Unloading => None,
+        });
+        let model = target.model_load.is_some() || target.facts.models.is_empty();
+        let model = model.then_some(now + LOOK_AGAIN);
+        due.chain(ask_at).chain(model).min()
+    }
+
+    pub(super) fn next_number(&mut self) -> OrderNumber {
+        self.next_order += 1;
+        OrderNumber(self.next_order)
+    }
+
+    fn target_seen(&mut self, facts: TargetFacts, now: Moment) {
+        if !self.limits.contains_key(&facts.service) {
+            return;
+        }
+        match self.targets.get_mut(&facts.name) {
+            Some(target) => {
+                if let Some((weights, _)) = &target.model_load
+                    && facts.models.iter().any(|it| {
+                        it.name == weights.model
+                            && self.newest.get(weights).is_none_or(|v| it.version >= *v)
+                    })
+                {
+                    target.model_load = None;
+                }
+                target.facts = facts;
+            }
+            None => {
+                let name = facts.name.clone();
+                self.targets.insert(name, TargetState::new(facts, now));
+            }
+        }
+    }
+
+    fn target_gone(&mut self, name: &TargetName, out: &mut Vec<ResidencyAction>) {
+        let Some(target) = self.targets.shift_remove(name) else {
+            return;
+        };
+        for hold in target.holds.into_values() {
+            self.answer_later(hold.questions, out);
+        }
+    }
+
+    pub(super) fn answer_later(&self, questions: Vec<u64>, out: &mut Vec<ResidencyAction>) {
+        let retry_in = self.cfg.retry_in;
+        let later = questions
+            .into_iter()
+            .map(|question| ResidencyAction::Answer(question, Placed::Later { retry_in }));
+        out.extend(later);
+    }
+
+    fn used(&mut self, from: &InstanceId, uses: &[Use], now: Moment) {
+        for target in self.targets.values_mut() {
+            target.set_use(from, 0);
+            for hold in target.holds.values_mut() {
+                hold.clear_use(from);
+            }
+        }
+        let mut sums: IndexMap<&TargetName, u32> = IndexMap::new();
+        for it in uses {
+            *sums.entry(&it.target).or_default() += it.in_flight;
+            let target = self.targets.get_mut(&it.target);
+            let weights = it.weights.as_ref();
+            let hold = target.and_then(|target| target.holds.get_mut(weights?));
+            if let Some(hold) = hold {
+                hold.set_use(from, it.in_flight);
+                hold.last_used = now;
+            }
+        }
+        for (name, sum) in sums {
+            if let Some(target) = self.targets.get_mut(name) {
+                target.set_use(from, sum);
+            }
+        }
+        self.spread(now);
+    }
+}
+
+/// When something that waits for others is looked at again.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
--- /dev/null
+++ b/crates/chervilshunt_core/src/residency/target.rs
@@ -0,0 +1,148 @@
+//! One target as the placer sees it.
+
+use chervilshunt_model::{InstanceId, Moment};
+use indexmap::{IndexMap, IndexSet};
+
+use super::config::ResidencyConfig;
+use super::hold::{Hold, HoldState};
+use super::order::Order;
+use crate::dispatch::{TargetFacts, Weights};
+
+/// What is known of the orders that a target has accepted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Turn {
+    /// It has to be asked, at that moment at the earliest.
+    Unknown(Moment),
+    /// It has been asked.
+    Asked,
+    /// It has accepted so many, and none is on its way.
+    Free(u64),
+    /// An order is on its way.
+    Out(Order),
+}
+
+/// One target as the placer sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct TargetState {
+    pub(crate) facts: TargetFacts,
+    pub(crate) turn: Turn,
+    /// Its adapters, those on their way included.
+    pub(crate) holds: IndexMap<Weights, Hold>,
+    /// Adapters that it gave up of late, the last one at the end; it has them in memory.
+    remembered: IndexSet<Weights>,
+    /// The base model that it is loading, and since when.
+    pub(crate) model_load: Option<(Weights, Moment)>,
+    /// What instances have under way here, adapters and others together.
+    uses: Vec<(InstanceId, u32)>,
+}
+
+impl TargetState {
+    pub(crate) fn new(facts: TargetFacts, now: Moment) -> Self {
+        Self {
+            facts,
+            turn: Turn::Unknown(now),
+            holds: IndexMap::new(),
+            remembered: IndexSet::new(),
+            model_load: None,
+            uses: Vec::new(),
+        }
+    }
+
+    /// Says whether new work may be prepared here.
+    pub(crate) fn takes_work(&self) -> bool {
+        self.facts.leaving.is_none()
+    }
+
+    /// Says whether it holds a base model, as it lists it itself.
+    pub(crate) fn lists_model(&self, model: &str) -> bool {
+        self.facts.models.iter().any(|it| &*it.name == model)
+    }
+
+    /// Returns the adapters that are being loaded.
+    pub(crate) fn loading(&self) -> usize {
+        let loading = |hold: &&Hold| matches!(hold.state, HoldState::Loading(_) | HoldState::Ordered);
+        self.holds.values().filter(loading).count()
+    }
+
+    /// Returns the loads that are planned or under way.
+    pub(crate) fn coming(&self) -> usize {
+        self.holds.values().filter(|hold| hold.is_coming()).count()
+    }
+
+    /// Returns the slots that are taken, those that orders without an answer may take included.
+    pub(crate) fn slots_taken(&self) -> usize {
+        let taken = |hold: &&Hold| hold.state != HoldState::Planned;
+        self.holds.values().filter(taken).count()
+    }
+
+    /// Returns the adapter that is missed least: an outdated one, or the one unused for longest.
+    pub(crate) fn victim(&self, cfg: &ResidencyConfig, now: Moment) -> Option<&Weights> {
+        let idle = self.holds.iter().filter(|(_, hold)| hold.is_idle());
+        let idle = idle.filter(|(_, hold)| {
+            hold.outdated
+                || hold.state == HoldState::Ending
+                || now.since(hold.last_used) > cfg.keep_used
+        });
+        let first = idle.min_by_key(|(_, hold)| (!hold.outdated, hold.last_used));
+        first.map(|(weights, _)| weights)
+    }
+
+    /// Says whether one more adapter finds a slot, if need be that of an idle one.
+    pub(crate) fn can_load(&self, cfg: &ResidencyConfig, slots: usize, now: Moment) -> bool {
+        let planned = self.coming() - self.loading().min(self.coming());
+        let idle = self.holds.values().filter(|hold| hold.is_idle());
+        let idle = idle.filter(|hold| now.since(hold.last_used) > cfg.keep_used);
+        self.slots_taken() + planned < slots + idle.count()
+    }
+
+    /// Forgets an adapter that the target no longer holds but has in memory.
+    pub(crate) fn gave_up(&mut self, weights: &Weights, cfg: &ResidencyConfig) {
+        self.holds.shift_remove(weights);
+        self.remember(weights.clone(), cfg);
+    }
+
+    /// Takes note that the target has an adapter in memory.
+    pub(crate) fn remember(&mut self, weights: Weights, cfg: &ResidencyConfig) {
+        self.remembered.shift_remove(&weights);
+        self.remembered.insert(weights);
+        if self.remembered.len() > cfg.remembered_adapters {
+            self.remembered.shift_remove_index(0);
+        }
+    }
+
+    /// Says whether a load of an adapter comes from memory.
+    pub(crate) fn remembers(&self, weights: &Weights) -> bool {
+        self.remembered.contains(weights)
+    }
+
+    /// Takes in how many requests an instance has under way here.
+    pub(crate) fn set_use(&mut self, from: &InstanceId, in_flight: u32) {
+        self.uses.retain(|(instance, _)| instance != from);
+        if in_flight > 0 {
+            self.uses.push((from.clone(), in_flight));
+        }
+    }
+
+    /// Returns the requests under way here.
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.uses.iter().map(|(_, count)| count).sum()
+    }
+
+    /// Returns the requests under way here from instances other than `from`.
+    pub(crate) fn in_flight_beside(&self, from: &InstanceId) -> u32 {
+        let others = self.uses.iter().filter(|(instance, _)| instance != from);
+        others.map(|(_, count)| count).sum()
+    }
+
+    /// Returns what the target counts against it when weights are to be placed.
+    pub(crate) fn burden(&self, cfg: &ResidencyConfig, weights: &Weights) -> f64 {
+        let slots = f64::from(self.facts.slots.max(1));
+        let load = f64::from(self.in_flight()) / slots;
+        let cold = if self.remembers(weights) {
+            0.0
+        } else {
+            cfg.cold_penalty
+        };
+        load + cold + cfg.loading_penalty * self.coming() as f64
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_core/src/residency/versions.rs
@@ -0,0 +1,112 @@
+//! New versions of weights: the newest one is loaded beside the old one, which then goes.
+
+use chervilshunt_model::{Moment, ServiceName, TargetName};
+
+use super::hold::HoldState;
+use super::order::ResidencyAction;
+use super::planner::Residency;
+use super::wants::tell;
+use crate::dispatch::Weights;
+
+impl Residency {
+    /// Takes in that a version is the newest.
+    ///
+    /// To replace an adapter where it is waits for the requests that use it, for seconds, and turns
+    /// new ones away meanwhile. So a used adapter is loaded at other targets first.
+    pub(super) fn version_named(
+        &mut self,
+        weights: Weights,
+        version: u64,
+        now: Moment,
+        out: &mut Vec<ResidencyAction>,
+    ) {
+        let known = self.newest.entry(weights.clone()).or_insert(version);
+        if *known > version {
+            return;
+        }
+        *known = version;
+        if weights.adapter.is_none() {
+            return;
+        }
+        let outdated = self.mark_outdated(&weights, version, now);
+        if outdated.is_empty() {
+            return;
+        }
+        let used = outdated.iter().any(|(_, _, used)| *used);
+        for (name, service, _) in outdated {
+            // Where nobody uses it, or no other target has room, the old one goes at once.
+            let replaced = used && self.plan_load(&service, &weights, &[], now).is_some();
+            if !replaced {
+                self.end_hold(&name, &weights, out);
+            }
+        }
+    }
+
+    /// Marks older versions and returns where they are, each with whether it is used.
+    fn mark_outdated(
+        &mut self,
+        weights: &Weights,
+        version: u64,
+        now: Moment,
+    ) -> Vec<(TargetName, ServiceName, bool)> {
+        let keep_used = self.cfg.keep_used;
+        let mut found = Vec::new();
+        for (name, target) in &mut self.targets {
+            let Some(hold) = target.holds.get_mut(weights) else {
+                continue;
+            };
+            if hold.version >= version {
+                continue;
+            }
+            if hold.state == HoldState::Planned {
+                hold.version = version;
+                continue;
+            }
+            hold.outdated = true;
+            hold.since = now;
+            let used = hold.in_flight() > 0 || now.since(hold.last_used) < keep_used;
+            found.push((name.clone(), target.facts.service.clone(), used));
+        }
+        found
+    }
+
+    /// Gives up outdated holds once the newest version serves elsewhere, or their time is over.
+    pub(super) fn retire_outdated(
+        &mut self,
+        name: &TargetName,
+        now: Moment,
+        out: &mut Vec<ResidencyAction>,
+    ) {
+        let Some(target) = self.targets.get(name) else {
+            return;
+        };
+        let outdated = target.holds.iter().filter(|(_, hold)| {
+            hold.outdated && hold.state == HoldState::Ready
+        });
+        let due: Vec<Weights> = outdated
+            .filter(|(weights, hold)| {
+                now.since(hold.since) >= self.cfg.old_version_grace || self.serves_newest(weights)
+            })
+            .map(|(weights, _)| weights.clone())
+            .collect();
+        for weights in due {
+            self.end_hold(name, &weights, out);
+        }
+    }
+
+    fn serves_newest(&self, weights: &Weights) -> bool {
+        let mut holds = self.targets.values().filter_map(|it| it.holds.get(weights));
+        holds.any(|hold| hold.serves())
+    }
+
+    fn end_hold(&mut self, name: &TargetName, weights: &Weights, out: &mut Vec<ResidencyAction>) {
+        let target = self.targets.get_mut(name);
+        let Some(hold) = target.and_then(|target| target.holds.get_mut(weights)) else {
+            return;
+        };
+        if hold.state == HoldState::Ready {
+            hold.state = HoldState::Ending;
+            out.push(tell(name, weights, None));
+        }
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_core/src/residency/wants.rs
@@ -0,0 +1,170 @@
+//! Choosing a target for an adapter.
+
+use chervilshunt_model::{Moment, ServiceName, TargetName};
+
+use super::hold::{Hold, HoldState};
+use super::order::{Placed, ResidencyAction};
+use super::planner::Residency;
+use super::target::TargetState;
+use crate::dispatch::{Holding, Weights};
+
+impl Residency {
+    /// Finds a target for an adapter that an instance knows nowhere.
+    pub(super) fn wanted(
+        &mut self,
+        question: u64,
+        service: &ServiceName,
+        weights: &Weights,
+        avoid: &[TargetName],
+        now: Moment,
+        out: &mut Vec<ResidencyAction>,
+    ) {
+        let known = self.best_known(service, weights, avoid);
+        let chosen = known.or_else(|| self.plan_load(service, weights, avoid, now));
+        let Some(name) = chosen else {
+            return self.answer_later(vec![question], out);
+        };
+        let target = self.targets.get_mut(&name);
+        let Some(hold) = target.and_then(|target| target.holds.get_mut(weights)) else {
+            return self.answer_later(vec![question], out);
+        };
+        hold.last_used = now;
+        let ready_in = match hold.state {
+            HoldState::Ready | HoldState::Ending | HoldState::Unloading => {
+                let version = Some(hold.version);
+                out.push(tell(&name, weights, version));
+                std::time::Duration::ZERO
+            }
+            HoldState::Loading(at) => now.until(at),
+            HoldState::Planned | HoldState::Ordered => {
+                hold.questions.push(question);
+                return;
+            }
+        };
+        let target = name;
+        out.push(ResidencyAction::Answer(
+            question,
+            Placed::At { target, ready_in },
+        ));
+    }
+
+    /// Returns the least busy target that holds an adapter or is loading it.
+    fn best_known(
+        &self,
+        service: &ServiceName,
+        weights: &Weights,
+        avoid: &[TargetName],
+    ) -> Option<TargetName> {
+        let holding = self.targets.iter().filter(|(name, target)| {
+            let hold = target.holds.get(weights);
+            let useful = hold.is_some_and(|hold| hold.serves() || (hold.is_coming() && !hold.outdated));
+            useful && self.may_place(name, target, service, weights, avoid)
+        });
+        let least = holding.min_by(|a, b| a.1.in_flight().cmp(&b.1.in_flight()));
+        least.map(|(name, _)| name.clone())
+    }
+
+    /// Plans to load an adapter where that costs least.
+    pub(super) fn plan_load(
+        &mut self,
+        service: &ServiceName,
+        weights: &Weights,
+        avoid: &[TargetName],
+        now: Moment,
+    ) -> Option<TargetName> {
+        let slots = self.limits.get(service)?.adapters_beside(&weights.model);
+        let free = self.targets.iter().filter(|(name, target)| {
+            !target.holds.contains_key(weights)
+                && self.may_place(name, target, service, weights, avoid)
+                && target.can_load(&self.cfg, slots, now)
+        });
+        let burden = |target: &TargetState| target.burden(&self.cfg, weights);
+        let best = free.min_by(|a, b| burden(a.1).total_cmp(&burden(b.1)));
+        let name = best.map(|(name, _)| name.clone())?;
+        let version = self.newest.get(weights).copied().unwrap_or(FIRST_VERSION);
+        let target = self.targets.get_mut(&name)?;
+        let hold = Hold::new(HoldState::Planned, version, now);
+        target.holds.insert(weights.clone(), hold);
+        Some(name)
+    }
+
+    fn may_place(
+        &self,
+        name: &TargetName,
+        target: &TargetState,
+        service: &ServiceName,
+        weights: &Weights,
+        avoid: &[TargetName],
+    ) -> bool {
+        target.facts.service == *service
+            && target.takes_work()
+            && target.model_load.is_none()
+            && target.lists_model(&weights.model)
+            && !avoid.contains(name)
+    }
+
+    /// Gives adapters with much work under way one more target.
+    pub(super) fn spread(&mut self, now: Moment) {
+        for (service, weights) in self.crowded() {
+            self.plan_load(&service, &weights, &[], now);
+        }
+    }
+
+    fn crowded(&self) -> Vec<(ServiceName, Weights)> {
+        let mut sums: std::collections::HashMap<&Weights, (u32, u32, bool, &TargetState)> =
+            std::collections::HashMap::new();
+        for target in self.targets.values().filter(|target| target.takes_work()) {
+            for (weights, hold) in &target.holds {
+                let sum = sums.entry(weights).or_insert((0, 0, false, target));
+                sum.0 += hold.in_flight();
+                sum.1 += u32::from(hold.serves());
+                sum.2 |= hold.is_coming();
+            }
+        }
+        let crowded = sums.into_iter().filter(|(_, (under_way, holders, coming, target))| {
+            let share = f64::from(target.facts.slots) * self.cfg.spread_share;
+            !coming && *holders > 0 && f64::from(*under_way) > share * f64::from(*holders)
+        });
+        crowded
+            .map(|(weights, (_, _, _, target))| (target.facts.service.clone(), weights.clone()))
+            .collect()
+    }
+
+    /// Takes in that a target does not hold what it was told to hold.
+    pub(super) fn not_held(
+        &mut self,
+        name: &TargetName,
+        weights: &Weights,
+        now: Moment,
+        out: &mut Vec<ResidencyAction>,
+    ) {
+        let Some(target) = self.targets.get_mut(name) else {
+            return;
+        };
+        let lag = self.cfg.report_lag;
+        let Some(hold) = target.holds.get(weights) else {
+            return;
+        };
+        // A request that was refused just as the load ended says nothing of the hold.
+        if hold.state != HoldState::Ready || now.since(hold.since) < lag {
+            return;
+        }
+        target.holds.shift_remove(weights);
+        out.push(tell(name, weights, None));
+        if let super::target::Turn::Free(_) = target.turn {
+            target.turn = super::target::Turn::Unknown(now + lag);
+        }
+    }
+}
+
+/// The version of weights of which no other has been named.
+const FIRST_VERSION: u64 = 1;
+
+/// Makes what all instances are told of one hold.
+pub(super) fn tell(target: &TargetName, weights: &Weights, version: Option<u64>) -> ResidencyAction {
+    ResidencyAction::Tell(Holding {
+        target: target.clone(),
+        weights: weights.clone(),
+        version,
+    })
+}
--- a/crates/chervilshunt_daemon/src/control/context.rs
+++ b/crates/chervilshunt_daemon/src/control/context.rs
@@ -8,8 +8,8 @@
 use chervilshunt_model::{InstanceId, Moment};
 use chervilshunt_platform::Platform;
 
-use crate::clock::Clock;
-use crate::engines::Engines;
+use chervilshunt_model::Clock;
+use chervilshunt_engine::Engines;
 use crate::keyed::KeyedTries;
 use crate::routing::SharedRouting;
 use crate::traffic::HeldPermits;
--- a/crates/chervilshunt_daemon/src/lib.rs
+++ b/crates/chervilshunt_daemon/src/lib.rs
@@ -5,13 +5,10 @@
 //! and `chervilshunt_coord`. See `docs/ARCHITECTURE.md`.
 
 mod args;
-mod clock;
 mod control;
-mod engines;
 mod facts;
 mod keyed;
 mod lease_timing;
-mod logging;
 mod operators;
 mod routing;
 mod run;
--- a/crates/chervilshunt_daemon/src/operators/health.rs
+++ b/crates/chervilshunt_daemon/src/operators/health.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use crate::clock::Clock;
+use chervilshunt_model::Clock;
 use crate::routing::SharedRouting;
 
 /// What `/healthz` and `/readyz` answer from.
--- a/crates/chervilshunt_daemon/src/run.rs
+++ b/crates/chervilshunt_daemon/src/run.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilshunt_config::Settings;
+use chervilshunt_config::{InstanceSettings, LogLevel, Settings};
 use chervilshunt_coord::{Coordinator, CoordinatorConfig, Holder, Incarnation, deployment_model};
 use chervilshunt_core::{RetryBudget, RetryBudgetConfig};
 use chervilshunt_mesh::{Inbound, Mesh, MeshConfig, MeshError};
@@ -17,12 +17,11 @@
 use tokio_util::sync::CancellationToken;
 use xtra::prelude::*;
 
-use crate::clock::Clock;
+use chervilshunt_model::Clock;
 use crate::control::{Begin, Context, Control, FromPeer};
-use crate::engines::Engines;
+use chervilshunt_engine::Engines;
 use crate::keyed::KeyedTries;
 use crate::lease_timing::LeaseTiming;
-use crate::logging;
 use crate::operators::{Health, Operators, Statements, serve_operators};
 use crate::routing::SharedRouting;
 use crate::shutdown::{Shutdown, ShutdownError, Signals};
@@ -90,7 +89,7 @@
 /// # Errors
 /// Fails if a port or thread can't be had, or if open requests had to be cut off at the end.
 pub fn run(settings: Settings) -> Result<(), RunError> {
-    let (log, _flushed_on_drop) = logging::start(&settings.instance, settings.log.level);
+    let (log, _flushed_on_drop) = start_log(&settings);
     let metrics = install_metrics()?;
     let traffic = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(settings.runtime.traffic_threads)
@@ -103,13 +102,25 @@
     result
 }
 
+fn start_log(settings: &Settings) -> (Logger, impl Sized + use<>) {
+    let level = match settings.log.level {
+        LogLevel::Error => slog::Level::Error,
+        LogLevel::Warning => slog::Level::Warning,
+        LogLevel::Info => slog::Level::Info,
+        LogLevel::Debug => slog::Level::Debug,
+        LogLevel::Trace => slog::Level::Trace,
+    };
+    let InstanceSettings { id, zone, .. } = &settings.instance;
+    chervilshunt_log::start(id.as_str(), zone.as_str(), level)
+}
+
 async fn serve(
     settings: Arc<Settings>,
     log: Logger,
     metrics: PrometheusHandle,
 ) -> Result<(), RunError> {
     let mut signals = Signals::listen().context(StoppedSnafu)?;
-    let clock = Clock::start();
+    let clock = Clock::boot();
     // Unbounded, the system would hold megabytes for a caller that does not read, and the engine
     // would generate them ahead.
     let send_buffer = Some(settings.limits.stream_buffer_bytes);
--- a/crates/chervilshunt_daemon/src/traffic/serve.rs
+++ b/crates/chervilshunt_daemon/src/traffic/serve.rs
@@ -22,8 +22,8 @@
 use super::metrics::{self, OpenRequest};
 use super::permits::Permits;
 use super::problem::{Problem, Reason};
-use crate::clock::Clock;
-use crate::engines::Engines;
+use chervilshunt_model::Clock;
+use chervilshunt_engine::Engines;
 use crate::routing::SharedRouting;
 
 /// When a caller should come back to an instance that may not take new work.
--- a/crates/chervilshunt_engine/src/answer/mod.rs
+++ b/crates/chervilshunt_engine/src/answer/mod.rs
@@ -14,7 +14,7 @@
 use serde::Deserialize;
 
 pub use body::AnswerBody;
-pub(crate) use reader::BodyReader;
+pub use reader::BodyReader;
 pub use sse::{Scanned, SseScanner};
 
 use crate::error::{AdapterMissingSnafu, EngineError, MalformedSnafu, RefusedSnafu};
--- a/crates/chervilshunt_engine/src/answer/reader.rs
+++ b/crates/chervilshunt_engine/src/answer/reader.rs
@@ -17,7 +17,7 @@
 /// Reads an answer's body, and gives the connection back when all of it has come.
 ///
 /// It reads only when it is polled, so that a slow caller holds back the target.
-pub(crate) struct BodyReader {
+pub struct BodyReader {
     incoming: Incoming,
     /// None once the body has ended or failed.
     connection: Option<Connection>,
@@ -25,6 +25,12 @@
     idle: IdleTimer,
 }
 
+impl std::fmt::Debug for BodyReader {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("BodyReader").finish_non_exhaustive()
+    }
+}
+
 impl BodyReader {
     pub(crate) fn new(
         incoming: Incoming,
@@ -57,16 +63,18 @@
         }
     }
 
-    pub(crate) fn size_hint(&self) -> SizeHint {
+    /// Returns how long the body is, as far as its head says.
+    pub fn size_hint(&self) -> SizeHint {
         self.incoming.size_hint()
     }
 
-    pub(crate) fn is_end_stream(&self) -> bool {
+    /// Returns whether the whole body has been read.
+    pub fn is_end_stream(&self) -> bool {
         self.incoming.is_end_stream()
     }
 
     /// Returns the next piece; none when the whole body has come.
-    pub(crate) fn poll_piece(
+    pub fn poll_piece(
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, EngineError>>> {
@@ -102,7 +110,10 @@
     }
 
     /// Reads the whole body into memory.
-    pub(crate) async fn read_whole(mut self, max: usize) -> Result<Bytes, EngineError> {
+    ///
+    /// # Errors
+    /// Fails if it breaks off, stalls or is longer than `max` bytes.
+    pub async fn read_whole(mut self, max: usize) -> Result<Bytes, EngineError> {
         let mut first: Option<Bytes> = None;
         let mut joined = BytesMut::new();
         while let Some(piece) = std::future::poll_fn(|cx| self.poll_piece(cx)).await {
--- a/crates/chervilshunt_engine/src/client.rs
+++ b/crates/chervilshunt_engine/src/client.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::header::{self, HeaderValue};
-use http::{HeaderMap, Request, Response, Uri};
+use http::{HeaderMap, Request, Response, Uri, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use snafu::ResultExt as _;
@@ -79,6 +79,27 @@
         }
     }
 
+    /// Sends a request as it stands and returns the head of its answer, with the body unread.
+    ///
+    /// Nothing is checked or changed: whoever passes an answer on judges head and body. `reuse` says
+    /// whether a connection that was used before may carry it. Dropping the future or the body
+    /// closes the connection and so cancels the request.
+    ///
+    /// # Errors
+    /// [`EngineError::outcome`] says of each error whether the request can have run.
+    pub async fn forward(
+        &self,
+        req: Request<Full<Bytes>>,
+        reuse: bool,
+        limits: Limits,
+    ) -> Result<(response::Parts, BodyReader), EngineError> {
+        let (response, mut connection) = self.exchange(req, reuse, limits).await?;
+        let (head, incoming) = response.into_parts();
+        connection.note_keep_alive(&head.headers);
+        let reader = BodyReader::new(incoming, connection, self.pool.clone(), limits);
+        Ok((head, reader))
+    }
+
     /// Sends a request of this client's own and returns status, headers and the whole body.
     pub(crate) async fn fetch(
         &self,
--- a/crates/chervilshunt_daemon/src/engines.rs
+++ b/crates/chervilshunt_engine/src/engines.rs
@@ -4,19 +4,25 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 
-use chervilshunt_engine::EngineClient;
+use crate::client::EngineClient;
 
 /// The clients by address; their connection pools outlive roles and requests.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Engines(Arc<Mutex<HashMap<SocketAddr, EngineClient>>>);
+pub struct Engines(Arc<Mutex<HashMap<SocketAddr, EngineClient>>>);
 
 impl Engines {
     /// Returns the client of the target at `address`.
-    pub(crate) fn client(&self, address: SocketAddr) -> EngineClient {
+    pub fn client(&self, address: SocketAddr) -> EngineClient {
         let mut clients = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         clients
             .entry(address)
             .or_insert_with(|| EngineClient::new(address))
             .clone()
     }
+
+    /// Forgets clients whose targets are gone, with their idle connections.
+    pub fn retain(&self, is_kept: impl Fn(&SocketAddr) -> bool) {
+        let mut clients = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        clients.retain(|address, _| is_kept(address));
+    }
 }
--- a/crates/chervilshunt_engine/src/pool.rs
+++ b/crates/chervilshunt_engine/src/pool.rs
@@ -9,9 +9,8 @@
 
 use crate::connection::Connection;
 
-/// How long a connection stays for reuse. Uvicorn, which vLLM runs on, closes idle connections
-/// after 5 s; a call that leaves just then fails with its outcome unknown.
-const IDLE_LIMIT: Duration = Duration::from_secs(4);
+/// How often connections that have been idle for too long are closed.
+const SWEEP_EVERY: Duration = Duration::from_secs(4);
 /// The most idle connections to one target.
 const MAX_IDLE: usize = 64;
 
@@ -37,7 +36,7 @@
         }
     }
 
-    /// Returns an idle connection; the target may have closed it.
+    /// Returns an idle connection on which nothing has come; the target may be closing it.
     ///
     /// It was made on the present runtime: on another one a stream would get its wake-ups from that
     /// one's thread, and those of callers would wait behind the control state's work.
@@ -45,11 +44,14 @@
         let here = Handle::current().id();
         let mut idle = self.lock();
         let connections = &mut idle.connections;
-        connections.retain(|connection| connection.idle_since.elapsed() < IDLE_LIMIT);
-        let last = connections
-            .iter()
-            .rposition(|connection| connection.runtime == here)?;
-        Some(connections.remove(last))
+        connections.retain(Connection::is_fresh);
+        while let Some(last) = connections.iter().rposition(|it| it.runtime == here) {
+            let mut connection = connections.remove(last);
+            if connection.is_quiet() {
+                return Some(connection);
+            }
+        }
+        None
     }
 
     /// Puts a connection aside whose answer has been read to its end.
@@ -80,13 +82,12 @@
 /// Without it, an instance that once called each of many targets would keep their sockets.
 async fn sweep(idle: std::sync::Weak<Mutex<Idle>>) {
     loop {
-        tokio::time::sleep(IDLE_LIMIT).await;
+        tokio::time::sleep(SWEEP_EVERY).await;
         let Some(idle) = idle.upgrade() else {
             return;
         };
         let mut idle = idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.connections
-            .retain(|connection| connection.idle_since.elapsed() < IDLE_LIMIT);
+        idle.connections.retain(Connection::is_fresh);
         if idle.connections.is_empty() {
             idle.sweeping = false;
             return;
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/control/actor.rs
@@ -0,0 +1,285 @@
+//! The control actor: its state and the way of messages through it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilshunt_coord::{SoleAction, SoleConfig, SoleEvent, SoleKeeper};
+use chervilshunt_core::{Holding, Residency, ResidencyEvent, Weights};
+use chervilshunt_mesh::{Inbound, Reply};
+use chervilshunt_model::{InstanceId, Moment};
+use chervilshunt_platform::Exchange;
+use tokio::sync::oneshot;
+use xtra::prelude::*;
+
+use super::messages::{
+    Asked, Begin, FromPeer, FromStore, LeaseAnswer, Ordered, Reload, Stop, TellUse, Tick,
+};
+use super::presence::Presence;
+use super::targets::Absences;
+use super::using::Uses;
+use crate::peers::PeerMessage;
+use crate::settings::Settings;
+use crate::shared::Shared;
+
+/// How often an instance tells the placer what it has under way. The placer gives up adapters that
+/// nobody uses, and knows of a use as late as this.
+const TELL_USE_EVERY: Duration = Duration::from_millis(400);
+/// The longest part of a second by which instances spread their writes for a lapsed lease.
+const STAGGER: Duration = Duration::from_millis(400);
+
+/// The planner with what belongs to it, while this instance is the placer.
+#[derive(Debug)]
+pub(super) struct Placer {
+    pub(super) residency: Residency,
+    pub(super) questions: HashMap<u64, Reply<PeerMessage>>,
+    pub(super) next_question: u64,
+    pub(super) presence: Presence,
+}
+
+/// The control state of an instance.
+#[derive(Debug, xtra::Actor)]
+pub(crate) struct Control {
+    pub(super) shared: Arc<Shared>,
+    pub(super) exchange: Arc<Exchange>,
+    pub(super) address: Option<Address<Self>>,
+    pub(super) keeper: SoleKeeper,
+    pub(super) placer: Option<Placer>,
+    pub(super) absences: Absences,
+    pub(super) uses: Uses,
+    /// The newest version of each of the weights that the platform names.
+    pub(super) versions: HashMap<Weights, u64>,
+    /// What all instances are to be told next.
+    pub(super) gathered: Vec<Holding>,
+    /// Told when the lease has been given up.
+    stopped: Option<oneshot::Sender<()>>,
+    /// When the next wake-up comes, so that there is one timer and not one for each message.
+    wakes_at: Option<Moment>,
+}
+
+impl Control {
+    /// Starts as an observer of the lease.
+    pub(crate) fn new(shared: Arc<Shared>, exchange: Arc<Exchange>) -> Self {
+        let settings = &shared.settings;
+        let cfg = SoleConfig {
+            rest: settings.bounds.lease_rest,
+            ..SoleConfig::default()
+        };
+        let keeper = SoleKeeper::new(
+            cfg,
+            settings.instance.id.clone(),
+            rand::random(),
+            settings.addresses.peers,
+            STAGGER.mul_f64(rand::random()),
+            shared.clock.now(),
+        );
+        Self {
+            exchange,
+            address: None,
+            keeper,
+            placer: None,
+            absences: Absences::default(),
+            uses: Uses::default(),
+            versions: HashMap::new(),
+            gathered: Vec::new(),
+            stopped: None,
+            wakes_at: None,
+            shared,
+        }
+    }
+
+    pub(super) fn now(&self) -> Moment {
+        self.shared.clock.now()
+    }
+
+    /// Carries out what the lease keeper wants.
+    pub(super) fn lease_event(&mut self, event: SoleEvent) {
+        let now = self.now();
+        let actions = self.keeper.handle(event, now);
+        for action in actions {
+            self.carry_out_lease(action, now);
+        }
+        self.note_holder();
+    }
+
+    fn carry_out_lease(&mut self, action: SoleAction, now: Moment) {
+        match action {
+            SoleAction::Write(record, version) => self.write_lease(&record, version),
+            SoleAction::Read => self.read_lease(),
+            SoleAction::Gained(term) => self.become_placer(term, now),
+            SoleAction::Lost => self.cease_placing(),
+        }
+    }
+
+    /// Does what has become due, and makes sure of being woken for what is due next.
+    fn after_message(&mut self) {
+        let now = self.now();
+        if self.keeper.next_wakeup().is_some_and(|at| at <= now) {
+            self.lease_event(SoleEvent::Tick);
+        }
+        self.forget_absent(now);
+        let placer = self.placer.as_ref();
+        if placer
+            .and_then(|it| it.residency.next_wakeup(now))
+            .is_some_and(|at| at <= now)
+        {
+            self.plan(ResidencyEvent::Tick);
+        }
+        self.send_gathered();
+        self.arrange_wakeup(now);
+    }
+
+    fn arrange_wakeup(&mut self, now: Moment) {
+        let placer = self.placer.as_ref();
+        let next = [
+            self.keeper.next_wakeup(),
+            placer.and_then(|it| it.residency.next_wakeup(now)),
+            self.absences.next_wakeup(),
+        ];
+        let Some(next) = next.into_iter().flatten().min() else {
+            return;
+        };
+        let next = next.max(now + SHORTEST_SLEEP);
+        if self.wakes_at.is_some_and(|at| at > now && at <= next) {
+            return;
+        }
+        self.wakes_at = Some(next);
+        let Some(address) = self.address.clone() else {
+            return;
+        };
+        let pause = now.until(next);
+        tokio::spawn(async move {
+            tokio::time::sleep(pause).await;
+            drop(address.send(Tick).detach().await);
+        });
+    }
+
+    pub(super) fn me(&self) -> &InstanceId {
+        &self.shared.settings.instance.id
+    }
+}
+
+/// The shortest time between two wake-ups: what is due within it is done together.
+const SHORTEST_SLEEP: Duration = Duration::from_millis(2);
+
+impl Handler<Begin> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, Begin(address): Begin, _cx: &mut xtra::Context<Self>) {
+        self.address = Some(address.clone());
+        tokio::spawn(async move {
+            let mut every = tokio::time::interval(TELL_USE_EVERY);
+            every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+            while address.send(TellUse).await.is_ok() {
+                every.tick().await;
+            }
+        });
+    }
+}
+
+impl Handler<FromStore> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, news: FromStore, _cx: &mut xtra::Context<Self>) {
+        self.from_store(news);
+        self.after_message();
+    }
+}
+
+impl Handler<FromPeer> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, FromPeer(inbound): FromPeer, _cx: &mut xtra::Context<Self>) {
+        match inbound {
+            Inbound::Message(message) => self.from_peer(message),
+            Inbound::Lost(peer) => self.peer_lost(&peer),
+        }
+        self.after_message();
+    }
+}
+
+impl Handler<LeaseAnswer> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, answer: LeaseAnswer, _cx: &mut xtra::Context<Self>) {
+        let event = match answer {
+            LeaseAnswer::Written(written) => SoleEvent::Written(written),
+            LeaseAnswer::Read(seen) => SoleEvent::Seen(seen),
+            LeaseAnswer::ReadFailed => SoleEvent::ReadFailed,
+        };
+        self.lease_event(event);
+        if let Some(stopped) = self.stopped.take() {
+            // Whoever waited may have given up.
+            let _gone = stopped.send(());
+        }
+        self.after_message();
+    }
+}
+
+impl Handler<Ordered> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, Ordered(number, answer): Ordered, _cx: &mut xtra::Context<Self>) {
+        self.plan(ResidencyEvent::Answered(number, answer));
+        self.after_message();
+    }
+}
+
+impl Handler<Asked> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, Asked(target, report): Asked, _cx: &mut xtra::Context<Self>) {
+        self.plan(match report {
+            Some(report) => ResidencyEvent::Reported(target, report),
+            None => ResidencyEvent::NotReported(target),
+        });
+        self.after_message();
+    }
+}
+
+impl Handler<Tick> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, _tick: Tick, _cx: &mut xtra::Context<Self>) {
+        self.after_message();
+    }
+}
+
+impl Handler<TellUse> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, _due: TellUse, _cx: &mut xtra::Context<Self>) {
+        self.tell_use();
+        self.after_message();
+    }
+}
+
+impl Handler<Reload> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, _reload: Reload, _cx: &mut xtra::Context<Self>) {
+        // What may change while an instance runs comes from the platform; the file is read so that
+        // a mistake in it shows now and not at the next start.
+        let path = self.shared.settings_file.clone();
+        match Settings::load(&path) {
+            Ok(settings) => slog::info!(self.shared.log, "settings read again";
+                "changed" => settings != self.shared.settings),
+            Err(error) => slog::warn!(self.shared.log, "settings can't be read";
+                "reason" => error.to_string()),
+        }
+    }
+}
+
+impl Handler<Stop> for Control {
+    type Return = oneshot::Receiver<()>;
+
+    async fn handle(&mut self, _stop: Stop, _cx: &mut xtra::Context<Self>) -> Self::Return {
+        let (tx, rx) = oneshot::channel();
+        let held = self.placer.is_some();
+        if held {
+            self.stopped = Some(tx);
+        }
+        self.lease_event(SoleEvent::Release);
+        rx
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/control/follow.rs
@@ -0,0 +1,193 @@
+//! Following the kinds of objects of the platform's service.
+//!
+//! One list, and then one call after the other that waits for changes. Each call has its price, so
+//! that changes which come in quick succession are gathered by a pause between two calls.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilshunt_platform::{Call, Exchange, PlatformError, Timeouts};
+use slog::Logger;
+use xtra::Address;
+
+use super::actor::Control;
+use super::messages::FromStore;
+use crate::dialect::{Changes, Entry, Kind, Malformed, StoreDialect};
+
+/// How long a call waits for changes. A longer wait would save little: most calls end early with a
+/// change. A silent connection is found within that time and [`ANSWER_GRACE`] at the latest.
+const WATCH_WAIT: Duration = Duration::from_secs(4);
+/// How much later than asked for the answer to a waiting call may come.
+const ANSWER_GRACE: Duration = Duration::from_millis(1_500);
+/// The time for one call of a list.
+const LIST_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The pause after a failed call.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_millis(600);
+
+/// Why following has to begin anew or pause.
+#[derive(Debug)]
+enum Trouble {
+    /// The service no longer has the history from here on.
+    Expired,
+    /// The call failed.
+    Failed(PlatformError),
+    /// The answer can't be read.
+    Unreadable(Malformed),
+}
+
+impl From<PlatformError> for Trouble {
+    fn from(error: PlatformError) -> Self {
+        match error {
+            PlatformError::Expired { .. } => Self::Expired,
+            error => Self::Failed(error),
+        }
+    }
+}
+
+/// Follows one kind.
+struct Follower {
+    kind: Kind,
+    dialect: StoreDialect,
+    exchange: Arc<Exchange>,
+    control: Address<Control>,
+    log: Logger,
+}
+
+/// Begins to follow all kinds on the present runtime.
+pub(crate) fn start_followers(
+    dialect: &StoreDialect,
+    exchange: &Arc<Exchange>,
+    control: &Address<Control>,
+    log: &Logger,
+) {
+    for kind in Kind::ALL {
+        let follower = Follower {
+            kind,
+            dialect: dialect.clone(),
+            exchange: Arc::clone(exchange),
+            control: control.clone(),
+            log: log.clone(),
+        };
+        tokio::spawn(follower.run());
+    }
+}
+
+/// Returns the pause between a change and the next call, in which more changes gather.
+///
+/// The operators' bounds leave seconds to act on a change; only the configuration, whose changes
+/// are rare, is followed at once. The lease changes with each renewal, of which all but the
+/// newest is of no interest.
+const fn gather_for(kind: Kind) -> Duration {
+    match kind {
+        Kind::Configuration | Kind::Versions => Duration::from_millis(100),
+        Kind::Targets => Duration::from_millis(300),
+        Kind::Lease => Duration::from_millis(700),
+    }
+}
+
+impl Follower {
+    async fn run(self) {
+        let mut from = None;
+        let mut pause = FIRST_PAUSE;
+        loop {
+            let result = match from {
+                None => self.list().await,
+                Some(revision) => self.watch(revision).await,
+            };
+            match result {
+                Ok(revision) => {
+                    if pause != FIRST_PAUSE {
+                        self.tell(FromStore::Back(self.kind)).await;
+                        pause = FIRST_PAUSE;
+                    }
+                    from = Some(revision);
+                }
+                Err(Trouble::Expired) => {
+                    slog::info!(self.log, "history expired"; "kind" => self.kind.as_str());
+                    from = None;
+                }
+                Err(trouble) => {
+                    self.report(&trouble, pause == FIRST_PAUSE);
+                    self.tell(FromStore::Trouble).await;
+                    tokio::time::sleep(pause).await;
+                    pause = (pause * 2).min(LONGEST_PAUSE);
+                }
+            }
+        }
+    }
+
+    /// Reads all objects of the kind and returns the revision to go on from.
+    async fn list(&self) -> Result<u64, Trouble> {
+        let mut entries: Vec<Entry> = Vec::new();
+        let mut after: Option<String> = None;
+        let mut first_revision = None;
+        loop {
+            let call = (self.dialect.list)(self.kind, after.as_deref());
+            let body = self.call(&call, LIST_TIMEOUT).await?;
+            let page = (self.dialect.read_page)(self.kind, &body).map_err(Trouble::Unreadable)?;
+            self.report_malformed(&page.malformed);
+            entries.extend(page.entries);
+            // Objects may change between two pages: watched from the first page's revision on,
+            // their changes come again.
+            let revision = *first_revision.get_or_insert(page.revision);
+            match page.next_after {
+                Some(next) => after = Some(next),
+                None => {
+                    self.tell(FromStore::Listed(self.kind, entries)).await;
+                    return Ok(revision);
+                }
+            }
+        }
+    }
+
+    /// Waits for changes and returns the revision to go on from.
+    async fn watch(&self, from: u64) -> Result<u64, Trouble> {
+        let call = (self.dialect.watch)(self.kind, from, WATCH_WAIT);
+        let body = self.call(&call, WATCH_WAIT + ANSWER_GRACE).await?;
+        let changes: Changes =
+            (self.dialect.read_changes)(self.kind, &body).map_err(Trouble::Unreadable)?;
+        self.report_malformed(&changes.malformed);
+        let revision = changes.revision;
+        if !changes.changes.is_empty() {
+            self.tell(FromStore::Changed(changes)).await;
+            tokio::time::sleep(gather_for(self.kind)).await;
+        }
+        Ok(revision)
+    }
+
+    async fn call(&self, call: &Call, attempt: Duration) -> Result<bytes::Bytes, Trouble> {
+        let timeouts = Timeouts {
+            attempt,
+            call: attempt,
+            max_attempts: 1,
+            ..self.exchange.config().timeouts
+        };
+        Ok(self.exchange.call(call, timeouts).await?)
+    }
+
+    async fn tell(&self, news: FromStore) {
+        if self.control.send(news).await.is_err() {
+            slog::debug!(self.log, "the control state has ended");
+        }
+    }
+
+    fn report(&self, trouble: &Trouble, first: bool) {
+        let reason = match trouble {
+            Trouble::Expired => return,
+            Trouble::Failed(error) => error.to_string(),
+            Trouble::Unreadable(malformed) => malformed.to_string(),
+        };
+        // One line for the loss of the service; further failures until it is back tell no more.
+        if first {
+            slog::warn!(self.log, "platform lost"; "kind" => self.kind.as_str(), "reason" => reason);
+        }
+    }
+
+    fn report_malformed(&self, malformed: &[Malformed]) {
+        for it in malformed {
+            slog::warn!(self.log, "object can't be read";
+                "kind" => self.kind.as_str(), "object" => &*it.what, "problem" => &it.problem);
+        }
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/control/messages.rs
@@ -0,0 +1,67 @@
+//! Messages to the control actor.
+
+use chervilshunt_core::{OrderAnswer, OrderNumber, TargetReport};
+use chervilshunt_coord::{SeenRecord, SoleWritten};
+use chervilshunt_mesh::Inbound;
+use chervilshunt_model::TargetName;
+use xtra::Address;
+
+use super::actor::Control;
+use crate::dialect::{Changes, Entry, Kind};
+use crate::peers::PeerMessage;
+
+/// The first message: the actor's own address.
+#[derive(Debug)]
+pub(crate) struct Begin(pub(crate) Address<Control>);
+
+/// Something a peer sent, or the loss of its connection.
+#[derive(Debug)]
+pub(crate) struct FromPeer(pub(crate) Inbound<PeerMessage>);
+
+/// Something the platform shows.
+#[derive(Debug)]
+pub(crate) enum FromStore {
+    /// All objects of a kind.
+    Listed(Kind, Vec<Entry>),
+    /// Changes.
+    Changed(Changes),
+    /// A call has failed.
+    Trouble,
+    /// A call has been answered after failures.
+    Back(Kind),
+}
+
+/// The platform answered a call about the lease.
+#[derive(Debug)]
+pub(crate) enum LeaseAnswer {
+    /// A write has ended.
+    Written(SoleWritten),
+    /// A read has ended; none if there is no object.
+    Read(Option<SeenRecord>),
+    /// A read has failed.
+    ReadFailed,
+}
+
+/// A target answered an order.
+#[derive(Debug)]
+pub(crate) struct Ordered(pub(crate) OrderNumber, pub(crate) OrderAnswer);
+
+/// A target said what it holds, or could not be asked.
+#[derive(Debug)]
+pub(crate) struct Asked(pub(crate) TargetName, pub(crate) Option<TargetReport>);
+
+/// A moment for which the actor wanted to be woken has come.
+#[derive(Debug)]
+pub(crate) struct Tick;
+
+/// It is time to tell the placer what this instance has under way.
+#[derive(Debug)]
+pub(crate) struct TellUse;
+
+/// The settings file has changed.
+#[derive(Debug)]
+pub(crate) struct Reload;
+
+/// The instance stops; answered once the lease has been given up, if it was held.
+#[derive(Debug)]
+pub(crate) struct Stop;
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/control/mod.rs
@@ -0,0 +1,18 @@
+//! The control state of an instance: one actor on a thread of its own.
+//!
+//! It follows the platform, keeps or watches the placer's lease, and, while it holds it, runs the
+//! planner of `chervilshunt_core` and gives its orders. Traffic threads read what it learns through
+//! [`crate::shared::Shared`].
+
+mod actor;
+mod follow;
+mod lease;
+mod messages;
+mod placing;
+mod presence;
+mod targets;
+mod using;
+
+pub(crate) use actor::Control;
+pub(crate) use follow::start_followers;
+pub(crate) use messages::{Begin, FromPeer, Reload, Stop};
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -0,0 +1,276 @@
+//! The placer's part: the planner's events go in here and its actions are carried out.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chervilshunt_core::{
+    Holding, Order, OrderAnswer, Placed, Residency, ResidencyAction, ResidencyConfig,
+    ResidencyEvent, TargetReport, Use, Weights,
+};
+use chervilshunt_engine::{EngineError, Limits, Outcome};
+use chervilshunt_mesh::{Peer, Reply};
+use chervilshunt_model::{InstanceId, Moment, ServiceName, TargetName};
+
+use super::actor::{Control, Placer};
+use super::messages::{Asked, Ordered};
+use super::presence::Presence;
+use crate::peers::PeerMessage;
+
+/// How long a target may take to accept an order, or to say what it holds. It answers within
+/// milliseconds; one that doesn't may carry an order out late.
+const ORDER_LIMITS: Limits = Limits {
+    connect: Duration::from_millis(300),
+    head: Duration::from_millis(700),
+    idle: Duration::from_millis(700),
+};
+/// The longest report that is read, in bytes.
+const MAX_REPORT: usize = 1 << 20;
+
+impl Control {
+    /// Starts to place: everything that is known goes into a new planner.
+    pub(super) fn become_placer(&mut self, term: u64, now: Moment) {
+        slog::info!(self.shared.log, "placing begins"; "term" => term);
+        metrics::counter!("chervilshunt_placer_terms_total").increment(1);
+        self.placer = Some(Placer {
+            residency: Residency::new(ResidencyConfig::default()),
+            questions: HashMap::new(),
+            next_question: 0,
+            presence: Presence::default(),
+        });
+        if let Some(routes) = self.shared.routes.load_full() {
+            self.plan_limits(&routes);
+        }
+        let targets: Vec<_> = self.shared.dispatch().targets().cloned().collect();
+        for facts in targets {
+            self.plan(ResidencyEvent::TargetSeen(facts));
+        }
+        for (weights, version) in self.versions.clone() {
+            self.plan(ResidencyEvent::VersionNamed(weights, version));
+        }
+        self.shared.dispatch().placer_heard(now);
+    }
+
+    /// Stops placing. Questions that wait end unanswered, and callers are told to come back.
+    pub(super) fn cease_placing(&mut self) {
+        slog::info!(self.shared.log, "placing ends");
+        self.placer = None;
+        self.gathered.clear();
+    }
+
+    /// Gives the planner an event, if this instance is the placer.
+    pub(super) fn plan(&mut self, event: ResidencyEvent) {
+        let now = self.now();
+        let Some(placer) = &mut self.placer else {
+            return;
+        };
+        for action in placer.residency.handle(event, now) {
+            self.carry_out(action, now);
+        }
+    }
+
+    fn carry_out(&mut self, action: ResidencyAction, now: Moment) {
+        match action {
+            ResidencyAction::Order(order) => self.give_order(order, now),
+            ResidencyAction::Ask(target) => self.ask(target),
+            ResidencyAction::Tell(holding) => self.gathered.push(holding),
+            ResidencyAction::Answer(question, placed) => self.answer(question, placed),
+        }
+    }
+
+    /// Gives an order, if the lease counts at this moment.
+    fn give_order(&mut self, order: Order, now: Moment) {
+        let Some(control) = self.address.clone() else {
+            return;
+        };
+        let number = order.number;
+        let address = self.address_of(&order.target);
+        let (Some(term), Some(address)) = (self.keeper.may_order(now), address) else {
+            tokio::spawn(async move { drop(control.send(Ordered(number, OrderAnswer::NotSent)).await) });
+            return;
+        };
+        let req = (self.shared.dialect.targets.order)(&order, self.me(), term);
+        let read = self.shared.dialect.targets.read_order_answer;
+        let client = self.shared.engines.client(address);
+        let log = self.shared.log.clone();
+        tokio::spawn(async move {
+            let answer = match client.forward(req, false, ORDER_LIMITS).await {
+                Ok((head, _body)) => read(head.status, &head.headers, &order.target),
+                Err(error) => unanswered(&error),
+            };
+            slog::info!(log, "order";
+                "target" => order.target.as_str(), "kind" => ?order.kind,
+                "weights" => order.weights.to_string(), "version" => order.version,
+                "accepted_before" => order.accepted_before, "term" => term, "answer" => ?answer);
+            metrics::counter!("chervilshunt_orders_total", "answer" => answer_label(answer))
+                .increment(1);
+            drop(control.send(Ordered(number, answer)).await);
+        });
+    }
+
+    /// Asks a target what it holds.
+    fn ask(&self, target: TargetName) {
+        let Some(control) = self.address.clone() else {
+            return;
+        };
+        let address = self.address_of(&target);
+        let req = (self.shared.dialect.targets.ask)(&target);
+        let read = self.shared.dialect.targets.read_report;
+        let engines = self.shared.engines.clone();
+        let log = self.shared.log.clone();
+        tokio::spawn(async move {
+            let report = match address {
+                Some(address) => ask_at(engines.client(address), req, read).await,
+                None => Err("the target is gone".to_owned()),
+            };
+            let report: Option<TargetReport> = match report {
+                Ok(report) => Some(report),
+                Err(reason) => {
+                    slog::info!(log, "target not asked"; "target" => target.as_str(), "reason" => reason);
+                    None
+                }
+            };
+            drop(control.send(Asked(target, report)).await);
+        });
+    }
+
+    fn address_of(&self, target: &TargetName) -> Option<SocketAddr> {
+        self.shared.dispatch().target(target).map(|it| it.address)
+    }
+
+    /// Takes in what an instance has under way, and tells it what it needs in turn.
+    pub(super) fn instance_uses(
+        &mut self,
+        from: &InstanceId,
+        address: SocketAddr,
+        first: bool,
+        uses: Vec<Use>,
+    ) {
+        let now = self.now();
+        let Some(placer) = &mut self.placer else {
+            return;
+        };
+        placer.presence.heard(from, address, now);
+        let peer = Peer {
+            instance: from.clone(),
+            address,
+        };
+        let loads = PeerMessage::Loads {
+            others: placer.residency.load_beside(from),
+            instances: placer.presence.count(),
+        };
+        let whole = first.then(|| PeerMessage::HoldingsWhole(placer.residency.holdings()));
+        for message in whole.into_iter().chain([loads]) {
+            self.send(&peer, message);
+        }
+        self.plan(ResidencyEvent::Used(from.clone(), uses));
+        let silent = self.placer.as_mut().map(|it| it.presence.forget_silent(now));
+        for instance in silent.unwrap_or_default() {
+            self.plan(ResidencyEvent::InstanceGone(instance));
+        }
+    }
+
+    /// Takes in the loads that the placer would tell itself.
+    pub(super) fn take_own_loads(&mut self, me: &InstanceId) {
+        let Some(placer) = &self.placer else {
+            return;
+        };
+        let others = placer.residency.load_beside(me);
+        let instances = placer.presence.count();
+        self.take_loads(&others, instances);
+    }
+
+    /// Takes in that a request wants an adapter.
+    pub(super) fn wanted(
+        &mut self,
+        service: ServiceName,
+        weights: Weights,
+        avoid: Vec<TargetName>,
+        reply: Option<Reply<PeerMessage>>,
+    ) {
+        let (Some(placer), Some(reply)) = (&mut self.placer, reply) else {
+            // Dropping the reply tells the asker at once that there is no answer.
+            return;
+        };
+        let question = placer.next_question;
+        placer.next_question += 1;
+        placer.questions.insert(question, reply);
+        self.plan(ResidencyEvent::Wanted {
+            question,
+            service,
+            weights,
+            avoid,
+        });
+    }
+
+    fn answer(&mut self, question: u64, placed: Placed) {
+        let reply = self.placer.as_mut();
+        let reply = reply.and_then(|placer| placer.questions.remove(&question));
+        if let Some(reply) = reply
+            && let Err(error) = reply.send(PeerMessage::Placed(placed))
+        {
+            slog::debug!(self.shared.log, "asker is gone"; "reason" => error.to_string());
+        }
+    }
+
+    /// Tells all instances what has changed since the last message.
+    pub(super) fn send_gathered(&mut self) {
+        if self.gathered.is_empty() {
+            return;
+        }
+        let holdings: Vec<Holding> = std::mem::take(&mut self.gathered);
+        let peers: Vec<Peer> = self
+            .placer
+            .iter()
+            .flat_map(|placer| placer.presence.peers())
+            .collect();
+        for peer in peers {
+            self.send(&peer, PeerMessage::Holdings(holdings.clone()));
+        }
+        self.take_holdings(holdings);
+    }
+
+    fn send(&self, peer: &Peer, message: PeerMessage) {
+        if let Err(error) = self.shared.mesh.send(peer, message) {
+            slog::debug!(self.shared.log, "instance not told";
+                "peer" => peer.instance.as_str(), "reason" => error.to_string());
+        }
+    }
+}
+
+async fn ask_at(
+    client: chervilshunt_engine::EngineClient,
+    req: http::Request<http_body_util::Full<bytes::Bytes>>,
+    read: fn(&[u8]) -> Result<TargetReport, crate::dialect::Malformed>,
+) -> Result<TargetReport, String> {
+    let (head, body) = client
+        .forward(req, false, ORDER_LIMITS)
+        .await
+        .map_err(|error| error.to_string())?;
+    if !head.status.is_success() {
+        return Err(format!("it answered {}", head.status));
+    }
+    let body = body.read_whole(MAX_REPORT).await;
+    let body = body.map_err(|error| error.to_string())?;
+    read(&body).map_err(|error| error.to_string())
+}
+
+/// Returns what an order without an answer may have come to.
+fn unanswered(error: &EngineError) -> OrderAnswer {
+    match error.outcome() {
+        Outcome::NotRun => OrderAnswer::NotSent,
+        Outcome::Unknown | Outcome::CutShort => OrderAnswer::Unanswered,
+    }
+}
+
+const fn answer_label(answer: OrderAnswer) -> &'static str {
+    match answer {
+        OrderAnswer::Accepted => "accepted",
+        OrderAnswer::Done => "done",
+        OrderAnswer::OutOfTurn => "out_of_turn",
+        OrderAnswer::OtherTarget => "other_target",
+        OrderAnswer::Refused => "refused",
+        OrderAnswer::NotSent => "not_sent",
+        OrderAnswer::Unanswered => "unanswered",
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/control/targets.rs
@@ -0,0 +1,207 @@
+//! What the platform shows: configuration, targets, versions and the lease.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilshunt_coord::SoleEvent;
+use chervilshunt_core::{ResidencyEvent, RouteTable, TargetFacts, Weights};
+use chervilshunt_model::{Moment, TargetName};
+
+use super::actor::Control;
+use super::messages::FromStore;
+use crate::dialect::{Change, Content, Entry, Kind};
+
+/// How long a target whose entry has gone is used still, in calm times. Entries lapse when the
+/// platform's service was away too shortly for any call of this instance to notice, and are back
+/// soon; a target that leaves without a word serves on for seconds.
+const CALM_GRACE: Duration = Duration::from_millis(600);
+/// The same after the platform's service was away, counted from the last failed call: the entries
+/// of live targets are back within two seconds.
+const TROUBLE_GRACE: Duration = Duration::from_millis(2_300);
+/// The share of the targets whose entries go at once that is taken for a lapse.
+const LAPSE_SHARE: f64 = 0.34;
+
+/// Targets whose entries have gone, and for how long they are used still.
+#[derive(Debug, Default)]
+pub(super) struct Absences {
+    due: HashMap<TargetName, Moment>,
+    last_trouble: Option<Moment>,
+}
+
+impl Absences {
+    /// Returns when the next one is to be forgotten.
+    pub(super) fn next_wakeup(&self) -> Option<Moment> {
+        self.due.values().copied().min()
+    }
+
+    fn grace_end(&self, lapsed: bool, now: Moment) -> Moment {
+        let calm = now + CALM_GRACE;
+        let trouble = self.last_trouble.map(|at| at + TROUBLE_GRACE);
+        let lapse = lapsed.then(|| now + TROUBLE_GRACE);
+        [Some(calm), trouble, lapse]
+            .into_iter()
+            .flatten()
+            .max()
+            .unwrap_or(calm)
+    }
+
+    fn take_due(&mut self, now: Moment) -> Vec<TargetName> {
+        let due = self.due.iter().filter(|(_, at)| **at <= now);
+        let due: Vec<TargetName> = due.map(|(name, _)| name.clone()).collect();
+        for name in &due {
+            self.due.remove(name);
+        }
+        due
+    }
+}
+
+impl Control {
+    /// Takes in something that the platform shows.
+    pub(super) fn from_store(&mut self, news: FromStore) {
+        match news {
+            FromStore::Listed(kind, entries) => self.listed(kind, entries),
+            FromStore::Changed(changes) => {
+                let mut removed = Vec::new();
+                for change in changes.changes {
+                    match change {
+                        Change::Put(entry) => self.seen(entry),
+                        Change::Removed(name) => removed.push(TargetName::new(name)),
+                    }
+                }
+                self.absent(removed);
+            }
+            FromStore::Trouble => self.absences.last_trouble = Some(self.now()),
+            FromStore::Back(kind) => {
+                self.absences.last_trouble = Some(self.now());
+                slog::info!(self.shared.log, "platform back"; "kind" => kind.as_str());
+            }
+        }
+    }
+
+    fn listed(&mut self, kind: Kind, entries: Vec<Entry>) {
+        let names: Vec<TargetName> = entries
+            .iter()
+            .map(|entry| TargetName::new(Arc::clone(&entry.name)))
+            .collect();
+        for entry in entries {
+            self.seen(entry);
+        }
+        match kind {
+            Kind::Targets => {
+                self.shared.set_targets_known();
+                let known = self.shared.dispatch();
+                let unlisted = known.targets().filter(|it| !names.contains(&it.name));
+                let unlisted = unlisted.map(|it| it.name.clone()).collect();
+                drop(known);
+                self.absent(unlisted);
+            }
+            Kind::Lease if names.is_empty() => self.lease_event(SoleEvent::Seen(None)),
+            Kind::Lease | Kind::Configuration | Kind::Versions => {}
+        }
+    }
+
+    fn seen(&mut self, entry: Entry) {
+        match entry.content {
+            Content::Configuration(table) => self.configuration_seen(table),
+            Content::Target(facts) => self.target_seen(facts),
+            Content::Version(weights, version) => self.version_seen(weights, version),
+            Content::Lease(seen) => self.lease_event(SoleEvent::Seen(Some(seen))),
+        }
+    }
+
+    /// Puts a configuration into force unless a newer one is.
+    fn configuration_seen(&mut self, table: RouteTable) {
+        let known = self.shared.routes.load_full();
+        let known = known.map(|known| known.version);
+        if known.is_some_and(|known| known >= table.version) {
+            return;
+        }
+        slog::info!(self.shared.log, "configuration in force";
+            "version" => table.version, "before" => known,
+            "routes" => table.route_count(), "services" => table.services.len());
+        metrics::gauge!("chervilshunt_configuration_version").set(table.version as f64);
+        let table = Arc::new(table);
+        self.shared.routes.store(Some(Arc::clone(&table)));
+        self.plan_limits(&table);
+    }
+
+    /// Tells the planner what targets may hold.
+    pub(super) fn plan_limits(&mut self, table: &RouteTable) {
+        for spec in table.services.values() {
+            if let Some(limits) = &spec.placement {
+                self.plan(ResidencyEvent::Limits(spec.name.clone(), limits.clone()));
+            }
+        }
+        if self.placer.is_some() {
+            let targets: Vec<_> = self.shared.dispatch().targets().cloned().collect();
+            for facts in targets {
+                self.plan(ResidencyEvent::TargetSeen(facts));
+            }
+        }
+    }
+
+    fn target_seen(&mut self, facts: TargetFacts) {
+        let now = self.now();
+        self.absences.due.remove(&facts.name);
+        let mut dispatch = self.shared.dispatch();
+        let before = dispatch.target(&facts.name);
+        let was_leaving = before.map(|it| it.leaving.is_some());
+        if was_leaving != Some(facts.leaving.is_some()) {
+            slog::info!(self.shared.log, "target";
+                "target" => facts.name.as_str(), "service" => facts.service.as_str(),
+                "address" => facts.address.to_string(), "leaving" => facts.leaving.is_some());
+        }
+        dispatch.target_seen(facts.clone(), now);
+        drop(dispatch);
+        self.plan(ResidencyEvent::TargetSeen(facts));
+    }
+
+    fn version_seen(&mut self, weights: Weights, version: u64) {
+        let now = self.now();
+        let known = self.versions.insert(weights.clone(), version);
+        if known.is_none_or(|known| known < version) {
+            slog::info!(self.shared.log, "version named";
+                "weights" => weights.to_string(), "version" => version);
+        }
+        self.shared
+            .dispatch()
+            .version_named(weights.clone(), version, now);
+        self.plan(ResidencyEvent::VersionNamed(weights, version));
+    }
+
+    /// Takes in that entries of targets have gone.
+    fn absent(&mut self, names: Vec<TargetName>) {
+        if names.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let known = self.shared.dispatch().targets().count();
+        let lapsed = names.len() > 1 && names.len() as f64 >= known as f64 * LAPSE_SHARE;
+        let end = self.absences.grace_end(lapsed, now);
+        for name in names {
+            if self.shared.dispatch().target(&name).is_some() {
+                slog::info!(self.shared.log, "target not listed";
+                    "target" => name.as_str(), "used_for_ms" => now.until(end).as_millis() as u64);
+                self.absences.due.insert(name, end);
+            }
+        }
+    }
+
+    /// Forgets targets that have been absent for long enough.
+    pub(super) fn forget_absent(&mut self, now: Moment) {
+        let due = self.absences.take_due(now);
+        if due.is_empty() {
+            return;
+        }
+        for name in due {
+            slog::info!(self.shared.log, "target gone"; "target" => name.as_str());
+            self.shared.dispatch().target_gone(&name);
+            self.plan(ResidencyEvent::TargetGone(name));
+        }
+        let dispatch = self.shared.dispatch();
+        let addresses: Vec<_> = dispatch.targets().map(|it| it.address).collect();
+        drop(dispatch);
+        self.shared.engines.retain(|address| addresses.contains(address));
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/control/using.rs
@@ -0,0 +1,116 @@
+//! What this instance tells the placer, and how it takes in what the placer tells.
+
+use chervilshunt_core::{Holding, ResidencyEvent};
+use chervilshunt_mesh::InboundMessage;
+use chervilshunt_model::{InstanceId, TargetName};
+
+use super::actor::Control;
+use crate::peers::PeerMessage;
+
+/// What the placer knows of this instance.
+#[derive(Debug, Default)]
+pub(super) struct Uses {
+    /// The term of the placer that has told everything that is held; none if it is to be asked.
+    introduced: Option<u64>,
+}
+
+impl Control {
+    /// Tells the placer what this instance has under way.
+    pub(super) fn tell_use(&mut self) {
+        let now = self.now();
+        let uses = self.shared.dispatch().tell_uses();
+        if self.placer.is_some() {
+            let me = self.me().clone();
+            self.plan(ResidencyEvent::Used(me.clone(), uses));
+            self.take_own_loads(&me);
+            return;
+        }
+        let Some(placer) = self.shared.placer.load_full() else {
+            return;
+        };
+        if placer.instance == *self.me() {
+            return;
+        }
+        let first = self.uses.introduced != self.keeper.term()
+            || !self.shared.dispatch().is_placer_heard(now);
+        let message = PeerMessage::Using {
+            address: self.shared.settings.addresses.peers,
+            first,
+            uses,
+        };
+        if let Err(error) = self.shared.mesh.send(&placer, message) {
+            slog::debug!(self.shared.log, "placer not told"; "reason" => error.to_string());
+        }
+    }
+
+    /// Takes in a message of another instance, or of this one's own traffic.
+    pub(super) fn from_peer(&mut self, message: InboundMessage<PeerMessage>) {
+        let InboundMessage {
+            from,
+            message,
+            reply,
+        } = message;
+        match message {
+            PeerMessage::Using {
+                address,
+                first,
+                uses,
+            } => self.instance_uses(&from, address, first, uses),
+            PeerMessage::Want {
+                service,
+                weights,
+                avoid,
+            } => self.wanted(service, weights, avoid, reply),
+            PeerMessage::NotHeld(target, weights) => {
+                self.plan(ResidencyEvent::NotHeld(target, weights));
+            }
+            PeerMessage::HoldingsWhole(holdings) if self.is_placer(&from) => {
+                self.uses.introduced = self.keeper.term();
+                let now = self.now();
+                self.shared.dispatch().holdings_whole(holdings, now);
+            }
+            PeerMessage::Holdings(holdings) if self.is_placer(&from) => {
+                self.take_holdings(holdings);
+            }
+            PeerMessage::Loads { others, instances } if self.is_placer(&from) => {
+                self.take_loads(&others, instances);
+            }
+            // From an instance that was the placer, or is not known to be yet.
+            PeerMessage::HoldingsWhole(_)
+            | PeerMessage::Holdings(_)
+            | PeerMessage::Loads { .. }
+            | PeerMessage::Placed(_) => {}
+        }
+    }
+
+    /// Takes in that a connection broke: what the placer told meanwhile is lost.
+    pub(super) fn peer_lost(&mut self, peer: &InstanceId) {
+        if self.is_placer(peer) {
+            self.uses.introduced = None;
+        }
+    }
+
+    pub(super) fn take_holdings(&mut self, holdings: Vec<Holding>) {
+        let now = self.now();
+        let mut dispatch = self.shared.dispatch();
+        for holding in holdings {
+            dispatch.holding_changed(holding, now);
+        }
+    }
+
+    pub(super) fn take_loads(&mut self, others: &[(TargetName, u32)], instances: u32) {
+        let now = self.now();
+        let mut dispatch = self.shared.dispatch();
+        dispatch.placer_heard(now);
+        for (target, count) in others {
+            dispatch.told_load(target, *count, now);
+        }
+        drop(dispatch);
+        self.shared.set_instances(instances as usize);
+    }
+
+    fn is_placer(&self, peer: &InstanceId) -> bool {
+        let placer = self.shared.placer.load();
+        placer.as_ref().is_some_and(|it| it.instance == *peer)
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/front.rs
@@ -0,0 +1,64 @@
+//! The callers' port: HTTP/1.1 connections within their limits.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::task::TaskTracker;
+
+use crate::shared::Shared;
+use crate::traffic::serve;
+
+/// The pause after a connection could not be accepted, as when file descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// The time for a head, and between two requests, until a configuration tells it.
+const IDLE_UNTIL_TOLD: Duration = Duration::from_secs(15);
+/// What is added to the idle time that the configuration gives: a caller that uses a connection
+/// just within that time must not find it closed.
+const IDLE_MARGIN: Duration = Duration::from_secs(2);
+/// The most that is read ahead, in bytes, until a configuration tells how long heads may be.
+const MIN_BUFFER: usize = 16 * 1024;
+
+/// Serves callers for as long as the process runs; `open` counts the connections.
+pub(crate) async fn serve_callers(listener: TcpListener, shared: Arc<Shared>, open: TaskTracker) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                open.spawn(serve_connection(stream, Arc::clone(&shared)));
+            }
+            Err(error) => {
+                slog::warn!(shared.log, "accept failed"; "reason" => error.to_string());
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(stream: TcpStream, shared: Arc<Shared>) {
+    if let Err(error) = stream.set_nodelay(true) {
+        slog::debug!(shared.log, "connection gone"; "reason" => error.to_string());
+        return;
+    }
+    let bounds = shared.routes.load_full().map(|routes| routes.bounds);
+    let idle = bounds.map_or(IDLE_UNTIL_TOLD, |it| it.idle_time.max(it.header_time));
+    let buffer = bounds.map_or(MIN_BUFFER, |it| it.header_bytes.max(MIN_BUFFER));
+    let service = service_fn(|req| {
+        let shared = &shared;
+        async move { Ok::<_, Infallible>(Box::pin(serve(shared, req)).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle + IDLE_MARGIN)
+        // Queued for a vectored write, each small event would pin the buffer that it was read into.
+        .writev(false)
+        .max_buf_size(buffer)
+        .serve_connection(TokioIo::new(stream), service);
+    // A failed connection is the caller's affair: each of its requests has cleaned up by drop.
+    if let Err(error) = connection.await {
+        slog::debug!(shared.log, "connection failed"; "reason" => error.to_string());
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/peers.rs
@@ -0,0 +1,81 @@
+//! Messages between instances: all of them go to the placer or come from it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chervilshunt_core::{Holding, Placed, Use, Weights};
+use chervilshunt_mesh::Purpose;
+use chervilshunt_model::{ServiceName, TargetName};
+use serde::{Deserialize, Serialize};
+
+/// A message between instances.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum PeerMessage {
+    /// To the placer: where this instance takes messages, and what it has under way, whole.
+    #[serde(rename = "u")]
+    Using {
+        /// Where the sender takes messages.
+        #[serde(rename = "a")]
+        address: SocketAddr,
+        /// Whether the sender knows nothing yet of who holds what.
+        #[serde(rename = "f")]
+        first: bool,
+        /// What it has under way.
+        #[serde(rename = "u")]
+        uses: Vec<Use>,
+    },
+    /// To the placer: a request wants an adapter that is known nowhere. Answered by `Placed`.
+    #[serde(rename = "w")]
+    Want {
+        /// The service of the request.
+        #[serde(rename = "s")]
+        service: ServiceName,
+        /// The adapter.
+        #[serde(rename = "w")]
+        weights: Weights,
+        /// Targets that the request can't use.
+        #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+        avoid: Vec<TargetName>,
+    },
+    /// From the placer: where an adapter is or will be.
+    #[serde(rename = "p")]
+    Placed(Placed),
+    /// To the placer: a target said that it does not hold an adapter.
+    #[serde(rename = "n")]
+    NotHeld(TargetName, Weights),
+    /// From the placer: everything that is held.
+    #[serde(rename = "H")]
+    HoldingsWhole(Vec<Holding>),
+    /// From the placer: what has changed.
+    #[serde(rename = "h")]
+    Holdings(Vec<Holding>),
+    /// From the placer, regularly: how busy targets are with other instances' requests, and how
+    /// many instances there are.
+    #[serde(rename = "l")]
+    Loads {
+        /// Requests of other instances by target.
+        #[serde(rename = "t")]
+        others: Vec<(TargetName, u32)>,
+        /// Instances that the placer hears of.
+        #[serde(rename = "i")]
+        instances: u32,
+    },
+}
+
+impl Purpose for PeerMessage {
+    fn purpose(&self) -> &'static str {
+        match self {
+            Self::Using { .. } => "using",
+            Self::Want { .. } => "want",
+            Self::Placed(_) => "placed",
+            Self::NotHeld(..) => "not_held",
+            Self::HoldingsWhole(_) => "holdings_whole",
+            Self::Holdings(_) => "holdings",
+            Self::Loads { .. } => "loads",
+        }
+    }
+}
+
+/// How long a request waits for the placer's answer: an order of its own takes a few milliseconds,
+/// two orders one after the other and a busy placer some more.
+pub(crate) const PLACED_WITHIN: Duration = Duration::from_millis(250);
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/run.rs
@@ -0,0 +1,271 @@
+//! Starting an instance: ports, threads, the control actor, and their end.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilshunt_mesh::{Inbound, Mesh, MeshConfig, MeshError};
+use chervilshunt_platform::{Exchange, PlatformConfig, RateLimit};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use slog::Logger;
+use snafu::{ResultExt, Snafu};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio_util::task::TaskTracker;
+use xtra::prelude::*;
+
+use crate::control::{Begin, Control, FromPeer, Reload, Stop, start_followers};
+use crate::dialect::Dialect;
+use crate::front::serve_callers;
+use crate::peers::PeerMessage;
+use crate::ports::{serve_metrics, serve_readiness};
+use crate::settings::{LogLevel, Settings};
+use crate::shared::Shared;
+
+/// Messages that may wait for the control actor before senders wait too.
+const CONTROL_MAILBOX: usize = 4_096;
+/// Connections that may wait to be accepted.
+const ACCEPT_BACKLOG: u32 = 1_024;
+/// The shortest time for which an instance that stops still takes callers: the platform asks each
+/// second and takes it out of rotation after two answers that it is not ready.
+const STILL_TAKES_CALLERS: Duration = Duration::from_millis(3_200);
+/// What is kept of the time for the shutdown, for the process to end by itself.
+const END_MARGIN: Duration = Duration::from_millis(400);
+/// How long the lease's release is waited for.
+const RELEASE_WITHIN: Duration = Duration::from_millis(1_500);
+/// How often the shutdown looks whether requests are under way.
+const DRAIN_LOOK: Duration = Duration::from_millis(20);
+/// Calls a second of one instance to the platform's service, and those that may come at once: far
+/// above what following takes, and low enough that a fault of this program can't use up the
+/// service's rate for all.
+const CALLS: RateLimit = RateLimit {
+    per_second: 20.0,
+    burst: 40.0,
+    urgent_reserve: 5.0,
+};
+/// Upper bounds of the buckets of latency histograms, in seconds.
+const LATENCY_BUCKETS: [f64; 12] = [
+    0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0, 15.0,
+];
+
+/// Why an instance could not run.
+#[derive(Debug, Snafu)]
+#[non_exhaustive]
+pub enum RunError {
+    /// A port can't be opened.
+    #[snafu(display("can't listen on {address} (addresses.{key}): {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The key in the settings.
+        key: &'static str,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The port for other instances can't be opened.
+    #[snafu(display("addresses.peers: {source}"))]
+    Peers {
+        /// What the transport said.
+        source: MeshError,
+    },
+    /// Threads or signals can't be had.
+    #[snafu(display("can't start threads: {source}"))]
+    Threads {
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The metrics can't be set up.
+    #[snafu(display("can't set up metrics: {reason}"))]
+    Metrics {
+        /// What the library said.
+        reason: String,
+    },
+}
+
+/// Runs an instance until it has been told to stop and has done so.
+///
+/// # Errors
+/// Fails if a port or thread can't be had.
+pub fn run(settings: Settings, settings_file: PathBuf, dialect: Dialect) -> Result<(), RunError> {
+    let instance = &settings.instance;
+    let level = slog_level(settings.log_level);
+    let (log, _flushed_on_drop) =
+        chervilshunt_log::start(instance.id.as_str(), instance.zone.as_str(), level);
+    let metrics = install_metrics()?;
+    let traffic = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(ThreadsSnafu)?;
+    let result = traffic.block_on(serve(settings, settings_file, dialect, log.clone(), metrics));
+    slog::info!(log, "stopped"; "orderly" => result.is_ok());
+    traffic.shutdown_background();
+    result
+}
+
+async fn serve(
+    settings: Settings,
+    settings_file: PathBuf,
+    dialect: Dialect,
+    log: Logger,
+    metrics: PrometheusHandle,
+) -> Result<(), RunError> {
+    let mut signals = Signals::listen()?;
+    let addresses = settings.addresses;
+    let callers = listen(addresses.callers, "callers")?;
+    let readiness = listen(addresses.readiness, "readiness")?;
+    let for_metrics = listen(addresses.metrics, "metrics")?;
+    let mesh_cfg = MeshConfig::new(settings.instance.id.clone(), addresses.peers);
+    let (mesh, inbound) = Mesh::<PeerMessage>::bind(mesh_cfg, log.clone())
+        .await
+        .context(PeersSnafu)?;
+    slog::info!(log, "started";
+        "version" => env!("CARGO_PKG_VERSION"), "callers" => addresses.callers.to_string(),
+        "peers" => addresses.peers.to_string(), "platform" => settings.platform.address.to_string());
+
+    let exchange = Arc::new(Exchange::new(platform_config(&settings)));
+    let bound = settings.bounds.shutdown;
+    let shared = Shared::new(settings, settings_file, dialect, log.clone(), mesh);
+    let control = start_control(&shared, exchange)?;
+    forward(inbound, control.clone());
+    let open = TaskTracker::new();
+    tokio::spawn(serve_callers(callers, Arc::clone(&shared), open.clone()));
+    tokio::spawn(serve_readiness(readiness, Arc::clone(&shared)));
+    tokio::spawn(serve_metrics(for_metrics, metrics));
+
+    signals.until_stop(&control).await;
+    stop(&shared, &control, bound).await;
+    Ok(())
+}
+
+/// Shuts down: callers are sent elsewhere, and open requests are served to their end.
+async fn stop(shared: &Arc<Shared>, control: &Address<Control>, bound: Duration) {
+    let began = tokio::time::Instant::now();
+    slog::info!(shared.log, "stopping"; "bound_s" => bound.as_secs_f64());
+    shared.set_stopping();
+    let released = control.send(Stop).await;
+    if let Ok(released) = released {
+        // Nobody answers if the lease was not held.
+        drop(tokio::time::timeout(RELEASE_WITHIN, released).await);
+    }
+    loop {
+        let passed = began.elapsed();
+        let under_way = shared.open_requests();
+        if passed + END_MARGIN >= bound || (under_way == 0 && passed >= STILL_TAKES_CALLERS) {
+            slog::info!(shared.log, "ending"; "open_requests" => under_way);
+            return;
+        }
+        tokio::time::sleep(DRAIN_LOOK).await;
+    }
+}
+
+/// The signals that an instance acts on.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hang_up: Signal,
+}
+
+impl Signals {
+    fn listen() -> Result<Self, RunError> {
+        let on = |kind| signal(kind).context(ThreadsSnafu);
+        Ok(Self {
+            terminate: on(SignalKind::terminate())?,
+            interrupt: on(SignalKind::interrupt())?,
+            hang_up: on(SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for the signal to stop; others are acted on meanwhile.
+    async fn until_stop(&mut self, control: &Address<Control>) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.hang_up.recv() => drop(control.send(Reload).await),
+            }
+        }
+    }
+}
+
+fn listen(address: SocketAddr, key: &'static str) -> Result<TcpListener, RunError> {
+    let open = || {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        // A restarted instance gets its port back while old connections still linger.
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(ACCEPT_BACKLOG)
+    };
+    open().context(ListenSnafu { address, key })
+}
+
+fn install_metrics() -> Result<PrometheusHandle, RunError> {
+    let builder = PrometheusBuilder::new().set_buckets(&LATENCY_BUCKETS);
+    let installed = builder.and_then(PrometheusBuilder::install_recorder);
+    installed.map_err(|error| {
+        MetricsSnafu {
+            reason: error.to_string(),
+        }
+        .build()
+    })
+}
+
+fn platform_config(settings: &Settings) -> PlatformConfig {
+    let instance = settings.instance.id.clone();
+    let mut cfg = PlatformConfig::new(settings.platform.address, "", instance);
+    cfg.timeouts.connect = Duration::from_millis(500);
+    cfg.rate = CALLS;
+    cfg
+}
+
+fn slog_level(level: LogLevel) -> slog::Level {
+    match level {
+        LogLevel::Error => slog::Level::Error,
+        LogLevel::Warning => slog::Level::Warning,
+        LogLevel::Info => slog::Level::Info,
+        LogLevel::Debug => slog::Level::Debug,
+    }
+}
+
+/// Starts the control thread with its actor and all that follows the platform.
+fn start_control(
+    shared: &Arc<Shared>,
+    exchange: Arc<Exchange>,
+) -> Result<Address<Control>, RunError> {
+    let (address, mailbox) = Mailbox::bounded(CONTROL_MAILBOX);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(ThreadsSnafu)?;
+    let own = address.clone();
+    let shared = Arc::clone(shared);
+    std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            runtime.block_on(async move {
+                let control = Control::new(Arc::clone(&shared), Arc::clone(&exchange));
+                let begin = own.clone();
+                tokio::spawn(async move { drop(begin.send(Begin(begin.clone())).await) });
+                start_followers(&shared.dialect.store, &exchange, &own, &shared.log);
+                drop(own);
+                xtra::run(mailbox, control).await;
+            });
+        })
+        .context(ThreadsSnafu)?;
+    Ok(address)
+}
+
+/// Hands what peers send to the control actor, in its order.
+fn forward(mut inbound: mpsc::Receiver<Inbound<PeerMessage>>, control: Address<Control>) {
+    tokio::spawn(async move {
+        while let Some(message) = inbound.recv().await {
+            if control.send(FromPeer(message)).await.is_err() {
+                return;
+            }
+        }
+    });
+}
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/settings.rs
@@ -0,0 +1,283 @@
+//! Settings of an instance: JSON with comments, resolved in one step from raw to checked.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use chervilshunt_core::WindowBudgetConfig;
+use chervilshunt_model::{InstanceId, RegionName, ZoneName};
+use serde::Deserialize;
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
+
+/// Why settings can't be used.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[snafu(display("can't read the settings file {file}: {source}"))]
+    Read {
+        /// The file.
+        file: String,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The text is no JSON with comments, or holds keys or values that don't belong there.
+    #[snafu(display("{file}: {problem}"))]
+    Parse {
+        /// The file.
+        file: String,
+        /// What is wrong, with line and column.
+        problem: String,
+    },
+    /// A key is missing.
+    #[snafu(display("{file}: the key {key} is missing"))]
+    Missing {
+        /// The file.
+        file: String,
+        /// The key.
+        key: &'static str,
+    },
+    /// A value lies outside its bounds.
+    #[snafu(display("{file}: {key} has to {must}"))]
+    OutOfBounds {
+        /// The file.
+        file: String,
+        /// The key.
+        key: &'static str,
+        /// What is asked of it.
+        must: &'static str,
+    },
+}
+
+/// Everything that an instance learns from its settings.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Who the instance is and where it stands.
+    pub instance: InstanceSettings,
+    /// Where it listens.
+    pub addresses: Addresses,
+    /// How it reaches the platform's object service.
+    pub platform: PlatformSettings,
+    /// The bounds that the operators set.
+    pub bounds: Bounds,
+    /// The least level of a line that is logged.
+    pub log_level: LogLevel,
+}
+
+/// Who an instance is and where it stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InstanceSettings {
+    /// Its name, unlike that of any other.
+    pub id: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Its region.
+    pub region: RegionName,
+}
+
+/// Where an instance listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the platform's question whether callers may be sent here.
+    pub readiness: SocketAddr,
+    /// For other instances.
+    pub peers: SocketAddr,
+    /// For those who read the metrics.
+    pub metrics: SocketAddr,
+}
+
+/// How the platform's object service is reached.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlatformSettings {
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// The bounds that the operators set.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// How long a shutdown may take before the process is killed.
+    pub shutdown: Duration,
+    /// How long nobody may give orders between two holders of the placer's lease.
+    pub lease_rest: Duration,
+    /// The budget of repeated sendings.
+    pub retries: WindowBudgetConfig,
+}
+
+/// The least level of a line that is logged.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogLevel {
+    /// Failures of the instance itself.
+    Error,
+    /// What an operator should look at.
+    Warning,
+    /// Decisions on requests, and changes of what the instance believes.
+    #[default]
+    Info,
+    /// Details of single exchanges.
+    Debug,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct RawSettings {
+    instance: RawInstance,
+    addresses: RawAddresses,
+    platform: RawPlatform,
+    bounds: RawBounds,
+    log: RawLog,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct RawInstance {
+    id: Option<String>,
+    zone: Option<String>,
+    region: Option<String>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct RawAddresses {
+    callers: Option<SocketAddr>,
+    readiness: Option<SocketAddr>,
+    peers: Option<SocketAddr>,
+    metrics: Option<SocketAddr>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct RawPlatform {
+    address: Option<SocketAddr>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct RawBounds {
+    shutdown_s: Option<f64>,
+    lease_rest_ms: Option<u64>,
+    retry_window_s: Option<f64>,
+    retry_ratio: Option<f64>,
+    retry_allowance: Option<f64>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct RawLog {
+    level: LogLevel,
+}
+
+/// The shutdown's bound if the settings give none.
+const SHUTDOWN: Duration = Duration::from_secs(8);
+/// The rest between two placers if the settings give none, and what is added to a given one: an
+/// order may be on its way for as long.
+const LEASE_REST: Duration = Duration::from_secs(3);
+const ORDER_ON_ITS_WAY: Duration = Duration::from_millis(300);
+
+impl Settings {
+    /// Reads and checks the settings file at `path`.
+    ///
+    /// # Errors
+    /// Fails if the file can't be read, or says what is wrong with it.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).context(ReadSnafu { file: &file })?;
+        Self::parse(&text, &file)
+    }
+
+    /// Checks the text of a settings file; `file` is the name that errors give.
+    ///
+    /// # Errors
+    /// Says what is wrong with the text.
+    pub fn parse(text: &str, file: &str) -> Result<Self, SettingsError> {
+        let parsed = jsonc_parser::parse_to_serde_value(text, &jsonc_parser::ParseOptions::default());
+        let value: Option<serde_json::Value> = parsed.map_err(|error| problem(file, &error))?;
+        let value = value.unwrap_or_default();
+        let raw: RawSettings =
+            serde_json::from_value(value).map_err(|error| problem(file, &error))?;
+        resolve(raw, file)
+    }
+}
+
+fn problem(file: &str, problem: &dyn std::fmt::Display) -> SettingsError {
+    ParseSnafu {
+        file,
+        problem: problem.to_string(),
+    }
+    .build()
+}
+
+fn resolve(raw: RawSettings, file: &str) -> Result<Settings, SettingsError> {
+    let missing = |key| MissingSnafu { file, key };
+    let RawSettings {
+        instance,
+        addresses,
+        platform,
+        bounds,
+        log,
+    } = raw;
+    let id = instance.id.context(missing("instance.id"))?;
+    ensure!(
+        !id.is_empty(),
+        OutOfBoundsSnafu {
+            file,
+            key: "instance.id",
+            must: "be a name"
+        }
+    );
+    let zone = instance.zone.context(missing("instance.zone"))?;
+    let region = instance.region.context(missing("instance.region"))?;
+    Ok(Settings {
+        instance: InstanceSettings {
+            id: InstanceId::new(id),
+            zone: ZoneName::new(zone),
+            region: RegionName::new(region),
+        },
+        addresses: Addresses {
+            callers: addresses.callers.context(missing("addresses.callers"))?,
+            readiness: addresses
+                .readiness
+                .context(missing("addresses.readiness"))?,
+            peers: addresses.peers.context(missing("addresses.peers"))?,
+            metrics: addresses.metrics.context(missing("addresses.metrics"))?,
+        },
+        platform: PlatformSettings {
+            address: platform.address.context(missing("platform.address"))?,
+        },
+        bounds: resolve_bounds(&bounds, file)?,
+        log_level: log.level,
+    })
+}
+
+fn resolve_bounds(raw: &RawBounds, file: &str) -> Result<Bounds, SettingsError> {
+    let defaults = WindowBudgetConfig::default();
+    let seconds = |key, value: Option<f64>, default: Duration| {
+        let value = value.unwrap_or(default.as_secs_f64());
+        let must = "be a time above zero";
+        ensure!(value > 0.0, OutOfBoundsSnafu { file, key, must });
+        Duration::try_from_secs_f64(value)
+            .ok()
+            .context(OutOfBoundsSnafu { file, key, must })
+    };
+    let ratio = raw.retry_ratio.unwrap_or(defaults.ratio);
+    let allowance = raw.retry_allowance.unwrap_or(defaults.allowance);
+    for (key, value) in [
+        ("bounds.retry_ratio", ratio),
+        ("bounds.retry_allowance", allowance),
+    ] {
+        let must = "not be negative";
+        ensure!(value >= 0.0, OutOfBoundsSnafu { file, key, must });
+    }
+    let rest = raw.lease_rest_ms.map_or(LEASE_REST, Duration::from_millis);
+    Ok(Bounds {
+        shutdown: seconds("bounds.shutdown_s", raw.shutdown_s, SHUTDOWN)?,
+        lease_rest: rest + ORDER_ON_ITS_WAY,
+        retries: WindowBudgetConfig {
+            window: seconds("bounds.retry_window_s", raw.retry_window_s, defaults.window)?,
+            ratio,
+            allowance,
+        },
+    })
+}
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/shared.rs
@@ -0,0 +1,141 @@
+//! What control and traffic threads share.
+
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arc_swap::ArcSwapOption;
+use chervilshunt_core::{Dispatch, RouteTable, ServiceBudgets};
+use chervilshunt_engine::Engines;
+use chervilshunt_mesh::{Mesh, Peer};
+use chervilshunt_model::Clock;
+use slog::Logger;
+
+use crate::dialect::Dialect;
+use crate::peers::PeerMessage;
+use crate::settings::Settings;
+
+/// Instances that are taken to share the retry budget until the placer tells how many there are.
+const INSTANCES_UNTIL_TOLD: usize = 16;
+
+/// What control and traffic threads share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    /// Where the settings were read from.
+    pub(crate) settings_file: PathBuf,
+    pub(crate) dialect: Dialect,
+    pub(crate) clock: Clock,
+    pub(crate) log: Logger,
+    pub(crate) mesh: Mesh<PeerMessage>,
+    pub(crate) engines: Engines,
+    /// The configuration in force here; none until one has been read.
+    pub(crate) routes: ArcSwapOption<RouteTable>,
+    /// The placer, as far as it is known.
+    pub(crate) placer: ArcSwapOption<Peer>,
+    dispatch: Mutex<Dispatch>,
+    budgets: Mutex<ServiceBudgets>,
+    instances: AtomicUsize,
+    targets_known: AtomicBool,
+    stopping: AtomicBool,
+    open_requests: AtomicUsize,
+}
+
+/// A caller's request that is open, from its head to the last byte of its answer.
+#[derive(Debug)]
+pub(crate) struct OpenRequest(Arc<Shared>);
+
+impl OpenRequest {
+    /// Counts a request.
+    pub(crate) fn begin(shared: &Arc<Shared>) -> Self {
+        shared.open_requests.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(shared))
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open_requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Shared {
+    /// Puts the parts together.
+    pub(crate) fn new(
+        settings: Settings,
+        settings_file: PathBuf,
+        dialect: Dialect,
+        log: Logger,
+        mesh: Mesh<PeerMessage>,
+    ) -> Arc<Self> {
+        let dispatch = Dispatch::new(
+            chervilshunt_core::DispatchConfig::default(),
+            settings.instance.zone.clone(),
+        );
+        let budgets = ServiceBudgets::new(settings.bounds.retries);
+        Arc::new(Self {
+            settings,
+            settings_file,
+            dialect,
+            clock: Clock::boot(),
+            log,
+            mesh,
+            engines: Engines::default(),
+            routes: ArcSwapOption::empty(),
+            placer: ArcSwapOption::empty(),
+            dispatch: Mutex::new(dispatch),
+            budgets: Mutex::new(budgets),
+            instances: AtomicUsize::new(INSTANCES_UNTIL_TOLD),
+            targets_known: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
+            open_requests: AtomicUsize::new(0),
+        })
+    }
+
+    /// Locks what is known of the targets.
+    pub(crate) fn dispatch(&self) -> MutexGuard<'_, Dispatch> {
+        self.dispatch.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Locks the budgets of repeated sendings.
+    pub(crate) fn budgets(&self) -> MutexGuard<'_, ServiceBudgets> {
+        self.budgets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns how many instances share the budgets.
+    pub(crate) fn instances(&self) -> usize {
+        self.instances.load(Ordering::Relaxed)
+    }
+
+    /// Takes in how many instances there are.
+    pub(crate) fn set_instances(&self, instances: usize) {
+        self.instances.store(instances.max(1), Ordering::Relaxed);
+    }
+
+    /// Returns how many callers' requests are open.
+    pub(crate) fn open_requests(&self) -> usize {
+        self.open_requests.load(Ordering::Relaxed)
+    }
+
+    /// Takes note that the targets have been listed.
+    pub(crate) fn set_targets_known(&self) {
+        self.targets_known.store(true, Ordering::Release);
+    }
+
+    /// Begins the shutdown.
+    pub(crate) fn set_stopping(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
+    /// Says whether the instance is shutting down.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Says whether callers should be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.routes.load().is_some()
+            && self.targets_known.load(Ordering::Acquire)
+            && !self.is_stopping()
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -0,0 +1,305 @@
+//! A request's sendings: to one target after the other, as long as that can do no harm.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chervilshunt_core::{Sign, Weights};
+use chervilshunt_engine::{BodyReader, EngineError, Limits, Outcome};
+use chervilshunt_model::TargetName;
+use http::response::Parts;
+use http::{Request, Uri};
+use http_body_util::Full;
+
+use super::answer::{Verdict, judge};
+use super::place::Chosen;
+use super::refusal::{Reason, Refusal};
+use super::request::{CallerRequest, set};
+use crate::peers::PeerMessage;
+use crate::shared::Shared;
+
+/// The time for a connection. Targets are a millisecond or two away; a packet that was lost is
+/// sent again only after a second.
+const CONNECT: Duration = Duration::from_millis(400);
+/// Sendings of one request, refused ones included.
+const MAX_SENDINGS: u32 = 4;
+/// What is taken off the time that a target is given, for the way back.
+const WAY_BACK: Duration = Duration::from_millis(20);
+/// The pause before a request goes to the same target again that was still loading its adapter.
+const LOADING_PAUSE: Duration = Duration::from_millis(40);
+/// How long a request that may run twice waits for the head of an answer, as a multiple of its
+/// objective, before another target is tried.
+const HEAD_PATIENCE: f64 = 2.5;
+/// When a caller should come back whose request was refused by targets.
+const REFUSED_RETRY: Duration = Duration::from_millis(600);
+
+/// A request on its way through its sendings.
+pub(crate) struct Run<'a> {
+    pub(crate) shared: &'a Arc<Shared>,
+    pub(crate) req: &'a CallerRequest,
+    /// Targets that are not tried again.
+    pub(crate) avoid: Vec<TargetName>,
+    /// The last event of the stream that the caller has, where the stream is resumed.
+    pub(crate) last_event: Option<Arc<str>>,
+    sendings: u32,
+    runs: u32,
+}
+
+/// A request under way at a target; dropping it ends that.
+#[derive(Debug)]
+pub(crate) struct InFlight {
+    shared: Arc<Shared>,
+    pub(crate) target: TargetName,
+    weights: Option<Weights>,
+}
+
+impl InFlight {
+    fn begin(shared: &Arc<Shared>, target: &TargetName, weights: Option<&Weights>) -> Self {
+        shared.dispatch().sent(target, weights);
+        Self {
+            shared: Arc::clone(shared),
+            target: target.clone(),
+            weights: weights.cloned(),
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.shared
+            .dispatch()
+            .ended(&self.target, self.weights.as_ref());
+    }
+}
+
+/// An answer that is passed on.
+#[derive(Debug)]
+pub(crate) struct Answered {
+    pub(crate) head: Parts,
+    pub(crate) body: BodyReader,
+    pub(crate) in_flight: InFlight,
+}
+
+/// What came of one sending.
+enum Sent {
+    Answered(Box<Answered>),
+    /// It has not run. Another target may be tried, or the same one after a pause.
+    NotRun { at_same: bool },
+    /// It may have run.
+    MayHaveRun(Reason),
+}
+
+impl<'a> Run<'a> {
+    /// Begins the first run of a request.
+    pub(crate) fn new(shared: &'a Arc<Shared>, req: &'a CallerRequest) -> Self {
+        Self {
+            shared,
+            req,
+            avoid: Vec::new(),
+            last_event: None,
+            sendings: 0,
+            runs: 0,
+        }
+    }
+
+    /// Goes on with a stream that broke off at a target.
+    pub(crate) fn resumed(
+        shared: &'a Arc<Shared>,
+        req: &'a CallerRequest,
+        broke_at: TargetName,
+        runs: u32,
+        last_event: Option<Arc<str>>,
+    ) -> Self {
+        Self {
+            avoid: vec![broke_at],
+            last_event,
+            sendings: 1,
+            runs,
+            ..Self::new(shared, req)
+        }
+    }
+
+    /// Sends the request until a target answers it or it has to be given up.
+    pub(crate) async fn answer(&mut self) -> Result<Answered, Refusal> {
+        let left = self.req.left(self.shared.clock.now());
+        match tokio::time::timeout(left, self.send_until_answered()).await {
+            Ok(result) => result,
+            Err(_) if self.runs > 0 => Err(Refusal::new(Reason::Unanswered)),
+            Err(_) => Err(Refusal::new(Reason::Late)),
+        }
+    }
+
+    /// Returns how often the request may have run.
+    pub(crate) const fn runs(&self) -> u32 {
+        self.runs
+    }
+
+    async fn send_until_answered(&mut self) -> Result<Answered, Refusal> {
+        let mut same: Option<Chosen> = None;
+        loop {
+            let chosen = match same.take() {
+                Some(chosen) => chosen,
+                None => self.find_target().await.map_err(|it| self.truly(it))?,
+            };
+            if !self.may_send() {
+                let spent = Refusal::retry_after(Reason::BudgetSpent, REFUSED_RETRY);
+                return Err(self.truly(spent));
+            }
+            match self.send(&chosen).await {
+                Sent::Answered(answered) => return Ok(*answered),
+                Sent::NotRun { at_same: true } => {
+                    tokio::time::sleep(LOADING_PAUSE).await;
+                    same = Some(chosen);
+                }
+                Sent::NotRun { at_same: false } => self.avoid.push(chosen.target),
+                Sent::MayHaveRun(reason) => {
+                    if !self.req.route.repeat.is_allowed()
+                        || self.runs >= self.req.route.max_targets
+                    {
+                        return Err(Refusal::new(reason));
+                    }
+                    self.avoid.push(chosen.target);
+                }
+            }
+        }
+    }
+
+    /// Turns a refusal that says "not run" into one that doesn't, if the request may have run.
+    fn truly(&self, refusal: Refusal) -> Refusal {
+        if self.runs == 0 {
+            return refusal;
+        }
+        Refusal::new(Reason::AnswerLost)
+    }
+
+    /// Says whether the request may be sent once more, and counts it if so.
+    fn may_send(&mut self) -> bool {
+        if self.sendings == 0 {
+            self.sendings = 1;
+            return true;
+        }
+        if self.sendings >= MAX_SENDINGS {
+            return false;
+        }
+        let now = self.shared.clock.now();
+        let instances = self.shared.instances();
+        let mut budgets = self.shared.budgets();
+        let allowed = budgets.of(&self.req.service).try_repeat(instances, now);
+        self.sendings += u32::from(allowed);
+        metrics::counter!("chervilshunt_repeats_total", "allowed" => if allowed { "yes" } else { "no" })
+            .increment(1);
+        allowed
+    }
+
+    async fn send(&mut self, chosen: &Chosen) -> Sent {
+        let in_flight = InFlight::begin(self.shared, &chosen.target, self.req.weights.as_ref());
+        let client = self.shared.engines.client(chosen.address);
+        let left = self.req.left(self.shared.clock.now());
+        let repeat = self.req.route.repeat.is_allowed();
+        let patience = self.req.route.objective.mul_f64(HEAD_PATIENCE);
+        let head = if repeat { left.min(patience) } else { left };
+        let limits = Limits {
+            connect: CONNECT,
+            head,
+            idle: left,
+        };
+        let req = self.outgoing(chosen, left);
+        // From here on it may run: a refusal that comes while it is under way must not deny that.
+        self.runs += 1;
+        match client.forward(req, chosen.reuse, limits).await {
+            Ok((head, body)) => self.judge(chosen, head, body, in_flight),
+            Err(error) => self.failed(chosen, &error),
+        }
+    }
+
+    fn judge(&mut self, chosen: &Chosen, head: Parts, body: BodyReader, in_flight: InFlight) -> Sent {
+        let now = self.shared.clock.now();
+        let names = &self.shared.dialect.headers;
+        let load = head.headers.get(&names.load);
+        let load = load.and_then(|it| it.to_str().ok());
+        let load = load.and_then(self.shared.dialect.targets.load);
+        if let Some(load) = load {
+            self.shared.dispatch().reported(&chosen.target, load, now);
+        }
+        let verdict = judge(names, self.req, &chosen.target, &head);
+        if verdict != Verdict::PassOn {
+            slog::info!(self.shared.log, "not passed on";
+                "request" => &*self.req.id, "target" => chosen.target.as_str(),
+                "status" => head.status.as_u16(), "verdict" => ?verdict);
+        }
+        let sign = match verdict {
+            Verdict::PassOn if head.status.is_server_error() => Sign::Failed,
+            Verdict::PassOn | Verdict::Full | Verdict::NotHeld => Sign::Served,
+            Verdict::OtherTarget => Sign::Silent,
+            Verdict::Failed | Verdict::Crossed => Sign::Failed,
+        };
+        self.shared.dispatch().sign(&chosen.target, sign, now);
+        match verdict {
+            Verdict::PassOn => Sent::Answered(Box::new(Answered {
+                head,
+                body,
+                in_flight,
+            })),
+            Verdict::Full | Verdict::OtherTarget => self.not_run(false),
+            Verdict::NotHeld => self.not_held(chosen),
+            Verdict::Failed => Sent::MayHaveRun(Reason::BadAnswer),
+            Verdict::Crossed => Sent::MayHaveRun(Reason::AnswerLost),
+        }
+    }
+
+    fn not_run(&mut self, at_same: bool) -> Sent {
+        self.runs -= 1;
+        Sent::NotRun { at_same }
+    }
+
+    /// Reacts to a target that does not hold the adapter.
+    fn not_held(&mut self, chosen: &Chosen) -> Sent {
+        let Some(weights) = &self.req.weights else {
+            return self.not_run(false);
+        };
+        self.shared.dispatch().not_held(&chosen.target, weights);
+        if let Some(placer) = self.shared.placer.load_full() {
+            let message = PeerMessage::NotHeld(chosen.target.clone(), weights.clone());
+            if let Err(error) = self.shared.mesh.send(&placer, message) {
+                slog::debug!(self.shared.log, "placer not told"; "reason" => error.to_string());
+            }
+        }
+        self.not_run(false)
+    }
+
+    fn failed(&mut self, chosen: &Chosen, error: &EngineError) -> Sent {
+        let now = self.shared.clock.now();
+        slog::info!(self.shared.log, "sending failed";
+            "request" => &*self.req.id, "target" => chosen.target.as_str(),
+            "reason" => error.to_string());
+        self.shared
+            .dispatch()
+            .sign(&chosen.target, Sign::Silent, now);
+        match error.outcome() {
+            Outcome::NotRun => self.not_run(false),
+            Outcome::Unknown | Outcome::CutShort => Sent::MayHaveRun(Reason::AnswerLost),
+        }
+    }
+
+    fn outgoing(&self, chosen: &Chosen, left: Duration) -> Request<Full<Bytes>> {
+        let req = self.req;
+        let names = &self.shared.dialect.headers;
+        let mut out = Request::new(Full::new(req.body.clone()));
+        *out.method_mut() = req.method.clone();
+        *out.uri_mut() = Uri::from(req.path.clone());
+        let mut headers = req.headers.clone();
+        let left = left.saturating_sub(WAY_BACK).as_millis().to_string();
+        set(&mut headers, &names.deadline_ms, &left);
+        set(&mut headers, &names.expected_target, chosen.target.as_str());
+        let urgency = req.route.priority.min(9).to_string();
+        set(&mut headers, &names.urgency, &urgency);
+        if let Some(version) = chosen.expect_version {
+            set(&mut headers, &names.expected_version, &version.to_string());
+        }
+        if let Some(event) = &self.last_event {
+            set(&mut headers, &names.last_event, event);
+        }
+        *out.headers_mut() = headers;
+        out
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/traffic/mod.rs
@@ -0,0 +1,14 @@
+//! The way of callers' requests through an instance.
+
+mod answer;
+mod attempt;
+mod body;
+mod events;
+mod intake;
+mod place;
+mod refusal;
+mod relay;
+mod request;
+mod serve;
+
+pub(crate) use serve::serve;
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -0,0 +1,163 @@
+//! Finding a target for a request: among those known, or by asking the placer.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chervilshunt_core::{Ask, Choice, Placed, Wait};
+use chervilshunt_model::TargetName;
+
+use super::attempt::Run;
+use super::refusal::{Reason, Refusal};
+use crate::peers::{PLACED_WITHIN, PeerMessage};
+
+/// When a caller should come back for whom there was no target.
+const NO_TARGET_RETRY: Duration = Duration::from_millis(500);
+/// When a caller should come back whose adapter could not be placed: a placer that is replaced
+/// begins after some seconds, and callers wait a third of their time at most.
+const NOT_PLACED_RETRY: Duration = Duration::from_millis(700);
+/// When a caller should come back for whom there was no room: requests end within a second or two.
+const FULL_RETRY: Duration = Duration::from_millis(500);
+/// The pause before a request looks for room again.
+const ROOM_PAUSE: Duration = Duration::from_millis(15);
+/// The part of its objective for which a request waits for room; beyond it the caller is better
+/// off knowing.
+const ROOM_PATIENCE: f64 = 0.12;
+/// The part of its objective within which an adapter has to be ready to be worth waiting for.
+const PLACE_PATIENCE: f64 = 4.0;
+/// A target is taken to be there, and a connection to it good, if it was heard of within this time.
+/// A request on a connection to a target that has lost power is lost if it may not run twice; on a
+/// new connection it would not leave.
+const SURELY_THERE: Duration = Duration::from_millis(250);
+
+/// Where a request is sent.
+#[derive(Clone, Debug)]
+pub(crate) struct Chosen {
+    pub(crate) target: TargetName,
+    pub(crate) address: SocketAddr,
+    pub(crate) expect_version: Option<u64>,
+    /// Whether a connection that was used before may carry it.
+    pub(crate) reuse: bool,
+}
+
+impl Run<'_> {
+    /// Finds a target, waiting for room or for a load where that is worth while.
+    pub(crate) async fn find_target(&mut self) -> Result<Chosen, Refusal> {
+        let began = self.shared.clock.now();
+        let patience = self.req.route.objective.mul_f64(ROOM_PATIENCE);
+        loop {
+            let wait = match self.choose() {
+                Ok(chosen) => return Ok(chosen),
+                Err(wait) => wait,
+            };
+            match wait {
+                Wait::NoTarget => {
+                    return Err(Refusal::retry_after(Reason::NoTarget, NO_TARGET_RETRY));
+                }
+                Wait::NotHeld => return self.ask_placer().await,
+                Wait::Full if self.shared.clock.now().since(began) >= patience => {
+                    return Err(Refusal::retry_after(Reason::Full, FULL_RETRY));
+                }
+                Wait::Full => tokio::time::sleep(ROOM_PAUSE).await,
+            }
+        }
+    }
+
+    fn choose(&self) -> Result<Chosen, Wait> {
+        let now = self.shared.clock.now();
+        let ask = Ask {
+            service: &self.req.service,
+            weights: self.req.weights.as_ref(),
+            avoid: &self.avoid,
+        };
+        let choice = self.shared.dispatch().choose(&ask, rand::random, now);
+        match choice {
+            Choice::Wait(wait) => Err(wait),
+            Choice::Send {
+                target,
+                address,
+                load,
+                slots,
+                load_age,
+                expect_version,
+                heard_before,
+            } => {
+                slog::info!(self.shared.log, "placed";
+                    "request" => &*self.req.id, "target" => target.as_str(),
+                    "load" => load, "slots" => slots,
+                    "load_age_ms" => load_age.as_millis() as u64,
+                    "heard_ms" => heard_before.as_millis() as u64,
+                    "version" => expect_version);
+                let reuse = self.req.route.repeat.is_allowed() || heard_before < SURELY_THERE;
+                Ok(Chosen {
+                    target,
+                    address,
+                    expect_version,
+                    reuse,
+                })
+            }
+        }
+    }
+
+    /// Asks the placer for the adapter, and waits until it is ready.
+    async fn ask_placer(&mut self) -> Result<Chosen, Refusal> {
+        let not_placed = || Refusal::retry_after(Reason::NotPlaced, NOT_PLACED_RETRY);
+        let Some(weights) = self.req.weights.clone() else {
+            return Err(not_placed());
+        };
+        let Some(placer) = self.shared.placer.load_full() else {
+            self.report_placement("nobody places", None);
+            return Err(not_placed());
+        };
+        let message = PeerMessage::Want {
+            service: self.req.service.clone(),
+            weights,
+            avoid: self.avoid.clone(),
+        };
+        let asked = self.shared.mesh.request(&placer, message, PLACED_WITHIN);
+        let (target, ready_in) = match asked.await {
+            Ok(PeerMessage::Placed(Placed::At { target, ready_in })) => (target, ready_in),
+            Ok(PeerMessage::Placed(Placed::Later { retry_in })) => {
+                self.report_placement("no room", None);
+                return Err(Refusal::retry_after(Reason::NotPlaced, retry_in));
+            }
+            Ok(_) => return Err(not_placed()),
+            Err(error) => {
+                slog::info!(self.shared.log, "placer silent";
+                    "request" => &*self.req.id, "reason" => error.to_string());
+                return Err(not_placed());
+            }
+        };
+        if ready_in > self.req.route.objective.mul_f64(PLACE_PATIENCE) {
+            self.report_placement("too late", Some((&target, ready_in)));
+            return Err(Refusal::retry_after(Reason::NotPlaced, ready_in));
+        }
+        self.report_placement("placed", Some((&target, ready_in)));
+        tokio::time::sleep(ready_in).await;
+        self.at_target(target).ok_or_else(not_placed)
+    }
+
+    fn report_placement(&self, outcome: &str, at: Option<(&TargetName, Duration)>) {
+        slog::info!(self.shared.log, "adapter wanted";
+            "request" => &*self.req.id, "outcome" => outcome,
+            "weights" => self.req.weights.as_ref().map(ToString::to_string),
+            "target" => at.map(|(target, _)| target.as_str().to_owned()),
+            "ready_in_ms" => at.map(|(_, ready_in)| ready_in.as_millis() as u64));
+    }
+
+    /// Sends to a target that the placer named, unless it leaves.
+    fn at_target(&self, target: TargetName) -> Option<Chosen> {
+        let dispatch = self.shared.dispatch();
+        let facts = dispatch.target(&target)?;
+        if facts.leaving.is_some() {
+            return None;
+        }
+        let address = facts.address;
+        drop(dispatch);
+        Some(Chosen {
+            target,
+            address,
+            expect_version: None,
+            reuse: self.req.route.repeat.is_allowed(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/traffic/relay.rs
@@ -0,0 +1,216 @@
+//! Passing a target's answer on, piece by piece as it comes.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use chervilshunt_core::{Repeat, Sign};
+use chervilshunt_engine::BodyReader;
+use chervilshunt_model::Moment;
+use http_body::{Frame, SizeHint};
+use tokio::time::Sleep;
+
+use super::attempt::{Answered, InFlight, Run};
+use super::body::CutShort;
+use super::events::WholeEvents;
+use super::refusal::Refusal;
+use super::request::CallerRequest;
+use crate::shared::Shared;
+
+type Resuming = Pin<Box<dyn Future<Output = (Result<Answered, Refusal>, u32)> + Send>>;
+
+/// An answer that is passed on.
+pub(crate) struct Relay {
+    shared: Arc<Shared>,
+    req: Arc<CallerRequest>,
+    body: BodyReader,
+    in_flight: InFlight,
+    runs: u32,
+    /// The whole events, where another target may go on with the stream.
+    events: Option<WholeEvents>,
+    resuming: Option<Resuming>,
+    deadline: Pin<Box<Sleep>>,
+    status: u16,
+    first_byte: Moment,
+    bytes: u64,
+    resumed: u32,
+    outcome: Option<&'static str>,
+}
+
+impl std::fmt::Debug for Relay {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Relay")
+            .field("request", &self.req.id)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Relay {
+    /// Begins to pass on an answer.
+    pub(crate) fn new(
+        shared: &Arc<Shared>,
+        req: Arc<CallerRequest>,
+        answered: Answered,
+        runs: u32,
+    ) -> Self {
+        let now = shared.clock.now();
+        let resumable = req.route.repeat == Repeat::Resumable && answered.head.status.is_success();
+        Self {
+            shared: Arc::clone(shared),
+            body: answered.body,
+            in_flight: answered.in_flight,
+            runs,
+            events: resumable.then(WholeEvents::default),
+            resuming: None,
+            deadline: Box::pin(tokio::time::sleep(req.left(now))),
+            status: answered.head.status.as_u16(),
+            first_byte: now,
+            bytes: 0,
+            resumed: 0,
+            outcome: None,
+            req,
+        }
+    }
+
+    pub(crate) fn is_end_stream(&self) -> bool {
+        self.events.is_none() && self.body.is_end_stream()
+    }
+
+    pub(crate) fn size_hint(&self) -> SizeHint {
+        if self.events.is_some() {
+            return SizeHint::default();
+        }
+        self.body.size_hint()
+    }
+
+    pub(crate) fn poll_piece(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, CutShort>>> {
+        if self.outcome.is_some() {
+            return Poll::Ready(None);
+        }
+        loop {
+            if self.resuming.is_some() {
+                ready!(self.poll_resuming(cx))?;
+            }
+            let polled = self.body.poll_piece(cx);
+            if polled.is_pending() {
+                if self.deadline.as_mut().poll(cx).is_ready() {
+                    return Poll::Ready(Some(self.cut("deadline")));
+                }
+                return Poll::Pending;
+            }
+            match ready!(polled) {
+                Some(Ok(frame)) => {
+                    if let Some(piece) = self.take(frame) {
+                        return Poll::Ready(Some(Ok(Frame::data(piece))));
+                    }
+                }
+                Some(Err(error)) => {
+                    slog::info!(self.shared.log, "answer broke off";
+                        "request" => &*self.req.id,
+                        "target" => self.in_flight.target.as_str(),
+                        "bytes" => self.bytes, "reason" => error.to_string());
+                    let now = self.shared.clock.now();
+                    let target = self.in_flight.target.clone();
+                    self.shared.dispatch().sign(&target, Sign::Failed, now);
+                    if !self.begin_resuming() {
+                        return Poll::Ready(Some(self.cut("broke_off")));
+                    }
+                }
+                None => return Poll::Ready(self.end().map(Ok)),
+            }
+        }
+    }
+
+    fn take(&mut self, frame: Frame<Bytes>) -> Option<Bytes> {
+        let data = frame.into_data().ok()?;
+        if self.bytes == 0 {
+            let now = self.shared.clock.now();
+            self.first_byte = now;
+        }
+        self.bytes += data.len() as u64;
+        match &mut self.events {
+            Some(events) => events.push(&data),
+            None => Some(data),
+        }
+    }
+
+    fn end(&mut self) -> Option<Frame<Bytes>> {
+        let now = self.shared.clock.now();
+        self.shared.dispatch().heard(&self.in_flight.target, now);
+        self.outcome = Some("served");
+        let rest = self.events.as_mut().map(WholeEvents::rest)?;
+        (!rest.is_empty()).then(|| Frame::data(rest))
+    }
+
+    fn cut<T>(&mut self, reason: &'static str) -> Result<T, CutShort> {
+        self.outcome = Some(reason);
+        Err(CutShort { reason })
+    }
+
+    /// Begins to look for a target that goes on with the stream, if one may.
+    fn begin_resuming(&mut self) -> bool {
+        let Some(events) = &mut self.events else {
+            return false;
+        };
+        if self.runs >= self.req.route.max_targets {
+            return false;
+        }
+        events.drop_partial();
+        let last_event = events.last_id();
+        let shared = Arc::clone(&self.shared);
+        let req = Arc::clone(&self.req);
+        let (broke_at, runs) = (self.in_flight.target.clone(), self.runs);
+        self.resuming = Some(Box::pin(async move {
+            let mut run = Run::resumed(&shared, &req, broke_at, runs, last_event);
+            let answered = run.answer().await;
+            (answered, run.runs())
+        }));
+        true
+    }
+
+    fn poll_resuming(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), CutShort>> {
+        let Some(resuming) = &mut self.resuming else {
+            return Poll::Ready(Ok(()));
+        };
+        let (answered, runs) = ready!(resuming.as_mut().poll(cx));
+        self.resuming = None;
+        self.runs = runs;
+        match answered {
+            Ok(answered) if answered.head.status.is_success() => {
+                slog::info!(self.shared.log, "stream resumed";
+                    "request" => &*self.req.id, "target" => answered.in_flight.target.as_str());
+                self.body = answered.body;
+                self.in_flight = answered.in_flight;
+                self.resumed += 1;
+                Poll::Ready(Ok(()))
+            }
+            Ok(_) | Err(_) => Poll::Ready(self.cut("not_resumed")),
+        }
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        let now = self.shared.clock.now();
+        let whole = self.body.is_end_stream();
+        let outcome = self
+            .outcome
+            .unwrap_or(if whole { "served" } else { "caller_left" });
+        let first = self.first_byte.since(self.req.arrived);
+        let total = now.since(self.req.arrived);
+        slog::info!(self.shared.log, "answered";
+            "request" => &*self.req.id, "route" => &*self.req.route.name,
+            "target" => self.in_flight.target.as_str(), "status" => self.status,
+            "outcome" => outcome, "first_byte_ms" => first.as_millis() as u64,
+            "total_ms" => total.as_millis() as u64, "bytes" => self.bytes,
+            "runs" => self.runs, "resumed" => self.resumed);
+        metrics::counter!("chervilshunt_requests_total", "outcome" => outcome).increment(1);
+        metrics::histogram!("chervilshunt_first_byte_seconds").record(first.as_secs_f64());
+        metrics::histogram!("chervilshunt_request_seconds").record(total.as_secs_f64());
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/traffic/request.rs
@@ -0,0 +1,117 @@
+//! A caller's request, read once.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chervilshunt_core::{Route, RouteTable, Weights};
+use chervilshunt_engine::strip_hop_by_hop;
+use chervilshunt_model::{Moment, ServiceName};
+use http::request::Parts;
+use http::uri::PathAndQuery;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, header};
+
+use super::refusal::{Reason, Refusal};
+use crate::dialect::Dialect;
+use crate::shared::OpenRequest;
+
+/// A caller's request.
+#[derive(Debug)]
+pub(crate) struct CallerRequest {
+    /// The id of this try of the caller.
+    pub(crate) id: Arc<str>,
+    pub(crate) method: Method,
+    pub(crate) path: PathAndQuery,
+    /// The headers that targets get to see.
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: ServiceName,
+    pub(crate) weights: Option<Weights>,
+    pub(crate) arrived: Moment,
+    /// When the caller, or the operators, no longer want it waited for.
+    pub(crate) deadline: Moment,
+    /// Keeps it counted as open for as long as anything holds it.
+    pub(crate) _open: OpenRequest,
+}
+
+impl CallerRequest {
+    /// Returns the time that is left.
+    pub(crate) fn left(&self, now: Moment) -> Duration {
+        now.until(self.deadline)
+    }
+}
+
+/// Returns the id of a request.
+pub(crate) fn request_id(headers: &HeaderMap, name: &HeaderName) -> Option<Arc<str>> {
+    let value = headers.get(name)?.to_str().ok()?;
+    (!value.is_empty()).then(|| value.into())
+}
+
+/// Finds a request's route.
+pub(crate) fn find_route(table: &RouteTable, head: &Parts) -> Result<Arc<Route>, Refusal> {
+    let host = head.headers.get(header::HOST);
+    let host = host.and_then(|value| value.to_str().ok());
+    let Some(host) = host else {
+        return Err(Refusal::new(Reason::Malformed));
+    };
+    let route = table.find(host, head.uri.path());
+    route
+        .cloned()
+        .ok_or_else(|| Refusal::new(Reason::NoRoute))
+}
+
+/// Puts together what is known of a request.
+pub(crate) fn read_request(
+    dialect: &Dialect,
+    id: Arc<str>,
+    head: Parts,
+    body: Bytes,
+    route: Arc<Route>,
+    arrived: Moment,
+    open: OpenRequest,
+) -> Result<CallerRequest, Refusal> {
+    let Some(path) = head.uri.path_and_query().cloned() else {
+        return Err(Refusal::new(Reason::Malformed));
+    };
+    let names = &dialect.headers;
+    let text = |name: &HeaderName| head.headers.get(name).and_then(|it| it.to_str().ok());
+    let weights = text(&names.weights).map(dialect.targets.weights);
+    let asked = text(&names.deadline_ms).and_then(|it| it.parse().ok());
+    let asked = asked.map_or(route.timeout, Duration::from_millis);
+    let Some(service) = route.pick_service(rand::random()).cloned() else {
+        return Err(Refusal::new(Reason::NoTarget));
+    };
+    Ok(CallerRequest {
+        id,
+        method: head.method,
+        path,
+        headers: forwarded(head.headers, dialect),
+        body,
+        deadline: arrived + asked.min(route.timeout),
+        route,
+        service,
+        weights,
+        arrived,
+        _open: open,
+    })
+}
+
+/// Returns the headers that targets get to see: all but those that concern one connection, those
+/// that only this system may set, and the length, which is set anew.
+fn forwarded(mut headers: HeaderMap, dialect: &Dialect) -> HeaderMap {
+    strip_hop_by_hop(&mut headers);
+    for name in &dialect.headers.reserved {
+        headers.remove(name);
+    }
+    headers.remove(header::CONTENT_LENGTH);
+    headers.remove(header::EXPECT);
+    headers
+}
+
+/// Sets a header to a text; one that no header can hold is left out.
+pub(crate) fn set(headers: &mut HeaderMap, name: &HeaderName, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/traffic/serve.rs
@@ -0,0 +1,87 @@
+//! One request from its head to the head of its answer.
+
+use std::sync::Arc;
+
+use chervilshunt_engine::strip_hop_by_hop;
+use http::{HeaderValue, Request, Response, header};
+use hyper::body::Incoming;
+
+use super::attempt::{Answered, Run};
+use super::body::ReplyBody;
+use super::intake::read_body;
+use super::refusal::{Reason, Refusal};
+use super::relay::Relay;
+use super::request::{CallerRequest, find_route, read_request, request_id, set};
+use crate::shared::{OpenRequest, Shared};
+
+/// Answers one request.
+pub(crate) async fn serve(shared: &Arc<Shared>, req: Request<Incoming>) -> Response<ReplyBody> {
+    let names = &shared.dialect.headers;
+    let id = request_id(req.headers(), &names.request_id);
+    let result = match &id {
+        Some(id) => answer(shared, req, Arc::clone(id)).await,
+        None => Err(Refusal::new(Reason::Malformed)),
+    };
+    let mut res = result.unwrap_or_else(|refusal| {
+        report(shared, id.as_deref(), refusal);
+        refusal.into_response()
+    });
+    if let Some(id) = &id {
+        set(res.headers_mut(), &names.request_id, id);
+    }
+    if shared.is_stopping() {
+        // The connection ends with this answer, so that the caller takes the next request elsewhere.
+        let close = HeaderValue::from_static("close");
+        res.headers_mut().insert(header::CONNECTION, close);
+    }
+    res
+}
+
+async fn answer(
+    shared: &Arc<Shared>,
+    req: Request<Incoming>,
+    id: Arc<str>,
+) -> Result<Response<ReplyBody>, Refusal> {
+    let arrived = shared.clock.now();
+    let open = OpenRequest::begin(shared);
+    let Some(routes) = shared.routes.load_full() else {
+        return Err(Refusal::new(Reason::NoConfiguration));
+    };
+    let (head, body) = req.into_parts();
+    let route = find_route(&routes, &head)?;
+    let body = read_body(body, routes.bounds.body_bytes).await?;
+    let req = read_request(&shared.dialect, id, head, body, route, arrived, open)?;
+    let req = Arc::new(req);
+    shared.budgets().of(&req.service).record_request(arrived);
+    let mut run = Run::new(shared, &req);
+    let answered = run.answer().await?;
+    let runs = run.runs();
+    Ok(relayed(shared, &req, answered, runs))
+}
+
+fn relayed(
+    shared: &Arc<Shared>,
+    req: &Arc<CallerRequest>,
+    mut answered: Answered,
+    runs: u32,
+) -> Response<ReplyBody> {
+    let mut res = Response::new(());
+    *res.status_mut() = answered.head.status;
+    let mut headers = std::mem::take(&mut answered.head.headers);
+    strip_hop_by_hop(&mut headers);
+    let relay = Relay::new(shared, Arc::clone(req), answered, runs);
+    if relay.size_hint().exact().is_none() {
+        headers.remove(header::CONTENT_LENGTH);
+    }
+    *res.headers_mut() = headers;
+    res.map(|()| ReplyBody::Relayed(Box::new(relay)))
+}
+
+fn report(shared: &Shared, id: Option<&str>, refusal: Refusal) {
+    slog::info!(shared.log, "refused";
+        "request" => id, "reason" => refusal.reason.as_str(),
+        "status" => refusal.status().as_u16(),
+        "retry_after_ms" => refusal.retry_after.map(|it| it.as_millis() as u64));
+    metrics::counter!("chervilshunt_refusals_total", "reason" => refusal.reason.as_str())
+        .increment(1);
+}
--- a/crates/chervilshunt_daemon/src/logging.rs
+++ b/crates/chervilshunt_log/src/lib.rs
@@ -1,8 +1,7 @@
-//! The log: JSON lines on standard output.
+//! The log of every program: JSON lines on standard output, bounded and never waited for.
 
 use std::sync::Mutex;
 
-use chervilshunt_config::{InstanceSettings, LogLevel};
 use slog::{Drain, FnValue, Level, Logger, PushFnValue, Record, o};
 use slog_async::OverflowStrategy;
 
@@ -11,10 +10,7 @@
 const QUEUED_LINES: usize = 16_384;
 
 /// Makes the log, and a guard that writes out what waits when it is dropped.
-pub(crate) fn start(
-    instance: &InstanceSettings,
-    level: LogLevel,
-) -> (Logger, slog_async::AsyncGuard) {
+pub fn start(instance: &str, zone: &str, level: Level) -> (Logger, slog_async::AsyncGuard) {
     let json = slog_json::Json::new(std::io::stdout())
         .add_key_value(o!(
             "ts" => FnValue(|_: &Record<'_>| timestamp()),
@@ -27,24 +23,14 @@
         .chan_size(QUEUED_LINES)
         .overflow_strategy(OverflowStrategy::DropAndReport)
         .build_with_guard();
-    let drain = queue.filter_level(slog_level(level)).ignore_res();
+    let drain = queue.filter_level(level).ignore_res();
     let log = Logger::root(
         drain,
-        o!("instance" => instance.id.as_str().to_owned(), "zone" => instance.zone.as_str().to_owned()),
+        o!("instance" => instance.to_owned(), "zone" => zone.to_owned()),
     );
     (log, guard)
 }
 
-fn slog_level(level: LogLevel) -> Level {
-    match level {
-        LogLevel::Error => Level::Error,
-        LogLevel::Warning => Level::Warning,
-        LogLevel::Info => Level::Info,
-        LogLevel::Debug => Level::Debug,
-        LogLevel::Trace => Level::Trace,
-    }
-}
-
 /// Seconds since 1970 with milliseconds; log readers merge the lines of several instances by it.
 fn timestamp() -> f64 {
     let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
--- a/crates/chervilshunt_model/src/lib.rs
+++ b/crates/chervilshunt_model/src/lib.rs
@@ -9,6 +9,7 @@
 mod change_error;
 mod changes;
 mod class;
+mod clock;
 mod deployment;
 mod ids;
 mod moment;
@@ -23,6 +24,7 @@
 pub use change_error::ChangeError;
 pub use changes::{Change, ChangeSet, Edit, NoPatch};
 pub use class::Class;
+pub use clock::Clock;
 pub use deployment::{
     Adapter, Deployment, Fencing, Lifecycle, Priority, Service, ServiceKind, Site, Target, Version,
     WeightStore,
--- a/crates/chervilshunt_platform/src/accounting.rs
+++ b/crates/chervilshunt_platform/src/accounting.rs
@@ -8,17 +8,24 @@
 
 /// What a call does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Verb {
+pub enum Verb {
+    /// Reads one object.
     Get,
+    /// Reads all objects of a kind.
     List,
+    /// Waits for changes of a kind.
     Watch,
+    /// Makes an object.
     Create,
+    /// Replaces an object.
     Update,
+    /// Removes an object.
     Delete,
 }
 
 impl Verb {
-    pub(crate) const fn as_str(self) -> &'static str {
+    /// Returns the name in metrics and logs.
+    pub const fn as_str(self) -> &'static str {
         match self {
             Self::Get => "get",
             Self::List => "list",
@@ -30,7 +37,7 @@
     }
 
     /// Says whether the call changes an object.
-    pub(crate) const fn writes(self) -> bool {
+    pub const fn writes(self) -> bool {
         matches!(self, Self::Create | Self::Update | Self::Delete)
     }
 }
--- a/crates/chervilshunt_platform/src/answer.rs
+++ b/crates/chervilshunt_platform/src/answer.rs
@@ -9,6 +9,10 @@
 use crate::accounting::Verb;
 use crate::wire::Status;
 
+/// Reads the failure of a call from an answer that is no success: its name, what it does, and the
+/// answer's status, headers and body.
+pub type FailureReader = fn(&Arc<str>, Verb, StatusCode, &HeaderMap, &[u8]) -> PlatformError;
+
 /// Turns an answer that is no success into the error that it stands for.
 ///
 /// A write that is answered with 5xx has an unknown outcome. Kubernetes' API server answers
@@ -94,7 +98,8 @@
     }
 }
 
-fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+/// Returns the seconds of a `Retry-After`; a date is left aside.
+pub fn retry_after(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
     value.trim().parse().ok().map(Duration::from_secs)
 }
--- a/crates/chervilshunt_platform/src/call.rs
+++ b/crates/chervilshunt_platform/src/call.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::accounting::Verb;
+use crate::answer::{FailureReader, failure};
 use crate::pacer::Urgency;
 use crate::{PlatformError, Resource, ResourceVersion, Selector};
 
@@ -34,7 +35,7 @@
 
 /// One call, as often as it may be tried.
 #[derive(Clone, Debug)]
-pub(crate) struct Call {
+pub struct Call {
     pub(crate) verb: Verb,
     pub(crate) resource: Resource,
     /// The call as errors name it.
@@ -42,9 +43,42 @@
     pub(crate) path: String,
     pub(crate) accept: &'static str,
     pub(crate) body: Bytes,
+    /// Reads what an answer that is no success stands for.
+    pub(crate) failure: FailureReader,
 }
 
 impl Call {
+    /// Makes a call to an object service that has paths and failures of its own.
+    ///
+    /// `failure` reads the answers that are no success.
+    pub fn custom(
+        verb: Verb,
+        resource: Resource,
+        path: String,
+        body: Bytes,
+        failure: FailureReader,
+    ) -> Self {
+        Self {
+            verb,
+            resource,
+            label: format!("{} {}", verb.as_str(), resource.plural).into(),
+            path,
+            accept: ACCEPT_OBJECTS,
+            body,
+            failure,
+        }
+    }
+
+    /// Returns the path and query that are called.
+    pub fn path(&self) -> &str {
+        &self.path
+    }
+
+    /// Returns the body that is sent.
+    pub fn body(&self) -> &[u8] {
+        &self.body
+    }
+
     /// Makes a call about one object.
     ///
     /// # Errors
@@ -67,6 +101,7 @@
                 ACCEPT_OBJECTS
             },
             body: Bytes::new(),
+            failure,
         };
         if is_name(name) {
             Ok(call)
@@ -89,6 +124,7 @@
                 ACCEPT_OBJECTS
             },
             body: Bytes::new(),
+            failure,
         }
     }
 
--- a/crates/chervilshunt_platform/src/exchange.rs
+++ b/crates/chervilshunt_platform/src/exchange.rs
@@ -13,7 +13,7 @@
 use tokio::time::timeout;
 
 use crate::accounting::{count_attempt, count_held_back, count_retry};
-use crate::answer::{failure, lost, may_retry, timed_out};
+use crate::answer::{lost, may_retry, timed_out};
 use crate::call::Call;
 use crate::clock::{now, sleep_until};
 use crate::pacer::Pacer;
@@ -27,15 +27,19 @@
 const INSTANCE_HEADER: &str = "x-instance";
 
 /// Makes every call of the process.
+///
+/// [`crate::Platform`] speaks the object API through it; a service that speaks otherwise is called
+/// with [`Call::custom`], under the same rate, time limits and accounts.
 #[derive(Debug)]
-pub(crate) struct Exchange {
+pub struct Exchange {
     cfg: PlatformConfig,
     http: HttpClient,
     pacer: Pacer,
 }
 
 impl Exchange {
-    pub(crate) fn new(cfg: PlatformConfig) -> Self {
+    /// Makes an exchange; it connects at the first call.
+    pub fn new(cfg: PlatformConfig) -> Self {
         Self {
             http: http_client(cfg.timeouts.connect),
             pacer: Pacer::new(&cfg, now()),
@@ -43,12 +47,17 @@
         }
     }
 
-    pub(crate) const fn config(&self) -> &PlatformConfig {
+    /// Returns what the exchange was told.
+    pub const fn config(&self) -> &PlatformConfig {
         &self.cfg
     }
 
     /// Makes a call, and makes it again where that can't do harm.
-    pub(crate) async fn call(
+    ///
+    /// # Errors
+    /// What the call's reader of failures says; `Unavailable`, `Timeout` or `OutcomeUnknown` where
+    /// there is no answer.
+    pub async fn call(
         &self,
         call: &Call,
         timeouts: Timeouts,
@@ -150,7 +159,7 @@
             let (head, body) = answer.into_parts();
             let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
             let body = body.map(|body| body.to_bytes()).unwrap_or_default();
-            Err(failure(
+            Err((call.failure)(
                 &call.label,
                 call.verb,
                 head.status,
--- a/crates/chervilshunt_platform/src/lib.rs
+++ b/crates/chervilshunt_platform/src/lib.rs
@@ -24,9 +24,13 @@
 mod watch;
 mod wire;
 
+pub use accounting::Verb;
+pub use answer::{FailureReader, retry_after};
+pub use call::Call;
 pub use client::Platform;
 pub use config::{PlatformConfig, RateLimit, Timeouts, WatchTiming};
 pub use error::PlatformError;
+pub use exchange::Exchange;
 pub use instance_list::{
     Endpoint, EndpointConditions, EndpointPort, EndpointProblem, EndpointSlice, InstanceChange,
     InstanceList, ListedInstance, SERVICE_LABEL, TargetRef,
--- a/crates/chervilshunt_platform/src/transport.rs
+++ b/crates/chervilshunt_platform/src/transport.rs
@@ -22,6 +22,17 @@
 /// one, as a write on a connection that is just being closed has an unknown outcome.
 const POOL_IDLE: Duration = Duration::from_secs(20);
 
+/// Silence on a connection after which the system probes it, and the pause between probes.
+///
+/// A connection that a cut has silenced is never reset. A watch on it would wait in vain until its
+/// own time is over, and changes would come into force that much later; probes find it within 3 s.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+const KEEPALIVE_PROBES: u32 = 2;
+/// How long sent bytes may go unacknowledged before the system gives the connection up; the same
+/// bound as the probes give a connection without traffic.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(3);
+
 /// The HTTP client below every call.
 pub(crate) type HttpClient = Client<CountedConnector, Full<Bytes>>;
 
@@ -30,6 +41,11 @@
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(connect_timeout));
     connector.set_nodelay(true);
+    connector.set_keepalive(Some(KEEPALIVE_IDLE));
+    connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
+    connector.set_keepalive_retries(Some(KEEPALIVE_PROBES));
+    #[cfg(target_os = "linux")]
+    connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT));
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(POOL_IDLE)
