End connections 2.7 s after the signal to stop

Cause: callers go on using idle connections to an instance that stops. A stream that began 7 s after the signal could not end before the process did and was cut. Ruled out: the balancer, which sends no new connections after 2 s.

--- a/crates/chervilshunt_gateway/src/front.rs
+++ b/crates/chervilshunt_gateway/src/front.rs
@@ -8,7 +8,6 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio_util::task::TaskTracker;
 
 use crate::shared::Shared;
 use crate::traffic::serve;
@@ -23,12 +22,16 @@
 /// The most that is read ahead, in bytes, until a configuration tells how long heads may be.
 const MIN_BUFFER: usize = 16 * 1024;
 
-/// Serves callers for as long as the process runs; `open` counts the connections.
-pub(crate) async fn serve_callers(listener: TcpListener, shared: Arc<Shared>, open: TaskTracker) {
+/// Serves callers until connections are to be closed.
+pub(crate) async fn serve_callers(listener: TcpListener, shared: Arc<Shared>) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = shared.close_connections.cancelled() => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
-                open.spawn(serve_connection(stream, Arc::clone(&shared)));
+                tokio::spawn(serve_connection(stream, Arc::clone(&shared)));
             }
             Err(error) => {
                 slog::warn!(shared.log, "accept failed"; "reason" => error.to_string());
@@ -50,15 +53,23 @@
         let shared = &shared;
         async move { Ok::<_, Infallible>(Box::pin(serve(shared, req)).await) }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle + IDLE_MARGIN)
         // Queued for a vectored write, each small event would pin the buffer that it was read into.
         .writev(false)
         .max_buf_size(buffer)
         .serve_connection(TokioIo::new(stream), service);
+    let ended = tokio::select! {
+        ended = &mut connection => ended,
+        () = shared.close_connections.cancelled() => {
+            // An idle one is closed now; one with a request under way when that is answered.
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
+        }
+    };
     // A failed connection is the caller's affair: each of its requests has cleaned up by drop.
-    if let Err(error) = connection.await {
+    if let Err(error) = ended {
         slog::debug!(shared.log, "connection failed"; "reason" => error.to_string());
     }
 }
--- a/crates/chervilshunt_gateway/src/run.rs
+++ b/crates/chervilshunt_gateway/src/run.rs
@@ -13,7 +13,6 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
-use tokio_util::task::TaskTracker;
 use xtra::prelude::*;
 
 use crate::control::{Begin, Control, FromPeer, Reload, Stop, start_followers};
@@ -28,9 +27,10 @@
 const CONTROL_MAILBOX: usize = 4_096;
 /// Connections that may wait to be accepted.
 const ACCEPT_BACKLOG: u32 = 1_024;
-/// The shortest time for which an instance that stops still takes callers: the platform asks each
-/// second and takes it out of rotation after two answers that it is not ready.
-const STILL_TAKES_CALLERS: Duration = Duration::from_millis(3_200);
+/// How long an instance that stops still takes requests: the platform asks each second and takes it
+/// out of rotation after two answers that it is not ready. A request that it takes later may not
+/// end before the process does.
+const STILL_TAKES_REQUESTS: Duration = Duration::from_millis(2_700);
 /// What is kept of the time for the shutdown, for the process to end by itself.
 const END_MARGIN: Duration = Duration::from_millis(400);
 /// How long the lease's release is waited for.
@@ -129,8 +129,7 @@
     let shared = Shared::new(settings, settings_file, dialect, log.clone(), mesh);
     let control = start_control(&shared, exchange)?;
     forward(inbound, control.clone());
-    let open = TaskTracker::new();
-    tokio::spawn(serve_callers(callers, Arc::clone(&shared), open.clone()));
+    tokio::spawn(serve_callers(callers, Arc::clone(&shared)));
     tokio::spawn(serve_readiness(readiness, Arc::clone(&shared)));
     tokio::spawn(serve_metrics(for_metrics, metrics));
 
@@ -152,7 +151,10 @@
     loop {
         let passed = began.elapsed();
         let under_way = shared.open_requests();
-        if passed + END_MARGIN >= bound || (under_way == 0 && passed >= STILL_TAKES_CALLERS) {
+        if passed >= STILL_TAKES_REQUESTS {
+            shared.close_connections.cancel();
+        }
+        if passed + END_MARGIN >= bound || (under_way == 0 && passed >= STILL_TAKES_REQUESTS) {
             slog::info!(shared.log, "ending"; "open_requests" => under_way);
             return;
         }
--- a/crates/chervilshunt_gateway/src/shared.rs
+++ b/crates/chervilshunt_gateway/src/shared.rs
@@ -10,6 +10,7 @@
 use chervilshunt_mesh::{Mesh, Peer};
 use chervilshunt_model::Clock;
 use slog::Logger;
+use tokio_util::sync::CancellationToken;
 
 use crate::dialect::Dialect;
 use crate::peers::PeerMessage;
@@ -38,6 +39,8 @@
     instances: AtomicUsize,
     targets_known: AtomicBool,
     stopping: AtomicBool,
+    /// Ends connections once their request under way, if there is one, has been answered.
+    pub(crate) close_connections: CancellationToken,
     open_requests: AtomicUsize,
 }
 
@@ -88,6 +91,7 @@
             instances: AtomicUsize::new(INSTANCES_UNTIL_TOLD),
             targets_known: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
+            close_connections: CancellationToken::new(),
             open_requests: AtomicUsize::new(0),
         })
     }
