--- a/crates/chervilshunt_coord/src/lease/sole.rs
+++ b/crates/chervilshunt_coord/src/lease/sole.rs
@@ -174,7 +174,10 @@
     /// Returns who holds the lease, as far as is known, and where it takes messages.
     pub fn holder(&self) -> Option<(&InstanceId, SocketAddr)> {
         let record = &self.seen.as_ref()?.record;
-        record.holder.as_ref().map(|holder| (holder, record.address))
+        record
+            .holder
+            .as_ref()
+            .map(|holder| (holder, record.address))
     }
 
     /// Returns when [`SoleEvent::Tick`] is next wanted; none while a call or its look is awaited.
@@ -275,7 +278,10 @@
 
     /// Ends what this instance believes to hold once it is past, or held by another.
     fn settle(&mut self, now: Moment, out: &mut Vec<SoleAction>) {
-        let ours = self.seen.as_ref().is_some_and(|it| self.is_ours(&it.record));
+        let ours = self
+            .seen
+            .as_ref()
+            .is_some_and(|it| self.is_ours(&it.record));
         if self.holds && (now >= self.valid_until || !ours) {
             self.holds = false;
             self.valid_until = Moment::ZERO;
--- a/crates/chervilshunt_core/src/dispatch/facts.rs
+++ b/crates/chervilshunt_core/src/dispatch/facts.rs
@@ -85,6 +85,15 @@
     pub slots: u32,
 }
 
+/// How much a request reads and generates.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RequestSize {
+    /// The tokens of its prompt.
+    pub prompt_tokens: u32,
+    /// The most tokens that are generated for it.
+    pub output_tokens: u32,
+}
+
 /// A base model as the configuration describes it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ModelSpec {
--- a/crates/chervilshunt_core/src/dispatch/mod.rs
+++ b/crates/chervilshunt_core/src/dispatch/mod.rs
@@ -18,8 +18,8 @@
 pub use budget::{ServiceBudgets, WindowBudget, WindowBudgetConfig};
 pub use choose::{Ask, Choice, DispatchConfig, Wait};
 pub use facts::{
-    Leaving, LoadReport, LoadedAdapter, LoadedModel, ModelSpec, PlacementLimits, TargetFacts,
-    Weights,
+    Leaving, LoadReport, LoadedAdapter, LoadedModel, ModelSpec, PlacementLimits, RequestSize,
+    TargetFacts, Weights,
 };
 pub use health::{HealthConfig, Sign};
 pub use holders::Holding;
--- a/crates/chervilshunt_core/src/dispatch/routes.rs
+++ b/crates/chervilshunt_core/src/dispatch/routes.rs
@@ -43,6 +43,8 @@
     pub timeout: Duration,
     /// The time to the first byte that callers want kept.
     pub objective: Duration,
+    /// The longest pause between two events of a stream that callers want kept.
+    pub longest_pause: Option<Duration>,
     /// Its rank; the most urgent is 0.
     pub priority: u8,
     /// The most targets that one request may run at.
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -23,9 +23,9 @@
 pub use bugs::Bug;
 pub use decision::{Decision, DecisionKind, Waited};
 pub use dispatch::{
-    Ask, CallerBounds, Choice, Dispatch, DispatchConfig, HealthConfig, Holding, Leaving, LoadReport,
-    LoadedAdapter, LoadedModel, ModelSpec, PlacementLimits, Repeat, Route, RouteTable,
-    ServiceBudgets, ServiceSpec, Sign, TargetFacts, Wait, Weights, WindowBudget,
+    Ask, CallerBounds, Choice, Dispatch, DispatchConfig, HealthConfig, Holding, Leaving,
+    LoadReport, LoadedAdapter, LoadedModel, ModelSpec, PlacementLimits, Repeat, RequestSize, Route,
+    RouteTable, ServiceBudgets, ServiceSpec, Sign, TargetFacts, Wait, Weights, WindowBudget,
     WindowBudgetConfig,
 };
 pub use mechanisms::Mechanisms;
--- a/crates/chervilshunt_core/src/residency/answers.rs
+++ b/crates/chervilshunt_core/src/residency/answers.rs
@@ -154,9 +154,11 @@
             if let Some(hold) = target.holds.get_mut(&weights) {
                 let questions = std::mem::take(&mut hold.questions);
                 let retry_in = self.cfg.retry_in;
-                out.extend(questions.into_iter().map(|question| {
-                    ResidencyAction::Answer(question, Placed::Later { retry_in })
-                }));
+                out.extend(
+                    questions.into_iter().map(|question| {
+                        ResidencyAction::Answer(question, Placed::Later { retry_in })
+                    }),
+                );
             }
             target.gave_up(&weights, &self.cfg);
             out.push(tell(name, &weights, None));
--- a/crates/chervilshunt_core/src/residency/loads.rs
+++ b/crates/chervilshunt_core/src/residency/loads.rs
@@ -154,7 +154,10 @@
             let targets = self.targets.values();
             targets.filter(|it| it.lists_model(model)).count()
         };
-        let rarest = limits.models.iter().min_by_key(|spec| held_at(&spec.name))?;
+        let rarest = limits
+            .models
+            .iter()
+            .min_by_key(|spec| held_at(&spec.name))?;
         Some(Weights {
             model: rarest.name.clone(),
             adapter: None,
--- a/crates/chervilshunt_core/src/residency/target.rs
+++ b/crates/chervilshunt_core/src/residency/target.rs
@@ -60,7 +60,8 @@
 
     /// Returns the adapters that are being loaded.
     pub(crate) fn loading(&self) -> usize {
-        let loading = |hold: &&Hold| matches!(hold.state, HoldState::Loading(_) | HoldState::Ordered);
+        let loading =
+            |hold: &&Hold| matches!(hold.state, HoldState::Loading(_) | HoldState::Ordered);
         self.holds.values().filter(loading).count()
     }
 
--- a/crates/chervilshunt_core/src/residency/versions.rs
+++ b/crates/chervilshunt_core/src/residency/versions.rs
@@ -80,9 +80,10 @@
         let Some(target) = self.targets.get(name) else {
             return;
         };
-        let outdated = target.holds.iter().filter(|(_, hold)| {
-            hold.outdated && hold.state == HoldState::Ready
-        });
+        let outdated = target
+            .holds
+            .iter()
+            .filter(|(_, hold)| hold.outdated && hold.state == HoldState::Ready);
         let due: Vec<Weights> = outdated
             .filter(|(weights, hold)| {
                 now.since(hold.since) >= self.cfg.old_version_grace || self.serves_newest(weights)
--- a/crates/chervilshunt_core/src/residency/wants.rs
+++ b/crates/chervilshunt_core/src/residency/wants.rs
@@ -57,7 +57,8 @@
     ) -> Option<TargetName> {
         let holding = self.targets.iter().filter(|(name, target)| {
             let hold = target.holds.get(weights);
-            let useful = hold.is_some_and(|hold| hold.serves() || (hold.is_coming() && !hold.outdated));
+            let useful =
+                hold.is_some_and(|hold| hold.serves() || (hold.is_coming() && !hold.outdated));
             useful && self.may_place(name, target, service, weights, avoid)
         });
         let least = holding.min_by(|a, b| a.1.in_flight().cmp(&b.1.in_flight()));
@@ -121,10 +122,12 @@
                 sum.2 |= hold.is_coming();
             }
         }
-        let crowded = sums.into_iter().filter(|(_, (under_way, holders, coming, target))| {
-            let share = f64::from(target.facts.slots) * self.cfg.spread_share;
-            !coming && *holders > 0 && f64::from(*under_way) > share * f64::from(*holders)
-        });
+        let crowded = sums
+            .into_iter()
+            .filter(|(_, (under_way, holders, coming, target))| {
+                let share = f64::from(target.facts.slots) * self.cfg.spread_share;
+                !coming && *holders > 0 && f64::from(*under_way) > share * f64::from(*holders)
+            });
         crowded
             .map(|(weights, (_, _, _, target))| (target.facts.service.clone(), weights.clone()))
             .collect()
@@ -161,7 +164,11 @@
 const FIRST_VERSION: u64 = 1;
 
 /// Makes what all instances are told of one hold.
-pub(super) fn tell(target: &TargetName, weights: &Weights, version: Option<u64>) -> ResidencyAction {
+pub(super) fn tell(
+    target: &TargetName,
+    weights: &Weights,
+    version: Option<u64>,
+) -> ResidencyAction {
     ResidencyAction::Tell(Holding {
         target: target.clone(),
         weights: weights.clone(),
--- a/crates/chervilshunt_daemon/src/control/context.rs
+++ b/crates/chervilshunt_daemon/src/control/context.rs
@@ -8,12 +8,12 @@
 use chervilshunt_model::{InstanceId, Moment};
 use chervilshunt_platform::Platform;
 
-use chervilshunt_model::Clock;
-use chervilshunt_engine::Engines;
 use crate::keyed::KeyedTries;
 use crate::routing::SharedRouting;
 use crate::traffic::HeldPermits;
 use crate::wire::PeerMessage;
+use chervilshunt_engine::Engines;
+use chervilshunt_model::Clock;
 
 /// Tries to have a message taken; together they last longer than a lease, so that the receiver is
 /// either back or no longer live.
--- a/crates/chervilshunt_daemon/src/operators/health.rs
+++ b/crates/chervilshunt_daemon/src/operators/health.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use chervilshunt_model::Clock;
 use crate::routing::SharedRouting;
+use chervilshunt_model::Clock;
 
 /// What `/healthz` and `/readyz` answer from.
 #[derive(Clone, Debug)]
--- a/crates/chervilshunt_daemon/src/run.rs
+++ b/crates/chervilshunt_daemon/src/run.rs
@@ -17,9 +17,7 @@
 use tokio_util::sync::CancellationToken;
 use xtra::prelude::*;
 
-use chervilshunt_model::Clock;
 use crate::control::{Begin, Context, Control, FromPeer};
-use chervilshunt_engine::Engines;
 use crate::keyed::KeyedTries;
 use crate::lease_timing::LeaseTiming;
 use crate::operators::{Health, Operators, Statements, serve_operators};
@@ -27,6 +25,8 @@
 use crate::shutdown::{Shutdown, ShutdownError, Signals};
 use crate::traffic::{Claims, HeldPermits, Links, Permits, Traffic, serve_callers};
 use crate::wire::PeerMessage;
+use chervilshunt_engine::Engines;
+use chervilshunt_model::Clock;
 
 /// Messages that may wait for the control actor before senders wait too.
 const CONTROL_MAILBOX: usize = 8_192;
--- a/crates/chervilshunt_daemon/src/traffic/serve.rs
+++ b/crates/chervilshunt_daemon/src/traffic/serve.rs
@@ -22,9 +22,9 @@
 use super::metrics::{self, OpenRequest};
 use super::permits::Permits;
 use super::problem::{Problem, Reason};
-use chervilshunt_model::Clock;
-use chervilshunt_engine::Engines;
 use crate::routing::SharedRouting;
+use chervilshunt_engine::Engines;
+use chervilshunt_model::Clock;
 
 /// When a caller should come back to an instance that may not take new work.
 const NOT_READY_RETRY: Duration = Duration::from_secs(2);
--- a/crates/chervilshunt_gateway/src/control/messages.rs
+++ b/crates/chervilshunt_gateway/src/control/messages.rs
@@ -1,7 +1,7 @@
 //! Messages to the control actor.
 
-use chervilshunt_core::{OrderAnswer, OrderNumber, TargetReport};
 use chervilshunt_coord::{SeenRecord, SoleWritten};
+use chervilshunt_core::{OrderAnswer, OrderNumber, TargetReport};
 use chervilshunt_mesh::Inbound;
 use chervilshunt_model::TargetName;
 use xtra::Address;
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -86,7 +86,9 @@
         let number = order.number;
         let address = self.address_of(&order.target);
         let (Some(term), Some(address)) = (self.keeper.may_order(now), address) else {
-            tokio::spawn(async move { drop(control.send(Ordered(number, OrderAnswer::NotSent)).await) });
+            tokio::spawn(
+                async move { drop(control.send(Ordered(number, OrderAnswer::NotSent)).await) },
+            );
             return;
         };
         let req = (self.shared.dialect.targets.order)(&order, self.me(), term);
@@ -164,7 +166,10 @@
             self.send(&peer, message);
         }
         self.plan(ResidencyEvent::Used(from.clone(), uses));
-        let silent = self.placer.as_mut().map(|it| it.presence.forget_silent(now));
+        let silent = self
+            .placer
+            .as_mut()
+            .map(|it| it.presence.forget_silent(now));
         for instance in silent.unwrap_or_default() {
             self.plan(ResidencyEvent::InstanceGone(instance));
         }
--- a/crates/chervilshunt_gateway/src/control/targets.rs
+++ b/crates/chervilshunt_gateway/src/control/targets.rs
@@ -202,6 +202,8 @@
         let dispatch = self.shared.dispatch();
         let addresses: Vec<_> = dispatch.targets().map(|it| it.address).collect();
         drop(dispatch);
-        self.shared.engines.retain(|address| addresses.contains(address));
+        self.shared
+            .engines
+            .retain(|address| addresses.contains(address));
     }
 }
--- a/crates/chervilshunt_gateway/src/dialect.rs
+++ b/crates/chervilshunt_gateway/src/dialect.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use chervilshunt_coord::{SeenRecord, SoleRecord};
 use chervilshunt_core::{
-    LoadReport, Order, OrderAnswer, RouteTable, TargetFacts, TargetReport, Weights,
+    LoadReport, Order, OrderAnswer, RequestSize, RouteTable, TargetFacts, TargetReport, Weights,
 };
 use chervilshunt_model::{InstanceId, TargetName};
 use chervilshunt_platform::Call;
@@ -60,6 +60,8 @@
     pub not_run: HeaderName,
     /// The weights that a request wants.
     pub weights: HeaderName,
+    /// How many tokens a request reads and generates.
+    pub size: HeaderName,
     /// The urgency of a request among those at a target.
     pub urgency: HeaderName,
     /// The version that the weights have to have.
@@ -190,6 +192,8 @@
     pub read_report: fn(&[u8]) -> Result<TargetReport, Malformed>,
     /// Reads the weights that a request names.
     pub weights: fn(&str) -> Weights,
+    /// Reads how large a request is.
+    pub size: fn(&str) -> Option<RequestSize>,
     /// Reads a target's load.
     pub load: fn(&str) -> Option<LoadReport>,
 }
--- a/crates/chervilshunt_gateway/src/run.rs
+++ b/crates/chervilshunt_gateway/src/run.rs
@@ -98,7 +98,13 @@
         .enable_all()
         .build()
         .context(ThreadsSnafu)?;
-    let result = traffic.block_on(serve(settings, settings_file, dialect, log.clone(), metrics));
+    let result = traffic.block_on(serve(
+        settings,
+        settings_file,
+        dialect,
+        log.clone(),
+        metrics,
+    ));
     slog::info!(log, "stopped"; "orderly" => result.is_ok());
     traffic.shutdown_background();
     result
--- a/crates/chervilshunt_gateway/src/settings.rs
+++ b/crates/chervilshunt_gateway/src/settings.rs
@@ -192,7 +192,8 @@
     /// # Errors
     /// Says what is wrong with the text.
     pub fn parse(text: &str, file: &str) -> Result<Self, SettingsError> {
-        let parsed = jsonc_parser::parse_to_serde_value(text, &jsonc_parser::ParseOptions::default());
+        let parsed =
+            jsonc_parser::parse_to_serde_value(text, &jsonc_parser::ParseOptions::default());
         let value: Option<serde_json::Value> = parsed.map_err(|error| problem(file, &error))?;
         let value = value.unwrap_or_default();
         let raw: RawSettings =
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -84,7 +84,9 @@
 enum Sent {
     Answered(Box<Answered>),
     /// It has not run. Another target may be tried, or the same one after a pause.
-    NotRun { at_same: bool },
+    NotRun {
+        at_same: bool,
+    },
     /// It may have run.
     MayHaveRun(Reason),
 }
@@ -212,7 +214,13 @@
         }
     }
 
-    fn judge(&mut self, chosen: &Chosen, head: Parts, body: BodyReader, in_flight: InFlight) -> Sent {
+    fn judge(
+        &mut self,
+        chosen: &Chosen,
+        head: Parts,
+        body: BodyReader,
+        in_flight: InFlight,
+    ) -> Sent {
         let now = self.shared.clock.now();
         let names = &self.shared.dialect.headers;
         let load = head.headers.get(&names.load);
--- a/crates/chervilshunt_gateway/src/traffic/events.rs
+++ b/crates/chervilshunt_gateway/src/traffic/events.rs
@@ -44,9 +44,9 @@
 
 /// Returns where the last whole event ends: after an empty line.
 fn end_of_last_event(data: &[u8]) -> Option<usize> {
-    let last = (1..data.len()).rev().find(|&at| {
-        data[at] == b'\n' && (data[at - 1] == b'\n' || data[..at].ends_with(b"\n\r"))
-    });
+    let last = (1..data.len())
+        .rev()
+        .find(|&at| data[at] == b'\n' && (data[at - 1] == b'\n' || data[..at].ends_with(b"\n\r")));
     last.map(|at| at + 1)
 }
 
--- a/crates/chervilshunt_gateway/src/traffic/place.rs
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -83,6 +83,8 @@
             } => {
                 slog::info!(self.shared.log, "placed";
                     "request" => &*self.req.id, "target" => target.as_str(),
+                    "prompt_tokens" => self.req.size.prompt_tokens,
+                    "weights" => self.req.weights.as_ref().map(ToString::to_string),
                     "load" => load, "slots" => slots,
                     "load_age_ms" => load_age.as_millis() as u64,
                     "heard_ms" => heard_before.as_millis() as u64,
--- a/crates/chervilshunt_gateway/src/traffic/relay.rs
+++ b/crates/chervilshunt_gateway/src/traffic/relay.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
 use chervilshunt_core::{Repeat, Sign};
@@ -34,6 +35,8 @@
     deadline: Pin<Box<Sleep>>,
     status: u16,
     first_byte: Moment,
+    last_piece: Moment,
+    longest_pause: Duration,
     bytes: u64,
     resumed: u32,
     outcome: Option<&'static str>,
@@ -67,6 +70,8 @@
             deadline: Box::pin(tokio::time::sleep(req.left(now))),
             status: answered.head.status.as_u16(),
             first_byte: now,
+            last_piece: now,
+            longest_pause: Duration::ZERO,
             bytes: 0,
             resumed: 0,
             outcome: None,
@@ -128,10 +133,13 @@
 
     fn take(&mut self, frame: Frame<Bytes>) -> Option<Bytes> {
         let data = frame.into_data().ok()?;
+        let now = self.shared.clock.now();
         if self.bytes == 0 {
-            let now = self.shared.clock.now();
             self.first_byte = now;
+        } else {
+            self.note_pause(now);
         }
+        self.last_piece = now;
         self.bytes += data.len() as u64;
         match &mut self.events {
             Some(events) => events.push(&data),
@@ -139,6 +147,19 @@
         }
     }
 
+    /// Takes note of a pause between two pieces; the first one that is longer than callers want has
+    /// a line of its own, so that it can be found beside what the target did at that time.
+    fn note_pause(&mut self, now: Moment) {
+        let pause = now.since(self.last_piece);
+        let wanted = self.req.route.longest_pause;
+        if wanted.is_some_and(|wanted| pause > wanted && self.longest_pause <= wanted) {
+            slog::info!(self.shared.log, "long pause";
+                "request" => &*self.req.id, "target" => self.in_flight.target.as_str(),
+                "pause_ms" => pause.as_millis() as u64, "bytes" => self.bytes);
+        }
+        self.longest_pause = self.longest_pause.max(pause);
+    }
+
     fn end(&mut self) -> Option<Frame<Bytes>> {
         let now = self.shared.clock.now();
         self.shared.dispatch().heard(&self.in_flight.target, now);
@@ -207,10 +228,13 @@
             "request" => &*self.req.id, "route" => &*self.req.route.name,
             "target" => self.in_flight.target.as_str(), "status" => self.status,
             "outcome" => outcome, "first_byte_ms" => first.as_millis() as u64,
+            "longest_pause_ms" => self.longest_pause.as_millis() as u64,
             "total_ms" => total.as_millis() as u64, "bytes" => self.bytes,
             "runs" => self.runs, "resumed" => self.resumed);
         metrics::counter!("chervilshunt_requests_total", "outcome" => outcome).increment(1);
         metrics::histogram!("chervilshunt_first_byte_seconds").record(first.as_secs_f64());
+        metrics::histogram!("chervilshunt_longest_pause_seconds")
+            .record(self.longest_pause.as_secs_f64());
         metrics::histogram!("chervilshunt_request_seconds").record(total.as_secs_f64());
     }
 }
--- a/crates/chervilshunt_gateway/src/traffic/request.rs
+++ b/crates/chervilshunt_gateway/src/traffic/request.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chervilshunt_core::{Route, RouteTable, Weights};
+use chervilshunt_core::{RequestSize, Route, RouteTable, Weights};
 use chervilshunt_engine::strip_hop_by_hop;
 use chervilshunt_model::{Moment, ServiceName};
 use http::request::Parts;
@@ -28,6 +28,7 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceName,
     pub(crate) weights: Option<Weights>,
+    pub(crate) size: RequestSize,
     pub(crate) arrived: Moment,
     /// When the caller, or the operators, no longer want it waited for.
     pub(crate) deadline: Moment,
@@ -56,9 +57,7 @@
         return Err(Refusal::new(Reason::Malformed));
     };
     let route = table.find(host, head.uri.path());
-    route
-        .cloned()
-        .ok_or_else(|| Refusal::new(Reason::NoRoute))
+    route.cloned().ok_or_else(|| Refusal::new(Reason::NoRoute))
 }
 
 /// Puts together what is known of a request.
@@ -77,6 +76,7 @@
     let names = &dialect.headers;
     let text = |name: &HeaderName| head.headers.get(name).and_then(|it| it.to_str().ok());
     let weights = text(&names.weights).map(dialect.targets.weights);
+    let size = text(&names.size).and_then(dialect.targets.size);
     let asked = text(&names.deadline_ms).and_then(|it| it.parse().ok());
     let asked = asked.map_or(route.timeout, Duration::from_millis);
     let Some(service) = route.pick_service(rand::random()).cloned() else {
@@ -92,6 +92,7 @@
         route,
         service,
         weights,
+        size: size.unwrap_or_default(),
         arrived,
         _open: open,
     })
--- a/crates/chervilshunt_platform/src/exchange.rs
+++ b/crates/chervilshunt_platform/src/exchange.rs
@@ -57,11 +57,7 @@
     /// # Errors
     /// What the call's reader of failures says; `Unavailable`, `Timeout` or `OutcomeUnknown` where
     /// there is no answer.
-    pub async fn call(
-        &self,
-        call: &Call,
-        timeouts: Timeouts,
-    ) -> Result<Bytes, PlatformError> {
+    pub async fn call(&self, call: &Call, timeouts: Timeouts) -> Result<Bytes, PlatformError> {
         let deadline = now() + timeouts.call;
         let mut backoff = Backoff::new(self.cfg.backoff);
         self.pacer.record_first_try();
