--- a/crates/chervilshunt_core/src/dispatch/choose.rs
+++ b/crates/chervilshunt_core/src/dispatch/choose.rs
@@ -7,6 +7,7 @@
 
 use super::facts::Weights;
 use super::health::HealthConfig;
+use super::lanes::{Lane, long_prompt_targets};
 use super::state::{Dispatch, Target};
 
 /// How targets are weighed.
@@ -51,6 +52,10 @@
     pub service: &'a ServiceName,
     /// The weights that it names, if it names any.
     pub weights: Option<&'a Weights>,
+    /// What it mostly makes a target do.
+    pub lane: Lane,
+    /// Whether the placer can be asked to have its adapter loaded.
+    pub may_ask: bool,
     /// Targets that it has been at already.
     pub avoid: &'a [TargetName],
 }
@@ -90,6 +95,24 @@
     Wait(Wait),
 }
 
+/// Returns the holders that a request should go to, by its lane.
+///
+/// A long prompt goes nowhere else, so that its adapter is asked for there; other requests go to
+/// the targets kept for long prompts only if nobody else holds their adapter.
+fn prefer_lane<'a>(
+    holding: Vec<&'a Target>,
+    ask: &Ask<'_>,
+    in_lane: impl Fn(&Target) -> bool,
+) -> Vec<&'a Target> {
+    let (kept, general): (Vec<_>, Vec<_>) = holding.into_iter().partition(|it| in_lane(it));
+    match ask.lane {
+        Lane::LongPrompt if !kept.is_empty() => kept,
+        Lane::LongPrompt if ask.may_ask => Vec::new(),
+        Lane::LongPrompt | Lane::General if general.is_empty() => kept,
+        Lane::LongPrompt | Lane::General => general,
+    }
+}
+
 impl Dispatch {
     /// Chooses a target for a request; `draw` gives random numbers from 0 to 1.
     pub fn choose(&self, ask: &Ask<'_>, mut draw: impl FnMut() -> f64, now: Moment) -> Choice {
@@ -97,10 +120,14 @@
         if serving.is_empty() {
             return Choice::Wait(Wait::NoTarget);
         }
+        let kept = long_prompt_targets(serving.iter().map(|it| &it.facts.name));
+        let kept: Vec<TargetName> = kept.into_iter().cloned().collect();
+        let in_lane = |target: &Target| kept.contains(&target.facts.name);
         let holding: Vec<&Target> = serving
             .into_iter()
             .filter(|target| self.holds(target, ask.weights, now))
             .collect();
+        let holding = prefer_lane(holding, ask, in_lane);
         if holding.is_empty() {
             return Choice::Wait(Wait::NotHeld);
         }
--- a/crates/chervilshunt_core/src/dispatch/mod.rs
+++ b/crates/chervilshunt_core/src/dispatch/mod.rs
@@ -10,6 +10,7 @@
 mod facts;
 mod health;
 mod holders;
+mod lanes;
 mod load;
 mod routes;
 mod state;
@@ -23,5 +24,6 @@
 };
 pub use health::{HealthConfig, Sign};
 pub use holders::Holding;
+pub use lanes::{Lane, long_prompt_targets};
 pub use routes::{CallerBounds, Repeat, Route, RouteTable, ServiceSpec};
 pub use state::Dispatch;
--- a/crates/chervilshunt_core/src/residency/order.rs
+++ b/crates/chervilshunt_core/src/residency/order.rs
@@ -5,7 +5,7 @@
 use chervilshunt_model::{InstanceId, ServiceName, TargetName};
 use serde::{Deserialize, Serialize};
 
-use crate::dispatch::{Holding, PlacementLimits, TargetFacts, Weights};
+use crate::dispatch::{Holding, Lane, PlacementLimits, TargetFacts, Weights};
 use crate::owner::OrderKind;
 
 /// The number of an order, unlike that of any other of this placer.
@@ -109,6 +109,8 @@
         service: ServiceName,
         /// The adapter.
         weights: Weights,
+        /// What the request mostly makes a target do.
+        lane: Lane,
         /// Targets that the request can't use.
         avoid: Vec<TargetName>,
     },
--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -10,6 +10,7 @@
 use super::hold::HoldState;
 use super::order::{OrderNumber, Placed, ResidencyAction, ResidencyEvent, Use};
 use super::target::{TargetState, Turn};
+use super::wants::Want;
 use crate::dispatch::{Holding, PlacementLimits, TargetFacts, Weights};
 
 /// Decides which target holds which weights. `handle` takes an event and gives back what to do.
@@ -48,8 +49,17 @@
                 question,
                 service,
                 weights,
+                lane,
                 avoid,
-            } => self.wanted(question, &service, &weights, &avoid, now, &mut out),
+            } => {
+                let want = Want {
+                    service: &service,
+                    weights: &weights,
+                    lane,
+                    avoid: &avoid,
+                };
+                self.wanted(question, want, now, &mut out);
+            }
             ResidencyEvent::Used(from, uses) => self.used(&from, &uses, now),
             ResidencyEvent::InstanceGone(from) => self.used(&from, &[], now),
             ResidencyEvent::NotHeld(target, weights) => {
--- a/crates/chervilshunt_core/src/residency/versions.rs
+++ b/crates/chervilshunt_core/src/residency/versions.rs
@@ -5,7 +5,7 @@
 use super::hold::HoldState;
 use super::order::ResidencyAction;
 use super::planner::Residency;
-use super::wants::tell;
+use super::wants::{Want, tell};
 use crate::dispatch::Weights;
 
 impl Residency {
@@ -35,7 +35,7 @@
         let used = outdated.iter().any(|(_, _, used)| *used);
         for (name, service, _) in outdated {
             // Where nobody uses it, or no other target has room, the old one goes at once.
-            let replaced = used && self.plan_load(&service, &weights, &[], now).is_some();
+            let replaced = used && self.plan_load(Want::general(&service, &weights), now).is_some();
             if !replaced {
                 self.end_hold(&name, &weights, out);
             }
--- a/crates/chervilshunt_core/src/residency/wants.rs
+++ b/crates/chervilshunt_core/src/residency/wants.rs
@@ -6,21 +6,46 @@
 use super::order::{Placed, ResidencyAction};
 use super::planner::Residency;
 use super::target::TargetState;
-use crate::dispatch::{Holding, Weights};
+use crate::dispatch::{Holding, Lane, Weights, long_prompt_targets};
+
+/// What a request wants placed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Want<'a> {
+    pub(super) service: &'a ServiceName,
+    pub(super) weights: &'a Weights,
+    pub(super) lane: Lane,
+    pub(super) avoid: &'a [TargetName],
+}
+
+impl<'a> Want<'a> {
+    /// Wants an adapter for whoever uses it.
+    pub(super) const fn general(service: &'a ServiceName, weights: &'a Weights) -> Self {
+        Self {
+            service,
+            weights,
+            lane: Lane::General,
+            avoid: &[],
+        }
+    }
+
+    /// Says whether a target is for such requests, if it is kept for long prompts or not.
+    fn fits(self, kept: bool) -> bool {
+        kept == (self.lane == Lane::LongPrompt)
+    }
+}
 
 impl Residency {
     /// Finds a target for an adapter that an instance knows nowhere.
     pub(super) fn wanted(
         &mut self,
         question: u64,
-        service: &ServiceName,
-        weights: &Weights,
-        avoid: &[TargetName],
+        want: Want<'_>,
         now: Moment,
         out: &mut Vec<ResidencyAction>,
     ) {
-        let known = self.best_known(service, weights, avoid);
-        let chosen = known.or_else(|| self.plan_load(service, weights, avoid, now));
+        let weights = want.weights;
+        let known = self.best_known(want);
+        let chosen = known.or_else(|| self.plan_load(want, now));
         let Some(name) = chosen else {
             return self.answer_later(vec![question], out);
         };
@@ -49,34 +74,30 @@
     }
 
     /// Returns the least busy target that holds an adapter or is loading it.
-    fn best_known(
-        &self,
-        service: &ServiceName,
-        weights: &Weights,
-        avoid: &[TargetName],
-    ) -> Option<TargetName> {
+    fn best_known(&self, want: Want<'_>) -> Option<TargetName> {
+        let weights = want.weights;
+        let kept = self.kept_for_long_prompts(want.service);
         let holding = self.targets.iter().filter(|(name, target)| {
             let hold = target.holds.get(weights);
             let useful =
                 hold.is_some_and(|hold| hold.serves() || (hold.is_coming() && !hold.outdated));
-            useful && self.may_place(name, target, service, weights, avoid)
+            useful && self.may_place(name, target, want) && want.fits(kept.contains(name))
         });
         let least = holding.min_by(|a, b| a.1.in_flight().cmp(&b.1.in_flight()));
         least.map(|(name, _)| name.clone())
     }
 
     /// Plans to load an adapter where that costs least.
-    pub(super) fn plan_load(
-        &mut self,
-        service: &ServiceName,
-        weights: &Weights,
-        avoid: &[TargetName],
-        now: Moment,
-    ) -> Option<TargetName> {
+    pub(super) fn plan_load(&mut self, want: Want<'_>, now: Moment) -> Option<TargetName> {
+        let Want {
+            service, weights, ..
+        } = want;
+        let kept = self.kept_for_long_prompts(service);
         let slots = self.limits.get(service)?.adapters_beside(&weights.model);
         let free = self.targets.iter().filter(|(name, target)| {
             !target.holds.contains_key(weights)
-                && self.may_place(name, target, service, weights, avoid)
+                && self.may_place(name, target, want)
+                && want.fits(kept.contains(name))
                 && target.can_load(&self.cfg, slots, now)
         });
         let burden = |target: &TargetState| target.burden(&self.cfg, weights);
@@ -93,21 +114,27 @@
         &self,
         name: &TargetName,
         target: &TargetState,
-        service: &ServiceName,
-        weights: &Weights,
-        avoid: &[TargetName],
+        want: Want<'_>,
     ) -> bool {
-        target.facts.service == *service
+        target.facts.service == *want.service
             && target.takes_work()
             && target.model_load.is_none()
-            && target.lists_model(&weights.model)
-            && !avoid.contains(name)
+            && target.lists_model(&want.weights.model)
+            && !want.avoid.contains(name)
+    }
+
+    /// Returns the targets of a service that are kept for long prompts, as every instance does.
+    fn kept_for_long_prompts(&self, service: &ServiceName) -> Vec<TargetName> {
+        let targets = self.targets.values();
+        let taking = targets.filter(|it| it.facts.service == *service && it.takes_work());
+        let kept = long_prompt_targets(taking.map(|it| &it.facts.name));
+        kept.into_iter().cloned().collect()
     }
 
     /// Gives adapters with much work under way one more target.
     pub(super) fn spread(&mut self, now: Moment) {
         for (service, weights) in self.crowded() {
-            self.plan_load(&service, &weights, &[], now);
+            self.plan_load(Want::general(&service, &weights), now);
         }
     }
 
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -6,11 +6,11 @@
 
 use chervilshunt_core::{
     Holding, Order, OrderAnswer, Placed, Residency, ResidencyAction, ResidencyConfig,
-    ResidencyEvent, TargetReport, Use, Weights,
+    ResidencyEvent, TargetReport, Use,
 };
 use chervilshunt_engine::{EngineError, Limits, Outcome};
 use chervilshunt_mesh::{Peer, Reply};
-use chervilshunt_model::{InstanceId, Moment, ServiceName, TargetName};
+use chervilshunt_model::{InstanceId, Moment, TargetName};
 
 use super::actor::{Control, Placer};
 use super::messages::{Asked, Ordered};
@@ -188,9 +188,7 @@
     /// Takes in that a request wants an adapter.
     pub(super) fn wanted(
         &mut self,
-        service: ServiceName,
-        weights: Weights,
-        avoid: Vec<TargetName>,
+        wanted: impl FnOnce(u64) -> ResidencyEvent,
         reply: Option<Reply<PeerMessage>>,
     ) {
         let (Some(placer), Some(reply)) = (&mut self.placer, reply) else {
@@ -200,12 +198,7 @@
         let question = placer.next_question;
         placer.next_question += 1;
         placer.questions.insert(question, reply);
-        self.plan(ResidencyEvent::Wanted {
-            question,
-            service,
-            weights,
-            avoid,
-        });
+        self.plan(wanted(question));
     }
 
     fn answer(&mut self, question: u64, placed: Placed) {
--- a/crates/chervilshunt_gateway/src/control/using.rs
+++ b/crates/chervilshunt_gateway/src/control/using.rs
@@ -59,8 +59,18 @@
             PeerMessage::Want {
                 service,
                 weights,
+                lane,
                 avoid,
-            } => self.wanted(service, weights, avoid, reply),
+            } => {
+                let wanted = |question| ResidencyEvent::Wanted {
+                    question,
+                    service,
+                    weights,
+                    lane,
+                    avoid,
+                };
+                self.wanted(wanted, reply);
+            }
             PeerMessage::NotHeld(target, weights) => {
                 self.plan(ResidencyEvent::NotHeld(target, weights));
             }
--- a/crates/chervilshunt_gateway/src/peers.rs
+++ b/crates/chervilshunt_gateway/src/peers.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use chervilshunt_core::{Holding, Placed, Use, Weights};
+use chervilshunt_core::{Holding, Lane, Placed, Use, Weights};
 use chervilshunt_mesh::Purpose;
 use chervilshunt_model::{ServiceName, TargetName};
 use serde::{Deserialize, Serialize};
@@ -33,6 +33,9 @@
         /// The adapter.
         #[serde(rename = "w")]
         weights: Weights,
+        /// What the request mostly makes a target do.
+        #[serde(rename = "l")]
+        lane: Lane,
         /// Targets that the request can't use.
         #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
         avoid: Vec<TargetName>,
--- a/crates/chervilshunt_gateway/src/traffic/place.rs
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use chervilshunt_core::{Ask, Choice, Placed, Wait};
+use chervilshunt_core::{Ask, Choice, Lane, Placed, Wait};
+use chervilshunt_model::Moment;
 use chervilshunt_model::TargetName;
 
 use super::attempt::Run;
@@ -67,6 +68,8 @@
         let ask = Ask {
             service: &self.req.service,
             weights: self.req.weights.as_ref(),
+            lane: Lane::of(self.req.size),
+            may_ask: self.may_ask(now),
             avoid: &self.avoid,
         };
         let choice = self.shared.dispatch().choose(&ask, rand::random, now);
@@ -100,6 +103,12 @@
         }
     }
 
+    /// Says whether it is worth while to ask for the adapter at another target than holds it.
+    fn may_ask(&self, now: Moment) -> bool {
+        let adapter = self.req.weights.as_ref().and_then(|it| it.adapter.as_ref());
+        adapter.is_some() && self.avoid.is_empty() && self.shared.dispatch().is_placer_heard(now)
+    }
+
     /// Asks the placer for the adapter, and waits until it is ready.
     async fn ask_placer(&mut self) -> Result<Chosen, Refusal> {
         let not_placed = || Refusal::retry_after(Reason::NotPlaced, NOT_PLACED_RETRY);
@@ -113,6 +122,7 @@
         let message = PeerMessage::Want {
             service: self.req.service.clone(),
             weights,
+            lane: Lane::of(self.req.size),
             avoid: self.avoid.clone(),
         };
         let asked = self.shared.mesh.request(&placer, message, PLACED_WITHIN);
