Look whether a load has ended by giving its order again

Cause: nothing tells when an adapter is loaded, and the time for it depends on how many loads the weight store serves at full speed, which no page of a deployment's configuration says; the estimate was up to 1.3 s where loads took 0.3 s. The order given again is answered 200 once it holds and 202 before, uncounted both times (seen in 501 and 150 answers).

--- a/crates/chervilshunt_core/src/residency/answers.rs
+++ b/crates/chervilshunt_core/src/residency/answers.rs
@@ -27,9 +27,11 @@
         let lag = self.cfg.report_lag;
         let accepted = order.accepted_before;
         let turn = match answer {
+            // Nor is one that is under way already and is given again to see whether it has ended.
+            OrderAnswer::Accepted if self.is_confirming(&order) => Turn::Free(accepted),
             OrderAnswer::Accepted => Turn::Free(accepted + 1),
-            // Whether an order that held already counts can't be told from the answer.
-            OrderAnswer::Done if order.kind == OrderKind::Load => Turn::Unknown(now + lag),
+            // An order that holds already is not counted; an adapter is given up at once and is.
+            OrderAnswer::Done if order.kind == OrderKind::Load => Turn::Free(accepted),
             OrderAnswer::Done => Turn::Free(accepted + 1),
             OrderAnswer::NotSent => Turn::Free(accepted),
             OrderAnswer::OutOfTurn
@@ -49,6 +51,12 @@
         }
     }
 
+    fn is_confirming(&self, order: &Order) -> bool {
+        let target = self.targets.get(&order.target);
+        let hold = target.and_then(|it| it.holds.get(&order.weights));
+        hold.is_some_and(|hold| hold.state == HoldState::Confirming)
+    }
+
     fn model_load_answered(&mut self, order: &Order, answer: OrderAnswer) {
         let Some(target) = self.targets.get_mut(&order.target) else {
             return;
@@ -70,39 +78,44 @@
         now: Moment,
         out: &mut Vec<ResidencyAction>,
     ) {
-        let ready_at = match answer {
-            OrderAnswer::Accepted => Some(self.ready_at(&order.target, &order.weights, now)),
-            OrderAnswer::Done => Some(now),
-            OrderAnswer::OutOfTurn
-            | OrderAnswer::OtherTarget
-            | OrderAnswer::Refused
-            | OrderAnswer::NotSent
-            | OrderAnswer::Unanswered => None,
-        };
+        let look_at = self.ready_at(&order.target, &order.weights, now);
         let Some(target) = self.targets.get_mut(&order.target) else {
             return;
         };
         let Some(hold) = target.holds.get_mut(&order.weights) else {
             return;
         };
-        let questions = std::mem::take(&mut hold.questions);
-        let Some(ready_at) = ready_at else {
+        let confirming = hold.state == HoldState::Confirming;
+        match answer {
+            OrderAnswer::Done => {
+                hold.state = HoldState::Ready;
+                hold.since = now;
+                let version = hold.version;
+                let questions = std::mem::take(&mut hold.questions);
+                target.remember(order.weights.clone(), &self.cfg);
+                out.push(tell(&order.target, &order.weights, Some(version)));
+                answer_ready(questions, &order.target, out);
+            }
+            // It is still under way.
+            OrderAnswer::Accepted | OrderAnswer::OutOfTurn if confirming => {
+                hold.state = HoldState::Loading(now + self.cfg.look_again);
+            }
+            OrderAnswer::Accepted => hold.state = HoldState::Loading(look_at),
             // Without an answer it may still be loaded, and counts as taking a slot until the
             // target has been asked.
-            if answer != OrderAnswer::Unanswered {
+            OrderAnswer::Unanswered => {
+                let questions = std::mem::take(&mut hold.questions);
+                self.answer_later(questions, out);
+            }
+            OrderAnswer::OutOfTurn
+            | OrderAnswer::OtherTarget
+            | OrderAnswer::Refused
+            | OrderAnswer::NotSent => {
+                let questions = std::mem::take(&mut hold.questions);
                 target.holds.shift_remove(&order.weights);
+                self.answer_later(questions, out);
             }
-            return self.answer_later(questions, out);
-        };
-        hold.state = HoldState::Loading(ready_at);
-        target.remember(order.weights.clone(), &self.cfg);
-        let ready_in = now.until(ready_at);
-        let target = &order.target;
-        let at = questions.into_iter().map(|question| {
-            let target = target.clone();
-            ResidencyAction::Answer(question, Placed::At { target, ready_in })
-        });
-        out.extend(at);
+        }
     }
 
     fn unload_answered(&mut self, order: &Order, answer: OrderAnswer) {
@@ -196,5 +209,14 @@
     }
 }
 
+/// Answers questions about an adapter that is ready.
+fn answer_ready(questions: Vec<u64>, target: &TargetName, out: &mut Vec<ResidencyAction>) {
+    let answers = questions.into_iter().map(|question| {
+        let target = target.clone();
+        ResidencyAction::Answer(question, Placed::At { target })
+    });
+    out.extend(answers);
+}
+
 /// The version that a load under way is taken to bring until the target lists it.
 const FIRST_KNOWN: u64 = 1;
--- a/crates/chervilshunt_core/src/residency/config.rs
+++ b/crates/chervilshunt_core/src/residency/config.rs
@@ -12,10 +12,10 @@
     /// What is added to the time that a load is expected to take. A request that comes too early
     /// is refused and has to be sent again, which a budget bounds.
     pub load_margin: Duration,
+    /// How soon after it was found to be still under way a load is looked at again.
+    pub look_again: Duration,
     /// Adapters that one target loads at a time.
     pub loads_a_target: usize,
-    /// Adapter loads over all targets beyond which each takes longer in proportion.
-    pub loads_at_full_speed: usize,
     /// Adapters that a target is taken to have in memory still after it gave up their slots.
     pub remembered_adapters: usize,
     /// Requests under way with an adapter, as a share of a target's slots, for which it gets one
@@ -49,9 +49,9 @@
         Self {
             cold_load: Duration::from_millis(250),
             warm_load: Duration::from_millis(25),
-            load_margin: Duration::from_millis(8),
+            load_margin: Duration::from_millis(3),
+            look_again: Duration::from_millis(30),
             loads_a_target: 4,
-            loads_at_full_speed: 8,
             remembered_adapters: 120,
             spread_share: 0.3,
             cold_penalty: 0.25,
--- a/crates/chervilshunt_core/src/residency/hold.rs
+++ b/crates/chervilshunt_core/src/residency/hold.rs
@@ -9,8 +9,10 @@
     Planned,
     /// The load has been ordered, and an answer is due or was lost.
     Ordered,
-    /// It is being loaded and expected at that moment.
+    /// It is being loaded; the target is asked at that moment whether it has it.
     Loading(Moment),
+    /// The target has been asked whether it has it.
+    Confirming,
     /// Requests can use it.
     Ready,
     /// It is to be given up as soon as nothing uses it.
@@ -74,7 +76,10 @@
     pub(crate) fn is_coming(&self) -> bool {
         matches!(
             self.state,
-            HoldState::Planned | HoldState::Ordered | HoldState::Loading(_)
+            HoldState::Planned
+                | HoldState::Ordered
+                | HoldState::Loading(_)
+                | HoldState::Confirming
         )
     }
 
--- a/crates/chervilshunt_core/src/residency/loads.rs
+++ b/crates/chervilshunt_core/src/residency/loads.rs
@@ -2,7 +2,7 @@
 
 use chervilshunt_model::{Moment, TargetName};
 
-use super::hold::HoldState;
+use super::hold::{Hold, HoldState};
 use super::order::{Order, ResidencyAction};
 use super::planner::Residency;
 use super::target::Turn;
@@ -15,26 +15,12 @@
     pub(super) fn advance(&mut self, now: Moment, out: &mut Vec<ResidencyAction>) {
         let names: Vec<TargetName> = self.targets.keys().cloned().collect();
         for name in names {
-            self.finish_loads(&name, now, out);
             self.retire_outdated(&name, now, out);
             self.ask_if_due(&name, now, out);
             self.next_order(&name, now, out);
         }
     }
 
-    fn finish_loads(&mut self, name: &TargetName, now: Moment, out: &mut Vec<ResidencyAction>) {
-        let Some(target) = self.targets.get_mut(name) else {
-            return;
-        };
-        for (weights, hold) in &mut target.holds {
-            if matches!(hold.state, HoldState::Loading(at) if at <= now) {
-                hold.state = HoldState::Ready;
-                hold.since = now;
-                out.push(tell(name, weights, Some(hold.version)));
-            }
-        }
-    }
-
     fn ask_if_due(&mut self, name: &TargetName, now: Moment, out: &mut Vec<ResidencyAction>) {
         let Some(target) = self.targets.get_mut(name) else {
             return;
@@ -52,6 +38,7 @@
         };
         let next = self
             .next_model_load(name, now)
+            .or_else(|| self.next_confirmation(name, now))
             .or_else(|| self.next_load(name, now))
             .or_else(|| self.next_unload(name));
         let Some((kind, weights, version)) = next else {
@@ -71,7 +58,8 @@
         if let Some(target) = self.targets.get_mut(name) {
             if let Some(hold) = target.holds.get_mut(&weights) {
                 hold.state = match kind {
-                    OrderKind::Load => HoldState::Ordered,
+                    OrderKind::Load if hold.state == HoldState::Planned => HoldState::Ordered,
+                    OrderKind::Load => HoldState::Confirming,
                     OrderKind::Unload => HoldState::Unloading,
                 };
             }
@@ -80,6 +68,25 @@
         out.push(ResidencyAction::Order(order));
     }
 
+    /// Returns a load that should have ended by now.
+    ///
+    /// Nothing tells when a load has ended, and how long it takes depends on how many others the
+    /// weight store serves. The order given again tells: it holds already, or is still under way.
+    fn next_confirmation(
+        &self,
+        name: &TargetName,
+        now: Moment,
+    ) -> Option<(OrderKind, Weights, Option<u64>)> {
+        let target = self.targets.get(name)?;
+        let mut holds = target.holds.iter();
+        let due = holds.find(|(_, it)| matches!(it.state, HoldState::Loading(at) if at <= now));
+        due.map(|(weights, hold)| (OrderKind::Load, weights.clone(), self.named(weights, hold)))
+    }
+
+    fn named(&self, weights: &Weights, hold: &Hold) -> Option<u64> {
+        self.newest.contains_key(weights).then_some(hold.version)
+    }
+
     /// Returns the planned load that is next, or the unload that makes room for it.
     fn next_load(
         &self,
@@ -94,12 +101,7 @@
         }
         let limits = self.limits.get(&target.facts.service)?;
         if target.slots_taken() < limits.adapters_beside(&weights.model) {
-            let named = self.newest.contains_key(weights);
-            return Some((
-                OrderKind::Load,
-                weights.clone(),
-                named.then_some(hold.version),
-            ));
+            return Some((OrderKind::Load, weights.clone(), self.named(weights, hold)));
         }
         let victim = target.victim(&self.cfg, now)?.clone();
         Some((OrderKind::Unload, victim, None))
@@ -181,7 +183,7 @@
         })
     }
 
-    /// Returns when a load of an adapter that is accepted now will be ready.
+    /// Returns when a load of an adapter that is accepted now can have ended at the earliest.
     pub(super) fn ready_at(&self, name: &TargetName, weights: &Weights, now: Moment) -> Moment {
         let remembered = self
             .targets
@@ -190,8 +192,6 @@
         if remembered {
             return now + self.cfg.warm_load + self.cfg.load_margin;
         }
-        let under_way: usize = self.targets.values().map(|it| it.loading()).sum();
-        let crowd = under_way as f64 / self.cfg.loads_at_full_speed as f64;
-        now + self.cfg.cold_load.mul_f64(crowd.max(1.0)) + self.cfg.load_margin
+        now + self.cfg.cold_load + self.cfg.load_margin
     }
 }
--- a/crates/chervilshunt_core/src/residency/order.rs
+++ b/crates/chervilshunt_core/src/residency/order.rs
@@ -78,12 +78,10 @@
 /// What came of wanting an adapter.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Placed {
-    /// A target will hold it.
+    /// A target holds it now.
     At {
         /// The target.
         target: TargetName,
-        /// When it is expected to be ready.
-        ready_in: Duration,
     },
     /// No target can take it now.
     Later {
--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -120,7 +120,10 @@
             HoldState::Ready if hold.outdated => Some(hold.since + self.cfg.old_version_grace),
             // A load that waits for a slot or for its turn is looked at again soon.
             HoldState::Planned | HoldState::Ending => Some(now + LOOK_AGAIN),
-            HoldState::Ordered | HoldState::Ready | HoldState::Unloading => None,
+            HoldState::Ordered
+            | HoldState::Confirming
+            | HoldState::Ready
+            | HoldState::Unloading => None,
         });
         let model = target.model_load.is_some() || target.facts.models.is_empty();
         let model = model.then_some(now + LOOK_AGAIN);
--- a/crates/chervilshunt_core/src/residency/target.rs
+++ b/crates/chervilshunt_core/src/residency/target.rs
@@ -60,8 +60,7 @@
 
     /// Returns the adapters that are being loaded.
     pub(crate) fn loading(&self) -> usize {
-        let loading =
-            |hold: &&Hold| matches!(hold.state, HoldState::Loading(_) | HoldState::Ordered);
+        let loading = |hold: &&Hold| hold.is_coming() && hold.state != HoldState::Planned;
         self.holds.values().filter(loading).count()
     }
 
--- a/crates/chervilshunt_core/src/residency/wants.rs
+++ b/crates/chervilshunt_core/src/residency/wants.rs
@@ -54,23 +54,21 @@
             return self.answer_later(vec![question], out);
         };
         hold.last_used = now;
-        let ready_in = match hold.state {
+        match hold.state {
             HoldState::Ready | HoldState::Ending | HoldState::Unloading => {
                 let version = Some(hold.version);
                 out.push(tell(&name, weights, version));
-                std::time::Duration::ZERO
             }
-            HoldState::Loading(at) => now.until(at),
-            HoldState::Planned | HoldState::Ordered => {
+            HoldState::Planned
+            | HoldState::Ordered
+            | HoldState::Loading(_)
+            | HoldState::Confirming => {
                 hold.questions.push(question);
                 return;
             }
-        };
+        }
         let target = name;
-        out.push(ResidencyAction::Answer(
-            question,
-            Placed::At { target, ready_in },
-        ));
+        out.push(ResidencyAction::Answer(question, Placed::At { target }));
     }
 
     /// Returns the least busy target that holds an adapter or is loading it.
--- a/crates/chervilshunt_gateway/src/peers.rs
+++ b/crates/chervilshunt_gateway/src/peers.rs
@@ -1,7 +1,6 @@
 //! Messages between instances: all of them go to the placer or come from it.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use chervilshunt_core::{Holding, Lane, Placed, Use, Weights};
 use chervilshunt_mesh::Purpose;
@@ -78,7 +77,3 @@
         }
     }
 }
-
-/// How long a request waits for the placer's answer: an order of its own takes a few milliseconds,
-/// two orders one after the other and a busy placer some more.
-pub(crate) const PLACED_WITHIN: Duration = Duration::from_millis(250);
--- a/crates/chervilshunt_gateway/src/traffic/place.rs
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -9,7 +9,7 @@
 
 use super::attempt::Run;
 use super::refusal::{Reason, Refusal};
-use crate::peers::{PLACED_WITHIN, PeerMessage};
+use crate::peers::PeerMessage;
 
 /// When a caller should come back for whom there was no target.
 const NO_TARGET_RETRY: Duration = Duration::from_millis(500);
@@ -23,8 +23,9 @@
 /// The part of its objective for which a request waits for room; beyond it the caller is better
 /// off knowing.
 const ROOM_PATIENCE: f64 = 0.12;
-/// The part of its objective within which an adapter has to be ready to be worth waiting for.
-const PLACE_PATIENCE: f64 = 4.0;
+/// How long a request waits for its adapter, as a multiple of its objective. Beyond that it waits for
+/// a placer that is gone, or behind so many loads that another is better off in its place.
+const PLACE_PATIENCE: f64 = 2.5;
 /// A target is taken to be there, and a connection to it good, if it was heard of within this time.
 /// A request on a connection to a target that has lost power is lost if it may not run twice; on a
 /// new connection it would not leave.
@@ -125,35 +126,31 @@
             lane: Lane::of(self.req.size),
             avoid: self.avoid.clone(),
         };
-        let asked = self.shared.mesh.request(&placer, message, PLACED_WITHIN);
-        let (target, ready_in) = match asked.await {
-            Ok(PeerMessage::Placed(Placed::At { target, ready_in })) => (target, ready_in),
+        let patience = self.req.route.objective.mul_f64(PLACE_PATIENCE);
+        let patience = patience.min(self.req.left(self.shared.clock.now()));
+        match self.shared.mesh.request(&placer, message, patience).await {
+            Ok(PeerMessage::Placed(Placed::At { target })) => {
+                self.report_placement("placed", Some(&target));
+                self.at_target(target).ok_or_else(not_placed)
+            }
             Ok(PeerMessage::Placed(Placed::Later { retry_in })) => {
                 self.report_placement("no room", None);
-                return Err(Refusal::retry_after(Reason::NotPlaced, retry_in));
+                Err(Refusal::retry_after(Reason::NotPlaced, retry_in))
             }
-            Ok(_) => return Err(not_placed()),
+            Ok(_) => Err(not_placed()),
             Err(error) => {
                 slog::info!(self.shared.log, "placer silent";
                     "request" => &*self.req.id, "reason" => error.to_string());
-                return Err(not_placed());
+                Err(not_placed())
             }
-        };
-        if ready_in > self.req.route.objective.mul_f64(PLACE_PATIENCE) {
-            self.report_placement("too late", Some((&target, ready_in)));
-            return Err(Refusal::retry_after(Reason::NotPlaced, ready_in));
         }
-        self.report_placement("placed", Some((&target, ready_in)));
-        tokio::time::sleep(ready_in).await;
-        self.at_target(target).ok_or_else(not_placed)
     }
 
-    fn report_placement(&self, outcome: &str, at: Option<(&TargetName, Duration)>) {
+    fn report_placement(&self, outcome: &str, target: Option<&TargetName>) {
         slog::info!(self.shared.log, "adapter wanted";
             "request" => &*self.req.id, "outcome" => outcome,
             "weights" => self.req.weights.as_ref().map(ToString::to_string),
-            "target" => at.map(|(target, _)| target.as_str().to_owned()),
-            "ready_in_ms" => at.map(|(_, ready_in)| ready_in.as_millis() as u64));
+            "target" => target.map(|it| it.as_str().to_owned()));
     }
 
     /// Sends to a target that the placer named, unless it leaves.
