--- a/crates/chervilshunt_core/src/dispatch/choose.rs
+++ b/crates/chervilshunt_core/src/dispatch/choose.rs
@@ -99,10 +99,14 @@
     Wait(Wait),
 }
 
+/// Requests at a target kept for long prompts beyond which another one goes elsewhere: each of them
+/// takes about 120 ms to read, so that the next one would begin after most of a second.
+const BUSY_WITH_LONG_PROMPTS: f64 = 6.0;
+
 /// Returns the holders that a request should go to, by its lane.
 ///
-/// A long prompt goes nowhere else, so that its adapter is asked for there; other requests go to
-/// the targets kept for long prompts only if nobody else holds their adapter.
+/// If none of them holds its adapter, that is asked for there: a stream that goes to a target kept
+/// for long prompts is held up nearly for certain, and a load costs it a quarter of a second once.
 fn prefer_lane<'a>(
     holding: Vec<&'a Target>,
     ask: &Ask<'_>,
@@ -110,8 +114,10 @@
 ) -> Vec<&'a Target> {
     let (kept, general): (Vec<_>, Vec<_>) = holding.into_iter().partition(|it| in_lane(it));
     match ask.lane {
-        Lane::LongPrompt if !kept.is_empty() => kept,
-        Lane::LongPrompt if ask.may_ask => Vec::new(),
+        Lane::LongPrompt if kept.iter().any(|it| it.load.total() < BUSY_WITH_LONG_PROMPTS) => kept,
+        Lane::LongPrompt if ask.may_ask && general.is_empty() => Vec::new(),
+        Lane::LongPrompt if ask.may_ask && kept.is_empty() => Vec::new(),
+        Lane::General if ask.may_ask => general,
         Lane::LongPrompt | Lane::General if general.is_empty() => kept,
         Lane::LongPrompt | Lane::General => general,
     }
--- a/crates/chervilshunt_core/src/dispatch/lanes.rs
+++ b/crates/chervilshunt_core/src/dispatch/lanes.rs
@@ -18,9 +18,10 @@
 /// The most tokens generated for one prompt token for which a request counts as reading rather than
 /// generating: one that generates for seconds would be held up itself.
 const READING_SHARE: f64 = 0.05;
-/// Targets for each one that is kept for long prompts. Prompts of that length make up a sixteenth of
-/// what targets read and generate.
-const TARGETS_A_LANE: usize = 9;
+/// Targets for each one that is kept for long prompts. Such prompts take about an eighth of the time
+/// of all targets where they are most frequent, and wait for each other if they take much more than
+/// half of a target's.
+const TARGETS_A_LANE: usize = 6;
 /// The fewest targets of which one can be spared.
 const FEWEST_TARGETS: usize = 4;
 
@@ -58,7 +59,7 @@
     if targets.len() < FEWEST_TARGETS {
         return Vec::new();
     }
-    let kept = (targets.len() / TARGETS_A_LANE).max(1);
+    let kept = targets.len().div_ceil(TARGETS_A_LANE);
     targets.sort_by_key(|name| xxh3_64(name.as_str().as_bytes()));
     targets.truncate(kept);
     targets
