--- a/crates/chervilshunt_core/src/residency/answers.rs
+++ b/crates/chervilshunt_core/src/residency/answers.rs
@@ -187,7 +187,9 @@
             hold.state = HoldState::Ready;
             hold.version = *version;
             hold.outdated = *version < newest;
+            let questions = std::mem::take(&mut hold.questions);
             out.push(tell(name, weights, Some(*version)));
+            answer_ready(questions, name, out);
         }
         for weights in &report.loading {
             let coming = Hold::new(HoldState::Loading(ready_at), FIRST_KNOWN, now);
--- a/crates/chervilshunt_core/src/residency/hold.rs
+++ b/crates/chervilshunt_core/src/residency/hold.rs
@@ -1,6 +1,6 @@
 //! One target's hold on one adapter.
 
-use chervilshunt_model::{InstanceId, Moment};
+use chervilshunt_model::Moment;
 
 /// How far a hold has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,7 +31,6 @@
     pub(crate) since: Moment,
     /// Whether a newer version has been named.
     pub(crate) outdated: bool,
-    uses: Vec<(InstanceId, u32)>,
     /// Questions that wait for the load to be accepted.
     pub(crate) questions: Vec<u64>,
 }
@@ -44,29 +43,10 @@
             last_used: now,
             since: now,
             outdated: false,
-            uses: Vec::new(),
             questions: Vec::new(),
         }
     }
 
-    /// Takes in how many requests an instance has under way with it.
-    pub(crate) fn set_use(&mut self, from: &InstanceId, in_flight: u32) {
-        self.clear_use(from);
-        if in_flight > 0 {
-            self.uses.push((from.clone(), in_flight));
-        }
-    }
-
-    /// Forgets what an instance had under way.
-    pub(crate) fn clear_use(&mut self, from: &InstanceId) {
-        self.uses.retain(|(instance, _)| instance != from);
-    }
-
-    /// Returns the requests under way with it.
-    pub(crate) fn in_flight(&self) -> u32 {
-        self.uses.iter().map(|(_, count)| count).sum()
-    }
-
     /// Says whether new requests may be told of it.
     pub(crate) fn serves(&self) -> bool {
         self.state == HoldState::Ready && !self.outdated
@@ -83,8 +63,8 @@
         )
     }
 
-    /// Says whether it may be given up: it is there and no request uses it.
-    pub(crate) fn is_idle(&self) -> bool {
-        matches!(self.state, HoldState::Ready | HoldState::Ending) && self.in_flight() == 0
+    /// Says whether it is there and may be given up if nothing uses it.
+    pub(crate) const fn may_end(&self) -> bool {
+        matches!(self.state, HoldState::Ready | HoldState::Ending)
     }
 }
--- a/crates/chervilshunt_core/src/residency/loads.rs
+++ b/crates/chervilshunt_core/src/residency/loads.rs
@@ -111,7 +111,9 @@
     fn next_unload(&self, name: &TargetName) -> Option<(OrderKind, Weights, Option<u64>)> {
         let target = self.targets.get(name)?;
         let mut ending = target.holds.iter();
-        let ending = ending.find(|(_, hold)| hold.state == HoldState::Ending && hold.is_idle());
+        let ending = ending.find(|(weights, hold)| {
+            hold.state == HoldState::Ending && target.is_idle(weights, hold)
+        });
         ending.map(|(weights, _)| (OrderKind::Unload, weights.clone(), None))
     }
 
--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -177,27 +177,18 @@
 
     fn used(&mut self, from: &InstanceId, uses: &[Use], now: Moment) {
         for target in self.targets.values_mut() {
-            target.set_use(from, 0);
-            for hold in target.holds.values_mut() {
-                hold.clear_use(from);
-            }
+            target.clear_uses(from);
         }
-        let mut sums: IndexMap<&TargetName, u32> = IndexMap::new();
         for it in uses {
-            *sums.entry(&it.target).or_default() += it.in_flight;
-            let target = self.targets.get_mut(&it.target);
-            let weights = it.weights.as_ref();
-            let hold = target.and_then(|target| target.holds.get_mut(weights?));
-            if let Some(hold) = hold {
-                hold.set_use(from, it.in_flight);
+            let Some(target) = self.targets.get_mut(&it.target) else {
+                continue;
+            };
+            target.set_use(from, it.weights.as_ref(), it.in_flight);
+            let hold = it.weights.as_ref();
+            if let Some(hold) = hold.and_then(|weights| target.holds.get_mut(weights)) {
                 hold.last_used = now;
             }
         }
-        for (name, sum) in sums {
-            if let Some(target) = self.targets.get_mut(name) {
-                target.set_use(from, sum);
-            }
-        }
         self.spread(now);
     }
 }
--- a/crates/chervilshunt_core/src/residency/target.rs
+++ b/crates/chervilshunt_core/src/residency/target.rs
@@ -1,5 +1,7 @@
 //! One target as the placer sees it.
 
+use std::collections::HashMap;
+
 use chervilshunt_model::{InstanceId, Moment};
 use indexmap::{IndexMap, IndexSet};
 
@@ -32,8 +34,11 @@
     remembered: IndexSet<Weights>,
     /// The base model that it is loading, and since when.
     pub(crate) model_load: Option<(Weights, Moment)>,
-    /// What instances have under way here, adapters and others together.
-    uses: Vec<(InstanceId, u32)>,
+    /// What instances have under way here, by weights.
+    ///
+    /// It is kept beside the holds: an order that was carried out late brings an adapter of which
+    /// the planner learns only afterwards, and which may be in use by then.
+    uses: HashMap<Option<Weights>, Vec<(InstanceId, u32)>>,
 }
 
 impl TargetState {
@@ -44,7 +49,7 @@
             holds: IndexMap::new(),
             remembered: IndexSet::new(),
             model_load: None,
-            uses: Vec::new(),
+            uses: HashMap::new(),
         }
     }
 
@@ -77,11 +82,9 @@
 
     /// Returns the adapter that is missed least: an outdated one, or the one unused for longest.
     pub(crate) fn victim(&self, cfg: &ResidencyConfig, now: Moment) -> Option<&Weights> {
-        let idle = self.holds.iter().filter(|(_, hold)| hold.is_idle());
-        let idle = idle.filter(|(_, hold)| {
-            hold.outdated
-                || hold.state == HoldState::Ending
-                || now.since(hold.last_used) > cfg.keep_used
+        let idle = self.holds.iter().filter(|(weights, hold)| {
+            let due = hold.outdated || hold.state == HoldState::Ending;
+            self.is_idle(weights, hold) && (due || now.since(hold.last_used) > cfg.keep_used)
         });
         let first = idle.min_by_key(|(_, hold)| (!hold.outdated, hold.last_used));
         first.map(|(weights, _)| weights)
@@ -90,8 +93,9 @@
     /// Says whether one more adapter finds a slot, if need be that of an idle one.
     pub(crate) fn can_load(&self, cfg: &ResidencyConfig, slots: usize, now: Moment) -> bool {
         let planned = self.coming() - self.loading().min(self.coming());
-        let idle = self.holds.values().filter(|hold| hold.is_idle());
-        let idle = idle.filter(|hold| now.since(hold.last_used) > cfg.keep_used);
+        let idle = self.holds.iter().filter(|(weights, hold)| {
+            self.is_idle(weights, hold) && now.since(hold.last_used) > cfg.keep_used
+        });
         self.slots_taken() + planned < slots + idle.count()
     }
 
@@ -115,22 +119,42 @@
         self.remembered.contains(weights)
     }
 
-    /// Takes in how many requests an instance has under way here.
-    pub(crate) fn set_use(&mut self, from: &InstanceId, in_flight: u32) {
-        self.uses.retain(|(instance, _)| instance != from);
-        if in_flight > 0 {
-            self.uses.push((from.clone(), in_flight));
+    /// Takes in how many requests an instance has under way here with some weights.
+    pub(crate) fn set_use(&mut self, from: &InstanceId, weights: Option<&Weights>, count: u32) {
+        if count > 0 {
+            let uses = self.uses.entry(weights.cloned()).or_default();
+            uses.push((from.clone(), count));
         }
     }
 
+    /// Forgets what an instance had under way here.
+    pub(crate) fn clear_uses(&mut self, from: &InstanceId) {
+        self.uses.retain(|_, uses| {
+            uses.retain(|(instance, _)| instance != from);
+            !uses.is_empty()
+        });
+    }
+
+    /// Returns the requests under way here with an adapter.
+    pub(crate) fn in_use(&self, weights: &Weights) -> u32 {
+        let uses = self.uses.get(&Some(weights.clone()));
+        uses.into_iter().flatten().map(|(_, count)| count).sum()
+    }
+
+    /// Says whether an adapter may be given up: it is there and no request uses it.
+    pub(crate) fn is_idle(&self, weights: &Weights, hold: &Hold) -> bool {
+        hold.may_end() && self.in_use(weights) == 0
+    }
+
     /// Returns the requests under way here.
     pub(crate) fn in_flight(&self) -> u32 {
-        self.uses.iter().map(|(_, count)| count).sum()
+        self.uses.values().flatten().map(|(_, count)| count).sum()
     }
 
     /// Returns the requests under way here from instances other than `from`.
     pub(crate) fn in_flight_beside(&self, from: &InstanceId) -> u32 {
-        let others = self.uses.iter().filter(|(instance, _)| instance != from);
+        let uses = self.uses.values().flatten();
+        let others = uses.filter(|(instance, _)| instance != from);
         others.map(|(_, count)| count).sum()
     }
 
--- a/crates/chervilshunt_core/src/residency/versions.rs
+++ b/crates/chervilshunt_core/src/residency/versions.rs
@@ -52,6 +52,7 @@
         let keep_used = self.cfg.keep_used;
         let mut found = Vec::new();
         for (name, target) in &mut self.targets {
+            let in_use = target.in_use(weights) > 0;
             let Some(hold) = target.holds.get_mut(weights) else {
                 continue;
             };
@@ -64,7 +65,7 @@
             }
             hold.outdated = true;
             hold.since = now;
-            let used = hold.in_flight() > 0 || now.since(hold.last_used) < keep_used;
+            let used = in_use || now.since(hold.last_used) < keep_used;
             found.push((name.clone(), target.facts.service.clone(), used));
         }
         found
--- a/crates/chervilshunt_core/src/residency/wants.rs
+++ b/crates/chervilshunt_core/src/residency/wants.rs
@@ -142,7 +142,7 @@
         for target in self.targets.values().filter(|target| target.takes_work()) {
             for (weights, hold) in &target.holds {
                 let sum = sums.entry(weights).or_insert((0, 0, false, target));
-                sum.0 += hold.in_flight();
+                sum.0 += target.in_use(weights);
                 sum.1 += u32::from(hold.serves());
                 sum.2 |= hold.is_coming();
             }
--- /dev/null
+++ b/crates/chervilshunt_core/tests/residency_machine.rs
@@ -0,0 +1,392 @@
+//! The planner before targets that lose answers, carry orders out late, restart and vanish.
+//!
+//! Each random run plays targets by their published behaviour: they refuse an order that names
+//! another number of orders accepted before, they hold a bounded number of adapters and die if they
+//! are ordered to hold more, and they give an adapter up only when nothing uses it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use chervilshunt_core::{
+    Lane, LoadedModel, ModelSpec, Order, OrderAnswer, OrderKind, OrderNumber, Placed, PlacementLimits,
+    Residency, ResidencyAction, ResidencyConfig, ResidencyEvent, TargetFacts, TargetReport, Use,
+    Weights,
+};
+use chervilshunt_model::{InstanceId, Moment, ServiceName, TargetName, ZoneName};
+use proptest::prelude::*;
+
+const SLOTS: usize = 4;
+const TARGETS: u8 = 3;
+const ADAPTERS: u8 = 9;
+const LOAD_MS: u64 = 240;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Want(u8, bool),
+    Use(u8, u8, u32),
+    Version(u8),
+    Advance(u64),
+    /// What happens to the next orders: answered, lost before, lost after, or carried out late.
+    Fate(u8),
+    Restart(u8),
+    Vanish(u8),
+    Appear(u8),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        10 => (0..ADAPTERS, any::<bool>()).prop_map(|(a, long)| Step::Want(a, long)),
+        4 => (0..TARGETS, 0..ADAPTERS, 0..40_u32).prop_map(|(t, a, n)| Step::Use(t, a, n)),
+        1 => (0..ADAPTERS).prop_map(Step::Version),
+        12 => (1..900_u64).prop_map(Step::Advance),
+        3 => (0..4_u8).prop_map(Step::Fate),
+        1 => (0..TARGETS).prop_map(Step::Restart),
+        1 => (0..TARGETS).prop_map(Step::Vanish),
+        2 => (0..TARGETS).prop_map(Step::Appear),
+    ]
+}
+
+/// A target as it really is.
+#[derive(Clone, Debug, Default)]
+struct RealTarget {
+    start: u32,
+    accepted: u64,
+    held: BTreeMap<String, u64>,
+    loading: BTreeMap<String, Moment>,
+}
+
+impl RealTarget {
+    fn carry_out(&mut self, order: &Order, now: Moment) -> OrderAnswer {
+        let adapter = order.weights.to_string();
+        match order.kind {
+            OrderKind::Load if self.loading.contains_key(&adapter) => OrderAnswer::Accepted,
+            OrderKind::Load
+                if self
+                    .held
+                    .get(&adapter)
+                    .is_some_and(|held| order.version.is_none_or(|it| it == *held)) =>
+            {
+                OrderAnswer::Done
+            }
+            _ if order.accepted_before != self.accepted => OrderAnswer::OutOfTurn,
+            OrderKind::Load => {
+                self.accepted += 1;
+                self.held.remove(&adapter);
+                self.loading
+                    .insert(adapter, now + Duration::from_millis(LOAD_MS));
+                assert!(
+                    self.held.len() + self.loading.len() <= SLOTS,
+                    "ordered to hold more than {SLOTS} adapters: {self:?}"
+                );
+                OrderAnswer::Accepted
+            }
+            OrderKind::Unload => {
+                self.accepted += 1;
+                self.held.remove(&adapter);
+                OrderAnswer::Done
+            }
+        }
+    }
+
+    fn pass(&mut self, versions: &BTreeMap<String, u64>, now: Moment) {
+        let ended: Vec<String> = self
+            .loading
+            .iter()
+            .filter(|(_, at)| **at <= now)
+            .map(|(adapter, _)| adapter.clone())
+            .collect();
+        for adapter in ended {
+            self.loading.remove(&adapter);
+            let version = versions.get(&adapter).copied().unwrap_or(1);
+            self.held.insert(adapter, version);
+        }
+    }
+
+    fn report(&self) -> TargetReport {
+        TargetReport {
+            accepted: self.accepted,
+            busy: false,
+            adapters: self
+                .held
+                .iter()
+                .map(|(adapter, version)| (weights_of(adapter), *version))
+                .collect(),
+            loading: self.loading.keys().map(|it| weights_of(it)).collect(),
+        }
+    }
+}
+
+fn weights_of(text: &str) -> Weights {
+    let (model, adapter) = text.split_once('/').expect("an adapter");
+    Weights {
+        model: model.into(),
+        adapter: Some(adapter.into()),
+    }
+}
+
+fn adapter(n: u8) -> Weights {
+    weights_of(&format!("base/a{n}"))
+}
+
+struct World {
+    planner: Residency,
+    now: Moment,
+    real: BTreeMap<u8, RealTarget>,
+    versions: BTreeMap<String, u64>,
+    fate: u8,
+    late: Vec<(Moment, TargetName, Order)>,
+    out: BTreeMap<TargetName, OrderNumber>,
+    open: BTreeSet<u64>,
+    next_question: u64,
+    used: BTreeMap<(TargetName, String), u32>,
+    told_used_at: BTreeMap<(TargetName, String), Moment>,
+}
+
+impl World {
+    fn new() -> Self {
+        let mut world = Self {
+            planner: Residency::new(ResidencyConfig::default()),
+            now: Moment::from_millis(10_000),
+            real: BTreeMap::new(),
+            versions: BTreeMap::new(),
+            fate: 0,
+            late: Vec::new(),
+            out: BTreeMap::new(),
+            open: BTreeSet::new(),
+            next_question: 0,
+            used: BTreeMap::new(),
+            told_used_at: BTreeMap::new(),
+        };
+        let limits = PlacementLimits {
+            models: vec![ModelSpec {
+                name: "base".into(),
+                megabytes: 100.0,
+                load_time: Duration::from_millis(600),
+                adapter_megabytes: 1.0,
+            }],
+            megabytes: 200.0,
+            adapter_slots: SLOTS,
+            loads_per_second: 4.0,
+        };
+        world.event(ResidencyEvent::Limits(service(), limits));
+        for target in 0..TARGETS {
+            world.appear(target);
+        }
+        world
+    }
+
+    fn name(&self, target: u8) -> TargetName {
+        let start = self.real.get(&target).map_or(0, |it| it.start);
+        TargetName::new(format!("t{target}-{start}"))
+    }
+
+    fn index(&self, name: &TargetName) -> Option<u8> {
+        (0..TARGETS).find(|it| self.real.contains_key(it) && self.name(*it) == *name)
+    }
+
+    fn appear(&mut self, target: u8) {
+        if self.real.contains_key(&target) {
+            return;
+        }
+        let start = u32::try_from(self.now.as_millis()).expect("a short run");
+        self.real.insert(
+            target,
+            RealTarget {
+                start,
+                ..RealTarget::default()
+            },
+        );
+        let facts = TargetFacts {
+            name: self.name(target),
+            service: service(),
+            address: ([10, 0, 0, target], 8000).into(),
+            zone: ZoneName::from("zone"),
+            slots: 16,
+            leaving: None,
+            models: vec![LoadedModel {
+                name: "base".into(),
+                version: 1,
+                adapters: Vec::new(),
+            }],
+        };
+        self.event(ResidencyEvent::TargetSeen(facts));
+    }
+
+    fn vanish(&mut self, target: u8) {
+        if !self.real.contains_key(&target) {
+            return;
+        }
+        let name = self.name(target);
+        self.real.remove(&target);
+        self.out.remove(&name);
+        self.used.retain(|(holder, _), _| *holder != name);
+        self.event(ResidencyEvent::TargetGone(name));
+    }
+
+    fn event(&mut self, event: ResidencyEvent) {
+        let actions = self.planner.handle(event, self.now);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: ResidencyAction) {
+        match action {
+            ResidencyAction::Order(order) => self.order(order),
+            ResidencyAction::Ask(target) => {
+                let report = self.index(&target).map(|it| self.real[&it].report());
+                self.event(match report {
+                    Some(report) => ResidencyEvent::Reported(target, report),
+                    None => ResidencyEvent::NotReported(target),
+                });
+            }
+            ResidencyAction::Tell(_) => {}
+            ResidencyAction::Answer(question, placed) => {
+                assert!(self.open.remove(&question), "question {question} answered twice");
+                if let Placed::At { target } = placed {
+                    assert!(self.index(&target).is_some(), "placed at {target}, which is gone");
+                }
+            }
+        }
+    }
+
+    fn order(&mut self, order: Order) {
+        let before = self.out.insert(order.target.clone(), order.number);
+        assert!(before.is_none(), "two orders on their way to {}", order.target);
+        if order.kind == OrderKind::Unload {
+            let key = (order.target.clone(), order.weights.to_string());
+            let in_use = self.used.get(&key).copied().unwrap_or_default();
+            assert_eq!(in_use, 0, "{:?} gives up what is in use", order);
+        }
+        let Some(index) = self.index(&order.target) else {
+            return self.answer(&order, OrderAnswer::Unanswered);
+        };
+        match self.fate {
+            1 => self.answer(&order, OrderAnswer::Unanswered),
+            2 => {
+                self.carry_out(index, &order);
+                self.answer(&order, OrderAnswer::Unanswered);
+            }
+            3 => {
+                let at = self.now + Duration::from_secs(3);
+                self.late.push((at, order.target.clone(), order.clone()));
+                self.answer(&order, OrderAnswer::Unanswered);
+            }
+            _ => {
+                let answer = self.carry_out(index, &order);
+                self.answer(&order, answer);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, index: u8, order: &Order) -> OrderAnswer {
+        let real = self.real.get_mut(&index).expect("a target that is there");
+        real.carry_out(order, self.now)
+    }
+
+    fn answer(&mut self, order: &Order, answer: OrderAnswer) {
+        self.out.remove(&order.target);
+        self.event(ResidencyEvent::Answered(order.number, answer));
+    }
+
+    fn advance(&mut self, millis: u64) {
+        let end = self.now + Duration::from_millis(millis);
+        while self.now < end {
+            self.now = self.now + Duration::from_millis(10);
+            for real in self.real.values_mut() {
+                real.pass(&self.versions, self.now);
+            }
+            let due: Vec<_> = self.late.extract_if(.., |(at, ..)| *at <= self.now).collect();
+            for (_, target, order) in due {
+                if let Some(index) = self.index(&target) {
+                    self.carry_out(index, &order);
+                }
+            }
+            if self
+                .planner
+                .next_wakeup(self.now)
+                .is_some_and(|at| at <= self.now)
+            {
+                self.event(ResidencyEvent::Tick);
+            }
+        }
+    }
+
+    fn apply(&mut self, step: Step) {
+        match step {
+            Step::Want(n, long) => {
+                let question = self.next_question;
+                self.next_question += 1;
+                self.open.insert(question);
+                let lane = if long { Lane::LongPrompt } else { Lane::General };
+                self.event(ResidencyEvent::Wanted {
+                    question,
+                    service: service(),
+                    weights: adapter(n),
+                    lane,
+                    avoid: Vec::new(),
+                });
+            }
+            Step::Use(target, n, in_flight) => self.use_adapter(target, n, in_flight),
+            Step::Version(n) => {
+                let name = adapter(n).to_string();
+                let version = self.versions.get(&name).copied().unwrap_or(1) + 1;
+                self.versions.insert(name, version);
+                self.event(ResidencyEvent::VersionNamed(adapter(n), version));
+            }
+            Step::Advance(millis) => self.advance(millis),
+            Step::Fate(fate) => self.fate = fate,
+            Step::Restart(target) => {
+                self.vanish(target);
+                self.advance(10);
+                self.appear(target);
+            }
+            Step::Vanish(target) => self.vanish(target),
+            Step::Appear(target) => self.appear(target),
+        }
+    }
+
+    fn use_adapter(&mut self, target: u8, n: u8, in_flight: u32) {
+        let held = self
+            .real
+            .get(&target)
+            .is_some_and(|it| it.held.contains_key(&adapter(n).to_string()));
+        let key = (self.name(target), adapter(n).to_string());
+        let told = self.told_used_at.insert(key.clone(), self.now);
+        if !held || told == Some(self.now) {
+            return;
+        }
+        self.used.insert(key, in_flight);
+        let uses = self.used.iter().map(|((target, weights), in_flight)| Use {
+            target: target.clone(),
+            weights: Some(weights_of(weights)),
+            in_flight: *in_flight,
+        });
+        let uses = uses.collect();
+        self.event(ResidencyEvent::Used(InstanceId::from("i"), uses));
+    }
+}
+
+fn service() -> ServiceName {
+    ServiceName::from("drafts")
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, ..ProptestConfig::default() })]
+
+    /// No target is ever ordered to hold more than it can, has two orders on their way, or gives
+    /// up what is in use; and each question is answered once targets answer again.
+    #[test]
+    fn orders_stay_within_what_targets_bear(steps in prop::collection::vec(step(), 1..120)) {
+        let mut world = World::new();
+        world.advance(600);
+        for step in steps {
+            world.apply(step);
+        }
+        world.fate = 0;
+        world.used.clear();
+        world.event(ResidencyEvent::Used(InstanceId::from("i"), Vec::new()));
+        world.advance(8_000);
+        prop_assert!(world.open.is_empty(), "never answered: {:?}", world.open);
+    }
+}
