--- a/crates/chervilshunt_coord/src/tests.rs
+++ b/crates/chervilshunt_coord/src/tests.rs
@@ -11,4 +11,5 @@
 mod promises;
 mod runs;
 mod smoke;
+mod sole;
 mod table;
--- /dev/null
+++ b/crates/chervilshunt_coord/src/tests/sole.rs
@@ -0,0 +1,300 @@
+//! The sole lease: who may give orders, and that two holders never come closer than the rest.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use chervilshunt_model::{InstanceId, Moment};
+use proptest::prelude::*;
+use rstest::rstest;
+
+use crate::lease::{
+    SeenRecord, SoleAction, SoleConfig, SoleEvent, SoleKeeper, SoleRecord, SoleWritten,
+};
+
+const CFG: SoleConfig = SoleConfig {
+    duration: Duration::from_millis(2_600),
+    renew_every: Duration::from_millis(900),
+    retry_every: Duration::from_millis(250),
+    margin: Duration::from_millis(200),
+    rest: Duration::from_millis(3_300),
+};
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(100_000 + millis)
+}
+
+fn keeper(name: &str, now: Moment) -> SoleKeeper {
+    let address = ([10, 0, 0, name.as_bytes()[0]], 7000).into();
+    SoleKeeper::new(CFG, InstanceId::from(name), 1, address, Duration::ZERO, now)
+}
+
+/// Creates the lease for `a` and returns its keeper as the holder.
+fn holder() -> (SoleKeeper, SeenRecord) {
+    let mut a = keeper("a", at(0));
+    let written = match &a.handle(SoleEvent::Seen(None), at(0))[..] {
+        [SoleAction::Write(record, None)] => record.clone(),
+        other => panic!("{other:?}"),
+    };
+    let gained = a.handle(SoleEvent::Written(SoleWritten::Done(7)), at(5));
+    assert_eq!(gained, [SoleAction::Gained(1)]);
+    let seen = SeenRecord {
+        record: written,
+        version: 7,
+    };
+    (a, seen)
+}
+
+#[test]
+fn the_time_counts_from_before_the_write() {
+    // The write's answer takes 2 s. Counted from the answer the holder would go on for 2 s after
+    // others, who saw the write when it was carried out, believe it gone.
+    let mut a = keeper("a", at(0));
+    a.handle(SoleEvent::Seen(None), at(0));
+    a.handle(SoleEvent::Written(SoleWritten::Done(7)), at(2_000));
+    assert_eq!(a.may_order(at(2_399)), Some(1));
+    assert_eq!(a.may_order(at(2_400)), None);
+}
+
+#[rstest]
+// Seen when it changed last at 0: its holder may have renewed it then, and gives its last order
+// 2.6 s later; 3.3 s are for that order to arrive.
+#[case::too_soon(5_899, false)]
+#[case::lapsed(5_900, true)]
+fn a_lease_is_taken_once_nothing_of_its_holder_can_be_on_its_way(
+    #[case] now: u64,
+    #[case] taken: bool,
+) {
+    let (_, seen) = holder();
+    let mut b = keeper("b", at(0));
+    b.handle(SoleEvent::Seen(Some(seen)), at(0));
+    let actions = b.handle(SoleEvent::Tick, at(now));
+    assert_eq!(!actions.is_empty(), taken);
+    if let Some(SoleAction::Write(record, version)) = actions.first() {
+        assert_eq!((record.term, *version), (2, Some(7)));
+    }
+}
+
+#[test]
+fn a_lease_that_was_given_up_is_taken_after_the_rest_alone() {
+    let (mut a, mut seen) = holder();
+    let actions = a.handle(SoleEvent::Release, at(100));
+    let [SoleAction::Lost, SoleAction::Write(record, Some(7))] = &actions[..] else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(record.holder, None);
+    assert_eq!(a.may_order(at(100)), None);
+    seen.record = record.clone();
+    seen.version = 8;
+    let mut b = keeper("b", at(100));
+    b.handle(SoleEvent::Seen(Some(seen)), at(110));
+    assert!(b.handle(SoleEvent::Tick, at(3_409)).is_empty());
+    assert!(!b.handle(SoleEvent::Tick, at(3_410)).is_empty());
+}
+
+#[test]
+fn a_paused_holder_does_not_order_after_its_pause() {
+    // The machine is suspended for 10 s. Its timers did not fire, and it has heard of nothing; the
+    // boot clock alone tells it on waking that its lease is long over.
+    let (mut a, _) = holder();
+    assert_eq!(a.may_order(at(10_000)), None);
+    assert!(a.handle(SoleEvent::Tick, at(10_000)).contains(&SoleAction::Lost));
+}
+
+#[test]
+fn a_write_whose_answer_is_lost_is_settled_by_reading() {
+    let (mut a, mut seen) = holder();
+    let actions = a.handle(SoleEvent::Tick, at(900));
+    let [SoleAction::Write(record, _)] = &actions[..] else {
+        panic!("{actions:?}");
+    };
+    seen.record = record.clone();
+    seen.version = 8;
+    let unknown = a.handle(SoleEvent::Written(SoleWritten::Unknown), at(1_000));
+    assert_eq!(unknown, [SoleAction::Read]);
+    a.handle(SoleEvent::Seen(Some(seen)), at(1_010));
+    // The renewal was carried out, and may have been at any time since: only the next one counts.
+    assert_eq!(a.may_order(at(2_399)), Some(1));
+    assert_eq!(a.may_order(at(2_400)), None);
+    let renewed = a.handle(SoleEvent::Tick, at(1_300));
+    assert!(matches!(&renewed[..], [SoleAction::Write(_, Some(8))]));
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Advance(u64),
+    /// The instance sees what the platform holds.
+    Look(usize),
+    /// The instance's oldest call ends: carried out or not, answered or not.
+    Call(usize, bool, bool),
+    /// The instance gives an order if it may.
+    Order(usize),
+    /// The process starts anew.
+    Restart(usize),
+    /// A write without an answer is carried out now.
+    Late,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let who = 0..3_usize;
+    prop_oneof![
+        6 => (1..2_000_u64).prop_map(Step::Advance),
+        5 => who.clone().prop_map(Step::Look),
+        8 => (who.clone(), prop::bool::weighted(0.8), prop::bool::weighted(0.8))
+            .prop_map(|(who, done, told)| Step::Call(who, done, told)),
+        6 => who.clone().prop_map(Step::Order),
+        1 => who.prop_map(Step::Restart),
+        1 => Just(Step::Late),
+    ]
+}
+
+struct World {
+    now: u64,
+    stored: Option<SeenRecord>,
+    keepers: Vec<SoleKeeper>,
+    calls: Vec<VecDeque<SoleAction>>,
+    late: Vec<(SoleRecord, Option<u64>)>,
+    last_order: Option<(usize, u64, u64)>,
+    starts: u64,
+}
+
+const NAMES: [&str; 3] = ["a", "b", "c"];
+
+impl World {
+    fn new() -> Self {
+        Self {
+            now: 0,
+            stored: None,
+            keepers: NAMES.iter().map(|name| keeper(name, at(0))).collect(),
+            calls: vec![VecDeque::new(); 3],
+            late: Vec::new(),
+            last_order: None,
+            starts: 1,
+        }
+    }
+
+    fn event(&mut self, who: usize, event: SoleEvent) {
+        let actions = self.keepers[who].handle(event, at(self.now));
+        let calls = actions
+            .into_iter()
+            .filter(|it| matches!(it, SoleAction::Write(..) | SoleAction::Read));
+        self.calls[who].extend(calls);
+    }
+
+    /// Carries a write out if its condition holds, and returns the object's version then.
+    fn write(&mut self, record: &SoleRecord, version: Option<u64>) -> Option<u64> {
+        if self.stored.as_ref().map(|it| it.version) != version {
+            return None;
+        }
+        let version = version.unwrap_or(0) + 1;
+        self.stored = Some(SeenRecord {
+            record: record.clone(),
+            version,
+        });
+        Some(version)
+    }
+
+    fn call(&mut self, who: usize, done: bool, told: bool) {
+        let Some(call) = self.calls[who].pop_front() else {
+            return;
+        };
+        let event = match call {
+            SoleAction::Read if done => SoleEvent::Seen(self.stored.clone()),
+            SoleAction::Read => SoleEvent::ReadFailed,
+            SoleAction::Write(record, version) => {
+                SoleEvent::Written(self.write_with(&record, version, done, told))
+            }
+            SoleAction::Gained(_) | SoleAction::Lost => unreachable!("no calls"),
+        };
+        self.event(who, event);
+    }
+
+    fn write_with(
+        &mut self,
+        record: &SoleRecord,
+        version: Option<u64>,
+        done: bool,
+        told: bool,
+    ) -> SoleWritten {
+        if !done {
+            if told {
+                return SoleWritten::Failed;
+            }
+            self.late.push((record.clone(), version));
+            return SoleWritten::Unknown;
+        }
+        match self.write(record, version) {
+            _ if !told => SoleWritten::Unknown,
+            Some(version) => SoleWritten::Done(version),
+            None => SoleWritten::Conflict,
+        }
+    }
+
+    fn order(&mut self, who: usize) {
+        let Some(term) = self.keepers[who].may_order(at(self.now)) else {
+            return;
+        };
+        if let Some((before, last_term, when)) = self.last_order
+            && before != who
+        {
+            assert!(term > last_term, "term {term} after {last_term}");
+            let rest = CFG.rest.as_millis() as u64;
+            assert!(
+                self.now >= when + rest,
+                "{} orders {} ms after {}",
+                NAMES[who],
+                self.now - when,
+                NAMES[before]
+            );
+        }
+        self.last_order = Some((who, term, self.now));
+    }
+
+    fn apply(&mut self, step: Step) {
+        match step {
+            Step::Advance(millis) => {
+                self.now += millis;
+                for who in 0..3 {
+                    self.event(who, SoleEvent::Tick);
+                }
+            }
+            Step::Look(who) => self.event(who, SoleEvent::Seen(self.stored.clone())),
+            Step::Call(who, done, told) => self.call(who, done, told),
+            Step::Order(who) => self.order(who),
+            Step::Restart(who) => {
+                self.starts += 1;
+                let address = ([10, 0, 0, NAMES[who].as_bytes()[0]], 7000).into();
+                let me = InstanceId::from(NAMES[who]);
+                let now = at(self.now);
+                self.keepers[who] =
+                    SoleKeeper::new(CFG, me, self.starts, address, Duration::ZERO, now);
+                // Calls of the process that is gone may still be carried out.
+                for call in std::mem::take(&mut self.calls[who]) {
+                    if let SoleAction::Write(record, version) = call {
+                        self.late.push((record, version));
+                    }
+                }
+            }
+            Step::Late => {
+                if let Some((record, version)) = self.late.pop() {
+                    self.write(&record, version);
+                }
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, ..ProptestConfig::default() })]
+
+    /// Whatever is lost, late or restarted, terms only rise from one holder to the next, and
+    /// between the orders of two holders lies the rest.
+    #[test]
+    fn two_holders_never_order_close_to_each_other(
+        steps in prop::collection::vec(step(), 1..150)
+    ) {
+        let mut world = World::new();
+        for step in steps {
+            world.apply(step);
+        }
+    }
+}
