--- a/crates/chervilshunt_coord/src/tests/sole.rs
+++ b/crates/chervilshunt_coord/src/tests/sole.rs
@@ -97,7 +97,10 @@
     // boot clock alone tells it on waking that its lease is long over.
     let (mut a, _) = holder();
     assert_eq!(a.may_order(at(10_000)), None);
-    assert!(a.handle(SoleEvent::Tick, at(10_000)).contains(&SoleAction::Lost));
+    assert!(
+        a.handle(SoleEvent::Tick, at(10_000))
+            .contains(&SoleAction::Lost)
+    );
 }
 
 #[test]
--- a/crates/chervilshunt_core/src/dispatch/choose.rs
+++ b/crates/chervilshunt_core/src/dispatch/choose.rs
@@ -114,7 +114,13 @@
 ) -> Vec<&'a Target> {
     let (kept, general): (Vec<_>, Vec<_>) = holding.into_iter().partition(|it| in_lane(it));
     match ask.lane {
-        Lane::LongPrompt if kept.iter().any(|it| it.load.total() < BUSY_WITH_LONG_PROMPTS) => kept,
+        Lane::LongPrompt
+            if kept
+                .iter()
+                .any(|it| it.load.total() < BUSY_WITH_LONG_PROMPTS) =>
+        {
+            kept
+        }
         Lane::LongPrompt if ask.may_ask && general.is_empty() => Vec::new(),
         Lane::LongPrompt if ask.may_ask && kept.is_empty() => Vec::new(),
         Lane::General if ask.may_ask => general,
--- a/crates/chervilshunt_core/src/residency/hold.rs
+++ b/crates/chervilshunt_core/src/residency/hold.rs
@@ -56,10 +56,7 @@
     pub(crate) fn is_coming(&self) -> bool {
         matches!(
             self.state,
-            HoldState::Planned
-                | HoldState::Ordered
-                | HoldState::Loading(_)
-                | HoldState::Confirming
+            HoldState::Planned | HoldState::Ordered | HoldState::Loading(_) | HoldState::Confirming
         )
     }
 
--- a/crates/chervilshunt_core/src/residency/versions.rs
+++ b/crates/chervilshunt_core/src/residency/versions.rs
@@ -35,7 +35,10 @@
         let used = outdated.iter().any(|(_, _, used)| *used);
         for (name, service, _) in outdated {
             // Where nobody uses it, or no other target has room, the old one goes at once.
-            let replaced = used && self.plan_load(Want::general(&service, &weights), now).is_some();
+            let replaced = used
+                && self
+                    .plan_load(Want::general(&service, &weights), now)
+                    .is_some();
             if !replaced {
                 self.end_hold(&name, &weights, out);
             }
--- a/crates/chervilshunt_core/src/residency/wants.rs
+++ b/crates/chervilshunt_core/src/residency/wants.rs
@@ -108,12 +108,7 @@
         Some(name)
     }
 
-    fn may_place(
-        &self,
-        name: &TargetName,
-        target: &TargetState,
-        want: Want<'_>,
-    ) -> bool {
+    fn may_place(&self, name: &TargetName, target: &TargetState, want: Want<'_>) -> bool {
         target.facts.service == *want.service
             && target.takes_work()
             && target.model_load.is_none()
--- /dev/null
+++ b/crates/chervilshunt_core/tests/dispatch.rs
@@ -0,0 +1,287 @@
+//! The choice of a target, by cases.
+
+use std::time::Duration;
+
+use chervilshunt_core::{
+    Ask, Choice, Dispatch, DispatchConfig, Holding, Lane, Leaving, LoadReport, LoadedAdapter,
+    LoadedModel, RequestSize, ServiceBudgets, Sign, TargetFacts, Wait, Weights, WindowBudgetConfig,
+    long_prompt_targets,
+};
+use chervilshunt_model::{Moment, ServiceName, TargetName, ZoneName};
+use rstest::rstest;
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(50_000 + millis)
+}
+
+fn service() -> ServiceName {
+    ServiceName::from("drafts")
+}
+
+fn adapter(name: &str) -> Weights {
+    Weights {
+        model: "base".into(),
+        adapter: Some(name.into()),
+    }
+}
+
+fn facts(name: &str, zone: &str, adapters: &[(&str, u64)]) -> TargetFacts {
+    let adapters = adapters.iter().map(|(name, version)| LoadedAdapter {
+        name: (*name).into(),
+        version: *version,
+    });
+    TargetFacts {
+        name: TargetName::from(name),
+        service: service(),
+        address: ([10, 0, 0, 1], 8000).into(),
+        zone: ZoneName::from(zone),
+        slots: 4,
+        leaving: None,
+        models: vec![LoadedModel {
+            name: "base".into(),
+            version: 1,
+            adapters: adapters.collect(),
+        }],
+    }
+}
+
+fn dispatch(targets: impl IntoIterator<Item = TargetFacts>) -> Dispatch {
+    let mut dispatch = Dispatch::new(DispatchConfig::default(), ZoneName::from("here"));
+    for facts in targets {
+        dispatch.target_seen(facts, at(0));
+    }
+    dispatch
+}
+
+fn choose(
+    dispatch: &Dispatch,
+    weights: Option<&Weights>,
+    avoid: &[TargetName],
+    now: u64,
+) -> Choice {
+    let service = service();
+    let ask = Ask {
+        service: &service,
+        weights,
+        lane: Lane::General,
+        may_ask: true,
+        avoid,
+    };
+    dispatch.choose(&ask, || 0.5, at(now))
+}
+
+fn chosen(choice: Choice) -> Result<(String, Option<u64>), Wait> {
+    match choice {
+        Choice::Send {
+            target,
+            expect_version,
+            ..
+        } => Ok((target.as_str().to_owned(), expect_version)),
+        Choice::Wait(wait) => Err(wait),
+    }
+}
+
+fn to(target: &str) -> Result<(String, Option<u64>), Wait> {
+    Ok((target.to_owned(), None))
+}
+
+#[test]
+fn the_holder_of_the_adapter_is_chosen() {
+    let dispatch = dispatch([
+        facts("t1", "here", &[("a", 1)]),
+        facts("t2", "here", &[("b", 1)]),
+    ]);
+    assert_eq!(
+        chosen(choose(&dispatch, Some(&adapter("b")), &[], 0)),
+        to("t2")
+    );
+    assert_eq!(
+        chosen(choose(&dispatch, Some(&adapter("c")), &[], 0)),
+        Err(Wait::NotHeld)
+    );
+}
+
+#[rstest]
+// At equal load the zone decides, since bytes between zones cost; a busier target here loses.
+#[case::equal(0, "here")]
+#[case::busier(1, "there")]
+fn another_zone_counts_less_than_a_request(#[case] under_way: usize, #[case] expected: &str) {
+    let mut dispatch = dispatch([facts("here", "here", &[]), facts("there", "there", &[])]);
+    for _ in 0..under_way {
+        dispatch.sent(&TargetName::from("here"), None);
+    }
+    assert_eq!(chosen(choose(&dispatch, None, &[], 0)), to(expected));
+}
+
+#[test]
+fn a_leaving_target_gets_nothing() {
+    // A target that drains serves on for seconds, and what it gets meanwhile is cut off at its end.
+    let mut leaving = facts("t1", "here", &[]);
+    leaving.leaving = Some(Leaving { gone_after: None });
+    let dispatch = dispatch([leaving, facts("t2", "there", &[])]);
+    assert_eq!(chosen(choose(&dispatch, None, &[], 0)), to("t2"));
+}
+
+#[test]
+fn a_silent_target_is_passed_over_for_a_while() {
+    // A target that has lost power stays listed for three heartbeats. Each request sent to it
+    // meanwhile would wait for a connection in vain.
+    let mut dispatch = dispatch([facts("t1", "here", &[]), facts("t2", "there", &[])]);
+    dispatch.sign(&TargetName::from("t1"), Sign::Silent, at(0));
+    assert_eq!(chosen(choose(&dispatch, None, &[], 249)), to("t2"));
+    assert_eq!(chosen(choose(&dispatch, None, &[], 250)), to("t1"));
+    dispatch.sign(&TargetName::from("t1"), Sign::Silent, at(250));
+    assert_eq!(chosen(choose(&dispatch, None, &[], 749)), to("t2"));
+}
+
+#[test]
+fn one_is_tried_all_the_same_if_all_are_silent() {
+    // All targets silent at once is more likely a fault of this instance's own link, which may be
+    // over; refusing everything would make it one for good.
+    let mut dispatch = dispatch([facts("t1", "here", &[])]);
+    dispatch.sign(&TargetName::from("t1"), Sign::Silent, at(0));
+    assert_eq!(chosen(choose(&dispatch, None, &[], 1)), to("t1"));
+}
+
+#[test]
+fn a_target_that_fails_many_requests_is_passed_over() {
+    // A faulty target fails two fifths of its requests while its health check is good, and looks
+    // idle, since failures are quick.
+    let mut dispatch = dispatch([facts("t1", "here", &[]), facts("t2", "there", &[])]);
+    for _ in 0..6 {
+        dispatch.sign(&TargetName::from("t1"), Sign::Failed, at(0));
+    }
+    assert_eq!(chosen(choose(&dispatch, None, &[], 0)), to("t2"));
+    for _ in 0..6 {
+        dispatch.sign(&TargetName::from("t1"), Sign::Served, at(10));
+    }
+    assert_eq!(chosen(choose(&dispatch, None, &[], 10)), to("t1"));
+}
+
+#[test]
+fn a_full_target_is_not_chosen() {
+    let mut dispatch = dispatch([facts("t1", "here", &[])]);
+    let report = LoadReport {
+        running: 4,
+        waiting: 2,
+        slots: 4,
+    };
+    dispatch.reported(&TargetName::from("t1"), report, at(0));
+    assert_eq!(chosen(choose(&dispatch, None, &[], 0)), Err(Wait::Full));
+}
+
+#[test]
+fn a_report_from_before_own_sendings_does_not_hide_them() {
+    let mut dispatch = dispatch([facts("t1", "here", &[]), facts("t2", "there", &[])]);
+    let idle = LoadReport {
+        running: 0,
+        waiting: 0,
+        slots: 4,
+    };
+    for target in ["t1", "t2"] {
+        dispatch.reported(&TargetName::from(target), idle, at(0));
+    }
+    dispatch.sent(&TargetName::from("t1"), None);
+    assert_eq!(chosen(choose(&dispatch, None, &[], 0)), to("t2"));
+}
+
+#[test]
+fn an_old_version_serves_for_a_grace_and_is_then_asked_for_by_number() {
+    let weights = adapter("a");
+    let mut dispatch = dispatch([
+        facts("t1", "here", &[("a", 1)]),
+        facts("t2", "there", &[("a", 2)]),
+    ]);
+    dispatch.version_named(weights.clone(), 2, at(0));
+    assert_eq!(
+        chosen(choose(&dispatch, Some(&weights), &[], 2_499)),
+        to("t1")
+    );
+    let after = chosen(choose(&dispatch, Some(&weights), &[], 2_500));
+    assert_eq!(after, Ok(("t2".to_owned(), Some(2))));
+}
+
+#[test]
+fn what_the_placer_tells_goes_before_what_targets_list() {
+    let weights = adapter("a");
+    let mut dispatch = dispatch([facts("t1", "here", &[("a", 1)]), facts("t2", "here", &[])]);
+    let told = Holding {
+        target: TargetName::from("t2"),
+        weights: weights.clone(),
+        version: Some(1),
+    };
+    dispatch.holdings_whole(vec![told], at(100));
+    dispatch.target_seen(facts("t1", "here", &[("a", 1)]), at(200));
+    assert_eq!(
+        chosen(choose(&dispatch, Some(&weights), &[], 200)),
+        to("t2")
+    );
+    // The placer has been silent for three seconds: targets' own lists are all there is.
+    dispatch.target_seen(facts("t1", "here", &[("a", 1)]), at(3_100));
+    let avoid = [TargetName::from("t2")];
+    assert_eq!(
+        chosen(choose(&dispatch, Some(&weights), &avoid, 3_100)),
+        to("t1")
+    );
+}
+
+#[rstest]
+#[case::reads(4_000, 20, Lane::LongPrompt)]
+#[case::short(2_499, 20, Lane::General)]
+// A long prompt with a long answer would be held up itself among other long prompts.
+#[case::generates(4_000, 290, Lane::General)]
+fn a_lane_follows_from_the_size(#[case] prompt: u32, #[case] output: u32, #[case] lane: Lane) {
+    let size = RequestSize {
+        prompt_tokens: prompt,
+        output_tokens: output,
+    };
+    assert_eq!(Lane::of(size), lane);
+}
+
+#[rstest]
+#[case(3, 0)]
+#[case(6, 1)]
+#[case(9, 2)]
+#[case(18, 3)]
+fn a_sixth_of_the_targets_is_kept_for_long_prompts(#[case] targets: usize, #[case] kept: usize) {
+    let names: Vec<TargetName> = (0..targets)
+        .map(|it| TargetName::new(format!("t{it}")))
+        .collect();
+    let mut reversed = names.clone();
+    reversed.reverse();
+    assert_eq!(long_prompt_targets(&names).len(), kept);
+    assert_eq!(long_prompt_targets(&names), long_prompt_targets(&reversed));
+}
+
+#[rstest]
+// 100 requests in the window earn 20, the share of one instance of four in 40 is 10, and four
+// fifths of the sum are used.
+#[case(100, 4, 24)]
+// Without requests there is the share of the allowance alone.
+#[case(0, 4, 8)]
+#[case(0, 400, 0)]
+fn repeats_are_bounded_in_every_window(
+    #[case] requests: usize,
+    #[case] instances: usize,
+    #[case] allowed: usize,
+) {
+    let cfg = WindowBudgetConfig {
+        window: Duration::from_secs(10),
+        ratio: 0.2,
+        allowance: 40.0,
+    };
+    let mut budgets = ServiceBudgets::new(cfg);
+    let budget = budgets.of(&ServiceName::from("drafts"));
+    for _ in 0..requests {
+        budget.record_request(at(0));
+    }
+    let count = |budget: &mut chervilshunt_core::WindowBudget, now| {
+        (0..1_000)
+            .filter(|_| budget.try_repeat(instances, now))
+            .count()
+    };
+    assert_eq!(count(budget, at(1)), allowed);
+    assert_eq!(count(budget, at(10_000)), 0, "the window has not passed");
+    let share = (40.0 / instances as f64 * 0.8) as usize;
+    assert_eq!(count(budget, at(10_002)), share, "nothing was earned since");
+}
--- a/crates/chervilshunt_core/tests/residency_machine.rs
+++ b/crates/chervilshunt_core/tests/residency_machine.rs
@@ -8,9 +8,9 @@
 use std::time::Duration;
 
 use chervilshunt_core::{
-    Lane, LoadedModel, ModelSpec, Order, OrderAnswer, OrderKind, OrderNumber, Placed, PlacementLimits,
-    Residency, ResidencyAction, ResidencyConfig, ResidencyEvent, TargetFacts, TargetReport, Use,
-    Weights,
+    Lane, LoadedModel, ModelSpec, Order, OrderAnswer, OrderKind, OrderNumber, Placed,
+    PlacementLimits, Residency, ResidencyAction, ResidencyConfig, ResidencyEvent, TargetFacts,
+    TargetReport, Use, Weights,
 };
 use chervilshunt_model::{InstanceId, Moment, ServiceName, TargetName, ZoneName};
 use proptest::prelude::*;
@@ -242,9 +242,15 @@
             }
             ResidencyAction::Tell(_) => {}
             ResidencyAction::Answer(question, placed) => {
-                assert!(self.open.remove(&question), "question {question} answered twice");
+                assert!(
+                    self.open.remove(&question),
+                    "question {question} answered twice"
+                );
                 if let Placed::At { target } = placed {
-                    assert!(self.index(&target).is_some(), "placed at {target}, which is gone");
+                    assert!(
+                        self.index(&target).is_some(),
+                        "placed at {target}, which is gone"
+                    );
                 }
             }
         }
@@ -252,7 +258,11 @@
 
     fn order(&mut self, order: Order) {
         let before = self.out.insert(order.target.clone(), order.number);
-        assert!(before.is_none(), "two orders on their way to {}", order.target);
+        assert!(
+            before.is_none(),
+            "two orders on their way to {}",
+            order.target
+        );
         if order.kind == OrderKind::Unload {
             let key = (order.target.clone(), order.weights.to_string());
             let in_use = self.used.get(&key).copied().unwrap_or_default();
@@ -296,7 +306,10 @@
             for real in self.real.values_mut() {
                 real.pass(&self.versions, self.now);
             }
-            let due: Vec<_> = self.late.extract_if(.., |(at, ..)| *at <= self.now).collect();
+            let due: Vec<_> = self
+                .late
+                .extract_if(.., |(at, ..)| *at <= self.now)
+                .collect();
             for (_, target, order) in due {
                 if let Some(index) = self.index(&target) {
                     self.carry_out(index, &order);
@@ -318,7 +331,11 @@
                 let question = self.next_question;
                 self.next_question += 1;
                 self.open.insert(question);
-                let lane = if long { Lane::LongPrompt } else { Lane::General };
+                let lane = if long {
+                    Lane::LongPrompt
+                } else {
+                    Lane::General
+                };
                 self.event(ResidencyEvent::Wanted {
                     question,
                     service: service(),
