Follow the platform with fewer calls

Targets are looked at every 0.7 s instead of 0.3 s while they change, the lease every 1.8 s instead of 0.7 s: the bounds on leaving targets and on the lease are 2 s and 5.9 s.

--- a/crates/chervilshunt_gateway/src/control/follow.rs
+++ b/crates/chervilshunt_gateway/src/control/follow.rs
@@ -76,13 +76,13 @@
 /// Returns the pause between a change and the next call, in which more changes gather.
 ///
 /// The operators' bounds leave seconds to act on a change; only the configuration, whose changes
-/// are rare, is followed at once. The lease changes with each renewal, of which all but the
-/// newest is of no interest.
+/// are rare, is followed at once. The lease changes with each renewal, of which all but the newest
+/// is of no interest; a taker waits for several times the longer pause anyway.
 const fn gather_for(kind: Kind) -> Duration {
     match kind {
         Kind::Configuration | Kind::Versions => Duration::from_millis(100),
-        Kind::Targets => Duration::from_millis(300),
-        Kind::Lease => Duration::from_millis(700),
+        Kind::Targets => Duration::from_millis(700),
+        Kind::Lease => Duration::from_millis(1_800),
     }
 }
 
