Ask callers to come back when there is a placer again

Cause: a caller comes back once; while a placer is replaced, for 4 to 6 s, it was asked back after 0.7 to 1.4 s, met the same refusal and was lost.

--- a/crates/chervilshunt_coord/src/lease/sole.rs
+++ b/crates/chervilshunt_coord/src/lease/sole.rs
@@ -180,6 +180,11 @@
             .map(|holder| (holder, record.address))
     }
 
+    /// Returns when another instance can take the lease at the earliest, if its holder is gone.
+    pub fn taken_at(&self) -> Moment {
+        self.lapses_at()
+    }
+
     /// Returns when [`SoleEvent::Tick`] is next wanted; none while a call or its look is awaited.
     pub fn next_wakeup(&self) -> Option<Moment> {
         let idle = self.call == Call::None;
--- a/crates/chervilshunt_gateway/src/control/actor.rs
+++ b/crates/chervilshunt_gateway/src/control/actor.rs
@@ -118,6 +118,7 @@
             self.lease_event(SoleEvent::Tick);
         }
         self.forget_absent(now);
+        self.note_placer(now);
         let placer = self.placer.as_ref();
         if placer
             .and_then(|it| it.residency.next_wakeup(now))
--- a/crates/chervilshunt_gateway/src/control/lease.rs
+++ b/crates/chervilshunt_gateway/src/control/lease.rs
@@ -5,6 +5,7 @@
 
 use chervilshunt_coord::{SoleRecord, SoleWritten};
 use chervilshunt_mesh::Peer;
+use chervilshunt_model::Moment;
 use chervilshunt_platform::{PlatformError, Timeouts};
 
 use super::actor::Control;
@@ -14,6 +15,10 @@
 /// from before it was sent.
 const LEASE_CALL: Duration = Duration::from_millis(1_500);
 
+/// How long it takes from when the lease can be taken until the new placer answers: instances
+/// spread their writes over 400 ms, and the new placer asks each target what it holds.
+const TAKING: Duration = Duration::from_millis(700);
+
 impl Control {
     /// Writes the record if the object still has a version, or creates it.
     pub(super) fn write_lease(&self, record: &SoleRecord, version: Option<u64>) {
@@ -81,6 +86,13 @@
         }
     }
 
+    /// Lets traffic know when there will be a placer again, if there is none.
+    pub(super) fn note_placer(&self, now: Moment) {
+        let there = self.placer.is_some() || self.shared.dispatch().is_placer_heard(now);
+        let back = (!there).then(|| self.keeper.taken_at() + TAKING);
+        self.shared.set_placer_back(back);
+    }
+
     /// Lets traffic know whom to ask for placements.
     pub(super) fn note_holder(&self) {
         let holder = self.keeper.holder().map(|(instance, address)| Peer {
--- a/crates/chervilshunt_gateway/src/shared.rs
+++ b/crates/chervilshunt_gateway/src/shared.rs
@@ -1,14 +1,14 @@
 //! What control and traffic threads share.
 
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwapOption;
 use chervilshunt_core::{Dispatch, RouteTable, ServiceBudgets};
 use chervilshunt_engine::Engines;
 use chervilshunt_mesh::{Mesh, Peer};
-use chervilshunt_model::Clock;
+use chervilshunt_model::{Clock, Moment};
 use slog::Logger;
 use tokio_util::sync::CancellationToken;
 
@@ -37,6 +37,8 @@
     dispatch: Mutex<Dispatch>,
     budgets: Mutex<ServiceBudgets>,
     instances: AtomicUsize,
+    /// When there will be a placer again, in microseconds of the clock; zero while there is one.
+    placer_back: AtomicU64,
     targets_known: AtomicBool,
     stopping: AtomicBool,
     /// Ends connections once their request under way, if there is one, has been answered.
@@ -89,6 +91,7 @@
             dispatch: Mutex::new(dispatch),
             budgets: Mutex::new(budgets),
             instances: AtomicUsize::new(INSTANCES_UNTIL_TOLD),
+            placer_back: AtomicU64::new(0),
             targets_known: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             close_connections: CancellationToken::new(),
@@ -116,6 +119,18 @@
         self.instances.store(instances.max(1), Ordering::Relaxed);
     }
 
+    /// Returns when there will be a placer again; none while there is one.
+    pub(crate) fn placer_back(&self) -> Option<Moment> {
+        let micros = self.placer_back.load(Ordering::Relaxed);
+        (micros > 0).then(|| Moment::from_micros(micros))
+    }
+
+    /// Takes in when there will be a placer again.
+    pub(crate) fn set_placer_back(&self, at: Option<Moment>) {
+        let micros = at.map_or(0, Moment::as_micros);
+        self.placer_back.store(micros, Ordering::Relaxed);
+    }
+
     /// Returns how many callers' requests are open.
     pub(crate) fn open_requests(&self) -> usize {
         self.open_requests.load(Ordering::Relaxed)
--- a/crates/chervilshunt_gateway/src/traffic/place.rs
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -16,6 +16,10 @@
 /// When a caller should come back whose adapter could not be placed: a placer that is replaced
 /// begins after some seconds, and callers wait a third of their time at most.
 const NOT_PLACED_RETRY: Duration = Duration::from_millis(700);
+/// The time over which callers come back that were asked to come back when there is a placer.
+const SPREAD: Duration = Duration::from_millis(600);
+/// Callers wait for this part of the time that they have left at most.
+const RETRY_SHARE: u32 = 3;
 /// When a caller should come back for whom there was no room: requests end within a second or two.
 const FULL_RETRY: Duration = Duration::from_millis(500);
 /// The pause before a request looks for room again.
@@ -112,7 +116,7 @@
 
     /// Asks the placer for the adapter, and waits until it is ready.
     async fn ask_placer(&mut self) -> Result<Chosen, Refusal> {
-        let not_placed = || Refusal::retry_after(Reason::NotPlaced, NOT_PLACED_RETRY);
+        let not_placed = || self.not_placed();
         let Some(weights) = self.req.weights.clone() else {
             return Err(not_placed());
         };
@@ -146,6 +150,19 @@
         }
     }
 
+    /// Refuses a request whose adapter nobody can have loaded now.
+    ///
+    /// A caller comes back once and waits a third of its time at most. While there is no placer it
+    /// is asked to come back when there is one again, as far as it would wait so long: earlier it
+    /// would meet the same refusal and be lost.
+    fn not_placed(&self) -> Refusal {
+        let now = self.shared.clock.now();
+        let back = self.shared.placer_back().map(|at| now.until(at));
+        let longest = self.req.left(now) / RETRY_SHARE;
+        let pause = back.unwrap_or_default().max(NOT_PLACED_RETRY);
+        Refusal::retry_between(Reason::NotPlaced, pause.min(longest), longest.min(pause + SPREAD))
+    }
+
     fn report_placement(&self, outcome: &str, target: Option<&TargetName>) {
         slog::info!(self.shared.log, "adapter wanted";
             "request" => &*self.req.id, "outcome" => outcome,
--- a/crates/chervilshunt_gateway/src/traffic/refusal.rs
+++ b/crates/chervilshunt_gateway/src/traffic/refusal.rs
@@ -97,9 +97,15 @@
     /// Asks the caller to come back after about `pause`; callers that were refused together are
     /// spread over as much time again, since together they would meet the same refusal.
     pub(crate) fn retry_after(reason: Reason, pause: Duration) -> Self {
+        Self::retry_between(reason, pause, pause * 2)
+    }
+
+    /// Asks the caller to come back at some time between two pauses.
+    pub(crate) fn retry_between(reason: Reason, from: Duration, to: Duration) -> Self {
+        let spread = to.saturating_sub(from).mul_f64(rand::random());
         Self {
             reason,
-            retry_after: Some(pause.mul_f64(1.0 + rand::random::<f64>())),
+            retry_after: Some(from + spread),
         }
     }
 
