Use connections to targets again, and tell silent targets from those that close

Orders opened one each. A target that reset a connection was passed over as if it had lost power, and the last of two failures of a repeatable request was replaced by one of this system's own; it is passed on now.

--- a/crates/chervilshunt_engine/src/pool.rs
+++ b/crates/chervilshunt_engine/src/pool.rs
@@ -56,7 +56,9 @@
 
     /// Puts a connection aside whose answer has been read to its end.
     pub(crate) fn put(&self, mut connection: Connection) {
-        if !connection.is_usable() {
+        // The library frees a connection for the next request only when it is driven once more
+        // after the last byte.
+        if !connection.is_quiet() {
             return;
         }
         connection.idle_since = Instant::now();
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -96,7 +96,7 @@
         let client = self.shared.engines.client(address);
         let log = self.shared.log.clone();
         tokio::spawn(async move {
-            let answer = match client.forward(req, false, ORDER_LIMITS).await {
+            let answer = match client.forward(req, true, ORDER_LIMITS).await {
                 Ok((head, _body)) => read(head.status, &head.headers, &order.target),
                 Err(error) => unanswered(&error),
             };
@@ -242,7 +242,7 @@
     read: fn(&[u8]) -> Result<TargetReport, crate::dialect::Malformed>,
 ) -> Result<TargetReport, String> {
     let (head, body) = client
-        .forward(req, false, ORDER_LIMITS)
+        .forward(req, true, ORDER_LIMITS)
         .await
         .map_err(|error| error.to_string())?;
     if !head.status.is_success() {
--- a/crates/chervilshunt_gateway/src/traffic/answer.rs
+++ b/crates/chervilshunt_gateway/src/traffic/answer.rs
@@ -4,7 +4,6 @@
 use http::response::Parts;
 use http::{HeaderName, StatusCode, header};
 
-use super::request::CallerRequest;
 use crate::dialect::Headers;
 
 /// What an answer's head says.
@@ -25,12 +24,13 @@
     Crossed,
 }
 
-/// Judges the head of a target's answer to a request.
+/// Judges the head of a target's answer to a request; `again` says whether another target may run it.
 pub(crate) fn judge(
     names: &Headers,
-    req: &CallerRequest,
+    request: &str,
     target: &TargetName,
     head: &Parts,
+    again: bool,
 ) -> Verdict {
     let text = |name: &HeaderName| head.headers.get(name).and_then(|it| it.to_str().ok());
     if head.status == StatusCode::MISDIRECTED_REQUEST {
@@ -39,7 +39,7 @@
             _ => Verdict::NotHeld,
         };
     }
-    if text(&names.request_id).is_some_and(|id| *id != *req.id) {
+    if text(&names.request_id).is_some_and(|id| id != request) {
         return Verdict::Crossed;
     }
     if head.headers.contains_key(&names.not_run) {
@@ -61,7 +61,7 @@
             | StatusCode::SERVICE_UNAVAILABLE
             | StatusCode::REQUEST_TIMEOUT
     );
-    if promises || (head.status.is_server_error() && req.route.repeat.is_allowed()) {
+    if promises || (head.status.is_server_error() && again) {
         return Verdict::Failed;
     }
     Verdict::PassOn
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -243,7 +243,8 @@
         if let Some(load) = load {
             self.shared.dispatch().reported(&chosen.target, load, now);
         }
-        let verdict = judge(names, self.req, &chosen.target, &head);
+        let again = self.req.route.repeat.is_allowed() && self.runs < self.req.route.max_targets;
+        let verdict = judge(names, &self.req.id, &chosen.target, &head, again);
         if verdict != Verdict::PassOn {
             slog::info!(self.shared.log, "not passed on";
                 "request" => &*self.req.id, "target" => chosen.target.as_str(),
@@ -294,9 +295,12 @@
         slog::info!(self.shared.log, "sending failed";
             "request" => &*self.req.id, "target" => chosen.target.as_str(),
             "reason" => error.to_string());
-        self.shared
-            .dispatch()
-            .sign(&chosen.target, Sign::Silent, now);
+        // One that closes a connection is there, whatever became of the answer.
+        let sign = match error {
+            EngineError::NotSent { .. } | EngineError::Timeout { .. } => Sign::Silent,
+            _ => Sign::Failed,
+        };
+        self.shared.dispatch().sign(&chosen.target, sign, now);
         match error.outcome() {
             Outcome::NotRun => self.not_run(false),
             Outcome::Unknown | Outcome::CutShort => Sent::MayHaveRun(Reason::AnswerLost),
--- a/crates/chervilshunt_gateway/src/traffic/relay.rs
+++ b/crates/chervilshunt_gateway/src/traffic/relay.rs
@@ -20,6 +20,10 @@
 use super::request::CallerRequest;
 use crate::shared::Shared;
 
+/// How often a stream notes that its target is there: often enough for other requests to use open
+/// connections to it, and a small part of its pieces.
+const HEARD_EVERY: Duration = Duration::from_millis(100);
+
 type Resuming = Pin<Box<dyn Future<Output = (Result<Answered, Refusal>, u32)> + Send>>;
 
 /// An answer that is passed on.
@@ -36,6 +40,8 @@
     status: u16,
     first_byte: Moment,
     last_piece: Moment,
+    /// When the target was last noted to be there.
+    heard_told: Moment,
     longest_pause: Duration,
     bytes: u64,
     resumed: u32,
@@ -71,6 +77,7 @@
             status: answered.head.status.as_u16(),
             first_byte: now,
             last_piece: now,
+            heard_told: now,
             longest_pause: Duration::ZERO,
             bytes: 0,
             resumed: 0,
@@ -141,6 +148,10 @@
             self.note_pause(now);
         }
         self.last_piece = now;
+        if now.since(self.heard_told) >= HEARD_EVERY {
+            self.heard_told = now;
+            self.shared.dispatch().heard(&self.in_flight.target, now);
+        }
         self.bytes += data.len() as u64;
         match &mut self.events {
             Some(events) => events.push(&data),
