--- a/crates/chervilshunt_coord/src/tests/sole.rs
+++ b/crates/chervilshunt_coord/src/tests/sole.rs
@@ -31,7 +31,7 @@
 /// Creates the lease for `a` and returns its keeper as the holder.
 fn holder() -> (SoleKeeper, SeenRecord) {
     let mut a = keeper("a", at(0));
-    let written = match &a.handle(SoleEvent::Seen(None), at(0))[..] {
+    let written = match &*a.handle(SoleEvent::Seen(None), at(0)) {
         [SoleAction::Write(record, None)] => record.clone(),
         other => panic!("{other:?}"),
     };
@@ -78,7 +78,7 @@
 fn a_lease_that_was_given_up_is_taken_after_the_rest_alone() {
     let (mut a, mut seen) = holder();
     let actions = a.handle(SoleEvent::Release, at(100));
-    let [SoleAction::Lost, SoleAction::Write(record, Some(7))] = &actions[..] else {
+    let [SoleAction::Lost, SoleAction::Write(record, Some(7))] = &*actions else {
         panic!("{actions:?}");
     };
     assert_eq!(record.holder, None);
@@ -107,7 +107,7 @@
 fn a_write_whose_answer_is_lost_is_settled_by_reading() {
     let (mut a, mut seen) = holder();
     let actions = a.handle(SoleEvent::Tick, at(900));
-    let [SoleAction::Write(record, _)] = &actions[..] else {
+    let [SoleAction::Write(record, _)] = &*actions else {
         panic!("{actions:?}");
     };
     seen.record = record.clone();
@@ -119,7 +119,7 @@
     assert_eq!(a.may_order(at(2_399)), Some(1));
     assert_eq!(a.may_order(at(2_400)), None);
     let renewed = a.handle(SoleEvent::Tick, at(1_300));
-    assert!(matches!(&renewed[..], [SoleAction::Write(_, Some(8))]));
+    assert!(matches!(&*renewed, [SoleAction::Write(_, Some(8))]));
 }
 
 #[derive(Clone, Debug)]
--- a/crates/chervilshunt_core/src/dispatch/budget.rs
+++ b/crates/chervilshunt_core/src/dispatch/budget.rs
@@ -58,13 +58,17 @@
         self.requests.push_back(now);
     }
 
-    /// Says whether one more sending is allowed while `instances` share the allowance, and counts it
-    /// if so.
-    pub fn try_repeat(&mut self, instances: usize, now: Moment) -> bool {
+    /// Says whether one more sending is allowed while `instances` share the allowance.
+    pub fn allows_repeat(&mut self, instances: usize, now: Moment) -> bool {
         self.forget(now);
         let share = self.cfg.allowance / instances.max(1) as f64;
         let earned = self.requests.len() as f64 * self.cfg.ratio;
-        let allowed = (self.repeats.len() + 1) as f64 <= (share + earned) * USED_SHARE;
+        (self.repeats.len() + 1) as f64 <= (share + earned) * USED_SHARE
+    }
+
+    /// Says whether one more sending is allowed, and counts it if so.
+    pub fn try_repeat(&mut self, instances: usize, now: Moment) -> bool {
+        let allowed = self.allows_repeat(instances, now);
         if allowed {
             self.repeats.push_back(now);
         }
--- a/crates/chervilshunt_core/src/dispatch/choose.rs
+++ b/crates/chervilshunt_core/src/dispatch/choose.rs
@@ -189,10 +189,7 @@
         let Some(model) = models.find(|model| model.name == weights.model) else {
             return false;
         };
-        let base = Weights {
-            model: weights.model.clone(),
-            adapter: None,
-        };
+        let base = Weights::base(&weights.model);
         self.is_current(&base, model.version, now)
     }
 
--- a/crates/chervilshunt_core/src/dispatch/facts.rs
+++ b/crates/chervilshunt_core/src/dispatch/facts.rs
@@ -19,6 +19,24 @@
     pub adapter: Option<Arc<str>>,
 }
 
+impl Weights {
+    /// Names a base model.
+    pub fn base(model: &Arc<str>) -> Self {
+        Self {
+            model: Arc::clone(model),
+            adapter: None,
+        }
+    }
+
+    /// Names an adapter of a base model.
+    pub fn adapter(model: &Arc<str>, adapter: &Arc<str>) -> Self {
+        Self {
+            model: Arc::clone(model),
+            adapter: Some(Arc::clone(adapter)),
+        }
+    }
+}
+
 impl fmt::Display for Weights {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match &self.adapter {
--- a/crates/chervilshunt_core/src/dispatch/state.rs
+++ b/crates/chervilshunt_core/src/dispatch/state.rs
@@ -208,10 +208,7 @@
             for adapter in &model.adapters {
                 self.holders.set(Holding {
                     target: facts.name.clone(),
-                    weights: Weights {
-                        model: model.name.clone(),
-                        adapter: Some(adapter.name.clone()),
-                    },
+                    weights: Weights::adapter(&model.name, &adapter.name),
                     version: Some(adapter.version),
                 });
             }
--- a/crates/chervilshunt_core/src/residency/answers.rs
+++ b/crates/chervilshunt_core/src/residency/answers.rs
@@ -44,7 +44,7 @@
         }
         match order.kind {
             OrderKind::Load if order.weights.adapter.is_none() => {
-                self.model_load_answered(&order, answer);
+                self.base_load_answered(&order, answer);
             }
             OrderKind::Load => self.load_answered(&order, answer, now, out),
             OrderKind::Unload => self.unload_answered(&order, answer),
@@ -57,7 +57,7 @@
         hold.is_some_and(|hold| hold.state == HoldState::Confirming)
     }
 
-    fn model_load_answered(&mut self, order: &Order, answer: OrderAnswer) {
+    fn base_load_answered(&mut self, order: &Order, answer: OrderAnswer) {
         let Some(target) = self.targets.get_mut(&order.target) else {
             return;
         };
@@ -67,7 +67,7 @@
             OrderAnswer::OutOfTurn
             | OrderAnswer::OtherTarget
             | OrderAnswer::Refused
-            | OrderAnswer::NotSent => target.model_load = None,
+            | OrderAnswer::NotSent => target.base_load = None,
         }
     }
 
--- a/crates/chervilshunt_core/src/residency/config.rs
+++ b/crates/chervilshunt_core/src/residency/config.rs
@@ -41,7 +41,7 @@
     pub store_share: f64,
     /// Loads of base models at a time. The store gives one or two of them its full speed; more at a
     /// time would all end late instead of the first ones early.
-    pub model_loads_at_once: usize,
+    pub base_loads_at_once: usize,
 }
 
 impl Default for ResidencyConfig {
@@ -62,7 +62,7 @@
             retry_in: Duration::from_millis(400),
             store_window: Duration::from_secs(5),
             store_share: 0.9,
-            model_loads_at_once: 2,
+            base_loads_at_once: 2,
         }
     }
 }
--- a/crates/chervilshunt_core/src/residency/loads.rs
+++ b/crates/chervilshunt_core/src/residency/loads.rs
@@ -37,7 +37,7 @@
             return;
         };
         let next = self
-            .next_model_load(name, now)
+            .next_base_load(name, now)
             .or_else(|| self.next_confirmation(name, now))
             .or_else(|| self.next_load(name, now))
             .or_else(|| self.next_unload(name));
@@ -96,7 +96,7 @@
         let target = self.targets.get(name)?;
         let mut planned = target.holds.iter();
         let (weights, hold) = planned.find(|(_, hold)| hold.state == HoldState::Planned)?;
-        if target.loading() >= self.cfg.loads_a_target || target.model_load.is_some() {
+        if target.loading() >= self.cfg.loads_a_target || target.base_load.is_some() {
             return None;
         }
         let limits = self.limits.get(&target.facts.service)?;
@@ -118,20 +118,20 @@
     }
 
     /// Returns the base model that a target lacks, if the weight store's pace allows its load.
-    fn next_model_load(
+    fn next_base_load(
         &mut self,
         name: &TargetName,
         now: Moment,
     ) -> Option<(OrderKind, Weights, Option<u64>)> {
         let weights = self.missing_model(name)?;
-        let at_once = self.targets.values().filter(|it| it.model_load.is_some());
-        if at_once.count() >= self.cfg.model_loads_at_once || !self.store_allows(name, now) {
+        let at_once = self.targets.values().filter(|it| it.base_load.is_some());
+        if at_once.count() >= self.cfg.base_loads_at_once || !self.store_allows(name, now) {
             return None;
         }
         let target = self.targets.get_mut(name)?;
         // Whatever the target held of the model is gone with it.
         target.holds.clear();
-        target.model_load = Some((weights.clone(), now));
+        target.base_load = Some((weights.clone(), now));
         self.store_loads.push_back(now);
         Some((OrderKind::Load, weights, None))
     }
@@ -139,15 +139,12 @@
     /// Returns the model that a target has to load: the one that it lacks, or has an old version of.
     fn missing_model(&self, name: &TargetName) -> Option<Weights> {
         let target = self.targets.get(name)?;
-        if target.model_load.is_some() || !target.takes_work() {
+        if target.base_load.is_some() || !target.takes_work() {
             return None;
         }
         let limits = self.limits.get(&target.facts.service)?;
         let outdated = target.facts.models.iter().find_map(|held| {
-            let weights = Weights {
-                model: held.name.clone(),
-                adapter: None,
-            };
+            let weights = Weights::base(&held.name);
             let newest = self.newest.get(&weights).copied()?;
             (newest > held.version).then_some(weights)
         });
@@ -162,10 +159,7 @@
             .models
             .iter()
             .min_by_key(|spec| held_at(&spec.name))?;
-        Some(Weights {
-            model: rarest.name.clone(),
-            adapter: None,
-        })
+        Some(Weights::base(&rarest.name))
     }
 
     fn store_allows(&mut self, name: &TargetName, now: Moment) -> bool {
--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -125,7 +125,7 @@
             | HoldState::Ready
             | HoldState::Unloading => None,
         });
-        let model = target.model_load.is_some() || target.facts.models.is_empty();
+        let model = target.base_load.is_some() || target.facts.models.is_empty();
         let model = model.then_some(now + LOOK_AGAIN);
         due.chain(ask_at).chain(model).min()
     }
@@ -141,13 +141,13 @@
         }
         match self.targets.get_mut(&facts.name) {
             Some(target) => {
-                if let Some((weights, _)) = &target.model_load
+                if let Some((weights, _)) = &target.base_load
                     && facts.models.iter().any(|it| {
                         it.name == weights.model
                             && self.newest.get(weights).is_none_or(|v| it.version >= *v)
                     })
                 {
-                    target.model_load = None;
+                    target.base_load = None;
                 }
                 target.facts = facts;
             }
--- a/crates/chervilshunt_core/src/residency/target.rs
+++ b/crates/chervilshunt_core/src/residency/target.rs
@@ -33,7 +33,7 @@
     /// Adapters that it gave up of late, the last one at the end; it has them in memory.
     remembered: IndexSet<Weights>,
     /// The base model that it is loading, and since when.
-    pub(crate) model_load: Option<(Weights, Moment)>,
+    pub(crate) base_load: Option<(Weights, Moment)>,
     /// What instances have under way here, by weights.
     ///
     /// It is kept beside the holds: an order that was carried out late brings an adapter of which
@@ -48,7 +48,7 @@
             turn: Turn::Unknown(now),
             holds: IndexMap::new(),
             remembered: IndexSet::new(),
-            model_load: None,
+            base_load: None,
             uses: HashMap::new(),
         }
     }
--- a/crates/chervilshunt_core/src/residency/wants.rs
+++ b/crates/chervilshunt_core/src/residency/wants.rs
@@ -111,7 +111,7 @@
     fn may_place(&self, name: &TargetName, target: &TargetState, want: Want<'_>) -> bool {
         target.facts.service == *want.service
             && target.takes_work()
-            && target.model_load.is_none()
+            && target.base_load.is_none()
             && target.lists_model(&want.weights.model)
             && !want.avoid.contains(name)
     }
--- a/crates/chervilshunt_gateway/src/control/actor.rs
+++ b/crates/chervilshunt_gateway/src/control/actor.rs
@@ -182,7 +182,7 @@
     type Return = ();
 
     async fn handle(&mut self, news: FromStore, _cx: &mut xtra::Context<Self>) {
-        self.from_store(news);
+        self.take_news(news);
         self.after_message();
     }
 }
@@ -192,7 +192,7 @@
 
     async fn handle(&mut self, FromPeer(inbound): FromPeer, _cx: &mut xtra::Context<Self>) {
         match inbound {
-            Inbound::Message(message) => self.from_peer(message),
+            Inbound::Message(message) => self.take_message(message),
             Inbound::Lost(peer) => self.peer_lost(&peer),
         }
         self.after_message();
--- a/crates/chervilshunt_gateway/src/control/targets.rs
+++ b/crates/chervilshunt_gateway/src/control/targets.rs
@@ -58,7 +58,7 @@
 
 impl Control {
     /// Takes in something that the platform shows.
-    pub(super) fn from_store(&mut self, news: FromStore) {
+    pub(super) fn take_news(&mut self, news: FromStore) {
         match news {
             FromStore::Listed(kind, entries) => self.listed(kind, entries),
             FromStore::Changed(changes) => {
--- a/crates/chervilshunt_gateway/src/control/using.rs
+++ b/crates/chervilshunt_gateway/src/control/using.rs
@@ -44,7 +44,7 @@
     }
 
     /// Takes in a message of another instance, or of this one's own traffic.
-    pub(super) fn from_peer(&mut self, message: InboundMessage<PeerMessage>) {
+    pub(super) fn take_message(&mut self, message: InboundMessage<PeerMessage>) {
         let InboundMessage {
             from,
             message,
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -228,6 +228,20 @@
         }
     }
 
+    /// Says whether another target may run the request, so that a failure need not be passed on.
+    fn may_run_again(&self) -> bool {
+        let now = self.shared.clock.now();
+        let instances = self.shared.instances();
+        self.req.route.repeat.is_allowed()
+            && self.runs < self.req.route.max_targets
+            && self.sendings < MAX_SENDINGS
+            && self
+                .shared
+                .budgets()
+                .of(&self.req.service)
+                .allows_repeat(instances, now)
+    }
+
     fn judge(
         &mut self,
         chosen: &Chosen,
@@ -243,7 +257,7 @@
         if let Some(load) = load {
             self.shared.dispatch().reported(&chosen.target, load, now);
         }
-        let again = self.req.route.repeat.is_allowed() && self.runs < self.req.route.max_targets;
+        let again = self.may_run_again();
         let verdict = judge(names, &self.req.id, &chosen.target, &head, again);
         if verdict != Verdict::PassOn {
             slog::info!(self.shared.log, "not passed on";
--- a/crates/chervilshunt_gateway/src/traffic/place.rs
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -160,7 +160,11 @@
         let back = self.shared.placer_back().map(|at| now.until(at));
         let longest = self.req.left(now) / RETRY_SHARE;
         let pause = back.unwrap_or_default().max(NOT_PLACED_RETRY);
-        Refusal::retry_between(Reason::NotPlaced, pause.min(longest), longest.min(pause + SPREAD))
+        Refusal::retry_between(
+            Reason::NotPlaced,
+            pause.min(longest),
+            longest.min(pause + SPREAD),
+        )
     }
 
     fn report_placement(&self, outcome: &str, target: Option<&TargetName>) {
--- a/crates/chervilshunt_gateway/src/traffic/serve.rs
+++ b/crates/chervilshunt_gateway/src/traffic/serve.rs
@@ -54,11 +54,36 @@
     let req = Arc::new(req);
     shared.budgets().of(&req.service).record_request(arrived);
     let mut run = Run::new(shared, &req);
-    let answered = run.answer().await?;
+    let waiting = Waiting(Some(&req), shared);
+    let result = run.answer().await;
+    waiting.over();
+    let answered = result?;
     let runs = run.runs();
     Ok(relayed(shared, &req, answered, runs))
 }
 
+/// A request without an answer yet. If its caller leaves, it is dropped, and that is logged.
+struct Waiting<'a>(Option<&'a CallerRequest>, &'a Shared);
+
+impl Waiting<'_> {
+    fn over(mut self) {
+        self.0 = None;
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let Self(Some(req), shared) = self else {
+            return;
+        };
+        let waited = shared.clock.now().since(req.arrived);
+        slog::info!(shared.log, "caller left";
+            "request" => &*req.id, "route" => &*req.route.name,
+            "waited_ms" => waited.as_millis() as u64);
+        metrics::counter!("chervilshunt_abandoned_total").increment(1);
+    }
+}
+
 fn relayed(
     shared: &Arc<Shared>,
     req: &Arc<CallerRequest>,
