Bound adapter loads at a time by a window, and refuse what would wait in vain

Each load took a second and more, half of them for requests that had left. Now the oldest go first, a window grows by one for loads in time and is cut by a quarter for late ones, loads that nobody waits for are dropped, and a want that would wait too long is refused at once.

--- a/crates/chervilshunt_core/src/dispatch/state.rs
+++ b/crates/chervilshunt_core/src/dispatch/state.rs
@@ -36,6 +36,7 @@
     pub(crate) newest: HashMap<Weights, Newest>,
     uses: UseTable,
     placer_heard: Option<Moment>,
+    pressed: bool,
 }
 
 impl Dispatch {
@@ -49,6 +50,7 @@
             newest: HashMap::new(),
             uses: UseTable::default(),
             placer_heard: None,
+            pressed: false,
         }
     }
 
@@ -106,6 +108,16 @@
         self.placer_heard = Some(now);
     }
 
+    /// Takes in whether loads wait for others to end.
+    pub fn set_pressed(&mut self, pressed: bool) {
+        self.pressed = pressed;
+    }
+
+    /// Says whether the placer can be asked for a load that a request can do without.
+    pub fn has_loads_to_spare(&self, now: Moment) -> bool {
+        self.is_placer_heard(now) && !self.pressed
+    }
+
     /// Says whether the placer has been heard of late.
     pub fn is_placer_heard(&self, now: Moment) -> bool {
         let heard = self.placer_heard;
--- a/crates/chervilshunt_core/src/residency/answers.rs
+++ b/crates/chervilshunt_core/src/residency/answers.rs
@@ -79,6 +79,7 @@
         out: &mut Vec<ResidencyAction>,
     ) {
         let look_at = self.ready_at(&order.target, &order.weights, now);
+        let under_way = self.loads_under_way();
         let Some(target) = self.targets.get_mut(&order.target) else {
             return;
         };
@@ -86,8 +87,12 @@
             return;
         };
         let confirming = hold.state == HoldState::Confirming;
+        let first_look = confirming && !std::mem::replace(&mut hold.looked_at, confirming);
         match answer {
             OrderAnswer::Done => {
+                if first_look {
+                    self.window.ended_in_time(under_way);
+                }
                 hold.state = HoldState::Ready;
                 hold.since = now;
                 let version = hold.version;
@@ -98,6 +103,9 @@
             }
             // It is still under way.
             OrderAnswer::Accepted | OrderAnswer::OutOfTurn if confirming => {
+                if first_look {
+                    self.window.overran(now);
+                }
                 hold.state = HoldState::Loading(now + self.cfg.look_again);
             }
             OrderAnswer::Accepted => hold.state = HoldState::Loading(look_at),
--- a/crates/chervilshunt_core/src/residency/hold.rs
+++ b/crates/chervilshunt_core/src/residency/hold.rs
@@ -31,8 +31,12 @@
     pub(crate) since: Moment,
     /// Whether a newer version has been named.
     pub(crate) outdated: bool,
-    /// Questions that wait for the load to be accepted.
+    /// Questions that wait for the load to end.
     pub(crate) questions: Vec<u64>,
+    /// Until when somebody waits for it; none if it is loaded for whoever comes.
+    pub(crate) wanted_until: Option<Moment>,
+    /// Whether it has been looked at since it was ordered.
+    pub(crate) looked_at: bool,
 }
 
 impl Hold {
@@ -44,6 +48,8 @@
             since: now,
             outdated: false,
             questions: Vec::new(),
+            wanted_until: None,
+            looked_at: false,
         }
     }
 
--- a/crates/chervilshunt_core/src/residency/loads.rs
+++ b/crates/chervilshunt_core/src/residency/loads.rs
@@ -14,6 +14,10 @@
     /// Does whatever has become due or possible at any target.
     pub(super) fn advance(&mut self, now: Moment, out: &mut Vec<ResidencyAction>) {
         let names: Vec<TargetName> = self.targets.keys().cloned().collect();
+        for name in &names {
+            self.drop_unwanted(name, now, out);
+        }
+        self.admit();
         for name in names {
             self.retire_outdated(&name, now, out);
             self.ask_if_due(&name, now, out);
@@ -21,6 +25,43 @@
         }
     }
 
+    /// Returns the loads that have not been ordered, with since when they are planned.
+    pub(super) fn waiting_loads(&self) -> impl Iterator<Item = (Moment, &TargetName, &Weights)> {
+        self.targets.iter().flat_map(|(name, target)| {
+            let planned = target.holds.iter();
+            let planned = planned.filter(|(_, hold)| hold.state == HoldState::Planned);
+            planned.map(move |(weights, hold)| (hold.since, name, weights))
+        })
+    }
+
+    /// Returns how many loads of adapters are under way.
+    pub(super) fn loads_under_way(&self) -> usize {
+        self.targets.values().map(|it| it.loading()).sum()
+    }
+
+    /// Lets the oldest planned loads begin, as far as the window has room.
+    fn admit(&mut self) {
+        let room = self.window.size().saturating_sub(self.loads_under_way());
+        let mut waiting: Vec<_> = self.waiting_loads().collect();
+        waiting.sort_by_key(|(since, ..)| *since);
+        let admitted = waiting.into_iter().take(room);
+        self.admitted = admitted
+            .map(|(_, name, weights)| (name.clone(), weights.clone()))
+            .collect();
+    }
+
+    /// Gives up planned loads that nobody waits for any more.
+    fn drop_unwanted(&mut self, name: &TargetName, now: Moment, out: &mut Vec<ResidencyAction>) {
+        let Some(target) = self.targets.get_mut(name) else {
+            return;
+        };
+        let unwanted = target.holds.extract_if(.., |_, hold| {
+            hold.state == HoldState::Planned && hold.wanted_until.is_some_and(|until| until <= now)
+        });
+        let questions: Vec<u64> = unwanted.flat_map(|(_, hold)| hold.questions).collect();
+        self.answer_later(questions, out);
+    }
+
     fn ask_if_due(&mut self, name: &TargetName, now: Moment, out: &mut Vec<ResidencyAction>) {
         let Some(target) = self.targets.get_mut(name) else {
             return;
@@ -95,7 +136,10 @@
     ) -> Option<(OrderKind, Weights, Option<u64>)> {
         let target = self.targets.get(name)?;
         let mut planned = target.holds.iter();
-        let (weights, hold) = planned.find(|(_, hold)| hold.state == HoldState::Planned)?;
+        let (weights, hold) = planned.find(|(weights, hold)| {
+            hold.state == HoldState::Planned
+                && self.admitted.contains(&(name.clone(), (*weights).clone()))
+        })?;
         if target.loading() >= self.cfg.loads_a_target || target.base_load.is_some() {
             return None;
         }
--- a/crates/chervilshunt_core/src/residency/mod.rs
+++ b/crates/chervilshunt_core/src/residency/mod.rs
@@ -15,6 +15,7 @@
 mod target;
 mod versions;
 mod wants;
+mod window;
 
 pub use config::ResidencyConfig;
 pub use order::{
--- a/crates/chervilshunt_core/src/residency/order.rs
+++ b/crates/chervilshunt_core/src/residency/order.rs
@@ -107,6 +107,8 @@
         service: ServiceName,
         /// The adapter.
         weights: Weights,
+        /// How long the request waits for it.
+        within: Duration,
         /// What the request mostly makes a target do.
         lane: Lane,
         /// Targets that the request can't use.
--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -1,6 +1,6 @@
 //! The planner: its state and the way of an event through it.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use chervilshunt_model::{InstanceId, Moment, ServiceName, TargetName};
@@ -11,6 +11,7 @@
 use super::order::{OrderNumber, Placed, ResidencyAction, ResidencyEvent, Use};
 use super::target::{TargetState, Turn};
 use super::wants::Want;
+use super::window::LoadWindow;
 use crate::dispatch::{Holding, PlacementLimits, TargetFacts, Weights};
 
 /// Decides which target holds which weights. `handle` takes an event and gives back what to do.
@@ -22,6 +23,9 @@
     pub(super) newest: HashMap<Weights, u64>,
     /// When loads of base models from the weight store were ordered, the last one at the end.
     pub(super) store_loads: VecDeque<Moment>,
+    pub(super) window: LoadWindow,
+    /// Loads that may be ordered now; the others wait for one of those under way to end.
+    pub(super) admitted: HashSet<(TargetName, Weights)>,
     next_order: u64,
 }
 
@@ -34,6 +38,8 @@
             limits: HashMap::new(),
             newest: HashMap::new(),
             store_loads: VecDeque::new(),
+            window: LoadWindow::new(),
+            admitted: HashSet::new(),
             next_order: 0,
         }
     }
@@ -49,12 +55,14 @@
                 question,
                 service,
                 weights,
+                within,
                 lane,
                 avoid,
             } => {
                 let want = Want {
                     service: &service,
                     weights: &weights,
+                    until: Some(now + within),
                     lane,
                     avoid: &avoid,
                 };
@@ -101,6 +109,12 @@
         all
     }
 
+    /// Says whether loads wait for others to end, so that none should be asked for that can be done
+    /// without.
+    pub fn is_pressed(&self) -> bool {
+        self.waiting_loads().next().is_some() && self.loads_under_way() >= self.window.size()
+    }
+
     /// Returns the requests that instances other than `from` have under way at each target.
     pub fn load_beside(&self, from: &InstanceId) -> Vec<(TargetName, u32)> {
         let targets = self.targets.iter();
--- a/crates/chervilshunt_core/src/residency/wants.rs
+++ b/crates/chervilshunt_core/src/residency/wants.rs
@@ -1,5 +1,7 @@
 //! Choosing a target for an adapter.
 
+use std::time::Duration;
+
 use chervilshunt_model::{Moment, ServiceName, TargetName};
 
 use super::hold::{Hold, HoldState};
@@ -13,6 +15,8 @@
 pub(super) struct Want<'a> {
     pub(super) service: &'a ServiceName,
     pub(super) weights: &'a Weights,
+    /// Until when it is waited for; none if it is for whoever comes.
+    pub(super) until: Option<Moment>,
     pub(super) lane: Lane,
     pub(super) avoid: &'a [TargetName],
 }
@@ -23,6 +27,7 @@
         Self {
             service,
             weights,
+            until: None,
             lane: Lane::General,
             avoid: &[],
         }
@@ -45,6 +50,15 @@
     ) {
         let weights = want.weights;
         let known = self.best_known(want);
+        if known.is_none()
+            && let Some(retry_in) = self.too_long(want, now)
+        {
+            out.push(ResidencyAction::Answer(
+                question,
+                Placed::Later { retry_in },
+            ));
+            return;
+        }
         let chosen = known.or_else(|| self.plan_load(want, now));
         let Some(name) = chosen else {
             return self.answer_later(vec![question], out);
@@ -64,6 +78,7 @@
             | HoldState::Loading(_)
             | HoldState::Confirming => {
                 hold.questions.push(question);
+                hold.wanted_until = hold.wanted_until.max(want.until);
                 return;
             }
         }
@@ -71,6 +86,18 @@
         out.push(ResidencyAction::Answer(question, Placed::At { target }));
     }
 
+    /// Returns when to ask again for a load that would end after the request stops to wait.
+    ///
+    /// Told at once, the caller can come back when the loads before its own are done; told when its
+    /// patience is over, it has lost that time, and the store has loaded for nobody.
+    fn too_long(&self, want: Want<'_>, now: Moment) -> Option<Duration> {
+        let before = self.waiting_loads().count() + self.loads_under_way();
+        let rounds = before as f64 / self.window.size() as f64;
+        let wait = self.cfg.cold_load.mul_f64(rounds.floor() + 1.0);
+        let until = want.until?;
+        (now + wait > until).then(|| wait.max(self.cfg.retry_in))
+    }
+
     /// Returns the least busy target that holds an adapter or is loading it.
     fn best_known(&self, want: Want<'_>) -> Option<TargetName> {
         let weights = want.weights;
@@ -103,7 +130,8 @@
         let name = best.map(|(name, _)| name.clone())?;
         let version = self.newest.get(weights).copied().unwrap_or(FIRST_VERSION);
         let target = self.targets.get_mut(&name)?;
-        let hold = Hold::new(HoldState::Planned, version, now);
+        let mut hold = Hold::new(HoldState::Planned, version, now);
+        hold.wanted_until = want.until;
         target.holds.insert(weights.clone(), hold);
         Some(name)
     }
--- a/crates/chervilshunt_core/tests/residency_machine.rs
+++ b/crates/chervilshunt_core/tests/residency_machine.rs
@@ -340,6 +340,7 @@
                     question,
                     service: service(),
                     weights: adapter(n),
+                    within: Duration::from_millis(1_500),
                     lane,
                     avoid: Vec::new(),
                 });
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -160,6 +160,7 @@
         let loads = PeerMessage::Loads {
             others: placer.residency.load_beside(from),
             instances: placer.presence.count(),
+            pressed: placer.residency.is_pressed(),
         };
         let whole = first.then(|| PeerMessage::HoldingsWhole(placer.residency.holdings()));
         for message in whole.into_iter().chain([loads]) {
@@ -182,7 +183,8 @@
         };
         let others = placer.residency.load_beside(me);
         let instances = placer.presence.count();
-        self.take_loads(&others, instances);
+        let pressed = placer.residency.is_pressed();
+        self.take_loads(&others, instances, pressed);
     }
 
     /// Takes in that a request wants an adapter.
--- a/crates/chervilshunt_gateway/src/control/using.rs
+++ b/crates/chervilshunt_gateway/src/control/using.rs
@@ -59,6 +59,7 @@
             PeerMessage::Want {
                 service,
                 weights,
+                within,
                 lane,
                 avoid,
             } => {
@@ -66,6 +67,7 @@
                     question,
                     service,
                     weights,
+                    within,
                     lane,
                     avoid,
                 };
@@ -82,8 +84,12 @@
             PeerMessage::Holdings(holdings) if self.is_placer(&from) => {
                 self.take_holdings(holdings);
             }
-            PeerMessage::Loads { others, instances } if self.is_placer(&from) => {
-                self.take_loads(&others, instances);
+            PeerMessage::Loads {
+                others,
+                instances,
+                pressed,
+            } if self.is_placer(&from) => {
+                self.take_loads(&others, instances, pressed);
             }
             // From an instance that was the placer, or is not known to be yet.
             PeerMessage::HoldingsWhole(_)
@@ -108,10 +114,16 @@
         }
     }
 
-    pub(super) fn take_loads(&mut self, others: &[(TargetName, u32)], instances: u32) {
+    pub(super) fn take_loads(
+        &mut self,
+        others: &[(TargetName, u32)],
+        instances: u32,
+        pressed: bool,
+    ) {
         let now = self.now();
         let mut dispatch = self.shared.dispatch();
         dispatch.placer_heard(now);
+        dispatch.set_pressed(pressed);
         for (target, count) in others {
             dispatch.told_load(target, *count, now);
         }
--- a/crates/chervilshunt_gateway/src/peers.rs
+++ b/crates/chervilshunt_gateway/src/peers.rs
@@ -1,6 +1,7 @@
 //! Messages between instances: all of them go to the placer or come from it.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use chervilshunt_core::{Holding, Lane, Placed, Use, Weights};
 use chervilshunt_mesh::Purpose;
@@ -32,6 +33,9 @@
         /// The adapter.
         #[serde(rename = "w")]
         weights: Weights,
+        /// How long the request waits for it.
+        #[serde(rename = "p")]
+        within: Duration,
         /// What the request mostly makes a target do.
         #[serde(rename = "l")]
         lane: Lane,
@@ -61,6 +65,9 @@
         /// Instances that the placer hears of.
         #[serde(rename = "i")]
         instances: u32,
+        /// Whether loads wait for others to end.
+        #[serde(rename = "p")]
+        pressed: bool,
     },
 }
 
--- a/crates/chervilshunt_gateway/src/traffic/place.rs
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -111,7 +111,7 @@
     /// Says whether it is worth while to ask for the adapter at another target than holds it.
     fn may_ask(&self, now: Moment) -> bool {
         let adapter = self.req.weights.as_ref().and_then(|it| it.adapter.as_ref());
-        adapter.is_some() && self.avoid.is_empty() && self.shared.dispatch().is_placer_heard(now)
+        adapter.is_some() && self.avoid.is_empty() && self.shared.dispatch().has_loads_to_spare(now)
     }
 
     /// Asks the placer for the adapter, and waits until it is ready.
@@ -124,14 +124,15 @@
             self.report_placement("nobody places", None);
             return Err(not_placed());
         };
+        let patience = self.req.route.objective.mul_f64(PLACE_PATIENCE);
+        let patience = patience.min(self.req.left(self.shared.clock.now()));
         let message = PeerMessage::Want {
             service: self.req.service.clone(),
             weights,
+            within: patience,
             lane: Lane::of(self.req.size),
             avoid: self.avoid.clone(),
         };
-        let patience = self.req.route.objective.mul_f64(PLACE_PATIENCE);
-        let patience = patience.min(self.req.left(self.shared.clock.now()));
         match self.shared.mesh.request(&placer, message, patience).await {
             Ok(PeerMessage::Placed(Placed::At { target })) => {
                 self.report_placement("placed", Some(&target));
