Give adapters up ahead of need, once nobody is told of them any more

Load pattern: more adapters wanted than fit, each load needing a slot at once. Now a share of the slots is kept free: what is unused longest is no longer told of, and given up half a second later if nobody uses it by then; it can be had back meanwhile. Loads prefer targets with a slot free, and those that wait for one hold no room in the window. An order that did not leave waits before it is given again (295 in 2 s before a dark target).

--- a/crates/chervilshunt_core/src/residency/answers.rs
+++ b/crates/chervilshunt_core/src/residency/answers.rs
@@ -33,8 +33,9 @@
             // An order that holds already is not counted; an adapter is given up at once and is.
             OrderAnswer::Done if order.kind == OrderKind::Load => Turn::Free(accepted),
             OrderAnswer::Done => Turn::Free(accepted + 1),
-            OrderAnswer::NotSent => Turn::Free(accepted),
-            OrderAnswer::OutOfTurn
+            // Tried again at once it would be tried without end.
+            OrderAnswer::NotSent
+            | OrderAnswer::OutOfTurn
             | OrderAnswer::OtherTarget
             | OrderAnswer::Refused
             | OrderAnswer::Unanswered => Turn::Unknown(now + lag),
@@ -95,6 +96,7 @@
                 }
                 hold.state = HoldState::Ready;
                 hold.since = now;
+                hold.last_used = now;
                 let version = hold.version;
                 let questions = std::mem::take(&mut hold.questions);
                 target.remember(order.weights.clone(), &self.cfg);
--- a/crates/chervilshunt_core/src/residency/config.rs
+++ b/crates/chervilshunt_core/src/residency/config.rs
@@ -24,8 +24,17 @@
     /// What a cold load counts against a target, as a share of its slots: a load from memory is
     /// worth a busier target, and its room in the weight store's pace.
     pub cold_penalty: f64,
+    /// What it counts against a target, as a share of its slots, that a load would have to wait there
+    /// for an adapter to be given up, which takes half a second and more.
+    pub no_slot_penalty: f64,
     /// What each load under way counts against a target, as a share of its slots.
     pub loading_penalty: f64,
+    /// How long an adapter is no longer told of before it is given up. Instances tell what they use
+    /// every 0.4 s; a target that is told to give up what is in use takes no other order until the
+    /// last request has ended, for seconds.
+    pub uses_settle: Duration,
+    /// The share of a target's slots that is kept free, so that a load need not wait for a slot.
+    pub free_share: f64,
     /// How long an adapter that was used is kept before others.
     pub keep_used: Duration,
     /// How long an older version is told of as held while the newest one is loaded elsewhere.
@@ -56,6 +65,9 @@
             spread_share: 0.3,
             cold_penalty: 0.25,
             loading_penalty: 0.05,
+            uses_settle: Duration::from_millis(500),
+            free_share: 0.15,
+            no_slot_penalty: 0.5,
             keep_used: Duration::from_millis(1_000),
             old_version_grace: Duration::from_millis(2_000),
             report_lag: Duration::from_millis(450),
--- a/crates/chervilshunt_core/src/residency/hold.rs
+++ b/crates/chervilshunt_core/src/residency/hold.rs
@@ -58,6 +58,12 @@
         self.state == HoldState::Ready && !self.outdated
     }
 
+    /// Says whether a request that wants it can wait for it or have it back.
+    pub(crate) fn is_useful(&self) -> bool {
+        let there = matches!(self.state, HoldState::Ready | HoldState::Ending);
+        (there || self.is_coming()) && !self.outdated
+    }
+
     /// Says whether it is coming and no one is told of it yet.
     pub(crate) fn is_coming(&self) -> bool {
         matches!(
@@ -65,9 +71,4 @@
             HoldState::Planned | HoldState::Ordered | HoldState::Loading(_) | HoldState::Confirming
         )
     }
-
-    /// Says whether it is there and may be given up if nothing uses it.
-    pub(crate) const fn may_end(&self) -> bool {
-        matches!(self.state, HoldState::Ready | HoldState::Ending)
-    }
 }
--- a/crates/chervilshunt_core/src/residency/loads.rs
+++ b/crates/chervilshunt_core/src/residency/loads.rs
@@ -20,6 +20,7 @@
         self.admit();
         for name in names {
             self.retire_outdated(&name, now, out);
+            self.keep_slots_free(&name, now, out);
             self.ask_if_due(&name, now, out);
             self.next_order(&name, now, out);
         }
@@ -39,10 +40,27 @@
         self.targets.values().map(|it| it.loading()).sum()
     }
 
+    /// Says whether a target could begin to load an adapter now.
+    fn can_begin(&self, name: &TargetName, weights: &Weights) -> bool {
+        let Some(target) = self.targets.get(name) else {
+            return false;
+        };
+        let limits = self.limits.get(&target.facts.service);
+        target.loading() < self.cfg.loads_a_target
+            && target.base_load.is_none()
+            && limits.is_some_and(|it| target.slots_taken() < it.adapters_beside(&weights.model))
+    }
+
     /// Lets the oldest planned loads begin, as far as the window has room.
+    ///
+    /// Those that wait for a slot are passed over: they would hold the window's room and load
+    /// nothing.
     fn admit(&mut self) {
         let room = self.window.size().saturating_sub(self.loads_under_way());
-        let mut waiting: Vec<_> = self.waiting_loads().collect();
+        let waiting = self.waiting_loads();
+        let mut waiting: Vec<_> = waiting
+            .filter(|(_, name, weights)| self.can_begin(name, weights))
+            .collect();
         waiting.sort_by_key(|(since, ..)| *since);
         let admitted = waiting.into_iter().take(room);
         self.admitted = admitted
@@ -80,8 +98,8 @@
         let next = self
             .next_base_load(name, now)
             .or_else(|| self.next_confirmation(name, now))
-            .or_else(|| self.next_load(name, now))
-            .or_else(|| self.next_unload(name));
+            .or_else(|| self.next_load(name))
+            .or_else(|| self.next_unload(name, now));
         let Some((kind, weights, version)) = next else {
             return;
         };
@@ -128,37 +146,48 @@
         self.newest.contains_key(weights).then_some(hold.version)
     }
 
-    /// Returns the planned load that is next, or the unload that makes room for it.
-    fn next_load(
-        &self,
-        name: &TargetName,
-        now: Moment,
-    ) -> Option<(OrderKind, Weights, Option<u64>)> {
+    /// Returns the planned load that is next.
+    fn next_load(&self, name: &TargetName) -> Option<(OrderKind, Weights, Option<u64>)> {
         let target = self.targets.get(name)?;
         let mut planned = target.holds.iter();
         let (weights, hold) = planned.find(|(weights, hold)| {
             hold.state == HoldState::Planned
                 && self.admitted.contains(&(name.clone(), (*weights).clone()))
         })?;
-        if target.loading() >= self.cfg.loads_a_target || target.base_load.is_some() {
+        if !self.can_begin(name, weights) {
             return None;
         }
+        Some((OrderKind::Load, weights.clone(), self.named(weights, hold)))
+    }
+
+    /// Stops telling of adapters that nobody uses, so that their slots are free when they are needed.
+    fn keep_slots_free(&mut self, name: &TargetName, now: Moment, out: &mut Vec<ResidencyAction>) {
+        while let Some(weights) = self.next_to_end(name, now) {
+            self.end_hold(name, &weights, now, out);
+        }
+    }
+
+    fn next_to_end(&self, name: &TargetName, now: Moment) -> Option<Weights> {
+        let target = self.targets.get(name)?;
         let limits = self.limits.get(&target.facts.service)?;
-        if target.slots_taken() < limits.adapters_beside(&weights.model) {
-            return Some((OrderKind::Load, weights.clone(), self.named(weights, hold)));
+        let model = target.facts.models.first()?;
+        let slots = limits.adapters_beside(&model.name);
+        let kept_free = (slots as f64 * self.cfg.free_share).ceil() as usize;
+        if target.slots_coming_free(slots) >= kept_free {
+            return None;
         }
-        let victim = target.victim(&self.cfg, now)?.clone();
-        Some((OrderKind::Unload, victim, None))
+        target.victim(&self.cfg, now).cloned()
     }
 
     /// Returns the next adapter that is to be given up.
-    fn next_unload(&self, name: &TargetName) -> Option<(OrderKind, Weights, Option<u64>)> {
+    fn next_unload(
+        &self,
+        name: &TargetName,
+        now: Moment,
+    ) -> Option<(OrderKind, Weights, Option<u64>)> {
         let target = self.targets.get(name)?;
-        let mut ending = target.holds.iter();
-        let ending = ending.find(|(weights, hold)| {
-            hold.state == HoldState::Ending && target.is_idle(weights, hold)
-        });
-        ending.map(|(weights, _)| (OrderKind::Unload, weights.clone(), None))
+        let due = target.unused_ending(&self.cfg, now)?;
+        Some((OrderKind::Unload, due.clone(), None))
     }
 
     /// Returns the base model that a target lacks, if the weight store's pace allows its load.
--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -1,7 +1,6 @@
 //! The planner: its state and the way of an event through it.
 
 use std::collections::{HashMap, HashSet, VecDeque};
-use std::time::Duration;
 
 use chervilshunt_model::{InstanceId, Moment, ServiceName, TargetName};
 use indexmap::IndexMap;
@@ -27,6 +26,8 @@
     /// Loads that may be ordered now; the others wait for one of those under way to end.
     pub(super) admitted: HashSet<(TargetName, Weights)>,
     next_order: u64,
+    /// When the last event was handled.
+    looked_at: Moment,
 }
 
 impl Residency {
@@ -41,6 +42,7 @@
             window: LoadWindow::new(),
             admitted: HashSet::new(),
             next_order: 0,
+            looked_at: Moment::ZERO,
         }
     }
 
@@ -86,6 +88,7 @@
             ResidencyEvent::Tick => {}
         }
         self.advance(now, &mut out);
+        self.looked_at = now;
         out
     }
 
@@ -132,18 +135,26 @@
         let due = holds.filter_map(|hold| match hold.state {
             HoldState::Loading(at) => Some(at),
             HoldState::Ready if hold.outdated => Some(hold.since + self.cfg.old_version_grace),
-            // A load that waits for a slot or for its turn is looked at again soon.
-            HoldState::Planned | HoldState::Ending => Some(now + LOOK_AGAIN),
+            HoldState::Ending => Some(hold.since + self.cfg.uses_settle),
+            HoldState::Planned => hold.wanted_until,
             HoldState::Ordered
             | HoldState::Confirming
             | HoldState::Ready
             | HoldState::Unloading => None,
         });
-        let model = target.base_load.is_some() || target.facts.models.is_empty();
-        let model = model.then_some(now + LOOK_AGAIN);
+        // What is past and still not done waits for an answer or a telling, which wakes by itself.
+        let due = due.filter(|at| *at > now || self.was_not_looked_at(*at));
+        let store = self.store_loads.front();
+        let model = store.filter(|_| target.facts.models.is_empty());
+        let model = model.map(|at| *at + self.cfg.store_window);
         due.chain(ask_at).chain(model).min()
     }
 
+    /// Says whether a moment has come since the last event.
+    fn was_not_looked_at(&self, at: Moment) -> bool {
+        at > self.looked_at
+    }
+
     pub(super) fn next_number(&mut self) -> OrderNumber {
         self.next_order += 1;
         OrderNumber(self.next_order)
@@ -206,6 +217,3 @@
         self.spread(now);
     }
 }
-
-/// When something that waits for others is looked at again.
-const LOOK_AGAIN: Duration = Duration::from_millis(20);
--- a/crates/chervilshunt_core/src/residency/target.rs
+++ b/crates/chervilshunt_core/src/residency/target.rs
@@ -74,29 +74,53 @@
         self.holds.values().filter(|hold| hold.is_coming()).count()
     }
 
+    /// Says whether it waits for requests to end before it gives an adapter up, and takes no other
+    /// order until then.
+    pub(crate) fn gives_up(&self) -> bool {
+        let mut states = self.holds.values().map(|hold| hold.state);
+        let ordered = matches!(self.turn, Turn::Out(_));
+        !ordered && states.any(|state| state == HoldState::Unloading)
+    }
+
     /// Returns the slots that are taken, those that orders without an answer may take included.
     pub(crate) fn slots_taken(&self) -> usize {
         let taken = |hold: &&Hold| hold.state != HoldState::Planned;
         self.holds.values().filter(taken).count()
     }
 
-    /// Returns the adapter that is missed least: an outdated one, or the one unused for longest.
+    /// Returns the adapter that is missed least of those that nobody uses: the one unused for longest.
     pub(crate) fn victim(&self, cfg: &ResidencyConfig, now: Moment) -> Option<&Weights> {
-        let idle = self.holds.iter().filter(|(weights, hold)| {
-            let due = hold.outdated || hold.state == HoldState::Ending;
-            self.is_idle(weights, hold) && (due || now.since(hold.last_used) > cfg.keep_used)
+        let holds = self.holds.iter();
+        let unused = holds.filter(|(weights, hold)| {
+            hold.serves() && self.in_use(weights) == 0 && now.since(hold.last_used) > cfg.keep_used
         });
-        let first = idle.min_by_key(|(_, hold)| (!hold.outdated, hold.last_used));
+        let first = unused.min_by_key(|(_, hold)| hold.last_used);
         first.map(|(weights, _)| weights)
     }
 
-    /// Says whether one more adapter finds a slot, if need be that of an idle one.
-    pub(crate) fn can_load(&self, cfg: &ResidencyConfig, slots: usize, now: Moment) -> bool {
-        let planned = self.coming() - self.loading().min(self.coming());
-        let idle = self.holds.iter().filter(|(weights, hold)| {
-            self.is_idle(weights, hold) && now.since(hold.last_used) > cfg.keep_used
+    /// Returns an adapter that is no longer told of and that nobody uses any more.
+    pub(crate) fn unused_ending(&self, cfg: &ResidencyConfig, now: Moment) -> Option<&Weights> {
+        let mut holds = self.holds.iter();
+        let due = holds.find(|(weights, hold)| {
+            hold.state == HoldState::Ending
+                && now.since(hold.since) >= cfg.uses_settle
+                && self.in_use(weights) == 0
         });
-        self.slots_taken() + planned < slots + idle.count()
+        due.map(|(weights, _)| weights)
+    }
+
+    /// Returns the slots that are free or will be soon.
+    pub(crate) fn slots_coming_free(&self, slots: usize) -> usize {
+        let leaving = self
+            .holds
+            .values()
+            .filter(|hold| matches!(hold.state, HoldState::Ending | HoldState::Unloading));
+        (slots + leaving.count()).saturating_sub(self.holds.len())
+    }
+
+    /// Says whether one more adapter finds a slot, if need be that of one that nobody uses.
+    pub(crate) fn can_load(&self, cfg: &ResidencyConfig, slots: usize, now: Moment) -> bool {
+        self.slots_coming_free(slots) > 0 || self.victim(cfg, now).is_some()
     }
 
     /// Forgets an adapter that the target no longer holds but has in memory.
@@ -141,11 +165,6 @@
         uses.into_iter().flatten().map(|(_, count)| count).sum()
     }
 
-    /// Says whether an adapter may be given up: it is there and no request uses it.
-    pub(crate) fn is_idle(&self, weights: &Weights, hold: &Hold) -> bool {
-        hold.may_end() && self.in_use(weights) == 0
-    }
-
     /// Returns the requests under way here.
     pub(crate) fn in_flight(&self) -> u32 {
         self.uses.values().flatten().map(|(_, count)| count).sum()
@@ -159,7 +178,7 @@
     }
 
     /// Returns what the target counts against it when weights are to be placed.
-    pub(crate) fn burden(&self, cfg: &ResidencyConfig, weights: &Weights) -> f64 {
+    pub(crate) fn burden(&self, cfg: &ResidencyConfig, weights: &Weights, room: usize) -> f64 {
         let slots = f64::from(self.facts.slots.max(1));
         let load = f64::from(self.in_flight()) / slots;
         let cold = if self.remembers(weights) {
@@ -167,6 +186,11 @@
         } else {
             cfg.cold_penalty
         };
-        load + cold + cfg.loading_penalty * self.coming() as f64
+        let no_slot = if self.holds.len() < room {
+            0.0
+        } else {
+            cfg.no_slot_penalty
+        };
+        load + cold + no_slot + cfg.loading_penalty * self.coming() as f64
     }
 }
--- a/crates/chervilshunt_core/src/residency/versions.rs
+++ b/crates/chervilshunt_core/src/residency/versions.rs
@@ -40,7 +40,7 @@
                     .plan_load(Want::general(&service, &weights), now)
                     .is_some();
             if !replaced {
-                self.end_hold(&name, &weights, out);
+                self.end_hold(&name, &weights, now, out);
             }
         }
     }
@@ -95,7 +95,7 @@
             .map(|(weights, _)| weights.clone())
             .collect();
         for weights in due {
-            self.end_hold(name, &weights, out);
+            self.end_hold(name, &weights, now, out);
         }
     }
 
@@ -104,13 +104,21 @@
         holds.any(|hold| hold.serves())
     }
 
-    fn end_hold(&mut self, name: &TargetName, weights: &Weights, out: &mut Vec<ResidencyAction>) {
+    /// Stops telling of an adapter; it is given up once nobody uses it any more.
+    pub(super) fn end_hold(
+        &mut self,
+        name: &TargetName,
+        weights: &Weights,
+        now: Moment,
+        out: &mut Vec<ResidencyAction>,
+    ) {
         let target = self.targets.get_mut(name);
         let Some(hold) = target.and_then(|target| target.holds.get_mut(weights)) else {
             return;
         };
         if hold.state == HoldState::Ready {
             hold.state = HoldState::Ending;
+            hold.since = now;
             out.push(tell(name, weights, None));
         }
     }
--- a/crates/chervilshunt_core/src/residency/wants.rs
+++ b/crates/chervilshunt_core/src/residency/wants.rs
@@ -70,6 +70,7 @@
         hold.last_used = now;
         match hold.state {
             HoldState::Ready | HoldState::Ending | HoldState::Unloading => {
+                hold.state = HoldState::Ready;
                 let version = Some(hold.version);
                 out.push(tell(&name, weights, version));
             }
@@ -104,8 +105,7 @@
         let kept = self.kept_for_long_prompts(want.service);
         let holding = self.targets.iter().filter(|(name, target)| {
             let hold = target.holds.get(weights);
-            let useful =
-                hold.is_some_and(|hold| hold.serves() || (hold.is_coming() && !hold.outdated));
+            let useful = hold.is_some_and(Hold::is_useful);
             useful && self.may_place(name, target, want) && want.fits(kept.contains(name))
         });
         let least = holding.min_by(|a, b| a.1.in_flight().cmp(&b.1.in_flight()));
@@ -125,7 +125,7 @@
                 && want.fits(kept.contains(name))
                 && target.can_load(&self.cfg, slots, now)
         });
-        let burden = |target: &TargetState| target.burden(&self.cfg, weights);
+        let burden = |target: &TargetState| target.burden(&self.cfg, weights, slots);
         let best = free.min_by(|a, b| burden(a.1).total_cmp(&burden(b.1)));
         let name = best.map(|(name, _)| name.clone())?;
         let version = self.newest.get(weights).copied().unwrap_or(FIRST_VERSION);
@@ -140,6 +140,7 @@
         target.facts.service == *want.service
             && target.takes_work()
             && target.base_load.is_none()
+            && !target.gives_up()
             && target.lists_model(&want.weights.model)
             && !want.avoid.contains(name)
     }
