--- a/crates/chervilshunt_core/src/owner/evict.rs
+++ b/crates/chervilshunt_core/src/owner/evict.rs
@@ -17,6 +17,13 @@
 /// Waiting time of deferrable requests, summed, that makes up for a second of expected stall.
 const PATIENCE: f64 = 30.0;
 
+/// Time after which a deferrable request gets its slot in any case, in milliseconds.
+///
+/// One that waits alone makes up for a second of stall only after 30 s, and would be refused at its
+/// deadline on each try. It is half of the shortest deadline that deferrable work has by default,
+/// so that the other half is left for a turn, the load and the answer.
+const LONGEST_DEFERRAL_MS: u64 = 10_000;
+
 /// Part of the demand promised by the loaded adapters below which popularity may have moved.
 const USUAL_PROMISE: f64 = 1.05;
 
@@ -123,6 +130,7 @@
     pub(super) fn worth_evicting(&self, urgency: &LoadUrgency, worth: f64, now: Moment) -> bool {
         match urgency.class {
             Some(Class::Live) => true,
+            Some(Class::Deferrable) if urgency.oldest_ms >= LONGEST_DEFERRAL_MS => true,
             Some(Class::Deferrable) => {
                 let missed = 1.0 - (-worth * MISSED_WITHIN).exp();
                 let stall = missed * self.loads.expected_time(now).as_secs_f64();
--- a/crates/chervilshunt_core/tests/owner.rs
+++ b/crates/chervilshunt_core/tests/owner.rs
@@ -309,3 +309,41 @@
         assert_eq!(answers, [(AttemptId::from_u128(1), redirect)]);
     }
 }
+
+/// What the caller sees: its one deferrable request for a cold adapter is refused at its deadline,
+/// and so is each further try. The engine's only slot has an adapter in steady use; waiting alone
+/// never made up for the stall that giving it up would cost, since nobody else waited along.
+#[test]
+fn a_lone_deferrable_request_gets_a_slot_before_its_deadline() {
+    let mut owner = owner_with(config(1, 4), &[model(1)]);
+    let mut attempt = 100;
+    let mut now = 10;
+    while now < 5_000 {
+        attempt += 1;
+        owner.handle(ask(attempt, 1), at(now));
+        owner.handle(release(attempt, finished()), at(now + 50));
+        now += 100;
+    }
+    let mut req = request(1, Some(model(2)), Class::Deferrable);
+    req.deadline_ms = 20_000;
+    owner.handle(OwnerEvent::PermitRequested(req), at(now));
+    let deadline = now + 20_000;
+    let mut turn_asked_at = None;
+    while now < deadline && turn_asked_at.is_none() {
+        attempt += 1;
+        let mut actions = owner.handle(ask(attempt, 1), at(now));
+        actions.extend(owner.handle(release(attempt, finished()), at(now + 50)));
+        actions.extend(owner.handle(OwnerEvent::Tick, at(now + 60)));
+        let asked = actions
+            .iter()
+            .any(|it| matches!(it, OwnerAction::AskTurn { model: it, .. } if *it == model(2)));
+        turn_asked_at = asked.then_some(now);
+        now += 100;
+    }
+    let asked_at = turn_asked_at.expect("a turn is asked for before the deadline");
+    assert!(
+        asked_at + 5_000 < deadline,
+        "asked {} ms before the deadline",
+        deadline - asked_at
+    );
+}
