--- a/crates/chervilshunt_daemon/src/traffic/attempt.rs
+++ b/crates/chervilshunt_daemon/src/traffic/attempt.rs
@@ -1,18 +1,19 @@
 //! A request's tries: a permit, a call, and what may be tried again.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use chervilshunt_core::ReleaseOutcome;
 use chervilshunt_engine::{
     Answer, Call, EngineError, Expect, Limits as CallLimits, Outcome as Ran, Stage,
 };
-use chervilshunt_model::TargetName;
+use chervilshunt_model::{Moment, TargetName};
 use http::Response;
 
 use super::body::ResponseBody;
 use super::caller::CallerRequest;
 use super::claims::{Claim, KeptAnswer};
 use super::metrics;
+use super::now;
 use super::permits::HeldPermit;
 use super::problem::{Outcome, Problem, Reason};
 use super::relay::{Relay, relayed};
@@ -30,7 +31,7 @@
     permit: HeldPermit,
     answer: Answer,
     /// When the call to the target was opened.
-    opened: Instant,
+    opened: Moment,
     /// The time from there to the first piece.
     first_byte: Duration,
 }
@@ -91,7 +92,7 @@
                 Again::ElsewhereIfIdempotent => run.req.idempotent,
                 Again::Never => false,
             };
-            if !harmless || tries >= MAX_TRIES || run.req.left(Instant::now()).is_zero() {
+            if !harmless || tries >= MAX_TRIES || run.req.left(now()).is_zero() {
                 return Err(failed.problem.after(may_have_run));
             }
             if !self.try_retry(failed.problem.reason.as_str()) {
@@ -114,9 +115,9 @@
 impl Run<'_> {
     /// Makes one try: a permit and a call.
     async fn once(&mut self) -> Result<Answered, Failed> {
-        let asked_at = Instant::now();
+        let asked_at = now();
         let mut permit = self.permit().await.map_err(final_failure)?;
-        metrics::permit_wait(self.req.class, asked_at.elapsed());
+        metrics::permit_wait(self.req.class, now().since(asked_at));
         let target = permit.target().clone();
         let routing = self.traffic.parts.routing.get();
         let Some(address) = routing
@@ -132,7 +133,7 @@
                 again: Again::Elsewhere,
             });
         };
-        if !permit.is_usable(Instant::now()) {
+        if !permit.is_usable(now()) {
             let problem = Problem::not_run(Reason::NoTarget, "the permit came too late to be used")
                 .retry_after(UNREACHED_RETRY);
             return Err(Failed {
@@ -144,7 +145,7 @@
         if let Some(claim) = &mut self.claim {
             claim.may_run();
         }
-        let opened = Instant::now();
+        let opened = now();
         let result = match client.open(self.call(&permit)).await {
             Ok(mut answer) => answer.body.first_piece().await.map(|()| answer),
             Err(error) => Err(error),
@@ -154,7 +155,7 @@
                 permit,
                 answer,
                 opened,
-                first_byte: opened.elapsed(),
+                first_byte: now().since(opened),
             }),
             Err(error) => {
                 let failed = failed_call(&error);
@@ -177,7 +178,7 @@
             Some(model) => Expect::Model(model.as_str().into()),
             None => Expect::Anything,
         };
-        let head = self.req.left(Instant::now());
+        let head = self.req.left(now());
         Call {
             method: self.req.method.clone(),
             path: self.req.path.clone(),
--- a/crates/chervilshunt_daemon/src/traffic/caller.rs
+++ b/crates/chervilshunt_daemon/src/traffic/caller.rs
@@ -1,12 +1,12 @@
 //! One caller's request, understood: what it asks for and how long it may take.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use chervilshunt_model::{
-    AdapterVersion, CallerName, Class, Deployment, PriorityName, RequestId, Service, ServiceKind,
-    ServiceName,
+    AdapterVersion, CallerName, Class, Deployment, Moment, PriorityName, RequestId, Service,
+    ServiceKind, ServiceName,
 };
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method};
@@ -27,9 +27,9 @@
     /// The weight of its priority.
     pub(crate) weight: u32,
     /// When it arrived.
-    pub(crate) arrived: Instant,
+    pub(crate) arrived: Moment,
     /// When it has failed.
-    pub(crate) deadline: Instant,
+    pub(crate) deadline: Moment,
     /// Its idempotency key.
     pub(crate) key: Option<String>,
     /// Whether it may be sent again after it may have run.
@@ -66,7 +66,7 @@
     /// The address of the caller, or of the balancer before it.
     pub(crate) peer: SocketAddr,
     /// When the request arrived.
-    pub(crate) arrived: Instant,
+    pub(crate) arrived: Moment,
     /// The method.
     pub(crate) method: Method,
     /// The path on the target with its query.
@@ -170,8 +170,8 @@
     }
 
     /// Returns the time left until the deadline.
-    pub(crate) fn left(&self, now: Instant) -> Duration {
-        self.deadline.saturating_duration_since(now)
+    pub(crate) fn left(&self, now: Moment) -> Duration {
+        now.until(self.deadline)
     }
 }
 
@@ -249,7 +249,7 @@
     given.unwrap_or_else(|| CallerName::new(head.peer.ip().to_string()))
 }
 
-fn deadline(head: &Head, service: &Service) -> Instant {
+fn deadline(head: &Head, service: &Service) -> Moment {
     let default = Duration::from_millis(service.deadline_ms);
     head.arrived + head.ours.deadline.unwrap_or(default)
 }
--- a/crates/chervilshunt_daemon/src/traffic/claims.rs
+++ b/crates/chervilshunt_daemon/src/traffic/claims.rs
@@ -1,7 +1,7 @@
 //! Claims of idempotency keys on behalf of callers' requests.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use chervilshunt_config::KeyedDuringOutage;
@@ -12,6 +12,7 @@
 
 use super::caller::CallerRequest;
 use super::links::Links;
+use super::now;
 use super::problem::{Problem, Reason};
 use crate::control::{AskClaim, CLAIM_SHARDS, ClaimReply, EndClaim};
 use crate::keyed::KeyedTries;
@@ -80,7 +81,7 @@
                 KeyedDuringOutage::Queue => problem.reason == Reason::ClaimUnavailable,
             };
             let pause = problem.retry_after.unwrap_or(KEEPER_RETRY);
-            if !waits || Instant::now() + pause >= req.deadline {
+            if !waits || now() + pause >= req.deadline {
                 return Err(problem);
             }
             tokio::time::sleep(pause).await;
--- a/crates/chervilshunt_daemon/src/traffic/mod.rs
+++ b/crates/chervilshunt_daemon/src/traffic/mod.rs
@@ -29,3 +29,9 @@
 pub(crate) use links::Links;
 pub(crate) use permits::Permits;
 pub(crate) use serve::Traffic;
+
+/// Returns the present time. Deadlines and permits age while the machine is suspended, so that it is
+/// the boot clock's.
+fn now() -> chervilshunt_model::Moment {
+    chervilshunt_model::Clock::boot().now()
+}
--- a/crates/chervilshunt_daemon/src/traffic/permits.rs
+++ b/crates/chervilshunt_daemon/src/traffic/permits.rs
@@ -1,18 +1,19 @@
 //! Asking owners for permits, and giving them back whatever happens.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use chervilshunt_core::{
     CompactRequest, Permit, PermitAnswer, PermitRequest, RefusalReason, ReleaseOutcome,
     ReleasedPermit,
 };
 use chervilshunt_mesh::RequestError;
-use chervilshunt_model::{AttemptId, TargetName};
+use chervilshunt_model::{AttemptId, Moment, TargetName};
 use tokio::sync::oneshot;
 
 use super::held::HeldPermits;
 use super::links::Links;
+use super::now;
 use crate::control::{AskPermit, PermitReply, ReleasePermit};
 use crate::wire::PeerMessage;
 
@@ -62,9 +63,9 @@
     ///
     /// Dropping the future withdraws the request: a caller that goes away while it waits leaves no
     /// permit behind.
-    pub(crate) async fn ask(&self, req: PermitRequest, deadline: Instant) -> Asked {
+    pub(crate) async fn ask(&self, req: PermitRequest, deadline: Moment) -> Asked {
         let guard = HeldPermit::waiting(self.clone(), req.attempt, req.target.clone());
-        let answer = tokio::time::timeout_at(deadline.into(), self.answer(req, deadline)).await;
+        let answer = tokio::time::timeout(now().until(deadline), self.answer(req, deadline)).await;
         match answer {
             Ok(Ok(PermitAnswer::Granted { permit, .. })) => Asked::Granted(guard.granted(permit)),
             Ok(Ok(PermitAnswer::Redirect { targets })) => {
@@ -91,7 +92,7 @@
     async fn answer(
         &self,
         req: PermitRequest,
-        deadline: Instant,
+        deadline: Moment,
     ) -> Result<PermitAnswer, Unreached> {
         let routing = self.inner.links.routing.get();
         let owner = routing
@@ -113,7 +114,7 @@
             return rx.await.map_err(|_dropped| Unreached::MaybeSeen);
         }
         let peer = self.inner.links.peer(owner).ok_or(Unreached::NeverSeen)?;
-        let timeout = deadline.saturating_duration_since(Instant::now());
+        let timeout = now().until(deadline);
         match self
             .inner
             .links
@@ -205,7 +206,7 @@
     permits: Permits,
     attempt: AttemptId,
     target: TargetName,
-    granted: Option<(Permit, Instant)>,
+    granted: Option<(Permit, Moment)>,
     outcome: ReleaseOutcome,
     armed: bool,
 }
@@ -225,7 +226,7 @@
 
     fn granted(mut self, permit: Permit) -> Self {
         self.permits.inner.held.insert(permit.clone());
-        self.granted = Some((permit, Instant::now()));
+        self.granted = Some((permit, now()));
         self
     }
 
@@ -248,9 +249,9 @@
     ///
     /// After its window the owner may count the permit as unused, so that a late call would meet an
     /// adapter that is no longer pinned for it.
-    pub(crate) fn is_usable(&self, now: Instant) -> bool {
+    pub(crate) fn is_usable(&self, now: Moment) -> bool {
         self.granted.as_ref().is_some_and(|(permit, arrived)| {
-            now.saturating_duration_since(*arrived) < Duration::from_millis(permit.window_ms)
+            now.since(*arrived) < Duration::from_millis(permit.window_ms)
         })
     }
 
--- a/crates/chervilshunt_daemon/src/traffic/place.rs
+++ b/crates/chervilshunt_daemon/src/traffic/place.rs
@@ -1,13 +1,14 @@
 //! Where a request is sent: ranking targets and asking their owners for a permit.
 
 use std::collections::VecDeque;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use chervilshunt_core::{PermitRequest, RefusalReason, rank_targets};
 use chervilshunt_model::{AdapterVersion, AttemptId, Class, TargetName};
 use smallvec::SmallVec;
 
 use super::attempt::{Run, UNREACHED_RETRY};
+use super::now;
 use super::permits::{Asked, HeldPermit};
 use super::problem::{Problem, Reason};
 use crate::routing::Routing;
@@ -28,7 +29,7 @@
     /// Asks owners until one grants a permit or the request has to be given up on.
     pub(super) async fn permit(&self) -> Result<HeldPermit, Problem> {
         let give_up = match self.req.class {
-            Class::Live => self.req.deadline.min(Instant::now() + LIVE_PATIENCE),
+            Class::Live => self.req.deadline.min(now() + LIVE_PATIENCE),
             Class::Deferrable => self.req.deadline,
         };
         loop {
@@ -37,7 +38,7 @@
                 Round::Refused(problem) => return Err(problem),
                 Round::NotNow(problem, pause) => (problem, pause),
             };
-            if Instant::now() + pause >= give_up {
+            if now() + pause >= give_up {
                 return Err(problem);
             }
             tokio::time::sleep(pause).await;
@@ -185,7 +186,7 @@
         hops: u8,
         avoid: SmallVec<[TargetName; 4]>,
     ) -> PermitRequest {
-        let left = self.req.left(Instant::now());
+        let left = self.req.left(now());
         PermitRequest {
             attempt: AttemptId::random(),
             entry: self.traffic.parts.settings.instance.id.clone(),
--- a/crates/chervilshunt_daemon/src/traffic/relay.rs
+++ b/crates/chervilshunt_daemon/src/traffic/relay.rs
@@ -2,12 +2,12 @@
 
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::{BufMut, Bytes, BytesMut};
 use chervilshunt_core::ReleaseOutcome;
 use chervilshunt_engine::{Answer, AnswerBody, EngineError};
-use chervilshunt_model::{Class, RequestId};
+use chervilshunt_model::{Class, Moment, RequestId};
 use http::Response;
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
@@ -16,6 +16,7 @@
 use super::body::ResponseBody;
 use super::claims::{Claim, KeptAnswer};
 use super::metrics;
+use super::now;
 use super::permits::HeldPermit;
 use super::problem::{Problem, Reason};
 use super::serve::{OpenSlot, Traffic, answer_head, set_header};
@@ -47,16 +48,16 @@
     pub(super) class: Class,
     pub(super) stream: bool,
     /// When the request arrived.
-    pub(super) arrived: Instant,
+    pub(super) arrived: Moment,
     /// When the call to the target was opened.
-    pub(super) opened: Instant,
+    pub(super) opened: Moment,
     /// The time from there to the first piece of the answer.
     pub(super) first_byte: Duration,
 }
 
 /// Makes the answer to the caller from that of the target.
 pub(super) fn relayed(relay: Relay, answer: Answer, model: Option<&str>) -> Response<ResponseBody> {
-    metrics::first_byte(relay.class, relay.arrived.elapsed());
+    metrics::first_byte(relay.class, now().since(relay.arrived));
     let mut res = answer_head(answer.status, &answer.headers);
     set_header(&mut res, TARGET, relay.permit.target().as_str());
     if let Some(model) = model {
@@ -137,11 +138,11 @@
             claim.answered(relay.status, kept.whole());
         }
         let tokens = self.body.summary().tokens();
-        metrics::answered(relay.class, tokens, relay.arrived.elapsed());
+        metrics::answered(relay.class, tokens, now().since(relay.arrived));
         relay.permit.ended(ReleaseOutcome::Finished {
             tokens,
             first_byte_ms: millis(relay.first_byte),
-            total_ms: millis(relay.opened.elapsed()),
+            total_ms: millis(now().since(relay.opened)),
         });
     }
 
--- a/crates/chervilshunt_daemon/src/traffic/serve.rs
+++ b/crates/chervilshunt_daemon/src/traffic/serve.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use chervilshunt_config::{Limits, Settings};
@@ -20,6 +20,7 @@
 use super::headers::{REQUEST_ID, RequestHeaders, request_id};
 use super::intake::read_body;
 use super::metrics::{self, OpenRequest};
+use super::now;
 use super::permits::Permits;
 use super::problem::{Problem, Reason};
 use crate::routing::SharedRouting;
@@ -150,7 +151,7 @@
         peer: SocketAddr,
         id: &RequestId,
     ) -> Result<Response<ResponseBody>, Problem> {
-        let arrived = Instant::now();
+        let arrived = now();
         let (parts, body) = req.into_parts();
         let path = parts.uri.path();
         let plain_service = plain_service_of(path)?;
