--- a/crates/chervilshunt_model/tests/clock.rs
+++ b/crates/chervilshunt_model/tests/clock.rs
@@ -22,7 +22,10 @@
     let steady = Instant::now();
     let valid_until = clock.now() + Duration::from_secs(3);
     BOOT.set(BOOT.get() + Duration::from_secs(10));
-    assert!(steady.elapsed() < Duration::from_secs(3), "the steady clock");
+    assert!(
+        steady.elapsed() < Duration::from_secs(3),
+        "the steady clock"
+    );
     assert!(clock.now() >= valid_until, "the boot clock");
 }
 
