Count the time that lapsed entries are used on from the store's return

Now the first call after a failure does not wait, and only calls about targets count. The test in platform/tests/following.rs fails first (13 requests at the target that had gone); the stand-in cuts waiting calls when it turns instances away, as the store does.

--- a/crates/chervilshunt_gateway/src/control/follow.rs
+++ b/crates/chervilshunt_gateway/src/control/follow.rs
@@ -17,6 +17,8 @@
 /// How long a call waits for changes. A longer wait would save little: most calls end early with a
 /// change. A silent connection is found within that time and [`ANSWER_GRACE`] at the latest.
 const WATCH_WAIT: Duration = Duration::from_secs(4);
+/// The wait of a call that is to be answered at once.
+const AT_ONCE: Duration = Duration::from_millis(1);
 /// How much later than asked for the answer to a waiting call may come.
 const ANSWER_GRACE: Duration = Duration::from_millis(1_500);
 /// The time for one call of a list.
@@ -93,7 +95,10 @@
         loop {
             let result = match from {
                 None => self.list().await,
-                Some(revision) => self.watch(revision).await,
+                // After a failure the first call does not wait, so that its answer says at once that
+                // the service is back: what is believed of entries that went meanwhile ages from then.
+                Some(revision) if pause != FIRST_PAUSE => self.watch(revision, AT_ONCE).await,
+                Some(revision) => self.watch(revision, WATCH_WAIT).await,
             };
             match result {
                 Ok(revision) => {
@@ -109,7 +114,7 @@
                 }
                 Err(trouble) => {
                     self.report(&trouble, pause == FIRST_PAUSE);
-                    self.tell(FromStore::Trouble).await;
+                    self.tell(FromStore::Trouble(self.kind)).await;
                     tokio::time::sleep(pause).await;
                     pause = (pause * 2).min(LONGEST_PAUSE);
                 }
@@ -142,9 +147,9 @@
     }
 
     /// Waits for changes and returns the revision to go on from.
-    async fn watch(&self, from: u64) -> Result<u64, Trouble> {
-        let call = (self.dialect.watch)(self.kind, from, WATCH_WAIT);
-        let body = self.call(&call, WATCH_WAIT + ANSWER_GRACE).await?;
+    async fn watch(&self, from: u64, wait: Duration) -> Result<u64, Trouble> {
+        let call = (self.dialect.watch)(self.kind, from, wait);
+        let body = self.call(&call, wait + ANSWER_GRACE).await?;
         let changes: Changes =
             (self.dialect.read_changes)(self.kind, &body).map_err(Trouble::Unreadable)?;
         self.report_malformed(&changes.malformed);
--- a/crates/chervilshunt_gateway/src/control/messages.rs
+++ b/crates/chervilshunt_gateway/src/control/messages.rs
@@ -26,7 +26,7 @@
     /// Changes.
     Changed(Changes),
     /// A call has failed.
-    Trouble,
+    Trouble(Kind),
     /// A call has been answered after failures.
     Back(Kind),
 }
--- a/crates/chervilshunt_gateway/src/control/targets.rs
+++ b/crates/chervilshunt_gateway/src/control/targets.rs
@@ -71,14 +71,22 @@
                 }
                 self.absent(removed);
             }
-            FromStore::Trouble => self.absences.last_trouble = Some(self.now()),
+            FromStore::Trouble(kind) => self.note_trouble(kind),
             FromStore::Back(kind) => {
-                self.absences.last_trouble = Some(self.now());
+                self.note_trouble(kind);
                 slog::info!(self.shared.log, "platform back"; "kind" => kind.as_str());
             }
         }
     }
 
+    /// Takes note of a failed call, or of the first one after failures. Only those about targets say
+    /// when entries of targets may have lapsed.
+    fn note_trouble(&mut self, kind: Kind) {
+        if kind == Kind::Targets {
+            self.absences.last_trouble = Some(self.now());
+        }
+    }
+
     fn listed(&mut self, kind: Kind, entries: Vec<Entry>) {
         let names: Vec<TargetName> = entries
             .iter()
