Take out a second sending to the same target, which nothing asked for any more

Since the placer answers only when an adapter is ready, no verdict led to it: the branch, its pause and its state were dead.

--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -25,8 +25,6 @@
 const MAX_SENDINGS: u32 = 4;
 /// What is taken off the time that a target is given, for the way back.
 const WAY_BACK: Duration = Duration::from_millis(20);
-/// The pause before a request goes to the same target again that was still loading its adapter.
-const LOADING_PAUSE: Duration = Duration::from_millis(40);
 /// How long a request that may run twice waits for the head of an answer, as a multiple of its
 /// objective, before another target is tried.
 const HEAD_PATIENCE: f64 = 2.5;
@@ -97,10 +95,8 @@
 /// What came of one sending.
 enum Sent {
     Answered(Box<Answered>),
-    /// It has not run. Another target may be tried, or the same one after a pause.
-    NotRun {
-        at_same: bool,
-    },
+    /// It has not run. Another target may be tried.
+    NotRun,
     /// It may have run.
     MayHaveRun(Reason),
 }
@@ -151,23 +147,16 @@
     }
 
     async fn send_until_answered(&mut self) -> Result<Answered, Refusal> {
-        let mut same: Option<Chosen> = None;
         loop {
-            let chosen = match same.take() {
-                Some(chosen) => chosen,
-                None => self.find_target().await.map_err(|it| self.truly(it))?,
-            };
+            let found = self.find_target().await;
+            let chosen = found.map_err(|it| self.truly(it))?;
             if !self.may_send() {
                 let spent = Refusal::retry_after(Reason::BudgetSpent, REFUSED_RETRY);
                 return Err(self.truly(spent));
             }
             match self.send(&chosen).await {
                 Sent::Answered(answered) => return Ok(*answered),
-                Sent::NotRun { at_same: true } => {
-                    tokio::time::sleep(LOADING_PAUSE).await;
-                    same = Some(chosen);
-                }
-                Sent::NotRun { at_same: false } => self.avoid.push(chosen.target),
+                Sent::NotRun => self.avoid.push(chosen.target),
                 Sent::MayHaveRun(reason) => {
                     if !self.req.route.repeat.is_allowed()
                         || self.runs >= self.req.route.max_targets
@@ -277,22 +266,23 @@
                 body,
                 in_flight,
             })),
-            Verdict::Full | Verdict::OtherTarget => self.not_run(false),
+            Verdict::Full | Verdict::OtherTarget => self.not_run(),
             Verdict::NotHeld => self.not_held(chosen),
             Verdict::Failed => Sent::MayHaveRun(Reason::BadAnswer),
             Verdict::Crossed => Sent::MayHaveRun(Reason::AnswerLost),
         }
     }
 
-    fn not_run(&mut self, at_same: bool) -> Sent {
+    /// Takes back that the request may have run at the last target.
+    fn not_run(&mut self) -> Sent {
         self.runs -= 1;
-        Sent::NotRun { at_same }
+        Sent::NotRun
     }
 
     /// Reacts to a target that does not hold the adapter.
     fn not_held(&mut self, chosen: &Chosen) -> Sent {
         let Some(weights) = &self.req.weights else {
-            return self.not_run(false);
+            return self.not_run();
         };
         self.shared.dispatch().not_held(&chosen.target, weights);
         if let Some(placer) = self.shared.placer.load_full() {
@@ -301,7 +291,7 @@
                 slog::debug!(self.shared.log, "placer not told"; "reason" => error.to_string());
             }
         }
-        self.not_run(false)
+        self.not_run()
     }
 
     fn failed(&mut self, chosen: &Chosen, error: &EngineError) -> Sent {
@@ -316,7 +306,7 @@
         };
         self.shared.dispatch().sign(&chosen.target, sign, now);
         match error.outcome() {
-            Outcome::NotRun => self.not_run(false),
+            Outcome::NotRun => self.not_run(),
             Outcome::Unknown | Outcome::CutShort => Sent::MayHaveRun(Reason::AnswerLost),
         }
     }
