Never answer those who wait for an adapter with an older version of it

The target listed version 1; the planned load was taken to have ended, and the request was sent there without naming a version. Ruled out: the instance's own choice, which names the version 2.5 s after it is known; an instance that did not know of the version (it had logged it at 2.517 s). Now such requests are told to come back, and a target that the placer names is asked for the newest version as any other is, so that it refuses if the placer is wrong. A choice by the placer has its line "placed" in the log too.

--- a/crates/chervilshunt_core/src/dispatch/choose.rs
+++ b/crates/chervilshunt_core/src/dispatch/choose.rs
@@ -167,6 +167,20 @@
         }
     }
 
+    /// Chooses the target that the placer named, unless it leaves or is gone.
+    pub fn choose_named(
+        &self,
+        name: &TargetName,
+        weights: Option<&Weights>,
+        now: Moment,
+    ) -> Choice {
+        let target = self.targets.get(name);
+        match target.filter(|it| it.facts.leaving.is_none()) {
+            Some(target) => self.send(target, weights, now),
+            None => Choice::Wait(Wait::NoTarget),
+        }
+    }
+
     /// Returns targets of the service that may take new work.
     fn serving<'a>(
         &'a self,
--- a/crates/chervilshunt_core/src/residency/answers.rs
+++ b/crates/chervilshunt_core/src/residency/answers.rs
@@ -98,11 +98,11 @@
                 hold.state = HoldState::Ready;
                 hold.since = now;
                 hold.last_used = now;
-                let version = hold.version;
+                let (version, outdated) = (hold.version, hold.outdated);
                 let questions = std::mem::take(&mut hold.questions);
                 target.remember(order.weights.clone(), &self.cfg);
                 out.push(tell(&order.target, &order.weights, Some(version)));
-                answer_ready(questions, &order.target, out);
+                self.answer_loaded(questions, &order.target, outdated, out);
             }
             // It is still under way.
             OrderAnswer::Accepted | OrderAnswer::OutOfTurn if confirming => {
@@ -160,6 +160,7 @@
         out: &mut Vec<ResidencyAction>,
     ) {
         let ready_at = now + self.window.usual(self.cfg.cold_load) + self.cfg.load_margin;
+        let mut loaded = Vec::new();
         let Some(target) = self.targets.get_mut(name) else {
             return;
         };
@@ -201,9 +202,8 @@
             hold.state = HoldState::Ready;
             hold.version = *version;
             hold.outdated = *version < newest;
-            let questions = std::mem::take(&mut hold.questions);
             out.push(tell(name, weights, Some(*version)));
-            answer_ready(questions, name, out);
+            loaded.push((std::mem::take(&mut hold.questions), hold.outdated));
         }
         for weights in &report.loading {
             let coming = Hold::new(HoldState::Loading(ready_at), FIRST_KNOWN, now);
@@ -212,6 +212,30 @@
                 hold.state = HoldState::Loading(ready_at);
             }
         }
+        for (questions, outdated) in loaded {
+            self.answer_loaded(questions, name, outdated, out);
+        }
+    }
+
+    /// Answers questions about an adapter that a target holds by now.
+    ///
+    /// An older version than the newest would answer their requests wrongly: a target that is
+    /// found to hold one can have been planned to load the newest.
+    fn answer_loaded(
+        &self,
+        questions: Vec<u64>,
+        target: &TargetName,
+        outdated: bool,
+        out: &mut Vec<ResidencyAction>,
+    ) {
+        if outdated {
+            return self.answer_later(questions, out);
+        }
+        let answers = questions.into_iter().map(|question| {
+            let target = target.clone();
+            ResidencyAction::Answer(question, Placed::At { target })
+        });
+        out.extend(answers);
     }
 
     /// Takes in that a target could not be asked.
@@ -225,14 +249,5 @@
     }
 }
 
-/// Answers questions about an adapter that is ready.
-fn answer_ready(questions: Vec<u64>, target: &TargetName, out: &mut Vec<ResidencyAction>) {
-    let answers = questions.into_iter().map(|question| {
-        let target = target.clone();
-        ResidencyAction::Answer(question, Placed::At { target })
-    });
-    out.extend(answers);
-}
-
 /// The version that a load under way is taken to bring until the target lists it.
 const FIRST_KNOWN: u64 = 1;
--- a/crates/chervilshunt_core/tests/dispatch.rs
+++ b/crates/chervilshunt_core/tests/dispatch.rs
@@ -285,3 +285,29 @@
     let share = (40.0 / instances as f64 * 0.8) as usize;
     assert_eq!(count(budget, at(10_002)), share, "nothing was earned since");
 }
+
+/// The caller gets an answer of an older version. The placer names a target from what it believes,
+/// and that may be behind the newest version; the target refuses if it is asked for that one.
+#[test]
+fn a_target_that_the_placer_names_is_asked_for_the_newest_version() {
+    let mut dispatch = dispatch([facts("t1", "here", &[("a1", 1)])]);
+    let named = TargetName::from("t1");
+    let weights = adapter("a1");
+    dispatch.version_named(weights.clone(), 2, at(0));
+    let at_named = |now| chosen(dispatch.choose_named(&named, Some(&weights), at(now)));
+    assert_eq!(at_named(100), Ok(("t1".to_owned(), None)));
+    assert_eq!(at_named(3_000), Ok(("t1".to_owned(), Some(2))));
+}
+
+#[rstest]
+#[case::leaves(Some(Leaving { gone_after: None }))]
+#[case::is_gone(None)]
+fn a_target_that_the_placer_names_is_passed_over_if_it(#[case] leaving: Option<Leaving>) {
+    let known = leaving.map(|leaving| TargetFacts {
+        leaving: Some(leaving),
+        ..facts("t1", "here", &[("a1", 1)])
+    });
+    let dispatch = dispatch(known);
+    let choice = dispatch.choose_named(&TargetName::from("t1"), Some(&adapter("a1")), at(0));
+    assert_eq!(chosen(choice), Err(Wait::NoTarget));
+}
--- a/crates/chervilshunt_gateway/src/traffic/place.rs
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -78,6 +78,11 @@
             avoid: &self.avoid,
         };
         let choice = self.shared.dispatch().choose(&ask, rand::random, now);
+        self.take(choice)
+    }
+
+    /// Takes a choice, which gets a line in the log.
+    fn take(&self, choice: Choice) -> Result<Chosen, Wait> {
         match choice {
             Choice::Wait(wait) => Err(wait),
             Choice::Send {
@@ -136,7 +141,7 @@
         match self.shared.mesh.request(&placer, message, patience).await {
             Ok(PeerMessage::Placed(Placed::At { target })) => {
                 self.report_placement("placed", Some(&target));
-                self.at_target(target).ok_or_else(not_placed)
+                self.at_target(&target).ok_or_else(not_placed)
             }
             Ok(PeerMessage::Placed(Placed::Later { retry_in })) => {
                 self.report_placement("no room", None);
@@ -176,19 +181,10 @@
     }
 
     /// Sends to a target that the placer named, unless it leaves.
-    fn at_target(&self, target: TargetName) -> Option<Chosen> {
-        let dispatch = self.shared.dispatch();
-        let facts = dispatch.target(&target)?;
-        if facts.leaving.is_some() {
-            return None;
-        }
-        let address = facts.address;
-        drop(dispatch);
-        Some(Chosen {
-            target,
-            address,
-            expect_version: None,
-            reuse: self.req.route.repeat.is_allowed(),
-        })
+    fn at_target(&self, target: &TargetName) -> Option<Chosen> {
+        let now = self.shared.clock.now();
+        let weights = self.req.weights.as_ref();
+        let choice = self.shared.dispatch().choose_named(target, weights, now);
+        self.take(choice).ok()
     }
 }
