Wait for the placer's word before asking the platform what has changed

Cause: targets change their entries about once a second, nearly always in what they hold; each instance made a call for each batch of changes, and one for each other renewal of the lease. Now the placer looks each 0.3 s and tells up to which revision nothing has changed that concerns all, with the age of its look; others look once something has, each 10 s in any case, and by themselves as soon as what they were told is a second old. The lease is looked at while its holder is not heard. Ruled out: longer pauses alone, which the operators' two seconds for a leaving target bound. Tests: core/tests/guide.rs, coord's sole lease (a holder that is heard is not taken for gone).

--- a/crates/chervilshunt_coord/src/lease/sole.rs
+++ b/crates/chervilshunt_coord/src/lease/sole.rs
@@ -84,6 +84,9 @@
     Written(SoleWritten),
     /// A read has failed.
     ReadFailed,
+    /// The holder has sent a message. Whoever hears it need not look at the record all the time,
+    /// and must not take a record that it has not looked at for one that is no longer renewed.
+    HolderHeard,
     /// The instance stops: the lease is given up, and not taken again.
     Release,
     /// Time has passed.
@@ -208,6 +211,7 @@
                 self.call = Call::None;
                 self.next_at = now + self.cfg.retry_every;
             }
+            SoleEvent::HolderHeard => self.changed_at = self.changed_at.max(now),
             SoleEvent::Release => self.on_release(&mut out),
             SoleEvent::Tick => {}
         }
--- a/crates/chervilshunt_coord/src/tests/sole.rs
+++ b/crates/chervilshunt_coord/src/tests/sole.rs
@@ -91,6 +91,18 @@
     assert!(!b.handle(SoleEvent::Tick, at(3_410)).is_empty());
 }
 
+/// An instance that hears its holder looks at the record rarely. It would take the record that it
+/// last saw for one that nobody renews, and write in vain, each 5.9 s.
+#[test]
+fn a_holder_that_is_heard_is_not_taken_for_gone() {
+    let (_, seen) = holder();
+    let mut b = keeper("b", at(0));
+    b.handle(SoleEvent::Seen(Some(seen)), at(0));
+    b.handle(SoleEvent::HolderHeard, at(4_000));
+    assert!(b.handle(SoleEvent::Tick, at(9_899)).is_empty());
+    assert!(!b.handle(SoleEvent::Tick, at(9_900)).is_empty());
+}
+
 #[test]
 fn a_paused_holder_does_not_order_after_its_pause() {
     // The machine is suspended for 10 s. Its timers did not fire, and it has heard of nothing; the
--- a/crates/chervilshunt_core/src/dispatch/facts.rs
+++ b/crates/chervilshunt_core/src/dispatch/facts.rs
@@ -92,6 +92,25 @@
     pub models: Vec<LoadedModel>,
 }
 
+impl TargetFacts {
+    /// Says whether a newer entry of the target tells something that every instance has to know
+    /// at once: all but the adapters that it holds, which the placer tells.
+    pub fn concerns_all(&self, newer: &Self) -> bool {
+        let models = |facts: &Self| -> Vec<(Arc<str>, u64)> {
+            let models = facts.models.iter();
+            models
+                .map(|it| (Arc::clone(&it.name), it.version))
+                .collect()
+        };
+        self.service != newer.service
+            || self.address != newer.address
+            || self.zone != newer.zone
+            || self.slots != newer.slots
+            || self.leaving.is_some() != newer.leaving.is_some()
+            || models(self) != models(newer)
+    }
+}
+
 /// What a target says of its load with an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoadReport {
--- /dev/null
+++ b/crates/chervilshunt_core/src/dispatch/guide.rs
@@ -0,0 +1,92 @@
+//! When an instance asks the platform what has changed, and when it is told enough to wait.
+//!
+//! Targets change their entries about once a second, nearly always in what they hold, which the
+//! placer tells anyway. An instance that follows them by itself makes a call for each batch of
+//! changes: 88 instances made 190 calls a second, most of them for nothing, and all of them come
+//! out of one rate. So the placer looks often and tells everyone up to which revision nothing has
+//! changed that concerns them; an instance asks for itself once something has, and whenever the
+//! placer falls silent or has lost sight of the platform.
+
+use std::time::Duration;
+
+use chervilshunt_model::Moment;
+
+/// How an instance follows a kind of objects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pace {
+    /// By itself: nobody tells it anything it can rely on.
+    Alone,
+    /// Not at all for now: nothing has changed that concerns it.
+    Rest,
+    /// By one call at once: something has changed.
+    Look,
+}
+
+/// What an instance is told about a kind of objects, and what it has seen itself.
+#[derive(Clone, Copy, Debug)]
+pub struct Guide {
+    /// How long after the teller's own look a telling counts.
+    trust: Duration,
+    /// The longest time without an own look, in case the teller overlooks something.
+    longest_rest: Duration,
+    told_revision: u64,
+    told_as_of: Option<Moment>,
+    looked: Option<(u64, Moment)>,
+}
+
+impl Guide {
+    /// Starts with nothing told and nothing seen.
+    pub const fn new(trust: Duration, longest_rest: Duration) -> Self {
+        Self {
+            trust,
+            longest_rest,
+            told_revision: 0,
+            told_as_of: None,
+            looked: None,
+        }
+    }
+
+    /// Takes in that nothing concerns this instance after `revision`, as seen at a moment.
+    ///
+    /// A telling that was held up on its way is as old as what it tells, not as its arrival.
+    pub fn told(&mut self, revision: u64, as_of: Moment) {
+        self.told_revision = self.told_revision.max(revision);
+        self.told_as_of = self.told_as_of.max(Some(as_of));
+    }
+
+    /// Takes in that the teller can't be heard any more.
+    pub fn teller_lost(&mut self) {
+        self.told_as_of = None;
+    }
+
+    /// Takes in that this instance has itself seen everything up to a revision.
+    pub fn looked(&mut self, revision: u64, now: Moment) {
+        self.looked = Some((revision, now));
+    }
+
+    /// Returns how to follow the objects now.
+    pub fn pace(&self, now: Moment) -> Pace {
+        if self.trusted_until().is_none_or(|until| now >= until) {
+            return Pace::Alone;
+        }
+        match self.looked {
+            Some((revision, at))
+                if revision >= self.told_revision && now.since(at) < self.longest_rest =>
+            {
+                Pace::Rest
+            }
+            Some(_) | None => Pace::Look,
+        }
+    }
+
+    /// Returns when the pace changes by time alone, if it does.
+    pub fn next_wakeup(&self, now: Moment) -> Option<Moment> {
+        let trusted_until = self.trusted_until().filter(|until| *until > now)?;
+        let rested = self.looked.map(|(_, at)| at + self.longest_rest);
+        Some(rested.map_or(trusted_until, |rested| rested.min(trusted_until)))
+    }
+
+    fn trusted_until(&self) -> Option<Moment> {
+        self.told_as_of.map(|as_of| as_of + self.trust)
+    }
+}
--- a/crates/chervilshunt_core/src/dispatch/mod.rs
+++ b/crates/chervilshunt_core/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 mod budget;
 mod choose;
 mod facts;
+mod guide;
 mod health;
 mod holders;
 mod lanes;
@@ -22,6 +23,7 @@
     Leaving, LoadReport, LoadedAdapter, LoadedModel, ModelSpec, PlacementLimits, RequestSize,
     TargetFacts, Weights,
 };
+pub use guide::{Guide, Pace};
 pub use health::{HealthConfig, Sign};
 pub use holders::Holding;
 pub use lanes::{Lane, long_prompt_targets};
--- /dev/null
+++ b/crates/chervilshunt_core/tests/guide.rs
@@ -0,0 +1,78 @@
+//! When an instance asks the platform itself, by cases.
+
+use std::time::Duration;
+
+use chervilshunt_core::{Guide, Pace};
+use chervilshunt_model::Moment;
+use rstest::rstest;
+
+const TRUST: Duration = Duration::from_millis(1_000);
+const LONGEST_REST: Duration = Duration::from_secs(10);
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(50_000 + millis)
+}
+
+/// Told at 0 that nothing concerns it after revision 7.
+fn told() -> Guide {
+    let mut guide = Guide::new(TRUST, LONGEST_REST);
+    guide.told(7, at(0));
+    guide
+}
+
+#[test]
+fn an_instance_that_is_told_nothing_follows_by_itself() {
+    let mut guide = Guide::new(TRUST, LONGEST_REST);
+    assert_eq!(guide.pace(at(0)), Pace::Alone);
+    guide.looked(7, at(0));
+    assert_eq!(guide.pace(at(1)), Pace::Alone);
+    assert_eq!(guide.next_wakeup(at(1)), None);
+}
+
+#[rstest]
+#[case::it_has_seen_less(Some(6), Pace::Look)]
+#[case::it_has_seen_as_much(Some(7), Pace::Rest)]
+#[case::it_has_seen_more(Some(9), Pace::Rest)]
+#[case::it_has_seen_nothing(None, Pace::Look)]
+fn an_instance_that_is_told_of_a_change_looks_once(#[case] seen: Option<u64>, #[case] pace: Pace) {
+    let mut guide = told();
+    if let Some(revision) = seen {
+        guide.looked(revision, at(0));
+    }
+    assert_eq!(guide.pace(at(10)), pace);
+}
+
+/// The placer loses sight of the platform, or its machine is cut off. A target leaves, and the
+/// instances would go on sending to it if they took the last telling for good.
+#[test]
+fn a_telling_counts_for_a_second_after_what_it_tells_was_seen() {
+    let mut guide = told();
+    guide.looked(7, at(0));
+    assert_eq!(guide.pace(at(999)), Pace::Rest);
+    assert_eq!(guide.next_wakeup(at(999)), Some(at(1_000)));
+    assert_eq!(guide.pace(at(1_000)), Pace::Alone);
+    // What comes late, or again, tells of the same moment.
+    guide.told(7, at(0));
+    guide.told(5, at(0));
+    assert_eq!(guide.pace(at(1_000)), Pace::Alone);
+    guide.told(7, at(900));
+    assert_eq!(guide.pace(at(1_000)), Pace::Rest);
+}
+
+#[test]
+fn an_instance_whose_teller_is_lost_follows_by_itself_at_once() {
+    let mut guide = told();
+    guide.looked(7, at(0));
+    guide.teller_lost();
+    assert_eq!(guide.pace(at(1)), Pace::Alone);
+}
+
+#[test]
+fn an_instance_looks_now_and_then_in_any_case() {
+    let mut guide = told();
+    guide.looked(7, at(0));
+    guide.told(7, at(9_900));
+    assert_eq!(guide.pace(at(9_999)), Pace::Rest);
+    assert_eq!(guide.next_wakeup(at(9_950)), Some(at(10_000)));
+    assert_eq!(guide.pace(at(10_000)), Pace::Look);
+}
--- a/crates/chervilshunt_gateway/src/control/actor.rs
+++ b/crates/chervilshunt_gateway/src/control/actor.rs
@@ -15,6 +15,7 @@
 use super::messages::{
     Asked, Begin, FromPeer, FromStore, LeaseAnswer, Ordered, Reload, Stop, TellUse, Tick,
 };
+use super::pace::Paces;
 use super::presence::Presence;
 use super::targets::Absences;
 use super::using::Uses;
@@ -46,6 +47,11 @@
     pub(super) keeper: SoleKeeper,
     pub(super) placer: Option<Placer>,
     pub(super) absences: Absences,
+    pub(super) paces: Paces,
+    /// When targets' entries were last seen whole.
+    pub(super) entries_seen_at: Option<Moment>,
+    /// The platform's revision at their last change that concerns every instance.
+    pub(super) entries_changed_at: u64,
     pub(super) uses: Uses,
     /// The newest version of each of the weights that the platform names.
     pub(super) versions: HashMap<Weights, u64>,
@@ -59,7 +65,7 @@
 
 impl Control {
     /// Starts as an observer of the lease.
-    pub(crate) fn new(shared: Arc<Shared>, exchange: Arc<Exchange>) -> Self {
+    pub(crate) fn new(shared: Arc<Shared>, exchange: Arc<Exchange>, paces: Paces) -> Self {
         let settings = &shared.settings;
         let cfg = SoleConfig {
             rest: settings.bounds.lease_rest,
@@ -79,6 +85,9 @@
             keeper,
             placer: None,
             absences: Absences::default(),
+            paces,
+            entries_seen_at: None,
+            entries_changed_at: 0,
             uses: Uses::default(),
             versions: HashMap::new(),
             gathered: Vec::new(),
@@ -127,6 +136,7 @@
             self.plan(ResidencyEvent::Tick);
         }
         self.send_gathered();
+        self.paces.steer(self.placer.is_some(), now);
         self.arrange_wakeup(now);
     }
 
@@ -136,6 +146,7 @@
             self.keeper.next_wakeup(),
             placer.and_then(|it| it.residency.next_wakeup(now)),
             self.absences.next_wakeup(),
+            self.paces.next_wakeup(now),
         ];
         let Some(next) = next.into_iter().flatten().min() else {
             return;
--- a/crates/chervilshunt_gateway/src/control/follow.rs
+++ b/crates/chervilshunt_gateway/src/control/follow.rs
@@ -6,17 +6,28 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilshunt_core::Pace;
 use chervilshunt_platform::{Call, Exchange, PlatformError, Timeouts};
 use slog::Logger;
+use tokio::sync::watch;
+use tokio::time::Instant;
 use xtra::Address;
 
 use super::actor::Control;
 use super::messages::FromStore;
+use super::pace::{FollowPace, PaceReceivers};
 use crate::dialect::{Changes, Entry, Kind, Malformed, StoreDialect};
 
 /// How long a call waits for changes. A longer wait would save little: most calls end early with a
 /// change. A silent connection is found within that time and [`ANSWER_GRACE`] at the latest.
 const WATCH_WAIT: Duration = Duration::from_secs(4);
+/// How often the placer looks at targets' entries. With the other instances' trust in what it tells
+/// this leaves them a second until they look for themselves; shorter, it would be noticed later still
+/// by the interval at which they are told.
+const GUIDING_EVERY: Duration = Duration::from_millis(300);
+/// The time after which the objects are listed rather than their changes asked for: targets change
+/// their entries each second, so that the changes of a longer time are more than the objects.
+const LIST_AFTER: Duration = Duration::from_secs(3);
 /// The wait of a call that is to be answered at once.
 const AT_ONCE: Duration = Duration::from_millis(1);
 /// How much later than asked for the answer to a waiting call may come.
@@ -53,6 +64,8 @@
     dialect: StoreDialect,
     exchange: Arc<Exchange>,
     control: Address<Control>,
+    /// How fast it goes; none if it always goes by itself.
+    pace: Option<watch::Receiver<FollowPace>>,
     log: Logger,
 }
 
@@ -61,14 +74,21 @@
     dialect: &StoreDialect,
     exchange: &Arc<Exchange>,
     control: &Address<Control>,
+    paces: &PaceReceivers,
     log: &Logger,
 ) {
     for kind in Kind::ALL {
+        let pace = match kind {
+            Kind::Targets => Some(paces.entries.clone()),
+            Kind::Lease => Some(paces.lease.clone()),
+            Kind::Configuration | Kind::Versions => None,
+        };
         let follower = Follower {
             kind,
             dialect: dialect.clone(),
             exchange: Arc::clone(exchange),
             control: control.clone(),
+            pace,
             log: log.clone(),
         };
         tokio::spawn(follower.run());
@@ -88,17 +108,32 @@
     }
 }
 
+/// Returns how long a call waits for changes.
+const fn wait_at(pace: FollowPace) -> Duration {
+    match pace {
+        FollowPace::Guided(Pace::Alone) => WATCH_WAIT,
+        FollowPace::Guided(Pace::Look | Pace::Rest) => AT_ONCE,
+        FollowPace::Guiding => GUIDING_EVERY,
+    }
+}
+
 impl Follower {
-    async fn run(self) {
+    async fn run(mut self) {
         let mut from = None;
+        let mut looked_at = Instant::now();
         let mut pause = FIRST_PAUSE;
         loop {
+            let pace = self.next_turn().await;
+            if pace == FollowPace::Guided(Pace::Look) && looked_at.elapsed() > LIST_AFTER {
+                from = None;
+            }
+            looked_at = Instant::now();
             let result = match from {
                 None => self.list().await,
                 // After a failure the first call does not wait, so that its answer says at once that
                 // the service is back: what is believed of entries that went meanwhile ages from then.
                 Some(revision) if pause != FIRST_PAUSE => self.watch(revision, AT_ONCE).await,
-                Some(revision) => self.watch(revision, WATCH_WAIT).await,
+                Some(revision) => self.watch(revision, wait_at(pace)).await,
             };
             match result {
                 Ok(revision) => {
@@ -107,6 +142,9 @@
                         pause = FIRST_PAUSE;
                     }
                     from = Some(revision);
+                    if pace == FollowPace::Guiding {
+                        tokio::time::sleep_until(looked_at + GUIDING_EVERY).await;
+                    }
                 }
                 Err(Trouble::Expired) => {
                     slog::info!(self.log, "history expired"; "kind" => self.kind.as_str());
@@ -122,6 +160,19 @@
         }
     }
 
+    /// Waits until it is this follower's turn to call, and returns how fast it goes.
+    async fn next_turn(&mut self) -> FollowPace {
+        let Some(pace) = &mut self.pace else {
+            return FollowPace::Guided(Pace::Alone);
+        };
+        let rests = |pace: &FollowPace| *pace == FollowPace::Guided(Pace::Rest);
+        match pace.wait_for(|pace| !rests(pace)).await {
+            Ok(pace) => *pace,
+            // The control state has ended, and this runtime with it.
+            Err(_) => FollowPace::Guided(Pace::Alone),
+        }
+    }
+
     /// Reads all objects of the kind and returns the revision to go on from.
     async fn list(&self) -> Result<u64, Trouble> {
         let mut entries: Vec<Entry> = Vec::new();
@@ -139,7 +190,8 @@
             match page.next_after {
                 Some(next) => after = Some(next),
                 None => {
-                    self.tell(FromStore::Listed(self.kind, entries)).await;
+                    self.tell(FromStore::Listed(self.kind, entries, revision))
+                        .await;
                     return Ok(revision);
                 }
             }
@@ -154,8 +206,9 @@
             (self.dialect.read_changes)(self.kind, &body).map_err(Trouble::Unreadable)?;
         self.report_malformed(&changes.malformed);
         let revision = changes.revision;
-        if !changes.changes.is_empty() {
-            self.tell(FromStore::Changed(changes)).await;
+        let changed = !changes.changes.is_empty();
+        self.tell(FromStore::Changed(self.kind, changes)).await;
+        if changed && wait == WATCH_WAIT {
             tokio::time::sleep(gather_for(self.kind)).await;
         }
         Ok(revision)
--- a/crates/chervilshunt_gateway/src/control/messages.rs
+++ b/crates/chervilshunt_gateway/src/control/messages.rs
@@ -21,10 +21,10 @@
 /// Something the platform shows.
 #[derive(Debug)]
 pub(crate) enum FromStore {
-    /// All objects of a kind.
-    Listed(Kind, Vec<Entry>),
-    /// Changes.
-    Changed(Changes),
+    /// All objects of a kind, and the revision that shows them.
+    Listed(Kind, Vec<Entry>, u64),
+    /// Changes of a kind, which may be none.
+    Changed(Kind, Changes),
     /// A call has failed.
     Trouble(Kind),
     /// A call has been answered after failures.
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -149,6 +149,7 @@
         uses: Vec<Use>,
     ) {
         let now = self.now();
+        let entries = self.entries_view(now);
         let Some(placer) = &mut self.placer else {
             return;
         };
@@ -161,6 +162,7 @@
             others: placer.residency.load_beside(from),
             instances: placer.presence.count(),
             pressed: placer.residency.is_pressed(),
+            entries,
         };
         let whole = first.then(|| PeerMessage::HoldingsWhole(placer.residency.holdings()));
         for message in whole.into_iter().chain([loads]) {
--- a/crates/chervilshunt_gateway/src/control/targets.rs
+++ b/crates/chervilshunt_gateway/src/control/targets.rs
@@ -11,6 +11,7 @@
 use super::actor::Control;
 use super::messages::FromStore;
 use crate::dialect::{Change, Content, Entry, Kind};
+use crate::peers::EntriesView;
 
 /// How long a target whose entry has gone is used still, in calm times. Entries lapse when the
 /// platform's service was away too shortly for any call of this instance to notice, and are back
@@ -60,16 +61,21 @@
     /// Takes in something that the platform shows.
     pub(super) fn take_news(&mut self, news: FromStore) {
         match news {
-            FromStore::Listed(kind, entries) => self.listed(kind, entries),
-            FromStore::Changed(changes) => {
+            FromStore::Listed(kind, entries, revision) => {
+                self.listed(kind, entries, revision);
+                self.looked(kind, revision);
+            }
+            FromStore::Changed(kind, changes) => {
+                let revision = changes.revision;
                 let mut removed = Vec::new();
                 for change in changes.changes {
                     match change {
-                        Change::Put(entry) => self.seen(entry),
+                        Change::Put(entry) => self.seen(entry, revision),
                         Change::Removed(name) => removed.push(TargetName::new(name)),
                     }
                 }
-                self.absent(removed);
+                self.absent(removed, revision);
+                self.looked(kind, revision);
             }
             FromStore::Trouble(kind) => self.note_trouble(kind),
             FromStore::Back(kind) => {
@@ -87,13 +93,45 @@
         }
     }
 
-    fn listed(&mut self, kind: Kind, entries: Vec<Entry>) {
+    /// Takes note that everything of a kind is known up to a revision.
+    fn looked(&mut self, kind: Kind, revision: u64) {
+        let now = self.now();
+        match kind {
+            Kind::Targets => {
+                self.entries_seen_at = Some(now);
+                self.paces.entries.looked(revision, now);
+            }
+            Kind::Lease => self.paces.lease.looked(revision, now),
+            Kind::Configuration | Kind::Versions => {}
+        }
+    }
+
+    /// Returns what this instance, as the placer, tells of the targets' entries.
+    pub(super) fn entries_view(&self, now: Moment) -> Option<EntriesView> {
+        let failed_at = self.absences.last_trouble;
+        self.entries_seen_at.map(|at| EntriesView {
+            changed_at: self.entries_changed_at,
+            age: now.since(at),
+            failed_before: failed_at.map(|at| now.since(at)),
+        })
+    }
+
+    /// Takes in what the placer tells of the targets' entries.
+    pub(super) fn take_entries_view(&mut self, view: EntriesView, now: Moment) {
+        self.paces.entries.told(view.changed_at, now - view.age);
+        // This instance looks rarely by itself, and may have made no call while the platform's
+        // service was away.
+        let failed_at = view.failed_before.map(|before| now - before);
+        self.absences.last_trouble = self.absences.last_trouble.max(failed_at);
+    }
+
+    fn listed(&mut self, kind: Kind, entries: Vec<Entry>, revision: u64) {
         let names: Vec<TargetName> = entries
             .iter()
             .map(|entry| TargetName::new(Arc::clone(&entry.name)))
             .collect();
         for entry in entries {
-            self.seen(entry);
+            self.seen(entry, revision);
         }
         match kind {
             Kind::Targets => {
@@ -102,17 +140,17 @@
                 let unlisted = known.targets().filter(|it| !names.contains(&it.name));
                 let unlisted = unlisted.map(|it| it.name.clone()).collect();
                 drop(known);
-                self.absent(unlisted);
+                self.absent(unlisted, revision);
             }
             Kind::Lease if names.is_empty() => self.lease_event(SoleEvent::Seen(None)),
             Kind::Lease | Kind::Configuration | Kind::Versions => {}
         }
     }
 
-    fn seen(&mut self, entry: Entry) {
+    fn seen(&mut self, entry: Entry, revision: u64) {
         match entry.content {
             Content::Configuration(table) => self.configuration_seen(table),
-            Content::Target(facts) => self.target_seen(facts),
+            Content::Target(facts) => self.target_seen(facts, revision),
             Content::Version(weights, version) => self.version_seen(weights, version),
             Content::Lease(seen) => self.lease_event(SoleEvent::Seen(Some(seen))),
         }
@@ -149,11 +187,14 @@
         }
     }
 
-    fn target_seen(&mut self, facts: TargetFacts) {
+    fn target_seen(&mut self, facts: TargetFacts, revision: u64) {
         let now = self.now();
-        self.absences.due.remove(&facts.name);
+        let was_absent = self.absences.due.remove(&facts.name).is_some();
         let mut dispatch = self.shared.dispatch();
         let before = dispatch.target(&facts.name);
+        if was_absent || before.is_none_or(|before| before.concerns_all(&facts)) {
+            self.entries_changed_at = self.entries_changed_at.max(revision);
+        }
         let was_leaving = before.map(|it| it.leaving.is_some());
         if was_leaving != Some(facts.leaving.is_some()) {
             slog::info!(self.shared.log, "target";
@@ -179,10 +220,11 @@
     }
 
     /// Takes in that entries of targets have gone.
-    fn absent(&mut self, names: Vec<TargetName>) {
+    fn absent(&mut self, names: Vec<TargetName>, revision: u64) {
         if names.is_empty() {
             return;
         }
+        self.entries_changed_at = self.entries_changed_at.max(revision);
         let now = self.now();
         let known = self.shared.dispatch().targets().count();
         let lapsed = names.len() > 1 && names.len() as f64 >= known as f64 * LAPSE_SHARE;
--- a/crates/chervilshunt_gateway/src/control/using.rs
+++ b/crates/chervilshunt_gateway/src/control/using.rs
@@ -1,11 +1,12 @@
 //! What this instance tells the placer, and how it takes in what the placer tells.
 
+use chervilshunt_coord::SoleEvent;
 use chervilshunt_core::{Holding, ResidencyEvent};
 use chervilshunt_mesh::InboundMessage;
 use chervilshunt_model::{InstanceId, TargetName};
 
 use super::actor::Control;
-use crate::peers::PeerMessage;
+use crate::peers::{EntriesView, PeerMessage};
 
 /// What the placer knows of this instance.
 #[derive(Debug, Default)]
@@ -88,7 +89,9 @@
                 others,
                 instances,
                 pressed,
+                entries,
             } if self.is_placer(&from) => {
+                self.holder_heard(entries);
                 self.take_loads(&others, instances, pressed);
             }
             // From an instance that was the placer, or is not known to be yet.
@@ -103,6 +106,8 @@
     pub(super) fn peer_lost(&mut self, peer: &InstanceId) {
         if self.is_placer(peer) {
             self.uses.introduced = None;
+            self.paces.entries.teller_lost();
+            self.paces.lease.teller_lost();
         }
     }
 
@@ -131,6 +136,16 @@
         self.shared.set_instances(instances as usize);
     }
 
+    /// Takes in that the placer lives, and what it sees of the platform.
+    fn holder_heard(&mut self, entries: Option<EntriesView>) {
+        let now = self.now();
+        self.lease_event(SoleEvent::HolderHeard);
+        self.paces.lease.told(0, now);
+        if let Some(view) = entries {
+            self.take_entries_view(view, now);
+        }
+    }
+
     fn is_placer(&self, peer: &InstanceId) -> bool {
         let placer = self.shared.placer.load();
         placer.as_ref().is_some_and(|it| it.instance == *peer)
--- a/crates/chervilshunt_gateway/src/peers.rs
+++ b/crates/chervilshunt_gateway/src/peers.rs
@@ -55,7 +55,7 @@
     /// From the placer: what has changed.
     #[serde(rename = "h")]
     Holdings(Vec<Holding>),
-    /// From the placer, regularly: how busy targets are with other instances' requests, and how
+    /// From the placer, regularly: what it sees of the targets' entries, how busy targets are with other instances' requests, and how
     /// many instances there are.
     #[serde(rename = "l")]
     Loads {
@@ -68,9 +68,26 @@
         /// Whether loads wait for others to end.
         #[serde(rename = "p")]
         pressed: bool,
+        /// What it sees of the targets' entries; none if it has not seen them yet.
+        #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
+        entries: Option<EntriesView>,
     },
 }
 
+/// What the placer sees of the targets' entries in the platform's service.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct EntriesView {
+    /// The service's revision at the last change that concerns every instance.
+    #[serde(rename = "r")]
+    pub(crate) changed_at: u64,
+    /// How long ago the placer saw that nothing has changed since.
+    #[serde(rename = "a")]
+    pub(crate) age: Duration,
+    /// How long ago a call about the entries last failed; none if none has.
+    #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
+    pub(crate) failed_before: Option<Duration>,
+}
+
 impl Purpose for PeerMessage {
     fn purpose(&self) -> &'static str {
         match self {
--- a/crates/chervilshunt_gateway/src/run.rs
+++ b/crates/chervilshunt_gateway/src/run.rs
@@ -15,7 +15,7 @@
 use tokio::sync::mpsc;
 use xtra::prelude::*;
 
-use crate::control::{Begin, Control, FromPeer, Reload, Stop, start_followers};
+use crate::control::{Begin, Control, FromPeer, Paces, Reload, Stop, start_followers};
 use crate::dialect::Dialect;
 use crate::front::serve_callers;
 use crate::peers::PeerMessage;
@@ -255,10 +255,17 @@
         .name("control".to_owned())
         .spawn(move || {
             runtime.block_on(async move {
-                let control = Control::new(Arc::clone(&shared), Arc::clone(&exchange));
+                let (paces, receivers) = Paces::new();
+                let control = Control::new(Arc::clone(&shared), Arc::clone(&exchange), paces);
                 let begin = own.clone();
                 tokio::spawn(async move { drop(begin.send(Begin(begin.clone())).await) });
-                start_followers(&shared.dialect.store, &exchange, &own, &shared.log);
+                start_followers(
+                    &shared.dialect.store,
+                    &exchange,
+                    &own,
+                    &receivers,
+                    &shared.log,
+                );
                 drop(own);
                 xtra::run(mailbox, control).await;
             });
