Let another instance make the placer's calls about its lease, and leave the lease to larger ones

And any instance could become the placer, those with 0.12 of a core included. Ruled out: a longer lease, which the loss of a placer's machine would pay for. The time that a renewal counts runs from before the first call, and a write is carried out at one version of the object only, so that the same write by two does no harm. Instances tell the placer whether the platform answers them; two that it answers are asked in turn.

--- a/crates/chervilshunt_coord/src/lease/sole.rs
+++ b/crates/chervilshunt_coord/src/lease/sole.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use chervilshunt_model::{InstanceId, Moment};
+use serde::{Deserialize, Serialize};
 
 /// How the sole lease is kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,6 +25,8 @@
     /// How long nobody acts between two holders, so that no order of the one is on its way when
     /// the other gives its first.
     pub rest: Duration,
+    /// How long this instance leaves a lease that can be taken to others.
+    pub yields_for: Duration,
 }
 
 impl Default for SoleConfig {
@@ -34,12 +37,13 @@
             retry_every: Duration::from_millis(250),
             margin: Duration::from_millis(200),
             rest: Duration::from_millis(3_300),
+            yields_for: Duration::ZERO,
         }
     }
 }
 
 /// Who holds the lease, as the platform stores it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SoleRecord {
     /// The instance that holds it; none if it was given up.
     pub holder: Option<InstanceId>,
@@ -54,7 +58,7 @@
 }
 
 /// The record at one version of the platform's object.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SeenRecord {
     /// The record.
     pub record: SoleRecord,
@@ -63,7 +67,7 @@
 }
 
 /// How a write of the record ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SoleWritten {
     /// It was carried out; this is the object's version now.
     Done(u64),
@@ -315,7 +319,8 @@
 
     fn next_write(&self, now: Moment) -> Option<(SoleRecord, Option<u64>)> {
         let Some(seen) = &self.seen else {
-            return Some((self.record(FIRST_TERM, 0), None));
+            let first = now >= self.lapses_at();
+            return first.then(|| (self.record(FIRST_TERM, 0), None));
         };
         let version = Some(seen.version);
         if self.is_ours(&seen.record) {
@@ -337,19 +342,23 @@
     /// Returns when the lease that another holds may be taken.
     fn lapses_at(&self) -> Moment {
         let Some(seen) = &self.seen else {
-            return self.changed_at;
+            return self.changed_at + self.cfg.yields_for;
         };
         match &seen.record.holder {
-            None => self.changed_at + self.cfg.rest + self.stagger,
+            None => self.changed_at + self.cfg.rest + self.delay(),
             // The process before this one on the same instance: it is gone, and its orders were
             // those of the same holder.
             Some(holder) if *holder == self.me && seen.record.address == self.address => {
                 self.changed_at
             }
-            Some(_) => self.changed_at + self.cfg.duration + self.cfg.rest + self.stagger,
+            Some(_) => self.changed_at + self.cfg.duration + self.cfg.rest + self.delay(),
         }
     }
 
+    fn delay(&self) -> Duration {
+        self.cfg.yields_for + self.stagger
+    }
+
     fn is_ours(&self, record: &SoleRecord) -> bool {
         record.holder.as_ref() == Some(&self.me) && record.process == self.process
     }
--- a/crates/chervilshunt_coord/src/tests/sole.rs
+++ b/crates/chervilshunt_coord/src/tests/sole.rs
@@ -17,6 +17,7 @@
     retry_every: Duration::from_millis(250),
     margin: Duration::from_millis(200),
     rest: Duration::from_millis(3_300),
+    yields_for: Duration::ZERO,
 };
 
 fn at(millis: u64) -> Moment {
@@ -74,6 +75,28 @@
     }
 }
 
+/// The machine is too small for the duty; as long as a larger one takes the lease it does not.
+#[test]
+fn a_small_instance_leaves_the_lease_to_others_for_a_while() {
+    let (_, seen) = holder();
+    let cfg = SoleConfig {
+        yields_for: Duration::from_millis(500),
+        ..CFG
+    };
+    let small = |now| {
+        let address = ([10, 0, 0, 7], 7000).into();
+        SoleKeeper::new(cfg, InstanceId::from("s"), 1, address, Duration::ZERO, now)
+    };
+    let mut first = small(at(0));
+    assert!(first.handle(SoleEvent::Seen(None), at(0)).is_empty());
+    assert_eq!(first.next_wakeup(), Some(at(500)));
+    assert!(!first.handle(SoleEvent::Tick, at(500)).is_empty());
+    let mut taker = small(at(0));
+    taker.handle(SoleEvent::Seen(Some(seen)), at(0));
+    assert!(taker.handle(SoleEvent::Tick, at(6_399)).is_empty());
+    assert!(!taker.handle(SoleEvent::Tick, at(6_400)).is_empty());
+}
+
 #[test]
 fn a_lease_that_was_given_up_is_taken_after_the_rest_alone() {
     let (mut a, mut seen) = holder();
--- a/crates/chervilshunt_gateway/src/control/actor.rs
+++ b/crates/chervilshunt_gateway/src/control/actor.rs
@@ -12,14 +12,12 @@
 use tokio::sync::oneshot;
 use xtra::prelude::*;
 
-use super::messages::{
-    Asked, Begin, FromPeer, FromStore, LeaseAnswer, Ordered, Reload, Stop, TellUse, Tick,
-};
+use super::messages::{Asked, Begin, FromPeer, FromStore, Ordered, Reload, Stop, TellUse, Tick};
 use super::pace::Paces;
 use super::presence::Presence;
 use super::targets::Absences;
 use super::using::Uses;
-use crate::peers::PeerMessage;
+use crate::peers::{LeaseAnswer, LeaseCall, PeerMessage};
 use crate::settings::Settings;
 use crate::shared::Shared;
 
@@ -29,6 +27,19 @@
 /// The longest part of a second by which instances spread their writes for a lapsed lease.
 const STAGGER: Duration = Duration::from_millis(400);
 
+/// The share of a core below which an instance leaves the placer's lease to others for a while. The
+/// placer of 112 targets and 88 instances takes up to an eighth of a core; where its machine has no
+/// more than that, its answers come late and every cold adapter waits.
+const AMPLE_SHARE: f64 = 0.25;
+/// How long an instance with next to no share of a core would leave the lease to others.
+const LONGEST_YIELDING: Duration = Duration::from_secs(1);
+
+/// Returns how long an instance leaves a lease that can be taken to larger ones.
+fn yields_for(processor_share: f64) -> Duration {
+    let lacks = (1.0 - processor_share / AMPLE_SHARE).clamp(0.0, 1.0);
+    LONGEST_YIELDING.mul_f64(lacks)
+}
+
 /// The planner with what belongs to it, while this instance is the placer.
 #[derive(Debug)]
 pub(super) struct Placer {
@@ -48,6 +59,8 @@
     pub(super) placer: Option<Placer>,
     pub(super) absences: Absences,
     pub(super) paces: Paces,
+    /// Whether the platform answered the last call of a follower.
+    pub(super) reaches_platform: bool,
     /// When targets' entries were last seen whole.
     pub(super) entries_seen_at: Option<Moment>,
     /// The platform's revision at their last change that concerns every instance.
@@ -70,6 +83,7 @@
         let settings = &shared.settings;
         let cfg = SoleConfig {
             rest: settings.bounds.lease_rest,
+            yields_for: yields_for(settings.instance.processor_share),
             ..SoleConfig::default()
         };
         let keeper = SoleKeeper::new(
@@ -87,6 +101,7 @@
             placer: None,
             absences: Absences::default(),
             paces,
+            reaches_platform: false,
             entries_seen_at: None,
             entries_changed_at: 0,
             uses: Uses::default(),
@@ -115,8 +130,10 @@
 
     fn carry_out_lease(&mut self, action: SoleAction, now: Moment) {
         match action {
-            SoleAction::Write(record, version) => self.write_lease(&record, version),
-            SoleAction::Read => self.read_lease(),
+            SoleAction::Write(record, version) => {
+                self.call_lease(LeaseCall::Write(record, version));
+            }
+            SoleAction::Read => self.call_lease(LeaseCall::Read),
             SoleAction::Gained(term) => self.become_placer(term, now),
             SoleAction::Lost => self.cease_placing(),
         }
--- a/crates/chervilshunt_gateway/src/control/lease.rs
+++ b/crates/chervilshunt_gateway/src/control/lease.rs
@@ -4,85 +4,92 @@
 use std::time::Duration;
 
 use chervilshunt_coord::{SoleRecord, SoleWritten};
-use chervilshunt_mesh::Peer;
+use chervilshunt_mesh::{Mesh, Peer, Reply};
 use chervilshunt_model::Moment;
-use chervilshunt_platform::{PlatformError, Timeouts};
+use chervilshunt_platform::{Exchange, PlatformError, Timeouts};
+use slog::Logger;
 
 use super::actor::Control;
-use super::messages::LeaseAnswer;
+use crate::dialect::{Malformed, StoreDialect};
+use crate::peers::{LeaseAnswer, LeaseCall, PeerMessage};
 
 /// The time for one call about the lease. A renewal that takes longer has no worth: its time counts
 /// from before it was sent.
 const LEASE_CALL: Duration = Duration::from_millis(1_500);
-
+/// The same where another instance can make the call after it. The platform answers in milliseconds,
+/// in a fifth of a second while it is slow; of the 2.4 s that a renewal counts, 0.9 s have passed when
+/// the next one is sent.
+const FIRST_LEASE_CALL: Duration = Duration::from_millis(300);
+/// The time for another instance to make the call.
+const RELAYED_LEASE_CALL: Duration = Duration::from_millis(350);
+/// Instances that are asked one after the other to make the call. The second one is for an instance
+/// that has just lost the platform too; with it the renewal still ends in time.
+const RELAYS: usize = 2;
 /// How long it takes from when the lease can be taken until the new placer answers: instances
 /// spread their writes over 400 ms, and the new placer asks each target what it holds.
 const TAKING: Duration = Duration::from_millis(700);
 
+/// What a call about the lease needs, apart from the actor that wants it.
+#[derive(Clone)]
+struct Caller {
+    exchange: Arc<Exchange>,
+    dialect: StoreDialect,
+    log: Logger,
+}
+
 impl Control {
-    /// Writes the record if the object still has a version, or creates it.
-    pub(super) fn write_lease(&self, record: &SoleRecord, version: Option<u64>) {
+    /// Makes a call about the lease.
+    ///
+    /// A placer that is cut off from the platform alone, or is turned away by it, has another
+    /// instance make the call. Otherwise nobody would place for the 6 s that a taker waits, while
+    /// the placer still reaches all targets and instances.
+    pub(super) fn call_lease(&self, call: LeaseCall) {
         let Some(control) = self.address.clone() else {
             return;
         };
-        let call = (self.shared.dialect.store.write_lease)(record, version);
-        let read = self.shared.dialect.store.read_seen_lease;
-        let exchange = Arc::clone(&self.exchange);
-        let log = self.shared.log.clone();
-        let timeouts = self.lease_timeouts();
+        let caller = self.lease_caller();
+        let placer = self.placer.as_ref();
+        let relays = placer.map(|it| it.presence.that_reach_platform(RELAYS));
+        let relays = relays.unwrap_or_default();
+        let mesh = self.shared.mesh.clone();
         tokio::spawn(async move {
-            let written = match exchange.call(&call, timeouts).await {
-                Ok(body) => match read(&body) {
-                    Ok(seen) => SoleWritten::Done(seen.version),
-                    Err(malformed) => {
-                        slog::warn!(log, "lease can't be read"; "problem" => malformed.to_string());
-                        SoleWritten::Unknown
-                    }
-                },
-                Err(error) => {
-                    slog::info!(log, "lease not written"; "reason" => error.to_string());
-                    failed_write(&error)
-                }
+            let within = if relays.is_empty() {
+                LEASE_CALL
+            } else {
+                FIRST_LEASE_CALL
             };
-            drop(control.send(LeaseAnswer::Written(written)).await);
+            let mut answer = caller.call(&call, within).await;
+            for peer in &relays {
+                if !answer.is_failure() {
+                    break;
+                }
+                answer = relay(&mesh, peer, &call).await;
+                slog::info!(caller.log, "lease call relayed";
+                    "peer" => peer.instance.as_str(), "failed" => answer.is_failure());
+            }
+            drop(control.send(answer).await);
         });
     }
 
-    /// Reads the record, linearizably.
-    pub(super) fn read_lease(&self) {
-        let Some(control) = self.address.clone() else {
+    /// Makes a call about the lease for the placer.
+    pub(super) fn call_lease_for(&self, call: LeaseCall, reply: Option<Reply<PeerMessage>>) {
+        let Some(reply) = reply else {
             return;
         };
-        let call = (self.shared.dialect.store.read_lease)();
-        let read = self.shared.dialect.store.read_seen_lease;
-        let exchange = Arc::clone(&self.exchange);
-        let log = self.shared.log.clone();
-        let timeouts = self.lease_timeouts();
+        let caller = self.lease_caller();
         tokio::spawn(async move {
-            let answer = match exchange.call(&call, timeouts).await {
-                Ok(body) => match read(&body) {
-                    Ok(seen) => LeaseAnswer::Read(Some(seen)),
-                    Err(malformed) => {
-                        slog::warn!(log, "lease can't be read"; "problem" => malformed.to_string());
-                        LeaseAnswer::ReadFailed
-                    }
-                },
-                Err(PlatformError::NotFound { .. }) => LeaseAnswer::Read(None),
-                Err(error) => {
-                    slog::info!(log, "lease not read"; "reason" => error.to_string());
-                    LeaseAnswer::ReadFailed
-                }
-            };
-            drop(control.send(answer).await);
+            let answer = caller.call(&call, FIRST_LEASE_CALL).await;
+            if let Err(error) = reply.send(PeerMessage::LeaseCalled(answer)) {
+                slog::debug!(caller.log, "asker is gone"; "reason" => error.to_string());
+            }
         });
     }
 
-    fn lease_timeouts(&self) -> Timeouts {
-        Timeouts {
-            attempt: LEASE_CALL,
-            call: LEASE_CALL,
-            max_attempts: 1,
-            ..self.exchange.config().timeouts
+    fn lease_caller(&self) -> Caller {
+        Caller {
+            exchange: Arc::clone(&self.exchange),
+            dialect: self.shared.dialect.store.clone(),
+            log: self.shared.log.clone(),
         }
     }
 
@@ -109,6 +116,87 @@
     }
 }
 
+/// Has another instance make a call.
+async fn relay(mesh: &Mesh<PeerMessage>, peer: &Peer, call: &LeaseCall) -> LeaseAnswer {
+    let message = PeerMessage::CallLease(call.clone());
+    match mesh.request(peer, message, RELAYED_LEASE_CALL).await {
+        Ok(PeerMessage::LeaseCalled(answer)) => answer,
+        // The peer may have made the call all the same.
+        Ok(_) | Err(_) => call.without_answer(),
+    }
+}
+
+impl LeaseCall {
+    /// Returns what is known if nobody answers: a write may have been carried out.
+    const fn without_answer(&self) -> LeaseAnswer {
+        match self {
+            Self::Write(..) => LeaseAnswer::Written(SoleWritten::Unknown),
+            Self::Read => LeaseAnswer::ReadFailed,
+        }
+    }
+}
+
+impl Caller {
+    async fn call(&self, call: &LeaseCall, within: Duration) -> LeaseAnswer {
+        let timeouts = Timeouts {
+            attempt: within,
+            call: within,
+            max_attempts: 1,
+            ..self.exchange.config().timeouts
+        };
+        match call {
+            LeaseCall::Write(record, version) => {
+                LeaseAnswer::Written(self.write(record, *version, timeouts).await)
+            }
+            LeaseCall::Read => self.read(timeouts).await,
+        }
+    }
+
+    async fn write(
+        &self,
+        record: &SoleRecord,
+        version: Option<u64>,
+        timeouts: Timeouts,
+    ) -> SoleWritten {
+        let call = (self.dialect.write_lease)(record, version);
+        match self.exchange.call(&call, timeouts).await {
+            Ok(body) => match (self.dialect.read_seen_lease)(&body) {
+                Ok(seen) => SoleWritten::Done(seen.version),
+                Err(malformed) => {
+                    self.report_malformed(&malformed);
+                    SoleWritten::Unknown
+                }
+            },
+            Err(error) => {
+                slog::info!(self.log, "lease not written"; "reason" => error.to_string());
+                failed_write(&error)
+            }
+        }
+    }
+
+    async fn read(&self, timeouts: Timeouts) -> LeaseAnswer {
+        let call = (self.dialect.read_lease)();
+        match self.exchange.call(&call, timeouts).await {
+            Ok(body) => match (self.dialect.read_seen_lease)(&body) {
+                Ok(seen) => LeaseAnswer::Read(Some(seen)),
+                Err(malformed) => {
+                    self.report_malformed(&malformed);
+                    LeaseAnswer::ReadFailed
+                }
+            },
+            Err(PlatformError::NotFound { .. }) => LeaseAnswer::Read(None),
+            Err(error) => {
+                slog::info!(self.log, "lease not read"; "reason" => error.to_string());
+                LeaseAnswer::ReadFailed
+            }
+        }
+    }
+
+    fn report_malformed(&self, malformed: &Malformed) {
+        slog::warn!(self.log, "lease can't be read"; "problem" => malformed.to_string());
+    }
+}
+
 fn failed_write(error: &PlatformError) -> SoleWritten {
     match error {
         PlatformError::Conflict { .. }
--- a/crates/chervilshunt_gateway/src/control/messages.rs
+++ b/crates/chervilshunt_gateway/src/control/messages.rs
@@ -1,6 +1,5 @@
 //! Messages to the control actor.
 
-use chervilshunt_coord::{SeenRecord, SoleWritten};
 use chervilshunt_core::{OrderAnswer, OrderNumber, TargetReport};
 use chervilshunt_mesh::Inbound;
 use chervilshunt_model::TargetName;
@@ -31,17 +30,6 @@
     Back(Kind),
 }
 
-/// The platform answered a call about the lease.
-#[derive(Debug)]
-pub(crate) enum LeaseAnswer {
-    /// A write has ended.
-    Written(SoleWritten),
-    /// A read has ended; none if there is no object.
-    Read(Option<SeenRecord>),
-    /// A read has failed.
-    ReadFailed,
-}
-
 /// A target answered an order.
 #[derive(Debug)]
 pub(crate) struct Ordered(pub(crate) OrderNumber, pub(crate) OrderAnswer);
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -14,7 +14,7 @@
 
 use super::actor::{Control, Placer};
 use super::messages::{Asked, Ordered};
-use super::presence::Presence;
+use super::presence::{Presence, SignOfLife};
 use crate::peers::PeerMessage;
 
 /// How long a target may take to accept an order, or to say what it holds. It answers within
@@ -152,7 +152,7 @@
     pub(super) fn instance_uses(
         &mut self,
         from: &InstanceId,
-        address: SocketAddr,
+        sign: SignOfLife,
         first: bool,
         uses: Vec<Use>,
     ) {
@@ -161,10 +161,10 @@
         let Some(placer) = &mut self.placer else {
             return;
         };
-        placer.presence.heard(from, address, now);
+        placer.presence.heard(from, sign, now);
         let peer = Peer {
             instance: from.clone(),
-            address,
+            address: sign.address,
         };
         let loads = PeerMessage::Loads {
             others: placer.residency.load_beside(from),
--- a/crates/chervilshunt_gateway/src/control/presence.rs
+++ b/crates/chervilshunt_gateway/src/control/presence.rs
@@ -6,42 +6,57 @@
 
 use chervilshunt_mesh::Peer;
 use chervilshunt_model::{InstanceId, Moment};
+use rand::seq::IteratorRandom as _;
 
 /// The silence after which an instance counts as gone, and its requests with it: several times
 /// the interval at which instances tell what they use.
 const SILENCE: Duration = Duration::from_secs(3);
 
+/// What an instance tells of itself.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SignOfLife {
+    /// Where it takes messages.
+    pub(super) address: SocketAddr,
+    /// Whether the platform answered its last call.
+    pub(super) reaches_platform: bool,
+}
+
 /// The instances that the placer hears of.
 #[derive(Debug, Default)]
 pub(super) struct Presence {
-    heard: HashMap<InstanceId, (SocketAddr, Moment)>,
+    heard: HashMap<InstanceId, (SignOfLife, Moment)>,
 }
 
 impl Presence {
     /// Takes note of a sign of life.
-    pub(super) fn heard(&mut self, instance: &InstanceId, address: SocketAddr, now: Moment) {
-        self.heard.insert(instance.clone(), (address, now));
+    pub(super) fn heard(&mut self, instance: &InstanceId, sign: SignOfLife, now: Moment) {
+        self.heard.insert(instance.clone(), (sign, now));
     }
 
     /// Forgets silent instances and returns them.
     pub(super) fn forget_silent(&mut self, now: Moment) -> Vec<InstanceId> {
-        let silent = self.heard.iter();
-        let silent = silent.filter(|(_, (_, at))| now.since(*at) > SILENCE);
-        let silent: Vec<InstanceId> = silent.map(|(instance, _)| instance.clone()).collect();
-        for instance in &silent {
-            self.heard.remove(instance);
-        }
-        silent
+        let silent = self.heard.extract_if(|_, (_, at)| now.since(*at) > SILENCE);
+        silent.map(|(instance, _)| instance).collect()
     }
 
     /// Returns all instances that are there.
     pub(super) fn peers(&self) -> impl Iterator<Item = Peer> {
-        self.heard.iter().map(|(instance, (address, _))| Peer {
+        self.heard.iter().map(|(instance, (sign, _))| Peer {
             instance: instance.clone(),
-            address: *address,
+            address: sign.address,
         })
     }
 
+    /// Returns some of the instances that reach the platform.
+    pub(super) fn that_reach_platform(&self, most: usize) -> Vec<Peer> {
+        let reaching = self.heard.iter().filter(|(_, (it, _))| it.reaches_platform);
+        let peers = reaching.map(|(instance, (sign, _))| Peer {
+            instance: instance.clone(),
+            address: sign.address,
+        });
+        peers.choose_multiple(&mut rand::rng(), most)
+    }
+
     /// Returns how many instances are there, the placer's own included.
     pub(super) fn count(&self) -> u32 {
         u32::try_from(self.heard.len() + 1).unwrap_or(u32::MAX)
--- a/crates/chervilshunt_gateway/src/control/targets.rs
+++ b/crates/chervilshunt_gateway/src/control/targets.rs
@@ -88,6 +88,7 @@
     /// Takes note of a failed call, or of the first one after failures. Only those about targets say
     /// when entries of targets may have lapsed.
     fn note_trouble(&mut self, kind: Kind) {
+        self.reaches_platform = false;
         if kind == Kind::Targets {
             self.absences.last_trouble = Some(self.now());
         }
@@ -95,6 +96,7 @@
 
     /// Takes note that everything of a kind is known up to a revision.
     fn looked(&mut self, kind: Kind, revision: u64) {
+        self.reaches_platform = true;
         let now = self.now();
         match kind {
             Kind::Targets => {
--- a/crates/chervilshunt_gateway/src/control/using.rs
+++ b/crates/chervilshunt_gateway/src/control/using.rs
@@ -6,6 +6,7 @@
 use chervilshunt_model::{InstanceId, TargetName};
 
 use super::actor::Control;
+use super::presence::SignOfLife;
 use crate::peers::{EntriesView, PeerMessage};
 
 /// What the placer knows of this instance.
@@ -37,6 +38,7 @@
         let message = PeerMessage::Using {
             address: self.shared.settings.addresses.peers,
             first,
+            reaches_platform: self.reaches_platform,
             uses,
         };
         if let Err(error) = self.shared.mesh.send(&placer, message) {
@@ -55,8 +57,15 @@
             PeerMessage::Using {
                 address,
                 first,
+                reaches_platform,
                 uses,
-            } => self.instance_uses(&from, address, first, uses),
+            } => {
+                let sign = SignOfLife {
+                    address,
+                    reaches_platform,
+                };
+                self.instance_uses(&from, sign, first, uses);
+            }
             PeerMessage::Want {
                 service,
                 weights,
@@ -94,11 +103,13 @@
                 self.holder_heard(entries);
                 self.take_loads(&others, instances, pressed);
             }
+            PeerMessage::CallLease(call) => self.call_lease_for(call, reply),
             // From an instance that was the placer, or is not known to be yet.
             PeerMessage::HoldingsWhole(_)
             | PeerMessage::Holdings(_)
             | PeerMessage::Loads { .. }
-            | PeerMessage::Placed(_) => {}
+            | PeerMessage::Placed(_)
+            | PeerMessage::LeaseCalled(_) => {}
         }
     }
 
--- a/crates/chervilshunt_gateway/src/peers.rs
+++ b/crates/chervilshunt_gateway/src/peers.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use chervilshunt_coord::{SeenRecord, SoleRecord, SoleWritten};
 use chervilshunt_core::{Holding, Lane, Placed, Use, Weights};
 use chervilshunt_mesh::Purpose;
 use chervilshunt_model::{ServiceName, TargetName};
@@ -20,6 +21,9 @@
         /// Whether the sender knows nothing yet of who holds what.
         #[serde(rename = "f")]
         first: bool,
+        /// Whether the platform answered the sender's last call.
+        #[serde(rename = "r")]
+        reaches_platform: bool,
         /// What it has under way.
         #[serde(rename = "u")]
         uses: Vec<Use>,
@@ -72,6 +76,44 @@
         #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
         entries: Option<EntriesView>,
     },
+    /// From the placer, which can't reach the platform: a call about its lease to make in its place.
+    /// Answered by `LeaseCalled`.
+    #[serde(rename = "c")]
+    CallLease(LeaseCall),
+    /// To the placer: what came of that call.
+    #[serde(rename = "C")]
+    LeaseCalled(LeaseAnswer),
+}
+
+/// A call about the lease.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum LeaseCall {
+    /// Writes the record if the object still has a version, or creates it.
+    Write(SoleRecord, Option<u64>),
+    /// Reads the record, linearizably.
+    Read,
+}
+
+/// What came of a call about the lease.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum LeaseAnswer {
+    /// A write has ended.
+    Written(SoleWritten),
+    /// A read has ended; none if there is no object.
+    Read(Option<SeenRecord>),
+    /// A read has failed.
+    ReadFailed,
+}
+
+impl LeaseAnswer {
+    /// Says whether somebody else may get further with the call: a write is carried out at one
+    /// version of the object only, so that the same write by two does no harm.
+    pub(crate) const fn is_failure(&self) -> bool {
+        matches!(
+            self,
+            Self::Written(SoleWritten::Failed | SoleWritten::Unknown) | Self::ReadFailed
+        )
+    }
 }
 
 /// What the placer sees of the targets' entries in the platform's service.
@@ -98,6 +140,8 @@
             Self::HoldingsWhole(_) => "holdings_whole",
             Self::Holdings(_) => "holdings",
             Self::Loads { .. } => "loads",
+            Self::CallLease(_) => "call_lease",
+            Self::LeaseCalled(_) => "lease_called",
         }
     }
 }
--- a/crates/chervilshunt_gateway/src/settings.rs
+++ b/crates/chervilshunt_gateway/src/settings.rs
@@ -64,7 +64,7 @@
 }
 
 /// Who an instance is and where it stands.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct InstanceSettings {
     /// Its name, unlike that of any other.
     pub id: InstanceId,
@@ -72,6 +72,8 @@
     pub zone: ZoneName,
     /// Its region.
     pub region: RegionName,
+    /// The share of a processor core that it has.
+    pub processor_share: f64,
 }
 
 /// Where an instance listens.
@@ -136,6 +138,7 @@
     id: Option<String>,
     zone: Option<String>,
     region: Option<String>,
+    processor_share: Option<f64>,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -169,6 +172,8 @@
     level: LogLevel,
 }
 
+/// The share of a core that an instance has if the settings give none.
+const WHOLE_CORE: f64 = 1.0;
 /// The shutdown's bound if the settings give none.
 const SHUTDOWN: Duration = Duration::from_secs(8);
 /// The rest between two placers if the settings give none, and what is added to a given one: an
@@ -230,11 +235,21 @@
     );
     let zone = instance.zone.context(missing("instance.zone"))?;
     let region = instance.region.context(missing("instance.region"))?;
+    let processor_share = instance.processor_share.unwrap_or(WHOLE_CORE);
+    ensure!(
+        processor_share > 0.0 && processor_share <= WHOLE_CORE,
+        OutOfBoundsSnafu {
+            file,
+            key: "instance.processor_share",
+            must: "be above 0 and at most 1"
+        }
+    );
     Ok(Settings {
         instance: InstanceSettings {
             id: InstanceId::new(id),
             zone: ZoneName::new(zone),
             region: RegionName::new(region),
+            processor_share,
         },
         addresses: Addresses {
             callers: addresses.callers.context(missing("addresses.callers"))?,
