Count the slots of what a target refused or may hold, and have lost loads done elsewhere

A target that refused a request for another version was taken to hold nothing of the adapter, so that a load found a free slot while another order was on its way; a placer that knows of no newer version meets this. And a placer that lost its lease and had it back at once asked targets while their reports lagged. Which of the two it was is not shown. Mended are both: the slot counts until the adapter is given up, and a new planner asks after the lag. Tests: residency_versions.rs, both failed first. Now an order is given up on after 0.25 s, its load does not count, those who wait go to another target, and a load that can't begin holds no room.

--- a/crates/chervilshunt_core/src/residency/answers.rs
+++ b/crates/chervilshunt_core/src/residency/answers.rs
@@ -6,7 +6,7 @@
 use super::order::{Order, OrderAnswer, OrderNumber, Placed, ResidencyAction, TargetReport};
 use super::planner::Residency;
 use super::target::Turn;
-use super::wants::tell;
+use super::wants::{Orphans, tell};
 use crate::owner::OrderKind;
 
 impl Residency {
@@ -105,8 +105,10 @@
                 out.push(tell(&order.target, &order.weights, Some(version)));
                 self.answer_loaded(questions, &order.target, outdated, out);
             }
+            // Another order has been carried out meanwhile; this one tells nothing.
+            OrderAnswer::OutOfTurn if confirming => hold.state = HoldState::Loading(look_again),
             // It is still under way.
-            OrderAnswer::Accepted | OrderAnswer::OutOfTurn if confirming => {
+            OrderAnswer::Accepted if confirming => {
                 if let Some(since) = hold.fetched_since {
                     self.window.goes_on(now.since(since), now);
                 }
@@ -116,19 +118,26 @@
                 hold.state = HoldState::Loading(look_at);
                 hold.fetched_since = from_store.then_some(now);
             }
+            // A load that should have ended by now most likely has; if not, the target refuses
+            // truly. Those who wait would be no better off at another target.
+            OrderAnswer::Unanswered if confirming => {
+                let questions = std::mem::take(&mut hold.questions);
+                let outdated = hold.outdated;
+                self.answer_loaded(questions, &order.target, outdated, out);
+            }
             // Without an answer it may still be loaded, and counts as taking a slot until the
             // target has been asked.
             OrderAnswer::Unanswered => {
-                let questions = std::mem::take(&mut hold.questions);
-                self.answer_later(questions, out);
+                let orphans = orphans(order, hold);
+                self.place_elsewhere(orphans, now, out);
             }
             OrderAnswer::OutOfTurn
             | OrderAnswer::OtherTarget
             | OrderAnswer::Refused
             | OrderAnswer::NotSent => {
-                let questions = std::mem::take(&mut hold.questions);
+                let orphans = orphans(order, hold);
                 target.holds.shift_remove(&order.weights);
-                self.answer_later(questions, out);
+                self.place_elsewhere(orphans, now, out);
             }
         }
     }
@@ -252,5 +261,16 @@
     }
 }
 
+/// Takes the questions from a hold that does not come about.
+fn orphans(order: &Order, hold: &mut Hold) -> Orphans {
+    Orphans {
+        target: order.target.clone(),
+        weights: order.weights.clone(),
+        questions: std::mem::take(&mut hold.questions),
+        until: hold.wanted_until,
+        lane: hold.lane,
+    }
+}
+
 /// The version that a load under way is taken to bring until the target lists it.
 const FIRST_KNOWN: u64 = 1;
--- a/crates/chervilshunt_core/src/residency/config.rs
+++ b/crates/chervilshunt_core/src/residency/config.rs
@@ -28,6 +28,9 @@
     /// What it counts against a target, as a share of its slots, that a load would have to wait there
     /// for an adapter to be given up, which takes half a second and more.
     pub no_slot_penalty: f64,
+    /// What it counts against a target, as a share of its slots, that it has to be asked first how many
+    /// orders it has accepted, which takes half a second.
+    pub unanswered_penalty: f64,
     /// What each load under way counts against a target, as a share of its slots.
     pub loading_penalty: f64,
     /// How long an adapter is no longer told of before it is given up. Instances hear of that up to
@@ -65,6 +68,7 @@
             remembered_adapters: 120,
             spread_share: 0.3,
             cold_penalty: 0.25,
+            unanswered_penalty: 0.5,
             loading_penalty: 0.05,
             uses_settle: Duration::from_millis(700),
             free_share: 0.15,
--- a/crates/chervilshunt_core/src/residency/hold.rs
+++ b/crates/chervilshunt_core/src/residency/hold.rs
@@ -2,6 +2,8 @@
 
 use chervilshunt_model::Moment;
 
+use crate::dispatch::Lane;
+
 /// How far a hold has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum HoldState {
@@ -35,6 +37,8 @@
     pub(crate) questions: Vec<u64>,
     /// Until when somebody waits for it; none if it is loaded for whoever comes.
     pub(crate) wanted_until: Option<Moment>,
+    /// What those who wait for it mostly make a target do.
+    pub(crate) lane: Lane,
     /// When the target accepted its load from the weight store; none if it came from the target's
     /// memory, or nobody saw it begin.
     pub(crate) fetched_since: Option<Moment>,
@@ -50,6 +54,7 @@
             outdated: false,
             questions: Vec::new(),
             wanted_until: None,
+            lane: Lane::General,
             fetched_since: None,
         }
     }
--- a/crates/chervilshunt_core/src/residency/loads.rs
+++ b/crates/chervilshunt_core/src/residency/loads.rs
@@ -51,14 +51,14 @@
     /// Returns how many loads of adapters are under way.
     pub(super) fn loads_under_way(&self) -> usize {
         let targets = self.targets.values();
-        let loading = targets.map(|it| {
+        let fetching = targets.map(|it| {
             if it.touched {
-                it.loading()
+                it.fetching()
             } else {
-                it.summary.loading
+                it.summary.fetching
             }
         });
-        loading.sum()
+        fetching.sum()
     }
 
     /// Says whether a target could begin to load an adapter now.
@@ -67,15 +67,16 @@
             return false;
         };
         let limits = self.limits.get(&target.facts.service);
-        target.loading() < self.cfg.loads_a_target
+        matches!(target.turn, Turn::Free(_))
+            && target.loading() < self.cfg.loads_a_target
             && target.base_load.is_none()
             && limits.is_some_and(|it| target.slots_taken() < it.adapters_beside(&weights.model))
     }
 
     /// Lets the oldest planned loads begin, as far as the window has room.
     ///
-    /// Those that wait for a slot are passed over: they would hold the window's room and load
-    /// nothing.
+    /// Those that wait for a slot, or for what their target says to an order, are passed over: they
+    /// would hold the window's room and load nothing.
     fn admit(&mut self) {
         let room = self.window.size().saturating_sub(self.loads_under_way());
         let waiting = self.waiting_loads();
--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -27,6 +27,8 @@
     /// Loads that may be ordered now; the others wait for one of those under way to end.
     pub(super) admitted: HashSet<(TargetName, Weights)>,
     next_order: u64,
+    /// When the first targets are asked what they hold.
+    asks_from: Moment,
     /// When it was last looked whether adapters are crowded.
     pub(super) spread_at: Moment,
 }
@@ -36,8 +38,13 @@
 
 impl Residency {
     /// Starts without knowing any target; each one is asked what it holds when it is first seen.
-    pub fn new(cfg: ResidencyConfig) -> Self {
+    ///
+    /// What a target reports lags behind what it has accepted, and this instance itself may have
+    /// given orders just before. Asked at once, a target leaves out the last load; then one load
+    /// more than it has slots for would be ordered, which kills it.
+    pub fn new(cfg: ResidencyConfig, now: Moment) -> Self {
         Self {
+            asks_from: now + cfg.report_lag,
             cfg,
             targets: IndexMap::new(),
             limits: HashMap::new(),
@@ -126,7 +133,7 @@
         let summary = Summary {
             wake_at: self.target_wakeup(target, now),
             has_planned: holds.any(|hold| hold.state == HoldState::Planned),
-            loading: target.loading(),
+            fetching: target.fetching(),
             depends_on_others: self.missing_model(name).is_some()
                 || target.holds.values().any(|hold| hold.outdated),
         };
@@ -218,7 +225,8 @@
             }
             None => {
                 let name = facts.name.clone();
-                self.targets.insert(name, TargetState::new(facts, now));
+                let ask_at = now.max(self.asks_from);
+                self.targets.insert(name, TargetState::new(facts, ask_at));
             }
         }
     }
--- a/crates/chervilshunt_core/src/residency/target.rs
+++ b/crates/chervilshunt_core/src/residency/target.rs
@@ -56,17 +56,17 @@
     pub(crate) wake_at: Option<Moment>,
     /// Whether loads wait here to be ordered.
     pub(crate) has_planned: bool,
-    /// The adapters that are being loaded.
-    pub(crate) loading: usize,
+    /// The loads that the weight store serves.
+    pub(crate) fetching: usize,
     /// Whether what is due here depends on other targets, so that it is looked at with each event.
     pub(crate) depends_on_others: bool,
 }
 
 impl TargetState {
-    pub(crate) fn new(facts: TargetFacts, now: Moment) -> Self {
+    pub(crate) fn new(facts: TargetFacts, ask_at: Moment) -> Self {
         Self {
             facts,
-            turn: Turn::Unknown(now),
+            turn: Turn::Unknown(ask_at),
             holds: IndexMap::new(),
             remembered: IndexSet::new(),
             base_load: None,
@@ -93,6 +93,22 @@
         self.holds.values().filter(loading).count()
     }
 
+    /// Returns the loads that the weight store serves, as far as is known.
+    ///
+    /// One whose last order got no answer has not begun, or has ended, or begins seconds later;
+    /// counted, a few lost answers would keep the loads of all other targets waiting.
+    pub(crate) fn fetching(&self) -> usize {
+        let answers = matches!(self.turn, Turn::Out(_) | Turn::Free(_));
+        let fetching = |hold: &&Hold| match hold.state {
+            HoldState::Loading(_) => true,
+            HoldState::Ordered | HoldState::Confirming => answers,
+            HoldState::Planned | HoldState::Ready | HoldState::Ending | HoldState::Unloading => {
+                false
+            }
+        };
+        self.holds.values().filter(fetching).count()
+    }
+
     /// Returns the loads that are planned or under way.
     pub(crate) fn coming(&self) -> usize {
         self.holds.values().filter(|hold| hold.is_coming()).count()
@@ -229,6 +245,10 @@
         } else {
             cfg.no_slot_penalty
         };
-        load + cold + no_slot + cfg.loading_penalty * self.coming() as f64
+        let unanswered = match self.turn {
+            Turn::Unknown(_) | Turn::Asked => cfg.unanswered_penalty,
+            Turn::Free(_) | Turn::Out(_) => 0.0,
+        };
+        load + cold + no_slot + unanswered + cfg.loading_penalty * self.coming() as f64
     }
 }
--- a/crates/chervilshunt_core/src/residency/wants.rs
+++ b/crates/chervilshunt_core/src/residency/wants.rs
@@ -21,6 +21,16 @@
     pub(super) avoid: &'a [TargetName],
 }
 
+/// Questions about a load that did not come about.
+#[derive(Debug)]
+pub(super) struct Orphans {
+    pub(super) target: TargetName,
+    pub(super) weights: Weights,
+    pub(super) questions: Vec<u64>,
+    pub(super) until: Option<Moment>,
+    pub(super) lane: Lane,
+}
+
 impl<'a> Want<'a> {
     /// Wants an adapter for whoever uses it.
     pub(super) const fn general(service: &'a ServiceName, weights: &'a Weights) -> Self {
@@ -136,11 +146,39 @@
         let target = self.targets.get_mut(&name)?;
         let mut hold = Hold::new(HoldState::Planned, version, now);
         hold.wanted_until = want.until;
+        hold.lane = want.lane;
         target.holds.insert(weights.clone(), hold);
         target.touched = true;
         Some(name)
     }
 
+    /// Finds another target for those who wait for a load that did not come about, as long as they
+    /// would wait for it; the others are told to come back.
+    pub(super) fn place_elsewhere(
+        &mut self,
+        orphans: Orphans,
+        now: Moment,
+        out: &mut Vec<ResidencyAction>,
+    ) {
+        if orphans.questions.is_empty() {
+            return;
+        }
+        let service = self.targets.get(&orphans.target);
+        let Some(service) = service.map(|it| it.facts.service.clone()) else {
+            return self.answer_later(orphans.questions, out);
+        };
+        let want = Want {
+            service: &service,
+            weights: &orphans.weights,
+            until: orphans.until,
+            lane: orphans.lane,
+            avoid: std::slice::from_ref(&orphans.target),
+        };
+        for question in orphans.questions {
+            self.wanted(question, want, now, out);
+        }
+    }
+
     fn may_place(&self, name: &TargetName, target: &TargetState, want: Want<'_>) -> bool {
         target.facts.service == *want.service
             && target.takes_work()
@@ -192,6 +230,11 @@
     }
 
     /// Takes in that a target does not hold what it was told to hold.
+    ///
+    /// It may hold it all the same, in a version that the request could not use. So nobody is told
+    /// of it any more, and its slot counts as taken until the target has given it up or been asked:
+    /// counted as free, it would be given to a load that the target has no slot for, which kills it.
+    /// Nor is anyone else sent there for it, to be refused in turn.
     pub(super) fn not_held(
         &mut self,
         name: &TargetName,
@@ -203,14 +246,16 @@
             return;
         };
         let lag = self.cfg.report_lag;
-        let Some(hold) = target.holds.get(weights) else {
+        let Some(hold) = target.holds.get_mut(weights) else {
             return;
         };
         // A request that was refused just as the load ended says nothing of the hold.
         if hold.state != HoldState::Ready || now.since(hold.since) < lag {
             return;
         }
-        target.holds.shift_remove(weights);
+        hold.state = HoldState::Ending;
+        hold.outdated = true;
+        hold.since = now;
         target.touched = true;
         out.push(tell(name, weights, None));
         if let super::target::Turn::Free(_) = target.turn {
--- a/crates/chervilshunt_core/tests/residency_load.rs
+++ b/crates/chervilshunt_core/tests/residency_load.rs
@@ -29,8 +29,14 @@
     load_ms: f64,
     at_full_speed: usize,
     wants_a_second: u64,
+    /// Of how many orders one gets no answer, and is carried out seconds later; none if zero.
+    one_lost_of: u64,
 }
 
+/// How late an order is carried out that gets no answer, and after what time it is given up on.
+const CARRIED_OUT_AFTER_MS: u64 = 4_000;
+const GIVEN_UP_AFTER_MS: u64 = 250;
+
 #[derive(Clone, Debug, PartialEq)]
 enum At {
     Loading { left_ms: f64, since_ms: u64 },
@@ -43,6 +49,9 @@
     adapters: HashMap<(TargetName, Weights), At>,
     accepted: HashMap<TargetName, u64>,
     load_times_ms: Vec<u64>,
+    orders: u64,
+    /// Orders that are carried out at a later millisecond.
+    late: BTreeMap<u64, Vec<Order>>,
 }
 
 impl Store {
@@ -63,6 +72,20 @@
         }
     }
 
+    fn report(&self, target: &TargetName) -> TargetReport {
+        let here = self.adapters.iter().filter(|((it, _), _)| it == target);
+        let (held, loading): (Vec<_>, Vec<_>) = here.partition(|(_, at)| **at == At::Held);
+        TargetReport {
+            accepted: self.accepted.get(target).copied().unwrap_or(0),
+            busy: false,
+            adapters: held
+                .into_iter()
+                .map(|((_, it), _)| (it.clone(), 1))
+                .collect(),
+            loading: loading.into_iter().map(|((_, it), _)| it.clone()).collect(),
+        }
+    }
+
     fn carry_out(&mut self, load: Load, order: &Order, now_ms: u64) -> OrderAnswer {
         let key = (order.target.clone(), order.weights.clone());
         let accepted = self.accepted.entry(order.target.clone()).or_default();
@@ -113,7 +136,10 @@
     fn new(load: Load) -> Self {
         let mut it = Self {
             load,
-            residency: Residency::new(ResidencyConfig::default()),
+            residency: Residency::new(
+                ResidencyConfig::default(),
+                moment(0) - Duration::from_secs(1),
+            ),
             store: Store::default(),
             coming: BTreeMap::new(),
             placed: 0,
@@ -153,19 +179,9 @@
         let actions = self.residency.handle(event, moment(now_ms));
         for action in actions {
             match action {
-                ResidencyAction::Order(order) => {
-                    let answer = self.store.carry_out(self.load, &order, now_ms);
-                    let answered = ResidencyEvent::Answered(order.number, answer);
-                    let due = self.coming.entry(now_ms + ROUND_TRIP_MS);
-                    due.or_default().push(answered);
-                }
+                ResidencyAction::Order(order) => self.order(order, now_ms),
                 ResidencyAction::Ask(target) => {
-                    let report = TargetReport {
-                        accepted: 0,
-                        busy: false,
-                        adapters: Vec::new(),
-                        loading: Vec::new(),
-                    };
+                    let report = self.store.report(&target);
                     let due = self.coming.entry(now_ms + ROUND_TRIP_MS);
                     due.or_default()
                         .push(ResidencyEvent::Reported(target, report));
@@ -176,6 +192,27 @@
         }
     }
 
+    fn order(&mut self, order: Order, now_ms: u64) {
+        self.store.orders += 1;
+        let lost =
+            self.load.one_lost_of > 0 && self.store.orders.is_multiple_of(self.load.one_lost_of);
+        let (after, answer) = if lost {
+            (GIVEN_UP_AFTER_MS, OrderAnswer::Unanswered)
+        } else {
+            let answer = self.store.carry_out(self.load, &order, now_ms);
+            (ROUND_TRIP_MS, answer)
+        };
+        let answered = ResidencyEvent::Answered(order.number, answer);
+        self.coming
+            .entry(now_ms + after)
+            .or_default()
+            .push(answered);
+        if lost {
+            let at = now_ms + CARRIED_OUT_AFTER_MS;
+            self.store.late.entry(at).or_default().push(order);
+        }
+    }
+
     fn want(&mut self, number: u64, now_ms: u64) {
         let weights = Weights {
             model: "base".into(),
@@ -198,6 +235,9 @@
         let mut wants = 0;
         for now_ms in 1..SECONDS * 1_000 {
             self.store.pass(self.load, now_ms);
+            for order in self.store.late.remove(&now_ms).unwrap_or_default() {
+                self.store.carry_out(self.load, &order, now_ms);
+            }
             for event in self.coming.remove(&now_ms).unwrap_or_default() {
                 self.handle(event, now_ms);
             }
@@ -228,11 +268,11 @@
 /// Taken for one, the window stays at its smallest: of 150 wants a second before 112 targets, 19 in
 /// 100 were placed in time where the store could have served all of them.
 #[rstest]
-#[case::small_store(Load { targets: 9, adapter_slots: 30, load_ms: 250.0, at_full_speed: 8, wants_a_second: 25 })]
-#[case::middle_store(Load { targets: 18, adapter_slots: 21, load_ms: 250.0, at_full_speed: 16, wants_a_second: 50 })]
-#[case::slower_loads(Load { targets: 112, adapter_slots: 8, load_ms: 288.0, at_full_speed: 64, wants_a_second: 150 })]
-#[case::much_slower_loads(Load { targets: 112, adapter_slots: 8, load_ms: 400.0, at_full_speed: 64, wants_a_second: 120 })]
-#[case::quicker_loads(Load { targets: 112, adapter_slots: 8, load_ms: 150.0, at_full_speed: 64, wants_a_second: 150 })]
+#[case::small_store(Load { targets: 9, adapter_slots: 30, load_ms: 250.0, at_full_speed: 8, wants_a_second: 25, one_lost_of: 0 })]
+#[case::middle_store(Load { targets: 18, adapter_slots: 21, load_ms: 250.0, at_full_speed: 16, wants_a_second: 50, one_lost_of: 0 })]
+#[case::slower_loads(Load { targets: 112, adapter_slots: 8, load_ms: 288.0, at_full_speed: 64, wants_a_second: 150, one_lost_of: 0 })]
+#[case::much_slower_loads(Load { targets: 112, adapter_slots: 8, load_ms: 400.0, at_full_speed: 64, wants_a_second: 120, one_lost_of: 0 })]
+#[case::quicker_loads(Load { targets: 112, adapter_slots: 8, load_ms: 150.0, at_full_speed: 64, wants_a_second: 150, one_lost_of: 0 })]
 fn wants_within_the_stores_reach_are_placed(#[case] load: Load) {
     let (placed, slowness) = Replay::new(load).run();
     assert!(
@@ -244,8 +284,8 @@
 /// Wanted a third faster than the store can serve, adapters come at nearly its full pace all the
 /// same, and not all of them late: what can't be served is told so at once.
 #[rstest]
-#[case::small_store(Load { targets: 9, adapter_slots: 30, load_ms: 250.0, at_full_speed: 8, wants_a_second: 43 })]
-#[case::large_store(Load { targets: 112, adapter_slots: 8, load_ms: 288.0, at_full_speed: 64, wants_a_second: 300 })]
+#[case::small_store(Load { targets: 9, adapter_slots: 30, load_ms: 250.0, at_full_speed: 8, wants_a_second: 43, one_lost_of: 0 })]
+#[case::large_store(Load { targets: 112, adapter_slots: 8, load_ms: 288.0, at_full_speed: 64, wants_a_second: 300, one_lost_of: 0 })]
 fn an_overloaded_store_is_used_in_full(#[case] load: Load) {
     let (placed, slowness) = Replay::new(load).run();
     let reach = load.at_full_speed as f64 / load.load_ms * 1e3 / load.wants_a_second as f64;
@@ -254,3 +294,21 @@
         "placed {placed:.3} of {reach:.3}, loads take {slowness:.2} times as long as at full speed"
     );
 }
+
+/// Targets leave a third of the orders unanswered and carry them out seconds later, so that each is
+/// out of use for 0.7 s after one in three. A request that waits for such a load is not given up: the
+/// adapter is loaded at another target. Given up, and with lost orders counted against the window of
+/// loads, 32 in 100 wants were placed in time.
+#[test]
+fn a_load_whose_order_is_lost_goes_to_another_target() {
+    let load = Load {
+        targets: 112,
+        adapter_slots: 8,
+        load_ms: 288.0,
+        at_full_speed: 64,
+        wants_a_second: 100,
+        one_lost_of: 3,
+    };
+    let (placed, _) = Replay::new(load).run();
+    assert!(placed > 0.65, "placed {placed:.3}");
+}
--- a/crates/chervilshunt_core/tests/residency_machine.rs
+++ b/crates/chervilshunt_core/tests/residency_machine.rs
@@ -145,7 +145,7 @@
 impl World {
     fn new() -> Self {
         let mut world = Self {
-            planner: Residency::new(ResidencyConfig::default()),
+            planner: Residency::new(ResidencyConfig::default(), Moment::from_millis(9_000)),
             now: Moment::from_millis(10_000),
             real: BTreeMap::new(),
             versions: BTreeMap::new(),
--- a/crates/chervilshunt_core/tests/residency_versions.rs
+++ b/crates/chervilshunt_core/tests/residency_versions.rs
@@ -1,10 +1,12 @@
-//! Requests that wait for an adapter never get an older version of it than the newest one named.
+//! What targets say that differs from what the planner believes: older versions than the newest one
+//! named, and adapters that they do not hold.
 
 use std::time::Duration;
 
 use chervilshunt_core::{
-    Lane, LoadedModel, ModelSpec, OrderAnswer, OrderNumber, Placed, PlacementLimits, Residency,
-    ResidencyAction, ResidencyConfig, ResidencyEvent, TargetFacts, TargetReport, Weights,
+    Lane, LoadedModel, ModelSpec, OrderAnswer, OrderKind, OrderNumber, Placed, PlacementLimits,
+    Residency, ResidencyAction, ResidencyConfig, ResidencyEvent, TargetFacts, TargetReport,
+    Weights,
 };
 use chervilshunt_model::{Moment, ServiceName, TargetName, ZoneName};
 
@@ -19,15 +21,31 @@
 }
 
 fn adapter() -> Weights {
+    named("a1")
+}
+
+fn named(adapter: &str) -> Weights {
     Weights {
         model: "base".into(),
-        adapter: Some("a1".into()),
+        adapter: Some(adapter.into()),
     }
 }
 
 /// A planner that has just begun, before one target that it has asked what it holds.
 fn begun() -> Residency {
-    let mut residency = Residency::new(ResidencyConfig::default());
+    with_slots(4)
+}
+
+/// The same with that many slots for adapters at the target.
+fn with_slots(adapter_slots: usize) -> Residency {
+    let mut residency = begun_with_asks(adapter_slots);
+    residency.handle(ResidencyEvent::Tick, at(450));
+    residency
+}
+
+/// A planner that has just begun, before one target that it has not asked yet.
+fn begun_with_asks(adapter_slots: usize) -> Residency {
+    let mut residency = Residency::new(ResidencyConfig::default(), at(0));
     let limits = PlacementLimits {
         models: vec![ModelSpec {
             name: "base".into(),
@@ -36,7 +54,7 @@
             adapter_megabytes: 1.0,
         }],
         megabytes: 200.0,
-        adapter_slots: 4,
+        adapter_slots,
         loads_per_second: 4.0,
     };
     residency.handle(ResidencyEvent::Limits(service(), limits), at(0));
@@ -58,10 +76,14 @@
 }
 
 fn wanted() -> ResidencyEvent {
+    wants(adapter())
+}
+
+fn wants(weights: Weights) -> ResidencyEvent {
     ResidencyEvent::Wanted {
         question: QUESTION,
         service: service(),
-        weights: adapter(),
+        weights,
         within: Duration::from_secs(1),
         lane: Lane::General,
         avoid: Vec::new(),
@@ -99,10 +121,10 @@
 #[test]
 fn an_older_version_that_a_target_lists_does_not_end_a_planned_load() {
     let mut residency = begun();
-    residency.handle(ResidencyEvent::VersionNamed(adapter(), 2), at(0));
-    let actions = residency.handle(wanted(), at(10));
+    residency.handle(ResidencyEvent::VersionNamed(adapter(), 2), at(451));
+    let actions = residency.handle(wanted(), at(460));
     assert_eq!(answer(&actions), None);
-    let actions = residency.handle(reported(vec![(adapter(), 1)]), at(20));
+    let actions = residency.handle(reported(vec![(adapter(), 1)]), at(470));
     assert!(
         !matches!(answer(&actions), Some(Placed::At { .. })),
         "{actions:?}"
@@ -113,11 +135,11 @@
 #[test]
 fn a_load_that_was_ordered_before_a_newer_version_was_named_serves_nobody_who_waits() {
     let mut residency = begun();
-    residency.handle(reported(Vec::new()), at(5));
-    let actions = residency.handle(wanted(), at(10));
+    residency.handle(reported(Vec::new()), at(455));
+    let actions = residency.handle(wanted(), at(460));
     let accepted = ResidencyEvent::Answered(ordered(&actions), OrderAnswer::Accepted);
-    residency.handle(accepted, at(13));
-    residency.handle(ResidencyEvent::VersionNamed(adapter(), 2), at(100));
+    residency.handle(accepted, at(463));
+    residency.handle(ResidencyEvent::VersionNamed(adapter(), 2), at(500));
     let look = residency.next_wakeup().expect("a look at the load");
     let actions = residency.handle(ResidencyEvent::Tick, look);
     let done = ResidencyEvent::Answered(ordered(&actions), OrderAnswer::Done);
@@ -127,3 +149,37 @@
         "{actions:?}"
     );
 }
+
+/// The target dies, ordered to hold more than it has slots for. It has refused a request for an older
+/// version than the one named, of which the planner did not know; taken for a target that holds
+/// nothing of the adapter, it seemed to have a free slot while another order was on its way.
+#[test]
+fn a_refused_request_frees_no_slot() {
+    let mut residency = with_slots(2);
+    residency.handle(reported(vec![(named("a1"), 1)]), at(455));
+    let actions = residency.handle(wants(named("a2")), at(1_000));
+    let loading = ordered(&actions);
+    let not_held = ResidencyEvent::NotHeld(TargetName::from("t1"), named("a1"));
+    residency.handle(not_held, at(1_001));
+    residency.handle(wants(named("a3")), at(1_002));
+    let accepted = ResidencyEvent::Answered(loading, OrderAnswer::Accepted);
+    let actions = residency.handle(accepted, at(1_003));
+    let loads = actions.iter().filter(|action| match action {
+        ResidencyAction::Order(order) => order.kind == OrderKind::Load,
+        _ => false,
+    });
+    assert_eq!(loads.count(), 0, "{actions:?}");
+}
+
+/// The same, where an instance loses the lease and has it back at once. What a target reports lags
+/// behind what it has accepted; asked at once, it leaves out the last load that was ordered.
+#[test]
+fn a_new_planner_waits_before_it_asks_for_as_long_as_reports_lag() {
+    let mut residency = begun_with_asks(4);
+    assert_eq!(residency.next_wakeup(), Some(at(450)));
+    let actions = residency.handle(ResidencyEvent::Tick, at(450));
+    assert!(
+        matches!(&*actions, [ResidencyAction::Ask(_)]),
+        "{actions:?}"
+    );
+}
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -18,11 +18,13 @@
 use crate::peers::PeerMessage;
 
 /// How long a target may take to accept an order, or to say what it holds. It answers within
-/// milliseconds; one that doesn't may carry an order out late.
+/// milliseconds, and the placer reads it a tenth of a second later at most, where its share of the
+/// processor is used up; one that doesn't may carry an order out late. Waited for longer, targets
+/// that leave a third of the orders unanswered stood idle for half of the time.
 const ORDER_LIMITS: Limits = Limits {
-    connect: Duration::from_millis(300),
-    head: Duration::from_millis(700),
-    idle: Duration::from_millis(700),
+    connect: Duration::from_millis(250),
+    head: Duration::from_millis(250),
+    idle: Duration::from_millis(250),
 };
 /// How long changes of what is held are gathered for each instance that is told of them, so that the
 /// placer sends at most 500 such messages a second. Told of each change at once, 88 instances took
@@ -40,7 +42,7 @@
         slog::info!(self.shared.log, "placing begins"; "term" => term);
         metrics::counter!("chervilshunt_placer_terms_total").increment(1);
         self.placer = Some(Placer {
-            residency: Residency::new(ResidencyConfig::default()),
+            residency: Residency::new(ResidencyConfig::default(), now),
             questions: HashMap::new(),
             next_question: 0,
             presence: Presence::default(),
