Take the placer's own trouble with the platform for nobody else's

The placer told when its last call had failed, and the others, who had seen the target's entry go 0.2 s after, used it on for 2 s as they do for entries that lapse with the platform. Read from the log: "target not listed" with used_for_ms 1967 on all instances in touch. Nothing is told of it any more: while the placer is cut off its view grows old, and the others look for themselves. Test: platform/tests/peers.rs, the placer's own trouble (failed first).

--- a/crates/chervilshunt_gateway/src/control/targets.rs
+++ b/crates/chervilshunt_gateway/src/control/targets.rs
@@ -110,21 +110,19 @@
 
     /// Returns what this instance, as the placer, tells of the targets' entries.
     pub(super) fn entries_view(&self, now: Moment) -> Option<EntriesView> {
-        let failed_at = self.absences.last_trouble;
         self.entries_seen_at.map(|at| EntriesView {
             changed_at: self.entries_changed_at,
             age: now.since(at),
-            failed_before: failed_at.map(|at| now.since(at)),
         })
     }
 
     /// Takes in what the placer tells of the targets' entries.
+    ///
+    /// The placer's own trouble in reaching the platform counts for nothing here. While it lasts
+    /// the placer's view grows old, and this instance finds out for itself whether the platform is
+    /// away for all.
     pub(super) fn take_entries_view(&mut self, view: EntriesView, now: Moment) {
         self.paces.entries.told(view.changed_at, now - view.age);
-        // This instance looks rarely by itself, and may have made no call while the platform's
-        // service was away.
-        let failed_at = view.failed_before.map(|before| now - before);
-        self.absences.last_trouble = self.absences.last_trouble.max(failed_at);
     }
 
     fn listed(&mut self, kind: Kind, entries: Vec<Entry>, revision: u64) {
--- a/crates/chervilshunt_gateway/src/peers.rs
+++ b/crates/chervilshunt_gateway/src/peers.rs
@@ -125,9 +125,6 @@
     /// How long ago the placer saw that nothing has changed since.
     #[serde(rename = "a")]
     pub(crate) age: Duration,
-    /// How long ago a call about the entries last failed; none if none has.
-    #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
-    pub(crate) failed_before: Option<Duration>,
 }
 
 impl Purpose for PeerMessage {
