Place a request elsewhere whose adapter's holders are full

A request for which all holders are full, and others are not, now asks the placer for the adapter at another target, if loads are to be had; those that ask at one time wait for the same load. If none can be had it waits for a slot as before.

--- a/crates/chervilshunt_core/src/dispatch/choose.rs
+++ b/crates/chervilshunt_core/src/dispatch/choose.rs
@@ -71,6 +71,8 @@
     NoTarget,
     /// No usable target holds the adapter.
     NotHeld,
+    /// All targets that hold the adapter are full, and others have room for it.
+    HoldersFull,
     /// All targets that could take it are full.
     Full,
 }
@@ -136,6 +138,9 @@
         if serving.is_empty() {
             return Choice::Wait(Wait::NoTarget);
         }
+        // A load takes a quarter of a second; refused, the request would come back to the same
+        // holders, as full as before.
+        let room_elsewhere = ask.may_ask && serving.iter().any(|it| self.has_room(it));
         let kept = long_prompt_targets(serving.iter().map(|it| &it.facts.name));
         let kept: Vec<TargetName> = kept.into_iter().cloned().collect();
         let in_lane = |target: &Target| kept.contains(&target.facts.name);
@@ -163,10 +168,16 @@
         let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
         match best {
             Some((_, target)) => self.send(target, ask.weights, now),
+            None if room_elsewhere => Choice::Wait(Wait::HoldersFull),
             None => Choice::Wait(Wait::Full),
         }
     }
 
+    /// Returns the targets that hold an adapter.
+    pub fn holders_of(&self, weights: &Weights) -> impl Iterator<Item = &TargetName> {
+        self.holders.of(weights).iter().map(|(name, _)| name)
+    }
+
     /// Chooses the target that the placer named, unless it leaves or is gone.
     pub fn choose_named(
         &self,
--- a/crates/chervilshunt_gateway/src/traffic/place.rs
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -30,6 +30,9 @@
 /// How long a request waits for its adapter, as a multiple of its objective. Beyond that it waits for
 /// a placer that is gone, or behind so many loads that another is better off in its place.
 const PLACE_PATIENCE: f64 = 2.5;
+/// The same where targets hold the adapter and are full: a load at another one has to end within the
+/// objective to be better than a slot that falls free.
+const ELSEWHERE_PATIENCE: f64 = 0.8;
 /// A target is taken to be there, and a connection to it good, if it was heard of within this time.
 /// A request on a connection to a target that has lost power is lost if it may not run twice; on a
 /// new connection it would not leave.
@@ -50,6 +53,7 @@
     pub(crate) async fn find_target(&mut self) -> Result<Chosen, Refusal> {
         let began = self.shared.clock.now();
         let patience = self.req.route.objective.mul_f64(ROOM_PATIENCE);
+        let mut asked_elsewhere = false;
         loop {
             let wait = match self.choose() {
                 Ok(chosen) => return Ok(chosen),
@@ -59,11 +63,20 @@
                 Wait::NoTarget => {
                     return Err(Refusal::retry_after(Reason::NoTarget, NO_TARGET_RETRY));
                 }
-                Wait::NotHeld => return self.ask_placer().await,
-                Wait::Full if self.shared.clock.now().since(began) >= patience => {
+                Wait::NotHeld => return self.ask_placer(PLACE_PATIENCE, &[]).await,
+                Wait::HoldersFull if !asked_elsewhere => {
+                    asked_elsewhere = true;
+                    let full = self.holders();
+                    if let Ok(chosen) = self.ask_placer(ELSEWHERE_PATIENCE, &full).await {
+                        return Ok(chosen);
+                    }
+                }
+                Wait::HoldersFull | Wait::Full
+                    if self.shared.clock.now().since(began) >= patience =>
+                {
                     return Err(Refusal::retry_after(Reason::Full, FULL_RETRY));
                 }
-                Wait::Full => tokio::time::sleep(ROOM_PAUSE).await,
+                Wait::HoldersFull | Wait::Full => tokio::time::sleep(ROOM_PAUSE).await,
             }
         }
     }
@@ -119,8 +132,20 @@
         adapter.is_some() && self.avoid.is_empty() && self.shared.dispatch().has_loads_to_spare(now)
     }
 
-    /// Asks the placer for the adapter, and waits until it is ready.
-    async fn ask_placer(&mut self) -> Result<Chosen, Refusal> {
+    /// Returns the targets that hold the request's adapter.
+    fn holders(&self) -> Vec<TargetName> {
+        let weights = self.req.weights.as_ref();
+        let holders = weights.map(|it| self.shared.dispatch().holders_of(it).cloned().collect());
+        holders.unwrap_or_default()
+    }
+
+    /// Asks the placer for the adapter at none of some targets, and waits until it is ready, at most
+    /// for a multiple of the request's objective.
+    async fn ask_placer(
+        &mut self,
+        patience: f64,
+        besides: &[TargetName],
+    ) -> Result<Chosen, Refusal> {
         let not_placed = || self.not_placed();
         let Some(weights) = self.req.weights.clone() else {
             return Err(not_placed());
@@ -129,14 +154,14 @@
             self.report_placement("nobody places", None);
             return Err(not_placed());
         };
-        let patience = self.req.route.objective.mul_f64(PLACE_PATIENCE);
+        let patience = self.req.route.objective.mul_f64(patience);
         let patience = patience.min(self.req.left(self.shared.clock.now()));
         let message = PeerMessage::Want {
             service: self.req.service.clone(),
             weights,
             within: patience,
             lane: Lane::of(self.req.size),
-            avoid: self.avoid.clone(),
+            avoid: self.avoid.iter().chain(besides).cloned().collect(),
         };
         match self.shared.mesh.request(&placer, message, patience).await {
             Ok(PeerMessage::Placed(Placed::At { target })) => {
