Give what programs do at their start a crate of its own

Opening ports, installing metrics, the control thread, handing on what peers send, and the errors of all that stood in the daemon and the gateway alike. Behaviour stays as it was.

--- a/crates/chervilshunt_daemon/src/run.rs
+++ b/crates/chervilshunt_daemon/src/run.rs
@@ -7,13 +7,13 @@
 use chervilshunt_config::{InstanceSettings, LogLevel, Settings};
 use chervilshunt_coord::{Coordinator, CoordinatorConfig, Holder, Incarnation, deployment_model};
 use chervilshunt_core::{RetryBudget, RetryBudgetConfig};
-use chervilshunt_mesh::{Inbound, Mesh, MeshConfig, MeshError};
+use chervilshunt_mesh::{Mesh, MeshConfig};
 use chervilshunt_platform::{Platform, PlatformConfig};
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use chervilshunt_start::{StartError, forward, install_metrics, listen, on_control_thread};
+use metrics_exporter_prometheus::PrometheusHandle;
 use slog::Logger;
 use snafu::{ResultExt, Snafu};
-use tokio::net::{TcpListener, TcpSocket};
-use tokio::sync::mpsc;
+use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use xtra::prelude::*;
 
@@ -30,8 +30,6 @@
 
 /// Messages that may wait for the control actor before senders wait too.
 const CONTROL_MAILBOX: usize = 8_192;
-/// Connections that may wait to be accepted.
-const ACCEPT_BACKLOG: u32 = 1_024;
 /// How much rarer each role makes the list of all assignments: at 1,630 roles one in 38 minutes.
 ///
 /// It is there for events that a watch never told. The daemon's watches look for those themselves,
@@ -48,33 +46,11 @@
 #[derive(Debug, Snafu)]
 #[non_exhaustive]
 pub enum RunError {
-    /// A port can't be opened.
-    #[snafu(display("can't listen on {address} (addresses.{key}): {source}"))]
-    Listen {
-        /// The address.
-        address: SocketAddr,
-        /// The key in the settings.
-        key: &'static str,
-        /// What the system said.
-        source: std::io::Error,
-    },
-    /// The port for other instances can't be opened.
-    #[snafu(display("addresses.peers: {source}"))]
-    Peers {
-        /// What the transport said.
-        source: MeshError,
-    },
-    /// The threads can't be started.
-    #[snafu(display("can't start threads: {source}"))]
-    Threads {
-        /// What the system said.
-        source: std::io::Error,
-    },
-    /// The metrics can't be set up.
-    #[snafu(display("can't set up metrics: {reason}"))]
-    Metrics {
-        /// What the library said.
-        reason: String,
+    /// It could not start.
+    #[snafu(display("{source}"), context(false))]
+    Start {
+        /// Why not.
+        source: StartError,
     },
     /// The shutdown was not graceful.
     #[snafu(display("{source}"))]
@@ -90,13 +66,13 @@
 /// Fails if a port or thread can't be had, or if open requests had to be cut off at the end.
 pub fn run(settings: Settings) -> Result<(), RunError> {
     let (log, _flushed_on_drop) = start_log(&settings);
-    let metrics = install_metrics()?;
+    let metrics = install_metrics(&LATENCY_BUCKETS)?;
     let traffic = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(settings.runtime.traffic_threads)
         .thread_name("traffic")
         .enable_all()
         .build()
-        .context(ThreadsSnafu)?;
+        .map_err(StartError::from)?;
     let result = traffic.block_on(serve(Arc::new(settings), log, metrics));
     traffic.shutdown_background();
     result
@@ -129,7 +105,7 @@
     let mesh_cfg = MeshConfig::new(settings.instance.id.clone(), settings.addresses.peers);
     let (mesh, inbound) = Mesh::<PeerMessage>::bind(mesh_cfg, log.clone())
         .await
-        .context(PeersSnafu)?;
+        .map_err(StartError::from)?;
     let callers_address = address_of(&callers, settings.addresses.callers);
     let operators_address = address_of(&operators, settings.addresses.operators);
 
@@ -153,7 +129,7 @@
         .unwrap_or_else(|| mesh.local_addr());
     let coordinator = coordinator(&cx, advertised, operators_address);
     let control = start_control(Control::new(cx, coordinator))?;
-    forward(inbound, control.clone());
+    forward(inbound, control.clone(), FromPeer);
 
     let health = Health::new(routing.clone(), clock);
     let links = Links {
@@ -219,44 +195,10 @@
     result
 }
 
-/// Opens a port; connections to it hold at most `send_buffer` bytes in the system for their peer.
-fn listen(
-    address: SocketAddr,
-    key: &'static str,
-    send_buffer: Option<usize>,
-) -> Result<TcpListener, RunError> {
-    let open = || {
-        let socket = match address {
-            SocketAddr::V4(_) => TcpSocket::new_v4()?,
-            SocketAddr::V6(_) => TcpSocket::new_v6()?,
-        };
-        // A restarted instance gets its port back while old connections still linger.
-        socket.set_reuseaddr(true)?;
-        if let Some(bytes) = send_buffer {
-            // Accepted connections inherit it.
-            socket.set_send_buffer_size(u32::try_from(bytes).unwrap_or(u32::MAX))?;
-        }
-        socket.bind(address)?;
-        socket.listen(ACCEPT_BACKLOG)
-    };
-    open().context(ListenSnafu { address, key })
-}
-
 fn address_of(listener: &TcpListener, configured: SocketAddr) -> SocketAddr {
     listener.local_addr().unwrap_or(configured)
 }
 
-fn install_metrics() -> Result<PrometheusHandle, RunError> {
-    let builder = PrometheusBuilder::new().set_buckets(&LATENCY_BUCKETS);
-    let installed = builder.and_then(PrometheusBuilder::install_recorder);
-    installed.map_err(|error| {
-        MetricsSnafu {
-            reason: error.to_string(),
-        }
-        .build()
-    })
-}
-
 fn platform_config(settings: &Settings) -> PlatformConfig {
     let platform = &settings.platform;
     let mut cfg = PlatformConfig::new(
@@ -295,33 +237,13 @@
 }
 
 /// Starts the control thread with its actor.
-fn start_control(control: Control) -> Result<Address<Control>, RunError> {
+fn start_control(control: Control) -> Result<Address<Control>, StartError> {
     let (address, mailbox) = Mailbox::bounded(CONTROL_MAILBOX);
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .context(ThreadsSnafu)?;
     let begin = address.clone();
-    std::thread::Builder::new()
-        .name("control".to_owned())
-        .spawn(move || {
-            runtime.block_on(async move {
-                let own = begin.clone();
-                tokio::spawn(async move { drop(begin.send(Begin(own)).await) });
-                xtra::run(mailbox, control).await;
-            });
-        })
-        .context(ThreadsSnafu)?;
+    on_control_thread(move || async move {
+        let own = begin.clone();
+        tokio::spawn(async move { drop(begin.send(Begin(own)).await) });
+        xtra::run(mailbox, control).await;
+    })?;
     Ok(address)
 }
-
-/// Hands what peers send to the control actor, in its order.
-fn forward(mut inbound: mpsc::Receiver<Inbound<PeerMessage>>, control: Address<Control>) {
-    tokio::spawn(async move {
-        while let Some(message) = inbound.recv().await {
-            if control.send(FromPeer(message)).await.is_err() {
-                return;
-            }
-        }
-    });
-}
--- a/crates/chervilshunt_gateway/src/lib.rs
+++ b/crates/chervilshunt_gateway/src/lib.rs
@@ -19,7 +19,7 @@
     Change, Changes, Content, Dialect, Entry, Headers, Kind, Malformed, Page, StoreDialect,
     TargetDialect,
 };
-pub use run::{RunError, run};
+pub use run::run;
 pub use settings::{
     Addresses, Bounds, InstanceSettings, LogLevel, PlatformSettings, Settings, SettingsError,
 };
--- a/crates/chervilshunt_gateway/src/run.rs
+++ b/crates/chervilshunt_gateway/src/run.rs
@@ -1,18 +1,15 @@
 //! Starting an instance: ports, threads, the control actor, and their end.
 
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilshunt_mesh::{Inbound, Mesh, MeshConfig, MeshError};
+use chervilshunt_mesh::{Mesh, MeshConfig};
 use chervilshunt_platform::{Exchange, PlatformConfig, RateLimit};
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use chervilshunt_start::{StartError, forward, install_metrics, listen, on_control_thread};
+use metrics_exporter_prometheus::PrometheusHandle;
 use slog::Logger;
-use snafu::{ResultExt, Snafu};
-use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::mpsc;
 use xtra::prelude::*;
 
 use crate::control::{Begin, Control, FromPeer, Paces, Reload, Stop, start_followers};
@@ -25,8 +22,6 @@
 
 /// Messages that may wait for the control actor before senders wait too.
 const CONTROL_MAILBOX: usize = 4_096;
-/// Connections that may wait to be accepted.
-const ACCEPT_BACKLOG: u32 = 1_024;
 /// How long an instance that stops still takes requests: the platform asks each second and takes it
 /// out of rotation after two answers that it is not ready. A request that it takes later may not
 /// end before the process does.
@@ -50,54 +45,19 @@
     0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0, 15.0,
 ];
 
-/// Why an instance could not run.
-#[derive(Debug, Snafu)]
-#[non_exhaustive]
-pub enum RunError {
-    /// A port can't be opened.
-    #[snafu(display("can't listen on {address} (addresses.{key}): {source}"))]
-    Listen {
-        /// The address.
-        address: SocketAddr,
-        /// The key in the settings.
-        key: &'static str,
-        /// What the system said.
-        source: std::io::Error,
-    },
-    /// The port for other instances can't be opened.
-    #[snafu(display("addresses.peers: {source}"))]
-    Peers {
-        /// What the transport said.
-        source: MeshError,
-    },
-    /// Threads or signals can't be had.
-    #[snafu(display("can't start threads: {source}"))]
-    Threads {
-        /// What the system said.
-        source: std::io::Error,
-    },
-    /// The metrics can't be set up.
-    #[snafu(display("can't set up metrics: {reason}"))]
-    Metrics {
-        /// What the library said.
-        reason: String,
-    },
-}
-
 /// Runs an instance until it has been told to stop and has done so.
 ///
 /// # Errors
 /// Fails if a port or thread can't be had.
-pub fn run(settings: Settings, settings_file: PathBuf, dialect: Dialect) -> Result<(), RunError> {
+pub fn run(settings: Settings, settings_file: PathBuf, dialect: Dialect) -> Result<(), StartError> {
     let instance = &settings.instance;
     let level = slog_level(settings.log_level);
     let (log, _flushed_on_drop) =
         chervilshunt_log::start(instance.id.as_str(), instance.zone.as_str(), level);
-    let metrics = install_metrics()?;
+    let metrics = install_metrics(&LATENCY_BUCKETS)?;
     let traffic = tokio::runtime::Builder::new_current_thread()
         .enable_all()
-        .build()
-        .context(ThreadsSnafu)?;
+        .build()?;
     let result = traffic.block_on(serve(
         settings,
         settings_file,
@@ -116,16 +76,14 @@
     dialect: Dialect,
     log: Logger,
     metrics: PrometheusHandle,
-) -> Result<(), RunError> {
+) -> Result<(), StartError> {
     let mut signals = Signals::listen()?;
     let addresses = settings.addresses;
-    let callers = listen(addresses.callers, "callers")?;
-    let readiness = listen(addresses.readiness, "readiness")?;
-    let for_metrics = listen(addresses.metrics, "metrics")?;
+    let callers = listen(addresses.callers, "callers", None)?;
+    let readiness = listen(addresses.readiness, "readiness", None)?;
+    let for_metrics = listen(addresses.metrics, "metrics", None)?;
     let mesh_cfg = MeshConfig::new(settings.instance.id.clone(), addresses.peers);
-    let (mesh, inbound) = Mesh::<PeerMessage>::bind(mesh_cfg, log.clone())
-        .await
-        .context(PeersSnafu)?;
+    let (mesh, inbound) = Mesh::<PeerMessage>::bind(mesh_cfg, log.clone()).await?;
     slog::info!(log, "started";
         "version" => env!("CARGO_PKG_VERSION"), "callers" => addresses.callers.to_string(),
         "peers" => addresses.peers.to_string(), "platform" => settings.platform.address.to_string());
@@ -134,7 +92,7 @@
     let bound = settings.bounds.shutdown;
     let shared = Shared::new(settings, settings_file, dialect, log.clone(), mesh);
     let control = start_control(&shared, exchange)?;
-    forward(inbound, control.clone());
+    forward(inbound, control.clone(), FromPeer);
     tokio::spawn(serve_callers(callers, Arc::clone(&shared)));
     tokio::spawn(serve_readiness(readiness, Arc::clone(&shared)));
     tokio::spawn(serve_metrics(for_metrics, metrics));
@@ -176,8 +134,8 @@
 }
 
 impl Signals {
-    fn listen() -> Result<Self, RunError> {
-        let on = |kind| signal(kind).context(ThreadsSnafu);
+    fn listen() -> Result<Self, StartError> {
+        let on = |kind| signal(kind).map_err(StartError::from);
         Ok(Self {
             terminate: on(SignalKind::terminate())?,
             interrupt: on(SignalKind::interrupt())?,
@@ -197,31 +155,6 @@
     }
 }
 
-fn listen(address: SocketAddr, key: &'static str) -> Result<TcpListener, RunError> {
-    let open = || {
-        let socket = match address {
-            SocketAddr::V4(_) => TcpSocket::new_v4()?,
-            SocketAddr::V6(_) => TcpSocket::new_v6()?,
-        };
-        // A restarted instance gets its port back while old connections still linger.
-        socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        socket.listen(ACCEPT_BACKLOG)
-    };
-    open().context(ListenSnafu { address, key })
-}
-
-fn install_metrics() -> Result<PrometheusHandle, RunError> {
-    let builder = PrometheusBuilder::new().set_buckets(&LATENCY_BUCKETS);
-    let installed = builder.and_then(PrometheusBuilder::install_recorder);
-    installed.map_err(|error| {
-        MetricsSnafu {
-            reason: error.to_string(),
-        }
-        .build()
-    })
-}
-
 fn platform_config(settings: &Settings) -> PlatformConfig {
     let instance = settings.instance.id.clone();
     let mut cfg = PlatformConfig::new(settings.platform.address, "", instance);
@@ -243,44 +176,24 @@
 fn start_control(
     shared: &Arc<Shared>,
     exchange: Arc<Exchange>,
-) -> Result<Address<Control>, RunError> {
+) -> Result<Address<Control>, StartError> {
     let (address, mailbox) = Mailbox::bounded(CONTROL_MAILBOX);
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .context(ThreadsSnafu)?;
     let own = address.clone();
     let shared = Arc::clone(shared);
-    std::thread::Builder::new()
-        .name("control".to_owned())
-        .spawn(move || {
-            runtime.block_on(async move {
-                let (paces, receivers) = Paces::new();
-                let control = Control::new(Arc::clone(&shared), Arc::clone(&exchange), paces);
-                let begin = own.clone();
-                tokio::spawn(async move { drop(begin.send(Begin(begin.clone())).await) });
-                start_followers(
-                    &shared.dialect.store,
-                    &exchange,
-                    &own,
-                    &receivers,
-                    &shared.log,
-                );
-                drop(own);
-                xtra::run(mailbox, control).await;
-            });
-        })
-        .context(ThreadsSnafu)?;
+    on_control_thread(move || async move {
+        let (paces, receivers) = Paces::new();
+        let control = Control::new(Arc::clone(&shared), Arc::clone(&exchange), paces);
+        let begin = own.clone();
+        tokio::spawn(async move { drop(begin.send(Begin(begin.clone())).await) });
+        start_followers(
+            &shared.dialect.store,
+            &exchange,
+            &own,
+            &receivers,
+            &shared.log,
+        );
+        drop(own);
+        xtra::run(mailbox, control).await;
+    })?;
     Ok(address)
 }
-
-/// Hands what peers send to the control actor, in its order.
-fn forward(mut inbound: mpsc::Receiver<Inbound<PeerMessage>>, control: Address<Control>) {
-    tokio::spawn(async move {
-        while let Some(message) = inbound.recv().await {
-            if control.send(FromPeer(message)).await.is_err() {
-                return;
-            }
-        }
-    });
-}
