Free a new placer's slots sooner, and give up loads in vain in time

And a planned load was given up when those who waited for it had stopped to wait, not when it could no longer end in time. Adapters found at a target may be given up after 0.5 s, when all instances have told what they use; a planned load is given up one load time before those who wait stop. Tests: residency_versions.rs (both failed first).

--- a/crates/chervilshunt_core/src/residency/answers.rs
+++ b/crates/chervilshunt_core/src/residency/answers.rs
@@ -204,7 +204,10 @@
         }
         for (weights, version) in &report.adapters {
             let newest = self.newest.get(weights).copied().unwrap_or_default();
-            let fresh = Hold::new(HoldState::Ready, *version, now);
+            let fresh = Hold {
+                last_used: now - self.cfg.keep_used + self.cfg.uses_told,
+                ..Hold::new(HoldState::Ready, *version, now)
+            };
             let hold = target.holds.entry(weights.clone()).or_insert(fresh);
             if hold.state == HoldState::Unloading {
                 hold.state = HoldState::Ending;
--- a/crates/chervilshunt_core/src/residency/config.rs
+++ b/crates/chervilshunt_core/src/residency/config.rs
@@ -41,6 +41,10 @@
     pub free_share: f64,
     /// How long an adapter that was used is kept before others.
     pub keep_used: Duration,
+    /// How long after a planner has found an adapter at a target all instances have told whether they
+    /// use it. From then on it may be given up: kept for longer, the targets of a new placer, all of
+    /// whose slots are taken, load nothing for another second.
+    pub uses_told: Duration,
     /// How long an older version is told of as held while the newest one is loaded elsewhere.
     pub old_version_grace: Duration,
     /// How long a target's report lags behind what it has accepted.
@@ -74,6 +78,7 @@
             free_share: 0.15,
             no_slot_penalty: 0.5,
             keep_used: Duration::from_millis(1_000),
+            uses_told: Duration::from_millis(500),
             old_version_grace: Duration::from_millis(2_000),
             report_lag: Duration::from_millis(450),
             retry_in: Duration::from_millis(400),
--- a/crates/chervilshunt_core/src/residency/loads.rs
+++ b/crates/chervilshunt_core/src/residency/loads.rs
@@ -90,13 +90,16 @@
             .collect();
     }
 
-    /// Gives up planned loads that nobody waits for any more.
+    /// Gives up planned loads that would end after everybody has stopped waiting, so that those who
+    /// wait are told while they can still come back.
     fn drop_unwanted(&mut self, name: &TargetName, now: Moment, out: &mut Vec<ResidencyAction>) {
         let Some(target) = self.targets.get_mut(name) else {
             return;
         };
+        let ends_at = now + self.window.usual(self.cfg.cold_load);
         let unwanted = target.holds.extract_if(.., |_, hold| {
-            hold.state == HoldState::Planned && hold.wanted_until.is_some_and(|until| until <= now)
+            let in_vain = hold.wanted_until.is_some_and(|until| until <= ends_at);
+            hold.state == HoldState::Planned && in_vain
         });
         let questions: Vec<u64> = unwanted.flat_map(|(_, hold)| hold.questions).collect();
         self.answer_later(questions, out);
--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -181,7 +181,10 @@
             HoldState::Loading(at) => Some(at),
             HoldState::Ready if hold.outdated => Some(hold.since + self.cfg.old_version_grace),
             HoldState::Ending => Some(hold.since + self.cfg.uses_settle),
-            HoldState::Planned => hold.wanted_until,
+            HoldState::Planned => {
+                let load_time = self.window.usual(self.cfg.cold_load);
+                hold.wanted_until.map(|until| until - load_time)
+            }
             HoldState::Ordered
             | HoldState::Confirming
             | HoldState::Ready
--- a/crates/chervilshunt_core/tests/residency_versions.rs
+++ b/crates/chervilshunt_core/tests/residency_versions.rs
@@ -183,3 +183,49 @@
         "{actions:?}"
     );
 }
+
+/// A new placer finds all slots taken. Told by nobody that the adapters are used, it gives them up after
+/// half a second and the time that tellings take, not after the second for which used ones are kept.
+#[test]
+fn a_new_planner_soon_gives_up_what_nobody_uses() {
+    let mut residency = with_slots(2);
+    residency.handle(reported(vec![(named("a1"), 1), (named("a2"), 1)]), at(460));
+    let mut orders = Vec::new();
+    while let Some(due) = residency.next_wakeup().filter(|due| *due < at(2_000)) {
+        let actions = residency.handle(ResidencyEvent::Tick, due);
+        let given = actions.into_iter().filter_map(|action| match action {
+            ResidencyAction::Order(order) => Some((order.kind, due)),
+            _ => None,
+        });
+        orders.extend(given);
+    }
+    let [(OrderKind::Unload, first)] = &*orders else {
+        panic!("{orders:?}");
+    };
+    assert!(*first < at(1_700), "{first:?}");
+}
+
+/// The caller is told that its adapter can't be had when it has stopped waiting. An order that the
+/// target does not answer holds its load up until it would end too late.
+#[test]
+fn those_who_wait_are_told_while_they_can_still_come_back() {
+    let mut residency = begun();
+    residency.handle(reported(Vec::new()), at(460));
+    let first = ResidencyEvent::Wanted {
+        question: QUESTION + 1,
+        service: service(),
+        weights: named("a1"),
+        within: Duration::from_secs(5),
+        lane: Lane::General,
+        avoid: Vec::new(),
+    };
+    residency.handle(first, at(500));
+    let actions = residency.handle(wants(named("a2")), at(500));
+    assert_eq!(answer(&actions), None);
+    assert_eq!(residency.next_wakeup(), Some(at(1_250)));
+    let actions = residency.handle(ResidencyEvent::Tick, at(1_250));
+    assert!(
+        matches!(answer(&actions), Some(Placed::Later { .. })),
+        "{actions:?}"
+    );
+}
