--- /dev/null
+++ b/crates/chervilshunt_gateway/tests/settings.rs
@@ -0,0 +1,55 @@
+//! Settings of an instance: what is taken, and what an operator is told of a mistake.
+
+use chervilshunt_gateway::Settings;
+use rstest::rstest;
+
+/// Returns settings with more keys of the instance and of the bounds.
+fn text(instance: &str, bounds: &str) -> String {
+    format!(
+        r#"{{
+            // Comments may stand anywhere.
+            "instance": {{ "id": "i1", "zone": "here", "region": "all" {instance} }},
+            "addresses": {{
+                "callers": "127.0.0.1:1", "readiness": "127.0.0.1:2",
+                "peers": "127.0.0.1:3", "metrics": "127.0.0.1:4"
+            }},
+            "platform": {{ "address": "127.0.0.1:5" }},
+            "bounds": {{ {bounds} }}
+        }}"#
+    )
+}
+
+#[test]
+fn what_is_left_out_has_its_default() {
+    let settings = Settings::parse(&text("", ""), "settings.jsonc").expect("sound settings");
+    assert_eq!(settings.instance.processor_share, 1.0);
+    assert_eq!(settings.bounds.shutdown.as_secs(), 8);
+    assert_eq!(settings.bounds.lease_rest.as_millis(), 3_300);
+}
+
+#[test]
+fn what_is_given_is_taken() {
+    let text = text(r#", "processor_share": 0.25"#, r#""lease_rest_ms": 1000"#);
+    let settings = Settings::parse(&text, "settings.jsonc").expect("sound settings");
+    assert_eq!(settings.instance.processor_share, 0.25);
+    assert_eq!(settings.bounds.lease_rest.as_millis(), 1_300);
+}
+
+#[rstest]
+#[case::no_share(r#", "processor_share": 0"#, "", "instance.processor_share")]
+#[case::more_than_a_core(r#", "processor_share": 1.5"#, "", "instance.processor_share")]
+#[case::no_time_to_stop("", r#""shutdown_s": 0"#, "bounds.shutdown_s")]
+#[case::negative_budget("", r#""retry_ratio": -0.1"#, "bounds.retry_ratio")]
+#[case::unknown_key(r#", "zones": 3"#, "", "zones")]
+fn a_mistake_is_told_with_file_and_key(
+    #[case] instance: &str,
+    #[case] bounds: &str,
+    #[case] key: &str,
+) {
+    let error = Settings::parse(&text(instance, bounds), "settings.jsonc").expect_err("a mistake");
+    let told = error.to_string();
+    assert!(
+        told.contains("settings.jsonc") && told.contains(key),
+        "{told}"
+    );
+}
