Count the placer's lease from the last renewal that it told

The placer tells term and version of its record; a look that shows the same version shows that it has not been renewed since. A telling of another term is no news of the known record. Tests: coord's sole lease, by cases.

--- a/crates/chervilshunt_coord/src/lease.rs
+++ b/crates/chervilshunt_coord/src/lease.rs
@@ -13,5 +13,5 @@
 pub use observer::{LeaseObserver, ObserverAction, ObserverConfig, ObserverEvent};
 pub use record::{LeaseRecord, LeaseState};
 pub use sole::{
-    SeenRecord, SoleAction, SoleConfig, SoleEvent, SoleKeeper, SoleRecord, SoleWritten,
+    HeldLease, SeenRecord, SoleAction, SoleConfig, SoleEvent, SoleKeeper, SoleRecord, SoleWritten,
 };
--- a/crates/chervilshunt_coord/src/lease/sole.rs
+++ b/crates/chervilshunt_coord/src/lease/sole.rs
@@ -66,6 +66,17 @@
     pub version: u64,
 }
 
+/// What the holder tells of its lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldLease {
+    /// The holder's term.
+    #[serde(rename = "t")]
+    pub term: u64,
+    /// The version of the record, as the holder last wrote it.
+    #[serde(rename = "v")]
+    pub version: u64,
+}
+
 /// How a write of the record ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SoleWritten {
@@ -88,9 +99,9 @@
     Written(SoleWritten),
     /// A read has failed.
     ReadFailed,
-    /// The holder has sent a message. Whoever hears it need not look at the record all the time,
-    /// and must not take a record that it has not looked at for one that is no longer renewed.
-    HolderHeard,
+    /// The holder has told the term and the version of the record. Whoever hears that need not look
+    /// at the record all the time, and knows how long ago it was renewed when the holder falls silent.
+    HolderTold(HeldLease),
     /// The instance stops: the lease is given up, and not taken again.
     Release,
     /// Time has passed.
@@ -178,6 +189,15 @@
         self.seen.as_ref().map(|it| it.record.term)
     }
 
+    /// Returns what this instance tells others of the lease while it holds it.
+    pub fn held(&self) -> Option<HeldLease> {
+        let seen = self.seen.as_ref().filter(|_| self.holds)?;
+        Some(HeldLease {
+            term: seen.record.term,
+            version: seen.version,
+        })
+    }
+
     /// Returns who holds the lease, as far as is known, and where it takes messages.
     pub fn holder(&self) -> Option<(&InstanceId, SocketAddr)> {
         let record = &self.seen.as_ref()?.record;
@@ -215,7 +235,7 @@
                 self.call = Call::None;
                 self.next_at = now + self.cfg.retry_every;
             }
-            SoleEvent::HolderHeard => self.changed_at = self.changed_at.max(now),
+            SoleEvent::HolderTold(told) => self.on_told(told, now),
             SoleEvent::Release => self.on_release(&mut out),
             SoleEvent::Tick => {}
         }
@@ -239,6 +259,18 @@
         }
     }
 
+    /// Takes in a newer version of the record that is known.
+    ///
+    /// One of another term is no news of that record: taken with its version and the known term, the
+    /// lease would be given a term that is not the highest.
+    fn on_told(&mut self, told: HeldLease, now: Moment) {
+        let known = self.seen.as_mut().filter(|it| it.record.term == told.term);
+        if let Some(known) = known.filter(|it| it.version < told.version) {
+            known.version = told.version;
+            self.changed_at = now;
+        }
+    }
+
     fn on_written(&mut self, written: SoleWritten, now: Moment, out: &mut Vec<SoleAction>) {
         let Call::Writing { record, sent } = std::mem::replace(&mut self.call, Call::None) else {
             return;
--- a/crates/chervilshunt_coord/src/lib.rs
+++ b/crates/chervilshunt_coord/src/lib.rs
@@ -75,9 +75,9 @@
 };
 pub use holder::{Holder, HolderError, Incarnation};
 pub use lease::{
-    LeaseAction, LeaseConfig, LeaseEvent, LeaseKeeper, LeaseObserver, LeaseRecord, LeaseState,
-    ObserverAction, ObserverConfig, ObserverEvent, SeenRecord, SoleAction, SoleConfig, SoleEvent,
-    SoleKeeper, SoleRecord, SoleWritten,
+    HeldLease, LeaseAction, LeaseConfig, LeaseEvent, LeaseKeeper, LeaseObserver, LeaseRecord,
+    LeaseState, ObserverAction, ObserverConfig, ObserverEvent, SeenRecord, SoleAction, SoleConfig,
+    SoleEvent, SoleKeeper, SoleRecord, SoleWritten,
 };
 pub use membership::{InstanceEntry, Peer, PeerState, PeerView};
 pub use outage::{
--- a/crates/chervilshunt_coord/src/tests/sole.rs
+++ b/crates/chervilshunt_coord/src/tests/sole.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 
 use crate::lease::{
-    SeenRecord, SoleAction, SoleConfig, SoleEvent, SoleKeeper, SoleRecord, SoleWritten,
+    HeldLease, SeenRecord, SoleAction, SoleConfig, SoleEvent, SoleKeeper, SoleRecord, SoleWritten,
 };
 
 const CFG: SoleConfig = SoleConfig {
@@ -114,16 +114,49 @@
     assert!(!b.handle(SoleEvent::Tick, at(3_410)).is_empty());
 }
 
-/// An instance that hears its holder looks at the record rarely. It would take the record that it
-/// last saw for one that nobody renews, and write in vain, each 5.9 s.
-#[test]
-fn a_holder_that_is_heard_is_not_taken_for_gone() {
+/// An instance that the holder tells of its renewals looks at the record rarely. It would take the
+/// record that it last saw for one that nobody renews, and write in vain each 5.9 s; and when the holder
+/// falls silent it would count the lease's time from its next look, a second and more too late.
+#[rstest]
+#[case::told_of_a_renewal(1, 9, 9_900)]
+#[case::told_again_of_what_is_known(1, 7, 5_900)]
+#[case::told_of_another_term(3, 9, 5_900)]
+fn a_lease_counts_from_the_last_renewal_that_its_holder_told(
+    #[case] term: u64,
+    #[case] version: u64,
+    #[case] taken_at: u64,
+) {
     let (_, seen) = holder();
     let mut b = keeper("b", at(0));
     b.handle(SoleEvent::Seen(Some(seen)), at(0));
-    b.handle(SoleEvent::HolderHeard, at(4_000));
-    assert!(b.handle(SoleEvent::Tick, at(9_899)).is_empty());
-    assert!(!b.handle(SoleEvent::Tick, at(9_900)).is_empty());
+    b.handle(
+        SoleEvent::HolderTold(HeldLease { term, version }),
+        at(4_000),
+    );
+    assert!(b.handle(SoleEvent::Tick, at(taken_at - 1)).is_empty());
+    let actions = b.handle(SoleEvent::Tick, at(taken_at));
+    let [SoleAction::Write(record, Some(at_version))] = &*actions else {
+        panic!("{actions:?}");
+    };
+    let known = if term == 1 { version } else { 7 };
+    assert_eq!((record.term, *at_version), (2, known));
+}
+
+/// A look shows what the holder has told already: the record has not changed since.
+#[test]
+fn a_look_that_shows_what_was_told_does_not_prolong_the_lease() {
+    let (_, mut seen) = holder();
+    let mut b = keeper("b", at(0));
+    b.handle(SoleEvent::Seen(Some(seen.clone())), at(0));
+    let told = HeldLease {
+        term: 1,
+        version: 9,
+    };
+    b.handle(SoleEvent::HolderTold(told), at(900));
+    seen.version = 9;
+    b.handle(SoleEvent::Seen(Some(seen)), at(2_200));
+    assert!(b.handle(SoleEvent::Tick, at(6_799)).is_empty());
+    assert!(!b.handle(SoleEvent::Tick, at(6_800)).is_empty());
 }
 
 #[test]
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -160,6 +160,7 @@
     ) {
         let now = self.now();
         let entries = self.entries_view(now);
+        let lease = self.keeper.held();
         let Some(placer) = &mut self.placer else {
             return;
         };
@@ -173,6 +174,7 @@
             instances: placer.presence.count(),
             pressed: placer.residency.is_pressed(),
             entries,
+            lease,
         };
         let whole = first.then(|| PeerMessage::HoldingsWhole(placer.residency.holdings()));
         for message in whole.into_iter().chain([loads]) {
--- a/crates/chervilshunt_gateway/src/control/using.rs
+++ b/crates/chervilshunt_gateway/src/control/using.rs
@@ -1,6 +1,6 @@
 //! What this instance tells the placer, and how it takes in what the placer tells.
 
-use chervilshunt_coord::SoleEvent;
+use chervilshunt_coord::{HeldLease, SoleEvent};
 use chervilshunt_core::{Holding, ResidencyEvent};
 use chervilshunt_mesh::InboundMessage;
 use chervilshunt_model::{InstanceId, TargetName};
@@ -99,8 +99,9 @@
                 instances,
                 pressed,
                 entries,
+                lease,
             } if self.is_placer(&from) => {
-                self.holder_heard(entries);
+                self.holder_told(lease, entries);
                 self.take_loads(&others, instances, pressed);
             }
             PeerMessage::CallLease(call) => self.call_lease_for(call, reply),
@@ -147,11 +148,13 @@
         self.shared.set_instances(instances as usize);
     }
 
-    /// Takes in that the placer lives, and what it sees of the platform.
-    fn holder_heard(&mut self, entries: Option<EntriesView>) {
+    /// Takes in what the placer tells of its lease, and what it sees of the platform.
+    fn holder_told(&mut self, lease: Option<HeldLease>, entries: Option<EntriesView>) {
         let now = self.now();
-        self.lease_event(SoleEvent::HolderHeard);
-        self.paces.lease.told(0, now);
+        if let Some(lease) = lease.filter(|it| self.keeper.term() == Some(it.term)) {
+            self.lease_event(SoleEvent::HolderTold(lease));
+            self.paces.lease.told(0, now);
+        }
         if let Some(view) = entries {
             self.take_entries_view(view, now);
         }
--- a/crates/chervilshunt_gateway/src/peers.rs
+++ b/crates/chervilshunt_gateway/src/peers.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use chervilshunt_coord::{SeenRecord, SoleRecord, SoleWritten};
+use chervilshunt_coord::{HeldLease, SeenRecord, SoleRecord, SoleWritten};
 use chervilshunt_core::{Holding, Lane, Placed, Use, Weights};
 use chervilshunt_mesh::Purpose;
 use chervilshunt_model::{ServiceName, TargetName};
@@ -75,6 +75,9 @@
         /// What it sees of the targets' entries; none if it has not seen them yet.
         #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
         entries: Option<EntriesView>,
+        /// Its lease; none if it does not hold it any more.
+        #[serde(rename = "h")]
+        lease: Option<HeldLease>,
     },
     /// From the placer, which can't reach the platform: a call about its lease to make in its place.
     /// Answered by `LeaseCalled`.
