Tell loads only where there are any, and keep uses by instance

Cause: each instance tells the placer what it uses 2.5 times a second; the placer went over all targets to take the telling in and answered with the load of all of them. Uses are kept by instance, so that a telling touches the targets it names, before and now; loads are told where there are any or were any the last time, and of all targets to one that may have missed a telling. Tests: residency_spread.rs; the planner's random runs hold.

--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -26,6 +26,10 @@
     pub(super) window: LoadWindow,
     /// Loads that may be ordered now; the others wait for one of those under way to end.
     pub(super) admitted: HashSet<(TargetName, Weights)>,
+    /// What each instance last told that it has under way.
+    uses: HashMap<InstanceId, Vec<Use>>,
+    /// The targets at which each instance was told that others have something under way.
+    told: HashMap<InstanceId, HashSet<TargetName>>,
     next_order: u64,
     /// When the first targets are asked what they hold.
     asks_from: Moment,
@@ -52,6 +56,8 @@
             store_loads: VecDeque::new(),
             window: LoadWindow::new(),
             admitted: HashSet::new(),
+            uses: HashMap::new(),
+            told: HashMap::new(),
             next_order: 0,
             spread_at: Moment::ZERO,
         }
@@ -84,8 +90,8 @@
                 };
                 self.wanted(question, want, now, &mut out);
             }
-            ResidencyEvent::Used(from, uses) => self.used(&from, &uses, now),
-            ResidencyEvent::InstanceGone(from) => self.used(&from, &[], now),
+            ResidencyEvent::Used(from, uses) => self.used(&from, uses, now),
+            ResidencyEvent::InstanceGone(from) => self.instance_gone(&from, now),
             ResidencyEvent::NotHeld(target, weights) => {
                 self.not_held(&target, &weights, now, &mut out);
             }
@@ -163,12 +169,29 @@
         self.waiting_loads().next().is_some() && self.loads_under_way() >= self.window.size()
     }
 
-    /// Returns the requests that instances other than `from` have under way at each target.
-    pub fn load_beside(&self, from: &InstanceId) -> Vec<(TargetName, u32)> {
-        let targets = self.targets.iter();
-        targets
-            .map(|(name, target)| (name.clone(), target.in_flight_beside(from)))
-            .collect()
+    /// Returns the requests that instances other than `from` have under way, at each target where
+    /// they have any, and at those of which the instance was told so the last time.
+    ///
+    /// `first` tells of all targets, to an instance that may not have had the last telling. Told of all
+    /// each time, 300 instances before 3,000 targets took 19 MB a second from the placer.
+    pub fn load_beside(&mut self, from: &InstanceId, first: bool) -> Vec<(TargetName, u32)> {
+        let told = self.told.entry(from.clone()).or_default();
+        let mut own: HashMap<&TargetName, u32> = HashMap::new();
+        for it in self.uses.get(from).into_iter().flatten() {
+            *own.entry(&it.target).or_default() += it.in_flight;
+        }
+        let others = self.targets.iter().map(|(name, target)| {
+            let own = own.get(name).copied().unwrap_or(0);
+            (name, target.in_flight().saturating_sub(own))
+        });
+        let news = others.filter(|(name, count)| first || *count > 0 || told.contains(*name));
+        let news: Vec<(TargetName, u32)> = news.map(|(name, n)| (name.clone(), n)).collect();
+        *told = news
+            .iter()
+            .filter(|(_, count)| *count > 0)
+            .map(|(name, _)| name.clone())
+            .collect();
+        news
     }
 
     fn target_wakeup(&self, target: &TargetState, now: Moment) -> Option<Moment> {
@@ -251,11 +274,19 @@
         out.extend(later);
     }
 
-    fn used(&mut self, from: &InstanceId, uses: &[Use], now: Moment) {
-        for target in self.targets.values_mut() {
-            target.clear_uses(from);
+    fn instance_gone(&mut self, from: &InstanceId, now: Moment) {
+        self.used(from, Vec::new(), now);
+        self.uses.remove(from);
+        self.told.remove(from);
+    }
+
+    fn used(&mut self, from: &InstanceId, uses: Vec<Use>, now: Moment) {
+        for before in self.uses.get(from).into_iter().flatten() {
+            if let Some(target) = self.targets.get_mut(&before.target) {
+                target.clear_uses(from);
+            }
         }
-        for it in uses {
+        for it in &uses {
             let Some(target) = self.targets.get_mut(&it.target) else {
                 continue;
             };
@@ -265,6 +296,7 @@
                 hold.last_used = now;
             }
         }
+        self.uses.insert(from.clone(), uses);
         self.spread(now);
     }
 }
--- a/crates/chervilshunt_core/src/residency/target.rs
+++ b/crates/chervilshunt_core/src/residency/target.rs
@@ -41,6 +41,8 @@
     uses: HashMap<Weights, Vec<(InstanceId, u32)>>,
     /// What instances have under way here without weights.
     plain_uses: Vec<(InstanceId, u32)>,
+    /// All requests under way here.
+    in_flight: u32,
     /// Whether something has changed here since the planner last looked.
     pub(crate) touched: bool,
     pub(crate) summary: Summary,
@@ -72,6 +74,7 @@
             base_load: None,
             uses: HashMap::new(),
             plain_uses: Vec::new(),
+            in_flight: 0,
             touched: true,
             summary: Summary::default(),
         }
@@ -189,6 +192,7 @@
         if count == 0 {
             return;
         }
+        self.in_flight += count;
         let uses = match weights {
             Some(weights) => self.uses.entry(weights.clone()).or_default(),
             None => &mut self.plain_uses,
@@ -198,16 +202,14 @@
 
     /// Forgets what an instance had under way here.
     pub(crate) fn clear_uses(&mut self, from: &InstanceId) {
-        let before = self.in_flight_beside(from);
-        if before == self.in_flight() {
-            return;
-        }
         self.touched = true;
         self.uses.retain(|_, uses| {
             uses.retain(|(instance, _)| instance != from);
             !uses.is_empty()
         });
         self.plain_uses.retain(|(instance, _)| instance != from);
+        let counts = self.uses.values().flatten().chain(&self.plain_uses);
+        self.in_flight = counts.map(|(_, count)| count).sum();
     }
 
     /// Returns the requests under way here with an adapter.
@@ -217,18 +219,8 @@
     }
 
     /// Returns the requests under way here.
-    pub(crate) fn in_flight(&self) -> u32 {
-        self.all_uses().map(|(_, count)| count).sum()
-    }
-
-    /// Returns the requests under way here from instances other than `from`.
-    pub(crate) fn in_flight_beside(&self, from: &InstanceId) -> u32 {
-        let others = self.all_uses().filter(|(instance, _)| instance != from);
-        others.map(|(_, count)| count).sum()
-    }
-
-    fn all_uses(&self) -> impl Iterator<Item = &(InstanceId, u32)> {
-        self.uses.values().flatten().chain(&self.plain_uses)
+    pub(crate) const fn in_flight(&self) -> u32 {
+        self.in_flight
     }
 
     /// Returns what the target counts against it when weights are to be placed.
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -170,7 +170,7 @@
             address: sign.address,
         };
         let loads = PeerMessage::Loads {
-            others: placer.residency.load_beside(from),
+            others: placer.residency.load_beside(from, first),
             instances: placer.presence.count(),
             pressed: placer.residency.is_pressed(),
             entries,
@@ -192,10 +192,10 @@
 
     /// Takes in the loads that the placer would tell itself.
     pub(super) fn take_own_loads(&mut self, me: &InstanceId) {
-        let Some(placer) = &self.placer else {
+        let Some(placer) = &mut self.placer else {
             return;
         };
-        let others = placer.residency.load_beside(me);
+        let others = placer.residency.load_beside(me, false);
         let instances = placer.presence.count();
         let pressed = placer.residency.is_pressed();
         self.take_loads(&others, instances, pressed);
