--- a/crates/chervilshunt_core/tests/residency_spread.rs
+++ b/crates/chervilshunt_core/tests/residency_spread.rs
@@ -4,78 +4,27 @@
 //! than slots within a second, and their next holders waited behind 40 loads for one request each: 25
 //! of the 70 requests that were late in the first two seconds were late there.
 
+#[path = "support/placing.rs"]
+mod placing;
+
 use std::time::Duration;
 
 use chervilshunt_core::{
-    Lane, LoadedModel, ModelSpec, OrderAnswer, OrderNumber, PlacementLimits, Residency,
-    ResidencyAction, ResidencyConfig, ResidencyEvent, TargetFacts, TargetReport, Use, Weights,
+    Lane, OrderAnswer, OrderNumber, Residency, ResidencyAction, ResidencyEvent, Use, Weights,
 };
-use chervilshunt_model::{Moment, ServiceName, TargetName, ZoneName};
+use placing::{adapter, at, before_asking, reported, service, target};
 use rstest::rstest;
 
 const TARGETS: usize = 12;
 
-fn at(millis: u64) -> Moment {
-    Moment::from_millis(50_000 + millis)
-}
-
-fn service() -> ServiceName {
-    ServiceName::from("drafts")
-}
-
-fn adapter(name: &str) -> Weights {
-    Weights {
-        model: "base".into(),
-        adapter: Some(name.into()),
-    }
-}
-
-fn target(index: usize) -> TargetName {
-    TargetName::new(format!("t{index}"))
-}
-
 /// A planner before targets with 10 slots for requests and 20 for adapters, of which the first holds
 /// the busy adapter and the others nothing.
 fn planner() -> Residency {
-    let mut residency = Residency::new(ResidencyConfig::default(), at(0));
-    let limits = PlacementLimits {
-        models: vec![ModelSpec {
-            name: "base".into(),
-            megabytes: 100.0,
-            load_time: Duration::from_millis(600),
-            adapter_megabytes: 1.0,
-        }],
-        megabytes: 200.0,
-        adapter_slots: 20,
-        loads_per_second: 4.0,
-    };
-    residency.handle(ResidencyEvent::Limits(service(), limits), at(0));
-    for index in 0..TARGETS {
-        let facts = TargetFacts {
-            name: target(index),
-            service: service(),
-            address: ([10, 0, 0, 1], 8000).into(),
-            zone: ZoneName::from("zone"),
-            slots: 10,
-            leaving: None,
-            models: vec![LoadedModel {
-                name: "base".into(),
-                version: 1,
-                adapters: Vec::new(),
-            }],
-        };
-        residency.handle(ResidencyEvent::TargetSeen(facts), at(0));
-    }
+    let mut residency = before_asking(TARGETS, 10, 20);
     residency.handle(ResidencyEvent::Tick, at(450));
     for index in 0..TARGETS {
         let held = (index == 0).then(|| (adapter("busy"), 1));
-        let report = TargetReport {
-            accepted: 0,
-            busy: false,
-            adapters: held.into_iter().collect(),
-            loading: Vec::new(),
-        };
-        residency.handle(ResidencyEvent::Reported(target(index), report), at(451));
+        residency.handle(reported(index, held.into_iter().collect()), at(451));
     }
     residency
 }
--- a/crates/chervilshunt_core/tests/residency_versions.rs
+++ b/crates/chervilshunt_core/tests/residency_versions.rs
@@ -1,35 +1,20 @@
 //! What targets say that differs from what the planner believes: older versions than the newest one
 //! named, and adapters that they do not hold.
 
+#[path = "support/placing.rs"]
+mod placing;
+
 use std::time::Duration;
 
 use chervilshunt_core::{
-    Lane, LoadedModel, ModelSpec, OrderAnswer, OrderKind, OrderNumber, Placed, PlacementLimits,
-    Residency, ResidencyAction, ResidencyConfig, ResidencyEvent, TargetFacts, TargetReport,
+    Lane, OrderAnswer, OrderKind, OrderNumber, Placed, Residency, ResidencyAction, ResidencyEvent,
     Weights,
 };
-use chervilshunt_model::{Moment, ServiceName, TargetName, ZoneName};
+use placing::{adapter, at, before_asking, service, target};
 
 const QUESTION: u64 = 7;
-
-fn at(millis: u64) -> Moment {
-    Moment::from_millis(50_000 + millis)
-}
-
-fn service() -> ServiceName {
-    ServiceName::from("drafts")
-}
-
-fn adapter() -> Weights {
-    named("a1")
-}
-
-fn named(adapter: &str) -> Weights {
-    Weights {
-        model: "base".into(),
-        adapter: Some(adapter.into()),
-    }
-}
+/// Requests that a target works on at a time.
+const SLOTS: u32 = 16;
 
 /// A planner that has just begun, before one target that it has asked what it holds.
 fn begun() -> Residency {
@@ -38,45 +23,13 @@
 
 /// The same with that many slots for adapters at the target.
 fn with_slots(adapter_slots: usize) -> Residency {
-    let mut residency = begun_with_asks(adapter_slots);
+    let mut residency = before_asking(1, SLOTS, adapter_slots);
     residency.handle(ResidencyEvent::Tick, at(450));
     residency
 }
 
-/// A planner that has just begun, before one target that it has not asked yet.
-fn begun_with_asks(adapter_slots: usize) -> Residency {
-    let mut residency = Residency::new(ResidencyConfig::default(), at(0));
-    let limits = PlacementLimits {
-        models: vec![ModelSpec {
-            name: "base".into(),
-            megabytes: 100.0,
-            load_time: Duration::from_millis(600),
-            adapter_megabytes: 1.0,
-        }],
-        megabytes: 200.0,
-        adapter_slots,
-        loads_per_second: 4.0,
-    };
-    residency.handle(ResidencyEvent::Limits(service(), limits), at(0));
-    let facts = TargetFacts {
-        name: TargetName::from("t1"),
-        service: service(),
-        address: ([10, 0, 0, 1], 8000).into(),
-        zone: ZoneName::from("zone"),
-        slots: 16,
-        leaving: None,
-        models: vec![LoadedModel {
-            name: "base".into(),
-            version: 1,
-            adapters: Vec::new(),
-        }],
-    };
-    residency.handle(ResidencyEvent::TargetSeen(facts), at(0));
-    residency
-}
-
 fn wanted() -> ResidencyEvent {
-    wants(adapter())
+    wants(adapter("a1"))
 }
 
 fn wants(weights: Weights) -> ResidencyEvent {
@@ -91,13 +44,7 @@
 }
 
 fn reported(adapters: Vec<(Weights, u64)>) -> ResidencyEvent {
-    let report = TargetReport {
-        accepted: 0,
-        busy: false,
-        adapters,
-        loading: Vec::new(),
-    };
-    ResidencyEvent::Reported(TargetName::from("t1"), report)
+    placing::reported(0, adapters)
 }
 
 fn answer(actions: &[ResidencyAction]) -> Option<&Placed> {
@@ -121,10 +68,10 @@
 #[test]
 fn an_older_version_that_a_target_lists_does_not_end_a_planned_load() {
     let mut residency = begun();
-    residency.handle(ResidencyEvent::VersionNamed(adapter(), 2), at(451));
+    residency.handle(ResidencyEvent::VersionNamed(adapter("a1"), 2), at(451));
     let actions = residency.handle(wanted(), at(460));
     assert_eq!(answer(&actions), None);
-    let actions = residency.handle(reported(vec![(adapter(), 1)]), at(470));
+    let actions = residency.handle(reported(vec![(adapter("a1"), 1)]), at(470));
     assert!(
         !matches!(answer(&actions), Some(Placed::At { .. })),
         "{actions:?}"
@@ -139,7 +86,7 @@
     let actions = residency.handle(wanted(), at(460));
     let accepted = ResidencyEvent::Answered(ordered(&actions), OrderAnswer::Accepted);
     residency.handle(accepted, at(463));
-    residency.handle(ResidencyEvent::VersionNamed(adapter(), 2), at(500));
+    residency.handle(ResidencyEvent::VersionNamed(adapter("a1"), 2), at(500));
     let look = residency.next_wakeup().expect("a look at the load");
     let actions = residency.handle(ResidencyEvent::Tick, look);
     let done = ResidencyEvent::Answered(ordered(&actions), OrderAnswer::Done);
@@ -156,12 +103,12 @@
 #[test]
 fn a_refused_request_frees_no_slot() {
     let mut residency = with_slots(2);
-    residency.handle(reported(vec![(named("a1"), 1)]), at(455));
-    let actions = residency.handle(wants(named("a2")), at(1_000));
+    residency.handle(reported(vec![(adapter("a1"), 1)]), at(455));
+    let actions = residency.handle(wants(adapter("a2")), at(1_000));
     let loading = ordered(&actions);
-    let not_held = ResidencyEvent::NotHeld(TargetName::from("t1"), named("a1"));
+    let not_held = ResidencyEvent::NotHeld(target(0), adapter("a1"));
     residency.handle(not_held, at(1_001));
-    residency.handle(wants(named("a3")), at(1_002));
+    residency.handle(wants(adapter("a3")), at(1_002));
     let accepted = ResidencyEvent::Answered(loading, OrderAnswer::Accepted);
     let actions = residency.handle(accepted, at(1_003));
     let loads = actions.iter().filter(|action| match action {
@@ -175,7 +122,7 @@
 /// behind what it has accepted; asked at once, it leaves out the last load that was ordered.
 #[test]
 fn a_new_planner_waits_before_it_asks_for_as_long_as_reports_lag() {
-    let mut residency = begun_with_asks(4);
+    let mut residency = before_asking(1, SLOTS, 4);
     assert_eq!(residency.next_wakeup(), Some(at(450)));
     let actions = residency.handle(ResidencyEvent::Tick, at(450));
     assert!(
@@ -189,7 +136,10 @@
 #[test]
 fn a_new_planner_soon_gives_up_what_nobody_uses() {
     let mut residency = with_slots(2);
-    residency.handle(reported(vec![(named("a1"), 1), (named("a2"), 1)]), at(460));
+    residency.handle(
+        reported(vec![(adapter("a1"), 1), (adapter("a2"), 1)]),
+        at(460),
+    );
     let mut orders = Vec::new();
     while let Some(due) = residency.next_wakeup().filter(|due| *due < at(2_000)) {
         let actions = residency.handle(ResidencyEvent::Tick, due);
@@ -214,13 +164,13 @@
     let first = ResidencyEvent::Wanted {
         question: QUESTION + 1,
         service: service(),
-        weights: named("a1"),
+        weights: adapter("a1"),
         within: Duration::from_secs(5),
         lane: Lane::General,
         avoid: Vec::new(),
     };
     residency.handle(first, at(500));
-    let actions = residency.handle(wants(named("a2")), at(500));
+    let actions = residency.handle(wants(adapter("a2")), at(500));
     assert_eq!(answer(&actions), None);
     assert_eq!(residency.next_wakeup(), Some(at(1_250)));
     let actions = residency.handle(ResidencyEvent::Tick, at(1_250));
--- /dev/null
+++ b/crates/chervilshunt_core/tests/support/placing.rs
@@ -0,0 +1,73 @@
+//! A planner before targets of one service, for its tests by cases.
+
+use std::time::Duration;
+
+use chervilshunt_core::{
+    LoadedModel, ModelSpec, PlacementLimits, Residency, ResidencyConfig, ResidencyEvent,
+    TargetFacts, TargetReport, Weights,
+};
+use chervilshunt_model::{Moment, ServiceName, TargetName, ZoneName};
+
+pub(crate) fn at(millis: u64) -> Moment {
+    Moment::from_millis(50_000 + millis)
+}
+
+pub(crate) fn service() -> ServiceName {
+    ServiceName::from("drafts")
+}
+
+pub(crate) fn adapter(name: &str) -> Weights {
+    Weights {
+        model: "base".into(),
+        adapter: Some(name.into()),
+    }
+}
+
+pub(crate) fn target(index: usize) -> TargetName {
+    TargetName::new(format!("t{index}"))
+}
+
+/// A planner that has just begun, before targets that it has not asked yet.
+pub(crate) fn before_asking(targets: usize, slots: u32, adapter_slots: usize) -> Residency {
+    let mut residency = Residency::new(ResidencyConfig::default(), at(0));
+    let limits = PlacementLimits {
+        models: vec![ModelSpec {
+            name: "base".into(),
+            megabytes: 100.0,
+            load_time: Duration::from_millis(600),
+            adapter_megabytes: 1.0,
+        }],
+        megabytes: 200.0,
+        adapter_slots,
+        loads_per_second: 4.0,
+    };
+    residency.handle(ResidencyEvent::Limits(service(), limits), at(0));
+    for index in 0..targets {
+        let facts = TargetFacts {
+            name: target(index),
+            service: service(),
+            address: ([10, 0, 0, 1], 8000).into(),
+            zone: ZoneName::from("zone"),
+            slots,
+            leaving: None,
+            models: vec![LoadedModel {
+                name: "base".into(),
+                version: 1,
+                adapters: Vec::new(),
+            }],
+        };
+        residency.handle(ResidencyEvent::TargetSeen(facts), at(0));
+    }
+    residency
+}
+
+/// What a target says that has accepted no order.
+pub(crate) fn reported(index: usize, adapters: Vec<(Weights, u64)>) -> ResidencyEvent {
+    let report = TargetReport {
+        accepted: 0,
+        busy: false,
+        adapters,
+        loading: Vec::new(),
+    };
+    ResidencyEvent::Reported(target(index), report)
+}
