--- a/crates/chervilshunt_core/src/dispatch/guide.rs
+++ b/crates/chervilshunt_core/src/dispatch/guide.rs
@@ -25,9 +25,9 @@
 /// What an instance is told about a kind of objects, and what it has seen itself.
 #[derive(Clone, Copy, Debug)]
 pub struct Guide {
-    /// How long after the teller's own look a telling counts.
+    /// How long after the placer's own look what it told counts.
     trust: Duration,
-    /// The longest time without an own look, in case the teller overlooks something.
+    /// The longest time without an own look, in case the placer overlooks something.
     longest_rest: Duration,
     told_revision: u64,
     told_as_of: Option<Moment>,
@@ -48,14 +48,14 @@
 
     /// Takes in that nothing concerns this instance after `revision`, as seen at a moment.
     ///
-    /// A telling that was held up on its way is as old as what it tells, not as its arrival.
+    /// A message that was held up on its way is as old as what it tells, not as its arrival.
     pub fn told(&mut self, revision: u64, as_of: Moment) {
         self.told_revision = self.told_revision.max(revision);
         self.told_as_of = self.told_as_of.max(Some(as_of));
     }
 
-    /// Takes in that the teller can't be heard any more.
-    pub fn teller_lost(&mut self) {
+    /// Takes in that the placer can't be heard any more.
+    pub fn placer_lost(&mut self) {
         self.told_as_of = None;
     }
 
--- a/crates/chervilshunt_core/src/residency/answers.rs
+++ b/crates/chervilshunt_core/src/residency/answers.rs
@@ -6,7 +6,7 @@
 use super::order::{Order, OrderAnswer, OrderNumber, Placed, ResidencyAction, TargetReport};
 use super::planner::Residency;
 use super::target::Turn;
-use super::wants::{Orphans, tell};
+use super::wants::{FailedLoad, tell};
 use crate::owner::OrderKind;
 
 impl Residency {
@@ -128,16 +128,16 @@
             // Without an answer it may still be loaded, and counts as taking a slot until the
             // target has been asked.
             OrderAnswer::Unanswered => {
-                let orphans = orphans(order, hold);
-                self.place_elsewhere(orphans, now, out);
+                let failed = failed_load(order, hold);
+                self.place_elsewhere(failed, now, out);
             }
             OrderAnswer::OutOfTurn
             | OrderAnswer::OtherTarget
             | OrderAnswer::Refused
             | OrderAnswer::NotSent => {
-                let orphans = orphans(order, hold);
+                let failed = failed_load(order, hold);
                 target.holds.shift_remove(&order.weights);
-                self.place_elsewhere(orphans, now, out);
+                self.place_elsewhere(failed, now, out);
             }
         }
     }
@@ -264,9 +264,9 @@
     }
 }
 
-/// Takes the questions from a hold that does not come about.
-fn orphans(order: &Order, hold: &mut Hold) -> Orphans {
-    Orphans {
+/// Takes those who wait from a hold whose load has failed.
+fn failed_load(order: &Order, hold: &mut Hold) -> FailedLoad {
+    FailedLoad {
         target: order.target.clone(),
         weights: order.weights.clone(),
         questions: std::mem::take(&mut hold.questions),
--- a/crates/chervilshunt_core/src/residency/wants.rs
+++ b/crates/chervilshunt_core/src/residency/wants.rs
@@ -22,9 +22,9 @@
     pub(super) avoid: &'a [TargetName],
 }
 
-/// Questions about a load that did not come about.
+/// A load that has failed, with those who wait for it.
 #[derive(Debug)]
-pub(super) struct Orphans {
+pub(super) struct FailedLoad {
     pub(super) target: TargetName,
     pub(super) weights: Weights,
     pub(super) questions: Vec<u64>,
@@ -184,29 +184,29 @@
         Some(name)
     }
 
-    /// Finds another target for those who wait for a load that did not come about, as long as they
-    /// would wait for it; the others are told to come back.
+    /// Finds another target for those who wait for a load that has failed, as long as they would wait
+    /// for it; the others are told to come back.
     pub(super) fn place_elsewhere(
         &mut self,
-        orphans: Orphans,
+        failed: FailedLoad,
         now: Moment,
         out: &mut Vec<ResidencyAction>,
     ) {
-        if orphans.questions.is_empty() {
+        if failed.questions.is_empty() {
             return;
         }
-        let service = self.targets.get(&orphans.target);
+        let service = self.targets.get(&failed.target);
         let Some(service) = service.map(|it| it.facts.service.clone()) else {
-            return self.answer_later(orphans.questions, out);
+            return self.answer_later(failed.questions, out);
         };
         let want = Want {
             service: &service,
-            weights: &orphans.weights,
-            until: orphans.until,
-            lane: orphans.lane,
-            avoid: std::slice::from_ref(&orphans.target),
+            weights: &failed.weights,
+            until: failed.until,
+            lane: failed.lane,
+            avoid: std::slice::from_ref(&failed.target),
         };
-        for question in orphans.questions {
+        for question in failed.questions {
             self.wanted(question, want, now, out);
         }
     }
--- a/crates/chervilshunt_core/tests/guide.rs
+++ b/crates/chervilshunt_core/tests/guide.rs
@@ -43,9 +43,9 @@
 }
 
 /// The placer loses sight of the platform, or its machine is cut off. A target leaves, and the
-/// instances would go on sending to it if they took the last telling for good.
+/// instances would go on sending to it if they took what was told last for good.
 #[test]
-fn a_telling_counts_for_a_second_after_what_it_tells_was_seen() {
+fn what_is_told_counts_for_a_second_after_what_it_tells_was_seen() {
     let mut guide = told();
     guide.looked(7, at(0));
     assert_eq!(guide.pace(at(999)), Pace::Rest);
@@ -60,10 +60,10 @@
 }
 
 #[test]
-fn an_instance_whose_teller_is_lost_follows_by_itself_at_once() {
+fn an_instance_whose_placer_is_lost_follows_by_itself_at_once() {
     let mut guide = told();
     guide.looked(7, at(0));
-    guide.teller_lost();
+    guide.placer_lost();
     assert_eq!(guide.pace(at(1)), Pace::Alone);
 }
 
--- a/crates/chervilshunt_gateway/src/control/using.rs
+++ b/crates/chervilshunt_gateway/src/control/using.rs
@@ -118,8 +118,8 @@
     pub(super) fn peer_lost(&mut self, peer: &InstanceId) {
         if self.is_placer(peer) {
             self.uses.introduced = None;
-            self.paces.entries.teller_lost();
-            self.paces.lease.teller_lost();
+            self.paces.entries.placer_lost();
+            self.paces.lease.placer_lost();
         }
     }
 
