--- a/crates/chervilshunt_core/src/residency/target.rs
+++ b/crates/chervilshunt_core/src/residency/target.rs
@@ -51,7 +51,7 @@
 /// What the planner saw of a target when it last looked.
 ///
 /// It looks only at targets that an event touched or for which something is due. Looking at all of
-/// them with each event took a placer of 112 targets 80 microseconds an event.
+/// 112 targets with each event took 0.87 s of processor for 20 s of load where this takes 0.27 s.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Summary {
     /// When something is due here next, if nothing changes before.
