Let a placer that is told to stop place until it ends

It keeps the lease now and places until its process ends; the next start at the same place goes on at once, as it did after a kill. A machine that is taken away for good costs 5.9 s after its end instead of 3.3 s after the signal.

--- a/crates/chervilshunt_gateway/src/control/actor.rs
+++ b/crates/chervilshunt_gateway/src/control/actor.rs
@@ -9,7 +9,6 @@
 use chervilshunt_mesh::{Inbound, Reply};
 use chervilshunt_model::{InstanceId, Moment};
 use chervilshunt_platform::Exchange;
-use tokio::sync::oneshot;
 use xtra::prelude::*;
 
 use super::messages::{Asked, Begin, FromPeer, FromStore, Ordered, Reload, Stop, TellUse, Tick};
@@ -71,8 +70,6 @@
     /// What all instances are to be told next, and when.
     pub(super) gathered: Vec<Holding>,
     pub(super) tell_gathered_at: Option<Moment>,
-    /// Told when the lease has been given up.
-    stopped: Option<oneshot::Sender<()>>,
     /// When the next wake-up comes, so that there is one timer and not one for each message.
     wakes_at: Option<Moment>,
 }
@@ -108,7 +105,6 @@
             versions: HashMap::new(),
             gathered: Vec::new(),
             tell_gathered_at: None,
-            stopped: None,
             wakes_at: None,
             shared,
         }
@@ -240,10 +236,6 @@
             LeaseAnswer::ReadFailed => SoleEvent::ReadFailed,
         };
         self.lease_event(event);
-        if let Some(stopped) = self.stopped.take() {
-            // Whoever waited may have given up.
-            let _gone = stopped.send(());
-        }
         self.after_message();
     }
 }
@@ -303,15 +295,15 @@
 }
 
 impl Handler<Stop> for Control {
-    type Return = oneshot::Receiver<()>;
+    type Return = ();
 
-    async fn handle(&mut self, _stop: Stop, _cx: &mut xtra::Context<Self>) -> Self::Return {
-        let (tx, rx) = oneshot::channel();
-        let held = self.placer.is_some();
-        if held {
-            self.stopped = Some(tx);
+    /// A placer goes on until the process ends, and its next start at the same place goes on at once:
+    /// given up, the lease rests for 3.3 s, so that each restart that met the placer left callers of
+    /// cold adapters refused for four. Others no longer take the lease.
+    async fn handle(&mut self, _stop: Stop, _cx: &mut xtra::Context<Self>) {
+        if self.placer.is_none() {
+            self.lease_event(SoleEvent::Release);
         }
-        self.lease_event(SoleEvent::Release);
-        rx
+        self.after_message();
     }
 }
--- a/crates/chervilshunt_gateway/src/control/messages.rs
+++ b/crates/chervilshunt_gateway/src/control/messages.rs
@@ -50,6 +50,6 @@
 #[derive(Debug)]
 pub(crate) struct Reload;
 
-/// The instance stops; answered once the lease has been given up, if it was held.
+/// The instance stops.
 #[derive(Debug)]
 pub(crate) struct Stop;
--- a/crates/chervilshunt_gateway/src/run.rs
+++ b/crates/chervilshunt_gateway/src/run.rs
@@ -28,8 +28,6 @@
 const STILL_TAKES_REQUESTS: Duration = Duration::from_millis(2_700);
 /// What is kept of the time for the shutdown, for the process to end by itself.
 const END_MARGIN: Duration = Duration::from_millis(400);
-/// How long the lease's release is waited for.
-const RELEASE_WITHIN: Duration = Duration::from_millis(1_500);
 /// How often the shutdown looks whether requests are under way.
 const DRAIN_LOOK: Duration = Duration::from_millis(20);
 /// Calls a second of one instance to the platform's service, and those that may come at once: far
@@ -107,10 +105,8 @@
     let began = tokio::time::Instant::now();
     slog::info!(shared.log, "stopping"; "bound_s" => bound.as_secs_f64());
     shared.set_stopping();
-    let released = control.send(Stop).await;
-    if let Ok(released) = released {
-        // Nobody answers if the lease was not held.
-        drop(tokio::time::timeout(RELEASE_WITHIN, released).await);
+    if control.send(Stop).await.is_err() {
+        slog::warn!(shared.log, "the control state has ended");
     }
     loop {
         let passed = began.elapsed();
