Let the share of a core be left out, or be more than one

A platform that gives no share, or several cores, would have kept every instance from starting: the check allowed at most 1, and the template wrote the key without a value.

--- a/crates/chervilshunt_gateway/src/settings.rs
+++ b/crates/chervilshunt_gateway/src/settings.rs
@@ -72,7 +72,7 @@
     pub zone: ZoneName,
     /// Its region.
     pub region: RegionName,
-    /// The share of a processor core that it has.
+    /// The share of a processor core that it has; more than 1 where it has several.
     pub processor_share: f64,
 }
 
@@ -237,11 +237,11 @@
     let region = instance.region.context(missing("instance.region"))?;
     let processor_share = instance.processor_share.unwrap_or(WHOLE_CORE);
     ensure!(
-        processor_share > 0.0 && processor_share <= WHOLE_CORE,
+        processor_share > 0.0,
         OutOfBoundsSnafu {
             file,
             key: "instance.processor_share",
-            must: "be above 0 and at most 1"
+            must: "be above 0"
         }
     );
     Ok(Settings {
