Make an instance's peer from its sign of life in one place

The same three lines stood at each of three uses. Behaviour stays as it was; tests of the placer's peers and of lifecycle pass, clippy, names and formatting are clean.

--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -165,10 +165,7 @@
             return;
         };
         placer.presence.heard(from, sign, now);
-        let peer = Peer {
-            instance: from.clone(),
-            address: sign.address,
-        };
+        let peer = sign.peer(from);
         let loads = PeerMessage::Loads {
             others: placer.residency.load_beside(from, first),
             instances: placer.presence.count(),
--- a/crates/chervilshunt_gateway/src/control/presence.rs
+++ b/crates/chervilshunt_gateway/src/control/presence.rs
@@ -21,6 +21,16 @@
     pub(super) reaches_platform: bool,
 }
 
+impl SignOfLife {
+    /// Returns where to send messages to the instance that gave the sign.
+    pub(super) fn peer(&self, instance: &InstanceId) -> Peer {
+        Peer {
+            instance: instance.clone(),
+            address: self.address,
+        }
+    }
+}
+
 /// The instances that the placer hears of.
 #[derive(Debug, Default)]
 pub(super) struct Presence {
@@ -41,19 +51,15 @@
 
     /// Returns all instances that are there.
     pub(super) fn peers(&self) -> impl Iterator<Item = Peer> {
-        self.heard.iter().map(|(instance, (sign, _))| Peer {
-            instance: instance.clone(),
-            address: sign.address,
-        })
+        self.heard
+            .iter()
+            .map(|(instance, (sign, _))| sign.peer(instance))
     }
 
     /// Returns some of the instances that reach the platform.
     pub(super) fn that_reach_platform(&self, most: usize) -> Vec<Peer> {
         let reaching = self.heard.iter().filter(|(_, (it, _))| it.reaches_platform);
-        let peers = reaching.map(|(instance, (sign, _))| Peer {
-            instance: instance.clone(),
-            address: sign.address,
-        });
+        let peers = reaching.map(|(instance, (sign, _))| sign.peer(instance));
         peers.choose_multiple(&mut rand::rng(), most)
     }
 
