--- a/crates/chervilshunt_core/src/dispatch/choose.rs
+++ b/crates/chervilshunt_core/src/dispatch/choose.rs
@@ -229,10 +229,9 @@
 
     /// Says whether a version may still serve.
     fn is_current(&self, weights: &Weights, version: u64, now: Moment) -> bool {
-        let Some(newest) = self.newest.get(weights) else {
-            return true;
-        };
-        version >= newest.version || now.since(newest.known_since) < self.cfg.old_version_grace
+        let named = self.versions.get(weights);
+        let oldest = named.and_then(|it| it.oldest_allowed(self.cfg.old_version_grace, now));
+        oldest.is_none_or(|oldest| version >= oldest)
     }
 
     fn has_room(&self, target: &Target) -> bool {
@@ -260,7 +259,7 @@
             load: target.load.total(),
             slots: target.facts.slots,
             load_age: now.since(target.load.reported_at()),
-            expect_version: self.expected_version(weights, now),
+            expect_version: self.expected_version(&target.facts.name, weights, now),
             heard_before: now.since(target.health.heard_at()),
         }
     }
@@ -268,10 +267,20 @@
     /// Returns the version that a target has to confirm.
     ///
     /// What is known of its versions may be a moment old, and a request that begins on an older one
-    /// is a wrong answer; a target that is asked for a version refuses if it holds another.
-    fn expected_version(&self, weights: Option<&Weights>, now: Moment) -> Option<u64> {
-        let newest = self.newest.get(weights?)?;
-        let due = now.since(newest.known_since) >= self.cfg.old_version_grace;
-        due.then_some(newest.version)
+    /// is a wrong answer; a target that is asked for a version refuses if it holds another. Where a
+    /// still newer one has just been named, the target may hold either: it is asked for the one that
+    /// it is known to hold.
+    fn expected_version(
+        &self,
+        target: &TargetName,
+        weights: Option<&Weights>,
+        now: Moment,
+    ) -> Option<u64> {
+        let weights = weights?;
+        let named = self.versions.get(weights)?;
+        let oldest = named.oldest_allowed(self.cfg.old_version_grace, now)?;
+        let mut held = self.holders.of(weights).iter();
+        let held = held.find(|(name, version)| name == target && *version >= oldest);
+        held.map(|(_, version)| *version).or(named.newest())
     }
 }
--- a/crates/chervilshunt_core/src/dispatch/facts.rs
+++ b/crates/chervilshunt_core/src/dispatch/facts.rs
@@ -1,5 +1,6 @@
 //! What is known of a target from outside.
 
+use std::cmp::Ordering;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -66,6 +67,24 @@
     pub adapters: Vec<LoadedAdapter>,
 }
 
+/// When a target started, as it says itself, in milliseconds of the Unix epoch.
+///
+/// A target may start again under the name that it had; what was known of it before is void then.
+/// Of two starts under one name the later one is the target that is there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TargetStart(pub u64);
+
+impl TargetStart {
+    /// Compares what was told with what is known; where one of them is missing they count as the
+    /// same start.
+    pub(crate) fn compare(told: Option<Self>, known: Option<Self>) -> Ordering {
+        match (told, known) {
+            (Some(told), Some(known)) => told.cmp(&known),
+            (Some(_) | None, None) | (None, Some(_)) => Ordering::Equal,
+        }
+    }
+}
+
 /// How a target leaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Leaving {
@@ -76,8 +95,10 @@
 /// What the platform lists of one target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetFacts {
-    /// Its name, which it never shares with another start of it.
+    /// Its name, which it keeps when it starts again.
     pub name: TargetName,
+    /// When it started; none if it doesn't say so.
+    pub started: Option<TargetStart>,
     /// The service that it belongs to.
     pub service: ServiceName,
     /// Where it is called.
@@ -102,7 +123,8 @@
                 .map(|it| (Arc::clone(&it.name), it.version))
                 .collect()
         };
-        self.service != newer.service
+        self.started != newer.started
+            || self.service != newer.service
             || self.address != newer.address
             || self.zone != newer.zone
             || self.slots != newer.slots
--- a/crates/chervilshunt_core/src/dispatch/holders.rs
+++ b/crates/chervilshunt_core/src/dispatch/holders.rs
@@ -1,11 +1,12 @@
 //! Which target holds which adapter, as one instance knows it.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use chervilshunt_model::{Moment, TargetName};
 use serde::{Deserialize, Serialize};
 
-use super::facts::Weights;
+use super::facts::{TargetStart, Weights};
 
 /// A target's hold on an adapter, as the placer tells it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -13,6 +14,9 @@
     /// The target.
     #[serde(rename = "t")]
     pub target: TargetName,
+    /// When the target started that holds it; none if it doesn't say so.
+    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+    pub started: Option<TargetStart>,
     /// The adapter.
     #[serde(rename = "w")]
     pub weights: Weights,
@@ -21,11 +25,42 @@
     pub version: Option<u64>,
 }
 
-/// The newest version of some weights, and since when it is known.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Newest {
-    pub(crate) version: u64,
-    pub(crate) known_since: Moment,
+/// The versions of some weights that have been named, and since when each is known.
+///
+/// One may be named before the last one is everywhere. Each is counted from its own naming: counted
+/// from the last one, a version that should long have gone would serve for as long as new ones follow
+/// each other.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct NamedVersions {
+    /// In the order of their numbers, which is that of their naming; none but the first is known for
+    /// longer than the grace of older ones.
+    named: Vec<(u64, Moment)>,
+}
+
+impl NamedVersions {
+    /// Takes in that a version is the newest.
+    pub(crate) fn name(&mut self, version: u64, grace: Duration, now: Moment) {
+        if self.newest().is_some_and(|newest| newest >= version) {
+            return;
+        }
+        if let Some(floor) = self.oldest_allowed(grace, now) {
+            self.named.retain(|(known, _)| *known >= floor);
+        }
+        self.named.push((version, now));
+    }
+
+    /// Returns the newest version.
+    pub(crate) fn newest(&self) -> Option<u64> {
+        self.named.last().map(|(version, _)| *version)
+    }
+
+    /// Returns the oldest version that may still serve: the newest of those that have been known for
+    /// longer than the grace. None if all older ones may.
+    pub(crate) fn oldest_allowed(&self, grace: Duration, now: Moment) -> Option<u64> {
+        let mut named = self.named.iter().rev();
+        let due = named.find(|(_, since)| now.since(*since) >= grace);
+        due.map(|(version, _)| *version)
+    }
 }
 
 /// Holders by adapter.
--- a/crates/chervilshunt_core/src/dispatch/mod.rs
+++ b/crates/chervilshunt_core/src/dispatch/mod.rs
@@ -21,11 +21,11 @@
 pub use choose::{Ask, Choice, DispatchConfig, Wait};
 pub use facts::{
     Leaving, LoadReport, LoadedAdapter, LoadedModel, ModelSpec, PlacementLimits, RequestSize,
-    TargetFacts, Weights,
+    TargetFacts, TargetStart, Weights,
 };
 pub use guide::{Guide, Pace};
 pub use health::{HealthConfig, Sign};
 pub use holders::Holding;
 pub use lanes::{Lane, long_prompt_targets};
 pub use routes::{CallerBounds, Repeat, Route, RouteTable, ServiceSpec};
-pub use state::Dispatch;
+pub use state::{Dispatch, TargetNews};
--- a/crates/chervilshunt_core/src/dispatch/state.rs
+++ b/crates/chervilshunt_core/src/dispatch/state.rs
@@ -1,5 +1,6 @@
 //! All that one instance knows of the targets.
 
+use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -7,9 +8,9 @@
 use indexmap::IndexMap;
 
 use super::choose::DispatchConfig;
-use super::facts::{LoadReport, TargetFacts, Weights};
+use super::facts::{LoadReport, TargetFacts, TargetStart, Weights};
 use super::health::{Sign, TargetHealth};
-use super::holders::{Holders, Holding, Newest};
+use super::holders::{Holders, Holding, NamedVersions};
 use super::load::TargetLoad;
 use super::uses::UseTable;
 use crate::residency::Use;
@@ -18,6 +19,10 @@
 /// something at least each second; a target's own list is up to a heartbeat and a half behind.
 const PLACER_SILENCE: Duration = Duration::from_secs(3);
 
+/// Targets that are gone whose last start is remembered, against entries that come late: far more
+/// than fail in the time for which a write can be late.
+const REMEMBERED_GONE: usize = 1_024;
+
 /// One target as this instance knows it.
 #[derive(Clone, Debug)]
 pub(crate) struct Target {
@@ -26,6 +31,19 @@
     pub(crate) health: TargetHealth,
 }
 
+/// What an entry of the platform's list says, beside what was known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetNews {
+    /// The target was not known.
+    New,
+    /// The target was known.
+    Known,
+    /// The target has started again under its name; nothing of before holds.
+    Restarted,
+    /// An earlier start of the target wrote the entry, which came late and is void.
+    Outdated,
+}
+
 /// All that one instance knows of the targets, and the choice among them.
 #[derive(Debug)]
 pub struct Dispatch {
@@ -33,8 +51,10 @@
     pub(crate) zone: ZoneName,
     pub(crate) targets: IndexMap<TargetName, Target>,
     pub(crate) holders: Holders,
-    pub(crate) newest: HashMap<Weights, Newest>,
+    pub(crate) versions: HashMap<Weights, NamedVersions>,
     uses: UseTable,
+    /// The last start of each target that is gone, the latest at the end.
+    gone: IndexMap<TargetName, TargetStart>,
     placer_heard: Option<Moment>,
     pressed: bool,
 }
@@ -47,15 +67,33 @@
             zone,
             targets: IndexMap::new(),
             holders: Holders::default(),
-            newest: HashMap::new(),
+            versions: HashMap::new(),
             uses: UseTable::default(),
+            gone: IndexMap::new(),
             placer_heard: None,
             pressed: false,
         }
     }
 
     /// Takes in what the platform lists of a target.
-    pub fn target_seen(&mut self, facts: TargetFacts, now: Moment) {
+    ///
+    /// One that has started again holds nothing and knows nothing of what it was sent. Counted on,
+    /// requests of before would keep work from it, and adapters of before would draw requests that
+    /// it refuses.
+    pub fn target_seen(&mut self, facts: TargetFacts, now: Moment) -> TargetNews {
+        let known = self.targets.get(&facts.name);
+        let start = known.map(|it| TargetStart::compare(facts.started, it.facts.started));
+        let is_gone_start = facts.started < self.gone.get(&facts.name).copied();
+        let news = match start {
+            None if facts.started.is_some() && is_gone_start => return TargetNews::Outdated,
+            Some(Ordering::Less) => return TargetNews::Outdated,
+            Some(Ordering::Equal) => TargetNews::Known,
+            Some(Ordering::Greater) => {
+                self.target_gone(&facts.name);
+                TargetNews::Restarted
+            }
+            None => TargetNews::New,
+        };
         if !self.is_placer_heard(now) {
             self.take_listed_adapters(&facts);
         }
@@ -70,12 +108,21 @@
                 self.targets.insert(target.facts.name.clone(), target);
             }
         }
+        news
     }
 
     /// Forgets a target that is gone.
     pub fn target_gone(&mut self, name: &TargetName) {
-        self.targets.swap_remove(name);
+        let target = self.targets.swap_remove(name);
+        if let Some(started) = target.and_then(|it| it.facts.started) {
+            self.gone.shift_remove(name);
+            self.gone.insert(name.clone(), started);
+            if self.gone.len() > REMEMBERED_GONE {
+                self.gone.shift_remove_index(0);
+            }
+        }
         self.holders.forget_target(name);
+        self.uses.forget_target(name);
     }
 
     /// Returns what the platform lists of a target.
@@ -93,14 +140,22 @@
         self.holders.clear();
         self.placer_heard = Some(now);
         for holding in holdings {
-            self.holders.set(holding);
+            self.take_holding(holding);
         }
     }
 
     /// Takes in what the placer tells of one hold.
     pub fn holding_changed(&mut self, holding: Holding, now: Moment) {
         self.placer_heard = Some(now);
-        self.holders.set(holding);
+        self.take_holding(holding);
+    }
+
+    /// Takes in a hold, unless it is one of an earlier start of its target.
+    fn take_holding(&mut self, holding: Holding) {
+        let known = self.started(&holding.target);
+        if TargetStart::compare(holding.started, known) != Ordering::Less {
+            self.holders.set(holding);
+        }
     }
 
     /// Takes note that the placer is there.
@@ -126,31 +181,25 @@
 
     /// Takes in that a version of some weights is the newest.
     pub fn version_named(&mut self, weights: Weights, version: u64, now: Moment) {
-        let newer = self
-            .newest
-            .get(&weights)
-            .is_none_or(|newest| newest.version < version);
-        if newer {
-            let known_since = now;
-            self.newest.insert(
-                weights,
-                Newest {
-                    version,
-                    known_since,
-                },
-            );
-        }
+        let named = self.versions.entry(weights).or_default();
+        named.name(version, self.cfg.old_version_grace, now);
     }
 
     /// Takes in that a target says that it does not hold an adapter, or not in that version.
     pub fn not_held(&mut self, target: &TargetName, weights: &Weights) {
         self.holders.set(Holding {
             target: target.clone(),
+            started: None,
             weights: weights.clone(),
             version: None,
         });
     }
 
+    /// Returns when a target started, as far as is known.
+    pub fn started(&self, target: &TargetName) -> Option<TargetStart> {
+        self.targets.get(target).and_then(|it| it.facts.started)
+    }
+
     /// Counts a request that was sent to a target.
     pub fn sent(&mut self, target: &TargetName, weights: Option<&Weights>) {
         self.uses.sent(target, weights);
@@ -159,8 +208,16 @@
         }
     }
 
-    /// Counts a request to a target that ended.
-    pub fn ended(&mut self, target: &TargetName, weights: Option<&Weights>) {
+    /// Counts a request that ended, to a target as it had started when the request was sent.
+    pub fn ended(
+        &mut self,
+        target: &TargetName,
+        weights: Option<&Weights>,
+        started: Option<TargetStart>,
+    ) {
+        if TargetStart::compare(started, self.started(target)) == Ordering::Less {
+            return;
+        }
         self.uses.ended(target, weights);
         if let Some(target) = self.targets.get_mut(target) {
             target.load.ended();
@@ -220,6 +277,7 @@
             for adapter in &model.adapters {
                 self.holders.set(Holding {
                     target: facts.name.clone(),
+                    started: facts.started,
                     weights: Weights::adapter(&model.name, &adapter.name),
                     version: Some(adapter.version),
                 });
--- a/crates/chervilshunt_core/src/dispatch/uses.rs
+++ b/crates/chervilshunt_core/src/dispatch/uses.rs
@@ -31,6 +31,11 @@
         }
     }
 
+    /// Forgets what is under way at a target that is gone.
+    pub(crate) fn forget_target(&mut self, target: &TargetName) {
+        self.in_flight.retain(|(at, _), _| at != target);
+    }
+
     /// Returns everything that was used since the last call, and forgets what no longer is.
     pub(crate) fn tell(&mut self) -> Vec<Use> {
         let uses = self.in_flight.iter().map(|((target, weights), count)| Use {
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -25,8 +25,8 @@
 pub use dispatch::{
     Ask, CallerBounds, Choice, Dispatch, DispatchConfig, Guide, HealthConfig, Holding, Lane,
     Leaving, LoadReport, LoadedAdapter, LoadedModel, ModelSpec, Pace, PlacementLimits, Repeat,
-    RequestSize, Route, RouteTable, ServiceBudgets, ServiceSpec, Sign, TargetFacts, Wait, Weights,
-    WindowBudget, WindowBudgetConfig, long_prompt_targets,
+    RequestSize, Route, RouteTable, ServiceBudgets, ServiceSpec, Sign, TargetFacts, TargetNews,
+    TargetStart, Wait, Weights, WindowBudget, WindowBudgetConfig, long_prompt_targets,
 };
 pub use mechanisms::Mechanisms;
 pub use owner::{
--- a/crates/chervilshunt_core/src/residency/answers.rs
+++ b/crates/chervilshunt_core/src/residency/answers.rs
@@ -1,5 +1,7 @@
 //! What targets answer to orders and questions.
 
+use std::cmp::Ordering;
+
 use chervilshunt_model::{Moment, TargetName};
 
 use super::hold::{Hold, HoldState};
@@ -7,6 +9,7 @@
 use super::planner::Residency;
 use super::target::Turn;
 use super::wants::{FailedLoad, tell};
+use crate::dispatch::TargetFacts;
 use crate::owner::OrderKind;
 
 impl Residency {
@@ -43,6 +46,9 @@
         if let Some(target) = self.targets.get_mut(&order.target) {
             target.turn = turn;
             target.touched = true;
+            if answer == OrderAnswer::Unanswered {
+                target.lost.note(&order, now);
+            }
         }
         match order.kind {
             OrderKind::Load if order.weights.adapter.is_none() => {
@@ -171,6 +177,12 @@
     ) {
         let ready_at = now + self.window.usual(self.cfg.cold_load) + self.cfg.load_margin;
         let mut loaded = Vec::new();
+        match self.compare_start(name, report.started) {
+            // From before the start that is there.
+            Some(Ordering::Less) => return self.not_reported(name, now),
+            Some(Ordering::Greater) => return self.restart_reported(name, report, now, out),
+            Some(Ordering::Equal) | None => {}
+        }
         let Some(target) = self.targets.get_mut(name) else {
             return;
         };
@@ -231,6 +243,24 @@
         }
     }
 
+    /// Takes in the report of a start of which the platform does not list anything yet.
+    fn restart_reported(
+        &mut self,
+        name: &TargetName,
+        report: &TargetReport,
+        now: Moment,
+        out: &mut Vec<ResidencyAction>,
+    ) {
+        let Some(target) = self.targets.get(name) else {
+            return;
+        };
+        let facts = TargetFacts {
+            started: report.started,
+            ..target.facts.clone()
+        };
+        self.target_restarted(facts, now, out);
+    }
+
     /// Answers questions about an adapter that a target holds by now.
     ///
     /// An older version than the newest would answer their requests wrongly: a target that is
--- a/crates/chervilshunt_core/src/residency/loads.rs
+++ b/crates/chervilshunt_core/src/residency/loads.rs
@@ -22,6 +22,9 @@
         });
         let mut names: IndexSet<TargetName> = due.map(|(name, _)| name.clone()).collect();
         for name in &names {
+            if let Some(target) = self.targets.get_mut(name) {
+                target.lost.forget_old(now);
+            }
             self.drop_unwanted(name, now, out);
         }
         self.admit();
--- a/crates/chervilshunt_core/src/residency/mod.rs
+++ b/crates/chervilshunt_core/src/residency/mod.rs
@@ -12,6 +12,7 @@
 mod loads;
 mod order;
 mod planner;
+mod restart;
 mod target;
 mod versions;
 mod wants;
--- a/crates/chervilshunt_core/src/residency/order.rs
+++ b/crates/chervilshunt_core/src/residency/order.rs
@@ -5,7 +5,7 @@
 use chervilshunt_model::{InstanceId, ServiceName, TargetName};
 use serde::{Deserialize, Serialize};
 
-use crate::dispatch::{Holding, Lane, PlacementLimits, TargetFacts, Weights};
+use crate::dispatch::{Holding, Lane, PlacementLimits, TargetFacts, TargetStart, Weights};
 use crate::owner::OrderKind;
 
 /// The number of an order, unlike that of any other of this placer.
@@ -51,6 +51,8 @@
 /// What a target says of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetReport {
+    /// When it started; none if it doesn't say so.
+    pub started: Option<TargetStart>,
     /// The orders that it has accepted since it started.
     pub accepted: u64,
     /// Whether it carries out an order that keeps it from taking others.
--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -1,5 +1,6 @@
 //! The planner: its state and the way of an event through it.
 
+use std::cmp::Ordering;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 use super::target::{Summary, TargetState, Turn};
 use super::wants::Want;
 use super::window::LoadWindow;
-use crate::dispatch::{Holding, PlacementLimits, TargetFacts, Weights};
+use crate::dispatch::{Holding, PlacementLimits, TargetFacts, TargetStart, Weights};
 
 /// Decides which target holds which weights. `handle` takes an event and gives back what to do.
 #[derive(Debug)]
@@ -67,7 +68,7 @@
     pub fn handle(&mut self, event: ResidencyEvent, now: Moment) -> Vec<ResidencyAction> {
         let mut out = Vec::new();
         match event {
-            ResidencyEvent::TargetSeen(facts) => self.target_seen(facts, now),
+            ResidencyEvent::TargetSeen(facts) => self.target_seen(facts, now, &mut out),
             ResidencyEvent::TargetGone(name) => self.target_gone(&name, &mut out),
             ResidencyEvent::Limits(service, limits) => {
                 self.limits.insert(service, limits);
@@ -108,9 +109,23 @@
             ResidencyEvent::Tick => {}
         }
         self.advance(now, &mut out);
+        self.name_starts(&mut out);
         out
     }
 
+    /// Adds to what is told of holds when their targets started.
+    fn name_starts(&self, out: &mut [ResidencyAction]) {
+        for action in out {
+            if let ResidencyAction::Tell(holding) = action {
+                holding.started = self.started(&holding.target);
+            }
+        }
+    }
+
+    fn started(&self, target: &TargetName) -> Option<TargetStart> {
+        self.targets.get(target).and_then(|it| it.facts.started)
+    }
+
     /// Returns when [`ResidencyEvent::Tick`] is next wanted.
     pub fn next_wakeup(&self) -> Option<Moment> {
         let targets = self.targets.values();
@@ -156,6 +171,7 @@
             let serving = target.holds.iter().filter(|(_, hold)| hold.serves());
             all.extend(serving.map(|(weights, hold)| Holding {
                 target: name.clone(),
+                started: target.facts.started,
                 weights: weights.clone(),
                 version: Some(hold.version),
             }));
@@ -223,7 +239,8 @@
         let model = store.filter(|_| target.facts.models.is_empty());
         let model = model.map(|at| *at + self.cfg.store_window);
         // What is past and still not done waits for an answer or a telling, which wakes by itself.
-        let due = due.chain(model).filter(|at| *at > now);
+        let due = due.chain(model).chain(target.lost.next_old());
+        let due = due.filter(|at| *at > now);
         due.chain(ask_at).min()
     }
 
@@ -232,10 +249,15 @@
         OrderNumber(self.next_order)
     }
 
-    fn target_seen(&mut self, facts: TargetFacts, now: Moment) {
+    fn target_seen(&mut self, facts: TargetFacts, now: Moment, out: &mut Vec<ResidencyAction>) {
         if !self.limits.contains_key(&facts.service) {
             return;
         }
+        match self.compare_start(&facts.name, facts.started) {
+            Some(Ordering::Less) => return,
+            Some(Ordering::Greater) => return self.target_restarted(facts, now, out),
+            Some(Ordering::Equal) | None => {}
+        }
         match self.targets.get_mut(&facts.name) {
             Some(target) => {
                 if let Some((weights, _)) = &target.base_load
--- a/crates/chervilshunt_core/src/residency/target.rs
+++ b/crates/chervilshunt_core/src/residency/target.rs
@@ -8,6 +8,7 @@
 use super::config::ResidencyConfig;
 use super::hold::{Hold, HoldState};
 use super::order::Order;
+use super::restart::LostLoads;
 use crate::dispatch::{TargetFacts, Weights};
 
 /// What is known of the orders that a target has accepted.
@@ -43,6 +44,8 @@
     plain_uses: Vec<(InstanceId, u32)>,
     /// All requests under way here.
     in_flight: u32,
+    /// Orders to load adapters that got no answer.
+    pub(crate) lost: LostLoads,
     /// Whether something has changed here since the planner last looked.
     pub(crate) touched: bool,
     pub(crate) summary: Summary,
@@ -75,6 +78,7 @@
             uses: HashMap::new(),
             plain_uses: Vec::new(),
             in_flight: 0,
+            lost: LostLoads::default(),
             touched: true,
             summary: Summary::default(),
         }
@@ -128,7 +132,17 @@
     /// Returns the slots that are taken, those that orders without an answer may take included.
     pub(crate) fn slots_taken(&self) -> usize {
         let taken = |hold: &&Hold| hold.state != HoldState::Planned;
-        self.holds.values().filter(taken).count()
+        self.holds.values().filter(taken).count() + self.slots_of_late_orders()
+    }
+
+    /// Returns the slots that orders to an earlier start of the target may take.
+    fn slots_of_late_orders(&self) -> usize {
+        let accepted = match &self.turn {
+            Turn::Free(accepted) => Some(*accepted),
+            Turn::Out(order) => Some(order.accepted_before),
+            Turn::Unknown(_) | Turn::Asked => None,
+        };
+        self.lost.slots(accepted)
     }
 
     /// Returns the adapter that is missed least of those that nobody uses: the one unused for longest.
@@ -158,7 +172,8 @@
             .holds
             .values()
             .filter(|hold| matches!(hold.state, HoldState::Ending | HoldState::Unloading));
-        (slots + leaving.count()).saturating_sub(self.holds.len())
+        let taken = self.holds.len() + self.slots_of_late_orders();
+        (slots + leaving.count()).saturating_sub(taken)
     }
 
     /// Says whether one more adapter finds a slot, if need be that of one that nobody uses.
--- a/crates/chervilshunt_core/src/residency/versions.rs
+++ b/crates/chervilshunt_core/src/residency/versions.rs
@@ -77,8 +77,11 @@
                 hold.version = version;
                 continue;
             }
+            // One that an earlier version has made outdated keeps the time that it was given then.
+            if !hold.outdated {
+                hold.since = now;
+            }
             hold.outdated = true;
-            hold.since = now;
             let used = in_use || now.since(hold.last_used) < keep_used;
             found.push((name.clone(), target.facts.service.clone(), used));
         }
--- a/crates/chervilshunt_core/src/residency/wants.rs
+++ b/crates/chervilshunt_core/src/residency/wants.rs
@@ -317,6 +317,7 @@
 ) -> ResidencyAction {
     ResidencyAction::Tell(Holding {
         target: target.clone(),
+        started: None,
         weights: weights.clone(),
         version,
     })
--- a/crates/chervilshunt_core/tests/dispatch.rs
+++ b/crates/chervilshunt_core/tests/dispatch.rs
@@ -31,6 +31,7 @@
         version: *version,
     });
     TargetFacts {
+        started: None,
         name: TargetName::from(name),
         service: service(),
         address: ([10, 0, 0, 1], 8000).into(),
@@ -206,6 +207,7 @@
     let weights = adapter("a");
     let mut dispatch = dispatch([facts("t1", "here", &[("a", 1)]), facts("t2", "here", &[])]);
     let told = Holding {
+        started: None,
         target: TargetName::from("t2"),
         weights: weights.clone(),
         version: Some(1),
@@ -341,3 +343,33 @@
     let holders: Vec<_> = dispatch.holders_of(&weights).collect();
     assert_eq!(holders, [&TargetName::from("t1")]);
 }
+
+/// Versions 2, 3 and 4 are named 2 s after each other. A request that begins on version 1 when version 2
+/// has been known for longer than its grace is answered wrongly, also while newer ones go on to come.
+#[test]
+fn each_version_is_counted_from_its_own_naming() {
+    let held = [("t1", 1), ("t2", 2), ("t3", 3)];
+    let mut dispatch =
+        dispatch(held.map(|(name, version)| facts(name, "here", &[("a1", version)])));
+    let weights = adapter("a1");
+    for (version, named_at) in [(2, 0), (3, 2_000), (4, 4_000)] {
+        dispatch.version_named(weights.clone(), version, at(named_at));
+    }
+    let holders = |now: u64| -> Vec<String> {
+        let avoid = |name: &str| -> Vec<TargetName> {
+            let others = held.iter().filter(|(it, _)| *it != name);
+            others.map(|(it, _)| TargetName::from(*it)).collect()
+        };
+        let takes =
+            |name: &str| chosen(choose(&dispatch, Some(&weights), &avoid(name), now)).is_ok();
+        let names = held.iter().map(|(name, _)| (*name).to_owned());
+        names.filter(|name| takes(name)).collect()
+    };
+    assert_eq!(holders(2_400), ["t1", "t2", "t3"]);
+    assert_eq!(holders(2_600), ["t2", "t3"]);
+    assert_eq!(holders(4_600), ["t3"]);
+    assert_eq!(holders(6_600), [""; 0]);
+    // A target that holds a newer version than has to be there is asked for that one.
+    let at_t3 = dispatch.choose_named(&TargetName::from("t3"), Some(&weights), at(4_600));
+    assert_eq!(chosen(at_t3), Ok(("t3".to_owned(), Some(3))));
+}
--- a/crates/chervilshunt_core/tests/dispatch_load.rs
+++ b/crates/chervilshunt_core/tests/dispatch_load.rs
@@ -109,6 +109,7 @@
         let mut dispatch = Dispatch::new(cfg, ZoneName::from("zone"));
         for target in 0..TARGETS {
             let facts = TargetFacts {
+                started: None,
                 name: name(target),
                 service: ServiceName::from("drafts"),
                 address: ([10, 0, 0, 1], 8000).into(),
@@ -203,7 +204,7 @@
             running.drain(..).partition(|it| it.to_generate == 0);
         *running = going;
         for stream in ended {
-            self.dispatch.ended(&name(stream.target), None);
+            self.dispatch.ended(&name(stream.target), None, None);
             self.streams += 1;
             self.late += usize::from(stream.longest_pause > LONGEST_PAUSE_MS);
         }
@@ -300,7 +301,7 @@
         let (over, going): (Vec<_>, Vec<_>) = ends.into_iter().partition(|(at, _)| *at <= now_ms);
         ends = going;
         for (_, target) in over {
-            dispatch.ended(&target, Some(&weights));
+            dispatch.ended(&target, Some(&weights), None);
         }
         if now_ms % 20 >= 6 {
             continue;
@@ -333,6 +334,7 @@
 
 fn hold(target: &TargetName, weights: &Weights) -> Holding {
     Holding {
+        started: None,
         target: target.clone(),
         weights: weights.clone(),
         version: Some(1),
--- a/crates/chervilshunt_core/tests/residency_load.rs
+++ b/crates/chervilshunt_core/tests/residency_load.rs
@@ -76,6 +76,7 @@
         let here = self.adapters.iter().filter(|((it, _), _)| it == target);
         let (held, loading): (Vec<_>, Vec<_>) = here.partition(|(_, at)| **at == At::Held);
         TargetReport {
+            started: None,
             accepted: self.accepted.get(target).copied().unwrap_or(0),
             busy: false,
             adapters: held
@@ -158,6 +159,7 @@
         it.handle(ResidencyEvent::Limits(service(), limits), 0);
         for target in 0..load.targets {
             let facts = TargetFacts {
+                started: None,
                 name: TargetName::new(format!("t{target}")),
                 service: service(),
                 address: ([10, 0, 0, 1], 8000).into(),
--- a/crates/chervilshunt_core/tests/residency_machine.rs
+++ b/crates/chervilshunt_core/tests/residency_machine.rs
@@ -10,7 +10,7 @@
 use chervilshunt_core::{
     Lane, LoadedModel, ModelSpec, Order, OrderAnswer, OrderKind, OrderNumber, Placed,
     PlacementLimits, Residency, ResidencyAction, ResidencyConfig, ResidencyEvent, TargetFacts,
-    TargetReport, Use, Weights,
+    TargetReport, TargetStart, Use, Weights,
 };
 use chervilshunt_model::{InstanceId, Moment, ServiceName, TargetName, ZoneName};
 use proptest::prelude::*;
@@ -28,7 +28,8 @@
     Advance(u64),
     /// What happens to the next orders: answered, lost before, lost after, or carried out late.
     Fate(u8),
-    Restart(u8),
+    /// It starts again under its name, and its entry says so at once or is not seen.
+    Restart(u8, bool),
     Vanish(u8),
     Appear(u8),
 }
@@ -40,7 +41,7 @@
         1 => (0..ADAPTERS).prop_map(Step::Version),
         12 => (1..900_u64).prop_map(Step::Advance),
         3 => (0..4_u8).prop_map(Step::Fate),
-        1 => (0..TARGETS).prop_map(Step::Restart),
+        1 => (0..TARGETS, any::<bool>()).prop_map(|(t, seen)| Step::Restart(t, seen)),
         1 => (0..TARGETS).prop_map(Step::Vanish),
         2 => (0..TARGETS).prop_map(Step::Appear),
     ]
@@ -49,7 +50,7 @@
 /// A target as it really is.
 #[derive(Clone, Debug, Default)]
 struct RealTarget {
-    start: u32,
+    start: u64,
     accepted: u64,
     held: BTreeMap<String, u64>,
     loading: BTreeMap<String, Moment>,
@@ -104,6 +105,7 @@
 
     fn report(&self) -> TargetReport {
         TargetReport {
+            started: Some(TargetStart(self.start)),
             accepted: self.accepted,
             busy: false,
             adapters: self
@@ -175,29 +177,40 @@
         world
     }
 
-    fn name(&self, target: u8) -> TargetName {
-        let start = self.real.get(&target).map_or(0, |it| it.start);
-        TargetName::new(format!("t{target}-{start}"))
+    fn name(target: u8) -> TargetName {
+        TargetName::new(format!("t{target}"))
     }
 
     fn index(&self, name: &TargetName) -> Option<u8> {
-        (0..TARGETS).find(|it| self.real.contains_key(it) && self.name(*it) == *name)
+        (0..TARGETS).find(|it| self.real.contains_key(it) && Self::name(*it) == *name)
     }
 
     fn appear(&mut self, target: u8) {
         if self.real.contains_key(&target) {
             return;
         }
-        let start = u32::try_from(self.now.as_millis()).expect("a short run");
-        self.real.insert(
-            target,
-            RealTarget {
-                start,
-                ..RealTarget::default()
-            },
-        );
+        self.start(target);
+        self.list(target);
+    }
+
+    /// Starts a target, which holds nothing.
+    fn start(&mut self, target: u8) {
+        let start = self.now.as_millis();
+        let real = RealTarget {
+            start,
+            ..RealTarget::default()
+        };
+        self.real.insert(target, real);
+    }
+
+    /// Shows the planner a target's entry.
+    fn list(&mut self, target: u8) {
+        let Some(real) = self.real.get(&target) else {
+            return;
+        };
         let facts = TargetFacts {
-            name: self.name(target),
+            started: Some(TargetStart(real.start)),
+            name: Self::name(target),
             service: service(),
             address: ([10, 0, 0, target], 8000).into(),
             zone: ZoneName::from("zone"),
@@ -216,11 +229,30 @@
         if !self.real.contains_key(&target) {
             return;
         }
-        let name = self.name(target);
+        let name = Self::name(target);
+        self.end(target);
+        self.event(ResidencyEvent::TargetGone(name));
+    }
+
+    /// Ends a target, and what it was doing.
+    fn end(&mut self, target: u8) {
+        let name = Self::name(target);
         self.real.remove(&target);
-        self.out.remove(&name);
         self.used.retain(|(holder, _), _| *holder != name);
-        self.event(ResidencyEvent::TargetGone(name));
+    }
+
+    /// Has a target start again, and shows its new entry or leaves that to its reports.
+    fn restart(&mut self, target: u8, seen: bool) {
+        if !self.real.contains_key(&target) {
+            return;
+        }
+        self.end(target);
+        self.advance(10);
+        self.start(target);
+        if seen {
+            self.out.remove(&Self::name(target));
+            self.list(target);
+        }
     }
 
     fn event(&mut self, event: ResidencyEvent) {
@@ -350,11 +382,7 @@
             }
             Step::Advance(millis) => self.advance(millis),
             Step::Fate(fate) => self.fate = fate,
-            Step::Restart(target) => {
-                self.vanish(target);
-                self.advance(10);
-                self.appear(target);
-            }
+            Step::Restart(target, seen) => self.restart(target, seen),
             Step::Vanish(target) => self.vanish(target),
             Step::Appear(target) => self.appear(target),
         }
@@ -365,7 +393,7 @@
             .real
             .get(&target)
             .is_some_and(|it| it.held.contains_key(&adapter(n).to_string()));
-        let key = (self.name(target), adapter(n).to_string());
+        let key = (Self::name(target), adapter(n).to_string());
         let told = self.told_used_at.insert(key.clone(), self.now);
         if !held || told == Some(self.now) {
             return;
--- a/crates/chervilshunt_core/tests/residency_versions.rs
+++ b/crates/chervilshunt_core/tests/residency_versions.rs
@@ -8,8 +8,9 @@
 
 use chervilshunt_core::{
     Lane, OrderAnswer, OrderKind, OrderNumber, Placed, Residency, ResidencyAction, ResidencyEvent,
-    Weights,
+    Use, Weights,
 };
+use chervilshunt_model::InstanceId;
 use placing::{adapter, at, before_asking, service, target};
 
 const QUESTION: u64 = 7;
@@ -179,3 +180,40 @@
         "{actions:?}"
     );
 }
+
+/// Versions follow each other before the one before is everywhere. An old hold keeps the time that it
+/// was given when the first newer version was named; given anew with each, it would serve for as long as
+/// versions follow each other.
+#[test]
+fn an_outdated_hold_gets_no_more_time_with_the_next_version() {
+    let mut residency = before_asking(2, SLOTS, 4);
+    residency.handle(ResidencyEvent::Tick, at(450));
+    residency.handle(placing::reported(0, vec![(adapter("a1"), 1)]), at(453));
+    residency.handle(placing::reported(1, vec![]), at(453));
+    let uses = vec![Use {
+        target: target(0),
+        weights: Some(adapter("a1")),
+        in_flight: 1,
+    }];
+    let mut told_gone_at = None;
+    for now in (500..6_000).step_by(50) {
+        let mut actions = Vec::new();
+        if (now - 500) % 1_500 == 0 {
+            let named = ResidencyEvent::VersionNamed(adapter("a1"), 2 + (now - 500) / 1_500);
+            actions.extend(residency.handle(named, at(now)));
+        }
+        let used = ResidencyEvent::Used(InstanceId::from("i"), uses.clone());
+        actions.extend(residency.handle(used, at(now)));
+        // Loads are never answered, so that no newer version ever serves.
+        for action in actions {
+            match action {
+                ResidencyAction::Tell(it) if it.target == target(0) && it.version.is_none() => {
+                    told_gone_at.get_or_insert(now);
+                }
+                _ => {}
+            }
+        }
+    }
+    let told_gone_at = told_gone_at.expect("it is no longer told of");
+    assert!(told_gone_at <= 500 + 2_100, "{told_gone_at} ms");
+}
--- /dev/null
+++ b/crates/chervilshunt_core/tests/restarts.rs
@@ -0,0 +1,297 @@
+//! Targets that start again under the name that they had, and entries that come late.
+
+#[path = "support/placing.rs"]
+mod placing;
+
+use std::time::Duration;
+
+use chervilshunt_core::{
+    Ask, Choice, Dispatch, DispatchConfig, Holding, Lane, LoadedAdapter, LoadedModel, Order,
+    OrderAnswer, OrderKind, Placed, Residency, ResidencyAction, ResidencyEvent, Sign, TargetFacts,
+    TargetNews, TargetReport, TargetStart, Use, Weights,
+};
+use chervilshunt_model::{InstanceId, TargetName, ZoneName};
+use placing::{adapter, at, service, target};
+use rstest::rstest;
+
+const SLOTS: usize = 4;
+
+fn started(at: u64) -> Option<TargetStart> {
+    Some(TargetStart(at))
+}
+
+/// The entry of target 0, as written by the start of that time.
+fn entry(start: u64, adapters: &[&str]) -> TargetFacts {
+    let adapters = adapters.iter().map(|name| LoadedAdapter {
+        name: (*name).into(),
+        version: 1,
+    });
+    TargetFacts {
+        name: target(0),
+        started: started(start),
+        service: service(),
+        address: ([10, 0, 0, 1], 8000).into(),
+        zone: ZoneName::from("zone"),
+        slots: 2,
+        leaving: None,
+        models: vec![LoadedModel {
+            name: "base".into(),
+            version: 1,
+            adapters: adapters.collect(),
+        }],
+    }
+}
+
+fn dispatch(start: u64, adapters: &[&str]) -> Dispatch {
+    let mut dispatch = Dispatch::new(DispatchConfig::default(), ZoneName::from("zone"));
+    dispatch.target_seen(entry(start, adapters), at(0));
+    dispatch
+}
+
+fn choice(dispatch: &Dispatch, weights: Option<&Weights>, now: u64) -> Choice {
+    let service = service();
+    let ask = Ask {
+        service: &service,
+        weights,
+        lane: Lane::General,
+        may_ask: false,
+        avoid: &[],
+    };
+    dispatch.choose(&ask, || 0.5, at(now))
+}
+
+fn is_sent(choice: &Choice) -> bool {
+    matches!(choice, Choice::Send { .. })
+}
+
+/// A target is full and silent, and holds an adapter. It starts again under its name. Taken for the
+/// same target it would get no work, as its requests of before never end, and be sent requests for
+/// an adapter that it has lost.
+#[test]
+fn nothing_of_before_holds_once_a_target_has_started_again() {
+    let mut dispatch = dispatch(100, &["a1"]);
+    for _ in 0..3 {
+        dispatch.sent(&target(0), Some(&adapter("a1")));
+    }
+    dispatch.sign(&target(0), Sign::Silent, at(10));
+    assert!(!is_sent(&choice(&dispatch, None, 20)), "it is full");
+    let news = dispatch.target_seen(entry(200, &[]), at(30));
+    assert_eq!(news, TargetNews::Restarted);
+    assert!(is_sent(&choice(&dispatch, None, 40)));
+    assert!(!is_sent(&choice(&dispatch, Some(&adapter("a1")), 40)));
+    assert_eq!(dispatch.tell_uses(), []);
+}
+
+/// Requests to the start before end, one after the other, as their connections break. Counted off
+/// from the new start, its own requests would seem to be none, and it would be overloaded.
+#[test]
+fn the_end_of_a_request_of_before_does_not_count_for_the_new_start() {
+    let mut dispatch = dispatch(100, &[]);
+    dispatch.sent(&target(0), None);
+    dispatch.target_seen(entry(200, &[]), at(30));
+    for _ in 0..3 {
+        dispatch.sent(&target(0), None);
+    }
+    dispatch.ended(&target(0), None, started(100));
+    assert!(!is_sent(&choice(&dispatch, None, 40)), "three are too many");
+    dispatch.ended(&target(0), None, started(200));
+    assert!(is_sent(&choice(&dispatch, None, 50)));
+}
+
+/// A heartbeat of the start before is carried out late, after the entry of the new one, or after the
+/// target was gone altogether.
+#[rstest]
+#[case::after_the_new_one(false)]
+#[case::after_its_end(true)]
+fn an_entry_of_an_earlier_start_brings_nothing_back(#[case] gone: bool) {
+    let mut dispatch = dispatch(200, &[]);
+    if gone {
+        dispatch.target_gone(&target(0));
+    }
+    let news = dispatch.target_seen(entry(100, &["a1"]), at(30));
+    assert_eq!(news, TargetNews::Outdated);
+    assert!(!is_sent(&choice(&dispatch, Some(&adapter("a1")), 40)));
+    assert_eq!(dispatch.target(&target(0)).is_none(), gone);
+}
+
+#[test]
+fn a_hold_of_an_earlier_start_is_not_believed() {
+    let mut dispatch = dispatch(200, &[]);
+    let holding = |start| Holding {
+        target: target(0),
+        started: started(start),
+        weights: adapter("a1"),
+        version: Some(1),
+    };
+    dispatch.holding_changed(holding(100), at(10));
+    assert!(!is_sent(&choice(&dispatch, Some(&adapter("a1")), 20)));
+    dispatch.holding_changed(holding(200), at(30));
+    assert!(is_sent(&choice(&dispatch, Some(&adapter("a1")), 40)));
+}
+
+/// A planner and one target, which answers what the test says.
+struct Planning {
+    residency: Residency,
+    now: u64,
+    orders: Vec<Order>,
+    answers: Vec<Placed>,
+    asked: bool,
+}
+
+impl Planning {
+    fn begin() -> Self {
+        let mut residency = placing::before_asking(0, 16, SLOTS);
+        residency.handle(ResidencyEvent::TargetSeen(entry(100, &[])), at(0));
+        let mut it = Self {
+            residency,
+            now: 0,
+            orders: Vec::new(),
+            answers: Vec::new(),
+            asked: false,
+        };
+        it.pass(500);
+        it.reports(100, 0, &[]);
+        it
+    }
+
+    fn handle(&mut self, event: ResidencyEvent) {
+        for action in self.residency.handle(event, at(self.now)) {
+            match action {
+                ResidencyAction::Order(order) => self.orders.push(order),
+                ResidencyAction::Answer(_, placed) => self.answers.push(placed),
+                ResidencyAction::Ask(_) => self.asked = true,
+                ResidencyAction::Tell(_) => {}
+            }
+        }
+    }
+
+    fn pass(&mut self, millis: u64) {
+        for _ in 0..millis / 10 {
+            self.now += 10;
+            self.handle(ResidencyEvent::Tick);
+        }
+    }
+
+    fn want(&mut self, name: &str) {
+        self.handle(ResidencyEvent::Wanted {
+            question: self.now,
+            service: service(),
+            weights: adapter(name),
+            within: Duration::from_secs(30),
+            lane: Lane::General,
+            avoid: Vec::new(),
+        });
+    }
+
+    fn reports(&mut self, start: u64, accepted: u64, adapters: &[&str]) {
+        let report = TargetReport {
+            started: started(start),
+            accepted,
+            busy: false,
+            adapters: adapters.iter().map(|it| (adapter(it), 1)).collect(),
+            loading: Vec::new(),
+        };
+        self.asked = false;
+        self.handle(ResidencyEvent::Reported(TargetName::from("t0"), report));
+    }
+
+    fn answer(&mut self, answer: OrderAnswer) {
+        let number = self.orders.last().expect("an order").number;
+        self.handle(ResidencyEvent::Answered(number, answer));
+    }
+
+    /// Wants an adapter and has the target load it; says whether it was ordered.
+    fn load(&mut self, name: &str) -> bool {
+        let before = self.orders.len();
+        self.want(name);
+        if self.orders.len() == before {
+            return false;
+        }
+        self.answer(OrderAnswer::Accepted);
+        self.pass(300);
+        self.answer(OrderAnswer::Done);
+        true
+    }
+}
+
+/// A caller waits for a load. The target starts again between the order and its answer, which then
+/// counts for nothing: the new start has accepted no order.
+#[rstest]
+#[case::seen_in_its_entry(false)]
+#[case::seen_in_its_report(true)]
+fn an_order_to_the_start_before_counts_for_nothing(#[case] in_report: bool) {
+    let mut planning = Planning::begin();
+    planning.want("a1");
+    assert_eq!(planning.orders.len(), 1);
+    if in_report {
+        planning.answer(OrderAnswer::OutOfTurn);
+        planning.pass(500);
+        assert!(planning.asked);
+        planning.reports(200, 0, &[]);
+    } else {
+        planning.handle(ResidencyEvent::TargetSeen(entry(200, &[])));
+        planning.answer(OrderAnswer::Accepted);
+    }
+    assert_eq!(planning.answers.len(), 1, "the caller is told at once");
+    planning.pass(300);
+    assert_eq!(planning.orders.len(), 1, "nothing until it has been asked");
+    planning.pass(500);
+    planning.reports(200, 0, &[]);
+    planning.want("a2");
+    let order = planning.orders.last().expect("an order");
+    assert_eq!((order.accepted_before, &order.weights), (0, &adapter("a2")));
+}
+
+/// A report that left before the restart comes after it. Believed, the target would be told of as
+/// holding what it has lost, and orders would name the count of the start before.
+#[test]
+fn a_report_of_the_start_before_is_not_believed() {
+    let mut planning = Planning::begin();
+    planning.handle(ResidencyEvent::TargetSeen(entry(200, &[])));
+    planning.pass(500);
+    assert!(planning.asked);
+    planning.reports(100, 7, &["a1"]);
+    assert_eq!(planning.residency.holdings(), []);
+    planning.pass(500);
+    assert!(planning.asked, "it is asked again");
+    planning.reports(200, 0, &[]);
+    planning.want("a1");
+    assert_eq!(planning.orders[0].accepted_before, 0);
+}
+
+/// A load is ordered after three others and gets no answer. The target starts again and accepts three
+/// loads; now the lost order may be carried out. A fourth load ordered beside it would be one more than
+/// the target has slots for, which kills it.
+#[test]
+fn an_order_that_may_come_late_keeps_a_slot_of_the_new_start() {
+    let mut planning = Planning::begin();
+    for name in ["a1", "a2", "a3"] {
+        assert!(planning.load(name));
+    }
+    planning.want("a4");
+    assert_eq!(planning.orders.last().expect("an order").accepted_before, 3);
+    planning.answer(OrderAnswer::Unanswered);
+    planning.handle(ResidencyEvent::TargetSeen(entry(200, &[])));
+    planning.pass(500);
+    planning.reports(200, 0, &[]);
+    for name in ["b1", "b2", "b3"] {
+        assert!(planning.load(name), "{name}");
+    }
+    // In use, none of them makes room.
+    let uses = ["b1", "b2", "b3"].map(|name| Use {
+        target: target(0),
+        weights: Some(adapter(name)),
+        in_flight: 1,
+    });
+    let instance = InstanceId::from("i");
+    planning.handle(ResidencyEvent::Used(instance, uses.to_vec()));
+    let loads = |it: &Planning| {
+        let loads = it.orders.iter().filter(|it| it.kind == OrderKind::Load);
+        loads.filter(|it| it.weights == adapter("b4")).count()
+    };
+    planning.want("b4");
+    assert_eq!(loads(&planning), 0, "the slot may be taken");
+    planning.pass(16_000);
+    planning.want("b4");
+    assert!(loads(&planning) > 0, "no order is so late");
+}
--- a/crates/chervilshunt_core/tests/support/placing.rs
+++ b/crates/chervilshunt_core/tests/support/placing.rs
@@ -1,5 +1,7 @@
 //! A planner before targets of one service, for its tests by cases.
 
+#![allow(dead_code, reason = "each test binary uses a part of it")]
+
 use std::time::Duration;
 
 use chervilshunt_core::{
@@ -44,6 +46,7 @@
     residency.handle(ResidencyEvent::Limits(service(), limits), at(0));
     for index in 0..targets {
         let facts = TargetFacts {
+            started: None,
             name: target(index),
             service: service(),
             address: ([10, 0, 0, 1], 8000).into(),
@@ -64,6 +67,7 @@
 /// What a target says that has accepted no order.
 pub(crate) fn reported(index: usize, adapters: Vec<(Weights, u64)>) -> ResidencyEvent {
     let report = TargetReport {
+        started: None,
         accepted: 0,
         busy: false,
         adapters,
--- a/crates/chervilshunt_gateway/src/control/follow.rs
+++ b/crates/chervilshunt_gateway/src/control/follow.rs
@@ -3,6 +3,7 @@
 //! One list, and then one call after the other that waits for changes. Each call has its price, so
 //! that changes which come in quick succession are gathered by a pause between two calls.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -41,6 +42,10 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 
+/// Objects of a kind whose fault is remembered, so that it is logged once. Far more than a fault of
+/// somebody else's program leaves; beyond it some are logged again.
+const MOST_REPORTED: usize = 1_000;
+
 /// Why following has to begin anew or pause.
 #[derive(Debug)]
 enum Trouble {
@@ -69,6 +74,8 @@
     control: Address<Control>,
     /// How fast it goes; none if it always goes by itself.
     pace: Option<watch::Receiver<FollowPace>>,
+    /// The objects that could not be read, each with what was last wrong with it.
+    reported: HashMap<Arc<str>, String>,
     log: Logger,
 }
 
@@ -92,6 +99,7 @@
             exchange: Arc::clone(exchange),
             control: control.clone(),
             pace,
+            reported: HashMap::new(),
             log: log.clone(),
         };
         tokio::spawn(follower.run());
@@ -178,7 +186,7 @@
     }
 
     /// Reads all objects of the kind and returns the revision to go on from.
-    async fn list(&self) -> Result<u64, Trouble> {
+    async fn list(&mut self) -> Result<u64, Trouble> {
         let mut entries: Vec<Entry> = Vec::new();
         let mut after: Option<String> = None;
         let mut first_revision = None;
@@ -203,7 +211,7 @@
     }
 
     /// Waits for changes and returns the revision to go on from.
-    async fn watch(&self, from: u64, wait: Duration) -> Result<u64, Trouble> {
+    async fn watch(&mut self, from: u64, wait: Duration) -> Result<u64, Trouble> {
         let call = (self.dialect.watch)(self.kind, from, wait);
         let body = self.call(&call, wait + ANSWER_GRACE).await?;
         let changes: Changes =
@@ -246,8 +254,18 @@
         }
     }
 
-    fn report_malformed(&self, malformed: &[Malformed]) {
+    /// Logs what can't be read, once for each fault of an object: it is read again with each list.
+    fn report_malformed(&mut self, malformed: &[Malformed]) {
+        if self.reported.len() + malformed.len() > MOST_REPORTED {
+            self.reported.clear();
+        }
         for it in malformed {
+            let before = self
+                .reported
+                .insert(Arc::clone(&it.what), it.problem.clone());
+            if before.as_ref() == Some(&it.problem) {
+                continue;
+            }
             slog::warn!(self.log, "object can't be read";
                 "kind" => self.kind.as_str(), "object" => &*it.what, "problem" => &it.problem);
         }
--- a/crates/chervilshunt_gateway/src/control/lease.rs
+++ b/crates/chervilshunt_gateway/src/control/lease.rs
@@ -106,6 +106,9 @@
             instance: instance.clone(),
             address,
         });
+        if holder.is_some() {
+            self.shared.set_placer_decided();
+        }
         let known = self.shared.placer.load_full();
         if known.as_deref() == holder.as_ref() {
             return;
--- a/crates/chervilshunt_gateway/src/control/targets.rs
+++ b/crates/chervilshunt_gateway/src/control/targets.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use chervilshunt_coord::SoleEvent;
-use chervilshunt_core::{ResidencyEvent, RouteTable, TargetFacts, Weights};
+use chervilshunt_core::{ResidencyEvent, RouteTable, TargetFacts, TargetNews, Weights};
 use chervilshunt_model::{Moment, TargetName};
 
 use super::actor::Control;
@@ -71,10 +71,16 @@
                 for change in changes.changes {
                     match change {
                         Change::Put(entry) => self.seen(entry, revision),
-                        Change::Removed(name) => removed.push(TargetName::new(name)),
+                        // One that can't be read names no target any more, until the target
+                        // itself writes its entry again.
+                        Change::Removed(name) | Change::Unreadable(name) => {
+                            removed.push(TargetName::new(name));
+                        }
                     }
                 }
-                self.absent(removed, revision);
+                if kind == Kind::Targets {
+                    self.absent(removed, revision);
+                }
                 self.looked(kind, revision);
             }
             FromStore::Trouble(kind) => self.note_trouble(kind),
@@ -89,8 +95,11 @@
     /// when entries of targets may have lapsed.
     fn note_trouble(&mut self, kind: Kind) {
         self.reaches_platform = false;
-        if kind == Kind::Targets {
-            self.absences.last_trouble = Some(self.now());
+        match kind {
+            Kind::Targets => self.absences.last_trouble = Some(self.now()),
+            // While the platform is away nobody can become the placer.
+            Kind::Lease => self.shared.set_placer_decided(),
+            Kind::Configuration | Kind::Versions => {}
         }
     }
 
@@ -189,9 +198,15 @@
 
     fn target_seen(&mut self, facts: TargetFacts, revision: u64) {
         let now = self.now();
-        let was_absent = self.absences.due.remove(&facts.name).is_some();
         let mut dispatch = self.shared.dispatch();
-        let before = dispatch.target(&facts.name);
+        let before = dispatch.target(&facts.name).cloned();
+        let news = dispatch.target_seen(facts.clone(), now);
+        drop(dispatch);
+        if news == TargetNews::Outdated {
+            return;
+        }
+        let was_absent = self.absences.due.remove(&facts.name).is_some();
+        let before = before.as_ref();
         if was_absent || before.is_none_or(|before| before.concerns_all(&facts)) {
             self.entries_changed_at = self.entries_changed_at.max(revision);
         }
@@ -201,8 +216,12 @@
                 "target" => facts.name.as_str(), "service" => facts.service.as_str(),
                 "address" => facts.address.to_string(), "leaving" => facts.leaving.is_some());
         }
-        dispatch.target_seen(facts.clone(), now);
-        drop(dispatch);
+        if news == TargetNews::Restarted {
+            slog::info!(self.shared.log, "target started again";
+                "target" => facts.name.as_str(), "started" => facts.started.map(|it| it.0));
+            // A connection to the start before is of no use, and may never say so.
+            self.shared.engines.retain(|it| *it != facts.address);
+        }
         self.plan(ResidencyEvent::TargetSeen(facts));
     }
 
--- a/crates/chervilshunt_gateway/src/dialect.rs
+++ b/crates/chervilshunt_gateway/src/dialect.rs
@@ -147,6 +147,8 @@
     Put(Entry),
     /// The object of this name was removed.
     Removed(Arc<str>),
+    /// The object of this name was replaced by one that can't be read.
+    Unreadable(Arc<str>),
 }
 
 /// Changes of the objects of a kind, in their order.
--- a/crates/chervilshunt_gateway/src/shared.rs
+++ b/crates/chervilshunt_gateway/src/shared.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use chervilshunt_core::{Dispatch, RouteTable, ServiceBudgets};
@@ -16,6 +17,9 @@
 use crate::peers::PeerMessage;
 use crate::settings::Settings;
 
+/// How long readiness waits for a first placer: instances spread their writes over 0.4 s, those on
+/// small machines leave the lease to others for up to 1 s more, and a write takes some milliseconds.
+const FIRST_PLACER_WAIT: Duration = Duration::from_secs(2);
 /// Instances that are taken to share the retry budget until the placer tells how many there are.
 const INSTANCES_UNTIL_TOLD: usize = 16;
 
@@ -39,7 +43,10 @@
     instances: AtomicUsize,
     /// When there will be a placer again, in microseconds of the clock; zero while there is one.
     placer_back: AtomicU64,
-    targets_known: AtomicBool,
+    /// When the targets were first listed, in microseconds of the clock; zero until then.
+    targets_known_at: AtomicU64,
+    /// Whether a placer has been heard of, or the platform can't tell of one.
+    placer_expected: AtomicBool,
     stopping: AtomicBool,
     /// Ends connections once their request under way, if there is one, has been answered.
     pub(crate) close_connections: CancellationToken,
@@ -92,7 +99,8 @@
             budgets: Mutex::new(budgets),
             instances: AtomicUsize::new(INSTANCES_UNTIL_TOLD),
             placer_back: AtomicU64::new(0),
-            targets_known: AtomicBool::new(false),
+            targets_known_at: AtomicU64::new(0),
+            placer_expected: AtomicBool::new(true),
             stopping: AtomicBool::new(false),
             close_connections: CancellationToken::new(),
             open_requests: AtomicUsize::new(0),
@@ -138,7 +146,18 @@
 
     /// Takes note that the targets have been listed.
     pub(crate) fn set_targets_known(&self) {
-        self.targets_known.store(true, Ordering::Release);
+        let now = self.clock.now().as_micros().max(1);
+        let first =
+            self.targets_known_at
+                .compare_exchange(0, now, Ordering::AcqRel, Ordering::Relaxed);
+        if first.is_ok() {
+            slog::debug!(self.log, "targets listed");
+        }
+    }
+
+    /// Takes note that there is a placer, or that none can be expected to come soon.
+    pub(crate) fn set_placer_decided(&self) {
+        self.placer_expected.store(false, Ordering::Release);
     }
 
     /// Begins the shutdown.
@@ -152,9 +171,18 @@
     }
 
     /// Says whether callers should be sent here.
+    ///
+    /// A new deployment has no placer until the first lease has been written, and every request for
+    /// an adapter that no target holds is refused until then. So an instance waits for the first
+    /// placer, but not for long, and not if the platform can't tell of one.
     pub(crate) fn is_ready(&self) -> bool {
+        let known_at = self.targets_known_at.load(Ordering::Acquire);
+        let targets_known = known_at > 0;
+        let known_for = self.clock.now().since(Moment::from_micros(known_at));
+        let expects_placer = self.placer_expected.load(Ordering::Acquire);
         self.routes.load().is_some()
-            && self.targets_known.load(Ordering::Acquire)
+            && targets_known
+            && !(expects_placer && known_for < FIRST_PLACER_WAIT)
             && !self.is_stopping()
     }
 }
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chervilshunt_core::{Sign, Weights};
+use chervilshunt_core::{Sign, TargetStart, Weights};
 use chervilshunt_engine::{BodyReader, EngineError, Limits, Outcome};
 use chervilshunt_model::TargetName;
 use http::response::Parts;
@@ -48,6 +48,8 @@
 pub(crate) struct InFlight {
     shared: Arc<Shared>,
     pub(crate) target: TargetName,
+    /// When the target started that it was sent to.
+    started: Option<TargetStart>,
     weights: Option<Weights>,
     /// The prompt tokens that the target has not read yet, as far as is known.
     reading: u32,
@@ -60,10 +62,12 @@
         let mut dispatch = shared.dispatch();
         dispatch.sent(target, weights);
         dispatch.reads(target, reading);
+        let started = dispatch.started(target);
         drop(dispatch);
         Self {
             shared: Arc::clone(shared),
             target: target.clone(),
+            started,
             weights: weights.cloned(),
             reading,
         }
@@ -80,7 +84,7 @@
     fn drop(&mut self) {
         let mut dispatch = self.shared.dispatch();
         dispatch.has_read(&self.target, self.reading);
-        dispatch.ended(&self.target, self.weights.as_ref());
+        dispatch.ended(&self.target, self.weights.as_ref(), self.started);
     }
 }
 
