--- a/crates/chervilshunt_gateway/src/shared.rs
+++ b/crates/chervilshunt_gateway/src/shared.rs
@@ -47,6 +47,8 @@
     targets_known_at: AtomicU64,
     /// Whether a placer has been heard of, or the platform can't tell of one.
     placer_expected: AtomicBool,
+    /// Whether callers have been sent here.
+    was_ready: AtomicBool,
     stopping: AtomicBool,
     /// Ends connections once their request under way, if there is one, has been answered.
     pub(crate) close_connections: CancellationToken,
@@ -101,6 +103,7 @@
             placer_back: AtomicU64::new(0),
             targets_known_at: AtomicU64::new(0),
             placer_expected: AtomicBool::new(true),
+            was_ready: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             close_connections: CancellationToken::new(),
             open_requests: AtomicUsize::new(0),
@@ -180,9 +183,14 @@
         let targets_known = known_at > 0;
         let known_for = self.clock.now().since(Moment::from_micros(known_at));
         let expects_placer = self.placer_expected.load(Ordering::Acquire);
-        self.routes.load().is_some()
+        let ready = self.routes.load().is_some()
             && targets_known
             && !(expects_placer && known_for < FIRST_PLACER_WAIT)
-            && !self.is_stopping()
+            && !self.is_stopping();
+        if ready && !self.was_ready.swap(true, Ordering::AcqRel) {
+            slog::info!(self.log, "ready"; "placer_decided" => !expects_placer,
+                "targets_known_for_ms" => known_for.as_millis() as u64);
+        }
+        ready
     }
 }
