--- a/crates/chervilshunt_core/src/dispatch/choose.rs
+++ b/crates/chervilshunt_core/src/dispatch/choose.rs
@@ -58,8 +58,6 @@
     pub weights: Option<&'a Weights>,
     /// What it mostly makes a target do.
     pub lane: Lane,
-    /// Whether the placer can be asked to have its adapter loaded.
-    pub may_ask: bool,
     /// Targets that it has been at already.
     pub avoid: &'a [TargetName],
 }
@@ -71,8 +69,6 @@
     NoTarget,
     /// No usable target holds the adapter.
     NotHeld,
-    /// All targets that hold the adapter are full, and others have room for it.
-    HoldersFull,
     /// All targets that could take it are full.
     Full,
 }
@@ -106,9 +102,6 @@
 const BUSY_WITH_LONG_PROMPTS: f64 = 6.0;
 
 /// Returns the holders that a request should go to, by its lane.
-///
-/// If none of them holds its adapter, that is asked for there: a stream that goes to a target kept
-/// for long prompts is held up nearly for certain, and a load costs it a quarter of a second once.
 fn prefer_lane<'a>(
     holding: Vec<&'a Target>,
     ask: &Ask<'_>,
@@ -123,9 +116,6 @@
         {
             kept
         }
-        Lane::LongPrompt if ask.may_ask && general.is_empty() => Vec::new(),
-        Lane::LongPrompt if ask.may_ask && kept.is_empty() => Vec::new(),
-        Lane::General if ask.may_ask => general,
         Lane::LongPrompt | Lane::General if general.is_empty() => kept,
         Lane::LongPrompt | Lane::General => general,
     }
@@ -138,9 +128,6 @@
         if serving.is_empty() {
             return Choice::Wait(Wait::NoTarget);
         }
-        // A load takes a quarter of a second; refused, the request would come back to the same
-        // holders, as full as before.
-        let room_elsewhere = ask.may_ask && serving.iter().any(|it| self.has_room(it));
         let kept = long_prompt_targets(serving.iter().map(|it| &it.facts.name));
         let kept: Vec<TargetName> = kept.into_iter().cloned().collect();
         let in_lane = |target: &Target| kept.contains(&target.facts.name);
@@ -168,7 +155,6 @@
         let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
         match best {
             Some((_, target)) => self.send(target, ask.weights, now),
-            None if room_elsewhere => Choice::Wait(Wait::HoldersFull),
             None => Choice::Wait(Wait::Full),
         }
     }
--- a/crates/chervilshunt_core/src/dispatch/state.rs
+++ b/crates/chervilshunt_core/src/dispatch/state.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use chervilshunt_model::{Moment, TargetName, ZoneName};
+use chervilshunt_model::{Moment, ServiceName, TargetName, ZoneName};
 use indexmap::IndexMap;
 
 use super::choose::DispatchConfig;
@@ -19,6 +19,9 @@
 /// something at least each second; a target's own list is up to a heartbeat and a half behind.
 const PLACER_SILENCE: Duration = Duration::from_secs(3);
 
+/// The silence after which a placer is no longer asked about each request: three of the intervals at
+/// which it tells something.
+const GUIDED_SILENCE: Duration = Duration::from_millis(1_300);
 /// Targets that are gone whose last start is remembered, against entries that come late: far more
 /// than fail in the time for which a write can be late.
 const REMEMBERED_GONE: usize = 1_024;
@@ -56,7 +59,8 @@
     /// The last start of each target that is gone, the latest at the end.
     gone: IndexMap<TargetName, TargetStart>,
     placer_heard: Option<Moment>,
-    pressed: bool,
+    /// Whether the placer has told all that it knows, and nothing speaks against it since.
+    introduced: bool,
 }
 
 impl Dispatch {
@@ -71,7 +75,7 @@
             uses: UseTable::default(),
             gone: IndexMap::new(),
             placer_heard: None,
-            pressed: false,
+            introduced: false,
         }
     }
 
@@ -139,6 +143,7 @@
     pub fn holdings_whole(&mut self, holdings: Vec<Holding>, now: Moment) {
         self.holders.clear();
         self.placer_heard = Some(now);
+        self.introduced = true;
         for holding in holdings {
             self.take_holding(holding);
         }
@@ -163,20 +168,42 @@
         self.placer_heard = Some(now);
     }
 
-    /// Takes in whether loads wait for others to end.
-    pub fn set_pressed(&mut self, pressed: bool) {
-        self.pressed = pressed;
+    /// Takes note that the placer does not answer: until it tells everything anew, requests use what is
+    /// known of who holds what.
+    pub fn placer_lost(&mut self) {
+        self.introduced = false;
     }
 
-    /// Says whether the placer can be asked for a load that a request can do without.
-    pub fn has_loads_to_spare(&self, now: Moment) -> bool {
-        self.is_placer_heard(now) && !self.pressed
+    /// Says whether the placer chooses targets: it knows what all instances have under way, and which
+    /// adapters are about to go. Otherwise an instance chooses by itself.
+    pub fn is_guided(&self, now: Moment) -> bool {
+        self.introduced && self.heard_within(GUIDED_SILENCE, now)
+    }
+
+    /// Says whether the placer has been heard within a time.
+    pub fn heard_within(&self, silence: Duration, now: Moment) -> bool {
+        self.placer_heard.is_some_and(|at| now.since(at) < silence)
+    }
+
+    /// Returns the targets of a service to which this instance would rather not send, since they were
+    /// silent or failed of late; none if that is true of most, as the fault may be its own.
+    pub fn doubtful(&self, service: &ServiceName, now: Moment) -> Vec<TargetName> {
+        let targets = self.targets.values();
+        let serving = targets.filter(|it| it.facts.service == *service);
+        let (doubtful, sound): (Vec<&Target>, Vec<&Target>) = serving.partition(|target| {
+            let failing = target.health.failing_share() > self.cfg.health.failing_share;
+            failing || target.health.is_silent(now)
+        });
+        if doubtful.len() > sound.len() {
+            return Vec::new();
+        }
+        let names = doubtful.into_iter().map(|it| it.facts.name.clone());
+        names.collect()
     }
 
     /// Says whether the placer has been heard of late.
     pub fn is_placer_heard(&self, now: Moment) -> bool {
-        let heard = self.placer_heard;
-        heard.is_some_and(|at| now.since(at) < PLACER_SILENCE)
+        self.heard_within(PLACER_SILENCE, now)
     }
 
     /// Takes in that a version of some weights is the newest.
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -39,8 +39,8 @@
 };
 pub use rank::{TargetTable, rank_targets};
 pub use residency::{
-    Order, OrderAnswer, OrderNumber, Placed, Residency, ResidencyAction, ResidencyConfig,
-    ResidencyEvent, TargetReport, Use,
+    GrantNumber, GrantProgress, Order, OrderAnswer, OrderNumber, Placed, Residency,
+    ResidencyAction, ResidencyConfig, ResidencyEvent, TargetReport, Use, Want,
 };
 pub use retry::{
     Admission, Backoff, BackoffConfig, Breaker, BreakerConfig, BreakerState, BreakerTicket,
--- a/crates/chervilshunt_core/src/residency/answers.rs
+++ b/crates/chervilshunt_core/src/residency/answers.rs
@@ -5,10 +5,10 @@
 use chervilshunt_model::{Moment, TargetName};
 
 use super::hold::{Hold, HoldState};
-use super::order::{Order, OrderAnswer, OrderNumber, Placed, ResidencyAction, TargetReport};
+use super::order::{Order, OrderAnswer, OrderNumber, ResidencyAction, TargetReport};
 use super::planner::Residency;
 use super::target::Turn;
-use super::wants::{FailedLoad, tell};
+use super::wants::tell;
 use crate::dispatch::TargetFacts;
 use crate::owner::OrderKind;
 
@@ -86,64 +86,76 @@
         now: Moment,
         out: &mut Vec<ResidencyAction>,
     ) {
-        let look_at = self.ready_at(&order.target, &order.weights, now);
         let look_again = now + self.cfg.look_again;
         let under_way = self.loads_under_way();
+        let fetch_time = self.load_time(true);
         let Some(target) = self.targets.get_mut(&order.target) else {
             return;
         };
-        let from_store = !target.remembers(&order.weights);
         let Some(hold) = target.holds.get_mut(&order.weights) else {
             return;
         };
         let confirming = hold.state == HoldState::Confirming;
         match answer {
             OrderAnswer::Done => {
-                if let Some(since) = hold.fetched_since.take() {
-                    self.window.ended(now.since(since), under_way);
+                if let Some(took) = hold.accepted_at.take().map(|at| now.since(at)) {
+                    let quick = took <= self.cfg.longest_warm_load;
+                    match hold.had_since {
+                        Some(since) if quick && hold.from_store => self.memory.was_kept(since),
+                        _ if hold.from_store => self.window.ended(took, under_way),
+                        _ => {}
+                    }
                 }
-                hold.state = HoldState::Ready;
-                hold.since = now;
-                hold.last_used = now;
                 let (version, outdated) = (hold.version, hold.outdated);
-                let questions = std::mem::take(&mut hold.questions);
-                target.remember(order.weights.clone(), &self.cfg);
+                let questions = hold.ready(now);
+                target.remembered.note(order.weights.clone());
                 out.push(tell(&order.target, &order.weights, Some(version)));
-                self.answer_loaded(questions, &order.target, outdated, out);
+                self.answer_loaded(questions, &order.target, outdated, now, out);
             }
             // Another order has been carried out meanwhile; this one tells nothing.
             OrderAnswer::OutOfTurn if confirming => hold.state = HoldState::Loading(look_again),
             // It is still under way.
             OrderAnswer::Accepted if confirming => {
-                if let Some(since) = hold.fetched_since {
-                    self.window.goes_on(now.since(since), now);
+                if let Some(after) = hold.accepted_at.map(|at| now.since(at)) {
+                    if hold.from_store {
+                        self.window.goes_on(after, now);
+                    } else if after > self.cfg.longest_warm_load {
+                        hold.from_store = true;
+                        self.memory
+                            .was_forgotten(hold.had_since.unwrap_or_default());
+                    }
                 }
                 hold.state = HoldState::Loading(look_again);
             }
             OrderAnswer::Accepted => {
-                hold.state = HoldState::Loading(look_at);
-                hold.fetched_since = from_store.then_some(now);
+                let load_time = if hold.from_store {
+                    fetch_time
+                } else {
+                    self.cfg.warm_load
+                };
+                hold.state = HoldState::Loading(now + load_time + self.cfg.load_margin);
+                hold.accepted_at = Some(now);
             }
             // A load that should have ended by now most likely has; if not, the target refuses
             // truly. Those who wait would be no better off at another target.
             OrderAnswer::Unanswered if confirming => {
-                let questions = std::mem::take(&mut hold.questions);
+                let questions = hold.take_questions();
                 let outdated = hold.outdated;
-                self.answer_loaded(questions, &order.target, outdated, out);
+                self.answer_loaded(questions, &order.target, outdated, now, out);
             }
             // Without an answer it may still be loaded, and counts as taking a slot until the
             // target has been asked.
             OrderAnswer::Unanswered => {
-                let failed = failed_load(order, hold);
-                self.place_elsewhere(failed, now, out);
+                let questions = hold.take_questions();
+                self.place_elsewhere(&order.target, questions, now, out);
             }
             OrderAnswer::OutOfTurn
             | OrderAnswer::OtherTarget
             | OrderAnswer::Refused
             | OrderAnswer::NotSent => {
-                let failed = failed_load(order, hold);
+                let questions = hold.take_questions();
                 target.holds.shift_remove(&order.weights);
-                self.place_elsewhere(failed, now, out);
+                self.place_elsewhere(&order.target, questions, now, out);
             }
         }
     }
@@ -153,7 +165,7 @@
             return;
         };
         match answer {
-            OrderAnswer::Done => target.gave_up(&order.weights, &self.cfg),
+            OrderAnswer::Done => target.gave_up(&order.weights),
             // It waits for its last requests; the next report shows whether it is gone.
             OrderAnswer::Accepted | OrderAnswer::Unanswered => {}
             OrderAnswer::OutOfTurn
@@ -177,6 +189,7 @@
     ) {
         let ready_at = now + self.window.usual(self.cfg.cold_load) + self.cfg.load_margin;
         let mut loaded = Vec::new();
+        let mut lost = Vec::new();
         match self.compare_start(name, report.started) {
             // From before the start that is there.
             Some(Ordering::Less) => return self.not_reported(name, now),
@@ -190,6 +203,7 @@
             return;
         }
         target.turn = Turn::Free(report.accepted);
+        target.was_asked = true;
         target.touched = true;
         let listed = |weights: &_| {
             let held = report.adapters.iter().any(|(held, _)| held == weights);
@@ -203,33 +217,30 @@
             .collect();
         for weights in unlisted {
             if let Some(hold) = target.holds.get_mut(&weights) {
-                let questions = std::mem::take(&mut hold.questions);
-                let retry_in = self.cfg.retry_in;
-                out.extend(
-                    questions.into_iter().map(|question| {
-                        ResidencyAction::Answer(question, Placed::Later { retry_in })
-                    }),
-                );
+                lost.extend(hold.take_questions());
             }
-            target.gave_up(&weights, &self.cfg);
+            target.gave_up(&weights);
             out.push(tell(name, &weights, None));
         }
         for (weights, version) in &report.adapters {
             let newest = self.newest.get(weights).copied().unwrap_or_default();
             let fresh = Hold {
-                last_used: now - self.cfg.keep_used + self.cfg.uses_told,
+                free_from: now + self.cfg.uses_told,
                 ..Hold::new(HoldState::Ready, *version, now)
             };
             let hold = target.holds.entry(weights.clone()).or_insert(fresh);
             if hold.state == HoldState::Unloading {
-                hold.state = HoldState::Ending;
+                // Where the target waits for the last request to end, it goes on waiting.
+                if !report.busy {
+                    hold.state = HoldState::Ending;
+                }
                 continue;
             }
             hold.state = HoldState::Ready;
             hold.version = *version;
             hold.outdated = *version < newest;
             out.push(tell(name, weights, Some(*version)));
-            loaded.push((std::mem::take(&mut hold.questions), hold.outdated));
+            loaded.push((hold.take_questions(), hold.outdated));
         }
         for weights in &report.loading {
             let coming = Hold::new(HoldState::Loading(ready_at), FIRST_KNOWN, now);
@@ -239,8 +250,9 @@
             }
         }
         for (questions, outdated) in loaded {
-            self.answer_loaded(questions, name, outdated, out);
+            self.answer_loaded(questions, name, outdated, now, out);
         }
+        self.answer_later(lost, out);
     }
 
     /// Takes in the report of a start of which the platform does not list anything yet.
@@ -261,27 +273,6 @@
         self.target_restarted(facts, now, out);
     }
 
-    /// Answers questions about an adapter that a target holds by now.
-    ///
-    /// An older version than the newest would answer their requests wrongly: a target that is
-    /// found to hold one can have been planned to load the newest.
-    fn answer_loaded(
-        &self,
-        questions: Vec<u64>,
-        target: &TargetName,
-        outdated: bool,
-        out: &mut Vec<ResidencyAction>,
-    ) {
-        if outdated {
-            return self.answer_later(questions, out);
-        }
-        let answers = questions.into_iter().map(|question| {
-            let target = target.clone();
-            ResidencyAction::Answer(question, Placed::At { target })
-        });
-        out.extend(answers);
-    }
-
     /// Takes in that a target could not be asked.
     pub(super) fn not_reported(&mut self, name: &TargetName, now: Moment) {
         let again = now + self.cfg.report_lag;
@@ -289,21 +280,11 @@
             && target.turn == Turn::Asked
         {
             target.turn = Turn::Unknown(again);
+            target.was_asked = true;
             target.touched = true;
         }
     }
 }
 
-/// Takes those who wait from a hold whose load has failed.
-fn failed_load(order: &Order, hold: &mut Hold) -> FailedLoad {
-    FailedLoad {
-        target: order.target.clone(),
-        weights: order.weights.clone(),
-        questions: std::mem::take(&mut hold.questions),
-        until: hold.wanted_until,
-        lane: hold.lane,
-    }
-}
-
 /// The version that a load under way is taken to bring until the target lists it.
 const FIRST_KNOWN: u64 = 1;
--- /dev/null
+++ b/crates/chervilshunt_core/src/residency/choice.rs
@@ -0,0 +1,214 @@
+//! The choice of a target for a request: where its first token is expected soonest.
+
+use std::time::Duration;
+
+use chervilshunt_model::{Moment, ServiceName, TargetName};
+
+use super::hold::{Hold, HoldState};
+use super::planner::Residency;
+use super::target::{TargetState, Turn};
+use super::wants::Want;
+use crate::dispatch::{Lane, long_prompt_targets};
+
+/// A target for a request.
+#[derive(Clone, Debug)]
+pub(super) struct Found {
+    pub(super) target: TargetName,
+    /// When the target holds the adapter, as is expected.
+    pub(super) held_in: Duration,
+    /// When its first token is expected, with what counts against the target, in milliseconds.
+    score: f64,
+}
+
+impl Residency {
+    /// Returns the target at which a request begins soonest, whether that holds the adapter, is loading
+    /// it or would have to; none if no target has a place for it.
+    ///
+    /// A target with a queue of prompts to read is passed over for one that first has to load, where that
+    /// is quicker. So a busy adapter comes to be at as many targets as its requests need.
+    pub(super) fn best_target(&self, want: &Want, now: Moment) -> Option<Found> {
+        self.best_of(want, now, |target| self.held_in(target, want, now))
+    }
+
+    /// Says whether there is any target that a request could be sent to, if it had a place.
+    pub(super) fn has_targets(&self, want: &Want) -> bool {
+        let mut targets = self.targets.iter();
+        targets.any(|(name, target)| self.may_place(name, target, want))
+    }
+
+    /// Returns the target that would load an adapter soonest, of those that don't have it.
+    pub(super) fn best_load(&self, want: &Want, now: Moment) -> Option<Found> {
+        self.best_of(want, now, |target| {
+            let has_it = target.holds.contains_key(&want.weights);
+            (!has_it)
+                .then(|| self.loaded_in(target, want, now))
+                .flatten()
+        })
+    }
+
+    fn best_of(
+        &self,
+        want: &Want,
+        now: Moment,
+        held_in: impl Fn(&TargetState) -> Option<Readiness>,
+    ) -> Option<Found> {
+        let kept = self.kept_for_long_prompts(&want.service, now);
+        let targets = self.targets.iter();
+        let targets = targets.filter(|(name, target)| self.may_place(name, target, want));
+        let found = targets.filter_map(|(name, target)| {
+            let readiness = held_in(target)?;
+            let mut score = self.score(target, want, readiness);
+            if !kept.is_empty() && kept.contains(&name) != (want.lane == Lane::LongPrompt) {
+                score += millis(self.cfg.lane_penalty);
+            }
+            Some(Found {
+                target: name.clone(),
+                held_in: readiness.held_in,
+                score,
+            })
+        });
+        found.min_by(|a, b| a.score.total_cmp(&b.score))
+    }
+
+    /// Returns when the first token is expected at a target, with what counts against it.
+    fn score(&self, target: &TargetState, want: &Want, readiness: Readiness) -> f64 {
+        let read_before = self.pace.millis(target.backlog());
+        let held_in = millis(readiness.held_in);
+        // Prompts are read while a load goes on, but a target that has to do both is more easily late.
+        let begins = read_before.max(held_in) + read_before.min(held_in) * BOTH_WAITS;
+        let taken = f64::from(target.in_flight()) / f64::from(target.facts.slots.max(1));
+        let mut score = begins + millis(readiness.penalty);
+        score += taken * millis(self.cfg.load_penalty);
+        if target.facts.zone != want.zone {
+            score += millis(self.cfg.zone_penalty);
+        }
+        score
+    }
+
+    /// Returns when a target holds an adapter; none if it has no place for it.
+    fn held_in(&self, target: &TargetState, want: &Want, now: Moment) -> Option<Readiness> {
+        if want.weights.adapter.is_none() {
+            return Some(Readiness::at_once());
+        }
+        let Some(hold) = target.holds.get(&want.weights) else {
+            return self.loaded_in(target, want, now);
+        };
+        if hold.outdated || hold.is_going() {
+            return None;
+        }
+        let held_in = match hold.state {
+            HoldState::Ready => Duration::ZERO,
+            HoldState::Loading(at) => now.until(at),
+            HoldState::Confirming => self.cfg.load_margin,
+            HoldState::Ordered => self.load_time(hold.from_store),
+            HoldState::Planned => self.planned_in(target, hold, now),
+            HoldState::Ending | HoldState::Unloading => return None,
+        };
+        Some(Readiness::soon(held_in))
+    }
+
+    fn planned_in(&self, target: &TargetState, hold: &Hold, now: Moment) -> Duration {
+        self.load_time(hold.from_store)
+            + self.store_wait(hold.from_store)
+            + self.turn_wait(target, now)
+    }
+
+    /// Returns when a target would hold an adapter that it has to load; none if it has no place.
+    fn loaded_in(&self, target: &TargetState, want: &Want, now: Moment) -> Option<Readiness> {
+        let limits = self.limits.get(&target.facts.service)?;
+        let slots = limits.adapters_beside(&want.weights.model);
+        if target.room(slots, now) == 0 {
+            return None;
+        }
+        let from_store = !target.remembered.keeps(&want.weights, self.memory);
+        let load_time = self.load_time(from_store);
+        let mut held_in = load_time + self.turn_wait(target, now) + self.store_wait(from_store);
+        // A target takes one order after the other, and loads a few adapters at a time.
+        let coming = target.coming();
+        held_in += self.cfg.order_time * u32::try_from(coming).unwrap_or(u32::MAX);
+        held_in += load_time.mul_f64((coming / self.cfg.loads_a_target) as f64);
+        if !target.has_free_slot(slots) {
+            held_in += self.cfg.give_up_time;
+        }
+        let penalty = if from_store {
+            self.cfg.fetch_penalty
+        } else {
+            self.cfg.warm_penalty
+        };
+        Some(Readiness { held_in, penalty })
+    }
+
+    pub(super) fn load_time(&self, from_store: bool) -> Duration {
+        if from_store {
+            self.window.usual(self.cfg.cold_load)
+        } else {
+            self.cfg.warm_load
+        }
+    }
+
+    /// Returns how long a load waits for the weight store to have room for it.
+    fn store_wait(&self, from_store: bool) -> Duration {
+        if !from_store {
+            return Duration::ZERO;
+        }
+        let before = self.waiting_fetches() + self.loads_under_way();
+        let rounds = before as f64 / self.window.size() as f64;
+        self.load_time(true).mul_f64(rounds.floor())
+    }
+
+    /// Returns how long a target takes no order, as it has to be asked first how many it has accepted.
+    fn turn_wait(&self, target: &TargetState, now: Moment) -> Duration {
+        match target.turn {
+            Turn::Unknown(at) => now.until(at) + self.cfg.order_time,
+            Turn::Asked => self.cfg.order_time,
+            Turn::Free(_) | Turn::Out(_) => Duration::ZERO,
+        }
+    }
+
+    /// Returns the targets of a service that are kept for long prompts; none if they are not kept apart.
+    fn kept_for_long_prompts(&self, service: &ServiceName, now: Moment) -> Vec<&TargetName> {
+        if !self.lanes.is_on(now) {
+            return Vec::new();
+        }
+        let targets = self.targets.values();
+        let taking = targets.filter(|it| it.facts.service == *service && it.takes_work());
+        long_prompt_targets(taking.map(|it| &it.facts.name))
+    }
+
+    fn may_place(&self, name: &TargetName, target: &TargetState, want: &Want) -> bool {
+        target.facts.service == want.service
+            && target.takes_work()
+            && target.base_load.is_none()
+            && !target.gives_up()
+            && target.lists_model(&want.weights.model)
+            && !want.avoid.contains(name)
+    }
+}
+
+/// The part of the shorter of two waits that counts beside the longer one, where a target has to read
+/// prompts and to load the adapter. With equal waits at all targets, loads would all go to the first.
+const BOTH_WAITS: f64 = 0.2;
+
+/// How soon a target holds an adapter, and what counts against having it there.
+#[derive(Clone, Copy, Debug)]
+struct Readiness {
+    held_in: Duration,
+    penalty: Duration,
+}
+
+impl Readiness {
+    const fn at_once() -> Self {
+        Self::soon(Duration::ZERO)
+    }
+
+    const fn soon(held_in: Duration) -> Self {
+        Self {
+            held_in,
+            penalty: Duration::ZERO,
+        }
+    }
+}
+
+fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1e3
+}
--- /dev/null
+++ b/crates/chervilshunt_core/src/residency/grants.rs
@@ -0,0 +1,194 @@
+//! Grants: the placer's leave to send one request with an adapter to a target.
+//!
+//! Where places for adapters are few, one that nobody uses has to be free for the next adapter at once,
+//! and one that somebody is about to use must not be taken. Told by each instance several times a second,
+//! uses are known too late for both: a place stood idle for 1.7 s after its last use. So each request asks,
+//! and the placer counts it from its own answer until the instance says that it has ended. A grant whose
+//! end is lost ends with the next telling that leaves it out, or with its instance.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use chervilshunt_model::{InstanceId, Moment, TargetName};
+use serde::{Deserialize, Serialize};
+
+use super::order::Use;
+use super::planner::Residency;
+use crate::dispatch::Weights;
+
+/// How long an instance may leave a grant out of what it tells before it counts as ended: the answer
+/// that gives it and a telling that left before it are on their way for some milliseconds, and for a
+/// tenth of a second where a share of the processor is used up.
+const UNTOLD: Duration = Duration::from_millis(300);
+
+/// Names a grant; no two of any placers have the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct GrantNumber(pub u64);
+
+/// How far an instance has come with what it was granted.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantProgress {
+    /// Requests that a target has begun to answer, and whose prompts it has therefore read.
+    #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
+    pub begun: Vec<GrantNumber>,
+    /// Requests that have ended, however that was.
+    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
+    pub ended: Vec<GrantNumber>,
+    /// Streams that have paused for longer than their callers want.
+    #[serde(rename = "p", default, skip_serializing_if = "is_zero")]
+    pub paused: u32,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "the shape that serde asks for"
+)]
+const fn is_zero(count: &u32) -> bool {
+    *count == 0
+}
+
+impl GrantProgress {
+    /// Says whether there is nothing to tell.
+    pub const fn is_empty(&self) -> bool {
+        self.begun.is_empty() && self.ended.is_empty() && self.paused == 0
+    }
+}
+
+/// The leave to send one request to a target.
+#[derive(Clone, Debug)]
+pub(crate) struct Grant {
+    pub(crate) holder: InstanceId,
+    pub(crate) target: TargetName,
+    pub(crate) weights: Weights,
+    /// The prompt tokens that the target has still to read for it.
+    pub(crate) reading: u32,
+    given_at: Moment,
+}
+
+/// All grants that have not ended.
+#[derive(Debug, Default)]
+pub(crate) struct Grants {
+    open: HashMap<GrantNumber, Grant>,
+}
+
+impl Grants {
+    /// Forgets the grants at a target that is gone or has started again.
+    pub(crate) fn forget_target(&mut self, target: &TargetName) {
+        self.open.retain(|_, grant| grant.target != *target);
+    }
+
+    /// Returns an instance's granted requests under way by target.
+    pub(super) fn counts_of(&self, holder: &InstanceId) -> HashMap<&TargetName, u32> {
+        let mut counts: HashMap<&TargetName, u32> = HashMap::new();
+        for (_, grant) in self.of(holder) {
+            *counts.entry(&grant.target).or_default() += 1;
+        }
+        counts
+    }
+
+    fn of(&self, holder: &InstanceId) -> impl Iterator<Item = (GrantNumber, &Grant)> {
+        let open = self.open.iter().filter(move |(_, it)| it.holder == *holder);
+        open.map(|(number, grant)| (*number, grant))
+    }
+}
+
+impl Residency {
+    /// Counts a request that an instance may send to a target from now on.
+    pub(super) fn grant(
+        &mut self,
+        number: GrantNumber,
+        holder: InstanceId,
+        target: &TargetName,
+        weights: Weights,
+        tokens: u32,
+        now: Moment,
+    ) {
+        let Some(state) = self.targets.get_mut(target) else {
+            return;
+        };
+        state.grant_given(&weights, tokens);
+        let grant = Grant {
+            holder,
+            target: target.clone(),
+            weights,
+            reading: tokens,
+            given_at: now,
+        };
+        self.grants.open.insert(number, grant);
+    }
+
+    /// Takes in how far instances have come with their grants.
+    pub(super) fn progressed(&mut self, progress: &GrantProgress, now: Moment) {
+        let was_on = self.lanes.is_on(now);
+        self.lanes.note(progress.ended.len(), progress.paused, now);
+        if self.lanes.is_on(now) != was_on {
+            self.touch_all();
+        }
+        for number in &progress.begun {
+            self.grant_begun(*number, now);
+        }
+        for number in &progress.ended {
+            self.grant_ended(*number, now);
+        }
+    }
+
+    /// Takes in that a target has read the prompt of a request.
+    fn grant_begun(&mut self, number: GrantNumber, now: Moment) {
+        let Some(grant) = self.grants.open.get_mut(&number) else {
+            return;
+        };
+        let tokens = std::mem::take(&mut grant.reading);
+        let given_at = grant.given_at;
+        if let Some(target) = self.targets.get_mut(&grant.target) {
+            let read_for = target.has_read(tokens, given_at, now);
+            self.pace.read(tokens, read_for);
+        }
+    }
+
+    /// Ends a grant; the place of its adapter is free if nobody else uses it.
+    pub(super) fn grant_ended(&mut self, number: GrantNumber, now: Moment) {
+        let Some(grant) = self.grants.open.remove(&number) else {
+            return;
+        };
+        if let Some(target) = self.targets.get_mut(&grant.target) {
+            target.grant_ended(&grant, now);
+        }
+    }
+
+    /// Takes in what an instance has under way and which of its grants are part of it, and returns what
+    /// it has under way beside them.
+    pub(super) fn uses_beside_grants(
+        &mut self,
+        holder: &InstanceId,
+        mut uses: Vec<Use>,
+        told: &[GrantNumber],
+        now: Moment,
+    ) -> Vec<Use> {
+        let told: HashSet<GrantNumber> = told.iter().copied().collect();
+        let mut lost = Vec::new();
+        for (number, grant) in self.grants.of(holder) {
+            if told.contains(&number) {
+                let same = |it: &&mut Use| {
+                    it.target == grant.target && it.weights.as_ref() == Some(&grant.weights)
+                };
+                if let Some(it) = uses.iter_mut().find(same) {
+                    it.in_flight = it.in_flight.saturating_sub(1);
+                }
+            } else if now.since(grant.given_at) >= UNTOLD {
+                lost.push(number);
+            }
+        }
+        for number in lost {
+            self.grant_ended(number, now);
+        }
+        uses
+    }
+
+    /// Ends all grants of an instance that is gone.
+    pub(super) fn holder_gone(&mut self, holder: &InstanceId, now: Moment) {
+        let numbers: Vec<GrantNumber> = self.grants.of(holder).map(|(number, _)| number).collect();
+        for number in numbers {
+            self.grant_ended(number, now);
+        }
+    }
+}
--- a/crates/chervilshunt_core/src/residency/loads.rs
+++ b/crates/chervilshunt_core/src/residency/loads.rs
@@ -6,7 +6,7 @@
 use super::hold::{Hold, HoldState};
 use super::order::{Order, ResidencyAction};
 use super::planner::Residency;
-use super::target::{TargetState, Turn};
+use super::target::Turn;
 use super::wants::tell;
 use crate::dispatch::Weights;
 use crate::owner::OrderKind;
@@ -31,7 +31,6 @@
         names.extend(self.admitted.iter().map(|(name, _)| name.clone()));
         for name in &names {
             self.retire_outdated(name, now, out);
-            self.keep_slots_free(name, now, out);
             self.ask_if_due(name, now, out);
             self.next_order(name, now, out);
         }
@@ -43,7 +42,7 @@
     /// Returns the loads that have not been ordered.
     pub(super) fn waiting_loads(&self) -> impl Iterator<Item = (&Hold, &TargetName, &Weights)> {
         let targets = self.targets.iter();
-        let targets = targets.filter(|(_, it)| it.touched || it.summary.has_planned);
+        let targets = targets.filter(|(_, it)| it.touched || it.summary.planned > 0);
         targets.flat_map(|(name, target)| {
             let planned = target.holds.iter();
             let planned = planned.filter(|(_, hold)| hold.state == HoldState::Planned);
@@ -51,7 +50,20 @@
         })
     }
 
-    /// Returns how many loads of adapters are under way.
+    /// Returns how many loads from the weight store wait to be ordered.
+    pub(super) fn waiting_fetches(&self) -> usize {
+        let targets = self.targets.values().map(|it| {
+            if it.touched {
+                let holds = it.holds.values();
+                holds.filter(|it| it.is_planned() && it.from_store).count()
+            } else {
+                it.summary.planned_fetches
+            }
+        });
+        targets.sum()
+    }
+
+    /// Returns how many loads of adapters from the weight store are under way.
     pub(super) fn loads_under_way(&self) -> usize {
         let targets = self.targets.values();
         let fetching = targets.map(|it| {
@@ -76,19 +88,19 @@
             && limits.is_some_and(|it| target.slots_taken() < it.adapters_beside(&weights.model))
     }
 
-    /// Lets planned loads begin, as far as the window has room: those of crowded adapters first, since
-    /// each serves many requests, then those that somebody waits for, the oldest first.
+    /// Lets planned loads begin: those from a target's memory, and of the others as many as the window
+    /// has room for, the oldest first.
     ///
     /// Those that wait for a slot, or for what their target says to an order, are passed over: they
     /// would hold the window's room and load nothing.
     fn admit(&mut self) {
         let room = self.window.size().saturating_sub(self.loads_under_way());
         let waiting = self.waiting_loads();
-        let mut waiting: Vec<_> = waiting
-            .filter(|(_, name, weights)| self.can_begin(name, weights))
-            .collect();
-        waiting.sort_by_key(|(hold, ..)| (hold.wanted_until.is_some(), hold.since));
-        let admitted = waiting.into_iter().take(room);
+        let waiting = waiting.filter(|(_, name, weights)| self.can_begin(name, weights));
+        let (mut fetches, reloads): (Vec<_>, Vec<_>) =
+            waiting.partition(|(hold, ..)| hold.from_store);
+        fetches.sort_by_key(|(hold, ..)| hold.since);
+        let admitted = fetches.into_iter().take(room).chain(reloads);
         self.admitted = admitted
             .map(|(_, name, weights)| (name.clone(), weights.clone()))
             .collect();
@@ -100,8 +112,10 @@
         let Some(target) = self.targets.get_mut(name) else {
             return;
         };
-        let ends_at = now + self.window.usual(self.cfg.cold_load);
+        let fetch = self.window.usual(self.cfg.cold_load);
+        let reload = self.cfg.warm_load;
         let unwanted = target.holds.extract_if(.., |_, hold| {
+            let ends_at = now + if hold.from_store { fetch } else { reload };
             let in_vain = hold.wanted_until.is_some_and(|until| until <= ends_at);
             hold.state == HoldState::Planned && in_vain
         });
@@ -128,7 +142,8 @@
             .next_base_load(name, now)
             .or_else(|| self.next_confirmation(name, now))
             .or_else(|| self.next_load(name))
-            .or_else(|| self.next_unload(name, now));
+            .or_else(|| self.next_unload(name, now))
+            .or_else(|| self.next_victim(name, now));
         let Some((kind, weights, version)) = next else {
             return;
         };
@@ -144,7 +159,11 @@
             out.push(tell(name, &weights, None));
         }
         if let Some(target) = self.targets.get_mut(name) {
+            let had_since = target.remembered.since(&weights);
             if let Some(hold) = target.holds.get_mut(&weights) {
+                if hold.is_planned() {
+                    hold.had_since = had_since;
+                }
                 hold.state = match kind {
                     OrderKind::Load if hold.state == HoldState::Planned => HoldState::Ordered,
                     OrderKind::Load => HoldState::Confirming,
@@ -189,32 +208,6 @@
         Some((OrderKind::Load, weights.clone(), self.named(weights, hold)))
     }
 
-    /// Stops telling of adapters that nobody uses, so that their slots are free when they are needed.
-    fn keep_slots_free(&mut self, name: &TargetName, now: Moment, out: &mut Vec<ResidencyAction>) {
-        while let Some(weights) = self.next_to_end(name, now) {
-            self.end_hold(name, &weights, now, out);
-        }
-    }
-
-    fn next_to_end(&self, name: &TargetName, now: Moment) -> Option<Weights> {
-        let target = self.targets.get(name)?;
-        if !self.is_short_of_slots(target) {
-            return None;
-        }
-        target.victim(&self.cfg, now).cloned()
-    }
-
-    /// Says whether a target has fewer slots free than are to be kept so.
-    pub(super) fn is_short_of_slots(&self, target: &TargetState) -> bool {
-        let limits = self.limits.get(&target.facts.service);
-        let (Some(limits), Some(model)) = (limits, target.facts.models.first()) else {
-            return false;
-        };
-        let slots = limits.adapters_beside(&model.name);
-        let kept_free = (slots as f64 * self.cfg.free_share).ceil() as usize;
-        target.slots_coming_free(slots) < kept_free
-    }
-
     /// Returns the next adapter that is to be given up.
     fn next_unload(
         &self,
@@ -226,6 +219,24 @@
         Some((OrderKind::Unload, due.clone(), None))
     }
 
+    /// Returns an adapter that is given up to make room for a load that is planned.
+    ///
+    /// It goes when its place is needed and not before: kept, it serves the next request without a load.
+    fn next_victim(
+        &self,
+        name: &TargetName,
+        now: Moment,
+    ) -> Option<(OrderKind, Weights, Option<u64>)> {
+        let target = self.targets.get(name)?;
+        let limits = self.limits.get(&target.facts.service)?;
+        let model = target.facts.models.first()?;
+        if !target.lacks_slot(limits.adapters_beside(&model.name)) {
+            return None;
+        }
+        let victim = target.victim(now)?;
+        Some((OrderKind::Unload, victim.clone(), None))
+    }
+
     /// Returns the base model that a target lacks, if the weight store's pace allows its load.
     fn next_base_load(
         &mut self,
@@ -287,16 +298,4 @@
             (self.store_loads.len() as f64) < most
         })
     }
-
-    /// Returns when a load of an adapter that is accepted now can have ended at the earliest.
-    pub(super) fn ready_at(&self, name: &TargetName, weights: &Weights, now: Moment) -> Moment {
-        let remembered = self
-            .targets
-            .get(name)
-            .is_some_and(|it| it.remembers(weights));
-        if remembered {
-            return now + self.cfg.warm_load + self.cfg.load_margin;
-        }
-        now + self.window.usual(self.cfg.cold_load) + self.cfg.load_margin
-    }
 }
--- a/crates/chervilshunt_core/src/residency/mod.rs
+++ b/crates/chervilshunt_core/src/residency/mod.rs
@@ -7,11 +7,17 @@
 //! `docs/design/on-the-platform.md`.
 
 mod answers;
+mod choice;
 mod config;
+mod grants;
 mod hold;
+mod lanes;
 mod loads;
+mod memory;
 mod order;
+mod pace;
 mod planner;
+mod queue;
 mod restart;
 mod target;
 mod versions;
@@ -19,7 +25,9 @@
 mod window;
 
 pub use config::ResidencyConfig;
+pub use grants::{GrantNumber, GrantProgress};
 pub use order::{
     Order, OrderAnswer, OrderNumber, Placed, ResidencyAction, ResidencyEvent, TargetReport, Use,
 };
 pub use planner::Residency;
+pub use wants::Want;
--- a/crates/chervilshunt_core/src/residency/order.rs
+++ b/crates/chervilshunt_core/src/residency/order.rs
@@ -5,7 +5,9 @@
 use chervilshunt_model::{InstanceId, ServiceName, TargetName};
 use serde::{Deserialize, Serialize};
 
-use crate::dispatch::{Holding, Lane, PlacementLimits, TargetFacts, TargetStart, Weights};
+use super::grants::{GrantNumber, GrantProgress};
+use super::wants::Want;
+use crate::dispatch::{Holding, PlacementLimits, TargetFacts, TargetStart, Weights};
 use crate::owner::OrderKind;
 
 /// The number of an order, unlike that of any other of this placer.
@@ -80,7 +82,8 @@
 /// What came of wanting an adapter.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Placed {
-    /// A target holds it now.
+    /// A target holds it now. The request may be sent there, and counts as under way there until its
+    /// end is told; the grant for that bears the number of the question.
     At {
         /// The target.
         target: TargetName,
@@ -101,23 +104,21 @@
     TargetGone(TargetName),
     /// What the targets of a service may hold.
     Limits(ServiceName, PlacementLimits),
-    /// An instance has a request whose adapter it knows nowhere.
+    /// An instance has a request that needs a target.
     Wanted {
         /// Names the question in the answer.
         question: u64,
-        /// The service.
-        service: ServiceName,
-        /// The adapter.
-        weights: Weights,
+        /// The instance that asks.
+        from: InstanceId,
+        /// What the request wants.
+        want: Want,
         /// How long the request waits for it.
         within: Duration,
-        /// What the request mostly makes a target do.
-        lane: Lane,
-        /// Targets that the request can't use.
-        avoid: Vec<TargetName>,
     },
-    /// What one instance has under way, whole.
-    Used(InstanceId, Vec<Use>),
+    /// What one instance has under way, whole, and which of its grants are part of it.
+    Used(InstanceId, Vec<Use>, Vec<GrantNumber>),
+    /// How far instances have come with what they were granted.
+    Progressed(GrantProgress),
     /// An instance is gone, and what it had under way.
     InstanceGone(InstanceId),
     /// A target said that it does not hold an adapter that it was told to hold.
--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -2,16 +2,20 @@
 
 use std::cmp::Ordering;
 use std::collections::{HashMap, HashSet, VecDeque};
-use std::time::Duration;
 
 use chervilshunt_model::{InstanceId, Moment, ServiceName, TargetName};
 use indexmap::IndexMap;
 
 use super::config::ResidencyConfig;
+use super::grants::{GrantNumber, Grants};
 use super::hold::HoldState;
-use super::order::{OrderNumber, Placed, ResidencyAction, ResidencyEvent, Use};
+use super::lanes::LaneSwitch;
+use super::memory::MemorySize;
+use super::order::{OrderNumber, ResidencyAction, ResidencyEvent, Use};
+use super::pace::ReadingPace;
+use super::queue::Queue;
 use super::target::{Summary, TargetState, Turn};
-use super::wants::Want;
+use super::wants::Asked;
 use super::window::LoadWindow;
 use crate::dispatch::{Holding, PlacementLimits, TargetFacts, TargetStart, Weights};
 
@@ -25,22 +29,24 @@
     /// When loads of base models from the weight store were ordered, the last one at the end.
     pub(super) store_loads: VecDeque<Moment>,
     pub(super) window: LoadWindow,
+    pub(super) memory: MemorySize,
+    pub(super) pace: ReadingPace,
+    pub(super) lanes: LaneSwitch,
+    pub(super) grants: Grants,
+    /// The questions that wait for a place or for a load to end.
+    pub(super) asked: HashMap<u64, Asked>,
+    pub(super) queue: Queue,
     /// Loads that may be ordered now; the others wait for one of those under way to end.
     pub(super) admitted: HashSet<(TargetName, Weights)>,
     /// What each instance last told that it has under way.
-    uses: HashMap<InstanceId, Vec<Use>>,
+    pub(super) uses: HashMap<InstanceId, Vec<Use>>,
     /// The targets at which each instance was told that others have something under way.
     told: HashMap<InstanceId, HashSet<TargetName>>,
     next_order: u64,
     /// When the first targets are asked what they hold.
     asks_from: Moment,
-    /// When it was last looked whether adapters are crowded.
-    pub(super) spread_at: Moment,
 }
 
-/// The least difference between two moments.
-const LEAST_TIME: Duration = Duration::from_micros(1);
-
 impl Residency {
     /// Starts without knowing any target; each one is asked what it holds when it is first seen.
     ///
@@ -56,11 +62,16 @@
             newest: HashMap::new(),
             store_loads: VecDeque::new(),
             window: LoadWindow::new(),
+            memory: MemorySize::default(),
+            pace: ReadingPace::default(),
+            lanes: LaneSwitch::default(),
+            grants: Grants::default(),
+            asked: HashMap::new(),
+            queue: Queue::default(),
             admitted: HashSet::new(),
             uses: HashMap::new(),
             told: HashMap::new(),
             next_order: 0,
-            spread_at: Moment::ZERO,
         }
     }
 
@@ -69,29 +80,22 @@
         let mut out = Vec::new();
         match event {
             ResidencyEvent::TargetSeen(facts) => self.target_seen(facts, now, &mut out),
-            ResidencyEvent::TargetGone(name) => self.target_gone(&name, &mut out),
+            ResidencyEvent::TargetGone(name) => self.target_gone(&name, now, &mut out),
             ResidencyEvent::Limits(service, limits) => {
                 self.limits.insert(service, limits);
                 self.touch_all();
             }
             ResidencyEvent::Wanted {
                 question,
-                service,
-                weights,
+                from,
+                want,
                 within,
-                lane,
-                avoid,
             } => {
-                let want = Want {
-                    service: &service,
-                    weights: &weights,
-                    until: Some(now + within),
-                    lane,
-                    avoid: &avoid,
-                };
-                self.wanted(question, want, now, &mut out);
+                let until = now + within;
+                self.wanted(question, Asked { from, want, until }, now, &mut out);
             }
-            ResidencyEvent::Used(from, uses) => self.used(&from, uses, now),
+            ResidencyEvent::Used(from, uses, grants) => self.used(&from, uses, &grants, now),
+            ResidencyEvent::Progressed(progress) => self.progressed(&progress, now),
             ResidencyEvent::InstanceGone(from) => self.instance_gone(&from, now),
             ResidencyEvent::NotHeld(target, weights) => {
                 self.not_held(&target, &weights, now, &mut out);
@@ -108,6 +112,7 @@
             }
             ResidencyEvent::Tick => {}
         }
+        self.serve_queue(now, &mut out);
         self.advance(now, &mut out);
         self.name_starts(&mut out);
         out
@@ -129,7 +134,8 @@
     /// Returns when [`ResidencyEvent::Tick`] is next wanted.
     pub fn next_wakeup(&self) -> Option<Moment> {
         let targets = self.targets.values();
-        targets.filter_map(|it| it.summary.wake_at).min()
+        let due = targets.filter_map(|it| it.summary.wake_at);
+        due.chain(self.queue_wakeup()).min()
     }
 
     /// Makes sure that a target is looked at with this event.
@@ -139,7 +145,7 @@
         }
     }
 
-    fn touch_all(&mut self) {
+    pub(super) fn touch_all(&mut self) {
         for target in self.targets.values_mut() {
             target.touched = true;
         }
@@ -150,10 +156,12 @@
         let Some(target) = self.targets.get(name) else {
             return;
         };
-        let mut holds = target.holds.values();
+        let planned = target.holds.values();
+        let planned = planned.filter(|hold| hold.state == HoldState::Planned);
         let summary = Summary {
             wake_at: self.target_wakeup(target, now),
-            has_planned: holds.any(|hold| hold.state == HoldState::Planned),
+            planned: planned.clone().count(),
+            planned_fetches: planned.filter(|hold| hold.from_store).count(),
             fetching: target.fetching(),
             depends_on_others: self.missing_model(name).is_some()
                 || target.holds.values().any(|hold| hold.outdated),
@@ -164,6 +172,12 @@
         }
     }
 
+    /// Says whether the targets have been asked what they hold. Until then a placer takes nothing for
+    /// held, and would have loaded what is there.
+    pub fn knows_targets(&self) -> bool {
+        self.targets.values().all(|target| target.was_asked)
+    }
+
     /// Returns all that requests can use, for an instance that knows nothing yet.
     pub fn holdings(&self) -> Vec<Holding> {
         let mut all = Vec::new();
@@ -179,12 +193,6 @@
         all
     }
 
-    /// Says whether loads wait for others to end, so that none should be asked for that can be done
-    /// without.
-    pub fn is_pressed(&self) -> bool {
-        self.waiting_loads().next().is_some() && self.loads_under_way() >= self.window.size()
-    }
-
     /// Returns the requests that instances other than `from` have under way, at each target where
     /// they have any, and at those of which the instance was told so the last time.
     ///
@@ -196,6 +204,9 @@
         for it in self.uses.get(from).into_iter().flatten() {
             *own.entry(&it.target).or_default() += it.in_flight;
         }
+        for (target, granted) in self.grants.counts_of(from) {
+            *own.entry(target).or_default() += granted;
+        }
         let others = self.targets.iter().map(|(name, target)| {
             let own = own.get(name).copied().unwrap_or(0);
             (name, target.in_flight().saturating_sub(own))
@@ -221,7 +232,7 @@
             HoldState::Ready if hold.outdated => Some(hold.since + self.cfg.old_version_grace),
             HoldState::Ending => Some(hold.since + self.cfg.uses_settle),
             HoldState::Planned => {
-                let load_time = self.window.usual(self.cfg.cold_load);
+                let load_time = self.load_time(hold.from_store);
                 hold.wanted_until.map(|until| until - load_time)
             }
             HoldState::Ordered
@@ -229,12 +240,10 @@
             | HoldState::Ready
             | HoldState::Unloading => None,
         });
-        let unused = self.is_short_of_slots(target).then(|| {
-            let serving = target.holds.iter();
-            let unused = serving.filter(|(weights, it)| it.serves() && target.in_use(weights) == 0);
-            unused.map(|(_, hold)| hold.last_used + self.cfg.keep_used + LEAST_TIME)
-        });
-        let due = due.chain(unused.into_iter().flatten());
+        // A load that waits for a place may take one that is kept for a moment.
+        let waits = !self.queue.is_empty() || target.holds.values().any(|it| it.is_planned());
+        let kept = waits.then(|| target.next_free(now)).flatten();
+        let due = due.chain(kept);
         let store = self.store_loads.front();
         let model = store.filter(|_| target.facts.models.is_empty());
         let model = model.map(|at| *at + self.cfg.store_window);
@@ -272,37 +281,31 @@
                 target.touched = true;
             }
             None => {
-                let name = facts.name.clone();
                 let ask_at = now.max(self.asks_from);
-                self.targets.insert(name, TargetState::new(facts, ask_at));
+                self.insert_target(TargetState::new(facts, ask_at));
             }
         }
     }
 
-    fn target_gone(&mut self, name: &TargetName, out: &mut Vec<ResidencyAction>) {
+    fn target_gone(&mut self, name: &TargetName, now: Moment, out: &mut Vec<ResidencyAction>) {
         let Some(target) = self.targets.shift_remove(name) else {
             return;
         };
+        self.grants.forget_target(name);
         for hold in target.holds.into_values() {
-            self.answer_later(hold.questions, out);
+            self.place_elsewhere(name, hold.questions, now, out);
         }
     }
 
-    pub(super) fn answer_later(&self, questions: Vec<u64>, out: &mut Vec<ResidencyAction>) {
-        let retry_in = self.cfg.retry_in;
-        let later = questions
-            .into_iter()
-            .map(|question| ResidencyAction::Answer(question, Placed::Later { retry_in }));
-        out.extend(later);
-    }
-
     fn instance_gone(&mut self, from: &InstanceId, now: Moment) {
-        self.used(from, Vec::new(), now);
+        self.holder_gone(from, now);
+        self.used(from, Vec::new(), &[], now);
         self.uses.remove(from);
         self.told.remove(from);
     }
 
-    fn used(&mut self, from: &InstanceId, uses: Vec<Use>, now: Moment) {
+    fn used(&mut self, from: &InstanceId, uses: Vec<Use>, grants: &[GrantNumber], now: Moment) {
+        let uses = self.uses_beside_grants(from, uses, grants, now);
         for before in self.uses.get(from).into_iter().flatten() {
             if let Some(target) = self.targets.get_mut(&before.target) {
                 target.clear_uses(from);
@@ -319,6 +322,5 @@
             }
         }
         self.uses.insert(from.clone(), uses);
-        self.spread(now);
     }
 }
--- a/crates/chervilshunt_core/src/residency/restart.rs
+++ b/crates/chervilshunt_core/src/residency/restart.rs
@@ -111,9 +111,25 @@
         };
         let mut target = TargetState::new(facts, now + self.cfg.report_lag);
         target.lost = before.lost.of_earlier_start(ordered, now);
+        self.grants.forget_target(&target.facts.name);
         for hold in before.holds.into_values() {
             self.answer_later(hold.questions, out);
         }
-        self.targets.insert(target.facts.name.clone(), target);
+        self.insert_target(target);
+    }
+
+    /// Takes in a target with what instances were last told to have under way there.
+    ///
+    /// They may have sent to the new start before it was known to be one, and tell that only once more
+    /// half a second later; an adapter that they use must not be given up meanwhile.
+    pub(super) fn insert_target(&mut self, mut target: TargetState) {
+        let name = target.facts.name.clone();
+        for (instance, uses) in &self.uses {
+            let here = uses.iter().filter(|it| it.target == name);
+            for it in here {
+                target.set_use(instance, it.weights.as_ref(), it.in_flight);
+            }
+        }
+        self.targets.insert(name, target);
     }
 }
--- a/crates/chervilshunt_core/src/residency/target.rs
+++ b/crates/chervilshunt_core/src/residency/target.rs
@@ -1,12 +1,15 @@
 //! One target as the placer sees it.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use chervilshunt_model::{InstanceId, Moment};
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 
 use super::config::ResidencyConfig;
+use super::grants::Grant;
 use super::hold::{Hold, HoldState};
+use super::memory::Remembered;
 use super::order::Order;
 use super::restart::LostLoads;
 use crate::dispatch::{TargetFacts, Weights};
@@ -31,8 +34,8 @@
     pub(crate) turn: Turn,
     /// Its adapters, those on their way included.
     pub(crate) holds: IndexMap<Weights, Hold>,
-    /// Adapters that it gave up of late, the last one at the end; it has them in memory.
-    remembered: IndexSet<Weights>,
+    /// Adapters that it had of late, some of which it has in memory.
+    pub(crate) remembered: Remembered,
     /// The base model that it is loading, and since when.
     pub(crate) base_load: Option<(Weights, Moment)>,
     /// What instances have under way here, by weights.
@@ -42,10 +45,19 @@
     uses: HashMap<Weights, Vec<(InstanceId, u32)>>,
     /// What instances have under way here without weights.
     plain_uses: Vec<(InstanceId, u32)>,
-    /// All requests under way here.
+    /// All requests under way here that are not granted.
     in_flight: u32,
+    /// Granted requests under way here, by weights.
+    grants: HashMap<Weights, u32>,
+    granted: u32,
+    /// The prompt tokens of granted requests that have still to be read.
+    reading: u32,
+    /// When a prompt was last read here.
+    last_read: Moment,
     /// Orders to load adapters that got no answer.
     pub(crate) lost: LostLoads,
+    /// Whether it has been asked what it holds, and has said so or could not be asked.
+    pub(crate) was_asked: bool,
     /// Whether something has changed here since the planner last looked.
     pub(crate) touched: bool,
     pub(crate) summary: Summary,
@@ -59,8 +71,10 @@
 pub(crate) struct Summary {
     /// When something is due here next, if nothing changes before.
     pub(crate) wake_at: Option<Moment>,
-    /// Whether loads wait here to be ordered.
-    pub(crate) has_planned: bool,
+    /// The loads that wait here to be ordered.
+    pub(crate) planned: usize,
+    /// Those of them that the weight store is to serve.
+    pub(crate) planned_fetches: usize,
     /// The loads that the weight store serves.
     pub(crate) fetching: usize,
     /// Whether what is due here depends on other targets, so that it is looked at with each event.
@@ -73,12 +87,17 @@
             facts,
             turn: Turn::Unknown(ask_at),
             holds: IndexMap::new(),
-            remembered: IndexSet::new(),
+            remembered: Remembered::default(),
             base_load: None,
             uses: HashMap::new(),
             plain_uses: Vec::new(),
             in_flight: 0,
+            grants: HashMap::new(),
+            granted: 0,
+            reading: 0,
+            last_read: Moment::ZERO,
             lost: LostLoads::default(),
+            was_asked: false,
             touched: true,
             summary: Summary::default(),
         }
@@ -107,8 +126,8 @@
     pub(crate) fn fetching(&self) -> usize {
         let answers = matches!(self.turn, Turn::Out(_) | Turn::Free(_));
         let fetching = |hold: &&Hold| match hold.state {
-            HoldState::Loading(_) => true,
-            HoldState::Ordered | HoldState::Confirming => answers,
+            HoldState::Loading(_) => hold.from_store,
+            HoldState::Ordered | HoldState::Confirming => answers && hold.from_store,
             HoldState::Planned | HoldState::Ready | HoldState::Ending | HoldState::Unloading => {
                 false
             }
@@ -145,16 +164,26 @@
         self.lost.slots(accepted)
     }
 
+    /// Says whether an adapter may be given up at once.
+    fn is_free(&self, weights: &Weights, hold: &Hold, now: Moment) -> bool {
+        hold.serves() && hold.free_from <= now && self.in_use(weights) == 0
+    }
+
     /// Returns the adapter that is missed least of those that nobody uses: the one unused for longest.
-    pub(crate) fn victim(&self, cfg: &ResidencyConfig, now: Moment) -> Option<&Weights> {
-        let holds = self.holds.iter();
-        let unused = holds.filter(|(weights, hold)| {
-            hold.serves() && self.in_use(weights) == 0 && now.since(hold.last_used) > cfg.keep_used
-        });
-        let first = unused.min_by_key(|(_, hold)| hold.last_used);
+    pub(crate) fn victim(&self, now: Moment) -> Option<&Weights> {
+        let free = self.holds.iter();
+        let free = free.filter(|(weights, hold)| self.is_free(weights, hold, now));
+        let first = free.min_by_key(|(_, hold)| hold.last_used);
         first.map(|(weights, _)| weights)
     }
 
+    /// Returns when the next adapter may be given up that nobody uses but that is kept for a moment.
+    pub(crate) fn next_free(&self, now: Moment) -> Option<Moment> {
+        let kept = self.holds.values().filter(|hold| hold.serves());
+        let due = kept.map(|hold| hold.free_from);
+        due.filter(|at| *at > now).min()
+    }
+
     /// Returns an adapter that is no longer told of and that nobody uses any more.
     pub(crate) fn unused_ending(&self, cfg: &ResidencyConfig, now: Moment) -> Option<&Weights> {
         let mut holds = self.holds.iter();
@@ -166,39 +195,71 @@
         due.map(|(weights, _)| weights)
     }
 
-    /// Returns the slots that are free or will be soon.
-    pub(crate) fn slots_coming_free(&self, slots: usize) -> usize {
-        let leaving = self
+    /// Returns how many adapters more find a place, that of one that nobody uses included.
+    pub(crate) fn room(&self, slots: usize, now: Moment) -> usize {
+        let stays = self
             .holds
-            .values()
-            .filter(|hold| matches!(hold.state, HoldState::Ending | HoldState::Unloading));
-        let taken = self.holds.len() + self.slots_of_late_orders();
-        (slots + leaving.count()).saturating_sub(taken)
+            .iter()
+            .filter(|(weights, hold)| !hold.is_going() && !self.is_free(weights, hold, now));
+        slots.saturating_sub(stays.count() + self.slots_of_late_orders())
     }
 
-    /// Says whether one more adapter finds a slot, if need be that of one that nobody uses.
-    pub(crate) fn can_load(&self, cfg: &ResidencyConfig, slots: usize, now: Moment) -> bool {
-        self.slots_coming_free(slots) > 0 || self.victim(cfg, now).is_some()
+    /// Says whether a load finds a place without another adapter being given up.
+    pub(crate) fn has_free_slot(&self, slots: usize) -> bool {
+        self.holds.len() + self.slots_of_late_orders() < slots
     }
 
-    /// Forgets an adapter that the target no longer holds but has in memory.
-    pub(crate) fn gave_up(&mut self, weights: &Weights, cfg: &ResidencyConfig) {
+    /// Says whether an adapter has to be given up for a load that is planned.
+    pub(crate) fn lacks_slot(&self, slots: usize) -> bool {
+        let mut states = self.holds.values().map(|hold| hold.state);
+        let planned = states.clone().any(|state| state == HoldState::Planned);
+        let going = states.any(|state| state == HoldState::Unloading);
+        planned && !going && self.slots_taken() >= slots
+    }
+
+    /// Forgets an adapter that the target no longer holds but may have in memory.
+    pub(crate) fn gave_up(&mut self, weights: &Weights) {
         self.holds.shift_remove(weights);
-        self.remember(weights.clone(), cfg);
+        self.remembered.note(weights.clone());
+    }
+
+    /// Counts a request that was granted.
+    pub(crate) fn grant_given(&mut self, weights: &Weights, tokens: u32) {
+        self.touched = true;
+        *self.grants.entry(weights.clone()).or_default() += 1;
+        self.granted += 1;
+        self.reading += tokens;
     }
 
-    /// Takes note that the target has an adapter in memory.
-    pub(crate) fn remember(&mut self, weights: Weights, cfg: &ResidencyConfig) {
-        self.remembered.shift_remove(&weights);
-        self.remembered.insert(weights);
-        if self.remembered.len() > cfg.remembered_adapters {
-            self.remembered.shift_remove_index(0);
+    /// Takes in that a granted request's prompt has been read, and returns for how long the target has
+    /// read since it began with it.
+    pub(crate) fn has_read(&mut self, tokens: u32, given_at: Moment, now: Moment) -> Duration {
+        self.reading = self.reading.saturating_sub(tokens);
+        let began = given_at.max(self.last_read);
+        self.last_read = now;
+        now.since(began)
+    }
+
+    /// Counts off a granted request that has ended.
+    pub(crate) fn grant_ended(&mut self, grant: &Grant, now: Moment) {
+        self.touched = true;
+        self.reading = self.reading.saturating_sub(grant.reading);
+        self.granted = self.granted.saturating_sub(1);
+        if let Some(count) = self.grants.get_mut(&grant.weights) {
+            *count -= 1;
+            if *count == 0 {
+                self.grants.remove(&grant.weights);
+            }
+        }
+        if let Some(hold) = self.holds.get_mut(&grant.weights) {
+            hold.last_used = now;
         }
     }
 
-    /// Says whether a load of an adapter comes from memory.
-    pub(crate) fn remembers(&self, weights: &Weights) -> bool {
-        self.remembered.contains(weights)
+    /// Returns the prompt tokens that are read here before those of another request.
+    pub(crate) fn backlog(&self) -> u32 {
+        let waiting = self.holds.values().map(|hold| hold.waiting_tokens);
+        self.reading + waiting.sum::<u32>()
     }
 
     /// Takes in how many requests an instance has under way here with some weights.
@@ -230,32 +291,12 @@
     /// Returns the requests under way here with an adapter.
     pub(crate) fn in_use(&self, weights: &Weights) -> u32 {
         let uses = self.uses.get(weights);
-        uses.into_iter().flatten().map(|(_, count)| count).sum()
+        let told: u32 = uses.into_iter().flatten().map(|(_, count)| count).sum();
+        told + self.grants.get(weights).copied().unwrap_or(0)
     }
 
     /// Returns the requests under way here.
     pub(crate) const fn in_flight(&self) -> u32 {
-        self.in_flight
-    }
-
-    /// Returns what the target counts against it when weights are to be placed.
-    pub(crate) fn burden(&self, cfg: &ResidencyConfig, weights: &Weights, room: usize) -> f64 {
-        let slots = f64::from(self.facts.slots.max(1));
-        let load = f64::from(self.in_flight()) / slots;
-        let cold = if self.remembers(weights) {
-            0.0
-        } else {
-            cfg.cold_penalty
-        };
-        let no_slot = if self.holds.len() < room {
-            0.0
-        } else {
-            cfg.no_slot_penalty
-        };
-        let unanswered = match self.turn {
-            Turn::Unknown(_) | Turn::Asked => cfg.unanswered_penalty,
-            Turn::Free(_) | Turn::Out(_) => 0.0,
-        };
-        load + cold + no_slot + unanswered + cfg.loading_penalty * self.coming() as f64
+        self.in_flight + self.granted
     }
 }
--- a/crates/chervilshunt_core/src/residency/versions.rs
+++ b/crates/chervilshunt_core/src/residency/versions.rs
@@ -1,12 +1,18 @@
 //! New versions of weights: the newest one is loaded beside the old one, which then goes.
 
-use chervilshunt_model::{Moment, ServiceName, TargetName};
+use std::time::Duration;
+
+use chervilshunt_model::{Moment, ServiceName, TargetName, ZoneName};
 
 use super::hold::HoldState;
 use super::order::ResidencyAction;
 use super::planner::Residency;
 use super::wants::{Want, tell};
-use crate::dispatch::Weights;
+use crate::dispatch::{Lane, Weights};
+
+/// How long after its last use the newest version of an adapter is loaded for whoever comes next. One
+/// that nobody asks for is loaded when it is asked for.
+const USED_OF_LATE: Duration = Duration::from_secs(1);
 
 impl Residency {
     /// Takes in that a version is the newest.
@@ -33,13 +39,18 @@
         if outdated.is_empty() {
             return;
         }
-        let used = outdated.iter().any(|(_, _, used)| *used);
-        for (name, service, _) in outdated {
+        let used = outdated.iter().any(|(.., used)| *used);
+        for (name, service, zone, _) in outdated {
             // Where nobody uses it, or no other target has room, the old one goes at once.
-            let replaced = used
-                && self
-                    .plan_load(Want::general(&service, &weights), now)
-                    .is_some();
+            let want = Want {
+                service,
+                weights: weights.clone(),
+                prompt_tokens: 0,
+                lane: Lane::General,
+                zone,
+                avoid: Vec::new(),
+            };
+            let replaced = used && self.plan_load(&want, now).is_some();
             if !replaced {
                 self.end_hold(&name, &weights, now, out);
             }
@@ -62,8 +73,7 @@
         weights: &Weights,
         version: u64,
         now: Moment,
-    ) -> Vec<(TargetName, ServiceName, bool)> {
-        let keep_used = self.cfg.keep_used;
+    ) -> Vec<(TargetName, ServiceName, ZoneName, bool)> {
         let mut found = Vec::new();
         for (name, target) in &mut self.targets {
             let in_use = target.in_use(weights) > 0;
@@ -82,8 +92,10 @@
                 hold.since = now;
             }
             hold.outdated = true;
-            let used = in_use || now.since(hold.last_used) < keep_used;
-            found.push((name.clone(), target.facts.service.clone(), used));
+            let used = in_use || now.since(hold.last_used) < USED_OF_LATE;
+            let facts = &target.facts;
+            let (service, zone) = (facts.service.clone(), facts.zone.clone());
+            found.push((name.clone(), service, zone, used));
         }
         found
     }
--- /dev/null
+++ b/crates/chervilshunt_core/tests/grants.rs
@@ -0,0 +1,220 @@
+//! Places for adapters are short: who may use one, and when it is free again.
+
+#[path = "support/placing.rs"]
+mod placing;
+
+use std::time::Duration;
+
+use chervilshunt_core::{
+    GrantNumber, GrantProgress, Order, OrderAnswer, OrderKind, Placed, Residency, ResidencyAction,
+    ResidencyEvent, Use,
+};
+use chervilshunt_model::InstanceId;
+use placing::{adapter, at, before_asking, reported, target, wanted};
+use rstest::rstest;
+
+/// A planner before one target with a place for a single adapter, which takes orders at once.
+struct OnePlace {
+    residency: Residency,
+    now: u64,
+    orders: Vec<Order>,
+    answers: Vec<(u64, Placed)>,
+}
+
+impl OnePlace {
+    fn new() -> Self {
+        let mut it = Self {
+            residency: before_asking(1, 16, 1),
+            now: 450,
+            orders: Vec::new(),
+            answers: Vec::new(),
+        };
+        it.handle(ResidencyEvent::Tick);
+        it.handle(reported(0, Vec::new()));
+        it
+    }
+
+    fn handle(&mut self, event: ResidencyEvent) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            for action in self.residency.handle(event, at(self.now)) {
+                match action {
+                    ResidencyAction::Order(order) => {
+                        events.push(ResidencyEvent::Answered(
+                            order.number,
+                            self.carry_out(&order),
+                        ));
+                        self.orders.push(order);
+                    }
+                    ResidencyAction::Answer(question, placed) => {
+                        self.answers.push((question, placed));
+                    }
+                    ResidencyAction::Ask(_) | ResidencyAction::Tell(_) => {}
+                }
+            }
+        }
+    }
+
+    /// A load is accepted when it is first ordered, and holds when it is ordered again.
+    fn carry_out(&self, order: &Order) -> OrderAnswer {
+        let last = self
+            .orders
+            .iter()
+            .rev()
+            .find(|it| it.weights == order.weights);
+        match (order.kind, last.map(|it| it.kind)) {
+            (OrderKind::Unload, _) | (OrderKind::Load, Some(OrderKind::Load)) => OrderAnswer::Done,
+            (OrderKind::Load, Some(OrderKind::Unload) | None) => OrderAnswer::Accepted,
+        }
+    }
+
+    fn pass(&mut self, millis: u64) {
+        for _ in 0..millis {
+            self.now += 1;
+            self.handle(ResidencyEvent::Tick);
+        }
+    }
+
+    fn want(&mut self, question: u64, name: &str, within_ms: u64) {
+        self.handle(wanted(question, adapter(name), within_ms));
+    }
+
+    fn end(&mut self, question: u64) {
+        self.handle(ResidencyEvent::Progressed(GrantProgress {
+            ended: vec![GrantNumber(question)],
+            ..GrantProgress::default()
+        }));
+    }
+
+    fn tells(&mut self, in_flight: u32, grants: Vec<GrantNumber>) {
+        let uses = vec![Use {
+            target: target(0),
+            weights: Some(adapter("a1")),
+            in_flight,
+        }];
+        self.handle(ResidencyEvent::Used(InstanceId::from("i"), uses, grants));
+    }
+
+    fn is_placed(&self, question: u64) -> bool {
+        let placed = |it: &(u64, Placed)| it.0 == question && matches!(it.1, Placed::At { .. });
+        self.answers.iter().any(placed)
+    }
+
+    fn gives_up(&self) -> bool {
+        self.orders.iter().any(|it| it.kind == OrderKind::Unload)
+    }
+
+    /// Has a first request served, which holds the place.
+    fn taken() -> Self {
+        let mut it = Self::new();
+        it.want(1, "a1", 1_000);
+        it.pass(260);
+        assert!(it.is_placed(1));
+        it
+    }
+}
+
+/// The only place is in use. A second request waits for it, and has its adapter a load after the first
+/// has ended. With a place that stood idle until uses had settled it waited for 1.7 s more.
+#[test]
+fn a_place_turns_over_as_soon_as_its_last_request_has_ended() {
+    let mut places = OnePlace::taken();
+    places.want(2, "a2", 1_000);
+    places.pass(100);
+    assert!(!places.gives_up(), "an adapter in use is not given up");
+    places.end(1);
+    places.pass(260);
+    assert!(places.is_placed(2));
+}
+
+/// An adapter is asked for again while it is still there: no load, and no wait.
+#[test]
+fn an_unused_adapter_stays_until_its_place_is_needed() {
+    let mut places = OnePlace::taken();
+    places.end(1);
+    places.pass(5_000);
+    let before = places.orders.len();
+    places.want(2, "a1", 1_000);
+    assert!(places.is_placed(2));
+    assert_eq!(places.orders.len(), before);
+}
+
+/// An instance tells the end of a request, and the message is lost; or the instance has never had the
+/// answer that was its grant. What it tells next leaves the grant out, and that ends it. A telling that
+/// left before the answer came leaves it out too, and must not.
+#[test]
+fn a_grant_that_its_instance_does_not_tell_of_ends() {
+    let mut places = OnePlace::taken();
+    places.tells(0, Vec::new());
+    places.want(2, "a2", 5_000);
+    places.pass(20);
+    assert!(
+        !places.gives_up(),
+        "the telling and the grant may have crossed"
+    );
+    places.pass(400);
+    places.tells(1, vec![GrantNumber(1)]);
+    assert!(!places.gives_up(), "it is told of");
+    places.pass(400);
+    places.tells(0, Vec::new());
+    assert!(places.gives_up());
+}
+
+#[test]
+fn the_grants_of_an_instance_end_with_it() {
+    let mut places = OnePlace::taken();
+    places.want(2, "a2", 5_000);
+    places.handle(ResidencyEvent::InstanceGone(InstanceId::from("i")));
+    assert!(places.gives_up());
+}
+
+/// A request under way that was sent without this placer's leave, to a placer before it or to none, keeps
+/// its adapter too.
+#[test]
+fn what_is_told_beside_grants_keeps_its_adapter() {
+    let mut places = OnePlace::taken();
+    places.tells(2, vec![GrantNumber(1)]);
+    places.want(2, "a2", 5_000);
+    places.end(1);
+    assert!(!places.gives_up());
+    places.tells(0, Vec::new());
+    assert!(places.gives_up());
+}
+
+/// A target restarts: grants of before end with it, and the ends that come late count for nothing.
+#[test]
+fn an_end_that_is_told_twice_or_late_counts_once() {
+    let mut places = OnePlace::taken();
+    places.want(2, "a1", 1_000);
+    assert!(places.is_placed(2));
+    places.end(1);
+    places.end(1);
+    places.end(77);
+    places.want(3, "a2", 5_000);
+    assert!(!places.gives_up(), "the second request is under way");
+    places.end(2);
+    assert!(places.gives_up());
+}
+
+/// No place comes free for a second. Those who can't have one in time are told so at once, with a time to
+/// come back; those for whom it may come free in time wait.
+#[rstest]
+#[case::long_enough(2_000, true)]
+#[case::too_short(90, false)]
+fn a_request_waits_for_a_place_only_if_it_may_come_in_time(
+    #[case] within_ms: u64,
+    #[case] waits: bool,
+) {
+    let mut places = OnePlace::taken();
+    places.want(2, "a2", within_ms);
+    let refused = places.answers.iter().find(|it| it.0 == 2);
+    assert_eq!(refused.is_none(), waits, "{refused:?}");
+    if let Some((_, Placed::Later { retry_in })) = refused {
+        assert!(*retry_in >= Duration::from_millis(100));
+    }
+    places.pass(2_100);
+    assert!(
+        places.answers.iter().any(|it| it.0 == 2),
+        "everyone is told"
+    );
+}
--- a/crates/chervilshunt_gateway/src/control/lease.rs
+++ b/crates/chervilshunt_gateway/src/control/lease.rs
@@ -107,7 +107,7 @@
             address,
         });
         if holder.is_some() {
-            self.shared.set_placer_decided();
+            self.shared.set_lease_was_held();
         }
         let known = self.shared.placer.load_full();
         if known.as_deref() == holder.as_ref() {
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use chervilshunt_core::{
-    Holding, Order, OrderAnswer, Placed, Residency, ResidencyAction, ResidencyConfig,
+    GrantNumber, Holding, Order, OrderAnswer, Placed, Residency, ResidencyAction, ResidencyConfig,
     ResidencyEvent, TargetReport, Use,
 };
 use chervilshunt_engine::{EngineError, Limits, Outcome};
@@ -33,6 +33,9 @@
 /// The longest gathering. The planner gives adapters up that much later after it was last told of
 /// their use, so that nobody is sent to an adapter that is going.
 const LONGEST_GATHERING: Duration = Duration::from_millis(200);
+/// Questions are numbered from a placer's term on, in the upper half: they name grants, which instances
+/// may still tell of when there is another placer.
+const TERM_SHIFT: u32 = 32;
 /// The longest report that is read, in bytes.
 const MAX_REPORT: usize = 1 << 20;
 
@@ -44,7 +47,7 @@
         self.placer = Some(Placer {
             residency: Residency::new(ResidencyConfig::default(), now),
             questions: HashMap::new(),
-            next_question: 0,
+            next_question: term << TERM_SHIFT,
             presence: Presence::default(),
         });
         if let Some(routes) = self.shared.routes.load_full() {
@@ -156,7 +159,7 @@
         from: &InstanceId,
         sign: SignOfLife,
         first: bool,
-        uses: Vec<Use>,
+        (uses, grants): (Vec<Use>, Vec<GrantNumber>),
     ) {
         let now = self.now();
         let entries = self.entries_view(now);
@@ -169,15 +172,16 @@
         let loads = PeerMessage::Loads {
             others: placer.residency.load_beside(from, first),
             instances: placer.presence.count(),
-            pressed: placer.residency.is_pressed(),
             entries,
             lease,
         };
-        let whole = first.then(|| PeerMessage::HoldingsWhole(placer.residency.holdings()));
+        // Until its targets have said what they hold, an instance is better off with what it knows.
+        let introduces = first && placer.residency.knows_targets();
+        let whole = introduces.then(|| PeerMessage::HoldingsWhole(placer.residency.holdings()));
         for message in whole.into_iter().chain([loads]) {
             self.send(&peer, message);
         }
-        self.plan(ResidencyEvent::Used(from.clone(), uses));
+        self.plan(ResidencyEvent::Used(from.clone(), uses, grants));
         let silent = self
             .placer
             .as_mut()
@@ -194,8 +198,14 @@
         };
         let others = placer.residency.load_beside(me, false);
         let instances = placer.presence.count();
-        let pressed = placer.residency.is_pressed();
-        self.take_loads(&others, instances, pressed);
+        let whole = placer.residency.knows_targets();
+        let whole = whole.then(|| placer.residency.holdings());
+        self.take_loads(&others, instances);
+        let now = self.now();
+        let is_guided = self.shared.dispatch().is_guided(now);
+        if let Some(holdings) = whole.filter(|_| !is_guided) {
+            self.introduced(holdings);
+        }
     }
 
     /// Takes in that a request wants an adapter.
@@ -218,7 +228,7 @@
         let reply = self.placer.as_mut();
         let reply = reply.and_then(|placer| placer.questions.remove(&question));
         if let Some(reply) = reply
-            && let Err(error) = reply.send(PeerMessage::Placed(placed))
+            && let Err(error) = reply.send(PeerMessage::Placed(placed, GrantNumber(question)))
         {
             slog::debug!(self.shared.log, "asker is gone"; "reason" => error.to_string());
         }
--- a/crates/chervilshunt_gateway/src/control/using.rs
+++ b/crates/chervilshunt_gateway/src/control/using.rs
@@ -21,9 +21,10 @@
     pub(super) fn tell_use(&mut self) {
         let now = self.now();
         let uses = self.shared.dispatch().tell_uses();
+        let grants = self.shared.grants.open();
         if self.placer.is_some() {
             let me = self.me().clone();
-            self.plan(ResidencyEvent::Used(me.clone(), uses));
+            self.plan(ResidencyEvent::Used(me.clone(), uses, grants));
             self.take_own_loads(&me);
             return;
         }
@@ -40,6 +41,7 @@
             first,
             reaches_platform: self.reaches_platform,
             uses,
+            grants,
         };
         if let Err(error) = self.shared.mesh.send(&placer, message) {
             slog::debug!(self.shared.log, "placer not told"; "reason" => error.to_string());
@@ -59,37 +61,30 @@
                 first,
                 reaches_platform,
                 uses,
+                grants,
             } => {
                 let sign = SignOfLife {
                     address,
                     reaches_platform,
                 };
-                self.instance_uses(&from, sign, first, uses);
+                self.instance_uses(&from, sign, first, (uses, grants));
             }
-            PeerMessage::Want {
-                service,
-                weights,
-                within,
-                lane,
-                avoid,
-            } => {
+            PeerMessage::Want(want, within) => {
                 let wanted = |question| ResidencyEvent::Wanted {
                     question,
-                    service,
-                    weights,
+                    from,
+                    want,
                     within,
-                    lane,
-                    avoid,
                 };
                 self.wanted(wanted, reply);
             }
+            PeerMessage::Progress(progress) => self.plan(ResidencyEvent::Progressed(progress)),
             PeerMessage::NotHeld(target, weights) => {
                 self.plan(ResidencyEvent::NotHeld(target, weights));
             }
             PeerMessage::HoldingsWhole(holdings) if self.is_placer(&from) => {
                 self.uses.introduced = self.keeper.term();
-                let now = self.now();
-                self.shared.dispatch().holdings_whole(holdings, now);
+                self.introduced(holdings);
             }
             PeerMessage::Holdings(holdings) if self.is_placer(&from) => {
                 self.take_holdings(holdings);
@@ -97,27 +92,39 @@
             PeerMessage::Loads {
                 others,
                 instances,
-                pressed,
                 entries,
                 lease,
             } if self.is_placer(&from) => {
                 self.holder_told(lease, entries);
-                self.take_loads(&others, instances, pressed);
+                self.take_loads(&others, instances);
             }
             PeerMessage::CallLease(call) => self.call_lease_for(call, reply),
             // From an instance that was the placer, or is not known to be yet.
             PeerMessage::HoldingsWhole(_)
             | PeerMessage::Holdings(_)
             | PeerMessage::Loads { .. }
-            | PeerMessage::Placed(_)
+            | PeerMessage::Placed(..)
             | PeerMessage::LeaseCalled(_) => {}
         }
     }
 
+    /// Takes in everything that the placer knows of who holds what.
+    pub(super) fn introduced(&mut self, holdings: Vec<Holding>) {
+        let now = self.now();
+        self.shared.dispatch().holdings_whole(holdings, now);
+        self.shared.set_placer_decided();
+    }
+
     /// Takes in that a connection broke: what the placer told meanwhile is lost.
     pub(super) fn peer_lost(&mut self, peer: &InstanceId) {
+        if self.placer.is_some() {
+            // Most likely it has ended, and its requests with it; one that lives tells what it has under
+            // way within half a second.
+            self.plan(ResidencyEvent::InstanceGone(peer.clone()));
+        }
         if self.is_placer(peer) {
             self.uses.introduced = None;
+            self.shared.dispatch().placer_lost();
             self.paces.entries.placer_lost();
             self.paces.lease.placer_lost();
         }
@@ -131,16 +138,10 @@
         }
     }
 
-    pub(super) fn take_loads(
-        &mut self,
-        others: &[(TargetName, u32)],
-        instances: u32,
-        pressed: bool,
-    ) {
+    pub(super) fn take_loads(&mut self, others: &[(TargetName, u32)], instances: u32) {
         let now = self.now();
         let mut dispatch = self.shared.dispatch();
         dispatch.placer_heard(now);
-        dispatch.set_pressed(pressed);
         for (target, count) in others {
             dispatch.told_load(target, *count, now);
         }
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/grants.rs
@@ -0,0 +1,101 @@
+//! The grants that this instance has from the placer, and what it tells of them.
+
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use chervilshunt_core::{GrantNumber, GrantProgress};
+use tokio::sync::Notify;
+
+use crate::peers::PeerMessage;
+use crate::shared::Shared;
+
+/// How long progress is gathered before it is told: the place of an adapter is free that much later, a
+/// hundredth of the time of a load, and requests that end together are one message.
+const GATHER: Duration = Duration::from_millis(3);
+
+/// The grants of this instance.
+#[derive(Debug, Default)]
+pub(crate) struct GrantBook {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    open: HashSet<GrantNumber>,
+    progress: GrantProgress,
+}
+
+impl GrantBook {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the grants that have not ended.
+    pub(crate) fn open(&self) -> Vec<GrantNumber> {
+        self.lock().open.iter().copied().collect()
+    }
+
+    /// Counts a stream that has paused for longer than its caller wants.
+    pub(crate) fn note_pause(&self) {
+        self.lock().progress.paused += 1;
+        self.changed.notify_one();
+    }
+
+    fn take_progress(&self) -> GrantProgress {
+        std::mem::take(&mut self.lock().progress)
+    }
+}
+
+/// The placer's leave to send one request to a target; dropping it tells that the request has ended.
+#[derive(Debug)]
+pub(crate) struct Grant {
+    shared: Arc<Shared>,
+    number: GrantNumber,
+}
+
+impl Grant {
+    /// Takes note of a grant.
+    pub(crate) fn new(shared: &Arc<Shared>, number: GrantNumber) -> Self {
+        shared.grants.lock().open.insert(number);
+        Self {
+            shared: Arc::clone(shared),
+            number,
+        }
+    }
+
+    /// Tells that the target has begun to answer.
+    pub(crate) fn begun(&self) {
+        let grants = &self.shared.grants;
+        grants.lock().progress.begun.push(self.number);
+        grants.changed.notify_one();
+    }
+}
+
+impl Drop for Grant {
+    fn drop(&mut self) {
+        let grants = &self.shared.grants;
+        let mut state = grants.lock();
+        state.open.remove(&self.number);
+        state.progress.ended.push(self.number);
+        drop(state);
+        grants.changed.notify_one();
+    }
+}
+
+/// Tells the placer how far the instance has come with its grants, for as long as the process runs.
+pub(crate) async fn tell_progress(shared: Arc<Shared>) {
+    loop {
+        shared.grants.changed.notified().await;
+        tokio::time::sleep(GATHER).await;
+        let progress = shared.grants.take_progress();
+        // Without a placer nobody counts them; a new one is told of all that is under way.
+        let Some(placer) = shared.placer.load_full().filter(|_| !progress.is_empty()) else {
+            continue;
+        };
+        if let Err(error) = shared.mesh.send(&placer, PeerMessage::Progress(progress)) {
+            slog::debug!(shared.log, "placer not told"; "reason" => error.to_string());
+        }
+    }
+}
--- a/crates/chervilshunt_gateway/src/lib.rs
+++ b/crates/chervilshunt_gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod control;
 mod dialect;
 mod front;
+mod grants;
 mod peers;
 mod ports;
 mod run;
--- a/crates/chervilshunt_gateway/src/peers.rs
+++ b/crates/chervilshunt_gateway/src/peers.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use chervilshunt_coord::{HeldLease, SeenRecord, SoleRecord, SoleWritten};
-use chervilshunt_core::{Holding, Lane, Placed, Use, Weights};
+use chervilshunt_core::{GrantNumber, GrantProgress, Holding, Placed, Use, Want, Weights};
 use chervilshunt_mesh::Purpose;
-use chervilshunt_model::{ServiceName, TargetName};
+use chervilshunt_model::TargetName;
 use serde::{Deserialize, Serialize};
 
 /// A message between instances.
@@ -27,29 +27,19 @@
         /// What it has under way.
         #[serde(rename = "u")]
         uses: Vec<Use>,
+        /// The grants that are part of it.
+        #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
+        grants: Vec<GrantNumber>,
     },
-    /// To the placer: a request wants an adapter that is known nowhere. Answered by `Placed`.
+    /// To the placer: a request needs a target, and waits for it for a time. Answered by `Placed`.
     #[serde(rename = "w")]
-    Want {
-        /// The service of the request.
-        #[serde(rename = "s")]
-        service: ServiceName,
-        /// The adapter.
-        #[serde(rename = "w")]
-        weights: Weights,
-        /// How long the request waits for it.
-        #[serde(rename = "p")]
-        within: Duration,
-        /// What the request mostly makes a target do.
-        #[serde(rename = "l")]
-        lane: Lane,
-        /// Targets that the request can't use.
-        #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
-        avoid: Vec<TargetName>,
-    },
-    /// From the placer: where an adapter is or will be.
+    Want(Want, Duration),
+    /// From the placer: where the request may be sent, as a grant of that number.
     #[serde(rename = "p")]
-    Placed(Placed),
+    Placed(Placed, GrantNumber),
+    /// To the placer: how far the sender has come with its grants.
+    #[serde(rename = "g")]
+    Progress(GrantProgress),
     /// To the placer: a target said that it does not hold an adapter.
     #[serde(rename = "n")]
     NotHeld(TargetName, Weights),
@@ -69,9 +59,6 @@
         /// Instances that the placer hears of.
         #[serde(rename = "i")]
         instances: u32,
-        /// Whether loads wait for others to end.
-        #[serde(rename = "p")]
-        pressed: bool,
         /// What it sees of the targets' entries; none if it has not seen them yet.
         #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
         entries: Option<EntriesView>,
@@ -134,8 +121,9 @@
     fn purpose(&self) -> &'static str {
         match self {
             Self::Using { .. } => "using",
-            Self::Want { .. } => "want",
-            Self::Placed(_) => "placed",
+            Self::Want(..) => "want",
+            Self::Placed(..) => "placed",
+            Self::Progress(_) => "progress",
             Self::NotHeld(..) => "not_held",
             Self::HoldingsWhole(_) => "holdings_whole",
             Self::Holdings(_) => "holdings",
--- a/crates/chervilshunt_gateway/src/run.rs
+++ b/crates/chervilshunt_gateway/src/run.rs
@@ -15,6 +15,7 @@
 use crate::control::{Begin, Control, FromPeer, Paces, Reload, Stop, start_followers};
 use crate::dialect::Dialect;
 use crate::front::serve_callers;
+use crate::grants::tell_progress;
 use crate::peers::PeerMessage;
 use crate::ports::{serve_metrics, serve_readiness};
 use crate::settings::{LogLevel, Settings};
@@ -91,6 +92,7 @@
     let shared = Shared::new(settings, settings_file, dialect, log.clone(), mesh);
     let control = start_control(&shared, exchange)?;
     forward(inbound, control.clone(), FromPeer);
+    tokio::spawn(tell_progress(Arc::clone(&shared)));
     tokio::spawn(serve_callers(callers, Arc::clone(&shared)));
     tokio::spawn(serve_readiness(readiness, Arc::clone(&shared)));
     tokio::spawn(serve_metrics(for_metrics, metrics));
--- a/crates/chervilshunt_gateway/src/shared.rs
+++ b/crates/chervilshunt_gateway/src/shared.rs
@@ -14,12 +14,16 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::dialect::Dialect;
+use crate::grants::GrantBook;
 use crate::peers::PeerMessage;
 use crate::settings::Settings;
 
 /// How long readiness waits for a first placer: instances spread their writes over 0.4 s, those on
-/// small machines leave the lease to others for up to 1 s more, and a write takes some milliseconds.
+/// small machines leave the lease to others for up to 1 s more, and the targets are asked after 0.45 s.
 const FIRST_PLACER_WAIT: Duration = Duration::from_secs(2);
+/// The same where somebody holds the lease or has held it: one that lives answers the first telling, and
+/// one that doesn't is followed after more time than an instance should be out of rotation.
+const KNOWN_PLACER_WAIT: Duration = Duration::from_millis(900);
 /// Instances that are taken to share the retry budget until the placer tells how many there are.
 const INSTANCES_UNTIL_TOLD: usize = 16;
 
@@ -34,6 +38,7 @@
     pub(crate) log: Logger,
     pub(crate) mesh: Mesh<PeerMessage>,
     pub(crate) engines: Engines,
+    pub(crate) grants: GrantBook,
     /// The configuration in force here; none until one has been read.
     pub(crate) routes: ArcSwapOption<RouteTable>,
     /// The placer, as far as it is known.
@@ -45,8 +50,10 @@
     placer_back: AtomicU64,
     /// When the targets were first listed, in microseconds of the clock; zero until then.
     targets_known_at: AtomicU64,
-    /// Whether a placer has been heard of, or the platform can't tell of one.
-    placer_expected: AtomicBool,
+    /// Whether a placer has told what it knows, or the platform can't tell of one.
+    placer_decided: AtomicBool,
+    /// Whether the lease has ever been held, as far as is known.
+    lease_was_held: AtomicBool,
     /// Whether callers have been sent here.
     was_ready: AtomicBool,
     stopping: AtomicBool,
@@ -95,6 +102,7 @@
             log,
             mesh,
             engines: Engines::default(),
+            grants: GrantBook::default(),
             routes: ArcSwapOption::empty(),
             placer: ArcSwapOption::empty(),
             dispatch: Mutex::new(dispatch),
@@ -102,7 +110,8 @@
             instances: AtomicUsize::new(INSTANCES_UNTIL_TOLD),
             placer_back: AtomicU64::new(0),
             targets_known_at: AtomicU64::new(0),
-            placer_expected: AtomicBool::new(true),
+            placer_decided: AtomicBool::new(false),
+            lease_was_held: AtomicBool::new(false),
             was_ready: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             close_connections: CancellationToken::new(),
@@ -158,9 +167,14 @@
         }
     }
 
-    /// Takes note that there is a placer, or that none can be expected to come soon.
+    /// Takes note that a placer has told what it knows, or that none can be expected to come soon.
     pub(crate) fn set_placer_decided(&self) {
-        self.placer_expected.store(false, Ordering::Release);
+        self.placer_decided.store(true, Ordering::Release);
+    }
+
+    /// Takes note that the lease is or was held.
+    pub(crate) fn set_lease_was_held(&self) {
+        self.lease_was_held.store(true, Ordering::Release);
     }
 
     /// Begins the shutdown.
@@ -175,20 +189,25 @@
 
     /// Says whether callers should be sent here.
     ///
-    /// A new deployment has no placer until the first lease has been written, and every request for
-    /// an adapter that no target holds is refused until then. So an instance waits for the first
-    /// placer, but not for long, and not if the platform can't tell of one.
+    /// A new deployment has no placer until the first lease has been written and the targets have been
+    /// asked, and every request for an adapter that no target holds is refused until then. So an instance
+    /// waits for a placer, but not for long, and not if the platform can't tell of one.
     pub(crate) fn is_ready(&self) -> bool {
         let known_at = self.targets_known_at.load(Ordering::Acquire);
         let targets_known = known_at > 0;
         let known_for = self.clock.now().since(Moment::from_micros(known_at));
-        let expects_placer = self.placer_expected.load(Ordering::Acquire);
+        let decided = self.placer_decided.load(Ordering::Acquire);
+        let longest_wait = if self.lease_was_held.load(Ordering::Acquire) {
+            KNOWN_PLACER_WAIT
+        } else {
+            FIRST_PLACER_WAIT
+        };
         let ready = self.routes.load().is_some()
             && targets_known
-            && !(expects_placer && known_for < FIRST_PLACER_WAIT)
+            && (decided || known_for >= longest_wait)
             && !self.is_stopping();
         if ready && !self.was_ready.swap(true, Ordering::AcqRel) {
-            slog::info!(self.log, "ready"; "placer_decided" => !expects_placer,
+            slog::info!(self.log, "ready"; "placer_decided" => decided,
                 "targets_known_for_ms" => known_for.as_millis() as u64);
         }
         ready
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -15,6 +15,7 @@
 use super::place::Chosen;
 use super::refusal::{Reason, Refusal};
 use super::request::{CallerRequest, set};
+use crate::grants::Grant;
 use crate::peers::PeerMessage;
 use crate::shared::Shared;
 
@@ -53,10 +54,12 @@
     weights: Option<Weights>,
     /// The prompt tokens that the target has not read yet, as far as is known.
     reading: u32,
+    grant: Option<Grant>,
 }
 
 impl InFlight {
-    fn begin(shared: &Arc<Shared>, target: &TargetName, req: &CallerRequest) -> Self {
+    fn begin(shared: &Arc<Shared>, chosen: &mut Chosen, req: &CallerRequest) -> Self {
+        let target = &chosen.target;
         let weights = req.weights.as_ref();
         let reading = req.size.prompt_tokens;
         let mut dispatch = shared.dispatch();
@@ -70,6 +73,7 @@
             started,
             weights: weights.cloned(),
             reading,
+            grant: chosen.grant.take(),
         }
     }
 
@@ -77,6 +81,9 @@
     pub(crate) fn begins(&mut self) {
         let tokens = std::mem::take(&mut self.reading);
         self.shared.dispatch().has_read(&self.target, tokens);
+        if let Some(grant) = &self.grant {
+            grant.begun();
+        }
     }
 }
 
@@ -153,12 +160,12 @@
     async fn send_until_answered(&mut self) -> Result<Answered, Refusal> {
         loop {
             let found = self.find_target().await;
-            let chosen = found.map_err(|it| self.truly(it))?;
+            let mut chosen = found.map_err(|it| self.truly(it))?;
             if !self.may_send() {
                 let spent = Refusal::retry_after(Reason::BudgetSpent, REFUSED_RETRY);
                 return Err(self.truly(spent));
             }
-            match self.send(&chosen).await {
+            match self.send(&mut chosen).await {
                 Sent::Answered(answered) => return Ok(*answered),
                 Sent::NotRun => self.avoid.push(chosen.target),
                 Sent::MayHaveRun(reason) => {
@@ -200,8 +207,8 @@
         allowed
     }
 
-    async fn send(&mut self, chosen: &Chosen) -> Sent {
-        let in_flight = InFlight::begin(self.shared, &chosen.target, self.req);
+    async fn send(&mut self, chosen: &mut Chosen) -> Sent {
+        let in_flight = InFlight::begin(self.shared, chosen, self.req);
         let client = self.shared.engines.client(chosen.address);
         let left = self.req.left(self.shared.clock.now());
         let repeat = self.req.route.repeat.is_allowed();
--- a/crates/chervilshunt_gateway/src/traffic/place.rs
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -3,12 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use chervilshunt_core::{Ask, Choice, Lane, Placed, Wait};
-use chervilshunt_model::Moment;
+use chervilshunt_core::{Ask, Choice, Lane, Placed, Wait, Want, Weights};
 use chervilshunt_model::TargetName;
 
 use super::attempt::Run;
 use super::refusal::{Reason, Refusal};
+use crate::grants::Grant;
 use crate::peers::PeerMessage;
 
 /// When a caller should come back for whom there was no target.
@@ -29,32 +29,59 @@
 const ROOM_PATIENCE: f64 = 0.12;
 /// How long a request waits for its adapter, as a multiple of its objective. Beyond that it waits for
 /// a placer that is gone, or behind so many loads that another is better off in its place.
-const PLACE_PATIENCE: f64 = 2.5;
-/// The same where targets hold the adapter and are full: a load at another one has to end within the
-/// objective to be better than a slot that falls free.
-const ELSEWHERE_PATIENCE: f64 = 0.8;
+const PLACE_PATIENCE: f64 = 0.8;
+/// How much longer than a request waits its instance waits for the placer's answer: told that there is no
+/// place, the caller can come back; without an answer nobody knows when.
+const ANSWER_MARGIN: Duration = Duration::from_millis(50);
+/// The silence of the placer after which a request that waits for its answer goes by what is known, if
+/// a target is known to hold its adapter: the placer answers at once where no load is needed.
+const SUSPECT_AFTER: Duration = Duration::from_millis(250);
 /// A target is taken to be there, and a connection to it good, if it was heard of within this time.
 /// A request on a connection to a target that has lost power is lost if it may not run twice; on a
 /// new connection it would not leave.
 const SURELY_THERE: Duration = Duration::from_millis(250);
 
 /// Where a request is sent.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct Chosen {
     pub(crate) target: TargetName,
     pub(crate) address: SocketAddr,
     pub(crate) expect_version: Option<u64>,
     /// Whether a connection that was used before may carry it.
     pub(crate) reuse: bool,
+    /// The placer's leave, if the placer has chosen.
+    pub(crate) grant: Option<Grant>,
+}
+
+/// What the placer told.
+enum Told {
+    /// Where the request may be sent.
+    At(Chosen),
+    /// A target that is known here to leave.
+    Leaving(TargetName),
+    /// It gave no answer.
+    Nothing,
 }
 
 impl Run<'_> {
     /// Finds a target, waiting for room or for a load where that is worth while.
+    ///
+    /// Where an adapter is wanted the placer chooses, which knows what all instances have under way. An
+    /// instance that does not hear it goes by what it knows itself, and asks for what it knows nowhere.
     pub(crate) async fn find_target(&mut self) -> Result<Chosen, Refusal> {
         let began = self.shared.clock.now();
         let patience = self.req.route.objective.mul_f64(ROOM_PATIENCE);
-        let mut asked_elsewhere = false;
         loop {
+            if let Some(weights) = self.req.weights.clone()
+                && self.is_guided()
+            {
+                match self.ask_placer(weights).await? {
+                    Told::At(chosen) => return Ok(chosen),
+                    Told::Leaving(target) => self.avoid.push(target),
+                    Told::Nothing => self.shared.dispatch().placer_lost(),
+                }
+                continue;
+            }
             let wait = match self.choose() {
                 Ok(chosen) => return Ok(chosen),
                 Err(wait) => wait,
@@ -63,31 +90,26 @@
                 Wait::NoTarget => {
                     return Err(Refusal::retry_after(Reason::NoTarget, NO_TARGET_RETRY));
                 }
-                Wait::NotHeld => return self.ask_placer(PLACE_PATIENCE, &[]).await,
-                Wait::HoldersFull if !asked_elsewhere => {
-                    asked_elsewhere = true;
-                    let full = self.holders();
-                    if let Ok(chosen) = self.ask_placer(ELSEWHERE_PATIENCE, &full).await {
-                        return Ok(chosen);
-                    }
-                }
-                Wait::HoldersFull | Wait::Full
-                    if self.shared.clock.now().since(began) >= patience =>
-                {
+                Wait::NotHeld => return self.ask_for_load().await,
+                Wait::Full if self.shared.clock.now().since(began) >= patience => {
                     return Err(Refusal::retry_after(Reason::Full, FULL_RETRY));
                 }
-                Wait::HoldersFull | Wait::Full => tokio::time::sleep(ROOM_PAUSE).await,
+                Wait::Full => tokio::time::sleep(ROOM_PAUSE).await,
             }
         }
     }
 
+    fn is_guided(&self) -> bool {
+        let now = self.shared.clock.now();
+        self.shared.placer.load().is_some() && self.shared.dispatch().is_guided(now)
+    }
+
     fn choose(&self) -> Result<Chosen, Wait> {
         let now = self.shared.clock.now();
         let ask = Ask {
             service: &self.req.service,
             weights: self.req.weights.as_ref(),
             lane: Lane::of(self.req.size),
-            may_ask: self.may_ask(now),
             avoid: &self.avoid,
         };
         let choice = self.shared.dispatch().choose(&ask, rand::random, now);
@@ -121,62 +143,92 @@
                     address,
                     expect_version,
                     reuse,
+                    grant: None,
                 })
             }
         }
     }
 
-    /// Says whether it is worth while to ask for the adapter at another target than holds it.
-    fn may_ask(&self, now: Moment) -> bool {
-        let adapter = self.req.weights.as_ref().and_then(|it| it.adapter.as_ref());
-        adapter.is_some() && self.avoid.is_empty() && self.shared.dispatch().has_loads_to_spare(now)
-    }
-
-    /// Returns the targets that hold the request's adapter.
-    fn holders(&self) -> Vec<TargetName> {
-        let weights = self.req.weights.as_ref();
-        let holders = weights.map(|it| self.shared.dispatch().holders_of(it).cloned().collect());
-        holders.unwrap_or_default()
-    }
-
-    /// Asks the placer for the adapter at none of some targets, and waits until it is ready, at most
-    /// for a multiple of the request's objective.
-    async fn ask_placer(
-        &mut self,
-        patience: f64,
-        besides: &[TargetName],
-    ) -> Result<Chosen, Refusal> {
-        let not_placed = || self.not_placed();
+    /// Asks the placer for an adapter that is known nowhere, without hearing much of it.
+    async fn ask_for_load(&mut self) -> Result<Chosen, Refusal> {
         let Some(weights) = self.req.weights.clone() else {
-            return Err(not_placed());
+            return Err(self.not_placed());
         };
+        match self.ask_placer(weights).await? {
+            Told::At(chosen) => Ok(chosen),
+            Told::Leaving(_) | Told::Nothing => Err(self.not_placed()),
+        }
+    }
+
+    /// Asks the placer for a target, and waits until that holds the adapter.
+    async fn ask_placer(&self, weights: Weights) -> Result<Told, Refusal> {
         let Some(placer) = self.shared.placer.load_full() else {
             self.report_placement("nobody places", None);
-            return Err(not_placed());
+            return Ok(Told::Nothing);
         };
-        let patience = self.req.route.objective.mul_f64(patience);
-        let patience = patience.min(self.req.left(self.shared.clock.now()));
-        let message = PeerMessage::Want {
+        let now = self.shared.clock.now();
+        let patience = self.req.route.objective.mul_f64(PLACE_PATIENCE);
+        let patience = patience.min(self.req.left(now));
+        let mut avoid = self.shared.dispatch().doubtful(&self.req.service, now);
+        avoid.extend(self.avoid.iter().cloned());
+        let want = Want {
             service: self.req.service.clone(),
             weights,
-            within: patience,
+            prompt_tokens: self.req.size.prompt_tokens,
             lane: Lane::of(self.req.size),
-            avoid: self.avoid.iter().chain(besides).cloned().collect(),
+            zone: self.shared.settings.instance.zone.clone(),
+            avoid,
         };
-        match self.shared.mesh.request(&placer, message, patience).await {
-            Ok(PeerMessage::Placed(Placed::At { target })) => {
+        let message = PeerMessage::Want(want, patience);
+        let answer = self
+            .shared
+            .mesh
+            .request(&placer, message, patience + ANSWER_MARGIN);
+        match self.unless_silent(answer).await {
+            Some(Ok(PeerMessage::Placed(Placed::At { target }, number))) => {
+                let grant = Grant::new(self.shared, number);
+                self.heard();
                 self.report_placement("placed", Some(&target));
-                self.at_target(&target).ok_or_else(not_placed)
+                Ok(self.at_target(target, grant))
             }
-            Ok(PeerMessage::Placed(Placed::Later { retry_in })) => {
+            Some(Ok(PeerMessage::Placed(Placed::Later { retry_in }, _))) => {
+                self.heard();
                 self.report_placement("no room", None);
                 Err(Refusal::retry_after(Reason::NotPlaced, retry_in))
             }
-            Ok(_) => Err(not_placed()),
-            Err(error) => {
+            Some(Ok(_)) => Ok(Told::Nothing),
+            Some(Err(error)) => {
                 slog::info!(self.shared.log, "placer silent";
                     "request" => &*self.req.id, "reason" => error.to_string());
-                Err(not_placed())
+                Ok(Told::Nothing)
+            }
+            None => {
+                slog::info!(self.shared.log, "placer silent";
+                    "request" => &*self.req.id, "reason" => "nothing heard of it");
+                Ok(Told::Nothing)
+            }
+        }
+    }
+
+    fn heard(&self) {
+        let now = self.shared.clock.now();
+        self.shared.dispatch().placer_heard(now);
+    }
+
+    /// Waits for the placer's answer; none if the placer falls silent and another way is known.
+    async fn unless_silent<T>(&self, answer: impl Future<Output = T>) -> Option<T> {
+        let mut answer = std::pin::pin!(answer);
+        loop {
+            if let Ok(answer) = tokio::time::timeout(SUSPECT_AFTER, &mut answer).await {
+                return Some(answer);
+            }
+            let now = self.shared.clock.now();
+            let dispatch = self.shared.dispatch();
+            let is_known = self.req.weights.as_ref().is_some_and(|weights| {
+                weights.adapter.is_none() || dispatch.holders_of(weights).next().is_some()
+            });
+            if is_known && !dispatch.heard_within(SUSPECT_AFTER, now) {
+                return None;
             }
         }
     }
@@ -206,10 +258,16 @@
     }
 
     /// Sends to a target that the placer named, unless it leaves.
-    fn at_target(&self, target: &TargetName) -> Option<Chosen> {
+    fn at_target(&self, target: TargetName, grant: Grant) -> Told {
         let now = self.shared.clock.now();
         let weights = self.req.weights.as_ref();
-        let choice = self.shared.dispatch().choose_named(target, weights, now);
-        self.take(choice).ok()
+        let choice = self.shared.dispatch().choose_named(&target, weights, now);
+        match self.take(choice) {
+            Ok(chosen) => Told::At(Chosen {
+                grant: Some(grant),
+                ..chosen
+            }),
+            Err(_) => Told::Leaving(target),
+        }
     }
 }
--- a/crates/chervilshunt_gateway/src/traffic/relay.rs
+++ b/crates/chervilshunt_gateway/src/traffic/relay.rs
@@ -165,6 +165,7 @@
         let pause = now.since(self.last_piece);
         let wanted = self.req.route.longest_pause;
         if wanted.is_some_and(|wanted| pause > wanted && self.longest_pause <= wanted) {
+            self.shared.grants.note_pause();
             slog::info!(self.shared.log, "long pause";
                 "request" => &*self.req.id, "target" => self.in_flight.target.as_str(),
                 "pause_ms" => pause.as_millis() as u64, "bytes" => self.bytes);
