Ask a target again that waits before it gives an adapter up

Cause: a target that accepts to give up an adapter in use tells nobody when it has; it was taken for busy for ever. The test failed first.

--- a/crates/chervilshunt_core/src/residency/answers.rs
+++ b/crates/chervilshunt_core/src/residency/answers.rs
@@ -32,6 +32,8 @@
         let turn = match answer {
             // Nor is one that is under way already and is given again to see whether it has ended.
             OrderAnswer::Accepted if self.is_confirming(&order) => Turn::Free(accepted),
+            // It waits for the last request with the adapter to end, and tells nobody when it is done.
+            OrderAnswer::Accepted if order.kind == OrderKind::Unload => Turn::Unknown(now + lag),
             OrderAnswer::Accepted => Turn::Free(accepted + 1),
             // An order that holds already is not counted; an adapter is given up at once and is.
             OrderAnswer::Done if order.kind == OrderKind::Load => Turn::Free(accepted),
--- a/crates/chervilshunt_core/tests/grants.rs
+++ b/crates/chervilshunt_core/tests/grants.rs
@@ -218,3 +218,32 @@
         "everyone is told"
     );
 }
+
+/// A target is told to give up an adapter that still serves a request which its instance takes for ended,
+/// and waits for that. It says nothing when it is done. Asked again it is used as before; not asked, it
+/// loaded nothing more for the rest of a day, and a few such orders took most places out of use.
+#[test]
+fn a_target_that_waits_before_it_gives_an_adapter_up_is_not_lost() {
+    let mut residency = before_asking(1, 16, 1);
+    residency.handle(ResidencyEvent::Tick, at(450));
+    residency.handle(reported(0, vec![(adapter("a1"), 1)]), at(450));
+    let actions = residency.handle(wanted(1, adapter("a2"), 3_000), at(1_000));
+    let [ResidencyAction::Tell(_), ResidencyAction::Order(order)] = &*actions else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(order.kind, OrderKind::Unload);
+    let accepted = ResidencyEvent::Answered(order.number, OrderAnswer::Accepted);
+    residency.handle(accepted, at(1_003));
+    let asked = residency.next_wakeup().expect("it is asked again");
+    let actions = residency.handle(ResidencyEvent::Tick, asked);
+    assert!(
+        actions.contains(&ResidencyAction::Ask(target(0))),
+        "{actions:?}"
+    );
+    let actions = residency.handle(reported(0, Vec::new()), asked);
+    let load = actions.iter().find_map(|action| match action {
+        ResidencyAction::Order(order) => Some((order.kind, &order.weights)),
+        _ => None,
+    });
+    assert_eq!(load, Some((OrderKind::Load, &adapter("a2"))), "{actions:?}");
+}
