--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -91,7 +91,7 @@
                 want,
                 within,
             } => {
-                let until = now + within;
+                let until = now + self.places_within(&want, within);
                 self.wanted(question, Asked { from, want, until }, now, &mut out);
             }
             ResidencyEvent::Used(from, uses, grants) => self.used(&from, uses, &grants, now),
--- a/crates/chervilshunt_core/src/residency/wants.rs
+++ b/crates/chervilshunt_core/src/residency/wants.rs
@@ -65,6 +65,14 @@
         self.place(question, asked, &found.target, now, out);
     }
 
+    /// Returns how long a request may wait for its place if its first token is to come within a time: its
+    /// prompt has still to be read then.
+    pub(super) fn places_within(&self, want: &Want, within: Duration) -> Duration {
+        let reading = Duration::from_secs_f64(self.pace.millis(want.prompt_tokens) / 1e3);
+        let left = within.saturating_sub(reading);
+        left.max(within.mul_f64(LEAST_PLACING_SHARE))
+    }
+
     /// Gives a request a target, at once or when its adapter has been loaded there.
     pub(super) fn place(
         &mut self,
@@ -225,6 +233,8 @@
     }
 }
 
+/// The least part of its time that a request waits for a place, however long its prompt is.
+const LEAST_PLACING_SHARE: f64 = 0.4;
 /// The version of weights of which no other has been named.
 const FIRST_VERSION: u64 = 1;
 
--- a/crates/chervilshunt_gateway/src/traffic/place.rs
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -29,7 +29,7 @@
 const ROOM_PATIENCE: f64 = 0.12;
 /// How long a request waits for its adapter, as a multiple of its objective. Beyond that it waits for
 /// a placer that is gone, or behind so many loads that another is better off in its place.
-const PLACE_PATIENCE: f64 = 0.8;
+const PLACE_PATIENCE: f64 = 1.0;
 /// How much longer than a request waits its instance waits for the placer's answer: told that there is no
 /// place, the caller can come back; without an answer nobody knows when.
 const ANSWER_MARGIN: Duration = Duration::from_millis(50);
