--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -14,6 +14,7 @@
 use super::order::{OrderNumber, ResidencyAction, ResidencyEvent, Use};
 use super::pace::ReadingPace;
 use super::queue::Queue;
+use super::restart::LostLoads;
 use super::target::{Summary, TargetState, Turn};
 use super::wants::Asked;
 use super::window::LoadWindow;
@@ -36,6 +37,8 @@
     /// The questions that wait for a place or for a load to end.
     pub(super) asked: HashMap<u64, Asked>,
     pub(super) queue: Queue,
+    /// Orders without an answer to targets that are gone.
+    pub(super) lost_of_gone: HashMap<TargetName, LostLoads>,
     /// Loads that may be ordered now; the others wait for one of those under way to end.
     pub(super) admitted: HashSet<(TargetName, Weights)>,
     /// What each instance last told that it has under way.
@@ -68,6 +71,7 @@
             grants: Grants::default(),
             asked: HashMap::new(),
             queue: Queue::default(),
+            lost_of_gone: HashMap::new(),
             admitted: HashSet::new(),
             uses: HashMap::new(),
             told: HashMap::new(),
@@ -292,6 +296,7 @@
             return;
         };
         self.grants.forget_target(name);
+        self.remember_lost(&target, now);
         for hold in target.holds.into_values() {
             self.place_elsewhere(name, hold.questions, now, out);
         }
--- a/crates/chervilshunt_core/src/residency/restart.rs
+++ b/crates/chervilshunt_core/src/residency/restart.rs
@@ -73,10 +73,15 @@
         self.earlier.iter().filter(due).count()
     }
 
-    /// Returns them as those of a start that is over.
-    fn of_earlier_start(mut self, out: Option<&Order>, now: Moment) -> Self {
-        if let Some(order) = out {
-            self.note(order, now);
+    const fn is_empty(&self) -> bool {
+        self.present.is_empty() && self.earlier.is_empty()
+    }
+
+    /// Returns them as those of a start that is over, with the order that is on its way to it.
+    fn of_earlier_start(mut self, turn: &Turn, now: Moment) -> Self {
+        match turn {
+            Turn::Out(order) => self.note(order, now),
+            Turn::Unknown(_) | Turn::Asked | Turn::Free(_) => {}
         }
         self.earlier.append(&mut self.present);
         self.forget_old(now);
@@ -105,12 +110,8 @@
         let Some(before) = self.targets.shift_remove(&facts.name) else {
             return;
         };
-        let ordered = match &before.turn {
-            Turn::Out(order) => Some(order),
-            Turn::Unknown(_) | Turn::Asked | Turn::Free(_) => None,
-        };
         let mut target = TargetState::new(facts, now + self.cfg.report_lag);
-        target.lost = before.lost.of_earlier_start(ordered, now);
+        target.lost = before.lost.of_earlier_start(&before.turn, now);
         self.grants.forget_target(&target.facts.name);
         for hold in before.holds.into_values() {
             self.answer_later(hold.questions, out);
@@ -118,12 +119,26 @@
         self.insert_target(target);
     }
 
+    /// Remembers the orders that may still be carried out by a target that is gone: it may come back, or
+    /// start again, under its name.
+    pub(super) fn remember_lost(&mut self, target: &TargetState, now: Moment) {
+        let lost = target.lost.clone().of_earlier_start(&target.turn, now);
+        self.lost_of_gone.insert(target.facts.name.clone(), lost);
+        self.lost_of_gone.retain(|_, lost| {
+            lost.forget_old(now);
+            !lost.is_empty()
+        });
+    }
+
     /// Takes in a target with what instances were last told to have under way there.
     ///
     /// They may have sent to the new start before it was known to be one, and tell that only once more
     /// half a second later; an adapter that they use must not be given up meanwhile.
     pub(super) fn insert_target(&mut self, mut target: TargetState) {
         let name = target.facts.name.clone();
+        if let Some(lost) = self.lost_of_gone.remove(&name) {
+            target.lost = lost;
+        }
         for (instance, uses) in &self.uses {
             let here = uses.iter().filter(|it| it.target == name);
             for it in here {
--- a/crates/chervilshunt_core/tests/residency_machine.rs
+++ b/crates/chervilshunt_core/tests/residency_machine.rs
@@ -8,9 +8,9 @@
 use std::time::Duration;
 
 use chervilshunt_core::{
-    Lane, LoadedModel, ModelSpec, Order, OrderAnswer, OrderKind, OrderNumber, Placed,
-    PlacementLimits, Residency, ResidencyAction, ResidencyConfig, ResidencyEvent, TargetFacts,
-    TargetReport, TargetStart, Use, Want, Weights,
+    GrantNumber, GrantProgress, Lane, LoadedModel, ModelSpec, Order, OrderAnswer, OrderKind,
+    OrderNumber, Placed, PlacementLimits, Residency, ResidencyAction, ResidencyConfig,
+    ResidencyEvent, TargetFacts, TargetReport, TargetStart, Use, Want, Weights,
 };
 use chervilshunt_model::{InstanceId, Moment, ServiceName, TargetName, ZoneName};
 use proptest::prelude::*;
@@ -19,11 +19,15 @@
 const TARGETS: u8 = 3;
 const ADAPTERS: u8 = 9;
 const LOAD_MS: u64 = 240;
+/// How often an instance tells what it has under way.
+const TELL_EVERY: Duration = Duration::from_millis(400);
 
 #[derive(Clone, Debug)]
 enum Step {
     Want(u8, bool),
     Use(u8, u8, u32),
+    /// A granted request ends, and its instance tells so at once or leaves it out of what it tells next.
+    End(u8, bool),
     Version(u8),
     Advance(u64),
     /// What happens to the next orders: answered, lost before, lost after, or carried out late.
@@ -38,6 +42,7 @@
     prop_oneof![
         10 => (0..ADAPTERS, any::<bool>()).prop_map(|(a, long)| Step::Want(a, long)),
         4 => (0..TARGETS, 0..ADAPTERS, 0..40_u32).prop_map(|(t, a, n)| Step::Use(t, a, n)),
+        8 => (any::<u8>(), any::<bool>()).prop_map(|(n, told)| Step::End(n, told)),
         1 => (0..ADAPTERS).prop_map(Step::Version),
         12 => (1..900_u64).prop_map(Step::Advance),
         3 => (0..4_u8).prop_map(Step::Fate),
@@ -142,6 +147,12 @@
     next_question: u64,
     used: BTreeMap<(TargetName, String), u32>,
     told_used_at: BTreeMap<(TargetName, String), Moment>,
+    /// When everything under way was last told.
+    told_at: Moment,
+    /// What each question wants.
+    wants: BTreeMap<u64, String>,
+    /// The granted requests under way, each with its target and adapter.
+    granted: BTreeMap<u64, (TargetName, String)>,
 }
 
 impl World {
@@ -158,6 +169,9 @@
             next_question: 0,
             used: BTreeMap::new(),
             told_used_at: BTreeMap::new(),
+            told_at: Moment::ZERO,
+            wants: BTreeMap::new(),
+            granted: BTreeMap::new(),
         };
         let limits = PlacementLimits {
             models: vec![ModelSpec {
@@ -239,6 +253,7 @@
         let name = Self::name(target);
         self.real.remove(&target);
         self.used.retain(|(holder, _), _| *holder != name);
+        self.granted.retain(|_, (holder, _)| *holder != name);
     }
 
     /// Has a target start again, and shows its new entry or leaves that to its reports.
@@ -283,6 +298,7 @@
                         self.index(&target).is_some(),
                         "placed at {target}, which is gone"
                     );
+                    self.begin(question, target);
                 }
             }
         }
@@ -297,7 +313,9 @@
         );
         if order.kind == OrderKind::Unload {
             let key = (order.target.clone(), order.weights.to_string());
-            let in_use = self.used.get(&key).copied().unwrap_or_default();
+            let used = self.used.get(&key).copied().unwrap_or_default();
+            let granted = self.granted.values().filter(|it| **it == key).count();
+            let in_use = used as usize + granted;
             assert_eq!(in_use, 0, "{:?} gives up what is in use", order);
         }
         let Some(index) = self.index(&order.target) else {
@@ -350,6 +368,9 @@
             if self.planner.next_wakeup().is_some_and(|at| at <= self.now) {
                 self.event(ResidencyEvent::Tick);
             }
+            if self.now.since(self.told_at) >= TELL_EVERY {
+                self.tell();
+            }
         }
     }
 
@@ -359,6 +380,7 @@
                 let question = self.next_question;
                 self.next_question += 1;
                 self.open.insert(question);
+                self.wants.insert(question, adapter(n).to_string());
                 let lane = if long {
                     Lane::LongPrompt
                 } else {
@@ -379,6 +401,7 @@
                 });
             }
             Step::Use(target, n, in_flight) => self.use_adapter(target, n, in_flight),
+            Step::End(n, told) => self.end_grant(n, told),
             Step::Version(n) => {
                 let name = adapter(n).to_string();
                 let version = self.versions.get(&name).copied().unwrap_or(1) + 1;
@@ -393,6 +416,54 @@
         }
     }
 
+    /// Begins a granted request. A target that does not hold its adapter, as it has started again or has
+    /// not ended the load, refuses it truly, and nothing is under way.
+    fn begin(&mut self, question: u64, target: TargetName) {
+        let adapter = self.wants[&question].clone();
+        let index = self.index(&target).expect("a target that is there");
+        if self.real[&index].held.contains_key(&adapter) {
+            self.granted.insert(question, (target, adapter));
+        } else {
+            let ended = vec![GrantNumber(question)];
+            self.event(ResidencyEvent::Progressed(GrantProgress {
+                ended,
+                ..GrantProgress::default()
+            }));
+        }
+    }
+
+    fn end_grant(&mut self, n: u8, told: bool) {
+        let count = self.granted.len().max(1);
+        let Some(number) = self.granted.keys().copied().nth(usize::from(n) % count) else {
+            return;
+        };
+        self.granted.remove(&number);
+        if told {
+            self.event(ResidencyEvent::Progressed(GrantProgress {
+                begun: vec![GrantNumber(number)],
+                ended: vec![GrantNumber(number)],
+                ..GrantProgress::default()
+            }));
+        }
+    }
+
+    /// Tells everything that is under way.
+    fn tell(&mut self) {
+        self.told_at = self.now;
+        let mut counts = self.used.clone();
+        for key in self.granted.values() {
+            *counts.entry(key.clone()).or_default() += 1;
+        }
+        let uses = counts.iter().map(|((target, weights), in_flight)| Use {
+            target: target.clone(),
+            weights: Some(weights_of(weights)),
+            in_flight: *in_flight,
+        });
+        let uses = uses.collect();
+        let grants = self.granted.keys().copied().map(GrantNumber).collect();
+        self.event(ResidencyEvent::Used(InstanceId::from("i"), uses, grants));
+    }
+
     fn use_adapter(&mut self, target: u8, n: u8, in_flight: u32) {
         let held = self
             .real
@@ -404,17 +475,7 @@
             return;
         }
         self.used.insert(key, in_flight);
-        let uses = self.used.iter().map(|((target, weights), in_flight)| Use {
-            target: target.clone(),
-            weights: Some(weights_of(weights)),
-            in_flight: *in_flight,
-        });
-        let uses = uses.collect();
-        self.event(ResidencyEvent::Used(
-            InstanceId::from("i"),
-            uses,
-            Vec::new(),
-        ));
+        self.tell();
     }
 }
 
@@ -436,6 +497,7 @@
         }
         world.fate = 0;
         world.used.clear();
+        world.granted.clear();
         world.event(ResidencyEvent::Used(InstanceId::from("i"), Vec::new(), Vec::new()));
         world.advance(8_000);
         prop_assert!(world.open.is_empty(), "never answered: {:?}", world.open);
