--- a/crates/chervilshunt_core/tests/grants.rs
+++ b/crates/chervilshunt_core/tests/grants.rs
@@ -7,7 +7,7 @@
 
 use chervilshunt_core::{
     GrantNumber, GrantProgress, Order, OrderAnswer, OrderKind, Placed, Residency, ResidencyAction,
-    ResidencyEvent, Use,
+    ResidencyEvent, Use, Want,
 };
 use chervilshunt_model::InstanceId;
 use placing::{adapter, at, before_asking, reported, target, wanted};
@@ -247,3 +247,33 @@
     });
     assert_eq!(load, Some((OrderKind::Load, &adapter("a2"))), "{actions:?}");
 }
+
+/// Two requests wait for a place, one with a long prompt. Its first token would be late if it got its place
+/// when the other still can: it is told so earlier, while it can come back.
+#[test]
+fn a_long_prompt_needs_its_place_earlier() {
+    let mut places = OnePlace::taken();
+    let long = |event| match event {
+        ResidencyEvent::Wanted {
+            question,
+            from,
+            want,
+            within,
+        } => ResidencyEvent::Wanted {
+            question,
+            from,
+            want: Want {
+                prompt_tokens: 6_000,
+                ..want
+            },
+            within,
+        },
+        other => other,
+    };
+    places.want(2, "a2", 1_000);
+    places.handle(long(wanted(3, adapter("a3"), 1_000)));
+    places.pass(650);
+    let told = |it: &OnePlace, question| it.answers.iter().any(|(asked, _)| *asked == question);
+    assert!(told(&places, 3), "400 ms of reading are left");
+    assert!(!told(&places, 2));
+}
--- a/crates/chervilshunt_core/tests/residency_versions.rs
+++ b/crates/chervilshunt_core/tests/residency_versions.rs
@@ -40,7 +40,7 @@
         want: Want {
             service: service(),
             weights,
-            prompt_tokens: 1_000,
+            prompt_tokens: 0,
             lane: Lane::General,
             zone: ZoneName::from("zone"),
             avoid: Vec::new(),
@@ -177,7 +177,7 @@
         want: Want {
             service: service(),
             weights: adapter("a1"),
-            prompt_tokens: 1_000,
+            prompt_tokens: 0,
             lane: Lane::General,
             zone: ZoneName::from("zone"),
             avoid: Vec::new(),
