--- a/crates/chervilshunt_core/src/dispatch/lanes.rs
+++ b/crates/chervilshunt_core/src/dispatch/lanes.rs
@@ -1,4 +1,5 @@
-//! Targets of their own for long prompts.
+//! Targets of their own for long prompts, where an instance chooses by itself or the placer has seen that
+//! streams pause (`residency/lanes.rs`).
 //!
 //! A target reads a prompt in pieces between the tokens of all that it generates. A prompt of 7,000
 //! tokens holds each of 15 streams beside it up for a fifth of a second and more, so that every one
--- a/crates/chervilshunt_gateway/src/control/actor.rs
+++ b/crates/chervilshunt_gateway/src/control/actor.rs
@@ -20,8 +20,8 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 
-/// How often an instance tells the placer what it has under way. The placer gives up adapters that
-/// nobody uses, and knows of a use as late as this.
+/// How often an instance tells the placer what it has under way. What the placer has granted it counts by
+/// itself; a grant whose end was lost is known as late as this.
 const TELL_USE_EVERY: Duration = Duration::from_millis(400);
 /// The longest part of a second by which instances spread their writes for a lapsed lease.
 const STAGGER: Duration = Duration::from_millis(400);
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -30,8 +30,8 @@
 /// placer sends at most 500 such messages a second. Told of each change at once, 88 instances took
 /// some 5,000 messages a second, and the placer's other answers were late.
 const GATHER_AN_INSTANCE: Duration = Duration::from_millis(2);
-/// The longest gathering. The planner gives adapters up that much later after it was last told of
-/// their use, so that nobody is sent to an adapter that is going.
+/// The longest gathering. An instance that chooses by itself may send to an adapter that is going for that
+/// much longer; the target refuses it truly.
 const LONGEST_GATHERING: Duration = Duration::from_millis(200);
 /// Questions are numbered from a placer's term on, in the upper half: they name grants, which instances
 /// may still tell of when there is another placer.
