Refuse at once a request for which no target has a place; take the queue out

Hypothesis of the queue: places come free many times a second, so that one who waits is served soon. Those who waited were placed so late that their answers were late all the same, in place of others.

--- a/crates/chervilshunt_core/src/residency/choice.rs
+++ b/crates/chervilshunt_core/src/residency/choice.rs
@@ -30,12 +30,6 @@
         self.best_of(want, now, |target| self.held_in(target, want, now))
     }
 
-    /// Says whether there is any target that a request could be sent to, if it had a place.
-    pub(super) fn has_targets(&self, want: &Want) -> bool {
-        let mut targets = self.targets.iter();
-        targets.any(|(name, target)| self.may_place(name, target, want))
-    }
-
     /// Returns the target that would load an adapter soonest, of those that don't have it.
     pub(super) fn best_load(&self, want: &Want, now: Moment) -> Option<Found> {
         self.best_of(want, now, |target| {
--- a/crates/chervilshunt_core/src/residency/config.rs
+++ b/crates/chervilshunt_core/src/residency/config.rs
@@ -49,8 +49,6 @@
     pub report_lag: Duration,
     /// The pause before a request whose adapter could not be placed may ask again.
     pub retry_in: Duration,
-    /// Requests for which there is no place now that may wait for one.
-    pub most_waiting: usize,
     /// The span over which loads of base models from the weight store are counted.
     pub store_window: Duration,
     /// The share of the weight store's rate that is used, so that loads whose start the store sees
@@ -82,7 +80,6 @@
             old_version_grace: Duration::from_millis(2_000),
             report_lag: Duration::from_millis(450),
             retry_in: Duration::from_millis(400),
-            most_waiting: 64,
             store_window: Duration::from_secs(5),
             store_share: 0.9,
             base_loads_at_once: 2,
--- a/crates/chervilshunt_core/src/residency/mod.rs
+++ b/crates/chervilshunt_core/src/residency/mod.rs
@@ -17,7 +17,6 @@
 mod order;
 mod pace;
 mod planner;
-mod queue;
 mod restart;
 mod target;
 mod versions;
--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -13,7 +13,6 @@
 use super::memory::MemorySize;
 use super::order::{OrderNumber, ResidencyAction, ResidencyEvent, Use};
 use super::pace::ReadingPace;
-use super::queue::Queue;
 use super::restart::LostLoads;
 use super::target::{Summary, TargetState, Turn};
 use super::wants::Asked;
@@ -34,9 +33,8 @@
     pub(super) pace: ReadingPace,
     pub(super) lanes: LaneSwitch,
     pub(super) grants: Grants,
-    /// The questions that wait for a place or for a load to end.
+    /// The questions that wait for a load to end.
     pub(super) asked: HashMap<u64, Asked>,
-    pub(super) queue: Queue,
     /// Orders without an answer to targets that are gone.
     pub(super) lost_of_gone: HashMap<TargetName, LostLoads>,
     /// Loads that may be ordered now; the others wait for one of those under way to end.
@@ -70,7 +68,6 @@
             lanes: LaneSwitch::default(),
             grants: Grants::default(),
             asked: HashMap::new(),
-            queue: Queue::default(),
             lost_of_gone: HashMap::new(),
             admitted: HashSet::new(),
             uses: HashMap::new(),
@@ -116,7 +113,6 @@
             }
             ResidencyEvent::Tick => {}
         }
-        self.serve_queue(now, &mut out);
         self.advance(now, &mut out);
         self.name_starts(&mut out);
         out
@@ -138,8 +134,7 @@
     /// Returns when [`ResidencyEvent::Tick`] is next wanted.
     pub fn next_wakeup(&self) -> Option<Moment> {
         let targets = self.targets.values();
-        let due = targets.filter_map(|it| it.summary.wake_at);
-        due.chain(self.queue_wakeup()).min()
+        targets.filter_map(|it| it.summary.wake_at).min()
     }
 
     /// Makes sure that a target is looked at with this event.
@@ -244,10 +239,6 @@
             | HoldState::Ready
             | HoldState::Unloading => None,
         });
-        // A load that waits for a place may take one that is kept for a moment.
-        let waits = !self.queue.is_empty() || target.holds.values().any(|it| it.is_planned());
-        let kept = waits.then(|| target.next_free(now)).flatten();
-        let due = due.chain(kept);
         let store = self.store_loads.front();
         let model = store.filter(|_| target.facts.models.is_empty());
         let model = model.map(|at| *at + self.cfg.store_window);
--- a/crates/chervilshunt_core/src/residency/target.rs
+++ b/crates/chervilshunt_core/src/residency/target.rs
@@ -177,13 +177,6 @@
         first.map(|(weights, _)| weights)
     }
 
-    /// Returns when the next adapter may be given up that nobody uses but that is kept for a moment.
-    pub(crate) fn next_free(&self, now: Moment) -> Option<Moment> {
-        let kept = self.holds.values().filter(|hold| hold.serves());
-        let due = kept.map(|hold| hold.free_from);
-        due.filter(|at| *at > now).min()
-    }
-
     /// Returns an adapter that is no longer told of and that nobody uses any more.
     pub(crate) fn unused_ending(&self, cfg: &ResidencyConfig, now: Moment) -> Option<&Weights> {
         let mut holds = self.holds.iter();
--- a/crates/chervilshunt_core/src/residency/wants.rs
+++ b/crates/chervilshunt_core/src/residency/wants.rs
@@ -45,7 +45,12 @@
 }
 
 impl Residency {
-    /// Finds a target for a request, or a place in the queue, or refuses it at once.
+    /// Finds a target for a request, or refuses it at once.
+    ///
+    /// A request for which no target has a place does not wait for one. Where places are short, those who
+    /// waited had theirs so late that their answers were late all the same, and took it from others that
+    /// were in time: with a queue in the order of arrival the worth of five days of overload was 0.517
+    /// (mean of six runs, 0.504 to 0.535), without one 0.533 (of six, 0.515 to 0.556).
     pub(super) fn wanted(
         &mut self,
         question: u64,
@@ -54,7 +59,7 @@
         out: &mut Vec<ResidencyAction>,
     ) {
         let Some(found) = self.best_target(&asked.want, now) else {
-            return self.wait_for_place(question, asked, now, out);
+            return self.answer_later(vec![question], out);
         };
         if now + found.held_in > asked.until {
             let retry_in = found.held_in.max(self.cfg.retry_in);
