Tell a target again that still waits to give an adapter up, and ask a silent placer once

A request whose placer had fallen silent waited for it for its whole patience, asked again and waited once more, though nothing could serve it; it is refused after 0.85 s now, two missed tellings, and asks once.

--- a/crates/chervilshunt_core/src/residency/answers.rs
+++ b/crates/chervilshunt_core/src/residency/answers.rs
@@ -231,11 +231,9 @@
                 ..Hold::new(HoldState::Ready, *version, now)
             };
             let hold = target.holds.entry(weights.clone()).or_insert(fresh);
+            // Its last request has not ended, or the order was lost: the target is told again.
             if hold.state == HoldState::Unloading {
-                // Where the target waits for the last request to end, it goes on waiting.
-                if !report.busy {
-                    hold.state = HoldState::Ending;
-                }
+                hold.state = HoldState::Ending;
                 continue;
             }
             hold.state = HoldState::Ready;
--- a/crates/chervilshunt_core/tests/grants.rs
+++ b/crates/chervilshunt_core/tests/grants.rs
@@ -5,7 +5,7 @@
 
 use chervilshunt_core::{
     GrantNumber, GrantProgress, Order, OrderAnswer, OrderKind, Placed, Residency, ResidencyAction,
-    ResidencyEvent, Use, Want,
+    ResidencyEvent, TargetReport, Use, Want,
 };
 use chervilshunt_model::InstanceId;
 use placing::{adapter, at, before_asking, reported, target, wanted};
@@ -204,6 +204,43 @@
     assert!(places.gives_up());
 }
 
+/// The same, where the request has not ended by then, and the target loads a base model besides. It is told
+/// again, and again, until it has given the adapter up.
+#[test]
+fn a_target_that_still_waits_is_told_again() {
+    let mut residency = before_asking(1, 16, 1);
+    residency.handle(ResidencyEvent::Tick, at(450));
+    residency.handle(reported(0, vec![(adapter("a1"), 1)]), at(450));
+    let actions = residency.handle(wanted(1, adapter("a2"), 9_000), at(1_000));
+    let mut given_up = orders(&actions);
+    for _ in 0..3 {
+        let order = given_up.pop().expect("an order");
+        assert_eq!(order.kind, OrderKind::Unload);
+        let accepted = ResidencyEvent::Answered(order.number, OrderAnswer::Accepted);
+        residency.handle(accepted, at(1_003));
+        let asked = residency.next_wakeup().expect("it is asked again");
+        residency.handle(ResidencyEvent::Tick, asked);
+        let report = TargetReport {
+            started: None,
+            accepted: 1,
+            busy: true,
+            adapters: vec![(adapter("a1"), 1)],
+            loading: Vec::new(),
+        };
+        let reported = ResidencyEvent::Reported(target(0), report);
+        given_up = orders(&residency.handle(reported, asked));
+    }
+    assert_eq!(given_up.len(), 1);
+}
+
+fn orders(actions: &[ResidencyAction]) -> Vec<Order> {
+    let orders = actions.iter().filter_map(|action| match action {
+        ResidencyAction::Order(order) => Some(order.clone()),
+        _ => None,
+    });
+    orders.collect()
+}
+
 /// A target is told to give up an adapter that still serves a request which its instance takes for ended,
 /// and waits for that. It says nothing when it is done. Asked again it is used as before; not asked, it
 /// loaded nothing more for the rest of a day, and a few such orders took most places out of use.
--- a/crates/chervilshunt_gateway/src/traffic/place.rs
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -36,6 +36,9 @@
 /// The silence of the placer after which a request that waits for its answer goes by what is known, if
 /// a target is known to hold its adapter: the placer answers at once where no load is needed.
 const SUSPECT_AFTER: Duration = Duration::from_millis(250);
+/// The same where no target is known to hold its adapter: the placer has missed two of the tellings that
+/// come each 0.4 s, and the caller is better off told so than held until its patience is over.
+const GONE_AFTER: Duration = Duration::from_millis(850);
 /// A target is taken to be there, and a connection to it good, if it was heard of within this time.
 /// A request on a connection to a target that has lost power is lost if it may not run twice; on a
 /// new connection it would not leave.
@@ -71,6 +74,7 @@
     pub(crate) async fn find_target(&mut self) -> Result<Chosen, Refusal> {
         let began = self.shared.clock.now();
         let patience = self.req.route.objective.mul_f64(ROOM_PATIENCE);
+        let mut placer_answers = true;
         loop {
             if let Some(weights) = self.req.weights.clone()
                 && self.is_guided()
@@ -78,7 +82,10 @@
                 match self.ask_placer(weights).await? {
                     Told::At(chosen) => return Ok(chosen),
                     Told::Leaving(target) => self.avoid.push(target),
-                    Told::Nothing => self.shared.dispatch().placer_lost(),
+                    Told::Nothing => {
+                        placer_answers = false;
+                        self.shared.dispatch().placer_lost();
+                    }
                 }
                 continue;
             }
@@ -90,7 +97,8 @@
                 Wait::NoTarget => {
                     return Err(Refusal::retry_after(Reason::NoTarget, NO_TARGET_RETRY));
                 }
-                Wait::NotHeld => return self.ask_for_load().await,
+                Wait::NotHeld if placer_answers => return self.ask_for_load().await,
+                Wait::NotHeld => return Err(self.not_placed()),
                 Wait::Full if self.shared.clock.now().since(began) >= patience => {
                     return Err(Refusal::retry_after(Reason::Full, FULL_RETRY));
                 }
@@ -227,7 +235,8 @@
             let is_known = self.req.weights.as_ref().is_some_and(|weights| {
                 weights.adapter.is_none() || dispatch.holders_of(weights).next().is_some()
             });
-            if is_known && !dispatch.heard_within(SUSPECT_AFTER, now) {
+            let silence = if is_known { SUSPECT_AFTER } else { GONE_AFTER };
+            if !dispatch.heard_within(silence, now) {
                 return None;
             }
         }
