--- a/crates/chervilshunt_core/src/dispatch/state.rs
+++ b/crates/chervilshunt_core/src/dispatch/state.rs
@@ -85,18 +85,16 @@
     /// requests of before would keep work from it, and adapters of before would draw requests that
     /// it refuses.
     pub fn target_seen(&mut self, facts: TargetFacts, now: Moment) -> TargetNews {
-        let known = self.targets.get(&facts.name);
-        let start = known.map(|it| TargetStart::compare(facts.started, it.facts.started));
-        let is_gone_start = facts.started < self.gone.get(&facts.name).copied();
-        let news = match start {
-            None if facts.started.is_some() && is_gone_start => return TargetNews::Outdated,
-            Some(Ordering::Less) => return TargetNews::Outdated,
-            Some(Ordering::Equal) => TargetNews::Known,
-            Some(Ordering::Greater) => {
+        let known = self.targets.get(&facts.name).map(|it| it.facts.started);
+        let last = known.unwrap_or_else(|| self.gone.get(&facts.name).copied());
+        let news = match (TargetStart::compare(facts.started, last), known) {
+            (Ordering::Less, _) => return TargetNews::Outdated,
+            (Ordering::Greater, Some(_)) => {
                 self.target_gone(&facts.name);
                 TargetNews::Restarted
             }
-            None => TargetNews::New,
+            (Ordering::Equal, Some(_)) => TargetNews::Known,
+            (Ordering::Equal | Ordering::Greater, None) => TargetNews::New,
         };
         if !self.is_placer_heard(now) {
             self.take_listed_adapters(&facts);
--- a/crates/chervilshunt_core/src/residency/answers.rs
+++ b/crates/chervilshunt_core/src/residency/answers.rs
@@ -90,7 +90,7 @@
     ) {
         let look_again = now + self.cfg.look_again;
         let under_way = self.loads_under_way();
-        let fetch_time = self.load_time(true);
+        let times = self.load_times();
         let Some(target) = self.targets.get_mut(&order.target) else {
             return;
         };
@@ -130,11 +130,7 @@
                 hold.state = HoldState::Loading(look_again);
             }
             OrderAnswer::Accepted => {
-                let load_time = if hold.from_store {
-                    fetch_time
-                } else {
-                    self.cfg.warm_load
-                };
+                let load_time = times.of(hold.from_store);
                 hold.state = HoldState::Loading(now + load_time + self.cfg.load_margin);
                 hold.accepted_at = Some(now);
             }
@@ -189,7 +185,7 @@
         now: Moment,
         out: &mut Vec<ResidencyAction>,
     ) {
-        let ready_at = now + self.window.usual(self.cfg.cold_load) + self.cfg.load_margin;
+        let ready_at = now + self.load_times().fetch + self.cfg.load_margin;
         let mut loaded = Vec::new();
         let mut lost = Vec::new();
         match self.compare_start(name, report.started) {
--- a/crates/chervilshunt_core/src/residency/choice.rs
+++ b/crates/chervilshunt_core/src/residency/choice.rs
@@ -4,7 +4,7 @@
 
 use chervilshunt_model::{Moment, ServiceName, TargetName};
 
-use super::hold::{Hold, HoldState};
+use super::hold::HoldState;
 use super::planner::Residency;
 use super::target::{TargetState, Turn};
 use super::wants::Want;
@@ -27,15 +27,17 @@
     /// A target with a queue of prompts to read is passed over for one that first has to load, where that
     /// is quicker. So a busy adapter comes to be at as many targets as its requests need.
     pub(super) fn best_target(&self, want: &Want, now: Moment) -> Option<Found> {
-        self.best_of(want, now, |target| self.held_in(target, want, now))
+        let waits = self.waits(now);
+        self.best_of(want, now, |target| self.held_in(target, want, waits))
     }
 
     /// Returns the target that would load an adapter soonest, of those that don't have it.
     pub(super) fn best_load(&self, want: &Want, now: Moment) -> Option<Found> {
+        let waits = self.waits(now);
         self.best_of(want, now, |target| {
             let has_it = target.holds.contains_key(&want.weights);
             (!has_it)
-                .then(|| self.loaded_in(target, want, now))
+                .then(|| self.loaded_in(target, want, waits))
                 .flatten()
         })
     }
@@ -80,43 +82,39 @@
     }
 
     /// Returns when a target holds an adapter; none if it has no place for it.
-    fn held_in(&self, target: &TargetState, want: &Want, now: Moment) -> Option<Readiness> {
+    fn held_in(&self, target: &TargetState, want: &Want, waits: Waits) -> Option<Readiness> {
         if want.weights.adapter.is_none() {
             return Some(Readiness::at_once());
         }
         let Some(hold) = target.holds.get(&want.weights) else {
-            return self.loaded_in(target, want, now);
+            return self.loaded_in(target, want, waits);
         };
         if hold.outdated || hold.is_going() {
             return None;
         }
         let held_in = match hold.state {
             HoldState::Ready => Duration::ZERO,
-            HoldState::Loading(at) => now.until(at),
+            HoldState::Loading(at) => waits.now.until(at),
             HoldState::Confirming => self.cfg.load_margin,
-            HoldState::Ordered => self.load_time(hold.from_store),
-            HoldState::Planned => self.planned_in(target, hold, now),
+            HoldState::Ordered => waits.times.of(hold.from_store),
+            HoldState::Planned => {
+                waits.until_loaded(hold.from_store) + self.turn_wait(target, waits.now)
+            }
             HoldState::Ending | HoldState::Unloading => return None,
         };
         Some(Readiness::soon(held_in))
     }
 
-    fn planned_in(&self, target: &TargetState, hold: &Hold, now: Moment) -> Duration {
-        self.load_time(hold.from_store)
-            + self.store_wait(hold.from_store)
-            + self.turn_wait(target, now)
-    }
-
     /// Returns when a target would hold an adapter that it has to load; none if it has no place.
-    fn loaded_in(&self, target: &TargetState, want: &Want, now: Moment) -> Option<Readiness> {
+    fn loaded_in(&self, target: &TargetState, want: &Want, waits: Waits) -> Option<Readiness> {
         let limits = self.limits.get(&target.facts.service)?;
         let slots = limits.adapters_beside(&want.weights.model);
-        if target.room(slots, now) == 0 {
+        if target.room(slots, waits.now) == 0 {
             return None;
         }
         let from_store = !target.remembered.keeps(&want.weights, self.memory);
-        let load_time = self.load_time(from_store);
-        let mut held_in = load_time + self.turn_wait(target, now) + self.store_wait(from_store);
+        let load_time = waits.times.of(from_store);
+        let mut held_in = waits.until_loaded(from_store) + self.turn_wait(target, waits.now);
         // A target takes one order after the other, and loads a few adapters at a time.
         let coming = target.coming();
         held_in += self.cfg.order_time * u32::try_from(coming).unwrap_or(u32::MAX);
@@ -132,22 +130,24 @@
         Some(Readiness { held_in, penalty })
     }
 
-    pub(super) fn load_time(&self, from_store: bool) -> Duration {
-        if from_store {
-            self.window.usual(self.cfg.cold_load)
-        } else {
-            self.cfg.warm_load
+    /// Returns how long loads take.
+    pub(super) fn load_times(&self) -> LoadTimes {
+        LoadTimes {
+            fetch: self.window.usual(self.cfg.cold_load),
+            reload: self.cfg.warm_load,
         }
     }
 
-    /// Returns how long a load waits for the weight store to have room for it.
-    fn store_wait(&self, from_store: bool) -> Duration {
-        if !from_store {
-            return Duration::ZERO;
-        }
+    /// Returns what loads wait for, whatever the target.
+    fn waits(&self, now: Moment) -> Waits {
+        let times = self.load_times();
         let before = self.waiting_fetches() + self.loads_under_way();
         let rounds = before as f64 / self.window.size() as f64;
-        self.load_time(true).mul_f64(rounds.floor())
+        Waits {
+            now,
+            times,
+            store: times.fetch.mul_f64(rounds.floor()),
+        }
     }
 
     /// Returns how long a target takes no order, as it has to be asked first how many it has accepted.
@@ -183,6 +183,43 @@
 /// prompts and to load the adapter. With equal waits at all targets, loads would all go to the first.
 const BOTH_WAITS: f64 = 0.2;
 
+/// How long a load takes.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LoadTimes {
+    /// One from the weight store.
+    pub(super) fetch: Duration,
+    /// One from the target's memory.
+    reload: Duration,
+}
+
+impl LoadTimes {
+    pub(super) const fn of(self, from_store: bool) -> Duration {
+        if from_store { self.fetch } else { self.reload }
+    }
+}
+
+/// What loads wait for at the moment of a choice. Taken once for all targets: the weight store's part looks
+/// at each of them.
+#[derive(Clone, Copy, Debug)]
+struct Waits {
+    now: Moment,
+    times: LoadTimes,
+    /// Until the weight store has room for one more load.
+    store: Duration,
+}
+
+impl Waits {
+    /// Returns how long it takes until a load has ended that begins in its turn.
+    fn until_loaded(self, from_store: bool) -> Duration {
+        let store = if from_store {
+            self.store
+        } else {
+            Duration::ZERO
+        };
+        self.times.of(from_store) + store
+    }
+}
+
 /// How soon a target holds an adapter, and what counts against having it there.
 #[derive(Clone, Copy, Debug)]
 struct Readiness {
--- a/crates/chervilshunt_core/src/residency/loads.rs
+++ b/crates/chervilshunt_core/src/residency/loads.rs
@@ -45,7 +45,7 @@
         let targets = targets.filter(|(_, it)| it.touched || it.summary.planned > 0);
         targets.flat_map(|(name, target)| {
             let planned = target.holds.iter();
-            let planned = planned.filter(|(_, hold)| hold.state == HoldState::Planned);
+            let planned = planned.filter(|(_, hold)| hold.is_planned());
             planned.map(move |(weights, hold)| (hold, name, weights))
         })
     }
@@ -109,15 +109,14 @@
     /// Gives up planned loads that would end after everybody has stopped waiting, so that those who
     /// wait are told while they can still come back.
     fn drop_unwanted(&mut self, name: &TargetName, now: Moment, out: &mut Vec<ResidencyAction>) {
+        let times = self.load_times();
         let Some(target) = self.targets.get_mut(name) else {
             return;
         };
-        let fetch = self.window.usual(self.cfg.cold_load);
-        let reload = self.cfg.warm_load;
         let unwanted = target.holds.extract_if(.., |_, hold| {
-            let ends_at = now + if hold.from_store { fetch } else { reload };
+            let ends_at = now + times.of(hold.from_store);
             let in_vain = hold.wanted_until.is_some_and(|until| until <= ends_at);
-            hold.state == HoldState::Planned && in_vain
+            hold.is_planned() && in_vain
         });
         let questions: Vec<u64> = unwanted.flat_map(|(_, hold)| hold.questions).collect();
         self.answer_later(questions, out);
--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -156,7 +156,7 @@
             return;
         };
         let planned = target.holds.values();
-        let planned = planned.filter(|hold| hold.state == HoldState::Planned);
+        let planned = planned.filter(|hold| hold.is_planned());
         let summary = Summary {
             wake_at: self.target_wakeup(target, now),
             planned: planned.clone().count(),
@@ -231,7 +231,7 @@
             HoldState::Ready if hold.outdated => Some(hold.since + self.cfg.old_version_grace),
             HoldState::Ending => Some(hold.since + self.cfg.uses_settle),
             HoldState::Planned => {
-                let load_time = self.load_time(hold.from_store);
+                let load_time = self.load_times().of(hold.from_store);
                 hold.wanted_until.map(|until| until - load_time)
             }
             HoldState::Ordered
--- a/crates/chervilshunt_core/src/residency/wants.rs
+++ b/crates/chervilshunt_core/src/residency/wants.rs
@@ -187,15 +187,6 @@
     /// Tells those who ask that there is nothing for them now.
     pub(super) fn answer_later(&mut self, questions: Vec<u64>, out: &mut Vec<ResidencyAction>) {
         let retry_in = self.cfg.retry_in;
-        self.answer_in(questions, retry_in, out);
-    }
-
-    pub(super) fn answer_in(
-        &mut self,
-        questions: Vec<u64>,
-        retry_in: Duration,
-        out: &mut Vec<ResidencyAction>,
-    ) {
         for question in questions {
             self.asked.remove(&question);
             let later = Placed::Later { retry_in };
--- a/crates/chervilshunt_core/tests/residency_load.rs
+++ b/crates/chervilshunt_core/tests/residency_load.rs
@@ -5,19 +5,23 @@
 //! each for an adapter of its own, and what counts is how many are placed before their requests
 //! stop to wait, and how long loads take.
 
+#[path = "support/placing.rs"]
+mod placing;
+
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use chervilshunt_core::{
-    GrantNumber, GrantProgress, Lane, LoadedModel, ModelSpec, Order, OrderAnswer, OrderKind,
-    Placed, PlacementLimits, Residency, ResidencyAction, ResidencyConfig, ResidencyEvent,
-    TargetFacts, TargetReport, Want, Weights,
+    GrantNumber, GrantProgress, LoadedModel, ModelSpec, Order, OrderAnswer, OrderKind, Placed,
+    PlacementLimits, Residency, ResidencyAction, ResidencyConfig, ResidencyEvent, TargetFacts,
+    TargetReport, Weights,
 };
-use chervilshunt_model::{InstanceId, Moment, ServiceName, TargetName, ZoneName};
+use chervilshunt_model::{Moment, TargetName, ZoneName};
+use placing::{service, wanted};
 use rstest::rstest;
 
 const SECONDS: u64 = 20;
-const PATIENCE: Duration = Duration::from_millis(1_500);
+const PATIENCE_MS: u64 = 1_500;
 /// How long an order and its answer are on their way.
 const ROUND_TRIP_MS: u64 = 3;
 /// How long a request uses its adapter.
@@ -127,10 +131,6 @@
     placed: usize,
 }
 
-fn service() -> ServiceName {
-    ServiceName::from("drafts")
-}
-
 fn moment(ms: u64) -> Moment {
     Moment::ZERO + Duration::from_secs(100) + Duration::from_millis(ms)
 }
@@ -230,19 +230,7 @@
             model: "base".into(),
             adapter: Some(format!("a{number}").into()),
         };
-        let wanted = ResidencyEvent::Wanted {
-            question: number,
-            from: InstanceId::from("i"),
-            want: Want {
-                service: service(),
-                weights,
-                prompt_tokens: 1_000,
-                lane: Lane::General,
-                zone: ZoneName::from("zone"),
-                avoid: Vec::new(),
-            },
-            within: PATIENCE,
-        };
+        let wanted = wanted(number, weights, PATIENCE_MS);
         self.handle(wanted, now_ms);
     }
 
