--- a/crates/chervilshunt_core/src/dispatch/state.rs
+++ b/crates/chervilshunt_core/src/dispatch/state.rs
@@ -137,6 +137,12 @@
         self.targets.values().map(|target| &target.facts)
     }
 
+    /// Returns how many targets of a service are known, fit or not.
+    pub fn listed(&self, service: &ServiceName) -> usize {
+        let targets = self.targets.values();
+        targets.filter(|it| it.facts.service == *service).count()
+    }
+
     /// Takes in everything that the placer knows of who holds what.
     pub fn holdings_whole(&mut self, holdings: Vec<Holding>, now: Moment) {
         self.holders.clear();
--- a/crates/chervilshunt_core/src/residency/order.rs
+++ b/crates/chervilshunt_core/src/residency/order.rs
@@ -59,6 +59,8 @@
     pub accepted: u64,
     /// Whether it carries out an order that keeps it from taking others.
     pub busy: bool,
+    /// The base models that it holds, with their versions.
+    pub models: Vec<(Weights, u64)>,
     /// The adapters that it holds, with their versions.
     pub adapters: Vec<(Weights, u64)>,
     /// The adapters that it is loading.
--- a/crates/chervilshunt_core/tests/grants.rs
+++ b/crates/chervilshunt_core/tests/grants.rs
@@ -5,7 +5,7 @@
 
 use chervilshunt_core::{
     GrantNumber, GrantProgress, Order, OrderAnswer, OrderKind, Placed, Residency, ResidencyAction,
-    ResidencyEvent, TargetReport, Use, Want,
+    ResidencyEvent, TargetReport, Use, Want, Weights,
 };
 use chervilshunt_model::InstanceId;
 use placing::{adapter, at, before_asking, reported, target, wanted};
@@ -224,6 +224,7 @@
             started: None,
             accepted: 1,
             busy: true,
+            models: vec![(Weights::base(&"base".into()), 1)],
             adapters: vec![(adapter("a1"), 1)],
             loading: Vec::new(),
         };
--- a/crates/chervilshunt_core/tests/residency_load.rs
+++ b/crates/chervilshunt_core/tests/residency_load.rs
@@ -85,6 +85,7 @@
             started: None,
             accepted: self.accepted.get(target).copied().unwrap_or(0),
             busy: false,
+            models: vec![(Weights::base(&"base".into()), 1)],
             adapters: held
                 .into_iter()
                 .map(|((_, it), _)| (it.clone(), 1))
--- a/crates/chervilshunt_core/tests/residency_machine.rs
+++ b/crates/chervilshunt_core/tests/residency_machine.rs
@@ -113,6 +113,7 @@
             started: Some(TargetStart(self.start)),
             accepted: self.accepted,
             busy: false,
+            models: vec![(Weights::base(&"base".into()), 1)],
             adapters: self
                 .held
                 .iter()
--- a/crates/chervilshunt_core/tests/restarts.rs
+++ b/crates/chervilshunt_core/tests/restarts.rs
@@ -192,6 +192,7 @@
             started: started(start),
             accepted,
             busy: false,
+            models: vec![(Weights::base(&"base".into()), 1)],
             adapters: adapters.iter().map(|it| (adapter(it), 1)).collect(),
             loading: Vec::new(),
         };
--- a/crates/chervilshunt_core/tests/support/placing.rs
+++ b/crates/chervilshunt_core/tests/support/placing.rs
@@ -87,6 +87,7 @@
         started: None,
         accepted: 0,
         busy: false,
+        models: vec![(Weights::base(&"base".into()), 1)],
         adapters,
         loading: Vec::new(),
     };
--- a/crates/chervilshunt_gateway/src/traffic/place.rs
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -93,6 +93,7 @@
                 Ok(chosen) => return Ok(chosen),
                 Err(wait) => wait,
             };
+            self.report_wait(wait);
             match wait {
                 Wait::NoTarget => {
                     return Err(Refusal::retry_after(Reason::NoTarget, NO_TARGET_RETRY));
@@ -259,6 +260,21 @@
         )
     }
 
+    /// Logs why this instance itself finds no target, and how many the service has: whether its targets
+    /// are not listed, or none of them is fit.
+    fn report_wait(&self, wait: Wait) {
+        match wait {
+            Wait::NoTarget | Wait::NotHeld => {
+                let listed = self.shared.dispatch().listed(&self.req.service);
+                slog::info!(self.shared.log, "no choice";
+                    "request" => &*self.req.id, "wait" => ?wait, "listed" => listed,
+                    "weights" => self.req.weights.as_ref().map(ToString::to_string));
+            }
+            // Tried again every few milliseconds; a refusal for want of room says so itself.
+            Wait::Full => {}
+        }
+    }
+
     fn report_placement(&self, outcome: &str, target: Option<&TargetName>) {
         slog::info!(self.shared.log, "adapter wanted";
             "request" => &*self.req.id, "outcome" => outcome,
