--- /dev/null
+++ b/crates/chervilshunt_core/tests/base_versions.rs
@@ -0,0 +1,82 @@
+//! New versions of a base model, while requests for its adapters go on.
+
+#[path = "support/renewals.rs"]
+mod renewals;
+
+use std::time::Duration;
+
+use chervilshunt_core::{Ask, Choice, Dispatch, DispatchConfig, Lane, Placed, Wait, Weights};
+use chervilshunt_model::ZoneName;
+use renewals::{
+    FIRST, NAMED_AT, Replay, SECOND, TARGETS, adapter, at, base, facts, service, target,
+};
+
+/// The second in which a replay's caller asks for the base model, and for an adapter.
+const ASKS_EVERY_MS: u64 = 100;
+/// Until when the targets have to be renewed: nine targets, a quarter of them at a time, and each waits
+/// for requests of 3 s, then loads for 0.6 s; twice that is enough for the reports and listings between.
+const RENEWED_BY_MS: u64 = NAMED_AT + 36_000;
+/// The operators want no request to begin on an older version later than this after its naming.
+const VERSION_BOUND_MS: u64 = 5_000;
+
+/// Callers of all models are refused for as long as the process runs, 2.5 s after it has started, with
+/// all targets there. A newer version of the base model has been named that no target has loaded; the
+/// instance, which hears no placer and chooses by itself, took every target for unfit, whatever adapter
+/// was asked for. The log had `no_target` 677 times between two starts of the placer, and 6,415 times
+/// where all instances chose by themselves, with nine targets listed.
+#[test]
+fn an_adapter_is_served_where_the_base_model_is_older_than_the_newest() {
+    let mut dispatch = Dispatch::new(DispatchConfig::default(), ZoneName::from("zone"));
+    dispatch.target_seen(facts(0, Some(FIRST), &["a1"]), at(0));
+    dispatch.version_named(base(), SECOND, at(0));
+    let choose = |weights: &Weights, now_ms| {
+        let service = service();
+        let ask = Ask {
+            service: &service,
+            weights: Some(weights),
+            lane: Lane::General,
+            avoid: &[],
+        };
+        dispatch.choose(&ask, || 0.5, at(now_ms))
+    };
+    let chosen = choose(&adapter("a1"), 10_000);
+    assert!(
+        matches!(&chosen, Choice::Send { target: it, expect_version: None, .. } if *it == target(0)),
+        "{chosen:?}"
+    );
+    // The base model itself was named: its older version would be a wrong answer.
+    assert_eq!(choose(&base(), 10_000), Choice::Wait(Wait::NotHeld));
+}
+
+/// Two of nine targets get no request any more, and the others keep the old version for good. A load of
+/// a base model that is there, in whatever version, holds already and is answered so; the planner took
+/// it for under way until the target would list the newest version. The log had two `order` lines of the
+/// model, both `Done`, and after them none until the next placer.
+#[test]
+fn all_targets_come_to_hold_the_newest_version() {
+    let mut replay = Replay::new();
+    replay.run_until(RENEWED_BY_MS, ASKS_EVERY_MS, &adapter("a1"));
+    assert_eq!(replay.versions(), vec![Some(SECOND); TARGETS]);
+    assert!(
+        replay.most_away <= TARGETS.div_ceil(4),
+        "{}",
+        replay.most_away
+    );
+    assert!(replay.refused.is_empty(), "{:?}", replay.refused);
+}
+
+/// A request for the base model is sent from one target to the next and refused by five of them, until
+/// the share of repeated sendings is used up that all instances have together. The placer named targets
+/// whose version was older than the one that instances ask for. The log had five `placed` and five
+/// `not passed on` within 20 ms, then `budget_spent`.
+#[test]
+fn a_request_for_the_base_model_is_never_sent_where_an_older_version_is() {
+    let mut replay = Replay::new();
+    replay.run_until(RENEWED_BY_MS, ASKS_EVERY_MS, &base());
+    let bound = at(NAMED_AT) + Duration::from_millis(VERSION_BOUND_MS);
+    let late = replay.placed.iter().filter(|it| it.at >= bound);
+    let outdated = late.clone().filter(|it| it.version != Some(SECOND)).count();
+    assert_eq!((outdated, late.count() > 0), (0, true));
+    let refused = |placed: &Placed| matches!(placed, Placed::Later { .. });
+    assert!(replay.refused.iter().all(|(_, placed)| refused(placed)));
+}
