Serve an adapter on whatever version of its base model is there

Cause: an instance that chooses by itself took a target for unfit once a newer version of the base model had been named for 2.5 s, whatever adapter a request wanted. Until a target has loaded it there is none that is fit: every stream is refused as no_target while plain calls are served. It begins 2.5 s after each start, as an instance then learns of all versions anew: the recorded drafts were served from 37 to 39.4 s and refused from then on. Change: the base model's version counts for requests that name the base model alone. They are asked for in the version that the target lists if that may still serve, and not in one named a moment ago. Ruled out: entries of targets that lapsed while the platform was away (nine targets listed by all instances throughout).

--- a/crates/chervilshunt_core/src/dispatch/choose.rs
+++ b/crates/chervilshunt_core/src/dispatch/choose.rs
@@ -124,7 +124,7 @@
 impl Dispatch {
     /// Chooses a target for a request; `draw` gives random numbers from 0 to 1.
     pub fn choose(&self, ask: &Ask<'_>, mut draw: impl FnMut() -> f64, now: Moment) -> Choice {
-        let serving: Vec<&Target> = self.serving(ask, now).collect();
+        let serving: Vec<&Target> = self.serving(ask).collect();
         if serving.is_empty() {
             return Choice::Wait(Wait::NoTarget);
         }
@@ -179,38 +179,28 @@
     }
 
     /// Returns targets of the service that may take new work.
-    fn serving<'a>(
-        &'a self,
-        ask: &'a Ask<'_>,
-        now: Moment,
-    ) -> impl Iterator<Item = &'a Target> + 'a {
+    fn serving<'a>(&'a self, ask: &'a Ask<'_>) -> impl Iterator<Item = &'a Target> + 'a {
         self.targets.values().filter(move |target| {
             target.facts.service == *ask.service
                 && target.facts.leaving.is_none()
                 && !ask.avoid.contains(&target.facts.name)
-                && self.holds_model(target, ask.weights, now)
+                && ask
+                    .weights
+                    .is_none_or(|it| target.facts.version_of(&it.model).is_some())
         })
     }
 
-    fn holds_model(&self, target: &Target, weights: Option<&Weights>, now: Moment) -> bool {
-        let Some(weights) = weights else {
-            return true;
-        };
-        let mut models = target.facts.models.iter();
-        let Some(model) = models.find(|model| model.name == weights.model) else {
-            return false;
-        };
-        let base = Weights::base(&weights.model);
-        self.is_current(&base, model.version, now)
-    }
-
+    /// Says whether a target holds what a request names: the adapter, in a version that may serve, or the
+    /// base model, if that is what it names.
+    ///
+    /// A request for an adapter takes the base model in whatever version is there. Asked for the newest
+    /// there too, all targets were unfit from the naming of a new one until they had loaded it, and an
+    /// instance without a placer refused every stream.
     fn holds(&self, target: &Target, weights: Option<&Weights>, now: Moment) -> bool {
-        let Some(weights) = weights.filter(|weights| weights.adapter.is_some()) else {
-            return true;
-        };
-        let held = self.holders.of(weights);
-        let mut held = held.iter().filter(|(name, _)| *name == target.facts.name);
-        held.any(|(_, version)| self.is_current(weights, *version, now))
+        weights.is_none_or(|weights| {
+            let held = self.held_version(target, weights);
+            held.is_some_and(|held| self.is_current(weights, held, now))
+        })
     }
 
     /// Says whether a version may still serve.
@@ -245,7 +235,7 @@
             load: target.load.total(),
             slots: target.facts.slots,
             load_age: now.since(target.load.reported_at()),
-            expect_version: self.expected_version(&target.facts.name, weights, now),
+            expect_version: self.expected_version(target, weights, now),
             heard_before: now.since(target.health.heard_at()),
         }
     }
@@ -258,15 +248,24 @@
     /// it is known to hold.
     fn expected_version(
         &self,
-        target: &TargetName,
+        target: &Target,
         weights: Option<&Weights>,
         now: Moment,
     ) -> Option<u64> {
         let weights = weights?;
         let named = self.versions.get(weights)?;
         let oldest = named.oldest_allowed(self.cfg.old_version_grace, now)?;
+        let held = self.held_version(target, weights);
+        held.filter(|held| *held >= oldest).or(named.newest())
+    }
+
+    /// Returns the version of some weights that a target is known to hold.
+    fn held_version(&self, target: &Target, weights: &Weights) -> Option<u64> {
+        if weights.adapter.is_none() {
+            return target.facts.version_of(&weights.model);
+        }
         let mut held = self.holders.of(weights).iter();
-        let held = held.find(|(name, version)| name == target && *version >= oldest);
-        held.map(|(_, version)| *version).or(named.newest())
+        let held = held.find(|(name, _)| *name == target.facts.name);
+        held.map(|(_, version)| *version)
     }
 }
--- a/crates/chervilshunt_core/src/dispatch/facts.rs
+++ b/crates/chervilshunt_core/src/dispatch/facts.rs
@@ -114,6 +114,12 @@
 }
 
 impl TargetFacts {
+    /// Returns the version of a base model that it holds; none if it doesn't hold the model.
+    pub fn version_of(&self, model: &str) -> Option<u64> {
+        let mut models = self.models.iter();
+        models.find(|it| &*it.name == model).map(|it| it.version)
+    }
+
     /// Says whether a newer entry of the target tells something that every instance has to know
     /// at once: all but the adapters that it holds, which the placer tells.
     pub fn concerns_all(&self, newer: &Self) -> bool {
--- a/crates/chervilshunt_core/src/residency/target.rs
+++ b/crates/chervilshunt_core/src/residency/target.rs
@@ -110,7 +110,7 @@
 
     /// Says whether it holds a base model, as it lists it itself.
     pub(crate) fn lists_model(&self, model: &str) -> bool {
-        self.facts.models.iter().any(|it| &*it.name == model)
+        self.facts.version_of(model).is_some()
     }
 
     /// Returns the adapters that are being loaded.
--- a/crates/chervilshunt_core/tests/dispatch.rs
+++ b/crates/chervilshunt_core/tests/dispatch.rs
@@ -201,6 +201,20 @@
     assert_eq!(after, Ok(("t2".to_owned(), Some(2))));
 }
 
+/// Callers of a base model are refused by each target in turn while its versions follow each other: the
+/// version asked for is the one just named, which none can have loaded yet. The one before it may serve.
+#[test]
+fn a_base_model_is_asked_for_in_the_version_that_its_target_lists_while_a_newer_one_is_new() {
+    let weights = Weights::base(&"base".into());
+    let mut renewed = facts("t1", "here", &[]);
+    renewed.models[0].version = 2;
+    let mut dispatch = dispatch([renewed, facts("t2", "here", &[])]);
+    dispatch.version_named(weights.clone(), 2, at(0));
+    dispatch.version_named(weights.clone(), 3, at(3_000));
+    let chosen = chosen(choose(&dispatch, Some(&weights), &[], 3_100));
+    assert_eq!(chosen, Ok(("t1".to_owned(), Some(2))));
+}
+
 #[test]
 fn what_the_placer_tells_goes_before_what_targets_list() {
     let weights = adapter("a");
