Renew a base model by giving it up and loading it again, a fifth of the targets at a time

Cause: a load of a base model that is there holds already, in whatever version, and is answered so. The planner took the order for under way until the target would list the newest version. So the first two targets were out of use for good, as many as load at a time, and no other was ever renewed: the state that made the instances take all targets for unfit lasted. Requests for the base model were placed at targets with the old version, refused by five of them within 20 ms, and used up what all instances may send again. An outdated model is given up, which waits for its requests, and loaded again; the least used targets go first, and a fifth of the targets at a time. An order for a model ends with a report that shows the target idle, whatever its answer was; what is listed late of before is passed over. Requests for the base model go where the newest version is. Ruled out: naming the version in the order (trial: holds already all the same).

--- a/crates/chervilshunt_core/src/residency/answers.rs
+++ b/crates/chervilshunt_core/src/residency/answers.rs
@@ -30,6 +30,8 @@
         let lag = self.cfg.report_lag;
         let accepted = order.accepted_before;
         let turn = match answer {
+            // A report shows when it has ended, and what it has come to.
+            _ if order.weights.adapter.is_none() => Turn::Unknown(now + lag),
             // Nor is one that is under way already and is given again to see whether it has ended.
             OrderAnswer::Accepted if self.is_confirming(&order) => Turn::Free(accepted),
             // It waits for the last request with the adapter to end, and tells nobody when it is done.
@@ -53,8 +55,8 @@
             }
         }
         match order.kind {
-            OrderKind::Load if order.weights.adapter.is_none() => {
-                self.base_load_answered(&order, answer);
+            _ if order.weights.adapter.is_none() => {
+                self.model_order_answered(&order, answer, now, out);
             }
             OrderKind::Load => self.load_answered(&order, answer, now, out),
             OrderKind::Unload => self.unload_answered(&order, answer),
@@ -67,20 +69,6 @@
         hold.is_some_and(|hold| hold.state == HoldState::Confirming)
     }
 
-    fn base_load_answered(&mut self, order: &Order, answer: OrderAnswer) {
-        let Some(target) = self.targets.get_mut(&order.target) else {
-            return;
-        };
-        match answer {
-            // The target's own listing tells when the load has ended.
-            OrderAnswer::Accepted | OrderAnswer::Done | OrderAnswer::Unanswered => {}
-            OrderAnswer::OutOfTurn
-            | OrderAnswer::OtherTarget
-            | OrderAnswer::Refused
-            | OrderAnswer::NotSent => target.base_load = None,
-        }
-    }
-
     fn load_answered(
         &mut self,
         order: &Order,
@@ -194,12 +182,15 @@
             Some(Ordering::Greater) => return self.restart_reported(name, report, now, out),
             Some(Ordering::Equal) | None => {}
         }
-        let Some(target) = self.targets.get_mut(name) else {
+        let Some(target) = self.targets.get(name) else {
             return;
         };
-        if target.turn != Turn::Asked {
+        if target.turn != Turn::Asked || !self.model_order_ended(name, report, now) {
             return;
         }
+        let Some(target) = self.targets.get_mut(name) else {
+            return;
+        };
         target.turn = Turn::Free(report.accepted);
         target.was_asked = true;
         target.touched = true;
--- a/crates/chervilshunt_core/src/residency/choice.rs
+++ b/crates/chervilshunt_core/src/residency/choice.rs
@@ -8,7 +8,7 @@
 use super::planner::Residency;
 use super::target::{TargetState, Turn};
 use super::wants::Want;
-use crate::dispatch::{Lane, long_prompt_targets};
+use crate::dispatch::{Lane, Weights, long_prompt_targets};
 
 /// A target for a request.
 #[derive(Clone, Debug)]
@@ -50,7 +50,7 @@
     ) -> Option<Found> {
         let kept = self.kept_for_long_prompts(&want.service, now);
         let targets = self.targets.iter();
-        let targets = targets.filter(|(name, target)| self.may_place(name, target, want));
+        let targets = targets.filter(|(name, target)| self.may_place(name, target, want, now));
         let found = targets.filter_map(|(name, target)| {
             let readiness = held_in(target)?;
             let mut score = self.score(target, want, readiness);
@@ -169,14 +169,28 @@
         long_prompt_targets(taking.map(|it| &it.facts.name))
     }
 
-    fn may_place(&self, name: &TargetName, target: &TargetState, want: &Want) -> bool {
+    fn may_place(&self, name: &TargetName, target: &TargetState, want: &Want, now: Moment) -> bool {
         target.facts.service == want.service
             && target.takes_work()
-            && target.base_load.is_none()
+            && target.model_order.is_none()
             && !target.gives_up()
-            && target.lists_model(&want.weights.model)
+            && self.holds_model(target, &want.weights, now)
             && !want.avoid.contains(name)
     }
+
+    /// Says whether a target holds the base model that a request names or whose adapter it names.
+    ///
+    /// The version counts for those that name the base model alone: instances ask for the newest soon
+    /// after its naming, and targets refuse those with another. Placed there all the same, one request
+    /// was refused by five targets, and used up what all may send again.
+    fn holds_model(&self, target: &TargetState, weights: &Weights, now: Moment) -> bool {
+        let Some(held) = target.facts.version_of(&weights.model) else {
+            return false;
+        };
+        let named = self.base_versions.get(&weights.model);
+        let oldest = named.and_then(|it| it.oldest_allowed(self.cfg.old_version_grace, now));
+        weights.adapter.is_some() || oldest.is_none_or(|oldest| held >= oldest)
+    }
 }
 
 /// The part of the shorter of two waits that counts beside the longer one, where a target has to read
--- a/crates/chervilshunt_core/src/residency/config.rs
+++ b/crates/chervilshunt_core/src/residency/config.rs
@@ -57,6 +57,9 @@
     /// Loads of base models at a time. The store gives one or two of them its full speed; more at a
     /// time would all end late instead of the first ones early.
     pub base_loads_at_once: usize,
+    /// The share of a service's targets, rounded up, that are out of use at a time because their base
+    /// model is given up for a newer version.
+    pub renewed_share: f64,
 }
 
 impl Default for ResidencyConfig {
@@ -83,6 +86,7 @@
             store_window: Duration::from_secs(5),
             store_share: 0.9,
             base_loads_at_once: 2,
+            renewed_share: 0.2,
         }
     }
 }
--- a/crates/chervilshunt_core/src/residency/loads.rs
+++ b/crates/chervilshunt_core/src/residency/loads.rs
@@ -29,6 +29,8 @@
         }
         self.admit();
         names.extend(self.admitted.iter().map(|(name, _)| name.clone()));
+        self.pick_renewals(now);
+        names.extend(self.renewals.iter().cloned());
         for name in &names {
             self.retire_outdated(name, now, out);
             self.ask_if_due(name, now, out);
@@ -84,7 +86,7 @@
         let limits = self.limits.get(&target.facts.service);
         matches!(target.turn, Turn::Free(_))
             && target.loading() < self.cfg.loads_a_target
-            && target.base_load.is_none()
+            && target.model_order.is_none()
             && limits.is_some_and(|it| target.slots_taken() < it.adapters_beside(&weights.model))
     }
 
@@ -138,7 +140,7 @@
             return;
         };
         let next = self
-            .next_base_load(name, now)
+            .next_model_order(name, now, out)
             .or_else(|| self.next_confirmation(name, now))
             .or_else(|| self.next_load(name))
             .or_else(|| self.next_unload(name, now))
@@ -235,66 +237,4 @@
         let victim = target.victim(now)?;
         Some((OrderKind::Unload, victim.clone(), None))
     }
-
-    /// Returns the base model that a target lacks, if the weight store's pace allows its load.
-    fn next_base_load(
-        &mut self,
-        name: &TargetName,
-        now: Moment,
-    ) -> Option<(OrderKind, Weights, Option<u64>)> {
-        let weights = self.missing_model(name)?;
-        let at_once = self.targets.values().filter(|it| it.base_load.is_some());
-        if at_once.count() >= self.cfg.base_loads_at_once || !self.store_allows(name, now) {
-            return None;
-        }
-        let target = self.targets.get_mut(name)?;
-        // Whatever the target held of the model is gone with it.
-        target.holds.clear();
-        target.base_load = Some((weights.clone(), now));
-        self.store_loads.push_back(now);
-        Some((OrderKind::Load, weights, None))
-    }
-
-    /// Returns the model that a target has to load: the one that it lacks, or has an old version of.
-    pub(super) fn missing_model(&self, name: &TargetName) -> Option<Weights> {
-        let target = self.targets.get(name)?;
-        if target.base_load.is_some() || !target.takes_work() {
-            return None;
-        }
-        let limits = self.limits.get(&target.facts.service)?;
-        let outdated = target.facts.models.iter().find_map(|held| {
-            let weights = Weights::base(&held.name);
-            let newest = self.newest.get(&weights).copied()?;
-            (newest > held.version).then_some(weights)
-        });
-        if outdated.is_some() || !target.facts.models.is_empty() {
-            return outdated;
-        }
-        let held_at = |model: &str| {
-            let targets = self.targets.values();
-            targets.filter(|it| it.lists_model(model)).count()
-        };
-        let rarest = limits
-            .models
-            .iter()
-            .min_by_key(|spec| held_at(&spec.name))?;
-        Some(Weights::base(&rarest.name))
-    }
-
-    fn store_allows(&mut self, name: &TargetName, now: Moment) -> bool {
-        let window = self.cfg.store_window;
-        while self
-            .store_loads
-            .front()
-            .is_some_and(|at| now.since(*at) > window)
-        {
-            self.store_loads.pop_front();
-        }
-        let service = self.targets.get(name).map(|it| &it.facts.service);
-        let limits = service.and_then(|service| self.limits.get(service));
-        limits.is_some_and(|limits| {
-            let most = limits.loads_per_second * window.as_secs_f64() * self.cfg.store_share;
-            (self.store_loads.len() as f64) < most
-        })
-    }
 }
--- a/crates/chervilshunt_core/src/residency/mod.rs
+++ b/crates/chervilshunt_core/src/residency/mod.rs
@@ -14,6 +14,7 @@
 mod lanes;
 mod loads;
 mod memory;
+mod models;
 mod order;
 mod pace;
 mod planner;
--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Ordering;
 use std::collections::{HashMap, HashSet, VecDeque};
+use std::sync::Arc;
 
 use chervilshunt_model::{InstanceId, Moment, ServiceName, TargetName};
 use indexmap::IndexMap;
@@ -17,7 +18,7 @@
 use super::target::{Summary, TargetState, Turn};
 use super::wants::Asked;
 use super::window::LoadWindow;
-use crate::dispatch::{Holding, PlacementLimits, TargetFacts, TargetStart, Weights};
+use crate::dispatch::{Holding, NamedVersions, PlacementLimits, TargetFacts, TargetStart, Weights};
 
 /// Decides which target holds which weights. `handle` takes an event and gives back what to do.
 #[derive(Debug)]
@@ -26,6 +27,10 @@
     pub(super) targets: IndexMap<TargetName, TargetState>,
     pub(super) limits: HashMap<ServiceName, PlacementLimits>,
     pub(super) newest: HashMap<Weights, u64>,
+    /// The versions of base models that have been named, and when.
+    pub(super) base_versions: HashMap<Arc<str>, NamedVersions>,
+    /// The targets that may give up a base model now of which a newer version has been named.
+    pub(super) renewals: HashSet<TargetName>,
     /// When loads of base models from the weight store were ordered, the last one at the end.
     pub(super) store_loads: VecDeque<Moment>,
     pub(super) window: LoadWindow,
@@ -61,6 +66,8 @@
             targets: IndexMap::new(),
             limits: HashMap::new(),
             newest: HashMap::new(),
+            base_versions: HashMap::new(),
+            renewals: HashSet::new(),
             store_loads: VecDeque::new(),
             window: LoadWindow::new(),
             memory: MemorySize::default(),
@@ -162,7 +169,8 @@
             planned: planned.clone().count(),
             planned_fetches: planned.filter(|hold| hold.from_store).count(),
             fetching: target.fetching(),
-            depends_on_others: self.missing_model(name).is_some()
+            outdated: self.has_outdated_model(target),
+            depends_on_others: self.lacks_model(name)
                 || target.holds.values().any(|hold| hold.outdated),
         };
         if let Some(target) = self.targets.get_mut(name) {
@@ -264,15 +272,12 @@
         }
         match self.targets.get_mut(&facts.name) {
             Some(target) => {
-                if let Some((weights, _)) = &target.base_load
-                    && facts.models.iter().any(|it| {
-                        it.name == weights.model
-                            && self.newest.get(weights).is_none_or(|v| it.version >= *v)
-                    })
-                {
-                    target.base_load = None;
-                }
+                let reported = now < target.models_reported_until;
+                let models = reported.then(|| std::mem::take(&mut target.facts.models));
                 target.facts = facts;
+                if let Some(models) = models {
+                    target.facts.models = models;
+                }
                 target.touched = true;
             }
             None => {
--- a/crates/chervilshunt_core/src/residency/target.rs
+++ b/crates/chervilshunt_core/src/residency/target.rs
@@ -10,6 +10,7 @@
 use super::grants::Grant;
 use super::hold::{Hold, HoldState};
 use super::memory::Remembered;
+use super::models::ModelOrder;
 use super::order::Order;
 use super::restart::LostLoads;
 use crate::dispatch::{TargetFacts, Weights};
@@ -36,8 +37,12 @@
     pub(crate) holds: IndexMap<Weights, Hold>,
     /// Adapters that it had of late, some of which it has in memory.
     pub(crate) remembered: Remembered,
-    /// The base model that it is loading, and since when.
-    pub(crate) base_load: Option<(Weights, Moment)>,
+    /// The order for a base model that it was given and that has not ended, as far as is known.
+    pub(crate) model_order: Option<ModelOrder>,
+    /// The base model that it was last ordered to give up or load, and is to hold.
+    pub(crate) reloads: Option<Weights>,
+    /// Until when its base models are those that it reported, whatever the platform lists.
+    pub(crate) models_reported_until: Moment,
     /// What instances have under way here, by weights.
     ///
     /// It is kept beside the holds: an order that was carried out late brings an adapter of which
@@ -77,6 +82,8 @@
     pub(crate) planned_fetches: usize,
     /// The loads that the weight store serves.
     pub(crate) fetching: usize,
+    /// Whether it holds an older version of a base model than the newest.
+    pub(crate) outdated: bool,
     /// Whether what is due here depends on other targets, so that it is looked at with each event.
     pub(crate) depends_on_others: bool,
 }
@@ -88,7 +95,9 @@
             turn: Turn::Unknown(ask_at),
             holds: IndexMap::new(),
             remembered: Remembered::default(),
-            base_load: None,
+            model_order: None,
+            reloads: None,
+            models_reported_until: Moment::ZERO,
             uses: HashMap::new(),
             plain_uses: Vec::new(),
             in_flight: 0,
--- a/crates/chervilshunt_core/src/residency/versions.rs
+++ b/crates/chervilshunt_core/src/residency/versions.rs
@@ -33,7 +33,9 @@
         }
         *known = version;
         if weights.adapter.is_none() {
-            return;
+            let grace = self.cfg.old_version_grace;
+            let named = self.base_versions.entry(weights.model).or_default();
+            return named.name(version, grace, now);
         }
         let outdated = self.mark_outdated(&weights, version, now);
         if outdated.is_empty() {
--- a/crates/chervilshunt_core/tests/support/renewals.rs
+++ b/crates/chervilshunt_core/tests/support/renewals.rs
@@ -24,7 +24,7 @@
 /// How long a request is under way.
 const RUNS_FOR: Duration = Duration::from_secs(3);
 /// How long a target takes to load the base model, and an adapter.
-const MODEL_LOAD: Duration = Duration::from_millis(600);
+const LOAD_OF_MODEL: Duration = Duration::from_millis(600);
 const ADAPTER_LOAD: Duration = Duration::from_millis(250);
 /// How late the planner sees what a target lists.
 const LISTED_AFTER: Duration = Duration::from_millis(400);
@@ -138,7 +138,7 @@
             models: vec![ModelSpec {
                 name: "base".into(),
                 megabytes: 100.0,
-                load_time: MODEL_LOAD,
+                load_time: LOAD_OF_MODEL,
                 adapter_megabytes: 1.0,
             }],
             megabytes: 150.0,
@@ -386,7 +386,7 @@
                 site.adapters.retain(|it| it.0 != order.weights);
                 return OrderAnswer::Done;
             }
-            (OrderKind::Load, false) => site.work = Some(Work::Loading(now + MODEL_LOAD)),
+            (OrderKind::Load, false) => site.work = Some(Work::Loading(now + LOAD_OF_MODEL)),
             (OrderKind::Unload, false) => site.work = Some(Work::GivingUp),
         }
         OrderAnswer::Accepted
