Test renewals whose orders are lost or late, and base models at random; a new version end to end

A target as it really is stands once for the planner's replay and its random test, which now has base models too: none is ordered to hold more than it can, each question is answered, and all targets come to hold the newest version. The stand-in of the platform's targets gives base models up and loads them.

--- a/crates/chervilshunt_core/tests/base_versions.rs
+++ b/crates/chervilshunt_core/tests/base_versions.rs
@@ -8,8 +8,9 @@
 use chervilshunt_core::{Ask, Choice, Dispatch, DispatchConfig, Lane, Placed, Wait, Weights};
 use chervilshunt_model::ZoneName;
 use renewals::{
-    FIRST, NAMED_AT, Replay, SECOND, TARGETS, adapter, at, base, facts, service, target,
+    FIRST, Fate, NAMED_AT, Replay, SECOND, TARGETS, adapter, at, base, facts, service, target,
 };
+use rstest::rstest;
 
 /// The second in which a replay's caller asks for the base model, and for an adapter.
 const ASKS_EVERY_MS: u64 = 100;
@@ -80,3 +81,25 @@
     let refused = |placed: &Placed| matches!(placed, Placed::Later { .. });
     assert!(replay.refused.iter().all(|(_, placed)| refused(placed)));
 }
+
+/// Targets stay as they are, or out of use, for want of the answers to their orders. Each way in which an
+/// answer can be lost leaves the target in a state that its next report shows.
+#[rstest]
+#[case::giving_up_has_no_answer(&[Fate::AnswerLost, Fate::AnswerLost])]
+#[case::giving_up_is_lost(&[Fate::Lost, Fate::Lost])]
+#[case::giving_up_comes_late(&[Fate::Late, Fate::Late])]
+#[case::loading_has_no_answer(&[Fate::Answered, Fate::Answered, Fate::AnswerLost])]
+#[case::loading_is_lost(&[Fate::Answered, Fate::Answered, Fate::Lost, Fate::Lost])]
+#[case::loading_comes_late(&[Fate::Answered, Fate::Answered, Fate::Late, Fate::Late])]
+#[case::all_of_it(&[Fate::Lost, Fate::Late, Fate::AnswerLost, Fate::Lost, Fate::Late, Fate::AnswerLost])]
+fn lost_answers_keep_no_target_from_its_newest_version(#[case] fates: &[Fate]) {
+    let mut replay = Replay::new();
+    replay.fates = fates.to_vec();
+    replay.run_until(RENEWED_BY_MS, ASKS_EVERY_MS, &adapter("a1"));
+    assert_eq!(replay.versions(), vec![Some(SECOND); TARGETS]);
+    assert!(
+        replay.most_away <= TARGETS.div_ceil(4),
+        "{}",
+        replay.most_away
+    );
+}
--- a/crates/chervilshunt_core/tests/residency_machine.rs
+++ b/crates/chervilshunt_core/tests/residency_machine.rs
@@ -1,8 +1,10 @@
 //! The planner before targets that lose answers, carry orders out late, restart and vanish.
 //!
-//! Each random run plays targets by their published behaviour: they refuse an order that names
-//! another number of orders accepted before, they hold a bounded number of adapters and die if they
-//! are ordered to hold more, and they give an adapter up only when nothing uses it.
+//! Each random run plays targets by their published behaviour (`support/real_target.rs`), before a
+//! platform that lists them, and instances that tell what they have under way.
+
+#[path = "support/real_target.rs"]
+mod real_target;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -10,15 +12,14 @@
 use chervilshunt_core::{
     GrantNumber, GrantProgress, Lane, LoadedModel, ModelSpec, Order, OrderAnswer, OrderKind,
     OrderNumber, Placed, PlacementLimits, Residency, ResidencyAction, ResidencyConfig,
-    ResidencyEvent, TargetFacts, TargetReport, TargetStart, Use, Want, Weights,
+    ResidencyEvent, TargetFacts, TargetStart, Use, Want, Weights,
 };
 use chervilshunt_model::{InstanceId, Moment, ServiceName, TargetName, ZoneName};
 use proptest::prelude::*;
+use real_target::{RealTarget, SLOTS, weights_of};
 
-const SLOTS: usize = 4;
 const TARGETS: u8 = 3;
 const ADAPTERS: u8 = 9;
-const LOAD_MS: u64 = 240;
 /// How often an instance tells what it has under way.
 const TELL_EVERY: Duration = Duration::from_millis(400);
 
@@ -29,6 +30,8 @@
     /// A granted request ends, and its instance tells so at once or leaves it out of what it tells next.
     End(u8, bool),
     Version(u8),
+    /// A newer version of the base model is named.
+    BaseVersion,
     Advance(u64),
     /// What happens to the next orders: answered, lost before, lost after, or carried out late.
     Fate(u8),
@@ -52,90 +55,15 @@
     ]
 }
 
-/// A target as it really is.
-#[derive(Clone, Debug, Default)]
-struct RealTarget {
-    start: u64,
-    accepted: u64,
-    held: BTreeMap<String, u64>,
-    loading: BTreeMap<String, Moment>,
-}
-
-impl RealTarget {
-    fn carry_out(&mut self, order: &Order, now: Moment) -> OrderAnswer {
-        let adapter = order.weights.to_string();
-        match order.kind {
-            OrderKind::Load if self.loading.contains_key(&adapter) => OrderAnswer::Accepted,
-            OrderKind::Load
-                if self
-                    .held
-                    .get(&adapter)
-                    .is_some_and(|held| order.version.is_none_or(|it| it == *held)) =>
-            {
-                OrderAnswer::Done
-            }
-            _ if order.accepted_before != self.accepted => OrderAnswer::OutOfTurn,
-            OrderKind::Load => {
-                self.accepted += 1;
-                self.held.remove(&adapter);
-                self.loading
-                    .insert(adapter, now + Duration::from_millis(LOAD_MS));
-                assert!(
-                    self.held.len() + self.loading.len() <= SLOTS,
-                    "ordered to hold more than {SLOTS} adapters: {self:?}"
-                );
-                OrderAnswer::Accepted
-            }
-            OrderKind::Unload => {
-                self.accepted += 1;
-                self.held.remove(&adapter);
-                OrderAnswer::Done
-            }
-        }
-    }
-
-    fn pass(&mut self, versions: &BTreeMap<String, u64>, now: Moment) {
-        let ended: Vec<String> = self
-            .loading
-            .iter()
-            .filter(|(_, at)| **at <= now)
-            .map(|(adapter, _)| adapter.clone())
-            .collect();
-        for adapter in ended {
-            self.loading.remove(&adapter);
-            let version = versions.get(&adapter).copied().unwrap_or(1);
-            self.held.insert(adapter, version);
-        }
-    }
-
-    fn report(&self) -> TargetReport {
-        TargetReport {
-            started: Some(TargetStart(self.start)),
-            accepted: self.accepted,
-            busy: false,
-            models: vec![(Weights::base(&"base".into()), 1)],
-            adapters: self
-                .held
-                .iter()
-                .map(|(adapter, version)| (weights_of(adapter), *version))
-                .collect(),
-            loading: self.loading.keys().map(|it| weights_of(it)).collect(),
-        }
-    }
-}
-
-fn weights_of(text: &str) -> Weights {
-    let (model, adapter) = text.split_once('/').expect("an adapter");
-    Weights {
-        model: model.into(),
-        adapter: Some(adapter.into()),
-    }
-}
-
 fn adapter(n: u8) -> Weights {
     weights_of(&format!("base/a{n}"))
 }
 
+/// The steps of [`step`], and now and then a newer version of the base model.
+fn step_with_base_versions() -> impl Strategy<Value = Step> {
+    prop_oneof![40 => step(), 1 => Just(Step::BaseVersion)]
+}
+
 struct World {
     planner: Residency,
     now: Moment,
@@ -211,10 +139,7 @@
     /// Starts a target, which holds nothing.
     fn start(&mut self, target: u8) {
         let start = self.now.as_millis();
-        let real = RealTarget {
-            start,
-            ..RealTarget::default()
-        };
+        let real = RealTarget::new(Some(start), self.newest_base());
         self.real.insert(target, real);
     }
 
@@ -223,19 +148,20 @@
         let Some(real) = self.real.get(&target) else {
             return;
         };
+        let model = real.version.map(|version| LoadedModel {
+            name: "base".into(),
+            version,
+            adapters: Vec::new(),
+        });
         let facts = TargetFacts {
-            started: Some(TargetStart(real.start)),
+            started: real.start.map(TargetStart),
             name: Self::name(target),
             service: service(),
             address: ([10, 0, 0, target], 8000).into(),
             zone: ZoneName::from("zone"),
             slots: 16,
             leaving: None,
-            models: vec![LoadedModel {
-                name: "base".into(),
-                version: 1,
-                adapters: Vec::new(),
-            }],
+            models: model.into_iter().collect(),
         };
         self.event(ResidencyEvent::TargetSeen(facts));
     }
@@ -312,7 +238,8 @@
             "two orders on their way to {}",
             order.target
         );
-        if order.kind == OrderKind::Unload {
+        // A target that gives its base model up waits for all its requests.
+        if order.kind == OrderKind::Unload && order.weights.adapter.is_some() {
             let key = (order.target.clone(), order.weights.to_string());
             let used = self.used.get(&key).copied().unwrap_or_default();
             let granted = self.granted.values().filter(|it| **it == key).count();
@@ -354,9 +281,7 @@
         let end = self.now + Duration::from_millis(millis);
         while self.now < end {
             self.now = self.now + Duration::from_millis(10);
-            for real in self.real.values_mut() {
-                real.pass(&self.versions, self.now);
-            }
+            self.targets_go_on();
             let due: Vec<_> = self
                 .late
                 .extract_if(.., |(at, ..)| *at <= self.now)
@@ -375,6 +300,37 @@
         }
     }
 
+    /// Lets targets go on, and lists those whose base model has come or gone.
+    fn targets_go_on(&mut self) {
+        let mut changed = Vec::new();
+        for (index, real) in &mut self.real {
+            let name = Self::name(*index);
+            let mut used = self.used.iter();
+            let in_use = used.any(|((target, _), n)| *target == name && *n > 0);
+            let in_use = in_use || self.granted.values().any(|it| it.0 == name);
+            if real.pass(&self.versions, in_use, self.now) {
+                changed.push(*index);
+            }
+        }
+        for index in changed {
+            self.list(index);
+        }
+    }
+
+    fn newest_base(&self) -> u64 {
+        self.versions.get("base").copied().unwrap_or(1)
+    }
+
+    /// Lets everything that is under way end, and no order be lost any more.
+    fn settle(&mut self, millis: u64) {
+        self.fate = 0;
+        self.used.clear();
+        self.granted.clear();
+        let ended = ResidencyEvent::Used(InstanceId::from("i"), Vec::new(), Vec::new());
+        self.event(ended);
+        self.advance(millis);
+    }
+
     fn apply(&mut self, step: Step) {
         match step {
             Step::Want(n, long) => {
@@ -409,6 +365,12 @@
                 self.versions.insert(name, version);
                 self.event(ResidencyEvent::VersionNamed(adapter(n), version));
             }
+            Step::BaseVersion => {
+                let version = self.newest_base() + 1;
+                self.versions.insert("base".to_owned(), version);
+                let base = Weights::base(&"base".into());
+                self.event(ResidencyEvent::VersionNamed(base, version));
+            }
             Step::Advance(millis) => self.advance(millis),
             Step::Fate(fate) => self.fate = fate,
             Step::Restart(target, seen) => self.restart(target, seen),
@@ -422,7 +384,7 @@
     fn begin(&mut self, question: u64, target: TargetName) {
         let adapter = self.wants[&question].clone();
         let index = self.index(&target).expect("a target that is there");
-        if self.real[&index].held.contains_key(&adapter) {
+        if self.real[&index].serves(&adapter) {
             self.granted.insert(question, (target, adapter));
         } else {
             let ended = vec![GrantNumber(question)];
@@ -496,11 +458,29 @@
         for step in steps {
             world.apply(step);
         }
-        world.fate = 0;
-        world.used.clear();
-        world.granted.clear();
-        world.event(ResidencyEvent::Used(InstanceId::from("i"), Vec::new(), Vec::new()));
-        world.advance(8_000);
+        world.settle(8_000);
+        prop_assert!(world.open.is_empty(), "never answered: {:?}", world.open);
+    }
+
+    /// The same while base models get newer versions, which all targets come to hold: one after the
+    /// other in 3 s each at the most, and a lost order may be carried out 3 s late.
+    #[test]
+    fn targets_come_to_hold_the_newest_base_model(
+        steps in prop::collection::vec(step_with_base_versions(), 1..120)
+    ) {
+        let mut world = World::new();
+        world.advance(600);
+        for step in steps {
+            world.apply(step);
+        }
+        // What was placed meanwhile ends too: a request that never ends is waited for without end.
+        for _ in 0..15 {
+            world.settle(1_000);
+        }
         prop_assert!(world.open.is_empty(), "never answered: {:?}", world.open);
+        let newest = Some(world.newest_base());
+        for (index, real) in &world.real {
+            prop_assert_eq!(real.version, newest, "t{} of {:?}", index, world.real);
+        }
     }
 }
--- /dev/null
+++ b/crates/chervilshunt_core/tests/support/real_target.rs
@@ -0,0 +1,159 @@
+//! A target as it really is, by its published behaviour.
+//!
+//! It refuses an order that names another number of orders accepted before, holds a bounded number of
+//! adapters and dies if it is ordered to hold more. A load of a base model that is there holds already,
+//! in whatever version. Giving one up waits for its requests, drops its adapters, and keeps the target
+//! from other orders meanwhile.
+
+#![allow(dead_code, reason = "each test binary uses a part of it")]
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use chervilshunt_core::{Order, OrderAnswer, OrderKind, TargetReport, TargetStart, Weights};
+use chervilshunt_model::Moment;
+
+/// How many adapters it has place for.
+pub(crate) const SLOTS: usize = 4;
+/// How long it takes to load an adapter, and a base model.
+const ADAPTER_LOAD: Duration = Duration::from_millis(240);
+const LOAD_OF_MODEL: Duration = Duration::from_millis(600);
+
+/// What it is doing with its base model.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ModelWork {
+    GivingUp,
+    Loading(Moment),
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct RealTarget {
+    pub(crate) start: Option<u64>,
+    pub(crate) accepted: u64,
+    /// The version of its base model; none while it holds none.
+    pub(crate) version: Option<u64>,
+    work: Option<ModelWork>,
+    pub(crate) held: BTreeMap<String, u64>,
+    pub(crate) loading: BTreeMap<String, Moment>,
+}
+
+impl RealTarget {
+    pub(crate) fn new(start: Option<u64>, version: u64) -> Self {
+        Self {
+            start,
+            accepted: 0,
+            version: Some(version),
+            work: None,
+            held: BTreeMap::new(),
+            loading: BTreeMap::new(),
+        }
+    }
+
+    /// Says whether it takes no requests for want of its base model, or soon will.
+    pub(crate) fn is_away(&self) -> bool {
+        self.version.is_none() || self.work.is_some()
+    }
+
+    pub(crate) fn carry_out(&mut self, order: &Order, now: Moment) -> OrderAnswer {
+        if order.weights.adapter.is_none() {
+            return self.carry_out_for_model(order, now);
+        }
+        let adapter = order.weights.to_string();
+        let loading = self.loading.contains_key(&adapter);
+        let held = self.held.get(&adapter);
+        let held = held.is_some_and(|held| order.version.is_none_or(|it| it == *held));
+        match order.kind {
+            OrderKind::Load if loading => OrderAnswer::Accepted,
+            OrderKind::Load if held => OrderAnswer::Done,
+            _ if self.is_out_of_turn(order) => OrderAnswer::OutOfTurn,
+            _ if self.version.is_none() => OrderAnswer::Refused,
+            OrderKind::Load => {
+                self.accepted += 1;
+                self.held.remove(&adapter);
+                self.loading.insert(adapter, now + ADAPTER_LOAD);
+                assert!(
+                    self.held.len() + self.loading.len() <= SLOTS,
+                    "ordered to hold more than {SLOTS} adapters: {self:?}"
+                );
+                OrderAnswer::Accepted
+            }
+            OrderKind::Unload => {
+                self.accepted += 1;
+                self.held.remove(&adapter);
+                OrderAnswer::Done
+            }
+        }
+    }
+
+    fn carry_out_for_model(&mut self, order: &Order, now: Moment) -> OrderAnswer {
+        let work = match order.kind {
+            OrderKind::Load if self.version.is_some() => return OrderAnswer::Done,
+            _ if self.is_out_of_turn(order) => return OrderAnswer::OutOfTurn,
+            OrderKind::Unload if self.version.is_none() => return OrderAnswer::Refused,
+            OrderKind::Load => ModelWork::Loading(now + LOAD_OF_MODEL),
+            OrderKind::Unload => ModelWork::GivingUp,
+        };
+        self.accepted += 1;
+        self.work = Some(work);
+        OrderAnswer::Accepted
+    }
+
+    fn is_out_of_turn(&self, order: &Order) -> bool {
+        self.work.is_some() || order.accepted_before != self.accepted
+    }
+
+    /// Goes on with what it was ordered to do, and says whether its base model has come or gone.
+    ///
+    /// Loads bring the versions of `versions`, and the first one of what is not there.
+    pub(crate) fn pass(
+        &mut self,
+        versions: &BTreeMap<String, u64>,
+        in_use: bool,
+        now: Moment,
+    ) -> bool {
+        let newest = |name: &str| versions.get(name).copied().unwrap_or(1);
+        let ended = self.loading.extract_if(.., |_, at| *at <= now);
+        for (adapter, _) in ended {
+            let version = newest(&adapter);
+            self.held.insert(adapter, version);
+        }
+        match self.work {
+            Some(ModelWork::GivingUp) if !in_use => {
+                self.version = None;
+                self.held.clear();
+                self.loading.clear();
+            }
+            Some(ModelWork::Loading(at)) if at <= now => self.version = Some(newest("base")),
+            Some(_) | None => return false,
+        }
+        self.work = None;
+        true
+    }
+
+    /// Says whether a request may begin with an adapter.
+    pub(crate) fn serves(&self, adapter: &str) -> bool {
+        self.held.contains_key(adapter) && !self.is_away()
+    }
+
+    pub(crate) fn report(&self) -> TargetReport {
+        let base = Weights::base(&"base".into());
+        let held = self.held.iter();
+        TargetReport {
+            started: self.start.map(TargetStart),
+            accepted: self.accepted,
+            busy: self.work.is_some(),
+            models: self.version.map(|it| (base, it)).into_iter().collect(),
+            adapters: held.map(|(name, it)| (weights_of(name), *it)).collect(),
+            loading: self.loading.keys().map(|it| weights_of(it)).collect(),
+        }
+    }
+}
+
+/// Reads `MODEL/ADAPTER`.
+pub(crate) fn weights_of(text: &str) -> Weights {
+    let (model, adapter) = text.split_once('/').expect("an adapter");
+    Weights {
+        model: model.into(),
+        adapter: Some(adapter.into()),
+    }
+}
--- a/crates/chervilshunt_core/tests/support/renewals.rs
+++ b/crates/chervilshunt_core/tests/support/renewals.rs
@@ -1,19 +1,22 @@
 //! A planner before targets that hold a base model of which a newer version is named.
 //!
-//! The targets do what the platform's do: a load of a model that is there, in whatever version, holds
-//! already; giving a model up waits for its requests, drops its adapters, and keeps the target from
-//! other orders meanwhile; what they list comes a moment late.
+//! The targets do what the platform's do (`real_target.rs`), and what they list comes a moment late.
 
 #![allow(dead_code, reason = "each test binary uses a part of it")]
 
+#[path = "real_target.rs"]
+mod real_target;
+
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use chervilshunt_core::{
     GrantNumber, GrantProgress, Lane, LoadedAdapter, LoadedModel, ModelSpec, Order, OrderAnswer,
-    OrderKind, Placed, PlacementLimits, Residency, ResidencyAction, ResidencyConfig,
-    ResidencyEvent, TargetFacts, TargetReport, Want, Weights,
+    Placed, PlacementLimits, Residency, ResidencyAction, ResidencyConfig, ResidencyEvent,
+    TargetFacts, Want, Weights,
 };
 use chervilshunt_model::{InstanceId, Moment, ServiceName, TargetName, ZoneName};
+use real_target::RealTarget;
 
 pub(crate) const TARGETS: usize = 9;
 pub(crate) const FIRST: u64 = 1;
@@ -23,13 +26,13 @@
 
 /// How long a request is under way.
 const RUNS_FOR: Duration = Duration::from_secs(3);
-/// How long a target takes to load the base model, and an adapter.
-const LOAD_OF_MODEL: Duration = Duration::from_millis(600);
-const ADAPTER_LOAD: Duration = Duration::from_millis(250);
 /// How late the planner sees what a target lists.
 const LISTED_AFTER: Duration = Duration::from_millis(400);
 /// How late an order's answer comes that was lost: when it is given up on.
 const GIVEN_UP_AFTER: Duration = Duration::from_millis(250);
+const CARRIED_OUT_LATE: Duration = Duration::from_secs(3);
+/// How long an order and its answer take.
+const ANSWERED_AFTER: Duration = Duration::from_millis(2);
 const STEP_MS: u64 = 5;
 
 pub(crate) fn at(millis: u64) -> Moment {
@@ -82,21 +85,13 @@
     AnswerLost,
     /// It never arrives, and nobody says so.
     Lost,
-}
-
-/// What a target is doing on order.
-#[derive(Clone, Copy, Debug)]
-enum Work {
-    GivingUp,
-    Loading(Moment),
+    /// It has no answer and is carried out seconds later, if its condition still holds.
+    Late,
 }
 
 #[derive(Clone, Debug)]
 struct Site {
-    version: Option<u64>,
-    adapters: Vec<(Weights, Moment)>,
-    accepted: u64,
-    work: Option<Work>,
+    real: RealTarget,
     /// The ends of its requests.
     runs: Vec<Moment>,
     /// What it is to be listed with, and from when.
@@ -115,11 +110,11 @@
     residency: Residency,
     sites: Vec<Site>,
     now_ms: u64,
-    newest: u64,
+    versions: BTreeMap<String, u64>,
     next_question: u64,
     open: Vec<(GrantNumber, Moment)>,
     answers: Vec<(Moment, ResidencyEvent)>,
-    orders: usize,
+    late: Vec<(Moment, Order)>,
     /// What becomes of the answers to orders about the base model, one after the other; the later ones
     /// all arrive.
     pub(crate) fates: Vec<Fate>,
@@ -127,8 +122,6 @@
     pub(crate) refused: Vec<(u64, Placed)>,
     /// The most targets that took no requests at one time.
     pub(crate) most_away: usize,
-    /// Orders for the base model.
-    pub(crate) model_orders: Vec<Order>,
 }
 
 impl Replay {
@@ -138,7 +131,7 @@
             models: vec![ModelSpec {
                 name: "base".into(),
                 megabytes: 100.0,
-                load_time: LOAD_OF_MODEL,
+                load_time: Duration::from_millis(600),
                 adapter_megabytes: 1.0,
             }],
             megabytes: 150.0,
@@ -147,10 +140,7 @@
         };
         residency.handle(ResidencyEvent::Limits(service(), limits), at(0));
         let site = Site {
-            version: Some(FIRST),
-            adapters: Vec::new(),
-            accepted: 0,
-            work: None,
+            real: RealTarget::new(None, FIRST),
             runs: Vec::new(),
             listings: vec![(at(0), Some(FIRST))],
         };
@@ -158,21 +148,20 @@
             residency,
             sites: vec![site; TARGETS],
             now_ms: 0,
-            newest: FIRST,
+            versions: BTreeMap::from([("base".to_owned(), FIRST)]),
             next_question: 0,
             open: Vec::new(),
             answers: Vec::new(),
-            orders: 0,
+            late: Vec::new(),
             fates: Vec::new(),
             placed: Vec::new(),
             refused: Vec::new(),
             most_away: 0,
-            model_orders: Vec::new(),
         }
     }
 
     pub(crate) fn versions(&self) -> Vec<Option<u64>> {
-        self.sites.iter().map(|site| site.version).collect()
+        self.sites.iter().map(|site| site.real.version).collect()
     }
 
     /// Lets time pass, with a request for some weights now and then once the planner knows its targets.
@@ -182,7 +171,7 @@
             self.targets_go_on();
             self.listings();
             if self.now_ms == NAMED_AT {
-                self.newest = SECOND;
+                self.versions.insert("base".to_owned(), SECOND);
                 self.handle(ResidencyEvent::VersionNamed(base(), SECOND));
             }
             let due: Vec<ResidencyEvent> = self.take_due_answers();
@@ -200,8 +189,7 @@
             {
                 self.handle(ResidencyEvent::Tick);
             }
-            let away = self.sites.iter();
-            let away = away.filter(|site| site.version.is_none() || site.work.is_some());
+            let away = self.sites.iter().filter(|site| site.real.is_away());
             self.most_away = self.most_away.max(away.count());
         }
     }
@@ -216,7 +204,8 @@
             match action {
                 ResidencyAction::Order(order) => self.order(order),
                 ResidencyAction::Ask(name) => {
-                    let report = ResidencyEvent::Reported(name.clone(), self.report(&name));
+                    let report = self.sites[index(&name)].real.report();
+                    let report = ResidencyEvent::Reported(name, report);
                     self.answers.push((now + Duration::from_millis(2), report));
                 }
                 ResidencyAction::Answer(question, placed) => self.answered(question, placed),
@@ -248,7 +237,7 @@
             Placed::At { target: name } => {
                 let site = &mut self.sites[index(&name)];
                 site.runs.push(now + RUNS_FOR);
-                let version = site.version;
+                let version = site.real.version;
                 self.open.push((GrantNumber(question), now + RUNS_FOR));
                 self.placed.push(PlacedAt { at: now, version });
             }
@@ -289,19 +278,16 @@
 
     fn targets_go_on(&mut self) {
         let now = self.now();
-        let newest = self.newest;
+        let due: Vec<_> = self.late.extract_if(.., |it| it.0 <= now).collect();
+        for (_, order) in due {
+            let site = &mut self.sites[index(&order.target)];
+            site.real.carry_out(&order, now);
+        }
         for site in &mut self.sites {
             site.runs.retain(|end| *end > now);
-            match site.work {
-                Some(Work::GivingUp) if site.runs.is_empty() => {
-                    site.version = None;
-                    site.adapters.clear();
-                }
-                Some(Work::Loading(end)) if end <= now => site.version = Some(newest),
-                Some(_) | None => continue,
+            if site.real.pass(&self.versions, !site.runs.is_empty(), now) {
+                site.listings.push((now + LISTED_AFTER, site.real.version));
             }
-            site.work = None;
-            site.listings.push((now + LISTED_AFTER, site.version));
         }
     }
 
@@ -318,21 +304,6 @@
         }
     }
 
-    fn report(&self, name: &TargetName) -> TargetReport {
-        let now = self.now();
-        let site = &self.sites[index(name)];
-        let adapters = site.adapters.iter();
-        let (held, loading): (Vec<_>, Vec<_>) = adapters.partition(|it| it.1 <= now);
-        TargetReport {
-            started: None,
-            accepted: site.accepted,
-            busy: site.work.is_some(),
-            models: site.version.map(|it| (base(), it)).into_iter().collect(),
-            adapters: held.into_iter().map(|it| (it.0.clone(), 1)).collect(),
-            loading: loading.into_iter().map(|it| it.0.clone()).collect(),
-        }
-    }
-
     fn order(&mut self, order: Order) {
         let now = self.now();
         let about_model = order.weights.adapter.is_none();
@@ -341,55 +312,21 @@
         } else {
             Fate::Answered
         };
-        let carried_out = match fate {
-            Fate::Answered | Fate::AnswerLost => Some(self.carry_out(&order)),
-            Fate::Lost => None,
-        };
-        let (answer, after) = match (fate, carried_out) {
-            (Fate::Answered, Some(answer)) => (answer, Duration::from_millis(2)),
-            _ => (OrderAnswer::Unanswered, GIVEN_UP_AFTER),
-        };
-        let answered = ResidencyEvent::Answered(order.number, answer);
-        self.answers.push((now + after, answered));
-        if about_model {
-            self.model_orders.push(order);
-        }
-    }
-
-    fn carry_out(&mut self, order: &Order) -> OrderAnswer {
-        let now = self.now();
         let site = &mut self.sites[index(&order.target)];
-        let adapter = order.weights.adapter.is_some();
-        let holds = if adapter {
-            site.adapters
-                .iter()
-                .any(|it| it.0 == order.weights && it.1 <= now)
-        } else {
-            site.version.is_some()
-        };
-        if order.kind == OrderKind::Load && holds {
-            return OrderAnswer::Done;
-        }
-        if site.work.is_some() || order.accepted_before != site.accepted {
-            return OrderAnswer::OutOfTurn;
-        }
-        if !holds && (order.kind == OrderKind::Unload || adapter && site.version.is_none()) {
-            return OrderAnswer::Refused;
-        }
-        site.accepted += 1;
-        match (order.kind, adapter) {
-            (OrderKind::Load, true) => {
-                site.adapters
-                    .push((order.weights.clone(), now + ADAPTER_LOAD));
+        let (answer, after) = match fate {
+            Fate::Answered => (site.real.carry_out(&order, now), ANSWERED_AFTER),
+            Fate::AnswerLost => {
+                site.real.carry_out(&order, now);
+                (OrderAnswer::Unanswered, GIVEN_UP_AFTER)
             }
-            (OrderKind::Unload, true) => {
-                site.adapters.retain(|it| it.0 != order.weights);
-                return OrderAnswer::Done;
+            Fate::Lost => (OrderAnswer::Unanswered, GIVEN_UP_AFTER),
+            Fate::Late => {
+                self.late.push((now + CARRIED_OUT_LATE, order.clone()));
+                (OrderAnswer::Unanswered, GIVEN_UP_AFTER)
             }
-            (OrderKind::Load, false) => site.work = Some(Work::Loading(now + LOAD_OF_MODEL)),
-            (OrderKind::Unload, false) => site.work = Some(Work::GivingUp),
-        }
-        OrderAnswer::Accepted
+        };
+        let answered = ResidencyEvent::Answered(order.number, answer);
+        self.answers.push((now + after, answered));
     }
 }
 
