Count the slot of a load that is found under way while it is planned once more

Cause: a lost order to load an adapter is carried out seconds later. If the same load is planned again by then, a report that shows it under way left it planned, which counts for no slot; the next order loads one more than there are slots. Change: a report that shows a load under way makes it one, whatever was planned.

--- a/crates/chervilshunt_core/src/residency/answers.rs
+++ b/crates/chervilshunt_core/src/residency/answers.rs
@@ -232,7 +232,9 @@
         for weights in &report.loading {
             let coming = Hold::new(HoldState::Loading(ready_at), FIRST_KNOWN, now);
             let hold = target.holds.entry(weights.clone()).or_insert(coming);
-            if hold.state == HoldState::Ordered {
+            // A lost order may be carried out while the same load is planned once more: left planned, it
+            // would count for no slot, and the next order could be one too many, which kills the target.
+            if matches!(hold.state, HoldState::Ordered | HoldState::Planned) {
                 hold.state = HoldState::Loading(ready_at);
             }
         }
