--- a/crates/chervilshunt_core/examples/renewal_costs.rs
+++ b/crates/chervilshunt_core/examples/model_update_costs.rs
@@ -1,6 +1,6 @@
 //! What an event costs the placer while the base models of its targets are outdated.
 //!
-//! `cargo run --release -p chervilshunt_core --example renewal_costs` prints the mean time of a want with
+//! `cargo run --release -p chervilshunt_core --example model_update_costs` prints the mean time of a want with
 //! its end, before so many targets, with and without a newer version of their base model.
 
 use std::hint::black_box;
--- a/crates/chervilshunt_core/src/dispatch/facts.rs
+++ b/crates/chervilshunt_core/src/dispatch/facts.rs
@@ -120,22 +120,24 @@
         models.find(|it| &*it.name == model).map(|it| it.version)
     }
 
+    /// Returns the base models that it holds, with their versions.
+    pub fn model_versions(&self) -> Vec<(Arc<str>, u64)> {
+        let models = self.models.iter();
+        models
+            .map(|it| (Arc::clone(&it.name), it.version))
+            .collect()
+    }
+
     /// Says whether a newer entry of the target tells something that every instance has to know
     /// at once: all but the adapters that it holds, which the placer tells.
     pub fn concerns_all(&self, newer: &Self) -> bool {
-        let models = |facts: &Self| -> Vec<(Arc<str>, u64)> {
-            let models = facts.models.iter();
-            models
-                .map(|it| (Arc::clone(&it.name), it.version))
-                .collect()
-        };
         self.started != newer.started
             || self.service != newer.service
             || self.address != newer.address
             || self.zone != newer.zone
             || self.slots != newer.slots
             || self.leaving.is_some() != newer.leaving.is_some()
-            || models(self) != models(newer)
+            || self.model_versions() != newer.model_versions()
     }
 }
 
--- a/crates/chervilshunt_core/src/residency/config.rs
+++ b/crates/chervilshunt_core/src/residency/config.rs
@@ -59,8 +59,8 @@
     pub base_loads_at_once: usize,
     /// The share of a service's targets, rounded up, that are out of use at a time because their base
     /// model is given up for a newer version. Days of one new version had the same worth at a tenth, 0.701,
-    /// as at a fifth, 0.703 (means of eight), where all are renewed in half of the time.
-    pub renewed_share: f64,
+    /// as at a fifth, 0.703 (means of eight), where all are updated in half of the time.
+    pub updated_share: f64,
 }
 
 impl Default for ResidencyConfig {
@@ -87,7 +87,7 @@
             store_window: Duration::from_secs(5),
             store_share: 0.9,
             base_loads_at_once: 2,
-            renewed_share: 0.2,
+            updated_share: 0.2,
         }
     }
 }
--- a/crates/chervilshunt_core/src/residency/loads.rs
+++ b/crates/chervilshunt_core/src/residency/loads.rs
@@ -29,8 +29,8 @@
         }
         self.admit();
         names.extend(self.admitted.iter().map(|(name, _)| name.clone()));
-        self.pick_renewals(now);
-        names.extend(self.renewals.iter().cloned());
+        self.pick_model_updates(now);
+        names.extend(self.model_updates.iter().cloned());
         for name in &names {
             self.retire_outdated(name, now, out);
             self.ask_if_due(name, now, out);
--- a/crates/chervilshunt_core/src/residency/models.rs
+++ b/crates/chervilshunt_core/src/residency/models.rs
@@ -1,6 +1,6 @@
-//! Base models: loading one at a target that holds none, and renewing one that has a newer version.
+//! Base models: loading one at a target that holds none, and updating one that has a newer version.
 //!
-//! A load of a base model that is there holds already, in whatever version. To renew it, it is given up,
+//! A load of a base model that is there holds already, in whatever version. To update it, it is given up,
 //! which waits for the requests that use it and drops its adapters, and is loaded again. A few targets
 //! at a time do so while the others serve. See `docs/design/places.md`.
 
@@ -21,12 +21,12 @@
 /// How soon a target that was found to be still at it is asked again about an order for a base model.
 /// Loads take 0.6 s and more.
 const LOOK_AGAIN: Duration = Duration::from_millis(200);
-/// How often targets are chosen that are renewed next. That looks at all that are outdated: done with each
+/// How often targets are chosen that are updated next. That looks at all that are outdated: done with each
 /// event, a request and its end took 452 µs before 1,600 of them, where it takes 90 µs now.
 const PICK_EVERY: Duration = Duration::from_millis(100);
 /// How long what a target has reported of its base models counts for more than what the platform lists
 /// of them. Targets write at least every 1.2 s, and an entry may be seen most of a second late: one from
-/// before an order would have a renewed model given up once more.
+/// before an order would have an updated model given up once more.
 const LISTED_LATE: Duration = Duration::from_millis(2_500);
 /// How long an order for a base model counts as keeping its target from serving when targets are taken
 /// out of use. One that never ends, at a target that can't be asked, must not keep others old.
@@ -36,7 +36,7 @@
 ///
 /// It ends with a report that shows the target idle, and with nothing else. Ended by the version that the
 /// target lists, an order that had changed nothing was never over: the target stayed out of use, and the
-/// others were never renewed. Whatever has become of an order, the report shows what to do next.
+/// others were never updated. Whatever has become of an order, the report shows what to do next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct ModelOrder {
     kind: OrderKind,
@@ -59,7 +59,7 @@
         out: &mut Vec<ResidencyAction>,
     ) -> Option<(OrderKind, Weights, Option<u64>)> {
         let (kind, weights) = match self.model_step(name)? {
-            ModelStep::GiveUp(weights) if self.renewals.remove(name) => {
+            ModelStep::GiveUp(weights) if self.model_updates.remove(name) => {
                 (OrderKind::Unload, weights)
             }
             ModelStep::Load(weights) if self.may_load_model(name, now) => {
@@ -127,13 +127,13 @@
     /// share of its service that is out of use stays within bounds.
     ///
     /// Given up at all targets at once, the model would be nowhere for as long as a stream lasts; one
-    /// after the other, the last of 18 targets is renewed after minutes.
-    pub(super) fn pick_renewals(&mut self, now: Moment) {
-        if now.since(self.renewals_picked_at) < PICK_EVERY {
+    /// after the other, the last of 18 targets is updated after minutes.
+    pub(super) fn pick_model_updates(&mut self, now: Moment) {
+        if now.since(self.model_updates_picked_at) < PICK_EVERY {
             return;
         }
-        self.renewals_picked_at = now;
-        self.renewals.clear();
+        self.model_updates_picked_at = now;
+        self.model_updates.clear();
         let outdated = self.targets.iter();
         let outdated: Vec<_> = outdated
             .filter(|(_, it)| it.touched || it.summary.outdated)
@@ -151,18 +151,18 @@
         let mut picked = HashSet::new();
         for (service, mut waiting) in by_service {
             waiting.sort_by_key(|(_, in_flight)| *in_flight);
-            let room = self.renewals_left(service, now);
+            let room = self.updates_left(service, now);
             picked.extend(waiting.into_iter().take(room).map(|(name, _)| name.clone()));
         }
-        self.renewals = picked;
+        self.model_updates = picked;
     }
 
     /// Returns how many more targets of a service may be taken out of use.
-    fn renewals_left(&self, service: &ServiceName, now: Moment) -> usize {
+    fn updates_left(&self, service: &ServiceName, now: Moment) -> usize {
         let targets = self.targets.values();
         let targets = targets.filter(|it| it.facts.service == *service && it.takes_work());
         let away = targets.clone().filter(|it| it.is_without_model(now));
-        let most = (targets.count() as f64 * self.cfg.renewed_share).ceil();
+        let most = (targets.count() as f64 * self.cfg.updated_share).ceil();
         (most as usize).saturating_sub(away.count())
     }
 
--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -30,8 +30,8 @@
     /// The versions of base models that have been named, and when.
     pub(super) base_versions: HashMap<Arc<str>, NamedVersions>,
     /// The targets that may give up a base model now of which a newer version has been named.
-    pub(super) renewals: HashSet<TargetName>,
-    pub(super) renewals_picked_at: Moment,
+    pub(super) model_updates: HashSet<TargetName>,
+    pub(super) model_updates_picked_at: Moment,
     /// When loads of base models from the weight store were ordered, the last one at the end.
     pub(super) store_loads: VecDeque<Moment>,
     pub(super) window: LoadWindow,
@@ -68,8 +68,8 @@
             limits: HashMap::new(),
             newest: HashMap::new(),
             base_versions: HashMap::new(),
-            renewals: HashSet::new(),
-            renewals_picked_at: Moment::ZERO,
+            model_updates: HashSet::new(),
+            model_updates_picked_at: Moment::ZERO,
             store_loads: VecDeque::new(),
             window: LoadWindow::new(),
             memory: MemorySize::default(),
--- a/crates/chervilshunt_core/tests/base_versions.rs
+++ b/crates/chervilshunt_core/tests/base_versions.rs
@@ -1,22 +1,22 @@
 //! New versions of a base model, while requests for its adapters go on.
 
-#[path = "support/renewals.rs"]
-mod renewals;
+#[path = "support/model_updates.rs"]
+mod model_updates;
 
 use std::time::Duration;
 
 use chervilshunt_core::{Ask, Choice, Dispatch, DispatchConfig, Lane, Placed, Wait, Weights};
 use chervilshunt_model::ZoneName;
-use renewals::{
+use model_updates::{
     FIRST, Fate, NAMED_AT, Replay, SECOND, TARGETS, adapter, at, base, facts, service, target,
 };
 use rstest::rstest;
 
 /// The second in which a replay's caller asks for the base model, and for an adapter.
 const ASKS_EVERY_MS: u64 = 100;
-/// Until when the targets have to be renewed: nine targets, a quarter of them at a time, and each waits
+/// Until when the targets have to be updated: nine targets, a quarter of them at a time, and each waits
 /// for requests of 3 s, then loads for 0.6 s; twice that is enough for the reports and listings between.
-const RENEWED_BY_MS: u64 = NAMED_AT + 36_000;
+const UPDATED_BY_MS: u64 = NAMED_AT + 36_000;
 /// The operators want no request to begin on an older version later than this after its naming.
 const VERSION_BOUND_MS: u64 = 5_000;
 
@@ -56,7 +56,7 @@
 #[test]
 fn all_targets_come_to_hold_the_newest_version() {
     let mut replay = Replay::new();
-    replay.run_until(RENEWED_BY_MS, ASKS_EVERY_MS, &adapter("a1"));
+    replay.run_until(UPDATED_BY_MS, ASKS_EVERY_MS, &adapter("a1"));
     assert_eq!(replay.versions(), vec![Some(SECOND); TARGETS]);
     assert!(
         replay.most_away <= TARGETS.div_ceil(4),
@@ -73,7 +73,7 @@
 #[test]
 fn a_request_for_the_base_model_is_never_sent_where_an_older_version_is() {
     let mut replay = Replay::new();
-    replay.run_until(RENEWED_BY_MS, ASKS_EVERY_MS, &base());
+    replay.run_until(UPDATED_BY_MS, ASKS_EVERY_MS, &base());
     let bound = at(NAMED_AT) + Duration::from_millis(VERSION_BOUND_MS);
     let late = replay.placed.iter().filter(|it| it.at >= bound);
     let outdated = late.clone().filter(|it| it.version != Some(SECOND)).count();
@@ -95,7 +95,7 @@
 fn lost_answers_keep_no_target_from_its_newest_version(#[case] fates: &[Fate]) {
     let mut replay = Replay::new();
     replay.fates = fates.to_vec();
-    replay.run_until(RENEWED_BY_MS, ASKS_EVERY_MS, &adapter("a1"));
+    replay.run_until(UPDATED_BY_MS, ASKS_EVERY_MS, &adapter("a1"));
     assert_eq!(replay.versions(), vec![Some(SECOND); TARGETS]);
     assert!(
         replay.most_away <= TARGETS.div_ceil(4),
--- a/crates/chervilshunt_core/tests/dispatch.rs
+++ b/crates/chervilshunt_core/tests/dispatch.rs
@@ -206,9 +206,9 @@
 #[test]
 fn a_base_model_is_asked_for_in_the_version_that_its_target_lists_while_a_newer_one_is_new() {
     let weights = Weights::base(&"base".into());
-    let mut renewed = facts("t1", "here", &[]);
-    renewed.models[0].version = 2;
-    let mut dispatch = dispatch([renewed, facts("t2", "here", &[])]);
+    let mut updated = facts("t1", "here", &[]);
+    updated.models[0].version = 2;
+    let mut dispatch = dispatch([updated, facts("t2", "here", &[])]);
     dispatch.version_named(weights.clone(), 2, at(0));
     dispatch.version_named(weights.clone(), 3, at(3_000));
     let chosen = chosen(choose(&dispatch, Some(&weights), &[], 3_100));
--- a/crates/chervilshunt_gateway/src/control/targets.rs
+++ b/crates/chervilshunt_gateway/src/control/targets.rs
@@ -216,6 +216,12 @@
                 "target" => facts.name.as_str(), "service" => facts.service.as_str(),
                 "address" => facts.address.to_string(), "leaving" => facts.leaving.is_some());
         }
+        let models_before = before.map(TargetFacts::model_versions).unwrap_or_default();
+        let models = facts.model_versions();
+        if models != models_before {
+            slog::info!(self.shared.log, "target models";
+                "target" => facts.name.as_str(), "models" => ?models, "before" => ?models_before);
+        }
         if news == TargetNews::Restarted {
             slog::info!(self.shared.log, "target started again";
                 "target" => facts.name.as_str(), "started" => facts.started.map(|it| it.0));
