--- a/crates/chervilshunt_core/tests/dispatch.rs
+++ b/crates/chervilshunt_core/tests/dispatch.rs
@@ -170,6 +170,28 @@
     assert_eq!(chosen(choose(&dispatch, None, &[], 0)), Err(Wait::Full));
 }
 
+/// Callers of a plain service are refused by one instance after another second of burst, while its targets
+/// are idle. A target tells its load with its answers alone: one that was full with the last of them is
+/// sent nothing, and so is never heard to have room. One instance refused 16 requests in the second in
+/// which it sent 6, to three targets that work on 18 at a time for 60 ms each.
+#[test]
+fn a_target_that_was_full_is_asked_again_though_nothing_is_heard_of_it() {
+    let mut dispatch = dispatch([facts("t1", "here", &[])]);
+    let report = LoadReport {
+        running: 4,
+        waiting: 2,
+        slots: 4,
+    };
+    dispatch.reported(&TargetName::from("t1"), report, at(0));
+    assert_eq!(chosen(choose(&dispatch, None, &[], 100)), Err(Wait::Full));
+    assert_eq!(chosen(choose(&dispatch, None, &[], 1_000)), to("t1"));
+    // What this instance itself has under way there counts however long ago it was told.
+    for _ in 0..6 {
+        dispatch.sent(&TargetName::from("t1"), None);
+    }
+    assert_eq!(chosen(choose(&dispatch, None, &[], 1_000)), Err(Wait::Full));
+}
+
 #[test]
 fn a_report_from_before_own_sendings_does_not_hide_them() {
     let mut dispatch = dispatch([facts("t1", "here", &[]), facts("t2", "there", &[])]);
