Ask a target again that was full a quarter of a second ago

Cause: what other instances have at a target is learnt from its answers, and never aged. Hypothesis: plain calls of 60 ms are refused though their targets are idle. Change: what others have counts as filling a target for 250 ms. A target that is full still refuses truly and tells its load.

--- a/crates/chervilshunt_core/src/dispatch/choose.rs
+++ b/crates/chervilshunt_core/src/dispatch/choose.rs
@@ -101,6 +101,12 @@
 /// takes about 120 ms to read, so that the next one would begin after most of a second.
 const BUSY_WITH_LONG_PROMPTS: f64 = 6.0;
 
+/// How long what others have at a target counts as filling it. Targets tell their load with answers, so
+/// that one which gets nothing, being full, is never heard to have room: an instance refused requests for
+/// as long as it had nothing under way there. Asked again, a target that is still full refuses truly, and
+/// its refusal tells its load.
+const FULL_FOR: Duration = Duration::from_millis(250);
+
 /// Returns the holders that a request should go to, by its lane.
 fn prefer_lane<'a>(
     holding: Vec<&'a Target>,
@@ -150,7 +156,7 @@
         } else {
             answering
         };
-        let open = candidates.into_iter().filter(|it| self.has_room(it));
+        let open = candidates.into_iter().filter(|it| self.has_room(it, now));
         let scored = open.map(|target| (self.score(target) + draw() * self.cfg.jitter, target));
         let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
         match best {
@@ -210,9 +216,9 @@
         oldest.is_none_or(|oldest| version >= oldest)
     }
 
-    fn has_room(&self, target: &Target) -> bool {
+    fn has_room(&self, target: &Target, now: Moment) -> bool {
         let slots = f64::from(target.facts.slots);
-        target.load.total() < slots * (1.0 + self.cfg.queue_share)
+        target.load.known_within(FULL_FOR, now) < slots * (1.0 + self.cfg.queue_share)
     }
 
     fn score(&self, target: &Target) -> f64 {
--- a/crates/chervilshunt_core/src/dispatch/load.rs
+++ b/crates/chervilshunt_core/src/dispatch/load.rs
@@ -1,5 +1,7 @@
 //! How much work a target has, as one instance estimates it.
 
+use std::time::Duration;
+
 use chervilshunt_model::Moment;
 
 use super::facts::LoadReport;
@@ -63,6 +65,15 @@
         f64::from(self.own) + self.others
     }
 
+    /// Returns the requests at the target, without the others' part if that was learnt longer ago.
+    pub(crate) fn known_within(&self, age: Duration, now: Moment) -> f64 {
+        if now.since(self.reported_at) < age {
+            self.total()
+        } else {
+            f64::from(self.own)
+        }
+    }
+
     /// Returns when the others' part was learnt.
     pub(crate) const fn reported_at(&self) -> Moment {
         self.reported_at
