--- a/crates/chervilshunt_core/tests/base_versions.rs
+++ b/crates/chervilshunt_core/tests/base_versions.rs
@@ -103,3 +103,15 @@
         replay.most_away
     );
 }
+
+/// Adapters are loaded over and over for nothing. A version is named that the weight store does not have,
+/// so that each load brings the old one again; taken for outdated at once, every target would give its
+/// model up every few seconds, with all its adapters.
+#[test]
+fn a_version_that_no_load_brings_is_not_loaded_over_and_over() {
+    let mut replay = Replay::new();
+    replay.brings_named = false;
+    replay.run_until(UPDATED_BY_MS, ASKS_EVERY_MS, &adapter("a1"));
+    assert_eq!(replay.versions(), vec![Some(FIRST); TARGETS]);
+    assert!(replay.given_up <= TARGETS, "{}", replay.given_up);
+}
--- a/crates/chervilshunt_core/tests/support/model_updates.rs
+++ b/crates/chervilshunt_core/tests/support/model_updates.rs
@@ -4,6 +4,8 @@
 
 #![allow(dead_code, reason = "each test binary uses a part of it")]
 
+#[path = "placing.rs"]
+mod placing;
 #[path = "real_target.rs"]
 mod real_target;
 
@@ -11,12 +13,14 @@
 use std::time::Duration;
 
 use chervilshunt_core::{
-    GrantNumber, GrantProgress, Lane, LoadedAdapter, LoadedModel, ModelSpec, Order, OrderAnswer,
-    Placed, PlacementLimits, Residency, ResidencyAction, ResidencyConfig, ResidencyEvent,
-    TargetFacts, Want, Weights,
+    GrantNumber, GrantProgress, Lane, LoadedAdapter, LoadedModel, Order, OrderAnswer, OrderKind,
+    Placed, Residency, ResidencyAction, ResidencyConfig, ResidencyEvent, TargetFacts, Want,
+    Weights,
 };
-use chervilshunt_model::{InstanceId, Moment, ServiceName, TargetName, ZoneName};
-use real_target::RealTarget;
+use chervilshunt_model::{InstanceId, Moment, TargetName, ZoneName};
+use placing::limits;
+pub(crate) use placing::{adapter, at, service, target};
+use real_target::{RealTarget, SLOTS};
 
 pub(crate) const TARGETS: usize = 9;
 pub(crate) const FIRST: u64 = 1;
@@ -35,26 +39,10 @@
 const ANSWERED_AFTER: Duration = Duration::from_millis(2);
 const STEP_MS: u64 = 5;
 
-pub(crate) fn at(millis: u64) -> Moment {
-    Moment::from_millis(50_000 + millis)
-}
-
-pub(crate) fn service() -> ServiceName {
-    ServiceName::from("drafts")
-}
-
 pub(crate) fn base() -> Weights {
     Weights::base(&"base".into())
 }
 
-pub(crate) fn adapter(name: &str) -> Weights {
-    Weights::adapter(&"base".into(), &name.into())
-}
-
-pub(crate) fn target(index: usize) -> TargetName {
-    TargetName::new(format!("t{index}"))
-}
-
 pub(crate) fn facts(index: usize, version: Option<u64>, adapters: &[&str]) -> TargetFacts {
     let adapters = adapters.iter().map(|name| LoadedAdapter {
         name: (*name).into(),
@@ -118,6 +106,10 @@
     /// What becomes of the answers to orders about the base model, one after the other; the later ones
     /// all arrive.
     pub(crate) fates: Vec<Fate>,
+    /// Whether loads bring the version that is named.
+    pub(crate) brings_named: bool,
+    /// How often a target was ordered to give its base model up.
+    pub(crate) given_up: usize,
     pub(crate) placed: Vec<PlacedAt>,
     pub(crate) refused: Vec<(u64, Placed)>,
     /// The most targets that took no requests at one time.
@@ -127,17 +119,7 @@
 impl Replay {
     pub(crate) fn new() -> Self {
         let mut residency = Residency::new(ResidencyConfig::default(), at(0));
-        let limits = PlacementLimits {
-            models: vec![ModelSpec {
-                name: "base".into(),
-                megabytes: 100.0,
-                load_time: Duration::from_millis(600),
-                adapter_megabytes: 1.0,
-            }],
-            megabytes: 150.0,
-            adapter_slots: 4,
-            loads_per_second: 4.0,
-        };
+        let limits = limits(SLOTS);
         residency.handle(ResidencyEvent::Limits(service(), limits), at(0));
         let site = Site {
             real: RealTarget::new(None, FIRST),
@@ -154,6 +136,8 @@
             answers: Vec::new(),
             late: Vec::new(),
             fates: Vec::new(),
+            brings_named: true,
+            given_up: 0,
             placed: Vec::new(),
             refused: Vec::new(),
             most_away: 0,
@@ -171,7 +155,9 @@
             self.targets_go_on();
             self.listings();
             if self.now_ms == NAMED_AT {
-                self.versions.insert("base".to_owned(), SECOND);
+                if self.brings_named {
+                    self.versions.insert("base".to_owned(), SECOND);
+                }
                 self.handle(ResidencyEvent::VersionNamed(base(), SECOND));
             }
             let due: Vec<ResidencyEvent> = self.take_due_answers();
@@ -307,6 +293,9 @@
     fn order(&mut self, order: Order) {
         let now = self.now();
         let about_model = order.weights.adapter.is_none();
+        if about_model && order.kind == OrderKind::Unload {
+            self.given_up += 1;
+        }
         let fate = if about_model && !self.fates.is_empty() {
             self.fates.remove(0)
         } else {
--- a/crates/chervilshunt_core/tests/support/placing.rs
+++ b/crates/chervilshunt_core/tests/support/placing.rs
@@ -29,10 +29,9 @@
     TargetName::new(format!("t{index}"))
 }
 
-/// A planner that has just begun, before targets that it has not asked yet.
-pub(crate) fn before_asking(targets: usize, slots: u32, adapter_slots: usize) -> Residency {
-    let mut residency = Residency::new(ResidencyConfig::default(), at(0));
-    let limits = PlacementLimits {
+/// What a target of the service may hold: one base model, and so many adapters of it.
+pub(crate) fn limits(adapter_slots: usize) -> PlacementLimits {
+    PlacementLimits {
         models: vec![ModelSpec {
             name: "base".into(),
             megabytes: 100.0,
@@ -42,8 +41,14 @@
         megabytes: 200.0,
         adapter_slots,
         loads_per_second: 4.0,
-    };
-    residency.handle(ResidencyEvent::Limits(service(), limits), at(0));
+    }
+}
+
+/// A planner that has just begun, before targets that it has not asked yet.
+pub(crate) fn before_asking(targets: usize, slots: u32, adapter_slots: usize) -> Residency {
+    let mut residency = Residency::new(ResidencyConfig::default(), at(0));
+    let limits = ResidencyEvent::Limits(service(), limits(adapter_slots));
+    residency.handle(limits, at(0));
     for index in 0..targets {
         let facts = TargetFacts {
             started: None,
