Load a base model once for a version that its load does not bring

Cause: outdated by what is named, a target whose load had brought the old version was outdated again at once, and would give its model and adapters up every few seconds for a version that the weight store does not have: 62 times in 36 s. Change: after a load that was accepted the next one for the same version is due 60 s later, or for a newer one at once. A model that is no longer configured is not loaded back. The report of a start that was not known names its models: taken from the start before, a load was ordered that held already.

--- a/crates/chervilshunt_core/src/residency/answers.rs
+++ b/crates/chervilshunt_core/src/residency/answers.rs
@@ -5,6 +5,7 @@
 use chervilshunt_model::{Moment, TargetName};
 
 use super::hold::{Hold, HoldState};
+use super::models::report_models;
 use super::order::{Order, OrderAnswer, OrderNumber, ResidencyAction, TargetReport};
 use super::planner::Residency;
 use super::target::Turn;
@@ -257,6 +258,7 @@
         };
         let facts = TargetFacts {
             started: report.started,
+            models: report_models(report),
             ..target.facts.clone()
         };
         self.target_restarted(facts, now, out);
--- a/crates/chervilshunt_core/src/residency/models.rs
+++ b/crates/chervilshunt_core/src/residency/models.rs
@@ -28,6 +28,10 @@
 /// of them. Targets write at least every 1.2 s, and an entry may be seen most of a second late: one from
 /// before an order would have an updated model given up once more.
 const LISTED_LATE: Duration = Duration::from_millis(2_500);
+/// How soon a base model is loaded once more for a version that its last load did not bring. A version that
+/// the weight store doesn't have would otherwise cost each target its adapters every few seconds; one that
+/// it has a little late comes with the second load.
+const LOAD_AGAIN: Duration = Duration::from_secs(60);
 /// How long an order for a base model counts as keeping its target from serving when targets are taken
 /// out of use. One that never ends, at a target that can't be asked, must not keep others old.
 const COUNTS_FOR: Duration = Duration::from_secs(20);
@@ -43,6 +47,14 @@
     given_at: Moment,
 }
 
+/// A load of a base model that was to bring the newest version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct LoadedFor {
+    weights: Weights,
+    newest: u64,
+    at: Moment,
+}
+
 /// What a target's base models call for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum ModelStep {
@@ -58,7 +70,7 @@
         now: Moment,
         out: &mut Vec<ResidencyAction>,
     ) -> Option<(OrderKind, Weights, Option<u64>)> {
-        let (kind, weights) = match self.model_step(name)? {
+        let (kind, weights) = match self.model_step(name, now)? {
             ModelStep::GiveUp(weights) if self.model_updates.remove(name) => {
                 (OrderKind::Unload, weights)
             }
@@ -79,22 +91,23 @@
         Some((kind, weights, None))
     }
 
-    fn model_step(&self, name: &TargetName) -> Option<ModelStep> {
+    fn model_step(&self, name: &TargetName, now: Moment) -> Option<ModelStep> {
         let target = self.targets.get(name)?;
         if target.model_order.is_some() || !target.takes_work() {
             return None;
         }
-        if let Some(weights) = self.outdated_model(target) {
+        if let Some(weights) = self.outdated_model(target, now) {
             return Some(ModelStep::GiveUp(weights));
         }
-        let given_up = target.reloads.as_ref();
+        let limits = self.limits.get(&target.facts.service)?;
+        let configured = |it: &Weights| limits.models.iter().any(|spec| spec.name == it.model);
+        let given_up = target.reloads.as_ref().filter(|it| configured(it));
         if let Some(weights) = given_up.filter(|it| !target.lists_model(&it.model)) {
             return Some(ModelStep::Load(weights.clone()));
         }
         if !target.facts.models.is_empty() {
             return None;
         }
-        let limits = self.limits.get(&target.facts.service)?;
         let held_at = |model: &str| {
             let targets = self.targets.values();
             targets.filter(|it| it.lists_model(model)).count()
@@ -104,30 +117,47 @@
         Some(ModelStep::Load(Weights::base(&rarest.name)))
     }
 
-    /// Returns a base model of which a target holds an older version than the newest.
-    fn outdated_model(&self, target: &TargetState) -> Option<Weights> {
+    /// Returns a base model of which a target holds an older version than the newest, unless it has just
+    /// been loaded for that.
+    fn outdated_model(&self, target: &TargetState, now: Moment) -> Option<Weights> {
         target.facts.models.iter().find_map(|held| {
             let weights = Weights::base(&held.name);
             let newest = self.newest.get(&weights).copied()?;
-            (newest > held.version).then_some(weights)
+            let loaded = target.loaded_for.as_ref();
+            let loaded = loaded.is_some_and(|it| {
+                it.weights == weights && it.newest >= newest && now.since(it.at) < LOAD_AGAIN
+            });
+            (newest > held.version && !loaded).then_some(weights)
         })
     }
 
     /// Says whether a target holds an older version of a base model than the newest.
-    pub(super) fn has_outdated_model(&self, target: &TargetState) -> bool {
-        self.outdated_model(target).is_some()
+    pub(super) fn has_outdated_model(&self, target: &TargetState, now: Moment) -> bool {
+        self.outdated_model(target, now).is_some()
     }
 
     /// Says whether a target lacks a base model that it is to load.
-    pub(super) fn lacks_model(&self, name: &TargetName) -> bool {
-        matches!(self.model_step(name), Some(ModelStep::Load(_)))
+    pub(super) fn lacks_model(&self, name: &TargetName, now: Moment) -> bool {
+        matches!(self.model_step(name, now), Some(ModelStep::Load(_)))
+    }
+
+    /// Takes note that a target loads a base model. One that has it already loads nothing.
+    fn note_load(&mut self, order: &Order, now: Moment) {
+        let newest = self.newest.get(&order.weights).copied();
+        if let Some(target) = self.targets.get_mut(&order.target) {
+            target.loaded_for = newest.map(|newest| LoadedFor {
+                weights: order.weights.clone(),
+                newest,
+                at: now,
+            });
+        }
     }
 
     /// Chooses the targets that may give an outdated model up: the least used ones, and so many that the
     /// share of its service that is out of use stays within bounds.
     ///
     /// Given up at all targets at once, the model would be nowhere for as long as a stream lasts; one
-    /// after the other, the last of 18 targets is updated after minutes.
+    /// after the other, at 5 s each, the last of 18 targets is updated after a minute and a half.
     pub(super) fn pick_model_updates(&mut self, now: Moment) {
         if now.since(self.model_updates_picked_at) < PICK_EVERY {
             return;
@@ -137,7 +167,7 @@
         let outdated = self.targets.iter();
         let outdated: Vec<_> = outdated
             .filter(|(_, it)| it.touched || it.summary.outdated)
-            .filter(|(_, it)| self.has_outdated_model(it) && it.takes_work())
+            .filter(|(_, it)| self.has_outdated_model(it, now) && it.takes_work())
             .filter(|(_, it)| it.model_order.is_none() && matches!(it.turn, Turn::Free(_)))
             .collect();
         if outdated.is_empty() {
@@ -203,10 +233,13 @@
         now: Moment,
         out: &mut Vec<ResidencyAction>,
     ) {
-        let taken = matches!(answer, OrderAnswer::Accepted | OrderAnswer::Done);
-        if order.kind == OrderKind::Unload && taken {
-            let questions = self.drop_holds(&order.target, out);
-            self.place_elsewhere(&order.target, questions, now, out);
+        match (order.kind, answer) {
+            (OrderKind::Unload, OrderAnswer::Accepted | OrderAnswer::Done) => {
+                let questions = self.drop_holds(&order.target, out);
+                self.place_elsewhere(&order.target, questions, now, out);
+            }
+            (OrderKind::Load, OrderAnswer::Accepted) => self.note_load(order, now),
+            (OrderKind::Load | OrderKind::Unload, _) => {}
         }
     }
 
@@ -271,7 +304,7 @@
 }
 
 /// Returns the base models of a report. Its adapters are held beside them.
-fn report_models(report: &TargetReport) -> Vec<LoadedModel> {
+pub(super) fn report_models(report: &TargetReport) -> Vec<LoadedModel> {
     let models = report.models.iter().map(|(weights, version)| LoadedModel {
         name: Arc::clone(&weights.model),
         version: *version,
--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -171,8 +171,8 @@
             planned: planned.clone().count(),
             planned_fetches: planned.filter(|hold| hold.from_store).count(),
             fetching: target.fetching(),
-            outdated: self.has_outdated_model(target),
-            depends_on_others: self.lacks_model(name)
+            outdated: self.has_outdated_model(target, now),
+            depends_on_others: self.lacks_model(name, now)
                 || target.holds.values().any(|hold| hold.outdated),
         };
         if let Some(target) = self.targets.get_mut(name) {
--- a/crates/chervilshunt_core/src/residency/target.rs
+++ b/crates/chervilshunt_core/src/residency/target.rs
@@ -10,7 +10,7 @@
 use super::grants::Grant;
 use super::hold::{Hold, HoldState};
 use super::memory::Remembered;
-use super::models::ModelOrder;
+use super::models::{LoadedFor, ModelOrder};
 use super::order::Order;
 use super::restart::LostLoads;
 use crate::dispatch::{TargetFacts, Weights};
@@ -41,6 +41,8 @@
     pub(crate) model_order: Option<ModelOrder>,
     /// The base model that it was last ordered to give up or load, and is to hold.
     pub(crate) reloads: Option<Weights>,
+    /// The version for which a base model was last loaded here, and when.
+    pub(crate) loaded_for: Option<LoadedFor>,
     /// Until when its base models are those that it reported, whatever the platform lists.
     pub(crate) models_reported_until: Moment,
     /// What instances have under way here, by weights.
@@ -97,6 +99,7 @@
             remembered: Remembered::default(),
             model_order: None,
             reloads: None,
+            loaded_for: None,
             models_reported_until: Moment::ZERO,
             uses: HashMap::new(),
             plain_uses: Vec::new(),
