--- a/crates/chervilshunt_core/src/residency/answers.rs
+++ b/crates/chervilshunt_core/src/residency/answers.rs
@@ -55,10 +55,10 @@
                 target.lost.note(&order, now);
             }
         }
+        if order.weights.adapter.is_none() {
+            return self.model_order_answered(&order, answer, now, out);
+        }
         match order.kind {
-            _ if order.weights.adapter.is_none() => {
-                self.model_order_answered(&order, answer, now, out);
-            }
             OrderKind::Load => self.load_answered(&order, answer, now, out),
             OrderKind::Unload => self.unload_answered(&order, answer),
         }
--- a/crates/chervilshunt_core/src/residency/models.rs
+++ b/crates/chervilshunt_core/src/residency/models.rs
@@ -239,7 +239,15 @@
                 self.place_elsewhere(&order.target, questions, now, out);
             }
             (OrderKind::Load, OrderAnswer::Accepted) => self.note_load(order, now),
-            (OrderKind::Load | OrderKind::Unload, _) => {}
+            (OrderKind::Load, OrderAnswer::Done)
+            | (
+                OrderKind::Load | OrderKind::Unload,
+                OrderAnswer::OutOfTurn
+                | OrderAnswer::OtherTarget
+                | OrderAnswer::Refused
+                | OrderAnswer::NotSent
+                | OrderAnswer::Unanswered,
+            ) => {}
         }
     }
 
--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -274,11 +274,9 @@
         }
         match self.targets.get_mut(&facts.name) {
             Some(target) => {
-                let reported = now < target.models_reported_until;
-                let models = reported.then(|| std::mem::take(&mut target.facts.models));
-                target.facts = facts;
-                if let Some(models) = models {
-                    target.facts.models = models;
+                let known = std::mem::replace(&mut target.facts, facts);
+                if now < target.models_reported_until {
+                    target.facts.models = known.models;
                 }
                 target.touched = true;
             }
