Compare an entry's models once without copies, look versions up for base models alone, and set up planners in one place

Each entry's models were copied for two comparisons, and each request looked the named versions up at each target, which only those for a base model need.

--- a/crates/chervilshunt_core/src/dispatch/facts.rs
+++ b/crates/chervilshunt_core/src/dispatch/facts.rs
@@ -128,6 +128,13 @@
             .collect()
     }
 
+    /// Says whether another entry of the target lists the same base models in the same versions.
+    pub fn lists_same_models(&self, other: &Self) -> bool {
+        let versions = |it: &LoadedModel| (Arc::clone(&it.name), it.version);
+        let (here, there) = (self.models.iter(), other.models.iter());
+        here.map(versions).eq(there.map(versions))
+    }
+
     /// Says whether a newer entry of the target tells something that every instance has to know
     /// at once: all but the adapters that it holds, which the placer tells.
     pub fn concerns_all(&self, newer: &Self) -> bool {
@@ -137,7 +144,7 @@
             || self.zone != newer.zone
             || self.slots != newer.slots
             || self.leaving.is_some() != newer.leaving.is_some()
-            || self.model_versions() != newer.model_versions()
+            || !self.lists_same_models(newer)
     }
 }
 
--- a/crates/chervilshunt_core/src/residency/choice.rs
+++ b/crates/chervilshunt_core/src/residency/choice.rs
@@ -187,9 +187,12 @@
         let Some(held) = target.facts.version_of(&weights.model) else {
             return false;
         };
+        if weights.adapter.is_some() {
+            return true;
+        }
         let named = self.base_versions.get(&weights.model);
         let oldest = named.and_then(|it| it.oldest_allowed(self.cfg.old_version_grace, now));
-        weights.adapter.is_some() || oldest.is_none_or(|oldest| held >= oldest)
+        oldest.is_none_or(|oldest| held >= oldest)
     }
 }
 
--- a/crates/chervilshunt_core/tests/base_versions.rs
+++ b/crates/chervilshunt_core/tests/base_versions.rs
@@ -20,6 +20,21 @@
 /// The operators want no request to begin on an older version later than this after its naming.
 const VERSION_BOUND_MS: u64 = 5_000;
 
+/// Plays an update while an adapter is asked for, and checks that all targets end with the newest version,
+/// a quarter of them out of use at a time at the most.
+fn updated(fates: &[Fate]) -> Replay {
+    let mut replay = Replay::new();
+    replay.fates = fates.to_vec();
+    replay.run_until(UPDATED_BY_MS, ASKS_EVERY_MS, &adapter("a1"));
+    assert_eq!(replay.versions(), vec![Some(SECOND); TARGETS]);
+    assert!(
+        replay.most_away <= TARGETS.div_ceil(4),
+        "{}",
+        replay.most_away
+    );
+    replay
+}
+
 /// Callers of all models are refused for as long as the process runs, 2.5 s after it has started, with
 /// all targets there. A newer version of the base model has been named that no target has loaded; the
 /// instance, which hears no placer and chooses by itself, took every target for unfit, whatever adapter
@@ -55,14 +70,7 @@
 /// model, both `Done`, and after them none until the next placer.
 #[test]
 fn all_targets_come_to_hold_the_newest_version() {
-    let mut replay = Replay::new();
-    replay.run_until(UPDATED_BY_MS, ASKS_EVERY_MS, &adapter("a1"));
-    assert_eq!(replay.versions(), vec![Some(SECOND); TARGETS]);
-    assert!(
-        replay.most_away <= TARGETS.div_ceil(4),
-        "{}",
-        replay.most_away
-    );
+    let replay = updated(&[]);
     assert!(replay.refused.is_empty(), "{:?}", replay.refused);
 }
 
@@ -93,15 +101,7 @@
 #[case::loading_comes_late(&[Fate::Answered, Fate::Answered, Fate::Late, Fate::Late])]
 #[case::all_of_it(&[Fate::Lost, Fate::Late, Fate::AnswerLost, Fate::Lost, Fate::Late, Fate::AnswerLost])]
 fn lost_answers_keep_no_target_from_its_newest_version(#[case] fates: &[Fate]) {
-    let mut replay = Replay::new();
-    replay.fates = fates.to_vec();
-    replay.run_until(UPDATED_BY_MS, ASKS_EVERY_MS, &adapter("a1"));
-    assert_eq!(replay.versions(), vec![Some(SECOND); TARGETS]);
-    assert!(
-        replay.most_away <= TARGETS.div_ceil(4),
-        "{}",
-        replay.most_away
-    );
+    updated(fates);
 }
 
 /// Adapters are loaded over and over for nothing. A version is named that the weight store does not have,
--- a/crates/chervilshunt_core/tests/dispatch.rs
+++ b/crates/chervilshunt_core/tests/dispatch.rs
@@ -158,8 +158,8 @@
     assert_eq!(chosen(choose(&dispatch, None, &[], 10)), to("t1"));
 }
 
-#[test]
-fn a_full_target_is_not_chosen() {
+/// One target, which says that it has as many requests as it is given.
+fn before_a_full_target() -> Dispatch {
     let mut dispatch = dispatch([facts("t1", "here", &[])]);
     let report = LoadReport {
         running: 4,
@@ -167,6 +167,12 @@
         slots: 4,
     };
     dispatch.reported(&TargetName::from("t1"), report, at(0));
+    dispatch
+}
+
+#[test]
+fn a_full_target_is_not_chosen() {
+    let dispatch = before_a_full_target();
     assert_eq!(chosen(choose(&dispatch, None, &[], 0)), Err(Wait::Full));
 }
 
@@ -176,13 +182,7 @@
 /// which it sent 6, to three targets that work on 18 at a time for 60 ms each.
 #[test]
 fn a_target_that_was_full_is_asked_again_though_nothing_is_heard_of_it() {
-    let mut dispatch = dispatch([facts("t1", "here", &[])]);
-    let report = LoadReport {
-        running: 4,
-        waiting: 2,
-        slots: 4,
-    };
-    dispatch.reported(&TargetName::from("t1"), report, at(0));
+    let mut dispatch = before_a_full_target();
     assert_eq!(chosen(choose(&dispatch, None, &[], 100)), Err(Wait::Full));
     assert_eq!(chosen(choose(&dispatch, None, &[], 1_000)), to("t1"));
     // What this instance itself has under way there counts however long ago it was told.
--- a/crates/chervilshunt_core/tests/residency_machine.rs
+++ b/crates/chervilshunt_core/tests/residency_machine.rs
@@ -3,6 +3,8 @@
 //! Each random run plays targets by their published behaviour (`support/real_target.rs`), before a
 //! platform that lists them, and instances that tell what they have under way.
 
+#[path = "support/placing.rs"]
+mod placing;
 #[path = "support/real_target.rs"]
 mod real_target;
 
@@ -10,11 +12,12 @@
 use std::time::Duration;
 
 use chervilshunt_core::{
-    GrantNumber, GrantProgress, Lane, LoadedModel, ModelSpec, Order, OrderAnswer, OrderKind,
-    OrderNumber, Placed, PlacementLimits, Residency, ResidencyAction, ResidencyConfig,
-    ResidencyEvent, TargetFacts, TargetStart, Use, Want, Weights,
+    GrantNumber, GrantProgress, Lane, LoadedModel, Order, OrderAnswer, OrderKind, OrderNumber,
+    Placed, Residency, ResidencyAction, ResidencyConfig, ResidencyEvent, TargetFacts, TargetStart,
+    Use, Want, Weights,
 };
-use chervilshunt_model::{InstanceId, Moment, ServiceName, TargetName, ZoneName};
+use chervilshunt_model::{InstanceId, Moment, TargetName, ZoneName};
+use placing::{limits, service};
 use proptest::prelude::*;
 use real_target::{RealTarget, SLOTS, weights_of};
 
@@ -110,17 +113,7 @@
             wants: BTreeMap::new(),
             granted: BTreeMap::new(),
         };
-        let limits = PlacementLimits {
-            models: vec![ModelSpec {
-                name: "base".into(),
-                megabytes: 100.0,
-                load_time: Duration::from_millis(600),
-                adapter_megabytes: 1.0,
-            }],
-            megabytes: 200.0,
-            adapter_slots: SLOTS,
-            loads_per_second: 4.0,
-        };
+        let limits = limits(SLOTS);
         world.event(ResidencyEvent::Limits(service(), limits));
         for target in 0..TARGETS {
             world.appear(target);
@@ -454,10 +447,6 @@
     }
 }
 
-fn service() -> ServiceName {
-    ServiceName::from("drafts")
-}
-
 proptest! {
     #![proptest_config(ProptestConfig { cases: 400, ..ProptestConfig::default() })]
 
--- a/crates/chervilshunt_gateway/src/control/targets.rs
+++ b/crates/chervilshunt_gateway/src/control/targets.rs
@@ -216,11 +216,15 @@
                 "target" => facts.name.as_str(), "service" => facts.service.as_str(),
                 "address" => facts.address.to_string(), "leaving" => facts.leaving.is_some());
         }
-        let models_before = before.map(TargetFacts::model_versions).unwrap_or_default();
-        let models = facts.model_versions();
-        if models != models_before {
+        let same_models = match before {
+            Some(before) => before.lists_same_models(&facts),
+            None => facts.models.is_empty(),
+        };
+        if !same_models {
+            let models_before = before.map(TargetFacts::model_versions).unwrap_or_default();
             slog::info!(self.shared.log, "target models";
-                "target" => facts.name.as_str(), "models" => ?models, "before" => ?models_before);
+                "target" => facts.name.as_str(), "models" => ?facts.model_versions(),
+                "before" => ?models_before);
         }
         if news == TargetNews::Restarted {
             slog::info!(self.shared.log, "target started again";
