Tell all instances whether the placer places, and what targets hold only when its term ends

Cause: a new placer told each instance all holds of all targets (47 kB for 117 targets, again each 0.4 s until it had arrived), and each report of a target to everybody beside.

So they are no longer told: a placer that ends its term tells what targets hold and do once, in 135 bytes a target, over a tree of two levels; after a sudden loss the platform's list tells it. An instance is guided as soon as the placer knows its targets. The version that a target holds comes with the answer to a request.

--- a/crates/chervilshunt_core/src/dispatch/holders.rs
+++ b/crates/chervilshunt_core/src/dispatch/holders.rs
@@ -1,6 +1,7 @@
 //! Which target holds which adapter, as one instance knows it.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use chervilshunt_model::{Moment, TargetName};
@@ -8,23 +9,47 @@
 
 use super::facts::{TargetStart, Weights};
 
-/// A target's hold on an adapter, as the placer tells it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// A target's hold on an adapter, as the placer knows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Holding {
     /// The target.
-    #[serde(rename = "t")]
     pub target: TargetName,
     /// When the target started that holds it; none if it doesn't say so.
-    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
     pub started: Option<TargetStart>,
     /// The adapter.
-    #[serde(rename = "w")]
     pub weights: Weights,
     /// The version that it holds; none once it no longer does, or is about to stop.
-    #[serde(rename = "v")]
     pub version: Option<u64>,
 }
 
+/// All that the placer knows of what one target holds and does, in few bytes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetPicture {
+    /// The target.
+    #[serde(rename = "t")]
+    pub target: TargetName,
+    /// When the target started that the rest is about; none if it doesn't say so.
+    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+    pub started: Option<TargetStart>,
+    /// Requests under way there.
+    #[serde(rename = "n")]
+    pub in_flight: u32,
+    /// The adapters that requests can use, by base model.
+    #[serde(rename = "m")]
+    pub models: Vec<HeldAdapters>,
+}
+
+/// The adapters of one base model that requests can use at a target.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldAdapters {
+    /// The base model.
+    #[serde(rename = "n")]
+    pub model: Arc<str>,
+    /// The adapters' names with the versions that are held.
+    #[serde(rename = "a")]
+    pub adapters: Vec<(Arc<str>, u64)>,
+}
+
 /// The versions of some weights that have been named, and since when each is known.
 ///
 /// One may be named before the last one is everywhere. Each is counted from its own naming: counted
@@ -89,11 +114,6 @@
         });
     }
 
-    /// Forgets everything.
-    pub(crate) fn clear(&mut self) {
-        self.by_weights.clear();
-    }
-
     /// Returns the targets that hold an adapter, with the versions that they hold.
     pub(crate) fn of(&self, weights: &Weights) -> &[(TargetName, u64)] {
         self.by_weights.get(weights).map_or(&[], Vec::as_slice)
--- a/crates/chervilshunt_core/src/dispatch/load.rs
+++ b/crates/chervilshunt_core/src/dispatch/load.rs
@@ -54,9 +54,9 @@
         self.reported_at = now;
     }
 
-    /// Takes in what other instances have under way, as they tell.
-    pub(crate) fn told(&mut self, others: u32, now: Moment) {
-        self.others = f64::from(others);
+    /// Takes in how many requests all instances together have under way.
+    pub(crate) fn told(&mut self, total: u32, now: Moment) {
+        self.others = f64::from(total.saturating_sub(self.own));
         self.reported_at = now;
     }
 
--- a/crates/chervilshunt_core/src/dispatch/mod.rs
+++ b/crates/chervilshunt_core/src/dispatch/mod.rs
@@ -25,8 +25,8 @@
 };
 pub use guide::{Guide, Pace};
 pub use health::{HealthConfig, Sign};
-pub use holders::Holding;
 pub(crate) use holders::NamedVersions;
+pub use holders::{HeldAdapters, Holding, TargetPicture};
 pub use lanes::{Lane, long_prompt_targets};
 pub use routes::{CallerBounds, Repeat, Route, RouteTable, ServiceSpec};
 pub use state::{Dispatch, TargetNews};
--- a/crates/chervilshunt_core/src/dispatch/state.rs
+++ b/crates/chervilshunt_core/src/dispatch/state.rs
@@ -10,14 +10,16 @@
 use super::choose::DispatchConfig;
 use super::facts::{LoadReport, TargetFacts, TargetStart, Weights};
 use super::health::{Sign, TargetHealth};
-use super::holders::{Holders, Holding, NamedVersions};
+use super::holders::{HeldAdapters, Holders, Holding, NamedVersions, TargetPicture};
 use super::load::TargetLoad;
 use super::uses::UseTable;
 use crate::residency::Use;
 
-/// How long what the placer told counts for more than what targets list of themselves. It tells
-/// something at least each second; a target's own list is up to a heartbeat and a half behind.
+/// The silence after which nobody counts on a placer any more.
 const PLACER_SILENCE: Duration = Duration::from_secs(3);
+/// How long what a placer told of all targets counts for more than what they list of themselves, which
+/// is up to a heartbeat and a half behind.
+const PICTURE_TRUST: Duration = Duration::from_secs(3);
 
 /// The silence after which a placer is no longer asked about each request: three of the intervals at
 /// which it tells something.
@@ -59,8 +61,10 @@
     /// The last start of each target that is gone, the latest at the end.
     gone: IndexMap<TargetName, TargetStart>,
     placer_heard: Option<Moment>,
-    /// Whether the placer has told all that it knows, and nothing speaks against it since.
-    introduced: bool,
+    /// Whether the placer has told that it places, and nothing speaks against it since.
+    is_placing: bool,
+    /// When a placer whose lease ended told what all targets hold.
+    pictured_at: Option<Moment>,
 }
 
 impl Dispatch {
@@ -75,7 +79,8 @@
             uses: UseTable::default(),
             gone: IndexMap::new(),
             placer_heard: None,
-            introduced: false,
+            is_placing: false,
+            pictured_at: None,
         }
     }
 
@@ -96,7 +101,8 @@
             (Ordering::Equal, Some(_)) => TargetNews::Known,
             (Ordering::Equal | Ordering::Greater, None) => TargetNews::New,
         };
-        if !self.is_placer_heard(now) {
+        let pictured = self.pictured_at.map(|at| now.since(at));
+        if pictured.is_none_or(|age| age >= PICTURE_TRUST) {
             self.take_listed_adapters(&facts);
         }
         match self.targets.get_mut(&facts.name) {
@@ -143,24 +149,45 @@
         targets.filter(|it| it.facts.service == *service).count()
     }
 
-    /// Takes in everything that the placer knows of who holds what.
-    pub fn holdings_whole(&mut self, holdings: Vec<Holding>, now: Moment) {
-        self.holders.clear();
-        self.placer_heard = Some(now);
-        self.introduced = true;
-        for holding in holdings {
-            self.take_holding(holding);
+    /// Takes in everything that a placer knew of the targets when its lease ended.
+    ///
+    /// Nobody orders targets from then until there is another placer, so that this is what they hold.
+    pub fn pictured(&mut self, pictures: Vec<TargetPicture>, now: Moment) {
+        self.pictured_at = Some(now);
+        for picture in pictures {
+            self.take_picture(picture, now);
         }
     }
 
-    /// Takes in what the placer tells of one hold.
-    pub fn holding_changed(&mut self, holding: Holding, now: Moment) {
-        self.placer_heard = Some(now);
-        self.take_holding(holding);
+    fn take_picture(&mut self, picture: TargetPicture, now: Moment) {
+        let TargetPicture {
+            target,
+            started,
+            in_flight,
+            models,
+        } = picture;
+        let Some(known) = self.targets.get_mut(&target) else {
+            return;
+        };
+        if TargetStart::compare(started, known.facts.started) == Ordering::Less {
+            return;
+        }
+        known.load.told(in_flight, now);
+        self.holders.forget_target(&target);
+        for HeldAdapters { model, adapters } in models {
+            for (adapter, version) in adapters {
+                self.holders.set(Holding {
+                    target: target.clone(),
+                    started,
+                    weights: Weights::adapter(&model, &adapter),
+                    version: Some(version),
+                });
+            }
+        }
     }
 
-    /// Takes in a hold, unless it is one of an earlier start of its target.
-    fn take_holding(&mut self, holding: Holding) {
+    /// Takes in one hold, unless it is one of an earlier start of its target.
+    pub fn holding_changed(&mut self, holding: Holding) {
         let known = self.started(&holding.target);
         if TargetStart::compare(holding.started, known) != Ordering::Less {
             self.holders.set(holding);
@@ -172,16 +199,23 @@
         self.placer_heard = Some(now);
     }
 
-    /// Takes note that the placer does not answer: until it tells everything anew, requests use what is
+    /// Takes in whether the placer places: until it knows what targets hold, an instance is better off
+    /// with what it knows itself.
+    pub fn placer_told(&mut self, is_placing: bool, now: Moment) {
+        self.placer_heard = Some(now);
+        self.is_placing = is_placing;
+    }
+
+    /// Takes note that the placer does not answer: until it tells that it places, requests use what is
     /// known of who holds what.
     pub fn placer_lost(&mut self) {
-        self.introduced = false;
+        self.is_placing = false;
     }
 
     /// Says whether the placer chooses targets: it knows what all instances have under way, and which
     /// adapters are about to go. Otherwise an instance chooses by itself.
     pub fn is_guided(&self, now: Moment) -> bool {
-        self.introduced && self.heard_within(GUIDED_SILENCE, now)
+        self.is_placing && self.heard_within(GUIDED_SILENCE, now)
     }
 
     /// Says whether the placer has been heard within a time.
@@ -276,13 +310,6 @@
         }
     }
 
-    /// Takes in how many requests other instances have under way at a target.
-    pub fn told_load(&mut self, target: &TargetName, others: u32, now: Moment) {
-        if let Some(target) = self.targets.get_mut(target) {
-            target.load.told(others, now);
-        }
-    }
-
     /// Takes in what an exchange showed of a target.
     pub fn sign(&mut self, target: &TargetName, sign: Sign, now: Moment) {
         if let Some(target) = self.targets.get_mut(target) {
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -23,10 +23,11 @@
 pub use bugs::Bug;
 pub use decision::{Decision, DecisionKind, Waited};
 pub use dispatch::{
-    Ask, CallerBounds, Choice, Dispatch, DispatchConfig, Guide, HealthConfig, Holding, Lane,
-    Leaving, LoadReport, LoadedAdapter, LoadedModel, ModelSpec, Pace, PlacementLimits, Repeat,
-    RequestSize, Route, RouteTable, ServiceBudgets, ServiceSpec, Sign, TargetFacts, TargetNews,
-    TargetStart, Wait, Weights, WindowBudget, WindowBudgetConfig, long_prompt_targets,
+    Ask, CallerBounds, Choice, Dispatch, DispatchConfig, Guide, HealthConfig, HeldAdapters,
+    Holding, Lane, Leaving, LoadReport, LoadedAdapter, LoadedModel, ModelSpec, Pace,
+    PlacementLimits, Repeat, RequestSize, Route, RouteTable, ServiceBudgets, ServiceSpec, Sign,
+    TargetFacts, TargetNews, TargetPicture, TargetStart, Wait, Weights, WindowBudget,
+    WindowBudgetConfig, long_prompt_targets,
 };
 pub use mechanisms::Mechanisms;
 pub use owner::{
--- a/crates/chervilshunt_core/src/residency/grants.rs
+++ b/crates/chervilshunt_core/src/residency/grants.rs
@@ -77,15 +77,6 @@
         self.open.retain(|_, grant| grant.target != *target);
     }
 
-    /// Returns an instance's granted requests under way by target.
-    pub(super) fn counts_of(&self, holder: &InstanceId) -> HashMap<&TargetName, u32> {
-        let mut counts: HashMap<&TargetName, u32> = HashMap::new();
-        for (_, grant) in self.of(holder) {
-            *counts.entry(&grant.target).or_default() += 1;
-        }
-        counts
-    }
-
     fn of(&self, holder: &InstanceId) -> impl Iterator<Item = (GrantNumber, &Grant)> {
         let open = self.open.iter().filter(move |(_, it)| it.holder == *holder);
         open.map(|(number, grant)| (*number, grant))
--- a/crates/chervilshunt_core/src/residency/order.rs
+++ b/crates/chervilshunt_core/src/residency/order.rs
@@ -88,7 +88,11 @@
     /// end is told; the grant for that bears the number of the question.
     At {
         /// The target.
+        #[serde(rename = "t")]
         target: TargetName,
+        /// The version of the adapter that it holds; none where the base model is wanted.
+        #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+        version: Option<u64>,
     },
     /// No target can take it now.
     Later {
--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -18,7 +18,9 @@
 use super::target::{Summary, TargetState, Turn};
 use super::wants::Asked;
 use super::window::LoadWindow;
-use crate::dispatch::{Holding, NamedVersions, PlacementLimits, TargetFacts, TargetStart, Weights};
+use crate::dispatch::{
+    NamedVersions, PlacementLimits, TargetFacts, TargetPicture, TargetStart, Weights,
+};
 
 /// Decides which target holds which weights. `handle` takes an event and gives back what to do.
 #[derive(Debug)]
@@ -47,8 +49,6 @@
     pub(super) admitted: HashSet<(TargetName, Weights)>,
     /// What each instance last told that it has under way.
     pub(super) uses: HashMap<InstanceId, Vec<Use>>,
-    /// The targets at which each instance was told that others have something under way.
-    told: HashMap<InstanceId, HashSet<TargetName>>,
     next_order: u64,
     /// When the first targets are asked what they hold.
     asks_from: Moment,
@@ -80,7 +80,6 @@
             lost_of_gone: HashMap::new(),
             admitted: HashSet::new(),
             uses: HashMap::new(),
-            told: HashMap::new(),
             next_order: 0,
         }
     }
@@ -187,47 +186,16 @@
         self.targets.values().all(|target| target.was_asked)
     }
 
-    /// Returns all that requests can use, for an instance that knows nothing yet.
-    pub fn holdings(&self) -> Vec<Holding> {
-        let mut all = Vec::new();
-        for (name, target) in &self.targets {
-            let serving = target.holds.iter().filter(|(_, hold)| hold.serves());
-            all.extend(serving.map(|(weights, hold)| Holding {
-                target: name.clone(),
-                started: target.facts.started,
-                weights: weights.clone(),
-                version: Some(hold.version),
-            }));
-        }
-        all
-    }
-
-    /// Returns the requests that instances other than `from` have under way, at each target where
-    /// they have any, and at those of which the instance was told so the last time.
-    ///
-    /// `first` tells of all targets, to an instance that may not have had the last telling. Told of all
-    /// each time, 300 instances before 3,000 targets took 19 MB a second from the placer.
-    pub fn load_beside(&mut self, from: &InstanceId, first: bool) -> Vec<(TargetName, u32)> {
-        let told = self.told.entry(from.clone()).or_default();
-        let mut own: HashMap<&TargetName, u32> = HashMap::new();
-        for it in self.uses.get(from).into_iter().flatten() {
-            *own.entry(&it.target).or_default() += it.in_flight;
-        }
-        for (target, granted) in self.grants.counts_of(from) {
-            *own.entry(target).or_default() += granted;
-        }
-        let others = self.targets.iter().map(|(name, target)| {
-            let own = own.get(name).copied().unwrap_or(0);
-            (name, target.in_flight().saturating_sub(own))
+    /// Returns all that requests can use, for instances that have to choose by themselves.
+    pub fn pictures(&self) -> Vec<TargetPicture> {
+        let targets = self.targets.iter();
+        let pictures = targets.map(|(name, target)| TargetPicture {
+            target: name.clone(),
+            started: target.facts.started,
+            in_flight: target.in_flight(),
+            models: target.serving_adapters(),
         });
-        let news = others.filter(|(name, count)| first || *count > 0 || told.contains(*name));
-        let news: Vec<(TargetName, u32)> = news.map(|(name, n)| (name.clone(), n)).collect();
-        *told = news
-            .iter()
-            .filter(|(_, count)| *count > 0)
-            .map(|(name, _)| name.clone())
-            .collect();
-        news
+        pictures.collect()
     }
 
     fn target_wakeup(&self, target: &TargetState, now: Moment) -> Option<Moment> {
@@ -302,7 +270,6 @@
         self.holder_gone(from, now);
         self.used(from, Vec::new(), &[], now);
         self.uses.remove(from);
-        self.told.remove(from);
     }
 
     fn used(&mut self, from: &InstanceId, uses: Vec<Use>, grants: &[GrantNumber], now: Moment) {
--- a/crates/chervilshunt_core/src/residency/target.rs
+++ b/crates/chervilshunt_core/src/residency/target.rs
@@ -1,6 +1,7 @@
 //! One target as the placer sees it.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use chervilshunt_model::{InstanceId, Moment};
@@ -13,7 +14,7 @@
 use super::models::{LoadedFor, ModelOrder};
 use super::order::Order;
 use super::restart::LostLoads;
-use crate::dispatch::{TargetFacts, Weights};
+use crate::dispatch::{HeldAdapters, TargetFacts, Weights};
 
 /// What is known of the orders that a target has accepted.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -125,6 +126,21 @@
         self.facts.version_of(model).is_some()
     }
 
+    /// Returns the adapters that requests can use, by base model.
+    pub(crate) fn serving_adapters(&self) -> Vec<HeldAdapters> {
+        let mut by_model: IndexMap<Arc<str>, Vec<(Arc<str>, u64)>> = IndexMap::new();
+        for (weights, hold) in self.holds.iter().filter(|(_, hold)| hold.serves()) {
+            if let Some(adapter) = &weights.adapter {
+                let adapters = by_model.entry(Arc::clone(&weights.model)).or_default();
+                adapters.push((Arc::clone(adapter), hold.version));
+            }
+        }
+        let by_model = by_model.into_iter();
+        by_model
+            .map(|(model, adapters)| HeldAdapters { model, adapters })
+            .collect()
+    }
+
     /// Returns the adapters that are being loaded.
     pub(crate) fn loading(&self) -> usize {
         let loading = |hold: &&Hold| hold.is_coming() && hold.state != HoldState::Planned;
--- a/crates/chervilshunt_core/src/residency/wants.rs
+++ b/crates/chervilshunt_core/src/residency/wants.rs
@@ -117,9 +117,14 @@
     ) {
         let number = GrantNumber(question);
         let Asked { from, want, .. } = asked;
+        let holds = self.targets.get(target).map(|it| &it.holds);
+        let version = holds
+            .and_then(|it| it.get(&want.weights))
+            .map(|it| it.version);
         self.grant(number, from, target, want.weights, want.prompt_tokens, now);
         let placed = Placed::At {
             target: target.clone(),
+            version,
         };
         out.push(ResidencyAction::Answer(question, placed));
     }
--- a/crates/chervilshunt_gateway/src/control/actor.rs
+++ b/crates/chervilshunt_gateway/src/control/actor.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use chervilshunt_coord::{SoleAction, SoleConfig, SoleEvent, SoleKeeper};
-use chervilshunt_core::{Holding, Residency, ResidencyEvent, Weights};
+use chervilshunt_core::{Residency, ResidencyEvent, Weights};
 use chervilshunt_mesh::{Inbound, Reply};
 use chervilshunt_model::{InstanceId, Moment};
 use chervilshunt_platform::Exchange;
@@ -15,7 +15,6 @@
 use super::pace::Paces;
 use super::presence::Presence;
 use super::targets::Absences;
-use super::using::Uses;
 use crate::peers::{LeaseAnswer, LeaseCall, PeerMessage};
 use crate::settings::Settings;
 use crate::shared::Shared;
@@ -64,12 +63,8 @@
     pub(super) entries_seen_at: Option<Moment>,
     /// The platform's revision at their last change that concerns every instance.
     pub(super) entries_changed_at: u64,
-    pub(super) uses: Uses,
     /// The newest version of each of the weights that the platform names.
     pub(super) versions: HashMap<Weights, u64>,
-    /// What all instances are to be told next, and when.
-    pub(super) gathered: Vec<Holding>,
-    pub(super) tell_gathered_at: Option<Moment>,
     /// When the next wake-up comes, so that there is one timer and not one for each message.
     wakes_at: Option<Moment>,
 }
@@ -101,10 +96,7 @@
             reaches_platform: false,
             entries_seen_at: None,
             entries_changed_at: 0,
-            uses: Uses::default(),
             versions: HashMap::new(),
-            gathered: Vec::new(),
-            tell_gathered_at: None,
             wakes_at: None,
             shared,
         }
@@ -150,7 +142,6 @@
         {
             self.plan(ResidencyEvent::Tick);
         }
-        self.send_gathered(now);
         self.paces.steer(self.placer.is_some(), now);
         self.arrange_wakeup(now);
     }
@@ -162,7 +153,6 @@
             placer.and_then(|it| it.residency.next_wakeup()),
             self.absences.next_wakeup(),
             self.paces.next_wakeup(now),
-            self.tell_gathered_at,
         ];
         let Some(next) = next.into_iter().flatten().min() else {
             return;
--- a/crates/chervilshunt_gateway/src/control/follow.rs
+++ b/crates/chervilshunt_gateway/src/control/follow.rs
@@ -135,8 +135,8 @@
         let mut looked_at = Instant::now();
         let mut pause = FIRST_PAUSE;
         loop {
-            let pace = self.next_turn().await;
-            if pace == FollowPace::Guided(Pace::Look) && looked_at.elapsed() > LIST_AFTER {
+            let (pace, rested) = self.next_turn().await;
+            if rested && looked_at.elapsed() > LIST_AFTER {
                 from = None;
             }
             looked_at = Instant::now();
@@ -172,16 +172,19 @@
         }
     }
 
-    /// Waits until it is this follower's turn to call, and returns how fast it goes.
-    async fn next_turn(&mut self) -> FollowPace {
+    /// Waits until it is this follower's turn to call, and returns how fast it goes and whether it had
+    /// to wait for that.
+    async fn next_turn(&mut self) -> (FollowPace, bool) {
+        let alone = FollowPace::Guided(Pace::Alone);
         let Some(pace) = &mut self.pace else {
-            return FollowPace::Guided(Pace::Alone);
+            return (alone, false);
         };
         let rests = |pace: &FollowPace| *pace == FollowPace::Guided(Pace::Rest);
+        let rested = rests(&pace.borrow());
         match pace.wait_for(|pace| !rests(pace)).await {
-            Ok(pace) => *pace,
+            Ok(pace) => (*pace, rested),
             // The control state has ended, and this runtime with it.
-            Err(_) => FollowPace::Guided(Pace::Alone),
+            Err(_) => (alone, rested),
         }
     }
 
--- a/crates/chervilshunt_gateway/src/control/mod.rs
+++ b/crates/chervilshunt_gateway/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod lease;
 mod messages;
 mod pace;
+mod pictures;
 mod placing;
 mod presence;
 mod targets;
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use chervilshunt_core::{
-    GrantNumber, Holding, Order, OrderAnswer, Placed, Residency, ResidencyAction, ResidencyConfig,
+    GrantNumber, Order, OrderAnswer, Placed, Residency, ResidencyAction, ResidencyConfig,
     ResidencyEvent, TargetReport, Use,
 };
 use chervilshunt_engine::{EngineError, Limits, Outcome};
@@ -26,13 +26,6 @@
     head: Duration::from_millis(250),
     idle: Duration::from_millis(250),
 };
-/// How long changes of what is held are gathered for each instance that is told of them, so that the
-/// placer sends at most 500 such messages a second. Told of each change at once, 88 instances took
-/// some 5,000 messages a second, and the placer's other answers were late.
-const GATHER_AN_INSTANCE: Duration = Duration::from_millis(2);
-/// The longest gathering. An instance that chooses by itself may send to an adapter that is going for that
-/// much longer; the target refuses it truly.
-const LONGEST_GATHERING: Duration = Duration::from_millis(200);
 /// Questions are numbered from a placer's term on, in the upper half: they name grants, which instances
 /// may still tell of when there is another placer.
 const TERM_SHIFT: u32 = 32;
@@ -63,12 +56,13 @@
         self.shared.dispatch().placer_heard(now);
     }
 
-    /// Stops placing. Questions that wait end unanswered, and callers are told to come back.
+    /// Stops placing. Questions that wait end unanswered, and the other instances, which choose by
+    /// themselves from now on, are told what targets hold.
     pub(super) fn cease_placing(&mut self) {
         slog::info!(self.shared.log, "placing ends");
-        self.placer = None;
-        self.gathered.clear();
-        self.tell_gathered_at = None;
+        if let Some(placer) = self.placer.take() {
+            self.tell_pictures(&placer);
+        }
     }
 
     /// Gives the planner an event, if this instance is the placer.
@@ -86,7 +80,7 @@
         match action {
             ResidencyAction::Order(order) => self.give_order(order, now),
             ResidencyAction::Ask(target) => self.ask(target),
-            ResidencyAction::Tell(holding) => self.gathered.push(holding),
+            ResidencyAction::Tell(holding) => self.shared.dispatch().holding_changed(holding),
             ResidencyAction::Answer(question, placed) => self.answer(question, placed),
         }
     }
@@ -158,7 +152,6 @@
         &mut self,
         from: &InstanceId,
         sign: SignOfLife,
-        first: bool,
         (uses, grants): (Vec<Use>, Vec<GrantNumber>),
     ) {
         let now = self.now();
@@ -168,19 +161,13 @@
             return;
         };
         placer.presence.heard(from, sign, now);
-        let peer = sign.peer(from);
-        let loads = PeerMessage::Loads {
-            others: placer.residency.load_beside(from, first),
+        let placing = PeerMessage::Placing {
+            knows_targets: placer.residency.knows_targets(),
             instances: placer.presence.count(),
             entries,
             lease,
         };
-        // Until its targets have said what they hold, an instance is better off with what it knows.
-        let introduces = first && placer.residency.knows_targets();
-        let whole = introduces.then(|| PeerMessage::HoldingsWhole(placer.residency.holdings()));
-        for message in whole.into_iter().chain([loads]) {
-            self.send(&peer, message);
-        }
+        self.send(&sign.peer(from), placing);
         self.plan(ResidencyEvent::Used(from.clone(), uses, grants));
         let silent = self
             .placer
@@ -191,20 +178,11 @@
         }
     }
 
-    /// Takes in the loads that the placer would tell itself.
-    pub(super) fn take_own_loads(&mut self, me: &InstanceId) {
-        let Some(placer) = &mut self.placer else {
-            return;
-        };
-        let others = placer.residency.load_beside(me, false);
-        let instances = placer.presence.count();
-        let whole = placer.residency.knows_targets();
-        let whole = whole.then(|| placer.residency.holdings());
-        self.take_loads(&others, instances);
-        let now = self.now();
-        let is_guided = self.shared.dispatch().is_guided(now);
-        if let Some(holdings) = whole.filter(|_| !is_guided) {
-            self.introduced(holdings);
+    /// Takes in what the placer would tell itself.
+    pub(super) fn take_own_placing(&mut self) {
+        if let Some(placer) = &self.placer {
+            let knows_targets = placer.residency.knows_targets();
+            self.take_placing(knows_targets, placer.presence.count());
         }
     }
 
@@ -234,30 +212,7 @@
         }
     }
 
-    /// Tells all instances what has changed since the last message, once enough has been gathered.
-    pub(super) fn send_gathered(&mut self, now: Moment) {
-        let Some(placer) = self.placer.as_ref().filter(|_| !self.gathered.is_empty()) else {
-            return;
-        };
-        let gather_for = (GATHER_AN_INSTANCE * placer.presence.count()).min(LONGEST_GATHERING);
-        let due = *self.tell_gathered_at.get_or_insert(now + gather_for);
-        if now < due {
-            return;
-        }
-        self.tell_gathered_at = None;
-        let holdings: Vec<Holding> = std::mem::take(&mut self.gathered);
-        let peers: Vec<Peer> = self
-            .placer
-            .iter()
-            .flat_map(|placer| placer.presence.peers())
-            .collect();
-        for peer in peers {
-            self.send(&peer, PeerMessage::Holdings(holdings.clone()));
-        }
-        self.take_holdings(holdings);
-    }
-
-    fn send(&self, peer: &Peer, message: PeerMessage) {
+    pub(super) fn send(&self, peer: &Peer, message: PeerMessage) {
         if let Err(error) = self.shared.mesh.send(peer, message) {
             slog::debug!(self.shared.log, "instance not told";
                 "peer" => peer.instance.as_str(), "reason" => error.to_string());
--- a/crates/chervilshunt_gateway/src/control/using.rs
+++ b/crates/chervilshunt_gateway/src/control/using.rs
@@ -1,31 +1,23 @@
 //! What this instance tells the placer, and how it takes in what the placer tells.
 
 use chervilshunt_coord::{HeldLease, SoleEvent};
-use chervilshunt_core::{Holding, ResidencyEvent};
+use chervilshunt_core::ResidencyEvent;
 use chervilshunt_mesh::InboundMessage;
-use chervilshunt_model::{InstanceId, TargetName};
+use chervilshunt_model::InstanceId;
 
 use super::actor::Control;
 use super::presence::SignOfLife;
 use crate::peers::{EntriesView, PeerMessage};
 
-/// What the placer knows of this instance.
-#[derive(Debug, Default)]
-pub(super) struct Uses {
-    /// The term of the placer that has told everything that is held; none if it is to be asked.
-    introduced: Option<u64>,
-}
-
 impl Control {
     /// Tells the placer what this instance has under way.
     pub(super) fn tell_use(&mut self) {
-        let now = self.now();
         let uses = self.shared.dispatch().tell_uses();
         let grants = self.shared.grants.open();
         if self.placer.is_some() {
             let me = self.me().clone();
-            self.plan(ResidencyEvent::Used(me.clone(), uses, grants));
-            self.take_own_loads(&me);
+            self.plan(ResidencyEvent::Used(me, uses, grants));
+            self.take_own_placing();
             return;
         }
         let Some(placer) = self.shared.placer.load_full() else {
@@ -34,11 +26,8 @@
         if placer.instance == *self.me() {
             return;
         }
-        let first = self.uses.introduced != self.keeper.term()
-            || !self.shared.dispatch().is_placer_heard(now);
         let message = PeerMessage::Using {
             address: self.shared.settings.addresses.peers,
-            first,
             reaches_platform: self.reaches_platform,
             uses,
             grants,
@@ -58,7 +47,6 @@
         match message {
             PeerMessage::Using {
                 address,
-                first,
                 reaches_platform,
                 uses,
                 grants,
@@ -67,7 +55,7 @@
                     address,
                     reaches_platform,
                 };
-                self.instance_uses(&from, sign, first, (uses, grants));
+                self.instance_uses(&from, sign, (uses, grants));
             }
             PeerMessage::Want(want, within) => {
                 let wanted = |question| ResidencyEvent::Wanted {
@@ -82,39 +70,23 @@
             PeerMessage::NotHeld(target, weights) => {
                 self.plan(ResidencyEvent::NotHeld(target, weights));
             }
-            PeerMessage::HoldingsWhole(holdings) if self.is_placer(&from) => {
-                self.uses.introduced = self.keeper.term();
-                self.introduced(holdings);
-            }
-            PeerMessage::Holdings(holdings) if self.is_placer(&from) => {
-                self.take_holdings(holdings);
-            }
-            PeerMessage::Loads {
-                others,
+            PeerMessage::Pictures(pictures) => self.take_pictures(&from, pictures),
+            PeerMessage::Placing {
+                knows_targets,
                 instances,
                 entries,
                 lease,
             } if self.is_placer(&from) => {
                 self.holder_told(lease, entries);
-                self.take_loads(&others, instances);
+                self.take_placing(knows_targets, instances);
             }
             PeerMessage::CallLease(call) => self.call_lease_for(call, reply),
             // From an instance that was the placer, or is not known to be yet.
-            PeerMessage::HoldingsWhole(_)
-            | PeerMessage::Holdings(_)
-            | PeerMessage::Loads { .. }
-            | PeerMessage::Placed(..)
-            | PeerMessage::LeaseCalled(_) => {}
+            PeerMessage::Placing { .. } | PeerMessage::Placed(..) | PeerMessage::LeaseCalled(_) => {
+            }
         }
     }
 
-    /// Takes in everything that the placer knows of who holds what.
-    pub(super) fn introduced(&mut self, holdings: Vec<Holding>) {
-        let now = self.now();
-        self.shared.dispatch().holdings_whole(holdings, now);
-        self.shared.set_placer_decided();
-    }
-
     /// Takes in that a connection broke: what the placer told meanwhile is lost.
     pub(super) fn peer_lost(&mut self, peer: &InstanceId) {
         if self.placer.is_some() {
@@ -123,29 +95,19 @@
             self.plan(ResidencyEvent::InstanceGone(peer.clone()));
         }
         if self.is_placer(peer) {
-            self.uses.introduced = None;
             self.shared.dispatch().placer_lost();
             self.paces.entries.placer_lost();
             self.paces.lease.placer_lost();
         }
     }
 
-    pub(super) fn take_holdings(&mut self, holdings: Vec<Holding>) {
-        let now = self.now();
-        let mut dispatch = self.shared.dispatch();
-        for holding in holdings {
-            dispatch.holding_changed(holding, now);
-        }
-    }
-
-    pub(super) fn take_loads(&mut self, others: &[(TargetName, u32)], instances: u32) {
+    /// Takes in whether the placer places, and how many instances there are.
+    pub(super) fn take_placing(&self, knows_targets: bool, instances: u32) {
         let now = self.now();
-        let mut dispatch = self.shared.dispatch();
-        dispatch.placer_heard(now);
-        for (target, count) in others {
-            dispatch.told_load(target, *count, now);
+        self.shared.dispatch().placer_told(knows_targets, now);
+        if knows_targets {
+            self.shared.set_placer_decided();
         }
-        drop(dispatch);
         self.shared.set_instances(instances as usize);
     }
 
--- a/crates/chervilshunt_gateway/src/peers.rs
+++ b/crates/chervilshunt_gateway/src/peers.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use chervilshunt_coord::{HeldLease, SeenRecord, SoleRecord, SoleWritten};
-use chervilshunt_core::{GrantNumber, GrantProgress, Holding, Placed, Use, Want, Weights};
+use chervilshunt_core::{GrantNumber, GrantProgress, Placed, TargetPicture, Use, Want, Weights};
 use chervilshunt_mesh::Purpose;
-use chervilshunt_model::TargetName;
+use chervilshunt_model::{InstanceId, TargetName};
 use serde::{Deserialize, Serialize};
 
 /// A message between instances.
@@ -18,9 +18,6 @@
         /// Where the sender takes messages.
         #[serde(rename = "a")]
         address: SocketAddr,
-        /// Whether the sender knows nothing yet of who holds what.
-        #[serde(rename = "f")]
-        first: bool,
         /// Whether the platform answered the sender's last call.
         #[serde(rename = "r")]
         reaches_platform: bool,
@@ -43,19 +40,16 @@
     /// To the placer: a target said that it does not hold an adapter.
     #[serde(rename = "n")]
     NotHeld(TargetName, Weights),
-    /// From the placer: everything that is held.
-    #[serde(rename = "H")]
-    HoldingsWhole(Vec<Holding>),
-    /// From the placer: what has changed.
+    /// From a placer whose lease has ended, directly or passed on: what targets hold and do.
     #[serde(rename = "h")]
-    Holdings(Vec<Holding>),
-    /// From the placer, regularly: what it sees of the targets' entries, how busy targets are with other instances' requests, and how
-    /// many instances there are.
+    Pictures(Pictures),
+    /// From the placer, regularly: whether it places, and what it sees of the platform. Every instance
+    /// is told, so that it is short: what an instance needs only when there is no placer has no place here.
     #[serde(rename = "l")]
-    Loads {
-        /// Requests of other instances by target.
-        #[serde(rename = "t")]
-        others: Vec<(TargetName, u32)>,
+    Placing {
+        /// Whether it knows what targets hold, and is to be asked.
+        #[serde(rename = "k")]
+        knows_targets: bool,
         /// Instances that the placer hears of.
         #[serde(rename = "i")]
         instances: u32,
@@ -75,6 +69,23 @@
     LeaseCalled(LeaseAnswer),
 }
 
+/// What a placer knew of all targets when its lease ended.
+///
+/// It goes to a few instances, each of which passes it on to some others, so that nobody has to send it
+/// to all: for hundreds of instances it would take a small machine's link for seconds.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Pictures {
+    /// The term of the placer.
+    #[serde(rename = "t")]
+    pub(crate) term: u64,
+    /// The targets.
+    #[serde(rename = "p")]
+    pub(crate) targets: Vec<TargetPicture>,
+    /// The instances to which the receiver passes it on.
+    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+    pub(crate) pass_on: Vec<(InstanceId, SocketAddr)>,
+}
+
 /// A call about the lease.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum LeaseCall {
@@ -125,9 +136,8 @@
             Self::Placed(..) => "placed",
             Self::Progress(_) => "progress",
             Self::NotHeld(..) => "not_held",
-            Self::HoldingsWhole(_) => "holdings_whole",
-            Self::Holdings(_) => "holdings",
-            Self::Loads { .. } => "loads",
+            Self::Pictures(_) => "pictures",
+            Self::Placing { .. } => "placing",
             Self::CallLease(_) => "call_lease",
             Self::LeaseCalled(_) => "lease_called",
         }
--- a/crates/chervilshunt_gateway/src/traffic/place.rs
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use chervilshunt_core::{Ask, Choice, Lane, Placed, Wait, Want, Weights};
+use chervilshunt_core::{Ask, Choice, Holding, Lane, Placed, Wait, Want, Weights};
 use chervilshunt_model::TargetName;
 
 use super::attempt::Run;
@@ -194,10 +194,11 @@
             .mesh
             .request(&placer, message, patience + ANSWER_MARGIN);
         match self.unless_silent(answer).await {
-            Some(Ok(PeerMessage::Placed(Placed::At { target }, number))) => {
+            Some(Ok(PeerMessage::Placed(Placed::At { target, version }, number))) => {
                 let grant = Grant::new(self.shared, number);
                 self.heard();
                 self.report_placement("placed", Some(&target));
+                self.note_holder(&target, version);
                 Ok(self.at_target(target, grant))
             }
             Some(Ok(PeerMessage::Placed(Placed::Later { retry_in }, _))) => {
@@ -219,6 +220,21 @@
         }
     }
 
+    /// Takes note that a target holds what this request names.
+    fn note_holder(&self, target: &TargetName, version: Option<u64>) {
+        let (Some(weights), Some(version)) = (&self.req.weights, version) else {
+            return;
+        };
+        let mut dispatch = self.shared.dispatch();
+        let started = dispatch.started(target);
+        dispatch.holding_changed(Holding {
+            target: target.clone(),
+            started,
+            weights: weights.clone(),
+            version: Some(version),
+        });
+    }
+
     fn heard(&self) {
         let now = self.shared.clock.now();
         self.shared.dispatch().placer_heard(now);
