--- a/crates/chervilshunt_core/src/dispatch/facts.rs
+++ b/crates/chervilshunt_core/src/dispatch/facts.rs
@@ -48,22 +48,27 @@
 }
 
 /// An adapter that a target holds.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadedAdapter {
     /// Its name.
+    #[serde(rename = "n")]
     pub name: Arc<str>,
     /// The version of its weights.
+    #[serde(rename = "v")]
     pub version: u64,
 }
 
 /// A base model that a target holds.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadedModel {
     /// Its name.
+    #[serde(rename = "n")]
     pub name: Arc<str>,
     /// The version of its weights.
+    #[serde(rename = "v")]
     pub version: u64,
     /// Its adapters at the target.
+    #[serde(rename = "a", default, skip_serializing_if = "Vec::is_empty")]
     pub adapters: Vec<LoadedAdapter>,
 }
 
@@ -86,30 +91,39 @@
 }
 
 /// How a target leaves.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Leaving {
     /// The time after which it is gone whatever it is doing, if it says so.
+    #[serde(rename = "g")]
     pub gone_after: Option<Duration>,
 }
 
 /// What the platform lists of one target.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetFacts {
     /// Its name, which it keeps when it starts again.
+    #[serde(rename = "n")]
     pub name: TargetName,
     /// When it started; none if it doesn't say so.
+    #[serde(rename = "b")]
     pub started: Option<TargetStart>,
     /// The service that it belongs to.
+    #[serde(rename = "s")]
     pub service: ServiceName,
     /// Where it is called.
+    #[serde(rename = "a")]
     pub address: SocketAddr,
     /// Where it stands.
+    #[serde(rename = "z")]
     pub zone: ZoneName,
     /// Requests that it works on at a time.
+    #[serde(rename = "c")]
     pub slots: u32,
     /// Whether and how it leaves.
+    #[serde(rename = "l")]
     pub leaving: Option<Leaving>,
     /// The models that it holds; empty for a target of a plain service.
+    #[serde(rename = "m")]
     pub models: Vec<LoadedModel>,
 }
 
@@ -135,6 +149,16 @@
         here.map(versions).eq(there.map(versions))
     }
 
+    /// Returns the facts without the adapters that it lists, which change all the time.
+    #[must_use]
+    pub fn without_adapters(&self) -> Self {
+        let mut facts = self.clone();
+        for model in &mut facts.models {
+            model.adapters.clear();
+        }
+        facts
+    }
+
     /// Says whether a newer entry of the target tells something that every instance has to know
     /// at once: all but the adapters that it holds, which the placer tells.
     pub fn concerns_all(&self, newer: &Self) -> bool {
--- a/crates/chervilshunt_core/src/dispatch/guide.rs
+++ b/crates/chervilshunt_core/src/dispatch/guide.rs
@@ -3,9 +3,9 @@
 //! Targets change their entries about once a second, nearly always in what they hold, which the
 //! placer tells anyway. An instance that follows them by itself makes a call for each batch of
 //! changes: 88 instances made 190 calls a second, most of them for nothing, and all of them come
-//! out of one rate. So the placer looks often and tells everyone up to which revision nothing has
-//! changed that concerns them; an instance asks for itself once something has, and whenever the
-//! placer falls silent or has lost sight of the platform.
+//! out of one rate. So the placer looks often, and tells everyone what has changed that concerns them
+//! and up to which revision they have to know it; an instance asks for itself if it has missed
+//! something, and whenever the placer falls silent or has lost sight of the platform.
 
 use std::time::Duration;
 
@@ -22,6 +22,17 @@
     Look,
 }
 
+/// How changes that the placer tells follow on what an instance has seen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// It has seen them, or something newer.
+    Known,
+    /// They are the next ones.
+    Next,
+    /// Others came before them that it has not seen.
+    Gap,
+}
+
 /// What an instance is told about a kind of objects, and what it has seen itself.
 #[derive(Clone, Copy, Debug)]
 pub struct Guide {
@@ -54,6 +65,31 @@
         self.told_as_of = self.told_as_of.max(Some(as_of));
     }
 
+    /// Takes in that something has changed up to a revision, without a word on when that was seen.
+    pub fn changed(&mut self, revision: u64) {
+        self.told_revision = self.told_revision.max(revision);
+    }
+
+    /// Says how changes follow on what this instance has seen that lie after one revision and not after
+    /// another.
+    ///
+    /// Messages get lost with a connection, and come late after an own look. Taken in all the same, a
+    /// change would be missing until the next look, or an older one would replace a newer one.
+    pub fn follows(&self, after: u64, up_to: u64) -> Told {
+        match self.looked {
+            Some((revision, _)) if revision >= up_to => Told::Known,
+            Some((revision, _)) if revision >= after => Told::Next,
+            Some(_) | None => Told::Gap,
+        }
+    }
+
+    /// Takes in that this instance has been told everything up to a revision.
+    pub fn caught_up(&mut self, revision: u64) {
+        if let Some((seen, _)) = &mut self.looked {
+            *seen = revision.max(*seen);
+        }
+    }
+
     /// Takes in that the placer can't be heard any more.
     pub fn placer_lost(&mut self) {
         self.told_as_of = None;
--- a/crates/chervilshunt_core/src/dispatch/mod.rs
+++ b/crates/chervilshunt_core/src/dispatch/mod.rs
@@ -23,7 +23,7 @@
     Leaving, LoadReport, LoadedAdapter, LoadedModel, ModelSpec, PlacementLimits, RequestSize,
     TargetFacts, TargetStart, Weights,
 };
-pub use guide::{Guide, Pace};
+pub use guide::{Guide, Pace, Told};
 pub use health::{HealthConfig, Sign};
 pub(crate) use holders::NamedVersions;
 pub use holders::{HeldAdapters, Holding, TargetPicture};
--- a/crates/chervilshunt_core/src/dispatch/state.rs
+++ b/crates/chervilshunt_core/src/dispatch/state.rs
@@ -90,6 +90,16 @@
     /// requests of before would keep work from it, and adapters of before would draw requests that
     /// it refuses.
     pub fn target_seen(&mut self, facts: TargetFacts, now: Moment) -> TargetNews {
+        let news = self.target_told(facts.clone(), now);
+        let pictured = self.pictured_at.map(|at| now.since(at));
+        if news != TargetNews::Outdated && pictured.is_none_or(|age| age >= PICTURE_TRUST) {
+            self.take_listed_adapters(&facts);
+        }
+        news
+    }
+
+    /// Takes in what the placer tells of a target's entry, which leaves out the adapters that it holds.
+    pub fn target_told(&mut self, facts: TargetFacts, now: Moment) -> TargetNews {
         let known = self.targets.get(&facts.name).map(|it| it.facts.started);
         let last = known.unwrap_or_else(|| self.gone.get(&facts.name).copied());
         let news = match (TargetStart::compare(facts.started, last), known) {
@@ -101,10 +111,6 @@
             (Ordering::Equal, Some(_)) => TargetNews::Known,
             (Ordering::Equal | Ordering::Greater, None) => TargetNews::New,
         };
-        let pictured = self.pictured_at.map(|at| now.since(at));
-        if pictured.is_none_or(|age| age >= PICTURE_TRUST) {
-            self.take_listed_adapters(&facts);
-        }
         match self.targets.get_mut(&facts.name) {
             Some(target) => target.facts = facts,
             None => {
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -26,7 +26,7 @@
     Ask, CallerBounds, Choice, Dispatch, DispatchConfig, Guide, HealthConfig, HeldAdapters,
     Holding, Lane, Leaving, LoadReport, LoadedAdapter, LoadedModel, ModelSpec, Pace,
     PlacementLimits, Repeat, RequestSize, Route, RouteTable, ServiceBudgets, ServiceSpec, Sign,
-    TargetFacts, TargetNews, TargetPicture, TargetStart, Wait, Weights, WindowBudget,
+    TargetFacts, TargetNews, TargetPicture, TargetStart, Told, Wait, Weights, WindowBudget,
     WindowBudgetConfig, long_prompt_targets,
 };
 pub use mechanisms::Mechanisms;
--- a/crates/chervilshunt_core/tests/guide.rs
+++ b/crates/chervilshunt_core/tests/guide.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use chervilshunt_core::{Guide, Pace};
+use chervilshunt_core::{Guide, Pace, Told};
 use chervilshunt_model::Moment;
 use rstest::rstest;
 
@@ -76,3 +76,39 @@
     assert_eq!(guide.next_wakeup(at(9_950)), Some(at(10_000)));
     assert_eq!(guide.pace(at(10_000)), Pace::Look);
 }
+
+#[rstest]
+#[case::it_has_seen_all_before(Some(7), Told::Next)]
+#[case::it_has_seen_a_part_of_them(Some(8), Told::Next)]
+#[case::it_has_looked_since(Some(9), Told::Known)]
+#[case::some_before_are_missing(Some(6), Told::Gap)]
+#[case::it_has_seen_nothing(None, Told::Gap)]
+fn told_changes_are_taken_in_where_none_is_missing_before_them(
+    #[case] seen: Option<u64>,
+    #[case] follows: Told,
+) {
+    let mut guide = told();
+    if let Some(revision) = seen {
+        guide.looked(revision, at(0));
+    }
+    assert_eq!(guide.follows(7, 9), follows);
+}
+
+/// A change is told before the next regular telling. It says nothing of when the placer last saw the
+/// platform, so that what was told before counts no longer for it.
+#[test]
+fn a_told_change_makes_an_instance_look_that_has_missed_one() {
+    let mut guide = told();
+    guide.looked(7, at(0));
+    guide.changed(9);
+    assert_eq!(guide.pace(at(10)), Pace::Look);
+    guide.caught_up(9);
+    assert_eq!(guide.pace(at(10)), Pace::Rest);
+    assert_eq!(guide.pace(at(1_000)), Pace::Alone);
+    guide.caught_up(8);
+    assert_eq!(
+        guide.follows(8, 9),
+        Told::Known,
+        "it goes back to nothing older"
+    );
+}
--- a/crates/chervilshunt_gateway/src/control/actor.rs
+++ b/crates/chervilshunt_gateway/src/control/actor.rs
@@ -6,12 +6,14 @@
 
 use chervilshunt_coord::{SoleAction, SoleConfig, SoleEvent, SoleKeeper};
 use chervilshunt_core::{Residency, ResidencyEvent, Weights};
-use chervilshunt_mesh::{Inbound, Reply};
+use chervilshunt_mesh::{Inbound, Peer, Reply};
 use chervilshunt_model::{InstanceId, Moment};
 use chervilshunt_platform::Exchange;
+use tokio::sync::watch;
 use xtra::prelude::*;
 
 use super::messages::{Asked, Begin, FromPeer, FromStore, Ordered, Reload, Stop, TellUse, Tick};
+use super::news::Sights;
 use super::pace::Paces;
 use super::presence::Presence;
 use super::targets::Absences;
@@ -59,10 +61,10 @@
     pub(super) paces: Paces,
     /// Whether the platform answered the last call of a follower.
     pub(super) reaches_platform: bool,
-    /// When targets' entries were last seen whole.
-    pub(super) entries_seen_at: Option<Moment>,
-    /// The platform's revision at their last change that concerns every instance.
-    pub(super) entries_changed_at: u64,
+    /// The instances that may read the platform's objects for this one, while it is the placer.
+    pub(super) helpers: watch::Sender<Vec<Peer>>,
+    /// What was seen of the platform, as the placer tells it.
+    pub(super) sights: Sights,
     /// The newest version of each of the weights that the platform names.
     pub(super) versions: HashMap<Weights, u64>,
     /// When the next wake-up comes, so that there is one timer and not one for each message.
@@ -94,8 +96,8 @@
             absences: Absences::default(),
             paces,
             reaches_platform: false,
-            entries_seen_at: None,
-            entries_changed_at: 0,
+            helpers: watch::Sender::default(),
+            sights: Sights::default(),
             versions: HashMap::new(),
             wakes_at: None,
             shared,
@@ -134,6 +136,7 @@
             self.lease_event(SoleEvent::Tick);
         }
         self.forget_absent(now);
+        self.tell_news();
         self.note_placer(now);
         let placer = self.placer.as_ref();
         if placer
--- a/crates/chervilshunt_gateway/src/control/follow.rs
+++ b/crates/chervilshunt_gateway/src/control/follow.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use chervilshunt_core::Pace;
-use chervilshunt_platform::{Call, Exchange, PlatformError, Timeouts};
+use chervilshunt_platform::PlatformError;
 use slog::Logger;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -17,7 +17,10 @@
 use super::actor::Control;
 use super::messages::FromStore;
 use super::pace::{FollowPace, PaceReceivers};
+use super::reading::Reader;
 use crate::dialect::{Changes, Entry, Kind, Malformed, StoreDialect};
+use crate::peers::StoreRead;
+use crate::shared::Shared;
 
 /// How long a call waits for changes of what changes often. A longer wait would save little, since
 /// most calls end early with a change.
@@ -34,13 +37,23 @@
 const LIST_AFTER: Duration = Duration::from_secs(3);
 /// The wait of a call that is to be answered at once.
 const AT_ONCE: Duration = Duration::from_millis(1);
-/// How much later than asked for the answer to a waiting call may come.
-const ANSWER_GRACE: Duration = Duration::from_millis(1_500);
-/// The time for one call of a list.
-const LIST_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long an instance waits after its first look for a placer that tells it of changes. Where all
+/// instances start together, each would make a waiting call for nothing.
+const FIRST_REST: Duration = Duration::from_secs(1);
 /// The pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
+/// The pause after failed calls for each instance of a fleet, so that all of them together ask a service
+/// that is away some hundred times a second.
+const PAUSE_AN_INSTANCE: Duration = Duration::from_micros(7_500);
+/// The longest pause of the largest fleet: entries of targets that lapsed with the service are missed
+/// two seconds after its return.
+const LONGEST_PAUSE_OF_ALL: Duration = Duration::from_millis(1_500);
+/// How long the followers of other kinds leave it to one to find out that the service is back. It may be
+/// away for their kind alone.
+const LEFT_TO_ONE: Duration = Duration::from_secs(2);
+/// The kind whose follower finds out that the service is back.
+const PROBING: Kind = Kind::Targets;
 
 /// Objects of a kind whose fault is remembered, so that it is logged once. Far more than a fault of
 /// somebody else's program leaves; beyond it some are logged again.
@@ -70,10 +83,13 @@
 struct Follower {
     kind: Kind,
     dialect: StoreDialect,
-    exchange: Arc<Exchange>,
+    reader: Arc<Reader>,
     control: Address<Control>,
-    /// How fast it goes; none if it always goes by itself.
-    pace: Option<watch::Receiver<FollowPace>>,
+    /// How fast it goes.
+    pace: watch::Receiver<FollowPace>,
+    /// Whether the service answered the last call of any kind.
+    reached: watch::Sender<bool>,
+    shared: Arc<Shared>,
     /// The objects that could not be read, each with what was last wrong with it.
     reported: HashMap<Arc<str>, String>,
     log: Logger,
@@ -81,26 +97,24 @@
 
 /// Begins to follow all kinds on the present runtime.
 pub(crate) fn start_followers(
-    dialect: &StoreDialect,
-    exchange: &Arc<Exchange>,
+    shared: &Arc<Shared>,
+    reader: Reader,
     control: &Address<Control>,
-    paces: &PaceReceivers,
-    log: &Logger,
+    paces: PaceReceivers,
 ) {
-    for kind in Kind::ALL {
-        let pace = match kind {
-            Kind::Targets => Some(paces.entries.clone()),
-            Kind::Lease => Some(paces.lease.clone()),
-            Kind::Configuration | Kind::Versions => None,
-        };
+    let reader = Arc::new(reader);
+    let reached = watch::Sender::new(true);
+    for (kind, pace) in paces {
         let follower = Follower {
             kind,
-            dialect: dialect.clone(),
-            exchange: Arc::clone(exchange),
+            dialect: shared.dialect.store.clone(),
+            reader: Arc::clone(&reader),
             control: control.clone(),
             pace,
+            reached: reached.clone(),
             reported: HashMap::new(),
-            log: log.clone(),
+            log: shared.log.clone(),
+            shared: Arc::clone(shared),
         };
         tokio::spawn(follower.run());
     }
@@ -134,6 +148,7 @@
         let mut from = None;
         let mut looked_at = Instant::now();
         let mut pause = FIRST_PAUSE;
+        let mut has_looked = false;
         loop {
             let (pace, rested) = self.next_turn().await;
             if rested && looked_at.elapsed() > LIST_AFTER {
@@ -149,11 +164,15 @@
             };
             match result {
                 Ok(revision) => {
+                    self.reached.send_replace(true);
                     if pause != FIRST_PAUSE {
                         self.tell(FromStore::Back(self.kind)).await;
                         pause = FIRST_PAUSE;
                     }
-                    from = Some(revision);
+                    if from.replace(revision).is_none() && !has_looked {
+                        has_looked = true;
+                        self.first_rest().await;
+                    }
                     if pace == FollowPace::Guiding {
                         tokio::time::sleep_until(looked_at + GUIDING_EVERY).await;
                     }
@@ -165,8 +184,8 @@
                 Err(trouble) => {
                     self.report(&trouble, pause == FIRST_PAUSE);
                     self.tell(FromStore::Trouble(self.kind)).await;
-                    tokio::time::sleep(pause).await;
-                    pause = (pause * 2).min(LONGEST_PAUSE);
+                    self.rest(pause).await;
+                    pause = (pause * 2).min(self.longest_pause());
                 }
             }
         }
@@ -175,17 +194,48 @@
     /// Waits until it is this follower's turn to call, and returns how fast it goes and whether it had
     /// to wait for that.
     async fn next_turn(&mut self) -> (FollowPace, bool) {
-        let alone = FollowPace::Guided(Pace::Alone);
-        let Some(pace) = &mut self.pace else {
-            return (alone, false);
-        };
         let rests = |pace: &FollowPace| *pace == FollowPace::Guided(Pace::Rest);
-        let rested = rests(&pace.borrow());
-        match pace.wait_for(|pace| !rests(pace)).await {
+        let rested = rests(&self.pace.borrow());
+        match self.pace.wait_for(|pace| !rests(pace)).await {
             Ok(pace) => (*pace, rested),
             // The control state has ended, and this runtime with it.
-            Err(_) => (alone, rested),
+            Err(_) => (FollowPace::Guided(Pace::Alone), rested),
+        }
+    }
+
+    /// Waits after the first look until there is a placer, for a moment at most. The lease itself shows
+    /// who that is.
+    async fn first_rest(&mut self) {
+        if self.kind == Kind::Lease {
+            return;
+        }
+        let told = tokio::time::timeout(FIRST_REST, self.pace.changed());
+        if let Ok(Err(closed)) = told.await {
+            slog::debug!(self.log, "the control state has ended"; "reason" => closed.to_string());
+        }
+    }
+
+    /// Waits after a failed call.
+    ///
+    /// A service that is away is asked by the follower of one kind; the others wait until it has been
+    /// reached. With all of them asking, an outage was most of what a day's calls cost.
+    async fn rest(&self, pause: Duration) {
+        self.reached.send_replace(false);
+        tokio::time::sleep(pause).await;
+        if self.kind == PROBING {
+            return;
         }
+        let mut reached = self.reached.subscribe();
+        let back = reached.wait_for(|reached| *reached);
+        if let Ok(Err(closed)) = tokio::time::timeout(LEFT_TO_ONE, back).await {
+            slog::debug!(self.log, "followers have ended"; "reason" => closed.to_string());
+        }
+    }
+
+    fn longest_pause(&self) -> Duration {
+        let instances = u32::try_from(self.shared.instances()).unwrap_or(u32::MAX);
+        let of_all = PAUSE_AN_INSTANCE.saturating_mul(instances);
+        of_all.clamp(LONGEST_PAUSE, LONGEST_PAUSE_OF_ALL)
     }
 
     /// Reads all objects of the kind and returns the revision to go on from.
@@ -194,8 +244,7 @@
         let mut after: Option<String> = None;
         let mut first_revision = None;
         loop {
-            let call = (self.dialect.list)(self.kind, after.as_deref());
-            let body = self.call(&call, LIST_TIMEOUT).await?;
+            let body = self.reader.read(&StoreRead::List(self.kind, after)).await?;
             let page = (self.dialect.read_page)(self.kind, &body).map_err(Trouble::Unreadable)?;
             self.report_malformed(&page.malformed);
             entries.extend(page.entries);
@@ -215,8 +264,8 @@
 
     /// Waits for changes and returns the revision to go on from.
     async fn watch(&mut self, from: u64, wait: Duration) -> Result<u64, Trouble> {
-        let call = (self.dialect.watch)(self.kind, from, wait);
-        let body = self.call(&call, wait + ANSWER_GRACE).await?;
+        let read = StoreRead::Watch(self.kind, from, wait);
+        let body = self.reader.read(&read).await?;
         let changes: Changes =
             (self.dialect.read_changes)(self.kind, &body).map_err(Trouble::Unreadable)?;
         self.report_malformed(&changes.malformed);
@@ -229,16 +278,6 @@
         Ok(revision)
     }
 
-    async fn call(&self, call: &Call, attempt: Duration) -> Result<bytes::Bytes, Trouble> {
-        let timeouts = Timeouts {
-            attempt,
-            call: attempt,
-            max_attempts: 1,
-            ..self.exchange.config().timeouts
-        };
-        Ok(self.exchange.call(call, timeouts).await?)
-    }
-
     async fn tell(&self, news: FromStore) {
         if self.control.send(news).await.is_err() {
             slog::debug!(self.log, "the control state has ended");
--- a/crates/chervilshunt_gateway/src/control/lease.rs
+++ b/crates/chervilshunt_gateway/src/control/lease.rs
@@ -24,7 +24,7 @@
 const RELAYED_LEASE_CALL: Duration = Duration::from_millis(350);
 /// Instances that are asked one after the other to make the call. The second one is for an instance
 /// that has just lost the platform too; with it the renewal still ends in time.
-const RELAYS: usize = 2;
+pub(super) const RELAYS: usize = 2;
 /// How long it takes from when the lease can be taken until the new placer answers: instances
 /// spread their writes over 400 ms, and the new placer asks each target what it holds.
 const TAKING: Duration = Duration::from_millis(700);
--- a/crates/chervilshunt_gateway/src/control/mod.rs
+++ b/crates/chervilshunt_gateway/src/control/mod.rs
@@ -8,10 +8,12 @@
 mod follow;
 mod lease;
 mod messages;
+mod news;
 mod pace;
 mod pictures;
 mod placing;
 mod presence;
+mod reading;
 mod targets;
 mod using;
 
@@ -19,3 +21,4 @@
 pub(crate) use follow::start_followers;
 pub(crate) use messages::{Begin, FromPeer, Reload, Stop};
 pub(crate) use pace::Paces;
+pub(crate) use reading::Reader;
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/control/news.rs
@@ -0,0 +1,195 @@
+//! What the placer sees of the platform, told to all others so that they need not look themselves.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use chervilshunt_core::{TargetFacts, Told, Weights};
+use chervilshunt_model::{Moment, TargetName};
+
+use super::actor::Control;
+use crate::dialect::Kind;
+use crate::peers::{News, NewsOf, PeerMessage, PlatformView};
+
+/// The most entries of targets that are told; where more change at once, instances look themselves
+/// rather than have the placer's link carry all of them to everybody.
+const MOST_TOLD: usize = 64;
+
+/// How long after one answer about targets' entries the next is overdue: the placer looks each 0.3 s, and
+/// what it tells counts for a second.
+const OVERDUE_AFTER: Duration = Duration::from_millis(500);
+
+/// What an instance has seen of each kind of objects.
+#[derive(Debug, Default)]
+pub(super) struct Sights {
+    /// When targets' entries were last seen whole.
+    entries_seen_at: Option<Moment>,
+    kinds: HashMap<Kind, Sight>,
+    /// What has changed since it was last told.
+    untold_targets: Vec<TargetFacts>,
+    untold_gone: Vec<TargetName>,
+    untold_versions: Vec<(Weights, u64)>,
+}
+
+/// What an instance has seen of one kind.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sight {
+    /// The service's revision at the last change that concerns every instance.
+    changed_at: u64,
+    /// The same as it was last told.
+    told: u64,
+    /// Whether the last call was answered.
+    is_seen: bool,
+}
+
+impl Sights {
+    /// Takes note that a call about a kind has been answered, and returns whether the answer was overdue.
+    pub(super) fn seen(&mut self, kind: Kind, now: Moment) -> bool {
+        self.kinds.entry(kind).or_default().is_seen = true;
+        if kind != Kind::Targets {
+            return false;
+        }
+        let before = self.entries_seen_at.replace(now);
+        before.is_some_and(|at| now.since(at) > OVERDUE_AFTER)
+    }
+
+    /// Takes note that a call about a kind has failed.
+    pub(super) fn lost(&mut self, kind: Kind) {
+        self.kinds.entry(kind).or_default().is_seen = false;
+    }
+
+    fn changed(&mut self, kind: Kind, revision: u64) {
+        let sight = self.kinds.entry(kind).or_default();
+        sight.changed_at = sight.changed_at.max(revision);
+    }
+
+    /// Takes note that the configuration has changed.
+    pub(super) fn configuration_changed(&mut self, revision: u64) {
+        self.changed(Kind::Configuration, revision);
+    }
+
+    /// Takes note that a target has changed in what concerns all.
+    pub(super) fn target_changed(&mut self, facts: &TargetFacts, revision: u64) {
+        self.untold_gone.retain(|it| *it != facts.name);
+        self.untold_targets.retain(|it| it.name != facts.name);
+        self.untold_targets.push(facts.without_adapters());
+        self.changed(Kind::Targets, revision);
+    }
+
+    /// Takes note that targets are no longer listed.
+    pub(super) fn targets_gone(&mut self, names: &[TargetName], revision: u64) {
+        self.untold_targets.retain(|it| !names.contains(&it.name));
+        self.untold_gone.extend(names.iter().cloned());
+        self.changed(Kind::Targets, revision);
+    }
+
+    /// Takes note that a version has been named.
+    pub(super) fn version_named(&mut self, weights: &Weights, version: u64, revision: u64) {
+        self.untold_versions.push((weights.clone(), version));
+        self.changed(Kind::Versions, revision);
+    }
+
+    /// Takes what has changed of a kind since this was last called; none if nothing has, or so much that
+    /// everybody should look.
+    fn take_news(&mut self, kind: Kind) -> Option<News> {
+        let what = match kind {
+            Kind::Targets => NewsOf::Targets(
+                std::mem::take(&mut self.untold_targets),
+                std::mem::take(&mut self.untold_gone),
+            ),
+            Kind::Versions => NewsOf::Versions(std::mem::take(&mut self.untold_versions)),
+            Kind::Configuration => NewsOf::Configuration,
+            Kind::Lease => return None,
+        };
+        let sight = self.kinds.entry(kind).or_default();
+        let (after, up_to) = (sight.told, sight.changed_at);
+        sight.told = up_to;
+        let told = match &what {
+            NewsOf::Targets(seen, gone) => seen.len() + gone.len(),
+            NewsOf::Versions(named) => named.len(),
+            NewsOf::Configuration => 1,
+        };
+        let is_news = up_to > after && (1..=MOST_TOLD).contains(&told);
+        is_news.then_some(News { after, up_to, what })
+    }
+
+    /// Returns what the placer tells regularly.
+    pub(super) fn view(&self, now: Moment) -> Option<PlatformView> {
+        let seen_at = self.entries_seen_at?;
+        let changed_at = |kind| {
+            let sight: Option<&Sight> = self.kinds.get(&kind);
+            sight.filter(|it| it.is_seen).map(|it| it.changed_at)
+        };
+        Some(PlatformView {
+            age: now.since(seen_at),
+            targets: self.kinds.get(&Kind::Targets)?.changed_at,
+            configuration: changed_at(Kind::Configuration),
+            versions: changed_at(Kind::Versions),
+        })
+    }
+}
+
+impl Control {
+    /// Tells all other instances what has changed, if this one is the placer.
+    pub(super) fn tell_news(&mut self) {
+        for kind in Kind::ALL {
+            let Some(news) = self.sights.take_news(kind) else {
+                continue;
+            };
+            let Some(placer) = &self.placer else {
+                continue;
+            };
+            let peers: Vec<_> = placer.presence.peers().collect();
+            for peer in peers {
+                self.send(&peer, PeerMessage::Changed(news.clone()));
+            }
+        }
+    }
+
+    /// Takes in what the placer sees of the platform.
+    ///
+    /// The placer's own trouble in reaching the platform counts for nothing here. While it lasts
+    /// the placer's view grows old, and this instance finds out for itself whether the platform is
+    /// away for all.
+    pub(super) fn take_view(&mut self, view: PlatformView, now: Moment) {
+        let as_of = now - view.age;
+        let told = [
+            (Kind::Targets, Some(view.targets)),
+            (Kind::Configuration, view.configuration),
+            (Kind::Versions, view.versions),
+        ];
+        for (kind, revision) in told {
+            if let Some(revision) = revision {
+                self.paces.guide(kind).told(revision, as_of);
+            }
+        }
+    }
+
+    /// Takes in what the placer saw change.
+    pub(super) fn take_changed(&mut self, news: News) {
+        let kind = match &news.what {
+            NewsOf::Targets(..) => Kind::Targets,
+            NewsOf::Versions(_) => Kind::Versions,
+            NewsOf::Configuration => Kind::Configuration,
+        };
+        let guide = self.paces.guide(kind);
+        guide.changed(news.up_to);
+        if guide.follows(news.after, news.up_to) != Told::Next {
+            return;
+        }
+        match news.what {
+            NewsOf::Targets(seen, gone) => {
+                for facts in seen {
+                    self.target_told(facts, news.up_to);
+                }
+                self.absent(gone, news.up_to);
+            }
+            NewsOf::Versions(named) => {
+                for (weights, version) in named {
+                    self.version_seen(weights, version, news.up_to);
+                }
+            }
+            NewsOf::Configuration => return,
+        }
+        self.paces.guide(kind).caught_up(news.up_to);
+    }
+}
--- a/crates/chervilshunt_gateway/src/control/pace.rs
+++ b/crates/chervilshunt_gateway/src/control/pace.rs
@@ -1,20 +1,23 @@
 //! How fast followers go: by themselves, as the placer tells, or for all others as the placer.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use chervilshunt_core::{Guide, Pace};
 use chervilshunt_model::Moment;
 use tokio::sync::watch;
 
-/// How long what the placer tells of targets' entries counts, from when it saw them. The operators
+use crate::dialect::Kind;
+
+/// How long what the placer tells of the platform counts, from when it saw it. The operators
 /// give two seconds from when a target begins to leave until it gets no more work; an entry that is
 /// gone takes 0.6 s of that.
-const ENTRIES_TRUST: Duration = Duration::from_millis(1_000);
+const VIEW_TRUST: Duration = Duration::from_millis(1_000);
 /// How long the placer's last message tells that its lease need not be looked at: three of the
 /// intervals at which it sends.
 const LEASE_TRUST: Duration = Duration::from_millis(1_300);
 /// The longest time without an own look.
-const LONGEST_REST: Duration = Duration::from_secs(10);
+const LONGEST_REST: Duration = Duration::from_secs(60);
 
 /// How a follower goes on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,53 +28,86 @@
     Guiding,
 }
 
-/// Steers the followers that need not always follow by themselves.
+/// Steers the followers of all kinds of objects.
+#[derive(Debug)]
+pub(crate) struct Paces(HashMap<Kind, Steered>);
+
+/// One follower that is steered.
 #[derive(Debug)]
-pub(crate) struct Paces {
-    pub(super) entries: Guide,
-    pub(super) lease: Guide,
-    entries_tx: watch::Sender<FollowPace>,
-    lease_tx: watch::Sender<FollowPace>,
+struct Steered {
+    guide: Guide,
+    tx: watch::Sender<FollowPace>,
 }
 
 /// What the followers listen to.
-#[derive(Clone, Debug)]
-pub(crate) struct PaceReceivers {
-    pub(super) entries: watch::Receiver<FollowPace>,
-    pub(super) lease: watch::Receiver<FollowPace>,
-}
+pub(crate) type PaceReceivers = HashMap<Kind, watch::Receiver<FollowPace>>;
 
 impl Paces {
     /// Starts with followers that go by themselves.
     pub(crate) fn new() -> (Self, PaceReceivers) {
-        let (entries_tx, entries) = watch::channel(FollowPace::Guided(Pace::Alone));
-        let (lease_tx, lease) = watch::channel(FollowPace::Guided(Pace::Alone));
-        let paces = Self {
-            entries: Guide::new(ENTRIES_TRUST, LONGEST_REST),
-            lease: Guide::new(LEASE_TRUST, LONGEST_REST),
-            entries_tx,
-            lease_tx,
+        let mut receivers = HashMap::new();
+        let mut steered = HashMap::new();
+        for kind in Kind::ALL {
+            let (tx, rx) = watch::channel(FollowPace::Guided(Pace::Alone));
+            receivers.insert(kind, rx);
+            let guide = Guide::new(trust(kind), LONGEST_REST);
+            steered.insert(kind, Steered { guide, tx });
+        }
+        (Self(steered), receivers)
+    }
+
+    /// Returns what is known of one kind.
+    pub(super) fn guide(&mut self, kind: Kind) -> &mut Guide {
+        let new = || Steered {
+            guide: Guide::new(trust(kind), LONGEST_REST),
+            tx: watch::Sender::new(FollowPace::Guided(Pace::Alone)),
         };
-        (paces, PaceReceivers { entries, lease })
+        &mut self.0.entry(kind).or_insert_with(new).guide
+    }
+
+    /// Takes in that the placer can't be heard any more.
+    pub(super) fn placer_lost(&mut self) {
+        for steered in self.0.values_mut() {
+            steered.guide.placer_lost();
+        }
     }
 
     /// Tells the followers how to go on.
     pub(super) fn steer(&self, is_placer: bool, now: Moment) {
-        let (entries, lease) = if is_placer {
-            // Its own renewals show the placer whether the lease is still its own.
-            (FollowPace::Guiding, FollowPace::Guided(Pace::Rest))
-        } else {
-            let guided = |guide: &Guide| FollowPace::Guided(guide.pace(now));
-            (guided(&self.entries), guided(&self.lease))
-        };
-        for (tx, pace) in [(&self.entries_tx, entries), (&self.lease_tx, lease)] {
+        for (kind, steered) in &self.0 {
+            let pace = if is_placer {
+                guiding_pace(*kind)
+            } else {
+                FollowPace::Guided(steered.guide.pace(now))
+            };
+            let tx = &steered.tx;
             tx.send_if_modified(|known| std::mem::replace(known, pace) != pace);
         }
     }
 
     /// Returns when followers have to be told anew by time alone.
     pub(super) fn next_wakeup(&self, now: Moment) -> Option<Moment> {
-        let guides = [&self.entries, &self.lease].into_iter();
-        guides.filter_map(|guide| guide.next_wakeup(now)).min()
+        let steered = self.0.values();
+        steered.filter_map(|it| it.guide.next_wakeup(now)).min()
+    }
+}
+
+const fn trust(kind: Kind) -> Duration {
+    match kind {
+        Kind::Configuration | Kind::Targets | Kind::Versions => VIEW_TRUST,
+        Kind::Lease => LEASE_TRUST,
+    }
+}
+
+/// Returns how the placer follows a kind.
+///
+/// It looks at targets' entries all the time, which shows that the platform answers, too. What changes
+/// rarely is told by a waiting call as soon as it does. Its own renewals show whether the lease is still
+/// its own.
+const fn guiding_pace(kind: Kind) -> FollowPace {
+    match kind {
+        Kind::Targets => FollowPace::Guiding,
+        Kind::Configuration | Kind::Versions => FollowPace::Guided(Pace::Alone),
+        Kind::Lease => FollowPace::Guided(Pace::Rest),
     }
 }
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -63,6 +63,7 @@
         if let Some(placer) = self.placer.take() {
             self.tell_pictures(&placer);
         }
+        self.choose_helpers();
     }
 
     /// Gives the planner an event, if this instance is the placer.
@@ -155,19 +156,13 @@
         (uses, grants): (Vec<Use>, Vec<GrantNumber>),
     ) {
         let now = self.now();
-        let entries = self.entries_view(now);
-        let lease = self.keeper.held();
         let Some(placer) = &mut self.placer else {
             return;
         };
         placer.presence.heard(from, sign, now);
-        let placing = PeerMessage::Placing {
-            knows_targets: placer.residency.knows_targets(),
-            instances: placer.presence.count(),
-            entries,
-            lease,
-        };
-        self.send(&sign.peer(from), placing);
+        if let Some(placing) = self.placing(now) {
+            self.send(&sign.peer(from), placing);
+        }
         self.plan(ResidencyEvent::Used(from.clone(), uses, grants));
         let silent = self
             .placer
@@ -178,6 +173,30 @@
         }
     }
 
+    /// Returns what the placer tells regularly; none if this instance is not the placer.
+    fn placing(&self, now: Moment) -> Option<PeerMessage> {
+        let placer = self.placer.as_ref()?;
+        Some(PeerMessage::Placing {
+            knows_targets: placer.residency.knows_targets(),
+            instances: placer.presence.count(),
+            platform: self.sights.view(now),
+            lease: self.keeper.held(),
+        })
+    }
+
+    /// Tells all other instances at once what the placer tells each of them regularly.
+    ///
+    /// After a moment without an answer of the platform, what they were told last is about to count no
+    /// longer, and each of them would look for itself.
+    pub(super) fn tell_placing(&self, now: Moment) {
+        let (Some(placer), Some(placing)) = (&self.placer, self.placing(now)) else {
+            return;
+        };
+        for peer in placer.presence.peers() {
+            self.send(&peer, placing.clone());
+        }
+    }
+
     /// Takes in what the placer would tell itself.
     pub(super) fn take_own_placing(&mut self) {
         if let Some(placer) = &self.placer {
--- a/crates/chervilshunt_gateway/src/control/targets.rs
+++ b/crates/chervilshunt_gateway/src/control/targets.rs
@@ -11,7 +11,6 @@
 use super::actor::Control;
 use super::messages::FromStore;
 use crate::dialect::{Change, Content, Entry, Kind};
-use crate::peers::EntriesView;
 
 /// How long a target whose entry has gone is used still, in calm times. Entries lapse when the
 /// platform's service was away too shortly for any call of this instance to notice, and are back
@@ -70,7 +69,7 @@
                 let mut removed = Vec::new();
                 for change in changes.changes {
                     match change {
-                        Change::Put(entry) => self.seen(entry, revision),
+                        Change::Put(entry) => self.seen(*entry),
                         // One that can't be read names no target any more, until the target
                         // itself writes its entry again.
                         Change::Removed(name) | Change::Unreadable(name) => {
@@ -95,6 +94,7 @@
     /// when entries of targets may have lapsed.
     fn note_trouble(&mut self, kind: Kind) {
         self.reaches_platform = false;
+        self.sights.lost(kind);
         match kind {
             Kind::Targets => self.absences.last_trouble = Some(self.now()),
             // While the platform is away nobody can become the placer.
@@ -107,40 +107,20 @@
     fn looked(&mut self, kind: Kind, revision: u64) {
         self.reaches_platform = true;
         let now = self.now();
-        match kind {
-            Kind::Targets => {
-                self.entries_seen_at = Some(now);
-                self.paces.entries.looked(revision, now);
-            }
-            Kind::Lease => self.paces.lease.looked(revision, now),
-            Kind::Configuration | Kind::Versions => {}
+        let is_overdue = self.sights.seen(kind, now);
+        self.paces.guide(kind).looked(revision, now);
+        if is_overdue {
+            self.tell_placing(now);
         }
     }
 
-    /// Returns what this instance, as the placer, tells of the targets' entries.
-    pub(super) fn entries_view(&self, now: Moment) -> Option<EntriesView> {
-        self.entries_seen_at.map(|at| EntriesView {
-            changed_at: self.entries_changed_at,
-            age: now.since(at),
-        })
-    }
-
-    /// Takes in what the placer tells of the targets' entries.
-    ///
-    /// The placer's own trouble in reaching the platform counts for nothing here. While it lasts
-    /// the placer's view grows old, and this instance finds out for itself whether the platform is
-    /// away for all.
-    pub(super) fn take_entries_view(&mut self, view: EntriesView, now: Moment) {
-        self.paces.entries.told(view.changed_at, now - view.age);
-    }
-
     fn listed(&mut self, kind: Kind, entries: Vec<Entry>, revision: u64) {
         let names: Vec<TargetName> = entries
             .iter()
             .map(|entry| TargetName::new(Arc::clone(&entry.name)))
             .collect();
         for entry in entries {
-            self.seen(entry, revision);
+            self.seen(entry);
         }
         match kind {
             Kind::Targets => {
@@ -156,17 +136,18 @@
         }
     }
 
-    fn seen(&mut self, entry: Entry, revision: u64) {
+    fn seen(&mut self, entry: Entry) {
+        let revision = entry.revision;
         match entry.content {
-            Content::Configuration(table) => self.configuration_seen(table),
-            Content::Target(facts) => self.target_seen(facts, revision),
-            Content::Version(weights, version) => self.version_seen(weights, version),
+            Content::Configuration(table) => self.configuration_seen(table, revision),
+            Content::Target(facts) => self.target_listed(facts, revision),
+            Content::Version(weights, version) => self.version_seen(weights, version, revision),
             Content::Lease(seen) => self.lease_event(SoleEvent::Seen(Some(seen))),
         }
     }
 
     /// Puts a configuration into force unless a newer one is.
-    fn configuration_seen(&mut self, table: RouteTable) {
+    fn configuration_seen(&mut self, table: RouteTable, revision: u64) {
         let known = self.shared.routes.load_full();
         let known = known.map(|known| known.version);
         if known.is_some_and(|known| known >= table.version) {
@@ -176,6 +157,7 @@
             "version" => table.version, "before" => known,
             "routes" => table.route_count(), "services" => table.services.len());
         metrics::gauge!("chervilshunt_configuration_version").set(table.version as f64);
+        self.sights.configuration_changed(revision);
         let table = Arc::new(table);
         self.shared.routes.store(Some(Arc::clone(&table)));
         self.plan_limits(&table);
@@ -196,19 +178,40 @@
         }
     }
 
-    fn target_seen(&mut self, facts: TargetFacts, revision: u64) {
+    /// Takes in a target's entry as the platform lists it.
+    fn target_listed(&mut self, facts: TargetFacts, revision: u64) {
         let now = self.now();
         let mut dispatch = self.shared.dispatch();
         let before = dispatch.target(&facts.name).cloned();
         let news = dispatch.target_seen(facts.clone(), now);
         drop(dispatch);
+        self.target_seen(facts, before, news, revision);
+    }
+
+    /// Takes in what the placer tells of a target's entry.
+    pub(super) fn target_told(&mut self, facts: TargetFacts, revision: u64) {
+        let now = self.now();
+        let mut dispatch = self.shared.dispatch();
+        let before = dispatch.target(&facts.name).cloned();
+        let news = dispatch.target_told(facts.clone(), now);
+        drop(dispatch);
+        self.target_seen(facts, before, news, revision);
+    }
+
+    fn target_seen(
+        &mut self,
+        facts: TargetFacts,
+        before: Option<TargetFacts>,
+        news: TargetNews,
+        revision: u64,
+    ) {
         if news == TargetNews::Outdated {
             return;
         }
         let was_absent = self.absences.due.remove(&facts.name).is_some();
         let before = before.as_ref();
         if was_absent || before.is_none_or(|before| before.concerns_all(&facts)) {
-            self.entries_changed_at = self.entries_changed_at.max(revision);
+            self.sights.target_changed(&facts, revision);
         }
         let was_leaving = before.map(|it| it.leaving.is_some());
         if was_leaving != Some(facts.leaving.is_some()) {
@@ -235,10 +238,16 @@
         self.plan(ResidencyEvent::TargetSeen(facts));
     }
 
-    fn version_seen(&mut self, weights: Weights, version: u64) {
+    /// Takes in the newest version of some weights, unless a newer one is known.
+    pub(super) fn version_seen(&mut self, weights: Weights, version: u64, revision: u64) {
         let now = self.now();
-        let known = self.versions.insert(weights.clone(), version);
-        if known.is_none_or(|known| known < version) {
+        let known = self.versions.get(&weights).copied();
+        if known.is_some_and(|known| known > version) {
+            return;
+        }
+        self.versions.insert(weights.clone(), version);
+        if known != Some(version) {
+            self.sights.version_named(&weights, version, revision);
             slog::info!(self.shared.log, "version named";
                 "weights" => weights.to_string(), "version" => version);
         }
@@ -249,11 +258,11 @@
     }
 
     /// Takes in that entries of targets have gone.
-    fn absent(&mut self, names: Vec<TargetName>, revision: u64) {
+    pub(super) fn absent(&mut self, names: Vec<TargetName>, revision: u64) {
         if names.is_empty() {
             return;
         }
-        self.entries_changed_at = self.entries_changed_at.max(revision);
+        self.sights.targets_gone(&names, revision);
         let now = self.now();
         let known = self.shared.dispatch().targets().count();
         let lapsed = names.len() > 1 && names.len() as f64 >= known as f64 * LAPSE_SHARE;
--- a/crates/chervilshunt_gateway/src/control/using.rs
+++ b/crates/chervilshunt_gateway/src/control/using.rs
@@ -7,7 +7,8 @@
 
 use super::actor::Control;
 use super::presence::SignOfLife;
-use crate::peers::{EntriesView, PeerMessage};
+use crate::dialect::Kind;
+use crate::peers::{PeerMessage, PlatformView};
 
 impl Control {
     /// Tells the placer what this instance has under way.
@@ -18,6 +19,7 @@
             let me = self.me().clone();
             self.plan(ResidencyEvent::Used(me, uses, grants));
             self.take_own_placing();
+            self.choose_helpers();
             return;
         }
         let Some(placer) = self.shared.placer.load_full() else {
@@ -74,16 +76,21 @@
             PeerMessage::Placing {
                 knows_targets,
                 instances,
-                entries,
+                platform,
                 lease,
             } if self.is_placer(&from) => {
-                self.holder_told(lease, entries);
+                self.holder_told(lease, platform);
                 self.take_placing(knows_targets, instances);
             }
+            PeerMessage::Changed(news) if self.is_placer(&from) => self.take_changed(news),
             PeerMessage::CallLease(call) => self.call_lease_for(call, reply),
+            PeerMessage::ReadStore(read) => self.read_for(read, reply),
             // From an instance that was the placer, or is not known to be yet.
-            PeerMessage::Placing { .. } | PeerMessage::Placed(..) | PeerMessage::LeaseCalled(_) => {
-            }
+            PeerMessage::Placing { .. }
+            | PeerMessage::Changed(_)
+            | PeerMessage::Placed(..)
+            | PeerMessage::LeaseCalled(_)
+            | PeerMessage::StoreShows(_) => {}
         }
     }
 
@@ -96,8 +103,7 @@
         }
         if self.is_placer(peer) {
             self.shared.dispatch().placer_lost();
-            self.paces.entries.placer_lost();
-            self.paces.lease.placer_lost();
+            self.paces.placer_lost();
         }
     }
 
@@ -112,14 +118,14 @@
     }
 
     /// Takes in what the placer tells of its lease, and what it sees of the platform.
-    fn holder_told(&mut self, lease: Option<HeldLease>, entries: Option<EntriesView>) {
+    fn holder_told(&mut self, lease: Option<HeldLease>, platform: Option<PlatformView>) {
         let now = self.now();
         if let Some(lease) = lease.filter(|it| self.keeper.term() == Some(it.term)) {
             self.lease_event(SoleEvent::HolderTold(lease));
-            self.paces.lease.told(0, now);
+            self.paces.guide(Kind::Lease).told(0, now);
         }
-        if let Some(view) = entries {
-            self.take_entries_view(view, now);
+        if let Some(view) = platform {
+            self.take_view(view, now);
         }
     }
 
--- a/crates/chervilshunt_gateway/src/dialect.rs
+++ b/crates/chervilshunt_gateway/src/dialect.rs
@@ -15,6 +15,7 @@
 use chervilshunt_platform::Call;
 use http::{HeaderMap, HeaderName, Request, StatusCode};
 use http_body_util::Full;
+use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
 /// A message that can't be read.
@@ -73,7 +74,7 @@
 }
 
 /// The kinds of objects that an instance follows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Kind {
     /// The operators' configuration.
     Configuration,
@@ -123,6 +124,8 @@
 pub struct Entry {
     /// Its name.
     pub name: Arc<str>,
+    /// The service's revision at its last change.
+    pub revision: u64,
     /// What it holds.
     pub content: Content,
 }
@@ -144,7 +147,7 @@
 #[derive(Clone, Debug)]
 pub enum Change {
     /// It was made or replaced.
-    Put(Entry),
+    Put(Box<Entry>),
     /// The object of this name was removed.
     Removed(Arc<str>),
     /// The object of this name was replaced by one that can't be read.
--- a/crates/chervilshunt_gateway/src/peers.rs
+++ b/crates/chervilshunt_gateway/src/peers.rs
@@ -4,11 +4,15 @@
 use std::time::Duration;
 
 use chervilshunt_coord::{HeldLease, SeenRecord, SoleRecord, SoleWritten};
-use chervilshunt_core::{GrantNumber, GrantProgress, Placed, TargetPicture, Use, Want, Weights};
+use chervilshunt_core::{
+    GrantNumber, GrantProgress, Placed, TargetFacts, TargetPicture, Use, Want, Weights,
+};
 use chervilshunt_mesh::Purpose;
 use chervilshunt_model::{InstanceId, TargetName};
 use serde::{Deserialize, Serialize};
 
+use crate::dialect::Kind;
+
 /// A message between instances.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum PeerMessage {
@@ -53,13 +57,16 @@
         /// Instances that the placer hears of.
         #[serde(rename = "i")]
         instances: u32,
-        /// What it sees of the targets' entries; none if it has not seen them yet.
+        /// What it sees of the platform; none if it has not seen the targets' entries yet.
         #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
-        entries: Option<EntriesView>,
+        platform: Option<PlatformView>,
         /// Its lease; none if it does not hold it any more.
         #[serde(rename = "h")]
         lease: Option<HeldLease>,
     },
+    /// From the placer: what has just changed at the platform.
+    #[serde(rename = "e")]
+    Changed(News),
     /// From the placer, which can't reach the platform: a call about its lease to make in its place.
     /// Answered by `LeaseCalled`.
     #[serde(rename = "c")]
@@ -67,6 +74,13 @@
     /// To the placer: what came of that call.
     #[serde(rename = "C")]
     LeaseCalled(LeaseAnswer),
+    /// From the placer, which can't reach the platform: a read to make in its place. Answered by
+    /// `StoreShows`.
+    #[serde(rename = "s")]
+    ReadStore(StoreRead),
+    /// To the placer: what the platform answered, as text.
+    #[serde(rename = "S")]
+    StoreShows(String),
 }
 
 /// What a placer knew of all targets when its lease ended.
@@ -86,6 +100,40 @@
     pub(crate) pass_on: Vec<(InstanceId, SocketAddr)>,
 }
 
+/// A read of objects.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum StoreRead {
+    /// One page of a kind, after a name if one is given.
+    List(Kind, Option<String>),
+    /// The changes of a kind after a revision; they are waited for at most for a time.
+    Watch(Kind, u64, Duration),
+}
+
+impl StoreRead {
+    /// Returns how long the platform may wait before it answers.
+    pub(crate) const fn wait(&self) -> Duration {
+        match self {
+            Self::List(..) => Duration::ZERO,
+            Self::Watch(_, _, wait) => *wait,
+        }
+    }
+
+    /// Returns what it is about.
+    pub(crate) const fn kind(&self) -> Kind {
+        match self {
+            Self::List(kind, _) | Self::Watch(kind, ..) => *kind,
+        }
+    }
+
+    /// Returns the same read with a bound on its wait.
+    pub(crate) fn waiting_at_most(&self, longest: Duration) -> Self {
+        match self {
+            Self::List(kind, after) => Self::List(*kind, after.clone()),
+            Self::Watch(kind, from, wait) => Self::Watch(*kind, *from, (*wait).min(longest)),
+        }
+    }
+}
+
 /// A call about the lease.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum LeaseCall {
@@ -117,15 +165,50 @@
     }
 }
 
-/// What the placer sees of the targets' entries in the platform's service.
+/// Up to which of the service's revisions everybody has to know each kind of objects.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub(crate) struct EntriesView {
-    /// The service's revision at the last change that concerns every instance.
-    #[serde(rename = "r")]
-    pub(crate) changed_at: u64,
+pub(crate) struct PlatformView {
     /// How long ago the placer saw that nothing has changed since.
     #[serde(rename = "a")]
     pub(crate) age: Duration,
+    /// The last change of a target's entry that concerns every instance.
+    #[serde(rename = "t")]
+    pub(crate) targets: u64,
+    /// The last change of the configuration; none if the placer can't follow it now.
+    #[serde(rename = "c")]
+    pub(crate) configuration: Option<u64>,
+    /// The last naming of a version; none if the placer can't follow them now.
+    #[serde(rename = "v")]
+    pub(crate) versions: Option<u64>,
+}
+
+/// Changes of one kind of objects, told so that instances need not look for themselves.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct News {
+    /// The revision of the last change before these.
+    #[serde(rename = "a")]
+    pub(crate) after: u64,
+    /// The revision of the last of these.
+    #[serde(rename = "u")]
+    pub(crate) up_to: u64,
+    /// What has changed.
+    #[serde(rename = "w")]
+    pub(crate) what: NewsOf,
+}
+
+/// What has changed.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum NewsOf {
+    /// Targets' entries: those that every instance has to know, and those that are gone.
+    #[serde(rename = "t")]
+    Targets(Vec<TargetFacts>, Vec<TargetName>),
+    /// The newest versions of weights.
+    #[serde(rename = "v")]
+    Versions(Vec<(Weights, u64)>),
+    /// The configuration, which instances read themselves: it may be far longer than what one instance
+    /// can send to all others in time.
+    #[serde(rename = "c")]
+    Configuration,
 }
 
 impl Purpose for PeerMessage {
@@ -138,8 +221,11 @@
             Self::NotHeld(..) => "not_held",
             Self::Pictures(_) => "pictures",
             Self::Placing { .. } => "placing",
+            Self::Changed(_) => "changed",
             Self::CallLease(_) => "call_lease",
             Self::LeaseCalled(_) => "lease_called",
+            Self::ReadStore(_) => "read_store",
+            Self::StoreShows(_) => "store_shows",
         }
     }
 }
--- a/crates/chervilshunt_gateway/src/run.rs
+++ b/crates/chervilshunt_gateway/src/run.rs
@@ -12,7 +12,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use xtra::prelude::*;
 
-use crate::control::{Begin, Control, FromPeer, Paces, Reload, Stop, start_followers};
+use crate::control::{Begin, Control, FromPeer, Paces, Reader, Reload, Stop, start_followers};
 use crate::dialect::Dialect;
 use crate::front::serve_callers;
 use crate::grants::tell_progress;
@@ -183,13 +183,8 @@
         let control = Control::new(Arc::clone(&shared), Arc::clone(&exchange), paces);
         let begin = own.clone();
         tokio::spawn(async move { drop(begin.send(Begin(begin.clone())).await) });
-        start_followers(
-            &shared.dialect.store,
-            &exchange,
-            &own,
-            &receivers,
-            &shared.log,
-        );
+        let reader = Reader::new(&shared, exchange, control.helpers());
+        start_followers(&shared, reader, &own, receivers);
         drop(own);
         xtra::run(mailbox, control).await;
     })?;
