Have instances that can carry the duty place, and tell the next placer what was learnt

Each new placer also learnt the store's pace anew.

A small instance that has lost the platform looks first whether it is back and leaves the lease to others for as long again. A want that has waited out its time is dropped. A placer that has been 0.4 s late for 2 s steps down where an instance with twice its share of a core is there; its last orders have left when it gives the lease up. Messages of peers no longer cost a change of threads and back each. What was learnt of the store's pace is told to all, and the next placer begins with it.

--- a/crates/chervilshunt_coord/src/lease/sole.rs
+++ b/crates/chervilshunt_coord/src/lease/sole.rs
@@ -30,6 +30,11 @@
     pub rest: Duration,
     /// How long this instance leaves a lease that can be taken to others.
     pub yields_for: Duration,
+    /// How long after its last order a holder that steps down gives the lease up: as long as an order
+    /// can take to leave the process.
+    pub last_orders: Duration,
+    /// How long a holder that has stepped down does not take the lease again.
+    pub stays_down: Duration,
 }
 
 impl Default for SoleConfig {
@@ -41,6 +46,8 @@
             margin: Duration::from_millis(200),
             rest: Duration::from_millis(3_300),
             yields_for: Duration::ZERO,
+            last_orders: Duration::from_millis(600),
+            stays_down: Duration::from_secs(60),
         }
     }
 }
@@ -102,11 +109,15 @@
     Written(SoleWritten),
     /// A read has failed.
     ReadFailed,
+    /// Another call of this instance to the platform has failed.
+    PlatformLost,
     /// The holder has told the term and the version of the record. Whoever hears that need not look
     /// at the record all the time, and knows how long ago it was renewed when the holder falls silent.
     HolderTold(HeldLease),
     /// The instance stops: the lease is given up, and not taken again.
     Release,
+    /// The holder can't carry the duty, and others can: the lease is given up.
+    StepDown,
     /// Time has passed.
     Tick,
 }
@@ -149,6 +160,15 @@
     valid_until: Moment,
     holds: bool,
     leaving: bool,
+    /// Whether the platform has failed to answer since it was last seen.
+    in_trouble: bool,
+    /// From when on another's lease may be taken here: larger instances have seen by then that the
+    /// platform is back.
+    may_take_from: Moment,
+    /// When the lease is given up after stepping down.
+    gives_up_at: Option<Moment>,
+    /// Until when it is not held here again.
+    down_until: Moment,
 }
 
 impl SoleKeeper {
@@ -175,6 +195,10 @@
             valid_until: Moment::ZERO,
             holds: false,
             leaving: false,
+            in_trouble: false,
+            may_take_from: Moment::ZERO,
+            gives_up_at: None,
+            down_until: Moment::ZERO,
         }
     }
 
@@ -218,11 +242,14 @@
     /// Returns when [`SoleEvent::Tick`] is next wanted; none while a call or its look is awaited.
     pub fn next_wakeup(&self) -> Option<Moment> {
         let idle = self.call == Call::None;
+        if let Some(gives_up_at) = self.gives_up_at {
+            return idle.then_some(gives_up_at);
+        }
         match (self.holds, idle) {
             (true, true) => Some(self.next_at.min(self.valid_until)),
             (true, false) => Some(self.valid_until),
             (false, true) if self.looked && !self.leaving => {
-                Some(self.next_at.max(self.next_chance()))
+                Some(self.next_at.max(self.next_chance()).max(self.down_until))
             }
             (false, _) => None,
         }
@@ -232,21 +259,38 @@
     pub fn handle(&mut self, event: SoleEvent, now: Moment) -> Vec<SoleAction> {
         let mut out = Vec::new();
         match event {
-            SoleEvent::Seen(seen) => self.on_seen(seen, now),
+            SoleEvent::Seen(seen) => {
+                self.on_answered(now);
+                self.on_seen(seen, now);
+            }
             SoleEvent::Written(written) => self.on_written(written, now, &mut out),
             SoleEvent::ReadFailed => {
                 self.call = Call::None;
+                self.in_trouble = true;
                 self.next_at = now + self.cfg.retry_every;
             }
+            SoleEvent::PlatformLost => self.in_trouble = true,
+            SoleEvent::StepDown => self.on_step_down(now, &mut out),
             SoleEvent::HolderTold(told) => self.on_told(told, now),
             SoleEvent::Release => self.on_release(&mut out),
             SoleEvent::Tick => {}
         }
         self.settle(now, &mut out);
+        self.give_up(now, &mut out);
         self.act(now, &mut out);
         out
     }
 
+    /// Takes note that the platform answers.
+    ///
+    /// When it comes back, the lease has lapsed and everybody may write at once. The many small instances
+    /// would mostly be first, and one of them would carry the duty for all that follows.
+    fn on_answered(&mut self, now: Moment) {
+        if std::mem::replace(&mut self.in_trouble, false) {
+            self.may_take_from = self.may_take_from.max(now + self.cfg.yields_for);
+        }
+    }
+
     fn on_seen(&mut self, seen: Option<SeenRecord>, now: Moment) {
         if self.call == Call::Reading {
             self.call = Call::None;
@@ -280,16 +324,21 @@
         };
         match written {
             SoleWritten::Done(version) => {
+                self.on_answered(now);
+                let given_up = record.holder.is_none();
                 self.seen = Some(SeenRecord { record, version });
                 self.changed_at = now;
-                if self.leaving {
+                if self.leaving || given_up || self.gives_up_at.is_some() {
                     return;
                 }
                 self.valid_until = sent + self.cfg.duration.saturating_sub(self.cfg.margin);
                 self.next_at = sent + self.cfg.renew_every;
                 self.gain(out);
             }
-            SoleWritten::Failed => self.next_at = now + self.cfg.retry_every,
+            SoleWritten::Failed => {
+                self.in_trouble = true;
+                self.next_at = now + self.cfg.retry_every;
+            }
             // What the platform holds decides: if the write took effect it will be seen as ours,
             // and renewing it makes it count from then on.
             SoleWritten::Conflict | SoleWritten::Unknown => {
@@ -300,6 +349,37 @@
         }
     }
 
+    /// Stops acting as the holder; the lease is given up once no order can leave any more.
+    fn on_step_down(&mut self, now: Moment, out: &mut Vec<SoleAction>) {
+        if !std::mem::replace(&mut self.holds, false) {
+            return;
+        }
+        self.valid_until = Moment::ZERO;
+        self.gives_up_at = Some(now + self.cfg.last_orders);
+        self.down_until = now + self.cfg.stays_down;
+        out.push(SoleAction::Lost);
+    }
+
+    /// Gives the lease up that this instance has stepped down from.
+    fn give_up(&mut self, now: Moment, out: &mut Vec<SoleAction>) {
+        if self.call != Call::None || self.gives_up_at.is_none_or(|at| now < at) {
+            return;
+        }
+        self.gives_up_at = None;
+        let Some(seen) = self.seen.as_ref().filter(|seen| self.is_ours(&seen.record)) else {
+            return;
+        };
+        let record = SoleRecord {
+            holder: None,
+            ..seen.record.clone()
+        };
+        self.call = Call::Writing {
+            record: record.clone(),
+            sent: now,
+        };
+        out.push(SoleAction::Write(record, Some(seen.version)));
+    }
+
     fn on_release(&mut self, out: &mut Vec<SoleAction>) {
         self.leaving = true;
         self.valid_until = Moment::ZERO;
@@ -341,9 +421,20 @@
         if self.call != Call::None || self.leaving || !self.looked || now < self.next_at {
             return;
         }
+        if self.gives_up_at.is_some() || now < self.down_until {
+            return;
+        }
         let Some((record, version)) = self.next_write(now) else {
             return;
         };
+        let is_ours = self
+            .seen
+            .as_ref()
+            .is_some_and(|it| self.is_ours(&it.record));
+        if self.in_trouble && !is_ours && !self.cfg.yields_for.is_zero() {
+            self.call = Call::Reading;
+            return out.push(SoleAction::Read);
+        }
         let sent = now;
         self.call = Call::Writing {
             record: record.clone(),
@@ -354,7 +445,7 @@
 
     fn next_write(&self, now: Moment) -> Option<(SoleRecord, Option<u64>)> {
         let Some(seen) = &self.seen else {
-            let first = now >= self.lapses_at();
+            let first = now >= self.lapses_at().max(self.may_take_from);
             return first.then(|| (self.record(FIRST_TERM, 0), None));
         };
         let version = Some(seen.version);
@@ -362,7 +453,7 @@
             let renewals = seen.record.renewals + 1;
             return Some((self.record(seen.record.term, renewals), version));
         }
-        let lapsed = now >= self.lapses_at();
+        let lapsed = now >= self.lapses_at().max(self.may_take_from);
         lapsed.then(|| (self.record(seen.record.term + 1, 0), version))
     }
 
@@ -370,7 +461,7 @@
     fn next_chance(&self) -> Moment {
         match &self.seen {
             Some(seen) if self.is_ours(&seen.record) => self.next_at,
-            Some(_) | None => self.lapses_at(),
+            Some(_) | None => self.lapses_at().max(self.may_take_from),
         }
     }
 
--- a/crates/chervilshunt_coord/src/tests/sole.rs
+++ b/crates/chervilshunt_coord/src/tests/sole.rs
@@ -18,6 +18,8 @@
     margin: Duration::from_millis(200),
     rest: Duration::from_millis(3_300),
     yields_for: Duration::ZERO,
+    last_orders: Duration::from_millis(600),
+    stays_down: Duration::from_secs(60),
 };
 
 fn at(millis: u64) -> Moment {
@@ -97,6 +99,70 @@
     assert!(!taker.handle(SoleEvent::Tick, at(6_400)).is_empty());
 }
 
+/// The platform is away while the lease lapses. When it is back, all instances find out within moments;
+/// a small one that writes at once is mostly first, as there are many, and carries the duty from then on.
+#[rstest]
+#[case::it_has_tried_itself(true)]
+#[case::it_has_lost_the_platform_before_it_tries(false)]
+fn a_small_instance_leaves_the_lease_to_others_when_the_platform_is_back(#[case] tried: bool) {
+    let (_, seen) = holder();
+    let cfg = SoleConfig {
+        yields_for: Duration::from_millis(500),
+        ..CFG
+    };
+    let address = ([10, 0, 0, 7], 7000).into();
+    let mut small = SoleKeeper::new(
+        cfg,
+        InstanceId::from("s"),
+        1,
+        address,
+        Duration::ZERO,
+        at(0),
+    );
+    small.handle(SoleEvent::Seen(Some(seen.clone())), at(0));
+    if tried {
+        let write = small.handle(SoleEvent::Tick, at(6_400));
+        assert!(matches!(&*write, [SoleAction::Write(..)]), "{write:?}");
+        small.handle(SoleEvent::Written(SoleWritten::Failed), at(6_410));
+    } else {
+        small.handle(SoleEvent::PlatformLost, at(1_000));
+    }
+    let read = small.handle(SoleEvent::Tick, at(6_660));
+    assert_eq!(read, [SoleAction::Read], "it finds out whether it is back");
+    let actions = small.handle(SoleEvent::Seen(Some(seen)), at(9_000));
+    assert!(actions.is_empty(), "{actions:?}");
+    assert!(small.handle(SoleEvent::Tick, at(9_499)).is_empty());
+    assert!(!small.handle(SoleEvent::Tick, at(9_500)).is_empty());
+}
+
+/// A holder whose machine is too small for the duty steps down. Its last orders leave before it gives
+/// the lease up, and it does not take it again before the others had every chance to.
+#[test]
+fn a_holder_that_steps_down_gives_the_lease_up_after_its_last_orders() {
+    let (mut a, mut seen) = holder();
+    assert_eq!(a.handle(SoleEvent::StepDown, at(100)), [SoleAction::Lost]);
+    assert_eq!(a.may_order(at(100)), None);
+    assert!(a.handle(SoleEvent::Tick, at(699)).is_empty());
+    let actions = a.handle(SoleEvent::Tick, at(700));
+    let [SoleAction::Write(record, Some(7))] = &*actions else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(record.holder, None);
+    seen.record = record.clone();
+    seen.version = 8;
+    assert!(
+        a.handle(SoleEvent::Written(SoleWritten::Done(8)), at(705))
+            .is_empty()
+    );
+    assert_eq!(a.may_order(at(710)), None);
+    let mut b = keeper("b", at(100));
+    b.handle(SoleEvent::Seen(Some(seen)), at(710));
+    assert!(b.handle(SoleEvent::Tick, at(4_009)).is_empty());
+    assert!(!b.handle(SoleEvent::Tick, at(4_010)).is_empty());
+    assert!(a.handle(SoleEvent::Tick, at(60_099)).is_empty());
+    assert!(!a.handle(SoleEvent::Tick, at(60_100)).is_empty());
+}
+
 #[test]
 fn a_lease_that_was_given_up_is_taken_after_the_rest_alone() {
     let (mut a, mut seen) = holder();
@@ -199,6 +265,8 @@
     Call(usize, bool, bool),
     /// The instance gives an order if it may.
     Order(usize),
+    /// The instance can't carry the duty.
+    Overload(usize),
     /// The process starts anew.
     Restart(usize),
     /// A write without an answer is carried out now.
@@ -213,6 +281,7 @@
         8 => (who.clone(), prop::bool::weighted(0.8), prop::bool::weighted(0.8))
             .prop_map(|(who, done, told)| Step::Call(who, done, told)),
         6 => who.clone().prop_map(Step::Order),
+        1 => who.clone().prop_map(Step::Overload),
         1 => who.prop_map(Step::Restart),
         1 => Just(Step::Late),
     ]
@@ -331,6 +400,7 @@
             Step::Look(who) => self.event(who, SoleEvent::Seen(self.stored.clone())),
             Step::Call(who, done, told) => self.call(who, done, told),
             Step::Order(who) => self.order(who),
+            Step::Overload(who) => self.event(who, SoleEvent::StepDown),
             Step::Restart(who) => {
                 self.starts += 1;
                 let address = ([10, 0, 0, NAMES[who].as_bytes()[0]], 7000).into();
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -40,7 +40,7 @@
 };
 pub use rank::{TargetTable, rank_targets};
 pub use residency::{
-    GrantNumber, GrantProgress, Order, OrderAnswer, OrderNumber, Placed, Residency,
+    GrantNumber, GrantProgress, Learnt, Order, OrderAnswer, OrderNumber, Placed, Residency,
     ResidencyAction, ResidencyConfig, ResidencyEvent, TargetReport, Use, Want,
 };
 pub use retry::{
--- a/crates/chervilshunt_core/src/residency/memory.rs
+++ b/crates/chervilshunt_core/src/residency/memory.rs
@@ -33,7 +33,12 @@
         self.0 = self.0.max(since + 1);
     }
 
-    const fn get(self) -> usize {
+    /// Begins with what another placer has learnt.
+    pub(crate) fn begin_with(kept: usize) -> Self {
+        Self(kept.max(FEWEST))
+    }
+
+    pub(super) const fn get(self) -> usize {
         self.0
     }
 }
--- a/crates/chervilshunt_core/src/residency/mod.rs
+++ b/crates/chervilshunt_core/src/residency/mod.rs
@@ -12,6 +12,7 @@
 mod grants;
 mod hold;
 mod lanes;
+mod learnt;
 mod loads;
 mod memory;
 mod models;
@@ -26,6 +27,7 @@
 
 pub use config::ResidencyConfig;
 pub use grants::{GrantNumber, GrantProgress};
+pub use learnt::Learnt;
 pub use order::{
     Order, OrderAnswer, OrderNumber, Placed, ResidencyAction, ResidencyEvent, TargetReport, Use,
 };
--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -11,6 +11,7 @@
 use super::grants::{GrantNumber, Grants};
 use super::hold::HoldState;
 use super::lanes::LaneSwitch;
+use super::learnt::Learnt;
 use super::memory::MemorySize;
 use super::order::{OrderNumber, ResidencyAction, ResidencyEvent, Use};
 use super::pace::ReadingPace;
@@ -84,6 +85,23 @@
         }
     }
 
+    /// Returns what this planner has learnt by trying; none while it has not learnt it.
+    pub fn learnt(&self) -> Option<Learnt> {
+        let (load_time, loads_at_once) = self.window.learnt()?;
+        Some(Learnt {
+            load_time,
+            loads_at_once,
+            kept_in_memory: u32::try_from(self.memory.get()).unwrap_or(u32::MAX),
+        })
+    }
+
+    /// Begins with what another planner has learnt.
+    pub fn begin_with(&mut self, learnt: Learnt) {
+        self.window
+            .begin_with(learnt.load_time, learnt.loads_at_once);
+        self.memory = MemorySize::begin_with(learnt.kept_in_memory as usize);
+    }
+
     /// Takes one event and says what is to be done.
     pub fn handle(&mut self, event: ResidencyEvent, now: Moment) -> Vec<ResidencyAction> {
         let mut out = Vec::new();
--- a/crates/chervilshunt_core/src/residency/window.rs
+++ b/crates/chervilshunt_core/src/residency/window.rs
@@ -60,6 +60,20 @@
         }
     }
 
+    /// Returns how long a load takes at full speed and how many loads the store serves, once that is
+    /// known.
+    pub(crate) fn learnt(&self) -> Option<(Duration, u32)> {
+        let load_time = self.usual?;
+        (!self.doubles).then_some((load_time, self.size as u32))
+    }
+
+    /// Begins with what another placer has learnt.
+    pub(crate) fn begin_with(&mut self, load_time: Duration, loads_at_once: u32) {
+        self.usual = Some(load_time);
+        self.size = f64::from(loads_at_once).clamp(FEWEST, MOST);
+        self.doubles = false;
+    }
+
     /// Returns how many loads may be under way.
     pub(crate) const fn size(&self) -> usize {
         self.size as usize
--- a/crates/chervilshunt_core/tests/residency_load.rs
+++ b/crates/chervilshunt_core/tests/residency_load.rs
@@ -238,8 +238,19 @@
     /// Returns the share of wants that were placed in time, and how long loads took in the second
     /// half, as a multiple of a load at full speed.
     fn run(mut self) -> (f64, f64) {
+        let wants = self.pass(SECONDS);
+        let settled = self
+            .store
+            .load_times_ms
+            .split_off(self.store.load_times_ms.len() / 2);
+        let mean = settled.iter().sum::<u64>() as f64 / settled.len().max(1) as f64;
+        (self.placed as f64 / wants as f64, mean / self.load.load_ms)
+    }
+
+    /// Lets seconds pass from the start, and returns how many wants came.
+    fn pass(&mut self, seconds: u64) -> u64 {
         let mut wants = 0;
-        for now_ms in 1..SECONDS * 1_000 {
+        for now_ms in 1..seconds * 1_000 {
             self.store.pass(self.load, now_ms);
             for order in self.store.late.remove(&now_ms).unwrap_or_default() {
                 self.store.carry_out(self.load, &order, now_ms);
@@ -257,12 +268,7 @@
                 wants += 1;
             }
         }
-        let settled = self
-            .store
-            .load_times_ms
-            .split_off(self.store.load_times_ms.len() / 2);
-        let mean = settled.iter().sum::<u64>() as f64 / settled.len().max(1) as f64;
-        (self.placed as f64 / wants as f64, mean / self.load.load_ms)
+        wants
     }
 }
 
@@ -334,3 +340,37 @@
         "placed {placed:.3}, loads take {slowness:.2} times as long as at full speed"
     );
 }
+
+/// A placer is lost in the middle of a rush for cold adapters. The next one has been told what the last
+/// one learnt, and loads at the store's pace from its first second; without that it begins with eight
+/// loads at a time, and callers are refused until it has found the store's number anew.
+#[test]
+fn a_new_placer_loads_at_the_pace_that_the_last_one_learnt() {
+    let load = Load {
+        targets: 117,
+        adapter_slots: 10,
+        load_ms: 250.0,
+        at_full_speed: 48,
+        wants_a_second: 170,
+        one_lost_of: 0,
+    };
+    let overloaded = Load {
+        wants_a_second: 300,
+        ..load
+    };
+    let mut first = Replay::new(overloaded);
+    first.pass(SECONDS);
+    let learnt = first.residency.learnt().expect("it has learnt the pace");
+    let mut next = Replay::new(load);
+    next.residency.begin_with(learnt);
+    next.pass(1);
+    let mut unaware = Replay::new(load);
+    unaware.pass(1);
+    assert!(
+        next.placed as f64 > 0.9 * (load.wants_a_second as f64 * 0.75),
+        "{} placed in the first second, {} without what was learnt",
+        next.placed,
+        unaware.placed
+    );
+    assert!(unaware.placed < next.placed);
+}
--- a/crates/chervilshunt_daemon/src/control/peers.rs
+++ b/crates/chervilshunt_daemon/src/control/peers.rs
@@ -30,6 +30,7 @@
             from,
             message,
             reply,
+            ..
         } = message;
         if self.suspects.contains(&from) {
             self.coordinate(CoordEvent::PeerHeard(from.clone()));
--- a/crates/chervilshunt_gateway/src/control/actor.rs
+++ b/crates/chervilshunt_gateway/src/control/actor.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use chervilshunt_coord::{SoleAction, SoleConfig, SoleEvent, SoleKeeper};
-use chervilshunt_core::{Residency, ResidencyEvent, Weights};
+use chervilshunt_core::{Learnt, Residency, ResidencyEvent, Weights};
 use chervilshunt_mesh::{Inbound, Peer, Reply};
 use chervilshunt_model::{InstanceId, Moment};
 use chervilshunt_platform::Exchange;
@@ -14,6 +14,7 @@
 
 use super::messages::{Asked, Begin, FromPeer, FromStore, Ordered, Reload, Stop, TellUse, Tick};
 use super::news::Sights;
+use super::overload::Overload;
 use super::pace::Paces;
 use super::presence::Presence;
 use super::targets::Absences;
@@ -61,6 +62,9 @@
     pub(super) paces: Paces,
     /// Whether the platform answered the last call of a follower.
     pub(super) reaches_platform: bool,
+    pub(super) overload: Overload,
+    /// What placers have learnt by trying.
+    pub(super) learnt: Option<Learnt>,
     /// The instances that may read the platform's objects for this one, while it is the placer.
     pub(super) helpers: watch::Sender<Vec<Peer>>,
     /// What was seen of the platform, as the placer tells it.
@@ -96,6 +100,8 @@
             absences: Absences::default(),
             paces,
             reaches_platform: false,
+            overload: Overload::default(),
+            learnt: None,
             helpers: watch::Sender::default(),
             sights: Sights::default(),
             versions: HashMap::new(),
@@ -191,8 +197,10 @@
         tokio::spawn(async move {
             let mut every = tokio::time::interval(TELL_USE_EVERY);
             every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-            while address.send(TellUse).await.is_ok() {
+            let mut due_at = tokio::time::Instant::now();
+            while address.send(TellUse { due_at }).await.is_ok() {
                 every.tick().await;
+                due_at = tokio::time::Instant::now();
             }
         });
     }
@@ -265,7 +273,8 @@
 impl Handler<TellUse> for Control {
     type Return = ();
 
-    async fn handle(&mut self, _due: TellUse, _cx: &mut xtra::Context<Self>) {
+    async fn handle(&mut self, due: TellUse, _cx: &mut xtra::Context<Self>) {
+        self.check_overload(due.due_at.elapsed());
         self.tell_use();
         self.after_message();
     }
--- a/crates/chervilshunt_gateway/src/control/messages.rs
+++ b/crates/chervilshunt_gateway/src/control/messages.rs
@@ -44,7 +44,10 @@
 
 /// It is time to tell the placer what this instance has under way.
 #[derive(Debug)]
-pub(crate) struct TellUse;
+pub(crate) struct TellUse {
+    /// When that was.
+    pub(crate) due_at: tokio::time::Instant,
+}
 
 /// The settings file has changed.
 #[derive(Debug)]
--- a/crates/chervilshunt_gateway/src/control/mod.rs
+++ b/crates/chervilshunt_gateway/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod lease;
 mod messages;
 mod news;
+mod overload;
 mod pace;
 mod pictures;
 mod placing;
--- a/crates/chervilshunt_gateway/src/control/news.rs
+++ b/crates/chervilshunt_gateway/src/control/news.rs
@@ -193,3 +193,6 @@
         self.paces.guide(kind).caught_up(news.up_to);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/control/overload/tests.rs
@@ -0,0 +1,28 @@
+//! When the control state counts as overloaded.
+
+use std::time::Duration;
+
+use chervilshunt_model::Moment;
+
+use super::Overload;
+
+/// Notes lateness at moments, all in milliseconds, and returns whether the last one shows overload.
+fn noted(notes: &[(u64, u64)]) -> bool {
+    let mut overload = Overload::default();
+    let mut lasts = false;
+    for (at, late_by) in notes {
+        lasts = overload.note(Duration::from_millis(*late_by), Moment::from_millis(*at));
+    }
+    lasts
+}
+
+#[test]
+fn a_burst_is_sat_out() {
+    assert!(!noted(&[(1_000, 900), (2_000, 900), (2_900, 900)]));
+    assert!(!noted(&[(1_000, 900), (2_000, 100), (3_100, 900)]));
+}
+
+#[test]
+fn a_placer_that_stays_behind_is_overloaded() {
+    assert!(noted(&[(1_000, 900), (2_000, 400), (3_000, 1_500)]));
+}
--- a/crates/chervilshunt_gateway/src/control/pictures.rs
+++ b/crates/chervilshunt_gateway/src/control/pictures.rs
@@ -84,3 +84,6 @@
         .map(|(first, rest)| (first.clone(), rest.to_vec()))
         .collect()
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -35,10 +35,15 @@
 impl Control {
     /// Starts to place: everything that is known goes into a new planner.
     pub(super) fn become_placer(&mut self, term: u64, now: Moment) {
-        slog::info!(self.shared.log, "placing begins"; "term" => term);
+        slog::info!(self.shared.log, "placing begins"; "term" => term,
+            "loads_at_once" => self.learnt.map(|it| it.loads_at_once));
         metrics::counter!("chervilshunt_placer_terms_total").increment(1);
+        let mut residency = Residency::new(ResidencyConfig::default(), now);
+        if let Some(learnt) = self.learnt {
+            residency.begin_with(learnt);
+        }
         self.placer = Some(Placer {
-            residency: Residency::new(ResidencyConfig::default(), now),
+            residency,
             questions: HashMap::new(),
             next_question: term << TERM_SHIFT,
             presence: Presence::default(),
@@ -178,6 +183,7 @@
         let placer = self.placer.as_ref()?;
         Some(PeerMessage::Placing {
             knows_targets: placer.residency.knows_targets(),
+            learnt: placer.residency.learnt().or(self.learnt),
             instances: placer.presence.count(),
             platform: self.sights.view(now),
             lease: self.keeper.held(),
@@ -201,6 +207,7 @@
     pub(super) fn take_own_placing(&mut self) {
         if let Some(placer) = &self.placer {
             let knows_targets = placer.residency.knows_targets();
+            self.learnt = placer.residency.learnt().or(self.learnt);
             self.take_placing(knows_targets, placer.presence.count());
         }
     }
--- a/crates/chervilshunt_gateway/src/control/presence.rs
+++ b/crates/chervilshunt_gateway/src/control/presence.rs
@@ -19,6 +19,8 @@
     pub(super) address: SocketAddr,
     /// Whether the platform answered its last call.
     pub(super) reaches_platform: bool,
+    /// Its share of a processor core.
+    pub(super) processor_share: f32,
 }
 
 impl SignOfLife {
@@ -63,6 +65,12 @@
         peers.choose_multiple(&mut rand::rng(), most)
     }
 
+    /// Returns the largest share of a processor core that another instance has.
+    pub(super) fn largest_share(&self) -> f32 {
+        let shares = self.heard.values().map(|(sign, _)| sign.processor_share);
+        shares.fold(0.0, f32::max)
+    }
+
     /// Returns how many instances are there, the placer's own included.
     pub(super) fn count(&self) -> u32 {
         u32::try_from(self.heard.len() + 1).unwrap_or(u32::MAX)
--- a/crates/chervilshunt_gateway/src/control/targets.rs
+++ b/crates/chervilshunt_gateway/src/control/targets.rs
@@ -95,6 +95,7 @@
     fn note_trouble(&mut self, kind: Kind) {
         self.reaches_platform = false;
         self.sights.lost(kind);
+        self.lease_event(SoleEvent::PlatformLost);
         match kind {
             Kind::Targets => self.absences.last_trouble = Some(self.now()),
             // While the platform is away nobody can become the placer.
--- a/crates/chervilshunt_gateway/src/control/using.rs
+++ b/crates/chervilshunt_gateway/src/control/using.rs
@@ -31,6 +31,7 @@
         let message = PeerMessage::Using {
             address: self.shared.settings.addresses.peers,
             reaches_platform: self.reaches_platform,
+            processor_share: self.processor_share(),
             uses,
             grants,
         };
@@ -44,22 +45,30 @@
         let InboundMessage {
             from,
             message,
+            received_at,
             reply,
         } = message;
         match message {
             PeerMessage::Using {
                 address,
                 reaches_platform,
+                processor_share,
                 uses,
                 grants,
             } => {
                 let sign = SignOfLife {
                     address,
                     reaches_platform,
+                    processor_share,
                 };
                 self.instance_uses(&from, sign, (uses, grants));
             }
             PeerMessage::Want(want, within) => {
+                // Where it waited here for longer than its request waits for it, the load would be made
+                // for nobody: a placer that falls behind would load ever more in vain, and answer none.
+                let Some(within) = within.checked_sub(received_at.elapsed()) else {
+                    return slog::info!(self.shared.log, "want is too late"; "peer" => from.as_str());
+                };
                 let wanted = |question| ResidencyEvent::Wanted {
                     question,
                     from,
@@ -75,10 +84,12 @@
             PeerMessage::Pictures(pictures) => self.take_pictures(&from, pictures),
             PeerMessage::Placing {
                 knows_targets,
+                learnt,
                 instances,
                 platform,
                 lease,
             } if self.is_placer(&from) => {
+                self.learnt = learnt.or(self.learnt);
                 self.holder_told(lease, platform);
                 self.take_placing(knows_targets, instances);
             }
--- a/crates/chervilshunt_gateway/src/peers.rs
+++ b/crates/chervilshunt_gateway/src/peers.rs
@@ -5,7 +5,7 @@
 
 use chervilshunt_coord::{HeldLease, SeenRecord, SoleRecord, SoleWritten};
 use chervilshunt_core::{
-    GrantNumber, GrantProgress, Placed, TargetFacts, TargetPicture, Use, Want, Weights,
+    GrantNumber, GrantProgress, Learnt, Placed, TargetFacts, TargetPicture, Use, Want, Weights,
 };
 use chervilshunt_mesh::Purpose;
 use chervilshunt_model::{InstanceId, TargetName};
@@ -25,6 +25,9 @@
         /// Whether the platform answered the sender's last call.
         #[serde(rename = "r")]
         reaches_platform: bool,
+        /// The sender's share of a processor core.
+        #[serde(rename = "p")]
+        processor_share: f32,
         /// What it has under way.
         #[serde(rename = "u")]
         uses: Vec<Use>,
@@ -54,6 +57,9 @@
         /// Whether it knows what targets hold, and is to be asked.
         #[serde(rename = "k")]
         knows_targets: bool,
+        /// What it has learnt by trying, for the next placer.
+        #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+        learnt: Option<Learnt>,
         /// Instances that the placer hears of.
         #[serde(rename = "i")]
         instances: u32,
--- a/crates/chervilshunt_mesh/src/connection/read.rs
+++ b/crates/chervilshunt_mesh/src/connection/read.rs
@@ -151,6 +151,7 @@
     Inbound::Message(InboundMessage {
         from: connection.identity.peer.clone(),
         message,
+        received_at: Instant::now(),
         reply,
     })
 }
--- a/crates/chervilshunt_mesh/src/mesh.rs
+++ b/crates/chervilshunt_mesh/src/mesh.rs
@@ -10,7 +10,7 @@
 use snafu::{ResultExt, ensure};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use tokio_util::sync::DropGuard;
 
 use crate::config::{MeshConfig, Peer};
@@ -175,6 +175,7 @@
             .try_send(Inbound::Message(InboundMessage {
                 from: self.shared.cfg.instance.clone(),
                 message,
+                received_at: Instant::now(),
                 reply,
             }))
     }
--- a/crates/chervilshunt_mesh/src/message.rs
+++ b/crates/chervilshunt_mesh/src/message.rs
@@ -5,6 +5,7 @@
 use chervilshunt_model::InstanceId;
 use serde::Serialize;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 use crate::connection::Connection;
 use crate::error::{RequestError, SendError};
@@ -37,6 +38,8 @@
     pub from: InstanceId,
     /// What it says.
     pub message: M,
+    /// When it was read from its connection; it may wait long for an application that is overloaded.
+    pub received_at: Instant,
     /// Where the answer goes; none for a one-way message.
     pub reply: Option<Reply<M>>,
 }
--- a/crates/chervilshunt_start/src/control.rs
+++ b/crates/chervilshunt_start/src/control.rs
@@ -24,6 +24,9 @@
 }
 
 /// Hands what peers send to the control actor, in its order.
+///
+/// It doesn't wait until a message has been taken in, only for room in the mailbox: with a change of
+/// threads and back for each message, an instance that hears of hundreds of others did little else.
 pub fn forward<A, T, M>(
     mut inbound: mpsc::Receiver<Inbound<M>>,
     control: Address<A>,
@@ -35,7 +38,7 @@
 {
     tokio::spawn(async move {
         while let Some(message) = inbound.recv().await {
-            if control.send(wrap(message)).await.is_err() {
+            if control.send(wrap(message)).detach().await.is_err() {
                 return;
             }
         }
