Ask thousands of targets at a pace, and go on knowing the targets when one comes

And a target that comes or restarts has not been asked, for which all instances were told that the placer knows nothing, and chose by themselves for half a second.

--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -3,6 +3,7 @@
 use std::cmp::Ordering;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::Arc;
+use std::time::Duration;
 
 use chervilshunt_model::{InstanceId, Moment, ServiceName, TargetName};
 use indexmap::IndexMap;
@@ -23,6 +24,14 @@
     NamedVersions, PlacementLimits, TargetFacts, TargetPicture, TargetStart, Weights,
 };
 
+/// The share of targets that have to have been asked for a placer to know what is held: the last few
+/// may be slow or gone.
+const KNOWN_SHARE: f64 = 0.95;
+/// Targets that a new placer asks at once what they hold.
+const ASKS_AT_ONCE: u32 = 128;
+/// The time between asking one target and the next beyond those.
+const ASK_SPACING: Duration = Duration::from_micros(650);
+
 /// Decides which target holds which weights. `handle` takes an event and gives back what to do.
 #[derive(Debug)]
 pub struct Residency {
@@ -51,6 +60,7 @@
     /// What each instance last told that it has under way.
     pub(super) uses: HashMap<InstanceId, Vec<Use>>,
     next_order: u64,
+    knows_targets: bool,
     /// When the first targets are asked what they hold.
     asks_from: Moment,
 }
@@ -82,6 +92,7 @@
             admitted: HashSet::new(),
             uses: HashMap::new(),
             next_order: 0,
+            knows_targets: false,
         }
     }
 
@@ -140,6 +151,7 @@
             ResidencyEvent::Tick => {}
         }
         self.advance(now, &mut out);
+        self.note_known_targets();
         self.name_starts(&mut out);
         out
     }
@@ -200,8 +212,18 @@
 
     /// Says whether the targets have been asked what they hold. Until then a placer takes nothing for
     /// held, and would have loaded what is there.
-    pub fn knows_targets(&self) -> bool {
-        self.targets.values().all(|target| target.was_asked)
+    ///
+    /// It stays so from then on. A target that comes or restarts later has not been asked yet; told that
+    /// the placer knows nothing, all instances would choose by themselves for half a second each time.
+    pub const fn knows_targets(&self) -> bool {
+        self.knows_targets
+    }
+
+    fn note_known_targets(&mut self) {
+        if !self.knows_targets && !self.targets.is_empty() {
+            let asked = self.targets.values().filter(|it| it.was_asked).count();
+            self.knows_targets = asked as f64 >= self.targets.len() as f64 * KNOWN_SHARE;
+        }
     }
 
     /// Returns all that requests can use, for instances that have to choose by themselves.
@@ -267,12 +289,22 @@
                 target.touched = true;
             }
             None => {
-                let ask_at = now.max(self.asks_from);
+                let ask_at = self.first_ask(now);
                 self.insert_target(TargetState::new(facts, ask_at));
             }
         }
     }
 
+    /// Returns when a target is asked that has just been seen.
+    ///
+    /// Asked all at once, thousands of targets answer more than the placer takes in before it gives them
+    /// up and asks again, and it comes to know none of them.
+    fn first_ask(&mut self, now: Moment) -> Moment {
+        let asked = u32::try_from(self.targets.len()).unwrap_or(u32::MAX);
+        let turn = ASK_SPACING.saturating_mul(asked.saturating_sub(ASKS_AT_ONCE));
+        now.max(self.asks_from + turn)
+    }
+
     fn target_gone(&mut self, name: &TargetName, now: Moment, out: &mut Vec<ResidencyAction>) {
         let Some(target) = self.targets.shift_remove(name) else {
             return;
--- a/crates/chervilshunt_core/tests/residency_spread.rs
+++ b/crates/chervilshunt_core/tests/residency_spread.rs
@@ -11,7 +11,7 @@
     ResidencyEvent, Weights,
 };
 use chervilshunt_model::TargetName;
-use placing::{adapter, at, before_asking, reported, target, wanted};
+use placing::{adapter, at, before_asking, facts, reported, target, wanted};
 use rstest::rstest;
 
 const TARGETS: usize = 12;
@@ -109,3 +109,45 @@
     );
     assert_eq!(residency.next_wakeup(), Some(at(1_513 + 28)));
 }
+
+/// A new placer before thousands of targets asks them one after the other: asked all at once, they
+/// answer more than it takes in before it gives them up and asks again.
+#[rstest]
+#[case::hundreds(120, 1)]
+#[case::thousands(3_000, 1_500)]
+fn targets_are_asked_at_a_pace_that_a_placer_bears(#[case] targets: usize, #[case] millis: u64) {
+    let mut residency = before_asking(targets, 10, 2);
+    let mut asked = 0;
+    let mut longest = 0;
+    for now in 450..450 + 3_000 {
+        let actions = residency.handle(ResidencyEvent::Tick, at(now));
+        let asks = actions.iter();
+        let asks = asks
+            .filter(|it| matches!(it, ResidencyAction::Ask(_)))
+            .count();
+        if now > 450 {
+            longest = longest.max(asks);
+        }
+        asked += asks;
+        if now < 450 + millis {
+            assert!(asked < targets || targets <= 128, "{asked} at {now}");
+        }
+    }
+    assert_eq!(asked, targets);
+    assert!(longest <= 2, "{longest} in a millisecond");
+}
+
+/// A target comes while everybody relies on the placer. It has not been asked yet, and no instance is
+/// told for that to choose by itself.
+#[test]
+fn a_placer_that_knows_the_targets_goes_on_knowing_them() {
+    let mut residency = before_asking(2, 10, 2);
+    assert!(!residency.knows_targets());
+    residency.handle(ResidencyEvent::Tick, at(450));
+    residency.handle(reported(0, vec![]), at(451));
+    assert!(!residency.knows_targets());
+    residency.handle(reported(1, vec![]), at(452));
+    assert!(residency.knows_targets());
+    residency.handle(ResidencyEvent::TargetSeen(facts(2, 10)), at(600));
+    assert!(residency.knows_targets());
+}
