Look at nothing where an entry tells the planner nothing new; log the first list in one line

Cause: targets write their entries each second, and the planner looked for what is due with each entry, which takes time for all targets: the square of them.

Messages of instances before this version are understood still.

--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -117,6 +117,9 @@
     pub fn handle(&mut self, event: ResidencyEvent, now: Moment) -> Vec<ResidencyAction> {
         let mut out = Vec::new();
         match event {
+            // Targets write their entries each second. Thousands of them would have the planner look for
+            // what is due thousands of times a second, and its other events wait for that.
+            ResidencyEvent::TargetSeen(facts) if self.is_known(&facts, now) => return out,
             ResidencyEvent::TargetSeen(facts) => self.target_seen(facts, now, &mut out),
             ResidencyEvent::TargetGone(name) => self.target_gone(&name, now, &mut out),
             ResidencyEvent::Limits(service, limits) => {
@@ -295,6 +298,12 @@
         }
     }
 
+    /// Says whether an entry tells nothing that the planner goes by.
+    fn is_known(&self, facts: &TargetFacts, now: Moment) -> bool {
+        let known = self.targets.get(&facts.name);
+        known.is_some_and(|it| now >= it.models_reported_until && !it.facts.concerns_all(facts))
+    }
+
     /// Returns when a target is asked that has just been seen.
     ///
     /// Asked all at once, thousands of targets answer more than the placer takes in before it gives them
--- a/crates/chervilshunt_gateway/src/control/targets.rs
+++ b/crates/chervilshunt_gateway/src/control/targets.rs
@@ -125,7 +125,7 @@
         }
         match kind {
             Kind::Targets => {
-                self.shared.set_targets_known();
+                self.shared.set_targets_known(names.len());
                 let known = self.shared.dispatch();
                 let unlisted = known.targets().filter(|it| !names.contains(&it.name));
                 let unlisted = unlisted.map(|it| it.name.clone()).collect();
@@ -214,8 +214,11 @@
         if was_absent || before.is_none_or(|before| before.concerns_all(&facts)) {
             self.sights.target_changed(&facts, revision);
         }
+        // Of the first list only its length is logged: line by line, thousands of targets are most of the
+        // work of an instance that starts.
+        let is_news = before.is_some() || self.shared.are_targets_known();
         let was_leaving = before.map(|it| it.leaving.is_some());
-        if was_leaving != Some(facts.leaving.is_some()) {
+        if is_news && was_leaving != Some(facts.leaving.is_some()) {
             slog::info!(self.shared.log, "target";
                 "target" => facts.name.as_str(), "service" => facts.service.as_str(),
                 "address" => facts.address.to_string(), "leaving" => facts.leaving.is_some());
@@ -224,7 +227,7 @@
             Some(before) => before.lists_same_models(&facts),
             None => facts.models.is_empty(),
         };
-        if !same_models {
+        if is_news && !same_models {
             let models_before = before.map(TargetFacts::model_versions).unwrap_or_default();
             slog::info!(self.shared.log, "target models";
                 "target" => facts.name.as_str(), "models" => ?facts.model_versions(),
--- a/crates/chervilshunt_gateway/src/peers.rs
+++ b/crates/chervilshunt_gateway/src/peers.rs
@@ -25,8 +25,8 @@
         /// Whether the platform answered the sender's last call.
         #[serde(rename = "r")]
         reaches_platform: bool,
-        /// The sender's share of a processor core.
-        #[serde(rename = "p")]
+        /// The sender's share of a processor core; instances of before this field leave it out.
+        #[serde(rename = "p", default)]
         processor_share: f32,
         /// What it has under way.
         #[serde(rename = "u")]
--- a/crates/chervilshunt_gateway/src/shared.rs
+++ b/crates/chervilshunt_gateway/src/shared.rs
@@ -157,16 +157,21 @@
     }
 
     /// Takes note that the targets have been listed.
-    pub(crate) fn set_targets_known(&self) {
+    pub(crate) fn set_targets_known(&self, count: usize) {
         let now = self.clock.now().as_micros().max(1);
         let first =
             self.targets_known_at
                 .compare_exchange(0, now, Ordering::AcqRel, Ordering::Relaxed);
         if first.is_ok() {
-            slog::debug!(self.log, "targets listed");
+            slog::info!(self.log, "targets listed"; "count" => count);
         }
     }
 
+    /// Says whether the targets have been listed.
+    pub(crate) fn are_targets_known(&self) -> bool {
+        self.targets_known_at.load(Ordering::Acquire) > 0
+    }
+
     /// Takes note that a placer has told what it knows, or that none can be expected to come soon.
     pub(crate) fn set_placer_decided(&self) {
         self.placer_decided.store(true, Ordering::Release);
