--- a/crates/chervilshunt_coord/src/lease/sole.rs
+++ b/crates/chervilshunt_coord/src/lease/sole.rs
@@ -14,9 +14,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SoleConfig {
     /// How long a renewal counts. A longer one bridges more of an outage of the platform, and leaves the
-    /// deployment without a holder for longer after one is lost. Of three values tried on days with both,
-    /// 2.6, 4.5 and 6.5 s, the middle one served most: 0.503, 0.523 and 0.516 of the worth (mean of two
-    /// runs and of three of five days).
+    /// deployment without a holder for longer after one is lost.
     pub duration: Duration,
     /// How often the holder renews it.
     pub renew_every: Duration,
--- a/crates/chervilshunt_core/src/dispatch/guide.rs
+++ b/crates/chervilshunt_core/src/dispatch/guide.rs
@@ -1,9 +1,9 @@
 //! When an instance asks the platform what has changed, and when it is told enough to wait.
 //!
 //! Targets change their entries about once a second, nearly always in what they hold, which the
-//! placer tells anyway. An instance that follows them by itself makes a call for each batch of
-//! changes: 88 instances made 190 calls a second, most of them for nothing, and all of them come
-//! out of one rate. So the placer looks often, and tells everyone what has changed that concerns them
+//! placer knows anyway. An instance that follows them by itself makes a call for each batch of
+//! changes, most of them for nothing, and the calls of all instances come out of one rate. So the
+//! placer looks often, and tells everyone what has changed that concerns them
 //! and up to which revision they have to know it; an instance asks for itself if it has missed
 //! something, and whenever the placer falls silent or has lost sight of the platform.
 
--- a/crates/chervilshunt_core/src/residency/config.rs
+++ b/crates/chervilshunt_core/src/residency/config.rs
@@ -58,8 +58,7 @@
     /// time would all end late instead of the first ones early.
     pub base_loads_at_once: usize,
     /// The share of a service's targets, rounded up, that are out of use at a time because their base
-    /// model is given up for a newer version. Days of one new version had the same worth at a tenth, 0.701,
-    /// as at a fifth, 0.703 (means of eight), where all are updated in half of the time.
+    /// model is given up for a newer version. A larger share brings the version to all of them sooner.
     pub updated_share: f64,
 }
 
--- a/crates/chervilshunt_core/src/residency/lanes.rs
+++ b/crates/chervilshunt_core/src/residency/lanes.rs
@@ -3,8 +3,7 @@
 //! A long prompt holds up the streams beside it. How much depends on the engine, on the tokens that an
 //! event of a stream holds and on the pause that callers want kept, of which a placer knows little. Kept
 //! apart, an adapter that both kinds of requests want needs a place at two targets. So long prompts are
-//! kept apart only while streams have been seen to pause for too long: with 5 tokens an event 8 in 100
-//! streams of a calm load did, with 3 tokens and more patient callers none.
+//! kept apart only while streams have been seen to pause for too long.
 
 use std::time::Duration;
 
--- a/crates/chervilshunt_core/src/residency/models.rs
+++ b/crates/chervilshunt_core/src/residency/models.rs
@@ -22,7 +22,7 @@
 /// Loads take 0.6 s and more.
 const LOOK_AGAIN: Duration = Duration::from_millis(200);
 /// How often targets are chosen that are updated next. That looks at all that are outdated: done with each
-/// event, a request and its end took 452 µs before 1,600 of them, where it takes 90 µs now.
+/// event, it would be most of what a request costs.
 const PICK_EVERY: Duration = Duration::from_millis(100);
 /// How long what a target has reported of its base models counts for more than what the platform lists
 /// of them. Targets write at least every 1.2 s, and an entry may be seen most of a second late: one from
--- a/crates/chervilshunt_core/src/residency/target.rs
+++ b/crates/chervilshunt_core/src/residency/target.rs
@@ -75,8 +75,8 @@
 
 /// What the planner saw of a target when it last looked.
 ///
-/// It looks only at targets that an event touched or for which something is due. Looking at all of
-/// 112 targets with each event took 0.87 s of processor for 20 s of load where this takes 0.27 s.
+/// It looks only at targets that an event touched or for which something is due: looking at all of them
+/// with each event would be most of its work.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Summary {
     /// When something is due here next, if nothing changes before.
--- a/crates/chervilshunt_core/src/residency/wants.rs
+++ b/crates/chervilshunt_core/src/residency/wants.rs
@@ -49,8 +49,7 @@
     ///
     /// A request for which no target has a place does not wait for one. Where places are short, those who
     /// waited had theirs so late that their answers were late all the same, and took it from others that
-    /// were in time: with a queue in the order of arrival the worth of five days of overload was 0.517
-    /// (mean of six runs, 0.504 to 0.535), without one 0.533 (of six, 0.515 to 0.556).
+    /// were in time.
     pub(super) fn wanted(
         &mut self,
         question: u64,
--- a/crates/chervilshunt_gateway/src/control/actor.rs
+++ b/crates/chervilshunt_gateway/src/control/actor.rs
@@ -28,9 +28,8 @@
 /// The longest part of a second by which instances spread their writes for a lapsed lease.
 const STAGGER: Duration = Duration::from_millis(400);
 
-/// The share of a core below which an instance leaves the placer's lease to others for a while. The
-/// placer of 112 targets and 88 instances takes up to an eighth of a core; where its machine has no
-/// more than that, its answers come late and every cold adapter waits.
+/// The share of a core below which an instance leaves the placer's lease to others for a while. A placer
+/// of hundreds of targets whose machine has less answers late, and every cold adapter waits.
 const AMPLE_SHARE: f64 = 0.25;
 /// How long an instance with next to no share of a core would leave the lease to others.
 const LONGEST_YIELDING: Duration = Duration::from_secs(1);
