Count the room of a target once for all requests that come until something changes there

Cause: each request asked each target how many adapters more find a place, which counts its holds and their uses. The count is kept until the target is touched or a hold comes free by time; the decisions are the same.

--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -198,7 +198,13 @@
         };
         let planned = target.holds.values();
         let planned = planned.filter(|hold| hold.is_planned());
+        let limits = self.limits.get(&target.facts.service);
+        let model = target.facts.models.first();
+        let slots = limits
+            .zip(model)
+            .map(|(it, model)| it.adapters_beside(&model.name));
         let summary = Summary {
+            room: target.count_room(slots.unwrap_or(0), now),
             wake_at: self.target_wakeup(target, now),
             planned: planned.clone().count(),
             planned_fetches: planned.filter(|hold| hold.from_store).count(),
--- a/crates/chervilshunt_core/src/residency/target.rs
+++ b/crates/chervilshunt_core/src/residency/target.rs
@@ -29,6 +29,10 @@
     Out(Order),
 }
 
+/// How long a count of room stands where no time is known at which it changes; late orders to earlier
+/// starts of a target grow old meanwhile.
+const LONGEST_COUNT: Duration = Duration::from_secs(1);
+
 /// One target as the placer sees it.
 #[derive(Clone, Debug)]
 pub(crate) struct TargetState {
@@ -91,6 +95,18 @@
     pub(crate) outdated: bool,
     /// Whether what is due here depends on other targets, so that it is looked at with each event.
     pub(crate) depends_on_others: bool,
+    /// How many adapters more find a place.
+    pub(crate) room: Room,
+}
+
+/// How many adapters more find a place at a target, as counted when the planner last looked.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Room {
+    /// The slots of which it was counted.
+    slots: usize,
+    adapters: usize,
+    /// From when on time alone may have changed it.
+    until: Moment,
 }
 
 impl TargetState {
@@ -219,8 +235,30 @@
         due.map(|(weights, _)| weights)
     }
 
+    /// Counts the room, for the requests that come until something changes here.
+    pub(crate) fn count_room(&self, slots: usize, now: Moment) -> Room {
+        let coming_free = self.holds.values().map(|hold| hold.free_from);
+        let until = coming_free.filter(|at| *at > now).min();
+        Room {
+            slots,
+            adapters: self.counted_room(slots, now),
+            until: until.unwrap_or(now + LONGEST_COUNT),
+        }
+    }
+
     /// Returns how many adapters more find a place, that of one that nobody uses included.
+    ///
+    /// Each request asks this of all targets: counted anew for each, it would be most of what a request
+    /// costs before thousands of them.
     pub(crate) fn room(&self, slots: usize, now: Moment) -> usize {
+        let room = &self.summary.room;
+        if !self.touched && room.slots == slots && now < room.until {
+            return room.adapters;
+        }
+        self.counted_room(slots, now)
+    }
+
+    fn counted_room(&self, slots: usize, now: Moment) -> usize {
         let stays = self
             .holds
             .iter()
