End a wait for changes when a call about another kind fails

Cause: a store that falls silent never answers the calls that wait. All instances begin such a wait together now, when what the placer told counts no longer.

Now the followers of all kinds but one end their wait when a call of another fails, and look at once when the store is back. Ruled out: keep-alive probes, which are answered.

--- a/crates/chervilshunt_gateway/src/control/follow.rs
+++ b/crates/chervilshunt_gateway/src/control/follow.rs
@@ -68,6 +68,8 @@
     Failed(PlatformError),
     /// The answer can't be read.
     Unreadable(Malformed),
+    /// A call of another follower failed while this one waited.
+    Doubted,
 }
 
 impl From<PlatformError> for Trouble {
@@ -232,6 +234,25 @@
         }
     }
 
+    /// Waits until a call of another follower fails, unless this is the one that finds out for all.
+    ///
+    /// A service that falls silent takes the calls that wait, and answers none of them when it is back. A
+    /// long wait that began just before would keep the configuration from this instance until its end.
+    async fn is_lost_for_another(&self) {
+        if self.kind == PROBING {
+            return std::future::pending().await;
+        }
+        let mut reached = self.reached.subscribe();
+        loop {
+            if reached.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+            if !*reached.borrow_and_update() {
+                return;
+            }
+        }
+    }
+
     fn longest_pause(&self) -> Duration {
         let instances = u32::try_from(self.shared.instances()).unwrap_or(u32::MAX);
         let of_all = PAUSE_AN_INSTANCE.saturating_mul(instances);
@@ -265,7 +286,10 @@
     /// Waits for changes and returns the revision to go on from.
     async fn watch(&mut self, from: u64, wait: Duration) -> Result<u64, Trouble> {
         let read = StoreRead::Watch(self.kind, from, wait);
-        let body = self.reader.read(&read).await?;
+        let body = tokio::select! {
+            body = self.reader.read(&read) => body?,
+            () = self.is_lost_for_another() => return Err(Trouble::Doubted),
+        };
         let changes: Changes =
             (self.dialect.read_changes)(self.kind, &body).map_err(Trouble::Unreadable)?;
         self.report_malformed(&changes.malformed);
@@ -289,6 +313,7 @@
             Trouble::Expired => return,
             Trouble::Failed(error) => error.to_string(),
             Trouble::Unreadable(malformed) => malformed.to_string(),
+            Trouble::Doubted => "a call about another kind has failed".to_owned(),
         };
         // One line for the loss of the service; further failures until it is back tell no more.
         if first {
