Log what identifies a request where its answer is lost

'answer broke off' and 'sending failed' now name the content, a hash of method, host, path, caller and body; the former also says whether the target had answered anything, and how long before the request was sent. No decision changes.

--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -12,6 +12,7 @@
 mod mechanisms;
 mod owner;
 mod permit;
+mod quarantine;
 mod rank;
 mod residency;
 mod retry;
@@ -38,6 +39,7 @@
     AnswerCheck, CompactAnswer, CompactRequest, CrossedAnswer, Permit, PermitAnswer, PermitRequest,
     RefusalReason, ReleaseOutcome, ReleasedPermit,
 };
+pub use quarantine::Fingerprint;
 pub use rank::{TargetTable, rank_targets};
 pub use residency::{
     GrantNumber, GrantProgress, Learnt, Order, OrderAnswer, OrderNumber, Placed, Residency,
--- /dev/null
+++ b/crates/chervilshunt_core/src/quarantine/mod.rs
@@ -0,0 +1,5 @@
+//! Requests that crash the targets that run them.
+
+mod fingerprint;
+
+pub use fingerprint::Fingerprint;
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use chervilshunt_core::{Sign, TargetStart, Weights};
 use chervilshunt_engine::{BodyReader, EngineError, Limits, Outcome};
-use chervilshunt_model::TargetName;
+use chervilshunt_model::{Moment, TargetName};
 use http::response::Parts;
 use http::{Request, Uri};
 use http_body_util::Full;
@@ -52,8 +52,10 @@
     /// When the target started that it was sent to.
     started: Option<TargetStart>,
     weights: Option<Weights>,
+    sent_at: Moment,
     /// The prompt tokens that the target has not read yet, as far as is known.
     reading: u32,
+    has_begun: bool,
     grant: Option<Grant>,
 }
 
@@ -72,13 +74,18 @@
             target: target.clone(),
             started,
             weights: weights.cloned(),
+            sent_at: shared.clock.now(),
             reading,
+            has_begun: false,
             grant: chosen.grant.take(),
         }
     }
 
     /// Takes note that the target has begun to answer, and so has read the prompt.
     pub(crate) fn begins(&mut self) {
+        if std::mem::replace(&mut self.has_begun, true) {
+            return;
+        }
         let tokens = std::mem::take(&mut self.reading);
         self.shared.dispatch().has_read(&self.target, tokens);
         if let Some(grant) = &self.grant {
@@ -87,6 +94,18 @@
     }
 }
 
+impl InFlight {
+    /// Returns when the request was sent to the target.
+    pub(crate) const fn sent_at(&self) -> Moment {
+        self.sent_at
+    }
+
+    /// Says whether the target has begun to answer.
+    pub(crate) const fn has_begun(&self) -> bool {
+        self.has_begun
+    }
+}
+
 impl Drop for InFlight {
     fn drop(&mut self) {
         let mut dispatch = self.shared.dispatch();
@@ -309,6 +328,7 @@
         let now = self.shared.clock.now();
         slog::info!(self.shared.log, "sending failed";
             "request" => &*self.req.id, "target" => chosen.target.as_str(),
+            "content" => self.req.fingerprint().to_string(),
             "reason" => error.to_string());
         // One that closes a connection is there, whatever became of the answer.
         let sign = match error {
--- a/crates/chervilshunt_gateway/src/traffic/relay.rs
+++ b/crates/chervilshunt_gateway/src/traffic/relay.rs
@@ -122,11 +122,14 @@
                     }
                 }
                 Some(Err(error)) => {
+                    let now = self.shared.clock.now();
                     slog::info!(self.shared.log, "answer broke off";
                         "request" => &*self.req.id,
                         "target" => self.in_flight.target.as_str(),
+                        "content" => self.req.fingerprint().to_string(),
+                        "has_begun" => self.in_flight.has_begun(),
+                        "sent_ms" => now.since(self.in_flight.sent_at()).as_millis() as u64,
                         "bytes" => self.bytes, "reason" => error.to_string());
-                    let now = self.shared.clock.now();
                     let target = self.in_flight.target.clone();
                     self.shared.dispatch().sign(&target, Sign::Failed, now);
                     if !self.begin_resuming() {
--- a/crates/chervilshunt_gateway/src/traffic/request.rs
+++ b/crates/chervilshunt_gateway/src/traffic/request.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chervilshunt_core::{RequestSize, Route, RouteTable, Weights};
+use chervilshunt_core::{Fingerprint, RequestSize, Route, RouteTable, Weights};
 use chervilshunt_engine::strip_hop_by_hop;
 use chervilshunt_model::{Moment, ServiceName};
 use http::request::Parts;
@@ -37,6 +37,23 @@
 }
 
 impl CallerRequest {
+    /// Returns what identifies the request across the tries of its caller, each of which has an id of
+    /// its own.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        let header = |name| {
+            self.headers
+                .get(name)
+                .map_or(&b""[..], HeaderValue::as_bytes)
+        };
+        Fingerprint::of([
+            self.method.as_str().as_bytes(),
+            header(header::HOST),
+            self.path.as_str().as_bytes(),
+            header(header::AUTHORIZATION),
+            &self.body,
+        ])
+    }
+
     /// Returns the time that is left.
     pub(crate) fn left(&self, now: Moment) -> Duration {
         now.until(self.deadline)
