Refuse a request under which targets crash, at every instance

What callers saw: streams that broke off midway, up to half of them for 15 s at a time, while targets ended one after the other; an operator saw the same request crash 16 to 19 targets.

Cause: faults were only ever judged by target. A request was known by its id, and each try of a caller has a new one; nothing that an instance learnt of a request outlived the try, was told to another instance, or outlived a restart.

Change: what a target crashed under is recorded by the content of the request (a hash of method, host, path, caller and body) in the platform's service, which all instances follow as they follow versions; after two crashes, one sent after the other was known, it is refused as not run, with a Retry-After. A crash counts where the answer had no byte yet and the target's address refuses a connection just after. A target that begins to answer the request releases it. Ways weighed are in docs/design/quarantine.md.

Beside it: a resumed stream tells the placer that it has begun, as the first run does.

--- a/crates/chervilshunt_engine/src/client.rs
+++ b/crates/chervilshunt_engine/src/client.rs
@@ -100,6 +100,17 @@
         Ok((head, reader))
     }
 
+    /// Says whether the target's address refuses connections: its process has ended.
+    ///
+    /// No answer within the limit says nothing, and neither does any other failure.
+    pub async fn is_refused(&self, limit: Duration) -> bool {
+        let connecting = tokio::net::TcpStream::connect(self.address());
+        match tokio::time::timeout(limit, connecting).await {
+            Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+            Ok(Ok(_)) | Err(_) => false,
+        }
+    }
+
     /// Sends a request of this client's own and returns status, headers and the whole body.
     pub(crate) async fn fetch(
         &self,
--- a/crates/chervilshunt_gateway/src/control/actor.rs
+++ b/crates/chervilshunt_gateway/src/control/actor.rs
@@ -141,6 +141,7 @@
             self.lease_event(SoleEvent::Tick);
         }
         self.forget_absent(now);
+        self.forget_crashes(now);
         self.tell_news();
         self.note_placer(now);
         let placer = self.placer.as_ref();
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/control/crashes.rs
@@ -0,0 +1,75 @@
+//! The platform's records of requests that crash targets.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use chervilshunt_core::{Fingerprint, StoredCrashes};
+use chervilshunt_model::Moment;
+
+use super::actor::Control;
+use crate::crashes::remove;
+
+impl Control {
+    /// Takes in a record as the platform has it.
+    pub(super) fn crashes_recorded(&mut self, crashes: StoredCrashes, revision: u64) {
+        let now = self.now();
+        self.sights.crashes_recorded(&crashes, revision);
+        let fingerprint = crashes.fingerprint;
+        let count = crashes.record.targets.len();
+        let mut quarantine = self.shared.quarantine();
+        let is_news = quarantine.recorded(crashes, now);
+        let refused_until = quarantine.refused_until(fingerprint, now);
+        drop(quarantine);
+        if is_news {
+            slog::info!(self.shared.log, "crashes recorded";
+                "content" => fingerprint.to_string(), "crashes" => count,
+                "refused_for_s" => refused_until.map(|until| now.until(until).as_secs()));
+        }
+    }
+
+    /// Returns the requests of records by the records' names.
+    pub(super) fn crashes_named(&self, names: &[Arc<str>]) -> Vec<Fingerprint> {
+        let read = self.shared.dialect.store.read_crashes_name;
+        // A record that somebody else wrote under another name tells of no request.
+        names.iter().filter_map(|name| read(name).ok()).collect()
+    }
+
+    /// Takes in that the platform no longer has some records.
+    pub(super) fn crashes_removed(&mut self, removed: &[Fingerprint], revision: u64) {
+        self.sights.crashes_removed(removed, revision);
+        for fingerprint in removed {
+            if self.shared.quarantine().release(*fingerprint) {
+                self.report_released(*fingerprint, "record removed");
+            }
+        }
+    }
+
+    /// Takes in which records the platform has.
+    pub(super) fn crashes_listed(&mut self, listed: &HashSet<Fingerprint>, revision: u64) {
+        let gone = self.shared.quarantine().listed(listed);
+        if gone.is_empty() {
+            return;
+        }
+        self.sights.crashes_removed(&gone, revision);
+        for fingerprint in gone {
+            self.report_released(fingerprint, "record not listed");
+        }
+    }
+
+    /// Forgets crashes that lie back far enough; the placer removes their records too.
+    pub(super) fn forget_crashes(&self, now: Moment) {
+        let expired = self.shared.quarantine().take_expired(now);
+        for fingerprint in expired {
+            self.report_released(fingerprint, "expired");
+            if self.placer.is_some() {
+                let (shared, exchange) = (Arc::clone(&self.shared), Arc::clone(&self.exchange));
+                tokio::spawn(async move { remove(&shared, &exchange, fingerprint).await });
+            }
+        }
+    }
+
+    fn report_released(&self, fingerprint: Fingerprint, reason: &str) {
+        slog::info!(self.shared.log, "request released";
+            "content" => fingerprint.to_string(), "reason" => reason);
+    }
+}
--- a/crates/chervilshunt_gateway/src/control/follow.rs
+++ b/crates/chervilshunt_gateway/src/control/follow.rs
@@ -129,7 +129,7 @@
 /// is of no interest; a taker waits for several times the longer pause anyway.
 const fn gather_for(kind: Kind) -> Duration {
     match kind {
-        Kind::Configuration | Kind::Versions => Duration::from_millis(100),
+        Kind::Configuration | Kind::Versions | Kind::Crashes => Duration::from_millis(100),
         Kind::Targets => Duration::from_millis(700),
         Kind::Lease => Duration::from_millis(1_800),
     }
@@ -138,7 +138,9 @@
 /// Returns how long a call waits for changes.
 const fn wait_for(kind: Kind, pace: FollowPace) -> Duration {
     match (pace, kind) {
-        (FollowPace::Guided(Pace::Alone), Kind::Configuration | Kind::Versions) => RARE_WATCH_WAIT,
+        (FollowPace::Guided(Pace::Alone), Kind::Configuration | Kind::Versions | Kind::Crashes) => {
+            RARE_WATCH_WAIT
+        }
         (FollowPace::Guided(Pace::Alone), Kind::Targets | Kind::Lease) => WATCH_WAIT,
         (FollowPace::Guided(Pace::Look | Pace::Rest), _) => AT_ONCE,
         (FollowPace::Guiding, _) => GUIDING_EVERY,
--- a/crates/chervilshunt_gateway/src/control/mod.rs
+++ b/crates/chervilshunt_gateway/src/control/mod.rs
@@ -5,6 +5,7 @@
 //! [`crate::shared::Shared`].
 
 mod actor;
+mod crashes;
 mod follow;
 mod lease;
 mod messages;
--- a/crates/chervilshunt_gateway/src/control/news.rs
+++ b/crates/chervilshunt_gateway/src/control/news.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use chervilshunt_core::{TargetFacts, Told, Weights};
+use chervilshunt_core::{Fingerprint, StoredCrashes, TargetFacts, Told, Weights};
 use chervilshunt_model::{Moment, TargetName};
 
 use super::actor::Control;
@@ -28,6 +28,8 @@
     untold_targets: Vec<TargetFacts>,
     untold_gone: Vec<TargetName>,
     untold_versions: Vec<(Weights, u64)>,
+    untold_crashes: Vec<StoredCrashes>,
+    untold_releases: Vec<Fingerprint>,
 }
 
 /// What an instance has seen of one kind.
@@ -88,6 +90,24 @@
         self.changed(Kind::Versions, revision);
     }
 
+    /// Takes note that crashes of targets under a request have been recorded.
+    pub(super) fn crashes_recorded(&mut self, crashes: &StoredCrashes, revision: u64) {
+        let fingerprint = crashes.fingerprint;
+        self.untold_releases.retain(|it| *it != fingerprint);
+        self.untold_crashes
+            .retain(|it| it.fingerprint != fingerprint);
+        self.untold_crashes.push(crashes.clone());
+        self.changed(Kind::Crashes, revision);
+    }
+
+    /// Takes note that records of crashes have been removed.
+    pub(super) fn crashes_removed(&mut self, removed: &[Fingerprint], revision: u64) {
+        self.untold_crashes
+            .retain(|it| !removed.contains(&it.fingerprint));
+        self.untold_releases.extend_from_slice(removed);
+        self.changed(Kind::Crashes, revision);
+    }
+
     /// Takes what has changed of a kind since this was last called; none if nothing has, or so much that
     /// everybody should look.
     fn take_news(&mut self, kind: Kind) -> Option<News> {
@@ -98,6 +118,10 @@
             ),
             Kind::Versions => NewsOf::Versions(std::mem::take(&mut self.untold_versions)),
             Kind::Configuration => NewsOf::Configuration,
+            Kind::Crashes => NewsOf::Crashes(
+                std::mem::take(&mut self.untold_crashes),
+                std::mem::take(&mut self.untold_releases),
+            ),
             Kind::Lease => return None,
         };
         let sight = self.kinds.entry(kind).or_default();
@@ -107,6 +131,7 @@
             NewsOf::Targets(seen, gone) => seen.len() + gone.len(),
             NewsOf::Versions(named) => named.len(),
             NewsOf::Configuration => 1,
+            NewsOf::Crashes(recorded, released) => recorded.len() + released.len(),
         };
         let is_news = up_to > after && (1..=MOST_TOLD).contains(&told);
         is_news.then_some(News { after, up_to, what })
@@ -124,6 +149,7 @@
             targets: self.kinds.get(&Kind::Targets)?.changed_at,
             configuration: changed_at(Kind::Configuration),
             versions: changed_at(Kind::Versions),
+            crashes: changed_at(Kind::Crashes),
         })
     }
 }
@@ -156,6 +182,7 @@
             (Kind::Targets, Some(view.targets)),
             (Kind::Configuration, view.configuration),
             (Kind::Versions, view.versions),
+            (Kind::Crashes, view.crashes),
         ];
         for (kind, revision) in told {
             if let Some(revision) = revision {
@@ -170,6 +197,7 @@
             NewsOf::Targets(..) => Kind::Targets,
             NewsOf::Versions(_) => Kind::Versions,
             NewsOf::Configuration => Kind::Configuration,
+            NewsOf::Crashes(..) => Kind::Crashes,
         };
         let guide = self.paces.guide(kind);
         guide.changed(news.up_to);
@@ -189,6 +217,12 @@
                 }
             }
             NewsOf::Configuration => return,
+            NewsOf::Crashes(recorded, released) => {
+                for crashes in recorded {
+                    self.crashes_recorded(crashes, news.up_to);
+                }
+                self.crashes_removed(&released, news.up_to);
+            }
         }
         self.paces.guide(kind).caught_up(news.up_to);
     }
--- a/crates/chervilshunt_gateway/src/control/pace.rs
+++ b/crates/chervilshunt_gateway/src/control/pace.rs
@@ -94,7 +94,7 @@
 
 const fn trust(kind: Kind) -> Duration {
     match kind {
-        Kind::Configuration | Kind::Targets | Kind::Versions => VIEW_TRUST,
+        Kind::Configuration | Kind::Targets | Kind::Versions | Kind::Crashes => VIEW_TRUST,
         Kind::Lease => LEASE_TRUST,
     }
 }
@@ -107,7 +107,7 @@
 const fn guiding_pace(kind: Kind) -> FollowPace {
     match kind {
         Kind::Targets => FollowPace::Guiding,
-        Kind::Configuration | Kind::Versions => FollowPace::Guided(Pace::Alone),
+        Kind::Configuration | Kind::Versions | Kind::Crashes => FollowPace::Guided(Pace::Alone),
         Kind::Lease => FollowPace::Guided(Pace::Rest),
     }
 }
--- a/crates/chervilshunt_gateway/src/control/targets.rs
+++ b/crates/chervilshunt_gateway/src/control/targets.rs
@@ -73,12 +73,20 @@
                         // One that can't be read names no target any more, until the target
                         // itself writes its entry again.
                         Change::Removed(name) | Change::Unreadable(name) => {
-                            removed.push(TargetName::new(name));
+                            removed.push(name);
                         }
                     }
                 }
-                if kind == Kind::Targets {
-                    self.absent(removed, revision);
+                match kind {
+                    Kind::Targets => {
+                        let removed = removed.into_iter().map(TargetName::new);
+                        self.absent(removed.collect(), revision);
+                    }
+                    Kind::Crashes => {
+                        let removed = self.crashes_named(&removed);
+                        self.crashes_removed(&removed, revision);
+                    }
+                    Kind::Configuration | Kind::Versions | Kind::Lease => {}
                 }
                 self.looked(kind, revision);
             }
@@ -100,7 +108,7 @@
             Kind::Targets => self.absences.last_trouble = Some(self.now()),
             // While the platform is away nobody can become the placer.
             Kind::Lease => self.shared.set_placer_decided(),
-            Kind::Configuration | Kind::Versions => {}
+            Kind::Configuration | Kind::Versions | Kind::Crashes => {}
         }
     }
 
@@ -116,15 +124,13 @@
     }
 
     fn listed(&mut self, kind: Kind, entries: Vec<Entry>, revision: u64) {
-        let names: Vec<TargetName> = entries
-            .iter()
-            .map(|entry| TargetName::new(Arc::clone(&entry.name)))
-            .collect();
+        let names: Vec<Arc<str>> = entries.iter().map(|it| Arc::clone(&it.name)).collect();
         for entry in entries {
             self.seen(entry);
         }
         match kind {
             Kind::Targets => {
+                let names: Vec<TargetName> = names.into_iter().map(TargetName::new).collect();
                 self.shared.set_targets_known(names.len());
                 let known = self.shared.dispatch();
                 let unlisted = known.targets().filter(|it| !names.contains(&it.name));
@@ -132,6 +138,10 @@
                 drop(known);
                 self.absent(unlisted, revision);
             }
+            Kind::Crashes => {
+                let listed = self.crashes_named(&names);
+                self.crashes_listed(&listed.into_iter().collect(), revision);
+            }
             Kind::Lease if names.is_empty() => self.lease_event(SoleEvent::Seen(None)),
             Kind::Lease | Kind::Configuration | Kind::Versions => {}
         }
@@ -143,6 +153,7 @@
             Content::Configuration(table) => self.configuration_seen(table, revision),
             Content::Target(facts) => self.target_listed(facts, revision),
             Content::Version(weights, version) => self.version_seen(weights, version, revision),
+            Content::Crashes(crashes) => self.crashes_recorded(crashes, revision),
             Content::Lease(seen) => self.lease_event(SoleEvent::Seen(Some(seen))),
         }
     }
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/crashes.rs
@@ -0,0 +1,174 @@
+//! What this instance sees of requests that crash targets, and the records that it writes of them.
+//!
+//! See `docs/design/quarantine.md`.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilshunt_core::{Fingerprint, StoredCrashes};
+use chervilshunt_model::{Moment, TargetName};
+use chervilshunt_platform::{Exchange, PlatformError, Timeouts};
+use tokio::sync::mpsc;
+
+use crate::shared::Shared;
+
+/// Signs that may wait to be looked into; far more than requests are under way at one target.
+const MOST_WAITING: usize = 1_024;
+/// How long a connection may take by which it is found out whether a target's process has ended.
+const CHECK: Duration = Duration::from_millis(250);
+/// The time for one write of a record.
+const WRITE: Duration = Duration::from_millis(500);
+/// The pause after a failed write, and how often a record is written at most: for about half a minute.
+const PAUSE: Duration = Duration::from_secs(1);
+const MOST_WRITES: u32 = 30;
+
+/// Something that traffic has seen of a request.
+#[derive(Debug)]
+pub(crate) enum CrashSign {
+    /// A target's connection ended before it had begun to answer.
+    Broke(Broke),
+    /// A target has begun to answer it.
+    Served(Fingerprint),
+}
+
+/// A request whose target may have crashed under it.
+#[derive(Debug)]
+pub(crate) struct Broke {
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) target: TargetName,
+    pub(crate) address: SocketAddr,
+    pub(crate) sent_at: Moment,
+}
+
+/// Where traffic leaves the signs that it sees.
+#[derive(Clone, Debug)]
+pub(crate) struct CrashSigns(mpsc::Sender<CrashSign>);
+
+impl CrashSigns {
+    /// Returns both ends.
+    pub(crate) fn new() -> (Self, mpsc::Receiver<CrashSign>) {
+        let (tx, rx) = mpsc::channel(MOST_WAITING);
+        (Self(tx), rx)
+    }
+}
+
+impl Shared {
+    /// Leaves a sign to be looked into.
+    pub(crate) fn note_crash_sign(&self, sign: CrashSign) {
+        if let Err(error) = self.crash_signs.0.try_send(sign) {
+            slog::warn!(self.log, "crash sign dropped"; "reason" => error.to_string());
+        }
+    }
+}
+
+/// Looks into signs, for as long as the process runs.
+pub(crate) async fn record_crashes(
+    shared: Arc<Shared>,
+    exchange: Arc<Exchange>,
+    mut signs: mpsc::Receiver<CrashSign>,
+) {
+    while let Some(sign) = signs.recv().await {
+        let recorder = Recorder {
+            shared: Arc::clone(&shared),
+            exchange: Arc::clone(&exchange),
+        };
+        tokio::spawn(async move {
+            match sign {
+                CrashSign::Broke(broke) => recorder.look_into(broke).await,
+                CrashSign::Served(fingerprint) => recorder.release(fingerprint).await,
+            }
+        });
+    }
+}
+
+struct Recorder {
+    shared: Arc<Shared>,
+    exchange: Arc<Exchange>,
+}
+
+impl Recorder {
+    /// Records a crash, if the target's process has ended.
+    ///
+    /// Connections also end without an answer where a target resets them, or the network does.
+    async fn look_into(&self, broke: Broke) {
+        let client = self.shared.engines.client(broke.address);
+        if !client.is_refused(CHECK).await {
+            return;
+        }
+        let now = self.shared.clock.now();
+        let target = broke.target.clone();
+        let to_write = {
+            let mut quarantine = self.shared.quarantine();
+            quarantine.crashed(broke.fingerprint, target, broke.sent_at, now)
+        };
+        slog::info!(self.shared.log, "target crashed";
+            "target" => broke.target.as_str(), "content" => broke.fingerprint.to_string(),
+            "sent_ms" => now.since(broke.sent_at).as_millis() as u64,
+            "crashes" => to_write.as_ref().map(|it| it.record.targets.len()));
+        metrics::counter!("chervilshunt_target_crashes_total").increment(1);
+        if let Some(crashes) = to_write {
+            self.write(crashes).await;
+        }
+    }
+
+    async fn write(&self, crashes: StoredCrashes) {
+        let store = &self.shared.dialect.store;
+        for _ in 0..MOST_WRITES {
+            let call = (store.write_crashes)(&crashes);
+            let error = match self.exchange.call(&call, timeouts(&self.exchange)).await {
+                Ok(body) => return self.written(crashes, &body),
+                Err(error) => error,
+            };
+            slog::info!(self.shared.log, "crashes not recorded";
+                "content" => crashes.fingerprint.to_string(), "reason" => error.to_string());
+            match error {
+                // Another instance has recorded a crash meanwhile; following the records shows it.
+                PlatformError::Conflict { .. }
+                | PlatformError::AlreadyExists { .. }
+                | PlatformError::NotFound { .. } => return,
+                _ => tokio::time::sleep(PAUSE).await,
+            }
+        }
+    }
+
+    fn written(&self, crashes: StoredCrashes, body: &[u8]) {
+        let now = self.shared.clock.now();
+        match (self.shared.dialect.store.read_written_crashes)(body) {
+            Ok(stored) => {
+                self.shared.quarantine().recorded(stored, now);
+            }
+            Err(malformed) => slog::warn!(self.shared.log, "record of crashes can't be read";
+                "content" => crashes.fingerprint.to_string(), "problem" => malformed.to_string()),
+        }
+    }
+
+    /// Releases a request that a target has begun to answer: it has not crashed that target.
+    async fn release(&self, fingerprint: Fingerprint) {
+        if !self.shared.quarantine().release(fingerprint) {
+            return;
+        }
+        slog::info!(self.shared.log, "request released";
+            "content" => fingerprint.to_string(), "reason" => "served");
+        remove(&self.shared, &self.exchange, fingerprint).await;
+    }
+}
+
+/// Removes the record of a request.
+pub(crate) async fn remove(shared: &Shared, exchange: &Exchange, fingerprint: Fingerprint) {
+    let call = (shared.dialect.store.remove_crashes)(fingerprint);
+    match exchange.call(&call, timeouts(exchange)).await {
+        Ok(_) | Err(PlatformError::NotFound { .. }) => {}
+        Err(error) => slog::info!(shared.log, "record of crashes not removed";
+            "content" => fingerprint.to_string(), "reason" => error.to_string()),
+    }
+}
+
+fn timeouts(exchange: &Exchange) -> Timeouts {
+    Timeouts {
+        attempt: WRITE,
+        call: WRITE,
+        max_attempts: 1,
+        ..exchange.config().timeouts
+    }
+}
--- a/crates/chervilshunt_gateway/src/dialect.rs
+++ b/crates/chervilshunt_gateway/src/dialect.rs
@@ -9,7 +9,8 @@
 use bytes::Bytes;
 use chervilshunt_coord::{SeenRecord, SoleRecord};
 use chervilshunt_core::{
-    LoadReport, Order, OrderAnswer, RequestSize, RouteTable, TargetFacts, TargetReport, Weights,
+    Fingerprint, LoadReport, Order, OrderAnswer, RequestSize, RouteTable, StoredCrashes,
+    TargetFacts, TargetReport, Weights,
 };
 use chervilshunt_model::{InstanceId, TargetName};
 use chervilshunt_platform::Call;
@@ -82,16 +83,19 @@
     Targets,
     /// The newest versions of weights.
     Versions,
+    /// Records of requests that crash targets.
+    Crashes,
     /// The placer's lease.
     Lease,
 }
 
 impl Kind {
     /// All kinds.
-    pub const ALL: [Self; 4] = [
+    pub const ALL: [Self; 5] = [
         Self::Configuration,
         Self::Targets,
         Self::Versions,
+        Self::Crashes,
         Self::Lease,
     ];
 
@@ -101,6 +105,7 @@
             Self::Configuration => "configuration",
             Self::Targets => "targets",
             Self::Versions => "versions",
+            Self::Crashes => "crashes",
             Self::Lease => "lease",
         }
     }
@@ -115,6 +120,8 @@
     Target(TargetFacts),
     /// The newest version of some weights.
     Version(Weights, u64),
+    /// A record of a request that crashes targets.
+    Crashes(StoredCrashes),
     /// The placer's lease.
     Lease(SeenRecord),
 }
@@ -176,12 +183,20 @@
     pub write_lease: fn(&SoleRecord, Option<u64>) -> Call,
     /// Makes the call that reads the lease, linearizably.
     pub read_lease: fn() -> Call,
+    /// Makes the call that writes a record of crashes if it still has its revision, or creates it.
+    pub write_crashes: fn(&StoredCrashes) -> Call,
+    /// Makes the call that removes a record of crashes.
+    pub remove_crashes: fn(Fingerprint) -> Call,
     /// Reads a page.
     pub read_page: fn(Kind, &[u8]) -> Result<Page, Malformed>,
     /// Reads changes.
     pub read_changes: fn(Kind, &[u8]) -> Result<Changes, Malformed>,
     /// Reads the lease, as a read or write of it is answered.
     pub read_seen_lease: fn(&[u8]) -> Result<SeenRecord, Malformed>,
+    /// Reads a record of crashes, as a write of it is answered.
+    pub read_written_crashes: fn(&[u8]) -> Result<StoredCrashes, Malformed>,
+    /// Reads the name of a record of crashes.
+    pub read_crashes_name: fn(&str) -> Result<Fingerprint, Malformed>,
 }
 
 /// How targets are spoken to beside callers' requests.
--- a/crates/chervilshunt_gateway/src/lib.rs
+++ b/crates/chervilshunt_gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! `docs/design/on-the-platform.md`.
 
 mod control;
+mod crashes;
 mod dialect;
 mod front;
 mod grants;
--- a/crates/chervilshunt_gateway/src/peers.rs
+++ b/crates/chervilshunt_gateway/src/peers.rs
@@ -5,7 +5,8 @@
 
 use chervilshunt_coord::{HeldLease, SeenRecord, SoleRecord, SoleWritten};
 use chervilshunt_core::{
-    GrantNumber, GrantProgress, Learnt, Placed, TargetFacts, TargetPicture, Use, Want, Weights,
+    Fingerprint, GrantNumber, GrantProgress, Learnt, Placed, StoredCrashes, TargetFacts,
+    TargetPicture, Use, Want, Weights,
 };
 use chervilshunt_mesh::Purpose;
 use chervilshunt_model::{InstanceId, TargetName};
@@ -186,6 +187,9 @@
     /// The last naming of a version; none if the placer can't follow them now.
     #[serde(rename = "v")]
     pub(crate) versions: Option<u64>,
+    /// The last change of a record of crashes; none if the placer can't follow them now.
+    #[serde(rename = "q", default)]
+    pub(crate) crashes: Option<u64>,
 }
 
 /// Changes of one kind of objects, told so that instances need not look for themselves.
@@ -215,6 +219,9 @@
     /// can send to all others in time.
     #[serde(rename = "c")]
     Configuration,
+    /// Records of requests that crash targets: those that were written, and those that are gone.
+    #[serde(rename = "q")]
+    Crashes(Vec<StoredCrashes>, Vec<Fingerprint>),
 }
 
 impl Purpose for PeerMessage {
--- a/crates/chervilshunt_gateway/src/run.rs
+++ b/crates/chervilshunt_gateway/src/run.rs
@@ -10,9 +10,11 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use slog::Logger;
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::mpsc;
 use xtra::prelude::*;
 
 use crate::control::{Begin, Control, FromPeer, Paces, Reader, Reload, Stop, start_followers};
+use crate::crashes::{CrashSign, CrashSigns, record_crashes};
 use crate::dialect::Dialect;
 use crate::front::serve_callers;
 use crate::grants::tell_progress;
@@ -89,8 +91,16 @@
 
     let exchange = Arc::new(Exchange::new(platform_config(&settings)));
     let bound = settings.bounds.shutdown;
-    let shared = Shared::new(settings, settings_file, dialect, log.clone(), mesh);
-    let control = start_control(&shared, exchange)?;
+    let (crash_signs, signs) = CrashSigns::new();
+    let shared = Shared::new(
+        settings,
+        settings_file,
+        dialect,
+        log.clone(),
+        mesh,
+        crash_signs,
+    );
+    let control = start_control(&shared, exchange, signs)?;
     forward(inbound, control.clone(), FromPeer);
     tokio::spawn(tell_progress(Arc::clone(&shared)));
     tokio::spawn(serve_callers(callers, Arc::clone(&shared)));
@@ -174,6 +184,7 @@
 fn start_control(
     shared: &Arc<Shared>,
     exchange: Arc<Exchange>,
+    signs: mpsc::Receiver<CrashSign>,
 ) -> Result<Address<Control>, StartError> {
     let (address, mailbox) = Mailbox::bounded(CONTROL_MAILBOX);
     let own = address.clone();
@@ -183,6 +194,11 @@
         let control = Control::new(Arc::clone(&shared), Arc::clone(&exchange), paces);
         let begin = own.clone();
         tokio::spawn(async move { drop(begin.send(Begin(begin.clone())).await) });
+        tokio::spawn(record_crashes(
+            Arc::clone(&shared),
+            Arc::clone(&exchange),
+            signs,
+        ));
         let reader = Reader::new(&shared, exchange, control.helpers());
         start_followers(&shared, reader, &own, receivers);
         drop(own);
--- a/crates/chervilshunt_gateway/src/shared.rs
+++ b/crates/chervilshunt_gateway/src/shared.rs
@@ -6,13 +6,14 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
-use chervilshunt_core::{Dispatch, RouteTable, ServiceBudgets};
+use chervilshunt_core::{Dispatch, Quarantine, QuarantineConfig, RouteTable, ServiceBudgets};
 use chervilshunt_engine::Engines;
 use chervilshunt_mesh::{Mesh, Peer};
 use chervilshunt_model::{Clock, Moment};
 use slog::Logger;
 use tokio_util::sync::CancellationToken;
 
+use crate::crashes::CrashSigns;
 use crate::dialect::Dialect;
 use crate::grants::GrantBook;
 use crate::peers::PeerMessage;
@@ -39,12 +40,14 @@
     pub(crate) mesh: Mesh<PeerMessage>,
     pub(crate) engines: Engines,
     pub(crate) grants: GrantBook,
+    pub(crate) crash_signs: CrashSigns,
     /// The configuration in force here; none until one has been read.
     pub(crate) routes: ArcSwapOption<RouteTable>,
     /// The placer, as far as it is known.
     pub(crate) placer: ArcSwapOption<Peer>,
     dispatch: Mutex<Dispatch>,
     budgets: Mutex<ServiceBudgets>,
+    quarantine: Mutex<Quarantine>,
     instances: AtomicUsize,
     /// When there will be a placer again, in microseconds of the clock; zero while there is one.
     placer_back: AtomicU64,
@@ -88,6 +91,7 @@
         dialect: Dialect,
         log: Logger,
         mesh: Mesh<PeerMessage>,
+        crash_signs: CrashSigns,
     ) -> Arc<Self> {
         let dispatch = Dispatch::new(
             chervilshunt_core::DispatchConfig::default(),
@@ -103,10 +107,12 @@
             mesh,
             engines: Engines::default(),
             grants: GrantBook::default(),
+            crash_signs,
             routes: ArcSwapOption::empty(),
             placer: ArcSwapOption::empty(),
             dispatch: Mutex::new(dispatch),
             budgets: Mutex::new(budgets),
+            quarantine: Mutex::new(Quarantine::new(QuarantineConfig::default())),
             instances: AtomicUsize::new(INSTANCES_UNTIL_TOLD),
             placer_back: AtomicU64::new(0),
             targets_known_at: AtomicU64::new(0),
@@ -129,6 +135,13 @@
         self.budgets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks what is known of requests that crash targets.
+    pub(crate) fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
+        self.quarantine
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns how many instances share the budgets.
     pub(crate) fn instances(&self) -> usize {
         self.instances.load(Ordering::Relaxed)
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -1,5 +1,6 @@
 //! A request's sendings: to one target after the other, as long as that can do no harm.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use super::place::Chosen;
 use super::refusal::{Reason, Refusal};
 use super::request::{CallerRequest, set};
+use crate::crashes::{Broke, CrashSign};
 use crate::grants::Grant;
 use crate::peers::PeerMessage;
 use crate::shared::Shared;
@@ -49,6 +51,7 @@
 pub(crate) struct InFlight {
     shared: Arc<Shared>,
     pub(crate) target: TargetName,
+    address: SocketAddr,
     /// When the target started that it was sent to.
     started: Option<TargetStart>,
     weights: Option<Weights>,
@@ -72,6 +75,7 @@
         Self {
             shared: Arc::clone(shared),
             target: target.clone(),
+            address: chosen.address,
             started,
             weights: weights.cloned(),
             sent_at: shared.clock.now(),
@@ -82,10 +86,11 @@
     }
 
     /// Takes note that the target has begun to answer, and so has read the prompt.
-    pub(crate) fn begins(&mut self) {
+    pub(crate) fn begins(&mut self, req: &CallerRequest) {
         if std::mem::replace(&mut self.has_begun, true) {
             return;
         }
+        self.clear(req);
         let tokens = std::mem::take(&mut self.reading);
         self.shared.dispatch().has_read(&self.target, tokens);
         if let Some(grant) = &self.grant {
@@ -95,6 +100,31 @@
 }
 
 impl InFlight {
+    /// Takes note that the target's connection has ended: if it had not begun to answer, it may have
+    /// crashed under the request.
+    pub(crate) fn broke(&self, req: &CallerRequest) {
+        if self.has_begun {
+            return;
+        }
+        self.shared.note_crash_sign(CrashSign::Broke(Broke {
+            fingerprint: req.fingerprint(),
+            target: self.target.clone(),
+            address: self.address,
+            sent_at: self.sent_at,
+        }));
+    }
+
+    /// Has a request that targets crashed under released, as this one has begun to answer it.
+    fn clear(&self, req: &CallerRequest) {
+        let quarantine = self.shared.quarantine();
+        let is_suspect = !quarantine.is_empty() && quarantine.suspects(req.fingerprint());
+        drop(quarantine);
+        if is_suspect {
+            let served = CrashSign::Served(req.fingerprint());
+            self.shared.note_crash_sign(served);
+        }
+    }
+
     /// Returns when the request was sent to the target.
     pub(crate) const fn sent_at(&self) -> Moment {
         self.sent_at
@@ -178,6 +208,7 @@
 
     async fn send_until_answered(&mut self) -> Result<Answered, Refusal> {
         loop {
+            self.refuse_if_it_crashes_targets()?;
             let found = self.find_target().await;
             let mut chosen = found.map_err(|it| self.truly(it))?;
             if !self.may_send() {
@@ -199,6 +230,23 @@
         }
     }
 
+    /// Refuses a request that has crashed targets, here or at another instance.
+    fn refuse_if_it_crashes_targets(&self) -> Result<(), Refusal> {
+        let now = self.shared.clock.now();
+        let quarantine = self.shared.quarantine();
+        if quarantine.is_empty() {
+            return Ok(());
+        }
+        let Some(until) = quarantine.refused_until(self.req.fingerprint(), now) else {
+            return Ok(());
+        };
+        let refusal = Refusal {
+            reason: Reason::CrashesTargets,
+            retry_after: Some(now.until(until)),
+        };
+        Err(self.truly(refusal))
+    }
+
     /// Turns a refusal that says "not run" into one that doesn't, if the request may have run.
     fn truly(&self, refusal: Refusal) -> Refusal {
         if self.runs == 0 {
@@ -243,7 +291,12 @@
         self.runs += 1;
         match client.forward(req, chosen.reuse, limits).await {
             Ok((head, body)) => self.judge(chosen, head, body, in_flight),
-            Err(error) => self.failed(chosen, &error),
+            Err(error) => {
+                if matches!(error, EngineError::OutcomeUnknown { .. }) {
+                    in_flight.broke(self.req);
+                }
+                self.failed(chosen, &error)
+            }
         }
     }
 
--- a/crates/chervilshunt_gateway/src/traffic/refusal.rs
+++ b/crates/chervilshunt_gateway/src/traffic/refusal.rs
@@ -27,6 +27,8 @@
     NotPlaced,
     /// All targets are full.
     Full,
+    /// Targets crash that run it.
+    CrashesTargets,
     /// Targets refused it, and the budget of repeated sendings is spent.
     BudgetSpent,
     /// Time ran out before it was sent.
@@ -51,6 +53,7 @@
             Self::NoTarget => "no_target",
             Self::NotPlaced => "not_placed",
             Self::Full => "full",
+            Self::CrashesTargets => "crashes_targets",
             Self::BudgetSpent => "budget_spent",
             Self::Late => "late",
             Self::Unanswered => "unanswered",
@@ -70,6 +73,7 @@
             | Self::NoTarget
             | Self::NotPlaced
             | Self::Full
+            | Self::CrashesTargets
             | Self::BudgetSpent
             | Self::Late => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unanswered => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/chervilshunt_gateway/src/traffic/relay.rs
+++ b/crates/chervilshunt_gateway/src/traffic/relay.rs
@@ -130,6 +130,7 @@
                         "has_begun" => self.in_flight.has_begun(),
                         "sent_ms" => now.since(self.in_flight.sent_at()).as_millis() as u64,
                         "bytes" => self.bytes, "reason" => error.to_string());
+                    self.in_flight.broke(&self.req);
                     let target = self.in_flight.target.clone();
                     self.shared.dispatch().sign(&target, Sign::Failed, now);
                     if !self.begin_resuming() {
@@ -146,10 +147,10 @@
         let now = self.shared.clock.now();
         if self.bytes == 0 {
             self.first_byte = now;
-            self.in_flight.begins();
         } else {
             self.note_pause(now);
         }
+        self.in_flight.begins(&self.req);
         self.last_piece = now;
         if now.since(self.heard_told) >= HEARD_EVERY {
             self.heard_told = now;
@@ -179,6 +180,7 @@
     fn end(&mut self) -> Option<Frame<Bytes>> {
         let now = self.shared.clock.now();
         self.shared.dispatch().heard(&self.in_flight.target, now);
+        self.in_flight.begins(&self.req);
         self.outcome = Some("served");
         let rest = self.events.as_mut().map(WholeEvents::rest)?;
         (!rest.is_empty()).then(|| Frame::data(rest))
