--- a/crates/chervilshunt_gateway/src/dialect.rs
+++ b/crates/chervilshunt_gateway/src/dialect.rs
@@ -58,6 +58,8 @@
     pub target: HeaderName,
     /// The load of the target that answers.
     pub load: HeaderName,
+    /// Says that the target that answers leaves.
+    pub leaving: HeaderName,
     /// Says that the target has not run the request.
     pub not_run: HeaderName,
     /// The weights that a request wants.
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -9,7 +9,7 @@
 use chervilshunt_engine::{BodyReader, EngineError, Limits, Outcome};
 use chervilshunt_model::{Moment, TargetName};
 use http::response::Parts;
-use http::{Request, Uri};
+use http::{Request, Uri, header};
 use http_body_util::Full;
 
 use super::answer::{Verdict, judge};
@@ -334,7 +334,12 @@
         if verdict != Verdict::PassOn {
             slog::info!(self.shared.log, "not passed on";
                 "request" => &*self.req.id, "target" => chosen.target.as_str(),
-                "status" => head.status.as_u16(), "verdict" => ?verdict);
+                "status" => head.status.as_u16(), "verdict" => ?verdict,
+                "retry_after" => head.headers.get(header::RETRY_AFTER).and_then(|it| it.to_str().ok()));
+        }
+        if head.headers.contains_key(&names.leaving) {
+            slog::info!(self.shared.log, "target says that it leaves";
+                "request" => &*self.req.id, "target" => chosen.target.as_str());
         }
         let sign = match verdict {
             Verdict::PassOn if head.status.is_server_error() => Sign::Failed,
