Send nothing more to a target whose answers say that it leaves

What callers saw: nothing yet; their requests were served. But a target that leaves ends some seconds after it has said so, and what it runs then is lost; an operator saw it get requests 2.2 to 3.8 s after it had told the instance.

Cause: only a target's entry in the platform's service said that it leaves, and nobody can write or read entries while the service is away.

Change: an instance takes the header of each answer, to orders too, as the target's own word: it holds at once, whatever an entry of the same start says later, also after that was gone from the list for a time. The instance tells the placer, which tells all others and loads nothing more there; a placer that chooses it all the same is told again.

Ruled out: requests that had waited on a connection (both reach the target 2 ms after their callers sent them).

--- a/crates/chervilshunt_core/src/dispatch/mod.rs
+++ b/crates/chervilshunt_core/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod lanes;
 mod load;
 mod routes;
+mod said;
 mod state;
 mod uses;
 
--- a/crates/chervilshunt_core/src/dispatch/state.rs
+++ b/crates/chervilshunt_core/src/dispatch/state.rs
@@ -8,10 +8,11 @@
 use indexmap::IndexMap;
 
 use super::choose::DispatchConfig;
-use super::facts::{LoadReport, TargetFacts, TargetStart, Weights};
+use super::facts::{Leaving, LoadReport, TargetFacts, TargetStart, Weights};
 use super::health::{Sign, TargetHealth};
 use super::holders::{HeldAdapters, Holders, Holding, NamedVersions, TargetPicture};
 use super::load::TargetLoad;
+use super::said::SaidLeaving;
 use super::uses::UseTable;
 use crate::residency::Use;
 
@@ -57,6 +58,7 @@
     pub(crate) targets: IndexMap<TargetName, Target>,
     pub(crate) holders: Holders,
     pub(crate) versions: HashMap<Weights, NamedVersions>,
+    pub(crate) said_leaving: SaidLeaving,
     uses: UseTable,
     /// The last start of each target that is gone, the latest at the end.
     gone: IndexMap<TargetName, TargetStart>,
@@ -76,6 +78,7 @@
             targets: IndexMap::new(),
             holders: Holders::default(),
             versions: HashMap::new(),
+            said_leaving: SaidLeaving::default(),
             uses: UseTable::default(),
             gone: IndexMap::new(),
             placer_heard: None,
@@ -111,6 +114,10 @@
             (Ordering::Equal, Some(_)) => TargetNews::Known,
             (Ordering::Equal | Ordering::Greater, None) => TargetNews::New,
         };
+        let mut facts = facts;
+        if self.said_leaving.includes(&facts.name, facts.started) {
+            facts.leaving.get_or_insert(Leaving { gone_after: None });
+        }
         match self.targets.get_mut(&facts.name) {
             Some(target) => target.facts = facts,
             None => {
--- a/crates/chervilshunt_core/tests/dispatch.rs
+++ b/crates/chervilshunt_core/tests/dispatch.rs
@@ -1,91 +1,19 @@
 //! The choice of a target, by cases.
 
+#[path = "support/choosing.rs"]
+mod choosing;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use chervilshunt_core::{
-    Ask, Choice, Dispatch, DispatchConfig, HeldAdapters, Lane, Leaving, LoadReport, LoadedAdapter,
-    LoadedModel, RequestSize, ServiceBudgets, Sign, TargetFacts, TargetPicture, Wait, Weights,
-    WindowBudgetConfig, long_prompt_targets,
+    Dispatch, HeldAdapters, Lane, Leaving, LoadReport, RequestSize, ServiceBudgets, Sign,
+    TargetFacts, TargetPicture, Wait, Weights, WindowBudgetConfig, long_prompt_targets,
 };
-use chervilshunt_model::{Moment, ServiceName, TargetName, ZoneName};
+use chervilshunt_model::{ServiceName, TargetName};
+use choosing::{adapter, at, choose, chosen, dispatch, facts, to};
 use rstest::rstest;
 
-fn at(millis: u64) -> Moment {
-    Moment::from_millis(50_000 + millis)
-}
-
-fn service() -> ServiceName {
-    ServiceName::from("drafts")
-}
-
-fn adapter(name: &str) -> Weights {
-    Weights {
-        model: "base".into(),
-        adapter: Some(name.into()),
-    }
-}
-
-fn facts(name: &str, zone: &str, adapters: &[(&str, u64)]) -> TargetFacts {
-    let adapters = adapters.iter().map(|(name, version)| LoadedAdapter {
-        name: (*name).into(),
-        version: *version,
-    });
-    TargetFacts {
-        started: None,
-        name: TargetName::from(name),
-        service: service(),
-        address: ([10, 0, 0, 1], 8000).into(),
-        zone: ZoneName::from(zone),
-        slots: 4,
-        leaving: None,
-        models: vec![LoadedModel {
-            name: "base".into(),
-            version: 1,
-            adapters: adapters.collect(),
-        }],
-    }
-}
-
-fn dispatch(targets: impl IntoIterator<Item = TargetFacts>) -> Dispatch {
-    let mut dispatch = Dispatch::new(DispatchConfig::default(), ZoneName::from("here"));
-    for facts in targets {
-        dispatch.target_seen(facts, at(0));
-    }
-    dispatch
-}
-
-fn choose(
-    dispatch: &Dispatch,
-    weights: Option<&Weights>,
-    avoid: &[TargetName],
-    now: u64,
-) -> Choice {
-    let service = service();
-    let ask = Ask {
-        service: &service,
-        weights,
-        lane: Lane::General,
-        avoid,
-    };
-    dispatch.choose(&ask, || 0.5, at(now))
-}
-
-fn chosen(choice: Choice) -> Result<(String, Option<u64>), Wait> {
-    match choice {
-        Choice::Send {
-            target,
-            expect_version,
-            ..
-        } => Ok((target.as_str().to_owned(), expect_version)),
-        Choice::Wait(wait) => Err(wait),
-    }
-}
-
-fn to(target: &str) -> Result<(String, Option<u64>), Wait> {
-    Ok((target.to_owned(), None))
-}
-
 #[test]
 fn the_holder_of_the_adapter_is_chosen() {
     let dispatch = dispatch([
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use chervilshunt_core::{
@@ -107,10 +108,18 @@
         let req = (self.shared.dialect.targets.order)(&order, self.me(), term);
         let read = self.shared.dialect.targets.read_order_answer;
         let client = self.shared.engines.client(address);
+        let shared = Arc::clone(&self.shared);
         let log = self.shared.log.clone();
         tokio::spawn(async move {
+            let started = shared.dispatch().started(&order.target);
             let answer = match client.forward(req, true, ORDER_LIMITS).await {
-                Ok((head, _body)) => read(head.status, &head.headers, &order.target),
+                Ok((head, _body)) => {
+                    let answer = read(head.status, &head.headers, &order.target);
+                    if answer != OrderAnswer::OtherTarget {
+                        shared.note_leaving(&order.target, started, &head.headers);
+                    }
+                    answer
+                }
                 Err(error) => unanswered(&error),
             };
             slog::info!(log, "order";
--- a/crates/chervilshunt_gateway/src/control/targets.rs
+++ b/crates/chervilshunt_gateway/src/control/targets.rs
@@ -5,12 +5,16 @@
 use std::time::Duration;
 
 use chervilshunt_coord::SoleEvent;
-use chervilshunt_core::{ResidencyEvent, RouteTable, TargetFacts, TargetNews, Weights};
-use chervilshunt_model::{Moment, TargetName};
+use chervilshunt_core::{
+    Dispatch, ResidencyEvent, RouteTable, TargetFacts, TargetNews, TargetStart, Weights,
+};
+use chervilshunt_mesh::Peer;
+use chervilshunt_model::{InstanceId, Moment, TargetName};
 
 use super::actor::Control;
 use super::messages::FromStore;
 use crate::dialect::{Change, Content, Entry, Kind};
+use crate::peers::PeerMessage;
 
 /// How long a target whose entry has gone is used still, in calm times. Entries lapse when the
 /// platform's service was away too shortly for any call of this instance to notice, and are back
@@ -193,21 +197,35 @@
     /// Takes in a target's entry as the platform lists it.
     fn target_listed(&mut self, facts: TargetFacts, revision: u64) {
         let now = self.now();
-        let mut dispatch = self.shared.dispatch();
-        let before = dispatch.target(&facts.name).cloned();
-        let news = dispatch.target_seen(facts.clone(), now);
-        drop(dispatch);
-        self.target_seen(facts, before, news, revision);
+        self.take_entry(facts, revision, |dispatch, facts| {
+            dispatch.target_seen(facts, now)
+        });
     }
 
     /// Takes in what the placer tells of a target's entry.
     pub(super) fn target_told(&mut self, facts: TargetFacts, revision: u64) {
         let now = self.now();
+        self.take_entry(facts, revision, |dispatch, facts| {
+            dispatch.target_told(facts, now)
+        });
+    }
+
+    fn take_entry(
+        &mut self,
+        facts: TargetFacts,
+        revision: u64,
+        take: impl FnOnce(&mut Dispatch, TargetFacts) -> TargetNews,
+    ) {
+        let name = facts.name.clone();
         let mut dispatch = self.shared.dispatch();
-        let before = dispatch.target(&facts.name).cloned();
-        let news = dispatch.target_told(facts.clone(), now);
+        let before = dispatch.target(&name).cloned();
+        let news = take(&mut dispatch, facts);
+        // With what the target itself has said, which its entry may not have yet.
+        let facts = dispatch.target(&name).cloned();
         drop(dispatch);
-        self.target_seen(facts, before, news, revision);
+        if let Some(facts) = facts.filter(|_| news != TargetNews::Outdated) {
+            self.target_seen(facts, before, news, revision);
+        }
     }
 
     fn target_seen(
@@ -217,9 +235,6 @@
         news: TargetNews,
         revision: u64,
     ) {
-        if news == TargetNews::Outdated {
-            return;
-        }
         let was_absent = self.absences.due.remove(&facts.name).is_some();
         let before = before.as_ref();
         if was_absent || before.is_none_or(|before| before.concerns_all(&facts)) {
@@ -253,6 +268,36 @@
         self.plan(ResidencyEvent::TargetSeen(facts));
     }
 
+    /// Takes in that another instance, or a request of this one, was told by a target that it leaves.
+    pub(super) fn told_of_leaving(
+        &mut self,
+        target: &TargetName,
+        started: Option<TargetStart>,
+        from: &InstanceId,
+    ) {
+        let mut dispatch = self.shared.dispatch();
+        let is_new = dispatch.says_it_leaves(target, started);
+        let facts = dispatch.target(target).cloned();
+        drop(dispatch);
+        if is_new {
+            slog::info!(self.shared.log, "target leaves as told";
+                "target" => target.as_str(), "by" => from.as_str());
+        }
+        let Some(placer) = &self.placer else {
+            return;
+        };
+        // Those that a request of this instance has learnt of are not new here any more.
+        if is_new || from == self.me() {
+            let peers: Vec<Peer> = placer.presence.peers().collect();
+            for peer in peers.iter().filter(|it| it.instance != *from) {
+                self.send(peer, PeerMessage::Leaving(target.clone(), started));
+            }
+        }
+        if let Some(facts) = facts {
+            self.plan(ResidencyEvent::TargetSeen(facts));
+        }
+    }
+
     /// Takes in the newest version of some weights, unless a newer one is known.
     pub(super) fn version_seen(&mut self, weights: Weights, version: u64, revision: u64) {
         let now = self.now();
--- a/crates/chervilshunt_gateway/src/control/using.rs
+++ b/crates/chervilshunt_gateway/src/control/using.rs
@@ -81,6 +81,7 @@
             PeerMessage::NotHeld(target, weights) => {
                 self.plan(ResidencyEvent::NotHeld(target, weights));
             }
+            PeerMessage::Leaving(target, started) => self.told_of_leaving(&target, started, &from),
             PeerMessage::Pictures(pictures) => self.take_pictures(&from, pictures),
             PeerMessage::Placing {
                 knows_targets,
--- a/crates/chervilshunt_gateway/src/lib.rs
+++ b/crates/chervilshunt_gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod dialect;
 mod front;
 mod grants;
+mod leaving;
 mod peers;
 mod ports;
 mod run;
--- a/crates/chervilshunt_gateway/src/peers.rs
+++ b/crates/chervilshunt_gateway/src/peers.rs
@@ -6,7 +6,7 @@
 use chervilshunt_coord::{HeldLease, SeenRecord, SoleRecord, SoleWritten};
 use chervilshunt_core::{
     Fingerprint, GrantNumber, GrantProgress, Learnt, Placed, StoredCrashes, TargetFacts,
-    TargetPicture, Use, Want, Weights,
+    TargetPicture, TargetStart, Use, Want, Weights,
 };
 use chervilshunt_mesh::Purpose;
 use chervilshunt_model::{InstanceId, TargetName};
@@ -48,6 +48,9 @@
     /// To the placer: a target said that it does not hold an adapter.
     #[serde(rename = "n")]
     NotHeld(TargetName, Weights),
+    /// To the placer, and from it to all others: a target's answer said that it leaves.
+    #[serde(rename = "d")]
+    Leaving(TargetName, Option<TargetStart>),
     /// From a placer whose lease has ended, directly or passed on: what targets hold and do.
     #[serde(rename = "h")]
     Pictures(Pictures),
@@ -232,6 +235,7 @@
             Self::Placed(..) => "placed",
             Self::Progress(_) => "progress",
             Self::NotHeld(..) => "not_held",
+            Self::Leaving(..) => "leaving",
             Self::Pictures(_) => "pictures",
             Self::Placing { .. } => "placing",
             Self::Changed(_) => "changed",
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -337,9 +337,8 @@
                 "status" => head.status.as_u16(), "verdict" => ?verdict,
                 "retry_after" => head.headers.get(header::RETRY_AFTER).and_then(|it| it.to_str().ok()));
         }
-        if head.headers.contains_key(&names.leaving) {
-            slog::info!(self.shared.log, "target says that it leaves";
-                "request" => &*self.req.id, "target" => chosen.target.as_str());
+        if verdict != Verdict::OtherTarget {
+            self.note_what_it_says(chosen, &in_flight, &head);
         }
         let sign = match verdict {
             Verdict::PassOn if head.status.is_server_error() => Sign::Failed,
@@ -361,6 +360,12 @@
         }
     }
 
+    /// Takes in what a target says of itself with an answer: that it leaves.
+    fn note_what_it_says(&self, chosen: &Chosen, in_flight: &InFlight, head: &Parts) {
+        let (shared, target) = (self.shared, &chosen.target);
+        shared.note_leaving(target, in_flight.started, &head.headers);
+    }
+
     /// Takes back that the request may have run at the last target.
     fn not_run(&mut self) -> Sent {
         self.runs -= 1;
--- a/crates/chervilshunt_gateway/src/traffic/place.rs
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -60,8 +60,8 @@
 enum Told {
     /// Where the request may be sent.
     At(Chosen),
-    /// A target that is known here to leave.
-    Leaving(TargetName),
+    /// A target that takes nothing from this instance.
+    Closed(TargetName),
     /// It gave no answer.
     Nothing,
 }
@@ -81,7 +81,7 @@
             {
                 match self.ask_placer(weights).await? {
                     Told::At(chosen) => return Ok(chosen),
-                    Told::Leaving(target) => self.avoid.push(target),
+                    Told::Closed(target) => self.avoid.push(target),
                     Told::Nothing => {
                         placer_answers = false;
                         self.shared.dispatch().placer_lost();
@@ -165,7 +165,7 @@
         };
         match self.ask_placer(weights).await? {
             Told::At(chosen) => Ok(chosen),
-            Told::Leaving(_) | Told::Nothing => Err(self.not_placed()),
+            Told::Closed(_) | Told::Nothing => Err(self.not_placed()),
         }
     }
 
@@ -178,7 +178,12 @@
         let now = self.shared.clock.now();
         let patience = self.req.route.objective.mul_f64(PLACE_PATIENCE);
         let patience = patience.min(self.req.left(now));
-        let mut avoid = self.shared.dispatch().doubtful(&self.req.service, now);
+        let mut avoid = {
+            let dispatch = self.shared.dispatch();
+            let mut avoid = dispatch.doubtful(&self.req.service, now);
+            avoid.extend(dispatch.closed(&self.req.service, now));
+            avoid
+        };
         avoid.extend(self.avoid.iter().cloned());
         let want = Want {
             service: self.req.service.clone(),
@@ -298,7 +303,7 @@
             "target" => target.map(|it| it.as_str().to_owned()));
     }
 
-    /// Sends to a target that the placer named, unless it leaves.
+    /// Sends to a target that the placer named, unless it takes nothing from this instance.
     fn at_target(&self, target: TargetName, grant: Grant) -> Told {
         let now = self.shared.clock.now();
         let weights = self.req.weights.as_ref();
@@ -308,7 +313,21 @@
                 grant: Some(grant),
                 ..chosen
             }),
-            Err(_) => Told::Leaving(target),
+            Err(_) => {
+                self.remind_of_leaving(&target);
+                Told::Closed(target)
+            }
+        }
+    }
+
+    /// Tells the placer, which has chosen it, that a target leaves: another placer may have been told.
+    fn remind_of_leaving(&self, target: &TargetName) {
+        let dispatch = self.shared.dispatch();
+        let known = dispatch.target(target).filter(|it| it.leaving.is_some());
+        let started = known.map(|it| it.started);
+        drop(dispatch);
+        if let Some(started) = started {
+            self.shared.tell_placer_it_leaves(target, started);
         }
     }
 }
