Send nothing to a target that has asked for a pause until that is over

A target that turns a request away with 503 may say for how long it wants nothing from that instance. The figure was not read: the next request went there as soon as the load seemed to allow it, was turned away again, and used up a part of what all instances may send again.

Now the choice passes over such a target until the end of the pause, the placer is asked to, and where all targets that hold the adapter have asked for one the request is refused at once with the first end as Retry-After. A figure that nobody meant is bounded at ten minutes; Retry-After may be a fraction.

Cases in core/tests/said.rs.

--- a/crates/chervilshunt_core/src/dispatch/choose.rs
+++ b/crates/chervilshunt_core/src/dispatch/choose.rs
@@ -71,6 +71,8 @@
     NotHeld,
     /// All targets that could take it are full.
     Full,
+    /// All targets that hold the adapter want nothing from this instance until a moment.
+    Paused(Moment),
 }
 
 /// What comes of choosing.
@@ -145,6 +147,15 @@
         if holding.is_empty() {
             return Choice::Wait(Wait::NotHeld);
         }
+        let pauses = holding.iter().map(|it| it.paused_until);
+        let first_end = pauses.min().filter(|until| now < *until);
+        if let Some(until) = first_end {
+            return Choice::Wait(Wait::Paused(until));
+        }
+        let holding: Vec<&Target> = holding
+            .into_iter()
+            .filter(|it| !it.is_paused(now))
+            .collect();
         let answering: Vec<&Target> = holding
             .iter()
             .filter(|target| !target.health.is_silent(now))
@@ -170,7 +181,7 @@
         self.holders.of(weights).iter().map(|(name, _)| name)
     }
 
-    /// Chooses the target that the placer named, unless it leaves or is gone.
+    /// Chooses the target that the placer named, unless it leaves, wants nothing now or is gone.
     pub fn choose_named(
         &self,
         name: &TargetName,
@@ -178,7 +189,7 @@
         now: Moment,
     ) -> Choice {
         let target = self.targets.get(name);
-        match target.filter(|it| it.facts.leaving.is_none()) {
+        match target.filter(|it| it.facts.leaving.is_none() && !it.is_paused(now)) {
             Some(target) => self.send(target, weights, now),
             None => Choice::Wait(Wait::NoTarget),
         }
--- a/crates/chervilshunt_core/src/dispatch/said.rs
+++ b/crates/chervilshunt_core/src/dispatch/said.rs
@@ -3,15 +3,20 @@
 //! It holds at once and without the platform: a target's entry is as old as its last heartbeat, and
 //! nobody can write or read it while the platform is away.
 
+use std::time::Duration;
+
 use chervilshunt_model::{Moment, ServiceName, TargetName};
 use indexmap::IndexMap;
 
 use super::facts::{Leaving, TargetStart};
-use super::state::Dispatch;
+use super::state::{Dispatch, Target};
 
 /// Targets that have said that they leave which are remembered, those that are gone included: their
 /// entries may be listed for some time.
 const REMEMBERED_LEAVING: usize = 1_024;
+/// The longest pause that is granted, against a figure that nobody meant.
+const LONGEST_PAUSE: Duration = Duration::from_secs(10 * 60);
+
 /// The starts of targets that have said that they leave, the latest at the end.
 #[derive(Debug, Default)]
 pub(crate) struct SaidLeaving(IndexMap<TargetName, Option<TargetStart>>);
@@ -54,11 +59,27 @@
         is_new
     }
 
+    /// Takes in that a target wants nothing from this instance for a time.
+    pub fn wants_pause(&mut self, target: &TargetName, pause: Duration, now: Moment) {
+        if let Some(target) = self.targets.get_mut(target) {
+            let until = now + pause.min(LONGEST_PAUSE);
+            target.paused_until = target.paused_until.max(until);
+        }
+    }
+
     /// Returns the targets of a service to which this instance must not send.
-    pub fn closed(&self, service: &ServiceName, _now: Moment) -> Vec<TargetName> {
+    pub fn closed(&self, service: &ServiceName, now: Moment) -> Vec<TargetName> {
         let targets = self.targets.values();
-        let closed =
-            targets.filter(|it| it.facts.service == *service && it.facts.leaving.is_some());
+        let closed = targets.filter(|it| {
+            it.facts.service == *service && (it.facts.leaving.is_some() || it.is_paused(now))
+        });
         closed.map(|it| it.facts.name.clone()).collect()
     }
 }
+
+impl Target {
+    /// Says whether the target wants nothing from this instance now.
+    pub(crate) fn is_paused(&self, now: Moment) -> bool {
+        now < self.paused_until
+    }
+}
--- a/crates/chervilshunt_core/src/dispatch/state.rs
+++ b/crates/chervilshunt_core/src/dispatch/state.rs
@@ -35,6 +35,8 @@
     pub(crate) facts: TargetFacts,
     pub(crate) load: TargetLoad,
     pub(crate) health: TargetHealth,
+    /// Until when it wants nothing from this instance.
+    pub(crate) paused_until: Moment,
 }
 
 /// What an entry of the platform's list says, beside what was known.
@@ -124,6 +126,7 @@
                 let target = Target {
                     load: TargetLoad::default(),
                     health: TargetHealth::new(now),
+                    paused_until: Moment::ZERO,
                     facts,
                 };
                 self.targets.insert(target.facts.name.clone(), target);
--- a/crates/chervilshunt_core/tests/said.rs
+++ b/crates/chervilshunt_core/tests/said.rs
@@ -3,9 +3,11 @@
 #[path = "support/choosing.rs"]
 mod choosing;
 
+use std::time::Duration;
+
 use chervilshunt_core::{TargetFacts, TargetNews, TargetStart, Wait};
 use chervilshunt_model::TargetName;
-use choosing::{at, choose, chosen, dispatch, facts, service, to};
+use choosing::{adapter, at, choose, chosen, dispatch, facts, service, to};
 
 fn name(target: &str) -> TargetName {
     TargetName::from(target)
@@ -61,3 +63,36 @@
     assert!(!dispatch.says_it_leaves(&name("t1"), Some(TargetStart(7))));
     assert_eq!(chosen(choose(&dispatch, None, &[], 1)), to("t1"));
 }
+
+#[test]
+fn a_target_that_wants_a_pause_is_not_chosen_until_its_end() {
+    let mut dispatch = dispatch([facts("t1", "here", &[]), facts("t2", "here", &[])]);
+    dispatch.wants_pause(&name("t1"), Duration::from_secs(2), at(0));
+    assert_eq!(chosen(choose(&dispatch, None, &[], 1_999)), to("t2"));
+    let named = dispatch.choose_named(&name("t1"), None, at(1_999));
+    assert_eq!(chosen(named), Err(Wait::NoTarget));
+    assert_eq!(dispatch.closed(&service(), at(1_999)), [name("t1")]);
+    dispatch.sent(&name("t2"), None);
+    assert_eq!(chosen(choose(&dispatch, None, &[], 2_000)), to("t1"));
+}
+
+/// Guards against callers who wait for targets that are known to take nothing.
+#[test]
+fn where_all_want_a_pause_the_first_end_is_told() {
+    let holding = [("a", 1)];
+    let mut dispatch = dispatch([facts("t1", "here", &holding), facts("t2", "here", &holding)]);
+    dispatch.wants_pause(&name("t1"), Duration::from_secs(3), at(0));
+    dispatch.wants_pause(&name("t2"), Duration::from_secs(2), at(500));
+    // A shorter one that comes later takes nothing back.
+    dispatch.wants_pause(&name("t1"), Duration::from_secs(1), at(600));
+    let choice = choose(&dispatch, Some(&adapter("a")), &[], 1_000);
+    assert_eq!(chosen(choice), Err(Wait::Paused(at(2_500))));
+}
+
+/// Guards against a figure that nobody meant, which would take a target out of use for good.
+#[test]
+fn a_pause_is_bounded() {
+    let mut dispatch = dispatch([facts("t1", "here", &[])]);
+    dispatch.wants_pause(&name("t1"), Duration::MAX, at(0));
+    assert_eq!(chosen(choose(&dispatch, None, &[], 600_000)), to("t1"));
+}
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -8,8 +8,9 @@
 use chervilshunt_core::{Sign, TargetStart, Weights};
 use chervilshunt_engine::{BodyReader, EngineError, Limits, Outcome};
 use chervilshunt_model::{Moment, TargetName};
+use chervilshunt_platform::retry_after;
 use http::response::Parts;
-use http::{Request, Uri, header};
+use http::{Request, StatusCode, Uri, header};
 use http_body_util::Full;
 
 use super::answer::{Verdict, judge};
@@ -360,10 +361,18 @@
         }
     }
 
-    /// Takes in what a target says of itself with an answer: that it leaves.
+    /// Takes in what a target says of itself with an answer: that it leaves, or wants nothing for a time.
     fn note_what_it_says(&self, chosen: &Chosen, in_flight: &InFlight, head: &Parts) {
         let (shared, target) = (self.shared, &chosen.target);
         shared.note_leaving(target, in_flight.started, &head.headers);
+        let turned_away = head.status == StatusCode::SERVICE_UNAVAILABLE;
+        if let Some(pause) = retry_after(&head.headers).filter(|_| turned_away) {
+            let now = shared.clock.now();
+            slog::info!(shared.log, "target wants a pause";
+                "request" => &*self.req.id, "target" => target.as_str(),
+                "pause_ms" => pause.as_millis() as u64);
+            shared.dispatch().wants_pause(target, pause, now);
+        }
     }
 
     /// Takes back that the request may have run at the last target.
--- a/crates/chervilshunt_gateway/src/traffic/place.rs
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -104,6 +104,10 @@
                     return Err(Refusal::retry_after(Reason::Full, FULL_RETRY));
                 }
                 Wait::Full => tokio::time::sleep(ROOM_PAUSE).await,
+                Wait::Paused(until) => {
+                    let pause = self.shared.clock.now().until(until);
+                    return Err(Refusal::retry_between(Reason::Full, pause, pause + SPREAD));
+                }
             }
         }
     }
@@ -292,7 +296,7 @@
                     "weights" => self.req.weights.as_ref().map(ToString::to_string));
             }
             // Tried again every few milliseconds; a refusal for want of room says so itself.
-            Wait::Full => {}
+            Wait::Full | Wait::Paused(_) => {}
         }
     }
 
--- a/crates/chervilshunt_platform/src/answer.rs
+++ b/crates/chervilshunt_platform/src/answer.rs
@@ -98,8 +98,9 @@
     }
 }
 
-/// Returns the seconds of a `Retry-After`; a date is left aside.
+/// Returns the seconds of a `Retry-After`, which may be a fraction; a date is left aside.
 pub fn retry_after(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
-    value.trim().parse().ok().map(Duration::from_secs)
+    let seconds = value.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
 }
