Tell no change of the records of crashes where none has gone

Each answer to the placer's call about them counted as a removal of none, at the store's newest revision, so that every instance listed them anew.

The test failed before.

--- a/crates/chervilshunt_gateway/src/control/news.rs
+++ b/crates/chervilshunt_gateway/src/control/news.rs
@@ -102,6 +102,9 @@
 
     /// Takes note that records of crashes have been removed.
     pub(super) fn crashes_removed(&mut self, removed: &[Fingerprint], revision: u64) {
+        if removed.is_empty() {
+            return;
+        }
         self.untold_crashes
             .retain(|it| !removed.contains(&it.fingerprint));
         self.untold_releases.extend_from_slice(removed);
--- a/crates/chervilshunt_gateway/src/control/news/tests.rs
+++ b/crates/chervilshunt_gateway/src/control/news/tests.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use chervilshunt_core::{LoadedAdapter, LoadedModel, TargetFacts, Weights};
+use chervilshunt_core::{Fingerprint, LoadedAdapter, LoadedModel, TargetFacts, Weights};
 use chervilshunt_model::{Moment, ServiceName, TargetName, ZoneName};
 
 use super::{MOST_TOLD, Sights};
@@ -90,3 +90,16 @@
     assert!(!sights.seen(Kind::Targets, at(310)));
     assert!(sights.seen(Kind::Targets, at(900)));
 }
+
+/// Guards against instances that list the records of crashes after each call of the placer about them.
+#[test]
+fn an_answer_without_removals_is_no_change_of_the_records_of_crashes() {
+    let mut sights = Sights::default();
+    sights.seen(Kind::Targets, at(0));
+    sights.target_changed(&facts("t1"), 5);
+    sights.seen(Kind::Crashes, at(0));
+    sights.crashes_removed(&[], 9);
+    assert_eq!(sights.view(at(0)).and_then(|it| it.crashes), Some(0));
+    sights.crashes_removed(&[Fingerprint::of([&b"a"[..]])], 10);
+    assert_eq!(sights.view(at(0)).and_then(|it| it.crashes), Some(10));
+}
