--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -17,6 +17,7 @@
 use super::messages::{Asked, Ordered};
 use super::presence::{Presence, SignOfLife};
 use crate::peers::PeerMessage;
+use crate::shared::Shared;
 
 /// How long a target may take to accept an order, or to say what it holds. It answers within
 /// milliseconds, and the placer reads it a tenth of a second later at most, where its share of the
@@ -137,20 +138,13 @@
         let Some(control) = self.address.clone() else {
             return;
         };
-        let address = self.address_of(&target);
-        let req = (self.shared.dialect.targets.ask)(&target);
-        let read = self.shared.dialect.targets.read_report;
-        let engines = self.shared.engines.clone();
-        let log = self.shared.log.clone();
+        let shared = Arc::clone(&self.shared);
         tokio::spawn(async move {
-            let report = match address {
-                Some(address) => ask_at(engines.client(address), req, read).await,
-                None => Err("the target is gone".to_owned()),
-            };
-            let report: Option<TargetReport> = match report {
+            let report = match ask(&shared, &target).await {
                 Ok(report) => Some(report),
                 Err(reason) => {
-                    slog::info!(log, "target not asked"; "target" => target.as_str(), "reason" => reason);
+                    slog::info!(shared.log, "target not asked";
+                        "target" => target.as_str(), "reason" => reason);
                     None
                 }
             };
@@ -255,21 +249,23 @@
     }
 }
 
-async fn ask_at(
-    client: chervilshunt_engine::EngineClient,
-    req: http::Request<http_body_util::Full<bytes::Bytes>>,
-    read: fn(&[u8]) -> Result<TargetReport, crate::dialect::Malformed>,
-) -> Result<TargetReport, String> {
-    let (head, body) = client
-        .forward(req, true, ORDER_LIMITS)
-        .await
-        .map_err(|error| error.to_string())?;
+async fn ask(shared: &Shared, target: &TargetName) -> Result<TargetReport, String> {
+    let dialect = &shared.dialect.targets;
+    let (address, started) = {
+        let dispatch = shared.dispatch();
+        let facts = dispatch.target(target).ok_or("the target is gone")?;
+        (facts.address, facts.started)
+    };
+    let client = shared.engines.client(address);
+    let answer = client.forward((dialect.ask)(target), true, ORDER_LIMITS);
+    let (head, body) = answer.await.map_err(|error| error.to_string())?;
     if !head.status.is_success() {
         return Err(format!("it answered {}", head.status));
     }
+    shared.note_leaving(target, started, &head.headers);
     let body = body.read_whole(MAX_REPORT).await;
     let body = body.map_err(|error| error.to_string())?;
-    read(&body).map_err(|error| error.to_string())
+    (dialect.read_report)(&body).map_err(|error| error.to_string())
 }
 
 /// Returns what an order without an answer may have come to.
