Record the first crash of a request only where its target had begun to run it

A head without a byte of the body is what shows that an engine had begun; of a request without a head only a second crash at the same instance is recorded.

--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -39,7 +39,9 @@
     AnswerCheck, CompactAnswer, CompactRequest, CrossedAnswer, Permit, PermitAnswer, PermitRequest,
     RefusalReason, ReleaseOutcome, ReleasedPermit,
 };
-pub use quarantine::{CrashRecord, Fingerprint, Quarantine, QuarantineConfig, StoredCrashes};
+pub use quarantine::{
+    Crash, CrashRecord, Fingerprint, Quarantine, QuarantineConfig, StoredCrashes,
+};
 pub use rank::{TargetTable, rank_targets};
 pub use residency::{
     GrantNumber, GrantProgress, Learnt, Order, OrderAnswer, OrderNumber, Placed, Residency,
--- a/crates/chervilshunt_core/src/quarantine/mod.rs
+++ b/crates/chervilshunt_core/src/quarantine/mod.rs
@@ -8,4 +8,4 @@
 mod state;
 
 pub use fingerprint::Fingerprint;
-pub use state::{CrashRecord, Quarantine, QuarantineConfig, StoredCrashes};
+pub use state::{Crash, CrashRecord, Quarantine, QuarantineConfig, StoredCrashes};
--- a/crates/chervilshunt_core/src/quarantine/state.rs
+++ b/crates/chervilshunt_core/src/quarantine/state.rs
@@ -42,6 +42,19 @@
     pub targets: Vec<TargetName>,
 }
 
+/// A target that crashed under a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// The target.
+    pub target: TargetName,
+    /// When the request was sent there.
+    pub sent_at: Moment,
+    /// Whether the target had begun to run it, as far as can be told.
+    pub has_run: bool,
+}
+
 /// A record as the platform keeps it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredCrashes {
@@ -102,13 +115,16 @@
     ///
     /// A crash counts only if the request was sent after the one before was known. Where several targets
     /// crash at once, say with their rack, a request that many callers send is under way at all of them.
-    pub fn crashed(
-        &mut self,
-        fingerprint: Fingerprint,
-        target: TargetName,
-        sent_at: Moment,
-        now: Moment,
-    ) -> Option<StoredCrashes> {
+    ///
+    /// Of a request that may only have waited at its target the first crash is kept here: an overloaded
+    /// target that crashes has dozens of them, and a record of each would be told to all instances.
+    pub fn crashed(&mut self, crash: Crash, now: Moment) -> Option<StoredCrashes> {
+        let Crash {
+            fingerprint,
+            target,
+            sent_at,
+            has_run,
+        } = crash;
         let is_known = self.requests.contains_key(&fingerprint);
         if !is_known && self.requests.len() >= self.cfg.most {
             return None;
@@ -124,7 +140,8 @@
         }
         known.record.targets.push(target);
         known.crashed_at = now;
-        Some(StoredCrashes {
+        let is_told = has_run || known.record.targets.len() > 1;
+        is_told.then(|| StoredCrashes {
             fingerprint,
             record: known.record.clone(),
             revision: known.revision,
--- a/crates/chervilshunt_core/tests/quarantine.rs
+++ b/crates/chervilshunt_core/tests/quarantine.rs
@@ -3,7 +3,9 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-use chervilshunt_core::{CrashRecord, Fingerprint, Quarantine, QuarantineConfig, StoredCrashes};
+use chervilshunt_core::{
+    Crash, CrashRecord, Fingerprint, Quarantine, QuarantineConfig, StoredCrashes,
+};
 use chervilshunt_model::{Moment, TargetName};
 
 fn at(millis: u64) -> Moment {
@@ -18,6 +20,15 @@
     TargetName::from(name)
 }
 
+fn crash(body: &str, name: &str, sent_at: u64) -> Crash {
+    Crash {
+        fingerprint: request(body),
+        target: target(name),
+        sent_at: at(sent_at),
+        has_run: true,
+    }
+}
+
 fn stored(fingerprint: Fingerprint, targets: &[&str], revision: u64) -> StoredCrashes {
     StoredCrashes {
         fingerprint,
@@ -35,11 +46,11 @@
 #[test]
 fn a_request_is_refused_once_it_has_crashed_targets_one_after_the_other() {
     let mut known = quarantine();
-    let first = known.crashed(request("a"), target("t1"), at(0), at(150));
+    let first = known.crashed(crash("a", "t1", 0), at(150));
     let first = first.expect("something new");
     assert_eq!((first.record.targets.len(), first.revision), (1, None));
     assert_eq!(known.refused_until(request("a"), at(151)), None);
-    let second = known.crashed(request("a"), target("t2"), at(1_300), at(1_450));
+    let second = known.crashed(crash("a", "t2", 1_300), at(1_450));
     assert_eq!(second.map(|it| it.record.targets.len()), Some(2));
     let until = known.refused_until(request("a"), at(1_451));
     assert_eq!(until, Some(at(1_450) + Duration::from_secs(3_600)));
@@ -50,8 +61,8 @@
 #[test]
 fn targets_that_crash_at_once_count_as_one() {
     let mut known = quarantine();
-    known.crashed(request("a"), target("t1"), at(0), at(150));
-    let same = known.crashed(request("a"), target("t2"), at(100), at(160));
+    known.crashed(crash("a", "t1", 0), at(150));
+    let same = known.crashed(crash("a", "t2", 100), at(160));
     assert_eq!(same, None);
     assert_eq!(known.refused_until(request("a"), at(161)), None);
 }
@@ -61,22 +72,19 @@
 fn a_try_that_was_under_way_when_another_instance_told_of_a_crash_does_not_count() {
     let mut known = quarantine();
     assert!(known.recorded(stored(request("a"), &["t1"], 7), at(100)));
-    assert_eq!(
-        known.crashed(request("a"), target("t2"), at(90), at(200)),
-        None
-    );
-    let later = known.crashed(request("a"), target("t3"), at(101), at(300));
+    assert_eq!(known.crashed(crash("a", "t2", 90), at(200)), None);
+    let later = known.crashed(crash("a", "t3", 101), at(300));
     assert_eq!(later.and_then(|it| it.revision), Some(7));
 }
 
 #[test]
 fn a_request_that_is_served_is_no_longer_suspected() {
     let mut known = quarantine();
-    known.crashed(request("a"), target("t1"), at(0), at(150));
+    known.crashed(crash("a", "t1", 0), at(150));
     assert!(known.suspects(request("a")));
     assert!(known.release(request("a")));
     assert!(!known.release(request("a")));
-    known.crashed(request("a"), target("t2"), at(1_000), at(1_150));
+    known.crashed(crash("a", "t2", 1_000), at(1_150));
     assert_eq!(known.refused_until(request("a"), at(1_151)), None);
 }
 
@@ -96,7 +104,7 @@
 fn a_list_releases_what_was_stored_and_keeps_what_has_yet_to_be() {
     let mut known = quarantine();
     known.recorded(stored(request("a"), &["t1", "t2"], 9), at(0));
-    known.crashed(request("b"), target("t3"), at(0), at(100));
+    known.crashed(crash("b", "t3", 0), at(100));
     assert_eq!(known.listed(&HashSet::new()), [request("a")]);
     assert!(known.suspects(request("b")));
 }
@@ -104,7 +112,7 @@
 #[test]
 fn crashes_are_forgotten_after_a_time() {
     let mut known = quarantine();
-    known.crashed(request("a"), target("t1"), at(0), at(0));
+    known.crashed(crash("a", "t1", 0), at(0));
     known.recorded(stored(request("b"), &["t1", "t2"], 9), at(0));
     assert!(known.take_expired(at(599_999)).is_empty());
     assert_eq!(known.take_expired(at(600_000)), [request("a")]);
@@ -118,16 +126,9 @@
         most: 1,
         ..QuarantineConfig::default()
     });
-    known.crashed(request("a"), target("t1"), at(0), at(100));
-    assert_eq!(
-        known.crashed(request("b"), target("t1"), at(0), at(100)),
-        None
-    );
-    assert!(
-        known
-            .crashed(request("a"), target("t2"), at(200), at(300))
-            .is_some()
-    );
+    known.crashed(crash("a", "t1", 0), at(100));
+    assert_eq!(known.crashed(crash("b", "t1", 0), at(100)), None);
+    assert!(known.crashed(crash("a", "t2", 200), at(300)).is_some());
 }
 
 #[test]
@@ -139,3 +140,18 @@
     let text = request("a").to_string();
     assert_eq!(text.parse(), Ok(request("a")));
 }
+
+/// Guards against a record for each of the dozens of requests that wait at an overloaded target which
+/// crashes.
+#[test]
+fn the_first_crash_of_a_request_that_may_only_have_waited_is_not_recorded() {
+    let waited = |name, sent_at| Crash {
+        has_run: false,
+        ..crash("a", name, sent_at)
+    };
+    let mut known = quarantine();
+    assert_eq!(known.crashed(waited("t1", 0), at(100)), None);
+    let second = known.crashed(waited("t2", 200), at(300));
+    assert_eq!(second.map(|it| it.record.targets.len()), Some(2));
+    assert!(known.refused_until(request("a"), at(301)).is_some());
+}
--- a/crates/chervilshunt_gateway/src/crashes.rs
+++ b/crates/chervilshunt_gateway/src/crashes.rs
@@ -6,8 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilshunt_core::{Fingerprint, StoredCrashes};
-use chervilshunt_model::{Moment, TargetName};
+use chervilshunt_core::{Crash, Fingerprint, StoredCrashes};
 use chervilshunt_platform::{Exchange, PlatformError, Timeouts};
 use tokio::sync::mpsc;
 
@@ -26,21 +25,12 @@
 /// Something that traffic has seen of a request.
 #[derive(Debug)]
 pub(crate) enum CrashSign {
-    /// A target's connection ended before it had begun to answer.
-    Broke(Broke),
+    /// A target's connection ended before it had begun to answer; it is called at the address.
+    Broke(Crash, SocketAddr),
     /// A target has begun to answer it.
     Served(Fingerprint),
 }
 
-/// A request whose target may have crashed under it.
-#[derive(Debug)]
-pub(crate) struct Broke {
-    pub(crate) fingerprint: Fingerprint,
-    pub(crate) target: TargetName,
-    pub(crate) address: SocketAddr,
-    pub(crate) sent_at: Moment,
-}
-
 /// Where traffic leaves the signs that it sees.
 #[derive(Clone, Debug)]
 pub(crate) struct CrashSigns(mpsc::Sender<CrashSign>);
@@ -75,7 +65,7 @@
         };
         tokio::spawn(async move {
             match sign {
-                CrashSign::Broke(broke) => recorder.look_into(broke).await,
+                CrashSign::Broke(crash, address) => recorder.look_into(crash, address).await,
                 CrashSign::Served(fingerprint) => recorder.release(fingerprint).await,
             }
         });
@@ -91,20 +81,17 @@
     /// Records a crash, if the target's process has ended.
     ///
     /// Connections also end without an answer where a target resets them, or the network does.
-    async fn look_into(&self, broke: Broke) {
-        let client = self.shared.engines.client(broke.address);
+    async fn look_into(&self, crash: Crash, address: SocketAddr) {
+        let client = self.shared.engines.client(address);
         if !client.is_refused(CHECK).await {
             return;
         }
         let now = self.shared.clock.now();
-        let target = broke.target.clone();
-        let to_write = {
-            let mut quarantine = self.shared.quarantine();
-            quarantine.crashed(broke.fingerprint, target, broke.sent_at, now)
-        };
+        let to_write = self.shared.quarantine().crashed(crash.clone(), now);
         slog::info!(self.shared.log, "target crashed";
-            "target" => broke.target.as_str(), "content" => broke.fingerprint.to_string(),
-            "sent_ms" => now.since(broke.sent_at).as_millis() as u64,
+            "target" => crash.target.as_str(), "content" => crash.fingerprint.to_string(),
+            "sent_ms" => now.since(crash.sent_at).as_millis() as u64,
+            "has_run" => crash.has_run,
             "crashes" => to_write.as_ref().map(|it| it.record.targets.len()));
         metrics::counter!("chervilshunt_target_crashes_total").increment(1);
         if let Some(crashes) = to_write {
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chervilshunt_core::{Sign, TargetStart, Weights};
+use chervilshunt_core::{Crash, Sign, TargetStart, Weights};
 use chervilshunt_engine::{BodyReader, EngineError, Limits, Outcome};
 use chervilshunt_model::{Moment, TargetName};
 use chervilshunt_platform::retry_after;
@@ -17,7 +17,7 @@
 use super::place::Chosen;
 use super::refusal::{Reason, Refusal};
 use super::request::{CallerRequest, set};
-use crate::crashes::{Broke, CrashSign};
+use crate::crashes::CrashSign;
 use crate::grants::Grant;
 use crate::peers::PeerMessage;
 use crate::shared::Shared;
@@ -102,17 +102,20 @@
 
 impl InFlight {
     /// Takes note that the target's connection has ended: if it had not begun to answer, it may have
-    /// crashed under the request.
-    pub(crate) fn broke(&self, req: &CallerRequest) {
+    /// crashed under the request. An engine writes the head of an answer when it begins to run the
+    /// request; a request without a head has most likely waited there.
+    pub(crate) fn broke(&self, req: &CallerRequest, head_came: bool) {
         if self.has_begun {
             return;
         }
-        self.shared.note_crash_sign(CrashSign::Broke(Broke {
+        let crash = Crash {
             fingerprint: req.fingerprint(),
             target: self.target.clone(),
-            address: self.address,
             sent_at: self.sent_at,
-        }));
+            has_run: head_came || self.weights.is_none(),
+        };
+        let sign = CrashSign::Broke(crash, self.address);
+        self.shared.note_crash_sign(sign);
     }
 
     /// Has a request that targets crashed under released, as this one has begun to answer it.
@@ -294,7 +297,7 @@
             Ok((head, body)) => self.judge(chosen, head, body, in_flight),
             Err(error) => {
                 if matches!(error, EngineError::OutcomeUnknown { .. }) {
-                    in_flight.broke(self.req);
+                    in_flight.broke(self.req, false);
                 }
                 self.failed(chosen, &error)
             }
