Trust what is told of records of crashes for three seconds

A request may be refused seconds later without harm, so that moments without the placer need cost no call.

--- a/crates/chervilshunt_gateway/src/control/pace.rs
+++ b/crates/chervilshunt_gateway/src/control/pace.rs
@@ -13,6 +13,9 @@
 /// give two seconds from when a target begins to leave until it gets no more work; an entry that is
 /// gone takes 0.6 s of that.
 const VIEW_TRUST: Duration = Duration::from_millis(1_000);
+/// The same for records of requests that crash targets, which may be known seconds later: each moment in
+/// which a placer is not heard would cost a call of every instance.
+const CRASHES_TRUST: Duration = Duration::from_secs(3);
 /// How long the placer's last message tells that its lease need not be looked at: three of the
 /// intervals at which it sends.
 const LEASE_TRUST: Duration = Duration::from_millis(1_300);
@@ -94,7 +97,8 @@
 
 const fn trust(kind: Kind) -> Duration {
     match kind {
-        Kind::Configuration | Kind::Targets | Kind::Versions | Kind::Crashes => VIEW_TRUST,
+        Kind::Configuration | Kind::Targets | Kind::Versions => VIEW_TRUST,
+        Kind::Crashes => CRASHES_TRUST,
         Kind::Lease => LEASE_TRUST,
     }
 }
