--- a/crates/chervilshunt_core/src/dispatch/guide.rs
+++ b/crates/chervilshunt_core/src/dispatch/guide.rs
@@ -5,7 +5,7 @@
 //! changes, most of them for nothing, and the calls of all instances come out of one rate. So the
 //! placer looks often, and tells everyone what has changed that concerns them
 //! and up to which revision they have to know it; an instance asks for itself if it has missed
-//! something, and whenever the placer falls silent or has lost sight of the platform.
+//! something, and whenever the placer falls silent or has lost seen of the platform.
 
 use std::time::Duration;
 
@@ -24,7 +24,7 @@
 
 /// How changes that the placer tells follow on what an instance has seen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Told {
+pub enum Continuity {
     /// It has seen them, or something newer.
     Known,
     /// They are the next ones.
@@ -75,11 +75,11 @@
     ///
     /// Messages get lost with a connection, and come late after an own look. Taken in all the same, a
     /// change would be missing until the next look, or an older one would replace a newer one.
-    pub fn follows(&self, after: StoreRevision, up_to: StoreRevision) -> Told {
+    pub fn follows(&self, after: StoreRevision, up_to: StoreRevision) -> Continuity {
         match self.looked {
-            Some((revision, _)) if revision >= up_to => Told::Known,
-            Some((revision, _)) if revision >= after && after.era == up_to.era => Told::Next,
-            Some(_) | None => Told::Gap,
+            Some((revision, _)) if revision >= up_to => Continuity::Known,
+            Some((revision, _)) if revision >= after && after.era == up_to.era => Continuity::Next,
+            Some(_) | None => Continuity::Gap,
         }
     }
 
--- a/crates/chervilshunt_core/src/dispatch/holders.rs
+++ b/crates/chervilshunt_core/src/dispatch/holders.rs
@@ -24,7 +24,7 @@
 
 /// All that the placer knows of what one target holds and does, in few bytes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TargetPicture {
+pub struct TargetSnapshot {
     /// The target.
     #[serde(rename = "t")]
     pub target: TargetName,
--- a/crates/chervilshunt_core/src/dispatch/mod.rs
+++ b/crates/chervilshunt_core/src/dispatch/mod.rs
@@ -24,10 +24,10 @@
     Leaving, LoadReport, LoadedAdapter, LoadedModel, ModelSpec, PlacementLimits, RequestSize,
     TargetFacts, TargetStart, Weights,
 };
-pub use guide::{Guide, Pace, Told};
+pub use guide::{Continuity, Guide, Pace};
 pub use health::{HealthConfig, Sign};
 pub(crate) use holders::NamedVersions;
-pub use holders::{HeldAdapters, Holding, TargetPicture};
+pub use holders::{HeldAdapters, Holding, TargetSnapshot};
 pub use lanes::{Lane, long_prompt_targets};
 pub use routes::{CallerBounds, Repeat, Route, RouteTable, ServiceSpec};
-pub use state::{Dispatch, TargetNews};
+pub use state::{Dispatch, EntryChange};
--- a/crates/chervilshunt_core/src/dispatch/state.rs
+++ b/crates/chervilshunt_core/src/dispatch/state.rs
@@ -10,7 +10,7 @@
 use super::choose::DispatchConfig;
 use super::facts::{Leaving, LoadReport, TargetFacts, TargetStart, Weights};
 use super::health::{Sign, TargetHealth};
-use super::holders::{HeldAdapters, Holders, Holding, NamedVersions, TargetPicture};
+use super::holders::{HeldAdapters, Holders, Holding, NamedVersions, TargetSnapshot};
 use super::load::TargetLoad;
 use super::said::SaidLeaving;
 use super::uses::UseTable;
@@ -20,7 +20,7 @@
 const PLACER_SILENCE: Duration = Duration::from_secs(3);
 /// How long what a placer told of all targets counts for more than what they list of themselves, which
 /// is up to a heartbeat and a half behind.
-const PICTURE_TRUST: Duration = Duration::from_secs(3);
+const SNAPSHOT_TRUST: Duration = Duration::from_secs(3);
 
 /// The silence after which a placer is no longer asked about each request: three of the intervals at
 /// which it tells something.
@@ -41,7 +41,7 @@
 
 /// What an entry of the platform's list says, beside what was known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TargetNews {
+pub enum EntryChange {
     /// The target was not known.
     New,
     /// The target was known.
@@ -68,7 +68,7 @@
     /// Whether the placer has told that it places, and nothing speaks against it since.
     is_placing: bool,
     /// When a placer whose lease ended told what all targets hold.
-    pictured_at: Option<Moment>,
+    snapshot_at: Option<Moment>,
 }
 
 impl Dispatch {
@@ -85,7 +85,7 @@
             gone: IndexMap::new(),
             placer_heard: None,
             is_placing: false,
-            pictured_at: None,
+            snapshot_at: None,
         }
     }
 
@@ -94,27 +94,27 @@
     /// One that has started again holds nothing and knows nothing of what it was sent. Counted on,
     /// requests of before would keep work from it, and adapters of before would draw requests that
     /// it refuses.
-    pub fn target_seen(&mut self, facts: TargetFacts, now: Moment) -> TargetNews {
-        let news = self.target_told(facts.clone(), now);
-        let pictured = self.pictured_at.map(|at| now.since(at));
-        if news != TargetNews::Outdated && pictured.is_none_or(|age| age >= PICTURE_TRUST) {
+    pub fn target_seen(&mut self, facts: TargetFacts, now: Moment) -> EntryChange {
+        let change = self.target_told(facts.clone(), now);
+        let snapshot_age = self.snapshot_at.map(|at| now.since(at));
+        if change != EntryChange::Outdated && snapshot_age.is_none_or(|age| age >= SNAPSHOT_TRUST) {
             self.take_listed_adapters(&facts);
         }
-        news
+        change
     }
 
     /// Takes in what the placer tells of a target's entry, which leaves out the adapters that it holds.
-    pub fn target_told(&mut self, facts: TargetFacts, now: Moment) -> TargetNews {
+    pub fn target_told(&mut self, facts: TargetFacts, now: Moment) -> EntryChange {
         let known = self.targets.get(&facts.name).map(|it| it.facts.started);
         let last = known.unwrap_or_else(|| self.gone.get(&facts.name).copied().flatten());
-        let news = match (TargetStart::compare(facts.started, last), known) {
-            (Ordering::Less, _) => return TargetNews::Outdated,
+        let change = match (TargetStart::compare(facts.started, last), known) {
+            (Ordering::Less, _) => return EntryChange::Outdated,
             (Ordering::Greater, Some(_)) => {
                 self.target_gone(&facts.name);
-                TargetNews::Restarted
+                EntryChange::Restarted
             }
-            (Ordering::Equal, Some(_)) => TargetNews::Known,
-            (Ordering::Equal | Ordering::Greater, None) => TargetNews::New,
+            (Ordering::Equal, Some(_)) => EntryChange::Known,
+            (Ordering::Equal | Ordering::Greater, None) => EntryChange::New,
         };
         let mut facts = facts;
         if facts.leaving.is_some() {
@@ -135,7 +135,7 @@
                 self.targets.insert(target.facts.name.clone(), target);
             }
         }
-        news
+        change
     }
 
     /// Forgets a target that is gone.
@@ -178,20 +178,20 @@
     /// Takes in everything that a placer knew of the targets when its lease ended.
     ///
     /// Nobody orders targets from then until there is another placer, so that this is what they hold.
-    pub fn pictured(&mut self, pictures: Vec<TargetPicture>, now: Moment) {
-        self.pictured_at = Some(now);
-        for picture in pictures {
-            self.take_picture(picture, now);
+    pub fn take_snapshots(&mut self, snapshots: Vec<TargetSnapshot>, now: Moment) {
+        self.snapshot_at = Some(now);
+        for snapshot in snapshots {
+            self.take_snapshot(snapshot, now);
         }
     }
 
-    fn take_picture(&mut self, picture: TargetPicture, now: Moment) {
-        let TargetPicture {
+    fn take_snapshot(&mut self, snapshot: TargetSnapshot, now: Moment) {
+        let TargetSnapshot {
             target,
             started,
             in_flight,
             models,
-        } = picture;
+        } = snapshot;
         let Some(known) = self.targets.get_mut(&target) else {
             return;
         };
--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -21,7 +21,7 @@
 use super::wants::Asked;
 use super::window::LoadWindow;
 use crate::dispatch::{
-    NamedVersions, PlacementLimits, TargetFacts, TargetPicture, TargetStart, Weights,
+    NamedVersions, PlacementLimits, TargetFacts, TargetSnapshot, TargetStart, Weights,
 };
 
 /// The share of targets that have to have been asked for a placer to know what is held: the last few
@@ -236,15 +236,15 @@
     }
 
     /// Returns all that requests can use, for instances that have to choose by themselves.
-    pub fn pictures(&self) -> Vec<TargetPicture> {
+    pub fn snapshots(&self) -> Vec<TargetSnapshot> {
         let targets = self.targets.iter();
-        let pictures = targets.map(|(name, target)| TargetPicture {
+        let snapshots = targets.map(|(name, target)| TargetSnapshot {
             target: name.clone(),
             started: target.facts.started,
             in_flight: target.in_flight(),
             models: target.serving_adapters(),
         });
-        pictures.collect()
+        snapshots.collect()
     }
 
     fn target_wakeup(&self, target: &TargetState, now: Moment) -> Option<Moment> {
--- a/crates/chervilshunt_core/tests/dispatch.rs
+++ b/crates/chervilshunt_core/tests/dispatch.rs
@@ -8,7 +8,7 @@
 
 use chervilshunt_core::{
     Dispatch, HeldAdapters, Lane, Leaving, LoadReport, RequestSize, ServiceBudgets, Sign,
-    TargetFacts, TargetPicture, Wait, Weights, WindowBudgetConfig, long_prompt_targets,
+    TargetFacts, TargetSnapshot, Wait, Weights, WindowBudgetConfig, long_prompt_targets,
 };
 use chervilshunt_model::{ServiceName, TargetName};
 use choosing::{adapter, at, choose, chosen, dispatch, facts, to};
@@ -170,7 +170,7 @@
 fn what_the_placer_tells_goes_before_what_targets_list() {
     let weights = adapter("a");
     let mut dispatch = dispatch([facts("t1", "here", &[("a", 1)]), facts("t2", "here", &[])]);
-    let held = |target: &str, adapters: Vec<(Arc<str>, u64)>| TargetPicture {
+    let held = |target: &str, adapters: Vec<(Arc<str>, u64)>| TargetSnapshot {
         target: TargetName::from(target),
         started: None,
         in_flight: 0,
@@ -180,7 +180,7 @@
         }],
     };
     let told = vec![held("t1", Vec::new()), held("t2", vec![("a".into(), 1)])];
-    dispatch.pictured(told, at(100));
+    dispatch.take_snapshots(told, at(100));
     dispatch.target_seen(facts("t1", "here", &[("a", 1)]), at(200));
     assert_eq!(
         chosen(choose(&dispatch, Some(&weights), &[], 200)),
--- a/crates/chervilshunt_core/tests/guide.rs
+++ b/crates/chervilshunt_core/tests/guide.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use chervilshunt_core::{Guide, Pace, Told};
+use chervilshunt_core::{Continuity, Guide, Pace};
 use chervilshunt_model::{Moment, StoreRevision};
 use rstest::rstest;
 
@@ -17,7 +17,7 @@
     StoreRevision::new(0, number)
 }
 
-/// Told at 0 that nothing concerns it after revision 7.
+/// Continuity at 0 that nothing concerns it after revision 7.
 fn told() -> Guide {
     let mut guide = Guide::new(TRUST, LONGEST_REST);
     guide.told(rev(7), at(0));
@@ -46,7 +46,7 @@
     assert_eq!(guide.pace(at(10)), pace);
 }
 
-/// The placer loses sight of the platform, or its machine is cut off. A target leaves, and the
+/// The placer loses seen of the platform, or its machine is cut off. A target leaves, and the
 /// instances would go on sending to it if they took what was told last for good.
 #[test]
 fn what_is_told_counts_for_a_second_after_what_it_tells_was_seen() {
@@ -82,14 +82,14 @@
 }
 
 #[rstest]
-#[case::it_has_seen_all_before(Some(7), Told::Next)]
-#[case::it_has_seen_a_part_of_them(Some(8), Told::Next)]
-#[case::it_has_looked_since(Some(9), Told::Known)]
-#[case::some_before_are_missing(Some(6), Told::Gap)]
-#[case::it_has_seen_nothing(None, Told::Gap)]
+#[case::it_has_seen_all_before(Some(7), Continuity::Next)]
+#[case::it_has_seen_a_part_of_them(Some(8), Continuity::Next)]
+#[case::it_has_looked_since(Some(9), Continuity::Known)]
+#[case::some_before_are_missing(Some(6), Continuity::Gap)]
+#[case::it_has_seen_nothing(None, Continuity::Gap)]
 fn told_changes_are_taken_in_where_none_is_missing_before_them(
     #[case] seen: Option<u64>,
-    #[case] follows: Told,
+    #[case] follows: Continuity,
 ) {
     let mut guide = told();
     if let Some(revision) = seen {
@@ -112,7 +112,7 @@
     guide.caught_up(rev(8));
     assert_eq!(
         guide.follows(rev(8), rev(9)),
-        Told::Known,
+        Continuity::Known,
         "it goes back to nothing older"
     );
 }
@@ -124,10 +124,10 @@
     let mut guide = told();
     guide.looked(rev(9), at(0));
     let restored = StoreRevision::new(1, 3);
-    assert_eq!(guide.follows(rev(9), restored), Told::Gap);
+    assert_eq!(guide.follows(rev(9), restored), Continuity::Gap);
     guide.told(restored, at(10));
     assert_eq!(guide.pace(at(20)), Pace::Look);
     guide.looked(restored, at(30));
     assert_eq!(guide.pace(at(40)), Pace::Rest);
-    assert_eq!(guide.follows(rev(9), rev(11)), Told::Known);
+    assert_eq!(guide.follows(rev(9), rev(11)), Continuity::Known);
 }
--- a/crates/chervilshunt_core/tests/guide_machine.rs
+++ b/crates/chervilshunt_core/tests/guide_machine.rs
@@ -11,7 +11,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use chervilshunt_core::{Guide, Pace, Told};
+use chervilshunt_core::{Continuity, Guide, Pace};
 use chervilshunt_model::{Moment, StoreRevision};
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -72,7 +72,7 @@
     /// Everything up to a revision has been seen at a moment.
     View { changed_at: u64, as_of: Moment },
     /// Changes between two revisions.
-    News {
+    ChangeBatch {
         after: u64,
         up_to: u64,
         changed: Picture,
@@ -99,13 +99,13 @@
     fn take(&mut self, message: Message) {
         match message {
             Message::View { changed_at, as_of } => self.guide.told(rev(changed_at), as_of),
-            Message::News {
+            Message::ChangeBatch {
                 after,
                 up_to,
                 changed,
             } => {
                 self.guide.changed(rev(up_to));
-                if self.guide.follows(rev(after), rev(up_to)) == Told::Next {
+                if self.guide.follows(rev(after), rev(up_to)) == Continuity::Next {
                     for (object, revision) in changed {
                         let known = self.believes.entry(object).or_default();
                         *known = revision.max(*known);
@@ -210,7 +210,7 @@
         if up_to > after {
             for follower in 0..FOLLOWERS {
                 let changed = changed.clone();
-                let news = Message::News {
+                let news = Message::ChangeBatch {
                     after,
                     up_to,
                     changed,
--- a/crates/chervilshunt_core/tests/restarts.rs
+++ b/crates/chervilshunt_core/tests/restarts.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use chervilshunt_core::{
-    Ask, Choice, Dispatch, DispatchConfig, Holding, Lane, LoadedAdapter, LoadedModel, Order,
-    OrderAnswer, OrderKind, Placed, Residency, ResidencyAction, ResidencyEvent, Sign, TargetFacts,
-    TargetNews, TargetReport, TargetStart, Use, Want, Weights,
+    Ask, Choice, Dispatch, DispatchConfig, EntryChange, Holding, Lane, LoadedAdapter, LoadedModel,
+    Order, OrderAnswer, OrderKind, Placed, Residency, ResidencyAction, ResidencyEvent, Sign,
+    TargetFacts, TargetReport, TargetStart, Use, Want, Weights,
 };
 use chervilshunt_model::{InstanceId, TargetName, ZoneName};
 use placing::{adapter, at, service, target};
@@ -74,8 +74,8 @@
     }
     dispatch.sign(&target(0), Sign::Silent, at(10));
     assert!(!is_sent(&choice(&dispatch, None, 20)), "it is full");
-    let news = dispatch.target_seen(entry(200, &[]), at(30));
-    assert_eq!(news, TargetNews::Restarted);
+    let change = dispatch.target_seen(entry(200, &[]), at(30));
+    assert_eq!(change, EntryChange::Restarted);
     assert!(is_sent(&choice(&dispatch, None, 40)));
     assert!(!is_sent(&choice(&dispatch, Some(&adapter("a1")), 40)));
     assert_eq!(dispatch.tell_uses(), []);
@@ -107,8 +107,8 @@
     if gone {
         dispatch.target_gone(&target(0));
     }
-    let news = dispatch.target_seen(entry(100, &["a1"]), at(30));
-    assert_eq!(news, TargetNews::Outdated);
+    let change = dispatch.target_seen(entry(100, &["a1"]), at(30));
+    assert_eq!(change, EntryChange::Outdated);
     assert!(!is_sent(&choice(&dispatch, Some(&adapter("a1")), 40)));
     assert_eq!(dispatch.target(&target(0)).is_none(), gone);
 }
@@ -256,8 +256,8 @@
     planning.pass(500);
     assert!(planning.asked);
     planning.reports(100, 7, &["a1"]);
-    let pictures = planning.residency.pictures();
-    assert!(pictures.iter().all(|it| it.models.is_empty()));
+    let snapshots = planning.residency.snapshots();
+    assert!(snapshots.iter().all(|it| it.models.is_empty()));
     planning.pass(500);
     assert!(planning.asked, "it is asked again");
     planning.reports(200, 0, &[]);
--- a/crates/chervilshunt_core/tests/said.rs
+++ b/crates/chervilshunt_core/tests/said.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use chervilshunt_core::{TargetFacts, TargetNews, TargetStart, Wait};
+use chervilshunt_core::{EntryChange, TargetFacts, TargetStart, Wait};
 use chervilshunt_model::TargetName;
 use choosing::{adapter, at, choose, chosen, dispatch, facts, service, to};
 
@@ -41,14 +41,14 @@
     dispatch.says_it_leaves(&name("t1"), Some(TargetStart(7)));
     assert_eq!(
         dispatch.target_seen(started("t1", 7), at(1)),
-        TargetNews::Known
+        EntryChange::Known
     );
     assert_eq!(chosen(choose(&dispatch, None, &[], 1)), Err(Wait::NoTarget));
     // Not even after it was gone from the list for a time.
     dispatch.target_gone(&name("t1"));
     assert_eq!(
         dispatch.target_told(started("t1", 7), at(2)),
-        TargetNews::New
+        EntryChange::New
     );
     assert_eq!(chosen(choose(&dispatch, None, &[], 2)), Err(Wait::NoTarget));
 }
--- a/crates/chervilshunt_gateway/src/control/actor.rs
+++ b/crates/chervilshunt_gateway/src/control/actor.rs
@@ -12,8 +12,8 @@
 use tokio::sync::watch;
 use xtra::prelude::*;
 
+use super::change_feed::ChangeFeed;
 use super::messages::{Asked, Begin, FromPeer, FromStore, Ordered, Reload, Stop, TellUse, Tick};
-use super::news::Sights;
 use super::overload::Overload;
 use super::pace::Paces;
 use super::presence::Presence;
@@ -67,7 +67,7 @@
     /// The instances that may read the platform's objects for this one, while it is the placer.
     pub(super) helpers: watch::Sender<Vec<Peer>>,
     /// What was seen of the platform, as the placer tells it.
-    pub(super) sights: Sights,
+    pub(super) feed: ChangeFeed,
     /// The newest version of each of the weights that the platform names.
     pub(super) versions: HashMap<Weights, u64>,
     /// The platform's newest era, which its followers raise too.
@@ -111,7 +111,7 @@
             overload: Overload::default(),
             learnt: None,
             helpers: watch::Sender::default(),
-            sights: Sights::default(),
+            feed: ChangeFeed::default(),
             versions: HashMap::new(),
             era: watch::Sender::default(),
             known_era: None,
@@ -155,7 +155,7 @@
         }
         self.forget_absent(now);
         self.forget_crashes(now);
-        self.tell_news();
+        self.tell_changes();
         self.note_placer(now);
         let placer = self.placer.as_ref();
         if placer
@@ -222,8 +222,8 @@
 impl Handler<FromStore> for Control {
     type Return = ();
 
-    async fn handle(&mut self, news: FromStore, _cx: &mut xtra::Context<Self>) {
-        self.take_news(news);
+    async fn handle(&mut self, event: FromStore, _cx: &mut xtra::Context<Self>) {
+        self.take_store_event(event);
         self.after_message();
     }
 }
--- a/crates/chervilshunt_gateway/src/control/news.rs
+++ b/crates/chervilshunt_gateway/src/control/change_feed.rs
@@ -3,12 +3,12 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use chervilshunt_core::{Fingerprint, StoredCrashes, TargetFacts, Told, Weights};
+use chervilshunt_core::{Continuity, Fingerprint, StoredCrashes, TargetFacts, Weights};
 use chervilshunt_model::{Moment, StoreRevision, TargetName};
 
 use super::actor::Control;
 use crate::dialect::Kind;
-use crate::peers::{News, NewsOf, PeerMessage, PlatformView};
+use crate::peers::{ChangeBatch, KindChanges, PeerMessage, PlatformView};
 
 /// The most entries of targets that are told; where more change at once, instances look themselves
 /// rather than have the placer's link carry all of them to everybody.
@@ -20,10 +20,10 @@
 
 /// What an instance has seen of each kind of objects.
 #[derive(Debug, Default)]
-pub(super) struct Sights {
+pub(super) struct ChangeFeed {
     /// When targets' entries were last seen whole.
     entries_seen_at: Option<Moment>,
-    kinds: HashMap<Kind, Sight>,
+    kinds: HashMap<Kind, KindFeed>,
     /// What has changed since it was last told.
     untold_targets: Vec<TargetFacts>,
     untold_gone: Vec<TargetName>,
@@ -34,7 +34,7 @@
 
 /// What an instance has seen of one kind.
 #[derive(Clone, Copy, Debug, Default)]
-struct Sight {
+struct KindFeed {
     /// The service's revision at the last change that concerns every instance.
     changed_at: StoreRevision,
     /// The same as it was last told.
@@ -43,7 +43,7 @@
     is_seen: bool,
 }
 
-impl Sights {
+impl ChangeFeed {
     /// Takes note that a call about a kind has been answered, and returns whether the answer was overdue.
     pub(super) fn seen(&mut self, kind: Kind, now: Moment) -> bool {
         self.kinds.entry(kind).or_default().is_seen = true;
@@ -60,8 +60,8 @@
     }
 
     fn changed(&mut self, kind: Kind, revision: StoreRevision) {
-        let sight = self.kinds.entry(kind).or_default();
-        sight.changed_at = sight.changed_at.max(revision);
+        let seen = self.kinds.entry(kind).or_default();
+        seen.changed_at = seen.changed_at.max(revision);
     }
 
     /// Takes note that the configuration has changed.
@@ -118,39 +118,39 @@
 
     /// Takes what has changed of a kind since this was last called; none if nothing has, or so much that
     /// everybody should look.
-    fn take_news(&mut self, kind: Kind) -> Option<News> {
+    fn take_batch(&mut self, kind: Kind) -> Option<ChangeBatch> {
         let what = match kind {
-            Kind::Targets => NewsOf::Targets(
+            Kind::Targets => KindChanges::Targets(
                 std::mem::take(&mut self.untold_targets),
                 std::mem::take(&mut self.untold_gone),
             ),
-            Kind::Versions => NewsOf::Versions(std::mem::take(&mut self.untold_versions)),
-            Kind::Configuration => NewsOf::Configuration,
-            Kind::Crashes => NewsOf::Crashes(
+            Kind::Versions => KindChanges::Versions(std::mem::take(&mut self.untold_versions)),
+            Kind::Configuration => KindChanges::Configuration,
+            Kind::Crashes => KindChanges::Crashes(
                 std::mem::take(&mut self.untold_crashes),
                 std::mem::take(&mut self.untold_releases),
             ),
             Kind::Lease => return None,
         };
-        let sight = self.kinds.entry(kind).or_default();
-        let (after, up_to) = (sight.told, sight.changed_at);
-        sight.told = up_to;
+        let seen = self.kinds.entry(kind).or_default();
+        let (after, up_to) = (seen.told, seen.changed_at);
+        seen.told = up_to;
         let told = match &what {
-            NewsOf::Targets(seen, gone) => seen.len() + gone.len(),
-            NewsOf::Versions(named) => named.len(),
-            NewsOf::Configuration => 1,
-            NewsOf::Crashes(recorded, released) => recorded.len() + released.len(),
+            KindChanges::Targets(seen, gone) => seen.len() + gone.len(),
+            KindChanges::Versions(named) => named.len(),
+            KindChanges::Configuration => 1,
+            KindChanges::Crashes(recorded, released) => recorded.len() + released.len(),
         };
-        let is_news = up_to > after && (1..=MOST_TOLD).contains(&told);
-        is_news.then_some(News { after, up_to, what })
+        let is_told = up_to > after && (1..=MOST_TOLD).contains(&told);
+        is_told.then_some(ChangeBatch { after, up_to, what })
     }
 
     /// Returns what the placer tells regularly.
     pub(super) fn view(&self, now: Moment) -> Option<PlatformView> {
         let seen_at = self.entries_seen_at?;
         let changed_at = |kind| {
-            let sight: Option<&Sight> = self.kinds.get(&kind);
-            sight.filter(|it| it.is_seen).map(|it| it.changed_at)
+            let seen: Option<&KindFeed> = self.kinds.get(&kind);
+            seen.filter(|it| it.is_seen).map(|it| it.changed_at)
         };
         Some(PlatformView {
             age: now.since(seen_at),
@@ -164,9 +164,9 @@
 
 impl Control {
     /// Tells all other instances what has changed, if this one is the placer.
-    pub(super) fn tell_news(&mut self) {
+    pub(super) fn tell_changes(&mut self) {
         for kind in Kind::ALL {
-            let Some(news) = self.sights.take_news(kind) else {
+            let Some(batch) = self.feed.take_batch(kind) else {
                 continue;
             };
             let Some(placer) = &self.placer else {
@@ -174,7 +174,7 @@
             };
             let peers: Vec<_> = placer.presence.peers().collect();
             for peer in peers {
-                self.send(&peer, PeerMessage::Changed(news.clone()));
+                self.send(&peer, PeerMessage::Changed(batch.clone()));
             }
         }
     }
@@ -201,40 +201,40 @@
     }
 
     /// Takes in what the placer saw change.
-    pub(super) fn take_changed(&mut self, news: News) {
-        let kind = match &news.what {
-            NewsOf::Targets(..) => Kind::Targets,
-            NewsOf::Versions(_) => Kind::Versions,
-            NewsOf::Configuration => Kind::Configuration,
-            NewsOf::Crashes(..) => Kind::Crashes,
+    pub(super) fn take_changed(&mut self, batch: ChangeBatch) {
+        let kind = match &batch.what {
+            KindChanges::Targets(..) => Kind::Targets,
+            KindChanges::Versions(_) => Kind::Versions,
+            KindChanges::Configuration => Kind::Configuration,
+            KindChanges::Crashes(..) => Kind::Crashes,
         };
-        self.note_era(news.up_to.era);
+        self.note_era(batch.up_to.era);
         let guide = self.paces.guide(kind);
-        guide.changed(news.up_to);
-        if guide.follows(news.after, news.up_to) != Told::Next {
+        guide.changed(batch.up_to);
+        if guide.follows(batch.after, batch.up_to) != Continuity::Next {
             return;
         }
-        match news.what {
-            NewsOf::Targets(seen, gone) => {
+        match batch.what {
+            KindChanges::Targets(seen, gone) => {
                 for facts in seen {
-                    self.target_told(facts, news.up_to);
+                    self.target_told(facts, batch.up_to);
                 }
-                self.absent(gone, news.up_to);
+                self.absent(gone, batch.up_to);
             }
-            NewsOf::Versions(named) => {
+            KindChanges::Versions(named) => {
                 for (weights, version) in named {
-                    self.version_seen(weights, version, news.up_to);
+                    self.version_seen(weights, version, batch.up_to);
                 }
             }
-            NewsOf::Configuration => return,
-            NewsOf::Crashes(recorded, released) => {
+            KindChanges::Configuration => return,
+            KindChanges::Crashes(recorded, released) => {
                 for crashes in recorded {
-                    self.crashes_recorded(crashes, news.up_to);
+                    self.crashes_recorded(crashes, batch.up_to);
                 }
-                self.crashes_removed(&released, news.up_to);
+                self.crashes_removed(&released, batch.up_to);
             }
         }
-        self.paces.guide(kind).caught_up(news.up_to);
+        self.paces.guide(kind).caught_up(batch.up_to);
     }
 }
 
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/control/change_feed/tests.rs
@@ -0,0 +1,115 @@
+//! What the placer tells of changes, by cases.
+
+use std::time::Duration;
+
+use chervilshunt_core::{Fingerprint, LoadedAdapter, LoadedModel, TargetFacts, Weights};
+use chervilshunt_model::{Moment, ServiceName, StoreRevision, TargetName, ZoneName};
+
+use super::{ChangeFeed, MOST_TOLD};
+use crate::dialect::Kind;
+use crate::peers::KindChanges;
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(50_000 + millis)
+}
+
+fn rev(number: u64) -> StoreRevision {
+    StoreRevision::new(0, number)
+}
+
+fn facts(name: &str) -> TargetFacts {
+    TargetFacts {
+        name: TargetName::from(name),
+        started: None,
+        service: ServiceName::from("drafts"),
+        address: ([10, 0, 0, 1], 8000).into(),
+        zone: ZoneName::from("here"),
+        slots: 8,
+        leaving: None,
+        models: vec![LoadedModel {
+            name: "base".into(),
+            version: 1,
+            adapters: vec![LoadedAdapter {
+                name: "a1".into(),
+                version: 1,
+            }],
+        }],
+    }
+}
+
+#[test]
+fn changes_are_told_once_with_the_revisions_between_which_they_lie() {
+    let mut feed = ChangeFeed::default();
+    feed.target_changed(&facts("t1"), rev(5));
+    assert_eq!(
+        feed.take_batch(Kind::Targets).map(|it| it.after),
+        Some(rev(0))
+    );
+    feed.target_changed(&facts("t1"), rev(7));
+    feed.target_changed(&facts("t2"), rev(8));
+    feed.targets_gone(&["t2".into()], rev(9));
+    let batch = feed.take_batch(Kind::Targets).expect("changes");
+    assert_eq!((batch.after, batch.up_to), (rev(5), rev(9)));
+    let KindChanges::Targets(seen, gone) = batch.what else {
+        panic!("{batch:?}");
+    };
+    assert_eq!(seen, [facts("t1").without_adapters()]);
+    assert_eq!(gone, [TargetName::from("t2")]);
+    assert!(feed.take_batch(Kind::Targets).is_none());
+}
+
+/// Continuity one by one, so many would take the placer's link; everybody looks at them in one call instead,
+/// as the revision up to which they have to be known shows.
+#[test]
+fn where_very_many_change_at_once_everybody_looks() {
+    let mut feed = ChangeFeed::default();
+    feed.seen(Kind::Targets, at(0));
+    for number in 0..=MOST_TOLD as u64 {
+        feed.target_changed(&facts(&format!("t{number}")), rev(number + 1));
+    }
+    assert!(feed.take_batch(Kind::Targets).is_none());
+    let view = feed.view(at(10)).expect("a view");
+    assert_eq!(view.targets, rev(MOST_TOLD as u64 + 1));
+    assert_eq!(view.age, Duration::from_millis(10));
+}
+
+/// The placer's calls about the configuration fail. Continuity that it has not changed, the others would miss
+/// what an operator changes meanwhile.
+#[test]
+fn a_kind_that_the_placer_can_not_follow_is_left_out_of_its_view() {
+    let mut feed = ChangeFeed::default();
+    feed.seen(Kind::Targets, at(0));
+    feed.seen(Kind::Configuration, at(0));
+    feed.seen(Kind::Versions, at(0));
+    feed.configuration_changed(rev(3));
+    feed.version_named(&Weights::base(&"base".into()), 2, rev(4));
+    let view = feed.view(at(0)).expect("a view");
+    assert_eq!(
+        (view.configuration, view.versions),
+        (Some(rev(3)), Some(rev(4)))
+    );
+    feed.lost(Kind::Configuration);
+    let view = feed.view(at(0)).expect("a view");
+    assert_eq!((view.configuration, view.versions), (None, Some(rev(4))));
+}
+
+#[test]
+fn an_answer_after_a_gap_is_overdue() {
+    let mut feed = ChangeFeed::default();
+    assert!(!feed.seen(Kind::Targets, at(0)));
+    assert!(!feed.seen(Kind::Targets, at(310)));
+    assert!(feed.seen(Kind::Targets, at(900)));
+}
+
+/// Guards against instances that list the records of crashes after each call of the placer about them.
+#[test]
+fn an_answer_without_removals_is_no_change_of_the_records_of_crashes() {
+    let mut feed = ChangeFeed::default();
+    feed.seen(Kind::Targets, at(0));
+    feed.target_changed(&facts("t1"), rev(5));
+    feed.seen(Kind::Crashes, at(0));
+    feed.crashes_removed(&[], rev(9));
+    assert_eq!(feed.view(at(0)).and_then(|it| it.crashes), Some(rev(0)));
+    feed.crashes_removed(&[Fingerprint::of([&b"a"[..]])], rev(10));
+    assert_eq!(feed.view(at(0)).and_then(|it| it.crashes), Some(rev(10)));
+}
--- a/crates/chervilshunt_gateway/src/control/crashes.rs
+++ b/crates/chervilshunt_gateway/src/control/crashes.rs
@@ -13,14 +13,14 @@
     /// Takes in a record as the platform has it.
     pub(super) fn crashes_recorded(&mut self, crashes: StoredCrashes, revision: StoreRevision) {
         let now = self.now();
-        self.sights.crashes_recorded(&crashes, revision);
+        self.feed.crashes_recorded(&crashes, revision);
         let fingerprint = crashes.fingerprint;
         let count = crashes.record.targets.len();
         let mut quarantine = self.shared.quarantine();
-        let is_news = quarantine.recorded(crashes, now);
+        let is_new = quarantine.recorded(crashes, now);
         let refused_until = quarantine.refused_until(fingerprint, now);
         drop(quarantine);
-        if is_news {
+        if is_new {
             slog::info!(self.shared.log, "crashes recorded";
                 "content" => fingerprint.to_string(), "crashes" => count,
                 "refused_for_s" => refused_until.map(|until| now.until(until).as_secs()));
@@ -36,7 +36,7 @@
 
     /// Takes in that the platform no longer has some records.
     pub(super) fn crashes_removed(&mut self, removed: &[Fingerprint], revision: StoreRevision) {
-        self.sights.crashes_removed(removed, revision);
+        self.feed.crashes_removed(removed, revision);
         for fingerprint in removed {
             if self.shared.quarantine().release(*fingerprint) {
                 self.report_released(*fingerprint, "record removed");
@@ -54,7 +54,7 @@
         if gone.is_empty() {
             return;
         }
-        self.sights.crashes_removed(&gone, revision);
+        self.feed.crashes_removed(&gone, revision);
         for fingerprint in gone {
             self.report_released(fingerprint, "record not listed");
         }
--- a/crates/chervilshunt_gateway/src/control/follow.rs
+++ b/crates/chervilshunt_gateway/src/control/follow.rs
@@ -369,8 +369,8 @@
         Ok(revision)
     }
 
-    async fn tell(&self, news: FromStore) {
-        if self.control.send(news).await.is_err() {
+    async fn tell(&self, event: FromStore) {
+        if self.control.send(event).await.is_err() {
             slog::debug!(self.log, "the control state has ended");
         }
     }
--- a/crates/chervilshunt_gateway/src/control/mod.rs
+++ b/crates/chervilshunt_gateway/src/control/mod.rs
@@ -5,18 +5,18 @@
 //! [`crate::shared::Shared`].
 
 mod actor;
+mod change_feed;
 mod crashes;
 mod follow;
 mod lease;
 mod messages;
-mod news;
 mod overload;
 mod pace;
-mod pictures;
 mod placing;
 mod presence;
 mod reading;
 mod restore;
+mod snapshots;
 mod targets;
 mod using;
 
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -78,7 +78,7 @@
     pub(super) fn cease_placing(&mut self) {
         slog::info!(self.shared.log, "placing ends");
         if let Some(placer) = self.placer.take() {
-            self.tell_pictures(&placer);
+            self.tell_snapshots(&placer);
         }
         self.choose_helpers();
     }
@@ -198,7 +198,7 @@
             knows_targets: placer.residency.knows_targets(),
             learnt: placer.residency.learnt().or(self.learnt),
             instances: placer.presence.count(),
-            platform: self.sights.view(now),
+            platform: self.feed.view(now),
             lease: self.keeper.held(),
         })
     }
--- a/crates/chervilshunt_gateway/src/control/pictures.rs
+++ b/crates/chervilshunt_gateway/src/control/snapshots.rs
@@ -6,14 +6,14 @@
 use chervilshunt_model::InstanceId;
 
 use super::actor::{Control, Placer};
-use crate::peers::{PeerMessage, Pictures};
+use crate::peers::{PeerMessage, Snapshots};
 
 /// Instances to which a placer sends by itself, without one that passes on.
 const DIRECT: usize = 16;
 
 impl Control {
     /// Tells all instances what a placer knew that places no longer, unless there is another by now.
-    pub(super) fn tell_pictures(&self, placer: &Placer) {
+    pub(super) fn tell_snapshots(&self, placer: &Placer) {
         let Some((holder, _)) = self.keeper.holder() else {
             return;
         };
@@ -23,48 +23,48 @@
         if !placer.residency.knows_targets() {
             return;
         }
-        let targets = placer.residency.pictures();
+        let targets = placer.residency.snapshots();
         let groups = groups(placer.presence.peers().collect());
         slog::info!(self.shared.log, "targets' holds told";
             "term" => term, "targets" => targets.len(), "by" => groups.len());
         for (first, rest) in groups {
             let pass_on = rest.into_iter().map(|it| (it.instance, it.address));
-            let pictures = Pictures {
+            let snapshots = Snapshots {
                 term,
                 targets: targets.clone(),
                 pass_on: pass_on.collect(),
             };
-            self.send(&first, PeerMessage::Pictures(pictures));
+            self.send(&first, PeerMessage::Snapshots(snapshots));
         }
     }
 
     /// Takes in what a placer knew whose lease has ended, and passes it on.
-    pub(super) fn take_pictures(&self, from: &InstanceId, pictures: Pictures) {
+    pub(super) fn take_snapshots(&self, from: &InstanceId, snapshots: Snapshots) {
         // From a placer that another has followed by now, or that is not known to be one yet.
-        if self.keeper.term() != Some(pictures.term) {
+        if self.keeper.term() != Some(snapshots.term) {
             return;
         }
         slog::info!(self.shared.log, "targets' holds learnt";
-            "term" => pictures.term, "from" => from.as_str(), "targets" => pictures.targets.len(),
-            "passed_on" => pictures.pass_on.len());
-        self.pass_on(&pictures);
+            "term" => snapshots.term, "from" => from.as_str(), "targets" => snapshots.targets.len(),
+            "passed_on" => snapshots.pass_on.len());
+        self.pass_on(&snapshots);
         let now = self.now();
         let mut dispatch = self.shared.dispatch();
         dispatch.placer_lost();
-        dispatch.pictured(pictures.targets, now);
+        dispatch.take_snapshots(snapshots.targets, now);
     }
 
-    fn pass_on(&self, pictures: &Pictures) {
-        for (instance, address) in &pictures.pass_on {
+    fn pass_on(&self, snapshots: &Snapshots) {
+        for (instance, address) in &snapshots.pass_on {
             let peer = Peer {
                 instance: instance.clone(),
                 address: *address,
             };
-            let pictures = Pictures {
+            let snapshots = Snapshots {
                 pass_on: Vec::new(),
-                ..pictures.clone()
+                ..snapshots.clone()
             };
-            self.send(&peer, PeerMessage::Pictures(pictures));
+            self.send(&peer, PeerMessage::Snapshots(snapshots));
         }
     }
 }
--- a/crates/chervilshunt_gateway/src/control/targets.rs
+++ b/crates/chervilshunt_gateway/src/control/targets.rs
@@ -6,7 +6,7 @@
 
 use chervilshunt_coord::SoleEvent;
 use chervilshunt_core::{
-    Dispatch, ResidencyEvent, RouteTable, TargetFacts, TargetNews, TargetStart, Weights,
+    Dispatch, EntryChange, ResidencyEvent, RouteTable, TargetFacts, TargetStart, Weights,
 };
 use chervilshunt_mesh::Peer;
 use chervilshunt_model::{InstanceId, Moment, StoreRevision, TargetName};
@@ -67,8 +67,8 @@
 
 impl Control {
     /// Takes in something that the platform shows.
-    pub(super) fn take_news(&mut self, news: FromStore) {
-        match news {
+    pub(super) fn take_store_event(&mut self, event: FromStore) {
+        match event {
             FromStore::Listed(kind, entries, revision) => {
                 self.note_era(revision.era);
                 self.listed(kind, entries, revision);
@@ -113,7 +113,7 @@
     /// when entries of targets may have lapsed.
     fn note_trouble(&mut self, kind: Kind) {
         self.reaches_platform = false;
-        self.sights.lost(kind);
+        self.feed.lost(kind);
         self.lease_event(SoleEvent::PlatformLost);
         match kind {
             Kind::Targets => {
@@ -130,7 +130,7 @@
     fn looked(&mut self, kind: Kind, revision: StoreRevision) {
         self.reaches_platform = true;
         let now = self.now();
-        let is_overdue = self.sights.seen(kind, now);
+        let is_overdue = self.feed.seen(kind, now);
         self.paces.guide(kind).looked(revision, now);
         if is_overdue {
             self.tell_placing(now);
@@ -190,7 +190,7 @@
             "version" => table.version, "before" => known,
             "routes" => table.route_count(), "services" => table.services.len());
         metrics::gauge!("chervilshunt_configuration_version").set(table.version as f64);
-        self.sights.configuration_changed(revision);
+        self.feed.configuration_changed(revision);
         let table = Arc::new(table);
         self.shared.routes.store(Some(Arc::clone(&table)));
         self.plan_limits(&table);
@@ -231,17 +231,17 @@
         &mut self,
         facts: TargetFacts,
         revision: StoreRevision,
-        take: impl FnOnce(&mut Dispatch, TargetFacts) -> TargetNews,
+        take: impl FnOnce(&mut Dispatch, TargetFacts) -> EntryChange,
     ) {
         let name = facts.name.clone();
         let mut dispatch = self.shared.dispatch();
         let before = dispatch.target(&name).cloned();
-        let news = take(&mut dispatch, facts);
+        let change = take(&mut dispatch, facts);
         // With what the target itself has said, which its entry may not have yet.
         let facts = dispatch.target(&name).cloned();
         drop(dispatch);
-        if let Some(facts) = facts.filter(|_| news != TargetNews::Outdated) {
-            self.target_seen(facts, before, news, revision);
+        if let Some(facts) = facts.filter(|_| change != EntryChange::Outdated) {
+            self.target_seen(facts, before, change, revision);
         }
     }
 
@@ -249,19 +249,19 @@
         &mut self,
         facts: TargetFacts,
         before: Option<TargetFacts>,
-        news: TargetNews,
+        change: EntryChange,
         revision: StoreRevision,
     ) {
         let was_absent = self.absences.due.remove(&facts.name).is_some();
         let before = before.as_ref();
         if was_absent || before.is_none_or(|before| before.concerns_all(&facts)) {
-            self.sights.target_changed(&facts, revision);
+            self.feed.target_changed(&facts, revision);
         }
         // Of the first list only its length is logged: line by line, thousands of targets are most of the
         // work of an instance that starts.
-        let is_news = before.is_some() || self.shared.are_targets_known();
+        let is_logged = before.is_some() || self.shared.are_targets_known();
         let was_leaving = before.map(|it| it.leaving.is_some());
-        if is_news && was_leaving != Some(facts.leaving.is_some()) {
+        if is_logged && was_leaving != Some(facts.leaving.is_some()) {
             slog::info!(self.shared.log, "target";
                 "target" => facts.name.as_str(), "service" => facts.service.as_str(),
                 "address" => facts.address.to_string(), "leaving" => facts.leaving.is_some());
@@ -270,13 +270,13 @@
             Some(before) => before.lists_same_models(&facts),
             None => facts.models.is_empty(),
         };
-        if is_news && !same_models {
+        if is_logged && !same_models {
             let models_before = before.map(TargetFacts::model_versions).unwrap_or_default();
             slog::info!(self.shared.log, "target models";
                 "target" => facts.name.as_str(), "models" => ?facts.model_versions(),
                 "before" => ?models_before);
         }
-        if news == TargetNews::Restarted {
+        if change == EntryChange::Restarted {
             slog::info!(self.shared.log, "target started again";
                 "target" => facts.name.as_str(), "started" => facts.started.map(|it| it.0));
             // A connection to the start before is of no use, and may never say so.
@@ -324,7 +324,7 @@
         }
         self.versions.insert(weights.clone(), version);
         if known != Some(version) {
-            self.sights.version_named(&weights, version, revision);
+            self.feed.version_named(&weights, version, revision);
             slog::info!(self.shared.log, "version named";
                 "weights" => weights.to_string(), "version" => version);
         }
@@ -339,7 +339,7 @@
         if names.is_empty() {
             return;
         }
-        self.sights.targets_gone(&names, revision);
+        self.feed.targets_gone(&names, revision);
         let now = self.now();
         let known = self.shared.dispatch().targets().count();
         let lapsed = names.len() > 1 && names.len() as f64 >= known as f64 * LAPSE_SHARE;
--- a/crates/chervilshunt_gateway/src/control/using.rs
+++ b/crates/chervilshunt_gateway/src/control/using.rs
@@ -82,7 +82,7 @@
                 self.plan(ResidencyEvent::NotHeld(target, weights));
             }
             PeerMessage::Leaving(target, started) => self.told_of_leaving(&target, started, &from),
-            PeerMessage::Pictures(pictures) => self.take_pictures(&from, pictures),
+            PeerMessage::Snapshots(snapshots) => self.take_snapshots(&from, snapshots),
             PeerMessage::Placing {
                 knows_targets,
                 learnt,
@@ -94,7 +94,7 @@
                 self.holder_told(lease, platform);
                 self.take_placing(knows_targets, instances);
             }
-            PeerMessage::Changed(news) if self.is_placer(&from) => self.take_changed(news),
+            PeerMessage::Changed(batch) if self.is_placer(&from) => self.take_changed(batch),
             PeerMessage::CallLease(call) => self.call_lease_for(call, reply),
             PeerMessage::ReadStore(read) => self.read_for(read, reply),
             // From an instance that was the placer, or is not known to be yet.
--- a/crates/chervilshunt_gateway/src/peers.rs
+++ b/crates/chervilshunt_gateway/src/peers.rs
@@ -6,7 +6,7 @@
 use chervilshunt_coord::{HeldLease, SeenRecord, SoleRecord, SoleWritten};
 use chervilshunt_core::{
     Fingerprint, GrantNumber, GrantProgress, Learnt, Placed, StoredCrashes, TargetFacts,
-    TargetPicture, TargetStart, Use, Want, Weights,
+    TargetSnapshot, TargetStart, Use, Want, Weights,
 };
 use chervilshunt_mesh::Purpose;
 use chervilshunt_model::{InstanceId, StoreRevision, TargetName};
@@ -53,7 +53,7 @@
     Leaving(TargetName, Option<TargetStart>),
     /// From a placer whose lease has ended, directly or passed on: what targets hold and do.
     #[serde(rename = "h")]
-    Pictures(Pictures),
+    Snapshots(Snapshots),
     /// From the placer, regularly: whether it places, and what it sees of the platform. Every instance
     /// is told, so that it is short: what an instance needs only when there is no placer has no place here.
     #[serde(rename = "l")]
@@ -76,7 +76,7 @@
     },
     /// From the placer: what has just changed at the platform.
     #[serde(rename = "e")]
-    Changed(News),
+    Changed(ChangeBatch),
     /// From the placer, which can't reach the platform: a call about its lease to make in its place.
     /// Answered by `LeaseCalled`.
     #[serde(rename = "c")]
@@ -98,13 +98,13 @@
 /// It goes to a few instances, each of which passes it on to some others, so that nobody has to send it
 /// to all: for hundreds of instances it would take a small machine's link for seconds.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct Pictures {
+pub(crate) struct Snapshots {
     /// The term of the placer.
     #[serde(rename = "t")]
     pub(crate) term: u64,
     /// The targets.
     #[serde(rename = "p")]
-    pub(crate) targets: Vec<TargetPicture>,
+    pub(crate) targets: Vec<TargetSnapshot>,
     /// The instances to which the receiver passes it on.
     #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
     pub(crate) pass_on: Vec<(InstanceId, SocketAddr)>,
@@ -197,7 +197,7 @@
 
 /// Changes of one kind of objects, told so that instances need not look for themselves.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct News {
+pub(crate) struct ChangeBatch {
     /// The revision of the last change before these.
     #[serde(rename = "a")]
     pub(crate) after: StoreRevision,
@@ -206,12 +206,12 @@
     pub(crate) up_to: StoreRevision,
     /// What has changed.
     #[serde(rename = "w")]
-    pub(crate) what: NewsOf,
+    pub(crate) what: KindChanges,
 }
 
 /// What has changed.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) enum NewsOf {
+pub(crate) enum KindChanges {
     /// Targets' entries: those that every instance has to know, and those that are gone.
     #[serde(rename = "t")]
     Targets(Vec<TargetFacts>, Vec<TargetName>),
@@ -236,7 +236,7 @@
             Self::Progress(_) => "progress",
             Self::NotHeld(..) => "not_held",
             Self::Leaving(..) => "leaving",
-            Self::Pictures(_) => "pictures",
+            Self::Snapshots(_) => "snapshots",
             Self::Placing { .. } => "placing",
             Self::Changed(_) => "changed",
             Self::CallLease(_) => "call_lease",
--- a/crates/chervilshunt_gateway/src/traffic/place.rs
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -57,7 +57,7 @@
 }
 
 /// What the placer told.
-enum Told {
+enum PlacerAnswer {
     /// Where the request may be sent.
     At(Chosen),
     /// A target that takes nothing from this instance.
@@ -80,9 +80,9 @@
                 && self.is_guided()
             {
                 match self.ask_placer(weights).await? {
-                    Told::At(chosen) => return Ok(chosen),
-                    Told::Closed(target) => self.avoid.push(target),
-                    Told::Nothing => {
+                    PlacerAnswer::At(chosen) => return Ok(chosen),
+                    PlacerAnswer::Closed(target) => self.avoid.push(target),
+                    PlacerAnswer::Nothing => {
                         placer_answers = false;
                         self.shared.dispatch().placer_lost();
                     }
@@ -168,16 +168,16 @@
             return Err(self.not_placed());
         };
         match self.ask_placer(weights).await? {
-            Told::At(chosen) => Ok(chosen),
-            Told::Closed(_) | Told::Nothing => Err(self.not_placed()),
+            PlacerAnswer::At(chosen) => Ok(chosen),
+            PlacerAnswer::Closed(_) | PlacerAnswer::Nothing => Err(self.not_placed()),
         }
     }
 
     /// Asks the placer for a target, and waits until that holds the adapter.
-    async fn ask_placer(&self, weights: Weights) -> Result<Told, Refusal> {
+    async fn ask_placer(&self, weights: Weights) -> Result<PlacerAnswer, Refusal> {
         let Some(placer) = self.shared.placer.load_full() else {
             self.report_placement("nobody places", None);
-            return Ok(Told::Nothing);
+            return Ok(PlacerAnswer::Nothing);
         };
         let now = self.shared.clock.now();
         let patience = self.req.route.objective.mul_f64(PLACE_PATIENCE);
@@ -215,16 +215,16 @@
                 self.report_placement("no room", None);
                 Err(Refusal::retry_after(Reason::NotPlaced, retry_in))
             }
-            Some(Ok(_)) => Ok(Told::Nothing),
+            Some(Ok(_)) => Ok(PlacerAnswer::Nothing),
             Some(Err(error)) => {
                 slog::info!(self.shared.log, "placer silent";
                     "request" => &*self.req.id, "reason" => error.to_string());
-                Ok(Told::Nothing)
+                Ok(PlacerAnswer::Nothing)
             }
             None => {
                 slog::info!(self.shared.log, "placer silent";
                     "request" => &*self.req.id, "reason" => "nothing heard of it");
-                Ok(Told::Nothing)
+                Ok(PlacerAnswer::Nothing)
             }
         }
     }
@@ -308,18 +308,18 @@
     }
 
     /// Sends to a target that the placer named, unless it takes nothing from this instance.
-    fn at_target(&self, target: TargetName, grant: Grant) -> Told {
+    fn at_target(&self, target: TargetName, grant: Grant) -> PlacerAnswer {
         let now = self.shared.clock.now();
         let weights = self.req.weights.as_ref();
         let choice = self.shared.dispatch().choose_named(&target, weights, now);
         match self.take(choice) {
-            Ok(chosen) => Told::At(Chosen {
+            Ok(chosen) => PlacerAnswer::At(Chosen {
                 grant: Some(grant),
                 ..chosen
             }),
             Err(_) => {
                 self.remind_of_leaving(&target);
-                Told::Closed(target)
+                PlacerAnswer::Closed(target)
             }
         }
     }
