--- a/crates/chervilshunt_core/tests/said.rs
+++ b/crates/chervilshunt_core/tests/said.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use chervilshunt_core::{EntryChange, TargetFacts, TargetStart, Wait};
+use chervilshunt_core::{EntryChange, Leaving, TargetFacts, TargetStart, Wait};
 use chervilshunt_model::TargetName;
 use choosing::{adapter, at, choose, chosen, dispatch, facts, service, to};
 
@@ -96,3 +96,33 @@
     dispatch.wants_pause(&name("t1"), Duration::MAX, at(0));
     assert_eq!(chosen(choose(&dispatch, None, &[], 600_000)), to("t1"));
 }
+
+/// Guards against an older copy of the platform's list, in which a target that leaves is ready.
+#[test]
+fn a_target_whose_entry_said_that_it_leaves_stays_leaving() {
+    let mut dispatch = dispatch([started("t1", 7)]);
+    let mut draining = started("t1", 7);
+    draining.leaving = Some(Leaving { gone_after: None });
+    dispatch.target_seen(draining, at(1));
+    dispatch.target_seen(started("t1", 7), at(2));
+    assert_eq!(chosen(choose(&dispatch, None, &[], 2)), Err(Wait::NoTarget));
+    dispatch.target_seen(started("t1", 8), at(3));
+    assert_eq!(chosen(choose(&dispatch, None, &[], 3)), to("t1"));
+}
+
+/// Guards against an older copy that lists a target which is gone: it is told from one that is new.
+#[test]
+fn an_entry_of_a_start_that_is_gone_is_known_as_such() {
+    let mut dispatch = dispatch([started("t1", 7), facts("t2", "here", &[])]);
+    assert!(!dispatch.was_gone(&started("t1", 7)), "it is there");
+    dispatch.target_gone(&name("t1"));
+    dispatch.target_gone(&name("t2"));
+    assert!(dispatch.was_gone(&started("t1", 7)));
+    assert!(dispatch.was_gone(&started("t1", 6)));
+    assert!(
+        !dispatch.was_gone(&started("t1", 8)),
+        "it has started again"
+    );
+    assert!(dispatch.was_gone(&facts("t2", "here", &[])));
+    assert!(!dispatch.was_gone(&started("t3", 1)));
+}
