--- a/crates/chervilshunt_core/src/dispatch/guide.rs
+++ b/crates/chervilshunt_core/src/dispatch/guide.rs
@@ -5,7 +5,7 @@
 //! changes, most of them for nothing, and the calls of all instances come out of one rate. So the
 //! placer looks often, and tells everyone what has changed that concerns them
 //! and up to which revision they have to know it; an instance asks for itself if it has missed
-//! something, and whenever the placer falls silent or has lost seen of the platform.
+//! something, and whenever the placer falls silent or has lost sight of the platform.
 
 use std::time::Duration;
 
--- a/crates/chervilshunt_core/tests/guide.rs
+++ b/crates/chervilshunt_core/tests/guide.rs
@@ -17,7 +17,7 @@
     StoreRevision::new(0, number)
 }
 
-/// Continuity at 0 that nothing concerns it after revision 7.
+/// Told at 0 that nothing concerns it after revision 7.
 fn told() -> Guide {
     let mut guide = Guide::new(TRUST, LONGEST_REST);
     guide.told(rev(7), at(0));
@@ -46,7 +46,7 @@
     assert_eq!(guide.pace(at(10)), pace);
 }
 
-/// The placer loses seen of the platform, or its machine is cut off. A target leaves, and the
+/// The placer loses sight of the platform, or its machine is cut off. A target leaves, and the
 /// instances would go on sending to it if they took what was told last for good.
 #[test]
 fn what_is_told_counts_for_a_second_after_what_it_tells_was_seen() {
--- a/crates/chervilshunt_gateway/src/control/change_feed.rs
+++ b/crates/chervilshunt_gateway/src/control/change_feed.rs
@@ -60,8 +60,8 @@
     }
 
     fn changed(&mut self, kind: Kind, revision: StoreRevision) {
-        let seen = self.kinds.entry(kind).or_default();
-        seen.changed_at = seen.changed_at.max(revision);
+        let feed = self.kinds.entry(kind).or_default();
+        feed.changed_at = feed.changed_at.max(revision);
     }
 
     /// Takes note that the configuration has changed.
@@ -132,9 +132,9 @@
             ),
             Kind::Lease => return None,
         };
-        let seen = self.kinds.entry(kind).or_default();
-        let (after, up_to) = (seen.told, seen.changed_at);
-        seen.told = up_to;
+        let feed = self.kinds.entry(kind).or_default();
+        let (after, up_to) = (feed.told, feed.changed_at);
+        feed.told = up_to;
         let told = match &what {
             KindChanges::Targets(seen, gone) => seen.len() + gone.len(),
             KindChanges::Versions(named) => named.len(),
@@ -149,8 +149,8 @@
     pub(super) fn view(&self, now: Moment) -> Option<PlatformView> {
         let seen_at = self.entries_seen_at?;
         let changed_at = |kind| {
-            let seen: Option<&KindFeed> = self.kinds.get(&kind);
-            seen.filter(|it| it.is_seen).map(|it| it.changed_at)
+            let feed: Option<&KindFeed> = self.kinds.get(&kind);
+            feed.filter(|it| it.is_seen).map(|it| it.changed_at)
         };
         Some(PlatformView {
             age: now.since(seen_at),
--- a/crates/chervilshunt_gateway/src/control/change_feed/tests.rs
+++ b/crates/chervilshunt_gateway/src/control/change_feed/tests.rs
@@ -58,7 +58,7 @@
     assert!(feed.take_batch(Kind::Targets).is_none());
 }
 
-/// Continuity one by one, so many would take the placer's link; everybody looks at them in one call instead,
+/// Told one by one, so many would take the placer's link; everybody looks at them in one call instead,
 /// as the revision up to which they have to be known shows.
 #[test]
 fn where_very_many_change_at_once_everybody_looks() {
@@ -73,7 +73,7 @@
     assert_eq!(view.age, Duration::from_millis(10));
 }
 
-/// The placer's calls about the configuration fail. Continuity that it has not changed, the others would miss
+/// The placer's calls about the configuration fail. Told that it has not changed, the others would miss
 /// what an operator changes meanwhile.
 #[test]
 fn a_kind_that_the_placer_can_not_follow_is_left_out_of_its_view() {
