--- a/crates/chervilshunt_coord/src/lease/sole.rs
+++ b/crates/chervilshunt_coord/src/lease/sole.rs
@@ -289,7 +289,7 @@
                 self.on_seen(seen, now);
             }
             SoleEvent::Era(era) => {
-                self.is_current(era, now);
+                self.take_era(era, now);
             }
             SoleEvent::Written(written) => self.on_written(written, now, &mut out),
             SoleEvent::ReadFailed => {
@@ -324,7 +324,7 @@
             self.call = Call::None;
         }
         if let Some(seen) = &seen
-            && !self.is_current(seen.version.era, now)
+            && !self.take_era(seen.version.era, now)
         {
             return;
         }
@@ -347,15 +347,14 @@
     ///
     /// In a new era nothing that was seen of the record counts. A holder goes on for as long as its last
     /// renewal counts, since nobody takes the lease before, and writes the record anew meanwhile.
-    fn is_current(&mut self, era: u64, now: Moment) -> bool {
-        match self.era {
-            Some(known) if era < known => return false,
-            Some(known) if era == known => return true,
-            Some(_) => self.restored_at = Some(now),
-            None => {}
+    fn take_era(&mut self, era: u64, now: Moment) -> bool {
+        let known = self.era;
+        if known.is_some_and(|known| era <= known) {
+            return known == Some(era);
         }
         self.era = Some(era);
-        if self.restored_at == Some(now) {
+        if known.is_some() {
+            self.restored_at = Some(now);
             self.seen = None;
             self.looked = false;
             self.changed_at = now;
@@ -386,7 +385,7 @@
     /// One of another term is no news of that record: taken with its version and the known term, the
     /// lease would be given a term that is not the highest.
     fn on_told(&mut self, told: HeldLease, now: Moment) {
-        if !self.is_current(told.version.era, now) {
+        if !self.take_era(told.version.era, now) {
             return;
         }
         let known = self.seen.as_mut().filter(|it| it.record.term == told.term);
@@ -403,7 +402,7 @@
         match written {
             SoleWritten::Done(version) => {
                 self.on_answered(now);
-                if !self.is_current(version.era, now) {
+                if !self.take_era(version.era, now) {
                     // It was carried out before the restore, and is gone.
                     return self.read(out);
                 }
