Log the version a request is sent for, and answers on an older version

The log lines of an incident did not distinguish three causes: a request that waits at its target until the version it may use is too old, an instance that learns of a version late, and an instance that counts a version from its own start. 'placed' now gives the version that the target is known to hold, the newest version and how long that has been known; 'answered' gives the version and when the request was sent; 'version named' gives the previous version and the revision. A new line, 'answer on older version', reports each answer that begins on an older version than the newest known one. No decision changes.

--- a/crates/chervilshunt_core/src/dispatch/choose.rs
+++ b/crates/chervilshunt_core/src/dispatch/choose.rs
@@ -92,6 +92,9 @@
         load_age: Duration,
         /// The version that the target has to hold; none if any does.
         expect_version: Option<u64>,
+        /// The version of the requested weights that the target is known to hold; none if it is
+        /// unknown or if the request names no weights.
+        held_version: Option<u64>,
         /// How long ago the target last showed that it lives.
         heard_before: Duration,
     },
@@ -253,6 +256,7 @@
             slots: target.facts.slots,
             load_age: now.since(target.load.reported_at()),
             expect_version: self.expected_version(target, weights, now),
+            held_version: weights.and_then(|weights| self.held_version(target, weights)),
             heard_before: now.since(target.health.heard_at()),
         }
     }
--- a/crates/chervilshunt_core/src/dispatch/holders.rs
+++ b/crates/chervilshunt_core/src/dispatch/holders.rs
@@ -76,7 +76,12 @@
 
     /// Returns the newest version.
     pub(crate) fn newest(&self) -> Option<u64> {
-        self.named.last().map(|(version, _)| *version)
+        self.newest_entry().map(|(version, _)| version)
+    }
+
+    /// Returns the newest version and the moment since which it has been known.
+    pub(crate) fn newest_entry(&self) -> Option<(u64, Moment)> {
+        self.named.last().copied()
     }
 
     /// Returns the oldest version that may still serve: the newest of those that have been known for
--- a/crates/chervilshunt_core/src/dispatch/state.rs
+++ b/crates/chervilshunt_core/src/dispatch/state.rs
@@ -276,6 +276,13 @@
         named.name(version, self.cfg.old_version_grace, now);
     }
 
+    /// Returns the newest version of some weights and how long it has been known; none if no version
+    /// has been named.
+    pub fn newest_version(&self, weights: &Weights, now: Moment) -> Option<(u64, Duration)> {
+        let (version, since) = self.versions.get(weights)?.newest_entry()?;
+        Some((version, now.since(since)))
+    }
+
     /// Takes in that a target says that it does not hold an adapter, or not in that version.
     pub fn not_held(&mut self, target: &TargetName, weights: &Weights) {
         self.holders.set(Holding {
--- a/crates/chervilshunt_gateway/src/control/targets.rs
+++ b/crates/chervilshunt_gateway/src/control/targets.rs
@@ -326,7 +326,8 @@
         if known != Some(version) {
             self.feed.version_named(&weights, version, revision);
             slog::info!(self.shared.log, "version named";
-                "weights" => weights.to_string(), "version" => version);
+                "weights" => weights.to_string(), "version" => version,
+                "previous_version" => known, "revision" => revision.number);
         }
         self.shared
             .dispatch()
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -56,6 +56,9 @@
     /// When the target started that it was sent to.
     started: Option<TargetStart>,
     weights: Option<Weights>,
+    /// The version that the target was asked for, or else the one that it was known to hold; none if
+    /// neither is known.
+    version: Option<u64>,
     sent_at: Moment,
     /// The prompt tokens that the target has not read yet, as far as is known.
     reading: u32,
@@ -79,6 +82,7 @@
             address: chosen.address,
             started,
             weights: weights.cloned(),
+            version: chosen.expect_version.or(chosen.held_version),
             sent_at: shared.clock.now(),
             reading,
             has_begun: false,
@@ -125,6 +129,11 @@
         }
     }
 
+    /// Returns the version of the weights that the request was sent for, if known.
+    pub(crate) const fn version(&self) -> Option<u64> {
+        self.version
+    }
+
     /// Returns when the request was sent to the target.
     pub(crate) const fn sent_at(&self) -> Moment {
         self.sent_at
--- a/crates/chervilshunt_gateway/src/traffic/place.rs
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -50,6 +50,8 @@
     pub(crate) target: TargetName,
     pub(crate) address: SocketAddr,
     pub(crate) expect_version: Option<u64>,
+    /// The version that the target is known to hold, if any.
+    pub(crate) held_version: Option<u64>,
     /// Whether a connection that was used before may carry it.
     pub(crate) reuse: bool,
     /// The placer's leave, if the placer has chosen.
@@ -140,8 +142,10 @@
                 slots,
                 load_age,
                 expect_version,
+                held_version,
                 heard_before,
             } => {
+                let newest = self.newest_version();
                 slog::info!(self.shared.log, "placed";
                     "request" => &*self.req.id, "target" => target.as_str(),
                     "prompt_tokens" => self.req.size.prompt_tokens,
@@ -149,12 +153,16 @@
                     "load" => load, "slots" => slots,
                     "load_age_ms" => load_age.as_millis() as u64,
                     "heard_ms" => heard_before.as_millis() as u64,
-                    "version" => expect_version);
+                    "version" => expect_version, "held_version" => held_version,
+                    "newest_version" => newest.map(|(version, _)| version),
+                    "newest_known_for_ms" =>
+                        newest.map(|(_, known_for)| known_for.as_millis() as u64));
                 let reuse = self.req.route.repeat.is_allowed() || heard_before < SURELY_THERE;
                 Ok(Chosen {
                     target,
                     address,
                     expect_version,
+                    held_version,
                     reuse,
                     grant: None,
                 })
@@ -162,6 +170,13 @@
         }
     }
 
+    /// Returns the newest version of the requested weights and how long it has been known.
+    fn newest_version(&self) -> Option<(u64, Duration)> {
+        let weights = self.req.weights.as_ref()?;
+        let now = self.shared.clock.now();
+        self.shared.dispatch().newest_version(weights, now)
+    }
+
     /// Asks the placer for an adapter that is known nowhere, without hearing much of it.
     async fn ask_for_load(&mut self) -> Result<Chosen, Refusal> {
         let Some(weights) = self.req.weights.clone() else {
--- a/crates/chervilshunt_gateway/src/traffic/relay.rs
+++ b/crates/chervilshunt_gateway/src/traffic/relay.rs
@@ -147,6 +147,7 @@
         let now = self.shared.clock.now();
         if self.bytes == 0 {
             self.first_byte = now;
+            self.report_older_version(now);
         } else {
             self.note_pause(now);
         }
@@ -163,6 +164,23 @@
         }
     }
 
+    /// Logs an answer that begins on an older version than the newest known one.
+    fn report_older_version(&self, now: Moment) {
+        let (Some(weights), Some(version)) = (&self.req.weights, self.in_flight.version()) else {
+            return;
+        };
+        let newest = self.shared.dispatch().newest_version(weights, now);
+        let Some((newest, known_for)) = newest.filter(|(newest, _)| *newest > version) else {
+            return;
+        };
+        slog::info!(self.shared.log, "answer on older version";
+            "request" => &*self.req.id, "target" => self.in_flight.target.as_str(),
+            "weights" => weights.to_string(), "version" => version,
+            "newest_version" => newest,
+            "newest_known_for_ms" => known_for.as_millis() as u64,
+            "sent_ms" => now.since(self.in_flight.sent_at()).as_millis() as u64);
+    }
+
     /// Takes note of a pause between two pieces; the first one that is longer than callers want has
     /// a line of its own, so that it can be found beside what the target did at that time.
     fn note_pause(&mut self, now: Moment) {
@@ -241,11 +259,14 @@
             .outcome
             .unwrap_or(if whole { "served" } else { "caller_left" });
         let first = self.first_byte.since(self.req.arrived);
+        let sent = self.in_flight.sent_at().since(self.req.arrived);
         let total = now.since(self.req.arrived);
         slog::info!(self.shared.log, "answered";
             "request" => &*self.req.id, "route" => &*self.req.route.name,
             "target" => self.in_flight.target.as_str(), "status" => self.status,
-            "outcome" => outcome, "first_byte_ms" => first.as_millis() as u64,
+            "outcome" => outcome, "version" => self.in_flight.version(),
+            "sent_after_ms" => sent.as_millis() as u64,
+            "first_byte_ms" => first.as_millis() as u64,
             "longest_pause_ms" => self.longest_pause.as_millis() as u64,
             "total_ms" => total.as_millis() as u64, "bytes" => self.bytes,
             "runs" => self.runs, "resumed" => self.resumed);
