Withdraw queued requests whose adapter version has become too old

The 2.5 s grace in which an older version may serve limits when a request is sent, but nothing limited when it begins to run. After sending, a request waits in the target's queue for up to 2.5 s if it may run twice, and up to its deadline if not. The version check at sending time was treated as if it held when the request began. The fault shows where instances choose targets by themselves: each sees only part of a target's load, and all send to the few holders of a busy adapter.

A request that has not begun 3.5 s after its instance learnt of a newer version is now withdrawn: its connection is closed, upon which targets drop a request that is still queued. A request that may run again is sent again, if its limits allow, and asks for a version that may serve. One that may not is answered 502, because it may have begun at that moment.

Alternatives ruled out: - Sending older versions only to targets with free slots: an instance that chooses by itself does not know their load (the log lines of the requests concerned show load 0 as of hours ago). - A deadline passed to the target at the bound: it would cut off streams that began in time.

--- a/crates/chervilshunt_core/src/dispatch/choose.rs
+++ b/crates/chervilshunt_core/src/dispatch/choose.rs
@@ -31,6 +31,10 @@
     /// How long a version that is no longer the newest still serves: the placer needs about half a
     /// second to have the newest one loaded, and the operators' bound is several seconds.
     pub old_version_grace: Duration,
+    /// How long after an instance learns of a newer version a request sent for an older one may still
+    /// begin to run. The grace limits only sending, and a request may queue at its target for seconds.
+    /// Leaves time for a new version to reach the instance within the operators' bound.
+    pub old_version_begin_limit: Duration,
     /// How failing targets are passed over.
     pub health: HealthConfig,
 }
@@ -44,6 +48,7 @@
             failing_penalty: 2.0,
             queue_share: 0.5,
             old_version_grace: Duration::from_millis(2_500),
+            old_version_begin_limit: Duration::from_millis(3_500),
             health: HealthConfig::default(),
         }
     }
--- a/crates/chervilshunt_core/src/dispatch/holders.rs
+++ b/crates/chervilshunt_core/src/dispatch/holders.rs
@@ -57,18 +57,18 @@
 /// each other.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct NamedVersions {
-    /// In the order of their numbers, which is that of their naming; none but the first is known for
-    /// longer than the grace of older ones.
+    /// In the order of their numbers, which is that of their naming.
     named: Vec<(u64, Moment)>,
 }
 
 impl NamedVersions {
-    /// Takes in that a version is the newest.
-    pub(crate) fn name(&mut self, version: u64, grace: Duration, now: Moment) {
+    /// Takes in that a version is the newest, and forgets those older than one that has been known for
+    /// `kept_for`, the longest time that is asked about.
+    pub(crate) fn name(&mut self, version: u64, kept_for: Duration, now: Moment) {
         if self.newest().is_some_and(|newest| newest >= version) {
             return;
         }
-        if let Some(floor) = self.oldest_allowed(grace, now) {
+        if let Some(floor) = self.oldest_allowed(kept_for, now) {
             self.named.retain(|(known, _)| *known >= floor);
         }
         self.named.push((version, now));
@@ -84,6 +84,13 @@
         self.named.last().copied()
     }
 
+    /// Returns since when the oldest listed version newer than the given one has been known; None if
+    /// no newer version is known.
+    pub(crate) fn superseded_at(&self, version: u64) -> Option<Moment> {
+        let mut newer = self.named.iter().filter(|(named, _)| *named > version);
+        newer.next().map(|(_, since)| *since)
+    }
+
     /// Returns the oldest version that may still serve: the newest of those that have been known for
     /// longer than the grace. None if all older ones may.
     pub(crate) fn oldest_allowed(&self, grace: Duration, now: Moment) -> Option<u64> {
--- a/crates/chervilshunt_core/src/dispatch/state.rs
+++ b/crates/chervilshunt_core/src/dispatch/state.rs
@@ -273,7 +273,11 @@
     /// Takes in that a version of some weights is the newest.
     pub fn version_named(&mut self, weights: Weights, version: u64, now: Moment) {
         let named = self.versions.entry(weights).or_default();
-        named.name(version, self.cfg.old_version_grace, now);
+        let kept_for = self
+            .cfg
+            .old_version_grace
+            .max(self.cfg.old_version_begin_limit);
+        named.name(version, kept_for, now);
     }
 
     /// Returns the newest version of some weights and how long it has been known; none if no version
@@ -283,6 +287,13 @@
         Some((version, now.since(since)))
     }
 
+    /// Returns the time by which a request sent for a version of some weights must begin to run; None
+    /// if no newer version is known.
+    pub fn begin_deadline(&self, weights: &Weights, version: u64) -> Option<Moment> {
+        let superseded_at = self.versions.get(weights)?.superseded_at(version)?;
+        Some(superseded_at + self.cfg.old_version_begin_limit)
+    }
+
     /// Takes in that a target says that it does not hold an adapter, or not in that version.
     pub fn not_held(&mut self, target: &TargetName, weights: &Weights) {
         self.holders.set(Holding {
--- a/crates/chervilshunt_core/tests/dispatch.rs
+++ b/crates/chervilshunt_core/tests/dispatch.rs
@@ -311,3 +311,35 @@
     let at_t3 = dispatch.choose_named(&TargetName::from("t3"), Some(&weights), at(4_600));
     assert_eq!(chosen(at_t3), Ok(("t3".to_owned(), Some(3))));
 }
+
+/// Guards against a request that begins on an outdated version after queueing at its target.
+#[test]
+fn the_begin_deadline_of_a_version_counts_from_the_naming_of_the_next_one() {
+    let weights = adapter("a");
+    let mut dispatch = dispatch([facts("t1", "here", &[("a", 1)])]);
+    assert_eq!(dispatch.begin_deadline(&weights, 1), None);
+    dispatch.version_named(weights.clone(), 2, at(0));
+    dispatch.version_named(weights.clone(), 3, at(2_000));
+    let deadline = |version| dispatch.begin_deadline(&weights, version);
+    assert_eq!(deadline(1), Some(at(3_500)));
+    assert_eq!(deadline(2), Some(at(5_500)));
+    assert_eq!(deadline(3), None);
+    assert_eq!(dispatch.begin_deadline(&adapter("b"), 1), None);
+}
+
+/// Guards against a begin deadline that moves on with each of many versions in a row.
+#[test]
+fn the_begin_deadline_of_a_version_stays_while_newer_versions_follow_each_other() {
+    let weights = adapter("a");
+    let mut dispatch = dispatch([facts("t1", "here", &[("a", 1)])]);
+    for number in 0..20 {
+        let now = number * 500;
+        dispatch.version_named(weights.clone(), number + 2, at(now));
+        let deadline = dispatch.begin_deadline(&weights, 1);
+        assert!(
+            deadline <= Some(at(now.max(3_500))),
+            "{deadline:?} at {now}"
+        );
+        assert!(deadline >= Some(at(3_500)), "{deadline:?} at {now}");
+    }
+}
--- a/crates/chervilshunt_gateway/src/control/targets.rs
+++ b/crates/chervilshunt_gateway/src/control/targets.rs
@@ -332,6 +332,9 @@
         self.shared
             .dispatch()
             .version_named(weights.clone(), version, now);
+        if known != Some(version) {
+            self.shared.version_named.send_replace(());
+        }
         self.plan(ResidencyEvent::VersionNamed(weights, version));
     }
 
--- a/crates/chervilshunt_gateway/src/shared.rs
+++ b/crates/chervilshunt_gateway/src/shared.rs
@@ -11,6 +11,7 @@
 use chervilshunt_mesh::{Mesh, Peer};
 use chervilshunt_model::{Clock, Moment};
 use slog::Logger;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::crashes::CrashSigns;
@@ -45,6 +46,8 @@
     pub(crate) routes: ArcSwapOption<RouteTable>,
     /// The placer, as far as it is known.
     pub(crate) placer: ArcSwapOption<Peer>,
+    /// Notifies requests in flight that a new version of some weights has been named.
+    pub(crate) version_named: watch::Sender<()>,
     dispatch: Mutex<Dispatch>,
     budgets: Mutex<ServiceBudgets>,
     quarantine: Mutex<Quarantine>,
@@ -110,6 +113,7 @@
             crash_signs,
             routes: ArcSwapOption::empty(),
             placer: ArcSwapOption::empty(),
+            version_named: watch::Sender::default(),
             dispatch: Mutex::new(dispatch),
             budgets: Mutex::new(budgets),
             quarantine: Mutex::new(Quarantine::new(QuarantineConfig::default())),
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -14,6 +14,7 @@
 use http_body_util::Full;
 
 use super::answer::{Verdict, judge};
+use super::outdated::{begin_deadline_passed, withdraw};
 use super::place::Chosen;
 use super::refusal::{Reason, Refusal};
 use super::request::{CallerRequest, set};
@@ -134,6 +135,15 @@
         self.version
     }
 
+    pub(crate) fn shared(&self) -> &Shared {
+        &self.shared
+    }
+
+    /// Returns the weights that the request names.
+    pub(crate) const fn weights(&self) -> Option<&Weights> {
+        self.weights.as_ref()
+    }
+
     /// Returns when the request was sent to the target.
     pub(crate) const fn sent_at(&self) -> Moment {
         self.sent_at
@@ -162,7 +172,7 @@
 }
 
 /// What came of one sending.
-enum Sent {
+pub(super) enum Sent {
     Answered(Box<Answered>),
     /// It has not run. Another target may be tried.
     NotRun,
@@ -298,7 +308,14 @@
         let req = self.outgoing(chosen, left);
         // From here on it may run: a refusal that comes while it is under way must not deny that.
         self.runs += 1;
-        match client.forward(req, chosen.reuse, limits).await {
+        let forwarded = tokio::select! {
+            biased;
+            forwarded = client.forward(req, chosen.reuse, limits) => forwarded,
+            () = begin_deadline_passed(&in_flight) => {
+                return withdraw(self.req, &in_flight);
+            }
+        };
+        match forwarded {
             Ok((head, body)) => self.judge(chosen, head, body, in_flight),
             Err(error) => {
                 if matches!(error, EngineError::OutcomeUnknown { .. }) {
--- a/crates/chervilshunt_gateway/src/traffic/mod.rs
+++ b/crates/chervilshunt_gateway/src/traffic/mod.rs
@@ -5,6 +5,7 @@
 mod body;
 mod events;
 mod intake;
+mod outdated;
 mod place;
 mod refusal;
 mod relay;
--- a/crates/chervilshunt_gateway/src/traffic/refusal.rs
+++ b/crates/chervilshunt_gateway/src/traffic/refusal.rs
@@ -37,6 +37,8 @@
     Unanswered,
     /// It was sent and may have run, and its answer is lost.
     AnswerLost,
+    /// It was still queued at its target when the version it was sent for became too old.
+    OutdatedVersion,
     /// The target's answer is not one that may be passed on.
     BadAnswer,
 }
@@ -58,6 +60,7 @@
             Self::Late => "late",
             Self::Unanswered => "unanswered",
             Self::AnswerLost => "answer_lost",
+            Self::OutdatedVersion => "outdated_version",
             Self::BadAnswer => "bad_answer",
         }
     }
@@ -77,7 +80,7 @@
             | Self::BudgetSpent
             | Self::Late => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unanswered => StatusCode::GATEWAY_TIMEOUT,
-            Self::AnswerLost | Self::BadAnswer => StatusCode::BAD_GATEWAY,
+            Self::AnswerLost | Self::OutdatedVersion | Self::BadAnswer => StatusCode::BAD_GATEWAY,
         }
     }
 }
