Limit the placer's configuration and version watches to one second

Found while searching for the cause of a version that came into use too late. All instances rely on the placer's report that no version or configuration has changed, and that report is dated by the placer's last read of targets' entries. The placer's own call that waits for versions could take 15 s. If the answer to that one call is lost while the connection stays open, no instance learns of a new version, or of a new configuration, until the call ends. The freshness of one kind is inferred from reads of another kind.

The placer's calls for configuration and versions now wait for one second, and a longer call that began before the term is ended. A late call is also made through another instance in parallel, as before. The report is dated as before; the shorter waits bound what it can hide.

Evidence: versions::changes_are_learnt_of_though_the_wait_for_them_is_never_answered failed before (the instances did not know the version 1.5 s after it was named) and passes now.

Ruled out: the same wait for every instance, which costs one call a second for each of hundreds of instances; and detecting from the store's single revision counter that something else has changed, as writes of other kinds also raise it.

--- a/crates/chervilshunt_gateway/src/control/follow.rs
+++ b/crates/chervilshunt_gateway/src/control/follow.rs
@@ -33,6 +33,9 @@
 /// this leaves them a second until they look for themselves; shorter, it would be noticed later still
 /// by the interval at which they are told.
 const GUIDING_EVERY: Duration = Duration::from_millis(300);
+/// How long the placer's calls wait for changes of configuration and versions. The other instances learn
+/// of these changes from the placer, so if an answer is lost, no instance sees the change until the call ends.
+const GUIDING_RARE_WATCH_WAIT: Duration = Duration::from_secs(1);
 /// The time after which the objects are listed rather than their changes asked for: targets change
 /// their entries each second, so that the changes of a longer time are more than the objects.
 const LIST_AFTER: Duration = Duration::from_secs(3);
@@ -75,6 +78,8 @@
     Restored,
     /// The answer was given before a restore that is known already.
     Outdated,
+    /// The call waited for longer than calls may from now on.
+    PaceChanged,
 }
 
 impl From<PlatformError> for Trouble {
@@ -166,7 +171,8 @@
         }
         (FollowPace::Guided(Pace::Alone), Kind::Targets | Kind::Lease) => WATCH_WAIT,
         (FollowPace::Guided(Pace::Look | Pace::Rest), _) => AT_ONCE,
-        (FollowPace::Guiding, _) => GUIDING_EVERY,
+        (FollowPace::Guiding, Kind::Configuration | Kind::Versions) => GUIDING_RARE_WATCH_WAIT,
+        (FollowPace::Guiding, Kind::Targets | Kind::Crashes | Kind::Lease) => GUIDING_EVERY,
     }
 }
 
@@ -206,6 +212,7 @@
                     }
                 }
                 Err(Trouble::Restored) => from = None,
+                Err(Trouble::PaceChanged) => {}
                 Err(Trouble::Expired) => {
                     slog::info!(self.log, "history expired"; "kind" => self.kind.as_str());
                     from = None;
@@ -284,6 +291,15 @@
         }
     }
 
+    /// Waits until this follower's pace is [`FollowPace::Guiding`].
+    async fn wait_until_guiding(&self) {
+        let mut pace = self.pace.clone();
+        let guiding = pace.wait_for(|pace| *pace == FollowPace::Guiding);
+        if guiding.await.is_err() {
+            std::future::pending().await
+        }
+    }
+
     /// Waits until a call of another follower fails, unless this is the one that finds out for all.
     ///
     /// A service that falls silent takes the calls that wait, and answers none of them when it is back. A
@@ -351,6 +367,9 @@
             answer = self.reader.read(&read) => answer?,
             () = self.is_lost_for_another() => return Err(Trouble::Doubted),
             () = self.is_restored_after(from.era) => return Err(Trouble::Restored),
+            () = self.wait_until_guiding(), if wait > GUIDING_RARE_WATCH_WAIT => {
+                return Err(Trouble::PaceChanged);
+            }
         };
         self.take_era(answer.era)?;
         if answer.era != from.era {
@@ -377,7 +396,7 @@
 
     fn report(&self, trouble: &Trouble, first: bool) {
         let reason = match trouble {
-            Trouble::Expired | Trouble::Restored => return,
+            Trouble::Expired | Trouble::Restored | Trouble::PaceChanged => return,
             Trouble::Outdated => "an answer of before a restore".to_owned(),
             Trouble::Failed(error) => error.to_string(),
             Trouble::Unreadable(malformed) => malformed.to_string(),
--- a/crates/chervilshunt_gateway/src/control/pace.rs
+++ b/crates/chervilshunt_gateway/src/control/pace.rs
@@ -105,13 +105,13 @@
 
 /// Returns how the placer follows a kind.
 ///
-/// It looks at targets' entries all the time, which shows that the platform answers, too. What changes
-/// rarely is told by a waiting call as soon as it does. Its own renewals show whether the lease is still
-/// its own.
+/// It looks at targets' entries all the time, which also shows that the platform answers. It reads
+/// configuration and versions often because the other instances rely on it for their changes. Its own
+/// renewals show whether it still holds the lease.
 const fn guiding_pace(kind: Kind) -> FollowPace {
     match kind {
-        Kind::Targets => FollowPace::Guiding,
-        Kind::Configuration | Kind::Versions | Kind::Crashes => FollowPace::Guided(Pace::Alone),
+        Kind::Targets | Kind::Configuration | Kind::Versions => FollowPace::Guiding,
+        Kind::Crashes => FollowPace::Guided(Pace::Alone),
         Kind::Lease => FollowPace::Guided(Pace::Rest),
     }
 }
