Do not count refused connections as sendings

A caller received 503 (budget_spent) while nine of a service's thirteen targets were alive. Four had crashed moments before and were still listed. The instance chose exactly these four, and each refused the connection. Each refusal counted as a sending, and a request is limited to four. The fault predates this work.

A refused connection means that no process listens on the address and that nothing arrived. It no longer counts towards the limit of four sendings. Connections that time out or are reset count as before.

--- a/crates/chervilshunt_engine/src/error.rs
+++ b/crates/chervilshunt_engine/src/error.rs
@@ -132,6 +132,12 @@
 }
 
 impl EngineError {
+    /// Returns whether the connection was refused, because nothing listens on the target's address.
+    pub fn is_connection_refused(&self) -> bool {
+        matches!(self, Self::NotSent { source, .. }
+            if source.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
     /// Returns whether the call can have run.
     ///
     /// Whoever turns an error into an answer to a caller has to go by this and not by the variant:
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -26,7 +26,7 @@
 /// The time for a connection. Targets are a millisecond or two away; a packet that was lost is
 /// sent again only after a second.
 const CONNECT: Duration = Duration::from_millis(400);
-/// Sendings of one request, refused ones included.
+/// Sendings of one request, including those that a target rejects but not refused connections.
 const MAX_SENDINGS: u32 = 4;
 /// What is taken off the time that a target is given, for the way back.
 const WAY_BACK: Duration = Duration::from_millis(20);
@@ -433,6 +433,11 @@
             _ => Sign::Failed,
         };
         self.shared.dispatch().sign(&chosen.target, sign, now);
+        if error.is_connection_refused() {
+            // Nothing was sent. Targets that have crashed but are still listed must not exhaust
+            // `MAX_SENDINGS`.
+            self.sendings -= 1;
+        }
         match error.outcome() {
             Outcome::NotRun => self.not_run(),
             Outcome::Unknown | Outcome::CutShort => Sent::MayHaveRun(Reason::AnswerLost),
