Log and count the rate limits that targets name

The logs could not tell the hypotheses of the incident apart: no line or metric had the field of targets' answers. An instance now keeps what each target names (per start of the target; an answer to a request that was sent after the last one that named it lifts it), logs each change with its source, counts changes and unreadable fields, and publishes how many targets are limited. Nothing is decided by it yet.

--- a/crates/chervilshunt_core/src/dispatch/state.rs
+++ b/crates/chervilshunt_core/src/dispatch/state.rs
@@ -14,6 +14,7 @@
 use super::load::TargetLoad;
 use super::self_reports::ReportedLeaving;
 use super::uses::UseTable;
+use crate::rate_limit::RateLimits;
 use crate::residency::TargetUse;
 
 /// The time without a message after which the placer is considered unreachable.
@@ -61,6 +62,7 @@
     pub(crate) holders: Holders,
     pub(crate) versions: HashMap<Weights, AnnouncedVersions>,
     pub(crate) reported_leaving: ReportedLeaving,
+    pub(crate) rate_limits: RateLimits,
     uses: UseTable,
     /// The last start of each removed target, the most recently removed last.
     gone: IndexMap<TargetName, Option<TargetStart>>,
@@ -82,6 +84,7 @@
             holders: Holders::default(),
             versions: HashMap::new(),
             reported_leaving: ReportedLeaving::default(),
+            rate_limits: RateLimits::default(),
             uses: UseTable::default(),
             gone: IndexMap::new(),
             placer_responded_at: None,
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -15,6 +15,7 @@
 mod quarantine;
 mod quota;
 mod rank;
+mod rate_limit;
 mod residency;
 mod retry;
 mod scheduler;
@@ -48,6 +49,7 @@
     ChargeNumber, ChargeResult, DeputyLedger, QuotaLedger, QuotaShares, QuotaTolerance,
 };
 pub use rank::{TargetTable, rank_targets};
+pub use rate_limit::{LimitChange, LimitReport, RateLimits, RequestRate};
 pub use residency::{
     GrantNumber, GrantProgress, LoadEstimates, Order, OrderAnswer, OrderNumber, PlacementRequest,
     PlacementResult, ResidencyAction, ResidencyConfig, ResidencyEvent, ResidencyPlanner,
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -137,6 +137,7 @@
                     let answer = read(head.status, &head.headers, &order.target);
                     if answer != OrderAnswer::OtherTarget {
                         shared.check_leaving(&order.target, started, &head.headers);
+                        shared.check_limit(&order.target, started, &head.headers, None);
                     }
                     answer
                 }
@@ -322,6 +323,7 @@
         return Err(format!("target answered with status {}", head.status));
     }
     shared.check_leaving(target, started, &head.headers);
+    shared.check_limit(target, started, &head.headers, None);
     let body = body.read_whole(MAX_REPORT_BYTES).await;
     let body = body.map_err(|error| error.to_string())?;
     (dialect.decode_report)(&body).map_err(|error| error.to_string())
--- a/crates/chervilshunt_gateway/src/dialect.rs
+++ b/crates/chervilshunt_gateway/src/dialect.rs
@@ -9,8 +9,8 @@
 use bytes::Bytes;
 use chervilshunt_coord::{ExclusiveLeaseRecord, VersionedLeaseRecord};
 use chervilshunt_core::{
-    Fingerprint, LoadReport, Order, OrderAnswer, RequestSize, RouteTable, StoredCrashes,
-    TargetFacts, TargetReport, Weights,
+    Fingerprint, LoadReport, Order, OrderAnswer, RequestRate, RequestSize, RouteTable,
+    StoredCrashes, TargetFacts, TargetReport, Weights,
 };
 use chervilshunt_model::{InstanceId, StoreRevision, TargetName};
 use chervilshunt_platform::Call;
@@ -217,6 +217,15 @@
     pub decode_crashes_name: fn(&str) -> Result<Fingerprint, Malformed>,
 }
 
+/// The rate limit that an answer of a target names.
+#[derive(Clone, Debug, Default)]
+pub struct NamedLimit {
+    /// The limit; `None` if the answer names none that can be read.
+    pub limit: Option<RequestRate>,
+    /// What is wrong with the field, if it is there and is not one proper number.
+    pub malformed: Option<Malformed>,
+}
+
 /// Encodes calls to targets other than callers' requests, and decodes what targets answer.
 #[derive(Clone, Debug)]
 pub struct TargetDialect {
@@ -234,4 +243,6 @@
     pub size: fn(&str) -> Option<RequestSize>,
     /// Decodes a target's load.
     pub load: fn(&str) -> Option<LoadReport>,
+    /// Decodes the rate limit that an answer names.
+    pub limit: fn(&HeaderMap) -> NamedLimit,
 }
--- a/crates/chervilshunt_gateway/src/lib.rs
+++ b/crates/chervilshunt_gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod front;
 mod grants;
 mod leaving;
+mod limits;
 mod peers;
 mod ports;
 mod run;
@@ -20,8 +21,8 @@
 mod traffic;
 
 pub use dialect::{
-    Change, Changes, Content, Dialect, Entry, Freshness, Headers, Kind, Malformed, Page,
-    StoreDialect, TargetDialect,
+    Change, Changes, Content, Dialect, Entry, Freshness, Headers, Kind, Malformed, NamedLimit,
+    Page, StoreDialect, TargetDialect,
 };
 pub use run::run;
 pub use settings::{
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -376,6 +376,12 @@
         if verdict != Verdict::OtherTarget {
             self.handle_self_report(chosen, &in_flight, &head);
         }
+        if !matches!(verdict, Verdict::OtherTarget | Verdict::Crossed) {
+            // A target may refuse a request without naming its limit.
+            let sent_at = (verdict == Verdict::PassOn).then_some(in_flight.sent_at);
+            self.shared
+                .check_limit(&chosen.target, in_flight.started, &head.headers, sent_at);
+        }
         let signal = match verdict {
             Verdict::PassOn if head.status.is_server_error() => HealthSignal::Failed,
             Verdict::PassOn | Verdict::Full | Verdict::NotHeld => HealthSignal::Served,
