Keep targets within the rate limits they name

Callers saw nothing; targets that had named a limit got several times as much, since the field of their answers was read by nobody: the placer, instances that choose by themselves and retries went by load alone.

Who knows: every instance keeps what answers show; an answer without the limit lifts it only if its request was sent after the limit was last named. It is told to the placer at once and by the placer to all with its status, with its age, so that the newer observation counts. Who decides: the placer schedules the sends to a limited target for all instances, at the limit's rate and by a count over the rule's window that includes what it granted in the second before. A request takes the sooner of a limited target's next send and a copy or a load elsewhere, and is refused with the time of the next send if none is in time. An instance that chooses itself asks the placer for a permit; without an answer it uses its own share, a fifth of the limit over all instances, with due times spread at random.

--- a/crates/chervilshunt_core/src/dispatch/choose.rs
+++ b/crates/chervilshunt_core/src/dispatch/choose.rs
@@ -9,6 +9,7 @@
 use super::health::HealthConfig;
 use super::lanes::{Lane, long_prompt_targets};
 use super::state::{Dispatch, Target};
+use crate::rate_limit::RequestRate;
 
 /// Configuration of the scoring of targets.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -78,6 +79,9 @@
     NotHeld,
     /// All suitable targets are full.
     Full,
+    /// The rate limits of suitable targets allow no request now; the first one may be sent at the
+    /// given time.
+    Limited(Moment),
     /// All targets that hold the adapter have asked this instance not to send requests; the first
     /// of these pauses ends at the given time.
     Paused(Moment),
@@ -103,6 +107,9 @@
         /// The version of the requested weights that the target is known to hold, or `None` if that
         /// is unknown or the request names no weights.
         held_version: Option<u64>,
+        /// The rate limit that the target has named, if any. It covers the requests of all instances, so
+        /// a permit is needed.
+        limit: Option<RequestRate>,
         /// The time since the last sign of life from the target.
         since_last_response: Duration,
     },
@@ -186,12 +193,20 @@
         } else {
             answering
         };
-        let open = candidates.into_iter().filter(|it| self.has_room(it, now));
-        let scored = open.map(|target| (self.score(target) + draw() * self.cfg.jitter, target));
+        let (held_back, open): (Vec<&Target>, Vec<&Target>) = candidates
+            .into_iter()
+            .filter(|it| self.has_room(it, now))
+            .partition(|it| now < it.held_back_until);
+        let scored = open
+            .into_iter()
+            .map(|target| (self.score(target) + draw() * self.cfg.jitter, target));
         let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
         match best {
             Some((_, target)) => self.send(target, requirements.weights, now),
-            None => Choice::Wait(WaitReason::Full),
+            None => {
+                let first = held_back.iter().map(|it| it.held_back_until).min();
+                Choice::Wait(first.map_or(WaitReason::Full, WaitReason::Limited))
+            }
         }
     }
 
@@ -276,6 +291,7 @@
             load_age: now.since(target.load.reported_at()),
             expect_version: self.expected_version(target, weights, now),
             held_version: weights.and_then(|weights| self.held_version(target, weights)),
+            limit: self.rate_limits.get(&target.facts.name),
             since_last_response: now.since(target.health.last_response_at()),
         }
     }
--- a/crates/chervilshunt_core/src/dispatch/mod.rs
+++ b/crates/chervilshunt_core/src/dispatch/mod.rs
@@ -13,6 +13,7 @@
 mod health;
 mod holders;
 mod lanes;
+mod limits;
 mod load;
 mod routes;
 mod self_reports;
--- a/crates/chervilshunt_core/src/dispatch/self_reports.rs
+++ b/crates/chervilshunt_core/src/dispatch/self_reports.rs
@@ -10,7 +10,6 @@
 
 use super::facts::{Leaving, TargetStart};
 use super::state::{Dispatch, Target};
-use crate::rate_limit::{LimitChange, LimitReport, RequestRate};
 
 /// The number of targets that reported that they are leaving which are remembered. Targets that are
 /// gone count too, since their entries may stay listed for some time.
@@ -68,46 +67,6 @@
         }
     }
 
-    /// Records the rate limit that a target names in an answer, or that it names none. `sent_at` is
-    /// the time at which the answered request was sent.
-    pub fn limit_answered(
-        &mut self,
-        target: &TargetName,
-        started: Option<TargetStart>,
-        limit: Option<RequestRate>,
-        sent_at: Moment,
-        now: Moment,
-    ) -> Option<LimitChange> {
-        self.rate_limits
-            .answer_received(target, started, limit, sent_at, now)
-    }
-
-    /// Applies what another instance has observed of a target's rate limit.
-    pub fn limit_reported(&mut self, report: &LimitReport, now: Moment) -> Option<LimitChange> {
-        self.rate_limits.reported(report, now)
-    }
-
-    /// Returns what the placer has to be told of a target's rate limit now.
-    pub fn limit_report_due(&mut self, target: &TargetName, now: Moment) -> Option<LimitReport> {
-        self.rate_limits.report_due(target, now)
-    }
-
-    /// Returns what is known of the rate limits of targets.
-    ///
-    /// A target whose entry is gone keeps its limit for some time, since it may still serve: entries
-    /// lapse while the platform is unavailable.
-    pub fn limit_reports(&mut self, now: Moment) -> Vec<LimitReport> {
-        let targets = &self.targets;
-        self.rate_limits
-            .retain_listed(|name| targets.contains_key(name), now);
-        self.rate_limits.reports(now)
-    }
-
-    /// Returns the number of targets that have named a rate limit.
-    pub fn limited_target_count(&self) -> usize {
-        self.rate_limits.count()
-    }
-
     /// Returns the targets of a service that this instance must not send requests to.
     pub fn closed_targets(&self, service: &ServiceName, now: Moment) -> Vec<TargetName> {
         let targets = self.targets.values();
--- a/crates/chervilshunt_core/src/dispatch/state.rs
+++ b/crates/chervilshunt_core/src/dispatch/state.rs
@@ -14,7 +14,7 @@
 use super::load::TargetLoad;
 use super::self_reports::ReportedLeaving;
 use super::uses::UseTable;
-use crate::rate_limit::RateLimits;
+use crate::rate_limit::{RateLimits, SendShares};
 use crate::residency::TargetUse;
 
 /// The time without a message after which the placer is considered unreachable.
@@ -38,6 +38,8 @@
     pub(crate) health: TargetHealth,
     /// The time until which the target has asked this instance not to send requests.
     pub(crate) paused_until: Moment,
+    /// The time until which its rate limit allows this instance no request.
+    pub(crate) held_back_until: Moment,
 }
 
 /// How an entry in the platform's list relates to the known state of the target.
@@ -63,6 +65,7 @@
     pub(crate) versions: HashMap<Weights, AnnouncedVersions>,
     pub(crate) reported_leaving: ReportedLeaving,
     pub(crate) rate_limits: RateLimits,
+    pub(crate) send_shares: SendShares,
     uses: UseTable,
     /// The last start of each removed target, the most recently removed last.
     gone: IndexMap<TargetName, Option<TargetStart>>,
@@ -85,6 +88,7 @@
             versions: HashMap::new(),
             reported_leaving: ReportedLeaving::default(),
             rate_limits: RateLimits::default(),
+            send_shares: SendShares::default(),
             uses: UseTable::default(),
             gone: IndexMap::new(),
             placer_responded_at: None,
@@ -136,6 +140,7 @@
                     load: TargetLoad::default(),
                     health: TargetHealth::new(now),
                     paused_until: Moment::ZERO,
+                    held_back_until: Moment::ZERO,
                     facts,
                 };
                 self.targets.insert(target.facts.name.clone(), target);
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -49,7 +49,9 @@
     ChargeNumber, ChargeResult, DeputyLedger, QuotaLedger, QuotaShares, QuotaTolerance,
 };
 pub use rank::{TargetTable, rank_targets};
-pub use rate_limit::{LimitChange, LimitReport, RateLimits, RequestRate};
+pub use rate_limit::{
+    LimitChange, LimitReport, RateLimits, RequestRate, SendPermit, SendSchedules, SendShares,
+};
 pub use residency::{
     GrantNumber, GrantProgress, LoadEstimates, Order, OrderAnswer, OrderNumber, PlacementRequest,
     PlacementResult, ResidencyAction, ResidencyConfig, ResidencyEvent, ResidencyPlanner,
--- a/crates/chervilshunt_core/src/rate_limit/known.rs
+++ b/crates/chervilshunt_core/src/rate_limit/known.rs
@@ -111,6 +111,12 @@
         known.map(|(name, it)| it.report(name, now)).collect()
     }
 
+    /// Returns what is known of a target's limit, if anything.
+    pub fn report(&self, target: &TargetName, now: Moment) -> Option<LimitReport> {
+        let known = self.targets.get(target);
+        known.map(|it| it.report(target, now))
+    }
+
     /// Returns what is known of a target's limit if the placer has to be told: it has changed, or
     /// it was last reported some time ago and the message may be lost.
     pub fn report_due(&mut self, target: &TargetName, now: Moment) -> Option<LimitReport> {
--- a/crates/chervilshunt_core/src/residency/choice.rs
+++ b/crates/chervilshunt_core/src/residency/choice.rs
@@ -14,7 +14,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct TargetCandidate {
     pub(super) target: TargetName,
-    /// The expected time until the target holds the adapter.
+    /// The expected time until the target holds the adapter and its rate limit allows the request.
     pub(super) ready_in: Duration,
     /// The expected time to first token plus penalties, in milliseconds.
     score: f64,
@@ -63,7 +63,8 @@
         let targets = self.targets.iter();
         let targets = targets.filter(|(name, target)| self.may_place(name, target, request, now));
         let found = targets.filter_map(|(name, target)| {
-            let readiness = ready_in(target)?;
+            let mut readiness = ready_in(target)?;
+            readiness.ready_in = readiness.ready_in.max(self.schedules.wait(name, now));
             let mut score = self.score(target, request, readiness);
             if !kept.is_empty() && kept.contains(&name) != (request.lane == Lane::LongPrompt) {
                 score += millis(self.cfg.lane_penalty);
--- a/crates/chervilshunt_core/src/residency/order.rs
+++ b/crates/chervilshunt_core/src/residency/order.rs
@@ -9,6 +9,7 @@
 use super::placement::PlacementRequest;
 use crate::dispatch::{AdapterHolding, PlacementLimits, TargetFacts, TargetStart, Weights};
 use crate::owner::OrderKind;
+use crate::rate_limit::RequestRate;
 
 /// The number of an order, unique within one placer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -95,6 +96,10 @@
         /// model.
         #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
         version: Option<u64>,
+        /// The delay after which the request may be sent, if it counts against a rate limit that the
+        /// target has named.
+        #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
+        send_in: Option<Duration>,
     },
     /// No target can take the request now.
     Later {
@@ -137,6 +142,8 @@
     TargetReported(TargetName, TargetReport),
     /// A target could not be queried.
     ReportFailed(TargetName),
+    /// The rate limits of all targets that have named one.
+    RateLimits(Vec<(TargetName, RequestRate)>),
     /// The newest version of some weights was announced.
     VersionAnnounced(Weights, u64),
     /// Time has passed.
--- a/crates/chervilshunt_core/src/residency/placement.rs
+++ b/crates/chervilshunt_core/src/residency/placement.rs
@@ -42,6 +42,8 @@
     pub(super) request: PlacementRequest,
     /// The time until which the request waits.
     pub(super) until: Moment,
+    /// When the request may be sent, once it is scheduled at a target with a rate limit.
+    pub(super) send_at: Option<Moment>,
 }
 
 impl ResidencyPlanner {
@@ -82,11 +84,12 @@
     pub(super) fn place(
         &mut self,
         request_id: u64,
-        pending: PendingPlacement,
+        mut pending: PendingPlacement,
         name: &TargetName,
         now: Moment,
         out: &mut Vec<ResidencyAction>,
     ) {
+        pending.send_at = self.schedules.reserve(name, now);
         let weights = &pending.request.weights;
         if weights.adapter.is_some() {
             let planned = self.planned(name, weights, now);
@@ -116,7 +119,12 @@
         out: &mut Vec<ResidencyAction>,
     ) {
         let number = GrantNumber(request_id);
-        let PendingPlacement { from, request, .. } = pending;
+        let PendingPlacement {
+            from,
+            request,
+            send_at,
+            ..
+        } = pending;
         let adapters = self.targets.get(target).map(|it| &it.adapters);
         let version = adapters
             .and_then(|it| it.get(&request.weights))
@@ -132,6 +140,7 @@
         let placed = PlacementResult::At {
             target: target.clone(),
             version,
+            send_in: send_at.map(|at| now.until(at)),
         };
         out.push(ResidencyAction::Answer(request_id, placed));
     }
@@ -152,9 +161,18 @@
             return self.refuse(waiting_requests, out);
         }
         for request_id in waiting_requests {
-            if let Some(pending) = self.pending.remove(&request_id) {
-                self.answer_at(request_id, pending, target, now, out);
+            let Some(mut pending) = self.pending.remove(&request_id) else {
+                continue;
+            };
+            // The target may have named a limit since the request was assigned to it.
+            if pending.send_at.is_none() && self.schedules.is_limited(target) {
+                if now + self.schedules.wait(target, now) > pending.until {
+                    self.place_or_refuse(request_id, pending, now, out);
+                    continue;
+                }
+                pending.send_at = self.schedules.reserve(target, now);
             }
+            self.answer_at(request_id, pending, target, now, out);
         }
     }
 
--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -24,6 +24,7 @@
 use crate::dispatch::{
     AnnouncedVersions, PlacementLimits, TargetFacts, TargetSnapshot, TargetStart, Weights,
 };
+use crate::rate_limit::{SendPermit, SendSchedules};
 
 /// The share of targets that must have reported before the placer counts as knowing what is held.
 /// The last few may be slow or gone.
@@ -60,6 +61,8 @@
     pub(super) lost_of_gone: HashMap<TargetName, LostLoads>,
     /// Loads that may be ordered now; the others wait for a load in progress to end.
     pub(super) admitted: HashSet<(TargetName, Weights)>,
+    /// When targets with rate limits are sent requests.
+    pub(super) schedules: SendSchedules,
     /// The last usage report of each instance.
     pub(super) uses: HashMap<InstanceId, Vec<TargetUse>>,
     next_order: u64,
@@ -94,6 +97,7 @@
             pending: HashMap::new(),
             lost_of_gone: HashMap::new(),
             admitted: HashSet::new(),
+            schedules: SendSchedules::default(),
             uses: HashMap::new(),
             next_order: 0,
             knows_targets: false,
@@ -143,6 +147,7 @@
                         from,
                         request,
                         until,
+                        send_at: None,
                     },
                     now,
                     &mut out,
@@ -163,6 +168,7 @@
                 self.target_reported(&target, &report, now, &mut out);
             }
             ResidencyEvent::ReportFailed(target) => self.report_failed(&target, now),
+            ResidencyEvent::RateLimits(limits) => self.schedules.set_limits(&limits, now),
             ResidencyEvent::VersionAnnounced(weights, version) => {
                 self.version_announced(weights, version, now, &mut out);
             }
@@ -187,6 +193,17 @@
         self.targets.get(target).and_then(|it| it.facts.started)
     }
 
+    /// Schedules a request that an instance sends to a target by its own choice, if the target's rate
+    /// limit allows it within the given time.
+    pub fn permit_send(
+        &mut self,
+        target: &TargetName,
+        within: Duration,
+        now: Moment,
+    ) -> SendPermit {
+        self.schedules.permit(target, within, now)
+    }
+
     /// Returns when [`ResidencyEvent::Tick`] is needed next.
     pub fn next_wakeup(&self) -> Option<Moment> {
         let targets = self.targets.values();
--- a/crates/chervilshunt_gateway/src/control/mod.rs
+++ b/crates/chervilshunt_gateway/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod crashes;
 mod follow;
 mod lease;
+mod limits;
 mod messages;
 mod overload;
 mod pace;
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -72,6 +72,8 @@
         for facts in targets {
             self.plan(ResidencyEvent::TargetListed(facts));
         }
+        let limits = self.known_limits();
+        self.plan_rate_limits(&limits);
         for (weights, version) in self.versions.clone() {
             self.plan(ResidencyEvent::VersionAnnounced(weights, version));
         }
@@ -223,6 +225,7 @@
                 .load()
                 .as_ref()
                 .map(|it| (it.instance.clone(), it.address)),
+            limits: self.known_limits(),
         })
     }
 
--- a/crates/chervilshunt_gateway/src/control/quotas.rs
+++ b/crates/chervilshunt_gateway/src/control/quotas.rs
@@ -30,7 +30,7 @@
 
     /// Returns the placer's state if the lease is valid at this moment. A process that was paused
     /// beyond the end of its lease is not the only one with a ledger any more.
-    fn ledger_holder(&mut self, now: Moment) -> Option<&mut Placer> {
+    pub(super) fn lease_holder(&mut self, now: Moment) -> Option<&mut Placer> {
         self.keeper.may_order(now)?;
         self.placer.as_mut()
     }
@@ -45,7 +45,7 @@
         reply: Option<Reply<PeerMessage>>,
     ) {
         let now = self.now();
-        let Some(placer) = self.ledger_holder(now) else {
+        let Some(placer) = self.lease_holder(now) else {
             return;
         };
         let number = ChargeNumber(placer.next_request);
@@ -72,7 +72,7 @@
     ) {
         let now = self.now();
         let (team, cost) = (&charge.team, charge.cost);
-        let (result, number) = if let Some(placer) = self.ledger_holder(now) {
+        let (result, number) = if let Some(placer) = self.lease_holder(now) {
             let number = ChargeNumber(placer.next_request);
             placer.next_request += 1;
             (placer.ledger.charge(number, team, cost, now), number)
--- a/crates/chervilshunt_gateway/src/control/using.rs
+++ b/crates/chervilshunt_gateway/src/control/using.rs
@@ -16,7 +16,9 @@
         let uses = self.shared.dispatch().report_uses();
         let grants = self.shared.grants.open();
         let spent = self.shared.quota_shares().take_unreported();
+        let limits = self.known_limits();
         if self.placer.is_some() {
+            self.plan_rate_limits(&limits);
             self.record_spent(&spent);
             self.publish_quota_levels();
             let me = self.own_id().clone();
@@ -105,6 +107,10 @@
             PeerMessage::NotHeld(target, weights) => {
                 self.plan(ResidencyEvent::NotHeld(target, weights));
             }
+            PeerMessage::RateLimit(report) => self.handle_limit_report(&report, &from),
+            PeerMessage::SendPermitRequest(target, within) => {
+                self.handle_send_permit(&target, within, reply);
+            }
             PeerMessage::Leaving(target, started) => self.handle_leaving(&target, started, &from),
             PeerMessage::Snapshots(snapshots) => self.handle_snapshots(&from, snapshots),
             PeerMessage::PlacerStatus {
@@ -114,8 +120,12 @@
                 platform,
                 lease,
                 deputy,
+                limits,
             } if self.is_placer(&from) => {
                 self.apply_deputy(deputy);
+                for report in &limits {
+                    self.apply_limit(report, "placer");
+                }
                 self.estimates = estimates.or(self.estimates);
                 self.handle_holder_report(lease, platform);
                 self.apply_status(knows_targets, instances);
@@ -129,6 +139,7 @@
             | PeerMessage::PlacementAnswer(..)
             | PeerMessage::ChargedPlacementAnswer(..)
             | PeerMessage::ChargeAnswer(..)
+            | PeerMessage::SendPermitAnswer(_)
             | PeerMessage::LeaseCallResult(_)
             | PeerMessage::ReadResult(..) => {}
         }
--- a/crates/chervilshunt_gateway/src/limits.rs
+++ b/crates/chervilshunt_gateway/src/limits.rs
@@ -1,9 +1,10 @@
 //! Handles targets whose answers name a rate limit.
 
-use chervilshunt_core::{LimitChange, TargetStart};
+use chervilshunt_core::{LimitChange, LimitReport, TargetStart};
 use chervilshunt_model::{Moment, TargetName};
 use http::HeaderMap;
 
+use crate::peers::PeerMessage;
 use crate::shared::Shared;
 
 impl Shared {
@@ -33,10 +34,24 @@
         let mut dispatch = self.dispatch();
         let sent_at = sent_at.unwrap_or(now);
         let change = dispatch.limit_answered(target, started, limit, sent_at, now);
+        let report = dispatch.limit_report_due(target, now);
         drop(dispatch);
         if let Some(change) = change {
             self.record_limit_change(target, change, "answer");
         }
+        if let Some(report) = report {
+            self.report_limit(report);
+        }
+    }
+
+    /// Tells the placer of a target's limit, which it schedules requests by.
+    pub(crate) fn report_limit(&self, report: LimitReport) {
+        let Some(placer) = self.placer.load_full() else {
+            return;
+        };
+        if let Err(error) = self.mesh.send(&placer, PeerMessage::RateLimit(report)) {
+            slog::debug!(self.log, "message to placer not sent"; "reason" => error.to_string());
+        }
     }
 
     /// Logs and counts a change of a target's rate limit; `source` tells from where it is known.
@@ -44,7 +59,7 @@
         &self,
         target: &TargetName,
         change: LimitChange,
-        source: &'static str,
+        source: &str,
     ) {
         let LimitChange { before, now } = change;
         slog::info!(self.log, "rate limit of target changed";
--- a/crates/chervilshunt_gateway/src/peers.rs
+++ b/crates/chervilshunt_gateway/src/peers.rs
@@ -8,9 +8,9 @@
     ExclusiveLeaseRecord, HeldLease, LeaseWriteOutcome, VersionedLeaseRecord,
 };
 use chervilshunt_core::{
-    ChargeNumber, ChargeResult, Fingerprint, GrantNumber, GrantProgress, LoadEstimates,
-    PlacementRequest, PlacementResult, StoredCrashes, TargetFacts, TargetSnapshot, TargetStart,
-    TargetUse, Weights,
+    ChargeNumber, ChargeResult, Fingerprint, GrantNumber, GrantProgress, LimitReport,
+    LoadEstimates, PlacementRequest, PlacementResult, SendPermit, StoredCrashes, TargetFacts,
+    TargetSnapshot, TargetStart, TargetUse, Weights,
 };
 use chervilshunt_mesh::Purpose;
 use chervilshunt_model::{InstanceId, StoreRevision, TargetName};
@@ -81,6 +81,16 @@
     /// To the placer, and from it to all others: a target's answer showed that it is leaving.
     #[serde(rename = "d")]
     Leaving(TargetName, Option<TargetStart>),
+    /// To the placer: what an answer of a target showed of its rate limit.
+    #[serde(rename = "m")]
+    RateLimit(LimitReport),
+    /// To the placer: the sender has chosen a target that has named a rate limit, and its request
+    /// waits there for at most the given time. Answered by `SendPermitAnswer`.
+    #[serde(rename = "y")]
+    SendPermitRequest(TargetName, Duration),
+    /// From the placer: whether and when the request may be sent.
+    #[serde(rename = "Y")]
+    SendPermitAnswer(SendPermit),
     /// From a placer whose lease has ended, directly or forwarded: what targets hold and do.
     #[serde(rename = "h")]
     Snapshots(Snapshots),
@@ -107,6 +117,9 @@
         /// The instance that keeps the account of teams' quotas while there is no placer.
         #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
         deputy: Option<(InstanceId, SocketAddr)>,
+        /// The rate limits that targets have named, and those that were lifted lately.
+        #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
+        limits: Vec<LimitReport>,
     },
     /// From the placer: recent changes at the platform.
     #[serde(rename = "e")]
@@ -289,6 +302,9 @@
             Self::Progress(_) => "progress",
             Self::NotHeld(..) => "not_held",
             Self::Leaving(..) => "leaving",
+            Self::RateLimit(_) => "rate_limit",
+            Self::SendPermitRequest(..) => "send_permit",
+            Self::SendPermitAnswer(_) => "send_permit_answer",
             Self::Snapshots(_) => "snapshots",
             Self::PlacerStatus { .. } => "placing",
             Self::Changed(_) => "changed",
--- a/crates/chervilshunt_gateway/src/traffic/mod.rs
+++ b/crates/chervilshunt_gateway/src/traffic/mod.rs
@@ -8,6 +8,7 @@
 mod events;
 mod intake;
 mod outdated;
+mod permit;
 mod place;
 mod refusal;
 mod relay;
--- a/crates/chervilshunt_gateway/src/traffic/place.rs
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -61,6 +61,8 @@
     pub(crate) expect_version: Option<u64>,
     /// The version that the target is known to hold, if any.
     pub(crate) held_version: Option<u64>,
+    /// Whether the target has named a rate limit.
+    is_limited: bool,
     /// Whether a pooled connection may be used.
     pub(crate) reuse: bool,
     /// The placer's grant, if the placer has chosen the target.
@@ -106,7 +108,15 @@
             }
             self.charge().await?;
             let wait = match self.choose() {
-                Ok(chosen) => return Ok(chosen),
+                Ok(chosen) if !chosen.is_limited => return Ok(chosen),
+                Ok(chosen) => {
+                    let waited = self.shared.clock.now().since(began);
+                    let within = max_wait.saturating_sub(waited);
+                    if self.wait_for_permit(&chosen.target, within).await {
+                        return Ok(chosen);
+                    }
+                    continue;
+                }
                 Err(wait) => wait,
             };
             self.report_wait(wait);
@@ -123,6 +133,18 @@
                     return Err(Refusal::retry_after(Reason::Full, FULL_RETRY_DELAY));
                 }
                 WaitReason::Full => tokio::time::sleep(ROOM_POLL_INTERVAL).await,
+                WaitReason::Limited(until) => {
+                    let now = self.shared.clock.now();
+                    let wait = now.until(until);
+                    if now.since(began) + wait > max_wait {
+                        return Err(Refusal::retry_between(
+                            Reason::RateLimited,
+                            wait,
+                            wait + RETRY_SPREAD,
+                        ));
+                    }
+                    tokio::time::sleep(wait.max(ROOM_POLL_INTERVAL)).await;
+                }
                 WaitReason::Paused(until) => {
                     let pause = self.shared.clock.now().until(until);
                     return Err(Refusal::retry_between(
@@ -167,6 +189,7 @@
                 load_age,
                 expect_version,
                 held_version,
+                limit,
                 since_last_response,
             } => {
                 let newest = self.newest_version();
@@ -176,6 +199,7 @@
                     "weights" => self.req.weights.as_ref().map(ToString::to_string),
                     "load" => load, "slots" => slots,
                     "load_age_ms" => load_age.as_millis() as u64,
+                    "limit_per_s" => limit.map(|it| it.per_second()),
                     "heard_ms" => since_last_response.as_millis() as u64,
                     "version" => expect_version, "held_version" => held_version,
                     "newest_version" => newest.map(|(version, _)| version),
@@ -188,6 +212,7 @@
                     address,
                     expect_version,
                     held_version,
+                    is_limited: limit.is_some(),
                     reuse,
                     grant: None,
                 })
@@ -269,14 +294,18 @@
                 Ok(PlacerAnswer::AskAgain)
             }
             Some(Ok(PeerMessage::PlacementAnswer(
-                PlacementResult::At { target, version },
+                PlacementResult::At {
+                    target,
+                    version,
+                    send_in,
+                },
                 number,
             ))) => {
                 let grant = Grant::new(self.shared, number);
                 self.record_placer_response();
                 self.report_placement("placed", Some(&target));
                 self.record_holding(&target, version);
-                Ok(self.use_placement(target, grant))
+                Ok(self.use_placement(target, grant, send_in).await)
             }
             Some(Ok(PeerMessage::PlacementAnswer(PlacementResult::Later { retry_in }, _))) => {
                 self.record_placer_response();
@@ -371,7 +400,7 @@
             }
             // These are retried every few milliseconds; a refusal for lack of room is logged
             // separately.
-            WaitReason::Full | WaitReason::Paused(_) => {}
+            WaitReason::Full | WaitReason::Limited(_) | WaitReason::Paused(_) => {}
         }
     }
 
@@ -383,7 +412,23 @@
     }
 
     /// Sends to the target that the placer chose, unless it accepts nothing from this instance.
-    fn use_placement(&self, target: TargetName, grant: Grant) -> PlacerAnswer {
+    ///
+    /// `send_in` is the delay after which the target's rate limit allows the request, or `None` if the
+    /// placer knows of no limit.
+    async fn use_placement(
+        &self,
+        target: TargetName,
+        grant: Grant,
+        send_in: Option<Duration>,
+    ) -> PlacerAnswer {
+        if let Some(delay) = send_in {
+            self.wait_to_send(delay).await;
+        } else if self.shared.dispatch().limit_of(&target).is_some() {
+            self.report_unknown_limit(&target);
+            if !self.send_alone(&target) {
+                return PlacerAnswer::Closed(target);
+            }
+        }
         let now = self.shared.clock.now();
         let weights = self.req.weights.as_ref();
         let choice = self.shared.dispatch().choose_named(&target, weights, now);
--- a/crates/chervilshunt_gateway/src/traffic/refusal.rs
+++ b/crates/chervilshunt_gateway/src/traffic/refusal.rs
@@ -37,6 +37,8 @@
     NotPlaced,
     /// All targets are full.
     Full,
+    /// The rate limits of all targets that have room are used up.
+    RateLimited,
     /// Targets crash when they run it.
     CrashesTargets,
     /// Targets refused it, and no attempts or retry budget are left.
@@ -70,6 +72,7 @@
             Self::NoTarget => "no_target",
             Self::NotPlaced => "not_placed",
             Self::Full => "full",
+            Self::RateLimited => "rate_limited",
             Self::CrashesTargets => "crashes_targets",
             Self::BudgetSpent => "budget_spent",
             Self::Late => "late",
@@ -95,6 +98,7 @@
             | Self::NoTarget
             | Self::NotPlaced
             | Self::Full
+            | Self::RateLimited
             | Self::CrashesTargets
             | Self::BudgetSpent
             | Self::Late => StatusCode::SERVICE_UNAVAILABLE,
