Add a failing test: an owner without a lease grants permits

Makes the fault of the_holder_is_cut_off::case_2_platform certain: one engine that runs one sequence, six streams of the owner's own callers, and the platform cut off from the owner.

--- a/crates/chervilshunt_bench/tests/failures/leases.rs
+++ b/crates/chervilshunt_bench/tests/failures/leases.rs
@@ -4,7 +4,7 @@
 
 use chervilshunt_standin::fleet::{FleetOptions, Link, LinkMode, model_name};
 use rstest::rstest;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::case::{Case, LEASE_TAKEOVER_TIME, WAIT_TIMEOUT, answered};
 
@@ -146,10 +146,66 @@
 
 /// Checks that no engine executed an order with an outdated fencing number.
 async fn check_no_stale_order(case: &Case) {
-    for engine in ["engine-1", "engine-2"] {
+    check_no_stale_order_at(case, &["engine-1", "engine-2"]).await;
+}
+
+async fn check_no_stale_order_at(case: &Case, engines: &[&str]) {
+    for engine in engines {
         let stale = case.count(engine, "stale_orders").await;
         let refused = case.count(engine, "fenced_orders").await;
         assert_eq!(stale, refused, "{engine} executed an order of an old epoch");
     }
     assert!(case.fleet.wait_listed(WAIT_TIMEOUT).await);
 }
+
+/// Returns the permits that an instance granted while its log says that it takes no new work.
+fn grants_without_lease(case: &Case, id: &str) -> Vec<Value> {
+    let lines = case.fleet.instance(id).unwrap().process.log_lines();
+    let mut has_lease = true;
+    let mut grants = Vec::new();
+    for line in lines {
+        if line["msg"] == "new work" {
+            has_lease = line["taken"] == true;
+        }
+        if !has_lease && line["msg"] == "decision" && line["kind"] == "grant" {
+            grants.push(line);
+        }
+    }
+    grants
+}
+
+/// Guards against permits that an owner grants after its lease has run out: its successor does not know of
+/// them, and may unload the adapter while the request runs.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_owner_without_a_lease_grants_no_permits() {
+    let options = FleetOptions {
+        engines: 1,
+        max_batch: 1,
+        links: true,
+        ..options(false)
+    };
+    let mut case = Case::start(options, 0.1).await;
+    let holder = case.owner("i1", "engine-1", None).await;
+    case.until_answered(&holder, &model_name(0)).await;
+    // One runs at a time, for 2.5 s; the others wait at the owner.
+    let streams: Vec<_> = (0..6)
+        .map(|_| {
+            let req = case.plan_completion(&holder, &model_name(0), 500);
+            case.load.spawn(&holder, req)
+        })
+        .collect();
+    case.run_for(Duration::from_millis(500)).await;
+    case.set_faults("platform", json!({"cut": [holder]})).await;
+    case.run_for(LEASE_TAKEOVER_TIME).await;
+    let others = case.other_instance(&[&holder]);
+    case.owner(&others, "engine-1", Some(&holder)).await;
+    let grants = grants_without_lease(&case, &holder);
+    assert!(grants.is_empty(), "granted without a lease: {grants:#?}");
+    case.set_faults("platform", json!({"cut": []})).await;
+    for stream in streams {
+        stream.await.unwrap();
+    }
+    case.until_answered(&holder, &model_name(0)).await;
+    check_no_stale_order_at(&case, &["engine-1"]).await;
+    case.finish().await;
+}
