--- a/crates/chervilshunt_bench/tests/failures/leases.rs
+++ b/crates/chervilshunt_bench/tests/failures/leases.rs
@@ -209,3 +209,32 @@
     check_no_stale_order_at(&case, &["engine-1"]).await;
     case.finish().await;
 }
+
+/// Guards against an owner that evicts nothing for as long as its predecessor stays cut off and listed: with all
+/// slots taken, no other adapter would be served until operators step in.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn adapters_are_loaded_while_the_last_owner_stays_cut_off() {
+    let options = FleetOptions {
+        engines: 1,
+        links: true,
+        ..options(false)
+    };
+    let mut case = Case::start(options, 5.0).await;
+    case.run_for(Duration::from_secs(2)).await;
+    let holder = case.owner("i1", "engine-1", None).await;
+    case.fleet.set_link(Link::all_of(&holder), LinkMode::Cut);
+    case.set_faults("platform", json!({"cut": [holder]})).await;
+    case.run_for(LEASE_TAKEOVER_TIME).await;
+    let others = case.other_instance(&[&holder]);
+    case.owner(&others, "engine-1", Some(&holder)).await;
+    for number in 0..ADAPTERS {
+        case.until_answered(&others, &model_name(number)).await;
+    }
+    case.fleet.heal_links();
+    case.set_faults("platform", json!({"cut": []})).await;
+    for id in ["i1", "i2", "i3"] {
+        case.until_answered(id, &model_name(0)).await;
+    }
+    check_no_stale_order_at(&case, &["engine-1"]).await;
+    case.finish().await;
+}
