Grant no permits beyond the lease

An engine unloaded an adapter while it served, as callers' streams were cut off: an owner that was cut off from the platform withheld its orders when its lease had run out, but went on to grant permits from its queue and to its own callers, 5 s after its successor had asked all instances for theirs. Orders and claims were checked against the lease, permits were not.

A permit is now granted only while the lease, or its extension by the electors, is valid at that moment. A request that comes later is refused as not_owner at once; those that wait when the lease runs out are refused then, so that they reach the next owner in time.

A permit on its way when the successor asks is covered by the margin of the lease, as before.

--- a/crates/chervilshunt_coord/src/coordinator.rs
+++ b/crates/chervilshunt_coord/src/coordinator.rs
@@ -239,6 +239,16 @@
         self.roles.may_order(role, now)
     }
 
+    /// Returns the epoch of permits under `role`, or `None` if none may be granted at `now`.
+    ///
+    /// Permits need the lease as orders do: once it has run out, another instance may have taken the
+    /// role over and asked all others which permits they hold. An extension by the electors is enough
+    /// whatever the target checks, and permits don't wait for orders of the previous holder.
+    pub fn may_grant(&self, role: &Role, now: Moment) -> Option<Epoch> {
+        let is_valid = self.is_valid(now) || self.bugs.has(Bug::LeaseNotChecked);
+        is_valid.then(|| self.roles.held_epoch(role)).flatten()
+    }
+
     /// Returns whether this run holds `role` under `epoch`, whether or not it may give orders at
     /// the moment.
     pub fn holds(&self, role: &Role, epoch: Epoch) -> bool {
--- a/crates/chervilshunt_coord/src/roles/table.rs
+++ b/crates/chervilshunt_coord/src/roles/table.rs
@@ -179,6 +179,14 @@
             .map(|held| held.epoch)
     }
 
+    /// Returns the epoch under which this run holds `role`, unless it has released the role.
+    ///
+    /// The caller must also check the lease.
+    pub fn held_epoch(&self, role: &Role) -> Option<Epoch> {
+        let held = self.held.get(role)?;
+        (held.stage != HandoverStage::Released).then_some(held.epoch)
+    }
+
     /// Returns whether the receivers of orders under `role` refuse old epochs.
     pub fn is_fenced(&self, role: &Role) -> bool {
         self.wanted.get(role).is_some_and(|wanted| wanted.fenced)
--- a/crates/chervilshunt_daemon/src/control/actor.rs
+++ b/crates/chervilshunt_daemon/src/control/actor.rs
@@ -5,10 +5,7 @@
 use std::sync::Arc;
 
 use chervilshunt_coord::{ChangeTicket, ClaimEvent, ClaimKeeper, CoordEvent, Coordinator, Role};
-use chervilshunt_core::{
-    LoadScheduler, OwnerEvent, PermitAnswer, PowerAllocator, PowerEvent, RefusalReason,
-    SchedulerEvent,
-};
+use chervilshunt_core::{LoadScheduler, OwnerEvent, PowerAllocator, PowerEvent, SchedulerEvent};
 use chervilshunt_model::{
     AttemptId, ChangeId, ChangeSet, Deployment, Epoch, InstanceId, Moment, SiteName, StoreName,
     TargetName,
@@ -16,6 +13,7 @@
 use tokio::sync::oneshot;
 use xtra::prelude::*;
 
+use super::carry_out::NOT_OWNER;
 use super::claims::ClaimReply;
 use super::context::Context;
 use super::coordination::ProposalOutcome;
@@ -27,10 +25,6 @@
 use super::owned::OwnedTarget;
 use super::steps::{Step, Steps};
 
-/// Retry delay, in milliseconds, that a refusal gives to an entry instance that asked an instance
-/// that does not own the target.
-const NOT_OWNER_RETRY_MS: u64 = 200;
-
 /// The actor that holds every role of this instance; see [`crate::control`].
 #[derive(Debug, xtra::Actor)]
 pub(crate) struct Control {
@@ -144,14 +138,12 @@
     }
 
     /// Passes a permit request to the owner, or refuses it if this instance does not own the
-    /// target.
+    /// target or its lease has run out.
     pub(super) fn request_permit(&mut self, message: RequestPermit) {
         let RequestPermit { req, reply } = message;
-        let Some(owned) = self.targets.get_mut(&req.target) else {
-            reply.send(PermitAnswer::Refused {
-                reason: RefusalReason::NotOwner,
-                retry_after_ms: NOT_OWNER_RETRY_MS,
-            });
+        let may_grant = self.may_grant(&req.target);
+        let Some(owned) = self.targets.get_mut(&req.target).filter(|_| may_grant) else {
+            reply.send(NOT_OWNER);
             return;
         };
         owned.waiting.insert(req.attempt, reply);
--- a/crates/chervilshunt_daemon/src/control/carry_out.rs
+++ b/crates/chervilshunt_daemon/src/control/carry_out.rs
@@ -4,11 +4,11 @@
 
 use chervilshunt_coord::Role;
 use chervilshunt_core::{
-    Decision, EngineOrder, OrderFailure, OrderKind, OwnerAction, OwnerEvent, PowerAction,
-    SchedulerAction, TurnResult,
+    Decision, EngineOrder, OrderFailure, OrderKind, OwnerAction, OwnerEvent, PermitAnswer,
+    PowerAction, RefusalReason, ReleaseOutcome, ReleasedPermit, SchedulerAction, TurnResult,
 };
 use chervilshunt_engine::EngineClient;
-use chervilshunt_model::{Class, InstanceId, SiteName, TargetName};
+use chervilshunt_model::{AttemptId, Class, InstanceId, SiteName, TargetName};
 
 use super::actor::Control;
 use super::address::role_and_step;
@@ -18,6 +18,25 @@
 use crate::facts::millis;
 use crate::wire::{PeerMessage, PowerDemand, Share, TurnAsked, TurnEnded, TurnGranted, TurnHeld};
 
+/// Retry delay, in milliseconds, that a refusal gives to an entry instance that asked an instance
+/// which does not own the target or may not decide for it.
+const NOT_OWNER_RETRY_MS: u64 = 200;
+/// The answer of an instance that doesn't own a target, or may not decide for it now.
+pub(super) const NOT_OWNER: PermitAnswer = PermitAnswer::Refused {
+    reason: RefusalReason::NotOwner,
+    retry_after_ms: NOT_OWNER_RETRY_MS,
+};
+
+/// Returns the event that withdraws a request from the owner, or the permit that it has granted.
+fn withdrawal(target: &TargetName, attempt: AttemptId) -> Step {
+    let released = ReleasedPermit {
+        attempt,
+        target: target.clone(),
+        outcome: ReleaseOutcome::Cancelled,
+    };
+    Step::Owner(target.clone(), OwnerEvent::PermitReleased(released))
+}
+
 impl Control {
     pub(super) fn carry_out_owner(
         &mut self,
@@ -25,12 +44,23 @@
         action: OwnerAction,
         steps: &mut Steps,
     ) {
+        let may_grant = self.may_grant(target);
         let Some(owned) = self.targets.get_mut(target) else {
             return;
         };
         let store = owned.target.store.clone();
         let site = owned.target.site.clone();
         match action {
+            OwnerAction::Answer {
+                attempt,
+                answer: PermitAnswer::Granted { .. },
+                ..
+            } if !may_grant => {
+                slog::warn!(self.cx.log, "permit withheld";
+                    "target" => %target, "attempt" => %attempt, "reason" => "the lease has run out");
+                owned.answer(attempt, NOT_OWNER);
+                steps.push_back(withdrawal(target, attempt));
+            }
             OwnerAction::Answer {
                 attempt, answer, ..
             } => owned.answer(attempt, answer),
@@ -93,6 +123,39 @@
         }
     }
 
+    /// Returns whether permits for a target may be granted at this moment.
+    pub(super) fn may_grant(&self, target: &TargetName) -> bool {
+        let role = Role::Target(target.clone());
+        let epoch = self.coordinator.may_grant(&role, self.cx.now());
+        let owned = self.targets.get(target);
+        owned.is_some_and(|owned| epoch == Some(owned.epoch))
+    }
+
+    /// Refuses the requests that wait for permits which may not be granted any more, so that they are
+    /// sent to the next owner in time.
+    pub(super) fn refuse_without_lease(&mut self) {
+        let targets: Vec<TargetName> = self.targets.keys().cloned().collect();
+        let mut steps = Steps::new();
+        for target in targets {
+            if self.may_grant(&target) {
+                continue;
+            }
+            let Some(owned) = self.targets.get_mut(&target) else {
+                continue;
+            };
+            if !owned.waiting.is_empty() {
+                slog::warn!(self.cx.log, "waiting requests refused";
+                    "target" => %target, "count" => owned.waiting.len(),
+                    "reason" => "the lease has run out");
+            }
+            for (attempt, reply) in owned.waiting.drain() {
+                reply.send(NOT_OWNER);
+                steps.push_back(withdrawal(&target, attempt));
+            }
+        }
+        self.run_steps(steps);
+    }
+
     pub(super) fn carry_out_scheduler(&mut self, action: SchedulerAction, steps: &mut Steps) {
         match action {
             SchedulerAction::Grant {
--- a/crates/chervilshunt_daemon/src/control/coordination.rs
+++ b/crates/chervilshunt_daemon/src/control/coordination.rs
@@ -118,6 +118,9 @@
             }
             CoordAction::TakeWork(takes_work) => {
                 slog::info!(self.cx.log, "new work"; "taken" => takes_work);
+                if !takes_work {
+                    self.refuse_without_lease();
+                }
             }
             CoordAction::RolesReleased => self.notify_roles_released(),
             CoordAction::Left => self.notify_lease_ended(),
