Evict in a takeover what the engine reports idle

Callers of adapters that were not loaded got no answer from an engine whose last owner was cut off from the platform and its peers: the new owner evicts nothing before all instances have listed their permits or left the list, and one that is cut off does neither for as long as that lasts. The design lets it evict what the engine reports idle after the last old permit's window; that part was missing.

The owner now gets the adapters in use with the engine's report. A report taken after the takeover, the permits' window and 5 s by which clocks may differ, without sequences that wait inside the engine, shows for each idle adapter that no unknown permit is in use, then and later.

--- a/crates/chervilshunt_core/src/bugs.rs
+++ b/crates/chervilshunt_core/src/bugs.rs
@@ -12,6 +12,8 @@
 pub enum Bug {
     /// A new owner evicts adapters before it knows the permits granted by the previous one.
     EvictsInTakeover,
+    /// A new owner trusts reports of idle adapters from when old permits could still be used.
+    TrustsEarlyReports,
     /// Releasing one permit removes the pins of all permits for the same adapter.
     ReleaseFreesAllPins,
     /// A new owner ignores permits that instances hold from before its takeover.
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -35,8 +35,8 @@
 };
 pub use mechanisms::Mechanisms;
 pub use owner::{
-    AdapterState, AdapterView, EngineOrder, EngineReport, LoadUrgency, OrderFailure, OrderId,
-    OrderKind, Owner, OwnerAction, OwnerConfig, OwnerEvent, OwnerView,
+    AdapterReport, AdapterState, AdapterView, EngineOrder, EngineReport, LoadUrgency, OrderFailure,
+    OrderId, OrderKind, Owner, OwnerAction, OwnerConfig, OwnerEvent, OwnerView,
 };
 pub use permit::{
     CompactAnswer, CompactRequest, MismatchedAnswer, Permit, PermitAnswer, PermitRequest,
--- a/crates/chervilshunt_core/src/owner.rs
+++ b/crates/chervilshunt_core/src/owner.rs
@@ -35,7 +35,7 @@
 
 pub use action::OwnerAction;
 pub use config::OwnerConfig;
-pub use event::{EngineReport, OwnerEvent};
+pub use event::{AdapterReport, EngineReport, OwnerEvent};
 pub use order::{EngineOrder, LoadUrgency, OrderFailure, OrderId, OrderKind};
 pub use view::{AdapterState, AdapterView, OwnerView};
 
@@ -187,6 +187,7 @@
                 self.report_in_takeover(&report, now);
                 self.engine.reported(&report, now);
             }
+            OwnerEvent::AdaptersReported(report) => self.adapters_reported(&report, now),
             OwnerEvent::Inventory(listed) => self.inventory(&listed, now, out),
             OwnerEvent::PermitsHeld { entry, permits } => self.permits_held(&entry, permits, now),
             OwnerEvent::TakeoverComplete => self.takeover_complete(),
--- a/crates/chervilshunt_core/src/owner/admit.rs
+++ b/crates/chervilshunt_core/src/owner/admit.rs
@@ -234,11 +234,12 @@
             let full = self.slots.exist() && self.slots.free() == 0;
             // An instance that can't be asked for its permits blocks evictions for as long as it is
             // listed. A request that waited here for a slot would reach its deadline.
-            if full && self.knows_adapters() && !self.takeover.complete() {
+            let may_evict = self.takeover.complete() || self.evictable().next().is_some();
+            if full && self.knows_adapters() && !may_evict {
                 let next = self.next_ranked(req, MAX_HOPS);
                 return (!next.is_empty()).then_some((next, "nothing may be evicted yet"));
             }
-            let stuck = full && self.slots.idle().next().is_none() && self.may_evict();
+            let stuck = full && self.slots.idle().next().is_none() && self.may_unload();
             let load_requested = self.loads.get(&model).is_some();
             if !stuck || load_requested {
                 return None;
--- a/crates/chervilshunt_core/src/owner/event.rs
+++ b/crates/chervilshunt_core/src/owner/event.rs
@@ -18,6 +18,17 @@
     pub age: Duration,
 }
 
+/// An engine's report of the adapters in use.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AdapterReport {
+    /// The adapters that serve at least one running sequence.
+    pub running: Vec<AdapterVersion>,
+    /// Number of sequences that wait inside the engine, for whichever adapter.
+    pub waiting: u32,
+    /// Age of the report when it arrived.
+    pub age: Duration,
+}
+
 /// An event that an owner handles.
 #[derive(Clone, Debug, PartialEq)]
 pub enum OwnerEvent {
@@ -48,6 +59,8 @@
     },
     /// The engine reported its load.
     EngineReported(EngineReport),
+    /// The engine reported which adapters are in use.
+    AdaptersReported(AdapterReport),
     /// The engine listed the adapters that it holds, in answer to
     /// [`OwnerAction::RequestInventory`](crate::OwnerAction::RequestInventory).
     Inventory(Vec<AdapterVersion>),
--- a/crates/chervilshunt_core/src/owner/evict.rs
+++ b/crates/chervilshunt_core/src/owner/evict.rs
@@ -65,7 +65,7 @@
 
     /// Returns the idle adapter that is cheapest to evict.
     pub(super) fn victim(&self, now: Moment) -> Option<Victim> {
-        if !self.may_evict() {
+        if !self.may_unload() {
             return None;
         }
         let mut candidates: Vec<(f64, &AdapterVersion)> = self
@@ -94,7 +94,7 @@
     /// their past demand predicts. While popularity is stable, recency chooses worse victims than
     /// demand, and a load queue that made evictions worse would reinforce itself.
     fn candidates(&self, now: Moment) -> impl Iterator<Item = (&AdapterVersion, &IdleSlot)> {
-        let mut idle: Vec<(&AdapterVersion, &IdleSlot)> = self.slots.idle().collect();
+        let mut idle: Vec<(&AdapterVersion, &IdleSlot)> = self.evictable().collect();
         let protected = self.protected_part(now) * f64::from(self.cfg.slots);
         let protected = (protected as usize).saturating_sub(self.slots.pinned().count());
         let kept = idle.len().saturating_sub(protected).max(1);
@@ -157,10 +157,11 @@
             None => return false,
         };
         let too_early = u128::from(urgency.oldest_ms) < retire_after.as_millis();
-        if too_early || !self.may_evict() {
+        if too_early || !self.may_unload() {
             return false;
         }
-        let serving = self.slots.pinned().filter(|(_, slot)| !slot.retiring);
+        let serving = self.slots.pinned();
+        let serving = serving.filter(|(model, slot)| !slot.retiring && self.may_evict(model));
         let worth = |model: &AdapterVersion| self.worth(model, now);
         let least = serving.min_by(|left, right| worth(left.0).total_cmp(&worth(right.0)));
         let Some(model) = least.map(|(model, _)| model.clone()) else {
@@ -172,9 +173,19 @@
     }
 
     /// Returns whether adapters may be unloaded at all.
-    pub(super) fn may_evict(&self) -> bool {
-        let complete = self.takeover.complete() || self.bugs.has(Bug::EvictsInTakeover);
-        complete && self.knows_adapters() && self.engine.reachable && !self.fenced
+    pub(super) fn may_unload(&self) -> bool {
+        self.knows_adapters() && self.engine.reachable && !self.fenced
+    }
+
+    /// Returns whether no permit of an earlier owner may be in use for an adapter without being known.
+    fn may_evict(&self, model: &AdapterVersion) -> bool {
+        self.takeover.complete_for(model) || self.bugs.has(Bug::EvictsInTakeover)
+    }
+
+    /// Returns the idle adapters that may be evicted.
+    pub(super) fn evictable(&self) -> impl Iterator<Item = (&AdapterVersion, &IdleSlot)> {
+        let idle = self.slots.idle();
+        idle.filter(|(model, _)| self.may_unload() && self.may_evict(model))
     }
 
     /// Returns the weight of load stalls relative to batch efficiency, from 0.1 to 10.
--- a/crates/chervilshunt_core/src/owner/loading.rs
+++ b/crates/chervilshunt_core/src/owner/loading.rs
@@ -373,11 +373,7 @@
             |phase| matches!(phase, LoadPhase::TurnRequested { .. } | LoadPhase::HasTurn);
         let mut requested = self.loads.count(under_way);
         let free = self.slots.free() + self.slots.unloading();
-        let idle = if self.may_evict() {
-            self.slots.idle().count()
-        } else {
-            0
-        };
+        let idle = self.evictable().count();
         let victim = self.victim(now);
         let mut deferrable = self.deferrable_slots();
         for (urgency, model) in parked {
--- a/crates/chervilshunt_core/src/owner/takeover.rs
+++ b/crates/chervilshunt_core/src/owner/takeover.rs
@@ -1,14 +1,22 @@
 //! The phase after a takeover in which the permits of the earlier owner are not all known.
 
+use std::collections::HashSet;
+use std::time::Duration;
+
 use chervilshunt_model::{AdapterVersion, Fencing, InstanceId, Moment};
 
 use super::Owner;
 use super::action::OwnerAction;
-use super::event::EngineReport;
+use super::event::{AdapterReport, EngineReport};
 use super::order::{OrderFailure, OrderId, OrderKind};
 use crate::Permit;
 use crate::bugs::Bug;
 
+/// Time by which the clocks of an engine and of this instance may differ. The age of a report rests on
+/// both, and an adapter that a report shows as idle must have been idle after the last old permit
+/// could be used.
+const REPORT_CLOCK_MARGIN: Duration = Duration::from_secs(5);
+
 /// What is known of the permits that an earlier owner granted.
 #[derive(Debug)]
 pub(super) struct Takeover {
@@ -17,6 +25,9 @@
     /// The lowest number of sequences that the engine reported after the last moment at which an
     /// earlier owner's permit could be used.
     fewest_reported: Option<usize>,
+    /// Adapters for which no unknown permit is in use: the engine reported them idle after the last
+    /// moment at which one could be.
+    unused: HashSet<AdapterVersion>,
     barrier: Barrier,
 }
 
@@ -43,6 +54,7 @@
             started: now,
             complete: false,
             fewest_reported: None,
+            unused: HashSet::new(),
             barrier: Barrier::Undecided,
         }
     }
@@ -56,6 +68,11 @@
     pub(super) fn complete(&self) -> bool {
         self.complete
     }
+
+    /// Returns whether all permits of earlier owners for an adapter are known or have ended.
+    pub(super) fn complete_for(&self, model: &AdapterVersion) -> bool {
+        self.complete || self.unused.contains(model)
+    }
 }
 
 impl Owner {
@@ -104,6 +121,31 @@
         self.takeover.fewest_reported = Some(fewest.min(sequences));
     }
 
+    /// Records which adapters are not in use under permits that are not known.
+    ///
+    /// An instance that is cut off neither answers nor leaves the instance list, for hours if need be.
+    /// If nothing could be evicted until it does, adapters that are not loaded would not be served.
+    /// The engine shows calls under old permits as any others, and no new ones can begin once
+    /// the permits' window is over. A sequence that waits inside the engine may be for any adapter.
+    pub(super) fn adapters_reported(&mut self, report: &AdapterReport, now: Moment) {
+        let settled = self.takeover.started + self.cfg.permit_window + REPORT_CLOCK_MARGIN;
+        let too_early = now - report.age < settled && !self.bugs.has(Bug::TrustsEarlyReports);
+        if self.takeover.complete || too_early || report.waiting > 0 {
+            return;
+        }
+        let held = self.slots.idle().map(|(model, _)| model);
+        let held = held.chain(self.slots.pinned().map(|(model, _)| model));
+        let unused = held.filter(|model| !report.running.contains(model));
+        let unused: Vec<AdapterVersion> = unused.cloned().collect();
+        if unused
+            .iter()
+            .any(|model| !self.takeover.unused.contains(model))
+        {
+            self.takeover.unused.extend(unused);
+            self.loads.review_due = true;
+        }
+    }
+
     /// Returns the maximum number of sequences that may run under permits that are not known.
     ///
     /// They occupy batch slots and draw power: a new owner that granted a full batch in addition
--- a/crates/chervilshunt_daemon/src/control/actor.rs
+++ b/crates/chervilshunt_daemon/src/control/actor.rs
@@ -227,9 +227,16 @@
                 self.handle_response(target, OwnerEvent::Inventory(loaded))
             }
             EngineUpdate::Polled { epoch, .. } if epoch != owned.epoch => return false,
-            EngineUpdate::Polled { report, cached, .. } => {
+            EngineUpdate::Polled {
+                report,
+                adapters,
+                cached,
+                ..
+            } => {
+                let adapters = adapters.map(OwnerEvent::AdaptersReported);
                 let cached = cached.map(OwnerEvent::PrefixesCached);
-                let events = std::iter::once(OwnerEvent::EngineReported(report)).chain(cached);
+                let events = std::iter::once(OwnerEvent::EngineReported(report));
+                let events = events.chain(adapters).chain(cached);
                 let steps: Vec<Step> = events
                     .map(|event| Step::Owner(target.clone(), event))
                     .collect();
--- a/crates/chervilshunt_daemon/src/control/carry_out.rs
+++ b/crates/chervilshunt_daemon/src/control/carry_out.rs
@@ -386,7 +386,7 @@
     }
 }
 
-fn join_names(names: &[impl ToString]) -> String {
+pub(super) fn join_names(names: &[impl ToString]) -> String {
     let names: Vec<String> = names.iter().map(ToString::to_string).collect();
     names.join(",")
 }
--- a/crates/chervilshunt_daemon/src/control/messages.rs
+++ b/crates/chervilshunt_daemon/src/control/messages.rs
@@ -2,8 +2,8 @@
 
 use chervilshunt_coord::{CallId, PlatformResult};
 use chervilshunt_core::{
-    CompactAnswer, EngineReport, OrderFailure, OrderId, Permit, PermitAnswer, PermitRequest,
-    ReleasedPermit, RequestChecksum,
+    AdapterReport, CompactAnswer, EngineReport, OrderFailure, OrderId, Permit, PermitAnswer,
+    PermitRequest, ReleasedPermit, RequestChecksum,
 };
 use chervilshunt_mesh::{Inbound, Reply};
 use chervilshunt_model::{AdapterVersion, Epoch, InstanceId, TargetName};
@@ -84,6 +84,8 @@
         epoch: Epoch,
         /// The load report.
         report: EngineReport,
+        /// The adapters in use; `None` if the report does not show them or when it was taken.
+        adapters: Option<AdapterReport>,
         /// The prefixes that it has cached according to its events, if they could be read.
         cached: Option<Vec<u64>>,
     },
--- a/crates/chervilshunt_daemon/src/control/roles.rs
+++ b/crates/chervilshunt_daemon/src/control/roles.rs
@@ -12,6 +12,7 @@
 use chervilshunt_model::{Epoch, InstanceId, SiteName, StoreName, Target, TargetName};
 
 use super::actor::Control;
+use super::carry_out::join_names;
 use super::messages::PermitReport;
 use super::owned::{OwnedTarget, is_draining};
 use super::steps::Step;
@@ -42,6 +43,7 @@
             "epoch" => epoch.get(),
             "previous" => previous.as_ref().map(InstanceId::as_str),
             "handed_over" => handed_over,
+            "waits_for" => join_names(ask),
         );
         match role {
             Role::Target(name) => {
--- a/crates/chervilshunt_daemon/src/control/watch_engine.rs
+++ b/crates/chervilshunt_daemon/src/control/watch_engine.rs
@@ -3,9 +3,9 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-use chervilshunt_core::EngineReport;
-use chervilshunt_engine::{CacheEventKind, EngineClient};
-use chervilshunt_model::{Epoch, TargetName};
+use chervilshunt_core::{AdapterReport, EngineReport};
+use chervilshunt_engine::{CacheEventKind, EngineClient, LoadReport};
+use chervilshunt_model::{AdapterVersion, Epoch, TargetName};
 
 use super::actor::Control;
 use super::messages::{EngineUpdate, FromEngine};
@@ -94,6 +94,7 @@
         let answers = client.inventory().await.is_ok();
         return (!answers).then_some(EngineUpdate::Unreachable);
     };
+    let adapters = adapter_report(&report);
     let report = EngineReport {
         running: report.running,
         waiting: report.waiting,
@@ -103,6 +104,19 @@
     Some(EngineUpdate::Polled {
         epoch,
         report,
+        adapters,
         cached,
     })
 }
+
+/// Returns which adapters are in use, if the report shows that and when it was taken.
+fn adapter_report(report: &LoadReport) -> Option<AdapterReport> {
+    let running = report.running_adapters.iter();
+    let running: Result<Vec<AdapterVersion>, _> =
+        running.map(|name| AdapterVersion::parse(name)).collect();
+    Some(AdapterReport {
+        running: running.ok()?,
+        waiting: report.waiting,
+        age: report.age?,
+    })
+}
