Log and count links to services that are lost

Each instance now judges, from connections that were opened or failed, whether it reaches the targets of a service, and logs the change; the placer logs and counts its calls to targets that fail. Nothing acts on it yet.

--- a/crates/chervilshunt_core/src/dispatch/state.rs
+++ b/crates/chervilshunt_core/src/dispatch/state.rs
@@ -11,6 +11,7 @@
 use super::facts::{Leaving, LoadReport, TargetFacts, TargetStart, Weights};
 use super::health::{HealthSignal, TargetHealth};
 use super::holders::{AdapterHolding, AnnouncedVersions, HeldAdapters, Holders, TargetSnapshot};
+use super::links::ServiceLink;
 use super::load::TargetLoad;
 use super::self_reports::ReportedLeaving;
 use super::uses::UseTable;
@@ -66,6 +67,7 @@
     pub(crate) reported_leaving: ReportedLeaving,
     pub(crate) rate_limits: RateLimits,
     pub(crate) send_shares: SendShares,
+    pub(crate) links: HashMap<ServiceName, ServiceLink>,
     uses: UseTable,
     /// The last start of each removed target, the most recently removed last.
     gone: IndexMap<TargetName, Option<TargetStart>>,
@@ -89,6 +91,7 @@
             reported_leaving: ReportedLeaving::default(),
             rate_limits: RateLimits::default(),
             send_shares: SendShares::default(),
+            links: HashMap::new(),
             uses: UseTable::default(),
             gone: IndexMap::new(),
             placer_responded_at: None,
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -27,11 +27,11 @@
 pub use decision::{Decision, DecisionKind, WaitTimes};
 pub use dispatch::{
     AdapterHolding, CallerBounds, Choice, Continuity, Dispatch, DispatchConfig, EntryChange,
-    HealthConfig, HealthSignal, HeldAdapters, KeyDigest, Lane, Leaving, LoadReport, LoadedAdapter,
-    LoadedModel, ModelSpec, PlacementLimits, PollGuide, PollMode, Quota, QuotaUnit, Repeat,
-    RequestSize, Route, RouteTable, ServiceBudgets, ServiceSpec, TargetFacts, TargetRequirements,
-    TargetSnapshot, TargetStart, Team, Teams, TeamsError, WaitReason, Weights, WindowBudget,
-    WindowBudgetConfig, long_prompt_targets,
+    HealthConfig, HealthSignal, HeldAdapters, KeyDigest, Lane, Leaving, LinkChange, LoadReport,
+    LoadedAdapter, LoadedModel, ModelSpec, PlacementLimits, PollGuide, PollMode, Quota, QuotaUnit,
+    Repeat, RequestSize, Route, RouteTable, ServiceBudgets, ServiceSpec, TargetFacts,
+    TargetRequirements, TargetSnapshot, TargetStart, Team, Teams, TeamsError, WaitReason, Weights,
+    WindowBudget, WindowBudgetConfig, long_prompt_targets,
 };
 pub use mechanisms::Mechanisms;
 pub use owner::{
--- a/crates/chervilshunt_engine/src/answer/reader.rs
+++ b/crates/chervilshunt_engine/src/answer/reader.rs
@@ -23,6 +23,7 @@
     connection: Option<TargetConnection>,
     pool: Pool,
     idle: IdleTimer,
+    is_reused: bool,
 }
 
 impl std::fmt::Debug for BodyReader {
@@ -40,6 +41,7 @@
     ) -> Self {
         let mut reader = Self {
             incoming,
+            is_reused: connection.is_reused,
             connection: Some(connection),
             pool,
             idle: IdleTimer::new(limits),
@@ -63,6 +65,11 @@
         }
     }
 
+    /// Returns whether the answer comes on a connection that had been opened for an earlier request.
+    pub const fn is_on_reused_connection(&self) -> bool {
+        self.is_reused
+    }
+
     /// Returns the remaining size of the body, as far as the headers state it.
     pub fn size_hint(&self) -> SizeHint {
         self.incoming.size_hint()
--- a/crates/chervilshunt_engine/src/connection.rs
+++ b/crates/chervilshunt_engine/src/connection.rs
@@ -63,6 +63,8 @@
     driver: Option<http1::Connection<TokioIo<TcpStream>, Full<Bytes>>>,
     /// The runtime whose I/O driver polls the socket.
     pub(crate) runtime: runtime::Id,
+    /// Whether it has carried an exchange before.
+    pub(crate) is_reused: bool,
     /// When the connection was last returned to the pool.
     pub(crate) idle_since: Instant,
     /// How long it may be idle and still be reused.
@@ -107,6 +109,7 @@
             sender,
             driver: Some(driver),
             runtime: Handle::current().id(),
+            is_reused: false,
             idle_since: Instant::now(),
             idle_limit: IDLE_LIMIT,
         })
--- a/crates/chervilshunt_engine/src/error.rs
+++ b/crates/chervilshunt_engine/src/error.rs
@@ -138,6 +138,18 @@
             if source.kind() == io::ErrorKind::ConnectionRefused)
     }
 
+    /// Returns whether no connection could be opened.
+    pub fn is_connect_failure(&self) -> bool {
+        matches!(
+            self,
+            Self::NotSent { .. }
+                | Self::Timeout {
+                    stage: CallStage::Connect,
+                    ..
+                }
+        )
+    }
+
     /// Returns whether the call may have run.
     ///
     /// Code that converts an error into an answer to a caller must use this, not the variant,
--- a/crates/chervilshunt_engine/src/pool.rs
+++ b/crates/chervilshunt_engine/src/pool.rs
@@ -66,6 +66,7 @@
         if !connection.poll_usable() {
             return;
         }
+        connection.is_reused = true;
         connection.idle_since = Instant::now();
         let mut idle = self.lock();
         if idle.connections.len() >= MAX_IDLE {
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -135,7 +135,10 @@
         tokio::spawn(async move {
             let started = shared.dispatch().started(&order.target);
             let answer = match client.forward(req, true, ORDER_LIMITS).await {
-                Ok((head, _body)) => {
+                Ok((head, body)) => {
+                    if !body.is_on_reused_connection() {
+                        shared.record_connection_opened(&order.target);
+                    }
                     let answer = read(head.status, &head.headers, &order.target);
                     if answer != OrderAnswer::OtherTarget {
                         shared.check_leaving(&order.target, started, &head.headers);
@@ -143,7 +146,10 @@
                     }
                     answer
                 }
-                Err(error) => unanswered(&error),
+                Err(error) => {
+                    shared.record_call_failure(&order.target, "order", &error);
+                    unanswered(&error)
+                }
             };
             slog::info!(log, "order";
                 "target" => order.target.as_str(), "kind" => ?order.kind,
@@ -321,7 +327,13 @@
     };
     let client = shared.engines.client(address);
     let answer = client.forward((dialect.report_query)(target), true, ORDER_LIMITS);
-    let (head, body) = answer.await.map_err(|error| error.to_string())?;
+    let answer = answer
+        .await
+        .inspect_err(|error| shared.record_call_failure(target, "report", error));
+    let (head, body) = answer.map_err(|error| error.to_string())?;
+    if !body.is_on_reused_connection() {
+        shared.record_connection_opened(target);
+    }
     if !head.status.is_success() {
         return Err(format!("target answered with status {}", head.status));
     }
--- a/crates/chervilshunt_gateway/src/lib.rs
+++ b/crates/chervilshunt_gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod grants;
 mod leaving;
 mod limits;
+mod links;
 mod peers;
 mod ports;
 mod run;
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -324,8 +324,16 @@
             }
         };
         match forwarded {
-            Ok((head, body)) => self.classify(chosen, head, body, in_flight),
+            Ok((head, body)) => {
+                if !body.is_on_reused_connection() {
+                    self.shared.record_connection_opened(&chosen.target);
+                }
+                self.classify(chosen, head, body, in_flight)
+            }
             Err(error) => {
+                if error.is_connect_failure() {
+                    self.shared.record_connection_failed(&chosen.target);
+                }
                 if matches!(error, EngineError::OutcomeUnknown { .. }) {
                     in_flight.connection_ended(self.req, false);
                 }
