--- /dev/null
+++ b/crates/chervilshunt_gateway/src/traffic/in_flight.rs
@@ -0,0 +1,133 @@
+//! Requests in progress at targets.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use chervilshunt_core::{Crash, TargetStart, Weights};
+use chervilshunt_model::{Moment, TargetName};
+
+use super::place::SelectedTarget;
+use super::request::CallerRequest;
+use crate::crashes::CrashObservation;
+use crate::grants::Grant;
+use crate::shared::Shared;
+
+/// A request in progress at a target. Dropping it ends it in the target's accounting.
+#[derive(Debug)]
+pub(crate) struct InFlight {
+    shared: Arc<Shared>,
+    pub(crate) target: TargetName,
+    address: SocketAddr,
+    /// The start of the target to which it was sent.
+    pub(super) started: Option<TargetStart>,
+    weights: Option<Weights>,
+    /// The version that the target was asked for, or else the one that it was known to hold; `None`
+    /// if neither is known.
+    version: Option<u64>,
+    pub(super) sent_at: Moment,
+    /// The prompt tokens that the target still has to read, as far as is known.
+    unread_prompt_tokens: u32,
+    has_begun: bool,
+    grant: Option<Grant>,
+}
+
+impl InFlight {
+    pub(super) fn begin(
+        shared: &Arc<Shared>,
+        chosen: &mut SelectedTarget,
+        req: &CallerRequest,
+    ) -> Self {
+        let target = &chosen.target;
+        let weights = req.weights.as_ref();
+        let unread_prompt_tokens = req.size.prompt_tokens;
+        let mut dispatch = shared.dispatch();
+        dispatch.sent(target, weights);
+        dispatch.add_prefill(target, unread_prompt_tokens);
+        let started = dispatch.started(target);
+        drop(dispatch);
+        Self {
+            shared: Arc::clone(shared),
+            target: target.clone(),
+            address: chosen.address,
+            started,
+            weights: weights.cloned(),
+            version: chosen.expect_version.or(chosen.held_version),
+            sent_at: shared.clock.now(),
+            unread_prompt_tokens,
+            has_begun: false,
+            grant: chosen.grant.take(),
+        }
+    }
+
+    /// Records that the target has begun to answer, and so has read the prompt.
+    pub(crate) fn record_begin(&mut self, req: &CallerRequest) {
+        if std::mem::replace(&mut self.has_begun, true) {
+            return;
+        }
+        self.request_release(req);
+        let tokens = std::mem::take(&mut self.unread_prompt_tokens);
+        self.shared.dispatch().remove_prefill(&self.target, tokens);
+        if let Some(grant) = &self.grant {
+            grant.begun();
+        }
+    }
+}
+
+impl InFlight {
+    /// Handles the end of the target's connection. If the target had not begun to answer, it may
+    /// have crashed because of the request. An engine writes the head of an answer when it starts
+    /// to run the request, so a request without a head was most likely still queued.
+    pub(crate) fn connection_ended(&self, req: &CallerRequest, head_came: bool) {
+        if self.has_begun {
+            return;
+        }
+        let crash = Crash {
+            fingerprint: req.fingerprint(),
+            target: self.target.clone(),
+            has_run: head_came || self.weights.is_none(),
+        };
+        let signal = CrashObservation::ConnectionEnded(crash, self.address);
+        self.shared.queue_crash_observation(signal);
+    }
+
+    /// Has the quarantine of a request released, because this target has begun to answer it.
+    fn request_release(&self, req: &CallerRequest) {
+        let fingerprint = req.fingerprint();
+        if self.shared.quarantine().record_served(fingerprint) {
+            self.shared
+                .queue_crash_observation(CrashObservation::Served(fingerprint));
+        }
+    }
+
+    /// Returns the version of the weights that the request was sent for, if known.
+    pub(crate) const fn version(&self) -> Option<u64> {
+        self.version
+    }
+
+    pub(crate) fn shared(&self) -> &Shared {
+        &self.shared
+    }
+
+    /// Returns the weights that the request names.
+    pub(crate) const fn weights(&self) -> Option<&Weights> {
+        self.weights.as_ref()
+    }
+
+    /// Returns when the request was sent to the target.
+    pub(crate) const fn sent_at(&self) -> Moment {
+        self.sent_at
+    }
+
+    /// Returns whether the target has begun to answer.
+    pub(crate) const fn has_begun(&self) -> bool {
+        self.has_begun
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let mut dispatch = self.shared.dispatch();
+        dispatch.remove_prefill(&self.target, self.unread_prompt_tokens);
+        dispatch.ended(&self.target, self.weights.as_ref(), self.started);
+    }
+}
--- a/crates/chervilshunt_gateway/src/traffic/outdated.rs
+++ b/crates/chervilshunt_gateway/src/traffic/outdated.rs
@@ -10,7 +10,8 @@
 use chervilshunt_core::Weights;
 use chervilshunt_model::Moment;
 
-use super::attempt::{AttemptOutcome, InFlight};
+use super::attempt::AttemptOutcome;
+use super::in_flight::InFlight;
 use super::refusal::Reason;
 use super::request::CallerRequest;
 use crate::shared::Shared;
--- a/crates/chervilshunt_gateway/src/traffic/relay.rs
+++ b/crates/chervilshunt_gateway/src/traffic/relay.rs
@@ -13,9 +13,10 @@
 use http_body::{Frame, SizeHint};
 use tokio::time::Sleep;
 
-use super::attempt::{AcceptedAnswer, InFlight, RequestAttempts};
+use super::attempt::{AcceptedAnswer, RequestAttempts};
 use super::body::TruncatedAnswer;
 use super::events::EventBuffer;
+use super::in_flight::InFlight;
 use super::refusal::Refusal;
 use super::request::CallerRequest;
 use crate::shared::Shared;
