--- a/crates/chervilshunt_core/src/dispatch/choose.rs
+++ b/crates/chervilshunt_core/src/dispatch/choose.rs
@@ -6,7 +6,7 @@
 use chervilshunt_model::{Moment, ServiceName, TargetName};
 
 use super::facts::Weights;
-use super::health::HealthConfig;
+use super::health::{HealthConfig, TargetPath};
 use super::lanes::{Lane, long_prompt_targets};
 use super::state::{Dispatch, Target};
 use crate::rate_limit::RequestRate;
@@ -68,6 +68,8 @@
     pub lane: Lane,
     /// Targets already tried for this request.
     pub avoid: &'a [TargetName],
+    /// Whether another instance is known that passes requests on.
+    pub has_transit: bool,
 }
 
 /// The reason why no target can be selected yet.
@@ -77,6 +79,9 @@
     NoTarget,
     /// No usable target holds the adapter.
     NotHeld,
+    /// This instance reaches no target of the service, and knows no instance that passes requests
+    /// on to one.
+    CutOff,
     /// All suitable targets are full.
     Full,
     /// The rate limits of suitable targets allow no request now; the first one may be sent at the
@@ -96,6 +101,8 @@
         target: TargetName,
         /// The address of the target.
         address: SocketAddr,
+        /// The path to the target.
+        path: TargetPath,
         /// The estimated number of requests at the target.
         load: f64,
         /// The number of requests that the target executes concurrently.
@@ -181,17 +188,8 @@
             .into_iter()
             .filter(|it| !it.is_paused(now))
             .collect();
-        let answering: Vec<&Target> = holding
-            .iter()
-            .filter(|target| !target.health.is_unreachable(now))
-            .copied()
-            .collect();
-        // If all targets are unreachable, the fault may lie with this instance, so one is tried
-        // anyway.
-        let candidates = if answering.is_empty() {
-            holding
-        } else {
-            answering
+        let Some((path, candidates)) = self.reachable(holding, requirements, now) else {
+            return Choice::Wait(WaitReason::CutOff);
         };
         let (held_back, open): (Vec<&Target>, Vec<&Target>) = candidates
             .into_iter()
@@ -202,7 +200,7 @@
             .map(|target| (self.score(target) + draw() * self.cfg.jitter, target));
         let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
         match best {
-            Some((_, target)) => self.send(target, requirements.weights, now),
+            Some((_, target)) => self.send(target, path, requirements.weights, now),
             None => {
                 let first = held_back.iter().map(|it| it.held_back_until).min();
                 Choice::Wait(first.map_or(WaitReason::Full, WaitReason::Limited))
@@ -215,18 +213,63 @@
         self.holders.of(weights).iter().map(|(name, _)| name)
     }
 
-    /// Uses the target selected by the placer, unless it is leaving, paused or unknown.
+    /// Uses the target selected by the placer, unless it is leaving, paused, unknown or out of
+    /// reach.
     pub fn choose_named(
         &self,
         name: &TargetName,
         weights: Option<&Weights>,
+        has_transit: bool,
         now: Moment,
     ) -> Choice {
         let target = self.targets.get(name);
-        match target.filter(|it| it.facts.leaving.is_none() && !it.is_paused(now)) {
-            Some(target) => self.send(target, weights, now),
-            None => Choice::Wait(WaitReason::NoTarget),
+        let usable = target.filter(|it| it.facts.leaving.is_none() && !it.is_paused(now));
+        let Some(target) = usable else {
+            return Choice::Wait(WaitReason::NoTarget);
+        };
+        let is_cut_off = self.is_cut_off(&target.facts.service);
+        let is_unreachable = |path| target.health.is_unreachable(path, now);
+        let path = if !is_cut_off && !is_unreachable(TargetPath::Direct) {
+            TargetPath::Direct
+        } else if has_transit && !is_unreachable(TargetPath::Transit) {
+            TargetPath::Transit
+        } else if is_cut_off {
+            return Choice::Wait(WaitReason::CutOff);
+        } else {
+            TargetPath::Direct
+        };
+        self.send(target, path, weights, now)
+    }
+
+    /// Returns the targets that respond, with the path on which they do; `None` if this instance
+    /// is cut off from the service and has no way around that.
+    fn reachable<'a>(
+        &self,
+        holding: Vec<&'a Target>,
+        requirements: &TargetRequirements<'_>,
+        now: Moment,
+    ) -> Option<(TargetPath, Vec<&'a Target>)> {
+        let responding = |path| -> Vec<&'a Target> {
+            let targets = holding.iter().copied();
+            targets
+                .filter(|it| !it.health.is_unreachable(path, now))
+                .collect()
+        };
+        let is_cut_off = self.is_cut_off(requirements.service);
+        if !is_cut_off {
+            let direct = responding(TargetPath::Direct);
+            if !direct.is_empty() {
+                return Some((TargetPath::Direct, direct));
+            }
+        }
+        if requirements.has_transit {
+            let in_transit = responding(TargetPath::Transit);
+            if !in_transit.is_empty() {
+                return Some((TargetPath::Transit, in_transit));
+            }
         }
+        // While only some targets are out of reach, one of them is tried anyway.
+        (!is_cut_off).then_some((TargetPath::Direct, holding))
     }
 
     /// Returns the targets of the service that may take new requests.
@@ -282,10 +325,17 @@
         score
     }
 
-    fn send(&self, target: &Target, weights: Option<&Weights>, now: Moment) -> Choice {
+    fn send(
+        &self,
+        target: &Target,
+        path: TargetPath,
+        weights: Option<&Weights>,
+        now: Moment,
+    ) -> Choice {
         Choice::Send {
             target: target.facts.name.clone(),
             address: target.facts.address,
+            path,
             load: target.load.total(),
             slots: target.facts.slots,
             load_age: now.since(target.load.reported_at()),
--- a/crates/chervilshunt_core/src/dispatch/health.rs
+++ b/crates/chervilshunt_core/src/dispatch/health.rs
@@ -47,11 +47,43 @@
     Unreachable,
 }
 
-/// The health of one target.
+/// The number of failures in a row from which a target is not just slow.
+const REPEATED_FAILURES: u32 = 2;
+
+/// The path on which a request reaches its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetPath {
+    /// This instance sends it to the target.
+    Direct,
+    /// Another instance passes it on. See `docs/design/transit.md`.
+    Transit,
+}
+
+/// Whether a target responds on one path.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct TargetHealth {
+struct Reachability {
     failures_in_row: u32,
     unreachable_until: Moment,
+}
+
+impl Reachability {
+    const REACHABLE: Self = Self {
+        failures_in_row: 0,
+        unreachable_until: Moment::ZERO,
+    };
+
+    fn record_failure(&mut self, cfg: &HealthConfig, now: Moment) {
+        let pause = cfg.initial_backoff * 2_u32.saturating_pow(self.failures_in_row.min(8));
+        self.failures_in_row = self.failures_in_row.saturating_add(1);
+        self.unreachable_until = now + pause.min(cfg.max_backoff);
+    }
+}
+
+/// The health of one target.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TargetHealth {
+    direct: Reachability,
+    in_transit: Reachability,
     failing_share: f64,
     last_response_at: Moment,
 }
@@ -59,37 +91,56 @@
 impl TargetHealth {
     pub(crate) const fn new(now: Moment) -> Self {
         Self {
-            failures_in_row: 0,
-            unreachable_until: Moment::ZERO,
+            direct: Reachability::REACHABLE,
+            in_transit: Reachability::REACHABLE,
             failing_share: 0.0,
             last_response_at: now,
         }
     }
 
     /// Records the signal of an exchange.
-    pub(crate) fn record(&mut self, cfg: &HealthConfig, signal: HealthSignal, now: Moment) {
+    pub(crate) fn record(
+        &mut self,
+        cfg: &HealthConfig,
+        path: TargetPath,
+        signal: HealthSignal,
+        now: Moment,
+    ) {
+        if signal != HealthSignal::Unreachable {
+            self.response_received(path, now);
+        }
         match signal {
             HealthSignal::Served => {
-                self.last_response_at = now;
-                self.failures_in_row = 0;
-                self.unreachable_until = Moment::ZERO;
+                *self.reachability(path) = Reachability::REACHABLE;
                 self.failing_share *= 1.0 - cfg.outcome_weight;
             }
             HealthSignal::Failed => {
-                self.last_response_at = now;
                 self.failing_share += cfg.outcome_weight * (1.0 - self.failing_share);
             }
-            HealthSignal::Unreachable => {
-                let pause = cfg.initial_backoff * 2_u32.saturating_pow(self.failures_in_row.min(8));
-                self.failures_in_row = self.failures_in_row.saturating_add(1);
-                self.unreachable_until = now + pause.min(cfg.max_backoff);
-            }
+            HealthSignal::Unreachable => self.reachability(path).record_failure(cfg, now),
         }
     }
 
-    /// Returns whether the target is excluded because it did not respond.
-    pub(crate) fn is_unreachable(&self, now: Moment) -> bool {
-        now < self.unreachable_until
+    /// Returns whether the target is excluded because it did not respond on a path.
+    pub(crate) fn is_unreachable(&self, path: TargetPath, now: Moment) -> bool {
+        let reachability = match path {
+            TargetPath::Direct => &self.direct,
+            TargetPath::Transit => &self.in_transit,
+        };
+        now < reachability.unreachable_until
+    }
+
+    /// Returns whether the target has repeatedly not responded to this instance itself.
+    pub(crate) fn is_repeatedly_unreachable(&self, now: Moment) -> bool {
+        self.direct.failures_in_row >= REPEATED_FAILURES
+            && self.is_unreachable(TargetPath::Direct, now)
+    }
+
+    fn reachability(&mut self, path: TargetPath) -> &mut Reachability {
+        match path {
+            TargetPath::Direct => &mut self.direct,
+            TargetPath::Transit => &mut self.in_transit,
+        }
     }
 
     /// Returns the moving average of the share of failed requests.
@@ -102,8 +153,11 @@
         self.last_response_at
     }
 
-    /// Records that bytes were received from the target.
-    pub(crate) fn response_received(&mut self, now: Moment) {
-        self.last_response_at = now;
+    /// Records that bytes were received from the target. In transit they don't show that this
+    /// instance's own connections work.
+    pub(crate) fn response_received(&mut self, path: TargetPath, now: Moment) {
+        if path == TargetPath::Direct {
+            self.last_response_at = now;
+        }
     }
 }
--- a/crates/chervilshunt_core/src/dispatch/links.rs
+++ b/crates/chervilshunt_core/src/dispatch/links.rs
@@ -98,6 +98,16 @@
         links.filter_map(|(service, link)| Some((service, link.cut_off_since?)))
     }
 
+    /// Returns whether this instance needs others to pass its requests on: it is cut off from a
+    /// service, or a target repeatedly does not respond to it.
+    pub fn needs_transit(&self, now: Moment) -> bool {
+        self.cut_off_services().next().is_some()
+            || self
+                .targets
+                .values()
+                .any(|it| it.health.is_repeatedly_unreachable(now))
+    }
+
     /// Returns the targets to which a connection should be tried, to find out whether the instance
     /// is still cut off: up to `most` for each service that it is cut off from. Targets that have
     /// not failed yet come first; `draw` returns random numbers from 0 to 1.
--- a/crates/chervilshunt_core/src/dispatch/mod.rs
+++ b/crates/chervilshunt_core/src/dispatch/mod.rs
@@ -29,7 +29,7 @@
     TargetFacts, TargetStart, Weights,
 };
 pub use guide::{Continuity, PollGuide, PollMode};
-pub use health::{HealthConfig, HealthSignal};
+pub use health::{HealthConfig, HealthSignal, TargetPath};
 pub(crate) use holders::AnnouncedVersions;
 pub use holders::{AdapterHolding, HeldAdapters, TargetSnapshot};
 pub use lanes::{Lane, long_prompt_targets};
--- a/crates/chervilshunt_core/src/dispatch/state.rs
+++ b/crates/chervilshunt_core/src/dispatch/state.rs
@@ -9,7 +9,7 @@
 
 use super::choose::DispatchConfig;
 use super::facts::{Leaving, LoadReport, TargetFacts, TargetStart, Weights};
-use super::health::{HealthSignal, TargetHealth};
+use super::health::{HealthSignal, TargetHealth, TargetPath};
 use super::holders::{AdapterHolding, AnnouncedVersions, HeldAdapters, Holders, TargetSnapshot};
 use super::links::ServiceLink;
 use super::load::TargetLoad;
@@ -271,11 +271,16 @@
     /// recently did not respond or failed. Empty if that is true of most of them, since the fault
     /// may then lie with this instance.
     pub fn suspect_targets(&self, service: &ServiceName, now: Moment) -> Vec<TargetName> {
+        let path = if self.is_cut_off(service) {
+            TargetPath::Transit
+        } else {
+            TargetPath::Direct
+        };
         let targets = self.targets.values();
         let serving = targets.filter(|it| it.facts.service == *service);
         let (suspect, sound): (Vec<&Target>, Vec<&Target>) = serving.partition(|target| {
             let failing = target.health.failing_share() > self.cfg.health.failing_share;
-            failing || target.health.is_unreachable(now)
+            failing || target.health.is_unreachable(path, now)
         });
         if suspect.len() > sound.len() {
             return Vec::new();
@@ -375,16 +380,34 @@
     }
 
     /// Records the health signal of an exchange with a target.
-    pub fn record_signal(&mut self, target: &TargetName, signal: HealthSignal, now: Moment) {
+    pub fn record_signal(
+        &mut self,
+        target: &TargetName,
+        path: TargetPath,
+        signal: HealthSignal,
+        now: Moment,
+    ) {
         if let Some(target) = self.targets.get_mut(target) {
-            target.health.record(&self.cfg.health, signal, now);
+            target.health.record(&self.cfg.health, path, signal, now);
         }
     }
 
+    /// Returns whether a target is excluded because it did not respond to this instance.
+    pub fn is_unreachable(&self, target: &TargetName, now: Moment) -> bool {
+        let target = self.targets.get(target);
+        target.is_some_and(|it| it.health.is_unreachable(TargetPath::Direct, now))
+    }
+
+    /// Returns the time since the last sign of life from a target.
+    pub fn since_last_response(&self, target: &TargetName, now: Moment) -> Option<Duration> {
+        let target = self.targets.get(target)?;
+        Some(now.since(target.health.last_response_at()))
+    }
+
     /// Records that bytes were received from a target.
-    pub fn response_received(&mut self, target: &TargetName, now: Moment) {
+    pub fn response_received(&mut self, target: &TargetName, path: TargetPath, now: Moment) {
         if let Some(target) = self.targets.get_mut(target) {
-            target.health.response_received(now);
+            target.health.response_received(path, now);
         }
     }
 
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -29,7 +29,7 @@
     AdapterHolding, CallerBounds, Choice, Continuity, Dispatch, DispatchConfig, EntryChange,
     HealthConfig, HealthSignal, HeldAdapters, KeyDigest, Lane, Leaving, LinkChange, LoadReport,
     LoadedAdapter, LoadedModel, ModelSpec, PlacementLimits, PollGuide, PollMode, Quota, QuotaUnit,
-    Repeat, RequestSize, Route, RouteTable, ServiceBudgets, ServiceSpec, TargetFacts,
+    Repeat, RequestSize, Route, RouteTable, ServiceBudgets, ServiceSpec, TargetFacts, TargetPath,
     TargetRequirements, TargetSnapshot, TargetStart, Team, Teams, TeamsError, WaitReason, Weights,
     WindowBudget, WindowBudgetConfig, long_prompt_targets,
 };
--- a/crates/chervilshunt_core/tests/base_versions.rs
+++ b/crates/chervilshunt_core/tests/base_versions.rs
@@ -58,6 +58,7 @@
             weights: Some(weights),
             lane: Lane::General,
             avoid: &[],
+            has_transit: false,
         };
         dispatch.choose(&ask, || 0.5, at(now_ms))
     };
--- a/crates/chervilshunt_core/tests/dispatch.rs
+++ b/crates/chervilshunt_core/tests/dispatch.rs
@@ -8,7 +8,8 @@
 
 use chervilshunt_core::{
     Dispatch, HealthSignal, HeldAdapters, Lane, Leaving, LoadReport, RequestSize, ServiceBudgets,
-    TargetFacts, TargetSnapshot, WaitReason, Weights, WindowBudgetConfig, long_prompt_targets,
+    TargetFacts, TargetPath, TargetSnapshot, WaitReason, Weights, WindowBudgetConfig,
+    long_prompt_targets,
 };
 use chervilshunt_model::{ServiceName, TargetName};
 use choosing::{adapter, at, choose, chosen, dispatch, facts, to};
@@ -58,10 +59,20 @@
     // A target that has lost power stays listed for three heartbeats. Each request sent to it in
     // that time would wait in vain for a connection.
     let mut dispatch = dispatch([facts("t1", "here", &[]), facts("t2", "there", &[])]);
-    dispatch.record_signal(&TargetName::from("t1"), HealthSignal::Unreachable, at(0));
+    dispatch.record_signal(
+        &TargetName::from("t1"),
+        TargetPath::Direct,
+        HealthSignal::Unreachable,
+        at(0),
+    );
     assert_eq!(chosen(choose(&dispatch, None, &[], 249)), to("t2"));
     assert_eq!(chosen(choose(&dispatch, None, &[], 250)), to("t1"));
-    dispatch.record_signal(&TargetName::from("t1"), HealthSignal::Unreachable, at(250));
+    dispatch.record_signal(
+        &TargetName::from("t1"),
+        TargetPath::Direct,
+        HealthSignal::Unreachable,
+        at(250),
+    );
     assert_eq!(chosen(choose(&dispatch, None, &[], 749)), to("t2"));
 }
 
@@ -70,7 +81,12 @@
     // If no target responds, the likely cause is this instance's own network link, which may have
     // recovered. Refusing all requests would prevent it from ever noticing.
     let mut dispatch = dispatch([facts("t1", "here", &[])]);
-    dispatch.record_signal(&TargetName::from("t1"), HealthSignal::Unreachable, at(0));
+    dispatch.record_signal(
+        &TargetName::from("t1"),
+        TargetPath::Direct,
+        HealthSignal::Unreachable,
+        at(0),
+    );
     assert_eq!(chosen(choose(&dispatch, None, &[], 1)), to("t1"));
 }
 
@@ -80,11 +96,21 @@
     // because failures are fast.
     let mut dispatch = dispatch([facts("t1", "here", &[]), facts("t2", "there", &[])]);
     for _ in 0..6 {
-        dispatch.record_signal(&TargetName::from("t1"), HealthSignal::Failed, at(0));
+        dispatch.record_signal(
+            &TargetName::from("t1"),
+            TargetPath::Direct,
+            HealthSignal::Failed,
+            at(0),
+        );
     }
     assert_eq!(chosen(choose(&dispatch, None, &[], 0)), to("t2"));
     for _ in 0..6 {
-        dispatch.record_signal(&TargetName::from("t1"), HealthSignal::Served, at(10));
+        dispatch.record_signal(
+            &TargetName::from("t1"),
+            TargetPath::Direct,
+            HealthSignal::Served,
+            at(10),
+        );
     }
     assert_eq!(chosen(choose(&dispatch, None, &[], 10)), to("t1"));
 }
@@ -281,7 +307,7 @@
     let named = TargetName::from("t1");
     let weights = adapter("a1");
     dispatch.version_announced(weights.clone(), 2, at(0));
-    let at_named = |now| chosen(dispatch.choose_named(&named, Some(&weights), at(now)));
+    let at_named = |now| chosen(dispatch.choose_named(&named, Some(&weights), false, at(now)));
     assert_eq!(at_named(100), Ok(("t1".to_owned(), None)));
     assert_eq!(at_named(3_000), Ok(("t1".to_owned(), Some(2))));
 }
@@ -295,7 +321,7 @@
         ..facts("t1", "here", &[("a1", 1)])
     });
     let dispatch = dispatch(known);
-    let choice = dispatch.choose_named(&TargetName::from("t1"), Some(&adapter("a1")), at(0));
+    let choice = dispatch.choose_named(&TargetName::from("t1"), Some(&adapter("a1")), false, at(0));
     assert_eq!(chosen(choice), Err(WaitReason::NoTarget));
 }
 
@@ -327,7 +353,7 @@
     assert_eq!(holders(6_600), [""; 0]);
     // A target that holds a newer version than the oldest allowed one is required to have that
     // newer one.
-    let at_t3 = dispatch.choose_named(&TargetName::from("t3"), Some(&weights), at(4_600));
+    let at_t3 = dispatch.choose_named(&TargetName::from("t3"), Some(&weights), false, at(4_600));
     assert_eq!(chosen(at_t3), Ok(("t3".to_owned(), Some(3))));
 }
 
--- a/crates/chervilshunt_core/tests/dispatch_load.rs
+++ b/crates/chervilshunt_core/tests/dispatch_load.rs
@@ -146,6 +146,7 @@
             weights: Some(&weights),
             lane,
             avoid: &[],
+            has_transit: false,
         };
         let now = Moment::ZERO + Duration::from_secs_f64(arrival.at_ms / 1e3);
         let rng = &mut self.rng;
--- a/crates/chervilshunt_core/tests/restarts.rs
+++ b/crates/chervilshunt_core/tests/restarts.rs
@@ -8,7 +8,7 @@
 use chervilshunt_core::{
     AdapterHolding, Choice, Dispatch, DispatchConfig, EntryChange, HealthSignal, Lane,
     LoadedAdapter, LoadedModel, Order, OrderAnswer, OrderKind, PlacementRequest, PlacementResult,
-    ResidencyAction, ResidencyEvent, ResidencyPlanner, TargetFacts, TargetReport,
+    ResidencyAction, ResidencyEvent, ResidencyPlanner, TargetFacts, TargetPath, TargetReport,
     TargetRequirements, TargetStart, TargetUse, Weights,
 };
 use chervilshunt_model::{InstanceId, TargetName, ZoneName};
@@ -56,6 +56,7 @@
         weights,
         lane: Lane::General,
         avoid: &[],
+        has_transit: false,
     };
     dispatch.choose(&requirements, || 0.5, at(now))
 }
@@ -74,7 +75,12 @@
     for _ in 0..3 {
         dispatch.sent(&target(0), Some(&adapter("a1")));
     }
-    dispatch.record_signal(&target(0), HealthSignal::Unreachable, at(10));
+    dispatch.record_signal(
+        &target(0),
+        TargetPath::Direct,
+        HealthSignal::Unreachable,
+        at(10),
+    );
     assert!(!is_sent(&choice(&dispatch, None, 20)), "it is full");
     let change = dispatch.target_listed(entry(200, &[]), at(30));
     assert_eq!(change, EntryChange::Restarted);
--- a/crates/chervilshunt_core/tests/self_reports.rs
+++ b/crates/chervilshunt_core/tests/self_reports.rs
@@ -29,7 +29,7 @@
         assert_eq!(chosen(choose(&dispatch, None, &[], 0)), to("t2"));
         dispatch.sent(&name("t2"), None);
     }
-    let named = dispatch.choose_named(&name("t1"), None, at(0));
+    let named = dispatch.choose_named(&name("t1"), None, false, at(0));
     assert_eq!(chosen(named), Err(WaitReason::NoTarget));
     assert_eq!(dispatch.closed_targets(&service(), at(0)), [name("t1")]);
 }
@@ -75,7 +75,7 @@
     let mut dispatch = dispatch([facts("t1", "here", &[]), facts("t2", "here", &[])]);
     dispatch.pause_requested(&name("t1"), Duration::from_secs(2), at(0));
     assert_eq!(chosen(choose(&dispatch, None, &[], 1_999)), to("t2"));
-    let named = dispatch.choose_named(&name("t1"), None, at(1_999));
+    let named = dispatch.choose_named(&name("t1"), None, false, at(1_999));
     assert_eq!(chosen(named), Err(WaitReason::NoTarget));
     assert_eq!(dispatch.closed_targets(&service(), at(1_999)), [name("t1")]);
     dispatch.sent(&name("t2"), None);
--- a/crates/chervilshunt_core/tests/support/choosing.rs
+++ b/crates/chervilshunt_core/tests/support/choosing.rs
@@ -64,6 +64,7 @@
         weights,
         lane: Lane::General,
         avoid,
+        has_transit: false,
     };
     dispatch.choose(&requirements, || 0.5, at(now))
 }
--- a/crates/chervilshunt_gateway/src/control/actor.rs
+++ b/crates/chervilshunt_gateway/src/control/actor.rs
@@ -250,12 +250,17 @@
 
     async fn handle(&mut self, Begin(address): Begin, _cx: &mut xtra::Context<Self>) {
         self.address = Some(address.clone());
+        let mut links_changed = self.shared.links_changed.subscribe();
         tokio::spawn(async move {
             let mut every = tokio::time::interval(USAGE_REPORT_INTERVAL);
             every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
             let mut due_at = tokio::time::Instant::now();
             while address.send(ReportUsage { due_at }).await.is_ok() {
-                every.tick().await;
+                // The sender is kept by the shared state, which outlives this actor.
+                tokio::select! {
+                    _ = every.tick() => {}
+                    _ = links_changed.changed() => {}
+                }
                 due_at = tokio::time::Instant::now();
             }
         });
--- a/crates/chervilshunt_gateway/src/control/mod.rs
+++ b/crates/chervilshunt_gateway/src/control/mod.rs
@@ -20,6 +20,7 @@
 mod restore;
 mod snapshots;
 mod targets;
+mod transit;
 mod using;
 
 pub(crate) use actor::Control;
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -17,7 +17,7 @@
 use super::actor::{Control, PendingPlacement, Placer};
 use super::messages::{OrderResult, TargetQueried};
 use super::presence::{InstanceStatus, Presence};
-use crate::peers::PeerMessage;
+use crate::peers::{PeerMessage, TransitOffer};
 use crate::shared::Shared;
 
 /// Timeouts of an order to a target, or of a query for what it holds. A target answers within
@@ -195,12 +195,15 @@
         let Some(placer) = &mut self.placer else {
             return;
         };
+        let peer = status.peer(from);
+        let needs_transit = status.needs_transit;
         placer.presence.record_report(from, status, now);
         self.shared
             .deputy
             .store(placer.presence.deputy().map(Arc::new));
-        if let Some(placing) = self.placer_status(now) {
-            self.send(&status.peer(from), placing);
+        let offers = needs_transit.then(|| self.transit_offers(from));
+        if let Some(placing) = self.placer_status(offers.unwrap_or_default(), now) {
+            self.send(&peer, placing);
         }
         self.plan(ResidencyEvent::UsageReported(from.clone(), uses, grants));
         let unreachable = self
@@ -217,7 +220,7 @@
     }
 
     /// Returns the placer's status message; `None` if this instance is not the placer.
-    fn placer_status(&self, now: Moment) -> Option<PeerMessage> {
+    fn placer_status(&self, transit: Vec<TransitOffer>, now: Moment) -> Option<PeerMessage> {
         let placer = self.placer.as_ref()?;
         Some(PeerMessage::PlacerStatus {
             knows_targets: placer.residency.knows_targets(),
@@ -232,6 +235,7 @@
                 .as_ref()
                 .map(|it| (it.instance.clone(), it.address)),
             limits: self.known_limits(),
+            transit,
         })
     }
 
@@ -240,7 +244,8 @@
     /// Called when the platform has not answered for a moment: the status sent last is about to
     /// expire, and each instance would then poll the platform itself.
     pub(super) fn broadcast_status(&self, now: Moment) {
-        let (Some(placer), Some(placing)) = (&self.placer, self.placer_status(now)) else {
+        let (Some(placer), Some(placing)) = (&self.placer, self.placer_status(Vec::new(), now))
+        else {
             return;
         };
         for peer in placer.presence.peers() {
--- a/crates/chervilshunt_gateway/src/control/presence.rs
+++ b/crates/chervilshunt_gateway/src/control/presence.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use chervilshunt_mesh::Peer;
-use chervilshunt_model::{InstanceId, Moment};
-use rand::seq::IteratorRandom as _;
+use chervilshunt_model::{InstanceId, Moment, ServiceName, ZoneName};
+use rand::seq::{IteratorRandom as _, SliceRandom as _};
+
+use crate::peers::TransitOffer;
 
 /// Time without a report after which an instance counts as gone, together with its requests:
 /// several times the reporting interval.
@@ -19,7 +21,7 @@
 const ABSENT_FOR: Duration = Duration::from_secs(30);
 
 /// What an instance reports about itself.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct InstanceStatus {
     /// Address for messages from peers.
     pub(super) address: SocketAddr,
@@ -27,6 +29,12 @@
     pub(super) reaches_platform: bool,
     /// Its share of a processor core.
     pub(super) processor_share: f32,
+    /// Its availability zone, if it has reported one.
+    pub(super) zone: Option<ZoneName>,
+    /// The services whose targets it does not reach.
+    pub(super) cut_off: Vec<ServiceName>,
+    /// Whether it needs other instances to pass on its requests.
+    pub(super) needs_transit: bool,
 }
 
 impl InstanceStatus {
@@ -98,6 +106,46 @@
         peers.choose_multiple(&mut rand::rng(), most)
     }
 
+    /// Returns what an instance has reported last.
+    pub(super) fn status(&self, instance: &InstanceId) -> Option<&InstanceStatus> {
+        self.instances.get(instance).map(|(status, _)| status)
+    }
+
+    /// Returns up to `most` instances that may pass on the requests of another one in `zone`: those
+    /// that reach all services, in the same zone first.
+    ///
+    /// If none does, those are returned that reach a service which the other one does not reach.
+    pub(super) fn transit_offers(
+        &self,
+        instance: &InstanceId,
+        zone: Option<&ZoneName>,
+        cut_off: &[ServiceName],
+        most: usize,
+    ) -> Vec<TransitOffer> {
+        let others = self.instances.iter().filter(|(id, _)| *id != instance);
+        // An instance that reports no zone is older than requests in transit.
+        let others: Vec<(&InstanceId, &InstanceStatus)> = others
+            .map(|(id, (status, _))| (id, status))
+            .filter(|(_, it)| it.zone.is_some())
+            .collect();
+        let mut able: Vec<_> = others.clone();
+        able.retain(|(_, it)| it.cut_off.is_empty());
+        if able.is_empty() {
+            able = others;
+            able.retain(|(_, it)| cut_off.iter().any(|service| !it.cut_off.contains(service)));
+        }
+        able.shuffle(&mut rand::rng());
+        able.sort_by_key(|(_, it)| it.zone.as_ref() != zone);
+        let offers = able.into_iter().take(most);
+        offers
+            .map(|(instance, status)| TransitOffer {
+                instance: instance.clone(),
+                address: status.address,
+                is_near: status.zone.as_ref() == zone,
+            })
+            .collect()
+    }
+
     /// Returns the largest share of a processor core among the other instances.
     pub(super) fn largest_share(&self) -> f32 {
         let shares = self
--- a/crates/chervilshunt_gateway/src/control/using.rs
+++ b/crates/chervilshunt_gateway/src/control/using.rs
@@ -25,22 +25,28 @@
             self.plan(ResidencyEvent::UsageReported(me, uses, grants));
             self.apply_own_status();
             self.choose_relays();
+            self.offer_transit_to_self();
             return;
         }
         self.report_to_deputy(&spent);
+        self.use_deputy_for_transit();
         let Some(placer) = self.shared.placer.load_full() else {
             return;
         };
         if placer.instance == *self.own_id() {
             return;
         }
+        let status = self.own_status();
         let message = PeerMessage::UsageReport {
-            address: self.shared.settings.addresses.peers,
-            reaches_platform: self.reaches_platform,
-            processor_share: self.processor_share(),
+            address: status.address,
+            reaches_platform: status.reaches_platform,
+            processor_share: status.processor_share,
             uses,
             grants,
             spent,
+            zone: status.zone,
+            cut_off: status.cut_off,
+            needs_transit: status.needs_transit,
         };
         if let Err(error) = self.shared.mesh.send(&placer, message) {
             slog::debug!(self.shared.log, "message to placer not sent"; "reason" => error.to_string());
@@ -63,12 +69,18 @@
                 uses,
                 grants,
                 spent,
+                zone,
+                cut_off,
+                needs_transit,
             } => {
                 self.record_spent(&spent);
                 let status = InstanceStatus {
                     address,
                     reaches_platform,
                     processor_share,
+                    zone,
+                    cut_off,
+                    needs_transit,
                 };
                 self.handle_usage_report(&from, status, (uses, grants));
             }
@@ -121,7 +133,9 @@
                 lease,
                 deputy,
                 limits,
+                transit,
             } if self.is_placer(&from) => {
+                self.apply_transit_offers(transit);
                 self.apply_deputy(deputy);
                 for report in &limits {
                     self.apply_limit(report, "placer");
@@ -131,6 +145,7 @@
                 self.apply_status(knows_targets, instances);
             }
             PeerMessage::Changed(batch) if self.is_placer(&from) => self.apply_batch(batch),
+            PeerMessage::TransitRequest => self.issue_ticket(&from, reply),
             PeerMessage::RelayLeaseCall(call) => self.call_lease_for_placer(call, reply),
             PeerMessage::RelayRead(read) => self.read_for_placer(read, reply),
             // The sender is no longer the placer, or is not known as the placer yet.
@@ -140,6 +155,7 @@
             | PeerMessage::ChargedPlacementAnswer(..)
             | PeerMessage::ChargeAnswer(..)
             | PeerMessage::SendPermitAnswer(_)
+            | PeerMessage::TransitTicket(..)
             | PeerMessage::LeaseCallResult(_)
             | PeerMessage::ReadResult(..) => {}
         }
--- a/crates/chervilshunt_gateway/src/lib.rs
+++ b/crates/chervilshunt_gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod shared;
 mod store;
 mod traffic;
+mod transit;
 
 pub use dialect::{
     Change, Changes, Content, Dialect, Entry, Freshness, Headers, Kind, Malformed, NamedLimit,
--- a/crates/chervilshunt_gateway/src/links.rs
+++ b/crates/chervilshunt_gateway/src/links.rs
@@ -55,5 +55,6 @@
         }
         let cut_off = self.dispatch().cut_off_services().count();
         metrics::gauge!("chervilshunt_cut_off_services").set(cut_off as f64);
+        self.links_changed.send_replace(());
     }
 }
--- a/crates/chervilshunt_gateway/src/peers.rs
+++ b/crates/chervilshunt_gateway/src/peers.rs
@@ -13,10 +13,11 @@
     TargetSnapshot, TargetStart, TargetUse, Weights,
 };
 use chervilshunt_mesh::Purpose;
-use chervilshunt_model::{InstanceId, StoreRevision, TargetName};
+use chervilshunt_model::{InstanceId, ServiceName, StoreRevision, TargetName, ZoneName};
 use serde::{Deserialize, Serialize};
 
 use crate::dialect::{Freshness, Kind};
+use crate::transit::Ticket;
 
 /// A message between instances.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -42,6 +43,15 @@
         /// What the sender has admitted without the placer since its last report, by team.
         #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
         spent: Vec<(Arc<str>, f64)>,
+        /// The sender's availability zone; instances older than this field omit it.
+        #[serde(rename = "z", default, skip_serializing_if = "Option::is_none")]
+        zone: Option<ZoneName>,
+        /// The services whose targets the sender does not reach.
+        #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+        cut_off: Vec<ServiceName>,
+        /// Whether the sender needs other instances to pass on its requests.
+        #[serde(rename = "t", default, skip_serializing_if = "is_false")]
+        needs_transit: bool,
     },
     /// To the placer: a request needs a target and waits for it for the given time. Answered by
     /// `PlacementAnswer`.
@@ -120,7 +130,16 @@
         /// The rate limits that targets have named, and those that were lifted lately.
         #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
         limits: Vec<LimitReport>,
+        /// Instances that may pass on the receiver's requests, if it needs any.
+        #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
+        transit: Vec<TransitOffer>,
     },
+    /// To an instance that may pass on the sender's requests. Answered by `TransitTicket`.
+    #[serde(rename = "t")]
+    TransitRequest,
+    /// From an instance that passes on requests: the address for them, and the receiver's ticket.
+    #[serde(rename = "T")]
+    TransitTicket(SocketAddr, Ticket),
     /// From the placer: recent changes at the platform.
     #[serde(rename = "e")]
     Changed(ChangeBatch),
@@ -140,6 +159,28 @@
     ReadResult(String, u64),
 }
 
+/// An instance that may pass on requests.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct TransitOffer {
+    /// The instance.
+    #[serde(rename = "i")]
+    pub(crate) instance: InstanceId,
+    /// Its address for messages from peers.
+    #[serde(rename = "a")]
+    pub(crate) address: SocketAddr,
+    /// Whether it is in the receiver's availability zone.
+    #[serde(rename = "n")]
+    pub(crate) is_near: bool,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_false(flag: &bool) -> bool {
+    !*flag
+}
+
 /// What a request counts as against its team's quota.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct ChargeRequest {
@@ -303,6 +344,8 @@
             Self::NotHeld(..) => "not_held",
             Self::Leaving(..) => "leaving",
             Self::RateLimit(_) => "rate_limit",
+            Self::TransitRequest => "transit_request",
+            Self::TransitTicket(..) => "transit_ticket",
             Self::SendPermitRequest(..) => "send_permit",
             Self::SendPermitAnswer(_) => "send_permit_answer",
             Self::Snapshots(_) => "snapshots",
--- a/crates/chervilshunt_gateway/src/run.rs
+++ b/crates/chervilshunt_gateway/src/run.rs
@@ -24,6 +24,7 @@
 use crate::ports::{serve_metrics, serve_readiness};
 use crate::settings::{LogLevel, Settings};
 use crate::shared::Shared;
+use crate::transit::{probe_lost_links, serve_transit};
 
 /// Capacity of the control actor's mailbox; senders wait while it is full.
 const CONTROL_MAILBOX: usize = 4_096;
@@ -83,12 +84,14 @@
     let addresses = settings.addresses;
     let callers = listen(addresses.callers, "callers", None)?;
     let readiness = listen(addresses.readiness, "readiness", None)?;
+    let transit = listen(addresses.transit, "transit", None)?;
     let for_metrics = listen(addresses.metrics, "metrics", None)?;
     let mesh_cfg = MeshConfig::new(settings.instance.id.clone(), addresses.peers);
     let (mesh, inbound) = Mesh::<PeerMessage>::bind(mesh_cfg, log.clone()).await?;
     slog::info!(log, "started";
         "version" => env!("CARGO_PKG_VERSION"), "callers" => addresses.callers.to_string(),
-        "peers" => addresses.peers.to_string(), "platform" => settings.platform.address.to_string());
+        "peers" => addresses.peers.to_string(),
+        "transit" => addresses.transit.to_string(), "platform" => settings.platform.address.to_string());
 
     let exchange = Arc::new(Exchange::new(platform_config(&settings)));
     let bound = settings.bounds.shutdown;
@@ -105,6 +108,8 @@
     forward(inbound, control.clone(), PeerEvent);
     tokio::spawn(report_progress(Arc::clone(&shared)));
     tokio::spawn(serve_callers(callers, Arc::clone(&shared)));
+    tokio::spawn(serve_transit(transit, Arc::clone(&shared)));
+    tokio::spawn(probe_lost_links(Arc::clone(&shared)));
     tokio::spawn(serve_readiness(readiness, Arc::clone(&shared)));
     tokio::spawn(serve_metrics(for_metrics, metrics));
 
--- a/crates/chervilshunt_gateway/src/settings.rs
+++ b/crates/chervilshunt_gateway/src/settings.rs
@@ -85,8 +85,10 @@
     pub callers: SocketAddr,
     /// For the platform's readiness probe.
     pub readiness: SocketAddr,
-    /// For other instances.
+    /// For messages of other instances.
     pub peers: SocketAddr,
+    /// For requests that this instance passes on for others.
+    pub transit: SocketAddr,
     /// For metrics.
     pub metrics: SocketAddr,
 }
@@ -155,6 +157,7 @@
     callers: Option<SocketAddr>,
     readiness: Option<SocketAddr>,
     peers: Option<SocketAddr>,
+    transit: Option<SocketAddr>,
     metrics: Option<SocketAddr>,
 }
 
@@ -268,6 +271,7 @@
                 .readiness
                 .context(missing("addresses.readiness"))?,
             peers: addresses.peers.context(missing("addresses.peers"))?,
+            transit: addresses.transit.context(missing("addresses.transit"))?,
             metrics: addresses.metrics.context(missing("addresses.metrics"))?,
         },
         platform: PlatformSettings {
--- a/crates/chervilshunt_gateway/src/shared.rs
+++ b/crates/chervilshunt_gateway/src/shared.rs
@@ -21,6 +21,7 @@
 use crate::grants::GrantTracker;
 use crate::peers::PeerMessage;
 use crate::settings::Settings;
+use crate::transit::{IssuedTickets, TransitRoutes};
 
 /// Time for which readiness waits for a first placer. Instances spread their writes over 0.4 s,
 /// those on small machines leave the lease to others for up to 1 s more, and targets are queried
@@ -60,6 +61,14 @@
     placer_lost: AtomicBool,
     /// The instance that keeps the account of teams' quotas while there is no placer.
     pub(crate) deputy: ArcSwapOption<Peer>,
+    /// The instances that pass on this one's requests.
+    pub(crate) transit_routes: TransitRoutes,
+    /// The tickets of instances whose requests this one passes on.
+    pub(crate) issued_tickets: IssuedTickets,
+    /// The number of requests that this instance is passing on.
+    pub(crate) passed_requests: AtomicUsize,
+    /// Notifies of a change of whether this instance reaches the targets of a service.
+    pub(crate) links_changed: watch::Sender<()>,
     /// Notifies requests in flight that a new version of some weights has been announced.
     pub(crate) version_announced: watch::Sender<()>,
     dispatch: Mutex<Dispatch>,
@@ -136,6 +145,10 @@
             placer_named_at: AtomicU64::new(0),
             placer_lost: AtomicBool::new(false),
             deputy: ArcSwapOption::empty(),
+            transit_routes: TransitRoutes::default(),
+            issued_tickets: IssuedTickets::default(),
+            passed_requests: AtomicUsize::new(0),
+            links_changed: watch::Sender::default(),
             version_announced: watch::Sender::default(),
             dispatch: Mutex::new(dispatch),
             budgets: Mutex::new(budgets),
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -21,10 +21,11 @@
 use super::request::{CallerRequest, set};
 use crate::peers::PeerMessage;
 use crate::shared::Shared;
+use crate::transit::{TransitHead, TransitOutcome, TransitRoute};
 
 /// Timeout of a connection to a target. Targets are 1 ms to 2 ms away, and a lost packet is
 /// retransmitted only after a second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum number of attempts of one request. Attempts that a target rejects count, refused
 /// connections do not.
 const MAX_ATTEMPTS: u32 = 4;
@@ -46,7 +47,11 @@
     pub(crate) last_event: Option<Arc<str>>,
     /// The charge to the team's quota.
     pub(super) charge: Option<Charge>,
+    /// Targets that accepted no connection from this instance, and that another instance may reach.
+    unconnected: Vec<TargetName>,
     attempts: u32,
+    /// Attempts that arrived at a target, or may have.
+    arrivals: u32,
     runs: u32,
 }
 
@@ -63,6 +68,8 @@
     Answered(Box<AcceptedAnswer>),
     /// The request has not run. Another target may be tried.
     NotRun,
+    /// The request has not arrived. The same target may be tried on another path.
+    NotConnected,
     /// The request may have run.
     MayHaveRun(Reason),
 }
@@ -76,7 +83,9 @@
             avoid: Vec::new(),
             last_event: None,
             charge: None,
+            unconnected: Vec::new(),
             attempts: 0,
+            arrivals: 0,
             runs: 0,
         }
     }
@@ -93,6 +102,7 @@
             avoid: vec![broke_at],
             last_event,
             attempts: 1,
+            arrivals: 1,
             runs,
             ..Self::new(shared, req)
         }
@@ -116,6 +126,7 @@
     async fn send_until_answered(&mut self) -> Result<AcceptedAnswer, Refusal> {
         loop {
             self.refuse_if_quarantined()?;
+            self.reconsider_unconnected();
             let found = self.find_target().await;
             let mut chosen = found.map_err(|it| self.unless_run(it))?;
             if !self.try_attempt() {
@@ -125,6 +136,10 @@
             match self.send(&mut chosen).await {
                 AttemptOutcome::Answered(answered) => return Ok(*answered),
                 AttemptOutcome::NotRun => self.avoid.push(chosen.target),
+                AttemptOutcome::NotConnected => {
+                    self.unconnected.push(chosen.target.clone());
+                    self.avoid.push(chosen.target);
+                }
                 AttemptOutcome::MayHaveRun(reason) => {
                     if !self.req.route.repeat.is_allowed()
                         || self.runs >= self.req.route.max_targets
@@ -137,6 +152,16 @@
         }
     }
 
+    /// Tries targets again that accepted no connection, once it is known that this instance is cut
+    /// off from them: another one may reach them.
+    fn reconsider_unconnected(&mut self) {
+        if self.unconnected.is_empty() || !self.shared.dispatch().is_cut_off(&self.req.service) {
+            return;
+        }
+        let unconnected = std::mem::take(&mut self.unconnected);
+        self.avoid.retain(|it| !unconnected.contains(it));
+    }
+
     /// Refuses a request that has crashed targets, here or at another instance.
     fn refuse_if_quarantined(&self) -> Result<(), Refusal> {
         let now = self.shared.clock.now();
@@ -162,15 +187,17 @@
         Refusal::new(Reason::AnswerLost)
     }
 
-    /// Returns whether the request may be sent once more, and counts the attempt if so.
+    /// Returns whether the request may be sent once more, and counts the attempt if so. Only
+    /// attempts after one that arrived at a target draw on the retry budget, which protects the
+    /// targets.
     fn try_attempt(&mut self) -> bool {
-        if self.attempts == 0 {
-            self.attempts = 1;
-            return true;
-        }
         if self.attempts >= MAX_ATTEMPTS {
             return false;
         }
+        if self.arrivals == 0 {
+            self.attempts += 1;
+            return true;
+        }
         let now = self.shared.clock.now();
         let instances = self.shared.instances();
         let mut budgets = self.shared.budgets();
@@ -183,7 +210,10 @@
 
     async fn send(&mut self, chosen: &mut SelectedTarget) -> AttemptOutcome {
         let in_flight = InFlight::begin(self.shared, chosen, self.req);
-        let client = self.shared.engines.client(chosen.address);
+        let client = match &chosen.route {
+            Some(route) => route.client.clone(),
+            None => self.shared.engines.client(chosen.address),
+        };
         let left = self.req.time_left(self.shared.clock.now());
         let repeat = self.req.route.repeat.is_allowed();
         let max_wait = self.req.route.objective.mul_f64(HEAD_TIMEOUT_FACTOR);
@@ -197,6 +227,7 @@
         // From here on the request may run; a refusal while it is in progress must not claim
         // otherwise.
         self.runs += 1;
+        self.arrivals += 1;
         self.set_charge_final(true);
         let forwarded = tokio::select! {
             biased;
@@ -207,23 +238,67 @@
         };
         match forwarded {
             Ok((head, body)) => {
-                if !body.is_on_reused_connection() {
+                if let Some(route) = &chosen.route {
+                    let now = self.shared.clock.now();
+                    route.record_answer(now);
+                    if let Some(outcome) = TransitOutcome::of(&head.headers) {
+                        return self.not_passed_on(chosen, route, outcome, &in_flight);
+                    }
+                } else if !body.is_on_reused_connection() {
                     self.shared.record_connection_opened(&chosen.target);
                 }
                 self.classify(chosen, head, body, in_flight)
             }
             Err(error) => {
                 if error.is_connect_failure() {
-                    self.shared.record_connection_failed(&chosen.target);
+                    self.record_connect_failure(chosen);
                 }
                 if matches!(error, EngineError::OutcomeUnknown { .. }) {
                     in_flight.connection_ended(self.req, false);
                 }
-                self.failed(chosen, &error)
+                self.failed(chosen, &error, &in_flight)
             }
         }
     }
 
+    fn record_connect_failure(&self, chosen: &SelectedTarget) {
+        match &chosen.route {
+            Some(route) => route.record_failure(self.shared.clock.now()),
+            None => self.shared.record_connection_failed(&chosen.target),
+        }
+    }
+
+    /// Handles an instance that has not passed the request on, or has lost its answer.
+    fn not_passed_on(
+        &mut self,
+        chosen: &SelectedTarget,
+        route: &TransitRoute,
+        outcome: TransitOutcome,
+        in_flight: &InFlight,
+    ) -> AttemptOutcome {
+        let now = self.shared.clock.now();
+        slog::info!(self.shared.log, "request not passed on";
+            "request" => &*self.req.id, "target" => chosen.target.as_str(),
+            "via" => route.instance.as_str(), "outcome" => outcome.as_str());
+        if outcome == TransitOutcome::NoTicket {
+            self.shared.transit_routes.remove(&route.instance);
+        }
+        if outcome.may_have_run() {
+            in_flight.record_signal(HealthSignal::Failed, now);
+            return AttemptOutcome::MayHaveRun(Reason::AnswerLost);
+        }
+        self.arrivals -= 1;
+        if outcome.closes_route() {
+            route.record_failure(now);
+            self.not_run();
+            return AttemptOutcome::NotConnected;
+        }
+        if outcome == TransitOutcome::Unreachable {
+            in_flight.record_signal(HealthSignal::Unreachable, now);
+        }
+        self.not_run()
+    }
+
     /// Returns whether another target may run the request, so that a failure need not be passed on.
     fn may_retry(&self) -> bool {
         let now = self.shared.clock.now();
@@ -278,9 +353,7 @@
             Verdict::OtherTarget => HealthSignal::Unreachable,
             Verdict::Failed | Verdict::Crossed => HealthSignal::Failed,
         };
-        self.shared
-            .dispatch()
-            .record_signal(&chosen.target, signal, now);
+        in_flight.record_signal(signal, now);
         match verdict {
             Verdict::PassOn => AttemptOutcome::Answered(Box::new(AcceptedAnswer {
                 head,
@@ -337,10 +410,16 @@
         self.not_run()
     }
 
-    fn failed(&mut self, chosen: &SelectedTarget, error: &EngineError) -> AttemptOutcome {
+    fn failed(
+        &mut self,
+        chosen: &SelectedTarget,
+        error: &EngineError,
+        in_flight: &InFlight,
+    ) -> AttemptOutcome {
         let now = self.shared.clock.now();
         slog::info!(self.shared.log, "attempt failed";
             "request" => &*self.req.id, "target" => chosen.target.as_str(),
+            "via" => chosen.route.as_ref().map(|it| it.instance.as_str().to_owned()),
             "content" => self.req.fingerprint().to_string(),
             "reason" => error.to_string());
         // A target that closes a connection is reachable, whatever became of the answer.
@@ -348,15 +427,21 @@
             EngineError::NotSent { .. } | EngineError::Timeout { .. } => HealthSignal::Unreachable,
             _ => HealthSignal::Failed,
         };
-        self.shared
-            .dispatch()
-            .record_signal(&chosen.target, signal, now);
+        let is_connect_failure = error.is_connect_failure();
+        if !(is_connect_failure && chosen.route.is_some()) {
+            in_flight.record_signal(signal, now);
+        }
         if error.is_connection_refused() {
             // Nothing was sent. Targets that have crashed but are still listed must not exhaust
             // `MAX_ATTEMPTS`.
             self.attempts -= 1;
         }
         match error.outcome() {
+            Outcome::NotRun if is_connect_failure => {
+                self.arrivals -= 1;
+                self.not_run();
+                AttemptOutcome::NotConnected
+            }
             Outcome::NotRun => self.not_run(),
             Outcome::Unknown | Outcome::CutShort => AttemptOutcome::MayHaveRun(Reason::AnswerLost),
         }
@@ -380,6 +465,13 @@
         if let Some(event) = &self.last_event {
             set(&mut headers, &names.last_event, event);
         }
+        if let Some(route) = &chosen.route {
+            let transit = TransitHead {
+                target: chosen.target.clone(),
+                is_repeatable: req.route.repeat.is_allowed(),
+            };
+            transit.write(&route.ticket, &mut headers);
+        }
         *out.headers_mut() = headers;
         out
     }
--- a/crates/chervilshunt_gateway/src/traffic/in_flight.rs
+++ b/crates/chervilshunt_gateway/src/traffic/in_flight.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use chervilshunt_core::{Crash, TargetStart, Weights};
+use chervilshunt_core::{Crash, HealthSignal, TargetPath, TargetStart, Weights};
 use chervilshunt_model::{Moment, TargetName};
 
 use super::place::SelectedTarget;
@@ -25,6 +25,8 @@
     /// if neither is known.
     version: Option<u64>,
     pub(super) sent_at: Moment,
+    /// The path to the target.
+    path: TargetPath,
     /// The prompt tokens that the target still has to read, as far as is known.
     unread_prompt_tokens: u32,
     has_begun: bool,
@@ -53,6 +55,10 @@
             weights: weights.cloned(),
             version: chosen.expect_version.or(chosen.held_version),
             sent_at: shared.clock.now(),
+            path: match chosen.route {
+                Some(_) => TargetPath::Transit,
+                None => TargetPath::Direct,
+            },
             unread_prompt_tokens,
             has_begun: false,
             grant: chosen.grant.take(),
@@ -78,7 +84,8 @@
     /// have crashed because of the request. An engine writes the head of an answer when it starts
     /// to run the request, so a request without a head was most likely still queued.
     pub(crate) fn connection_ended(&self, req: &CallerRequest, head_came: bool) {
-        if self.has_begun {
+        // In transit it may be the connection to the other instance that ended.
+        if self.has_begun || self.path == TargetPath::Transit {
             return;
         }
         let crash = Crash {
@@ -99,6 +106,18 @@
         }
     }
 
+    /// Records the health signal of the exchange.
+    pub(crate) fn record_signal(&self, signal: HealthSignal, now: Moment) {
+        let mut dispatch = self.shared.dispatch();
+        dispatch.record_signal(&self.target, self.path, signal, now);
+    }
+
+    /// Records that bytes were received from the target.
+    pub(crate) fn response_received(&self, now: Moment) {
+        let mut dispatch = self.shared.dispatch();
+        dispatch.response_received(&self.target, self.path, now);
+    }
+
     /// Returns the version of the weights that the request was sent for, if known.
     pub(crate) const fn version(&self) -> Option<u64> {
         self.version
--- a/crates/chervilshunt_gateway/src/traffic/mod.rs
+++ b/crates/chervilshunt_gateway/src/traffic/mod.rs
@@ -17,4 +17,7 @@
 mod request;
 mod serve;
 
+pub(crate) use attempt::CONNECT_TIMEOUT;
+pub(crate) use intake::read_body;
+pub(crate) use place::REACHABLE_WINDOW;
 pub(crate) use serve::serve;
--- a/crates/chervilshunt_gateway/src/traffic/place.rs
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -1,18 +1,23 @@
 //! Finds a target for a request, among the known ones or by asking the placer.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
-use chervilshunt_core::{Choice, Lane, TargetRequirements, WaitReason};
+use chervilshunt_core::{Choice, Lane, TargetPath, TargetRequirements, WaitReason};
 use chervilshunt_model::{Moment, TargetName};
 
 use super::attempt::RequestAttempts;
 use super::placer::PlacerAnswer;
 use super::refusal::{Reason, Refusal};
 use crate::grants::Grant;
+use crate::transit::TransitRoute;
 
 /// Delay after which a caller should retry when there was no target.
 const NO_TARGET_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Delay after which a caller should retry when this instance reaches no target. Retries go to other
+/// instances, which may reach one now.
+const CUT_OFF_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Delay after which a caller should retry when its adapter could not be placed. A new placer
 /// starts after some seconds, and callers wait at most a third of their remaining time.
 const NOT_PLACED_RETRY_DELAY: Duration = Duration::from_millis(700);
@@ -32,7 +37,7 @@
 /// Time since a target's last response within which the target is assumed to be reachable, and
 /// pooled connections to it usable. A request sent on a pooled connection to a target that has lost
 /// power is lost if it may not run twice; a new connection would fail before anything is sent.
-const REACHABLE_WINDOW: Duration = Duration::from_millis(250);
+pub(crate) const REACHABLE_WINDOW: Duration = Duration::from_millis(250);
 
 /// The target to which a request is sent.
 #[derive(Debug)]
@@ -44,6 +49,8 @@
     pub(crate) held_version: Option<u64>,
     /// Whether a pooled connection may be used.
     pub(crate) reuse: bool,
+    /// The instance that passes the request on; `None` if it is sent to the target itself.
+    pub(crate) route: Option<Arc<TransitRoute>>,
     /// The placer's grant, if the placer has chosen the target.
     pub(crate) grant: Option<Grant>,
 }
@@ -59,6 +66,7 @@
         let max_wait = self.req.route.objective.mul_f64(ROOM_WAIT_FACTOR);
         let mut placer_answers = true;
         loop {
+            self.refuse_if_cut_off()?;
             if let Some(weights) = self.req.weights.clone()
                 && self.uses_placer()
             {
@@ -86,6 +94,9 @@
                         NO_TARGET_RETRY_DELAY,
                     ));
                 }
+                WaitReason::CutOff => {
+                    return Err(Refusal::retry_after(Reason::CutOff, CUT_OFF_RETRY_DELAY));
+                }
                 WaitReason::NotHeld if placer_answers => return self.ask_for_load().await,
                 WaitReason::NotHeld => return Err(self.not_placed()),
                 WaitReason::Full if self.shared.clock.now().since(began) >= max_wait => {
@@ -148,6 +159,7 @@
             weights: self.req.weights.as_ref(),
             lane: Lane::of(self.req.size),
             avoid: &self.avoid,
+            has_transit: self.shared.transit_routes.is_available(now),
         };
         self.shared
             .dispatch()
@@ -161,6 +173,7 @@
             Choice::Send {
                 target,
                 address,
+                path,
                 load,
                 slots,
                 load_age,
@@ -169,9 +182,14 @@
                 limit,
                 since_last_response,
             } => {
+                let route = match path {
+                    TargetPath::Direct => None,
+                    TargetPath::Transit => Some(self.pick_route()?),
+                };
                 let newest = self.newest_version();
                 slog::info!(self.shared.log, "placed";
                     "request" => &*self.req.id, "target" => target.as_str(),
+                    "via" => route.as_ref().map(|it| it.instance.as_str().to_owned()),
                     "prompt_tokens" => self.req.size.prompt_tokens,
                     "weights" => self.req.weights.as_ref().map(ToString::to_string),
                     "load" => load, "slots" => slots,
@@ -182,20 +200,42 @@
                     "newest_version" => newest.map(|(version, _)| version),
                     "newest_known_for_ms" =>
                         newest.map(|(_, known_for)| known_for.as_millis() as u64));
-                let reuse =
-                    self.req.route.repeat.is_allowed() || since_last_response < REACHABLE_WINDOW;
+                let heard_lately = match &route {
+                    Some(route) => route.has_answered_lately(self.shared.clock.now()),
+                    None => since_last_response < REACHABLE_WINDOW,
+                };
+                let reuse = self.req.route.repeat.is_allowed() || heard_lately;
                 Ok(SelectedTarget {
                     target,
                     address,
                     expect_version,
                     held_version,
                     reuse,
+                    route,
                     grant: None,
                 })
             }
         }
     }
 
+    /// Selects an instance that passes the request on.
+    fn pick_route(&self) -> Result<Arc<TransitRoute>, WaitReason> {
+        let now = self.shared.clock.now();
+        let picked = self.shared.transit_routes.pick(rand::random(), now);
+        picked.ok_or(WaitReason::CutOff)
+    }
+
+    /// Refuses a request whose service this instance does not reach, if nobody passes requests on.
+    fn refuse_if_cut_off(&self) -> Result<(), Refusal> {
+        let now = self.shared.clock.now();
+        if !self.shared.dispatch().is_cut_off(&self.req.service)
+            || self.shared.transit_routes.is_available(now)
+        {
+            return Ok(());
+        }
+        Err(Refusal::retry_after(Reason::CutOff, CUT_OFF_RETRY_DELAY))
+    }
+
     /// Returns the newest version of the requested weights and how long it has been known.
     fn newest_version(&self) -> Option<(u64, Duration)> {
         let weights = self.req.weights.as_ref()?;
@@ -238,7 +278,7 @@
     /// targets. The number shows whether targets are missing or none of them is suitable.
     fn report_wait(&self, wait: WaitReason) {
         match wait {
-            WaitReason::NoTarget | WaitReason::NotHeld => {
+            WaitReason::NoTarget | WaitReason::NotHeld | WaitReason::CutOff => {
                 let listed = self.shared.dispatch().target_count(&self.req.service);
                 slog::info!(self.shared.log, "no target found";
                     "request" => &*self.req.id, "wait" => ?wait, "listed" => listed,
--- a/crates/chervilshunt_gateway/src/traffic/placer.rs
+++ b/crates/chervilshunt_gateway/src/traffic/placer.rs
@@ -200,7 +200,11 @@
         }
         let now = self.shared.clock.now();
         let weights = self.req.weights.as_ref();
-        let choice = self.shared.dispatch().choose_named(&target, weights, now);
+        let has_transit = self.shared.transit_routes.is_available(now);
+        let choice = self
+            .shared
+            .dispatch()
+            .choose_named(&target, weights, has_transit, now);
         match self.accept_choice(choice) {
             Ok(chosen) => PlacerAnswer::At(SelectedTarget {
                 grant: Some(grant),
--- a/crates/chervilshunt_gateway/src/traffic/refusal.rs
+++ b/crates/chervilshunt_gateway/src/traffic/refusal.rs
@@ -33,6 +33,8 @@
     NoConfiguration,
     /// No target of the service can take it.
     NoTarget,
+    /// This instance reaches no target of the service, and no instance passes requests on.
+    CutOff,
     /// No target holds its adapter, and the adapter could not be placed.
     NotPlaced,
     /// All targets are full.
@@ -70,6 +72,7 @@
             Self::NoQuotaShare => "no_quota_share",
             Self::NoConfiguration => "no_configuration",
             Self::NoTarget => "no_target",
+            Self::CutOff => "cut_off",
             Self::NotPlaced => "not_placed",
             Self::Full => "full",
             Self::RateLimited => "rate_limited",
@@ -96,6 +99,7 @@
             | Self::KeysOutdated
             | Self::NoQuotaShare
             | Self::NoTarget
+            | Self::CutOff
             | Self::NotPlaced
             | Self::Full
             | Self::RateLimited
--- a/crates/chervilshunt_gateway/src/traffic/relay.rs
+++ b/crates/chervilshunt_gateway/src/traffic/relay.rs
@@ -132,10 +132,7 @@
                         "sent_ms" => now.since(self.in_flight.sent_at()).as_millis() as u64,
                         "bytes" => self.bytes, "reason" => error.to_string());
                     self.in_flight.connection_ended(&self.req, true);
-                    let target = self.in_flight.target.clone();
-                    self.shared
-                        .dispatch()
-                        .record_signal(&target, HealthSignal::Failed, now);
+                    self.in_flight.record_signal(HealthSignal::Failed, now);
                     if !self.begin_resuming() {
                         return Poll::Ready(Some(self.cut("broke_off")));
                     }
@@ -158,9 +155,7 @@
         self.last_piece = now;
         if now.since(self.response_recorded_at) >= RESPONSE_RECORD_INTERVAL {
             self.response_recorded_at = now;
-            self.shared
-                .dispatch()
-                .response_received(&self.in_flight.target, now);
+            self.in_flight.response_received(now);
         }
         self.bytes += data.len() as u64;
         match &mut self.events {
@@ -202,9 +197,7 @@
 
     fn end(&mut self) -> Option<Frame<Bytes>> {
         let now = self.shared.clock.now();
-        self.shared
-            .dispatch()
-            .response_received(&self.in_flight.target, now);
+        self.in_flight.response_received(now);
         self.in_flight.record_begin(&self.req);
         self.outcome = Some("served");
         let rest = self.events.as_mut().map(EventBuffer::take_remaining)?;
--- a/crates/chervilshunt_gateway/src/traffic/request.rs
+++ b/crates/chervilshunt_gateway/src/traffic/request.rs
@@ -14,6 +14,7 @@
 use super::refusal::{Reason, Refusal};
 use crate::dialect::Dialect;
 use crate::shared::OpenRequest;
+use crate::transit::strip_transit_headers;
 
 /// A caller's request.
 #[derive(Debug)]
@@ -148,6 +149,7 @@
     for name in &dialect.headers.reserved {
         headers.remove(name);
     }
+    strip_transit_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::EXPECT);
     if let Some(team) = team {
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/transit/header.rs
@@ -0,0 +1,62 @@
+//! Headers between instances that pass requests on. They are never sent to callers or targets.
+
+use chervilshunt_model::TargetName;
+use http::{HeaderMap, HeaderName, HeaderValue};
+
+use super::ticket::Ticket;
+
+/// The ticket that the sender holds.
+const TICKET: HeaderName = HeaderName::from_static("x-transit-ticket");
+/// The name of the target.
+const TARGET: HeaderName = HeaderName::from_static("x-transit-target");
+/// Present if the request may run more than once.
+const REPEATABLE: HeaderName = HeaderName::from_static("x-transit-repeatable");
+/// Why there is no answer of a target.
+pub(super) const OUTCOME: HeaderName = HeaderName::from_static("x-transit-outcome");
+
+/// What a request in transit carries beside the request itself.
+#[derive(Debug)]
+pub(crate) struct TransitHead {
+    /// The target.
+    pub(crate) target: TargetName,
+    /// Whether the request may run more than once.
+    pub(crate) is_repeatable: bool,
+}
+
+impl TransitHead {
+    /// Adds it to a request's headers.
+    pub(crate) fn write(&self, ticket: &Ticket, headers: &mut HeaderMap) {
+        // Names and tickets are visible ASCII; a value that is not would be refused as malformed.
+        if let Ok(value) = HeaderValue::from_str(ticket.as_str()) {
+            headers.insert(TICKET, value);
+        }
+        if let Ok(value) = HeaderValue::from_str(self.target.as_str()) {
+            headers.insert(TARGET, value);
+        }
+        if self.is_repeatable {
+            headers.insert(REPEATABLE, HeaderValue::from_static("1"));
+        }
+    }
+
+    /// Takes it out of a request's headers.
+    pub(super) fn take(headers: &mut HeaderMap) -> Option<Self> {
+        let target = headers.remove(TARGET)?;
+        let is_repeatable = headers.remove(REPEATABLE).is_some();
+        Some(Self {
+            target: TargetName::from(target.to_str().ok()?),
+            is_repeatable,
+        })
+    }
+}
+
+/// Takes the ticket out of a request's headers.
+pub(super) fn take_ticket(headers: &mut HeaderMap) -> Option<HeaderValue> {
+    headers.remove(TICKET)
+}
+
+/// Removes all headers between instances from a caller's request or a target's answer.
+pub(crate) fn strip_transit_headers(headers: &mut HeaderMap) {
+    for name in [TICKET, TARGET, REPEATABLE, OUTCOME] {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/transit/pass_on.rs
@@ -0,0 +1,193 @@
+//! Passes one request of another instance on to its target.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chervilshunt_core::{HealthSignal, TargetPath};
+use chervilshunt_engine::{EngineError, Limits, strip_hop_by_hop};
+use chervilshunt_model::{InstanceId, Moment, TargetName};
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Request, Response, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use super::answer::{PassedAnswer, TransitBody};
+use super::header::{OUTCOME, TransitHead, strip_transit_headers, take_ticket};
+use super::outcome::TransitOutcome;
+use crate::shared::{OpenRequest, Shared};
+use crate::traffic::{CONNECT_TIMEOUT, REACHABLE_WINDOW, read_body};
+
+/// Maximum number of requests that an instance passes on at the same time. It keeps memory for its
+/// own callers.
+const MAX_PASSED_REQUESTS: usize = 256;
+
+/// A request that is being passed on. A shutdown waits for it.
+#[derive(Debug)]
+pub(super) struct PassedRequest {
+    shared: Arc<Shared>,
+    _open: OpenRequest,
+}
+
+impl PassedRequest {
+    fn begin(shared: &Arc<Shared>) -> Option<Self> {
+        let before = shared.passed_requests.fetch_add(1, Ordering::Relaxed);
+        let passed = Self {
+            shared: Arc::clone(shared),
+            _open: OpenRequest::begin(shared),
+        };
+        (before < MAX_PASSED_REQUESTS).then_some(passed)
+    }
+}
+
+impl Drop for PassedRequest {
+    fn drop(&mut self) {
+        self.shared.passed_requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Answers one request of another instance.
+pub(super) async fn pass_on(shared: &Arc<Shared>, req: Request<Incoming>) -> Response<TransitBody> {
+    let arrived = shared.clock.now();
+    let (mut head, body) = req.into_parts();
+    let id = head
+        .headers
+        .get(&shared.dialect.headers.request_id)
+        .cloned();
+    let id = id.as_ref().and_then(|it| it.to_str().ok());
+    let from = holder(shared, &mut head.headers);
+    let result = match &from {
+        Some(_) => exchange(shared, head, body, arrived).await,
+        None => Err(TransitOutcome::NoTicket),
+    };
+    let outcome = result.as_ref().err().map_or("passed", |it| it.as_str());
+    slog::info!(shared.log, "request passed on";
+        "request" => id, "from" => from.as_ref().map(|it| it.as_str().to_owned()),
+        "outcome" => outcome,
+        "took_ms" => shared.clock.now().since(arrived).as_millis() as u64);
+    metrics::counter!("chervilshunt_passed_requests_total", "outcome" => outcome).increment(1);
+    result.unwrap_or_else(refuse)
+}
+
+fn holder(shared: &Shared, headers: &mut HeaderMap) -> Option<InstanceId> {
+    let ticket = take_ticket(headers)?;
+    shared.issued_tickets.holder(ticket.to_str().ok()?)
+}
+
+fn refuse(outcome: TransitOutcome) -> Response<TransitBody> {
+    let (status, value) = outcome.head();
+    let mut res = Response::new(TransitBody::Empty);
+    *res.status_mut() = status;
+    res.headers_mut().insert(OUTCOME, value);
+    res
+}
+
+async fn exchange(
+    shared: &Arc<Shared>,
+    mut head: Parts,
+    body: Incoming,
+    arrived: Moment,
+) -> Result<Response<TransitBody>, TransitOutcome> {
+    if shared.is_stopping() {
+        return Err(TransitOutcome::Stopping);
+    }
+    let open = PassedRequest::begin(shared).ok_or(TransitOutcome::Busy)?;
+    let transit = TransitHead::take(&mut head.headers).ok_or(TransitOutcome::Malformed)?;
+    let routes = shared.routes.load_full();
+    let longest = routes.ok_or(TransitOutcome::NoTarget)?.bounds.body_bytes;
+    let body = read_body(body, longest).await;
+    let body = body.map_err(|_refusal| TransitOutcome::Malformed)?;
+    let (address, reuse) = find_target(shared, &transit)?;
+    let left = time_left(shared, &mut head.headers, arrived)?;
+    let limits = Limits {
+        connect: CONNECT_TIMEOUT.min(left),
+        head: left,
+        idle: left,
+    };
+    let client = shared.engines.client(address);
+    let answer = client.forward(outgoing(head, body), reuse, limits).await;
+    let (head, body) = answer.map_err(|error| failed(shared, &transit.target, &error))?;
+    if !body.is_on_reused_connection() {
+        shared.record_connection_opened(&transit.target);
+    }
+    let now = shared.clock.now();
+    shared
+        .dispatch()
+        .response_received(&transit.target, TargetPath::Direct, now);
+    let mut headers = head.headers;
+    strip_hop_by_hop(&mut headers);
+    strip_transit_headers(&mut headers);
+    if body.size_hint().exact().is_none() {
+        headers.remove(header::CONTENT_LENGTH);
+    }
+    let answer = PassedAnswer { body, _open: open };
+    let mut res = Response::new(TransitBody::Passed(Box::new(answer)));
+    *res.status_mut() = head.status;
+    *res.headers_mut() = headers;
+    Ok(res)
+}
+
+/// Returns the target's address, and whether a pooled connection may be used.
+fn find_target(
+    shared: &Shared,
+    transit: &TransitHead,
+) -> Result<(std::net::SocketAddr, bool), TransitOutcome> {
+    let now = shared.clock.now();
+    let dispatch = shared.dispatch();
+    let target = dispatch.target(&transit.target);
+    let target = target.filter(|it| it.leaving.is_none());
+    let target = target.ok_or(TransitOutcome::NoTarget)?;
+    if dispatch.is_cut_off(&target.service) {
+        return Err(TransitOutcome::CutOff);
+    }
+    if dispatch.is_unreachable(&transit.target, now) {
+        return Err(TransitOutcome::Unreachable);
+    }
+    let heard = dispatch.since_last_response(&transit.target, now);
+    let reuse = transit.is_repeatable || heard.is_some_and(|it| it < REACHABLE_WINDOW);
+    Ok((target.address, reuse))
+}
+
+/// Returns the time that the request has left, and shortens its deadline by the time spent here.
+fn time_left(
+    shared: &Shared,
+    headers: &mut HeaderMap,
+    arrived: Moment,
+) -> Result<Duration, TransitOutcome> {
+    let name = &shared.dialect.headers.deadline_ms;
+    let stated = headers.get(name).and_then(|it| it.to_str().ok());
+    let stated = stated.and_then(|it| it.parse().ok());
+    let stated = Duration::from_millis(stated.ok_or(TransitOutcome::Malformed)?);
+    let left = stated.saturating_sub(shared.clock.now().since(arrived));
+    if left.is_zero() {
+        return Err(TransitOutcome::Late);
+    }
+    let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    headers.insert(name.clone(), HeaderValue::from(millis));
+    Ok(left)
+}
+
+fn outgoing(mut head: Parts, body: Bytes) -> Request<Full<Bytes>> {
+    strip_hop_by_hop(&mut head.headers);
+    head.headers.remove(header::CONTENT_LENGTH);
+    let mut req = Request::new(Full::new(body));
+    *req.method_mut() = head.method;
+    *req.uri_mut() = head.uri;
+    *req.headers_mut() = head.headers;
+    req
+}
+
+/// Records a failed exchange with the target.
+fn failed(shared: &Shared, target: &TargetName, error: &EngineError) -> TransitOutcome {
+    slog::info!(shared.log, "passing on failed";
+        "target" => target.as_str(), "reason" => error.to_string());
+    if !error.is_connect_failure() {
+        return TransitOutcome::AnswerLost;
+    }
+    shared.record_connection_failed(target);
+    let now = shared.clock.now();
+    let (path, signal) = (TargetPath::Direct, HealthSignal::Unreachable);
+    shared.dispatch().record_signal(target, path, signal, now);
+    TransitOutcome::Unreachable
+}
--- a/crates/chervilshunt_gateway/tests/settings.rs
+++ b/crates/chervilshunt_gateway/tests/settings.rs
@@ -11,7 +11,8 @@
             "instance": {{ "id": "i1", "zone": "here", "region": "all" {instance} }},
             "addresses": {{
                 "callers": "127.0.0.1:1", "readiness": "127.0.0.1:2",
-                "peers": "127.0.0.1:3", "metrics": "127.0.0.1:4"
+                "peers": "127.0.0.1:3", "transit": "127.0.0.1:5",
+                "metrics": "127.0.0.1:4"
             }},
             "platform": {{ "address": "127.0.0.1:5" }},
             "bounds": {{ {bounds} }}
