Give up placing while no target is reached and another instance reaches them

Orders can't go by way of another instance, since they would be orders of two holders.

A placer that has been cut off from a service with models for a second releases its lease if another instance reports that it reaches the service; instances that are cut off do not compete.

--- a/crates/chervilshunt_coord/src/lease/exclusive.rs
+++ b/crates/chervilshunt_coord/src/lease/exclusive.rs
@@ -133,6 +133,11 @@
     Release,
     /// The holder cannot carry the duty, and other instances can: it releases the lease.
     StepDown,
+    /// This instance can't carry the duty for now: it releases the lease if it holds it, and does
+    /// not take it until `Resume`.
+    Suspend,
+    /// This instance can carry the duty again.
+    Resume,
     /// Time has passed.
     Tick,
 }
@@ -188,6 +193,8 @@
     valid_until: Moment,
     holds: bool,
     leaving: bool,
+    /// Whether this instance can't carry the duty for now.
+    suspended: bool,
     /// Whether a call to the platform has failed since the last answer.
     platform_failing: bool,
     /// The earliest time to take the lease from another holder after an outage. By then larger
@@ -236,6 +243,7 @@
             valid_until: Moment::ZERO,
             holds: false,
             leaving: false,
+            suspended: false,
             platform_failing: false,
             may_take_from: Moment::ZERO,
             release_at: None,
@@ -289,7 +297,7 @@
         match (self.holds, idle) {
             (true, true) => Some(self.next_at.min(self.valid_until)),
             (true, false) => Some(self.valid_until),
-            (false, true) if self.has_read && !self.leaving => {
+            (false, true) if self.has_read && !self.leaving && !self.suspended => {
                 Some(self.next_at.max(self.next_attempt()).max(self.down_until))
             }
             (false, _) => None,
@@ -314,7 +322,16 @@
                 self.next_at = now + self.cfg.retry_every;
             }
             ExclusiveLeaseEvent::PlatformLost => self.platform_failing = true,
-            ExclusiveLeaseEvent::StepDown => self.on_step_down(now, &mut out),
+            ExclusiveLeaseEvent::StepDown => {
+                if self.stop_holding(now, &mut out) {
+                    self.down_until = now + self.cfg.step_down_cooldown;
+                }
+            }
+            ExclusiveLeaseEvent::Suspend => {
+                self.suspended = true;
+                self.stop_holding(now, &mut out);
+            }
+            ExclusiveLeaseEvent::Resume => self.suspended = false,
             ExclusiveLeaseEvent::HolderReported(report) => self.on_holder_report(report, now),
             ExclusiveLeaseEvent::Release => self.on_release(&mut out),
             ExclusiveLeaseEvent::Tick => {}
@@ -474,16 +491,16 @@
         out.push(ExclusiveLeaseAction::Read);
     }
 
-    /// Stops acting as the holder. The lease is released once no order can leave the process any
-    /// more.
-    fn on_step_down(&mut self, now: Moment, out: &mut Vec<ExclusiveLeaseAction>) {
+    /// Stops acting as the holder, and returns whether this instance was it. The lease is released
+    /// once no order can leave the process any more.
+    fn stop_holding(&mut self, now: Moment, out: &mut Vec<ExclusiveLeaseAction>) -> bool {
         if !std::mem::replace(&mut self.holds, false) {
-            return;
+            return false;
         }
         self.valid_until = Moment::ZERO;
         self.release_at = Some(now + self.cfg.order_drain);
-        self.down_until = now + self.cfg.step_down_cooldown;
         out.push(ExclusiveLeaseAction::Lost);
+        true
     }
 
     /// Releases the lease after this instance has stepped down.
@@ -551,7 +568,7 @@
             }
             return;
         }
-        if self.release_at.is_some() || now < self.down_until {
+        if self.release_at.is_some() || now < self.down_until || self.suspended {
             return;
         }
         let Some((record, version)) = self.next_write(now) else {
--- a/crates/chervilshunt_coord/src/tests/exclusive_lease.rs
+++ b/crates/chervilshunt_coord/src/tests/exclusive_lease.rs
@@ -180,6 +180,34 @@
     );
 }
 
+/// Guards against a holder that keeps the lease while it can give no orders, or takes it again before it can.
+#[test]
+fn a_suspended_instance_releases_the_lease_and_takes_none_until_it_resumes() {
+    let (mut a, mut seen) = holder();
+    assert_eq!(
+        a.handle(ExclusiveLeaseEvent::Suspend, at(100)),
+        [ExclusiveLeaseAction::Lost]
+    );
+    assert_eq!(a.may_order(at(100)), None);
+    let actions = a.handle(ExclusiveLeaseEvent::Tick, at(700));
+    let [ExclusiveLeaseAction::Write(record, Some(_))] = &*actions else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(record.holder, None);
+    seen.record = record.clone();
+    seen.version = rev(8);
+    let written = LeaseWriteOutcome::Done(rev(8));
+    a.handle(ExclusiveLeaseEvent::Written(written), at(705));
+    a.handle(ExclusiveLeaseEvent::Seen(Some(seen)), at(710));
+    assert_eq!(a.next_wakeup(), None);
+    assert!(a.handle(ExclusiveLeaseEvent::Tick, at(30_000)).is_empty());
+    let resumed = a.handle(ExclusiveLeaseEvent::Resume, at(30_000));
+    assert!(
+        matches!(&*resumed, [ExclusiveLeaseAction::Write(..)]),
+        "{resumed:?}"
+    );
+}
+
 /// A holder whose machine is too small for the duty steps down. It must release the lease only
 /// after its last orders have left, and must not take it again before others had the opportunity.
 #[test]
@@ -341,6 +369,10 @@
     Order(usize),
     /// The instance is too small for the duty and steps down.
     Overload(usize),
+    /// The instance can't carry the duty for now.
+    Suspend(usize),
+    /// The instance can carry it again.
+    Resume(usize),
     /// The process restarts.
     Restart(usize),
     /// An unanswered write is carried out now.
@@ -362,6 +394,8 @@
             .prop_map(|(who, done, answered)| Step::Call(who, done, answered)),
         6 => who.clone().prop_map(Step::Order),
         1 => who.clone().prop_map(Step::Overload),
+        1 => who.clone().prop_map(Step::Suspend),
+        2 => who.clone().prop_map(Step::Resume),
         1 => who.prop_map(Step::Restart),
         1 => Just(Step::LateWrite),
         1 => (0..10_000_u64).prop_map(Step::Restore),
@@ -552,6 +586,8 @@
             Step::Call(who, done, answered) => self.call(who, done, answered),
             Step::Order(who) => self.order(who),
             Step::Overload(who) => self.event(who, ExclusiveLeaseEvent::StepDown),
+            Step::Suspend(who) => self.event(who, ExclusiveLeaseEvent::Suspend),
+            Step::Resume(who) => self.event(who, ExclusiveLeaseEvent::Resume),
             Step::Restart(who) => {
                 self.starts += 1;
                 let address = ([10, 0, 0, NAMES[who].as_bytes()[0]], 7000).into();
--- a/crates/chervilshunt_gateway/src/control/actor.rs
+++ b/crates/chervilshunt_gateway/src/control/actor.rs
@@ -89,6 +89,8 @@
     /// Whether the last call of a follower to the platform succeeded.
     pub(super) reaches_platform: bool,
     pub(super) overload: Overload,
+    /// Whether this instance leaves placing to others because it does not reach the targets.
+    pub(super) suspended: bool,
     /// Load estimates of this or an earlier placer, passed on to the next one.
     pub(super) estimates: Option<LoadEstimates>,
     /// Instances that may read the platform's objects on behalf of this one while it is the placer.
@@ -145,6 +147,7 @@
             follow_modes,
             reaches_platform: false,
             overload: Overload::default(),
+            suspended: false,
             estimates: None,
             relays: watch::Sender::default(),
             feed: ChangeFeed::default(),
@@ -349,6 +352,7 @@
 
     async fn handle(&mut self, due: ReportUsage, _cx: &mut xtra::Context<Self>) {
         self.check_overload(due.due_at.elapsed());
+        self.check_links();
         self.report_usage();
         self.after_message();
     }
--- a/crates/chervilshunt_gateway/src/control/presence.rs
+++ b/crates/chervilshunt_gateway/src/control/presence.rs
@@ -146,6 +146,12 @@
             .collect()
     }
 
+    /// Returns whether another instance reaches the targets of a service.
+    pub(super) fn is_reached(&self, service: &ServiceName) -> bool {
+        let mut statuses = self.instances.values();
+        statuses.any(|(status, _)| !status.cut_off.contains(service))
+    }
+
     /// Returns the largest share of a processor core among the other instances.
     pub(super) fn largest_share(&self) -> f32 {
         let shares = self
