Don't let requests queue at brittle targets, and don't pass on what they turn away

Targets may say that they fall over when they have to turn away more than some requests a second (Server-Brittle); nobody read it. Up to half of their slots more were sent to queue there, each instance by itself, and what one target turned away was tried at the next.

The field is read, logged and counted.

--- a/crates/chervilshunt_core/src/dispatch/choose.rs
+++ b/crates/chervilshunt_core/src/dispatch/choose.rs
@@ -191,9 +191,10 @@
         let Some((path, candidates)) = self.reachable(holding, requirements, now) else {
             return Choice::Wait(WaitReason::CutOff);
         };
+        let is_brittle = self.brittleness(requirements.service).is_some();
         let (held_back, open): (Vec<&Target>, Vec<&Target>) = candidates
             .into_iter()
-            .filter(|it| self.has_room(it, now))
+            .filter(|it| self.has_room(it, is_brittle, now))
             .partition(|it| now < it.held_back_until);
         let scored = open
             .into_iter()
@@ -307,7 +308,10 @@
         oldest.is_none_or(|oldest| version >= oldest)
     }
 
-    fn has_room(&self, target: &Target, now: Moment) -> bool {
+    fn has_room(&self, target: &Target, is_brittle: bool, now: Moment) -> bool {
+        if is_brittle {
+            return self.has_brittle_room(target, now);
+        }
         let slots = f64::from(target.facts.slots);
         target.load.known_within(MAX_FULL_REPORT_AGE, now) < slots * (1.0 + self.cfg.queue_share)
     }
--- a/crates/chervilshunt_core/src/dispatch/load.rs
+++ b/crates/chervilshunt_core/src/dispatch/load.rs
@@ -42,6 +42,11 @@
         self.prefill_tokens
     }
 
+    /// Returns the number of requests that this instance has in flight at the target.
+    pub(crate) const fn own(&self) -> u32 {
+        self.own
+    }
+
     /// Counts a request that ended.
     pub(crate) fn ended(&mut self) {
         self.own = self.own.saturating_sub(1);
--- a/crates/chervilshunt_core/src/dispatch/mod.rs
+++ b/crates/chervilshunt_core/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 //! targets report with their responses, and the notifications of the placer. See
 //! `docs/design/on-the-platform.md`.
 
+mod brittle;
 mod budget;
 mod choose;
 mod facts;
@@ -22,6 +23,8 @@
 mod teams;
 mod uses;
 
+pub(crate) use brittle::BRITTLE_FILL;
+pub use brittle::BrittleChange;
 pub use budget::{ServiceBudgets, WindowBudget, WindowBudgetConfig};
 pub use choose::{Choice, DispatchConfig, TargetRequirements, WaitReason};
 pub use facts::{
--- a/crates/chervilshunt_core/src/dispatch/self_reports.rs
+++ b/crates/chervilshunt_core/src/dispatch/self_reports.rs
@@ -70,8 +70,11 @@
     /// Returns the targets of a service that this instance must not send requests to.
     pub fn closed_targets(&self, service: &ServiceName, now: Moment) -> Vec<TargetName> {
         let targets = self.targets.values();
+        let is_brittle = self.brittleness(service).is_some();
         let closed = targets.filter(|it| {
-            it.facts.service == *service && (it.facts.leaving.is_some() || it.is_paused(now))
+            let has_turned_away = is_brittle && now < it.held_back_until;
+            it.facts.service == *service
+                && (it.facts.leaving.is_some() || it.is_paused(now) || has_turned_away)
         });
         closed.map(|it| it.facts.name.clone()).collect()
     }
--- a/crates/chervilshunt_core/src/dispatch/state.rs
+++ b/crates/chervilshunt_core/src/dispatch/state.rs
@@ -7,6 +7,7 @@
 use chervilshunt_model::{Moment, ServiceName, TargetName, ZoneName};
 use indexmap::IndexMap;
 
+use super::brittle::BrittleTargets;
 use super::choose::DispatchConfig;
 use super::facts::{Leaving, LoadReport, TargetFacts, TargetStart, Weights};
 use super::health::{HealthSignal, TargetHealth, TargetPath};
@@ -67,6 +68,9 @@
     pub(crate) reported_leaving: ReportedLeaving,
     pub(crate) rate_limits: RateLimits,
     pub(crate) send_shares: SendShares,
+    pub(crate) brittle: BrittleTargets,
+    /// The number of instances that send requests to the targets.
+    pub(crate) instances: usize,
     pub(crate) links: HashMap<ServiceName, ServiceLink>,
     uses: UseTable,
     /// The last start of each removed target, the most recently removed last.
@@ -91,6 +95,8 @@
             reported_leaving: ReportedLeaving::default(),
             rate_limits: RateLimits::default(),
             send_shares: SendShares::default(),
+            brittle: BrittleTargets::default(),
+            instances: 1,
             links: HashMap::new(),
             uses: UseTable::default(),
             gone: IndexMap::new(),
--- a/crates/chervilshunt_core/src/residency/choice.rs
+++ b/crates/chervilshunt_core/src/residency/choice.rs
@@ -8,6 +8,7 @@
 use super::placement::PlacementRequest;
 use super::planner::ResidencyPlanner;
 use super::target::{OrderState, TargetState};
+use crate::dispatch::BRITTLE_FILL;
 use crate::dispatch::{Lane, Weights, long_prompt_targets};
 
 /// A target suitable for a request.
@@ -222,6 +223,19 @@
             && !target.is_unloading()
             && self.holds_model(target, &request.weights, now)
             && !request.avoid.contains(name)
+            && self.has_brittle_room(target)
+    }
+
+    /// Returns whether a target has room for a request that may not queue there. Requests that wait
+    /// for a load count, since they are sent together once it ends.
+    fn has_brittle_room(&self, target: &TargetState) -> bool {
+        if !self.brittle.contains(&target.facts.service) {
+            return true;
+        }
+        let waiting = target.adapters.values();
+        let waiting: usize = waiting.map(|it| it.waiting_requests.len()).sum();
+        let assigned = f64::from(target.in_flight()) + waiting as f64;
+        assigned + 1.0 <= (f64::from(target.facts.slots) * BRITTLE_FILL).max(1.0)
     }
 
     /// Returns whether a target holds the base model that a request names or whose adapter it
--- a/crates/chervilshunt_core/src/residency/order.rs
+++ b/crates/chervilshunt_core/src/residency/order.rs
@@ -144,6 +144,8 @@
     ReportFailed(TargetName),
     /// The rate limits of all targets that have named one.
     RateLimits(Vec<(TargetName, RequestRate)>),
+    /// The services whose targets fall over when they have to turn away too many requests.
+    BrittleServices(Vec<ServiceName>),
     /// The newest version of some weights was announced.
     VersionAnnounced(Weights, u64),
     /// Time has passed.
--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -63,6 +63,8 @@
     pub(super) admitted: HashSet<(TargetName, Weights)>,
     /// When targets with rate limits are sent requests.
     pub(super) schedules: SendSchedules,
+    /// The services whose targets get no requests to queue.
+    pub(super) brittle: Vec<ServiceName>,
     /// The last usage report of each instance.
     pub(super) uses: HashMap<InstanceId, Vec<TargetUse>>,
     next_order: u64,
@@ -98,6 +100,7 @@
             lost_of_gone: HashMap::new(),
             admitted: HashSet::new(),
             schedules: SendSchedules::default(),
+            brittle: Vec::new(),
             uses: HashMap::new(),
             next_order: 0,
             knows_targets: false,
@@ -169,6 +172,7 @@
             }
             ResidencyEvent::ReportFailed(target) => self.report_failed(&target, now),
             ResidencyEvent::RateLimits(limits) => self.schedules.set_limits(&limits, now),
+            ResidencyEvent::BrittleServices(services) => self.brittle = services,
             ResidencyEvent::VersionAnnounced(weights, version) => {
                 self.version_announced(weights, version, now, &mut out);
             }
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -143,6 +143,7 @@
                     if answer != OrderAnswer::OtherTarget {
                         shared.check_leaving(&order.target, started, &head.headers);
                         shared.check_limit(&order.target, started, &head.headers, None);
+                        shared.check_brittle(&order.target, &head.headers, now);
                     }
                     answer
                 }
@@ -331,6 +332,7 @@
         (facts.address, facts.started)
     };
     let client = shared.engines.client(address);
+    let sent_at = shared.clock.now();
     let answer = client.forward((dialect.report_query)(target), true, ORDER_LIMITS);
     let answer = answer
         .await
@@ -344,6 +346,7 @@
     }
     shared.check_leaving(target, started, &head.headers);
     shared.check_limit(target, started, &head.headers, None);
+    shared.check_brittle(target, &head.headers, sent_at);
     let body = body.read_whole(MAX_REPORT_BYTES).await;
     let body = body.map_err(|error| error.to_string())?;
     (dialect.decode_report)(&body).map_err(|error| error.to_string())
--- a/crates/chervilshunt_gateway/src/control/using.rs
+++ b/crates/chervilshunt_gateway/src/control/using.rs
@@ -19,6 +19,8 @@
         let limits = self.known_limits();
         if self.placer.is_some() {
             self.plan_rate_limits(&limits);
+            let brittle = self.shared.dispatch().brittle_services();
+            self.plan(ResidencyEvent::BrittleServices(brittle));
             self.record_spent(&spent);
             self.publish_quota_levels();
             let me = self.own_id().clone();
--- a/crates/chervilshunt_gateway/src/dialect.rs
+++ b/crates/chervilshunt_gateway/src/dialect.rs
@@ -245,4 +245,7 @@
     pub load: fn(&str) -> Option<LoadReport>,
     /// Decodes the rate limit that an answer names.
     pub limit: fn(&HeaderMap) -> NamedLimit,
+    /// Decodes how many requests a brittle target may turn away in a second; `None` if the answer
+    /// does not say that the target is brittle.
+    pub brittle: fn(&HeaderMap) -> Option<f64>,
 }
--- a/crates/chervilshunt_gateway/src/lib.rs
+++ b/crates/chervilshunt_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! targets (`control`). The platform's names and formats are provided by a [`Dialect`]; no other
 //! part of this crate depends on them. See `docs/design/on-the-platform.md`.
 
+mod brittle;
 mod control;
 mod crashes;
 mod dialect;
--- a/crates/chervilshunt_gateway/src/shared.rs
+++ b/crates/chervilshunt_gateway/src/shared.rs
@@ -242,6 +242,7 @@
     /// Sets the number of instances, which is at least 1.
     pub(crate) fn set_instances(&self, instances: usize) {
         self.instances.store(instances.max(1), Ordering::Relaxed);
+        self.dispatch().set_instances(instances.max(1));
     }
 
     /// Returns when there will be a placer again; `None` while there is one.
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -68,6 +68,8 @@
     Answered(Box<AcceptedAnswer>),
     /// The request has not run. Another target may be tried.
     NotRun,
+    /// A brittle target has turned the request away. Another one would have to do the same.
+    TurnedAway,
     /// The request has not arrived. The same target may be tried on another path.
     NotConnected,
     /// The request may have run.
@@ -136,6 +138,10 @@
             match self.send(&mut chosen).await {
                 AttemptOutcome::Answered(answered) => return Ok(*answered),
                 AttemptOutcome::NotRun => self.avoid.push(chosen.target),
+                AttemptOutcome::TurnedAway => {
+                    let full = Refusal::retry_after(Reason::Full, REFUSED_RETRY_DELAY);
+                    return Err(self.unless_run(full));
+                }
                 AttemptOutcome::NotConnected => {
                     self.unconnected.push(chosen.target.clone());
                     self.avoid.push(chosen.target);
@@ -342,6 +348,8 @@
             self.handle_self_report(chosen, &in_flight, &head);
         }
         if !matches!(verdict, Verdict::OtherTarget | Verdict::Crossed) {
+            self.shared
+                .check_brittle(&chosen.target, &head.headers, in_flight.sent_at);
             // A target may refuse a request without naming its limit.
             let sent_at = (verdict == Verdict::PassOn).then_some(in_flight.sent_at);
             self.shared
@@ -360,6 +368,11 @@
                 body,
                 in_flight,
             })),
+            Verdict::Full if self.is_brittle() => {
+                self.shared.record_turned_away(&chosen.target);
+                self.not_run();
+                AttemptOutcome::TurnedAway
+            }
             Verdict::Full | Verdict::OtherTarget => self.not_run(),
             Verdict::NotHeld => self.not_held(chosen),
             Verdict::Failed => AttemptOutcome::MayHaveRun(Reason::BadAnswer),
@@ -395,6 +408,11 @@
         }
     }
 
+    fn is_brittle(&self) -> bool {
+        let dispatch = self.shared.dispatch();
+        dispatch.brittleness(&self.req.service).is_some()
+    }
+
     /// Handles a target that does not hold the adapter.
     fn not_held(&mut self, chosen: &SelectedTarget) -> AttemptOutcome {
         let Some(weights) = &self.req.weights else {
