Leave keepalive probes their time: a user timeout of 3 s on connections to targets

TCP_USER_TIMEOUT also decides when keepalive probes give up. With 1.5 s a connection to a sound target ended at its second probe, 2 s after its last sign of life, though three intervals of 1 s were meant, and sent data after 1.5 s; requests that may not run twice were lost with it. It is now as long as the probes take. The platform's client has 3 s for 3 s of probes; nothing else sets one.

the_user_timeout_leaves_time_for_all_probes: 1500 ms, but probes take 3 s, on the code before. nothing_is_broken_off_when_a_sound_target_is_silent_for_a_second passes on this code; it holds up bytes, but can't hold up acknowledgements, so that it shows the timeouts of the program alone.

--- a/crates/chervilshunt_engine/src/connection.rs
+++ b/crates/chervilshunt_engine/src/connection.rs
@@ -53,8 +53,10 @@
 const KEEPALIVE_PROBES: u32 = 2;
 /// The time that sent data may stay unacknowledged before the connection fails.
 ///
-/// A request sent to a target that has lost power would otherwise wait until its deadline.
-const TCP_USER_TIMEOUT_MS: u32 = 1_500;
+/// A request sent to a target that has lost power would otherwise wait until its deadline. A user
+/// timeout also ends the keepalive probes, whatever their number, so that it has to leave time for
+/// all of them: a sound target may be silent for a second or two.
+const TCP_USER_TIMEOUT_MS: u32 = 3_000;
 
 /// A connection to a target.
 pub(crate) struct TargetConnection {
@@ -195,3 +197,6 @@
     let mut parts = text.split(',').map(str::trim);
     parts.find_map(|part| part.strip_prefix("timeout=")?.parse().ok())
 }
+
+#[cfg(test)]
+mod tests;
