Count as cut off only when all targets fail, or sixteen

Two failed connections in a row were enough: when most of the listed targets had crashed, instances took themselves to be cut off and refused requests that the rest could serve (crashing::a_request_is_served_while_most_listed_targets_have_ended: 503, red since requests go in transit). Two failures now start probes of others, 2, 4 and 8 at a time, and any connection that opens ends the suspicion.

--- a/crates/chervilshunt_core/src/dispatch/links.rs
+++ b/crates/chervilshunt_core/src/dispatch/links.rs
@@ -1,9 +1,10 @@
 //! Judges whether this instance reaches the targets of a service.
 //!
-//! To an instance that has lost its own links, all targets look as if they had failed. What tells
-//! the two apart is that several targets accept no connection and none accepts one; then the fault
-//! most likely lies with this instance, and others may still reach the targets. Only connections
-//! that were opened or failed count: responses may still arrive on older ones.
+//! To an instance that has lost its own links, all targets look as if they had failed. When two
+//! accept no connection and none accepts one, others are probed, more each time. If none of them
+//! accepts a connection either, the fault most likely lies with this instance, and other
+//! instances may still reach the targets. Only connections that were opened or failed count:
+//! responses may still arrive on older ones.
 //! See `docs/design/transit.md`.
 
 use std::collections::HashMap;
@@ -13,16 +14,22 @@
 
 use super::state::Dispatch;
 
-/// The number of different targets whose connections fail while none is opened before the instance
-/// counts as cut off. One target may have crashed. A service with fewer targets counts as cut off
-/// when all of them fail.
-const MIN_FAILED_TARGETS: usize = 2;
+/// The number of different targets whose connections fail, while none is opened, from which others
+/// are probed. One target may have crashed.
+const PROBE_FROM: usize = 2;
+/// The same number from which the instance counts as cut off. If a service has fewer targets, all
+/// of them have to fail.
+const CUT_OFF_FROM: usize = 16;
+/// The number of targets that are probed at a time while the instance is cut off.
+const PROBED_WHILE_CUT_OFF: usize = 2;
 /// How long a failed connection counts.
 const FAILURE_VALIDITY: Duration = Duration::from_secs(5);
 
 /// A change of whether this instance reaches the targets of a service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LinkChange {
+    /// Several targets accept no connection. Others have to be probed.
+    Suspected,
     /// No target of the service accepts connections from this instance.
     CutOff {
         /// The service.
@@ -50,6 +57,24 @@
     cut_off_since: Option<Moment>,
 }
 
+impl ServiceLink {
+    fn is_suspected(&self) -> bool {
+        self.failed.len() >= PROBE_FROM && self.cut_off_since.is_none()
+    }
+
+    /// Returns how many targets have to be probed now. Each round of a suspicion probes twice as
+    /// many, so that few connections are opened in vain.
+    fn probe_count(&self) -> usize {
+        if self.cut_off_since.is_some() {
+            return PROBED_WHILE_CUT_OFF;
+        }
+        if self.is_suspected() {
+            return self.failed.len();
+        }
+        0
+    }
+}
+
 impl Dispatch {
     /// Records that a target has accepted a connection.
     pub fn connection_opened(&mut self, target: &TargetName, now: Moment) -> Option<LinkChange> {
@@ -75,9 +100,12 @@
         link.failed
             .retain(|it, at| known.contains_key(it) && now.since(*at) < FAILURE_VALIDITY);
         let failed = link.failed.len();
-        if link.cut_off_since.is_some() || failed < MIN_FAILED_TARGETS.min(targets) {
+        if link.cut_off_since.is_some() {
             return None;
         }
+        if failed < CUT_OFF_FROM.min(targets) {
+            return link.is_suspected().then_some(LinkChange::Suspected);
+        }
         link.cut_off_since = Some(now);
         Some(LinkChange::CutOff {
             service,
@@ -109,24 +137,61 @@
     }
 
     /// Returns the targets to which a connection should be tried, to find out whether the instance
-    /// is still cut off: up to `most` for each service that it is cut off from. Targets that have
-    /// not failed yet come first; `draw` returns random numbers from 0 to 1.
-    pub fn targets_to_probe(&self, most: usize, mut draw: impl FnMut() -> f64) -> Vec<TargetName> {
-        let mut probed = Vec::new();
-        for (service, link) in &self.links {
+    /// is cut off from their services. Targets that have not failed yet come first; `draw` returns
+    /// random numbers from 0 to 1. A suspicion ends when its failures no longer count.
+    pub fn targets_to_probe(
+        &mut self,
+        mut draw: impl FnMut() -> f64,
+        now: Moment,
+    ) -> Vec<TargetName> {
+        for link in self.links.values_mut() {
             if link.cut_off_since.is_none() {
-                continue;
+                link.failed
+                    .retain(|_, at| now.since(*at) < FAILURE_VALIDITY);
             }
-            let serving = self.targets.values();
-            let serving = serving
-                .filter(|it| it.facts.service == *service && it.facts.leaving.is_none())
-                .map(|it| &it.facts.name);
-            let mut ranked: Vec<(bool, f64, &TargetName)> = serving
-                .map(|it| (link.failed.contains_key(it), draw(), it))
-                .collect();
-            ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-            probed.extend(ranked.into_iter().take(most).map(|(_, _, it)| it.clone()));
+        }
+        let mut probed = Vec::new();
+        for (service, link) in &self.links {
+            probed.extend(self.likely_reachable(service, link.probe_count(), &mut draw));
         }
         probed
     }
+
+    /// Returns up to `most` other targets of a target's service, those first to which no connection
+    /// has failed. They show whether the target or this instance's links have failed.
+    pub fn targets_to_compare(
+        &self,
+        target: &TargetName,
+        most: usize,
+        mut draw: impl FnMut() -> f64,
+    ) -> Vec<TargetName> {
+        let Some(known) = self.targets.get(target) else {
+            return Vec::new();
+        };
+        let mut others = self.likely_reachable(&known.facts.service, most + 1, &mut draw);
+        others.retain(|it| it != target);
+        others.truncate(most);
+        others
+    }
+
+    /// Returns up to `most` random targets of a service, those first to which no connection has
+    /// failed.
+    fn likely_reachable(
+        &self,
+        service: &ServiceName,
+        most: usize,
+        draw: &mut impl FnMut() -> f64,
+    ) -> Vec<TargetName> {
+        let link = self.links.get(service);
+        let has_failed = |it| link.is_some_and(|link| link.failed.contains_key(it));
+        let serving = self.targets.values();
+        let serving = serving
+            .filter(|it| it.facts.service == *service && it.facts.leaving.is_none())
+            .map(|it| &it.facts.name);
+        let mut ranked: Vec<(bool, f64, &TargetName)> =
+            serving.map(|it| (has_failed(it), draw(), it)).collect();
+        ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        let ranked = ranked.into_iter().take(most);
+        ranked.map(|(_, _, it)| it.clone()).collect()
+    }
 }
--- a/crates/chervilshunt_gateway/src/links.rs
+++ b/crates/chervilshunt_gateway/src/links.rs
@@ -40,6 +40,10 @@
     fn report_link_change(&self, change: Option<LinkChange>) {
         match change {
             None => return,
+            Some(LinkChange::Suspected) => {
+                self.links_changed.send_replace(());
+                return;
+            }
             Some(LinkChange::CutOff {
                 service,
                 failed,
