Record no crash of a target when no other target is reached either

A target counts as crashed by a request if its connection ended without an answer and it refuses connections. To an instance whose links are reset that is true of all targets: requests that were in progress there at two targets were refused at all instances (same class as RECOVER: an instance judges by its own links alone). Other targets of the service are now tried first.

--- a/crates/chervilshunt_gateway/src/crashes.rs
+++ b/crates/chervilshunt_gateway/src/crashes.rs
@@ -7,16 +7,21 @@
 use std::time::Duration;
 
 use chervilshunt_core::{Crash, Fingerprint, StoredCrashes};
+use chervilshunt_model::TargetName;
 use chervilshunt_platform::{Exchange, PlatformError};
 use tokio::sync::mpsc;
+use tokio::task::JoinSet;
 
 use crate::shared::Shared;
 use crate::store::{StoreAnswer, call_once};
+use crate::transit::probe;
 
 /// Capacity of the queue of signals; far more than the requests that are open at one target.
 const QUEUE_CAPACITY: usize = 1_024;
 /// Timeout of the connection that checks whether a target's process has ended.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Number of other targets that are tried before one counts as crashed.
+const COMPARED_TARGETS: usize = 3;
 /// Timeout of one write of a record.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay after a failed write, and the maximum number of writes of a record: about half a minute in
@@ -102,6 +107,10 @@
         if !client.is_refused(CHECK_TIMEOUT).await {
             return;
         }
+        if !self.reaches_others(&crash.target).await {
+            return slog::info!(self.shared.log, "target not reached, like all others";
+                "target" => crash.target.as_str(), "content" => crash.fingerprint.to_string());
+        }
         let now = self.shared.clock.now();
         let is_to_record = self.shared.quarantine().record_crash(crash.clone(), now);
         slog::info!(self.shared.log, "target crashed";
@@ -113,6 +122,24 @@
         }
     }
 
+    /// Returns whether this instance reaches another target of the service, if there is any. To an
+    /// instance that has lost its links, all targets refuse connections, and every request that was
+    /// in progress would be taken for one that crashes targets.
+    async fn reaches_others(&self, target: &TargetName) -> bool {
+        let others =
+            self.shared
+                .dispatch()
+                .targets_to_compare(target, COMPARED_TARGETS, rand::random);
+        if others.is_empty() {
+            return true;
+        }
+        let probes = others
+            .into_iter()
+            .map(|it| probe(Arc::clone(&self.shared), it));
+        let answers = JoinSet::from_iter(probes).join_all().await;
+        answers.contains(&true)
+    }
+
     /// Writes everything that is known of a request's crashes, merged with the records of other
     /// instances.
     async fn record(&self, fingerprint: Fingerprint) {
--- a/crates/chervilshunt_gateway/src/transit/mod.rs
+++ b/crates/chervilshunt_gateway/src/transit/mod.rs
@@ -16,7 +16,7 @@
 
 pub(crate) use header::{TransitHead, strip_transit_headers};
 pub(crate) use outcome::TransitOutcome;
-pub(crate) use probe::probe_lost_links;
+pub(crate) use probe::{probe, probe_lost_links};
 pub(crate) use routes::{TransitRoute, TransitRoutes};
 pub(crate) use server::serve_transit;
 pub(crate) use ticket::{IssuedTickets, Ticket};
