--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -7,21 +7,18 @@
 use chervilshunt_core::HealthSignal;
 use chervilshunt_engine::{BodyReader, EngineError, Limits, Outcome};
 use chervilshunt_model::TargetName;
-use chervilshunt_platform::retry_after;
 use http::response::Parts;
-use http::{Request, StatusCode, Uri, header};
+use http::{Request, Uri};
 use http_body_util::Full;
 
-use super::answer::{Verdict, classify};
 use super::charge::Charge;
 use super::in_flight::InFlight;
 use super::outdated::{begin_deadline_passed, withdraw};
 use super::place::SelectedTarget;
 use super::refusal::{Reason, Refusal};
 use super::request::{CallerRequest, set};
-use crate::peers::PeerMessage;
 use crate::shared::Shared;
-use crate::transit::{TransitHead, TransitOutcome, TransitRoute};
+use crate::transit::{TransitHead, TransitOutcome};
 
 /// Timeout of a connection to a target. Targets are 1 ms to 2 ms away, and a lost packet is
 /// retransmitted only after a second.
@@ -48,10 +45,10 @@
     /// The charge to the team's quota.
     pub(super) charge: Option<Charge>,
     /// Targets that accepted no connection from this instance, and that another instance may reach.
-    unconnected: Vec<TargetName>,
+    pub(super) unconnected: Vec<TargetName>,
     attempts: u32,
     /// Attempts that arrived at a target, or may have.
-    arrivals: u32,
+    pub(super) arrivals: u32,
     runs: u32,
 }
 
@@ -158,16 +155,6 @@
         }
     }
 
-    /// Tries targets again that accepted no connection, once it is known that this instance is cut
-    /// off from them: another one may reach them.
-    fn reconsider_unconnected(&mut self) {
-        if self.unconnected.is_empty() || !self.shared.dispatch().is_cut_off(&self.req.service) {
-            return;
-        }
-        let unconnected = std::mem::take(&mut self.unconnected);
-        self.avoid.retain(|it| !unconnected.contains(it));
-    }
-
     /// Refuses a request that has crashed targets, here or at another instance.
     fn refuse_if_quarantined(&self) -> Result<(), Refusal> {
         let now = self.shared.clock.now();
@@ -267,46 +254,8 @@
         }
     }
 
-    fn record_connect_failure(&self, chosen: &SelectedTarget) {
-        match &chosen.route {
-            Some(route) => route.record_failure(self.shared.clock.now()),
-            None => self.shared.record_connection_failed(&chosen.target),
-        }
-    }
-
-    /// Handles an instance that has not passed the request on, or has lost its answer.
-    fn not_passed_on(
-        &mut self,
-        chosen: &SelectedTarget,
-        route: &TransitRoute,
-        outcome: TransitOutcome,
-        in_flight: &InFlight,
-    ) -> AttemptOutcome {
-        let now = self.shared.clock.now();
-        slog::info!(self.shared.log, "request not passed on";
-            "request" => &*self.req.id, "target" => chosen.target.as_str(),
-            "via" => route.instance.as_str(), "outcome" => outcome.as_str());
-        if outcome == TransitOutcome::NoTicket {
-            self.shared.transit_routes.remove(&route.instance);
-        }
-        if outcome.may_have_run() {
-            in_flight.record_signal(HealthSignal::Failed, now);
-            return AttemptOutcome::MayHaveRun(Reason::AnswerLost);
-        }
-        self.arrivals -= 1;
-        if outcome.closes_route() {
-            route.record_failure(now);
-            self.not_run();
-            return AttemptOutcome::NotConnected;
-        }
-        if outcome == TransitOutcome::Unreachable {
-            in_flight.record_signal(HealthSignal::Unreachable, now);
-        }
-        self.not_run()
-    }
-
     /// Returns whether another target may run the request, so that a failure need not be passed on.
-    fn may_retry(&self) -> bool {
+    pub(super) fn may_retry(&self) -> bool {
         let now = self.shared.clock.now();
         let instances = self.shared.instances();
         self.req.route.repeat.is_allowed()
@@ -319,84 +268,8 @@
                 .allows_retry(instances, now)
     }
 
-    fn classify(
-        &mut self,
-        chosen: &SelectedTarget,
-        head: Parts,
-        body: BodyReader,
-        in_flight: InFlight,
-    ) -> AttemptOutcome {
-        let now = self.shared.clock.now();
-        let names = &self.shared.dialect.headers;
-        let load = head.headers.get(&names.load);
-        let load = load.and_then(|it| it.to_str().ok());
-        let load = load.and_then(self.shared.dialect.targets.load);
-        if let Some(load) = load {
-            self.shared
-                .dispatch()
-                .load_reported(&chosen.target, load, now);
-        }
-        let again = self.may_retry();
-        let verdict = classify(names, &self.req.id, &chosen.target, &head, again);
-        if verdict != Verdict::PassOn {
-            slog::info!(self.shared.log, "answer not passed on";
-                "request" => &*self.req.id, "target" => chosen.target.as_str(),
-                "status" => head.status.as_u16(), "verdict" => ?verdict,
-                "retry_after" => head.headers.get(header::RETRY_AFTER).and_then(|it| it.to_str().ok()));
-        }
-        if verdict != Verdict::OtherTarget {
-            self.handle_self_report(chosen, &in_flight, &head);
-        }
-        if !matches!(verdict, Verdict::OtherTarget | Verdict::Crossed) {
-            self.shared
-                .check_brittle(&chosen.target, &head.headers, in_flight.sent_at);
-            // A target may refuse a request without naming its limit.
-            let sent_at = (verdict == Verdict::PassOn).then_some(in_flight.sent_at);
-            self.shared
-                .check_limit(&chosen.target, in_flight.started, &head.headers, sent_at);
-        }
-        let signal = match verdict {
-            Verdict::PassOn if head.status.is_server_error() => HealthSignal::Failed,
-            Verdict::PassOn | Verdict::Full | Verdict::NotHeld => HealthSignal::Served,
-            Verdict::OtherTarget => HealthSignal::Unreachable,
-            Verdict::Failed | Verdict::Crossed => HealthSignal::Failed,
-        };
-        in_flight.record_signal(signal, now);
-        match verdict {
-            Verdict::PassOn => AttemptOutcome::Answered(Box::new(AcceptedAnswer {
-                head,
-                body,
-                in_flight,
-            })),
-            Verdict::Full if self.is_brittle() => {
-                self.shared.record_turned_away(&chosen.target);
-                self.not_run();
-                AttemptOutcome::TurnedAway
-            }
-            Verdict::Full | Verdict::OtherTarget => self.not_run(),
-            Verdict::NotHeld => self.not_held(chosen),
-            Verdict::Failed => AttemptOutcome::MayHaveRun(Reason::BadAnswer),
-            Verdict::Crossed => AttemptOutcome::MayHaveRun(Reason::AnswerLost),
-        }
-    }
-
-    /// Handles what a target reports about itself in an answer: that it is leaving, or requests a
-    /// pause.
-    fn handle_self_report(&self, chosen: &SelectedTarget, in_flight: &InFlight, head: &Parts) {
-        let (shared, target) = (self.shared, &chosen.target);
-        shared.check_leaving(target, in_flight.started, &head.headers);
-        let turned_away = head.status == StatusCode::SERVICE_UNAVAILABLE;
-        if let Some(pause) = retry_after(&head.headers).filter(|_| turned_away) {
-            let now = shared.clock.now();
-            slog::info!(shared.log, "target requested a pause";
-                "request" => &*self.req.id, "target" => target.as_str(),
-                "pause_ms" => pause.as_millis() as u64);
-            shared.dispatch().pause_requested(target, pause, now);
-        }
-    }
-
     /// Withdraws the assumption that the request may have run at the last target.
-    fn not_run(&mut self) -> AttemptOutcome {
+    pub(super) fn not_run(&mut self) -> AttemptOutcome {
         self.runs -= 1;
         self.set_charge_final(self.runs > 0);
         AttemptOutcome::NotRun
@@ -408,26 +281,6 @@
         }
     }
 
-    fn is_brittle(&self) -> bool {
-        let dispatch = self.shared.dispatch();
-        dispatch.brittleness(&self.req.service).is_some()
-    }
-
-    /// Handles a target that does not hold the adapter.
-    fn not_held(&mut self, chosen: &SelectedTarget) -> AttemptOutcome {
-        let Some(weights) = &self.req.weights else {
-            return self.not_run();
-        };
-        self.shared.dispatch().not_held(&chosen.target, weights);
-        if let Some(placer) = self.shared.placer.load_full() {
-            let message = PeerMessage::NotHeld(chosen.target.clone(), weights.clone());
-            if let Err(error) = self.shared.mesh.send(&placer, message) {
-                slog::debug!(self.shared.log, "message to placer not sent"; "reason" => error.to_string());
-            }
-        }
-        self.not_run()
-    }
-
     fn failed(
         &mut self,
         chosen: &SelectedTarget,
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/traffic/head.rs
@@ -0,0 +1,113 @@
+//! Decides from the head of a target's answer how its request goes on.
+
+use chervilshunt_core::HealthSignal;
+use chervilshunt_engine::BodyReader;
+use chervilshunt_platform::retry_after;
+use http::StatusCode;
+use http::header;
+use http::response::Parts;
+
+use super::answer::{Verdict, classify};
+use super::attempt::{AcceptedAnswer, AttemptOutcome, RequestAttempts};
+use super::in_flight::InFlight;
+use super::place::SelectedTarget;
+use super::refusal::Reason;
+use crate::peers::PeerMessage;
+
+impl RequestAttempts<'_> {
+    pub(super) fn classify(
+        &mut self,
+        chosen: &SelectedTarget,
+        head: Parts,
+        body: BodyReader,
+        in_flight: InFlight,
+    ) -> AttemptOutcome {
+        let now = self.shared.clock.now();
+        let names = &self.shared.dialect.headers;
+        let load = head.headers.get(&names.load);
+        let load = load.and_then(|it| it.to_str().ok());
+        let load = load.and_then(self.shared.dialect.targets.load);
+        if let Some(load) = load {
+            self.shared
+                .dispatch()
+                .load_reported(&chosen.target, load, now);
+        }
+        let again = self.may_retry();
+        let verdict = classify(names, &self.req.id, &chosen.target, &head, again);
+        if verdict != Verdict::PassOn {
+            slog::info!(self.shared.log, "answer not passed on";
+                "request" => &*self.req.id, "target" => chosen.target.as_str(),
+                "status" => head.status.as_u16(), "verdict" => ?verdict,
+                "retry_after" => head.headers.get(header::RETRY_AFTER).and_then(|it| it.to_str().ok()));
+        }
+        if verdict != Verdict::OtherTarget {
+            self.handle_self_report(chosen, &in_flight, &head);
+        }
+        if !matches!(verdict, Verdict::OtherTarget | Verdict::Crossed) {
+            self.shared
+                .check_brittle(&chosen.target, &head.headers, in_flight.sent_at);
+            // A target may refuse a request without naming its limit.
+            let sent_at = (verdict == Verdict::PassOn).then_some(in_flight.sent_at);
+            self.shared
+                .check_limit(&chosen.target, in_flight.started, &head.headers, sent_at);
+        }
+        let signal = match verdict {
+            Verdict::PassOn if head.status.is_server_error() => HealthSignal::Failed,
+            Verdict::PassOn | Verdict::Full | Verdict::NotHeld => HealthSignal::Served,
+            Verdict::OtherTarget => HealthSignal::Unreachable,
+            Verdict::Failed | Verdict::Crossed => HealthSignal::Failed,
+        };
+        in_flight.record_signal(signal, now);
+        match verdict {
+            Verdict::PassOn => AttemptOutcome::Answered(Box::new(AcceptedAnswer {
+                head,
+                body,
+                in_flight,
+            })),
+            Verdict::Full if self.is_brittle() => {
+                self.shared.record_turned_away(&chosen.target);
+                self.not_run();
+                AttemptOutcome::TurnedAway
+            }
+            Verdict::Full | Verdict::OtherTarget => self.not_run(),
+            Verdict::NotHeld => self.not_held(chosen),
+            Verdict::Failed => AttemptOutcome::MayHaveRun(Reason::BadAnswer),
+            Verdict::Crossed => AttemptOutcome::MayHaveRun(Reason::AnswerLost),
+        }
+    }
+
+    /// Handles what a target reports about itself in an answer: that it is leaving, or requests a
+    /// pause.
+    fn handle_self_report(&self, chosen: &SelectedTarget, in_flight: &InFlight, head: &Parts) {
+        let (shared, target) = (self.shared, &chosen.target);
+        shared.check_leaving(target, in_flight.started, &head.headers);
+        let turned_away = head.status == StatusCode::SERVICE_UNAVAILABLE;
+        if let Some(pause) = retry_after(&head.headers).filter(|_| turned_away) {
+            let now = shared.clock.now();
+            slog::info!(shared.log, "target requested a pause";
+                "request" => &*self.req.id, "target" => target.as_str(),
+                "pause_ms" => pause.as_millis() as u64);
+            shared.dispatch().pause_requested(target, pause, now);
+        }
+    }
+
+    fn is_brittle(&self) -> bool {
+        let dispatch = self.shared.dispatch();
+        dispatch.brittleness(&self.req.service).is_some()
+    }
+
+    /// Handles a target that does not hold the adapter.
+    fn not_held(&mut self, chosen: &SelectedTarget) -> AttemptOutcome {
+        let Some(weights) = &self.req.weights else {
+            return self.not_run();
+        };
+        self.shared.dispatch().not_held(&chosen.target, weights);
+        if let Some(placer) = self.shared.placer.load_full() {
+            let message = PeerMessage::NotHeld(chosen.target.clone(), weights.clone());
+            if let Err(error) = self.shared.mesh.send(&placer, message) {
+                slog::debug!(self.shared.log, "message to placer not sent"; "reason" => error.to_string());
+            }
+        }
+        self.not_run()
+    }
+}
