--- a/crates/chervilshunt_core/src/residency/answers.rs
+++ b/crates/chervilshunt_core/src/residency/answers.rs
@@ -216,6 +216,7 @@
         };
         target.order_state = OrderState::Idle(report.accepted);
         target.was_queried = true;
+        target.has_answered = true;
         target.touched = true;
         let listed = |weights: &_| {
             let held = report.adapters.iter().any(|(held, _)| held == weights);
--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -29,6 +29,8 @@
 /// The share of targets that must have reported before the placer counts as knowing what is held.
 /// The last few may be slow or gone.
 const MIN_QUERIED_SHARE: f64 = 0.95;
+/// The share of these that must have answered. If fewer have, the placer's own links may have failed.
+const MIN_ANSWERED_SHARE: f64 = 0.5;
 /// The number of targets that a new placer queries at once.
 const INITIAL_QUERIES: u32 = 128;
 /// The interval between the queries of further targets.
@@ -267,15 +269,22 @@
 
     fn note_known_targets(&mut self) {
         if !self.knows_targets && !self.targets.is_empty() {
-            let queried = self.targets.values().filter(|it| it.was_queried).count();
-            self.knows_targets = queried as f64 >= self.targets.len() as f64 * MIN_QUERIED_SHARE;
+            let count = |holds: fn(&TargetState) -> bool| {
+                let targets = self.targets.values();
+                targets.filter(|it| holds(it)).count() as f64
+            };
+            let queried = count(|it| it.was_queried);
+            let answered = count(|it| it.has_answered);
+            self.knows_targets = queried >= self.targets.len() as f64 * MIN_QUERIED_SHARE
+                && answered >= queried * MIN_ANSWERED_SHARE;
         }
     }
 
-    /// Returns the usable adapters of all targets, for instances that have to select targets
-    /// themselves.
+    /// Returns the usable adapters of all targets that have answered a query, for instances that have
+    /// to select targets themselves. What the others hold is not known, and may be known elsewhere.
     pub fn snapshots(&self) -> Vec<TargetSnapshot> {
         let targets = self.targets.iter();
+        let targets = targets.filter(|(_, target)| target.has_answered);
         let snapshots = targets.map(|(name, target)| TargetSnapshot {
             target: name.clone(),
             started: target.facts.started,
--- a/crates/chervilshunt_core/src/residency/target.rs
+++ b/crates/chervilshunt_core/src/residency/target.rs
@@ -72,6 +72,8 @@
     pub(crate) lost: LostLoads,
     /// Whether the target has answered a query, or one has failed.
     pub(crate) was_queried: bool,
+    /// Whether the target has answered a query.
+    pub(crate) has_answered: bool,
     /// Whether something has changed since the planner last inspected the target.
     pub(crate) touched: bool,
     pub(crate) summary: Summary,
@@ -130,6 +132,7 @@
             last_prefill: Moment::ZERO,
             lost: LostLoads::default(),
             was_queried: false,
+            has_answered: false,
             touched: true,
             summary: Summary::default(),
         }
