Know instances that pass on requests before the placer is gone

The placer now names one instance with each status, of which eight are remembered, and an instance without a route asks them itself; one that does not reach the services in question issues no ticket.

--- a/crates/chervilshunt_gateway/src/control/actor.rs
+++ b/crates/chervilshunt_gateway/src/control/actor.rs
@@ -27,7 +27,7 @@
 use super::presence::Presence;
 use super::targets::MissingTargets;
 use crate::dialect::Kind;
-use crate::peers::{LeaseAnswer, LeaseCall, PeerMessage};
+use crate::peers::{LeaseAnswer, LeaseCall, PeerMessage, TransitOffer};
 use crate::settings::Settings;
 use crate::shared::Shared;
 
@@ -89,6 +89,9 @@
     /// Whether the last call of a follower to the platform succeeded.
     pub(super) reaches_platform: bool,
     pub(super) overload: Overload,
+    /// Instances that may pass on this one's requests while there is no placer to offer any; the one
+    /// offered last is last.
+    pub(super) known_peers: Vec<TransitOffer>,
     /// Whether this instance leaves placing to others because it does not reach the targets.
     pub(super) suspended: bool,
     /// Load estimates of this or an earlier placer, passed on to the next one.
@@ -147,6 +150,7 @@
             follow_modes,
             reaches_platform: false,
             overload: Overload::default(),
+            known_peers: Vec::new(),
             suspended: false,
             estimates: None,
             relays: watch::Sender::default(),
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -17,6 +17,7 @@
 use super::actor::{Control, PendingPlacement, Placer};
 use super::messages::{OrderResult, TargetQueried};
 use super::presence::{InstanceStatus, Presence};
+use super::transit::MAX_OFFERS;
 use crate::peers::{PeerMessage, TransitOffer};
 use crate::shared::Shared;
 
@@ -197,13 +198,13 @@
             return;
         };
         let peer = status.peer(from);
-        let needs_transit = status.needs_transit;
+        let most = if status.needs_transit { MAX_OFFERS } else { 1 };
         placer.presence.record_report(from, status, now);
         self.shared
             .deputy
             .store(placer.presence.deputy().map(Arc::new));
-        let offers = needs_transit.then(|| self.transit_offers(from));
-        if let Some(placing) = self.placer_status(offers.unwrap_or_default(), now) {
+        let offers = self.transit_offers(from, most);
+        if let Some(placing) = self.placer_status(offers, now) {
             self.send(&peer, placing);
         }
         self.plan(ResidencyEvent::UsageReported(from.clone(), uses, grants));
--- a/crates/chervilshunt_gateway/src/control/transit.rs
+++ b/crates/chervilshunt_gateway/src/control/transit.rs
@@ -4,17 +4,20 @@
 use std::time::Duration;
 
 use chervilshunt_mesh::{Peer, Reply};
-use chervilshunt_model::InstanceId;
+use chervilshunt_model::{InstanceId, ServiceName};
 
 use super::actor::Control;
 use super::presence::InstanceStatus;
 use crate::peers::{PeerMessage, TransitOffer};
+use crate::shared::Shared;
 use crate::transit::TransitRoute;
 
 /// Maximum number of instances that are offered to one.
-const MAX_OFFERS: usize = 4;
+pub(super) const MAX_OFFERS: usize = 4;
 /// Number of offers below which the placer also offers itself. It has more to do than others.
 const MIN_OTHERS: usize = 2;
+/// Number of instances that are remembered for a time without a placer.
+const MAX_KNOWN_PEERS: usize = 8;
 /// Timeout of the request for a ticket.
 const TICKET_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -36,8 +39,8 @@
         }
     }
 
-    /// Returns instances that may pass on the requests of one that has reported that it needs that.
-    pub(super) fn transit_offers(&self, to: &InstanceId) -> Vec<TransitOffer> {
+    /// Returns up to `most` instances that may pass on the requests of another one.
+    pub(super) fn transit_offers(&self, to: &InstanceId, most: usize) -> Vec<TransitOffer> {
         let Some(placer) = &self.placer else {
             return Vec::new();
         };
@@ -45,11 +48,9 @@
             return Vec::new();
         };
         let (zone, cut_off) = (status.zone.as_ref(), &status.cut_off);
-        let mut offers = placer
-            .presence
-            .transit_offers(to, zone, cut_off, MAX_OFFERS);
+        let mut offers = placer.presence.transit_offers(to, zone, cut_off, most);
         let own = self.own_status();
-        if offers.len() < MIN_OTHERS && own.cut_off.is_empty() {
+        if offers.len() < MIN_OTHERS.min(most) && own.cut_off.is_empty() {
             offers.push(TransitOffer {
                 instance: self.own_id().clone(),
                 address: own.address,
@@ -60,7 +61,7 @@
     }
 
     /// Uses instances that report to this one, the placer, if it needs its requests passed on.
-    pub(super) fn offer_transit_to_self(&self) {
+    pub(super) fn offer_transit_to_self(&mut self) {
         let own = self.own_status();
         let Some(placer) = self.placer.as_ref().filter(|_| own.needs_transit) else {
             return;
@@ -74,26 +75,43 @@
         self.apply_transit_offers(offers);
     }
 
-    /// Uses the deputy if this instance needs its requests passed on, and no placer offers others.
-    pub(super) fn use_deputy_for_transit(&self) {
+    /// Asks instances that were offered before, and the deputy, if this instance needs its requests
+    /// passed on and has no route: the placer may be gone, or not know yet who is cut off.
+    pub(super) fn use_known_peers(&self) {
         let now = self.now();
-        if self.shared.transit_routes.is_available(now)
-            || !self.shared.is_placer_silent(now)
-            || !self.shared.dispatch().needs_transit(now)
-        {
+        if self.shared.transit_routes.is_available(now) || !self.needs_transit() {
             return;
         }
         let deputy = self.shared.deputy.load_full();
-        let offer = deputy.map(|it| TransitOffer {
+        let deputy = deputy.map(|it| TransitOffer {
             instance: it.instance.clone(),
             address: it.address,
             is_near: false,
         });
-        self.apply_transit_offers(offer.into_iter().collect());
+        self.request_tickets(self.known_peers.iter().cloned().chain(deputy));
     }
 
-    /// Asks instances for a ticket that have been offered and are not known yet.
-    pub(super) fn apply_transit_offers(&self, offers: Vec<TransitOffer>) {
+    /// Remembers instances that were offered, and asks them for a ticket if this instance needs its
+    /// requests passed on.
+    pub(super) fn apply_transit_offers(&mut self, offers: Vec<TransitOffer>) {
+        for offer in &offers {
+            self.known_peers.retain(|it| it.instance != offer.instance);
+            self.known_peers.push(offer.clone());
+        }
+        let surplus = self.known_peers.len().saturating_sub(MAX_KNOWN_PEERS);
+        self.known_peers.drain(..surplus);
+        if self.needs_transit() {
+            self.request_tickets(offers);
+        }
+    }
+
+    fn needs_transit(&self) -> bool {
+        let now = self.now();
+        self.shared.dispatch().needs_transit(now)
+    }
+
+    /// Asks instances for a ticket that have issued none to this one.
+    fn request_tickets(&self, offers: impl IntoIterator<Item = TransitOffer>) {
         let now = self.now();
         for offer in offers {
             if offer.instance == *self.own_id()
@@ -101,37 +119,23 @@
             {
                 continue;
             }
-            let shared = Arc::clone(&self.shared);
-            tokio::spawn(async move {
-                let peer = Peer {
-                    instance: offer.instance,
-                    address: offer.address,
-                };
-                let answer = shared
-                    .mesh
-                    .request(&peer, PeerMessage::TransitRequest, TICKET_TIMEOUT)
-                    .await;
-                match answer {
-                    Ok(PeerMessage::TransitTicket(address, ticket)) => {
-                        slog::info!(shared.log, "transit route added";
-                            "via" => peer.instance.as_str(), "near" => offer.is_near);
-                        let now = shared.clock.now();
-                        let route =
-                            TransitRoute::new(peer.instance, address, ticket, offer.is_near, now);
-                        shared.transit_routes.add(route);
-                    }
-                    // An older version does not know the message.
-                    Ok(_) => {}
-                    Err(error) => slog::info!(shared.log, "no transit route";
-                        "via" => peer.instance.as_str(), "reason" => error.to_string()),
-                }
-            });
+            let lost = self.own_status().cut_off;
+            tokio::spawn(request_ticket(Arc::clone(&self.shared), offer, lost));
         }
     }
 
-    /// Lets another instance have its requests passed on.
-    pub(super) fn issue_ticket(&self, to: &InstanceId, reply: Option<Reply<PeerMessage>>) {
-        let Some(reply) = reply.filter(|_| !self.shared.is_stopping()) else {
+    /// Lets another instance, which does not reach these services, have its requests passed on.
+    pub(super) fn issue_ticket(
+        &self,
+        to: &InstanceId,
+        services: &[ServiceName],
+        reply: Option<Reply<PeerMessage>>,
+    ) {
+        let own = self.own_status();
+        let reaches = |service| !own.cut_off.contains(service);
+        // Dropping the reply tells the other instance at once that there is no ticket.
+        let is_able = !self.shared.is_stopping() && services.iter().all(reaches);
+        let Some(reply) = reply.filter(|_| is_able) else {
             return;
         };
         let ticket = self.shared.issued_tickets.issue(to);
@@ -141,3 +145,25 @@
         }
     }
 }
+
+/// Asks an instance for a ticket, to have requests passed on for targets of the lost services.
+async fn request_ticket(shared: Arc<Shared>, offer: TransitOffer, lost: Vec<ServiceName>) {
+    let peer = Peer {
+        instance: offer.instance,
+        address: offer.address,
+    };
+    let message = PeerMessage::TransitRequest(lost);
+    match shared.mesh.request(&peer, message, TICKET_TIMEOUT).await {
+        Ok(PeerMessage::TransitTicket(address, ticket)) => {
+            slog::info!(shared.log, "transit route added";
+                "via" => peer.instance.as_str(), "near" => offer.is_near);
+            let now = shared.clock.now();
+            let route = TransitRoute::new(peer.instance, address, ticket, offer.is_near, now);
+            shared.transit_routes.add(route);
+        }
+        // An older version does not know the message.
+        Ok(_) => {}
+        Err(error) => slog::info!(shared.log, "no transit route";
+            "via" => peer.instance.as_str(), "reason" => error.to_string()),
+    }
+}
--- a/crates/chervilshunt_gateway/src/control/using.rs
+++ b/crates/chervilshunt_gateway/src/control/using.rs
@@ -28,10 +28,11 @@
             self.apply_own_status();
             self.choose_relays();
             self.offer_transit_to_self();
+            self.use_known_peers();
             return;
         }
         self.report_to_deputy(&spent);
-        self.use_deputy_for_transit();
+        self.use_known_peers();
         let Some(placer) = self.shared.placer.load_full() else {
             return;
         };
@@ -147,7 +148,7 @@
                 self.apply_status(knows_targets, instances);
             }
             PeerMessage::Changed(batch) if self.is_placer(&from) => self.apply_batch(batch),
-            PeerMessage::TransitRequest => self.issue_ticket(&from, reply),
+            PeerMessage::TransitRequest(services) => self.issue_ticket(&from, &services, reply),
             PeerMessage::RelayLeaseCall(call) => self.call_lease_for_placer(call, reply),
             PeerMessage::RelayRead(read) => self.read_for_placer(read, reply),
             // The sender is no longer the placer, or is not known as the placer yet.
--- a/crates/chervilshunt_gateway/src/peers.rs
+++ b/crates/chervilshunt_gateway/src/peers.rs
@@ -130,13 +130,15 @@
         /// The rate limits that targets have named, and those that were lifted lately.
         #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
         limits: Vec<LimitReport>,
-        /// Instances that may pass on the receiver's requests, if it needs any.
+        /// Instances that may pass on the receiver's requests: several if it needs any now, or else
+        /// one to know of if there is no placer when it does.
         #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
         transit: Vec<TransitOffer>,
     },
-    /// To an instance that may pass on the sender's requests. Answered by `TransitTicket`.
+    /// To an instance that may pass on the sender's requests, which does not reach the targets of
+    /// these services. Answered by `TransitTicket` if the receiver reaches them.
     #[serde(rename = "t")]
-    TransitRequest,
+    TransitRequest(Vec<ServiceName>),
     /// From an instance that passes on requests: the address for them, and the receiver's ticket.
     #[serde(rename = "T")]
     TransitTicket(SocketAddr, Ticket),
@@ -344,7 +346,7 @@
             Self::NotHeld(..) => "not_held",
             Self::Leaving(..) => "leaving",
             Self::RateLimit(_) => "rate_limit",
-            Self::TransitRequest => "transit_request",
+            Self::TransitRequest(_) => "transit_request",
             Self::TransitTicket(..) => "transit_ticket",
             Self::SendPermitRequest(..) => "send_permit",
             Self::SendPermitAnswer(_) => "send_permit_answer",
