Tell each instance of another one without a look at all of them

Every report of an instance, 750 a second, was answered with an offer for which the placer shuffled all instances and asked all 3,003 targets whether it needs transit itself. The offer is now the instance that reported before.

--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -17,7 +17,6 @@
 use super::actor::{Control, PendingPlacement, Placer};
 use super::messages::{OrderResult, TargetQueried};
 use super::presence::{InstanceStatus, Presence};
-use super::transit::MAX_OFFERS;
 use crate::peers::{PeerMessage, TransitOffer};
 use crate::shared::Shared;
 
@@ -198,12 +197,17 @@
             return;
         };
         let peer = status.peer(from);
-        let most = if status.needs_transit { MAX_OFFERS } else { 1 };
+        let needs_transit = status.needs_transit;
+        let to_know = placer.presence.offer_to_know(from, status.zone.as_ref());
         placer.presence.record_report(from, status, now);
         self.shared
             .deputy
             .store(placer.presence.deputy().map(Arc::new));
-        let offers = self.transit_offers(from, most);
+        let offers = if needs_transit {
+            self.transit_offers(from)
+        } else {
+            to_know.into_iter().collect()
+        };
         if let Some(placing) = self.placer_status(offers, now) {
             self.send(&peer, placing);
         }
--- a/crates/chervilshunt_gateway/src/control/presence.rs
+++ b/crates/chervilshunt_gateway/src/control/presence.rs
@@ -38,6 +38,20 @@
 }
 
 impl InstanceStatus {
+    /// Returns whether the instance may pass on requests for all services. One that reports no zone
+    /// is older than requests in transit.
+    fn is_able(&self) -> bool {
+        self.zone.is_some() && self.cut_off.is_empty()
+    }
+
+    fn offer(&self, instance: &InstanceId, zone: Option<&ZoneName>) -> TransitOffer {
+        TransitOffer {
+            instance: instance.clone(),
+            address: self.address,
+            is_near: self.zone.as_ref() == zone,
+        }
+    }
+
     /// Returns the given instance as a peer at the reported address.
     pub(super) fn peer(&self, instance: &InstanceId) -> Peer {
         Peer {
@@ -54,6 +68,8 @@
     /// Instances that stopped reporting, with the times at which that was noticed.
     absent: HashMap<InstanceId, Moment>,
     deputy: Option<InstanceId>,
+    /// The instance that reported last and reaches all services.
+    last_able: Option<InstanceId>,
 }
 
 impl Presence {
@@ -65,6 +81,9 @@
         now: Moment,
     ) {
         self.absent.remove(instance);
+        if status.is_able() {
+            self.last_able = Some(instance.clone());
+        }
         self.instances.insert(instance.clone(), (status, now));
     }
 
@@ -123,27 +142,32 @@
         most: usize,
     ) -> Vec<TransitOffer> {
         let others = self.instances.iter().filter(|(id, _)| *id != instance);
-        // An instance that reports no zone is older than requests in transit.
-        let others: Vec<(&InstanceId, &InstanceStatus)> = others
-            .map(|(id, (status, _))| (id, status))
-            .filter(|(_, it)| it.zone.is_some())
-            .collect();
+        let others: Vec<(&InstanceId, &InstanceStatus)> =
+            others.map(|(id, (status, _))| (id, status)).collect();
         let mut able: Vec<_> = others.clone();
-        able.retain(|(_, it)| it.cut_off.is_empty());
+        able.retain(|(_, it)| it.is_able());
         if able.is_empty() {
             able = others;
-            able.retain(|(_, it)| cut_off.iter().any(|service| !it.cut_off.contains(service)));
+            able.retain(|(_, it)| {
+                it.zone.is_some() && cut_off.iter().any(|service| !it.cut_off.contains(service))
+            });
         }
         able.shuffle(&mut rand::rng());
         able.sort_by_key(|(_, it)| it.zone.as_ref() != zone);
         let offers = able.into_iter().take(most);
-        offers
-            .map(|(instance, status)| TransitOffer {
-                instance: instance.clone(),
-                address: status.address,
-                is_near: status.zone.as_ref() == zone,
-            })
-            .collect()
+        offers.map(|(id, status)| status.offer(id, zone)).collect()
+    }
+
+    /// Returns an instance that another one in `zone` should know of: the one that reported before
+    /// it. It takes the same time however many there are, since every report is answered with one.
+    pub(super) fn offer_to_know(
+        &self,
+        to: &InstanceId,
+        zone: Option<&ZoneName>,
+    ) -> Option<TransitOffer> {
+        let last = self.last_able.as_ref().filter(|it| *it != to)?;
+        let (status, _) = self.instances.get(last)?;
+        status.is_able().then(|| status.offer(last, zone))
     }
 
     /// Returns whether another instance reaches the targets of a service.
@@ -185,3 +209,6 @@
         u32::try_from(self.instances.len() + 1).unwrap_or(u32::MAX)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/chervilshunt_gateway/src/control/transit.rs
+++ b/crates/chervilshunt_gateway/src/control/transit.rs
@@ -13,7 +13,7 @@
 use crate::transit::TransitRoute;
 
 /// Maximum number of instances that are offered to one.
-pub(super) const MAX_OFFERS: usize = 4;
+const MAX_OFFERS: usize = 4;
 /// Number of offers below which the placer also offers itself. It has more to do than others.
 const MIN_OTHERS: usize = 2;
 /// Number of instances that are remembered for a time without a placer.
@@ -39,8 +39,8 @@
         }
     }
 
-    /// Returns up to `most` instances that may pass on the requests of another one.
-    pub(super) fn transit_offers(&self, to: &InstanceId, most: usize) -> Vec<TransitOffer> {
+    /// Returns instances that may pass on the requests of another one, which needs that now.
+    pub(super) fn transit_offers(&self, to: &InstanceId) -> Vec<TransitOffer> {
         let Some(placer) = &self.placer else {
             return Vec::new();
         };
@@ -48,9 +48,11 @@
             return Vec::new();
         };
         let (zone, cut_off) = (status.zone.as_ref(), &status.cut_off);
-        let mut offers = placer.presence.transit_offers(to, zone, cut_off, most);
+        let mut offers = placer
+            .presence
+            .transit_offers(to, zone, cut_off, MAX_OFFERS);
         let own = self.own_status();
-        if offers.len() < MIN_OTHERS.min(most) && own.cut_off.is_empty() {
+        if offers.len() < MIN_OTHERS && own.cut_off.is_empty() {
             offers.push(TransitOffer {
                 instance: self.own_id().clone(),
                 address: own.address,
