Log and count how answers are framed and where their streams end

The line `answered` and chervilshunt_answer_ends_total now name the framing, and of a stream whether it ended after an event, inside one or before the first. An EventScanner follows the events of a stream over any split of its bytes; it decides nothing yet.

--- a/crates/chervilshunt_engine/src/answer/mod.rs
+++ b/crates/chervilshunt_engine/src/answer/mod.rs
@@ -1,6 +1,8 @@
 //! The answer to a call, and its validation before it is passed on.
 
 mod body;
+mod events;
+mod framing;
 mod json_scanner;
 mod reader;
 mod sse;
@@ -14,6 +16,8 @@
 use serde::Deserialize;
 
 pub use body::AnswerBody;
+pub use events::EventScanner;
+pub use framing::Framing;
 pub use reader::BodyReader;
 pub use sse::{ScanResult, SseScanner};
 
--- a/crates/chervilshunt_engine/src/answer/reader.rs
+++ b/crates/chervilshunt_engine/src/answer/reader.rs
@@ -5,10 +5,14 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use http::response::Parts;
 use http_body::{Body as _, Frame, SizeHint};
 use hyper::body::Incoming;
 use tokio::time::{Instant, Sleep};
 
+use super::events::EventScanner;
+use super::framing::Framing;
+use super::media_type;
 use crate::call::Limits;
 use crate::connection::TargetConnection;
 use crate::error::{CallStage, EngineError, MalformedSnafu, TimeoutSnafu, TruncatedSnafu};
@@ -24,6 +28,9 @@
     pool: Pool,
     idle: IdleTimer,
     is_reused: bool,
+    framing: Framing,
+    /// `None` if the answer is not a stream of events.
+    events: Option<EventScanner>,
 }
 
 impl std::fmt::Debug for BodyReader {
@@ -33,7 +40,9 @@
 }
 
 impl BodyReader {
+    /// Reads the body of the answer with this head.
     pub(crate) fn new(
+        head: &Parts,
         incoming: Incoming,
         connection: TargetConnection,
         pool: Pool,
@@ -45,6 +54,8 @@
             connection: Some(connection),
             pool,
             idle: IdleTimer::new(limits),
+            framing: Framing::of(head),
+            events: is_event_stream(head).then(EventScanner::default),
         };
         reader.finish_if_ended();
         reader
@@ -70,6 +81,17 @@
         self.is_reused
     }
 
+    /// Returns what marks the end of the body.
+    pub const fn framing(&self) -> Framing {
+        self.framing
+    }
+
+    /// Returns how far the events of a stream have been read; `None` if the answer is not a stream
+    /// of events.
+    pub const fn events(&self) -> Option<&EventScanner> {
+        self.events.as_ref()
+    }
+
     /// Returns the remaining size of the body, as far as the headers state it.
     pub fn size_hint(&self) -> SizeHint {
         self.incoming.size_hint()
@@ -99,6 +121,9 @@
         match polled {
             Poll::Ready(Some(Ok(frame))) => {
                 self.idle.reset();
+                if let (Some(events), Some(data)) = (&mut self.events, frame.data_ref()) {
+                    events.scan(data);
+                }
                 self.finish_if_ended();
                 Poll::Ready(Some(Ok(frame)))
             }
@@ -167,6 +192,12 @@
     }
 }
 
+/// Returns whether an answer is a stream of events. Its own `Content-Type` decides: neither the path
+/// nor the request shows whether a target answers with a stream, an error document or something else.
+fn is_event_stream(head: &Parts) -> bool {
+    head.status.is_success() && media_type(&head.headers).eq_ignore_ascii_case("text/event-stream")
+}
+
 /// A timer that expires when no chunk has been received within the limit.
 ///
 /// The timer is not reset at each chunk, as that would cost more than reading the chunk. When it
--- a/crates/chervilshunt_engine/src/client.rs
+++ b/crates/chervilshunt_engine/src/client.rs
@@ -65,7 +65,7 @@
         let req = into_request(call, self.address())?;
         let (response, connection) = self.exchange(req, idempotent, limits).await?;
         let (mut head, incoming) = response.into_parts();
-        let reader = BodyReader::new(incoming, connection, self.pool.clone(), limits);
+        let reader = BodyReader::new(&head, incoming, connection, self.pool.clone(), limits);
         if let Some(received) = head.headers.get(ATTEMPT_ID)
             && received.as_bytes() != attempt.to_string().as_bytes()
         {
@@ -97,7 +97,7 @@
         let (response, mut connection) = self.exchange(req, reuse, limits).await?;
         let (head, incoming) = response.into_parts();
         connection.apply_keep_alive(&head.headers);
-        let reader = BodyReader::new(incoming, connection, self.pool.clone(), limits);
+        let reader = BodyReader::new(&head, incoming, connection, self.pool.clone(), limits);
         Ok((head, reader))
     }
 
@@ -123,7 +123,7 @@
         let (response, connection) = self.exchange(req, true, limits).await?;
         let (head, incoming) = response.into_parts();
         answer::require_delimited(&head)?;
-        let reader = BodyReader::new(incoming, connection, self.pool.clone(), limits);
+        let reader = BodyReader::new(&head, incoming, connection, self.pool.clone(), limits);
         let body = reader.read_whole(max_body).await?;
         Ok(Response::from_parts(head, body))
     }
--- a/crates/chervilshunt_engine/src/lib.rs
+++ b/crates/chervilshunt_engine/src/lib.rs
@@ -16,7 +16,10 @@
 mod prometheus;
 mod reports;
 
-pub use answer::{Answer, AnswerBody, AnswerSummary, BodyReader, ScanResult, SseScanner, Usage};
+pub use answer::{
+    Answer, AnswerBody, AnswerSummary, BodyReader, EventScanner, Framing, ScanResult, SseScanner,
+    Usage,
+};
 pub use call::{Call, ExpectedAnswer, Limits};
 pub use client::EngineClient;
 pub use engines::EngineClients;
--- a/crates/chervilshunt_gateway/src/traffic/relay.rs
+++ b/crates/chervilshunt_gateway/src/traffic/relay.rs
@@ -204,6 +204,16 @@
         (!rest.is_empty()).then(|| Frame::data(rest))
     }
 
+    /// Returns where the target's answer ended, for logs and metrics.
+    const fn body_end(&self) -> &'static str {
+        match self.body.events() {
+            None => "no_stream",
+            Some(events) if events.is_inside_event() => "inside_event",
+            Some(events) if events.has_events() => "after_event",
+            Some(_) => "before_event",
+        }
+    }
+
     fn cut<T>(&mut self, reason: &'static str) -> Result<T, TruncatedAnswer> {
         self.outcome = Some(reason);
         Err(TruncatedAnswer { reason })
@@ -268,9 +278,14 @@
             "sent_after_ms" => sent.as_millis() as u64,
             "first_byte_ms" => first.as_millis() as u64,
             "longest_pause_ms" => self.longest_pause.as_millis() as u64,
+            "framing" => self.body.framing().as_str(),
+            "ended" => self.body_end(),
             "total_ms" => total.as_millis() as u64, "bytes" => self.bytes,
             "runs" => self.runs, "resumed" => self.resumed);
         metrics::counter!("chervilshunt_requests_total", "outcome" => outcome).increment(1);
+        metrics::counter!("chervilshunt_answer_ends_total",
+            "framing" => self.body.framing().as_str(), "ended" => self.body_end())
+        .increment(1);
         metrics::histogram!("chervilshunt_first_byte_seconds").record(first.as_secs_f64());
         metrics::histogram!("chervilshunt_longest_pause_seconds")
             .record(self.longest_pause.as_secs_f64());
