Write what a target has sent before its answer is broken off

Callers lost events that their instance had already read when the target's connection ended right after them. hyper closes the connection as soon as a body reports an error and drops what it has buffered, the head included: in transit an answer whose head had come became a 502 "answer lost".

A body now reports its error one poll later, after hyper has flushed.

--- a/crates/chervilshunt_daemon/src/traffic/front.rs
+++ b/crates/chervilshunt_daemon/src/traffic/front.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use chervilshunt_start::FlushBeforeError;
 use hyper::server::conn::{http1, http2};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -98,7 +99,7 @@
                 // future is freed as soon as the response head is ready, which for a stream is
                 // early.
                 let answer = Box::pin(traffic.serve(req, peer));
-                async move { Ok::<_, Infallible>(answer.await) }
+                async move { Ok::<_, Infallible>(answer.await.map(FlushBeforeError::new)) }
             }),
         );
     let ended = tokio::select! {
@@ -131,7 +132,10 @@
             TokioIo::new(stream),
             service_fn(move |req| {
                 let traffic = traffic.clone();
-                async move { Ok::<_, Infallible>(traffic.serve(req, peer).await) }
+                async move {
+                    let res = traffic.serve(req, peer).await;
+                    Ok::<_, Infallible>(res.map(FlushBeforeError::new))
+                }
             }),
         );
     let mut connection = std::pin::pin!(connection);
--- a/crates/chervilshunt_gateway/src/transit/server.rs
+++ b/crates/chervilshunt_gateway/src/transit/server.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilshunt_start::FlushBeforeError;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -47,7 +48,10 @@
     }
     let service = service_fn(|req| {
         let shared = &shared;
-        async move { Ok::<_, Infallible>(Box::pin(pass_on(shared, req)).await) }
+        async move {
+            let res = Box::pin(pass_on(shared, req)).await;
+            Ok::<_, Infallible>(res.map(FlushBeforeError::new))
+        }
     });
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
