End a stream only where its events have ended

Callers got broken-off streams as complete answers: a target that crashes may end its connection in order, or write the last chunk, inside an event. The framing of the answer was taken for the end of the message; the relay, requests in transit, the target's health, crash records and the caller's log line all went by it.

Class: the end of an answer is inferred from one layer while another one knows that it isn't whole. The fix stands where both programs read every answer of a target: BodyReader follows the events of a stream and reports an error in place of the end if it is inside an event, or if nothing but the end of the connection shows that a stream without events is complete. From there on everything happens as after a reset: a stream that may be resumed goes on at another target, another one breaks off. A stream is forwarded in chunks whatever its length, since the last byte of a length would end it before it is judged.

--- a/crates/chervilshunt_engine/src/answer/body.rs
+++ b/crates/chervilshunt_engine/src/answer/body.rs
@@ -88,7 +88,7 @@
         match &self.source {
             Source::Whole => self.summary,
             Source::Plain(reader) => {
-                let complete = self.summary.complete || reader.is_finished();
+                let complete = self.summary.complete || reader.is_end_stream();
                 AnswerSummary {
                     complete,
                     ..self.summary
--- a/crates/chervilshunt_engine/src/answer/reader.rs
+++ b/crates/chervilshunt_engine/src/answer/reader.rs
@@ -31,6 +31,10 @@
     framing: Framing,
     /// `None` if the answer is not a stream of events.
     events: Option<EventScanner>,
+    /// The number of bytes of the last chunk that precede the event which is incomplete at its end.
+    outside_event: usize,
+    /// Whether the end of the body has been read, and the answer is complete.
+    is_complete: bool,
 }
 
 impl std::fmt::Debug for BodyReader {
@@ -48,6 +52,8 @@
         pool: Pool,
         limits: Limits,
     ) -> Self {
+        // An empty body of stated length is complete: the answer to HEAD, or a stream without events.
+        let is_stream = is_event_stream(head) && !incoming.is_end_stream();
         let mut reader = Self {
             incoming,
             is_reused: connection.is_reused,
@@ -55,23 +61,34 @@
             pool,
             idle: IdleTimer::new(limits),
             framing: Framing::of(head),
-            events: is_event_stream(head).then(EventScanner::default),
+            events: is_stream.then(EventScanner::default),
+            outside_event: 0,
+            is_complete: false,
         };
         reader.finish_if_ended();
         reader
     }
 
-    /// Returns whether the complete body has been received.
-    pub(crate) fn is_finished(&self) -> bool {
-        self.connection.is_none() && self.incoming.is_end_stream()
+    /// Treats the body as a stream of events, although its head does not say what it is.
+    pub fn assume_event_stream(&mut self) {
+        if !self.is_complete {
+            self.events.get_or_insert_default();
+        }
     }
 
-    /// Returns the connection to the pool right after the last chunk of a body of known length, as
-    /// an HTTP server that forwards the body does not poll again after that many bytes.
+    /// Ends the body right after its last chunk if its length is known, as an HTTP server that
+    /// forwards the body does not poll again after that many bytes. A stream is forwarded without
+    /// its length, since its end is judged only then.
     fn finish_if_ended(&mut self) {
-        if self.incoming.is_end_stream()
-            && let Some(connection) = self.connection.take()
-        {
+        if self.events.is_none() && self.incoming.is_end_stream() {
+            self.finish();
+        }
+    }
+
+    /// Ends a complete answer, and returns its connection to the pool.
+    fn finish(&mut self) {
+        self.is_complete = true;
+        if let Some(connection) = self.connection.take() {
             self.pool.put(connection);
         }
     }
@@ -92,14 +109,24 @@
         self.events.as_ref()
     }
 
-    /// Returns the remaining size of the body, as far as the headers state it.
+    /// Returns how many bytes of the last chunk precede the event that is incomplete at its end; 0 if
+    /// the answer is not a stream of events.
+    pub const fn outside_event(&self) -> usize {
+        self.outside_event
+    }
+
+    /// Returns the remaining size of the body, as far as the headers state it. That of a stream is
+    /// unknown, since it may be broken off in spite of its length.
     pub fn size_hint(&self) -> SizeHint {
-        self.incoming.size_hint()
+        match self.events {
+            Some(_) => SizeHint::default(),
+            None => self.incoming.size_hint(),
+        }
     }
 
-    /// Returns whether the end of the body has been read.
-    pub fn is_end_stream(&self) -> bool {
-        self.incoming.is_end_stream()
+    /// Returns whether the end of the body has been read, and the answer is complete.
+    pub const fn is_end_stream(&self) -> bool {
+        self.is_complete
     }
 
     /// Polls for the next chunk; yields `None` after the end of the body or an error.
@@ -122,16 +149,17 @@
             Poll::Ready(Some(Ok(frame))) => {
                 self.idle.reset();
                 if let (Some(events), Some(data)) = (&mut self.events, frame.data_ref()) {
-                    events.scan(data);
+                    self.outside_event = events.scan(data);
                 }
                 self.finish_if_ended();
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(err))) => self.fail_truncated(err.to_string()),
             Poll::Ready(None) => {
-                if let Some(connection) = self.connection.take() {
-                    self.pool.put(connection);
+                if let Some(problem) = self.incompleteness() {
+                    return self.fail_truncated(problem.to_owned());
                 }
+                self.finish();
                 Poll::Ready(None)
             }
             Poll::Pending if connection.has_ended() => {
@@ -170,6 +198,17 @@
         Ok(first.unwrap_or_else(|| joined.freeze()))
     }
 
+    /// Returns why an answer whose body has ended is not complete all the same.
+    fn incompleteness(&self) -> Option<&'static str> {
+        let events = self.events.as_ref()?;
+        if events.is_inside_event() {
+            return Some("the stream ended inside an event");
+        }
+        // The end of a connection alone does not show that a stream without any event is complete.
+        let shows_nothing = self.framing == Framing::Connection && !events.has_events();
+        shows_nothing.then_some("the connection ended before the first event")
+    }
+
     fn fail_truncated<T>(&mut self, problem: String) -> Poll<Option<Result<T, EngineError>>> {
         self.connection = None;
         Poll::Ready(Some(TruncatedSnafu { problem }.fail()))
@@ -192,8 +231,8 @@
     }
 }
 
-/// Returns whether an answer is a stream of events. Its own `Content-Type` decides: neither the path
-/// nor the request shows whether a target answers with a stream, an error document or something else.
+/// Returns whether an answer is a stream of events. Its `Content-Type` decides: neither the path nor
+/// the request shows whether a target answers with a stream, an error document or something else.
 fn is_event_stream(head: &Parts) -> bool {
     head.status.is_success() && media_type(&head.headers).eq_ignore_ascii_case("text/event-stream")
 }
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -60,6 +60,15 @@
     pub(crate) in_flight: InFlight,
 }
 
+impl AcceptedAnswer {
+    /// Returns whether it can be joined to the events of an earlier answer; one without a body has
+    /// no further events.
+    pub(crate) fn can_continue_stream(&self) -> bool {
+        let is_stream = self.body.events().is_some() || self.body.is_end_stream();
+        self.head.status.is_success() && is_stream
+    }
+}
+
 /// The result of one attempt.
 pub(super) enum AttemptOutcome {
     Answered(Box<AcceptedAnswer>),
--- a/crates/chervilshunt_gateway/src/traffic/head.rs
+++ b/crates/chervilshunt_gateway/src/traffic/head.rs
@@ -19,7 +19,7 @@
         &mut self,
         chosen: &SelectedTarget,
         head: Parts,
-        body: BodyReader,
+        mut body: BodyReader,
         in_flight: InFlight,
     ) -> AttemptOutcome {
         let now = self.shared.clock.now();
@@ -59,11 +59,17 @@
         };
         in_flight.record_signal(signal, now);
         match verdict {
-            Verdict::PassOn => AttemptOutcome::Answered(Box::new(AcceptedAnswer {
-                head,
-                body,
-                in_flight,
-            })),
+            Verdict::PassOn => {
+                let is_untyped = !head.headers.contains_key(header::CONTENT_TYPE);
+                if is_untyped && head.status.is_success() && self.req.route.streams {
+                    body.assume_event_stream();
+                }
+                AttemptOutcome::Answered(Box::new(AcceptedAnswer {
+                    head,
+                    body,
+                    in_flight,
+                }))
+            }
             Verdict::Full if self.is_brittle() => {
                 self.shared.record_turned_away(&chosen.target);
                 self.not_run();
--- a/crates/chervilshunt_gateway/src/traffic/relay.rs
+++ b/crates/chervilshunt_gateway/src/traffic/relay.rs
@@ -66,7 +66,7 @@
         runs: u32,
     ) -> Self {
         let now = shared.clock.now();
-        let resumable = req.route.repeat == Repeat::Resumable && answered.head.status.is_success();
+        let resumable = req.route.repeat == Repeat::Resumable && answered.body.events().is_some();
         Self {
             shared: Arc::clone(shared),
             body: answered.body,
@@ -137,7 +137,10 @@
                         return Poll::Ready(Some(self.cut("broke_off")));
                     }
                 }
-                None => return Poll::Ready(self.end().map(Ok)),
+                None => {
+                    self.end();
+                    return Poll::Ready(None);
+                }
             }
         }
     }
@@ -159,7 +162,7 @@
         }
         self.bytes += data.len() as u64;
         match &mut self.events {
-            Some(events) => events.push(&data),
+            Some(events) => events.push(data, self.body.outside_event()),
             None => Some(data),
         }
     }
@@ -195,13 +198,11 @@
         self.longest_pause = self.longest_pause.max(pause);
     }
 
-    fn end(&mut self) -> Option<Frame<Bytes>> {
+    fn end(&mut self) {
         let now = self.shared.clock.now();
         self.in_flight.response_received(now);
         self.in_flight.record_begin(&self.req);
         self.outcome = Some("served");
-        let rest = self.events.as_mut().map(EventBuffer::take_remaining)?;
-        (!rest.is_empty()).then(|| Frame::data(rest))
     }
 
     /// Returns where the target's answer ended, for logs and metrics.
@@ -224,10 +225,10 @@
         let Some(events) = &mut self.events else {
             return false;
         };
-        if self.runs >= self.req.route.max_targets {
+        events.drop_partial();
+        if self.runs >= self.req.route.max_targets || !events.can_resume() {
             return false;
         }
-        events.drop_partial();
         let last_event = events.last_id();
         let shared = Arc::clone(&self.shared);
         let req = Arc::clone(&self.req);
@@ -248,7 +249,7 @@
         self.resuming = None;
         self.runs = runs;
         match answered {
-            Ok(answered) if answered.head.status.is_success() => {
+            Ok(answered) if answered.can_continue_stream() => {
                 slog::info!(self.shared.log, "stream resumed";
                     "request" => &*self.req.id, "target" => answered.in_flight.target.as_str());
                 self.body = answered.body;
