Reset the connection of an HTTP/1.0 caller whose answer breaks off

A caller of HTTP/1.0 gets an answer without length that ends with its connection. When a target reset or cut its answer, or the deadline passed, the connection to such a caller was closed in order, and 68 of 126 bytes looked like the whole answer.

The connection is now reset after what was read has been written; the kernel delivers that first. Only answers that break off are concerned, and only callers of HTTP/1.0. An instance that is killed still leaves the closing to the kernel.

--- a/crates/chervilshunt_daemon/src/traffic/front.rs
+++ b/crates/chervilshunt_daemon/src/traffic/front.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use chervilshunt_start::FlushBeforeError;
+use chervilshunt_start::{CallerProtocol, FlushBeforeError};
 use hyper::server::conn::{http1, http2};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -84,6 +84,7 @@
         .stream_buffer_bytes
         .max(limits.header_bytes)
         .max(MIN_BUFFER_BYTES);
+    let protocol = CallerProtocol::default();
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
@@ -95,6 +96,7 @@
         .serve_connection(
             TokioIo::new(stream),
             service_fn(|req| {
+                protocol.record(req.version());
                 // hyper keeps the memory of this future until the connection ends. Boxed, the inner
                 // future is freed as soon as the response head is ready, which for a stream is
                 // early.
@@ -110,8 +112,12 @@
         }
     };
     let parts = connection.into_parts();
+    let stream = parts.io.into_inner();
+    if let Err(error) = protocol.prepare_close(&ended, &stream) {
+        slog::debug!(traffic.log(), "connection not reset"; "reason" => %error);
+    }
     if ended.is_err_and(|error| error.is_timeout()) && !parts.read_buf.is_empty() {
-        slow_head::refuse(&parts.io.into_inner(), &traffic);
+        slow_head::refuse(&stream, &traffic);
     }
 }
 
--- a/crates/chervilshunt_gateway/src/front.rs
+++ b/crates/chervilshunt_gateway/src/front.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilshunt_start::FlushBeforeError;
+use chervilshunt_start::{CallerProtocol, FlushBeforeError};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -51,8 +51,10 @@
     let bounds = shared.routes.load_full().map(|routes| routes.bounds);
     let idle = bounds.map_or(DEFAULT_IDLE_TIMEOUT, |it| it.idle_time.max(it.header_time));
     let buffer = bounds.map_or(MIN_BUFFER, |it| it.header_bytes.max(MIN_BUFFER));
+    let protocol = CallerProtocol::default();
     let service = service_fn(|req| {
         let shared = &shared;
+        protocol.record(req.version());
         async move {
             let res = Box::pin(serve(shared, req)).await;
             Ok::<_, Infallible>(res.map(FlushBeforeError::new))
@@ -74,7 +76,11 @@
             (&mut connection).await
         }
     };
-    // A failed connection needs no handling here: each of its requests cleans up when it is
+    let stream = connection.into_parts().io.into_inner();
+    if let Err(error) = protocol.prepare_close(&ended, &stream) {
+        slog::debug!(shared.log, "connection not reset"; "reason" => error.to_string());
+    }
+    // A failed connection needs no other handling here: each of its requests cleans up when it is
     // dropped.
     if let Err(error) = ended {
         slog::debug!(shared.log, "connection failed"; "reason" => error.to_string());
--- a/crates/chervilshunt_start/src/answers.rs
+++ b/crates/chervilshunt_start/src/answers.rs
@@ -1,9 +1,13 @@
 //! How an answer that is broken off reaches its caller.
 
+use std::io;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 
+use http::Version;
 use http_body::{Body, Frame, SizeHint};
+use tokio::net::TcpStream;
 
 /// A body that reports its error only after everything before it could be written.
 ///
@@ -55,3 +59,34 @@
         self.body.size_hint()
     }
 }
+
+/// Whether the end of a caller's connection ends its answer.
+///
+/// Callers of HTTP/1.0 know no chunks. If an answer to one breaks off and the connection is closed in
+/// order, the caller takes what it has for the whole answer.
+#[derive(Debug, Default)]
+pub struct CallerProtocol {
+    ends_answers_with_connection: AtomicBool,
+}
+
+impl CallerProtocol {
+    /// Records the version of a request.
+    pub fn record(&self, version: Version) {
+        let ends = version < Version::HTTP_11;
+        self.ends_answers_with_connection
+            .store(ends, Ordering::Relaxed);
+    }
+
+    /// Prepares a connection to be closed after it ended with `result`, so that its caller sees
+    /// whether its last answer was broken off.
+    ///
+    /// # Errors
+    /// Returns the error of the operating system.
+    pub fn prepare_close(&self, result: &hyper::Result<()>, stream: &TcpStream) -> io::Result<()> {
+        let is_broken_off = result.as_ref().is_err_and(hyper::Error::is_user);
+        if is_broken_off && self.ends_answers_with_connection.load(Ordering::Relaxed) {
+            return stream.set_zero_linger();
+        }
+        Ok(())
+    }
+}
--- a/crates/chervilshunt_start/src/lib.rs
+++ b/crates/chervilshunt_start/src/lib.rs
@@ -10,7 +10,7 @@
 mod metrics;
 mod ports;
 
-pub use answers::FlushBeforeError;
+pub use answers::{CallerProtocol, FlushBeforeError};
 pub use control::{forward, on_control_thread};
 pub use error::StartError;
 pub use metrics::install_metrics;
