Forward a stream of a plain service without its length

A stream with a length that its target ends inside an event reached the daemon's callers as complete: the length was forwarded, and its last byte ended the answer before its end was judged. Streams now go out in chunks, or end with the connection for callers of HTTP/1.0.

--- a/crates/chervilshunt_daemon/src/traffic/relay.rs
+++ b/crates/chervilshunt_daemon/src/traffic/relay.rs
@@ -8,7 +8,7 @@
 use chervilshunt_core::ReleaseOutcome;
 use chervilshunt_engine::{Answer, AnswerBody, EngineError};
 use chervilshunt_model::{Class, Moment, RequestId};
-use http::Response;
+use http::{Response, header};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
 use snafu::Snafu;
@@ -59,6 +59,10 @@
 pub(super) fn relayed(relay: Relay, answer: Answer, model: Option<&str>) -> Response<ResponseBody> {
     metrics::first_byte(relay.class, now().since(relay.arrived));
     let mut res = answer_head(answer.status, &answer.headers);
+    // With the length of a stream, its last byte would end it before its end is judged.
+    if answer.body.size_hint().exact().is_none() {
+        res.headers_mut().remove(header::CONTENT_LENGTH);
+    }
     set_header(&mut res, TARGET, relay.permit.target().as_str());
     if let Some(model) = model {
         set_header(&mut res, ADAPTER_VERSION, model);
--- a/crates/chervilshunt_daemon/tests/support/mod.rs
+++ b/crates/chervilshunt_daemon/tests/support/mod.rs
@@ -6,5 +6,6 @@
 pub(crate) mod endless;
 pub(crate) mod http;
 pub(crate) mod raw;
+pub(crate) mod scripted;
 pub(crate) mod serial;
 pub(crate) mod shared;
