Take answers with neither length nor chunks for ordinary ones

From now on a target may answer so, also with a stream; the end of the connection ends the body. The daemon refused such answers after their requests had run: callers got 502, loads and unloads counted as failed though they were carried out, and engines as unreachable as their reports could not be read.

The refusal is gone. What it guarded against is judged where each body ends: a reset, a timeout and a cut link are no end, and a stream has to end outside an event.

The stand-ins of engines and plain services answer so with the switch `unframed`, and break streams off inside an event with `cut_inside_event`.

--- a/crates/chervilshunt_engine/src/client.rs
+++ b/crates/chervilshunt_engine/src/client.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use snafu::ResultExt as _;
 
-use crate::answer::{self, Answer, BodyReader};
+use crate::answer::{Answer, BodyReader};
 use crate::call::{Call, ExpectedAnswer, Limits};
 use crate::connection::{TargetConnection, TransmitError};
 use crate::error::{
@@ -72,7 +72,6 @@
             let received = String::from_utf8_lossy(received.as_bytes());
             return AttemptMismatchSnafu { attempt, received }.fail();
         }
-        answer::require_delimited(&head)?;
         strip_hop_by_hop(&mut head.headers);
         match expect {
             ExpectedAnswer::Any => Ok(Answer::unchecked(head, reader)),
@@ -122,7 +121,6 @@
     ) -> Result<Response<Bytes>, EngineError> {
         let (response, connection) = self.exchange(req, true, limits).await?;
         let (head, incoming) = response.into_parts();
-        answer::require_delimited(&head)?;
         let reader = BodyReader::new(&head, incoming, connection, self.pool.clone(), limits);
         let body = reader.read_whole(max_body).await?;
         Ok(Response::from_parts(head, body))
--- a/crates/chervilshunt_engine/tests/common/mod.rs
+++ b/crates/chervilshunt_engine/tests/common/mod.rs
@@ -122,6 +122,8 @@
     Answer(String),
     /// Reads a request, writes the text, and closes the connection.
     AnswerAndClose(String),
+    /// Reads a request, writes the text, and after a delay resets the connection.
+    AnswerAndReset(String),
     /// Reads a request, writes the first text, after a delay the second, and closes the connection.
     AnswerInTwoParts(String, String),
     /// Reads a request and never answers.
@@ -190,6 +192,12 @@
                 drop(stream.write_all(text.as_bytes()).await);
                 return;
             }
+            Some(Step::AnswerAndReset(text)) => {
+                drop(stream.write_all(text.as_bytes()).await);
+                tokio::time::sleep(SECOND_PART_DELAY).await;
+                stream.set_zero_linger().expect("an option");
+                return;
+            }
             Some(Step::AnswerInTwoParts(text, later)) => {
                 drop(stream.write_all(text.as_bytes()).await);
                 tokio::time::sleep(SECOND_PART_DELAY).await;
@@ -249,6 +257,11 @@
     text
 }
 
+/// Returns a response with neither a length nor chunks.
+pub(crate) fn unframed(status: &str, headers: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\n{headers}\r\n{body}")
+}
+
 /// Returns a stream event served by `model`.
 pub(crate) fn event(model: &str, text: &str) -> String {
     format!("data: {{\"choices\":[{{\"text\":\"{text}\"}}],\"model\":\"{model}\"}}\n\n")
--- a/crates/chervilshunt_standin/src/engine/completion.rs
+++ b/crates/chervilshunt_standin/src/engine/completion.rs
@@ -83,12 +83,13 @@
         let refusal = error(StatusCode::NOT_FOUND, "NotFoundError", &message);
         return Ok(serve::echo_ids(&headers, refusal));
     };
-    let cut_after = engine.lock().faults.cut_after_tokens;
+    let faults = engine.lock().faults;
     let call = Call {
         id: header_text(&headers, &ATTEMPT_ID).to_owned(),
         style,
         prompt_tokens,
-        cut_after,
+        cut_after: faults.cut_after_tokens,
+        cut_inside_event: faults.cut_inside_event,
         sequence_guard: CancelOnDrop(sequence),
     };
     let response = if body.stream {
@@ -106,6 +107,7 @@
     pub(crate) style: Style,
     pub(crate) prompt_tokens: usize,
     pub(crate) cut_after: Option<u32>,
+    pub(crate) cut_inside_event: bool,
     pub(crate) sequence_guard: CancelOnDrop,
 }
 
--- a/crates/chervilshunt_standin/src/engine/faults.rs
+++ b/crates/chervilshunt_standin/src/engine/faults.rs
@@ -30,6 +30,10 @@
     /// Closes the connection of each stream after this many tokens, and of each non-streaming
     /// response half-way through its body. A negative number switches the fault off.
     pub cut_after_tokens: Option<i64>,
+    /// Whether a stream that is cut off after its tokens ends inside the next event.
+    pub cut_inside_event: Option<bool>,
+    /// Sends responses without a length or chunks; they end with their connection.
+    pub unframed: Option<bool>,
     /// Serves the next completion with a different adapter, or with the base model.
     pub wrong_model: Option<bool>,
     /// Delays each finished response to a completion or an order, in milliseconds.
@@ -52,6 +56,7 @@
     pub(crate) ignore_fencing: bool,
     pub(crate) report_lag: Option<Duration>,
     pub(crate) cut_after_tokens: Option<u32>,
+    pub(crate) cut_inside_event: bool,
     pub(crate) wrong_model: bool,
     pub(crate) answer_late: Duration,
     pub(crate) lose_order_answers: bool,
@@ -74,6 +79,7 @@
         if let Some(tokens) = change.cut_after_tokens {
             self.cut_after_tokens = u32::try_from(tokens).ok();
         }
+        set(&mut self.cut_inside_event, change.cut_inside_event);
         set(&mut self.wrong_model, change.wrong_model);
         set_millis(&mut self.answer_late, change.answer_late_ms);
         set(&mut self.lose_order_answers, change.lose_order_answers);
--- a/crates/chervilshunt_standin/src/engine/state.rs
+++ b/crates/chervilshunt_standin/src/engine/state.rs
@@ -89,6 +89,7 @@
             self.restart();
         }
         self.port.change(change.freeze, change.down, change.down_ms);
+        self.port.set_unframed(change.unframed);
         self.work.notify_one();
     }
 
--- a/crates/chervilshunt_standin/src/engine/stream.rs
+++ b/crates/chervilshunt_standin/src/engine/stream.rs
@@ -71,6 +71,11 @@
     }
 
     fn poll_cut(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        if std::mem::take(&mut self.call.cut_inside_event) {
+            let mut event = self.event(self.taken);
+            event.truncate(event.len() / 2);
+            return Poll::Ready(Some(Ok(Frame::data(event))));
+        }
         if std::mem::replace(&mut self.flushed, true) {
             return Poll::Ready(Some(Err(Cut)));
         }
--- a/crates/chervilshunt_standin/src/plain/mod.rs
+++ b/crates/chervilshunt_standin/src/plain/mod.rs
@@ -56,6 +56,8 @@
     pub lose_answers: Option<u32>,
     /// Closes the connection of this many calls before they run.
     pub cut_before_run: Option<u32>,
+    /// Sends responses without a length or chunks; they end with their connection.
+    pub unframed: Option<bool>,
     /// Closes the connection half-way through the response body of this many calls.
     pub cut_answers: Option<u32>,
     /// Responds to this many calls with 503 and `Retry-After: 1`, without running them.
@@ -194,6 +196,7 @@
         state.refuse = change.refuse.unwrap_or(state.refuse);
         drop(state);
         self.port.change(change.freeze, change.down, change.down_ms);
+        self.port.set_unframed(change.unframed);
     }
 }
 
--- a/crates/chervilshunt_standin/src/serve.rs
+++ b/crates/chervilshunt_standin/src/serve.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Version, header};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt as _, Full};
@@ -73,6 +73,8 @@
     generation: u64,
     /// Whether calls are held without a response.
     frozen: bool,
+    /// Whether responses end with their connection, without a length or chunks.
+    unframed: bool,
 }
 
 /// Opens, closes and freezes a stand-in's port.
@@ -87,6 +89,7 @@
             open: true,
             generation: 0,
             frozen: false,
+            unframed: false,
         };
         Self {
             state: watch::Sender::new(state),
@@ -126,6 +129,13 @@
         }
     }
 
+    /// Sets whether responses end with their connection, if that changes.
+    pub(crate) fn set_unframed(&self, unframed: Option<bool>) {
+        if let Some(unframed) = unframed {
+            self.state.send_modify(|state| state.unframed = unframed);
+        }
+    }
+
     /// Waits until the stand-in is not frozen.
     pub(crate) async fn until_unfrozen(&self) {
         let mut rx = self.state.subscribe();
@@ -221,12 +231,16 @@
     // fault would cut off the response to the call that set it.
     let control_call = Arc::new(AtomicBool::new(false));
     let seen = Arc::clone(&control_call);
+    let framing = state.clone();
     let service = service_fn(move |req: Request<Incoming>| {
-        seen.store(
-            req.uri().path().starts_with(CONTROL_PREFIX),
-            Ordering::Relaxed,
-        );
-        handler(req)
+        let is_control = req.uri().path().starts_with(CONTROL_PREFIX);
+        seen.store(is_control, Ordering::Relaxed);
+        let unframed = framing.borrow().unframed && !is_control;
+        let answer = handler(req);
+        async move {
+            let res = answer.await?;
+            Ok::<_, Cut>(if unframed { without_framing(res) } else { res })
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -292,6 +306,31 @@
     response
 }
 
+/// Returns a response that ends with its connection. Only responses of HTTP/1.0 may do so if their
+/// server can't be told to write one without a length or chunks.
+fn without_framing(response: Response<AnswerBody>) -> Response<AnswerBody> {
+    let mut response = response.map(|body| Unframed(body).boxed_unsync());
+    *response.version_mut() = Version::HTTP_10;
+    response.headers_mut().remove(header::CONTENT_LENGTH);
+    response
+}
+
+/// A body whose length the server does not know.
+#[derive(Debug)]
+struct Unframed(AnswerBody);
+
+impl Body for Unframed {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        Pin::new(&mut self.0).poll_frame(cx)
+    }
+}
+
 /// Copies the request and attempt ids from the request headers to the response.
 pub(crate) fn echo_ids(
     asked: &HeaderMap,
