Resume a stream only after an event whose id is known

A caller got the first event of a stream twice: the first line bore a byte-order mark, the event's id was not recognised, and the target that continued the stream started over. The same held for events without ids.

--- a/crates/chervilshunt_gateway/src/traffic/events/tests.rs
+++ b/crates/chervilshunt_gateway/src/traffic/events/tests.rs
@@ -37,6 +37,20 @@
     assert!(buffer.can_resume());
 }
 
+/// Guards against events that come twice because the target that continues can't be told where to.
+#[rstest]
+#[case::events_without_ids(&["data: x\n\n"], false)]
+#[case::an_id_after_them(&["data: x\n\n", "id: 1\n\n"], true)]
+#[case::comments_only(&["\u{feff}: c\n\n", ": c\n"], true)]
+#[case::an_id_after_a_byte_order_mark(&["\u{feff}id: 1\n\n"], true)]
+#[case::a_partial_event(&["data: x"], true)]
+fn a_stream_is_resumed_only_after_a_known_event(#[case] chunks: &[&str], #[case] expected: bool) {
+    let mut buffer = EventBuffer::default();
+    push_all(&mut buffer, chunks);
+    buffer.drop_partial();
+    assert_eq!(buffer.can_resume(), expected);
+}
+
 /// Guards against memory that grows with the length of an event.
 #[test]
 fn a_long_event_is_passed_on_in_parts_and_not_resumed() {
