Play unframed answers and breaks inside events in the soak and the quickstart

Faults of the daemon's soak that cut streams, lose answers or lose the answers to orders now also end streams inside events and send answers with neither length nor chunks; in the quickstart one engine and the plain service send all their answers so.

--- a/crates/chervilshunt_bench/src/faults/fault.rs
+++ b/crates/chervilshunt_bench/src/faults/fault.rs
@@ -59,11 +59,13 @@
     EngineFrozen,
     /// Half of the adapter loads of all engines fail.
     LoadsFail,
-    /// Loads are slow, and the responses to orders are lost.
+    /// Loads are slow, the responses to orders are lost, and other responses of all engines have
+    /// neither a length nor chunks.
     LostOrders,
-    /// Streams of an engine are cut off.
+    /// Streams of an engine are cut off, often inside an event or without a length and chunks.
     CutStreams,
-    /// The plain service runs calls and their answers are lost.
+    /// The plain service runs calls and their answers are lost; other answers have neither a length
+    /// nor chunks.
     PlainLosesAnswers,
     /// The plain service cuts calls off before running them or while answering, and refuses some.
     PlainCuts,
@@ -251,9 +253,15 @@
             FaultKind::EngineDown => each(json!({"down": true})),
             FaultKind::EngineFrozen => each(json!({"freeze": true})),
             FaultKind::LoadsFail => each(json!({"load_fails": 0.5})),
-            FaultKind::LostOrders => each(json!({"lose_order_answers": true, "load_slow_ms": 300})),
-            FaultKind::CutStreams => each(json!({"cut_after_tokens": some})),
-            FaultKind::PlainLosesAnswers => each(json!({"lose_answers": some * 3})),
+            FaultKind::LostOrders => {
+                each(json!({"lose_order_answers": true, "load_slow_ms": 300, "unframed": true}))
+            }
+            FaultKind::CutStreams => each(json!({
+                "cut_after_tokens": some, "cut_inside_event": some > 1, "unframed": some > 2,
+            })),
+            FaultKind::PlainLosesAnswers => {
+                each(json!({"lose_answers": some * 3, "unframed": true}))
+            }
             FaultKind::PlainCuts => {
                 each(json!({"cut_before_run": some, "cut_answers": some, "refuse": some}))
             }
@@ -285,13 +293,15 @@
     for engine in names(fleet, "engine") {
         let switches = json!({
             "down": false, "freeze": false, "load_fails": 0.0, "load_slow_ms": 0,
-            "lose_order_answers": false, "cut_after_tokens": -1,
+            "lose_order_answers": false, "cut_after_tokens": -1, "cut_inside_event": false,
+            "unframed": false,
         });
         fleet.set_faults(&engine, switches).await?;
     }
     for desk in names(fleet, "desk") {
         let switches = json!({
             "lose_answers": 0, "cut_before_run": 0, "cut_answers": 0, "refuse": 0,
+            "unframed": false,
         });
         fleet.set_faults(&desk, switches).await?;
     }
--- a/crates/chervilshunt_standin/src/quickstart/script.rs
+++ b/crates/chervilshunt_standin/src/quickstart/script.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use serde_json::Value;
+use serde_json::{Value, json};
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
@@ -25,6 +25,9 @@
 /// The target that the quickstart drains.
 const DRAINED_TARGET: &str = "engine-4";
 
+/// Targets whose answers have neither a length nor chunks.
+const UNFRAMED_TARGETS: [&str; 2] = ["engine-1", "desk-1"];
+
 /// Time limit for an accepted configuration to take effect at every instance.
 const IN_FORCE_BOUND: Duration = Duration::from_secs(5);
 
@@ -83,6 +86,9 @@
             ..FleetOptions::default()
         })
         .await?;
+        for target in UNFRAMED_TARGETS {
+            fleet.set_faults(target, json!({"unframed": true})).await?;
+        }
         let models = (0..fleet.options().adapters).map(|number| model_name(number).into());
         let load_options = LoadOptions {
             long_percent: 0,
