--- a/crates/chervilshunt_core/tests/residency_versions.rs
+++ b/crates/chervilshunt_core/tests/residency_versions.rs
@@ -267,3 +267,23 @@
     let removed_at = removed_at.expect("the end of its announcement");
     assert!(removed_at <= 500 + 2_100, "{removed_at} ms");
 }
+
+/// Guards against a load that replaces the newest version by an older one. A new placer finds a load in
+/// progress, of whose version the report says nothing, and orders it again to learn of its end.
+#[test]
+fn a_load_that_is_found_in_progress_is_confirmed_in_the_newest_version() {
+    let mut residency = begun();
+    residency.handle(ResidencyEvent::VersionAnnounced(adapter("a1"), 2), at(451));
+    let loading = placing::report(1, Vec::new(), vec![adapter("a1")]);
+    residency.handle(loading, at(455));
+    let confirmed = std::iter::from_fn(|| {
+        let due = residency.next_wakeup()?;
+        let actions = residency.handle(ResidencyEvent::Tick, due);
+        Some(actions.into_iter().find_map(|action| match action {
+            ResidencyAction::Order(order) => Some(order.version),
+            _ => None,
+        }))
+    });
+    let confirmed = confirmed.take(100).flatten().next();
+    assert_eq!(confirmed, Some(Some(2)));
+}
