Log and count which software continues a stream

Whether a stream goes on at another software version, inside an answer or over its caller's attempts, was in no line: the version in a target's entry was dropped when it was decoded, and a caller's Last-Event-Id and Resumes passed through unseen. No decision reads them.

--- a/crates/chervilshunt_core/src/dispatch/facts.rs
+++ b/crates/chervilshunt_core/src/dispatch/facts.rs
@@ -91,6 +91,25 @@
     }
 }
 
+/// The version of the software that a target runs; not of the weights that it holds.
+///
+/// Versions have no order. What targets of two versions generate does not fit together, so a stream
+/// may continue only at the version that began it. See `docs/design/stream-origins.md`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct SoftwareVersion(Arc<str>);
+
+impl SoftwareVersion {
+    /// Creates a version from its name.
+    pub fn new(name: impl Into<Arc<str>>) -> Self {
+        Self(name.into())
+    }
+
+    /// Returns its name.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
 /// How a target is leaving.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Leaving {
@@ -123,6 +142,10 @@
     /// How the target is leaving, if it is.
     #[serde(rename = "l")]
     pub leaving: Option<Leaving>,
+    /// The version of the target's software, or `None` if that is not known. Instances older than this
+    /// field omit it.
+    #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<SoftwareVersion>,
     /// The base models loaded on the target; empty for a target of a plain service.
     #[serde(rename = "m")]
     pub models: Vec<LoadedModel>,
@@ -169,6 +192,7 @@
             || self.address != newer.address
             || self.zone != newer.zone
             || self.slots != newer.slots
+            || self.software != newer.software
             || self.leaving.is_some() != newer.leaving.is_some()
             || !self.lists_same_models(newer)
     }
--- a/crates/chervilshunt_core/src/dispatch/mod.rs
+++ b/crates/chervilshunt_core/src/dispatch/mod.rs
@@ -29,7 +29,7 @@
 pub use choose::{Choice, DispatchConfig, TargetRequirements, WaitReason};
 pub use facts::{
     Leaving, LoadReport, LoadedAdapter, LoadedModel, ModelSpec, PlacementLimits, RequestSize,
-    TargetFacts, TargetStart, Weights,
+    SoftwareVersion, TargetFacts, TargetStart, Weights,
 };
 pub use guide::{Continuity, PollGuide, PollMode};
 pub use health::{HealthConfig, HealthSignal, TargetPath};
--- a/crates/chervilshunt_core/src/dispatch/state.rs
+++ b/crates/chervilshunt_core/src/dispatch/state.rs
@@ -9,7 +9,7 @@
 
 use super::brittle::BrittleTargets;
 use super::choose::DispatchConfig;
-use super::facts::{Leaving, LoadReport, TargetFacts, TargetStart, Weights};
+use super::facts::{Leaving, LoadReport, SoftwareVersion, TargetFacts, TargetStart, Weights};
 use super::health::{HealthSignal, TargetHealth, TargetPath};
 use super::holders::{AdapterHolding, AnnouncedVersions, HeldAdapters, Holders, TargetSnapshot};
 use super::links::ServiceLink;
@@ -340,6 +340,12 @@
         self.targets.get(target).and_then(|it| it.facts.started)
     }
 
+    /// Returns the version of a target's software, as far as known.
+    pub fn software(&self, target: &TargetName) -> Option<SoftwareVersion> {
+        let target = self.targets.get(target)?;
+        target.facts.software.clone()
+    }
+
     /// Counts a request that was sent to a target.
     pub fn sent(&mut self, target: &TargetName, weights: Option<&Weights>) {
         self.uses.sent(target, weights);
--- a/crates/chervilshunt_core/tests/dispatch_load.rs
+++ b/crates/chervilshunt_core/tests/dispatch_load.rs
@@ -117,6 +117,7 @@
                 zone: ZoneName::from("zone"),
                 slots: SLOTS,
                 leaving: None,
+                software: None,
                 models: vec![LoadedModel {
                     name: "base".into(),
                     version: 1,
--- a/crates/chervilshunt_core/tests/residency_load.rs
+++ b/crates/chervilshunt_core/tests/residency_load.rs
@@ -169,6 +169,7 @@
                 zone: ZoneName::from("zone"),
                 slots: 12,
                 leaving: None,
+                software: None,
                 models: vec![LoadedModel {
                     name: "base".into(),
                     version: 1,
--- a/crates/chervilshunt_core/tests/residency_machine.rs
+++ b/crates/chervilshunt_core/tests/residency_machine.rs
@@ -167,6 +167,7 @@
             zone: ZoneName::from("zone"),
             slots: 16,
             leaving: None,
+            software: None,
             models: model.into_iter().collect(),
         };
         self.event(ResidencyEvent::TargetListed(facts));
--- a/crates/chervilshunt_core/tests/restarts.rs
+++ b/crates/chervilshunt_core/tests/restarts.rs
@@ -35,6 +35,7 @@
         zone: ZoneName::from("zone"),
         slots: 2,
         leaving: None,
+        software: None,
         models: vec![LoadedModel {
             name: "base".into(),
             version: 1,
--- a/crates/chervilshunt_core/tests/support/choosing.rs
+++ b/crates/chervilshunt_core/tests/support/choosing.rs
@@ -36,6 +36,7 @@
         zone: ZoneName::from(zone),
         slots: 4,
         leaving: None,
+        software: None,
         models: vec![LoadedModel {
             name: "base".into(),
             version: 1,
--- a/crates/chervilshunt_core/tests/support/model_updates.rs
+++ b/crates/chervilshunt_core/tests/support/model_updates.rs
@@ -63,6 +63,7 @@
         zone: ZoneName::from("zone"),
         slots: 16,
         leaving: None,
+        software: None,
         models: model.into_iter().collect(),
     }
 }
--- a/crates/chervilshunt_core/tests/support/placing.rs
+++ b/crates/chervilshunt_core/tests/support/placing.rs
@@ -54,6 +54,7 @@
         zone: ZoneName::from("zone"),
         slots,
         leaving: None,
+        software: None,
         models: vec![LoadedModel {
             name: "base".into(),
             version: 1,
--- a/crates/chervilshunt_gateway/src/control/change_feed/tests.rs
+++ b/crates/chervilshunt_gateway/src/control/change_feed/tests.rs
@@ -26,6 +26,7 @@
         zone: ZoneName::from("here"),
         slots: 8,
         leaving: None,
+        software: None,
         models: vec![LoadedModel {
             name: "base".into(),
             version: 1,
--- a/crates/chervilshunt_gateway/src/dialect.rs
+++ b/crates/chervilshunt_gateway/src/dialect.rs
@@ -72,6 +72,8 @@
     pub expected_version: HeaderName,
     /// The last event of a stream that the reader has received.
     pub last_event: HeaderName,
+    /// The id of the attempt that brought the first event of a stream, on an attempt that continues it.
+    pub resumes: HeaderName,
     /// The team that sent a request.
     pub team: HeaderName,
     /// Headers that only this system may set; they are dropped from callers' requests.
--- a/crates/chervilshunt_gateway/src/traffic/in_flight.rs
+++ b/crates/chervilshunt_gateway/src/traffic/in_flight.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use chervilshunt_core::{Crash, HealthSignal, TargetPath, TargetStart, Weights};
+use chervilshunt_core::{Crash, HealthSignal, SoftwareVersion, TargetPath, TargetStart, Weights};
 use chervilshunt_model::{Moment, TargetName};
 
 use super::place::SelectedTarget;
@@ -24,6 +24,9 @@
     /// The version that the target was asked for, or else the one that it was known to hold; `None`
     /// if neither is known.
     version: Option<u64>,
+    /// The version of the target's software. Kept from the sending on: a target's entry may be gone
+    /// while its answer still arrives.
+    software: Option<SoftwareVersion>,
     pub(super) sent_at: Moment,
     /// The path to the target.
     path: TargetPath,
@@ -46,6 +49,7 @@
         dispatch.sent(target, weights);
         dispatch.add_prefill(target, unread_prompt_tokens);
         let started = dispatch.started(target);
+        let software = dispatch.software(target);
         drop(dispatch);
         Self {
             shared: Arc::clone(shared),
@@ -54,6 +58,7 @@
             started,
             weights: weights.cloned(),
             version: chosen.expect_version.or(chosen.held_version),
+            software,
             sent_at: shared.clock.now(),
             path: match chosen.route {
                 Some(_) => TargetPath::Transit,
@@ -123,6 +128,11 @@
         self.version
     }
 
+    /// Returns the version of the target's software, if known.
+    pub(crate) const fn software(&self) -> Option<&SoftwareVersion> {
+        self.software.as_ref()
+    }
+
     pub(crate) fn shared(&self) -> &Shared {
         &self.shared
     }
--- a/crates/chervilshunt_gateway/src/traffic/relay.rs
+++ b/crates/chervilshunt_gateway/src/traffic/relay.rs
@@ -250,8 +250,7 @@
         self.runs = runs;
         match answered {
             Ok(answered) if answered.can_continue_stream() => {
-                slog::info!(self.shared.log, "stream resumed";
-                    "request" => &*self.req.id, "target" => answered.in_flight.target.as_str());
+                self.report_resumed(&answered.in_flight);
                 self.body = answered.body;
                 self.in_flight = answered.in_flight;
                 self.resumed += 1;
@@ -260,6 +259,24 @@
             Ok(_) | Err(_) => Poll::Ready(self.cut("not_resumed")),
         }
     }
+
+    /// Logs and counts a stream that another target continues, with the versions of both targets'
+    /// software.
+    fn report_resumed(&self, by: &InFlight) {
+        let (before, after) = (self.in_flight.software(), by.software());
+        slog::info!(self.shared.log, "stream resumed";
+            "request" => &*self.req.id, "target" => by.target.as_str(),
+            "software" => after.map(|it| it.as_str().to_owned()),
+            "broke_off_at" => self.in_flight.target.as_str(),
+            "broke_off_software" => before.map(|it| it.as_str().to_owned()));
+        let software = match (before, after) {
+            (Some(before), Some(after)) if before == after => "same",
+            (Some(_), Some(_)) => "other",
+            (None, _) | (_, None) => "unknown",
+        };
+        metrics::counter!("chervilshunt_streams_resumed_total", "software" => software)
+            .increment(1);
+    }
 }
 
 impl Drop for Relay {
@@ -276,6 +293,7 @@
             "request" => &*self.req.id, "route" => &*self.req.route.name,
             "target" => self.in_flight.target.as_str(), "status" => self.status,
             "outcome" => outcome, "version" => self.in_flight.version(),
+            "software" => self.in_flight.software().map(|it| it.as_str().to_owned()),
             "sent_after_ms" => sent.as_millis() as u64,
             "first_byte_ms" => first.as_millis() as u64,
             "longest_pause_ms" => self.longest_pause.as_millis() as u64,
