Continue a stream only at the software version that began it

What callers saw: streams with events of two software versions, which don't fit together, joined inside one answer or over a caller's attempts.

Class: what makes two answers fit together is known where a target registers and lost where one is chosen.

Change: an instance remembers the software version of each resumable stream before it passes on the first event, tells the placer with the progress of its grants, and the placer tells its deputy. An attempt that continues a stream is bound to that version and service, in the placer's choice, the choice without one and in transit; an adapter is loaded there if need be. An instance that doesn't know asks the placer, the deputy and the last ones before them. What nobody knows is refused at once, unless the service has had a single version for a minute.

The same cause elsewhere: on a route that is split between services, each attempt drew one, so that a stream went on at another service.

--- a/crates/chervilshunt_core/src/dispatch/choose.rs
+++ b/crates/chervilshunt_core/src/dispatch/choose.rs
@@ -5,7 +5,7 @@
 
 use chervilshunt_model::{Moment, ServiceName, TargetName};
 
-use super::facts::Weights;
+use super::facts::{SoftwareVersion, TargetFacts, Weights};
 use super::health::{HealthConfig, TargetPath};
 use super::lanes::{Lane, long_prompt_targets};
 use super::state::{Dispatch, Target};
@@ -66,6 +66,9 @@
     pub weights: Option<&'a Weights>,
     /// The kind of work that dominates the request.
     pub lane: Lane,
+    /// The software version that the target must have, because it began the stream that the request
+    /// continues; `None` if any will do.
+    pub software: Option<&'a SoftwareVersion>,
     /// Targets already tried for this request.
     pub avoid: &'a [TargetName],
     /// Whether another instance is known that passes requests on.
@@ -156,6 +159,11 @@
     }
 }
 
+/// Returns whether a target has the required software version, if one is required.
+pub(crate) fn has_software(facts: &TargetFacts, required: Option<&SoftwareVersion>) -> bool {
+    required.is_none_or(|required| facts.software.as_ref() == Some(required))
+}
+
 impl Dispatch {
     /// Selects a target for a request; `draw` returns random numbers from 0 to 1.
     pub fn choose(
@@ -214,17 +222,20 @@
         self.holders.of(weights).iter().map(|(name, _)| name)
     }
 
-    /// Uses the target selected by the placer, unless it is leaving, paused, unknown or out of
-    /// reach.
+    /// Uses the target selected by the placer, unless it is leaving, paused, unknown, out of reach or
+    /// of another software version than the required one.
     pub fn choose_named(
         &self,
         name: &TargetName,
         weights: Option<&Weights>,
+        software: Option<&SoftwareVersion>,
         has_transit: bool,
         now: Moment,
     ) -> Choice {
         let target = self.targets.get(name);
-        let usable = target.filter(|it| it.facts.leaving.is_none() && !it.is_paused(now));
+        let usable = target.filter(|it| {
+            it.facts.leaving.is_none() && !it.is_paused(now) && has_software(&it.facts, software)
+        });
         let Some(target) = usable else {
             return Choice::Wait(WaitReason::NoTarget);
         };
@@ -281,6 +292,7 @@
         self.targets.values().filter(move |target| {
             target.facts.service == *requirements.service
                 && target.facts.leaving.is_none()
+                && has_software(&target.facts, requirements.software)
                 && !requirements.avoid.contains(&target.facts.name)
                 && requirements
                     .weights
--- a/crates/chervilshunt_core/src/dispatch/mod.rs
+++ b/crates/chervilshunt_core/src/dispatch/mod.rs
@@ -26,6 +26,7 @@
 pub(crate) use brittle::BRITTLE_FILL;
 pub use brittle::BrittleChange;
 pub use budget::{ServiceBudgets, WindowBudget, WindowBudgetConfig};
+pub(crate) use choose::has_software;
 pub use choose::{Choice, DispatchConfig, TargetRequirements, WaitReason};
 pub use facts::{
     Leaving, LoadReport, LoadedAdapter, LoadedModel, ModelSpec, PlacementLimits, RequestSize,
--- a/crates/chervilshunt_core/src/dispatch/routes.rs
+++ b/crates/chervilshunt_core/src/dispatch/routes.rs
@@ -67,6 +67,12 @@
         let picked = by_weight.or_else(|| self.services.iter().rfind(|(_, weight)| *weight > 0));
         picked.map(|(service, _)| service)
     }
+
+    /// Returns whether the route's requests may go to a service.
+    pub fn leads_to(&self, service: &ServiceName) -> bool {
+        let mut services = self.services.iter();
+        services.any(|(it, weight)| it == service && *weight > 0)
+    }
 }
 
 /// A service as described in the configuration.
--- a/crates/chervilshunt_core/src/dispatch/state.rs
+++ b/crates/chervilshunt_core/src/dispatch/state.rs
@@ -18,6 +18,7 @@
 use super::uses::UseTable;
 use crate::rate_limit::{RateLimits, SendShares};
 use crate::residency::TargetUse;
+use crate::streams::SoftwareHistory;
 
 /// The time without a message after which the placer is considered unreachable.
 const PLACER_UNREACHABLE_AFTER: Duration = Duration::from_secs(3);
@@ -81,6 +82,7 @@
     is_placing: bool,
     /// When the snapshot of a placer whose lease ended was applied.
     snapshot_at: Option<Moment>,
+    pub(crate) software: SoftwareHistory,
 }
 
 impl Dispatch {
@@ -103,6 +105,7 @@
             placer_responded_at: None,
             is_placing: false,
             snapshot_at: None,
+            software: SoftwareHistory::default(),
         }
     }
 
@@ -129,7 +132,7 @@
         let change = match (TargetStart::compare(facts.started, last), known) {
             (Ordering::Less, _) => return EntryChange::Outdated,
             (Ordering::Greater, Some(_)) => {
-                self.target_gone(&facts.name);
+                self.target_gone(&facts.name, now);
                 EntryChange::Restarted
             }
             (Ordering::Equal, Some(_)) => EntryChange::Known,
@@ -143,7 +146,14 @@
             facts.leaving.get_or_insert(Leaving { gone_after: None });
         }
         match self.targets.get_mut(&facts.name) {
-            Some(target) => target.facts = facts,
+            Some(target) => {
+                if target.facts.software != facts.software {
+                    let (service, software) =
+                        (&target.facts.service, target.facts.software.as_ref());
+                    self.software.left(service, software, now);
+                }
+                target.facts = facts;
+            }
             None => {
                 let target = Target {
                     load: TargetLoad::default(),
@@ -159,9 +169,11 @@
     }
 
     /// Removes a target that is gone.
-    pub fn target_gone(&mut self, name: &TargetName) {
+    pub fn target_gone(&mut self, name: &TargetName, now: Moment) {
         let target = self.targets.swap_remove(name);
         if let Some(target) = target {
+            let (service, software) = (&target.facts.service, target.facts.software.as_ref());
+            self.software.left(service, software, now);
             self.gone.shift_remove(name);
             self.gone.insert(name.clone(), target.facts.started);
             if self.gone.len() > REMEMBERED_GONE {
@@ -346,6 +358,28 @@
         target.facts.software.clone()
     }
 
+    /// Records that the list of targets was complete at `as_of`.
+    pub fn targets_confirmed(&mut self, as_of: Moment) {
+        self.software.confirmed(as_of);
+    }
+
+    /// Returns the software version at which all streams of a service must have begun that can be
+    /// continued now; `None` if there may be several.
+    pub fn only_software(&self, service: &ServiceName, now: Moment) -> Option<SoftwareVersion> {
+        let targets = self.targets.values().map(|it| &it.facts);
+        let listed = targets.filter(|it| it.service == *service);
+        let listed = listed.map(|it| it.software.as_ref());
+        self.software.only_version(service, listed, now).cloned()
+    }
+
+    /// Returns whether a service has a target of a software version that takes new requests.
+    pub fn serves_software(&self, service: &ServiceName, software: &SoftwareVersion) -> bool {
+        let mut targets = self.targets.values().map(|it| &it.facts);
+        targets.any(|it| {
+            it.service == *service && it.leaving.is_none() && it.software.as_ref() == Some(software)
+        })
+    }
+
     /// Counts a request that was sent to a target.
     pub fn sent(&mut self, target: &TargetName, weights: Option<&Weights>) {
         self.uses.sent(target, weights);
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -19,6 +19,7 @@
 mod residency;
 mod retry;
 mod scheduler;
+mod streams;
 mod weights;
 
 pub use allocator::{PowerAction, PowerAllocator, PowerConfig, PowerEvent};
@@ -63,4 +64,5 @@
     BreakerTransition, CallOutcome, RetryBudget, RetryBudgetConfig, TokenBucket,
 };
 pub use scheduler::{LoadScheduler, SchedulerAction, SchedulerConfig, SchedulerEvent, TurnResult};
+pub use streams::{BegunStreams, SoftwareHistory, StreamKey, StreamOrigin, StreamOrigins};
 pub use weights::PolicyWeights;
--- a/crates/chervilshunt_core/src/residency/choice.rs
+++ b/crates/chervilshunt_core/src/residency/choice.rs
@@ -9,7 +9,7 @@
 use super::planner::ResidencyPlanner;
 use super::target::{OrderState, TargetState};
 use crate::dispatch::BRITTLE_FILL;
-use crate::dispatch::{Lane, Weights, long_prompt_targets};
+use crate::dispatch::{Lane, Weights, has_software, long_prompt_targets};
 
 /// A target suitable for a request.
 #[derive(Clone, Debug)]
@@ -219,6 +219,7 @@
     ) -> bool {
         target.facts.service == request.service
             && target.takes_work()
+            && has_software(&target.facts, request.software.as_ref())
             && target.model_order.is_none()
             && !target.is_unloading()
             && self.holds_model(target, &request.weights, now)
--- a/crates/chervilshunt_core/src/residency/grants.rs
+++ b/crates/chervilshunt_core/src/residency/grants.rs
@@ -16,6 +16,7 @@
 use super::order::TargetUse;
 use super::planner::ResidencyPlanner;
 use crate::dispatch::Weights;
+use crate::streams::BegunStreams;
 
 /// How long usage reports may omit a grant before it counts as ended. The answer that gives the
 /// grant and a report sent before it are in transit for some milliseconds, and for 100 ms where an
@@ -38,6 +39,9 @@
     /// The number of streams that paused for longer than their callers want.
     #[serde(rename = "p", default, skip_serializing_if = "is_zero")]
     pub paused: u32,
+    /// Streams that have begun, whether granted or not.
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+    pub streams: Vec<BegunStreams>,
 }
 
 #[expect(
@@ -51,7 +55,10 @@
 impl GrantProgress {
     /// Returns whether there is nothing to report.
     pub const fn is_empty(&self) -> bool {
-        self.begun.is_empty() && self.ended.is_empty() && self.paused == 0
+        self.begun.is_empty()
+            && self.ended.is_empty()
+            && self.paused == 0
+            && self.streams.is_empty()
     }
 }
 
--- a/crates/chervilshunt_core/src/residency/placement.rs
+++ b/crates/chervilshunt_core/src/residency/placement.rs
@@ -10,7 +10,7 @@
 use super::order::{PlacementResult, ResidencyAction};
 use super::planner::ResidencyPlanner;
 use super::target::OrderState;
-use crate::dispatch::{AdapterHolding, Lane, Weights};
+use crate::dispatch::{AdapterHolding, Lane, SoftwareVersion, Weights};
 
 /// An instance's request to the placer for a target for one request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -30,6 +30,10 @@
     /// The availability zone from which the request is sent.
     #[serde(rename = "z")]
     pub zone: ZoneName,
+    /// The software version that the target must have, because it began the stream that the request
+    /// continues; `None` if any will do.
+    #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<SoftwareVersion>,
     /// Targets that the request cannot use.
     #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
     pub avoid: Vec<TargetName>,
--- a/crates/chervilshunt_core/src/residency/versions.rs
+++ b/crates/chervilshunt_core/src/residency/versions.rs
@@ -47,6 +47,7 @@
             // If nothing uses the adapter, or no other target has capacity, the old version is
             // retired immediately.
             let request = PlacementRequest {
+                software: None,
                 service,
                 weights: weights.clone(),
                 prompt_tokens: 0,
--- a/crates/chervilshunt_core/tests/base_versions.rs
+++ b/crates/chervilshunt_core/tests/base_versions.rs
@@ -54,6 +54,7 @@
     let choose = |weights: &Weights, now_ms| {
         let service = service();
         let ask = TargetRequirements {
+            software: None,
             service: &service,
             weights: Some(weights),
             lane: Lane::General,
--- a/crates/chervilshunt_core/tests/dispatch.rs
+++ b/crates/chervilshunt_core/tests/dispatch.rs
@@ -307,7 +307,8 @@
     let named = TargetName::from("t1");
     let weights = adapter("a1");
     dispatch.version_announced(weights.clone(), 2, at(0));
-    let at_named = |now| chosen(dispatch.choose_named(&named, Some(&weights), false, at(now)));
+    let at_named =
+        |now| chosen(dispatch.choose_named(&named, Some(&weights), None, false, at(now)));
     assert_eq!(at_named(100), Ok(("t1".to_owned(), None)));
     assert_eq!(at_named(3_000), Ok(("t1".to_owned(), Some(2))));
 }
@@ -321,7 +322,13 @@
         ..facts("t1", "here", &[("a1", 1)])
     });
     let dispatch = dispatch(known);
-    let choice = dispatch.choose_named(&TargetName::from("t1"), Some(&adapter("a1")), false, at(0));
+    let choice = dispatch.choose_named(
+        &TargetName::from("t1"),
+        Some(&adapter("a1")),
+        None,
+        false,
+        at(0),
+    );
     assert_eq!(chosen(choice), Err(WaitReason::NoTarget));
 }
 
@@ -353,7 +360,13 @@
     assert_eq!(holders(6_600), [""; 0]);
     // A target that holds a newer version than the oldest allowed one is required to have that
     // newer one.
-    let at_t3 = dispatch.choose_named(&TargetName::from("t3"), Some(&weights), false, at(4_600));
+    let at_t3 = dispatch.choose_named(
+        &TargetName::from("t3"),
+        Some(&weights),
+        None,
+        false,
+        at(4_600),
+    );
     assert_eq!(chosen(at_t3), Ok(("t3".to_owned(), Some(3))));
 }
 
--- a/crates/chervilshunt_core/tests/dispatch_load.rs
+++ b/crates/chervilshunt_core/tests/dispatch_load.rs
@@ -143,6 +143,7 @@
             adapter: None,
         };
         let requirements = TargetRequirements {
+            software: None,
             service: &service,
             weights: Some(&weights),
             lane,
--- a/crates/chervilshunt_core/tests/grants.rs
+++ b/crates/chervilshunt_core/tests/grants.rs
@@ -308,6 +308,7 @@
         request_id,
         from,
         request: PlacementRequest {
+            software: None,
             prompt_tokens,
             ..request
         },
--- a/crates/chervilshunt_core/tests/residency_machine.rs
+++ b/crates/chervilshunt_core/tests/residency_machine.rs
@@ -355,6 +355,7 @@
                     request_id,
                     from: InstanceId::from("i"),
                     request: PlacementRequest {
+                        software: None,
                         service: service(),
                         weights: adapter(n),
                         prompt_tokens: 1_000,
--- a/crates/chervilshunt_core/tests/residency_versions.rs
+++ b/crates/chervilshunt_core/tests/residency_versions.rs
@@ -39,6 +39,7 @@
         request_id: REQUEST_ID,
         from: InstanceId::from("i"),
         request: PlacementRequest {
+            software: None,
             service: service(),
             weights,
             prompt_tokens: 0,
@@ -211,6 +212,7 @@
         request_id: REQUEST_ID + 1,
         from: InstanceId::from("i"),
         request: PlacementRequest {
+            software: None,
             service: service(),
             weights: adapter("a1"),
             prompt_tokens: 0,
--- a/crates/chervilshunt_core/tests/self_reports.rs
+++ b/crates/chervilshunt_core/tests/self_reports.rs
@@ -29,7 +29,7 @@
         assert_eq!(chosen(choose(&dispatch, None, &[], 0)), to("t2"));
         dispatch.sent(&name("t2"), None);
     }
-    let named = dispatch.choose_named(&name("t1"), None, false, at(0));
+    let named = dispatch.choose_named(&name("t1"), None, None, false, at(0));
     assert_eq!(chosen(named), Err(WaitReason::NoTarget));
     assert_eq!(dispatch.closed_targets(&service(), at(0)), [name("t1")]);
 }
@@ -48,7 +48,7 @@
         Err(WaitReason::NoTarget)
     );
     // This also holds after the target was missing from the list for a time.
-    dispatch.target_gone(&name("t1"));
+    dispatch.target_gone(&name("t1"), at(0));
     assert_eq!(
         dispatch.target_forwarded(started("t1", 7), at(2)),
         EntryChange::New
@@ -75,7 +75,7 @@
     let mut dispatch = dispatch([facts("t1", "here", &[]), facts("t2", "here", &[])]);
     dispatch.pause_requested(&name("t1"), Duration::from_secs(2), at(0));
     assert_eq!(chosen(choose(&dispatch, None, &[], 1_999)), to("t2"));
-    let named = dispatch.choose_named(&name("t1"), None, false, at(1_999));
+    let named = dispatch.choose_named(&name("t1"), None, None, false, at(1_999));
     assert_eq!(chosen(named), Err(WaitReason::NoTarget));
     assert_eq!(dispatch.closed_targets(&service(), at(1_999)), [name("t1")]);
     dispatch.sent(&name("t2"), None);
@@ -125,8 +125,8 @@
 fn an_entry_of_a_removed_start_is_recognized() {
     let mut dispatch = dispatch([started("t1", 7), facts("t2", "here", &[])]);
     assert!(!dispatch.is_removed_start(&started("t1", 7)), "it is there");
-    dispatch.target_gone(&name("t1"));
-    dispatch.target_gone(&name("t2"));
+    dispatch.target_gone(&name("t1"), at(0));
+    dispatch.target_gone(&name("t2"), at(0));
     assert!(dispatch.is_removed_start(&started("t1", 7)));
     assert!(dispatch.is_removed_start(&started("t1", 6)));
     assert!(
--- a/crates/chervilshunt_core/tests/support/choosing.rs
+++ b/crates/chervilshunt_core/tests/support/choosing.rs
@@ -61,6 +61,7 @@
 ) -> Choice {
     let service = service();
     let requirements = TargetRequirements {
+        software: None,
         service: &service,
         weights,
         lane: Lane::General,
--- a/crates/chervilshunt_core/tests/support/model_updates.rs
+++ b/crates/chervilshunt_core/tests/support/model_updates.rs
@@ -212,6 +212,7 @@
             request_id: self.next_request_id,
             from: InstanceId::from("i"),
             request: PlacementRequest {
+                software: None,
                 service: service(),
                 weights: weights.clone(),
                 prompt_tokens: 100,
--- a/crates/chervilshunt_core/tests/support/placing.rs
+++ b/crates/chervilshunt_core/tests/support/placing.rs
@@ -88,6 +88,7 @@
         request_id,
         from: InstanceId::from("i"),
         request: PlacementRequest {
+            software: None,
             service: service(),
             weights,
             prompt_tokens: 1_000,
--- a/crates/chervilshunt_gateway/src/control/actor.rs
+++ b/crates/chervilshunt_gateway/src/control/actor.rs
@@ -215,6 +215,10 @@
         if let Some(as_of) = configuration.confirmed_as_of() {
             self.shared.set_configuration_confirmed(as_of);
         }
+        let targets = self.follow_modes.guide(Kind::Targets);
+        if let Some(as_of) = targets.confirmed_as_of() {
+            self.shared.dispatch().targets_confirmed(as_of);
+        }
         self.arrange_wakeup(now);
     }
 
--- a/crates/chervilshunt_gateway/src/control/lease.rs
+++ b/crates/chervilshunt_gateway/src/control/lease.rs
@@ -125,6 +125,9 @@
         }
         slog::info!(self.shared.log, "placer changed";
             "holder" => holder.as_ref().map(|it| it.instance.as_str().to_owned()));
+        if let Some(placer) = &holder {
+            self.shared.tell_new_placer(placer);
+        }
         self.shared.set_placer(holder, self.now());
     }
 }
--- a/crates/chervilshunt_gateway/src/control/mod.rs
+++ b/crates/chervilshunt_gateway/src/control/mod.rs
@@ -19,6 +19,7 @@
 mod reading;
 mod restore;
 mod snapshots;
+mod streams;
 mod suspension;
 mod targets;
 mod transit;
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -200,9 +200,12 @@
         let needs_transit = status.needs_transit;
         let to_know = placer.presence.offer_to_know(from, status.zone.as_ref());
         placer.presence.record_report(from, status, now);
-        self.shared
-            .deputy
-            .store(placer.presence.deputy().map(Arc::new));
+        let deputy = placer.presence.deputy().map(Arc::new);
+        let before = self.shared.deputy.swap(deputy.clone());
+        if let Some(deputy) = deputy.filter(|it| before.as_ref() != Some(it)) {
+            self.shared.stream_keepers.add(&deputy);
+            self.shared.tell_new_deputy(&deputy);
+        }
         let offers = if needs_transit {
             self.transit_offers(from)
         } else {
--- a/crates/chervilshunt_gateway/src/control/quotas.rs
+++ b/crates/chervilshunt_gateway/src/control/quotas.rs
@@ -115,6 +115,9 @@
     /// Applies which instance the placer has named as its deputy.
     pub(super) fn apply_deputy(&mut self, deputy: Option<(InstanceId, SocketAddr)>) {
         let deputy = deputy.map(|(instance, address)| Arc::new(Peer { instance, address }));
+        if let Some(deputy) = &deputy {
+            self.shared.stream_keepers.add(deputy);
+        }
         self.shared.deputy.store(deputy);
         self.deputy = None;
     }
--- a/crates/chervilshunt_gateway/src/control/targets.rs
+++ b/crates/chervilshunt_gateway/src/control/targets.rs
@@ -379,7 +379,7 @@
         }
         for name in due {
             slog::info!(self.shared.log, "target removed"; "target" => name.as_str());
-            self.shared.dispatch().target_gone(&name);
+            self.shared.dispatch().target_gone(&name, now);
             self.plan(ResidencyEvent::TargetGone(name));
         }
         let dispatch = self.shared.dispatch();
--- a/crates/chervilshunt_gateway/src/control/using.rs
+++ b/crates/chervilshunt_gateway/src/control/using.rs
@@ -116,9 +116,12 @@
                 }
             }
             PeerMessage::Uncharge(number) => self.handle_uncharge(number),
-            PeerMessage::Progress(progress) => {
-                self.plan(ResidencyEvent::GrantsProgressed(progress))
+            PeerMessage::Progress(mut progress) => {
+                self.record_streams(std::mem::take(&mut progress.streams));
+                self.plan(ResidencyEvent::GrantsProgressed(progress));
             }
+            PeerMessage::StreamsBegan(begun) => self.record_streams(begun),
+            PeerMessage::StreamOriginRequest(key) => self.answer_stream_origin(key, reply),
             PeerMessage::NotHeld(target, weights) => {
                 self.plan(ResidencyEvent::NotHeld(target, weights));
             }
@@ -159,6 +162,7 @@
             | PeerMessage::ChargeAnswer(..)
             | PeerMessage::SendPermitAnswer(_)
             | PeerMessage::TransitTicket(..)
+            | PeerMessage::StreamOriginAnswer(_)
             | PeerMessage::LeaseCallResult(_)
             | PeerMessage::ReadResult(..) => {}
         }
--- a/crates/chervilshunt_gateway/src/grants.rs
+++ b/crates/chervilshunt_gateway/src/grants.rs
@@ -43,6 +43,11 @@
         self.changed.notify_one();
     }
 
+    /// Has streams that have begun reported.
+    pub(crate) fn stream_began(&self) {
+        self.changed.notify_one();
+    }
+
     fn take_progress(&self) -> GrantProgress {
         std::mem::take(&mut self.lock().progress)
     }
@@ -90,9 +95,15 @@
     loop {
         shared.grants.changed.notified().await;
         tokio::time::sleep(GATHER_TIME).await;
-        let progress = shared.grants.take_progress();
+        let now = shared.clock.now();
+        let mut progress = shared.grants.take_progress();
+        progress.streams = shared.streams.origins().take_untold(now);
+        let placer = shared.placer.load_full();
+        if placer.is_none() || shared.is_placer_silent(now) {
+            shared.streams.queue_for_deputy(progress.streams.clone());
+        }
         // Without a placer the progress is not needed: a new placer receives all open requests.
-        let Some(placer) = shared.placer.load_full().filter(|_| !progress.is_empty()) else {
+        let Some(placer) = placer.filter(|_| !progress.is_empty()) else {
             continue;
         };
         if let Err(error) = shared.mesh.send(&placer, PeerMessage::Progress(progress)) {
--- a/crates/chervilshunt_gateway/src/lib.rs
+++ b/crates/chervilshunt_gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod settings;
 mod shared;
 mod store;
+mod streams;
 mod traffic;
 mod transit;
 
--- a/crates/chervilshunt_gateway/src/peers.rs
+++ b/crates/chervilshunt_gateway/src/peers.rs
@@ -8,9 +8,9 @@
     ExclusiveLeaseRecord, HeldLease, LeaseWriteOutcome, VersionedLeaseRecord,
 };
 use chervilshunt_core::{
-    ChargeNumber, ChargeResult, Fingerprint, GrantNumber, GrantProgress, LimitReport,
-    LoadEstimates, PlacementRequest, PlacementResult, SendPermit, StoredCrashes, TargetFacts,
-    TargetSnapshot, TargetStart, TargetUse, Weights,
+    BegunStreams, ChargeNumber, ChargeResult, Fingerprint, GrantNumber, GrantProgress, LimitReport,
+    LoadEstimates, PlacementRequest, PlacementResult, SendPermit, StoredCrashes, StreamKey,
+    StreamOrigin, TargetFacts, TargetSnapshot, TargetStart, TargetUse, Weights,
 };
 use chervilshunt_mesh::Purpose;
 use chervilshunt_model::{InstanceId, ServiceName, StoreRevision, TargetName, ZoneName};
@@ -85,6 +85,16 @@
     /// To the placer: the progress of the sender's grants.
     #[serde(rename = "g")]
     Progress(GrantProgress),
+    /// To the placer and its deputy: streams that have begun.
+    #[serde(rename = "o")]
+    StreamsBegan(Vec<BegunStreams>),
+    /// To the placer and its deputy, also earlier ones: where did a stream begin? Answered by
+    /// `StreamOriginAnswer`.
+    #[serde(rename = "k")]
+    StreamOriginRequest(StreamKey),
+    /// Where the stream began; `None` if the sender does not know.
+    #[serde(rename = "K")]
+    StreamOriginAnswer(Option<StreamOrigin>),
     /// To the placer: a target reported that it does not hold an adapter.
     #[serde(rename = "n")]
     NotHeld(TargetName, Weights),
@@ -343,6 +353,9 @@
             Self::WithoutPlacer(_) => "without_placer",
             Self::Uncharge(_) => "uncharge",
             Self::Progress(_) => "progress",
+            Self::StreamsBegan(_) => "streams_began",
+            Self::StreamOriginRequest(_) => "stream_origin",
+            Self::StreamOriginAnswer(_) => "stream_origin_answer",
             Self::NotHeld(..) => "not_held",
             Self::Leaving(..) => "leaving",
             Self::RateLimit(_) => "rate_limit",
--- a/crates/chervilshunt_gateway/src/run.rs
+++ b/crates/chervilshunt_gateway/src/run.rs
@@ -24,6 +24,7 @@
 use crate::ports::{serve_metrics, serve_readiness};
 use crate::settings::{LogLevel, Settings};
 use crate::shared::Shared;
+use crate::streams::forward_streams;
 use crate::transit::{probe_lost_links, serve_transit};
 
 /// Capacity of the control actor's mailbox; senders wait while it is full.
@@ -107,6 +108,7 @@
     let control = start_control(&shared, exchange, observations)?;
     forward(inbound, control.clone(), PeerEvent);
     tokio::spawn(report_progress(Arc::clone(&shared)));
+    tokio::spawn(forward_streams(Arc::clone(&shared)));
     tokio::spawn(serve_callers(callers, Arc::clone(&shared)));
     tokio::spawn(serve_transit(transit, Arc::clone(&shared)));
     tokio::spawn(probe_lost_links(Arc::clone(&shared)));
--- a/crates/chervilshunt_gateway/src/shared.rs
+++ b/crates/chervilshunt_gateway/src/shared.rs
@@ -21,6 +21,7 @@
 use crate::grants::GrantTracker;
 use crate::peers::PeerMessage;
 use crate::settings::Settings;
+use crate::streams::{StreamKeepers, StreamMemory};
 use crate::transit::{IssuedTickets, TransitRoutes};
 
 /// Time for which readiness waits for a first placer. Instances spread their writes over 0.4 s,
@@ -61,6 +62,10 @@
     placer_lost: AtomicBool,
     /// The instance that keeps the account of teams' quotas while there is no placer.
     pub(crate) deputy: ArcSwapOption<Peer>,
+    /// Where streams began, as far as this instance knows.
+    pub(crate) streams: StreamMemory,
+    /// The instances that know where streams of others began.
+    pub(crate) stream_keepers: StreamKeepers,
     /// The instances that pass on this one's requests.
     pub(crate) transit_routes: TransitRoutes,
     /// The tickets of instances whose requests this one passes on.
@@ -145,6 +150,8 @@
             placer_named_at: AtomicU64::new(0),
             placer_lost: AtomicBool::new(false),
             deputy: ArcSwapOption::empty(),
+            streams: StreamMemory::default(),
+            stream_keepers: StreamKeepers::default(),
             transit_routes: TransitRoutes::default(),
             issued_tickets: IssuedTickets::default(),
             passed_requests: AtomicUsize::new(0),
@@ -214,6 +221,9 @@
 
     /// Sets the placer.
     pub(crate) fn set_placer(&self, placer: Option<Peer>, now: Moment) {
+        if let Some(placer) = &placer {
+            self.stream_keepers.add(placer);
+        }
         self.placer.store(placer.map(Arc::new));
         self.placer_named_at
             .store(now.as_micros(), Ordering::Relaxed);
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chervilshunt_core::HealthSignal;
+use chervilshunt_core::{HealthSignal, SoftwareVersion};
 use chervilshunt_engine::{BodyReader, EngineError, Limits, Outcome};
 use chervilshunt_model::TargetName;
 use http::response::Parts;
@@ -42,6 +42,8 @@
     pub(crate) avoid: Vec<TargetName>,
     /// The last event that the caller has received, if the stream is being resumed.
     pub(crate) last_event: Option<Arc<str>>,
+    /// The software version that began the stream, if it is being continued.
+    pub(crate) software: Option<SoftwareVersion>,
     /// The charge to the team's quota.
     pub(super) charge: Option<Charge>,
     /// Targets that accepted no connection from this instance, and that another instance may reach.
@@ -90,6 +92,7 @@
             req,
             avoid: Vec::new(),
             last_event: None,
+            software: req.software.clone(),
             charge: None,
             unconnected: Vec::new(),
             attempts: 0,
@@ -105,10 +108,12 @@
         broke_at: TargetName,
         runs: u32,
         last_event: Option<Arc<str>>,
+        software: Option<SoftwareVersion>,
     ) -> Self {
         Self {
             avoid: vec![broke_at],
             last_event,
+            software,
             attempts: 1,
             arrivals: 1,
             runs,
--- a/crates/chervilshunt_gateway/src/traffic/events.rs
+++ b/crates/chervilshunt_gateway/src/traffic/events.rs
@@ -61,6 +61,11 @@
         is_numbered && !self.has_passed_part
     }
 
+    /// Returns whether an event, or a part of one, has been passed on.
+    pub(crate) const fn has_passed_event(&self) -> bool {
+        self.last_id.is_some() || self.has_passed_unnumbered || self.has_passed_part
+    }
+
     /// Returns the id of the last event that was passed on.
     pub(crate) fn last_id(&self) -> Option<Arc<str>> {
         self.last_id.clone()
--- a/crates/chervilshunt_gateway/src/traffic/mod.rs
+++ b/crates/chervilshunt_gateway/src/traffic/mod.rs
@@ -5,6 +5,7 @@
 mod authentication;
 mod body;
 mod charge;
+mod continuing;
 mod events;
 mod head;
 mod in_flight;
--- a/crates/chervilshunt_gateway/src/traffic/place.rs
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -66,6 +66,7 @@
         let max_wait = self.req.route.objective.mul_f64(ROOM_WAIT_FACTOR);
         let mut placer_answers = true;
         loop {
+            self.refuse_if_origin_gone()?;
             self.refuse_if_cut_off()?;
             if let Some(weights) = self.req.weights.clone()
                 && self.uses_placer()
@@ -158,6 +159,7 @@
             service: &self.req.service,
             weights: self.req.weights.as_ref(),
             lane: Lane::of(self.req.size),
+            software: self.software.as_ref(),
             avoid: &self.avoid,
             has_transit: self.shared.transit_routes.is_available(now),
         };
@@ -236,6 +238,22 @@
         Err(Refusal::retry_after(Reason::CutOff, CUT_OFF_RETRY_DELAY))
     }
 
+    /// Refuses a request that continues a stream if no target of the stream's software version is left.
+    /// The caller has to begin anew.
+    fn refuse_if_origin_gone(&self) -> Result<(), Refusal> {
+        let Some(software) = &self.software else {
+            return Ok(());
+        };
+        if self
+            .shared
+            .dispatch()
+            .serves_software(&self.req.service, software)
+        {
+            return Ok(());
+        }
+        Err(Refusal::new(Reason::OriginGone))
+    }
+
     /// Returns the newest version of the requested weights and how long it has been known.
     fn newest_version(&self) -> Option<(u64, Duration)> {
         let weights = self.req.weights.as_ref()?;
--- a/crates/chervilshunt_gateway/src/traffic/placer.rs
+++ b/crates/chervilshunt_gateway/src/traffic/placer.rs
@@ -65,6 +65,7 @@
             prompt_tokens: self.req.size.prompt_tokens,
             lane: Lane::of(self.req.size),
             zone: self.shared.settings.instance.zone.clone(),
+            software: self.software.clone(),
             avoid,
         };
         let message = match self.pending_charge() {
@@ -201,10 +202,13 @@
         let now = self.shared.clock.now();
         let weights = self.req.weights.as_ref();
         let has_transit = self.shared.transit_routes.is_available(now);
-        let choice = self
-            .shared
-            .dispatch()
-            .choose_named(&target, weights, has_transit, now);
+        let choice = self.shared.dispatch().choose_named(
+            &target,
+            weights,
+            self.software.as_ref(),
+            has_transit,
+            now,
+        );
         match self.accept_choice(choice) {
             Ok(chosen) => PlacerAnswer::At(SelectedTarget {
                 grant: Some(grant),
--- a/crates/chervilshunt_gateway/src/traffic/refusal.rs
+++ b/crates/chervilshunt_gateway/src/traffic/refusal.rs
@@ -43,6 +43,10 @@
     RateLimited,
     /// Targets crash when they run it.
     CrashesTargets,
+    /// It continues a stream, and it is not known which software version began that.
+    OriginUnknown,
+    /// It continues a stream, and no target is left of the software version that began that.
+    OriginGone,
     /// Targets refused it, and no attempts or retry budget are left.
     BudgetSpent,
     /// Its time ran out before it was sent.
@@ -77,6 +81,8 @@
             Self::Full => "full",
             Self::RateLimited => "rate_limited",
             Self::CrashesTargets => "crashes_targets",
+            Self::OriginUnknown => "stream_origin_unknown",
+            Self::OriginGone => "stream_origin_gone",
             Self::BudgetSpent => "budget_spent",
             Self::Late => "late",
             Self::Unanswered => "unanswered",
@@ -104,6 +110,8 @@
             | Self::Full
             | Self::RateLimited
             | Self::CrashesTargets
+            | Self::OriginUnknown
+            | Self::OriginGone
             | Self::BudgetSpent
             | Self::Late => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unanswered => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/chervilshunt_gateway/src/traffic/relay.rs
+++ b/crates/chervilshunt_gateway/src/traffic/relay.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chervilshunt_core::{HealthSignal, Repeat};
+use chervilshunt_core::{HealthSignal, Repeat, SoftwareVersion, StreamOrigin};
 use chervilshunt_engine::BodyReader;
 use chervilshunt_model::Moment;
 use http_body::{Frame, SizeHint};
@@ -36,6 +36,8 @@
     runs: u32,
     /// Splits the stream into complete events, if another target may continue it.
     events: Option<EventBuffer>,
+    /// The software version that began the stream, once an event of it has been passed on.
+    software: Option<SoftwareVersion>,
     resuming: Option<Resuming>,
     deadline: Pin<Box<Sleep>>,
     status: u16,
@@ -73,6 +75,7 @@
             in_flight: answered.in_flight,
             runs,
             events: resumable.then(EventBuffer::default),
+            software: None,
             resuming: None,
             deadline: Box::pin(tokio::time::sleep(req.time_left(now))),
             status: answered.head.status.as_u16(),
@@ -161,10 +164,31 @@
             self.in_flight.response_received(now);
         }
         self.bytes += data.len() as u64;
-        match &mut self.events {
-            Some(events) => events.push(data, self.body.outside_event()),
-            None => Some(data),
+        let Some(events) = &mut self.events else {
+            return Some(data);
+        };
+        let passed = events.push(data, self.body.outside_event());
+        if self.software.is_none() && events.has_passed_event() {
+            self.record_stream_began(now);
         }
+        passed
+    }
+
+    /// Remembers which software version began the stream, before its caller can know of the first event.
+    fn record_stream_began(&mut self, now: Moment) {
+        let Some(software) = self.in_flight.software() else {
+            return;
+        };
+        self.software = Some(software.clone());
+        let origin = StreamOrigin {
+            service: self.req.service.clone(),
+            software: software.clone(),
+        };
+        let (stream, caller_waits) = (self.req.stream, self.req.caller_waits);
+        let mut origins = self.shared.streams.origins();
+        origins.began(stream, origin, caller_waits, now);
+        drop(origins);
+        self.shared.grants.stream_began();
     }
 
     /// Logs an answer that begins on an older version than the newest known one.
@@ -203,6 +227,9 @@
         self.in_flight.response_received(now);
         self.in_flight.record_begin(&self.req);
         self.outcome = Some("served");
+        if self.software.is_some() {
+            self.shared.streams.origins().completed(self.req.stream);
+        }
     }
 
     /// Returns where the target's answer ended, for logs and metrics.
@@ -230,11 +257,21 @@
             return false;
         }
         let last_event = events.last_id();
+        // Any target may begin a stream of which the caller has no event yet.
+        let software = if events.has_passed_event() {
+            let Some(software) = self.software.clone() else {
+                return false;
+            };
+            Some(software)
+        } else {
+            self.req.software.clone()
+        };
         let shared = Arc::clone(&self.shared);
         let req = Arc::clone(&self.req);
         let (broke_at, runs) = (self.in_flight.target.clone(), self.runs);
         self.resuming = Some(Box::pin(async move {
-            let mut run = RequestAttempts::resumed(&shared, &req, broke_at, runs, last_event);
+            let mut run =
+                RequestAttempts::resumed(&shared, &req, broke_at, runs, last_event, software);
             let answered = run.answer().await;
             (answered, run.runs())
         }));
--- a/crates/chervilshunt_gateway/src/traffic/request.rs
+++ b/crates/chervilshunt_gateway/src/traffic/request.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chervilshunt_core::{Fingerprint, RequestSize, Route, RouteTable, Team, Weights};
+use chervilshunt_core::{
+    Fingerprint, RequestSize, Route, RouteTable, SoftwareVersion, StreamKey, Team, Weights,
+};
 use chervilshunt_engine::strip_hop_by_hop;
 use chervilshunt_model::{Moment, ServiceName};
 use http::request::Parts;
@@ -12,7 +14,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, header};
 
 use super::refusal::{Reason, Refusal};
-use crate::dialect::Dialect;
+use crate::dialect::{Dialect, Headers};
 use crate::shared::OpenRequest;
 use crate::transit::strip_transit_headers;
 
@@ -35,8 +37,16 @@
     /// The size, if the caller stated it.
     pub(crate) stated_size: Option<RequestSize>,
     pub(crate) arrived: Moment,
+    /// How long the caller waits, as far as it says so.
+    pub(crate) caller_waits: Duration,
     /// The earlier of the caller's deadline and the route's timeout.
     pub(crate) deadline: Moment,
+    /// Present if the caller continues a stream.
+    pub(crate) continuation: Option<Continuation>,
+    /// Identifies the stream, whichever of its attempts this is.
+    pub(crate) stream: StreamKey,
+    /// The software version at which the caller's stream has to continue.
+    pub(crate) software: Option<SoftwareVersion>,
     /// Keeps the request counted as open while anything holds it.
     pub(crate) _open: OpenRequest,
 }
@@ -72,6 +82,36 @@
     }
 }
 
+/// How a caller refers to a stream that it continues.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Continuation {
+    /// By the attempt that brought its first event.
+    Of(Arc<str>),
+    /// Not, or not readably.
+    Unnamed,
+}
+
+impl Continuation {
+    /// Reads it from a request's headers; `None` if the request begins a stream. Empty values count as
+    /// absent ones.
+    pub(crate) fn read(headers: &HeaderMap, names: &Headers) -> Option<Self> {
+        let values = |name: &HeaderName| -> Vec<HeaderValue> {
+            let values = headers.get_all(name).iter().cloned();
+            let mut values: Vec<_> = values.filter(|it| !it.is_empty()).collect();
+            values.dedup();
+            values
+        };
+        match values(&names.resumes).as_slice() {
+            [] => (!values(&names.last_event).is_empty()).then_some(Self::Unnamed),
+            [attempt] => Some(match attempt.to_str() {
+                Ok(attempt) => Self::Of(attempt.into()),
+                Err(_) => Self::Unnamed,
+            }),
+            _ => Some(Self::Unnamed),
+        }
+    }
+}
+
 /// Returns the id of a request.
 pub(crate) fn request_id(headers: &HeaderMap, name: &HeaderName) -> Option<Arc<str>> {
     let value = headers.get(name)?.to_str().ok()?;
@@ -124,7 +164,17 @@
     let Some(service) = route.pick_service(rand::random()).cloned() else {
         return Err(Refusal::new(Reason::NoTarget));
     };
+    let continuation = Continuation::read(&head.headers, names).filter(|_| route.streams);
+    let first = match &continuation {
+        Some(Continuation::Of(attempt)) => attempt,
+        Some(Continuation::Unnamed) | None => &id,
+    };
+    let stream = StreamKey::new(first, team.as_ref().map(|it| &*it.name));
     Ok(CallerRequest {
+        continuation,
+        stream,
+        software: None,
+        caller_waits: requested,
         id,
         method: head.method,
         path,
--- a/crates/chervilshunt_gateway/src/traffic/serve.rs
+++ b/crates/chervilshunt_gateway/src/traffic/serve.rs
@@ -9,15 +9,13 @@
 use super::attempt::{AcceptedAnswer, RequestAttempts};
 use super::authentication::authenticate;
 use super::body::ReplyBody;
+use super::continuing::require_origin;
 use super::intake::read_body;
 use super::refusal::{Reason, Refusal};
 use super::relay::Relay;
 use super::request::{Accepted, CallerRequest, find_route, read_request, request_id, set};
 use crate::shared::{OpenRequest, Shared};
 
-/// Maximum length of a caller's header value in a log line.
-const MAX_LOGGED_CHARS: usize = 64;
-
 /// Answers one request.
 pub(crate) async fn serve(shared: &Arc<Shared>, req: Request<Incoming>) -> Response<ReplyBody> {
     let names = &shared.dialect.headers;
@@ -66,9 +64,9 @@
         arrived,
         open,
     };
-    let req = read_request(&shared.dialect, accepted, head, body)?;
+    let mut req = read_request(&shared.dialect, accepted, head, body)?;
+    require_origin(shared, &mut req).await?;
     let req = Arc::new(req);
-    report_taken_up(shared, &req);
     shared.budgets().of(&req.service).record_request(arrived);
     let mut run = RequestAttempts::new(shared, &req);
     let waiting = PendingRequest(Some(&req), shared);
@@ -79,25 +77,6 @@
     Ok(relayed(shared, &req, answered, runs))
 }
 
-/// Logs and counts an attempt by which a caller takes up a stream that broke off.
-fn report_taken_up(shared: &Shared, req: &CallerRequest) {
-    let names = &shared.dialect.headers;
-    let value = |name| {
-        let value = String::from_utf8_lossy(req.headers.get(name)?.as_bytes()).into_owned();
-        Some(value.chars().take(MAX_LOGGED_CHARS).collect::<String>())
-    };
-    let (resumes, last_event) = (value(&names.resumes), value(&names.last_event));
-    if resumes.is_none() && last_event.is_none() {
-        return;
-    }
-    metrics::counter!("chervilshunt_streams_taken_up_total",
-        "names_origin" => if resumes.is_some() { "yes" } else { "no" })
-    .increment(1);
-    slog::info!(shared.log, "stream taken up";
-        "request" => &*req.id, "route" => &*req.route.name,
-        "resumes" => resumes, "last_event" => last_event);
-}
-
 /// A request without an answer yet. If its caller disconnects, it is dropped, and the drop is
 /// logged.
 struct PendingRequest<'a>(Option<&'a CallerRequest>, &'a Shared);
