Log the age of an interrupted answer and the parts of its prompt

Whether a crash came under an answer that had just begun, and what the requests of several crashes had in common, was in no line: the prompt's parts were decoded nowhere, and `target crashed` names the hash of a whole request. The parts that requests share are decoded now (all but the last), and `answer interrupted` tells them with the time since the first byte. No decision reads them.

--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -45,7 +45,7 @@
     RefusalReason, ReleaseOutcome, ReleasedPermit, RequestChecksum,
 };
 pub use quarantine::{
-    Crash, CrashRecord, Fingerprint, Quarantine, QuarantineConfig, StoredCrashes,
+    Crash, CrashRecord, Fingerprint, PartId, Quarantine, QuarantineConfig, StoredCrashes,
 };
 pub use quota::{
     ChargeNumber, ChargeResult, DeputyLedger, QuotaLedger, QuotaShares, QuotaTolerance,
--- a/crates/chervilshunt_core/src/quarantine/mod.rs
+++ b/crates/chervilshunt_core/src/quarantine/mod.rs
@@ -6,7 +6,9 @@
 //! `docs/design/quarantine.md`.
 
 mod fingerprint;
+mod part;
 mod state;
 
 pub use fingerprint::Fingerprint;
+pub use part::PartId;
 pub use state::{Crash, CrashRecord, Quarantine, QuarantineConfig, StoredCrashes};
--- a/crates/chervilshunt_gateway/src/dialect.rs
+++ b/crates/chervilshunt_gateway/src/dialect.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use chervilshunt_coord::{ExclusiveLeaseRecord, VersionedLeaseRecord};
 use chervilshunt_core::{
-    Fingerprint, LoadReport, Order, OrderAnswer, RequestRate, RequestSize, RouteTable,
+    Fingerprint, LoadReport, Order, OrderAnswer, PartId, RequestRate, RequestSize, RouteTable,
     StoredCrashes, TargetFacts, TargetReport, Weights,
 };
 use chervilshunt_model::{InstanceId, StoreRevision, TargetName};
@@ -66,6 +66,8 @@
     pub weights: HeaderName,
     /// The number of tokens that a request reads and generates.
     pub size: HeaderName,
+    /// The parts of a request's prompt.
+    pub prompt_parts: HeaderName,
     /// The priority of a request among those at a target.
     pub priority: HeaderName,
     /// The version that the weights must have.
@@ -243,6 +245,8 @@
     pub weights: fn(&str) -> Weights,
     /// Decodes the size of a request.
     pub size: fn(&str) -> Option<RequestSize>,
+    /// Decodes the parts of a prompt that other requests may share.
+    pub shared_parts: fn(&str) -> Vec<PartId>,
     /// Decodes a target's load.
     pub load: fn(&str) -> Option<LoadReport>,
     /// Decodes the rate limit that an answer names.
--- a/crates/chervilshunt_gateway/src/traffic/in_flight.rs
+++ b/crates/chervilshunt_gateway/src/traffic/in_flight.rs
@@ -32,7 +32,8 @@
     path: TargetPath,
     /// The prompt tokens that the target still has to read, as far as is known.
     unread_prompt_tokens: u32,
-    has_begun: bool,
+    /// When the target began to answer.
+    begun_at: Option<Moment>,
     grant: Option<Grant>,
 }
 
@@ -65,16 +66,17 @@
                 None => TargetPath::Direct,
             },
             unread_prompt_tokens,
-            has_begun: false,
+            begun_at: None,
             grant: chosen.grant.take(),
         }
     }
 
     /// Records that the target has begun to answer, and so has read the prompt.
     pub(crate) fn record_begin(&mut self, req: &CallerRequest) {
-        if std::mem::replace(&mut self.has_begun, true) {
+        if self.begun_at.is_some() {
             return;
         }
+        self.begun_at = Some(self.shared.clock.now());
         self.request_release(req);
         let tokens = std::mem::take(&mut self.unread_prompt_tokens);
         self.shared.dispatch().remove_prefill(&self.target, tokens);
@@ -90,7 +92,7 @@
     /// to run the request, so a request without a head was most likely still queued.
     pub(crate) fn connection_ended(&self, req: &CallerRequest, head_came: bool) {
         // In transit it may be the connection to the other instance that ended.
-        if self.has_begun || self.path == TargetPath::Transit {
+        if self.has_begun() || self.path == TargetPath::Transit {
             return;
         }
         let crash = Crash {
@@ -149,7 +151,12 @@
 
     /// Returns whether the target has begun to answer.
     pub(crate) const fn has_begun(&self) -> bool {
-        self.has_begun
+        self.begun_at.is_some()
+    }
+
+    /// Returns when the target began to answer.
+    pub(crate) const fn begun_at(&self) -> Option<Moment> {
+        self.begun_at
     }
 }
 
--- a/crates/chervilshunt_gateway/src/traffic/relay.rs
+++ b/crates/chervilshunt_gateway/src/traffic/relay.rs
@@ -25,6 +25,9 @@
 /// use pooled connections to the target, and for a small part of the stream's pieces only.
 const RESPONSE_RECORD_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time since its first byte up to which an interrupted answer may have crashed its target by beginning.
+const FRESH_ANSWER_AGE: Duration = Duration::from_millis(500);
+
 type Resuming = Pin<Box<dyn Future<Output = (Result<AcceptedAnswer, Refusal>, u32)> + Send>>;
 
 /// An answer that is being passed on.
@@ -132,8 +135,11 @@
                         "target" => self.in_flight.target.as_str(),
                         "content" => self.req.fingerprint().to_string(),
                         "has_begun" => self.in_flight.has_begun(),
+                        "begun_ms" => self.begun_before(now).map(|it| it.as_millis() as u64),
+                        "parts" => self.req.parts_for_log(),
                         "sent_ms" => now.since(self.in_flight.sent_at()).as_millis() as u64,
                         "bytes" => self.bytes, "reason" => error.to_string());
+                    self.count_interrupted(now);
                     self.in_flight.connection_ended(&self.req, true);
                     self.in_flight.record_signal(HealthSignal::Failed, now);
                     if !self.begin_resuming() {
@@ -148,6 +154,20 @@
         }
     }
 
+    /// Returns how long ago the target began to answer.
+    fn begun_before(&self, now: Moment) -> Option<Duration> {
+        self.in_flight.begun_at().map(|at| now.since(at))
+    }
+
+    fn count_interrupted(&self, now: Moment) {
+        let age = match self.begun_before(now) {
+            None => "no_byte",
+            Some(age) if age <= FRESH_ANSWER_AGE => "fresh",
+            Some(_) => "older",
+        };
+        metrics::counter!("chervilshunt_interrupted_answers_total", "age" => age).increment(1);
+    }
+
     fn take(&mut self, frame: Frame<Bytes>) -> Option<Bytes> {
         let data = frame.into_data().ok()?;
         let now = self.shared.clock.now();
--- a/crates/chervilshunt_gateway/src/traffic/request.rs
+++ b/crates/chervilshunt_gateway/src/traffic/request.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use chervilshunt_core::{
-    Fingerprint, RequestSize, Route, RouteTable, SoftwareVersion, StreamKey, Team, Weights,
+    Fingerprint, PartId, RequestSize, Route, RouteTable, SoftwareVersion, StreamKey, Team, Weights,
 };
 use chervilshunt_engine::strip_hop_by_hop;
 use chervilshunt_model::{Moment, ServiceName};
@@ -34,6 +34,8 @@
     pub(crate) service: ServiceName,
     pub(crate) weights: Option<Weights>,
     pub(crate) size: RequestSize,
+    /// The parts of its prompt that other requests may share.
+    pub(crate) parts: Vec<PartId>,
     /// The size, if the caller stated it.
     pub(crate) stated_size: Option<RequestSize>,
     pub(crate) arrived: Moment,
@@ -70,6 +72,12 @@
         ])
     }
 
+    /// Returns the shared parts of the prompt as they are logged.
+    pub(crate) fn parts_for_log(&self) -> String {
+        let parts: Vec<String> = self.parts.iter().map(ToString::to_string).collect();
+        parts.join(",")
+    }
+
     /// Returns the priority at the target; 0 is the most urgent. The team's goes before the route's.
     pub(crate) fn priority(&self) -> u8 {
         let of_team = self.team.as_ref().and_then(|it| it.priority);
@@ -159,6 +167,7 @@
     let text = |name: &HeaderName| head.headers.get(name).and_then(|it| it.to_str().ok());
     let weights = text(&names.weights).map(dialect.targets.weights);
     let size = text(&names.size).and_then(dialect.targets.size);
+    let parts = text(&names.prompt_parts).map(dialect.targets.shared_parts);
     let requested = text(&names.deadline_ms).and_then(|it| it.parse().ok());
     let requested = requested.map_or(route.timeout, Duration::from_millis);
     let Some(service) = route.pick_service(rand::random()).cloned() else {
@@ -186,6 +195,7 @@
         service,
         weights,
         size: size.unwrap_or_default(),
+        parts: parts.unwrap_or_default(),
         stated_size: size,
         arrived,
         _open: open,
