Refuse parts of prompts that crash targets

What callers saw: targets of a service ended one after the other, and with each dozens of answers of other callers.

Cause: crashes were attributed to whole requests, of which no two are alike, so that each crash was the first one of its request; and a crash after the first byte of an answer was attributed to nobody, though it is the beginning of the answer that crashes. Class: the unit that is judged (one request) is smaller than the cause (what requests share).

Change: the parts of a prompt that requests share are judged besides, with the records that requests have: those of answers that had just begun when their target ended. A part is refused from the third round of crashes on; answers after which targets live on clear it; parts that come with the culprit are told apart; the placer tries one request from time to time. Requests in transit are judged where they are passed on.

--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -45,7 +45,8 @@
     RefusalReason, ReleaseOutcome, ReleasedPermit, RequestChecksum,
 };
 pub use quarantine::{
-    Crash, CrashRecord, Fingerprint, PartId, Quarantine, QuarantineConfig, StoredCrashes,
+    Crash, CrashRecord, Fingerprint, PartId, Quarantine, QuarantineConfig, SETTLE_TIME,
+    SettlingAnswers, SettlingNumber, StoredCrashes, Suspect,
 };
 pub use quota::{
     ChargeNumber, ChargeResult, DeputyLedger, QuotaLedger, QuotaShares, QuotaTolerance,
--- a/crates/chervilshunt_core/src/quarantine/mod.rs
+++ b/crates/chervilshunt_core/src/quarantine/mod.rs
@@ -1,4 +1,4 @@
-//! Quarantine of requests that crash the targets that run them.
+//! Quarantine of requests, and of parts of prompts, that crash the targets that run them.
 //!
 //! A caller retries such a request under a new id and at any instance, and each attempt would crash
 //! one more target with all its running requests. Crashes are therefore recorded by a fingerprint
@@ -7,8 +7,12 @@
 
 mod fingerprint;
 mod part;
+mod parts;
+mod recent;
+mod settling;
 mod state;
 
 pub use fingerprint::Fingerprint;
 pub use part::PartId;
-pub use state::{Crash, CrashRecord, Quarantine, QuarantineConfig, StoredCrashes};
+pub use settling::{SETTLE_TIME, SettlingAnswers, SettlingNumber};
+pub use state::{Crash, CrashRecord, Quarantine, QuarantineConfig, StoredCrashes, Suspect};
--- /dev/null
+++ b/crates/chervilshunt_core/src/quarantine/recent.rs
@@ -0,0 +1,45 @@
+//! How often parts of prompts come in requests.
+
+use std::collections::{HashMap, VecDeque};
+
+use super::fingerprint::Fingerprint;
+
+/// Number of requests over which parts are counted.
+const WINDOW: usize = 512;
+
+/// The parts of the last requests of this instance.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RecentParts {
+    requests: VecDeque<Vec<Fingerprint>>,
+    counts: HashMap<Fingerprint, usize>,
+}
+
+impl RecentParts {
+    pub(super) fn record(&mut self, parts: &[Fingerprint]) {
+        for part in parts {
+            *self.counts.entry(*part).or_default() += 1;
+        }
+        self.requests.push_back(parts.to_vec());
+        if self.requests.len() <= WINDOW {
+            return;
+        }
+        for part in self.requests.pop_front().unwrap_or_default() {
+            if let Some(count) = self.counts.get_mut(&part) {
+                *count -= 1;
+                if *count == 0 {
+                    self.counts.remove(&part);
+                }
+            }
+        }
+    }
+
+    /// Returns in how many of the last requests a part came.
+    pub(super) fn count(&self, part: Fingerprint) -> usize {
+        self.counts.get(&part).copied().unwrap_or_default()
+    }
+
+    /// Returns whether a part came in more than half of the last requests.
+    pub(super) fn is_common(&self, part: Fingerprint) -> bool {
+        self.count(part) * 2 > self.requests.len()
+    }
+}
--- a/crates/chervilshunt_core/src/quarantine/state.rs
+++ b/crates/chervilshunt_core/src/quarantine/state.rs
@@ -8,6 +8,29 @@
 use serde::{Deserialize, Serialize};
 
 use super::fingerprint::Fingerprint;
+use super::recent::RecentParts;
+
+/// What crashes are attributed to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Suspect {
+    /// A request, whenever it is sent.
+    #[default]
+    #[serde(rename = "r")]
+    Request,
+    /// A part of prompts, whatever else a request holds.
+    #[serde(rename = "p")]
+    Part,
+}
+
+impl Suspect {
+    #[expect(
+        clippy::trivially_copy_pass_by_ref,
+        reason = "the shape that serde asks for"
+    )]
+    const fn is_request(&self) -> bool {
+        matches!(self, Self::Request)
+    }
+}
 
 /// Thresholds and retention times of the quarantine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -16,11 +39,43 @@
     /// crash may be a coincidence: the request was in progress when its target crashed for another
     /// reason.
     pub crash_threshold: usize,
+    /// Number of rounds of crashes after which a part of prompts is refused. Requests that share a part are
+    /// far more than those that are equal, so that chance needs more crashes to be ruled out.
+    pub part_crash_rounds: u32,
+    /// Crashes of a part that are learnt of within this time are one round. A rack, or all targets of a
+    /// service, crash together, and whatever part was in progress there is in all of these crashes.
+    pub round_time: Duration,
+    /// Number of crashes up to which those of a part are told to other instances, so that parts that are
+    /// suspected together can be told apart.
+    pub max_part_crashes: usize,
+    /// How long a suspected part that is not yet refused is remembered.
+    pub part_suspicion_ttl: Duration,
+    /// Time before the last crash from which on the beginning of an answer that its target survives clears a
+    /// part. Targets of the same rack crash together, while others go on with the parts that were in progress
+    /// there.
+    pub clearing_margin: Duration,
+    /// Time before a crash within which a part that began to be answered, and whose target lived on, is exempt
+    /// from suspicion.
+    pub cleared_for: Duration,
+    /// Maximum number of parts whose last clearing is remembered.
+    pub max_cleared: usize,
+    /// Maximum number of parts that one crash brings under suspicion here.
+    pub max_parts_per_crash: usize,
+    /// How long a part is refused before one request with it is tried again; each further time is longer by
+    /// `trial_factor`.
+    pub first_trial_after: Duration,
+    /// The same for a part that comes in more than half of the requests: while it is refused, next to nothing
+    /// is served.
+    pub first_trial_of_common_after: Duration,
+    /// See `first_trial_after`.
+    pub trial_factor: u32,
+    /// Time after which another request is tried if nothing has come of the last one.
+    pub trial_timeout: Duration,
     /// How long a suspected request that is not yet refused is remembered.
     pub suspicion_ttl: Duration,
     /// How long a request is refused after its last known crash.
     pub refusal_ttl: Duration,
-    /// Maximum number of requests that are remembered.
+    /// Maximum number of requests and parts that are remembered.
     pub max_requests: usize,
     /// Number of requests served last at this instance that are exempt from suspicion. If several
     /// targets crash at once, for example with their rack, a request that many callers send is in
@@ -32,6 +87,18 @@
     fn default() -> Self {
         Self {
             crash_threshold: 2,
+            part_crash_rounds: 3,
+            round_time: Duration::from_millis(400),
+            max_part_crashes: 32,
+            part_suspicion_ttl: Duration::from_secs(2 * 60),
+            clearing_margin: Duration::from_secs(1),
+            cleared_for: Duration::from_secs(3),
+            max_cleared: 4_096,
+            max_parts_per_crash: 16,
+            first_trial_after: Duration::from_secs(6),
+            first_trial_of_common_after: Duration::from_secs(2),
+            trial_factor: 10,
+            trial_timeout: Duration::from_secs(5),
             suspicion_ttl: Duration::from_secs(10 * 60),
             refusal_ttl: Duration::from_secs(60 * 60),
             max_requests: 4_096,
@@ -46,6 +113,12 @@
     /// The names of the targets, each listed once.
     #[serde(rename = "t")]
     pub targets: Vec<TargetName>,
+    /// What the crashes are attributed to.
+    #[serde(rename = "k", default, skip_serializing_if = "Suspect::is_request")]
+    pub suspect: Suspect,
+    /// The number of moments at which targets crashed; for parts only.
+    #[serde(rename = "n", default)]
+    pub rounds: u32,
 }
 
 /// The crash of a target during a request.
@@ -73,46 +146,82 @@
     pub revision: Option<StoreRevision>,
 }
 
+/// A request or a part that is suspected or refused.
 #[derive(Clone, Debug)]
-struct TrackedRequest {
-    record: CrashRecord,
+pub(super) struct Tracked {
+    pub(super) record: CrashRecord,
     /// Number of targets in the platform's record.
     stored_targets: usize,
     revision: Option<StoreRevision>,
     /// When this instance was informed of the last crash.
-    crashed_at: Moment,
+    pub(super) crashed_at: Moment,
+    /// When this instance was informed of the first crash of the last round.
+    round_at: Moment,
+    /// When one request with a refused part was last tried.
+    pub(super) tried_at: Option<Moment>,
+    /// Number of such requests that crashed their targets.
+    pub(super) failed_trials: u32,
 }
 
-impl TrackedRequest {
-    const fn new(now: Moment) -> Self {
+impl Tracked {
+    pub(super) const fn new(suspect: Suspect, now: Moment) -> Self {
         Self {
             record: CrashRecord {
                 targets: Vec::new(),
+                suspect,
+                rounds: 0,
             },
             stored_targets: 0,
             revision: None,
             crashed_at: now,
+            round_at: now,
+            tried_at: None,
+            failed_trials: 0,
+        }
+    }
+
+    /// Counts the round of crashes to which a crash belongs.
+    pub(super) fn count_round(&mut self, round_time: Duration, now: Moment) {
+        if self.record.rounds == 0 || now.since(self.round_at) >= round_time {
+            self.record.rounds += 1;
+            self.round_at = now;
+        }
+    }
+
+    /// Applies the rounds that the platform's record has.
+    fn merge_rounds(&mut self, rounds: u32, now: Moment) {
+        if rounds > self.record.rounds {
+            self.record.rounds = rounds;
+            self.round_at = now;
         }
     }
 
     /// Adds a crash and returns whether it was new.
-    fn add(&mut self, target: TargetName, now: Moment) -> bool {
+    pub(super) fn add(&mut self, target: TargetName, now: Moment) -> bool {
         let is_new = !self.record.targets.contains(&target);
         if is_new {
             self.record.targets.push(target);
             self.crashed_at = now;
+            self.failed_trials += u32::from(self.tried_at.take().is_some());
         }
         is_new
     }
 }
 
-/// One instance's record of requests that crash targets.
+/// One instance's record of requests, and parts of prompts, that crash targets.
 #[derive(Clone, Debug)]
 pub struct Quarantine {
-    cfg: QuarantineConfig,
-    requests: IndexMap<Fingerprint, TrackedRequest>,
+    pub(super) cfg: QuarantineConfig,
+    /// What is suspected or refused.
+    pub(super) suspects: IndexMap<Fingerprint, Tracked>,
     /// The requests that targets most recently started to answer here, latest last.
     recently_served: VecDeque<Fingerprint>,
+    /// When an answer to each part last began whose target lived on, the latest last.
+    pub(super) cleared: IndexMap<Fingerprint, Moment>,
+    /// How often parts came in requests lately.
+    pub(super) recent: RecentParts,
+    /// The number of parts that each crash has brought under suspicion here, the latest last.
+    pub(super) parts_by_crash: IndexMap<TargetName, usize>,
 }
 
 impl Quarantine {
@@ -120,14 +229,17 @@
     pub fn new(cfg: QuarantineConfig) -> Self {
         Self {
             cfg,
-            requests: IndexMap::new(),
+            suspects: IndexMap::new(),
             recently_served: VecDeque::new(),
+            cleared: IndexMap::new(),
+            recent: RecentParts::default(),
+            parts_by_crash: IndexMap::new(),
         }
     }
 
     /// Returns whether no request is suspected or refused.
     pub fn is_empty(&self) -> bool {
-        self.requests.is_empty()
+        self.suspects.is_empty()
     }
 
     /// Records that a target has started to answer a request, so that the request did not crash it.
@@ -137,12 +249,12 @@
         if self.recently_served.len() > self.cfg.max_recently_served {
             self.recently_served.pop_front();
         }
-        self.requests.contains_key(&fingerprint)
+        self.suspects.contains_key(&fingerprint)
     }
 
     /// Returns the time until which a request is refused, or `None` if it is not refused.
     pub fn refused_until(&self, fingerprint: Fingerprint, now: Moment) -> Option<Moment> {
-        let known = self.requests.get(&fingerprint)?;
+        let known = self.suspects.get(&fingerprint)?;
         let until = self.expires_at(known);
         (self.is_refused(&known.record) && now < until).then_some(until)
     }
@@ -159,22 +271,25 @@
             target,
             has_run,
         } = crash;
-        let is_known = self.requests.contains_key(&fingerprint);
-        let is_full = !is_known && self.requests.len() >= self.cfg.max_requests;
+        let is_known = self.suspects.contains_key(&fingerprint);
+        let is_full = !is_known && self.suspects.len() >= self.cfg.max_requests;
         if is_full || self.recently_served.contains(&fingerprint) {
             return false;
         }
-        let known = self.requests.entry(fingerprint);
-        let known = known.or_insert_with(|| TrackedRequest::new(now));
+        let known = self.suspects.entry(fingerprint);
+        let known = known.or_insert_with(|| Tracked::new(Suspect::Request, now));
         known.add(target, now) && (has_run || known.record.targets.len() > 1)
     }
 
     /// Returns the record to write to the platform for a request, or `None` if the stored one is
     /// sufficient.
     pub fn record_to_store(&self, fingerprint: Fingerprint) -> Option<StoredCrashes> {
-        let known = self.requests.get(&fingerprint)?;
-        let is_sufficient =
-            known.stored_targets >= known.record.targets.len().min(self.cfg.crash_threshold);
+        let known = self.suspects.get(&fingerprint)?;
+        let told = match known.record.suspect {
+            Suspect::Request => self.cfg.crash_threshold,
+            Suspect::Part => self.cfg.max_part_crashes,
+        };
+        let is_sufficient = known.stored_targets >= known.record.targets.len().min(told);
         (!is_sufficient).then(|| StoredCrashes {
             fingerprint,
             record: known.record.clone(),
@@ -184,13 +299,14 @@
 
     /// Merges a record stored on the platform and returns whether it contained new crashes.
     pub fn merge_stored(&mut self, stored: StoredCrashes, now: Moment) -> bool {
-        let known = self.requests.entry(stored.fingerprint);
-        let known = known.or_insert_with(|| TrackedRequest::new(now));
+        let known = self.suspects.entry(stored.fingerprint);
+        let known = known.or_insert_with(|| Tracked::new(stored.record.suspect, now));
         if stored.revision < known.revision {
             return false;
         }
         known.revision = stored.revision;
         known.stored_targets = stored.record.targets.len();
+        known.merge_rounds(stored.record.rounds, now);
         let before = known.record.targets.len();
         for target in stored.record.targets {
             known.add(target, now);
@@ -201,12 +317,12 @@
     /// Forgets a request that has been served or whose record the platform no longer has. Returns
     /// whether the request was known.
     pub fn release(&mut self, fingerprint: Fingerprint) -> bool {
-        self.requests.shift_remove(&fingerprint).is_some()
+        self.suspects.shift_remove(&fingerprint).is_some()
     }
 
     /// Handles a restore of the platform from a backup, in which any record may be missing.
     pub fn handle_restore(&mut self) {
-        for known in self.requests.values_mut() {
+        for known in self.suspects.values_mut() {
             known.revision = None;
             known.stored_targets = 0;
         }
@@ -214,7 +330,7 @@
 
     /// Returns the refused requests whose records are missing on the platform.
     pub fn missing_records(&self) -> Vec<Fingerprint> {
-        let requests = self.requests.iter();
+        let requests = self.suspects.iter();
         let missing =
             requests.filter(|(_, it)| it.stored_targets == 0 && self.is_refused(&it.record));
         missing.map(|(fingerprint, _)| *fingerprint).collect()
@@ -223,7 +339,7 @@
     /// Compares with the full list of records on the platform, and releases and returns the
     /// requests whose stored records are gone.
     pub fn reconcile(&mut self, listed: &HashSet<Fingerprint>) -> Vec<Fingerprint> {
-        let requests = self.requests.iter();
+        let requests = self.suspects.iter();
         let gone = requests.filter(|(it, known)| known.revision.is_some() && !listed.contains(*it));
         let gone: Vec<Fingerprint> = gone.map(|(it, _)| *it).collect();
         for fingerprint in &gone {
@@ -234,7 +350,7 @@
 
     /// Forgets and returns the requests whose last crash is older than the retention time.
     pub fn take_expired(&mut self, now: Moment) -> Vec<Fingerprint> {
-        let requests = self.requests.iter();
+        let requests = self.suspects.iter();
         let expired = requests.filter(|(_, known)| self.expires_at(known) <= now);
         let expired: Vec<Fingerprint> = expired.map(|(it, _)| *it).collect();
         for fingerprint in &expired {
@@ -243,15 +359,19 @@
         expired
     }
 
-    fn is_refused(&self, record: &CrashRecord) -> bool {
-        record.targets.len() >= self.cfg.crash_threshold
+    pub(super) fn is_refused(&self, record: &CrashRecord) -> bool {
+        match record.suspect {
+            Suspect::Request => record.targets.len() >= self.cfg.crash_threshold,
+            Suspect::Part => record.rounds >= self.cfg.part_crash_rounds,
+        }
     }
 
-    fn expires_at(&self, known: &TrackedRequest) -> Moment {
-        if self.is_refused(&known.record) {
-            known.crashed_at + self.cfg.refusal_ttl
-        } else {
-            known.crashed_at + self.cfg.suspicion_ttl
-        }
+    pub(super) fn expires_at(&self, known: &Tracked) -> Moment {
+        let ttl = match known.record.suspect {
+            _ if self.is_refused(&known.record) => self.cfg.refusal_ttl,
+            Suspect::Request => self.cfg.suspicion_ttl,
+            Suspect::Part => self.cfg.part_suspicion_ttl,
+        };
+        known.crashed_at + ttl
     }
 }
--- a/crates/chervilshunt_core/tests/quarantine.rs
+++ b/crates/chervilshunt_core/tests/quarantine.rs
@@ -33,6 +33,7 @@
         fingerprint,
         record: CrashRecord {
             targets: targets.iter().map(|it| target(it)).collect(),
+            ..CrashRecord::default()
         },
         revision: Some(StoreRevision::new(0, revision)),
     }
--- a/crates/chervilshunt_gateway/src/crashes.rs
+++ b/crates/chervilshunt_gateway/src/crashes.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilshunt_core::{Crash, Fingerprint, StoredCrashes};
+use chervilshunt_core::{Crash, Fingerprint, PartId, SETTLE_TIME, SettlingNumber, StoredCrashes};
 use chervilshunt_model::TargetName;
 use chervilshunt_platform::{Exchange, PlatformError};
 use tokio::sync::mpsc;
@@ -31,13 +31,25 @@
 /// Delay after a conflict, by which a record written by another instance is known here.
 const CONFLICT_RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// A request whose target's connection ended, which may have crashed the target.
+#[derive(Debug)]
+pub(crate) struct EndedRequest {
+    /// The target.
+    pub(crate) target: TargetName,
+    /// The target's address.
+    pub(crate) address: SocketAddr,
+    /// The crash, if the request itself is suspected: its target had not begun to answer it.
+    pub(crate) crash: Option<Crash>,
+    /// The shared parts of its prompt, if they are suspected: its target had just begun to answer it.
+    pub(crate) parts: Vec<PartId>,
+}
+
 /// An observation of traffic about a request.
 #[derive(Debug)]
 pub(crate) enum CrashObservation {
-    /// A target's connection ended before the target had begun to answer; the address is the
-    /// target's.
-    ConnectionEnded(Crash, SocketAddr),
-    /// A target has begun to answer the request.
+    /// A target's connection ended during a request.
+    ConnectionEnded(EndedRequest),
+    /// A target has answered the request, or requests with the part, and lives on.
     Served(Fingerprint),
 }
 
@@ -53,7 +65,54 @@
     }
 }
 
+/// Returns what identifies parts in crash records.
+pub(crate) fn fingerprints(parts: &[PartId]) -> Vec<Fingerprint> {
+    parts.iter().map(PartId::fingerprint).collect()
+}
+
 impl Shared {
+    /// Records that a target has begun to answer a request with these parts.
+    pub(crate) fn answer_began(
+        self: &Arc<Self>,
+        target: &TargetName,
+        parts: &[PartId],
+    ) -> Option<SettlingNumber> {
+        if parts.is_empty() {
+            return None;
+        }
+        let now = self.clock.now();
+        let number = self.settling().began(target, &fingerprints(parts), now);
+        if self.quarantine().is_empty() {
+            self.settle_answers();
+        } else {
+            // A part that is suspected should be cleared as soon as it can be.
+            let shared = Arc::clone(self);
+            tokio::spawn(async move {
+                tokio::time::sleep(SETTLE_TIME).await;
+                shared.settle_answers();
+            });
+        }
+        number
+    }
+
+    /// Clears the parts of answers whose targets have lived on.
+    pub(crate) fn settle_answers(&self) {
+        let settled = self.settling().take_settled(self.clock.now());
+        for (parts, begun_at) in settled {
+            let released = self.quarantine().record_parts_survived(&parts, begun_at);
+            for part in released {
+                self.queue_crash_observation(CrashObservation::Served(part));
+            }
+        }
+    }
+
+    /// Records that a target's connection ended: it may have crashed, and what it has begun lately clears no
+    /// part.
+    pub(crate) fn connection_ended(&self, target: &TargetName) {
+        self.settle_answers();
+        self.settling().connection_ended(target);
+    }
+
     /// Queues an observation.
     pub(crate) fn queue_crash_observation(&self, sign: CrashObservation) {
         if let Err(error) = self.crash_observations.0.try_send(sign) {
@@ -75,9 +134,7 @@
         };
         tokio::spawn(async move {
             match sign {
-                CrashObservation::ConnectionEnded(crash, address) => {
-                    recorder.record_if_crashed(crash, address).await
-                }
+                CrashObservation::ConnectionEnded(ended) => recorder.record_if_crashed(ended).await,
                 CrashObservation::Served(fingerprint) => recorder.release(fingerprint).await,
             }
         });
@@ -102,24 +159,59 @@
     /// Records a crash if the target's process has ended.
     ///
     /// Connections also end without an answer if a target or the network resets them.
-    async fn record_if_crashed(&self, crash: Crash, address: SocketAddr) {
+    async fn record_if_crashed(&self, ended: EndedRequest) {
+        let EndedRequest {
+            target,
+            address,
+            crash,
+            parts,
+        } = ended;
         let client = self.shared.engines.client(address);
         if !client.is_refused(CHECK_TIMEOUT).await {
             return;
         }
-        if !self.reaches_others(&crash.target).await {
+        if !self.reaches_others(&target).await {
             return slog::info!(self.shared.log, "target not reached, like all others";
-                "target" => crash.target.as_str(), "content" => crash.fingerprint.to_string());
+                "target" => target.as_str(),
+                "content" => crash.map(|it| it.fingerprint.to_string()));
         }
+        let mut records = Vec::new();
+        if let Some(crash) = crash {
+            records.extend(self.record_crash(crash));
+        }
+        records.extend(self.record_part_crash(&target, &parts));
+        metrics::counter!("chervilshunt_target_crashes_total").increment(1);
+        let writes = records.into_iter().map(|it| self.record(it));
+        futures_util::future::join_all(writes).await;
+    }
+
+    /// Returns the record to write, if it must be.
+    fn record_crash(&self, crash: Crash) -> Option<Fingerprint> {
         let now = self.shared.clock.now();
         let is_to_record = self.shared.quarantine().record_crash(crash.clone(), now);
         slog::info!(self.shared.log, "target crashed";
             "target" => crash.target.as_str(), "content" => crash.fingerprint.to_string(),
             "has_run" => crash.has_run, "recorded" => is_to_record);
-        metrics::counter!("chervilshunt_target_crashes_total").increment(1);
-        if is_to_record {
-            self.record(crash.fingerprint).await;
+        is_to_record.then_some(crash.fingerprint)
+    }
+
+    /// Returns the records of parts to write.
+    fn record_part_crash(&self, target: &TargetName, parts: &[PartId]) -> Vec<Fingerprint> {
+        let now = self.shared.clock.now();
+        let fingerprints = fingerprints(parts);
+        let mut quarantine = self.shared.quarantine();
+        let recorded = quarantine.record_part_crash(&fingerprints, target, now);
+        drop(quarantine);
+        for part in parts
+            .iter()
+            .filter(|it| recorded.contains(&it.fingerprint()))
+        {
+            slog::info!(self.shared.log, "target crashed beginning to answer";
+                "target" => target.as_str(), "part" => part.to_string(),
+                "content" => part.fingerprint().to_string());
+            metrics::counter!("chervilshunt_suspected_parts_total").increment(1);
         }
+        recorded
     }
 
     /// Returns whether this instance reaches another target of the service, if there is any. To an
--- a/crates/chervilshunt_gateway/src/shared.rs
+++ b/crates/chervilshunt_gateway/src/shared.rs
@@ -8,6 +8,7 @@
 use arc_swap::ArcSwapOption;
 use chervilshunt_core::{
     Dispatch, Quarantine, QuarantineConfig, QuotaShares, RouteTable, ServiceBudgets,
+    SettlingAnswers,
 };
 use chervilshunt_engine::EngineClients;
 use chervilshunt_mesh::{Mesh, Peer};
@@ -79,6 +80,7 @@
     dispatch: Mutex<Dispatch>,
     budgets: Mutex<ServiceBudgets>,
     quarantine: Mutex<Quarantine>,
+    settling: Mutex<SettlingAnswers>,
     quota_shares: Mutex<QuotaShares>,
     instances: AtomicUsize,
     /// When there will be a placer again, in microseconds of the clock; zero while there is one.
@@ -160,6 +162,7 @@
             dispatch: Mutex::new(dispatch),
             budgets: Mutex::new(budgets),
             quarantine: Mutex::new(Quarantine::new(QuarantineConfig::default())),
+            settling: Mutex::default(),
             quota_shares: Mutex::new(quota_shares),
             instances: AtomicUsize::new(UNKNOWN_INSTANCES),
             placer_return: AtomicU64::new(0),
@@ -191,6 +194,19 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the answers that have begun lately.
+    pub(crate) fn settling(&self) -> MutexGuard<'_, SettlingAnswers> {
+        self.settling.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether this instance is the placer, as far as it knows.
+    pub(crate) fn is_placer(&self) -> bool {
+        let placer = self.placer.load();
+        placer
+            .as_ref()
+            .is_some_and(|it| it.instance == self.settings.instance.id)
+    }
+
     /// Locks this instance's shares of teams' quotas.
     pub(crate) fn quota_shares(&self) -> MutexGuard<'_, QuotaShares> {
         self.quota_shares
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use chervilshunt_core::{HealthSignal, SoftwareVersion};
 use chervilshunt_engine::{BodyReader, EngineError, Limits, Outcome};
-use chervilshunt_model::TargetName;
+use chervilshunt_model::{Moment, TargetName};
 use http::response::Parts;
 use http::{Request, Uri};
 use http_body_util::Full;
@@ -17,6 +17,7 @@
 use super::place::SelectedTarget;
 use super::refusal::{Reason, Refusal};
 use super::request::{CallerRequest, set};
+use crate::crashes::fingerprints;
 use crate::shared::Shared;
 use crate::transit::{TransitHead, TransitOutcome};
 
@@ -176,7 +177,9 @@
         if quarantine.is_empty() {
             return Ok(());
         }
-        let Some(until) = quarantine.refused_until(self.req.fingerprint(), now) else {
+        let until = quarantine.refused_until(self.req.fingerprint(), now);
+        drop(quarantine);
+        let Some(until) = until.or_else(|| self.refused_for_part(now)) else {
             return Ok(());
         };
         let refusal = Refusal {
@@ -186,6 +189,25 @@
         Err(self.unless_run(refusal))
     }
 
+    /// Returns until when the request is refused for a part of its prompt. The placer tries one from time to
+    /// time.
+    fn refused_for_part(&self, now: Moment) -> Option<Moment> {
+        let parts = fingerprints(&self.req.parts);
+        let mut quarantine = self.shared.quarantine();
+        let refused = quarantine.refused_parts(&parts, now);
+        let first = *refused.first()?;
+        let until = quarantine.part_refused_until(first)?;
+        let is_tried = self.shared.is_placer() && quarantine.try_refused_parts(&refused, now);
+        drop(quarantine);
+        slog::info!(self.shared.log, "part of a prompt refused";
+            "request" => &*self.req.id, "content" => first.to_string(),
+            "parts" => refused.len(), "tried" => is_tried);
+        metrics::counter!("chervilshunt_refused_parts_total",
+            "tried" => if is_tried { "yes" } else { "no" })
+        .increment(1);
+        (!is_tried).then_some(until)
+    }
+
     /// Replaces a refusal whose status says "not run" if the request may have run.
     fn unless_run(&self, refusal: Refusal) -> Refusal {
         if self.runs == 0 {
--- a/crates/chervilshunt_gateway/src/traffic/in_flight.rs
+++ b/crates/chervilshunt_gateway/src/traffic/in_flight.rs
@@ -2,16 +2,22 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
-use chervilshunt_core::{Crash, HealthSignal, SoftwareVersion, TargetPath, TargetStart, Weights};
+use chervilshunt_core::{
+    Crash, HealthSignal, SettlingNumber, SoftwareVersion, TargetPath, TargetStart, Weights,
+};
 use chervilshunt_model::{Moment, TargetName};
 
 use super::place::SelectedTarget;
 use super::request::CallerRequest;
-use crate::crashes::CrashObservation;
+use crate::crashes::{CrashObservation, EndedRequest};
 use crate::grants::Grant;
 use crate::shared::Shared;
 
+/// Time since its first byte up to which an interrupted answer may have crashed its target by beginning.
+pub(crate) const FRESH_ANSWER_AGE: Duration = Duration::from_millis(500);
+
 /// A request in progress at a target. Dropping it ends it in the target's accounting.
 #[derive(Debug)]
 pub(crate) struct InFlight {
@@ -34,6 +40,8 @@
     unread_prompt_tokens: u32,
     /// When the target began to answer.
     begun_at: Option<Moment>,
+    /// Whether the target lives on after it began to answer, while that is not known.
+    settling: Option<SettlingNumber>,
     grant: Option<Grant>,
 }
 
@@ -67,6 +75,7 @@
             },
             unread_prompt_tokens,
             begun_at: None,
+            settling: None,
             grant: chosen.grant.take(),
         }
     }
@@ -77,6 +86,9 @@
             return;
         }
         self.begun_at = Some(self.shared.clock.now());
+        if self.path == TargetPath::Direct {
+            self.settling = self.shared.answer_began(&self.target, &req.parts);
+        }
         self.request_release(req);
         let tokens = std::mem::take(&mut self.unread_prompt_tokens);
         self.shared.dispatch().remove_prefill(&self.target, tokens);
@@ -87,21 +99,44 @@
 }
 
 impl InFlight {
-    /// Handles the end of the target's connection. If the target had not begun to answer, it may
-    /// have crashed because of the request. An engine writes the head of an answer when it starts
-    /// to run the request, so a request without a head was most likely still queued.
+    /// Handles the end of the target's connection, of which the target may have crashed.
+    ///
+    /// A request is suspected itself if the target had not begun to answer it, and the parts of its prompt if
+    /// the target had just begun to, or was about to. An engine writes the head of an answer when it starts to
+    /// run the request, so a request without a head was most likely still queued.
     pub(crate) fn connection_ended(&self, req: &CallerRequest, head_came: bool) {
         // In transit it may be the connection to the other instance that ended.
-        if self.has_begun() || self.path == TargetPath::Transit {
+        if self.path == TargetPath::Transit {
             return;
         }
-        let crash = Crash {
+        self.shared.connection_ended(&self.target);
+        let now = self.shared.clock.now();
+        let begun_before = self.begun_at.map(|at| now.since(at));
+        let crash = self.begun_at.is_none().then(|| Crash {
             fingerprint: req.fingerprint(),
             target: self.target.clone(),
             has_run: head_came || self.weights.is_none(),
+        });
+        let is_fresh = begun_before.is_none_or(|it| it <= FRESH_ANSWER_AGE);
+        let parts = if head_came && is_fresh {
+            req.parts.clone()
+        } else {
+            Vec::new()
         };
-        let signal = CrashObservation::ConnectionEnded(crash, self.address);
-        self.shared.queue_crash_observation(signal);
+        if crash.is_some() || !parts.is_empty() {
+            self.shared
+                .queue_crash_observation(CrashObservation::ConnectionEnded(EndedRequest {
+                    target: self.target.clone(),
+                    address: self.address,
+                    crash,
+                    parts,
+                }));
+        }
+    }
+
+    /// Records that the answer has been received as a whole.
+    pub(crate) fn answered_whole(&mut self) {
+        self.settling = None;
     }
 
     /// Has the quarantine of a request released, because this target has begun to answer it.
@@ -162,6 +197,9 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
+        if let Some(number) = self.settling {
+            self.shared.settling().given_up(number);
+        }
         let mut dispatch = self.shared.dispatch();
         dispatch.remove_prefill(&self.target, self.unread_prompt_tokens);
         dispatch.ended(&self.target, self.weights.as_ref(), self.started);
--- a/crates/chervilshunt_gateway/src/traffic/relay.rs
+++ b/crates/chervilshunt_gateway/src/traffic/relay.rs
@@ -16,7 +16,7 @@
 use super::attempt::{AcceptedAnswer, RequestAttempts};
 use super::body::TruncatedAnswer;
 use super::events::EventBuffer;
-use super::in_flight::InFlight;
+use super::in_flight::{FRESH_ANSWER_AGE, InFlight};
 use super::refusal::Refusal;
 use super::request::CallerRequest;
 use crate::shared::Shared;
@@ -25,9 +25,6 @@
 /// use pooled connections to the target, and for a small part of the stream's pieces only.
 const RESPONSE_RECORD_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time since its first byte up to which an interrupted answer may have crashed its target by beginning.
-const FRESH_ANSWER_AGE: Duration = Duration::from_millis(500);
-
 type Resuming = Pin<Box<dyn Future<Output = (Result<AcceptedAnswer, Refusal>, u32)> + Send>>;
 
 /// An answer that is being passed on.
@@ -246,6 +243,7 @@
         let now = self.shared.clock.now();
         self.in_flight.response_received(now);
         self.in_flight.record_begin(&self.req);
+        self.in_flight.answered_whole();
         self.outcome = Some("served");
         if self.software.is_some() {
             self.shared.streams.origins().completed(self.req.stream);
--- a/crates/chervilshunt_gateway/src/traffic/serve.rs
+++ b/crates/chervilshunt_gateway/src/traffic/serve.rs
@@ -14,6 +14,7 @@
 use super::refusal::{Reason, Refusal};
 use super::relay::Relay;
 use super::request::{Accepted, CallerRequest, find_route, read_request, request_id, set};
+use crate::crashes::fingerprints;
 use crate::shared::{OpenRequest, Shared};
 
 /// Answers one request.
@@ -68,6 +69,10 @@
     require_origin(shared, &mut req).await?;
     let req = Arc::new(req);
     shared.budgets().of(&req.service).record_request(arrived);
+    if !req.parts.is_empty() {
+        let parts = fingerprints(&req.parts);
+        shared.quarantine().record_request_parts(&parts);
+    }
     let mut run = RequestAttempts::new(shared, &req);
     let waiting = PendingRequest(Some(&req), shared);
     let result = run.answer().await;
--- a/crates/chervilshunt_gateway/src/transit/pass_on.rs
+++ b/crates/chervilshunt_gateway/src/transit/pass_on.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chervilshunt_core::{HealthSignal, TargetPath};
+use chervilshunt_core::{HealthSignal, PartId, TargetPath};
 use chervilshunt_engine::{EngineError, Limits, strip_hop_by_hop};
 use chervilshunt_model::{InstanceId, Moment, TargetName};
 use http::request::Parts;
@@ -39,6 +39,10 @@
         };
         (before < MAX_PASSED_REQUESTS).then_some(passed)
     }
+
+    pub(super) const fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
 }
 
 impl Drop for PassedRequest {
@@ -100,6 +104,7 @@
     let body = body.map_err(|_refusal| TransitOutcome::Malformed)?;
     let (address, reuse) = find_target(shared, &transit)?;
     let left = time_left(shared, &mut head.headers, arrived)?;
+    let parts = shared_parts(shared, &head.headers);
     let limits = Limits {
         connect: CONNECT_TIMEOUT.min(left),
         head: left,
@@ -121,13 +126,29 @@
     if body.size_hint().exact().is_none() {
         headers.remove(header::CONTENT_LENGTH);
     }
-    let answer = PassedAnswer { body, _open: open };
+    let answer = PassedAnswer {
+        body,
+        target: transit.target,
+        address,
+        parts,
+        begun_at: None,
+        settling: None,
+        open,
+    };
     let mut res = Response::new(TransitBody::Passed(Box::new(answer)));
     *res.status_mut() = head.status;
     *res.headers_mut() = headers;
     Ok(res)
 }
 
+/// Returns the parts of the request's prompt that other requests may share.
+fn shared_parts(shared: &Shared, headers: &HeaderMap) -> Vec<PartId> {
+    let parts = headers.get(&shared.dialect.headers.prompt_parts);
+    let parts = parts.and_then(|it| it.to_str().ok());
+    let parts = parts.map(shared.dialect.targets.shared_parts);
+    parts.unwrap_or_default()
+}
+
 /// Returns the target's address, and whether a pooled connection may be used.
 fn find_target(
     shared: &Shared,
