--- a/crates/chervilshunt_core/src/quarantine/parts.rs
+++ b/crates/chervilshunt_core/src/quarantine/parts.rs
@@ -69,7 +69,8 @@
         let refused = parts.iter().copied();
         let refused = refused.filter(|part| {
             let known = self.suspects.get(part);
-            known.is_some_and(|it| self.is_refused_part(it, now)) && self.counts(*part, parts, now)
+            known.is_some_and(|it| self.is_refused_part(*part, it, now))
+                && self.counts(*part, parts, now)
         });
         refused.collect()
     }
@@ -97,32 +98,40 @@
         let Some(known) = self.suspects.get(&part) else {
             return false;
         };
-        let first = if self.recent.is_common(part) {
-            self.cfg.first_trial_of_common_after
+        let (first, failed) = if self.recent.is_common(part) {
+            (self.cfg.first_trial_of_common_after, known.failed_trials)
         } else {
-            self.cfg.first_trial_after
+            // So many crashes leave little doubt: they are as good as a trial.
+            let is_sure = known.record.targets.len() >= SURE_CRASHES;
+            let failed = known.failed_trials + u32::from(is_sure);
+            (self.cfg.first_trial_after, failed)
         };
-        let wait = first * self.cfg.trial_factor.saturating_pow(known.failed_trials);
+        let wait = first * self.cfg.trial_factor.saturating_pow(failed);
         let is_pending = |at: Moment| now.since(at) < self.cfg.trial_timeout;
         now >= known.crashed_at + wait && !known.tried_at.is_some_and(is_pending)
     }
 
-    fn is_refused_part(&self, known: &Tracked, now: Moment) -> bool {
-        let is_part = known.record.suspect == Suspect::Part;
-        is_part && self.is_refused(&known.record) && now < self.expires_at(known)
+    /// Returns whether a part is refused: after some rounds of crashes, or one less if they were many and the
+    /// part is not in most requests anyway. A quick sequence of crashes may look like one round.
+    fn is_refused_part(&self, part: Fingerprint, known: &Tracked, now: Moment) -> bool {
+        if known.record.suspect != Suspect::Part || now >= self.expires_at(known) {
+            return false;
+        }
+        let were_many = known.record.targets.len() >= SURE_CRASHES && !self.recent.is_common(part);
+        known.record.rounds + u32::from(were_many) >= self.cfg.part_crash_rounds
     }
 
     /// Returns whether a part of a request counts: no other refused part that the request lacks explains its
     /// crashes.
     fn counts(&self, part: Fingerprint, parts: &[Fingerprint], now: Moment) -> bool {
         let others = self.suspects.iter().filter(|(it, _)| !parts.contains(*it));
-        let mut others = others.filter(|(_, it)| self.is_refused_part(it, now));
+        let mut others = others.filter(|(other, it)| self.is_refused_part(**other, it, now));
         !others.any(|(other, _)| self.explains(*other, part))
     }
 
     /// Returns whether a part explains the crashes of another one: it is in all of them; or in nearly all and
-    /// has clearly more of its own; or in half of them although it comes far less often, so that chance
-    /// brings the other one into most crashes.
+    /// has clearly more of its own; or in half of them while the other one is in most requests, and so in most
+    /// crashes by chance.
     fn explains(&self, part: Fingerprint, other: Fingerprint) -> bool {
         let targets = |it: Fingerprint| self.suspects.get(&it).map(|it| &it.record.targets);
         let (Some(of_part), Some(of_other)) = (targets(part), targets(other)) else {
@@ -131,8 +140,7 @@
         let common = of_other.iter().filter(|it| of_part.contains(it)).count();
         let share = common as f64 / of_other.len() as f64;
         let has_more = of_part.len() >= of_other.len() + MORE_CRASHES;
-        let (count, other_count) = (self.recent.count(part), self.recent.count(other));
-        let is_far_rarer = other_count >= MIN_COUNT && count * 2 <= other_count;
+        let is_far_rarer = self.recent.is_common(other) && !self.recent.is_common(part);
         common == of_other.len()
             || (has_more && share >= NEARLY_ALL)
             || (is_far_rarer && share >= HALF)
@@ -163,12 +171,12 @@
     }
 }
 
+/// Number of crashes of a part that is not in most requests after which chance is ruled out.
+const SURE_CRASHES: usize = 6;
 /// Number of crashes by which a part has clearly more than another one.
 const MORE_CRASHES: usize = 2;
 /// Share of a part's crashes that are nearly all of them: instances learn of crashes one after the other.
 const NEARLY_ALL: f64 = 0.75;
-/// Number of requests with a part from which on it is known how often it comes.
-const MIN_COUNT: usize = 16;
 /// Half of a part's crashes.
 const HALF: f64 = 0.5;
 /// Number of crashes of which it is remembered how many parts they brought under suspicion.
