Close callers' connections unread when there are too many to serve

What callers saw: while the platform hands most new connections to one instance, all of them are accepted. They take the descriptors that connections to targets need, and what is read is not served; other callers wait in the backlog until they give up, though other instances have room.

Cause: nothing counted callers' connections, and nothing knew the number of descriptors; a failed accept waited and tried again.

Change: callers get half of the descriptors that are left after a reserve. An instance that is behind for a second is not ready.

--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -4,6 +4,7 @@
 //! Sockets and timers belong to the daemon. The policy bench runs the same code in virtual time.
 //! See `docs/ARCHITECTURE.md` and `docs/design/`.
 
+mod admission;
 mod allocator;
 mod bugs;
 mod decay;
@@ -22,6 +23,7 @@
 mod streams;
 mod weights;
 
+pub use admission::{AdmissionConfig, ConnectionAdmission, ConnectionRefusal};
 pub use allocator::{PowerAction, PowerAllocator, PowerConfig, PowerEvent};
 #[cfg(feature = "seeded-bugs")]
 pub use bugs::Bug;
--- a/crates/chervilshunt_gateway/src/settings.rs
+++ b/crates/chervilshunt_gateway/src/settings.rs
@@ -74,6 +74,8 @@
     pub region: RegionName,
     /// Its share of a processor core; more than 1 if it has several cores.
     pub processor_share: f64,
+    /// The number of descriptors that it may open; `None` to ask the system.
+    pub max_descriptors: Option<usize>,
     /// Whether the whole deployment starts for the first time.
     pub is_first_start: bool,
 }
@@ -148,6 +150,7 @@
     zone: Option<String>,
     region: Option<String>,
     processor_share: Option<f64>,
+    max_descriptors: Option<usize>,
     first_start: Option<bool>,
 }
 
@@ -187,6 +190,8 @@
     level: LogLevel,
 }
 
+/// The smallest number of descriptors with which an instance can serve.
+const MIN_DESCRIPTORS: usize = 128;
 /// Default share of a processor core.
 const DEFAULT_PROCESSOR_SHARE: f64 = 1.0;
 /// Default limit of the shutdown.
@@ -257,12 +262,23 @@
             must: "be greater than 0"
         }
     );
+    ensure!(
+        instance
+            .max_descriptors
+            .is_none_or(|it| it >= MIN_DESCRIPTORS),
+        OutOfBoundsSnafu {
+            file,
+            key: "instance.max_descriptors",
+            must: "be 128 or more"
+        }
+    );
     Ok(Settings {
         instance: InstanceSettings {
             id: InstanceId::new(id),
             zone: ZoneName::new(zone),
             region: RegionName::new(region),
             processor_share,
+            max_descriptors: instance.max_descriptors,
             is_first_start: instance.first_start.unwrap_or(true),
         },
         addresses: Addresses {
--- a/crates/chervilshunt_gateway/src/shared.rs
+++ b/crates/chervilshunt_gateway/src/shared.rs
@@ -7,8 +7,8 @@
 
 use arc_swap::ArcSwapOption;
 use chervilshunt_core::{
-    Dispatch, Quarantine, QuarantineConfig, QuotaShares, RouteTable, ServiceBudgets,
-    SettlingAnswers,
+    AdmissionConfig, ConnectionAdmission, Dispatch, Quarantine, QuarantineConfig, QuotaShares,
+    RouteTable, ServiceBudgets, SettlingAnswers,
 };
 use chervilshunt_engine::EngineClients;
 use chervilshunt_mesh::{Mesh, Peer};
@@ -40,6 +40,12 @@
 /// Value of `instances` until then.
 const UNKNOWN_INSTANCES: usize = 0;
 
+/// Returns the number of descriptors that the system lets this process open, if it is limited.
+fn descriptor_limit() -> Option<usize> {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile);
+    limit.current.and_then(|it| usize::try_from(it).ok())
+}
+
 /// State that control and traffic threads share.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -81,6 +87,7 @@
     budgets: Mutex<ServiceBudgets>,
     quarantine: Mutex<Quarantine>,
     settling: Mutex<SettlingAnswers>,
+    admission: Mutex<ConnectionAdmission>,
     quota_shares: Mutex<QuotaShares>,
     instances: AtomicUsize,
     /// When there will be a placer again, in microseconds of the clock; zero while there is one.
@@ -136,6 +143,11 @@
         );
         let budgets = ServiceBudgets::new(settings.bounds.retries);
         let clock = Clock::boot();
+        let descriptors = settings.instance.max_descriptors.or_else(descriptor_limit);
+        let admission = descriptors.map_or_else(AdmissionConfig::default, |it| {
+            AdmissionConfig::for_descriptors(it)
+        });
+        let admission = ConnectionAdmission::new(admission);
         let quota_shares = QuotaShares::new(settings.bounds.quota_tolerance, clock.now());
         Arc::new(Self {
             settings,
@@ -163,6 +175,7 @@
             budgets: Mutex::new(budgets),
             quarantine: Mutex::new(Quarantine::new(QuarantineConfig::default())),
             settling: Mutex::default(),
+            admission: Mutex::new(admission),
             quota_shares: Mutex::new(quota_shares),
             instances: AtomicUsize::new(UNKNOWN_INSTANCES),
             placer_return: AtomicU64::new(0),
@@ -199,6 +212,13 @@
         self.settling.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the account of callers' connections.
+    pub(crate) fn admission(&self) -> MutexGuard<'_, ConnectionAdmission> {
+        self.admission
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns whether this instance is the placer, as far as it knows.
     pub(crate) fn is_placer(&self) -> bool {
         let placer = self.placer.load();
@@ -358,6 +378,7 @@
         let ready = self.routes.load().is_some()
             && targets_known
             && (decided || known_for >= longest_wait)
+            && self.admission().is_ready(self.clock.now())
             && !self.is_stopping();
         if ready && !self.was_ready.swap(true, Ordering::AcqRel) {
             slog::info!(self.log, "ready"; "placer_decided" => decided,
--- a/crates/chervilshunt_gateway/src/traffic/serve.rs
+++ b/crates/chervilshunt_gateway/src/traffic/serve.rs
@@ -32,7 +32,7 @@
     if let Some(id) = &id {
         set(res.headers_mut(), &names.request_id, id);
     }
-    if shared.is_stopping() {
+    if shared.is_stopping() || !shared.admission().may_keep() {
         // The connection closes after this answer, so that the caller sends its next request to
         // another instance.
         let close = HeaderValue::from_static("close");
--- a/crates/chervilshunt_gateway/tests/settings.rs
+++ b/crates/chervilshunt_gateway/tests/settings.rs
@@ -64,6 +64,7 @@
 }
 
 #[rstest]
+#[case::few_descriptors(r#", "max_descriptors": 127"#, "", "instance.max_descriptors")]
 #[case::no_share(r#", "processor_share": 0"#, "", "instance.processor_share")]
 #[case::negative_share(r#", "processor_share": -0.5"#, "", "instance.processor_share")]
 #[case::no_shutdown_time("", r#""shutdown_s": 0"#, "bounds.shutdown_s")]
