Confirm a load found in progress in the newest version

Cause: a placer that begins anew finds a load in progress in a target's report and orders it again to learn of its end. It took it for version 1, and its order replaced version 2 by that. The report tells the version, and the decoder dropped it: known where it is told, lost where it is used, and what is not known taken for the oldest.

Change: the version that the report tells is kept, and the order names the newer of that and the newest announced one.

--- a/crates/chervilshunt_core/src/residency/answers.rs
+++ b/crates/chervilshunt_core/src/residency/answers.rs
@@ -7,6 +7,7 @@
 use super::hold::{AdapterEntry, AdapterStage};
 use super::models::report_models;
 use super::order::{Order, OrderAnswer, OrderNumber, ResidencyAction, TargetReport};
+use super::placement::FIRST_VERSION;
 use super::placement::notification;
 use super::planner::ResidencyPlanner;
 use super::target::OrderState;
@@ -220,7 +221,7 @@
         target.touched = true;
         let listed = |weights: &_| {
             let held = report.adapters.iter().any(|(held, _)| held == weights);
-            held || report.loading.contains(weights)
+            held || report.loading.iter().any(|(it, _)| it == weights)
         };
         let unlisted: Vec<_> = target
             .adapters
@@ -253,9 +254,11 @@
             out.push(notification(name, weights, Some(*version)));
             loaded.push((entry.take_waiting_requests(), entry.outdated));
         }
-        for weights in &report.loading {
-            let found_loading =
-                AdapterEntry::new(AdapterStage::Loading(ready_at), ASSUMED_VERSION, now);
+        for (weights, told) in &report.loading {
+            // Its end is learnt of by ordering it again, which must not replace a newer version.
+            let newest = self.newest.get(weights).copied();
+            let version = newest.max(*told).unwrap_or(FIRST_VERSION);
+            let found_loading = AdapterEntry::new(AdapterStage::Loading(ready_at), version, now);
             let entry = target
                 .adapters
                 .entry(weights.clone())
@@ -304,6 +307,3 @@
         }
     }
 }
-
-/// The version assumed for a load in progress until the target lists it.
-const ASSUMED_VERSION: u64 = 1;
--- a/crates/chervilshunt_core/src/residency/order.rs
+++ b/crates/chervilshunt_core/src/residency/order.rs
@@ -65,8 +65,8 @@
     pub models: Vec<(Weights, u64)>,
     /// The loaded adapters, with their versions.
     pub adapters: Vec<(Weights, u64)>,
-    /// The adapters that the target is loading.
-    pub loading: Vec<Weights>,
+    /// The adapters that the target is loading, with their versions, or `None` if it does not tell these.
+    pub loading: Vec<(Weights, Option<u64>)>,
 }
 
 /// The requests that one instance has in flight with an adapter at a target.
--- a/crates/chervilshunt_core/src/residency/placement.rs
+++ b/crates/chervilshunt_core/src/residency/placement.rs
@@ -272,7 +272,7 @@
 /// The minimum share of its time that a request may wait for placement, however long its prompt is.
 const MIN_PLACEMENT_SHARE: f64 = 0.4;
 /// The version of weights for which none has been announced.
-const FIRST_VERSION: u64 = 1;
+pub(super) const FIRST_VERSION: u64 = 1;
 
 /// Creates the notification to all instances about one adapter on one target.
 pub(super) fn notification(
--- a/crates/chervilshunt_core/tests/residency_load.rs
+++ b/crates/chervilshunt_core/tests/residency_load.rs
@@ -90,7 +90,10 @@
                 .into_iter()
                 .map(|((_, it), _)| (it.clone(), 1))
                 .collect(),
-            loading: loading.into_iter().map(|((_, it), _)| it.clone()).collect(),
+            loading: loading
+                .into_iter()
+                .map(|((_, it), _)| (it.clone(), None))
+                .collect(),
         }
     }
 
--- a/crates/chervilshunt_core/tests/residency_versions.rs
+++ b/crates/chervilshunt_core/tests/residency_versions.rs
@@ -289,3 +289,27 @@
     let confirmed = confirmed.take(100).flatten().next();
     assert_eq!(confirmed, Some(Some(2)));
 }
+
+/// Guards against the same where the target tells a newer version than this placer knows of.
+#[test]
+fn a_load_that_is_found_in_progress_is_confirmed_in_the_version_that_the_target_tells() {
+    for (announced, told, expected) in [(2, 3, 3), (3, 2, 3), (2, 2, 2)] {
+        let mut residency = begun();
+        let event = ResidencyEvent::VersionAnnounced(adapter("a1"), announced);
+        residency.handle(event, at(451));
+        let mut loading = placing::report(1, Vec::new(), vec![adapter("a1")]);
+        if let ResidencyEvent::TargetReported(_, report) = &mut loading {
+            report.loading[0].1 = Some(told);
+        }
+        residency.handle(loading, at(455));
+        let confirmed = (0..100).find_map(|_| {
+            let due = residency.next_wakeup()?;
+            let actions = residency.handle(ResidencyEvent::Tick, due);
+            actions.into_iter().find_map(|action| match action {
+                ResidencyAction::Order(order) => Some(order.version),
+                _ => None,
+            })
+        });
+        assert_eq!(confirmed, Some(Some(expected)));
+    }
+}
--- a/crates/chervilshunt_core/tests/support/placing.rs
+++ b/crates/chervilshunt_core/tests/support/placing.rs
@@ -121,6 +121,6 @@
         busy: false,
         models: vec![(Weights::base(&"base".into()), 1)],
         adapters,
-        loading,
+        loading: loading.into_iter().map(|it| (it, None)).collect(),
     }
 }
--- a/crates/chervilshunt_core/tests/support/real_target.rs
+++ b/crates/chervilshunt_core/tests/support/real_target.rs
@@ -145,7 +145,11 @@
             busy: self.work.is_some(),
             models: self.version.map(|it| (base, it)).into_iter().collect(),
             adapters: held.map(|(name, it)| (weights_of(name), *it)).collect(),
-            loading: self.loading.keys().map(|it| weights_of(it)).collect(),
+            loading: self
+                .loading
+                .keys()
+                .map(|it| (weights_of(it), None))
+                .collect(),
         }
     }
 }
