--- a/crates/chervilshunt_core/src/quarantine/parts.rs
+++ b/crates/chervilshunt_core/src/quarantine/parts.rs
@@ -139,10 +139,10 @@
         };
         let common = of_other.iter().filter(|it| of_part.contains(it)).count();
         let share = common as f64 / of_other.len() as f64;
-        let has_more = of_part.len() >= of_other.len() + MORE_CRASHES;
+        let is_in_more = of_part.len() >= of_other.len() + MORE_CRASHES;
         let is_far_rarer = self.recent.is_common(other) && !self.recent.is_common(part);
         common == of_other.len()
-            || (has_more && share >= NEARLY_ALL)
+            || (is_in_more && share >= NEARLY_ALL)
             || (is_far_rarer && share >= HALF)
     }
 
