--- a/crates/chervilshunt_core/src/quarantine/recent.rs
+++ b/crates/chervilshunt_core/src/quarantine/recent.rs
@@ -7,6 +7,9 @@
 /// Number of requests over which parts are counted.
 const WINDOW: usize = 512;
 
+/// Number of requests from which on it is known how often a part comes.
+const MIN_REQUESTS: usize = 32;
+
 /// The parts of the last requests of this instance.
 #[derive(Clone, Debug, Default)]
 pub(super) struct RecentParts {
@@ -38,8 +41,9 @@
         self.counts.get(&part).copied().unwrap_or_default()
     }
 
-    /// Returns whether a part came in more than half of the last requests.
+    /// Returns whether a part came in more than half of the last requests. After a start that is not known
+    /// at first.
     pub(super) fn is_common(&self, part: Fingerprint) -> bool {
-        self.count(part) * 2 > self.requests.len()
+        self.requests.len() >= MIN_REQUESTS && self.count(part) * 2 > self.requests.len()
     }
 }
