Try a refused part again soon unless eight targets have crashed

Cause: six crashes of a part that is not in most requests were as good as a trial, so that the next one came after a minute. A service that fails as a whole brings a subject into several crashes at once; three subjects had six, and all that came with them starved too.

--- a/crates/chervilshunt_core/src/quarantine/parts.rs
+++ b/crates/chervilshunt_core/src/quarantine/parts.rs
@@ -117,7 +117,7 @@
         if known.record.suspect != Suspect::Part || now >= self.expires_at(known) {
             return false;
         }
-        let were_many = known.record.targets.len() >= SURE_CRASHES && !self.recent.is_common(part);
+        let were_many = known.record.targets.len() >= MANY_CRASHES && !self.recent.is_common(part);
         known.record.rounds + u32::from(were_many) >= self.cfg.part_crash_rounds
     }
 
@@ -171,8 +171,11 @@
     }
 }
 
-/// Number of crashes of a part that is not in most requests after which chance is ruled out.
-const SURE_CRASHES: usize = 6;
+/// Number of crashes of a part that is not in most requests from which on one round less is enough.
+const MANY_CRASHES: usize = 6;
+/// Number of such crashes that are as good as a trial. A service that fails as a whole brings a part into
+/// several at once, so that it has to be more than for a refusal.
+const SURE_CRASHES: usize = 8;
 /// Number of crashes by which a part has clearly more than another one.
 const MORE_CRASHES: usize = 2;
 /// Share of a part's crashes that are nearly all of them: instances learn of crashes one after the other.
