--- a/crates/chervilshunt_core/src/dispatch/choose.rs
+++ b/crates/chervilshunt_core/src/dispatch/choose.rs
@@ -5,9 +5,10 @@
 
 use chervilshunt_model::{Moment, ServiceName, TargetName};
 
-use super::facts::{SoftwareVersion, TargetFacts, Weights};
+use super::facts::{SoftwareVersion, Weights};
 use super::health::{HealthConfig, TargetPath};
 use super::lanes::{Lane, long_prompt_targets};
+use super::software::has_software;
 use super::state::{Dispatch, Target};
 use crate::rate_limit::RequestRate;
 
@@ -159,11 +160,6 @@
     }
 }
 
-/// Returns whether a target has the required software version, if one is required.
-pub(crate) fn has_software(facts: &TargetFacts, required: Option<&SoftwareVersion>) -> bool {
-    required.is_none_or(|required| facts.software.as_ref() == Some(required))
-}
-
 impl Dispatch {
     /// Selects a target for a request; `draw` returns random numbers from 0 to 1.
     pub fn choose(
--- a/crates/chervilshunt_core/src/dispatch/mod.rs
+++ b/crates/chervilshunt_core/src/dispatch/mod.rs
@@ -19,6 +19,7 @@
 mod load;
 mod routes;
 mod self_reports;
+mod software;
 mod state;
 mod teams;
 mod uses;
@@ -26,7 +27,6 @@
 pub(crate) use brittle::BRITTLE_FILL;
 pub use brittle::BrittleChange;
 pub use budget::{ServiceBudgets, WindowBudget, WindowBudgetConfig};
-pub(crate) use choose::has_software;
 pub use choose::{Choice, DispatchConfig, TargetRequirements, WaitReason};
 pub use facts::{
     Leaving, LoadReport, LoadedAdapter, LoadedModel, ModelSpec, PlacementLimits, RequestSize,
@@ -39,5 +39,6 @@
 pub use lanes::{Lane, long_prompt_targets};
 pub use links::LinkChange;
 pub use routes::{CallerBounds, Repeat, Route, RouteTable, ServiceSpec};
+pub(crate) use software::has_software;
 pub use state::{Dispatch, EntryChange};
 pub use teams::{KeyDigest, Quota, QuotaUnit, Team, Teams, TeamsError};
--- a/crates/chervilshunt_core/src/dispatch/state.rs
+++ b/crates/chervilshunt_core/src/dispatch/state.rs
@@ -9,7 +9,7 @@
 
 use super::brittle::BrittleTargets;
 use super::choose::DispatchConfig;
-use super::facts::{Leaving, LoadReport, SoftwareVersion, TargetFacts, TargetStart, Weights};
+use super::facts::{Leaving, LoadReport, TargetFacts, TargetStart, Weights};
 use super::health::{HealthSignal, TargetHealth, TargetPath};
 use super::holders::{AdapterHolding, AnnouncedVersions, HeldAdapters, Holders, TargetSnapshot};
 use super::links::ServiceLink;
@@ -147,12 +147,10 @@
         }
         match self.targets.get_mut(&facts.name) {
             Some(target) => {
-                if target.facts.software != facts.software {
-                    let (service, software) =
-                        (&target.facts.service, target.facts.software.as_ref());
-                    self.software.left(service, software, now);
+                let before = std::mem::replace(&mut target.facts, facts);
+                if before.software != target.facts.software {
+                    self.software.left(&before, now);
                 }
-                target.facts = facts;
             }
             None => {
                 let target = Target {
@@ -172,8 +170,7 @@
     pub fn target_gone(&mut self, name: &TargetName, now: Moment) {
         let target = self.targets.swap_remove(name);
         if let Some(target) = target {
-            let (service, software) = (&target.facts.service, target.facts.software.as_ref());
-            self.software.left(service, software, now);
+            self.software.left(&target.facts, now);
             self.gone.shift_remove(name);
             self.gone.insert(name.clone(), target.facts.started);
             if self.gone.len() > REMEMBERED_GONE {
@@ -352,34 +349,6 @@
         self.targets.get(target).and_then(|it| it.facts.started)
     }
 
-    /// Returns the version of a target's software, as far as known.
-    pub fn software(&self, target: &TargetName) -> Option<SoftwareVersion> {
-        let target = self.targets.get(target)?;
-        target.facts.software.clone()
-    }
-
-    /// Records that the list of targets was complete at `as_of`.
-    pub fn targets_confirmed(&mut self, as_of: Moment) {
-        self.software.confirmed(as_of);
-    }
-
-    /// Returns the software version at which all streams of a service must have begun that can be
-    /// continued now; `None` if there may be several.
-    pub fn only_software(&self, service: &ServiceName, now: Moment) -> Option<SoftwareVersion> {
-        let targets = self.targets.values().map(|it| &it.facts);
-        let listed = targets.filter(|it| it.service == *service);
-        let listed = listed.map(|it| it.software.as_ref());
-        self.software.only_version(service, listed, now).cloned()
-    }
-
-    /// Returns whether a service has a target of a software version that takes new requests.
-    pub fn serves_software(&self, service: &ServiceName, software: &SoftwareVersion) -> bool {
-        let mut targets = self.targets.values().map(|it| &it.facts);
-        targets.any(|it| {
-            it.service == *service && it.leaving.is_none() && it.software.as_ref() == Some(software)
-        })
-    }
-
     /// Counts a request that was sent to a target.
     pub fn sent(&mut self, target: &TargetName, weights: Option<&Weights>) {
         self.uses.sent(target, weights);
--- a/crates/chervilshunt_core/src/streams/history.rs
+++ b/crates/chervilshunt_core/src/streams/history.rs
@@ -5,7 +5,7 @@
 
 use chervilshunt_model::{Moment, ServiceName};
 
-use crate::dispatch::SoftwareVersion;
+use crate::dispatch::{SoftwareVersion, TargetFacts};
 
 /// Time for which a version counts after its last target has gone: the longest time after which a caller
 /// may still continue a stream of it.
@@ -38,15 +38,11 @@
         });
     }
 
-    /// Records that a target is no longer listed with this version.
-    pub(crate) fn left(
-        &mut self,
-        service: &ServiceName,
-        software: Option<&SoftwareVersion>,
-        now: Moment,
-    ) {
+    /// Records that a target is no longer listed with its version.
+    pub(crate) fn left(&mut self, target: &TargetFacts, now: Moment) {
         self.left.retain(|_, at| now.since(*at) < STREAM_LIFETIME);
-        self.left.insert((service.clone(), software.cloned()), now);
+        let version = (target.service.clone(), target.software.clone());
+        self.left.insert(version, now);
     }
 
     /// Returns the version at which all streams of a service must have begun that can be continued now;
