Design: what is missing under load, the parts to build, and return times of refused callers

Two deployments lose most to causes that no part of the system decides on yet: targets of uneven speed, plain services that nobody bounds for all instances together, a placer that is alive and slow, and refused callers whose return nobody prepares.

ReturnSchedule is shared by two of the parts: it gives each refused caller a time of its own and recognizes the caller by its request's content. The estimate of the time to the first token is separated from the penalties, so that one part can refine it and another compare it with objectives; the order of candidates is unchanged.

--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -19,6 +19,7 @@
 mod rate_limit;
 mod residency;
 mod retry;
+mod returns;
 mod scheduler;
 mod streams;
 mod weights;
@@ -66,6 +67,7 @@
     Admission, Backoff, BackoffConfig, Breaker, BreakerConfig, BreakerState, BreakerTicket,
     BreakerTransition, CallOutcome, RetryBudget, RetryBudgetConfig, TokenBucket,
 };
+pub use returns::ReturnSchedule;
 pub use scheduler::{LoadScheduler, SchedulerAction, SchedulerConfig, SchedulerEvent, TurnResult};
 pub use streams::{BegunStreams, SoftwareHistory, StreamKey, StreamOrigin, StreamOrigins};
 pub use weights::PolicyWeights;
--- a/crates/chervilshunt_core/src/residency/choice.rs
+++ b/crates/chervilshunt_core/src/residency/choice.rs
@@ -69,7 +69,8 @@
             let mut readiness = ready_in(target)?;
             let send_wait = self.schedules.wait(name, now);
             readiness.ready_in = readiness.ready_in.max(send_wait);
-            let mut score = self.score(target, request, readiness);
+            let mut score = self.first_token_millis(target, request, readiness);
+            score += self.penalties(target, request, readiness);
             if !kept.is_empty() && kept.contains(&name) != (request.lane == Lane::LongPrompt) {
                 score += millis(self.cfg.lane_penalty);
             }
@@ -86,22 +87,36 @@
         found.min_by(|a, b| a.score.total_cmp(&b.score))
     }
 
-    /// Returns the expected time to first token at a target plus penalties, in milliseconds.
-    fn score(&self, target: &TargetState, request: &PlacementRequest, readiness: Readiness) -> f64 {
+    /// Returns the expected time to first token at a target, in milliseconds.
+    fn first_token_millis(
+        &self,
+        target: &TargetState,
+        request: &PlacementRequest,
+        readiness: Readiness,
+    ) -> f64 {
         let read_before = self.prefill_rate.millis(target.backlog());
         let ready_in = millis(readiness.ready_in);
         // Prefill continues during a load, but a target that has to do both is more likely to be
         // late.
         let begins = read_before.max(ready_in) + read_before.min(ready_in) * OVERLAP_WEIGHT;
-        let taken = f64::from(target.in_flight()) / f64::from(target.facts.slots.max(1));
         let in_flight = target.in_flight();
         let slot_wait = self.slot_time.wait_millis(in_flight, target.facts.slots);
-        let mut score = begins + slot_wait + millis(readiness.penalty);
-        score += taken * millis(self.cfg.load_penalty);
+        begins + slot_wait + self.prefill_rate.millis(request.prompt_tokens)
+    }
+
+    /// Returns the penalties of placing a request at a target, in milliseconds.
+    fn penalties(
+        &self,
+        target: &TargetState,
+        request: &PlacementRequest,
+        readiness: Readiness,
+    ) -> f64 {
+        let taken = f64::from(target.in_flight()) / f64::from(target.facts.slots.max(1));
+        let mut penalty = millis(readiness.penalty) + taken * millis(self.cfg.load_penalty);
         if target.facts.zone != request.zone {
-            score += millis(self.cfg.zone_penalty);
+            penalty += millis(self.cfg.zone_penalty);
         }
-        score
+        penalty
     }
 
     /// Returns how soon a target holds the adapter, or `None` if it has no slot for it.
