Placer: weigh targets by the speed that they report

Targets of one service differ in speed by a factor of two or more, and the placer estimated the time to the first token as if they were equal. A third of the targets was slow and most of its answers were late.

The fourth number of a target's load header states how long work takes there. It is decoded at the boundary, reported to the placer with GrantProgress, kept as a lasting and a momentary figure in TargetSpeed, and scales the estimate by the target's ratio to the mean of its service. The prefill of a prompt also counts for the streams that it delays. Services whose targets state no pace are placed exactly as before.

--- a/crates/chervilshunt_core/src/dispatch/choose.rs
+++ b/crates/chervilshunt_core/src/dispatch/choose.rs
@@ -11,6 +11,7 @@
 use super::software::has_software;
 use super::state::{Dispatch, Target};
 use crate::rate_limit::RequestRate;
+use crate::speed::PaceFigures;
 
 /// Configuration of the scoring of targets.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -123,6 +124,8 @@
         limit: Option<RequestRate>,
         /// The time since the last sign of life from the target.
         since_last_response: Duration,
+        /// The pace of the target as known to this instance, if the target states it.
+        pace: Option<PaceFigures>,
     },
     /// No target can take the request now.
     Wait(WaitReason),
@@ -355,6 +358,7 @@
             held_version: weights.and_then(|weights| self.held_version(target, weights)),
             limit: self.rate_limits.get(&target.facts.name),
             since_last_response: now.since(target.health.last_response_at()),
+            pace: target.speed.figures(now),
         }
     }
 
--- a/crates/chervilshunt_core/src/dispatch/facts.rs
+++ b/crates/chervilshunt_core/src/dispatch/facts.rs
@@ -207,6 +207,11 @@
     pub waiting: u32,
     /// The number of requests that the target executes concurrently.
     pub slots: u32,
+    /// How long work takes at the target at the moment, in percent of the usual time; `None` if the
+    /// target does not state it, or not as a valid number.
+    pub pace: Option<u16>,
+    /// Whether the target states its pace in a way that cannot be used.
+    pub is_pace_malformed: bool,
 }
 
 /// The number of tokens that a request reads and generates.
--- a/crates/chervilshunt_core/src/dispatch/holders.rs
+++ b/crates/chervilshunt_core/src/dispatch/holders.rs
@@ -39,6 +39,9 @@
     /// The adapters that requests can use, by base model.
     #[serde(rename = "m")]
     pub models: Vec<HeldAdapters>,
+    /// The lasting figure of the target's pace, if it states its pace.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub pace: Option<u16>,
 }
 
 /// The adapters of one base model that requests can use on a target.
--- a/crates/chervilshunt_core/src/dispatch/state.rs
+++ b/crates/chervilshunt_core/src/dispatch/state.rs
@@ -18,6 +18,7 @@
 use super::uses::UseTable;
 use crate::rate_limit::{RateLimits, SendShares};
 use crate::residency::TargetUse;
+use crate::speed::TargetSpeed;
 use crate::streams::SoftwareHistory;
 
 /// The time without a message after which the placer is considered unreachable.
@@ -38,6 +39,7 @@
 pub(crate) struct Target {
     pub(crate) facts: TargetFacts,
     pub(crate) load: TargetLoad,
+    pub(crate) speed: TargetSpeed,
     pub(crate) health: TargetHealth,
     /// The time until which the target has asked this instance not to send requests.
     pub(crate) paused_until: Moment,
@@ -155,6 +157,7 @@
             None => {
                 let target = Target {
                     load: TargetLoad::default(),
+                    speed: TargetSpeed::default(),
                     health: TargetHealth::new(now),
                     paused_until: Moment::ZERO,
                     held_back_until: Moment::ZERO,
@@ -221,6 +224,7 @@
             started,
             in_flight,
             models,
+            pace,
         } = snapshot;
         let Some(known) = self.targets.get_mut(&target) else {
             return;
@@ -229,6 +233,9 @@
             return;
         }
         known.load.total_reported(in_flight, now);
+        if let Some(pace) = pace {
+            known.speed.start_with(pace, now);
+        }
         self.holders.forget_target(&target);
         for HeldAdapters { model, adapters } in models {
             for (adapter, version) in adapters {
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -21,6 +21,7 @@
 mod retry;
 mod returns;
 mod scheduler;
+mod speed;
 mod streams;
 mod weights;
 
@@ -32,10 +33,10 @@
 pub use dispatch::{
     AdapterHolding, BrittleChange, CallerBounds, Choice, Continuity, Dispatch, DispatchConfig,
     EntryChange, HealthConfig, HealthSignal, HeldAdapters, KeyDigest, Lane, Leaving, LinkChange,
-    LoadReport, LoadedAdapter, LoadedModel, ModelSpec, PlacementLimits, PollGuide, PollMode, Quota,
-    QuotaUnit, Repeat, RequestSize, Route, RouteTable, ServiceBudgets, ServiceSpec,
-    SoftwareVersion, TargetFacts, TargetPath, TargetRequirements, TargetSnapshot, TargetStart,
-    Team, Teams, TeamsError, WaitReason, Weights, WindowBudget, WindowBudgetConfig,
+    LoadReport, LoadedAdapter, LoadedModel, ModelSpec, PaceUpdate, PlacementLimits, PollGuide,
+    PollMode, Quota, QuotaUnit, Repeat, RequestSize, Route, RouteTable, ServiceBudgets,
+    ServiceSpec, SoftwareVersion, TargetFacts, TargetPath, TargetRequirements, TargetSnapshot,
+    TargetStart, Team, Teams, TeamsError, WaitReason, Weights, WindowBudget, WindowBudgetConfig,
     long_prompt_targets,
 };
 pub use mechanisms::Mechanisms;
@@ -69,5 +70,6 @@
 };
 pub use returns::ReturnSchedule;
 pub use scheduler::{LoadScheduler, SchedulerAction, SchedulerConfig, SchedulerEvent, TurnResult};
+pub use speed::{PaceChange, PaceFigures, TargetSpeed};
 pub use streams::{BegunStreams, SoftwareHistory, StreamKey, StreamOrigin, StreamOrigins};
 pub use weights::PolicyWeights;
--- a/crates/chervilshunt_core/src/residency/choice.rs
+++ b/crates/chervilshunt_core/src/residency/choice.rs
@@ -10,6 +10,7 @@
 use super::target::{OrderState, TargetState};
 use crate::dispatch::BRITTLE_FILL;
 use crate::dispatch::{Lane, Weights, has_software, long_prompt_targets};
+use crate::speed::ServicePace;
 
 /// A target suitable for a request.
 #[derive(Clone, Debug)]
@@ -63,13 +64,14 @@
         ready_in: impl Fn(&TargetState) -> Option<Readiness>,
     ) -> Option<TargetCandidate> {
         let kept = self.reserved_for_long_prompts(&request.service, now);
+        let pace = self.service_pace(&request.service);
         let targets = self.targets.iter();
         let targets = targets.filter(|(name, target)| self.may_place(name, target, request, now));
         let found = targets.filter_map(|(name, target)| {
             let mut readiness = ready_in(target)?;
             let send_wait = self.schedules.wait(name, now);
             readiness.ready_in = readiness.ready_in.max(send_wait);
-            let mut score = self.first_token_millis(target, request, readiness);
+            let mut score = self.first_token_millis(target, request, readiness, pace, now);
             score += self.penalties(target, request, readiness);
             if !kept.is_empty() && kept.contains(&name) != (request.lane == Lane::LongPrompt) {
                 score += millis(self.cfg.lane_penalty);
@@ -87,21 +89,41 @@
         found.min_by(|a, b| a.score.total_cmp(&b.score))
     }
 
-    /// Returns the expected time to first token at a target, in milliseconds.
+    fn service_pace(&self, service: &ServiceName) -> ServicePace {
+        let targets = self.targets.values();
+        let targets = targets.filter(|it| it.facts.service == *service);
+        ServicePace::of(targets.map(|it| &it.speed))
+    }
+
+    /// Returns the expected time to first token at a target, in milliseconds, plus the delay that
+    /// the prompt causes for the streams that run there.
+    ///
+    /// Prefill soon follows, so it is estimated at the target's momentary pace; a slot becomes free
+    /// after most of an answer, at its lasting pace.
     fn first_token_millis(
         &self,
         target: &TargetState,
         request: &PlacementRequest,
         readiness: Readiness,
+        pace: ServicePace,
+        now: Moment,
     ) -> f64 {
-        let read_before = self.prefill_rate.millis(target.backlog());
+        let ratio = pace.ratio(&target.speed, now);
+        let read_before = self.prefill_rate.millis(target.backlog()) * ratio.momentary;
         let ready_in = millis(readiness.ready_in);
         // Prefill continues during a load, but a target that has to do both is more likely to be
         // late.
         let begins = read_before.max(ready_in) + read_before.min(ready_in) * OVERLAP_WEIGHT;
         let in_flight = target.in_flight();
-        let slot_wait = self.slot_time.wait_millis(in_flight, target.facts.slots);
-        begins + slot_wait + self.prefill_rate.millis(request.prompt_tokens)
+        let slot_wait = self.slot_time.wait_millis(in_flight, target.facts.slots) * ratio.lasting;
+        let prefill = self.prefill_rate.millis(request.prompt_tokens) * ratio.momentary;
+        let streams_delayed = if pace.is_stated() {
+            let slots = target.facts.slots.max(1);
+            prefill * f64::from(in_flight.min(slots)) / f64::from(slots)
+        } else {
+            0.0
+        };
+        begins + slot_wait + prefill + streams_delayed
     }
 
     /// Returns the penalties of placing a request at a target, in milliseconds.
--- a/crates/chervilshunt_core/src/residency/grants.rs
+++ b/crates/chervilshunt_core/src/residency/grants.rs
@@ -42,6 +42,9 @@
     /// Streams that have begun, whether granted or not.
     #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
     pub streams: Vec<BegunStreams>,
+    /// The paces that targets stated in the heads of their answers to granted requests.
+    #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
+    pub paces: Vec<(GrantNumber, u16)>,
 }
 
 #[expect(
@@ -59,6 +62,7 @@
             && self.ended.is_empty()
             && self.paused == 0
             && self.streams.is_empty()
+            && self.paces.is_empty()
     }
 }
 
@@ -126,6 +130,9 @@
         if self.lanes.is_on(now) != was_on {
             self.touch_all();
         }
+        for (number, pace) in &progress.paces {
+            self.pace_stated(*number, *pace, now);
+        }
         for number in &progress.begun {
             self.grant_begun(*number, now);
         }
@@ -134,6 +141,21 @@
         }
     }
 
+    /// Records the pace that a target stated when it answered a granted request. The grants of
+    /// earlier starts of the target are forgotten, so their answers do not count.
+    fn pace_stated(&mut self, number: GrantNumber, pace: u16, now: Moment) {
+        let grant = self.grants.open.get(&number);
+        let Some(name) = grant.map(|grant| &grant.target) else {
+            return;
+        };
+        let Some(target) = self.targets.get_mut(name) else {
+            return;
+        };
+        if let Some(change) = target.speed.record(pace, now) {
+            self.pace_changes.push((name.clone(), change));
+        }
+    }
+
     /// Records that a target has completed the prefill of a request.
     fn grant_begun(&mut self, number: GrantNumber, now: Moment) {
         let Some(grant) = self.grants.open.get_mut(&number) else {
@@ -143,6 +165,7 @@
         let given_at = grant.given_at;
         grant.begun_at = Some(now);
         if let Some(target) = self.targets.get_mut(&grant.target) {
+            target.speed.answered();
             let took = target.prefill_completed(tokens, given_at, now);
             self.prefill_rate.record(tokens, took);
         }
--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -25,6 +25,7 @@
     AnnouncedVersions, PlacementLimits, TargetFacts, TargetSnapshot, TargetStart, Weights,
 };
 use crate::rate_limit::{SendPermit, SendSchedules};
+use crate::speed::{PaceChange, TargetSpeed};
 
 /// The share of targets that must have reported before the placer counts as knowing what is held.
 /// The last few may be slow or gone.
@@ -69,6 +70,8 @@
     pub(super) brittle: Vec<ServiceName>,
     /// The last usage report of each instance.
     pub(super) uses: HashMap<InstanceId, Vec<TargetUse>>,
+    /// Changes of targets' lasting paces that operators have not seen yet.
+    pub(super) pace_changes: Vec<(TargetName, PaceChange)>,
     next_order: u64,
     knows_targets: bool,
     /// The time from which the first targets are queried.
@@ -104,6 +107,7 @@
             schedules: SendSchedules::default(),
             brittle: Vec::new(),
             uses: HashMap::new(),
+            pace_changes: Vec::new(),
             next_order: 0,
             knows_targets: false,
         }
@@ -126,6 +130,20 @@
         self.memory = MemorySize::start_with(estimates.kept_in_memory as usize);
     }
 
+    /// Starts with the speeds of targets that this instance has learnt before it became the placer.
+    pub fn start_with_speeds(&mut self, speeds: Vec<(TargetName, TargetSpeed)>) {
+        for (name, speed) in speeds {
+            if let Some(target) = self.targets.get_mut(&name) {
+                target.speed = speed;
+            }
+        }
+    }
+
+    /// Returns the changes of targets' lasting paces since the last call.
+    pub fn take_pace_changes(&mut self) -> Vec<(TargetName, PaceChange)> {
+        std::mem::take(&mut self.pace_changes)
+    }
+
     /// Processes one event and returns the actions to perform.
     pub fn handle(&mut self, event: ResidencyEvent, now: Moment) -> Vec<ResidencyAction> {
         let mut out = Vec::new();
@@ -290,6 +308,7 @@
             started: target.facts.started,
             in_flight: target.in_flight(),
             models: target.serving_adapters(),
+            pace: target.speed.lasting_figure(),
         });
         snapshots.collect()
     }
--- a/crates/chervilshunt_core/src/residency/target.rs
+++ b/crates/chervilshunt_core/src/residency/target.rs
@@ -15,6 +15,7 @@
 use super::order::Order;
 use super::restart::LostLoads;
 use crate::dispatch::{HeldAdapters, TargetFacts, Weights};
+use crate::speed::TargetSpeed;
 
 /// What is known about the orders that a target has accepted.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -77,6 +78,7 @@
     /// Whether something has changed since the planner last inspected the target.
     pub(crate) touched: bool,
     pub(crate) summary: Summary,
+    pub(crate) speed: TargetSpeed,
 }
 
 /// What the planner found when it last inspected a target.
@@ -135,6 +137,7 @@
             has_answered: false,
             touched: true,
             summary: Summary::default(),
+            speed: TargetSpeed::default(),
         }
     }
 
--- a/crates/chervilshunt_core/tests/brittle.rs
+++ b/crates/chervilshunt_core/tests/brittle.rs
@@ -27,6 +27,8 @@
         running: own + others,
         waiting: 0,
         slots: SLOTS,
+        pace: None,
+        is_pace_malformed: false,
     };
     dispatch.load_reported(&t1(), report, at(0));
     dispatch
--- a/crates/chervilshunt_core/tests/dispatch.rs
+++ b/crates/chervilshunt_core/tests/dispatch.rs
@@ -122,6 +122,8 @@
         running: 4,
         waiting: 2,
         slots: 4,
+        pace: None,
+        is_pace_malformed: false,
     };
     dispatch.load_reported(&TargetName::from("t1"), report, at(0));
     dispatch
@@ -167,6 +169,8 @@
         running: 0,
         waiting: 0,
         slots: 4,
+        pace: None,
+        is_pace_malformed: false,
     };
     for target in ["t1", "t2"] {
         dispatch.load_reported(&TargetName::from(target), idle, at(0));
@@ -218,6 +222,7 @@
             model: "base".into(),
             adapters,
         }],
+        pace: None,
     };
     let snapshots = vec![held("t1", Vec::new()), held("t2", vec![("a".into(), 1)])];
     dispatch.apply_snapshots(snapshots, at(100));
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -72,6 +72,10 @@
         for facts in targets {
             self.plan(ResidencyEvent::TargetListed(facts));
         }
+        let speeds = self.shared.dispatch().speeds();
+        if let Some(placer) = &mut self.placer {
+            placer.residency.start_with_speeds(speeds);
+        }
         let limits = self.known_limits();
         self.plan_rate_limits(&limits);
         for (weights, version) in self.versions.clone() {
@@ -96,7 +100,11 @@
         let Some(placer) = &mut self.placer else {
             return;
         };
-        for action in placer.residency.handle(event, now) {
+        let actions = placer.residency.handle(event, now);
+        for (target, change) in placer.residency.take_pace_changes() {
+            self.shared.record_pace_change(&target, change, "placer");
+        }
+        for action in actions {
             self.execute(action, now);
         }
     }
--- a/crates/chervilshunt_gateway/src/lib.rs
+++ b/crates/chervilshunt_gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod run;
 mod settings;
 mod shared;
+mod speed;
 mod store;
 mod streams;
 mod traffic;
--- a/crates/chervilshunt_gateway/src/traffic/head.rs
+++ b/crates/chervilshunt_gateway/src/traffic/head.rs
@@ -31,6 +31,9 @@
             self.shared
                 .dispatch()
                 .load_reported(&chosen.target, load, now);
+            if load.is_pace_malformed {
+                metrics::counter!("chervilshunt_malformed_load_total").increment(1);
+            }
         }
         let again = self.may_retry();
         let verdict = classify(names, &self.req.id, &chosen.target, &head, again);
@@ -44,6 +47,7 @@
             self.handle_self_report(chosen, &in_flight, &head);
         }
         if !matches!(verdict, Verdict::OtherTarget | Verdict::Crossed) {
+            in_flight.record_pace(load.and_then(|it| it.pace), now);
             self.shared
                 .check_brittle(&chosen.target, &head.headers, in_flight.sent_at);
             // A target may refuse a request without naming its limit.
--- a/crates/chervilshunt_gateway/src/traffic/in_flight.rs
+++ b/crates/chervilshunt_gateway/src/traffic/in_flight.rs
@@ -96,6 +96,20 @@
             grant.begun();
         }
     }
+
+    /// Records the pace that the target states in the head of its answer, if any.
+    pub(super) fn record_pace(&self, pace: Option<u16>, now: Moment) {
+        let (shared, target) = (&self.shared, &self.target);
+        let update = shared
+            .dispatch()
+            .pace_reported(target, self.started, pace, now);
+        if let Some(change) = update.change {
+            shared.record_pace_change(target, change, "answer");
+        }
+        if let (Some(grant), Some(pace)) = (&self.grant, pace) {
+            grant.pace_stated(pace, update.is_news);
+        }
+    }
 }
 
 impl InFlight {
--- a/crates/chervilshunt_gateway/src/traffic/place.rs
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -183,6 +183,7 @@
                 held_version,
                 limit,
                 since_last_response,
+                pace,
             } => {
                 let route = match path {
                     TargetPath::Direct => None,
@@ -198,6 +199,9 @@
                     "load_age_ms" => load_age.as_millis() as u64,
                     "limit_per_s" => limit.map(|it| it.per_second()),
                     "heard_ms" => since_last_response.as_millis() as u64,
+                    "pace_lasting" => pace.map(|it| it.lasting),
+                    "pace_momentary" => pace.map(|it| it.momentary),
+                    "pace_age_ms" => pace.map(|it| it.age.as_millis() as u64),
                     "version" => expect_version, "held_version" => held_version,
                     "newest_version" => newest.map(|(version, _)| version),
                     "newest_known_for_ms" =>
