Do without a slow placer where a known target can take the request

A request waited 250 ms or more for a placer that was alive but slow, although a target was known to hold its adapter, and the next status message of the placer made all requests ask it again.

PlacerPace measures the answers to requests that need no load, and to charges. Late answers are given back: their grant ends, and their charge is reversed. Times in which this process did not run do not count.

--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -13,6 +13,7 @@
 mod mechanisms;
 mod owner;
 mod permit;
+mod placer_pace;
 mod quarantine;
 mod quota;
 mod rank;
@@ -47,6 +48,7 @@
     CompactAnswer, CompactRequest, MismatchedAnswer, Permit, PermitAnswer, PermitRequest,
     RefusalReason, ReleaseOutcome, ReleasedPermit, RequestChecksum,
 };
+pub use placer_pace::{PaceChange, PlacerPace, PlacerUse};
 pub use quarantine::{
     Crash, CrashRecord, Fingerprint, PartId, Quarantine, QuarantineConfig, SETTLE_TIME,
     SettlingAnswers, SettlingNumber, StoredCrashes, Suspect,
--- a/crates/chervilshunt_gateway/src/shared.rs
+++ b/crates/chervilshunt_gateway/src/shared.rs
@@ -7,8 +7,8 @@
 
 use arc_swap::ArcSwapOption;
 use chervilshunt_core::{
-    AdmissionConfig, ConnectionAdmission, Dispatch, Quarantine, QuarantineConfig, QuotaShares,
-    RouteTable, ServiceBudgets, SettlingAnswers,
+    AdmissionConfig, ConnectionAdmission, Dispatch, PlacerPace, Quarantine, QuarantineConfig,
+    QuotaShares, RouteTable, ServiceBudgets, SettlingAnswers,
 };
 use chervilshunt_engine::EngineClients;
 use chervilshunt_mesh::{Mesh, Peer};
@@ -67,6 +67,9 @@
     placer_named_at: AtomicU64,
     /// Whether the connection to the placer was lost and it has not been heard since.
     placer_lost: AtomicBool,
+    placer_pace: Mutex<PlacerPace>,
+    /// Notifies requests that wait for the placer that it counts as slow now.
+    pub(crate) placer_slowed: watch::Sender<()>,
     /// The instance that keeps the account of teams' quotas while there is no placer.
     pub(crate) deputy: ArcSwapOption<Peer>,
     /// Where streams began, as far as this instance knows.
@@ -163,6 +166,8 @@
             placer: ArcSwapOption::empty(),
             placer_named_at: AtomicU64::new(0),
             placer_lost: AtomicBool::new(false),
+            placer_pace: Mutex::default(),
+            placer_slowed: watch::Sender::default(),
             deputy: ArcSwapOption::empty(),
             streams: StreamMemory::default(),
             stream_keepers: StreamKeepers::default(),
@@ -255,8 +260,16 @@
         self.placer_lost.store(false, Ordering::Relaxed);
     }
 
+    /// Locks the measured pace of the placer.
+    pub(crate) fn placer_pace(&self) -> MutexGuard<'_, PlacerPace> {
+        self.placer_pace
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Sets the placer.
     pub(crate) fn set_placer(&self, placer: Option<Peer>, now: Moment) {
+        self.placer_pace().reset();
         if let Some(placer) = &placer {
             self.stream_keepers.add(placer);
         }
--- a/crates/chervilshunt_gateway/src/traffic/charge.rs
+++ b/crates/chervilshunt_gateway/src/traffic/charge.rs
@@ -7,6 +7,7 @@
 use chervilshunt_mesh::Peer;
 
 use super::attempt::RequestAttempts;
+use super::placer_time::measure;
 use super::refusal::{Reason, Refusal};
 use super::request::CallerRequest;
 use crate::peers::{ChargeRequest, PeerMessage};
@@ -87,6 +88,9 @@
         let Some(keeper) = self.shared.account_keeper(now) else {
             return self.charge_to_share();
         };
+        if self.bypasses_account() && self.try_charge_to_share() {
+            return Ok(());
+        }
         match self.charge_at(&keeper, charge).await {
             Some((result, number)) => {
                 let placer = self.shared.placer.load();
@@ -119,12 +123,10 @@
         charge: ChargeRequest,
     ) -> Option<(ChargeResult, ChargeNumber)> {
         let message = PeerMessage::Charge(charge);
-        match self
-            .shared
-            .mesh
-            .request(keeper, message, CHARGE_TIMEOUT)
-            .await
-        {
+        let answer = self.shared.mesh.request(keeper, message, CHARGE_TIMEOUT);
+        let (answer, took) = measure(answer).await;
+        self.shared.record_charge_answer(keeper, &answer, took);
+        match answer {
             Ok(PeerMessage::ChargeAnswer(result, number)) => Some((result, number)),
             Ok(_) => None,
             Err(error) => {
@@ -172,8 +174,18 @@
 
     /// Admits the request from this instance's share of the quota, or refuses it.
     pub(super) fn charge_to_share(&mut self) -> Result<(), Refusal> {
-        let Some((team, cost)) = self.req.limited_team() else {
+        if self.try_charge_to_share() {
             return Ok(());
+        }
+        self.count_charge("no_share");
+        let refusal = Refusal::retry_after(Reason::NoQuotaShare, NO_SHARE_RETRY_DELAY);
+        Err(refusal)
+    }
+
+    /// Admits the request from this instance's share of the quota, if the share allows it.
+    fn try_charge_to_share(&mut self) -> bool {
+        let Some((team, cost)) = self.req.limited_team() else {
+            return true;
         };
         let now = self.shared.clock.now();
         let instances = self.shared.known_instances();
@@ -184,13 +196,10 @@
         slog::info!(self.shared.log, "quota charged to own share";
             "request" => &*self.req.id, "team" => &*team.name, "cost" => cost,
             "instances" => instances, "admitted" => is_admitted);
-        if !is_admitted {
-            self.count_charge("no_share");
-            let refusal = Refusal::retry_after(Reason::NoQuotaShare, NO_SHARE_RETRY_DELAY);
-            return Err(refusal);
+        if is_admitted {
+            self.count_charge("admitted_alone");
+            self.charge = Some(Charge::new(self.shared, None));
         }
-        self.count_charge("admitted_alone");
-        self.charge = Some(Charge::new(self.shared, None));
-        Ok(())
+        is_admitted
     }
 }
--- a/crates/chervilshunt_gateway/src/traffic/mod.rs
+++ b/crates/chervilshunt_gateway/src/traffic/mod.rs
@@ -15,6 +15,7 @@
 mod permit;
 mod place;
 mod placer;
+mod placer_time;
 mod refusal;
 mod relay;
 mod request;
--- a/crates/chervilshunt_gateway/src/traffic/place.rs
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -9,6 +9,7 @@
 
 use super::attempt::RequestAttempts;
 use super::placer::PlacerAnswer;
+use super::placer_time::AskMode;
 use super::refusal::{Reason, Refusal};
 use crate::grants::Grant;
 use crate::transit::TransitRoute;
@@ -55,26 +56,58 @@
     pub(crate) grant: Option<Grant>,
 }
 
+/// Whether a request does without a placer that is slow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Bypass {
+    Undecided,
+    /// It has asked the placer and does not wait for the answer.
+    Now,
+    /// No known target could take it.
+    Failed,
+}
+
+impl Bypass {
+    /// Returns how the request uses the placer; `None` if it does without it.
+    fn ask_mode(self, attempts: &RequestAttempts<'_>) -> Option<AskMode> {
+        match self {
+            Self::Undecided => attempts.ask_mode(),
+            Self::Now => None,
+            Self::Failed => Some(AskMode::Wait),
+        }
+    }
+}
+
 impl RequestAttempts<'_> {
     /// Finds a target; waits for room or for a load if that is worthwhile.
     ///
     /// If the request needs an adapter, the placer chooses, because it knows the open requests of
     /// all instances. An instance that gets no response from the placer chooses from its own state,
-    /// and asks the placer only for adapters that no known target holds.
+    /// and asks the placer only for adapters that no known target holds. While the placer is slow,
+    /// requests that a known target can take don't wait for it.
     pub(crate) async fn find_target(&mut self) -> Result<SelectedTarget, Refusal> {
         let began = self.shared.clock.now();
         let max_wait = self.req.route.objective.mul_f64(ROOM_WAIT_FACTOR);
         let mut placer_answers = true;
+        let mut bypass = Bypass::Undecided;
         loop {
             self.refuse_if_origin_gone()?;
             self.refuse_if_cut_off()?;
             if let Some(weights) = self.req.weights.clone()
                 && self.uses_placer()
             {
-                match self.ask_placer(weights).await? {
+                let Some(mode) = bypass.ask_mode(self) else {
+                    let found = self.bypass_placer(began + max_wait).await?;
+                    if let Some(chosen) = found {
+                        return Ok(chosen);
+                    }
+                    bypass = Bypass::Failed;
+                    continue;
+                };
+                match self.ask_placer(weights, mode).await? {
                     PlacerAnswer::At(chosen) => return Ok(chosen),
                     PlacerAnswer::Closed(target) => self.avoid.push(target),
                     PlacerAnswer::AskAgain => {}
+                    PlacerAnswer::Slow => bypass = Bypass::Now,
                     PlacerAnswer::Nothing => {
                         placer_answers = false;
                         self.shared.dispatch().placer_lost();
@@ -128,6 +161,18 @@
         }
     }
 
+    /// Selects a target although there is a placer, because that is slow. Returns `None` if no known
+    /// target can take the request.
+    async fn bypass_placer(&mut self, until: Moment) -> Result<Option<SelectedTarget>, Refusal> {
+        self.charge().await?;
+        let Ok(chosen) = self.choose_permitted(until).await else {
+            return Ok(None);
+        };
+        metrics::counter!("chervilshunt_placer_bypassed_total").increment(1);
+        self.report_placement("placer bypassed", Some(&chosen.target));
+        Ok(Some(chosen))
+    }
+
     fn uses_placer(&self) -> bool {
         let now = self.shared.clock.now();
         self.shared.placer.load().is_some() && self.shared.dispatch().is_placer_selecting(now)
@@ -153,7 +198,7 @@
         }
     }
 
-    fn choose(&self) -> Choice {
+    pub(super) fn choose(&self) -> Choice {
         let now = self.shared.clock.now();
         let requirements = TargetRequirements {
             service: &self.req.service,
@@ -267,11 +312,12 @@
         let Some(weights) = self.req.weights.clone() else {
             return Err(self.not_placed());
         };
-        match self.ask_placer(weights).await? {
+        match self.ask_placer(weights, AskMode::Wait).await? {
             PlacerAnswer::At(chosen) => Ok(chosen),
-            PlacerAnswer::Closed(_) | PlacerAnswer::AskAgain | PlacerAnswer::Nothing => {
-                Err(self.not_placed())
-            }
+            PlacerAnswer::Closed(_)
+            | PlacerAnswer::AskAgain
+            | PlacerAnswer::Slow
+            | PlacerAnswer::Nothing => Err(self.not_placed()),
         }
     }
 
--- a/crates/chervilshunt_gateway/src/traffic/placer.rs
+++ b/crates/chervilshunt_gateway/src/traffic/placer.rs
@@ -10,6 +10,7 @@
 
 use super::attempt::RequestAttempts;
 use super::place::SelectedTarget;
+use super::placer_time::{AskMode, GivenUp, OpenQuestion};
 use super::refusal::{Reason, Refusal};
 use crate::grants::Grant;
 use crate::peers::PeerMessage;
@@ -22,14 +23,6 @@
 /// answers that there is no room, the caller can be told when to retry; without an answer that is
 /// unknown.
 const ANSWER_MARGIN: Duration = Duration::from_millis(50);
-/// Time without a response from the placer after which a waiting request stops waiting for it, if a
-/// target is known to hold its adapter. The placer answers at once if no load is needed.
-const KNOWN_HOLDER_TIMEOUT: Duration = Duration::from_millis(250);
-/// The same if no target is known to hold the adapter: the placer has missed two of its reports,
-/// which it sends every 0.4 s, and it is better to refuse the request than to hold it until its
-/// wait ends.
-const NO_HOLDER_TIMEOUT: Duration = Duration::from_millis(850);
-
 /// The result of asking the placer.
 pub(super) enum PlacerAnswer {
     /// The target to which the request may be sent.
@@ -38,13 +31,19 @@
     Closed(TargetName),
     /// The placer does not know the team, and this instance has admitted the request itself.
     AskAgain,
+    /// The placer counts as slow, and a target is known to which the request can be sent.
+    Slow,
     /// The placer gave no answer.
     Nothing,
 }
 
 impl RequestAttempts<'_> {
     /// Asks the placer for a target, and waits until the target holds the adapter.
-    pub(super) async fn ask_placer(&mut self, weights: Weights) -> Result<PlacerAnswer, Refusal> {
+    pub(super) async fn ask_placer(
+        &mut self,
+        weights: Weights,
+        mode: AskMode,
+    ) -> Result<PlacerAnswer, Refusal> {
         let Some(placer) = self.shared.placer.load_full() else {
             self.report_placement("nobody places", None);
             return Ok(PlacerAnswer::Nothing);
@@ -72,11 +71,25 @@
             Some(charge) => PeerMessage::ChargedPlacementRequest(want, max_wait, charge),
             None => PeerMessage::PlacementRequest(want, max_wait),
         };
-        let answer = self
-            .shared
-            .mesh
-            .request(&placer, message, max_wait + ANSWER_MARGIN);
-        let answer = match self.until_unresponsive(answer).await {
+        let mut question = OpenQuestion::ask(
+            self.shared,
+            &placer,
+            message,
+            max_wait + ANSWER_MARGIN,
+            self.known_holders(),
+        );
+        let answer = match self.until_given_up(&mut question, mode).await {
+            Ok(answer) => Some(answer),
+            Err(why) => {
+                question.give_up(why);
+                if why == GivenUp::Slow {
+                    self.report_placement("placer slow", None);
+                    return Ok(PlacerAnswer::Slow);
+                }
+                None
+            }
+        };
+        let answer = match answer {
             Some(Ok(PeerMessage::ChargedPlacementAnswer(placed, number, charged))) => {
                 // The placer has given back the charge of a request that it can't place.
                 if matches!(placed, PlacementResult::At { .. }) {
@@ -150,30 +163,6 @@
         self.shared.dispatch().placer_responded(now);
     }
 
-    /// Waits for the placer's answer. Returns `None` if the placer has not responded for too long;
-    /// the limit is shorter if a target is known to hold the adapter.
-    async fn until_unresponsive<T>(&self, answer: impl Future<Output = T>) -> Option<T> {
-        let mut answer = std::pin::pin!(answer);
-        loop {
-            if let Ok(answer) = tokio::time::timeout(KNOWN_HOLDER_TIMEOUT, &mut answer).await {
-                return Some(answer);
-            }
-            let now = self.shared.clock.now();
-            let dispatch = self.shared.dispatch();
-            let is_known = self.req.weights.as_ref().is_some_and(|weights| {
-                weights.adapter.is_none() || dispatch.holders_of(weights).next().is_some()
-            });
-            let timeout = if is_known {
-                KNOWN_HOLDER_TIMEOUT
-            } else {
-                NO_HOLDER_TIMEOUT
-            };
-            if !dispatch.placer_responded_within(timeout, now) {
-                return None;
-            }
-        }
-    }
-
     pub(super) fn report_placement(&self, outcome: &str, target: Option<&TargetName>) {
         slog::info!(self.shared.log, "placement result";
             "request" => &*self.req.id, "outcome" => outcome,
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/traffic/placer_time.rs
@@ -0,0 +1,302 @@
+//! Measures how quickly the placer answers, and decides which requests do without it.
+//!
+//! See `docs/design/slow-placer.md`.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use chervilshunt_core::{ChargeNumber, Choice, PaceChange, PlacementResult, PlacerPace, PlacerUse};
+use chervilshunt_mesh::{Peer, RequestError};
+use chervilshunt_model::{Moment, TargetName};
+use tokio::time::MissedTickBehavior;
+
+use super::attempt::RequestAttempts;
+use crate::grants::Grant;
+use crate::peers::PeerMessage;
+use crate::shared::Shared;
+
+/// Interval at which a wait checks whether this process runs.
+const RUNNING_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Delay of such a check beyond which this process did not run. Timers have a resolution of 1 ms.
+const TIMER_TOLERANCE: Duration = Duration::from_millis(5);
+
+/// Time without a response from the placer after which a waiting request stops waiting for it, if a
+/// target is known to hold its adapter. The placer answers at once if no load is needed.
+const KNOWN_HOLDER_TIMEOUT: Duration = Duration::from_millis(250);
+/// The same if no target is known to hold the adapter: the placer has missed two of its reports,
+/// which it sends every 0.4 s, and it is better to refuse the request than to hold it until its
+/// wait ends.
+const NO_HOLDER_TIMEOUT: Duration = Duration::from_millis(850);
+
+/// The result of asking the placer.
+pub(super) type Asked = Result<PeerMessage, RequestError>;
+
+/// Waits for an answer, and returns it with the time that it took. Times in which this process did
+/// not run do not count: an instance that has used up its processor time would otherwise take the
+/// placer for slow.
+pub(super) async fn measure<T>(answer: impl Future<Output = T>) -> (T, Duration) {
+    let mut answer = std::pin::pin!(answer);
+    let began = Instant::now();
+    let first = tokio::time::Instant::now() + RUNNING_CHECK_INTERVAL;
+    let mut checks = tokio::time::interval_at(first, RUNNING_CHECK_INTERVAL);
+    checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut stopped = Duration::ZERO;
+    loop {
+        tokio::select! {
+            biased;
+            due = checks.tick() => {
+                let late = due.elapsed();
+                if late > TIMER_TOLERANCE {
+                    stopped += late;
+                }
+            }
+            answer = &mut answer => return (answer, began.elapsed().saturating_sub(stopped)),
+        }
+    }
+}
+
+/// A placement request on its way.
+pub(super) struct OpenQuestion {
+    shared: Arc<Shared>,
+    placer: Arc<Peer>,
+    /// The targets known to hold the adapter when the placer was asked.
+    holders: Vec<TargetName>,
+    answer: Pin<Box<dyn Future<Output = (Asked, Duration)> + Send>>,
+}
+
+/// Why a request does not wait for the placer any longer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum GivenUp {
+    /// The placer has not responded for too long.
+    Silent,
+    /// The placer counts as slow, and a target is known to which the request can be sent.
+    Slow,
+}
+
+impl OpenQuestion {
+    pub(super) fn ask(
+        shared: &Arc<Shared>,
+        placer: &Arc<Peer>,
+        message: PeerMessage,
+        max_wait: Duration,
+        holders: Vec<TargetName>,
+    ) -> Self {
+        let (asking, asked) = (Arc::clone(shared), Arc::clone(placer));
+        let answer = async move { measure(asking.mesh.request(&asked, message, max_wait)).await };
+        Self {
+            shared: Arc::clone(shared),
+            placer: Arc::clone(placer),
+            holders,
+            answer: Box::pin(answer),
+        }
+    }
+
+    /// Waits for the answer for a time. Returns `None` if there is none by then.
+    pub(super) async fn wait(&mut self, time: Duration) -> Option<Asked> {
+        let (answer, took) = tokio::time::timeout(time, &mut self.answer).await.ok()?;
+        self.shared
+            .record_placer_answer(&self.holders, &answer, took);
+        Some(answer)
+    }
+
+    /// Gives up waiting. If the answer still arrives, its time is recorded, and what it grants is
+    /// given back.
+    pub(super) fn give_up(self, why: GivenUp) {
+        let Self {
+            shared,
+            placer,
+            holders,
+            answer,
+        } = self;
+        if why == GivenUp::Silent && !holders.is_empty() {
+            shared.record_unanswered();
+        }
+        tokio::spawn(async move {
+            let (answer, took) = answer.await;
+            if answer.is_ok() || why == GivenUp::Slow {
+                shared.record_placer_answer(&holders, &answer, took);
+            }
+            give_back(&shared, &placer, answer);
+        });
+    }
+}
+
+/// Gives back what an answer grants that comes too late.
+fn give_back(shared: &Arc<Shared>, placer: &Peer, answer: Asked) {
+    let number = match answer {
+        Ok(PeerMessage::PlacementAnswer(PlacementResult::At { .. }, number)) => number,
+        Ok(PeerMessage::ChargedPlacementAnswer(PlacementResult::At { .. }, number, _)) => {
+            let message = PeerMessage::Uncharge(ChargeNumber(number.0));
+            if let Err(error) = shared.mesh.send(placer, message) {
+                slog::debug!(shared.log, "charge not given back"; "reason" => error.to_string());
+            }
+            number
+        }
+        Ok(_) | Err(_) => return,
+    };
+    drop(Grant::new(shared, number));
+}
+
+impl Shared {
+    /// Records the answer to a placement request, if the request needed no load.
+    fn record_placer_answer(&self, holders: &[TargetName], answer: &Asked, took: Duration) {
+        match answer {
+            Ok(
+                PeerMessage::PlacementAnswer(PlacementResult::At { target, .. }, _)
+                | PeerMessage::ChargedPlacementAnswer(PlacementResult::At { target, .. }, _, _),
+            ) if holders.contains(target) => self.record_placer_time(took),
+            Ok(_) => {}
+            Err(_) if holders.is_empty() => {}
+            Err(_) => self.record_unanswered(),
+        }
+    }
+
+    /// Records the time of an answer to a charge, which is never delayed by a load. A charge without
+    /// an answer counts as answered when its time was over.
+    pub(super) fn record_charge_answer(&self, keeper: &Peer, answer: &Asked, took: Duration) {
+        let is_placer = self
+            .placer
+            .load()
+            .as_ref()
+            .is_some_and(|it| **it == *keeper);
+        if is_placer && matches!(answer, Ok(_) | Err(RequestError::Timeout)) {
+            self.record_placer_time(took);
+        }
+    }
+
+    fn record_placer_time(&self, took: Duration) {
+        let now = self.clock.now();
+        let change = self.placer_pace().answered(took, now);
+        self.report_pace_change(change);
+    }
+
+    fn record_unanswered(&self) {
+        let now = self.clock.now();
+        let change = self.placer_pace().unanswered(now);
+        self.report_pace_change(change);
+    }
+
+    fn report_pace_change(&self, change: Option<PaceChange>) {
+        let placer = self.placer.load();
+        let placer = placer.as_ref().map(|it| it.instance.as_str().to_owned());
+        match change {
+            None => {}
+            Some(PaceChange::Slow { median, unanswered }) => {
+                slog::info!(self.log, "placer slow"; "placer" => placer,
+                    "median_ms" => median.map(|it| it.as_millis() as u64),
+                    "unanswered" => unanswered);
+                self.placer_slowed.send_replace(());
+            }
+            Some(PaceChange::Recovered { longest }) => {
+                slog::info!(self.log, "placer recovered"; "placer" => placer,
+                    "longest_ms" => longest.as_millis() as u64);
+            }
+        }
+    }
+}
+
+/// How long a request waits for the placer's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum AskMode {
+    /// As long as it waits for a placer that is not slow.
+    Wait,
+    /// As long as an answer takes that counts as quick.
+    Probe,
+}
+
+impl RequestAttempts<'_> {
+    /// Returns how a request uses the placer; `None` if it does without it.
+    pub(super) fn ask_mode(&self) -> Option<AskMode> {
+        let is_slow = self.shared.placer_pace().is_slow();
+        if !is_slow || !self.has_usable_holder() {
+            return Some(AskMode::Wait);
+        }
+        let now = self.shared.clock.now();
+        let next = self.shared.placer_pace().next_use(now);
+        match next {
+            PlacerUse::Ask => Some(AskMode::Wait),
+            PlacerUse::Probe => Some(AskMode::Probe),
+            PlacerUse::Bypass => None,
+        }
+    }
+
+    /// Returns whether a target is known to which the request can be sent without the placer.
+    fn has_usable_holder(&self) -> bool {
+        matches!(self.choose(), Choice::Send { .. })
+    }
+
+    /// Returns whether a charge is made without asking the account, because the placer keeps that and
+    /// is slow. Some are made there, to measure the placer.
+    pub(super) fn bypasses_account(&self) -> bool {
+        let now = self.shared.clock.now();
+        let mut pace = self.shared.placer_pace();
+        if self.req.weights.is_some() {
+            return pace.is_slow();
+        }
+        pace.next_use(now) == PlacerUse::Bypass
+    }
+
+    /// Waits for the placer's answer, as long as that is better than to do without it.
+    pub(super) async fn until_given_up(
+        &self,
+        question: &mut OpenQuestion,
+        mode: AskMode,
+    ) -> Result<Asked, GivenUp> {
+        if mode == AskMode::Probe {
+            let answer = question.wait(PlacerPace::PROBE_WAIT).await;
+            return answer.ok_or(GivenUp::Slow);
+        }
+        let mut slowed = self.shared.placer_slowed.subscribe();
+        let mut is_known_slow = self.shared.placer_pace().is_slow();
+        loop {
+            let answer = tokio::select! {
+                biased;
+                answer = question.wait(KNOWN_HOLDER_TIMEOUT) => answer,
+                Ok(()) = slowed.changed(), if !is_known_slow => {
+                    is_known_slow = true;
+                    if self.has_usable_holder() {
+                        return Err(GivenUp::Slow);
+                    }
+                    continue;
+                }
+            };
+            if let Some(answer) = answer {
+                return Ok(answer);
+            }
+            if self.is_placer_gone(self.shared.clock.now()) {
+                return Err(GivenUp::Silent);
+            }
+        }
+    }
+
+    /// Returns whether the placer has not responded for too long; the limit is shorter if a target is
+    /// known to hold the adapter.
+    fn is_placer_gone(&self, now: Moment) -> bool {
+        let dispatch = self.shared.dispatch();
+        let is_known = self.req.weights.as_ref().is_some_and(|weights| {
+            weights.adapter.is_none() || dispatch.holders_of(weights).next().is_some()
+        });
+        let timeout = if is_known {
+            KNOWN_HOLDER_TIMEOUT
+        } else {
+            NO_HOLDER_TIMEOUT
+        };
+        !dispatch.placer_responded_within(timeout, now)
+    }
+
+    /// Returns the targets known to hold what the request names.
+    pub(super) fn known_holders(&self) -> Vec<TargetName> {
+        let Some(weights) = &self.req.weights else {
+            return Vec::new();
+        };
+        let dispatch = self.shared.dispatch();
+        if weights.adapter.is_some() {
+            return dispatch.holders_of(weights).cloned().collect();
+        }
+        let serving = dispatch.targets();
+        let serving = serving
+            .filter(|it| it.service == self.req.service && it.version_of(&weights.model).is_some());
+        serving.map(|it| it.name.clone()).collect()
+    }
+}
