Charge the surplus of shares while the placer is slow, and test a slow placer

A charge waited 50 ms for a slow placer, which keeps the account, and a late answer left its charge in the account although the request had been charged to the instance's share. While the placer is slow, a request is charged to the share as long as half of it is left; otherwise the account is asked for up to a third of the objective, since a refusal is worse than a late response. Late charges are given back.

--- a/crates/chervilshunt_core/src/quota/bucket.rs
+++ b/crates/chervilshunt_core/src/quota/bucket.rs
@@ -38,6 +38,11 @@
         (self.level + refilled).min(self.capacity)
     }
 
+    /// Returns the most that the bucket holds.
+    pub(crate) const fn capacity(&self) -> f64 {
+        self.capacity
+    }
+
     /// Adds to the bucket, or takes from it. It goes no further into debt than its capacity.
     pub(crate) fn add(&mut self, amount: f64, now: Moment) {
         let level = self.level(now) + amount;
--- a/crates/chervilshunt_core/src/quota/share.rs
+++ b/crates/chervilshunt_core/src/quota/share.rs
@@ -121,8 +121,47 @@
         let Some(quota) = team.quota else {
             return true;
         };
+        let share = self.refilled(team, &quota, instances, now);
+        let Some(bucket) = &mut share.bucket else {
+            return false;
+        };
+        let held = bucket.level(now);
+        let is_admitted = cost <= quota.burst && (held >= cost || draw * cost < held);
+        if is_admitted {
+            bucket.add(-cost.min(held), now);
+            share.unreported += cost;
+        }
+        is_admitted
+    }
+
+    /// Returns whether this instance's share of a team's quota stays at least half full if it admits
+    /// a request. Then the request needs no answer of the ledger that comes late; the rest is kept for
+    /// requests that get no answer at all.
+    pub fn has_surplus(
+        &mut self,
+        team: &Team,
+        cost: f64,
+        instances: Option<usize>,
+        now: Moment,
+    ) -> bool {
+        let Some(quota) = team.quota else {
+            return true;
+        };
+        let share = self.refilled(team, &quota, instances, now);
+        let bucket = share.bucket.as_ref();
+        cost <= quota.burst && bucket.is_some_and(|it| it.level(now) - cost >= it.capacity() / 2.0)
+    }
+
+    /// Returns a team's share with its bucket as it is now.
+    fn refilled(
+        &mut self,
+        team: &Team,
+        quota: &Quota,
+        instances: Option<usize>,
+        now: Moment,
+    ) -> &mut TeamShare {
         let since = *self.alone_since.get_or_insert(now);
-        let excess = self.tolerance.excess(&quota);
+        let excess = self.tolerance.excess(quota);
         let share = self.teams.entry(Arc::clone(&team.name)).or_default();
         let part = share.part(instances, since);
         let rate = quota.rate * RATE_PART * part;
@@ -130,13 +169,7 @@
         let new = || TokenBucket::empty(rate, capacity, self.started);
         let bucket = share.bucket.get_or_insert_with(new);
         bucket.set_limits(rate, capacity, now);
-        let held = bucket.level(now);
-        let is_admitted = cost <= quota.burst && (held >= cost || draw * cost < held);
-        if is_admitted {
-            bucket.add(-cost.min(held), now);
-            share.unreported += cost;
-        }
-        is_admitted
+        share
     }
 
     /// Takes what was admitted without the ledger since the last call, by team. It is reported to
--- a/crates/chervilshunt_core/tests/quota.rs
+++ b/crates/chervilshunt_core/tests/quota.rs
@@ -207,6 +207,33 @@
     assert!(admitted <= allowed, "{admitted} tokens in a second");
 }
 
+/// Guards against shares that are used up beside a slow ledger, so that requests without an answer of
+/// it are refused.
+#[test]
+fn half_of_a_share_is_kept_for_requests_without_an_answer() {
+    let mut shares = QuotaShares::new(TOLERANCE, at(0.0));
+    let team = team("t", 10_000.0);
+    let now = at(20.0);
+    let mut admitted = 0;
+    while shares.has_surplus(&team, 10.0, Some(1), now) {
+        assert!(shares.try_admit(&team, 10.0, Some(1), 1.0, now));
+        admitted += 1;
+    }
+    let mut kept = 0;
+    while shares.try_admit(&team, 10.0, Some(1), 1.0, now) {
+        kept += 1;
+    }
+    assert!(admitted > 0);
+    assert!(
+        kept == admitted || kept == admitted + 1,
+        "{admitted}, {kept} kept"
+    );
+    assert!(
+        !shares.has_surplus(&team, 1e6, Some(1), at(40.0)),
+        "larger than the burst"
+    );
+}
+
 /// What disturbs a run.
 #[derive(Clone, Copy, Debug, Default)]
 struct Trouble {
@@ -220,6 +247,9 @@
     is_deputy_cut: bool,
     /// Part of the answers of the placer that come too late, so that the instance admits alone.
     late_answers: f64,
+    /// When the placer is slow: instances use the surplus of their shares, and the answers to half of
+    /// the other charges come too late.
+    slow: Option<(f64, f64)>,
     /// The quota is lowered to this part at this time.
     lowered: Option<(f64, f64)>,
 }
@@ -321,7 +351,22 @@
             (instance * 7 % INSTANCES) < (part * INSTANCES as f64) as usize
                 && (from..to).contains(&now)
         });
-        let is_late = self.rng.random::<f64>() < trouble.late_answers;
+        let is_slow = trouble
+            .slow
+            .is_some_and(|(from, to)| (from..to).contains(&now));
+        let late_part = if is_slow { 0.5 } else { trouble.late_answers };
+        let is_late = self.rng.random::<f64>() < late_part;
+        let known = self.is_count_known.then_some(INSTANCES);
+        let is_probe = self.rng.random::<f64>() < 1.0 / 16.0;
+        let share = &mut self.shares[instance];
+        if is_slow
+            && !is_probe
+            && share.has_surplus(&self.team, cost, known, at(now))
+            && share.try_admit(&self.team, cost, known, self.rng.random(), at(now))
+        {
+            self.ran.push((now, cost));
+            return;
+        }
         let number = self.next_number;
         self.next_number += 1;
         let name = Arc::clone(&self.team.name);
@@ -339,7 +384,10 @@
             }
             Some(ChargeResult::Over { .. }) if !is_late => false,
             _ => {
-                let known = self.is_count_known.then_some(INSTANCES);
+                if is_late {
+                    // The answer still comes, and its charge is given back.
+                    self.returns.push_back((now + 0.3, number));
+                }
                 let draw = self.rng.random();
                 self.shares[instance].try_admit(&self.team, cost, known, draw, at(now))
             }
@@ -480,6 +528,8 @@
 #[case::a_third_cut_off_with_the_deputy(Trouble { cut: Some((0.35, 10.0, 30.0)), is_deputy_cut: true, ..Trouble::default() })]
 #[case::a_third_cut_off_each_alone(Trouble { cut: Some((0.35, 10.0, 22.0)), ..Trouble::default() })]
 #[case::answers_late(Trouble { late_answers: 0.2, ..Trouble::default() })]
+#[case::placer_slow(Trouble { slow: Some((10.0, 20.0)), ..Trouble::default() })]
+#[case::placer_slow_beside_a_cut(Trouble { slow: Some((10.0, 20.0)), cut: Some((0.1, 10.0, 30.0)), ..Trouble::default() })]
 #[case::placer_lost_beside_a_cut(Trouble { placer_lost: &[(14.0, 6.0)], cut: Some((0.1, 10.0, 30.0)), ..Trouble::default() })]
 fn a_quota_holds_in_every_window(
     #[case] trouble: Trouble,
--- a/crates/chervilshunt_gateway/src/traffic/charge.rs
+++ b/crates/chervilshunt_gateway/src/traffic/charge.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilshunt_core::{ChargeNumber, ChargeResult, Team};
+use chervilshunt_core::{ChargeNumber, ChargeResult, PlacerPace, PlacerUse, Team};
 use chervilshunt_mesh::Peer;
 
 use super::attempt::RequestAttempts;
-use super::placer_time::measure;
+use super::placer_time::ask_account;
 use super::refusal::{Reason, Refusal};
 use super::request::CallerRequest;
 use crate::peers::{ChargeRequest, PeerMessage};
@@ -16,6 +16,9 @@
 /// Time in which the keeper of the account answers a charge. It is a part of what the shortest requests may take,
 /// and many times the way to the placer and back.
 const CHARGE_TIMEOUT: Duration = Duration::from_millis(50);
+/// Part of the objective (one third) that a charge to a slow placer may take if this instance's share is
+/// low. Most requests without an answer would be refused, which is worse than a late response.
+const SLOW_CHARGE_DIVISOR: u32 = 3;
 /// Delay after which a caller should retry if this instance has no share left for its team and nobody
 /// keeps the account.
 const NO_SHARE_RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -88,10 +91,17 @@
         let Some(keeper) = self.shared.account_keeper(now) else {
             return self.charge_to_share();
         };
-        if self.bypasses_account() && self.try_charge_to_share() {
+        let placer_use = self.account_use();
+        if placer_use == PlacerUse::Bypass && self.has_share_surplus() && self.try_charge_to_share()
+        {
             return Ok(());
         }
-        match self.charge_at(&keeper, charge).await {
+        let within = match placer_use {
+            PlacerUse::Ask => CHARGE_TIMEOUT,
+            PlacerUse::Probe => PlacerPace::PROBE_WAIT,
+            PlacerUse::Bypass => CHARGE_TIMEOUT.max(self.req.route.objective / SLOW_CHARGE_DIVISOR),
+        };
+        match self.charge_at(&keeper, charge, within).await {
             Some((result, number)) => {
                 let placer = self.shared.placer.load();
                 if placer.as_ref().is_some_and(|it| *it == keeper) {
@@ -119,14 +129,11 @@
 
     async fn charge_at(
         &self,
-        keeper: &Peer,
+        keeper: &Arc<Peer>,
         charge: ChargeRequest,
+        within: Duration,
     ) -> Option<(ChargeResult, ChargeNumber)> {
-        let message = PeerMessage::Charge(charge);
-        let answer = self.shared.mesh.request(keeper, message, CHARGE_TIMEOUT);
-        let (answer, took) = measure(answer).await;
-        self.shared.record_charge_answer(keeper, &answer, took);
-        match answer {
+        match ask_account(self.shared, keeper, charge, within).await {
             Ok(PeerMessage::ChargeAnswer(result, number)) => Some((result, number)),
             Ok(_) => None,
             Err(error) => {
@@ -182,6 +189,18 @@
         Err(refusal)
     }
 
+    /// Returns whether this instance's share of the quota is kept well filled if the request is charged
+    /// to it.
+    fn has_share_surplus(&self) -> bool {
+        let Some((team, cost)) = self.req.limited_team() else {
+            return true;
+        };
+        let now = self.shared.clock.now();
+        let instances = self.shared.known_instances();
+        let mut shares = self.shared.quota_shares();
+        shares.has_surplus(team, cost, instances, now)
+    }
+
     /// Admits the request from this instance's share of the quota, if the share allows it.
     fn try_charge_to_share(&mut self) -> bool {
         let Some((team, cost)) = self.req.limited_team() else {
--- a/crates/chervilshunt_gateway/src/traffic/placer_time.rs
+++ b/crates/chervilshunt_gateway/src/traffic/placer_time.rs
@@ -13,7 +13,7 @@
 
 use super::attempt::RequestAttempts;
 use crate::grants::Grant;
-use crate::peers::PeerMessage;
+use crate::peers::{ChargeRequest, PeerMessage};
 use crate::shared::Shared;
 
 /// Interval at which a wait checks whether this process runs.
@@ -29,13 +29,16 @@
 /// wait ends.
 const NO_HOLDER_TIMEOUT: Duration = Duration::from_millis(850);
 
+/// Time for which the answer to a charge is still expected after its request has done without it.
+const LATE_ANSWER_TIME: Duration = Duration::from_millis(500);
+
 /// The result of asking the placer.
 pub(super) type Asked = Result<PeerMessage, RequestError>;
 
 /// Waits for an answer, and returns it with the time that it took. Times in which this process did
 /// not run do not count: an instance that has used up its processor time would otherwise take the
 /// placer for slow.
-pub(super) async fn measure<T>(answer: impl Future<Output = T>) -> (T, Duration) {
+async fn measure<T>(answer: impl Future<Output = T>) -> (T, Duration) {
     let mut answer = std::pin::pin!(answer);
     let began = Instant::now();
     let first = tokio::time::Instant::now() + RUNNING_CHECK_INTERVAL;
@@ -122,20 +125,50 @@
     }
 }
 
+/// Asks the keeper of the account to charge a request. If the answer comes later than `within`, the
+/// charge is given back, since the request is charged to this instance's share by then.
+pub(super) async fn ask_account(
+    shared: &Arc<Shared>,
+    keeper: &Arc<Peer>,
+    charge: ChargeRequest,
+    within: Duration,
+) -> Asked {
+    let (asking, asked) = (Arc::clone(shared), Arc::clone(keeper));
+    let message = PeerMessage::Charge(charge);
+    let mut answer = Box::pin(async move {
+        let answer = asking
+            .mesh
+            .request(&asked, message, within + LATE_ANSWER_TIME);
+        measure(answer).await
+    });
+    if let Ok((answer, took)) = tokio::time::timeout(within, &mut answer).await {
+        shared.record_charge_answer(keeper, &answer, took);
+        return answer;
+    }
+    shared.record_charge_answer(keeper, &Err(RequestError::Timeout), within);
+    let (shared, keeper) = (Arc::clone(shared), Arc::clone(keeper));
+    tokio::spawn(async move { give_back(&shared, &keeper, answer.await.0) });
+    Err(RequestError::Timeout)
+}
+
 /// Gives back what an answer grants that comes too late.
 fn give_back(shared: &Arc<Shared>, placer: &Peer, answer: Asked) {
-    let number = match answer {
-        Ok(PeerMessage::PlacementAnswer(PlacementResult::At { .. }, number)) => number,
+    let (charge, grant) = match answer {
+        Ok(PeerMessage::ChargeAnswer(_, number)) => (Some(number), None),
+        Ok(PeerMessage::PlacementAnswer(PlacementResult::At { .. }, number)) => {
+            (None, Some(number))
+        }
         Ok(PeerMessage::ChargedPlacementAnswer(PlacementResult::At { .. }, number, _)) => {
-            let message = PeerMessage::Uncharge(ChargeNumber(number.0));
-            if let Err(error) = shared.mesh.send(placer, message) {
-                slog::debug!(shared.log, "charge not given back"; "reason" => error.to_string());
-            }
-            number
+            (Some(ChargeNumber(number.0)), Some(number))
         }
         Ok(_) | Err(_) => return,
     };
-    drop(Grant::new(shared, number));
+    drop(grant.map(|number| Grant::new(shared, number)));
+    if let Some(number) = charge
+        && let Err(error) = shared.mesh.send(placer, PeerMessage::Uncharge(number))
+    {
+        slog::debug!(shared.log, "charge not given back"; "reason" => error.to_string());
+    }
 }
 
 impl Shared {
@@ -154,7 +187,7 @@
 
     /// Records the time of an answer to a charge, which is never delayed by a load. A charge without
     /// an answer counts as answered when its time was over.
-    pub(super) fn record_charge_answer(&self, keeper: &Peer, answer: &Asked, took: Duration) {
+    fn record_charge_answer(&self, keeper: &Peer, answer: &Asked, took: Duration) {
         let is_placer = self
             .placer
             .load()
@@ -226,15 +259,16 @@
         matches!(self.choose(), Choice::Send { .. })
     }
 
-    /// Returns whether a charge is made without asking the account, because the placer keeps that and
-    /// is slow. Some are made there, to measure the placer.
-    pub(super) fn bypasses_account(&self) -> bool {
+    /// Returns how a charge uses the placer, which keeps the account. While that is slow, this
+    /// instance's share of the quota is charged, and some charges probe the placer.
+    pub(super) fn account_use(&self) -> PlacerUse {
         let now = self.shared.clock.now();
         let mut pace = self.shared.placer_pace();
-        if self.req.weights.is_some() {
-            return pace.is_slow();
+        // A request for an adapter has decided before whether it probes the placer.
+        if self.req.weights.is_some() && pace.is_slow() {
+            return PlacerUse::Bypass;
         }
-        pace.next_use(now) == PlacerUse::Bypass
+        pace.next_use(now)
     }
 
     /// Waits for the placer's answer, as long as that is better than to do without it.
