--- a/crates/chervilshunt_gateway/src/traffic/placer_time.rs
+++ b/crates/chervilshunt_gateway/src/traffic/placer_time.rs
@@ -185,16 +185,18 @@
         }
     }
 
-    /// Records the time of an answer to a charge, which is never delayed by a load. A charge without
-    /// an answer counts as answered when its time was over.
+    /// Records the time of an answer to a charge, which is never delayed by a load.
     fn record_charge_answer(&self, keeper: &Peer, answer: &Asked, took: Duration) {
-        let is_placer = self
-            .placer
-            .load()
-            .as_ref()
-            .is_some_and(|it| **it == *keeper);
-        if is_placer && matches!(answer, Ok(_) | Err(RequestError::Timeout)) {
-            self.record_placer_time(took);
+        let placer = self.placer.load();
+        if !placer.as_ref().is_some_and(|it| **it == *keeper) {
+            return;
+        }
+        match answer {
+            Ok(_) => self.record_placer_time(took),
+            // A probe waits only for as long as a quick answer takes, so its time shows nothing.
+            Err(RequestError::Timeout) if self.placer_pace().is_slow() => self.record_unanswered(),
+            Err(RequestError::Timeout) => self.record_placer_time(took),
+            Err(_) => {}
         }
     }
 
