--- a/crates/chervilshunt_engine/src/connection.rs
+++ b/crates/chervilshunt_engine/src/connection.rs
@@ -35,11 +35,13 @@
 /// round-trip time of 1 ms.
 const RECEIVE_BUFFER_BYTES: u32 = 256 * 1024;
 
-/// The maximum time that an idle connection stays in the pool.
+/// The maximum time that an idle connection stays in the pool if its target announces no timeout.
 ///
 /// Uvicorn, on which vLLM runs, closes idle connections after 5 s, and a call that is sent at that
 /// moment has an unknown outcome.
-const IDLE_LIMIT: Duration = Duration::from_secs(4);
+pub(crate) const IDLE_LIMIT: Duration = Duration::from_secs(4);
+/// The maximum time that an idle connection stays in the pool if its target announces a longer one.
+const MAX_IDLE_LIMIT: Duration = Duration::from_secs(30);
 /// The margin subtracted from the keep-alive timeout that a target announces.
 ///
 /// The target counts whole seconds from its last write, and the next request takes time to arrive.
@@ -166,14 +168,13 @@
     /// Applies the keep-alive timeout that the target announces in its answer.
     pub(crate) fn apply_keep_alive(&mut self, headers: &HeaderMap) {
         if let Some(seconds) = keep_alive_seconds(headers) {
-            let kept = Duration::from_secs(seconds);
-            self.idle_limit = IDLE_LIMIT.min(kept.saturating_sub(IDLE_MARGIN));
+            self.idle_limit = announced_idle_limit(seconds);
         }
     }
 
-    /// Returns whether it has been idle for so short a time that the target still keeps it open.
-    pub(crate) fn is_reusable(&self) -> bool {
-        self.idle_since.elapsed() < self.idle_limit
+    /// Returns how long it has been idle.
+    pub(crate) fn idle_time(&self) -> Duration {
+        self.idle_since.elapsed()
     }
 
     pub(crate) fn has_ended(&self) -> bool {
@@ -191,6 +192,11 @@
     Ok(())
 }
 
+/// Returns how long a connection may be idle if its target announces a keep-alive timeout.
+fn announced_idle_limit(seconds: u64) -> Duration {
+    MAX_IDLE_LIMIT.min(Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN))
+}
+
 /// Returns the seconds of a `Keep-Alive: timeout=N` header.
 fn keep_alive_seconds(headers: &HeaderMap) -> Option<u64> {
     let text = headers.get(KEEP_ALIVE)?.to_str().ok()?;
--- a/crates/chervilshunt_engine/src/pool.rs
+++ b/crates/chervilshunt_engine/src/pool.rs
@@ -7,12 +7,16 @@
 use tokio::runtime::Handle;
 use tokio::time::Instant;
 
-use crate::connection::TargetConnection;
+use crate::connection::{IDLE_LIMIT, TargetConnection};
 
 /// The interval at which connections that have been idle for too long are closed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(4);
 /// The maximum number of idle connections to one target.
 const MAX_IDLE: usize = 64;
+/// The number of idle connections to one target that are kept for as long as the target announces.
+/// An instance sends a target a few requests in ten seconds, one after another. The further
+/// connections that a burst leaves behind would count against the target's limit on connections.
+const LONG_IDLE: usize = 1;
 
 /// The pool of idle connections to one target; clones share it.
 #[derive(Clone)]
@@ -29,6 +33,27 @@
     sweeping: bool,
 }
 
+impl Idle {
+    /// Closes the connections that have been idle for too long.
+    fn close_outdated(&mut self) {
+        let mut newer = self.connections.len();
+        self.connections.retain(|connection| {
+            newer -= 1;
+            is_kept(connection.idle_time(), connection.idle_limit, newer)
+        });
+    }
+}
+
+/// Returns whether an idle connection is kept while `newer` idle ones were used after it.
+fn is_kept(idle_time: Duration, idle_limit: Duration, newer: usize) -> bool {
+    let limit = if newer < LONG_IDLE {
+        idle_limit
+    } else {
+        idle_limit.min(IDLE_LIMIT)
+    };
+    idle_time < limit
+}
+
 impl Pool {
     pub(crate) fn new(address: SocketAddr) -> Self {
         Self {
@@ -45,8 +70,8 @@
     pub(crate) fn take(&self) -> Option<TargetConnection> {
         let current_runtime = Handle::current().id();
         let mut idle = self.lock();
+        idle.close_outdated();
         let connections = &mut idle.connections;
-        connections.retain(TargetConnection::is_reusable);
         while let Some(last) = connections
             .iter()
             .rposition(|it| it.runtime == current_runtime)
@@ -95,10 +120,13 @@
             return;
         };
         let mut idle = idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.connections.retain(TargetConnection::is_reusable);
+        idle.close_outdated();
         if idle.connections.is_empty() {
             idle.sweeping = false;
             return;
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
