Decide centrally which requests of a plain service are admitted, and where

Instances that choose targets on their own see only their own requests, so 70 of them fill the queues of four targets until most responses are late. ServiceQueues counts the requests of all instances, admits a request where its response is expected in time, shares the throughput among teams while it is short, and gives refused callers times to return. InstanceShare bounds what an instance admits while no placer answers. Nothing uses them yet.

--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -21,6 +21,7 @@
 mod retry;
 mod returns;
 mod scheduler;
+mod service_queue;
 mod streams;
 mod weights;
 
@@ -69,5 +70,9 @@
 };
 pub use returns::ReturnSchedule;
 pub use scheduler::{LoadScheduler, SchedulerAction, SchedulerConfig, SchedulerEvent, TurnResult};
+pub use service_queue::{
+    AdmissionRequest, AdmissionResult, InstanceShare, Refused, ServiceQueues, ServiceState,
+    ShareRequest,
+};
 pub use streams::{BegunStreams, SoftwareHistory, StreamKey, StreamOrigin, StreamOrigins};
 pub use weights::PolicyWeights;
