Ask the placer for admission to plain services with the charge

A plain request of a team with a quota asks the placer for its charge. The placer now also decides whether and where it may run, and counts it until its end is reported; a refused request gets its charge back and a time to return. Instances ask only a placer whose status says that it answers, and admit from their own shares while none does. The setting admission.plain_services selects the requests.

--- a/crates/chervilshunt_core/src/dispatch/mod.rs
+++ b/crates/chervilshunt_core/src/dispatch/mod.rs
@@ -17,6 +17,7 @@
 mod limits;
 mod links;
 mod load;
+mod plain;
 mod routes;
 mod self_reports;
 mod software;
--- a/crates/chervilshunt_core/src/quota/ledger.rs
+++ b/crates/chervilshunt_core/src/quota/ledger.rs
@@ -187,6 +187,12 @@
         account.quota.map(|_| account.bucket.level(now))
     }
 
+    /// Returns the units per second that a team's quota allows; `None` for a team without a limit.
+    pub fn quota_rate(&self, team: &str) -> Option<f64> {
+        let account = self.accounts.get(team)?;
+        account.quota.map(|quota| quota.rate)
+    }
+
     /// Returns the number of charges that can still be returned.
     pub fn returnable_count(&self) -> usize {
         self.returnable.len()
--- a/crates/chervilshunt_core/src/service_queue/queue.rs
+++ b/crates/chervilshunt_core/src/service_queue/queue.rs
@@ -143,6 +143,11 @@
         expected.min_by(f64::total_cmp)
     }
 
+    /// Returns whether a request has been decided on.
+    pub(super) fn is_used(&self) -> bool {
+        self.classes.iter().any(Option::is_some)
+    }
+
     /// Returns the number of requests in flight.
     pub(super) fn in_flight(&self) -> usize {
         let counts = self.targets.values();
--- a/crates/chervilshunt_core/src/service_queue/queues.rs
+++ b/crates/chervilshunt_core/src/service_queue/queues.rs
@@ -168,9 +168,10 @@
         Some(Duration::from_secs_f64(queue.time.mean()))
     }
 
-    /// Returns what operators see of each service.
+    /// Returns what operators see of each service for which requests were decided on.
     pub fn states(&self, now: Moment) -> Vec<ServiceState> {
-        let states = self.services.iter().filter_map(|(service, queue)| {
+        let used = self.services.iter().filter(|(_, it)| it.is_used());
+        let states = used.filter_map(|(service, queue)| {
             let expected = queue.expected_response(now)?;
             Some(ServiceState {
                 service: service.clone(),
--- a/crates/chervilshunt_core/tests/service_queue.rs
+++ b/crates/chervilshunt_core/tests/service_queue.rs
@@ -122,15 +122,14 @@
         ..Play::default()
     };
     let played = play.run();
-    for team in 0..rates.len() {
+    for (team, rate) in rates.iter().enumerate() {
         for class in 0..2 {
             let requests = played.under_load();
             let requests = requests.filter(|it| (it.team, it.class) == (team, class));
             let answered = part(requests, is_answered);
             assert!(
                 answered > 0.3,
-                "{answered} of class {class} of team {team}, {} a second",
-                rates[team]
+                "{answered} of class {class} of team {team}, {rate} a second"
             );
         }
     }
--- a/crates/chervilshunt_gateway/src/control/actor.rs
+++ b/crates/chervilshunt_gateway/src/control/actor.rs
@@ -10,7 +10,7 @@
 };
 use chervilshunt_core::{
     ChargeResult, DeputyLedger, LoadEstimates, QuotaLedger, ResidencyEvent, ResidencyPlanner,
-    Weights,
+    ServiceQueues, Weights,
 };
 use chervilshunt_mesh::{Inbound, Peer, Reply};
 use chervilshunt_model::{InstanceId, Moment, StoreRevision, TargetName};
@@ -66,6 +66,8 @@
     pub(super) began: Moment,
     /// The quotas of teams; charges are numbered like placement requests.
     pub(super) ledger: QuotaLedger,
+    /// The queues of plain services; their grants are numbered like placement requests.
+    pub(super) queues: ServiceQueues,
 }
 
 /// A placement request that has not been answered.
--- a/crates/chervilshunt_gateway/src/control/mod.rs
+++ b/crates/chervilshunt_gateway/src/control/mod.rs
@@ -5,6 +5,7 @@
 //! Traffic threads read the actor's results through [`crate::shared::Shared`].
 
 mod actor;
+mod admission;
 mod change_feed;
 mod crashes;
 mod follow;
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -8,7 +8,8 @@
 use chervilshunt_coord::era_of_term;
 use chervilshunt_core::{
     ChargeNumber, ChargeResult, GrantNumber, Order, OrderAnswer, PlacementResult, QuotaLedger,
-    ResidencyAction, ResidencyConfig, ResidencyEvent, ResidencyPlanner, TargetReport, TargetUse,
+    ResidencyAction, ResidencyConfig, ResidencyEvent, ResidencyPlanner, ServiceQueues,
+    TargetReport, TargetUse,
 };
 use chervilshunt_engine::{EngineError, Limits, Outcome};
 use chervilshunt_mesh::{Peer, Reply};
@@ -63,6 +64,7 @@
             presence: Presence::default(),
             began: now,
             ledger: QuotaLedger::new(self.shared.settings.bounds.quota_tolerance, now),
+            queues: ServiceQueues::default(),
         });
         if let Some(routes) = self.shared.routes.load_full() {
             self.plan_limits(&routes);
@@ -96,6 +98,7 @@
         let Some(placer) = &mut self.placer else {
             return;
         };
+        placer.queues.observe(&event, now);
         for action in placer.residency.handle(event, now) {
             self.execute(action, now);
         }
@@ -225,6 +228,7 @@
         if let Some(placer) = &mut self.placer {
             let absent = placer.presence.absent_part(now);
             placer.ledger.set_absent(absent, now);
+            placer.queues.set_absent(absent);
         }
     }
 
@@ -245,6 +249,7 @@
                 .map(|it| (it.instance.clone(), it.address)),
             limits: self.known_limits(),
             transit,
+            admits: true,
         })
     }
 
@@ -270,6 +275,7 @@
             let knows_targets = placer.residency.knows_targets();
             self.estimates = placer.residency.estimates().or(self.estimates);
             self.keeper.set_instances(instances);
+            self.shared.set_placer_admits(true);
             self.apply_status(knows_targets, instances);
         }
     }
--- a/crates/chervilshunt_gateway/src/control/quotas.rs
+++ b/crates/chervilshunt_gateway/src/control/quotas.rs
@@ -173,6 +173,18 @@
         }
     }
 
+    /// Logs that a request was not charged.
+    pub(super) fn report_over_quota(&self, charge: &ChargeRequest, result: ChargeResult) {
+        let now = self.now();
+        let held = match (&self.placer, &self.deputy) {
+            (Some(placer), _) => placer.ledger.level(&charge.team, now),
+            (None, Some(deputy)) => deputy.level(&charge.team, now),
+            (None, None) => None,
+        };
+        slog::info!(self.shared.log, "request exceeds quota";
+            "team" => &*charge.team, "cost" => charge.cost, "result" => ?result, "held" => held);
+    }
+
     fn answer_charge(
         &self,
         result: ChargeResult,
@@ -181,14 +193,7 @@
         reply: Option<Reply<PeerMessage>>,
     ) {
         if !matches!(result, ChargeResult::Admitted { .. }) {
-            let now = self.now();
-            let held = match (&self.placer, &self.deputy) {
-                (Some(placer), _) => placer.ledger.level(&charge.team, now),
-                (None, Some(deputy)) => deputy.level(&charge.team, now),
-                (None, None) => None,
-            };
-            slog::info!(self.shared.log, "request exceeds quota";
-                "team" => &*charge.team, "cost" => charge.cost, "result" => ?result, "held" => held);
+            self.report_over_quota(charge, result);
         }
         if let Some(reply) = reply
             && let Err(error) = reply.send(PeerMessage::ChargeAnswer(result, number))
--- a/crates/chervilshunt_gateway/src/control/using.rs
+++ b/crates/chervilshunt_gateway/src/control/using.rs
@@ -23,6 +23,7 @@
             self.plan(ResidencyEvent::BrittleServices(brittle));
             self.record_spent(&spent);
             self.publish_quota_levels();
+            self.publish_queues();
             let me = self.own_id().clone();
             self.plan(ResidencyEvent::UsageReported(me, uses, grants));
             self.apply_own_status();
@@ -108,6 +109,9 @@
                 };
                 self.handle_charged_placement(from, request, within, &charge, reply);
             }
+            PeerMessage::AdmitRequest(request) => {
+                self.handle_admit(&from, request, received_at.elapsed(), reply);
+            }
             PeerMessage::Charge(charge) => self.handle_charge(&from, &charge, reply),
             PeerMessage::WithoutPlacer(spent) => {
                 let now = self.now();
@@ -140,7 +144,9 @@
                 deputy,
                 limits,
                 transit,
+                admits,
             } if self.is_placer(&from) => {
+                self.shared.set_placer_admits(admits);
                 self.apply_transit_offers(transit);
                 self.apply_deputy(deputy);
                 for report in &limits {
@@ -160,6 +166,7 @@
             | PeerMessage::PlacementAnswer(..)
             | PeerMessage::ChargedPlacementAnswer(..)
             | PeerMessage::ChargeAnswer(..)
+            | PeerMessage::AdmitAnswer(_)
             | PeerMessage::SendPermitAnswer(_)
             | PeerMessage::TransitTicket(..)
             | PeerMessage::StreamOriginAnswer(_)
--- a/crates/chervilshunt_gateway/src/lib.rs
+++ b/crates/chervilshunt_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! targets (`control`). The platform's names and formats are provided by a [`Dialect`]; no other
 //! part of this crate depends on them. See `docs/design/on-the-platform.md`.
 
+mod admit;
 mod brittle;
 mod control;
 mod crashes;
@@ -30,5 +31,6 @@
 };
 pub use run::run;
 pub use settings::{
-    Addresses, Bounds, InstanceSettings, LogLevel, PlatformSettings, Settings, SettingsError,
+    Addresses, Bounds, InstanceSettings, LogLevel, PlainAdmission, PlatformSettings, Settings,
+    SettingsError,
 };
--- a/crates/chervilshunt_gateway/src/peers.rs
+++ b/crates/chervilshunt_gateway/src/peers.rs
@@ -16,6 +16,7 @@
 use chervilshunt_model::{InstanceId, ServiceName, StoreRevision, TargetName, ZoneName};
 use serde::{Deserialize, Serialize};
 
+use crate::admit::{AdmitAnswer, AdmitRequest};
 use crate::dialect::{Freshness, Kind};
 use crate::transit::Ticket;
 
@@ -68,6 +69,13 @@
     /// The charge has the number of the grant.
     #[serde(rename = "P")]
     ChargedPlacementAnswer(PlacementResult, GrantNumber, ChargeResult),
+    /// To the placer: a request for a plain service that needs a place and a charge. Answered by
+    /// `AdmitAnswer`.
+    #[serde(rename = "a")]
+    AdmitRequest(AdmitRequest),
+    /// From the placer: whether and where the request may run.
+    #[serde(rename = "A")]
+    AdmitAnswer(AdmitAnswer),
     /// To the placer or the deputy: a request that is charged to a team's quota. Answered by
     /// `ChargeAnswer`.
     #[serde(rename = "b")]
@@ -144,6 +152,9 @@
         /// one to know of if there is no placer when it does.
         #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
         transit: Vec<TransitOffer>,
+        /// Whether the sender answers `AdmitRequest`; instances older than this field omit it.
+        #[serde(rename = "a", default, skip_serializing_if = "is_false")]
+        admits: bool,
     },
     /// To an instance that may pass on the sender's requests, which does not reach the targets of
     /// these services. Answered by `TransitTicket` if the receiver reaches them.
@@ -348,6 +359,8 @@
             Self::PlacementAnswer(..) => "placed",
             Self::ChargedPlacementRequest(..) => "want_charged",
             Self::ChargedPlacementAnswer(..) => "placed_charged",
+            Self::AdmitRequest(_) => "admit",
+            Self::AdmitAnswer(_) => "admit_answer",
             Self::Charge(_) => "charge",
             Self::ChargeAnswer(..) => "charge_answer",
             Self::WithoutPlacer(_) => "without_placer",
--- a/crates/chervilshunt_gateway/src/settings.rs
+++ b/crates/chervilshunt_gateway/src/settings.rs
@@ -59,6 +59,8 @@
     pub platform: PlatformSettings,
     /// The limits that the operators set.
     pub bounds: Bounds,
+    /// Which requests to plain services the placer admits.
+    pub plain_admission: PlainAdmission,
     /// The lowest level of lines that are logged.
     pub log_level: LogLevel,
 }
@@ -118,6 +120,19 @@
     pub max_key_age: Option<Duration>,
 }
 
+/// Which requests to plain services the placer admits, for all instances together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum PlainAdmission {
+    /// Those of teams with a quota, which ask the placer for their charge anyway.
+    #[default]
+    Auto,
+    /// All.
+    Placer,
+    /// None: each instance sends them where it sees room.
+    Off,
+}
+
 /// The lowest level of lines that are logged.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -140,6 +155,7 @@
     addresses: RawAddresses,
     platform: RawPlatform,
     bounds: RawBounds,
+    admission: RawAdmission,
     log: RawLog,
 }
 
@@ -184,6 +200,12 @@
     max_key_age_ms: Option<u64>,
 }
 
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct RawAdmission {
+    plain_services: PlainAdmission,
+}
+
 #[derive(Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 struct RawLog {
@@ -240,6 +262,7 @@
         addresses,
         platform,
         bounds,
+        admission,
         log,
     } = raw;
     let id = instance.id.context(missing("instance.id"))?;
@@ -294,6 +317,7 @@
             address: platform.address.context(missing("platform.address"))?,
         },
         bounds: resolve_bounds(&bounds, file)?,
+        plain_admission: admission.plain_services,
         log_level: log.level,
     })
 }
--- a/crates/chervilshunt_gateway/src/shared.rs
+++ b/crates/chervilshunt_gateway/src/shared.rs
@@ -7,8 +7,8 @@
 
 use arc_swap::ArcSwapOption;
 use chervilshunt_core::{
-    AdmissionConfig, ConnectionAdmission, Dispatch, Quarantine, QuarantineConfig, QuotaShares,
-    RouteTable, ServiceBudgets, SettlingAnswers,
+    AdmissionConfig, ConnectionAdmission, Dispatch, InstanceShare, Quarantine, QuarantineConfig,
+    QuotaShares, RouteTable, ServiceBudgets, SettlingAnswers,
 };
 use chervilshunt_engine::EngineClients;
 use chervilshunt_mesh::{Mesh, Peer};
@@ -89,6 +89,9 @@
     settling: Mutex<SettlingAnswers>,
     admission: Mutex<ConnectionAdmission>,
     quota_shares: Mutex<QuotaShares>,
+    instance_share: Mutex<InstanceShare>,
+    /// Whether the placer decides on the admission to plain services, as it has reported.
+    placer_admits: AtomicBool,
     instances: AtomicUsize,
     /// When there will be a placer again, in microseconds of the clock; zero while there is one.
     placer_return: AtomicU64,
@@ -177,6 +180,8 @@
             settling: Mutex::default(),
             admission: Mutex::new(admission),
             quota_shares: Mutex::new(quota_shares),
+            instance_share: Mutex::default(),
+            placer_admits: AtomicBool::new(false),
             instances: AtomicUsize::new(UNKNOWN_INSTANCES),
             placer_return: AtomicU64::new(0),
             configuration_confirmed: AtomicU64::new(0),
@@ -234,6 +239,23 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks this instance's shares of the capacity of plain services.
+    pub(crate) fn instance_share(&self) -> MutexGuard<'_, InstanceShare> {
+        self.instance_share
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether the placer decides on the admission to plain services.
+    pub(crate) fn placer_admits(&self) -> bool {
+        self.placer_admits.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether the placer decides on the admission to plain services.
+    pub(crate) fn set_placer_admits(&self, admits: bool) {
+        self.placer_admits.store(admits, Ordering::Relaxed);
+    }
+
     /// Returns whether the placer may be gone: its connection was lost, or it was not heard for long
     /// although it has been known for long.
     pub(crate) fn is_placer_silent(&self, now: Moment) -> bool {
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/traffic/admission.rs
@@ -0,0 +1,186 @@
+//! Asks for admission to plain services, or decides on it while no placer answers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilshunt_core::{ChargeNumber, ShareRequest};
+use chervilshunt_mesh::Peer;
+
+use super::attempt::RequestAttempts;
+use super::charge::CHARGE_TIMEOUT;
+use super::placer::PlacerAnswer;
+use super::refusal::{Reason, Refusal};
+use crate::admit::{AdmitAnswer, AdmitOutcome, AdmitRequest};
+use crate::grants::Grant;
+use crate::peers::PeerMessage;
+use crate::settings::PlainAdmission;
+
+/// Callers wait at most this fraction (one third) of their remaining time.
+const RETRY_TIME_DIVISOR: u32 = 3;
+
+impl RequestAttempts<'_> {
+    /// Returns whether the request needs a place that is decided on for all instances together.
+    ///
+    /// Targets with rate limits and brittle targets have rules of their own, which don't expect a
+    /// queue at the target.
+    pub(super) fn needs_admission(&self) -> bool {
+        let is_wanted = match self.shared.settings.plain_admission {
+            PlainAdmission::Auto => self.req.limited_team().is_some(),
+            PlainAdmission::Placer => true,
+            PlainAdmission::Off => false,
+        };
+        if !is_wanted || self.req.weights.is_some() || self.software.is_some() {
+            return false;
+        }
+        let service = &self.req.service;
+        let routes = self.shared.routes.load();
+        let spec = routes.as_ref().and_then(|it| it.services.get(service));
+        if spec.is_none_or(|it| it.placement.is_some()) {
+            return false;
+        }
+        let dispatch = self.shared.dispatch();
+        dispatch.brittleness(service).is_none() && !dispatch.has_limited_target(service)
+    }
+
+    /// Asks the placer for a place and for the charge to the team's quota. Returns
+    /// `PlacerAnswer::AskAgain` if this instance has admitted the request and has to choose the
+    /// target itself.
+    pub(super) async fn admit(&mut self) -> Result<PlacerAnswer, Refusal> {
+        let now = self.shared.clock.now();
+        let placer = self.shared.placer.load_full();
+        let placer =
+            placer.filter(|_| self.shared.placer_admits() && !self.shared.is_placer_silent(now));
+        let Some(placer) = placer else {
+            self.admit_alone()?;
+            self.charge().await?;
+            return Ok(PlacerAnswer::AskAgain);
+        };
+        let Some(answer) = self.ask_admission(&placer).await else {
+            self.admit_alone()?;
+            if self.pending_charge().is_some() {
+                self.charge_to_share()?;
+            }
+            return Ok(PlacerAnswer::AskAgain);
+        };
+        self.record_placer_response();
+        self.use_admission(answer, placer).await
+    }
+
+    async fn ask_admission(&self, placer: &Peer) -> Option<AdmitAnswer> {
+        let message = PeerMessage::AdmitRequest(self.admit_request());
+        let answer = self.shared.mesh.request(placer, message, CHARGE_TIMEOUT);
+        match answer.await {
+            Ok(PeerMessage::AdmitAnswer(answer)) => Some(answer),
+            Ok(_) => None,
+            Err(error) => {
+                slog::info!(self.shared.log, "admission not decided by placer";
+                    "request" => &*self.req.id, "placer" => placer.instance.as_str(),
+                    "reason" => error.to_string());
+                None
+            }
+        }
+    }
+
+    fn admit_request(&self) -> AdmitRequest {
+        let now = self.shared.clock.now();
+        let service = &self.req.service;
+        let mut avoid = {
+            let dispatch = self.shared.dispatch();
+            let mut avoid = dispatch.suspect_targets(service, now);
+            avoid.extend(dispatch.closed_targets(service, now));
+            avoid
+        };
+        avoid.extend(self.avoid.iter().cloned());
+        let charge = self.pending_charge();
+        let team = self.req.team.as_ref().filter(|_| charge.is_none());
+        let passed = now.since(self.req.arrived);
+        AdmitRequest {
+            service: service.clone(),
+            team: team.map(|it| Arc::clone(&it.name)),
+            charge,
+            objective_left: self.req.route.objective.saturating_sub(passed),
+            time_left: self.req.time_left(now),
+            priority: self.req.priority(),
+            content: self.req.fingerprint(),
+            zone: Some(self.shared.settings.instance.zone.clone()),
+            avoid,
+        }
+    }
+
+    async fn use_admission(
+        &mut self,
+        answer: AdmitAnswer,
+        placer: Arc<Peer>,
+    ) -> Result<PlacerAnswer, Refusal> {
+        let AdmitAnswer {
+            charge,
+            number,
+            outcome,
+            slot_time,
+        } = answer;
+        if let Some(time) = slot_time {
+            let mut share = self.shared.instance_share();
+            share.record_slot_time(&self.req.service, time);
+        }
+        let grant = matches!(outcome, AdmitOutcome::At(_)).then(|| Grant::new(self.shared, number));
+        if let Some(result) = charge {
+            let is_given_back = matches!(outcome, AdmitOutcome::Busy { .. });
+            self.handle_admit_charge(result, is_given_back, placer, ChargeNumber(number.0))?;
+        }
+        match (outcome, grant) {
+            (AdmitOutcome::At(target), Some(grant)) => {
+                Ok(self.use_placement(target, grant, None).await)
+            }
+            (AdmitOutcome::Busy { retry_in }, _) => Err(self.not_admitted(retry_in)),
+            (AdmitOutcome::NoTarget | AdmitOutcome::At(_), _) => Ok(PlacerAnswer::AskAgain),
+        }
+    }
+
+    /// Refuses a request. The time to return is the caller's own, so it is not spread.
+    fn not_admitted(&self, retry_in: Option<Duration>) -> Refusal {
+        let now = self.shared.clock.now();
+        let third = self.req.time_left(now) / RETRY_TIME_DIVISOR;
+        Refusal {
+            reason: Reason::NotAdmitted,
+            retry_after: Some(retry_in.unwrap_or(third)),
+        }
+    }
+
+    /// Admits the request from this instance's share of the service's capacity, or refuses it.
+    fn admit_alone(&self) -> Result<(), Refusal> {
+        let now = self.shared.clock.now();
+        let service = &self.req.service;
+        let (slots, in_flight) = {
+            let dispatch = self.shared.dispatch();
+            (
+                dispatch.service_slots(service),
+                dispatch.service_in_flight(service),
+            )
+        };
+        let share = ShareRequest {
+            service,
+            slots,
+            instances: self.shared.instances(),
+            in_flight,
+            objective: self.req.route.objective,
+            time_left: self.req.time_left(now),
+            content: self.req.fingerprint(),
+        };
+        let refused = self.shared.instance_share().refused(&share, now);
+        let outcome = if refused.is_some() { "busy" } else { "alone" };
+        let labels = [
+            ("service", service.to_string()),
+            ("outcome", outcome.to_owned()),
+        ];
+        metrics::counter!("chervilshunt_admissions_total", &labels).increment(1);
+        let Some(retry_in) = refused else {
+            return Ok(());
+        };
+        slog::info!(self.shared.log, "request not admitted";
+            "request" => &*self.req.id, "service" => service.as_str(), "alone" => true,
+            "team" => self.req.team.as_ref().map(|it| it.name.to_string()),
+            "queue" => in_flight, "slots" => slots, "instances" => share.instances,
+            "retry_in_ms" => retry_in.map(|it| it.as_millis() as u64));
+        Err(self.not_admitted(retry_in))
+    }
+}
--- a/crates/chervilshunt_gateway/src/traffic/charge.rs
+++ b/crates/chervilshunt_gateway/src/traffic/charge.rs
@@ -14,7 +14,7 @@
 
 /// Time in which the keeper of the account answers a charge. It is a part of what the shortest requests may take,
 /// and many times the way to the placer and back.
-const CHARGE_TIMEOUT: Duration = Duration::from_millis(50);
+pub(crate) const CHARGE_TIMEOUT: Duration = Duration::from_millis(50);
 /// Delay after which a caller should retry if this instance has no share left for its team and nobody
 /// keeps the account.
 const NO_SHARE_RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -160,6 +160,26 @@
         }
     }
 
+    /// Handles the decision on the charge of a request for a plain service. If the request was
+    /// refused, the placer has given back what it charged.
+    pub(super) fn handle_admit_charge(
+        &mut self,
+        result: ChargeResult,
+        is_given_back: bool,
+        keeper: Arc<Peer>,
+        number: ChargeNumber,
+    ) -> Result<(), Refusal> {
+        if is_given_back
+            && matches!(
+                result,
+                ChargeResult::Admitted { .. } | ChargeResult::NoAccount
+            )
+        {
+            return Ok(());
+        }
+        self.handle_charge_result(result, keeper, number)
+    }
+
     fn record_charge(&mut self, keeper: Arc<Peer>, number: ChargeNumber, fleet_rate: Option<f32>) {
         let now = self.shared.clock.now();
         if let Some((team, cost)) = self.req.limited_team() {
--- a/crates/chervilshunt_gateway/src/traffic/mod.rs
+++ b/crates/chervilshunt_gateway/src/traffic/mod.rs
@@ -1,5 +1,6 @@
 //! Processing of callers' requests.
 
+mod admission;
 mod answer;
 mod attempt;
 mod authentication;
@@ -21,6 +22,7 @@
 mod serve;
 
 pub(crate) use attempt::CONNECT_TIMEOUT;
+pub(crate) use charge::CHARGE_TIMEOUT;
 pub(crate) use in_flight::FRESH_ANSWER_AGE;
 pub(crate) use intake::read_body;
 pub(crate) use place::REACHABLE_WINDOW;
--- a/crates/chervilshunt_gateway/src/traffic/place.rs
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -65,6 +65,7 @@
         let began = self.shared.clock.now();
         let max_wait = self.req.route.objective.mul_f64(ROOM_WAIT_FACTOR);
         let mut placer_answers = true;
+        let mut is_admitted = !self.needs_admission();
         loop {
             self.refuse_if_origin_gone()?;
             self.refuse_if_cut_off()?;
@@ -82,6 +83,14 @@
                 }
                 continue;
             }
+            if !is_admitted {
+                match self.admit().await? {
+                    PlacerAnswer::At(chosen) => return Ok(chosen),
+                    PlacerAnswer::Closed(target) => self.avoid.push(target),
+                    PlacerAnswer::AskAgain | PlacerAnswer::Nothing => is_admitted = true,
+                }
+                continue;
+            }
             self.charge().await?;
             let wait = match self.choose_permitted(began + max_wait).await {
                 Ok(chosen) => return Ok(chosen),
--- a/crates/chervilshunt_gateway/src/traffic/placer.rs
+++ b/crates/chervilshunt_gateway/src/traffic/placer.rs
@@ -185,7 +185,7 @@
     ///
     /// `send_in` is the delay after which the target's rate limit allows the request, or `None` if the
     /// placer knows of no limit.
-    async fn use_placement(
+    pub(super) async fn use_placement(
         &self,
         target: TargetName,
         grant: Grant,
--- a/crates/chervilshunt_gateway/src/traffic/refusal.rs
+++ b/crates/chervilshunt_gateway/src/traffic/refusal.rs
@@ -37,6 +37,8 @@
     CutOff,
     /// No target holds its adapter, and the adapter could not be placed.
     NotPlaced,
+    /// Its service has no capacity left for it.
+    NotAdmitted,
     /// All targets are full.
     Full,
     /// The rate limits of all targets that have room are used up.
@@ -78,6 +80,7 @@
             Self::NoTarget => "no_target",
             Self::CutOff => "cut_off",
             Self::NotPlaced => "not_placed",
+            Self::NotAdmitted => "not_admitted",
             Self::Full => "full",
             Self::RateLimited => "rate_limited",
             Self::CrashesTargets => "crashes_targets",
@@ -107,6 +110,7 @@
             | Self::NoTarget
             | Self::CutOff
             | Self::NotPlaced
+            | Self::NotAdmitted
             | Self::Full
             | Self::RateLimited
             | Self::CrashesTargets
