--- a/crates/chervilshunt_core/src/dispatch/mod.rs
+++ b/crates/chervilshunt_core/src/dispatch/mod.rs
@@ -18,6 +18,7 @@
 mod links;
 mod load;
 mod pace;
+mod plain;
 mod routes;
 mod self_reports;
 mod software;
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -22,6 +22,7 @@
 mod retry;
 mod returns;
 mod scheduler;
+mod service_queue;
 mod speed;
 mod streams;
 mod weights;
@@ -72,6 +73,10 @@
 };
 pub use returns::ReturnSchedule;
 pub use scheduler::{LoadScheduler, SchedulerAction, SchedulerConfig, SchedulerEvent, TurnResult};
+pub use service_queue::{
+    AdmissionRequest, AdmissionResult, InstanceShare, Refused, ServiceQueues, ServiceState,
+    ShareRequest,
+};
 pub use speed::{PaceChange, PaceFigures, TargetSpeed};
 pub use streams::{BegunStreams, SoftwareHistory, StreamKey, StreamOrigin, StreamOrigins};
 pub use weights::PolicyWeights;
