--- a/crates/chervilshunt_core/src/dispatch/pace.rs
+++ b/crates/chervilshunt_core/src/dispatch/pace.rs
@@ -6,7 +6,7 @@
 
 use super::facts::TargetStart;
 use super::state::{Dispatch, Target};
-use crate::speed::{PaceChange, ServicePace, TargetSpeed};
+use crate::speed::{PaceChange, PaceQuantiles, ServicePace, TargetSpeed};
 
 /// What a stated pace changes in the knowledge of an instance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -87,6 +87,12 @@
         update
     }
 
+    /// Returns the distributions of targets' lasting paces, by service.
+    pub fn pace_quantiles(&self) -> Vec<PaceQuantiles> {
+        let targets = self.targets.values();
+        PaceQuantiles::of(targets.map(|it| (&it.facts.service, &it.speed)))
+    }
+
     /// Returns what this instance knows about the speeds of targets.
     pub fn speeds(&self) -> Vec<(TargetName, TargetSpeed)> {
         let known = self.targets.iter();
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -70,6 +70,6 @@
 };
 pub use returns::ReturnSchedule;
 pub use scheduler::{LoadScheduler, SchedulerAction, SchedulerConfig, SchedulerEvent, TurnResult};
-pub use speed::{PaceChange, PaceFigures, TargetSpeed};
+pub use speed::{PaceChange, PaceFigures, PaceQuantiles, TargetSpeed};
 pub use streams::{BegunStreams, SoftwareHistory, StreamKey, StreamOrigin, StreamOrigins};
 pub use weights::PolicyWeights;
--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -25,7 +25,7 @@
     AnnouncedVersions, PlacementLimits, TargetFacts, TargetSnapshot, TargetStart, Weights,
 };
 use crate::rate_limit::{SendPermit, SendSchedules};
-use crate::speed::{PaceChange, TargetSpeed};
+use crate::speed::{PaceChange, PaceQuantiles, TargetSpeed};
 
 /// The share of targets that must have reported before the placer counts as knowing what is held.
 /// The last few may be slow or gone.
@@ -139,6 +139,12 @@
         }
     }
 
+    /// Returns the distributions of targets' lasting paces, by service.
+    pub fn pace_quantiles(&self) -> Vec<PaceQuantiles> {
+        let targets = self.targets.values();
+        PaceQuantiles::of(targets.map(|it| (&it.facts.service, &it.speed)))
+    }
+
     /// Returns the changes of targets' lasting paces since the last call.
     pub fn take_pace_changes(&mut self) -> Vec<(TargetName, PaceChange)> {
         std::mem::take(&mut self.pace_changes)
--- a/crates/chervilshunt_core/src/speed.rs
+++ b/crates/chervilshunt_core/src/speed.rs
@@ -7,9 +7,10 @@
 //! the durations of requests, because a target would appear slow when it was given long work or was
 //! full. See `docs/design/target-speed.md`.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use chervilshunt_model::Moment;
+use chervilshunt_model::{Moment, ServiceName};
 
 /// The usual pace, which also counts for targets whose answers state none.
 const USUAL_PACE: u16 = 100;
@@ -223,6 +224,43 @@
     mean: Option<f64>,
 }
 
+/// The distribution of the lasting figures of one service's targets.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PaceQuantiles {
+    /// The service.
+    pub service: ServiceName,
+    /// Quantiles by their names.
+    pub quantiles: [(&'static str, u16); 3],
+}
+
+impl PaceQuantiles {
+    /// Computes the distributions for the targets that state their paces. There may be thousands of
+    /// targets, which would be too many series of a metric.
+    pub(crate) fn of<'a>(
+        speeds: impl Iterator<Item = (&'a ServiceName, &'a TargetSpeed)>,
+    ) -> Vec<Self> {
+        let mut by_service: BTreeMap<&ServiceName, Vec<u16>> = BTreeMap::new();
+        for (service, speed) in speeds {
+            if let Some(lasting) = speed.lasting_figure() {
+                by_service.entry(service).or_default().push(lasting);
+            }
+        }
+        let all = by_service.into_iter().map(|(service, mut paces)| {
+            paces.sort_unstable();
+            let last = paces.len() - 1;
+            Self {
+                service: service.clone(),
+                quantiles: [
+                    ("0.1", paces[last / 10]),
+                    ("0.5", paces[last / 2]),
+                    ("0.9", paces[last - last / 10]),
+                ],
+            }
+        });
+        all.collect()
+    }
+}
+
 /// The speed of a target relative to the targets of its service: how long work takes there compared
 /// with the mean.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/chervilshunt_core/tests/target_pace.rs
+++ b/crates/chervilshunt_core/tests/target_pace.rs
@@ -434,3 +434,21 @@
     // Of 72 requests in each tenth of a second.
     assert!(most <= 24, "{most}");
 }
+
+/// The metric shows the distribution over targets rather than each of them, and nothing where no
+/// target states its pace.
+#[test]
+fn paces_are_published_as_quantiles() {
+    let mut dispatch = instance(21);
+    assert_eq!(dispatch.pace_quantiles(), Vec::new());
+    for index in 0..20 {
+        state(&mut dispatch, index, 100 + 10 * index as u16, 0);
+    }
+    let quantiles = dispatch.pace_quantiles();
+    let [of_service] = &*quantiles else {
+        panic!("{quantiles:?}");
+    };
+    assert_eq!(of_service.service, ServiceName::from("quotes"));
+    let expected = [("0.1", 110), ("0.5", 190), ("0.9", 280)];
+    assert_eq!(of_service.quantiles, expected);
+}
--- a/crates/chervilshunt_gateway/src/control/actor.rs
+++ b/crates/chervilshunt_gateway/src/control/actor.rs
@@ -115,6 +115,8 @@
     pub(super) deputy: Option<DeputyLedger>,
     /// The number of the next charge as the deputy.
     pub(super) next_deputy_charge: u64,
+    /// When the metric of targets' paces was last updated.
+    pub(super) paces_published_at: Moment,
     /// Time of the next scheduled wake-up. Keeps a single timer rather than one per message.
     wakes_at: Option<Moment>,
 }
@@ -162,6 +164,7 @@
             restored_targets: HashMap::new(),
             deputy: None,
             next_deputy_charge: FIRST_DEPUTY_CHARGE | shared.clock.now().as_micros(),
+            paces_published_at: Moment::ZERO,
             wakes_at: None,
             shared,
         }
--- a/crates/chervilshunt_gateway/src/control/mod.rs
+++ b/crates/chervilshunt_gateway/src/control/mod.rs
@@ -19,6 +19,7 @@
 mod reading;
 mod restore;
 mod snapshots;
+mod speed;
 mod streams;
 mod suspension;
 mod targets;
--- a/crates/chervilshunt_gateway/src/control/using.rs
+++ b/crates/chervilshunt_gateway/src/control/using.rs
@@ -17,6 +17,7 @@
         let grants = self.shared.grants.open();
         let spent = self.shared.quota_shares().take_unreported();
         let limits = self.known_limits();
+        self.publish_paces();
         if self.placer.is_some() {
             self.plan_rate_limits(&limits);
             let brittle = self.shared.dispatch().brittle_services();
--- a/crates/chervilshunt_gateway/src/lib.rs
+++ b/crates/chervilshunt_gateway/src/lib.rs
@@ -19,7 +19,6 @@
 mod run;
 mod settings;
 mod shared;
-mod speed;
 mod store;
 mod streams;
 mod traffic;
--- a/crates/chervilshunt_gateway/src/traffic/in_flight.rs
+++ b/crates/chervilshunt_gateway/src/traffic/in_flight.rs
@@ -103,7 +103,8 @@
         let update = shared
             .dispatch()
             .pace_reported(target, self.started, pace, now);
-        if let Some(change) = update.change {
+        // Of granted requests the placer logs what changes its own decisions.
+        if let (Some(change), None) = (update.change, &self.grant) {
             shared.record_pace_change(target, change, "answer");
         }
         if let (Some(grant), Some(pace)) = (&self.grant, pace) {
