--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -77,6 +77,6 @@
     AdmissionRequest, AdmissionResult, InstanceShare, Refused, ServiceQueues, ServiceState,
     ShareRequest,
 };
-pub use speed::{PaceChange, PaceFigures, TargetSpeed};
+pub use speed::{PaceChange, PaceFigures, PaceQuantiles, TargetSpeed};
 pub use streams::{BegunStreams, SoftwareHistory, StreamKey, StreamOrigin, StreamOrigins};
 pub use weights::PolicyWeights;
--- a/crates/chervilshunt_gateway/src/lib.rs
+++ b/crates/chervilshunt_gateway/src/lib.rs
@@ -20,7 +20,6 @@
 mod run;
 mod settings;
 mod shared;
-mod speed;
 mod store;
 mod streams;
 mod traffic;
