--- a/crates/chervilshunt_core/src/service_queue/instance_share.rs
+++ b/crates/chervilshunt_core/src/service_queue/instance_share.rs
@@ -27,6 +27,8 @@
 struct ShareState {
     /// The time in a slot that the placer has told last.
     slot_time: Option<Duration>,
+    /// Requests that were admitted and have not been sent yet.
+    pending: u32,
     returns: ReturnSchedule,
 }
 
@@ -56,9 +58,15 @@
         state.slot_time = Some(time);
     }
 
-    /// Returns `None` if a request may be sent; otherwise the time after which its caller should
-    /// return, or `Some(None)` if there is none that the caller would wait for.
-    pub fn refused(&mut self, req: &ShareRequest<'_>, now: Moment) -> Option<Option<Duration>> {
+    /// Admits a request, which counts as in flight until [`Self::sent`] is called for it.
+    ///
+    /// # Errors Fails with the time after which the caller should return if the share is used up;
+    /// the time is `None` if the caller would not wait that long.
+    pub fn try_admit(
+        &mut self,
+        req: &ShareRequest<'_>,
+        now: Moment,
+    ) -> Result<(), Option<Duration>> {
         let state = self.services.entry(req.service.clone()).or_default();
         let slot_time = state.slot_time.unwrap_or(INITIAL_SLOT_TIME).as_secs_f64();
         let slot_time = slot_time.max(1e-4);
@@ -70,18 +78,24 @@
         // the times bound how many there are.
         let is_return = state.returns.redeem(req.content, now);
         let allowed = if is_return { share + 1.0 } else { share };
-        if f64::from(req.in_flight) + 1.0 <= allowed {
-            return None;
+        if f64::from(req.in_flight + state.pending) + 1.0 <= allowed {
+            state.pending += 1;
+            return Ok(());
         }
         let throughput = slots / slot_time / instances;
         let interval = Duration::from_secs_f64((1.0 / (RETURN_PART * throughput)).min(1.0));
         let patience = req.time_left / PATIENCE_DIVISOR;
         let free_in = Duration::from_secs_f64(slot_time.min(1.0));
-        Some(
-            state
-                .returns
-                .schedule(req.content, free_in, interval, patience, now),
-        )
+        let returns = &mut state.returns;
+        Err(returns.schedule(req.content, free_in, interval, patience, now))
+    }
+
+    /// Records that an admitted request has been sent, and counts as in flight elsewhere, or will
+    /// not be sent.
+    pub fn sent(&mut self, service: &ServiceName) {
+        if let Some(state) = self.services.get_mut(service) {
+            state.pending = state.pending.saturating_sub(1);
+        }
     }
 
     /// Removes services that are not in the configuration any more.
--- a/crates/chervilshunt_core/src/service_queue/queue.rs
+++ b/crates/chervilshunt_core/src/service_queue/queue.rs
@@ -166,23 +166,24 @@
         };
         let team = req.team.as_ref();
         let is_return = self.returns.redeem(req.content, now);
-        if !is_return {
+        let is_late = is_return || req.is_repeat;
+        if !is_late {
             self.shares.record_demand(team, req.weight, now);
         }
         let throughput = self.throughput(now);
         let is_short = self.is_short(throughput, now);
-        let max_wait = if is_return {
+        let max_wait = if is_late {
             (req.time_left / 2).as_secs_f64() - earliest.time_in_slot
         } else {
             self.max_wait(req, earliest.time_in_slot, is_short, throughput, now)
         };
-        self.record_class(req, is_return, now);
+        self.record_class(req, is_late, now);
         let is_queued = earliest.wait > max_wait * SHARED_FROM;
-        if is_queued && !earliest.has_free_slot && !is_return && is_short {
+        if is_queued && !earliest.has_free_slot && !is_late && is_short {
             let probability = self.shares.admission_probability(team, throughput, now);
-            let is_late = self.refusals.includes(req.content, now);
-            if is_late || draw >= probability {
-                return self.refuse(req, &earliest, throughput, !is_late, now);
+            let was_refused = self.refusals.includes(req.content, now);
+            if was_refused || draw >= probability {
+                return self.refuse(req, &earliest, throughput, !was_refused, now);
             }
         }
         let fits = earliest.wait <= max_wait && !earliest.is_queue_full;
@@ -278,14 +279,14 @@
         objectives.min_by(f64::total_cmp)
     }
 
-    fn record_class(&mut self, req: &AdmissionRequest, is_return: bool, now: Moment) {
+    fn record_class(&mut self, req: &AdmissionRequest, is_late: bool, now: Moment) {
         let class = &mut self.classes[class_index(req.priority)];
         let class = class.get_or_insert_with(|| PriorityClass {
             seen_at: now,
             objective: DurationAverage::new(req.objective_left),
         });
         class.seen_at = now;
-        if !is_return {
+        if !is_late {
             class.objective.add(req.objective_left);
         }
     }
--- a/crates/chervilshunt_core/src/service_queue/queues.rs
+++ b/crates/chervilshunt_core/src/service_queue/queues.rs
@@ -29,6 +29,8 @@
     pub priority: u8,
     /// Identifies the request across its caller's attempts.
     pub content: Fingerprint,
+    /// Whether a target has failed or rejected it before, so that it is late already.
+    pub is_repeat: bool,
     /// The zone of the instance that asks.
     pub zone: Option<ZoneName>,
     /// Targets that it must not be sent to.
@@ -90,6 +92,8 @@
     grants: HashMap<GrantNumber, ServiceGrant>,
     /// Requests without a known grant, by instance.
     beside: HashMap<InstanceId, Vec<(TargetName, u32)>>,
+    /// Services with model engines, whose targets the planner of adapters chooses.
+    engines: HashSet<ServiceName>,
     reserved: f64,
 }
 
@@ -135,8 +139,8 @@
             }
             ResidencyEvent::GrantsProgressed(progress) => self.progressed(progress, now),
             ResidencyEvent::InstanceGone(from) => self.instance_gone(from, now),
-            ResidencyEvent::Limits(..)
-            | ResidencyEvent::PlacementRequested { .. }
+            ResidencyEvent::Limits(service, _) => self.service_has_engines(service),
+            ResidencyEvent::PlacementRequested { .. }
             | ResidencyEvent::NotHeld(..)
             | ResidencyEvent::OrderAnswered(..)
             | ResidencyEvent::TargetReported(..)
@@ -183,7 +187,7 @@
     }
 
     fn target_listed(&mut self, facts: &TargetFacts) {
-        let is_plain = facts.models.is_empty();
+        let is_plain = !self.engines.contains(&facts.service);
         let known = self.targets.get(&facts.name);
         if known.is_some_and(|service| !is_plain || *service != facts.service) {
             self.target_gone(&facts.name);
@@ -215,6 +219,14 @@
         target.is_leaving = facts.leaving.is_some();
     }
 
+    fn service_has_engines(&mut self, service: &ServiceName) {
+        self.engines.insert(service.clone());
+        if self.services.remove(service).is_some() {
+            self.targets.retain(|_, it| it != service);
+            self.grants.retain(|_, it| it.service != *service);
+        }
+    }
+
     fn target_gone(&mut self, name: &TargetName) {
         let Some(service) = self.targets.remove(name) else {
             return;
--- a/crates/chervilshunt_core/tests/support/plain_plays.rs
+++ b/crates/chervilshunt_core/tests/support/plain_plays.rs
@@ -315,6 +315,7 @@
             time_left: class.timeout.saturating_sub(passed),
             priority: class.priority,
             content: Fingerprint::of([&number.to_le_bytes()[..]]),
+            is_repeat: false,
             zone: None,
             avoid: Vec::new(),
         };
--- a/crates/chervilshunt_gateway/src/admit.rs
+++ b/crates/chervilshunt_gateway/src/admit.rs
@@ -7,7 +7,7 @@
 use chervilshunt_model::{ServiceName, TargetName, ZoneName};
 use serde::{Deserialize, Serialize};
 
-use crate::peers::ChargeRequest;
+use crate::peers::{ChargeRequest, is_false};
 
 /// A request for a place at a plain service, and for the charge to its team's quota.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -33,6 +33,9 @@
     /// Identifies the request across its caller's attempts.
     #[serde(rename = "k")]
     pub(crate) content: Fingerprint,
+    /// Whether a target has failed or rejected the request before.
+    #[serde(rename = "r", default, skip_serializing_if = "is_false")]
+    pub(crate) is_repeat: bool,
     /// The sender's availability zone.
     #[serde(rename = "z", default, skip_serializing_if = "Option::is_none")]
     pub(crate) zone: Option<ZoneName>,
--- a/crates/chervilshunt_gateway/src/control/admission.rs
+++ b/crates/chervilshunt_gateway/src/control/admission.rs
@@ -143,6 +143,7 @@
         time_left: request.time_left,
         priority: request.priority,
         content: request.content,
+        is_repeat: request.is_repeat,
         zone: request.zone,
         avoid: request.avoid,
     }
--- a/crates/chervilshunt_gateway/src/peers.rs
+++ b/crates/chervilshunt_gateway/src/peers.rs
@@ -200,7 +200,7 @@
     clippy::trivially_copy_pass_by_ref,
     reason = "serde passes a reference"
 )]
-const fn is_false(flag: &bool) -> bool {
+pub(crate) const fn is_false(flag: &bool) -> bool {
     !*flag
 }
 
--- a/crates/chervilshunt_gateway/src/traffic/admission.rs
+++ b/crates/chervilshunt_gateway/src/traffic/admission.rs
@@ -5,6 +5,7 @@
 
 use chervilshunt_core::{ChargeNumber, ShareRequest};
 use chervilshunt_mesh::Peer;
+use chervilshunt_model::ServiceName;
 
 use super::attempt::RequestAttempts;
 use super::charge::CHARGE_TIMEOUT;
@@ -14,10 +15,24 @@
 use crate::grants::Grant;
 use crate::peers::PeerMessage;
 use crate::settings::PlainAdmission;
+use crate::shared::Shared;
 
 /// Callers wait at most this fraction (one third) of their remaining time.
 const RETRY_TIME_DIVISOR: u32 = 3;
 
+/// A request that this instance has admitted from its own share and has not sent yet.
+#[derive(Debug)]
+pub(super) struct PendingAdmission {
+    shared: Arc<Shared>,
+    service: ServiceName,
+}
+
+impl Drop for PendingAdmission {
+    fn drop(&mut self) {
+        self.shared.instance_share().sent(&self.service);
+    }
+}
+
 impl RequestAttempts<'_> {
     /// Returns whether the request needs a place that is decided on for all instances together.
     ///
@@ -45,18 +60,23 @@
     /// Asks the placer for a place and for the charge to the team's quota. Returns
     /// `PlacerAnswer::AskAgain` if this instance has admitted the request and has to choose the
     /// target itself.
-    pub(super) async fn admit(&mut self) -> Result<PlacerAnswer, Refusal> {
+    ///
+    /// A request that was admitted here is kept in `pending` until it is sent.
+    pub(super) async fn admit(
+        &mut self,
+        pending: &mut Option<PendingAdmission>,
+    ) -> Result<PlacerAnswer, Refusal> {
         let now = self.shared.clock.now();
         let placer = self.shared.placer.load_full();
         let placer =
             placer.filter(|_| self.shared.placer_admits() && !self.shared.is_placer_silent(now));
         let Some(placer) = placer else {
-            self.admit_alone()?;
+            *pending = Some(self.admit_alone()?);
             self.charge().await?;
             return Ok(PlacerAnswer::AskAgain);
         };
         let Some(answer) = self.ask_admission(&placer).await else {
-            self.admit_alone()?;
+            *pending = Some(self.admit_alone()?);
             if self.pending_charge().is_some() {
                 self.charge_to_share()?;
             }
@@ -102,6 +122,7 @@
             time_left: self.req.time_left(now),
             priority: self.req.priority(),
             content: self.req.fingerprint(),
+            is_repeat: self.arrivals > 0,
             zone: Some(self.shared.settings.instance.zone.clone()),
             avoid,
         }
@@ -147,7 +168,7 @@
     }
 
     /// Admits the request from this instance's share of the service's capacity, or refuses it.
-    fn admit_alone(&self) -> Result<(), Refusal> {
+    fn admit_alone(&self) -> Result<PendingAdmission, Refusal> {
         let now = self.shared.clock.now();
         let service = &self.req.service;
         let (slots, in_flight) = {
@@ -166,15 +187,18 @@
             time_left: self.req.time_left(now),
             content: self.req.fingerprint(),
         };
-        let refused = self.shared.instance_share().refused(&share, now);
-        let outcome = if refused.is_some() { "busy" } else { "alone" };
+        let admitted = self.shared.instance_share().try_admit(&share, now);
+        let outcome = if admitted.is_ok() { "alone" } else { "busy" };
         let labels = [
             ("service", service.to_string()),
             ("outcome", outcome.to_owned()),
         ];
         metrics::counter!("chervilshunt_admissions_total", &labels).increment(1);
-        let Some(retry_in) = refused else {
-            return Ok(());
+        let Err(retry_in) = admitted else {
+            return Ok(PendingAdmission {
+                shared: Arc::clone(self.shared),
+                service: service.clone(),
+            });
         };
         slog::info!(self.shared.log, "request not admitted";
             "request" => &*self.req.id, "service" => service.as_str(), "alone" => true,
--- a/crates/chervilshunt_gateway/src/traffic/place.rs
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -66,6 +66,7 @@
         let max_wait = self.req.route.objective.mul_f64(ROOM_WAIT_FACTOR);
         let mut placer_answers = true;
         let mut is_admitted = !self.needs_admission();
+        let mut pending = None;
         loop {
             self.refuse_if_origin_gone()?;
             self.refuse_if_cut_off()?;
@@ -84,7 +85,7 @@
                 continue;
             }
             if !is_admitted {
-                match self.admit().await? {
+                match self.admit(&mut pending).await? {
                     PlacerAnswer::At(chosen) => return Ok(chosen),
                     PlacerAnswer::Closed(target) => self.avoid.push(target),
                     PlacerAnswer::AskAgain | PlacerAnswer::Nothing => is_admitted = true,
