--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -72,7 +72,7 @@
 pub use scheduler::{LoadScheduler, SchedulerAction, SchedulerConfig, SchedulerEvent, TurnResult};
 pub use service_queue::{
     AdmissionRequest, AdmissionResult, InstanceShare, Refused, ServiceQueues, ServiceState,
-    ShareRequest,
+    ShareRequest, ShareResult,
 };
 pub use streams::{BegunStreams, SoftwareHistory, StreamKey, StreamOrigin, StreamOrigins};
 pub use weights::PolicyWeights;
--- a/crates/chervilshunt_core/src/service_queue/mod.rs
+++ b/crates/chervilshunt_core/src/service_queue/mod.rs
@@ -17,7 +17,7 @@
 mod refusals;
 mod slot_time;
 
-pub use instance_share::{InstanceShare, ShareRequest};
+pub use instance_share::{InstanceShare, ShareRequest, ShareResult};
 pub use queues::{AdmissionRequest, AdmissionResult, Refused, ServiceQueues, ServiceState};
 
 use std::time::Duration;
--- a/crates/chervilshunt_core/src/service_queue/queues.rs
+++ b/crates/chervilshunt_core/src/service_queue/queues.rs
@@ -12,6 +12,11 @@
 use crate::quarantine::Fingerprint;
 use crate::residency::{GrantNumber, GrantProgress, ResidencyEvent, TargetUse};
 
+/// The largest part of the capacity that is left to instances which don't report. Most of them have
+/// ended or were replaced when they are many. If they run after all, their requests delay the
+/// granted ones, so that the measured time in a slot rises and less is admitted here.
+const MAX_RESERVED: f64 = 1.0 / 3.0;
+
 /// A request for a place at a plain service.
 #[derive(Clone, Debug)]
 pub struct AdmissionRequest {
@@ -155,7 +160,7 @@
     /// Sets the part of the instances that don't report any more. They may be cut off and admit
     /// from their own shares, so their part of the capacity is left to them.
     pub fn set_absent(&mut self, part: f64) {
-        self.reserved = part.clamp(0.0, 1.0);
+        self.reserved = part.clamp(0.0, MAX_RESERVED);
         for queue in self.services.values_mut() {
             queue.reserved = self.reserved;
         }
--- a/crates/chervilshunt_gateway/src/traffic/admission.rs
+++ b/crates/chervilshunt_gateway/src/traffic/admission.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilshunt_core::{ChargeNumber, ShareRequest};
+use chervilshunt_core::{ChargeNumber, InstanceShare, ShareRequest, ShareResult};
 use chervilshunt_mesh::Peer;
 use chervilshunt_model::ServiceName;
 
 use super::attempt::RequestAttempts;
 use super::charge::CHARGE_TIMEOUT;
+use super::place::ROOM_POLL_INTERVAL;
 use super::placer::PlacerAnswer;
 use super::refusal::{Reason, Refusal};
 use crate::admit::{AdmitAnswer, AdmitOutcome, AdmitRequest};
@@ -20,16 +21,28 @@
 /// Callers wait at most this fraction (one third) of their remaining time.
 const RETRY_TIME_DIVISOR: u32 = 3;
 
-/// A request that this instance has admitted from its own share and has not sent yet.
+/// A request that counts in this instance's share until it is sent, or while it waits.
 #[derive(Debug)]
 pub(super) struct PendingAdmission {
     shared: Arc<Shared>,
     service: ServiceName,
+    /// Ends the count.
+    end: fn(&mut InstanceShare, &ServiceName),
+}
+
+impl PendingAdmission {
+    fn new(run: &RequestAttempts<'_>, end: fn(&mut InstanceShare, &ServiceName)) -> Self {
+        Self {
+            shared: Arc::clone(run.shared),
+            service: run.req.service.clone(),
+            end,
+        }
+    }
 }
 
 impl Drop for PendingAdmission {
     fn drop(&mut self) {
-        self.shared.instance_share().sent(&self.service);
+        (self.end)(&mut self.shared.instance_share(), &self.service);
     }
 }
 
@@ -71,12 +84,12 @@
         let placer =
             placer.filter(|_| self.shared.placer_admits() && !self.shared.is_placer_silent(now));
         let Some(placer) = placer else {
-            *pending = Some(self.admit_alone()?);
+            *pending = Some(self.admit_alone().await?);
             self.charge().await?;
             return Ok(PlacerAnswer::AskAgain);
         };
         let Some(answer) = self.ask_admission(&placer).await else {
-            *pending = Some(self.admit_alone()?);
+            *pending = Some(self.admit_alone().await?);
             if self.pending_charge().is_some() {
                 self.charge_to_share()?;
             }
@@ -168,7 +181,29 @@
     }
 
     /// Admits the request from this instance's share of the service's capacity, or refuses it.
-    fn admit_alone(&self) -> Result<PendingAdmission, Refusal> {
+    async fn admit_alone(&self) -> Result<PendingAdmission, Refusal> {
+        let mut waiting = None;
+        loop {
+            match self.decide_alone(waiting.is_some()) {
+                ShareResult::Admitted => {
+                    self.count_admission("alone");
+                    return Ok(PendingAdmission::new(self, InstanceShare::sent));
+                }
+                ShareResult::Refused(retry_in) => {
+                    self.count_admission("busy");
+                    return Err(self.not_admitted(retry_in));
+                }
+                ShareResult::Wait if waiting.is_none() => {
+                    let service = &self.req.service;
+                    self.shared.instance_share().wait_began(service);
+                    waiting = Some(PendingAdmission::new(self, InstanceShare::wait_ended));
+                }
+                ShareResult::Wait => tokio::time::sleep(ROOM_POLL_INTERVAL).await,
+            }
+        }
+    }
+
+    fn decide_alone(&self, is_waiting: bool) -> ShareResult {
         let now = self.shared.clock.now();
         let service = &self.req.service;
         let (slots, in_flight) = {
@@ -178,33 +213,34 @@
                 dispatch.service_in_flight(service),
             )
         };
+        let objective = self.req.route.objective;
         let share = ShareRequest {
             service,
             slots,
             instances: self.shared.instances(),
             in_flight,
-            objective: self.req.route.objective,
+            objective,
+            objective_left: objective.saturating_sub(now.since(self.req.arrived)),
             time_left: self.req.time_left(now),
             content: self.req.fingerprint(),
+            is_waiting,
         };
-        let admitted = self.shared.instance_share().try_admit(&share, now);
-        let outcome = if admitted.is_ok() { "alone" } else { "busy" };
+        let result = self.shared.instance_share().decide(&share, now);
+        if let ShareResult::Refused(retry_in) = result {
+            slog::info!(self.shared.log, "request not admitted";
+                "request" => &*self.req.id, "service" => service.as_str(), "alone" => true,
+                "team" => self.req.team.as_ref().map(|it| it.name.to_string()),
+                "queue" => in_flight, "slots" => slots, "instances" => share.instances,
+                "retry_in_ms" => retry_in.map(|it| it.as_millis() as u64));
+        }
+        result
+    }
+
+    fn count_admission(&self, outcome: &'static str) {
         let labels = [
-            ("service", service.to_string()),
+            ("service", self.req.service.to_string()),
             ("outcome", outcome.to_owned()),
         ];
         metrics::counter!("chervilshunt_admissions_total", &labels).increment(1);
-        let Err(retry_in) = admitted else {
-            return Ok(PendingAdmission {
-                shared: Arc::clone(self.shared),
-                service: service.clone(),
-            });
-        };
-        slog::info!(self.shared.log, "request not admitted";
-            "request" => &*self.req.id, "service" => service.as_str(), "alone" => true,
-            "team" => self.req.team.as_ref().map(|it| it.name.to_string()),
-            "queue" => in_flight, "slots" => slots, "instances" => share.instances,
-            "retry_in_ms" => retry_in.map(|it| it.as_millis() as u64));
-        Err(self.not_admitted(retry_in))
     }
 }
--- a/crates/chervilshunt_gateway/src/traffic/place.rs
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -30,7 +30,7 @@
 /// two.
 const FULL_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Interval at which a request checks again for room.
-const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(15);
+pub(super) const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(15);
 /// Part of its latency objective for which a request waits for room. After that it is better to
 /// refuse the request, so that the caller can react.
 const ROOM_WAIT_FACTOR: f64 = 0.12;
