--- a/crates/chervilshunt_gateway/tests/settings.rs
+++ b/crates/chervilshunt_gateway/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Tests of an instance's settings: accepted values and the errors that an operator sees.
 
-use chervilshunt_gateway::Settings;
+use chervilshunt_gateway::{PlainAdmission, Settings};
 use rstest::rstest;
 
 /// Returns settings with additional keys of the instance and of the bounds.
@@ -82,3 +82,29 @@
         "{message}"
     );
 }
+
+/// Guards against a setting that is read as another one, or that changes what happens by default.
+#[rstest]
+#[case::left_out("", Some(PlainAdmission::Auto))]
+#[case::auto(
+    r#""admission": { "plain_services": "auto" },"#,
+    Some(PlainAdmission::Auto)
+)]
+#[case::placer(
+    r#""admission": { "plain_services": "placer" },"#,
+    Some(PlainAdmission::Placer)
+)]
+#[case::off(
+    r#""admission": { "plain_services": "off" },"#,
+    Some(PlainAdmission::Off)
+)]
+#[case::unknown(r#""admission": { "plain_services": "all" },"#, None)]
+#[case::misspelt(r#""admission": { "plain_service": "off" },"#, None)]
+fn the_admission_to_plain_services_is_read(
+    #[case] key: &str,
+    #[case] expected: Option<PlainAdmission>,
+) {
+    let text = text("", "").replacen('{', &format!("{{ {key}"), 1);
+    let settings = Settings::parse(&text, "settings.jsonc");
+    assert_eq!(settings.ok().map(|it| it.plain_admission), expected);
+}
