--- a/crates/chervilshunt_core/tests/service_queue.rs
+++ b/crates/chervilshunt_core/tests/service_queue.rs
@@ -3,7 +3,7 @@
 #[path = "support/plain_plays.rs"]
 mod plain_plays;
 
-use plain_plays::{Done, End, Play, Played};
+use plain_plays::{CutOff, Done, End, Play, Played};
 use rstest::rstest;
 
 /// Returns the part of the requests for which something holds.
@@ -134,3 +134,54 @@
         }
     }
 }
+
+/// Guards against admission without a bound, and against a service that nobody is admitted to,
+/// while instances don't reach the placer.
+#[rstest]
+#[case::a_third(1.0 / 3.0, 0.9)]
+#[case::all(1.0, 0.5)]
+fn instances_that_are_cut_off_keep_to_their_shares(
+    #[case] part_cut_off: f64,
+    #[case] in_time: f64,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let play = Play {
+        seed,
+        cut_off: Some(CutOff {
+            from: 5.0,
+            to: 12.0,
+            part: part_cut_off,
+        }),
+        ..Play::default()
+    };
+    let played = play.run();
+    let admitted = played.under_load().filter(|it| it.refusals == 0);
+    let admitted = part(admitted.filter(|it| is_answered(it)), Done::is_in_time);
+    assert!(admitted > in_time, "{admitted} of the admitted in time");
+    let served = part(played.under_load(), is_answered);
+    assert!(served > 0.6, "{served} served");
+    assert!(played.longest <= 36, "{} at one target", played.longest);
+    let after = played.between(16.0, 20.0).filter(|it| it.refusals > 0);
+    assert_eq!(after.count(), 0, "refused after the load");
+}
+
+/// Guards against refusals at the usual load while nobody reaches the placer.
+#[rstest]
+fn the_usual_load_is_served_without_a_placer(#[values(1, 2, 3)] seed: u64) {
+    let play = Play {
+        seed,
+        hot: 1.0,
+        cut_off: Some(CutOff {
+            from: 5.0,
+            to: 12.0,
+            part: 1.0,
+        }),
+        ..Play::default()
+    };
+    let played = play.run();
+    let without = || played.between(5.0, 12.0);
+    let refused = part(without(), |it| it.refusals > 0);
+    let in_time = part(without(), Done::is_in_time);
+    assert!(refused < 0.05, "{refused} refused");
+    assert!(in_time > 0.95, "{in_time} in time");
+}
--- a/crates/chervilshunt_core/tests/support/plain_plays.rs
+++ b/crates/chervilshunt_core/tests/support/plain_plays.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use chervilshunt_core::{
-    AdmissionRequest, AdmissionResult, Fingerprint, GrantNumber, GrantProgress, ResidencyEvent,
-    ServiceQueues, TargetFacts, TargetStart,
+    AdmissionRequest, AdmissionResult, Fingerprint, GrantNumber, GrantProgress, InstanceShare,
+    ResidencyEvent, ServiceQueues, ShareRequest, ShareResult, TargetFacts, TargetStart,
 };
 use chervilshunt_model::{InstanceId, Moment, ServiceName, TargetName, ZoneName};
 use rand::{Rng as _, SeedableRng as _};
@@ -54,6 +54,19 @@
     },
 ];
 
+/// A time in which a part of the instances does not reach the placer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CutOff {
+    pub(crate) from: f64,
+    pub(crate) to: f64,
+    pub(crate) part: f64,
+}
+
+/// Time after which the placer counts instances that don't report as absent, in seconds.
+const NOTICED_AFTER: f64 = 1.3;
+/// Time after which a request checks again for a place, in microseconds.
+const POLL: u64 = 15_000;
+
 /// What is played.
 #[derive(Clone, Debug)]
 pub(crate) struct Play {
@@ -76,6 +89,8 @@
     /// When one target is lost, in seconds.
     pub(crate) lost_at: Option<f64>,
     pub(crate) seconds: f64,
+    /// When instances don't reach the placer, in seconds, and which part of them.
+    pub(crate) cut_off: Option<CutOff>,
     /// The part of the callers that retry at once whatever they are told.
     pub(crate) impatient: f64,
     /// The part of the requests that are of the first class.
@@ -101,6 +116,7 @@
             hot_to: 14.0,
             lost_at: Some(2.5),
             seconds: 20.0,
+            cut_off: None,
             impatient: 0.0,
             urgent: 0.4,
         }
@@ -152,6 +168,10 @@
     /// The placer hears of the end of a request.
     Ended(u64, bool),
     TargetLost(usize),
+    /// The placer notices how many instances are absent, in thousandths.
+    Absent(u32),
+    /// A request that waits for a place of its instance's share checks again.
+    Polls(usize),
 }
 
 #[derive(Clone, Debug)]
@@ -163,6 +183,10 @@
     is_impatient: bool,
     has_place: bool,
     grant: u64,
+    /// When the present attempt came to its instance.
+    asked: u64,
+    /// Whether the request has a place of its instance's share.
+    is_alone: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -188,6 +212,8 @@
     play: Play,
     rng: ChaCha8Rng,
     queues: ServiceQueues,
+    /// The share of each instance, and the requests that it has in flight.
+    shares: Vec<(InstanceShare, u32)>,
     targets: Vec<TargetState>,
     callers: Vec<Caller>,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
@@ -220,6 +246,7 @@
         let mut world = Self {
             rng: ChaCha8Rng::seed_from_u64(play.seed),
             queues,
+            shares: vec![Default::default(); play.instances as usize],
             targets: vec![TargetState::default(); play.targets],
             callers: Vec::new(),
             events: BinaryHeap::new(),
@@ -232,6 +259,11 @@
         if let Some(at) = world.play.lost_at {
             world.at((at * 1e6) as u64, Event::TargetLost(0));
         }
+        if let Some(CutOff { from, to, part }) = world.play.cut_off {
+            let absent = (part * 1e3) as u32;
+            world.at(((from + NOTICED_AFTER) * 1e6) as u64, Event::Absent(absent));
+            world.at((to * 1e6) as u64, Event::Absent(0));
+        }
         world
     }
 
@@ -258,6 +290,8 @@
                     is_impatient,
                     has_place: false,
                     grant: 0,
+                    asked: 0,
+                    is_alone: false,
                 });
                 self.at(sent + ONE_WAY, Event::Asks(number));
             }
@@ -272,7 +306,16 @@
     fn handle(&mut self, event: Event, at: u64) {
         let now = Moment::from_micros(at);
         match event {
-            Event::Asks(number) => self.ask(number, now),
+            Event::Asks(number) => {
+                self.callers[number].asked = at;
+                if self.is_cut_off(number, at) {
+                    self.ask_alone(number, false, now);
+                } else {
+                    self.ask(number, now);
+                }
+            }
+            Event::Polls(number) => self.ask_alone(number, true, now),
+            Event::Absent(thousandths) => self.queues.set_absent(f64::from(thousandths) / 1e3),
             Event::Arrives(number, target) => self.arrive(number, target, at),
             Event::Runs(number, target, run) if self.targets[target].run == run => {
                 self.ran(number, target, at);
@@ -292,16 +335,80 @@
         }
     }
 
+    /// Returns the instance of a caller's present attempt.
+    fn instance(&self, number: usize) -> usize {
+        let attempt = self.callers[number].refusals as usize;
+        (number + 7 * attempt) % self.shares.len()
+    }
+
+    fn is_cut_off(&self, number: usize, at: u64) -> bool {
+        let at = at as f64 / 1e6;
+        self.play.cut_off.is_some_and(|it| {
+            let cut = (it.part * self.shares.len() as f64) as usize;
+            (it.from..it.to).contains(&at) && self.instance(number) < cut
+        })
+    }
+
+    /// Decides as an instance that does not reach the placer.
+    fn ask_alone(&mut self, number: usize, is_waiting: bool, now: Moment) {
+        let caller = self.callers[number].clone();
+        let class = CLASSES[caller.class];
+        let service = ServiceName::new(SERVICE);
+        let instance = self.instance(number);
+        let usable = self.targets.iter().filter(|it| !it.is_lost).count() as u32;
+        let (share, in_flight) = &mut self.shares[instance];
+        let passed = now.since(Moment::from_micros(caller.asked));
+        let time_left = class
+            .timeout
+            .saturating_sub(now.since(Moment::from_micros(caller.sent)));
+        let req = ShareRequest {
+            service: &service,
+            slots: usable * self.play.slots,
+            instances: self.play.instances as usize,
+            in_flight: *in_flight,
+            objective: class.objective,
+            objective_left: class.objective.saturating_sub(passed),
+            time_left,
+            content: Fingerprint::of([&number.to_le_bytes()[..]]),
+            is_waiting,
+        };
+        let result = share.decide(&req, now);
+        if is_waiting && result != ShareResult::Wait {
+            share.wait_ended(&service);
+        }
+        match result {
+            ShareResult::Admitted => {
+                share.sent(&service);
+                *in_flight += 1;
+                self.callers[number].is_alone = true;
+                self.send_to_any(number, now);
+            }
+            ShareResult::Wait => {
+                if !is_waiting {
+                    share.wait_began(&service);
+                }
+                self.at(now.as_micros() + POLL, Event::Polls(number));
+            }
+            ShareResult::Refused(retry_in) => {
+                self.refused(number, retry_in.unwrap_or(time_left / 3), now);
+            }
+        }
+    }
+
+    fn send_to_any(&mut self, number: usize, now: Moment) {
+        let target = loop {
+            let target = self.rng.random_range(0..self.targets.len());
+            if !self.targets[target].is_lost {
+                break target;
+            }
+        };
+        self.at(now.as_micros() + ONE_WAY, Event::Arrives(number, target));
+    }
+
     fn ask(&mut self, number: usize, now: Moment) {
         let caller = self.callers[number].clone();
         if !self.play.has_placer {
-            let target = loop {
-                let target = self.rng.random_range(0..self.targets.len());
-                if !self.targets[target].is_lost {
-                    break target;
-                }
-            };
-            return self.at(now.as_micros() + ONE_WAY, Event::Arrives(number, target));
+            return self.send_to_any(number, now);
         }
         let class = CLASSES[caller.class];
         let passed = now.since(Moment::from_micros(caller.sent));
@@ -319,7 +426,7 @@
             zone: None,
             avoid: Vec::new(),
         };
-        let from = InstanceId::new(format!("i{}", number as u64 % self.play.instances));
+        let from = InstanceId::new(format!("i{}", self.instance(number)));
         self.next_event += 1;
         let grant = self.next_event;
         let draw = self.rng.random();
@@ -396,6 +503,11 @@
     }
 
     fn report_end(&mut self, number: usize, has_begun: bool, at: u64) {
+        if self.callers[number].is_alone {
+            let instance = self.instance(number);
+            self.shares[instance].1 -= 1;
+            return;
+        }
         let grant = self.callers[number].grant;
         let gathered = self.rng.random_range(0..=GATHER);
         self.at(at + 2 * ONE_WAY + gathered, Event::Ended(grant, has_begun));
