--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -75,7 +75,7 @@
 pub use scheduler::{LoadScheduler, SchedulerAction, SchedulerConfig, SchedulerEvent, TurnResult};
 pub use service_queue::{
     AdmissionRequest, AdmissionResult, InstanceShare, Refused, ServiceQueues, ServiceState,
-    ShareRequest,
+    ShareRequest, ShareResult,
 };
 pub use speed::{PaceChange, PaceFigures, PaceQuantiles, TargetSpeed};
 pub use streams::{BegunStreams, SoftwareHistory, StreamKey, StreamOrigin, StreamOrigins};
--- a/crates/chervilshunt_core/src/service_queue/queues.rs
+++ b/crates/chervilshunt_core/src/service_queue/queues.rs
@@ -12,6 +12,11 @@
 use crate::quarantine::Fingerprint;
 use crate::residency::{GrantNumber, GrantProgress, ResidencyEvent, TargetUse};
 
+/// The largest part of the capacity that is left to instances which don't report. Most of them have
+/// ended or were replaced when they are many. If they run after all, their requests delay the
+/// granted ones, so that the measured time in a slot rises and less is admitted here.
+const MAX_RESERVED: f64 = 1.0 / 3.0;
+
 /// A request for a place at a plain service.
 #[derive(Clone, Debug)]
 pub struct AdmissionRequest {
@@ -29,6 +34,8 @@
     pub priority: u8,
     /// Identifies the request across its caller's attempts.
     pub content: Fingerprint,
+    /// Whether a target has failed or rejected it before, so that it is late already.
+    pub is_repeat: bool,
     /// The zone of the instance that asks.
     pub zone: Option<ZoneName>,
     /// Targets that it must not be sent to.
@@ -90,6 +97,8 @@
     grants: HashMap<GrantNumber, ServiceGrant>,
     /// Requests without a known grant, by instance.
     beside: HashMap<InstanceId, Vec<(TargetName, u32)>>,
+    /// Services with model engines, whose targets the planner of adapters chooses.
+    engines: HashSet<ServiceName>,
     reserved: f64,
 }
 
@@ -135,8 +144,8 @@
             }
             ResidencyEvent::GrantsProgressed(progress) => self.progressed(progress, now),
             ResidencyEvent::InstanceGone(from) => self.instance_gone(from, now),
-            ResidencyEvent::Limits(..)
-            | ResidencyEvent::PlacementRequested { .. }
+            ResidencyEvent::Limits(service, _) => self.service_has_engines(service),
+            ResidencyEvent::PlacementRequested { .. }
             | ResidencyEvent::NotHeld(..)
             | ResidencyEvent::OrderAnswered(..)
             | ResidencyEvent::TargetReported(..)
@@ -151,7 +160,7 @@
     /// Sets the part of the instances that don't report any more. They may be cut off and admit
     /// from their own shares, so their part of the capacity is left to them.
     pub fn set_absent(&mut self, part: f64) {
-        self.reserved = part.clamp(0.0, 1.0);
+        self.reserved = part.clamp(0.0, MAX_RESERVED);
         for queue in self.services.values_mut() {
             queue.reserved = self.reserved;
         }
@@ -183,7 +192,7 @@
     }
 
     fn target_listed(&mut self, facts: &TargetFacts) {
-        let is_plain = facts.models.is_empty();
+        let is_plain = !self.engines.contains(&facts.service);
         let known = self.targets.get(&facts.name);
         if known.is_some_and(|service| !is_plain || *service != facts.service) {
             self.target_gone(&facts.name);
@@ -215,6 +224,14 @@
         target.is_leaving = facts.leaving.is_some();
     }
 
+    fn service_has_engines(&mut self, service: &ServiceName) {
+        self.engines.insert(service.clone());
+        if self.services.remove(service).is_some() {
+            self.targets.retain(|_, it| it != service);
+            self.grants.retain(|_, it| it.service != *service);
+        }
+    }
+
     fn target_gone(&mut self, name: &TargetName) {
         let Some(service) = self.targets.remove(name) else {
             return;
--- a/crates/chervilshunt_gateway/src/traffic/place.rs
+++ b/crates/chervilshunt_gateway/src/traffic/place.rs
@@ -31,7 +31,7 @@
 /// two.
 const FULL_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Interval at which a request checks again for room.
-const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(15);
+pub(super) const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(15);
 /// Part of its latency objective for which a request waits for room. After that it is better to
 /// refuse the request, so that the caller can react.
 const ROOM_WAIT_FACTOR: f64 = 0.12;
@@ -90,6 +90,7 @@
         let mut placer_answers = true;
         let mut bypass = Bypass::Undecided;
         let mut is_admitted = !self.needs_admission();
+        let mut pending = None;
         loop {
             self.refuse_if_origin_gone()?;
             self.refuse_if_cut_off()?;
@@ -117,7 +118,7 @@
                 continue;
             }
             if !is_admitted {
-                match self.admit().await? {
+                match self.admit(&mut pending).await? {
                     PlacerAnswer::At(chosen) => return Ok(chosen),
                     PlacerAnswer::Closed(target) => self.avoid.push(target),
                     PlacerAnswer::AskAgain | PlacerAnswer::Slow | PlacerAnswer::Nothing => {
