Tell a reset of a new connection from a request that may have run

A target beyond its limit of connections accepts a connection and resets it at once. The request counted as one that may have run and was lost, although nothing had read it. A request that may run only once is now written to a new connection only after one round trip (3 ms to 20 ms) if the target has reset a new connection in the last 2 s or reported a queue in the last second. A reset in that time is EngineError::NotSent with was_open, and the request goes elsewhere or is refused as not run.

A request that a target has rejected goes to another target only if that has not reported a queue lately, and is refused at once if all of them have. Rejected requests for adapters are left to the placer.

--- a/crates/chervilshunt_core/src/dispatch/mod.rs
+++ b/crates/chervilshunt_core/src/dispatch/mod.rs
@@ -9,6 +9,7 @@
 mod brittle;
 mod budget;
 mod choose;
+mod congestion;
 mod facts;
 mod guide;
 mod health;
@@ -28,6 +29,7 @@
 pub use brittle::BrittleChange;
 pub use budget::{ServiceBudgets, WindowBudget, WindowBudgetConfig};
 pub use choose::{Choice, DispatchConfig, TargetRequirements, WaitReason};
+pub use congestion::SecondAttempt;
 pub use facts::{
     Leaving, LoadReport, LoadedAdapter, LoadedModel, ModelSpec, PlacementLimits, RequestSize,
     SoftwareVersion, TargetFacts, TargetStart, Weights,
--- a/crates/chervilshunt_core/src/dispatch/state.rs
+++ b/crates/chervilshunt_core/src/dispatch/state.rs
@@ -9,6 +9,7 @@
 
 use super::brittle::BrittleTargets;
 use super::choose::DispatchConfig;
+use super::congestion::Congestion;
 use super::facts::{Leaving, LoadReport, TargetFacts, TargetStart, Weights};
 use super::health::{HealthSignal, TargetHealth, TargetPath};
 use super::holders::{AdapterHolding, AnnouncedVersions, HeldAdapters, Holders, TargetSnapshot};
@@ -38,6 +39,7 @@
 pub(crate) struct Target {
     pub(crate) facts: TargetFacts,
     pub(crate) load: TargetLoad,
+    pub(crate) congestion: Congestion,
     pub(crate) health: TargetHealth,
     /// The time until which the target has asked this instance not to send requests.
     pub(crate) paused_until: Moment,
@@ -155,6 +157,7 @@
             None => {
                 let target = Target {
                     load: TargetLoad::default(),
+                    congestion: Congestion::default(),
                     health: TargetHealth::new(now),
                     paused_until: Moment::ZERO,
                     held_back_until: Moment::ZERO,
@@ -391,6 +394,7 @@
     pub fn load_reported(&mut self, target: &TargetName, report: LoadReport, now: Moment) {
         if let Some(target) = self.targets.get_mut(target) {
             target.load.load_reported(report, now);
+            target.congestion.load_reported(report, now);
         }
     }
 
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -34,7 +34,7 @@
     AdapterHolding, BrittleChange, CallerBounds, Choice, Continuity, Dispatch, DispatchConfig,
     EntryChange, HealthConfig, HealthSignal, HeldAdapters, KeyDigest, Lane, Leaving, LinkChange,
     LoadReport, LoadedAdapter, LoadedModel, ModelSpec, PlacementLimits, PollGuide, PollMode, Quota,
-    QuotaUnit, Repeat, RequestSize, Route, RouteTable, ServiceBudgets, ServiceSpec,
+    QuotaUnit, Repeat, RequestSize, Route, RouteTable, SecondAttempt, ServiceBudgets, ServiceSpec,
     SoftwareVersion, TargetFacts, TargetPath, TargetRequirements, TargetSnapshot, TargetStart,
     Team, Teams, TeamsError, WaitReason, Weights, WindowBudget, WindowBudgetConfig,
     long_prompt_targets,
--- a/crates/chervilshunt_engine/src/call.rs
+++ b/crates/chervilshunt_engine/src/call.rs
@@ -34,6 +34,26 @@
     pub limits: Limits,
 }
 
+/// How a request that is passed on uses connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionUse {
+    /// Whether a pooled connection may be used.
+    pub reuse: bool,
+    /// Whether a new connection is watched for a short time before the request is written to it.
+    ///
+    /// A target that has too many connections accepts a new one and resets it at once. If that is
+    /// noticed in time, it is certain that the request has not run.
+    pub checks_fresh: bool,
+}
+
+impl ConnectionUse {
+    /// Uses a pooled connection, and a new one without checking it.
+    pub const POOLED: Self = Self {
+        reuse: true,
+        checks_fresh: false,
+    };
+}
+
 /// The kind of answer that a call accepts.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ExpectedAnswer {
--- a/crates/chervilshunt_engine/src/client.rs
+++ b/crates/chervilshunt_engine/src/client.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::header::{self, HeaderValue};
@@ -12,7 +12,7 @@
 use snafu::ResultExt as _;
 
 use crate::answer::{Answer, BodyReader};
-use crate::call::{Call, ExpectedAnswer, Limits};
+use crate::call::{Call, ConnectionUse, ExpectedAnswer, Limits};
 use crate::connection::{TargetConnection, TransmitError};
 use crate::error::{
     AttemptMismatchSnafu, CallStage, EngineError, MalformedSnafu, NotSentSnafu,
@@ -21,6 +21,13 @@
 use crate::headers::{ATTEMPT_ID, FENCING_TOKEN, REQUEST_ID, strip_hop_by_hop};
 use crate::pool::Pool;
 
+/// The time for which a new connection is checked: as long as connecting took, which is a round trip,
+/// within these bounds. A reset sent when the connection is accepted arrives half a round trip later
+/// than the connection itself, and up to 3 ms more if the target is busy. A slow connect says little
+/// about the round trip, so that a request is never held back for longer than 20 ms.
+const MIN_CHECK_TIME: Duration = Duration::from_millis(3);
+const MAX_CHECK_TIME: Duration = Duration::from_millis(20);
+
 /// The client of one target; clones share its connection pool.
 ///
 /// It never sends a request twice. If a connection turns out to be closed before the first byte of
@@ -63,7 +70,11 @@
         let (idempotent, limits, attempt) = (call.idempotent, call.limits, call.attempt);
         let expect = call.expect.clone();
         let req = into_request(call, self.address())?;
-        let (response, connection) = self.exchange(req, idempotent, limits).await?;
+        let using = ConnectionUse {
+            reuse: idempotent,
+            checks_fresh: false,
+        };
+        let (response, connection) = self.exchange(req, using, limits).await?;
         let (mut head, incoming) = response.into_parts();
         let reader = BodyReader::new(&head, incoming, connection, self.pool.clone(), limits);
         if let Some(received) = head.headers.get(ATTEMPT_ID)
@@ -82,18 +93,17 @@
     /// Sends a request unmodified and returns the headers of its answer, with the body unread.
     ///
     /// Nothing is validated or changed, so the code that passes the answer on must validate it.
-    /// `reuse` permits the use of a pooled connection. Dropping the future or the body closes the
-    /// connection and thereby cancels the request.
+    /// Dropping the future or the body closes the connection and thereby cancels the request.
     ///
     /// # Errors
     /// [`EngineError::outcome`] returns for each error whether the request may have run.
     pub async fn forward(
         &self,
         req: Request<Full<Bytes>>,
-        reuse: bool,
+        using: ConnectionUse,
         limits: Limits,
     ) -> Result<(response::Parts, BodyReader), EngineError> {
-        let (response, mut connection) = self.exchange(req, reuse, limits).await?;
+        let (response, mut connection) = self.exchange(req, using, limits).await?;
         let (head, incoming) = response.into_parts();
         connection.apply_keep_alive(&head.headers);
         let reader = BodyReader::new(&head, incoming, connection, self.pool.clone(), limits);
@@ -119,7 +129,7 @@
         limits: Limits,
         max_body: usize,
     ) -> Result<Response<Bytes>, EngineError> {
-        let (response, connection) = self.exchange(req, true, limits).await?;
+        let (response, connection) = self.exchange(req, ConnectionUse::POOLED, limits).await?;
         let (head, incoming) = response.into_parts();
         let reader = BodyReader::new(&head, incoming, connection, self.pool.clone(), limits);
         let body = reader.read_whole(max_body).await?;
@@ -129,25 +139,37 @@
     async fn exchange(
         &self,
         mut req: Request<Full<Bytes>>,
-        reuse: bool,
+        using: ConnectionUse,
         limits: Limits,
     ) -> Result<(Response<Incoming>, TargetConnection), EngineError> {
-        if reuse && let Some(mut connection) = self.pool.take() {
+        if using.reuse
+            && let Some(mut connection) = self.pool.take()
+        {
             match self.send(&mut connection, req, limits.head).await? {
                 SendOutcome::Answered(response) => return Ok((response, connection)),
                 SendOutcome::Unsent(unsent) => req = *unsent,
             }
         }
+        let began = Instant::now();
         let mut connection = self.connect(limits.connect).await?;
+        if using.checks_fresh {
+            let time = began.elapsed().clamp(MIN_CHECK_TIME, MAX_CHECK_TIME);
+            if !connection.stays_open(time).await {
+                return Err(self.closed_unused());
+            }
+        }
         match self.send(&mut connection, req, limits.head).await? {
             SendOutcome::Answered(response) => Ok((response, connection)),
-            SendOutcome::Unsent(_) => {
-                let source = std::io::ErrorKind::ConnectionAborted.into();
-                Err(EngineError::NotSent {
-                    address: self.address(),
-                    source,
-                })
-            }
+            SendOutcome::Unsent(_) => Err(self.closed_unused()),
+        }
+    }
+
+    /// Returns the error for a new connection that the target closed before anything was sent.
+    fn closed_unused(&self) -> EngineError {
+        EngineError::NotSent {
+            address: self.address(),
+            was_open: true,
+            source: std::io::ErrorKind::ConnectionAborted.into(),
         }
     }
 
@@ -164,7 +186,10 @@
                 }
                 .build()
             })?
-            .context(NotSentSnafu { address })
+            .context(NotSentSnafu {
+                address,
+                was_open: false,
+            })
     }
 
     async fn send(
@@ -174,6 +199,7 @@
         limit: Duration,
     ) -> Result<SendOutcome, EngineError> {
         let address = self.address();
+        let is_fresh = !connection.is_reused;
         let Ok(sent) = tokio::time::timeout(limit, connection.send(req)).await else {
             return TimeoutSnafu {
                 address,
@@ -186,7 +212,7 @@
             Ok(response) => Ok(SendOutcome::Answered(response)),
             Err(TransmitError::NotSent(req)) => Ok(SendOutcome::Unsent(req)),
             Err(TransmitError::MaybeSent(source)) => {
-                Err(source).context(OutcomeUnknownSnafu { address })
+                Err(source).context(OutcomeUnknownSnafu { address, is_fresh })
             }
         }
     }
--- a/crates/chervilshunt_engine/src/connection.rs
+++ b/crates/chervilshunt_engine/src/connection.rs
@@ -133,6 +133,20 @@
         self.driver.is_some() && self.sender.is_ready()
     }
 
+    /// Watches a connection on which nothing has been sent, and returns whether the target keeps it
+    /// open for a time.
+    pub(crate) async fn stays_open(&mut self, time: Duration) -> bool {
+        let ended = std::future::poll_fn(|cx| {
+            self.drive(cx);
+            if self.has_ended() {
+                Poll::Ready(())
+            } else {
+                Poll::Pending
+            }
+        });
+        tokio::time::timeout(time, ended).await.is_err()
+    }
+
     /// Sends a request and waits for the headers of its answer.
     ///
     /// Dropping the future closes the connection.
--- a/crates/chervilshunt_engine/src/error.rs
+++ b/crates/chervilshunt_engine/src/error.rs
@@ -48,10 +48,14 @@
 #[non_exhaustive]
 pub enum EngineError {
     /// The connection to the target failed before anything was sent.
-    #[snafu(display("cannot connect to {address}: {source}"))]
+    #[snafu(display("{} {address}: {source}",
+        if *was_open { "nothing was sent to" } else { "cannot connect to" }))]
     NotSent {
         /// The target's address.
         address: SocketAddr,
+        /// Whether the connection had been opened, and was closed by the target before anything was
+        /// written to it.
+        was_open: bool,
         /// The error from the operating system.
         source: io::Error,
     },
@@ -60,6 +64,8 @@
     OutcomeUnknown {
         /// The target's address.
         address: SocketAddr,
+        /// Whether the connection was opened for this call.
+        is_fresh: bool,
         /// The error from the HTTP library.
         source: hyper::Error,
     },
@@ -142,11 +148,22 @@
     pub fn is_connect_failure(&self) -> bool {
         matches!(
             self,
-            Self::NotSent { .. }
-                | Self::Timeout {
-                    stage: CallStage::Connect,
-                    ..
-                }
+            Self::NotSent {
+                was_open: false,
+                ..
+            } | Self::Timeout {
+                stage: CallStage::Connect,
+                ..
+            }
+        )
+    }
+
+    /// Returns whether the target accepted a new connection and closed it without an answer, as
+    /// targets do that have too many connections.
+    pub fn is_fresh_reset(&self) -> bool {
+        matches!(
+            self,
+            Self::NotSent { was_open: true, .. } | Self::OutcomeUnknown { is_fresh: true, .. }
         )
     }
 
--- a/crates/chervilshunt_engine/src/lib.rs
+++ b/crates/chervilshunt_engine/src/lib.rs
@@ -20,7 +20,7 @@
     Answer, AnswerBody, AnswerSummary, BodyReader, EventScanner, Framing, ScanResult, SseScanner,
     Usage,
 };
-pub use call::{Call, ExpectedAnswer, Limits};
+pub use call::{Call, ConnectionUse, ExpectedAnswer, Limits};
 pub use client::EngineClient;
 pub use engines::EngineClients;
 pub use error::{CallStage, EngineError, Outcome};
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -10,7 +10,7 @@
     ChargeNumber, ChargeResult, GrantNumber, Order, OrderAnswer, PlacementResult, QuotaLedger,
     ResidencyAction, ResidencyConfig, ResidencyEvent, ResidencyPlanner, TargetReport, TargetUse,
 };
-use chervilshunt_engine::{EngineError, Limits, Outcome};
+use chervilshunt_engine::{ConnectionUse, EngineError, Limits, Outcome};
 use chervilshunt_mesh::{Peer, Reply};
 use chervilshunt_model::{InstanceId, Moment, TargetName};
 
@@ -134,7 +134,10 @@
         let log = self.shared.log.clone();
         tokio::spawn(async move {
             let started = shared.dispatch().started(&order.target);
-            let answer = match client.forward(req, true, ORDER_LIMITS).await {
+            let answer = match client
+                .forward(req, ConnectionUse::POOLED, ORDER_LIMITS)
+                .await
+            {
                 Ok((head, body)) => {
                     if !body.is_on_reused_connection() {
                         shared.record_connection_opened(&order.target);
@@ -341,7 +344,11 @@
     };
     let client = shared.engines.client(address);
     let sent_at = shared.clock.now();
-    let answer = client.forward((dialect.report_query)(target), true, ORDER_LIMITS);
+    let answer = client.forward(
+        (dialect.report_query)(target),
+        ConnectionUse::POOLED,
+        ORDER_LIMITS,
+    );
     let answer = answer
         .await
         .inspect_err(|error| shared.record_call_failure(target, "report", error));
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use chervilshunt_core::{HealthSignal, SoftwareVersion};
-use chervilshunt_engine::{BodyReader, EngineError, Limits, Outcome};
+use chervilshunt_engine::{BodyReader, ConnectionUse, EngineError, Limits, Outcome};
 use chervilshunt_model::{Moment, TargetName};
 use http::response::Parts;
 use http::{Request, Uri};
@@ -77,6 +77,9 @@
     Answered(Box<AcceptedAnswer>),
     /// The request has not run. Another target may be tried.
     NotRun,
+    /// The target has no room, and the request has not run. Another target may be tried that is not
+    /// known to be full.
+    Rejected,
     /// A brittle target has turned the request away. Another one would have to do the same.
     TurnedAway,
     /// The request has not arrived. The same target may be tried on another path.
@@ -150,6 +153,11 @@
             match self.send(&mut chosen).await {
                 AttemptOutcome::Answered(answered) => return Ok(*answered),
                 AttemptOutcome::NotRun => self.avoid.push(chosen.target),
+                AttemptOutcome::Rejected => {
+                    self.avoid.push(chosen.target);
+                    let held = self.hold_second_attempt();
+                    held.map_err(|it| self.unless_run(it))?;
+                }
                 AttemptOutcome::TurnedAway => {
                     let full = Refusal::retry_after(Reason::Full, REFUSED_RETRY_DELAY);
                     return Err(self.unless_run(full));
@@ -252,6 +260,10 @@
             head,
             idle: left,
         };
+        let using = ConnectionUse {
+            reuse: chosen.reuse,
+            checks_fresh: !repeat && self.may_reset_fresh_connection(chosen),
+        };
         let req = self.outgoing(chosen, left);
         // From here on the request may run; a refusal while it is in progress must not claim
         // otherwise.
@@ -260,7 +272,7 @@
         self.set_charge_final(true);
         let forwarded = tokio::select! {
             biased;
-            forwarded = client.forward(req, chosen.reuse, limits) => forwarded,
+            forwarded = client.forward(req, using, limits) => forwarded,
             () = begin_deadline_passed(&in_flight) => {
                 return withdraw(self.req, &in_flight);
             }
@@ -282,6 +294,9 @@
                 if error.is_connect_failure() {
                     self.record_connect_failure(chosen);
                 }
+                if chosen.route.is_none() && error.is_fresh_reset() {
+                    self.shared.record_fresh_reset(&chosen.target, &error);
+                }
                 if matches!(error, EngineError::OutcomeUnknown { .. }) {
                     in_flight.connection_ended(self.req, false);
                 }
@@ -331,7 +346,10 @@
             "reason" => error.to_string());
         // A target that closes a connection is reachable, whatever became of the answer.
         let signal = match error {
-            EngineError::NotSent { .. } | EngineError::Timeout { .. } => HealthSignal::Unreachable,
+            EngineError::NotSent {
+                was_open: false, ..
+            }
+            | EngineError::Timeout { .. } => HealthSignal::Unreachable,
             _ => HealthSignal::Failed,
         };
         let is_connect_failure = error.is_connect_failure();
@@ -349,6 +367,10 @@
                 self.not_run();
                 AttemptOutcome::NotConnected
             }
+            Outcome::NotRun if error.is_fresh_reset() => {
+                self.not_run();
+                AttemptOutcome::Rejected
+            }
             Outcome::NotRun => self.not_run(),
             Outcome::Unknown | Outcome::CutShort => AttemptOutcome::MayHaveRun(Reason::AnswerLost),
         }
--- a/crates/chervilshunt_gateway/src/traffic/head.rs
+++ b/crates/chervilshunt_gateway/src/traffic/head.rs
@@ -75,7 +75,11 @@
                 self.not_run();
                 AttemptOutcome::TurnedAway
             }
-            Verdict::Full | Verdict::OtherTarget => self.not_run(),
+            Verdict::Full => {
+                self.not_run();
+                AttemptOutcome::Rejected
+            }
+            Verdict::OtherTarget => self.not_run(),
             Verdict::NotHeld => self.not_held(chosen),
             Verdict::Failed => AttemptOutcome::MayHaveRun(Reason::BadAnswer),
             Verdict::Crossed => AttemptOutcome::MayHaveRun(Reason::AnswerLost),
--- a/crates/chervilshunt_gateway/src/traffic/mod.rs
+++ b/crates/chervilshunt_gateway/src/traffic/mod.rs
@@ -19,6 +19,7 @@
 mod refusal;
 mod relay;
 mod request;
+mod second_attempt;
 mod serve;
 
 pub(crate) use attempt::CONNECT_TIMEOUT;
--- a/crates/chervilshunt_gateway/src/transit/pass_on.rs
+++ b/crates/chervilshunt_gateway/src/transit/pass_on.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use chervilshunt_core::{HealthSignal, PartId, TargetPath};
-use chervilshunt_engine::{EngineError, Limits, strip_hop_by_hop};
+use chervilshunt_engine::{ConnectionUse, EngineError, Limits, Outcome, strip_hop_by_hop};
 use chervilshunt_model::{InstanceId, Moment, TargetName};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, header};
@@ -102,7 +102,7 @@
     let longest = routes.ok_or(TransitOutcome::NoTarget)?.bounds.body_bytes;
     let body = read_body(body, longest).await;
     let body = body.map_err(|_refusal| TransitOutcome::Malformed)?;
-    let (address, reuse) = find_target(shared, &transit)?;
+    let (address, using) = find_target(shared, &transit)?;
     let left = time_left(shared, &mut head.headers, arrived)?;
     let parts = shared_parts(shared, &head.headers);
     let limits = Limits {
@@ -111,7 +111,7 @@
         idle: left,
     };
     let client = shared.engines.client(address);
-    let answer = client.forward(outgoing(head, body), reuse, limits).await;
+    let answer = client.forward(outgoing(head, body), using, limits).await;
     let (head, body) = answer.map_err(|error| failed(shared, &transit.target, &error))?;
     if !body.is_on_reused_connection() {
         shared.record_connection_opened(&transit.target);
@@ -149,11 +149,11 @@
     parts.unwrap_or_default()
 }
 
-/// Returns the target's address, and whether a pooled connection may be used.
+/// Returns the target's address, and how connections to it are used.
 fn find_target(
     shared: &Shared,
     transit: &TransitHead,
-) -> Result<(std::net::SocketAddr, bool), TransitOutcome> {
+) -> Result<(std::net::SocketAddr, ConnectionUse), TransitOutcome> {
     let now = shared.clock.now();
     let dispatch = shared.dispatch();
     let target = dispatch.target(&transit.target);
@@ -167,7 +167,12 @@
     }
     let heard = dispatch.since_last_response(&transit.target, now);
     let reuse = transit.is_repeatable || heard.is_some_and(|it| it < REACHABLE_WINDOW);
-    Ok((target.address, reuse))
+    let may_reset = dispatch.may_reset_fresh_connection(&transit.target, now);
+    let using = ConnectionUse {
+        reuse,
+        checks_fresh: !transit.is_repeatable && may_reset,
+    };
+    Ok((target.address, using))
 }
 
 /// Returns the time that the request has left, and shortens its deadline by the time spent here.
@@ -203,8 +208,14 @@
 fn failed(shared: &Shared, target: &TargetName, error: &EngineError) -> TransitOutcome {
     slog::info!(shared.log, "passing on failed";
         "target" => target.as_str(), "reason" => error.to_string());
+    if error.is_fresh_reset() {
+        shared.record_fresh_reset(target, error);
+    }
     if !error.is_connect_failure() {
-        return TransitOutcome::AnswerLost;
+        return match error.outcome() {
+            Outcome::NotRun => TransitOutcome::Unreachable,
+            Outcome::Unknown | Outcome::CutShort => TransitOutcome::AnswerLost,
+        };
     }
     shared.record_connection_failed(target);
     let now = shared.clock.now();
