Count long queues for 500 ms when a rejected request is sent again

Charges to the deputy don't go by the pace of the placer, requests that wait for a load are not measured, and a request for a base model counts all targets as holders without copying their names.

--- a/crates/chervilshunt_core/src/dispatch/congestion.rs
+++ b/crates/chervilshunt_core/src/dispatch/congestion.rs
@@ -22,8 +22,10 @@
 /// The time since a report of a queue within which a target gets no second attempt. Queues of a few
 /// requests end within that time.
 const QUEUE_WINDOW: Duration = Duration::from_millis(250);
-/// The same for a queue of at least as many requests as the target runs at a time.
-const LONG_QUEUE_WINDOW: Duration = Duration::from_secs(1);
+/// The same for a queue of at least as many requests as the target runs at a time. An instance hears
+/// from a target about three times a second, so that most of several full targets would count as
+/// unknown after 250 ms. With one second, targets run out of work between the attempts.
+const LONG_QUEUE_WINDOW: Duration = Duration::from_millis(500);
 
 /// What a target has shown of its congestion.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/chervilshunt_gateway/src/traffic/charge.rs
+++ b/crates/chervilshunt_gateway/src/traffic/charge.rs
@@ -91,7 +91,7 @@
         let Some(keeper) = self.shared.account_keeper(now) else {
             return self.charge_to_share();
         };
-        let placer_use = self.account_use();
+        let placer_use = self.account_use(&keeper);
         if placer_use == PlacerUse::Bypass && self.has_share_surplus() && self.try_charge_to_share()
         {
             return Ok(());
--- a/crates/chervilshunt_gateway/src/traffic/placer_time.rs
+++ b/crates/chervilshunt_gateway/src/traffic/placer_time.rs
@@ -59,12 +59,32 @@
     }
 }
 
+/// The targets known to hold what a request names, when the placer is asked.
+#[derive(Debug)]
+pub(super) enum KnownHolders {
+    /// All targets, because the request names a base model.
+    All,
+    Some(Vec<TargetName>),
+}
+
+impl KnownHolders {
+    fn is_empty(&self) -> bool {
+        matches!(self, Self::Some(targets) if targets.is_empty())
+    }
+
+    fn includes(&self, target: &TargetName) -> bool {
+        match self {
+            Self::All => true,
+            Self::Some(targets) => targets.contains(target),
+        }
+    }
+}
+
 /// A placement request on its way.
 pub(super) struct OpenQuestion {
     shared: Arc<Shared>,
     placer: Arc<Peer>,
-    /// The targets known to hold the adapter when the placer was asked.
-    holders: Vec<TargetName>,
+    holders: KnownHolders,
     answer: Pin<Box<dyn Future<Output = (Asked, Duration)> + Send>>,
 }
 
@@ -83,10 +103,19 @@
         placer: &Arc<Peer>,
         message: PeerMessage,
         max_wait: Duration,
-        holders: Vec<TargetName>,
+        holders: KnownHolders,
     ) -> Self {
         let (asking, asked) = (Arc::clone(shared), Arc::clone(placer));
-        let answer = async move { measure(asking.mesh.request(&asked, message, max_wait)).await };
+        // A request that waits for a load is not measured, which would take processor time.
+        let is_measured = !holders.is_empty();
+        let answer = async move {
+            let answer = asking.mesh.request(&asked, message, max_wait);
+            if is_measured {
+                measure(answer).await
+            } else {
+                (answer.await, Duration::ZERO)
+            }
+        };
         Self {
             shared: Arc::clone(shared),
             placer: Arc::clone(placer),
@@ -173,12 +202,12 @@
 
 impl Shared {
     /// Records the answer to a placement request, if the request needed no load.
-    fn record_placer_answer(&self, holders: &[TargetName], answer: &Asked, took: Duration) {
+    fn record_placer_answer(&self, holders: &KnownHolders, answer: &Asked, took: Duration) {
         match answer {
             Ok(
                 PeerMessage::PlacementAnswer(PlacementResult::At { target, .. }, _)
                 | PeerMessage::ChargedPlacementAnswer(PlacementResult::At { target, .. }, _, _),
-            ) if holders.contains(target) => self.record_placer_time(took),
+            ) if holders.includes(target) => self.record_placer_time(took),
             Ok(_) => {}
             Err(_) if holders.is_empty() => {}
             Err(_) => self.record_unanswered(),
@@ -187,8 +216,7 @@
 
     /// Records the time of an answer to a charge, which is never delayed by a load.
     fn record_charge_answer(&self, keeper: &Peer, answer: &Asked, took: Duration) {
-        let placer = self.placer.load();
-        if !placer.as_ref().is_some_and(|it| **it == *keeper) {
+        if !self.is_known_placer(keeper) {
             return;
         }
         match answer {
@@ -200,6 +228,11 @@
         }
     }
 
+    fn is_known_placer(&self, peer: &Peer) -> bool {
+        let placer = self.placer.load();
+        placer.as_ref().is_some_and(|it| **it == *peer)
+    }
+
     fn record_placer_time(&self, took: Duration) {
         let now = self.clock.now();
         let change = self.placer_pace().answered(took, now);
@@ -261,9 +294,12 @@
         matches!(self.choose(), Choice::Send { .. })
     }
 
-    /// Returns how a charge uses the placer, which keeps the account. While that is slow, this
+    /// Returns how a charge uses the keeper of the account. While that is the placer and slow, this
     /// instance's share of the quota is charged, and some charges probe the placer.
-    pub(super) fn account_use(&self) -> PlacerUse {
+    pub(super) fn account_use(&self, keeper: &Peer) -> PlacerUse {
+        if !self.shared.is_known_placer(keeper) {
+            return PlacerUse::Ask;
+        }
         let now = self.shared.clock.now();
         let mut pace = self.shared.placer_pace();
         // A request for an adapter has decided before whether it probes the placer.
@@ -322,17 +358,13 @@
     }
 
     /// Returns the targets known to hold what the request names.
-    pub(super) fn known_holders(&self) -> Vec<TargetName> {
-        let Some(weights) = &self.req.weights else {
-            return Vec::new();
-        };
-        let dispatch = self.shared.dispatch();
-        if weights.adapter.is_some() {
-            return dispatch.holders_of(weights).cloned().collect();
+    pub(super) fn known_holders(&self) -> KnownHolders {
+        match &self.req.weights {
+            Some(weights) if weights.adapter.is_some() => {
+                let dispatch = self.shared.dispatch();
+                KnownHolders::Some(dispatch.holders_of(weights).cloned().collect())
+            }
+            Some(_) | None => KnownHolders::All,
         }
-        let serving = dispatch.targets();
-        let serving = serving
-            .filter(|it| it.service == self.req.service && it.version_of(&weights.model).is_some());
-        serving.map(|it| it.name.clone()).collect()
     }
 }
