--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -11,7 +11,7 @@
     ResidencyAction, ResidencyConfig, ResidencyEvent, ResidencyPlanner, ServiceQueues,
     TargetReport, TargetUse,
 };
-use chervilshunt_engine::{EngineError, Limits, Outcome};
+use chervilshunt_engine::{ConnectionUse, EngineError, Limits, Outcome};
 use chervilshunt_mesh::{Peer, Reply};
 use chervilshunt_model::{InstanceId, Moment, TargetName};
 
@@ -145,7 +145,10 @@
         let log = self.shared.log.clone();
         tokio::spawn(async move {
             let started = shared.dispatch().started(&order.target);
-            let answer = match client.forward(req, true, ORDER_LIMITS).await {
+            let answer = match client
+                .forward(req, ConnectionUse::POOLED, ORDER_LIMITS)
+                .await
+            {
                 Ok((head, body)) => {
                     if !body.is_on_reused_connection() {
                         shared.record_connection_opened(&order.target);
@@ -355,7 +358,11 @@
     };
     let client = shared.engines.client(address);
     let sent_at = shared.clock.now();
-    let answer = client.forward((dialect.report_query)(target), true, ORDER_LIMITS);
+    let answer = client.forward(
+        (dialect.report_query)(target),
+        ConnectionUse::POOLED,
+        ORDER_LIMITS,
+    );
     let answer = answer
         .await
         .inspect_err(|error| shared.record_call_failure(target, "report", error));
