Count crashes of all targets at once, and each run of a target that crashes

Cause: a part of a prompt in every second request, before four targets that are back under their names half a second later, was never refused. Crashes were counted once for each target name, so that four targets never gave three rounds. And when all targets crashed within milliseconds, each instance took this for a fault of its own links and recorded nothing.

Change: a record of a part names the run that crashed (NAME@START). A crash without another target that accepts a connection counts once the platform shows within 10 s that the run has ended: the target has started again, or its entry is gone. It counts at the time at which the connection ended.

--- a/crates/chervilshunt_core/src/dispatch/links.rs
+++ b/crates/chervilshunt_core/src/dispatch/links.rs
@@ -12,6 +12,7 @@
 
 use chervilshunt_model::{Moment, ServiceName, TargetName};
 
+use super::facts::TargetStart;
 use super::state::Dispatch;
 
 /// The number of different targets whose connections fail, while none is opened, from which others
@@ -174,6 +175,15 @@
         others
     }
 
+    /// Returns whether the platform shows that a run of a target has ended: the target has started again, or its
+    /// entry is gone. Unlike a refused connection, this does not depend on this instance's links to targets.
+    ///
+    /// `started` is the start of the run.
+    pub fn has_run_ended(&self, target: &TargetName, started: Option<TargetStart>) -> bool {
+        let known = self.targets.get(target);
+        known.is_none_or(|it| TargetStart::compare(it.facts.started, started).is_gt())
+    }
+
     /// Returns up to `most` random targets of a service, those first to which no connection has
     /// failed.
     fn likely_reachable(
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -48,7 +48,7 @@
     RefusalReason, ReleaseOutcome, ReleasedPermit, RequestChecksum,
 };
 pub use quarantine::{
-    Crash, CrashRecord, Fingerprint, PartId, Quarantine, QuarantineConfig, SETTLE_TIME,
+    Crash, CrashRecord, CrashedRun, Fingerprint, PartId, Quarantine, QuarantineConfig, SETTLE_TIME,
     SettlingAnswers, SettlingNumber, StoredCrashes, Suspect,
 };
 pub use quota::{
--- a/crates/chervilshunt_core/src/quarantine/mod.rs
+++ b/crates/chervilshunt_core/src/quarantine/mod.rs
@@ -9,10 +9,12 @@
 mod part;
 mod parts;
 mod recent;
+mod run;
 mod settling;
 mod state;
 
 pub use fingerprint::Fingerprint;
 pub use part::PartId;
+pub use run::CrashedRun;
 pub use settling::{SETTLE_TIME, SettlingAnswers, SettlingNumber};
 pub use state::{Crash, CrashRecord, Quarantine, QuarantineConfig, StoredCrashes, Suspect};
--- a/crates/chervilshunt_core/src/quarantine/parts.rs
+++ b/crates/chervilshunt_core/src/quarantine/parts.rs
@@ -3,28 +3,31 @@
 //! Each request with such a part is another one, so that none is ever seen twice. What tells the part from
 //! the others that were in progress at a crash: no target has begun to answer a request with it and lived on.
 
-use chervilshunt_model::{Moment, TargetName};
+use chervilshunt_model::Moment;
 
 use super::fingerprint::Fingerprint;
+use super::run::CrashedRun;
 use super::state::{Quarantine, Suspect, Tracked};
 
 impl Quarantine {
-    /// Records that a target crashed just after it had begun to answer a request with these parts. Returns
-    /// those whose crashes must be written to the platform.
+    /// Records that a run of a target crashed just after it had begun to answer a request with these parts.
+    /// Returns those whose crashes must be written to the platform.
+    ///
+    /// Runs count, and not targets: a service of few targets that are soon back has no others to crash.
     pub fn record_part_crash(
         &mut self,
         parts: &[Fingerprint],
-        target: &TargetName,
+        run: &CrashedRun,
         now: Moment,
     ) -> Vec<Fingerprint> {
         let mut recorded = Vec::new();
         for part in parts {
-            if self.is_exempt(*part, now) || !self.may_track(*part, target) {
+            if self.is_exempt(*part, now) || !self.may_track(*part, run) {
                 continue;
             }
             let known = self.suspects.entry(*part);
             let known = known.or_insert_with(|| Tracked::new(Suspect::Part, now));
-            if known.add(target.clone(), now) {
+            if known.add(run.clone(), now) {
                 known.count_round(self.cfg.round_time, now);
                 recorded.push(*part);
             }
@@ -137,7 +140,8 @@
         let (Some(of_part), Some(of_other)) = (targets(part), targets(other)) else {
             return false;
         };
-        let common = of_other.iter().filter(|it| of_part.contains(it)).count();
+        let is_of_part = |run: &&CrashedRun| of_part.iter().any(|it| it.is_same(run));
+        let common = of_other.iter().filter(is_of_part).count();
         let share = common as f64 / of_other.len() as f64;
         let is_in_more = of_part.len() >= of_other.len() + MORE_CRASHES;
         let is_far_rarer = self.recent.is_common(other) && !self.recent.is_common(part);
@@ -151,21 +155,21 @@
         cleared.is_some_and(|begun_at| now.since(*begun_at) <= self.cfg.cleared_for)
     }
 
-    /// Returns whether a part may come under suspicion with the crash of a target. One that is suspected
+    /// Returns whether a part may come under suspicion with a crash. One that is suspected
     /// already always may.
-    fn may_track(&mut self, part: Fingerprint, target: &TargetName) -> bool {
+    fn may_track(&mut self, part: Fingerprint, run: &CrashedRun) -> bool {
         if self.suspects.contains_key(&part) {
             return true;
         }
         if self.suspects.len() >= self.cfg.max_requests {
             return false;
         }
-        if !self.parts_by_crash.contains_key(target)
+        if !self.parts_by_crash.contains_key(run)
             && self.parts_by_crash.len() >= MAX_REMEMBERED_CRASHES
         {
             self.parts_by_crash.shift_remove_index(0);
         }
-        let parts = self.parts_by_crash.entry(target.clone()).or_default();
+        let parts = self.parts_by_crash.entry(run.clone()).or_default();
         *parts += 1;
         *parts <= self.cfg.max_parts_per_crash
     }
--- a/crates/chervilshunt_core/src/quarantine/state.rs
+++ b/crates/chervilshunt_core/src/quarantine/state.rs
@@ -9,6 +9,7 @@
 
 use super::fingerprint::Fingerprint;
 use super::recent::RecentParts;
+use super::run::CrashedRun;
 
 /// What crashes are attributed to.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -107,12 +108,12 @@
     }
 }
 
-/// The targets that crashed during a request, latest last.
+/// The targets that crashed during a request, or under a part of prompts, latest last.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashRecord {
-    /// The names of the targets, each listed once.
+    /// The runs of targets, each listed once; without their starts if the record is about a request.
     #[serde(rename = "t")]
-    pub targets: Vec<TargetName>,
+    pub targets: Vec<CrashedRun>,
     /// What the crashes are attributed to.
     #[serde(rename = "k", default, skip_serializing_if = "Suspect::is_request")]
     pub suspect: Suspect,
@@ -180,7 +181,8 @@
         }
     }
 
-    /// Counts the round of crashes to which a crash belongs.
+    /// Counts the round of crashes to which a crash belongs. Crashes that are learnt of late belong to a round
+    /// that is counted already.
     pub(super) fn count_round(&mut self, round_time: Duration, now: Moment) {
         if self.record.rounds == 0 || now.since(self.round_at) >= round_time {
             self.record.rounds += 1;
@@ -197,11 +199,11 @@
     }
 
     /// Adds a crash and returns whether it was new.
-    pub(super) fn add(&mut self, target: TargetName, now: Moment) -> bool {
-        let is_new = !self.record.targets.contains(&target);
+    pub(super) fn add(&mut self, run: CrashedRun, now: Moment) -> bool {
+        let is_new = !self.record.targets.iter().any(|it| it.is_same(&run));
         if is_new {
-            self.record.targets.push(target);
-            self.crashed_at = now;
+            self.record.targets.push(run);
+            self.crashed_at = self.crashed_at.max(now);
             self.failed_trials += u32::from(self.tried_at.take().is_some());
         }
         is_new
@@ -221,7 +223,7 @@
     /// How often parts came in requests lately.
     pub(super) recent: RecentParts,
     /// The number of parts that each crash has brought under suspicion here, the latest last.
-    pub(super) parts_by_crash: IndexMap<TargetName, usize>,
+    pub(super) parts_by_crash: IndexMap<CrashedRun, usize>,
 }
 
 impl Quarantine {
@@ -278,7 +280,7 @@
         }
         let known = self.suspects.entry(fingerprint);
         let known = known.or_insert_with(|| Tracked::new(Suspect::Request, now));
-        known.add(target, now) && (has_run || known.record.targets.len() > 1)
+        known.add(target.into(), now) && (has_run || known.record.targets.len() > 1)
     }
 
     /// Returns the record to write to the platform for a request, or `None` if the stored one is
@@ -308,8 +310,8 @@
         known.stored_targets = stored.record.targets.len();
         known.merge_rounds(stored.record.rounds, now);
         let before = known.record.targets.len();
-        for target in stored.record.targets {
-            known.add(target, now);
+        for run in stored.record.targets {
+            known.add(run, now);
         }
         known.record.targets.len() > before
     }
--- a/crates/chervilshunt_core/tests/links.rs
+++ b/crates/chervilshunt_core/tests/links.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use chervilshunt_core::{Dispatch, LinkChange};
+use chervilshunt_core::{Dispatch, LinkChange, TargetStart};
 use chervilshunt_model::TargetName;
 use choosing::{at, dispatch, facts, service};
 use rstest::rstest;
@@ -106,3 +106,29 @@
     play(&mut dispatch, &[(0, "t1", false), (10, "t2", false)]);
     assert_eq!(dispatch.targets_to_probe(|| 0.5, at(5_020)), []);
 }
+
+/// Guards against a cut link that is taken for a crash, and against a crash of all targets that is taken for cut
+/// links: only the platform tells them apart.
+#[rstest]
+#[case::listed_as_before(Some(Some(5)), Some(5), false)]
+#[case::started_again(Some(Some(6)), Some(5), true)]
+#[case::listed_with_an_older_start(Some(Some(4)), Some(5), false)]
+#[case::without_starts(Some(None), None, false)]
+#[case::removed(None, Some(5), true)]
+fn a_run_has_ended_when_the_platform_shows_it(
+    #[case] listed: Option<Option<u64>>,
+    #[case] sent_to: Option<u64>,
+    #[case] has_ended: bool,
+) {
+    let listed = listed.map(|started| {
+        let mut listed = facts("t1", "here", &[]);
+        listed.started = started.map(TargetStart);
+        listed
+    });
+    let mut dispatch = dispatch(listed.into_iter().chain([facts("t2", "here", &[])]));
+    for target in ["t1", "t2"] {
+        dispatch.connection_failed(&name(target), at(0));
+    }
+    let started = sent_to.map(TargetStart);
+    assert_eq!(dispatch.has_run_ended(&name("t1"), started), has_ended);
+}
--- a/crates/chervilshunt_core/tests/poisoned_parts.rs
+++ b/crates/chervilshunt_core/tests/poisoned_parts.rs
@@ -3,7 +3,7 @@
 #[path = "support/part_plays.rs"]
 mod part_plays;
 
-use chervilshunt_core::{Quarantine, SETTLE_TIME, SettlingAnswers, StoredCrashes};
+use chervilshunt_core::{CrashedRun, Quarantine, SETTLE_TIME, SettlingAnswers, StoredCrashes};
 use chervilshunt_model::StoreRevision;
 use part_plays::{Play, at, part, parts, quarantine, target};
 use rstest::rstest;
@@ -12,7 +12,11 @@
 fn after_crashes(crashes: &[&[&str]]) -> Quarantine {
     let mut known = quarantine();
     for (number, ids) in crashes.iter().enumerate() {
-        known.record_part_crash(&parts(ids), &target(number), at(number as u64 * 1_000));
+        known.record_part_crash(
+            &parts(ids),
+            &target(number).into(),
+            at(number as u64 * 1_000),
+        );
     }
     known
 }
@@ -37,7 +41,11 @@
 fn targets_that_crash_together_count_once() {
     let mut known = quarantine();
     for number in 0..20 {
-        known.record_part_crash(&parts(&["x"]), &target(number), at(number as u64 * 15));
+        known.record_part_crash(
+            &parts(&["x"]),
+            &target(number).into(),
+            at(number as u64 * 15),
+        );
     }
     assert!(!is_refused(&known, &["x"], 300));
 }
@@ -47,11 +55,42 @@
 fn a_sequence_of_crashes_without_a_pause_counts() {
     let mut known = quarantine();
     for number in 0..5 {
-        known.record_part_crash(&parts(&["x"]), &target(number), at(number as u64 * 250));
+        known.record_part_crash(
+            &parts(&["x"]),
+            &target(number).into(),
+            at(number as u64 * 250),
+        );
     }
     assert!(is_refused(&known, &["x"], 1_001));
 }
 
+/// Guards against a part that is never refused because the targets that it crashes are back under their names,
+/// and against counting one crash that two instances see as two.
+#[rstest]
+#[case::three_runs_of_one_target(&["t1@1", "t1@2", "t1@3"], true)]
+#[case::runs_without_starts(&["t1", "t1", "t1"], false)]
+#[case::one_run_seen_with_and_without_its_start(&["t1", "t1@2", "t1@2"], false)]
+fn each_run_of_a_target_that_crashes_counts(#[case] runs: &[&str], #[case] refused: bool) {
+    let mut known = quarantine();
+    for (number, run) in runs.iter().enumerate() {
+        let run = CrashedRun::from((*run).to_owned());
+        known.record_part_crash(&parts(&["x"]), &run, at(number as u64 * 1_000));
+    }
+    assert_eq!(is_refused(&known, &["x"], 3_000), refused);
+}
+
+/// Guards against rounds that are lost, or counted twice, because some crashes are learnt of late.
+#[test]
+fn a_crash_that_is_learnt_of_late_belongs_to_its_round() {
+    let mut known = quarantine();
+    for (number, millis) in [0, 700, 100, 600].into_iter().enumerate() {
+        known.record_part_crash(&parts(&["x"]), &target(number).into(), at(millis));
+    }
+    assert!(!is_refused(&known, &["x"], 800));
+    known.record_part_crash(&parts(&["x"]), &target(9).into(), at(1_200));
+    assert!(is_refused(&known, &["x"], 1_201));
+}
+
 /// Guards against a part that stays refused although targets answer requests with it and live on.
 #[rstest]
 #[case::began_after(2_500, true)]
@@ -73,11 +112,11 @@
     known.record_parts_survived(&parts(&["x"]), at(0));
     assert!(
         known
-            .record_part_crash(&parts(&["x"]), &target(1), at(3_000))
+            .record_part_crash(&parts(&["x"]), &target(1).into(), at(3_000))
             .is_empty()
     );
     assert_eq!(
-        known.record_part_crash(&parts(&["x"]), &target(2), at(3_001)),
+        known.record_part_crash(&parts(&["x"]), &target(2).into(), at(3_001)),
         parts(&["x"])
     );
 }
@@ -90,7 +129,7 @@
     assert!(!is_refused(&known, &["x"], 2_001));
     assert!(!is_refused(&known, &["y"], 2_001));
     // One more crash tells them apart.
-    known.record_part_crash(&parts(&["x"]), &target(9), at(3_000));
+    known.record_part_crash(&parts(&["x"]), &target(9).into(), at(3_000));
     assert!(is_refused(&known, &["x"], 3_001));
     assert!(!is_refused(&known, &["y"], 3_001));
 }
@@ -107,16 +146,21 @@
 fn one_crash_brings_a_bounded_number_of_parts_under_suspicion() {
     let mut known = quarantine();
     let many: Vec<_> = (0..1_000).map(|it| part(&it.to_string())).collect();
-    assert_eq!(known.record_part_crash(&many, &target(1), at(0)).len(), 16);
+    assert_eq!(
+        known
+            .record_part_crash(&many, &target(1).into(), at(0))
+            .len(),
+        16
+    );
     assert!(
         known
-            .record_part_crash(&many[500..], &target(1), at(10))
+            .record_part_crash(&many[500..], &target(1).into(), at(10))
             .is_empty()
     );
     // Those that are suspected already always count.
     assert_eq!(
         known
-            .record_part_crash(&many[..16], &target(2), at(1_000))
+            .record_part_crash(&many[..16], &target(2).into(), at(1_000))
             .len(),
         16
     );
@@ -145,7 +189,11 @@
         if known.try_refused_parts(&parts(&["x"]), at(millis)) {
             tried.push(millis);
             // It crashes its target.
-            known.record_part_crash(&parts(&["x"]), &target(millis as usize), at(millis + 100));
+            known.record_part_crash(
+                &parts(&["x"]),
+                &target(millis as usize).into(),
+                at(millis + 100),
+            );
         }
     }
     assert_eq!(tried, [8_000, 69_000]);
--- a/crates/chervilshunt_core/tests/quarantine.rs
+++ b/crates/chervilshunt_core/tests/quarantine.rs
@@ -32,7 +32,7 @@
     StoredCrashes {
         fingerprint,
         record: CrashRecord {
-            targets: targets.iter().map(|it| target(it)).collect(),
+            targets: targets.iter().map(|it| target(it).into()).collect(),
             ..CrashRecord::default()
         },
         revision: Some(StoreRevision::new(0, revision)),
@@ -92,7 +92,10 @@
         .record_to_store(request("a"))
         .expect("a crash that is not in the record");
     assert_eq!(merged.revision.map(|it| it.number), Some(7));
-    assert_eq!(merged.record.targets, [target("t2"), target("t1")]);
+    assert_eq!(
+        merged.record.targets,
+        [target("t2").into(), target("t1").into()]
+    );
     known.merge_stored(stored(request("a"), &["t2", "t1"], 8), at(110));
     assert_eq!(known.record_to_store(request("a")), None);
     // An earlier version of the record arrives late.
--- a/crates/chervilshunt_core/tests/support/part_plays.rs
+++ b/crates/chervilshunt_core/tests/support/part_plays.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 
 use chervilshunt_core::{
-    Fingerprint, PartId, Quarantine, QuarantineConfig, SettlingAnswers, StoredCrashes,
+    CrashedRun, Fingerprint, PartId, Quarantine, QuarantineConfig, SettlingAnswers, StoredCrashes,
 };
 use chervilshunt_model::{Moment, TargetName};
 use rand::seq::{IndexedRandom as _, SliceRandom as _};
@@ -216,13 +216,14 @@
         self.started += 1;
         let next = (target(self.started), now + RESTART_MS, Vec::new());
         let (name, _, open) = std::mem::replace(&mut self.targets[place], next);
+        let run = CrashedRun::from(name.clone());
         for (number, (known, settling)) in self.instances.iter_mut().enumerate() {
             settling.connection_ended(&name);
             let fresh = open
                 .iter()
                 .filter(|it| it.instance == number && now - it.begun <= 500);
             for it in fresh {
-                for recorded in known.record_part_crash(&it.parts, &name, at(now)) {
+                for recorded in known.record_part_crash(&it.parts, &run, at(now)) {
                     let stored = known.record_to_store(recorded);
                     let told = stored.map(|it| (now + TOLD_AFTER_MS, Told::Record(it)));
                     self.told.extend(told);
--- a/crates/chervilshunt_gateway/src/crashes.rs
+++ b/crates/chervilshunt_gateway/src/crashes.rs
@@ -6,10 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilshunt_core::{Crash, Fingerprint, PartId, SETTLE_TIME, SettlingNumber, StoredCrashes};
-use chervilshunt_model::TargetName;
+use chervilshunt_core::{
+    Crash, CrashedRun, Fingerprint, PartId, SETTLE_TIME, SettlingNumber, StoredCrashes, TargetStart,
+};
+use chervilshunt_model::{Moment, TargetName};
 use chervilshunt_platform::{Exchange, PlatformError};
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 use tokio::task::JoinSet;
 
 use crate::shared::Shared;
@@ -22,6 +24,15 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 /// Number of other targets that are tried before one counts as crashed.
 const COMPARED_TARGETS: usize = 3;
+/// How long the platform may take to show that a target has started again whose address refused connections
+/// like those of all others. A process that crashed is mostly back within seconds; later starts have other
+/// causes.
+const RESTART_WAIT: Duration = Duration::from_secs(10);
+/// Interval at which that is checked. Crashes have to be known within 3 s.
+const RESTART_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Maximum number of requests that wait for that. A crash brings few: its target was about to answer, or had
+/// just begun to.
+const MAX_AWAITED_RESTARTS: usize = 256;
 /// Timeout of one write of a record.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay after a failed write, and the maximum number of writes of a record: about half a minute in
@@ -38,6 +49,10 @@
     pub(crate) target: TargetName,
     /// The target's address.
     pub(crate) address: SocketAddr,
+    /// The start of the target when the request was sent.
+    pub(crate) started: Option<TargetStart>,
+    /// When the connection ended.
+    pub(crate) ended_at: Moment,
     /// The crash, if the request itself is suspected: its target had not begun to answer it.
     pub(crate) crash: Option<Crash>,
     /// The shared parts of its prompt, if they are suspected: its target had just begun to answer it.
@@ -127,10 +142,12 @@
     exchange: Arc<Exchange>,
     mut observations: mpsc::Receiver<CrashObservation>,
 ) {
+    let awaited_restarts = Arc::new(Semaphore::new(MAX_AWAITED_RESTARTS));
     while let Some(sign) = observations.recv().await {
         let recorder = Recorder {
             shared: Arc::clone(&shared),
             exchange: Arc::clone(&exchange),
+            awaited_restarts: Arc::clone(&awaited_restarts),
         };
         tokio::spawn(async move {
             match sign {
@@ -147,12 +164,14 @@
     exchange: Arc<Exchange>,
     fingerprint: Fingerprint,
 ) {
-    Recorder { shared, exchange }.record(fingerprint).await;
+    record(&shared, &exchange, fingerprint).await;
 }
 
 struct Recorder {
     shared: Arc<Shared>,
     exchange: Arc<Exchange>,
+    /// Permits to wait for restarts of targets.
+    awaited_restarts: Arc<Semaphore>,
 }
 
 impl Recorder {
@@ -160,35 +179,70 @@
     ///
     /// Connections also end without an answer if a target or the network resets them.
     async fn record_if_crashed(&self, ended: EndedRequest) {
+        let client = self.shared.engines.client(ended.address);
+        if !client.is_refused(CHECK_TIMEOUT).await {
+            return;
+        }
+        if !self.reaches_others(&ended.target).await {
+            slog::info!(self.shared.log, "target not reached, like all others";
+                "target" => ended.target.as_str(),
+                "content" => ended.crash.as_ref().map(|it| it.fingerprint.to_string()));
+            if !self.has_restarted(&ended).await {
+                return;
+            }
+            self.report_restart(&ended);
+        }
         let EndedRequest {
             target,
-            address,
+            started,
+            ended_at,
             crash,
             parts,
+            ..
         } = ended;
-        let client = self.shared.engines.client(address);
-        if !client.is_refused(CHECK_TIMEOUT).await {
-            return;
-        }
-        if !self.reaches_others(&target).await {
-            return slog::info!(self.shared.log, "target not reached, like all others";
-                "target" => target.as_str(),
-                "content" => crash.map(|it| it.fingerprint.to_string()));
-        }
+        let run = CrashedRun::new(target, started);
         let mut records = Vec::new();
         if let Some(crash) = crash {
-            records.extend(self.record_crash(crash));
+            records.extend(self.record_crash(crash, ended_at));
         }
-        records.extend(self.record_part_crash(&target, &parts));
+        records.extend(self.record_part_crash(&run, &parts, ended_at));
         metrics::counter!("chervilshunt_target_crashes_total").increment(1);
-        let writes = records.into_iter().map(|it| self.record(it));
+        let writes = records
+            .into_iter()
+            .map(|it| record(&self.shared, &self.exchange, it));
         futures_util::future::join_all(writes).await;
     }
 
+    /// Waits until the platform shows that the target's run has ended, and returns false if it does not.
+    ///
+    /// If all targets of a service crash at once, this instance reaches none of them, as if its own links had
+    /// failed. Only a target that crashed starts again.
+    async fn has_restarted(&self, ended: &EndedRequest) -> bool {
+        let Ok(_permit) = self.awaited_restarts.try_acquire() else {
+            return false;
+        };
+        let checks = async {
+            while !self
+                .shared
+                .dispatch()
+                .has_run_ended(&ended.target, ended.started)
+            {
+                tokio::time::sleep(RESTART_CHECK_INTERVAL).await;
+            }
+        };
+        tokio::time::timeout(RESTART_WAIT, checks).await.is_ok()
+    }
+
+    fn report_restart(&self, ended: &EndedRequest) {
+        let after = self.shared.clock.now().since(ended.ended_at);
+        slog::info!(self.shared.log, "target not reached has restarted";
+            "target" => ended.target.as_str(), "after_ms" => after.as_millis() as u64);
+        metrics::counter!("chervilshunt_crashes_shown_by_restarts_total").increment(1);
+    }
+
     /// Returns the record to write, if it must be.
-    fn record_crash(&self, crash: Crash) -> Option<Fingerprint> {
-        let now = self.shared.clock.now();
-        let is_to_record = self.shared.quarantine().record_crash(crash.clone(), now);
+    fn record_crash(&self, crash: Crash, at: Moment) -> Option<Fingerprint> {
+        let is_to_record = self.shared.quarantine().record_crash(crash.clone(), at);
         slog::info!(self.shared.log, "target crashed";
             "target" => crash.target.as_str(), "content" => crash.fingerprint.to_string(),
             "has_run" => crash.has_run, "recorded" => is_to_record);
@@ -196,18 +250,22 @@
     }
 
     /// Returns the records of parts to write.
-    fn record_part_crash(&self, target: &TargetName, parts: &[PartId]) -> Vec<Fingerprint> {
-        let now = self.shared.clock.now();
+    fn record_part_crash(
+        &self,
+        run: &CrashedRun,
+        parts: &[PartId],
+        at: Moment,
+    ) -> Vec<Fingerprint> {
         let fingerprints = fingerprints(parts);
         let mut quarantine = self.shared.quarantine();
-        let recorded = quarantine.record_part_crash(&fingerprints, target, now);
+        let recorded = quarantine.record_part_crash(&fingerprints, run, at);
         drop(quarantine);
         for part in parts
             .iter()
             .filter(|it| recorded.contains(&it.fingerprint()))
         {
             slog::info!(self.shared.log, "target crashed beginning to answer";
-                "target" => target.as_str(), "part" => part.to_string(),
+                "target" => run.target().as_str(), "part" => part.to_string(),
                 "content" => part.fingerprint().to_string());
             metrics::counter!("chervilshunt_suspected_parts_total").increment(1);
         }
@@ -232,44 +290,6 @@
         answers.contains(&true)
     }
 
-    /// Writes everything that is known of a request's crashes, merged with the records of other
-    /// instances.
-    async fn record(&self, fingerprint: Fingerprint) {
-        let store = &self.shared.dialect.store;
-        for _ in 0..MAX_WRITES {
-            let Some(crashes) = self.shared.quarantine().record_to_store(fingerprint) else {
-                return;
-            };
-            let call = (store.write_crashes)(&crashes);
-            let error = match call_once(&self.exchange, store, &call, WRITE_TIMEOUT).await {
-                Ok(answer) => return self.written(crashes, &answer),
-                Err(error) => error,
-            };
-            slog::info!(self.shared.log, "crash record not written";
-                "content" => fingerprint.to_string(), "reason" => error.to_string());
-            let pause = match error {
-                // Another instance has written the record; the follower of crash records reports
-                // its version shortly.
-                PlatformError::Conflict { .. }
-                | PlatformError::AlreadyExists { .. }
-                | PlatformError::NotFound { .. } => CONFLICT_RETRY_DELAY,
-                _ => RETRY_DELAY,
-            };
-            tokio::time::sleep(pause).await;
-        }
-    }
-
-    fn written(&self, crashes: StoredCrashes, answer: &StoreAnswer) {
-        let now = self.shared.clock.now();
-        match (self.shared.dialect.store.decode_crashes)(answer.era, &answer.body) {
-            Ok(stored) => {
-                self.shared.quarantine().merge_stored(stored, now);
-            }
-            Err(malformed) => slog::warn!(self.shared.log, "crash record can't be decoded";
-                "content" => crashes.fingerprint.to_string(), "problem" => malformed.to_string()),
-        }
-    }
-
     /// Releases a request that a target has begun to answer, because it has not crashed that
     /// target.
     async fn release(&self, fingerprint: Fingerprint) {
@@ -282,6 +302,44 @@
     }
 }
 
+/// Writes everything that is known of a request's crashes, merged with the records of other
+/// instances.
+async fn record(shared: &Shared, exchange: &Exchange, fingerprint: Fingerprint) {
+    let store = &shared.dialect.store;
+    for _ in 0..MAX_WRITES {
+        let Some(crashes) = shared.quarantine().record_to_store(fingerprint) else {
+            return;
+        };
+        let call = (store.write_crashes)(&crashes);
+        let error = match call_once(exchange, store, &call, WRITE_TIMEOUT).await {
+            Ok(answer) => return written(shared, crashes, &answer),
+            Err(error) => error,
+        };
+        slog::info!(shared.log, "crash record not written";
+            "content" => fingerprint.to_string(), "reason" => error.to_string());
+        let pause = match error {
+            // Another instance has written the record; the follower of crash records reports
+            // its version shortly.
+            PlatformError::Conflict { .. }
+            | PlatformError::AlreadyExists { .. }
+            | PlatformError::NotFound { .. } => CONFLICT_RETRY_DELAY,
+            _ => RETRY_DELAY,
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+fn written(shared: &Shared, crashes: StoredCrashes, answer: &StoreAnswer) {
+    let now = shared.clock.now();
+    match (shared.dialect.store.decode_crashes)(answer.era, &answer.body) {
+        Ok(stored) => {
+            shared.quarantine().merge_stored(stored, now);
+        }
+        Err(malformed) => slog::warn!(shared.log, "crash record can't be decoded";
+            "content" => crashes.fingerprint.to_string(), "problem" => malformed.to_string()),
+    }
+}
+
 /// Removes the crash record of a request.
 pub(crate) async fn remove_record(shared: &Shared, exchange: &Exchange, fingerprint: Fingerprint) {
     let call = (shared.dialect.store.remove_crashes)(fingerprint);
--- a/crates/chervilshunt_gateway/src/traffic/in_flight.rs
+++ b/crates/chervilshunt_gateway/src/traffic/in_flight.rs
@@ -128,6 +128,8 @@
                 .queue_crash_observation(CrashObservation::ConnectionEnded(EndedRequest {
                     target: self.target.clone(),
                     address: self.address,
+                    started: self.started,
+                    ended_at: now,
                     crash,
                     parts,
                 }));
--- a/crates/chervilshunt_gateway/src/transit/answer.rs
+++ b/crates/chervilshunt_gateway/src/transit/answer.rs
@@ -5,7 +5,7 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use chervilshunt_core::{PartId, SettlingNumber};
+use chervilshunt_core::{PartId, SettlingNumber, TargetStart};
 use chervilshunt_engine::{BodyReader, EngineError};
 use chervilshunt_model::{Moment, TargetName};
 use http_body::{Body, Frame, SizeHint};
@@ -30,6 +30,8 @@
     pub(super) body: BodyReader,
     pub(super) target: TargetName,
     pub(super) address: SocketAddr,
+    /// The start of the target to which the request was sent.
+    pub(super) started: Option<TargetStart>,
     /// The shared parts of the request's prompt.
     pub(super) parts: Vec<PartId>,
     /// When the target began to answer.
@@ -60,6 +62,8 @@
             shared.queue_crash_observation(CrashObservation::ConnectionEnded(EndedRequest {
                 target: self.target.clone(),
                 address: self.address,
+                started: self.started,
+                ended_at: now,
                 crash: None,
                 parts: self.parts.clone(),
             }));
--- a/crates/chervilshunt_gateway/src/transit/pass_on.rs
+++ b/crates/chervilshunt_gateway/src/transit/pass_on.rs
@@ -104,6 +104,7 @@
     let body = body.map_err(|_refusal| TransitOutcome::Malformed)?;
     let (address, reuse) = find_target(shared, &transit)?;
     let left = time_left(shared, &mut head.headers, arrived)?;
+    let started = shared.dispatch().started(&transit.target);
     let parts = shared_parts(shared, &head.headers);
     let limits = Limits {
         connect: CONNECT_TIMEOUT.min(left),
@@ -130,6 +131,7 @@
         body,
         target: transit.target,
         address,
+        started,
         parts,
         begun_at: None,
         settling: None,
