--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -52,7 +52,7 @@
 };
 pub use placer_pace::{PlacerPace, PlacerPaceChange, PlacerUse};
 pub use quarantine::{
-    Crash, CrashRecord, Fingerprint, PartId, Quarantine, QuarantineConfig, SETTLE_TIME,
+    Crash, CrashRecord, CrashedRun, Fingerprint, PartId, Quarantine, QuarantineConfig, SETTLE_TIME,
     SettlingAnswers, SettlingNumber, StoredCrashes, Suspect,
 };
 pub use quota::{
