Placer: pass over targets to which several instances cannot connect

A crashed target stays listed for seconds and looks idle, so the placer preferred it for requests and for loads. Instances now report failed connections, and a target that two of them have reported in the last half second gets nothing.

--- a/crates/chervilshunt_core/src/residency/mod.rs
+++ b/crates/chervilshunt_core/src/residency/mod.rs
@@ -24,6 +24,7 @@
 mod restart;
 mod slot_time;
 mod target;
+mod unreachable;
 mod versions;
 mod window;
 
--- a/crates/chervilshunt_core/src/residency/order.rs
+++ b/crates/chervilshunt_core/src/residency/order.rs
@@ -146,6 +146,8 @@
     RateLimits(Vec<(TargetName, RequestRate)>),
     /// The services whose targets fall over when they have to turn away too many requests.
     BrittleServices(Vec<ServiceName>),
+    /// An instance could not connect to a target.
+    Unreachable(InstanceId, TargetName),
     /// The newest version of some weights was announced.
     VersionAnnounced(Weights, u64),
     /// Time has passed.
--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -199,6 +199,9 @@
             ResidencyEvent::ReportFailed(target) => self.report_failed(&target, now),
             ResidencyEvent::RateLimits(limits) => self.schedules.set_limits(&limits, now),
             ResidencyEvent::BrittleServices(services) => self.brittle = services,
+            ResidencyEvent::Unreachable(from, target) => {
+                self.unreachable_reported(from, &target, now);
+            }
             ResidencyEvent::VersionAnnounced(weights, version) => {
                 self.version_announced(weights, version, now, &mut out);
             }
--- a/crates/chervilshunt_core/src/residency/target.rs
+++ b/crates/chervilshunt_core/src/residency/target.rs
@@ -14,6 +14,7 @@
 use super::models::{LoadedFor, ModelOrder};
 use super::order::Order;
 use super::restart::LostLoads;
+use super::unreachable::UnreachableReports;
 use crate::dispatch::{HeldAdapters, TargetFacts, Weights};
 use crate::speed::TargetSpeed;
 
@@ -71,6 +72,8 @@
     last_prefill: Moment,
     /// Unanswered orders to load adapters.
     pub(crate) lost: LostLoads,
+    /// The instances that could not connect to it.
+    pub(crate) unreachable: UnreachableReports,
     /// Whether the target has answered a query, or one has failed.
     pub(crate) was_queried: bool,
     /// Whether the target has answered a query.
@@ -133,6 +136,7 @@
             prefill_tokens: 0,
             last_prefill: Moment::ZERO,
             lost: LostLoads::default(),
+            unreachable: UnreachableReports::default(),
             was_queried: false,
             has_answered: false,
             touched: true,
@@ -315,6 +319,7 @@
         given_at: Moment,
         now: Moment,
     ) -> Duration {
+        self.unreachable.clear();
         self.prefill_tokens = self.prefill_tokens.saturating_sub(tokens);
         let began = given_at.max(self.last_prefill);
         self.last_prefill = now;
--- a/crates/chervilshunt_core/src/service_queue/queues.rs
+++ b/crates/chervilshunt_core/src/service_queue/queues.rs
@@ -152,6 +152,7 @@
             | ResidencyEvent::ReportFailed(_)
             | ResidencyEvent::RateLimits(_)
             | ResidencyEvent::BrittleServices(_)
+            | ResidencyEvent::Unreachable(..)
             | ResidencyEvent::VersionAnnounced(..)
             | ResidencyEvent::Tick => {}
         }
--- a/crates/chervilshunt_gateway/src/control/using.rs
+++ b/crates/chervilshunt_gateway/src/control/using.rs
@@ -130,6 +130,9 @@
             PeerMessage::NotHeld(target, weights) => {
                 self.plan(ResidencyEvent::NotHeld(target, weights));
             }
+            PeerMessage::Unreachable(target) => {
+                self.plan(ResidencyEvent::Unreachable(from, target));
+            }
             PeerMessage::RateLimit(report) => self.handle_limit_report(&report, &from),
             PeerMessage::SendPermitRequest(target, within) => {
                 self.handle_send_permit(&target, within, reply);
--- a/crates/chervilshunt_gateway/src/peers.rs
+++ b/crates/chervilshunt_gateway/src/peers.rs
@@ -106,6 +106,9 @@
     /// To the placer: a target reported that it does not hold an adapter.
     #[serde(rename = "n")]
     NotHeld(TargetName, Weights),
+    /// To the placer: the sender could not connect to a target.
+    #[serde(rename = "f")]
+    Unreachable(TargetName),
     /// To the placer, and from it to all others: a target's answer showed that it is leaving.
     #[serde(rename = "d")]
     Leaving(TargetName, Option<TargetStart>),
@@ -370,6 +373,7 @@
             Self::StreamOriginRequest(_) => "stream_origin",
             Self::StreamOriginAnswer(_) => "stream_origin_answer",
             Self::NotHeld(..) => "not_held",
+            Self::Unreachable(_) => "unreachable",
             Self::Leaving(..) => "leaving",
             Self::RateLimit(_) => "rate_limit",
             Self::TransitRequest(_) => "transit_request",
--- a/crates/chervilshunt_gateway/src/traffic/not_connected.rs
+++ b/crates/chervilshunt_gateway/src/traffic/not_connected.rs
@@ -6,6 +6,7 @@
 use super::in_flight::InFlight;
 use super::place::SelectedTarget;
 use super::refusal::Reason;
+use crate::peers::PeerMessage;
 use crate::transit::{TransitOutcome, TransitRoute};
 
 impl RequestAttempts<'_> {
@@ -22,7 +23,25 @@
     pub(super) fn record_connect_failure(&self, chosen: &SelectedTarget) {
         match &chosen.route {
             Some(route) => route.record_failure(self.shared.clock.now()),
-            None => self.shared.record_connection_failed(&chosen.target),
+            None => {
+                self.shared.record_connection_failed(&chosen.target);
+                self.report_unreachable(chosen);
+            }
+        }
+    }
+
+    /// Tells the placer of a target that it would otherwise go on choosing, because it looks idle.
+    fn report_unreachable(&self, chosen: &SelectedTarget) {
+        let Some(placer) = self.shared.placer.load_full() else {
+            return;
+        };
+        if self.req.weights.is_none() || self.shared.dispatch().is_cut_off(&self.req.service) {
+            return;
+        }
+        metrics::counter!("chervilshunt_unreachable_reports_total").increment(1);
+        let message = PeerMessage::Unreachable(chosen.target.clone());
+        if let Err(error) = self.shared.mesh.send(&placer, message) {
+            slog::debug!(self.shared.log, "message to placer not sent"; "reason" => error.to_string());
         }
     }
 
