Measure prefill and slot times as those of a target of mean speed

The prefill rate and the time in a slot are averages over what targets take.

Measured times are now divided by the ratio of their target. Targets that state no pace are measured as before.

Adds tests of what had none: running streams, slots, prompts, failing targets and zones.

--- a/crates/chervilshunt_core/src/residency/choice.rs
+++ b/crates/chervilshunt_core/src/residency/choice.rs
@@ -10,7 +10,7 @@
 use super::target::{OrderState, TargetState};
 use crate::dispatch::BRITTLE_FILL;
 use crate::dispatch::{Lane, Weights, has_software, long_prompt_targets};
-use crate::speed::ServicePace;
+use crate::speed::{ServicePace, SpeedRatio};
 
 /// A target suitable for a request.
 #[derive(Clone, Debug)]
@@ -89,6 +89,16 @@
         found.min_by(|a, b| a.score.total_cmp(&b.score))
     }
 
+    /// Returns the speed of a target relative to its service; 1 if it does not state its pace.
+    pub(super) fn speed_ratio(&self, target: &TargetName, now: Moment) -> SpeedRatio {
+        let target = self.targets.get(target);
+        let Some(target) = target.filter(|it| it.speed.is_known()) else {
+            return SpeedRatio::MEAN;
+        };
+        let pace = self.service_pace(&target.facts.service);
+        pace.ratio(&target.speed, now)
+    }
+
     fn service_pace(&self, service: &ServiceName) -> ServicePace {
         let targets = self.targets.values();
         let targets = targets.filter(|it| it.facts.service == *service);
--- a/crates/chervilshunt_core/src/residency/grants.rs
+++ b/crates/chervilshunt_core/src/residency/grants.rs
@@ -97,6 +97,18 @@
     }
 }
 
+/// Returns how long a target of the mean speed would have taken.
+///
+/// The times that targets take are averaged over those that get the most requests, which are the
+/// fast ones. Multiplied by their ratios again, the averages would make them appear faster than they
+/// are.
+fn at_mean_speed(took: Duration, ratio: f64) -> Duration {
+    if (ratio - 1.0).abs() < f64::EPSILON {
+        return took;
+    }
+    took.div_f64(ratio)
+}
+
 impl ResidencyPlanner {
     /// Records that an instance may now send a request to a target.
     pub(super) fn grant(
@@ -164,10 +176,12 @@
         let tokens = std::mem::take(&mut grant.prefill_tokens);
         let given_at = grant.given_at;
         grant.begun_at = Some(now);
-        if let Some(target) = self.targets.get_mut(&grant.target) {
+        let target_name = grant.target.clone();
+        if let Some(target) = self.targets.get_mut(&target_name) {
             target.speed.answered();
             let took = target.prefill_completed(tokens, given_at, now);
-            self.prefill_rate.record(tokens, took);
+            let ratio = self.speed_ratio(&target_name, now).momentary;
+            self.prefill_rate.record(tokens, at_mean_speed(took, ratio));
         }
     }
 
@@ -177,7 +191,9 @@
             return;
         };
         if let Some(begun_at) = grant.begun_at {
-            self.slot_time.record(now.since(begun_at));
+            let ratio = self.speed_ratio(&grant.target, now).lasting;
+            let took = at_mean_speed(now.since(begun_at), ratio);
+            self.slot_time.record(took);
         }
         if let Some(target) = self.targets.get_mut(&grant.target) {
             target.grant_ended(&grant, now);
--- a/crates/chervilshunt_core/src/speed.rs
+++ b/crates/chervilshunt_core/src/speed.rs
@@ -271,6 +271,14 @@
     pub(crate) momentary: f64,
 }
 
+impl SpeedRatio {
+    /// The ratio of a target of mean speed.
+    pub(crate) const MEAN: Self = Self {
+        lasting: 1.0,
+        momentary: 1.0,
+    };
+}
+
 impl ServicePace {
     /// Computes the pace of a service from the speeds of all its targets. Targets of which nothing
     /// is known do not count.
@@ -294,10 +302,7 @@
     /// Returns the ratio of a target of the service; 1 if no target states its pace.
     pub(crate) fn ratio(self, speed: &TargetSpeed, now: Moment) -> SpeedRatio {
         let Some(mean) = self.mean else {
-            return SpeedRatio {
-                lasting: 1.0,
-                momentary: 1.0,
-            };
+            return SpeedRatio::MEAN;
         };
         let bounded = |pace: f64| (pace / mean).clamp(RATIO_BOUNDS.0, RATIO_BOUNDS.1);
         SpeedRatio {
--- a/crates/chervilshunt_core/tests/target_pace.rs
+++ b/crates/chervilshunt_core/tests/target_pace.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use chervilshunt_core::{
-    Choice, Dispatch, DispatchConfig, Lane, LoadReport, PaceFigures, TargetFacts,
-    TargetRequirements, TargetSnapshot, TargetStart,
+    Choice, Dispatch, DispatchConfig, HealthSignal, Lane, LoadReport, PaceFigures, TargetFacts,
+    TargetPath, TargetRequirements, TargetSnapshot, TargetStart,
 };
 use chervilshunt_model::{Moment, ServiceName, TargetName, ZoneName};
 use rand::{Rng, SeedableRng};
@@ -232,6 +232,54 @@
     assert_eq!(figures(&dispatch, 0, 6_000), None);
 }
 
+/// Guards against prompts that are sent behind others to a target which reads them slowly: a few
+/// more requests at the fast target delay them less.
+#[rstest]
+#[case::no_prompts(0, 0)]
+#[case::prompts(3_000, 1)]
+fn prompts_count_at_the_pace_of_their_target(#[case] tokens: u32, #[case] chosen: usize) {
+    let mut dispatch = instance(2);
+    for (index, pace) in [(0, 170), (1, 70)] {
+        state(&mut dispatch, index, pace, 0);
+        dispatch.add_prefill(&name(index), tokens);
+    }
+    for _ in 0..2 {
+        dispatch.sent(&name(1), None);
+    }
+    assert!(share_of(chosen, &dispatch, 0) > 0.99);
+}
+
+/// Guards against two drawn targets that both fail while others do not.
+#[test]
+fn failing_targets_are_not_drawn() {
+    let mut dispatch = instance(4);
+    for (index, pace) in [(1, 70), (2, 70), (3, 170)] {
+        state(&mut dispatch, index, pace, 0);
+    }
+    for index in [1, 2] {
+        for _ in 0..20 {
+            let failed = HealthSignal::Failed;
+            dispatch.record_signal(&name(index), TargetPath::Direct, failed, at(0));
+        }
+    }
+    assert_eq!(share_of(3, &dispatch, 10), 1.0);
+}
+
+/// Guards against requests that cross zones because both drawn targets happen to be in another one.
+#[test]
+fn a_near_target_is_among_the_drawn_ones() {
+    let mut dispatch = instance(4);
+    for (index, pace) in [(1, 100), (2, 100), (3, 130)] {
+        let mut facts = facts(index, None);
+        if index != 1 {
+            facts.zone = ZoneName::from("far");
+        }
+        dispatch.target_listed(facts, at(0));
+        state(&mut dispatch, index, pace, 0);
+    }
+    assert_eq!(share_of(1, &dispatch, 10), 1.0);
+}
+
 /// Guards against a single implausible figure that makes a target the only one used: ratios are
 /// bounded, so that the requests in flight there outweigh it.
 #[rstest]
--- a/crates/chervilshunt_core/tests/target_speed.rs
+++ b/crates/chervilshunt_core/tests/target_speed.rs
@@ -14,7 +14,7 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
-use uneven::placing::{at, facts, placement_request, reported, target, unqueried_planner};
+use uneven::placing::{adapter, at, facts, placement_request, reported, target, unqueried_planner};
 use uneven::{Engines, FAST, Replay, SLOW, Sizes, TARGETS, drafts, is_slow};
 
 /// Returns what each target was granted, by whether it is a slow one.
@@ -130,6 +130,77 @@
     assert!(stated.mean_first_token() < silent.mean_first_token() * 0.98);
 }
 
+/// Requests pile up at the one target that holds an adapter, after it has served a hundred in 20 ms
+/// each. Returns the number of requests after which the adapter is loaded on another target.
+fn requests_until_load(paces: fn(usize) -> u16) -> u64 {
+    let mut residency = unqueried_planner(12, 64, 20);
+    residency.handle(ResidencyEvent::Tick, at(450));
+    for index in 0..12 {
+        let held = (index == 0).then(|| (adapter("busy"), 1));
+        residency.handle(reported(index, held.into_iter().collect()), at(451));
+    }
+    let mut dispatch = Dispatch::new(DispatchConfig::default(), ZoneName::from("zone"));
+    for index in 0..12 {
+        dispatch.target_listed(facts(index, 64), at(0));
+        dispatch.pace_reported(&target(index), None, Some(paces(index)), at(451));
+    }
+    residency.start_with_speeds(dispatch.speeds());
+    for number in 0..400 {
+        let now = 1_000 + number * 20;
+        residency.handle(placement_request(number, adapter("busy"), 2_000), at(now));
+        let progress = GrantProgress {
+            begun: vec![GrantNumber(number)],
+            ended: vec![GrantNumber(number)],
+            paces: vec![(GrantNumber(number), paces(0))],
+            ..GrantProgress::default()
+        };
+        residency.handle(ResidencyEvent::GrantsProgressed(progress), at(now + 20));
+    }
+    let mut numbers = 1_000..;
+    let loads = |number| {
+        let request = placement_request(number, adapter("busy"), 2_000);
+        let actions = residency.handle(request, at(9_100));
+        actions
+            .iter()
+            .any(|it| matches!(it, ResidencyAction::Order(_)))
+    };
+    numbers.position(loads).expect("a load") as u64
+}
+
+/// Guards against a prefill rate that counts the speed of fast targets twice: it is measured where
+/// most requests are sent, and that is at these. Too few copies of a busy adapter were loaded.
+#[test]
+fn a_busy_adapter_of_a_fast_target_is_spread_like_any_other() {
+    let even = requests_until_load(|_| 100);
+    let uneven = requests_until_load(|index| if index == 0 { 70 } else { 170 });
+    assert!((even..=even + 8).contains(&uneven), "{even} {uneven}");
+}
+
+/// Guards against long prompts that are sent to a somewhat faster target where many streams run,
+/// which all stand still during the prefill.
+#[rstest]
+#[case::few_streams(4, 0)]
+#[case::many_streams(12, 1)]
+fn a_long_prompt_spares_running_streams(#[case] streams: usize, #[case] expected: usize) {
+    let mut pair = Pair::new();
+    let mut held = [Vec::new(), Vec::new()];
+    while held[0].len() < streams {
+        let (number, name) = pair.request(1_000);
+        held[usize::from(name == target(1))].push(number);
+    }
+    let [first, second] = held;
+    let paces = [(first[0], 70), (second[0], 130)];
+    let progress = GrantProgress {
+        paces: paces.to_vec(),
+        begun: first,
+        ended: second,
+        ..GrantProgress::default()
+    };
+    pair.report(progress, 1_100);
+    // The reading is no longer recent, and counts as lasting only.
+    assert_eq!(pair.request_with(20_000, 2_000).1, target(expected));
+}
+
 /// Two targets and requests for their base model.
 struct Pair {
     residency: ResidencyPlanner,
@@ -153,8 +224,15 @@
 
     /// Has a request granted, and returns its number and its target.
     fn request(&mut self, now: u64) -> (GrantNumber, TargetName) {
+        self.request_with(1_000, now)
+    }
+
+    fn request_with(&mut self, tokens: u32, now: u64) -> (GrantNumber, TargetName) {
         self.next += 1;
-        let request = placement_request(self.next, Weights::base(&"base".into()), 2_000);
+        let mut request = placement_request(self.next, Weights::base(&"base".into()), 2_000);
+        if let ResidencyEvent::PlacementRequested { request, .. } = &mut request {
+            request.prompt_tokens = tokens;
+        }
         let actions = self.residency.handle(request, at(now));
         let placed = actions.into_iter().find_map(|action| match action {
             ResidencyAction::Answer(number, PlacementResult::At { target, .. }) => {
@@ -193,6 +271,27 @@
     }
 }
 
+/// Guards against requests that wait for a slot of a slow target while those of a fast one become
+/// free sooner.
+#[test]
+fn requests_wait_for_slots_of_the_faster_target() {
+    let mut pair = Pair::new();
+    let granted: Vec<(GrantNumber, TargetName)> = (0..40).map(|_| pair.request(1_000)).collect();
+    let first = granted.iter().filter(|(_, name)| *name == target(0));
+    assert_eq!(first.count(), 20);
+    let paces = granted.iter().map(|(number, name)| {
+        let pace = if *name == target(0) { 130 } else { 70 };
+        (*number, pace)
+    });
+    let progress = GrantProgress {
+        paces: paces.collect(),
+        begun: granted.iter().map(|(number, _)| *number).collect(),
+        ..GrantProgress::default()
+    };
+    pair.report(progress, 1_100);
+    assert_eq!(pair.request_with(0, 2_000).1, target(1));
+}
+
 /// Guards against an estimate from durations: a target that was given only work of seconds states
 /// the same pace as the other one, and is still preferred.
 #[test]
