Weigh the slots taken at a target by its lasting speed

Answers of seconds were begun at slow targets as soon as fast ones had as many streams, because the placer's penalty for slots taken was the same for both.

The penalty is now multiplied by the target's lasting ratio, as the load is without a placer. Without stated paces nothing changes.

--- a/crates/chervilshunt_core/src/residency/choice.rs
+++ b/crates/chervilshunt_core/src/residency/choice.rs
@@ -72,7 +72,8 @@
             let send_wait = self.schedules.wait(name, now);
             readiness.ready_in = readiness.ready_in.max(send_wait);
             let mut score = self.first_token_millis(target, request, readiness, pace, now);
-            score += self.penalties(target, request, readiness);
+            let lasting = pace.ratio(&target.speed, now).lasting;
+            score += self.penalties(target, request, readiness, lasting);
             if !kept.is_empty() && kept.contains(&name) != (request.lane == Lane::LongPrompt) {
                 score += millis(self.cfg.lane_penalty);
             }
@@ -137,13 +138,19 @@
     }
 
     /// Returns the penalties of placing a request at a target, in milliseconds.
+    ///
+    /// Slots taken weigh by the target's lasting ratio, since the streams there run for that much
+    /// longer: an answer of seconds would otherwise be begun at a slow target as soon as a fast one
+    /// has as many streams.
     fn penalties(
         &self,
         target: &TargetState,
         request: &PlacementRequest,
         readiness: Readiness,
+        lasting_ratio: f64,
     ) -> f64 {
         let taken = f64::from(target.in_flight()) / f64::from(target.facts.slots.max(1));
+        let taken = taken * lasting_ratio;
         let mut penalty = millis(readiness.penalty) + taken * millis(self.cfg.load_penalty);
         if target.facts.zone != request.zone {
             penalty += millis(self.cfg.zone_penalty);
