--- a/crates/chervilshunt_core/src/residency/choice.rs
+++ b/crates/chervilshunt_core/src/residency/choice.rs
@@ -10,7 +10,7 @@
 use super::target::{OrderState, TargetState};
 use crate::dispatch::BRITTLE_FILL;
 use crate::dispatch::{Lane, Weights, has_software, long_prompt_targets};
-use crate::speed::ServicePace;
+use crate::speed::{ServicePace, SpeedRatio};
 
 /// A target suitable for a request.
 #[derive(Clone, Debug)]
@@ -75,7 +75,8 @@
             let send_wait = self.schedules.wait(name, now);
             readiness.ready_in = readiness.ready_in.max(send_wait);
             let mut score = self.first_token_millis(target, request, readiness, pace, now);
-            score += self.penalties(target, request, readiness);
+            let lasting = pace.ratio(&target.speed, now).lasting;
+            score += self.penalties(target, request, readiness, lasting);
             if !kept.is_empty() && kept.contains(&name) != (request.lane == Lane::LongPrompt) {
                 score += millis(self.cfg.lane_penalty);
             }
@@ -92,6 +93,16 @@
         found.min_by(|a, b| a.score.total_cmp(&b.score))
     }
 
+    /// Returns the speed of a target relative to its service; 1 if it does not state its pace.
+    pub(super) fn speed_ratio(&self, target: &TargetName, now: Moment) -> SpeedRatio {
+        let target = self.targets.get(target);
+        let Some(target) = target.filter(|it| it.speed.is_known()) else {
+            return SpeedRatio::MEAN;
+        };
+        let pace = self.service_pace(&target.facts.service);
+        pace.ratio(&target.speed, now)
+    }
+
     fn service_pace(&self, service: &ServiceName) -> ServicePace {
         let targets = self.targets.values();
         let targets = targets.filter(|it| it.facts.service == *service);
@@ -130,13 +141,19 @@
     }
 
     /// Returns the penalties of placing a request at a target, in milliseconds.
+    ///
+    /// Slots taken weigh by the target's lasting ratio, since the streams there run for that much
+    /// longer: an answer of seconds would otherwise be begun at a slow target as soon as a fast one
+    /// has as many streams.
     fn penalties(
         &self,
         target: &TargetState,
         request: &PlacementRequest,
         readiness: Readiness,
+        lasting_ratio: f64,
     ) -> f64 {
         let taken = f64::from(target.in_flight()) / f64::from(target.facts.slots.max(1));
+        let taken = taken * lasting_ratio;
         let mut penalty = millis(readiness.penalty) + taken * millis(self.cfg.load_penalty);
         if target.facts.zone != request.zone {
             penalty += millis(self.cfg.zone_penalty);
