--- a/crates/chervilshunt_gateway/src/admit.rs
+++ b/crates/chervilshunt_gateway/src/admit.rs
@@ -87,3 +87,6 @@
 const fn is_zero(priority: &u8) -> bool {
     *priority == 0
 }
+
+#[cfg(test)]
+mod tests;
