Log a target entry of another writer once, also with a value that changes

Cause: a fault was told apart by the decoder's text, which names the value at fault. An entry with another wrong value in each heartbeat was logged each second. An entry of a service that the configuration does not have was not logged at all.

Change: values and numbers are left out when faults of target entries are compared, and "target of unknown service" is logged once for each target.

--- a/crates/chervilshunt_gateway/src/control/actor.rs
+++ b/crates/chervilshunt_gateway/src/control/actor.rs
@@ -1,6 +1,6 @@
 //! The control actor: its state and message handlers.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -102,6 +102,8 @@
     pub(super) feed: ChangeFeed,
     /// The newest version of each set of weights that the platform has announced.
     pub(super) versions: HashMap<Weights, u64>,
+    /// Targets whose services the configuration does not have, which have been logged.
+    pub(super) of_unknown_services: HashSet<TargetName>,
     /// The newest known era of the platform; the followers update it too.
     pub(super) era: watch::Sender<u64>,
     /// The era that this state has already handled; `None` until the platform has answered.
@@ -156,6 +158,7 @@
             relays: watch::Sender::default(),
             feed: ChangeFeed::default(),
             versions: HashMap::new(),
+            of_unknown_services: HashSet::new(),
             era: watch::Sender::default(),
             known_era: None,
             listed_era: None,
--- a/crates/chervilshunt_gateway/src/control/follow.rs
+++ b/crates/chervilshunt_gateway/src/control/follow.rs
@@ -425,16 +425,21 @@
         }
     }
 
-    /// Logs objects that can't be decoded, once for each fault: every list reads them again.
+    /// Logs objects that can't be decoded, once for each fault: every list reads them again. Entries of targets
+    /// are written every second, so that a fault counts as the same whatever the value at fault is.
     fn report_malformed(&mut self, malformed: &[Malformed]) {
         if self.reported.len() + malformed.len() > MAX_REPORTED_FAULTS {
             self.reported.clear();
         }
         for it in malformed {
-            let before = self
-                .reported
-                .insert(Arc::clone(&it.what), it.problem.clone());
-            if before.as_ref() == Some(&it.problem) {
+            let fault = match self.kind {
+                Kind::Targets => without_values(&it.problem),
+                Kind::Configuration | Kind::Versions | Kind::Crashes | Kind::Lease => {
+                    it.problem.clone()
+                }
+            };
+            let before = self.reported.insert(Arc::clone(&it.what), fault.clone());
+            if before == Some(fault) {
                 continue;
             }
             slog::warn!(self.log, "object can't be decoded";
@@ -442,3 +447,10 @@
         }
     }
 }
+
+/// Returns a problem without the values and positions that it names.
+fn without_values(problem: &str) -> String {
+    let outside_quotes = problem.split(['"', '`']).step_by(2);
+    let text: String = outside_quotes.collect();
+    text.chars().filter(|it| !it.is_ascii_digit()).collect()
+}
--- a/crates/chervilshunt_gateway/src/control/targets.rs
+++ b/crates/chervilshunt_gateway/src/control/targets.rs
@@ -24,6 +24,8 @@
 /// The same time after an outage of the platform's service, counted from the last failed call: the
 /// entries of live targets are back within two seconds.
 const OUTAGE_GRACE: Duration = Duration::from_millis(2_300);
+/// Maximum number of targets that are logged because the configuration does not have their services.
+const MAX_REPORTED_SERVICES: usize = 1_000;
 /// Share of the targets whose entries disappear together from which this is taken for a lapse of
 /// entries.
 const LAPSE_SHARE: f64 = 0.34;
@@ -256,6 +258,7 @@
         change: EntryChange,
         revision: StoreRevision,
     ) {
+        self.report_unknown_service(&facts);
         let was_absent = self.missing_targets.due.remove(&facts.name).is_some();
         let before = before.as_ref();
         if was_absent || before.is_none_or(|before| before.needs_broadcast(&facts)) {
@@ -289,6 +292,22 @@
         self.plan(ResidencyEvent::TargetListed(facts));
     }
 
+    /// Logs once that the configuration does not have the service of a target, which gets no requests therefore.
+    fn report_unknown_service(&mut self, facts: &TargetFacts) {
+        let routes = self.shared.routes.load();
+        let is_known = |it: &Arc<RouteTable>| it.services.contains_key(&facts.service);
+        if routes.as_ref().is_none_or(is_known) {
+            self.of_unknown_services.remove(&facts.name);
+            return;
+        }
+        if self.of_unknown_services.len() < MAX_REPORTED_SERVICES
+            && self.of_unknown_services.insert(facts.name.clone())
+        {
+            slog::warn!(self.shared.log, "target of unknown service";
+                "target" => facts.name.as_str(), "service" => facts.service.as_str());
+        }
+    }
+
     /// Handles a report, by another instance or by a request of this one, that a target is leaving.
     pub(super) fn handle_leaving(
         &mut self,
@@ -380,6 +399,7 @@
         for name in due {
             slog::info!(self.shared.log, "target removed"; "target" => name.as_str());
             self.shared.dispatch().target_gone(&name, now);
+            self.of_unknown_services.remove(&name);
             self.plan(ResidencyEvent::TargetGone(name));
         }
         let dispatch = self.shared.dispatch();
