--- a/crates/chervilshunt_core/src/speed.rs
+++ b/crates/chervilshunt_core/src/speed.rs
@@ -36,6 +36,9 @@
 /// The bounds of the ratio of a target to its service. A single implausible figure must not turn a
 /// target into the only one used, or into one that is never used.
 const RATIO_BOUNDS: (f64, f64) = (0.2, 5.0);
+/// The factor by which a target has to differ from the mean of its service for the targets to count
+/// as uneven.
+const EVEN_FACTOR: f64 = 1.25;
 /// The relative change of a lasting figure that is reported to operators.
 const REPORTED_CHANGE: f64 = 0.25;
 
@@ -220,7 +223,7 @@
 /// The pace of the targets of one service, against which each of them is compared.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct ServicePace {
-    /// The mean of the lasting figures; `None` if no target states its pace.
+    /// The mean of the lasting figures; `None` if no target states its pace or all are alike.
     mean: Option<f64>,
 }
 
@@ -282,24 +285,33 @@
 impl ServicePace {
     /// Computes the pace of a service from the speeds of all its targets. Targets of which nothing
     /// is known do not count.
+    ///
+    /// Where the lasting figures are alike there is no mean to compare with: passing over targets for
+    /// a slow period of some 100 ms would cost copies of adapters that are loaded long after it.
     pub(crate) fn of<'a>(speeds: impl Iterator<Item = &'a TargetSpeed>) -> Self {
         let (mut sum, mut count, mut stated) = (0.0, 0.0, false);
+        let (mut least, mut most) = (f64::INFINITY, 0.0_f64);
         for speed in speeds.filter(|it| it.is_known() || it.is_silent) {
-            sum += f64::from(speed.lasting);
+            let lasting = f64::from(speed.lasting);
+            sum += lasting;
             count += 1.0;
             stated |= speed.is_known();
+            least = least.min(lasting);
+            most = most.max(lasting);
         }
+        let mean = f64::max(sum / count, 1.0);
+        let uneven = stated && (least < mean / EVEN_FACTOR || most > mean * EVEN_FACTOR);
         Self {
-            mean: stated.then(|| f64::max(sum / count, 1.0)),
+            mean: uneven.then_some(mean),
         }
     }
 
-    /// Returns whether any target of the service states its pace.
+    /// Returns whether the targets of the service state different paces.
     pub(crate) const fn is_stated(self) -> bool {
         self.mean.is_some()
     }
 
-    /// Returns the ratio of a target of the service; 1 if no target states its pace.
+    /// Returns the ratio of a target of the service; 1 if the targets are alike, as far as they state.
     pub(crate) fn ratio(self, speed: &TargetSpeed, now: Moment) -> SpeedRatio {
         let Some(mean) = self.mean else {
             return SpeedRatio::MEAN;
--- a/crates/chervilshunt_core/tests/target_pace.rs
+++ b/crates/chervilshunt_core/tests/target_pace.rs
@@ -139,10 +139,11 @@
 /// An episode is avoided while its reading is recent, and forgotten after 0.4 s.
 #[test]
 fn an_episode_counts_for_as_long_as_it_persists() {
-    let mut dispatch = instance(2);
+    let mut dispatch = instance(3);
     for now in (0..6_000).step_by(300) {
         state(&mut dispatch, 0, 100, now);
         state(&mut dispatch, 1, 100, now);
+        state(&mut dispatch, 2, 250, now);
     }
     state(&mut dispatch, 0, 250, 6_000);
     for now in [6_000, 6_100, 6_399] {
@@ -151,6 +152,19 @@
     assert!(share_of_first(&dispatch, 6_401) > 0.4);
 }
 
+/// Guards against copies of adapters that are loaded elsewhere for an episode that ends before them,
+/// in a service whose targets are alike.
+#[test]
+fn episodes_do_not_count_where_targets_are_alike() {
+    let mut dispatch = instance(2);
+    for now in (0..6_000).step_by(300) {
+        state(&mut dispatch, 0, 100, now);
+        state(&mut dispatch, 1, 110, now);
+    }
+    state(&mut dispatch, 0, 250, 6_000);
+    assert!(share_of_first(&dispatch, 6_000) > 0.4);
+}
+
 /// Reports that are lost or late leave the lasting figures in use.
 #[test]
 fn lasting_figures_stay_without_reports() {
