--- a/crates/chervilshunt_core/tests/service_grants.rs
+++ b/crates/chervilshunt_core/tests/service_grants.rs
@@ -248,6 +248,7 @@
     while shares.decide(&share_request(&service, instances, sent), at(0)) == ShareResult::Admitted {
         shares.sent(&service);
         sent += 1;
+        assert!(sent <= share, "more than {share} sent");
     }
     assert_eq!(sent, share);
 }
