--- a/crates/chervilshunt_core/tests/congestion.rs
+++ b/crates/chervilshunt_core/tests/congestion.rs
@@ -21,6 +21,8 @@
         running: SLOTS,
         waiting,
         slots: SLOTS,
+        pace: None,
+        is_pace_malformed: false,
     }
 }
 
--- a/crates/chervilshunt_core/tests/second_attempts.rs
+++ b/crates/chervilshunt_core/tests/second_attempts.rs
@@ -173,6 +173,8 @@
             running: running as u32,
             waiting: waiting as u32,
             slots: SLOTS as u32,
+            pace: None,
+            is_pace_malformed: false,
         };
         dispatch.load_reported(&name, report, at(now));
     }
