Placer: don't take its own delay for that of the weight store

The load window judged a load by the time at which the placer handled the answer to its check. A load counts as late now only if a check found it still in progress. Paces go with the next report instead of one of their own, and the check for unreachable targets compares no names, which both relieve the placer.

--- a/crates/chervilshunt_core/src/dispatch/mod.rs
+++ b/crates/chervilshunt_core/src/dispatch/mod.rs
@@ -42,7 +42,6 @@
 pub use holders::{AdapterHolding, HeldAdapters, TargetSnapshot};
 pub use lanes::{Lane, long_prompt_targets};
 pub use links::LinkChange;
-pub use pace::PaceUpdate;
 pub use routes::{CallerBounds, Repeat, Route, RouteTable, ServiceSpec};
 pub(crate) use software::has_software;
 pub use state::{Dispatch, EntryChange};
--- a/crates/chervilshunt_core/src/dispatch/pace.rs
+++ b/crates/chervilshunt_core/src/dispatch/pace.rs
@@ -8,15 +8,6 @@
 use super::state::{Dispatch, Target};
 use crate::speed::{PaceChange, PaceQuantiles, ServicePace, TargetSpeed};
 
-/// What a stated pace changes in the knowledge of an instance.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct PaceUpdate {
-    /// Whether the pace differs from the one that the target stated last.
-    pub is_news: bool,
-    /// A change of the lasting figure that operators should see.
-    pub change: Option<PaceChange>,
-}
-
 /// The relation of the slowest to the fastest candidate from which their speeds count as different.
 /// Below it, the load matters more than the speed, and the least loaded of all is selected.
 const DIFFERENT_SPEEDS: f64 = 1.1;
@@ -69,22 +60,16 @@
         started: Option<TargetStart>,
         pace: Option<u16>,
         now: Moment,
-    ) -> PaceUpdate {
-        let mut update = PaceUpdate::default();
-        let Some(target) = self.targets.get_mut(target) else {
-            return update;
-        };
+    ) -> Option<PaceChange> {
+        let target = self.targets.get_mut(target)?;
         if TargetStart::compare(started, target.facts.started) == Ordering::Less {
-            return update;
+            return None;
         }
-        match pace {
-            Some(pace) => {
-                update.is_news = target.speed.is_news(pace);
-                update.change = target.speed.record(pace, now);
-            }
-            None => target.speed.answered(),
-        }
-        update
+        let Some(pace) = pace else {
+            target.speed.answered();
+            return None;
+        };
+        target.speed.record(pace, now)
     }
 
     /// Returns the distributions of targets' lasting paces, by service.
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -35,11 +35,11 @@
 pub use dispatch::{
     AdapterHolding, BrittleChange, CallerBounds, Choice, Continuity, Dispatch, DispatchConfig,
     EntryChange, HealthConfig, HealthSignal, HeldAdapters, KeyDigest, Lane, Leaving, LinkChange,
-    LoadReport, LoadedAdapter, LoadedModel, ModelSpec, PaceUpdate, PlacementLimits, PollGuide,
-    PollMode, Quota, QuotaUnit, Repeat, RequestSize, Route, RouteTable, SecondAttempt,
-    ServiceBudgets, ServiceSpec, SoftwareVersion, TargetFacts, TargetPath, TargetRequirements,
-    TargetSnapshot, TargetStart, Team, Teams, TeamsError, WaitReason, Weights, WindowBudget,
-    WindowBudgetConfig, long_prompt_targets,
+    LoadReport, LoadedAdapter, LoadedModel, ModelSpec, PlacementLimits, PollGuide, PollMode, Quota,
+    QuotaUnit, Repeat, RequestSize, Route, RouteTable, SecondAttempt, ServiceBudgets, ServiceSpec,
+    SoftwareVersion, TargetFacts, TargetPath, TargetRequirements, TargetSnapshot, TargetStart,
+    Team, Teams, TeamsError, WaitReason, Weights, WindowBudget, WindowBudgetConfig,
+    long_prompt_targets,
 };
 pub use mechanisms::Mechanisms;
 pub use owner::{
--- a/crates/chervilshunt_core/src/residency/answers.rs
+++ b/crates/chervilshunt_core/src/residency/answers.rs
@@ -107,6 +107,13 @@
         match answer {
             OrderAnswer::Done => {
                 if let Some(took) = entry.accepted_at.take().map(|at| now.since(at)) {
+                    // A load that has ended by its first check was not slow, however late a busy
+                    // placer checked it.
+                    let took = if entry.was_overdue {
+                        took
+                    } else {
+                        took.min(times.of(entry.from_store) + self.cfg.load_margin)
+                    };
                     let quick = took <= self.cfg.max_warm_load;
                     match entry.adapters_since {
                         Some(since) if quick && entry.from_store => self.memory.was_kept(since),
@@ -133,6 +140,7 @@
                     self.memory
                         .was_forgotten(entry.adapters_since.unwrap_or_default());
                 }
+                entry.was_overdue = true;
                 entry.state = AdapterStage::Loading(load_recheck);
             }
             OrderAnswer::Accepted => {
--- a/crates/chervilshunt_core/src/residency/choice.rs
+++ b/crates/chervilshunt_core/src/residency/choice.rs
@@ -64,11 +64,12 @@
         ready_in: impl Fn(&TargetState) -> Option<Readiness>,
     ) -> Option<TargetCandidate> {
         let kept = self.reserved_for_long_prompts(&request.service, now);
-        let passed_over = self.passed_over(&request.service, now);
+        let passes_over = self.passes_over_unreachable(&request.service, now);
         let pace = self.service_pace(&request.service);
         let targets = self.targets.iter();
         let targets = targets.filter(|(name, target)| {
-            !passed_over.contains(name) && self.may_place(name, target, request, now)
+            let is_passed_over = passes_over && target.unreachable.is_unreachable(now);
+            !is_passed_over && self.may_place(name, target, request, now)
         });
         let found = targets.filter_map(|(name, target)| {
             let mut readiness = ready_in(target)?;
--- a/crates/chervilshunt_core/src/residency/hold.rs
+++ b/crates/chervilshunt_core/src/residency/hold.rs
@@ -49,6 +49,8 @@
     pub(crate) adapters_since: Option<usize>,
     /// When the target accepted the load, or `None` if its start was not observed.
     pub(crate) accepted_at: Option<Moment>,
+    /// Whether a check after its expected duration found the load still in progress.
+    pub(crate) was_overdue: bool,
 }
 
 impl AdapterEntry {
@@ -66,6 +68,7 @@
             from_store: true,
             adapters_since: None,
             accepted_at: None,
+            was_overdue: false,
         }
     }
 
--- a/crates/chervilshunt_core/src/residency/unreachable.rs
+++ b/crates/chervilshunt_core/src/residency/unreachable.rs
@@ -41,7 +41,11 @@
         self.0.clear();
     }
 
-    fn is_unreachable(&self, now: Moment) -> bool {
+    /// Returns whether several instances have reported the target lately.
+    pub(super) fn is_unreachable(&self, now: Moment) -> bool {
+        if self.0.len() < MIN_REPORTERS {
+            return false;
+        }
         let valid = self.0.iter();
         let valid = valid.filter(|(_, at)| now.since(*at) < REPORT_VALIDITY);
         valid.count() >= MIN_REPORTERS
@@ -61,16 +65,15 @@
         }
     }
 
-    /// Returns the targets of a service that are passed over now.
-    pub(super) fn passed_over(&self, service: &ServiceName, now: Moment) -> Vec<&TargetName> {
-        let targets = self.targets.iter();
-        let of_service = targets.filter(|(_, it)| it.facts.service == *service);
-        let unreachable = of_service.clone();
-        let unreachable = unreachable.filter(|(_, it)| it.unreachable.is_unreachable(now));
-        let names: Vec<&TargetName> = unreachable.map(|(name, _)| name).collect();
-        if names.len() as f64 > of_service.count() as f64 * MAX_PASSED_OVER {
-            return Vec::new();
+    /// Returns whether unreachable targets of a service are passed over now.
+    pub(super) fn passes_over_unreachable(&self, service: &ServiceName, now: Moment) -> bool {
+        let (mut of_service, mut unreachable) = (0, 0);
+        for target in self.targets.values() {
+            if target.facts.service == *service {
+                of_service += 1;
+                unreachable += usize::from(target.unreachable.is_unreachable(now));
+            }
         }
-        names
+        unreachable > 0 && unreachable as f64 <= f64::from(of_service) * MAX_PASSED_OVER
     }
 }
--- a/crates/chervilshunt_core/src/speed.rs
+++ b/crates/chervilshunt_core/src/speed.rs
@@ -147,11 +147,6 @@
         })
     }
 
-    /// Returns whether a reading would differ from the last one.
-    pub(crate) const fn is_news(&self, pace: u16) -> bool {
-        !self.is_known() || self.momentary != pace
-    }
-
     fn add_sample(&mut self, pace: u16) {
         let mut count = usize::from(self.sample_count);
         if count == SAMPLES {
--- a/crates/chervilshunt_core/tests/residency_load.rs
+++ b/crates/chervilshunt_core/tests/residency_load.rs
@@ -9,6 +9,7 @@
 mod placing;
 
 use std::collections::{BTreeMap, HashMap};
+use std::ops::Range;
 use std::time::Duration;
 
 use chervilshunt_core::{
@@ -42,6 +43,8 @@
 /// How late an unanswered order is executed, and after what time its answer is given up on.
 const LATE_EXECUTION_MS: u64 = 4_000;
 const ANSWER_TIMEOUT_MS: u64 = 250;
+/// How late a busy placer handles answers to orders.
+const BUSY_LAG_MS: u64 = 80;
 
 #[derive(Clone, Debug, PartialEq)]
 enum At {
@@ -132,6 +135,8 @@
     store: Store,
     /// Events that reach the planner at a later time, in milliseconds.
     coming: BTreeMap<u64, Vec<ResidencyEvent>>,
+    /// When the placer handles answers to orders late.
+    busy_ms: Range<u64>,
     placed: usize,
 }
 
@@ -149,6 +154,7 @@
             ),
             store: Store::default(),
             coming: BTreeMap::new(),
+            busy_ms: 0..0,
             placed: 0,
         };
         let limits = PlacementLimits {
@@ -223,6 +229,12 @@
             let answer = self.store.execute(self.load, &order, now_ms);
             (ROUND_TRIP_MS, answer)
         };
+        let lag = if self.busy_ms.contains(&now_ms) {
+            BUSY_LAG_MS
+        } else {
+            0
+        };
+        let after = after + lag;
         let answered = ResidencyEvent::OrderAnswered(order.number, answer);
         self.coming
             .entry(now_ms + after)
@@ -392,3 +404,25 @@
     );
     assert!(unaware.placed < next.placed);
 }
+
+/// Guards against a placer that takes its own delay for that of the store. When it did, two busy
+/// seconds shrank the window to its minimum, from which it grows by one in each round: most requests
+/// for adapters were refused for ten seconds afterwards.
+#[test]
+fn a_busy_placer_does_not_count_as_a_slow_store() {
+    let load = Load {
+        targets: 112,
+        adapter_slots: 8,
+        load_ms: 288.0,
+        at_full_speed: 64,
+        requests_per_second: 150,
+        lost_order_interval: 0,
+    };
+    let mut replay = Replay::new(load);
+    replay.busy_ms = 8_000..10_000;
+    let (placed, slowness) = replay.run();
+    assert!(
+        placed > 1.0 - ESTIMATION_SHARE && slowness < 1.3,
+        "placed {placed:.3}, loads take {slowness:.2} times as long as at full speed"
+    );
+}
--- a/crates/chervilshunt_gateway/src/grants.rs
+++ b/crates/chervilshunt_gateway/src/grants.rs
@@ -73,14 +73,11 @@
 
     /// Reports the pace that the target states in the head of its answer.
     ///
-    /// A pace that is no news goes with the next report, which follows when the target has read the
-    /// prompt. A message for each answer would be a third more for the placer to process.
-    pub(crate) fn pace_stated(&self, pace: u16, is_news: bool) {
+    /// It goes with the next report, which follows when the target has read the prompt. A message
+    /// for each answer would be a third more for the placer to process.
+    pub(crate) fn pace_stated(&self, pace: u16) {
         let grants = &self.shared.grants;
         grants.lock().progress.paces.push((self.number, pace));
-        if is_news {
-            grants.changed.notify_one();
-        }
     }
 
     /// Reports that the target has begun to answer.
--- a/crates/chervilshunt_gateway/src/traffic/in_flight.rs
+++ b/crates/chervilshunt_gateway/src/traffic/in_flight.rs
@@ -100,15 +100,15 @@
     /// Records the pace that the target states in the head of its answer, if any.
     pub(super) fn record_pace(&self, pace: Option<u16>, now: Moment) {
         let (shared, target) = (&self.shared, &self.target);
-        let update = shared
+        let change = shared
             .dispatch()
             .pace_reported(target, self.started, pace, now);
         // Of granted requests the placer logs what changes its own decisions.
-        if let (Some(change), None) = (update.change, &self.grant) {
+        if let (Some(change), None) = (change, &self.grant) {
             shared.record_pace_change(target, change, "answer");
         }
         if let (Some(grant), Some(pace)) = (&self.grant, pace) {
-            grant.pace_stated(pace, update.is_news);
+            grant.pace_stated(pace);
         }
     }
 }
