--- a/crates/chervilshunt_core/src/residency/choice.rs
+++ b/crates/chervilshunt_core/src/residency/choice.rs
@@ -75,9 +75,9 @@
             let mut readiness = ready_in(target)?;
             let send_wait = self.schedules.wait(name, now);
             readiness.ready_in = readiness.ready_in.max(send_wait);
-            let mut score = self.first_token_millis(target, request, readiness, pace, now);
-            let lasting = pace.ratio(&target.speed, now).lasting;
-            score += self.penalties(target, request, readiness, lasting);
+            let ratio = pace.ratio(&target.speed, now);
+            let mut score = self.first_token_millis(target, request, readiness, ratio);
+            score += self.penalties(target, request, readiness, ratio);
             if !kept.is_empty() && kept.contains(&name) != (request.lane == Lane::LongPrompt) {
                 score += millis(self.cfg.lane_penalty);
             }
@@ -105,9 +105,23 @@
     }
 
     fn service_pace(&self, service: &ServiceName) -> ServicePace {
-        let targets = self.targets.values();
-        let targets = targets.filter(|it| it.facts.service == *service);
-        ServicePace::of(targets.map(|it| &it.speed))
+        self.paces.get(service).copied().unwrap_or_default()
+    }
+
+    /// Computes the paces of the services anew if that was long ago. It takes a pass over all
+    /// targets, which would be a large part of the cost of a request.
+    pub(super) fn refresh_paces(&mut self, now: Moment) {
+        if now.since(self.paces_at) < PACE_REFRESH_INTERVAL {
+            return;
+        }
+        self.paces_at = now;
+        let services = self.limits.keys().map(|service| {
+            let targets = self.targets.values();
+            let targets = targets.filter(|it| it.facts.service == *service);
+            let pace = ServicePace::of(targets.map(|it| &it.speed));
+            (service.clone(), pace)
+        });
+        self.paces = services.collect();
     }
 
     /// Returns the expected time to first token at a target, in milliseconds, plus the delay that
@@ -120,10 +134,8 @@
         target: &TargetState,
         request: &PlacementRequest,
         readiness: Readiness,
-        pace: ServicePace,
-        now: Moment,
+        ratio: SpeedRatio,
     ) -> f64 {
-        let ratio = pace.ratio(&target.speed, now);
         let read_before = self.prefill_rate.millis(target.backlog()) * ratio.momentary;
         let ready_in = millis(readiness.ready_in);
         // Prefill continues during a load, but a target that has to do both is more likely to be
@@ -132,7 +144,7 @@
         let in_flight = target.in_flight();
         let slot_wait = self.slot_time.wait_millis(in_flight, target.facts.slots) * ratio.lasting;
         let prefill = self.prefill_rate.millis(request.prompt_tokens) * ratio.momentary;
-        let streams_delayed = if pace.is_stated() {
+        let streams_delayed = if ratio.is_stated {
             let slots = target.facts.slots.max(1);
             prefill * f64::from(in_flight.min(slots)) / f64::from(slots)
         } else {
@@ -151,10 +163,10 @@
         target: &TargetState,
         request: &PlacementRequest,
         readiness: Readiness,
-        lasting_ratio: f64,
+        ratio: SpeedRatio,
     ) -> f64 {
         let taken = f64::from(target.in_flight()) / f64::from(target.facts.slots.max(1));
-        let taken = taken * lasting_ratio;
+        let taken = taken * ratio.lasting;
         let mut penalty = millis(readiness.penalty) + taken * millis(self.cfg.load_penalty);
         if target.facts.zone != request.zone {
             penalty += millis(self.cfg.zone_penalty);
@@ -317,6 +329,9 @@
     }
 }
 
+/// How often the paces of services are computed anew. The lasting figures of which they are means
+/// change within seconds.
+const PACE_REFRESH_INTERVAL: Duration = Duration::from_millis(100);
 /// The weight of the shorter of prefill backlog and load time, which overlap at a target that has
 /// both. If the weight were zero, targets with equal scores would send all loads to the first one.
 const OVERLAP_WEIGHT: f64 = 0.2;
--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -25,7 +25,7 @@
     AnnouncedVersions, PlacementLimits, TargetFacts, TargetSnapshot, TargetStart, Weights,
 };
 use crate::rate_limit::{SendPermit, SendSchedules};
-use crate::speed::{PaceChange, PaceQuantiles, TargetSpeed};
+use crate::speed::{PaceChange, PaceQuantiles, ServicePace, TargetSpeed};
 
 /// The share of targets that must have reported before the placer counts as knowing what is held.
 /// The last few may be slow or gone.
@@ -68,6 +68,11 @@
     pub(super) schedules: SendSchedules,
     /// The services whose targets get no requests to queue.
     pub(super) brittle: Vec<ServiceName>,
+    /// The pace of each service, and when it was computed.
+    pub(super) paces: HashMap<ServiceName, ServicePace>,
+    pub(super) paces_at: Moment,
+    /// When an instance last could not connect to a target.
+    pub(super) unreachable_at: Moment,
     /// The last usage report of each instance.
     pub(super) uses: HashMap<InstanceId, Vec<TargetUse>>,
     /// Changes of targets' lasting paces that operators have not seen yet.
@@ -106,6 +111,9 @@
             admitted: HashSet::new(),
             schedules: SendSchedules::default(),
             brittle: Vec::new(),
+            paces: HashMap::new(),
+            paces_at: Moment::ZERO,
+            unreachable_at: Moment::ZERO,
             uses: HashMap::new(),
             pace_changes: Vec::new(),
             next_order: 0,
@@ -153,6 +161,7 @@
     /// Processes one event and returns the actions to perform.
     pub fn handle(&mut self, event: ResidencyEvent, now: Moment) -> Vec<ResidencyAction> {
         let mut out = Vec::new();
+        self.refresh_paces(now);
         match event {
             // Targets write their entries every second. With thousands of them, the planner would
             // check for due work thousands of times per second, and delay its other events.
--- a/crates/chervilshunt_core/src/residency/unreachable.rs
+++ b/crates/chervilshunt_core/src/residency/unreachable.rs
@@ -62,11 +62,15 @@
     ) {
         if let Some(target) = self.targets.get_mut(target) {
             target.unreachable.record(from, now);
+            self.unreachable_at = now;
         }
     }
 
     /// Returns whether unreachable targets of a service are passed over now.
     pub(super) fn passes_over_unreachable(&self, service: &ServiceName, now: Moment) -> bool {
+        if now.since(self.unreachable_at) >= REPORT_VALIDITY {
+            return false;
+        }
         let (mut of_service, mut unreachable) = (0, 0);
         for target in self.targets.values() {
             if target.facts.service == *service {
--- a/crates/chervilshunt_core/src/speed.rs
+++ b/crates/chervilshunt_core/src/speed.rs
@@ -36,9 +36,6 @@
 /// The bounds of the ratio of a target to its service. A single implausible figure must not turn a
 /// target into the only one used, or into one that is never used.
 const RATIO_BOUNDS: (f64, f64) = (0.2, 5.0);
-/// The factor by which a target has to differ from the mean of its service for the targets to count
-/// as uneven.
-const EVEN_FACTOR: f64 = 1.25;
 /// The relative change of a lasting figure that is reported to operators.
 const REPORTED_CHANGE: f64 = 0.25;
 
@@ -185,6 +182,9 @@
             };
         }
         let idle = now.since(self.read_at).saturating_sub(MAX_IDLE);
+        if idle.is_zero() {
+            return f64::from(self.lasting);
+        }
         let kept = (-idle.as_secs_f64() / RETURN_TIME.as_secs_f64()).exp();
         mean + (f64::from(self.lasting) - mean) * kept
     }
@@ -216,9 +216,9 @@
 }
 
 /// The pace of the targets of one service, against which each of them is compared.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct ServicePace {
-    /// The mean of the lasting figures; `None` if no target states its pace or all are alike.
+    /// The mean of the lasting figures; `None` if no target states its pace.
     mean: Option<f64>,
 }
 
@@ -267,6 +267,8 @@
     pub(crate) lasting: f64,
     /// The ratio at this moment.
     pub(crate) momentary: f64,
+    /// Whether any target of the service states its pace.
+    pub(crate) is_stated: bool,
 }
 
 impl SpeedRatio {
@@ -274,39 +276,31 @@
     pub(crate) const MEAN: Self = Self {
         lasting: 1.0,
         momentary: 1.0,
+        is_stated: false,
     };
 }
 
 impl ServicePace {
     /// Computes the pace of a service from the speeds of all its targets. Targets of which nothing
     /// is known do not count.
-    ///
-    /// Where the lasting figures are alike there is no mean to compare with: passing over targets for
-    /// a slow period of some 100 ms would cost copies of adapters that are loaded long after it.
     pub(crate) fn of<'a>(speeds: impl Iterator<Item = &'a TargetSpeed>) -> Self {
         let (mut sum, mut count, mut stated) = (0.0, 0.0, false);
-        let (mut least, mut most) = (f64::INFINITY, 0.0_f64);
         for speed in speeds.filter(|it| it.is_known() || it.is_silent) {
-            let lasting = f64::from(speed.lasting);
-            sum += lasting;
+            sum += f64::from(speed.lasting);
             count += 1.0;
             stated |= speed.is_known();
-            least = least.min(lasting);
-            most = most.max(lasting);
         }
-        let mean = f64::max(sum / count, 1.0);
-        let uneven = stated && (least < mean / EVEN_FACTOR || most > mean * EVEN_FACTOR);
         Self {
-            mean: uneven.then_some(mean),
+            mean: stated.then(|| f64::max(sum / count, 1.0)),
         }
     }
 
-    /// Returns whether the targets of the service state different paces.
+    /// Returns whether any target of the service states its pace.
     pub(crate) const fn is_stated(self) -> bool {
         self.mean.is_some()
     }
 
-    /// Returns the ratio of a target of the service; 1 if the targets are alike, as far as they state.
+    /// Returns the ratio of a target of the service; 1 if no target states its pace.
     pub(crate) fn ratio(self, speed: &TargetSpeed, now: Moment) -> SpeedRatio {
         let Some(mean) = self.mean else {
             return SpeedRatio::MEAN;
@@ -315,6 +309,7 @@
         SpeedRatio {
             lasting: bounded(speed.lasting(mean, now)),
             momentary: bounded(speed.momentary(mean, now)),
+            is_stated: true,
         }
     }
 }
--- a/crates/chervilshunt_core/tests/target_pace.rs
+++ b/crates/chervilshunt_core/tests/target_pace.rs
@@ -139,31 +139,16 @@
 /// An episode is avoided while its reading is recent, and forgotten after 0.4 s.
 #[test]
 fn an_episode_counts_for_as_long_as_it_persists() {
-    let mut dispatch = instance(3);
+    let mut dispatch = instance(2);
     for now in (0..6_000).step_by(300) {
         state(&mut dispatch, 0, 100, now);
         state(&mut dispatch, 1, 100, now);
-        state(&mut dispatch, 2, 40, now);
     }
     state(&mut dispatch, 0, 250, 6_000);
     for now in [6_000, 6_100, 6_399] {
         assert!(share_of_first(&dispatch, now) < 0.05, "at {now}");
     }
-    // Of two random choices it is the better one only beside the second target.
-    assert!(share_of_first(&dispatch, 6_401) > 0.1);
-}
-
-/// Guards against copies of adapters that are loaded elsewhere for an episode that ends before them,
-/// in a service whose targets are alike.
-#[test]
-fn episodes_do_not_count_where_targets_are_alike() {
-    let mut dispatch = instance(2);
-    for now in (0..6_000).step_by(300) {
-        state(&mut dispatch, 0, 100, now);
-        state(&mut dispatch, 1, 110, now);
-    }
-    state(&mut dispatch, 0, 250, 6_000);
-    assert!(share_of_first(&dispatch, 6_000) > 0.4);
+    assert!(share_of_first(&dispatch, 6_401) > 0.4);
 }
 
 /// Reports that are lost or late leave the lasting figures in use.
