Case: unreadable entries of another writer delay the removal of a replica that has left

Callers get 502 for requests that were sent to a replica after its time.

Order of events: 24 entries that can't be read are rewritten with each heartbeat beside those of 15 replicas. A replica leaves without reporting that it drains: the store removes its entry, it serves for drain_ms and a little longer, and exits. 2.1 s after the removal several callers come. Instances still send to the replica, which exits while it runs them.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -342,7 +342,7 @@
         self.reports = []
         self.record.line(f"replica {self.name} starts (start {self.starts})")
         self.server = await asyncio.start_server(self.serve, self.ip, self.port)
-        self.spawn(self.beat())
+        self.beating = self.spawn(self.beat())
         self.spawn(self.snapshots())
 
     def spawn(self, work):
@@ -532,6 +532,41 @@
         return 202
 
 
+class Plain(Engine):
+    """A replica of a service without models."""
+
+    def __init__(self, name, service, store, record, slots=6, work_s=0.03):
+        super().__init__(name, service, store, record, "", 0, slots)
+        self.work_s = work_s
+        self.leaving = False
+        # When each request reached it.
+        self.reached = []
+
+    def described(self):
+        return []
+
+    async def run(self, path, head, attempt, own, writer):
+        self.reached.append((now(), attempt))
+        self.record.line(f"replica {self.name} runs {attempt}")
+        own = own + [("X-Chervilshunt-Server-Load", f"{self.running + 1},0,{self.slots}")]
+        if self.leaving:
+            own += [("Server-Leaving", "1"), ("Connection", "close")]
+        self.running += 1
+        try:
+            await asyncio.sleep(self.work_s)
+        finally:
+            self.running -= 1
+        return answer_bytes(200, own + [("X-Chervilshunt-Server-Seal", "seal." + attempt)], b"done by " + self.name.encode())
+
+    async def leave_unannounced(self):
+        """Leaves without reporting that it drains: its entry is removed, and it goes on serving. Returns when that was accepted."""
+        self.leaving = True
+        self.beating.cancel()
+        await self.store.remove("servers", self.name)
+        self.record.line(f"replica {self.name} leaves: the store has removed its entry")
+        return now()
+
+
 def configuration(version, routes, services):
     return {
         "version": version, "routes": routes, "services": services,
