Streams can be taken up after all instances that knew them were killed

With two software versions in service nobody else can tell where a stream began.

Cause: which version began a stream was known to the instance that began it, the placer and the deputy, in the memory of their processes only.

An instance that finds no keeper who knows a stream reads the records. A record is never wrong, only missing or late, so that no claim about versions has to be withdrawn in time. More keepers were ruled out (a power failure takes all), a record that a service has had one version as well (false at a paused or cut-off instance), and a write for each instance and interval (740 a second at 370 instances).

--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -82,5 +82,8 @@
     ShareRequest, ShareResult,
 };
 pub use speed::{PaceChange, PaceFigures, PaceQuantiles, TargetSpeed};
-pub use streams::{BegunStreams, SoftwareHistory, StreamKey, StreamOrigin, StreamOrigins};
+pub use streams::{
+    BegunStreams, RecordOutcome, RecordSweep, RecordWrite, SoftwareHistory, StreamKey,
+    StreamOrigin, StreamOrigins, StreamRecorder,
+};
 pub use weights::PolicyWeights;
--- a/crates/chervilshunt_core/src/streams/mod.rs
+++ b/crates/chervilshunt_core/src/streams/mod.rs
@@ -6,6 +6,8 @@
 
 mod history;
 mod origins;
+mod records;
 
 pub use history::SoftwareHistory;
 pub use origins::{BegunStreams, StreamKey, StreamOrigin, StreamOrigins};
+pub use records::{RecordOutcome, RecordSweep, RecordWrite, StreamRecorder};
--- a/crates/chervilshunt_core/src/streams/origins.rs
+++ b/crates/chervilshunt_core/src/streams/origins.rs
@@ -11,7 +11,7 @@
 use crate::dispatch::SoftwareVersion;
 
 /// The longest time for which a stream is remembered. Callers that wait longer have to begin anew.
-const MAX_LIFETIME: Duration = Duration::from_secs(120);
+pub(super) const MAX_LIFETIME: Duration = Duration::from_secs(120);
 /// Time between a caller's deadline and the moment at which its stream is forgotten.
 const DEADLINE_MARGIN: Duration = Duration::from_secs(2);
 /// Time after which a generation of streams is closed.
@@ -39,6 +39,18 @@
     }
 }
 
+impl From<u64> for StreamKey {
+    fn from(hash: u64) -> Self {
+        Self(hash)
+    }
+}
+
+impl From<StreamKey> for u64 {
+    fn from(key: StreamKey) -> Self {
+        key.0
+    }
+}
+
 /// Where a stream began.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct StreamOrigin {
@@ -117,8 +129,8 @@
         for BegunStreams { origin, streams } in begun {
             let origin = self.shared(origin.clone());
             for (key, seconds) in streams {
-                let lifetime = Duration::from_secs((*seconds).into()).min(MAX_LIFETIME);
-                self.remember(*key, Arc::clone(&origin), now + lifetime, false, now);
+                let until = expiry(*seconds, now);
+                self.remember(*key, Arc::clone(&origin), until, false, now);
             }
         }
     }
@@ -213,8 +225,16 @@
     }
 }
 
+/// Returns when a stream is forgotten that another instance remembers for so many seconds.
+pub(super) fn expiry(seconds: u16, now: Moment) -> Moment {
+    now + Duration::from_secs(seconds.into()).min(MAX_LIFETIME)
+}
+
 /// Groups streams by their origins, with the time that is left of each.
-fn grouped(streams: Vec<(StreamKey, Arc<StreamOrigin>, Moment)>, now: Moment) -> Vec<BegunStreams> {
+pub(super) fn grouped(
+    streams: Vec<(StreamKey, Arc<StreamOrigin>, Moment)>,
+    now: Moment,
+) -> Vec<BegunStreams> {
     let mut begun: Vec<BegunStreams> = Vec::new();
     for (key, origin, until) in streams {
         let seconds = now.until(until).as_secs_f64().ceil();
--- a/crates/chervilshunt_gateway/src/admit/tests.rs
+++ b/crates/chervilshunt_gateway/src/admit/tests.rs
@@ -28,6 +28,7 @@
         transit: Vec::new(),
         admits,
         grants_retries: admits,
+        records_streams: admits,
     }
 }
 
@@ -42,6 +43,7 @@
         PeerMessage::PlacerStatus {
             admits: false,
             grants_retries: false,
+            records_streams: false,
             ..
         }
     ));
@@ -50,6 +52,7 @@
         PeerMessage::PlacerStatus {
             admits: true,
             grants_retries: true,
+            records_streams: true,
             ..
         }
     ));
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -86,6 +86,7 @@
             self.plan(ResidencyEvent::VersionAnnounced(weights, version));
         }
         self.shared.dispatch().placer_responded(now);
+        self.record_known_streams(now);
     }
 
     /// Stops placing. Pending placement requests end unanswered. The other instances choose targets
@@ -259,6 +260,7 @@
             transit,
             admits: true,
             grants_retries: true,
+            records_streams: !self.shared.streams.recording_fails(),
         })
     }
 
@@ -286,6 +288,7 @@
             self.keeper.set_instances(instances);
             self.shared.set_placer_admits(true);
             self.shared.set_placer_grants_retries(true);
+            self.shared.set_recorded_by_placer(true);
             self.apply_status(knows_targets, instances);
         }
     }
--- a/crates/chervilshunt_gateway/src/control/restore.rs
+++ b/crates/chervilshunt_gateway/src/control/restore.rs
@@ -38,6 +38,7 @@
         let now = self.now();
         self.missing_targets.record_outage(now);
         self.shared.quarantine().handle_restore();
+        self.shared.record_streams_again();
         slog::warn!(self.shared.log, "platform restored from a copy"; "era" => era, "before" => known,
             "placing" => self.placer.is_some());
     }
--- a/crates/chervilshunt_gateway/src/control/streams.rs
+++ b/crates/chervilshunt_gateway/src/control/streams.rs
@@ -2,23 +2,35 @@
 
 use chervilshunt_core::{BegunStreams, StreamKey};
 use chervilshunt_mesh::Reply;
+use chervilshunt_model::Moment;
 
 use super::actor::Control;
 use crate::peers::PeerMessage;
 
 impl Control {
-    /// Records streams of which another instance tells, and has the deputy told if this instance is the
-    /// placer.
+    /// Records streams of which another instance tells, and has the deputy told and writes them to the
+    /// platform if this instance is the placer.
     pub(super) fn record_streams(&self, begun: Vec<BegunStreams>) {
         if begun.is_empty() {
             return;
         }
-        self.shared.streams.told(&begun, self.now());
+        let now = self.now();
+        self.shared.streams.told(&begun, now);
         if self.placer.is_some() {
+            self.shared.record_streams(&begun, now);
             self.shared.streams.queue_for_deputy(begun);
         }
     }
 
+    /// Writes all known streams to the platform as the new placer: the last one may have been told of
+    /// streams that it has not written.
+    pub(super) fn record_known_streams(&self, now: Moment) {
+        let all = self.shared.streams.origins().all(now);
+        for begun in all {
+            self.shared.record_streams(&begun, now);
+        }
+    }
+
     /// Answers where a stream began, as far as this instance knows.
     pub(super) fn answer_stream_origin(&self, key: StreamKey, reply: Option<Reply<PeerMessage>>) {
         let Some(reply) = reply else {
--- a/crates/chervilshunt_gateway/src/control/using.rs
+++ b/crates/chervilshunt_gateway/src/control/using.rs
@@ -33,6 +33,9 @@
             self.use_known_peers();
             return;
         }
+        if self.shared.is_placer_silent(self.now()) {
+            self.shared.set_recorded_by_placer(false);
+        }
         self.report_to_deputy(&spent);
         self.use_known_peers();
         let Some(placer) = self.shared.placer.load_full() else {
@@ -151,9 +154,11 @@
                 transit,
                 admits,
                 grants_retries,
+                records_streams,
             } if self.is_placer(&from) => {
                 self.shared.set_placer_admits(admits);
                 self.shared.set_placer_grants_retries(grants_retries);
+                self.shared.set_recorded_by_placer(records_streams);
                 self.apply_transit_offers(transit);
                 self.apply_deputy(deputy);
                 for report in &limits {
--- a/crates/chervilshunt_gateway/src/dialect.rs
+++ b/crates/chervilshunt_gateway/src/dialect.rs
@@ -9,8 +9,8 @@
 use bytes::Bytes;
 use chervilshunt_coord::{ExclusiveLeaseRecord, VersionedLeaseRecord};
 use chervilshunt_core::{
-    Fingerprint, LoadReport, Order, OrderAnswer, PartId, RequestRate, RequestSize, RouteTable,
-    StoredCrashes, TargetFacts, TargetReport, Weights,
+    BegunStreams, Fingerprint, LoadReport, Order, OrderAnswer, PartId, RequestRate, RequestSize,
+    RouteTable, StoredCrashes, TargetFacts, TargetReport, Weights,
 };
 use chervilshunt_engine::IdHeader;
 use chervilshunt_model::{InstanceId, StoreRevision, TargetName};
@@ -185,6 +185,28 @@
     pub revision: StoreRevision,
 }
 
+/// A record of streams that have begun.
+#[derive(Clone, Debug)]
+pub struct StreamRecord {
+    /// Its name.
+    pub name: Arc<str>,
+    /// The service's revision at its last change.
+    pub revision: StoreRevision,
+    /// The streams.
+    pub begun: Vec<BegunStreams>,
+}
+
+/// One page of the records of streams.
+#[derive(Clone, Debug)]
+pub struct StreamRecordPage {
+    /// The records.
+    pub records: Vec<StreamRecord>,
+    /// The records that can't be decoded; the others are not affected by them.
+    pub malformed: Vec<Malformed>,
+    /// The name after which the next page begins; `None` on the last page.
+    pub next_after: Option<String>,
+}
+
 /// One change of an object.
 #[derive(Clone, Debug)]
 pub enum Change {
@@ -237,6 +259,17 @@
     pub decode_crashes: fn(u64, &[u8]) -> Result<StoredCrashes, Malformed>,
     /// Decodes the name of a crash record.
     pub decode_crashes_name: fn(&str) -> Result<Fingerprint, Malformed>,
+    /// Makes the call for one page of the records of streams, linearizably, starting after a name if
+    /// one is given.
+    pub list_streams: fn(Option<&str>) -> Call,
+    /// Makes the call that writes a record of streams if it still has the given revision, or creates it.
+    pub write_streams: fn(&str, Option<StoreRevision>, &[BegunStreams]) -> Call,
+    /// Makes the call that removes a record of streams if it still has the given revision.
+    pub remove_streams: fn(&str, StoreRevision) -> Call,
+    /// Decodes a page of the records of streams from an answer given in an era.
+    pub decode_streams_page: fn(u64, &[u8]) -> Result<StreamRecordPage, Malformed>,
+    /// Decodes the revision of a record of streams from the answer to a write of it.
+    pub decode_streams_revision: fn(u64, &[u8]) -> Result<StoreRevision, Malformed>,
 }
 
 /// The rate limit that an answer of a target names.
--- a/crates/chervilshunt_gateway/src/grants.rs
+++ b/crates/chervilshunt_gateway/src/grants.rs
@@ -111,6 +111,9 @@
         if placer.is_none() || shared.is_placer_silent(now) {
             shared.streams.queue_for_deputy(progress.streams.clone());
         }
+        if !shared.streams.is_recorded_by_placer() {
+            shared.record_streams(&progress.streams, now);
+        }
         // Without a placer the progress is not needed: a new placer receives all open requests.
         let Some(placer) = placer.filter(|_| !progress.is_empty()) else {
             continue;
--- a/crates/chervilshunt_gateway/src/lib.rs
+++ b/crates/chervilshunt_gateway/src/lib.rs
@@ -27,7 +27,7 @@
 
 pub use dialect::{
     Change, Changes, Content, Dialect, Entry, Freshness, Headers, Kind, Malformed, NamedLimit,
-    Page, StoreDialect, TargetDialect,
+    Page, StoreDialect, StreamRecord, StreamRecordPage, TargetDialect,
 };
 pub use run::run;
 pub use settings::{
--- a/crates/chervilshunt_gateway/src/peers.rs
+++ b/crates/chervilshunt_gateway/src/peers.rs
@@ -168,6 +168,10 @@
         /// Whether the sender answers `RetryRequest`; instances older than this field omit it.
         #[serde(rename = "r", default, skip_serializing_if = "is_false")]
         grants_retries: bool,
+        /// Whether the sender writes the streams that it is told of to the platform; instances older
+        /// than this field omit it.
+        #[serde(rename = "s", default, skip_serializing_if = "is_false")]
+        records_streams: bool,
     },
     /// To an instance that may pass on the sender's requests, which does not reach the targets of
     /// these services. Answered by `TransitTicket` if the receiver reaches them.
--- a/crates/chervilshunt_gateway/src/run.rs
+++ b/crates/chervilshunt_gateway/src/run.rs
@@ -24,7 +24,9 @@
 use crate::ports::{serve_metrics, serve_readiness};
 use crate::settings::{LogLevel, Settings};
 use crate::shared::Shared;
-use crate::streams::forward_streams;
+use crate::streams::{
+    ReadRequests, RecordReader, forward_streams, read_records, sweep_records, write_records,
+};
 use crate::transit::{probe_lost_links, serve_transit};
 
 /// Capacity of the control actor's mailbox; senders wait while it is full.
@@ -97,6 +99,7 @@
     let exchange = Arc::new(Exchange::new(platform_config(&settings)));
     let bound = settings.bounds.shutdown;
     let (crash_observations, observations) = CrashObservationSender::new();
+    let (record_reader, read_requests) = RecordReader::new();
     let shared = Shared::new(
         settings,
         settings_file,
@@ -104,8 +107,9 @@
         log.clone(),
         mesh,
         crash_observations,
+        record_reader,
     );
-    let control = start_control(&shared, exchange, observations)?;
+    let control = start_control(&shared, exchange, observations, read_requests)?;
     forward(inbound, control.clone(), PeerEvent);
     tokio::spawn(report_progress(Arc::clone(&shared)));
     tokio::spawn(forward_streams(Arc::clone(&shared)));
@@ -193,6 +197,7 @@
     shared: &Arc<Shared>,
     exchange: Arc<Exchange>,
     observations: mpsc::Receiver<CrashObservation>,
+    read_requests: ReadRequests,
 ) -> Result<Address<Control>, StartError> {
     let (address, mailbox) = Mailbox::bounded(CONTROL_MAILBOX);
     let own = address.clone();
@@ -207,6 +212,13 @@
             Arc::clone(&exchange),
             observations,
         ));
+        tokio::spawn(write_records(Arc::clone(&shared), Arc::clone(&exchange)));
+        tokio::spawn(sweep_records(Arc::clone(&shared), Arc::clone(&exchange)));
+        tokio::spawn(read_records(
+            Arc::clone(&shared),
+            Arc::clone(&exchange),
+            read_requests,
+        ));
         let reader = Reader::new(&shared, exchange, control.relays());
         start_followers(&shared, reader, &own, receivers, &control.era());
         drop(own);
--- a/crates/chervilshunt_gateway/src/shared.rs
+++ b/crates/chervilshunt_gateway/src/shared.rs
@@ -22,7 +22,7 @@
 use crate::grants::GrantTracker;
 use crate::peers::PeerMessage;
 use crate::settings::Settings;
-use crate::streams::{StreamKeepers, StreamMemory};
+use crate::streams::{RecordReader, StreamKeepers, StreamMemory};
 use crate::transit::{IssuedTickets, TransitRoutes};
 
 /// Time for which readiness waits for a first placer. Instances spread their writes over 0.4 s,
@@ -73,6 +73,8 @@
     pub(crate) deputy: ArcSwapOption<Peer>,
     /// Where streams began, as far as this instance knows.
     pub(crate) streams: StreamMemory,
+    /// Reads where streams began from the platform.
+    pub(crate) record_reader: RecordReader,
     /// The instances that know where streams of others began.
     pub(crate) stream_keepers: StreamKeepers,
     /// The instances that pass on this one's requests.
@@ -143,6 +145,7 @@
         log: Logger,
         mesh: Mesh<PeerMessage>,
         crash_observations: CrashObservationSender,
+        record_reader: RecordReader,
     ) -> Arc<Self> {
         let dispatch = Dispatch::new(
             chervilshunt_core::DispatchConfig::default(),
@@ -175,6 +178,7 @@
             placer_slowed: watch::Sender::default(),
             deputy: ArcSwapOption::empty(),
             streams: StreamMemory::default(),
+            record_reader,
             stream_keepers: StreamKeepers::default(),
             transit_routes: TransitRoutes::default(),
             issued_tickets: IssuedTickets::default(),
@@ -288,6 +292,7 @@
     /// Records that the connection to the placer was lost.
     pub(crate) fn set_placer_lost(&self) {
         self.placer_lost.store(true, Ordering::Relaxed);
+        self.set_recorded_by_placer(false);
     }
 
     /// Records that the placer was heard.
@@ -307,6 +312,7 @@
         self.placer_pace().reset();
         // The new placer may be of an earlier version.
         self.set_placer_grants_retries(false);
+        self.set_recorded_by_placer(false);
         if let Some(placer) = &placer {
             self.stream_keepers.add(placer);
         }
--- a/crates/chervilshunt_gateway/src/streams/ask.rs
+++ b/crates/chervilshunt_gateway/src/streams/ask.rs
@@ -30,6 +30,8 @@
     OwnMemory,
     /// Another instance has answered.
     Asking,
+    /// An instance has written it to the platform.
+    Record,
     /// The service has had only one software version for longer than streams live.
     OnlyVersion,
 }
@@ -40,6 +42,7 @@
         match self {
             Self::OwnMemory => "own_memory",
             Self::Asking => "asked",
+            Self::Record => "record",
             Self::OnlyVersion => "only_version",
         }
     }
@@ -55,31 +58,19 @@
 }
 
 /// Finds where a stream began: from this instance's memory, by asking the instances that keep the
-/// streams of others, or else because the service has had only one software version for long.
+/// streams of others, from the records at the platform, or else because the service has had only one
+/// software version for long.
 pub(crate) async fn find_origin(
     shared: &Arc<Shared>,
     key: Option<StreamKey>,
     service: &ServiceName,
     route: &Route,
 ) -> Result<FoundOrigin, OriginError> {
-    let now = shared.clock.now();
-    let known = key.and_then(|key| shared.streams.origins().origin(key, now).cloned());
-    if let Some(origin) = known {
-        return Ok(FoundOrigin {
-            origin,
-            by: FoundBy::OwnMemory,
-        });
-    }
     let mut result = Err(OriginError::Unknown);
     if let Some(key) = key {
-        match ask_keepers(shared, key).await {
-            Ok(origin) => {
-                return Ok(FoundOrigin {
-                    origin,
-                    by: FoundBy::Asking,
-                });
-            }
-            Err(error) => result = Err(error),
+        result = find_known_origin(shared, key).await;
+        if result.is_ok() {
+            return result;
         }
     }
     // On a route to several services it is not even known which of them began the stream.
@@ -97,6 +88,32 @@
     only.map_or(result, Ok)
 }
 
+async fn find_known_origin(
+    shared: &Arc<Shared>,
+    key: StreamKey,
+) -> Result<FoundOrigin, OriginError> {
+    if let Some(found) = remembered(shared, key, FoundBy::OwnMemory) {
+        return Ok(found);
+    }
+    let error = match ask_keepers(shared, key).await {
+        Ok(origin) => {
+            let by = FoundBy::Asking;
+            return Ok(FoundOrigin { origin, by });
+        }
+        Err(error) => error,
+    };
+    if !shared.record_reader.read().await {
+        return Err(OriginError::Unanswered);
+    }
+    remembered(shared, key, FoundBy::Record).ok_or(error)
+}
+
+fn remembered(shared: &Shared, key: StreamKey, by: FoundBy) -> Option<FoundOrigin> {
+    let origins = shared.streams.origins();
+    let origin = origins.origin(key, shared.clock.now()).cloned();
+    origin.map(|origin| FoundOrigin { origin, by })
+}
+
 /// Asks all keepers at the same time; the first one that knows decides.
 async fn ask_keepers(shared: &Arc<Shared>, key: StreamKey) -> Result<StreamOrigin, OriginError> {
     let keepers = shared.stream_keepers.others(&shared.settings.instance.id);
--- a/crates/chervilshunt_gateway/src/streams/tell.rs
+++ b/crates/chervilshunt_gateway/src/streams/tell.rs
@@ -1,9 +1,10 @@
 //! Remembers where streams began, and tells the deputy.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use chervilshunt_core::{BegunStreams, StreamOrigins};
+use chervilshunt_core::{BegunStreams, StreamOrigins, StreamRecorder};
 use chervilshunt_mesh::Peer;
 use chervilshunt_model::Moment;
 use tokio::sync::Notify;
@@ -15,12 +16,20 @@
 /// forgotten if the placer and the instance that began them are lost together.
 const GATHER_TIME: Duration = Duration::from_millis(50);
 
-/// The streams that this instance knows of, and those that its deputy has not been told of.
+/// The streams that this instance knows of, those that its deputy has not been told of, and those that are
+/// to be written to the platform.
 #[derive(Debug, Default)]
 pub(crate) struct StreamMemory {
     origins: Mutex<StreamOrigins>,
     for_deputy: Mutex<Vec<BegunStreams>>,
     queued: Notify,
+    recorder: Mutex<StreamRecorder>,
+    /// Notifies that streams are to be written to the platform.
+    pub(super) record_queued: Notify,
+    /// Whether the placer writes this instance's streams to the platform, as it has reported.
+    recorded_by_placer: AtomicBool,
+    /// Whether this instance's last write to the platform failed.
+    recording_fails: AtomicBool,
 }
 
 impl StreamMemory {
@@ -29,6 +38,31 @@
         self.origins.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks what is to be written to the platform.
+    pub(super) fn recorder(&self) -> MutexGuard<'_, StreamRecorder> {
+        self.recorder.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether the placer writes this instance's streams to the platform.
+    pub(crate) fn is_recorded_by_placer(&self) -> bool {
+        self.recorded_by_placer.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether the placer writes this instance's streams to the platform, and returns whether it did.
+    pub(super) fn swap_recorded_by_placer(&self, is_recorded: bool) -> bool {
+        self.recorded_by_placer.swap(is_recorded, Ordering::Relaxed)
+    }
+
+    /// Returns whether this instance's last write to the platform failed.
+    pub(crate) fn recording_fails(&self) -> bool {
+        self.recording_fails.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether this instance's last write to the platform failed.
+    pub(super) fn set_recording_fails(&self, fails: bool) {
+        self.recording_fails.store(fails, Ordering::Relaxed);
+    }
+
     fn for_deputy(&self) -> MutexGuard<'_, Vec<BegunStreams>> {
         self.for_deputy
             .lock()
