A placer or deputy that starts again is told of streams

Cause: streams are told to a placer or deputy when its name or address changes. A process that starts again at its address is the same peer, takes its lease again at once, and was told nothing, although instances that knew lived on for seconds. The records at the platform cover this while the platform takes them; while it does not, nobody knew.

The mesh reports the loss of a connection, also when a peer's process id has changed. Placer and deputy that were lost are told again with their next message, when they can be reached.

killed_instances::in_turn_without_records, in which the store refuses all calls about records: without the change 0 of 24 streams went on while 24 of 24 began, with it the test passes; the whole file passes, 12 of 12.

--- a/crates/chervilshunt_gateway/src/control/actor.rs
+++ b/crates/chervilshunt_gateway/src/control/actor.rs
@@ -117,6 +117,9 @@
     /// Targets that a restore of the platform has brought back, with the revisions of their
     /// entries.
     pub(super) restored_targets: HashMap<TargetName, StoreRevision>,
+    /// Placer and deputy whose connections were lost: they may have started again at their addresses, and
+    /// know of no streams then.
+    pub(super) untold: HashSet<InstanceId>,
     /// The account of teams' quotas, while this instance is the deputy of a placer that is silent.
     pub(super) deputy: Option<DeputyLedger>,
     /// The number of the next charge as the deputy.
@@ -172,6 +175,7 @@
             known_era: None,
             listed_era: None,
             restored_targets: HashMap::new(),
+            untold: HashSet::new(),
             deputy: None,
             next_deputy_charge: FIRST_DEPUTY_CHARGE | shared.clock.now().as_micros(),
             lease_sent_at: Moment::ZERO,
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -214,9 +214,14 @@
         placer.presence.record_report(from, status, now);
         let deputy = placer.presence.deputy().map(Arc::new);
         let before = self.shared.deputy.swap(deputy.clone());
-        if let Some(deputy) = deputy.filter(|it| before.as_ref() != Some(it)) {
-            self.shared.stream_keepers.add(&deputy);
-            self.shared.tell_new_deputy(&deputy);
+        if let Some(deputy) = deputy {
+            let is_new = before.as_ref() != Some(&deputy);
+            // One that was lost is told when it reports again, because it can be reached then.
+            let is_back = deputy.instance == *from && self.untold.remove(from);
+            if is_new || is_back {
+                self.shared.stream_keepers.add(&deputy);
+                self.shared.tell_new_deputy(&deputy);
+            }
         }
         let offers = if needs_transit {
             self.transit_offers(from)
--- a/crates/chervilshunt_gateway/src/control/streams.rs
+++ b/crates/chervilshunt_gateway/src/control/streams.rs
@@ -2,7 +2,7 @@
 
 use chervilshunt_core::{BegunStreams, StreamKey};
 use chervilshunt_mesh::Reply;
-use chervilshunt_model::Moment;
+use chervilshunt_model::{InstanceId, Moment};
 
 use super::actor::Control;
 use crate::peers::PeerMessage;
@@ -31,6 +31,28 @@
         }
     }
 
+    /// Records that the connection to the placer or its deputy was lost.
+    pub(super) fn keeper_lost(&mut self, peer: &InstanceId) {
+        let placer = self.shared.placer.load_full();
+        let deputy = self.shared.deputy.load_full();
+        let is_keeper = |it: &InstanceId| {
+            let mut keepers = placer.iter().chain(&deputy);
+            keepers.any(|keeper| keeper.instance == *it)
+        };
+        self.untold.insert(peer.clone());
+        self.untold.retain(is_keeper);
+    }
+
+    /// Tells the placer of this instance's own streams if its connection was lost before.
+    pub(super) fn tell_restarted_placer(&mut self, from: &InstanceId) {
+        if !self.untold.remove(from) {
+            return;
+        }
+        if let Some(placer) = self.shared.placer.load_full() {
+            self.shared.tell_new_placer(&placer);
+        }
+    }
+
     /// Answers where a stream began, as far as this instance knows.
     pub(super) fn answer_stream_origin(&self, key: StreamKey, reply: Option<Reply<PeerMessage>>) {
         let Some(reply) = reply else {
--- a/crates/chervilshunt_gateway/src/control/using.rs
+++ b/crates/chervilshunt_gateway/src/control/using.rs
@@ -156,6 +156,7 @@
                 grants_retries,
                 records_streams,
             } if self.is_placer(&from) => {
+                self.tell_restarted_placer(&from);
                 self.shared.set_placer_admits(admits);
                 self.shared.set_placer_grants_retries(grants_retries);
                 self.shared.set_recorded_by_placer(records_streams);
@@ -195,6 +196,7 @@
             // reports its open requests again within half a second.
             self.plan(ResidencyEvent::InstanceGone(peer.clone()));
         }
+        self.keeper_lost(peer);
         if self.is_placer(peer) {
             self.shared.dispatch().placer_lost();
             self.shared.set_placer_lost();
