Entries of other programs do not delay the removal of a target

Cause: a third of the known targets that disappear together is taken for a lapse of entries in an outage, after which targets are used for 2.3 s. Each entry that can't be decoded counted, also if it never named a target, and so did those of services that no configuration has. Both sides of the share now count known targets of configured services.

--- a/crates/chervilshunt_gateway/src/control/targets.rs
+++ b/crates/chervilshunt_gateway/src/control/targets.rs
@@ -377,15 +377,21 @@
         }
         self.feed.targets_gone(&names, revision);
         let now = self.now();
-        let known = self.shared.dispatch().targets().count();
-        let lapsed = names.len() > 1 && names.len() as f64 >= known as f64 * LAPSE_SHARE;
+        let dispatch = self.shared.dispatch();
+        // Entries of other programs name no target, or one of a service that nobody uses. They show nothing
+        // about the entries of the others.
+        let counts = |name: &TargetName| !self.of_unknown_services.contains(name);
+        let known = dispatch.targets().filter(|it| counts(&it.name)).count();
+        let mut missing = names;
+        missing.retain(|it| dispatch.target(it).is_some());
+        drop(dispatch);
+        let together = missing.iter().filter(|it| counts(it)).count();
+        let lapsed = together > 1 && together as f64 >= known as f64 * LAPSE_SHARE;
         let end = self.missing_targets.grace_end(lapsed, now);
-        for name in names {
-            if self.shared.dispatch().target(&name).is_some() {
-                slog::info!(self.shared.log, "target not listed";
-                    "target" => name.as_str(), "used_for_ms" => now.until(end).as_millis() as u64);
-                self.missing_targets.due.insert(name, end);
-            }
+        for name in missing {
+            slog::info!(self.shared.log, "target not listed";
+                "target" => name.as_str(), "used_for_ms" => now.until(end).as_millis() as u64);
+            self.missing_targets.due.insert(name, end);
         }
     }
 
