A new placer leaves room for late orders of the one before

An unanswered load of a placer that was killed was executed after the target had restarted under its name, when the new start had accepted as many orders as it states.

Cause: a placer reserves a slot for each unanswered order to an earlier start of a target, in its memory only; a new placer began without them.

A placer that follows another one reserves two slots, for the first 15 s of its term, on targets that have started within 25 s before it or since. The first placer of a system reserves none.

--- a/crates/chervilshunt_core/src/residency/planner.rs
+++ b/crates/chervilshunt_core/src/residency/planner.rs
@@ -17,7 +17,7 @@
 use super::order::{OrderNumber, ResidencyAction, ResidencyEvent, TargetUse};
 use super::placement::PendingPlacement;
 use super::prefill_rate::PrefillRate;
-use super::restart::LostLoads;
+use super::restart::{LostLoads, PredecessorOrders};
 use super::slot_time::SlotTime;
 use super::target::{OrderState, Summary, TargetState};
 use super::window::LoadWindow;
@@ -62,6 +62,8 @@
     pub(super) pending: HashMap<u64, PendingPlacement>,
     /// Unanswered orders to targets that are gone.
     pub(super) lost_of_gone: HashMap<TargetName, LostLoads>,
+    /// Unanswered orders of an earlier placer, as far as they may be executed by restarted targets.
+    pub(super) predecessor_orders: Option<PredecessorOrders>,
     /// Loads that may be ordered now; the others wait for a load in progress to end.
     pub(super) admitted: HashSet<(TargetName, Weights)>,
     /// When targets with rate limits are sent requests.
@@ -108,6 +110,7 @@
             grants: Grants::default(),
             pending: HashMap::new(),
             lost_of_gone: HashMap::new(),
+            predecessor_orders: None,
             admitted: HashSet::new(),
             schedules: SendSchedules::default(),
             brittle: Vec::new(),
--- a/crates/chervilshunt_core/src/residency/restart.rs
+++ b/crates/chervilshunt_core/src/residency/restart.rs
@@ -18,7 +18,11 @@
 
 /// How late an unanswered order may be executed. The platform specifies "seconds later"; this is
 /// three times the longest time known for any target.
-const MAX_ORDER_DELAY: Duration = Duration::from_secs(15);
+pub(super) const MAX_ORDER_DELAY: Duration = Duration::from_secs(15);
+
+/// Number of slots that unanswered orders of an earlier placer may take on a target: the one in flight when
+/// the placer ended, and one before it.
+const PREDECESSOR_SLOTS: usize = 2;
 
 /// How many orders in advance an unanswered order begins to reserve a slot: more than are sent
 /// while a target takes to free one.
@@ -41,6 +45,17 @@
     present: Vec<LostLoad>,
     /// Orders to earlier starts.
     earlier: Vec<LostLoad>,
+    /// Until when orders of an earlier placer to earlier starts may be executed. How many there are, and
+    /// when they can be executed, is unknown.
+    of_predecessor: Option<Moment>,
+}
+
+/// The targets on which orders of an earlier placer may still be executed although they have restarted.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PredecessorOrders {
+    /// The orders were sent to starts before this one at the latest.
+    restarted_since: TargetStart,
+    until: Moment,
 }
 
 impl LostLoads {
@@ -59,12 +74,13 @@
         let is_recent = |it: &LostLoad| now.since(it.lost_at) < MAX_ORDER_DELAY;
         self.present.retain(is_recent);
         self.earlier.retain(is_recent);
+        self.of_predecessor = self.of_predecessor.filter(|until| now < *until);
     }
 
     /// Returns when the next order to an earlier start becomes too old to be executed.
     pub(crate) fn next_old(&self) -> Option<Moment> {
         let old = self.earlier.iter().map(|it| it.lost_at + MAX_ORDER_DELAY);
-        old.min()
+        old.chain(self.of_predecessor).min()
     }
 
     /// Returns the number of slots that orders to earlier starts may still take on a target that
@@ -82,11 +98,12 @@
                 (accepted..=accepted + ORDERS_AHEAD).contains(&it.accepted_before)
             })
         };
-        self.earlier.iter().filter(is_due).count()
+        let of_predecessor = self.of_predecessor.map_or(0, |_| PREDECESSOR_SLOTS);
+        self.earlier.iter().filter(is_due).count() + of_predecessor
     }
 
     const fn is_empty(&self) -> bool {
-        self.present.is_empty() && self.earlier.is_empty()
+        self.present.is_empty() && self.earlier.is_empty() && self.of_predecessor.is_none()
     }
 
     /// Returns the orders as those of an earlier start, including the one that is in flight.
@@ -102,6 +119,18 @@
 }
 
 impl ResidencyPlanner {
+    /// Reserves slots for orders of an earlier placer, on targets that have restarted since the earliest
+    /// time at which an order may have been sent that is still to be executed.
+    ///
+    /// Call it before targets are listed. Without this, a target whose restart comes together with a change
+    /// of the placer would be sent one load more than it has slots for.
+    pub fn follow_predecessor(&mut self, restarted_since: TargetStart, now: Moment) {
+        self.predecessor_orders = Some(PredecessorOrders {
+            restarted_since,
+            until: now + MAX_ORDER_DELAY,
+        });
+    }
+
     /// Compares a reported start of a target with the known one.
     pub(super) fn compare_start(
         &self,
@@ -155,6 +184,11 @@
         if let Some(lost) = self.lost_of_gone.remove(&name) {
             target.lost = lost;
         }
+        if let Some(orders) = &self.predecessor_orders
+            && target.facts.started >= Some(orders.restarted_since)
+        {
+            target.lost.of_predecessor = Some(orders.until);
+        }
         for (instance, uses) in &self.uses {
             let here = uses.iter().filter(|it| it.target == name);
             for it in here {
--- a/crates/chervilshunt_core/tests/restarts.rs
+++ b/crates/chervilshunt_core/tests/restarts.rs
@@ -164,6 +164,46 @@
         it
     }
 
+    /// Begins as a placer that follows another one, with a target that has started at a time.
+    ///
+    /// Starts since 80,000 are recent.
+    fn follow_predecessor(start: u64) -> Self {
+        let mut residency = placing::unqueried_planner(0, 16, SLOTS);
+        residency.follow_predecessor(TargetStart(80_000), at(0));
+        residency.handle(ResidencyEvent::TargetListed(entry(start, &[])), at(0));
+        let mut it = Self {
+            residency,
+            now: 0,
+            orders: Vec::new(),
+            answers: Vec::new(),
+            queried: false,
+        };
+        it.pass(500);
+        it.reports(start, 0, &[]);
+        it
+    }
+
+    /// Loads adapters and keeps them in use until no slot is free. Returns how many were loaded.
+    fn fill(&mut self, prefix: &str) -> usize {
+        let mut loaded = 0;
+        while self.load(&format!("{prefix}{loaded}")) {
+            let orders = self.orders.iter();
+            let uses = orders.map(|order| TargetUse {
+                target: target(0),
+                weights: Some(order.weights.clone()),
+                in_flight: 1,
+            });
+            let uses = uses.collect();
+            self.handle(ResidencyEvent::UsageReported(
+                InstanceId::from("i"),
+                uses,
+                Vec::new(),
+            ));
+            loaded += 1;
+        }
+        loaded
+    }
+
     fn handle(&mut self, event: ResidencyEvent) {
         for action in self.residency.handle(event, at(self.now)) {
             match action {
@@ -330,3 +370,30 @@
     planning.request_placement("b4");
     assert!(loads(&planning) > 0, "no order is executed that late");
 }
+
+/// Guards against a load for which the target has no slot, which an earlier placer ordered and the target
+/// executes late. Nobody has told this placer of the order; a target that has not restarted lately can't
+/// execute it.
+#[rstest]
+#[case::restarted_before_the_term(90_000, SLOTS - 2)]
+#[case::started_long_ago(50_000, SLOTS)]
+fn orders_of_an_earlier_placer_reserve_slots(#[case] start: u64, #[case] free: usize) {
+    let mut planning = Planning::follow_predecessor(start);
+    assert_eq!(planning.fill("b"), free);
+    planning.pass(16_000);
+    assert_eq!(
+        planning.fill("c"),
+        SLOTS - free,
+        "no order is executed that late"
+    );
+}
+
+/// Guards against the same if the target restarts after the term began.
+#[test]
+fn a_restart_in_a_new_term_reserves_slots_for_orders_of_an_earlier_placer() {
+    let mut planning = Planning::follow_predecessor(50_000);
+    planning.handle(ResidencyEvent::TargetListed(entry(101_000, &[])));
+    planning.pass(500);
+    planning.reports(101_000, 0, &[]);
+    assert_eq!(planning.fill("b"), SLOTS - 2);
+}
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -3,13 +3,13 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use chervilshunt_coord::era_of_term;
 use chervilshunt_core::{
     ChargeNumber, ChargeResult, GrantNumber, Order, OrderAnswer, PlacementResult, QuotaLedger,
     ResidencyAction, ResidencyConfig, ResidencyEvent, ResidencyPlanner, ServiceQueues,
-    TargetReport, TargetUse,
+    TargetReport, TargetStart, TargetUse,
 };
 use chervilshunt_engine::{ConnectionUse, EngineClient, EngineError, Limits, Outcome};
 use chervilshunt_mesh::{Peer, Reply};
@@ -45,6 +45,9 @@
 }
 /// Time into a term after which every instance has reported several times.
 const PRESENCE_SETTLE_TIME: Duration = Duration::from_secs(5);
+/// Age of a target's start up to which an earlier placer may have sent an order to the start before it that
+/// is still to be executed: the longest delay of an order, and slack for clocks that differ or jump.
+const RECENT_START: Duration = Duration::from_secs(25);
 /// Maximum length of a target's report, in bytes.
 const MAX_REPORT_BYTES: usize = 1 << 20;
 
@@ -58,6 +61,10 @@
         if let Some(estimates) = self.estimates {
             residency.start_with(estimates);
         }
+        let is_first = term == 1 && self.shared.settings.instance.is_first_start;
+        if !is_first {
+            residency.follow_predecessor(recent_start(SystemTime::now()), now);
+        }
         self.placer = Some(Placer {
             residency,
             pending_requests: HashMap::new(),
@@ -356,6 +363,13 @@
     }
 }
 
+/// Returns the earliest start of a target that counts as recent at a time of day.
+fn recent_start(now: SystemTime) -> TargetStart {
+    let since_epoch = now.duration_since(UNIX_EPOCH).unwrap_or_default();
+    let millis = since_epoch.saturating_sub(RECENT_START).as_millis();
+    TargetStart(u64::try_from(millis).unwrap_or(u64::MAX))
+}
+
 /// Returns a client for a single order to a target, or a single query of what it holds.
 ///
 /// Targets' answers to these state no id. On a shared connection, a late answer to an earlier call
