An answer of a killed target without a length is not complete

The kernel closes the connections of a killed process in order, so that its end is the end of the body. Bodies that are no streams are cut in the same way.

The instance that has the connection now finds out, after such a body, if the target's port refuses connections, unless the target is leaving or not listed any more, and counts that only if another target of the service accepts one. The answer is then interrupted: a resumable stream goes on at another target, others break off. The design had rejected this, since a target that exits after its last answer looks the same; such a target leaves, which is known from its entry or its answers.

--- a/crates/chervilshunt_gateway/src/crashes.rs
+++ b/crates/chervilshunt_gateway/src/crashes.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use chervilshunt_core::{
-    Crash, CrashedRun, Fingerprint, PartId, SETTLE_TIME, SettlingNumber, StoredCrashes, TargetStart,
+    Crash, CrashedRun, Fingerprint, PartId, SETTLE_TIME, SettlingNumber, StoredCrashes,
+    TargetFacts, TargetStart,
 };
 use chervilshunt_model::{Moment, TargetName};
 use chervilshunt_platform::{Exchange, PlatformError};
@@ -22,6 +23,8 @@
 const QUEUE_CAPACITY: usize = 1_024;
 /// Timeout of the connection that checks whether a target's process has ended.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time in which a process that was killed closes its listener after a connection.
+const EXIT_TIME: Duration = Duration::from_millis(10);
 /// Number of other targets that are tried before one counts as crashed.
 const COMPARED_TARGETS: usize = 3;
 /// How long the platform may take to show that a target has started again whose address refused connections
@@ -42,6 +45,9 @@
 /// Delay after a conflict, by which a record written by another instance is known here.
 const CONFLICT_RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Why an answer counts as interrupted whose connection has ended in order.
+pub(crate) const TARGET_ENDED: &str = "the target's process has ended with the connection";
+
 /// A request whose target's connection ended, which may have crashed the target.
 #[derive(Debug)]
 pub(crate) struct EndedRequest {
@@ -183,7 +189,7 @@
         if !client.is_refused(CHECK_TIMEOUT).await {
             return;
         }
-        if !self.reaches_others(&ended.target).await {
+        if !reaches_others(&self.shared, &ended.target).await {
             slog::info!(self.shared.log, "target not reached, like all others";
                 "target" => ended.target.as_str(),
                 "content" => ended.crash.as_ref().map(|it| it.fingerprint.to_string()));
@@ -272,24 +278,6 @@
         recorded
     }
 
-    /// Returns whether this instance reaches another target of the service, if there is any. To an
-    /// instance that has lost its links, all targets refuse connections, and every request that was
-    /// in progress would be taken for one that crashes targets.
-    async fn reaches_others(&self, target: &TargetName) -> bool {
-        let others =
-            self.shared
-                .dispatch()
-                .targets_to_compare(target, COMPARED_TARGETS, rand::random);
-        if others.is_empty() {
-            return true;
-        }
-        let probes = others
-            .into_iter()
-            .map(|it| probe(Arc::clone(&self.shared), it));
-        let answers = JoinSet::from_iter(probes).join_all().await;
-        answers.contains(&true)
-    }
-
     /// Releases a request that a target has begun to answer, because it has not crashed that
     /// target.
     async fn release(&self, fingerprint: Fingerprint) {
@@ -302,6 +290,40 @@
     }
 }
 
+/// Returns whether this instance reaches another target of the service, if there is any. To an
+/// instance that has lost its links, all targets refuse connections, and every request that was
+/// in progress would be taken for one that crashes targets.
+async fn reaches_others(shared: &Arc<Shared>, target: &TargetName) -> bool {
+    let others = shared
+        .dispatch()
+        .targets_to_compare(target, COMPARED_TARGETS, rand::random);
+    if others.is_empty() {
+        return true;
+    }
+    let probes = others.into_iter().map(|it| probe(Arc::clone(shared), it));
+    let answers = JoinSet::from_iter(probes).join_all().await;
+    answers.contains(&true)
+}
+
+/// Returns whether a target's process has ended together with a connection of it.
+///
+/// The end of a connection is that of an answer which states neither a length nor chunks. It looks the same
+/// if the process was killed in the middle of the answer.
+pub(crate) async fn has_crashed(
+    shared: Arc<Shared>,
+    target: TargetName,
+    address: SocketAddr,
+) -> bool {
+    let stays = |it: &TargetFacts| it.leaving.is_none();
+    if !shared.dispatch().target(&target).is_some_and(stays) {
+        // It may have answered its last request and exited.
+        return false;
+    }
+    tokio::time::sleep(EXIT_TIME).await;
+    let client = shared.engines.client(address);
+    client.is_refused(CHECK_TIMEOUT).await && reaches_others(&shared, &target).await
+}
+
 /// Writes everything that is known of a request's crashes, merged with the records of other
 /// instances.
 async fn record(shared: &Shared, exchange: &Exchange, fingerprint: Fingerprint) {
--- a/crates/chervilshunt_gateway/src/traffic/in_flight.rs
+++ b/crates/chervilshunt_gateway/src/traffic/in_flight.rs
@@ -23,7 +23,7 @@
 pub(crate) struct InFlight {
     shared: Arc<Shared>,
     pub(crate) target: TargetName,
-    address: SocketAddr,
+    pub(super) address: SocketAddr,
     /// The start of the target to which it was sent.
     pub(super) started: Option<TargetStart>,
     weights: Option<Weights>,
--- a/crates/chervilshunt_gateway/src/traffic/relay.rs
+++ b/crates/chervilshunt_gateway/src/traffic/relay.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use chervilshunt_core::{HealthSignal, Repeat, SoftwareVersion, StreamOrigin};
-use chervilshunt_engine::{BodyReader, FINAL_WAIT, MAX_READY_CHUNKS};
+use chervilshunt_engine::{BodyReader, FINAL_WAIT, Framing, MAX_READY_CHUNKS};
 use chervilshunt_model::Moment;
 use http_body::{Frame, SizeHint};
 use tokio::time::{Instant, Sleep};
@@ -19,6 +19,7 @@
 use super::in_flight::{FRESH_ANSWER_AGE, InFlight};
 use super::refusal::Refusal;
 use super::request::CallerRequest;
+use crate::crashes::{TARGET_ENDED, has_crashed};
 use crate::shared::Shared;
 
 /// Interval at which a stream records that its target responds: short enough for other requests to
@@ -28,6 +29,7 @@
 /// Time since the last piece of an answer within which its target counts as still sending.
 const SENDING_WINDOW: Duration = Duration::from_secs(1);
 
+type Checking = Pin<Box<dyn Future<Output = bool> + Send>>;
 type Resuming = Pin<Box<dyn Future<Output = (Result<AcceptedAnswer, Refusal>, u32)> + Send>>;
 
 /// An answer that is being passed on.
@@ -42,6 +44,8 @@
     /// The software version that began the stream, once an event of it has been passed on.
     software: Option<SoftwareVersion>,
     resuming: Option<Resuming>,
+    /// Finds out whether the target has crashed, after a body that ended with its connection.
+    checking: Option<Checking>,
     deadline: Pin<Box<Sleep>>,
     /// The number of times that the answer was polled after its deadline. What is ready by then is passed
     /// on.
@@ -84,6 +88,7 @@
             events: resumable.then(EventBuffer::default),
             software: None,
             resuming: None,
+            checking: None,
             deadline: Box::pin(tokio::time::sleep(req.time_left(now))),
             late_polls: 0,
             has_waited_finally: false,
@@ -100,7 +105,7 @@
     }
 
     pub(crate) fn is_end_stream(&self) -> bool {
-        self.events.is_none() && self.body.is_end_stream()
+        self.events.is_none() && !self.ends_with_connection() && self.body.is_end_stream()
     }
 
     pub(crate) fn size_hint(&self) -> SizeHint {
@@ -121,6 +126,18 @@
             if self.resuming.is_some() {
                 ready!(self.poll_resuming(cx))?;
             }
+            if let Some(checking) = &mut self.checking {
+                let has_crashed = ready!(checking.as_mut().poll(cx));
+                self.checking = None;
+                if !has_crashed {
+                    self.end();
+                    return Poll::Ready(None);
+                }
+                if !self.resume_interrupted(TARGET_ENDED) {
+                    return Poll::Ready(Some(self.cut("broke_off")));
+                }
+                continue;
+            }
             // The timer alone would not expire while the target keeps this task busy.
             if Instant::now() >= self.deadline.deadline() {
                 self.late_polls += 1;
@@ -142,23 +159,15 @@
                     }
                 }
                 Some(Err(error)) => {
-                    let now = self.shared.clock.now();
-                    slog::info!(self.shared.log, "answer interrupted";
-                        "request" => &*self.req.id,
-                        "target" => self.in_flight.target.as_str(),
-                        "content" => self.req.fingerprint().to_string(),
-                        "has_begun" => self.in_flight.has_begun(),
-                        "begun_ms" => self.begun_before(now).map(|it| it.as_millis() as u64),
-                        "parts" => self.req.parts_for_log(),
-                        "sent_ms" => now.since(self.in_flight.sent_at()).as_millis() as u64,
-                        "bytes" => self.bytes, "reason" => error.to_string());
-                    self.count_interrupted(now);
-                    self.in_flight.connection_ended(&self.req, true);
-                    self.in_flight.record_signal(HealthSignal::Failed, now);
-                    if !self.begin_resuming() {
+                    if !self.resume_interrupted(&error.to_string()) {
                         return Poll::Ready(Some(self.cut("broke_off")));
                     }
                 }
+                None if self.ends_with_connection() => {
+                    let shared = Arc::clone(&self.shared);
+                    let (target, address) = (self.in_flight.target.clone(), self.in_flight.address);
+                    self.checking = Some(Box::pin(has_crashed(shared, target, address)));
+                }
                 None => {
                     self.end();
                     return Poll::Ready(None);
@@ -167,6 +176,29 @@
         }
     }
 
+    fn ends_with_connection(&self) -> bool {
+        self.body.framing() == Framing::Connection
+    }
+
+    /// Records that the target's answer was interrupted. Returns whether another target is asked to go on
+    /// with it.
+    fn resume_interrupted(&mut self, reason: &str) -> bool {
+        let now = self.shared.clock.now();
+        slog::info!(self.shared.log, "answer interrupted";
+            "request" => &*self.req.id,
+            "target" => self.in_flight.target.as_str(),
+            "content" => self.req.fingerprint().to_string(),
+            "has_begun" => self.in_flight.has_begun(),
+            "begun_ms" => self.begun_before(now).map(|it| it.as_millis() as u64),
+            "parts" => self.req.parts_for_log(),
+            "sent_ms" => now.since(self.in_flight.sent_at()).as_millis() as u64,
+            "bytes" => self.bytes, "reason" => reason);
+        self.count_interrupted(now);
+        self.in_flight.connection_ended(&self.req, true);
+        self.in_flight.record_signal(HealthSignal::Failed, now);
+        self.begin_resuming()
+    }
+
     /// Polls whether the answer's time is over. It is over a little after the deadline; see [`FINAL_WAIT`].
     fn poll_deadline(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         ready!(self.deadline.as_mut().poll(cx));
--- a/crates/chervilshunt_gateway/src/transit/answer.rs
+++ b/crates/chervilshunt_gateway/src/transit/answer.rs
@@ -1,21 +1,22 @@
 //! Passes a target's answer on to the instance that asked for it.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use chervilshunt_core::{PartId, SettlingNumber, TargetStart};
-use chervilshunt_engine::{BodyReader, EngineError};
+use chervilshunt_engine::{BodyReader, EngineError, Framing};
 use chervilshunt_model::{Moment, TargetName};
 use http_body::{Body, Frame, SizeHint};
 
 use super::pass_on::PassedRequest;
-use crate::crashes::{CrashObservation, EndedRequest};
+use crate::crashes::{CrashObservation, EndedRequest, TARGET_ENDED, has_crashed};
 use crate::traffic::FRESH_ANSWER_AGE;
 
 /// The body of an answer to another instance.
-#[derive(Debug)]
 pub(super) enum TransitBody {
     /// None: the answer states a [`TransitOutcome`](super::TransitOutcome).
     Empty,
@@ -34,8 +35,9 @@
     }
 }
 
+pub(super) type Checking = Pin<Box<dyn Future<Output = bool> + Send>>;
+
 /// A target's body, and the request that it answers.
-#[derive(Debug)]
 pub(super) struct PassedAnswer {
     pub(super) body: BodyReader,
     pub(super) target: TargetName,
@@ -49,9 +51,40 @@
     /// Whether the target lives on after it began to answer, while that is not known.
     pub(super) settling: Option<SettlingNumber>,
     pub(super) open: PassedRequest,
+    /// Finds out whether the target has crashed, after a body that ended with its connection.
+    pub(super) checking: Option<Checking>,
 }
 
 impl PassedAnswer {
+    fn ends_with_connection(&self) -> bool {
+        self.body.framing() == Framing::Connection
+    }
+
+    /// Polls the target's body, and after the end of its connection whether the target has crashed.
+    fn poll_body(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, EngineError>>> {
+        let checking = match &mut self.checking {
+            Some(checking) => checking,
+            None => {
+                let polled = self.body.poll_chunk(cx);
+                if !matches!(polled, Poll::Ready(None)) || !self.ends_with_connection() {
+                    return polled;
+                }
+                let shared = Arc::clone(self.open.shared());
+                let check = has_crashed(shared, self.target.clone(), self.address);
+                self.checking.insert(Box::pin(check))
+            }
+        };
+        let has_crashed = ready!(checking.as_mut().poll(cx));
+        self.checking = None;
+        Poll::Ready(has_crashed.then(|| {
+            let problem = TARGET_ENDED.into();
+            Err(EngineError::Truncated { problem })
+        }))
+    }
+
     /// Records that the target has begun to answer, since only this instance sees it crash.
     fn record_begin(&mut self) {
         if self.begun_at.is_none() {
@@ -100,7 +133,7 @@
         match self.get_mut() {
             Self::Empty => Poll::Ready(None),
             Self::Passed(answer) => {
-                let polled = answer.body.poll_chunk(cx);
+                let polled = answer.poll_body(cx);
                 match &polled {
                     Poll::Ready(Some(Ok(_))) => answer.record_begin(),
                     Poll::Ready(Some(Err(_))) => answer.connection_ended(),
@@ -115,7 +148,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Empty => true,
-            Self::Passed(answer) => answer.body.is_end_stream(),
+            Self::Passed(answer) => !answer.ends_with_connection() && answer.body.is_end_stream(),
         }
     }
 
--- a/crates/chervilshunt_gateway/src/transit/pass_on.rs
+++ b/crates/chervilshunt_gateway/src/transit/pass_on.rs
@@ -153,6 +153,7 @@
         begun_at: None,
         settling: None,
         open,
+        checking: None,
     };
     let mut res = Response::new(TransitBody::Passed(Box::new(answer)));
     *res.status_mut() = head.status;
