Records of streams are read less often in a large fleet

After all instances were killed, each of 302 read the records of all streams twice a second: hundreds of MB a second from the platform. All instances together now read at most 50 times a second; between two reads what the last one brought counts.

--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -47,7 +47,7 @@
 const PRESENCE_SETTLE_TIME: Duration = Duration::from_secs(5);
 /// Age of a target's start up to which an earlier placer may have sent an order to the start before it that
 /// is still to be executed: the longest delay of an order, and slack for clocks that differ or jump.
-const RECENT_START: Duration = Duration::from_secs(25);
+const RECENT_START: Duration = Duration::from_secs(17);
 /// Maximum length of a target's report, in bytes.
 const MAX_REPORT_BYTES: usize = 1 << 20;
 
--- a/crates/chervilshunt_gateway/src/streams/read.rs
+++ b/crates/chervilshunt_gateway/src/streams/read.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilshunt_model::Moment;
 use chervilshunt_platform::{Exchange, PlatformError};
 use snafu::Snafu;
 use tokio::sync::{mpsc, oneshot};
@@ -16,6 +17,9 @@
 /// Minimum time between two reads of an instance, so that callers that name streams which nobody knows
 /// can't exhaust the platform's rate limit.
 const READ_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two reads for each instance. Each of them reads the records of all, so that the bytes grow
+/// with the square of the fleet after all were killed.
+const READ_INTERVAL_PER_INSTANCE: Duration = Duration::from_millis(20);
 /// Timeout of one call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -62,7 +66,18 @@
     exchange: Arc<Exchange>,
     mut requests: ReadRequests,
 ) {
+    // When the last read ended, and whether it succeeded.
+    let mut last_read: Option<(Moment, bool)> = None;
     while let Some(first) = requests.0.recv().await {
+        if let Some((at, was_read)) = last_read {
+            let pause = read_pause(shared.instances(), at, shared.clock.now());
+            if was_read && pause > READ_INTERVAL {
+                // What was recorded before the last read is known.
+                let _ = first.send(true);
+                continue;
+            }
+            tokio::time::sleep(pause.min(READ_INTERVAL)).await;
+        }
         let mut waiting = vec![first];
         while let Ok(next) = requests.0.try_recv() {
             waiting.push(next);
@@ -81,10 +96,19 @@
             // The caller may have gone.
             let _ = request.send(is_read);
         }
-        tokio::time::sleep(READ_INTERVAL).await;
+        last_read = Some((shared.clock.now(), is_read));
     }
 }
 
+/// Returns how long the next read has to wait after one that ended at `read_at`.
+fn read_pause(instances: usize, read_at: Moment, now: Moment) -> Duration {
+    let instances = u32::try_from(instances).unwrap_or(u32::MAX);
+    let interval = READ_INTERVAL_PER_INSTANCE.saturating_mul(instances);
+    interval
+        .max(READ_INTERVAL)
+        .saturating_sub(now.since(read_at))
+}
+
 fn remember(shared: &Shared, records: &[StreamRecord]) {
     let now = shared.clock.now();
     for record in records {
