--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -73,7 +73,7 @@
 };
 pub use retry_budget::{
     AllowanceUsage, EarnedRetries, EarnedUsage, InstanceRetries, RetryBoundConfig, RetryGrant,
-    RetryLedger, ServiceRetries,
+    RetryLedger, RetryPermit, ServiceRetries,
 };
 pub use returns::ReturnSchedule;
 pub use scheduler::{LoadScheduler, SchedulerAction, SchedulerConfig, SchedulerEvent, TurnResult};
--- a/crates/chervilshunt_core/src/retry_budget/mod.rs
+++ b/crates/chervilshunt_core/src/retry_budget/mod.rs
@@ -8,12 +8,14 @@
 mod earned;
 mod instance;
 mod ledger;
+mod permit;
 
 use std::time::Duration;
 
 pub use earned::{EarnedRetries, EarnedUsage};
 pub use instance::{InstanceRetries, ServiceRetries};
 pub use ledger::{AllowanceUsage, RetryGrant, RetryLedger};
+pub use permit::RetryPermit;
 
 /// Longest time from the decision on a retry to its arrival at a target, and from the sending of a
 /// request to the time at which an instance counts it.
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chervilshunt_core::{HealthSignal, SoftwareVersion};
+use chervilshunt_core::{HealthSignal, RetryPermit, SoftwareVersion};
 use chervilshunt_engine::{BodyReader, ConnectionUse, EngineError, Limits, Outcome};
 use chervilshunt_model::{Moment, TargetName};
 use http::response::Parts;
@@ -58,8 +58,10 @@
     /// Attempts that arrived at a target, or may have.
     pub(super) arrivals: u32,
     pub(super) runs: u32,
-    /// Whether the next attempt needs no further retry.
-    pub(super) has_reserved_retry: bool,
+    /// The retry that is allowed for the next attempt.
+    pub(super) retry: Option<RetryPermit>,
+    /// When the target of the last attempt was found.
+    pub(super) target_found_at: Moment,
 }
 
 /// An answer that is passed on.
@@ -110,7 +112,8 @@
             attempts: 0,
             arrivals: 0,
             runs: 0,
-            has_reserved_retry: false,
+            retry: None,
+            target_found_at: Moment::ZERO,
         }
     }
 
@@ -154,6 +157,7 @@
             self.refuse_if_quarantined()?;
             self.reconsider_unconnected();
             let mut chosen = self.find_target().await?;
+            self.target_found_at = self.shared.clock.now();
             if !self.try_attempt().await {
                 return Err(Refusal::retry_after(
                     Reason::BudgetSpent,
@@ -248,6 +252,9 @@
             checks_fresh: !repeat && self.may_reset_fresh_connection(chosen),
         };
         let req = self.outgoing(chosen, left, is_sent_before);
+        if let Some(retry) = self.retry.take() {
+            self.report_retry_sent(retry, chosen);
+        }
         // From here on the request may run; a refusal while it is in progress must not claim
         // otherwise.
         self.runs += 1;
--- a/crates/chervilshunt_gateway/src/traffic/retry.rs
+++ b/crates/chervilshunt_gateway/src/traffic/retry.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilshunt_core::{EarnedUsage, RetryGrant};
+use chervilshunt_core::{EarnedUsage, RetryGrant, RetryPermit};
 use chervilshunt_mesh::Peer;
 use chervilshunt_model::Moment;
 use http::response::Parts;
@@ -62,7 +62,7 @@
         if self.attempts >= MAX_ATTEMPTS {
             return false;
         }
-        let is_allowed = self.arrivals == 0 || self.take_retry().await;
+        let is_allowed = self.arrivals == 0 || self.retry.is_some() || self.take_retry().await;
         self.attempts += u32::from(is_allowed);
         is_allowed
     }
@@ -78,15 +78,12 @@
         if !may_run_again || verdict(true) == verdict(false) {
             return false;
         }
-        self.has_reserved_retry = self.take_retry().await;
-        self.has_reserved_retry
+        self.take_retry().await
     }
 
-    /// Takes the reserved retry, one that this instance has earned or one that the placer grants.
+    /// Takes a retry that this instance has earned or one that the placer grants, and returns whether there
+    /// was one.
     async fn take_retry(&mut self) -> bool {
-        if std::mem::take(&mut self.has_reserved_retry) {
-            return true;
-        }
         let now = self.shared.clock.now();
         let (is_earned, usage) = {
             let mut retries = self.shared.retries();
@@ -99,7 +96,21 @@
             self.ask_for_retry(now).await
         };
         self.report_retry(decision, usage);
-        decision.is_allowed()
+        self.retry = decision.is_allowed().then(|| RetryPermit::new(now));
+        self.retry.is_some()
+    }
+
+    /// Logs how long ago a retry was decided on that is sent now, and how much of that time passed until its
+    /// target was found.
+    pub(super) fn report_retry_sent(&self, retry: RetryPermit, chosen: &SelectedTarget) {
+        let age = retry.age(self.shared.clock.now());
+        let target_found = retry.age(self.target_found_at);
+        slog::info!(self.shared.log, "retry sent";
+            "request" => &*self.req.id, "service" => self.req.service.as_str(),
+            "target" => chosen.target.as_str(),
+            "decided_ms" => age.as_millis() as u64,
+            "target_found_ms" => target_found.as_millis() as u64);
+        metrics::histogram!("chervilshunt_retry_delay_seconds").record(age.as_secs_f64());
     }
 
     /// Asks the placer for a part of the allowance that all instances share.
