A retry is sent within half a second of its decision, or needs another one

Callers saw nothing; targets of a service may have got more repeats than the bound allows. The accounts forget a retry after the window and half a second, on the assumption that it has arrived by then. A request whose target answered with a failure took its retry first and looked for another target afterwards, for as long as the placer kept it waiting.

The retry is now a permit that expires 0.45 s after the decision. It is checked when the target is found and again when a connection is ready, before anything is written (EngineClient::forward_if); in transit, the instance in between gets a part of the time.

--- a/crates/chervilshunt_core/src/retry_budget/permit.rs
+++ b/crates/chervilshunt_core/src/retry_budget/permit.rs
@@ -4,7 +4,15 @@
 
 use chervilshunt_model::Moment;
 
+use super::TRANSIT;
+
+/// Part of the transit time that is left for the way to the target after the request has been written.
+const DELIVERY_TIME: Duration = Duration::from_millis(50);
+
 /// A retry that the accounts count as made when it was decided on.
+///
+/// They forget it after a window and the longest time to its arrival, so that a retry which is sent later
+/// would arrive in one window with those allowed in its place.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RetryPermit {
     decided_at: Moment,
@@ -20,4 +28,10 @@
     pub fn age(self, now: Moment) -> Duration {
         now.since(self.decided_at)
     }
+
+    /// Returns for how long the retry may still be sent; zero if it has expired.
+    pub fn time_left(self, now: Moment) -> Duration {
+        let sendable = TRANSIT.saturating_sub(DELIVERY_TIME);
+        sendable.saturating_sub(self.age(now))
+    }
 }
--- a/crates/chervilshunt_core/tests/retry_budget.rs
+++ b/crates/chervilshunt_core/tests/retry_budget.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use chervilshunt_core::{EarnedRetries, RetryBoundConfig, RetryGrant, RetryLedger};
+use chervilshunt_core::{EarnedRetries, RetryBoundConfig, RetryGrant, RetryLedger, RetryPermit};
 use chervilshunt_model::{Moment, ServiceName, SpentRetries};
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -315,3 +315,15 @@
         assert!(arrivals.retries.len() > 50, "seed {seed}: too few retries");
     }
 }
+
+#[rstest]
+#[case::at_once(0, 450)]
+#[case::after_a_wait(200, 250)]
+#[case::just_in_time(449, 1)]
+#[case::too_late(450, 0)]
+#[case::much_too_late(20_000, 0)]
+fn a_permit_expires_before_the_accounts_forget_its_retry(#[case] waited: u64, #[case] left: u64) {
+    let permit = RetryPermit::new(at(5_000));
+    let left = Duration::from_millis(left);
+    assert_eq!(permit.time_left(at(5_000 + waited)), left);
+}
--- a/crates/chervilshunt_engine/src/client.rs
+++ b/crates/chervilshunt_engine/src/client.rs
@@ -82,7 +82,7 @@
             reuse: idempotent,
             checks_fresh: false,
         };
-        let answered = self.exchange(req, using, limits).await?;
+        let answered = self.exchange(req, using, limits, || true).await?;
         let (mut head, reader) = answered.into_reader(&self.pool, limits);
         strip_hop_by_hop(&mut head.headers);
         match expect {
@@ -105,7 +105,22 @@
         using: ConnectionUse,
         limits: Limits,
     ) -> Result<(response::Parts, BodyReader), EngineError> {
-        let mut answered = self.exchange(req, using, limits).await?;
+        self.forward_if(req, using, limits, || true).await
+    }
+
+    /// Sends a request like [`forward`](Self::forward), unless `may_send` returns false when a connection is
+    /// ready for it.
+    ///
+    /// # Errors
+    /// [`EngineError::Withheld`] if the request was not sent for that reason.
+    pub async fn forward_if(
+        &self,
+        req: Request<Full<Bytes>>,
+        using: ConnectionUse,
+        limits: Limits,
+        may_send: impl Fn() -> bool,
+    ) -> Result<(response::Parts, BodyReader), EngineError> {
+        let mut answered = self.exchange(req, using, limits, may_send).await?;
         let connection = &mut answered.connection;
         connection.apply_keep_alive(&answered.head.headers);
         Ok(answered.into_reader(&self.pool, limits))
@@ -135,7 +150,7 @@
         limits: Limits,
         max_body: usize,
     ) -> Result<Fetched, EngineError> {
-        let mut answered = self.exchange(req, using, limits).await?;
+        let mut answered = self.exchange(req, using, limits, || true).await?;
         if !using.reuse {
             answered.connection.idle_limit = Duration::ZERO;
         }
@@ -152,9 +167,10 @@
         req: Request<Full<Bytes>>,
         using: ConnectionUse,
         limits: Limits,
+        may_send: impl Fn() -> bool,
     ) -> Result<Answered, EngineError> {
         let sent_id = self.id_header.of(req.headers()).cloned();
-        let (response, mut connection) = self.transmit(req, using, limits).await?;
+        let (response, mut connection) = self.transmit(req, using, limits, may_send).await?;
         let (head, incoming) = response.into_parts();
         let (sent_id, history) = (sent_id.as_ref(), connection.history());
         let verified = self.id_header.verify(sent_id, &head.headers, history);
@@ -185,10 +201,14 @@
         mut req: Request<Full<Bytes>>,
         using: ConnectionUse,
         limits: Limits,
+        may_send: impl Fn() -> bool,
     ) -> Result<(Response<Incoming>, TargetConnection), EngineError> {
         if using.reuse
             && let Some(mut connection) = self.pool.take()
         {
+            if !may_send() {
+                return Err(self.withheld());
+            }
             match self.send(&mut connection, req, limits.head).await? {
                 SendOutcome::Answered(response) => return Ok((response, connection)),
                 SendOutcome::Unsent(unsent) => req = *unsent,
@@ -202,6 +222,9 @@
                 return Err(self.closed_unused());
             }
         }
+        if !may_send() {
+            return Err(self.withheld());
+        }
         match self.send(&mut connection, req, limits.head).await? {
             SendOutcome::Answered(response) => Ok((response, connection)),
             SendOutcome::Unsent(_) => Err(self.closed_unused()),
@@ -217,6 +240,12 @@
         }
     }
 
+    fn withheld(&self) -> EngineError {
+        EngineError::Withheld {
+            address: self.address(),
+        }
+    }
+
     async fn connect(&self, limit: Duration) -> Result<TargetConnection, EngineError> {
         let address = self.address();
         match TargetConnection::open(address, limit).await {
--- a/crates/chervilshunt_engine/src/error.rs
+++ b/crates/chervilshunt_engine/src/error.rs
@@ -60,6 +60,12 @@
         /// The error from the operating system.
         source: io::Error,
     },
+    /// A connection was ready too late for the request to be sent.
+    #[snafu(display("the request was not sent to {address}: it had expired"))]
+    Withheld {
+        /// The target's address.
+        address: SocketAddr,
+    },
     /// The connection failed without an answer after the request may have been sent.
     #[snafu(display("{address} closed the connection without an answer: {source}"))]
     OutcomeUnknown {
@@ -191,6 +197,7 @@
     pub fn outcome(&self) -> Outcome {
         match self {
             Self::NotSent { .. }
+            | Self::Withheld { .. }
             | Self::Fenced { .. }
             | Self::AdapterMissing { proof: Some(_), .. } => Outcome::NotRun,
             Self::Timeout { stage, .. } => match stage {
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -93,6 +93,8 @@
     TurnedAway,
     /// The request has not arrived. The same target may be tried on another path.
     NotConnected,
+    /// The retry had expired when its connection was ready. Another one is needed, for any target.
+    Withheld,
     /// The request may have run.
     MayHaveRun(Reason),
 }
@@ -178,6 +180,7 @@
                     self.unconnected.push(chosen.target.clone());
                     self.avoid.push(chosen.target);
                 }
+                AttemptOutcome::Withheld => {}
                 AttemptOutcome::MayHaveRun(reason) => {
                     if !self.req.route.repeat.is_allowed()
                         || self.runs >= self.req.route.max_targets
@@ -251,8 +254,15 @@
             reuse: chosen.reuse && !(is_sent_before && chosen.route.is_none()),
             checks_fresh: !repeat && self.may_reset_fresh_connection(chosen),
         };
-        let req = self.outgoing(chosen, left, is_sent_before);
-        if let Some(retry) = self.retry.take() {
+        let retry = self.retry.take();
+        // Half of a retry's time is for the way to the instance in between, half for the way from there.
+        let sendable = retry.map(|it| it.time_left(self.shared.clock.now()));
+        let send_within = sendable.map(|it| it / 2).filter(|_| chosen.route.is_some());
+        let req = self.outgoing(chosen, left, is_sent_before, send_within);
+        let reserved = send_within.unwrap_or_default();
+        let shared = self.shared;
+        let may_send = move || retry.is_none_or(|it| it.time_left(shared.clock.now()) > reserved);
+        if let Some(retry) = retry {
             self.report_retry_sent(retry, chosen);
         }
         // From here on the request may run; a refusal while it is in progress must not claim
@@ -262,7 +272,7 @@
         self.set_charge_final(true);
         let forwarded = tokio::select! {
             biased;
-            forwarded = client.forward(req, using, limits) => forwarded,
+            forwarded = client.forward_if(req, using, limits, may_send) => forwarded,
             () = begin_deadline_passed(&in_flight) => {
                 return withdraw(self.req, &in_flight);
             }
@@ -279,6 +289,7 @@
                 let may_retry = self.reserve_retry(chosen, &head).await;
                 self.classify(chosen, head, body, in_flight, may_retry)
             }
+            Err(EngineError::Withheld { .. }) => self.withheld(chosen),
             Err(error) => {
                 if error.is_connect_failure() {
                     self.record_connect_failure(chosen);
@@ -360,6 +371,7 @@
         chosen: &SelectedTarget,
         left: Duration,
         is_sent_before: bool,
+        send_within: Option<Duration>,
     ) -> Request<Full<Bytes>> {
         let req = self.req;
         let names = &self.shared.dialect.headers;
@@ -383,6 +395,7 @@
                 target: chosen.target.clone(),
                 is_repeatable: req.route.repeat.is_allowed(),
                 is_sent_before,
+                send_within,
             };
             transit.write(&route.ticket, &mut headers);
         }
--- a/crates/chervilshunt_gateway/src/traffic/not_run.rs
+++ b/crates/chervilshunt_gateway/src/traffic/not_run.rs
@@ -33,6 +33,8 @@
     NotConnected,
     /// The connection ended before any of the request was written.
     Unwritten,
+    /// The retry had expired before it was written.
+    Withheld,
 }
 
 impl NotRunProof {
@@ -46,20 +48,21 @@
             Self::NotPassedOn(_) => "not_passed_on",
             Self::NotConnected => "not_connected",
             Self::Unwritten => "unwritten",
+            Self::Withheld => "withheld",
         }
     }
 
     const fn rejection(self) -> Option<Rejection> {
         match self {
             Self::Rejected(rejection) => Some(rejection),
-            Self::NotPassedOn(_) | Self::NotConnected | Self::Unwritten => None,
+            Self::NotPassedOn(_) | Self::NotConnected | Self::Unwritten | Self::Withheld => None,
         }
     }
 
     const fn transit_outcome(self) -> Option<TransitOutcome> {
         match self {
             Self::NotPassedOn(outcome) => Some(outcome),
-            Self::Rejected(_) | Self::NotConnected | Self::Unwritten => None,
+            Self::Rejected(_) | Self::NotConnected | Self::Unwritten | Self::Withheld => None,
         }
     }
 }
@@ -77,6 +80,13 @@
         AttemptOutcome::NotRun
     }
 
+    /// Handles a retry that had expired when its connection was ready.
+    pub(super) fn withheld(&mut self, chosen: &SelectedTarget) -> AttemptOutcome {
+        self.arrivals -= 1;
+        self.not_run(chosen, NotRunProof::Withheld);
+        AttemptOutcome::Withheld
+    }
+
     /// Logs how often a request that is refused was sent, and how often it may have run.
     pub(super) fn report_given_up(&self, refusal: Refusal) {
         if self.attempts == 0 {
--- a/crates/chervilshunt_gateway/src/traffic/retry.rs
+++ b/crates/chervilshunt_gateway/src/traffic/retry.rs
@@ -62,11 +62,19 @@
         if self.attempts >= MAX_ATTEMPTS {
             return false;
         }
-        let is_allowed = self.arrivals == 0 || self.retry.is_some() || self.take_retry().await;
+        let is_allowed =
+            self.arrivals == 0 || self.has_unexpired_retry() || self.take_retry().await;
         self.attempts += u32::from(is_allowed);
         is_allowed
     }
 
+    /// Returns whether a retry was allowed so lately that it can be sent. A request may have waited for its
+    /// target since.
+    fn has_unexpired_retry(&self) -> bool {
+        let now = self.shared.clock.now();
+        self.retry.is_some_and(|it| !it.time_left(now).is_zero())
+    }
+
     /// Returns whether another target may run the request, so that an answer that reports a failure need
     /// not be passed on. If so, a retry is reserved; it is not if the answer does not depend on it.
     pub(super) async fn reserve_retry(&mut self, chosen: &SelectedTarget, head: &Parts) -> bool {
--- a/crates/chervilshunt_gateway/src/transit/header.rs
+++ b/crates/chervilshunt_gateway/src/transit/header.rs
@@ -1,5 +1,7 @@
 //! Headers between instances that pass requests on. They are never sent to callers or targets.
 
+use std::time::Duration;
+
 use chervilshunt_model::TargetName;
 use http::{HeaderMap, HeaderName, HeaderValue};
 
@@ -13,6 +15,8 @@
 const REPEATABLE: HeaderName = HeaderName::from_static("x-transit-repeatable");
 /// Present if the request has been sent to the target's address before.
 const SENT_BEFORE: HeaderName = HeaderName::from_static("x-transit-sent-before");
+/// For how many milliseconds the request may still be sent, if it is a retry.
+const SEND_WITHIN_MS: HeaderName = HeaderName::from_static("x-transit-send-within-ms");
 /// Why there is no answer of a target.
 pub(super) const OUTCOME: HeaderName = HeaderName::from_static("x-transit-outcome");
 
@@ -25,6 +29,8 @@
     pub(crate) is_repeatable: bool,
     /// Whether the request has been sent to the target's address before.
     pub(crate) is_sent_before: bool,
+    /// For how long the request may still be sent, if it is a retry.
+    pub(crate) send_within: Option<Duration>,
 }
 
 impl TransitHead {
@@ -43,6 +49,10 @@
         if self.is_sent_before {
             headers.insert(SENT_BEFORE, HeaderValue::from_static("1"));
         }
+        if let Some(time) = self.send_within {
+            let millis = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+            headers.insert(SEND_WITHIN_MS, HeaderValue::from(millis));
+        }
     }
 
     /// Takes it out of a request's headers.
@@ -50,10 +60,15 @@
         let target = headers.remove(TARGET)?;
         let is_repeatable = headers.remove(REPEATABLE).is_some();
         let is_sent_before = headers.remove(SENT_BEFORE).is_some();
+        let send_within = match headers.remove(SEND_WITHIN_MS) {
+            Some(millis) => Some(Duration::from_millis(millis.to_str().ok()?.parse().ok()?)),
+            None => None,
+        };
         Some(Self {
             target: TargetName::from(target.to_str().ok()?),
             is_repeatable,
             is_sent_before,
+            send_within,
         })
     }
 }
@@ -65,7 +80,14 @@
 
 /// Removes all headers between instances from a caller's request or a target's answer.
 pub(crate) fn strip_transit_headers(headers: &mut HeaderMap) {
-    for name in [TICKET, TARGET, REPEATABLE, SENT_BEFORE, OUTCOME] {
+    for name in [
+        TICKET,
+        TARGET,
+        REPEATABLE,
+        SENT_BEFORE,
+        SEND_WITHIN_MS,
+        OUTCOME,
+    ] {
         headers.remove(name);
     }
 }
--- a/crates/chervilshunt_gateway/src/transit/pass_on.rs
+++ b/crates/chervilshunt_gateway/src/transit/pass_on.rs
@@ -126,7 +126,12 @@
         body: left,
     };
     let client = shared.engines.client(address);
-    let answer = client.forward(outgoing(head, body), using, limits).await;
+    let is_in_time = || {
+        let held = shared.clock.now().since(arrived);
+        transit.send_within.is_none_or(|within| held <= within)
+    };
+    let answer = client.forward_if(outgoing(head, body), using, limits, is_in_time);
+    let answer = answer.await;
     let (head, body) = answer.map_err(|error| failed(shared, &transit.target, &error))?;
     let names = &shared.dialect.headers;
     if !names.name_other_target(&head.headers, &transit.target) {
@@ -230,6 +235,9 @@
     slog::info!(shared.log, "passing on failed";
         "target" => target.as_str(), "reason" => error.to_string());
     count_mismatch(error, "request");
+    if matches!(error, EngineError::Withheld { .. }) {
+        return TransitOutcome::Late;
+    }
     if error.is_fresh_reset() {
         shared.record_fresh_reset(target, error);
     }
