A stream that nobody knows is refused, whatever versions are listed

An instance took an unknown stream for one of the only version that it had followed for a minute, if its list of targets was confirmed in the last 2 s. Nothing makes that true for those 2 s: a target of another version may be listed, have begun a stream through another instance and have broken it off, while this instance is paused or cut off. Its caller would get the rest from the other version, with nothing to show it (ORDER).

Since streams are recorded at the platform the claim is hardly needed; it is removed, and its table with it: there is no claim left to test.

--- a/crates/chervilshunt_core/src/dispatch/state.rs
+++ b/crates/chervilshunt_core/src/dispatch/state.rs
@@ -20,7 +20,6 @@
 use crate::rate_limit::{RateLimits, SendShares};
 use crate::residency::TargetUse;
 use crate::speed::TargetSpeed;
-use crate::streams::SoftwareHistory;
 
 /// The time without a message after which the placer is considered unreachable.
 const PLACER_UNREACHABLE_AFTER: Duration = Duration::from_secs(3);
@@ -86,7 +85,8 @@
     is_placing: bool,
     /// When the snapshot of a placer whose lease ended was applied.
     snapshot_at: Option<Moment>,
-    pub(crate) software: SoftwareHistory,
+    /// The time as of which the list of targets is known to be complete.
+    pub(super) listed_as_of: Option<Moment>,
 }
 
 impl Dispatch {
@@ -109,7 +109,7 @@
             placer_responded_at: None,
             is_placing: false,
             snapshot_at: None,
-            software: SoftwareHistory::default(),
+            listed_as_of: None,
         }
     }
 
@@ -136,7 +136,7 @@
         let change = match (TargetStart::compare(facts.started, last), known) {
             (Ordering::Less, _) => return EntryChange::Outdated,
             (Ordering::Greater, Some(_)) => {
-                self.target_gone(&facts.name, now);
+                self.target_gone(&facts.name);
                 EntryChange::Restarted
             }
             (Ordering::Equal, Some(_)) => EntryChange::Known,
@@ -150,12 +150,7 @@
             facts.leaving.get_or_insert(Leaving { gone_after: None });
         }
         match self.targets.get_mut(&facts.name) {
-            Some(target) => {
-                let before = std::mem::replace(&mut target.facts, facts);
-                if before.software != target.facts.software {
-                    self.software.left(&before, now);
-                }
-            }
+            Some(target) => target.facts = facts,
             None => {
                 let target = Target {
                     load: TargetLoad::default(),
@@ -173,10 +168,9 @@
     }
 
     /// Removes a target that is gone.
-    pub fn target_gone(&mut self, name: &TargetName, now: Moment) {
+    pub fn target_gone(&mut self, name: &TargetName) {
         let target = self.targets.swap_remove(name);
         if let Some(target) = target {
-            self.software.left(&target.facts, now);
             self.gone.shift_remove(name);
             self.gone.insert(name.clone(), target.facts.started);
             if self.gone.len() > REMEMBERED_GONE {
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -83,7 +83,7 @@
 };
 pub use speed::{PaceChange, PaceFigures, PaceQuantiles, TargetSpeed};
 pub use streams::{
-    BegunStreams, RecordOutcome, RecordSweep, RecordWrite, SoftwareHistory, StreamKey,
-    StreamOrigin, StreamOrigins, StreamRecorder,
+    BegunStreams, RecordOutcome, RecordSweep, RecordWrite, StreamKey, StreamOrigin, StreamOrigins,
+    StreamRecorder,
 };
 pub use weights::PolicyWeights;
--- a/crates/chervilshunt_core/src/streams/mod.rs
+++ b/crates/chervilshunt_core/src/streams/mod.rs
@@ -4,10 +4,8 @@
 //! notice. A caller whose stream broke off comes to any instance, most often because the one that it
 //! had is gone, and names only its first attempt. See `docs/design/stream-origins.md`.
 
-mod history;
 mod origins;
 mod records;
 
-pub use history::SoftwareHistory;
 pub use origins::{BegunStreams, StreamKey, StreamOrigin, StreamOrigins};
 pub use records::{RecordOutcome, RecordSweep, RecordWrite, StreamRecorder};
--- a/crates/chervilshunt_gateway/src/control/targets.rs
+++ b/crates/chervilshunt_gateway/src/control/targets.rs
@@ -403,7 +403,7 @@
         }
         for name in due {
             slog::info!(self.shared.log, "target removed"; "target" => name.as_str());
-            self.shared.dispatch().target_gone(&name, now);
+            self.shared.dispatch().target_gone(&name);
             self.of_unknown_services.remove(&name);
             self.plan(ResidencyEvent::TargetGone(name));
         }
--- a/crates/chervilshunt_gateway/src/streams/ask.rs
+++ b/crates/chervilshunt_gateway/src/streams/ask.rs
@@ -3,9 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilshunt_core::{Route, StreamKey, StreamOrigin};
+use chervilshunt_core::{StreamKey, StreamOrigin};
 use chervilshunt_mesh::Peer;
-use chervilshunt_model::ServiceName;
 use futures_util::StreamExt as _;
 use futures_util::stream::FuturesUnordered;
 
@@ -32,8 +31,6 @@
     Asking,
     /// An instance has written it to the platform.
     Record,
-    /// The service has had only one software version for longer than streams live.
-    OnlyVersion,
 }
 
 impl FoundBy {
@@ -43,7 +40,6 @@
             Self::OwnMemory => "own_memory",
             Self::Asking => "asked",
             Self::Record => "record",
-            Self::OnlyVersion => "only_version",
         }
     }
 }
@@ -58,37 +54,8 @@
 }
 
 /// Finds where a stream began: from this instance's memory, by asking the instances that keep the
-/// streams of others, from the records at the platform, or else because the service has had only one
-/// software version for long.
+/// streams of others, or else from the records at the platform.
 pub(crate) async fn find_origin(
-    shared: &Arc<Shared>,
-    key: Option<StreamKey>,
-    service: &ServiceName,
-    route: &Route,
-) -> Result<FoundOrigin, OriginError> {
-    let mut result = Err(OriginError::Unknown);
-    if let Some(key) = key {
-        result = find_known_origin(shared, key).await;
-        if result.is_ok() {
-            return result;
-        }
-    }
-    // On a route to several services it is not even known which of them began the stream.
-    if route.services.len() > 1 {
-        return result;
-    }
-    let only = shared.dispatch().only_software(service, shared.clock.now());
-    let only = only.map(|software| FoundOrigin {
-        origin: StreamOrigin {
-            service: service.clone(),
-            software,
-        },
-        by: FoundBy::OnlyVersion,
-    });
-    only.map_or(result, Ok)
-}
-
-async fn find_known_origin(
     shared: &Arc<Shared>,
     key: StreamKey,
 ) -> Result<FoundOrigin, OriginError> {
--- a/crates/chervilshunt_gateway/src/traffic/continuing.rs
+++ b/crates/chervilshunt_gateway/src/traffic/continuing.rs
@@ -27,8 +27,10 @@
     let Some(continuation) = &req.continuation else {
         return Ok(());
     };
-    let key = matches!(continuation, Continuation::Of(_)).then_some(req.stream);
-    let found = find_origin(shared, key, &req.service, &req.route).await;
+    let found = match continuation {
+        Continuation::Of(_) => find_origin(shared, req.stream).await,
+        Continuation::Unnamed => Err(OriginError::Unknown),
+    };
     let result = match &found {
         Ok(found) => found.by.as_str(),
         Err(OriginError::Unknown) => "unknown",
