Ask a target since when it runs before a stream goes on there

A target may start again under its name with another version of its software. Until its new entry is read, instances took it for one of the earlier version: callers that took up a stream got the rest from another version. A stream that began there was remembered, and recorded, at the earlier version too.

A target that is to continue a stream is asked for its report first, and one at which a resumable stream begins while the list of targets is older than 1 s. If it states another start, its version is unknown until its entry is read.

--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -8,10 +8,10 @@
 use chervilshunt_coord::era_of_term;
 use chervilshunt_core::{
     ChargeNumber, ChargeResult, GrantNumber, Order, OrderAnswer, PlacementResult, QuotaLedger,
-    ResidencyAction, ResidencyConfig, ResidencyEvent, ResidencyPlanner, ServiceQueues,
-    TargetReport, TargetStart, TargetUse,
+    ResidencyAction, ResidencyConfig, ResidencyEvent, ResidencyPlanner, ServiceQueues, TargetStart,
+    TargetUse,
 };
-use chervilshunt_engine::{ConnectionUse, EngineClient, EngineError, Limits, Outcome};
+use chervilshunt_engine::{ConnectionUse, EngineError, Outcome};
 use chervilshunt_mesh::{Peer, Reply};
 use chervilshunt_model::{InstanceId, Moment, TargetName};
 
@@ -19,18 +19,8 @@
 use super::messages::{OrderResult, TargetQueried};
 use super::presence::{InstanceStatus, Presence};
 use crate::peers::{PeerMessage, TransitOffer};
-use crate::shared::Shared;
+use crate::reports::{TARGET_CALL_LIMITS, fetch_report, single_call_client};
 
-/// Timeouts of an order to a target, or of a query for what it holds. A target answers within
-/// milliseconds, and a placer that has used up its processor share reads the answer at most 0.1 s
-/// later; a slower target may carry an order out late. With longer timeouts, targets that left a
-/// third of the orders unanswered were idle half of the time.
-const ORDER_LIMITS: Limits = Limits {
-    connect: Duration::from_millis(250),
-    head: Duration::from_millis(250),
-    idle: Duration::from_millis(250),
-    body: Duration::from_millis(500),
-};
 /// Placement requests are numbered from the placer's term in the upper half of the number on. The
 /// numbers also identify grants, which instances may still report to a later placer.
 const TERM_SHIFT: u32 = 32;
@@ -48,8 +38,6 @@
 /// Age of a target's start up to which an earlier placer may have sent an order to the start before it that
 /// is still to be executed: the longest delay of an order, and slack for clocks that differ or jump.
 const RECENT_START: Duration = Duration::from_secs(17);
-/// Maximum length of a target's report, in bytes.
-const MAX_REPORT_BYTES: usize = 1 << 20;
 
 impl Control {
     /// Becomes the placer: passes everything that is known to a new planner.
@@ -155,7 +143,10 @@
         let log = self.shared.log.clone();
         tokio::spawn(async move {
             let started = shared.dispatch().started(&order.target);
-            let answer = match client.forward(req, ConnectionUse::NEW, ORDER_LIMITS).await {
+            let answer = match client
+                .forward(req, ConnectionUse::NEW, TARGET_CALL_LIMITS)
+                .await
+            {
                 Ok((head, _)) => {
                     let answer = read(head.status, &head.headers, &order.target);
                     if answer != OrderAnswer::OtherTarget {
@@ -370,46 +361,6 @@
     TargetStart(u64::try_from(millis).unwrap_or(u64::MAX))
 }
 
-/// Returns a client for a single order to a target, or a single query of what it holds.
-///
-/// Targets' answers to these state no id. On a shared connection, a late answer to an earlier call
-/// would be taken for the answer to the next one. The client's connections close with it. See
-/// `docs/design/answer-identity.md`.
-fn single_call_client(shared: &Shared, address: SocketAddr) -> EngineClient {
-    EngineClient::with_id_header(address, shared.dialect.headers.id_header())
-}
-
-async fn fetch_report(shared: &Shared, target: &TargetName) -> Result<TargetReport, String> {
-    let dialect = &shared.dialect.targets;
-    let (address, started) = {
-        let dispatch = shared.dispatch();
-        let facts = dispatch.target(target).ok_or("target is not known")?;
-        (facts.address, facts.started)
-    };
-    let client = single_call_client(shared, address);
-    let sent_at = shared.clock.now();
-    let req = (dialect.report_query)(target);
-    let answer = client.forward(req, ConnectionUse::NEW, ORDER_LIMITS);
-    let answer = answer
-        .await
-        .inspect_err(|error| shared.record_call_failure(target, "report", error));
-    let (head, body) = answer.map_err(|error| error.to_string())?;
-    let names = &shared.dialect.headers;
-    if names.name_other_target(&head.headers, target) {
-        return Err("another target has the address".to_owned());
-    }
-    shared.record_connection_opened(target);
-    if !head.status.is_success() {
-        return Err(format!("target answered with status {}", head.status));
-    }
-    shared.check_leaving(target, started, &head.headers);
-    shared.check_limit(target, started, &head.headers, None);
-    shared.check_brittle(target, &head.headers, sent_at);
-    let body = body.read_whole(MAX_REPORT_BYTES).await;
-    let body = body.map_err(|error| error.to_string())?;
-    (dialect.decode_report)(&body).map_err(|error| error.to_string())
-}
-
 /// Returns the result of an order that got no answer.
 fn unanswered(error: &EngineError) -> OrderAnswer {
     match error.outcome() {
--- a/crates/chervilshunt_gateway/src/lib.rs
+++ b/crates/chervilshunt_gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod links;
 mod peers;
 mod ports;
+mod reports;
 mod run;
 mod settings;
 mod shared;
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -159,6 +159,10 @@
             self.refuse_if_quarantined()?;
             self.reconsider_unconnected();
             let mut chosen = self.find_target().await?;
+            if !self.is_software_confirmed(&chosen).await {
+                self.avoid.push(chosen.target);
+                continue;
+            }
             self.target_found_at = self.shared.clock.now();
             if !self.try_attempt().await {
                 return Err(Refusal::retry_after(
@@ -231,7 +235,7 @@
     }
 
     async fn send(&mut self, chosen: &mut SelectedTarget) -> AttemptOutcome {
-        let in_flight = InFlight::begin(self.shared, chosen, self.req);
+        let mut in_flight = InFlight::begin(self.shared, chosen, self.req);
         let client = match &chosen.route {
             Some(route) => route.client.clone(),
             None => self.shared.engines.client(chosen.address),
@@ -270,13 +274,22 @@
         self.runs += 1;
         self.arrivals += 1;
         self.set_charge_final(true);
-        let forwarded = tokio::select! {
+        let answer = async {
+            tokio::join!(
+                client.forward_if(req, using, limits, may_send),
+                self.is_beginning_confirmed(chosen),
+            )
+        };
+        let (forwarded, is_confirmed) = tokio::select! {
             biased;
-            forwarded = client.forward_if(req, using, limits, may_send) => forwarded,
+            answer = answer => answer,
             () = begin_deadline_passed(&in_flight) => {
                 return withdraw(self.req, &in_flight);
             }
         };
+        if !is_confirmed {
+            in_flight.forget_software();
+        }
         match forwarded {
             Ok((head, body)) => {
                 if let Some(route) = &chosen.route {
--- a/crates/chervilshunt_gateway/src/traffic/in_flight.rs
+++ b/crates/chervilshunt_gateway/src/traffic/in_flight.rs
@@ -165,6 +165,11 @@
         }
     }
 
+    /// Forgets the version of the target's software, which is not certain.
+    pub(super) fn forget_software(&mut self) {
+        self.software = None;
+    }
+
     /// Records the health signal of the exchange.
     pub(crate) fn record_signal(&self, signal: HealthSignal, now: Moment) {
         let mut dispatch = self.shared.dispatch();
--- a/crates/chervilshunt_gateway/src/traffic/mod.rs
+++ b/crates/chervilshunt_gateway/src/traffic/mod.rs
@@ -6,6 +6,7 @@
 mod authentication;
 mod body;
 mod charge;
+mod confirm;
 mod continuing;
 mod events;
 mod head;
