Ignore entries whose start lies in the future

An entry of another writer under a target's name with a 'born' of 2^64 - 1 made all later entries of that target outdated, for as long as the process lived: it did not learn that the target was leaving.

--- a/crates/chervilshunt_gateway/src/control/actor.rs
+++ b/crates/chervilshunt_gateway/src/control/actor.rs
@@ -108,6 +108,8 @@
     pub(super) versions: HashMap<Weights, u64>,
     /// Targets whose services the configuration does not have, which have been logged.
     pub(super) of_unknown_services: HashSet<TargetName>,
+    /// Targets whose entries state a start in the future, which have been logged.
+    pub(super) of_future_starts: HashSet<TargetName>,
     /// The newest known era of the platform; the followers update it too.
     pub(super) era: watch::Sender<u64>,
     /// The era that this state has already handled; `None` until the platform has answered.
@@ -171,6 +173,7 @@
             feed: ChangeFeed::default(),
             versions: HashMap::new(),
             of_unknown_services: HashSet::new(),
+            of_future_starts: HashSet::new(),
             era: watch::Sender::default(),
             known_era: None,
             listed_era: None,
--- a/crates/chervilshunt_gateway/src/control/targets.rs
+++ b/crates/chervilshunt_gateway/src/control/targets.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use chervilshunt_coord::ExclusiveLeaseEvent;
 use chervilshunt_core::{
@@ -26,6 +26,8 @@
 const OUTAGE_GRACE: Duration = Duration::from_millis(2_300);
 /// Maximum number of targets that are logged because the configuration does not have their services.
 const MAX_REPORTED_SERVICES: usize = 1_000;
+/// Time by which the clock of a target may be ahead of this one.
+const MAX_CLOCK_ERROR: Duration = Duration::from_hours(24);
 /// Share of the targets whose entries disappear together from which this is taken for a lapse of
 /// entries.
 const LAPSE_SHARE: f64 = 0.34;
@@ -238,6 +240,9 @@
         take: impl FnOnce(&mut Dispatch, TargetFacts) -> EntryChange,
     ) {
         let name = facts.name.clone();
+        if !self.is_start_plausible(&facts, SystemTime::now()) {
+            return;
+        }
         let mut dispatch = self.shared.dispatch();
         let before = dispatch.target(&name).cloned();
         let change = take(&mut dispatch, facts);
@@ -250,6 +255,24 @@
         }
     }
 
+    /// Returns whether an entry states a start that its target can have. One in the far future, of another
+    /// writer, would make all later entries of the target outdated.
+    fn is_start_plausible(&mut self, facts: &TargetFacts, now: SystemTime) -> bool {
+        let latest = now.duration_since(UNIX_EPOCH).unwrap_or_default() + MAX_CLOCK_ERROR;
+        let started = facts.started.map(|it| Duration::from_millis(it.0));
+        let Some(started) = started.filter(|it| *it > latest) else {
+            self.of_future_starts.remove(&facts.name);
+            return true;
+        };
+        if self.of_future_starts.len() < MAX_REPORTED_SERVICES
+            && self.of_future_starts.insert(facts.name.clone())
+        {
+            slog::warn!(self.shared.log, "target entry ignored: its start is in the future";
+                "target" => facts.name.as_str(), "started_ms" => started.as_millis() as u64);
+        }
+        false
+    }
+
     fn handle_target_change(
         &mut self,
         facts: TargetFacts,
