Log and measure when a retry is known to have arrived, and when the process stood still

The account of retries relies on an arrival within half a second of the decision, and on requests that are read half a second after they were sent. No line told when the exchange of a retry ended, nor that the process stood still and read requests late. With 'retry ended' a target that reads late (hypothesis 1) shows as a long time from the decision to the answer after a short one to the sending; with 'process stood still' and 'request read late' an instance that was paused shows before the write (hypothesis 3) or while requests wait (hypothesis 2). Nothing is decided differently.

--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -25,6 +25,7 @@
 mod scheduler;
 mod service_queue;
 mod speed;
+mod stall;
 mod streams;
 mod weights;
 
@@ -82,6 +83,7 @@
     ShareRequest, ShareResult,
 };
 pub use speed::{PaceChange, PaceFigures, PaceQuantiles, TargetSpeed};
+pub use stall::{STALL_CHECK_INTERVAL, Stall, StallDetector};
 pub use streams::{
     BegunStreams, RecordOutcome, RecordSweep, RecordWrite, StreamKey, StreamOrigin, StreamOrigins,
     StreamRecorder,
--- a/crates/chervilshunt_engine/src/error.rs
+++ b/crates/chervilshunt_engine/src/error.rs
@@ -190,6 +190,27 @@
         )
     }
 
+    /// Returns whether the call may still arrive at the target, which has neither answered it nor closed its
+    /// connection.
+    ///
+    /// What was written may lie in the target's socket, or in the network, after the connection was given up.
+    pub fn may_arrive_later(&self) -> bool {
+        match self {
+            Self::Timeout { stage, .. } => *stage != CallStage::Connect,
+            Self::OutcomeUnknown { source, .. } => is_network_failure(source),
+            Self::AnswerMismatch { .. } => true,
+            Self::NotSent { .. }
+            | Self::Withheld { .. }
+            | Self::Refused { .. }
+            | Self::Fenced { .. }
+            | Self::AdapterMissing { .. }
+            | Self::WrongModel { .. }
+            | Self::Malformed { .. }
+            | Self::FailedMidway { .. }
+            | Self::Truncated { .. } => false,
+        }
+    }
+
     /// Returns whether the call may have run.
     ///
     /// Code that converts an error into an answer to a caller must use this, not the variant,
@@ -223,6 +244,23 @@
     }
 }
 
+/// Returns whether a connection ended because its packets were lost, and not because the target closed it.
+fn is_network_failure(error: &hyper::Error) -> bool {
+    let mut source = std::error::Error::source(error);
+    while let Some(cause) = source {
+        if let Some(error) = cause.downcast_ref::<io::Error>() {
+            return matches!(
+                error.kind(),
+                io::ErrorKind::TimedOut
+                    | io::ErrorKind::HostUnreachable
+                    | io::ErrorKind::NetworkUnreachable
+            );
+        }
+        source = cause.source();
+    }
+    false
+}
+
 /// Returns whether a call may have run that was answered with an error status.
 ///
 /// A client error is detected before a call runs, and so is overload if the answer has a
--- a/crates/chervilshunt_gateway/src/lib.rs
+++ b/crates/chervilshunt_gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod run;
 mod settings;
 mod shared;
+mod stalls;
 mod store;
 mod streams;
 mod traffic;
--- a/crates/chervilshunt_gateway/src/run.rs
+++ b/crates/chervilshunt_gateway/src/run.rs
@@ -24,6 +24,7 @@
 use crate::ports::{serve_metrics, serve_readiness};
 use crate::settings::{LogLevel, Settings};
 use crate::shared::Shared;
+use crate::stalls::watch_for_stalls;
 use crate::streams::{
     ReadRequests, RecordReader, forward_streams, read_records, sweep_records, write_records,
 };
@@ -112,6 +113,7 @@
     let control = start_control(&shared, exchange, observations, read_requests)?;
     forward(inbound, control.clone(), PeerEvent);
     tokio::spawn(report_progress(Arc::clone(&shared)));
+    tokio::spawn(watch_for_stalls(Arc::clone(&shared)));
     tokio::spawn(forward_streams(Arc::clone(&shared)));
     tokio::spawn(serve_callers(callers, Arc::clone(&shared)));
     tokio::spawn(serve_transit(transit, Arc::clone(&shared)));
--- a/crates/chervilshunt_gateway/src/shared.rs
+++ b/crates/chervilshunt_gateway/src/shared.rs
@@ -8,7 +8,7 @@
 use arc_swap::ArcSwapOption;
 use chervilshunt_core::{
     AdmissionConfig, ConnectionAdmission, Dispatch, InstanceShare, PlacerPace, Quarantine,
-    QuarantineConfig, QuotaShares, RouteTable, ServiceRetries, SettlingAnswers,
+    QuarantineConfig, QuotaShares, RouteTable, ServiceRetries, SettlingAnswers, StallDetector,
 };
 use chervilshunt_engine::EngineClients;
 use chervilshunt_mesh::{Mesh, Peer};
@@ -89,6 +89,7 @@
     pub(crate) version_announced: watch::Sender<()>,
     dispatch: Mutex<Dispatch>,
     retries: Mutex<ServiceRetries>,
+    stalls: Mutex<StallDetector>,
     quarantine: Mutex<Quarantine>,
     settling: Mutex<SettlingAnswers>,
     admission: Mutex<ConnectionAdmission>,
@@ -153,6 +154,7 @@
         );
         let retries = ServiceRetries::new(settings.bounds.retries);
         let clock = Clock::boot();
+        let stalls = StallDetector::new(clock.now());
         let descriptors = settings.instance.max_descriptors.or_else(descriptor_limit);
         let admission = descriptors.map_or_else(AdmissionConfig::default, |it| {
             AdmissionConfig::for_descriptors(it)
@@ -187,6 +189,7 @@
             version_announced: watch::Sender::default(),
             dispatch: Mutex::new(dispatch),
             retries: Mutex::new(retries),
+            stalls: Mutex::new(stalls),
             quarantine: Mutex::new(Quarantine::new(QuarantineConfig::default())),
             settling: Mutex::default(),
             admission: Mutex::new(admission),
@@ -217,6 +220,11 @@
         self.retries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks what is known of times in which this process stood still.
+    pub(crate) fn stalls(&self) -> MutexGuard<'_, StallDetector> {
+        self.stalls.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks what is known of requests that crash targets.
     pub(crate) fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
         self.quarantine
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -12,6 +12,7 @@
 use http::{Request, Uri};
 use http_body_util::Full;
 
+use super::arrival::Arrival;
 use super::charge::Charge;
 use super::in_flight::InFlight;
 use super::not_run::NotRunProof;
@@ -290,6 +291,10 @@
         if !is_confirmed {
             in_flight.forget_software();
         }
+        let arrival = Arrival::of(&forwarded, chosen.route.is_some());
+        if let Some(retry) = retry {
+            self.report_retry_ended(retry, chosen, arrival);
+        }
         match forwarded {
             Ok((head, body)) => {
                 if let Some(route) = &chosen.route {
--- a/crates/chervilshunt_gateway/src/traffic/mod.rs
+++ b/crates/chervilshunt_gateway/src/traffic/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod answer;
+mod arrival;
 mod attempt;
 mod authentication;
 mod body;
--- a/crates/chervilshunt_gateway/src/traffic/retry.rs
+++ b/crates/chervilshunt_gateway/src/traffic/retry.rs
@@ -12,6 +12,7 @@
 use http::response::Parts;
 
 use super::answer::classify;
+use super::arrival::Arrival;
 use super::attempt::{MAX_ATTEMPTS, RequestAttempts};
 use super::place::SelectedTarget;
 use crate::peers::PeerMessage;
@@ -121,6 +122,22 @@
         metrics::histogram!("chervilshunt_retry_delay_seconds").record(age.as_secs_f64());
     }
 
+    /// Logs what is known of the arrival of a retry whose exchange has ended, and how long ago it was decided on.
+    pub(super) fn report_retry_ended(
+        &self,
+        retry: RetryPermit,
+        chosen: &SelectedTarget,
+        arrival: Arrival,
+    ) {
+        let age = retry.age(self.shared.clock.now());
+        slog::info!(self.shared.log, "retry ended";
+            "request" => &*self.req.id, "service" => self.req.service.as_str(),
+            "target" => chosen.target.as_str(), "arrival" => arrival.as_str(),
+            "decided_ms" => age.as_millis() as u64);
+        metrics::histogram!("chervilshunt_retry_arrival_seconds", "arrival" => arrival.as_str())
+            .record(age.as_secs_f64());
+    }
+
     /// Asks the placer for a part of the allowance that all instances share.
     async fn ask_for_retry(&self, now: Moment) -> RetryDecision {
         let Some(placer) = self.granting_placer(now) else {
--- a/crates/chervilshunt_gateway/src/traffic/serve.rs
+++ b/crates/chervilshunt_gateway/src/traffic/serve.rs
@@ -68,6 +68,7 @@
     let mut req = read_request(&shared.dialect, accepted, head, body)?;
     require_origin(shared, &mut req).await?;
     let req = Arc::new(req);
+    report_late_read(shared, &req);
     shared.retries().record_request(&req.service, arrived);
     if !req.parts.is_empty() {
         let parts = fingerprints(&req.parts);
@@ -82,6 +83,18 @@
     Ok(relayed(shared, &req, answered, runs))
 }
 
+/// Logs that the request may have arrived while the process stood still.
+fn report_late_read(shared: &Shared, req: &CallerRequest) {
+    let arrived = shared.stalls().earliest_arrival(req.arrived);
+    let delay = req.arrived.since(arrived);
+    if !delay.is_zero() {
+        slog::info!(shared.log, "request read late";
+            "request" => &*req.id, "service" => req.service.as_str(),
+            "late_ms" => delay.as_millis() as u64);
+        metrics::counter!("chervilshunt_late_reads_total").increment(1);
+    }
+}
+
 /// A request without an answer yet. If its caller disconnects, it is dropped, and the drop is
 /// logged.
 struct PendingRequest<'a>(Option<&'a CallerRequest>, &'a Shared);
