A retry counts until a window after its answer

Callers of a service whose targets fail made up to 100 repeats in 10 s where 90.2 are allowed, and 80 where 66.2 are. The place of a retry was free 10.5 s after its decision, whether it had arrived or not. Targets that read requests 1 s late or more saw the retries of one window beside those of the next.

A retry now counts until a window after it is settled: its target has answered, or it can't arrive any more. An instance settles what it has earned and reports to the placer which granted retries are settled, with its usual report. Of several attempts of a request that may still arrive as many retries go on counting. What is never answered counts as arrived after 10 s. The record for the next placer says how many are not settled.

Tests of the ledger that granted again 10.5 s after a grant now answer it first; a ledger without a record waits for 20 s in place of 10.5.

--- a/crates/chervilshunt_coord/src/tests/lease_retries.rs
+++ b/crates/chervilshunt_coord/src/tests/lease_retries.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use chervilshunt_model::{InstanceId, Moment, ServiceName, SpentRetries, StoreRevision};
+use chervilshunt_model::{
+    InstanceId, Moment, RetryCounts, ServiceName, SpentRetries, StoreRevision,
+};
 use rstest::rstest;
 
 use crate::lease::{
@@ -27,10 +29,15 @@
     ExclusiveLeaseKeeper::new(cfg, me, process, address, Duration::ZERO, now)
 }
 
+/// Returns the record of a placer that has granted some retries, half of which are unanswered.
 fn spent(count: u32, others: u32) -> SpentRetries {
-    SpentRetries {
+    let counts = |count| RetryCounts {
         by_service: vec![(ServiceName::new("plain"), count)],
         others,
+    };
+    SpentRetries {
+        counts: counts(count),
+        unanswered: Some(counts(count / 2)),
     }
 }
 
@@ -82,7 +89,15 @@
     let mut next = keeper(name, process, false, at(1_000));
     let record = take(&mut next, Some(seen), 0);
     assert_eq!(*next.inherited_retries(), spent(36, PER_WRITE));
-    assert_eq!(record.retries, Some(spent(36 + PER_WRITE, 2 * PER_WRITE)));
+    assert_eq!(
+        record.retries,
+        Some(spent(36, PER_WRITE).with_more(PER_WRITE))
+    );
+    let counts = record.retries.expect("retries");
+    let service = ServiceName::new("plain");
+    assert_eq!(counts.of(&service), 36 + PER_WRITE);
+    assert_eq!(counts.unanswered().of(&service), 18 + PER_WRITE);
+    assert_eq!(counts.of(&ServiceName::new("other")), 2 * PER_WRITE);
 }
 
 /// Guards against a first holder that grants nothing for a window, and against one that takes a lost record
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -74,7 +74,7 @@
 };
 pub use retry_budget::{
     AllowanceUsage, EarnedRetries, EarnedUsage, InstanceRetries, RetryBoundConfig, RetryGrant,
-    RetryLedger, RetryPermit, ServiceRetries,
+    RetryLedger, RetryPermit, RetrySource, ServiceRetries, SettledRetries,
 };
 pub use returns::ReturnSchedule;
 pub use scheduler::{LoadScheduler, SchedulerAction, SchedulerConfig, SchedulerEvent, TurnResult};
--- a/crates/chervilshunt_core/src/retry_budget/counts.rs
+++ b/crates/chervilshunt_core/src/retry_budget/counts.rs
@@ -13,11 +13,13 @@
 pub(super) struct BucketCounts(VecDeque<(Moment, u32)>);
 
 impl BucketCounts {
-    /// Counts an event. The clock may not go back.
-    pub(super) fn add(&mut self, now: Moment) {
-        match self.0.back_mut() {
-            Some((start, count)) if now.since(*start) < BUCKET => *count += 1,
-            Some(_) | None => self.0.push_back((now, 1)),
+    /// Counts an event, which may be older than the last one.
+    pub(super) fn add(&mut self, at: Moment) {
+        let next = self.0.partition_point(|(start, _)| *start <= at);
+        let bucket = next.checked_sub(1).and_then(|it| self.0.get_mut(it));
+        match bucket {
+            Some((start, count)) if at.since(*start) < BUCKET => *count += 1,
+            Some(_) | None => self.0.insert(next, (at, 1)),
         }
     }
 
@@ -32,6 +34,11 @@
         }
     }
 
+    /// Returns when the oldest bucket began.
+    pub(super) fn oldest(&self) -> Option<Moment> {
+        self.0.front().map(|(start, _)| *start)
+    }
+
     /// Returns the buckets with their starts, the newest first.
     pub(super) fn newest_first(&self) -> impl Iterator<Item = (Moment, u32)> {
         self.0.iter().rev().copied()
--- a/crates/chervilshunt_core/src/retry_budget/earned.rs
+++ b/crates/chervilshunt_core/src/retry_budget/earned.rs
@@ -4,6 +4,7 @@
 
 use chervilshunt_model::Moment;
 
+use super::counted::CountedRetries;
 use super::counts::{BUCKET, BucketCounts};
 use super::{RetryBoundConfig, TRANSIT};
 
@@ -29,7 +30,7 @@
 pub struct EarnedRetries {
     cfg: RetryBoundConfig,
     requests: BucketCounts,
-    retries: BucketCounts,
+    retries: CountedRetries,
 }
 
 impl EarnedRetries {
@@ -38,7 +39,7 @@
         Self {
             cfg,
             requests: BucketCounts::default(),
-            retries: BucketCounts::default(),
+            retries: CountedRetries::default(),
         }
     }
 
@@ -57,6 +58,12 @@
         is_allowed
     }
 
+    /// Records that some retries have arrived at their targets, or will not arrive any more.
+    pub fn settle(&mut self, count: u32, now: Moment) {
+        self.forget_expired(now);
+        self.retries.settle(count, now);
+    }
+
     /// Returns whether a retry has been earned.
     fn allows_retry(&mut self, now: Moment) -> bool {
         self.forget_expired(now);
@@ -64,8 +71,9 @@
         let mut earning = self.requests.newest_first().peekable();
         let mut retries = 0;
         // Every window that ends now, from the shortest on: its retries, and the requests in it and in the
-        // one before it.
-        let made = std::iter::once((now, 1)).chain(self.retries.newest_first());
+        // one before it. Unanswered retries may arrive now, as the next one does.
+        let arriving = self.retries.unanswered().saturating_add(1);
+        let made = std::iter::once((now, arriving)).chain(self.retries.arrived_newest_first());
         for (start, count) in made {
             retries += count;
             let earned_since = start - self.lookback();
@@ -85,7 +93,7 @@
         let requests = self.requests.since(now - self.earning_time());
         EarnedUsage {
             requests,
-            retries: self.retries.since(now - self.cfg.window),
+            retries: self.retries.len(),
             limit: self.earned(requests),
         }
     }
@@ -95,7 +103,7 @@
     }
 
     fn forget_expired(&mut self, now: Moment) {
-        self.retries.forget_older(self.cfg.window + TRANSIT, now);
+        self.retries.forget_expired(self.cfg.window, now);
         self.requests.forget_older(self.earning_time(), now);
     }
 
--- a/crates/chervilshunt_core/src/retry_budget/instance.rs
+++ b/crates/chervilshunt_core/src/retry_budget/instance.rs
@@ -4,9 +4,10 @@
 
 use chervilshunt_model::{Moment, ServiceName};
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
-use super::RetryBoundConfig;
 use super::earned::EarnedRetries;
+use super::{RetryBoundConfig, RetrySource};
 
 /// The retries of one instance for one service.
 #[derive(Clone, Debug)]
@@ -15,6 +16,8 @@
     pub earned: EarnedRetries,
     /// Until when it does not ask for a part of the allowance, which is spent or not to be had.
     no_allowance_until: Moment,
+    /// Granted retries that have arrived, or will not arrive any more, and that the placer does not know of.
+    settled: u32,
 }
 
 impl InstanceRetries {
@@ -29,10 +32,23 @@
     }
 }
 
+/// Granted retries of one instance that have arrived at their targets, or will not arrive any more.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SettledRetries {
+    /// The number of the ledger that granted them.
+    #[serde(rename = "l")]
+    pub ledger: u64,
+    /// How many there are of each service.
+    #[serde(rename = "s")]
+    pub by_service: Vec<(ServiceName, u32)>,
+}
+
 /// The retries of one instance for each service.
 #[derive(Clone, Debug)]
 pub struct ServiceRetries {
     cfg: RetryBoundConfig,
+    /// The ledger that granted the settled retries.
+    ledger: u64,
     services: IndexMap<ServiceName, InstanceRetries>,
 }
 
@@ -41,6 +57,7 @@
     pub fn new(cfg: RetryBoundConfig) -> Self {
         Self {
             cfg,
+            ledger: 0,
             services: IndexMap::new(),
         }
     }
@@ -52,9 +69,36 @@
         entry.or_insert_with(|| InstanceRetries {
             earned: EarnedRetries::new(cfg),
             no_allowance_until: Moment::ZERO,
+            settled: 0,
         })
     }
 
+    /// Records that a retry has arrived at its target, or will not arrive any more.
+    pub fn settle(&mut self, service: &ServiceName, source: RetrySource, now: Moment) {
+        match source {
+            RetrySource::Earned => self.of(service).earned.settle(1, now),
+            RetrySource::Granted { ledger } => {
+                if ledger != self.ledger {
+                    self.ledger = ledger;
+                    self.services.values_mut().for_each(|it| it.settled = 0);
+                }
+                self.of(service).settled += 1;
+            }
+        }
+    }
+
+    /// Returns the settled retries that are to be reported to the ledger that granted them.
+    pub fn take_settled(&mut self) -> Option<SettledRetries> {
+        let services = self.services.iter_mut();
+        let settled = services.filter(|(_, retries)| retries.settled > 0);
+        let settled = settled.map(|(name, it)| (name.clone(), std::mem::take(&mut it.settled)));
+        let settled = SettledRetries {
+            ledger: self.ledger,
+            by_service: settled.collect(),
+        };
+        (!settled.by_service.is_empty()).then_some(settled)
+    }
+
     /// Counts a request received from a caller.
     pub fn record_request(&mut self, service: &ServiceName, now: Moment) {
         self.of(service).earned.record_request(now);
--- a/crates/chervilshunt_core/src/retry_budget/ledger.rs
+++ b/crates/chervilshunt_core/src/retry_budget/ledger.rs
@@ -3,14 +3,15 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use chervilshunt_model::{Moment, ServiceName, SpentRetries};
+use chervilshunt_model::{Moment, RetryCounts, ServiceName, SpentRetries};
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-use super::{RetryBoundConfig, TRANSIT};
+use super::counted::{CountedRetries, MAX_UNANSWERED};
+use super::{RetryBoundConfig, SettledRetries};
 
 /// The part of the allowance that is granted. The rest is for retries that arrive later than
-/// [`TRANSIT`], because their instance was paused or their link was cut.
+/// [`MAX_UNANSWERED`], and for requests that earn retries although they were counted late.
 const USED_PART: f64 = 0.9;
 /// The part of what can be granted that may be granted between two writes of the record.
 const UNRECORDED_PART: f64 = 1.0 / 3.0;
@@ -36,9 +37,11 @@
 /// The state of a service's allowance, for logs and metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AllowanceUsage {
-    /// What this ledger has granted in the window.
+    /// What this ledger has granted and still counts.
     pub granted: u32,
-    /// What earlier ledgers may have granted in it.
+    /// What may not have arrived yet, of this ledger and of earlier ones.
+    pub unanswered: u32,
+    /// What earlier ledgers may have granted that still counts.
     pub inherited: u32,
     /// The most that the window may hold.
     pub limit: u32,
@@ -46,35 +49,46 @@
 
 /// What was granted of the allowance, in one place for all instances.
 ///
-/// Each retry is granted by itself, so that nothing is lost with an instance that ends. What a
-/// ledger grants outlives it in a record, which its successor inherits. The record is written
-/// ahead: it says how many retries may have been granted by the time of the next write, so that a
-/// ledger grants no more than that until the next one is written.
+/// Each retry is granted by itself, so that nothing is lost with an instance that ends. It counts until a window
+/// after its instance has reported that it is answered. What a ledger grants outlives it in a record, which its
+/// successor inherits. The record is written ahead: it says how many retries may have been granted by the time of
+/// the next write, so that a ledger grants no more than that until the next one is written.
 #[derive(Clone, Debug)]
 pub struct RetryLedger {
     cfg: RetryBoundConfig,
+    number: u64,
     /// What earlier ledgers may have granted.
     inherited: SpentRetries,
-    inherited_until: Moment,
-    granted: IndexMap<ServiceName, VecDeque<Moment>>,
+    inherited_at: Moment,
+    services: IndexMap<ServiceName, Granted>,
     /// When the last record was made that is known to be written.
     recorded_at: Moment,
 }
 
+/// What was granted for one service.
+#[derive(Clone, Debug, Default)]
+struct Granted {
+    counted: CountedRetries,
+    /// When retries were granted that the last record may not count, the oldest first.
+    unrecorded: VecDeque<Moment>,
+}
+
 impl RetryLedger {
     /// Creates a ledger that inherits what earlier ones may have granted, which must not grant anything any
-    /// more. Its first record was made at a moment and is written.
+    /// more. Its number differs from theirs; its first record was made at a moment and is written.
     pub fn new(
         cfg: RetryBoundConfig,
+        number: u64,
         inherited: SpentRetries,
         recorded_at: Moment,
         now: Moment,
     ) -> Self {
         Self {
             cfg,
+            number,
             inherited,
-            inherited_until: now + cfg.window + TRANSIT,
-            granted: IndexMap::new(),
+            inherited_at: now,
+            services: IndexMap::new(),
             recorded_at,
         }
     }
@@ -87,82 +101,149 @@
                 retry_in: MIN_RETRY_IN,
             };
         }
-        if self.spent(service) < self.cfg.usable_allowance() {
-            let times = self.granted.entry(service.clone()).or_default();
-            times.push_back(now);
+        if self.spent(service, now) < self.cfg.usable_allowance() {
+            let granted = self.services.entry(service.clone()).or_default();
+            granted.counted.add(now);
+            granted.unrecorded.push_back(now);
             return RetryGrant::Granted;
         }
-        let retry_in = now.until(self.next_expiry(service));
+        let retry_in = now.until(self.next_expiry(service, now));
         RetryGrant::Spent {
             retry_in: retry_in.max(MIN_RETRY_IN),
         }
     }
 
+    /// Records that retries have arrived at their targets, or will not arrive any more. Retries of another
+    /// ledger are ignored: they are counted as inherited.
+    pub fn settle(&mut self, settled: &SettledRetries, now: Moment) {
+        if settled.ledger != self.number {
+            return;
+        }
+        self.forget_expired(now);
+        for (service, count) in &settled.by_service {
+            if let Some(granted) = self.services.get_mut(service) {
+                granted.counted.settle(*count, now);
+            }
+        }
+    }
+
     /// Returns the record to write now, for a successor.
     pub fn record(&mut self, now: Moment) -> SpentRetries {
         self.forget_expired(now);
-        let inherited = self.inherited.by_service.iter().map(|(service, _)| service);
-        let services: IndexSet<&ServiceName> = self.granted.keys().chain(inherited).collect();
-        let counts = services.into_iter().map(|it| (it.clone(), self.spent(it)));
+        let inherited = self.inherited.counts.by_service.iter();
+        let inherited = inherited.map(|(service, _)| service);
+        let services: IndexSet<&ServiceName> = self.services.keys().chain(inherited).collect();
+        let counts = |count: &dyn Fn(&ServiceName) -> u32, inherited: Option<&RetryCounts>| {
+            let counts = services.iter().map(|it| ((*it).clone(), count(it)));
+            RetryCounts {
+                by_service: counts.collect(),
+                others: inherited.map_or(0, |it| it.others),
+            }
+        };
         let spent = SpentRetries {
-            by_service: counts.collect(),
-            others: self.inherited.others,
+            counts: counts(&|it| self.spent(it, now), self.inherited_counts(now)),
+            unanswered: Some(counts(
+                &|it| self.unanswered(it, now),
+                self.inherited_unanswered_counts(now),
+            )),
         };
         spent.with_more(self.cfg.grants_per_record())
     }
 
+    /// Returns the number of the ledger, under which its retries are settled.
+    pub const fn number(&self) -> u64 {
+        self.number
+    }
+
     /// Records that a record is written that was made at a moment.
     pub fn recorded(&mut self, made_at: Moment) {
         self.recorded_at = made_at;
+        for granted in self.services.values_mut() {
+            let unrecorded = &mut granted.unrecorded;
+            while unrecorded.front().is_some_and(|at| *at < made_at) {
+                unrecorded.pop_front();
+            }
+        }
     }
 
     /// Returns what is spent of a service's allowance.
     pub fn usage(&mut self, service: &ServiceName, now: Moment) -> AllowanceUsage {
         self.forget_expired(now);
+        let inherited = self.inherited(service, now);
         AllowanceUsage {
-            granted: self.granted_count(service),
-            inherited: self.inherited.of(service).min(self.cfg.usable_allowance()),
+            granted: self.granted(service),
+            unanswered: self.unanswered(service, now),
+            inherited: inherited.min(self.cfg.usable_allowance()),
             limit: self.cfg.usable_allowance(),
         }
     }
 
     fn forget_expired(&mut self, now: Moment) {
-        if now > self.inherited_until {
-            self.inherited = SpentRetries::default();
-        }
-        let kept = self.cfg.window + TRANSIT;
-        self.granted.retain(|_, times| {
-            while times.front().is_some_and(|at| now.since(*at) > kept) {
-                times.pop_front();
-            }
-            !times.is_empty()
+        let window = self.cfg.window;
+        self.services.retain(|_, granted| {
+            granted.counted.forget_expired(window, now);
+            granted.counted.len() > 0
         });
     }
 
-    fn spent(&self, service: &ServiceName) -> u32 {
-        let inherited = self.inherited.of(service);
-        self.granted_count(service).saturating_add(inherited)
+    fn spent(&self, service: &ServiceName, now: Moment) -> u32 {
+        let inherited = self.inherited(service, now);
+        self.granted(service).saturating_add(inherited)
+    }
+
+    fn granted(&self, service: &ServiceName) -> u32 {
+        let granted = self.services.get(service);
+        granted.map_or(0, |it| it.counted.len())
+    }
+
+    /// Returns how many retries of a service may not have arrived yet.
+    fn unanswered(&self, service: &ServiceName, now: Moment) -> u32 {
+        let granted = self.services.get(service);
+        let granted = granted.map_or(0, |it| it.counted.unanswered());
+        let inherited = self.inherited_unanswered_counts(now);
+        granted.saturating_add(inherited.map_or(0, |it| it.of(service)))
+    }
+
+    fn inherited(&self, service: &ServiceName, now: Moment) -> u32 {
+        let counts = self.inherited_counts(now);
+        counts.map_or(0, |it| it.of(service))
+    }
+
+    /// Returns what still counts of earlier ledgers: all for a window, then what had not arrived for a window
+    /// after its last possible arrival.
+    fn inherited_counts(&self, now: Moment) -> Option<&RetryCounts> {
+        if now.since(self.inherited_at) <= self.cfg.window {
+            Some(&self.inherited.counts)
+        } else {
+            self.inherited_unanswered_counts(now)
+        }
     }
 
-    fn granted_count(&self, service: &ServiceName) -> u32 {
-        let times = self.granted.get(service);
-        times.map_or(0, |it| it.len() as u32)
+    /// Returns what still counts of earlier ledgers and had not arrived when they ended.
+    fn inherited_unanswered_counts(&self, now: Moment) -> Option<&RetryCounts> {
+        let counts_until = self.inherited_at + self.cfg.window + MAX_UNANSWERED;
+        (now <= counts_until).then(|| self.inherited.unanswered())
     }
 
     /// Returns how many retries were granted that the last record does not count.
     fn unrecorded(&self, service: &ServiceName) -> u32 {
-        let times = self.granted.get(service).into_iter().flatten();
-        let unrecorded = times.rev().take_while(|at| **at >= self.recorded_at);
+        let granted = self.services.get(service);
+        let times = granted.into_iter().flat_map(|it| &it.unrecorded);
+        let unrecorded = times.filter(|at| **at >= self.recorded_at);
         unrecorded.count() as u32
     }
 
-    /// Returns when the first retry that counts as granted expires.
-    fn next_expiry(&self, service: &ServiceName) -> Moment {
-        let granted = self.granted.get(service).and_then(VecDeque::front);
-        let granted = granted.map(|at| *at + self.cfg.window + TRANSIT);
-        let inherited = (self.inherited.of(service) > 0).then_some(self.inherited_until);
+    /// Returns when the next retry may stop counting.
+    fn next_expiry(&self, service: &ServiceName, now: Moment) -> Moment {
+        let window = self.cfg.window;
+        let granted = self.services.get(service);
+        let granted = granted.and_then(|it| it.counted.next_expiry(window));
+        let inherited = [window, window + MAX_UNANSWERED].map(|it| self.inherited_at + it);
+        let inherited = inherited.into_iter().find(|it| *it > now);
+        let inherited = inherited.filter(|_| self.inherited(service, now) > 0);
+        // An unanswered retry stops counting a window after its answer, which may come now.
         let expiries = granted.into_iter().chain(inherited);
-        expiries.min().unwrap_or(self.inherited_until)
+        expiries.min().unwrap_or(now + window).min(now + window)
     }
 }
 
--- a/crates/chervilshunt_core/src/retry_budget/mod.rs
+++ b/crates/chervilshunt_core/src/retry_budget/mod.rs
@@ -4,6 +4,7 @@
 //! regardless of requests is granted by the placer, which keeps the account for all instances. See
 //! `docs/design/retry-bound.md`.
 
+mod counted;
 mod counts;
 mod earned;
 mod instance;
@@ -13,12 +14,12 @@
 use std::time::Duration;
 
 pub use earned::{EarnedRetries, EarnedUsage};
-pub use instance::{InstanceRetries, ServiceRetries};
+pub use instance::{InstanceRetries, ServiceRetries, SettledRetries};
 pub use ledger::{AllowanceUsage, RetryGrant, RetryLedger};
-pub use permit::RetryPermit;
+pub use permit::{RetryPermit, RetrySource};
 
-/// Longest time from the decision on a retry to its arrival at a target, and from the sending of a
-/// request to the time at which an instance counts it.
+/// Longest time from the decision on a retry until it is sent, and from the sending of a request to the time at
+/// which an instance counts it.
 const TRANSIT: Duration = Duration::from_millis(500);
 
 /// Limits on the attempts beyond the first one per request of a service.
--- a/crates/chervilshunt_core/src/retry_budget/permit.rs
+++ b/crates/chervilshunt_core/src/retry_budget/permit.rs
@@ -9,10 +9,21 @@
 /// Part of the transit time that is left for the way to the target after the request has been written.
 const DELIVERY_TIME: Duration = Duration::from_millis(50);
 
-/// A retry that the accounts count as made when it was decided on.
+/// The account that a retry is taken from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetrySource {
+    /// What the instance's own requests earn.
+    Earned,
+    /// The allowance, as granted by a placer.
+    Granted {
+        /// The number of the placer's ledger.
+        ledger: u64,
+    },
+}
+
+/// A retry that the accounts count from its decision on.
 ///
-/// They forget it after a window and the longest time to its arrival, so that a retry which is sent later
-/// would arrive in one window with those allowed in its place.
+/// One that waits takes a place that another request could use, so it expires.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RetryPermit {
     decided_at: Moment,
--- a/crates/chervilshunt_gateway/src/control/placing.rs
+++ b/crates/chervilshunt_gateway/src/control/placing.rs
@@ -60,7 +60,7 @@
             presence: Presence::default(),
             began: now,
             ledger: QuotaLedger::new(self.shared.settings.bounds.quota_tolerance, now),
-            retries: self.new_retry_ledger(now),
+            retries: self.new_retry_ledger(term, now),
             queues: ServiceQueues::default(),
         });
         if let Some(routes) = self.shared.routes.load_full() {
@@ -291,6 +291,7 @@
             self.keeper.set_instances(instances);
             self.shared.set_placer_admits(true);
             self.shared.set_placer_grants_retries(true);
+            self.shared.set_retry_ledger(Some(placer.retries.number()));
             self.shared.set_recorded_by_placer(true);
             self.apply_status(knows_targets, instances);
         }
--- a/crates/chervilshunt_gateway/src/control/retries.rs
+++ b/crates/chervilshunt_gateway/src/control/retries.rs
@@ -1,7 +1,7 @@
 //! The account of retries that are allowed regardless of requests, at the placer.
 
 use chervilshunt_coord::LeaseWriteOutcome;
-use chervilshunt_core::{RetryGrant, RetryLedger};
+use chervilshunt_core::{RetryGrant, RetryLedger, SettledRetries};
 use chervilshunt_mesh::Reply;
 use chervilshunt_model::{InstanceId, Moment, ServiceName};
 
@@ -24,13 +24,22 @@
     }
 
     /// Returns the ledger of a new placer, which follows that of the last one.
-    pub(super) fn new_retry_ledger(&self, now: Moment) -> RetryLedger {
+    pub(super) fn new_retry_ledger(&self, term: u64, now: Moment) -> RetryLedger {
         let cfg = self.shared.settings.bounds.retries;
         let inherited = self.keeper.inherited_retries().clone();
-        slog::info!(self.shared.log, "retry ledger begun";
-            "inherited_services" => inherited.by_service.len(),
-            "inherited_others" => inherited.others);
-        RetryLedger::new(cfg, inherited, self.lease_sent_at, now)
+        slog::info!(self.shared.log, "retry ledger begun"; "ledger" => term,
+            "inherited_services" => inherited.counts.by_service.len(),
+            "inherited_others" => inherited.counts.others,
+            "inherited_unanswered_others" => inherited.unanswered().others);
+        RetryLedger::new(cfg, term, inherited, self.lease_sent_at, now)
+    }
+
+    /// Records granted retries that have arrived, or will not arrive any more.
+    pub(super) fn settle_retries(&mut self, settled: Option<&SettledRetries>) {
+        let now = self.now();
+        if let (Some(settled), Some(placer)) = (settled, &mut self.placer) {
+            placer.retries.settle(settled, now);
+        }
     }
 
     /// Decides whether an instance may send a request once more that its own requests have not earned.
@@ -54,7 +63,7 @@
         };
         slog::info!(self.shared.log, "retry requested";
             "service" => service.as_str(), "peer" => from.as_str(), "outcome" => outcome,
-            "granted" => usage.granted, "inherited" => usage.inherited, "limit" => usage.limit,
+            "granted" => usage.granted, "unanswered" => usage.unanswered, "inherited" => usage.inherited, "limit" => usage.limit,
             "retry_in_ms" => retry_in.map(|it| it.as_millis() as u64));
         metrics::counter!("chervilshunt_retry_grants_total", "outcome" => outcome).increment(1);
         metrics::gauge!("chervilshunt_retry_allowance_spent", "service" => service.to_string())
--- a/crates/chervilshunt_gateway/src/control/using.rs
+++ b/crates/chervilshunt_gateway/src/control/using.rs
@@ -16,6 +16,7 @@
         let uses = self.shared.dispatch().report_uses();
         let grants = self.shared.grants.open();
         let spent = self.shared.quota_shares().take_unreported();
+        let settled = self.shared.retries().take_settled();
         let limits = self.known_limits();
         self.publish_paces();
         if self.placer.is_some() {
@@ -23,6 +24,7 @@
             let brittle = self.shared.dispatch().brittle_services();
             self.plan(ResidencyEvent::BrittleServices(brittle));
             self.record_spent(&spent);
+            self.settle_retries(settled.as_ref());
             self.publish_quota_levels();
             self.publish_queues();
             let me = self.own_id().clone();
@@ -55,6 +57,7 @@
             zone: status.zone,
             cut_off: status.cut_off,
             needs_transit: status.needs_transit,
+            settled_retries: settled,
         };
         if let Err(error) = self.shared.mesh.send(&placer, message) {
             slog::debug!(self.shared.log, "message to placer not sent"; "reason" => error.to_string());
@@ -80,8 +83,10 @@
                 zone,
                 cut_off,
                 needs_transit,
+                settled_retries,
             } => {
                 self.record_spent(&spent);
+                self.settle_retries(settled_retries.as_ref());
                 let status = InstanceStatus {
                     address,
                     reaches_platform,
@@ -159,6 +164,7 @@
                 self.tell_restarted_placer(&from);
                 self.shared.set_placer_admits(admits);
                 self.shared.set_placer_grants_retries(grants_retries);
+                self.shared.set_retry_ledger(lease.map(|it| it.term));
                 self.shared.set_recorded_by_placer(records_streams);
                 self.apply_transit_offers(transit);
                 self.apply_deputy(deputy);
--- a/crates/chervilshunt_gateway/src/peers.rs
+++ b/crates/chervilshunt_gateway/src/peers.rs
@@ -9,8 +9,9 @@
 };
 use chervilshunt_core::{
     BegunStreams, ChargeNumber, ChargeResult, Fingerprint, GrantNumber, GrantProgress, LimitReport,
-    LoadEstimates, PlacementRequest, PlacementResult, RetryGrant, SendPermit, StoredCrashes,
-    StreamKey, StreamOrigin, TargetFacts, TargetSnapshot, TargetStart, TargetUse, Weights,
+    LoadEstimates, PlacementRequest, PlacementResult, RetryGrant, SendPermit, SettledRetries,
+    StoredCrashes, StreamKey, StreamOrigin, TargetFacts, TargetSnapshot, TargetStart, TargetUse,
+    Weights,
 };
 use chervilshunt_mesh::Purpose;
 use chervilshunt_model::{InstanceId, ServiceName, StoreRevision, TargetName, ZoneName};
@@ -53,6 +54,9 @@
         /// Whether the sender needs other instances to pass on its requests.
         #[serde(rename = "t", default, skip_serializing_if = "is_false")]
         needs_transit: bool,
+        /// Retries that have arrived since the sender's last report, or will not arrive any more.
+        #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+        settled_retries: Option<SettledRetries>,
     },
     /// To the placer: a request needs a target and waits for it for the given time. Answered by
     /// `PlacementAnswer`.
--- a/crates/chervilshunt_gateway/src/shared.rs
+++ b/crates/chervilshunt_gateway/src/shared.rs
@@ -99,6 +99,8 @@
     placer_admits: AtomicBool,
     /// Whether the placer grants retries, as it has reported.
     placer_grants_retries: AtomicBool,
+    /// The number of the placer's ledger of retries; zero while it is unknown.
+    retry_ledger: AtomicU64,
     instances: AtomicUsize,
     /// When there will be a placer again, in microseconds of the clock; zero while there is one.
     placer_return: AtomicU64,
@@ -197,6 +199,7 @@
             instance_share: Mutex::default(),
             placer_admits: AtomicBool::new(false),
             placer_grants_retries: AtomicBool::new(false),
+            retry_ledger: AtomicU64::new(0),
             instances: AtomicUsize::new(UNKNOWN_INSTANCES),
             placer_return: AtomicU64::new(0),
             configuration_confirmed: AtomicU64::new(0),
@@ -286,6 +289,17 @@
         self.placer_grants_retries.store(grants, Ordering::Relaxed);
     }
 
+    /// Returns the number of the placer's ledger of retries; zero while it is unknown.
+    pub(crate) fn retry_ledger(&self) -> u64 {
+        self.retry_ledger.load(Ordering::SeqCst)
+    }
+
+    /// Sets the number of the placer's ledger of retries.
+    pub(crate) fn set_retry_ledger(&self, number: Option<u64>) {
+        self.retry_ledger
+            .store(number.unwrap_or(0), Ordering::SeqCst);
+    }
+
     /// Returns whether the placer may be gone: its connection was lost, or it was not heard for long
     /// although it has been known for long.
     pub(crate) fn is_placer_silent(&self, now: Moment) -> bool {
@@ -320,6 +334,7 @@
         self.placer_pace().reset();
         // The new placer may be of an earlier version.
         self.set_placer_grants_retries(false);
+        self.set_retry_ledger(None);
         self.set_recorded_by_placer(false);
         if let Some(placer) = &placer {
             self.stream_keepers.add(placer);
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -20,6 +20,7 @@
 use super::place::SelectedTarget;
 use super::refusal::{Reason, Refusal};
 use super::request::{CallerRequest, set};
+use super::unanswered::UnansweredAttempts;
 use crate::crashes::fingerprints;
 use crate::links::count_mismatch;
 use crate::shared::Shared;
@@ -63,6 +64,7 @@
     pub(super) retry: Option<RetryPermit>,
     /// When the target of the last attempt was found.
     pub(super) target_found_at: Moment,
+    pub(super) unanswered: UnansweredAttempts<'a>,
 }
 
 /// An answer that is passed on.
@@ -117,6 +119,7 @@
             runs: 0,
             retry: None,
             target_found_at: Moment::ZERO,
+            unanswered: UnansweredAttempts::new(shared, &req.service),
         }
     }
 
@@ -274,6 +277,7 @@
         // otherwise.
         self.runs += 1;
         self.arrivals += 1;
+        self.unanswered.sent();
         self.set_charge_final(true);
         let answer = async {
             tokio::join!(
@@ -295,6 +299,7 @@
         if let Some(retry) = retry {
             self.report_retry_ended(retry, chosen, arrival);
         }
+        self.unanswered.ended(arrival);
         match forwarded {
             Ok((head, body)) => {
                 if let Some(route) = &chosen.route {
--- a/crates/chervilshunt_gateway/src/traffic/mod.rs
+++ b/crates/chervilshunt_gateway/src/traffic/mod.rs
@@ -26,6 +26,7 @@
 mod retry;
 mod second_attempt;
 mod serve;
+mod unanswered;
 
 pub(crate) use attempt::CONNECT_TIMEOUT;
 pub(crate) use charge::CHARGE_TIMEOUT;
--- a/crates/chervilshunt_gateway/src/traffic/retry.rs
+++ b/crates/chervilshunt_gateway/src/traffic/retry.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilshunt_core::{EarnedUsage, RetryGrant, RetryPermit};
+use chervilshunt_core::{EarnedUsage, RetryGrant, RetryPermit, RetrySource};
 use chervilshunt_mesh::Peer;
 use chervilshunt_model::Moment;
 use http::response::Parts;
@@ -29,7 +29,10 @@
     /// The requests of this instance have earned it.
     Earned,
     /// The placer has granted a part of the allowance.
-    Granted,
+    Granted {
+        /// The number of its ledger.
+        ledger: u64,
+    },
     /// The placer has granted nothing, now or shortly before.
     Spent,
     /// There is no placer that grants retries.
@@ -42,17 +45,19 @@
     const fn as_str(self) -> &'static str {
         match self {
             Self::Earned => "earned",
-            Self::Granted => "granted",
+            Self::Granted { .. } => "granted",
             Self::Spent => "spent",
             Self::NoPlacer => "no_placer",
             Self::Unanswered => "unanswered",
         }
     }
 
-    const fn is_allowed(self) -> bool {
+    /// Returns the account that the retry is taken from, if it is allowed.
+    const fn source(self) -> Option<RetrySource> {
         match self {
-            Self::Earned | Self::Granted => true,
-            Self::Spent | Self::NoPlacer | Self::Unanswered => false,
+            Self::Earned => Some(RetrySource::Earned),
+            Self::Granted { ledger } => Some(RetrySource::Granted { ledger }),
+            Self::Spent | Self::NoPlacer | Self::Unanswered => None,
         }
     }
 }
@@ -105,7 +110,11 @@
             self.ask_for_retry(now).await
         };
         self.report_retry(decision, usage);
-        self.retry = decision.is_allowed().then(|| RetryPermit::new(now));
+        let source = decision.source();
+        if let Some(source) = source {
+            self.unanswered.retry_taken(source);
+        }
+        self.retry = source.map(|_| RetryPermit::new(now));
         self.retry.is_some()
     }
 
@@ -140,6 +149,8 @@
 
     /// Asks the placer for a part of the allowance that all instances share.
     async fn ask_for_retry(&self, now: Moment) -> RetryDecision {
+        // Read before the placer: the number of an earlier ledger only delays when the retry stops counting.
+        let ledger = self.shared.retry_ledger();
         let Some(placer) = self.granting_placer(now) else {
             return RetryDecision::NoPlacer;
         };
@@ -155,7 +166,7 @@
         let is_late = answered_at.since(now) > GRANT_TIMEOUT;
         let (decision, delay) = match answer {
             Ok(PeerMessage::RetryAnswer(RetryGrant::Granted)) if !is_late => {
-                return RetryDecision::Granted;
+                return RetryDecision::Granted { ledger };
             }
             Ok(PeerMessage::RetryAnswer(RetryGrant::Spent { retry_in })) => {
                 (RetryDecision::Spent, retry_in)
@@ -182,7 +193,7 @@
         let service = &self.req.service;
         slog::info!(self.shared.log, "retry decided";
             "request" => &*self.req.id, "service" => service.as_str(),
-            "allowed" => decision.is_allowed(), "by" => decision.as_str(),
+            "allowed" => decision.source().is_some(), "by" => decision.as_str(),
             "retries" => usage.retries, "limit" => usage.limit, "requests" => usage.requests,
             "placer" => self.shared.placer.load().as_ref().map(|it| it.instance.as_str().to_owned()));
         let labels = [
--- a/crates/chervilshunt_model/src/lib.rs
+++ b/crates/chervilshunt_model/src/lib.rs
@@ -45,6 +45,6 @@
     WeightStorePatch,
 };
 pub use prefix::prefix_hash;
-pub use spent_retries::SpentRetries;
+pub use spent_retries::{RetryCounts, SpentRetries};
 pub use store_revision::StoreRevision;
 pub use version_map::VersionMap;
