A request earns retries from its sending on, also if it is read after a stall

An instance that was paused for 5 s while it got 300 requests made 84 repeats in 10 s a window later, where 66.2 are allowed: it counted the requests when it read them, so that they earned retries in windows that end up to 25 s after they were sent.

An instance that stood still counts requests from the begin of that time, as long as it may still be reading what arrived meanwhile.

--- a/crates/chervilshunt_core/src/retry_budget/earned.rs
+++ b/crates/chervilshunt_core/src/retry_budget/earned.rs
@@ -43,10 +43,10 @@
         }
     }
 
-    /// Counts a request received from a caller.
-    pub fn record_request(&mut self, now: Moment) {
-        self.requests.add(now);
-        self.requests.forget_older(self.earning_time(), now);
+    /// Counts a request that a caller has sent at a moment or before it, up to half a second.
+    pub fn record_request(&mut self, sent: Moment) {
+        self.requests.add(sent);
+        self.requests.forget_older(self.earning_time(), sent);
     }
 
     /// Counts a retry if it has been earned, and returns whether it has.
--- a/crates/chervilshunt_core/src/retry_budget/instance.rs
+++ b/crates/chervilshunt_core/src/retry_budget/instance.rs
@@ -99,8 +99,8 @@
         (!settled.by_service.is_empty()).then_some(settled)
     }
 
-    /// Counts a request received from a caller.
-    pub fn record_request(&mut self, service: &ServiceName, now: Moment) {
-        self.of(service).earned.record_request(now);
+    /// Counts a request that a caller has sent at a moment, or shortly before.
+    pub fn record_request(&mut self, service: &ServiceName, sent: Moment) {
+        self.of(service).earned.record_request(sent);
     }
 }
--- a/crates/chervilshunt_core/tests/retry_budget.rs
+++ b/crates/chervilshunt_core/tests/retry_budget.rs
@@ -92,6 +92,25 @@
     );
 }
 
+/// Guards against requests that earn retries for longer because they were read late.
+#[rstest]
+#[case::sent_lately(9_000, 10)]
+#[case::sent_long_before(1_000, 1)]
+fn a_request_earns_from_its_sending_on(#[case] sent: u64, #[case] expected: usize) {
+    let mut earned = EarnedRetries::new(cfg(0.0));
+    for number in 0..10 {
+        earned.record_request(at(9_000 + number));
+    }
+    for number in 0..90 {
+        earned.record_request(at(sent + number));
+    }
+    assert_eq!(
+        spend(&mut earned, at(11_500)),
+        expected,
+        "ten were sent lately in any case"
+    );
+}
+
 /// Guards against a bound that leaves half of the ratio unused while requests come evenly.
 #[test]
 fn the_whole_ratio_is_used_by_even_requests() {
--- a/crates/chervilshunt_gateway/src/traffic/serve.rs
+++ b/crates/chervilshunt_gateway/src/traffic/serve.rs
@@ -68,8 +68,7 @@
     let mut req = read_request(&shared.dialect, accepted, head, body)?;
     require_origin(shared, &mut req).await?;
     let req = Arc::new(req);
-    report_late_read(shared, &req);
-    shared.retries().record_request(&req.service, arrived);
+    count_request(shared, &req);
     if !req.parts.is_empty() {
         let parts = fingerprints(&req.parts);
         shared.quarantine().record_request_parts(&parts);
@@ -83,9 +82,13 @@
     Ok(relayed(shared, &req, answered, runs))
 }
 
-/// Logs that the request may have arrived while the process stood still.
-fn report_late_read(shared: &Shared, req: &CallerRequest) {
+/// Counts the request for the retries that it earns.
+///
+/// It counts from the time at which it may have arrived. Counted when it is read after a stall, it would earn retries
+/// in windows that end long after it was sent.
+fn count_request(shared: &Shared, req: &CallerRequest) {
     let arrived = shared.stalls().earliest_arrival(req.arrived);
+    shared.retries().record_request(&req.service, arrived);
     let delay = req.arrived.since(arrived);
     if !delay.is_zero() {
         slog::info!(shared.log, "request read late";
