Ask again whether a request crashes targets after it has waited for one

Twelve copies of a request that waited 4.5 s for a load, with an objective of 7 s, were sent although the request had crashed three targets meanwhile: all 12 arrived more than 3 s after the third crash, 3 are tolerated. It was asked before the wait only. It is asked again when the target is found; a request that was let through to try a refused part is not asked twice for one attempt.

copies_that_waited_for_a_load_are_not_sent: 12 before, 0 after.

--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -65,6 +65,8 @@
     /// When the target of the last attempt was found.
     pub(super) target_found_at: Moment,
     pub(super) unanswered: UnansweredAttempts<'a>,
+    /// Whether the next attempt is to find out if a part of the prompt still crashes targets.
+    tries_refused_part: bool,
 }
 
 /// An answer that is passed on.
@@ -120,6 +122,7 @@
             retry: None,
             target_found_at: Moment::ZERO,
             unanswered: UnansweredAttempts::new(shared, &req.service),
+            tries_refused_part: false,
         }
     }
 
@@ -160,6 +163,7 @@
 
     async fn send_until_answered(&mut self) -> Result<AcceptedAnswer, Refusal> {
         loop {
+            self.tries_refused_part = false;
             self.refuse_if_quarantined()?;
             self.reconsider_unconnected();
             let mut chosen = self.find_target().await?;
@@ -167,6 +171,8 @@
                 self.avoid.push(chosen.target);
                 continue;
             }
+            // The request may have crashed targets while this copy of it waited.
+            self.refuse_if_quarantined()?;
             self.target_found_at = self.shared.clock.now();
             if !self.try_attempt().await {
                 return Err(Refusal::retry_after(
@@ -202,7 +208,7 @@
     }
 
     /// Refuses a request that has crashed targets, here or at another instance.
-    fn refuse_if_quarantined(&self) -> Result<(), Refusal> {
+    fn refuse_if_quarantined(&mut self) -> Result<(), Refusal> {
         let now = self.shared.clock.now();
         let quarantine = self.shared.quarantine();
         if quarantine.is_empty() {
@@ -221,7 +227,10 @@
 
     /// Returns until when the request is refused for a part of its prompt. The placer tries one from time to
     /// time.
-    fn refused_for_part(&self, now: Moment) -> Option<Moment> {
+    fn refused_for_part(&mut self, now: Moment) -> Option<Moment> {
+        if self.tries_refused_part {
+            return None;
+        }
         let parts = fingerprints(&self.req.parts);
         let mut quarantine = self.shared.quarantine();
         let refused = quarantine.refused_parts(&parts, now);
@@ -235,6 +244,7 @@
         metrics::counter!("chervilshunt_refused_parts_total",
             "tried" => if is_tried { "yes" } else { "no" })
         .increment(1);
+        self.tries_refused_part = is_tried;
         (!is_tried).then_some(until)
     }
 
