A short stall does not end the time in which requests of a longer one are read

The stall that delays reads for longest counts now. The case another_stall_meanwhile of core/tests/stall.rs fails without the change.

--- a/crates/chervilshunt_core/src/stall.rs
+++ b/crates/chervilshunt_core/src/stall.rs
@@ -24,11 +24,11 @@
         self.ended.since(self.began)
     }
 
-    /// Returns whether a request that is read now may have arrived during the stall.
+    /// Returns until when requests are read that may have arrived during the stall.
     ///
     /// An instance that is at most half loaded has read what arrived meanwhile after as long again.
-    fn delays_reads(self, now: Moment) -> bool {
-        now.since(self.ended) < self.length()
+    fn delays_reads_until(self) -> Moment {
+        self.ended + self.length()
     }
 }
 
@@ -36,6 +36,7 @@
 #[derive(Clone, Debug)]
 pub struct StallDetector {
     last_report: Moment,
+    /// The stall that delays reads for longest.
     last_stall: Option<Stall>,
 }
 
@@ -51,17 +52,22 @@
     /// Records that the process runs, and returns the stall that has just ended, if there was one.
     pub fn report_running(&mut self, now: Moment) -> Option<Stall> {
         let stall = self.current_stall(now);
+        self.last_stall = self.longest_delay(now);
         self.last_report = now;
-        self.last_stall = stall.or(self.last_stall);
         stall
     }
 
     /// Returns the earliest time at which a request may have arrived that is read now.
     pub fn earliest_arrival(&self, now: Moment) -> Moment {
-        let stall = self.current_stall(now).or(self.last_stall);
-        stall
-            .filter(|it| it.delays_reads(now))
-            .map_or(now, |it| it.began)
+        self.longest_delay(now).map_or(now, |it| it.began)
+    }
+
+    /// Returns the stall that delays reads for longest, if one does so now. A short stall does not end the time in
+    /// which requests of a longer one before it are read.
+    fn longest_delay(&self, now: Moment) -> Option<Stall> {
+        let stalls = self.last_stall.into_iter().chain(self.current_stall(now));
+        let delaying = stalls.filter(|it| it.delays_reads_until() > now);
+        delaying.max_by_key(|it| it.delays_reads_until())
     }
 
     /// Returns the stall that ends now, which the process has not reported yet.
--- a/crates/chervilshunt_core/tests/stall.rs
+++ b/crates/chervilshunt_core/tests/stall.rs
@@ -16,6 +16,7 @@
 #[case::read_after_the_report(&[6_000], 6_100, 1_000)]
 #[case::still_catching_up(&[6_000, 6_200], 6_300, 1_000)]
 #[case::still_catching_up_much_later(&[2_000, 2_200, 2_400, 2_600, 2_800], 2_999, 1_000)]
+#[case::another_stall_meanwhile(&[6_000, 6_500, 6_700, 6_900, 7_100], 7_300, 1_000)]
 #[case::caught_up(&[2_000, 2_200, 2_400, 2_600, 2_800], 3_000, 3_000)]
 fn requests_may_have_arrived_during_a_stall(
     #[case] reports: &[u64],
