Log and count what is found at the address of a target whose connection ended

A crash that was not counted left no line and no counter: the one connection attempt that decides it was silent unless it was refused. The line tells what was found, how long after the end, and how many parts were suspected; 'attempt failed' names the parts of the prompt, as 'answer interrupted' does.

--- a/crates/chervilshunt_gateway/src/crashes.rs
+++ b/crates/chervilshunt_gateway/src/crashes.rs
@@ -186,7 +186,9 @@
     /// Connections also end without an answer if a target or the network resets them.
     async fn record_if_crashed(&self, ended: EndedRequest) {
         let client = self.shared.engines.client(ended.address);
-        if !client.is_refused(CHECK_TIMEOUT).await {
+        let is_refused = client.is_refused(CHECK_TIMEOUT).await;
+        self.report_check(&ended, is_refused);
+        if !is_refused {
             return;
         }
         if !reaches_others(&self.shared, &ended.target).await {
@@ -239,6 +241,18 @@
         tokio::time::timeout(RESTART_WAIT, checks).await.is_ok()
     }
 
+    /// Reports what was found at the address of a target whose connection ended.
+    fn report_check(&self, ended: &EndedRequest, is_refused: bool) {
+        let found = if is_refused { "refused" } else { "not_refused" };
+        let after = self.shared.clock.now().since(ended.ended_at);
+        slog::info!(self.shared.log, "address of target checked";
+            "target" => ended.target.as_str(), "found" => found,
+            "after_ms" => after.as_millis() as u64,
+            "content" => ended.crash.as_ref().map(|it| it.fingerprint.to_string()),
+            "suspected_parts" => ended.parts.len());
+        metrics::counter!("chervilshunt_crash_checks_total", "found" => found).increment(1);
+    }
+
     fn report_restart(&self, ended: &EndedRequest) {
         let after = self.shared.clock.now().since(ended.ended_at);
         slog::info!(self.shared.log, "target not reached has restarted";
--- a/crates/chervilshunt_gateway/src/traffic/attempt.rs
+++ b/crates/chervilshunt_gateway/src/traffic/attempt.rs
@@ -355,6 +355,7 @@
             "request" => &*self.req.id, "target" => chosen.target.as_str(),
             "via" => chosen.route.as_ref().map(|it| it.instance.as_str().to_owned()),
             "content" => self.req.fingerprint().to_string(),
+            "parts" => self.req.parts_for_log(),
             "reason" => error.to_string());
         count_mismatch(
             error,
