A target that accepts connections is not taken for alive

Callers saw requests with a part that crashes targets passed on to one target after the other, long after the fifth crash. Whether a target had crashed hung on one connection attempt, made the moment a connection to it ended: one that was accepted ended the matter for good. A system closes the descriptors of a process one after another, and its listener accepts until it is closed.

Now the suspicion stays open until something shows life or death: an answer under the same start, to a question or to a request that was sent later; a refused connection; another run at the address or at the platform; or 1.5 s of silence on accepted connections. An accepted connection shows neither. Requests whose connections to one run end together share one check, so that a reset connection costs one question. The same check decides whether an answer that ends with its connection is whole; what is not known within 1 s does not count as whole.

--- a/crates/chervilshunt_core/src/dispatch/mod.rs
+++ b/crates/chervilshunt_core/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod health;
 mod holders;
 mod lanes;
+mod life;
 mod limits;
 mod links;
 mod load;
--- a/crates/chervilshunt_core/src/dispatch/routes.rs
+++ b/crates/chervilshunt_core/src/dispatch/routes.rs
@@ -82,6 +82,8 @@
     pub name: ServiceName,
     /// The number of connections that one target of the service accepts from all clients together.
     pub max_connections: u32,
+    /// The path at which a target answers health checks, if it has one.
+    pub health_path: Option<Arc<str>>,
     /// Limits on what the targets may be ordered to hold, or `None` for a plain service.
     pub placement: Option<PlacementLimits>,
 }
--- a/crates/chervilshunt_core/src/dispatch/state.rs
+++ b/crates/chervilshunt_core/src/dispatch/state.rs
@@ -13,6 +13,7 @@
 use super::facts::{Leaving, LoadReport, TargetFacts, TargetStart, Weights};
 use super::health::{HealthSignal, TargetHealth, TargetPath};
 use super::holders::{AdapterHolding, AnnouncedVersions, HeldAdapters, Holders, TargetSnapshot};
+use super::life::SignsOfLife;
 use super::links::ServiceLink;
 use super::load::TargetLoad;
 use super::self_reports::ReportedLeaving;
@@ -42,6 +43,7 @@
     pub(crate) speed: TargetSpeed,
     pub(crate) congestion: Congestion,
     pub(crate) health: TargetHealth,
+    pub(crate) signs: SignsOfLife,
     /// The time until which the target has asked this instance not to send requests.
     pub(crate) paused_until: Moment,
     /// The time until which its rate limit allows this instance no request.
@@ -157,6 +159,7 @@
                     speed: TargetSpeed::default(),
                     congestion: Congestion::default(),
                     health: TargetHealth::new(now),
+                    signs: SignsOfLife::default(),
                     paused_until: Moment::ZERO,
                     held_back_until: Moment::ZERO,
                     facts,
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -53,8 +53,9 @@
 };
 pub use placer_pace::{PlacerPace, PlacerPaceChange, PlacerUse};
 pub use quarantine::{
-    Crash, CrashRecord, CrashedRun, Fingerprint, PartId, Quarantine, QuarantineConfig, SETTLE_TIME,
-    SettlingAnswers, SettlingNumber, StoredCrashes, Suspect,
+    Crash, CrashRecord, CrashedRun, FRESH_ANSWER_AGE, Fingerprint, PartId, Quarantine,
+    QuarantineConfig, RunCheck, RunFinding, RunVerdict, SETTLE_TIME, SettlingAnswers,
+    SettlingNumber, StoredCrashes, Suspect,
 };
 pub use quota::{
     ChargeNumber, ChargeResult, DeputyLedger, QuotaLedger, QuotaShares, QuotaTolerance,
--- a/crates/chervilshunt_core/src/quarantine/mod.rs
+++ b/crates/chervilshunt_core/src/quarantine/mod.rs
@@ -10,11 +10,13 @@
 mod parts;
 mod recent;
 mod run;
+mod run_check;
 mod settling;
 mod state;
 
 pub use fingerprint::Fingerprint;
 pub use part::PartId;
 pub use run::CrashedRun;
-pub use settling::{SETTLE_TIME, SettlingAnswers, SettlingNumber};
+pub use run_check::{RunCheck, RunFinding, RunVerdict};
+pub use settling::{FRESH_ANSWER_AGE, SETTLE_TIME, SettlingAnswers, SettlingNumber};
 pub use state::{Crash, CrashRecord, Quarantine, QuarantineConfig, StoredCrashes, Suspect};
--- a/crates/chervilshunt_core/src/quarantine/settling.rs
+++ b/crates/chervilshunt_core/src/quarantine/settling.rs
@@ -9,6 +9,10 @@
 
 /// Time after the beginning of an answer from which on it has not crashed its target.
 pub const SETTLE_TIME: Duration = Duration::from_millis(1_200);
+/// Time after the beginning of an answer up to which it may crash its target.
+pub const FRESH_ANSWER_AGE: Duration = Duration::from_millis(500);
+/// Time after which an answer is no longer watched whose target has been silent since it began.
+const MAX_WATCH_TIME: Duration = Duration::from_secs(30);
 /// Maximum number of answers that are watched.
 const MAX_SETTLING: usize = 8_192;
 
@@ -23,6 +27,8 @@
     target: TargetName,
     parts: Vec<Fingerprint>,
     at: Moment,
+    /// Whether the whole answer has been received.
+    is_whole: bool,
 }
 
 /// The answers that began lately, the latest last.
@@ -50,10 +56,19 @@
             target: target.clone(),
             parts: parts.to_vec(),
             at: now,
+            is_whole: false,
         });
         Some(number)
     }
 
+    /// Records that the whole of an answer has been received.
+    pub fn ended_whole(&mut self, number: SettlingNumber) {
+        let found = self.begun.binary_search_by_key(&number, |it| it.number);
+        if let Ok(index) = found {
+            self.begun[index].is_whole = true;
+        }
+    }
+
     /// Forgets an answer that was given up before its end: whether its target lives on may not be seen.
     pub fn given_up(&mut self, number: SettlingNumber) {
         let found = self.begun.binary_search_by_key(&number, |it| it.number);
@@ -68,12 +83,29 @@
     }
 
     /// Returns the parts of answers whose targets have lived on, with the times at which these began.
-    pub fn take_settled(&mut self, now: Moment) -> Vec<(Vec<Fingerprint>, Moment)> {
+    ///
+    /// `last_received_at` returns when bytes were last received from a target. The connections of a process that
+    /// has crashed stay open while its memory is dumped, so that an open connection does not show that it lives.
+    pub fn take_settled(
+        &mut self,
+        now: Moment,
+        last_received_at: impl Fn(&TargetName) -> Option<Moment>,
+    ) -> Vec<(Vec<Fingerprint>, Moment)> {
+        let due = self
+            .begun
+            .partition_point(|it| now.since(it.at) >= SETTLE_TIME);
         let mut settled = Vec::new();
-        while let Some(first) = self.begun.front()
-            && now.since(first.at) >= SETTLE_TIME
-        {
-            settled.extend(self.begun.pop_front().map(|it| (it.parts, it.at)));
+        let mut silent = Vec::new();
+        for begun in self.begun.drain(..due) {
+            let received_at = last_received_at(&begun.target);
+            if begun.is_whole || received_at.is_some_and(|at| at > begun.at + FRESH_ANSWER_AGE) {
+                settled.push((begun.parts, begun.at));
+            } else if now.since(begun.at) < MAX_WATCH_TIME {
+                silent.push(begun);
+            }
+        }
+        for begun in silent.into_iter().rev() {
+            self.begun.push_front(begun);
         }
         settled
     }
--- a/crates/chervilshunt_core/tests/poisoned_parts.rs
+++ b/crates/chervilshunt_core/tests/poisoned_parts.rs
@@ -4,7 +4,7 @@
 mod part_plays;
 
 use chervilshunt_core::{CrashedRun, Quarantine, SETTLE_TIME, SettlingAnswers, StoredCrashes};
-use chervilshunt_model::StoreRevision;
+use chervilshunt_model::{Moment, StoreRevision};
 use part_plays::{Play, at, part, parts, quarantine, target};
 use rstest::rstest;
 
@@ -219,11 +219,39 @@
     settling.connection_ended(&target(1));
     settling.given_up(given_up.expect("a number"));
     let settled_at = at(0) + SETTLE_TIME;
-    assert!(settling.take_settled(at(1_199)).is_empty());
-    assert_eq!(settling.take_settled(settled_at), [(parts(&["y"]), at(0))]);
+    let heard = |_: &_| Some(at(501));
+    assert!(settling.take_settled(at(1_199), heard).is_empty());
+    assert_eq!(
+        settling.take_settled(settled_at, heard),
+        [(parts(&["y"]), at(0))]
+    );
     assert_eq!(settling.next_at(), None);
 }
 
+/// Guards against clearing a part because the connections of the process that it crashed are still open, as they
+/// are while its memory is dumped.
+#[rstest]
+#[case::silent_since(Some(at(500)), false, false)]
+#[case::never_heard(None, false, false)]
+#[case::heard_later(Some(at(501)), false, true)]
+#[case::whole_answer(Some(at(10)), true, true)]
+fn an_answer_of_a_target_that_is_silent_since_clears_nothing(
+    #[case] heard: Option<Moment>,
+    #[case] is_whole: bool,
+    #[case] clears: bool,
+) {
+    let mut settling = SettlingAnswers::default();
+    let number = settling.began(&target(1), &parts(&["x"]), at(0));
+    if is_whole {
+        settling.ended_whole(number.expect("a number"));
+    }
+    let settled = settling.take_settled(at(0) + SETTLE_TIME, |_| heard);
+    assert_eq!(!settled.is_empty(), clears);
+    // What isn't settled is settled as soon as the target is heard.
+    let later = settling.take_settled(at(5_000), |_| Some(at(4_900)));
+    assert_eq!(!later.is_empty(), !clears);
+}
+
 /// Number of seeds that CI plays.
 const SEEDS: u64 = 12;
 
--- a/crates/chervilshunt_core/tests/support/part_plays.rs
+++ b/crates/chervilshunt_core/tests/support/part_plays.rs
@@ -199,7 +199,7 @@
             }
         }
         for (known, settling) in &mut self.instances {
-            for (drawn, begun_at) in settling.take_settled(at(now)) {
+            for (drawn, begun_at) in settling.take_settled(at(now), |_| Some(at(now))) {
                 for released in known.record_parts_survived(&drawn, begun_at) {
                     known.release(released);
                     self.told
--- a/crates/chervilshunt_engine/src/client.rs
+++ b/crates/chervilshunt_engine/src/client.rs
@@ -126,18 +126,6 @@
         Ok(answered.into_reader(&self.pool, limits))
     }
 
-    /// Returns whether the target's address refuses connections, which shows that its process has
-    /// ended.
-    ///
-    /// A timeout or any other failure proves nothing and returns false.
-    pub async fn is_refused(&self, limit: Duration) -> bool {
-        let connecting = tokio::net::TcpStream::connect(self.address());
-        match tokio::time::timeout(limit, connecting).await {
-            Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
-            Ok(Ok(_)) | Err(_) => false,
-        }
-    }
-
     /// Sends one of this system's own requests, and returns the answer with its complete body.
     ///
     /// These requests state no id, so that a late answer to an earlier one can't be told from the
--- a/crates/chervilshunt_gateway/src/crashes.rs
+++ b/crates/chervilshunt_gateway/src/crashes.rs
@@ -2,40 +2,35 @@
 //!
 //! See `docs/design/quarantine.md`.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use chervilshunt_core::{
-    Crash, CrashedRun, Fingerprint, PartId, SETTLE_TIME, SettlingNumber, StoredCrashes,
-    TargetFacts, TargetStart,
+    Crash, CrashedRun, FRESH_ANSWER_AGE, Fingerprint, PartId, SETTLE_TIME, SettlingNumber,
+    StoredCrashes, TargetFacts,
 };
 use chervilshunt_model::{Moment, TargetName};
 use chervilshunt_platform::{Exchange, PlatformError};
-use tokio::sync::{Semaphore, mpsc};
-use tokio::task::JoinSet;
+use tokio::sync::mpsc;
 
+use crate::run_check::{RunState, TargetRun, check_run};
 use crate::shared::Shared;
 use crate::store::{StoreAnswer, call_once};
-use crate::transit::probe;
 
 /// Capacity of the queue of signals; far more than the requests that are open at one target.
 const QUEUE_CAPACITY: usize = 1_024;
-/// Timeout of the connection that checks whether a target's process has ended.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time in which a process that was killed closes its listener after a connection.
-const EXIT_TIME: Duration = Duration::from_millis(10);
-/// Number of other targets that are tried before one counts as crashed.
-const COMPARED_TARGETS: usize = 3;
-/// How long the platform may take to show that a target has started again whose address refused connections
-/// like those of all others. A process that crashed is mostly back within seconds; later starts have other
-/// causes.
-const RESTART_WAIT: Duration = Duration::from_secs(10);
-/// Interval at which that is checked. Crashes have to be known within 3 s.
-const RESTART_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Maximum number of requests that wait for that. A crash brings few: its target was about to answer, or had
-/// just begun to.
-const MAX_AWAITED_RESTARTS: usize = 256;
+/// Time after the end of a connection before its target is asked for a sign of life. Requests whose connections
+/// ended together share one check.
+const GATHER_TIME: Duration = Duration::from_millis(10);
+/// How long it may take until something shows whether a target has crashed. A process that crashed is mostly
+/// back within seconds; later starts have other causes.
+const CHECK_LIMIT: Duration = Duration::from_secs(10);
+/// The same for an answer that ended with its connection, and whose caller waits for it.
+const ANSWER_CHECK_LIMIT: Duration = Duration::from_secs(1);
+/// Maximum number of runs of targets that are checked at a time, and of requests that wait for one check.
+const MAX_CHECKED_RUNS: usize = 256;
+const MAX_ENDED_REQUESTS: usize = 256;
 /// Timeout of one write of a record.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay after a failed write, and the maximum number of writes of a record: about half a minute in
@@ -51,18 +46,17 @@
 /// A request whose target's connection ended, which may have crashed the target.
 #[derive(Debug)]
 pub(crate) struct EndedRequest {
-    /// The target.
-    pub(crate) target: TargetName,
-    /// The target's address.
-    pub(crate) address: SocketAddr,
-    /// The start of the target when the request was sent.
-    pub(crate) started: Option<TargetStart>,
+    pub(crate) run: TargetRun,
+    pub(crate) sent_at: Moment,
     /// When the connection ended.
     pub(crate) ended_at: Moment,
     /// The crash, if the request itself is suspected: its target had not begun to answer it.
     pub(crate) crash: Option<Crash>,
-    /// The shared parts of its prompt, if they are suspected: its target had just begun to answer it.
+    /// The shared parts of its prompt, if they are suspected: its target had just begun to answer it, or was
+    /// about to.
     pub(crate) parts: Vec<PartId>,
+    /// Whether the head of the answer had come. Without it the request may have waited at its target.
+    pub(crate) had_head: bool,
 }
 
 /// An observation of traffic about a request.
@@ -118,7 +112,8 @@
 
     /// Clears the parts of answers whose targets have lived on.
     pub(crate) fn settle_answers(&self) {
-        let settled = self.settling().take_settled(self.clock.now());
+        let now = self.clock.now();
+        let settled = self.settling().take_settled(now, |_| Some(now));
         for (parts, begun_at) in settled {
             let released = self.quarantine().record_parts_survived(&parts, begun_at);
             for part in released {
@@ -127,6 +122,15 @@
         }
     }
 
+    /// Returns whether a target was last heard so soon after it had begun an answer, if it has, that the answer
+    /// may have crashed it. Its connections may end long after that.
+    pub(crate) fn is_fresh_answer(&self, begun_at: Option<Moment>) -> bool {
+        let Some(begun_at) = begun_at else {
+            return true;
+        };
+        self.clock.now() <= begun_at + FRESH_ANSWER_AGE
+    }
+
     /// Records that a target's connection ended: it may have crashed, and what it has begun lately clears no
     /// part.
     pub(crate) fn connection_ended(&self, target: &TargetName) {
@@ -148,19 +152,19 @@
     exchange: Arc<Exchange>,
     mut observations: mpsc::Receiver<CrashObservation>,
 ) {
-    let awaited_restarts = Arc::new(Semaphore::new(MAX_AWAITED_RESTARTS));
+    let recorder = Recorder {
+        shared,
+        exchange,
+        checks: Arc::default(),
+    };
     while let Some(sign) = observations.recv().await {
-        let recorder = Recorder {
-            shared: Arc::clone(&shared),
-            exchange: Arc::clone(&exchange),
-            awaited_restarts: Arc::clone(&awaited_restarts),
-        };
-        tokio::spawn(async move {
-            match sign {
-                CrashObservation::ConnectionEnded(ended) => recorder.record_if_crashed(ended).await,
-                CrashObservation::Served(fingerprint) => recorder.release(fingerprint).await,
+        let recorder = recorder.clone();
+        match sign {
+            CrashObservation::ConnectionEnded(ended) => recorder.connection_ended(ended),
+            CrashObservation::Served(fingerprint) => {
+                tokio::spawn(async move { recorder.release(fingerprint).await });
             }
-        });
+        }
     }
 }
 
@@ -173,47 +177,97 @@
     record(&shared, &exchange, fingerprint).await;
 }
 
+/// The requests that wait for the check of each run of a target.
+type Checks = HashMap<TargetRun, Vec<EndedRequest>>;
+
+#[derive(Clone)]
 struct Recorder {
     shared: Arc<Shared>,
     exchange: Arc<Exchange>,
-    /// Permits to wait for restarts of targets.
-    awaited_restarts: Arc<Semaphore>,
+    checks: Arc<Mutex<Checks>>,
 }
 
 impl Recorder {
-    /// Records a crash if the target's process has ended.
+    fn checks(&self) -> MutexGuard<'_, Checks> {
+        self.checks.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Has it checked whether a target's process has ended, unless that is being checked already.
     ///
     /// Connections also end without an answer if a target or the network resets them.
-    async fn record_if_crashed(&self, ended: EndedRequest) {
-        let client = self.shared.engines.client(ended.address);
-        let is_refused = client.is_refused(CHECK_TIMEOUT).await;
-        self.report_check(&ended, is_refused);
-        if !is_refused {
+    fn connection_ended(self, ended: EndedRequest) {
+        let run = ended.run.clone();
+        let mut checks = self.checks();
+        if let Some(waiting) = checks.get_mut(&run) {
+            if waiting.len() < MAX_ENDED_REQUESTS {
+                waiting.push(ended);
+            } else {
+                self.report_dropped(&run, 1, "too many requests");
+            }
+            return;
+        }
+        if checks.len() >= MAX_CHECKED_RUNS {
+            self.report_dropped(&run, 1, "too many targets");
             return;
         }
-        if !reaches_others(&self.shared, &ended.target).await {
-            slog::info!(self.shared.log, "target not reached, like all others";
-                "target" => ended.target.as_str(),
-                "content" => ended.crash.as_ref().map(|it| it.fingerprint.to_string()));
-            if !self.has_restarted(&ended).await {
+        checks.insert(run.clone(), vec![ended]);
+        drop(checks);
+        tokio::spawn(async move { self.check(run).await });
+    }
+
+    async fn check(&self, run: TargetRun) {
+        loop {
+            tokio::time::sleep(GATHER_TIME).await;
+            let waiting = self.checks().get(&run).map(|it| last_end(it));
+            let Some(Some(ended_at)) = waiting else {
                 return;
+            };
+            let state = check_run(&self.shared, &run, ended_at, CHECK_LIMIT).await;
+            let concluded = self.take_concluded(&run, state, ended_at);
+            match state {
+                RunState::Ended => return self.record_crashed(&run, concluded).await,
+                RunState::Alive => {}
+                RunState::Unknown => {
+                    self.report_dropped(&run, concluded.len(), "not known whether it crashed");
+                }
             }
-            self.report_restart(&ended);
         }
-        let EndedRequest {
-            target,
-            started,
-            ended_at,
-            crash,
-            parts,
-            ..
-        } = ended;
-        let run = CrashedRun::new(target, started);
+    }
+
+    /// Removes the requests of a run about which its state is known now. That a run was alive shows nothing
+    /// about connections that ended later.
+    fn take_concluded(
+        &self,
+        run: &TargetRun,
+        state: RunState,
+        ended_at: Moment,
+    ) -> Vec<EndedRequest> {
+        let mut checks = self.checks();
+        let Some(waiting) = checks.remove(run) else {
+            return Vec::new();
+        };
+        let (concluded, later): (Vec<_>, Vec<_>) = waiting
+            .into_iter()
+            .partition(|it| state == RunState::Ended || it.ended_at <= ended_at);
+        if !later.is_empty() {
+            checks.insert(run.clone(), later);
+        }
+        concluded
+    }
+
+    /// Records a crash under the requests that were in progress.
+    async fn record_crashed(&self, run: &TargetRun, mut requests: Vec<EndedRequest>) {
+        // Of those that may have waited, the target has most likely begun the one that was sent first.
+        requests.sort_by_key(|it| (!it.had_head, it.sent_at));
+        let crashed = CrashedRun::new(run.target.clone(), run.started);
         let mut records = Vec::new();
-        if let Some(crash) = crash {
-            records.extend(self.record_crash(crash, ended_at));
+        for request in requests {
+            let at = request.ended_at;
+            if let Some(crash) = request.crash {
+                records.extend(self.record_crash(crash, at));
+            }
+            records.extend(self.record_part_crash(&crashed, &request.parts, at));
         }
-        records.extend(self.record_part_crash(&run, &parts, ended_at));
         metrics::counter!("chervilshunt_target_crashes_total").increment(1);
         let writes = records
             .into_iter()
@@ -221,43 +275,10 @@
         futures_util::future::join_all(writes).await;
     }
 
-    /// Waits until the platform shows that the target's run has ended, and returns false if it does not.
-    ///
-    /// If all targets of a service crash at once, this instance reaches none of them, as if its own links had
-    /// failed. Only a target that crashed starts again.
-    async fn has_restarted(&self, ended: &EndedRequest) -> bool {
-        let Ok(_permit) = self.awaited_restarts.try_acquire() else {
-            return false;
-        };
-        let checks = async {
-            while !self
-                .shared
-                .dispatch()
-                .has_run_ended(&ended.target, ended.started)
-            {
-                tokio::time::sleep(RESTART_CHECK_INTERVAL).await;
-            }
-        };
-        tokio::time::timeout(RESTART_WAIT, checks).await.is_ok()
-    }
-
-    /// Reports what was found at the address of a target whose connection ended.
-    fn report_check(&self, ended: &EndedRequest, is_refused: bool) {
-        let found = if is_refused { "refused" } else { "not_refused" };
-        let after = self.shared.clock.now().since(ended.ended_at);
-        slog::info!(self.shared.log, "address of target checked";
-            "target" => ended.target.as_str(), "found" => found,
-            "after_ms" => after.as_millis() as u64,
-            "content" => ended.crash.as_ref().map(|it| it.fingerprint.to_string()),
-            "suspected_parts" => ended.parts.len());
-        metrics::counter!("chervilshunt_crash_checks_total", "found" => found).increment(1);
-    }
-
-    fn report_restart(&self, ended: &EndedRequest) {
-        let after = self.shared.clock.now().since(ended.ended_at);
-        slog::info!(self.shared.log, "target not reached has restarted";
-            "target" => ended.target.as_str(), "after_ms" => after.as_millis() as u64);
-        metrics::counter!("chervilshunt_crashes_shown_by_restarts_total").increment(1);
+    fn report_dropped(&self, run: &TargetRun, requests: usize, reason: &'static str) {
+        slog::warn!(self.shared.log, "possible crash dropped";
+            "target" => run.target.as_str(), "requests" => requests, "reason" => reason);
+        metrics::counter!("chervilshunt_possible_crashes_dropped_total").increment(1);
     }
 
     /// Returns the record to write, if it must be.
@@ -304,38 +325,23 @@
     }
 }
 
-/// Returns whether this instance reaches another target of the service, if there is any. To an
-/// instance that has lost its links, all targets refuse connections, and every request that was
-/// in progress would be taken for one that crashes targets.
-async fn reaches_others(shared: &Arc<Shared>, target: &TargetName) -> bool {
-    let others = shared
-        .dispatch()
-        .targets_to_compare(target, COMPARED_TARGETS, rand::random);
-    if others.is_empty() {
-        return true;
-    }
-    let probes = others.into_iter().map(|it| probe(Arc::clone(shared), it));
-    let answers = JoinSet::from_iter(probes).join_all().await;
-    answers.contains(&true)
+/// Returns when the last of the connections ended.
+fn last_end(ended: &[EndedRequest]) -> Option<Moment> {
+    ended.iter().map(|it| it.ended_at).max()
 }
 
-/// Returns whether a target's process has ended together with a connection of it.
+/// Returns whether a target's process has ended together with a connection of it, or may have.
 ///
 /// The end of a connection is that of an answer which states neither a length nor chunks. It looks the same
 /// if the process was killed in the middle of the answer.
-pub(crate) async fn has_crashed(
-    shared: Arc<Shared>,
-    target: TargetName,
-    address: SocketAddr,
-) -> bool {
+pub(crate) async fn may_have_crashed(shared: Arc<Shared>, run: TargetRun) -> bool {
     let stays = |it: &TargetFacts| it.leaving.is_none();
-    if !shared.dispatch().target(&target).is_some_and(stays) {
+    if !shared.dispatch().target(&run.target).is_some_and(stays) {
         // It may have answered its last request and exited.
         return false;
     }
-    tokio::time::sleep(EXIT_TIME).await;
-    let client = shared.engines.client(address);
-    client.is_refused(CHECK_TIMEOUT).await && reaches_others(&shared, &target).await
+    let ended_at = shared.clock.now();
+    check_run(&shared, &run, ended_at, ANSWER_CHECK_LIMIT).await != RunState::Alive
 }
 
 /// Writes everything that is known of a request's crashes, merged with the records of other
--- a/crates/chervilshunt_gateway/src/dialect.rs
+++ b/crates/chervilshunt_gateway/src/dialect.rs
@@ -290,6 +290,8 @@
     pub decode_order_answer: fn(StatusCode, &HeaderMap, &TargetName) -> OrderAnswer,
     /// Makes the request for a target's report of what it holds.
     pub report_query: fn(&TargetName) -> Request<Full<Bytes>>,
+    /// Makes the request for a target's health check at a path; `None` if the path is not valid.
+    pub health_query: fn(&TargetName, &str) -> Option<Request<Full<Bytes>>>,
     /// Decodes a target's report of what it holds.
     pub decode_report: fn(&[u8]) -> Result<TargetReport, Malformed>,
     /// Decodes the weights that a request names.
--- a/crates/chervilshunt_gateway/src/lib.rs
+++ b/crates/chervilshunt_gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod ports;
 mod reports;
 mod run;
+mod run_check;
 mod settings;
 mod shared;
 mod stalls;
--- a/crates/chervilshunt_gateway/src/reports.rs
+++ b/crates/chervilshunt_gateway/src/reports.rs
@@ -20,7 +20,7 @@
     body: Duration::from_millis(500),
 };
 /// Maximum length of a target's report, in bytes.
-const MAX_REPORT_BYTES: usize = 1 << 20;
+pub(crate) const MAX_REPORT_BYTES: usize = 1 << 20;
 
 /// Returns a client for a single order to a target, or a single query of what it holds.
 ///
--- /dev/null
+++ b/crates/chervilshunt_gateway/src/run_check.rs
@@ -0,0 +1,236 @@
+//! Finds out whether a target's process has ended, after a connection to it has.
+//!
+//! See `docs/design/quarantine.md`.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilshunt_core::{RunCheck, RunFinding, RunVerdict, TargetStart};
+use chervilshunt_engine::{CallStage, ConnectionUse, EngineError};
+use chervilshunt_model::{Moment, TargetName};
+use http::Request;
+use http_body_util::Full;
+use hyper::body::Bytes;
+use tokio::task::JoinSet;
+
+use crate::reports::{MAX_REPORT_BYTES, TARGET_CALL_LIMITS, single_call_client};
+use crate::shared::Shared;
+use crate::transit::probe;
+
+/// Interval at which it is checked whether other requests or the platform show the same.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Number of other targets that are tried before one counts as crashed.
+const COMPARED_TARGETS: usize = 3;
+
+/// One run of a target, a connection of which has ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct TargetRun {
+    pub(crate) target: TargetName,
+    pub(crate) address: SocketAddr,
+    /// The start of the target when the request was sent.
+    pub(crate) started: Option<TargetStart>,
+}
+
+/// Whether a run of a target goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RunState {
+    Alive,
+    Ended,
+    /// Nothing has shown either in time.
+    Unknown,
+}
+
+impl RunState {
+    /// Returns the name used in logs and metrics.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Alive => "alive",
+            Self::Ended => "ended",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// What has shown the state of a run.
+#[derive(Clone, Copy, Debug)]
+enum Evidence {
+    Question(RunFinding),
+    /// The run has begun to answer a request that was sent after the end of the connection.
+    OtherAnswer,
+    /// The platform's list of targets has another run, or none.
+    Platform,
+    TimeOut,
+}
+
+impl Evidence {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Question(finding) => finding.as_str(),
+            Self::OtherAnswer => "other_answer",
+            Self::Platform => "platform",
+            Self::TimeOut => "timeout",
+        }
+    }
+}
+
+/// Finds out whether a run goes on after `ended_at`, when a connection to it ended.
+///
+/// That an address accepts connections shows nothing: the listener of a process may be closed after its
+/// connections. The target is asked until it answers, or refuses, or something else shows its end.
+pub(crate) async fn check_run(
+    shared: &Arc<Shared>,
+    run: &TargetRun,
+    ended_at: Moment,
+    limit: Duration,
+) -> RunState {
+    let mut check = RunCheck::default();
+    let found = find_state(shared, run, ended_at, &mut check);
+    let found = tokio::time::timeout(limit, found).await;
+    let (state, evidence) = found.unwrap_or((RunState::Unknown, Evidence::TimeOut));
+    let after = shared.clock.now().since(ended_at);
+    slog::info!(shared.log, "target checked";
+        "target" => run.target.as_str(), "state" => state.as_str(),
+        "evidence" => evidence.as_str(), "questions" => check.questions(),
+        "after_ms" => after.as_millis() as u64);
+    metrics::counter!("chervilshunt_target_checks_total",
+        "state" => state.as_str(), "evidence" => evidence.as_str())
+    .increment(1);
+    metrics::histogram!("chervilshunt_target_check_seconds").record(after.as_secs_f64());
+    state
+}
+
+async fn find_state(
+    shared: &Arc<Shared>,
+    run: &TargetRun,
+    ended_at: Moment,
+    check: &mut RunCheck,
+) -> (RunState, Evidence) {
+    loop {
+        let asked_at = shared.clock.now();
+        let finding = ask(shared, run).await;
+        let evidence = Evidence::Question(finding);
+        match check.record(finding, asked_at, shared.clock.now()) {
+            RunVerdict::Alive => return (RunState::Alive, evidence),
+            RunVerdict::Ended => return (RunState::Ended, evidence),
+            RunVerdict::EndedIfLinksWork => {
+                if reaches_others(shared, &run.target).await {
+                    return (RunState::Ended, evidence);
+                }
+                slog::info!(shared.log, "target not reached, like all others";
+                    "target" => run.target.as_str());
+                // Only the platform can tell a crash of all targets from failed links.
+                return watch(shared, run, ended_at).await;
+            }
+            RunVerdict::AskAgain(delay) => {
+                let watched = tokio::time::timeout(delay, watch(shared, run, ended_at));
+                if let Ok(found) = watched.await {
+                    return found;
+                }
+            }
+        }
+    }
+}
+
+/// Waits until other requests or the platform show whether a run goes on.
+async fn watch(shared: &Shared, run: &TargetRun, ended_at: Moment) -> (RunState, Evidence) {
+    loop {
+        {
+            let dispatch = shared.dispatch();
+            if dispatch.has_run_ended(&run.target, run.started) {
+                return (RunState::Ended, Evidence::Platform);
+            }
+            if dispatch.has_answered_since(&run.target, run.started, ended_at) {
+                return (RunState::Alive, Evidence::OtherAnswer);
+            }
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Asks a target for a sign of life, on a connection of its own.
+async fn ask(shared: &Shared, run: &TargetRun) -> RunFinding {
+    let (question, has_report) = question(shared, run);
+    let client = single_call_client(shared, run.address);
+    let answer = client.forward(question, ConnectionUse::NEW, TARGET_CALL_LIMITS);
+    let (head, body) = match answer.await {
+        Ok(answer) => answer,
+        Err(error) => return finding(&error),
+    };
+    if shared
+        .dialect
+        .headers
+        .name_other_target(&head.headers, &run.target)
+    {
+        return RunFinding::Replaced;
+    }
+    if !has_report || !head.status.is_success() {
+        return RunFinding::Answered;
+    }
+    let body = match body.read_whole(MAX_REPORT_BYTES).await {
+        Ok(body) => body,
+        Err(error) => return finding(&error),
+    };
+    let report = (shared.dialect.targets.decode_report)(&body);
+    let stated = report.ok().and_then(|it| it.started);
+    match (stated, run.started) {
+        (Some(stated), Some(started)) if stated != started => RunFinding::Replaced,
+        (Some(_) | None, Some(_) | None) => RunFinding::Answered,
+    }
+}
+
+/// Returns the request that asks a target for a sign of life, and whether its answer is a report. An engine
+/// reports without waiting for a slot; a target of a plain service has health checks only.
+fn question(shared: &Shared, run: &TargetRun) -> (Request<Full<Bytes>>, bool) {
+    let dialect = &shared.dialect.targets;
+    let health_check = || {
+        let service = {
+            let dispatch = shared.dispatch();
+            dispatch.target(&run.target)?.service.clone()
+        };
+        let routes = shared.routes.load();
+        let service = routes.as_ref()?.services.get(&service)?;
+        let path = service.health_path.as_deref()?;
+        service.placement.is_none().then_some(())?;
+        (dialect.health_query)(&run.target, path)
+    };
+    match health_check() {
+        Some(req) => (req, false),
+        None => ((dialect.report_query)(&run.target), true),
+    }
+}
+
+fn finding(error: &EngineError) -> RunFinding {
+    match error {
+        EngineError::NotSent { source, .. }
+            if source.kind() == std::io::ErrorKind::ConnectionRefused =>
+        {
+            RunFinding::Refused
+        }
+        EngineError::NotSent {
+            was_open: false, ..
+        }
+        | EngineError::Timeout {
+            stage: CallStage::Connect,
+            ..
+        } => RunFinding::Unreachable,
+        EngineError::Timeout { .. } => RunFinding::Silent,
+        // An answer to a question without an id is never one to another request.
+        _ => RunFinding::Closed,
+    }
+}
+
+/// Returns whether this instance reaches another target of the service, if there is any. To an
+/// instance that has lost its links, all targets refuse connections, and every request that was
+/// in progress would be taken for one that crashes targets.
+async fn reaches_others(shared: &Arc<Shared>, target: &TargetName) -> bool {
+    let others = shared
+        .dispatch()
+        .targets_to_compare(target, COMPARED_TARGETS, rand::random);
+    if others.is_empty() {
+        return true;
+    }
+    let probes = others.into_iter().map(|it| probe(Arc::clone(shared), it));
+    let answers = JoinSet::from_iter(probes).join_all().await;
+    answers.contains(&true)
+}
--- a/crates/chervilshunt_gateway/src/traffic/in_flight.rs
+++ b/crates/chervilshunt_gateway/src/traffic/in_flight.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use chervilshunt_core::{
     Crash, HealthSignal, SettlingNumber, SoftwareVersion, TargetPath, TargetStart, Weights,
@@ -13,11 +12,9 @@
 use super::request::CallerRequest;
 use crate::crashes::{CrashObservation, EndedRequest};
 use crate::grants::Grant;
+use crate::run_check::TargetRun;
 use crate::shared::Shared;
 
-/// Time since its first byte up to which an interrupted answer may have crashed its target by beginning.
-pub(crate) const FRESH_ANSWER_AGE: Duration = Duration::from_millis(500);
-
 /// A request in progress at a target. Dropping it ends it in the target's accounting.
 #[derive(Debug)]
 pub(crate) struct InFlight {
@@ -85,7 +82,11 @@
         if self.begun_at.is_some() {
             return;
         }
-        self.begun_at = Some(self.shared.clock.now());
+        let now = self.shared.clock.now();
+        self.begun_at = Some(now);
+        self.shared
+            .dispatch()
+            .answer_began(&self.target, self.started, self.sent_at, now);
         if self.path == TargetPath::Direct {
             self.settling = self.shared.answer_began(&self.target, &req.parts);
         }
@@ -117,8 +118,7 @@
     /// Handles the end of the target's connection, of which the target may have crashed.
     ///
     /// A request is suspected itself if the target had not begun to answer it, and the parts of its prompt if
-    /// the target had just begun to, or was about to. An engine writes the head of an answer when it starts to
-    /// run the request, so a request without a head was most likely still queued.
+    /// the target had just begun to, or may have been about to.
     pub(crate) fn connection_ended(&self, req: &CallerRequest, head_came: bool) {
         // In transit it may be the connection to the other instance that ended.
         if self.path == TargetPath::Transit {
@@ -126,14 +126,12 @@
         }
         self.shared.connection_ended(&self.target);
         let now = self.shared.clock.now();
-        let begun_before = self.begun_at.map(|at| now.since(at));
         let crash = self.begun_at.is_none().then(|| Crash {
             fingerprint: req.fingerprint(),
             target: self.target.clone(),
             has_run: head_came || self.weights.is_none(),
         });
-        let is_fresh = begun_before.is_none_or(|it| it <= FRESH_ANSWER_AGE);
-        let parts = if head_came && is_fresh {
+        let parts = if head_came && self.shared.is_fresh_answer(self.begun_at) {
             req.parts.clone()
         } else {
             Vec::new()
@@ -141,19 +139,30 @@
         if crash.is_some() || !parts.is_empty() {
             self.shared
                 .queue_crash_observation(CrashObservation::ConnectionEnded(EndedRequest {
-                    target: self.target.clone(),
-                    address: self.address,
-                    started: self.started,
+                    run: self.run(),
+                    sent_at: self.sent_at,
                     ended_at: now,
                     crash,
                     parts,
+                    had_head: head_came,
                 }));
         }
     }
 
+    /// Returns the run of the target to which the request was sent.
+    pub(crate) fn run(&self) -> TargetRun {
+        TargetRun {
+            target: self.target.clone(),
+            address: self.address,
+            started: self.started,
+        }
+    }
+
     /// Records that the answer has been received as a whole.
     pub(crate) fn answered_whole(&mut self) {
-        self.settling = None;
+        if let Some(number) = self.settling.take() {
+            self.shared.settling().ended_whole(number);
+        }
     }
 
     /// Has the quarantine of a request released, because this target has begun to answer it.
@@ -180,6 +189,7 @@
     pub(crate) fn response_received(&self, now: Moment) {
         let mut dispatch = self.shared.dispatch();
         dispatch.response_received(&self.target, self.path, now);
+        dispatch.answer_received(&self.target, now);
     }
 
     /// Returns the version of the weights that the request was sent for, if known.
--- a/crates/chervilshunt_gateway/src/traffic/mod.rs
+++ b/crates/chervilshunt_gateway/src/traffic/mod.rs
@@ -30,7 +30,6 @@
 
 pub(crate) use attempt::CONNECT_TIMEOUT;
 pub(crate) use charge::CHARGE_TIMEOUT;
-pub(crate) use in_flight::FRESH_ANSWER_AGE;
 pub(crate) use intake::read_body;
 pub(crate) use place::REACHABLE_WINDOW;
 pub(crate) use serve::serve;
--- a/crates/chervilshunt_gateway/src/traffic/relay.rs
+++ b/crates/chervilshunt_gateway/src/traffic/relay.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chervilshunt_core::{HealthSignal, Repeat, SoftwareVersion, StreamOrigin};
+use chervilshunt_core::{FRESH_ANSWER_AGE, HealthSignal, Repeat, SoftwareVersion, StreamOrigin};
 use chervilshunt_engine::{BodyReader, FINAL_WAIT, Framing, MAX_READY_CHUNKS};
 use chervilshunt_model::Moment;
 use http_body::{Frame, SizeHint};
@@ -16,10 +16,10 @@
 use super::attempt::{AcceptedAnswer, RequestAttempts};
 use super::body::TruncatedAnswer;
 use super::events::EventBuffer;
-use super::in_flight::{FRESH_ANSWER_AGE, InFlight};
+use super::in_flight::InFlight;
 use super::refusal::Refusal;
 use super::request::CallerRequest;
-use crate::crashes::{TARGET_ENDED, has_crashed};
+use crate::crashes::{TARGET_ENDED, may_have_crashed};
 use crate::shared::Shared;
 
 /// Interval at which a stream records that its target responds: short enough for other requests to
@@ -127,9 +127,9 @@
                 ready!(self.poll_resuming(cx))?;
             }
             if let Some(checking) = &mut self.checking {
-                let has_crashed = ready!(checking.as_mut().poll(cx));
+                let may_have_crashed = ready!(checking.as_mut().poll(cx));
                 self.checking = None;
-                if !has_crashed {
+                if !may_have_crashed {
                     self.end();
                     return Poll::Ready(None);
                 }
@@ -165,8 +165,8 @@
                 }
                 None if self.ends_with_connection() => {
                     let shared = Arc::clone(&self.shared);
-                    let (target, address) = (self.in_flight.target.clone(), self.in_flight.address);
-                    self.checking = Some(Box::pin(has_crashed(shared, target, address)));
+                    let run = self.in_flight.run();
+                    self.checking = Some(Box::pin(may_have_crashed(shared, run)));
                 }
                 None => {
                     self.end();
--- a/crates/chervilshunt_gateway/src/transit/answer.rs
+++ b/crates/chervilshunt_gateway/src/transit/answer.rs
@@ -1,20 +1,20 @@
 //! Passes a target's answer on to the instance that asked for it.
 
 use std::future::Future;
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
-use chervilshunt_core::{PartId, SettlingNumber, TargetStart};
+use chervilshunt_core::{PartId, SettlingNumber};
 use chervilshunt_engine::{BodyReader, EngineError, Framing};
-use chervilshunt_model::{Moment, TargetName};
+use chervilshunt_model::Moment;
 use http_body::{Body, Frame, SizeHint};
 
 use super::pass_on::PassedRequest;
-use crate::crashes::{CrashObservation, EndedRequest, TARGET_ENDED, has_crashed};
-use crate::traffic::FRESH_ANSWER_AGE;
+use crate::crashes::{CrashObservation, EndedRequest, TARGET_ENDED, may_have_crashed};
+use crate::run_check::TargetRun;
+use crate::shared::Shared;
 
 /// The body of an answer to another instance.
 pub(super) enum TransitBody {
@@ -40,10 +40,9 @@
 /// A target's body, and the request that it answers.
 pub(super) struct PassedAnswer {
     pub(super) body: BodyReader,
-    pub(super) target: TargetName,
-    pub(super) address: SocketAddr,
-    /// The start of the target to which the request was sent.
-    pub(super) started: Option<TargetStart>,
+    /// The run of the target to which the request was sent.
+    pub(super) run: TargetRun,
+    pub(super) sent_at: Moment,
     /// The shared parts of the request's prompt.
     pub(super) parts: Vec<PartId>,
     /// When the target began to answer.
@@ -73,47 +72,72 @@
                     return polled;
                 }
                 let shared = Arc::clone(self.open.shared());
-                let check = has_crashed(shared, self.target.clone(), self.address);
+                let check = may_have_crashed(shared, self.run.clone());
                 self.checking.insert(Box::pin(check))
             }
         };
-        let has_crashed = ready!(checking.as_mut().poll(cx));
+        let may_have_crashed = ready!(checking.as_mut().poll(cx));
         self.checking = None;
-        Poll::Ready(has_crashed.then(|| {
+        Poll::Ready(may_have_crashed.then(|| {
             let problem = TARGET_ENDED.into();
             Err(EngineError::Truncated { problem })
         }))
     }
 
-    /// Records that the target has begun to answer, since only this instance sees it crash.
-    fn record_begin(&mut self) {
-        if self.begun_at.is_none() {
-            let shared = self.open.shared();
-            self.begun_at = Some(shared.clock.now());
-            self.settling = shared.answer_began(&self.target, &self.parts);
+    /// Records that bytes were received from the target, since only this instance sees it crash.
+    fn received(&mut self) {
+        let shared = self.open.shared();
+        let now = shared.clock.now();
+        let mut dispatch = shared.dispatch();
+        if self.begun_at.is_some() {
+            dispatch.answer_received(&self.run.target, now);
+            return;
+        }
+        dispatch.answer_began(&self.run.target, self.run.started, self.sent_at, now);
+        drop(dispatch);
+        self.begun_at = Some(now);
+        self.settling = shared.answer_began(&self.run.target, &self.parts);
+    }
+
+    fn ended_whole(&mut self) {
+        if let Some(number) = self.settling.take() {
+            self.open.shared().settling().ended_whole(number);
         }
     }
 
-    /// Records that the target's connection ended, if the target had just begun to answer or was about to.
+    /// Records that the target's connection ended, if the target had just begun to answer.
     fn connection_ended(&self) {
         let shared = self.open.shared();
-        shared.connection_ended(&self.target);
-        let now = shared.clock.now();
-        let begun_before = self.begun_at.map(|at| now.since(at));
-        let is_fresh = begun_before.is_none_or(|it| it <= FRESH_ANSWER_AGE);
-        if is_fresh && !self.parts.is_empty() {
-            shared.queue_crash_observation(CrashObservation::ConnectionEnded(EndedRequest {
-                target: self.target.clone(),
-                address: self.address,
-                started: self.started,
-                ended_at: now,
-                crash: None,
-                parts: self.parts.clone(),
-            }));
+        shared.connection_ended(&self.run.target);
+        if shared.is_fresh_answer(self.begun_at) {
+            let (run, sent_at) = (self.run.clone(), self.sent_at);
+            queue_ended(shared, run, sent_at, self.parts.clone(), true);
         }
     }
 }
 
+/// Queues the observation that a target's connection ended when it had just begun to answer a request with
+/// these parts, or was about to.
+fn queue_ended(
+    shared: &Shared,
+    run: TargetRun,
+    sent_at: Moment,
+    parts: Vec<PartId>,
+    had_head: bool,
+) {
+    if parts.is_empty() {
+        return;
+    }
+    shared.queue_crash_observation(CrashObservation::ConnectionEnded(EndedRequest {
+        run,
+        sent_at,
+        ended_at: shared.clock.now(),
+        crash: None,
+        parts,
+        had_head,
+    }));
+}
+
 impl Drop for PassedAnswer {
     fn drop(&mut self) {
         if let Some(number) = self.settling {
@@ -135,9 +159,9 @@
             Self::Passed(answer) => {
                 let polled = answer.poll_body(cx);
                 match &polled {
-                    Poll::Ready(Some(Ok(_))) => answer.record_begin(),
+                    Poll::Ready(Some(Ok(_))) => answer.received(),
                     Poll::Ready(Some(Err(_))) => answer.connection_ended(),
-                    Poll::Ready(None) => answer.settling = None,
+                    Poll::Ready(None) => answer.ended_whole(),
                     Poll::Pending => {}
                 }
                 polled
--- a/crates/chervilshunt_gateway/src/transit/pass_on.rs
+++ b/crates/chervilshunt_gateway/src/transit/pass_on.rs
@@ -17,6 +17,7 @@
 use super::header::{OUTCOME, TransitHead, strip_transit_headers, take_ticket};
 use super::outcome::TransitOutcome;
 use crate::links::count_mismatch;
+use crate::run_check::TargetRun;
 use crate::shared::{OpenRequest, Shared};
 use crate::traffic::{CONNECT_TIMEOUT, REACHABLE_WINDOW, read_body};
 
@@ -117,6 +118,7 @@
     let body = body.map_err(|_refusal| TransitOutcome::Malformed)?;
     let (address, using) = find_target(shared, &transit)?;
     let left = time_left(shared, &mut head.headers, arrived)?;
+    let sent_at = shared.clock.now();
     let started = shared.dispatch().started(&transit.target);
     let parts = shared_parts(shared, &head.headers);
     let limits = Limits {
@@ -132,16 +134,29 @@
     };
     let answer = client.forward_if(outgoing(head, body), using, limits, is_in_time);
     let answer = answer.await;
-    let (head, body) = answer.map_err(|error| failed(shared, &transit.target, &error))?;
+    let run = TargetRun {
+        target: transit.target,
+        address,
+        started,
+    };
+    let (head, body) = match answer {
+        Ok(answer) => answer,
+        Err(error) => {
+            if matches!(error, EngineError::OutcomeUnknown { .. }) {
+                shared.connection_ended(&run.target);
+            }
+            return Err(failed(shared, &run.target, &error));
+        }
+    };
     let names = &shared.dialect.headers;
-    if !names.name_other_target(&head.headers, &transit.target) {
+    if !names.name_other_target(&head.headers, &run.target) {
         if !body.is_on_reused_connection() {
-            shared.record_connection_opened(&transit.target);
+            shared.record_connection_opened(&run.target);
         }
         let now = shared.clock.now();
         shared
             .dispatch()
-            .response_received(&transit.target, TargetPath::Direct, now);
+            .response_received(&run.target, TargetPath::Direct, now);
     }
     let mut headers = head.headers;
     strip_hop_by_hop(&mut headers);
@@ -151,9 +166,8 @@
     }
     let answer = PassedAnswer {
         body,
-        target: transit.target,
-        address,
-        started,
+        run,
+        sent_at,
         parts,
         begun_at: None,
         settling: None,
