A part is suspected of a crash that leaves no head, or that ends connections late

Callers saw requests with a part that crashes targets passed on long after the fifth crash where the target sent nothing of the answer, or stood still before its connections ended. The parts of a prompt were suspected only if a head had come, and if the first byte was at most 0.5 s old when the connection ended; a target that stands still while its memory is dumped made every answer look old, and cleared its parts after 1.2 s, as its connections were still open.

Now the parts of unanswered requests are suspected too, after those with a head and the one that was sent first before the others; the age of an answer counts up to the last bytes of its target, and an answer clears its parts only once its target was heard 0.5 s after it began, or if the whole of it has come. Requests in transit without a head are observed as well.

Requests that wait at many targets are in many crashes beside the one at fault, so a part explains nearly all crashes of another one only if most requests with that one have it too, and eight crashes are as good as a trial only in six rounds.

--- a/crates/chervilshunt_core/src/quarantine/parts.rs
+++ b/crates/chervilshunt_core/src/quarantine/parts.rs
@@ -104,8 +104,9 @@
         let (first, failed) = if self.recent.is_common(part) {
             (self.cfg.first_trial_of_common_after, known.failed_trials)
         } else {
-            // So many crashes leave little doubt: they are as good as a trial.
-            let is_sure = known.record.targets.len() >= SURE_CRASHES;
+            // So many crashes, one after the other, leave little doubt: they are as good as a trial.
+            let record = &known.record;
+            let is_sure = record.targets.len() >= SURE_CRASHES && record.rounds >= SURE_ROUNDS;
             let failed = known.failed_trials + u32::from(is_sure);
             (self.cfg.first_trial_after, failed)
         };
@@ -132,9 +133,12 @@
         !others.any(|(other, _)| self.explains(*other, part))
     }
 
-    /// Returns whether a part explains the crashes of another one: it is in all of them; or in nearly all and
-    /// has clearly more of its own; or in half of them while the other one is in most requests, and so in most
-    /// crashes by chance.
+    /// Returns whether a part explains the crashes of another one: it is in all of them; or in nearly all, has
+    /// clearly more of its own, and is in most requests with the other one; or in half of them while the other
+    /// one is in most requests, and so in most crashes by chance.
+    ///
+    /// A part of requests that wait at many targets is in many crashes beside the part at fault, but seldom in
+    /// the same request.
     fn explains(&self, part: Fingerprint, other: Fingerprint) -> bool {
         let targets = |it: Fingerprint| self.suspects.get(&it).map(|it| &it.record.targets);
         let (Some(of_part), Some(of_other)) = (targets(part), targets(other)) else {
@@ -146,7 +150,7 @@
         let is_in_more = of_part.len() >= of_other.len() + MORE_CRASHES;
         let is_far_rarer = self.recent.is_common(other) && !self.recent.is_common(part);
         common == of_other.len()
-            || (is_in_more && share >= NEARLY_ALL)
+            || (is_in_more && share >= NEARLY_ALL && self.recent.comes_with(other, part))
             || (is_far_rarer && share >= HALF)
     }
 
@@ -180,6 +184,7 @@
 /// Number of such crashes that are as good as a trial. A service that fails as a whole brings a part into
 /// several at once, so that it has to be more than for a refusal.
 const SURE_CRASHES: usize = 8;
+const SURE_ROUNDS: u32 = 6;
 /// Number of crashes by which a part has clearly more than another one.
 const MORE_CRASHES: usize = 2;
 /// Share of a part's crashes that are nearly all of them: instances learn of crashes one after the other.
--- a/crates/chervilshunt_core/src/quarantine/recent.rs
+++ b/crates/chervilshunt_core/src/quarantine/recent.rs
@@ -41,6 +41,15 @@
         self.counts.get(&part).copied().unwrap_or_default()
     }
 
+    /// Returns whether most of the last requests with a part had another one too.
+    pub(super) fn comes_with(&self, part: Fingerprint, other: Fingerprint) -> bool {
+        let with_part = self.requests.iter().filter(|it| it.contains(&part));
+        let (total, both) = with_part.fold((0, 0), |(total, both), it| {
+            (total + 1, both + usize::from(it.contains(&other)))
+        });
+        both * 2 > total
+    }
+
     /// Returns whether a part came in more than half of the last requests. After a start that is not known
     /// at first.
     pub(super) fn is_common(&self, part: Fingerprint) -> bool {
--- a/crates/chervilshunt_core/tests/poisoned_parts.rs
+++ b/crates/chervilshunt_core/tests/poisoned_parts.rs
@@ -5,7 +5,7 @@
 
 use chervilshunt_core::{CrashedRun, Quarantine, SETTLE_TIME, SettlingAnswers, StoredCrashes};
 use chervilshunt_model::{Moment, StoreRevision};
-use part_plays::{Play, at, part, parts, quarantine, target};
+use part_plays::{Heads, Play, at, part, parts, quarantine, target};
 use rstest::rstest;
 
 /// Returns a quarantine after targets crashed one second after the other under requests with these parts.
@@ -263,10 +263,12 @@
 }
 
 /// Guards against more requests with a part that crashes targets than may reach them, whatever else fails.
-#[test]
-fn a_part_that_crashes_targets_is_refused_in_time() {
+#[rstest]
+fn a_part_that_crashes_targets_is_refused_in_time(
+    #[values(Heads::Sent, Heads::Missing)] heads: Heads,
+) {
     for seed in seeds() {
-        let mut play = Play::new(seed, Some("culprit"));
+        let mut play = Play::new(seed, Some("culprit"), heads);
         play.run();
         let fifth = play.crashes.get(4).or(play.crashes.last()).copied();
         let known_from = fifth.expect("a crash") + 3_000;
@@ -282,8 +284,8 @@
 
 /// Plays one seed and checks that its sound requests are served: at least half of them, and all but 2 + 4 in
 /// 100 of the parts that are asked for.
-fn assert_sound_are_served(seed: u64, culprit: Option<&str>) {
-    let mut play = Play::new(seed, culprit);
+fn assert_sound_are_served(seed: u64, culprit: Option<&str>, heads: Heads) {
+    let mut play = Play::new(seed, culprit, heads);
     play.run();
     let share = play.refused as f64 / play.sound as f64;
     assert!(
@@ -308,14 +310,17 @@
 #[rstest]
 #[case::with_a_culprit(Some("culprit"))]
 #[case::without(None)]
-fn sound_requests_are_served(#[case] culprit: Option<&str>) {
+fn sound_requests_are_served(
+    #[case] culprit: Option<&str>,
+    #[values(Heads::Sent, Heads::Missing)] heads: Heads,
+) {
     for seed in seeds() {
-        assert_sound_are_served(seed, culprit);
+        assert_sound_are_served(seed, culprit, heads);
     }
 }
 
 /// Guards against parts that starve although each comes seldom and with others.
 #[test]
 fn sound_parts_that_come_seldom_are_served() {
-    assert_sound_are_served(97, Some("culprit"));
+    assert_sound_are_served(97, Some("culprit"), Heads::Sent);
 }
--- a/crates/chervilshunt_core/tests/support/part_plays.rs
+++ b/crates/chervilshunt_core/tests/support/part_plays.rs
@@ -42,18 +42,34 @@
 const RESTART_MS: u64 = 1_500;
 const PLAY_MS: u64 = 40_000;
 
-/// A request in progress at a target.
+/// The longest time for which a request waits at a target, in plays in which requests wait.
+const MAX_WAIT_MS: u64 = 2_000;
+
+/// A request at a target.
 #[derive(Clone)]
 struct Open {
     instance: usize,
     parts: Vec<Fingerprint>,
-    begun: u64,
+    sent: u64,
+    /// When the target begins to answer it.
+    begins: u64,
+    has_begun: bool,
+}
+
+/// Whether requests wait at targets, and whether the culprit leaves a head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Heads {
+    /// Targets begin to answer each request at once, and crash a moment later.
+    Sent,
+    /// Requests wait, and a target crashes before any of the answer has left it.
+    Missing,
 }
 
 /// Instances, and targets that crash on a part or with their rack.
 pub(crate) struct Play {
     rng: ChaCha8Rng,
     culprit: Option<Fingerprint>,
+    heads: Heads,
     instances: Vec<(Quarantine, SettlingAnswers)>,
     /// The target at each place, and when it serves again.
     targets: Vec<(TargetName, u64, Vec<Open>)>,
@@ -79,11 +95,12 @@
 }
 
 impl Play {
-    pub(crate) fn new(seed: u64, culprit: Option<&str>) -> Self {
+    pub(crate) fn new(seed: u64, culprit: Option<&str>, heads: Heads) -> Self {
         let targets = (0..TARGETS).map(|it| (target(it), 0, Vec::new()));
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
             culprit: culprit.map(part),
+            heads,
             instances: (0..INSTANCES)
                 .map(|_| (quarantine(), SettlingAnswers::default()))
                 .collect(),
@@ -175,30 +192,57 @@
         if is_culprit {
             self.culprit_sent.push(now);
         }
-        let (name, _, open) = &mut self.targets[*place];
-        self.instances[instance].1.began(name, &drawn, at(now));
-        open.push(Open {
+        let wait = match self.heads {
+            Heads::Sent => 0,
+            Heads::Missing => self.rng.random_range(0..MAX_WAIT_MS),
+        };
+        self.targets[*place].2.push(Open {
             instance,
             parts: drawn,
-            begun: now,
+            sent: now,
+            begins: now + wait,
+            has_begun: false,
         });
+        self.begin_answers(*place, now);
+    }
+
+    /// Begins the answers that are due, but for those that crash the target first.
+    fn begin_answers(&mut self, place: usize, now: u64) {
+        let (name, _, open) = &mut self.targets[place];
+        for it in open
+            .iter_mut()
+            .filter(|it| !it.has_begun && it.begins <= now)
+        {
+            let is_culprit = self.culprit.is_some_and(|part| it.parts.contains(&part));
+            if self.heads == Heads::Sent || !is_culprit {
+                it.has_begun = true;
+                let settling = &mut self.instances[it.instance].1;
+                settling.began(name, &it.parts, at(now));
+            }
+        }
     }
 
     fn end_answers(&mut self, now: u64) {
+        let crash_after = match self.heads {
+            Heads::Sent => CRASH_AFTER_MS,
+            Heads::Missing => 0,
+        };
         for place in 0..TARGETS {
+            self.begin_answers(place, now);
             let culprit = self.culprit;
             let open = &mut self.targets[place].2;
             let crashes = open.iter().any(|it| {
                 culprit.is_some_and(|culprit| it.parts.contains(&culprit))
-                    && now - it.begun >= CRASH_AFTER_MS
+                    && now >= it.begins + crash_after
             });
-            open.retain(|it| now - it.begun < ANSWER_MS);
+            open.retain(|it| now < it.begins + ANSWER_MS);
             if crashes {
                 self.crashes.push(now);
                 self.crash(place, now);
             }
         }
         for (known, settling) in &mut self.instances {
+            // Every target that has not crashed is heard all the time.
             for (drawn, begun_at) in settling.take_settled(at(now), |_| Some(at(now))) {
                 for released in known.record_parts_survived(&drawn, begun_at) {
                     known.release(released);
@@ -219,10 +263,12 @@
         let run = CrashedRun::from(name.clone());
         for (number, (known, settling)) in self.instances.iter_mut().enumerate() {
             settling.connection_ended(&name);
-            let fresh = open
+            let mut suspected: Vec<&Open> = open
                 .iter()
-                .filter(|it| it.instance == number && now - it.begun <= 500);
-            for it in fresh {
+                .filter(|it| it.instance == number && now <= it.begins + 500)
+                .collect();
+            suspected.sort_by_key(|it| (!it.has_begun, it.sent));
+            for it in suspected {
                 for recorded in known.record_part_crash(&it.parts, &run, at(now)) {
                     let stored = known.record_to_store(recorded);
                     let told = stored.map(|it| (now + TOLD_AFTER_MS, Told::Record(it)));
--- a/crates/chervilshunt_gateway/src/crashes.rs
+++ b/crates/chervilshunt_gateway/src/crashes.rs
@@ -113,7 +113,11 @@
     /// Clears the parts of answers whose targets have lived on.
     pub(crate) fn settle_answers(&self) {
         let now = self.clock.now();
-        let settled = self.settling().take_settled(now, |_| Some(now));
+        let settled = {
+            let dispatch = self.dispatch();
+            self.settling()
+                .take_settled(now, |target| dispatch.last_received_at(target))
+        };
         for (parts, begun_at) in settled {
             let released = self.quarantine().record_parts_survived(&parts, begun_at);
             for part in released {
@@ -124,11 +128,12 @@
 
     /// Returns whether a target was last heard so soon after it had begun an answer, if it has, that the answer
     /// may have crashed it. Its connections may end long after that.
-    pub(crate) fn is_fresh_answer(&self, begun_at: Option<Moment>) -> bool {
+    pub(crate) fn is_fresh_answer(&self, target: &TargetName, begun_at: Option<Moment>) -> bool {
         let Some(begun_at) = begun_at else {
             return true;
         };
-        self.clock.now() <= begun_at + FRESH_ANSWER_AGE
+        let received_at = self.dispatch().last_received_at(target);
+        received_at.is_none_or(|at| at <= begun_at + FRESH_ANSWER_AGE)
     }
 
     /// Records that a target's connection ended: it may have crashed, and what it has begun lately clears no
--- a/crates/chervilshunt_gateway/src/traffic/in_flight.rs
+++ b/crates/chervilshunt_gateway/src/traffic/in_flight.rs
@@ -131,7 +131,7 @@
             target: self.target.clone(),
             has_run: head_came || self.weights.is_none(),
         });
-        let parts = if head_came && self.shared.is_fresh_answer(self.begun_at) {
+        let parts = if self.shared.is_fresh_answer(&self.target, self.begun_at) {
             req.parts.clone()
         } else {
             Vec::new()
--- a/crates/chervilshunt_gateway/src/transit/answer.rs
+++ b/crates/chervilshunt_gateway/src/transit/answer.rs
@@ -109,7 +109,7 @@
     fn connection_ended(&self) {
         let shared = self.open.shared();
         shared.connection_ended(&self.run.target);
-        if shared.is_fresh_answer(self.begun_at) {
+        if shared.is_fresh_answer(&self.run.target, self.begun_at) {
             let (run, sent_at) = (self.run.clone(), self.sent_at);
             queue_ended(shared, run, sent_at, self.parts.clone(), true);
         }
@@ -118,7 +118,7 @@
 
 /// Queues the observation that a target's connection ended when it had just begun to answer a request with
 /// these parts, or was about to.
-fn queue_ended(
+pub(super) fn queue_ended(
     shared: &Shared,
     run: TargetRun,
     sent_at: Moment,
--- a/crates/chervilshunt_gateway/src/transit/pass_on.rs
+++ b/crates/chervilshunt_gateway/src/transit/pass_on.rs
@@ -13,7 +13,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 
-use super::answer::{PassedAnswer, TransitBody};
+use super::answer::{PassedAnswer, TransitBody, queue_ended};
 use super::header::{OUTCOME, TransitHead, strip_transit_headers, take_ticket};
 use super::outcome::TransitOutcome;
 use crate::links::count_mismatch;
@@ -144,6 +144,7 @@
         Err(error) => {
             if matches!(error, EngineError::OutcomeUnknown { .. }) {
                 shared.connection_ended(&run.target);
+                queue_ended(shared, run.clone(), sent_at, parts, false);
             }
             return Err(failed(shared, &run.target, &error));
         }
