All request bodies together stay within a part of the process's memory

A client of a crowd saw nothing; ordinary callers saw their instance end: 200 bodies of 4 MiB that stop just short of their end take 857 MB at an instance that may have 260 MB. Each body was bounded, all of them were not, and each chunk kept the buffer that it was read into: one body of 4 MB in chunks of one byte took 170 MB.

Now one account in the process counts what bodies cost: one buffer each, and the read buffer of their connection. If there is no room, bodies that are still being read are dropped, the oldest first, so that a crowd that doesn't end its bodies keeps nobody out. A length over the limit is refused from the head. 503 and 408 say that nothing has run; a body that took too long got 400 before. Transit reads with the same account, and chervilshunt_start holds the code, for the other traffic path.

--- a/crates/chervilshunt_core/src/admission/connections.rs
+++ b/crates/chervilshunt_core/src/admission/connections.rs
@@ -109,6 +109,11 @@
         Ok(())
     }
 
+    /// Counts a new connection for which another one is being closed.
+    pub const fn open_replacing(&mut self) {
+        self.open += 1;
+    }
+
     /// Records that an accepted connection has ended.
     pub const fn closed(&mut self) {
         self.open = self.open.saturating_sub(1);
--- a/crates/chervilshunt_core/src/lib.rs
+++ b/crates/chervilshunt_core/src/lib.rs
@@ -29,7 +29,10 @@
 mod streams;
 mod weights;
 
-pub use admission::{AdmissionConfig, ConnectionAdmission, ConnectionRefusal};
+pub use admission::{
+    AdmissionConfig, BodyMemory, BodyNumber, ConnectionAdmission, ConnectionNumber,
+    ConnectionRefusal, NoRoom, WaitingCallers,
+};
 pub use allocator::{PowerAction, PowerAllocator, PowerConfig, PowerEvent};
 #[cfg(feature = "seeded-bugs")]
 pub use bugs::Bug;
--- a/crates/chervilshunt_gateway/src/front.rs
+++ b/crates/chervilshunt_gateway/src/front.rs
@@ -1,16 +1,19 @@
 //! The callers' port: HTTP/1.1 connections with their limits.
 
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use chervilshunt_core::{CallerBounds, ConnectionNumber, ConnectionRefusal, WaitingCallers};
 use chervilshunt_model::Moment;
 use chervilshunt_start::{CallerProtocol, FlushBeforeError};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 
 use crate::shared::Shared;
 use crate::traffic::serve;
@@ -63,7 +66,7 @@
     let opened = shared.admission().try_open();
     match opened {
         Ok(()) => {
-            let admitted = AdmittedConnection(Arc::clone(shared));
+            let admitted = CallerConnection::begin(shared, now);
             tokio::spawn(serve_connection(stream, admitted));
         }
         Err(refusal) => {
@@ -76,14 +79,77 @@
 }
 
 /// A connection that is counted as open.
-struct AdmittedConnection(Arc<Shared>);
+pub(crate) struct CallerConnection {
+    shared: Arc<Shared>,
+    number: ConnectionNumber,
+    has_sent_request: AtomicBool,
+    /// Notified when it has to be closed for another one.
+    evicted: Arc<Notify>,
+}
+
+impl CallerConnection {
+    fn begin(shared: &Arc<Shared>, now: Moment) -> Self {
+        let evicted = Arc::new(Notify::new());
+        let number = shared.waiting_connections().opened(&evicted, now);
+        Self {
+            shared: Arc::clone(shared),
+            number,
+            has_sent_request: AtomicBool::new(false),
+            evicted,
+        }
+    }
+
+    /// Records that a request has been read as a whole. Returns false if the connection is about to be closed
+    /// instead.
+    pub(crate) fn request_read(&self) -> bool {
+        self.has_sent_request.load(Ordering::Relaxed) || {
+            let is_kept = self.shared.waiting_connections().ended(self.number);
+            self.has_sent_request.store(is_kept, Ordering::Relaxed);
+            is_kept
+        }
+    }
+}
 
-impl Drop for AdmittedConnection {
+impl Drop for CallerConnection {
     fn drop(&mut self) {
-        self.0.admission().closed();
+        self.shared.waiting_connections().ended(self.number);
+        self.shared.admission().closed();
     }
 }
 
+/// The connections that have not sent a whole request yet, the oldest first.
+#[derive(Debug, Default)]
+pub(crate) struct WaitingConnections {
+    known: WaitingCallers,
+    notified: HashMap<ConnectionNumber, Arc<Notify>>,
+}
+
+impl WaitingConnections {
+    fn opened(&mut self, evicted: &Arc<Notify>, now: Moment) -> ConnectionNumber {
+        let number = self.known.opened(now);
+        self.notified.insert(number, Arc::clone(evicted));
+        number
+    }
+
+    /// Forgets a connection that has sent a request or is closed, and returns whether it was known.
+    fn ended(&mut self, number: ConnectionNumber) -> bool {
+        self.known.ended(number);
+        self.notified.remove(&number).is_some()
+    }
+
+    /// Has the oldest connection closed, and returns false if none is old enough.
+    fn evict(&mut self, now: Moment) -> bool {
+        let oldest = self.known.evict(now);
+        let notified = oldest.and_then(|it| self.notified.remove(&it));
+        notified.inspect(|it| it.notify_one()).is_some()
+    }
+}
+
+/// Returns the largest size of a connection's read buffer, in bytes.
+pub(crate) fn read_buffer(bounds: CallerBounds) -> usize {
+    bounds.header_bytes.max(MIN_BUFFER)
+}
+
 /// Notices that connections come quickly. Measuring the lag costs wake-ups, so it is done only then.
 #[derive(Default)]
 struct FloodWatch {
@@ -142,21 +208,21 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, admitted: AdmittedConnection) {
-    let shared = Arc::clone(&admitted.0);
+async fn serve_connection(stream: TcpStream, admitted: CallerConnection) {
+    let shared = Arc::clone(&admitted.shared);
     if let Err(error) = stream.set_nodelay(true) {
         slog::debug!(shared.log, "connection closed"; "reason" => error.to_string());
         return;
     }
     let bounds = shared.routes.load_full().map(|routes| routes.bounds);
     let idle = bounds.map_or(DEFAULT_IDLE_TIMEOUT, |it| it.idle_time.max(it.header_time));
-    let buffer = bounds.map_or(MIN_BUFFER, |it| it.header_bytes.max(MIN_BUFFER));
+    let buffer = bounds.map_or(MIN_BUFFER, read_buffer);
     let protocol = CallerProtocol::default();
     let service = service_fn(|req| {
-        let shared = &shared;
+        let (shared, admitted) = (&shared, &admitted);
         protocol.record(req.version());
         async move {
-            let res = Box::pin(serve(shared, req)).await;
+            let res = Box::pin(serve(shared, admitted, req)).await;
             Ok::<_, Infallible>(res.map(FlushBeforeError::new))
         }
     });
@@ -170,6 +236,7 @@
         .serve_connection(TokioIo::new(stream), service);
     let ended = tokio::select! {
         ended = &mut connection => ended,
+        () = admitted.evicted.notified() => return,
         () = shared.close_connections.cancelled() => {
             // Closes an idle connection now, and a busy one after the current request is answered.
             Pin::new(&mut connection).graceful_shutdown();
--- a/crates/chervilshunt_gateway/src/settings.rs
+++ b/crates/chervilshunt_gateway/src/settings.rs
@@ -78,6 +78,8 @@
     pub processor_share: f64,
     /// The number of descriptors that it may open; `None` to ask the system.
     pub max_descriptors: Option<usize>,
+    /// The memory that its process may have, in bytes; `None` to ask the system.
+    pub max_memory: Option<usize>,
     /// Whether the whole deployment starts for the first time.
     pub is_first_start: bool,
 }
@@ -167,6 +169,7 @@
     region: Option<String>,
     processor_share: Option<f64>,
     max_descriptors: Option<usize>,
+    max_memory_mb: Option<f64>,
     first_start: Option<bool>,
 }
 
@@ -295,6 +298,14 @@
             must: "be 128 or more"
         }
     );
+    ensure!(
+        instance.max_memory_mb.is_none_or(|it| it > 0.0),
+        OutOfBoundsSnafu {
+            file,
+            key: "instance.max_memory_mb",
+            must: "be greater than 0"
+        }
+    );
     Ok(Settings {
         instance: InstanceSettings {
             id: InstanceId::new(id),
@@ -302,6 +313,7 @@
             region: RegionName::new(region),
             processor_share,
             max_descriptors: instance.max_descriptors,
+            max_memory: instance.max_memory_mb.map(|it| (it * 1e6) as usize),
             is_first_start: instance.first_start.unwrap_or(true),
         },
         addresses: Addresses {
--- a/crates/chervilshunt_gateway/src/shared.rs
+++ b/crates/chervilshunt_gateway/src/shared.rs
@@ -13,12 +13,14 @@
 use chervilshunt_engine::EngineClients;
 use chervilshunt_mesh::{Mesh, Peer};
 use chervilshunt_model::{Clock, Moment};
+use chervilshunt_start::{BodyIntake, memory_limit};
 use slog::Logger;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::crashes::CrashObservationSender;
 use crate::dialect::Dialect;
+use crate::front::WaitingConnections;
 use crate::grants::GrantTracker;
 use crate::peers::PeerMessage;
 use crate::settings::Settings;
@@ -56,6 +58,8 @@
     pub(crate) log: Logger,
     pub(crate) mesh: Mesh<PeerMessage>,
     pub(crate) engines: EngineClients,
+    /// The bodies of callers' and other instances' requests.
+    pub(crate) bodies: Arc<BodyIntake>,
     pub(crate) grants: GrantTracker,
     pub(crate) crash_observations: CrashObservationSender,
     /// The current configuration; empty until one has been read.
@@ -93,6 +97,7 @@
     quarantine: Mutex<Quarantine>,
     settling: Mutex<SettlingAnswers>,
     admission: Mutex<ConnectionAdmission>,
+    waiting_connections: Mutex<WaitingConnections>,
     quota_shares: Mutex<QuotaShares>,
     instance_share: Mutex<InstanceShare>,
     /// Whether the placer decides on the admission to plain services, as it has reported.
@@ -162,6 +167,8 @@
             AdmissionConfig::for_descriptors(it)
         });
         let admission = ConnectionAdmission::new(admission);
+        let memory = settings.instance.max_memory.or_else(memory_limit);
+        let bodies = BodyIntake::new(clock, memory);
         let quota_shares = QuotaShares::new(settings.bounds.quota_tolerance, clock.now());
         let engines = EngineClients::new(dialect.headers.id_header());
         Arc::new(Self {
@@ -172,6 +179,7 @@
             log,
             mesh,
             engines,
+            bodies,
             grants: GrantTracker::default(),
             crash_observations,
             routes: ArcSwapOption::empty(),
@@ -195,6 +203,7 @@
             quarantine: Mutex::new(Quarantine::new(QuarantineConfig::default())),
             settling: Mutex::default(),
             admission: Mutex::new(admission),
+            waiting_connections: Mutex::default(),
             quota_shares: Mutex::new(quota_shares),
             instance_share: Mutex::default(),
             placer_admits: AtomicBool::new(false),
@@ -247,6 +256,13 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the callers' connections that have not sent a whole request yet.
+    pub(crate) fn waiting_connections(&self) -> MutexGuard<'_, WaitingConnections> {
+        self.waiting_connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns whether this instance is the placer, as far as it knows.
     pub(crate) fn is_placer(&self) -> bool {
         let placer = self.placer.load();
--- a/crates/chervilshunt_gateway/src/traffic/intake.rs
+++ b/crates/chervilshunt_gateway/src/traffic/intake.rs
@@ -3,21 +3,35 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use chervilshunt_start::{BodyLimits, IntakeError};
 use hyper::body::Incoming;
 
 use super::refusal::{Reason, Refusal};
+use crate::shared::Shared;
 
 /// Timeout of a body: well above what a body of the longest allowed length takes on the slowest
 /// link, and below the time for which callers wait.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// The shortest `Retry-After` of a request for whose body there is no memory.
+const ROOM_RETRY: Duration = Duration::from_millis(500);
 
 /// Reads the whole body, so that it can be sent more than once.
-pub(crate) async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    let collected = Limited::new(body, limit).collect();
-    match tokio::time::timeout(BODY_TIMEOUT, collected).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::new(Reason::TooLong)),
-        Ok(Err(_)) | Err(_) => Err(Refusal::new(Reason::BodyBroke)),
-    }
+pub(crate) async fn read_body(
+    shared: &Shared,
+    body: Incoming,
+    limit: usize,
+    read_buffer: usize,
+) -> Result<Bytes, Refusal> {
+    let limits = BodyLimits {
+        bytes: limit,
+        time: BODY_TIMEOUT,
+        read_buffer,
+    };
+    let read = shared.bodies.read(body, limits).await;
+    read.map_err(|error| match error {
+        IntakeError::TooLong { .. } => Refusal::new(Reason::TooLong),
+        IntakeError::TooSlow { .. } => Refusal::new(Reason::BodySlow),
+        IntakeError::Broken { .. } => Refusal::new(Reason::BodyBroke),
+        IntakeError::NoRoom => Refusal::retry_after(Reason::NoBodyRoom, ROOM_RETRY),
+    })
 }
--- a/crates/chervilshunt_gateway/src/traffic/mod.rs
+++ b/crates/chervilshunt_gateway/src/traffic/mod.rs
@@ -32,4 +32,5 @@
 pub(crate) use charge::CHARGE_TIMEOUT;
 pub(crate) use intake::read_body;
 pub(crate) use place::REACHABLE_WINDOW;
+pub(crate) use refusal::Reason;
 pub(crate) use serve::serve;
--- a/crates/chervilshunt_gateway/src/traffic/refusal.rs
+++ b/crates/chervilshunt_gateway/src/traffic/refusal.rs
@@ -17,6 +17,10 @@
     TooLong,
     /// The body did not arrive completely.
     BodyBroke,
+    /// The body did not arrive in time.
+    BodySlow,
+    /// There is no memory for its body beside those of others.
+    NoBodyRoom,
     /// No route matches it.
     NoRoute,
     /// Its API key is missing, malformed or unknown.
@@ -70,6 +74,8 @@
             Self::Malformed => "malformed",
             Self::TooLong => "too_long",
             Self::BodyBroke => "body_broke",
+            Self::BodySlow => "body_slow",
+            Self::NoBodyRoom => "no_body_room",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::KeysOutdated => "keys_outdated",
@@ -101,10 +107,12 @@
         match self {
             Self::Malformed | Self::BodyBroke => StatusCode::BAD_REQUEST,
             Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodySlow => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::OverQuota | Self::LargerThanQuota => StatusCode::TOO_MANY_REQUESTS,
-            Self::NoConfiguration
+            Self::NoBodyRoom
+            | Self::NoConfiguration
             | Self::KeysOutdated
             | Self::NoQuotaShare
             | Self::NoTarget
--- a/crates/chervilshunt_gateway/src/traffic/serve.rs
+++ b/crates/chervilshunt_gateway/src/traffic/serve.rs
@@ -15,14 +15,19 @@
 use super::relay::Relay;
 use super::request::{Accepted, CallerRequest, find_route, read_request, request_id, set};
 use crate::crashes::fingerprints;
+use crate::front::{CallerConnection, read_buffer};
 use crate::shared::{OpenRequest, Shared};
 
 /// Answers one request.
-pub(crate) async fn serve(shared: &Arc<Shared>, req: Request<Incoming>) -> Response<ReplyBody> {
+pub(crate) async fn serve(
+    shared: &Arc<Shared>,
+    connection: &CallerConnection,
+    req: Request<Incoming>,
+) -> Response<ReplyBody> {
     let names = &shared.dialect.headers;
     let id = request_id(req.headers(), &names.request_id);
     let result = match &id {
-        Some(id) => answer(shared, req, Arc::clone(id)).await,
+        Some(id) => answer(shared, connection, req, Arc::clone(id)).await,
         None => Err(Refusal::new(Reason::Malformed)),
     };
     let mut res = result.unwrap_or_else(|refusal| {
@@ -43,6 +48,7 @@
 
 async fn answer(
     shared: &Arc<Shared>,
+    connection: &CallerConnection,
     req: Request<Incoming>,
     id: Arc<str>,
 ) -> Result<Response<ReplyBody>, Refusal> {
@@ -57,7 +63,13 @@
     if team.is_some() && shared.are_keys_outdated(arrived) {
         return Err(Refusal::new(Reason::KeysOutdated));
     }
-    let body = read_body(body, routes.bounds.body_bytes).await?;
+    let bounds = routes.bounds;
+    let body = read_body(shared, body, bounds.body_bytes, read_buffer(bounds)).await;
+    if !connection.request_read() {
+        // The connection is about to be closed for another one.
+        return Err(Refusal::new(Reason::NotAdmitted));
+    }
+    let body = body?;
     let accepted = Accepted {
         id,
         route,
--- a/crates/chervilshunt_gateway/src/transit/pass_on.rs
+++ b/crates/chervilshunt_gateway/src/transit/pass_on.rs
@@ -16,10 +16,11 @@
 use super::answer::{PassedAnswer, TransitBody, queue_ended};
 use super::header::{OUTCOME, TransitHead, strip_transit_headers, take_ticket};
 use super::outcome::TransitOutcome;
+use super::server::BUFFER_BYTES;
 use crate::links::count_mismatch;
 use crate::run_check::TargetRun;
 use crate::shared::{OpenRequest, Shared};
-use crate::traffic::{CONNECT_TIMEOUT, REACHABLE_WINDOW, read_body};
+use crate::traffic::{CONNECT_TIMEOUT, REACHABLE_WINDOW, Reason, read_body};
 
 /// Maximum number of requests that an instance passes on at the same time. It keeps memory for its
 /// own callers.
@@ -114,8 +115,11 @@
     let transit = TransitHead::take(&mut head.headers).ok_or(TransitOutcome::Malformed)?;
     let routes = shared.routes.load_full();
     let longest = routes.ok_or(TransitOutcome::NoTarget)?.bounds.body_bytes;
-    let body = read_body(body, longest).await;
-    let body = body.map_err(|_refusal| TransitOutcome::Malformed)?;
+    let body = read_body(shared, body, longest, BUFFER_BYTES).await;
+    let body = body.map_err(|refusal| match refusal.reason {
+        Reason::NoBodyRoom => TransitOutcome::Busy,
+        _ => TransitOutcome::Malformed,
+    })?;
     let (address, using) = find_target(shared, &transit)?;
     let left = time_left(shared, &mut head.headers, arrived)?;
     let sent_at = shared.clock.now();
--- a/crates/chervilshunt_gateway/src/transit/server.rs
+++ b/crates/chervilshunt_gateway/src/transit/server.rs
@@ -20,7 +20,7 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Size of the read buffer in bytes; it bounds a request's head, which a caller's instance has
 /// added to.
-const BUFFER_BYTES: usize = 128 * 1024;
+pub(super) const BUFFER_BYTES: usize = 128 * 1024;
 
 /// Serves other instances until connections are to be closed.
 pub(crate) async fn serve_transit(listener: TcpListener, shared: Arc<Shared>) {
--- a/crates/chervilshunt_gateway/tests/settings.rs
+++ b/crates/chervilshunt_gateway/tests/settings.rs
@@ -64,6 +64,7 @@
 }
 
 #[rstest]
+#[case::no_memory(r#", "max_memory_mb": 0"#, "", "instance.max_memory_mb")]
 #[case::few_descriptors(r#", "max_descriptors": 127"#, "", "instance.max_descriptors")]
 #[case::no_share(r#", "processor_share": 0"#, "", "instance.processor_share")]
 #[case::negative_share(r#", "processor_share": -0.5"#, "", "instance.processor_share")]
