chervilshuntd reads request bodies within the same account of memory

Callers that begin bodies of 4 MiB and don't end them took an instance to 442 MiB over HTTP/1.1, with 100 connections, and to 435 MiB over HTTP/2, with 5 connections of 20 streams; it may have 256. As at the gateway, each body was bounded and all of them were not. It now reads with the same code (chervilshunt_start), within the system's limit or 64 MiB, and refuses what has no room with 503 no_body_room, which says that nothing has run.

--- a/crates/chervilshunt_daemon/src/traffic/front.rs
+++ b/crates/chervilshunt_daemon/src/traffic/front.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use chervilshunt_config::Limits;
 use chervilshunt_start::{CallerProtocol, FlushBeforeError};
 use hyper::server::conn::{http1, http2};
 use hyper::service::service_fn;
@@ -73,6 +74,14 @@
     }
 }
 
+/// Returns the largest size of a connection's read buffer, in bytes.
+pub(super) fn read_buffer(limits: &Limits) -> usize {
+    limits
+        .stream_buffer_bytes
+        .max(limits.header_bytes)
+        .max(MIN_BUFFER_BYTES)
+}
+
 async fn serve_http1(
     stream: TcpStream,
     peer: SocketAddr,
@@ -80,10 +89,7 @@
     stop: CancellationToken,
 ) {
     let limits = traffic.limits();
-    let buffer = limits
-        .stream_buffer_bytes
-        .max(limits.header_bytes)
-        .max(MIN_BUFFER_BYTES);
+    let buffer = read_buffer(limits);
     let protocol = CallerProtocol::default();
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/chervilshunt_daemon/src/traffic/intake.rs
+++ b/crates/chervilshunt_daemon/src/traffic/intake.rs
@@ -1,59 +1,48 @@
 //! Reads a request's body within its size and time limits.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use chervilshunt_config::Limits;
-use http::header;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use chervilshunt_start::{BodyIntake, BodyLimits, IntakeError};
+use hyper::body::Incoming;
 
+use super::front::read_buffer;
 use super::problem::{Problem, Reason};
 
-/// The `Retry-After` for a request that arrived too slowly.
+/// The `Retry-After` for a request that arrived too slowly, or for whose body there is no memory.
 pub(super) const SLOW_RETRY: Duration = Duration::from_secs(1);
 
 /// Reads the whole body.
 ///
 /// # Errors
-/// Returns a problem if the body is longer than the limit, arrives too slowly, or is truncated. No
-/// target has been called at that point.
+/// Returns a problem if the body is longer than the limit, arrives too slowly, is truncated, or has no room beside
+/// other bodies. No target has been called at that point.
 pub(crate) async fn read_body(
-    headers: &http::HeaderMap,
+    bodies: &Arc<BodyIntake>,
     body: Incoming,
     limits: &Limits,
 ) -> Result<Bytes, Problem> {
-    let announced = headers
-        .get(header::CONTENT_LENGTH)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.parse::<u64>().ok())
-        .or_else(|| body.size_hint().exact());
-    let limit = limits.body_bytes;
-    if announced.is_some_and(|length| length > limit as u64) {
-        return Err(too_large(limit));
-    }
-    let collected = Limited::new(body, limit).collect();
-    match tokio::time::timeout(limits.body_timeout, collected).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large(limit)),
-        Ok(Err(error)) => Err(Problem::not_run(
-            Reason::BadRequest,
-            format!("the body could not be read: {error}"),
-        )),
-        Err(_elapsed) => Err(Problem::not_run(
-            Reason::BodyTooSlow,
-            format!(
-                "the body must arrive within {} s",
-                limits.body_timeout.as_secs_f64()
-            ),
-        )
-        .retry_after(SLOW_RETRY)),
-    }
+    let body_limits = BodyLimits {
+        bytes: limits.body_bytes,
+        time: limits.body_timeout,
+        read_buffer: read_buffer(limits),
+    };
+    bodies.read(body, body_limits).await.map_err(problem)
 }
 
-fn too_large(limit: usize) -> Problem {
-    Problem::not_run(
-        Reason::BodyTooLarge,
-        format!("the body may have at most {limit} bytes"),
-    )
+fn problem(error: IntakeError) -> Problem {
+    let reason = match &error {
+        IntakeError::TooLong { .. } => Reason::BodyTooLarge,
+        IntakeError::TooSlow { .. } => Reason::BodyTooSlow,
+        IntakeError::NoRoom => Reason::NoBodyRoom,
+        IntakeError::Broken { .. } => Reason::BadRequest,
+    };
+    let is_worth_a_retry = matches!(error, IntakeError::TooSlow { .. } | IntakeError::NoRoom);
+    let problem = Problem::not_run(reason, error.to_string());
+    if is_worth_a_retry {
+        return problem.retry_after(SLOW_RETRY);
+    }
+    problem
 }
--- a/crates/chervilshunt_daemon/src/traffic/problem.rs
+++ b/crates/chervilshunt_daemon/src/traffic/problem.rs
@@ -58,6 +58,8 @@
     BodyTooLarge,
     /// The request body did not arrive in time.
     BodyTooSlow,
+    /// There is no memory for the request body beside others.
+    NoBodyRoom,
     /// The instance may not accept new work, because it can't determine whether its configuration
     /// is in force.
     NotReady,
@@ -101,6 +103,7 @@
             Self::HeadTooSlow => "head_too_slow",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyTooSlow => "body_too_slow",
+            Self::NoBodyRoom => "no_body_room",
             Self::NotReady => "not_ready",
             Self::TooManyRequests => "too_many_requests",
             Self::Owner(reason) => reason.as_str(),
@@ -126,9 +129,11 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::HeadTooSlow | Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::TooManyRequests => StatusCode::TOO_MANY_REQUESTS,
-            Self::NotReady | Self::NoOwner | Self::NoTarget | Self::ClaimUnavailable => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoBodyRoom
+            | Self::NotReady
+            | Self::NoOwner
+            | Self::NoTarget
+            | Self::ClaimUnavailable => StatusCode::SERVICE_UNAVAILABLE,
             Self::Owner(reason) => match reason {
                 RefusalReason::QueueFull => StatusCode::TOO_MANY_REQUESTS,
                 RefusalReason::Deadline => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/chervilshunt_daemon/src/traffic/problem/tests.rs
+++ b/crates/chervilshunt_daemon/src/traffic/problem/tests.rs
@@ -24,6 +24,7 @@
 #[case(Reason::TargetRefused, 502, "target_refused")]
 #[case(Reason::WrongModel, 502, "wrong_model")]
 #[case(Reason::BrokenOff, 502, "broken_off")]
+#[case(Reason::NoBodyRoom, 503, "no_body_room")]
 #[case(Reason::NotReady, 503, "not_ready")]
 #[case(Reason::NoOwner, 503, "no_owner")]
 #[case(Reason::NoTarget, 503, "no_target")]
--- a/crates/chervilshunt_daemon/src/traffic/serve.rs
+++ b/crates/chervilshunt_daemon/src/traffic/serve.rs
@@ -26,6 +26,7 @@
 use crate::routing::SharedRouting;
 use chervilshunt_engine::EngineClients;
 use chervilshunt_model::Clock;
+use chervilshunt_start::{BodyIntake, memory_limit};
 
 /// The `Retry-After` of an instance that may not accept new work.
 const NOT_READY_RETRY: Duration = Duration::from_secs(2);
@@ -66,6 +67,7 @@
     pub(super) permits: Permits,
     pub(super) claims: Claims,
     pub(super) engines: EngineClients,
+    pub(super) bodies: Arc<BodyIntake>,
     pub(super) open: Arc<Semaphore>,
     pub(super) retries: Mutex<RetryBudget>,
 }
@@ -90,6 +92,7 @@
     ) -> Self {
         let open = Arc::new(Semaphore::new(settings.limits.open_requests));
         let engines = EngineClients::default();
+        let bodies = BodyIntake::new(clock, memory_limit());
         let retries = Mutex::new(retries);
         Self {
             parts: Arc::new(Parts {
@@ -100,6 +103,7 @@
                 permits,
                 claims,
                 engines,
+                bodies,
                 open,
                 retries,
             }),
@@ -161,7 +165,7 @@
         }
         let parsed = RequestHeaders::read(&parts.headers, id.clone())?;
         let slot = self.open_slot()?;
-        let body = read_body(&parts.headers, body, self.limits()).await?;
+        let body = read_body(&self.parts.bodies, body, self.limits()).await?;
         let routing = self.parts.routing.get();
         if !self.parts.routing.takes_work(self.parts.clock.now()) {
             return Err(Problem::not_run(
