One check for each run of a target at a time

A check that had found its target alive looked once more after 10 ms for requests whose connections had ended meanwhile. One that ended in these 10 ms began a second check of the same run, and both went on: a target whose connections are reset all the time would have been asked by more and more of them. Found by reading; not run. The check now ends in the step in which it finds nothing left.

--- a/crates/chervilshunt_gateway/src/crashes.rs
+++ b/crates/chervilshunt_gateway/src/crashes.rs
@@ -223,12 +223,12 @@
     async fn check(&self, run: TargetRun) {
         loop {
             tokio::time::sleep(GATHER_TIME).await;
-            let waiting = self.checks().get(&run).map(|it| last_end(it));
-            let Some(Some(ended_at)) = waiting else {
+            let ended_at = self.checks().get(&run).and_then(|it| last_end(it));
+            let Some(ended_at) = ended_at else {
                 return;
             };
             let state = check_run(&self.shared, &run, ended_at, CHECK_LIMIT).await;
-            let concluded = self.take_concluded(&run, state, ended_at);
+            let (concluded, is_last) = self.take_concluded(&run, state, ended_at);
             match state {
                 RunState::Ended => return self.record_crashed(&run, concluded).await,
                 RunState::Alive => {}
@@ -236,28 +236,30 @@
                     self.report_dropped(&run, concluded.len(), "not known whether it crashed");
                 }
             }
+            if is_last {
+                return;
+            }
         }
     }
 
-    /// Removes the requests of a run about which its state is known now. That a run was alive shows nothing
-    /// about connections that ended later.
+    /// Removes the requests of a run about which its state is known now, and returns them and whether none is
+    /// left. That a run was alive shows nothing about connections that ended later.
     fn take_concluded(
         &self,
         run: &TargetRun,
         state: RunState,
         ended_at: Moment,
-    ) -> Vec<EndedRequest> {
+    ) -> (Vec<EndedRequest>, bool) {
         let mut checks = self.checks();
-        let Some(waiting) = checks.remove(run) else {
-            return Vec::new();
-        };
+        let waiting = checks.remove(run).unwrap_or_default();
         let (concluded, later): (Vec<_>, Vec<_>) = waiting
             .into_iter()
             .partition(|it| state == RunState::Ended || it.ended_at <= ended_at);
-        if !later.is_empty() {
+        let is_last = later.is_empty();
+        if !is_last {
             checks.insert(run.clone(), later);
         }
-        concluded
+        (concluded, is_last)
     }
 
     /// Records a crash under the requests that were in progress.
