The system's limit on a process never raises the memory for request bodies

A process may be limited to an address space far above its machine's memory; a quarter of that would have been left to request bodies. Found by reading; not run.

--- a/crates/chervilshunt_start/src/bodies.rs
+++ b/crates/chervilshunt_start/src/bodies.rs
@@ -55,12 +55,17 @@
     pub read_buffer: usize,
 }
 
-/// Returns the memory that the system lets this process have, in bytes, if it is limited.
+/// The most memory that a process is assumed to have if only the system says how much, in bytes: its limits may be
+/// far above what the machine has.
+const MAX_ASSUMED_MEMORY: usize = 256 * 1024 * 1024;
+
+/// Returns the memory that this process can count on, in bytes, if the system limits it.
 pub fn memory_limit() -> Option<usize> {
     use rustix::process::{Resource, getrlimit};
     let limits = [Resource::Data, Resource::As].map(|it| getrlimit(it).current);
     let least = limits.into_iter().flatten().min();
-    least.and_then(|it| usize::try_from(it).ok())
+    let least = least.and_then(|it| usize::try_from(it).ok());
+    least.map(|it| it.min(MAX_ASSUMED_MEMORY))
 }
 
 /// Reads the request bodies of one process. See `docs/design/request-bodies.md`.
