--- a/crates/chervilshunt_gateway/src/run_check.rs
+++ b/crates/chervilshunt_gateway/src/run_check.rs
@@ -215,7 +215,7 @@
             ..
         } => RunFinding::Unreachable,
         EngineError::Timeout { .. } => RunFinding::Silent,
-        // An answer to a question without an id is never one to another request.
+        // The connection ended, or what came on it is no answer.
         _ => RunFinding::Closed,
     }
 }
