--- a/review/lib-2/src/fleet.rs
+++ b/review/lib-2/src/fleet.rs
@@ -383,6 +383,17 @@
         store.put("servers", &self.id, &text);
     }
 
+    /// Has it fall silent for a time after its next answer, as a sound replica may.
+    pub fn fall_silent(&self, time: Duration) {
+        let request = Request {
+            id: "silence".to_owned(),
+            path: format!("/silence/{}", time.as_millis()),
+            deadline: Duration::from_secs(1),
+            headers: Vec::new(),
+        };
+        call(self.address, &request, Pace::Full);
+    }
+
     /// Kills its process. Its entry stays until it has been silent for three heartbeats.
     pub fn crash(&mut self) {
         self.entry
--- a/review/lib-2/src/main.rs
+++ b/review/lib-2/src/main.rs
@@ -10,6 +10,7 @@
 mod http;
 mod json;
 mod replica;
+mod silence;
 mod store;
 mod sys;
 mod tail;
@@ -25,8 +26,11 @@
             .and_then(|it| replica::run(&it))
             .map(|()| true),
         "early-end" => cases::setup(args.next()).and_then(|it| early_end::play(&it)),
+        "silence" => cases::setup(args.next()).and_then(|it| silence::play(&it)),
         "tail" => cases::setup(args.next()).and_then(|it| tail::play(&it)),
-        other => Err(format!("{other:?} is none of replica, early-end, tail")),
+        other => Err(format!(
+            "{other:?} is none of replica, early-end, silence, tail"
+        )),
     };
     match result {
         Ok(true) => ExitCode::SUCCESS,
--- a/review/lib-2/src/replica.rs
+++ b/review/lib-2/src/replica.rs
@@ -5,10 +5,10 @@
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, Write};
 use std::net::{TcpListener, TcpStream};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::{Head, read_body, read_head, write_answer};
 
@@ -35,6 +35,10 @@
     is_stream: bool,
     is_leaving: AtomicBool,
     active: AtomicUsize,
+    /// For how many milliseconds it falls silent after its next answer.
+    falls_silent_ms: AtomicU64,
+    /// Until when it does nothing.
+    silent_until: Mutex<Option<Instant>>,
 }
 
 /// Runs a replica until its process is killed.
@@ -76,6 +80,8 @@
         is_stream: options.contains_key("stream"),
         is_leaving: AtomicBool::new(false),
         active: AtomicUsize::new(0),
+        falls_silent_ms: AtomicU64::new(0),
+        silent_until: Mutex::default(),
     });
     let address = text("address")?;
     let listener =
@@ -99,6 +105,7 @@
         let mut reader = BufReader::new(stream.try_clone()?);
         while let Some(head) = read_head(&mut reader)? {
             read_body(&mut reader, &head)?;
+            self.wait_out_silence();
             let (_, target) = head.request_line();
             let expected = head.header("x-chervilshunt-expect-instance");
             if expected.is_some_and(|it| it != self.id) {
@@ -132,11 +139,19 @@
                     self.is_leaving.store(true, Ordering::SeqCst);
                     write_answer(&mut stream, "200 OK", &[], b"")?;
                 }
+                // The driver says for how long it falls silent after its next answer.
+                target if target.starts_with("/silence/") => {
+                    let time = target.rsplit('/').next().and_then(|it| it.parse().ok());
+                    self.falls_silent_ms
+                        .store(time.unwrap_or(0), Ordering::SeqCst);
+                    write_answer(&mut stream, "200 OK", &[], b"")?;
+                }
                 _ => {
                     self.active.fetch_add(1, Ordering::SeqCst);
                     let ran = self.answer(&mut stream, &head);
                     self.active.fetch_sub(1, Ordering::SeqCst);
                     ran?;
+                    self.fall_silent();
                     if self.framing == Framing::Connection {
                         return Ok(());
                     }
@@ -146,6 +161,29 @@
         Ok(())
     }
 
+    /// Falls silent if that is due.
+    fn fall_silent(&self) {
+        let time = self.falls_silent_ms.swap(0, Ordering::SeqCst);
+        if time > 0 {
+            say(&format!("silent for {time} ms"));
+            let until = Instant::now() + Duration::from_millis(time);
+            *self
+                .silent_until
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner) = Some(until);
+        }
+    }
+
+    fn wait_out_silence(&self) {
+        let until = *self
+            .silent_until
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if let Some(until) = until {
+            thread::sleep(until.saturating_duration_since(Instant::now()));
+        }
+    }
+
     fn headers(&self, head: &Head) -> Vec<(&'static str, String)> {
         let mut headers = vec![("X-Chervilshunt-Instance-Id", self.id.clone())];
         if let Some(id) = head.header("x-chervilshunt-attempt-id") {
@@ -219,6 +257,7 @@
         stream.write_all(head)?;
         for piece in pieces {
             thread::sleep(self.gap);
+            self.wait_out_silence();
             if self.framing == Framing::Chunks {
                 let mut chunk = format!("{:x}\r\n", piece.len()).into_bytes();
                 chunk.extend_from_slice(piece);
