--- a/review/lib-2/src/fleet.rs
+++ b/review/lib-2/src/fleet.rs
@@ -111,6 +111,7 @@
     pub id: String,
     pub service: String,
     pub address: SocketAddrV4,
+    options: Vec<String>,
     pub process: Process,
     entry: Arc<Mutex<Entry>>,
 }
@@ -268,6 +269,7 @@
             id: id.to_owned(),
             service: service.to_owned(),
             address,
+            options,
             process,
             entry: Arc::new(Mutex::new(Entry {
                 models: models.unwrap_or_default(),
@@ -402,6 +404,13 @@
             .is_listed = false;
         self.process.kill();
     }
+
+    /// Starts it again under its id and at its address, with another software version. It is listed at once.
+    pub fn restart(&mut self, fleet: &Fleet, software: &str) -> Result<(), String> {
+        let (id, address) = (&self.id, self.address);
+        self.process = start_replica(&fleet.record, id, address, software, &self.options)?;
+        self.register(&fleet.store, software)
+    }
 }
 
 fn entry_text(service: &str, address: SocketAddrV4, entry: &Entry) -> String {
--- a/review/lib-2/src/main.rs
+++ b/review/lib-2/src/main.rs
@@ -14,6 +14,7 @@
 mod store;
 mod sys;
 mod tail;
+mod two_versions;
 
 use std::collections::BTreeMap;
 use std::process::ExitCode;
@@ -27,9 +28,10 @@
             .map(|()| true),
         "early-end" => cases::setup(args.next()).and_then(|it| early_end::play(&it)),
         "silence" => cases::setup(args.next()).and_then(|it| silence::play(&it)),
+        "two-versions" => cases::setup(args.next()).and_then(|it| two_versions::play(&it)),
         "tail" => cases::setup(args.next()).and_then(|it| tail::play(&it)),
         other => Err(format!(
-            "{other:?} is none of replica, early-end, silence, tail"
+            "{other:?} is none of replica, early-end, silence, tail, two-versions"
         )),
     };
     match result {
