--- a/review/lib-2/src/fleet.rs
+++ b/review/lib-2/src/fleet.rs
@@ -125,6 +125,7 @@
     remaining_ms: Option<u64>,
     beats: u64,
     is_listed: bool,
+    states_start: bool,
 }
 
 pub struct Fleet {
@@ -269,11 +270,12 @@
             id: id.to_owned(),
             service: service.to_owned(),
             address,
-            options,
+            options: options.clone(),
             process,
             entry: Arc::new(Mutex::new(Entry {
                 models: models.unwrap_or_default(),
                 state: "ready",
+                states_start: !options.iter().any(|it| it == "--no-born"),
                 ..Entry::default()
             })),
         };
@@ -414,17 +416,20 @@
 }
 
 fn entry_text(service: &str, address: SocketAddrV4, entry: &Entry) -> String {
+    let born = entry
+        .states_start
+        .then(|| format!(",\"born\":{}", entry.born));
     let remaining = entry
         .remaining_ms
         .map(|it| format!(",\"remaining_ms\":{it}"));
     format!(
         "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"worcester\",\
          \"version\":\"{}\",\"slots\":64,\"state\":\"{}\",\"cold_remaining_ms\":0,\
-         \"sequence\":{},\"born\":{},\"models\":[{}]{}}}",
+         \"sequence\":{}{},\"models\":[{}]{}}}",
         entry.software,
         entry.state,
         entry.beats,
-        entry.born,
+        born.unwrap_or_default(),
         entry.models,
         remaining.unwrap_or_default()
     )
--- a/review/lib-2/src/main.rs
+++ b/review/lib-2/src/main.rs
@@ -14,6 +14,7 @@
 mod store;
 mod sys;
 mod tail;
+mod taken_up;
 mod two_versions;
 
 use std::collections::BTreeMap;
@@ -28,10 +29,11 @@
             .map(|()| true),
         "early-end" => cases::setup(args.next()).and_then(|it| early_end::play(&it)),
         "silence" => cases::setup(args.next()).and_then(|it| silence::play(&it)),
+        "taken-up" => cases::setup(args.next()).and_then(|it| taken_up::play(&it)),
         "two-versions" => cases::setup(args.next()).and_then(|it| two_versions::play(&it)),
         "tail" => cases::setup(args.next()).and_then(|it| tail::play(&it)),
         other => Err(format!(
-            "{other:?} is none of replica, early-end, silence, tail, two-versions"
+            "{other:?} is none of replica, early-end, silence, tail, taken-up, two-versions"
         )),
     };
     match result {
@@ -44,7 +46,7 @@
     }
 }
 
-/// Reads `--NAME VALUE`, and `--stream` without one.
+/// Reads `--NAME VALUE`, and `--stream` and `--no-born` without one.
 fn read_options(
     mut args: impl Iterator<Item = String>,
 ) -> Result<BTreeMap<String, String>, String> {
@@ -55,7 +57,7 @@
             .ok_or(format!("{arg} is no option"))?
             .to_owned();
         let value = match name.as_str() {
-            "stream" => String::new(),
+            "stream" | "no-born" => String::new(),
             _ => args.next().ok_or(format!("--{name} has no value"))?,
         };
         options.insert(name, value);
--- a/review/lib-2/src/replica.rs
+++ b/review/lib-2/src/replica.rs
@@ -33,6 +33,8 @@
     /// Size of a piece that is no event, in bytes.
     piece_bytes: usize,
     is_stream: bool,
+    /// Whether it states its start. On the sites of the first pages replicas don't.
+    states_start: bool,
     is_leaving: AtomicBool,
     active: AtomicUsize,
     /// For how many milliseconds it falls silent after its next answer.
@@ -78,6 +80,7 @@
         gap: Duration::from_millis(number("gap-ms", 0)?),
         piece_bytes: number("piece-bytes", 800)? as usize,
         is_stream: options.contains_key("stream"),
+        states_start: !options.contains_key("no-born"),
         is_leaving: AtomicBool::new(false),
         active: AtomicUsize::new(0),
         falls_silent_ms: AtomicU64::new(0),
@@ -201,10 +204,14 @@
             models.map(|it| format!("{{\"name\":\"{it}\",\"version\":1,\"adapters\":[]}}"));
         format!(
             "{{\"stage\":\"colocated\",\"models\":[{}],\"busy\":false,\"sequence\":0,\"queued\":0,\
-             \"active\":{},\"kv_used\":0,\"kv_total\":154016,\"handles\":0,\"born\":{}}}",
+             \"active\":{},\"kv_used\":0,\"kv_total\":154016,\"handles\":0{}}}",
             models.unwrap_or_default(),
             self.active.load(Ordering::SeqCst),
-            self.born
+            if self.states_start {
+                format!(",\"born\":{}", self.born)
+            } else {
+                String::new()
+            }
         )
     }
 
--- a/review/lib-2/src/store.rs
+++ b/review/lib-2/src/store.rs
@@ -33,6 +33,9 @@
     revision: u64,
     objects: BTreeMap<(String, String), Object>,
     history: Vec<Change>,
+    is_silent: bool,
+    /// How often the store has fallen silent.
+    silences: usize,
 }
 
 /// The store. Clones share its state.
@@ -112,6 +115,13 @@
         (true, Some(object))
     }
 
+    /// Has the store accept calls and answer none, those that wait neither.
+    pub fn set_silent(&self, is_silent: bool) {
+        let mut state = self.lock();
+        state.is_silent = is_silent;
+        state.silences += usize::from(is_silent);
+    }
+
     /// Removes an object.
     pub fn remove(&self, kind: &str, name: &str) {
         let mut state = self.lock();
@@ -143,9 +153,18 @@
             let Ok(body) = read_body(&mut reader, &head) else {
                 return;
             };
+            let silences = self.lock().silences;
             let (method, target) = head.request_line();
             let (status, answer) = self.answer(method, target, &String::from_utf8_lossy(&body));
             thread::sleep(ANSWER_TIME);
+            let is_lost = {
+                let state = self.lock();
+                state.is_silent || state.silences != silences
+            };
+            // A connection on which an answer is lost brings nothing further.
+            while is_lost {
+                thread::sleep(Duration::from_secs(60));
+            }
             let headers = [("Content-Type", "application/json".to_owned())];
             if write_answer(&mut stream, status, &headers, answer.as_bytes()).is_err() {
                 return;
