--- a/review/lib-2/src/cases.rs
+++ b/review/lib-2/src/cases.rs
@@ -67,24 +67,49 @@
     pub has_trouble: bool,
 }
 
-/// Reads the folder of the case and `TROUBLE`.
-pub fn setup(folder: Option<String>) -> Result<Setup, String> {
-    let folder = PathBuf::from(folder.ok_or("the folder of the case is missing")?);
-    if !folder.is_dir() {
-        return Err(format!("{} is no folder", folder.display()));
+/// Reads the path of the record and `TROUBLE`. What keeps the case from running stands in the record too.
+fn setup(record: Option<String>) -> Result<Setup, String> {
+    let path = PathBuf::from(record.ok_or("the path of the record is missing")?);
+    let record = Record::create(&path)?;
+    let checked = check();
+    if let Err(problem) = &checked {
+        record.note(&format!("could not run: {problem}"));
     }
-    let trouble = std::env::var("TROUBLE").unwrap_or_else(|_| "1".to_owned());
-    let has_trouble = match trouble.as_str() {
-        "0" => false,
-        "1" => true,
-        other => return Err(format!("TROUBLE is 0 or 1, not {other}")),
-    };
+    Ok(Setup {
+        has_trouble: checked?,
+        record,
+    })
+}
+
+/// Returns whether the disruption takes place.
+fn check() -> Result<bool, String> {
     let program = PathBuf::from("target/release/chervilshunt-on-platform");
     if !program.is_file() {
         return Err(format!("{} is missing: build it first", program.display()));
     }
-    Ok(Setup {
-        record: Record::create(&folder.join("record.txt"))?,
-        has_trouble,
-    })
+    match std::env::var("TROUBLE").as_deref() {
+        Ok("0") => Ok(false),
+        Ok("1") | Err(_) => Ok(true),
+        Ok(other) => Err(format!("TROUBLE is 0 or 1, not {other}")),
+    }
+}
+
+/// Plays a case. What keeps it from running to its end stands in the record too.
+pub fn play(
+    record: Option<String>,
+    case: fn(&Setup) -> Result<bool, String>,
+) -> Result<bool, String> {
+    let setup = setup(record)?;
+    setup.record.note(if setup.has_trouble {
+        "with the disruption"
+    } else {
+        "TROUBLE=0: without the disruption"
+    });
+    let result = case(&setup);
+    setup.record.note(&match &result {
+        Ok(true) => "the rule held".to_owned(),
+        Ok(false) => "the rule was broken".to_owned(),
+        Err(problem) => format!("could not run: {problem}"),
+    });
+    result
 }
--- a/review/lib-2/src/main.rs
+++ b/review/lib-2/src/main.rs
@@ -1,6 +1,6 @@
 //! Stand-ins and drivers of the cases 6 to 10 of the review.
 //!
-//! `review_standins_2 replica OPTIONS` is a replica; `review_standins_2 CASE FOLDER` plays a case and ends with 0 if
+//! `review_standins_2 replica OPTIONS` is a replica; `review_standins_2 CASE RECORD` plays a case and writes its record and ends with 0 if
 //! the rule held, 1 if it was broken and 2 if the case could not run.
 
 mod cases;
@@ -27,11 +27,11 @@
         "replica" => read_options(args)
             .and_then(|it| replica::run(&it))
             .map(|()| true),
-        "early-end" => cases::setup(args.next()).and_then(|it| early_end::play(&it)),
-        "silence" => cases::setup(args.next()).and_then(|it| silence::play(&it)),
-        "taken-up" => cases::setup(args.next()).and_then(|it| taken_up::play(&it)),
-        "two-versions" => cases::setup(args.next()).and_then(|it| two_versions::play(&it)),
-        "tail" => cases::setup(args.next()).and_then(|it| tail::play(&it)),
+        "early-end" => cases::play(args.next(), early_end::play),
+        "silence" => cases::play(args.next(), silence::play),
+        "taken-up" => cases::play(args.next(), taken_up::play),
+        "two-versions" => cases::play(args.next(), two_versions::play),
+        "tail" => cases::play(args.next(), tail::play),
         other => Err(format!(
             "{other:?} is none of replica, early-end, silence, tail, taken-up, two-versions"
         )),
