Review case 10: the replicas that crash come back after 2 s

What clients see is the same: their streams break off, they take them up at once, and each is answered 503. Order of events: the store falls silent at 5.8 s and answers at 10.3 s, the replicas crash at 13.8 s and are back at 15.8 s.

--- a/review/lib-2/src/taken_up.rs
+++ b/review/lib-2/src/taken_up.rs
@@ -1,7 +1,7 @@
 //! Streams begin while the platform's store is silent, break off later, and are taken up by their clients.
 
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::cases::{Route, Setup, configuration};
 use crate::client::{Answer, Pace, Request, call};
@@ -10,6 +10,8 @@
 /// The replicas of the service and those that crash, of which the pages allow a quarter.
 const REPLICAS: usize = 9;
 const CRASHED: usize = 2;
+/// Time for which the replicas are down, which the pages have for a quarter of them.
+const DOWN: Duration = Duration::from_secs(2);
 const INSTANCES: usize = 7;
 /// For how long the store is silent.
 const SILENCE: Duration = Duration::from_millis(4_500);
@@ -94,6 +96,7 @@
         replica.crash();
         setup.record.note(&format!("{} has crashed", replica.id));
     }
+    let down_from = Instant::now();
     // New streams at the same time and at the same instances.
     let new: Vec<_> = (0..30)
         .map(|number| {
@@ -102,6 +105,13 @@
             thread::spawn(move || send(address, &record, &format!("new-{number}"), Vec::new()))
         })
         .collect();
+    thread::sleep(DOWN.saturating_sub(down_from.elapsed()));
+    for replica in replicas.iter_mut().take(CRASHED) {
+        replica.restart(&fleet, "v1")?;
+        setup
+            .record
+            .note(&format!("{} has started again", replica.id));
+    }
     let streams: Vec<_> = streams
         .into_iter()
         .filter_map(|it| it.join().ok())
