Silence of a target shows neither the end of an answer nor a crash

Nothing was wrong with the targets.

Cause: the absence of a sign was taken for a sign. After such an end an instance asks the target for a sign of life. It gave each question up after 250 ms and asked anew, behind everything else in the target's queue; took three unanswered ones, or 1 s without an answer, for the end of the process; and broke the answer off. A health check waits for a slot like any other request, so that a target that was busy for 250 ms was never heard. The same check counted targets as crashed whose connections were reset while they were silent or busy, and the requests on them as those that crash targets.

Now only an answer shows life, and only a refused connection, another run at the address or at the platform shows death. A question stays open as long as the check; others are asked beside it after 1, 3 and 7 s. Checks of one run share questions. The caller, who has the bytes, waits for the end until the request's own time is over, then sees a broken answer (`end_unknown`); a stream that may be resumed goes on at another target after a second if one is granted.

The relay's file is split: its check of the end, and what it logs.

--- a/crates/chervilshunt_core/src/quarantine/run_check.rs
+++ b/crates/chervilshunt_core/src/quarantine/run_check.rs
@@ -4,13 +4,13 @@
 
 use chervilshunt_model::Moment;
 
-/// Delay before the second question to a target; each further one is twice as long, up to the maximum.
+/// Delay before the next question after one that failed; each further one is twice as long, up to the maximum.
 const FIRST_DELAY: Duration = Duration::from_millis(20);
 const MAX_DELAY: Duration = Duration::from_millis(500);
-/// Time after which a target that accepts connections and answers none of these many questions has ended. A
-/// sound target may be silent for about a second.
-const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
-const MIN_SILENT: u32 = 3;
+/// Time after which another question is asked beside an open one, as its connection may have failed unnoticed;
+/// each further one is twice as long.
+const FIRST_OPEN_TIME: Duration = Duration::from_secs(1);
+const MAX_DOUBLINGS: u32 = 10;
 
 /// What a question to the address of a target has shown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,7 +23,7 @@
     Refused,
     /// A connection was accepted, and ended without an answer.
     Closed,
-    /// A connection was accepted, and brought no answer in time.
+    /// A connection was accepted, and brought no answer while the question was open.
     Silent,
     /// No connection was opened in time.
     Unreachable,
@@ -52,40 +52,60 @@
     Ended,
     /// The run has ended, unless the links of this instance have failed.
     EndedIfLinksWork,
-    /// Nothing is known yet, and the target has to be asked again after a delay.
-    AskAgain(Duration),
+    /// Nothing is known yet.
+    Unknown,
 }
 
-/// The findings about one run of a target.
+/// The questions about one run of a target, and what they have shown.
 ///
 /// A system closes the descriptors of a process one after another. Until its listener is closed, it accepts
-/// connections for a process that no longer runs, so that only an answer shows that the run goes on.
-#[derive(Clone, Debug, Default)]
+/// connections for a process that no longer runs, so that only an answer shows that the run goes on. A sound
+/// target may leave questions unanswered for as long as it is silent or its slots are taken, so that silence
+/// shows nothing at all, and a question stays open: a later one would have to wait behind it.
+#[derive(Clone, Debug)]
 pub struct RunCheck {
     questions: u32,
-    silent: u32,
-    silent_since: Option<Moment>,
+    open: u32,
+    next_question_at: Moment,
 }
 
 impl RunCheck {
-    /// Records what a question has shown that was asked at `asked_at`.
-    pub fn record(&mut self, finding: RunFinding, asked_at: Moment, now: Moment) -> RunVerdict {
-        let delay = FIRST_DELAY * 2_u32.saturating_pow(self.questions);
+    /// Starts a check whose first question is due now.
+    pub const fn new(now: Moment) -> Self {
+        Self {
+            questions: 0,
+            open: 0,
+            next_question_at: now,
+        }
+    }
+
+    /// Returns when the next question is due.
+    pub const fn next_question_at(&self) -> Moment {
+        self.next_question_at
+    }
+
+    /// Records that a question is asked.
+    pub fn asked(&mut self, now: Moment) {
+        self.next_question_at = now + FIRST_OPEN_TIME * doubled(self.questions);
         self.questions += 1;
+        self.open += 1;
+    }
+
+    /// Records what a question has shown.
+    pub fn record(&mut self, finding: RunFinding, now: Moment) -> RunVerdict {
+        self.open = self.open.saturating_sub(1);
         match finding {
-            RunFinding::Answered => return RunVerdict::Alive,
-            RunFinding::Replaced => return RunVerdict::Ended,
-            RunFinding::Refused => return RunVerdict::EndedIfLinksWork,
-            RunFinding::Silent => {
-                self.silent += 1;
-                let since = *self.silent_since.get_or_insert(asked_at);
-                if self.silent >= MIN_SILENT && now.since(since) >= SILENCE_LIMIT {
-                    return RunVerdict::EndedIfLinksWork;
+            RunFinding::Answered => RunVerdict::Alive,
+            RunFinding::Replaced => RunVerdict::Ended,
+            RunFinding::Refused => RunVerdict::EndedIfLinksWork,
+            RunFinding::Closed | RunFinding::Silent | RunFinding::Unreachable => {
+                if self.open == 0 {
+                    let delay = FIRST_DELAY * doubled(self.questions.saturating_sub(1));
+                    self.next_question_at = now + delay.min(MAX_DELAY);
                 }
+                RunVerdict::Unknown
             }
-            RunFinding::Closed | RunFinding::Unreachable => {}
         }
-        RunVerdict::AskAgain(delay.min(MAX_DELAY))
     }
 
     /// Returns the number of questions that have been asked.
@@ -93,3 +113,8 @@
         self.questions
     }
 }
+
+/// Returns the factor by which a delay has grown after it has been doubled this often.
+fn doubled(times: u32) -> u32 {
+    2_u32.saturating_pow(times.min(MAX_DOUBLINGS))
+}
--- a/crates/chervilshunt_gateway/src/crashes.rs
+++ b/crates/chervilshunt_gateway/src/crashes.rs
@@ -26,8 +26,6 @@
 /// How long it may take until something shows whether a target has crashed. A process that crashed is mostly
 /// back within seconds; later starts have other causes.
 const CHECK_LIMIT: Duration = Duration::from_secs(10);
-/// The same for an answer that ended with its connection, and whose caller waits for it.
-const ANSWER_CHECK_LIMIT: Duration = Duration::from_secs(1);
 /// Maximum number of runs of targets that are checked at a time, and of requests that wait for one check.
 const MAX_CHECKED_RUNS: usize = 256;
 const MAX_ENDED_REQUESTS: usize = 256;
@@ -42,6 +40,8 @@
 
 /// Why an answer counts as interrupted whose connection has ended in order.
 pub(crate) const TARGET_ENDED: &str = "the target's process has ended with the connection";
+/// The same if nothing has shown in time whether the process has ended.
+pub(crate) const END_UNKNOWN: &str = "not known whether the target's process has ended";
 
 /// A request whose target's connection ended, which may have crashed the target.
 #[derive(Debug)]
@@ -337,18 +337,22 @@
     ended.iter().map(|it| it.ended_at).max()
 }
 
-/// Returns whether a target's process has ended together with a connection of it, or may have.
+/// Finds out whether a target's process goes on after the end of an answer that states neither a length nor
+/// chunks. It looks the same if the process was killed in the middle of the answer.
 ///
-/// The end of a connection is that of an answer which states neither a length nor chunks. It looks the same
-/// if the process was killed in the middle of the answer.
-pub(crate) async fn may_have_crashed(shared: Arc<Shared>, run: TargetRun) -> bool {
+/// The caller has the bytes and waits for the end only, so that `limit` is the time that the request has left.
+pub(crate) async fn check_answer_end(
+    shared: Arc<Shared>,
+    run: TargetRun,
+    limit: Duration,
+) -> RunState {
     let stays = |it: &TargetFacts| it.leaving.is_none();
     if !shared.dispatch().target(&run.target).is_some_and(stays) {
         // It may have answered its last request and exited.
-        return false;
+        return RunState::Alive;
     }
     let ended_at = shared.clock.now();
-    check_run(&shared, &run, ended_at, ANSWER_CHECK_LIMIT).await != RunState::Alive
+    check_run(&shared, &run, ended_at, limit).await
 }
 
 /// Writes everything that is known of a request's crashes, merged with the records of other
--- a/crates/chervilshunt_gateway/src/run_check.rs
+++ b/crates/chervilshunt_gateway/src/run_check.rs
@@ -2,13 +2,17 @@
 //!
 //! See `docs/design/quarantine.md`.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::pin::pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use chervilshunt_core::{RunCheck, RunFinding, RunVerdict, TargetStart};
-use chervilshunt_engine::{CallStage, ConnectionUse, EngineError};
+use chervilshunt_engine::{CallStage, ConnectionUse, EngineError, Limits};
 use chervilshunt_model::{Moment, TargetName};
+use futures_util::StreamExt as _;
+use futures_util::stream::FuturesUnordered;
 use http::Request;
 use http_body_util::Full;
 use hyper::body::Bytes;
@@ -18,8 +22,12 @@
 use crate::shared::Shared;
 use crate::transit::probe;
 
-/// Interval at which it is checked whether other requests or the platform show the same.
+/// Interval at which it is checked whether other requests or the platform show the same; it grows with the time
+/// that the check takes.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+const MAX_POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// Time for which an open question of one check replaces those of others.
+const SHARED_QUESTION_TIME: Duration = Duration::from_millis(250);
 /// Number of other targets that are tried before one counts as crashed.
 const COMPARED_TARGETS: usize = 3;
 
@@ -74,6 +82,47 @@
     }
 }
 
+/// The questions that are open, the last one to each run.
+#[derive(Debug, Default)]
+pub(crate) struct OpenQuestions(Mutex<HashMap<TargetRun, Moment>>);
+
+impl OpenQuestions {
+    fn lock(&self) -> MutexGuard<'_, HashMap<TargetRun, Moment>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Begins a question to a run, unless another check has asked it lately and waits for the answer.
+    fn begin(&self, run: &TargetRun, now: Moment) -> Option<OpenQuestion<'_>> {
+        let mut open = self.lock();
+        let asked_at = open.get(run);
+        if asked_at.is_some_and(|at| now.since(*at) < SHARED_QUESTION_TIME) {
+            return None;
+        }
+        open.insert(run.clone(), now);
+        Some(OpenQuestion {
+            questions: self,
+            run: run.clone(),
+            asked_at: now,
+        })
+    }
+}
+
+/// A question that is open until this is dropped.
+struct OpenQuestion<'a> {
+    questions: &'a OpenQuestions,
+    run: TargetRun,
+    asked_at: Moment,
+}
+
+impl Drop for OpenQuestion<'_> {
+    fn drop(&mut self) {
+        let mut open = self.questions.lock();
+        if open.get(&self.run) == Some(&self.asked_at) {
+            open.remove(&self.run);
+        }
+    }
+}
+
 /// Finds out whether a run goes on after `ended_at`, when a connection to it ended.
 ///
 /// That an address accepts connections shows nothing: the listener of a process may be closed after its
@@ -84,8 +133,8 @@
     ended_at: Moment,
     limit: Duration,
 ) -> RunState {
-    let mut check = RunCheck::default();
-    let found = find_state(shared, run, ended_at, &mut check);
+    let mut check = RunCheck::new(shared.clock.now());
+    let found = find_state(shared, run, ended_at, limit, &mut check);
     let found = tokio::time::timeout(limit, found).await;
     let (state, evidence) = found.unwrap_or((RunState::Unknown, Evidence::TimeOut));
     let after = shared.clock.now().since(ended_at);
@@ -104,13 +153,34 @@
     shared: &Arc<Shared>,
     run: &TargetRun,
     ended_at: Moment,
+    limit: Duration,
     check: &mut RunCheck,
 ) -> (RunState, Evidence) {
+    let mut watched = pin!(watch(shared, run, ended_at));
+    let mut questions = FuturesUnordered::new();
+    let mut is_due = pin!(tokio::time::sleep(Duration::ZERO));
     loop {
-        let asked_at = shared.clock.now();
-        let finding = ask(shared, run).await;
+        let finding = tokio::select! {
+            biased;
+            found = &mut watched => return found,
+            Some(finding) = questions.next() => finding,
+            () = &mut is_due => {
+                let now = shared.clock.now();
+                let delay = match shared.open_questions.begin(run, now) {
+                    Some(question) => {
+                        check.asked(now);
+                        questions.push(ask(shared, run, limit, question));
+                        now.until(check.next_question_at())
+                    }
+                    None => POLL_INTERVAL,
+                };
+                is_due.set(tokio::time::sleep(delay));
+                continue;
+            }
+        };
+        let now = shared.clock.now();
         let evidence = Evidence::Question(finding);
-        match check.record(finding, asked_at, shared.clock.now()) {
+        match check.record(finding, now) {
             RunVerdict::Alive => return (RunState::Alive, evidence),
             RunVerdict::Ended => return (RunState::Ended, evidence),
             RunVerdict::EndedIfLinksWork => {
@@ -120,13 +190,11 @@
                 slog::info!(shared.log, "target not reached, like all others";
                     "target" => run.target.as_str());
                 // Only the platform can tell a crash of all targets from failed links.
-                return watch(shared, run, ended_at).await;
+                return watched.await;
             }
-            RunVerdict::AskAgain(delay) => {
-                let watched = tokio::time::timeout(delay, watch(shared, run, ended_at));
-                if let Ok(found) = watched.await {
-                    return found;
-                }
+            RunVerdict::Unknown => {
+                let delay = now.until(check.next_question_at());
+                is_due.set(tokio::time::sleep(delay));
             }
         }
     }
@@ -144,15 +212,28 @@
                 return (RunState::Alive, Evidence::OtherAnswer);
             }
         }
-        tokio::time::sleep(POLL_INTERVAL).await;
+        let waited = shared.clock.now().since(ended_at);
+        let interval = (waited / 10).clamp(POLL_INTERVAL, MAX_POLL_INTERVAL);
+        tokio::time::sleep(interval).await;
     }
 }
 
-/// Asks a target for a sign of life, on a connection of its own.
-async fn ask(shared: &Shared, run: &TargetRun) -> RunFinding {
+/// Asks a target for a sign of life, on a connection of its own, and waits for the answer for up to `limit`.
+async fn ask(
+    shared: &Shared,
+    run: &TargetRun,
+    limit: Duration,
+    open: OpenQuestion<'_>,
+) -> RunFinding {
     let (question, has_report) = question(shared, run);
+    let limits = Limits {
+        connect: TARGET_CALL_LIMITS.connect,
+        head: limit,
+        idle: limit,
+        body: limit,
+    };
     let client = single_call_client(shared, run.address);
-    let answer = client.forward(question, ConnectionUse::NEW, TARGET_CALL_LIMITS);
+    let answer = client.forward(question, ConnectionUse::NEW, limits);
     let (head, body) = match answer.await {
         Ok(answer) => answer,
         Err(error) => return finding(&error),
@@ -164,19 +245,25 @@
     {
         return RunFinding::Replaced;
     }
-    if !has_report || !head.status.is_success() {
-        return RunFinding::Answered;
-    }
-    let body = match body.read_whole(MAX_REPORT_BYTES).await {
-        Ok(body) => body,
-        Err(error) => return finding(&error),
-    };
-    let report = (shared.dialect.targets.decode_report)(&body);
-    let stated = report.ok().and_then(|it| it.started);
-    match (stated, run.started) {
-        (Some(stated), Some(started)) if stated != started => RunFinding::Replaced,
-        (Some(_) | None, Some(_) | None) => RunFinding::Answered,
+    if has_report && head.status.is_success() {
+        let body = match body.read_whole(MAX_REPORT_BYTES).await {
+            Ok(body) => body,
+            Err(error) => return finding(&error),
+        };
+        let report = (shared.dialect.targets.decode_report)(&body);
+        let stated = report.ok().and_then(|it| it.started);
+        if let (Some(stated), Some(started)) = (stated, run.started)
+            && stated != started
+        {
+            return RunFinding::Replaced;
+        }
     }
+    // Other checks of this run wait for the same answer.
+    let now = shared.clock.now();
+    shared
+        .dispatch()
+        .answer_began(&run.target, run.started, open.asked_at, now);
+    RunFinding::Answered
 }
 
 /// Returns the request that asks a target for a sign of life, and whether its answer is a report. An engine
--- a/crates/chervilshunt_gateway/src/shared.rs
+++ b/crates/chervilshunt_gateway/src/shared.rs
@@ -23,6 +23,7 @@
 use crate::front::WaitingConnections;
 use crate::grants::GrantTracker;
 use crate::peers::PeerMessage;
+use crate::run_check::OpenQuestions;
 use crate::settings::Settings;
 use crate::streams::{RecordReader, StreamKeepers, StreamMemory};
 use crate::transit::{IssuedTickets, TransitRoutes};
@@ -87,6 +88,8 @@
     pub(crate) issued_tickets: IssuedTickets,
     /// The number of requests that this instance is passing on.
     pub(crate) passed_requests: AtomicUsize,
+    /// The questions to targets whose connections have ended.
+    pub(crate) open_questions: OpenQuestions,
     /// Notifies of a change of whether this instance reaches the targets of a service.
     pub(crate) links_changed: watch::Sender<()>,
     /// Notifies requests in flight that a new version of some weights has been announced.
@@ -217,6 +220,7 @@
             lease_was_held: AtomicBool::new(false),
             was_ready: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
+            open_questions: OpenQuestions::default(),
             close_connections: CancellationToken::new(),
             open_requests: AtomicUsize::new(0),
         })
--- a/crates/chervilshunt_gateway/src/traffic/in_flight.rs
+++ b/crates/chervilshunt_gateway/src/traffic/in_flight.rs
@@ -40,6 +40,8 @@
     /// Whether the target lives on after it began to answer, while that is not known.
     settling: Option<SettlingNumber>,
     grant: Option<Grant>,
+    /// Whether the target's accounting counts it as in progress.
+    is_counted: bool,
 }
 
 impl InFlight {
@@ -74,6 +76,7 @@
             begun_at: None,
             settling: None,
             grant: chosen.grant.take(),
+            is_counted: true,
         }
     }
 
@@ -158,6 +161,17 @@
         }
     }
 
+    /// Ends it in the target's accounting. Once its connection has ended, the target no longer works on it.
+    pub(crate) fn release_target(&mut self) {
+        if !std::mem::take(&mut self.is_counted) {
+            return;
+        }
+        self.grant = None;
+        let mut dispatch = self.shared.dispatch();
+        dispatch.remove_prefill(&self.target, self.unread_prompt_tokens);
+        dispatch.ended(&self.target, self.weights.as_ref(), self.started);
+    }
+
     /// Records that the answer has been received as a whole.
     pub(crate) fn answered_whole(&mut self) {
         if let Some(number) = self.settling.take() {
@@ -232,8 +246,6 @@
         if let Some(number) = self.settling {
             self.shared.settling().given_up(number);
         }
-        let mut dispatch = self.shared.dispatch();
-        dispatch.remove_prefill(&self.target, self.unread_prompt_tokens);
-        dispatch.ended(&self.target, self.weights.as_ref(), self.started);
+        self.release_target();
     }
 }
--- a/crates/chervilshunt_gateway/src/traffic/relay.rs
+++ b/crates/chervilshunt_gateway/src/traffic/relay.rs
@@ -1,5 +1,8 @@
 //! Passes a target's answer on as it arrives.
 
+mod end_check;
+mod report;
+
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -7,19 +10,19 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chervilshunt_core::{FRESH_ANSWER_AGE, HealthSignal, Repeat, SoftwareVersion, StreamOrigin};
+use chervilshunt_core::{HealthSignal, Repeat, SoftwareVersion, StreamOrigin};
 use chervilshunt_engine::{BodyReader, FINAL_WAIT, Framing, MAX_READY_CHUNKS};
 use chervilshunt_model::Moment;
 use http_body::{Frame, SizeHint};
 use tokio::time::{Instant, Sleep};
 
+use self::end_check::{EndCheck, EndOfBody};
 use super::attempt::{AcceptedAnswer, RequestAttempts};
 use super::body::TruncatedAnswer;
 use super::events::EventBuffer;
 use super::in_flight::InFlight;
 use super::refusal::Refusal;
 use super::request::CallerRequest;
-use crate::crashes::{TARGET_ENDED, may_have_crashed};
 use crate::shared::Shared;
 
 /// Interval at which a stream records that its target responds: short enough for other requests to
@@ -29,7 +32,6 @@
 /// Time since the last piece of an answer within which its target counts as still sending.
 const SENDING_WINDOW: Duration = Duration::from_secs(1);
 
-type Checking = Pin<Box<dyn Future<Output = bool> + Send>>;
 type Resuming = Pin<Box<dyn Future<Output = (Result<AcceptedAnswer, Refusal>, u32)> + Send>>;
 
 /// An answer that is being passed on.
@@ -44,8 +46,8 @@
     /// The software version that began the stream, once an event of it has been passed on.
     software: Option<SoftwareVersion>,
     resuming: Option<Resuming>,
-    /// Finds out whether the target has crashed, after a body that ended with its connection.
-    checking: Option<Checking>,
+    /// Finds out whether the answer is whole, after a body that ended with its connection.
+    checking: Option<EndCheck>,
     deadline: Pin<Box<Sleep>>,
     /// The number of times that the answer was polled after its deadline. What is ready by then is passed
     /// on.
@@ -123,21 +125,19 @@
             return Poll::Ready(None);
         }
         loop {
+            if self.checking.is_some() {
+                match ready!(self.poll_end_check(cx)) {
+                    Ok(EndOfBody::Whole) => {
+                        self.end();
+                        return Poll::Ready(None);
+                    }
+                    Ok(EndOfBody::Resuming) => {}
+                    Err(truncated) => return Poll::Ready(Some(Err(truncated))),
+                }
+            }
             if self.resuming.is_some() {
                 ready!(self.poll_resuming(cx))?;
             }
-            if let Some(checking) = &mut self.checking {
-                let may_have_crashed = ready!(checking.as_mut().poll(cx));
-                self.checking = None;
-                if !may_have_crashed {
-                    self.end();
-                    return Poll::Ready(None);
-                }
-                if !self.resume_interrupted(TARGET_ENDED) {
-                    return Poll::Ready(Some(self.cut("broke_off")));
-                }
-                continue;
-            }
             // The timer alone would not expire while the target keeps this task busy.
             if Instant::now() >= self.deadline.deadline() {
                 self.late_polls += 1;
@@ -163,11 +163,7 @@
                         return Poll::Ready(Some(self.cut("broke_off")));
                     }
                 }
-                None if self.ends_with_connection() => {
-                    let shared = Arc::clone(&self.shared);
-                    let run = self.in_flight.run();
-                    self.checking = Some(Box::pin(may_have_crashed(shared, run)));
-                }
+                None if self.ends_with_connection() => self.begin_end_check(),
                 None => {
                     self.end();
                     return Poll::Ready(None);
@@ -210,20 +206,6 @@
         self.deadline.as_mut().poll(cx)
     }
 
-    /// Returns how long ago the target began to answer.
-    fn begun_before(&self, now: Moment) -> Option<Duration> {
-        self.in_flight.begun_at().map(|at| now.since(at))
-    }
-
-    fn count_interrupted(&self, now: Moment) {
-        let age = match self.begun_before(now) {
-            None => "no_byte",
-            Some(age) if age <= FRESH_ANSWER_AGE => "fresh",
-            Some(_) => "older",
-        };
-        metrics::counter!("chervilshunt_interrupted_answers_total", "age" => age).increment(1);
-    }
-
     fn take(&mut self, frame: Frame<Bytes>) -> Option<Bytes> {
         let data = frame.into_data().ok()?;
         let now = self.shared.clock.now();
@@ -267,23 +249,6 @@
         self.shared.grants.stream_began();
     }
 
-    /// Logs an answer that begins on an older version than the newest known one.
-    fn report_older_version(&self, now: Moment) {
-        let (Some(weights), Some(version)) = (&self.req.weights, self.in_flight.version()) else {
-            return;
-        };
-        let newest = self.shared.dispatch().newest_version(weights, now);
-        let Some((newest, known_for)) = newest.filter(|(newest, _)| *newest > version) else {
-            return;
-        };
-        slog::info!(self.shared.log, "answer on older version";
-            "request" => &*self.req.id, "target" => self.in_flight.target.as_str(),
-            "weights" => weights.to_string(), "version" => version,
-            "newest_version" => newest,
-            "newest_known_for_ms" => known_for.as_millis() as u64,
-            "sent_ms" => now.since(self.in_flight.sent_at()).as_millis() as u64);
-    }
-
     /// Records the pause between two pieces. The first one that is longer than callers want is
     /// logged, so that it can be compared with what the target did at that time.
     fn record_pause(&mut self, now: Moment) {
@@ -309,16 +274,6 @@
         }
     }
 
-    /// Returns where the target's answer ended, for logs and metrics.
-    const fn body_end(&self) -> &'static str {
-        match self.body.events() {
-            None => "no_stream",
-            Some(events) if events.is_inside_event() => "inside_event",
-            Some(events) if events.has_events() => "after_event",
-            Some(_) => "before_event",
-        }
-    }
-
     /// Ends an answer that is not complete at its deadline. A stream may be slow for many reasons, but a
     /// target that is still sending any other answer does not know where it ends.
     fn cut_at_deadline<T>(&mut self) -> Result<T, TruncatedAnswer> {
@@ -375,64 +330,18 @@
         self.runs = runs;
         match answered {
             Ok(answered) if answered.can_continue_stream() => {
-                self.report_resumed(&answered.in_flight);
-                self.body = answered.body;
-                self.in_flight = answered.in_flight;
-                self.resumed += 1;
+                self.resume_at(answered);
                 Poll::Ready(Ok(()))
             }
             Ok(_) | Err(_) => Poll::Ready(self.cut("not_resumed")),
         }
     }
 
-    /// Logs and counts a stream that another target continues, with the versions of both targets'
-    /// software.
-    fn report_resumed(&self, by: &InFlight) {
-        let (before, after) = (self.in_flight.software(), by.software());
-        slog::info!(self.shared.log, "stream resumed";
-            "request" => &*self.req.id, "target" => by.target.as_str(),
-            "software" => after.map(|it| it.as_str().to_owned()),
-            "broke_off_at" => self.in_flight.target.as_str(),
-            "broke_off_software" => before.map(|it| it.as_str().to_owned()));
-        let software = match (before, after) {
-            (Some(before), Some(after)) if before == after => "same",
-            (Some(_), Some(_)) => "other",
-            (None, _) | (_, None) => "unknown",
-        };
-        metrics::counter!("chervilshunt_streams_resumed_total", "software" => software)
-            .increment(1);
-    }
-}
-
-impl Drop for Relay {
-    fn drop(&mut self) {
-        let now = self.shared.clock.now();
-        let whole = self.body.is_end_stream();
-        let outcome = self
-            .outcome
-            .unwrap_or(if whole { "served" } else { "caller_left" });
-        let first = self.first_byte.since(self.req.arrived);
-        let sent = self.in_flight.sent_at().since(self.req.arrived);
-        let total = now.since(self.req.arrived);
-        slog::info!(self.shared.log, "answered";
-            "request" => &*self.req.id, "route" => &*self.req.route.name,
-            "target" => self.in_flight.target.as_str(), "status" => self.status,
-            "outcome" => outcome, "version" => self.in_flight.version(),
-            "software" => self.in_flight.software().map(|it| it.as_str().to_owned()),
-            "sent_after_ms" => sent.as_millis() as u64,
-            "first_byte_ms" => first.as_millis() as u64,
-            "longest_pause_ms" => self.longest_pause.as_millis() as u64,
-            "framing" => self.body.framing().as_str(),
-            "ended" => self.body_end(),
-            "total_ms" => total.as_millis() as u64, "bytes" => self.bytes,
-            "runs" => self.runs, "resumed" => self.resumed);
-        metrics::counter!("chervilshunt_requests_total", "outcome" => outcome).increment(1);
-        metrics::counter!("chervilshunt_answer_ends_total",
-            "framing" => self.body.framing().as_str(), "ended" => self.body_end())
-        .increment(1);
-        metrics::histogram!("chervilshunt_first_byte_seconds").record(first.as_secs_f64());
-        metrics::histogram!("chervilshunt_longest_pause_seconds")
-            .record(self.longest_pause.as_secs_f64());
-        metrics::histogram!("chervilshunt_request_seconds").record(total.as_secs_f64());
+    /// Goes on with the answer of another target.
+    fn resume_at(&mut self, answered: AcceptedAnswer) {
+        self.report_resumed(&answered.in_flight);
+        self.body = answered.body;
+        self.in_flight = answered.in_flight;
+        self.resumed += 1;
     }
 }
--- a/crates/chervilshunt_gateway/src/transit/answer.rs
+++ b/crates/chervilshunt_gateway/src/transit/answer.rs
@@ -12,8 +12,8 @@
 use http_body::{Body, Frame, SizeHint};
 
 use super::pass_on::PassedRequest;
-use crate::crashes::{CrashObservation, EndedRequest, TARGET_ENDED, may_have_crashed};
-use crate::run_check::TargetRun;
+use crate::crashes::{CrashObservation, END_UNKNOWN, EndedRequest, TARGET_ENDED, check_answer_end};
+use crate::run_check::{RunState, TargetRun};
 use crate::shared::Shared;
 
 /// The body of an answer to another instance.
@@ -35,7 +35,7 @@
     }
 }
 
-pub(super) type Checking = Pin<Box<dyn Future<Output = bool> + Send>>;
+pub(super) type Checking = Pin<Box<dyn Future<Output = RunState> + Send>>;
 
 /// A target's body, and the request that it answers.
 pub(super) struct PassedAnswer {
@@ -43,6 +43,8 @@
     /// The run of the target to which the request was sent.
     pub(super) run: TargetRun,
     pub(super) sent_at: Moment,
+    /// When the request's time is over.
+    pub(super) deadline: Moment,
     /// The shared parts of the request's prompt.
     pub(super) parts: Vec<PartId>,
     /// When the target began to answer.
@@ -50,7 +52,7 @@
     /// Whether the target lives on after it began to answer, while that is not known.
     pub(super) settling: Option<SettlingNumber>,
     pub(super) open: PassedRequest,
-    /// Finds out whether the target has crashed, after a body that ended with its connection.
+    /// Finds out whether the target goes on, after a body that ended with its connection.
     pub(super) checking: Option<Checking>,
 }
 
@@ -59,7 +61,7 @@
         self.body.framing() == Framing::Connection
     }
 
-    /// Polls the target's body, and after the end of its connection whether the target has crashed.
+    /// Polls the target's body, and after the end of its connection whether the target goes on.
     fn poll_body(
         &mut self,
         cx: &mut Context<'_>,
@@ -72,16 +74,20 @@
                     return polled;
                 }
                 let shared = Arc::clone(self.open.shared());
-                let check = may_have_crashed(shared, self.run.clone());
+                let left = shared.clock.now().until(self.deadline);
+                let check = check_answer_end(shared, self.run.clone(), left);
                 self.checking.insert(Box::pin(check))
             }
         };
-        let may_have_crashed = ready!(checking.as_mut().poll(cx));
+        let state = ready!(checking.as_mut().poll(cx));
         self.checking = None;
-        Poll::Ready(may_have_crashed.then(|| {
-            let problem = TARGET_ENDED.into();
-            Err(EngineError::Truncated { problem })
-        }))
+        let problem = match state {
+            RunState::Alive => return Poll::Ready(None),
+            RunState::Ended => TARGET_ENDED,
+            RunState::Unknown => END_UNKNOWN,
+        };
+        let problem = problem.into();
+        Poll::Ready(Some(Err(EngineError::Truncated { problem })))
     }
 
     /// Records that bytes were received from the target, since only this instance sees it crash.
--- a/crates/chervilshunt_gateway/src/transit/pass_on.rs
+++ b/crates/chervilshunt_gateway/src/transit/pass_on.rs
@@ -173,6 +173,7 @@
         body,
         run,
         sent_at,
+        deadline: sent_at + left,
         parts,
         begun_at: None,
         settling: None,
