A status that HTTP does not have is no answer

A target in trouble may send bytes that look like a head and are no answer in the protocol. A write at the platform counted as refused.

The HTTP library takes any three digits from 100 on for a status. HTTP ends at 599, and nobody asks for another protocol (101). `is_final_status` is the one rule now, applied where each of the two clients receives a head: that of targets, which reads answers to callers of both programs, in transit, reports, orders and health checks, and that of the platform. A head that fails it is an answer lost: its connection is closed and the request may have run.

--- a/crates/chervilshunt_engine/src/client.rs
+++ b/crates/chervilshunt_engine/src/client.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use chervilshunt_model::is_final_status;
 use http::header::{self, HeaderValue};
 use http::{HeaderMap, Request, Response, Uri, response};
 use http_body_util::Full;
@@ -15,8 +16,8 @@
 use crate::call::{Call, ConnectionUse, ExpectedAnswer, Limits};
 use crate::connection::{TargetConnection, TransmitError};
 use crate::error::{
-    AnswerMismatchSnafu, CallStage, EngineError, MalformedSnafu, NotSentSnafu, OutcomeUnknownSnafu,
-    TimeoutSnafu,
+    AnswerMismatchSnafu, CallStage, EngineError, MalformedSnafu, NoStatusSnafu, NotSentSnafu,
+    OutcomeUnknownSnafu, TimeoutSnafu,
 };
 use crate::headers::{ATTEMPT_ID, FENCING_TOKEN, REQUEST_ID, strip_hop_by_hop};
 use crate::identity::{AnswerProof, IdHeader, Mismatch};
@@ -270,6 +271,11 @@
             .fail();
         };
         match sent {
+            Ok(response) if !is_final_status(response.status().as_u16()) => NoStatusSnafu {
+                address,
+                status: response.status(),
+            }
+            .fail(),
             Ok(response) => Ok(SendOutcome::Answered(response)),
             Err(TransmitError::NotSent(req)) => Ok(SendOutcome::Unsent(req)),
             Err(TransmitError::MaybeSent(source)) => {
--- a/crates/chervilshunt_engine/src/error.rs
+++ b/crates/chervilshunt_engine/src/error.rs
@@ -131,6 +131,14 @@
         /// The ids that the answer states, if any.
         stated: Option<Arc<str>>,
     },
+    /// The head of the answer has a status that is none.
+    #[snafu(display("{address} sent bytes that are no answer, with the status {status}"))]
+    NoStatus {
+        /// The target's address.
+        address: SocketAddr,
+        /// What stands in the place of the status.
+        status: StatusCode,
+    },
     /// The request or its answer has an invalid or unsupported format.
     #[snafu(display("invalid request or answer: {problem}"))]
     Malformed {
@@ -205,6 +213,7 @@
             | Self::Fenced { .. }
             | Self::AdapterMissing { .. }
             | Self::WrongModel { .. }
+            | Self::NoStatus { .. }
             | Self::Malformed { .. }
             | Self::FailedMidway { .. }
             | Self::Truncated { .. } => false,
@@ -235,6 +244,7 @@
             Self::Refused { proof: None, .. }
             | Self::AdapterMissing { proof: None, .. }
             | Self::OutcomeUnknown { .. }
+            | Self::NoStatus { .. }
             | Self::AnswerMismatch { .. } => Outcome::Unknown,
             Self::WrongModel { .. }
             | Self::Malformed { .. }
--- a/crates/chervilshunt_model/src/lib.rs
+++ b/crates/chervilshunt_model/src/lib.rs
@@ -12,6 +12,7 @@
 mod class;
 mod clock;
 mod deployment;
+mod final_status;
 mod ids;
 mod moment;
 mod object;
@@ -32,6 +33,7 @@
     Adapter, Deployment, Fencing, Lifecycle, Priority, Service, ServiceKind, Site, Target, Version,
     WeightStore,
 };
+pub use final_status::is_final_status;
 pub use ids::{
     AdapterName, AdapterVersion, AttemptId, CallerName, ChangeId, Epoch, InstanceId,
     ModelNameError, PriorityName, RegionName, RequestId, Revision, ServiceName, SiteName,
--- a/crates/chervilshunt_platform/src/exchange.rs
+++ b/crates/chervilshunt_platform/src/exchange.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use chervilshunt_core::Backoff;
-use chervilshunt_model::Moment;
+use chervilshunt_model::{Moment, is_final_status};
 use http::{Request, Response, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -166,7 +166,12 @@
                 true => call.unavailable(&err.to_string()),
                 false => lost(&call.label, call.verb, err.to_string()),
             })?;
-            if response.status().is_success() {
+            let status = response.status();
+            if !is_final_status(status.as_u16()) {
+                let cause = format!("the response has the status {status}, which is none");
+                return Err(lost(&call.label, call.verb, cause));
+            }
+            if status.is_success() {
                 return read(response).await;
             }
             let (head, body) = response.into_parts();
