An answer of a leaving target that ends with its process is not complete

An instance finds out after such an end whether the target lives on, but took every leaving target for one that had exited after its last answer, without asking.

Leaving targets are asked like all others, by the health check of the service to which the request was sent, as their entry may be gone. The removal of an entry shows the end of a process only if the target was staying: one that leaves serves on for a while. When the process has ended nothing tells a whole answer from a broken one, and it ends visibly; streams that may be resumed go on at another target.

--- a/crates/chervilshunt_core/src/dispatch/links.rs
+++ b/crates/chervilshunt_core/src/dispatch/links.rs
@@ -175,6 +175,12 @@
         others
     }
 
+    /// Returns whether a target is listed and not leaving.
+    pub fn is_staying(&self, target: &TargetName) -> bool {
+        let known = self.targets.get(target);
+        known.is_some_and(|it| it.facts.leaving.is_none())
+    }
+
     /// Returns whether the platform shows that a run of a target has ended: the target has started again, or its
     /// entry is gone. Unlike a refused connection, this does not depend on this instance's links to targets.
     ///
--- a/crates/chervilshunt_gateway/src/crashes.rs
+++ b/crates/chervilshunt_gateway/src/crashes.rs
@@ -8,7 +8,7 @@
 
 use chervilshunt_core::{
     Crash, CrashedRun, FRESH_ANSWER_AGE, Fingerprint, PartId, SETTLE_TIME, SettlingNumber,
-    StoredCrashes, TargetFacts,
+    StoredCrashes,
 };
 use chervilshunt_model::{Moment, TargetName};
 use chervilshunt_platform::{Exchange, PlatformError};
@@ -338,7 +338,8 @@
 }
 
 /// Finds out whether a target's process goes on after the end of an answer that states neither a length nor
-/// chunks. It looks the same if the process was killed in the middle of the answer.
+/// chunks. It looks the same if the process was killed in the middle of the answer, and whether a leaving target has
+/// exited after its last answer or in the middle of it.
 ///
 /// The caller has the bytes and waits for the end only, so that `limit` is the time that the request has left.
 pub(crate) async fn check_answer_end(
@@ -346,11 +347,6 @@
     run: TargetRun,
     limit: Duration,
 ) -> RunState {
-    let stays = |it: &TargetFacts| it.leaving.is_none();
-    if !shared.dispatch().target(&run.target).is_some_and(stays) {
-        // It may have answered its last request and exited.
-        return RunState::Alive;
-    }
     let ended_at = shared.clock.now();
     check_run(&shared, &run, ended_at, limit).await
 }
--- a/crates/chervilshunt_gateway/src/run_check.rs
+++ b/crates/chervilshunt_gateway/src/run_check.rs
@@ -10,7 +10,7 @@
 
 use chervilshunt_core::{RunCheck, RunFinding, RunVerdict, TargetStart};
 use chervilshunt_engine::{CallStage, ConnectionUse, EngineError, Limits};
-use chervilshunt_model::{Moment, TargetName};
+use chervilshunt_model::{Moment, ServiceName, TargetName};
 use futures_util::StreamExt as _;
 use futures_util::stream::FuturesUnordered;
 use http::Request;
@@ -35,6 +35,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct TargetRun {
     pub(crate) target: TargetName,
+    pub(crate) service: ServiceName,
     pub(crate) address: SocketAddr,
     /// The start of the target when the request was sent.
     pub(crate) started: Option<TargetStart>,
@@ -202,10 +203,13 @@
 
 /// Waits until other requests or the platform show whether a run goes on.
 async fn watch(shared: &Shared, run: &TargetRun, ended_at: Moment) -> (RunState, Evidence) {
+    // The entry of a leaving target may be removed long before its process ends.
+    let was_staying = shared.dispatch().is_staying(&run.target);
     loop {
         {
             let dispatch = shared.dispatch();
-            if dispatch.has_run_ended(&run.target, run.started) {
+            let is_listed = dispatch.target(&run.target).is_some();
+            if (was_staying || is_listed) && dispatch.has_run_ended(&run.target, run.started) {
                 return (RunState::Ended, Evidence::Platform);
             }
             if dispatch.has_answered_since(&run.target, run.started, ended_at) {
@@ -271,12 +275,8 @@
 fn question(shared: &Shared, run: &TargetRun) -> (Request<Full<Bytes>>, bool) {
     let dialect = &shared.dialect.targets;
     let health_check = || {
-        let service = {
-            let dispatch = shared.dispatch();
-            dispatch.target(&run.target)?.service.clone()
-        };
         let routes = shared.routes.load();
-        let service = routes.as_ref()?.services.get(&service)?;
+        let service = routes.as_ref()?.services.get(&run.service)?;
         let path = service.health_path.as_deref()?;
         service.placement.is_none().then_some(())?;
         (dialect.health_query)(&run.target, path)
--- a/crates/chervilshunt_gateway/src/traffic/in_flight.rs
+++ b/crates/chervilshunt_gateway/src/traffic/in_flight.rs
@@ -6,7 +6,7 @@
 use chervilshunt_core::{
     Crash, HealthSignal, SettlingNumber, SoftwareVersion, TargetPath, TargetStart, Weights,
 };
-use chervilshunt_model::{Moment, TargetName};
+use chervilshunt_model::{Moment, ServiceName, TargetName};
 
 use super::place::SelectedTarget;
 use super::request::CallerRequest;
@@ -20,6 +20,7 @@
 pub(crate) struct InFlight {
     shared: Arc<Shared>,
     pub(crate) target: TargetName,
+    service: ServiceName,
     pub(super) address: SocketAddr,
     /// The start of the target to which it was sent.
     pub(super) started: Option<TargetStart>,
@@ -62,6 +63,7 @@
         Self {
             shared: Arc::clone(shared),
             target: target.clone(),
+            service: req.service.clone(),
             address: chosen.address,
             started,
             weights: weights.cloned(),
@@ -156,6 +158,7 @@
     pub(crate) fn run(&self) -> TargetRun {
         TargetRun {
             target: self.target.clone(),
+            service: self.service.clone(),
             address: self.address,
             started: self.started,
         }
--- a/crates/chervilshunt_gateway/src/transit/pass_on.rs
+++ b/crates/chervilshunt_gateway/src/transit/pass_on.rs
@@ -1,5 +1,6 @@
 //! Passes one request of another instance on to its target.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -7,7 +8,7 @@
 use bytes::Bytes;
 use chervilshunt_core::{HealthSignal, PartId, TargetPath};
 use chervilshunt_engine::{ConnectionUse, EngineError, Limits, Outcome, strip_hop_by_hop};
-use chervilshunt_model::{InstanceId, Moment, TargetName};
+use chervilshunt_model::{InstanceId, Moment, ServiceName, TargetName};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, header};
 use http_body_util::Full;
@@ -124,7 +125,7 @@
     if shared.is_stopping() {
         return Err(TransitOutcome::Stopping);
     }
-    let (address, using) = find_target(shared, &transit)?;
+    let (service, address, using) = find_target(shared, &transit)?;
     let left = time_left(shared, &mut head.headers, arrived)?;
     let sent_at = shared.clock.now();
     let started = shared.dispatch().started(&transit.target);
@@ -144,6 +145,7 @@
     let answer = answer.await;
     let run = TargetRun {
         target: transit.target,
+        service,
         address,
         started,
     };
@@ -198,11 +200,11 @@
     parts.unwrap_or_default()
 }
 
-/// Returns the target's address, and how connections to it are used.
+/// Returns the target's service and address, and how connections to it are used.
 fn find_target(
     shared: &Shared,
     transit: &TransitHead,
-) -> Result<(std::net::SocketAddr, ConnectionUse), TransitOutcome> {
+) -> Result<(ServiceName, SocketAddr, ConnectionUse), TransitOutcome> {
     let now = shared.clock.now();
     let dispatch = shared.dispatch();
     let target = dispatch.target(&transit.target);
@@ -222,7 +224,7 @@
         reuse,
         checks_fresh: !transit.is_repeatable && may_reset,
     };
-    Ok((target.address, using))
+    Ok((target.service.clone(), target.address, using))
 }
 
 /// Returns the time that the request has left, and shortens its deadline by the time spent here.
