An instance that stops writes its answers to the end before it exits

A request counted as open until the HTTP library had dropped its body, which it does with the last piece in its own write buffer. The shutdown exited as soon as no request was open, and the buffer went with the process.

An answer now counts from the end of its body until its connection has been flushed, which the library does only when its buffer is empty, at the callers' port and at that of other instances. The shutdown waits for both, within its bound as before.

--- a/crates/chervilshunt_gateway/src/front.rs
+++ b/crates/chervilshunt_gateway/src/front.rs
@@ -11,12 +11,13 @@
 use chervilshunt_start::{CallerProtocol, FlushBeforeError};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
 use crate::shared::Shared;
 use crate::traffic::serve;
+use crate::unwritten::UnwrittenAnswers;
 
 /// Delay after a connection could not be accepted, for example because file descriptors are
 /// exhausted.
@@ -223,12 +224,14 @@
     let idle = bounds.map_or(DEFAULT_IDLE_TIMEOUT, |it| it.idle_time.max(it.header_time));
     let buffer = bounds.map_or(MIN_BUFFER, read_buffer);
     let protocol = CallerProtocol::default();
+    let unwritten = UnwrittenAnswers::new(&shared);
+    let io = unwritten.watch(stream);
     let service = service_fn(|req| {
-        let (shared, admitted) = (&shared, &admitted);
+        let (shared, admitted, unwritten) = (&shared, &admitted, &unwritten);
         protocol.record(req.version());
         async move {
             let res = Box::pin(serve(shared, admitted, req)).await;
-            Ok::<_, Infallible>(res.map(FlushBeforeError::new))
+            Ok::<_, Infallible>(res.map(|it| unwritten.count(FlushBeforeError::new(it))))
         }
     });
     let mut connection = http1::Builder::new()
@@ -238,7 +241,7 @@
         // read into.
         .writev(false)
         .max_buf_size(buffer)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(io, service);
     let ended = tokio::select! {
         ended = &mut connection => ended,
         () = admitted.evicted.notified() => return,
--- a/crates/chervilshunt_gateway/src/lib.rs
+++ b/crates/chervilshunt_gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod streams;
 mod traffic;
 mod transit;
+mod unwritten;
 
 pub use dialect::{
     Change, Changes, Content, Dialect, Entry, Freshness, Headers, Kind, Malformed, NamedLimit,
--- a/crates/chervilshunt_gateway/src/run.rs
+++ b/crates/chervilshunt_gateway/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use chervilshunt_mesh::{Mesh, MeshConfig};
@@ -138,7 +139,7 @@
     }
     loop {
         let passed = began.elapsed();
-        let under_way = shared.open_requests();
+        let under_way = shared.open_requests() + shared.unwritten_answers.load(Ordering::Relaxed);
         if passed >= ACCEPT_AFTER_STOP {
             shared.close_connections.cancel();
         }
--- a/crates/chervilshunt_gateway/src/shared.rs
+++ b/crates/chervilshunt_gateway/src/shared.rs
@@ -130,6 +130,8 @@
     /// Refuses requests that still wait to be sent to a target: an answer would not end before the process.
     pub(crate) stop_sending: CancellationToken,
     open_requests: AtomicUsize,
+    /// The number of answers that have ended and are not written to their connections yet.
+    pub(crate) unwritten_answers: AtomicUsize,
 }
 
 /// An open request of a caller, from its head to the last byte of its answer.
@@ -227,6 +229,7 @@
             close_connections: CancellationToken::new(),
             stop_sending: CancellationToken::new(),
             open_requests: AtomicUsize::new(0),
+            unwritten_answers: AtomicUsize::new(0),
         })
     }
 
--- a/crates/chervilshunt_gateway/src/transit/server.rs
+++ b/crates/chervilshunt_gateway/src/transit/server.rs
@@ -7,11 +7,12 @@
 use chervilshunt_start::FlushBeforeError;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::pass_on::pass_on;
 use crate::shared::Shared;
+use crate::unwritten::UnwrittenAnswers;
 
 /// Delay after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -46,11 +47,13 @@
         slog::debug!(shared.log, "connection closed"; "reason" => error.to_string());
         return;
     }
+    let unwritten = UnwrittenAnswers::new(&shared);
+    let io = unwritten.watch(stream);
     let service = service_fn(|req| {
-        let shared = &shared;
+        let (shared, unwritten) = (&shared, &unwritten);
         async move {
             let res = Box::pin(pass_on(shared, req)).await;
-            Ok::<_, Infallible>(res.map(FlushBeforeError::new))
+            Ok::<_, Infallible>(res.map(|it| unwritten.count(FlushBeforeError::new(it))))
         }
     });
     let mut connection = http1::Builder::new()
@@ -58,7 +61,7 @@
         .header_read_timeout(HEAD_TIMEOUT)
         .writev(false)
         .max_buf_size(BUFFER_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(io, service);
     let ended = tokio::select! {
         ended = &mut connection => ended,
         () = shared.close_connections.cancelled() => {
