--- a/crates/chervilshunt_gateway/src/run_check.rs
+++ b/crates/chervilshunt_gateway/src/run_check.rs
@@ -159,13 +159,13 @@
 ) -> (RunState, Evidence) {
     let mut watched = pin!(watch(shared, run, ended_at));
     let mut questions = FuturesUnordered::new();
-    let mut is_due = pin!(tokio::time::sleep(Duration::ZERO));
+    let mut question_due = pin!(tokio::time::sleep(Duration::ZERO));
     loop {
         let finding = tokio::select! {
             biased;
             found = &mut watched => return found,
             Some(finding) = questions.next() => finding,
-            () = &mut is_due => {
+            () = &mut question_due => {
                 let now = shared.clock.now();
                 let delay = match shared.open_questions.begin(run, now) {
                     Some(question) => {
@@ -175,7 +175,7 @@
                     }
                     None => POLL_INTERVAL,
                 };
-                is_due.set(tokio::time::sleep(delay));
+                question_due.set(tokio::time::sleep(delay));
                 continue;
             }
         };
@@ -195,7 +195,7 @@
             }
             RunVerdict::Unknown => {
                 let delay = now.until(check.next_question_at());
-                is_due.set(tokio::time::sleep(delay));
+                question_due.set(tokio::time::sleep(delay));
             }
         }
     }
