A start that fails says why in the log

What operators saw: an instance that ends at its start leaves `"msg":"stopped" .. "orderly":false` on standard output, or nothing at all.

Cause: the program logged that it had stopped and left the reason to its `main`, which wrote it to standard error.

Evidence, the code before, a start each on standard output and standard error: a port that is taken, an address that the machine lacks, no right to a port, 12 and 16 descriptors: `stopped` without a reason; no settings file, invalid settings, no threads (a panic): nothing.

Change: `run` logs `start failed` with the reason at level `error`, for `chervilshuntd` also `shutdown failed`. Standard error gets what it got before.

--- a/crates/chervilshunt_daemon/src/run.rs
+++ b/crates/chervilshunt_daemon/src/run.rs
@@ -69,6 +69,20 @@
 /// to be aborted during the shutdown.
 pub fn run(settings: Settings) -> Result<(), RunError> {
     let (log, _flushed_on_drop) = start_log(&settings);
+    let result = run_with_log(settings, &log);
+    match &result {
+        Ok(()) => {}
+        Err(RunError::Start { source }) => {
+            slog::error!(log, "start failed"; "reason" => source.to_string());
+        }
+        Err(RunError::Stopped { source }) => {
+            slog::error!(log, "shutdown failed"; "reason" => source.to_string());
+        }
+    }
+    result
+}
+
+fn run_with_log(settings: Settings, log: &Logger) -> Result<(), RunError> {
     let metrics = install_metrics(&LATENCY_BUCKETS)?;
     let traffic = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(settings.runtime.traffic_threads)
@@ -76,7 +90,7 @@
         .enable_all()
         .build()
         .map_err(StartError::from)?;
-    let result = traffic.block_on(serve(Arc::new(settings), log, metrics));
+    let result = traffic.block_on(serve(Arc::new(settings), log.clone(), metrics));
     traffic.shutdown_background();
     result
 }
--- a/crates/chervilshunt_gateway/src/run.rs
+++ b/crates/chervilshunt_gateway/src/run.rs
@@ -64,18 +64,26 @@
     let level = slog_level(settings.log_level);
     let (log, _flushed_on_drop) =
         chervilshunt_log::start(instance.id.as_str(), instance.zone.as_str(), level);
+    let result = run_with_log(settings, settings_file, dialect, &log);
+    if let Err(error) = &result {
+        slog::error!(log, "start failed"; "reason" => error.to_string());
+    }
+    slog::info!(log, "stopped"; "orderly" => result.is_ok());
+    result
+}
+
+fn run_with_log(
+    settings: Settings,
+    settings_file: PathBuf,
+    dialect: Dialect,
+    log: &Logger,
+) -> Result<(), StartError> {
     let metrics = install_metrics(&LATENCY_BUCKETS)?;
     let traffic = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    let result = traffic.block_on(serve(
-        settings,
-        settings_file,
-        dialect,
-        log.clone(),
-        metrics,
-    ));
-    slog::info!(log, "stopped"; "orderly" => result.is_ok());
+    let served = serve(settings, settings_file, dialect, log.clone(), metrics);
+    let result = traffic.block_on(served);
     traffic.shutdown_background();
     result
 }
