A start waits for addresses that are taken or missing for now

What operators saw: an instance that is started while its earlier process still stops, as a supervisor or a deploy tool does, exits with code 1 at once: "Address already in use (os error 98)". The earlier process stops in order, and nobody starts the new one again: a planned restart loses an instance.

Cause: each port was opened once, and the first refusal ended the start. A refusal of `bind` says what holds now: the address may be free when the earlier process has stopped, or be there once its interface is up.

Ruled out here as reasons for an end: limits of 20 descriptors and of 30 MB of addresses, a loopback interface that is down, standard output that is full or closed.

Change: `open_ports` opens all ports of a program, or none. A refusal that may pass (the address is taken or missing; the machine is short of descriptors or memory for sockets) is tried again each 50 ms, for the longest shutdown and 2 s. It is logged once for each address and reason. SIGTERM ends the wait. Other refusals are final at once, and so is the end of the wait; the error names the key, the address, the reason of the system and what to do. The mesh takes a listener that is opened in the same way, with the same backlog; `chervilshuntd` and its control port too.

All addresses are bound before the first one accepts connections, so that an instance that waits takes no callers and is not ready. Weighed: to answer readiness with 503 meanwhile; a refused connection counts as not ready as well, and needs no second form of the readiness port.

Why this works: the earlier process has exited after `bounds.shutdown_s`, and the system has released its addresses by then.

--- a/crates/chervilshunt_daemon/src/run.rs
+++ b/crates/chervilshunt_daemon/src/run.rs
@@ -9,7 +9,9 @@
 use chervilshunt_core::{RetryBudget, RetryBudgetConfig};
 use chervilshunt_mesh::{Mesh, MeshConfig};
 use chervilshunt_platform::{Platform, PlatformConfig};
-use chervilshunt_start::{StartError, forward, install_metrics, listen, on_control_thread};
+use chervilshunt_start::{
+    Port, StartError, forward, install_metrics, on_control_thread, open_ports,
+};
 use metrics_exporter_prometheus::PrometheusHandle;
 use slog::Logger;
 use snafu::{ResultExt, Snafu};
@@ -22,7 +24,7 @@
 use crate::lease_timing::LeaseTiming;
 use crate::operators::{Health, Operators, Statements, serve_operators};
 use crate::routing::SharedRouting;
-use crate::shutdown::{Shutdown, ShutdownError, Signals};
+use crate::shutdown::{Shutdown, ShutdownError, Signals, longest_shutdown};
 use crate::traffic::{Claims, HeldPermits, Links, Permits, Traffic, serve_callers};
 use crate::wire::PeerMessage;
 use chervilshunt_engine::EngineClients;
@@ -116,13 +118,23 @@
     let clock = Clock::boot();
     // Without a bound on the send buffer, the kernel would hold megabytes for a caller that does
     // not read, and the engine would generate that much ahead of it.
-    let send_buffer = Some(settings.limits.stream_buffer_bytes);
-    let callers = listen(settings.addresses.callers, "callers", send_buffer)?;
-    let operators = listen(settings.addresses.operators, "operators", None)?;
-    let mesh_cfg = MeshConfig::new(settings.instance.id.clone(), settings.addresses.peers);
-    let (mesh, inbound) = Mesh::<PeerMessage>::bind(mesh_cfg, log.clone())
-        .await
-        .map_err(StartError::from)?;
+    let send_buffer = settings.limits.stream_buffer_bytes;
+    let ports = [
+        Port::new("callers", settings.addresses.callers).with_send_buffer(send_buffer),
+        Port::new("operators", settings.addresses.operators),
+        Port::new("peers", settings.addresses.peers),
+    ];
+    let opened = tokio::select! {
+        opened = open_ports(ports, longest_shutdown(settings.limits.shutdown), &log) => opened?,
+        () = signals.next() => {
+            slog::info!(log, "shutdown"; "step" => "signal before all ports were open");
+            return Ok(());
+        }
+    };
+    let [callers, operators, peers] = opened;
+    let mesh_cfg = MeshConfig::new(settings.instance.id.clone());
+    let (mesh, inbound) =
+        Mesh::<PeerMessage>::start(mesh_cfg, peers, log.clone()).map_err(StartError::from)?;
     let callers_address = address_of(&callers, settings.addresses.callers);
     let operators_address = address_of(&operators, settings.addresses.operators);
 
--- a/crates/chervilshunt_daemon/src/shutdown.rs
+++ b/crates/chervilshunt_daemon/src/shutdown.rs
@@ -21,6 +21,12 @@
 /// The maximum wait for the lease to be given up.
 const LEAVE_BOUND: Duration = Duration::from_secs(5);
 
+/// Returns the longest time that a graceful shutdown takes; `bound` is the maximum wait for open
+/// requests.
+pub(crate) fn longest_shutdown(bound: Duration) -> Duration {
+    UNREADY_GRACE + HANDOVER_BOUND + bound + LEAVE_BOUND
+}
+
 /// The reason why a shutdown was not graceful.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
--- a/crates/chervilshunt_gateway/src/run.rs
+++ b/crates/chervilshunt_gateway/src/run.rs
@@ -7,7 +7,9 @@
 
 use chervilshunt_mesh::{Mesh, MeshConfig};
 use chervilshunt_platform::{Exchange, PlatformConfig, RateLimit};
-use chervilshunt_start::{StartError, forward, install_metrics, listen, on_control_thread};
+use chervilshunt_start::{
+    Port, StartError, forward, install_metrics, on_control_thread, open_ports,
+};
 use metrics_exporter_prometheus::PrometheusHandle;
 use slog::Logger;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -97,12 +99,23 @@
 ) -> Result<(), StartError> {
     let mut signals = Signals::listen()?;
     let addresses = settings.addresses;
-    let callers = listen(addresses.callers, "callers", None)?;
-    let readiness = listen(addresses.readiness, "readiness", None)?;
-    let transit = listen(addresses.transit, "transit", None)?;
-    let for_metrics = listen(addresses.metrics, "metrics", None)?;
-    let mesh_cfg = MeshConfig::new(settings.instance.id.clone(), addresses.peers);
-    let (mesh, inbound) = Mesh::<PeerMessage>::bind(mesh_cfg, log.clone()).await?;
+    let ports = [
+        Port::new("callers", addresses.callers),
+        Port::new("readiness", addresses.readiness),
+        Port::new("transit", addresses.transit),
+        Port::new("metrics", addresses.metrics),
+        Port::new("peers", addresses.peers),
+    ];
+    let opened = tokio::select! {
+        opened = open_ports(ports, settings.bounds.shutdown, &log) => opened?,
+        () = signals.stop() => {
+            slog::info!(log, "stopping"; "reason" => "signal before all ports were open");
+            return Ok(());
+        }
+    };
+    let [callers, readiness, transit, for_metrics, peers] = opened;
+    let mesh_cfg = MeshConfig::new(settings.instance.id.clone());
+    let (mesh, inbound) = Mesh::<PeerMessage>::start(mesh_cfg, peers, log.clone())?;
     slog::info!(log, "started";
         "version" => env!("CARGO_PKG_VERSION"), "callers" => addresses.callers.to_string(),
         "peers" => addresses.peers.to_string(),
@@ -179,6 +192,14 @@
         })
     }
 
+    /// Waits for a signal to stop.
+    async fn stop(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+
     /// Waits for a signal to stop, and handles other signals in the meantime.
     async fn until_stop(&mut self, control: &Address<Control>) {
         loop {
--- a/crates/chervilshunt_mesh/examples/rounds/churn.rs
+++ b/crates/chervilshunt_mesh/examples/rounds/churn.rs
@@ -44,7 +44,9 @@
 async fn measure(bound: usize, peers: &[Peer]) {
     let mut cfg = config("entry");
     cfg.max_connections = bound;
-    let (mesh, _inbound) = Mesh::bind(cfg, log()).await.expect("a free port");
+    let (mesh, _inbound) = Mesh::bind(cfg, any_port(), log())
+        .await
+        .expect("a free port");
     let mut rng = StdRng::seed_from_u64(1);
     for _ in 0..REQUESTS {
         let peer = &peers[rng.random_range(0..peers.len())];
@@ -65,7 +67,9 @@
 
 async fn owner(number: usize) -> Peer {
     let name = format!("owner-{number}");
-    let (mesh, mut inbound) = Mesh::bind(config(&name), log()).await.expect("a free port");
+    let (mesh, mut inbound) = Mesh::bind(config(&name), any_port(), log())
+        .await
+        .expect("a free port");
     let address = mesh.local_addr();
     tokio::spawn(async move {
         while let Some(received) = inbound.recv().await {
@@ -85,7 +89,11 @@
 }
 
 fn config(name: &str) -> MeshConfig {
-    MeshConfig::new(name.into(), SocketAddr::from(([127, 0, 0, 1], 0)))
+    MeshConfig::new(name.into())
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
 fn log() -> slog::Logger {
--- a/crates/chervilshunt_mesh/examples/rounds/connections.rs
+++ b/crates/chervilshunt_mesh/examples/rounds/connections.rs
@@ -73,9 +73,10 @@
 }
 
 async fn mesh(name: &str) -> (Mesh<Hello>, mpsc::Receiver<Inbound<Hello>>) {
-    let mut cfg = MeshConfig::new(name.into(), SocketAddr::from(([127, 0, 0, 1], 0)));
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    let mut cfg = MeshConfig::new(name.into());
     cfg.ping_after = PING_AFTER;
     cfg.idle_timeout = IDLE_TIMEOUT;
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    Mesh::bind(cfg, log).await.expect("a free port")
+    Mesh::bind(cfg, listen, log).await.expect("a free port")
 }
--- a/crates/chervilshunt_mesh/examples/rounds/memory.rs
+++ b/crates/chervilshunt_mesh/examples/rounds/memory.rs
@@ -60,10 +60,10 @@
 
 async fn mesh(number: usize) -> (Mesh<Hello>, mpsc::Receiver<Inbound<Hello>>) {
     let listen = SocketAddr::from(([127, 0, 0, 1], 0));
-    let mut cfg = MeshConfig::new(format!("node-{number}").as_str().into(), listen);
+    let mut cfg = MeshConfig::new(format!("node-{number}").as_str().into());
     cfg.queue_messages = 16;
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    Mesh::bind(cfg, log).await.expect("a free port")
+    Mesh::bind(cfg, listen, log).await.expect("a free port")
 }
 
 fn resident_kib() -> usize {
--- a/crates/chervilshunt_mesh/examples/rounds/throughput.rs
+++ b/crates/chervilshunt_mesh/examples/rounds/throughput.rs
@@ -144,9 +144,10 @@
 }
 
 async fn mesh(name: &str) -> (Mesh<Message>, tokio::sync::mpsc::Receiver<Inbound<Message>>) {
-    let cfg = MeshConfig::new(name.into(), SocketAddr::from(([127, 0, 0, 1], 0)));
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    let cfg = MeshConfig::new(name.into());
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    Mesh::bind(cfg, log).await.expect("a free port")
+    Mesh::bind(cfg, listen, log).await.expect("a free port")
 }
 
 fn text(size: usize) -> String {
--- a/crates/chervilshunt_mesh/src/config.rs
+++ b/crates/chervilshunt_mesh/src/config.rs
@@ -19,8 +19,6 @@
 pub struct MeshConfig {
     /// The id of this instance.
     pub instance: InstanceId,
-    /// The address on which this instance accepts connections from peers.
-    pub listen: SocketAddr,
     /// The maximum size of a message that is sent or received, in bytes of CBOR.
     pub max_message_bytes: usize,
     /// The time limit for opening a connection, including the handshake, and for closing one.
@@ -49,10 +47,9 @@
 
 impl MeshConfig {
     /// Returns the default settings.
-    pub fn new(instance: InstanceId, listen: SocketAddr) -> Self {
+    pub const fn new(instance: InstanceId) -> Self {
         Self {
             instance,
-            listen,
             max_message_bytes: 1 << 20,
             connect_timeout: Duration::from_secs(1),
             idle_timeout: Duration::from_secs(300),
--- a/crates/chervilshunt_mesh/src/error.rs
+++ b/crates/chervilshunt_mesh/src/error.rs
@@ -18,6 +18,12 @@
         /// The error from the operating system.
         source: std::io::Error,
     },
+    /// The address of the listening socket cannot be determined.
+    #[snafu(display("cannot determine the address of the listening socket: {source}"))]
+    LocalAddress {
+        /// The error from the operating system.
+        source: std::io::Error,
+    },
     /// The instance id cannot be used as a header value.
     #[snafu(display("the instance id {instance} has characters other than visible ASCII"))]
     BadInstance {
--- a/crates/chervilshunt_mesh/src/mesh.rs
+++ b/crates/chervilshunt_mesh/src/mesh.rs
@@ -16,7 +16,9 @@
 use crate::config::{MeshConfig, Peer};
 use crate::counters::MeshCounters;
 use crate::dial::accept_loop;
-use crate::error::{BadInstanceSnafu, BindSnafu, MeshError, RequestError, SendError};
+use crate::error::{
+    BadInstanceSnafu, BindSnafu, LocalAddressSnafu, MeshError, RequestError, SendError,
+};
 use crate::handshake::is_header_safe;
 use crate::message::{Inbound, InboundMessage, Purpose, Reply};
 use crate::outgoing::{Outgoing, OutgoingRequest, RequestState};
@@ -46,15 +48,30 @@
 where
     M: Serialize + DeserializeOwned + Purpose + Send + 'static,
 {
-    /// Starts a mesh that listens for peers, and returns it with the queue of inbound messages.
+    /// Starts a mesh that accepts peers on a new listening socket; see [`Self::start`].
+    ///
+    /// # Errors
+    /// Fails if the address cannot be bound or the instance id cannot be used as a header value.
+    pub async fn bind(
+        cfg: MeshConfig,
+        address: SocketAddr,
+        log: Logger,
+    ) -> Result<(Self, mpsc::Receiver<Inbound<M>>), MeshError> {
+        let listener = TcpListener::bind(address).await;
+        Self::start(cfg, listener.context(BindSnafu { address })?, log)
+    }
+
+    /// Starts a mesh that accepts peers on `listener`, and returns it with the queue of inbound
+    /// messages.
     ///
     /// The task that reads the inbound queue must not await its own requests to peers: if the
     /// queue fills up, requests of peers are rejected and their one-way messages are delayed.
     ///
     /// # Errors
-    /// Fails if the address cannot be bound or the instance id cannot be used as a header value.
-    pub async fn bind(
+    /// Fails if the instance id cannot be used as a header value.
+    pub fn start(
         cfg: MeshConfig,
+        listener: TcpListener,
         log: Logger,
     ) -> Result<(Self, mpsc::Receiver<Inbound<M>>), MeshError> {
         ensure!(
@@ -63,11 +80,7 @@
                 instance: cfg.instance.clone()
             }
         );
-        let context = BindSnafu {
-            address: cfg.listen,
-        };
-        let listener = TcpListener::bind(cfg.listen).await.context(context)?;
-        let address = listener.local_addr().context(context)?;
+        let address = listener.local_addr().context(LocalAddressSnafu)?;
         let (tx, rx) = mpsc::channel(cfg.queue_messages);
         let shared = Arc::new(Shared::new(cfg, log, tx));
         shared
--- a/crates/chervilshunt_mesh/src/shared/tests.rs
+++ b/crates/chervilshunt_mesh/src/shared/tests.rs
@@ -79,7 +79,7 @@
 }
 
 fn cfg(name: &str) -> MeshConfig {
-    MeshConfig::new(name.into(), ([127, 0, 0, 1], 0).into())
+    MeshConfig::new(name.into())
 }
 
 fn body(number: u32) -> bytes::Bytes {
@@ -92,7 +92,9 @@
 
 async fn peer() -> (Mesh<Number>, mpsc::Receiver<Inbound<Number>>, Peer) {
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    let (mesh, inbound) = Mesh::bind(cfg("b"), log).await.expect("a free port");
+    let (mesh, inbound) = Mesh::bind(cfg("b"), ([127, 0, 0, 1], 0).into(), log)
+        .await
+        .expect("a free port");
     let peer = Peer {
         instance: "b".into(),
         address: mesh.local_addr(),
--- a/crates/chervilshunt_mesh/tests/mesh/common.rs
+++ b/crates/chervilshunt_mesh/tests/mesh/common.rs
@@ -83,7 +83,7 @@
 }
 
 pub(crate) fn config(name: &str) -> MeshConfig {
-    MeshConfig::new(name.into(), any_port())
+    MeshConfig::new(name.into())
 }
 
 pub(crate) fn any_port() -> SocketAddr {
@@ -95,9 +95,13 @@
 }
 
 pub(crate) async fn node_with(cfg: MeshConfig) -> Node {
+    node_at(cfg, any_port()).await
+}
+
+pub(crate) async fn node_at(cfg: MeshConfig, listen: SocketAddr) -> Node {
     let instance = cfg.instance.clone();
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    let (mesh, inbound) = Mesh::bind(cfg, log).await.expect("a free port");
+    let (mesh, inbound) = Mesh::bind(cfg, listen, log).await.expect("a free port");
     let peer = Peer {
         instance,
         address: mesh.local_addr(),
--- a/crates/chervilshunt_mesh/tests/mesh/loss.rs
+++ b/crates/chervilshunt_mesh/tests/mesh/loss.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::common::{TEST_TIMEOUT, answer, config, node, node_with, note, question};
+use crate::common::{TEST_TIMEOUT, answer, config, node, node_at, node_with, note, question};
 use chervilshunt_mesh::{Inbound, Peer, RequestError, SendError};
 
 /// Guards against a caller's request being stuck after the owner dies with the request in its
@@ -72,9 +72,7 @@
     let peer = b.peer.clone();
     b.mesh.shutdown().await;
     drop(b);
-    let mut cfg = config("b");
-    cfg.listen = peer.address;
-    let mut again = node_with(cfg).await;
+    let mut again = node_at(config("b"), peer.address).await;
     again.mesh.send(&a.peer, note("after")).unwrap();
     assert_eq!(a.message().await.message, note("before"));
     assert!(matches!(a.next().await, Inbound::Lost(_)));
--- a/crates/chervilshunt_start/src/error.rs
+++ b/crates/chervilshunt_start/src/error.rs
@@ -1,6 +1,8 @@
 //! Errors at the start of a program.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use chervilshunt_mesh::MeshError;
 use snafu::Snafu;
@@ -11,12 +13,18 @@
 #[non_exhaustive]
 pub enum StartError {
     /// A port can't be opened.
-    #[snafu(display("can't listen on {address} (addresses.{key}): {source}"))]
+    #[snafu(display(
+        "can't listen on {address} (addresses.{key}): {source}; tried for {:.1} s; {}",
+        waited.as_secs_f64(),
+        remedy(source.kind())
+    ))]
     Listen {
         /// The address to listen on.
         address: SocketAddr,
         /// The key in the section `addresses` of the settings.
         key: &'static str,
+        /// The time since the first attempt.
+        waited: Duration,
         /// The error of the operating system.
         source: std::io::Error,
     },
@@ -39,3 +47,17 @@
         reason: String,
     },
 }
+
+/// Returns what an operator can do about an address that the system refuses.
+const fn remedy(kind: ErrorKind) -> &'static str {
+    match kind {
+        ErrorKind::AddrInUse => "stop the process that listens there, or set another address",
+        ErrorKind::AddrNotAvailable => {
+            "assign the address to an interface of this machine, or set one that it has"
+        }
+        ErrorKind::PermissionDenied => {
+            "give the process the right to open this port, or set a port above 1023"
+        }
+        _ => "check the address, and the limits of the process and of the machine",
+    }
+}
--- a/crates/chervilshunt_start/src/lib.rs
+++ b/crates/chervilshunt_start/src/lib.rs
@@ -16,4 +16,4 @@
 pub use control::{forward, on_control_thread};
 pub use error::StartError;
 pub use metrics::install_metrics;
-pub use ports::listen;
+pub use ports::{Port, open_ports};
