The platform stand-in opens its port again once it is free

An outage that the stand-in plays never ends if another program holds its port at the moment at which it is to end: the API refuses connections for good, without a word.

Cause: the port was opened once after an outage, and a refusal ended the task that serves it. The other stand-ins try again.

Change: all stand-ins open a port in the same way after an outage, until it is free.

--- a/crates/chervilshunt_standin/src/platform/server.rs
+++ b/crates/chervilshunt_standin/src/platform/server.rs
@@ -19,6 +19,7 @@
 use super::faults::{FaultPatch, Faults};
 use super::handler::Api;
 use super::stats::{Counters, Stats};
+use crate::serve::bind_until_free;
 
 /// Configuration of the platform stand-in.
 #[derive(Clone, Debug)]
@@ -145,7 +146,10 @@
         {
             return;
         }
-        listener = TcpListener::bind(address).await.ok();
+        listener = tokio::select! {
+            open = bind_until_free(address) => Some(open),
+            () = stop.cancelled() => None,
+        };
     }
 }
 
--- a/crates/chervilshunt_standin/src/serve.rs
+++ b/crates/chervilshunt_standin/src/serve.rs
@@ -191,7 +191,7 @@
             continue;
         }
         let Some(open) = &listener else {
-            listener = bind_again(address).await;
+            listener = Some(bind_until_free(address).await);
             continue;
         };
         tokio::select! {
@@ -209,12 +209,14 @@
     }
 }
 
-async fn bind_again(address: SocketAddr) -> Option<TcpListener> {
-    let bound: io::Result<TcpListener> = TcpListener::bind(address).await;
-    if bound.is_err() {
+/// Opens a port again; another program may have taken it meanwhile.
+pub(crate) async fn bind_until_free(address: SocketAddr) -> TcpListener {
+    loop {
+        if let Ok(listener) = TcpListener::bind(address).await {
+            return listener;
+        }
         tokio::time::sleep(REBIND_PAUSE).await;
     }
-    bound.ok()
 }
 
 async fn serve_connection<H, F>(
