Settings with one address for two ports are refused

What an operator saw since a start waits for its addresses: an instance whose settings give two ports the same address waits for 10 s and is then told to stop the process that listens there, which is itself.

Port 0 may be given to several. An error about a port that is final at once no longer says that it was tried for 0.0 s.

Test: gateway/tests/settings.rs, two_ports_with_one_address_are_refused, several_ports_may_be_chosen_by_the_system.

--- a/crates/chervilshunt_gateway/src/settings.rs
+++ b/crates/chervilshunt_gateway/src/settings.rs
@@ -36,6 +36,16 @@
         /// The key.
         key: &'static str,
     },
+    /// Two ports have the same address.
+    #[snafu(display("{file}: addresses.{first} and addresses.{second} must differ"))]
+    SameAddress {
+        /// The file.
+        file: String,
+        /// The key of the first address.
+        first: &'static str,
+        /// The key of the second address.
+        second: &'static str,
+    },
     /// A value is out of bounds.
     #[snafu(display("{file}: {key} must {must}"))]
     OutOfBounds {
@@ -316,15 +326,7 @@
             max_memory: instance.max_memory_mb.map(|it| (it * 1e6) as usize),
             is_first_start: instance.first_start.unwrap_or(true),
         },
-        addresses: Addresses {
-            callers: addresses.callers.context(missing("addresses.callers"))?,
-            readiness: addresses
-                .readiness
-                .context(missing("addresses.readiness"))?,
-            peers: addresses.peers.context(missing("addresses.peers"))?,
-            transit: addresses.transit.context(missing("addresses.transit"))?,
-            metrics: addresses.metrics.context(missing("addresses.metrics"))?,
-        },
+        addresses: resolve_addresses(&addresses, file)?,
         platform: PlatformSettings {
             address: platform.address.context(missing("platform.address"))?,
         },
@@ -334,6 +336,39 @@
     })
 }
 
+fn resolve_addresses(raw: &RawAddresses, file: &str) -> Result<Addresses, SettingsError> {
+    let missing = |key| MissingSnafu { file, key };
+    let addresses = Addresses {
+        callers: raw.callers.context(missing("addresses.callers"))?,
+        readiness: raw.readiness.context(missing("addresses.readiness"))?,
+        peers: raw.peers.context(missing("addresses.peers"))?,
+        transit: raw.transit.context(missing("addresses.transit"))?,
+        metrics: raw.metrics.context(missing("addresses.metrics"))?,
+    };
+    let keyed = [
+        ("callers", addresses.callers),
+        ("readiness", addresses.readiness),
+        ("peers", addresses.peers),
+        ("transit", addresses.transit),
+        ("metrics", addresses.metrics),
+    ];
+    for (number, (first, address)) in keyed.iter().enumerate() {
+        // The system chooses a different port for each 0.
+        let same = keyed[number + 1..].iter().find(|it| it.1 == *address);
+        if let Some((second, _)) = same
+            && address.port() != 0
+        {
+            return SameAddressSnafu {
+                file,
+                first: *first,
+                second: *second,
+            }
+            .fail();
+        }
+    }
+    Ok(addresses)
+}
+
 fn resolve_bounds(raw: &RawBounds, file: &str) -> Result<Bounds, SettingsError> {
     let defaults = RetryBoundConfig::default();
     let seconds = |key, value: Option<f64>, default: Duration| {
--- a/crates/chervilshunt_gateway/tests/settings.rs
+++ b/crates/chervilshunt_gateway/tests/settings.rs
@@ -84,6 +84,27 @@
     );
 }
 
+/// Guards against two ports with one address, which an instance would wait for until its start fails.
+#[rstest]
+#[case::same("127.0.0.1:1", true)]
+#[case::other_port("127.0.0.1:9", false)]
+#[case::other_address("127.0.0.2:1", false)]
+fn two_ports_with_one_address_are_refused(#[case] metrics: &str, #[case] is_refused: bool) {
+    let text = text("", "").replace("127.0.0.1:4", metrics);
+    let error = Settings::parse(&text, "settings.jsonc").err();
+    let message = error.map(|it| it.to_string());
+    let expected = "settings.jsonc: addresses.callers and addresses.metrics must differ";
+    assert_eq!(message.as_deref(), is_refused.then_some(expected));
+}
+
+/// Guards against any port being refused where the system chooses it.
+#[test]
+fn several_ports_may_be_chosen_by_the_system() {
+    let text = text("", "").replace("127.0.0.1:4", "127.0.0.1:0");
+    let text = text.replace(r#""127.0.0.1:1""#, r#""127.0.0.1:0""#);
+    assert!(Settings::parse(&text, "settings.jsonc").is_ok());
+}
+
 /// Guards against a setting that is read as another one, or that changes what happens by default.
 #[rstest]
 #[case::left_out("", Some(PlainAdmission::Auto))]
--- a/crates/chervilshunt_start/src/error.rs
+++ b/crates/chervilshunt_start/src/error.rs
@@ -14,8 +14,8 @@
 pub enum StartError {
     /// A port can't be opened.
     #[snafu(display(
-        "can't listen on {address} (addresses.{key}): {source}; tried for {:.1} s; {}",
-        waited.as_secs_f64(),
+        "can't listen on {address} (addresses.{key}): {source}{}; {}",
+        describe_wait(*waited),
         remedy(source.kind())
     ))]
     Listen {
@@ -23,7 +23,7 @@
         address: SocketAddr,
         /// The key in the section `addresses` of the settings.
         key: &'static str,
-        /// The time since the first attempt.
+        /// The time for which it was tried again; 0 if it was not.
         waited: Duration,
         /// The error of the operating system.
         source: std::io::Error,
@@ -48,6 +48,13 @@
     },
 }
 
+fn describe_wait(waited: Duration) -> String {
+    if waited.is_zero() {
+        return String::new();
+    }
+    format!("; tried for {:.1} s", waited.as_secs_f64())
+}
+
 /// Returns what an operator can do about an address that the system refuses.
 const fn remedy(kind: ErrorKind) -> &'static str {
     match kind {
--- a/crates/chervilshunt_start/src/ports.rs
+++ b/crates/chervilshunt_start/src/ports.rs
@@ -177,10 +177,9 @@
         now: Instant,
         log: &Logger,
     ) -> Result<(), StartError> {
-        let waited = now.duration_since(self.began);
         for refusal in refusals {
-            if !refusal.may_pass() || waited >= self.limit {
-                return Err(refusal.into_error(waited));
+            if !refusal.may_pass() || self.waited(now) >= self.limit {
+                return Err(refusal.into_error(self.waited(now)));
             }
             let seen = (refusal.port.key, refusal.source.kind());
             if self.logged.contains(&seen) {
@@ -197,11 +196,19 @@
     }
 
     fn log_end(&self, now: Instant, log: &Logger) {
-        if !self.logged.is_empty() {
-            let waited = now.duration_since(self.began);
+        let waited = self.waited(now);
+        if !waited.is_zero() {
             slog::info!(log, "addresses available"; "waited_s" => waited.as_secs_f64());
         }
     }
+
+    /// Returns how long the program has waited; 0 at its first attempt.
+    fn waited(&self, now: Instant) -> Duration {
+        if self.logged.is_empty() {
+            return Duration::ZERO;
+        }
+        now.duration_since(self.began)
+    }
 }
 
 #[cfg(test)]
--- a/crates/chervilshunt_start/src/ports/tests.rs
+++ b/crates/chervilshunt_start/src/ports/tests.rs
@@ -53,3 +53,18 @@
         assert!(error.contains(part), "{part:?} is missing: {error}");
     }
 }
+
+/// Guards against errors and lines about a wait that there was not.
+#[test]
+fn only_a_wait_is_told() {
+    let began = Instant::now();
+    let now = began + Duration::from_millis(1);
+    let mut wait = AddressWait::new(began, LIMIT);
+    assert!(wait.waited(now).is_zero());
+    let error = wait.continue_after(vec![refusal(Errno::ACCESS)], now, &discard());
+    let message = error.expect_err("a final refusal").to_string();
+    assert!(!message.contains("tried for"), "{message}");
+    let waiting = wait.continue_after(vec![refusal(Errno::ADDRINUSE)], now, &discard());
+    assert!(waiting.is_ok());
+    assert_eq!(wait.waited(began + LIMIT), LIMIT);
+}
