A stand-in that starts waits for an address that is taken

What developers saw: a stand-in with a fixed port that is started before its predecessor is gone ends at once, with an error that names no address ("Address already in use (os error 98)").

Change: a stand-in tries a taken or missing address for 2 s, as its predecessor does not stop in order and is gone as soon as it is killed. The error names the address.

--- a/crates/chervilshunt_standin/src/platform/server.rs
+++ b/crates/chervilshunt_standin/src/platform/server.rs
@@ -19,7 +19,7 @@
 use super::faults::{FaultPatch, Faults};
 use super::handler::Api;
 use super::stats::{Counters, Stats};
-use crate::serve::bind_until_free;
+use crate::serve::{bind_at_start, bind_until_free};
 
 /// Configuration of the platform stand-in.
 #[derive(Clone, Debug)]
@@ -107,8 +107,8 @@
         options.bookmark_interval,
         options.seed,
     ));
-    let listener = TcpListener::bind(options.listen).await?;
-    let control = TcpListener::bind(options.control).await?;
+    let listener = bind_at_start(options.listen).await?;
+    let control = bind_at_start(options.control).await?;
     let handle = PlatformHandle {
         address: listener.local_addr()?,
         control: control.local_addr()?,
--- a/crates/chervilshunt_standin/src/serve.rs
+++ b/crates/chervilshunt_standin/src/serve.rs
@@ -25,6 +25,7 @@
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::command::Addresses;
 
@@ -35,6 +36,9 @@
 /// Delay between attempts to bind a port that is still in use.
 const REBIND_PAUSE: Duration = Duration::from_millis(10);
 
+/// Time limit for opening a port when a stand-in starts.
+const START_LIMIT: Duration = Duration::from_secs(2);
+
 /// The header with the id of a request.
 pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 /// The header with the id of one attempt of a request.
@@ -158,8 +162,8 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Answer> + Send + 'static,
 {
-    let listener = TcpListener::bind(address).await?;
-    let control = TcpListener::bind(control).await?;
+    let listener = bind_at_start(address).await?;
+    let control = bind_at_start(control).await?;
     let opened = Addresses {
         main: listener.local_addr()?,
         control: control.local_addr()?,
@@ -209,6 +213,30 @@
     }
 }
 
+/// Opens a port of a stand-in that starts, and waits for an address that an earlier one still holds.
+pub(crate) async fn bind_at_start(address: SocketAddr) -> io::Result<TcpListener> {
+    let deadline = Instant::now() + START_LIMIT;
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return Ok(listener),
+            Err(error) if may_pass(&error) && Instant::now() < deadline => {
+                tokio::time::sleep(REBIND_PAUSE).await;
+            }
+            Err(error) => {
+                let message = format!("can't listen on {address}: {error}");
+                return Err(io::Error::new(error.kind(), message));
+            }
+        }
+    }
+}
+
+fn may_pass(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::AddrInUse | io::ErrorKind::AddrNotAvailable
+    )
+}
+
 /// Opens a port again; another program may have taken it meanwhile.
 pub(crate) async fn bind_until_free(address: SocketAddr) -> TcpListener {
     loop {
--- a/crates/chervilshunt_standin/tests/platform_port.rs
+++ b/crates/chervilshunt_standin/tests/platform_port.rs
@@ -22,6 +22,16 @@
     assert!(changed.is_ok(), "accepts connections: {}", !accepts);
 }
 
+/// Returns options with an address of a test's own, so that no other program takes its port.
+fn options(test: u8) -> PlatformOptions {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, 1 + low % 250, high, test);
+    PlatformOptions {
+        listen: (ip, 7001).into(),
+        ..PlatformOptions::default()
+    }
+}
+
 fn down(down: Down) -> FaultPatch {
     FaultPatch {
         down: Some(down),
@@ -32,14 +42,7 @@
 /// Guards against an outage that never ends because the port was taken when it was to end.
 #[tokio::test]
 async fn the_port_opens_again_once_it_is_free() {
-    // An address of its own, so that no other program takes the port while it is closed.
-    let [_, _, high, low] = std::process::id().to_be_bytes();
-    let ip = Ipv4Addr::new(127, 1 + low % 250, high, 1);
-    let options = PlatformOptions {
-        listen: (ip, 7001).into(),
-        ..PlatformOptions::default()
-    };
-    let platform = start_platform(options).await.expect("a free port");
+    let platform = start_platform(options(1)).await.expect("a free port");
     let address = platform.address();
     until_accepts(address, true).await;
     platform.set_faults(down(Down::Refuse));
@@ -50,3 +53,27 @@
     drop(holder);
     until_accepts(address, true).await;
 }
+
+/// Guards against a stand-in that ends because an earlier one still holds its address.
+#[tokio::test]
+async fn a_stand_in_waits_for_an_address_that_is_taken() {
+    let options = options(2);
+    let address = options.listen;
+    let holder = TcpListener::bind(address).expect("a free port");
+    let starting = tokio::spawn(start_platform(options));
+    tokio::time::sleep(REBIND_TIME).await;
+    assert!(!starting.is_finished());
+    drop(holder);
+    let platform = starting.await.expect("no panic").expect("a start");
+    assert_eq!(platform.address(), address);
+}
+
+/// Guards against an error that doesn't say which address was refused.
+#[tokio::test]
+async fn an_address_that_stays_taken_is_named() {
+    let options = options(3);
+    let address = options.listen;
+    let _holder = TcpListener::bind(address).expect("a free port");
+    let error = start_platform(options).await.expect_err("a taken address");
+    assert!(error.to_string().contains(&address.to_string()), "{error}");
+}
